--- /dev/null
+++ b/src/catkingrade/daemon/daemon.c
@@ -0,0 +1,143 @@
+#include "catkingrade/kernel/daemon.h"
+
+#include <signal.h>
+#include <stddef.h>
+#include <string.h>
+#include <sys/signalfd.h>
+#include <unistd.h>
+
+#include "catkingrade/kernel/log.h"
+#include "catkingrade/kernel/loop.h"
+#include "catkingrade/kernel/outcome.h"
+#include "catkingrade/kernel/plugin.h"
+#include "catkingrade/kernel/settings.h"
+#include "catkingrade/kernel/timeline.h"
+
+#define DAEMON_DRAIN_POLL_US 50000
+
+// State of a planned stop, on the control loop.
+struct daemon_stop {
+    struct daemon *daemon;
+    struct loop_timer *timer;
+    int signal_fd;
+    int64_t started_us;
+    bool listeners_closed;
+};
+
+static struct daemon_stop daemon_stop_state;
+
+// Polls until nothing is in flight, or until the limit, then ends the loop.
+static void
+daemon_poll_drain(void *data)
+{
+    struct daemon_stop *stop = data;
+    struct daemon *daemon = stop->daemon;
+    int64_t now_us = loop_get_now_us(daemon->control_loop);
+    bool drained = plugin_all_drained(daemon);
+    int64_t limit_us = daemon->settings->drain_limit_us;
+
+    if (!drained && now_us - stop->started_us < limit_us) {
+        loop_timer_set(stop->timer, now_us + DAEMON_DRAIN_POLL_US);
+        return;
+    }
+    LOG_INFO("stopped", "drained=%d", drained);
+    loop_stop(daemon->control_loop);
+}
+
+static void
+daemon_run_stop_timer(void *data)
+{
+    struct daemon_stop *stop = data;
+    int64_t now_us = loop_get_now_us(stop->daemon->control_loop);
+    int64_t notice_us = stop->daemon->settings->drain_notice_us;
+
+    if (now_us - stop->started_us < notice_us) {
+        loop_timer_set(stop->timer, stop->started_us + notice_us);
+        return;
+    }
+    if (!stop->listeners_closed) {
+        plugin_drain_all(stop->daemon);
+        stop->listeners_closed = true;
+    }
+    daemon_poll_drain(stop);
+}
+
+static void
+daemon_begin_stop(void *data)
+{
+    struct daemon *daemon = data;
+    struct daemon_stop *stop = &daemon_stop_state;
+
+    if (atomic_exchange(&daemon->draining, true)) {
+        return;
+    }
+    atomic_store(&daemon->ready, false);
+    stop->started_us = loop_get_now_us(daemon->control_loop);
+    LOG_INFO("stopping", "notice_ms=%lld",
+             (long long)(daemon->settings->drain_notice_us / 1000));
+    timeline_record("stopping", NULL, NULL, 0, "planned");
+    loop_timer_set(stop->timer, stop->started_us);
+}
+
+// Begins a planned stop: health goes red, listeners close after the
+// balancer's notice time, and the process ends once nothing is in flight.
+// May be called from any thread; a second call changes nothing.
+void
+daemon_request_stop(struct daemon *daemon)
+{
+    loop_post(daemon->control_loop, daemon_begin_stop, daemon);
+}
+
+static void
+daemon_handle_signal(void *data, unsigned events)
+{
+    struct daemon_stop *stop = data;
+    struct signalfd_siginfo info;
+
+    (void)events;
+    if (read(stop->signal_fd, &info, sizeof(info)) != sizeof(info)) {
+        return;
+    }
+    if (info.ssi_signo == SIGHUP) {
+        LOG_INFO("log_reopened", "outcome=%s", outcome_get_name(log_reopen()));
+        return;
+    }
+    daemon_begin_stop(stop->daemon);
+}
+
+// Runs the daemon until a planned stop has ended. Signals must be blocked in
+// the calling thread. Returns OUTCOME_OK, or why it could not start.
+int
+daemon_run(struct daemon *daemon)
+{
+    struct daemon_stop *stop = &daemon_stop_state;
+    sigset_t signals;
+
+    sigemptyset(&signals);
+    sigaddset(&signals, SIGTERM);
+    sigaddset(&signals, SIGINT);
+    sigaddset(&signals, SIGHUP);
+    stop->daemon = daemon;
+    stop->signal_fd = signalfd(-1, &signals, SFD_CLOEXEC | SFD_NONBLOCK);
+    if (stop->signal_fd < 0) {
+        return OUTCOME_IO;
+    }
+    stop->timer =
+        loop_timer_create(daemon->control_loop, daemon_run_stop_timer, stop);
+    struct loop_watch *watch =
+        loop_watch_create(daemon->control_loop, stop->signal_fd, LOOP_READ,
+                          daemon_handle_signal, stop);
+    int outcome = plugin_start_all(daemon, daemon->settings);
+    if (outcome == OUTCOME_OK) {
+        atomic_store(&daemon->ready, true);
+        LOG_INFO("started", "vm=%s", daemon->settings->vm);
+        timeline_record("started", NULL, NULL, 0, "vm=%s",
+                        daemon->settings->vm);
+        loop_run(daemon->control_loop);
+    }
+    plugin_stop_all(daemon);
+    loop_watch_destroy(watch);
+    loop_timer_destroy(stop->timer);
+    close(stop->signal_fd);
+    return outcome;
+}
--- /dev/null
+++ b/src/catkingrade/kernel/counters.h
@@ -0,0 +1,66 @@
+#ifndef CATKINGRADE_KERNEL_COUNTERS_H
+#define CATKINGRADE_KERNEL_COUNTERS_H
+
+#include <stdint.h>
+
+#include "catkingrade/kernel/buffer.h"
+
+// Every counter of the daemon: name, unit and help for Prometheus text.
+// Each thread counts in its own block; readers sum the blocks.
+#define COUNTER_LIST(ROW)                                                     \
+    ROW(SESSIONS_OPENED, "sessions_opened_total", "client sessions opened")   \
+    ROW(SESSIONS_CLOSED, "sessions_closed_total", "client sessions closed")   \
+    ROW(SESSIONS_REFUSED, "sessions_refused_total",                           \
+        "client sessions refused at their start")                             \
+    ROW(FRAMES_BAD, "frames_bad_total",                                       \
+        "client frames that broke the protocol")                              \
+    ROW(REQUESTS, "requests_total", "requests received from callers")         \
+    ROW(READS_REPLICA, "reads_replica_total", "reads served by replicas")     \
+    ROW(READS_PRIMARY, "reads_primary_total", "reads served by the primary")  \
+    ROW(WRITES, "writes_total", "writes sent to the primary")                 \
+    ROW(DONE, "outcome_done_total", "requests that ended as done")            \
+    ROW(NOT_RUN, "outcome_not_run_total", "requests that ended as not_run")   \
+    ROW(UNKNOWN, "outcome_unknown_total", "requests that ended as unknown")   \
+    ROW(RETRIES, "retries_total", "requests sent again after not_run")        \
+    ROW(CLASSIFY_HITS, "classify_hits_total",                                 \
+        "statements found in the cache")                                      \
+    ROW(CLASSIFY_MISSES, "classify_misses_total", "statements parsed")        \
+    ROW(UPSTREAM_OPENED, "upstream_opened_total",                             \
+        "upstream connections opened")                                        \
+    ROW(UPSTREAM_FAILED, "upstream_failed_total",                             \
+        "upstream connections that failed")                                   \
+    ROW(UPSTREAM_SILENT, "upstream_silent_total",                             \
+        "upstream connections dropped because they were silent")              \
+    ROW(LEASE_RENEWALS, "lease_renewals_total", "lease renewals answered")    \
+    ROW(LEASE_EXPIRED, "lease_expired_total", "leases that ran out")          \
+    ROW(RPC_SENT, "rpc_sent_total", "RPC datagrams sent")                     \
+    ROW(RPC_SENT_BYTES, "rpc_sent_bytes_total",                               \
+        "bytes of RPC datagrams sent")                                        \
+    ROW(RPC_RECEIVED, "rpc_received_total", "RPC datagrams received")         \
+    ROW(RPC_RECEIVED_BYTES, "rpc_received_bytes_total",                       \
+        "bytes of RPC datagrams received")                                    \
+    ROW(RPC_DENIED, "rpc_denied_total", "RPC datagrams with a wrong key")     \
+    ROW(RPC_BAD, "rpc_bad_total", "RPC datagrams that could not be decoded")  \
+    ROW(LOG_APPENDS, "log_appends_total", "entries appended to group logs")   \
+    ROW(LOG_SYNCS, "log_syncs_total", "fsync calls of group logs")            \
+    ROW(ELECTIONS, "elections_total", "elections won")                        \
+    ROW(PROMOTIONS, "promotions_total", "primaries promoted")                 \
+    ROW(ANNOUNCEMENTS, "announcements_total", "upstream announcements taken") \
+    ROW(ANNOUNCEMENTS_REFUSED, "announcements_refused_total",                 \
+        "upstream announcements refused")                                     \
+    ROW(CHANGES, "changes_total", "configuration changes applied")
+
+enum counter {
+#define COUNTER_ENUM(name, text, help) COUNTER_##name,
+    COUNTER_LIST(COUNTER_ENUM)
+#undef COUNTER_ENUM
+        COUNTER_COUNT
+};
+
+void counter_add(enum counter counter, uint64_t amount);
+uint64_t counter_get(enum counter counter);
+const char *counter_get_name(enum counter counter);
+const char *counter_get_help(enum counter counter);
+void counter_append_prometheus(struct buffer *text);
+
+#endif
--- /dev/null
+++ b/src/catkingrade/kernel/file.c
@@ -0,0 +1,46 @@
+#include "catkingrade/kernel/file.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+
+#include "catkingrade/kernel/buffer.h"
+#include "catkingrade/kernel/memory.h"
+#include "catkingrade/kernel/outcome.h"
+
+#define FILE_READ_STEP_BYTES 16384
+
+// Reads a whole file as text that the caller frees. Returns OUTCOME_OK,
+// OUTCOME_IO with errno set, or OUTCOME_TOO_LARGE.
+int
+file_read_text(const char *path, size_t max_size_bytes, char **text)
+{
+    struct buffer content = {0};
+    FILE *file = fopen(path, "re");
+    int outcome = OUTCOME_OK;
+
+    if (file == NULL) {
+        return OUTCOME_IO;
+    }
+    for (;;) {
+        uint8_t *place = buffer_reserve(&content, FILE_READ_STEP_BYTES);
+        size_t got = fread(place, 1, FILE_READ_STEP_BYTES, file);
+        content.end += got;
+        if (got == 0) {
+            break;
+        }
+        if (buffer_get_size(&content) > max_size_bytes) {
+            outcome = OUTCOME_TOO_LARGE;
+            break;
+        }
+    }
+    if (ferror(file) != 0) {
+        outcome = OUTCOME_IO;
+    }
+    (void)fclose(file);
+    if (outcome == OUTCOME_OK) {
+        *text = xmemdupz((const char *)buffer_get_data(&content),
+                         buffer_get_size(&content));
+    }
+    buffer_free(&content);
+    return outcome;
+}
--- /dev/null
+++ b/src/catkingrade/kernel/file.h
@@ -0,0 +1,8 @@
+#ifndef CATKINGRADE_KERNEL_FILE_H
+#define CATKINGRADE_KERNEL_FILE_H
+
+#include <stddef.h>
+
+int file_read_text(const char *path, size_t max_size_bytes, char **text);
+
+#endif
--- /dev/null
+++ b/src/catkingrade/kernel/loop.h
@@ -0,0 +1,49 @@
+#ifndef CATKINGRADE_KERNEL_LOOP_H
+#define CATKINGRADE_KERNEL_LOOP_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+// An event loop of one thread, on apr_pollset. All functions but loop_post
+// and loop_stop are for the loop's own thread only.
+struct loop;
+
+enum loop_events {
+    LOOP_READ = 1,
+    LOOP_WRITE = 2,
+    LOOP_ERROR = 4,
+};
+
+struct loop_watch;
+struct loop_timer;
+
+typedef void (*loop_watch_fn)(void *data, unsigned events);
+typedef void (*loop_task_fn)(void *data);
+
+struct loop *loop_create(void);
+void loop_destroy(struct loop *loop);
+void loop_run(struct loop *loop);
+void loop_stop(struct loop *loop);
+void loop_post(struct loop *loop, loop_task_fn task, void *data);
+void loop_set_after(struct loop *loop, loop_task_fn task, void *data);
+
+struct loop_watch *loop_watch_create(struct loop *loop, int fd,
+                                     unsigned events, loop_watch_fn callback,
+                                     void *data);
+void loop_watch_set(struct loop_watch *watch, unsigned events);
+void loop_watch_destroy(struct loop_watch *watch);
+
+struct loop_timer *loop_timer_create(struct loop *loop, loop_task_fn callback,
+                                     void *data);
+void loop_timer_set(struct loop_timer *timer, int64_t at_us);
+void loop_timer_clear(struct loop_timer *timer);
+void loop_timer_destroy(struct loop_timer *timer);
+
+// Monotonic time at the start of this turn of the loop.
+int64_t loop_get_now_us(const struct loop *loop);
+
+// Monotonic and wall-clock time, read now.
+int64_t monotonic_get_us(void);
+int64_t walltime_get_us(void);
+
+#endif
--- /dev/null
+++ b/src/catkingrade/kernel/plugin.c
@@ -0,0 +1,84 @@
+#include "catkingrade/kernel/plugin.h"
+
+#include <stddef.h>
+
+#include "catkingrade/kernel/log.h"
+#include "catkingrade/kernel/memory.h"
+#include "catkingrade/kernel/outcome.h"
+
+#define PLUGIN_MAX_COUNT 32
+
+static const struct plugin *plugins[PLUGIN_MAX_COUNT];
+static bool plugins_started[PLUGIN_MAX_COUNT];
+static size_t plugin_count;
+
+// Adds a plug-in to the registry, ordered by its start order.
+void
+plugin_register(const struct plugin *plugin)
+{
+    size_t place = plugin_count;
+
+    INVARIANT(plugin_count < PLUGIN_MAX_COUNT);
+    while (place > 0 && plugins[place - 1]->order > plugin->order) {
+        plugins[place] = plugins[place - 1];
+        place--;
+    }
+    plugins[place] = plugin;
+    plugin_count++;
+}
+
+// Starts every plug-in that wants to run. Returns the first error; those that
+// were started before it stay to be stopped by plugin_stop_all.
+int
+plugin_start_all(struct daemon *daemon, const struct settings *settings)
+{
+    for (size_t i = 0; i < plugin_count; i++) {
+        if (plugins[i]->wants != NULL && !plugins[i]->wants(settings)) {
+            continue;
+        }
+        int outcome = plugins[i]->start(daemon);
+        if (outcome != OUTCOME_OK) {
+            LOG_ERROR("plugin_failed", "plugin=%s outcome=%s",
+                      plugins[i]->name, outcome_get_name(outcome));
+            return outcome;
+        }
+        plugins_started[i] = true;
+    }
+    return OUTCOME_OK;
+}
+
+// Tells every running plug-in to take no new work.
+void
+plugin_drain_all(struct daemon *daemon)
+{
+    for (size_t i = plugin_count; i > 0; i--) {
+        if (plugins_started[i - 1] && plugins[i - 1]->drain != NULL) {
+            plugins[i - 1]->drain(daemon);
+        }
+    }
+}
+
+// Returns true once no running plug-in has a request in flight.
+bool
+plugin_all_drained(struct daemon *daemon)
+{
+    for (size_t i = 0; i < plugin_count; i++) {
+        if (plugins_started[i] && plugins[i]->is_drained != NULL &&
+            !plugins[i]->is_drained(daemon)) {
+            return false;
+        }
+    }
+    return true;
+}
+
+// Stops running plug-ins in the reverse order of their start.
+void
+plugin_stop_all(struct daemon *daemon)
+{
+    for (size_t i = plugin_count; i > 0; i--) {
+        if (plugins_started[i - 1]) {
+            plugins[i - 1]->stop(daemon);
+            plugins_started[i - 1] = false;
+        }
+    }
+}
--- /dev/null
+++ b/src/catkingrade/kernel/settings.h
@@ -0,0 +1,87 @@
+#ifndef CATKINGRADE_KERNEL_SETTINGS_H
+#define CATKINGRADE_KERNEL_SETTINGS_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "catkingrade/kernel/buffer.h"
+#include "catkingrade/kernel/log.h"
+
+enum settings_role {
+    SETTINGS_ROLE_ENTRY = 1,
+    SETTINGS_ROLE_CONTROL = 2,
+};
+
+// An IP number and a port; host is empty when it is not set.
+struct settings_address {
+    char host[64];
+    uint16_t port;
+};
+
+// A voter of a control group at its first start.
+struct settings_voter {
+    uint64_t id;
+    char *vm;
+    struct settings_address rpc;
+};
+
+struct settings_group {
+    char *name;
+    char *failure_domain; // empty: the fleet group
+    struct settings_voter *voters;
+    size_t voters_count;
+};
+
+// All settings of a daemon; docs/SETTINGS.md lists keys, units and ranges.
+struct settings {
+    char *file; // path it was read from
+    char *vm;
+    char *failure_domain;
+    char *region;
+    unsigned roles; // enum settings_role
+    struct settings_address postgres;
+    struct settings_address rpc;
+    struct settings_address http;
+    char *data_dir;
+    char *key_file;  // shared key of daemons and operators
+    char *view_file; // static view for an entry without control
+    char *tls_cert_file;
+    char *tls_key_file;
+    bool tls_required;
+    char *token_keys_file;
+    char *upstream_user;
+    char *upstream_password_file;
+    char *upstream_sslmode;
+    unsigned traffic_threads;
+    unsigned max_sessions;
+    unsigned classify_cache_entries;
+    struct settings_address *seeds;
+    size_t seeds_count;
+    struct settings_group *groups;
+    size_t groups_count;
+    char *log_path;
+    enum log_level log_level;
+    enum log_format log_format;
+    int64_t lease_us;
+    int64_t renew_us;
+    int64_t probe_us;
+    int64_t heartbeat_us;
+    int64_t election_us; // shortest election timeout
+    int64_t announce_expiry_us;
+    int64_t suspect_us;    // silence after which an upstream is suspected
+    int64_t idle_proof_us; // idle connections prove themselves after this
+    int64_t connect_timeout_us;
+    int64_t drain_notice_us; // between red health and closed listeners
+    int64_t drain_limit_us;
+    unsigned clock_drift_ppm;
+};
+
+bool settings_parse_address(const char *text,
+                            struct settings_address *address);
+struct settings *settings_load(const char *path, struct buffer *errors);
+struct settings *settings_parse(const char *path, const char *text,
+                                struct buffer *errors);
+void settings_destroy(struct settings *settings);
+
+#endif
--- /dev/null
+++ b/src/catkingrade/kernel/timeline.c
@@ -0,0 +1,107 @@
+#include "catkingrade/kernel/timeline.h"
+
+#include <pthread.h>
+#include <stdarg.h>
+#include <stdio.h>
+
+#include "catkingrade/kernel/loop.h"
+#include "catkingrade/kernel/memory.h"
+
+#define TIMELINE_RING_EVENTS  4096
+#define TIMELINE_COUNTER_BITS 16
+#define TIMELINE_US_PER_MS    1000
+
+static struct {
+    pthread_mutex_t mutex;
+    struct timeline_event *ring;
+    uint64_t last_sequence;
+    uint64_t hlc;
+} timeline_state = {.mutex = PTHREAD_MUTEX_INITIALIZER};
+
+// Advances the clock past both the wall clock and its last value.
+static uint64_t
+timeline_advance_locked(void)
+{
+    uint64_t wall_ms = (uint64_t)(walltime_get_us() / TIMELINE_US_PER_MS);
+    uint64_t wall = wall_ms << TIMELINE_COUNTER_BITS;
+
+    if (wall > timeline_state.hlc) {
+        timeline_state.hlc = wall;
+    }
+    else {
+        timeline_state.hlc++;
+    }
+    return timeline_state.hlc;
+}
+
+// Returns a stamp for a message that leaves this process.
+uint64_t
+timeline_get_hlc(void)
+{
+    pthread_mutex_lock(&timeline_state.mutex);
+    uint64_t hlc = timeline_advance_locked();
+    pthread_mutex_unlock(&timeline_state.mutex);
+    return hlc;
+}
+
+// Takes in the stamp of a message from another process, so that what follows
+// here is ordered after what came before it there.
+void
+timeline_observe_hlc(uint64_t hlc)
+{
+    pthread_mutex_lock(&timeline_state.mutex);
+    if (hlc > timeline_state.hlc) {
+        timeline_state.hlc = hlc;
+    }
+    pthread_mutex_unlock(&timeline_state.mutex);
+}
+
+// Records one event. customer and upstream may be NULL, session 0. Secrets
+// and statement texts never go in here. Thread-safe.
+void
+timeline_record(const char *kind, const char *customer, const char *upstream,
+                uint64_t session, const char *format, ...)
+{
+    struct timeline_event event = {.session = session};
+    va_list args;
+
+    (void)snprintf(event.kind, sizeof(event.kind), "%s", kind);
+    (void)snprintf(event.customer, sizeof(event.customer), "%s",
+                   customer == NULL ? "" : customer);
+    (void)snprintf(event.upstream, sizeof(event.upstream), "%s",
+                   upstream == NULL ? "" : upstream);
+    va_start(args, format);
+    (void)vsnprintf(event.text, sizeof(event.text), format, args);
+    va_end(args);
+    pthread_mutex_lock(&timeline_state.mutex);
+    if (timeline_state.ring == NULL) {
+        timeline_state.ring = xcalloc(TIMELINE_RING_EVENTS, sizeof(event));
+    }
+    event.sequence = ++timeline_state.last_sequence;
+    event.hlc = timeline_advance_locked();
+    timeline_state.ring[event.sequence % TIMELINE_RING_EVENTS] = event;
+    pthread_mutex_unlock(&timeline_state.mutex);
+}
+
+// Copies events whose sequence is above after_sequence, oldest first. Returns
+// their number; a first sequence above after_sequence + 1 shows that the ring
+// has overwritten the ones between.
+size_t
+timeline_read(uint64_t after_sequence, struct timeline_event *events,
+              size_t max_count)
+{
+    size_t count = 0;
+
+    pthread_mutex_lock(&timeline_state.mutex);
+    uint64_t last = timeline_state.last_sequence;
+    uint64_t first = after_sequence + 1;
+    if (last >= TIMELINE_RING_EVENTS &&
+        first < last - TIMELINE_RING_EVENTS + 1) {
+        first = last - TIMELINE_RING_EVENTS + 1;
+    }
+    for (uint64_t s = first; s <= last && count < max_count; s++) {
+        events[count++] = timeline_state.ring[s % TIMELINE_RING_EVENTS];
+    }
+    pthread_mutex_unlock(&timeline_state.mutex);
+    return count;
+}
--- /dev/null
+++ b/src/catkingrade/rpc/codec.c
@@ -0,0 +1,69 @@
+#include "catkingrade/rpc/codec.h"
+
+#include <stdint.h>
+#include <string.h>
+
+#include "catkingrade/kernel/memory.h"
+#include "catkingrade/kernel/outcome.h"
+
+#define CODEC_MAX_SIZE_BYTES (64 * 1024 * 1024)
+
+// Appends an object's XDR form to out. Returns OUTCOME_OK, or OUTCOME_INVALID
+// when a text or list is longer than its type allows, with out unchanged.
+int
+codec_encode(xdrproc_t xdr, const void *object, struct buffer *out)
+{
+    XDR stream;
+    unsigned long size = xdr_sizeof(xdr, (void *)(uintptr_t)object);
+
+    if (size > CODEC_MAX_SIZE_BYTES) {
+        return OUTCOME_TOO_LARGE;
+    }
+    uint8_t *place = buffer_reserve(out, size);
+    xdrmem_create(&stream, (char *)place, (u_int)size, XDR_ENCODE);
+    if (!xdr(&stream, (void *)(uintptr_t)object)) {
+        return OUTCOME_INVALID;
+    }
+    out->end += xdr_getpos(&stream);
+    return OUTCOME_OK;
+}
+
+// Decodes an object from its XDR form; free it with
+// codec_free. Returns OUTCOME_OK, or OUTCOME_PROTOCOL when the bytes are not
+// exactly one such object; nothing is then left to be freed. The caller zeroes
+// object before the call.
+int
+codec_decode(xdrproc_t xdr, const void *data, size_t size_bytes, void *object)
+{
+    XDR stream;
+
+    xdrmem_create(&stream, (char *)(uintptr_t)data, (u_int)size_bytes,
+                  XDR_DECODE);
+    if (!xdr(&stream, object) || xdr_getpos(&stream) != size_bytes) {
+        codec_free(xdr, object);
+        return OUTCOME_PROTOCOL;
+    }
+    return OUTCOME_OK;
+}
+
+// Makes a deep copy; object_size_bytes is the sizeof of the type.
+void
+codec_copy(xdrproc_t xdr, const void *from, void *to, size_t object_size_bytes)
+{
+    struct buffer bytes = {0};
+
+    memset(to, 0, object_size_bytes);
+    int outcome = codec_encode(xdr, from, &bytes);
+    INVARIANT(outcome == OUTCOME_OK);
+    outcome = codec_decode(xdr, buffer_get_data(&bytes),
+                           buffer_get_size(&bytes), to);
+    INVARIANT(outcome == OUTCOME_OK);
+    buffer_free(&bytes);
+}
+
+// Frees what a decoded object holds, not the object itself.
+void
+codec_free(xdrproc_t xdr, void *object)
+{
+    xdr_free(xdr, object);
+}
--- /dev/null
+++ b/src/catkingrade/rpc/codec.h
@@ -0,0 +1,17 @@
+#ifndef CATKINGRADE_RPC_CODEC_H
+#define CATKINGRADE_RPC_CODEC_H
+
+#include <rpc/rpc.h>
+#include <stddef.h>
+
+#include "catkingrade/kernel/buffer.h"
+
+// Encodes, decodes, copies and frees the XDR types of messages.x.
+int codec_encode(xdrproc_t xdr, const void *object, struct buffer *out);
+int codec_decode(xdrproc_t xdr, const void *data, size_t size_bytes,
+                 void *object);
+void codec_copy(xdrproc_t xdr, const void *from, void *to,
+                size_t object_size_bytes);
+void codec_free(xdrproc_t xdr, void *object);
+
+#endif
--- /dev/null
+++ b/test/unit/kernel/test_settings.c
@@ -0,0 +1,93 @@
+#include <check.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "catkingrade/kernel/memory.h"
+#include "catkingrade/kernel/settings.h"
+#include "test/suite.h"
+
+#define VALID_HEAD                                                            \
+    "{\n  // the VM\n  \"vm\": \"noord-1\", \"failure_domain\": \"noord\",\n" \
+    "  \"roles\": [\"entry\"],\n"                                             \
+    "  \"listen\": {\"postgres\": \"127.0.0.1:6432\",\n"                      \
+    "             \"rpc\": \"127.0.0.1:7432\"}"
+
+START_TEST(test_valid)
+{
+    struct buffer errors = {0};
+    struct settings *settings =
+        settings_parse("a.json", VALID_HEAD ", \"lease_ms\": 800}", &errors);
+
+    ck_assert_ptr_nonnull(settings);
+    ck_assert_str_eq(settings->vm, "noord-1");
+    ck_assert_int_eq(settings->postgres.port, 6432);
+    ck_assert_int_eq(settings->lease_us, 800000);
+    ck_assert_int_eq(settings->renew_us, 300000);
+    settings_destroy(settings);
+}
+END_TEST
+
+struct fault {
+    const char *text;
+    const char *error;
+};
+
+static const struct fault faults[] = {
+    {VALID_HEAD ", \"lease_msec\": 1}", "a.json:6: lease_msec: unknown key\n"},
+    {VALID_HEAD ",\n\"lease_ms\": \"1\"}",
+     "a.json:7: lease_ms: must be a whole number\n"},
+    {VALID_HEAD ",\n\"lease_ms\": 5}",
+     "a.json:7: lease_ms: 5 is out of range"},
+    {VALID_HEAD ",\n\"vm\": \"x\"}", "a.json:7: vm: given twice, first on "
+                                     "line 3\n"},
+    {VALID_HEAD ",\n\"log_level\": \"loud\"}",
+     "a.json:7: log_level: \"loud\" is not one of debug, info, warning, "
+     "error"},
+    {VALID_HEAD ",\n \"seeds\": [\"db.example:1\"]}",
+     "a.json:7: seeds[0]: \"db.example:1\" is not an IP number"},
+    {VALID_HEAD ",\n\"renew_ms\": 900}",
+     "a.json:7: renew_ms: must be at most half"},
+    {VALID_HEAD ",\n\"tls_required\": true}",
+     "a.json:7: tls_required: needs tls_cert_file"},
+    {VALID_HEAD ",\n\"groups\": [{\"name\": \"fleet\", \"voters\": []}]}",
+     "a.json:7: groups[0]: voters: must be 1, 3, 5 or 7"},
+    {"[]", "a.json:1: must be an object"},
+    {"{\n\"vm\": }", "a.json:2: "},
+    {"", "a.json:1: "},
+};
+
+START_TEST(test_fault)
+{
+    const struct fault *fault = &faults[_i];
+    struct buffer errors = {0};
+    struct settings *settings = settings_parse("a.json", fault->text, &errors);
+
+    buffer_append_u8(&errors, 0);
+    ck_assert_ptr_null(settings);
+    ck_assert_msg(
+        strstr((const char *)buffer_get_data(&errors), fault->error) != NULL,
+        "wanted %s, got %s", fault->error,
+        (const char *)buffer_get_data(&errors));
+    buffer_free(&errors);
+}
+END_TEST
+
+START_TEST(test_missing_file)
+{
+    struct buffer errors = {0};
+
+    ck_assert_ptr_null(settings_load("no/such/file.json", &errors));
+    ck_assert_uint_gt(buffer_get_size(&errors), 0);
+    buffer_free(&errors);
+}
+END_TEST
+
+static void
+add_tests(TCase *tests)
+{
+    tcase_add_test(tests, test_valid);
+    tcase_add_loop_test(tests, test_fault, 0, ARRAY_SIZE(faults));
+    tcase_add_test(tests, test_missing_file);
+}
+
+TEST_MAIN("settings", add_tests)
