--- /dev/null
+++ b/src/catkingrade/decide/raft.h
@@ -0,0 +1,28 @@
+#ifndef CATKINGRADE_DECIDE_RAFT_H
+#define CATKINGRADE_DECIDE_RAFT_H
+
+#include "catkingrade/decide/raft_defs.h"
+
+// One voter of one control group: a replicated log by the Raft algorithm.
+struct raft;
+
+struct raft *raft_create(const struct raft_params *params,
+                         const struct raft_saved *saved, int64_t now_us);
+void raft_destroy(struct raft *raft);
+void raft_step(struct raft *raft, int64_t now_us,
+               const struct raft_event *event, struct raft_actions *actions);
+void raft_actions_clear(struct raft_actions *actions);
+void raft_actions_free(struct raft_actions *actions);
+
+enum raft_role raft_get_role(const struct raft *raft);
+uint64_t raft_get_leader(const struct raft *raft);
+uint64_t raft_get_term(const struct raft *raft);
+uint64_t raft_get_commit_index(const struct raft *raft);
+uint64_t raft_get_last_index(const struct raft *raft);
+const struct ck_voters_change *raft_get_voters(const struct raft *raft);
+const struct raft_snapshot *raft_get_snapshot(const struct raft *raft);
+uint64_t raft_get_match_index(const struct raft *raft, uint64_t voter);
+bool raft_has_quorum(const struct raft *raft, int64_t now_us);
+bool raft_is_ready(const struct raft *raft);
+
+#endif
