--- /dev/null
+++ b/src/catkingrade/entry/view.c
@@ -0,0 +1,352 @@
+#include "catkingrade/entry/view.h"
+
+#include <stdatomic.h>
+#include <stdbool.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "catkingrade/kernel/memory.h"
+#include "catkingrade/rpc/codec.h"
+
+#define VIEW_FLEET_GROUP "fleet"
+
+// A customer or a database, shared by all views that hold it.
+struct view_item {
+    atomic_uint holders;
+    xdrproc_t xdr;
+    union {
+        const char *name; // first member of both
+        struct ck_customer customer;
+        struct ck_database database;
+    };
+};
+
+// generation tells items of a full delta from those that it replaces.
+struct view_slot {
+    struct view_item *item;
+    uint64_t generation;
+};
+
+struct view_list {
+    struct view_slot *slots; // sorted by name
+    size_t count;
+};
+
+struct view_group {
+    char name[CK_NAME_SIZE + 1];
+    uint64_t revision;
+    uint64_t generation;
+    bool replacing; // a full delta has begun and more is to come
+};
+
+struct view {
+    atomic_uint holders;
+    struct view_list customers;
+    struct view_list databases;
+    struct view_group *groups;
+    size_t groups_count;
+};
+
+// Creates an empty view with one holder.
+struct view *
+view_create(void)
+{
+    struct view *view = xcalloc(1, sizeof(*view));
+
+    atomic_init(&view->holders, 1);
+    return view;
+}
+
+// Adds a holder and returns the view.
+struct view *
+view_hold(struct view *view)
+{
+    atomic_fetch_add(&view->holders, 1);
+    return view;
+}
+
+static struct view_item *
+view_item_create(xdrproc_t xdr, const void *object, size_t size_bytes)
+{
+    struct view_item *item = xcalloc(1, sizeof(*item));
+
+    atomic_init(&item->holders, 1);
+    item->xdr = xdr;
+    codec_copy(xdr, object, &item->name, size_bytes);
+    return item;
+}
+
+static void
+view_item_release(struct view_item *item)
+{
+    if (atomic_fetch_sub(&item->holders, 1) == 1) {
+        codec_free(item->xdr, &item->name);
+        free(item);
+    }
+}
+
+static void
+view_list_free(struct view_list *list)
+{
+    for (size_t i = 0; i < list->count; i++) {
+        view_item_release(list->slots[i].item);
+    }
+    free(list->slots);
+}
+
+// Drops one holder; the last one frees the view. NULL is ignored.
+void
+view_release(struct view *view)
+{
+    if (view == NULL || atomic_fetch_sub(&view->holders, 1) != 1) {
+        return;
+    }
+    view_list_free(&view->customers);
+    view_list_free(&view->databases);
+    free(view->groups);
+    free(view);
+}
+
+// Returns the place of name, or where it would be put; found tells which.
+static size_t
+view_list_find(const struct view_list *list, const char *name, bool *found)
+{
+    size_t low = 0;
+    size_t high = list->count;
+
+    *found = false;
+    while (low < high) {
+        size_t middle = low + (high - low) / 2;
+        int order = strcmp(list->slots[middle].item->name, name);
+        if (order == 0) {
+            *found = true;
+            return middle;
+        }
+        if (order < 0) {
+            low = middle + 1;
+        }
+        else {
+            high = middle;
+        }
+    }
+    return low;
+}
+
+// Puts an item into the list, in place of one with the same name. Takes over
+// the caller's hold on the item.
+static void
+view_list_put(struct view_list *list, struct view_item *item,
+              uint64_t generation)
+{
+    bool found;
+    size_t place = view_list_find(list, item->name, &found);
+
+    if (found) {
+        view_item_release(list->slots[place].item);
+    }
+    else {
+        list->slots =
+            xrealloc(list->slots, (list->count + 1) * sizeof(*list->slots));
+        memmove(&list->slots[place + 1], &list->slots[place],
+                (list->count - place) * sizeof(*list->slots));
+        list->count++;
+    }
+    list->slots[place].item = item;
+    list->slots[place].generation = generation;
+}
+
+static void
+view_list_remove_at(struct view_list *list, size_t place)
+{
+    view_item_release(list->slots[place].item);
+    list->count--;
+    memmove(&list->slots[place], &list->slots[place + 1],
+            (list->count - place) * sizeof(*list->slots));
+}
+
+static void
+view_list_remove(struct view_list *list, const char *name)
+{
+    bool found;
+    size_t place = view_list_find(list, name, &found);
+
+    if (found) {
+        view_list_remove_at(list, place);
+    }
+}
+
+static void
+view_list_copy(const struct view_list *from, struct view_list *to)
+{
+    to->count = from->count;
+    to->slots = xcalloc(from->count, sizeof(*to->slots));
+    for (size_t i = 0; i < from->count; i++) {
+        to->slots[i] = from->slots[i];
+        atomic_fetch_add(&to->slots[i].item->holders, 1);
+    }
+}
+
+static struct view *
+view_copy(const struct view *view)
+{
+    struct view *copy = view_create();
+
+    view_list_copy(&view->customers, &copy->customers);
+    view_list_copy(&view->databases, &copy->databases);
+    copy->groups_count = view->groups_count;
+    copy->groups = xcalloc(view->groups_count + 1, sizeof(*copy->groups));
+    if (view->groups_count > 0) {
+        memcpy(copy->groups, view->groups,
+               view->groups_count * sizeof(*copy->groups));
+    }
+    return copy;
+}
+
+static struct view_group *
+view_find_group(const struct view *view, const char *name)
+{
+    for (size_t i = 0; i < view->groups_count; i++) {
+        if (strcmp(view->groups[i].name, name) == 0) {
+            return &view->groups[i];
+        }
+    }
+    return NULL;
+}
+
+// Finds a group in a fresh copy, which has room for one more.
+static struct view_group *
+view_make_group(struct view *copy, const char *name)
+{
+    struct view_group *group = view_find_group(copy, name);
+
+    if (group == NULL) {
+        group = &copy->groups[copy->groups_count++];
+        strncpy(group->name, name, CK_NAME_SIZE);
+    }
+    return group;
+}
+
+static void
+view_apply_objects(struct view *view, const struct ck_view_delta *delta,
+                   uint64_t generation)
+{
+    for (unsigned i = 0; i < delta->customers_removed.customers_removed_len;
+         i++) {
+        view_list_remove(&view->customers,
+                         delta->customers_removed.customers_removed_val[i]);
+    }
+    for (unsigned i = 0; i < delta->databases_removed.databases_removed_len;
+         i++) {
+        view_list_remove(&view->databases,
+                         delta->databases_removed.databases_removed_val[i]);
+    }
+    for (unsigned i = 0; i < delta->customers.customers_len; i++) {
+        view_list_put(&view->customers,
+                      view_item_create((xdrproc_t)xdr_ck_customer,
+                                       &delta->customers.customers_val[i],
+                                       sizeof(struct ck_customer)),
+                      generation);
+    }
+    for (unsigned i = 0; i < delta->databases.databases_len; i++) {
+        view_list_put(&view->databases,
+                      view_item_create((xdrproc_t)xdr_ck_database,
+                                       &delta->databases.databases_val[i],
+                                       sizeof(struct ck_database)),
+                      generation);
+    }
+}
+
+// Removes a group's objects that a full delta did not name. Customers belong
+// to the fleet group.
+static void
+view_remove_replaced(struct view *view, const struct view_group *group)
+{
+    bool is_fleet = strcmp(group->name, VIEW_FLEET_GROUP) == 0;
+
+    for (size_t i = view->customers.count; is_fleet && i > 0; i--) {
+        if (view->customers.slots[i - 1].generation < group->generation) {
+            view_list_remove_at(&view->customers, i - 1);
+        }
+    }
+    for (size_t i = view->databases.count; i > 0; i--) {
+        const struct view_slot *slot = &view->databases.slots[i - 1];
+        if (slot->generation < group->generation &&
+            strcmp(slot->item->database.group, group->name) == 0) {
+            view_list_remove_at(&view->databases, i - 1);
+        }
+    }
+}
+
+// Returns a new view with a group's delta applied. An older delta changes
+// nothing: the same view is returned, held once more. A full delta replaces
+// the group's objects once its last part has come. Returns NULL when the
+// delta starts above the revision that is held.
+struct view *
+view_apply_delta(const struct view *view, const char *group_name,
+                 const struct ck_view_delta *delta)
+{
+    uint64_t revision = view_get_revision(view, group_name);
+
+    if (!delta->full && delta->from_revision > revision) {
+        return NULL;
+    }
+    if (delta->to_revision < revision) {
+        return view_hold((struct view *)(uintptr_t)view);
+    }
+    struct view *copy = view_copy(view);
+    struct view_group *group = view_make_group(copy, group_name);
+    if (delta->full) {
+        group->generation++;
+        group->replacing = true;
+    }
+    view_apply_objects(copy, delta, group->generation);
+    if (group->replacing && !delta->more) {
+        view_remove_replaced(copy, group);
+        group->replacing = false;
+    }
+    group->revision = delta->to_revision;
+    return copy;
+}
+
+// Returns the revision of a group that the view holds; 0 when none.
+uint64_t
+view_get_revision(const struct view *view, const char *group_name)
+{
+    const struct view_group *group = view_find_group(view, group_name);
+
+    return group == NULL ? 0 : group->revision;
+}
+
+// Returns a database by its name, or NULL; valid while the view is held.
+const struct ck_database *
+view_find_database(const struct view *view, const char *name)
+{
+    bool found;
+    size_t place = view_list_find(&view->databases, name, &found);
+
+    return found ? &view->databases.slots[place].item->database : NULL;
+}
+
+// Returns a customer by its name, or NULL; valid while the view is held.
+const struct ck_customer *
+view_find_customer(const struct view *view, const char *name)
+{
+    bool found;
+    size_t place = view_list_find(&view->customers, name, &found);
+
+    return found ? &view->customers.slots[place].item->customer : NULL;
+}
+
+// Returns the number of databases.
+size_t
+view_get_databases_count(const struct view *view)
+{
+    return view->databases.count;
+}
+
+// Returns the database at a place below the count.
+const struct ck_database *
+view_get_database(const struct view *view, size_t place)
+{
+    return &view->databases.slots[place].item->database;
+}
--- /dev/null
+++ b/test/unit/entry/test_view.c
@@ -0,0 +1,226 @@
+#include <check.h>
+#include <stdbool.h>
+#include <stdint.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "catkingrade/entry/view.h"
+#include "test/suite.h"
+
+static char *
+text(const char *constant)
+{
+    return (char *)(uintptr_t)constant;
+}
+
+static struct ck_database
+make_database(const char *name, const char *group, uint64_t term)
+{
+    struct ck_database database = {
+        .name = text(name),
+        .customer = text("roster"),
+        .group = text(group),
+        .term = term,
+        .primary = text(""),
+    };
+    return database;
+}
+
+static struct ck_view_delta
+make_delta(uint64_t from, uint64_t to, bool full, struct ck_database *rows,
+           unsigned count)
+{
+    struct ck_view_delta delta = {
+        .from_revision = from,
+        .to_revision = to,
+        .full = full,
+        .databases = {.databases_len = count, .databases_val = rows},
+    };
+    return delta;
+}
+
+static struct view *
+apply(struct view *view, const char *group, const struct ck_view_delta *delta)
+{
+    struct view *next = view_apply_delta(view, group, delta);
+
+    view_release(view);
+    return next;
+}
+
+START_TEST(test_delta_joins_on)
+{
+    struct ck_database rows[] = {make_database("b", "noord", 1),
+                                 make_database("a", "noord", 1)};
+    struct ck_view_delta first = make_delta(0, 5, true, rows, 2);
+    struct ck_view_delta gap = make_delta(6, 7, false, rows, 1);
+    struct view *view = apply(view_create(), "noord", &first);
+
+    ck_assert_ptr_nonnull(view);
+    ck_assert_uint_eq(view_get_revision(view, "noord"), 5);
+    ck_assert_uint_eq(view_get_revision(view, "zuid"), 0);
+    ck_assert_ptr_null(view_apply_delta(view, "noord", &gap));
+    rows[0].term = 2;
+    struct ck_view_delta next = make_delta(5, 6, false, rows, 1);
+    struct view *held = view_hold(view);
+    view = apply(view, "noord", &next);
+    ck_assert_uint_eq(view_find_database(view, "b")->term, 2);
+    ck_assert_uint_eq(view_find_database(held, "b")->term, 1);
+    ck_assert_uint_eq(view_find_database(view, "a")->term, 1);
+    view_release(held);
+    view_release(view);
+}
+END_TEST
+
+START_TEST(test_never_goes_back)
+{
+    struct ck_database rows[] = {make_database("a", "noord", 9)};
+    struct ck_view_delta newer = make_delta(0, 9, true, rows, 1);
+    struct view *view = apply(view_create(), "noord", &newer);
+
+    rows[0].term = 3;
+    struct ck_view_delta older = make_delta(0, 3, true, rows, 1);
+    view = apply(view, "noord", &older);
+    ck_assert_uint_eq(view_find_database(view, "a")->term, 9);
+    ck_assert_uint_eq(view_get_revision(view, "noord"), 9);
+    view_release(view);
+}
+END_TEST
+
+START_TEST(test_full_replaces_only_its_group)
+{
+    struct ck_database noord[] = {make_database("n1", "noord", 1),
+                                  make_database("n2", "noord", 1)};
+    struct ck_database zuid[] = {make_database("z1", "zuid", 1)};
+    struct ck_view_delta delta = make_delta(0, 1, true, noord, 2);
+    struct view *view = apply(view_create(), "noord", &delta);
+
+    delta = make_delta(0, 1, true, zuid, 1);
+    view = apply(view, "zuid", &delta);
+    // The first of two parts: nothing is removed before the last has come.
+    delta = make_delta(0, 4, true, &noord[1], 1);
+    delta.more = true;
+    view = apply(view, "noord", &delta);
+    ck_assert_ptr_nonnull(view_find_database(view, "n1"));
+    delta = make_delta(4, 4, false, NULL, 0);
+    view = apply(view, "noord", &delta);
+    ck_assert_ptr_null(view_find_database(view, "n1"));
+    ck_assert_ptr_nonnull(view_find_database(view, "n2"));
+    ck_assert_ptr_nonnull(view_find_database(view, "z1"));
+    ck_assert_uint_eq(view_get_databases_count(view), 2);
+    view_release(view);
+}
+END_TEST
+
+START_TEST(test_removed)
+{
+    struct ck_database rows[] = {make_database("a", "fleet", 1)};
+    struct ck_customer customer = {.name = text("roster"),
+                                   .template_name = text("")};
+    struct ck_view_delta delta = make_delta(0, 1, true, rows, 1);
+    ck_name names[] = {text("roster")};
+
+    delta.customers.customers_len = 1;
+    delta.customers.customers_val = &customer;
+    struct view *view = apply(view_create(), "fleet", &delta);
+    ck_assert_ptr_nonnull(view_find_customer(view, "roster"));
+    delta = make_delta(1, 2, false, NULL, 0);
+    delta.customers_removed.customers_removed_len = 1;
+    delta.customers_removed.customers_removed_val = names;
+    view = apply(view, "fleet", &delta);
+    ck_assert_ptr_null(view_find_customer(view, "roster"));
+    ck_assert_ptr_nonnull(view_find_database(view, "a"));
+    view_release(view);
+}
+END_TEST
+
+static struct view *
+load_text(const char *json, struct buffer *errors)
+{
+    char path[] = "/tmp/test_view_XXXXXX";
+    int fd = mkstemp(path);
+
+    ck_assert_int_ge(fd, 0);
+    ck_assert_int_eq(write(fd, json, strlen(json)), (ssize_t)strlen(json));
+    close(fd);
+    struct view *view = view_load(path, errors);
+    unlink(path);
+    buffer_append_u8(errors, 0);
+    return view;
+}
+
+#define CUSTOMERS                                                             \
+    "{\"customers\": [{\"name\": \"roster\", \"max_age_ms\": 2000,\n"         \
+    "  \"types\": [{\"name\": \"booking\", \"weight\": 10}],\n"               \
+    "  \"callers\": [{\"user\": \"walker\"}]}],\n"
+
+START_TEST(test_load)
+{
+    struct buffer errors = {0};
+    struct view *view = load_text(
+        CUSTOMERS "\"databases\": [{\"name\": \"noord\", "
+                  "\"customer\": \"roster\", \"primary\": \"n1\",\n"
+                  " // three upstreams\n \"upstreams\": [{\"name\": \"n1\", "
+                  "\"host\": \"127.0.0.1\", \"port\": 5001}]}]}",
+        &errors);
+
+    ck_assert_msg(view != NULL, "%s", (const char *)errors.data);
+    const struct ck_customer *customer = view_find_customer(view, "roster");
+    ck_assert_uint_eq(customer->max_age_ms, 2000);
+    ck_assert_uint_eq(customer->types.types_len, 1);
+    ck_assert_str_eq(customer->databases.databases_val[0], "noord");
+    const struct ck_database *database = view_find_database(view, "noord");
+    ck_assert_uint_eq(database->term, 1);
+    ck_assert_uint_eq(database->upstreams.upstreams_val[0].port, 5001);
+    view_release(view);
+    buffer_free(&errors);
+}
+END_TEST
+
+struct fault {
+    const char *text;
+    const char *error;
+};
+
+static const struct fault faults[] = {
+    {CUSTOMERS "\"data\": []}", "data: unknown key"},
+    {CUSTOMERS "\"databases\": [3]}", "databases[0]: must be an object"},
+    {CUSTOMERS "\"databases\": [{\"name\": \"a\", \"customer\": \"x\"}]}",
+     "databases[0]: customer: \"x\" is not known"},
+    {CUSTOMERS "\"databases\": [{\"name\": \"a\", \"customer\": \"roster\", "
+               "\"primary\": \"b\"}]}",
+     "databases[0]: primary: \"b\" is not one of its upstreams"},
+    {CUSTOMERS "\"databases\": [{\"name\": \"a\", \"customer\": \"roster\", "
+               "\"upstreams\": [{\"name\": \"n\", \"host\": \"127.0.0.1\", "
+               "\"port\": 70000}]}]}",
+     "70000 is out of range"},
+    {"{", ": "},
+};
+
+START_TEST(test_load_fault)
+{
+    struct buffer errors = {0};
+
+    ck_assert_ptr_null(load_text(faults[_i].text, &errors));
+    ck_assert_msg(strstr((const char *)errors.data, faults[_i].error) != NULL,
+                  "wanted %s, got %s", faults[_i].error,
+                  (const char *)errors.data);
+    buffer_free(&errors);
+}
+END_TEST
+
+static void
+add_tests(TCase *tests)
+{
+    tcase_add_test(tests, test_delta_joins_on);
+    tcase_add_test(tests, test_never_goes_back);
+    tcase_add_test(tests, test_full_replaces_only_its_group);
+    tcase_add_test(tests, test_removed);
+    tcase_add_test(tests, test_load);
+    tcase_add_loop_test(tests, test_load_fault, 0,
+                        sizeof(faults) / sizeof(faults[0]));
+}
+
+TEST_MAIN("view", add_tests)
