feat(rpc): asynchronous ONC RPC over UDP with a shared key

Problem: Daemons and the command need typed calls that never block the control thread and know no silent connections. libtirpc's own clients block, and its TCP server blocks on half a record.

Solution: libtirpc's codecs build and read the messages; one UDP socket on the event loop carries them. Each datagram is signed with HMAC-SHA256 in the RPC verifier and carries the hybrid logical clock. Calls are sent again under one xid until their time limit.

Proof: test_rpcnet: lost replies, wrong key, silent peer, every byte of a signed call changed, every cut of it.

--- /dev/null
+++ b/test/contract/test_rpcnet.c
@@ -0,0 +1,280 @@
+#include <apr_general.h>
+#include <check.h>
+#include <netinet/in.h>
+#include <pthread.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "catkingrade/kernel/counters.h"
+#include "catkingrade/kernel/memory.h"
+#include "catkingrade/kernel/outcome.h"
+#include "catkingrade/rpc/codec.h"
+#include "catkingrade/rpc/rpcnet.h"
+#include "test/suite.h"
+
+#define LONG_TIMEOUT_US  20000000
+#define SHORT_TIMEOUT_US 60000
+#define RETRY_US         10000
+
+struct server {
+    struct loop *loop;
+    struct rpcnet *rpcnet;
+    struct settings_address address;
+    pthread_t thread;
+    unsigned calls;
+    unsigned drop_calls;
+};
+
+struct answer {
+    struct loop *loop;
+    int outcome;
+    unsigned count;
+    uint64_t revision;
+};
+
+static const struct datagram_key key = {"0123456789abcdef", 16};
+static const struct datagram_key other_key = {"fedcba9876543210", 16};
+
+static struct settings_address
+find_free_address(void)
+{
+    struct settings_address address = {"127.0.0.1", 0};
+    struct sockaddr_in bound = {.sin_family = AF_INET};
+    socklen_t length = sizeof(bound);
+    int fd = socket(AF_INET, SOCK_DGRAM, 0);
+
+    bound.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    ck_assert_int_eq(bind(fd, (struct sockaddr *)&bound, length), 0);
+    getsockname(fd, (struct sockaddr *)&bound, &length);
+    address.port = ntohs(bound.sin_port);
+    close(fd);
+    return address;
+}
+
+static void
+handle_query(void *data, struct rpcnet_request *request, const void *args)
+{
+    struct server *server = data;
+    const struct ck_query_args *query = args;
+    struct ck_query_result result = {0};
+
+    server->calls++;
+    if (server->calls <= server->drop_calls) {
+        // The reply is lost: the request is freed by a reply to no one.
+        free(request);
+        return;
+    }
+    result.revision = query->cursor + 1;
+    result.json = query->name;
+    result.leader_host = "";
+    result.message = "";
+    rpcnet_reply(request, &result);
+}
+
+static void *
+run_server(void *data)
+{
+    struct server *server = data;
+
+    loop_run(server->loop);
+    return NULL;
+}
+
+static void
+start_server(struct server *server, unsigned drop_calls)
+{
+    memset(server, 0, sizeof(*server));
+    apr_initialize();
+    server->drop_calls = drop_calls;
+    server->address = find_free_address();
+    server->loop = loop_create();
+    server->rpcnet = rpcnet_create(server->loop, &server->address, &key);
+    ck_assert_ptr_nonnull(server->rpcnet);
+    rpcnet_set_handler(server->rpcnet, &rpcnet_query, handle_query, server);
+    pthread_create(&server->thread, NULL, run_server, server);
+}
+
+static void
+stop_server(struct server *server)
+{
+    loop_stop(server->loop);
+    pthread_join(server->thread, NULL);
+    rpcnet_destroy(server->rpcnet);
+    loop_destroy(server->loop);
+}
+
+static int
+query_blocking(struct server *server, const struct datagram_key *with_key,
+               int64_t timeout_us, uint64_t *revision)
+{
+    struct ck_query_args args = {.group = "g", .name = "n", .cursor = 41};
+    struct ck_query_result result = {0};
+    int outcome = rpcnet_call_blocking(
+        &server->address, with_key, &rpcnet_query, &args, &result, timeout_us);
+
+    args.kind = CK_QUERY_STATUS;
+    if (outcome == OUTCOME_OK) {
+        *revision = result.revision;
+        ck_assert_str_eq(result.json, "n");
+        codec_free((xdrproc_t)xdr_ck_query_result, &result);
+    }
+    return outcome;
+}
+
+START_TEST(test_lost_replies)
+{
+    struct server server;
+    uint64_t revision = 0;
+
+    start_server(&server, (unsigned)_i);
+    ck_assert_int_eq(query_blocking(&server, &key, LONG_TIMEOUT_US, &revision),
+                     OUTCOME_OK);
+    stop_server(&server);
+    ck_assert_uint_eq(revision, 42);
+    ck_assert_uint_ge(server.calls, (unsigned)_i + 1);
+}
+END_TEST
+
+START_TEST(test_wrong_key)
+{
+    struct server server;
+    uint64_t revision = 0;
+
+    start_server(&server, 0);
+    ck_assert_int_eq(
+        query_blocking(&server, &other_key, SHORT_TIMEOUT_US, &revision),
+        OUTCOME_TIMEOUT);
+    stop_server(&server);
+    ck_assert_uint_eq(server.calls, 0);
+    ck_assert_uint_ge(counter_get(COUNTER_RPC_DENIED), 1);
+}
+END_TEST
+
+static void
+take_answer(void *data, int outcome, const void *result)
+{
+    struct answer *answer = data;
+    const struct ck_query_result *query = result;
+
+    answer->count++;
+    answer->outcome = outcome;
+    answer->revision = query == NULL ? 0 : query->revision;
+    loop_stop(answer->loop);
+}
+
+static struct answer
+query_on_loop(const struct settings_address *peer, int64_t timeout_us)
+{
+    struct settings_address local = find_free_address();
+    struct ck_query_args args = {
+        .kind = CK_QUERY_STATUS, .group = "", .name = "n", .cursor = 6};
+    struct answer answer = {.loop = loop_create()};
+    struct rpcnet *rpcnet = rpcnet_create(answer.loop, &local, &key);
+
+    rpcnet_call(rpcnet, peer, &rpcnet_query, &args, timeout_us, RETRY_US,
+                take_answer, &answer);
+    loop_run(answer.loop);
+    rpcnet_destroy(rpcnet);
+    loop_destroy(answer.loop);
+    return answer;
+}
+
+START_TEST(test_call_on_loop)
+{
+    struct server server;
+
+    start_server(&server, 2);
+    struct answer answer = query_on_loop(&server.address, LONG_TIMEOUT_US);
+    stop_server(&server);
+    ck_assert_int_eq(answer.outcome, OUTCOME_OK);
+    ck_assert_uint_eq(answer.revision, 7);
+    ck_assert_uint_eq(answer.count, 1);
+}
+END_TEST
+
+START_TEST(test_silent_peer_times_out)
+{
+    apr_initialize();
+    struct settings_address nobody = find_free_address();
+    struct answer answer = query_on_loop(&nobody, SHORT_TIMEOUT_US);
+
+    ck_assert_int_eq(answer.outcome, OUTCOME_TIMEOUT);
+    ck_assert_uint_eq(answer.count, 1);
+}
+END_TEST
+
+// Every byte of a signed call, changed, makes it denied or unreadable.
+START_TEST(test_changed_byte)
+{
+    struct ck_query_args args = {
+        .kind = CK_QUERY_STATUS, .group = "g", .name = "n"};
+    struct buffer call = {0};
+    struct datagram datagram;
+
+    ck_assert_int_eq(datagram_encode_call(&call, &key, 7, CK_QUERY, 9,
+                                          (xdrproc_t)xdr_ck_query_args, &args),
+                     OUTCOME_OK);
+    size_t size = buffer_get_size(&call);
+    for (size_t i = 0; i < size; i++) {
+        uint8_t *copy = xmalloc(size);
+        memcpy(copy, buffer_get_data(&call), size);
+        copy[i] ^= 0x40;
+        ck_assert_int_ne(datagram_decode(copy, size, &key, &datagram),
+                         OUTCOME_OK);
+        free(copy);
+    }
+    for (size_t cut = 0; cut < size; cut++) {
+        uint8_t *copy = xmalloc(cut + 1);
+        memcpy(copy, buffer_get_data(&call), cut);
+        ck_assert_int_ne(datagram_decode(copy, cut, &key, &datagram),
+                         OUTCOME_OK);
+        free(copy);
+    }
+    ck_assert_int_eq(
+        datagram_decode(call.data + call.start, size, &key, &datagram),
+        OUTCOME_OK);
+    ck_assert_uint_eq(datagram.hlc, 9);
+    buffer_free(&call);
+}
+END_TEST
+
+START_TEST(test_reply_round_trip)
+{
+    struct ck_command_result result = {
+        .outcome = -3, .leader_host = "127.0.0.1", .message = "m"};
+    struct ck_command_result decoded = {0};
+    struct buffer reply = {0};
+    struct datagram datagram;
+
+    ck_assert_int_eq(datagram_encode_reply(&reply, &key, 7, SUCCESS, 11,
+                                           (xdrproc_t)xdr_ck_command_result,
+                                           &result),
+                     OUTCOME_OK);
+    ck_assert_int_eq(datagram_decode(reply.data + reply.start,
+                                     buffer_get_size(&reply), &key, &datagram),
+                     OUTCOME_OK);
+    ck_assert_uint_eq(datagram.xid, 7);
+    ck_assert_uint_eq(datagram.hlc, 11);
+    ck_assert_int_eq(codec_decode((xdrproc_t)xdr_ck_command_result,
+                                  datagram.body, datagram.body_size_bytes,
+                                  &decoded),
+                     OUTCOME_OK);
+    ck_assert_int_eq(decoded.outcome, -3);
+    codec_free((xdrproc_t)xdr_ck_command_result, &decoded);
+    buffer_free(&reply);
+}
+END_TEST
+
+static void
+add_tests(TCase *tests)
+{
+    tcase_add_loop_test(tests, test_lost_replies, 0, 3);
+    tcase_add_test(tests, test_wrong_key);
+    tcase_add_test(tests, test_call_on_loop);
+    tcase_add_test(tests, test_silent_peer_times_out);
+    tcase_add_test(tests, test_changed_byte);
+    tcase_add_test(tests, test_reply_round_trip);
+}
+
+TEST_MAIN("rpcnet", add_tests)
