--- a/src/catkingrade/decide/raft_defs.h
+++ b/src/catkingrade/decide/raft_defs.h
@@ -15,7 +15,8 @@
 // what stands after it in the list. It may run several steps, join their
 // lists, write all, sync once and then do the rest in order. Should a write
 // or the sync fail, it drops the whole list unsent, destroys the machine and
-// creates it again from what the store holds.
+// creates it again from what the store holds. Only a SAVE_SNAPSHOT at an index
+// above 0 may be passed over, since the log still holds what it covers.
 
 #define RAFT_NO_VOTER 0 // no voter has this id
 
@@ -102,11 +103,12 @@
     uint64_t voted_for;
     uint64_t leader; // ROLE, REFUSED: voter id, or RAFT_NO_VOTER
     int64_t wake_at_us;
-    // REFUSED: OUTCOME_NOT_LEADER, OUTCOME_OVERLOADED, OUTCOME_TOO_LARGE,
-    // OUTCOME_INVALID, OUTCOME_CONFLICT (another change of voters is under
-    // way), OUTCOME_AGAIN (leadership is handed over) or OUTCOME_NOT_RUN (the
-    // entry was replaced): it is not in the log. OUTCOME_UNKNOWN: leadership
-    // ended before the entry was known to be committed.
+    // REFUSED. OUTCOME_UNKNOWN: leadership ended before the entry was known
+    // to be committed. Any other: the entry is not in the log, because of
+    // OUTCOME_NOT_LEADER, OUTCOME_OVERLOADED, OUTCOME_TOO_LARGE,
+    // OUTCOME_INVALID, OUTCOME_NOT_FOUND, OUTCOME_CONFLICT (another change of
+    // voters is under way) or OUTCOME_AGAIN (the leader has just been elected
+    // or hands over).
     int outcome;
     int64_t retry_after_us;
     enum raft_role role;
@@ -139,7 +141,7 @@
     // The store has no identity although the group exists: this voter has
     // lost its disk and stays passive until it is added under a new id.
     bool fresh;
-    // The first voters of a new group; used only when saved has no snapshot.
+    // The first voters of a new group; used only when saved is empty.
     // A voter that joins later has none.
     const struct ck_voter *voters;
     size_t voters_count;
--- /dev/null
+++ b/src/catkingrade/decide/raft_snapshot.c
@@ -0,0 +1,410 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "catkingrade/decide/raft_internal.h"
+#include "catkingrade/kernel/memory.h"
+#include "catkingrade/kernel/outcome.h"
+#include "catkingrade/rpc/codec.h"
+
+#define RAFT_CHUNK_BYTES        (8 * 1024)
+#define RAFT_SNAPSHOT_WINDOW    (8 * RAFT_CHUNK_BYTES)
+#define RAFT_MAX_SNAPSHOT_BYTES (256 * 1024 * 1024)
+#define RAFT_SNAPSHOT_HEAD      12 // size of the voters, highest voter id
+
+static uint64_t
+read_be(const uint8_t *data, size_t size_bytes)
+{
+    uint64_t value = 0;
+
+    for (size_t i = 0; i < size_bytes; i++) {
+        value = value << 8 | data[i];
+    }
+    return value;
+}
+
+// Joins the voters, the highest voter id ever used and the adapter's bytes.
+static void
+raft_snapshot_build(const struct raft *raft, uint64_t index,
+                    const struct raft_snapshot_taken *taken,
+                    struct raft_snapshot *snapshot)
+{
+    const struct raft_config *config = raft_get_config_at(raft, index);
+    struct ck_voters_change none = {{0}};
+    struct buffer voters = {0};
+    struct buffer data = {0};
+
+    int outcome =
+        codec_encode((xdrproc_t)xdr_ck_voters_change,
+                     config != NULL ? &config->voters : &none, &voters);
+    INVARIANT(outcome == OUTCOME_OK);
+    buffer_append_be32(&data, (uint32_t)buffer_get_size(&voters));
+    buffer_append_be32(&data, (uint32_t)(raft->highest_voter_id >> 32));
+    buffer_append_be32(&data, (uint32_t)raft->highest_voter_id);
+    buffer_append(&data, buffer_get_data(&voters), buffer_get_size(&voters));
+    snapshot->app_offset = buffer_get_size(&data);
+    buffer_append(&data, taken->data, taken->size_bytes);
+    snapshot->index = index;
+    snapshot->size_bytes = buffer_get_size(&data);
+    snapshot->data = data.data; // nothing was consumed: start is 0
+    buffer_free(&voters);
+}
+
+// Reads the voters of a snapshot, and where the adapter's bytes begin.
+// Returns false when the bytes are not a snapshot.
+static bool
+raft_snapshot_read_voters(const struct raft_snapshot *snapshot,
+                          struct ck_voters_change *voters, size_t *app_offset)
+{
+    if (snapshot->size_bytes < RAFT_SNAPSHOT_HEAD) {
+        return false;
+    }
+    uint64_t size = read_be(snapshot->data, 4);
+    if (size > snapshot->size_bytes - RAFT_SNAPSHOT_HEAD) {
+        return false;
+    }
+    memset(voters, 0, sizeof(*voters));
+    *app_offset = RAFT_SNAPSHOT_HEAD + size;
+    return codec_decode((xdrproc_t)xdr_ck_voters_change,
+                        snapshot->data + RAFT_SNAPSHOT_HEAD, size,
+                        voters) == OUTCOME_OK;
+}
+
+// Tells whether the bytes are a snapshot.
+bool
+raft_snapshot_is_valid(const struct raft_snapshot *snapshot)
+{
+    struct ck_voters_change voters;
+    size_t app_offset = 0;
+
+    if (!raft_snapshot_read_voters(snapshot, &voters, &app_offset)) {
+        return false;
+    }
+    codec_free((xdrproc_t)xdr_ck_voters_change, &voters);
+    return true;
+}
+
+// Replaces the configurations by that of the snapshot.
+static void
+raft_snapshot_use_voters(struct raft *raft, struct raft_snapshot *snapshot)
+{
+    struct ck_voters_change voters;
+    bool valid =
+        raft_snapshot_read_voters(snapshot, &voters, &snapshot->app_offset);
+
+    INVARIANT(valid);
+    uint64_t highest = read_be(snapshot->data + 4, 8);
+    if (highest > raft->highest_voter_id) {
+        raft->highest_voter_id = highest;
+    }
+    raft_free_configs(raft);
+    if (voters.voters.voters_len > 0) {
+        raft_add_config(raft, snapshot->index, &voters);
+    }
+    codec_free((xdrproc_t)xdr_ck_voters_change, &voters);
+}
+
+// Copies a snapshot with its bytes.
+void
+raft_snapshot_copy(const struct raft_snapshot *from, struct raft_snapshot *to)
+{
+    *to = *from;
+    to->data = (uint8_t *)xmemdupz((const char *)from->data, from->size_bytes);
+}
+
+// Begins again with a copy of a snapshot, which must be valid.
+void
+raft_snapshot_load(struct raft *raft, const struct raft_snapshot *saved)
+{
+    struct raft_snapshot snapshot;
+
+    raft_snapshot_copy(saved, &snapshot);
+    raft_snapshot_use_voters(raft, &snapshot);
+    free(raft->snapshot.data);
+    raft->snapshot = snapshot;
+    raft->has_snapshot = true;
+    raft->commit_index = snapshot.index;
+    raft->applied_index = snapshot.index;
+    raft->snapshot_asked_index = snapshot.index;
+    uint64_t term = 0;
+    if (raft_log_get_term(&raft->log, snapshot.index, &term) &&
+        term == snapshot.term) {
+        raft_log_compact(&raft->log, snapshot.index);
+    }
+    else {
+        raft_log_reset(&raft->log, snapshot.index, snapshot.term);
+    }
+}
+
+static void
+raft_snapshot_set(struct raft *raft, struct raft_snapshot *snapshot)
+{
+    struct raft_action *action =
+        raft_add_action(raft, RAFT_ACTION_SAVE_SNAPSHOT);
+
+    raft_snapshot_copy(snapshot, &action->snapshot);
+    free(raft->snapshot.data);
+    raft->snapshot = *snapshot;
+    raft->has_snapshot = true;
+}
+
+// Has a new group's first voters stored, as the snapshot at index 0, so that
+// later settings can't change them.
+void
+raft_snapshot_save_first(struct raft *raft)
+{
+    const struct raft_snapshot_taken taken = {0};
+    struct raft_snapshot snapshot = {0};
+
+    if (raft->has_snapshot || raft->configs_count == 0 ||
+        raft->configs[0].index != 0) {
+        return;
+    }
+    raft_snapshot_build(raft, 0, &taken, &snapshot);
+    raft_snapshot_set(raft, &snapshot);
+}
+
+// Asks the adapter for a snapshot when enough was applied since the last.
+void
+raft_take_snapshot_if_due(struct raft *raft)
+{
+    uint64_t asked = raft->snapshot_asked_index;
+
+    if (raft->applied_index == asked ||
+        (raft->applied_index - asked < raft->params.snapshot_entries &&
+         raft_log_get_bytes(&raft->log, asked, raft->applied_index) <
+             raft->params.snapshot_bytes)) {
+        return;
+    }
+    raft->snapshot_asked_index = raft->applied_index;
+    raft_add_action(raft, RAFT_ACTION_TAKE_SNAPSHOT)->index =
+        raft->applied_index;
+}
+
+// Stores the adapter's snapshot and drops the entries that it replaces, but
+// for some that slow voters may still need.
+void
+raft_handle_snapshot_taken(struct raft *raft,
+                           const struct raft_snapshot_taken *taken)
+{
+    struct raft_snapshot snapshot = {0};
+
+    if (taken->index <= raft->snapshot.index ||
+        taken->index > raft->applied_index ||
+        !raft_log_get_term(&raft->log, taken->index, &snapshot.term)) {
+        return;
+    }
+    raft_snapshot_build(raft, taken->index, taken, &snapshot);
+    raft_snapshot_set(raft, &snapshot);
+    raft_drop_configs_before(raft, taken->index);
+    if (taken->index > raft->params.kept_entries) {
+        raft_log_compact(&raft->log, taken->index - raft->params.kept_entries);
+    }
+}
+
+static void
+raft_peer_send_chunk(struct raft *raft, struct raft_peer *peer)
+{
+    const struct raft_snapshot *snapshot = &raft->snapshot;
+    uint64_t offset = peer->snapshot_sent_bytes;
+    size_t size = snapshot->size_bytes - offset;
+
+    if (size > RAFT_CHUNK_BYTES) {
+        size = RAFT_CHUNK_BYTES;
+    }
+    struct ck_raft_body body = {
+        .kind = CK_RAFT_SNAPSHOT,
+        .ck_raft_body_u.snapshot = {
+            .round = raft_next_round(raft),
+            .last_index = snapshot->index,
+            .last_term = snapshot->term,
+            .offset = offset,
+            .total_size = snapshot->size_bytes,
+            .data = {
+                .data_len = (u_int)size,
+                .data_val =
+                    xmemdupz((const char *)snapshot->data + offset, size),
+            }}};
+    raft_send(raft, peer->id, raft->term, &body);
+    peer->snapshot_sent_bytes += size;
+}
+
+// Sends the next chunks of the newest snapshot. A heartbeat goes back to what
+// the voter asked for last when nothing has moved since the one before.
+void
+raft_peer_send_snapshot(struct raft *raft, struct raft_peer *peer,
+                        bool heartbeat)
+{
+    const struct raft_snapshot *snapshot = &raft->snapshot;
+
+    INVARIANT(raft->has_snapshot);
+    if (peer->snapshot_index != snapshot->index || peer->snapshot_index == 0) {
+        peer->snapshot_index = snapshot->index;
+        peer->snapshot_sent_bytes = 0;
+        peer->snapshot_acked_bytes = 0;
+        peer->snapshot_wanted_bytes = 0;
+    }
+    if (heartbeat && !peer->snapshot_moved) {
+        peer->snapshot_acked_bytes = peer->snapshot_wanted_bytes;
+        peer->snapshot_sent_bytes = peer->snapshot_wanted_bytes;
+    }
+    if (heartbeat) {
+        peer->snapshot_moved = false;
+    }
+    while (peer->snapshot_sent_bytes < snapshot->size_bytes &&
+           peer->snapshot_sent_bytes <
+               peer->snapshot_acked_bytes + RAFT_SNAPSHOT_WINDOW) {
+        raft_peer_send_chunk(raft, peer);
+    }
+}
+
+static void
+raft_answer_snapshot(struct raft *raft, const struct ck_raft_message *message,
+                     uint64_t next_offset, bool installed)
+{
+    const struct ck_raft_snapshot *chunk =
+        &message->body.ck_raft_body_u.snapshot;
+    const struct ck_raft_body body = {.kind = CK_RAFT_SNAPSHOT_RESULT,
+                                      .ck_raft_body_u.snapshot_result = {
+                                          .round = chunk->round,
+                                          .last_index = chunk->last_index,
+                                          .next_offset = next_offset,
+                                          .installed = installed,
+                                      }};
+
+    raft_send(raft, message->from, raft->term, &body);
+}
+
+// Appends a chunk to the snapshot that is being received, when it is the next
+// one. Another snapshot than before starts over.
+static void
+raft_take_chunk(struct raft *raft, const struct ck_raft_snapshot *chunk)
+{
+    struct raft_incoming *incoming = &raft->incoming;
+
+    if (incoming->last_index != chunk->last_index ||
+        incoming->last_term != chunk->last_term ||
+        incoming->total_bytes != chunk->total_size) {
+        incoming->last_index = chunk->last_index;
+        incoming->last_term = chunk->last_term;
+        incoming->total_bytes = chunk->total_size;
+        buffer_clear(&incoming->data);
+    }
+    uint64_t received = buffer_get_size(&incoming->data);
+    if (chunk->offset == received &&
+        chunk->data.data_len <= incoming->total_bytes - received) {
+        buffer_append(&incoming->data, chunk->data.data_val,
+                      chunk->data.data_len);
+    }
+}
+
+// Replaces the log and the adapter's state by the snapshot received. Returns
+// false when its bytes are not one. Before the snapshot is stored, only those
+// entries are dropped that can't have been committed, since they follow one
+// that differs; the others may have been acknowledged.
+static bool
+raft_install_snapshot(struct raft *raft)
+{
+    struct raft_incoming *incoming = &raft->incoming;
+    const struct raft_snapshot received = {
+        .index = incoming->last_index,
+        .term = incoming->last_term,
+        .data = incoming->data.data + incoming->data.start,
+        .size_bytes = buffer_get_size(&incoming->data),
+    };
+    uint64_t last_index = raft_log_get_last_index(&raft->log);
+    uint64_t term = 0;
+    bool keeps_log = raft_log_get_term(&raft->log, received.index, &term) &&
+                     term == received.term;
+
+    if (!raft_snapshot_is_valid(&received)) {
+        return false;
+    }
+    if (!keeps_log && last_index > received.index) {
+        raft_truncate(raft, received.index + 1);
+    }
+    raft_snapshot_load(raft, &received);
+    for (uint64_t i = received.index + 1; keeps_log && i <= last_index; i++) {
+        raft_add_config_of_entry(raft, &raft_log_get(&raft->log, i)->entry);
+    }
+    raft_snapshot_copy(
+        &raft->snapshot,
+        &raft_add_action(raft, RAFT_ACTION_INSTALL_SNAPSHOT)->snapshot);
+    return true;
+}
+
+// Takes a chunk of a leader's snapshot, and installs the whole one.
+void
+raft_handle_snapshot(struct raft *raft, const struct ck_raft_message *message)
+{
+    const struct ck_raft_snapshot *chunk =
+        &message->body.ck_raft_body_u.snapshot;
+
+    if ((message->term == raft->term && raft->role == RAFT_LEADER) ||
+        chunk->total_size > RAFT_MAX_SNAPSHOT_BYTES ||
+        !raft_hear_leader(raft, message)) {
+        return;
+    }
+    if (chunk->last_index <= raft->commit_index) {
+        raft_answer_snapshot(raft, message, chunk->total_size, true);
+        return;
+    }
+    raft_take_chunk(raft, chunk);
+    uint64_t received = buffer_get_size(&raft->incoming.data);
+    if (received < raft->incoming.total_bytes) {
+        raft_answer_snapshot(raft, message, received, false);
+        return;
+    }
+    bool installed = raft_install_snapshot(raft);
+    buffer_free(&raft->incoming.data);
+    memset(&raft->incoming, 0, sizeof(raft->incoming));
+    raft_answer_snapshot(raft, message, installed ? received : 0, installed);
+}
+
+static void
+raft_peer_took_chunk(const struct raft *raft, struct raft_peer *peer,
+                     const struct ck_raft_snapshot_result *result)
+{
+    if (peer->state != RAFT_PEER_SNAPSHOT ||
+        result->last_index != peer->snapshot_index ||
+        result->next_offset >= raft->snapshot.size_bytes) {
+        return;
+    }
+    peer->snapshot_wanted_bytes = result->next_offset;
+    if (result->next_offset > peer->snapshot_acked_bytes) {
+        peer->snapshot_acked_bytes = result->next_offset;
+        peer->snapshot_moved = true;
+    }
+    if (peer->snapshot_sent_bytes < result->next_offset) {
+        peer->snapshot_sent_bytes = result->next_offset;
+    }
+}
+
+// Goes on with what a voter still lacks of a snapshot.
+void
+raft_handle_snapshot_result(struct raft *raft,
+                            const struct ck_raft_message *message)
+{
+    const struct ck_raft_snapshot_result *result =
+        &message->body.ck_raft_body_u.snapshot_result;
+    struct raft_peer *peer = raft_find_peer(raft, message->from);
+
+    if (message->term > raft->term) {
+        raft_become_follower(raft, message->term, RAFT_NO_VOTER);
+        return;
+    }
+    if (raft->role != RAFT_LEADER || message->term != raft->term ||
+        peer == NULL || result->round > raft->round) {
+        return;
+    }
+    raft_peer_answered(peer, result->round);
+    if (result->installed) {
+        raft_peer_matched(raft, peer, result->last_index);
+        raft_leader_advance(raft);
+    }
+    else {
+        raft_peer_took_chunk(raft, peer, result);
+    }
+    if (raft->role == RAFT_LEADER) {
+        raft_peer_send(raft, peer, false);
+    }
+}
--- /dev/null
+++ b/src/catkingrade/store/store_record.c
@@ -0,0 +1,132 @@
+#include <string.h>
+#include <xxhash.h>
+
+#include "catkingrade/store/store_internal.h"
+
+#define SECTOR_BYTES   512
+#define MIN_ZERO_BYTES 16
+
+// Reads a little-endian number.
+uint64_t
+store_get_le64(const uint8_t *data)
+{
+    uint64_t value = 0;
+
+    for (size_t i = 8; i > 0; i--) {
+        value = value << 8 | data[i - 1];
+    }
+    return value;
+}
+
+// Appends a little-endian number.
+void
+store_append_le64(struct buffer *buffer, uint64_t value)
+{
+    for (size_t i = 0; i < 8; i++) {
+        buffer_append_u8(buffer, (uint8_t)(value >> (8 * i)));
+    }
+}
+
+// Appends a record. The seed is the number of its file, so that no record
+// counts in a file that it was not written to.
+void
+store_record_append(struct buffer *out, enum store_record_type type,
+                    uint64_t seed, uint64_t synced_bytes,
+                    const struct buffer *payload)
+{
+    const uint8_t *data = buffer_get_data(payload);
+    size_t size = buffer_get_size(payload);
+    size_t before = buffer_get_size(out);
+
+    store_append_le64(out, (uint64_t)type << 32 | (uint32_t)size);
+    store_append_le64(out, synced_bytes);
+    store_append_le64(out, XXH64(data, size, seed));
+    store_append_le64(out, XXH64(buffer_get_data(out) + before,
+                                 STORE_RECORD_HEAD - 8, seed));
+    buffer_append(out, data, size);
+}
+
+static bool
+store_is_head_valid(const uint8_t *data, uint64_t seed)
+{
+    return XXH64(data, STORE_RECORD_HEAD - 8, seed) ==
+           store_get_le64(data + STORE_RECORD_HEAD - 8);
+}
+
+// Reads the record at the start of data and verifies its checksums.
+enum store_parse
+store_record_parse(const uint8_t *data, size_t size_bytes, uint64_t seed,
+                   struct store_record *record)
+{
+    if (size_bytes < STORE_RECORD_HEAD) {
+        return STORE_PARSE_SHORT;
+    }
+    if (!store_is_head_valid(data, seed)) {
+        return STORE_PARSE_BAD;
+    }
+    uint64_t first = store_get_le64(data);
+    record->type = (uint32_t)(first >> 32);
+    record->size_bytes = (uint32_t)first;
+    record->synced_bytes = store_get_le64(data + 8);
+    record->payload = data + STORE_RECORD_HEAD;
+    record->total_bytes = STORE_RECORD_HEAD + record->size_bytes;
+    if (record->total_bytes > size_bytes) {
+        return STORE_PARSE_SHORT;
+    }
+    return XXH64(record->payload, record->size_bytes, seed) ==
+                   store_get_le64(data + 16)
+               ? STORE_PARSE_OK
+               : STORE_PARSE_BAD;
+}
+
+// A record that was written after a sync proves that what stands before the
+// synced offset was whole once.
+static bool
+store_was_synced(const uint8_t *data, size_t size_bytes, size_t at,
+                 uint64_t seed)
+{
+    for (size_t i = at + 1; i + STORE_RECORD_HEAD <= size_bytes; i++) {
+        if (store_is_head_valid(data + i, seed) &&
+            store_get_le64(data + i + 8) > at) {
+            return true;
+        }
+    }
+    return false;
+}
+
+// Sectors that were not written before a crash read as zeros.
+static bool
+store_has_unwritten_sector(const uint8_t *data, size_t from, size_t to)
+{
+    static const uint8_t zeros[SECTOR_BYTES];
+
+    while (from < to) {
+        size_t end = (from / SECTOR_BYTES + 1) * SECTOR_BYTES;
+        if (end > to) {
+            end = to;
+        }
+        if (end - from >= MIN_ZERO_BYTES &&
+            memcmp(data + from, zeros, end - from) == 0) {
+            return true;
+        }
+        from = end;
+    }
+    return false;
+}
+
+// Tells whether the record at `at`, which is not whole, is the tail of a
+// write that a crash interrupted. Otherwise it is corrupt: it was durable
+// once, or it has its full length and wrong bytes.
+bool
+store_is_torn(const uint8_t *data, size_t size_bytes, size_t at, uint64_t seed)
+{
+    struct store_record record;
+
+    if (store_was_synced(data, size_bytes, at, seed)) {
+        return false;
+    }
+    enum store_parse parse =
+        store_record_parse(data + at, size_bytes - at, seed, &record);
+    return parse == STORE_PARSE_SHORT ||
+           store_has_unwritten_sector(data, at, size_bytes);
+}
