--- /dev/null
+++ b/src/catkingrade/decide/admission.c
@@ -0,0 +1,252 @@
+#include "catkingrade/decide/admission.h"
+
+#include <string.h>
+
+#include "catkingrade/decide/retry.h"
+#include "catkingrade/decide/traffic_lease.h"
+#include "catkingrade/decide/traffic_request.h"
+#include "catkingrade/kernel/memory.h"
+#include "catkingrade/kernel/outcome.h"
+
+#define ADMISSION_DEFAULT_DEADLINE_US (5 * TRAFFIC_SECOND_US)
+#define ADMISSION_DEFAULT_QUEUE_LIMIT 1000
+#define ADMISSION_SERVICE_US          1000.0 // before the first measurement
+#define ADMISSION_SERVICE_SHARE       0.1    // of a new measurement
+#define ADMISSION_FAILOVER_RETRY_US   (1 * TRAFFIC_SECOND_US)
+
+// Returns the place of the type of that name, or of a new one. When the table
+// is full the last one is shared.
+static struct request_type *
+admission_get_type(struct traffic *traffic, const char *name)
+{
+    for (uint32_t i = 0; i < traffic->types_count; i++) {
+        if (strcmp(traffic->types[i].name, name) == 0) {
+            return &traffic->types[i];
+        }
+    }
+    if (traffic->types_count == TRAFFIC_TYPES_MAX) {
+        return &traffic->types[TRAFFIC_TYPES_MAX - 1];
+    }
+    struct request_type *type = &traffic->types[traffic->types_count++];
+    (void)strncpy(type->name, name, sizeof(type->name) - 1);
+    type->service_us = ADMISSION_SERVICE_US;
+    return type;
+}
+
+// Sets what a request gets that names no type and finds none.
+static void
+admission_set_default(struct traffic *traffic)
+{
+    struct request_type *type = admission_get_type(traffic, "");
+
+    type->weight = 1;
+    type->queue_limit = ADMISSION_DEFAULT_QUEUE_LIMIT;
+    type->deadline_us = ADMISSION_DEFAULT_DEADLINE_US;
+    type->max_age_us =
+        (int64_t)traffic->view.customer->max_age_ms * TRAFFIC_MS_US;
+}
+
+// Takes the request types of a new view. Types keep their places, so queued
+// requests stay where they are.
+void
+admission_handle_view(struct traffic *traffic)
+{
+    const struct ck_customer *customer = traffic->view.customer;
+
+    admission_set_default(traffic);
+    traffic->first_type = 0;
+    for (uint32_t i = 0; i < customer->types.types_len; i++) {
+        const struct ck_request_type *config = &customer->types.types_val[i];
+        struct request_type *type = admission_get_type(traffic, config->name);
+        type->weight = config->weight == 0 ? 1 : config->weight;
+        type->queue_limit = config->queue_limit;
+        type->deadline_us = (int64_t)config->deadline_ms * TRAFFIC_MS_US;
+        type->max_age_us = (int64_t)config->max_age_ms * TRAFFIC_MS_US;
+        type->repeatable = config->repeatable;
+        if (i == 0) {
+            traffic->first_type = (uint8_t)(type - traffic->types);
+        }
+    }
+}
+
+// Returns the place of a request type: of the first one when the name is
+// empty or not known.
+uint8_t
+admission_find_type(const struct traffic *traffic, const char *name)
+{
+    if (name[0] == '\0') {
+        return traffic->first_type;
+    }
+    for (uint32_t i = 1; i < traffic->types_count; i++) {
+        if (strcmp(traffic->types[i].name, name) == 0) {
+            return (uint8_t)i;
+        }
+    }
+    return traffic->first_type;
+}
+
+// Returns which queue a request waits in.
+enum queue_kind
+admission_get_queue(const struct request *request)
+{
+    return request_is_read(request) ? QUEUE_READS : QUEUE_PRIMARY;
+}
+
+// Returns how many statements of a queue the upstreams run at once.
+static uint32_t
+admission_get_slots(const struct traffic *traffic, enum queue_kind kind)
+{
+    if (kind == QUEUE_PRIMARY) {
+        return traffic->primary == TRAFFIC_NO_ID
+                   ? 0
+                   : traffic->upstreams[traffic->primary].slots;
+    }
+    return traffic->slots_total;
+}
+
+// Estimates how long a new request of a type would wait for a slot: the work
+// before it, divided by the type's share of the slots.
+static int64_t
+admission_estimate_wait_us(const struct traffic *traffic,
+                           const struct request_type *type,
+                           enum queue_kind kind)
+{
+    uint32_t slots = admission_get_slots(traffic, kind);
+    double weights = 0;
+
+    if (type->queues[kind].list.count == 0 || slots == 0) {
+        return 0;
+    }
+    for (uint32_t i = 0; i < traffic->types_count; i++) {
+        if (traffic->types[i].queues[kind].list.count > 0) {
+            weights += traffic->types[i].weight;
+        }
+    }
+    double share = slots * type->weight / weights;
+    return (int64_t)((type->queues[kind].list.count + 1) * type->service_us /
+                     share);
+}
+
+// Queues a request for a slot, or refuses it at once: when its queue is full,
+// when it could not start in time, or when it needs a primary and there is
+// none that may take writes.
+void
+admission_enqueue(struct traffic *traffic, struct request *request)
+{
+    enum queue_kind kind = admission_get_queue(request);
+    struct request_type *type = &traffic->types[request->type];
+    struct type_queue *queue = &type->queues[kind];
+
+    if (kind == QUEUE_PRIMARY &&
+        (traffic->primary == TRAFFIC_NO_ID || !lease_is_valid(traffic))) {
+        request_refuse(traffic, request, OUTCOME_UNAVAILABLE,
+                       ADMISSION_FAILOVER_RETRY_US,
+                       "there is no primary under a valid lease");
+        return;
+    }
+    int64_t wait_us = admission_estimate_wait_us(traffic, type, kind);
+    int64_t left_us = request->deadline_us - traffic->now_us;
+    if (queue->list.count >= type->queue_limit ||
+        wait_us + (int64_t)type->service_us > left_us) {
+        request_refuse(traffic, request, OUTCOME_OVERLOADED,
+                       wait_us > 0 ? wait_us : RETRY_AFTER_US,
+                       "the queue is too long");
+        return;
+    }
+    request->state = REQUEST_QUEUED;
+    request->conn = TRAFFIC_NO_ID;
+    request->queued_us = traffic->now_us;
+    if (queue->list.count == 0 &&
+        queue->virtual_time < traffic->virtual_time[kind]) {
+        queue->virtual_time = traffic->virtual_time[kind];
+    }
+    request_list_append(&queue->list, request);
+    if (++traffic->queued[kind] > traffic->peak_queued[kind]) {
+        traffic->peak_queued[kind] = traffic->queued[kind];
+    }
+}
+
+// Takes a request out of its queue.
+void
+admission_remove(struct traffic *traffic, struct request *request)
+{
+    enum queue_kind kind = admission_get_queue(request);
+
+    request_list_remove(&traffic->types[request->type].queues[kind].list,
+                        request);
+    traffic->queued[kind]--;
+}
+
+// Returns the type that is due next by weighted fair queueing, or NULL when
+// no queue of that kind can go on in this step.
+struct request_type *
+admission_pick(struct traffic *traffic, enum queue_kind kind)
+{
+    struct request_type *best = NULL;
+
+    for (uint32_t i = 0; i < traffic->types_count; i++) {
+        struct request_type *type = &traffic->types[i];
+        const struct type_queue *queue = &type->queues[kind];
+        if (queue->list.count == 0 || queue->blocked_round == traffic->round) {
+            continue;
+        }
+        if (best == NULL ||
+            queue->virtual_time < best->queues[kind].virtual_time) {
+            best = type;
+        }
+    }
+    return best;
+}
+
+// Charges a type for a statement that has got a slot.
+void
+admission_charge(struct traffic *traffic, struct request_type *type,
+                 enum queue_kind kind)
+{
+    struct type_queue *queue = &type->queues[kind];
+
+    traffic->virtual_time[kind] = queue->virtual_time;
+    queue->virtual_time += type->service_us / type->weight;
+}
+
+// Refuses a queued request that can no longer end before its deadline.
+// Returns whether it did.
+bool
+admission_drop_late(struct traffic *traffic, struct request *request)
+{
+    const struct request_type *type = &traffic->types[request->type];
+
+    if (traffic->now_us + (int64_t)type->service_us <= request->deadline_us) {
+        return false;
+    }
+    admission_remove(traffic, request);
+    request_refuse(traffic, request, OUTCOME_OVERLOADED, RETRY_AFTER_US,
+                   "it can no longer end before its deadline");
+    return true;
+}
+
+// Follows how long statements of a type hold their slots.
+void
+admission_note_service(struct traffic *traffic, const struct request *request)
+{
+    struct request_type *type = &traffic->types[request->type];
+    double took_us = (double)(traffic->now_us - request->started_us);
+
+    type->service_us += (took_us - type->service_us) * ADMISSION_SERVICE_SHARE;
+}
+
+// Refuses all queued requests that need the primary.
+void
+admission_refuse_primary(struct traffic *traffic, const char *reason)
+{
+    for (uint32_t i = 0; i < traffic->types_count; i++) {
+        struct request_list *list =
+            &traffic->types[i].queues[QUEUE_PRIMARY].list;
+        while (list->first != NULL) {
+            struct request *request = list->first;
+            admission_remove(traffic, request);
+            request_refuse(traffic, request, OUTCOME_UNAVAILABLE,
+                           ADMISSION_FAILOVER_RETRY_US, reason);
+        }
+    }
+}
--- /dev/null
+++ b/src/catkingrade/decide/admission.h
@@ -0,0 +1,20 @@
+#ifndef CATKINGRADE_DECIDE_ADMISSION_H
+#define CATKINGRADE_DECIDE_ADMISSION_H
+
+#include "catkingrade/decide/traffic_state.h"
+
+void admission_handle_view(struct traffic *traffic);
+uint8_t admission_find_type(const struct traffic *traffic, const char *name);
+void admission_enqueue(struct traffic *traffic, struct request *request);
+void admission_remove(struct traffic *traffic, struct request *request);
+struct request_type *admission_pick(struct traffic *traffic,
+                                    enum queue_kind kind);
+void admission_charge(struct traffic *traffic, struct request_type *type,
+                      enum queue_kind kind);
+bool admission_drop_late(struct traffic *traffic, struct request *request);
+void admission_note_service(struct traffic *traffic,
+                            const struct request *request);
+void admission_refuse_primary(struct traffic *traffic, const char *reason);
+enum queue_kind admission_get_queue(const struct request *request);
+
+#endif
--- /dev/null
+++ b/src/catkingrade/decide/floor.c
@@ -0,0 +1,126 @@
+#include "catkingrade/decide/floor.h"
+
+#include "catkingrade/decide/traffic_lease.h"
+#include "catkingrade/decide/traffic_request.h"
+#include "catkingrade/decide/traffic_sample.h"
+
+// Translates a floor to the log of the present term. A floor of an older term
+// counts only up to where the present term began: what that term wrote beyond
+// it was never acknowledged. A base of 0 is not known and limits nothing. Sets
+// *lsn for FLOOR_NEED_LSN.
+enum floor_need
+floor_translate(const struct ck_database *database,
+                const struct traffic_floor *floor, uint64_t *lsn)
+{
+    *lsn = floor->lsn;
+    if (floor->term > database->term) {
+        return FLOOR_NEED_VIEW;
+    }
+    if (floor->term < database->term && database->base.lsn != 0 &&
+        floor->lsn > database->base.lsn) {
+        *lsn = database->base.lsn;
+    }
+    return FLOOR_NEED_LSN;
+}
+
+// Raises a floor to another one when that is higher. Returns whether it did.
+bool
+floor_raise(struct traffic_floor *floor, const struct traffic_floor *other)
+{
+    if (other->term < floor->term ||
+        (other->term == floor->term && other->lsn <= floor->lsn)) {
+        return false;
+    }
+    *floor = *other;
+    return true;
+}
+
+// Lets a session wait. One without a floor waits for a sample of the primary
+// that is asked for after its arrival, which all arrivals until then share;
+// one with a floor of a later term waits for the view.
+void
+floor_wait(struct traffic *traffic, struct session *session)
+{
+    session->floor_waiting = true;
+    session->floor_previous = NULL;
+    session->floor_next = traffic->floor_first;
+    if (session->floor_next != NULL) {
+        session->floor_next->floor_previous = session;
+    }
+    traffic->floor_first = session;
+    traffic->floor_count++;
+    if (!session->floor_known && traffic->primary != TRAFFIC_NO_ID) {
+        sample_ask(traffic, traffic->primary, session->arrived_us);
+    }
+}
+
+// Takes a session off the list of those that wait, if it is there.
+void
+floor_stop_waiting(struct traffic *traffic, struct session *session)
+{
+    if (!session->floor_waiting) {
+        return;
+    }
+    session->floor_waiting = false;
+    if (session->floor_previous != NULL) {
+        session->floor_previous->floor_next = session->floor_next;
+    }
+    else {
+        traffic->floor_first = session->floor_next;
+    }
+    if (session->floor_next != NULL) {
+        session->floor_next->floor_previous = session->floor_previous;
+    }
+    session->floor_next = session->floor_previous = NULL;
+    traffic->floor_count--;
+}
+
+// Gives the primary's sampled position as floor to the sessions that arrived
+// before it was asked for. A primary without a lease may be superseded, so its
+// position says nothing about what others have acknowledged.
+void
+floor_grant(struct traffic *traffic, const struct traffic_sample *sample)
+{
+    struct session *session = traffic->floor_first;
+
+    if (!lease_is_valid_at(traffic, sample->asked_at_us)) {
+        return;
+    }
+    while (session != NULL) {
+        struct session *next = session->floor_next;
+        if (!session->floor_known &&
+            session->arrived_us <= sample->asked_at_us) {
+            floor_stop_waiting(traffic, session);
+            session->floor = (struct traffic_floor){lease_get_term(traffic),
+                                                    sample->position.lsn};
+            session->floor_known = true;
+            request_continue_session(traffic, session);
+        }
+        session = next;
+    }
+}
+
+// Lets sessions go on whose floor the new view can translate, and asks the
+// new primary on behalf of those that have none.
+void
+floor_handle_view(struct traffic *traffic)
+{
+    const struct ck_database *database = traffic->view.database;
+    struct session *session = traffic->floor_first;
+
+    while (session != NULL) {
+        struct session *next = session->floor_next;
+        uint64_t lsn = 0;
+        if (!session->floor_known) {
+            if (traffic->primary != TRAFFIC_NO_ID) {
+                sample_ask(traffic, traffic->primary, session->arrived_us);
+            }
+        }
+        else if (floor_translate(database, &session->floor, &lsn) ==
+                 FLOOR_NEED_LSN) {
+            floor_stop_waiting(traffic, session);
+            request_continue_session(traffic, session);
+        }
+        session = next;
+    }
+}
--- /dev/null
+++ b/src/catkingrade/decide/floor.h
@@ -0,0 +1,22 @@
+#ifndef CATKINGRADE_DECIDE_FLOOR_H
+#define CATKINGRADE_DECIDE_FLOOR_H
+
+#include "catkingrade/decide/traffic_state.h"
+
+// What a floor asks of the present term's log.
+enum floor_need {
+    FLOOR_NEED_LSN,  // an upstream at lsn or beyond
+    FLOOR_NEED_VIEW, // the floor is of a term that this entry has not heard of
+};
+
+enum floor_need floor_translate(const struct ck_database *database,
+                                const struct traffic_floor *floor,
+                                uint64_t *lsn);
+bool floor_raise(struct traffic_floor *floor,
+                 const struct traffic_floor *other);
+void floor_wait(struct traffic *traffic, struct session *session);
+void floor_stop_waiting(struct traffic *traffic, struct session *session);
+void floor_grant(struct traffic *traffic, const struct traffic_sample *sample);
+void floor_handle_view(struct traffic *traffic);
+
+#endif
--- /dev/null
+++ b/src/catkingrade/decide/freshness.h
@@ -0,0 +1,28 @@
+#ifndef CATKINGRADE_DECIDE_FRESHNESS_H
+#define CATKINGRADE_DECIDE_FRESHNESS_H
+
+#include <stddef.h>
+#include <stdint.h>
+
+#define FRESHNESS_SAMPLES_MAX 128
+#define FRESHNESS_UNKNOWN     (-1)
+
+// Where the primary was seen, and when it was asked.
+struct freshness_sample {
+    int64_t asked_at_us;
+    uint64_t lsn;
+};
+
+// History of the primary's log position, oldest first, both fields growing.
+// Old samples are thinned out when it is full, so that it reaches far back.
+struct freshness {
+    struct freshness_sample samples[FRESHNESS_SAMPLES_MAX];
+    size_t samples_count;
+};
+
+void freshness_add(struct freshness *freshness, int64_t asked_at_us,
+                   uint64_t lsn);
+void freshness_limit(struct freshness *freshness, uint64_t base_lsn);
+int64_t freshness_find_us(const struct freshness *freshness, uint64_t lsn);
+
+#endif
--- /dev/null
+++ b/src/catkingrade/decide/pool.c
@@ -0,0 +1,452 @@
+#include "catkingrade/decide/pool.h"
+
+#include <stdlib.h>
+
+#include "catkingrade/decide/traffic_actions.h"
+#include "catkingrade/decide/traffic_request.h"
+#include "catkingrade/decide/traffic_sample.h"
+#include "catkingrade/kernel/memory.h"
+#include "catkingrade/kernel/outcome.h"
+
+#define POOL_PLACE_BITS  16
+#define POOL_PLACE_MASK  ((UINT32_C(1) << POOL_PLACE_BITS) - 1)
+#define POOL_PLACES_MAX  (POOL_PLACE_MASK - 1)
+#define POOL_OPENING_MAX 4 // for each upstream
+#define POOL_SPARES      2 // idle connections kept for each upstream
+// Connections opened within this time of a silent one are suspected with it.
+#define POOL_NEIGHBOUR_AGE_US (10 * TRAFFIC_SECOND_US)
+
+// Prepares an empty pool.
+void
+pool_init(struct traffic *traffic)
+{
+    traffic->conns_free = TRAFFIC_NO_ID;
+}
+
+// Frees the pool's memory; it closes nothing.
+void
+pool_free(struct traffic *traffic)
+{
+    free(traffic->conns);
+}
+
+static uint32_t
+pool_get_place(const struct traffic *traffic, const struct conn *conn)
+{
+    return (uint32_t)(conn - traffic->conns);
+}
+
+// Returns the connection of an id, or NULL when it has been closed.
+struct conn *
+pool_find(struct traffic *traffic, uint32_t id)
+{
+    uint32_t place = id & POOL_PLACE_MASK;
+
+    if (place >= traffic->conns_count) {
+        return NULL;
+    }
+    struct conn *conn = &traffic->conns[place];
+    return conn->state != CONN_FREE && conn->id == id ? conn : NULL;
+}
+
+// Returns a free place with the next generation's id, or NULL when the pool
+// is full.
+static struct conn *
+pool_add(struct traffic *traffic)
+{
+    uint32_t place = traffic->conns_free;
+
+    if (place == TRAFFIC_NO_ID) {
+        if (traffic->conns_count == POOL_PLACES_MAX) {
+            return NULL;
+        }
+        place = traffic->conns_count++;
+        traffic->conns = xrealloc(traffic->conns, traffic->conns_count *
+                                                      sizeof(*traffic->conns));
+        traffic->conns[place].id = place;
+    }
+    else {
+        traffic->conns_free = traffic->conns[place].next;
+    }
+    struct conn *conn = &traffic->conns[place];
+    uint32_t id = conn->id + (UINT32_C(1) << POOL_PLACE_BITS);
+    *conn = (struct conn){
+        .id = id, .next = TRAFFIC_NO_ID, .previous = TRAFFIC_NO_ID};
+    return conn;
+}
+
+static void
+pool_set_state(struct traffic *traffic, struct conn *conn,
+               enum conn_state state)
+{
+    conn->state = state;
+    conn->since_us = traffic->now_us;
+}
+
+static void
+pool_add_idle(struct traffic *traffic, struct conn *conn)
+{
+    struct upstream *upstream = &traffic->upstreams[conn->upstream];
+    uint32_t place = pool_get_place(traffic, conn);
+
+    pool_set_state(traffic, conn, CONN_IDLE);
+    conn->previous = TRAFFIC_NO_ID;
+    conn->next = upstream->idle_first;
+    if (conn->next != TRAFFIC_NO_ID) {
+        traffic->conns[conn->next].previous = place;
+    }
+    else {
+        upstream->idle_last = place;
+    }
+    upstream->idle_first = place;
+    upstream->idle++;
+}
+
+static void
+pool_remove_idle(struct traffic *traffic, struct conn *conn)
+{
+    struct upstream *upstream = &traffic->upstreams[conn->upstream];
+
+    if (conn->previous != TRAFFIC_NO_ID) {
+        traffic->conns[conn->previous].next = conn->next;
+    }
+    else {
+        upstream->idle_first = conn->next;
+    }
+    if (conn->next != TRAFFIC_NO_ID) {
+        traffic->conns[conn->next].previous = conn->previous;
+    }
+    else {
+        upstream->idle_last = conn->previous;
+    }
+    conn->next = conn->previous = TRAFFIC_NO_ID;
+    upstream->idle--;
+}
+
+// Frees the slot of a statement that has ended, or whose connection has.
+void
+pool_end_use(struct upstream *upstream, bool read)
+{
+    INVARIANT(upstream->running > 0);
+    upstream->running--;
+    upstream->reads -= read;
+}
+
+// Forgets a connection whose end the adapter has reported or was told.
+void
+pool_forget(struct traffic *traffic, struct conn *conn)
+{
+    struct upstream *upstream = &traffic->upstreams[conn->upstream];
+
+    if (conn->state == CONN_IDLE) {
+        pool_remove_idle(traffic, conn);
+    }
+    else if (conn->state == CONN_OPENING) {
+        upstream->opening--;
+    }
+    if (conn->session != NULL) {
+        conn->session->conn = TRAFFIC_NO_ID;
+    }
+    upstream->open--;
+    conn->state = CONN_FREE;
+    conn->session = NULL;
+    conn->next = traffic->conns_free;
+    traffic->conns_free = pool_get_place(traffic, conn);
+}
+
+// Refuses the statement that waits for a transaction's own connection, which
+// is lost.
+void
+pool_fail_pinned(struct traffic *traffic, struct conn *conn)
+{
+    struct session *session = conn->session;
+
+    if (conn->state != CONN_PINNED || session->first == NULL ||
+        session->first->state != REQUEST_QUEUED) {
+        return;
+    }
+    struct request *request = session->first;
+    conn->session = NULL;
+    session->conn = TRAFFIC_NO_ID;
+    request_list_remove(&traffic->upstreams[conn->upstream].pinned, request);
+    traffic->pinned_waiting--;
+    request_refuse(traffic, request, OUTCOME_NOT_RUN, 0,
+                   "the transaction's connection is lost");
+}
+
+// Closes a connection in any state. What ran on it is for the caller.
+void
+pool_close(struct traffic *traffic, struct conn *conn,
+           enum traffic_close_reason reason)
+{
+    struct traffic_action *action =
+        traffic_add_action(traffic, TRAFFIC_ACTION_CLOSE);
+
+    action->conn = conn->id;
+    action->upstream = conn->upstream;
+    action->close_reason = reason;
+    pool_forget(traffic, conn);
+}
+
+// Returns whether the limits, the open rate and the state of an upstream
+// allow one more connection to it now.
+bool
+pool_can_open(const struct traffic *traffic, uint32_t upstream)
+{
+    const struct upstream *up = &traffic->upstreams[upstream];
+
+    return up->config != NULL && up->config->state == CK_UPSTREAM_READY &&
+           up->open < up->connections && up->opening < POOL_OPENING_MAX &&
+           traffic->now_us >= up->open_next_us;
+}
+
+// Opens a connection; pool_can_open has allowed it.
+void
+pool_open(struct traffic *traffic, uint32_t upstream)
+{
+    struct upstream *up = &traffic->upstreams[upstream];
+    struct conn *conn = pool_add(traffic);
+
+    if (conn == NULL) {
+        return;
+    }
+    conn->upstream = upstream;
+    conn->opened_us = traffic->now_us;
+    pool_set_state(traffic, conn, CONN_OPENING);
+    up->open++;
+    up->opening++;
+    struct traffic_action *action =
+        traffic_add_action(traffic, TRAFFIC_ACTION_OPEN);
+    action->conn = conn->id;
+    action->upstream = upstream;
+    timers_add(&traffic->timers,
+               traffic->now_us + traffic->params.connect_timeout_us,
+               TIMER_CONN, conn->id);
+}
+
+// Asks a connection to prove itself or to be reset, with a time limit.
+static void
+pool_check(struct traffic *traffic, struct conn *conn,
+           enum traffic_action_kind kind)
+{
+    struct traffic_action *action = traffic_add_action(traffic, kind);
+
+    action->conn = conn->id;
+    action->upstream = conn->upstream;
+    pool_set_state(traffic, conn, CONN_CHECKING);
+    conn->proof_wanted = false;
+    conn->reset_wanted = false;
+    timers_add(&traffic->timers,
+               traffic->now_us + traffic->params.connect_timeout_us,
+               TIMER_CONN, conn->id);
+}
+
+static bool
+pool_needs_proof(const struct traffic *traffic, const struct conn *conn)
+{
+    return conn->proof_wanted ||
+           traffic->now_us - conn->proved_us > traffic->params.idle_proof_us;
+}
+
+// Takes an idle connection, the last used one first. With needs_proof, one
+// that was idle for too long is asked to prove itself instead, and the next is
+// tried. Returns NULL when none is left.
+struct conn *
+pool_take_idle(struct traffic *traffic, uint32_t upstream, bool needs_proof)
+{
+    struct upstream *up = &traffic->upstreams[upstream];
+
+    while (up->idle_first != TRAFFIC_NO_ID) {
+        struct conn *conn = &traffic->conns[up->idle_first];
+        pool_remove_idle(traffic, conn);
+        if (!conn->proof_wanted &&
+            !(needs_proof && pool_needs_proof(traffic, conn))) {
+            return conn;
+        }
+        pool_check(traffic, conn, TRAFFIC_ACTION_PROVE);
+    }
+    return NULL;
+}
+
+// Binds a connection to the transaction of a session.
+void
+pool_pin(struct traffic *traffic, struct conn *conn, struct session *session)
+{
+    conn->session = session;
+    session->conn = conn->id;
+    pool_set_state(traffic, conn, CONN_PINNED);
+}
+
+// Returns a connection that is at a transaction boundary to its pool, after a
+// reset when its caller has abandoned it. Closes it when it is over the
+// limits, its upstream leaves, or its term has ended.
+void
+pool_release(struct traffic *traffic, struct conn *conn)
+{
+    struct upstream *up = &traffic->upstreams[conn->upstream];
+
+    if (conn->session != NULL) {
+        conn->session->conn = TRAFFIC_NO_ID;
+        conn->session = NULL;
+    }
+    conn->read_only = false;
+    if (up->config == NULL || up->config->state != CK_UPSTREAM_READY) {
+        pool_close(traffic, conn, TRAFFIC_CLOSE_LEAVING);
+    }
+    else if (conn->superseded) {
+        pool_close(traffic, conn, TRAFFIC_CLOSE_SUPERSEDED);
+    }
+    else if (up->open > up->connections) {
+        pool_close(traffic, conn, TRAFFIC_CLOSE_QUOTA);
+    }
+    else if (conn->reset_wanted) {
+        pool_check(traffic, conn, TRAFFIC_ACTION_RESET);
+    }
+    else {
+        pool_add_idle(traffic, conn);
+    }
+}
+
+// Takes the news that a connection is open.
+void
+pool_handle_opened(struct traffic *traffic,
+                   const struct traffic_conn_event *event)
+{
+    struct conn *conn = pool_find(traffic, event->conn);
+
+    if (conn == NULL || conn->state != CONN_OPENING) {
+        return;
+    }
+    struct upstream *up = &traffic->upstreams[conn->upstream];
+    up->opening--;
+    up->open_backoff_us = 0;
+    conn->proved_us = traffic->now_us;
+    pool_set_state(traffic, conn, CONN_CHECKING);
+    pool_release(traffic, conn);
+}
+
+// Takes the news that a reset or a proof has succeeded.
+void
+pool_handle_ready(struct traffic *traffic,
+                  const struct traffic_conn_event *event)
+{
+    struct conn *conn = pool_find(traffic, event->conn);
+
+    if (conn == NULL || conn->state != CONN_CHECKING) {
+        return;
+    }
+    conn->proved_us = traffic->now_us;
+    pool_release(traffic, conn);
+}
+
+// Makes idle connections of about the same age as one that went silent prove
+// themselves before their next use: what lost track of one may have lost
+// track of them too.
+void
+pool_suspect_neighbours(struct traffic *traffic, uint32_t upstream,
+                        int64_t opened_us)
+{
+    for (uint32_t i = 0; i < traffic->conns_count; i++) {
+        struct conn *conn = &traffic->conns[i];
+        int64_t distance_us = llabs(conn->opened_us - opened_us);
+        if (conn->state == CONN_FREE || conn->upstream != upstream ||
+            distance_us > POOL_NEIGHBOUR_AGE_US) {
+            continue;
+        }
+        conn->proof_wanted = true;
+        if (conn->state == CONN_IDLE) {
+            pool_remove_idle(traffic, conn);
+            pool_check(traffic, conn, TRAFFIC_ACTION_PROVE);
+        }
+    }
+}
+
+// Returns since when a connection waits for its upstream within a time limit
+// of the pool, or INT64_MAX when it does not.
+static int64_t
+pool_get_wait_start_us(const struct conn *conn)
+{
+    switch (conn->state) {
+    case CONN_OPENING:
+    case CONN_CHECKING:
+        return conn->since_us;
+    case CONN_BUSY:
+        return conn->abandoned_us != 0 ? conn->abandoned_us : INT64_MAX;
+    default:
+        return INT64_MAX;
+    }
+}
+
+// Ends an opening, a reset, a proof or an abandoned statement that took too
+// long.
+void
+pool_handle_timer(struct traffic *traffic, uint32_t id)
+{
+    struct conn *conn = pool_find(traffic, id);
+
+    if (conn == NULL ||
+        pool_get_wait_start_us(conn) >
+            traffic->now_us - traffic->params.connect_timeout_us) {
+        return;
+    }
+    bool was_open = conn->state != CONN_OPENING;
+    uint32_t upstream = conn->upstream;
+    int64_t opened_us = conn->opened_us;
+    if (conn->state == CONN_BUSY) {
+        pool_end_use(&traffic->upstreams[upstream], conn->read);
+    }
+    pool_close(traffic, conn, TRAFFIC_CLOSE_SILENT);
+    sample_note_failure(traffic, upstream, CK_SUSPECT_SILENT);
+    if (was_open) {
+        pool_suspect_neighbours(traffic, upstream, opened_us);
+    }
+}
+
+// Returns why an idle connection must be closed now, or -1.
+static int
+pool_find_close_reason(const struct traffic *traffic, const struct conn *conn)
+{
+    const struct upstream *up = &traffic->upstreams[conn->upstream];
+
+    if (up->config == NULL || up->config->state != CK_UPSTREAM_READY) {
+        return TRAFFIC_CLOSE_LEAVING;
+    }
+    if (conn->superseded) {
+        return TRAFFIC_CLOSE_SUPERSEDED;
+    }
+    if (up->open > up->connections) {
+        return TRAFFIC_CLOSE_QUOTA;
+    }
+    return -1;
+}
+
+// Closes idle connections that a new view, quota or lease no longer allows.
+// Busy ones follow when they are released.
+void
+pool_enforce_limits(struct traffic *traffic)
+{
+    for (uint32_t i = 0; i < traffic->conns_count; i++) {
+        struct conn *conn = &traffic->conns[i];
+        if (conn->state != CONN_IDLE) {
+            continue;
+        }
+        int reason = pool_find_close_reason(traffic, conn);
+        if (reason >= 0) {
+            pool_close(traffic, conn, (enum traffic_close_reason)reason);
+        }
+    }
+}
+
+// Opens connections until some spares are idle, as far as slots could use
+// them.
+void
+pool_keep_spares(struct traffic *traffic, uint32_t upstream)
+{
+    struct upstream *up = &traffic->upstreams[upstream];
+
+    while (up->idle + up->opening < POOL_SPARES &&
+           up->running + up->idle + up->opening < up->slots &&
+           pool_can_open(traffic, upstream)) {
+        pool_open(traffic, upstream);
+    }
+}
--- /dev/null
+++ b/src/catkingrade/decide/random.h
@@ -0,0 +1,9 @@
+#ifndef CATKINGRADE_DECIDE_RANDOM_H
+#define CATKINGRADE_DECIDE_RANDOM_H
+
+#include <stdint.h>
+
+uint64_t random_next(uint64_t *state);
+uint32_t random_below(uint64_t *state, uint32_t limit);
+
+#endif
--- /dev/null
+++ b/src/catkingrade/decide/traffic_actions.c
@@ -0,0 +1,38 @@
+#include "catkingrade/decide/traffic_actions.h"
+
+#include <stdlib.h>
+
+#include "catkingrade/kernel/memory.h"
+
+#define ACTIONS_MIN_CAPACITY 16
+
+// Appends an action of the step that runs. The rest of it is for the caller
+// to fill; the pointer is valid until the next action is added.
+struct traffic_action *
+traffic_add_action(struct traffic *traffic, enum traffic_action_kind kind)
+{
+    struct traffic_actions *actions = traffic->actions;
+
+    if (actions->count == actions->capacity) {
+        actions->capacity = actions->capacity == 0 ? ACTIONS_MIN_CAPACITY
+                                                   : actions->capacity * 2;
+        actions->items = xrealloc(actions->items,
+                                  actions->capacity * sizeof(*actions->items));
+    }
+    struct traffic_action *action = &actions->items[actions->count++];
+    *action = (struct traffic_action){
+        .kind = kind,
+        .upstream = TRAFFIC_NO_ID,
+        .conn = TRAFFIC_NO_ID,
+        .reason = "",
+    };
+    return action;
+}
+
+// Frees the list's memory and leaves it empty.
+void
+traffic_actions_free(struct traffic_actions *actions)
+{
+    free(actions->items);
+    *actions = (struct traffic_actions){0};
+}
--- /dev/null
+++ b/src/catkingrade/decide/traffic_lease.c
@@ -0,0 +1,71 @@
+#include "catkingrade/decide/traffic_lease.h"
+
+#include "catkingrade/decide/confirm.h"
+#include "catkingrade/decide/traffic_actions.h"
+
+// Returns the term that the view names, 0 before the first view.
+uint64_t
+lease_get_term(const struct traffic *traffic)
+{
+    return traffic->view_known ? traffic->view.database->term : 0;
+}
+
+// Returns whether the primary of the view's term was the only one at at_us,
+// which must not be in the future. A database without control is always
+// leased.
+bool
+lease_is_valid_at(const struct traffic *traffic, int64_t at_us)
+{
+    if (!traffic->view_known) {
+        return false;
+    }
+    const struct ck_database *database = traffic->view.database;
+    if (database->superseding) {
+        return false;
+    }
+    if (!traffic->lease_known && database->group[0] == '\0') {
+        return true;
+    }
+    return traffic->lease_known && traffic->lease.term == database->term &&
+           database->term >= traffic->min_term &&
+           traffic->lease.valid_until_us > at_us;
+}
+
+// Returns whether writes of the view's term may be acknowledged now.
+bool
+lease_is_valid(const struct traffic *traffic)
+{
+    return lease_is_valid_at(traffic, traffic->now_us);
+}
+
+// Ends a term for good: its waiting saves end as unknown, and control is told
+// that nothing of it is acknowledged any more.
+static void
+lease_revoke(struct traffic *traffic, uint64_t term)
+{
+    if (term >= traffic->min_term) {
+        traffic->min_term = term + 1;
+    }
+    confirm_end_term(traffic, term);
+    traffic_add_action(traffic, TRAFFIC_ACTION_CONFIRM_REVOKED)->term = term;
+}
+
+// Takes a renewal or a revocation. A renewal of a term that was revoked came
+// late and changes nothing; the end of a lease never moves back.
+void
+lease_handle(struct traffic *traffic, const struct traffic_lease *lease)
+{
+    if (lease->revoked) {
+        lease_revoke(traffic, lease->term);
+        return;
+    }
+    if (traffic->lease_known && lease->term < traffic->lease.term) {
+        return;
+    }
+    if (traffic->lease_known && lease->term == traffic->lease.term &&
+        lease->valid_until_us < traffic->lease.valid_until_us) {
+        return;
+    }
+    traffic->lease = *lease;
+    traffic->lease_known = true;
+}
--- /dev/null
+++ b/src/catkingrade/decide/traffic_request.c
@@ -0,0 +1,512 @@
+#include "catkingrade/decide/traffic_request.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "catkingrade/decide/admission.h"
+#include "catkingrade/decide/confirm.h"
+#include "catkingrade/decide/floor.h"
+#include "catkingrade/decide/pool.h"
+#include "catkingrade/decide/retry.h"
+#include "catkingrade/decide/traffic_actions.h"
+#include "catkingrade/decide/traffic_lease.h"
+#include "catkingrade/decide/traffic_session.h"
+#include "catkingrade/kernel/memory.h"
+#include "catkingrade/kernel/outcome.h"
+
+// How long a request waits for the view to learn of its floor's term.
+#define REQUEST_VIEW_WAIT_US (1 * TRAFFIC_SECOND_US)
+
+// Appends a request to a list.
+void
+request_list_append(struct request_list *list, struct request *request)
+{
+    request->next = NULL;
+    request->previous = list->last;
+    if (list->last != NULL) {
+        list->last->next = request;
+    }
+    else {
+        list->first = request;
+    }
+    list->last = request;
+    list->count++;
+}
+
+// Removes a request from the list that it is in.
+void
+request_list_remove(struct request_list *list, struct request *request)
+{
+    if (request->previous != NULL) {
+        request->previous->next = request->next;
+    }
+    else {
+        list->first = request->next;
+    }
+    if (request->next != NULL) {
+        request->next->previous = request->previous;
+    }
+    else {
+        list->last = request->previous;
+    }
+    request->next = request->previous = NULL;
+    list->count--;
+}
+
+// Returns whether a request may run on a replica.
+bool
+request_is_read(const struct request *request)
+{
+    return request->request_class == TRAFFIC_READ ||
+           request->request_class == TRAFFIC_BEGIN_READ_ONLY;
+}
+
+// Returns whether a request begins a transaction and does nothing else.
+bool
+request_opens_transaction(const struct request *request)
+{
+    return request->request_class == TRAFFIC_BEGIN ||
+           request->request_class == TRAFFIC_BEGIN_READ_ONLY;
+}
+
+// Returns whether a request belongs to a transaction that is open already.
+bool
+request_is_within_transaction(const struct request *request)
+{
+    return request->request_class == TRAFFIC_IN_TRANSACTION ||
+           request->request_class == TRAFFIC_COMMIT ||
+           request->request_class == TRAFFIC_ROLLBACK;
+}
+
+// Frees a request that has had its final action, and lets the next one of its
+// session begin.
+static void
+request_finish(struct traffic *traffic, struct request *request)
+{
+    struct session *session = request->session;
+    struct request **link = &session->first;
+    struct request *before = NULL;
+
+    while (*link != request) {
+        before = *link;
+        link = &before->session_next;
+    }
+    bool was_first = before == NULL;
+    *link = request->session_next;
+    if (session->last == request) {
+        session->last = before;
+    }
+    (void)id_map_remove(&traffic->requests, request->id);
+    free(request);
+    if (was_first) {
+        request_continue_session(traffic, session);
+    }
+}
+
+static struct traffic_action *
+request_add_final(struct traffic *traffic, const struct request *request,
+                  enum traffic_action_kind kind)
+{
+    struct traffic_action *action = traffic_add_action(traffic, kind);
+
+    action->request = request->id;
+    action->session = request->session->id;
+    action->conn = request->conn;
+    return action;
+}
+
+// Raises the session's floor to a position of the present term. A position of
+// 0 is not known and raises nothing.
+static void
+request_raise_floor(struct traffic *traffic, struct request *request,
+                    uint64_t lsn)
+{
+    struct session *session = request->session;
+    struct traffic_floor floor = {lease_get_term(traffic), lsn};
+
+    if (lsn == 0) {
+        return;
+    }
+    (void)floor_raise(&session->floor, &floor);
+    if (!session->floor_known && !request_is_read(request)) {
+        session->floor_known = true;
+        floor_stop_waiting(traffic, session);
+    }
+}
+
+// Ends a request as done: its answer is passed on with the session's floor,
+// raised to lsn unless that is 0.
+void
+request_answer(struct traffic *traffic, struct request *request, uint64_t lsn)
+{
+    request_raise_floor(traffic, request, lsn);
+    request_add_final(traffic, request, TRAFFIC_ACTION_ANSWER)->floor =
+        request->session->floor;
+    request_finish(traffic, request);
+}
+
+// Ends a save as done with a warning that it was not confirmed.
+void
+request_warn(struct traffic *traffic, struct request *request, uint64_t lsn)
+{
+    request_raise_floor(traffic, request, lsn);
+    struct traffic_action *action =
+        request_add_final(traffic, request, TRAFFIC_ACTION_WARN);
+    action->floor = request->session->floor;
+    action->reason = "not confirmed before its deadline";
+    request_finish(traffic, request);
+}
+
+// Ends a request as not_run with an outcome. retry_after_us tells the caller
+// when to come back, 0 when it should not.
+void
+request_refuse(struct traffic *traffic, struct request *request, int outcome,
+               int64_t retry_after_us, const char *reason)
+{
+    struct traffic_action *action =
+        request_add_final(traffic, request, TRAFFIC_ACTION_REFUSE);
+
+    action->outcome = outcome;
+    action->retry_after_us = retry_after_us;
+    action->reason = reason;
+    request_finish(traffic, request);
+}
+
+// Ends a request as unknown.
+void
+request_unknown(struct traffic *traffic, struct request *request,
+                const char *reason)
+{
+    struct traffic_action *action =
+        request_add_final(traffic, request, TRAFFIC_ACTION_UNKNOWN);
+
+    action->outcome = OUTCOME_UNKNOWN;
+    action->reason = reason;
+    request_finish(traffic, request);
+}
+
+// Queues a statement of an open transaction for its own connection.
+static void
+request_begin_pinned(struct traffic *traffic, struct request *request)
+{
+    struct conn *conn = pool_find(traffic, request->session->conn);
+
+    if (conn == NULL) {
+        request_refuse(traffic, request, OUTCOME_NOT_RUN, 0,
+                       "the transaction's connection is lost");
+        return;
+    }
+    request->state = REQUEST_QUEUED;
+    request->conn = conn->id;
+    request_list_append(&traffic->upstreams[conn->upstream].pinned, request);
+    traffic->pinned_waiting++;
+}
+
+// Starts the work on the first request of a session. It stays waiting while
+// the session's floor is not known or is of a term still to come.
+static void
+request_begin(struct traffic *traffic, struct request *request)
+{
+    struct session *session = request->session;
+    uint64_t lsn = 0;
+
+    if (session->conn != TRAFFIC_NO_ID ||
+        request_is_within_transaction(request)) {
+        request_begin_pinned(traffic, request);
+        return;
+    }
+    if (!traffic->view_known) {
+        request_refuse(traffic, request, OUTCOME_UNAVAILABLE, RETRY_AFTER_US,
+                       "the database is not known");
+        return;
+    }
+    if (!session->floor_known && request->request_class != TRAFFIC_WRITE &&
+        request->request_class != TRAFFIC_BEGIN) {
+        return;
+    }
+    if (floor_translate(traffic->view.database, &session->floor, &lsn) ==
+        FLOOR_NEED_VIEW) {
+        if (!session->floor_waiting) {
+            floor_wait(traffic, session);
+        }
+        timers_add(&traffic->timers,
+                   request->arrived_us + REQUEST_VIEW_WAIT_US, TIMER_REQUEST,
+                   request->id);
+        return;
+    }
+    admission_enqueue(traffic, request);
+}
+
+// Lets the first request of a session go on when it can, and ends the session
+// at its transaction boundary when it must end.
+void
+request_continue_session(struct traffic *traffic, struct session *session)
+{
+    if (session->first == NULL) {
+        session_end_if_due(traffic, session);
+    }
+    else if (session->first->state == REQUEST_WAITING) {
+        request_begin(traffic, session->first);
+    }
+}
+
+// Returns why a new transaction or single statement is refused, or NULL.
+static const char *
+request_find_refusal(const struct traffic *traffic,
+                     const struct session *session)
+{
+    if (session->ended || traffic->draining) {
+        return "the entry is stopping";
+    }
+    if (traffic->view_known &&
+        traffic->view.customer->state != CK_CUSTOMER_OPEN) {
+        return "the customer is closing";
+    }
+    return NULL;
+}
+
+static void
+request_fill(struct traffic *traffic, struct request *request,
+             const struct traffic_request *event)
+{
+    uint8_t place = admission_find_type(traffic, event->type);
+    const struct request_type *type = &traffic->types[place];
+
+    *request = (struct request){
+        .id = event->request,
+        .arrived_us = traffic->now_us,
+        .deadline_us = event->deadline_us,
+        .max_age_us = event->max_age_us,
+        .type = place,
+        .request_class = (uint8_t)event->request_class,
+        .state = REQUEST_WAITING,
+        .repeatable = event->repeatable || type->repeatable,
+        .has_key = event->has_key,
+        .conn = TRAFFIC_NO_ID,
+    };
+    if (request->deadline_us == 0) {
+        request->deadline_us = traffic->now_us + type->deadline_us;
+    }
+    if (request->max_age_us < 0) {
+        request->max_age_us = type->max_age_us;
+    }
+}
+
+// Refuses a request of a session that does not exist.
+static void
+request_refuse_stray(struct traffic *traffic,
+                     const struct traffic_request *event)
+{
+    struct traffic_action *action =
+        traffic_add_action(traffic, TRAFFIC_ACTION_REFUSE);
+
+    action->request = event->request;
+    action->session = event->session;
+    action->outcome = OUTCOME_NOT_FOUND;
+    action->reason = "the session is not known";
+}
+
+// Takes a request. It runs when those before it in its session have ended.
+void
+request_arrive(struct traffic *traffic, const struct traffic_request *event)
+{
+    struct session *session = id_map_get(&traffic->sessions, event->session);
+
+    if (session == NULL ||
+        id_map_get(&traffic->requests, event->request) != NULL) {
+        request_refuse_stray(traffic, event);
+        return;
+    }
+    struct request *request = xmalloc(sizeof(*request));
+    request_fill(traffic, request, event);
+    request->session = session;
+    id_map_put(&traffic->requests, request->id, request);
+    if (session->last != NULL) {
+        session->last->session_next = request;
+    }
+    else {
+        session->first = request;
+    }
+    session->last = request;
+    retry_earn(traffic);
+    const char *refusal = request_find_refusal(traffic, session);
+    if (refusal != NULL && session->conn == TRAFFIC_NO_ID &&
+        session->first == request) {
+        request_refuse(traffic, request, OUTCOME_CLOSED, 0, refusal);
+        return;
+    }
+    timers_add(&traffic->timers, request->deadline_us, TIMER_REQUEST,
+               request->id);
+    if (session->first == request) {
+        request_begin(traffic, request);
+    }
+}
+
+// Takes a request out of the queue that it waits in.
+static void
+request_leave_queue(struct traffic *traffic, struct request *request)
+{
+    struct conn *conn = NULL;
+
+    if (request->state == REQUEST_CONFIRMING) {
+        request_list_remove(&traffic->confirming, request);
+        return;
+    }
+    if (request->state != REQUEST_QUEUED) {
+        return;
+    }
+    if (request->conn == TRAFFIC_NO_ID) {
+        admission_remove(traffic, request);
+        return;
+    }
+    conn = pool_find(traffic, request->conn);
+    INVARIANT(conn != NULL);
+    request_list_remove(&traffic->upstreams[conn->upstream].pinned, request);
+    traffic->pinned_waiting--;
+}
+
+// Ends a running request as unknown before its answer is there. The upstream
+// is asked to stop it. Its connection serves others only after the late
+// answer and a reset; within a transaction it is closed.
+static void
+request_abandon(struct traffic *traffic, struct request *request,
+                const char *reason)
+{
+    struct conn *conn = pool_find(traffic, request->conn);
+
+    INVARIANT(conn != NULL);
+    struct traffic_action *action =
+        traffic_add_action(traffic, TRAFFIC_ACTION_CANCEL);
+    action->conn = conn->id;
+    action->upstream = conn->upstream;
+    action->request = request->id;
+    conn->reset_wanted = true;
+    if (conn->session != NULL || request_opens_transaction(request)) {
+        pool_end_use(&traffic->upstreams[conn->upstream], conn->read);
+        pool_close(traffic, conn, TRAFFIC_CLOSE_ABNORMAL);
+    }
+    else {
+        timers_add(&traffic->timers,
+                   traffic->now_us + traffic->params.connect_timeout_us,
+                   TIMER_CONN, conn->id);
+        conn->abandoned_us = traffic->now_us;
+    }
+    request_unknown(traffic, request, reason);
+}
+
+// Ends a request because its caller cancelled it. One that runs is stopped by
+// the upstream, whose answer then ends it.
+void
+request_cancel(struct traffic *traffic, uint64_t id)
+{
+    struct request *request = id_map_get(&traffic->requests, id);
+
+    if (request == NULL || request->state == REQUEST_CONFIRMING) {
+        return;
+    }
+    if (request->state != REQUEST_RUNNING) {
+        request_leave_queue(traffic, request);
+        request_refuse(traffic, request, OUTCOME_NOT_RUN, 0,
+                       "cancelled by its caller");
+        return;
+    }
+    struct conn *conn = pool_find(traffic, request->conn);
+    INVARIANT(conn != NULL);
+    struct traffic_action *action =
+        traffic_add_action(traffic, TRAFFIC_ACTION_CANCEL);
+    action->conn = conn->id;
+    action->upstream = conn->upstream;
+    action->request = id;
+}
+
+// Ends a request whose caller is gone for good.
+void
+request_drop(struct traffic *traffic, struct request *request)
+{
+    switch (request->state) {
+    case REQUEST_RUNNING:
+        request_abandon(traffic, request, "its session has ended");
+        return;
+    case REQUEST_CONFIRMING:
+        request_leave_queue(traffic, request);
+        request_unknown(traffic, request, "its session has ended");
+        return;
+    default:
+        request_leave_queue(traffic, request);
+        request_refuse(traffic, request, OUTCOME_NOT_RUN, 0,
+                       "its session has ended");
+    }
+}
+
+// Sends a request that is in no queue on a connection that is free for it.
+void
+request_send(struct traffic *traffic, struct request *request,
+             struct conn *conn)
+{
+    struct upstream *up = &traffic->upstreams[conn->upstream];
+
+    request->state = REQUEST_RUNNING;
+    request->conn = conn->id;
+    request->started_us = traffic->now_us;
+    request->term = lease_get_term(traffic);
+    conn->state = CONN_BUSY;
+    conn->since_us = traffic->now_us;
+    conn->request = request->id;
+    conn->abandoned_us = 0;
+    conn->read = request_is_read(request);
+    up->running++;
+    up->reads += conn->read;
+    if (up->running > up->peak_running) {
+        up->peak_running = up->running;
+    }
+    struct traffic_action *action =
+        traffic_add_action(traffic, TRAFFIC_ACTION_SEND);
+    action->request = request->id;
+    action->session = request->session->id;
+    action->conn = conn->id;
+    action->upstream = conn->upstream;
+    action->on_replica = conn->upstream != traffic->primary;
+}
+
+// Ends a request that has not been sent because its time is over.
+static void
+request_expire_unsent(struct traffic *traffic, struct request *request)
+{
+    request_leave_queue(traffic, request);
+    request_refuse(traffic, request, OUTCOME_TIMEOUT, RETRY_AFTER_US,
+                   "not started before its deadline");
+}
+
+// Handles a timer of a request: its deadline, or the end of a shorter wait.
+void
+request_handle_timer(struct traffic *traffic, uint64_t id)
+{
+    struct request *request = id_map_get(&traffic->requests, id);
+
+    if (request == NULL) {
+        return;
+    }
+    if (traffic->now_us >= request->deadline_us) {
+        if (request->state == REQUEST_RUNNING) {
+            request_abandon(traffic, request, "no answer before its deadline");
+        }
+        else if (request->state == REQUEST_CONFIRMING) {
+            confirm_expire(traffic, request);
+        }
+        else {
+            request_expire_unsent(traffic, request);
+        }
+        return;
+    }
+    if (request->state == REQUEST_BACKOFF &&
+        traffic->now_us >= request->wait_until_us) {
+        admission_enqueue(traffic, request);
+    }
+    else if (request->state == REQUEST_WAITING &&
+             request->session->floor_known &&
+             request->session->first == request &&
+             traffic->now_us >= request->arrived_us + REQUEST_VIEW_WAIT_US) {
+        request_refuse(traffic, request, OUTCOME_UNAVAILABLE, RETRY_AFTER_US,
+                       "the session's term is not known here");
+    }
+}
--- /dev/null
+++ b/src/catkingrade/decide/traffic_state.h
@@ -0,0 +1,212 @@
+#ifndef CATKINGRADE_DECIDE_TRAFFIC_STATE_H
+#define CATKINGRADE_DECIDE_TRAFFIC_STATE_H
+
+#include "catkingrade/decide/freshness.h"
+#include "catkingrade/decide/id_map.h"
+#include "catkingrade/decide/timers.h"
+#include "catkingrade/decide/traffic.h"
+
+// State that the modules of the traffic machine share; private to them.
+
+#define TRAFFIC_NAME_SIZE 64
+#define TRAFFIC_TRIES_MAX 3
+#define TRAFFIC_SECOND_US INT64_C(1000000)
+#define TRAFFIC_MS_US     INT64_C(1000)
+#define TRAFFIC_NO_WAKE   INT64_MAX
+#define TRAFFIC_TYPES_MAX 65
+
+struct request;
+struct session;
+
+struct request_list {
+    struct request *first;
+    struct request *last;
+    uint32_t count;
+};
+
+enum conn_state {
+    CONN_FREE, // no connection in this place
+    CONN_OPENING,
+    CONN_IDLE,
+    CONN_BUSY,     // a request runs on it
+    CONN_PINNED,   // owned by a transaction, between its statements
+    CONN_CHECKING, // a reset or a proof is under way
+};
+
+struct conn {
+    uint32_t id; // place and generation
+    uint32_t upstream;
+    uint32_t next; // in the list of idle ones, by place
+    uint32_t previous;
+    enum conn_state state;
+    bool proof_wanted; // suspected: proves itself before its next use
+    bool reset_wanted; // abandoned by its caller: reset before its next use
+    bool read_only;    // the transaction that owns it is read only
+    bool read;         // what runs on it may run on a replica
+    bool superseded;   // to the primary of an ended term: closed when free
+    uint64_t request;  // that runs on it
+    struct session *session;
+    int64_t opened_us;
+    int64_t proved_us;    // last time the upstream answered on it
+    int64_t since_us;     // entered its state
+    int64_t abandoned_us; // its request has been ended; 0: not
+};
+
+// What the machine knows of one upstream. Places never change.
+struct upstream {
+    char name[TRAFFIC_NAME_SIZE];
+    const struct ck_upstream *config; // NULL: not in the view
+    bool near;                        // in the entry's failure domain
+    uint32_t slots;                   // this entry's share
+    uint32_t connections;
+    uint32_t running;
+    uint32_t reads; // of those that run, reads
+    uint32_t open;  // connections open or opening
+    uint32_t opening;
+    uint32_t idle;
+    uint32_t idle_first; // list of idle connections, last used first
+    uint32_t idle_last;
+    uint32_t waiting; // requests of the present dispatch that lack a conn
+    uint32_t waiting_round;
+    uint32_t peak_running;
+    struct request_list pinned; // statements of transactions that wait
+    int64_t latency_us;         // moving average of statements
+    struct ck_position position;
+    int64_t position_asked_us; // when the last sample was asked for
+    int64_t current_us;        // has all that was committed before; -1: ?
+    double apply_rate;         // log bytes a microsecond
+    bool sampled;
+    bool of_term;  // position is one of the present term's log
+    bool writable; // primary: does not say that it still is a replica
+    bool sample_pending;
+    bool sample_again;
+    int64_t sample_sent_us;
+    int64_t failing_since_us; // 0: answers
+    int64_t suspected_us;     // last report to control
+    int64_t open_next_us;     // earliest moment of the next open
+    int64_t open_backoff_us;
+};
+
+enum request_state {
+    REQUEST_WAITING,    // behind another of its session, or for its floor
+    REQUEST_QUEUED,     // for a slot
+    REQUEST_BACKOFF,    // for its next try
+    REQUEST_RUNNING,    // sent
+    REQUEST_CONFIRMING, // saved; its replicas are awaited
+};
+
+struct request {
+    uint64_t id;
+    struct session *session;
+    struct request *next; // in a queue
+    struct request *previous;
+    struct request *session_next; // sent later by the same session
+    int64_t arrived_us;
+    int64_t deadline_us;
+    int64_t max_age_us;
+    int64_t queued_us;
+    int64_t started_us;
+    int64_t wait_until_us; // BACKOFF
+    uint64_t save_lsn;     // CONFIRMING; 0: not known
+    int64_t saved_us;
+    uint64_t term; // of the primary it was sent to
+    uint32_t conn;
+    uint32_t tried[TRAFFIC_TRIES_MAX];
+    uint8_t tries;
+    uint8_t type;
+    uint8_t request_class; // enum traffic_class
+    uint8_t state;         // enum request_state
+    bool repeatable;
+    bool has_key;
+    bool stale_wait;   // no upstream may serve it; waits for a while
+    bool floor_waited; // has waited for a replica's position once
+};
+
+struct session {
+    uint64_t id;
+    struct traffic_floor floor;
+    int64_t arrived_us;
+    struct request *first; // current one, then those behind it
+    struct request *last;
+    struct session *floor_next; // list of those that wait for a floor
+    struct session *floor_previous;
+    uint32_t conn; // pinned, or TRAFFIC_NO_ID
+    bool floor_known;
+    bool floor_waiting; // is in the list
+    bool ended;         // END_SESSION was said
+};
+
+enum queue_kind {
+    QUEUE_PRIMARY, // must run on the primary
+    QUEUE_READS,   // may run on a replica
+    QUEUE_COUNT,
+};
+
+struct type_queue {
+    struct request_list list;
+    double virtual_time;
+    uint32_t blocked_round; // of the dispatch that can start no more of it
+};
+
+struct request_type {
+    char name[TRAFFIC_NAME_SIZE];
+    uint32_t weight;
+    uint32_t queue_limit;
+    int64_t deadline_us;
+    int64_t max_age_us;
+    bool repeatable;
+    double service_us; // moving average of a statement
+    struct type_queue queues[QUEUE_COUNT];
+};
+
+struct traffic {
+    struct traffic_params params;
+    int64_t now_us;
+    struct traffic_actions *actions; // of the step that runs
+    struct traffic_view view;
+    bool view_known;
+    bool draining;
+    bool limits_leased; // limits are those of a valid lease
+    uint64_t random;
+
+    struct upstream *upstreams;
+    uint32_t upstreams_count;
+    uint32_t upstreams_capacity;
+    uint32_t *candidates; // places of upstreams that the view lists as ready
+    uint32_t candidates_count;
+    uint32_t primary; // TRAFFIC_NO_ID: none
+    uint32_t ready_replicas;
+
+    struct conn *conns;
+    uint32_t conns_count;
+    uint32_t conns_free; // first free place, linked by next
+
+    struct id_map sessions;
+    struct id_map requests;
+    struct session *floor_first;
+    uint32_t floor_count;
+    struct timers timers;
+    int64_t wake_at_us;
+    int64_t sample_at_us;
+    int64_t confirm_at_us;
+
+    struct traffic_lease lease;
+    bool lease_known;
+    uint64_t min_term; // older terms have been revoked
+    struct request_list confirming;
+
+    struct request_type types[TRAFFIC_TYPES_MAX];
+    uint32_t types_count;
+    uint8_t first_type; // what a request without a type gets
+    uint32_t slots_total;
+    double virtual_time[QUEUE_COUNT];
+    uint32_t queued[QUEUE_COUNT];
+    uint32_t peak_queued[QUEUE_COUNT];
+    uint32_t pinned_waiting;
+    uint32_t round; // number of the present dispatch
+    double retry_tokens;
+
+    struct freshness freshness;
+};
+
+#endif
--- /dev/null
+++ b/src/catkingrade/decide/traffic_view.c
@@ -0,0 +1,171 @@
+#include "catkingrade/decide/traffic_view.h"
+
+#include <string.h>
+
+#include "catkingrade/decide/admission.h"
+#include "catkingrade/decide/confirm.h"
+#include "catkingrade/decide/floor.h"
+#include "catkingrade/decide/pool.h"
+#include "catkingrade/decide/traffic_lease.h"
+#include "catkingrade/decide/traffic_result.h"
+#include "catkingrade/decide/traffic_sample.h"
+#include "catkingrade/decide/traffic_session.h"
+#include "catkingrade/kernel/memory.h"
+
+// Returns the place of the upstream of that name, which is added when it is
+// new.
+static uint32_t
+view_get_place(struct traffic *traffic, const char *name)
+{
+    uint32_t place = traffic_get_upstream_id(traffic, name);
+
+    if (place != TRAFFIC_NO_ID) {
+        return place;
+    }
+    if (traffic->upstreams_count == traffic->upstreams_capacity) {
+        traffic->upstreams_capacity = traffic->upstreams_capacity * 2 + 4;
+        traffic->upstreams =
+            xrealloc(traffic->upstreams, traffic->upstreams_capacity *
+                                             sizeof(*traffic->upstreams));
+        traffic->candidates =
+            xrealloc(traffic->candidates, traffic->upstreams_capacity *
+                                              sizeof(*traffic->candidates));
+    }
+    place = traffic->upstreams_count++;
+    struct upstream *up = &traffic->upstreams[place];
+    *up = (struct upstream){.idle_first = TRAFFIC_NO_ID,
+                            .idle_last = TRAFFIC_NO_ID,
+                            .current_us = FRESHNESS_UNKNOWN,
+                            .writable = true};
+    (void)strncpy(up->name, name, sizeof(up->name) - 1);
+    return place;
+}
+
+// Points each upstream at its configuration in the new view, and lists those
+// that take work.
+static void
+view_list_upstreams(struct traffic *traffic)
+{
+    const struct ck_database *database = traffic->view.database;
+
+    for (uint32_t i = 0; i < traffic->upstreams_count; i++) {
+        traffic->upstreams[i].config = NULL;
+    }
+    traffic->candidates_count = 0;
+    traffic->primary = TRAFFIC_NO_ID;
+    for (uint32_t i = 0; i < database->upstreams.upstreams_len; i++) {
+        const struct ck_upstream *config =
+            &database->upstreams.upstreams_val[i];
+        uint32_t place = view_get_place(traffic, config->name);
+        struct upstream *up = &traffic->upstreams[place];
+        up->config = config;
+        up->near =
+            strcmp(config->failure_domain, traffic->view.failure_domain) == 0;
+        if (config->state != CK_UPSTREAM_READY) {
+            continue;
+        }
+        traffic->candidates[traffic->candidates_count++] = place;
+        if (strcmp(config->name, database->primary) == 0) {
+            traffic->primary = place;
+        }
+    }
+}
+
+static const struct ck_quota *
+view_find_quota(const struct traffic *traffic, const char *name)
+{
+    for (size_t i = 0; i < traffic->view.quotas_count; i++) {
+        if (strcmp(traffic->view.quotas[i].upstream, name) == 0) {
+            return &traffic->view.quotas[i];
+        }
+    }
+    return NULL;
+}
+
+// Sets one upstream's limits: its own ones when nothing is lent, otherwise
+// what is lent to this entry, and only the guaranteed part of it once the
+// lease has run out.
+static void
+view_set_upstream_limits(const struct traffic *traffic, struct upstream *up,
+                         bool leased)
+{
+    const struct ck_quota *quota = NULL;
+
+    up->slots = up->connections = 0;
+    if (up->config == NULL) {
+        return;
+    }
+    if (traffic->view.quotas == NULL) {
+        up->slots = up->config->slots;
+        up->connections = up->config->connections;
+        return;
+    }
+    quota = view_find_quota(traffic, up->name);
+    if (quota != NULL) {
+        up->slots = leased ? quota->slots : quota->guaranteed_slots;
+        up->connections =
+            leased ? quota->connections : quota->guaranteed_connections;
+    }
+}
+
+// Sets the limits of all upstreams, and closes idle connections above them.
+void
+view_set_limits(struct traffic *traffic)
+{
+    bool leased = !traffic->lease_known ||
+                  traffic->lease.valid_until_us > traffic->now_us;
+
+    traffic->slots_total = 0;
+    for (uint32_t i = 0; i < traffic->upstreams_count; i++) {
+        struct upstream *up = &traffic->upstreams[i];
+        view_set_upstream_limits(traffic, up, leased);
+        if (up->config != NULL && up->config->state == CK_UPSTREAM_READY) {
+            traffic->slots_total += up->slots;
+        }
+    }
+    traffic->limits_leased = leased;
+    pool_enforce_limits(traffic);
+}
+
+// Ends what belongs to the primary of an older term, and begins the new one.
+static void
+view_begin_term(struct traffic *traffic, uint32_t old_primary)
+{
+    const struct ck_database *database = traffic->view.database;
+
+    confirm_end_term(traffic, database->term - 1);
+    if (old_primary != TRAFFIC_NO_ID) {
+        result_end_primary(traffic, old_primary);
+    }
+    freshness_limit(&traffic->freshness, database->base.lsn);
+    if (traffic->primary != TRAFFIC_NO_ID) {
+        traffic->upstreams[traffic->primary].writable = true;
+        sample_ask(traffic, traffic->primary, traffic->now_us);
+    }
+}
+
+// Takes a new view of the database, its customer and this entry's quotas.
+void
+view_handle(struct traffic *traffic, const struct traffic_view *view)
+{
+    uint64_t old_term = lease_get_term(traffic);
+    uint32_t old_primary = traffic->primary;
+
+    if (traffic->view_known && view->database->term < old_term) {
+        return;
+    }
+    traffic->view = *view;
+    traffic->view_known = true;
+    view_list_upstreams(traffic);
+    admission_handle_view(traffic);
+    if (view->database->term > old_term) {
+        view_begin_term(traffic, old_primary);
+    }
+    view_set_limits(traffic);
+    sample_refresh_ages(traffic);
+    floor_handle_view(traffic);
+    if (!lease_is_valid(traffic) || traffic->primary == TRAFFIC_NO_ID) {
+        admission_refuse_primary(traffic, "there is no primary");
+    }
+    session_end_idle(traffic);
+}
--- /dev/null
+++ b/test/unit/decide/test_traffic.c
@@ -0,0 +1,187 @@
+#include <check.h>
+#include <stdlib.h>
+
+#include "catkingrade/kernel/outcome.h"
+#include "test/fake/traffic_rig.h"
+#include "test/suite.h"
+
+static struct rig rig;
+
+// A standalone database with u0 as primary and two replicas, all at 100.
+static void
+setup(uint32_t upstreams_count)
+{
+    rig_init(&rig, upstreams_count);
+    rig_post_view(&rig);
+    for (uint32_t i = 0; i < upstreams_count; i++) {
+        rig_sample(&rig, i, 100);
+    }
+    rig_open_session(&rig, 1, NULL);
+    rig_open_all(&rig);
+}
+
+// Sends a request and opens the connection that it needs.
+static const struct traffic_action *
+run(enum traffic_class request_class, uint64_t *request)
+{
+    *request = rig_request(&rig, 1, request_class, -1);
+    rig_open_all(&rig);
+    return rig_find(&rig, TRAFFIC_ACTION_SEND, *request);
+}
+
+START_TEST(test_read_goes_to_replica)
+{
+    uint64_t request = 0;
+
+    setup(3);
+    const struct traffic_action *action = run(TRAFFIC_READ, &request);
+    ck_assert_ptr_nonnull(action);
+    ck_assert(action->on_replica);
+    ck_assert_uint_ne(action->upstream, 0);
+    rig_result(&rig, request, action->conn, TRAFFIC_RESULT_DONE, false, 120);
+    action = rig_find(&rig, TRAFFIC_ACTION_ANSWER, request);
+    ck_assert_ptr_nonnull(action);
+    ck_assert_uint_eq(action->floor.lsn, 120);
+    rig_free(&rig);
+}
+END_TEST
+
+START_TEST(test_write_goes_to_primary)
+{
+    uint64_t request = 0;
+
+    setup(3);
+    const struct traffic_action *action = run(TRAFFIC_WRITE, &request);
+    ck_assert_ptr_nonnull(action);
+    ck_assert(!action->on_replica);
+    ck_assert_uint_eq(action->upstream, 0);
+    rig_result(&rig, request, action->conn, TRAFFIC_RESULT_DONE, false, 130);
+    action = rig_find(&rig, TRAFFIC_ACTION_ANSWER, request);
+    ck_assert_ptr_nonnull(action);
+    ck_assert_uint_eq(action->floor.lsn, 130);
+    rig_free(&rig);
+}
+END_TEST
+
+START_TEST(test_transaction_owns_its_connection)
+{
+    uint64_t begin = 0;
+    uint64_t insert = 0;
+    uint64_t other = 0;
+
+    setup(1);
+    rig_open_session(&rig, 2, NULL);
+    uint32_t conn = run(TRAFFIC_BEGIN, &begin)->conn;
+    rig_result(&rig, begin, conn, TRAFFIC_RESULT_DONE, true, 0);
+    other = rig_request(&rig, 2, TRAFFIC_WRITE, -1);
+    rig_open_all(&rig);
+    const struct traffic_action *action =
+        rig_find(&rig, TRAFFIC_ACTION_SEND, other);
+    ck_assert_ptr_nonnull(action);
+    ck_assert_uint_ne(action->conn, conn);
+    action = run(TRAFFIC_IN_TRANSACTION, &insert);
+    ck_assert_uint_eq(action->conn, conn);
+    rig_free(&rig);
+}
+END_TEST
+
+START_TEST(test_session_end_closes_its_transaction)
+{
+    uint64_t begin = 0;
+    const struct traffic_event event = {.kind = TRAFFIC_EVENT_SESSION_CLOSE,
+                                        .session = 1};
+
+    setup(1);
+    uint32_t conn = run(TRAFFIC_BEGIN, &begin)->conn;
+    rig_result(&rig, begin, conn, TRAFFIC_RESULT_DONE, true, 0);
+    rig_step(&rig, &event);
+    const struct traffic_action *action =
+        rig_find(&rig, TRAFFIC_ACTION_CLOSE, 0);
+    ck_assert_ptr_nonnull(action);
+    ck_assert_uint_eq(action->conn, conn);
+    ck_assert_int_eq(action->close_reason, TRAFFIC_CLOSE_ABNORMAL);
+    rig_free(&rig);
+}
+END_TEST
+
+START_TEST(test_deadline_refuses_what_was_not_sent)
+{
+    rig_init(&rig, 1);
+    rig.upstreams[0].slots = 0;
+    rig_post_view(&rig);
+    rig_sample(&rig, 0, 100);
+    rig_open_session(&rig, 1, NULL);
+    uint64_t request = rig_request(&rig, 1, TRAFFIC_WRITE, -1);
+    ck_assert_ptr_null(rig_find(&rig, TRAFFIC_ACTION_REFUSE, request));
+    rig_tick(&rig, 5000 * RIG_MS_US);
+    const struct traffic_action *action =
+        rig_find(&rig, TRAFFIC_ACTION_REFUSE, request);
+    ck_assert_ptr_nonnull(action);
+    ck_assert_int_gt(action->retry_after_us, 0);
+    rig_free(&rig);
+}
+END_TEST
+
+START_TEST(test_late_answer_is_not_the_next_ones)
+{
+    uint64_t late = 0;
+
+    setup(1);
+    uint32_t conn = run(TRAFFIC_WRITE, &late)->conn;
+    rig_tick(&rig, 5000 * RIG_MS_US);
+    ck_assert_ptr_nonnull(rig_find(&rig, TRAFFIC_ACTION_UNKNOWN, late));
+    ck_assert_ptr_nonnull(rig_find(&rig, TRAFFIC_ACTION_CANCEL, late));
+    uint64_t next = rig_request(&rig, 1, TRAFFIC_WRITE, -1);
+    rig_open_all(&rig);
+    ck_assert_uint_ne(rig_find(&rig, TRAFFIC_ACTION_SEND, next)->conn, conn);
+    rig_result(&rig, late, conn, TRAFFIC_RESULT_DONE, false, 140);
+    ck_assert_ptr_null(rig_find(&rig, TRAFFIC_ACTION_ANSWER, 0));
+    ck_assert_ptr_nonnull(rig_find(&rig, TRAFFIC_ACTION_RESET, 0));
+    rig_free(&rig);
+}
+END_TEST
+
+struct cut {
+    enum traffic_class request_class;
+    enum traffic_result result;
+    enum traffic_action_kind final;
+};
+
+static const struct cut cuts[] = {
+    {TRAFFIC_WRITE, TRAFFIC_RESULT_NOT_SENT, TRAFFIC_ACTION_REFUSE},
+    {TRAFFIC_WRITE, TRAFFIC_RESULT_CUT, TRAFFIC_ACTION_UNKNOWN},
+    {TRAFFIC_WRITE, TRAFFIC_RESULT_PARTIAL, TRAFFIC_ACTION_UNKNOWN},
+    {TRAFFIC_WRITE, TRAFFIC_RESULT_ERROR, TRAFFIC_ACTION_ANSWER},
+    {TRAFFIC_READ, TRAFFIC_RESULT_CUT, TRAFFIC_ACTION_UNKNOWN},
+    {TRAFFIC_READ, TRAFFIC_RESULT_PARTIAL, TRAFFIC_ACTION_UNKNOWN},
+    {TRAFFIC_READ, TRAFFIC_RESULT_ERROR, TRAFFIC_ACTION_ANSWER},
+};
+
+START_TEST(test_outcome_of_each_cut)
+{
+    const struct cut *cut = &cuts[_i];
+    uint64_t request = 0;
+
+    setup(3);
+    uint32_t conn = run(cut->request_class, &request)->conn;
+    rig_result(&rig, request, conn, cut->result, false, 0);
+    ck_assert_ptr_nonnull(rig_find(&rig, cut->final, request));
+    ck_assert_ptr_null(rig_find(&rig, TRAFFIC_ACTION_SEND, request));
+    rig_free(&rig);
+}
+END_TEST
+
+static void
+add_tests(TCase *tests)
+{
+    tcase_add_test(tests, test_read_goes_to_replica);
+    tcase_add_test(tests, test_write_goes_to_primary);
+    tcase_add_test(tests, test_transaction_owns_its_connection);
+    tcase_add_test(tests, test_session_end_closes_its_transaction);
+    tcase_add_test(tests, test_deadline_refuses_what_was_not_sent);
+    tcase_add_test(tests, test_late_answer_is_not_the_next_ones);
+    tcase_add_loop_test(tests, test_outcome_of_each_cut, 0,
+                        sizeof(cuts) / sizeof(cuts[0]));
+}
+
+TEST_MAIN("traffic", add_tests)
