--- /dev/null
+++ b/test/fake/process.c
@@ -0,0 +1,333 @@
+#include "test/fake/process.h"
+
+#include <arpa/inet.h>
+#include <errno.h>
+#include <fcntl.h>
+#include <netinet/in.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/prctl.h>
+#include <sys/socket.h>
+#include <sys/stat.h>
+#include <sys/wait.h>
+#include <time.h>
+#include <unistd.h>
+
+#include "catkingrade/kernel/file.h"
+#include "catkingrade/kernel/loop.h"
+#include "catkingrade/kernel/memory.h"
+#include "catkingrade/kernel/outcome.h"
+
+#define PROCESS_MAX_ARGS    64
+#define PROCESS_PATH_SIZE   1024
+#define PROCESS_LIMIT_US    60000000
+#define PROCESS_POLL_US     10000
+#define PROCESS_MAX_FILE    (16U * 1024 * 1024)
+#define PROCESS_EXEC_FAILED 127
+#define PROCESS_FOLDER_MODE 0755
+#define PROCESS_FILE_MODE   0644
+
+struct process {
+    pid_t pid;
+};
+
+// Returns the folder of the running program, which is the build folder.
+static char *
+process_get_build_folder(void)
+{
+    char path[PROCESS_PATH_SIZE];
+    ssize_t size = readlink("/proc/self/exe", path, sizeof(path) - 1);
+
+    INVARIANT(size > 0);
+    path[size] = '\0';
+    *strrchr(path, '/') = '\0';
+    return xstrdup(path);
+}
+
+static void
+process_sleep(void)
+{
+    struct timespec pause = {.tv_nsec = PROCESS_POLL_US * 1000L};
+
+    nanosleep(&pause, NULL);
+}
+
+static void
+process_run_child(const char *log_path, const char *path, char **argv)
+{
+    int fd = open(log_path, O_WRONLY | O_CREAT | O_APPEND, PROCESS_FILE_MODE);
+
+    prctl(PR_SET_PDEATHSIG, SIGKILL);
+    if (fd >= 0) {
+        dup2(fd, STDOUT_FILENO);
+        dup2(fd, STDERR_FILENO);
+    }
+    execv(path, argv);
+    _exit(PROCESS_EXEC_FAILED);
+}
+
+// Starts a program.
+struct process *
+process_start(const char *log_path, const char *program,
+              const char *const *args)
+{
+    char *build = process_get_build_folder();
+    char *path = strchr(program, '/') != NULL
+                     ? xstrdup(program)
+                     : xasprintf("%s/%s", build, program);
+    char *argv[PROCESS_MAX_ARGS] = {path};
+    struct process *process = xcalloc(1, sizeof(*process));
+
+    for (size_t i = 0; args != NULL && args[i] != NULL; i++) {
+        INVARIANT(i + 2 < PROCESS_MAX_ARGS);
+        argv[i + 1] = (char *)(uintptr_t)args[i];
+    }
+    process->pid = fork();
+    INVARIANT(process->pid >= 0);
+    if (process->pid == 0) {
+        process_run_child(log_path, path, argv);
+    }
+    free(path);
+    free(build);
+    return process;
+}
+
+// Returns the process id.
+pid_t
+process_get_pid(const struct process *process)
+{
+    return process->pid;
+}
+
+static int
+process_decode_status(int status)
+{
+    return WIFEXITED(status) ? WEXITSTATUS(status) : -WTERMSIG(status);
+}
+
+// Ends a process by a signal; one that does not end in time is killed.
+int
+process_stop(struct process *process, int signal_number)
+{
+    (void)kill(process->pid, signal_number);
+    return process_wait(process);
+}
+
+// Waits for the end of a process; one that does not end in time is killed.
+int
+process_wait(struct process *process)
+{
+    int64_t limit_us = monotonic_get_us() + PROCESS_LIMIT_US;
+    int status = 0;
+
+    while (waitpid(process->pid, &status, WNOHANG) == 0) {
+        if (monotonic_get_us() > limit_us) {
+            (void)kill(process->pid, SIGKILL);
+            (void)waitpid(process->pid, &status, 0);
+            break;
+        }
+        process_sleep();
+    }
+    free(process);
+    return process_decode_status(status);
+}
+
+static struct sockaddr_in
+process_get_address(int port)
+{
+    struct sockaddr_in address = {.sin_family = AF_INET};
+
+    address.sin_port = htons((uint16_t)port);
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    return address;
+}
+
+// Returns a local port that was free a moment ago.
+int
+process_get_free_port(void)
+{
+    struct sockaddr_in address = process_get_address(0);
+    socklen_t size = sizeof(address);
+    int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+
+    INVARIANT(fd >= 0);
+    INVARIANT(bind(fd, (struct sockaddr *)&address, size) == 0);
+    INVARIANT(getsockname(fd, (struct sockaddr *)&address, &size) == 0);
+    close(fd);
+    return ntohs(address.sin_port);
+}
+
+static int
+process_open_port(int port)
+{
+    struct sockaddr_in address = process_get_address(port);
+    int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+
+    INVARIANT(fd >= 0);
+    if (connect(fd, (struct sockaddr *)&address, sizeof(address)) == 0) {
+        return fd;
+    }
+    close(fd);
+    return -1;
+}
+
+// Polls a local port until it accepts.
+bool
+process_wait_port(int port)
+{
+    int64_t limit_us = monotonic_get_us() + PROCESS_LIMIT_US;
+
+    while (monotonic_get_us() < limit_us) {
+        int fd = process_open_port(port);
+        if (fd >= 0) {
+            close(fd);
+            return true;
+        }
+        process_sleep();
+    }
+    return false;
+}
+
+static void
+process_empty_folder(const char *path)
+{
+    char *command = xasprintf("rm -rf '%s'", path);
+
+    INVARIANT(system(command) == 0);
+    free(command);
+}
+
+// Makes a folder under the build folder, empty at the start of each test.
+char *
+process_make_folder(const char *name)
+{
+    char *build = process_get_build_folder();
+    char *parent = xasprintf("%s/test-data", build);
+    char *path = xasprintf("%s/%s", parent, name);
+
+    (void)mkdir(parent, PROCESS_FOLDER_MODE);
+    process_empty_folder(path);
+    INVARIANT(mkdir(path, PROCESS_FOLDER_MODE) == 0);
+    free(parent);
+    free(build);
+    return path;
+}
+
+// Writes a text file.
+void
+process_write_file(const char *path, const char *text)
+{
+    FILE *file = fopen(path, "w");
+
+    INVARIANT(file != NULL);
+    INVARIANT(fputs(text, file) >= 0);
+    INVARIANT(fclose(file) == 0);
+}
+
+// Reads a text file; the caller frees the text.
+char *
+process_read_file(const char *path)
+{
+    char *text = NULL;
+
+    INVARIANT(file_read_text(path, PROCESS_MAX_FILE, &text) == OUTCOME_OK);
+    return text;
+}
+
+// Starts a stand-in upstream and waits until it listens.
+struct process *
+process_start_upstream(const char *folder, const char *name, int port,
+                       const char *const *extra)
+{
+    char *log_path = xasprintf("%s/%s.log", folder, name);
+    char port_text[16];
+    const char *args[PROCESS_MAX_ARGS] = {
+        "--connect-delay-ms", "0", "--name", name, "--port", port_text};
+    size_t count = 6;
+
+    (void)snprintf(port_text, sizeof(port_text), "%d", port);
+    for (size_t i = 0; extra != NULL && extra[i] != NULL; i++) {
+        INVARIANT(count + 1 < PROCESS_MAX_ARGS);
+        args[count++] = extra[i];
+    }
+    struct process *process = process_start(log_path, "fake_upstream", args);
+    INVARIANT(process_wait_port(port));
+    free(log_path);
+    return process;
+}
+
+// Sends one command to a control port. Returns whether it was taken.
+bool
+process_send_fault(int control_port, const char *line)
+{
+    char answer[4] = "";
+    int fd = process_open_port(control_port);
+
+    INVARIANT(fd >= 0);
+    INVARIANT(dprintf(fd, "%s\n", line) == (int)strlen(line) + 1);
+    ssize_t size = read(fd, answer, sizeof(answer) - 1);
+    close(fd);
+    return size == 3 && strcmp(answer, "ok\n") == 0;
+}
+
+// Connects to a local port as a caller of the database "roster".
+PGconn *
+process_connect(int port, const char *options)
+{
+    char *info = xasprintf("host=127.0.0.1 port=%d user=walker dbname=roster "
+                           "connect_timeout=60 %s",
+                           port, options == NULL ? "" : options);
+    PGconn *conn = PQconnectdb(info);
+
+    free(info);
+    if (PQstatus(conn) != CONNECTION_OK) {
+        (void)fprintf(stderr, "%s", PQerrorMessage(conn));
+        INVARIANT(PQstatus(conn) == CONNECTION_OK);
+    }
+    return conn;
+}
+
+// Runs a statement with the simple protocol.
+char *
+process_query(PGconn *conn, const char *sql)
+{
+    PGresult *result = PQexec(conn, sql);
+    ExecStatusType status = PQresultStatus(result);
+    char *text = NULL;
+
+    if (status == PGRES_TUPLES_OK) {
+        text = xstrdup(PQntuples(result) > 0 ? PQgetvalue(result, 0, 0) : "");
+    }
+    else if (status == PGRES_COMMAND_OK || status == PGRES_EMPTY_QUERY) {
+        text = xstrdup("");
+    }
+    else {
+        const char *sqlstate = PQresultErrorField(result, PG_DIAG_SQLSTATE);
+        const char *message =
+            PQresultErrorField(result, PG_DIAG_MESSAGE_PRIMARY);
+        text = xasprintf("%s %s", sqlstate == NULL ? "cut" : sqlstate,
+                         message == NULL ? PQerrorMessage(conn) : message);
+    }
+    PQclear(result);
+    return text;
+}
+
+// Polls with a statement until it gives the value.
+bool
+process_wait_value(PGconn *conn, const char *sql, const char *value)
+{
+    int64_t limit_us = monotonic_get_us() + PROCESS_LIMIT_US;
+
+    while (monotonic_get_us() < limit_us) {
+        char *text = process_query(conn, sql);
+        bool same = strcmp(text, value) == 0;
+        free(text);
+        if (same) {
+            return true;
+        }
+        process_sleep();
+    }
+    return false;
+}
