--- /dev/null
+++ b/src/catkingrade/decide/document.c
@@ -0,0 +1,195 @@
+#include "catkingrade/decide/document.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "catkingrade/decide/document_customer.h"
+#include "catkingrade/decide/document_parameters.h"
+#include "catkingrade/kernel/json_reader.h"
+#include "catkingrade/kernel/memory.h"
+#include "catkingrade/kernel/outcome.h"
+#include "catkingrade/rpc/codec.h"
+
+#define DOCUMENT_FILE_SIZE 96
+
+static const char *const document_template_keys[] = {
+    "template", "parameters", "customer", "description", NULL,
+};
+
+static const char *const document_keys[] = {
+    "customer", "template", "parameters", "description", NULL,
+};
+
+// Checks that the member key of the root is the object's name.
+static void
+document_check_own_name(struct json_reader *reader, const char *key,
+                        const char *name)
+{
+    char *given =
+        json_reader_get_text(reader, reader->root, "", key, NULL, true);
+
+    if (given != NULL && strcmp(given, name) != 0) {
+        json_reader_add_error(reader, key, "is \"%s\", must be \"%s\"", given,
+                              name);
+    }
+    (void)document_check_name(reader, key, name);
+    free(given);
+}
+
+// Substitutes values into a template's customer and reads the result. Errors
+// in it name the template's lines.
+static void
+document_expand_values(struct json_reader *template_reader,
+                       struct json_object *values, bool complete,
+                       struct document_customer *out)
+{
+    struct json_object *object = json_reader_get_object(
+        template_reader, template_reader->root, "", "customer");
+
+    if (object == NULL) {
+        json_reader_add_error(template_reader, "customer",
+                              "missing; must be an object");
+        return;
+    }
+    struct json_object *expanded =
+        document_substitute(template_reader, object, values, "customer");
+    if (!template_reader->failed) {
+        document_read_customer(template_reader, expanded, complete, out);
+    }
+    json_object_put(expanded);
+}
+
+// Checks a template by expanding it with its defaults, and with samples for
+// the parameters that have none.
+int
+document_check_template(const char *name, const char *document,
+                        struct buffer *errors)
+{
+    struct json_reader reader;
+    struct document_customer trial = {0};
+    char file[DOCUMENT_FILE_SIZE];
+
+    (void)snprintf(file, sizeof(file), "template %s", name);
+    int outcome = json_reader_open(&reader, file, document, errors);
+    if (outcome != OUTCOME_OK) {
+        json_reader_close(&reader);
+        return OUTCOME_INVALID;
+    }
+    (void)json_reader_check_keys(&reader, reader.root, "",
+                                 document_template_keys);
+    document_check_own_name(&reader, "template", name);
+    struct json_object *declarations =
+        json_reader_get_object(&reader, reader.root, "", "parameters");
+    declarations = declarations == NULL ? json_object_new_object()
+                                        : json_object_get(declarations);
+    document_check_declarations(&reader, declarations);
+    if (!reader.failed) {
+        struct json_object *values =
+            document_resolve_values(&reader, declarations, NULL, true);
+        document_expand_values(&reader, values, false, &trial);
+        json_object_put(values);
+    }
+    json_object_put(declarations);
+    outcome = reader.failed ? OUTCOME_INVALID : OUTCOME_OK;
+    document_customer_clear(&trial);
+    json_reader_close(&reader);
+    return outcome;
+}
+
+// Reads which template a customer's document names; the caller frees it.
+int
+document_read_template_name(const char *document, char **template_name,
+                            struct buffer *errors)
+{
+    struct json_reader reader;
+    int outcome = json_reader_open(&reader, "customer", document, errors);
+
+    *template_name = NULL;
+    if (outcome == OUTCOME_OK) {
+        *template_name = json_reader_get_text(&reader, reader.root, "",
+                                              "template", NULL, true);
+    }
+    json_reader_close(&reader);
+    return *template_name == NULL ? OUTCOME_INVALID : OUTCOME_OK;
+}
+
+// Resolves the parameters of a customer's document against its template.
+static struct json_object *
+document_read_values(struct json_reader *reader,
+                     struct json_reader *template_reader)
+{
+    struct json_object *declarations = json_reader_get_object(
+        template_reader, template_reader->root, "", "parameters");
+    struct json_object *given =
+        json_reader_get_object(reader, reader->root, "", "parameters");
+
+    declarations = declarations == NULL ? json_object_new_object()
+                                        : json_object_get(declarations);
+    struct json_object *values =
+        document_resolve_values(reader, declarations, given, false);
+    json_object_put(declarations);
+    return values;
+}
+
+static void
+document_expand_read(struct json_reader *reader,
+                     struct json_reader *template_reader, const char *name,
+                     struct document_customer *out)
+{
+    (void)json_reader_check_keys(reader, reader->root, "", document_keys);
+    document_check_own_name(reader, "customer", name);
+    struct json_object *values = document_read_values(reader, template_reader);
+    if (!reader->failed) {
+        document_expand_values(template_reader, values, true, out);
+    }
+    json_object_put(values);
+    out->customer.name = xstrdup(name);
+    out->customer.template_name =
+        json_reader_get_text(reader, reader->root, "", "template", "", false);
+}
+
+// Expands a customer's document with its template. out is empty after an
+// error; free it with document_customer_clear.
+int
+document_expand(const char *name, const char *document,
+                const char *template_document, struct document_customer *out,
+                struct buffer *errors)
+{
+    struct json_reader reader;
+    struct json_reader template_reader;
+    char file[DOCUMENT_FILE_SIZE];
+
+    memset(out, 0, sizeof(*out));
+    (void)snprintf(file, sizeof(file), "customer %s", name);
+    int outcome = json_reader_open(&reader, file, document, errors);
+    if (outcome != OUTCOME_OK) {
+        json_reader_close(&reader);
+        return OUTCOME_INVALID;
+    }
+    outcome = json_reader_open(&template_reader, "template", template_document,
+                               errors);
+    if (outcome == OUTCOME_OK) {
+        document_expand_read(&reader, &template_reader, name, out);
+    }
+    bool failed = reader.failed || template_reader.failed;
+    json_reader_close(&reader);
+    json_reader_close(&template_reader);
+    if (failed) {
+        document_customer_clear(out);
+        return OUTCOME_INVALID;
+    }
+    return OUTCOME_OK;
+}
+
+// Frees what an expanded customer holds.
+void
+document_customer_clear(struct document_customer *expanded)
+{
+    for (u_int i = 0; i < expanded->customer.databases.databases_len; i++) {
+        free(expanded->groups[i]);
+    }
+    free(expanded->groups);
+    codec_free((xdrproc_t)xdr_ck_customer, &expanded->customer);
+    memset(expanded, 0, sizeof(*expanded));
+}
--- /dev/null
+++ b/src/catkingrade/decide/group_routing.c
@@ -0,0 +1,314 @@
+#include <inttypes.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "catkingrade/decide/group_private.h"
+#include "catkingrade/kernel/memory.h"
+#include "catkingrade/kernel/outcome.h"
+#include "catkingrade/rpc/codec.h"
+
+static void
+group_refuse(struct group_result *result, int outcome, uint64_t revision,
+             const char *message)
+{
+    group_result_set(result, outcome, revision, "%s", message);
+}
+
+static bool
+group_daemons_equal(const struct ck_daemon *left,
+                    const struct ck_daemon *right)
+{
+    return left->incarnation == right->incarnation &&
+           left->port == right->port && left->roles == right->roles &&
+           strcmp(left->host, right->host) == 0 &&
+           strcmp(left->failure_domain, right->failure_domain) == 0;
+}
+
+// Registers a daemon, or its new incarnation or address.
+void
+group_apply_daemon(struct group_state *group, const struct ck_daemon *daemon,
+                   struct group_result *result)
+{
+    if (daemon->vm[0] == '\0') {
+        group_refuse(result, OUTCOME_INVALID, 0, "a daemon needs a VM name");
+        return;
+    }
+    struct group_object *object = group_find(group, GROUP_DAEMON, daemon->vm);
+    if (object != NULL && group_daemons_equal(&object->daemon, daemon)) {
+        group_refuse(result, OUTCOME_OK, object->revision, "no change");
+        return;
+    }
+    if (object == NULL) {
+        object = group_add(group, GROUP_DAEMON, daemon->vm);
+        group->daemons_count++;
+    }
+    codec_free((xdrproc_t)xdr_ck_daemon, &object->daemon);
+    codec_copy((xdrproc_t)xdr_ck_daemon, daemon, &object->daemon,
+               sizeof(object->daemon));
+    group_refuse(result, OUTCOME_OK, group_touch(group, object), "registered");
+}
+
+// Forgets a daemon; one that has meanwhile come back under another
+// incarnation stays.
+void
+group_apply_daemon_expire(struct group_state *group,
+                          const struct ck_daemon *daemon,
+                          struct group_result *result)
+{
+    struct group_object *object = group_find(group, GROUP_DAEMON, daemon->vm);
+
+    if (object == NULL || object->daemon.incarnation != daemon->incarnation) {
+        group_refuse(result, OUTCOME_NOT_FOUND, 0, "no such incarnation");
+        return;
+    }
+    uint64_t revision = group_touch(group, object);
+    group->daemons_count--;
+    group_delete(group, object);
+    group_refuse(result, OUTCOME_OK, revision, "expired");
+}
+
+// Checks an announced upstream against the document of its customer and the
+// other upstreams. Returns whether it may be entered.
+static bool
+group_check_upstream(const struct group_state *group,
+                     const struct ck_upstream *upstream,
+                     struct group_result *result)
+{
+    const char *deciding =
+        group_find_deciding_group(group, upstream->database);
+    const struct group_object *holder =
+        group_find(group, GROUP_UPSTREAM, upstream->name);
+    const struct ck_upstream *same =
+        group_find_upstream(group, upstream->name);
+    const struct ck_upstream *at =
+        group_find_upstream_at(group, upstream->host, upstream->port);
+
+    if (deciding == NULL) {
+        group_result_set(result, OUTCOME_NOT_FOUND, 0,
+                         "no customer lists database \"%s\"",
+                         upstream->database);
+    }
+    else if (strcmp(deciding, group->name) != 0) {
+        group_result_set(result, OUTCOME_INVALID, 0,
+                         "database \"%s\" is decided by control group %s",
+                         upstream->database, deciding);
+    }
+    else if (holder != NULL && strcmp(holder->name, upstream->database) != 0) {
+        group_result_set(result, OUTCOME_CONFLICT, holder->revision,
+                         "upstream %s belongs to database %s", upstream->name,
+                         holder->name);
+    }
+    else if (at != NULL && strcmp(at->name, upstream->name) != 0) {
+        group_result_set(result, OUTCOME_CONFLICT, 0,
+                         "address %s:%u is that of upstream %s",
+                         upstream->host, upstream->port, at->name);
+    }
+    else if (same != NULL &&
+             strcmp(same->failure_domain, upstream->failure_domain) != 0) {
+        group_result_set(result, OUTCOME_CONFLICT, holder->revision,
+                         "upstream %s is in failure domain %s", upstream->name,
+                         same->failure_domain);
+    }
+    else if (upstream->name[0] == '\0' || upstream->host[0] == '\0' ||
+             upstream->port == 0 || upstream->port > UINT16_MAX) {
+        group_result_set(result, OUTCOME_INVALID, 0,
+                         "an upstream needs a name, an IP number and a port");
+    }
+    else {
+        return true;
+    }
+    return false;
+}
+
+static bool
+group_upstreams_equal(const struct ck_upstream *left,
+                      const struct ck_upstream *right)
+{
+    return left->port == right->port && left->slots == right->slots &&
+           left->connections == right->connections &&
+           left->state == right->state && strcmp(left->host, right->host) == 0;
+}
+
+static struct ck_upstream *
+group_add_upstream(struct ck_database *database)
+{
+    u_int count = database->upstreams.upstreams_len + 1;
+
+    database->upstreams.upstreams_val = xrealloc(
+        database->upstreams.upstreams_val, count * sizeof(struct ck_upstream));
+    database->upstreams.upstreams_len = count;
+    struct ck_upstream *upstream =
+        &database->upstreams.upstreams_val[count - 1];
+    memset(upstream, 0, sizeof(*upstream));
+    return upstream;
+}
+
+// Makes a database at the first announcement of one of its upstreams.
+static struct group_object *
+group_add_database(struct group_state *group, const char *name)
+{
+    struct group_object *object = group_add(group, GROUP_DATABASE, name);
+    const struct group_object *customer =
+        group_find(group, GROUP_LISTED, name);
+
+    object->database.name = xstrdup(name);
+    object->database.customer = xstrdup(customer->name);
+    object->database.group = xstrdup(group->name);
+    object->database.primary = xstrdup("");
+    group->databases_count++;
+    return object;
+}
+
+static void
+group_remove_address(struct group_state *group,
+                     const struct ck_upstream *upstream)
+{
+    char address[96];
+    const struct ck_upstream *at =
+        group_find_upstream_at(group, upstream->host, upstream->port);
+
+    if (at == upstream) {
+        group_format_address(address, upstream->host, upstream->port);
+        group_index_remove(group->index, GROUP_ADDRESS, address);
+    }
+}
+
+// Enters an upstream, or a change of its address, limits or state.
+void
+group_apply_upstream(struct group_state *group,
+                     const struct ck_upstream *upstream,
+                     struct group_result *result)
+{
+    if (!group_check_upstream(group, upstream, result)) {
+        return;
+    }
+    struct group_object *object =
+        group_find(group, GROUP_DATABASE, upstream->database);
+    if (object == NULL) {
+        object = group_add_database(group, upstream->database);
+    }
+    struct ck_upstream *own =
+        group_search_upstreams(&object->database, upstream->name);
+    if (own != NULL && group_upstreams_equal(own, upstream)) {
+        group_refuse(result, OUTCOME_OK, object->revision, "no change");
+        return;
+    }
+    if (own == NULL) {
+        own = group_add_upstream(&object->database);
+    }
+    else {
+        group_remove_address(group, own);
+    }
+    codec_free((xdrproc_t)xdr_ck_upstream, own);
+    codec_copy((xdrproc_t)xdr_ck_upstream, upstream, own, sizeof(*own));
+    group_index_database(group, object);
+    group_refuse(result, OUTCOME_OK, group_touch(group, object), "announced");
+}
+
+// Marks an upstream as lost. It stays a member of its database: whether a
+// replica is complete depends on how many members there are.
+void
+group_apply_upstream_expire(struct group_state *group,
+                            const struct ck_upstream *upstream,
+                            struct group_result *result)
+{
+    struct group_object *object =
+        group_find(group, GROUP_UPSTREAM, upstream->name);
+    struct ck_upstream *own =
+        object == NULL
+            ? NULL
+            : group_search_upstreams(&object->database, upstream->name);
+
+    if (own == NULL) {
+        group_refuse(result, OUTCOME_NOT_FOUND, 0, "no such upstream");
+        return;
+    }
+    if (own->state == CK_UPSTREAM_LOST) {
+        group_refuse(result, OUTCOME_OK, object->revision, "no change");
+        return;
+    }
+    group_remove_address(group, own);
+    own->state = CK_UPSTREAM_LOST;
+    group_refuse(result, OUTCOME_OK, group_touch(group, object), "lost");
+}
+
+// Ends the term of a database. A term that is not the present one is refused
+// as fenced; ending a term twice changes nothing.
+void
+group_apply_supersede(struct group_state *group,
+                      const struct ck_supersede_change *change,
+                      struct group_result *result)
+{
+    struct group_object *object =
+        group_find(group, GROUP_DATABASE, change->database);
+
+    if (object == NULL) {
+        group_refuse(result, OUTCOME_NOT_FOUND, 0, "no such database");
+        return;
+    }
+    if (change->term != object->database.term) {
+        group_result_set(result, OUTCOME_FENCED, object->revision,
+                         "term is %" PRIu64 ", not %" PRIu64,
+                         (uint64_t)object->database.term,
+                         (uint64_t)change->term);
+        return;
+    }
+    if (object->database.superseding) {
+        group_refuse(result, OUTCOME_OK, object->revision, "no change");
+        return;
+    }
+    object->database.superseding = true;
+    group_refuse(result, OUTCOME_OK, group_touch(group, object),
+                 change->reason);
+}
+
+static bool
+group_check_primary(const struct group_object *object,
+                    const struct ck_primary_change *change,
+                    struct group_result *result)
+{
+    const struct ck_database *database = &object->database;
+
+    if (change->term <= database->term) {
+        group_result_set(result, OUTCOME_FENCED, object->revision,
+                         "term is already %" PRIu64, (uint64_t)database->term);
+        return false;
+    }
+    if (database->term > 0 && !database->superseding) {
+        group_result_set(result, OUTCOME_CONFLICT, object->revision,
+                         "term %" PRIu64 " has not been superseded",
+                         (uint64_t)database->term);
+        return false;
+    }
+    if (group_search_upstreams(database, change->primary) == NULL) {
+        group_result_set(result, OUTCOME_NOT_FOUND, object->revision,
+                         "%s is no upstream of the database", change->primary);
+        return false;
+    }
+    return true;
+}
+
+// Begins a new term with its primary; the term before must be superseded.
+void
+group_apply_primary(struct group_state *group,
+                    const struct ck_primary_change *change,
+                    struct group_result *result)
+{
+    struct group_object *object =
+        group_find(group, GROUP_DATABASE, change->database);
+
+    if (object == NULL) {
+        group_refuse(result, OUTCOME_NOT_FOUND, 0, "no such database");
+        return;
+    }
+    if (!group_check_primary(object, change, result)) {
+        return;
+    }
+    struct ck_database *database = &object->database;
+    free(database->primary);
+    database->primary = xstrdup(change->primary);
+    database->term = change->term;
+    database->base = change->base;
+    database->superseding = false;
+    group_refuse(result, OUTCOME_OK, group_touch(group, object), "promoted");
+}
--- /dev/null
+++ b/src/catkingrade/decide/group_snapshot.c
@@ -0,0 +1,295 @@
+#include <arpa/inet.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "catkingrade/decide/group_private.h"
+#include "catkingrade/kernel/memory.h"
+#include "catkingrade/kernel/outcome.h"
+#include "catkingrade/rpc/codec.h"
+
+#define GROUP_SNAPSHOT_MAGIC 0x434b4731 // "CKG1"
+
+// A snapshot is a list of big-endian numbers and of blocks with their length
+// before them; daemons and databases are XDR in such a block.
+
+static void
+group_put_u64(struct buffer *out, uint64_t value)
+{
+    buffer_append_be32(out, (uint32_t)(value >> 32));
+    buffer_append_be32(out, (uint32_t)value);
+}
+
+static void
+group_put_text(struct buffer *out, const char *text)
+{
+    size_t size = strlen(text);
+
+    buffer_append_be32(out, (uint32_t)size);
+    buffer_append(out, text, size);
+}
+
+static void
+group_put_xdr(struct buffer *out, xdrproc_t xdr, const void *value)
+{
+    struct buffer bytes = {0};
+    int outcome = codec_encode(xdr, value, &bytes);
+
+    INVARIANT(outcome == OUTCOME_OK);
+    buffer_append_be32(out, (uint32_t)buffer_get_size(&bytes));
+    buffer_append(out, buffer_get_data(&bytes), buffer_get_size(&bytes));
+    buffer_free(&bytes);
+}
+
+static void
+group_encode_object(const struct group_object *object, struct buffer *out)
+{
+    buffer_append_be32(out, (uint32_t)object->kind);
+    group_put_u64(out, object->revision);
+    buffer_append_be32(out, object->removed ? 1 : 0);
+    group_put_text(out, object->name);
+    switch (object->kind) {
+    case GROUP_TEMPLATE:
+        group_put_text(out, object->document);
+        break;
+    case GROUP_CUSTOMER:
+        group_put_text(out, object->document);
+        buffer_append_be32(out, (uint32_t)object->expanded.customer.state);
+        break;
+    case GROUP_DAEMON:
+        group_put_xdr(out, (xdrproc_t)xdr_ck_daemon, &object->daemon);
+        break;
+    default:
+        group_put_xdr(out, (xdrproc_t)xdr_ck_database, &object->database);
+        break;
+    }
+}
+
+static void
+group_encode_remembered(const struct group_state *group, struct buffer *out)
+{
+    buffer_append_be32(out, (uint32_t)group->remembered_count);
+    for (size_t i = 0; i < group->remembered_count; i++) {
+        const struct group_remembered *remembered =
+            &group->remembered[(group->remembered_start + i) %
+                               GROUP_MAX_REMEMBERED];
+        group_put_text(out, remembered->change_id);
+        group_put_u64(out, remembered->fingerprint);
+        group_put_u64(out, remembered->revision);
+        buffer_append_be32(out, (uint32_t)remembered->outcome);
+        group_put_text(out, remembered->message);
+    }
+}
+
+// Appends a snapshot; states that are equal give the same bytes.
+void
+group_encode(const struct group_state *group, struct buffer *out)
+{
+    uint32_t count = 0;
+
+    for (const struct group_object *object = group->oldest; object != NULL;
+         object = object->newer) {
+        count++;
+    }
+    buffer_append_be32(out, GROUP_SNAPSHOT_MAGIC);
+    group_put_text(out, group->name);
+    group_put_u64(out, group->revision);
+    group_put_u64(out, group->applied_index);
+    group_encode_remembered(group, out);
+    buffer_append_be32(out, count);
+    for (const struct group_object *object = group->oldest; object != NULL;
+         object = object->newer) {
+        group_encode_object(object, out);
+    }
+}
+
+struct group_reader {
+    const uint8_t *data;
+    size_t size_bytes;
+    bool failed;
+};
+
+static const uint8_t *
+group_take(struct group_reader *reader, size_t size_bytes)
+{
+    if (reader->failed || reader->size_bytes < size_bytes) {
+        reader->failed = true;
+        return NULL;
+    }
+    const uint8_t *data = reader->data;
+    reader->data += size_bytes;
+    reader->size_bytes -= size_bytes;
+    return data;
+}
+
+static uint32_t
+group_take_u32(struct group_reader *reader)
+{
+    uint32_t value = 0;
+    const uint8_t *data = group_take(reader, sizeof(value));
+
+    if (data != NULL) {
+        memcpy(&value, data, sizeof(value));
+    }
+    return ntohl(value);
+}
+
+static uint64_t
+group_take_u64(struct group_reader *reader)
+{
+    uint64_t high = group_take_u32(reader);
+
+    return high << 32 | group_take_u32(reader);
+}
+
+// Returns new memory, also after a failure.
+static char *
+group_take_text(struct group_reader *reader)
+{
+    uint32_t size = group_take_u32(reader);
+    const uint8_t *data = group_take(reader, size);
+
+    return data == NULL ? xstrdup("") : xmemdupz((const char *)data, size);
+}
+
+static void
+group_take_xdr(struct group_reader *reader, xdrproc_t xdr, void *value)
+{
+    uint32_t size = group_take_u32(reader);
+    const uint8_t *data = group_take(reader, size);
+
+    if (data == NULL || codec_decode(xdr, data, size, value) != OUTCOME_OK) {
+        reader->failed = true;
+    }
+}
+
+static void
+group_decode_object(struct group_state *group, struct group_reader *reader)
+{
+    enum group_kind kind = (enum group_kind)group_take_u32(reader);
+    uint64_t revision = group_take_u64(reader);
+    bool removed = group_take_u32(reader) != 0;
+    char *name = group_take_text(reader);
+    bool known = kind == GROUP_TEMPLATE || kind == GROUP_CUSTOMER ||
+                 kind == GROUP_DAEMON || kind == GROUP_DATABASE;
+
+    if (reader->failed || !known || group_find(group, kind, name) != NULL) {
+        reader->failed = true;
+        free(name);
+        return;
+    }
+    struct group_object *object = group_add(group, kind, name);
+    free(name);
+    object->revision = revision;
+    object->removed = removed;
+    if (kind == GROUP_TEMPLATE) {
+        object->document = group_take_text(reader);
+    }
+    else if (kind == GROUP_CUSTOMER) {
+        object->document = group_take_text(reader);
+        object->expanded.customer.state =
+            (ck_customer_state)group_take_u32(reader);
+    }
+    else if (kind == GROUP_DAEMON) {
+        group_take_xdr(reader, (xdrproc_t)xdr_ck_daemon, &object->daemon);
+        group->daemons_count++;
+    }
+    else {
+        group_take_xdr(reader, (xdrproc_t)xdr_ck_database, &object->database);
+        group->databases_count += removed ? 0 : 1;
+    }
+}
+
+static void
+group_decode_remembered(struct group_state *group, struct group_reader *reader)
+{
+    uint32_t count = group_take_u32(reader);
+
+    if (count > GROUP_MAX_REMEMBERED) {
+        reader->failed = true;
+    }
+    for (uint32_t i = 0; i < count && !reader->failed; i++) {
+        struct group_result result = {0};
+        char *change_id = group_take_text(reader);
+        uint64_t fingerprint = group_take_u64(reader);
+        result.revision = group_take_u64(reader);
+        result.outcome = (int)group_take_u32(reader);
+        char *message = group_take_text(reader);
+        group_result_set(&result, result.outcome, result.revision, "%s",
+                         message);
+        if (!reader->failed) {
+            group_remember(group, change_id, fingerprint, &result);
+        }
+        free(change_id);
+        free(message);
+    }
+}
+
+// Expands a customer again from its documents and indexes it.
+static void
+group_restore_customer(struct group_state *group, struct group_object *object,
+                       struct group_reader *reader)
+{
+    struct buffer errors = {0};
+    char *template_name = NULL;
+    ck_customer_state state = object->expanded.customer.state;
+    int outcome =
+        document_read_template_name(object->document, &template_name, &errors);
+    const char *template_document =
+        outcome == OUTCOME_OK
+            ? group_find_template_document(group, template_name)
+            : NULL;
+
+    if (template_document == NULL ||
+        document_expand(object->name, object->document, template_document,
+                        &object->expanded, &errors) != OUTCOME_OK) {
+        reader->failed = true;
+    }
+    object->expanded.customer.state = state;
+    object->expanded.customer.revision = object->revision;
+    group_index_customer(group, object);
+    free(template_name);
+    buffer_free(&errors);
+}
+
+static void
+group_restore_objects(struct group_state *group, struct group_reader *reader)
+{
+    for (struct group_object *object = group->oldest;
+         object != NULL && !reader->failed; object = object->newer) {
+        if (object->kind == GROUP_CUSTOMER) {
+            group_restore_customer(group, object, reader);
+        }
+        else if (object->kind == GROUP_DATABASE) {
+            group_index_database(group, object);
+        }
+    }
+}
+
+// Makes a state from a snapshot; NULL when the bytes are no snapshot of the
+// named group.
+struct group_state *
+group_decode(const char *name, const void *data, size_t size_bytes)
+{
+    struct group_reader reader = {data, size_bytes, false};
+    struct group_state *group = group_create(name);
+
+    if (group_take_u32(&reader) != GROUP_SNAPSHOT_MAGIC) {
+        reader.failed = true;
+    }
+    char *own_name = group_take_text(&reader);
+    reader.failed = reader.failed || strcmp(own_name, name) != 0;
+    free(own_name);
+    group->revision = group_take_u64(&reader);
+    group->applied_index = group_take_u64(&reader);
+    group_decode_remembered(group, &reader);
+    uint32_t count = group_take_u32(&reader);
+    for (uint32_t i = 0; i < count && !reader.failed; i++) {
+        group_decode_object(group, &reader);
+    }
+    group_restore_objects(group, &reader);
+    if (reader.failed || reader.size_bytes != 0) {
+        group_destroy(group);
+        return NULL;
+    }
+    return group;
+}
