fix(decide): check of announcements as part of the group's contract

Problem: the announcements' decision needs the same checks as the log, and the analyser saw a path without a holder. Solution: group_check_upstream is public and guards both lookups.

--- a/src/catkingrade/decide/group.c
+++ b/src/catkingrade/decide/group.c
@@ -383,14 +383,15 @@
 // payload that cannot be decoded changes nothing and is OUTCOME_PROTOCOL, on
 // every voter alike.
 void
-group_apply(struct group_state *group, uint64_t index, const void *data,
-            size_t size_bytes, struct group_result *result)
+group_apply(struct group_state *group, uint64_t index,
+            const void *payload_bytes, size_t size_bytes,
+            struct group_result *result)
 {
     struct ck_log_payload payload;
 
     memset(&payload, 0, sizeof(payload));
-    int outcome = codec_decode((xdrproc_t)xdr_ck_log_payload, data, size_bytes,
-                               &payload);
+    int outcome = codec_decode((xdrproc_t)xdr_ck_log_payload, payload_bytes,
+                               size_bytes, &payload);
     if (outcome != OUTCOME_OK) {
         memset(result, 0, sizeof(*result));
         group->applied_index = index;
@@ -617,6 +618,20 @@
     }
 }
 
+// Calls visit for each customer, in the order of their last changes.
+void
+group_visit_customers(const struct group_state *group,
+                      group_visit_customer_fn visit, void *data)
+{
+    for (const struct group_object *object = group->oldest; object != NULL;
+         object = object->newer) {
+        if (object->kind == GROUP_CUSTOMER &&
+            !visit(data, &object->expanded.customer)) {
+            return;
+        }
+    }
+}
+
 // Calls visit for each daemon, in the order of their last changes.
 void
 group_visit_daemons(const struct group_state *group,
--- a/src/catkingrade/decide/group.h
+++ b/src/catkingrade/decide/group.h
@@ -40,13 +40,15 @@
 // Calls of group_visit_*; returning false ends the visit.
 typedef bool (*group_visit_database_fn)(void *data,
                                         const struct ck_database *database);
+typedef bool (*group_visit_customer_fn)(void *data,
+                                        const struct ck_customer *customer);
 typedef bool (*group_visit_daemon_fn)(void *data,
                                       const struct ck_daemon *daemon);
 
 struct group_state *group_create(const char *name);
 void group_destroy(struct group_state *group);
 void group_apply(struct group_state *group, uint64_t index,
-                 const void *payload, size_t size_bytes,
+                 const void *payload_bytes, size_t size_bytes,
                  struct group_result *result);
 // The same for a payload that is already decoded.
 void group_apply_payload(struct group_state *group, uint64_t index,
@@ -58,6 +60,10 @@
                  const struct ck_apply_args *args, struct group_result *result,
                  struct buffer *effect);
 
+bool group_check_upstream(const struct group_state *group,
+                          const struct ck_upstream *upstream,
+                          struct group_result *result);
+
 void group_encode(const struct group_state *group, struct buffer *out);
 // Returns NULL when the bytes are no snapshot of this group.
 struct group_state *group_decode(const char *name, const void *data,
@@ -106,6 +112,8 @@
 
 void group_visit_databases(const struct group_state *group,
                            group_visit_database_fn visit, void *data);
+void group_visit_customers(const struct group_state *group,
+                           group_visit_customer_fn visit, void *data);
 void group_visit_daemons(const struct group_state *group,
                          group_visit_daemon_fn visit, void *data);
 
--- a/src/catkingrade/decide/group_routing.c
+++ b/src/catkingrade/decide/group_routing.c
@@ -68,8 +68,8 @@
 }
 
 // Checks an announced upstream against the document of its customer and the
-// other upstreams. Returns whether it may be entered.
-static bool
+// other upstreams. Returns whether it may be entered; if not, result says why.
+bool
 group_check_upstream(const struct group_state *group,
                      const struct ck_upstream *upstream,
                      struct group_result *result)
@@ -103,7 +103,7 @@
                          "address %s:%u is that of upstream %s",
                          upstream->host, upstream->port, at->name);
     }
-    else if (same != NULL &&
+    else if (holder != NULL && same != NULL &&
              strcmp(same->failure_domain, upstream->failure_domain) != 0) {
         group_result_set(result, OUTCOME_CONFLICT, holder->revision,
                          "upstream %s is in failure domain %s", upstream->name,
