--- a/src/catkingrade/kernel/settings.c
+++ b/src/catkingrade/kernel/settings.c
@@ -69,6 +69,15 @@
     SETTINGS_TEXT(upstream_user, "catkingrade", false),
     SETTINGS_TEXT(upstream_password_file, "", false),
     SETTINGS_TEXT(upstream_sslmode, "prefer", false),
+    SETTINGS_TEXT(upstream_promote_sql, "SELECT pg_promote(true, 5)", false),
+    SETTINGS_TEXT(upstream_follow_sql,
+                  "ALTER SYSTEM SET primary_conninfo = "
+                  "'host={host} port={port}'; SELECT pg_reload_conf()",
+                  false),
+    SETTINGS_TEXT(upstream_fence_sql,
+                  "ALTER SYSTEM SET default_transaction_read_only = on; "
+                  "SELECT pg_reload_conf()",
+                  false),
     SETTINGS_TEXT(log_path, "-", false),
 };
 
@@ -88,6 +97,9 @@
     "upstream_user",
     "upstream_password_file",
     "upstream_sslmode",
+    "upstream_promote_sql",
+    "upstream_follow_sql",
+    "upstream_fence_sql",
     "traffic_threads",
     "max_sessions",
     "classify_cache_entries",
@@ -459,6 +471,13 @@
     return settings;
 }
 
+// Returns the keys that a settings file may have at its top.
+const char *const *
+settings_list_keys(void)
+{
+    return settings_keys;
+}
+
 // Frees settings; NULL is ignored.
 void
 settings_destroy(struct settings *settings)
--- a/src/catkingrade/kernel/settings.h
+++ b/src/catkingrade/kernel/settings.h
@@ -53,6 +53,9 @@
     char *upstream_user;
     char *upstream_password_file;
     char *upstream_sslmode;
+    char *upstream_promote_sql; // statements separated by ;
+    char *upstream_follow_sql;  // {host} and {port} of the primary
+    char *upstream_fence_sql;
     unsigned traffic_threads;
     unsigned max_sessions;
     unsigned classify_cache_entries;
@@ -82,6 +85,8 @@
 struct settings *settings_load(const char *path, struct buffer *errors);
 struct settings *settings_parse(const char *path, const char *text,
                                 struct buffer *errors);
+// The keys at the top of a settings file, ended by NULL.
+const char *const *settings_list_keys(void);
 void settings_destroy(struct settings *settings);
 
 #endif
