--- /dev/null
+++ b/src/catkingrade/decide/lending.c
@@ -0,0 +1,225 @@
+#include "catkingrade/decide/lending.h"
+
+#include <stdlib.h>
+
+#include "catkingrade/kernel/memory.h"
+
+// One part in this many of a limit is split into guaranteed shares, which are
+// never lent to others; the rest follows demand.
+#define LENDING_GUARANTEED_PART 2
+
+// One entry's row while one limit is planned.
+struct lending_row {
+    const struct lending_entry *entry;
+    uint32_t demand;
+    uint32_t held;
+    uint32_t guaranteed;
+    uint32_t target; // wanted, as if nothing were held
+    uint32_t share;  // lent now
+};
+
+// Gives what integer division left over, one to each entry in turn: to those
+// in the upstream's own failure domain, or to all when none is there.
+static void
+lending_give_remainder(struct lending_row *rows, size_t count,
+                       uint32_t remainder)
+{
+    bool any_near = false;
+    bool any = false;
+
+    for (size_t i = 0; i < count; i++) {
+        any_near |= rows[i].entry->near && rows[i].entry->weight > 0;
+        any |= rows[i].entry->weight > 0;
+    }
+    for (size_t i = 0; any && remainder > 0; i = (i + 1) % count) {
+        if (rows[i].entry->weight > 0 && (rows[i].entry->near || !any_near)) {
+            rows[i].guaranteed++;
+            remainder--;
+        }
+    }
+}
+
+// Splits the guaranteed part of a limit by weight.
+static void
+lending_split_guaranteed(struct lending_row *rows, size_t count,
+                         uint32_t limit)
+{
+    uint32_t reserved = limit / LENDING_GUARANTEED_PART;
+    uint32_t remainder = reserved;
+    uint64_t weights = 0;
+
+    for (size_t i = 0; i < count; i++) {
+        weights += rows[i].entry->weight;
+    }
+    for (size_t i = 0; weights > 0 && i < count; i++) {
+        rows[i].guaranteed =
+            (uint32_t)((uint64_t)reserved * rows[i].entry->weight / weights);
+        remainder -= rows[i].guaranteed;
+    }
+    lending_give_remainder(rows, count, remainder);
+}
+
+// Returns whether row a comes before row b for the next unit: who was left
+// out for longer, then who has less for its weight, then the nearer one.
+static bool
+lending_comes_before(const struct lending_row *a, const struct lending_row *b)
+{
+    if (a->target == 0 && b->target == 0 &&
+        a->entry->unserved != b->entry->unserved) {
+        return a->entry->unserved > b->entry->unserved;
+    }
+    uint64_t filled_a = (uint64_t)a->target * b->entry->weight;
+    uint64_t filled_b = (uint64_t)b->target * a->entry->weight;
+    if (filled_a != filled_b) {
+        return filled_a < filled_b;
+    }
+    return a->entry->near && !b->entry->near;
+}
+
+// Gives units one by one until they are used up. With only_demand, entries
+// get no more than they ask for. Returns what is left.
+static uint32_t
+lending_give_units(struct lending_row *rows, size_t count, uint32_t units,
+                   bool only_demand)
+{
+    while (units > 0) {
+        struct lending_row *best = NULL;
+        for (size_t i = 0; i < count; i++) {
+            struct lending_row *row = &rows[i];
+            if (row->entry->weight == 0 ||
+                (only_demand && row->target >= row->demand)) {
+                continue;
+            }
+            if (best == NULL || lending_comes_before(row, best)) {
+                best = row;
+            }
+        }
+        if (best == NULL) {
+            return units;
+        }
+        best->target++;
+        units--;
+    }
+    return 0;
+}
+
+// Sets what each entry should have in the long run.
+static void
+lending_set_targets(struct lending_row *rows, size_t count, uint32_t limit)
+{
+    uint32_t units = limit;
+
+    lending_split_guaranteed(rows, count, limit);
+    for (size_t i = 0; i < count; i++) {
+        rows[i].target = rows[i].guaranteed;
+        units -= rows[i].guaranteed;
+    }
+    units = lending_give_units(rows, count, units, true);
+    (void)lending_give_units(rows, count, units, false);
+}
+
+// Sets what each entry gets now: less takes effect at once, more only as far
+// as what the others may still use leaves room. Guaranteed units come first.
+static void
+lending_set_shares(struct lending_row *rows, size_t count, uint32_t limit)
+{
+    uint64_t used = 0;
+
+    for (size_t i = 0; i < count; i++) {
+        used += rows[i].held;
+        rows[i].share =
+            rows[i].target < rows[i].held ? rows[i].target : rows[i].held;
+    }
+    uint32_t room = used >= limit ? 0 : (uint32_t)(limit - used);
+    for (int pass = 0; pass < 2; pass++) {
+        for (size_t i = 0; i < count && room > 0; i++) {
+            struct lending_row *row = &rows[i];
+            uint32_t wanted = pass == 0 ? row->guaranteed : row->target;
+            uint32_t more = wanted > row->share ? wanted - row->share : 0;
+            // What it still holds beyond its share is already counted.
+            uint32_t covered =
+                row->held - row->share < more ? row->held - row->share : more;
+            more -= covered;
+            row->share += covered;
+            more = more < room ? more : room;
+            row->share += more;
+            room -= more;
+            row->held = row->share > row->held ? row->share : row->held;
+        }
+    }
+}
+
+static void
+lending_plan_limit(struct lending_row *rows, size_t count, uint32_t limit)
+{
+    lending_set_targets(rows, count, limit);
+    lending_set_shares(rows, count, limit);
+    for (size_t i = 0; i < count; i++) {
+        if (rows[i].guaranteed > rows[i].share) {
+            rows[i].guaranteed = rows[i].share;
+        }
+    }
+}
+
+static void
+lending_plan_slots(uint32_t slots, const struct lending_entry *entries,
+                   size_t count, struct lending_row *rows,
+                   struct lending_share *shares)
+{
+    for (size_t i = 0; i < count; i++) {
+        rows[i] = (struct lending_row){.entry = &entries[i],
+                                       .demand = entries[i].slots.demand,
+                                       .held = entries[i].slots.held};
+    }
+    lending_plan_limit(rows, count, slots);
+    for (size_t i = 0; i < count; i++) {
+        shares[i].slots = rows[i].share;
+        shares[i].guaranteed_slots = rows[i].guaranteed;
+    }
+}
+
+// Plans connections after slots: an entry asks for at least as many as it has
+// slots.
+static void
+lending_plan_connections(uint32_t connections,
+                         const struct lending_entry *entries, size_t count,
+                         struct lending_row *rows,
+                         struct lending_share *shares)
+{
+    for (size_t i = 0; i < count; i++) {
+        uint32_t demand = entries[i].connections.demand;
+        rows[i] = (struct lending_row){
+            .entry = &entries[i],
+            .demand = demand > shares[i].slots ? demand : shares[i].slots,
+            .held = entries[i].connections.held};
+    }
+    lending_plan_limit(rows, count, connections);
+    for (size_t i = 0; i < count; i++) {
+        shares[i].connections = rows[i].share;
+        shares[i].guaranteed_connections = rows[i].guaranteed;
+    }
+}
+
+// Plans the shares of one upstream's slots and connections. held is the most
+// that an entry may still use: the highest of what it was lent since the last
+// renewal that it confirmed, or its guaranteed share once its lease has run
+// out. The sum over all entries of the higher of held and the new share never
+// exceeds a limit, unless held alone does. An entry that was removed but may
+// still use something stays in the list with a weight of 0. Fills one share
+// for each entry.
+void
+lending_plan(uint32_t slots, uint32_t connections,
+             struct lending_entry *entries, size_t entries_count,
+             struct lending_share *shares)
+{
+    struct lending_row *rows = xcalloc(entries_count, sizeof(*rows));
+
+    lending_plan_slots(slots, entries, entries_count, rows, shares);
+    lending_plan_connections(connections, entries, entries_count, rows,
+                             shares);
+    for (size_t i = 0; i < entries_count; i++) {
+        bool unserved = entries[i].slots.demand > 0 && shares[i].slots == 0;
+        entries[i].unserved = unserved ? entries[i].unserved + 1 : 0;
+    }
+    free(rows);
+}
