feat(entry): classification of statements behind a bounded cache

Problem: the entry must know what may run on a replica; a parse is dear, and a text with a new idempotency key would never be found in a cache. A cache keyed by text (xxhash, clock) for one thread; the leading hint is read apart from it.

--- /dev/null
+++ b/src/catkingrade/entry/classify_cache.c
@@ -0,0 +1,175 @@
+#include <stdint.h>
+#include <stdlib.h>
+#include <string.h>
+#include <xxhash.h>
+
+#include "catkingrade/entry/classify.h"
+#include "catkingrade/entry/classify_hint.h"
+#include "catkingrade/kernel/counters.h"
+#include "catkingrade/kernel/memory.h"
+
+#define CACHE_MAX_TEXT_BYTES 8192
+#define CACHE_NONE           UINT32_MAX
+
+struct cache_entry {
+    uint64_t hash;
+    char *text;
+    size_t size_bytes;
+    uint32_t next; // in the bucket
+    bool recently_used;
+    struct classification classification;
+};
+
+// Entries are taken one after the other, then by a clock: the hand passes
+// over those that were used since it last came by.
+struct classifier {
+    struct cache_entry *entries;
+    uint32_t *buckets;
+    uint32_t max_entries;
+    uint32_t count;
+    uint32_t hand;
+    uint64_t buckets_mask;
+    struct classification result; // of a text with a hint, or too long
+};
+
+// Creates a cache of max_entries texts, for one thread.
+struct classifier *
+classifier_create(size_t max_entries)
+{
+    struct classifier *classifier = xcalloc(1, sizeof(*classifier));
+    size_t buckets = 1;
+
+    INVARIANT(max_entries > 0 && max_entries < CACHE_NONE / 4);
+    while (buckets < max_entries * 2) {
+        buckets *= 2;
+    }
+    classifier->max_entries = (uint32_t)max_entries;
+    classifier->buckets_mask = buckets - 1;
+    classifier->entries = xcalloc(max_entries, sizeof(struct cache_entry));
+    classifier->buckets = xmalloc(buckets * sizeof(uint32_t));
+    for (size_t i = 0; i < buckets; i++) {
+        classifier->buckets[i] = CACHE_NONE;
+    }
+    return classifier;
+}
+
+// Frees the cache; NULL is ignored.
+void
+classifier_destroy(struct classifier *classifier)
+{
+    if (classifier == NULL) {
+        return;
+    }
+    for (uint32_t i = 0; i < classifier->count; i++) {
+        free(classifier->entries[i].text);
+    }
+    free(classifier->entries);
+    free(classifier->buckets);
+    free(classifier);
+}
+
+static struct cache_entry *
+cache_find(struct classifier *classifier, uint64_t hash, const char *text,
+           size_t size_bytes)
+{
+    uint32_t at = classifier->buckets[hash & classifier->buckets_mask];
+
+    while (at != CACHE_NONE) {
+        struct cache_entry *entry = &classifier->entries[at];
+        if (entry->hash == hash && entry->size_bytes == size_bytes &&
+            memcmp(entry->text, text, size_bytes) == 0) {
+            return entry;
+        }
+        at = entry->next;
+    }
+    return NULL;
+}
+
+static void
+cache_unlink(struct classifier *classifier, uint32_t place)
+{
+    struct cache_entry *entry = &classifier->entries[place];
+    uint32_t *at =
+        &classifier->buckets[entry->hash & classifier->buckets_mask];
+
+    while (*at != place) {
+        at = &classifier->entries[*at].next;
+    }
+    *at = entry->next;
+}
+
+// Returns the place for a new entry, taken from one that was not used lately
+// when the cache is full.
+static uint32_t
+cache_take_place(struct classifier *classifier)
+{
+    if (classifier->count < classifier->max_entries) {
+        return classifier->count++;
+    }
+    while (classifier->entries[classifier->hand].recently_used) {
+        classifier->entries[classifier->hand].recently_used = false;
+        classifier->hand = (classifier->hand + 1) % classifier->max_entries;
+    }
+    uint32_t place = classifier->hand;
+    classifier->hand = (classifier->hand + 1) % classifier->max_entries;
+    cache_unlink(classifier, place);
+    free(classifier->entries[place].text);
+    return place;
+}
+
+static struct cache_entry *
+cache_add(struct classifier *classifier, uint64_t hash, const char *text,
+          size_t size_bytes)
+{
+    uint32_t place = cache_take_place(classifier);
+    struct cache_entry *entry = &classifier->entries[place];
+    uint32_t *bucket = &classifier->buckets[hash & classifier->buckets_mask];
+
+    entry->hash = hash;
+    entry->text = xmemdupz(text, size_bytes);
+    entry->size_bytes = size_bytes;
+    entry->recently_used = false;
+    entry->next = *bucket;
+    *bucket = place;
+    classify_body(text, size_bytes, &entry->classification);
+    return entry;
+}
+
+static const struct classification *
+cache_get(struct classifier *classifier, const char *text, size_t size_bytes)
+{
+    uint64_t hash = XXH3_64bits(text, size_bytes);
+    struct cache_entry *entry = cache_find(classifier, hash, text, size_bytes);
+
+    if (entry != NULL) {
+        counter_add(COUNTER_CLASSIFY_HITS, 1);
+        entry->recently_used = true;
+        return &entry->classification;
+    }
+    counter_add(COUNTER_CLASSIFY_MISSES, 1);
+    if (size_bytes > CACHE_MAX_TEXT_BYTES) {
+        classify_body(text, size_bytes, &classifier->result);
+        return &classifier->result;
+    }
+    return &cache_add(classifier, hash, text, size_bytes)->classification;
+}
+
+// Returns the classification of a text. The hint is no part of the cache's
+// key, as it may hold a key that is new with each statement.
+const struct classification *
+classifier_get(struct classifier *classifier, const char *text,
+               size_t size_bytes)
+{
+    size_t hint_size_bytes = classify_hint_find(text, size_bytes);
+    const struct classification *found = cache_get(
+        classifier, text + hint_size_bytes, size_bytes - hint_size_bytes);
+
+    if (hint_size_bytes == 0) {
+        return found;
+    }
+    if (found != &classifier->result) {
+        classifier->result = *found;
+    }
+    classify_hint_read(text, hint_size_bytes, &classifier->result);
+    return &classifier->result;
+}
