--- /dev/null
+++ b/src/catkingrade/cli/bench.c
@@ -0,0 +1,36 @@
+#include "bench/bench.h"
+
+#include <stdio.h>
+
+#include "catkingrade/cli/cli.h"
+#include "catkingrade/kernel/outcome.h"
+
+// Runs a measurement, or lists them.
+static int
+cli_run_bench(const struct cli_options *options, int argc, char **argv)
+{
+    if (argc < 2) {
+        bench_list();
+        return CLI_EXIT_OK;
+    }
+    int outcome = bench_run(argv[1], argc - 2, argv + 2, options->json);
+    if (outcome == OUTCOME_NOT_FOUND) {
+        (void)fprintf(stderr,
+                      "catkingrade bench: no measurement \"%s\"; "
+                      "there are:\n",
+                      argv[1]);
+        bench_list();
+        return CLI_EXIT_USAGE;
+    }
+    if (outcome != OUTCOME_OK) {
+        return cli_fail("bench %s: %s", argv[1], outcome_get_text(outcome));
+    }
+    return CLI_EXIT_OK;
+}
+
+const struct cli_verb cli_verb_bench = {
+    .name = "bench",
+    .args = "[NAME [ARGUMENT...]]",
+    .help = "run a measurement; without NAME list them",
+    .run = cli_run_bench,
+};
--- /dev/null
+++ b/src/catkingrade/cli/cli.h
@@ -0,0 +1,47 @@
+#ifndef CATKINGRADE_CLI_CLI_H
+#define CATKINGRADE_CLI_CLI_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "catkingrade/kernel/settings.h"
+
+// Exit codes of the command.
+enum cli_exit {
+    CLI_EXIT_OK = 0,
+    CLI_EXIT_ERROR = 1,
+    CLI_EXIT_WOULD_CHANGE = 2,
+    CLI_EXIT_REFUSED = 3,
+    CLI_EXIT_UNKNOWN = 4,
+    CLI_EXIT_USAGE = 64,
+};
+
+#define CLI_MAX_DAEMONS 32
+
+// Options that stand before the verb.
+struct cli_options {
+    bool json;
+    const char *key_path; // shared key; NULL: none
+    int64_t timeout_us;   // of each call
+    struct settings_address daemons[CLI_MAX_DAEMONS];
+    size_t daemons_count;
+};
+
+struct cli_verb {
+    const char *name;
+    const char *args; // for the help text
+    const char *help;
+    // argv[0] is the verb. Returns enum cli_exit.
+    int (*run)(const struct cli_options *options, int argc, char **argv);
+};
+
+int cli_fail_usage(const char *verb, const char *format, ...)
+    __attribute__((format(printf, 2, 3)));
+int cli_fail(const char *format, ...) __attribute__((format(printf, 1, 2)));
+
+extern const struct cli_verb cli_verb_bench;
+extern const struct cli_verb cli_verb_check;
+extern const struct cli_verb cli_verb_version;
+
+#endif
