--- /dev/null
+++ b/test/unit/entry/test_scram.c
@@ -0,0 +1,253 @@
+#include <check.h>
+#include <openssl/evp.h>
+#include <openssl/hmac.h>
+#include <openssl/sha.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "catkingrade/entry/scram.h"
+#include "catkingrade/kernel/memory.h"
+#include "catkingrade/kernel/outcome.h"
+#include "test/suite.h"
+
+// The example of RFC 7677, section 3: user "user", password "pencil".
+#define RFC_SALT         "W22ZaJ0SNY7soEsUEjb6gQ=="
+#define RFC_CLIENT_FIRST "n,,n=user,r=rOprNGfwEbeRWgbNEkqO"
+#define RFC_SERVER_NONCE "%hvYDpWUa2RaTCAfuxFIlj)hNlF$k0"
+#define RFC_NONCE        "rOprNGfwEbeRWgbNEkqO" RFC_SERVER_NONCE
+#define RFC_SERVER_FIRST "r=" RFC_NONCE ",s=" RFC_SALT ",i=4096"
+#define RFC_PROOF        "dHzbZapWIk4jUhN+Ute9ytag9zjfMHgsqmmiz7AndVQ="
+#define RFC_CLIENT_FINAL "c=biws,r=" RFC_NONCE ",p=" RFC_PROOF
+#define RFC_SERVER_FINAL "v=6rriTRBi23WpRR/wtup+mMhUZUn/dB5nLTJRsjl95G4="
+
+static void
+hmac(const uint8_t *key, const char *text, uint8_t *digest)
+{
+    unsigned size = SCRAM_KEY_BYTES;
+
+    HMAC(EVP_sha256(), key, SCRAM_KEY_BYTES, (const unsigned char *)text,
+         strlen(text), digest, &size);
+}
+
+// Builds the verifier's text from a password, as PostgreSQL would.
+static char *
+build_verifier(const char *password)
+{
+    uint8_t salt[64];
+    uint8_t salted[SCRAM_KEY_BYTES];
+    uint8_t client_key[SCRAM_KEY_BYTES];
+    uint8_t stored_key[SCRAM_KEY_BYTES];
+    uint8_t server_key[SCRAM_KEY_BYTES];
+    unsigned char stored[64];
+    unsigned char server[64];
+
+    EVP_DecodeBlock(salt, (const unsigned char *)RFC_SALT,
+                    (int)strlen(RFC_SALT));
+    PKCS5_PBKDF2_HMAC(password, (int)strlen(password), salt, 16, 4096,
+                      EVP_sha256(), SCRAM_KEY_BYTES, salted);
+    hmac(salted, "Client Key", client_key);
+    hmac(salted, "Server Key", server_key);
+    SHA256(client_key, SCRAM_KEY_BYTES, stored_key);
+    EVP_EncodeBlock(stored, stored_key, SCRAM_KEY_BYTES);
+    EVP_EncodeBlock(server, server_key, SCRAM_KEY_BYTES);
+    return xasprintf("SCRAM-SHA-256$4096:%s$%s:%s", RFC_SALT, stored, server);
+}
+
+static void
+exchange_init(struct scram *scram, const char *password)
+{
+    char *text = build_verifier(password);
+
+    memset(scram, 0, sizeof(*scram));
+    ck_assert_int_eq(scram_verifier_parse(text, &scram->verifier), OUTCOME_OK);
+    scram->known_user = true;
+    free(text);
+}
+
+static int
+take_first(struct scram *scram, const char *message)
+{
+    return scram_take_first(scram, message, strlen(message), RFC_SERVER_NONCE);
+}
+
+static int
+take_final(struct scram *scram, const char *message, char *answer)
+{
+    return scram_take_final(scram, message, strlen(message), answer);
+}
+
+START_TEST(test_rfc_7677)
+{
+    struct scram scram;
+    char answer[SCRAM_MAX_MESSAGE];
+
+    exchange_init(&scram, "pencil");
+    ck_assert_int_eq(take_first(&scram, RFC_CLIENT_FIRST), OUTCOME_OK);
+    ck_assert_str_eq(scram.server_first, RFC_SERVER_FIRST);
+    ck_assert_int_eq(take_final(&scram, RFC_CLIENT_FINAL, answer), OUTCOME_OK);
+    ck_assert_str_eq(answer, RFC_SERVER_FINAL);
+}
+END_TEST
+
+START_TEST(test_wrong_password)
+{
+    struct scram scram;
+    char answer[SCRAM_MAX_MESSAGE];
+
+    exchange_init(&scram, "pencils");
+    ck_assert_int_eq(take_first(&scram, RFC_CLIENT_FIRST), OUTCOME_OK);
+    ck_assert_int_eq(take_final(&scram, RFC_CLIENT_FINAL, answer),
+                     OUTCOME_DENIED);
+    ck_assert_str_eq(answer, "");
+}
+END_TEST
+
+// A proof that was right once does not fit another server nonce, and an
+// exchange takes one final message only.
+START_TEST(test_replay)
+{
+    struct scram scram;
+    char answer[SCRAM_MAX_MESSAGE];
+
+    exchange_init(&scram, "pencil");
+    ck_assert_int_eq(scram_take_first(&scram, RFC_CLIENT_FIRST,
+                                      strlen(RFC_CLIENT_FIRST), "other"),
+                     OUTCOME_OK);
+    ck_assert_int_eq(take_final(&scram, RFC_CLIENT_FINAL, answer),
+                     OUTCOME_DENIED);
+    ck_assert_int_eq(take_final(&scram, RFC_CLIENT_FINAL, answer),
+                     OUTCOME_PROTOCOL);
+    exchange_init(&scram, "pencil");
+    ck_assert_int_eq(take_final(&scram, RFC_CLIENT_FINAL, answer),
+                     OUTCOME_PROTOCOL);
+}
+END_TEST
+
+// Each message cut at each place is refused, and never taken for another.
+START_TEST(test_truncated)
+{
+    struct scram scram;
+    char answer[SCRAM_MAX_MESSAGE];
+
+    for (size_t size = 0; size < strlen("n,,n=user,r=") + 1; size++) {
+        exchange_init(&scram, "pencil");
+        int outcome =
+            scram_take_first(&scram, RFC_CLIENT_FIRST, size, RFC_SERVER_NONCE);
+        ck_assert_int_eq(outcome == OUTCOME_OK,
+                         size == strlen("n,,n=user,r=") + 1);
+    }
+    for (size_t size = 0; size < strlen(RFC_CLIENT_FINAL); size++) {
+        exchange_init(&scram, "pencil");
+        ck_assert_int_eq(take_first(&scram, RFC_CLIENT_FIRST), OUTCOME_OK);
+        ck_assert_int_ne(
+            scram_take_final(&scram, RFC_CLIENT_FINAL, size, answer),
+            OUTCOME_OK);
+    }
+}
+END_TEST
+
+struct first_row {
+    const char *message;
+    int outcome;
+};
+
+static const struct first_row first_rows[] = {
+    {"n,,n=,r=abc", OUTCOME_OK},
+    {"y,,n=,r=abc", OUTCOME_OK},
+    {"n,,n=,r=abc,x=ext", OUTCOME_OK},
+    {"p=tls-server-end-point,,n=,r=abc", OUTCOME_NOT_SUPPORTED},
+    {"n,a=admin,n=,r=abc", OUTCOME_NOT_SUPPORTED},
+    {"n,,r=abc", OUTCOME_PROTOCOL},
+    {"n,,m=x,n=,r=abc", OUTCOME_PROTOCOL},
+    {"n,,n=,r=", OUTCOME_PROTOCOL},
+    {"n,,n=,r=a\tc", OUTCOME_PROTOCOL},
+    {"x,,n=,r=abc", OUTCOME_PROTOCOL},
+};
+
+START_TEST(test_first)
+{
+    struct scram scram;
+
+    exchange_init(&scram, "pencil");
+    ck_assert_int_eq(take_first(&scram, first_rows[_i].message),
+                     first_rows[_i].outcome);
+}
+END_TEST
+
+// A client that says "y" and then binds as "n" was tampered with.
+START_TEST(test_binding_header)
+{
+    struct scram scram;
+    char answer[SCRAM_MAX_MESSAGE];
+
+    exchange_init(&scram, "pencil");
+    ck_assert_int_eq(take_first(&scram, "y,,n=user,r=rOprNGfwEbeRWgbNEkqO"),
+                     OUTCOME_OK);
+    ck_assert_int_eq(take_final(&scram, RFC_CLIENT_FINAL, answer),
+                     OUTCOME_DENIED);
+}
+END_TEST
+
+static const char *const bad_verifiers[] = {
+    "",
+    "md5aabbcc",
+    "SCRAM-SHA-256$",
+    "SCRAM-SHA-256$0:" RFC_SALT "$" RFC_PROOF ":" RFC_PROOF,
+    "SCRAM-SHA-256$4096:$" RFC_PROOF ":" RFC_PROOF,
+    "SCRAM-SHA-256$4096:" RFC_SALT "$" RFC_PROOF,
+    "SCRAM-SHA-256$4096:" RFC_SALT "$AAAA:" RFC_PROOF,
+    "SCRAM-SHA-256$4096:" RFC_SALT "$" RFC_PROOF ":" RFC_PROOF "x",
+    "SCRAM-SHA-256$4096:" RFC_SALT "$" RFC_PROOF ":!!!!",
+};
+
+START_TEST(test_bad_verifier)
+{
+    struct scram_verifier verifier;
+
+    ck_assert_int_eq(scram_verifier_parse(bad_verifiers[_i], &verifier),
+                     OUTCOME_INVALID);
+}
+END_TEST
+
+// Names can't be probed: the salt of an unknown user stays the same, differs
+// between users, and no proof is ever accepted.
+START_TEST(test_mock)
+{
+    static const uint8_t secret[SCRAM_KEY_BYTES] = {1, 2, 3};
+    struct scram_verifier one;
+    struct scram_verifier again;
+    struct scram_verifier other;
+    struct scram scram;
+    char answer[SCRAM_MAX_MESSAGE];
+
+    scram_verifier_mock(secret, "walker", &one);
+    scram_verifier_mock(secret, "walker", &again);
+    scram_verifier_mock(secret, "trainer", &other);
+    ck_assert_mem_eq(&one, &again, sizeof(one));
+    ck_assert_mem_ne(one.salt, other.salt, one.salt_size_bytes);
+    ck_assert_uint_eq(one.iterations, 4096);
+
+    exchange_init(&scram, "pencil");
+    scram.known_user = false;
+    ck_assert_int_eq(take_first(&scram, RFC_CLIENT_FIRST), OUTCOME_OK);
+    ck_assert_int_eq(take_final(&scram, RFC_CLIENT_FINAL, answer),
+                     OUTCOME_DENIED);
+}
+END_TEST
+
+static void
+add_tests(TCase *tests)
+{
+    tcase_add_test(tests, test_rfc_7677);
+    tcase_add_test(tests, test_wrong_password);
+    tcase_add_test(tests, test_replay);
+    tcase_add_test(tests, test_truncated);
+    tcase_add_loop_test(tests, test_first, 0, ARRAY_SIZE(first_rows));
+    tcase_add_test(tests, test_binding_header);
+    tcase_add_loop_test(tests, test_bad_verifier, 0,
+                        ARRAY_SIZE(bad_verifiers));
+    tcase_add_test(tests, test_mock);
+}
+
+TEST_MAIN("scram", add_tests)
