--- a/src/catkingrade/cli/check.c
+++ b/src/catkingrade/cli/check.c
@@ -1,7 +1,26 @@
 #include <stdio.h>
+#include <string.h>
 
 #include "catkingrade/cli/cli.h"
 #include "catkingrade/kernel/buffer.h"
+#include "catkingrade/kernel/outcome.h"
+#include "catkingrade/store/store.h"
+
+// Checks a data folder that no daemon has open, and changes nothing in it.
+static int
+check_data(const char *dir)
+{
+    struct buffer report = {0};
+    int outcome = store_check(dir, &report);
+
+    (void)printf("%.*s", (int)buffer_get_size(&report),
+                 (const char *)buffer_get_data(&report));
+    buffer_free(&report);
+    if (outcome != OUTCOME_OK) {
+        return cli_fail("%s: %s", dir, outcome_get_text(outcome));
+    }
+    return CLI_EXIT_OK;
+}
 
 // Checks settings files and says what is wrong with each.
 static int
@@ -13,6 +32,10 @@
     if (argc < 2) {
         return cli_fail_usage(argv[0], "no settings file was named");
     }
+    if (strcmp(argv[1], "--data") == 0) {
+        return argc == 3 ? check_data(argv[2])
+                         : cli_fail_usage(argv[0], "--data needs one DIR");
+    }
     for (int i = 1; i < argc; i++) {
         struct buffer errors = {0};
         struct settings *settings = settings_load(argv[i], &errors);
@@ -32,7 +55,8 @@
 
 const struct cli_verb cli_verb_check = {
     .name = "check",
-    .args = "SETTINGS...",
-    .help = "check settings files without starting anything",
+    .args = "SETTINGS... | --data DIR",
+    .help =
+        "check settings files, or the data folder of a daemon that is stopped",
     .run = cli_run_check,
 };
--- a/src/catkingrade/cli/cli.h
+++ b/src/catkingrade/cli/cli.h
@@ -40,8 +40,18 @@
     __attribute__((format(printf, 2, 3)));
 int cli_fail(const char *format, ...) __attribute__((format(printf, 1, 2)));
 
+extern const struct cli_verb cli_verb_apply;
 extern const struct cli_verb cli_verb_bench;
 extern const struct cli_verb cli_verb_check;
+extern const struct cli_verb cli_verb_customer;
+extern const struct cli_verb cli_verb_plan;
+extern const struct cli_verb cli_verb_promote;
+extern const struct cli_verb cli_verb_status;
+extern const struct cli_verb cli_verb_stop;
+extern const struct cli_verb cli_verb_switchover;
+extern const struct cli_verb cli_verb_template;
+extern const struct cli_verb cli_verb_timeline;
+extern const struct cli_verb cli_verb_upstream;
 extern const struct cli_verb cli_verb_version;
 
 #endif
--- /dev/null
+++ b/src/catkingrade/cli/objects.c
@@ -0,0 +1,140 @@
+#include "catkingrade/cli/objects.h"
+
+#include <stdio.h>
+#include <string.h>
+
+#include "catkingrade/kernel/outcome.h"
+#include "catkingrade/rpc/codec.h"
+
+// Prints all objects of a kind that the fleet group holds.
+int
+cli_list_objects(const struct cli_options *options, enum ck_query_kind kind,
+                 const struct cli_column *columns, size_t columns_count)
+{
+    struct cli_client *client = NULL;
+    int code = cli_client_open(options, &client);
+
+    if (code != CLI_EXIT_OK) {
+        return code;
+    }
+    struct json_object *rows = json_object_new_array();
+    code = cli_client_list(client, kind, CLI_FLEET_GROUP, "", rows);
+    if (code == CLI_EXIT_OK && options->json) {
+        cli_print_json(rows);
+    }
+    else if (code == CLI_EXIT_OK) {
+        cli_print_table(rows, columns, columns_count);
+    }
+    json_object_put(rows);
+    cli_client_close(client);
+    return code;
+}
+
+// Finds one object; the caller puts the row.
+int
+cli_find_object(struct cli_client *client, enum ck_query_kind kind,
+                const char *name, struct json_object **row)
+{
+    struct json_object *rows = json_object_new_array();
+    int code = cli_client_list(client, kind, CLI_FLEET_GROUP, name, rows);
+
+    *row = NULL;
+    if (code == CLI_EXIT_OK && json_object_array_length(rows) > 0) {
+        *row = json_object_get(json_object_array_get_idx(rows, 0));
+    }
+    json_object_put(rows);
+    if (code == CLI_EXIT_OK && *row == NULL) {
+        return cli_fail("there is no \"%s\"", name);
+    }
+    return code;
+}
+
+// Reads the revision of an object.
+int
+cli_get_revision(struct cli_client *client, enum ck_query_kind kind,
+                 const char *name, uint64_t *revision)
+{
+    struct json_object *row = NULL;
+    struct json_object *number = NULL;
+    int code = cli_find_object(client, kind, name, &row);
+
+    if (code == CLI_EXIT_OK) {
+        json_object_object_get_ex(row, "revision", &number);
+        *revision = json_object_get_uint64(number);
+    }
+    json_object_put(row);
+    return code;
+}
+
+// Prints the document of an object as it was applied.
+int
+cli_show_document(struct cli_client *client, enum ck_query_kind kind,
+                  const char *name)
+{
+    struct json_object *row = NULL;
+    int code = cli_find_object(client, kind, name, &row);
+
+    if (code == CLI_EXIT_OK) {
+        (void)printf("%s", cli_get_text(row, "text"));
+    }
+    json_object_put(row);
+    return code;
+}
+
+static bool
+objects_has_text(struct json_object *texts, const char *text)
+{
+    for (size_t i = 0; i < json_object_array_length(texts); i++) {
+        if (strcmp(json_object_get_string(json_object_array_get_idx(texts, i)),
+                   text) == 0) {
+            return true;
+        }
+    }
+    return false;
+}
+
+// Collects the control groups that the customers' databases name.
+static int
+objects_list_groups(struct cli_client *client, struct json_object *groups)
+{
+    struct ck_query_result result;
+
+    json_object_array_add(groups, json_object_new_string(CLI_FLEET_GROUP));
+    int outcome = cli_client_query_daemon(client, cli_client_get_first(client),
+                                          CK_QUERY_STATUS, 0, &result);
+    if (outcome != OUTCOME_OK) {
+        return CLI_EXIT_OK;
+    }
+    struct json_object *status = json_tokener_parse(result.json);
+    struct json_object *leases = NULL;
+    json_object_object_get_ex(json_object_array_get_idx(status, 0), "leases",
+                              &leases);
+    for (size_t i = 0; leases != NULL && i < json_object_array_length(leases);
+         i++) {
+        const char *group =
+            cli_get_text(json_object_array_get_idx(leases, i), "group");
+        if (!objects_has_text(groups, group)) {
+            json_object_array_add(groups, json_object_new_string(group));
+        }
+    }
+    json_object_put(status);
+    codec_free((xdrproc_t)xdr_ck_query_result, &result);
+    return CLI_EXIT_OK;
+}
+
+// Lists the databases of all groups that the first daemon has to do with.
+int
+cli_list_databases(struct cli_client *client, struct json_object *rows)
+{
+    struct json_object *groups = json_object_new_array();
+    int code = objects_list_groups(client, groups);
+
+    for (size_t i = 0;
+         code == CLI_EXIT_OK && i < json_object_array_length(groups); i++) {
+        const char *group =
+            json_object_get_string(json_object_array_get_idx(groups, i));
+        code = cli_client_list(client, CK_QUERY_DATABASES, group, "", rows);
+    }
+    json_object_put(groups);
+    return code;
+}
--- /dev/null
+++ b/src/catkingrade/cli/status.c
@@ -0,0 +1,182 @@
+#include <stdio.h>
+#include <string.h>
+#include <time.h>
+
+#include "catkingrade/cli/cli.h"
+#include "catkingrade/cli/client.h"
+#include "catkingrade/cli/fleet.h"
+#include "catkingrade/cli/objects.h"
+#include "catkingrade/kernel/memory.h"
+#include "catkingrade/kernel/outcome.h"
+#include "catkingrade/rpc/codec.h"
+
+#define STATUS_WATCH_S      2
+#define STATUS_CLEAR_SCREEN "\033[H\033[2J"
+
+static const struct cli_column status_daemon_columns[] = {
+    {"VM", "vm"},
+    {"FAILURE DOMAIN", "failure_domain"},
+    {"ADDRESS", "address"},
+    {"STATE", "state"},
+    {"SESSIONS", "sessions"},
+    {"VERSION", "version"},
+};
+
+static const struct cli_column status_group_columns[] = {
+    {"GROUP", "group"},       {"VM", "vm"},
+    {"ROLE", "role"},         {"TERM", "term"},
+    {"REVISION", "revision"}, {"COMMIT", "commit"},
+};
+
+static const struct cli_column status_database_columns[] = {
+    {"DATABASE", "database"}, {"CUSTOMER", "customer"},
+    {"GROUP", "group"},       {"TERM", "term"},
+    {"PRIMARY", "primary"},   {"SUPERSEDING", "superseding"},
+};
+
+static void
+status_set_text(struct json_object *row, const char *key, const char *text)
+{
+    json_object_object_add(row, key, json_object_new_string(text));
+}
+
+// Copies a daemon's control groups into one list, each with its VM.
+static void
+status_add_groups(struct json_object *daemon, struct json_object *groups)
+{
+    struct json_object *own = NULL;
+
+    json_object_object_get_ex(daemon, "groups", &own);
+    for (size_t i = 0; own != NULL && i < json_object_array_length(own); i++) {
+        struct json_object *row =
+            json_object_get(json_object_array_get_idx(own, i));
+        status_set_text(row, "vm", cli_get_text(daemon, "vm"));
+        json_object_array_add(groups, row);
+    }
+}
+
+// Returns the row of one daemon, also when it can't be reached.
+static struct json_object *
+status_ask_daemon(struct cli_client *client, const struct fleet_daemon *daemon)
+{
+    struct ck_query_result result;
+    struct json_object *row = NULL;
+    char address[CK_HOST_SIZE + 16];
+
+    int outcome = cli_client_query_daemon(client, &daemon->address,
+                                          CK_QUERY_STATUS, 0, &result);
+    if (outcome == OUTCOME_OK) {
+        struct json_object *rows = json_tokener_parse(result.json);
+        row = json_object_get(json_object_array_get_idx(rows, 0));
+        json_object_put(rows);
+        codec_free((xdrproc_t)xdr_ck_query_result, &result);
+    }
+    if (row == NULL) {
+        row = json_object_new_object();
+        status_set_text(row, "vm", daemon->vm);
+        status_set_text(row, "state", "unreachable");
+    }
+    else {
+        bool draining = strcmp(cli_get_text(row, "draining"), "true") == 0;
+        bool ready = strcmp(cli_get_text(row, "ready"), "true") == 0;
+        status_set_text(row, "state",
+                        draining ? "stopping"
+                        : ready  ? "ready"
+                                 : "not ready");
+    }
+    (void)snprintf(address, sizeof(address), "%s:%u", daemon->address.host,
+                   daemon->address.port);
+    status_set_text(row, "address", address);
+    return row;
+}
+
+static void
+status_print(struct json_object *daemons, struct json_object *groups,
+             struct json_object *databases)
+{
+    cli_print_table(daemons, status_daemon_columns,
+                    ARRAY_SIZE(status_daemon_columns));
+    (void)putchar('\n');
+    cli_print_table(groups, status_group_columns,
+                    ARRAY_SIZE(status_group_columns));
+    (void)putchar('\n');
+    cli_print_table(databases, status_database_columns,
+                    ARRAY_SIZE(status_database_columns));
+}
+
+static void
+status_print_json(struct json_object *daemons, struct json_object *databases)
+{
+    struct json_object *whole = json_object_new_object();
+
+    json_object_object_add(whole, "daemons", json_object_get(daemons));
+    json_object_object_add(whole, "databases", json_object_get(databases));
+    cli_print_json(whole);
+    json_object_put(whole);
+}
+
+// Prints the state of the fleet once. The exit code is CLI_EXIT_ERROR when
+// the fleet group did not answer.
+static int
+status_show(struct cli_client *client, const struct cli_options *options)
+{
+    struct json_object *daemons = json_object_new_array();
+    struct json_object *groups = json_object_new_array();
+    struct json_object *databases = json_object_new_array();
+    struct fleet fleet;
+    bool registered = false;
+    int code = CLI_EXIT_ERROR;
+
+    fleet_list(client, options, &fleet, &registered);
+    for (size_t i = 0; i < fleet.count; i++) {
+        struct json_object *row = status_ask_daemon(client, &fleet.daemons[i]);
+        status_add_groups(row, groups);
+        json_object_array_add(daemons, row);
+    }
+    if (registered) {
+        code = cli_list_databases(client, databases);
+    }
+    if (options->json) {
+        status_print_json(daemons, databases);
+    }
+    else {
+        status_print(daemons, groups, databases);
+    }
+    fleet_free(&fleet);
+    json_object_put(daemons);
+    json_object_put(groups);
+    json_object_put(databases);
+    return code;
+}
+
+static int
+cli_run_status(const struct cli_options *options, int argc, char **argv)
+{
+    bool watch = argc == 2 && strcmp(argv[1], "--watch") == 0;
+    struct timespec pause = {.tv_sec = STATUS_WATCH_S};
+    struct cli_client *client = NULL;
+
+    if (argc > 1 && !watch) {
+        return cli_fail_usage(argv[0], "takes --watch and nothing else");
+    }
+    int code = cli_client_open(options, &client);
+    if (code != CLI_EXIT_OK) {
+        return code;
+    }
+    code = status_show(client, options);
+    while (watch) {
+        nanosleep(&pause, NULL);
+        (void)printf(STATUS_CLEAR_SCREEN);
+        code = status_show(client, options);
+        (void)fflush(stdout);
+    }
+    cli_client_close(client);
+    return code;
+}
+
+const struct cli_verb cli_verb_status = {
+    .name = "status",
+    .args = "[--watch]",
+    .help = "show daemons, control groups and databases",
+    .run = cli_run_status,
+};
