feat(decide): bounded waits for replicas, proofs in the background, room for saves

Problem: with many upstreams the search could miss replicas, reads spilled over to the primary as soon as the replicas' slots were taken, a connection proved itself only when a save was waiting for it, and spares were kept on every event.

Solution: the route looks at all replicas after eight tries by chance, skips those that fail their samples, and lets a read wait once for a replica that nearly covers its floor when that is cheaper than the primary. A read that a replica could serve takes a slot of the primary only after 20 ms in the queue. Idle connections prove themselves once in each probe interval before the bound is reached. A sample that is never answered counts as silence. SUSPECT carries since_us, when the upstream began to fail (an additive field).

--- a/src/catkingrade/decide/pool.c
+++ b/src/catkingrade/decide/pool.c
@@ -8,11 +8,12 @@
 #include "catkingrade/kernel/memory.h"
 #include "catkingrade/kernel/outcome.h"
 
-#define POOL_PLACE_BITS  16
-#define POOL_PLACE_MASK  ((UINT32_C(1) << POOL_PLACE_BITS) - 1)
-#define POOL_PLACES_MAX  (POOL_PLACE_MASK - 1)
-#define POOL_OPENING_MAX 4 // for each upstream
-#define POOL_SPARES      2 // idle connections kept for each upstream
+#define POOL_PLACE_BITS    16
+#define POOL_PLACE_MASK    ((UINT32_C(1) << POOL_PLACE_BITS) - 1)
+#define POOL_PLACES_MAX    (POOL_PLACE_MASK - 1)
+#define POOL_OPENING_MAX   4 // for each upstream
+#define POOL_SPARES        2 // idle connections kept for each upstream
+#define POOL_IDLE_CLOSE_US (60 * TRAFFIC_SECOND_US)
 // Connections opened within this time of a silent one are suspected with it.
 #define POOL_NEIGHBOUR_AGE_US (10 * TRAFFIC_SECOND_US)
 
@@ -211,7 +212,7 @@
         return;
     }
     conn->upstream = upstream;
-    conn->opened_us = traffic->now_us;
+    conn->opened_us = conn->used_us = traffic->now_us;
     pool_set_state(traffic, conn, CONN_OPENING);
     up->open++;
     up->opening++;
@@ -439,7 +440,7 @@
 
 // Opens connections until some spares are idle, as far as slots could use
 // them.
-void
+static void
 pool_keep_spares(struct traffic *traffic, uint32_t upstream)
 {
     struct upstream *up = &traffic->upstreams[upstream];
@@ -450,3 +451,41 @@
         pool_open(traffic, upstream);
     }
 }
+
+// Closes an idle connection that has not been needed for long, and asks one
+// that has been idle for a while to prove itself, so that it need not do so
+// when a save comes.
+static void
+pool_tend_idle(struct traffic *traffic, struct conn *conn)
+{
+    const struct upstream *up = &traffic->upstreams[conn->upstream];
+    int64_t proof_due_us =
+        conn->proved_us + traffic->params.idle_proof_us / 4 * 3;
+
+    if (up->idle > POOL_SPARES &&
+        traffic->now_us - conn->used_us > POOL_IDLE_CLOSE_US) {
+        pool_close(traffic, conn, TRAFFIC_CLOSE_IDLE);
+    }
+    else if (traffic->now_us >= proof_due_us) {
+        pool_remove_idle(traffic, conn);
+        pool_check(traffic, conn, TRAFFIC_ACTION_PROVE);
+    }
+}
+
+// Tends idle connections and, while sessions use the database, keeps spares
+// open. Called once in each probe interval and when that may have changed.
+void
+pool_tend(struct traffic *traffic)
+{
+    for (uint32_t i = 0; i < traffic->conns_count; i++) {
+        if (traffic->conns[i].state == CONN_IDLE) {
+            pool_tend_idle(traffic, &traffic->conns[i]);
+        }
+    }
+    if (traffic->sessions.count == 0) {
+        return;
+    }
+    for (uint32_t i = 0; i < traffic->candidates_count; i++) {
+        pool_keep_spares(traffic, traffic->candidates[i]);
+    }
+}
--- a/src/catkingrade/decide/pool.h
+++ b/src/catkingrade/decide/pool.h
@@ -26,6 +26,6 @@
                        const struct traffic_conn_event *event);
 void pool_handle_timer(struct traffic *traffic, uint32_t id);
 void pool_enforce_limits(struct traffic *traffic);
-void pool_keep_spares(struct traffic *traffic, uint32_t upstream);
+void pool_tend(struct traffic *traffic);
 
 #endif
--- a/src/catkingrade/decide/route.c
+++ b/src/catkingrade/decide/route.c
@@ -14,13 +14,19 @@
 #define ROUTE_PRIMARY_PART 4
 // A read waits at most this long for a replica to reach its floor.
 #define ROUTE_FLOOR_WAIT_US (20 * TRAFFIC_MS_US)
-#define ROUTE_LATENCY_US    (1 * TRAFFIC_MS_US) // before the first measurement
+// A read that a replica could serve waits this long before it takes a slot of
+// the primary.
+#define ROUTE_SPILL_WAIT_US (20 * TRAFFIC_MS_US)
+// Replicas that are looked at for one that nearly covers a floor.
+#define ROUTE_NEARLY_MAX 16
+#define ROUTE_LATENCY_US (1 * TRAFFIC_MS_US) // before the first measurement
 
 // What a read needs of the upstream that serves it.
 struct route_need {
     const struct request *request;
     uint64_t lsn;
     int64_t current_us; // it must have all that was committed before
+    bool leased;
 };
 
 // Returns whether the primary takes statements that only it may run.
@@ -31,12 +37,15 @@
            traffic->upstreams[traffic->primary].writable;
 }
 
+// Returns whether an upstream has a free slot and a connection for it, open
+// or soon to be.
 static bool
-route_has_room(const struct upstream *upstream)
+route_has_room(const struct traffic *traffic, uint32_t place)
 {
-    return upstream->running < upstream->slots &&
-           (upstream->idle > 0 || upstream->opening > 0 ||
-            upstream->open < upstream->connections);
+    const struct upstream *up = &traffic->upstreams[place];
+
+    return up->running < up->slots &&
+           (up->idle > 0 || up->opening > 0 || pool_can_open(traffic, place));
 }
 
 // Returns whether an upstream's position and age allow it to serve a read. A
@@ -84,42 +93,59 @@
 {
     const struct upstream *up = &traffic->upstreams[place];
 
-    if (place == traffic->primary && lease_is_valid(traffic)) {
+    if (place == traffic->primary && need->leased) {
         return false;
     }
-    if (!route_may_serve(up, need) || retry_was_tried(need->request, place)) {
+    if (!route_may_serve(up, need) || up->failing_since_us != 0 ||
+        retry_was_tried(need->request, place)) {
         return false;
     }
     if (up->slots > 0 && up->connections > 0) {
         *found = true;
     }
-    return route_has_room(up);
+    return route_has_room(traffic, place);
 }
 
-// Picks a replica among two that were found by chance, or among all when
-// chance did not find two. Returns TRAFFIC_NO_ID when none has room.
+// Looks for two replicas with room: by chance first when there are many, then
+// at all from a place found by chance. Returns how many it found.
 static uint32_t
-route_pick_replica(struct traffic *traffic, const struct route_need *need,
-                   bool *found)
+route_find_two(struct traffic *traffic, const struct route_need *need,
+               uint32_t picked[2], bool *found)
 {
     uint32_t count = traffic->candidates_count;
-    uint32_t picked[2] = {TRAFFIC_NO_ID, TRAFFIC_NO_ID};
     uint32_t picked_count = 0;
 
-    if (count == 0) {
-        return TRAFFIC_NO_ID;
+    for (int i = 0; count > ROUTE_TRIES && i < ROUTE_TRIES; i++) {
+        uint32_t place =
+            traffic->candidates[random_below(&traffic->random, count)];
+        if (route_is_candidate(traffic, place, need, found)) {
+            picked[picked_count++] = place;
+        }
+        if (picked_count == 2) {
+            return picked_count;
+        }
     }
-    uint32_t start = random_below(&traffic->random, count);
+    uint32_t next = random_below(&traffic->random, count);
     for (uint32_t i = 0; i < count && picked_count < 2; i++) {
-        uint32_t place = traffic->candidates[start];
+        uint32_t place = traffic->candidates[next];
+        next = next + 1 == count ? 0 : next + 1;
         if (route_is_candidate(traffic, place, need, found)) {
             picked[picked_count++] = place;
         }
-        start = i < ROUTE_TRIES && count > ROUTE_TRIES
-                    ? random_below(&traffic->random, count)
-                    : (start + 1 == count ? 0 : start + 1);
     }
-    if (picked_count < 2) {
+    return picked_count;
+}
+
+// Picks the better one of two replicas. Returns TRAFFIC_NO_ID when none has
+// room.
+static uint32_t
+route_pick_replica(struct traffic *traffic, const struct route_need *need,
+                   bool *found)
+{
+    uint32_t picked[2] = {TRAFFIC_NO_ID, TRAFFIC_NO_ID};
+
+    if (traffic->candidates_count == 0 ||
+        route_find_two(traffic, need, picked, found) < 2) {
         return picked[0];
     }
     return route_is_better(&traffic->upstreams[picked[1]],
@@ -128,22 +154,99 @@
                : picked[0];
 }
 
-// Returns whether a read may take a slot of the primary without starving its
-// saves. elsewhere says that a replica could serve the read too.
+// Returns how many reads may run on the primary at once without starving its
+// saves. elsewhere says that a replica could serve the read too: it takes the
+// primary only when it has waited for the replicas for a while.
+static uint32_t
+route_get_primary_limit(const struct traffic *traffic,
+                        const struct request *request, bool elsewhere)
+{
+    uint32_t slots = traffic->upstreams[traffic->primary].slots;
+    uint32_t part = slots / ROUTE_PRIMARY_PART;
+
+    if (elsewhere) {
+        bool waited =
+            traffic->now_us - request->queued_us >= ROUTE_SPILL_WAIT_US;
+        return waited && traffic->queued[QUEUE_PRIMARY] == 0 ? part : 0;
+    }
+    if (slots <= 1) {
+        return traffic->queued[QUEUE_PRIMARY] == 0 ? slots : 0;
+    }
+    return slots - (part == 0 ? 1 : part);
+}
+
+// Returns the replica that will reach a read's floor first, by its observed
+// apply rate, and in *eta_us when. Returns TRAFFIC_NO_ID when none will in
+// time.
+static uint32_t
+route_find_nearly_covering(const struct traffic *traffic,
+                           const struct route_need *need, int64_t *eta_us)
+{
+    uint32_t best = TRAFFIC_NO_ID;
+    uint32_t count = traffic->candidates_count;
+
+    *eta_us = ROUTE_FLOOR_WAIT_US;
+    for (uint32_t i = 0; i < count && i < ROUTE_NEARLY_MAX; i++) {
+        uint32_t place = traffic->candidates[i];
+        const struct upstream *up = &traffic->upstreams[place];
+        if (place == traffic->primary || !up->of_term || up->slots == 0 ||
+            up->apply_rate <= 0 || up->failing_since_us != 0 ||
+            up->current_us < need->current_us) {
+            continue;
+        }
+        double lacking = (double)need->lsn - (double)up->position.lsn;
+        int64_t took_us = (int64_t)(lacking / up->apply_rate) -
+                          (traffic->now_us - up->position_asked_us);
+        if (took_us < *eta_us) {
+            *eta_us = took_us < 0 ? 0 : took_us;
+            best = place;
+        }
+    }
+    return best;
+}
+
+// Lets a read wait once, for a bounded time, for a replica that is about to
+// reach its floor, when that is cheaper than the primary. Returns whether it
+// waits.
 static bool
-route_primary_has_room(const struct traffic *traffic, bool elsewhere)
+route_wait_for_floor(struct traffic *traffic, struct request *request,
+                     const struct route_need *need, bool primary_has_room)
 {
-    const struct upstream *primary = &traffic->upstreams[traffic->primary];
-    uint32_t part = primary->slots / ROUTE_PRIMARY_PART;
-    uint32_t limit = part;
+    int64_t eta_us = 0;
 
-    if (!elsewhere && primary->slots == 1) {
-        limit = traffic->queued[QUEUE_PRIMARY] == 0 ? 1 : 0;
+    if (request->floor_wait_us != 0) {
+        return traffic->now_us < request->floor_wait_us;
     }
-    else if (!elsewhere && primary->slots > 1) {
-        limit = primary->slots - (part == 0 ? 1 : part);
+    uint32_t place = route_find_nearly_covering(traffic, need, &eta_us);
+    if (place == TRAFFIC_NO_ID) {
+        return false;
     }
-    return primary->reads < limit && route_has_room(primary);
+    int64_t cost_us = eta_us + route_get_cost_us(&traffic->upstreams[place]);
+    const struct upstream *primary = &traffic->upstreams[traffic->primary];
+    if (primary_has_room && cost_us >= route_get_cost_us(primary)) {
+        return false;
+    }
+    request->floor_wait_us =
+        traffic->now_us + eta_us + ROUTE_FLOOR_WAIT_US / 2;
+    sample_ask(traffic, place, traffic->now_us);
+    timers_add(&traffic->timers, request->floor_wait_us, TIMER_WAKE, 0);
+    return true;
+}
+
+// Finds the place of a read that no replica with room may serve now.
+static enum route_verdict
+route_read_on_primary(struct traffic *traffic, struct request *request,
+                      const struct route_need *need, bool elsewhere)
+{
+    const struct upstream *primary = &traffic->upstreams[traffic->primary];
+    bool has_room = primary->reads <
+                        route_get_primary_limit(traffic, request, elsewhere) &&
+                    route_has_room(traffic, traffic->primary);
+
+    if (!elsewhere && route_wait_for_floor(traffic, request, need, has_room)) {
+        return ROUTE_BUSY;
+    }
+    return has_room ? ROUTE_FOUND : ROUTE_BUSY;
 }
 
 // Finds the upstream for a statement that only the primary may run.
@@ -156,7 +259,8 @@
         return route;
     }
     route.verdict = ROUTE_BUSY;
-    if (route_has_room(&traffic->upstreams[traffic->primary])) {
+    if (traffic->upstreams[traffic->primary].failing_since_us == 0 &&
+        route_has_room(traffic, traffic->primary)) {
         route.verdict = ROUTE_FOUND;
         route.upstream = traffic->primary;
     }
@@ -166,7 +270,8 @@
 static struct route_need
 route_get_need(const struct traffic *traffic, const struct request *request)
 {
-    struct route_need need = {.request = request};
+    struct route_need need = {.request = request,
+                              .leased = lease_is_valid(traffic)};
 
     (void)floor_translate(traffic->view.database, &request->session->floor,
                           &need.lsn);
@@ -191,11 +296,9 @@
     }
     if (route_primary_is_usable(traffic) &&
         !retry_was_tried(request, traffic->primary)) {
-        route.verdict = ROUTE_BUSY;
-        if (route_primary_has_room(traffic, elsewhere)) {
-            route.verdict = ROUTE_FOUND;
-            route.upstream = traffic->primary;
-        }
+        route.verdict =
+            route_read_on_primary(traffic, request, &need, elsewhere);
+        route.upstream = traffic->primary;
         return route;
     }
     route.verdict = elsewhere ? ROUTE_BUSY : ROUTE_STALE;
--- a/src/catkingrade/decide/traffic.c
+++ b/src/catkingrade/decide/traffic.c
@@ -169,18 +169,6 @@
     }
 }
 
-// Keeps spare connections open while sessions use the database.
-static void
-traffic_keep_spares(struct traffic *traffic)
-{
-    if (traffic->sessions.count == 0) {
-        return;
-    }
-    for (uint32_t i = 0; i < traffic->candidates_count; i++) {
-        pool_keep_spares(traffic, traffic->candidates[i]);
-    }
-}
-
 // Asks for a tick at the first moment at which something is due.
 static void
 traffic_ask_wake(struct traffic *traffic)
@@ -212,9 +200,6 @@
         traffic_follow_lease(traffic);
         sample_run(traffic);
         dispatch_run(traffic);
-        if (event->kind != TRAFFIC_EVENT_REQUEST) {
-            traffic_keep_spares(traffic);
-        }
     }
     traffic_ask_wake(traffic);
     traffic->actions = NULL;
--- a/src/catkingrade/decide/traffic_defs.h
+++ b/src/catkingrade/decide/traffic_defs.h
@@ -171,6 +171,7 @@
     uint64_t term;          // CONFIRM_REVOKED, SUSPECT
     enum traffic_close_reason close_reason;
     enum ck_suspicion_kind suspicion;
+    int64_t since_us;           // SUSPECT: when it began to fail
     struct traffic_floor floor; // ANSWER: the session's new floor
     bool on_replica;            // SEND
     const char *reason;         // constant text: why there
--- a/src/catkingrade/decide/traffic_request.c
+++ b/src/catkingrade/decide/traffic_request.c
@@ -451,6 +451,7 @@
     request->term = lease_get_term(traffic);
     conn->state = CONN_BUSY;
     conn->since_us = traffic->now_us;
+    conn->used_us = traffic->now_us;
     conn->request = request->id;
     conn->abandoned_us = 0;
     conn->read = request_is_read(request);
--- a/src/catkingrade/decide/traffic_result.c
+++ b/src/catkingrade/decide/traffic_result.c
@@ -45,11 +45,13 @@
 // for its confirmation; all else is passed on.
 static void
 result_end_whole(struct traffic *traffic, struct request *request,
-                 const struct traffic_result_event *event, bool read_only)
+                 const struct traffic_result_event *event, bool was_pinned,
+                 bool read_only)
 {
     uint64_t lsn = result_get_seen_lsn(traffic, request, &event->position);
     bool saves = request->request_class == TRAFFIC_WRITE ||
-                 request->request_class == TRAFFIC_COMMIT;
+                 request->request_class == TRAFFIC_COMMIT ||
+                 (was_pinned && request->request_class != TRAFFIC_ROLLBACK);
 
     if (event->result == TRAFFIC_RESULT_ERROR) {
         request_answer(traffic, request, 0);
@@ -94,6 +96,7 @@
     uint32_t upstream = conn->upstream;
     int64_t sent_us = conn->since_us;
     bool read_only = conn->read_only;
+    bool was_pinned = conn->session != NULL;
 
     sample_note_answer(traffic, upstream);
     sample_note_position(traffic, upstream, &event->position, sent_us);
@@ -107,7 +110,7 @@
     }
     result_keep_conn(traffic, conn, request, event);
     if (request != NULL) {
-        result_end_whole(traffic, request, event, read_only);
+        result_end_whole(traffic, request, event, was_pinned, read_only);
     }
 }
 
--- a/src/catkingrade/decide/traffic_sample.c
+++ b/src/catkingrade/decide/traffic_sample.c
@@ -2,11 +2,13 @@
 
 #include "catkingrade/decide/confirm.h"
 #include "catkingrade/decide/floor.h"
+#include "catkingrade/decide/pool.h"
 #include "catkingrade/decide/traffic_actions.h"
 #include "catkingrade/decide/traffic_lease.h"
 
 // A database that no session uses is sampled this much more rarely.
 #define SAMPLE_IDLE_FACTOR         8
+#define SAMPLE_PROMOTING_US        (5 * TRAFFIC_MS_US)
 #define SAMPLE_SUSPECT_INTERVAL_US (200 * TRAFFIC_MS_US)
 
 // Returns the timeline of the present term's log, or 0 when it is not known.
@@ -48,6 +50,9 @@
         }
         return;
     }
+    if (up->sample_pending) {
+        sample_note_failure(traffic, upstream, CK_SUSPECT_SILENT);
+    }
     up->sample_pending = true;
     up->sample_again = false;
     up->sample_sent_us = traffic->now_us;
@@ -68,6 +73,7 @@
     for (uint32_t i = 0; i < traffic->candidates_count; i++) {
         sample_ask(traffic, traffic->candidates[i], 0);
     }
+    pool_tend(traffic);
     traffic->sample_at_us = traffic->now_us + interval_us;
     timers_add(&traffic->timers, traffic->sample_at_us, TIMER_SAMPLE, 0);
 }
@@ -168,6 +174,7 @@
         traffic_add_action(traffic, TRAFFIC_ACTION_SUSPECT);
     action->upstream = upstream;
     action->suspicion = kind;
+    action->since_us = up->failing_since_us;
     action->term = lease_get_term(traffic);
 }
 
@@ -183,6 +190,19 @@
     }
 }
 
+// Samples sooner than in the next probe interval while the term's primary
+// still says that it is a replica.
+static void
+sample_hasten(struct traffic *traffic, bool wanted)
+{
+    int64_t at_us = traffic->now_us + SAMPLE_PROMOTING_US;
+
+    if (wanted && at_us < traffic->sample_at_us) {
+        traffic->sample_at_us = at_us;
+        timers_add(&traffic->timers, at_us, TIMER_SAMPLE, 0);
+    }
+}
+
 // Takes an upstream's answer to a sample.
 void
 sample_handle(struct traffic *traffic, const struct traffic_sample *sample)
@@ -194,6 +214,7 @@
     sample_note_answer(traffic, sample->upstream);
     if (sample->upstream == traffic->primary) {
         up->writable = sample->is_primary;
+        sample_hasten(traffic, !sample->is_primary);
     }
     if (sample->upstream != traffic->primary || sample->is_primary) {
         sample_note_position(traffic, sample->upstream, &sample->position,
--- a/src/catkingrade/decide/traffic_session.c
+++ b/src/catkingrade/decide/traffic_session.c
@@ -28,6 +28,9 @@
     if (!session->floor_known) {
         floor_wait(traffic, session);
     }
+    if (traffic->sessions.count == 1 && traffic->view_known) {
+        pool_tend(traffic);
+    }
     session_end_if_due(traffic, session);
 }
 
--- a/src/catkingrade/decide/traffic_state.h
+++ b/src/catkingrade/decide/traffic_state.h
@@ -49,6 +49,7 @@
     int64_t opened_us;
     int64_t proved_us;    // last time the upstream answered on it
     int64_t since_us;     // entered its state
+    int64_t used_us;      // last request sent on it
     int64_t abandoned_us; // its request has been ended; 0: not
 };
 
@@ -107,6 +108,7 @@
     int64_t queued_us;
     int64_t started_us;
     int64_t wait_until_us; // BACKOFF
+    int64_t floor_wait_us; // end of its wait for a replica; 0: none yet
     uint64_t save_lsn;     // CONFIRMING; 0: not known
     int64_t saved_us;
     uint64_t term; // of the primary it was sent to
@@ -118,8 +120,7 @@
     uint8_t state;         // enum request_state
     bool repeatable;
     bool has_key;
-    bool stale_wait;   // no upstream may serve it; waits for a while
-    bool floor_waited; // has waited for a replica's position once
+    bool stale_wait; // no upstream may serve it; waits for a while
 };
 
 struct session {
@@ -197,8 +198,8 @@
 
     struct request_type types[TRAFFIC_TYPES_MAX];
     uint32_t types_count;
-    uint8_t first_type; // what a request without a type gets
-    uint32_t slots_total;
+    uint8_t first_type;   // what a request without a type gets
+    uint32_t slots_total; // of all upstreams that take work
     double virtual_time[QUEUE_COUNT];
     uint32_t queued[QUEUE_COUNT];
     uint32_t peak_queued[QUEUE_COUNT];
--- a/src/catkingrade/decide/traffic_view.c
+++ b/src/catkingrade/decide/traffic_view.c
@@ -13,12 +13,15 @@
 #include "catkingrade/kernel/memory.h"
 
 // Returns the place of the upstream of that name, which is added when it is
-// new.
+// new. It is looked for at a likely place first.
 static uint32_t
-view_get_place(struct traffic *traffic, const char *name)
+view_get_place(struct traffic *traffic, const char *name, uint32_t likely)
 {
+    if (likely < traffic->upstreams_count &&
+        strcmp(traffic->upstreams[likely].name, name) == 0) {
+        return likely;
+    }
     uint32_t place = traffic_get_upstream_id(traffic, name);
-
     if (place != TRAFFIC_NO_ID) {
         return place;
     }
@@ -56,7 +59,7 @@
     for (uint32_t i = 0; i < database->upstreams.upstreams_len; i++) {
         const struct ck_upstream *config =
             &database->upstreams.upstreams_val[i];
-        uint32_t place = view_get_place(traffic, config->name);
+        uint32_t place = view_get_place(traffic, config->name, i);
         struct upstream *up = &traffic->upstreams[place];
         up->config = config;
         up->near =
@@ -71,12 +74,18 @@
     }
 }
 
+// Returns the quota of an upstream's name, or NULL. *next is where the search
+// begins: quotas mostly stand in the order of the upstreams.
 static const struct ck_quota *
-view_find_quota(const struct traffic *traffic, const char *name)
+view_find_quota(const struct traffic *traffic, const char *name, size_t *next)
 {
-    for (size_t i = 0; i < traffic->view.quotas_count; i++) {
-        if (strcmp(traffic->view.quotas[i].upstream, name) == 0) {
-            return &traffic->view.quotas[i];
+    size_t count = traffic->view.quotas_count;
+
+    for (size_t i = 0; i < count; i++) {
+        size_t place = (*next + i) % count;
+        if (strcmp(traffic->view.quotas[place].upstream, name) == 0) {
+            *next = place + 1;
+            return &traffic->view.quotas[place];
         }
     }
     return NULL;
@@ -87,7 +96,7 @@
 // lease has run out.
 static void
 view_set_upstream_limits(const struct traffic *traffic, struct upstream *up,
-                         bool leased)
+                         bool leased, size_t *next_quota)
 {
     const struct ck_quota *quota = NULL;
 
@@ -100,7 +109,7 @@
         up->connections = up->config->connections;
         return;
     }
-    quota = view_find_quota(traffic, up->name);
+    quota = view_find_quota(traffic, up->name, next_quota);
     if (quota != NULL) {
         up->slots = leased ? quota->slots : quota->guaranteed_slots;
         up->connections =
@@ -114,11 +123,12 @@
 {
     bool leased = !traffic->lease_known ||
                   traffic->lease.valid_until_us > traffic->now_us;
+    size_t next_quota = 0;
 
     traffic->slots_total = 0;
     for (uint32_t i = 0; i < traffic->upstreams_count; i++) {
         struct upstream *up = &traffic->upstreams[i];
-        view_set_upstream_limits(traffic, up, leased);
+        view_set_upstream_limits(traffic, up, leased, &next_quota);
         if (up->config != NULL && up->config->state == CK_UPSTREAM_READY) {
             traffic->slots_total += up->slots;
         }
@@ -133,7 +143,9 @@
 {
     const struct ck_database *database = traffic->view.database;
 
-    confirm_end_term(traffic, database->term - 1);
+    if (database->term > 0) {
+        confirm_end_term(traffic, database->term - 1);
+    }
     if (old_primary != TRAFFIC_NO_ID) {
         result_end_primary(traffic, old_primary);
     }
@@ -151,19 +163,17 @@
     uint64_t old_term = lease_get_term(traffic);
     uint32_t old_primary = traffic->primary;
 
-    if (traffic->view_known && view->database->term < old_term) {
-        return;
-    }
     traffic->view = *view;
     traffic->view_known = true;
     view_list_upstreams(traffic);
     admission_handle_view(traffic);
-    if (view->database->term > old_term) {
+    if (view->database->term != old_term) {
         view_begin_term(traffic, old_primary);
     }
     view_set_limits(traffic);
     sample_refresh_ages(traffic);
     floor_handle_view(traffic);
+    pool_tend(traffic);
     if (!lease_is_valid(traffic) || traffic->primary == TRAFFIC_NO_ID) {
         admission_refuse_primary(traffic, "there is no primary");
     }
--- a/test/unit/decide/test_traffic.c
+++ b/test/unit/decide/test_traffic.c
@@ -131,6 +131,8 @@
     rig_tick(&rig, 5000 * RIG_MS_US);
     ck_assert_ptr_nonnull(rig_find(&rig, TRAFFIC_ACTION_UNKNOWN, late));
     ck_assert_ptr_nonnull(rig_find(&rig, TRAFFIC_ACTION_CANCEL, late));
+    rig_open_all(&rig);
+    rig_sample(&rig, 0, 100);
     uint64_t next = rig_request(&rig, 1, TRAFFIC_WRITE, -1);
     rig_open_all(&rig);
     ck_assert_uint_ne(rig_find(&rig, TRAFFIC_ACTION_SEND, next)->conn, conn);
