feat(decide): leaseholder, the entry's side of a control group

Problem: an entry has to find the leader, renew one lease for each group and bring deltas, revocations and quotas in force in a safe order. Solution: a pure machine with one call out at a time; a lease counts from the moment of sending, less the drift bound, and is set only after the delta that came with it; answers of an older leader or revision have no effect.

--- /dev/null
+++ b/src/catkingrade/decide/leaseholder.c
@@ -0,0 +1,412 @@
+#include "catkingrade/decide/leaseholder.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "catkingrade/decide/leaseholder_private.h"
+#include "catkingrade/kernel/memory.h"
+#include "catkingrade/kernel/outcome.h"
+#include "catkingrade/rpc/codec.h"
+
+#define LEASEHOLDER_MAX_REDIRECTS 3
+#define LEASEHOLDER_MAX_BACKOFF   4
+#define LEASEHOLDER_PPM           1000000
+
+// Returns a pseudo-random number below limit (xorshift64).
+static uint64_t
+leaseholder_get_random(struct leaseholder *holder, uint64_t limit)
+{
+    uint64_t x = holder->random;
+
+    x ^= x << 13;
+    x ^= x >> 7;
+    x ^= x << 17;
+    holder->random = x;
+    return limit == 0 ? 0 : x % limit;
+}
+
+// Makes a leaseholder without a lease; it starts with the first TICK.
+struct leaseholder *
+leaseholder_create(const struct leaseholder_params *params)
+{
+    struct leaseholder *holder = xcalloc(1, sizeof(*holder));
+    size_t size = params->voters_count * sizeof(*params->voters);
+
+    INVARIANT(params->voters_count > 0);
+    holder->params = *params;
+    holder->params.group = xstrdup(params->group);
+    codec_copy((xdrproc_t)xdr_ck_daemon, &params->daemon,
+               &holder->params.daemon, sizeof(struct ck_daemon));
+    holder->voters = xmalloc(size);
+    memcpy(holder->voters, params->voters, size);
+    holder->random = params->seed * UINT64_C(0x9e3779b97f4a7c15) + 1;
+    holder->next_voter = leaseholder_get_random(holder, params->voters_count);
+    holder->target = holder->voters[holder->next_voter];
+    return holder;
+}
+
+// Frees a leaseholder.
+void
+leaseholder_destroy(struct leaseholder *holder)
+{
+    if (holder == NULL) {
+        return;
+    }
+    leaseholder_free_reports(holder);
+    codec_free((xdrproc_t)xdr_ck_daemon, &holder->params.daemon);
+    free((char *)(uintptr_t)holder->params.group);
+    free(holder->voters);
+    free(holder);
+}
+
+static struct leaseholder_action *
+leaseholder_add_action(struct leaseholder_actions *actions,
+                       enum leaseholder_action_kind kind)
+{
+    if (actions->count == actions->capacity) {
+        actions->capacity = actions->capacity * 2 + 8;
+        actions->items = xrealloc(actions->items,
+                                  actions->capacity * sizeof(*actions->items));
+    }
+    struct leaseholder_action *action = &actions->items[actions->count++];
+    memset(action, 0, sizeof(*action));
+    action->kind = kind;
+    return action;
+}
+
+static void
+leaseholder_add_quotas(struct leaseholder *holder,
+                       struct leaseholder_actions *actions)
+{
+    struct leaseholder_action *action =
+        leaseholder_add_action(actions, LEASEHOLDER_ACTION_SET_QUOTAS);
+
+    action->quotas.items = holder->quotas;
+    action->quotas.count = holder->quotas_count;
+}
+
+static void
+leaseholder_send(struct leaseholder *holder, int64_t now_us,
+                 struct leaseholder_actions *actions)
+{
+    holder->sequence++;
+    holder->in_flight = true;
+    holder->sent_at_us = now_us;
+    holder->renew_again = false;
+    leaseholder_fill_args(holder, now_us);
+    struct leaseholder_action *action =
+        leaseholder_add_action(actions, LEASEHOLDER_ACTION_SEND_RENEW);
+    action->send.address = holder->target;
+    action->send.args = &holder->args;
+    action->send.timeout_us = holder->params.call_timeout_us;
+}
+
+// Asks for a renewal now, or right after the answer that is awaited.
+static void
+leaseholder_renew_soon(struct leaseholder *holder, int64_t now_us)
+{
+    if (holder->in_flight) {
+        holder->renew_again = true;
+    }
+    else if (holder->failures == 0 && holder->next_renew_us > now_us) {
+        holder->next_renew_us = now_us;
+    }
+}
+
+// Picks the next voter and a moment within a jittered, growing interval.
+static void
+leaseholder_back_off(struct leaseholder *holder, int64_t now_us)
+{
+    unsigned shift = holder->failures < LEASEHOLDER_MAX_BACKOFF
+                         ? holder->failures
+                         : LEASEHOLDER_MAX_BACKOFF;
+    int64_t limit_us = holder->params.retry_us << shift;
+
+    if (limit_us > holder->params.renew_us) {
+        limit_us = holder->params.renew_us;
+    }
+    holder->failures++;
+    holder->redirects = 0;
+    holder->next_voter =
+        (holder->next_voter + 1) % holder->params.voters_count;
+    holder->target = holder->voters[holder->next_voter];
+    holder->next_renew_us =
+        now_us + limit_us / 2 +
+        (int64_t)leaseholder_get_random(holder, (uint64_t)limit_us / 2 + 1);
+}
+
+// Follows a hint to the leader, a few times in a row at most.
+static void
+leaseholder_redirect(struct leaseholder *holder, int64_t now_us,
+                     const struct ck_renew_result *result)
+{
+    bool hinted = result->leader_host != NULL &&
+                  result->leader_host[0] != '\0' && result->leader_port != 0;
+    bool same = hinted && result->leader_port == holder->target.port &&
+                strcmp(result->leader_host, holder->target.host) == 0;
+
+    if (!hinted || same || holder->redirects >= LEASEHOLDER_MAX_REDIRECTS) {
+        leaseholder_back_off(holder, now_us);
+        return;
+    }
+    holder->redirects++;
+    (void)snprintf(holder->target.host, sizeof(holder->target.host), "%s",
+                   result->leader_host);
+    holder->target.port = result->leader_port;
+    holder->next_renew_us = now_us;
+}
+
+// Brings a delta in force. Returns whether the entry is now at the revision
+// that the answer speaks of; an older one is never applied.
+static bool
+leaseholder_take_delta(struct leaseholder *holder,
+                       const struct ck_view_delta *delta,
+                       struct leaseholder_actions *actions)
+{
+    if (delta->from_revision > holder->revision ||
+        delta->to_revision < holder->revision) {
+        return false;
+    }
+    if (delta->to_revision > holder->revision) {
+        leaseholder_add_action(actions, LEASEHOLDER_ACTION_APPLY_DELTA)
+            ->delta = delta;
+        holder->revision = delta->to_revision;
+        leaseholder_forget_confirmed(holder, delta);
+    }
+    return true;
+}
+
+// Sets the lease, counted from the moment at which the request was sent.
+static void
+leaseholder_take_lease(struct leaseholder *holder,
+                       const struct ck_renew_result *result,
+                       struct leaseholder_actions *actions)
+{
+    int64_t lease_us = (int64_t)result->lease_us;
+    int64_t drift_us =
+        lease_us * (int64_t)holder->params.drift_ppm / LEASEHOLDER_PPM;
+    int64_t until_us = holder->sent_at_us + lease_us - drift_us;
+
+    if (lease_us > 0 && until_us > holder->valid_until_us) {
+        holder->valid_until_us = until_us;
+        leaseholder_add_action(actions, LEASEHOLDER_ACTION_SET_LEASE)
+            ->valid_until_us = until_us;
+    }
+}
+
+static void
+leaseholder_take_grant(struct leaseholder *holder, int64_t now_us,
+                       const struct ck_renew_result *result,
+                       struct leaseholder_actions *actions)
+{
+    int64_t jitter_us = (int64_t)leaseholder_get_random(
+        holder, (uint64_t)holder->params.renew_us / 8 + 1);
+
+    if (!leaseholder_take_delta(holder, &result->delta, actions)) {
+        leaseholder_back_off(holder, now_us);
+        return;
+    }
+    holder->failures = 0;
+    holder->redirects = 0;
+    holder->next_renew_us =
+        holder->sent_at_us + holder->params.renew_us - jitter_us;
+    if (result->outcome == OUTCOME_AGAIN) {
+        holder->next_renew_us = now_us + holder->params.retry_us;
+        return;
+    }
+    if (result->delta.more || holder->renew_again) {
+        holder->next_renew_us = now_us;
+    }
+    leaseholder_set_quotas(holder, result);
+    leaseholder_add_quotas(holder, actions);
+    leaseholder_take_lease(holder, result, actions);
+}
+
+// Takes an answer. One that is late, or of a leader older than one that was
+// heard already, has no effect but a try elsewhere.
+static void
+leaseholder_take_result(struct leaseholder *holder, int64_t now_us,
+                        const struct ck_renew_result *result,
+                        struct leaseholder_actions *actions)
+{
+    if (!holder->in_flight || result->sequence != holder->sequence) {
+        return;
+    }
+    holder->in_flight = false;
+    if (result->outcome == OUTCOME_NOT_LEADER) {
+        leaseholder_redirect(holder, now_us, result);
+        return;
+    }
+    if ((result->outcome != OUTCOME_OK && result->outcome != OUTCOME_AGAIN) ||
+        result->leader_term < holder->leader_term) {
+        leaseholder_back_off(holder, now_us);
+        return;
+    }
+    holder->leader_term = result->leader_term;
+    leaseholder_take_grant(holder, now_us, result, actions);
+}
+
+// Takes a leader's push: ends the named terms and renews at once.
+static void
+leaseholder_take_notice(struct leaseholder *holder, int64_t now_us,
+                        const struct ck_notify_args *args,
+                        struct leaseholder_actions *actions)
+{
+    if (args->leader_term < holder->leader_term) {
+        return;
+    }
+    holder->leader_term = args->leader_term;
+    for (u_int i = 0; i < args->revoked.revoked_len; i++) {
+        const struct ck_revocation *revocation = &args->revoked.revoked_val[i];
+        if (!leaseholder_is_confirmed(holder, revocation)) {
+            leaseholder_add_action(actions, LEASEHOLDER_ACTION_REVOKE)
+                ->revoke = *revocation;
+        }
+    }
+    if (args->revision > holder->revision) {
+        leaseholder_renew_soon(holder, now_us);
+    }
+}
+
+static void
+leaseholder_take_suspicion(struct leaseholder *holder, int64_t now_us,
+                           const struct ck_suspicion *suspicion)
+{
+    size_t count = holder->suspicions_count;
+
+    leaseholder_add_suspicion(holder, now_us, suspicion);
+    if (holder->suspicions_count > count) {
+        leaseholder_renew_soon(holder, now_us);
+    }
+}
+
+static void
+leaseholder_take_event(struct leaseholder *holder, int64_t now_us,
+                       const struct leaseholder_event *event,
+                       struct leaseholder_actions *actions)
+{
+    switch (event->kind) {
+    case LEASEHOLDER_EVENT_TICK:
+        break;
+    case LEASEHOLDER_EVENT_RENEWED:
+        leaseholder_take_result(holder, now_us, event->renewed, actions);
+        break;
+    case LEASEHOLDER_EVENT_RENEW_FAILED:
+        if (holder->in_flight && event->sequence == holder->sequence) {
+            holder->in_flight = false;
+            leaseholder_back_off(holder, now_us);
+        }
+        break;
+    case LEASEHOLDER_EVENT_NOTIFIED:
+        leaseholder_take_notice(holder, now_us, event->notified, actions);
+        break;
+    case LEASEHOLDER_EVENT_SUSPECT:
+        leaseholder_take_suspicion(holder, now_us, event->suspicion);
+        break;
+    case LEASEHOLDER_EVENT_CONFIRM_REVOKED:
+        if (leaseholder_add_confirmed(holder, &event->revocation)) {
+            leaseholder_renew_soon(holder, now_us);
+        }
+        break;
+    case LEASEHOLDER_EVENT_DEMAND:
+        leaseholder_add_demand(holder, event->demand);
+        break;
+    case LEASEHOLDER_EVENT_OPEN_REQUESTS:
+        holder->open_requests = event->open_requests;
+        break;
+    case LEASEHOLDER_EVENT_APPLIED:
+        holder->revision = event->revision;
+        break;
+    }
+}
+
+static void
+leaseholder_check_lease(struct leaseholder *holder, int64_t now_us,
+                        struct leaseholder_actions *actions)
+{
+    if (holder->valid_until_us == 0 || now_us < holder->valid_until_us) {
+        return;
+    }
+    holder->valid_until_us = 0;
+    (void)leaseholder_add_action(actions, LEASEHOLDER_ACTION_LEASE_EXPIRED);
+    leaseholder_use_guaranteed(holder);
+    leaseholder_add_quotas(holder, actions);
+}
+
+static void
+leaseholder_add_wake(const struct leaseholder *holder,
+                     struct leaseholder_actions *actions)
+{
+    int64_t at_us = holder->in_flight ? holder->sent_at_us +
+                                            2 * holder->params.call_timeout_us
+                                      : holder->next_renew_us;
+
+    if (holder->valid_until_us != 0 && holder->valid_until_us < at_us) {
+        at_us = holder->valid_until_us;
+    }
+    leaseholder_add_action(actions, LEASEHOLDER_ACTION_WAKE)->wake_at_us =
+        at_us;
+}
+
+// Takes one event and appends actions. The last action is always WAKE, which
+// replaces the moment asked for before. A call that was neither answered nor
+// reported as failed within twice its time limit counts as failed.
+void
+leaseholder_step(struct leaseholder *holder, int64_t now_us,
+                 const struct leaseholder_event *event,
+                 struct leaseholder_actions *actions)
+{
+    leaseholder_take_event(holder, now_us, event, actions);
+    leaseholder_check_lease(holder, now_us, actions);
+    if (holder->in_flight &&
+        now_us - holder->sent_at_us >= 2 * holder->params.call_timeout_us) {
+        holder->in_flight = false;
+        leaseholder_back_off(holder, now_us);
+    }
+    if (!holder->in_flight && now_us >= holder->next_renew_us) {
+        leaseholder_send(holder, now_us, actions);
+    }
+    leaseholder_add_wake(holder, actions);
+}
+
+// Frees the list of actions.
+void
+leaseholder_actions_free(struct leaseholder_actions *actions)
+{
+    free(actions->items);
+    memset(actions, 0, sizeof(*actions));
+}
+
+// Returns the revision that is in force here.
+uint64_t
+leaseholder_get_revision(const struct leaseholder *holder)
+{
+    return holder->revision;
+}
+
+// Returns the highest term of a leader that was heard.
+uint64_t
+leaseholder_get_leader_term(const struct leaseholder *holder)
+{
+    return holder->leader_term;
+}
+
+// Returns when the lease ends, on this entry's clock; 0 without one.
+int64_t
+leaseholder_get_valid_until_us(const struct leaseholder *holder)
+{
+    return holder->valid_until_us;
+}
+
+// Fills the answer to a notification, borrowing from the holder.
+void
+leaseholder_fill_notify_result(const struct leaseholder *holder,
+                               struct ck_notify_result *result)
+{
+    memset(result, 0, sizeof(*result));
+    result->outcome = OUTCOME_OK;
+    result->daemon = holder->params.daemon;
+    result->confirmed.confirmed_val = holder->confirmed;
+    result->confirmed.confirmed_len = (u_int)holder->confirmed_count;
+}
--- /dev/null
+++ b/src/catkingrade/decide/leaseholder_reports.c
@@ -0,0 +1,239 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "catkingrade/decide/leaseholder_private.h"
+#include "catkingrade/kernel/memory.h"
+
+// A suspicion that was not repeated within so many renewals is dropped.
+#define LEASEHOLDER_SUSPICION_RENEWALS 3
+#define LEASEHOLDER_MAX_SUSPICIONS     512
+#define LEASEHOLDER_MAX_CONFIRMED      16384
+
+static void
+leaseholder_free_suspicion(struct leaseholder_suspicion *entry)
+{
+    free(entry->suspicion.database);
+    free(entry->suspicion.upstream);
+}
+
+// Adds a suspicion or repeats the one of the same upstream.
+void
+leaseholder_add_suspicion(struct leaseholder *holder, int64_t now_us,
+                          const struct ck_suspicion *suspicion)
+{
+    size_t place = 0;
+
+    while (place < holder->suspicions_count &&
+           strcmp(holder->suspicions[place].suspicion.upstream,
+                  suspicion->upstream) != 0) {
+        place++;
+    }
+    if (place == LEASEHOLDER_MAX_SUSPICIONS) {
+        return;
+    }
+    if (place == holder->suspicions_count) {
+        holder->suspicions_count++;
+        holder->suspicions =
+            xrealloc(holder->suspicions,
+                     holder->suspicions_count * sizeof(*holder->suspicions));
+        holder->suspicions[place].suspicion.database =
+            xstrdup(suspicion->database);
+        holder->suspicions[place].suspicion.upstream =
+            xstrdup(suspicion->upstream);
+    }
+    struct leaseholder_suspicion *entry = &holder->suspicions[place];
+    entry->suspicion.term = suspicion->term;
+    entry->suspicion.kind = suspicion->kind;
+    entry->suspicion.since_ms = suspicion->since_ms;
+    entry->reported_us = now_us;
+}
+
+static void
+leaseholder_drop_old_suspicions(struct leaseholder *holder, int64_t now_us)
+{
+    int64_t limit_us =
+        holder->params.renew_us * LEASEHOLDER_SUSPICION_RENEWALS;
+    size_t kept = 0;
+
+    for (size_t i = 0; i < holder->suspicions_count; i++) {
+        if (now_us - holder->suspicions[i].reported_us >= limit_us) {
+            leaseholder_free_suspicion(&holder->suspicions[i]);
+            continue;
+        }
+        holder->suspicions[kept++] = holder->suspicions[i];
+    }
+    holder->suspicions_count = kept;
+}
+
+// Sets the demand of an upstream for the next renewal.
+void
+leaseholder_add_demand(struct leaseholder *holder,
+                       const struct ck_demand *demand)
+{
+    size_t place = 0;
+
+    while (place < holder->demands_count &&
+           strcmp(holder->demands[place].upstream, demand->upstream) != 0) {
+        place++;
+    }
+    if (place == holder->demands_count) {
+        holder->demands_count++;
+        holder->demands = xrealloc(
+            holder->demands, holder->demands_count * sizeof(*holder->demands));
+        holder->demands[place].upstream = xstrdup(demand->upstream);
+    }
+    holder->demands[place].waiting = demand->waiting;
+    holder->demands[place].running = demand->running;
+    holder->demands[place].connections = demand->connections;
+}
+
+static struct ck_revocation *
+leaseholder_find_confirmed(const struct leaseholder *holder,
+                           const char *database)
+{
+    for (size_t i = 0; i < holder->confirmed_count; i++) {
+        if (strcmp(holder->confirmed[i].database, database) == 0) {
+            return &holder->confirmed[i];
+        }
+    }
+    return NULL;
+}
+
+// Returns whether the entry has confirmed the end of this term.
+bool
+leaseholder_is_confirmed(const struct leaseholder *holder,
+                         const struct ck_revocation *revocation)
+{
+    const struct ck_revocation *confirmed =
+        leaseholder_find_confirmed(holder, revocation->database);
+
+    return confirmed != NULL && confirmed->term >= revocation->term;
+}
+
+// Keeps a confirmation, which is repeated in each renewal until the next term
+// has been published, so that a new leader learns it too. Returns whether it
+// is new.
+bool
+leaseholder_add_confirmed(struct leaseholder *holder,
+                          const struct ck_revocation *revocation)
+{
+    struct ck_revocation *confirmed =
+        leaseholder_find_confirmed(holder, revocation->database);
+
+    if (confirmed != NULL) {
+        bool newer = confirmed->term < revocation->term;
+        confirmed->term = newer ? revocation->term : confirmed->term;
+        return newer;
+    }
+    if (holder->confirmed_count == LEASEHOLDER_MAX_CONFIRMED) {
+        return false;
+    }
+    size_t count = holder->confirmed_count + 1;
+    holder->confirmed =
+        xrealloc(holder->confirmed, count * sizeof(*holder->confirmed));
+    holder->confirmed[count - 1].database = xstrdup(revocation->database);
+    holder->confirmed[count - 1].term = revocation->term;
+    holder->confirmed_count = count;
+    return true;
+}
+
+// Drops the confirmations of terms that a delta shows as followed by another.
+void
+leaseholder_forget_confirmed(struct leaseholder *holder,
+                             const struct ck_view_delta *delta)
+{
+    for (u_int i = 0; i < delta->databases.databases_len; i++) {
+        const struct ck_database *database =
+            &delta->databases.databases_val[i];
+        struct ck_revocation *confirmed =
+            leaseholder_find_confirmed(holder, database->name);
+        if (confirmed != NULL && database->term > confirmed->term) {
+            free(confirmed->database);
+            holder->confirmed_count--;
+            *confirmed = holder->confirmed[holder->confirmed_count];
+        }
+    }
+}
+
+static void
+leaseholder_free_quotas(struct leaseholder *holder)
+{
+    for (size_t i = 0; i < holder->quotas_count; i++) {
+        free(holder->quotas[i].upstream);
+    }
+    free(holder->quotas);
+    holder->quotas = NULL;
+    holder->quotas_count = 0;
+}
+
+// Takes the quotas of a renewal in place of those before.
+void
+leaseholder_set_quotas(struct leaseholder *holder,
+                       const struct ck_renew_result *result)
+{
+    leaseholder_free_quotas(holder);
+    holder->quotas_count = result->quotas.quotas_len;
+    holder->quotas = xcalloc(holder->quotas_count, sizeof(struct ck_quota));
+    for (size_t i = 0; i < holder->quotas_count; i++) {
+        holder->quotas[i] = result->quotas.quotas_val[i];
+        holder->quotas[i].upstream =
+            xstrdup(result->quotas.quotas_val[i].upstream);
+    }
+}
+
+// Falls back to the shares that are the entry's own without a lease.
+void
+leaseholder_use_guaranteed(struct leaseholder *holder)
+{
+    for (size_t i = 0; i < holder->quotas_count; i++) {
+        struct ck_quota *quota = &holder->quotas[i];
+        quota->slots = quota->guaranteed_slots;
+        quota->connections = quota->guaranteed_connections;
+    }
+}
+
+// Fills the arguments of the next call, borrowing from the holder.
+void
+leaseholder_fill_args(struct leaseholder *holder, int64_t now_us)
+{
+    struct ck_renew_args *args = &holder->args;
+
+    leaseholder_drop_old_suspicions(holder, now_us);
+    size_t count = holder->suspicions_count;
+    holder->sent_suspicions =
+        xrealloc(holder->sent_suspicions, count * sizeof(struct ck_suspicion));
+    for (size_t i = 0; i < count; i++) {
+        holder->sent_suspicions[i] = holder->suspicions[i].suspicion;
+    }
+    args->group = (char *)(uintptr_t)holder->params.group;
+    args->daemon = holder->params.daemon;
+    args->sequence = holder->sequence;
+    args->known_revision = holder->revision;
+    args->open_requests = holder->open_requests;
+    args->demands.demands_val = holder->demands;
+    args->demands.demands_len = (u_int)holder->demands_count;
+    args->suspicions.suspicions_val = holder->sent_suspicions;
+    args->suspicions.suspicions_len = (u_int)count;
+    args->confirmed.confirmed_val = holder->confirmed;
+    args->confirmed.confirmed_len = (u_int)holder->confirmed_count;
+}
+
+// Frees all reports and quotas.
+void
+leaseholder_free_reports(struct leaseholder *holder)
+{
+    for (size_t i = 0; i < holder->demands_count; i++) {
+        free(holder->demands[i].upstream);
+    }
+    for (size_t i = 0; i < holder->suspicions_count; i++) {
+        leaseholder_free_suspicion(&holder->suspicions[i]);
+    }
+    for (size_t i = 0; i < holder->confirmed_count; i++) {
+        free(holder->confirmed[i].database);
+    }
+    leaseholder_free_quotas(holder);
+    free(holder->demands);
+    free(holder->suspicions);
+    free(holder->sent_suspicions);
+    free(holder->confirmed);
+}
