feat(decide): leader of a control group with leases, suspicion and failover

Problem: someone has to grant leases, judge primaries and end terms so that no acknowledgement of a superseded term is possible. Solution: a pure machine for the present leader: leases waited out from receipt with the drift bound, revocation at all holders, a choice by term and position with its completeness argument, publication, fencing and following; announcements with expiry and a bound on flapping; shutdown of customers.

--- /dev/null
+++ b/src/catkingrade/decide/announce.c
@@ -0,0 +1,239 @@
+#include "catkingrade/decide/announce.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "catkingrade/decide/group_index.h"
+#include "catkingrade/kernel/memory.h"
+#include "catkingrade/kernel/outcome.h"
+#include "catkingrade/rpc/codec.h"
+
+#define ANNOUNCE_KIND 'U'
+
+struct announce_entry {
+    struct announce_entry *next;
+    char *name;
+    int64_t last_us;
+    int64_t published_us;
+    bool is_proposed;
+    bool is_held;
+    struct ck_upstream latest; // when held
+};
+
+struct announce {
+    struct announce_params params;
+    struct group_index *index;
+    struct announce_entry *entries;
+};
+
+// Makes an empty table.
+struct announce *
+announce_create(const struct announce_params *params)
+{
+    struct announce *announce = xcalloc(1, sizeof(*announce));
+
+    announce->params = *params;
+    announce->index = group_index_create();
+    return announce;
+}
+
+// Frees the table.
+void
+announce_destroy(struct announce *announce)
+{
+    if (announce == NULL) {
+        return;
+    }
+    while (announce->entries != NULL) {
+        struct announce_entry *entry = announce->entries;
+        announce->entries = entry->next;
+        codec_free((xdrproc_t)xdr_ck_upstream, &entry->latest);
+        free(entry->name);
+        free(entry);
+    }
+    group_index_destroy(announce->index);
+    free(announce);
+}
+
+static struct announce_entry *
+announce_find(const struct announce *announce, const char *name)
+{
+    return group_index_get(announce->index, ANNOUNCE_KIND, name);
+}
+
+static struct announce_entry *
+announce_add(struct announce *announce, int64_t now_us, const char *name)
+{
+    struct announce_entry *entry = announce_find(announce, name);
+
+    if (entry != NULL) {
+        return entry;
+    }
+    entry = xcalloc(1, sizeof(*entry));
+    entry->name = xstrdup(name);
+    entry->last_us = now_us;
+    entry->published_us = now_us - announce->params.publish_us;
+    entry->next = announce->entries;
+    announce->entries = entry;
+    group_index_put(announce->index, ANNOUNCE_KIND, name, entry);
+    return entry;
+}
+
+struct announce_load_data {
+    struct announce *announce;
+    int64_t now_us;
+};
+
+static bool
+announce_load_database(void *data, const struct ck_database *database)
+{
+    struct announce_load_data *load = data;
+
+    for (u_int i = 0; i < database->upstreams.upstreams_len; i++) {
+        const struct ck_upstream *upstream =
+            &database->upstreams.upstreams_val[i];
+        if (upstream->state != CK_UPSTREAM_LOST) {
+            (void)announce_add(load->announce, load->now_us, upstream->name);
+        }
+    }
+    return true;
+}
+
+// Takes the group's upstreams as announced just now, so that a new leader
+// gives each the whole expiry time.
+void
+announce_load(struct announce *announce, int64_t now_us,
+              const struct group_state *group)
+{
+    struct announce_load_data load = {announce, now_us};
+
+    group_visit_databases(group, announce_load_database, &load);
+}
+
+static bool
+announce_is_equal(const struct ck_upstream *left,
+                  const struct ck_upstream *right)
+{
+    return left->port == right->port && left->slots == right->slots &&
+           left->connections == right->connections &&
+           left->state == right->state && strcmp(left->host, right->host) == 0;
+}
+
+static void
+announce_hold(struct announce_entry *entry, const struct ck_upstream *upstream)
+{
+    codec_free((xdrproc_t)xdr_ck_upstream, &entry->latest);
+    codec_copy((xdrproc_t)xdr_ck_upstream, upstream, &entry->latest,
+               sizeof(entry->latest));
+    entry->is_held = true;
+}
+
+// Judges an announcement. ANNOUNCE_REFUSED comes with the reason; after
+// ANNOUNCE_PUBLISH the caller proposes the change and calls announce_settle
+// when the proposal has ended.
+enum announce_verdict
+announce_take(struct announce *announce, int64_t now_us,
+              const struct group_state *group,
+              const struct ck_upstream *upstream, struct group_result *reason)
+{
+    memset(reason, 0, sizeof(*reason));
+    if (upstream->state != CK_UPSTREAM_READY &&
+        upstream->state != CK_UPSTREAM_LEAVING) {
+        reason->outcome = OUTCOME_INVALID;
+        strcpy(reason->message, "state must be ready or leaving");
+        return ANNOUNCE_REFUSED;
+    }
+    if (!group_check_upstream(group, upstream, reason)) {
+        return ANNOUNCE_REFUSED;
+    }
+    struct announce_entry *entry =
+        announce_add(announce, now_us, upstream->name);
+    const struct ck_upstream *known =
+        group_find_upstream(group, upstream->name);
+    entry->last_us = now_us;
+    if (known != NULL && announce_is_equal(known, upstream)) {
+        entry->is_held = false;
+        return ANNOUNCE_UNCHANGED;
+    }
+    if (entry->is_proposed ||
+        now_us - entry->published_us < announce->params.publish_us) {
+        announce_hold(entry, upstream);
+        return ANNOUNCE_HELD;
+    }
+    entry->is_held = false;
+    entry->is_proposed = true;
+    entry->published_us = now_us;
+    return ANNOUNCE_PUBLISH;
+}
+
+// Notes that a proposal about the upstream has ended.
+void
+announce_settle(struct announce *announce, const char *upstream)
+{
+    struct announce_entry *entry = announce_find(announce, upstream);
+
+    if (entry != NULL) {
+        entry->is_proposed = false;
+    }
+}
+
+// Returns when the upstream last announced itself; INT64_MIN: never.
+int64_t
+announce_get_last_us(const struct announce *announce, const char *upstream)
+{
+    const struct announce_entry *entry = announce_find(announce, upstream);
+
+    return entry == NULL ? INT64_MIN : entry->last_us;
+}
+
+// Returns whether the upstream is the primary of a term that stands.
+static bool
+announce_is_primary(const struct group_state *group,
+                    const struct ck_upstream *upstream)
+{
+    const struct ck_database *database =
+        group_find_database(group, upstream->database);
+
+    return database != NULL && !database->superseding &&
+           strcmp(database->primary, upstream->name) == 0;
+}
+
+static void
+announce_tick_entry(struct announce *announce, struct announce_entry *entry,
+                    int64_t now_us, const struct group_state *group,
+                    announce_due_fn due, void *data)
+{
+    const struct ck_upstream *known = group_find_upstream(group, entry->name);
+
+    if (entry->is_proposed) {
+        return;
+    }
+    if (now_us - entry->last_us >= announce->params.expiry_us) {
+        entry->is_held = false;
+        if (known != NULL && known->state != CK_UPSTREAM_LOST &&
+            !announce_is_primary(group, known)) {
+            entry->is_proposed = true;
+            entry->published_us = now_us;
+            due(data, CK_CHANGE_UPSTREAM_EXPIRE, known);
+        }
+        return;
+    }
+    if (entry->is_held &&
+        now_us - entry->published_us >= announce->params.publish_us) {
+        entry->is_held = false;
+        entry->is_proposed = true;
+        entry->published_us = now_us;
+        due(data, CK_CHANGE_UPSTREAM, &entry->latest);
+    }
+}
+
+// Calls due for each held change and each expired upstream.
+void
+announce_tick(struct announce *announce, int64_t now_us,
+              const struct group_state *group, announce_due_fn due, void *data)
+{
+    for (struct announce_entry *entry = announce->entries; entry != NULL;
+         entry = entry->next) {
+        announce_tick_entry(announce, entry, now_us, group, due, data);
+    }
+}
--- /dev/null
+++ b/src/catkingrade/decide/drain.c
@@ -0,0 +1,155 @@
+#include "catkingrade/decide/drain.h"
+
+#include <inttypes.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "catkingrade/kernel/buffer.h"
+#include "catkingrade/kernel/memory.h"
+
+#define DRAIN_US_PER_MS       1000
+#define DRAIN_REPORT_MAX_SIZE 3500
+
+struct drain_customer {
+    struct drain_customer *next;
+    char *name;
+    int64_t since_us;
+    bool is_proposed;
+};
+
+struct drain {
+    struct drain_customer *customers;
+};
+
+struct drain_pass {
+    struct drain *drain;
+    int64_t now_us;
+    const struct drain_entry *entries;
+    size_t entries_count;
+    drain_close_fn close;
+    void *data;
+};
+
+// Makes an empty list.
+struct drain *
+drain_create(void)
+{
+    return xcalloc(1, sizeof(struct drain));
+}
+
+// Frees the list.
+void
+drain_destroy(struct drain *drain)
+{
+    while (drain != NULL && drain->customers != NULL) {
+        struct drain_customer *customer = drain->customers;
+        drain->customers = customer->next;
+        free(customer->name);
+        free(customer);
+    }
+    free(drain);
+}
+
+static struct drain_customer *
+drain_find(const struct drain *drain, const char *name)
+{
+    struct drain_customer *customer = drain->customers;
+
+    while (customer != NULL && strcmp(customer->name, name) != 0) {
+        customer = customer->next;
+    }
+    return customer;
+}
+
+static struct drain_customer *
+drain_get(struct drain *drain, const char *name, int64_t now_us)
+{
+    struct drain_customer *customer = drain_find(drain, name);
+
+    if (customer == NULL) {
+        customer = xcalloc(1, sizeof(*customer));
+        customer->name = xstrdup(name);
+        customer->since_us = now_us;
+        customer->next = drain->customers;
+        drain->customers = customer;
+    }
+    return customer;
+}
+
+// Counts the entries that may still work for a customer whose shutdown began
+// with revision, and lists them in report.
+static size_t
+drain_count_open(const struct drain_pass *pass, uint64_t revision,
+                 struct buffer *report)
+{
+    size_t count = 0;
+
+    for (size_t i = 0; i < pass->entries_count; i++) {
+        const struct drain_entry *entry = &pass->entries[i];
+        bool informed = entry->known_revision >= revision;
+        if (informed && entry->open_requests == 0) {
+            continue;
+        }
+        count++;
+        if (buffer_get_size(report) >= DRAIN_REPORT_MAX_SIZE) {
+            continue;
+        }
+        if (informed) {
+            buffer_append_format(report, "%s: %u requests open\n", entry->vm,
+                                 entry->open_requests);
+        }
+        else {
+            buffer_append_format(report, "%s: not heard from\n", entry->vm);
+        }
+    }
+    return count;
+}
+
+static bool
+drain_check_customer(void *data, const struct ck_customer *customer)
+{
+    struct drain_pass *pass = data;
+    struct buffer report = {0};
+
+    if (customer->state != CK_CUSTOMER_DRAINING) {
+        return true;
+    }
+    struct drain_customer *own =
+        drain_get(pass->drain, customer->name, pass->now_us);
+    int64_t limit_us = (int64_t)customer->drain_ms * DRAIN_US_PER_MS;
+    bool overdue = pass->now_us - own->since_us >= limit_us;
+    size_t open = drain_count_open(pass, customer->revision, &report);
+    if (!own->is_proposed && (open == 0 || overdue)) {
+        buffer_append_text(&report, open == 0 ? "nothing was open\n" : "");
+        buffer_append_u8(&report, 0);
+        own->is_proposed = true;
+        pass->close(pass->data, customer->name,
+                    (const char *)buffer_get_data(&report));
+    }
+    buffer_free(&report);
+    return true;
+}
+
+// Calls close for each customer whose shutdown is complete or overdue. The
+// time limit of a shutdown starts anew with a new leader.
+void
+drain_tick(struct drain *drain, int64_t now_us,
+           const struct group_state *group, const struct drain_entry *entries,
+           size_t entries_count, drain_close_fn close, void *data)
+{
+    struct drain_pass pass = {drain,         now_us, entries,
+                              entries_count, close,  data};
+
+    group_visit_customers(group, drain_check_customer, &pass);
+}
+
+// Lets a customer be closed again.
+void
+drain_reopen(struct drain *drain, const char *customer)
+{
+    struct drain_customer *own = drain_find(drain, customer);
+
+    if (own != NULL) {
+        own->is_proposed = false;
+    }
+}
--- a/src/catkingrade/decide/group_routing.c
+++ b/src/catkingrade/decide/group_routing.c
@@ -242,7 +242,7 @@
     struct group_object *object =
         group_find(group, GROUP_DATABASE, change->database);
 
-    if (object == NULL) {
+    if (object == NULL || object->removed) {
         group_refuse(result, OUTCOME_NOT_FOUND, 0, "no such database");
         return;
     }
@@ -297,7 +297,7 @@
     struct group_object *object =
         group_find(group, GROUP_DATABASE, change->database);
 
-    if (object == NULL) {
+    if (object == NULL || object->removed) {
         group_refuse(result, OUTCOME_NOT_FOUND, 0, "no such database");
         return;
     }
--- /dev/null
+++ b/src/catkingrade/decide/leader_actions.c
@@ -0,0 +1,180 @@
+#include <inttypes.h>
+#include <stdarg.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "catkingrade/decide/leader_private.h"
+#include "catkingrade/kernel/memory.h"
+#include "catkingrade/kernel/outcome.h"
+#include "catkingrade/rpc/codec.h"
+
+#define LEADER_TEXT_SIZE 192
+
+// Appends an empty action; the pointer is valid until the next one.
+struct leader_action *
+leader_add_action(struct leader *leader, enum leader_action_kind kind)
+{
+    struct leader_actions *actions = leader->actions;
+
+    if (actions->count == actions->capacity) {
+        actions->capacity = actions->capacity * 2 + 8;
+        actions->items = xrealloc(actions->items,
+                                  actions->capacity * sizeof(*actions->items));
+    }
+    struct leader_action *action = &actions->items[actions->count++];
+    memset(action, 0, sizeof(*action));
+    action->kind = kind;
+    return action;
+}
+
+// Hands memory to the list, which frees it when it is cleared.
+void *
+leader_own(struct leader_actions *actions, void *memory)
+{
+    if (actions->owned_count == actions->owned_capacity) {
+        actions->owned_capacity = actions->owned_capacity * 2 + 8;
+        actions->owned =
+            xrealloc(actions->owned, actions->owned_capacity * sizeof(void *));
+    }
+    actions->owned[actions->owned_count++] = memory;
+    return memory;
+}
+
+// Empties the list and frees what its actions held.
+void
+leader_actions_clear(struct leader_actions *actions)
+{
+    for (size_t i = 0; i < actions->owned_count; i++) {
+        free(actions->owned[i]);
+    }
+    actions->owned_count = 0;
+    actions->count = 0;
+}
+
+// Frees the list.
+void
+leader_actions_free(struct leader_actions *actions)
+{
+    leader_actions_clear(actions);
+    free(actions->items);
+    free(actions->owned);
+    memset(actions, 0, sizeof(*actions));
+}
+
+// Adds an event for the time line.
+void
+leader_record(struct leader *leader, const char *kind,
+              const struct ck_database *database, const char *upstream,
+              const char *format, ...)
+{
+    char *text = leader_own(leader->actions, xmalloc(LEADER_TEXT_SIZE));
+    va_list args;
+
+    va_start(args, format);
+    (void)vsnprintf(text, LEADER_TEXT_SIZE, format, args);
+    va_end(args);
+    struct leader_action *action =
+        leader_add_action(leader, LEADER_ACTION_RECORD);
+    action->record.kind = kind;
+    action->record.customer = database == NULL ? "" : database->customer;
+    action->record.upstream = leader_own(leader->actions, xstrdup(upstream));
+    action->record.text = text;
+}
+
+// Answers an announcement or a command.
+void
+leader_reply_text(struct leader *leader, enum leader_action_kind kind,
+                  uint64_t token, int outcome, const char *text)
+{
+    struct leader_action *action = leader_add_action(leader, kind);
+
+    action->token = token;
+    action->reply.outcome = outcome;
+    action->reply.text = leader_own(leader->actions, xstrdup(text));
+}
+
+// Asks for a TICK at a moment, if none comes earlier.
+void
+leader_wake_at(struct leader *leader, int64_t at_us)
+{
+    if (leader->wake_us > leader->now_us && leader->wake_us <= at_us) {
+        return;
+    }
+    leader->wake_us = at_us;
+    leader_add_action(leader, LEADER_ACTION_WAKE)->wake_at_us = at_us;
+}
+
+static void
+leader_format_token(char text[24], uint64_t token)
+{
+    (void)snprintf(text, 24, "%" PRIu64, token);
+}
+
+// Proposes a change about the object called name. A reply, if asked for, goes
+// out when the log has answered.
+void
+leader_propose(struct leader *leader, const struct ck_change *change,
+               const char *name, enum leader_reply reply, uint64_t reply_token)
+{
+    char key[24];
+    struct buffer bytes = {0};
+    struct ck_log_payload payload = {.change_id = (char *)(uintptr_t) "",
+                                     .change = *change};
+    struct leader_proposal *proposal = xcalloc(1, sizeof(*proposal));
+
+    int outcome =
+        codec_encode((xdrproc_t)xdr_ck_log_payload, &payload, &bytes);
+    INVARIANT(outcome == OUTCOME_OK);
+    proposal->token = ++leader->next_token;
+    proposal->kind = change->kind;
+    proposal->name = xstrdup(name);
+    proposal->reply = reply;
+    proposal->reply_token = reply_token;
+    proposal->older = leader->proposals;
+    if (leader->proposals != NULL) {
+        leader->proposals->newer = proposal;
+    }
+    leader->proposals = proposal;
+    leader_format_token(key, proposal->token);
+    group_index_put(leader->index, LEADER_PROPOSAL, key, proposal);
+    struct leader_action *action =
+        leader_add_action(leader, LEADER_ACTION_PROPOSE);
+    action->token = proposal->token;
+    action->payload.data = leader_own(leader->actions, bytes.data);
+    action->payload.size_bytes = buffer_get_size(&bytes);
+}
+
+// Takes the proposal of a token out of the index; NULL when there is none.
+// The caller frees it with leader_free_proposal.
+struct leader_proposal *
+leader_take_proposal(struct leader *leader, uint64_t token)
+{
+    char key[24];
+
+    leader_format_token(key, token);
+    struct leader_proposal *proposal =
+        group_index_get(leader->index, LEADER_PROPOSAL, key);
+    if (proposal == NULL) {
+        return NULL;
+    }
+    group_index_remove(leader->index, LEADER_PROPOSAL, key);
+    if (proposal->newer != NULL) {
+        proposal->newer->older = proposal->older;
+    }
+    else {
+        leader->proposals = proposal->older;
+    }
+    if (proposal->older != NULL) {
+        proposal->older->newer = proposal->newer;
+    }
+    return proposal;
+}
+
+// Frees a proposal.
+void
+leader_free_proposal(struct leader_proposal *proposal)
+{
+    free(proposal->name);
+    free(proposal);
+}
--- /dev/null
+++ b/src/catkingrade/decide/leader_choice.c
@@ -0,0 +1,221 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "catkingrade/decide/leader_private.h"
+#include "catkingrade/decide/promotion.h"
+#include "catkingrade/kernel/memory.h"
+#include "catkingrade/kernel/outcome.h"
+
+// A planned switchover waits this part of its time limit for its target.
+#define LEADER_CATCH_UP_PART  2
+#define LEADER_PLANNED_PROBES 2
+
+// Probes all members and returns how many have neither answered nor failed
+// since the phase began. Lost ones are probed too: they may have come back.
+static size_t
+leader_probe_members(struct leader *leader, struct leader_database *db,
+                     const struct ck_database *database, int except)
+{
+    size_t pending = 0;
+
+    for (size_t i = 0; i < db->members_count; i++) {
+        const struct leader_member *member = &db->members[i];
+        leader_probe_member(leader, db, database, i);
+        if (!member->answered && !member->failed && (int)i != except) {
+            pending++;
+        }
+    }
+    return pending;
+}
+
+// Returns the primary among those that answered, the most advanced of several.
+static int
+leader_find_primary(const struct leader_database *db)
+{
+    int place = PROMOTION_NONE;
+
+    for (size_t i = 0; i < db->members_count; i++) {
+        const struct leader_member *member = &db->members[i];
+        if (member->answered && member->is_primary &&
+            (place == PROMOTION_NONE ||
+             promotion_compare(&member->position,
+                               &db->members[place].position) > 0)) {
+            place = (int)i;
+        }
+    }
+    return place;
+}
+
+// Asks what promotion_choose makes of the answers.
+static struct promotion_choice
+leader_choose(const struct leader *leader, const struct leader_database *db,
+              const struct ck_database *database)
+{
+    const struct ck_customer *customer =
+        group_find_customer_of_database(leader->group, db->name);
+    struct promotion_answer *answers =
+        xcalloc(db->members_count, sizeof(*answers));
+    struct promotion_question question = {
+        .answers = answers,
+        .count = db->members_count,
+        .confirm = customer == NULL ? 0 : customer->confirm,
+        .base = database->base,
+    };
+
+    for (size_t i = 0; i < db->members_count; i++) {
+        const struct leader_member *member = &db->members[i];
+        const struct ck_upstream *upstream =
+            &database->upstreams.upstreams_val[i];
+        answers[i].answered = member->answered;
+        answers[i].is_old_primary =
+            strcmp(upstream->name, database->primary) == 0;
+        answers[i].is_leaving = upstream->state == CK_UPSTREAM_LEAVING;
+        answers[i].is_regressed = member->is_regressed;
+        answers[i].position = member->position;
+    }
+    struct promotion_choice choice = promotion_choose(&question);
+    free(answers);
+    return choice;
+}
+
+// Looks for the first primary of a database: the upstream that is one
+// already, or after a while the most advanced.
+void
+leader_run_first(struct leader *leader, struct leader_database *db,
+                 const struct ck_database *database)
+{
+    int64_t settled_us = db->phase_us + leader->params.settle_us;
+    size_t pending =
+        leader_probe_members(leader, db, database, PROMOTION_NONE);
+    int primary = leader_find_primary(db);
+
+    if (primary != PROMOTION_NONE &&
+        (pending == 0 || leader->now_us >= settled_us)) {
+        leader_promote(leader, db, database, primary);
+        return;
+    }
+    if (leader->now_us < settled_us) {
+        leader_wake_at(leader, settled_us);
+        return;
+    }
+    struct promotion_choice choice = leader_choose(leader, db, database);
+    if (choice.place != PROMOTION_NONE) {
+        leader_promote(leader, db, database, choice.place);
+    }
+}
+
+// Returns the place of the switchover's target; without one, of the most
+// advanced replica that is ready.
+static int
+leader_find_target(const struct leader_database *db,
+                   const struct ck_database *database)
+{
+    int place = PROMOTION_NONE;
+
+    if (db->target != NULL) {
+        return leader_find_member(database, db->target);
+    }
+    for (size_t i = 0; i < db->members_count; i++) {
+        const struct ck_upstream *upstream =
+            &database->upstreams.upstreams_val[i];
+        if (!db->members[i].answered || upstream->state != CK_UPSTREAM_READY ||
+            strcmp(upstream->name, database->primary) == 0) {
+            continue;
+        }
+        if (place == PROMOTION_NONE ||
+            promotion_compare(&db->members[i].position,
+                              &db->members[place].position) > 0) {
+            place = (int)i;
+        }
+    }
+    return place;
+}
+
+// Promotes the target of a planned switchover once it holds all that the
+// primary holds, which takes no more writes. A target that is too slow leaves
+// the primary in its place, with a new term; a primary that is lost meanwhile
+// makes it a failover.
+static void
+leader_run_planned(struct leader *leader, struct leader_database *db,
+                   const struct ck_database *database)
+{
+    int old = leader_find_member(database, database->primary);
+    int target = leader_find_target(db, database);
+    int64_t limit_us =
+        db->phase_us + leader->params.switchover_us / LEADER_CATCH_UP_PART;
+
+    if (db->members[old].failures >= LEADER_PLANNED_PROBES) {
+        db->is_planned = false;
+        return;
+    }
+    if (!db->members[old].answered) {
+        return;
+    }
+    if (target != PROMOTION_NONE && db->members[target].answered &&
+        promotion_compare(&db->members[target].position,
+                          &db->members[old].position) >= 0) {
+        leader_promote(leader, db, database, target);
+        return;
+    }
+    if (leader->now_us >= limit_us) {
+        leader_record(leader, "switchover_given_up", database,
+                      database->primary, "database=%s", db->name);
+        leader_promote(leader, db, database, old);
+        return;
+    }
+    leader_wake_at(leader, limit_us);
+}
+
+static void
+leader_record_wait(struct leader *leader, struct leader_database *db,
+                   const struct ck_database *database)
+{
+    size_t answered = 0;
+
+    if (db->waits_recorded) {
+        return;
+    }
+    for (size_t i = 0; i < db->members_count; i++) {
+        answered += db->members[i].answered ? 1 : 0;
+    }
+    db->waits_recorded = true;
+    leader_record(leader, "promotion_waits", database, database->primary,
+                  "database=%s answered=%zu of=%zu", db->name, answered,
+                  db->members_count);
+}
+
+// Chooses among the answers of the upstreams left. A choice that is known to
+// be complete is promoted; otherwise more answers or an operator's word are
+// awaited.
+void
+leader_run_collecting(struct leader *leader, struct leader_database *db,
+                      const struct ck_database *database)
+{
+    int old = leader_find_member(database, database->primary);
+    size_t pending = leader_probe_members(leader, db, database, old);
+
+    if (db->is_planned) {
+        leader_run_planned(leader, db, database);
+        return;
+    }
+    struct promotion_choice choice = leader_choose(leader, db, database);
+    int64_t enough_us = db->phase_us + LEADER_COLLECT_US;
+    if (choice.is_complete && (pending == 0 || leader->now_us >= enough_us)) {
+        leader_promote(leader, db, database, choice.place);
+        return;
+    }
+    if (choice.is_complete) {
+        leader_wake_at(leader, enough_us);
+        return;
+    }
+    int target = db->is_operator_word
+                     ? leader_find_member(database, db->target)
+                     : PROMOTION_NONE;
+    if (target != PROMOTION_NONE && db->members[target].answered) {
+        leader_promote(leader, db, database, target);
+        return;
+    }
+    if (pending == 0) {
+        leader_record_wait(leader, db, database);
+    }
+}
--- /dev/null
+++ b/src/catkingrade/decide/leader_database.c
@@ -0,0 +1,400 @@
+#include <inttypes.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "catkingrade/decide/leader_private.h"
+#include "catkingrade/decide/promotion.h"
+#include "catkingrade/kernel/memory.h"
+#include "catkingrade/kernel/outcome.h"
+
+// Databases that changed within so many revisions before an election have
+// their replicas told again whom to follow.
+#define LEADER_RECENT_REVISIONS 64
+
+// Returns what is known of a database, or NULL when nothing is.
+struct leader_database *
+leader_find_database(const struct leader *leader, const char *name)
+{
+    return group_index_get(leader->index, LEADER_DATABASE, name);
+}
+
+// Returns what is known of a database, which may be nothing yet.
+struct leader_database *
+leader_get_database(struct leader *leader, const char *name)
+{
+    struct leader_database *db = leader_find_database(leader, name);
+
+    if (db != NULL) {
+        return db;
+    }
+    db = xcalloc(1, sizeof(*db));
+    db->name = xstrdup(name);
+    db->phase_us = leader->now_us;
+    db->next = leader->databases;
+    leader->databases = db;
+    group_index_put(leader->index, LEADER_DATABASE, name, db);
+    return db;
+}
+
+// Frees all databases; commands that wait are told at once that they may
+// still take effect.
+void
+leader_free_databases(struct leader *leader)
+{
+    while (leader->databases != NULL) {
+        struct leader_database *db = leader->databases;
+        leader->databases = db->next;
+        if (leader->actions != NULL) {
+            leader_finish_command(leader, db, OUTCOME_UNKNOWN,
+                                  "this VM no longer leads");
+        }
+        suspicion_clear(&db->suspicion);
+        free(db->members);
+        free(db->waits);
+        free(db->target);
+        free(db->name);
+        free(db);
+    }
+}
+
+// Makes room for upstreams that were announced since.
+void
+leader_sync_members(struct leader_database *db,
+                    const struct ck_database *database)
+{
+    size_t count = database->upstreams.upstreams_len;
+
+    if (count <= db->members_count) {
+        return;
+    }
+    db->members = xrealloc(db->members, count * sizeof(*db->members));
+    memset(db->members + db->members_count, 0,
+           (count - db->members_count) * sizeof(*db->members));
+    db->members_count = count;
+}
+
+// Returns the place of an upstream in its database, or -1.
+int
+leader_find_member(const struct ck_database *database, const char *name)
+{
+    for (u_int i = 0; i < database->upstreams.upstreams_len; i++) {
+        if (strcmp(database->upstreams.upstreams_val[i].name, name) == 0) {
+            return (int)i;
+        }
+    }
+    return -1;
+}
+
+static bool
+leader_load_database(void *data, const struct ck_database *database)
+{
+    struct leader *leader = data;
+    bool recent = database->revision + LEADER_RECENT_REVISIONS >
+                  group_get_revision(leader->group);
+
+    if (!recent && !database->superseding && database->term > 0) {
+        return true;
+    }
+    struct leader_database *db = leader_get_database(leader, database->name);
+    leader_sync_members(db, database);
+    for (u_int i = 0; i < database->upstreams.upstreams_len; i++) {
+        const struct ck_upstream *upstream =
+            &database->upstreams.upstreams_val[i];
+        bool replica = database->term > 0 &&
+                       strcmp(upstream->name, database->primary) != 0;
+        db->members[i].needs_fence = replica;
+        db->members[i].needs_follow = replica;
+    }
+    return true;
+}
+
+// Takes up what the leader before may have left undone.
+void
+leader_load_databases(struct leader *leader)
+{
+    group_visit_databases(leader->group, leader_load_database, leader);
+}
+
+// Begins a phase; answers to what was asked before no longer count.
+void
+leader_set_phase(struct leader *leader, struct leader_database *db,
+                 enum leader_phase phase)
+{
+    db->phase = phase;
+    db->phase_us = leader->now_us;
+    for (size_t i = 0; i < db->members_count; i++) {
+        struct leader_member *member = &db->members[i];
+        member->answered = false;
+        member->failed = false;
+        member->failures = 0;
+        member->next_probe_us = 0;
+    }
+}
+
+// Probes an upstream, unless a probe is out or the last was just now.
+void
+leader_probe_member(struct leader *leader, struct leader_database *db,
+                    const struct ck_database *database, size_t place)
+{
+    struct leader_member *member = &db->members[place];
+
+    if (member->probing) {
+        return;
+    }
+    if (leader->now_us < member->next_probe_us) {
+        leader_wake_at(leader, member->next_probe_us);
+        return;
+    }
+    member->probing = true;
+    member->asked_us = leader->now_us;
+    member->next_probe_us = leader->now_us + leader->params.probe_us;
+    leader_add_action(leader, LEADER_ACTION_PROBE)->upstream.upstream =
+        &database->upstreams.upstreams_val[place];
+}
+
+static void
+leader_note_answer(struct leader_member *member,
+                   const struct leader_probe *probe)
+{
+    member->answered = true;
+    member->failed = false;
+    member->is_primary = probe->is_primary;
+    member->position = probe->position;
+    member->is_regressed =
+        promotion_compare(&probe->position, &member->seen) < 0;
+    if (!member->is_regressed) {
+        member->seen = probe->position;
+    }
+}
+
+// Takes the result of a probe and moves the database on. A result of a probe
+// that went out before the present phase began is only evidence.
+void
+leader_take_probe(struct leader *leader, const struct leader_probe *probe,
+                  bool answered)
+{
+    const struct ck_upstream *upstream =
+        group_find_upstream(leader->group, probe->upstream);
+    struct leader_database *db =
+        upstream == NULL ? NULL
+                         : leader_find_database(leader, upstream->database);
+
+    if (db == NULL) {
+        return;
+    }
+    const struct ck_database *database =
+        group_find_database(leader->group, db->name);
+    struct leader_member *member =
+        &db->members[leader_find_member(database, probe->upstream)];
+    member->probing = false;
+    if (strcmp(database->primary, probe->upstream) == 0) {
+        suspicion_add_probe(&db->suspicion, leader->now_us, answered,
+                            probe->refused);
+    }
+    if (member->asked_us >= db->phase_us) {
+        if (answered) {
+            leader_note_answer(member, probe);
+        }
+        else {
+            member->failed = true;
+            member->failures++;
+        }
+    }
+    leader_run_database(leader, db);
+}
+
+// Takes an entry's suspicions of primaries in their present terms.
+void
+leader_take_suspicions(struct leader *leader, const char *vm,
+                       const struct ck_renew_args *args)
+{
+    for (u_int i = 0; i < args->suspicions.suspicions_len; i++) {
+        const struct ck_suspicion *report =
+            &args->suspicions.suspicions_val[i];
+        const struct ck_database *database =
+            group_find_database(leader->group, report->database);
+        if (database == NULL || database->term != report->term ||
+            strcmp(database->primary, report->upstream) != 0) {
+            continue;
+        }
+        struct leader_database *db =
+            leader_get_database(leader, report->database);
+        suspicion_add_report(&db->suspicion, leader->now_us, vm, report);
+        leader_run_database(leader, db);
+    }
+}
+
+// Judges the primary of a term that stands.
+static void
+leader_watch(struct leader *leader, struct leader_database *db,
+             const struct ck_database *database)
+{
+    int place = leader_find_member(database, database->primary);
+    if (place < 0) {
+        return;
+    }
+    struct suspicion_params params = {
+        .suspect_us = leader->params.suspect_us,
+        .silence_us = leader->params.announce_expiry_us / 2,
+        .entries_count = leader_count_live(leader),
+        .announced_us =
+            announce_get_last_us(leader->announce, database->primary),
+        .recent_failover =
+            db->failover_us != 0 &&
+            leader->now_us - db->failover_us < leader->params.flap_us,
+    };
+
+    switch (suspicion_judge(&db->suspicion, leader->now_us, &params)) {
+    case SUSPICION_NONE:
+        break;
+    case SUSPICION_PROBE:
+        leader_probe_member(leader, db, database, (size_t)place);
+        break;
+    case SUSPICION_LOST:
+        leader_record(leader, "primary_lost", database, database->primary,
+                      "database=%s term=%" PRIu64 " reports=%zu probes=%u",
+                      database->name, (uint64_t)database->term,
+                      db->suspicion.reports_count,
+                      db->suspicion.probe_failures);
+        leader_supersede(leader, db, database, "primary lost");
+        break;
+    }
+}
+
+// Returns whether another upstream than the primary is ready.
+static bool
+leader_has_ready_replica(const struct ck_database *database)
+{
+    for (u_int i = 0; i < database->upstreams.upstreams_len; i++) {
+        const struct ck_upstream *upstream =
+            &database->upstreams.upstreams_val[i];
+        if (upstream->state == CK_UPSTREAM_READY &&
+            strcmp(upstream->name, database->primary) != 0) {
+            return true;
+        }
+    }
+    return false;
+}
+
+// A primary that leaves hands over to the most advanced replica.
+static bool
+leader_hand_over(struct leader *leader, struct leader_database *db,
+                 const struct ck_database *database)
+{
+    const struct ck_upstream *primary =
+        group_find_upstream(leader->group, database->primary);
+    bool recent = db->failover_us != 0 && leader->now_us - db->failover_us <
+                                              leader->params.switchover_us;
+
+    if (primary == NULL || primary->state != CK_UPSTREAM_LEAVING || recent ||
+        !leader_has_ready_replica(database)) {
+        return false;
+    }
+    db->is_planned = true;
+    db->failover_us = leader->now_us;
+    leader_supersede(leader, db, database, "primary leaves");
+    return true;
+}
+
+static void
+leader_run_idle(struct leader *leader, struct leader_database *db,
+                const struct ck_database *database)
+{
+    if (database->superseding) {
+        leader_begin_revocation(leader, db);
+    }
+    else if (database->term == 0) {
+        leader_set_phase(leader, db, LEADER_FIRST);
+        leader_run_first(leader, db, database);
+    }
+    else if (!leader_hand_over(leader, db, database)) {
+        leader_watch(leader, db, database);
+        leader_run_repairs(leader, db, database);
+    }
+}
+
+// Moves one database on as far as it goes without further events.
+void
+leader_run_database(struct leader *leader, struct leader_database *db)
+{
+    const struct ck_database *database =
+        group_find_database(leader->group, db->name);
+
+    if (database == NULL) {
+        return;
+    }
+    leader_sync_members(db, database);
+    bool choosing = db->phase == LEADER_FIRST ||
+                    db->phase == LEADER_REVOKING ||
+                    db->phase == LEADER_COLLECTING;
+    if (choosing && database->term > 0 && !database->superseding) {
+        leader_set_phase(leader, db, LEADER_IDLE);
+    }
+    if (db->phase == LEADER_IDLE) {
+        leader_run_idle(leader, db, database);
+        return;
+    }
+    leader_run_failover(leader, db, database);
+}
+
+// Fences replicas that may take themselves for the primary and has them
+// follow the present one.
+void
+leader_run_repairs(struct leader *leader, struct leader_database *db,
+                   const struct ck_database *database)
+{
+    int primary = leader_find_member(database, database->primary);
+
+    for (size_t i = 0; i < db->members_count && leader->has_quorum; i++) {
+        struct leader_member *member = &db->members[i];
+        const struct ck_upstream *upstream =
+            &database->upstreams.upstreams_val[i];
+        if ((int)i == primary || member->repairing || primary < 0 ||
+            upstream->state == CK_UPSTREAM_LOST ||
+            leader->now_us < member->next_repair_us ||
+            (!member->needs_fence && !member->needs_follow)) {
+            continue;
+        }
+        member->repairing = true;
+        struct leader_action *action = leader_add_action(
+            leader,
+            member->needs_fence ? LEADER_ACTION_FENCE : LEADER_ACTION_FOLLOW);
+        action->upstream.upstream = upstream;
+        action->upstream.primary = &database->upstreams.upstreams_val[primary];
+        action->upstream.term = database->term;
+    }
+}
+
+// Takes the end of a FENCE or FOLLOW.
+void
+leader_take_repair(struct leader *leader, const char *upstream_name,
+                   bool is_fence, int outcome)
+{
+    const struct ck_upstream *upstream =
+        group_find_upstream(leader->group, upstream_name);
+    struct leader_database *db =
+        upstream == NULL ? NULL
+                         : leader_find_database(leader, upstream->database);
+
+    if (db == NULL) {
+        return;
+    }
+    const struct ck_database *database =
+        group_find_database(leader->group, db->name);
+    struct leader_member *member =
+        &db->members[leader_find_member(database, upstream_name)];
+    member->repairing = false;
+    if (outcome != OUTCOME_OK) {
+        member->next_repair_us = leader->now_us + LEADER_REPAIR_US;
+    }
+    else if (is_fence) {
+        member->needs_fence = false;
+    }
+    else {
+        member->needs_follow = false;
+        leader_record(leader, "following", database, upstream_name,
+                      "database=%s primary=%s", database->name,
+                      database->primary);
+    }
+    leader_run_database(leader, db);
+}
--- a/src/catkingrade/decide/leaseholder.c
+++ b/src/catkingrade/decide/leaseholder.c
@@ -5,6 +5,7 @@
 #include <string.h>
 
 #include "catkingrade/decide/leaseholder_private.h"
+#include "catkingrade/decide/random.h"
 #include "catkingrade/kernel/memory.h"
 #include "catkingrade/kernel/outcome.h"
 #include "catkingrade/rpc/codec.h"
@@ -13,19 +14,6 @@
 #define LEASEHOLDER_MAX_BACKOFF   4
 #define LEASEHOLDER_PPM           1000000
 
-// Returns a pseudo-random number below limit (xorshift64).
-static uint64_t
-leaseholder_get_random(struct leaseholder *holder, uint64_t limit)
-{
-    uint64_t x = holder->random;
-
-    x ^= x << 13;
-    x ^= x >> 7;
-    x ^= x << 17;
-    holder->random = x;
-    return limit == 0 ? 0 : x % limit;
-}
-
 // Makes a leaseholder without a lease; it starts with the first TICK.
 struct leaseholder *
 leaseholder_create(const struct leaseholder_params *params)
@@ -40,8 +28,9 @@
                &holder->params.daemon, sizeof(struct ck_daemon));
     holder->voters = xmalloc(size);
     memcpy(holder->voters, params->voters, size);
-    holder->random = params->seed * UINT64_C(0x9e3779b97f4a7c15) + 1;
-    holder->next_voter = leaseholder_get_random(holder, params->voters_count);
+    holder->random = params->seed;
+    holder->next_voter =
+        random_below(&holder->random, (uint32_t)params->voters_count);
     holder->target = holder->voters[holder->next_voter];
     return holder;
 }
@@ -133,7 +122,7 @@
     holder->target = holder->voters[holder->next_voter];
     holder->next_renew_us =
         now_us + limit_us / 2 +
-        (int64_t)leaseholder_get_random(holder, (uint64_t)limit_us / 2 + 1);
+        random_below(&holder->random, (uint32_t)(limit_us / 2) + 1);
 }
 
 // Follows a hint to the leader, a few times in a row at most.
@@ -200,8 +189,8 @@
                        const struct ck_renew_result *result,
                        struct leaseholder_actions *actions)
 {
-    int64_t jitter_us = (int64_t)leaseholder_get_random(
-        holder, (uint64_t)holder->params.renew_us / 8 + 1);
+    int64_t jitter_us = random_below(
+        &holder->random, (uint32_t)(holder->params.renew_us / 8) + 1);
 
     if (!leaseholder_take_delta(holder, &result->delta, actions)) {
         leaseholder_back_off(holder, now_us);
