--- /dev/null
+++ b/src/catkingrade/entry/database.h
@@ -0,0 +1,46 @@
+#ifndef CATKINGRADE_ENTRY_DATABASE_H
+#define CATKINGRADE_ENTRY_DATABASE_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "catkingrade/entry/session.h"
+#include "catkingrade/entry/upstream_link.h"
+#include "catkingrade/entry/view.h"
+
+struct worker;
+
+// A database group on the thread that owns it: feeds its traffic machine
+// with events and carries out its actions.
+struct database;
+
+struct database *database_create(struct worker *worker, const char *name,
+                                 const char *customer_name);
+void database_destroy(struct database *database);
+const char *database_get_name(const struct database *database);
+const struct ck_customer *
+database_get_customer(const struct database *database);
+void database_set_view(struct database *database, struct view *view,
+                       const struct ck_quota *quotas, size_t quotas_count);
+void database_set_lease(struct database *database, uint64_t term,
+                        int64_t valid_until_us, bool revoked);
+void database_drain(struct database *database);
+void database_report_demand(struct database *database);
+uint64_t database_get_open_requests(const struct database *database);
+const char *database_get_customer_name(const struct database *database);
+bool database_is_idle(const struct database *database);
+void database_leave(struct database *database);
+
+void database_open_session(struct database *database,
+                           struct entry_session *session, bool floor_known,
+                           bool declared_new);
+void database_set_floor(struct database *database,
+                        struct entry_session *session);
+void database_close_session(struct database *database,
+                            struct entry_session *session);
+// The request belongs to the database from here on.
+void database_submit(struct database *database, struct entry_request *request);
+void database_cancel(struct database *database, struct entry_request *request);
+
+#endif
--- /dev/null
+++ b/src/catkingrade/entry/entry.c
@@ -0,0 +1,568 @@
+#include "catkingrade/entry/entry.h"
+
+#include <openssl/rand.h>
+#include <pthread.h>
+#include <stdlib.h>
+#include <string.h>
+#include <xxhash.h>
+
+#include "catkingrade/entry/worker.h"
+#include "catkingrade/kernel/file.h"
+#include "catkingrade/kernel/log.h"
+#include "catkingrade/kernel/memory.h"
+#include "catkingrade/kernel/outcome.h"
+#include "catkingrade/rpc/codec.h"
+
+#define ENTRY_MAX_SECRET_BYTES 65536
+
+// Sessions of one customer at this entry.
+struct entry_customer {
+    char name[CK_NAME_SIZE + 1];
+    unsigned sessions;
+};
+
+struct entry {
+    const struct settings *settings;
+    struct loop *control_loop;
+    struct entry_reports reports;
+    struct token_ring ring;
+    char *upstream_password;
+    const struct upstream_driver *driver;
+    const struct entry_listener *listener;
+    struct worker **workers;
+    unsigned workers_count;
+    pthread_mutex_t customers_mutex;
+    struct entry_customer *customers;
+    size_t customers_count;
+    uint64_t sessions_count; // under customers_mutex
+    bool draining;
+};
+
+// ---- start and end ----
+
+static int
+entry_load_tokens(struct entry *entry)
+{
+    const char *path = entry->settings->token_keys_file;
+    char *text = NULL;
+
+    if (path[0] == '\0') {
+        // Tokens of this process only: others ask the primary instead.
+        entry->ring.keys = xcalloc(1, sizeof(*entry->ring.keys));
+        entry->ring.keys_count = 1;
+        return RAND_bytes((unsigned char *)entry->ring.keys,
+                          sizeof(*entry->ring.keys)) == 1
+                   ? OUTCOME_OK
+                   : OUTCOME_IO;
+    }
+    int outcome = file_read_text(path, ENTRY_MAX_SECRET_BYTES, &text);
+    if (outcome != OUTCOME_OK) {
+        return outcome;
+    }
+    outcome = token_ring_parse(text, &entry->ring);
+    OPENSSL_cleanse(text, strlen(text));
+    free(text);
+    return outcome;
+}
+
+static int
+entry_load_password(struct entry *entry)
+{
+    const char *path = entry->settings->upstream_password_file;
+
+    if (path[0] == '\0') {
+        entry->upstream_password = xstrdup("");
+        return OUTCOME_OK;
+    }
+    int outcome = file_read_text(path, ENTRY_MAX_SECRET_BYTES,
+                                 &entry->upstream_password);
+    if (outcome == OUTCOME_OK) {
+        char *text = entry->upstream_password;
+        text[strcspn(text, "\r\n")] = '\0';
+    }
+    return outcome;
+}
+
+// Creates an entry; settings must outlive it. reports may be NULL. Returns
+// NULL, with a line logged, when a key or password file cannot be read.
+struct entry *
+entry_create(const struct settings *settings, struct loop *control_loop,
+             const struct entry_reports *reports)
+{
+    struct entry *entry = xcalloc(1, sizeof(*entry));
+
+    entry->settings = settings;
+    entry->control_loop = control_loop;
+    if (reports != NULL) {
+        entry->reports = *reports;
+    }
+    pthread_mutex_init(&entry->customers_mutex, NULL);
+    if (entry_load_tokens(entry) != OUTCOME_OK) {
+        LOG_ERROR("token_keys_unreadable", "file=%s",
+                  settings->token_keys_file);
+        entry_destroy(entry);
+        return NULL;
+    }
+    if (entry_load_password(entry) != OUTCOME_OK) {
+        LOG_ERROR("password_unreadable", "file=%s",
+                  settings->upstream_password_file);
+        entry_destroy(entry);
+        return NULL;
+    }
+    entry->workers_count = settings->traffic_threads;
+    entry->workers = xcalloc(entry->workers_count, sizeof(*entry->workers));
+    for (unsigned i = 0; i < entry->workers_count; i++) {
+        entry->workers[i] = worker_create(entry, i);
+    }
+    return entry;
+}
+
+// Sets what the traffic threads report to; before entry_start.
+void
+entry_set_reports(struct entry *entry, const struct entry_reports *reports)
+{
+    entry->reports = *reports;
+}
+
+// Sets how upstreams are reached.
+void
+entry_set_driver(struct entry *entry, const struct upstream_driver *driver)
+{
+    entry->driver = driver;
+}
+
+// Sets the protocol that callers speak.
+void
+entry_set_listener(struct entry *entry, const struct entry_listener *listener)
+{
+    entry->listener = listener;
+}
+
+// Starts the traffic threads. Returns OUTCOME_OK or the first error.
+int
+entry_start(struct entry *entry)
+{
+    for (unsigned i = 0; i < entry->workers_count; i++) {
+        int outcome = worker_start(entry->workers[i]);
+        if (outcome != OUTCOME_OK) {
+            return outcome;
+        }
+    }
+    return OUTCOME_OK;
+}
+
+// Stops the threads and frees the entry; NULL is ignored.
+void
+entry_destroy(struct entry *entry)
+{
+    if (entry == NULL) {
+        return;
+    }
+    for (unsigned i = 0; i < entry->workers_count; i++) {
+        worker_stop(entry->workers[i]);
+    }
+    for (unsigned i = 0; i < entry->workers_count; i++) {
+        worker_destroy(entry->workers[i]);
+    }
+    free(entry->workers);
+    free(entry->customers);
+    token_ring_free(&entry->ring);
+    if (entry->upstream_password != NULL) {
+        OPENSSL_cleanse(entry->upstream_password,
+                        strlen(entry->upstream_password));
+    }
+    free(entry->upstream_password);
+    pthread_mutex_destroy(&entry->customers_mutex);
+    free(entry);
+}
+
+// ---- what the threads share ----
+
+// Returns the settings.
+const struct settings *
+entry_get_settings(const struct entry *entry)
+{
+    return entry->settings;
+}
+
+// Returns the keys of session tokens.
+const struct token_ring *
+entry_get_token_ring(const struct entry *entry)
+{
+    return &entry->ring;
+}
+
+// Returns how upstreams are reached.
+const struct upstream_driver *
+entry_get_driver(const struct entry *entry)
+{
+    return entry->driver;
+}
+
+// Returns the protocol that callers speak, or NULL.
+const struct entry_listener *
+entry_get_listener(const struct entry *entry)
+{
+    return entry->listener;
+}
+
+// Returns the password towards upstreams; empty when none.
+const char *
+entry_get_upstream_password(const struct entry *entry)
+{
+    return entry->upstream_password;
+}
+
+// Returns a worker by its place.
+struct worker *
+entry_get_worker(struct entry *entry, unsigned place)
+{
+    INVARIANT(place < entry->workers_count);
+    return entry->workers[place];
+}
+
+// Returns the number of traffic threads.
+unsigned
+entry_get_workers_count(const struct entry *entry)
+{
+    return entry->workers_count;
+}
+
+// Returns the worker whose thread owns a database.
+struct worker *
+entry_find_worker(struct entry *entry, const char *database)
+{
+    uint64_t hash = XXH3_64bits(database, strlen(database));
+
+    return entry->workers[hash % entry->workers_count];
+}
+
+// ---- messages to the threads ----
+
+enum entry_message_kind {
+    ENTRY_MESSAGE_VIEW,
+    ENTRY_MESSAGE_LEASE,
+    ENTRY_MESSAGE_REVOCATION,
+    ENTRY_MESSAGE_QUOTAS,
+    ENTRY_MESSAGE_DEMAND,
+    ENTRY_MESSAGE_DRAIN,
+};
+
+struct entry_message {
+    struct worker *worker;
+    enum entry_message_kind kind;
+    struct view *view;
+    char name[CK_NAME_SIZE + 1]; // group or database
+    int64_t valid_until_us;
+    uint64_t term;
+    struct ck_quota *quotas;
+    size_t quotas_count;
+};
+
+static void
+entry_free_quotas(struct ck_quota *quotas, size_t count)
+{
+    for (size_t i = 0; i < count; i++) {
+        free(quotas[i].upstream);
+    }
+    free(quotas);
+}
+
+static void
+entry_run_message(void *data)
+{
+    struct entry_message *message = data;
+    struct worker *worker = message->worker;
+
+    switch (message->kind) {
+    case ENTRY_MESSAGE_VIEW:
+        worker_set_view(worker, message->view);
+        break;
+    case ENTRY_MESSAGE_LEASE:
+        worker_set_lease(worker, message->name, message->valid_until_us);
+        break;
+    case ENTRY_MESSAGE_REVOCATION:
+        worker_revoke(worker, message->name, message->term);
+        break;
+    case ENTRY_MESSAGE_QUOTAS:
+        worker_set_quotas(worker, message->quotas, message->quotas_count);
+        break;
+    case ENTRY_MESSAGE_DEMAND:
+        worker_ask_demand(worker);
+        break;
+    case ENTRY_MESSAGE_DRAIN:
+        worker_drain(worker);
+        break;
+    }
+    entry_free_quotas(message->quotas, message->quotas_count);
+    free(message);
+}
+
+static void
+entry_post(struct worker *worker, const struct entry_message *message)
+{
+    struct entry_message *copy = xmalloc(sizeof(*copy));
+
+    *copy = *message;
+    copy->worker = worker;
+    loop_post(worker_get_loop(worker), entry_run_message, copy);
+}
+
+static void
+entry_post_all(struct entry *entry, const struct entry_message *message)
+{
+    for (unsigned i = 0; i < entry->workers_count; i++) {
+        entry_post(entry->workers[i], message);
+    }
+}
+
+// Puts a view in force on every thread; the caller keeps its hold.
+void
+entry_post_view(struct entry *entry, struct view *view)
+{
+    for (unsigned i = 0; i < entry->workers_count; i++) {
+        struct entry_message message = {.kind = ENTRY_MESSAGE_VIEW,
+                                        .view = view_hold(view)};
+        entry_post(entry->workers[i], &message);
+    }
+}
+
+// Extends the lease of a control group until a moment of the monotonic clock,
+// for the terms of the view that was posted before.
+void
+entry_post_lease(struct entry *entry, const char *group,
+                 int64_t valid_until_us)
+{
+    struct entry_message message = {.kind = ENTRY_MESSAGE_LEASE,
+                                    .valid_until_us = valid_until_us};
+
+    strncpy(message.name, group, CK_NAME_SIZE);
+    entry_post_all(entry, &message);
+}
+
+// Revokes a term; confirm_revoked is reported once nothing of it can be
+// acknowledged anymore.
+void
+entry_post_revocation(struct entry *entry, const char *database, uint64_t term)
+{
+    struct entry_message message = {.kind = ENTRY_MESSAGE_REVOCATION,
+                                    .term = term};
+
+    strncpy(message.name, database, CK_NAME_SIZE);
+    entry_post(entry_find_worker(entry, database), &message);
+}
+
+// Gives quotas to every thread; upstreams that are not named keep theirs.
+void
+entry_post_quotas(struct entry *entry, const struct ck_quota *quotas,
+                  size_t count)
+{
+    for (unsigned i = 0; i < entry->workers_count; i++) {
+        struct entry_message message = {.kind = ENTRY_MESSAGE_QUOTAS,
+                                        .quotas_count = count};
+        message.quotas = xcalloc(count, sizeof(*quotas));
+        for (size_t j = 0; j < count; j++) {
+            message.quotas[j] = quotas[j];
+            message.quotas[j].upstream = xstrdup(quotas[j].upstream);
+        }
+        entry_post(entry->workers[i], &message);
+    }
+}
+
+// Asks for a report of the demand of each database in use.
+void
+entry_ask_demand(struct entry *entry)
+{
+    struct entry_message message = {.kind = ENTRY_MESSAGE_DEMAND};
+
+    entry_post_all(entry, &message);
+}
+
+// Begins a planned stop.
+void
+entry_drain(struct entry *entry)
+{
+    struct entry_message message = {.kind = ENTRY_MESSAGE_DRAIN};
+
+    pthread_mutex_lock(&entry->customers_mutex);
+    entry->draining = true;
+    pthread_mutex_unlock(&entry->customers_mutex);
+    entry_post_all(entry, &message);
+}
+
+// ---- sessions ----
+
+static struct entry_customer *
+entry_make_customer(struct entry *entry, const char *name)
+{
+    for (size_t i = 0; i < entry->customers_count; i++) {
+        if (strcmp(entry->customers[i].name, name) == 0) {
+            return &entry->customers[i];
+        }
+    }
+    entry->customers =
+        xrealloc(entry->customers,
+                 (entry->customers_count + 1) * sizeof(*entry->customers));
+    struct entry_customer *customer =
+        &entry->customers[entry->customers_count++];
+    memset(customer, 0, sizeof(*customer));
+    strncpy(customer->name, name, CK_NAME_SIZE);
+    return customer;
+}
+
+// Counts a new session of a customer. Returns false, and counts nothing, when
+// the customer's or the entry's limit is reached or a planned stop has begun.
+bool
+entry_admit_session(struct entry *entry, const char *name, unsigned limit)
+{
+    bool admitted = false;
+
+    pthread_mutex_lock(&entry->customers_mutex);
+    struct entry_customer *customer = entry_make_customer(entry, name);
+    if (!entry->draining && customer->sessions < limit &&
+        entry->sessions_count < entry->settings->max_sessions) {
+        customer->sessions++;
+        entry->sessions_count++;
+        admitted = true;
+    }
+    pthread_mutex_unlock(&entry->customers_mutex);
+    return admitted;
+}
+
+// Counts a session that was admitted and has ended.
+void
+entry_leave_session(struct entry *entry, const char *name)
+{
+    pthread_mutex_lock(&entry->customers_mutex);
+    entry_make_customer(entry, name)->sessions--;
+    entry->sessions_count--;
+    pthread_mutex_unlock(&entry->customers_mutex);
+}
+
+// Returns the number of open sessions; any thread.
+uint64_t
+entry_get_sessions_count(struct entry *entry)
+{
+    pthread_mutex_lock(&entry->customers_mutex);
+    uint64_t count = entry->sessions_count;
+    pthread_mutex_unlock(&entry->customers_mutex);
+    return count;
+}
+
+// Returns whether a planned stop has begun and no session is left.
+bool
+entry_is_drained(struct entry *entry)
+{
+    pthread_mutex_lock(&entry->customers_mutex);
+    bool drained = entry->draining && entry->sessions_count == 0;
+    pthread_mutex_unlock(&entry->customers_mutex);
+    return drained;
+}
+
+// Counts the requests of a customer that have no outcome yet; any thread.
+uint64_t
+entry_get_open_requests(struct entry *entry, const char *customer)
+{
+    uint64_t count = 0;
+
+    for (unsigned i = 0; i < entry->workers_count; i++) {
+        count += worker_get_open_requests(entry->workers[i], customer);
+    }
+    return count;
+}
+
+// ---- reports of the threads ----
+
+enum entry_report_kind {
+    ENTRY_REPORT_SUSPICION,
+    ENTRY_REPORT_REVOKED,
+    ENTRY_REPORT_DEMAND,
+};
+
+struct entry_report {
+    struct entry *entry;
+    enum entry_report_kind kind;
+    char database[CK_NAME_SIZE + 1];
+    uint64_t term;
+    struct ck_suspicion suspicion;
+    struct ck_demand *demands;
+    size_t demands_count;
+};
+
+static void
+entry_run_report(void *data)
+{
+    struct entry_report *report = data;
+    const struct entry_reports *reports = &report->entry->reports;
+
+    if (report->kind == ENTRY_REPORT_SUSPICION && reports->suspect != NULL) {
+        reports->suspect(reports->data, &report->suspicion);
+    }
+    if (report->kind == ENTRY_REPORT_REVOKED &&
+        reports->confirm_revoked != NULL) {
+        reports->confirm_revoked(reports->data, report->database,
+                                 report->term);
+    }
+    if (report->kind == ENTRY_REPORT_DEMAND && reports->demand != NULL) {
+        reports->demand(reports->data, report->database, report->demands,
+                        report->demands_count);
+    }
+    for (size_t i = 0; i < report->demands_count; i++) {
+        free(report->demands[i].upstream);
+    }
+    free(report->demands);
+    codec_free((xdrproc_t)xdr_ck_suspicion, &report->suspicion);
+    free(report);
+}
+
+static struct entry_report *
+entry_make_report(struct entry *entry, enum entry_report_kind kind,
+                  const char *database)
+{
+    struct entry_report *report = xcalloc(1, sizeof(*report));
+
+    report->entry = entry;
+    report->kind = kind;
+    strncpy(report->database, database, CK_NAME_SIZE);
+    return report;
+}
+
+// Reports a suspicion to the control loop; any thread.
+void
+entry_post_suspicion(struct entry *entry, const struct ck_suspicion *suspicion)
+{
+    struct entry_report *report =
+        entry_make_report(entry, ENTRY_REPORT_SUSPICION, suspicion->database);
+
+    codec_copy((xdrproc_t)xdr_ck_suspicion, suspicion, &report->suspicion,
+               sizeof(report->suspicion));
+    loop_post(entry->control_loop, entry_run_report, report);
+}
+
+// Reports that nothing of a term is acknowledged anymore; any thread.
+void
+entry_post_revoked(struct entry *entry, const char *database, uint64_t term)
+{
+    struct entry_report *report =
+        entry_make_report(entry, ENTRY_REPORT_REVOKED, database);
+
+    report->term = term;
+    loop_post(entry->control_loop, entry_run_report, report);
+}
+
+// Reports the demand of a database; any thread.
+void
+entry_post_demand(struct entry *entry, const char *database,
+                  const struct ck_demand *demands, size_t count)
+{
+    struct entry_report *report =
+        entry_make_report(entry, ENTRY_REPORT_DEMAND, database);
+
+    report->demands = xcalloc(count, sizeof(*demands));
+    report->demands_count = count;
+    for (size_t i = 0; i < count; i++) {
+        report->demands[i] = demands[i];
+        report->demands[i].upstream = xstrdup(demands[i].upstream);
+    }
+    loop_post(entry->control_loop, entry_run_report, report);
+}
--- a/src/catkingrade/entry/entry.h
+++ b/src/catkingrade/entry/entry.h
@@ -27,6 +27,9 @@
 struct entry *entry_create(const struct settings *settings,
                            struct loop *control_loop,
                            const struct entry_reports *reports);
+// Before entry_start, in place of the reports given at creation.
+void entry_set_reports(struct entry *entry,
+                       const struct entry_reports *reports);
 int entry_start(struct entry *entry);
 void entry_destroy(struct entry *entry);
 // Each may be called from any thread and copies or holds what it is given.
--- a/src/catkingrade/entry/view_file.c
+++ b/src/catkingrade/entry/view_file.c
@@ -210,14 +210,13 @@
     struct json_object *member =
         json_reader_get_object(reader, object, path, "base");
 
-    base->timeline = 1;
     if (member == NULL) {
         return;
     }
     (void)snprintf(base_path, sizeof(base_path), "%s.base", path);
     json_reader_check_keys(reader, member, base_path, view_file_base_keys);
     base->timeline = (uint64_t)json_reader_get_number(
-        reader, member, base_path, "timeline", 1, 0, INT64_MAX);
+        reader, member, base_path, "timeline", 0, 0, INT64_MAX);
     base->lsn = (uint64_t)json_reader_get_number(reader, member, base_path,
                                                  "lsn", 0, 0, INT64_MAX);
 }
--- /dev/null
+++ b/src/catkingrade/entry/worker.h
@@ -0,0 +1,81 @@
+#ifndef CATKINGRADE_ENTRY_WORKER_H
+#define CATKINGRADE_ENTRY_WORKER_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "catkingrade/decide/token.h"
+#include "catkingrade/entry/classify.h"
+#include "catkingrade/entry/database.h"
+#include "catkingrade/entry/entry.h"
+#include "catkingrade/entry/upstream_link.h"
+#include "catkingrade/kernel/loop.h"
+#include "catkingrade/kernel/settings.h"
+
+// One traffic thread.
+struct worker;
+
+// A protocol that callers speak: it listens on each worker's loop. Its
+// functions run on the worker's thread.
+struct entry_listener {
+    // Returns the listener's state, or NULL on failure.
+    void *(*start)(struct worker *worker);
+    // Closes the listening socket and ends idle sessions.
+    void (*drain)(void *state);
+    void (*stop)(void *state);
+};
+
+struct worker *worker_create(struct entry *entry, unsigned place);
+int worker_start(struct worker *worker);
+void worker_stop(struct worker *worker);
+void worker_destroy(struct worker *worker);
+struct loop *worker_get_loop(const struct worker *worker);
+struct entry *worker_get_entry(const struct worker *worker);
+unsigned worker_get_place(const struct worker *worker);
+struct classifier *worker_get_classifier(const struct worker *worker);
+const struct view *worker_get_view(const struct worker *worker);
+bool worker_is_draining(const struct worker *worker);
+void *worker_get_listener_state(const struct worker *worker);
+uint64_t worker_make_id(struct worker *worker);
+// Finds or makes the database; NULL when the view does not hold it.
+struct database *worker_open_database(struct worker *worker, const char *name);
+void worker_set_view(struct worker *worker, struct view *view);
+void worker_set_lease(struct worker *worker, const char *group,
+                      int64_t valid_until_us);
+void worker_revoke(struct worker *worker, const char *database, uint64_t term);
+void worker_set_quotas(struct worker *worker, const struct ck_quota *quotas,
+                       size_t count);
+void worker_drain(struct worker *worker);
+void worker_ask_demand(struct worker *worker);
+// Any thread.
+uint64_t worker_get_open_requests(struct worker *worker, const char *customer);
+
+// What the threads share; constant after entry_start.
+const struct settings *entry_get_settings(const struct entry *entry);
+const struct token_ring *entry_get_token_ring(const struct entry *entry);
+const struct upstream_driver *entry_get_driver(const struct entry *entry);
+const struct entry_listener *entry_get_listener(const struct entry *entry);
+const char *entry_get_upstream_password(const struct entry *entry);
+struct worker *entry_get_worker(struct entry *entry, unsigned place);
+unsigned entry_get_workers_count(const struct entry *entry);
+struct worker *entry_find_worker(struct entry *entry, const char *database);
+// Runs on the control loop what was given to entry_create.
+void entry_post_suspicion(struct entry *entry,
+                          const struct ck_suspicion *suspicion);
+void entry_post_revoked(struct entry *entry, const char *database,
+                        uint64_t term);
+void entry_post_demand(struct entry *entry, const char *database,
+                       const struct ck_demand *demands, size_t count);
+
+// Set these between entry_create and entry_start.
+void entry_set_driver(struct entry *entry,
+                      const struct upstream_driver *driver);
+void entry_set_listener(struct entry *entry,
+                        const struct entry_listener *listener);
+// Counts a session against the customer's limit; any thread.
+bool entry_admit_session(struct entry *entry, const char *customer,
+                         unsigned limit);
+void entry_leave_session(struct entry *entry, const char *customer);
+
+#endif
--- /dev/null
+++ b/src/catkingrade/plugins/libpq_encode.h
@@ -0,0 +1,17 @@
+#ifndef CATKINGRADE_PLUGINS_LIBPQ_ENCODE_H
+#define CATKINGRADE_PLUGINS_LIBPQ_ENCODE_H
+
+#include <libpq-fe.h>
+#include <stdint.h>
+
+#include "catkingrade/kernel/buffer.h"
+
+// Re-encodes results of libpq as backend messages.
+void libpq_encode_columns(const PGresult *result, int format,
+                          struct buffer *out);
+void libpq_encode_parameters(const PGresult *result, struct buffer *out);
+void libpq_encode_row(const PGresult *result, int row, struct buffer *out);
+void libpq_encode_report(const PGresult *result, char type,
+                         struct buffer *out);
+
+#endif
--- /dev/null
+++ b/src/catkingrade/plugins/libpq_upstream.c
@@ -0,0 +1,803 @@
+#include "catkingrade/plugins/libpq_upstream.h"
+
+#include <errno.h>
+#include <inttypes.h>
+#include <pthread.h>
+#include <stdatomic.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+
+#include "catkingrade/entry/upstream_sql.h"
+#include "catkingrade/kernel/memory.h"
+#include "catkingrade/plugins/libpq_encode.h"
+#include "catkingrade/plugins/libpq_link.h"
+#include "catkingrade/plugins/postgres_message.h"
+
+#define LIBPQ_MAX_PREPARED 128
+#define LIBPQ_MAX_CANCELS  8
+#define LIBPQ_PORT_SIZE    16
+
+static void libpq_link_handle_watch(void *data, unsigned events);
+static void libpq_link_run_phase(struct libpq_link *link,
+                                 enum libpq_phase phase);
+
+// Reads a log position X/Y in hexadecimal; one that is not valid is 0.
+void
+libpq_link_parse_position(const char *text, struct ck_position *position)
+{
+    uint64_t high = 0;
+    uint64_t low = 0;
+
+    if (sscanf(text, "%" SCNx64 "/%" SCNx64, &high, &low) == 2) {
+        position->lsn = high << 32 | low;
+    }
+}
+
+// Forgets which statements the connection has prepared.
+void
+libpq_link_forget_prepared(struct libpq_link *link)
+{
+    link->prepared_count = 0;
+}
+
+// ---- watching ----
+
+static void
+libpq_link_watch(struct libpq_link *link, unsigned events)
+{
+    int fd = PQsocket(link->conn);
+
+    if (link->watch != NULL && link->watch_fd == fd) {
+        loop_watch_set(link->watch, events);
+        return;
+    }
+    loop_watch_destroy(link->watch);
+    link->watch = loop_watch_create(link->loop, fd, events,
+                                    libpq_link_handle_watch, link);
+    link->watch_fd = fd;
+}
+
+// Sends what libpq has queued and watches for what is to come.
+static void
+libpq_link_flush(struct libpq_link *link)
+{
+    int left = PQflush(link->conn);
+
+    libpq_link_watch(link, left == 1 ? LOOP_READ | LOOP_WRITE : LOOP_READ);
+}
+
+// Makes the link fail from the loop, not from inside an operation.
+static void
+libpq_link_fail_later(struct libpq_link *link, enum upstream_fault fault)
+{
+    link->pending_fault = fault;
+    loop_timer_set(link->timer, loop_get_now_us(link->loop));
+}
+
+// ---- ends of operations; the event comes last: it may free the link ----
+
+// Tells the end of a job. A cut before the part that saves was sent has run
+// nothing: the upstream rolls an unfinished transaction back.
+static void
+libpq_link_finish_job(struct libpq_link *link, enum traffic_result result)
+{
+    struct job *job = link->job;
+
+    link->job = NULL;
+    if (result == TRAFFIC_RESULT_DONE && job->failed) {
+        result = TRAFFIC_RESULT_ERROR;
+    }
+    link->events->finished(link->data, job, result);
+}
+
+static bool
+libpq_phase_is_before_save(const struct libpq_link *link)
+{
+    switch (link->phase) {
+    case LIBPQ_PHASE_SETTINGS:
+    case LIBPQ_PHASE_KEY_BEGIN:
+    case LIBPQ_PHASE_KEY_INSERT:
+    case LIBPQ_PHASE_KEY_FIND:
+    case LIBPQ_PHASE_KEY_ANSWER:
+    case LIBPQ_PHASE_KEY_ROLLBACK:
+        return true;
+    case LIBPQ_PHASE_MAIN:
+    case LIBPQ_PHASE_PIPELINE:
+        return link->job->key[0] != '\0';
+    default:
+        return false;
+    }
+}
+
+// Handles the end of the connection, whatever it was doing.
+static void
+libpq_link_fail(struct libpq_link *link, enum upstream_fault fault)
+{
+    enum libpq_phase phase = link->phase;
+    bool before_save = libpq_phase_is_before_save(link);
+
+    loop_timer_clear(link->timer);
+    loop_watch_destroy(link->watch);
+    link->watch = NULL;
+    link->phase = LIBPQ_PHASE_DEAD;
+    switch (phase) {
+    case LIBPQ_PHASE_DEAD:
+        return;
+    case LIBPQ_PHASE_CONNECT:
+        link->events->opened(link->data, fault);
+        return;
+    case LIBPQ_PHASE_IDLE:
+        link->events->lost(link->data);
+        return;
+    case LIBPQ_PHASE_CHECK:
+        link->events->checked(link->data, fault);
+        return;
+    case LIBPQ_PHASE_SAMPLE:
+        link->sample.fault = fault;
+        link->events->sampled(link->data, &link->sample);
+        return;
+    default:
+        if (link->answered) {
+            // The answer is whole; the end of the connection is told next.
+            link->phase = LIBPQ_PHASE_IDLE;
+            libpq_link_fail_later(link, fault);
+            libpq_link_finish_job(link, TRAFFIC_RESULT_DONE);
+            return;
+        }
+        libpq_link_finish_job(link, before_save ? TRAFFIC_RESULT_NOT_SENT
+                                                : TRAFFIC_RESULT_CUT);
+        return;
+    }
+}
+
+static void
+libpq_link_handle_timer(void *data)
+{
+    struct libpq_link *link = data;
+
+    enum upstream_fault fault = link->pending_fault;
+    link->pending_fault = UPSTREAM_FAULT_NONE;
+    libpq_link_fail(link, fault == UPSTREAM_FAULT_NONE ? UPSTREAM_FAULT_SILENT
+                                                       : fault);
+}
+
+// ---- phases ----
+
+static bool
+libpq_link_send_query(struct libpq_link *link, const char *text)
+{
+    link->failed = false;
+    if (PQsendQuery(link->conn, text) != 1) {
+        return false;
+    }
+    libpq_link_flush(link);
+    return true;
+}
+
+static bool
+libpq_link_send_settings(struct libpq_link *link)
+{
+    char *text = xasprintf(
+        "RESET ALL;%s%s", link->prepared_count > 0 ? "DEALLOCATE ALL;" : "",
+        link->job->settings_text == NULL ? "" : link->job->settings_text);
+    bool sent = libpq_link_send_query(link, text);
+
+    libpq_link_forget_prepared(link);
+    free(text);
+    return sent;
+}
+
+// Sends a statement about the job's key. Literals are quoted by libpq.
+static bool
+libpq_link_send_key(struct libpq_link *link, const char *format,
+                    const char *answer)
+{
+    const char *key = link->job->key;
+    char *key_literal = PQescapeLiteral(link->conn, key, strlen(key));
+    char *answer_literal =
+        answer == NULL ? NULL
+                       : PQescapeLiteral(link->conn, answer, strlen(answer));
+    char text[1024];
+    bool sent = false;
+
+    if (key_literal != NULL && (answer == NULL || answer_literal != NULL)) {
+#pragma GCC diagnostic push
+#pragma GCC diagnostic ignored "-Wformat-nonliteral"
+        (void)snprintf(text, sizeof(text), format,
+                       answer == NULL ? key_literal : answer_literal,
+                       key_literal);
+#pragma GCC diagnostic pop
+        sent = libpq_link_send_query(link, text);
+    }
+    PQfreemem(key_literal);
+    PQfreemem(answer_literal);
+    return sent;
+}
+
+static bool
+libpq_link_send_phase(struct libpq_link *link)
+{
+    switch (link->phase) {
+    case LIBPQ_PHASE_SETTINGS:
+        return libpq_link_send_settings(link);
+    case LIBPQ_PHASE_KEY_BEGIN:
+        return libpq_link_send_query(link, UPSTREAM_SQL_KEY_BEGIN);
+    case LIBPQ_PHASE_KEY_INSERT:
+        return libpq_link_send_key(link, UPSTREAM_SQL_KEY_INSERT, NULL);
+    case LIBPQ_PHASE_KEY_FIND:
+        return libpq_link_send_key(link, UPSTREAM_SQL_KEY_FIND, NULL);
+    case LIBPQ_PHASE_KEY_ANSWER:
+        return libpq_link_send_key(link, UPSTREAM_SQL_KEY_ANSWER,
+                                   link->key_tag);
+    case LIBPQ_PHASE_KEY_COMMIT:
+        return libpq_link_send_query(link, UPSTREAM_SQL_KEY_COMMIT);
+    case LIBPQ_PHASE_KEY_ROLLBACK:
+        return libpq_link_send_query(link, UPSTREAM_SQL_KEY_ROLLBACK);
+    case LIBPQ_PHASE_MAIN:
+        return libpq_link_send_query(link, link->job->text);
+    case LIBPQ_PHASE_POSITION:
+        return libpq_link_send_query(link, UPSTREAM_SQL_POSITION);
+    case LIBPQ_PHASE_PIPELINE:
+        if (!libpq_pipeline_send(link)) {
+            return false;
+        }
+        libpq_link_flush(link);
+        return true;
+    default:
+        return false;
+    }
+}
+
+static void
+libpq_link_run_phase(struct libpq_link *link, enum libpq_phase phase)
+{
+    link->phase = phase;
+    if (!libpq_link_send_phase(link)) {
+        libpq_link_fail_later(link, UPSTREAM_FAULT_CUT);
+    }
+}
+
+static void
+libpq_link_run_main(struct libpq_link *link)
+{
+    const struct job *job = link->job;
+    bool simple = job->text != NULL && !job->one_statement;
+
+    libpq_link_run_phase(link,
+                         simple ? LIBPQ_PHASE_MAIN : LIBPQ_PHASE_PIPELINE);
+}
+
+static void
+libpq_link_run_after_settings(struct libpq_link *link)
+{
+    if (link->job->key[0] != '\0') {
+        libpq_link_run_phase(link, LIBPQ_PHASE_KEY_BEGIN);
+        return;
+    }
+    libpq_link_run_main(link);
+}
+
+// Ends a job whose answer is whole.
+static void
+libpq_link_end_job(struct libpq_link *link)
+{
+    struct job *job = link->job;
+
+    if (job->changes_settings) {
+        link->settings_hash = job->in_transaction || job->failed
+                                  ? JOB_SETTINGS_UNKNOWN
+                                  : job->settings_hash_after;
+    }
+    link->phase = LIBPQ_PHASE_IDLE;
+    libpq_link_finish_job(link, TRAFFIC_RESULT_DONE);
+}
+
+static char
+libpq_link_get_status(const struct libpq_link *link)
+{
+    switch (PQtransactionStatus(link->conn)) {
+    case PQTRANS_INTRANS:
+        return 'T';
+    case PQTRANS_INERROR:
+        return 'E';
+    default:
+        return 'I';
+    }
+}
+
+// The main part has ended: a save under a key goes on to its commit.
+static void
+libpq_link_end_main(struct libpq_link *link)
+{
+    struct job *job = link->job;
+
+    if (job->key[0] != '\0') {
+        libpq_link_run_phase(link, job->failed ? LIBPQ_PHASE_KEY_ROLLBACK
+                                               : LIBPQ_PHASE_KEY_ANSWER);
+        return;
+    }
+    if (link->phase == LIBPQ_PHASE_MAIN) {
+        job->transaction_status = libpq_link_get_status(link);
+        link->answered = true;
+        if (job->want_position && !job->failed &&
+            job->transaction_status == 'I') {
+            libpq_link_run_phase(link, LIBPQ_PHASE_POSITION);
+            return;
+        }
+    }
+    libpq_link_end_job(link);
+}
+
+// A statement about the key failed: its error is the answer.
+static void
+libpq_link_end_key_error(struct libpq_link *link)
+{
+    link->job->failed = true;
+    libpq_link_run_phase(link, LIBPQ_PHASE_KEY_ROLLBACK);
+}
+
+// Goes on to the phase after the one that has ended.
+static void
+libpq_link_end_phase(struct libpq_link *link)
+{
+    struct job *job = link->job;
+
+    switch (link->phase) {
+    case LIBPQ_PHASE_SETTINGS:
+        link->settings_hash =
+            link->failed ? JOB_SETTINGS_UNKNOWN : job->settings_hash;
+        libpq_link_run_after_settings(link);
+        return;
+    case LIBPQ_PHASE_KEY_BEGIN:
+        libpq_link_run_phase(link, LIBPQ_PHASE_KEY_INSERT);
+        return;
+    case LIBPQ_PHASE_KEY_INSERT:
+        if (link->failed) {
+            libpq_link_end_key_error(link);
+        }
+        else if (link->key_found) {
+            libpq_link_run_phase(link, LIBPQ_PHASE_KEY_FIND);
+        }
+        else {
+            libpq_link_run_main(link);
+        }
+        return;
+    case LIBPQ_PHASE_KEY_FIND:
+        libpq_link_run_phase(link, LIBPQ_PHASE_KEY_ROLLBACK);
+        return;
+    case LIBPQ_PHASE_KEY_ANSWER:
+        if (link->failed) {
+            libpq_link_end_key_error(link);
+            return;
+        }
+        libpq_link_run_phase(link, LIBPQ_PHASE_KEY_COMMIT);
+        return;
+    case LIBPQ_PHASE_KEY_COMMIT:
+    case LIBPQ_PHASE_KEY_ROLLBACK:
+        job->transaction_status = 'I';
+        link->answered = true;
+        if (!job->failed) {
+            libpq_link_run_phase(link, LIBPQ_PHASE_POSITION);
+            return;
+        }
+        libpq_link_end_job(link);
+        return;
+    case LIBPQ_PHASE_MAIN:
+    case LIBPQ_PHASE_PIPELINE:
+        libpq_link_end_main(link);
+        return;
+    case LIBPQ_PHASE_POSITION:
+        libpq_link_end_job(link);
+        return;
+    case LIBPQ_PHASE_CHECK:
+        loop_timer_clear(link->timer);
+        link->phase = LIBPQ_PHASE_IDLE;
+        link->events->checked(link->data, UPSTREAM_FAULT_NONE);
+        return;
+    case LIBPQ_PHASE_SAMPLE:
+        loop_timer_clear(link->timer);
+        link->phase = LIBPQ_PHASE_IDLE;
+        link->sample.round_trip_us =
+            monotonic_get_us() - link->sample.asked_at_us;
+        link->sample.fault =
+            link->failed ? UPSTREAM_FAULT_REFUSED : UPSTREAM_FAULT_NONE;
+        link->events->sampled(link->data, &link->sample);
+        return;
+    default:
+        return;
+    }
+}
+
+// ---- results of simple queries ----
+
+static void
+libpq_link_handle_main(struct libpq_link *link, PGresult *result)
+{
+    struct job *job = link->job;
+
+    switch (PQresultStatus(result)) {
+    case PGRES_TUPLES_OK:
+        libpq_encode_columns(result, -1, &job->answer);
+        for (int i = 0; i < PQntuples(result); i++) {
+            libpq_encode_row(result, i, &job->answer);
+        }
+        postgres_message_add_complete(&job->answer, PQcmdStatus(result));
+        break;
+    case PGRES_COMMAND_OK:
+        postgres_message_add_complete(&job->answer, PQcmdStatus(result));
+        break;
+    case PGRES_EMPTY_QUERY:
+        postgres_message_add_empty(&job->answer, 'I');
+        break;
+    default:
+        libpq_encode_report(result, 'E', &job->answer);
+        job->failed = true;
+        break;
+    }
+    strncpy(link->key_tag, PQcmdStatus(result), sizeof(link->key_tag) - 1);
+}
+
+static void
+libpq_link_handle_sample(struct libpq_link *link, const PGresult *result)
+{
+    if (PQntuples(result) != 1 || PQnfields(result) != 3) {
+        link->failed = true;
+        return;
+    }
+    link->sample.is_primary = PQgetvalue(result, 0, 0)[0] == 'f';
+    link->sample.position.timeline =
+        strtoull(PQgetvalue(result, 0, 1), NULL, 10);
+    libpq_link_parse_position(PQgetvalue(result, 0, 2),
+                              &link->sample.position);
+}
+
+// Handles one result of a statement of the system's own.
+static void
+libpq_link_handle_internal(struct libpq_link *link, PGresult *result)
+{
+    struct job *job = link->job;
+    ExecStatusType status = PQresultStatus(result);
+
+    if (status != PGRES_TUPLES_OK && status != PGRES_COMMAND_OK) {
+        link->failed = true;
+        if (job != NULL && link->phase != LIBPQ_PHASE_POSITION &&
+            link->phase != LIBPQ_PHASE_SETTINGS && !job->failed) {
+            buffer_clear(&job->answer);
+            libpq_encode_report(result, 'E', &job->answer);
+            job->failed = true;
+        }
+        return;
+    }
+    switch (link->phase) {
+    case LIBPQ_PHASE_KEY_INSERT:
+        link->key_found = strcmp(PQcmdTuples(result), "0") == 0;
+        break;
+    case LIBPQ_PHASE_KEY_FIND:
+        if (PQntuples(result) == 1) {
+            postgres_message_add_complete(&job->answer,
+                                          PQgetvalue(result, 0, 0));
+        }
+        break;
+    case LIBPQ_PHASE_POSITION:
+        if (PQntuples(result) == 1) {
+            libpq_link_parse_position(PQgetvalue(result, 0, 0),
+                                      &job->position);
+            job->position_known = true;
+        }
+        break;
+    case LIBPQ_PHASE_SAMPLE:
+        libpq_link_handle_sample(link, result);
+        break;
+    default:
+        break;
+    }
+}
+
+// Handles the results that have come. Returns whether the phase has ended.
+static bool
+libpq_link_read_results(struct libpq_link *link)
+{
+    while (PQisBusy(link->conn) == 0) {
+        PGresult *result = PQgetResult(link->conn);
+        if (result == NULL) {
+            return true;
+        }
+        ExecStatusType status = PQresultStatus(result);
+        if (status == PGRES_COPY_IN || status == PGRES_COPY_OUT ||
+            status == PGRES_COPY_BOTH) {
+            PQclear(result);
+            libpq_link_fail_later(link, UPSTREAM_FAULT_CUT);
+            return false;
+        }
+        if (link->phase == LIBPQ_PHASE_MAIN) {
+            libpq_link_handle_main(link, result);
+        }
+        else {
+            libpq_link_handle_internal(link, result);
+        }
+        PQclear(result);
+        if (PQstatus(link->conn) == CONNECTION_BAD) {
+            return false;
+        }
+    }
+    return false;
+}
+
+static void
+libpq_link_receive_notice(void *data, const PGresult *result)
+{
+    struct libpq_link *link = data;
+
+    if (link->phase == LIBPQ_PHASE_MAIN ||
+        link->phase == LIBPQ_PHASE_PIPELINE) {
+        libpq_encode_report(result, 'N', &link->job->answer);
+    }
+}
+
+// ---- connecting ----
+
+static bool
+libpq_link_is_silent_error(const char *text)
+{
+    static const int codes[] = {ETIMEDOUT, EHOSTUNREACH, ENETUNREACH};
+
+    for (size_t i = 0; i < ARRAY_SIZE(codes); i++) {
+        if (strstr(text, strerror(codes[i])) != NULL) {
+            return true;
+        }
+    }
+    return false;
+}
+
+static void
+libpq_link_poll_connect(struct libpq_link *link)
+{
+    // libpq may go on with another socket under the same number.
+    loop_watch_destroy(link->watch);
+    link->watch = NULL;
+    switch (PQconnectPoll(link->conn)) {
+    case PGRES_POLLING_READING:
+        libpq_link_watch(link, LOOP_READ);
+        return;
+    case PGRES_POLLING_WRITING:
+        libpq_link_watch(link, LOOP_WRITE);
+        return;
+    case PGRES_POLLING_OK:
+        loop_timer_clear(link->timer);
+        PQsetnonblocking(link->conn, 1);
+        libpq_link_watch(link, LOOP_READ);
+        link->phase = LIBPQ_PHASE_IDLE;
+        link->events->opened(link->data, UPSTREAM_FAULT_NONE);
+        return;
+    default:
+        libpq_link_fail(link,
+                        libpq_link_is_silent_error(PQerrorMessage(link->conn))
+                            ? UPSTREAM_FAULT_SILENT
+                            : UPSTREAM_FAULT_REFUSED);
+        return;
+    }
+}
+
+static void
+libpq_link_handle_watch(void *data, unsigned events)
+{
+    struct libpq_link *link = data;
+
+    if (link->phase == LIBPQ_PHASE_CONNECT) {
+        libpq_link_poll_connect(link);
+        return;
+    }
+    if ((events & LOOP_WRITE) != 0) {
+        libpq_link_flush(link);
+    }
+    if ((events & (LOOP_READ | LOOP_ERROR)) == 0) {
+        return;
+    }
+    bool alive = PQconsumeInput(link->conn) == 1;
+    if (link->phase == LIBPQ_PHASE_IDLE) {
+        PQisBusy(link->conn); // takes in notices and parameters
+        if (!alive || PQstatus(link->conn) == CONNECTION_BAD) {
+            libpq_link_fail(link, UPSTREAM_FAULT_CUT);
+        }
+        return;
+    }
+    bool ended = link->phase == LIBPQ_PHASE_PIPELINE
+                     ? libpq_pipeline_read(link)
+                     : libpq_link_read_results(link);
+    if (PQstatus(link->conn) == CONNECTION_BAD) {
+        libpq_link_fail(link, UPSTREAM_FAULT_CUT);
+        return;
+    }
+    if (ended) {
+        libpq_link_end_phase(link);
+    }
+}
+
+// ---- operations ----
+
+// Returns whether the upstream has closed its side while the link was idle:
+// then no byte of a request has reached it.
+static bool
+libpq_link_is_closed(const struct libpq_link *link)
+{
+    char byte;
+    int fd = PQsocket(link->conn);
+    ssize_t size = recv(fd, &byte, sizeof(byte), MSG_PEEK | MSG_DONTWAIT);
+
+    if (size > 0 && PQconsumeInput(link->conn) == 1) {
+        size = recv(fd, &byte, sizeof(byte), MSG_PEEK | MSG_DONTWAIT);
+    }
+    return size == 0 || PQstatus(link->conn) == CONNECTION_BAD ||
+           (size < 0 && errno != EAGAIN && errno != EINTR);
+}
+
+static void
+libpq_link_run(struct upstream_link *base, struct job *job)
+{
+    struct libpq_link *link = (struct libpq_link *)base;
+    bool settings_differ = link->settings_hash != job->settings_hash ||
+                           link->prepared_count > LIBPQ_MAX_PREPARED;
+
+    INVARIANT(link->phase == LIBPQ_PHASE_IDLE);
+    link->job = job;
+    link->key_found = false;
+    link->answered = false;
+    job->transaction_status = libpq_link_get_status(link);
+    if (libpq_link_is_closed(link)) {
+        // Reported as NOT_SENT, from the loop.
+        link->phase = LIBPQ_PHASE_SETTINGS;
+        libpq_link_fail_later(link, UPSTREAM_FAULT_CUT);
+        return;
+    }
+    if (settings_differ && !job->in_transaction) {
+        libpq_link_run_phase(link, LIBPQ_PHASE_SETTINGS);
+        return;
+    }
+    libpq_link_run_after_settings(link);
+}
+
+static void
+libpq_link_check(struct libpq_link *link, const char *text)
+{
+    INVARIANT(link->phase == LIBPQ_PHASE_IDLE);
+    link->phase = LIBPQ_PHASE_CHECK;
+    loop_timer_set(link->timer, monotonic_get_us() + link->check_timeout_us);
+    if (!libpq_link_send_query(link, text)) {
+        libpq_link_fail_later(link, UPSTREAM_FAULT_CUT);
+    }
+}
+
+static void
+libpq_link_reset(struct upstream_link *base)
+{
+    struct libpq_link *link = (struct libpq_link *)base;
+
+    libpq_link_forget_prepared(link);
+    link->settings_hash = 0;
+    libpq_link_check(link, UPSTREAM_SQL_RESET);
+}
+
+static void
+libpq_link_prove(struct upstream_link *base)
+{
+    libpq_link_check((struct libpq_link *)base, UPSTREAM_SQL_PROVE);
+}
+
+static void
+libpq_link_sample(struct upstream_link *base)
+{
+    struct libpq_link *link = (struct libpq_link *)base;
+
+    INVARIANT(link->phase == LIBPQ_PHASE_IDLE);
+    memset(&link->sample, 0, sizeof(link->sample));
+    link->phase = LIBPQ_PHASE_SAMPLE;
+    link->sample.asked_at_us = monotonic_get_us();
+    loop_timer_set(link->timer,
+                   link->sample.asked_at_us + link->check_timeout_us);
+    if (!libpq_link_send_query(link, UPSTREAM_SQL_SAMPLE)) {
+        libpq_link_fail_later(link, UPSTREAM_FAULT_CUT);
+    }
+}
+
+static atomic_uint libpq_cancels_count;
+
+static void *
+libpq_cancel_run(void *data)
+{
+    char error[256];
+
+    (void)PQcancel(data, error, sizeof(error));
+    PQfreeCancel(data);
+    atomic_fetch_sub(&libpq_cancels_count, 1);
+    return NULL;
+}
+
+// libpq's cancel blocks, so it runs on a thread of its own; a bounded number
+// at once. One that is left out lets its statement run to its end.
+static void
+libpq_link_cancel(struct upstream_link *base)
+{
+    struct libpq_link *link = (struct libpq_link *)base;
+    PGcancel *cancel = link->job == NULL ? NULL : PQgetCancel(link->conn);
+    pthread_t thread;
+
+    if (cancel == NULL) {
+        return;
+    }
+    if (atomic_fetch_add(&libpq_cancels_count, 1) >= LIBPQ_MAX_CANCELS ||
+        pthread_create(&thread, NULL, libpq_cancel_run, cancel) != 0) {
+        atomic_fetch_sub(&libpq_cancels_count, 1);
+        PQfreeCancel(cancel);
+        return;
+    }
+    pthread_detach(thread);
+}
+
+static void
+libpq_link_close(struct upstream_link *base)
+{
+    struct libpq_link *link = (struct libpq_link *)base;
+
+    loop_watch_destroy(link->watch);
+    loop_timer_destroy(link->timer);
+    PQfinish(link->conn);
+    free(link->prepared);
+    free(link->commands);
+    free(link);
+}
+
+static const struct upstream_link_ops libpq_link_ops = {
+    .run = libpq_link_run,
+    .reset = libpq_link_reset,
+    .prove = libpq_link_prove,
+    .sample = libpq_link_sample,
+    .cancel = libpq_link_cancel,
+    .close = libpq_link_close,
+};
+
+// Begins to open a connection.
+static struct upstream_link *
+libpq_link_open(struct loop *loop, const struct upstream_target *target,
+                const struct upstream_link_events *events, void *data)
+{
+    struct libpq_link *link = xcalloc(1, sizeof(*link));
+    char port[LIBPQ_PORT_SIZE];
+    const char *keys[] = {
+        "hostaddr", "port",       "dbname",           "user", "password",
+        "sslmode",  "gssencmode", "application_name", NULL};
+
+    (void)snprintf(port, sizeof(port), "%u", target->port);
+    const char *values[] = {target->host,
+                            port,
+                            target->database,
+                            target->user,
+                            target->password,
+                            target->sslmode,
+                            "disable",
+                            "catkingrade",
+                            NULL};
+    link->base.ops = &libpq_link_ops;
+    link->loop = loop;
+    link->events = events;
+    link->data = data;
+    link->phase = LIBPQ_PHASE_CONNECT;
+    link->watch_fd = -1;
+    link->check_timeout_us = target->check_timeout_us;
+    link->timer = loop_timer_create(loop, libpq_link_handle_timer, link);
+    link->conn = PQconnectStartParams(keys, values, 0);
+    if (link->conn == NULL || PQstatus(link->conn) == CONNECTION_BAD) {
+        libpq_link_fail_later(link, UPSTREAM_FAULT_REFUSED);
+        return &link->base;
+    }
+    PQsetNoticeReceiver(link->conn, libpq_link_receive_notice, link);
+    loop_timer_set(link->timer,
+                   monotonic_get_us() + target->connect_timeout_us);
+    libpq_link_watch(link, LOOP_WRITE);
+    return &link->base;
+}
+
+const struct upstream_driver libpq_upstream_driver = {
+    .open = libpq_link_open,
+};
--- /dev/null
+++ b/src/catkingrade/plugins/postgres_listener.c
@@ -0,0 +1,311 @@
+#include "catkingrade/plugins/postgres_listener.h"
+
+#include <arpa/inet.h>
+#include <errno.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "catkingrade/entry/entry.h"
+#include "catkingrade/kernel/daemon.h"
+#include "catkingrade/kernel/log.h"
+#include "catkingrade/kernel/memory.h"
+#include "catkingrade/kernel/outcome.h"
+#include "catkingrade/kernel/plugin.h"
+#include "catkingrade/plugins/libpq_upstream.h"
+#include "catkingrade/plugins/postgres_session.h"
+
+#define LISTENER_BACKLOG     1024
+#define LISTENER_ACCEPT_MAX  64 // connections of one turn
+#define LISTENER_PLACE_SHIFT 24 // of the worker in a cancel key
+#define LISTENER_ID_MASK     0xffffff
+
+// ---- sockets ----
+
+static socklen_t
+listener_fill_address(const struct settings_address *address,
+                      struct sockaddr_storage *out)
+{
+    struct sockaddr_in *v4 = (struct sockaddr_in *)out;
+    struct sockaddr_in6 *v6 = (struct sockaddr_in6 *)out;
+
+    memset(out, 0, sizeof(*out));
+    if (inet_pton(AF_INET, address->host, &v4->sin_addr) == 1) {
+        v4->sin_family = AF_INET;
+        v4->sin_port = htons(address->port);
+        return sizeof(*v4);
+    }
+    (void)inet_pton(AF_INET6, address->host, &v6->sin6_addr);
+    v6->sin6_family = AF_INET6;
+    v6->sin6_port = htons(address->port);
+    return sizeof(*v6);
+}
+
+// Opens a listening socket; each thread has its own on the same address.
+// Returns -1 with a line logged on failure.
+static int
+listener_open_socket(const struct settings_address *address)
+{
+    struct sockaddr_storage place;
+    socklen_t size = listener_fill_address(address, &place);
+    int on = 1;
+    int fd =
+        socket(place.ss_family, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+
+    if (fd >= 0 &&
+        setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on)) == 0 &&
+        setsockopt(fd, SOL_SOCKET, SO_REUSEPORT, &on, sizeof(on)) == 0 &&
+        bind(fd, (struct sockaddr *)&place, size) == 0 &&
+        listen(fd, LISTENER_BACKLOG) == 0) {
+        return fd;
+    }
+    LOG_ERROR("listen_failed", "address=%s port=%u error=%s", address->host,
+              (unsigned)address->port, strerror(errno));
+    if (fd >= 0) {
+        close(fd);
+    }
+    return -1;
+}
+
+static void
+listener_accept(void *data, unsigned events)
+{
+    struct postgres_listener *listener = data;
+    int on = 1;
+
+    (void)events;
+    for (int i = 0; i < LISTENER_ACCEPT_MAX; i++) {
+        int fd =
+            accept4(listener->fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
+        if (fd < 0) {
+            return;
+        }
+        (void)setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+        (void)setsockopt(fd, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof(on));
+        (void)postgres_session_create(listener, fd);
+    }
+}
+
+// ---- the listener of a thread ----
+
+static void *
+listener_start(struct worker *worker)
+{
+    const struct settings *settings =
+        entry_get_settings(worker_get_entry(worker));
+    struct postgres_listener *listener = xcalloc(1, sizeof(*listener));
+
+    listener->worker = worker;
+    listener->fd = listener_open_socket(&settings->postgres);
+    if (listener->fd < 0) {
+        free(listener);
+        return NULL;
+    }
+    if (settings->tls_cert_file[0] != '\0') {
+        listener->tls = postgres_transport_create_context(settings);
+        if (listener->tls == NULL) {
+            close(listener->fd);
+            free(listener);
+            return NULL;
+        }
+    }
+    listener->watch = loop_watch_create(worker_get_loop(worker), listener->fd,
+                                        LOOP_READ, listener_accept, listener);
+    return listener;
+}
+
+static void
+listener_close_socket(struct postgres_listener *listener)
+{
+    loop_watch_destroy(listener->watch);
+    listener->watch = NULL;
+    if (listener->fd >= 0) {
+        close(listener->fd);
+        listener->fd = -1;
+    }
+}
+
+static void
+listener_drain(void *state)
+{
+    struct postgres_listener *listener = state;
+    struct postgres_session *session = listener->sessions;
+
+    listener->draining = true;
+    listener_close_socket(listener);
+    while (session != NULL) {
+        struct postgres_session *next = session->next;
+        postgres_session_end(session);
+        session = next;
+    }
+}
+
+static void
+listener_stop(void *state)
+{
+    struct postgres_listener *listener = state;
+
+    listener_close_socket(listener);
+    while (listener->sessions != NULL) {
+        postgres_session_destroy(listener->sessions);
+    }
+    SSL_CTX_free(listener->tls);
+    free(listener);
+}
+
+// ---- cancel requests ----
+
+// Returns the id of a session's cancel key: its thread and its number there.
+uint32_t
+postgres_listener_make_key_id(const struct postgres_session *session)
+{
+    unsigned place = worker_get_place(session->listener->worker);
+
+    return (uint32_t)place << LISTENER_PLACE_SHIFT |
+           (uint32_t)(session->base.id & LISTENER_ID_MASK);
+}
+
+static void
+listener_cancel(void *state, uint32_t key_id, uint32_t key_secret)
+{
+    struct postgres_listener *listener = state;
+
+    for (struct postgres_session *session = listener->sessions;
+         session != NULL; session = session->next) {
+        if (session->key_secret == key_secret &&
+            session->base.database != NULL &&
+            postgres_listener_make_key_id(session) == key_id) {
+            if (session->request != NULL) {
+                database_cancel(session->base.database, session->request);
+            }
+            return;
+        }
+    }
+}
+
+struct listener_cancel_message {
+    struct worker *worker;
+    uint32_t key_id;
+    uint32_t key_secret;
+};
+
+static void
+listener_run_cancel(void *data)
+{
+    struct listener_cancel_message *message = data;
+    void *state = worker_get_listener_state(message->worker);
+
+    if (state != NULL) {
+        listener_cancel(state, message->key_id, message->key_secret);
+    }
+    free(message);
+}
+
+// Cancels the request of the session with this key, on whatever thread.
+void
+postgres_listener_cancel(struct entry *entry, uint32_t key_id,
+                         uint32_t key_secret)
+{
+    unsigned place = key_id >> LISTENER_PLACE_SHIFT;
+
+    if (place >= entry_get_workers_count(entry)) {
+        return;
+    }
+    struct listener_cancel_message *message = xcalloc(1, sizeof(*message));
+    message->worker = entry_get_worker(entry, place);
+    message->key_id = key_id;
+    message->key_secret = key_secret;
+    loop_post(worker_get_loop(message->worker), listener_run_cancel, message);
+}
+
+static const struct entry_listener postgres_entry_listener = {
+    .start = listener_start,
+    .drain = listener_drain,
+    .stop = listener_stop,
+};
+
+// ---- the plug-in ----
+
+static bool
+postgres_wants(const struct settings *settings)
+{
+    return (settings->roles & SETTINGS_ROLE_ENTRY) != 0;
+}
+
+// Puts a static view in force, with leases that don't end: without control
+// nobody else decides.
+static int
+postgres_load_view(struct daemon *daemon)
+{
+    struct buffer errors = {0};
+    struct view *view = view_load(daemon->settings->view_file, &errors);
+
+    if (view == NULL) {
+        LOG_ERROR("view_invalid", "%.*s", (int)buffer_get_size(&errors),
+                  (const char *)buffer_get_data(&errors));
+        buffer_free(&errors);
+        return OUTCOME_INVALID;
+    }
+    entry_post_view(daemon->entry, view);
+    for (size_t i = 0; i < view_get_databases_count(view); i++) {
+        entry_post_lease(daemon->entry, view_get_database(view, i)->group,
+                         INT64_MAX);
+    }
+    view_release(view);
+    return OUTCOME_OK;
+}
+
+static int
+postgres_start(struct daemon *daemon)
+{
+    if (daemon->entry == NULL) {
+        daemon->entry =
+            entry_create(daemon->settings, daemon->control_loop, NULL);
+    }
+    if (daemon->entry == NULL) {
+        return OUTCOME_INVALID;
+    }
+    entry_set_driver(daemon->entry, &libpq_upstream_driver);
+    entry_set_listener(daemon->entry, &postgres_entry_listener);
+    if (daemon->settings->view_file[0] != '\0') {
+        int outcome = postgres_load_view(daemon);
+        if (outcome != OUTCOME_OK) {
+            return outcome;
+        }
+    }
+    return entry_start(daemon->entry);
+}
+
+static void
+postgres_drain(struct daemon *daemon)
+{
+    entry_drain(daemon->entry);
+}
+
+static bool
+postgres_is_drained(struct daemon *daemon)
+{
+    return entry_is_drained(daemon->entry);
+}
+
+static void
+postgres_stop(struct daemon *daemon)
+{
+    entry_destroy(daemon->entry);
+    daemon->entry = NULL;
+}
+
+static const struct plugin postgres_plugin = {
+    .name = "postgres",
+    .order = 30,
+    .wants = postgres_wants,
+    .start = postgres_start,
+    .drain = postgres_drain,
+    .is_drained = postgres_is_drained,
+    .stop = postgres_stop,
+};
+
+PLUGIN_REGISTER(postgres_plugin)
--- /dev/null
+++ b/src/catkingrade/plugins/postgres_query.c
@@ -0,0 +1,500 @@
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+#include <xxhash.h>
+
+#include "catkingrade/kernel/memory.h"
+#include "catkingrade/kernel/outcome.h"
+#include "catkingrade/plugins/postgres_message.h"
+#include "catkingrade/plugins/postgres_session.h"
+
+#define QUERY_US_PER_MS       1000
+#define QUERY_DETAIL_SIZE     160
+#define QUERY_MAX_SETTINGS    8192 // bytes of a session's SET statements
+#define QUERY_SETTINGS_AGE_US (INT64_C(3600) * 1000000)
+
+// ---- requests ----
+
+// Creates a request with what the session has set for its requests.
+struct entry_request *
+postgres_request_create(struct postgres_session *session)
+{
+    struct entry_request *request = xcalloc(1, sizeof(*request));
+    const struct postgres_variables *variables = session->variables;
+
+    request->session = &session->base;
+    request->traffic.max_age_us = -1;
+    if (variables != NULL) {
+        request->traffic.max_age_us = variables->max_age_us;
+        request->traffic.repeatable = variables->repeatable;
+        memcpy(request->traffic.type, variables->type,
+               sizeof(request->traffic.type));
+        if (variables->deadline_us > 0) {
+            request->traffic.deadline_us =
+                monotonic_get_us() + variables->deadline_us;
+        }
+    }
+    return request;
+}
+
+// Applies what a leading comment of the statement says.
+void
+postgres_request_apply_hints(struct postgres_session *session,
+                             struct entry_request *request,
+                             const struct classification *hints)
+{
+    struct traffic_request *traffic = &request->traffic;
+    const char *key = hints->hint_key;
+
+    if (hints->hint_type[0] != '\0') {
+        (void)snprintf(traffic->type, sizeof(traffic->type), "%s",
+                       hints->hint_type);
+    }
+    if (hints->hint_max_age_ms >= 0) {
+        traffic->max_age_us = hints->hint_max_age_ms * QUERY_US_PER_MS;
+    }
+    if (hints->hint_deadline_ms > 0) {
+        traffic->deadline_us =
+            monotonic_get_us() + hints->hint_deadline_ms * QUERY_US_PER_MS;
+    }
+    if (hints->hint_repeatable >= 0) {
+        traffic->repeatable = hints->hint_repeatable != 0;
+    }
+    if (key[0] == '\0' && session->variables != NULL) {
+        key = session->variables->key;
+    }
+    (void)snprintf(request->job.key, sizeof(request->job.key), "%s", key);
+}
+
+// Returns the class of a request with one statement of a kind, in the
+// session's present state.
+enum traffic_class
+postgres_request_get_class(const struct postgres_session *session,
+                           enum classify_kind kind)
+{
+    bool in_transaction = postgres_session_in_transaction(session);
+
+    if (kind == CLASSIFY_COMMIT || kind == CLASSIFY_ROLLBACK) {
+        // Outside a transaction it is only a warning.
+        if (!in_transaction) {
+            return TRAFFIC_READ;
+        }
+        return kind == CLASSIFY_COMMIT ? TRAFFIC_COMMIT : TRAFFIC_ROLLBACK;
+    }
+    if (in_transaction) {
+        return TRAFFIC_IN_TRANSACTION;
+    }
+    switch (kind) {
+    case CLASSIFY_BEGIN:
+        return TRAFFIC_BEGIN;
+    case CLASSIFY_BEGIN_READ_ONLY:
+        return TRAFFIC_BEGIN_READ_ONLY;
+    case CLASSIFY_READ:
+    case CLASSIFY_SET:
+    case CLASSIFY_EMPTY:
+    case CLASSIFY_SAVEPOINT:
+        return TRAFFIC_READ;
+    default:
+        return TRAFFIC_WRITE;
+    }
+}
+
+// Hands a request to the session's database. The session waits for its
+// outcome, which may come before this returns.
+void
+postgres_request_submit(struct postgres_session *session,
+                        struct entry_request *request,
+                        enum traffic_class request_class)
+{
+    struct job *job = &request->job;
+
+    request->traffic.request_class = request_class;
+    job->in_transaction = postgres_session_in_transaction(session);
+    job->want_position =
+        request_class == TRAFFIC_WRITE || request_class == TRAFFIC_COMMIT;
+    if (request_class != TRAFFIC_WRITE) {
+        job->key[0] = '\0';
+    }
+    request->traffic.has_key = job->key[0] != '\0';
+    job->settings_hash = session->settings_hash;
+    if (session->settings_text != NULL) {
+        job->settings_text = xstrdup(session->settings_text);
+    }
+    if (job->changes_settings && request_class == TRAFFIC_READ) {
+        request->traffic.max_age_us = QUERY_SETTINGS_AGE_US;
+    }
+    session->request = request;
+    session->state = POSTGRES_STATE_BUSY;
+    database_submit(session->base.database, request);
+}
+
+// ---- settings of the session ----
+//
+// SET outside a transaction runs on any upstream, to be checked there, and is
+// then replayed on every connection that the session uses next. Connections
+// remember the hash of the settings that they carry. Within a transaction it
+// counts once the transaction has committed.
+
+static void
+postgres_settings_append(char **settings, const char *text)
+{
+    char *joined =
+        xasprintf("%s%s;", *settings == NULL ? "" : *settings, text);
+
+    free(*settings);
+    *settings = joined;
+}
+
+// Notes on a request that it runs a SET statement.
+void
+postgres_request_add_setting(struct entry_request *request, const char *text)
+{
+    struct postgres_session *session =
+        (struct postgres_session *)request->session;
+
+    request->job.changes_settings = true;
+    if (strncasecmp(text, "SET LOCAL", strlen("SET LOCAL")) == 0 ||
+        strncasecmp(text, "SET TRANSACTION", strlen("SET TRANSACTION")) == 0) {
+        return;
+    }
+    postgres_settings_append(&session->settings_pending, text);
+    char *joined = xasprintf(
+        "%s%s", session->settings_text == NULL ? "" : session->settings_text,
+        session->settings_pending);
+    request->job.settings_hash_after = XXH3_64bits(joined, strlen(joined));
+    free(joined);
+}
+
+static void
+postgres_settings_end(struct postgres_session *session, bool keep)
+{
+    char *pending = session->settings_pending;
+
+    if (pending == NULL) {
+        return;
+    }
+    session->settings_pending = NULL;
+    if (keep) {
+        char *joined = xasprintf(
+            "%s%s",
+            session->settings_text == NULL ? "" : session->settings_text,
+            pending);
+        free(session->settings_text);
+        session->settings_text = joined;
+        session->settings_hash = XXH3_64bits(joined, strlen(joined));
+    }
+    free(pending);
+}
+
+// Keeps or drops pending settings after a request.
+static void
+postgres_settings_finish(struct postgres_session *session,
+                         const struct entry_request *request)
+{
+    bool rolled_back = request->traffic.request_class == TRAFFIC_ROLLBACK ||
+                       request->job.failed || session->lost;
+
+    if (session->status == 'I') {
+        postgres_settings_end(session, !rolled_back);
+    }
+}
+
+static bool
+postgres_query_has_word(const char *text, const char *word)
+{
+    while (*text == ' ' || *text == '\n' || *text == '\t' || *text == '(') {
+        text++;
+    }
+    return strncasecmp(text, word, strlen(word)) == 0;
+}
+
+// Returns why a statement can't be served over pooled connections, or NULL.
+static const char *
+postgres_query_find_refusal(const struct postgres_session *session,
+                            enum classify_kind kind, const char *text)
+{
+    static const char *const words[] = {"LISTEN", "UNLISTEN", "PREPARE",
+                                        "EXECUTE", "DEALLOCATE"};
+
+    if (kind == CLASSIFY_COPY) {
+        return "COPY is not supported";
+    }
+    if (kind != CLASSIFY_SET && kind != CLASSIFY_WRITE) {
+        return NULL;
+    }
+    for (size_t i = 0; i < ARRAY_SIZE(words); i++) {
+        if (postgres_query_has_word(text, words[i])) {
+            return "statements that live in one connection are not supported; "
+                   "use the protocol's prepared statements";
+        }
+    }
+    if (kind == CLASSIFY_SET && session->settings_text != NULL &&
+        strlen(session->settings_text) + strlen(text) > QUERY_MAX_SETTINGS) {
+        return "too many settings in one session";
+    }
+    return NULL;
+}
+
+// Appends an error for a statement that isn't supported. Returns whether it
+// did.
+bool
+postgres_query_is_refused(struct postgres_session *session,
+                          enum classify_kind kind, const char *text)
+{
+    const char *refusal = postgres_query_find_refusal(session, kind, text);
+
+    if (refusal == NULL) {
+        return false;
+    }
+    postgres_message_add_error(&session->out, "ERROR", SQLSTATE_NOT_SUPPORTED,
+                               "outcome=not_run", "%s", refusal);
+    return true;
+}
+
+// ---- simple queries ----
+
+static void
+postgres_query_end_local(struct postgres_session *session)
+{
+    postgres_message_add_ready(&session->out, session->status);
+}
+
+// Answers a statement of a session whose transaction has failed at the entry:
+// only its end is accepted.
+static void
+postgres_query_handle_lost(struct postgres_session *session,
+                           enum classify_kind kind)
+{
+    if (kind == CLASSIFY_COMMIT || kind == CLASSIFY_ROLLBACK) {
+        session->lost = false;
+        session->status = 'I';
+        postgres_message_add_complete(&session->out, "ROLLBACK");
+    }
+    else {
+        postgres_message_add_error(
+            &session->out, "ERROR", SQLSTATE_FAILED_TRANSACTION, NULL,
+            "current transaction is aborted, commands ignored until end of "
+            "transaction block");
+    }
+    postgres_query_end_local(session);
+}
+
+static bool
+postgres_query_answer_local(struct postgres_session *session,
+                            const struct classification *class)
+{
+    switch (class->kind) {
+    case CLASSIFY_SET_CATKINGRADE:
+        (void)postgres_variables_set(session, class->name, class->value,
+                                     &session->out);
+        return true;
+    case CLASSIFY_SHOW_CATKINGRADE:
+        (void)postgres_variables_show(session, class->name, true,
+                                      &session->out);
+        return true;
+    case CLASSIFY_EMPTY:
+        postgres_message_add_empty(&session->out, 'I');
+        return true;
+    default:
+        return false;
+    }
+}
+
+// Returns whether a text resets all settings of the session.
+static bool
+postgres_query_resets_settings(const char *text)
+{
+    return postgres_query_has_word(text, "DISCARD ALL") ||
+           postgres_query_has_word(text, "RESET ALL");
+}
+
+// Handles a simple query.
+void
+postgres_query_handle(struct postgres_session *session, const char *text)
+{
+    struct classifier *classifier =
+        worker_get_classifier(postgres_session_get_worker(session));
+    const struct classification *class =
+        classifier_get(classifier, text, strlen(text));
+
+    if (session->lost) {
+        postgres_query_handle_lost(session, class->kind);
+        return;
+    }
+    if (postgres_query_answer_local(session, class) ||
+        postgres_query_is_refused(session, class->kind, text)) {
+        postgres_query_end_local(session);
+        return;
+    }
+    struct entry_request *request = postgres_request_create(session);
+    enum classify_kind kind = class->statements > 1 && class->only_reads
+                                  ? CLASSIFY_READ
+                                  : class->kind;
+    postgres_request_apply_hints(session, request, class);
+    request->job.text = xstrdup(text);
+    request->job.one_statement = class->statements == 1;
+    if (!request->job.one_statement) {
+        request->job.key[0] = '\0';
+    }
+    if (kind == CLASSIFY_SET) {
+        if (postgres_query_resets_settings(text)) {
+            free(session->settings_text);
+            session->settings_text = NULL;
+            session->settings_hash = 0;
+            request->job.text[0] = '\0';
+            free(request->job.text);
+            request->job.text = xstrdup("RESET ALL");
+        }
+        else {
+            postgres_request_add_setting(request, text);
+        }
+    }
+    session->ends_with_sync = true;
+    postgres_request_submit(session, request,
+                            postgres_request_get_class(session, kind));
+}
+
+// ---- outcomes ----
+
+static struct postgres_session *
+postgres_answer_begin(struct entry_session *base,
+                      struct entry_request *request)
+{
+    struct postgres_session *session = (struct postgres_session *)base;
+
+    INVARIANT(session->request == request);
+    session->request = NULL;
+    session->state = POSTGRES_STATE_READY;
+    if (request->upstream[0] != '\0') {
+        memcpy(session->route_upstream, request->upstream,
+               sizeof(session->route_upstream));
+        session->route_on_replica = request->on_replica;
+        session->route_reason = request->reason;
+    }
+    return session;
+}
+
+// Ends a request's answer and goes on with the next message.
+static void
+postgres_answer_end(struct postgres_session *session,
+                    const struct entry_request *request, bool whole)
+{
+    postgres_settings_finish(session, request);
+    if (request->job.text == NULL) {
+        postgres_extended_end_batch(session, whole ? &request->job : NULL);
+    }
+    if (session->status == 'I') {
+        postgres_names_drop_portals(session);
+    }
+    if (session->ends_with_sync) {
+        postgres_message_add_ready(&session->out, session->status);
+        session->skips_to_sync = false;
+    }
+    if (!session->continuing) {
+        postgres_session_continue(session);
+    }
+}
+
+// Passes a whole answer on. The floor after a commit goes with it as a token.
+void
+postgres_answer_done(struct entry_session *base, struct entry_request *request,
+                     bool warning)
+{
+    struct postgres_session *session = postgres_answer_begin(base, request);
+    const struct job *job = &request->job;
+    bool saved = request->traffic.request_class == TRAFFIC_WRITE ||
+                 request->traffic.request_class == TRAFFIC_COMMIT;
+
+    buffer_append(&session->out, buffer_get_data(&job->answer),
+                  buffer_get_size(&job->answer));
+    if (warning) {
+        postgres_message_add_warning(
+            &session->out, SQLSTATE_WARNING,
+            "the save is not confirmed by replicas yet");
+    }
+    session->status = job->transaction_status;
+    if (saved && !job->failed && session->status == 'I') {
+        postgres_variables_add_token(session, &session->out);
+    }
+    postgres_answer_end(session, request, true);
+}
+
+// Rolls a transaction back whose connection may still hold it.
+static void
+postgres_answer_roll_back(struct postgres_session *session)
+{
+    struct entry_request *request = xcalloc(1, sizeof(*request));
+
+    request->traffic.session = session->base.id;
+    request->traffic.request_class = TRAFFIC_ROLLBACK;
+    request->traffic.max_age_us = -1;
+    request->job.text = xstrdup("ROLLBACK");
+    request->job.one_statement = true;
+    request->job.in_transaction = true;
+    database_submit(session->base.database, request);
+}
+
+// A transaction whose request was refused or is unknown is over; the session
+// learns it at its next statement.
+static void
+postgres_answer_lose_transaction(struct postgres_session *session,
+                                 const struct entry_request *request)
+{
+    enum traffic_class class = request->traffic.request_class;
+
+    if (class == TRAFFIC_COMMIT || class == TRAFFIC_ROLLBACK) {
+        session->status = 'I';
+        postgres_answer_roll_back(session);
+        return;
+    }
+    if (session->status != 'I') {
+        session->status = 'E';
+        session->lost = true;
+        postgres_answer_roll_back(session);
+    }
+}
+
+static const char *
+postgres_answer_get_sqlstate(const struct entry_request *request, int outcome)
+{
+    if (request->cancelled) {
+        return SQLSTATE_CANCELLED;
+    }
+    return outcome == OUTCOME_OVERLOADED ? SQLSTATE_LIMIT
+                                         : SQLSTATE_UNAVAILABLE;
+}
+
+// Tells that a request was not run, and when to come back.
+void
+postgres_answer_refused(struct entry_session *base,
+                        struct entry_request *request, int outcome,
+                        int64_t retry_after_us)
+{
+    struct postgres_session *session = postgres_answer_begin(base, request);
+    char detail[QUERY_DETAIL_SIZE];
+
+    (void)snprintf(detail, sizeof(detail),
+                   "outcome=not_run retry_after_ms=%" PRId64,
+                   (retry_after_us + QUERY_US_PER_MS - 1) / QUERY_US_PER_MS);
+    postgres_message_add_error(
+        &session->out, "ERROR", postgres_answer_get_sqlstate(request, outcome),
+        detail, "the request was not run: %s", outcome_get_text(outcome));
+    postgres_answer_lose_transaction(session, request);
+    postgres_answer_end(session, request, false);
+}
+
+// Tells that it is not known whether a request has run.
+void
+postgres_answer_unknown(struct entry_session *base,
+                        struct entry_request *request)
+{
+    struct postgres_session *session = postgres_answer_begin(base, request);
+
+    postgres_message_add_error(&session->out, "ERROR",
+                               SQLSTATE_UNKNOWN_OUTCOME, "outcome=unknown",
+                               "it is not known whether the request has run");
+    postgres_answer_lose_transaction(session, request);
+    postgres_answer_end(session, request, false);
+}
--- /dev/null
+++ b/src/catkingrade/plugins/postgres_session.c
@@ -0,0 +1,448 @@
+#include "catkingrade/plugins/postgres_session.h"
+
+#include <openssl/rand.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "catkingrade/kernel/counters.h"
+#include "catkingrade/kernel/memory.h"
+#include "catkingrade/kernel/outcome.h"
+#include "catkingrade/plugins/postgres_listener.h"
+#include "catkingrade/plugins/postgres_message.h"
+
+#define POSTGRES_STARTUP_TIMEOUT_US 10000000
+#define POSTGRES_BUSY_MAX_BYTES     262144 // read ahead while a request is out
+#define POSTGRES_KEEP_BYTES         1024 // of a buffer that an idle one keeps
+
+static const struct entry_session_ops postgres_session_ops;
+
+static void
+postgres_session_watch(struct postgres_session *session)
+{
+    const struct postgres_transport *transport = &session->transport;
+    unsigned events = session->reads_stopped ? 0 : LOOP_READ;
+
+    if (buffer_get_size(&session->out) > 0 || transport->wants_write) {
+        events |= LOOP_WRITE;
+    }
+    loop_watch_set(session->watch, events);
+}
+
+static void
+postgres_session_handle_watch(void *data, unsigned events)
+{
+    (void)events;
+    postgres_session_continue(data);
+}
+
+static void
+postgres_session_handle_timer(void *data)
+{
+    struct postgres_session *session = data;
+
+    counter_add(COUNTER_SESSIONS_REFUSED, 1);
+    postgres_session_destroy(session);
+}
+
+// Returns the worker whose thread serves the session.
+struct worker *
+postgres_session_get_worker(const struct postgres_session *session)
+{
+    return session->listener->worker;
+}
+
+// Returns whether the session has a transaction open.
+bool
+postgres_session_in_transaction(const struct postgres_session *session)
+{
+    return session->status != 'I';
+}
+
+// Puts a session under a listener, whose thread must be the present one.
+void
+postgres_session_attach(struct postgres_session *session,
+                        struct postgres_listener *listener)
+{
+    struct loop *loop = worker_get_loop(listener->worker);
+
+    session->listener = listener;
+    session->next = listener->sessions;
+    session->link = &listener->sessions;
+    if (session->next != NULL) {
+        session->next->link = &session->next;
+    }
+    listener->sessions = session;
+    session->watch = loop_watch_create(loop, session->transport.fd, LOOP_READ,
+                                       postgres_session_handle_watch, session);
+    INVARIANT(session->watch != NULL);
+}
+
+// Takes a session from its listener, before it goes to another thread.
+static void
+postgres_session_detach(struct postgres_session *session)
+{
+    *session->link = session->next;
+    if (session->next != NULL) {
+        session->next->link = session->link;
+    }
+    loop_watch_destroy(session->watch);
+    session->watch = NULL;
+    loop_timer_destroy(session->timer);
+    session->timer = NULL;
+}
+
+// Creates the session of a new client connection.
+struct postgres_session *
+postgres_session_create(struct postgres_listener *listener, int fd)
+{
+    struct postgres_session *session = xcalloc(1, sizeof(*session));
+    struct loop *loop = worker_get_loop(listener->worker);
+
+    session->base.ops = &postgres_session_ops;
+    session->base.id = worker_make_id(listener->worker);
+    session->transport.fd = fd;
+    session->status = 'I';
+    session->state = POSTGRES_STATE_STARTUP;
+    postgres_session_attach(session, listener);
+    session->timer =
+        loop_timer_create(loop, postgres_session_handle_timer, session);
+    loop_timer_set(session->timer,
+                   loop_get_now_us(loop) + POSTGRES_STARTUP_TIMEOUT_US);
+    return session;
+}
+
+static void
+postgres_session_free_startup(struct postgres_session *session)
+{
+    if (session->startup != NULL) {
+        postgres_startup_free(session->startup);
+        free(session->startup);
+        session->startup = NULL;
+    }
+}
+
+static void
+postgres_session_free_batch(struct postgres_session *session)
+{
+    if (session->batch != NULL) {
+        job_free(&session->batch->job);
+        free(session->batch);
+        session->batch = NULL;
+    }
+}
+
+// Ends a session wherever it stands. A request that is out is cancelled; the
+// machine closes or resets the connection of an open transaction.
+void
+postgres_session_destroy(struct postgres_session *session)
+{
+    struct database *database = session->base.database;
+    struct entry *entry =
+        worker_get_entry(postgres_session_get_worker(session));
+
+    postgres_session_detach(session);
+    if (session->request != NULL) {
+        struct entry_request *request = session->request;
+        session->request = NULL;
+        request->session = NULL;
+        database_cancel(database, request);
+    }
+    if (session->admitted) {
+        entry_leave_session(entry, database_get_customer_name(database));
+        counter_add(COUNTER_SESSIONS_CLOSED, 1);
+    }
+    if (database != NULL) {
+        database_close_session(database, &session->base);
+    }
+    postgres_session_free_batch(session);
+    postgres_session_free_startup(session);
+    postgres_names_free(session);
+    postgres_transport_close(&session->transport);
+    buffer_free(&session->in);
+    buffer_free(&session->out);
+    free(session->variables);
+    free(session->settings_text);
+    free(session->settings_pending);
+    free(session);
+}
+
+// Reports a fatal error; the session ends once it is written.
+void
+postgres_session_fail(struct postgres_session *session, const char *sqlstate,
+                      const char *text)
+{
+    postgres_message_add_error(&session->out, "FATAL", sqlstate, NULL, "%s",
+                               text);
+    session->state = POSTGRES_STATE_CLOSING;
+}
+
+// Ends a session cleanly: at once when it is idle outside a transaction, else
+// at the end of that transaction.
+void
+postgres_session_end(struct postgres_session *session)
+{
+    session->ends = true;
+    if (session->state != POSTGRES_STATE_READY || session->status != 'I' ||
+        session->batch != NULL || buffer_get_size(&session->in) > 0) {
+        return;
+    }
+    postgres_session_fail(session, SQLSTATE_SHUTDOWN,
+                          "terminating connection due to a planned stop");
+    (void)postgres_transport_write(&session->transport, &session->out);
+    loop_watch_set(session->watch, LOOP_READ | LOOP_WRITE);
+}
+
+static void
+postgres_session_run_end(struct entry_session *base)
+{
+    postgres_session_end((struct postgres_session *)base);
+}
+
+static const struct entry_session_ops postgres_session_ops = {
+    .answer = postgres_answer_done,
+    .refuse = postgres_answer_refused,
+    .unknown = postgres_answer_unknown,
+    .end = postgres_session_run_end,
+};
+
+// ---- messages ----
+
+static void
+postgres_session_handle_message(struct postgres_session *session,
+                                const struct postgres_frame *frame)
+{
+    struct postgres_reader reader;
+
+    if (session->skips_to_sync && frame->type != 'S' && frame->type != 'X') {
+        return;
+    }
+    switch (frame->type) {
+    case 'Q':
+        postgres_reader_init(&reader, frame);
+        const char *text = postgres_reader_get_string(&reader);
+        if (!postgres_reader_is_done(&reader)) {
+            counter_add(COUNTER_FRAMES_BAD, 1);
+            postgres_session_fail(session, SQLSTATE_PROTOCOL,
+                                  "invalid query message");
+            return;
+        }
+        postgres_query_handle(session, text);
+        return;
+    case 'P':
+    case 'B':
+    case 'C':
+    case 'D':
+    case 'E':
+    case 'H':
+    case 'S':
+        postgres_extended_handle(session, frame);
+        return;
+    case 'X':
+        session->state = POSTGRES_STATE_CLOSING;
+        return;
+    case 'd':
+    case 'c':
+    case 'f':
+        return; // left over from a COPY that was refused
+    case 'F':
+        postgres_message_add_error(&session->out, "ERROR",
+                                   SQLSTATE_NOT_SUPPORTED, NULL,
+                                   "function calls are not supported");
+        postgres_message_add_ready(&session->out, session->status);
+        return;
+    default:
+        counter_add(COUNTER_FRAMES_BAD, 1);
+        postgres_session_fail(session, SQLSTATE_PROTOCOL,
+                              "invalid frontend message type");
+        return;
+    }
+}
+
+static void
+postgres_session_handle_frame(struct postgres_session *session,
+                              const struct postgres_frame *frame)
+{
+    switch (session->state) {
+    case POSTGRES_STATE_STARTUP:
+        postgres_session_handle_startup(session, frame);
+        return;
+    case POSTGRES_STATE_AUTHENTICATION:
+        postgres_session_handle_password(session, frame);
+        return;
+    case POSTGRES_STATE_READY:
+        postgres_session_handle_message(session, frame);
+        return;
+    case POSTGRES_STATE_BUSY:
+    case POSTGRES_STATE_CLOSING:
+        return;
+    }
+}
+
+static size_t
+postgres_session_get_limit(const struct postgres_session *session)
+{
+    switch (session->state) {
+    case POSTGRES_STATE_STARTUP:
+        return POSTGRES_STARTUP_MAX_BYTES;
+    case POSTGRES_STATE_AUTHENTICATION:
+        return POSTGRES_PASSWORD_MAX_BYTES;
+    default:
+        return POSTGRES_MESSAGE_MAX_BYTES;
+    }
+}
+
+// Handles one message of those that have come. Returns whether there was one.
+static bool
+postgres_session_take_frame(struct postgres_session *session)
+{
+    struct postgres_frame frame;
+    bool startup = session->state == POSTGRES_STATE_STARTUP;
+    int outcome = postgres_frame_read(
+        buffer_get_data(&session->in), buffer_get_size(&session->in), startup,
+        postgres_session_get_limit(session), &frame);
+
+    if (outcome == OUTCOME_AGAIN) {
+        return false;
+    }
+    if (outcome != OUTCOME_OK) {
+        counter_add(COUNTER_FRAMES_BAD, 1);
+        postgres_session_fail(session, SQLSTATE_PROTOCOL,
+                              "invalid message length");
+        return false;
+    }
+    // Requests copy what they need of the body.
+    postgres_session_handle_frame(session, &frame);
+    buffer_consume(&session->in, frame.frame_size);
+    return true;
+}
+
+static bool
+postgres_session_needs_move(const struct postgres_session *session)
+{
+    return session->state == POSTGRES_STATE_STARTUP &&
+           session->startup != NULL && session->base.database == NULL;
+}
+
+static bool
+postgres_session_takes_frames(const struct postgres_session *session)
+{
+    return session->state != POSTGRES_STATE_BUSY &&
+           session->state != POSTGRES_STATE_CLOSING &&
+           !session->transport.handshaking &&
+           !postgres_session_needs_move(session);
+}
+
+// ---- input and output ----
+
+// Reads what has come. Returns false when the client is gone.
+static bool
+postgres_session_read(struct postgres_session *session)
+{
+    size_t limit = session->state == POSTGRES_STATE_BUSY
+                       ? POSTGRES_BUSY_MAX_BYTES
+                       : POSTGRES_MESSAGE_MAX_BYTES + POSTGRES_KEEP_BYTES;
+    int outcome = OUTCOME_AGAIN;
+
+    if (session->transport.handshaking) {
+        outcome = postgres_transport_handshake(&session->transport);
+    }
+    if (!session->transport.handshaking) {
+        outcome =
+            postgres_transport_read(&session->transport, &session->in, limit);
+    }
+    session->reads_stopped = buffer_get_size(&session->in) >= limit;
+    return outcome != OUTCOME_CLOSED;
+}
+
+// Gives the memory of empty buffers back while the session is idle.
+static void
+postgres_session_shrink(struct postgres_session *session)
+{
+    if (buffer_get_size(&session->in) == 0) {
+        buffer_free(&session->in);
+    }
+    if (buffer_get_size(&session->out) == 0) {
+        buffer_free(&session->out);
+    }
+}
+
+// A session on its way to another thread; it belongs to no listener.
+struct postgres_move {
+    struct postgres_session *session;
+    struct worker *worker;
+};
+
+static void
+postgres_session_run_move(void *data)
+{
+    struct postgres_move *move = data;
+    struct postgres_session *session = move->session;
+    struct worker *worker = move->worker;
+
+    free(move);
+    postgres_session_attach(session, worker_get_listener_state(worker));
+    session->base.id = worker_make_id(worker);
+    postgres_session_open(session);
+    postgres_session_continue(session);
+}
+
+// Moves a started session to the thread that owns its database.
+static void
+postgres_session_move(struct postgres_session *session)
+{
+    struct entry *entry =
+        worker_get_entry(postgres_session_get_worker(session));
+    struct postgres_move *move = xcalloc(1, sizeof(*move));
+
+    move->session = session;
+    move->worker = entry_find_worker(entry, session->startup->database);
+    postgres_session_detach(session);
+    session->listener = NULL;
+    loop_post(worker_get_loop(move->worker), postgres_session_run_move, move);
+}
+
+// Sends what is queued. Returns false when the session is at its end.
+static bool
+postgres_session_write(struct postgres_session *session)
+{
+    int outcome =
+        session->transport.handshaking
+            ? OUTCOME_OK
+            : postgres_transport_write(&session->transport, &session->out);
+
+    if (outcome == OUTCOME_CLOSED) {
+        return false;
+    }
+    return session->state != POSTGRES_STATE_CLOSING ||
+           buffer_get_size(&session->out) > 0;
+}
+
+// Reads, handles and writes as far as it goes without waiting. May free the
+// session or move it to another thread.
+void
+postgres_session_continue(struct postgres_session *session)
+{
+    bool alive = session->state == POSTGRES_STATE_CLOSING ||
+                 postgres_session_read(session);
+
+    // Outcomes that come while a message is handled don't start this again.
+    session->continuing = true;
+    while (postgres_session_takes_frames(session) &&
+           postgres_session_take_frame(session)) {
+        continue;
+    }
+    session->continuing = false;
+    if (alive && postgres_session_needs_move(session)) {
+        postgres_session_move(session);
+        return;
+    }
+    if (!postgres_session_write(session) || !alive) {
+        postgres_session_destroy(session);
+        return;
+    }
+    if (session->ends && session->state == POSTGRES_STATE_READY) {
+        postgres_session_end(session);
+    }
+    postgres_session_shrink(session);
+    postgres_session_watch(session);
+}
