--- a/src/catkingrade/entry/worker.h
+++ b/src/catkingrade/entry/worker.h
@@ -43,7 +43,7 @@
 void worker_set_view(struct worker *worker, struct view *view);
 void worker_set_lease(struct worker *worker, const char *group,
                       int64_t valid_until_us);
-void worker_revoke(struct worker *worker, const char *database, uint64_t term);
+void worker_revoke(struct worker *worker, const char *name, uint64_t term);
 void worker_set_quotas(struct worker *worker, const struct ck_quota *quotas,
                        size_t count);
 void worker_drain(struct worker *worker);
@@ -74,8 +74,8 @@
 void entry_set_listener(struct entry *entry,
                         const struct entry_listener *listener);
 // Counts a session against the customer's limit; any thread.
-bool entry_admit_session(struct entry *entry, const char *customer,
+bool entry_admit_session(struct entry *entry, const char *name,
                          unsigned limit);
-void entry_leave_session(struct entry *entry, const char *customer);
+void entry_leave_session(struct entry *entry, const char *name);
 
 #endif
--- a/src/catkingrade/plugins/postgres_extended.c
+++ b/src/catkingrade/plugins/postgres_extended.c
@@ -213,7 +213,7 @@
         if (step->kind != JOB_STEP_BIND && step->kind != JOB_STEP_CLOSE) {
             summary.has_upstream = true;
         }
-        if (step->kind == JOB_STEP_EXECUTE) {
+        if (step->kind == JOB_STEP_EXECUTE && statement != NULL) {
             postgres_batch_add_kind(&summary, statement->kind);
         }
     }
