--- a/src/catkingrade/cli/status.c
+++ b/src/catkingrade/cli/status.c
@@ -163,12 +163,14 @@
     if (code != CLI_EXIT_OK) {
         return code;
     }
-    code = status_show(client, options);
-    while (watch) {
-        nanosleep(&pause, NULL);
-        (void)printf(STATUS_CLEAR_SCREEN);
+    for (;;) {
         code = status_show(client, options);
+        if (!watch) {
+            break;
+        }
         (void)fflush(stdout);
+        nanosleep(&pause, NULL);
+        (void)printf(STATUS_CLEAR_SCREEN);
     }
     cli_client_close(client);
     return code;
