test(cli): the command against a leader that loses answers

Problem: lost answers, operators racing and refusals of the command had no test. A daemon that refuses a query counts as not reachable.

--- a/src/catkingrade/cli/client.c
+++ b/src/catkingrade/cli/client.c
@@ -233,8 +233,14 @@
         .kind = kind, .group = "", .name = "", .cursor = cursor};
 
     memset(result, 0, sizeof(*result));
-    return rpcnet_call_blocking(daemon, &client->key, &rpcnet_query, &args,
-                                result, client->options->timeout_us);
+    int outcome =
+        rpcnet_call_blocking(daemon, &client->key, &rpcnet_query, &args,
+                             result, client->options->timeout_us);
+    if (outcome == OUTCOME_OK && result->outcome != OUTCOME_OK) {
+        outcome = result->outcome;
+        codec_free((xdrproc_t)xdr_ck_query_result, result);
+    }
+    return outcome;
 }
 
 static void
--- a/src/catkingrade/cli/client.h
+++ b/src/catkingrade/cli/client.h
@@ -24,7 +24,7 @@
 int cli_client_command(struct cli_client *client,
                        const struct ck_command_args *args,
                        struct ck_command_result *result);
-// Asks one daemon for one page about itself.
+// Asks one daemon for one page about itself; a refusal is an error too.
 int cli_client_query_daemon(struct cli_client *client,
                             const struct settings_address *daemon,
                             enum ck_query_kind kind, uint64_t cursor,
--- /dev/null
+++ b/test/contract/test_cli.c
@@ -0,0 +1,600 @@
+#include <apr_general.h>
+#include <check.h>
+#include <pthread.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "catkingrade/decide/group.h"
+#include "catkingrade/kernel/memory.h"
+#include "catkingrade/kernel/outcome.h"
+#include "catkingrade/rpc/rpcnet.h"
+#include "test/fake/process.h"
+#include "test/suite.h"
+
+#define MAX_HELD 64
+
+#define TEMPLATE                                                              \
+    "{\"template\": \"small\", \"parameters\": {\"max_age_ms\": {\"type\": "  \
+    "\"duration_ms\", \"min\": 0, \"max\": 60000, \"default\": %d}}, "        \
+    "\"customer\": {\"databases\": [{\"name\": \"db\", \"group\": "           \
+    "\"fleet\"}], \"max_age_ms\": \"${max_age_ms}\", \"request_types\": "     \
+    "[{\"name\": \"other\", \"weight\": 1, \"deadline_ms\": 3000, "           \
+    "\"queue_limit\": 200, \"repeatable\": false}]}}"
+#define CUSTOMER "{\"customer\": \"walkers\", \"template\": \"small\"}"
+
+// A leader of the fleet group and a follower that names it, on a thread.
+struct fake_control {
+    struct loop *loop;
+    pthread_t thread;
+    struct rpcnet *leader;
+    struct rpcnet *follower;
+    struct settings_address leader_address;
+    struct settings_address follower_address;
+    struct group_state *group;
+    uint64_t index;
+    int applied;      // changes that reached the group
+    int lose_answers; // of so many changes the answer is never sent
+    int gather;       // hold queries until so many have come; 0: none
+    struct rpcnet_request *held[MAX_HELD];
+    struct ck_query_args held_args[MAX_HELD];
+    int held_count;
+    struct rpcnet_request *lost[MAX_HELD];
+    int lost_count;
+    int drain_queries; // queries of a draining customer before it closes
+};
+
+static void
+reply_not_leader_apply(void *data, struct rpcnet_request *request,
+                       const void *args)
+{
+    struct fake_control *control = data;
+    struct ck_apply_result reply = {
+        .outcome = OUTCOME_NOT_LEADER,
+        .leader_host = control->leader_address.host,
+        .leader_port = control->leader_address.port,
+        .message = ""};
+
+    (void)args;
+    rpcnet_reply(request, &reply);
+}
+
+static void
+reply_not_leader_query(void *data, struct rpcnet_request *request,
+                       const void *args)
+{
+    struct fake_control *control = data;
+    struct ck_query_result reply = {
+        .outcome = OUTCOME_NOT_LEADER,
+        .json = "[]",
+        .leader_host = control->leader_address.host,
+        .leader_port = control->leader_address.port,
+        .message = ""};
+
+    (void)args;
+    rpcnet_reply(request, &reply);
+}
+
+static void
+handle_apply(void *data, struct rpcnet_request *request, const void *args)
+{
+    struct fake_control *control = data;
+    const struct ck_apply_args *apply = args;
+    struct group_result result = {0};
+    struct buffer effect = {0};
+    struct ck_apply_result reply = {.leader_host = ""};
+
+    group_check(control->group, apply, &result, &effect);
+    if (result.outcome == OUTCOME_OK && !apply->dry_run) {
+        struct ck_log_payload payload = {
+            .change_id = apply->change_id,
+            .expected_revision = apply->expected_revision,
+            .check_revision = apply->check_revision,
+            .change = apply->change};
+        group_apply_payload(control->group, ++control->index, &payload,
+                            &result);
+        control->applied += result.replayed ? 0 : 1;
+        if (control->lose_answers > 0 && control->lost_count < MAX_HELD) {
+            control->lose_answers--;
+            control->lost[control->lost_count++] = request;
+            buffer_free(&effect);
+            return;
+        }
+    }
+    buffer_append_u8(&effect, 0);
+    reply.outcome = result.outcome;
+    reply.revision = result.revision;
+    reply.replayed = result.replayed;
+    reply.message = buffer_get_size(&effect) > 1
+                        ? (char *)(uintptr_t)buffer_get_data(&effect)
+                        : result.message;
+    rpcnet_reply(request, &reply);
+    buffer_free(&effect);
+}
+
+static void
+answer_query(struct fake_control *control, struct rpcnet_request *request,
+             const struct ck_query_args *args)
+{
+    struct ck_query_result reply = {.leader_host = "", .message = ""};
+    struct buffer json = {0};
+
+    reply.outcome = group_query(control->group, args->kind, args->name,
+                                args->cursor, &json, &reply.next_cursor);
+    buffer_append_u8(&json, 0);
+    reply.json = (char *)(uintptr_t)buffer_get_data(&json);
+    rpcnet_reply(request, &reply);
+    buffer_free(&json);
+}
+
+static void
+answer_timeline(struct rpcnet_request *request, uint64_t cursor)
+{
+    static char first[] =
+        "[{\"vm\":\"noord-1\",\"sequence\":4,\"hlc\":131072,"
+        "\"kind\":\"promoted\",\"customer\":\"walkers\",\"upstream\":\"u1\","
+        "\"session\":7,\"text\":\"<term>=2\"}]";
+    static char second[] =
+        "[{\"vm\":\"noord-1\",\"sequence\":5,\"hlc\":65536,"
+        "\"kind\":\"started\",\"customer\":\"\",\"upstream\":\"\","
+        "\"session\":0,\"text\":\"\"}]";
+    struct ck_query_result reply = {.leader_host = "", .message = ""};
+
+    reply.json = cursor == 0 ? first : second;
+    reply.next_cursor = cursor == 0 ? 4 : 0;
+    rpcnet_reply(request, &reply);
+}
+
+// Closes a customer once it was seen draining a few times.
+static void
+advance_drain(struct fake_control *control)
+{
+    const struct ck_customer *customer =
+        group_find_customer(control->group, "walkers");
+    struct ck_log_payload payload = {.change_id = ""};
+    struct group_result result;
+
+    if (customer == NULL || customer->state != CK_CUSTOMER_DRAINING ||
+        ++control->drain_queries < 2) {
+        return;
+    }
+    payload.change.kind = CK_CHANGE_CUSTOMER_STATE;
+    payload.change.ck_change_u.customer_state.customer = "walkers";
+    payload.change.ck_change_u.customer_state.state = CK_CUSTOMER_CLOSED;
+    payload.change.ck_change_u.customer_state.report = "";
+    group_apply_payload(control->group, ++control->index, &payload, &result);
+}
+
+static void
+handle_query(void *data, struct rpcnet_request *request, const void *args)
+{
+    struct fake_control *control = data;
+    const struct ck_query_args *query = args;
+
+    if (query->kind == CK_QUERY_TIMELINE) {
+        answer_timeline(request, query->cursor);
+        return;
+    }
+    if (control->gather == 0) {
+        answer_query(control, request, query);
+        advance_drain(control);
+        return;
+    }
+    struct ck_query_args *held = &control->held_args[control->held_count];
+    *held = *query;
+    held->group = xstrdup(query->group);
+    held->name = xstrdup(query->name);
+    control->held[control->held_count++] = request;
+    if (control->held_count < control->gather) {
+        return;
+    }
+    for (int i = 0; i < control->held_count; i++) {
+        answer_query(control, control->held[i], &control->held_args[i]);
+        free(control->held_args[i].group);
+        free(control->held_args[i].name);
+    }
+    control->held_count = 0;
+    control->gather = 0;
+}
+
+static void
+fill_address(struct settings_address *address)
+{
+    (void)snprintf(address->host, sizeof(address->host), "127.0.0.1");
+    address->port = (uint16_t)process_get_free_port();
+}
+
+static void *
+run_loop(void *data)
+{
+    struct fake_control *control = data;
+
+    loop_run(control->loop);
+    return NULL;
+}
+
+static void
+control_start(struct fake_control *control)
+{
+    static const struct datagram_key no_key;
+
+    memset(control, 0, sizeof(*control));
+    apr_initialize();
+    control->loop = loop_create();
+    control->group = group_create("fleet");
+    fill_address(&control->leader_address);
+    fill_address(&control->follower_address);
+    control->leader =
+        rpcnet_create(control->loop, &control->leader_address, &no_key);
+    control->follower =
+        rpcnet_create(control->loop, &control->follower_address, &no_key);
+    ck_assert_ptr_nonnull(control->leader);
+    ck_assert_ptr_nonnull(control->follower);
+    rpcnet_set_handler(control->leader, &rpcnet_apply, handle_apply, control);
+    rpcnet_set_handler(control->leader, &rpcnet_query, handle_query, control);
+    rpcnet_set_handler(control->follower, &rpcnet_apply,
+                       reply_not_leader_apply, control);
+    rpcnet_set_handler(control->follower, &rpcnet_query,
+                       reply_not_leader_query, control);
+    ck_assert_int_eq(pthread_create(&control->thread, NULL, run_loop, control),
+                     0);
+}
+
+static void
+control_stop(struct fake_control *control)
+{
+    struct ck_apply_result reply = {.leader_host = "", .message = ""};
+
+    loop_stop(control->loop);
+    pthread_join(control->thread, NULL);
+    for (int i = 0; i < control->lost_count; i++) {
+        rpcnet_reply(control->lost[i], &reply);
+    }
+    rpcnet_destroy(control->leader);
+    rpcnet_destroy(control->follower);
+    group_destroy(control->group);
+    loop_destroy(control->loop);
+}
+
+// Starts the command against the follower; output goes to DIR/NAME.log.
+static struct process *
+start_command(const struct fake_control *control, const char *folder,
+              const char *name, const char *timeout_ms,
+              const char *const *args)
+{
+    char address[80];
+    char *log_path = xasprintf("%s/%s.log", folder, name);
+    const char *all[16] = {"--connect", address, "--timeout", timeout_ms};
+
+    (void)snprintf(address, sizeof(address), "127.0.0.1:%u",
+                   control->follower_address.port);
+    for (size_t i = 0; args[i] != NULL; i++) {
+        all[4 + i] = args[i];
+    }
+    struct process *process = process_start(log_path, "catkingrade", all);
+    free(log_path);
+    return process;
+}
+
+// Runs the command and returns its exit code; text gets its output.
+static int
+run_command(const struct fake_control *control, const char *folder,
+            const char *timeout_ms, const char *const *args, char **text)
+{
+    static int runs;
+    char name[32];
+
+    (void)snprintf(name, sizeof(name), "run-%d", runs++);
+    int code =
+        process_wait(start_command(control, folder, name, timeout_ms, args));
+    char *path = xasprintf("%s/%s.log", folder, name);
+    char *output = process_read_file(path);
+    free(path);
+    if (text != NULL) {
+        *text = output;
+    }
+    else {
+        free(output);
+    }
+    return code;
+}
+
+// Writes declarations into DIR/NAME and returns its path.
+static char *
+write_declarations(const char *folder, const char *name, int max_age_ms)
+{
+    char *dir = xasprintf("%s/%s", folder, name);
+    char *command = xasprintf("mkdir -p '%s'", dir);
+    char *template_path = xasprintf("%s/small.template.json", dir);
+    char *customer_path = xasprintf("%s/walkers.customer.json", dir);
+    char *template_text = xasprintf(TEMPLATE, max_age_ms);
+
+    ck_assert_int_eq(system(command), 0);
+    process_write_file(template_path, template_text);
+    process_write_file(customer_path, CUSTOMER);
+    free(command);
+    free(template_path);
+    free(customer_path);
+    free(template_text);
+    return dir;
+}
+
+static void
+check_contains(const char *text, const char *part)
+{
+    ck_assert_msg(strstr(text, part) != NULL, "no \"%s\" in: %s", part, text);
+}
+
+START_TEST(test_plan_and_apply)
+{
+    struct fake_control control;
+    char *text = NULL;
+
+    control_start(&control);
+    char *folder = process_make_folder("cli_apply");
+    char *dir = write_declarations(folder, "a", 1000);
+    const char *plan[] = {"plan", "-f", dir, NULL};
+    const char *apply[] = {"apply", "-f", dir, NULL};
+
+    ck_assert_int_eq(run_command(&control, folder, "5000", plan, &text), 2);
+    check_contains(text, "template small: would change");
+    check_contains(text, "customer walkers: would change");
+    free(text);
+    ck_assert_int_eq(control.applied, 0);
+    ck_assert_int_eq(run_command(&control, folder, "5000", apply, &text), 0);
+    check_contains(text, "customer walkers: accepted");
+    free(text);
+    ck_assert_int_eq(control.applied, 2);
+    ck_assert_int_eq(run_command(&control, folder, "5000", apply, &text), 0);
+    check_contains(text, "customer walkers: unchanged");
+    free(text);
+    ck_assert_int_eq(run_command(&control, folder, "5000", plan, NULL), 0);
+    ck_assert_int_eq(control.applied, 2);
+    free(dir);
+    free(folder);
+    control_stop(&control);
+}
+END_TEST
+
+// The answer of each first try is lost: the command sends the change again
+// and it is made once.
+START_TEST(test_lost_answer)
+{
+    struct fake_control control;
+    char *text = NULL;
+
+    control_start(&control);
+    char *folder = process_make_folder("cli_lost");
+    char *dir = write_declarations(folder, "a", 1000);
+    const char *apply[] = {"apply", "-f", dir, NULL};
+
+    control.lose_answers = 1;
+    ck_assert_int_eq(run_command(&control, folder, "20000", apply, &text), 0);
+    check_contains(text, "template small: accepted before");
+    free(text);
+    ck_assert_int_eq(control.applied, 2);
+    free(dir);
+    free(folder);
+    control_stop(&control);
+}
+END_TEST
+
+// No answer at all is "unknown"; a repeat finds the change made.
+START_TEST(test_unknown)
+{
+    struct fake_control control;
+    char *text = NULL;
+
+    control_start(&control);
+    char *folder = process_make_folder("cli_unknown");
+    char *dir = write_declarations(folder, "a", 1000);
+    const char *apply[] = {"apply", "-f", dir, NULL};
+
+    control.lose_answers = MAX_HELD;
+    ck_assert_int_eq(run_command(&control, folder, "1500", apply, &text), 4);
+    check_contains(text, "unknown");
+    free(text);
+    ck_assert_int_eq(control.applied, 1);
+    control.lose_answers = 0;
+    ck_assert_int_eq(run_command(&control, folder, "5000", apply, &text), 0);
+    check_contains(text, "template small: unchanged");
+    free(text);
+    ck_assert_int_eq(control.applied, 2);
+    free(dir);
+    free(folder);
+    control_stop(&control);
+}
+END_TEST
+
+// Two operators who saw the same revision: exactly one wins.
+START_TEST(test_race)
+{
+    struct fake_control control;
+    int codes[2];
+    struct process *processes[2];
+
+    control_start(&control);
+    char *folder = process_make_folder("cli_race");
+    for (int i = 0; i < 2; i++) {
+        char name[16];
+        (void)snprintf(name, sizeof(name), "operator-%d", i);
+        free(write_declarations(folder, name, 1000 + i));
+    }
+    control.gather = 2;
+    for (int i = 0; i < 2; i++) {
+        char *dir = xasprintf("%s/operator-%d", folder, i);
+        char name[16];
+        (void)snprintf(name, sizeof(name), "race-%d", i);
+        const char *apply[] = {"apply", "-f", dir, NULL};
+        processes[i] = start_command(&control, folder, name, "20000", apply);
+        free(dir);
+    }
+    for (int i = 0; i < 2; i++) {
+        codes[i] = process_wait(processes[i]);
+    }
+    ck_assert_int_eq(codes[0] + codes[1], 3);
+    ck_assert(codes[0] == 0 || codes[1] == 0);
+    char *path = xasprintf("%s/race-%d.log", folder, codes[0] == 0 ? 1 : 0);
+    char *text = process_read_file(path);
+    check_contains(text, "refused (conflict)");
+    free(text);
+    free(path);
+    free(folder);
+    control_stop(&control);
+}
+END_TEST
+
+// The same template again after it was deleted is made again, although its
+// change has the id of the first one.
+START_TEST(test_deleted_and_applied_again)
+{
+    struct fake_control control;
+    char *text = NULL;
+
+    control_start(&control);
+    char *folder = process_make_folder("cli_again");
+    char *dir = write_declarations(folder, "a", 1000);
+    char *customer = xasprintf("%s/walkers.customer.json", dir);
+    ck_assert_int_eq(remove(customer), 0);
+    const char *apply[] = {"apply", "-f", dir, NULL};
+    const char *delete[] = {"template", "delete", "small", NULL};
+    const char *show[] = {"template", "show", "small", NULL};
+
+    for (int i = 0; i < 3; i++) {
+        ck_assert_int_eq(run_command(&control, folder, "5000", apply, NULL),
+                         0);
+        ck_assert_int_eq(run_command(&control, folder, "5000", show, &text),
+                         0);
+        check_contains(text, "\"template\": \"small\"");
+        free(text);
+        ck_assert_int_eq(run_command(&control, folder, "5000", delete, NULL),
+                         0);
+        ck_assert_int_eq(run_command(&control, folder, "5000", show, NULL), 1);
+    }
+    free(customer);
+    free(dir);
+    free(folder);
+    control_stop(&control);
+}
+END_TEST
+
+START_TEST(test_customer_shutdown)
+{
+    struct fake_control control;
+    char *text = NULL;
+
+    control_start(&control);
+    char *folder = process_make_folder("cli_shutdown");
+    char *dir = write_declarations(folder, "a", 1000);
+    const char *apply[] = {"apply", "-f", dir, NULL};
+    const char *list[] = {"customer", "list", NULL};
+    const char *shutdown[] = {"customer", "shutdown", "walkers", "--wait",
+                              NULL};
+    const char *nobody[] = {"customer", "shutdown", "nobody", NULL};
+
+    ck_assert_int_eq(run_command(&control, folder, "5000", apply, NULL), 0);
+    ck_assert_int_eq(run_command(&control, folder, "5000", nobody, NULL), 1);
+    ck_assert_int_eq(run_command(&control, folder, "5000", shutdown, &text),
+                     0);
+    check_contains(text, "customer walkers: draining\n");
+    check_contains(text, "customer walkers: closed\n");
+    free(text);
+    ck_assert_int_eq(run_command(&control, folder, "5000", list, &text), 0);
+    check_contains(text, "closed");
+    free(text);
+    free(dir);
+    free(folder);
+    control_stop(&control);
+}
+END_TEST
+
+START_TEST(test_timeline)
+{
+    struct fake_control control;
+    char *text = NULL;
+    char address[80];
+
+    control_start(&control);
+    char *folder = process_make_folder("cli_timeline");
+    (void)snprintf(address, sizeof(address), "127.0.0.1:%u",
+                   control.leader_address.port);
+    const char *args[] = {"--connect", address, "timeline", NULL};
+    const char *html[] = {"--connect", address, "timeline", "--html", NULL};
+    const char *filter[] = {"--connect", address, "timeline",
+                            "--session", "7",     NULL};
+
+    // The follower does not answer this query, so it is not reachable.
+    ck_assert_int_eq(run_command(&control, folder, "1000", args, &text), 0);
+    check_contains(text, "# not reachable:");
+    const char *started = strstr(text, "started");
+    const char *gap = strstr(text, "events=3 overwritten");
+    const char *promoted = strstr(text, "promoted");
+    ck_assert(started != NULL && gap != NULL && promoted != NULL);
+    ck_assert(started < gap && gap < promoted);
+    free(text);
+    ck_assert_int_eq(run_command(&control, folder, "1000", filter, &text), 0);
+    ck_assert_ptr_null(strstr(text, "started"));
+    check_contains(text, "1970-01-01T00:00:00.002Z");
+    free(text);
+    ck_assert_int_eq(run_command(&control, folder, "1000", html, &text), 0);
+    check_contains(text, "<svg");
+    check_contains(text, "&lt;term&gt;=2");
+    free(text);
+    free(folder);
+    control_stop(&control);
+}
+END_TEST
+
+struct usage_row {
+    const char *args[5];
+    int code;
+    const char *message;
+};
+
+static const struct usage_row usage_rows[] = {
+    {{"frob"}, 64, "there are: plan apply"},
+    {{"apply"}, 64, "-f DIR is missing"},
+    {{"apply", "-f", "/no/such/folder"}, 1, "can't be opened as a folder"},
+    {{"customer", "close", "walkers"}, 64, "expected list, show NAME"},
+    {{"switchover", "db"}, 64, "expected DATABASE UPSTREAM"},
+    {{"switchover", "nodb", "u1"}, 1, "there is no database \"nodb\""},
+    {{"--timeout", "0", "status"}, 64, "--timeout must be 1"},
+    {{"--connect", "host:1", "status"}, 64, "is not an IP number"},
+    {{"--key-file", "/no/such/key", "status"}, 1, "cannot be read"},
+    {{"timeline", "--last", "soon"}, 64, "not a whole number above 0"},
+    {{"check", "/no/such/settings"}, 1, "/no/such/settings"},
+    {{"version"}, 0, "catkingrade "},
+};
+
+START_TEST(test_usage)
+{
+    const struct usage_row *row = &usage_rows[_i];
+    struct fake_control control;
+    char *text = NULL;
+
+    control_start(&control);
+    char *folder = process_make_folder("cli_usage");
+    ck_assert_int_eq(run_command(&control, folder, "1000", row->args, &text),
+                     row->code);
+    check_contains(text, row->message);
+    free(text);
+    free(folder);
+    control_stop(&control);
+}
+END_TEST
+
+static void
+add_tests(TCase *tests)
+{
+    tcase_add_test(tests, test_plan_and_apply);
+    tcase_add_test(tests, test_lost_answer);
+    tcase_add_test(tests, test_unknown);
+    tcase_add_test(tests, test_race);
+    tcase_add_test(tests, test_deleted_and_applied_again);
+    tcase_add_test(tests, test_customer_shutdown);
+    tcase_add_test(tests, test_timeline);
+    tcase_add_loop_test(tests, test_usage, 0, ARRAY_SIZE(usage_rows));
+}
+
+TEST_MAIN("cli", add_tests)
