test(replay): failover of a whole control group on the virtual network

Problem: the promises on terms and leases need voters, entries and upstreams together, with faults at chosen moments. Solution: a fake fleet that drives the real log, leader and leaseholder machines, saves without pause and checks acknowledgements, revisions and promotions as it runs.

--- a/src/catkingrade/decide/leader.c
+++ b/src/catkingrade/decide/leader.c
@@ -114,7 +114,6 @@
     leader->elected_us = leader->now_us;
     leader->wake_us = 0;
     leader->next_tick_us = leader->now_us;
-    leader->next_token = 0;
     leader->publish_soon = false;
     leader->publish_now = false;
     leader->index = group_index_create();
@@ -439,12 +438,39 @@
     }
 }
 
+// Moves the proposals behind the other actions: a proposal may change the
+// group state, from which the others borrow.
+static void
+leader_move_proposals(struct leader_actions *actions, size_t start)
+{
+    size_t count = actions->count - start;
+    struct leader_action *items = xcalloc(count, sizeof(*items));
+    size_t place = 0;
+
+    for (size_t i = start; i < actions->count; i++) {
+        if (actions->items[i].kind != LEADER_ACTION_PROPOSE) {
+            items[place++] = actions->items[i];
+        }
+    }
+    for (size_t i = start; i < actions->count; i++) {
+        if (actions->items[i].kind == LEADER_ACTION_PROPOSE) {
+            items[place++] = actions->items[i];
+        }
+    }
+    if (count > 0) {
+        memcpy(actions->items + start, items, count * sizeof(*items));
+    }
+    free(items);
+}
+
 // Takes one event and appends actions. A step after which the leader has
 // something to wait for ends with WAKE.
 void
 leader_step(struct leader *leader, int64_t now_us,
             const struct leader_event *event, struct leader_actions *actions)
 {
+    size_t start = actions->count;
+
     leader->now_us = now_us;
     leader->has_quorum = event->quorum;
     leader->actions = actions;
@@ -476,5 +502,6 @@
         }
         leader_wake_at(leader, leader->next_tick_us);
     }
+    leader_move_proposals(actions, start);
     leader->actions = NULL;
 }
--- a/src/catkingrade/decide/leader.h
+++ b/src/catkingrade/decide/leader.h
@@ -155,7 +155,8 @@
 void leader_destroy(struct leader *leader);
 // After a snapshot was installed the group state is another one.
 void leader_set_group(struct leader *leader, const struct group_state *group);
-// Actions are appended; the caller clears the list between steps.
+// Actions are appended, proposals last; the caller carries them out in their
+// order and clears the list before the next step.
 void leader_step(struct leader *leader, int64_t now_us,
                  const struct leader_event *event,
                  struct leader_actions *actions);
--- /dev/null
+++ b/test/fake/fleet_entry.c
@@ -0,0 +1,359 @@
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "catkingrade/kernel/memory.h"
+#include "catkingrade/kernel/outcome.h"
+#include "catkingrade/rpc/codec.h"
+#include "test/fake/changes.h"
+#include "test/fake/fleet_private.h"
+
+#define FLEET_SAVE_US         10000 // between two saves of an entry
+#define FLEET_SUSPECT_US      500000
+#define FLEET_REPEAT_US       200000
+#define FLEET_SAVE_LIMIT_US   1000000
+#define FLEET_RENEW_US        300000
+#define FLEET_RENEW_LIMIT_US  250000
+#define FLEET_RENEW_RETRY_US  20000
+#define FLEET_ENTRY_DRIFT_PPM 20000
+
+static int64_t
+fleet_entry_now(const struct fleet *fleet, int entry)
+{
+    return network_get_node_now_us(fleet->network,
+                                   fleet_entry_node(fleet, entry));
+}
+
+static void fleet_hold(struct fleet *fleet, int entry,
+                       const struct leaseholder_event *event);
+
+static void
+fleet_confirm_revoked(struct fleet *fleet, int entry, uint64_t term)
+{
+    struct fleet_entry *own = &fleet->entries[entry];
+    struct leaseholder_event event = {.kind =
+                                          LEASEHOLDER_EVENT_CONFIRM_REVOKED};
+
+    if (term >= own->min_term) {
+        own->min_term = term + 1;
+    }
+    event.revocation.database = (char *)(uintptr_t)FLEET_DATABASE;
+    event.revocation.term = term;
+    fleet_hold(fleet, entry, &event);
+}
+
+// Takes the database of a delta. An entry without a save in flight is done
+// with a term as soon as it is being superseded.
+static void
+fleet_take_delta(struct fleet *fleet, int entry,
+                 const struct ck_view_delta *delta)
+{
+    struct fleet_entry *own = &fleet->entries[entry];
+
+    if (delta->to_revision < own->revision ||
+        delta->from_revision > own->revision) {
+        fleet_violate(fleet, "revision of entry %d went from %lu to %lu",
+                      entry, (unsigned long)own->revision,
+                      (unsigned long)delta->to_revision);
+    }
+    own->revision = delta->to_revision;
+    for (u_int i = 0; i < delta->databases.databases_len; i++) {
+        const struct ck_database *database =
+            &delta->databases.databases_val[i];
+        if (database->term < own->term) {
+            fleet_violate(fleet, "term of entry %d went back", entry);
+        }
+        own->term = database->term;
+        own->primary =
+            database->primary[0] == '\0' ? -1 : atoi(database->primary + 1);
+        own->superseding = database->superseding;
+    }
+}
+
+static void
+fleet_renew(struct fleet *fleet, int entry,
+            const struct leaseholder_action *action)
+{
+    struct fleet_message *message = fleet_make(FLEET_RENEW);
+    int voter = atoi(strrchr(action->send.address.host, '.') + 1) - 1;
+
+    (void)codec_encode((xdrproc_t)xdr_ck_renew_args, action->send.args,
+                       &message->bytes);
+    (void)fleet_call(fleet, fleet_entry_node(fleet, entry),
+                     fleet_voter_node(voter), message, action->send.timeout_us,
+                     "", 0, action->send.args->sequence);
+}
+
+static void
+fleet_holder_action(struct fleet *fleet, int entry,
+                    const struct leaseholder_action *action)
+{
+    struct fleet_entry *own = &fleet->entries[entry];
+
+    switch (action->kind) {
+    case LEASEHOLDER_ACTION_SEND_RENEW:
+        fleet_renew(fleet, entry, action);
+        break;
+    case LEASEHOLDER_ACTION_APPLY_DELTA:
+        fleet_take_delta(fleet, entry, action->delta);
+        break;
+    case LEASEHOLDER_ACTION_SET_LEASE:
+        own->lease_until_us = action->valid_until_us;
+        break;
+    case LEASEHOLDER_ACTION_REVOKE:
+        if (action->revoke.term >= own->min_term) {
+            own->min_term = action->revoke.term + 1;
+        }
+        break;
+    case LEASEHOLDER_ACTION_WAKE:
+        network_set_timer(fleet->network, fleet_entry_node(fleet, entry),
+                          FLEET_TIMER_LEASE, action->wake_at_us);
+        break;
+    default:
+        break;
+    }
+}
+
+// Steps the leaseholder and carries out its actions.
+static void
+fleet_hold(struct fleet *fleet, int entry,
+           const struct leaseholder_event *event)
+{
+    struct fleet_entry *own = &fleet->entries[entry];
+    struct leaseholder_actions actions = {0};
+    uint64_t min_term = own->min_term;
+
+    leaseholder_step(own->holder, fleet_entry_now(fleet, entry), event,
+                     &actions);
+    for (size_t i = 0; i < actions.count; i++) {
+        fleet_holder_action(fleet, entry, &actions.items[i]);
+    }
+    leaseholder_actions_free(&actions);
+    bool drained = own->superseding && !own->saving &&
+                   own->term >= own->min_term && own->term > 0;
+    if (own->min_term > min_term) {
+        fleet_confirm_revoked(fleet, entry, own->min_term - 1);
+    }
+    else if (drained) {
+        fleet_confirm_revoked(fleet, entry, own->term);
+    }
+}
+
+// Starts an entry that knows nothing.
+void
+fleet_entry_start(struct fleet *fleet, int entry)
+{
+    struct fleet_entry *own = &fleet->entries[entry];
+    struct leaseholder_address voters[FLEET_MAX_VOTERS];
+    struct leaseholder_event tick = {.kind = LEASEHOLDER_EVENT_TICK};
+    char vm[16];
+    char host[32];
+
+    for (int i = 0; i < fleet->params.voters; i++) {
+        (void)snprintf(voters[i].host, sizeof(voters[i].host), "10.1.0.%d",
+                       i + 1);
+        voters[i].port = 7432;
+    }
+    (void)snprintf(vm, sizeof(vm), "e%d", entry);
+    (void)snprintf(host, sizeof(host), "10.3.0.%d", entry + 1);
+    memset(own, 0, sizeof(*own));
+    own->primary = -1;
+    own->incarnation = network_get_random(fleet->network);
+    struct leaseholder_params params = {
+        .group = GROUP_FLEET_NAME,
+        .daemon = changes_make_daemon(vm, host, own->incarnation),
+        .voters = voters,
+        .voters_count = (size_t)fleet->params.voters,
+        .renew_us = FLEET_RENEW_US,
+        .call_timeout_us = FLEET_RENEW_LIMIT_US,
+        .retry_us = FLEET_RENEW_RETRY_US,
+        .drift_ppm = FLEET_ENTRY_DRIFT_PPM,
+        .seed = fleet->params.seed + (uint64_t)entry,
+    };
+    own->holder = leaseholder_create(&params);
+    fleet_hold(fleet, entry, &tick);
+    network_set_timer(fleet->network, fleet_entry_node(fleet, entry),
+                      FLEET_TIMER_SAVE,
+                      fleet_entry_now(fleet, entry) + FLEET_SAVE_US);
+}
+
+static void
+fleet_suspect(struct fleet *fleet, int entry, ck_suspicion_kind kind)
+{
+    struct fleet_entry *own = &fleet->entries[entry];
+    int64_t now_us = fleet_entry_now(fleet, entry);
+    char upstream[16];
+    struct ck_suspicion suspicion = {.kind = kind, .term = own->term};
+    struct leaseholder_event event = {.kind = LEASEHOLDER_EVENT_SUSPECT};
+
+    if (own->suspect_since_us == 0) {
+        own->suspect_since_us = now_us;
+    }
+    (void)snprintf(upstream, sizeof(upstream), "u%d", own->primary);
+    suspicion.database = (char *)(uintptr_t)FLEET_DATABASE;
+    suspicion.upstream = upstream;
+    suspicion.since_ms = (u_quad_t)(now_us - own->suspect_since_us) / 1000;
+    event.suspicion = &suspicion;
+    fleet_hold(fleet, entry, &event);
+}
+
+static void
+fleet_save(struct fleet *fleet, int entry)
+{
+    struct fleet_entry *own = &fleet->entries[entry];
+    struct fleet_message *message = fleet_make(FLEET_SAVE);
+    int64_t now_us = fleet_entry_now(fleet, entry);
+
+    own->saving = true;
+    own->save_id = ++fleet->next_save;
+    own->save_term = own->term;
+    own->save_sent_us = now_us;
+    message->number = own->save_id;
+    own->save_call =
+        fleet_call(fleet, fleet_entry_node(fleet, entry),
+                   fleet_upstream_node(fleet, own->primary), message,
+                   FLEET_SAVE_LIMIT_US, "", 0, own->save_id);
+}
+
+// Begins a save when none is out and the primary may take it.
+static void
+fleet_try_save(struct fleet *fleet, int entry)
+{
+    struct fleet_entry *own = &fleet->entries[entry];
+    int64_t now_us = fleet_entry_now(fleet, entry);
+    bool may_save = own->primary >= 0 && !own->superseding &&
+                    own->term >= own->min_term && own->lease_until_us > now_us;
+
+    if (own->saving) {
+        int64_t waited_us = now_us - own->save_sent_us;
+        if (waited_us >= FLEET_SUSPECT_US && own->save_term == own->term &&
+            waited_us % FLEET_REPEAT_US < FLEET_SAVE_US) {
+            fleet_suspect(fleet, entry, CK_SUSPECT_SILENT);
+        }
+        // A save of a term that has ended does not hold back the next one.
+        own->saving = own->save_term == own->term;
+    }
+    if (!own->saving && may_save &&
+        fleet->acknowledged_count < FLEET_MAX_SAVES) {
+        fleet_save(fleet, entry);
+    }
+}
+
+// Runs an entry's timers.
+void
+fleet_entry_timer(struct fleet *fleet, int entry, uint64_t tag)
+{
+    struct leaseholder_event tick = {.kind = LEASEHOLDER_EVENT_TICK};
+
+    if (tag == FLEET_TIMER_LEASE) {
+        fleet_hold(fleet, entry, &tick);
+        return;
+    }
+    fleet_try_save(fleet, entry);
+    network_set_timer(fleet->network, fleet_entry_node(fleet, entry),
+                      FLEET_TIMER_SAVE,
+                      fleet_entry_now(fleet, entry) + FLEET_SAVE_US);
+}
+
+// Takes a leader's push and answers it once it is carried out.
+void
+fleet_entry_receive(struct fleet *fleet, int entry, int from,
+                    const struct fleet_message *message)
+{
+    struct ck_notify_args args;
+    struct ck_notify_result result;
+    struct leaseholder_event event = {.kind = LEASEHOLDER_EVENT_NOTIFIED};
+
+    if (message->kind != FLEET_NOTIFY) {
+        return;
+    }
+    memset(&args, 0, sizeof(args));
+    (void)codec_decode((xdrproc_t)xdr_ck_notify_args, message->bytes.data,
+                       buffer_get_size(&message->bytes), &args);
+    event.notified = &args;
+    fleet_hold(fleet, entry, &event);
+    struct fleet_message *reply = fleet_make_reply(message);
+    leaseholder_fill_notify_result(fleet->entries[entry].holder, &result);
+    (void)codec_encode((xdrproc_t)xdr_ck_notify_result, &result,
+                       &reply->bytes);
+    fleet_send(fleet, fleet_entry_node(fleet, entry), from, reply);
+    codec_free((xdrproc_t)xdr_ck_notify_args, &args);
+}
+
+static void
+fleet_renewed(struct fleet *fleet, int entry, const struct fleet_call *call,
+              const struct fleet_message *reply)
+{
+    struct ck_renew_result result;
+    struct leaseholder_event event = {.kind = LEASEHOLDER_EVENT_RENEW_FAILED};
+
+    memset(&result, 0, sizeof(result));
+    event.sequence = call->sequence;
+    if (reply != NULL) {
+        (void)codec_decode((xdrproc_t)xdr_ck_renew_result, reply->bytes.data,
+                           buffer_get_size(&reply->bytes), &result);
+        event.kind = LEASEHOLDER_EVENT_RENEWED;
+        event.renewed = &result;
+    }
+    fleet_hold(fleet, entry, &event);
+    codec_free((xdrproc_t)xdr_ck_renew_result, &result);
+}
+
+// Passes a save's acknowledgement on if the lease covers its term, and checks
+// that no later term has a primary by then.
+static void
+fleet_acknowledge(struct fleet *fleet, int entry, uint64_t save, uint64_t term)
+{
+    struct fleet_entry *own = &fleet->entries[entry];
+    bool covered = own->lease_until_us > fleet_entry_now(fleet, entry) &&
+                   term >= own->min_term && term == own->term;
+
+    if (!covered) {
+        own->unknown++;
+        return;
+    }
+    if (fleet->promoted_term > term) {
+        fleet_violate(fleet,
+                      "entry %d acknowledged save %lu of term %lu after the "
+                      "promotion for term %lu",
+                      entry, (unsigned long)save, (unsigned long)term,
+                      (unsigned long)fleet->promoted_term);
+    }
+    struct fleet_acknowledged *row =
+        &fleet->acknowledged[fleet->acknowledged_count++];
+    row->save = save;
+    row->term = term;
+    row->entry = entry;
+    row->at_us = network_get_now_us(fleet->network);
+    own->acknowledged++;
+    own->suspect_since_us = 0;
+}
+
+// Takes the end of an entry's call.
+void
+fleet_entry_done(struct fleet *fleet, int entry, const struct fleet_call *call,
+                 const struct fleet_message *reply)
+{
+    struct fleet_entry *own = &fleet->entries[entry];
+    struct leaseholder_event tick = {.kind = LEASEHOLDER_EVENT_TICK};
+
+    if (call->kind == FLEET_RENEW) {
+        fleet_renewed(fleet, entry, call, reply);
+        return;
+    }
+    bool present = own->saving && own->save_call == call->id;
+    bool done = reply != NULL && !reply->refused && reply->position.lsn > 0;
+    if (present) {
+        own->saving = false;
+    }
+    if (done && present) {
+        fleet_acknowledge(fleet, entry, call->sequence, own->save_term);
+    }
+    else if (reply == NULL || !present) {
+        own->unknown++;
+    }
+    if (reply != NULL && reply->refused && present) {
+        fleet_suspect(fleet, entry, CK_SUSPECT_REFUSED);
+    }
+    fleet_hold(fleet, entry, &tick);
+}
