test(raft): contract of one voter, and faults put in on purpose

Problem: random schedules find faults by luck; a rule that only a rare order of events breaks needs a stated one. Solution: test_raft.c drives one voter by hand: entries of earlier terms, waiting after a restart, the promise to a leader that was heard, what is saved before what is sent, commit only what was compared, one change of voters at a time and its roll-back, installs, bounds, batches, quorums by recent rounds, transfers. test_store.c also loses a sector of synced records.

--- a/test/contract/test_store.c
+++ b/test/contract/test_store.c
@@ -407,6 +407,25 @@
 }
 END_TEST
 
+// The same zeros in records that were synced one by one are a loss.
+START_TEST(test_lost_sector)
+{
+    struct fixture fixture;
+    uint8_t *data;
+
+    fixture_init(&fixture);
+    ck_assert_int_eq(fixture_open(&fixture), OUTCOME_OK);
+    append_synced(&fixture, 1, 20, 2);
+    fixture_close(&fixture);
+    size_t size = read_file(&fixture, LOG_1, &data);
+    memset(data + 512, 0, 512);
+    write_file(&fixture, LOG_1, data, size);
+    ck_assert_int_eq(fixture_open(&fixture), OUTCOME_CORRUPT);
+    free(data);
+    fixture_destroy(&fixture);
+}
+END_TEST
+
 // Where a byte of a record is changed: in its size, type, synced offset,
 // payload checksum, head checksum, index, term and payload.
 static const size_t corrupt_at[] = {0,  2,  4,  8,  15, 16,
@@ -728,6 +747,7 @@
     tcase_add_test(tests, test_torn_at_every_byte);
     tcase_add_test(tests, test_torn_with_zeros);
     tcase_add_test(tests, test_torn_before_unsynced_record);
+    tcase_add_test(tests, test_lost_sector);
     tcase_add_loop_test(tests, test_corrupt, 0,
                         3 * (int)ARRAY_SIZE(corrupt_at));
     tcase_add_test(tests, test_corrupt_before_last_segment);
--- /dev/null
+++ b/test/unit/decide/test_raft.c
@@ -0,0 +1,575 @@
+#include <check.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "catkingrade/decide/raft.h"
+#include "catkingrade/kernel/buffer.h"
+#include "catkingrade/kernel/memory.h"
+#include "catkingrade/kernel/outcome.h"
+#include "catkingrade/rpc/codec.h"
+#include "test/suite.h"
+
+#define HEARTBEAT_US 100000
+#define ELECTION_US  500000
+#define LONGEST_US   (ELECTION_US * 3 / 2)
+
+// Voter 1 of the voters 1, 2 and 3, driven by hand.
+struct fixture {
+    struct raft *raft;
+    struct raft_actions actions; // of the last step
+    int64_t now_us;
+    struct ck_voter voters[3];
+};
+
+static void
+fixture_start(struct fixture *fixture, const struct raft_saved *saved)
+{
+    const struct raft_params params = {
+        .group = "fleet",
+        .self = 1,
+        .heartbeat_us = HEARTBEAT_US,
+        .election_us = ELECTION_US,
+        .clock_drift_ppm = 10000,
+        .seed = 1,
+        .max_pending_entries = 4,
+        .max_pending_bytes = 100000,
+        .max_in_flight_bytes = 100000,
+        .snapshot_entries = 1000,
+        .snapshot_bytes = 1000000,
+        .voters = fixture->voters,
+        .voters_count = 3,
+    };
+
+    memset(fixture, 0, sizeof(*fixture));
+    for (size_t i = 0; i < 3; i++) {
+        fixture->voters[i] = (struct ck_voter){
+            i + 1, (char *)(uintptr_t) "vm", (char *)(uintptr_t) "::1", 1, 1};
+    }
+    fixture->raft = raft_create(&params, saved, 0);
+}
+
+static void
+fixture_destroy(struct fixture *fixture)
+{
+    raft_destroy(fixture->raft);
+    raft_actions_free(&fixture->actions);
+}
+
+static void
+step(struct fixture *fixture, const struct raft_event *event)
+{
+    raft_actions_clear(&fixture->actions);
+    raft_step(fixture->raft, fixture->now_us, event, &fixture->actions);
+}
+
+static void
+tick(struct fixture *fixture, int64_t now_us)
+{
+    const struct raft_event event = {.kind = RAFT_EVENT_TICK};
+
+    fixture->now_us = now_us;
+    step(fixture, &event);
+}
+
+static void
+receive(struct fixture *fixture, uint64_t from, uint64_t term,
+        struct ck_raft_body body)
+{
+    struct ck_raft_message message = {
+        .group = (char *)(uintptr_t) "fleet",
+        .from = from,
+        .to = 1,
+        .term = term,
+        .body = body,
+    };
+    const struct raft_event event = {.kind = RAFT_EVENT_MESSAGE,
+                                     .message = &message};
+
+    step(fixture, &event);
+}
+
+// Finds an action of the last step. Returns NULL when there is none.
+static const struct raft_action *
+find(const struct fixture *fixture, enum raft_action_kind kind)
+{
+    for (size_t i = 0; i < fixture->actions.count; i++) {
+        if (fixture->actions.items[i].kind == kind) {
+            return &fixture->actions.items[i];
+        }
+    }
+    return NULL;
+}
+
+static const struct ck_raft_message *
+find_sent(const struct fixture *fixture, enum ck_raft_kind kind)
+{
+    for (size_t i = 0; i < fixture->actions.count; i++) {
+        const struct raft_action *action = &fixture->actions.items[i];
+        if (action->kind == RAFT_ACTION_SEND &&
+            action->message.body.kind == kind) {
+            return &action->message;
+        }
+    }
+    return NULL;
+}
+
+static void
+receive_vote(struct fixture *fixture, uint64_t term, uint64_t last_index,
+             bool pre_vote, bool transfer)
+{
+    receive(fixture, 2, term,
+            (struct ck_raft_body){
+                .kind = CK_RAFT_VOTE,
+                .ck_raft_body_u.vote = {pre_vote, transfer, last_index,
+                                        last_index == 0 ? 0 : term - 1}});
+}
+
+// The answer of the last step to a vote: 1 granted, 0 refused, -1 none.
+static int
+get_vote(const struct fixture *fixture)
+{
+    const struct ck_raft_message *message =
+        find_sent(fixture, CK_RAFT_VOTE_RESULT);
+
+    return message == NULL ? -1
+                           : message->body.ck_raft_body_u.vote_result.granted;
+}
+
+static void
+receive_granted(struct fixture *fixture, uint64_t term, bool pre_vote)
+{
+    receive(
+        fixture, 2, term,
+        (struct ck_raft_body){.kind = CK_RAFT_VOTE_RESULT,
+                              .ck_raft_body_u.vote_result = {pre_vote, true}});
+}
+
+static void
+receive_matched(struct fixture *fixture, uint64_t from, uint64_t round,
+                uint64_t index)
+{
+    receive(fixture, from, raft_get_term(fixture->raft),
+            (struct ck_raft_body){
+                .kind = CK_RAFT_APPEND_RESULT,
+                .ck_raft_body_u.append_result = {round, true, index}});
+}
+
+static void
+receive_append(struct fixture *fixture, uint64_t term, uint64_t previous_index,
+               uint64_t previous_term, uint64_t commit_index,
+               struct ck_log_entry *entries, u_int count)
+{
+    receive(
+        fixture, 2, term,
+        (struct ck_raft_body){.kind = CK_RAFT_APPEND,
+                              .ck_raft_body_u.append = {1,
+                                                        previous_index,
+                                                        previous_term,
+                                                        commit_index,
+                                                        {count, entries}}});
+}
+
+// Makes voter 1 the leader; returns the round that it sent first.
+static uint64_t
+lead(struct fixture *fixture)
+{
+    tick(fixture, LONGEST_US);
+    ck_assert_ptr_nonnull(find_sent(fixture, CK_RAFT_VOTE));
+    uint64_t term = raft_get_term(fixture->raft) + 1;
+    receive_granted(fixture, term, true);
+    receive_granted(fixture, term, false);
+    ck_assert_int_eq(raft_get_role(fixture->raft), RAFT_LEADER);
+    const struct ck_raft_message *sent = find_sent(fixture, CK_RAFT_APPEND);
+    ck_assert_ptr_nonnull(sent);
+    return sent->body.ck_raft_body_u.append.round;
+}
+
+static struct ck_log_entry
+make_entry(uint64_t index, uint64_t term)
+{
+    return (struct ck_log_entry){
+        .term = term, .index = index, .payload = {4, (char *)"data"}};
+}
+
+static const struct raft_saved empty = {0};
+
+// An entry of an earlier term that a majority holds is not committed by that
+// alone: a later leader may still replace it.
+START_TEST(test_earlier_term_is_not_counted)
+{
+    struct ck_log_entry entry = make_entry(1, 2);
+    struct fixture fixture;
+
+    fixture_start(&fixture, &empty);
+    tick(&fixture, 0);
+    receive_append(&fixture, 2, 0, 0, 0, &entry, 1);
+    uint64_t round = lead(&fixture);
+    ck_assert_uint_eq(raft_get_term(fixture.raft), 3);
+    ck_assert_uint_eq(raft_get_last_index(fixture.raft), 2);
+    receive_matched(&fixture, 2, round, 1);
+    ck_assert_uint_eq(raft_get_commit_index(fixture.raft), 0);
+    ck_assert(!raft_is_ready(fixture.raft));
+    receive_matched(&fixture, 2, round, 2);
+    ck_assert_uint_eq(raft_get_commit_index(fixture.raft), 2);
+    ck_assert(raft_is_ready(fixture.raft));
+    fixture_destroy(&fixture);
+}
+END_TEST
+
+START_TEST(test_restart_waits_before_vote)
+{
+    struct fixture fixture;
+
+    fixture_start(&fixture, &empty);
+    fixture.now_us = ELECTION_US - 1;
+    receive_vote(&fixture, 1, 0, false, false);
+    ck_assert_int_eq(get_vote(&fixture), -1);
+    receive_vote(&fixture, 1, 0, false, true);
+    ck_assert_int_eq(get_vote(&fixture), -1);
+    fixture.now_us = ELECTION_US;
+    receive_vote(&fixture, 1, 0, false, false);
+    ck_assert_int_eq(get_vote(&fixture), 1);
+    fixture_destroy(&fixture);
+}
+END_TEST
+
+START_TEST(test_no_vote_after_hearing_leader)
+{
+    struct fixture fixture;
+
+    fixture_start(&fixture, &empty);
+    fixture.now_us = ELECTION_US;
+    receive_append(&fixture, 1, 0, 0, 0, NULL, 0);
+    fixture.now_us = 2 * ELECTION_US - 1;
+    receive_vote(&fixture, 2, 0, true, false);
+    ck_assert_int_eq(get_vote(&fixture), -1);
+    receive_vote(&fixture, 2, 0, false, false);
+    ck_assert_int_eq(get_vote(&fixture), -1);
+    ck_assert_uint_eq(raft_get_term(fixture.raft), 1);
+    receive_vote(&fixture, 2, 0, false, true); // the leader asked for it
+    ck_assert_int_eq(get_vote(&fixture), 1);
+    receive_append(&fixture, 3, 0, 0, 0, NULL, 0);
+    fixture.now_us += ELECTION_US;
+    receive_vote(&fixture, 4, 0, false, false);
+    ck_assert_int_eq(get_vote(&fixture), 1);
+    fixture_destroy(&fixture);
+}
+END_TEST
+
+START_TEST(test_term_and_vote_are_saved_first)
+{
+    struct fixture fixture;
+
+    fixture_start(&fixture, &empty);
+    tick(&fixture, 0);
+    ck_assert_ptr_nonnull(find(&fixture, RAFT_ACTION_SAVE_SNAPSHOT));
+    fixture.now_us = ELECTION_US;
+    receive_vote(&fixture, 5, 0, true, false); // a pre-vote changes nothing
+    ck_assert_int_eq(get_vote(&fixture), 1);
+    ck_assert_ptr_null(find(&fixture, RAFT_ACTION_SAVE_STATE));
+    receive_vote(&fixture, 5, 0, false, false);
+    ck_assert_int_eq(get_vote(&fixture), 1);
+    const struct raft_action *save = find(&fixture, RAFT_ACTION_SAVE_STATE);
+    ck_assert_ptr_nonnull(save);
+    ck_assert(save < find(&fixture, RAFT_ACTION_SEND));
+    receive_append(&fixture, 9, 0, 0, 0, NULL, 0);
+    save = find(&fixture, RAFT_ACTION_SAVE_STATE);
+    ck_assert_ptr_nonnull(save); // also without a vote
+    ck_assert_uint_eq(save->term, 9);
+    ck_assert_uint_eq(save->voted_for, RAFT_NO_VOTER);
+    ck_assert(save < find(&fixture, RAFT_ACTION_SEND));
+    fixture_destroy(&fixture);
+}
+END_TEST
+
+// The log may hold entries of an older leader beyond what this message
+// compared; the commit index must not reach them.
+START_TEST(test_commit_only_what_was_compared)
+{
+    struct ck_log_entry entries[] = {make_entry(1, 1), make_entry(2, 1),
+                                     make_entry(3, 1)};
+    struct fixture fixture;
+
+    fixture_start(&fixture, &empty);
+    receive_append(&fixture, 1, 0, 0, 0, entries, 3);
+    ck_assert_uint_eq(raft_get_last_index(fixture.raft), 3);
+    receive_append(&fixture, 2, 1, 1, 3, NULL, 0);
+    ck_assert_uint_eq(raft_get_commit_index(fixture.raft), 1);
+    // The entry that differs is replaced, with all after it.
+    entries[1] = make_entry(2, 2);
+    receive_append(&fixture, 2, 1, 1, 3, &entries[1], 1);
+    const struct raft_action *truncate = find(&fixture, RAFT_ACTION_TRUNCATE);
+    ck_assert_ptr_nonnull(truncate);
+    ck_assert_uint_eq(truncate->index, 2);
+    ck_assert_uint_eq(raft_get_last_index(fixture.raft), 2);
+    ck_assert_uint_eq(raft_get_commit_index(fixture.raft), 2);
+    fixture_destroy(&fixture);
+}
+END_TEST
+
+static int
+change_voters(struct fixture *fixture, const struct ck_voter *added,
+              uint64_t removed)
+{
+    const struct raft_event event = {
+        .kind = RAFT_EVENT_CHANGE_VOTERS,
+        .change_voters = {99, "", added, removed}};
+
+    step(fixture, &event);
+    const struct raft_action *refused = find(fixture, RAFT_ACTION_REFUSED);
+    return refused != NULL ? refused->outcome : OUTCOME_OK;
+}
+
+START_TEST(test_one_change_of_voters_at_a_time)
+{
+    struct fixture fixture;
+    struct ck_voter voter = {4, (char *)"vm", (char *)"::1", 1, TRUE};
+
+    fixture_start(&fixture, &empty);
+    ck_assert_int_eq(change_voters(&fixture, &voter, 0), OUTCOME_NOT_LEADER);
+    uint64_t round = lead(&fixture);
+    ck_assert_int_eq(change_voters(&fixture, &voter, 0), OUTCOME_AGAIN);
+    receive_matched(&fixture, 2, round, 1);
+    voter.id = 3;
+    ck_assert_int_eq(change_voters(&fixture, &voter, 0), OUTCOME_INVALID);
+    ck_assert_int_eq(change_voters(&fixture, NULL, 7), OUTCOME_NOT_FOUND);
+    voter.id = 4;
+    ck_assert_int_eq(change_voters(&fixture, &voter, 0), OUTCOME_OK);
+    ck_assert_uint_eq(raft_get_voters(fixture.raft)->voters.voters_len, 4);
+    ck_assert_int_eq(change_voters(&fixture, NULL, 2), OUTCOME_CONFLICT);
+    receive_matched(&fixture, 2, round, 2);
+    ck_assert_int_eq(change_voters(&fixture, NULL, 3), OUTCOME_OK);
+    fixture_destroy(&fixture);
+}
+END_TEST
+
+START_TEST(test_uncommitted_voters_are_rolled_back)
+{
+    struct fixture fixture;
+    struct ck_log_entry entry = make_entry(2, 2);
+
+    fixture_start(&fixture, &empty);
+    uint64_t round = lead(&fixture);
+    receive_matched(&fixture, 2, round, 1);
+    ck_assert_int_eq(change_voters(&fixture, NULL, 3), OUTCOME_OK);
+    ck_assert_uint_eq(raft_get_voters(fixture.raft)->voters.voters_len, 2);
+    receive_append(&fixture, 2, 1, 1, 1, &entry, 1);
+    const struct raft_action *refused = find(&fixture, RAFT_ACTION_REFUSED);
+    ck_assert_ptr_nonnull(refused);
+    ck_assert_int_eq(refused->outcome, OUTCOME_UNKNOWN);
+    ck_assert_uint_eq(raft_get_voters(fixture.raft)->voters.voters_len, 3);
+    fixture_destroy(&fixture);
+}
+END_TEST
+
+// What was acknowledged stays in the store until the snapshot is durable.
+START_TEST(test_install_keeps_acknowledged_entries)
+{
+    struct ck_log_entry entries[] = {make_entry(1, 1), make_entry(2, 1),
+                                     make_entry(3, 1)};
+    struct fixture fixture;
+    uint8_t snapshot[64] = {0, 0, 0, 4}; // four bytes: a list of no voters
+
+    fixture_start(&fixture, &empty);
+    receive_append(&fixture, 1, 0, 0, 1, entries, 3);
+    for (uint64_t offset = 0; offset < 64; offset += 32) {
+        receive(&fixture, 2, 2,
+                (struct ck_raft_body){
+                    .kind = CK_RAFT_SNAPSHOT,
+                    .ck_raft_body_u.snapshot = {
+                        1, 20, 2, offset, 64, {32, (char *)snapshot}}});
+        snapshot[3] = 0;
+    }
+    const struct raft_action *install =
+        find(&fixture, RAFT_ACTION_INSTALL_SNAPSHOT);
+    ck_assert_ptr_nonnull(install);
+    ck_assert_uint_eq(install->snapshot.app_offset, 16);
+    ck_assert_ptr_null(find(&fixture, RAFT_ACTION_TRUNCATE));
+    ck_assert(install < find(&fixture, RAFT_ACTION_SEND));
+    ck_assert_uint_eq(raft_get_last_index(fixture.raft), 20);
+    ck_assert_uint_eq(raft_get_commit_index(fixture.raft), 20);
+    fixture_destroy(&fixture);
+}
+END_TEST
+
+static int
+propose(struct fixture *fixture, size_t size_bytes)
+{
+    static const char data[CK_BLOB_SIZE + 1];
+    const struct raft_event event = {.kind = RAFT_EVENT_PROPOSE,
+                                     .propose = {1, data, size_bytes}};
+
+    step(fixture, &event);
+    const struct raft_action *refused = find(fixture, RAFT_ACTION_REFUSED);
+    ck_assert(refused == NULL || refused->token == 1);
+    ck_assert((refused == NULL) ==
+              (find(fixture, RAFT_ACTION_PROPOSED) != NULL));
+    if (refused != NULL && refused->outcome == OUTCOME_OVERLOADED) {
+        ck_assert_int_eq(refused->retry_after_us, HEARTBEAT_US);
+    }
+    return refused != NULL ? refused->outcome : OUTCOME_OK;
+}
+
+START_TEST(test_proposals_are_bounded)
+{
+    struct fixture fixture;
+
+    fixture_start(&fixture, &empty);
+    ck_assert_int_eq(propose(&fixture, 10), OUTCOME_NOT_LEADER);
+    uint64_t round = lead(&fixture); // its own first entry counts as well
+    ck_assert_int_eq(propose(&fixture, CK_BLOB_SIZE + 1), OUTCOME_TOO_LARGE);
+    ck_assert_int_eq(propose(&fixture, CK_BLOB_SIZE), OUTCOME_OK);
+    ck_assert_int_eq(propose(&fixture, CK_BLOB_SIZE), OUTCOME_OK);
+    ck_assert_int_eq(propose(&fixture, CK_BLOB_SIZE), OUTCOME_OVERLOADED);
+    ck_assert_int_eq(propose(&fixture, 10), OUTCOME_OK);
+    ck_assert_int_eq(propose(&fixture, 10), OUTCOME_OVERLOADED); // 4 entries
+    receive_matched(&fixture, 2, round, 2);
+    ck_assert_int_eq(propose(&fixture, 10), OUTCOME_OK);
+    fixture_destroy(&fixture);
+}
+END_TEST
+
+// Proposals of one turn go out together, in messages that fit a datagram.
+START_TEST(test_batches)
+{
+    struct fixture fixture;
+
+    fixture_start(&fixture, &empty);
+    uint64_t round = lead(&fixture);
+    receive_matched(&fixture, 2, round, 1);
+    for (int i = 0; i < 3; i++) {
+        ck_assert_int_eq(propose(&fixture, 12000), OUTCOME_OK);
+        ck_assert_ptr_null(find(&fixture, RAFT_ACTION_SEND));
+    }
+    ck_assert_ptr_null(find(&fixture, RAFT_ACTION_WAKE)); // told before
+    tick(&fixture, fixture.now_us);
+    size_t messages = 0;
+    for (size_t i = 0; i < fixture.actions.count; i++) {
+        const struct raft_action *action = &fixture.actions.items[i];
+        if (action->kind == RAFT_ACTION_SEND && action->message.to == 2) {
+            const struct ck_raft_append *append =
+                &action->message.body.ck_raft_body_u.append;
+            ck_assert_uint_eq(append->entries.entries_len,
+                              messages == 0 ? 2 : 1);
+            messages++;
+        }
+    }
+    ck_assert_uint_eq(messages, 2);
+    fixture_destroy(&fixture);
+}
+END_TEST
+
+// Only answers to rounds that were sent lately make a quorum.
+START_TEST(test_quorum_needs_recent_rounds)
+{
+    struct fixture fixture;
+
+    fixture_start(&fixture, &empty);
+    uint64_t round = lead(&fixture);
+    int64_t sent_us = fixture.now_us;
+    ck_assert(!raft_has_quorum(fixture.raft, sent_us));
+    receive_matched(&fixture, 2, round, 1);
+    ck_assert(raft_has_quorum(fixture.raft, sent_us));
+    // 500 ms less twice 1%
+    ck_assert(raft_has_quorum(fixture.raft, sent_us + 489999));
+    ck_assert(!raft_has_quorum(fixture.raft, sent_us + 490000));
+    fixture.now_us = sent_us + 400000;
+    receive_matched(&fixture, 2, round, 1); // an old round, doubled
+    ck_assert(!raft_has_quorum(fixture.raft, sent_us + 490000));
+    receive_matched(&fixture, 2, round + 1000000000, 1); // never sent
+    ck_assert(!raft_has_quorum(fixture.raft, sent_us + 490000));
+    tick(&fixture, sent_us + 400000);
+    const struct ck_raft_message *sent = find_sent(&fixture, CK_RAFT_APPEND);
+    receive_matched(&fixture, 3, sent->body.ck_raft_body_u.append.round, 1);
+    ck_assert(raft_has_quorum(fixture.raft, sent_us + 490000));
+    fixture_destroy(&fixture);
+}
+END_TEST
+
+// From the moment it tells the target, a leader grants no lease anymore, and
+// steps down even if nothing comes of it.
+START_TEST(test_transfer_ends_leases)
+{
+    const struct raft_event transfer = {.kind = RAFT_EVENT_TRANSFER,
+                                        .transfer = 2};
+    struct fixture fixture;
+
+    fixture_start(&fixture, &empty);
+    uint64_t round = lead(&fixture);
+    receive_matched(&fixture, 3, round, 1);
+    step(&fixture, &transfer); // voter 2 lacks the last entry
+    ck_assert_ptr_null(find_sent(&fixture, CK_RAFT_TIMEOUT_NOW));
+    ck_assert_int_eq(propose(&fixture, 10), OUTCOME_AGAIN);
+    ck_assert(raft_has_quorum(fixture.raft, fixture.now_us));
+    int64_t until_us = fixture.now_us + ELECTION_US;
+    for (int i = 0; i < 5; i++) { // still there, but it never catches up
+        tick(&fixture, fixture.now_us + HEARTBEAT_US);
+        round = find_sent(&fixture, CK_RAFT_APPEND)
+                    ->body.ck_raft_body_u.append.round;
+        receive_matched(&fixture, 3, round, 1);
+    }
+    ck_assert_int_ge(fixture.now_us, until_us);
+    ck_assert_int_eq(propose(&fixture, 10), OUTCOME_OK); // called back
+    receive_matched(&fixture, 2, round, 2);
+    step(&fixture, &transfer);
+    ck_assert_ptr_nonnull(find_sent(&fixture, CK_RAFT_TIMEOUT_NOW));
+    ck_assert(!raft_has_quorum(fixture.raft, fixture.now_us));
+    tick(&fixture, fixture.now_us + ELECTION_US - 1);
+    ck_assert_ptr_nonnull(find_sent(&fixture, CK_RAFT_TIMEOUT_NOW));
+    receive_matched(
+        &fixture, 3,
+        find_sent(&fixture, CK_RAFT_APPEND)->body.ck_raft_body_u.append.round,
+        2);
+    ck_assert(!raft_has_quorum(fixture.raft, fixture.now_us));
+    tick(&fixture, fixture.now_us + 1);
+    ck_assert_int_eq(raft_get_role(fixture.raft), RAFT_FOLLOWER);
+    fixture_destroy(&fixture);
+}
+END_TEST
+
+START_TEST(test_foreign_messages_are_ignored)
+{
+    struct fixture fixture;
+    struct ck_raft_message message = {.group = (char *)(uintptr_t) "noord",
+                                      .from = 2,
+                                      .to = 1,
+                                      .term = 7,
+                                      .body = {.kind = CK_RAFT_APPEND}};
+    const struct raft_event event = {.kind = RAFT_EVENT_MESSAGE,
+                                     .message = &message};
+
+    fixture_start(&fixture, &empty);
+    step(&fixture, &event);
+    message.group = (char *)(uintptr_t) "fleet";
+    message.to = 2;
+    step(&fixture, &event);
+    ck_assert_uint_eq(raft_get_term(fixture.raft), 0);
+    // Entries that do not follow each other.
+    struct ck_log_entry entries[] = {make_entry(1, 1), make_entry(3, 1)};
+    receive_append(&fixture, 1, 0, 0, 0, entries, 2);
+    entries[1] = make_entry(2, 9);
+    receive_append(&fixture, 1, 0, 0, 0, entries, 2);
+    ck_assert_uint_eq(raft_get_last_index(fixture.raft), 0);
+    fixture_destroy(&fixture);
+}
+END_TEST
+
+static void
+add_tests(TCase *tests)
+{
+    tcase_add_test(tests, test_earlier_term_is_not_counted);
+    tcase_add_test(tests, test_restart_waits_before_vote);
+    tcase_add_test(tests, test_no_vote_after_hearing_leader);
+    tcase_add_test(tests, test_term_and_vote_are_saved_first);
+    tcase_add_test(tests, test_commit_only_what_was_compared);
+    tcase_add_test(tests, test_one_change_of_voters_at_a_time);
+    tcase_add_test(tests, test_uncommitted_voters_are_rolled_back);
+    tcase_add_test(tests, test_install_keeps_acknowledged_entries);
+    tcase_add_test(tests, test_proposals_are_bounded);
+    tcase_add_test(tests, test_batches);
+    tcase_add_test(tests, test_quorum_needs_recent_rounds);
+    tcase_add_test(tests, test_transfer_ends_leases);
+    tcase_add_test(tests, test_foreign_messages_are_ignored);
+}
+
+TEST_MAIN("raft", add_tests)
