--- a/src/catkingrade/decide/traffic_request.c
+++ b/src/catkingrade/decide/traffic_request.c
@@ -438,6 +438,24 @@
     }
 }
 
+// Returns why a request runs where it does, for people.
+static const char *
+request_get_route_reason(const struct request *request, bool on_replica)
+{
+    if (on_replica) {
+        return "covers the session's floor within the accepted age";
+    }
+    switch (request->request_class) {
+    case TRAFFIC_READ:
+        return "no replica that may serve the read was better";
+    case TRAFFIC_WRITE:
+    case TRAFFIC_BEGIN:
+        return "may write";
+    default:
+        return "runs in a transaction";
+    }
+}
+
 // Sends a request that is in no queue on a connection that is free for it.
 void
 request_send(struct traffic *traffic, struct request *request,
@@ -467,6 +485,7 @@
     action->conn = conn->id;
     action->upstream = conn->upstream;
     action->on_replica = conn->upstream != traffic->primary;
+    action->reason = request_get_route_reason(request, action->on_replica);
 }
 
 // Ends a request that has not been sent because its time is over.
