feat(decide): lend slots and connections with the lease

Problem: the sum of what entries use of an upstream must stay within its limits through lost answers, cut-offs, restarts and a change of leader. The fake fleet checks the sums at each entry.

--- a/src/catkingrade/decide/leader_private.h
+++ b/src/catkingrade/decide/leader_private.h
@@ -17,6 +17,7 @@
     LEADER_HOLDER = 'H',
     LEADER_DATABASE = 'B',
     LEADER_PROPOSAL = 'P',
+    LEADER_QUOTA = 'Q',
 };
 
 // A daemon that may hold a lease. It stays until the leader is deposed.
@@ -126,6 +127,7 @@
     struct leader_holder *holders;
     struct leader_proposal *proposals; // the newest
     struct leader_database *databases;
+    struct leader_quota *quotas;
     struct announce *announce;
     struct drain *drain;
     struct leader_actions *actions; // of the present step
@@ -168,6 +170,12 @@
                           const struct ck_notify_result *result);
 void leader_expire_holders(struct leader *leader);
 
+// Lending of slots and connections; leader_quota.c.
+void leader_fill_quotas(struct leader *leader, struct leader_holder *holder,
+                        const struct ck_renew_args *args,
+                        struct ck_renew_result *result);
+void leader_free_quotas(struct leader *leader);
+
 // Databases; leader_database.c.
 struct leader_database *leader_get_database(struct leader *leader,
                                             const char *name);
--- a/src/catkingrade/decide/leaseholder.c
+++ b/src/catkingrade/decide/leaseholder.c
@@ -177,7 +177,7 @@
         lease_us * (int64_t)holder->params.drift_ppm / LEASEHOLDER_PPM;
     int64_t until_us = holder->sent_at_us + lease_us - drift_us;
 
-    if (lease_us > 0 && until_us > holder->valid_until_us) {
+    if (until_us > holder->valid_until_us) {
         holder->valid_until_us = until_us;
         leaseholder_add_action(actions, LEASEHOLDER_ACTION_SET_LEASE)
             ->valid_until_us = until_us;
@@ -207,9 +207,11 @@
     if (result->delta.more || holder->renew_again) {
         holder->next_renew_us = now_us;
     }
-    leaseholder_set_quotas(holder, result);
-    leaseholder_add_quotas(holder, actions);
-    leaseholder_take_lease(holder, result, actions);
+    if (result->lease_us > 0) {
+        leaseholder_set_quotas(holder, result);
+        leaseholder_add_quotas(holder, actions);
+        leaseholder_take_lease(holder, result, actions);
+    }
 }
 
 // Takes an answer. One that is late, or of a leader older than one that was
--- a/src/catkingrade/decide/leaseholder_reports.c
+++ b/src/catkingrade/decide/leaseholder_reports.c
@@ -65,26 +65,36 @@
     holder->suspicions_count = kept;
 }
 
-// Sets the demand of an upstream for the next renewal.
-void
-leaseholder_add_demand(struct leaseholder *holder,
-                       const struct ck_demand *demand)
+// Returns the row of an upstream, which may be new.
+static struct ck_demand *
+leaseholder_get_demand(struct leaseholder *holder, const char *upstream)
 {
     size_t place = 0;
 
     while (place < holder->demands_count &&
-           strcmp(holder->demands[place].upstream, demand->upstream) != 0) {
+           strcmp(holder->demands[place].upstream, upstream) != 0) {
         place++;
     }
     if (place == holder->demands_count) {
         holder->demands_count++;
         holder->demands = xrealloc(
             holder->demands, holder->demands_count * sizeof(*holder->demands));
-        holder->demands[place].upstream = xstrdup(demand->upstream);
+        memset(&holder->demands[place], 0, sizeof(*holder->demands));
+        holder->demands[place].upstream = xstrdup(upstream);
     }
-    holder->demands[place].waiting = demand->waiting;
-    holder->demands[place].running = demand->running;
-    holder->demands[place].connections = demand->connections;
+    return &holder->demands[place];
+}
+
+// Sets the demand of an upstream for the next renewal.
+void
+leaseholder_add_demand(struct leaseholder *holder,
+                       const struct ck_demand *demand)
+{
+    struct ck_demand *own = leaseholder_get_demand(holder, demand->upstream);
+
+    own->waiting = demand->waiting;
+    own->running = demand->running;
+    own->connections = demand->connections;
 }
 
 static struct ck_revocation *
@@ -192,6 +202,28 @@
     }
 }
 
+// Has a row for each quota that is held, and says in it how much that is.
+static void
+leaseholder_report_quotas(struct leaseholder *holder)
+{
+    for (size_t i = 0; i < holder->demands_count; i++) {
+        struct ck_demand *demand = &holder->demands[i];
+        demand->held_slots = 0;
+        demand->held_connections = 0;
+        demand->held_guaranteed_slots = 0;
+        demand->held_guaranteed_connections = 0;
+    }
+    for (size_t i = 0; i < holder->quotas_count; i++) {
+        const struct ck_quota *quota = &holder->quotas[i];
+        struct ck_demand *demand =
+            leaseholder_get_demand(holder, quota->upstream);
+        demand->held_slots = quota->slots;
+        demand->held_connections = quota->connections;
+        demand->held_guaranteed_slots = quota->guaranteed_slots;
+        demand->held_guaranteed_connections = quota->guaranteed_connections;
+    }
+}
+
 // Fills the arguments of the next call, borrowing from the holder.
 void
 leaseholder_fill_args(struct leaseholder *holder, int64_t now_us)
@@ -199,6 +231,7 @@
     struct ck_renew_args *args = &holder->args;
 
     leaseholder_drop_old_suspicions(holder, now_us);
+    leaseholder_report_quotas(holder);
     size_t count = holder->suspicions_count;
     holder->sent_suspicions =
         xrealloc(holder->sent_suspicions, count * sizeof(struct ck_suspicion));
--- a/src/catkingrade/rpc/messages.h
+++ b/src/catkingrade/rpc/messages.h
@@ -167,6 +167,10 @@
 	u_int waiting;
 	u_int running;
 	u_int connections;
+	u_int held_slots;
+	u_int held_connections;
+	u_int held_guaranteed_slots;
+	u_int held_guaranteed_connections;
 };
 typedef struct ck_demand ck_demand;
 
--- a/src/catkingrade/rpc/messages.x
+++ b/src/catkingrade/rpc/messages.x
@@ -127,6 +127,11 @@
     unsigned int waiting;           /* requests waiting for a slot, peak */
     unsigned int running;           /* slots in use, peak */
     unsigned int connections;       /* connections open or opening */
+    /* The quota in force at the entry when it asked. */
+    unsigned int held_slots;
+    unsigned int held_connections;
+    unsigned int held_guaranteed_slots;
+    unsigned int held_guaranteed_connections;
 };
 
 enum ck_suspicion_kind {
--- a/src/catkingrade/rpc/messages_xdr.c
+++ b/src/catkingrade/rpc/messages_xdr.c
@@ -447,6 +447,67 @@
 {
 	register int32_t *buf;
 
+
+	if (xdrs->x_op == XDR_ENCODE) {
+		 if (!xdr_ck_name (xdrs, &objp->upstream))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 7 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->waiting))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->running))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->connections))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->held_slots))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->held_connections))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->held_guaranteed_slots))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->held_guaranteed_connections))
+				 return FALSE;
+		} else {
+			IXDR_PUT_U_LONG(buf, objp->waiting);
+			IXDR_PUT_U_LONG(buf, objp->running);
+			IXDR_PUT_U_LONG(buf, objp->connections);
+			IXDR_PUT_U_LONG(buf, objp->held_slots);
+			IXDR_PUT_U_LONG(buf, objp->held_connections);
+			IXDR_PUT_U_LONG(buf, objp->held_guaranteed_slots);
+			IXDR_PUT_U_LONG(buf, objp->held_guaranteed_connections);
+		}
+		return TRUE;
+	} else if (xdrs->x_op == XDR_DECODE) {
+		 if (!xdr_ck_name (xdrs, &objp->upstream))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 7 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->waiting))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->running))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->connections))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->held_slots))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->held_connections))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->held_guaranteed_slots))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->held_guaranteed_connections))
+				 return FALSE;
+		} else {
+			objp->waiting = IXDR_GET_U_LONG(buf);
+			objp->running = IXDR_GET_U_LONG(buf);
+			objp->connections = IXDR_GET_U_LONG(buf);
+			objp->held_slots = IXDR_GET_U_LONG(buf);
+			objp->held_connections = IXDR_GET_U_LONG(buf);
+			objp->held_guaranteed_slots = IXDR_GET_U_LONG(buf);
+			objp->held_guaranteed_connections = IXDR_GET_U_LONG(buf);
+		}
+	 return TRUE;
+	}
+
 	 if (!xdr_ck_name (xdrs, &objp->upstream))
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->waiting))
@@ -455,6 +516,14 @@
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->connections))
 		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->held_slots))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->held_connections))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->held_guaranteed_slots))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->held_guaranteed_connections))
+		 return FALSE;
 	return TRUE;
 }
 
--- a/test/fake/fleet.h
+++ b/test/fake/fleet.h
@@ -66,6 +66,7 @@
     bool superseding;
     uint64_t min_term; // terms below are revoked here
     int64_t lease_until_us;
+    struct ck_quota quotas[FLEET_MAX_UPSTREAMS]; // without names
     bool saving;
     uint64_t save_call;
     uint64_t save_id;
--- a/test/fake/fleet_entry.c
+++ b/test/fake/fleet_entry.c
@@ -15,6 +15,8 @@
 #define FLEET_RENEW_US        300000
 #define FLEET_RENEW_LIMIT_US  250000
 #define FLEET_RENEW_RETRY_US  20000
+#define FLEET_SLOTS           5 // of changes_make_upstream
+#define FLEET_CONNECTIONS     30
 #define FLEET_ENTRY_DRIFT_PPM 20000
 
 static int64_t
@@ -84,6 +86,31 @@
                      "", 0, action->send.args->sequence);
 }
 
+// Takes quotas, and checks their sums over all entries.
+static void
+fleet_take_quotas(struct fleet *fleet, int entry,
+                  const struct ck_quota *quotas, size_t count)
+{
+    struct fleet_entry *own = &fleet->entries[entry];
+
+    memset(own->quotas, 0, sizeof(own->quotas));
+    for (size_t i = 0; i < count; i++) {
+        own->quotas[atoi(quotas[i].upstream + 1)] = quotas[i];
+    }
+    for (int place = 0; place < fleet->params.upstreams; place++) {
+        unsigned slots = 0;
+        unsigned connections = 0;
+        for (int i = 0; i < fleet->params.entries; i++) {
+            slots += fleet->entries[i].quotas[place].slots;
+            connections += fleet->entries[i].quotas[place].connections;
+        }
+        if (slots > FLEET_SLOTS || connections > FLEET_CONNECTIONS) {
+            fleet_violate(fleet, "u%d: %u slots and %u connections are lent",
+                          place, slots, connections);
+        }
+    }
+}
+
 static void
 fleet_holder_action(struct fleet *fleet, int entry,
                     const struct leaseholder_action *action)
@@ -100,6 +127,10 @@
     case LEASEHOLDER_ACTION_SET_LEASE:
         own->lease_until_us = action->valid_until_us;
         break;
+    case LEASEHOLDER_ACTION_SET_QUOTAS:
+        fleet_take_quotas(fleet, entry, action->quotas.items,
+                          action->quotas.count);
+        break;
     case LEASEHOLDER_ACTION_REVOKE:
         if (action->revoke.term >= own->min_term) {
             own->min_term = action->revoke.term + 1;
@@ -239,6 +270,25 @@
     }
 }
 
+// Reports a demand that moves between entries.
+static void
+fleet_report_demand(struct fleet *fleet, int entry)
+{
+    char name[16];
+    struct ck_demand demand = {.upstream = name};
+    struct leaseholder_event event = {.kind = LEASEHOLDER_EVENT_DEMAND};
+
+    for (int i = 0; i < fleet->params.upstreams; i++) {
+        uint64_t random = network_get_random(fleet->network);
+        (void)snprintf(name, sizeof(name), "u%d", i);
+        demand.waiting = (u_int)(random % 4);
+        demand.running = (u_int)(random / 4 % 4);
+        demand.connections = (u_int)(random / 16 % 20);
+        event.demand = &demand;
+        fleet_hold(fleet, entry, &event);
+    }
+}
+
 // Runs an entry's timers.
 void
 fleet_entry_timer(struct fleet *fleet, int entry, uint64_t tag)
@@ -249,6 +299,9 @@
         fleet_hold(fleet, entry, &tick);
         return;
     }
+    if (network_get_random(fleet->network) % 16 == 0) {
+        fleet_report_demand(fleet, entry);
+    }
     fleet_try_save(fleet, entry);
     network_set_timer(fleet->network, fleet_entry_node(fleet, entry),
                       FLEET_TIMER_SAVE,
