--- a/src/catkingrade/decide/pool.c
+++ b/src/catkingrade/decide/pool.c
@@ -421,14 +421,15 @@
     return -1;
 }
 
-// Closes idle connections that a new view, quota or lease no longer allows.
+// Closes connections that are idle or not open yet and that a new view, quota
+// or lease no longer allows.
 // Busy ones follow when they are released.
 void
 pool_enforce_limits(struct traffic *traffic)
 {
     for (uint32_t i = 0; i < traffic->conns_count; i++) {
         struct conn *conn = &traffic->conns[i];
-        if (conn->state != CONN_IDLE) {
+        if (conn->state != CONN_IDLE && conn->state != CONN_OPENING) {
             continue;
         }
         int reason = pool_find_close_reason(traffic, conn);
--- a/src/catkingrade/decide/traffic.c
+++ b/src/catkingrade/decide/traffic.c
@@ -157,8 +157,7 @@
 static void
 traffic_follow_lease(struct traffic *traffic)
 {
-    bool leased = !traffic->lease_known ||
-                  traffic->lease.valid_until_us > traffic->now_us;
+    bool leased = lease_has_quota(traffic);
 
     if (leased != traffic->limits_leased) {
         view_set_limits(traffic);
--- a/src/catkingrade/decide/traffic_lease.c
+++ b/src/catkingrade/decide/traffic_lease.c
@@ -7,7 +7,7 @@
 uint64_t
 lease_get_term(const struct traffic *traffic)
 {
-    return traffic->view_known ? traffic->view.database->term : 0;
+    return traffic->term;
 }
 
 // Returns whether the primary of the view's term was the only one at at_us,
@@ -50,6 +50,17 @@
     traffic_add_action(traffic, TRAFFIC_ACTION_CONFIRM_REVOKED)->term = term;
 }
 
+// Returns whether all that was lent with the lease may be used, and not only
+// its guaranteed part: until the lease runs out, of whatever term it is.
+bool
+lease_has_quota(const struct traffic *traffic)
+{
+    if (!traffic->lease_known) {
+        return traffic->view.database->group[0] == '\0';
+    }
+    return traffic->lease.valid_until_us > traffic->now_us;
+}
+
 // Takes a renewal or a revocation. A renewal of a term that was revoked came
 // late and changes nothing; the end of a lease never moves back.
 void
--- a/src/catkingrade/decide/traffic_sample.c
+++ b/src/catkingrade/decide/traffic_sample.c
@@ -146,11 +146,18 @@
     sample_refresh_age(traffic, up);
 }
 
-// Notes that an upstream has answered: it is not suspected any more.
+// Notes that an upstream has answered: it is not suspected any more, and new
+// connections to it need not wait.
 void
 sample_note_answer(struct traffic *traffic, uint32_t upstream)
 {
-    traffic->upstreams[upstream].failing_since_us = 0;
+    struct upstream *up = &traffic->upstreams[upstream];
+
+    if (up->failing_since_us != 0) {
+        up->failing_since_us = 0;
+        up->open_backoff_us = 0;
+        up->open_next_us = 0;
+    }
 }
 
 // Notes that an upstream refused or was silent, and tells control at bounded
--- a/src/catkingrade/decide/traffic_state.h
+++ b/src/catkingrade/decide/traffic_state.h
@@ -166,6 +166,7 @@
     struct traffic_actions *actions; // of the step that runs
     struct traffic_view view;
     bool view_known;
+    uint64_t term; // of the view's database
     bool draining;
     bool limits_leased; // limits are those of a valid lease
     uint64_t random;
--- a/src/catkingrade/decide/traffic_view.c
+++ b/src/catkingrade/decide/traffic_view.c
@@ -121,8 +121,7 @@
 void
 view_set_limits(struct traffic *traffic)
 {
-    bool leased = !traffic->lease_known ||
-                  traffic->lease.valid_until_us > traffic->now_us;
+    bool leased = lease_has_quota(traffic);
     size_t next_quota = 0;
 
     traffic->slots_total = 0;
@@ -160,11 +159,12 @@
 void
 view_handle(struct traffic *traffic, const struct traffic_view *view)
 {
-    uint64_t old_term = lease_get_term(traffic);
+    uint64_t old_term = traffic->term;
     uint32_t old_primary = traffic->primary;
 
     traffic->view = *view;
     traffic->view_known = true;
+    traffic->term = view->database->term;
     view_list_upstreams(traffic);
     admission_handle_view(traffic);
     if (view->database->term != old_term) {
--- /dev/null
+++ b/test/unit/decide/test_confirm.c
@@ -0,0 +1,244 @@
+#include <check.h>
+
+#include "catkingrade/kernel/memory.h"
+#include "catkingrade/kernel/outcome.h"
+#include "test/fake/traffic_rig.h"
+#include "test/suite.h"
+
+static struct rig rig;
+
+// A database of term 1 under a lease of one second, with one replica to
+// confirm each save.
+static void
+setup(void)
+{
+    rig_init(&rig, 3);
+    rig.database.group = rig.names[0];
+    rig.database.term = 1;
+    rig.customer.confirm = 1;
+    rig_post_view(&rig);
+    rig_post_lease(&rig, 1, rig.now_us + 1000 * RIG_MS_US);
+    for (uint32_t i = 0; i < 3; i++) {
+        rig_sample(&rig, i, 100);
+    }
+    rig_open_session(&rig, 1, NULL);
+    rig_open_all(&rig);
+}
+
+// Runs a save on the primary, which answers that it stands at lsn.
+static uint64_t
+save(uint64_t lsn)
+{
+    uint64_t request = rig_request_typed(&rig, 1, TRAFFIC_WRITE, "",
+                                         rig.now_us + 500 * RIG_MS_US);
+
+    rig_open_all(&rig);
+    const struct traffic_action *action =
+        rig_find(&rig, TRAFFIC_ACTION_SEND, request);
+    ck_assert_ptr_nonnull(action);
+    uint32_t conn = action->conn;
+    rig.now_us += 10;
+    rig_result(&rig, request, conn, TRAFFIC_RESULT_DONE, false, lsn);
+    return request;
+}
+
+START_TEST(test_answer_waits_for_a_replica)
+{
+    setup();
+    uint64_t request = save(200);
+    ck_assert_ptr_null(rig_find(&rig, TRAFFIC_ACTION_ANSWER, request));
+    ck_assert_uint_ge(rig_count(&rig, TRAFFIC_ACTION_SAMPLE), 2);
+    rig.now_us += 10;
+    rig_sample(&rig, 1, 199);
+    ck_assert_ptr_null(rig_find(&rig, TRAFFIC_ACTION_ANSWER, request));
+    rig.now_us += 10;
+    rig_sample(&rig, 2, 200);
+    ck_assert_ptr_nonnull(rig_find(&rig, TRAFFIC_ACTION_ANSWER, request));
+    rig_free(&rig);
+}
+END_TEST
+
+// The position of a save that its answer didn't tell is sampled first.
+START_TEST(test_position_is_sampled_when_not_told)
+{
+    setup();
+    uint64_t request = save(0);
+    rig.now_us += 10;
+    rig_sample(&rig, 1, 100);
+    ck_assert_ptr_null(rig_find(&rig, TRAFFIC_ACTION_ANSWER, request));
+    rig_sample(&rig, 0, 300);
+    ck_assert_ptr_null(rig_find(&rig, TRAFFIC_ACTION_ANSWER, request));
+    rig.now_us += 10;
+    rig_sample(&rig, 1, 300);
+    const struct traffic_action *action =
+        rig_find(&rig, TRAFFIC_ACTION_ANSWER, request);
+    ck_assert_ptr_nonnull(action);
+    ck_assert_uint_eq(action->floor.lsn, 300);
+    rig_free(&rig);
+}
+END_TEST
+
+START_TEST(test_deadline_ends_as_the_template_says)
+{
+    setup();
+    rig.customer.unconfirmed =
+        _i == 0 ? CK_UNCONFIRMED_UNKNOWN : CK_UNCONFIRMED_WARN;
+    rig_post_view(&rig);
+    uint64_t request = save(200);
+    rig_tick(&rig, 500 * RIG_MS_US);
+    ck_assert_ptr_nonnull(
+        rig_find(&rig, _i == 0 ? TRAFFIC_ACTION_UNKNOWN : TRAFFIC_ACTION_WARN,
+                 request));
+    rig_free(&rig);
+}
+END_TEST
+
+// A replica's position of another timeline confirms nothing.
+START_TEST(test_other_timeline_confirms_nothing)
+{
+    struct traffic_event event = {.kind = TRAFFIC_EVENT_SAMPLE};
+
+    setup();
+    uint64_t request = save(200);
+    event.sample = (struct traffic_sample){
+        .upstream = 1, .position = {2, 900}, .asked_at_us = rig.now_us};
+    rig_step(&rig, &event);
+    ck_assert_ptr_null(rig_find(&rig, TRAFFIC_ACTION_ANSWER, request));
+    rig_free(&rig);
+}
+END_TEST
+
+// What ends the term before the confirmation.
+enum ending {
+    ENDING_EXPIRED,
+    ENDING_REVOKED,
+    ENDING_SUPERSEDING,
+    ENDING_TERM
+};
+
+static void
+end_term(enum ending ending)
+{
+    switch (ending) {
+    case ENDING_EXPIRED:
+        rig.now_us += 1000 * RIG_MS_US;
+        break;
+    case ENDING_REVOKED:
+        rig_revoke(&rig, 1);
+        break;
+    case ENDING_SUPERSEDING:
+        rig.database.superseding = true;
+        rig_post_view(&rig);
+        break;
+    case ENDING_TERM:
+        rig.database.term = 2;
+        rig.database.base.lsn = 100;
+        rig.database.primary = rig.names[1];
+        rig_post_view(&rig);
+        break;
+    }
+}
+
+// The answer of the old primary, or its confirmation, comes after the term
+// has ended: it is never passed on as done.
+START_TEST(test_no_acknowledgement_after_the_term)
+{
+    setup();
+    uint64_t confirmed = save(200);
+    uint64_t running = rig_request_typed(&rig, 1, TRAFFIC_WRITE, "",
+                                         rig.now_us + 3000 * RIG_MS_US);
+    ck_assert_ptr_null(rig_find(&rig, TRAFFIC_ACTION_SEND, running));
+    end_term((enum ending)_i);
+    ck_assert_ptr_null(rig_find(&rig, TRAFFIC_ACTION_ANSWER, confirmed));
+    rig.now_us += 10;
+    rig_sample(&rig, 1, 300);
+    ck_assert_ptr_null(rig_find(&rig, TRAFFIC_ACTION_ANSWER, confirmed));
+    rig_sample(&rig, 2, 300);
+    ck_assert_ptr_null(rig_find(&rig, TRAFFIC_ACTION_ANSWER, confirmed));
+    rig_free(&rig);
+}
+END_TEST
+
+START_TEST(test_late_answer_after_the_term_is_unknown)
+{
+    setup();
+    rig.customer.confirm = 0;
+    rig_post_view(&rig);
+    uint64_t request = rig_request_typed(&rig, 1, TRAFFIC_WRITE, "",
+                                         rig.now_us + 3000 * RIG_MS_US);
+    rig_open_all(&rig);
+    uint32_t conn = rig_find(&rig, TRAFFIC_ACTION_SEND, request)->conn;
+    end_term((enum ending)_i);
+    if (rig_find(&rig, TRAFFIC_ACTION_UNKNOWN, request) == NULL) {
+        rig_result(&rig, request, conn, TRAFFIC_RESULT_DONE, false, 200);
+    }
+    ck_assert_ptr_null(rig_find(&rig, TRAFFIC_ACTION_ANSWER, request));
+    rig_free(&rig);
+}
+END_TEST
+
+START_TEST(test_revocation_is_confirmed)
+{
+    setup();
+    uint64_t request = save(200);
+    rig_revoke(&rig, 1);
+    ck_assert_ptr_nonnull(rig_find(&rig, TRAFFIC_ACTION_UNKNOWN, request));
+    const struct traffic_action *action =
+        rig_find(&rig, TRAFFIC_ACTION_CONFIRM_REVOKED, 0);
+    ck_assert_ptr_nonnull(action);
+    ck_assert_uint_eq(action->term, 1);
+    // A renewal that crossed the revocation does not bring the term back.
+    rig_post_lease(&rig, 1, rig.now_us + 9000 * RIG_MS_US);
+    request = rig_request(&rig, 1, TRAFFIC_WRITE, -1);
+    ck_assert_ptr_nonnull(rig_find(&rig, TRAFFIC_ACTION_REFUSE, request));
+    rig_free(&rig);
+}
+END_TEST
+
+// Without a lease a save is refused at once, with a time to come back.
+START_TEST(test_no_lease_refuses_saves_at_once)
+{
+    setup();
+    end_term((enum ending)_i);
+    if (_i == ENDING_TERM) {
+        rig_post_lease(&rig, 1, rig.now_us + 9000 * RIG_MS_US);
+    }
+    uint64_t request = rig_request(&rig, 1, TRAFFIC_WRITE, -1);
+    const struct traffic_action *action =
+        rig_find(&rig, TRAFFIC_ACTION_REFUSE, request);
+    ck_assert_ptr_nonnull(action);
+    ck_assert_int_eq(action->outcome, OUTCOME_UNAVAILABLE);
+    ck_assert_int_gt(action->retry_after_us, 0);
+    rig_free(&rig);
+}
+END_TEST
+
+// A lease that is renewed in time for the same term confirms what waited.
+START_TEST(test_renewed_lease_acknowledges)
+{
+    setup();
+    uint64_t request = save(200);
+    rig_post_lease(&rig, 1, rig.now_us + 2000 * RIG_MS_US);
+    rig.now_us += 400 * RIG_MS_US;
+    rig_sample(&rig, 1, 300);
+    ck_assert_ptr_nonnull(rig_find(&rig, TRAFFIC_ACTION_ANSWER, request));
+    rig_free(&rig);
+}
+END_TEST
+
+static void
+add_tests(TCase *tests)
+{
+    tcase_add_test(tests, test_answer_waits_for_a_replica);
+    tcase_add_test(tests, test_position_is_sampled_when_not_told);
+    tcase_add_loop_test(tests, test_deadline_ends_as_the_template_says, 0, 2);
+    tcase_add_test(tests, test_other_timeline_confirms_nothing);
+    tcase_add_loop_test(tests, test_no_acknowledgement_after_the_term, 0, 4);
+    tcase_add_loop_test(tests, test_late_answer_after_the_term_is_unknown, 0,
+                        4);
+    tcase_add_test(tests, test_revocation_is_confirmed);
+    tcase_add_loop_test(tests, test_no_lease_refuses_saves_at_once, 0, 4);
+    tcase_add_test(tests, test_renewed_lease_acknowledges);
+}
+
+TEST_MAIN("confirm", add_tests)
--- /dev/null
+++ b/test/unit/decide/test_floor.c
@@ -0,0 +1,203 @@
+#include <check.h>
+
+#include "catkingrade/decide/floor.h"
+#include "catkingrade/kernel/memory.h"
+#include "test/fake/traffic_rig.h"
+#include "test/suite.h"
+
+static struct rig rig;
+
+struct translation {
+    struct traffic_floor floor;
+    uint64_t term;
+    uint64_t base_lsn;
+    enum floor_need need;
+    uint64_t lsn;
+};
+
+static const struct translation translations[] = {
+    {{0, 0}, 0, 0, FLOOR_NEED_LSN, 0},
+    {{3, 500}, 3, 100, FLOOR_NEED_LSN, 500},
+    {{2, 500}, 3, 100, FLOOR_NEED_LSN, 100},
+    {{2, 50}, 3, 100, FLOOR_NEED_LSN, 50},
+    {{2, 500}, 3, 0, FLOOR_NEED_LSN, 500},
+    {{4, 1}, 3, 100, FLOOR_NEED_VIEW, 1},
+};
+
+START_TEST(test_translate)
+{
+    const struct translation *row = &translations[_i];
+    struct ck_database database = {.term = row->term};
+    uint64_t lsn = 0;
+
+    database.base.lsn = row->base_lsn;
+    ck_assert_int_eq(floor_translate(&database, &row->floor, &lsn), row->need);
+    ck_assert_uint_eq(lsn, row->lsn);
+}
+END_TEST
+
+// Three upstreams; u1 is at 100, u2 behind at 50, the primary at 100.
+static void
+setup(void)
+{
+    rig_init(&rig, 3);
+    rig_post_view(&rig);
+    rig_sample(&rig, 0, 40);
+    rig.now_us += 10;
+    rig_sample(&rig, 0, 100);
+    rig_sample(&rig, 1, 100);
+    rig_sample(&rig, 2, 50);
+}
+
+static void
+open_without_token(uint64_t session)
+{
+    const struct traffic_event event = {.kind = TRAFFIC_EVENT_SESSION_OPEN,
+                                        .session_open = {.session = session}};
+
+    rig_step(&rig, &event);
+    rig_open_all(&rig);
+}
+
+static size_t
+count_primary_samples(void)
+{
+    size_t count = 0;
+
+    for (size_t i = 0; i < rig.actions.count; i++) {
+        const struct traffic_action *action = &rig.actions.items[i];
+        count +=
+            action->kind == TRAFFIC_ACTION_SAMPLE && action->upstream == 0;
+    }
+    return count;
+}
+
+// Sessions without a token get the primary's position, asked for after their
+// arrival, and share the probe.
+START_TEST(test_arrivals_share_one_probe)
+{
+    uint64_t requests[3];
+    size_t probes = 0;
+
+    setup();
+    for (uint64_t i = 0; i < 3; i++) {
+        open_without_token(10 + i);
+        probes += count_primary_samples();
+        requests[i] = rig_request(&rig, 10 + i, TRAFFIC_READ, -1);
+        ck_assert_ptr_null(rig_find(&rig, TRAFFIC_ACTION_SEND, 0));
+    }
+    ck_assert_uint_eq(probes, 1);
+    rig.now_us += 10;
+    rig_sample(&rig, 0, 100);
+    rig_open_all(&rig);
+    for (int i = 0; i < 3; i++) {
+        const struct traffic_action *action =
+            rig_find(&rig, TRAFFIC_ACTION_SEND, requests[i]);
+        ck_assert_ptr_nonnull(action);
+        ck_assert_uint_ne(action->upstream, 2);
+    }
+    rig_free(&rig);
+}
+END_TEST
+
+// A sample that was asked for before the arrival may miss what the session
+// wrote elsewhere.
+START_TEST(test_earlier_probe_gives_no_floor)
+{
+    struct traffic_event event = {.kind = TRAFFIC_EVENT_SAMPLE};
+
+    setup();
+    event.sample = (struct traffic_sample){.upstream = 0,
+                                           .is_primary = true,
+                                           .position = {1, 100},
+                                           .asked_at_us = rig.now_us + 5};
+    rig.now_us += 10;
+    open_without_token(10);
+    uint64_t request = rig_request(&rig, 10, TRAFFIC_READ, -1);
+    rig_step(&rig, &event);
+    rig_open_all(&rig);
+    ck_assert_ptr_null(rig_find(&rig, TRAFFIC_ACTION_SEND, request));
+    rig_free(&rig);
+}
+END_TEST
+
+START_TEST(test_floor_keeps_read_off_a_late_replica)
+{
+    const struct traffic_floor floor = {0, 80};
+
+    setup();
+    rig_open_session(&rig, 10, &floor);
+    rig_open_all(&rig);
+    for (int i = 0; i < 20; i++) {
+        uint64_t request = rig_request(&rig, 10, TRAFFIC_READ, -1);
+        rig_open_all(&rig);
+        const struct traffic_action *action =
+            rig_find(&rig, TRAFFIC_ACTION_SEND, request);
+        ck_assert_ptr_nonnull(action);
+        ck_assert_uint_ne(action->upstream, 2);
+        rig_result(&rig, request, action->conn, TRAFFIC_RESULT_DONE, false, 0);
+    }
+    rig_free(&rig);
+}
+END_TEST
+
+START_TEST(test_future_term_waits_for_the_view)
+{
+    const struct traffic_floor floor = {2, 80};
+
+    setup();
+    rig_open_session(&rig, 10, &floor);
+    rig_open_all(&rig);
+    uint64_t first = rig_request(&rig, 10, TRAFFIC_READ, -1);
+    ck_assert_ptr_null(rig_find(&rig, TRAFFIC_ACTION_SEND, first));
+    rig_tick(&rig, 1001 * RIG_MS_US);
+    ck_assert_ptr_nonnull(rig_find(&rig, TRAFFIC_ACTION_REFUSE, first));
+    rig_sample(&rig, 0, 100);
+    uint64_t second = rig_request(&rig, 10, TRAFFIC_READ, -1);
+    rig.database.term = 2;
+    rig_post_view(&rig);
+    rig_sample(&rig, 0, 100);
+    rig_open_all(&rig);
+    ck_assert_ptr_null(rig_find(&rig, TRAFFIC_ACTION_REFUSE, second));
+    ck_assert(rig_find(&rig, TRAFFIC_ACTION_SEND, second) != NULL ||
+              rig_count(&rig, TRAFFIC_ACTION_OPEN) == 0);
+    rig_free(&rig);
+}
+END_TEST
+
+// A primary whose lease has run out may have been superseded: its position
+// gives no floor.
+START_TEST(test_no_floor_without_a_lease)
+{
+    setup();
+    rig.database.group = rig.names[0];
+    rig.database.term = 1;
+    rig_post_view(&rig);
+    rig_post_lease(&rig, 1, rig.now_us + 100);
+    rig.now_us += 200;
+    open_without_token(10);
+    uint64_t request = rig_request(&rig, 10, TRAFFIC_READ, -1);
+    rig_sample(&rig, 0, 100);
+    rig_open_all(&rig);
+    ck_assert_ptr_null(rig_find(&rig, TRAFFIC_ACTION_SEND, request));
+    rig_post_lease(&rig, 1, rig.now_us + 1000);
+    rig.now_us += 10;
+    rig_sample(&rig, 0, 100);
+    rig_open_all(&rig);
+    ck_assert_ptr_nonnull(rig_find(&rig, TRAFFIC_ACTION_SEND, request));
+    rig_free(&rig);
+}
+END_TEST
+
+static void
+add_tests(TCase *tests)
+{
+    tcase_add_loop_test(tests, test_translate, 0, ARRAY_SIZE(translations));
+    tcase_add_test(tests, test_arrivals_share_one_probe);
+    tcase_add_test(tests, test_earlier_probe_gives_no_floor);
+    tcase_add_test(tests, test_floor_keeps_read_off_a_late_replica);
+    tcase_add_test(tests, test_future_term_waits_for_the_view);
+    tcase_add_test(tests, test_no_floor_without_a_lease);
+}
+
+TEST_MAIN("floor", add_tests)
--- /dev/null
+++ b/test/unit/decide/test_pool.c
@@ -0,0 +1,300 @@
+#include <check.h>
+#include <string.h>
+
+#include "catkingrade/kernel/memory.h"
+#include "test/fake/traffic_rig.h"
+#include "test/suite.h"
+
+static struct rig rig;
+
+static void
+setup(uint32_t upstreams_count)
+{
+    rig_init(&rig, upstreams_count);
+    rig_post_view(&rig);
+    for (uint32_t i = 0; i < upstreams_count; i++) {
+        rig_sample(&rig, i, 100);
+    }
+    rig_open_session(&rig, 1, NULL);
+    rig_open_all(&rig);
+}
+
+static void
+set_quotas(uint32_t slots, uint32_t connections, uint32_t guaranteed)
+{
+    for (uint32_t i = 0; i < rig.database.upstreams.upstreams_len; i++) {
+        rig.quotas[i] =
+            (struct ck_quota){.upstream = rig.names[i],
+                              .slots = slots,
+                              .connections = connections,
+                              .guaranteed_slots = guaranteed,
+                              .guaranteed_connections = guaranteed};
+    }
+}
+
+// Sends a save in a session of its own; returns its connection or NO_ID.
+static uint32_t
+save(uint64_t session, uint64_t *request)
+{
+    rig_open_session(&rig, session, NULL);
+    rig_open_all(&rig);
+    *request = rig_request(&rig, session, TRAFFIC_WRITE, -1);
+    rig_open_all(&rig);
+    const struct traffic_action *action =
+        rig_find(&rig, TRAFFIC_ACTION_SEND, *request);
+    return action == NULL ? TRAFFIC_NO_ID : action->conn;
+}
+
+// However much work waits, no more than the quota runs or is open.
+START_TEST(test_quota_limits_use)
+{
+    uint64_t request = 0;
+    unsigned sent = 0;
+    uint32_t last = TRAFFIC_NO_ID;
+    struct ck_demand demand;
+
+    rig_init(&rig, 1);
+    set_quotas(3, _i == 0 ? 4 : 2, 1);
+    rig_post_view(&rig);
+    rig_sample(&rig, 0, 100);
+    for (uint64_t session = 10; session < 30; session++) {
+        uint32_t conn = save(session, &request);
+        sent += conn != TRAFFIC_NO_ID;
+        last = conn != TRAFFIC_NO_ID ? conn : last;
+    }
+    ck_assert_uint_eq(sent, _i == 0 ? 3 : 2);
+    ck_assert_uint_eq(traffic_fill_demands(rig.traffic, &demand, 1), 1);
+    ck_assert_uint_eq(demand.running, sent);
+    ck_assert_uint_eq(demand.waiting, 20 - sent);
+    ck_assert_uint_le(demand.connections, _i == 0 ? 4 : 2);
+    rig_result(&rig, request, last, TRAFFIC_RESULT_DONE, false, 1);
+    rig_free(&rig);
+}
+END_TEST
+
+START_TEST(test_shrunk_quota_closes_idle_ones)
+{
+    struct ck_demand demand;
+
+    setup(1);
+    set_quotas(1, 1, 0);
+    rig_post_view(&rig);
+    ck_assert_uint_eq(rig_count(&rig, TRAFFIC_ACTION_CLOSE), 1);
+    ck_assert_int_eq(rig_find(&rig, TRAFFIC_ACTION_CLOSE, 0)->close_reason,
+                     TRAFFIC_CLOSE_QUOTA);
+    (void)traffic_fill_demands(rig.traffic, &demand, 1);
+    ck_assert_uint_eq(demand.connections, 1);
+    rig_free(&rig);
+}
+END_TEST
+
+// Cut off from control, an entry keeps to its guaranteed share.
+START_TEST(test_guaranteed_share_without_lease)
+{
+    struct ck_demand demand;
+
+    setup(1);
+    rig.database.group = rig.names[0];
+    rig.database.term = 1;
+    set_quotas(5, 5, 1);
+    rig_post_view(&rig);
+    rig_post_lease(&rig, 1, rig.now_us + 1000);
+    rig_open_all(&rig);
+    rig_tick(&rig, 2000);
+    (void)traffic_fill_demands(rig.traffic, &demand, 1);
+    ck_assert_uint_le(demand.connections, 1);
+    rig_free(&rig);
+}
+END_TEST
+
+START_TEST(test_leaving_upstream_gets_nothing)
+{
+    setup(2);
+    rig.upstreams[1].state = CK_UPSTREAM_LEAVING;
+    rig_post_view(&rig);
+    const struct traffic_action *action =
+        rig_find(&rig, TRAFFIC_ACTION_CLOSE, 0);
+    ck_assert_ptr_nonnull(action);
+    ck_assert_int_eq(action->close_reason, TRAFFIC_CLOSE_LEAVING);
+    ck_assert_uint_eq(action->upstream, 1);
+    rig_open_all(&rig);
+    for (int i = 0; i < 10; i++) {
+        uint64_t request = rig_request(&rig, 1, TRAFFIC_READ, -1);
+        rig_open_all(&rig);
+        action = rig_find(&rig, TRAFFIC_ACTION_SEND, request);
+        ck_assert_uint_eq(action->upstream, 0);
+        rig_result(&rig, request, action->conn, TRAFFIC_RESULT_DONE, false, 1);
+    }
+    rig_free(&rig);
+}
+END_TEST
+
+// A request in flight on an upstream that leaves is finished first.
+START_TEST(test_leaving_upstream_finishes_its_work)
+{
+    setup(1);
+    uint64_t request = rig_request(&rig, 1, TRAFFIC_WRITE, -1);
+    uint32_t conn = rig_find(&rig, TRAFFIC_ACTION_SEND, request)->conn;
+    rig.upstreams[0].state = CK_UPSTREAM_LEAVING;
+    rig_post_view(&rig);
+    for (size_t i = 0; i < rig.actions.count; i++) {
+        ck_assert(rig.actions.items[i].kind != TRAFFIC_ACTION_CLOSE ||
+                  rig.actions.items[i].conn != conn);
+    }
+    rig_result(&rig, request, conn, TRAFFIC_RESULT_DONE, false, 200);
+    ck_assert_ptr_nonnull(rig_find(&rig, TRAFFIC_ACTION_ANSWER, request));
+    ck_assert_ptr_nonnull(rig_find(&rig, TRAFFIC_ACTION_CLOSE, 0));
+    rig_free(&rig);
+}
+END_TEST
+
+// A connection that was idle for long proves itself before it carries a save.
+START_TEST(test_idle_connection_proves_itself)
+{
+    setup(1);
+    rig.now_us += 3000 * RIG_MS_US;
+    rig_sample(&rig, 0, 100);
+    uint64_t request = rig_request(&rig, 1, TRAFFIC_WRITE, -1);
+    ck_assert_ptr_null(rig_find(&rig, TRAFFIC_ACTION_SEND, request));
+    rig_free(&rig);
+
+    setup(1);
+    rig_tick(&rig, 1600 * RIG_MS_US);
+    ck_assert_uint_eq(rig_count(&rig, TRAFFIC_ACTION_PROVE), 2);
+    rig_free(&rig);
+}
+END_TEST
+
+// One silent connection brings its neighbours of the same age to the proof.
+START_TEST(test_neighbours_of_silent_one_prove_themselves)
+{
+    struct traffic_event event = {.kind = TRAFFIC_EVENT_CONN_FAILED};
+
+    setup(1);
+    uint64_t request = rig_request(&rig, 1, TRAFFIC_WRITE, -1);
+    event.conn.conn = rig_find(&rig, TRAFFIC_ACTION_SEND, request)->conn;
+    event.conn.silent = true;
+    rig_step(&rig, &event);
+    ck_assert_ptr_nonnull(rig_find(&rig, TRAFFIC_ACTION_UNKNOWN, request));
+    ck_assert_ptr_nonnull(rig_find(&rig, TRAFFIC_ACTION_PROVE, 0));
+    ck_assert_ptr_nonnull(rig_find(&rig, TRAFFIC_ACTION_SUSPECT, 0));
+    rig_free(&rig);
+}
+END_TEST
+
+// What a silent connection never answers ends at the deadline; the connection
+// is closed, and its slot is free again.
+START_TEST(test_silent_connection_frees_its_slot)
+{
+    struct ck_demand demand;
+
+    setup(1);
+    (void)rig_request(&rig, 1, TRAFFIC_WRITE, -1);
+    rig_tick(&rig, 5000 * RIG_MS_US);
+    ck_assert_uint_eq(rig_count(&rig, TRAFFIC_ACTION_UNKNOWN), 1);
+    rig_tick(&rig, 500 * RIG_MS_US);
+    const struct traffic_action *action =
+        rig_find(&rig, TRAFFIC_ACTION_CLOSE, 0);
+    ck_assert_ptr_nonnull(action);
+    ck_assert_int_eq(action->close_reason, TRAFFIC_CLOSE_SILENT);
+    (void)traffic_fill_demands(rig.traffic, &demand, 1);
+    (void)traffic_fill_demands(rig.traffic, &demand, 1);
+    ck_assert_uint_eq(demand.running, 0);
+    rig_free(&rig);
+}
+END_TEST
+
+// News of a closed connection change nothing for the one in its place.
+START_TEST(test_late_news_of_a_closed_connection)
+{
+    const struct traffic_event close = {.kind = TRAFFIC_EVENT_SESSION_CLOSE,
+                                        .session = 1};
+    uint64_t old = 0;
+    uint64_t request = 0;
+
+    setup(1);
+    old = rig_request(&rig, 1, TRAFFIC_BEGIN, -1);
+    uint32_t conn = rig_find(&rig, TRAFFIC_ACTION_SEND, old)->conn;
+    rig_result(&rig, old, conn, TRAFFIC_RESULT_DONE, true, 0);
+    old = rig_request(&rig, 1, TRAFFIC_IN_TRANSACTION, -1);
+    rig_step(&rig, &close);
+    rig_open_all(&rig);
+    uint32_t first = save(2, &request);
+    uint32_t second = save(3, &request);
+    ck_assert_uint_ne(first, conn);
+    ck_assert_uint_ne(second, conn);
+    rig_result(&rig, old, conn, TRAFFIC_RESULT_DONE, false, 300);
+    ck_assert_ptr_null(rig_find(&rig, TRAFFIC_ACTION_ANSWER, 0));
+    rig_conn(&rig, TRAFFIC_EVENT_CONN_FAILED, conn);
+    ck_assert_ptr_null(rig_find(&rig, TRAFFIC_ACTION_UNKNOWN, 0));
+    rig_free(&rig);
+}
+END_TEST
+
+// After a failover connections to the new primary are opened at a bounded
+// rate, and those to the old one are closed.
+START_TEST(test_failover_opens_in_bounds)
+{
+    setup(3);
+    rig.upstreams[1].slots = 20;
+    rig.database.term = 1;
+    rig.database.base.lsn = 100;
+    rig.database.primary = rig.names[1];
+    rig_post_view(&rig);
+    ck_assert_ptr_nonnull(rig_find(&rig, TRAFFIC_ACTION_CLOSE, 0));
+    for (uint64_t session = 10; session < 60; session++) {
+        rig_open_session(&rig, session, NULL);
+        (void)rig_request(&rig, session, TRAFFIC_WRITE, -1);
+    }
+    struct ck_demand demands[3];
+    (void)traffic_fill_demands(rig.traffic, demands, 3);
+    ck_assert_str_eq(demands[1].upstream, "u1");
+    ck_assert_uint_le(demands[1].connections, 2 + 4);
+    rig_free(&rig);
+}
+END_TEST
+
+// An upstream that refuses connections is asked again more and more rarely.
+START_TEST(test_refused_opens_back_off)
+{
+    struct traffic_event refusal = {.kind = TRAFFIC_EVENT_CONN_FAILED};
+    unsigned opens = 0;
+
+    rig_init(&rig, 1);
+    rig_post_view(&rig);
+    rig_open_session(&rig, 1, NULL);
+    (void)rig_request(&rig, 1, TRAFFIC_WRITE, -1);
+    for (int i = 0; i < 1000; i++) {
+        for (size_t j = 0; j < rig.actions.count; j++) {
+            if (rig.actions.items[j].kind == TRAFFIC_ACTION_OPEN) {
+                opens++;
+                refusal.conn.conn = rig.actions.items[j].conn;
+                refusal.conn.refused = true;
+                traffic_step(rig.traffic, rig.now_us, &refusal, &rig.actions);
+            }
+        }
+        rig_tick(&rig, RIG_MS_US);
+    }
+    ck_assert_uint_gt(opens, 2);
+    ck_assert_uint_lt(opens, 15);
+    rig_free(&rig);
+}
+END_TEST
+
+static void
+add_tests(TCase *tests)
+{
+    tcase_add_loop_test(tests, test_quota_limits_use, 0, 2);
+    tcase_add_test(tests, test_shrunk_quota_closes_idle_ones);
+    tcase_add_test(tests, test_guaranteed_share_without_lease);
+    tcase_add_test(tests, test_leaving_upstream_gets_nothing);
+    tcase_add_test(tests, test_leaving_upstream_finishes_its_work);
+    tcase_add_test(tests, test_idle_connection_proves_itself);
+    tcase_add_test(tests, test_neighbours_of_silent_one_prove_themselves);
+    tcase_add_test(tests, test_silent_connection_frees_its_slot);
+    tcase_add_test(tests, test_late_news_of_a_closed_connection);
+    tcase_add_test(tests, test_failover_opens_in_bounds);
+    tcase_add_test(tests, test_refused_opens_back_off);
+}
+
+TEST_MAIN("pool", add_tests)
--- /dev/null
+++ b/test/unit/decide/test_retry.c
@@ -0,0 +1,140 @@
+#include <check.h>
+
+#include "catkingrade/kernel/memory.h"
+#include "test/fake/traffic_rig.h"
+#include "test/suite.h"
+
+static struct rig rig;
+static char browse[] = "browse";
+
+// Two replicas, and enough requests before to have earned a budget.
+static void
+setup(bool repeatable, unsigned earned)
+{
+    rig_init(&rig, 3);
+    rig.customer.types.types_len = 1;
+    rig.types[0] = (struct ck_request_type){.name = browse,
+                                            .weight = 1,
+                                            .deadline_ms = 1000,
+                                            .queue_limit = 100,
+                                            .max_age_ms = 2000,
+                                            .repeatable = repeatable};
+    rig_post_view(&rig);
+    for (uint32_t i = 0; i < 3; i++) {
+        rig_sample(&rig, i, 100);
+    }
+    rig_open_session(&rig, 1, NULL);
+    rig_open_all(&rig);
+    for (unsigned i = 0; i < earned; i++) {
+        uint64_t request = rig_request(&rig, 1, TRAFFIC_READ, -1);
+        rig_open_all(&rig);
+        uint32_t conn = rig_find(&rig, TRAFFIC_ACTION_SEND, request)->conn;
+        rig_result(&rig, request, conn, TRAFFIC_RESULT_DONE, false, 100);
+    }
+}
+
+struct retry_case {
+    enum traffic_class request_class;
+    bool repeatable;
+    enum traffic_result result;
+    bool retried;
+};
+
+static const struct retry_case retry_cases[] = {
+    {TRAFFIC_READ, false, TRAFFIC_RESULT_NOT_SENT, true},
+    {TRAFFIC_READ, false, TRAFFIC_RESULT_CUT, false},
+    {TRAFFIC_READ, true, TRAFFIC_RESULT_CUT, true},
+    {TRAFFIC_READ, true, TRAFFIC_RESULT_PARTIAL, false},
+    {TRAFFIC_READ, true, TRAFFIC_RESULT_ERROR, false},
+    {TRAFFIC_WRITE, true, TRAFFIC_RESULT_CUT, false},
+    {TRAFFIC_WRITE, true, TRAFFIC_RESULT_NOT_SENT, false},
+    {TRAFFIC_BEGIN_READ_ONLY, false, TRAFFIC_RESULT_CUT, true},
+    {TRAFFIC_BEGIN, false, TRAFFIC_RESULT_CUT, false},
+};
+
+START_TEST(test_what_is_retried)
+{
+    const struct retry_case *row = &retry_cases[_i];
+
+    setup(row->repeatable, 20);
+    uint64_t request = rig_request(&rig, 1, row->request_class, -1);
+    rig_open_all(&rig);
+    const struct traffic_action *action =
+        rig_find(&rig, TRAFFIC_ACTION_SEND, request);
+    uint32_t failed = action->upstream;
+    rig_result(&rig, request, action->conn, row->result, false, 0);
+    // Never at once: after a backoff, and elsewhere.
+    ck_assert_ptr_null(rig_find(&rig, TRAFFIC_ACTION_SEND, request));
+    bool ended = rig_find(&rig, TRAFFIC_ACTION_REFUSE, request) != NULL ||
+                 rig_find(&rig, TRAFFIC_ACTION_UNKNOWN, request) != NULL ||
+                 rig_find(&rig, TRAFFIC_ACTION_ANSWER, request) != NULL;
+    ck_assert(ended != row->retried);
+    rig_open_all(&rig);
+    rig_tick(&rig, 5 * RIG_MS_US);
+    rig_open_all(&rig);
+    action = rig_find(&rig, TRAFFIC_ACTION_SEND, request);
+    ck_assert((action != NULL) == row->retried);
+    ck_assert(action == NULL || action->upstream != failed);
+    rig_free(&rig);
+}
+END_TEST
+
+// Each try goes to an upstream that has not failed it: two replicas, then the
+// primary.
+START_TEST(test_never_the_same_upstream)
+{
+    bool tried[3] = {false};
+
+    setup(true, 30);
+    uint64_t request = rig_request(&rig, 1, TRAFFIC_READ, -1);
+    for (int i = 0; i < 3; i++) {
+        rig_open_all(&rig);
+        const struct traffic_action *action =
+            rig_find(&rig, TRAFFIC_ACTION_SEND, request);
+        ck_assert_ptr_nonnull(action);
+        ck_assert(!tried[action->upstream]);
+        ck_assert((action->upstream == 0) == (i == 2));
+        tried[action->upstream] = true;
+        rig_result(&rig, request, action->conn, TRAFFIC_RESULT_CUT, false, 0);
+        rig_open_all(&rig);
+        rig_tick(&rig, 20 * RIG_MS_US);
+    }
+    rig_free(&rig);
+}
+END_TEST
+
+// Retries stay below a tenth of the requests when all of them fail.
+START_TEST(test_budget)
+{
+    unsigned retried = 0;
+
+    setup(true, 0);
+    for (int i = 0; i < 200; i++) {
+        rig_open_session(&rig, 10 + (uint64_t)i, NULL);
+        rig_open_all(&rig);
+        uint64_t request =
+            rig_request(&rig, 10 + (uint64_t)i, TRAFFIC_READ, -1);
+        rig_open_all(&rig);
+        const struct traffic_action *action =
+            rig_find(&rig, TRAFFIC_ACTION_SEND, request);
+        ck_assert_ptr_nonnull(action);
+        rig_result(&rig, request, action->conn, TRAFFIC_RESULT_CUT, false, 0);
+        retried += rig_find(&rig, TRAFFIC_ACTION_UNKNOWN, request) == NULL;
+        rig_open_all(&rig);
+    }
+    ck_assert_uint_ge(retried, 10);
+    ck_assert_uint_le(retried, 20);
+    rig_free(&rig);
+}
+END_TEST
+
+static void
+add_tests(TCase *tests)
+{
+    tcase_add_loop_test(tests, test_what_is_retried, 0,
+                        ARRAY_SIZE(retry_cases));
+    tcase_add_test(tests, test_never_the_same_upstream);
+    tcase_add_test(tests, test_budget);
+}
+
+TEST_MAIN("retry", add_tests)
--- /dev/null
+++ b/test/unit/decide/test_route.c
@@ -0,0 +1,252 @@
+#include <check.h>
+
+#include "catkingrade/kernel/memory.h"
+#include "test/fake/traffic_rig.h"
+#include "test/suite.h"
+
+static struct rig rig;
+
+// The primary u0 has been seen at 100, 200, ... once in 100 ms, so an
+// upstream at 100 * n is as old as that moment. It stands at 1000 now.
+static void
+setup(uint32_t upstreams_count)
+{
+    rig_init(&rig, upstreams_count);
+    rig_post_view(&rig);
+    for (uint64_t lsn = 100; lsn <= 1000; lsn += 100) {
+        rig.now_us += 100 * RIG_MS_US;
+        rig_sample(&rig, 0, lsn);
+    }
+    rig_open_session(&rig, 1, NULL);
+    rig_open_all(&rig);
+}
+
+// Sends a read of session 1 and returns the upstream that it goes to, or
+// TRAFFIC_NO_ID when it waits.
+static uint32_t
+route_of_read(int64_t max_age_us, uint64_t *request, uint32_t *conn)
+{
+    rig.now_us += max_age_us == 0; // not the moment of the last sample
+    *request = rig_request(&rig, 1, TRAFFIC_READ, max_age_us);
+    rig_open_all(&rig);
+    const struct traffic_action *action =
+        rig_find(&rig, TRAFFIC_ACTION_SEND, *request);
+    *conn = action == NULL ? TRAFFIC_NO_ID : action->conn;
+    return action == NULL ? TRAFFIC_NO_ID : action->upstream;
+}
+
+struct age_case {
+    uint64_t lsn; // of the only replica
+    int64_t max_age_us;
+    uint32_t upstream;
+};
+
+static const struct age_case age_cases[] = {
+    {1000, 0, 0},                 // sampled before the arrival
+    {1000, 1, 1},                 // as old as the primary's last sample
+    {900, 99 * RIG_MS_US, 0},     //
+    {900, 100 * RIG_MS_US, 1},    //
+    {950, 100 * RIG_MS_US, 1},    // as old as when the primary was at 900
+    {899, 199 * RIG_MS_US, 0},    //
+    {899, 200 * RIG_MS_US, 1},    //
+    {100, 900 * RIG_MS_US, 1},    //
+    {99, 9999999 * RIG_MS_US, 0}, // older than the history: not known
+};
+
+START_TEST(test_age)
+{
+    const struct age_case *row = &age_cases[_i];
+    uint64_t request = 0;
+    uint32_t conn = 0;
+
+    setup(2);
+    rig_sample(&rig, 1, row->lsn);
+    ck_assert_uint_eq(route_of_read(row->max_age_us, &request, &conn),
+                      row->upstream);
+    rig_free(&rig);
+}
+END_TEST
+
+// With an accepted age of 0 a replica serves only when it covers a sample of
+// the primary that was asked for after the arrival.
+START_TEST(test_age_zero_on_replica)
+{
+    uint64_t request = 0;
+    uint32_t conn = 0;
+
+    setup(2);
+    rig.upstreams[0].slots = 0;
+    rig_post_view(&rig);
+    rig_open_all(&rig);
+    rig_sample(&rig, 1, 1000);
+    ck_assert_uint_eq(route_of_read(0, &request, &conn), TRAFFIC_NO_ID);
+    rig.now_us += 10;
+    rig_sample(&rig, 0, 1000);
+    const struct traffic_action *action =
+        rig_find(&rig, TRAFFIC_ACTION_SEND, request);
+    ck_assert_ptr_nonnull(action);
+    ck_assert_uint_eq(action->upstream, 1);
+    rig_free(&rig);
+}
+END_TEST
+
+// Samples of the primary count for ages only while its lease was valid.
+START_TEST(test_primary_without_lease_proves_no_age)
+{
+    uint64_t request = 0;
+    uint32_t conn = 0;
+
+    setup(2);
+    rig.database.group = rig.names[0];
+    rig.database.term = 1;
+    rig.database.base.lsn = 1000;
+    rig_post_view(&rig);
+    rig_post_lease(&rig, 1, rig.now_us + 10);
+    rig_open_all(&rig);
+    rig.now_us += 5000 * RIG_MS_US;
+    rig_sample(&rig, 0, 1000);
+    rig_open_all(&rig);
+    rig_sample(&rig, 1, 1000);
+    rig_open_all(&rig);
+    ck_assert_uint_eq(route_of_read(2000 * RIG_MS_US, &request, &conn),
+                      TRAFFIC_NO_ID);
+    ck_assert_uint_ne(route_of_read(6000 * RIG_MS_US, &request, &conn), 0);
+    rig_free(&rig);
+}
+END_TEST
+
+// A primary without a lease serves reads by its age, like a replica.
+START_TEST(test_primary_without_lease_counts_by_age)
+{
+    uint64_t request = 0;
+    uint32_t conn = 0;
+
+    setup(1);
+    rig.database.group = rig.names[0];
+    rig_post_view(&rig);
+    rig_post_lease(&rig, 0, rig.now_us + 10);
+    rig_sample(&rig, 0, 1000);
+    rig.now_us += 1000 * RIG_MS_US;
+    rig_sample(&rig, 0, 1000);
+    rig_open_all(&rig);
+    ck_assert_uint_eq(route_of_read(2000 * RIG_MS_US, &request, &conn), 0);
+    rig_result(&rig, request, conn, TRAFFIC_RESULT_DONE, false, 1000);
+    ck_assert_uint_eq(route_of_read(500 * RIG_MS_US, &request, &conn),
+                      TRAFFIC_NO_ID);
+    rig_free(&rig);
+}
+END_TEST
+
+START_TEST(test_load_spreads_and_prefers_near)
+{
+    uint32_t counts[7] = {0};
+    uint64_t request = 0;
+
+    setup(7);
+    for (uint32_t i = 1; i < 7; i++) {
+        rig_sample(&rig, i, 1000);
+    }
+    for (uint64_t session = 10; session < 10 + 24; session++) {
+        rig_open_session(&rig, session, NULL);
+        request = rig_request(&rig, session, TRAFFIC_READ, -1);
+        rig_open_all(&rig);
+        const struct traffic_action *action =
+            rig_find(&rig, TRAFFIC_ACTION_SEND, request);
+        ck_assert_ptr_nonnull(action);
+        counts[action->upstream]++;
+    }
+    ck_assert_uint_eq(counts[0], 0);
+    for (uint32_t i = 1; i < 7; i++) {
+        ck_assert_uint_ge(counts[i], 2);
+        ck_assert_uint_le(counts[i], 5);
+    }
+    rig_free(&rig);
+}
+END_TEST
+
+// Reads that only the primary may serve leave a slot for saves.
+START_TEST(test_reads_leave_room_for_saves)
+{
+    unsigned reads = 0;
+
+    setup(1);
+    for (uint64_t session = 10; session < 30; session++) {
+        rig_open_session(&rig, session, NULL);
+        uint64_t request = rig_request(&rig, session, TRAFFIC_READ, -1);
+        rig_open_all(&rig);
+        reads += rig_find(&rig, TRAFFIC_ACTION_SEND, request) != NULL;
+    }
+    ck_assert_uint_eq(reads, 4);
+    uint64_t save = rig_request(&rig, 1, TRAFFIC_WRITE, -1);
+    rig_open_all(&rig);
+    ck_assert_ptr_nonnull(rig_find(&rig, TRAFFIC_ACTION_SEND, save));
+    rig_free(&rig);
+}
+END_TEST
+
+START_TEST(test_failing_replica_gets_no_read)
+{
+    struct traffic_event event = {.kind = TRAFFIC_EVENT_SAMPLE_FAILED};
+    uint64_t request = 0;
+    uint32_t conn = 0;
+
+    setup(2);
+    rig_sample(&rig, 1, 1000);
+    event.sample.upstream = 1;
+    rig_step(&rig, &event);
+    ck_assert_uint_eq(route_of_read(-1, &request, &conn), 0);
+    rig_free(&rig);
+}
+END_TEST
+
+// A read whose floor a replica is about to reach waits for it while the
+// primary has no slot for reads, but not for long.
+START_TEST(test_bounded_wait_for_replica)
+{
+    const struct traffic_floor floor = {0, 1010};
+    uint64_t saves[5];
+
+    setup(2);
+    rig_sample(&rig, 1, 900);
+    rig.now_us += 100 * RIG_MS_US;
+    rig_sample(&rig, 1, 1000);
+    rig_sample(&rig, 0, 1020);
+    for (uint64_t i = 0; i < 5; i++) {
+        rig_open_session(&rig, 10 + i, NULL);
+        saves[i] = rig_request(&rig, 10 + i, TRAFFIC_WRITE, -1);
+        rig_open_all(&rig);
+        ck_assert_ptr_nonnull(rig_find(&rig, TRAFFIC_ACTION_SEND, saves[i]));
+    }
+    rig_open_session(&rig, 20, &floor);
+    uint64_t request = rig_request(&rig, 20, TRAFFIC_READ, -1);
+    ck_assert_ptr_null(rig_find(&rig, TRAFFIC_ACTION_SEND, request));
+    bool asked = false;
+    for (size_t i = 0; i < rig.actions.count; i++) {
+        asked |= rig.actions.items[i].kind == TRAFFIC_ACTION_SAMPLE &&
+                 rig.actions.items[i].upstream == 1;
+    }
+    ck_assert(asked);
+    rig.now_us += 10 * RIG_MS_US;
+    rig_sample(&rig, 1, 1010);
+    const struct traffic_action *action =
+        rig_find(&rig, TRAFFIC_ACTION_SEND, request);
+    ck_assert_ptr_nonnull(action);
+    ck_assert_uint_eq(action->upstream, 1);
+    rig_free(&rig);
+}
+END_TEST
+
+static void
+add_tests(TCase *tests)
+{
+    tcase_add_loop_test(tests, test_age, 0, ARRAY_SIZE(age_cases));
+    tcase_add_test(tests, test_age_zero_on_replica);
+    tcase_add_test(tests, test_primary_without_lease_proves_no_age);
+    tcase_add_test(tests, test_primary_without_lease_counts_by_age);
+    tcase_add_test(tests, test_load_spreads_and_prefers_near);
+    tcase_add_test(tests, test_reads_leave_room_for_saves);
+    tcase_add_test(tests, test_failing_replica_gets_no_read);
+    tcase_add_test(tests, test_bounded_wait_for_replica);
+}
+
+TEST_MAIN("route", add_tests)
