test(replay): faults of upstreams, entries and control in tables and at random

Problem: failover was shown for six single faults only; lending was not checked under restarts. Solution: returning primary, switchover, incomplete replicas, operator's word, slow primary, minority with leader and primary, entry restarts, and 40 seeded schedules of random cuts, losses and restarts (61 checks). They found two faults in the lending of quotas, mended here: the shares' order decided who got a remainder, so that two leaders differed, and what a restarted entry's old process still held was counted as its new one's.

--- a/src/catkingrade/decide/leader_quota.c
+++ b/src/catkingrade/decide/leader_quota.c
@@ -8,8 +8,6 @@
 // Up to so many databases every entry gets a share of every upstream; beyond
 // that, only of those for which it reports a demand.
 #define LEADER_SHARED_DATABASES 64
-// The guaranteed part of a limit, as lending_plan splits it.
-#define LEADER_GUARANTEED_PART 2
 
 // What one entry may use of an upstream.
 struct leader_share {
@@ -65,21 +63,31 @@
     }
 }
 
+// Returns the share of an entry, which may be new. Shares stand in the order
+// of VM names: what integer division leaves over is given in that order, and
+// every leader has to come to the same guaranteed shares.
 static struct leader_share *
 leader_get_share(struct leader_quota *quota, struct leader_holder *holder)
 {
-    for (size_t i = 0; i < quota->shares_count; i++) {
-        if (quota->shares[i].holder == holder) {
-            return &quota->shares[i];
-        }
+    size_t place = 0;
+    size_t count = quota->shares_count;
+    const char *vm = holder->daemon.vm;
+
+    while (place < count &&
+           strcmp(quota->shares[place].holder->daemon.vm, vm) < 0) {
+        place++;
+    }
+    if (place < count && quota->shares[place].holder == holder) {
+        return &quota->shares[place];
     }
-    size_t count = quota->shares_count + 1;
-    quota->shares = xrealloc(quota->shares, count * sizeof(*quota->shares));
-    struct leader_share *share = &quota->shares[count - 1];
+    quota->shares =
+        xrealloc(quota->shares, (count + 1) * sizeof(*quota->shares));
+    struct leader_share *share = &quota->shares[place];
+    memmove(share + 1, share, (count - place) * sizeof(*share));
     memset(share, 0, sizeof(*share));
     share->holder = holder;
     share->incarnation = holder->daemon.incarnation;
-    quota->shares_count = count;
+    quota->shares_count = count + 1;
     return share;
 }
 
@@ -104,7 +112,11 @@
     static const struct ck_demand none;
 
     if (share->incarnation != args->daemon.incarnation) {
-        share->ghost = share->held;
+        bool added = share->holder->old_until_us > leader->now_us;
+        share->ghost.slots =
+            share->held.slots + (added ? share->ghost.slots : 0);
+        share->ghost.connections =
+            share->held.connections + (added ? share->ghost.connections : 0);
         memset(&share->held, 0, sizeof(share->held));
         share->incarnation = args->daemon.incarnation;
         share->sequence = 0;
@@ -126,43 +138,64 @@
         share->demand.held_guaranteed_connections;
 }
 
-// Fills what lending_plan has to know of a share. Returns whether it is not
-// known what the entry holds: a leader before lent it and it may use that
-// until its lease runs out.
+// Fills what lending_plan has to know of a share; guaranteed is its part of
+// the guaranteed shares. Returns whether it is not known what the entry holds:
+// a leader before lent it and it may use that until its lease runs out.
 static bool
 leader_fill_use(const struct leader *leader, const struct leader_share *share,
-                const struct ck_upstream *upstream, size_t shares_count,
+                const struct lending_share *guaranteed,
                 struct lending_entry *entry)
 {
     const struct leader_holder *holder = share->holder;
     bool live = leader_is_live(leader, holder);
-    const struct ck_daemon *known =
-        group_find_daemon(leader->group, holder->daemon.vm);
 
-    entry->near =
-        strcmp(upstream->failure_domain, holder->daemon.failure_domain) == 0;
-    entry->weight = known == NULL ? 0 : 1;
     entry->unserved = share->unserved;
     entry->slots.demand = share->demand.waiting + share->demand.running;
     entry->connections.demand = share->demand.connections;
     if (!share->known) {
-        size_t part = LEADER_GUARANTEED_PART * shares_count;
-        entry->slots.held = (uint32_t)((upstream->slots + part - 1) / part);
-        entry->connections.held =
-            (uint32_t)((upstream->connections + part - 1) / part);
+        entry->slots.held = guaranteed->guaranteed_slots;
+        entry->connections.held = guaranteed->guaranteed_connections;
         return live;
     }
     entry->slots.held =
         live ? share->held.slots : share->held.guaranteed_slots;
     entry->connections.held =
         live ? share->held.connections : share->held.guaranteed_connections;
-    if (holder->old_until_us > leader->now_us) {
-        entry->slots.held += share->ghost.slots;
-        entry->connections.held += share->ghost.connections;
-    }
     return false;
 }
 
+// Fills what the incarnation before may still use; it is to get nothing.
+static void
+leader_fill_ghost(const struct leader *leader,
+                  const struct leader_share *share,
+                  struct lending_entry *entry)
+{
+    if (share->holder->old_until_us > leader->now_us) {
+        entry->slots.held = share->ghost.slots;
+        entry->connections.held = share->ghost.connections;
+    }
+}
+
+// Fills which entries take part and who is near, and plans the guaranteed
+// shares that follow from that alone.
+static void
+leader_plan_guaranteed(const struct leader *leader,
+                       const struct leader_quota *quota,
+                       const struct ck_upstream *upstream,
+                       struct lending_entry *entries,
+                       struct lending_share *shares)
+{
+    for (size_t i = 0; i < quota->shares_count; i++) {
+        const struct ck_daemon *daemon = &quota->shares[i].holder->daemon;
+        entries[i].near =
+            strcmp(upstream->failure_domain, daemon->failure_domain) == 0;
+        entries[i].weight =
+            group_find_daemon(leader->group, daemon->vm) == NULL ? 0 : 1;
+    }
+    lending_plan(upstream->slots, upstream->connections, entries,
+                 quota->shares_count, shares);
+}
+
 // Plans an upstream and sets what the entry at place is lent now.
 static void
 leader_plan_quota(const struct leader *leader, struct leader_quota *quota,
@@ -170,17 +203,19 @@
                   struct ck_quota *out)
 {
     size_t count = quota->shares_count;
-    struct lending_entry *entries = xcalloc(count, sizeof(*entries));
-    struct lending_share *shares = xcalloc(count, sizeof(*shares));
+    struct lending_entry *entries = xcalloc(2 * count, sizeof(*entries));
+    struct lending_share *shares = xcalloc(2 * count, sizeof(*shares));
     struct leader_share *own = &quota->shares[place];
     bool frozen = false;
 
+    leader_plan_guaranteed(leader, quota, upstream, entries, shares);
     for (size_t i = 0; i < count; i++) {
-        frozen = leader_fill_use(leader, &quota->shares[i], upstream, count,
-                                 &entries[i]) ||
-                 frozen;
+        bool unknown = leader_fill_use(leader, &quota->shares[i], &shares[i],
+                                       &entries[i]);
+        leader_fill_ghost(leader, &quota->shares[i], &entries[count + i]);
+        frozen = frozen || unknown;
     }
-    lending_plan(upstream->slots, upstream->connections, entries, count,
+    lending_plan(upstream->slots, upstream->connections, entries, 2 * count,
                  shares);
     own->unserved = entries[place].unserved;
     out->upstream = quota->name;
@@ -209,7 +244,7 @@
         leader_add_shares(leader, quota);
     }
     struct leader_share *own = leader_get_share(quota, holder);
-    leader_see_share(own, args, demand);
+    leader_see_share(leader, own, args, demand);
     leader_plan_quota(leader, quota, upstream, (size_t)(own - quota->shares),
                       out);
     own->held.slots = leader_get_max(own->held.slots, out->slots);
--- a/test/fake/fleet.c
+++ b/test/fake/fleet.c
@@ -433,3 +433,73 @@
                       fleet_voter_node(i), cut);
     }
 }
+
+// Starts an upstream's process again with the data that it had.
+void
+fleet_revive_upstream(struct fleet *fleet, int upstream)
+{
+    fleet->upstreams[upstream].is_dead = false;
+    fleet->upstreams[upstream].waiting_count = 0;
+}
+
+// Ends an entry's process and starts a new one that knows nothing.
+void
+fleet_restart_entry(struct fleet *fleet, int entry)
+{
+    leaseholder_destroy(fleet->entries[entry].holder);
+    fleet_entry_start(fleet, entry);
+}
+
+static bool
+fleet_is_listed(const int *nodes, int count, int node)
+{
+    for (int i = 0; i < count; i++) {
+        if (nodes[i] == node) {
+            return true;
+        }
+    }
+    return false;
+}
+
+// Cuts the listed nodes from all others; paths among either side stay.
+void
+fleet_isolate(struct fleet *fleet, const int *nodes, int count)
+{
+    int all =
+        fleet->params.voters + fleet->params.entries + fleet->params.upstreams;
+
+    for (int one = 0; one < all; one++) {
+        for (int other = 0; other < one; other++) {
+            if (fleet_is_listed(nodes, count, one) !=
+                fleet_is_listed(nodes, count, other)) {
+                fleet_set_cut(fleet, one, other, true);
+            }
+        }
+    }
+}
+
+// Mends every path.
+void
+fleet_mend(struct fleet *fleet)
+{
+    int all =
+        fleet->params.voters + fleet->params.entries + fleet->params.upstreams;
+
+    for (int one = 0; one < all; one++) {
+        for (int other = 0; other < one; other++) {
+            fleet_set_cut(fleet, one, other, false);
+        }
+    }
+}
+
+// Counts the saves of all entries whose outcome is unknown.
+size_t
+fleet_count_unknown(const struct fleet *fleet)
+{
+    size_t count = 0;
+
+    for (int i = 0; i < fleet->params.entries; i++) {
+        count += fleet->entries[i].unknown;
+    }
+    return count;
+}
--- a/test/fake/fleet.h
+++ b/test/fake/fleet.h
@@ -21,6 +21,7 @@
 #define FLEET_MAX_NODES                                                       \
     (FLEET_MAX_VOTERS + FLEET_MAX_ENTRIES + FLEET_MAX_UPSTREAMS)
 #define FLEET_MAX_SAVES        20000
+#define FLEET_MAX_WAITING      64
 #define FLEET_DATABASE         "roster1"
 #define FLEET_TEXT_SIZE        256
 #define FLEET_PROBE_TIMEOUT_US 200000
@@ -53,7 +54,7 @@
         uint64_t call;
         int node;
         size_t lsn;
-    } waiting[FLEET_MAX_ENTRIES];
+    } waiting[FLEET_MAX_WAITING];
     size_t waiting_count;
 };
 
@@ -151,8 +152,15 @@
 
 // Faults.
 void fleet_kill_upstream(struct fleet *fleet, int upstream);
+void fleet_revive_upstream(struct fleet *fleet, int upstream);
+// Ends an entry's process and starts a new one that knows nothing.
+void fleet_restart_entry(struct fleet *fleet, int entry);
 void fleet_silence(struct fleet *fleet, int node);
 void fleet_set_cut(struct fleet *fleet, int one, int other, bool cut);
 void fleet_cut_from_control(struct fleet *fleet, int upstream, bool cut);
+// Cuts the listed nodes from all others, or mends every path.
+void fleet_isolate(struct fleet *fleet, const int *nodes, int count);
+void fleet_mend(struct fleet *fleet);
+size_t fleet_count_unknown(const struct fleet *fleet);
 
 #endif
--- a/test/fake/fleet_entry.c
+++ b/test/fake/fleet_entry.c
@@ -83,7 +83,8 @@
                        &message->bytes);
     (void)fleet_call(fleet, fleet_entry_node(fleet, entry),
                      fleet_voter_node(voter), message, action->send.timeout_us,
-                     "", 0, action->send.args->sequence);
+                     "", fleet->entries[entry].incarnation,
+                     action->send.args->sequence);
 }
 
 // Takes quotas, and checks their sums over all entries.
@@ -243,7 +244,7 @@
     own->save_call =
         fleet_call(fleet, fleet_entry_node(fleet, entry),
                    fleet_upstream_node(fleet, own->primary), message,
-                   FLEET_SAVE_LIMIT_US, "", 0, own->save_id);
+                   FLEET_SAVE_LIMIT_US, "", own->incarnation, own->save_id);
 }
 
 // Begins a save when none is out and the primary may take it.
@@ -390,6 +391,9 @@
     struct fleet_entry *own = &fleet->entries[entry];
     struct leaseholder_event tick = {.kind = LEASEHOLDER_EVENT_TICK};
 
+    if (call->incarnation != own->incarnation) {
+        return; // the process that called is gone
+    }
     if (call->kind == FLEET_RENEW) {
         fleet_renewed(fleet, entry, call, reply);
         return;
--- a/test/fake/fleet_upstream.c
+++ b/test/fake/fleet_upstream.c
@@ -259,8 +259,12 @@
                    fleet_make_reply(message));
         return;
     }
-    INVARIANT(own->saves_count < FLEET_MAX_SAVES &&
-              own->waiting_count < FLEET_MAX_ENTRIES);
+    INVARIANT(own->saves_count < FLEET_MAX_SAVES);
+    if (own->waiting_count == FLEET_MAX_WAITING) {
+        own->waiting_count--; // its entry has given up long ago
+        memmove(own->waiting, own->waiting + 1,
+                own->waiting_count * sizeof(own->waiting[0]));
+    }
     own->saves[own->saves_count++] = message->number;
     own->waiting[own->waiting_count].call = message->call;
     own->waiting[own->waiting_count].node = from;
--- a/test/replay/test_replay_failover.c
+++ b/test/replay/test_replay_failover.c
@@ -131,11 +131,353 @@
 }
 END_TEST
 
+START_TEST(test_quotas_are_lent)
+{
+    struct fleet *fleet = start_fleet(&house);
+    unsigned slots = 0;
+
+    for (int i = 0; i < house.entries; i++) {
+        const struct ck_quota *quota = &fleet->entries[i].quotas[OLD];
+        ck_assert_uint_ge(quota->slots, quota->guaranteed_slots);
+        ck_assert_uint_gt(quota->guaranteed_connections, 0);
+        slots += quota->slots;
+    }
+    ck_assert_uint_gt(slots, 0);
+    check_promises(fleet);
+    fleet_destroy(fleet);
+}
+END_TEST
+
+START_TEST(test_returning_primary_is_fenced_and_follows)
+{
+    struct fleet *fleet = start_fleet(&house);
+    struct fleet_upstream *old = &fleet->upstreams[OLD];
+
+    fleet_kill_upstream(fleet, OLD);
+    ck_assert(fleet_run_until_saved(fleet, FREE_ENTRY, 2, 5 * S) > 0);
+    fleet_run(fleet, 3 * S);
+    ck_assert_int_eq(
+        group_find_upstream(fleet->voters[fleet_get_leader(fleet)].group, "u0")
+            ->state,
+        CK_UPSTREAM_LOST);
+    fleet_revive_upstream(fleet, OLD);
+    fleet_run(fleet, 3 * S);
+    ck_assert(old->was_fenced);
+    ck_assert(!old->is_primary);
+    ck_assert_int_eq(old->follows, fleet_get_primary(fleet));
+    ck_assert_uint_eq(old->timeline, 2);
+    ck_assert_uint_eq(fleet_get_database(fleet)->term, 2);
+    check_promises(fleet);
+    fleet_destroy(fleet);
+}
+END_TEST
+
+START_TEST(test_second_failover_needs_more_evidence)
+{
+    struct fleet *fleet = start_fleet(&house);
+
+    fleet_kill_upstream(fleet, OLD);
+    ck_assert(fleet_run_until_saved(fleet, FREE_ENTRY, 2, 5 * S) > 0);
+    fleet_revive_upstream(fleet, OLD);
+    fleet_run(fleet, 5 * S);
+    int second = fleet_get_primary(fleet);
+    int64_t fault_us = network_get_now_us(fleet->network);
+    fleet_kill_upstream(fleet, second);
+    int64_t saved_us = fleet_run_until_saved(fleet, FREE_ENTRY, 3, 20 * S);
+    ck_assert(saved_us > 0);
+    // Twice the suspicion time at least, where the first took 0.1 s.
+    ck_assert_int_ge(saved_us - fault_us, 1000 * MS);
+    check_promises(fleet);
+    fleet_destroy(fleet);
+}
+END_TEST
+
+START_TEST(test_switchover_has_no_unknown_outcome)
+{
+    struct fleet *fleet = start_fleet(&house);
+
+    fleet_command(fleet, CK_COMMAND_SWITCHOVER, 2);
+    ck_assert(fleet_run_until_saved(fleet, FREE_ENTRY, 2, 5 * S) > 0);
+    fleet_run(fleet, 1 * S);
+    ck_assert(fleet->command_answered);
+    ck_assert_int_eq(fleet->command_outcome, OUTCOME_OK);
+    ck_assert_int_eq(fleet_get_primary(fleet), 2);
+    ck_assert_int_eq(fleet->upstreams[OLD].follows, 2);
+    ck_assert_uint_eq(fleet_count_unknown(fleet), 0);
+    // Asked for again, it is done already.
+    fleet_command(fleet, CK_COMMAND_SWITCHOVER, 2);
+    ck_assert(fleet->command_answered);
+    ck_assert_int_eq(fleet->command_outcome, OUTCOME_OK);
+    ck_assert_uint_eq(fleet_get_database(fleet)->term, 2);
+    check_promises(fleet);
+    fleet_destroy(fleet);
+}
+END_TEST
+
+START_TEST(test_switchover_to_a_lagging_target_is_given_up)
+{
+    struct fleet *fleet = start_fleet(&house);
+
+    fleet_set_cut(fleet, fleet_upstream_node(fleet, OLD),
+                  fleet_upstream_node(fleet, 2), true);
+    fleet_run(fleet, 100 * MS);
+    fleet_command(fleet, CK_COMMAND_SWITCHOVER, 2);
+    ck_assert(fleet_run_until_saved(fleet, FREE_ENTRY, 2, 10 * S) > 0);
+    ck_assert(fleet->command_answered);
+    ck_assert_int_eq(fleet->command_outcome, OUTCOME_TIMEOUT);
+    ck_assert_int_eq(fleet_get_primary(fleet), OLD);
+    ck_assert_uint_eq(fleet_count_unknown(fleet), 0);
+    check_promises(fleet);
+    fleet_destroy(fleet);
+}
+END_TEST
+
+START_TEST(test_leaving_primary_hands_over)
+{
+    struct fleet *fleet = start_fleet(&house);
+
+    fleet->upstreams[OLD].is_leaving = true;
+    ck_assert(fleet_run_until_saved(fleet, FREE_ENTRY, 2, 2 * S) > 0);
+    ck_assert_int_ne(fleet_get_primary(fleet), OLD);
+    ck_assert_uint_eq(fleet_count_unknown(fleet), 0);
+    check_promises(fleet);
+    fleet_destroy(fleet);
+}
+END_TEST
+
+// Two of three upstreams are lost, so that no replica is known to be complete.
+static struct fleet *
+start_incomplete(const char *promotion)
+{
+    struct fleet_params params = house;
+
+    params.promotion = promotion;
+    struct fleet *fleet = start_fleet(&params);
+    fleet_kill_upstream(fleet, OLD);
+    fleet_kill_upstream(fleet, 1);
+    fleet_run(fleet, 5 * S);
+    ck_assert(fleet_get_database(fleet)->superseding);
+    ck_assert_uint_eq(fleet->waits_count, 1);
+    return fleet;
+}
+
+START_TEST(test_incomplete_replica_waits)
+{
+    struct fleet *fleet = start_incomplete("wait");
+
+    fleet_command(fleet, CK_COMMAND_PROMOTE, 2);
+    ck_assert(fleet->command_answered);
+    ck_assert_int_eq(fleet->command_outcome, OUTCOME_DENIED);
+    fleet_run(fleet, 3 * S);
+    ck_assert(fleet_get_database(fleet)->superseding);
+    // The other replica returns: together they are complete.
+    fleet_revive_upstream(fleet, 1);
+    ck_assert(fleet_run_until_saved(fleet, FREE_ENTRY, 2, 5 * S) > 0);
+    ck_assert_int_ne(fleet_get_primary(fleet), OLD);
+    check_promises(fleet);
+    fleet_destroy(fleet);
+}
+END_TEST
+
+START_TEST(test_returning_primary_serves_again)
+{
+    struct fleet *fleet = start_incomplete("wait");
+
+    fleet_revive_upstream(fleet, OLD);
+    ck_assert(fleet_run_until_saved(fleet, FREE_ENTRY, 2, 5 * S) > 0);
+    ck_assert_int_eq(fleet_get_primary(fleet), OLD);
+    check_promises(fleet);
+    fleet_destroy(fleet);
+}
+END_TEST
+
+START_TEST(test_operator_promotes_incomplete_replica)
+{
+    struct fleet *fleet = start_incomplete("operator");
+
+    fleet_command(fleet, CK_COMMAND_PROMOTE, 2);
+    fleet_run(fleet, 1 * S);
+    ck_assert(fleet->command_answered);
+    ck_assert_int_eq(fleet->command_outcome, OUTCOME_OK);
+    ck_assert_int_eq(fleet_get_primary(fleet), 2);
+    fleet_destroy(fleet);
+}
+END_TEST
+
+START_TEST(test_slow_primary_is_not_lost)
+{
+    struct fleet *fleet = start_fleet(&house);
+    int primary = fleet_upstream_node(fleet, OLD);
+    int nodes = house.voters + house.entries + house.upstreams;
+
+    for (int i = 0; i < nodes; i++) {
+        network_set_delay(fleet->network, i, primary, 60 * MS);
+        network_set_delay(fleet->network, primary, i, 60 * MS);
+    }
+    fleet_run(fleet, 20 * S);
+    ck_assert_uint_eq(fleet->superseded_count, 0);
+    ck_assert_uint_eq(fleet_get_database(fleet)->term, 1);
+    check_promises(fleet);
+    fleet_destroy(fleet);
+}
+END_TEST
+
+START_TEST(test_one_entry_alone_is_no_evidence)
+{
+    struct fleet *fleet = start_fleet(&house);
+
+    fleet_set_cut(fleet, fleet_entry_node(fleet, CUT_ENTRY),
+                  fleet_upstream_node(fleet, OLD), true);
+    fleet_run(fleet, 20 * S);
+    ck_assert_uint_eq(fleet->superseded_count, 0);
+    check_promises(fleet);
+    fleet_destroy(fleet);
+}
+END_TEST
+
+START_TEST(test_primary_lost_to_all_entries)
+{
+    struct fleet *fleet = start_fleet(&house);
+
+    for (int i = 0; i < house.entries; i++) {
+        fleet_set_cut(fleet, fleet_entry_node(fleet, i),
+                      fleet_upstream_node(fleet, OLD), true);
+    }
+    ck_assert(fleet_run_until_saved(fleet, FREE_ENTRY, 2, 5 * S) > 0);
+    check_promises(fleet);
+    fleet_destroy(fleet);
+}
+END_TEST
+
+START_TEST(test_minority_with_leader_and_primary)
+{
+    struct fleet *fleet = start_fleet(&house);
+    int leader = fleet_get_leader(fleet);
+    int minority[] = {fleet_voter_node(leader),
+                      fleet_entry_node(fleet, CUT_ENTRY),
+                      fleet_upstream_node(fleet, OLD)};
+    struct fleet_entry *cut = &fleet->entries[CUT_ENTRY];
+
+    fleet_isolate(fleet, minority, ARRAY_SIZE(minority));
+    ck_assert(fleet_run_until_saved(fleet, FREE_ENTRY, 2, 8 * S) > 0);
+    size_t acknowledged = cut->acknowledged;
+    ck_assert_int_ne(fleet_get_leader(fleet), leader);
+    fleet_run(fleet, 5 * S);
+    ck_assert_uint_eq(cut->acknowledged, acknowledged);
+    // The stale leader returns, and so does the old primary.
+    fleet_mend(fleet);
+    ck_assert(fleet_run_until_saved(fleet, CUT_ENTRY, 2, 8 * S) > 0);
+    fleet_run(fleet, 3 * S);
+    ck_assert(!fleet->upstreams[OLD].is_primary);
+    check_promises(fleet);
+    fleet_destroy(fleet);
+}
+END_TEST
+
+START_TEST(test_entry_restarts)
+{
+    struct fleet *fleet = start_fleet(&house);
+
+    fleet_restart_entry(fleet, CUT_ENTRY);
+    ck_assert(fleet_run_until_saved(fleet, CUT_ENTRY, 1, 2 * S) > 0);
+    // A restarted entry's old lease still counts in a failover.
+    fleet_restart_entry(fleet, CUT_ENTRY);
+    fleet_kill_upstream(fleet, OLD);
+    ck_assert(fleet_run_until_saved(fleet, CUT_ENTRY, 2, 5 * S) > 0);
+    check_promises(fleet);
+    fleet_destroy(fleet);
+}
+END_TEST
+
+#define RANDOM_SEEDS  40 // FLEET_SEEDS in the environment for a longer run
+#define RANDOM_FAULTS 12
+
+// Brings about one random fault, or mends some.
+static void
+break_at_random(struct fleet *fleet)
+{
+    int nodes = house.voters + house.entries + house.upstreams;
+    int one = (int)(network_get_random(fleet->network) % (uint64_t)nodes);
+    int other = (int)(network_get_random(fleet->network) % (uint64_t)nodes);
+    int upstream = one % house.upstreams;
+
+    switch (network_get_random(fleet->network) % 6) {
+    case 0:
+    case 1:
+        if (one != other) {
+            fleet_set_cut(fleet, one, other, true);
+        }
+        break;
+    case 2:
+        fleet_isolate(fleet, &one, 1);
+        break;
+    case 3:
+        fleet_kill_upstream(fleet, upstream);
+        break;
+    case 4:
+        fleet_restart_entry(fleet, one % house.entries);
+        break;
+    default:
+        fleet_mend(fleet);
+        fleet_revive_upstream(fleet, upstream);
+        break;
+    }
+}
+
+START_TEST(test_random_faults)
+{
+    struct fleet_params params = house;
+    struct network_faults faults = {
+        .delay_max_us = 3 * MS, .drop_ppm = 20000, .double_ppm = 20000};
+
+    params.seed = (uint64_t)_i + 100;
+    struct fleet *fleet = fleet_create(&params);
+    fleet_run(fleet, START_US);
+    network_set_faults(fleet->network, &faults);
+    for (int i = 0; i < RANDOM_FAULTS; i++) {
+        break_at_random(fleet);
+        fleet_run(fleet, (int64_t)(network_get_random(fleet->network) %
+                                   (uint64_t)(2 * S)));
+        ck_assert_msg(fleet->violation[0] == '\0', "seed %d: %s", _i,
+                      fleet->violation);
+    }
+    fleet_mend(fleet);
+    for (int i = 0; i < house.upstreams; i++) {
+        fleet_revive_upstream(fleet, i);
+    }
+    ck_assert_msg(fleet_run_until_saved(fleet, FREE_ENTRY, 1, 30 * S) > 0,
+                  "seed %d: no save after all was mended", _i);
+    fleet_run(fleet, 2 * S);
+    fleet_check_end(fleet);
+    ck_assert_msg(fleet->violation[0] == '\0', "seed %d: %s", _i,
+                  fleet->violation);
+    fleet_destroy(fleet);
+}
+END_TEST
+
 static void
 add_tests(TCase *tests)
 {
+    const char *wanted = getenv("FLEET_SEEDS");
+    int seeds = wanted == NULL ? RANDOM_SEEDS : atoi(wanted);
+
     tcase_add_test(tests, test_one_voter_serves);
     tcase_add_loop_test(tests, test_failover, 0, ARRAY_SIZE(scenarios));
+    tcase_add_test(tests, test_quotas_are_lent);
+    tcase_add_test(tests, test_returning_primary_is_fenced_and_follows);
+    tcase_add_test(tests, test_second_failover_needs_more_evidence);
+    tcase_add_test(tests, test_switchover_has_no_unknown_outcome);
+    tcase_add_test(tests, test_switchover_to_a_lagging_target_is_given_up);
+    tcase_add_test(tests, test_leaving_primary_hands_over);
+    tcase_add_test(tests, test_incomplete_replica_waits);
+    tcase_add_test(tests, test_returning_primary_serves_again);
+    tcase_add_test(tests, test_operator_promotes_incomplete_replica);
+    tcase_add_test(tests, test_slow_primary_is_not_lost);
+    tcase_add_test(tests, test_one_entry_alone_is_no_evidence);
+    tcase_add_test(tests, test_primary_lost_to_all_entries);
+    tcase_add_test(tests, test_minority_with_leader_and_primary);
+    tcase_add_test(tests, test_entry_restarts);
+    tcase_add_loop_test(tests, test_random_faults, 0, seeds);
 }
 
 TEST_MAIN("replay_failover", add_tests)
