--- a/src/catkingrade/decide/leader_quota.c
+++ b/src/catkingrade/decide/leader_quota.c
@@ -106,7 +106,8 @@
 // Takes what an entry says of itself. What it held when it asked is all that
 // it can hold now: it ignores answers to earlier requests.
 static void
-leader_see_share(struct leader_share *share, const struct ck_renew_args *args,
+leader_see_share(const struct leader *leader, struct leader_share *share,
+                 const struct ck_renew_args *args,
                  const struct ck_demand *demand)
 {
     static const struct ck_demand none;
