refactor(decide): group the flags of the traffic machine

Problem: single flags between wider fields padded the state by 35 bytes, which the linter refuses; two counters were never read.

Solution: flags stand together, the counters are gone.

--- a/src/catkingrade/decide/floor.c
+++ b/src/catkingrade/decide/floor.c
@@ -48,7 +48,6 @@
         session->floor_next->floor_previous = session;
     }
     traffic->floor_first = session;
-    traffic->floor_count++;
     if (!session->floor_known && traffic->primary != TRAFFIC_NO_ID) {
         sample_ask(traffic, traffic->primary, session->arrived_us);
     }
@@ -72,7 +71,6 @@
         session->floor_next->floor_previous = session->floor_previous;
     }
     session->floor_next = session->floor_previous = NULL;
-    traffic->floor_count--;
 }
 
 // Gives the primary's sampled position as floor to the sessions that arrived
--- a/src/catkingrade/decide/traffic_state.h
+++ b/src/catkingrade/decide/traffic_state.h
@@ -165,10 +165,7 @@
     int64_t now_us;
     struct traffic_actions *actions; // of the step that runs
     struct traffic_view view;
-    bool view_known;
     uint64_t term; // of the view's database
-    bool draining;
-    bool limits_leased; // limits are those of a valid lease
     uint64_t random;
 
     struct upstream *upstreams;
@@ -177,7 +174,6 @@
     uint32_t *candidates; // places of upstreams that the view lists as ready
     uint32_t candidates_count;
     uint32_t primary; // TRAFFIC_NO_ID: none
-    uint32_t ready_replicas;
 
     struct conn *conns;
     uint32_t conns_count;
@@ -186,20 +182,17 @@
     struct id_map sessions;
     struct id_map requests;
     struct session *floor_first;
-    uint32_t floor_count;
     struct timers timers;
     int64_t wake_at_us;
     int64_t sample_at_us;
     int64_t confirm_at_us;
 
     struct traffic_lease lease;
-    bool lease_known;
     uint64_t min_term; // older terms have been revoked
     struct request_list confirming;
 
     struct request_type types[TRAFFIC_TYPES_MAX];
     uint32_t types_count;
-    uint8_t first_type;   // what a request without a type gets
     uint32_t slots_total; // of all upstreams that take work
     double virtual_time[QUEUE_COUNT];
     uint32_t queued[QUEUE_COUNT];
@@ -209,6 +202,11 @@
     double retry_tokens;
 
     struct freshness freshness;
+    bool view_known;
+    bool lease_known;
+    bool limits_leased; // limits are those of a valid lease
+    bool draining;
+    uint8_t first_type; // what a request without a type gets
 };
 
 #endif
