--- /dev/null
+++ b/test/unit/decide/test_leader.c
@@ -0,0 +1,561 @@
+#include <check.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "catkingrade/decide/leader.h"
+#include "catkingrade/kernel/memory.h"
+#include "catkingrade/kernel/outcome.h"
+#include "catkingrade/rpc/codec.h"
+#include "test/fake/changes.h"
+#include "test/suite.h"
+
+#define MS       INT64_C(1000)
+#define START_US (1000 * MS)
+#define LEASE_US (1000 * MS)
+
+// A leader whose proposals are applied at once, unless they are held.
+struct rig {
+    struct group_state *group;
+    struct leader *leader;
+    struct leader_actions actions; // of the last step
+    int64_t now_us;
+    bool no_quorum;
+    bool hold_proposals;
+    uint64_t held_token;
+};
+
+static void step(struct rig *rig, struct leader_event *event);
+
+static void
+apply_proposal(struct rig *rig, const struct leader_action *action)
+{
+    struct ck_log_payload payload;
+    struct group_result result;
+    struct leader_event event = {.kind = LEADER_EVENT_APPLIED};
+
+    memset(&payload, 0, sizeof(payload));
+    ck_assert_int_eq(codec_decode((xdrproc_t)xdr_ck_log_payload,
+                                  action->payload.data,
+                                  action->payload.size_bytes, &payload),
+                     OUTCOME_OK);
+    group_apply_payload(rig->group, group_get_applied_index(rig->group) + 1,
+                        &payload, &result);
+    event.token = action->token;
+    event.applied.change = &payload.change;
+    event.applied.result = &result;
+    struct leader_actions before = rig->actions;
+    memset(&rig->actions, 0, sizeof(rig->actions));
+    step(rig, &event);
+    leader_actions_free(&before);
+    codec_free((xdrproc_t)xdr_ck_log_payload, &payload);
+}
+
+static const struct leader_action *
+find_action(const struct rig *rig, enum leader_action_kind kind)
+{
+    for (size_t i = 0; i < rig->actions.count; i++) {
+        if (rig->actions.items[i].kind == kind) {
+            return &rig->actions.items[i];
+        }
+    }
+    return NULL;
+}
+
+static void
+step(struct rig *rig, struct leader_event *event)
+{
+    leader_actions_clear(&rig->actions);
+    event->quorum = !rig->no_quorum;
+    leader_step(rig->leader, rig->now_us, event, &rig->actions);
+    const struct leader_action *proposal =
+        find_action(rig, LEADER_ACTION_PROPOSE);
+    if (proposal != NULL && rig->hold_proposals) {
+        rig->held_token = proposal->token;
+    }
+    else if (proposal != NULL) {
+        struct leader_action copy = *proposal;
+        apply_proposal(rig, &copy);
+    }
+}
+
+static void
+elect(struct rig *rig, uint64_t term)
+{
+    struct leader_event event = {.kind = LEADER_EVENT_ELECTED,
+                                 .leader_term = term};
+
+    step(rig, &event);
+}
+
+static void
+tick(struct rig *rig, int64_t now_us)
+{
+    struct leader_event event = {.kind = LEADER_EVENT_TICK};
+
+    rig->now_us = now_us;
+    step(rig, &event);
+}
+
+static void
+start(struct rig *rig)
+{
+    struct leader_params params;
+
+    memset(rig, 0, sizeof(*rig));
+    leader_params_init(&params);
+    params.lease_us = LEASE_US;
+    params.delta_max_size_bytes = 400;
+    rig->now_us = START_US;
+    rig->group = group_create(GROUP_FLEET_NAME);
+    changes_set_customer(rig->group, "[{\"name\": \"roster1\"}]", "wait");
+    rig->leader = leader_create(&params, rig->group);
+}
+
+static void
+finish(struct rig *rig)
+{
+    leader_destroy(rig->leader);
+    leader_actions_free(&rig->actions);
+    group_destroy(rig->group);
+}
+
+static struct ck_renew_args
+make_renewal(const char *vm, uint64_t sequence, uint64_t revision)
+{
+    struct ck_renew_args args = {.sequence = sequence,
+                                 .known_revision = revision};
+
+    args.group = (char *)(uintptr_t)GROUP_FLEET_NAME;
+    args.daemon = changes_make_daemon(vm, "10.3.0.1", 1);
+    return args;
+}
+
+// Renews and returns the answer, valid until the next step.
+static const struct ck_renew_result *
+renew(struct rig *rig, const char *vm, uint64_t sequence, uint64_t revision)
+{
+    struct ck_renew_args args = make_renewal(vm, sequence, revision);
+    struct leader_event event = {.kind = LEADER_EVENT_RENEW, .token = 9};
+
+    event.renew = &args;
+    rig->hold_proposals = true; // so that the answer is still in the list
+    step(rig, &event);
+    rig->hold_proposals = false;
+    const struct leader_action *reply =
+        find_action(rig, LEADER_ACTION_REPLY_RENEW);
+    ck_assert_ptr_nonnull(reply);
+    ck_assert_uint_eq(reply->token, 9);
+    ck_assert_uint_eq(reply->renew->sequence, sequence);
+    return reply->renew;
+}
+
+// Registers a daemon beforehand.
+static void
+add_daemon(struct rig *rig, const char *vm)
+{
+    struct ck_change change = {.kind = CK_CHANGE_DAEMON};
+
+    change.ck_change_u.daemon = changes_make_daemon(vm, "10.3.0.1", 1);
+    ck_assert_int_eq(changes_apply(rig->group, 0, &change, "", -1, NULL),
+                     OUTCOME_OK);
+}
+
+START_TEST(test_renewals_that_grant_nothing)
+{
+    struct rig rig;
+
+    start(&rig);
+    ck_assert_int_eq(renew(&rig, "e1", 1, 0)->outcome, OUTCOME_NOT_LEADER);
+    add_daemon(&rig, "e1");
+    elect(&rig, 4);
+    rig.no_quorum = true;
+    ck_assert_int_eq(renew(&rig, "e1", 1, 0)->outcome, OUTCOME_UNAVAILABLE);
+    ck_assert_uint_eq(renew(&rig, "e1", 1, 0)->lease_us, 0);
+    rig.no_quorum = false;
+    // A revision that this group never had.
+    ck_assert_int_eq(renew(&rig, "e1", 1, 999)->outcome, OUTCOME_UNAVAILABLE);
+    // One that is not registered is so with its next renewal.
+    const struct ck_renew_result *result = renew(&rig, "e2", 1, 0);
+    ck_assert_int_eq(result->outcome, OUTCOME_AGAIN);
+    ck_assert_uint_eq(result->lease_us, 0);
+    finish(&rig);
+}
+END_TEST
+
+START_TEST(test_lease_comes_with_the_last_page)
+{
+    struct rig rig;
+    char name[16] = "u0";
+    char host[16] = "10.0.0.0";
+    uint64_t revision = 0;
+    int pages = 0;
+
+    start(&rig);
+    add_daemon(&rig, "e1");
+    for (char digit = '1'; digit <= '9'; digit++) {
+        name[1] = digit;
+        host[7] = digit;
+        struct ck_upstream upstream =
+            changes_make_upstream(name, "roster1", "noord", host);
+        changes_apply_upstream(rig.group, &upstream);
+    }
+    elect(&rig, 4);
+    for (;;) {
+        const struct ck_renew_result *result = renew(&rig, "e1", 1, revision);
+        ck_assert_int_eq(result->outcome, OUTCOME_OK);
+        ck_assert_uint_gt(result->delta.to_revision, revision);
+        revision = result->delta.to_revision;
+        ck_assert_int_eq(result->lease_us == 0, result->delta.more);
+        pages++;
+        if (!result->delta.more) {
+            break;
+        }
+    }
+    ck_assert_int_gt(pages, 1);
+    ck_assert_uint_eq(revision, group_get_revision(rig.group));
+    finish(&rig);
+}
+END_TEST
+
+// Makes roster1 with primary u1 and replica u2, both announced.
+static void
+start_database(struct rig *rig, const char *vm)
+{
+    struct ck_change change = {.kind = CK_CHANGE_PRIMARY};
+    struct ck_upstream one =
+        changes_make_upstream("u1", "roster1", "noord", "10.0.0.1");
+    struct ck_upstream two =
+        changes_make_upstream("u2", "roster1", "zuid", "10.0.0.2");
+
+    start(rig);
+    add_daemon(rig, vm);
+    changes_apply_upstream(rig->group, &one);
+    changes_apply_upstream(rig->group, &two);
+    change.ck_change_u.primary.database = (char *)"roster1";
+    change.ck_change_u.primary.term = 1;
+    change.ck_change_u.primary.primary = (char *)"u1";
+    ck_assert_int_eq(changes_apply(rig->group, 0, &change, "", -1, NULL),
+                     OUTCOME_OK);
+}
+
+static void
+probe(struct rig *rig, const char *upstream, bool answered, bool refused)
+{
+    struct leader_event event = {.kind = answered ? LEADER_EVENT_PROBED
+                                                  : LEADER_EVENT_PROBE_FAILED};
+
+    event.probe.upstream = upstream;
+    event.probe.refused = refused;
+    event.probe.position.timeline = 1;
+    event.probe.position.lsn = 50;
+    step(rig, &event);
+}
+
+// Whether the term has been superseded and no lease can cover it any more.
+static bool
+is_collecting(const struct rig *rig)
+{
+    struct buffer json = {0};
+
+    leader_describe(rig->leader, rig->now_us, &json);
+    buffer_append_u8(&json, 0);
+    bool found =
+        strstr((const char *)json.data, "\"phase\":\"collecting\"") != NULL;
+    buffer_free(&json);
+    return found;
+}
+
+// Lets the primary be lost: no announcements, and refused probes.
+static void
+lose_primary(struct rig *rig)
+{
+    for (int i = 0; i < 40; i++) {
+        if (group_find_database(rig->group, "roster1")->superseding) {
+            break;
+        }
+        tick(rig, rig->now_us + 50 * MS);
+        probe(rig, "u1", false, true);
+    }
+    ck_assert(group_find_database(rig->group, "roster1")->superseding);
+}
+
+START_TEST(test_new_leader_waits_for_leases_it_did_not_grant)
+{
+    struct rig rig;
+
+    start_database(&rig, "e1");
+    elect(&rig, 4);
+    // Ended by the leader before, which may have granted e1 a lease just now.
+    rig.now_us = START_US + 10 * MS;
+    struct ck_change change = {.kind = CK_CHANGE_SUPERSEDE};
+    change.ck_change_u.supersede.database = (char *)"roster1";
+    change.ck_change_u.supersede.term = 1;
+    change.ck_change_u.supersede.reason = (char *)"";
+    changes_apply(rig.group, 0, &change, "", -1, NULL);
+    tick(&rig, START_US + 20 * MS);
+    ck_assert(!is_collecting(&rig));
+    tick(&rig, START_US + LEASE_US);
+    ck_assert(!is_collecting(&rig));
+    // The lease and twice the drift of 0.1%.
+    tick(&rig, START_US + LEASE_US + 2 * MS + 1);
+    ck_assert(is_collecting(&rig));
+    finish(&rig);
+}
+END_TEST
+
+START_TEST(test_lease_is_waited_out_from_receipt)
+{
+    struct rig rig;
+
+    start_database(&rig, "e1");
+    elect(&rig, 4);
+    uint64_t revision = group_get_revision(rig.group);
+    rig.now_us = START_US + 900 * MS;
+    ck_assert_uint_eq(renew(&rig, "e1", 1, revision)->lease_us, LEASE_US);
+    int64_t granted_us = rig.now_us;
+    lose_primary(&rig);
+    // From here on e1 neither renews nor answers.
+    tick(&rig, granted_us + LEASE_US + 2 * MS);
+    ck_assert(!is_collecting(&rig));
+    tick(&rig, granted_us + LEASE_US + 2 * MS + 1);
+    ck_assert(is_collecting(&rig));
+    finish(&rig);
+}
+END_TEST
+
+START_TEST(test_confirmation_ends_the_wait)
+{
+    struct rig rig;
+    struct ck_revocation revocation = {(char *)(uintptr_t) "roster1", 1};
+    struct ck_notify_result result = {.outcome = OUTCOME_OK};
+    struct leader_event event = {.kind = LEADER_EVENT_NOTIFIED};
+
+    start_database(&rig, "e1");
+    elect(&rig, 4);
+    rig.now_us = START_US + 900 * MS;
+    (void)renew(&rig, "e1", 1, group_get_revision(rig.group));
+    lose_primary(&rig);
+    ck_assert(!is_collecting(&rig));
+    result.daemon = changes_make_daemon("e1", "10.3.0.1", 1);
+    result.confirmed.confirmed_val = &revocation;
+    result.confirmed.confirmed_len = 1;
+    event.notified.vm = "e1";
+    event.notified.incarnation = 1;
+    event.notified.result = &result;
+    // Of the term before, and of another incarnation: no confirmation.
+    revocation.term = 0;
+    step(&rig, &event);
+    ck_assert(!is_collecting(&rig));
+    revocation.term = 1;
+    result.daemon.incarnation = 2;
+    step(&rig, &event);
+    ck_assert(!is_collecting(&rig));
+    result.daemon.incarnation = 1;
+    step(&rig, &event);
+    ck_assert(is_collecting(&rig));
+    finish(&rig);
+}
+END_TEST
+
+START_TEST(test_holder_that_never_confirms_gets_no_lease)
+{
+    struct rig rig;
+    int64_t at_us = 0;
+
+    start_database(&rig, "e1");
+    elect(&rig, 4);
+    rig.now_us = START_US + 900 * MS;
+    (void)renew(&rig, "e1", 1, group_get_revision(rig.group));
+    lose_primary(&rig);
+    for (at_us = rig.now_us; at_us < START_US + 9000 * MS; at_us += 50 * MS) {
+        tick(&rig, at_us);
+        (void)renew(&rig, "e1", 2, group_get_revision(rig.group));
+        if (is_collecting(&rig)) {
+            break;
+        }
+    }
+    // One lease until it is denied, and one until that has run out.
+    ck_assert(is_collecting(&rig));
+    ck_assert_int_le(at_us, START_US + 5000 * MS);
+    finish(&rig);
+}
+END_TEST
+
+START_TEST(test_no_orders_without_quorum)
+{
+    struct rig rig;
+
+    start_database(&rig, "e1");
+    elect(&rig, 4);
+    lose_primary(&rig);
+    tick(&rig, START_US + 4000 * MS);
+    ck_assert(is_collecting(&rig));
+    rig.no_quorum = true;
+    // u1 was the primary: with its answer the choice is complete.
+    probe(&rig, "u1", true, false);
+    probe(&rig, "u2", true, false);
+    ck_assert_ptr_null(find_action(&rig, LEADER_ACTION_PROMOTE));
+    rig.no_quorum = false;
+    tick(&rig, START_US + 4200 * MS);
+    ck_assert_ptr_nonnull(find_action(&rig, LEADER_ACTION_PROMOTE));
+    finish(&rig);
+}
+END_TEST
+
+START_TEST(test_deposed_leader_answers_at_once)
+{
+    struct rig rig;
+    struct ck_upstream upstream =
+        changes_make_upstream("u1", "roster1", "noord", "10.0.0.1");
+    struct leader_event announce = {.kind = LEADER_EVENT_ANNOUNCE,
+                                    .token = 31};
+    struct leader_event deposed = {.kind = LEADER_EVENT_DEPOSED};
+
+    start(&rig);
+    elect(&rig, 4);
+    announce.announce = &upstream;
+    rig.hold_proposals = true;
+    step(&rig, &announce);
+    ck_assert_ptr_null(find_action(&rig, LEADER_ACTION_REPLY_ANNOUNCE));
+    step(&rig, &deposed);
+    const struct leader_action *reply =
+        find_action(&rig, LEADER_ACTION_REPLY_ANNOUNCE);
+    ck_assert_ptr_nonnull(reply);
+    ck_assert_uint_eq(reply->token, 31);
+    ck_assert_int_eq(reply->reply.outcome, OUTCOME_UNKNOWN);
+    ck_assert(!leader_is_active(rig.leader));
+    finish(&rig);
+}
+END_TEST
+
+START_TEST(test_failed_proposal_is_answered)
+{
+    struct rig rig;
+    struct ck_upstream upstream =
+        changes_make_upstream("u1", "roster1", "noord", "10.0.0.1");
+    struct leader_event announce = {.kind = LEADER_EVENT_ANNOUNCE,
+                                    .token = 31};
+    struct leader_event failed = {.kind = LEADER_EVENT_PROPOSE_FAILED};
+
+    start(&rig);
+    elect(&rig, 4);
+    announce.announce = &upstream;
+    rig.hold_proposals = true;
+    step(&rig, &announce);
+    failed.token = rig.held_token;
+    step(&rig, &failed);
+    ck_assert_int_eq(
+        find_action(&rig, LEADER_ACTION_REPLY_ANNOUNCE)->reply.outcome,
+        OUTCOME_UNAVAILABLE);
+    // The next announcement is proposed again, a second later at the most.
+    rig.now_us += 1000 * MS;
+    step(&rig, &announce);
+    ck_assert_ptr_nonnull(find_action(&rig, LEADER_ACTION_PROPOSE));
+    finish(&rig);
+}
+END_TEST
+
+static void
+set_draining(struct rig *rig)
+{
+    struct ck_change change = {.kind = CK_CHANGE_CUSTOMER_STATE};
+
+    change.ck_change_u.customer_state.customer = (char *)"pootafdruk";
+    change.ck_change_u.customer_state.state = CK_CUSTOMER_DRAINING;
+    change.ck_change_u.customer_state.report = (char *)"";
+    ck_assert_int_eq(changes_apply(rig->group, 0, &change, "", -1, NULL),
+                     OUTCOME_OK);
+}
+
+static ck_customer_state
+get_state(const struct rig *rig)
+{
+    return group_find_customer(rig->group, "pootafdruk")->state;
+}
+
+START_TEST(test_customer_closes_when_nothing_is_open)
+{
+    struct rig rig;
+    struct leader_event event = {.kind = LEADER_EVENT_RENEW};
+
+    start(&rig);
+    add_daemon(&rig, "e1");
+    elect(&rig, 4);
+    uint64_t before = group_get_revision(rig.group);
+    (void)renew(&rig, "e1", 1, before);
+    set_draining(&rig);
+    tick(&rig, START_US + 100 * MS);
+    ck_assert_int_eq(get_state(&rig), CK_CUSTOMER_DRAINING);
+    struct ck_renew_args args =
+        make_renewal("e1", 2, group_get_revision(rig.group));
+    args.open_requests = 3;
+    event.renew = &args;
+    step(&rig, &event);
+    tick(&rig, START_US + 200 * MS);
+    ck_assert_int_eq(get_state(&rig), CK_CUSTOMER_DRAINING);
+    (void)renew(&rig, "e1", 3, group_get_revision(rig.group));
+    tick(&rig, START_US + 300 * MS);
+    ck_assert_int_eq(get_state(&rig), CK_CUSTOMER_CLOSED);
+    finish(&rig);
+}
+END_TEST
+
+START_TEST(test_customer_closes_after_its_limit)
+{
+    struct rig rig;
+    struct leader_event event = {.kind = LEADER_EVENT_RENEW};
+
+    start(&rig);
+    add_daemon(&rig, "e1");
+    elect(&rig, 4);
+    set_draining(&rig);
+    // drain_ms is 30 s unless the template says otherwise.
+    for (int64_t at_ms = 0; at_ms <= 29900; at_ms += 100) {
+        rig.now_us = START_US + at_ms * MS;
+        struct ck_renew_args args = make_renewal(
+            "e1", (uint64_t)at_ms + 1, group_get_revision(rig.group));
+        args.open_requests = 1;
+        event.renew = &args;
+        step(&rig, &event);
+        tick(&rig, rig.now_us);
+        ck_assert_int_eq(get_state(&rig), CK_CUSTOMER_DRAINING);
+    }
+    tick(&rig, START_US + 30000 * MS);
+    ck_assert_int_eq(get_state(&rig), CK_CUSTOMER_CLOSED);
+    finish(&rig);
+}
+END_TEST
+
+START_TEST(test_silent_daemon_is_forgotten)
+{
+    struct rig rig;
+
+    start(&rig);
+    add_daemon(&rig, "e1");
+    elect(&rig, 4);
+    tick(&rig, START_US + 599000 * MS);
+    ck_assert_uint_eq(group_get_daemons_count(rig.group), 1);
+    tick(&rig, START_US + 600000 * MS);
+    ck_assert_uint_eq(group_get_daemons_count(rig.group), 0);
+    finish(&rig);
+}
+END_TEST
+
+static void
+add_tests(TCase *tests)
+{
+    tcase_add_test(tests, test_renewals_that_grant_nothing);
+    tcase_add_test(tests, test_lease_comes_with_the_last_page);
+    tcase_add_test(tests, test_new_leader_waits_for_leases_it_did_not_grant);
+    tcase_add_test(tests, test_lease_is_waited_out_from_receipt);
+    tcase_add_test(tests, test_confirmation_ends_the_wait);
+    tcase_add_test(tests, test_holder_that_never_confirms_gets_no_lease);
+    tcase_add_test(tests, test_no_orders_without_quorum);
+    tcase_add_test(tests, test_deposed_leader_answers_at_once);
+    tcase_add_test(tests, test_failed_proposal_is_answered);
+    tcase_add_test(tests, test_customer_closes_when_nothing_is_open);
+    tcase_add_test(tests, test_customer_closes_after_its_limit);
+    tcase_add_test(tests, test_silent_daemon_is_forgotten);
+}
+
+TEST_MAIN("leader", add_tests)
--- /dev/null
+++ b/test/unit/decide/test_leaseholder.c
@@ -0,0 +1,322 @@
+#include <check.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "catkingrade/decide/leaseholder.h"
+#include "catkingrade/kernel/memory.h"
+#include "catkingrade/kernel/outcome.h"
+#include "test/fake/changes.h"
+#include "test/suite.h"
+
+#define MS INT64_C(1000)
+
+static const struct leaseholder_address voters[] = {
+    {"10.1.0.1", 7432},
+    {"10.1.0.2", 7432},
+    {"10.1.0.3", 7432},
+};
+
+static struct leaseholder *
+make_holder(void)
+{
+    struct leaseholder_params params = {
+        .group = "fleet",
+        .daemon = changes_make_daemon("e1", "10.3.0.1", 7),
+        .voters = voters,
+        .voters_count = ARRAY_SIZE(voters),
+        .renew_us = 300 * MS,
+        .call_timeout_us = 200 * MS,
+        .retry_us = 20 * MS,
+        .drift_ppm = 10000,
+        .seed = 3,
+    };
+
+    return leaseholder_create(&params);
+}
+
+// Steps, and keeps the actions until the next call.
+static const struct leaseholder_actions *
+step(struct leaseholder *holder, int64_t now_us,
+     const struct leaseholder_event *event)
+{
+    static struct leaseholder_actions actions;
+
+    actions.count = 0;
+    leaseholder_step(holder, now_us, event, &actions);
+    return &actions;
+}
+
+static const struct leaseholder_action *
+find_action(const struct leaseholder_actions *actions,
+            enum leaseholder_action_kind kind)
+{
+    for (size_t i = 0; i < actions->count; i++) {
+        if (actions->items[i].kind == kind) {
+            return &actions->items[i];
+        }
+    }
+    return NULL;
+}
+
+static const struct leaseholder_actions *
+tick(struct leaseholder *holder, int64_t now_us)
+{
+    struct leaseholder_event event = {.kind = LEASEHOLDER_EVENT_TICK};
+
+    return step(holder, now_us, &event);
+}
+
+static struct ck_renew_result
+make_result(uint64_t sequence, uint64_t leader_term, uint64_t from_revision,
+            uint64_t to_revision)
+{
+    struct ck_renew_result result = {.outcome = OUTCOME_OK,
+                                     .sequence = sequence,
+                                     .leader_term = leader_term,
+                                     .lease_us = 1000 * MS};
+
+    result.leader_host = (char *)(uintptr_t) "";
+    result.delta.from_revision = from_revision;
+    result.delta.to_revision = to_revision;
+    return result;
+}
+
+static const struct leaseholder_actions *
+answer(struct leaseholder *holder, int64_t now_us,
+       const struct ck_renew_result *result)
+{
+    struct leaseholder_event event = {.kind = LEASEHOLDER_EVENT_RENEWED};
+
+    event.renewed = result;
+    return step(holder, now_us, &event);
+}
+
+START_TEST(test_lease_counts_from_sending)
+{
+    struct leaseholder *holder = make_holder();
+    struct ck_renew_result result = make_result(1, 4, 0, 9);
+
+    ck_assert_ptr_nonnull(
+        find_action(tick(holder, 5000 * MS), LEASEHOLDER_ACTION_SEND_RENEW));
+    const struct leaseholder_actions *actions =
+        answer(holder, 5150 * MS, &result);
+    // Sent at 5.000 s, one second less 1% of drift; received at 5.150 s.
+    const struct leaseholder_action *lease =
+        find_action(actions, LEASEHOLDER_ACTION_SET_LEASE);
+    ck_assert_ptr_nonnull(lease);
+    ck_assert_int_eq(lease->valid_until_us, 5990 * MS);
+    // The delta is in force before the lease.
+    ck_assert_ptr_nonnull(
+        find_action(actions, LEASEHOLDER_ACTION_APPLY_DELTA));
+    ck_assert(find_action(actions, LEASEHOLDER_ACTION_APPLY_DELTA) < lease);
+    ck_assert(find_action(actions, LEASEHOLDER_ACTION_SET_QUOTAS) < lease);
+    leaseholder_destroy(holder);
+}
+END_TEST
+
+// An answer that has no effect, and why.
+struct ignored {
+    const char *name;
+    uint64_t sequence;
+    uint64_t leader_term;
+    uint64_t from_revision;
+    uint64_t to_revision;
+    int outcome;
+};
+
+static const struct ignored ignored[] = {
+    {"of an earlier call", 1, 4, 9, 10, OUTCOME_OK},
+    {"of an older leader", 2, 3, 9, 10, OUTCOME_OK},
+    {"of a lower revision", 2, 4, 9, 8, OUTCOME_OK},
+    {"that does not join on", 2, 4, 12, 14, OUTCOME_OK},
+    {"of one that does not lead", 2, 4, 9, 10, OUTCOME_NOT_LEADER},
+    {"of a leader without a quorum", 2, 4, 9, 10, OUTCOME_UNAVAILABLE},
+};
+
+START_TEST(test_ignored_answer)
+{
+    const struct ignored *row = &ignored[_i];
+    struct leaseholder *holder = make_holder();
+    struct ck_renew_result result = make_result(1, 4, 0, 9);
+
+    (void)tick(holder, 5000 * MS);
+    (void)answer(holder, 5010 * MS, &result);
+    int64_t until_us = leaseholder_get_valid_until_us(holder);
+    ck_assert_ptr_nonnull(
+        find_action(tick(holder, 5300 * MS), LEASEHOLDER_ACTION_SEND_RENEW));
+    result = make_result(row->sequence, row->leader_term, row->from_revision,
+                         row->to_revision);
+    result.outcome = row->outcome;
+    const struct leaseholder_actions *actions =
+        answer(holder, 5310 * MS, &result);
+    ck_assert_msg(find_action(actions, LEASEHOLDER_ACTION_SET_LEASE) == NULL,
+                  "%s: lease", row->name);
+    ck_assert_msg(find_action(actions, LEASEHOLDER_ACTION_APPLY_DELTA) == NULL,
+                  "%s: delta", row->name);
+    ck_assert_int_eq(leaseholder_get_valid_until_us(holder), until_us);
+    ck_assert_uint_eq(leaseholder_get_revision(holder), 9);
+    leaseholder_destroy(holder);
+}
+END_TEST
+
+START_TEST(test_hint_leads_to_the_leader)
+{
+    struct leaseholder *holder = make_holder();
+    struct ck_renew_result result = make_result(1, 4, 0, 9);
+
+    (void)tick(holder, 5000 * MS);
+    result.outcome = OUTCOME_NOT_LEADER;
+    result.leader_host = (char *)(uintptr_t) "10.1.0.9";
+    result.leader_port = 7000;
+    const struct leaseholder_action *send = find_action(
+        answer(holder, 5010 * MS, &result), LEASEHOLDER_ACTION_SEND_RENEW);
+    ck_assert_ptr_nonnull(send);
+    ck_assert_str_eq(send->send.address.host, "10.1.0.9");
+    ck_assert_uint_eq(send->send.address.port, 7000);
+    leaseholder_destroy(holder);
+}
+END_TEST
+
+START_TEST(test_failures_back_off_over_all_voters)
+{
+    struct leaseholder *holder = make_holder();
+    struct leaseholder_event failed = {.kind = LEASEHOLDER_EVENT_RENEW_FAILED};
+    bool asked[ARRAY_SIZE(voters)] = {false};
+    uint64_t sent = 0;
+    bool in_flight = false;
+
+    for (int64_t at_ms = 0; at_ms < 10000; at_ms += 5) {
+        const struct leaseholder_action *send = find_action(
+            tick(holder, at_ms * MS), LEASEHOLDER_ACTION_SEND_RENEW);
+        if (send != NULL) {
+            ck_assert(!in_flight);
+            in_flight = true;
+            asked[atoi(strrchr(send->send.address.host, '.') + 1) - 1] = true;
+            sent = send->send.args->sequence;
+        }
+        else if (in_flight) {
+            failed.sequence = sent;
+            in_flight = find_action(step(holder, at_ms * MS, &failed),
+                                    LEASEHOLDER_ACTION_SEND_RENEW) != NULL;
+        }
+    }
+    ck_assert(asked[0] && asked[1] && asked[2]);
+    // Every 150 to 300 ms once it has backed off.
+    ck_assert_uint_ge(sent, 30);
+    ck_assert_uint_le(sent, 75);
+    leaseholder_destroy(holder);
+}
+END_TEST
+
+START_TEST(test_expiry_falls_back_to_the_guaranteed_share)
+{
+    struct leaseholder *holder = make_holder();
+    struct ck_renew_result result = make_result(1, 4, 0, 9);
+    struct ck_quota quota = {(char *)(uintptr_t) "u1", 5, 20, 2, 8};
+
+    result.quotas.quotas_val = &quota;
+    result.quotas.quotas_len = 1;
+    (void)tick(holder, 5000 * MS);
+    (void)answer(holder, 5010 * MS, &result);
+    ck_assert_ptr_null(find_action(tick(holder, 5989 * MS),
+                                   LEASEHOLDER_ACTION_LEASE_EXPIRED));
+    const struct leaseholder_actions *actions = tick(holder, 5990 * MS);
+    ck_assert_ptr_nonnull(
+        find_action(actions, LEASEHOLDER_ACTION_LEASE_EXPIRED));
+    const struct leaseholder_action *set =
+        find_action(actions, LEASEHOLDER_ACTION_SET_QUOTAS);
+    ck_assert_ptr_nonnull(set);
+    ck_assert_uint_eq(set->quotas.items[0].slots, 2);
+    ck_assert_uint_eq(set->quotas.items[0].connections, 8);
+    leaseholder_destroy(holder);
+}
+END_TEST
+
+START_TEST(test_revocation_is_confirmed_until_the_next_term)
+{
+    struct leaseholder *holder = make_holder();
+    struct ck_renew_result result = make_result(1, 4, 0, 9);
+    struct ck_revocation revocation = {(char *)(uintptr_t) "roster1", 3};
+    struct ck_notify_args notice = {.leader_term = 4, .revision = 10};
+    struct leaseholder_event notified = {.kind = LEASEHOLDER_EVENT_NOTIFIED};
+    struct leaseholder_event confirm = {.kind =
+                                            LEASEHOLDER_EVENT_CONFIRM_REVOKED};
+    struct ck_notify_result reply;
+    struct ck_database database = {.name = (char *)(uintptr_t) "roster1"};
+
+    (void)tick(holder, 5000 * MS);
+    (void)answer(holder, 5010 * MS, &result);
+    notice.revoked.revoked_val = &revocation;
+    notice.revoked.revoked_len = 1;
+    notified.notified = &notice;
+    // A leader that has been followed by another is not listened to.
+    notice.leader_term = 3;
+    ck_assert_ptr_null(find_action(step(holder, 5020 * MS, &notified),
+                                   LEASEHOLDER_ACTION_REVOKE));
+    notice.leader_term = 4;
+    const struct leaseholder_actions *actions =
+        step(holder, 5030 * MS, &notified);
+    ck_assert_ptr_nonnull(find_action(actions, LEASEHOLDER_ACTION_REVOKE));
+    const struct leaseholder_action *send =
+        find_action(actions, LEASEHOLDER_ACTION_SEND_RENEW);
+    ck_assert_ptr_nonnull(send);
+    ck_assert_uint_eq(send->send.args->confirmed.confirmed_len, 0);
+    confirm.revocation = revocation;
+    (void)step(holder, 5031 * MS, &confirm);
+    leaseholder_fill_notify_result(holder, &reply);
+    ck_assert_uint_eq(reply.confirmed.confirmed_len, 1);
+    // The confirmation goes out right after the call that is on its way.
+    result = make_result(2, 4, 9, 10);
+    send = find_action(answer(holder, 5040 * MS, &result),
+                       LEASEHOLDER_ACTION_SEND_RENEW);
+    ck_assert_ptr_nonnull(send);
+    ck_assert_uint_eq(send->send.args->confirmed.confirmed_len, 1);
+    database.term = 4;
+    result = make_result(3, 4, 10, 11);
+    result.delta.databases.databases_val = &database;
+    result.delta.databases.databases_len = 1;
+    (void)answer(holder, 5050 * MS, &result);
+    leaseholder_fill_notify_result(holder, &reply);
+    ck_assert_uint_eq(reply.confirmed.confirmed_len, 0);
+    leaseholder_destroy(holder);
+}
+END_TEST
+
+START_TEST(test_suspicion_is_sent_at_once_and_dropped_later)
+{
+    struct leaseholder *holder = make_holder();
+    struct ck_renew_result result = make_result(1, 4, 0, 9);
+    struct ck_suspicion suspicion = {(char *)(uintptr_t) "roster1",
+                                     (char *)(uintptr_t) "u1", 3,
+                                     CK_SUSPECT_REFUSED, 0};
+    struct leaseholder_event event = {.kind = LEASEHOLDER_EVENT_SUSPECT};
+
+    (void)tick(holder, 5000 * MS);
+    (void)answer(holder, 5010 * MS, &result);
+    event.suspicion = &suspicion;
+    const struct leaseholder_action *send = find_action(
+        step(holder, 5050 * MS, &event), LEASEHOLDER_ACTION_SEND_RENEW);
+    ck_assert_ptr_nonnull(send);
+    ck_assert_uint_eq(send->send.args->suspicions.suspicions_len, 1);
+    result = make_result(2, 4, 9, 9);
+    (void)answer(holder, 5060 * MS, &result);
+    send = find_action(tick(holder, 6500 * MS), LEASEHOLDER_ACTION_SEND_RENEW);
+    ck_assert_ptr_nonnull(send);
+    ck_assert_uint_eq(send->send.args->suspicions.suspicions_len, 0);
+    leaseholder_destroy(holder);
+}
+END_TEST
+
+static void
+add_tests(TCase *tests)
+{
+    tcase_add_test(tests, test_lease_counts_from_sending);
+    tcase_add_loop_test(tests, test_ignored_answer, 0, ARRAY_SIZE(ignored));
+    tcase_add_test(tests, test_hint_leads_to_the_leader);
+    tcase_add_test(tests, test_failures_back_off_over_all_voters);
+    tcase_add_test(tests, test_expiry_falls_back_to_the_guaranteed_share);
+    tcase_add_test(tests, test_revocation_is_confirmed_until_the_next_term);
+    tcase_add_test(tests, test_suspicion_is_sent_at_once_and_dropped_later);
+}
+
+TEST_MAIN("leaseholder", add_tests)
