fix(kernel): free the list of choices when one matches

Problem: json_reader_get_choice kept its list of choices when the value was not the first of them; LeakSanitizer saw 256 bytes for each such member. Solution: freed before the return.

--- a/src/catkingrade/kernel/json_reader.c
+++ b/src/catkingrade/kernel/json_reader.c
@@ -217,6 +217,7 @@
     const char *value = json_object_get_string(member);
     for (int i = 0; choices[i] != NULL; i++) {
         if (strcmp(choices[i], value) == 0) {
+            buffer_free(&list);
             return i;
         }
         buffer_append_format(&list, "%s%s", i == 0 ? "" : ", ", choices[i]);
