test(replay): an entry that control answers late is cut off with the primary

Problem: a lease counted from receipt at the entry was caught by a unit test only; on the replays' quick network the drift bound hid it. Solution: a scenario whose answers take 200 ms.

--- a/test/replay/test_replay_failover.c
+++ b/test/replay/test_replay_failover.c
@@ -66,6 +66,7 @@
     bool cut_from_control; // the primary, which entries still reach
     bool cut_entry;        // an entry, from all but the primary
     bool lose_leader;      // of the control group
+    bool slow_answers;     // of control to that entry
     int64_t limit_us;
 };
 
@@ -79,6 +80,11 @@
      .cut_from_control = true,
      .cut_entry = true,
      .limit_us = 2500 * MS},
+    {.name = "cut off together with an entry, which control answers late",
+     .cut_from_control = true,
+     .cut_entry = true,
+     .slow_answers = true,
+     .limit_us = 2500 * MS},
     {.name = "process death, control leader lost",
      .kill = true,
      .lose_leader = true,
@@ -115,8 +121,14 @@
 {
     const struct scenario *scenario = &scenarios[_i];
     struct fleet *fleet = start_fleet(&house);
+    if (scenario->slow_answers) {
+        for (int i = 0; i < fleet->params.voters; i++) {
+            network_set_delay(fleet->network, fleet_voter_node(i),
+                              fleet_entry_node(fleet, CUT_ENTRY), 200 * MS);
+        }
+        fleet_run(fleet, 2 * S);
+    }
     int64_t fault_us = network_get_now_us(fleet->network);
-
     break_fleet(fleet, scenario);
     int64_t saved_us = fleet_run_until_saved(fleet, FREE_ENTRY, 2, 20 * S);
     ck_assert_msg(saved_us > 0, "%s: no save in the new term", scenario->name);
