fix(decide): an open transaction keeps its slot

Problem: pgbench (TPC-B, 8 clients, 5 slots) hung: statements that wait for a row lock held all slots, so the transaction that owns the lock got no slot for its next statement and never ended. Cause: a transaction gave its slot back between statements. Conclusion: slots bound open transactions; an idle one holds a slot until it ends.

--- a/src/catkingrade/decide/dispatch.c
+++ b/src/catkingrade/decide/dispatch.c
@@ -111,11 +111,11 @@
     queue->blocked_round = traffic->round;
 }
 
-// Starts statements of open transactions, which come before new work.
+// Starts statements of open transactions, which hold their slots.
 static void
 dispatch_pinned(struct traffic *traffic, struct upstream *up)
 {
-    while (up->pinned.first != NULL && up->running < up->slots) {
+    while (up->pinned.first != NULL) {
         struct request *request = up->pinned.first;
         struct conn *conn = pool_find(traffic, request->conn);
         INVARIANT(conn != NULL && conn->state == CONN_PINNED);
--- a/src/catkingrade/decide/pool.c
+++ b/src/catkingrade/decide/pool.c
@@ -145,6 +145,9 @@
     else if (conn->state == CONN_OPENING) {
         upstream->opening--;
     }
+    else if (conn->state == CONN_PINNED) {
+        pool_end_use(upstream, false);
+    }
     if (conn->session != NULL) {
         conn->session->conn = TRAFFIC_NO_ID;
     }
@@ -269,10 +272,13 @@
     return NULL;
 }
 
-// Binds a connection to the transaction of a session.
+// Binds a connection to the transaction of a session. It keeps its slot
+// between statements: the transaction may hold locks for which statements in
+// all other slots wait, so its next statement must never wait for a slot.
 void
 pool_pin(struct traffic *traffic, struct conn *conn, struct session *session)
 {
+    traffic->upstreams[conn->upstream].running++;
     conn->session = session;
     session->conn = conn->id;
     pool_set_state(traffic, conn, CONN_PINNED);
--- a/src/catkingrade/decide/traffic_request.c
+++ b/src/catkingrade/decide/traffic_request.c
@@ -463,6 +463,9 @@
 {
     struct upstream *up = &traffic->upstreams[conn->upstream];
 
+    if (conn->state == CONN_PINNED) {
+        pool_end_use(up, false);
+    }
     request->state = REQUEST_RUNNING;
     request->conn = conn->id;
     request->started_us = traffic->now_us;
