--- a/test/fake/raft_group.c
+++ b/test/fake/raft_group.c
@@ -137,6 +137,9 @@
            disk->entries[count].index <= snapshot->index) {
         free(disk->entries[count++].payload.payload_val);
     }
+    if (count == 0) {
+        return;
+    }
     disk->entries_count -= count;
     memmove(disk->entries, disk->entries + count,
             disk->entries_count * sizeof(*disk->entries));
