perf(decide): entries turn to the leader that notifies them

Solution: a notice carries its sender's address to the leaseholder, which gives up a call to another voter and renews there at once.

--- /dev/null
+++ b/bench/bench_fake_fleet.c
@@ -0,0 +1,2 @@
+// The tests' fake fleet, for measurements on its virtual clock.
+#include "test/fake/fleet.c" // NOLINT(bugprone-suspicious-include)
--- a/src/catkingrade/decide/leader_quota.c
+++ b/src/catkingrade/decide/leader_quota.c
@@ -177,8 +177,9 @@
     }
 }
 
-// Fills which entries take part and who is near, and plans the guaranteed
-// shares that follow from that alone.
+// Fills which entries take part and who is near. The guaranteed shares follow
+// from that alone; they are planned only when they are needed, for an entry
+// that has not renewed with this leader.
 static void
 leader_plan_guaranteed(const struct leader *leader,
                        const struct leader_quota *quota,
@@ -186,15 +187,20 @@
                        struct lending_entry *entries,
                        struct lending_share *shares)
 {
+    bool needed = false;
+
     for (size_t i = 0; i < quota->shares_count; i++) {
         const struct ck_daemon *daemon = &quota->shares[i].holder->daemon;
         entries[i].near =
             strcmp(upstream->failure_domain, daemon->failure_domain) == 0;
         entries[i].weight =
             group_find_daemon(leader->group, daemon->vm) == NULL ? 0 : 1;
+        needed = needed || !quota->shares[i].known;
+    }
+    if (needed) {
+        lending_plan(upstream->slots, upstream->connections, entries,
+                     quota->shares_count, shares);
     }
-    lending_plan(upstream->slots, upstream->connections, entries,
-                 quota->shares_count, shares);
 }
 
 // Plans an upstream and sets what the entry at place is lent now.
--- a/src/catkingrade/decide/leaseholder.c
+++ b/src/catkingrade/decide/leaseholder.c
@@ -238,12 +238,33 @@
     leaseholder_take_grant(holder, now_us, result, actions);
 }
 
+// Turns to the leader that has just been heard. A call that is out to another
+// voter is given up: its answer will not count any more.
+static void
+leaseholder_turn_to(struct leaseholder *holder, int64_t now_us,
+                    const struct leaseholder_address *leader)
+{
+    bool same = leader->port == holder->target.port &&
+                strcmp(leader->host, holder->target.host) == 0;
+
+    holder->failures = 0;
+    holder->redirects = 0;
+    if (same) {
+        return;
+    }
+    holder->target = *leader;
+    holder->in_flight = false;
+    holder->next_renew_us = now_us;
+}
+
 // Takes a leader's push: ends the named terms and renews at once.
 static void
 leaseholder_take_notice(struct leaseholder *holder, int64_t now_us,
-                        const struct ck_notify_args *args,
+                        const struct leaseholder_event *event,
                         struct leaseholder_actions *actions)
 {
+    const struct ck_notify_args *args = event->notified;
+
     if (args->leader_term < holder->leader_term) {
         return;
     }
@@ -255,6 +276,9 @@
                 ->revoke = *revocation;
         }
     }
+    if (event->from != NULL) {
+        leaseholder_turn_to(holder, now_us, event->from);
+    }
     if (args->revision > holder->revision) {
         leaseholder_renew_soon(holder, now_us);
     }
@@ -290,7 +314,7 @@
         }
         break;
     case LEASEHOLDER_EVENT_NOTIFIED:
-        leaseholder_take_notice(holder, now_us, event->notified, actions);
+        leaseholder_take_notice(holder, now_us, event, actions);
         break;
     case LEASEHOLDER_EVENT_SUSPECT:
         leaseholder_take_suspicion(holder, now_us, event->suspicion);
--- a/src/catkingrade/decide/leaseholder.h
+++ b/src/catkingrade/decide/leaseholder.h
@@ -44,6 +44,8 @@
 // Everything pointed to is borrowed for the length of the step.
 struct leaseholder_event {
     enum leaseholder_event_kind kind;
+    // NOTIFIED: where the leader answers calls; NULL when it is not known.
+    const struct leaseholder_address *from;
     union {
         const struct ck_renew_result *renewed;
         uint64_t sequence; // RENEW_FAILED: of the call
--- a/test/fake/fleet_entry.c
+++ b/test/fake/fleet_entry.c
@@ -324,6 +324,9 @@
     memset(&args, 0, sizeof(args));
     (void)codec_decode((xdrproc_t)xdr_ck_notify_args, message->bytes.data,
                        buffer_get_size(&message->bytes), &args);
+    struct leaseholder_address leader = {.port = 7432};
+    (void)snprintf(leader.host, sizeof(leader.host), "10.1.0.%d", from + 1);
+    event.from = &leader;
     event.notified = &args;
     fleet_hold(fleet, entry, &event);
     struct fleet_message *reply = fleet_make_reply(message);
--- a/test/unit/decide/test_leaseholder.c
+++ b/test/unit/decide/test_leaseholder.c
@@ -282,6 +282,31 @@
 }
 END_TEST
 
+START_TEST(test_notice_shows_the_new_leader)
+{
+    struct leaseholder *holder = make_holder();
+    struct ck_renew_result result = make_result(1, 4, 0, 9);
+    struct leaseholder_address from = {"10.1.0.9", 7000};
+    struct ck_notify_args notice = {.leader_term = 5, .revision = 10};
+    struct leaseholder_event notified = {.kind = LEASEHOLDER_EVENT_NOTIFIED,
+                                         .from = &from};
+
+    // A call is out to a voter that never answers.
+    (void)tick(holder, 5000 * MS);
+    notified.notified = &notice;
+    const struct leaseholder_action *send = find_action(
+        step(holder, 5010 * MS, &notified), LEASEHOLDER_ACTION_SEND_RENEW);
+    ck_assert_ptr_nonnull(send);
+    ck_assert_str_eq(send->send.address.host, "10.1.0.9");
+    ck_assert_uint_eq(send->send.args->sequence, 2);
+    // Its late answer has no effect.
+    ck_assert_ptr_null(find_action(answer(holder, 5020 * MS, &result),
+                                   LEASEHOLDER_ACTION_SET_LEASE));
+    ck_assert_uint_eq(leaseholder_get_revision(holder), 0);
+    leaseholder_destroy(holder);
+}
+END_TEST
+
 START_TEST(test_suspicion_is_sent_at_once_and_dropped_later)
 {
     struct leaseholder *holder = make_holder();
@@ -316,6 +341,7 @@
     tcase_add_test(tests, test_failures_back_off_over_all_voters);
     tcase_add_test(tests, test_expiry_falls_back_to_the_guaranteed_share);
     tcase_add_test(tests, test_revocation_is_confirmed_until_the_next_term);
+    tcase_add_test(tests, test_notice_shows_the_new_leader);
     tcase_add_test(tests, test_suspicion_is_sent_at_once_and_dropped_later);
 }
 
