--- a/src/catkingrade/entry/database.c
+++ b/src/catkingrade/entry/database.c
@@ -464,6 +464,25 @@
     }
 }
 
+// Returns why a request runs where it runs, as a constant text.
+static const char *
+database_get_reason(const struct entry_request *request,
+                    const struct traffic_action *action)
+{
+    if (action->reason != NULL && action->reason[0] != '\0') {
+        return action->reason;
+    }
+    if (request->traffic.request_class == TRAFFIC_IN_TRANSACTION) {
+        return "belongs to the transaction on this connection";
+    }
+    if (action->on_replica) {
+        return "covers the session's floor within the accepted age";
+    }
+    return request->traffic.request_class == TRAFFIC_READ
+               ? "no replica covers the session's floor and accepted age"
+               : "writes run on the primary";
+}
+
 static void
 database_run_send(struct database *database,
                   const struct traffic_action *action)
@@ -475,7 +494,7 @@
         traffic_get_upstream(database->traffic, action->upstream);
 
     INVARIANT(conn != NULL && request != NULL && conn->request == NULL);
-    request->reason = action->reason;
+    request->reason = database_get_reason(request, action);
     request->on_replica = action->on_replica;
     if (upstream != NULL) {
         strncpy(request->upstream, upstream->name, CK_NAME_SIZE);
--- a/src/catkingrade/plugins/postgres_login.c
+++ b/src/catkingrade/plugins/postgres_login.c
@@ -156,8 +156,8 @@
 }
 
 // Takes over what the startup asked for and makes the session ready.
-static void
-postgres_login_finish(struct postgres_session *session)
+void
+postgres_session_finish_login(struct postgres_session *session)
 {
     struct postgres_startup *startup = session->startup;
     struct entry *entry =
@@ -200,16 +200,6 @@
     session->timer = NULL;
 }
 
-// Handles a password message.
-void
-postgres_session_handle_password(struct postgres_session *session,
-                                 const struct postgres_frame *frame)
-{
-    (void)frame;
-    postgres_login_refuse(session, SQLSTATE_PROTOCOL,
-                          "unexpected password message");
-}
-
 static void
 postgres_login_authenticate(struct postgres_session *session,
                             const struct ck_customer *customer)
@@ -218,17 +208,12 @@
         postgres_login_find_caller(customer, session->startup->user);
 
     // A customer that lists no callers trusts everyone who reaches it.
-    if (caller == NULL && customer->callers.callers_len > 0) {
-        postgres_login_refuse(session, SQLSTATE_AUTH_DENIED,
-                              "the user is not a caller of this customer");
-        return;
-    }
-    if (caller != NULL && caller->verifier[0] != '\0') {
-        postgres_login_refuse(session, SQLSTATE_NOT_SUPPORTED,
-                              "SCRAM is not available");
+    if (customer->callers.callers_len == 0 ||
+        (caller != NULL && caller->verifier[0] == '\0')) {
+        postgres_session_finish_login(session);
         return;
     }
-    postgres_login_finish(session);
+    postgres_scram_begin(session, caller);
 }
 
 // Opens the session at its database, on the thread that owns it.
--- a/src/catkingrade/plugins/postgres_session.c
+++ b/src/catkingrade/plugins/postgres_session.c
@@ -119,6 +119,8 @@
         free(session->startup);
         session->startup = NULL;
     }
+    postgres_scram_free(session->scram);
+    session->scram = NULL;
 }
 
 static void
--- a/src/catkingrade/plugins/postgres_session.h
+++ b/src/catkingrade/plugins/postgres_session.h
@@ -15,6 +15,7 @@
 // share its state.
 
 struct postgres_listener;
+struct scram;
 
 enum postgres_state {
     POSTGRES_STATE_STARTUP,
@@ -50,6 +51,7 @@
     struct loop_watch *watch;
     struct loop_timer *timer; // limit of startup and authentication
     struct postgres_startup *startup;
+    struct scram *scram; // exchange under way
     struct buffer in;
     struct buffer out;
     struct entry_request *request; // that is out
@@ -94,6 +96,10 @@
 void postgres_session_handle_password(struct postgres_session *session,
                                       const struct postgres_frame *frame);
 void postgres_session_open(struct postgres_session *session);
+void postgres_session_finish_login(struct postgres_session *session);
+void postgres_scram_begin(struct postgres_session *session,
+                          const struct ck_caller *caller);
+void postgres_scram_free(struct scram *scram);
 
 // Simple queries and requests.
 void postgres_query_handle(struct postgres_session *session, const char *text);
