--- /dev/null
+++ b/src/catkingrade/control/control.c
@@ -0,0 +1,382 @@
+#include "catkingrade/control/control.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "catkingrade/control/control_state.h"
+#include "catkingrade/kernel/counters.h"
+#include "catkingrade/kernel/log.h"
+#include "catkingrade/kernel/memory.h"
+#include "catkingrade/kernel/outcome.h"
+#include "catkingrade/kernel/settings.h"
+#include "catkingrade/plugins/http.h"
+
+#define CONTROL_MAX_FLUSHES_A_TURN 16
+
+// Returns the group's host, NULL when this VM does not vote in it.
+struct group_host *
+control_find_host(const struct control *control, const char *group)
+{
+    for (size_t i = 0; i < control->hosts_count; i++) {
+        if (strcmp(group_host_get_name(control->hosts[i]), group) == 0) {
+            return control->hosts[i];
+        }
+    }
+    return NULL;
+}
+
+// Returns the group's row in the settings, NULL when there is none.
+const struct settings_group *
+control_find_group(const struct control *control, const char *group)
+{
+    const struct settings *settings = control->daemon->settings;
+
+    for (size_t i = 0; i < settings->groups_count; i++) {
+        if (strcmp(settings->groups[i].name, group) == 0) {
+            return &settings->groups[i];
+        }
+    }
+    return NULL;
+}
+
+// Tells a caller that this VM does not vote in the group, and who does.
+static void
+control_fill_voter_hint(const struct control *control, const char *group,
+                        char **host, u_int *port)
+{
+    const struct settings_group *row = control_find_group(control, group);
+    const struct settings_voter *voter = NULL;
+
+    if (row != NULL && row->voters_count > 0) {
+        voter = &row->voters[0];
+    }
+    *host = voter == NULL ? "" : (char *)(uintptr_t)voter->rpc.host;
+    *port = voter == NULL ? 0 : voter->rpc.port;
+}
+
+static int
+control_get_no_host_outcome(const struct control *control, const char *group)
+{
+    return control_find_group(control, group) == NULL ? OUTCOME_NOT_FOUND
+                                                      : OUTCOME_NOT_LEADER;
+}
+
+static void
+control_handle_raft(void *data, struct rpcnet_request *request,
+                    const void *args)
+{
+    const struct ck_raft_message *message = args;
+    struct group_host *host = control_find_host(data, message->group);
+
+    (void)request;
+    if (host != NULL) {
+        group_host_handle_raft(host, message);
+    }
+}
+
+static void
+control_handle_renew(void *data, struct rpcnet_request *request,
+                     const void *args)
+{
+    const struct ck_renew_args *renew = args;
+    struct group_host *host = control_find_host(data, renew->group);
+    struct ck_renew_result reply = {.sequence = renew->sequence};
+
+    if (host != NULL) {
+        group_host_handle_renew(host, request, renew);
+        return;
+    }
+    reply.outcome = control_get_no_host_outcome(data, renew->group);
+    control_fill_voter_hint(data, renew->group, &reply.leader_host,
+                            &reply.leader_port);
+    rpcnet_reply(request, &reply);
+}
+
+static void
+control_handle_apply(void *data, struct rpcnet_request *request,
+                     const void *args)
+{
+    const struct ck_apply_args *apply = args;
+    struct group_host *host = control_find_host(data, apply->group);
+    struct ck_apply_result reply = {0};
+
+    if (host != NULL) {
+        group_host_handle_apply(host, request, apply);
+        return;
+    }
+    reply.outcome = control_get_no_host_outcome(data, apply->group);
+    reply.message = (char *)(uintptr_t)outcome_get_text(reply.outcome);
+    control_fill_voter_hint(data, apply->group, &reply.leader_host,
+                            &reply.leader_port);
+    rpcnet_reply(request, &reply);
+}
+
+static void
+control_handle_query(void *data, struct rpcnet_request *request,
+                     const void *args)
+{
+    const struct ck_query_args *query = args;
+    struct group_host *host = control_find_host(data, query->group);
+    struct ck_query_result reply = {.json = "[]"};
+
+    if (query->kind == CK_QUERY_STATUS || query->kind == CK_QUERY_TIMELINE ||
+        query->kind == CK_QUERY_COUNTERS || query->kind == CK_QUERY_GROUPS) {
+        control_answer_query(data, request, query);
+        return;
+    }
+    if (host != NULL) {
+        group_host_handle_query(host, request, query);
+        return;
+    }
+    reply.outcome = control_get_no_host_outcome(data, query->group);
+    reply.message = (char *)(uintptr_t)outcome_get_text(reply.outcome);
+    control_fill_voter_hint(data, query->group, &reply.leader_host,
+                            &reply.leader_port);
+    rpcnet_reply(request, &reply);
+}
+
+static void
+control_handle_command(void *data, struct rpcnet_request *request,
+                       const void *args)
+{
+    struct control *control = data;
+    const struct ck_command_args *command = args;
+    struct group_host *host = control_find_host(control, command->group);
+    struct ck_command_result reply = {.leader_host = "", .message = ""};
+
+    if (command->kind == CK_COMMAND_STOP) {
+        daemon_request_stop(control->daemon);
+        reply.message = "stopping";
+        rpcnet_reply(request, &reply);
+        return;
+    }
+    if (host != NULL) {
+        group_host_handle_command(host, request, command);
+        return;
+    }
+    reply.outcome = control_get_no_host_outcome(control, command->group);
+    reply.message = (char *)(uintptr_t)outcome_get_text(reply.outcome);
+    control_fill_voter_hint(control, command->group, &reply.leader_host,
+                            &reply.leader_port);
+    rpcnet_reply(request, &reply);
+}
+
+// Writes for all groups, syncs once, then sends and applies. Returns whether
+// that led to new actions.
+static bool
+control_flush_once(struct control *control)
+{
+    bool wrote = false;
+    bool more = false;
+
+    for (size_t i = 0; i < control->hosts_count; i++) {
+        wrote |= group_host_flush_writes(control->hosts[i]);
+    }
+    if (!wrote) {
+        return false;
+    }
+    counter_add(COUNTER_LOG_SYNCS, 1);
+    bool synced = store_sync(control->store) == OUTCOME_OK;
+    for (size_t i = 0; i < control->hosts_count; i++) {
+        more |= group_host_flush_rest(control->hosts[i], synced);
+    }
+    return more;
+}
+
+static void
+control_flush_again(void *data)
+{
+    // The end of this turn flushes.
+    (void)data;
+}
+
+static void
+control_flush(void *data)
+{
+    struct control *control = data;
+
+    for (int i = 0; i < CONTROL_MAX_FLUSHES_A_TURN; i++) {
+        if (!control_flush_once(control)) {
+            return;
+        }
+    }
+    loop_post(control->loop, control_flush_again, control);
+}
+
+static int
+control_open_store(struct control *control)
+{
+    const struct settings *settings = control->daemon->settings;
+    struct store_params params = {
+        .dir = settings->data_dir,
+        .vm = settings->vm,
+    };
+    struct buffer report = {0};
+
+    int outcome = store_open(&params, &control->store, &report);
+    if (buffer_get_size(&report) > 0) {
+        LOG_WARNING("store", "%.*s", (int)buffer_get_size(&report),
+                    (const char *)buffer_get_data(&report));
+    }
+    buffer_free(&report);
+    if (outcome != OUTCOME_OK) {
+        LOG_ERROR("store_failed", "dir=%s outcome=%s", settings->data_dir,
+                  outcome_get_name(outcome));
+    }
+    return outcome;
+}
+
+static int
+control_add_host(struct control *control, const struct settings_group *group,
+                 uint64_t self)
+{
+    struct group_host_params params = {
+        .daemon = control->daemon,
+        .store = control->store,
+        .admin = control->admin,
+        .group = group,
+        .self = self,
+        .bootstrap = control->daemon->bootstrap,
+    };
+    int outcome =
+        group_host_create(&params, &control->hosts[control->hosts_count]);
+
+    if (outcome == OUTCOME_OK) {
+        control->hosts_count++;
+    }
+    return outcome;
+}
+
+// Opens every group of the settings in which this VM votes.
+static int
+control_open_groups(struct control *control)
+{
+    const struct settings *settings = control->daemon->settings;
+
+    control->hosts = xcalloc(settings->groups_count, sizeof(*control->hosts));
+    for (size_t i = 0; i < settings->groups_count; i++) {
+        const struct settings_group *group = &settings->groups[i];
+        for (size_t j = 0; j < group->voters_count; j++) {
+            if (strcmp(group->voters[j].vm, settings->vm) != 0) {
+                continue;
+            }
+            int outcome =
+                control_add_host(control, group, group->voters[j].id);
+            if (outcome != OUTCOME_OK) {
+                return outcome;
+            }
+        }
+    }
+    return OUTCOME_OK;
+}
+
+static void
+control_set_handlers(struct control *control)
+{
+    struct rpcnet *rpcnet = control->daemon->rpcnet;
+
+    rpcnet_set_handler(rpcnet, &rpcnet_raft, control_handle_raft, control);
+    rpcnet_set_handler(rpcnet, &rpcnet_renew, control_handle_renew, control);
+    rpcnet_set_handler(rpcnet, &rpcnet_apply, control_handle_apply, control);
+    rpcnet_set_handler(rpcnet, &rpcnet_query, control_handle_query, control);
+    rpcnet_set_handler(rpcnet, &rpcnet_command, control_handle_command,
+                       control);
+}
+
+static void
+control_clear_handlers(struct control *control)
+{
+    struct rpcnet *rpcnet = control->daemon->rpcnet;
+
+    rpcnet_set_handler(rpcnet, &rpcnet_raft, NULL, NULL);
+    rpcnet_set_handler(rpcnet, &rpcnet_renew, NULL, NULL);
+    rpcnet_set_handler(rpcnet, &rpcnet_apply, NULL, NULL);
+    rpcnet_set_handler(rpcnet, &rpcnet_query, NULL, NULL);
+    rpcnet_set_handler(rpcnet, &rpcnet_command, NULL, NULL);
+}
+
+// Starts the control side. With the role control it opens the data folder and
+// the groups; every daemon answers operators. Returns OUTCOME_OK or the error
+// of the data folder, with nothing left open.
+int
+control_create(struct daemon *daemon, struct control **out)
+{
+    struct control *control = xcalloc(1, sizeof(*control));
+    int outcome = OUTCOME_OK;
+
+    control->daemon = daemon;
+    control->loop = daemon->control_loop;
+    if ((daemon->settings->roles & SETTINGS_ROLE_CONTROL) != 0) {
+        control->admin =
+            upstream_admin_create(control->loop, daemon->settings);
+        outcome = control_open_store(control);
+        if (outcome == OUTCOME_OK) {
+            outcome = control_open_groups(control);
+        }
+    }
+    if (outcome != OUTCOME_OK) {
+        control_destroy(control);
+        return outcome;
+    }
+    control_set_handlers(control);
+    loop_set_after(control->loop, control_flush, control);
+    *out = control;
+    return OUTCOME_OK;
+}
+
+// Ends the groups and closes the data folder.
+void
+control_destroy(struct control *control)
+{
+    loop_set_after(control->loop, NULL, NULL);
+    for (size_t i = 0; i < control->hosts_count; i++) {
+        group_host_destroy(control->hosts[i]);
+    }
+    control_clear_handlers(control);
+    if (control->admin != NULL) {
+        upstream_admin_destroy(control->admin);
+    }
+    if (control->store != NULL) {
+        store_close(control->store);
+    }
+    free(control->hosts);
+    free(control);
+}
+
+// Takes announcements of upstreams from the HTTP side.
+void
+control_start_announcements(struct control *control)
+{
+    http_set_announce(control->daemon->http, control_take_announcement,
+                      control);
+}
+
+// Refuses announcements from now on.
+void
+control_stop_announcements(struct control *control)
+{
+    http_set_announce(control->daemon->http, NULL, NULL);
+}
+
+// Hands the leadership of all groups to other voters.
+void
+control_drain(struct control *control)
+{
+    for (size_t i = 0; i < control->hosts_count; i++) {
+        group_host_transfer(control->hosts[i]);
+    }
+}
+
+// Returns true once this VM leads no group that another voter could lead.
+bool
+control_is_drained(const struct control *control)
+{
+    for (size_t i = 0; i < control->hosts_count; i++) {
+        const struct settings_group *group = control_find_group(
+            control, group_host_get_name(control->hosts[i]));
+        if (group_host_leads(control->hosts[i]) && group->voters_count > 1) {
+            return false;
+        }
+    }
+    return true;
+}
--- /dev/null
+++ b/src/catkingrade/control/control_state.h
@@ -0,0 +1,38 @@
+#ifndef CATKINGRADE_CONTROL_CONTROL_STATE_H
+#define CATKINGRADE_CONTROL_CONTROL_STATE_H
+
+#include "catkingrade/control/control.h"
+#include "catkingrade/control/group_host.h"
+#include "catkingrade/control/upstream_admin.h"
+#include "catkingrade/kernel/loop.h"
+#include "catkingrade/rpc/rpcnet.h"
+#include "catkingrade/store/store.h"
+
+struct http_announcement;
+
+struct control {
+    struct daemon *daemon;
+    struct loop *loop;
+    struct store *store;
+    struct upstream_admin *admin;
+    struct group_host **hosts;
+    size_t hosts_count;
+};
+
+// control.c
+struct group_host *control_find_host(const struct control *control,
+                                     const char *group);
+const struct settings_group *control_find_group(const struct control *control,
+                                                const char *group);
+
+// queries.c
+void control_answer_query(struct control *control,
+                          struct rpcnet_request *request,
+                          const struct ck_query_args *args);
+
+// forward.c
+void control_take_announcement(void *data,
+                               struct http_announcement *announcement,
+                               const char *body);
+
+#endif
--- /dev/null
+++ b/src/catkingrade/control/group_host.c
@@ -0,0 +1,660 @@
+#include "catkingrade/control/group_host.h"
+
+#include <inttypes.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "catkingrade/control/group_host_state.h"
+#include "catkingrade/kernel/counters.h"
+#include "catkingrade/kernel/log.h"
+#include "catkingrade/kernel/memory.h"
+#include "catkingrade/kernel/outcome.h"
+#include "catkingrade/kernel/timeline.h"
+#include "catkingrade/rpc/codec.h"
+
+#define HOST_MAX_PENDING_ENTRIES 4096
+#define HOST_MAX_PENDING_BYTES   (8 * 1024 * 1024)
+#define HOST_MAX_IN_FLIGHT_BYTES (256 * 1024)
+#define HOST_SNAPSHOT_ENTRIES    4096
+#define HOST_SNAPSHOT_BYTES      (16 * 1024 * 1024)
+#define HOST_KEPT_ENTRIES        1024
+#define HOST_REOPEN_US           1000000
+
+static const char *const host_role_names[] = {
+    [RAFT_FOLLOWER] = "follower",
+    [RAFT_CANDIDATE] = "candidate",
+    [RAFT_LEADER] = "leader",
+};
+
+// Adds someone who waits for a token's outcome; the token is new.
+struct host_waiter *
+host_add_waiter(struct group_host *host, enum host_waiter_kind kind)
+{
+    struct host_waiter *waiter = xcalloc(1, sizeof(*waiter));
+
+    waiter->token = ++host->last_token;
+    waiter->kind = kind;
+    waiter->next = host->waiters;
+    host->waiters = waiter;
+    return waiter;
+}
+
+// Takes a token's waiter out of the list and copies it. Returns whether there
+// was one.
+bool
+host_take_waiter(struct group_host *host, uint64_t token,
+                 struct host_waiter *waiter)
+{
+    struct host_waiter **place = &host->waiters;
+
+    while (*place != NULL && (*place)->token != token) {
+        place = &(*place)->next;
+    }
+    if (*place == NULL) {
+        return false;
+    }
+    struct host_waiter *found = *place;
+    *place = found->next;
+    *waiter = *found;
+    free(found);
+    return true;
+}
+
+// Gives an event to the replicated log; what it decides is carried out at the
+// end of the turn.
+void
+host_step_raft(struct group_host *host, const struct raft_event *event)
+{
+    if (host->failed) {
+        return;
+    }
+    raft_step(host->raft, monotonic_get_us(), event, &host->actions);
+}
+
+static void
+host_handle_raft_timer(void *data)
+{
+    struct raft_event event = {.kind = RAFT_EVENT_TICK};
+
+    host_step_raft(data, &event);
+}
+
+static const struct ck_voter *
+host_find_voter(const struct group_host *host, uint64_t id)
+{
+    const struct ck_voters_change *voters = raft_get_voters(host->raft);
+
+    for (u_int i = 0; i < voters->voters.voters_len; i++) {
+        if (voters->voters.voters_val[i].id == id) {
+            return &voters->voters.voters_val[i];
+        }
+    }
+    return NULL;
+}
+
+// Returns where the group's leader is; an empty host when not known.
+void
+group_host_get_leader(const struct group_host *host,
+                      struct settings_address *address)
+{
+    const struct ck_voter *voter = NULL;
+
+    memset(address, 0, sizeof(*address));
+    if (!host->failed) {
+        voter = host_find_voter(host, raft_get_leader(host->raft));
+    }
+    if (voter != NULL) {
+        (void)strncpy(address->host, voter->host, sizeof(address->host) - 1);
+        address->port = (uint16_t)voter->port;
+    }
+}
+
+// Fills the leader's place into a result; the text is borrowed.
+void
+host_fill_leader_hint(const struct group_host *host, char **leader_host,
+                      u_int *leader_port)
+{
+    const struct ck_voter *voter = NULL;
+
+    if (!host->failed) {
+        voter = host_find_voter(host, raft_get_leader(host->raft));
+    }
+    *leader_host = voter == NULL ? "" : voter->host;
+    *leader_port = voter == NULL ? 0 : voter->port;
+}
+
+// A voter that is not in the list yet sends and is sent to by its settings.
+static void
+host_get_peer(const struct group_host *host, uint64_t id,
+              struct settings_address *address)
+{
+    const struct ck_voter *voter = host_find_voter(host, id);
+    const struct settings_group *group = host->params.group;
+
+    memset(address, 0, sizeof(*address));
+    if (voter != NULL) {
+        (void)strncpy(address->host, voter->host, sizeof(address->host) - 1);
+        address->port = (uint16_t)voter->port;
+        return;
+    }
+    for (size_t i = 0; i < group->voters_count; i++) {
+        if (group->voters[i].id == id) {
+            *address = group->voters[i].rpc;
+        }
+    }
+}
+
+static void
+host_send_raft(struct group_host *host, const struct ck_raft_message *message)
+{
+    struct settings_address peer;
+
+    host_get_peer(host, message->to, &peer);
+    if (peer.port != 0) {
+        (void)rpcnet_send(host->params.daemon->rpcnet, &peer, &rpcnet_raft,
+                          message);
+    }
+}
+
+// Answers whoever proposed a change that has been applied.
+static void
+host_finish_proposal(struct group_host *host, uint64_t token,
+                     const struct group_result *result, uint64_t *leader_token)
+{
+    struct host_waiter waiter;
+
+    *leader_token = 0;
+    if (token == 0 || !host_take_waiter(host, token, &waiter)) {
+        return;
+    }
+    switch (waiter.kind) {
+    case HOST_WAITER_LEADER:
+        *leader_token = waiter.leader_token;
+        break;
+    case HOST_WAITER_APPLY:
+        host_reply_apply(host, waiter.request, result->outcome, result);
+        break;
+    case HOST_WAITER_VOTERS:
+        host_reply_command(host, waiter.request, result->outcome,
+                           result->message);
+        break;
+    default:
+        break;
+    }
+}
+
+static void
+host_apply_entry(struct group_host *host, uint64_t token,
+                 const struct ck_log_entry *entry)
+{
+    struct ck_log_payload payload = {0};
+    struct group_result result = {0};
+    struct leader_event event = {.kind = LEADER_EVENT_APPLIED};
+
+    int outcome =
+        codec_decode((xdrproc_t)xdr_ck_log_payload, entry->payload.payload_val,
+                     entry->payload.payload_len, &payload);
+    INVARIANT(outcome == OUTCOME_OK);
+    group_apply_payload(host->state, entry->index, &payload, &result);
+    counter_add(COUNTER_CHANGES, result.outcome == OUTCOME_OK ? 1 : 0);
+    host_finish_proposal(host, token, &result, &event.token);
+    event.applied.index = entry->index;
+    event.applied.change = &payload.change;
+    event.applied.result = &result;
+    host_step_leader(host, &event);
+    codec_free((xdrproc_t)xdr_ck_log_payload, &payload);
+}
+
+static void
+host_refuse_proposal(struct group_host *host, const struct raft_action *action)
+{
+    struct host_waiter waiter;
+    struct leader_event event = {.kind = LEADER_EVENT_PROPOSE_FAILED};
+
+    if (!host_take_waiter(host, action->token, &waiter)) {
+        return;
+    }
+    switch (waiter.kind) {
+    case HOST_WAITER_LEADER:
+        event.token = waiter.leader_token;
+        host_step_leader(host, &event);
+        break;
+    case HOST_WAITER_APPLY:
+        host_reply_apply(host, waiter.request, action->outcome, NULL);
+        break;
+    case HOST_WAITER_VOTERS:
+        host_reply_command(host, waiter.request, action->outcome,
+                           outcome_get_text(action->outcome));
+        break;
+    default:
+        break;
+    }
+}
+
+static void
+host_take_snapshot(struct group_host *host, uint64_t index)
+{
+    struct buffer data = {0};
+    struct raft_event event = {.kind = RAFT_EVENT_SNAPSHOT_TAKEN};
+
+    group_encode(host->state, &data);
+    event.snapshot_taken.index = index;
+    event.snapshot_taken.data = buffer_get_data(&data);
+    event.snapshot_taken.size_bytes = buffer_get_size(&data);
+    host_step_raft(host, &event);
+    buffer_free(&data);
+}
+
+static struct group_state *
+host_decode_state(const struct group_host *host,
+                  const struct raft_snapshot *snapshot)
+{
+    const char *name = host->params.group->name;
+    size_t size = snapshot->size_bytes - snapshot->app_offset;
+
+    if (snapshot->index == 0 || size == 0) {
+        return group_create(name);
+    }
+    return group_decode(name, snapshot->data + snapshot->app_offset, size);
+}
+
+static void
+host_install_snapshot(struct group_host *host,
+                      const struct raft_snapshot *snapshot)
+{
+    struct group_state *state = host_decode_state(host, snapshot);
+
+    INVARIANT(state != NULL);
+    leader_set_group(host->leader, state);
+    group_destroy(host->state);
+    host->state = state;
+    LOG_INFO("snapshot_installed", "group=%s index=%" PRIu64,
+             host->params.group->name, snapshot->index);
+}
+
+static void
+host_handle_role(struct group_host *host, const struct raft_action *action)
+{
+    LOG_INFO("group_role", "group=%s role=%s term=%" PRIu64 " leader=%" PRIu64,
+             host->params.group->name, host_role_names[action->role],
+             action->term, action->leader);
+    timeline_record("group_role", NULL, NULL, 0,
+                    "group=%s role=%s term=%" PRIu64, host->params.group->name,
+                    host_role_names[action->role], action->term);
+    if (action->role == RAFT_LEADER) {
+        counter_add(COUNTER_ELECTIONS, 1);
+        host->elections++;
+    }
+}
+
+// Writes what one action wants durable.
+static int
+host_write_action(struct group_host *host, const struct raft_action *action)
+{
+    switch (action->kind) {
+    case RAFT_ACTION_SAVE_STATE:
+        return store_save_state(host->stored, action->term, action->voted_for);
+    case RAFT_ACTION_TRUNCATE:
+        return store_truncate(host->stored, action->index);
+    case RAFT_ACTION_APPEND:
+        counter_add(COUNTER_LOG_APPENDS, 1);
+        return store_append(host->stored, &action->entry);
+    case RAFT_ACTION_SAVE_SNAPSHOT:
+    case RAFT_ACTION_INSTALL_SNAPSHOT:
+        return store_save_snapshot(host->stored, &action->snapshot);
+    default:
+        return OUTCOME_OK;
+    }
+}
+
+static void
+host_run_action(struct group_host *host, const struct raft_action *action)
+{
+    switch (action->kind) {
+    case RAFT_ACTION_INSTALL_SNAPSHOT:
+        host_install_snapshot(host, &action->snapshot);
+        break;
+    case RAFT_ACTION_SEND:
+        host_send_raft(host, &action->message);
+        break;
+    case RAFT_ACTION_APPLY:
+        host_apply_entry(host, action->token, &action->entry);
+        break;
+    case RAFT_ACTION_REFUSED:
+        host_refuse_proposal(host, action);
+        break;
+    case RAFT_ACTION_TAKE_SNAPSHOT:
+        host_take_snapshot(host, action->index);
+        break;
+    case RAFT_ACTION_ROLE:
+        host_handle_role(host, action);
+        host_update_leadership(host);
+        break;
+    case RAFT_ACTION_WAKE:
+        loop_timer_set(host->raft_timer, action->wake_at_us);
+        break;
+    default:
+        break;
+    }
+}
+
+// Refuses everyone who waits, after the log of this voter has failed.
+static void
+host_drop_waiters(struct group_host *host)
+{
+    while (host->waiters != NULL) {
+        struct raft_action action = {
+            .token = host->waiters->token,
+            .outcome = OUTCOME_UNKNOWN,
+        };
+        struct host_waiter waiter;
+        if (host->waiters->kind == HOST_WAITER_APPLY ||
+            host->waiters->kind == HOST_WAITER_VOTERS) {
+            host_refuse_proposal(host, &action);
+            continue;
+        }
+        host_take_waiter(host, host->waiters->token, &waiter);
+        if (waiter.kind == HOST_WAITER_RENEW) {
+            host_reply_renew(host, waiter.request, OUTCOME_NOT_LEADER, 0);
+        }
+        else if (waiter.kind == HOST_WAITER_COMMAND) {
+            host_reply_command(host, waiter.request, OUTCOME_UNKNOWN,
+                               "leadership has ended");
+        }
+        else if (waiter.kind == HOST_WAITER_ANNOUNCE) {
+            waiter.announce_done(waiter.announce_data, OUTCOME_UNAVAILABLE,
+                                 "leadership has ended");
+        }
+    }
+}
+
+static void
+host_fill_raft_params(const struct group_host *host, bool fresh,
+                      struct ck_voter *voters, struct raft_params *params)
+{
+    const struct settings *settings = host->params.daemon->settings;
+    const struct settings_group *group = host->params.group;
+
+    for (size_t i = 0; i < group->voters_count; i++) {
+        voters[i].id = group->voters[i].id;
+        voters[i].vm = group->voters[i].vm;
+        voters[i].host = group->voters[i].rpc.host;
+        voters[i].port = group->voters[i].rpc.port;
+        voters[i].voting = TRUE;
+    }
+    params->group = group->name;
+    params->self = host->params.self;
+    params->heartbeat_us = settings->heartbeat_us;
+    params->election_us = settings->election_us;
+    params->clock_drift_ppm = settings->clock_drift_ppm;
+    params->seed = host->params.daemon->incarnation;
+    params->max_pending_entries = HOST_MAX_PENDING_ENTRIES;
+    params->max_pending_bytes = HOST_MAX_PENDING_BYTES;
+    params->max_in_flight_bytes = HOST_MAX_IN_FLIGHT_BYTES;
+    params->snapshot_entries = HOST_SNAPSHOT_ENTRIES;
+    params->snapshot_bytes = HOST_SNAPSHOT_BYTES;
+    params->kept_entries = HOST_KEPT_ENTRIES;
+    params->fresh = fresh;
+    params->voters = voters;
+    params->voters_count = fresh ? 0 : group->voters_count;
+}
+
+static void
+host_log_report(const struct group_host *host, struct buffer *report)
+{
+    if (buffer_get_size(report) > 0) {
+        LOG_WARNING("store", "group=%s %.*s", host->params.group->name,
+                    (int)buffer_get_size(report),
+                    (const char *)buffer_get_data(report));
+    }
+    buffer_free(report);
+}
+
+// Opens the stored log and creates the machines from it.
+static int
+host_open(struct group_host *host)
+{
+    const char *name = host->params.group->name;
+    bool fresh =
+        !store_has_group(host->params.store, name) && !host->params.bootstrap;
+    struct raft_saved saved = {0};
+    struct raft_params params = {0};
+    struct buffer report = {0};
+
+    int outcome = store_group_open(host->params.store, name, host->params.self,
+                                   &host->stored, &saved, &report);
+    host_log_report(host, &report);
+    if (outcome != OUTCOME_OK) {
+        LOG_ERROR("store_failed", "group=%s outcome=%s", name,
+                  outcome_get_name(outcome));
+        return outcome;
+    }
+    host->state = host_decode_state(host, &saved.snapshot);
+    if (host->state == NULL) {
+        store_saved_free(&saved);
+        return OUTCOME_CORRUPT;
+    }
+    struct ck_voter *voters =
+        xcalloc(host->params.group->voters_count, sizeof(*voters));
+    host_fill_raft_params(host, fresh, voters, &params);
+    host->raft = raft_create(&params, &saved, monotonic_get_us());
+    free(voters);
+    store_saved_free(&saved);
+    if (fresh) {
+        LOG_WARNING("voter_passive",
+                    "group=%s voter=%" PRIu64
+                    " waits to be added; a new group needs --bootstrap",
+                    name, host->params.self);
+    }
+    return OUTCOME_OK;
+}
+
+static void
+host_close(struct group_host *host)
+{
+    raft_destroy(host->raft);
+    host->raft = NULL;
+    if (host->stored != NULL) {
+        store_group_close(host->stored);
+        host->stored = NULL;
+    }
+}
+
+static void
+host_fill_leader_params(const struct group_host *host,
+                        struct leader_params *params)
+{
+    const struct settings *settings = host->params.daemon->settings;
+
+    leader_params_init(params);
+    params->lease_us = settings->lease_us;
+    params->drift_ppm = settings->clock_drift_ppm;
+    params->announce_expiry_us = settings->announce_expiry_us;
+    params->suspect_us = settings->suspect_us;
+    params->probe_us = settings->probe_us;
+    params->seed = host->params.daemon->incarnation;
+}
+
+// Opens a group's log in the store and starts taking part in the group.
+// Returns OUTCOME_OK or the store's error.
+int
+group_host_create(const struct group_host_params *params,
+                  struct group_host **out)
+{
+    struct group_host *host = xcalloc(1, sizeof(*host));
+    struct leader_params leader_params;
+    struct raft_event event = {.kind = RAFT_EVENT_TICK};
+
+    host->params = *params;
+    host->loop = params->daemon->control_loop;
+    int outcome = host_open(host);
+    if (outcome != OUTCOME_OK) {
+        host_close(host);
+        free(host);
+        return outcome;
+    }
+    host_fill_leader_params(host, &leader_params);
+    host->leader = leader_create(&leader_params, host->state);
+    host->raft_timer =
+        loop_timer_create(host->loop, host_handle_raft_timer, host);
+    host->leader_timer =
+        loop_timer_create(host->loop, host_handle_leader_timer, host);
+    host_step_raft(host, &event);
+    *out = host;
+    return OUTCOME_OK;
+}
+
+// Ends this voter's part in the group; waiters are told.
+void
+group_host_destroy(struct group_host *host)
+{
+    host_drop_waiters(host);
+    loop_timer_destroy(host->raft_timer);
+    loop_timer_destroy(host->leader_timer);
+    leader_destroy(host->leader);
+    host_close(host);
+    group_destroy(host->state);
+    raft_actions_free(&host->actions);
+    free(host);
+}
+
+// Returns the group's name.
+const char *
+group_host_get_name(const struct group_host *host)
+{
+    return host->params.group->name;
+}
+
+// Returns whether this voter leads and has applied its term's first entry.
+bool
+group_host_leads(const struct group_host *host)
+{
+    return host->leads;
+}
+
+// Writes all that the waiting actions want durable; the caller then syncs the
+// store once for all groups. Returns whether this group has actions; a group
+// whose write failed has none any more.
+bool
+group_host_flush_writes(struct group_host *host)
+{
+    for (size_t i = 0; i < host->actions.count; i++) {
+        int outcome = host_write_action(host, &host->actions.items[i]);
+        if (outcome != OUTCOME_OK) {
+            LOG_ERROR("store_failed", "group=%s outcome=%s",
+                      host->params.group->name, outcome_get_name(outcome));
+            group_host_flush_rest(host, false);
+            return false;
+        }
+    }
+    return host->actions.count > 0;
+}
+
+// Starts again from what the store holds, once it can be opened.
+static void
+host_handle_reopen(void *data)
+{
+    struct group_host *host = data;
+
+    group_destroy(host->state);
+    host->state = NULL;
+    if (host_open(host) != OUTCOME_OK) {
+        host_close(host);
+        host->state = group_create(host->params.group->name);
+        leader_set_group(host->leader, host->state);
+        loop_timer_set(host->raft_timer, monotonic_get_us() + HOST_REOPEN_US);
+        return;
+    }
+    leader_set_group(host->leader, host->state);
+    host->failed = false;
+    loop_timer_destroy(host->raft_timer);
+    host->raft_timer =
+        loop_timer_create(host->loop, host_handle_raft_timer, host);
+    loop_timer_set(host->raft_timer, monotonic_get_us());
+}
+
+// The store failed: nothing that was decided may leave this voter.
+static void
+host_handle_store_failure(struct group_host *host)
+{
+    host->failed = true;
+    host_update_leadership(host);
+    host_drop_waiters(host);
+    raft_actions_clear(&host->actions);
+    host_close(host);
+    loop_timer_destroy(host->raft_timer);
+    host->raft_timer = loop_timer_create(host->loop, host_handle_reopen, host);
+    loop_timer_set(host->raft_timer, monotonic_get_us() + HOST_REOPEN_US);
+}
+
+// Sends, applies and answers after the sync. synced false drops everything.
+// Returns whether these actions led to new ones.
+bool
+group_host_flush_rest(struct group_host *host, bool synced)
+{
+    if (!synced) {
+        host_handle_store_failure(host);
+        return false;
+    }
+    struct raft_actions actions = host->actions;
+    memset(&host->actions, 0, sizeof(host->actions));
+    for (size_t i = 0; i < actions.count; i++) {
+        host_run_action(host, &actions.items[i]);
+    }
+    raft_actions_free(&actions);
+    host_update_leadership(host);
+    return host->actions.count > 0;
+}
+
+// Takes a message of another voter.
+void
+group_host_handle_raft(struct group_host *host,
+                       const struct ck_raft_message *message)
+{
+    struct raft_event event = {
+        .kind = RAFT_EVENT_MESSAGE,
+        .message = message,
+    };
+
+    if (message->to == host->params.self) {
+        host_step_raft(host, &event);
+    }
+}
+
+// Hands leadership to the most advanced other voter.
+void
+group_host_transfer(struct group_host *host)
+{
+    struct raft_event event = {
+        .kind = RAFT_EVENT_TRANSFER,
+        .transfer = RAFT_NO_VOTER,
+    };
+
+    if (host->leads) {
+        host_step_raft(host, &event);
+    }
+}
+
+// Appends a JSON object with the group's state on this voter.
+void
+group_host_describe(const struct group_host *host, struct buffer *json)
+{
+    if (host->failed) {
+        buffer_append_format(json, "{\"group\":\"%s\",\"role\":\"failed\"}",
+                             host->params.group->name);
+        return;
+    }
+    buffer_append_format(
+        json,
+        "{\"group\":\"%s\",\"voter\":%" PRIu64 ",\"role\":\"%s\","
+        "\"term\":%" PRIu64 ",\"leader\":%" PRIu64 ",\"commit\":%" PRIu64
+        ",\"last\":%" PRIu64 ",\"revision\":%" PRIu64
+        ",\"voters\":%u,\"elections\":%" PRIu64 ",\"databases\":",
+        host->params.group->name, host->params.self,
+        host_role_names[raft_get_role(host->raft)], raft_get_term(host->raft),
+        raft_get_leader(host->raft), raft_get_commit_index(host->raft),
+        raft_get_last_index(host->raft), group_get_revision(host->state),
+        raft_get_voters(host->raft)->voters.voters_len, host->elections);
+    leader_describe(host->leader, monotonic_get_us(), json);
+    buffer_append_text(json, "}");
+}
--- /dev/null
+++ b/src/catkingrade/control/group_host.h
@@ -0,0 +1,62 @@
+#ifndef CATKINGRADE_CONTROL_GROUP_HOST_H
+#define CATKINGRADE_CONTROL_GROUP_HOST_H
+
+#include <stdbool.h>
+
+#include "catkingrade/control/upstream_admin.h"
+#include "catkingrade/kernel/buffer.h"
+#include "catkingrade/kernel/daemon.h"
+#include "catkingrade/kernel/settings.h"
+#include "catkingrade/rpc/rpcnet.h"
+#include "catkingrade/store/store.h"
+
+// One control group on this voter: its log, its stored state and its leader's
+// decisions, on the control loop.
+struct group_host;
+
+struct group_host_params {
+    struct daemon *daemon;
+    struct store *store;
+    struct upstream_admin *admin;
+    const struct settings_group *group;
+    uint64_t self;  // this VM's voter id
+    bool bootstrap; // the operator says that the group is new
+};
+
+typedef void (*group_host_announce_fn)(void *data, int outcome,
+                                       const char *text);
+
+int group_host_create(const struct group_host_params *params,
+                      struct group_host **host);
+void group_host_destroy(struct group_host *host);
+const char *group_host_get_name(const struct group_host *host);
+bool group_host_leads(const struct group_host *host);
+// Writes, syncs, sends and applies what the steps of this turn decided.
+// Returns whether something is left to do.
+bool group_host_flush_writes(struct group_host *host);
+bool group_host_flush_rest(struct group_host *host, bool synced);
+
+void group_host_handle_raft(struct group_host *host,
+                            const struct ck_raft_message *message);
+void group_host_handle_renew(struct group_host *host,
+                             struct rpcnet_request *request,
+                             const struct ck_renew_args *args);
+void group_host_handle_apply(struct group_host *host,
+                             struct rpcnet_request *request,
+                             const struct ck_apply_args *args);
+void group_host_handle_query(struct group_host *host,
+                             struct rpcnet_request *request,
+                             const struct ck_query_args *args);
+void group_host_handle_command(struct group_host *host,
+                               struct rpcnet_request *request,
+                               const struct ck_command_args *args);
+void group_host_announce(struct group_host *host,
+                         const struct ck_upstream *upstream,
+                         group_host_announce_fn done, void *data);
+// Hands leadership over before a planned stop.
+void group_host_transfer(struct group_host *host);
+void group_host_get_leader(const struct group_host *host,
+                           struct settings_address *address);
+void group_host_describe(const struct group_host *host, struct buffer *json);
+
+#endif
--- /dev/null
+++ b/src/catkingrade/control/group_host_state.h
@@ -0,0 +1,70 @@
+#ifndef CATKINGRADE_CONTROL_GROUP_HOST_STATE_H
+#define CATKINGRADE_CONTROL_GROUP_HOST_STATE_H
+
+#include "catkingrade/control/group_host.h"
+#include "catkingrade/decide/group.h"
+#include "catkingrade/decide/leader.h"
+#include "catkingrade/decide/raft.h"
+#include "catkingrade/kernel/loop.h"
+
+// Who waits for the outcome of a token.
+enum host_waiter_kind {
+    HOST_WAITER_LEADER,   // the leader machine's own proposal
+    HOST_WAITER_APPLY,    // an operator's change
+    HOST_WAITER_VOTERS,   // a command that changes the voters
+    HOST_WAITER_RENEW,    // a renewal at the leader machine
+    HOST_WAITER_COMMAND,  // a command at the leader machine
+    HOST_WAITER_ANNOUNCE, // an announcement at the leader machine
+};
+
+struct host_waiter {
+    uint64_t token;
+    enum host_waiter_kind kind;
+    uint64_t leader_token; // LEADER
+    struct rpcnet_request *request;
+    group_host_announce_fn announce_done;
+    void *announce_data;
+    struct host_waiter *next;
+};
+
+struct group_host {
+    struct group_host_params params;
+    struct loop *loop;
+    struct raft *raft;
+    struct store_group *stored;
+    struct group_state *state;
+    struct leader *leader;
+    struct raft_actions actions; // decided and not carried out
+    struct loop_timer *raft_timer;
+    struct loop_timer *leader_timer;
+    struct host_waiter *waiters;
+    uint64_t last_token;
+    bool leads;
+    bool failed; // the store failed; reopened by the timer
+    uint64_t elections;
+};
+
+// group_host.c
+void host_step_raft(struct group_host *host, const struct raft_event *event);
+void host_fill_leader_hint(const struct group_host *host, char **leader_host,
+                           u_int *leader_port);
+struct host_waiter *host_add_waiter(struct group_host *host,
+                                    enum host_waiter_kind kind);
+bool host_take_waiter(struct group_host *host, uint64_t token,
+                      struct host_waiter *waiter);
+
+// group_leader.c
+void host_step_leader(struct group_host *host, struct leader_event *event);
+void host_update_leadership(struct group_host *host);
+void host_handle_leader_timer(void *data);
+
+// group_requests.c
+void host_reply_apply(struct group_host *host, struct rpcnet_request *request,
+                      int outcome, const struct group_result *result);
+void host_reply_command(struct group_host *host,
+                        struct rpcnet_request *request, int outcome,
+                        const char *text);
+void host_reply_renew(struct group_host *host, struct rpcnet_request *request,
+                      int outcome, uint64_t sequence);
+
+#endif
--- /dev/null
+++ b/src/catkingrade/control/group_leader.c
@@ -0,0 +1,234 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "catkingrade/control/group_host_state.h"
+#include "catkingrade/kernel/counters.h"
+#include "catkingrade/kernel/log.h"
+#include "catkingrade/kernel/memory.h"
+#include "catkingrade/kernel/outcome.h"
+#include "catkingrade/kernel/timeline.h"
+
+#define HOST_NOTIFY_LIMIT_US 300000
+#define HOST_NOTIFY_RETRY_US 50000
+
+// A notification that is out.
+struct host_notify {
+    struct group_host *host;
+    char *vm;
+    uint64_t incarnation;
+};
+
+// Gives the leader machine a TICK when it asked for one.
+void
+host_handle_leader_timer(void *data)
+{
+    struct leader_event event = {.kind = LEADER_EVENT_TICK};
+
+    host_step_leader(data, &event);
+}
+
+static void
+host_handle_notified(void *data, int outcome, const void *result)
+{
+    struct host_notify *notify = data;
+    struct leader_event event = {.kind = LEADER_EVENT_NOTIFY_FAILED};
+
+    if (outcome != OUTCOME_CLOSED) {
+        event.notified.vm = notify->vm;
+        event.notified.incarnation = notify->incarnation;
+        if (outcome == OUTCOME_OK) {
+            event.kind = LEADER_EVENT_NOTIFIED;
+            event.notified.result = result;
+        }
+        host_step_leader(notify->host, &event);
+    }
+    free(notify->vm);
+    free(notify);
+}
+
+static void
+host_send_notify(struct group_host *host, const struct leader_action *action)
+{
+    const struct ck_daemon *daemon = action->notify.daemon;
+    struct host_notify *notify = xcalloc(1, sizeof(*notify));
+    struct settings_address peer = {0};
+
+    notify->host = host;
+    notify->vm = xstrdup(daemon->vm);
+    notify->incarnation = daemon->incarnation;
+    (void)strncpy(peer.host, daemon->host, sizeof(peer.host) - 1);
+    peer.port = (uint16_t)daemon->port;
+    rpcnet_call(host->params.daemon->rpcnet, &peer, &rpcnet_notify,
+                action->notify.args, HOST_NOTIFY_LIMIT_US,
+                HOST_NOTIFY_RETRY_US, host_handle_notified, notify);
+}
+
+static void
+host_fill_probe_event(const struct upstream_admin_result *result,
+                      struct leader_event *event, enum leader_event_kind good,
+                      enum leader_event_kind bad)
+{
+    event->kind = result->outcome == OUTCOME_OK ? good : bad;
+    event->probe.upstream = result->upstream;
+    event->probe.is_primary = result->is_primary;
+    event->probe.refused = result->refused;
+    event->probe.position = result->position;
+}
+
+// Gives the leader machine what an operation at an upstream came to.
+static void
+host_handle_admin(void *data, const struct upstream_admin_result *result)
+{
+    struct leader_event event = {0};
+
+    switch (result->kind) {
+    case UPSTREAM_ADMIN_PROBE:
+        host_fill_probe_event(result, &event, LEADER_EVENT_PROBED,
+                              LEADER_EVENT_PROBE_FAILED);
+        break;
+    case UPSTREAM_ADMIN_PROMOTE:
+        if (result->outcome == OUTCOME_OK && result->is_primary) {
+            counter_add(COUNTER_PROMOTIONS, 1);
+            host_fill_probe_event(result, &event, LEADER_EVENT_PROMOTED,
+                                  LEADER_EVENT_PROMOTED);
+            break;
+        }
+        event.kind = LEADER_EVENT_PROMOTE_FAILED;
+        event.done.upstream = result->upstream;
+        event.done.outcome = result->outcome;
+        break;
+    default:
+        event.kind = result->kind == UPSTREAM_ADMIN_FOLLOW
+                         ? LEADER_EVENT_FOLLOWED
+                         : LEADER_EVENT_FENCED;
+        event.done.upstream = result->upstream;
+        event.done.outcome = result->outcome;
+        break;
+    }
+    host_step_leader(data, &event);
+}
+
+static void
+host_run_admin(struct group_host *host, enum upstream_admin_kind kind,
+               const struct leader_action *action)
+{
+    upstream_admin_run(host->params.admin, kind, action->upstream.upstream,
+                       action->upstream.primary, host_handle_admin, host);
+}
+
+static void
+host_propose(struct group_host *host, const struct leader_action *action)
+{
+    struct host_waiter *waiter = host_add_waiter(host, HOST_WAITER_LEADER);
+    struct raft_event event = {.kind = RAFT_EVENT_PROPOSE};
+
+    waiter->leader_token = action->token;
+    event.propose.token = waiter->token;
+    event.propose.payload = action->payload.data;
+    event.propose.size_bytes = action->payload.size_bytes;
+    host_step_raft(host, &event);
+}
+
+static void
+host_record(const struct leader_record *record)
+{
+    timeline_record(record->kind, record->customer, record->upstream, 0, "%s",
+                    record->text == NULL ? "" : record->text);
+    LOG_INFO(record->kind, "upstream=%s %s",
+             record->upstream == NULL ? "" : record->upstream,
+             record->text == NULL ? "" : record->text);
+}
+
+static void
+host_reply_waiter(struct group_host *host, const struct leader_action *action)
+{
+    struct host_waiter waiter;
+
+    if (!host_take_waiter(host, action->token, &waiter)) {
+        return;
+    }
+    if (waiter.kind == HOST_WAITER_RENEW) {
+        rpcnet_reply(waiter.request, action->renew);
+    }
+    else if (waiter.kind == HOST_WAITER_COMMAND) {
+        host_reply_command(host, waiter.request, action->reply.outcome,
+                           action->reply.text);
+    }
+    else {
+        waiter.announce_done(waiter.announce_data, action->reply.outcome,
+                             action->reply.text == NULL ? ""
+                                                        : action->reply.text);
+    }
+}
+
+static void
+host_run_leader_action(struct group_host *host,
+                       const struct leader_action *action)
+{
+    switch (action->kind) {
+    case LEADER_ACTION_PROPOSE:
+        host_propose(host, action);
+        break;
+    case LEADER_ACTION_REPLY_RENEW:
+    case LEADER_ACTION_REPLY_ANNOUNCE:
+    case LEADER_ACTION_REPLY_COMMAND:
+        host_reply_waiter(host, action);
+        break;
+    case LEADER_ACTION_NOTIFY:
+        host_send_notify(host, action);
+        break;
+    case LEADER_ACTION_PROBE:
+        host_run_admin(host, UPSTREAM_ADMIN_PROBE, action);
+        break;
+    case LEADER_ACTION_PROMOTE:
+        host_run_admin(host, UPSTREAM_ADMIN_PROMOTE, action);
+        break;
+    case LEADER_ACTION_FOLLOW:
+        host_run_admin(host, UPSTREAM_ADMIN_FOLLOW, action);
+        break;
+    case LEADER_ACTION_FENCE:
+        host_run_admin(host, UPSTREAM_ADMIN_FENCE, action);
+        break;
+    case LEADER_ACTION_RECORD:
+        host_record(&action->record);
+        break;
+    case LEADER_ACTION_WAKE:
+        loop_timer_set(host->leader_timer, action->wake_at_us);
+        break;
+    }
+}
+
+// Gives the leader machine an event and carries its actions out at once;
+// proposals are written at the end of the turn.
+void
+host_step_leader(struct group_host *host, struct leader_event *event)
+{
+    struct leader_actions actions = {0};
+    int64_t now_us = monotonic_get_us();
+
+    event->quorum = !host->failed && raft_has_quorum(host->raft, now_us);
+    leader_step(host->leader, now_us, event, &actions);
+    for (size_t i = 0; i < actions.count; i++) {
+        host_run_leader_action(host, &actions.items[i]);
+    }
+    leader_actions_free(&actions);
+}
+
+// Tells the leader machine when this voter has begun or ceased to lead.
+void
+host_update_leadership(struct group_host *host)
+{
+    bool leads = !host->failed && raft_get_role(host->raft) == RAFT_LEADER &&
+                 raft_is_ready(host->raft);
+    struct leader_event event = {.kind = LEADER_EVENT_DEPOSED};
+
+    if (leads == host->leads) {
+        return;
+    }
+    host->leads = leads;
+    if (leads) {
+        event.kind = LEADER_EVENT_ELECTED;
+        event.leader_term = raft_get_term(host->raft);
+    }
+    host_step_leader(host, &event);
+}
--- /dev/null
+++ b/src/catkingrade/control/group_requests.c
@@ -0,0 +1,330 @@
+#include <inttypes.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "catkingrade/control/group_host_state.h"
+#include "catkingrade/kernel/counters.h"
+#include "catkingrade/kernel/memory.h"
+#include "catkingrade/kernel/outcome.h"
+#include "catkingrade/rpc/codec.h"
+
+// Returns whether this voter may answer for the group now.
+static bool
+host_is_current(const struct group_host *host)
+{
+    return host->leads && raft_has_quorum(host->raft, monotonic_get_us());
+}
+
+// Answers an operator's change; result is NULL when it was not applied.
+void
+host_reply_apply(struct group_host *host, struct rpcnet_request *request,
+                 int outcome, const struct group_result *result)
+{
+    struct ck_apply_result reply = {.outcome = outcome};
+
+    host_fill_leader_hint(host, &reply.leader_host, &reply.leader_port);
+    reply.message = (char *)(uintptr_t)outcome_get_text(outcome);
+    if (result != NULL) {
+        reply.revision = result->revision;
+        reply.replayed = result->replayed;
+        if (result->message[0] != '\0') {
+            reply.message = (char *)(uintptr_t)result->message;
+        }
+    }
+    rpcnet_reply(request, &reply);
+}
+
+// Answers an operator's command.
+void
+host_reply_command(struct group_host *host, struct rpcnet_request *request,
+                   int outcome, const char *text)
+{
+    struct ck_command_result reply = {.outcome = outcome};
+
+    host_fill_leader_hint(host, &reply.leader_host, &reply.leader_port);
+    reply.message = text == NULL ? "" : (char *)(uintptr_t)text;
+    rpcnet_reply(request, &reply);
+}
+
+// Answers a renewal without a lease, with a hint where the leader is.
+void
+host_reply_renew(struct group_host *host, struct rpcnet_request *request,
+                 int outcome, uint64_t sequence)
+{
+    struct ck_renew_result reply = {
+        .outcome = outcome,
+        .sequence = sequence,
+    };
+
+    host_fill_leader_hint(host, &reply.leader_host, &reply.leader_port);
+    rpcnet_reply(request, &reply);
+}
+
+// Takes a lease renewal of an entry.
+void
+group_host_handle_renew(struct group_host *host,
+                        struct rpcnet_request *request,
+                        const struct ck_renew_args *args)
+{
+    struct leader_event event = {.kind = LEADER_EVENT_RENEW};
+
+    if (!host->leads) {
+        host_reply_renew(host, request, OUTCOME_NOT_LEADER, args->sequence);
+        return;
+    }
+    struct host_waiter *waiter = host_add_waiter(host, HOST_WAITER_RENEW);
+    waiter->request = request;
+    event.token = waiter->token;
+    event.renew = args;
+    host_step_leader(host, &event);
+}
+
+// Takes an announcement; done is called once with the outcome and a reason.
+void
+group_host_announce(struct group_host *host,
+                    const struct ck_upstream *upstream,
+                    group_host_announce_fn done, void *data)
+{
+    struct leader_event event = {.kind = LEADER_EVENT_ANNOUNCE};
+
+    if (!host->leads) {
+        done(data, OUTCOME_NOT_LEADER, "this VM does not lead the group");
+        return;
+    }
+    struct host_waiter *waiter = host_add_waiter(host, HOST_WAITER_ANNOUNCE);
+    waiter->announce_done = done;
+    waiter->announce_data = data;
+    event.token = waiter->token;
+    event.announce = upstream;
+    host_step_leader(host, &event);
+}
+
+// An announcement that another daemon passed on.
+struct host_forwarded {
+    struct group_host *host;
+    struct rpcnet_request *request;
+};
+
+static void
+host_finish_forwarded(void *data, int outcome, const char *text)
+{
+    struct host_forwarded *forwarded = data;
+    struct group_result result = {.outcome = outcome};
+
+    (void)strncpy(result.message, text, sizeof(result.message) - 1);
+    host_reply_apply(forwarded->host, forwarded->request, outcome, &result);
+    free(forwarded);
+}
+
+static void
+host_apply_announcement(struct group_host *host,
+                        struct rpcnet_request *request,
+                        const struct ck_upstream *upstream)
+{
+    struct host_forwarded *forwarded = xcalloc(1, sizeof(*forwarded));
+
+    forwarded->host = host;
+    forwarded->request = request;
+    group_host_announce(host, upstream, host_finish_forwarded, forwarded);
+}
+
+// Changes that only the group's own leader machine may propose.
+static bool
+host_is_operators_change(enum ck_change_kind kind)
+{
+    return kind == CK_CHANGE_TEMPLATE || kind == CK_CHANGE_TEMPLATE_DELETE ||
+           kind == CK_CHANGE_CUSTOMER || kind == CK_CHANGE_CUSTOMER_STATE;
+}
+
+static void
+host_propose_apply(struct group_host *host, struct rpcnet_request *request,
+                   const struct ck_apply_args *args)
+{
+    struct ck_log_payload payload = {
+        .change_id = args->change_id,
+        .expected_revision = args->expected_revision,
+        .check_revision = args->check_revision,
+        .change = args->change,
+    };
+    struct buffer bytes = {0};
+    struct raft_event event = {.kind = RAFT_EVENT_PROPOSE};
+
+    if (codec_encode((xdrproc_t)xdr_ck_log_payload, &payload, &bytes) !=
+        OUTCOME_OK) {
+        host_reply_apply(host, request, OUTCOME_INVALID, NULL);
+        return;
+    }
+    struct host_waiter *waiter = host_add_waiter(host, HOST_WAITER_APPLY);
+    waiter->request = request;
+    event.propose.token = waiter->token;
+    event.propose.payload = buffer_get_data(&bytes);
+    event.propose.size_bytes = buffer_get_size(&bytes);
+    host_step_raft(host, &event);
+    buffer_free(&bytes);
+}
+
+// Judges a change before it is proposed; a dry run ends here.
+static bool
+host_check_apply(struct group_host *host, struct rpcnet_request *request,
+                 const struct ck_apply_args *args)
+{
+    struct group_result result = {0};
+    struct buffer effect = {0};
+
+    group_check(host->state, args, &result, &effect);
+    if (result.outcome == OUTCOME_OK && !args->dry_run) {
+        buffer_free(&effect);
+        return true;
+    }
+    if (buffer_get_size(&effect) > 0) {
+        size_t size = buffer_get_size(&effect);
+        size = size < CK_TEXT_SIZE ? size : CK_TEXT_SIZE;
+        struct ck_apply_result reply = {
+            .outcome = result.outcome,
+            .revision = result.revision,
+            .replayed = result.replayed,
+            .message = xmemdupz((const char *)buffer_get_data(&effect), size),
+        };
+        host_fill_leader_hint(host, &reply.leader_host, &reply.leader_port);
+        rpcnet_reply(request, &reply);
+        free(reply.message);
+    }
+    else {
+        host_reply_apply(host, request, result.outcome, &result);
+    }
+    buffer_free(&effect);
+    return false;
+}
+
+// Takes a change of an operator, or an announcement passed on by a daemon.
+void
+group_host_handle_apply(struct group_host *host,
+                        struct rpcnet_request *request,
+                        const struct ck_apply_args *args)
+{
+    if (!host_is_current(host)) {
+        host_reply_apply(host, request, OUTCOME_NOT_LEADER, NULL);
+        return;
+    }
+    if (args->change.kind == CK_CHANGE_UPSTREAM) {
+        host_apply_announcement(host, request,
+                                &args->change.ck_change_u.upstream);
+        return;
+    }
+    if (!host_is_operators_change(args->change.kind)) {
+        host_reply_apply(host, request, OUTCOME_DENIED, NULL);
+        return;
+    }
+    if (host_check_apply(host, request, args)) {
+        host_propose_apply(host, request, args);
+    }
+}
+
+// Answers a query about the group's objects, one page at a time.
+void
+group_host_handle_query(struct group_host *host,
+                        struct rpcnet_request *request,
+                        const struct ck_query_args *args)
+{
+    struct ck_query_result reply = {.outcome = OUTCOME_NOT_LEADER};
+    struct buffer json = {0};
+
+    if (host_is_current(host)) {
+        reply.outcome = group_query(host->state, args->kind, args->name,
+                                    args->cursor, &json, &reply.next_cursor);
+        reply.revision = group_get_revision(host->state);
+    }
+    buffer_append_u8(&json, 0);
+    reply.json =
+        reply.outcome == OUTCOME_OK ? (char *)json.data + json.start : "[]";
+    reply.message = (char *)(uintptr_t)outcome_get_text(reply.outcome);
+    host_fill_leader_hint(host, &reply.leader_host, &reply.leader_port);
+    rpcnet_reply(request, &reply);
+    buffer_free(&json);
+}
+
+static uint64_t
+host_find_voter_of_vm(const struct group_host *host, const char *vm)
+{
+    const struct ck_voters_change *voters = raft_get_voters(host->raft);
+
+    for (u_int i = 0; i < voters->voters.voters_len; i++) {
+        if (strcmp(voters->voters.voters_val[i].vm, vm) == 0) {
+            return voters->voters.voters_val[i].id;
+        }
+    }
+    return RAFT_NO_VOTER;
+}
+
+static void
+host_change_voters(struct group_host *host, struct rpcnet_request *request,
+                   const struct ck_command_args *args)
+{
+    struct raft_event event = {.kind = RAFT_EVENT_CHANGE_VOTERS};
+
+    if (args->kind == CK_COMMAND_ADD_VOTER) {
+        event.change_voters.added = &args->voter;
+    }
+    else {
+        event.change_voters.removed =
+            host_find_voter_of_vm(host, args->target);
+        if (event.change_voters.removed == RAFT_NO_VOTER) {
+            host_reply_command(host, request, OUTCOME_NOT_FOUND,
+                               "no voter of the group runs on that VM");
+            return;
+        }
+    }
+    struct host_waiter *waiter = host_add_waiter(host, HOST_WAITER_VOTERS);
+    waiter->request = request;
+    event.change_voters.token = waiter->token;
+    event.change_voters.change_id = args->change_id;
+    host_step_raft(host, &event);
+}
+
+static void
+host_transfer_to(struct group_host *host, struct rpcnet_request *request,
+                 const char *vm)
+{
+    struct raft_event event = {.kind = RAFT_EVENT_TRANSFER};
+
+    event.transfer =
+        vm[0] == '\0' ? RAFT_NO_VOTER : host_find_voter_of_vm(host, vm);
+    if (vm[0] != '\0' && event.transfer == RAFT_NO_VOTER) {
+        host_reply_command(host, request, OUTCOME_NOT_FOUND,
+                           "no voter of the group runs on that VM");
+        return;
+    }
+    host_step_raft(host, &event);
+    host_reply_command(host, request, OUTCOME_OK, "handing over");
+}
+
+// Takes an operator's command to the group.
+void
+group_host_handle_command(struct group_host *host,
+                          struct rpcnet_request *request,
+                          const struct ck_command_args *args)
+{
+    struct leader_event event = {.kind = LEADER_EVENT_COMMAND};
+
+    if (!host_is_current(host)) {
+        host_reply_command(host, request, OUTCOME_NOT_LEADER,
+                           outcome_get_text(OUTCOME_NOT_LEADER));
+        return;
+    }
+    switch (args->kind) {
+    case CK_COMMAND_ADD_VOTER:
+    case CK_COMMAND_REMOVE_VOTER:
+        host_change_voters(host, request, args);
+        return;
+    case CK_COMMAND_TRANSFER:
+        host_transfer_to(host, request, args->target);
+        return;
+    default:
+        break;
+    }
+    struct host_waiter *waiter = host_add_waiter(host, HOST_WAITER_COMMAND);
+    waiter->request = request;
+    event.token = waiter->token;
+    event.command = args;
+    host_step_leader(host, &event);
+}
--- /dev/null
+++ b/src/catkingrade/control/lease_agent.c
@@ -0,0 +1,550 @@
+#include "catkingrade/control/lease_agent.h"
+
+#include <inttypes.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "catkingrade/decide/leaseholder.h"
+#include "catkingrade/kernel/counters.h"
+#include "catkingrade/kernel/log.h"
+#include "catkingrade/kernel/loop.h"
+#include "catkingrade/kernel/memory.h"
+#include "catkingrade/kernel/outcome.h"
+#include "catkingrade/kernel/settings.h"
+#include "catkingrade/kernel/timeline.h"
+#include "catkingrade/rpc/codec.h"
+#include "catkingrade/rpc/rpcnet.h"
+
+#define LEASE_AGENT_RETRY_US        50000
+#define LEASE_AGENT_NOTIFY_LIMIT_US 100000
+#define LEASE_AGENT_MAX_NOTIFIES    8
+
+struct lease_holder;
+
+// A notification that is answered once all it revokes is confirmed, or at
+// its time limit with what is confirmed by then.
+struct lease_notify {
+    struct lease_holder *holder;
+    struct rpcnet_request *request;
+    struct ck_notify_args args;
+    struct loop_timer *timer;
+};
+
+// The lease of one control group.
+struct lease_holder {
+    struct lease_agent *agent;
+    char *group;
+    struct leaseholder *machine;
+    struct loop_timer *timer;
+    struct lease_notify notifies[LEASE_AGENT_MAX_NOTIFIES];
+    int64_t valid_until_us;
+    bool held;
+};
+
+// One renewal that is out.
+struct lease_call {
+    struct lease_holder *holder;
+    uint64_t sequence;
+};
+
+struct lease_agent {
+    struct daemon *daemon;
+    struct loop *loop;
+    struct lease_holder *holders;
+    size_t holders_count;
+    struct loop_timer *demand_timer;
+    struct view *view;
+};
+
+static void lease_holder_step(struct lease_holder *holder,
+                              const struct leaseholder_event *event);
+
+static struct lease_holder *
+lease_agent_find_holder(struct lease_agent *agent, const char *group)
+{
+    for (size_t i = 0; i < agent->holders_count; i++) {
+        if (strcmp(agent->holders[i].group, group) == 0) {
+            return &agent->holders[i];
+        }
+    }
+    return NULL;
+}
+
+// Returns the holder of the group that decides a database; NULL when the view
+// does not have it.
+static struct lease_holder *
+lease_agent_find_database_holder(struct lease_agent *agent,
+                                 const char *database)
+{
+    const struct ck_database *found =
+        view_find_database(agent->view, database);
+
+    return found == NULL ? NULL : lease_agent_find_holder(agent, found->group);
+}
+
+static void
+lease_holder_handle_timer(void *data)
+{
+    struct leaseholder_event event = {.kind = LEASEHOLDER_EVENT_TICK};
+
+    lease_holder_step(data, &event);
+}
+
+static void
+lease_holder_handle_renewed(void *data, int outcome, const void *result)
+{
+    struct lease_call *call = data;
+    struct lease_holder *holder = call->holder;
+    struct leaseholder_event event = {.kind = LEASEHOLDER_EVENT_RENEWED};
+
+    if (outcome == OUTCOME_CLOSED) {
+        free(call);
+        return;
+    }
+    if (outcome == OUTCOME_OK) {
+        counter_add(COUNTER_LEASE_RENEWALS, 1);
+        event.renewed = result;
+    }
+    else {
+        event.kind = LEASEHOLDER_EVENT_RENEW_FAILED;
+        event.sequence = call->sequence;
+    }
+    free(call);
+    lease_holder_step(holder, &event);
+}
+
+static void
+lease_holder_send_renew(struct lease_holder *holder,
+                        const struct leaseholder_action *action)
+{
+    struct lease_call *call = xcalloc(1, sizeof(*call));
+    struct settings_address peer = {0};
+
+    call->holder = holder;
+    call->sequence = action->send.args->sequence;
+    memcpy(peer.host, action->send.address.host, sizeof(peer.host));
+    peer.port = (uint16_t)action->send.address.port;
+    rpcnet_call(holder->agent->daemon->rpcnet, &peer, &rpcnet_renew,
+                action->send.args, action->send.timeout_us,
+                action->send.timeout_us, lease_holder_handle_renewed, call);
+}
+
+// Brings a delta into a new view, or asks again from the revision at hand
+// when it does not join on.
+static void
+lease_holder_apply_delta(struct lease_holder *holder,
+                         const struct ck_view_delta *delta)
+{
+    struct lease_agent *agent = holder->agent;
+    struct leaseholder_event event = {.kind = LEASEHOLDER_EVENT_APPLIED};
+    struct view *view = view_apply_delta(agent->view, holder->group, delta);
+
+    if (view != NULL) {
+        view_release(agent->view);
+        agent->view = view;
+        entry_post_view(agent->daemon->entry, view);
+        counter_add(COUNTER_CHANGES, 1);
+    }
+    event.revision = view_get_revision(agent->view, holder->group);
+    lease_holder_step(holder, &event);
+}
+
+static void
+lease_holder_set_lease(struct lease_holder *holder, int64_t valid_until_us)
+{
+    holder->valid_until_us = valid_until_us;
+    entry_post_lease(holder->agent->daemon->entry, holder->group,
+                     valid_until_us);
+    if (!holder->held) {
+        LOG_INFO("lease_held", "group=%s", holder->group);
+        timeline_record("lease_held", NULL, NULL, 0, "group=%s",
+                        holder->group);
+        holder->held = true;
+    }
+}
+
+static void
+lease_holder_handle_expired(struct lease_holder *holder)
+{
+    counter_add(COUNTER_LEASE_EXPIRED, 1);
+    LOG_WARNING("lease_expired", "group=%s", holder->group);
+    timeline_record("lease_expired", NULL, NULL, 0, "group=%s", holder->group);
+    holder->held = false;
+}
+
+static void
+lease_holder_run_action(struct lease_holder *holder,
+                        const struct leaseholder_action *action)
+{
+    struct entry *entry = holder->agent->daemon->entry;
+
+    switch (action->kind) {
+    case LEASEHOLDER_ACTION_SEND_RENEW:
+        lease_holder_send_renew(holder, action);
+        break;
+    case LEASEHOLDER_ACTION_APPLY_DELTA:
+        lease_holder_apply_delta(holder, action->delta);
+        break;
+    case LEASEHOLDER_ACTION_SET_LEASE:
+        lease_holder_set_lease(holder, action->valid_until_us);
+        break;
+    case LEASEHOLDER_ACTION_LEASE_EXPIRED:
+        lease_holder_handle_expired(holder);
+        break;
+    case LEASEHOLDER_ACTION_REVOKE:
+        entry_post_revocation(entry, action->revoke.database,
+                              action->revoke.term);
+        break;
+    case LEASEHOLDER_ACTION_SET_QUOTAS:
+        entry_post_quotas(entry, action->quotas.items, action->quotas.count);
+        break;
+    case LEASEHOLDER_ACTION_WAKE:
+        loop_timer_set(holder->timer, action->wake_at_us);
+        break;
+    }
+}
+
+static void
+lease_holder_step(struct lease_holder *holder,
+                  const struct leaseholder_event *event)
+{
+    struct leaseholder_actions actions = {0};
+
+    leaseholder_step(holder->machine, monotonic_get_us(), event, &actions);
+    for (size_t i = 0; i < actions.count; i++) {
+        lease_holder_run_action(holder, &actions.items[i]);
+    }
+    leaseholder_actions_free(&actions);
+}
+
+static bool
+lease_notify_is_confirmed(const struct lease_notify *notify,
+                          const struct ck_notify_result *result)
+{
+    for (u_int i = 0; i < notify->args.revoked.revoked_len; i++) {
+        const struct ck_revocation *wanted =
+            &notify->args.revoked.revoked_val[i];
+        bool found = false;
+        for (u_int j = 0; j < result->confirmed.confirmed_len; j++) {
+            const struct ck_revocation *row =
+                &result->confirmed.confirmed_val[j];
+            found = found || (strcmp(row->database, wanted->database) == 0 &&
+                              row->term >= wanted->term);
+        }
+        if (!found) {
+            return false;
+        }
+    }
+    return true;
+}
+
+static void
+lease_notify_free(struct lease_notify *notify)
+{
+    loop_timer_destroy(notify->timer);
+    codec_free((xdrproc_t)xdr_ck_notify_args, &notify->args);
+    memset(notify, 0, sizeof(*notify));
+}
+
+// Answers a notification when all it revokes is confirmed, or in any case
+// when force is set.
+static void
+lease_notify_answer(struct lease_notify *notify, bool force)
+{
+    struct ck_notify_result result = {0};
+
+    if (notify->request == NULL) {
+        return;
+    }
+    leaseholder_fill_notify_result(notify->holder->machine, &result);
+    if (!force && !lease_notify_is_confirmed(notify, &result)) {
+        return;
+    }
+    rpcnet_reply(notify->request, &result);
+    lease_notify_free(notify);
+}
+
+static void
+lease_notify_handle_timer(void *data)
+{
+    lease_notify_answer(data, true);
+}
+
+static void
+lease_holder_answer_notifies(struct lease_holder *holder)
+{
+    for (size_t i = 0; i < LEASE_AGENT_MAX_NOTIFIES; i++) {
+        lease_notify_answer(&holder->notifies[i], false);
+    }
+}
+
+static struct lease_notify *
+lease_holder_find_free_notify(struct lease_holder *holder)
+{
+    for (size_t i = 0; i < LEASE_AGENT_MAX_NOTIFIES; i++) {
+        if (holder->notifies[i].request == NULL) {
+            return &holder->notifies[i];
+        }
+    }
+    return NULL;
+}
+
+static void
+lease_agent_reply_notify(struct rpcnet_request *request, int outcome)
+{
+    struct ck_notify_result result = {.outcome = outcome};
+
+    result.daemon.vm = "";
+    result.daemon.failure_domain = "";
+    result.daemon.host = "";
+    rpcnet_reply(request, &result);
+}
+
+static void
+lease_agent_handle_notify(void *data, struct rpcnet_request *request,
+                          const void *args)
+{
+    struct lease_agent *agent = data;
+    const struct ck_notify_args *notify_args = args;
+    struct leaseholder_event event = {.kind = LEASEHOLDER_EVENT_NOTIFIED};
+    struct lease_holder *holder =
+        lease_agent_find_holder(agent, notify_args->group);
+
+    if (holder == NULL) {
+        lease_agent_reply_notify(request, OUTCOME_NOT_FOUND);
+        return;
+    }
+    event.notified = notify_args;
+    lease_holder_step(holder, &event);
+    struct lease_notify *notify = lease_holder_find_free_notify(holder);
+    if (notify == NULL) {
+        lease_agent_reply_notify(request, OUTCOME_OVERLOADED);
+        return;
+    }
+    notify->holder = holder;
+    notify->request = request;
+    codec_copy((xdrproc_t)xdr_ck_notify_args, notify_args, &notify->args,
+               sizeof(notify->args));
+    notify->timer =
+        loop_timer_create(agent->loop, lease_notify_handle_timer, notify);
+    loop_timer_set(notify->timer,
+                   monotonic_get_us() + LEASE_AGENT_NOTIFY_LIMIT_US);
+    lease_notify_answer(notify, false);
+}
+
+static void
+lease_agent_take_suspicion(void *data, const struct ck_suspicion *suspicion)
+{
+    struct leaseholder_event event = {.kind = LEASEHOLDER_EVENT_SUSPECT};
+    struct lease_holder *holder =
+        lease_agent_find_database_holder(data, suspicion->database);
+
+    if (holder != NULL) {
+        event.suspicion = suspicion;
+        lease_holder_step(holder, &event);
+    }
+}
+
+static void
+lease_agent_take_revoked(void *data, const char *database, uint64_t term)
+{
+    struct leaseholder_event event = {.kind =
+                                          LEASEHOLDER_EVENT_CONFIRM_REVOKED};
+    struct lease_holder *holder =
+        lease_agent_find_database_holder(data, database);
+
+    if (holder == NULL) {
+        return;
+    }
+    event.revocation.database = (char *)(uintptr_t)database;
+    event.revocation.term = term;
+    lease_holder_step(holder, &event);
+    lease_holder_answer_notifies(holder);
+}
+
+static void
+lease_agent_take_demand(void *data, const char *database,
+                        const struct ck_demand *demands, size_t count)
+{
+    struct leaseholder_event event = {.kind = LEASEHOLDER_EVENT_DEMAND};
+    struct lease_holder *holder =
+        lease_agent_find_database_holder(data, database);
+
+    for (size_t i = 0; holder != NULL && i < count; i++) {
+        event.demand = &demands[i];
+        lease_holder_step(holder, &event);
+    }
+}
+
+// Counts what draining customers still have open in this entry.
+static unsigned
+lease_agent_count_open_requests(const struct lease_agent *agent)
+{
+    uint64_t open = 0;
+
+    for (size_t i = 0; i < view_get_databases_count(agent->view); i++) {
+        const struct ck_database *database = view_get_database(agent->view, i);
+        const struct ck_customer *customer =
+            view_find_customer(agent->view, database->customer);
+        if (customer != NULL && customer->state == CK_CUSTOMER_DRAINING) {
+            open +=
+                entry_get_open_requests(agent->daemon->entry, customer->name);
+        }
+    }
+    return (unsigned)open;
+}
+
+// Gathers demand between two renewals.
+static void
+lease_agent_handle_demand_timer(void *data)
+{
+    struct lease_agent *agent = data;
+    struct leaseholder_event event = {.kind = LEASEHOLDER_EVENT_OPEN_REQUESTS};
+
+    entry_ask_demand(agent->daemon->entry);
+    event.open_requests = lease_agent_count_open_requests(agent);
+    for (size_t i = 0; i < agent->holders_count; i++) {
+        lease_holder_step(&agent->holders[i], &event);
+    }
+    loop_timer_set(agent->demand_timer,
+                   monotonic_get_us() + agent->daemon->settings->renew_us / 2);
+}
+
+// Lists a group's voters, then the seeds, as places to ask for its leader.
+static struct leaseholder_address *
+lease_agent_list_addresses(const struct settings *settings,
+                           const struct settings_group *group, size_t *count)
+{
+    struct leaseholder_address *addresses = xcalloc(
+        group->voters_count + settings->seeds_count, sizeof(*addresses));
+
+    *count = 0;
+    for (size_t i = 0; i < group->voters_count; i++) {
+        memcpy(addresses[*count].host, group->voters[i].rpc.host,
+               sizeof(addresses[*count].host));
+        addresses[*count].port = group->voters[i].rpc.port;
+        (*count)++;
+    }
+    for (size_t i = 0; i < settings->seeds_count; i++) {
+        memcpy(addresses[*count].host, settings->seeds[i].host,
+               sizeof(addresses[*count].host));
+        addresses[*count].port = settings->seeds[i].port;
+        (*count)++;
+    }
+    return addresses;
+}
+
+static void
+lease_holder_create(struct lease_holder *holder, struct lease_agent *agent,
+                    const struct settings_group *group)
+{
+    const struct settings *settings = agent->daemon->settings;
+    struct leaseholder_params params = {0};
+    struct leaseholder_address *addresses =
+        lease_agent_list_addresses(settings, group, &params.voters_count);
+
+    params.group = group->name;
+    params.voters = addresses;
+    params.daemon.vm = settings->vm;
+    params.daemon.incarnation = agent->daemon->incarnation;
+    params.daemon.failure_domain = settings->failure_domain;
+    params.daemon.host = agent->daemon->settings->rpc.host;
+    params.daemon.port = settings->rpc.port;
+    params.daemon.roles = settings->roles;
+    params.renew_us = settings->renew_us;
+    params.call_timeout_us = settings->renew_us;
+    params.retry_us = LEASE_AGENT_RETRY_US;
+    params.drift_ppm = settings->clock_drift_ppm;
+    params.seed = agent->daemon->incarnation;
+    holder->agent = agent;
+    holder->group = xstrdup(group->name);
+    holder->machine = leaseholder_create(&params);
+    holder->timer =
+        loop_timer_create(agent->loop, lease_holder_handle_timer, holder);
+    loop_timer_set(holder->timer, monotonic_get_us());
+    free(addresses);
+}
+
+// Starts renewing the leases of all groups in the settings. The entry must be
+// there; its reports come here from now on.
+struct lease_agent *
+lease_agent_create(struct daemon *daemon)
+{
+    const struct settings *settings = daemon->settings;
+    struct lease_agent *agent = xcalloc(1, sizeof(*agent));
+    struct entry_reports reports = {
+        .suspect = lease_agent_take_suspicion,
+        .confirm_revoked = lease_agent_take_revoked,
+        .demand = lease_agent_take_demand,
+        .data = agent,
+    };
+
+    agent->daemon = daemon;
+    agent->loop = daemon->control_loop;
+    agent->view = view_create();
+    agent->holders = xcalloc(settings->groups_count, sizeof(*agent->holders));
+    agent->holders_count = settings->groups_count;
+    for (size_t i = 0; i < settings->groups_count; i++) {
+        lease_holder_create(&agent->holders[i], agent, &settings->groups[i]);
+    }
+    agent->demand_timer =
+        loop_timer_create(agent->loop, lease_agent_handle_demand_timer, agent);
+    loop_timer_set(agent->demand_timer, monotonic_get_us());
+    entry_set_reports(daemon->entry, &reports);
+    rpcnet_set_handler(daemon->rpcnet, &rpcnet_notify,
+                       lease_agent_handle_notify, agent);
+    return agent;
+}
+
+// Ends the renewals; leases held run out at their moment.
+void
+lease_agent_destroy(struct lease_agent *agent)
+{
+    struct entry_reports no_reports = {0};
+
+    rpcnet_set_handler(agent->daemon->rpcnet, &rpcnet_notify, NULL, NULL);
+    entry_set_reports(agent->daemon->entry, &no_reports);
+    for (size_t i = 0; i < agent->holders_count; i++) {
+        struct lease_holder *holder = &agent->holders[i];
+        for (size_t j = 0; j < LEASE_AGENT_MAX_NOTIFIES; j++) {
+            lease_notify_answer(&holder->notifies[j], true);
+        }
+        loop_timer_destroy(holder->timer);
+        leaseholder_destroy(holder->machine);
+        free(holder->group);
+    }
+    loop_timer_destroy(agent->demand_timer);
+    view_release(agent->view);
+    free(agent->holders);
+    free(agent);
+}
+
+// Returns the view in force, borrowed until the next turn of the loop.
+const struct view *
+lease_agent_get_view(const struct lease_agent *agent)
+{
+    return agent->view;
+}
+
+// Appends a JSON array with each group's lease, for the status.
+void
+lease_agent_describe(const struct lease_agent *agent, struct buffer *json)
+{
+    int64_t now_us = monotonic_get_us();
+
+    buffer_append_text(json, "[");
+    for (size_t i = 0; i < agent->holders_count; i++) {
+        const struct lease_holder *holder = &agent->holders[i];
+        buffer_append_format(json,
+                             "%s{\"group\":\"%s\",\"revision\":%" PRIu64
+                             ",\"leader_term\":%" PRIu64
+                             ",\"lease_left_ms\":%" PRId64 "}",
+                             i == 0 ? "" : ",", holder->group,
+                             view_get_revision(agent->view, holder->group),
+                             leaseholder_get_leader_term(holder->machine),
+                             holder->valid_until_us > now_us
+                                 ? (holder->valid_until_us - now_us) / 1000
+                                 : (int64_t)0);
+    }
+    buffer_append_text(json, "]");
+}
--- /dev/null
+++ b/src/catkingrade/control/upstream_admin.c
@@ -0,0 +1,371 @@
+#include "catkingrade/control/upstream_admin.h"
+
+#include <libpq-fe.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "catkingrade/entry/upstream_sql.h"
+#include "catkingrade/kernel/buffer.h"
+#include "catkingrade/kernel/file.h"
+#include "catkingrade/kernel/memory.h"
+#include "catkingrade/kernel/outcome.h"
+
+#define UPSTREAM_ADMIN_PROMOTE_LIMIT_US 8000000
+#define UPSTREAM_ADMIN_MAX_PASSWORD     4096
+#define UPSTREAM_ADMIN_PORT_SIZE        8
+#define UPSTREAM_ADMIN_SAMPLE_FIELDS    3
+
+// One operation at one upstream, from its connection to its last statement.
+struct upstream_operation {
+    struct upstream_admin *admin;
+    struct upstream_operation *next;
+    struct upstream_admin_result result;
+    char *upstream_name;
+    char *statements; // separated by ;
+    char *place;      // the next statement
+    PGconn *conn;
+    struct loop_watch *watch;
+    struct loop_timer *timer;
+    bool connected;
+    upstream_admin_fn done;
+    void *data;
+};
+
+struct upstream_admin {
+    struct loop *loop;
+    const struct settings *settings;
+    char *password;
+    struct upstream_operation *operations;
+};
+
+// Creates the runner. A password file that cannot be read counts as empty.
+struct upstream_admin *
+upstream_admin_create(struct loop *loop, const struct settings *settings)
+{
+    struct upstream_admin *admin = xcalloc(1, sizeof(*admin));
+    const char *path = settings->upstream_password_file;
+
+    admin->loop = loop;
+    admin->settings = settings;
+    if (path[0] != '\0' && file_read_text(path, UPSTREAM_ADMIN_MAX_PASSWORD,
+                                          &admin->password) == OUTCOME_OK) {
+        admin->password[strcspn(admin->password, "\r\n")] = '\0';
+    }
+    return admin;
+}
+
+static void
+upstream_operation_destroy(struct upstream_operation *operation)
+{
+    struct upstream_operation **place = &operation->admin->operations;
+
+    while (*place != operation) {
+        place = &(*place)->next;
+    }
+    *place = operation->next;
+    loop_watch_destroy(operation->watch);
+    loop_timer_destroy(operation->timer);
+    PQfinish(operation->conn);
+    free(operation->upstream_name);
+    free(operation->statements);
+    free(operation);
+}
+
+// Ends all operations without calling back and frees the runner.
+void
+upstream_admin_destroy(struct upstream_admin *admin)
+{
+    while (admin->operations != NULL) {
+        upstream_operation_destroy(admin->operations);
+    }
+    free(admin->password);
+    free(admin);
+}
+
+static void
+upstream_operation_finish(struct upstream_operation *operation, int outcome)
+{
+    operation->result.outcome = outcome;
+    operation->result.upstream = operation->upstream_name;
+    operation->done(operation->data, &operation->result);
+    upstream_operation_destroy(operation);
+}
+
+static void
+upstream_operation_handle_timer(void *data)
+{
+    upstream_operation_finish(data, OUTCOME_TIMEOUT);
+}
+
+// Parses a log position such as 16/B374D848. Returns OUTCOME_OK or
+// OUTCOME_INVALID.
+int
+upstream_admin_parse_lsn(const char *text, uint64_t *lsn)
+{
+    unsigned high = 0;
+    unsigned low = 0;
+    int length = 0;
+
+    if (sscanf(text, "%8x/%8x%n", &high, &low, &length) != 2 ||
+        text[length] != '\0') {
+        return OUTCOME_INVALID;
+    }
+    *lsn = (uint64_t)high << 32 | low;
+    return OUTCOME_OK;
+}
+
+// Reads role and position when the result is that of a sample.
+static int
+upstream_operation_read_sample(struct upstream_operation *operation,
+                               const PGresult *answer)
+{
+    struct upstream_admin_result *result = &operation->result;
+
+    if (PQntuples(answer) != 1 ||
+        PQnfields(answer) != UPSTREAM_ADMIN_SAMPLE_FIELDS) {
+        return OUTCOME_OK;
+    }
+    result->is_primary = PQgetvalue(answer, 0, 0)[0] == 'f';
+    result->position.timeline = strtoull(PQgetvalue(answer, 0, 1), NULL, 10);
+    return upstream_admin_parse_lsn(PQgetvalue(answer, 0, 2),
+                                    &result->position.lsn);
+}
+
+static int
+upstream_operation_take_answer(struct upstream_operation *operation,
+                               const PGresult *answer)
+{
+    ExecStatusType status = PQresultStatus(answer);
+
+    if (status == PGRES_TUPLES_OK) {
+        return upstream_operation_read_sample(operation, answer);
+    }
+    return status == PGRES_COMMAND_OK ? OUTCOME_OK : OUTCOME_IO;
+}
+
+// Sends the next statement. Returns OUTCOME_OK, OUTCOME_IO, or OUTCOME_CLOSED
+// when there is none left.
+static int
+upstream_operation_send_next(struct upstream_operation *operation)
+{
+    char *statement = operation->place;
+
+    if (statement == NULL || *statement == '\0') {
+        return OUTCOME_CLOSED;
+    }
+    size_t length = strcspn(statement, ";");
+    operation->place =
+        statement[length] == '\0' ? NULL : statement + length + 1;
+    statement[length] = '\0';
+    return PQsendQuery(operation->conn, statement) == 1 ? OUTCOME_OK
+                                                        : OUTCOME_IO;
+}
+
+// Takes all answers that have come. Returns OUTCOME_AGAIN while the statement
+// runs, OUTCOME_OK once it has ended well.
+static int
+upstream_operation_take_answers(struct upstream_operation *operation)
+{
+    if (PQconsumeInput(operation->conn) != 1) {
+        return OUTCOME_UNAVAILABLE;
+    }
+    while (PQisBusy(operation->conn) == 0) {
+        PGresult *answer = PQgetResult(operation->conn);
+        if (answer == NULL) {
+            return OUTCOME_OK;
+        }
+        int outcome = upstream_operation_take_answer(operation, answer);
+        PQclear(answer);
+        if (outcome != OUTCOME_OK) {
+            return outcome;
+        }
+    }
+    return OUTCOME_AGAIN;
+}
+
+static void
+upstream_operation_run_statements(struct upstream_operation *operation)
+{
+    for (;;) {
+        int outcome = upstream_operation_take_answers(operation);
+        if (outcome == OUTCOME_AGAIN) {
+            return;
+        }
+        if (outcome == OUTCOME_OK) {
+            outcome = upstream_operation_send_next(operation);
+        }
+        if (outcome == OUTCOME_CLOSED) {
+            upstream_operation_finish(operation, OUTCOME_OK);
+            return;
+        }
+        if (outcome != OUTCOME_OK) {
+            upstream_operation_finish(operation, outcome);
+            return;
+        }
+    }
+}
+
+static void upstream_operation_handle_io(void *data, unsigned events);
+
+// Watches the connection's present socket, which changes while it opens.
+static void
+upstream_operation_watch(struct upstream_operation *operation, unsigned events)
+{
+    loop_watch_destroy(operation->watch);
+    operation->watch =
+        loop_watch_create(operation->admin->loop, PQsocket(operation->conn),
+                          events, upstream_operation_handle_io, operation);
+}
+
+static void
+upstream_operation_connect(struct upstream_operation *operation)
+{
+    switch (PQconnectPoll(operation->conn)) {
+    case PGRES_POLLING_READING:
+        upstream_operation_watch(operation, LOOP_READ);
+        return;
+    case PGRES_POLLING_WRITING:
+        upstream_operation_watch(operation, LOOP_WRITE);
+        return;
+    case PGRES_POLLING_OK:
+        operation->connected = true;
+        upstream_operation_watch(operation, LOOP_READ);
+        upstream_operation_run_statements(operation);
+        return;
+    default:
+        operation->result.refused = true;
+        upstream_operation_finish(operation, OUTCOME_UNAVAILABLE);
+        return;
+    }
+}
+
+static void
+upstream_operation_handle_io(void *data, unsigned events)
+{
+    struct upstream_operation *operation = data;
+
+    (void)events;
+    if (operation->connected) {
+        upstream_operation_run_statements(operation);
+        return;
+    }
+    upstream_operation_connect(operation);
+}
+
+// Replaces {host} and {port} in the follow statements.
+static char *
+upstream_admin_expand(const char *text, const struct ck_upstream *primary)
+{
+    struct buffer out = {0};
+
+    for (const char *c = text; *c != '\0'; c++) {
+        if (primary != NULL && strncmp(c, "{host}", 6) == 0) {
+            buffer_append_text(&out, primary->host);
+            c += 5;
+        }
+        else if (primary != NULL && strncmp(c, "{port}", 6) == 0) {
+            buffer_append_format(&out, "%u", primary->port);
+            c += 5;
+        }
+        else {
+            buffer_append_u8(&out, (uint8_t)*c);
+        }
+    }
+    char *expanded =
+        xmemdupz((const char *)buffer_get_data(&out), buffer_get_size(&out));
+    buffer_free(&out);
+    return expanded;
+}
+
+static char *
+upstream_admin_get_statements(const struct upstream_admin *admin,
+                              enum upstream_admin_kind kind,
+                              const struct ck_upstream *primary)
+{
+    const struct settings *settings = admin->settings;
+
+    switch (kind) {
+    case UPSTREAM_ADMIN_PROMOTE:
+        return xasprintf("%s;%s", settings->upstream_promote_sql,
+                         UPSTREAM_SQL_SAMPLE);
+    case UPSTREAM_ADMIN_FOLLOW:
+        return upstream_admin_expand(settings->upstream_follow_sql, primary);
+    case UPSTREAM_ADMIN_FENCE:
+        return xstrdup(settings->upstream_fence_sql);
+    default:
+        return xstrdup(UPSTREAM_SQL_SAMPLE);
+    }
+}
+
+static PGconn *
+upstream_admin_open(const struct upstream_admin *admin,
+                    const struct ck_upstream *upstream)
+{
+    char port[UPSTREAM_ADMIN_PORT_SIZE];
+    const char *const keywords[] = {"hostaddr", "port",    "dbname",
+                                    "user",     "sslmode", "application_name",
+                                    "password", NULL};
+    const char *const values[] = {upstream->host,
+                                  port,
+                                  upstream->database,
+                                  admin->settings->upstream_user,
+                                  admin->settings->upstream_sslmode,
+                                  "catkingrade-control",
+                                  admin->password,
+                                  NULL};
+
+    (void)snprintf(port, sizeof(port), "%u", upstream->port);
+    return PQconnectStartParams(keywords, values, 0);
+}
+
+// Ends an operation whose connection could not even be started, at the next
+// turn of the loop, so that done is never called from inside the run call.
+static void
+upstream_operation_handle_no_start(void *data)
+{
+    struct upstream_operation *operation = data;
+
+    operation->result.refused = true;
+    upstream_operation_finish(operation, OUTCOME_UNAVAILABLE);
+}
+
+// Runs an operation at an upstream; primary is for FOLLOW only. done is called
+// once, from the loop, within the connect time limit or, for a promotion, 8 s;
+// it is not called when the runner is destroyed first.
+void
+upstream_admin_run(struct upstream_admin *admin, enum upstream_admin_kind kind,
+                   const struct ck_upstream *upstream,
+                   const struct ck_upstream *primary, upstream_admin_fn done,
+                   void *data)
+{
+    struct upstream_operation *operation = xcalloc(1, sizeof(*operation));
+    int64_t limit_us = kind == UPSTREAM_ADMIN_PROMOTE
+                           ? UPSTREAM_ADMIN_PROMOTE_LIMIT_US
+                           : admin->settings->connect_timeout_us;
+
+    operation->admin = admin;
+    operation->next = admin->operations;
+    admin->operations = operation;
+    operation->result.kind = kind;
+    operation->upstream_name = xstrdup(upstream->name);
+    operation->statements =
+        upstream_admin_get_statements(admin, kind, primary);
+    operation->place = operation->statements;
+    operation->done = done;
+    operation->data = data;
+    operation->conn = upstream_admin_open(admin, upstream);
+    bool started =
+        operation->conn != NULL && PQstatus(operation->conn) != CONNECTION_BAD;
+    operation->timer =
+        loop_timer_create(admin->loop,
+                          started ? upstream_operation_handle_timer
+                                  : upstream_operation_handle_no_start,
+                          operation);
+    loop_timer_set(operation->timer,
+                   monotonic_get_us() + (started ? limit_us : 0));
+    if (started) {
+        PQsetnonblocking(operation->conn, 1);
+        upstream_operation_watch(operation, LOOP_WRITE);
+    }
+}
--- a/src/catkingrade/daemon/main.c
+++ b/src/catkingrade/daemon/main.c
@@ -16,11 +16,15 @@
 struct main_options {
     const char *settings_path;
     bool check_only;
+    bool bootstrap;
 };
 
 static const struct argp_option main_option_rows[] = {
     {"settings", 's', "FILE", 0, "Settings, JSON with comments", 0},
     {"check", 'c', NULL, 0, "Check the settings and exit", 0},
+    {"bootstrap", 'b', NULL, 0,
+     "Create the control groups of the settings; for their first start only",
+     0},
     {0},
 };
 
@@ -36,6 +40,9 @@
     case 'c':
         options->check_only = true;
         return 0;
+    case 'b':
+        options->bootstrap = true;
+        return 0;
     case ARGP_KEY_END:
         if (options->settings_path == NULL) {
             argp_error(state, "--settings FILE is missing");
@@ -68,9 +75,9 @@
 }
 
 static int
-main_run(struct settings *settings)
+main_run(struct settings *settings, bool bootstrap)
 {
-    struct daemon daemon = {.settings = settings};
+    struct daemon daemon = {.settings = settings, .bootstrap = bootstrap};
 
     if (log_open(settings->log_path, settings->log_level, settings->log_format,
                  settings->vm) != OUTCOME_OK) {
@@ -115,7 +122,7 @@
     }
     main_block_signals();
     apr_initialize();
-    int status = main_run(settings);
+    int status = main_run(settings, options.bootstrap);
     settings_destroy(settings);
     apr_terminate();
     return status;
--- a/src/catkingrade/kernel/daemon.h
+++ b/src/catkingrade/kernel/daemon.h
@@ -8,6 +8,7 @@
 struct control;
 struct entry;
 struct http;
+struct lease_agent;
 struct loop;
 struct rpcnet;
 struct settings;
@@ -18,9 +19,11 @@
     struct settings *settings;
     struct loop *control_loop; // the thread for control state
     uint64_t incarnation;      // random, new at every start
+    bool bootstrap;            // the operator says: the groups are new
     struct rpcnet *rpcnet;
     struct control *control;
     struct entry *entry;
+    struct lease_agent *lease_agent;
     struct http *http;
     atomic_bool ready;    // readyz
     atomic_bool draining; // a planned stop has begun
--- /dev/null
+++ b/src/catkingrade/plugins/control.c
@@ -0,0 +1,113 @@
+#include "catkingrade/control/control.h"
+
+#include "catkingrade/control/lease_agent.h"
+#include "catkingrade/kernel/outcome.h"
+#include "catkingrade/kernel/plugin.h"
+#include "catkingrade/kernel/settings.h"
+
+// The control side in three steps of the start: groups before traffic, leases
+// once the entry is there, announcements once HTTP is.
+
+static bool
+control_plugin_wants(const struct settings *settings)
+{
+    return settings->rpc.port != 0;
+}
+
+static int
+control_plugin_start(struct daemon *daemon)
+{
+    return control_create(daemon, &daemon->control);
+}
+
+static void
+control_plugin_drain(struct daemon *daemon)
+{
+    control_drain(daemon->control);
+}
+
+static bool
+control_plugin_is_drained(struct daemon *daemon)
+{
+    return control_is_drained(daemon->control);
+}
+
+static void
+control_plugin_stop(struct daemon *daemon)
+{
+    control_destroy(daemon->control);
+    daemon->control = NULL;
+}
+
+static const struct plugin control_plugin = {
+    .name = "control",
+    .order = 20,
+    .wants = control_plugin_wants,
+    .start = control_plugin_start,
+    .drain = control_plugin_drain,
+    .is_drained = control_plugin_is_drained,
+    .stop = control_plugin_stop,
+};
+
+PLUGIN_REGISTER(control_plugin)
+
+static bool
+leases_wants(const struct settings *settings)
+{
+    return (settings->roles & SETTINGS_ROLE_ENTRY) != 0 &&
+           settings->groups_count > 0 && settings->rpc.port != 0;
+}
+
+static int
+leases_start(struct daemon *daemon)
+{
+    daemon->lease_agent = lease_agent_create(daemon);
+    return OUTCOME_OK;
+}
+
+static void
+leases_stop(struct daemon *daemon)
+{
+    lease_agent_destroy(daemon->lease_agent);
+    daemon->lease_agent = NULL;
+}
+
+static const struct plugin leases_plugin = {
+    .name = "leases",
+    .order = 35,
+    .wants = leases_wants,
+    .start = leases_start,
+    .stop = leases_stop,
+};
+
+PLUGIN_REGISTER(leases_plugin)
+
+static bool
+announcements_wants(const struct settings *settings)
+{
+    return settings->http.port != 0 && settings->groups_count > 0 &&
+           settings->rpc.port != 0;
+}
+
+static int
+announcements_start(struct daemon *daemon)
+{
+    control_start_announcements(daemon->control);
+    return OUTCOME_OK;
+}
+
+static void
+announcements_stop(struct daemon *daemon)
+{
+    control_stop_announcements(daemon->control);
+}
+
+static const struct plugin announcements_plugin = {
+    .name = "announcements",
+    .order = 45,
+    .wants = announcements_wants,
+    .start = announcements_start,
+    .stop = announcements_stop,
+};
+
+PLUGIN_REGISTER(announcements_plugin)
