--- a/src/catkingrade/control/control.c
+++ b/src/catkingrade/control/control.c
@@ -299,7 +299,7 @@
 // the groups; every daemon answers operators. Returns OUTCOME_OK or the error
 // of the data folder, with nothing left open.
 int
-control_create(struct daemon *daemon, struct control **out)
+control_create(struct daemon *daemon, struct control **control_out)
 {
     struct control *control = xcalloc(1, sizeof(*control));
     int outcome = OUTCOME_OK;
@@ -320,7 +320,7 @@
     }
     control_set_handlers(control);
     loop_set_after(control->loop, control_flush, control);
-    *out = control;
+    *control_out = control;
     return OUTCOME_OK;
 }
 
--- a/src/catkingrade/control/control.h
+++ b/src/catkingrade/control/control.h
@@ -9,7 +9,7 @@
 // answers to operators that every daemon gives.
 struct control;
 
-int control_create(struct daemon *daemon, struct control **control);
+int control_create(struct daemon *daemon, struct control **control_out);
 void control_destroy(struct control *control);
 void control_start_announcements(struct control *control);
 void control_stop_announcements(struct control *control);
--- a/src/catkingrade/control/group_host.h
+++ b/src/catkingrade/control/group_host.h
@@ -27,7 +27,7 @@
                                        const char *text);
 
 int group_host_create(const struct group_host_params *params,
-                      struct group_host **host);
+                      struct group_host **out);
 void group_host_destroy(struct group_host *host);
 const char *group_host_get_name(const struct group_host *host);
 bool group_host_leads(const struct group_host *host);
