--- a/test/contract/test_failover.c
+++ b/test/contract/test_failover.c
@@ -7,7 +7,7 @@
 
 #include "catkingrade/kernel/memory.h"
 #include "catkingrade/kernel/outcome.h"
-#include "test/fake/deployment.h"
+#include "test/fake/installation.h"
 #include "test/suite.h"
 
 #define MAX_BOOKINGS    4000
@@ -18,14 +18,14 @@
 
 // What callers were told of each booking.
 struct bookings {
-    struct deployment *deployment;
-    PGconn *conns[DEPLOYMENT_MAX_DAEMONS];
+    struct installation *installation;
+    PGconn *conns[INSTALLATION_MAX_DAEMONS];
     bool acknowledged[MAX_BOOKINGS];
     bool refused[MAX_BOOKINGS]; // as not_run
     int count;
 };
 
-static const struct deployment_params three_daemons = {
+static const struct installation_params three_daemons = {
     .name = "failover",
     .daemons_count = 3,
     .voters_count = 3,
@@ -34,16 +34,16 @@
 };
 
 static void
-start_bookings(struct bookings *bookings, struct deployment *deployment)
+start_bookings(struct bookings *bookings, struct installation *installation)
 {
     memset(bookings, 0, sizeof(*bookings));
-    bookings->deployment = deployment;
-    deployment_apply_customer(deployment);
-    (void)deployment_wait_primary(deployment, "");
-    for (int i = 0; i < deployment->params.daemons_count; i++) {
-        deployment_wait_writable(deployment, i);
+    bookings->installation = installation;
+    installation_apply_customer(installation);
+    (void)installation_wait_primary(installation, "");
+    for (int i = 0; i < installation->params.daemons_count; i++) {
+        installation_wait_writable(installation, i);
     }
-    PGconn *conn = deployment_connect(deployment, 0, NULL);
+    PGconn *conn = installation_connect(installation, 0, NULL);
     char *text = process_query(
         conn, "CREATE TABLE bookings (id int PRIMARY KEY, walker text)");
     ck_assert_str_eq(text, "");
@@ -64,7 +64,7 @@
     (void)snprintf(info, sizeof(info),
                    "host=127.0.0.1 port=%d dbname=roster1 user=walker "
                    "connect_timeout=5",
-                   bookings->deployment->daemons[place].postgres_port);
+                   bookings->installation->daemons[place].postgres_port);
     bookings->conns[place] = PQconnectdb(info);
     return bookings->conns[place];
 }
@@ -98,11 +98,11 @@
 book_until(struct bookings *bookings, int wanted)
 {
     int done = 0;
-    int daemons = bookings->deployment->params.daemons_count;
+    int daemons = bookings->installation->params.daemons_count;
 
     for (int i = 0; done < wanted && i < BOOKING_LIMIT; i++) {
         int place = i % daemons;
-        if (bookings->deployment->daemons[place].process == NULL) {
+        if (bookings->installation->daemons[place].process == NULL) {
             continue;
         }
         done += book(bookings, place) ? 1 : 0;
@@ -117,7 +117,7 @@
 check_bookings(struct bookings *bookings, int primary)
 {
     PGconn *conn = process_connect(
-        bookings->deployment->upstreams[primary].port, "dbname=roster1");
+        bookings->installation->upstreams[primary].port, "dbname=roster1");
 
     for (int id = 0; id < bookings->count; id++) {
         char sql[96];
@@ -135,48 +135,49 @@
         free(count);
     }
     PQfinish(conn);
-    for (int i = 0; i < DEPLOYMENT_MAX_DAEMONS; i++) {
+    for (int i = 0; i < INSTALLATION_MAX_DAEMONS; i++) {
         PQfinish(bookings->conns[i]);
     }
 }
 
 START_TEST(test_primary_lost)
 {
-    struct deployment deployment;
+    struct installation installation;
     struct bookings *bookings = xcalloc(1, sizeof(*bookings));
 
-    deployment_start(&deployment, &three_daemons);
-    start_bookings(bookings, &deployment);
-    int primary = deployment_wait_primary(&deployment, "");
+    installation_start(&installation, &three_daemons);
+    start_bookings(bookings, &installation);
+    int primary = installation_wait_primary(&installation, "");
     book_until(bookings, BOOKINGS_BEFORE);
-    deployment_kill_upstream(&deployment, primary);
+    installation_kill_upstream(&installation, primary);
     book_until(bookings, BOOKINGS_AFTER);
-    int next = deployment_wait_primary(&deployment,
-                                       deployment.upstreams[primary].name);
+    int next = installation_wait_primary(&installation,
+                                         installation.upstreams[primary].name);
     ck_assert_int_ne(next, primary);
     check_bookings(bookings, next);
     free(bookings);
-    deployment_stop(&deployment);
+    installation_stop(&installation);
 }
 END_TEST
 
 START_TEST(test_primary_and_leader_lost)
 {
-    struct deployment deployment;
+    struct installation installation;
     struct bookings *bookings = xcalloc(1, sizeof(*bookings));
 
-    deployment_start(&deployment, &three_daemons);
-    start_bookings(bookings, &deployment);
-    int primary = deployment_wait_primary(&deployment, "");
+    installation_start(&installation, &three_daemons);
+    start_bookings(bookings, &installation);
+    int primary = installation_wait_primary(&installation, "");
     book_until(bookings, BOOKINGS_BEFORE);
-    deployment_kill_upstream(&deployment, primary);
-    deployment_kill_daemon(&deployment, deployment_find_leader(&deployment));
+    installation_kill_upstream(&installation, primary);
+    installation_kill_daemon(&installation,
+                             installation_find_leader(&installation));
     book_until(bookings, BOOKINGS_AFTER);
-    int next = deployment_wait_primary(&deployment,
-                                       deployment.upstreams[primary].name);
+    int next = installation_wait_primary(&installation,
+                                         installation.upstreams[primary].name);
     check_bookings(bookings, next);
     free(bookings);
-    deployment_stop(&deployment);
+    installation_stop(&installation);
 }
 END_TEST
 
@@ -184,20 +185,20 @@
 // the session's token and without any.
 START_TEST(test_read_your_writes_roaming)
 {
-    struct deployment_params params = three_daemons;
-    struct deployment deployment;
+    struct installation_params params = three_daemons;
+    struct installation installation;
     char options[400];
 
     params.lag_ms = 2000;
     params.settings = "";
-    deployment_start(&deployment, &params);
+    installation_start(&installation, &params);
     struct bookings *bookings = xcalloc(1, sizeof(*bookings));
-    bookings->deployment = &deployment;
-    deployment_apply_customer(&deployment);
+    bookings->installation = &installation;
+    installation_apply_customer(&installation);
     for (int i = 0; i < 2; i++) {
-        deployment_wait_writable(&deployment, i);
+        installation_wait_writable(&installation, i);
     }
-    PGconn *first = deployment_connect(&deployment, 0, NULL);
+    PGconn *first = installation_connect(&installation, 0, NULL);
     free(process_query(first, "CREATE TABLE bookings (id int, walker text)"));
     char *text = process_query(first, "INSERT INTO bookings VALUES (1, 'w')");
     ck_assert_str_eq(text, "");
@@ -209,7 +210,7 @@
         (void)snprintf(options, sizeof(options),
                        i == 0 ? "options='-c catkingrade.token=%s'" : "%s",
                        tails[i]);
-        PGconn *second = deployment_connect(&deployment, 1, options);
+        PGconn *second = installation_connect(&installation, 1, options);
         text = process_query(second, "SELECT walker FROM bookings");
         ck_assert_str_eq(text, "w");
         free(text);
@@ -218,13 +219,13 @@
     free(token);
     PQfinish(first);
     free(bookings);
-    deployment_stop(&deployment);
+    installation_stop(&installation);
 }
 END_TEST
 
 // Sends change i of a series of templates.
 static int
-apply_template(struct deployment *deployment, int i)
+apply_template(struct installation *installation, int i)
 {
     char document[256];
     char change_id[32];
@@ -235,8 +236,8 @@
                    "\"request_types\": [{\"name\": \"other\"}]}}",
                    i);
     (void)snprintf(change_id, sizeof(change_id), "change-%d", i);
-    return deployment_apply(deployment, CK_CHANGE_TEMPLATE, "roster", document,
-                            change_id);
+    return installation_apply(installation, CK_CHANGE_TEMPLATE, "roster",
+                              document, change_id);
 }
 
 // A voter is lost, 300 changes pass it by, it comes back and the leader is
@@ -244,48 +245,48 @@
 // first outcome; its id with another content is refused.
 START_TEST(test_restart_far_behind)
 {
-    struct deployment deployment;
-    struct deployment_params params = three_daemons;
+    struct installation installation;
+    struct installation_params params = three_daemons;
 
     params.upstreams_count = 0;
-    deployment_start(&deployment, &params);
-    int leader = deployment_find_leader(&deployment);
+    installation_start(&installation, &params);
+    int leader = installation_find_leader(&installation);
     int lost = (leader + 1) % 3;
-    deployment_kill_daemon(&deployment, lost);
+    installation_kill_daemon(&installation, lost);
     for (int i = 0; i < 300; i++) {
-        ck_assert_int_eq(apply_template(&deployment, i), OUTCOME_OK);
+        ck_assert_int_eq(apply_template(&installation, i), OUTCOME_OK);
     }
-    deployment_start_daemon(&deployment, lost, false);
-    deployment_kill_daemon(&deployment, leader);
-    ck_assert_int_eq(apply_template(&deployment, 299), OUTCOME_OK);
-    ck_assert_int_ne(deployment_apply(&deployment, CK_CHANGE_TEMPLATE,
-                                      "roster", "{}", "change-299"),
+    installation_start_daemon(&installation, lost, false);
+    installation_kill_daemon(&installation, leader);
+    ck_assert_int_eq(apply_template(&installation, 299), OUTCOME_OK);
+    ck_assert_int_ne(installation_apply(&installation, CK_CHANGE_TEMPLATE,
+                                        "roster", "{}", "change-299"),
                      OUTCOME_OK);
-    deployment_start_daemon(&deployment, leader, false);
-    ck_assert_int_eq(apply_template(&deployment, 0), OUTCOME_OK);
-    deployment_stop(&deployment);
+    installation_start_daemon(&installation, leader, false);
+    ck_assert_int_eq(apply_template(&installation, 0), OUTCOME_OK);
+    installation_stop(&installation);
 }
 END_TEST
 
 // An entry stops under load: what it answered stands, and it ends by itself.
 START_TEST(test_planned_stop)
 {
-    struct deployment deployment;
+    struct installation installation;
     struct bookings *bookings = xcalloc(1, sizeof(*bookings));
 
-    deployment_start(&deployment, &three_daemons);
-    start_bookings(bookings, &deployment);
-    int primary = deployment_wait_primary(&deployment, "");
+    installation_start(&installation, &three_daemons);
+    start_bookings(bookings, &installation);
+    int primary = installation_wait_primary(&installation, "");
     book_until(bookings, BOOKINGS_BEFORE);
-    int leader = deployment_find_leader(&deployment);
-    struct process *stopping = deployment.daemons[leader].process;
-    deployment.daemons[leader].process = NULL;
+    int leader = installation_find_leader(&installation);
+    struct process *stopping = installation.daemons[leader].process;
+    installation.daemons[leader].process = NULL;
     ck_assert_int_eq(process_stop(stopping, SIGTERM), 0);
     book_until(bookings, BOOKINGS_AFTER);
-    ck_assert_int_eq(deployment_wait_primary(&deployment, ""), primary);
+    ck_assert_int_eq(installation_wait_primary(&installation, ""), primary);
     check_bookings(bookings, primary);
     free(bookings);
-    deployment_stop(&deployment);
+    installation_stop(&installation);
 }
 END_TEST
 
