--- /dev/null
+++ b/test/contract/test_failover.c
@@ -0,0 +1,303 @@
+#include <check.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "catkingrade/kernel/memory.h"
+#include "catkingrade/kernel/outcome.h"
+#include "test/fake/installation.h"
+#include "test/suite.h"
+
+#define MAX_BOOKINGS    4000
+#define BOOKINGS_BEFORE 20
+#define BOOKINGS_AFTER  20
+#define BOOKING_LIMIT   3000
+#define PAUSE_US        10000
+
+// What callers were told of each booking.
+struct bookings {
+    struct installation *installation;
+    PGconn *conns[INSTALLATION_MAX_DAEMONS];
+    bool acknowledged[MAX_BOOKINGS];
+    bool refused[MAX_BOOKINGS]; // as not_run
+    int count;
+};
+
+static const struct installation_params three_daemons = {
+    .name = "failover",
+    .daemons_count = 3,
+    .voters_count = 3,
+    .upstreams_count = 3,
+    .settings = "",
+};
+
+static void
+start_bookings(struct bookings *bookings, struct installation *installation)
+{
+    memset(bookings, 0, sizeof(*bookings));
+    bookings->installation = installation;
+    installation_apply_customer(installation);
+    (void)installation_wait_primary(installation, "");
+    for (int i = 0; i < installation->params.daemons_count; i++) {
+        installation_wait_writable(installation, i);
+    }
+    PGconn *conn = installation_connect(installation, 0, NULL);
+    char *text = process_query(
+        conn, "CREATE TABLE bookings (id int PRIMARY KEY, walker text)");
+    ck_assert_str_eq(text, "");
+    free(text);
+    PQfinish(conn);
+}
+
+static PGconn *
+get_session(struct bookings *bookings, int place)
+{
+    char info[256];
+
+    if (bookings->conns[place] != NULL &&
+        PQstatus(bookings->conns[place]) == CONNECTION_OK) {
+        return bookings->conns[place];
+    }
+    PQfinish(bookings->conns[place]);
+    (void)snprintf(info, sizeof(info),
+                   "host=127.0.0.1 port=%d dbname=roster1 user=walker "
+                   "connect_timeout=5",
+                   bookings->installation->daemons[place].postgres_port);
+    bookings->conns[place] = PQconnectdb(info);
+    return bookings->conns[place];
+}
+
+// Books once at a daemon and notes what it says. Returns whether it was
+// acknowledged.
+static bool
+book(struct bookings *bookings, int place)
+{
+    char sql[96];
+    int id = bookings->count++;
+
+    ck_assert_int_lt(id, MAX_BOOKINGS);
+    (void)snprintf(sql, sizeof(sql),
+                   "INSERT INTO bookings (id, walker) VALUES (%d, 'w')", id);
+    PGresult *result = PQexec(get_session(bookings, place), sql);
+    const char *state = PQresultErrorField(result, PG_DIAG_SQLSTATE);
+    const char *detail = PQresultErrorField(result, PG_DIAG_MESSAGE_DETAIL);
+    if (PQresultStatus(result) == PGRES_COMMAND_OK) {
+        bookings->acknowledged[id] = true;
+    }
+    else if (state != NULL && detail != NULL &&
+             strstr(detail, "outcome=not_run") != NULL) {
+        bookings->refused[id] = true;
+    }
+    PQclear(result);
+    return bookings->acknowledged[id];
+}
+
+static void
+book_until(struct bookings *bookings, int wanted)
+{
+    int done = 0;
+    int daemons = bookings->installation->params.daemons_count;
+
+    for (int i = 0; done < wanted && i < BOOKING_LIMIT; i++) {
+        int place = i % daemons;
+        if (bookings->installation->daemons[place].process == NULL) {
+            continue;
+        }
+        done += book(bookings, place) ? 1 : 0;
+        usleep(PAUSE_US);
+    }
+    ck_assert_int_eq(done, wanted);
+}
+
+// At the primary itself: each acknowledged booking stands there once, and
+// none that was refused as not_run.
+static void
+check_bookings(struct bookings *bookings, int primary)
+{
+    PGconn *conn = process_connect(
+        bookings->installation->upstreams[primary].port, "dbname=roster1");
+
+    for (int id = 0; id < bookings->count; id++) {
+        char sql[96];
+        (void)snprintf(sql, sizeof(sql),
+                       "SELECT count(*) FROM bookings WHERE id = %d", id);
+        char *count = process_query(conn, sql);
+        if (bookings->acknowledged[id]) {
+            ck_assert_msg(strcmp(count, "1") == 0,
+                          "acknowledged booking %d: count %s", id, count);
+        }
+        if (bookings->refused[id]) {
+            ck_assert_msg(strcmp(count, "0") == 0,
+                          "refused booking %d: count %s", id, count);
+        }
+        free(count);
+    }
+    PQfinish(conn);
+    for (int i = 0; i < INSTALLATION_MAX_DAEMONS; i++) {
+        PQfinish(bookings->conns[i]);
+    }
+}
+
+START_TEST(test_primary_lost)
+{
+    struct installation installation;
+    struct bookings *bookings = xcalloc(1, sizeof(*bookings));
+
+    installation_start(&installation, &three_daemons);
+    start_bookings(bookings, &installation);
+    int primary = installation_wait_primary(&installation, "");
+    book_until(bookings, BOOKINGS_BEFORE);
+    installation_kill_upstream(&installation, primary);
+    book_until(bookings, BOOKINGS_AFTER);
+    int next = installation_wait_primary(&installation,
+                                         installation.upstreams[primary].name);
+    ck_assert_int_ne(next, primary);
+    check_bookings(bookings, next);
+    free(bookings);
+    installation_stop(&installation);
+}
+END_TEST
+
+START_TEST(test_primary_and_leader_lost)
+{
+    struct installation installation;
+    struct bookings *bookings = xcalloc(1, sizeof(*bookings));
+
+    installation_start(&installation, &three_daemons);
+    start_bookings(bookings, &installation);
+    int primary = installation_wait_primary(&installation, "");
+    book_until(bookings, BOOKINGS_BEFORE);
+    installation_kill_upstream(&installation, primary);
+    installation_kill_daemon(&installation,
+                             installation_find_leader(&installation));
+    book_until(bookings, BOOKINGS_AFTER);
+    int next = installation_wait_primary(&installation,
+                                         installation.upstreams[primary].name);
+    check_bookings(bookings, next);
+    free(bookings);
+    installation_stop(&installation);
+}
+END_TEST
+
+// Both replicas lag; a booking made at one entry is read at another, with
+// the session's token and without any.
+START_TEST(test_read_your_writes_roaming)
+{
+    struct installation_params params = three_daemons;
+    struct installation installation;
+    char options[400];
+
+    params.lag_ms = 2000;
+    params.settings = "";
+    installation_start(&installation, &params);
+    struct bookings *bookings = xcalloc(1, sizeof(*bookings));
+    bookings->installation = &installation;
+    installation_apply_customer(&installation);
+    for (int i = 0; i < 2; i++) {
+        installation_wait_writable(&installation, i);
+    }
+    PGconn *first = installation_connect(&installation, 0, NULL);
+    free(process_query(first, "CREATE TABLE bookings (id int, walker text)"));
+    char *text = process_query(first, "INSERT INTO bookings VALUES (1, 'w')");
+    ck_assert_str_eq(text, "");
+    free(text);
+    char *token = process_query(first, "SHOW catkingrade.token");
+    ck_assert_uint_gt(strlen(token), 20);
+    const char *const tails[] = {token, ""};
+    for (int i = 0; i < 2; i++) {
+        (void)snprintf(options, sizeof(options),
+                       i == 0 ? "options='-c catkingrade.token=%s'" : "%s",
+                       tails[i]);
+        PGconn *second = installation_connect(&installation, 1, options);
+        text = process_query(second, "SELECT walker FROM bookings");
+        ck_assert_str_eq(text, "w");
+        free(text);
+        PQfinish(second);
+    }
+    free(token);
+    PQfinish(first);
+    free(bookings);
+    installation_stop(&installation);
+}
+END_TEST
+
+// Sends change i of a series of templates.
+static int
+apply_template(struct installation *installation, int i)
+{
+    char document[256];
+    char change_id[32];
+
+    (void)snprintf(document, sizeof(document),
+                   "{\"template\": \"roster\", \"parameters\": {},"
+                   "\"customer\": {\"databases\": [], \"max_age_ms\": %d,"
+                   "\"request_types\": [{\"name\": \"other\"}]}}",
+                   i);
+    (void)snprintf(change_id, sizeof(change_id), "change-%d", i);
+    return installation_apply(installation, CK_CHANGE_TEMPLATE, "roster",
+                              document, change_id);
+}
+
+// A voter is lost, 300 changes pass it by, it comes back and the leader is
+// killed: no accepted change is lost. The last one, sent again, gets its
+// first outcome; its id with another content is refused.
+START_TEST(test_restart_far_behind)
+{
+    struct installation installation;
+    struct installation_params params = three_daemons;
+
+    params.upstreams_count = 0;
+    installation_start(&installation, &params);
+    int leader = installation_find_leader(&installation);
+    int lost = (leader + 1) % 3;
+    installation_kill_daemon(&installation, lost);
+    for (int i = 0; i < 300; i++) {
+        ck_assert_int_eq(apply_template(&installation, i), OUTCOME_OK);
+    }
+    installation_start_daemon(&installation, lost, false);
+    installation_kill_daemon(&installation, leader);
+    ck_assert_int_eq(apply_template(&installation, 299), OUTCOME_OK);
+    ck_assert_int_ne(installation_apply(&installation, CK_CHANGE_TEMPLATE,
+                                        "roster", "{}", "change-299"),
+                     OUTCOME_OK);
+    installation_start_daemon(&installation, leader, false);
+    ck_assert_int_eq(apply_template(&installation, 0), OUTCOME_OK);
+    installation_stop(&installation);
+}
+END_TEST
+
+// An entry stops under load: what it answered stands, and it ends by itself.
+START_TEST(test_planned_stop)
+{
+    struct installation installation;
+    struct bookings *bookings = xcalloc(1, sizeof(*bookings));
+
+    installation_start(&installation, &three_daemons);
+    start_bookings(bookings, &installation);
+    int primary = installation_wait_primary(&installation, "");
+    book_until(bookings, BOOKINGS_BEFORE);
+    int leader = installation_find_leader(&installation);
+    struct process *stopping = installation.daemons[leader].process;
+    installation.daemons[leader].process = NULL;
+    ck_assert_int_eq(process_stop(stopping, SIGTERM), 0);
+    book_until(bookings, BOOKINGS_AFTER);
+    ck_assert_int_eq(installation_wait_primary(&installation, ""), primary);
+    check_bookings(bookings, primary);
+    free(bookings);
+    installation_stop(&installation);
+}
+END_TEST
+
+static void
+add_tests(TCase *tests)
+{
+    tcase_add_test(tests, test_primary_lost);
+    tcase_add_test(tests, test_primary_and_leader_lost);
+    tcase_add_test(tests, test_read_your_writes_roaming);
+    tcase_add_test(tests, test_restart_far_behind);
+    tcase_add_test(tests, test_planned_stop);
+}
+
+TEST_MAIN("failover", add_tests)
