--- a/bench/bench_throughput.c
+++ b/bench/bench_throughput.c
@@ -228,7 +228,8 @@
     }
     qsort(load->samples_us, load->samples_count, sizeof(uint32_t),
           load_compare);
-    return load->samples_us[(load->samples_count - 1) * percent / 100];
+    size_t place = (load->samples_count - 1) * percent / 100;
+    return load->samples_us[place];
 }
 
 // The figures of one run.
