--- /dev/null
+++ b/src/catkingrade/decide/leader_quota.c
@@ -0,0 +1,340 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "catkingrade/decide/leader_private.h"
+#include "catkingrade/decide/lending.h"
+#include "catkingrade/kernel/memory.h"
+
+// Up to so many databases every entry gets a share of every upstream; beyond
+// that, only of those for which it reports a demand.
+#define LEADER_SHARED_DATABASES 64
+
+// What one entry may use of an upstream.
+struct leader_share {
+    struct leader_holder *holder;
+    uint64_t incarnation;
+    uint64_t sequence; // of its newest renewal
+    bool known;        // has renewed with this leader
+    unsigned unserved;
+    struct ck_demand demand; // without a name
+    struct ck_quota held;    // the most of each, also by a lost answer
+    struct ck_quota ghost;   // of the incarnation before
+};
+
+struct leader_quota {
+    struct leader_quota *next;
+    char *name;
+    struct leader_share *shares;
+    size_t shares_count;
+};
+
+static u_int
+leader_get_max(u_int left, u_int right)
+{
+    return left > right ? left : right;
+}
+
+static struct leader_quota *
+leader_get_quota(struct leader *leader, const char *name)
+{
+    struct leader_quota *quota =
+        group_index_get(leader->index, LEADER_QUOTA, name);
+
+    if (quota == NULL) {
+        quota = xcalloc(1, sizeof(*quota));
+        quota->name = xstrdup(name);
+        quota->next = leader->quotas;
+        leader->quotas = quota;
+        group_index_put(leader->index, LEADER_QUOTA, name, quota);
+    }
+    return quota;
+}
+
+// Frees all that is known of quotas.
+void
+leader_free_quotas(struct leader *leader)
+{
+    while (leader->quotas != NULL) {
+        struct leader_quota *quota = leader->quotas;
+        leader->quotas = quota->next;
+        free(quota->shares);
+        free(quota->name);
+        free(quota);
+    }
+}
+
+// Returns the share of an entry, which may be new. Shares stand in the order
+// of VM names: what integer division leaves over is given in that order, and
+// every leader has to come to the same guaranteed shares.
+static struct leader_share *
+leader_get_share(struct leader_quota *quota, struct leader_holder *holder)
+{
+    size_t place = 0;
+    size_t count = quota->shares_count;
+    const char *vm = holder->daemon.vm;
+
+    while (place < count &&
+           strcmp(quota->shares[place].holder->daemon.vm, vm) < 0) {
+        place++;
+    }
+    if (place < count && quota->shares[place].holder == holder) {
+        return &quota->shares[place];
+    }
+    quota->shares =
+        xrealloc(quota->shares, (count + 1) * sizeof(*quota->shares));
+    struct leader_share *share = &quota->shares[place];
+    memmove(share + 1, share, (count - place) * sizeof(*share));
+    memset(share, 0, sizeof(*share));
+    share->holder = holder;
+    share->incarnation = holder->daemon.incarnation;
+    quota->shares_count = count + 1;
+    return share;
+}
+
+// Has every entry take part, so that each gets its guaranteed share.
+static void
+leader_add_shares(struct leader *leader, struct leader_quota *quota)
+{
+    for (struct leader_holder *holder = leader->holders; holder != NULL;
+         holder = holder->next) {
+        if (leader_is_entry(holder)) {
+            (void)leader_get_share(quota, holder);
+        }
+    }
+}
+
+// Takes what an entry says of itself. What it held when it asked is all that
+// it can hold now: it ignores answers to earlier requests.
+static void
+leader_see_share(const struct leader *leader, struct leader_share *share,
+                 const struct ck_renew_args *args,
+                 const struct ck_demand *demand)
+{
+    static const struct ck_demand none;
+
+    if (share->incarnation != args->daemon.incarnation) {
+        bool added = share->holder->old_until_us > leader->now_us;
+        share->ghost.slots =
+            share->held.slots + (added ? share->ghost.slots : 0);
+        share->ghost.connections =
+            share->held.connections + (added ? share->ghost.connections : 0);
+        memset(&share->held, 0, sizeof(share->held));
+        share->incarnation = args->daemon.incarnation;
+        share->sequence = 0;
+    }
+    if (args->sequence < share->sequence) {
+        return;
+    }
+    bool repeated = share->known && args->sequence == share->sequence;
+    share->known = true;
+    share->sequence = args->sequence;
+    share->demand = demand == NULL ? none : *demand;
+    if (repeated) {
+        return;
+    }
+    share->held.slots = share->demand.held_slots;
+    share->held.connections = share->demand.held_connections;
+    share->held.guaranteed_slots = share->demand.held_guaranteed_slots;
+    share->held.guaranteed_connections =
+        share->demand.held_guaranteed_connections;
+}
+
+// Fills what lending_plan has to know of a share; guaranteed is its part of
+// the guaranteed shares. Returns whether it is not known what the entry holds:
+// a leader before lent it and it may use that until its lease runs out.
+static bool
+leader_fill_use(const struct leader *leader, const struct leader_share *share,
+                const struct lending_share *guaranteed,
+                struct lending_entry *entry)
+{
+    const struct leader_holder *holder = share->holder;
+    bool live = leader_is_live(leader, holder);
+
+    entry->unserved = share->unserved;
+    entry->slots.demand = share->demand.waiting + share->demand.running;
+    entry->connections.demand = share->demand.connections;
+    if (!share->known) {
+        entry->slots.held = guaranteed->guaranteed_slots;
+        entry->connections.held = guaranteed->guaranteed_connections;
+        return live;
+    }
+    entry->slots.held =
+        live ? share->held.slots : share->held.guaranteed_slots;
+    entry->connections.held =
+        live ? share->held.connections : share->held.guaranteed_connections;
+    return false;
+}
+
+// Fills what the incarnation before may still use; it is to get nothing.
+static void
+leader_fill_ghost(const struct leader *leader,
+                  const struct leader_share *share,
+                  struct lending_entry *entry)
+{
+    if (share->holder->old_until_us > leader->now_us) {
+        entry->slots.held = share->ghost.slots;
+        entry->connections.held = share->ghost.connections;
+    }
+}
+
+// Fills which entries take part and who is near, and plans the guaranteed
+// shares that follow from that alone.
+static void
+leader_plan_guaranteed(const struct leader *leader,
+                       const struct leader_quota *quota,
+                       const struct ck_upstream *upstream,
+                       struct lending_entry *entries,
+                       struct lending_share *shares)
+{
+    for (size_t i = 0; i < quota->shares_count; i++) {
+        const struct ck_daemon *daemon = &quota->shares[i].holder->daemon;
+        entries[i].near =
+            strcmp(upstream->failure_domain, daemon->failure_domain) == 0;
+        entries[i].weight =
+            group_find_daemon(leader->group, daemon->vm) == NULL ? 0 : 1;
+    }
+    lending_plan(upstream->slots, upstream->connections, entries,
+                 quota->shares_count, shares);
+}
+
+// Plans an upstream and sets what the entry at place is lent now.
+static void
+leader_plan_quota(const struct leader *leader, struct leader_quota *quota,
+                  const struct ck_upstream *upstream, size_t place,
+                  struct ck_quota *out)
+{
+    size_t count = quota->shares_count;
+    struct lending_entry *entries = xcalloc(2 * count, sizeof(*entries));
+    struct lending_share *shares = xcalloc(2 * count, sizeof(*shares));
+    struct leader_share *own = &quota->shares[place];
+    bool frozen = false;
+
+    leader_plan_guaranteed(leader, quota, upstream, entries, shares);
+    for (size_t i = 0; i < count; i++) {
+        bool unknown = leader_fill_use(leader, &quota->shares[i], &shares[i],
+                                       &entries[i]);
+        leader_fill_ghost(leader, &quota->shares[i], &entries[count + i]);
+        frozen = frozen || unknown;
+    }
+    lending_plan(upstream->slots, upstream->connections, entries, 2 * count,
+                 shares);
+    own->unserved = entries[place].unserved;
+    out->upstream = quota->name;
+    out->slots = shares[place].slots;
+    out->connections = shares[place].connections;
+    out->guaranteed_slots = shares[place].guaranteed_slots;
+    out->guaranteed_connections = shares[place].guaranteed_connections;
+    if (frozen) {
+        // Nobody gets more before all that was lent is known again.
+        *out = own->held;
+        out->upstream = quota->name;
+    }
+    free(entries);
+    free(shares);
+}
+
+static void
+leader_lend(struct leader *leader, struct leader_holder *holder,
+            const struct ck_upstream *upstream,
+            const struct ck_renew_args *args, const struct ck_demand *demand,
+            struct ck_quota *out)
+{
+    struct leader_quota *quota = leader_get_quota(leader, upstream->name);
+
+    if (group_get_databases_count(leader->group) <= LEADER_SHARED_DATABASES) {
+        leader_add_shares(leader, quota);
+    }
+    struct leader_share *own = leader_get_share(quota, holder);
+    leader_see_share(leader, own, args, demand);
+    leader_plan_quota(leader, quota, upstream, (size_t)(own - quota->shares),
+                      out);
+    own->held.slots = leader_get_max(own->held.slots, out->slots);
+    own->held.connections =
+        leader_get_max(own->held.connections, out->connections);
+    own->held.guaranteed_slots =
+        leader_get_max(own->held.guaranteed_slots, out->guaranteed_slots);
+    own->held.guaranteed_connections = leader_get_max(
+        own->held.guaranteed_connections, out->guaranteed_connections);
+}
+
+struct leader_lending {
+    struct leader *leader;
+    struct leader_holder *holder;
+    const struct ck_renew_args *args;
+    struct ck_quota *quotas;
+    size_t count;
+    size_t capacity;
+};
+
+static const struct ck_demand *
+leader_find_demand(const struct ck_renew_args *args, const char *upstream)
+{
+    for (u_int i = 0; i < args->demands.demands_len; i++) {
+        if (strcmp(args->demands.demands_val[i].upstream, upstream) == 0) {
+            return &args->demands.demands_val[i];
+        }
+    }
+    return NULL;
+}
+
+static void
+leader_lend_one(struct leader_lending *lending,
+                const struct ck_upstream *upstream,
+                const struct ck_demand *demand)
+{
+    if (upstream == NULL || upstream->state == CK_UPSTREAM_LOST) {
+        return;
+    }
+    if (lending->count == lending->capacity) {
+        lending->capacity = lending->capacity * 2 + 16;
+        lending->quotas = xrealloc(
+            lending->quotas, lending->capacity * sizeof(*lending->quotas));
+    }
+    struct ck_quota *out = &lending->quotas[lending->count++];
+    memset(out, 0, sizeof(*out));
+    leader_lend(lending->leader, lending->holder, upstream, lending->args,
+                demand, out);
+}
+
+static bool
+leader_lend_database(void *data, const struct ck_database *database)
+{
+    struct leader_lending *lending = data;
+
+    for (u_int i = 0; i < database->upstreams.upstreams_len; i++) {
+        const struct ck_upstream *upstream =
+            &database->upstreams.upstreams_val[i];
+        leader_lend_one(lending, upstream,
+                        leader_find_demand(lending->args, upstream->name));
+    }
+    return true;
+}
+
+// Fills the quotas of an answer to a renewal. The sum of what entries may use
+// of an upstream never exceeds its limits, also while answers are lost, after
+// a change of leader and while an entry is cut off.
+void
+leader_fill_quotas(struct leader *leader, struct leader_holder *holder,
+                   const struct ck_renew_args *args,
+                   struct ck_renew_result *result)
+{
+    struct leader_lending lending = {
+        .leader = leader, .holder = holder, .args = args};
+
+    if (!leader_is_entry(holder)) {
+        return;
+    }
+    if (group_get_databases_count(leader->group) <= LEADER_SHARED_DATABASES) {
+        group_visit_databases(leader->group, leader_lend_database, &lending);
+    }
+    else {
+        for (u_int i = 0; i < args->demands.demands_len; i++) {
+            const struct ck_demand *demand = &args->demands.demands_val[i];
+            leader_lend_one(
+                &lending, group_find_upstream(leader->group, demand->upstream),
+                demand);
+        }
+    }
+    result->quotas.quotas_val = leader_own(leader->actions, lending.quotas);
+    result->quotas.quotas_len = (u_int)lending.count;
+}
--- a/src/catkingrade/decide/pool.c
+++ b/src/catkingrade/decide/pool.c
@@ -8,11 +8,12 @@
 #include "catkingrade/kernel/memory.h"
 #include "catkingrade/kernel/outcome.h"
 
-#define POOL_PLACE_BITS  16
-#define POOL_PLACE_MASK  ((UINT32_C(1) << POOL_PLACE_BITS) - 1)
-#define POOL_PLACES_MAX  (POOL_PLACE_MASK - 1)
-#define POOL_OPENING_MAX 4 // for each upstream
-#define POOL_SPARES      2 // idle connections kept for each upstream
+#define POOL_PLACE_BITS    16
+#define POOL_PLACE_MASK    ((UINT32_C(1) << POOL_PLACE_BITS) - 1)
+#define POOL_PLACES_MAX    (POOL_PLACE_MASK - 1)
+#define POOL_OPENING_MAX   4 // for each upstream
+#define POOL_SPARES        2 // idle connections kept for each upstream
+#define POOL_IDLE_CLOSE_US (60 * TRAFFIC_SECOND_US)
 // Connections opened within this time of a silent one are suspected with it.
 #define POOL_NEIGHBOUR_AGE_US (10 * TRAFFIC_SECOND_US)
 
@@ -144,6 +145,9 @@
     else if (conn->state == CONN_OPENING) {
         upstream->opening--;
     }
+    else if (conn->state == CONN_PINNED) {
+        pool_end_use(upstream, false);
+    }
     if (conn->session != NULL) {
         conn->session->conn = TRAFFIC_NO_ID;
     }
@@ -211,7 +215,7 @@
         return;
     }
     conn->upstream = upstream;
-    conn->opened_us = traffic->now_us;
+    conn->opened_us = conn->used_us = traffic->now_us;
     pool_set_state(traffic, conn, CONN_OPENING);
     up->open++;
     up->opening++;
@@ -268,10 +272,13 @@
     return NULL;
 }
 
-// Binds a connection to the transaction of a session.
+// Binds a connection to the transaction of a session. It keeps its slot
+// between statements: the transaction may hold locks for which statements in
+// all other slots wait, so its next statement must never wait for a slot.
 void
 pool_pin(struct traffic *traffic, struct conn *conn, struct session *session)
 {
+    traffic->upstreams[conn->upstream].running++;
     conn->session = session;
     session->conn = conn->id;
     pool_set_state(traffic, conn, CONN_PINNED);
@@ -420,14 +427,15 @@
     return -1;
 }
 
-// Closes idle connections that a new view, quota or lease no longer allows.
+// Closes connections that are idle or not open yet and that a new view, quota
+// or lease no longer allows.
 // Busy ones follow when they are released.
 void
 pool_enforce_limits(struct traffic *traffic)
 {
     for (uint32_t i = 0; i < traffic->conns_count; i++) {
         struct conn *conn = &traffic->conns[i];
-        if (conn->state != CONN_IDLE) {
+        if (conn->state != CONN_IDLE && conn->state != CONN_OPENING) {
             continue;
         }
         int reason = pool_find_close_reason(traffic, conn);
@@ -439,7 +447,7 @@
 
 // Opens connections until some spares are idle, as far as slots could use
 // them.
-void
+static void
 pool_keep_spares(struct traffic *traffic, uint32_t upstream)
 {
     struct upstream *up = &traffic->upstreams[upstream];
@@ -450,3 +458,41 @@
         pool_open(traffic, upstream);
     }
 }
+
+// Closes an idle connection that has not been needed for long, and asks one
+// that has been idle for a while to prove itself, so that it need not do so
+// when a save comes.
+static void
+pool_tend_idle(struct traffic *traffic, struct conn *conn)
+{
+    const struct upstream *up = &traffic->upstreams[conn->upstream];
+    int64_t proof_due_us =
+        conn->proved_us + traffic->params.idle_proof_us / 4 * 3;
+
+    if (up->idle > POOL_SPARES &&
+        traffic->now_us - conn->used_us > POOL_IDLE_CLOSE_US) {
+        pool_close(traffic, conn, TRAFFIC_CLOSE_IDLE);
+    }
+    else if (traffic->now_us >= proof_due_us) {
+        pool_remove_idle(traffic, conn);
+        pool_check(traffic, conn, TRAFFIC_ACTION_PROVE);
+    }
+}
+
+// Tends idle connections and, while sessions use the database, keeps spares
+// open. Called once in each probe interval and when that may have changed.
+void
+pool_tend(struct traffic *traffic)
+{
+    for (uint32_t i = 0; i < traffic->conns_count; i++) {
+        if (traffic->conns[i].state == CONN_IDLE) {
+            pool_tend_idle(traffic, &traffic->conns[i]);
+        }
+    }
+    if (traffic->sessions.count == 0) {
+        return;
+    }
+    for (uint32_t i = 0; i < traffic->candidates_count; i++) {
+        pool_keep_spares(traffic, traffic->candidates[i]);
+    }
+}
--- /dev/null
+++ b/test/replay/test_replay_failover.c
@@ -0,0 +1,495 @@
+#include <check.h>
+
+#include "catkingrade/kernel/memory.h"
+#include "catkingrade/kernel/outcome.h"
+#include "test/fake/fleet.h"
+#include "test/suite.h"
+
+#define MS         INT64_C(1000)
+#define S          INT64_C(1000000)
+#define START_US   (6 * S)
+#define OLD        0 // place of the first primary
+#define CUT_ENTRY  0
+#define FREE_ENTRY 1
+
+static const struct fleet_params house = {
+    .seed = 1,
+    .voters = 3,
+    .entries = 4,
+    .upstreams = 3,
+    .domain_delay_us = 1500,
+    .promotion = "wait",
+    .drift_ppm = 10000,
+};
+
+static void
+check_promises(struct fleet *fleet)
+{
+    fleet_check_end(fleet);
+    ck_assert_str_eq(fleet->violation, "");
+}
+
+// A fleet whose entries save to the first primary.
+static struct fleet *
+start_fleet(const struct fleet_params *params)
+{
+    struct fleet *fleet = fleet_create(params);
+
+    fleet_run(fleet, START_US);
+    ck_assert_int_eq(fleet_get_primary(fleet), OLD);
+    ck_assert_uint_eq(fleet_get_database(fleet)->term, 1);
+    for (int i = 0; i < params->entries; i++) {
+        ck_assert_uint_gt(fleet->entries[i].acknowledged, 0);
+    }
+    return fleet;
+}
+
+START_TEST(test_one_voter_serves)
+{
+    struct fleet_params params = house;
+
+    params.voters = 1;
+    struct fleet *fleet = start_fleet(&params);
+    ck_assert_uint_eq(group_get_daemons_count(fleet->voters[0].group),
+                      (size_t)params.entries);
+    check_promises(fleet);
+    fleet_destroy(fleet);
+}
+END_TEST
+
+// A fault, what becomes of the database, and within which time saves succeed
+// again.
+struct scenario {
+    const char *name;
+    bool kill;             // the primary's process
+    bool silence;          // the primary's host
+    bool cut_from_control; // the primary, which entries still reach
+    bool cut_entry;        // an entry, from all but the primary
+    bool lose_leader;      // of the control group
+    bool slow_answers;     // of control to that entry
+    int64_t limit_us;
+};
+
+static const struct scenario scenarios[] = {
+    {.name = "process death", .kill = true, .limit_us = 1000 * MS},
+    {.name = "silent host", .silence = true, .limit_us = 2500 * MS},
+    {.name = "cut off, reachable by entries",
+     .cut_from_control = true,
+     .limit_us = 2500 * MS},
+    {.name = "cut off together with an entry",
+     .cut_from_control = true,
+     .cut_entry = true,
+     .limit_us = 2500 * MS},
+    {.name = "cut off together with an entry, which control answers late",
+     .cut_from_control = true,
+     .cut_entry = true,
+     .slow_answers = true,
+     .limit_us = 2500 * MS},
+    {.name = "process death, control leader lost",
+     .kill = true,
+     .lose_leader = true,
+     .limit_us = 4000 * MS},
+    {.name = "silent host, control leader lost",
+     .silence = true,
+     .lose_leader = true,
+     .limit_us = 4000 * MS},
+};
+
+static void
+break_fleet(struct fleet *fleet, const struct scenario *scenario)
+{
+    int entry = fleet_entry_node(fleet, CUT_ENTRY);
+
+    if (scenario->kill) {
+        fleet_kill_upstream(fleet, OLD);
+    }
+    if (scenario->silence) {
+        fleet_silence(fleet, fleet_upstream_node(fleet, OLD));
+    }
+    if (scenario->cut_from_control) {
+        fleet_cut_from_control(fleet, OLD, true);
+    }
+    for (int i = 0; scenario->cut_entry && i < fleet->params.voters; i++) {
+        fleet_set_cut(fleet, entry, fleet_voter_node(i), true);
+    }
+    if (scenario->lose_leader) {
+        fleet_silence(fleet, fleet_voter_node(fleet_get_leader(fleet)));
+    }
+}
+
+START_TEST(test_failover)
+{
+    const struct scenario *scenario = &scenarios[_i];
+    struct fleet *fleet = start_fleet(&house);
+    if (scenario->slow_answers) {
+        for (int i = 0; i < fleet->params.voters; i++) {
+            network_set_delay(fleet->network, fleet_voter_node(i),
+                              fleet_entry_node(fleet, CUT_ENTRY), 200 * MS);
+        }
+        fleet_run(fleet, 2 * S);
+    }
+    int64_t fault_us = network_get_now_us(fleet->network);
+    break_fleet(fleet, scenario);
+    int64_t saved_us = fleet_run_until_saved(fleet, FREE_ENTRY, 2, 20 * S);
+    ck_assert_msg(saved_us > 0, "%s: no save in the new term", scenario->name);
+    ck_assert_msg(saved_us - fault_us <= scenario->limit_us,
+                  "%s: gap of %ld us", scenario->name,
+                  (long)(saved_us - fault_us));
+    fleet_run(fleet, 3 * S);
+    ck_assert_int_ne(fleet_get_primary(fleet), OLD);
+    ck_assert_uint_eq(fleet_get_database(fleet)->term, 2);
+    check_promises(fleet);
+    fleet_destroy(fleet);
+}
+END_TEST
+
+START_TEST(test_quotas_are_lent)
+{
+    struct fleet *fleet = start_fleet(&house);
+    unsigned slots = 0;
+
+    for (int i = 0; i < house.entries; i++) {
+        const struct ck_quota *quota = &fleet->entries[i].quotas[OLD];
+        ck_assert_uint_ge(quota->slots, quota->guaranteed_slots);
+        ck_assert_uint_gt(quota->guaranteed_connections, 0);
+        slots += quota->slots;
+    }
+    ck_assert_uint_gt(slots, 0);
+    check_promises(fleet);
+    fleet_destroy(fleet);
+}
+END_TEST
+
+START_TEST(test_returning_primary_is_fenced_and_follows)
+{
+    struct fleet *fleet = start_fleet(&house);
+    struct fleet_upstream *old = &fleet->upstreams[OLD];
+
+    fleet_kill_upstream(fleet, OLD);
+    ck_assert(fleet_run_until_saved(fleet, FREE_ENTRY, 2, 5 * S) > 0);
+    fleet_run(fleet, 3 * S);
+    ck_assert_int_eq(
+        group_find_upstream(fleet->voters[fleet_get_leader(fleet)].group, "u0")
+            ->state,
+        CK_UPSTREAM_LOST);
+    fleet_revive_upstream(fleet, OLD);
+    fleet_run(fleet, 3 * S);
+    ck_assert(old->was_fenced);
+    ck_assert(!old->is_primary);
+    ck_assert_int_eq(old->follows, fleet_get_primary(fleet));
+    ck_assert_uint_eq(old->timeline, 2);
+    ck_assert_uint_eq(fleet_get_database(fleet)->term, 2);
+    check_promises(fleet);
+    fleet_destroy(fleet);
+}
+END_TEST
+
+START_TEST(test_second_failover_needs_more_evidence)
+{
+    struct fleet *fleet = start_fleet(&house);
+
+    fleet_kill_upstream(fleet, OLD);
+    ck_assert(fleet_run_until_saved(fleet, FREE_ENTRY, 2, 5 * S) > 0);
+    fleet_revive_upstream(fleet, OLD);
+    fleet_run(fleet, 5 * S);
+    int second = fleet_get_primary(fleet);
+    int64_t fault_us = network_get_now_us(fleet->network);
+    fleet_kill_upstream(fleet, second);
+    int64_t saved_us = fleet_run_until_saved(fleet, FREE_ENTRY, 3, 20 * S);
+    ck_assert(saved_us > 0);
+    // Twice the suspicion time at least, where the first took 0.1 s.
+    ck_assert_int_ge(saved_us - fault_us, 1000 * MS);
+    check_promises(fleet);
+    fleet_destroy(fleet);
+}
+END_TEST
+
+START_TEST(test_switchover_has_no_unknown_outcome)
+{
+    struct fleet *fleet = start_fleet(&house);
+
+    fleet_command(fleet, CK_COMMAND_SWITCHOVER, 2);
+    ck_assert(fleet_run_until_saved(fleet, FREE_ENTRY, 2, 5 * S) > 0);
+    fleet_run(fleet, 1 * S);
+    ck_assert(fleet->command_answered);
+    ck_assert_int_eq(fleet->command_outcome, OUTCOME_OK);
+    ck_assert_int_eq(fleet_get_primary(fleet), 2);
+    ck_assert_int_eq(fleet->upstreams[OLD].follows, 2);
+    ck_assert_uint_eq(fleet_count_unknown(fleet), 0);
+    // Asked for again, it is done already.
+    fleet_command(fleet, CK_COMMAND_SWITCHOVER, 2);
+    ck_assert(fleet->command_answered);
+    ck_assert_int_eq(fleet->command_outcome, OUTCOME_OK);
+    ck_assert_uint_eq(fleet_get_database(fleet)->term, 2);
+    check_promises(fleet);
+    fleet_destroy(fleet);
+}
+END_TEST
+
+START_TEST(test_switchover_to_a_lagging_target_is_given_up)
+{
+    struct fleet *fleet = start_fleet(&house);
+
+    fleet_set_cut(fleet, fleet_upstream_node(fleet, OLD),
+                  fleet_upstream_node(fleet, 2), true);
+    fleet_run(fleet, 100 * MS);
+    fleet_command(fleet, CK_COMMAND_SWITCHOVER, 2);
+    ck_assert(fleet_run_until_saved(fleet, FREE_ENTRY, 2, 10 * S) > 0);
+    ck_assert(fleet->command_answered);
+    ck_assert_int_eq(fleet->command_outcome, OUTCOME_TIMEOUT);
+    ck_assert_int_eq(fleet_get_primary(fleet), OLD);
+    ck_assert_uint_eq(fleet_count_unknown(fleet), 0);
+    check_promises(fleet);
+    fleet_destroy(fleet);
+}
+END_TEST
+
+START_TEST(test_leaving_primary_hands_over)
+{
+    struct fleet *fleet = start_fleet(&house);
+
+    fleet->upstreams[OLD].is_leaving = true;
+    ck_assert(fleet_run_until_saved(fleet, FREE_ENTRY, 2, 2 * S) > 0);
+    ck_assert_int_ne(fleet_get_primary(fleet), OLD);
+    ck_assert_uint_eq(fleet_count_unknown(fleet), 0);
+    check_promises(fleet);
+    fleet_destroy(fleet);
+}
+END_TEST
+
+// Two of three upstreams are lost, so that no replica is known to be complete.
+static struct fleet *
+start_incomplete(const char *promotion)
+{
+    struct fleet_params params = house;
+
+    params.promotion = promotion;
+    struct fleet *fleet = start_fleet(&params);
+    fleet_kill_upstream(fleet, OLD);
+    fleet_kill_upstream(fleet, 1);
+    fleet_run(fleet, 5 * S);
+    ck_assert(fleet_get_database(fleet)->superseding);
+    ck_assert_uint_eq(fleet->waits_count, 1);
+    return fleet;
+}
+
+START_TEST(test_incomplete_replica_waits)
+{
+    struct fleet *fleet = start_incomplete("wait");
+
+    fleet_command(fleet, CK_COMMAND_PROMOTE, 2);
+    ck_assert(fleet->command_answered);
+    ck_assert_int_eq(fleet->command_outcome, OUTCOME_DENIED);
+    fleet_run(fleet, 3 * S);
+    ck_assert(fleet_get_database(fleet)->superseding);
+    // The other replica returns: together they are complete.
+    fleet_revive_upstream(fleet, 1);
+    ck_assert(fleet_run_until_saved(fleet, FREE_ENTRY, 2, 5 * S) > 0);
+    ck_assert_int_ne(fleet_get_primary(fleet), OLD);
+    check_promises(fleet);
+    fleet_destroy(fleet);
+}
+END_TEST
+
+START_TEST(test_returning_primary_serves_again)
+{
+    struct fleet *fleet = start_incomplete("wait");
+
+    fleet_revive_upstream(fleet, OLD);
+    ck_assert(fleet_run_until_saved(fleet, FREE_ENTRY, 2, 5 * S) > 0);
+    ck_assert_int_eq(fleet_get_primary(fleet), OLD);
+    check_promises(fleet);
+    fleet_destroy(fleet);
+}
+END_TEST
+
+START_TEST(test_operator_promotes_incomplete_replica)
+{
+    struct fleet *fleet = start_incomplete("operator");
+
+    fleet_command(fleet, CK_COMMAND_PROMOTE, 2);
+    fleet_run(fleet, 1 * S);
+    ck_assert(fleet->command_answered);
+    ck_assert_int_eq(fleet->command_outcome, OUTCOME_OK);
+    ck_assert_int_eq(fleet_get_primary(fleet), 2);
+    fleet_destroy(fleet);
+}
+END_TEST
+
+START_TEST(test_slow_primary_is_not_lost)
+{
+    struct fleet *fleet = start_fleet(&house);
+    int primary = fleet_upstream_node(fleet, OLD);
+    int nodes = house.voters + house.entries + house.upstreams;
+
+    for (int i = 0; i < nodes; i++) {
+        network_set_delay(fleet->network, i, primary, 60 * MS);
+        network_set_delay(fleet->network, primary, i, 60 * MS);
+    }
+    fleet_run(fleet, 20 * S);
+    ck_assert_uint_eq(fleet->superseded_count, 0);
+    ck_assert_uint_eq(fleet_get_database(fleet)->term, 1);
+    check_promises(fleet);
+    fleet_destroy(fleet);
+}
+END_TEST
+
+START_TEST(test_one_entry_alone_is_no_evidence)
+{
+    struct fleet *fleet = start_fleet(&house);
+
+    fleet_set_cut(fleet, fleet_entry_node(fleet, CUT_ENTRY),
+                  fleet_upstream_node(fleet, OLD), true);
+    fleet_run(fleet, 20 * S);
+    ck_assert_uint_eq(fleet->superseded_count, 0);
+    check_promises(fleet);
+    fleet_destroy(fleet);
+}
+END_TEST
+
+START_TEST(test_primary_lost_to_all_entries)
+{
+    struct fleet *fleet = start_fleet(&house);
+
+    for (int i = 0; i < house.entries; i++) {
+        fleet_set_cut(fleet, fleet_entry_node(fleet, i),
+                      fleet_upstream_node(fleet, OLD), true);
+    }
+    ck_assert(fleet_run_until_saved(fleet, FREE_ENTRY, 2, 5 * S) > 0);
+    check_promises(fleet);
+    fleet_destroy(fleet);
+}
+END_TEST
+
+START_TEST(test_minority_with_leader_and_primary)
+{
+    struct fleet *fleet = start_fleet(&house);
+    int leader = fleet_get_leader(fleet);
+    int minority[] = {fleet_voter_node(leader),
+                      fleet_entry_node(fleet, CUT_ENTRY),
+                      fleet_upstream_node(fleet, OLD)};
+    struct fleet_entry *cut = &fleet->entries[CUT_ENTRY];
+
+    fleet_isolate(fleet, minority, ARRAY_SIZE(minority));
+    ck_assert(fleet_run_until_saved(fleet, FREE_ENTRY, 2, 8 * S) > 0);
+    size_t acknowledged = cut->acknowledged;
+    ck_assert_int_ne(fleet_get_leader(fleet), leader);
+    fleet_run(fleet, 5 * S);
+    ck_assert_uint_eq(cut->acknowledged, acknowledged);
+    // The stale leader returns, and so does the old primary.
+    fleet_mend(fleet);
+    ck_assert(fleet_run_until_saved(fleet, CUT_ENTRY, 2, 8 * S) > 0);
+    fleet_run(fleet, 3 * S);
+    ck_assert(!fleet->upstreams[OLD].is_primary);
+    check_promises(fleet);
+    fleet_destroy(fleet);
+}
+END_TEST
+
+START_TEST(test_entry_restarts)
+{
+    struct fleet *fleet = start_fleet(&house);
+
+    fleet_restart_entry(fleet, CUT_ENTRY);
+    ck_assert(fleet_run_until_saved(fleet, CUT_ENTRY, 1, 2 * S) > 0);
+    // A restarted entry's old lease still counts in a failover.
+    fleet_restart_entry(fleet, CUT_ENTRY);
+    fleet_kill_upstream(fleet, OLD);
+    ck_assert(fleet_run_until_saved(fleet, CUT_ENTRY, 2, 5 * S) > 0);
+    check_promises(fleet);
+    fleet_destroy(fleet);
+}
+END_TEST
+
+#define RANDOM_SEEDS  40 // FLEET_SEEDS in the environment for a longer run
+#define RANDOM_FAULTS 12
+
+// Brings about one random fault, or mends some.
+static void
+break_at_random(struct fleet *fleet)
+{
+    int nodes = house.voters + house.entries + house.upstreams;
+    int one = (int)(network_get_random(fleet->network) % (uint64_t)nodes);
+    int other = (int)(network_get_random(fleet->network) % (uint64_t)nodes);
+    int upstream = one % house.upstreams;
+
+    switch (network_get_random(fleet->network) % 6) {
+    case 0:
+    case 1:
+        if (one != other) {
+            fleet_set_cut(fleet, one, other, true);
+        }
+        break;
+    case 2:
+        fleet_isolate(fleet, &one, 1);
+        break;
+    case 3:
+        fleet_kill_upstream(fleet, upstream);
+        break;
+    case 4:
+        fleet_restart_entry(fleet, one % house.entries);
+        break;
+    default:
+        fleet_mend(fleet);
+        fleet_revive_upstream(fleet, upstream);
+        break;
+    }
+}
+
+START_TEST(test_random_faults)
+{
+    struct fleet_params params = house;
+    struct network_faults faults = {
+        .delay_max_us = 3 * MS, .drop_ppm = 20000, .double_ppm = 20000};
+
+    params.seed = (uint64_t)_i + 100;
+    struct fleet *fleet = fleet_create(&params);
+    fleet_run(fleet, START_US);
+    network_set_faults(fleet->network, &faults);
+    for (int i = 0; i < RANDOM_FAULTS; i++) {
+        break_at_random(fleet);
+        fleet_run(fleet, (int64_t)(network_get_random(fleet->network) %
+                                   (uint64_t)(2 * S)));
+        ck_assert_msg(fleet->violation[0] == '\0', "seed %d: %s", _i,
+                      fleet->violation);
+    }
+    fleet_mend(fleet);
+    for (int i = 0; i < house.upstreams; i++) {
+        fleet_revive_upstream(fleet, i);
+    }
+    ck_assert_msg(fleet_run_until_saved(fleet, FREE_ENTRY, 1, 30 * S) > 0,
+                  "seed %d: no save after all was mended", _i);
+    fleet_run(fleet, 2 * S);
+    fleet_check_end(fleet);
+    ck_assert_msg(fleet->violation[0] == '\0', "seed %d: %s", _i,
+                  fleet->violation);
+    fleet_destroy(fleet);
+}
+END_TEST
+
+static void
+add_tests(TCase *tests)
+{
+    const char *wanted = getenv("FLEET_SEEDS");
+    int seeds = wanted == NULL ? RANDOM_SEEDS : atoi(wanted);
+
+    tcase_add_test(tests, test_one_voter_serves);
+    tcase_add_loop_test(tests, test_failover, 0, ARRAY_SIZE(scenarios));
+    tcase_add_test(tests, test_quotas_are_lent);
+    tcase_add_test(tests, test_returning_primary_is_fenced_and_follows);
+    tcase_add_test(tests, test_second_failover_needs_more_evidence);
+    tcase_add_test(tests, test_switchover_has_no_unknown_outcome);
+    tcase_add_test(tests, test_switchover_to_a_lagging_target_is_given_up);
+    tcase_add_test(tests, test_leaving_primary_hands_over);
+    tcase_add_test(tests, test_incomplete_replica_waits);
+    tcase_add_test(tests, test_returning_primary_serves_again);
+    tcase_add_test(tests, test_operator_promotes_incomplete_replica);
+    tcase_add_test(tests, test_slow_primary_is_not_lost);
+    tcase_add_test(tests, test_one_entry_alone_is_no_evidence);
+    tcase_add_test(tests, test_primary_lost_to_all_entries);
+    tcase_add_test(tests, test_minority_with_leader_and_primary);
+    tcase_add_test(tests, test_entry_restarts);
+    tcase_add_loop_test(tests, test_random_faults, 0, seeds);
+}
+
+TEST_MAIN("replay_failover", add_tests)
