feat(decide): lost upstreams cease to be members when that is safe

Problem: a lost upstream counted as a member for good, so after one repair under a new name no replica could be shown to be complete, and the next loss of a primary would have waited for ever. A primary that stayed in place after a term was ended raised the base to a position that no replica had confirmed. Solution: it is removed once every entry has applied its loss and as many other replicas as confirm a save hold what the primary held after that; the log refuses it during a failover.

--- a/src/catkingrade/decide/group_routing.c
+++ b/src/catkingrade/decide/group_routing.c
@@ -205,8 +205,30 @@
     group_refuse(result, OUTCOME_OK, group_touch(group, object), "announced");
 }
 
-// Marks an upstream as lost. It stays a member of its database: whether a
-// replica is complete depends on how many members there are.
+// Takes a lost upstream out of its database.
+static void
+group_remove_upstream(struct group_state *group, struct group_object *object,
+                      struct ck_upstream *own, struct group_result *result)
+{
+    struct ck_database *database = &object->database;
+    size_t place = (size_t)(own - database->upstreams.upstreams_val);
+
+    if (database->superseding || strcmp(database->primary, own->name) == 0) {
+        group_refuse(result, OUTCOME_CONFLICT, object->revision,
+                     "the upstream is needed for a failover");
+        return;
+    }
+    group_index_remove(group->index, GROUP_UPSTREAM, own->name);
+    codec_free((xdrproc_t)xdr_ck_upstream, own);
+    database->upstreams.upstreams_len--;
+    memmove(own, own + 1,
+            (database->upstreams.upstreams_len - place) * sizeof(*own));
+    group_refuse(result, OUTCOME_OK, group_touch(group, object), "removed");
+}
+
+// Marks an upstream as lost. It stays a member of its database, since whether
+// a replica is complete depends on how many members there are. A change that
+// names it as lost already takes it out.
 void
 group_apply_upstream_expire(struct group_state *group,
                             const struct ck_upstream *upstream,
@@ -218,13 +240,19 @@
         object == NULL
             ? NULL
             : group_search_upstreams(&object->database, upstream->name);
+    bool removal = upstream->state == CK_UPSTREAM_LOST;
 
     if (own == NULL) {
         group_refuse(result, OUTCOME_NOT_FOUND, 0, "no such upstream");
         return;
     }
-    if (own->state == CK_UPSTREAM_LOST) {
-        group_refuse(result, OUTCOME_OK, object->revision, "no change");
+    if (removal != (own->state == CK_UPSTREAM_LOST)) {
+        group_refuse(result, removal ? OUTCOME_CONFLICT : OUTCOME_OK,
+                     object->revision, "no change");
+        return;
+    }
+    if (removal) {
+        group_remove_upstream(group, object, own, result);
         return;
     }
     group_remove_address(group, own);
--- a/src/catkingrade/decide/leader.c
+++ b/src/catkingrade/decide/leader.c
@@ -24,6 +24,7 @@
     params->daemon_expiry_us = 600000000;
     params->probe_us = 100000;
     params->publish_us = 1000000;
+    params->remove_us = 60000000;
     params->delta_max_size_bytes = GROUP_DELTA_MAX_SIZE_BYTES;
 }
 
@@ -161,6 +162,22 @@
     }
 }
 
+// A removal that was refused may be prepared again.
+static void
+leader_settle_removal(struct leader *leader, const char *upstream_name)
+{
+    const struct ck_upstream *upstream =
+        group_find_upstream(leader->group, upstream_name);
+    struct leader_database *db =
+        upstream == NULL ? NULL
+                         : leader_find_database(leader, upstream->database);
+
+    if (db != NULL) {
+        db->is_removing = false;
+        db->is_removal_proposed = false;
+    }
+}
+
 // Undoes what a proposal had marked, so that it is made again when needed.
 static void
 leader_settle_proposal(struct leader *leader,
@@ -176,6 +193,7 @@
     case CK_CHANGE_UPSTREAM:
     case CK_CHANGE_UPSTREAM_EXPIRE:
         announce_settle(leader->announce, proposal->name);
+        leader_settle_removal(leader, proposal->name);
         break;
     case CK_CHANGE_CUSTOMER_STATE:
         if (outcome != OUTCOME_OK) {
@@ -218,31 +236,49 @@
     leader_free_proposal(proposal);
 }
 
+// Takes the removal of an upstream.
+static void
+leader_take_removal(struct leader *leader, const char *database_name)
+{
+    const struct ck_database *database =
+        group_find_database(leader->group, database_name);
+    struct leader_database *db = leader_find_database(leader, database_name);
+
+    if (database != NULL && db != NULL) {
+        (void)leader_sync_members(db, database);
+        db->is_removing = false;
+        db->is_removal_proposed = false;
+    }
+}
+
 // Takes a change of an upstream: a database without a term may get its first
 // primary, and one that came back must follow the present primary.
 static void
-leader_take_upstream(struct leader *leader, const char *name)
+leader_take_upstream(struct leader *leader, const struct ck_upstream *changed)
 {
+    const char *name = changed->name;
     const struct ck_upstream *upstream =
         group_find_upstream(leader->group, name);
     const struct ck_database *database =
-        upstream == NULL
-            ? NULL
-            : group_find_database(leader->group, upstream->database);
+        group_find_database(leader->group, changed->database);
 
-    if (database == NULL) {
+    if (database == NULL || upstream == NULL) {
+        leader_take_removal(leader, changed->database);
         return;
     }
     struct leader_database *db = leader_get_database(leader, database->name);
-    size_t place = (size_t)leader_find_member(database, name);
-    bool is_new = place >= db->members_count;
-    leader_sync_members(db, database);
-    struct leader_member *member = &db->members[place];
+    bool is_new = leader_sync_members(db, database);
+    struct leader_member *member =
+        &db->members[leader_find_member(database, name)];
     if ((is_new || member->was_lost) && upstream->state == CK_UPSTREAM_READY &&
         database->term > 0 && strcmp(database->primary, name) != 0) {
         member->needs_fence = true;
         member->needs_follow = true;
     }
+    if (upstream->state == CK_UPSTREAM_LOST && !member->was_lost) {
+        member->lost_us = leader->now_us;
+        member->lost_revision = database->revision;
+    }
     member->was_lost = upstream->state == CK_UPSTREAM_LOST;
     leader_run_database(leader, db);
 }
@@ -256,7 +292,7 @@
     switch (change->kind) {
     case CK_CHANGE_UPSTREAM:
     case CK_CHANGE_UPSTREAM_EXPIRE:
-        leader_take_upstream(leader, change->ck_change_u.upstream.name);
+        leader_take_upstream(leader, &change->ck_change_u.upstream);
         leader->publish_soon = true;
         break;
     case CK_CHANGE_TEMPLATE:
--- a/src/catkingrade/decide/leader.h
+++ b/src/catkingrade/decide/leader.h
@@ -24,7 +24,8 @@
     int64_t switchover_us;    // limit of a planned switchover
     int64_t daemon_expiry_us; // silence after which a daemon is forgotten
     int64_t probe_us;         // between two probes of a suspected upstream
-    int64_t publish_us;       // least time between two changes of routing
+    int64_t remove_us;  // a lost upstream stays a member for so long at least
+    int64_t publish_us; // least time between two changes of routing
     size_t delta_max_size_bytes;
     uint64_t seed;
 };
--- a/src/catkingrade/decide/leader_database.c
+++ b/src/catkingrade/decide/leader_database.c
@@ -36,6 +36,15 @@
     return db;
 }
 
+static void
+leader_free_members(struct leader_database *db)
+{
+    for (size_t i = 0; i < db->members_count; i++) {
+        free(db->members[i].name);
+    }
+    free(db->members);
+}
+
 // Frees all databases; commands that wait are told at once that they may
 // still take effect.
 void
@@ -49,7 +58,7 @@
                                   "this VM no longer leads");
         }
         suspicion_clear(&db->suspicion);
-        free(db->members);
+        leader_free_members(db);
         free(db->waits);
         free(db->target);
         free(db->name);
@@ -57,20 +66,59 @@
     }
 }
 
-// Makes room for upstreams that were announced since.
-void
+static struct leader_member *
+leader_search_members(const struct leader_database *db, const char *name)
+{
+    for (size_t i = 0; i < db->members_count; i++) {
+        if (strcmp(db->members[i].name, name) == 0) {
+            return &db->members[i];
+        }
+    }
+    return NULL;
+}
+
+static bool
+leader_are_members_in_place(const struct leader_database *db,
+                            const struct ck_database *database)
+{
+    bool same = db->members_count == database->upstreams.upstreams_len;
+
+    for (size_t i = 0; same && i < db->members_count; i++) {
+        same = strcmp(db->members[i].name,
+                      database->upstreams.upstreams_val[i].name) == 0;
+    }
+    return same;
+}
+
+// Brings the members in the order of the database's upstreams, of which some
+// may be new or gone. Returns whether there are others than before.
+bool
 leader_sync_members(struct leader_database *db,
                     const struct ck_database *database)
 {
     size_t count = database->upstreams.upstreams_len;
 
-    if (count <= db->members_count) {
-        return;
+    if (leader_are_members_in_place(db, database)) {
+        return false;
+    }
+    const char *candidate = db->candidate < (int)db->members_count
+                                ? db->members[db->candidate].name
+                                : "";
+    int place = leader_find_member(database, candidate);
+    struct leader_member *members = xcalloc(count, sizeof(*members));
+    for (size_t i = 0; i < count; i++) {
+        const char *name = database->upstreams.upstreams_val[i].name;
+        struct leader_member *known = leader_search_members(db, name);
+        if (known != NULL) {
+            members[i] = *known;
+        }
+        members[i].name = xstrdup(name);
     }
-    db->members = xrealloc(db->members, count * sizeof(*db->members));
-    memset(db->members + db->members_count, 0,
-           (count - db->members_count) * sizeof(*db->members));
+    leader_free_members(db);
+    db->members = members;
     db->members_count = count;
+    db->candidate = place < 0 ? 0 : place;
+    return true;
 }
 
 // Returns the place of an upstream in its database, or -1.
@@ -92,6 +140,10 @@
     bool recent = database->revision + LEADER_RECENT_REVISIONS >
                   group_get_revision(leader->group);
 
+    for (u_int i = 0; i < database->upstreams.upstreams_len; i++) {
+        recent = recent || database->upstreams.upstreams_val[i].state ==
+                               CK_UPSTREAM_LOST;
+    }
     if (!recent && !database->superseding && database->term > 0) {
         return true;
     }
@@ -102,6 +154,9 @@
             &database->upstreams.upstreams_val[i];
         bool replica = database->term > 0 &&
                        strcmp(upstream->name, database->primary) != 0;
+        db->members[i].was_lost = upstream->state == CK_UPSTREAM_LOST;
+        db->members[i].lost_us = leader->now_us;
+        db->members[i].lost_revision = database->revision;
         db->members[i].needs_fence = replica;
         db->members[i].needs_follow = replica;
     }
@@ -121,6 +176,7 @@
                  enum leader_phase phase)
 {
     db->phase = phase;
+    db->is_removing = false;
     db->phase_us = leader->now_us;
     for (size_t i = 0; i < db->members_count; i++) {
         struct leader_member *member = &db->members[i];
@@ -184,6 +240,7 @@
     }
     const struct ck_database *database =
         group_find_database(leader->group, db->name);
+    (void)leader_sync_members(db, database);
     struct leader_member *member =
         &db->members[leader_find_member(database, probe->upstream)];
     member->probing = false;
@@ -310,6 +367,7 @@
     else if (!leader_hand_over(leader, db, database)) {
         leader_watch(leader, db, database);
         leader_run_repairs(leader, db, database);
+        leader_run_removal(leader, db, database);
     }
 }
 
@@ -381,6 +439,7 @@
     }
     const struct ck_database *database =
         group_find_database(leader->group, db->name);
+    (void)leader_sync_members(db, database);
     struct leader_member *member =
         &db->members[leader_find_member(database, upstream_name)];
     member->repairing = false;
--- a/src/catkingrade/decide/leader_failover.c
+++ b/src/catkingrade/decide/leader_failover.c
@@ -243,7 +243,10 @@
     }
     db->candidate = place;
     if (member->is_primary) {
-        db->base = member->position;
+        // A primary that stays in place goes on with its timeline.
+        bool stays = strcmp(upstream->name, database->primary) == 0 &&
+                     member->position.timeline == database->base.timeline;
+        db->base = stays ? database->base : member->position;
         leader_propose_primary(leader, db, database);
         return;
     }
--- a/src/catkingrade/decide/leader_private.h
+++ b/src/catkingrade/decide/leader_private.h
@@ -44,6 +44,7 @@
 
 // What is known of one upstream of a database, in the database's order.
 struct leader_member {
+    char *name;
     bool probing;
     bool answered; // since the phase began
     bool failed;   // since the phase began
@@ -55,6 +56,9 @@
     struct ck_position position;
     struct ck_position seen; // the highest ever
     bool was_lost;
+    bool is_removing; // its removal is prepared
+    int64_t lost_us;
+    uint64_t lost_revision;
     bool needs_fence;
     bool needs_follow;
     bool repairing;
@@ -91,6 +95,11 @@
     char *target;           // name; NULL: the most advanced
     uint64_t command_token; // 0: no command to be answered
     int candidate;          // place of the next primary
+    // What the primary held when a removal was begun, once it is known.
+    bool is_removing;
+    bool is_removal_known;
+    bool is_removal_proposed;
+    struct ck_position removal;
     struct ck_position base;
 };
 
@@ -186,7 +195,7 @@
 void leader_choose_again(struct leader *leader, struct leader_database *db);
 void leader_set_phase(struct leader *leader, struct leader_database *db,
                       enum leader_phase phase);
-void leader_sync_members(struct leader_database *db,
+bool leader_sync_members(struct leader_database *db,
                          const struct ck_database *database);
 int leader_find_member(const struct ck_database *database, const char *name);
 void leader_probe_member(struct leader *leader, struct leader_database *db,
@@ -201,6 +210,10 @@
 void leader_take_suspicions(struct leader *leader, const char *vm,
                             const struct ck_renew_args *args);
 
+// Removal of lost upstreams; leader_removal.c.
+void leader_run_removal(struct leader *leader, struct leader_database *db,
+                        const struct ck_database *database);
+
 // Failover; leader_failover.c.
 void leader_supersede(struct leader *leader, struct leader_database *db,
                       const struct ck_database *database, const char *reason);
--- a/test/fake/fleet.h
+++ b/test/fake/fleet.h
@@ -34,6 +34,7 @@
     int64_t domain_delay_us; // one way, between failure domains
     const char *promotion;   // "wait" or "operator"
     int drift_ppm;           // of the entries' clocks, each its own sign
+    int64_t remove_us;       // 0: the usual value
 };
 
 // A database server.
--- a/test/fake/fleet_voter.c
+++ b/test/fake/fleet_voter.c
@@ -309,6 +309,9 @@
                          fleet->params.promotion);
     leader_params_init(&leader_params);
     leader_params.drift_ppm = 20000;
+    if (fleet->params.remove_us != 0) {
+        leader_params.remove_us = fleet->params.remove_us;
+    }
     own->leader = leader_create(&leader_params, own->group);
     own->raft = raft_create(&params, &saved, fleet_voter_now(fleet, voter));
     network_set_timer(fleet->network, fleet_voter_node(voter),
--- a/test/replay/test_replay_failover.c
+++ b/test/replay/test_replay_failover.c
@@ -401,6 +401,58 @@
 }
 END_TEST
 
+// Two of three upstreams are lost one after the other, with a repair between:
+// the lost replica is removed once the other holds all without it.
+START_TEST(test_second_loss_after_a_repair)
+{
+    struct fleet_params params = house;
+
+    params.remove_us = 5 * S;
+    struct fleet *fleet = start_fleet(&params);
+    fleet_kill_upstream(fleet, 2);
+    fleet_run(fleet, 4 * S);
+    ck_assert_uint_eq(fleet_get_database(fleet)->upstreams.upstreams_len, 3);
+    fleet_run(fleet, 5 * S);
+    ck_assert_uint_eq(fleet_get_database(fleet)->upstreams.upstreams_len, 2);
+    fleet_kill_upstream(fleet, OLD);
+    // It is promoted, and has nobody to confirm its saves.
+    fleet_run(fleet, 3 * S);
+    ck_assert_uint_eq(fleet_get_database(fleet)->term, 2);
+    ck_assert_int_eq(fleet_get_primary(fleet), 1);
+    // The first one comes back and confirms saves again.
+    fleet_revive_upstream(fleet, 2);
+    ck_assert(fleet_run_until_saved(fleet, FREE_ENTRY, 2, 5 * S) > 0);
+    ck_assert_uint_eq(fleet_get_database(fleet)->upstreams.upstreams_len, 3);
+    ck_assert_int_eq(fleet->upstreams[2].follows, 1);
+    check_promises(fleet);
+    fleet_destroy(fleet);
+}
+END_TEST
+
+START_TEST(test_lost_replica_stays_while_the_other_lags)
+{
+    struct fleet_params params = house;
+
+    params.remove_us = 5 * S;
+    struct fleet *fleet = start_fleet(&params);
+    // u2 confirms alone, then is lost before u1 has caught up.
+    fleet_set_cut(fleet, fleet_upstream_node(fleet, OLD),
+                  fleet_upstream_node(fleet, 1), true);
+    fleet_run(fleet, 500 * MS);
+    fleet_kill_upstream(fleet, 2);
+    fleet_run(fleet, 12 * S);
+    ck_assert_uint_eq(fleet_get_database(fleet)->upstreams.upstreams_len, 3);
+    fleet_kill_upstream(fleet, OLD);
+    fleet_run(fleet, 5 * S);
+    ck_assert(fleet_get_database(fleet)->superseding);
+    fleet_revive_upstream(fleet, 2);
+    ck_assert(fleet_run_until_saved(fleet, FREE_ENTRY, 2, 5 * S) > 0);
+    ck_assert_int_eq(fleet_get_primary(fleet), 2);
+    check_promises(fleet);
+    fleet_destroy(fleet);
+}
+END_TEST
+
 #define RANDOM_SEEDS  40 // FLEET_SEEDS in the environment for a longer run
 #define RANDOM_FAULTS 12
 
@@ -443,6 +495,7 @@
         .delay_max_us = 3 * MS, .drop_ppm = 20000, .double_ppm = 20000};
 
     params.seed = (uint64_t)_i + 100;
+    params.remove_us = _i % 2 == 0 ? 3 * S : 0;
     struct fleet *fleet = fleet_create(&params);
     fleet_run(fleet, START_US);
     network_set_faults(fleet->network, &faults);
@@ -472,7 +525,6 @@
 {
     const char *wanted = getenv("FLEET_SEEDS");
     int seeds = wanted == NULL ? RANDOM_SEEDS : atoi(wanted);
-
     tcase_add_test(tests, test_one_voter_serves);
     tcase_add_loop_test(tests, test_failover, 0, ARRAY_SIZE(scenarios));
     tcase_add_test(tests, test_quotas_are_lent);
@@ -489,6 +541,8 @@
     tcase_add_test(tests, test_primary_lost_to_all_entries);
     tcase_add_test(tests, test_minority_with_leader_and_primary);
     tcase_add_test(tests, test_entry_restarts);
+    tcase_add_test(tests, test_second_loss_after_a_repair);
+    tcase_add_test(tests, test_lost_replica_stays_while_the_other_lags);
     tcase_add_loop_test(tests, test_random_faults, 0, seeds);
 }
 
