fix(raft): an empty store stays passive until a leader vouches for its id

Problem: fresh was to be decided by the adapter, which can't know whether an id is new. Opening a group created its identity, so the second start after a lost disk no longer looked fresh, and the voter would have voted under its old identity; a voter added under a new id stayed passive for good. Cause: nothing in the store or the messages told a lost disk from a new member. Solution: a leader sends CK_RAFT_LEARNER (new in messages.x, additive) to a member without a vote that has not answered yet. A voter with an empty store that does not start a group answers and writes nothing until it gets that, and ignores one from its first election timeout, which may be older than its disk. A group is removed with its identity last. raft_get_voters returns an empty list instead of NULL. The pseudo-random sequence comes from decide/random.h. With ASan and UBSan test_raft, test_store and test_replay_raft pass.

--- a/src/catkingrade/decide/raft.c
+++ b/src/catkingrade/decide/raft.c
@@ -19,7 +19,7 @@
 
     raft->params = *params;
     raft->group = xstrdup(params->group);
-    raft->random_state = params->seed ^ (params->self * 0x9e3779b97f4a7c15);
+    raft->random_state = params->seed ^ (params->self << 32);
     raft->term = saved->term;
     raft->voted_for = saved->voted_for;
     raft->told_wake_us = -1;
@@ -30,8 +30,7 @@
     if (saved->has_snapshot) {
         raft_snapshot_load(raft, &saved->snapshot);
     }
-    else if (params->voters_count > 0 && saved->term == 0 &&
-             saved->entries_count == 0) {
+    else if (params->voters_count > 0 && !params->fresh) {
         struct ck_voters_change first;
         first.voters.voters_len = (u_int)params->voters_count;
         first.voters.voters_val = (ck_voter *)(uintptr_t)params->voters;
@@ -41,6 +40,8 @@
         raft_log_append(&raft->log, &saved->entries[i]);
         raft_add_config_of_entry(raft, &saved->entries[i]);
     }
+    raft->passive =
+        !saved->has_snapshot && (params->fresh || raft->configs_count == 0);
     raft->params.voters = NULL;
     raft->params.group = raft->group;
     return raft;
@@ -61,17 +62,6 @@
     free(raft);
 }
 
-// Returns the next number of the seeded sequence (splitmix64).
-uint64_t
-raft_get_random(struct raft *raft)
-{
-    uint64_t value = raft->random_state += 0x9e3779b97f4a7c15;
-
-    value = (value ^ (value >> 30)) * 0xbf58476d1ce4e5b9;
-    value = (value ^ (value >> 27)) * 0x94d049bb133111eb;
-    return value ^ (value >> 31);
-}
-
 // Appends an entry to the log and has it written.
 struct raft_slot *
 raft_append_entry(struct raft *raft, const struct ck_log_entry *entry)
@@ -128,12 +118,19 @@
     }
 }
 
+static bool
+raft_is_addressed(const struct raft *raft,
+                  const struct ck_raft_message *message)
+{
+    return message->to == raft->params.self &&
+           message->from != raft->params.self &&
+           strcmp(message->group, raft->group) == 0;
+}
+
 static void
 raft_handle_message(struct raft *raft, const struct ck_raft_message *message)
 {
-    if (message->to != raft->params.self ||
-        message->from == raft->params.self ||
-        strcmp(message->group, raft->group) != 0) {
+    if (!raft_is_addressed(raft, message)) {
         return;
     }
     switch (message->body.kind) {
@@ -158,6 +155,8 @@
     case CK_RAFT_TIMEOUT_NOW:
         raft_handle_timeout_now(raft, message);
         break;
+    case CK_RAFT_LEARNER:
+        break; // admitted before
     }
 }
 
@@ -213,16 +212,43 @@
     }
 }
 
-// A voter without its disk stays passive: it refuses proposals and answers
-// nothing.
+// A leader that gives this id no vote yet vouches that the id is new. From
+// here on it is a member, and its store shows that. A message that is older
+// than this process doesn't count.
+static void
+raft_admit(struct raft *raft, const struct ck_raft_message *message)
+{
+    if (raft->now_us < raft->no_vote_until_us ||
+        !raft_is_addressed(raft, message)) {
+        return;
+    }
+    raft->passive = false;
+    raft_snapshot_save_first(raft);
+    raft_hear_leader(raft, message);
+    raft->voted_for = message->from;
+    raft_save_state(raft);
+}
+
+// A voter with an empty store may have lost its disk. It refuses proposals,
+// answers nothing and writes nothing, so that it is passive again after a
+// restart.
 static void
 raft_step_passive(struct raft *raft, const struct raft_event *event)
 {
-    if (event->kind == RAFT_EVENT_PROPOSE) {
+    switch (event->kind) {
+    case RAFT_EVENT_MESSAGE:
+        if (event->message->body.kind == CK_RAFT_LEARNER) {
+            raft_admit(raft, event->message);
+        }
+        break;
+    case RAFT_EVENT_PROPOSE:
         raft_add_refused(raft, event->propose.token, OUTCOME_NOT_LEADER);
-    }
-    if (event->kind == RAFT_EVENT_CHANGE_VOTERS) {
+        break;
+    case RAFT_EVENT_CHANGE_VOTERS:
         raft_add_refused(raft, event->change_voters.token, OUTCOME_NOT_LEADER);
+        break;
+    default:
+        break;
     }
 }
 
@@ -233,12 +259,16 @@
 {
     raft->now_us = now_us > raft->now_us ? now_us : raft->now_us;
     raft->actions = actions;
-    if (raft->params.fresh) {
+    if (raft->passive) {
         raft_step_passive(raft, event);
+    }
+    else {
+        raft_snapshot_save_first(raft);
+        raft_handle_event(raft, event);
+    }
+    if (raft->passive) {
         return;
     }
-    raft_snapshot_save_first(raft);
-    raft_handle_event(raft, event);
     raft_tell_changes(raft, event->kind == RAFT_EVENT_TICK);
 }
 
@@ -277,14 +307,23 @@
     return raft_log_get_last_index(&raft->log);
 }
 
-// Returns the voters in force, which need not be committed yet; NULL when
-// this voter has not learned of any.
+// Returns the voters in force, which need not be committed yet. The list is
+// empty as long as this voter has not learned of any.
 const struct ck_voters_change *
 raft_get_voters(const struct raft *raft)
 {
+    static const struct ck_voters_change none;
     const struct raft_config *config = raft_get_config(raft);
 
-    return config != NULL ? &config->voters : NULL;
+    return config != NULL ? &config->voters : &none;
+}
+
+// True for a voter with an empty store that is no member: it waits until a
+// leader adds its id.
+bool
+raft_is_passive(const struct raft *raft)
+{
+    return raft->passive;
 }
 
 // Returns the newest snapshot, or NULL. The adapter's part is empty as long
--- a/src/catkingrade/decide/raft.h
+++ b/src/catkingrade/decide/raft.h
@@ -19,6 +19,7 @@
 uint64_t raft_get_term(const struct raft *raft);
 uint64_t raft_get_commit_index(const struct raft *raft);
 uint64_t raft_get_last_index(const struct raft *raft);
+bool raft_is_passive(const struct raft *raft);
 const struct ck_voters_change *raft_get_voters(const struct raft *raft);
 const struct raft_snapshot *raft_get_snapshot(const struct raft *raft);
 uint64_t raft_get_match_index(const struct raft *raft, uint64_t voter);
--- a/src/catkingrade/decide/raft_defs.h
+++ b/src/catkingrade/decide/raft_defs.h
@@ -138,11 +138,12 @@
     uint64_t snapshot_entries;  // a snapshot is taken after so many
     size_t snapshot_bytes;      // or so many bytes of entries
     uint64_t kept_entries;      // kept behind a snapshot for slow voters
-    // The store has no identity although the group exists: this voter has
-    // lost its disk and stays passive until it is added under a new id.
+    // The operator has not said that this starts a new group. With an empty
+    // store the voter may then have lost its disk, and stays passive until a
+    // leader adds its id as a new one. Not used when saved has a snapshot.
     bool fresh;
-    // The first voters of a new group; used only when saved is empty.
-    // A voter that joins later has none.
+    // The first voters of a new group; used only when saved is empty and
+    // fresh is false.
     const struct ck_voter *voters;
     size_t voters_count;
 };
--- a/src/catkingrade/decide/raft_election.c
+++ b/src/catkingrade/decide/raft_election.c
@@ -1,11 +1,13 @@
 #include "catkingrade/decide/raft_internal.h"
+#include "catkingrade/decide/random.h"
 #include "catkingrade/kernel/memory.h"
 #include "catkingrade/kernel/outcome.h"
 
 static int64_t
 raft_get_random_us(struct raft *raft, int64_t limit_us)
 {
-    return (int64_t)(raft_get_random(raft) % (uint64_t)(limit_us + 1));
+    return (int64_t)(random_next(&raft->random_state) %
+                     (uint64_t)(limit_us + 1));
 }
 
 // Arms the election timer with one to one and a half times the shortest
--- a/src/catkingrade/decide/raft_internal.h
+++ b/src/catkingrade/decide/raft_internal.h
@@ -60,6 +60,7 @@
     uint64_t term;
     uint64_t voted_for;
     enum raft_role role;
+    bool passive;  // an empty store: no member, or not known to be one
     bool pre_vote; // a candidate that asks for pre-votes
     bool transfer_vote;
     uint64_t leader;
@@ -100,7 +101,6 @@
 void raft_save_state(struct raft *raft);
 
 // raft.c
-uint64_t raft_get_random(struct raft *raft);
 struct raft_slot *raft_append_entry(struct raft *raft,
                                     const struct ck_log_entry *entry);
 void raft_truncate(struct raft *raft, uint64_t from_index);
--- a/src/catkingrade/decide/raft_leader.c
+++ b/src/catkingrade/decide/raft_leader.c
@@ -63,12 +63,27 @@
     raft_leader_advance(raft);
 }
 
+// Tells one that has no vote yet, and has not answered so far, that its id is
+// a new one.
+static void
+raft_send_learner(struct raft *raft, const struct raft_peer *peer)
+{
+    const struct ck_raft_body body = {.kind = CK_RAFT_LEARNER};
+
+    if (!peer->voting && peer->match_index == 0) {
+        raft_send(raft, peer->id, raft->term, &body);
+    }
+}
+
 // Sends what each voter lacks; heartbeat: something to each one.
 void
 raft_leader_send_all(struct raft *raft, bool heartbeat)
 {
     raft->send_pending = false;
     for (size_t i = 0; i < raft->peers_count; i++) {
+        if (heartbeat) {
+            raft_send_learner(raft, &raft->peers[i]);
+        }
         raft_peer_send(raft, &raft->peers[i], heartbeat);
     }
 }
--- a/src/catkingrade/decide/raft_snapshot.c
+++ b/src/catkingrade/decide/raft_snapshot.c
@@ -148,15 +148,14 @@
 }
 
 // Has a new group's first voters stored, as the snapshot at index 0, so that
-// later settings can't change them.
+// later settings can't change them. A voter that joins stores none.
 void
 raft_snapshot_save_first(struct raft *raft)
 {
     const struct raft_snapshot_taken taken = {0};
     struct raft_snapshot snapshot = {0};
 
-    if (raft->has_snapshot || raft->configs_count == 0 ||
-        raft->configs[0].index != 0) {
+    if (raft->has_snapshot) {
         return;
     }
     raft_snapshot_build(raft, 0, &taken, &snapshot);
--- a/src/catkingrade/rpc/messages.h
+++ b/src/catkingrade/rpc/messages.h
@@ -384,6 +384,7 @@
 	CK_RAFT_SNAPSHOT = 5,
 	CK_RAFT_SNAPSHOT_RESULT = 6,
 	CK_RAFT_TIMEOUT_NOW = 7,
+	CK_RAFT_LEARNER = 8,
 };
 typedef enum ck_raft_kind ck_raft_kind;
 
--- a/src/catkingrade/rpc/messages.x
+++ b/src/catkingrade/rpc/messages.x
@@ -316,7 +316,8 @@
     CK_RAFT_APPEND_RESULT = 4,
     CK_RAFT_SNAPSHOT = 5,
     CK_RAFT_SNAPSHOT_RESULT = 6,
-    CK_RAFT_TIMEOUT_NOW = 7
+    CK_RAFT_TIMEOUT_NOW = 7,
+    CK_RAFT_LEARNER = 8             /* the receiver's id is new: no vote yet */
 };
 
 struct ck_raft_vote {
@@ -375,6 +376,7 @@
 case CK_RAFT_SNAPSHOT_RESULT:
     ck_raft_snapshot_result snapshot_result;
 case CK_RAFT_TIMEOUT_NOW:
+case CK_RAFT_LEARNER:
     void;
 };
 
--- a/src/catkingrade/rpc/messages_xdr.c
+++ b/src/catkingrade/rpc/messages_xdr.c
@@ -1068,6 +1068,7 @@
 			 return FALSE;
 		break;
 	case CK_RAFT_TIMEOUT_NOW:
+	case CK_RAFT_LEARNER:
 		break;
 	default:
 		return FALSE;
--- a/src/catkingrade/store/store.h
+++ b/src/catkingrade/store/store.h
@@ -40,8 +40,8 @@
 void store_close(struct store *store);
 uint64_t store_get_id(const struct store *store);
 
-// True when the folder holds state of the group. A voter of a group that
-// exists elsewhere, but not here, has lost its disk.
+// True when the folder holds state that the group's voter has written. A
+// voter of a group that exists elsewhere, but not here, has lost its disk.
 bool store_has_group(const struct store *store, const char *group);
 // Opens a group or creates it. OUTCOME_DENIED: the folder holds the group's
 // state of another voter id. saved is what raft_create takes.
--- a/src/catkingrade/store/store_group.c
+++ b/src/catkingrade/store/store_group.c
@@ -22,33 +22,39 @@
     INVARIANT(length > 0 && length < STORE_PATH_SIZE);
 }
 
-// Tells whether the folder holds state of the group.
+static bool
+store_has_files(const char *dir, const char *prefix)
+{
+    uint64_t *numbers;
+    size_t count;
+
+    (void)store_list(dir, prefix, &numbers, &count);
+    free(numbers);
+    return count > 0;
+}
+
+// Tells whether the folder holds state of the group. A group that was opened
+// and never written to has none.
 bool
 store_has_group(const struct store *store, const char *group)
 {
     char dir[STORE_PATH_SIZE];
-    char path[STORE_PATH_SIZE];
 
     store_group_format_dir(store, group, dir);
-    store_format_path(path, dir, "identity");
-    return access(path, F_OK) == 0;
+    return store_has_files(dir, "snapshot-") || store_has_files(dir, "log-");
 }
 
 static int
 store_group_create(struct store *store, const char *dir, const char *name,
                    uint64_t voter, struct store_image *image)
 {
-    uint64_t *numbers;
-    size_t count = 0;
     int outcome = store_make_dir(dir);
 
     if (outcome != OUTCOME_OK) {
         return outcome;
     }
-    outcome = store_list(dir, "log-", &numbers, &count);
-    free(numbers);
-    if (outcome != OUTCOME_OK || count > 0) {
-        return outcome != OUTCOME_OK ? outcome : OUTCOME_CORRUPT;
+    if (store_has_group(store, name)) {
+        return OUTCOME_CORRUPT; // its identity is lost
     }
     image->identity.folder = store->identity.folder;
     image->identity.voter = voter;
@@ -256,22 +262,22 @@
     const struct dirent *item;
 
     store_group_format_dir(store, name, dir);
-    // Without an identity the rest is no group anymore, also after a crash.
-    store_format_path(path, dir, "identity");
-    if (unlink(path) != 0 && errno != ENOENT) {
-        return store_get_errno_outcome(errno);
-    }
     DIR *folder = opendir(dir);
     if (folder == NULL) {
         return store_get_errno_outcome(errno);
     }
     while ((item = readdir(folder)) != NULL) {
-        if (item->d_name[0] != '.') {
+        if (item->d_name[0] != '.' && strcmp(item->d_name, "identity") != 0) {
             store_format_path(path, dir, item->d_name);
             (void)unlink(path);
         }
     }
     (void)closedir(folder);
+    // The identity goes last: a crash before leaves a group of that voter.
+    store_format_path(path, dir, "identity");
+    if (unlink(path) != 0 && errno != ENOENT) {
+        return store_get_errno_outcome(errno);
+    }
     return store_sync_dir(dir);
 }
 
--- a/test/contract/test_store.c
+++ b/test/contract/test_store.c
@@ -262,8 +262,7 @@
     ck_assert_int_eq(fixture_open(&fixture), OUTCOME_OK);
     ck_assert_uint_eq(fixture.saved.term, 0);
     ck_assert(!fixture.saved.has_snapshot);
-    ck_assert(store_has_group(fixture.store, "fleet"));
-    ck_assert(!store_has_group(fixture.store, "noord"));
+    ck_assert(!store_has_group(fixture.store, "fleet")); // opened only
     uint64_t id = store_get_id(fixture.store);
     ck_assert_int_eq(store_save_state(fixture.group, 3, 2), OUTCOME_OK);
     append_synced(&fixture, 1, 8, 3);
@@ -278,6 +277,8 @@
     ck_assert_uint_eq(fixture.saved.voted_for, 0);
     check_entries(&fixture, 1, 6, 3);
     append_synced(&fixture, 7, 7, 4);
+    ck_assert(store_has_group(fixture.store, "fleet"));
+    ck_assert(!store_has_group(fixture.store, "noord"));
     fixture_destroy(&fixture);
 }
 END_TEST
--- a/test/fake/raft_group.c
+++ b/test/fake/raft_group.c
@@ -36,8 +36,7 @@
     int number;
     uint64_t id;
     bool up;
-    bool disk_lost;
-    bool renewed; // runs under a new id that may not be a voter yet
+    bool starts_group; // one of the first voters, until it has state
     struct raft *raft;
     struct disk disk;
     const struct raft_action *pending[4096]; // written and not synced
@@ -493,9 +492,9 @@
         .snapshot_entries = group->params.snapshot_entries,
         .snapshot_bytes = 1024 * 1024,
         .kept_entries = group->params.snapshot_entries / 2,
-        .fresh = node->disk_lost,
+        .fresh = !node->starts_group,
         .voters = group->voters,
-        .voters_count = node->renewed ? 0 : (size_t)group->params.voters_count,
+        .voters_count = (size_t)group->params.voters_count,
     };
     const struct raft_saved saved = {
         .term = node->disk.term,
@@ -593,6 +592,7 @@
     }
     for (int i = 0; i < params->voters_count; i++) {
         group->nodes[i].id = group->next_id++;
+        group->nodes[i].starts_group = true;
         group->node_of_id[group->nodes[i].id] = i;
         group->voters[i] = make_voter(group->nodes[i].id);
     }
@@ -787,7 +787,7 @@
 
     raft_group_crash(group, number);
     disk_free(&node->disk);
-    node->disk_lost = true;
+    node->starts_group = false;
     group->stats.disks_lost++;
 }
 
@@ -801,8 +801,7 @@
     INVARIANT(group->next_id < MAX_IDS);
     node->id = group->next_id++;
     group->node_of_id[node->id] = number;
-    node->disk_lost = false;
-    node->renewed = true;
+    node->starts_group = false;
     node_start(node);
 }
 
--- a/test/replay/test_replay_raft.c
+++ b/test/replay/test_replay_raft.c
@@ -232,6 +232,36 @@
 }
 END_TEST
 
+// What only the leader and a voter that has lost its disk held is not lost to
+// a third one that is behind, even while the leader is away.
+START_TEST(test_lost_disk_elects_nobody)
+{
+    struct raft_group *group = raft_group_create(&calm);
+    int leader = await_leader(group);
+    int lost = (leader + 1) % 3;
+    int behind = (leader + 2) % 3;
+
+    run_for(group, SECOND_US);
+    raft_group_crash(group, behind);
+    uint64_t token = raft_group_propose(group, leader);
+    run_for(group, SECOND_US);
+    ck_assert_uint_ne(raft_group_get_acknowledged(group, token), 0);
+    raft_group_lose_disk(group, lost);
+    raft_group_crash(group, leader);
+    for (int i = 0; i < 3; i++) { // empty at each start, so passive
+        raft_group_crash(group, lost);
+        raft_group_restart(group, lost);
+        raft_group_restart(group, behind);
+        run_for(group, 3 * SECOND_US);
+        ck_assert(raft_is_passive(raft_group_get_raft(group, lost)));
+        ck_assert_int_eq(raft_group_find_leader(group), -1);
+    }
+    raft_group_restart(group, leader);
+    check_serves(group);
+    raft_group_destroy(group);
+}
+END_TEST
+
 START_TEST(test_old_ids_are_refused)
 {
     struct raft_group *group = raft_group_create(&calm);
@@ -346,6 +376,7 @@
     tcase_add_test(tests, test_far_behind);
     tcase_add_test(tests, test_transfer);
     tcase_add_test(tests, test_membership_and_disk_loss);
+    tcase_add_test(tests, test_lost_disk_elects_nobody);
     tcase_add_test(tests, test_old_ids_are_refused);
     tcase_add_test(tests, test_leader_removes_itself);
     tcase_add_test(tests, test_single_voter);
--- a/test/unit/decide/test_raft.c
+++ b/test/unit/decide/test_raft.c
@@ -22,7 +22,8 @@
 };
 
 static void
-fixture_start(struct fixture *fixture, const struct raft_saved *saved)
+fixture_start_as(struct fixture *fixture, const struct raft_saved *saved,
+                 bool fresh)
 {
     const struct raft_params params = {
         .group = "fleet",
@@ -36,6 +37,7 @@
         .max_in_flight_bytes = 100000,
         .snapshot_entries = 1000,
         .snapshot_bytes = 1000000,
+        .fresh = fresh,
         .voters = fixture->voters,
         .voters_count = 3,
     };
@@ -48,6 +50,12 @@
     fixture->raft = raft_create(&params, saved, 0);
 }
 
+static void
+fixture_start(struct fixture *fixture, const struct raft_saved *saved)
+{
+    fixture_start_as(fixture, saved, false);
+}
+
 static void
 fixture_destroy(struct fixture *fixture)
 {
@@ -527,6 +535,83 @@
 }
 END_TEST
 
+// With an empty store in a group that exists, a voter answers and writes
+// nothing until a leader says that its id is new.
+START_TEST(test_empty_store_is_passive)
+{
+    const struct ck_raft_body learner = {.kind = CK_RAFT_LEARNER};
+    struct ck_log_entry entry = make_entry(1, 1);
+    struct fixture fixture;
+
+    fixture_start_as(&fixture, &empty, true);
+    receive(&fixture, 2, 4, learner); // may be older than its disk
+    ck_assert(raft_is_passive(fixture.raft));
+    tick(&fixture, LONGEST_US);
+    ck_assert_uint_eq(fixture.actions.count, 0);
+    ck_assert_uint_eq(raft_get_voters(fixture.raft)->voters.voters_len, 0);
+    receive_vote(&fixture, 5, 1, false, false);
+    ck_assert_uint_eq(fixture.actions.count, 0);
+    receive_vote(&fixture, 5, 1, true, false);
+    ck_assert_uint_eq(fixture.actions.count, 0);
+    receive_append(&fixture, 5, 0, 0, 0, &entry, 1);
+    ck_assert_uint_eq(fixture.actions.count, 0);
+    ck_assert_int_eq(propose(&fixture, 10), OUTCOME_NOT_LEADER);
+    receive(&fixture, 2, 6, learner);
+    ck_assert(!raft_is_passive(fixture.raft));
+    const struct raft_action *first =
+        find(&fixture, RAFT_ACTION_SAVE_SNAPSHOT);
+    ck_assert_ptr_nonnull(first);
+    ck_assert_uint_eq(first->snapshot.index, 0);
+    ck_assert_uint_eq(find(&fixture, RAFT_ACTION_SAVE_STATE)->term, 6);
+    receive_append(&fixture, 6, 0, 0, 0, &entry, 1);
+    ck_assert_ptr_nonnull(find_sent(&fixture, CK_RAFT_APPEND_RESULT));
+    fixture_destroy(&fixture);
+}
+END_TEST
+
+// Its store then shows that it is a member, also after a restart.
+START_TEST(test_member_after_restart)
+{
+    const struct ck_raft_body learner = {.kind = CK_RAFT_LEARNER};
+    struct fixture fixture;
+    struct fixture again;
+
+    fixture_start_as(&fixture, &empty, true);
+    fixture.now_us = ELECTION_US;
+    receive(&fixture, 2, 6, learner);
+    const struct raft_saved saved = {
+        .term = 6,
+        .has_snapshot = true,
+        .snapshot = find(&fixture, RAFT_ACTION_SAVE_SNAPSHOT)->snapshot};
+    fixture_start_as(&again, &saved, true);
+    ck_assert(!raft_is_passive(again.raft));
+    again.now_us = ELECTION_US;
+    receive_append(&again, 6, 0, 0, 0, NULL, 0);
+    ck_assert_ptr_nonnull(find_sent(&again, CK_RAFT_APPEND_RESULT));
+    fixture_destroy(&fixture);
+    fixture_destroy(&again);
+}
+END_TEST
+
+// Only one without a vote is told that its id is new.
+START_TEST(test_only_learners_are_told)
+{
+    struct fixture fixture;
+    struct ck_voter voter = {4, (char *)"vm", (char *)"::1", 1, TRUE};
+
+    fixture_start(&fixture, &empty);
+    uint64_t round = lead(&fixture);
+    ck_assert_ptr_null(find_sent(&fixture, CK_RAFT_LEARNER));
+    receive_matched(&fixture, 2, round, 1);
+    ck_assert_int_eq(change_voters(&fixture, &voter, 0), OUTCOME_OK);
+    tick(&fixture, fixture.now_us + HEARTBEAT_US);
+    const struct ck_raft_message *sent = find_sent(&fixture, CK_RAFT_LEARNER);
+    ck_assert_ptr_nonnull(sent);
+    ck_assert_uint_eq(sent->to, 4);
+    fixture_destroy(&fixture);
+}
+END_TEST
+
 START_TEST(test_foreign_messages_are_ignored)
 {
     struct fixture fixture;
@@ -569,6 +654,9 @@
     tcase_add_test(tests, test_batches);
     tcase_add_test(tests, test_quorum_needs_recent_rounds);
     tcase_add_test(tests, test_transfer_ends_leases);
+    tcase_add_test(tests, test_empty_store_is_passive);
+    tcase_add_test(tests, test_member_after_restart);
+    tcase_add_test(tests, test_only_learners_are_told);
     tcase_add_test(tests, test_foreign_messages_are_ignored);
 }
 
