--- a/src/catkingrade/decide/raft.c
+++ b/src/catkingrade/decide/raft.c
@@ -8,6 +8,9 @@
 #include "catkingrade/kernel/outcome.h"
 #include "catkingrade/rpc/codec.h"
 
+// Sets the sequences of voters that share a seed apart.
+#define RAFT_SEED_STEP UINT64_C(0x9e3779b97f4a7c15)
+
 // Creates a voter from what its store holds. params and saved are copied.
 // It votes only after the shortest election timeout, since it may have
 // answered a leader just before it stopped. The first TICK starts it.
@@ -19,7 +22,7 @@
 
     raft->params = *params;
     raft->group = xstrdup(params->group);
-    raft->random_state = params->seed ^ (params->self << 32);
+    raft->random_state = params->seed ^ (params->self * RAFT_SEED_STEP);
     raft->term = saved->term;
     raft->voted_for = saved->voted_for;
     raft->told_wake_us = -1;
