test(replay): traces and random schedules of entries and upstreams

Problem: read-your-writes, at most once, truth of not_run, no mixing and limits hold only across several entries, upstreams and failovers, which unit tests of one machine do not bring about.

Solution: a fleet of traffic machines, stand-in database logs and a simple control on the fake network, with checkers after each action and at the end; six traces as JSON lines with stated outcomes (roaming, failover, superseded primary, transactions, silent paths, leaving and stop), and 40 random schedules of 1,500 steps with crashes, cuts, lags and roaming.

Not caught here but by unit programs: retry of saves, probe before the arrival, slots.

--- /dev/null
+++ b/test/replay/test_replay_traffic.c
@@ -0,0 +1,327 @@
+#include <check.h>
+#include <json-c/json.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "catkingrade/kernel/memory.h"
+#include "test/fake/traffic_fleet.h"
+#include "test/suite.h"
+
+#define LINE_SIZE 512
+#define END_US    (6000 * TF_MS_US)
+
+static const char *const traces[] = {
+    "roaming", "failover", "superseded", "transactions", "silent", "leaving",
+};
+
+static int64_t
+get_number(struct json_object *line, const char *key, int64_t fallback)
+{
+    struct json_object *value = NULL;
+
+    return json_object_object_get_ex(line, key, &value)
+               ? json_object_get_int64(value)
+               : fallback;
+}
+
+static const char *
+get_text(struct json_object *line, const char *key)
+{
+    struct json_object *value = NULL;
+
+    return json_object_object_get_ex(line, key, &value)
+               ? json_object_get_string(value)
+               : "";
+}
+
+static enum tf_outcome
+get_outcome(struct json_object *line)
+{
+    static const char *const names[] = {"", "done", "not_run", "unknown"};
+    const char *text = get_text(line, "outcome");
+
+    for (int i = 0; i < (int)ARRAY_SIZE(names); i++) {
+        if (strcmp(names[i], text) == 0) {
+            return (enum tf_outcome)i;
+        }
+    }
+    ck_abort_msg("no such outcome: %s", text);
+}
+
+static bool
+run_request(struct traffic_fleet *fleet, struct json_object *line, int number)
+{
+    static const struct {
+        const char *name;
+        enum traffic_class request_class;
+    } classes[] = {{"read", TRAFFIC_READ},
+                   {"write", TRAFFIC_WRITE},
+                   {"begin", TRAFFIC_BEGIN},
+                   {"insert", TRAFFIC_IN_TRANSACTION},
+                   {"commit", TRAFFIC_COMMIT}};
+
+    for (size_t i = 0; i < ARRAY_SIZE(classes); i++) {
+        if (strcmp(classes[i].name, get_text(line, "do")) != 0) {
+            continue;
+        }
+        int64_t max_age_ms = get_number(line, "max_age_ms", -1);
+        uint64_t id = traffic_fleet_request(
+            fleet, (uint64_t)get_number(line, "session", 0),
+            classes[i].request_class,
+            max_age_ms < 0 ? -1 : max_age_ms * TF_MS_US, false);
+        struct tf_request *request = &fleet->requests[id];
+        request->line = number;
+        request->expected = get_outcome(line);
+        request->expected_replica = (int)get_number(line, "replica", -1);
+        return true;
+    }
+    return false;
+}
+
+static bool
+run_session(struct traffic_fleet *fleet, struct json_object *line)
+{
+    const char *verb = get_text(line, "do");
+    const char *token = get_text(line, "token");
+    uint64_t session = (uint64_t)get_number(line, "session", 0);
+
+    if (strcmp(verb, "open") == 0) {
+        traffic_fleet_open(fleet, session,
+                           (uint32_t)get_number(line, "entry", 0),
+                           strcmp(token, "new") == 0   ? TF_TOKEN_NEW
+                           : strcmp(token, "own") == 0 ? TF_TOKEN_OWN
+                                                       : TF_TOKEN_NONE);
+        return true;
+    }
+    if (strcmp(verb, "close") == 0) {
+        traffic_fleet_close(fleet, session);
+        return true;
+    }
+    return false;
+}
+
+static bool
+run_upstream(struct traffic_fleet *fleet, struct json_object *line)
+{
+    const char *verb = get_text(line, "do");
+    uint32_t place = (uint32_t)get_number(line, "upstream", 0);
+    struct tf_upstream *up = &fleet->upstreams[place];
+
+    if (strcmp(verb, "lag") == 0) {
+        up->lag_us = get_number(line, "ms", 0) * TF_MS_US;
+    }
+    else if (strcmp(verb, "service") == 0) {
+        up->service_us = get_number(line, "ms", 0) * TF_MS_US;
+    }
+    else if (strcmp(verb, "crash") == 0) {
+        traffic_fleet_crash(fleet, place);
+    }
+    else if (strcmp(verb, "start") == 0) {
+        up->down = false;
+        up->is_primary = false;
+        up->follows = true;
+    }
+    else if (strcmp(verb, "stop_replication") == 0) {
+        up->lag_us = INT64_C(1) << 50;
+    }
+    else if (strcmp(verb, "leaving") == 0) {
+        fleet->states[place] = CK_UPSTREAM_LEAVING;
+        traffic_fleet_post_views(fleet);
+    }
+    else {
+        return false;
+    }
+    return true;
+}
+
+static bool
+run_control(struct traffic_fleet *fleet, struct json_object *line)
+{
+    const char *verb = get_text(line, "do");
+    uint32_t entry = (uint32_t)get_number(line, "entry", 0);
+    bool cut = get_number(line, "cut", 0) != 0;
+
+    if (strcmp(verb, "failover") == 0) {
+        traffic_fleet_fail_over(fleet);
+    }
+    else if (strcmp(verb, "confirm") == 0) {
+        fleet->confirm = (uint32_t)get_number(line, "replicas", 1);
+        traffic_fleet_post_views(fleet);
+    }
+    else if (strcmp(verb, "customer") == 0) {
+        fleet->customer_state = CK_CUSTOMER_DRAINING;
+        traffic_fleet_post_views(fleet);
+    }
+    else if (strcmp(verb, "drain") == 0) {
+        traffic_fleet_drain(fleet, entry);
+    }
+    else if (strcmp(verb, "control_cut") == 0) {
+        fleet->entries[entry].control_cut = cut;
+    }
+    else if (strcmp(verb, "cut") == 0) {
+        traffic_fleet_cut(fleet, entry,
+                          (uint32_t)get_number(line, "upstream", 0), cut);
+    }
+    else {
+        return false;
+    }
+    return true;
+}
+
+static struct traffic_fleet *
+create_fleet(struct json_object *line)
+{
+    return traffic_fleet_create(1, (uint32_t)get_number(line, "entries", 1),
+                                (uint32_t)get_number(line, "upstreams", 1),
+                                (uint32_t)get_number(line, "slots", 6));
+}
+
+START_TEST(test_trace)
+{
+    char path[LINE_SIZE];
+    char text[LINE_SIZE];
+    struct traffic_fleet *fleet = NULL;
+    int number = 0;
+
+    (void)snprintf(path, sizeof(path), "%s/test/replay/traffic/%s.jsonl",
+                   TEST_SOURCE_DIR, traces[_i]);
+    FILE *file = fopen(path, "r");
+    ck_assert_ptr_nonnull(file);
+    while (fgets(text, sizeof(text), file) != NULL) {
+        struct json_object *line = json_tokener_parse(text);
+        ck_assert_msg(line != NULL, "%s:%d", path, ++number);
+        number += line == NULL ? 0 : 1;
+        if (fleet == NULL) {
+            fleet = create_fleet(line);
+        }
+        else {
+            traffic_fleet_run_until(fleet,
+                                    get_number(line, "at_ms", 0) * TF_MS_US);
+            ck_assert_msg(
+                run_request(fleet, line, number) || run_session(fleet, line) ||
+                    run_upstream(fleet, line) || run_control(fleet, line),
+                "%s:%d: no such action", path, number);
+        }
+        json_object_put(line);
+    }
+    (void)fclose(file);
+    traffic_fleet_run_until(fleet,
+                            network_get_now_us(fleet->network) + END_US);
+    traffic_fleet_check_end(fleet);
+    ck_assert_msg(fleet->violations == 0, "%s: %s", path, fleet->violation);
+    traffic_fleet_destroy(fleet);
+}
+END_TEST
+
+static uint64_t
+pick(struct traffic_fleet *fleet, uint64_t limit)
+{
+    return network_get_random(fleet->network) % limit;
+}
+
+// Brings about one fault, or mends one.
+static void
+run_random_fault(struct traffic_fleet *fleet)
+{
+    uint32_t entry = (uint32_t)pick(fleet, fleet->entries_count);
+    uint32_t place = (uint32_t)pick(fleet, fleet->upstreams_count);
+    struct tf_upstream *up = &fleet->upstreams[place];
+
+    switch (pick(fleet, 7)) {
+    case 0:
+        traffic_fleet_cut(fleet, entry, place, true);
+        break;
+    case 1:
+    case 2:
+        traffic_fleet_cut(fleet, entry, place, false);
+        break;
+    case 3:
+        up->lag_us = (int64_t)pick(fleet, 4) * 1000 * TF_MS_US + TF_MS_US;
+        break;
+    case 4:
+        fleet->entries[entry].control_cut = pick(fleet, 2) == 0;
+        break;
+    case 5:
+        if (place == fleet->primary) {
+            traffic_fleet_crash(fleet, place);
+            traffic_fleet_fail_over(fleet);
+        }
+        break;
+    default:
+        if (place != fleet->primary || up->down) {
+            up->down = false;
+            up->is_primary = false;
+            up->follows = true;
+        }
+    }
+}
+
+static void
+run_random_session(struct traffic_fleet *fleet, uint64_t session)
+{
+    uint32_t entry = (uint32_t)pick(fleet, fleet->entries_count);
+    uint64_t choice = pick(fleet, 12);
+
+    if (!fleet->sessions[session].open || choice == 0) {
+        traffic_fleet_open(fleet, session, entry,
+                           pick(fleet, 2) == 0 ? TF_TOKEN_OWN : TF_TOKEN_NONE);
+    }
+    else if (choice < 6) {
+        (void)traffic_fleet_request(fleet, session, TRAFFIC_READ,
+                                    (int64_t)pick(fleet, 3) * 2000 * TF_MS_US,
+                                    pick(fleet, 2) == 0);
+    }
+    else if (choice < 9) {
+        (void)traffic_fleet_request(fleet, session, TRAFFIC_WRITE, -1, false);
+    }
+    else if (choice < 11) {
+        (void)traffic_fleet_request(fleet, session, TRAFFIC_BEGIN, -1, false);
+        (void)traffic_fleet_request(fleet, session, TRAFFIC_IN_TRANSACTION, -1,
+                                    false);
+        (void)traffic_fleet_request(fleet, session, TRAFFIC_COMMIT, -1, false);
+    }
+    else {
+        (void)traffic_fleet_request(fleet, session, TRAFFIC_BEGIN, -1, false);
+        (void)traffic_fleet_request(fleet, session, TRAFFIC_IN_TRANSACTION, -1,
+                                    false);
+        traffic_fleet_close(fleet, session);
+    }
+}
+
+// Random work and faults; the checkers hold at each moment and at the end.
+START_TEST(test_random_schedule)
+{
+    struct traffic_fleet *fleet =
+        traffic_fleet_create((uint64_t)_i + 1, 3, 3, 9);
+    unsigned done = 0;
+
+    for (int step = 0; step < 1500; step++) {
+        traffic_fleet_run_until(fleet,
+                                network_get_now_us(fleet->network) +
+                                    (int64_t)pick(fleet, 10) * TF_MS_US);
+        if (pick(fleet, 30) == 0) {
+            run_random_fault(fleet);
+        }
+        run_random_session(fleet, 1 + pick(fleet, 12));
+    }
+    traffic_fleet_run_until(fleet,
+                            network_get_now_us(fleet->network) + END_US);
+    traffic_fleet_check_end(fleet);
+    ck_assert_msg(fleet->violations == 0, "seed %d: %s", _i + 1,
+                  fleet->violation);
+    for (uint64_t id = 1; id <= fleet->requests_count; id++) {
+        done += fleet->requests[id].outcome == TF_DONE;
+    }
+    ck_assert_uint_gt(done, 100);
+    traffic_fleet_destroy(fleet);
+}
+END_TEST
+
+static void
+add_tests(TCase *tests)
+{
+    tcase_add_loop_test(tests, test_trace, 0, ARRAY_SIZE(traces));
+    tcase_add_loop_test(tests, test_random_schedule, 0, 40);
+}
+
+TEST_MAIN("replay_traffic", add_tests)
