--- a/src/catkingrade/cli/apply.c
+++ b/src/catkingrade/cli/apply.c
@@ -158,6 +158,15 @@
     return OUTCOME_UNKNOWN;
 }
 
+// Returns the lines of a dry run, for people.
+static const char *
+apply_get_effect(const struct ck_apply_result *result)
+{
+    return strncmp(result->message, "no change", 9) == 0
+               ? "  no customer is changed by it\n"
+               : result->message;
+}
+
 static int
 apply_one(struct apply_run *run, const struct declaration *declaration)
 {
@@ -176,7 +185,8 @@
     int outcome = apply_send_until_made(run, declaration, revision, &result);
     if (outcome == OUTCOME_OK &&
         apply_needs_planned_template(run, declaration, &result)) {
-        apply_report(run, declaration, "would change", 0,
+        apply_report(run, declaration,
+                     revision == 0 ? "would be created" : "would change", 0,
                      "  its template changes in this plan; it is checked "
                      "when applied\n");
         codec_free((xdrproc_t)xdr_ck_apply_result, &result);
@@ -186,12 +196,13 @@
     code = cli_report_outcome(declaration->path, outcome, result.outcome,
                               result.message);
     if (code == CLI_EXIT_OK) {
-        const char *state = run->dry_run      ? "would change"
-                            : result.replayed ? "accepted before"
-                                              : "accepted";
+        const char *state =
+            run->dry_run ? revision == 0 ? "would be created" : "would change"
+            : result.replayed ? "accepted before"
+                              : "accepted";
         apply_report(run, declaration, state,
                      run->dry_run ? 0 : result.revision,
-                     run->dry_run ? result.message : "");
+                     run->dry_run ? apply_get_effect(&result) : "");
         run->changes++;
     }
     if (outcome == OUTCOME_OK) {
