feat(decide): demand by average work, lending by turn, margin before deadlines

Problem: with 7 entries on 5 slots an entry could wait for seconds without any slot: demand was the peak, so each asked for more than it used, asked every replica, and a slot that one gave up went to whoever renewed next.

Solution: demand is the average of running and waiting work with half as much headroom; reads ask first where the entry has slots and not of replicas that are half as old as accepted. Lending keeps what becomes free for the entry that is due, and on a tie for the holder. Admission and the queue count three average services before a deadline.

--- a/src/catkingrade/decide/admission.c
+++ b/src/catkingrade/decide/admission.c
@@ -1,5 +1,6 @@
 #include "catkingrade/decide/admission.h"
 
+#include <math.h>
 #include <string.h>
 
 #include "catkingrade/decide/retry.h"
@@ -11,8 +12,11 @@
 #define ADMISSION_DEFAULT_DEADLINE_US (5 * TRAFFIC_SECOND_US)
 #define ADMISSION_DEFAULT_QUEUE_LIMIT 1000
 #define ADMISSION_SERVICE_US          1000.0 // before the first measurement
+#define ADMISSION_SERVICE_MARGIN      3.0    // of the average
 #define ADMISSION_SERVICE_SHARE       0.1    // of a new measurement
-#define ADMISSION_FAILOVER_RETRY_US   (1 * TRAFFIC_SECOND_US)
+// Slots that are asked for, for each one that was in use or waited for.
+#define ADMISSION_HEADROOM          1.5
+#define ADMISSION_FAILOVER_RETRY_US (1 * TRAFFIC_SECOND_US)
 
 // Returns the place of the type of that name, or of a new one. When the table
 // is full the last one is shared.
@@ -127,6 +131,58 @@
                      share);
 }
 
+// Follows how many statements wait or run, at the end of a step that came
+// elapsed_us after the one before. What runs on the primary counts as work
+// that needs it.
+void
+admission_note_work(struct traffic *traffic, int64_t elapsed_us)
+{
+    uint32_t on_primary = 0;
+
+    if (traffic->primary != TRAFFIC_NO_ID) {
+        on_primary = traffic->upstreams[traffic->primary].running;
+    }
+    for (int kind = 0; kind < QUEUE_COUNT; kind++) {
+        uint32_t running =
+            kind == QUEUE_PRIMARY ? on_primary : traffic->running - on_primary;
+        traffic->work_area[kind] +=
+            (double)traffic->work[kind] * (double)elapsed_us;
+        traffic->work[kind] = traffic->queued[kind] + running;
+        if (traffic->work[kind] > traffic->peak_work[kind]) {
+            traffic->peak_work[kind] = traffic->work[kind];
+        }
+    }
+}
+
+// Returns how many slots the work since the last report needs: its average
+// with headroom, at least one if there was any, and begins a new report.
+uint32_t
+admission_take_demand(struct traffic *traffic, enum queue_kind kind)
+{
+    double elapsed_us = (double)(traffic->now_us - traffic->work_from_us);
+    uint32_t peak = traffic->peak_work[kind];
+    uint32_t wanted = peak;
+
+    if (elapsed_us > 0) {
+        double average = traffic->work_area[kind] / elapsed_us;
+        wanted = (uint32_t)ceil(average * ADMISSION_HEADROOM);
+    }
+    traffic->work_area[kind] = 0;
+    traffic->peak_work[kind] = traffic->work[kind];
+    if (peak > 0 && wanted == 0) {
+        return 1;
+    }
+    return wanted < peak ? wanted : peak;
+}
+
+// Returns how long a statement of a type may take: a request that starts later
+// than so long before its deadline would often end as unknown.
+static int64_t
+admission_get_service_us(const struct request_type *type)
+{
+    return (int64_t)(type->service_us * ADMISSION_SERVICE_MARGIN);
+}
+
 // Queues a request for a slot, or refuses it at once: when its queue is full,
 // when it could not start in time, or when it needs a primary and there is
 // none that may take writes.
@@ -147,7 +203,7 @@
     int64_t wait_us = admission_estimate_wait_us(traffic, type, kind);
     int64_t left_us = request->deadline_us - traffic->now_us;
     if (queue->list.count >= type->queue_limit ||
-        wait_us + (int64_t)type->service_us > left_us) {
+        wait_us + admission_get_service_us(type) > left_us) {
         request_refuse(traffic, request, OUTCOME_OVERLOADED,
                        wait_us > 0 ? wait_us : RETRY_AFTER_US,
                        "the queue is too long");
@@ -161,9 +217,7 @@
         queue->virtual_time = traffic->virtual_time[kind];
     }
     request_list_append(&queue->list, request);
-    if (++traffic->queued[kind] > traffic->peak_queued[kind]) {
-        traffic->peak_queued[kind] = traffic->queued[kind];
-    }
+    traffic->queued[kind]++;
 }
 
 // Takes a request out of its queue.
@@ -216,7 +270,8 @@
 {
     const struct request_type *type = &traffic->types[request->type];
 
-    if (traffic->now_us + (int64_t)type->service_us <= request->deadline_us) {
+    if (traffic->now_us + admission_get_service_us(type) <=
+        request->deadline_us) {
         return false;
     }
     admission_remove(traffic, request);
--- a/src/catkingrade/decide/admission.h
+++ b/src/catkingrade/decide/admission.h
@@ -6,6 +6,8 @@
 void admission_handle_view(struct traffic *traffic);
 uint8_t admission_find_type(const struct traffic *traffic, const char *name);
 void admission_enqueue(struct traffic *traffic, struct request *request);
+void admission_note_work(struct traffic *traffic, int64_t elapsed_us);
+uint32_t admission_take_demand(struct traffic *traffic, enum queue_kind kind);
 void admission_remove(struct traffic *traffic, struct request *request);
 struct request_type *admission_pick(struct traffic *traffic,
                                     enum queue_kind kind);
--- a/src/catkingrade/decide/lending.c
+++ b/src/catkingrade/decide/lending.c
@@ -15,7 +15,8 @@
     uint32_t held;
     uint32_t guaranteed;
     uint32_t target; // wanted, as if nothing were held
-    uint32_t share;  // lent now
+    uint32_t given;  // so far, of the target or of the share lent now
+    uint32_t cap;    // to be given at most
 };
 
 // Gives what integer division left over, one to each entry in turn: to those
@@ -60,50 +61,61 @@
 }
 
 // Returns whether row a comes before row b for the next unit: who was left
-// out for longer, then who has less for its weight, then the nearer one.
+// out for longer, then who has less for its weight, then who holds one already
+// and need not wait for it, then the nearer one.
 static bool
 lending_comes_before(const struct lending_row *a, const struct lending_row *b)
 {
-    if (a->target == 0 && b->target == 0 &&
+    if (a->given == 0 && b->given == 0 &&
         a->entry->unserved != b->entry->unserved) {
         return a->entry->unserved > b->entry->unserved;
     }
-    uint64_t filled_a = (uint64_t)a->target * b->entry->weight;
-    uint64_t filled_b = (uint64_t)b->target * a->entry->weight;
+    uint64_t filled_a = (uint64_t)a->given * b->entry->weight;
+    uint64_t filled_b = (uint64_t)b->given * a->entry->weight;
     if (filled_a != filled_b) {
         return filled_a < filled_b;
     }
+    if ((a->held > a->given) != (b->held > b->given)) {
+        return a->held > a->given;
+    }
     return a->entry->near && !b->entry->near;
 }
 
-// Gives units one by one until they are used up. With only_demand, entries
-// get no more than they ask for. Returns what is left.
-static uint32_t
-lending_give_units(struct lending_row *rows, size_t count, uint32_t units,
-                   bool only_demand)
+// Returns the row that is due for the next unit, or NULL when all have what
+// they are to get.
+static struct lending_row *
+lending_pick(struct lending_row *rows, size_t count)
 {
-    while (units > 0) {
-        struct lending_row *best = NULL;
-        for (size_t i = 0; i < count; i++) {
-            struct lending_row *row = &rows[i];
-            if (row->entry->weight == 0 ||
-                (only_demand && row->target >= row->demand)) {
-                continue;
-            }
-            if (best == NULL || lending_comes_before(row, best)) {
-                best = row;
-            }
+    struct lending_row *best = NULL;
+
+    for (size_t i = 0; i < count; i++) {
+        struct lending_row *row = &rows[i];
+        if (row->entry->weight == 0 || row->given >= row->cap) {
+            continue;
         }
-        if (best == NULL) {
-            return units;
+        if (best == NULL || lending_comes_before(row, best)) {
+            best = row;
         }
-        best->target++;
+    }
+    return best;
+}
+
+// Gives units one by one until they are used up or all caps are reached.
+// Returns what is left.
+static uint32_t
+lending_give_units(struct lending_row *rows, size_t count, uint32_t units)
+{
+    struct lending_row *row = NULL;
+
+    while (units > 0 && (row = lending_pick(rows, count)) != NULL) {
+        row->given++;
         units--;
     }
-    return 0;
+    return units;
 }
 
-// Sets what each entry should have in the long run.
+// Sets what each entry should have in the long run: its guaranteed share, then
+// what it asks for, then an even part of what nobody asks for.
 static void
 lending_set_targets(struct lending_row *rows, size_t count, uint32_t limit)
 {
@@ -111,15 +123,24 @@
 
     lending_split_guaranteed(rows, count, limit);
     for (size_t i = 0; i < count; i++) {
-        rows[i].target = rows[i].guaranteed;
+        rows[i].given = rows[i].guaranteed;
+        rows[i].cap = rows[i].demand;
         units -= rows[i].guaranteed;
     }
-    units = lending_give_units(rows, count, units, true);
-    (void)lending_give_units(rows, count, units, false);
+    units = lending_give_units(rows, count, units);
+    for (size_t i = 0; i < count; i++) {
+        rows[i].cap = UINT32_MAX;
+    }
+    (void)lending_give_units(rows, count, units);
+    for (size_t i = 0; i < count; i++) {
+        rows[i].target = rows[i].given;
+    }
 }
 
 // Sets what each entry gets now: less takes effect at once, more only as far
-// as what the others may still use leaves room. Guaranteed units come first.
+// as what the others may still use leaves room. Guaranteed units come first,
+// then those who are due, whether they renew now or later: what one gives up
+// is not taken by whoever renews next.
 static void
 lending_set_shares(struct lending_row *rows, size_t count, uint32_t limit)
 {
@@ -127,26 +148,22 @@
 
     for (size_t i = 0; i < count; i++) {
         used += rows[i].held;
-        rows[i].share =
+        rows[i].given =
             rows[i].target < rows[i].held ? rows[i].target : rows[i].held;
     }
     uint32_t room = used >= limit ? 0 : (uint32_t)(limit - used);
-    for (int pass = 0; pass < 2; pass++) {
-        for (size_t i = 0; i < count && room > 0; i++) {
-            struct lending_row *row = &rows[i];
-            uint32_t wanted = pass == 0 ? row->guaranteed : row->target;
-            uint32_t more = wanted > row->share ? wanted - row->share : 0;
-            // What it still holds beyond its share is already counted.
-            uint32_t covered =
-                row->held - row->share < more ? row->held - row->share : more;
-            more -= covered;
-            row->share += covered;
-            more = more < room ? more : room;
-            row->share += more;
-            room -= more;
-            row->held = row->share > row->held ? row->share : row->held;
-        }
+    for (size_t i = 0; i < count && room > 0; i++) {
+        struct lending_row *row = &rows[i];
+        uint32_t lacking =
+            row->guaranteed > row->given ? row->guaranteed - row->given : 0;
+        uint32_t more = lacking < room ? lacking : room;
+        row->given += more;
+        room -= more;
+    }
+    for (size_t i = 0; i < count; i++) {
+        rows[i].cap = rows[i].target;
     }
+    (void)lending_give_units(rows, count, room);
 }
 
 static void
@@ -155,8 +172,8 @@
     lending_set_targets(rows, count, limit);
     lending_set_shares(rows, count, limit);
     for (size_t i = 0; i < count; i++) {
-        if (rows[i].guaranteed > rows[i].share) {
-            rows[i].guaranteed = rows[i].share;
+        if (rows[i].guaranteed > rows[i].given) {
+            rows[i].guaranteed = rows[i].given;
         }
     }
 }
@@ -173,7 +190,7 @@
     }
     lending_plan_limit(rows, count, slots);
     for (size_t i = 0; i < count; i++) {
-        shares[i].slots = rows[i].share;
+        shares[i].slots = rows[i].given;
         shares[i].guaranteed_slots = rows[i].guaranteed;
     }
 }
@@ -195,7 +212,7 @@
     }
     lending_plan_limit(rows, count, connections);
     for (size_t i = 0; i < count; i++) {
-        shares[i].connections = rows[i].share;
+        shares[i].connections = rows[i].given;
         shares[i].guaranteed_connections = rows[i].guaranteed;
     }
 }
--- a/src/catkingrade/decide/pool.c
+++ b/src/catkingrade/decide/pool.c
@@ -126,11 +126,14 @@
 
 // Frees the slot of a statement that has ended, or whose connection has.
 void
-pool_end_use(struct upstream *upstream, bool read)
+pool_end_use(struct traffic *traffic, uint32_t upstream, bool read)
 {
-    INVARIANT(upstream->running > 0);
-    upstream->running--;
-    upstream->reads -= read;
+    struct upstream *up = &traffic->upstreams[upstream];
+
+    INVARIANT(up->running > 0);
+    up->running--;
+    up->reads -= read;
+    traffic->running--;
 }
 
 // Forgets a connection whose end the adapter has reported or was told.
@@ -146,7 +149,7 @@
         upstream->opening--;
     }
     else if (conn->state == CONN_PINNED) {
-        pool_end_use(upstream, false);
+        pool_end_use(traffic, conn->upstream, false);
     }
     if (conn->session != NULL) {
         conn->session->conn = TRAFFIC_NO_ID;
@@ -279,6 +282,7 @@
 pool_pin(struct traffic *traffic, struct conn *conn, struct session *session)
 {
     traffic->upstreams[conn->upstream].running++;
+    traffic->running++;
     conn->session = session;
     session->conn = conn->id;
     pool_set_state(traffic, conn, CONN_PINNED);
@@ -400,7 +404,7 @@
     uint32_t upstream = conn->upstream;
     int64_t opened_us = conn->opened_us;
     if (conn->state == CONN_BUSY) {
-        pool_end_use(&traffic->upstreams[upstream], conn->read);
+        pool_end_use(traffic, upstream, conn->read);
     }
     pool_close(traffic, conn, TRAFFIC_CLOSE_SILENT);
     sample_note_failure(traffic, upstream, CK_SUSPECT_SILENT);
--- a/src/catkingrade/decide/pool.h
+++ b/src/catkingrade/decide/pool.h
@@ -15,7 +15,7 @@
 void pool_release(struct traffic *traffic, struct conn *conn);
 void pool_close(struct traffic *traffic, struct conn *conn,
                 enum traffic_close_reason reason);
-void pool_end_use(struct upstream *upstream, bool read);
+void pool_end_use(struct traffic *traffic, uint32_t upstream, bool read);
 void pool_forget(struct traffic *traffic, struct conn *conn);
 void pool_fail_pinned(struct traffic *traffic, struct conn *conn);
 void pool_suspect_neighbours(struct traffic *traffic, uint32_t upstream,
--- a/src/catkingrade/decide/traffic.c
+++ b/src/catkingrade/decide/traffic.c
@@ -191,6 +191,8 @@
              struct traffic_actions *actions)
 {
     INVARIANT(now_us >= traffic->now_us);
+    int64_t elapsed_us = now_us - traffic->now_us;
+
     traffic->now_us = now_us;
     traffic->actions = actions;
     traffic_run_timers(traffic);
@@ -200,48 +202,99 @@
         sample_run(traffic);
         dispatch_run(traffic);
     }
+    admission_note_work(traffic, elapsed_us);
     traffic_ask_wake(traffic);
     traffic->actions = NULL;
 }
 
-// Returns how many requests wait for an upstream: all of the primary's queue,
-// and a replica's part of the reads.
-static uint32_t
-traffic_get_peak_waiting(const struct traffic *traffic, uint32_t place)
+// Fills the demand at one upstream: *work statements, of which it runs as many
+// as this entry has slots there. Takes those off *work.
+static void
+traffic_fill_demand(const struct traffic *traffic, uint32_t place,
+                    uint32_t *work, struct ck_demand *demand)
+{
+    const struct upstream *up = &traffic->upstreams[place];
+    uint32_t room = up->slots < up->connections ? up->slots : up->connections;
+
+    *demand = (struct ck_demand){
+        .upstream = up->config->name,
+        .running = *work < room ? *work : room,
+        .connections = up->open,
+    };
+    *work -= demand->running;
+}
+
+// Returns whether reads may soon go to an upstream: a replica that is not yet
+// half as old as the customer accepts.
+static bool
+traffic_takes_reads(const struct traffic *traffic, uint32_t place)
+{
+    const struct upstream *up = &traffic->upstreams[place];
+    int64_t limit_us =
+        (int64_t)traffic->view.customer->max_age_ms * TRAFFIC_MS_US / 2;
+
+    return place != traffic->primary && up->of_term &&
+           up->failing_since_us == 0 &&
+           up->current_us >= traffic->now_us - limit_us;
+}
+
+// Spreads the reads for which there is no slot over the replicas. An entry
+// that has none at all asks each replica for one.
+static void
+traffic_spread_reads(const struct traffic *traffic, uint32_t work,
+                     bool has_slots, struct ck_demand *demands, size_t count)
 {
-    if (place == traffic->primary) {
-        return traffic->peak_queued[QUEUE_PRIMARY];
+    size_t replicas = 0;
+
+    for (size_t i = 0; i < count; i++) {
+        bool takes = traffic_takes_reads(traffic, traffic->candidates[i]);
+        replicas += takes;
+        demands[i].waiting += takes && !has_slots;
     }
-    uint32_t replicas = traffic->candidates_count;
-    if (traffic->primary != TRAFFIC_NO_ID && replicas > 1) {
-        replicas--;
+    for (size_t i = traffic->round; replicas > 0 && work > 0; i++) {
+        size_t place = i % count;
+        if (traffic_takes_reads(traffic, traffic->candidates[place])) {
+            demands[place].waiting++;
+            work--;
+        }
     }
-    return (traffic->peak_queued[QUEUE_READS] + replicas - 1) / replicas;
 }
 
 // Fills the demand at each upstream since the last call, at most max_count
-// rows. The names belong to the view that is in force. Returns the number of
-// rows.
+// rows. The names belong to the view that is in force. What the reads need is
+// asked first of the replicas where this entry has slots, in an order of its
+// own, so that it lets go of slots elsewhere that others may need. Returns the
+// number of rows.
 size_t
 traffic_fill_demands(struct traffic *traffic, struct ck_demand *demands,
                      size_t max_count)
 {
-    size_t count = 0;
+    uint32_t reads = admission_take_demand(traffic, QUEUE_READS);
+    uint32_t saves = admission_take_demand(traffic, QUEUE_PRIMARY);
+    uint32_t none = 0;
+    uint32_t slots = 0;
+    size_t count = traffic->candidates_count < max_count
+                       ? traffic->candidates_count
+                       : max_count;
 
-    for (uint32_t i = 0; i < traffic->candidates_count && count < max_count;
-         i++) {
+    for (size_t k = 0; k < count; k++) {
+        size_t i = (k + traffic->params.seed) % count;
         uint32_t place = traffic->candidates[i];
-        struct upstream *up = &traffic->upstreams[place];
-        demands[count++] = (struct ck_demand){
-            .upstream = up->config->name,
-            .waiting = traffic_get_peak_waiting(traffic, place),
-            .running = up->peak_running,
-            .connections = up->open,
-        };
-        up->peak_running = up->running;
+        if (place == traffic->primary) {
+            traffic_fill_demand(traffic, place, &saves, &demands[i]);
+            demands[i].waiting = saves;
+        }
+        else if (traffic_takes_reads(traffic, place)) {
+            traffic_fill_demand(traffic, place, &reads, &demands[i]);
+            slots += traffic->upstreams[place].slots;
+        }
+        else {
+            traffic_fill_demand(traffic, place, &none, &demands[i]);
+        }
     }
-    for (int kind = 0; kind < QUEUE_COUNT; kind++) {
-        traffic->peak_queued[kind] = traffic->queued[kind];
+    if (reads > 0) {
+        traffic_spread_reads(traffic, reads, slots > 0, demands, count);
     }
+    traffic->work_from_us = traffic->now_us;
     return count;
 }
--- a/src/catkingrade/decide/traffic_request.c
+++ b/src/catkingrade/decide/traffic_request.c
@@ -382,7 +382,7 @@
     action->request = request->id;
     conn->reset_wanted = true;
     if (conn->session != NULL || request_opens_transaction(request)) {
-        pool_end_use(&traffic->upstreams[conn->upstream], conn->read);
+        pool_end_use(traffic, conn->upstream, conn->read);
         pool_close(traffic, conn, TRAFFIC_CLOSE_ABNORMAL);
     }
     else {
@@ -464,7 +464,7 @@
     struct upstream *up = &traffic->upstreams[conn->upstream];
 
     if (conn->state == CONN_PINNED) {
-        pool_end_use(up, false);
+        pool_end_use(traffic, conn->upstream, false);
     }
     request->state = REQUEST_RUNNING;
     request->conn = conn->id;
@@ -478,9 +478,7 @@
     conn->read = request_is_read(request);
     up->running++;
     up->reads += conn->read;
-    if (up->running > up->peak_running) {
-        up->peak_running = up->running;
-    }
+    traffic->running++;
     struct traffic_action *action =
         traffic_add_action(traffic, TRAFFIC_ACTION_SEND);
     action->request = request->id;
--- a/src/catkingrade/decide/traffic_result.c
+++ b/src/catkingrade/decide/traffic_result.c
@@ -151,7 +151,7 @@
     uint32_t upstream = conn->upstream;
     bool was_pinned = conn->session != NULL;
 
-    pool_end_use(&traffic->upstreams[upstream], conn->read);
+    pool_end_use(traffic, conn->upstream, conn->read);
     if (conn->abandoned_us != 0) {
         request = NULL;
     }
@@ -182,7 +182,7 @@
         return;
     }
     struct request *request = id_map_get(&traffic->requests, event->request);
-    pool_end_use(&traffic->upstreams[conn->upstream], conn->read);
+    pool_end_use(traffic, conn->upstream, conn->read);
     result_handle_whole(traffic, conn,
                         conn->abandoned_us != 0 ? NULL : request, event);
 }
--- a/src/catkingrade/decide/traffic_state.h
+++ b/src/catkingrade/decide/traffic_state.h
@@ -69,7 +69,6 @@
     uint32_t idle_last;
     uint32_t waiting; // requests of the present dispatch that lack a conn
     uint32_t waiting_round;
-    uint32_t peak_running;
     struct request_list pinned; // statements of transactions that wait
     int64_t latency_us;         // moving average of statements
     struct ck_position position;
@@ -196,7 +195,11 @@
     uint32_t slots_total; // of all upstreams that take work
     double virtual_time[QUEUE_COUNT];
     uint32_t queued[QUEUE_COUNT];
-    uint32_t peak_queued[QUEUE_COUNT];
+    uint32_t running;                // statements on all upstreams
+    uint32_t work[QUEUE_COUNT];      // queued and running after the last step
+    double work_area[QUEUE_COUNT];   // its integral since the last report
+    int64_t work_from_us;            // moment of the last report
+    uint32_t peak_work[QUEUE_COUNT]; // since the last report
     uint32_t pinned_waiting;
     uint32_t round; // number of the present dispatch
     double retry_tokens;
--- a/test/unit/decide/test_pool.c
+++ b/test/unit/decide/test_pool.c
@@ -63,6 +63,8 @@
         last = conn != TRAFFIC_NO_ID ? conn : last;
     }
     ck_assert_uint_eq(sent, _i == 0 ? 3 : 2);
+    (void)traffic_fill_demands(rig.traffic, &demand, 1);
+    rig_tick(&rig, 10 * RIG_MS_US);
     ck_assert_uint_eq(traffic_fill_demands(rig.traffic, &demand, 1), 1);
     ck_assert_uint_eq(demand.running, sent);
     ck_assert_uint_eq(demand.waiting, 20 - sent);
