feat(bench): traffic on a virtual clock: replicas, overload, cost

Problem: share of replica reads, weighted service under overload and the cost of a decision were not measured.

Solution: a small simulator drives the machines of 1 or 7 entries with lent slots, service times, replication lag and spikes, against round robin, primary only and no admission.

--- /dev/null
+++ b/bench/bench_traffic_sim.c
@@ -0,0 +1,740 @@
+#include "bench/bench_traffic_sim.h"
+
+#include <math.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "catkingrade/decide/lending.h"
+#include "catkingrade/decide/random.h"
+#include "catkingrade/kernel/memory.h"
+
+#define SIM_NETWORK_US  (1500) // one way
+#define SIM_OPEN_US     (10 * SIM_MS_US)
+#define SIM_RENEW_US    (300 * SIM_MS_US)
+#define SIM_WARM_UP_US  (2 * SIM_SECOND_US)
+#define SIM_SESSIONS    20 // of each entry
+#define SIM_CONNECTIONS 30
+#define SIM_LATENCIES   200000
+#define SIM_FIRST_LSN   1000
+#define SIM_FOREVER_US  (1000000 * SIM_SECOND_US)
+#define SIM_QUEUE_LIMIT 1000000000
+
+enum sim_event_kind { SIM_ARRIVE, SIM_STEP, SIM_WAKE, SIM_FINISH, SIM_RENEW };
+
+struct sim_event {
+    int64_t at_us;
+    uint64_t sequence; // events of one moment keep their order
+    enum sim_event_kind kind;
+    uint32_t entry;
+    uint32_t type;     // ARRIVE
+    uint32_t upstream; // FINISH
+    struct traffic_event event;
+};
+
+struct sim_request {
+    uint32_t type;
+    uint32_t entry;
+    uint64_t session;
+    int64_t arrived_us;
+    uint64_t floor_lsn;
+    bool eligible;
+    bool on_replica;
+    uint64_t seen_lsn; // position of the upstream when it ran
+};
+
+struct sim_entry {
+    struct traffic *traffic;
+    struct traffic_actions actions;
+    struct ck_quota quotas[2][SIM_UPSTREAMS_MAX];
+    unsigned turn;
+    uint64_t floors[SIM_SESSIONS];
+    struct lending_share shares[SIM_UPSTREAMS_MAX];
+    uint32_t unserved[SIM_UPSTREAMS_MAX];
+};
+
+// A baseline's upstream: statements in the order of their arrival.
+struct sim_server {
+    uint32_t running;
+    uint64_t *queue;
+    size_t queue_first;
+    size_t queue_count;
+    size_t queue_capacity;
+};
+
+struct sim {
+    const struct sim_params *params;
+    struct sim_result *result;
+    int64_t now_us;
+    uint64_t sequence;
+    uint64_t random;
+    struct sim_event *events; // heap
+    size_t events_count;
+    size_t events_capacity;
+    int64_t *commits; // moments of the primary's commits
+    size_t commits_count;
+    size_t commits_capacity;
+    struct sim_request *requests;
+    size_t requests_count;
+    size_t requests_capacity;
+    int64_t *latencies[SIM_TYPES_MAX];
+    size_t latencies_count[SIM_TYPES_MAX];
+    struct sim_entry entries[SIM_ENTRIES_MAX];
+    uint32_t round_robin;
+    struct sim_server servers[SIM_UPSTREAMS_MAX];
+    struct ck_customer customer;
+    struct ck_database database;
+    struct ck_upstream upstreams[SIM_UPSTREAMS_MAX];
+    struct ck_request_type types[SIM_TYPES_MAX];
+};
+
+static char sim_text[] = "sim";
+static char sim_empty[] = "";
+static char sim_names[SIM_UPSTREAMS_MAX][4] = {"u0", "u1", "u2"};
+
+static bool
+sim_event_is_before(const struct sim_event *a, const struct sim_event *b)
+{
+    return a->at_us != b->at_us ? a->at_us < b->at_us
+                                : a->sequence < b->sequence;
+}
+
+static void
+sim_push(struct sim *sim, struct sim_event event)
+{
+    if (sim->events_count == sim->events_capacity) {
+        sim->events_capacity = sim->events_capacity * 2 + 64;
+        sim->events =
+            xrealloc(sim->events, sim->events_capacity * sizeof(*sim->events));
+    }
+    event.sequence = sim->sequence++;
+    size_t place = sim->events_count++;
+    while (place > 0 &&
+           sim_event_is_before(&event, &sim->events[(place - 1) / 2])) {
+        sim->events[place] = sim->events[(place - 1) / 2];
+        place = (place - 1) / 2;
+    }
+    sim->events[place] = event;
+}
+
+static struct sim_event
+sim_pop(struct sim *sim)
+{
+    struct sim_event first = sim->events[0];
+    struct sim_event last = sim->events[--sim->events_count];
+    size_t place = 0;
+
+    while (place * 2 + 1 < sim->events_count) {
+        size_t child = place * 2 + 1;
+        if (child + 1 < sim->events_count &&
+            sim_event_is_before(&sim->events[child + 1],
+                                &sim->events[child])) {
+            child++;
+        }
+        if (!sim_event_is_before(&sim->events[child], &last)) {
+            break;
+        }
+        sim->events[place] = sim->events[child];
+        place = child;
+    }
+    sim->events[place] = last;
+    return first;
+}
+
+// Returns the moment up to which an upstream has replayed the primary's log.
+static int64_t
+sim_get_current_us(const struct sim *sim, uint32_t upstream)
+{
+    const struct sim_params *params = sim->params;
+    int64_t current_us = sim->now_us - params->lag_us;
+
+    if (upstream == 0) {
+        return sim->now_us;
+    }
+    if (params->spike_every_us > 0) {
+        int64_t offset_us = (int64_t)upstream * params->spike_every_us / 3;
+        int64_t within_us = (sim->now_us + offset_us) % params->spike_every_us;
+        if (within_us < params->spike_us) {
+            current_us -= within_us;
+        }
+    }
+    return current_us;
+}
+
+static uint64_t
+sim_get_lsn(const struct sim *sim, int64_t current_us)
+{
+    size_t low = 0;
+    size_t high = sim->commits_count;
+
+    while (low < high) {
+        size_t middle = low + (high - low) / 2;
+        if (sim->commits[middle] <= current_us) {
+            low = middle + 1;
+        }
+        else {
+            high = middle;
+        }
+    }
+    return SIM_FIRST_LSN + low;
+}
+
+// Returns when an upstream at lsn began to lack a commit.
+static int64_t
+sim_get_end_us(const struct sim *sim, uint64_t lsn)
+{
+    size_t place = (size_t)(lsn - SIM_FIRST_LSN);
+
+    return place < sim->commits_count ? sim->commits[place] : sim->now_us;
+}
+
+static void
+sim_commit(struct sim *sim)
+{
+    if (sim->commits_count == sim->commits_capacity) {
+        sim->commits_capacity = sim->commits_capacity * 2 + 1024;
+        sim->commits = xrealloc(sim->commits,
+                                sim->commits_capacity * sizeof(*sim->commits));
+    }
+    sim->commits[sim->commits_count++] = sim->now_us;
+}
+
+// Returns a number of an exponential distribution.
+static int64_t
+sim_get_exponential_us(struct sim *sim, double mean_us)
+{
+    double uniform =
+        ((double)(random_next(&sim->random) >> 11) + 1) / 9007199254740993.0;
+
+    return (int64_t)(-log(uniform) * mean_us) + 1;
+}
+
+static void
+sim_push_step(struct sim *sim, uint32_t entry, int64_t after_us,
+              const struct traffic_event *event)
+{
+    sim_push(sim, (struct sim_event){.at_us = sim->now_us + after_us,
+                                     .kind = SIM_STEP,
+                                     .entry = entry,
+                                     .event = *event});
+}
+
+// Counts a request that has had its answer.
+static void
+sim_answer(struct sim *sim, const struct sim_request *request)
+{
+    struct sim_count *count = &sim->result->types[request->type];
+    const struct sim_type *type = &sim->params->types[request->type];
+    int64_t took_us = sim->now_us - request->arrived_us;
+
+    if (request->arrived_us < SIM_WARM_UP_US) {
+        return;
+    }
+    if (took_us <= type->deadline_us) {
+        count->in_time++;
+    }
+    else {
+        count->late++;
+    }
+    if (sim->latencies_count[request->type] < SIM_LATENCIES) {
+        sim->latencies[request->type][sim->latencies_count[request->type]++] =
+            took_us;
+    }
+    if (type->write) {
+        return;
+    }
+    sim->result->reads++;
+    sim->result->reads_replica += request->on_replica;
+    sim->result->eligible += request->eligible;
+    sim->result->eligible_replica += request->eligible && request->on_replica;
+    sim->result->broken += request->seen_lsn < request->floor_lsn ||
+                           sim_get_end_us(sim, request->seen_lsn) <
+                               request->arrived_us - sim->params->max_age_us;
+}
+
+static void
+sim_end(struct sim *sim, const struct traffic_action *action)
+{
+    struct sim_request *request = &sim->requests[action->request];
+    struct sim_count *count = &sim->result->types[request->type];
+    bool counts = request->arrived_us >= SIM_WARM_UP_US;
+    const struct traffic_event close = {.kind = TRAFFIC_EVENT_SESSION_CLOSE,
+                                        .session = action->session};
+
+    sim_push_step(sim, request->entry, 0, &close);
+
+    if (action->kind == TRAFFIC_ACTION_REFUSE) {
+        count->refused += counts;
+    }
+    else if (action->kind == TRAFFIC_ACTION_UNKNOWN) {
+        count->unknown += counts;
+    }
+    else {
+        struct sim_entry *entry = &sim->entries[request->entry];
+        uint64_t *floor = &entry->floors[request->session];
+        *floor = action->floor.lsn > *floor ? action->floor.lsn : *floor;
+        sim_answer(sim, request);
+    }
+}
+
+static void
+sim_send(struct sim *sim, uint32_t entry, const struct traffic_action *action)
+{
+    uint32_t upstream = action->upstream;
+
+    sim->requests[action->request].on_replica = action->on_replica;
+    sim_push(sim, (struct sim_event){
+                      .at_us = sim->now_us + SIM_NETWORK_US +
+                               sim_get_exponential_us(
+                                   sim, (double)sim->params->service_us),
+                      .kind = SIM_FINISH,
+                      .entry = entry,
+                      .upstream = upstream,
+                      .event = {.kind = TRAFFIC_EVENT_RESULT,
+                                .result = {.request = action->request,
+                                           .conn = action->conn,
+                                           .result = TRAFFIC_RESULT_DONE,
+                                           .answer_held = true}}});
+}
+
+// Samples come back after a round trip, with the position at the upstream.
+static void
+sim_sample(struct sim *sim, uint32_t entry, uint32_t upstream)
+{
+    uint64_t lsn = sim_get_lsn(sim, sim_get_current_us(sim, upstream));
+    const struct traffic_event event = {
+        .kind = TRAFFIC_EVENT_SAMPLE,
+        .sample = {.upstream = upstream,
+                   .is_primary = upstream == 0,
+                   .position = {1, lsn},
+                   .asked_at_us = sim->now_us,
+                   .round_trip_us = 2 * SIM_NETWORK_US}};
+
+    sim_push_step(sim, entry, 2 * SIM_NETWORK_US, &event);
+}
+
+static void
+sim_carry_out(struct sim *sim, uint32_t entry,
+              const struct traffic_action *action)
+{
+    struct traffic_event event = {
+        .kind = TRAFFIC_EVENT_CONN_OPENED,
+        .conn = {.upstream = action->upstream, .conn = action->conn}};
+
+    switch (action->kind) {
+    case TRAFFIC_ACTION_OPEN:
+        sim_push_step(sim, entry, SIM_OPEN_US, &event);
+        break;
+    case TRAFFIC_ACTION_PROVE:
+    case TRAFFIC_ACTION_RESET:
+        event.kind = TRAFFIC_EVENT_CONN_READY;
+        sim_push_step(sim, entry, 2 * SIM_NETWORK_US, &event);
+        break;
+    case TRAFFIC_ACTION_SEND:
+        sim_send(sim, entry, action);
+        break;
+    case TRAFFIC_ACTION_ANSWER:
+    case TRAFFIC_ACTION_WARN:
+    case TRAFFIC_ACTION_REFUSE:
+    case TRAFFIC_ACTION_UNKNOWN:
+        sim_end(sim, action);
+        break;
+    case TRAFFIC_ACTION_SAMPLE:
+        sim_sample(sim, entry, action->upstream);
+        break;
+    case TRAFFIC_ACTION_WAKE:
+        sim_push(sim, (struct sim_event){.at_us = action->wake_at_us,
+                                         .kind = SIM_WAKE,
+                                         .entry = entry});
+        break;
+    default:
+        break;
+    }
+}
+
+static void
+sim_step(struct sim *sim, uint32_t place, const struct traffic_event *event)
+{
+    struct sim_entry *entry = &sim->entries[place];
+
+    entry->actions.count = 0;
+    traffic_step(entry->traffic, sim->now_us, event, &entry->actions);
+    for (size_t i = 0; i < entry->actions.count; i++) {
+        const struct traffic_action action = entry->actions.items[i];
+        sim_carry_out(sim, place, &action);
+    }
+}
+
+// Returns whether some replica has, at this moment, what a read needs.
+static bool
+sim_is_eligible(const struct sim *sim, uint64_t floor_lsn)
+{
+    for (uint32_t i = 1; i < SIM_UPSTREAMS_MAX; i++) {
+        uint64_t lsn = sim_get_lsn(sim, sim_get_current_us(sim, i));
+        if (lsn >= floor_lsn && sim_get_end_us(sim, lsn) >=
+                                    sim->now_us - sim->params->max_age_us) {
+            return true;
+        }
+    }
+    return false;
+}
+
+static uint64_t
+sim_add_request(struct sim *sim, struct sim_request request)
+{
+    if (sim->requests_count == sim->requests_capacity) {
+        sim->requests_capacity = sim->requests_capacity * 2 + 1024;
+        sim->requests = xrealloc(sim->requests, sim->requests_capacity *
+                                                    sizeof(*sim->requests));
+    }
+    sim->requests[sim->requests_count] = request;
+    return sim->requests_count++;
+}
+
+static void
+sim_baseline_start(struct sim *sim, uint32_t upstream)
+{
+    struct sim_server *server = &sim->servers[upstream];
+
+    while (server->running < sim->params->slots &&
+           server->queue_first < server->queue_count) {
+        const struct traffic_action action = {
+            .upstream = upstream,
+            .request = server->queue[server->queue_first++],
+            .on_replica = upstream != 0};
+        server->running++;
+        sim_send(sim, 0, &action);
+    }
+}
+
+// Sends a request where a baseline says, whatever its age and floor.
+static void
+sim_baseline_arrive(struct sim *sim, uint64_t id, bool write)
+{
+    uint32_t upstream = 0;
+
+    if (!write && sim->params->policy == SIM_ROUND_ROBIN) {
+        upstream = sim->round_robin++ % SIM_UPSTREAMS_MAX;
+    }
+    struct sim_server *server = &sim->servers[upstream];
+    if (server->queue_count == server->queue_capacity) {
+        server->queue_capacity = server->queue_capacity * 2 + 1024;
+        server->queue = xrealloc(server->queue, server->queue_capacity *
+                                                    sizeof(*server->queue));
+    }
+    server->queue[server->queue_count++] = id;
+    sim_baseline_start(sim, upstream);
+}
+
+// Passes a baseline's answer on and starts what waits.
+static void
+sim_baseline_finish(struct sim *sim, uint64_t id, uint32_t upstream)
+{
+    struct sim_request *request = &sim->requests[id];
+    uint64_t *floor = &sim->entries[request->entry].floors[request->session];
+
+    *floor = request->seen_lsn > *floor ? request->seen_lsn : *floor;
+    sim_answer(sim, request);
+    sim->servers[upstream].running--;
+    sim_baseline_start(sim, upstream);
+}
+
+static void
+sim_arrive(struct sim *sim, uint32_t place, uint32_t type)
+{
+    const struct sim_type *config = &sim->params->types[type];
+    struct sim_entry *entry = &sim->entries[place];
+    uint32_t session = random_below(&sim->random, SIM_SESSIONS);
+    uint64_t floor_lsn = entry->floors[session];
+    struct sim_request request = {.type = type,
+                                  .entry = place,
+                                  .session = session,
+                                  .arrived_us = sim->now_us,
+                                  .floor_lsn = floor_lsn};
+
+    request.eligible = !config->write && sim_is_eligible(sim, floor_lsn);
+    uint64_t id = sim_add_request(sim, request);
+    if (sim->params->policy != SIM_MACHINE) {
+        sim_baseline_arrive(sim, id, config->write);
+        return;
+    }
+    struct traffic_event event = {
+        .kind = TRAFFIC_EVENT_REQUEST,
+        .request = {.session = 1 + session,
+                    .request = id,
+                    .request_class =
+                        config->write ? TRAFFIC_WRITE : TRAFFIC_READ,
+                    .max_age_us = sim->params->max_age_us,
+                    .deadline_us = sim->now_us + config->deadline_us}};
+    if (sim->params->no_admission) {
+        event.request.deadline_us = sim->now_us + SIM_FOREVER_US;
+    }
+    else {
+        (void)snprintf(event.request.type, sizeof(event.request.type), "%s",
+                       config->name);
+    }
+    // Requests of one session wait for each other; each has its own here.
+    event.request.session = 1000 + id;
+    struct traffic_event open = {.kind = TRAFFIC_EVENT_SESSION_OPEN,
+                                 .session_open = {.session = 1000 + id,
+                                                  .floor_known = true,
+                                                  .floor = {0, floor_lsn}}};
+    sim_step(sim, place, &open);
+    sim_step(sim, place, &event);
+}
+
+static void
+sim_finish(struct sim *sim, struct sim_event event)
+{
+    struct sim_request *request = &sim->requests[event.event.result.request];
+
+    if (sim->params->types[request->type].write) {
+        sim_commit(sim);
+    }
+    request->seen_lsn =
+        sim_get_lsn(sim, sim_get_current_us(sim, event.upstream));
+    if (sim->params->policy != SIM_MACHINE) {
+        sim_baseline_finish(sim, event.event.result.request, event.upstream);
+        return;
+    }
+    event.event.result.position = (struct ck_position){1, request->seen_lsn};
+    sim_push_step(sim, event.entry, SIM_NETWORK_US, &event.event);
+}
+
+static void
+sim_post_view(struct sim *sim, uint32_t place)
+{
+    struct sim_entry *entry = &sim->entries[place];
+
+    entry->turn ^= 1;
+    for (uint32_t i = 0; i < SIM_UPSTREAMS_MAX; i++) {
+        const struct lending_share *share = &entry->shares[i];
+        entry->quotas[entry->turn][i] = (struct ck_quota){
+            .upstream = sim_names[i],
+            .slots = share->slots,
+            .connections = share->connections,
+            .guaranteed_slots = share->guaranteed_slots,
+            .guaranteed_connections = share->guaranteed_connections};
+    }
+    const struct traffic_event event = {
+        .kind = TRAFFIC_EVENT_VIEW,
+        .view = {.customer = &sim->customer,
+                 .database = &sim->database,
+                 .quotas = entry->quotas[entry->turn],
+                 .quotas_count = SIM_UPSTREAMS_MAX,
+                 .failure_domain = sim_text}};
+    sim_step(sim, place, &event);
+}
+
+// Renews one entry's share of one upstream by the demand of all.
+static void
+sim_lend(struct sim *sim, uint32_t place, uint32_t upstream,
+         const struct ck_demand *demands)
+{
+    struct lending_entry entries[SIM_ENTRIES_MAX] = {0};
+    struct lending_share shares[SIM_ENTRIES_MAX];
+
+    for (uint32_t i = 0; i < sim->params->entries_count; i++) {
+        const struct lending_share *share = &sim->entries[i].shares[upstream];
+        const struct ck_demand *demand =
+            &demands[i * SIM_UPSTREAMS_MAX + upstream];
+        entries[i] = (struct lending_entry){
+            .near = i % SIM_UPSTREAMS_MAX == upstream,
+            .weight = 1,
+            .slots = {demand->running + demand->waiting, share->slots},
+            .connections = {demand->connections, share->connections},
+            .unserved = sim->entries[i].unserved[upstream]};
+    }
+    lending_plan(sim->params->slots, SIM_CONNECTIONS, entries,
+                 sim->params->entries_count, shares);
+    sim->entries[place].shares[upstream] = shares[place];
+    sim->entries[place].unserved[upstream] = entries[place].unserved;
+}
+
+// Renews all entries one after the other, each with a plan of its own: what
+// one gives up is there for the next.
+static void
+sim_renew(struct sim *sim)
+{
+    struct ck_demand demands[SIM_ENTRIES_MAX * SIM_UPSTREAMS_MAX] = {0};
+
+    for (uint32_t i = 0; i < sim->params->entries_count; i++) {
+        (void)traffic_fill_demands(sim->entries[i].traffic,
+                                   &demands[i * SIM_UPSTREAMS_MAX],
+                                   SIM_UPSTREAMS_MAX);
+    }
+    for (uint32_t i = 0; i < sim->params->entries_count; i++) {
+        for (uint32_t j = 0; j < SIM_UPSTREAMS_MAX; j++) {
+            sim_lend(sim, i, j, demands);
+        }
+        sim_post_view(sim, i);
+    }
+    sim_push(sim, (struct sim_event){.at_us = sim->now_us + SIM_RENEW_US,
+                                     .kind = SIM_RENEW});
+}
+
+static void
+sim_push_arrival(struct sim *sim, uint32_t type)
+{
+    double mean_us = (double)SIM_SECOND_US / sim->params->types[type].rate;
+
+    sim_push(
+        sim,
+        (struct sim_event){
+            .at_us = sim->now_us + sim_get_exponential_us(sim, mean_us),
+            .kind = SIM_ARRIVE,
+            .entry = random_below(&sim->random, sim->params->entries_count),
+            .type = type});
+}
+
+static void
+sim_init_view(struct sim *sim)
+{
+    const struct sim_params *params = sim->params;
+
+    sim->customer = (struct ck_customer){.name = sim_text,
+                                         .template_name = sim_empty,
+                                         .max_age_ms = 2000,
+                                         .confirm = 1};
+    sim->database = (struct ck_database){.name = sim_text,
+                                         .customer = sim_text,
+                                         .group = sim_empty,
+                                         .primary = sim_names[0],
+                                         .base = {1, 0}};
+    sim->database.upstreams.upstreams_len = SIM_UPSTREAMS_MAX;
+    sim->database.upstreams.upstreams_val = sim->upstreams;
+    for (uint32_t i = 0; i < SIM_UPSTREAMS_MAX; i++) {
+        sim->upstreams[i] =
+            (struct ck_upstream){.name = sim_names[i],
+                                 .database = sim_text,
+                                 .failure_domain = sim_text,
+                                 .host = sim_empty,
+                                 .slots = params->slots,
+                                 .connections = SIM_CONNECTIONS};
+    }
+    sim->customer.types.types_len =
+        params->no_admission ? 1 : (u_int)params->types_count;
+    sim->customer.types.types_val = sim->types;
+    for (size_t i = 0; i < params->types_count; i++) {
+        const struct sim_type *type = &params->types[i];
+        sim->types[i] = (struct ck_request_type){
+            .name = xstrdup(type->name),
+            .weight = type->weight,
+            .deadline_ms = (u_int)(type->deadline_us / SIM_MS_US),
+            .queue_limit =
+                params->no_admission ? SIM_QUEUE_LIMIT : type->queue_limit};
+        sim->latencies[i] = xmalloc(SIM_LATENCIES * sizeof(int64_t));
+    }
+}
+
+static void
+sim_init(struct sim *sim)
+{
+    sim_init_view(sim);
+    (void)sim_add_request(sim, (struct sim_request){0});
+    for (uint32_t i = 0; i < sim->params->entries_count; i++) {
+        const struct traffic_params traffic_params = {
+            .probe_us = 50 * SIM_MS_US,
+            .suspect_us = 200 * SIM_MS_US,
+            .idle_proof_us = 2 * SIM_SECOND_US,
+            .connect_timeout_us = 500 * SIM_MS_US,
+            .seed = sim->params->seed + i};
+        const struct traffic_event open = {
+            .kind = TRAFFIC_EVENT_SESSION_OPEN,
+            .session_open = {.session = 1, .declared_new = true}};
+        sim->entries[i].traffic = traffic_create(&traffic_params);
+        sim_post_view(sim, i);
+        sim_step(sim, i, &open);
+    }
+    sim_renew(sim);
+    for (uint32_t i = 0; i < sim->params->types_count; i++) {
+        sim_push_arrival(sim, i);
+    }
+}
+
+static void
+sim_handle(struct sim *sim, struct sim_event event)
+{
+    const struct traffic_event tick = {.kind = TRAFFIC_EVENT_TICK};
+
+    switch (event.kind) {
+    case SIM_ARRIVE:
+        if (sim->now_us < sim->params->duration_us) {
+            sim_arrive(sim, event.entry, event.type);
+            sim_push_arrival(sim, event.type);
+        }
+        break;
+    case SIM_STEP:
+        sim_step(sim, event.entry, &event.event);
+        break;
+    case SIM_WAKE:
+        sim_step(sim, event.entry, &tick);
+        break;
+    case SIM_FINISH:
+        sim_finish(sim, event);
+        break;
+    case SIM_RENEW:
+        sim_renew(sim);
+        break;
+    }
+}
+
+static int
+sim_compare(const void *a, const void *b)
+{
+    int64_t x = *(const int64_t *)a;
+    int64_t y = *(const int64_t *)b;
+
+    return (x > y) - (x < y);
+}
+
+static void
+sim_free(struct sim *sim)
+{
+    for (uint32_t i = 0; i < sim->params->entries_count; i++) {
+        traffic_destroy(sim->entries[i].traffic);
+        traffic_actions_free(&sim->entries[i].actions);
+    }
+    for (size_t i = 0; i < sim->params->types_count; i++) {
+        free(sim->types[i].name);
+        free(sim->latencies[i]);
+    }
+    for (size_t i = 0; i < SIM_UPSTREAMS_MAX; i++) {
+        free(sim->servers[i].queue);
+    }
+    free(sim->events);
+    free(sim->commits);
+    free(sim->requests);
+    free(sim);
+}
+
+// Drives the machines of some entries on a virtual clock against upstreams
+// with a network, service times and replication lag, and counts what became
+// of the requests after a warm-up.
+void
+sim_run(const struct sim_params *params, struct sim_result *result)
+{
+    struct sim *sim = xcalloc(1, sizeof(*sim));
+
+    *result = (struct sim_result){0};
+    sim->params = params;
+    sim->result = result;
+    sim->random = params->seed;
+    sim_init(sim);
+    while (sim->events_count > 0 &&
+           sim->events[0].at_us < params->duration_us) {
+        struct sim_event event = sim_pop(sim);
+        sim->now_us = event.at_us;
+        sim_handle(sim, event);
+    }
+    for (size_t i = 0; i < params->types_count; i++) {
+        size_t count = sim->latencies_count[i];
+        qsort(sim->latencies[i], count, sizeof(int64_t), sim_compare);
+        result->types[i].sent =
+            result->types[i].in_time + result->types[i].late +
+            result->types[i].refused + result->types[i].unknown;
+        result->types[i].p99_us =
+            count == 0 ? 0 : sim->latencies[i][count * 99 / 100];
+    }
+    sim_free(sim);
+}
