--- a/src/catkingrade/decide/announce.c
+++ b/src/catkingrade/decide/announce.c
@@ -198,24 +198,34 @@
            strcmp(database->primary, upstream->name) == 0;
 }
 
+// Proposes to expire an upstream that has been silent for too long.
+static void
+announce_expire(struct announce_entry *entry, int64_t now_us,
+                const struct group_state *group, announce_due_fn due,
+                void *data)
+{
+    const struct ck_upstream *known = group_find_upstream(group, entry->name);
+
+    entry->is_held = false;
+    if (known == NULL || known->state == CK_UPSTREAM_LOST ||
+        announce_is_primary(group, known)) {
+        return;
+    }
+    entry->is_proposed = true;
+    entry->published_us = now_us;
+    due(data, CK_CHANGE_UPSTREAM_EXPIRE, known);
+}
+
 static void
 announce_tick_entry(struct announce *announce, struct announce_entry *entry,
                     int64_t now_us, const struct group_state *group,
                     announce_due_fn due, void *data)
 {
-    const struct ck_upstream *known = group_find_upstream(group, entry->name);
-
     if (entry->is_proposed) {
         return;
     }
     if (now_us - entry->last_us >= announce->params.expiry_us) {
-        entry->is_held = false;
-        if (known != NULL && known->state != CK_UPSTREAM_LOST &&
-            !announce_is_primary(group, known)) {
-            entry->is_proposed = true;
-            entry->published_us = now_us;
-            due(data, CK_CHANGE_UPSTREAM_EXPIRE, known);
-        }
+        announce_expire(entry, now_us, group, due, data);
         return;
     }
     if (entry->is_held &&
