--- a/src/catkingrade/plugins/postgres_login.c
+++ b/src/catkingrade/plugins/postgres_login.c
@@ -10,10 +10,11 @@
 #include "catkingrade/plugins/postgres_message.h"
 #include "catkingrade/plugins/postgres_session.h"
 
-#define POSTGRES_AUTH_OK        0
-#define POSTGRES_MINOR_MASK     0xffff
-#define POSTGRES_MAJOR_SHIFT    16
-#define POSTGRES_SERVER_VERSION "15.0"
+#define POSTGRES_AUTH_OK           0
+#define POSTGRES_MINOR_MASK        0xffff
+#define POSTGRES_MAJOR_SHIFT       16
+#define POSTGRES_SERVER_VERSION    "15.0"
+#define POSTGRES_SSL_REQUEST_BYTES 8
 
 // Parameters that clients read at their start.
 static const char *const postgres_parameters[][2] = {
@@ -45,11 +46,18 @@
     SSL_CTX *context = session->listener->tls;
     char answer = context == NULL ? 'N' : 'S';
 
+    // Bytes that came with the request were sent in the clear: taken for the
+    // encrypted session's they could be someone else's.
+    if (context != NULL &&
+        buffer_get_size(&session->in) > POSTGRES_SSL_REQUEST_BYTES) {
+        counter_add(COUNTER_FRAMES_BAD, 1);
+        session->state = POSTGRES_STATE_CLOSING;
+        return;
+    }
     buffer_append_u8(&session->out, (uint8_t)answer);
     if (context == NULL || session->transport.ssl != NULL) {
         return;
     }
-    // Bytes that came with the request were sent in the clear.
     if (postgres_transport_write(&session->transport, &session->out) !=
             OUTCOME_OK ||
         postgres_transport_begin_tls(&session->transport, context) !=
