--- a/bench/bench_entry.c
+++ b/bench/bench_entry.c
@@ -85,8 +85,10 @@
     if (count > 0) {
         qsort(all, count, sizeof(*all), bench_compare);
         load->rate = (double)count * 1e6 / BENCH_RUN_US;
-        load->p50_us = (double)all[count / 2];
-        load->p99_us = (double)all[count * 99 / 100];
+        size_t middle = count / 2;
+        size_t tail = count * 99 / 100;
+        load->p50_us = (double)all[middle];
+        load->p99_us = (double)all[tail];
     }
     free(all);
     return outcome;
