test(entry): password logins through libpq

Problem: SCRAM at the entry had no test with a real client. Solution: libpq logs in against the verifier of RFC 7677; a wrong and an empty password and an unknown user are refused.

--- a/test/contract/test_pg_clients.c
+++ b/test/contract/test_pg_clients.c
@@ -294,6 +294,39 @@
 }
 END_TEST
 
+// A password against the customer's verifier of RFC 7677 ("pencil").
+START_TEST(test_password)
+{
+    struct deployment deployment;
+    struct deployment_params params = usual;
+
+    params.callers =
+        "[{\"user\": \"walker\", \"verifier\": \"SCRAM-SHA-256$4096:"
+        "W22ZaJ0SNY7soEsUEjb6gQ==$WG5d8oPm3OtcPnkdi4Uo7BkeZkBFzpcXkuLmtb"
+        "sT4qY=:wfPLwcE6nTWhTAmQ7tl2KeoiWGPlZqQxSrmfPwDl2dU=\"}]";
+    deployment_start(&deployment, "pg_password", &params);
+    PGconn *conn =
+        process_connect(deployment.entry_ports[0], "password=pencil");
+    char *text = process_query(conn, "SELECT 1");
+    ck_assert_str_eq(text, "1");
+    free(text);
+    PQfinish(conn);
+
+    static const char *const wrong[] = {"password=pencils", "password=''",
+                                        "password=pencil user=nobody"};
+    for (size_t i = 0; i < ARRAY_SIZE(wrong); i++) {
+        char *info = xasprintf("host=127.0.0.1 port=%d dbname=roster "
+                               "user=walker %s",
+                               deployment.entry_ports[0], wrong[i]);
+        conn = PQconnectdb(info);
+        ck_assert_int_eq(PQstatus(conn), CONNECTION_BAD);
+        PQfinish(conn);
+        free(info);
+    }
+    ck_assert(deployment_stop(&deployment));
+}
+END_TEST
+
 static void
 add_tests(TCase *tests)
 {
@@ -303,6 +336,7 @@
     tcase_add_test(tests, test_pipeline);
     tcase_add_test(tests, test_asynchronous);
     tcase_add_test(tests, test_upstream_limits);
+    tcase_add_test(tests, test_password);
 }
 
 TEST_MAIN("pg_clients", add_tests)
