test(cli): the command against three real daemons

Problem: the command had only been run against a fake leader. Solution: status with a lost daemon, upstream list, switchover, shutdown of a customer with an open session, stop, plan, apply and template on three daemons with three upstreams. process_run is shared by the tests.

--- /dev/null
+++ b/test/contract/test_operations.c
@@ -0,0 +1,211 @@
+#include <check.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "catkingrade/kernel/memory.h"
+#include "test/fake/installation.h"
+#include "test/suite.h"
+
+#define MAX_ARGS 8
+
+// The command against real daemons.
+static const struct installation_params three_daemons = {
+    .name = "operations",
+    .daemons_count = 3,
+    .voters_count = 3,
+    .upstreams_count = 3,
+    .settings = "",
+};
+
+// Runs the command against one daemon, with up to MAX_ARGS words.
+static char *
+operate(const struct installation *installation, int daemon, const char *words,
+        int *code)
+{
+    char address[80];
+    char copy[128];
+    const char *args[MAX_ARGS + 4] = {"--connect", address};
+    size_t count = 2;
+    char *rest = NULL;
+
+    (void)snprintf(address, sizeof(address), "127.0.0.1:%u",
+                   installation->daemons[daemon].rpc.port);
+    (void)snprintf(copy, sizeof(copy), "%s", words);
+    for (char *word = strtok_r(copy, " ", &rest); word != NULL;
+         word = strtok_r(NULL, " ", &rest)) {
+        ck_assert_uint_lt(count, MAX_ARGS + 3);
+        args[count++] = word;
+    }
+    return process_run(installation->folder, "catkingrade", args, code);
+}
+
+static void
+check_operate(const struct installation *installation, int daemon,
+              const char *words, int expected_code, const char *part)
+{
+    int code = 0;
+    char *text = operate(installation, daemon, words, &code);
+
+    ck_assert_msg(code == expected_code, "%s: code %d: %s", words, code, text);
+    ck_assert_msg(strstr(text, part) != NULL, "%s: no \"%s\" in: %s", words,
+                  part, text);
+    free(text);
+}
+
+static void
+start(struct installation *installation, const char *name)
+{
+    struct installation_params params = three_daemons;
+
+    params.name = name;
+    installation_start(installation, &params);
+    installation_apply_customer(installation);
+    (void)installation_wait_primary(installation, "");
+    for (int i = 0; i < params.daemons_count; i++) {
+        installation_wait_writable(installation, i);
+    }
+}
+
+static int
+count_parts(const char *text, const char *part)
+{
+    int count = 0;
+
+    for (const char *at = strstr(text, part); at != NULL;
+         at = strstr(at + 1, part)) {
+        count++;
+    }
+    return count;
+}
+
+START_TEST(test_status)
+{
+    struct installation installation;
+    int code = 0;
+
+    start(&installation, "operations_status");
+    char *text = operate(&installation, 0, "status", &code);
+    ck_assert_int_eq(code, 0);
+    ck_assert_int_eq(count_parts(text, "  ready "), 3);
+    ck_assert_int_eq(count_parts(text, "leader"), 1);
+    ck_assert_int_eq(count_parts(text, "pootafdruk"), 1);
+    free(text);
+    text = operate(&installation, 1, "upstream list", &code);
+    ck_assert_int_eq(code, 0);
+    ck_assert_int_eq(count_parts(text, " primary "), 1);
+    ck_assert_int_eq(count_parts(text, " replica "), 2);
+    free(text);
+
+    // A daemon that is lost stays in sight.
+    int lost = (installation_find_leader(&installation) + 1) % 3;
+    int other = (lost + 1) % 3;
+    installation_kill_daemon(&installation, lost);
+    check_operate(&installation, other, "--timeout 1000 status", 0,
+                  "unreachable");
+    check_operate(&installation, other, "--timeout 1000 timeline", 0,
+                  "# not reachable:");
+    installation_stop(&installation);
+}
+END_TEST
+
+START_TEST(test_switchover)
+{
+    struct installation installation;
+    char words[96];
+
+    start(&installation, "operations_switchover");
+    int primary = installation_wait_primary(&installation, "");
+    int target = (primary + 1) % 3;
+    check_operate(&installation, 0, "switchover roster1 nobody", 3, "refused");
+    (void)snprintf(words, sizeof(words), "switchover roster1 %s",
+                   installation.upstreams[target].name);
+    check_operate(&installation, 1, words, 0, "accepted");
+    ck_assert_int_eq(installation_wait_primary(
+                         &installation, installation.upstreams[primary].name),
+                     target);
+    for (int i = 0; i < 3; i++) {
+        installation_wait_writable(&installation, i);
+    }
+    check_operate(&installation, 2, "timeline", 0, "promoted");
+    installation_stop(&installation);
+}
+END_TEST
+
+// A customer is shut down while a session of it is open, and the daemons are
+// stopped after each other.
+START_TEST(test_shutdown_and_stop)
+{
+    struct installation installation;
+
+    start(&installation, "operations_shutdown");
+    PGconn *idle = installation_connect(&installation, 0, NULL);
+    char *text = process_query(idle, "SELECT 1");
+    ck_assert_str_eq(text, "1");
+    free(text);
+    check_operate(&installation, 0, "customer list", 0, "open");
+    check_operate(&installation, 1, "customer shutdown pootafdruk --wait", 0,
+                  "customer pootafdruk: closed");
+    check_operate(&installation, 1, "customer shutdown pootafdruk", 0,
+                  "has begun before");
+    text = process_query(idle, "SELECT 1");
+    ck_assert_str_ne(text, "1");
+    free(text);
+    PQfinish(idle);
+
+    for (int i = 0; i < 3; i++) {
+        struct process *process = installation.daemons[i].process;
+        check_operate(&installation, i, "stop", 0, "accepted");
+        installation.daemons[i].process = NULL;
+        ck_assert_int_eq(process_wait(process), 0);
+    }
+    check_operate(&installation, 0, "--timeout 500 customer list", 1,
+                  "no daemon answered");
+    installation_stop(&installation);
+}
+END_TEST
+
+// The database of one customer is refused to another; then a template lives
+// its life.
+START_TEST(test_declarations)
+{
+    struct installation installation;
+    char words[400];
+
+    start(&installation, "operations_declarations");
+    char *dir = xasprintf("%s/declared", installation.folder);
+    char *command = xasprintf("mkdir '%s'", dir);
+    char *path = xasprintf("%s/second.json", dir);
+    ck_assert_int_eq(system(command), 0);
+    process_write_file(path, "{\"customer\": \"second\", // a comment\n"
+                             " \"template\": \"roster\"}\n");
+    (void)snprintf(words, sizeof(words), "plan -f %s", dir);
+    check_operate(&installation, 0, words, 3, "second");
+    process_write_file(path,
+                       "{\"template\": \"other\", \"parameters\": {},"
+                       "\"customer\": {\"databases\": [{\"name\": \"d2\","
+                       "\"group\": \"fleet\"}], \"max_age_ms\": 10}}");
+    check_operate(&installation, 0, words, 2, "would be created");
+    (void)snprintf(words, sizeof(words), "apply -f %s", dir);
+    check_operate(&installation, 0, words, 0, "template other: accepted");
+    check_operate(&installation, 1, words, 0, "template other: unchanged");
+    check_operate(&installation, 2, "template list", 0, "other");
+    check_operate(&installation, 2, "template delete roster", 3, "refused");
+    check_operate(&installation, 2, "template delete other", 0, "deleted");
+    free(path);
+    free(command);
+    free(dir);
+    installation_stop(&installation);
+}
+END_TEST
+
+static void
+add_tests(TCase *tests)
+{
+    tcase_add_test(tests, test_status);
+    tcase_add_test(tests, test_switchover);
+    tcase_add_test(tests, test_shutdown_and_stop);
+    tcase_add_test(tests, test_declarations);
+}
+
+TEST_MAIN("operations", add_tests)
--- a/test/contract/test_pg_clients.c
+++ b/test/contract/test_pg_clients.c
@@ -30,18 +30,13 @@
            const char *const *args, int *code)
 {
     char port[16];
-    char *log_path = xasprintf("%s/client.log", deployment->folder);
     const char *all[32] = {"-h", "127.0.0.1", "-p", port, "-U", "walker"};
 
     (void)snprintf(port, sizeof(port), "%d", deployment->entry_ports[0]);
     for (size_t i = 0; args[i] != NULL; i++) {
         all[6 + i] = args[i];
     }
-    (void)remove(log_path);
-    *code = process_wait(process_start(log_path, program, all));
-    char *text = process_read_file(log_path);
-    free(log_path);
-    return text;
+    return process_run(deployment->folder, program, all, code);
 }
 
 static void
--- a/test/fake/process.c
+++ b/test/fake/process.c
@@ -134,6 +134,20 @@
     return process_decode_status(status);
 }
 
+// Runs a program with its output in a new file of the folder.
+char *
+process_run(const char *folder, const char *program, const char *const *args,
+            int *code)
+{
+    static int runs;
+    char *log_path = xasprintf("%s/run-%d.log", folder, runs++);
+
+    *code = process_wait(process_start(log_path, program, args));
+    char *text = process_read_file(log_path);
+    free(log_path);
+    return text;
+}
+
 static struct sockaddr_in
 process_get_address(int port)
 {
--- a/test/fake/process.h
+++ b/test/fake/process.h
@@ -20,6 +20,10 @@
 // Waits for the end by itself, up to a generous limit; then as process_stop.
 int process_wait(struct process *process);
 
+// Runs a program to its end. Returns what it printed, which the caller frees.
+char *process_run(const char *folder, const char *program,
+                  const char *const *args, int *code);
+
 int process_get_free_port(void);
 // Waits until a local port accepts connections. Returns whether it does.
 bool process_wait_port(int port);
