perf(decide): let holders keep a lent slot for two plans

Problem: a slot that changes hands is idle until the next renewal; with 7 entries on 5 slots they changed hands in each round.

Solution: an entry without any slot takes its turn after two plans.

--- a/src/catkingrade/decide/lending.c
+++ b/src/catkingrade/decide/lending.c
@@ -7,6 +7,9 @@
 // One part in this many of a limit is split into guaranteed shares, which are
 // never lent to others; the rest follows demand.
 #define LENDING_GUARANTEED_PART 2
+// Plans that leave an entry without any slot before its turn comes: a slot
+// that changes hands is idle until the next renewal.
+#define LENDING_PATIENCE 2
 
 // One entry's row while one limit is planned.
 struct lending_row {
@@ -66,9 +69,11 @@
 static bool
 lending_comes_before(const struct lending_row *a, const struct lending_row *b)
 {
-    if (a->given == 0 && b->given == 0 &&
-        a->entry->unserved != b->entry->unserved) {
-        return a->entry->unserved > b->entry->unserved;
+    uint32_t turns_a = a->entry->unserved / LENDING_PATIENCE;
+    uint32_t turns_b = b->entry->unserved / LENDING_PATIENCE;
+
+    if (a->given == 0 && b->given == 0 && turns_a != turns_b) {
+        return turns_a > turns_b;
     }
     uint64_t filled_a = (uint64_t)a->given * b->entry->weight;
     uint64_t filled_b = (uint64_t)b->given * a->entry->weight;
