fix(decide): long pipelines and a database without its customer

Problem: an entry could be brought down by a caller that pipelines some ten thousand statements of which each is refused at once, and by a view in which a database comes before its customer. Cause: the end of a request began the next one of its session by recursion; the customer of a view was taken as always there.

Solution: requests of a session begin and end in a loop, and a customer that is not there counts as draining: no new transaction.

--- a/src/catkingrade/decide/traffic_request.c
+++ b/src/catkingrade/decide/traffic_request.c
@@ -237,17 +237,29 @@
     admission_enqueue(traffic, request);
 }
 
-// Lets the first request of a session go on when it can, and ends the session
-// at its transaction boundary when it must end.
+// Lets the first request of a session go on when it can, then those behind it
+// as long as each ends at once, and ends the session at its transaction
+// boundary when it must end. Requests that end meanwhile call this again,
+// which changes nothing: a long pipeline must not need a deep stack.
 void
 request_continue_session(struct traffic *traffic, struct session *session)
 {
+    if (session->continuing) {
+        return;
+    }
+    session->continuing = true;
+    while (session->first != NULL &&
+           session->first->state == REQUEST_WAITING) {
+        struct request *request = session->first;
+        request_begin(traffic, request);
+        if (session->first == request) {
+            break;
+        }
+    }
+    session->continuing = false;
     if (session->first == NULL) {
         session_end_if_due(traffic, session);
     }
-    else if (session->first->state == REQUEST_WAITING) {
-        request_begin(traffic, session->first);
-    }
 }
 
 // Returns why a new transaction or single statement is refused, or NULL.
--- a/src/catkingrade/decide/traffic_session.c
+++ b/src/catkingrade/decide/traffic_session.c
@@ -61,12 +61,9 @@
         return;
     }
     session->ended = true;
-    while (session->last != NULL) {
-        struct request *request = session->first;
-        while (request->session_next != NULL) {
-            request = request->session_next;
-        }
-        request_drop(traffic, request);
+    session->continuing = true;
+    while (session->first != NULL) {
+        request_drop(traffic, session->first);
     }
     struct conn *conn = pool_find(traffic, session->conn);
     if (conn != NULL) {
--- a/src/catkingrade/decide/traffic_state.h
+++ b/src/catkingrade/decide/traffic_state.h
@@ -134,6 +134,7 @@
     bool floor_known;
     bool floor_waiting; // is in the list
     bool ended;         // END_SESSION was said
+    bool continuing;    // its requests are being begun or dropped
 };
 
 enum queue_kind {
--- a/src/catkingrade/decide/traffic_view.c
+++ b/src/catkingrade/decide/traffic_view.c
@@ -155,6 +155,13 @@
     }
 }
 
+// Stands for a customer that the view does not hold yet, or no longer: its
+// database takes no new transaction.
+static const struct ck_customer view_no_customer = {
+    .state = CK_CUSTOMER_DRAINING,
+    .confirm = 1,
+};
+
 // Takes a new view of the database, its customer and this entry's quotas.
 void
 view_handle(struct traffic *traffic, const struct traffic_view *view)
@@ -163,6 +170,9 @@
     uint32_t old_primary = traffic->primary;
 
     traffic->view = *view;
+    if (view->customer == NULL) {
+        traffic->view.customer = &view_no_customer;
+    }
     traffic->view_known = true;
     traffic->term = view->database->term;
     view_list_upstreams(traffic);
--- a/test/unit/decide/test_traffic.c
+++ b/test/unit/decide/test_traffic.c
@@ -143,6 +143,50 @@
 }
 END_TEST
 
+// A pipeline of which each request is refused at once needs no deep stack, and
+// each is answered once, in order.
+START_TEST(test_long_pipeline_is_refused_in_order)
+{
+    const unsigned count = 200000;
+    uint64_t first = 0;
+    uint64_t expected = 0;
+
+    setup(1);
+    uint32_t conn = run(TRAFFIC_WRITE, &first)->conn;
+    for (unsigned i = 0; i < count; i++) {
+        (void)rig_request(&rig, 1, TRAFFIC_IN_TRANSACTION, -1);
+    }
+    rig_result(&rig, first, conn, TRAFFIC_RESULT_DONE, false, 130);
+    ck_assert_uint_eq(rig_count(&rig, TRAFFIC_ACTION_REFUSE), count);
+    expected = first;
+    for (size_t i = 0; i < rig.actions.count; i++) {
+        if (rig.actions.items[i].kind == TRAFFIC_ACTION_REFUSE) {
+            ck_assert_uint_eq(rig.actions.items[i].request, ++expected);
+        }
+    }
+    rig_free(&rig);
+}
+END_TEST
+
+// A database may come before its customer; it then takes no transaction.
+START_TEST(test_view_without_customer)
+{
+    struct traffic_event event = {
+        .kind = TRAFFIC_EVENT_VIEW,
+        .view = {.database = &rig.database, .failure_domain = "noord"}};
+
+    setup(1);
+    rig_step(&rig, &event);
+    uint64_t request = rig_request(&rig, 1, TRAFFIC_WRITE, -1);
+    ck_assert_ptr_nonnull(rig_find(&rig, TRAFFIC_ACTION_REFUSE, request));
+    rig_post_view(&rig);
+    request = rig_request(&rig, 1, TRAFFIC_WRITE, -1);
+    rig_open_all(&rig);
+    ck_assert_ptr_nonnull(rig_find(&rig, TRAFFIC_ACTION_SEND, request));
+    rig_free(&rig);
+}
+END_TEST
+
 struct cut {
     enum traffic_class request_class;
     enum traffic_result result;
@@ -182,6 +226,8 @@
     tcase_add_test(tests, test_session_end_closes_its_transaction);
     tcase_add_test(tests, test_deadline_refuses_what_was_not_sent);
     tcase_add_test(tests, test_late_answer_is_not_the_next_ones);
+    tcase_add_test(tests, test_long_pipeline_is_refused_in_order);
+    tcase_add_test(tests, test_view_without_customer);
     tcase_add_loop_test(tests, test_outcome_of_each_cut, 0,
                         sizeof(cuts) / sizeof(cuts[0]));
 }
