--- a/src/catkingrade/decide/traffic_request.c
+++ b/src/catkingrade/decide/traffic_request.c
@@ -237,17 +237,29 @@
     admission_enqueue(traffic, request);
 }
 
-// Lets the first request of a session go on when it can, and ends the session
-// at its transaction boundary when it must end.
+// Lets the first request of a session go on when it can, then those behind it
+// as long as each ends at once, and ends the session at its transaction
+// boundary when it must end. Requests that end meanwhile call this again,
+// which changes nothing: a long pipeline must not need a deep stack.
 void
 request_continue_session(struct traffic *traffic, struct session *session)
 {
+    if (session->continuing) {
+        return;
+    }
+    session->continuing = true;
+    while (session->first != NULL &&
+           session->first->state == REQUEST_WAITING) {
+        struct request *request = session->first;
+        request_begin(traffic, request);
+        if (session->first == request) {
+            break;
+        }
+    }
+    session->continuing = false;
     if (session->first == NULL) {
         session_end_if_due(traffic, session);
     }
-    else if (session->first->state == REQUEST_WAITING) {
-        request_begin(traffic, session->first);
-    }
 }
 
 // Returns why a new transaction or single statement is refused, or NULL.
@@ -382,7 +394,7 @@
     action->request = request->id;
     conn->reset_wanted = true;
     if (conn->session != NULL || request_opens_transaction(request)) {
-        pool_end_use(&traffic->upstreams[conn->upstream], conn->read);
+        pool_end_use(traffic, conn->upstream, conn->read);
         pool_close(traffic, conn, TRAFFIC_CLOSE_ABNORMAL);
     }
     else {
@@ -464,7 +476,7 @@
     struct upstream *up = &traffic->upstreams[conn->upstream];
 
     if (conn->state == CONN_PINNED) {
-        pool_end_use(up, false);
+        pool_end_use(traffic, conn->upstream, false);
     }
     request->state = REQUEST_RUNNING;
     request->conn = conn->id;
@@ -478,9 +490,7 @@
     conn->read = request_is_read(request);
     up->running++;
     up->reads += conn->read;
-    if (up->running > up->peak_running) {
-        up->peak_running = up->running;
-    }
+    traffic->running++;
     struct traffic_action *action =
         traffic_add_action(traffic, TRAFFIC_ACTION_SEND);
     action->request = request->id;
