test(decide): a domain's group, and removal of upstreams in the log

Problem: which databases a domain's group takes, what it publishes, and when the log refuses a removal were not shown.

--- a/test/unit/decide/test_group.c
+++ b/test/unit/decide/test_group.c
@@ -368,6 +368,79 @@
 }
 END_TEST
 
+// A domain's group decides the databases that name it, from documents of its
+// own; customers are published by the fleet's group alone.
+START_TEST(test_domain_group)
+{
+    struct group_state *group = group_create("noord");
+    struct ck_view_delta delta;
+    struct ck_upstream local =
+        changes_make_upstream("u1", "local", "noord", "10.0.0.1");
+    struct ck_upstream spanning =
+        changes_make_upstream("u2", "roster1", "noord", "10.0.0.2");
+
+    changes_set_customer(group,
+                         "[{\"name\": \"roster1\"},"
+                         " {\"name\": \"local\", \"group\": \"noord\"}]",
+                         "wait");
+    ck_assert_int_eq(changes_apply_upstream(group, &local), OUTCOME_OK);
+    ck_assert_int_eq(changes_apply_upstream(group, &spanning),
+                     OUTCOME_INVALID);
+    ck_assert_str_eq(group_find_deciding_group(group, "roster1"), "fleet");
+    ck_assert_str_eq(group_find_database(group, "local")->group, "noord");
+    ck_assert_str_eq(group_find_database(group, "local")->customer,
+                     "pootafdruk");
+    group_fill_delta(group, 0, NULL, &delta);
+    ck_assert_uint_eq(delta.customers.customers_len, 0);
+    ck_assert_uint_eq(delta.databases.databases_len, 1);
+    ck_assert_uint_eq(delta.to_revision, group_get_revision(group));
+    group_delta_clear(&delta);
+    group_destroy(group);
+}
+END_TEST
+
+static int
+apply_expire(struct group_state *group, const char *name,
+             ck_upstream_state state)
+{
+    struct ck_change change = {.kind = CK_CHANGE_UPSTREAM_EXPIRE};
+
+    change.ck_change_u.upstream =
+        changes_make_upstream(name, "roster1", "noord", "10.0.0.1");
+    change.ck_change_u.upstream.state = state;
+    return changes_apply(group, 0, &change, "", -1, NULL);
+}
+
+START_TEST(test_removal_of_an_upstream)
+{
+    struct group_state *group = make_group();
+    struct ck_upstream one =
+        changes_make_upstream("u1", "roster1", "noord", "10.0.0.1");
+    struct ck_upstream two =
+        changes_make_upstream("u2", "roster1", "noord", "10.0.0.2");
+
+    changes_apply_upstream(group, &one);
+    changes_apply_upstream(group, &two);
+    ck_assert_int_eq(apply_primary(group, 1, "u1"), OUTCOME_OK);
+    // One that is there, the primary, and one during a failover stay.
+    ck_assert_int_eq(apply_expire(group, "u2", CK_UPSTREAM_LOST),
+                     OUTCOME_CONFLICT);
+    ck_assert_int_eq(apply_expire(group, "u1", CK_UPSTREAM_READY), OUTCOME_OK);
+    ck_assert_int_eq(apply_expire(group, "u1", CK_UPSTREAM_LOST),
+                     OUTCOME_CONFLICT);
+    ck_assert_int_eq(apply_expire(group, "u2", CK_UPSTREAM_READY), OUTCOME_OK);
+    ck_assert_int_eq(apply_supersede(group, 1), OUTCOME_OK);
+    ck_assert_int_eq(apply_expire(group, "u2", CK_UPSTREAM_LOST),
+                     OUTCOME_CONFLICT);
+    ck_assert_int_eq(apply_primary(group, 2, "u1"), OUTCOME_OK);
+    ck_assert_int_eq(apply_expire(group, "u2", CK_UPSTREAM_LOST), OUTCOME_OK);
+    ck_assert_ptr_null(group_find_upstream(group, "u2"));
+    ck_assert_uint_eq(
+        group_find_database(group, "roster1")->upstreams.upstreams_len, 1);
+    group_destroy(group);
+}
+END_TEST
+
 START_TEST(test_query_pages)
 {
     struct group_state *group = make_group();
@@ -422,6 +495,8 @@
     tcase_add_test(tests, test_template_in_use_stays);
     tcase_add_test(tests, test_customer_shutdown_goes_one_way);
     tcase_add_test(tests, test_delta_pages_join);
+    tcase_add_test(tests, test_domain_group);
+    tcase_add_test(tests, test_removal_of_an_upstream);
     tcase_add_test(tests, test_query_pages);
     tcase_add_test(tests, test_undecodable_entry_changes_nothing);
 }
