fix(entry): no session state left behind, sampling within the limits

Problem: RESET ALL between sessions left roles, advisory locks, temporary tables and what set_config had changed at a pooled connection; the connection that samples an upstream came on top of the entry's share; a sampling connection stayed at an upstream's old address; silent callers were found after two hours.

--- a/src/catkingrade/entry/database.c
+++ b/src/catkingrade/entry/database.c
@@ -3,6 +3,7 @@
 #include <apr_hash.h>
 #include <apr_pools.h>
 #include <stdatomic.h>
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -29,6 +30,8 @@
     uint32_t upstream;
     int64_t asked_at_us;
     uint64_t timeline; // of the last sample; 0: not known
+    char host[CK_HOST_SIZE + 1];
+    unsigned port;
     bool open;
     bool busy;
 };
@@ -445,10 +448,35 @@
         monitor->link->ops->sample(monitor->link);
         return;
     }
+    const struct ck_upstream *config =
+        traffic_get_upstream(database->traffic, upstream);
+    INVARIANT(config != NULL);
+    (void)snprintf(monitor->host, sizeof(monitor->host), "%s", config->host);
+    monitor->port = config->port;
     monitor->link = database_open_link(database, upstream,
                                        &database_monitor_events, monitor);
 }
 
+// Closes idle sampling connections to upstreams that are not in the view, or
+// that have another address there.
+static void
+database_close_stale_monitors(struct database *database)
+{
+    for (uint32_t i = 0; i < database->monitors_count; i++) {
+        struct database_monitor *monitor = database->monitors[i];
+        const struct ck_upstream *config =
+            traffic_get_upstream(database->traffic, i);
+        if (monitor == NULL || monitor->busy || monitor->link == NULL ||
+            (config != NULL && config->port == monitor->port &&
+             strcmp(config->host, monitor->host) == 0)) {
+            continue;
+        }
+        monitor->link->ops->close(monitor->link);
+        monitor->link = NULL;
+        monitor->open = false;
+    }
+}
+
 static void
 database_count_send(const struct entry_request *request,
                     const struct traffic_action *action)
@@ -717,6 +745,7 @@
     struct view *old_view = database->view;
     struct ck_quota *old_quotas = database->quotas;
 
+    database->leaving = false;
     database->view = view_hold(view);
     database->config = view_find_database(view, database->name);
     INVARIANT(database->config != NULL);
@@ -737,6 +766,7 @@
                          ->failure_domain},
     };
     database_step(database, &event);
+    database_close_stale_monitors(database);
     free(old_quotas);
     view_release(old_view);
 }
--- a/src/catkingrade/entry/worker.c
+++ b/src/catkingrade/entry/worker.c
@@ -217,6 +217,13 @@
     return NULL;
 }
 
+// Takes the connection that samples the upstream's position off a share.
+static uint32_t
+worker_leave_sampling(uint32_t connections)
+{
+    return connections > 1 ? connections - 1 : connections;
+}
+
 // Fills the quota of one upstream. An entry with a static view has no one to
 // share with and may use all that the upstream accepts.
 static bool
@@ -226,14 +233,16 @@
     const struct ck_quota *lent = worker_find_quota(worker, upstream->name);
     const struct settings *settings = entry_get_settings(worker->entry);
 
-    if (lent != NULL) {
-        *quota = *lent;
-        return true;
-    }
     quota->upstream = upstream->name;
     quota->slots = quota->guaranteed_slots = upstream->slots;
     quota->connections = quota->guaranteed_connections = upstream->connections;
-    return settings->view_file[0] != '\0';
+    if (lent != NULL) {
+        *quota = *lent;
+    }
+    quota->connections = worker_leave_sampling(quota->connections);
+    quota->guaranteed_connections =
+        worker_leave_sampling(quota->guaranteed_connections);
+    return lent != NULL || settings->view_file[0] != '\0';
 }
 
 static void
--- a/src/catkingrade/plugins/libpq_upstream.c
+++ b/src/catkingrade/plugins/libpq_upstream.c
@@ -96,6 +96,7 @@
 libpq_phase_is_before_save(const struct libpq_link *link)
 {
     switch (link->phase) {
+    case LIBPQ_PHASE_DISCARD:
     case LIBPQ_PHASE_SETTINGS:
     case LIBPQ_PHASE_KEY_BEGIN:
     case LIBPQ_PHASE_KEY_INSERT:
@@ -176,19 +177,6 @@
     return true;
 }
 
-static bool
-libpq_link_send_settings(struct libpq_link *link)
-{
-    char *text = xasprintf(
-        "RESET ALL;%s%s", link->prepared_count > 0 ? "DEALLOCATE ALL;" : "",
-        link->job->settings_text == NULL ? "" : link->job->settings_text);
-    bool sent = libpq_link_send_query(link, text);
-
-    libpq_link_forget_prepared(link);
-    free(text);
-    return sent;
-}
-
 // Sends a statement about the job's key. Literals are quoted by libpq.
 static bool
 libpq_link_send_key(struct libpq_link *link, const char *format,
@@ -220,8 +208,11 @@
 libpq_link_send_phase(struct libpq_link *link)
 {
     switch (link->phase) {
+    case LIBPQ_PHASE_DISCARD:
+        libpq_link_forget_prepared(link);
+        return libpq_link_send_query(link, UPSTREAM_SQL_RESET);
     case LIBPQ_PHASE_SETTINGS:
-        return libpq_link_send_settings(link);
+        return libpq_link_send_query(link, link->job->settings_text);
     case LIBPQ_PHASE_KEY_BEGIN:
         return libpq_link_send_query(link, UPSTREAM_SQL_KEY_BEGIN);
     case LIBPQ_PHASE_KEY_INSERT:
@@ -279,6 +270,18 @@
     libpq_link_run_main(link);
 }
 
+// Replays the session's settings on a connection that carries none.
+static void
+libpq_link_run_settings(struct libpq_link *link)
+{
+    if (link->job->settings_hash == link->settings_hash ||
+        link->job->settings_text == NULL) {
+        libpq_link_run_after_settings(link);
+        return;
+    }
+    libpq_link_run_phase(link, LIBPQ_PHASE_SETTINGS);
+}
+
 // Ends a job whose answer is whole.
 static void
 libpq_link_end_job(struct libpq_link *link)
@@ -345,6 +348,10 @@
     struct job *job = link->job;
 
     switch (link->phase) {
+    case LIBPQ_PHASE_DISCARD:
+        link->settings_hash = link->failed ? JOB_SETTINGS_UNKNOWN : 0;
+        libpq_link_run_settings(link);
+        return;
     case LIBPQ_PHASE_SETTINGS:
         link->settings_hash =
             link->failed ? JOB_SETTINGS_UNKNOWN : job->settings_hash;
@@ -463,7 +470,8 @@
     if (status != PGRES_TUPLES_OK && status != PGRES_COMMAND_OK) {
         link->failed = true;
         if (job != NULL && link->phase != LIBPQ_PHASE_POSITION &&
-            link->phase != LIBPQ_PHASE_SETTINGS && !job->failed) {
+            link->phase != LIBPQ_PHASE_SETTINGS &&
+            link->phase != LIBPQ_PHASE_DISCARD && !job->failed) {
             buffer_clear(&job->answer);
             libpq_encode_report(result, 'E', &job->answer);
             job->failed = true;
@@ -637,8 +645,10 @@
 libpq_link_run(struct upstream_link *base, struct job *job)
 {
     struct libpq_link *link = (struct libpq_link *)base;
-    bool settings_differ = link->settings_hash != job->settings_hash ||
-                           link->prepared_count > LIBPQ_MAX_PREPARED;
+    // What another session has set must go before its own is replayed.
+    bool discards = (link->settings_hash != 0 &&
+                     link->settings_hash != job->settings_hash) ||
+                    link->prepared_count > LIBPQ_MAX_PREPARED;
 
     INVARIANT(link->phase == LIBPQ_PHASE_IDLE);
     link->job = job;
@@ -651,11 +661,15 @@
         libpq_link_fail_later(link, UPSTREAM_FAULT_CUT);
         return;
     }
-    if (settings_differ && !job->in_transaction) {
-        libpq_link_run_phase(link, LIBPQ_PHASE_SETTINGS);
+    if (job->in_transaction) {
+        libpq_link_run_after_settings(link);
+        return;
+    }
+    if (discards) {
+        libpq_link_run_phase(link, LIBPQ_PHASE_DISCARD);
         return;
     }
-    libpq_link_run_after_settings(link);
+    libpq_link_run_settings(link);
 }
 
 static void
--- a/src/catkingrade/plugins/postgres_extended.c
+++ b/src/catkingrade/plugins/postgres_extended.c
@@ -260,6 +260,11 @@
         if (step->portal->statement->kind == CLASSIFY_SET) {
             postgres_request_add_setting(batch, text);
         }
+        else if (step->portal->statement->kind == CLASSIFY_WRITE &&
+                 postgres_query_leaves_state(text)) {
+            batch->job.changes_settings = true;
+            batch->job.settings_hash_after = JOB_SETTINGS_UNKNOWN;
+        }
     }
     // A key stands for one save.
     if (executes_count != 1) {
--- a/src/catkingrade/plugins/postgres_listener.c
+++ b/src/catkingrade/plugins/postgres_listener.c
@@ -18,10 +18,14 @@
 #include "catkingrade/plugins/libpq_upstream.h"
 #include "catkingrade/plugins/postgres_session.h"
 
-#define LISTENER_BACKLOG     1024
-#define LISTENER_ACCEPT_MAX  64 // connections of one turn
-#define LISTENER_PLACE_SHIFT 24 // of the worker in a cancel key
-#define LISTENER_ID_MASK     0xffffff
+#define LISTENER_BACKLOG              1024
+#define LISTENER_ACCEPT_MAX           64 // connections of one turn
+#define LISTENER_PLACE_SHIFT          24 // of the worker in a cancel key
+#define LISTENER_ID_MASK              0xffffff
+#define LISTENER_KEEPALIVE_IDLE_S     30
+#define LISTENER_KEEPALIVE_INTERVAL_S 10
+#define LISTENER_KEEPALIVE_COUNT      3
+#define LISTENER_SILENT_MS            60000
 
 // ---- sockets ----
 
@@ -70,6 +74,25 @@
     return -1;
 }
 
+// Makes the kernel find callers that have gone silent.
+static void
+listener_set_keepalive(int fd)
+{
+    int on = 1;
+    int idle_s = LISTENER_KEEPALIVE_IDLE_S;
+    int interval_s = LISTENER_KEEPALIVE_INTERVAL_S;
+    int count = LISTENER_KEEPALIVE_COUNT;
+    unsigned timeout_ms = LISTENER_SILENT_MS;
+
+    (void)setsockopt(fd, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof(on));
+    (void)setsockopt(fd, IPPROTO_TCP, TCP_KEEPIDLE, &idle_s, sizeof(idle_s));
+    (void)setsockopt(fd, IPPROTO_TCP, TCP_KEEPINTVL, &interval_s,
+                     sizeof(interval_s));
+    (void)setsockopt(fd, IPPROTO_TCP, TCP_KEEPCNT, &count, sizeof(count));
+    (void)setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout_ms,
+                     sizeof(timeout_ms));
+}
+
 static void
 listener_accept(void *data, unsigned events)
 {
@@ -84,7 +107,7 @@
             return;
         }
         (void)setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
-        (void)setsockopt(fd, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof(on));
+        listener_set_keepalive(fd);
         (void)postgres_session_create(listener, fd);
     }
 }
--- a/src/catkingrade/plugins/postgres_query.c
+++ b/src/catkingrade/plugins/postgres_query.c
@@ -210,6 +210,16 @@
     return strncasecmp(text, word, strlen(word)) == 0;
 }
 
+// Returns whether a statement may leave session state at its connection that
+// no SET shows: the connection is then discarded clean before another use.
+bool
+postgres_query_leaves_state(const char *text)
+{
+    return strcasestr(text, "set_config") != NULL ||
+           strcasestr(text, "advisory") != NULL ||
+           strcasestr(text, "temp") != NULL;
+}
+
 // Returns why a statement can't be served over pooled connections, or NULL.
 static const char *
 postgres_query_find_refusal(const struct postgres_session *session,
@@ -230,6 +240,10 @@
                    "use the protocol's prepared statements";
         }
     }
+    if (session->status == 'I' &&
+        postgres_query_has_word(text, "CREATE TEMP")) {
+        return "temporary tables are supported within a transaction only";
+    }
     if (kind == CLASSIFY_SET && session->settings_text != NULL &&
         strlen(session->settings_text) + strlen(text) > QUERY_MAX_SETTINGS) {
         return "too many settings in one session";
@@ -351,6 +365,10 @@
             postgres_request_add_setting(request, text);
         }
     }
+    if (kind == CLASSIFY_WRITE && postgres_query_leaves_state(text)) {
+        request->job.changes_settings = true;
+        request->job.settings_hash_after = JOB_SETTINGS_UNKNOWN;
+    }
     session->ends_with_sync = true;
     postgres_request_submit(session, request,
                             postgres_request_get_class(session, kind));
--- a/src/catkingrade/plugins/postgres_session.h
+++ b/src/catkingrade/plugins/postgres_session.h
@@ -116,6 +116,7 @@
                            enum classify_kind kind);
 void postgres_request_add_setting(struct entry_request *request,
                                   const char *text);
+bool postgres_query_leaves_state(const char *text);
 bool postgres_query_is_refused(struct postgres_session *session,
                                enum classify_kind kind, const char *text);
 // Answers of the database.
