test(entry): clients of the frame test use another loopback address

Problem: 10,000 short connections took local ports that tests beside it had found to be free, so their programs could not listen: one landing run saw test_entry, test_pg_clients and test_failover fail in process_wait_port.

--- a/test/contract/test_entry_frames.c
+++ b/test/contract/test_entry_frames.c
@@ -107,14 +107,19 @@
 open_session(int port, size_t *frames_count)
 {
     struct sockaddr_in address = {.sin_family = AF_INET};
+    struct sockaddr_in source = {.sin_family = AF_INET};
     struct timeval limit = {.tv_sec = FRAMES_LIMIT_S};
     struct buffer out = {0};
     int fd = socket(AF_INET, SOCK_STREAM, 0);
 
+    source.sin_addr.s_addr = htonl(INADDR_LOOPBACK + 1);
     address.sin_port = htons((uint16_t)port);
     address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
     ck_assert_int_ge(fd, 0);
     setsockopt(fd, SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof(limit));
+    // Thousands of local ports from another loopback address, so that they
+    // aren't the free ports that tests beside this one have just found.
+    ck_assert_int_eq(bind(fd, (struct sockaddr *)&source, sizeof(source)), 0);
     ck_assert_int_eq(connect(fd, (struct sockaddr *)&address, sizeof(address)),
                      0);
     if (get_random(10) == 0) {
