fix(entry): a session that ends at its boundary is closed at once

Problem: after a planned stop began, a session that was in a transaction got 57P01 at its end but stayed open until the caller closed it, so that the daemon waited for the drain limit.

--- a/src/catkingrade/plugins/postgres_session.c
+++ b/src/catkingrade/plugins/postgres_session.c
@@ -438,13 +438,13 @@
         postgres_session_move(session);
         return;
     }
+    if (alive && session->ends && session->state == POSTGRES_STATE_READY) {
+        postgres_session_end(session);
+    }
     if (!postgres_session_write(session) || !alive) {
         postgres_session_destroy(session);
         return;
     }
-    if (session->ends && session->state == POSTGRES_STATE_READY) {
-        postgres_session_end(session);
-    }
     postgres_session_shrink(session);
     postgres_session_watch(session);
 }
--- a/test/contract/test_entry.c
+++ b/test/contract/test_entry.c
@@ -447,6 +447,17 @@
 
 // ---- planned stop ----
 
+// Waits, without sending anything, until the other side has closed.
+static void
+check_ended(PGconn *conn)
+{
+    for (int i = 0; i < 1000 && PQconsumeInput(conn) == 1; i++) {
+        struct timespec wait = {.tv_nsec = 10000000};
+        nanosleep(&wait, NULL);
+    }
+    ck_assert_int_eq(PQstatus(conn), CONNECTION_BAD);
+}
+
 START_TEST(test_planned_stop)
 {
     struct fleet fleet;
@@ -468,6 +479,8 @@
     ck_assert_int_eq(PQresultStatus(result), PGRES_COMMAND_OK);
     PQclear(result);
     check_query(open, "COMMIT", "");
+    // Its session is at a boundary now: the entry closes it by itself.
+    check_ended(open);
     char *text = process_query(idle, "SELECT 1");
     ck_assert_msg(strstr(text, "due to a planned stop") != NULL, "%s", text);
     free(text);
