fix(control): a full upstream is not a dead one; keep a connection for control and one for samples

Problem: With a primary gone silent no promotion came: the probes of the replicas were refused with 53300, since entries were lent every connection that an upstream accepts and opened one more each for samples.

Cause: lending gave out all connections; the sample connection of an entry was counted nowhere; control had none of its own.

Solution: One connection of an upstream is kept for control, whose operations at one upstream now run one after the other. An entry's share includes its sample connection. A refusal with 53300 is no suspicion: the server lives; control's probe tries again until its limit. Probes are limited by the suspicion time in place of the connect time limit.

--- a/src/catkingrade/control/upstream_admin.c
+++ b/src/catkingrade/control/upstream_admin.c
@@ -5,13 +5,16 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "catkingrade/entry/upstream_error.h"
 #include "catkingrade/entry/upstream_sql.h"
 #include "catkingrade/kernel/buffer.h"
 #include "catkingrade/kernel/file.h"
 #include "catkingrade/kernel/memory.h"
 #include "catkingrade/kernel/outcome.h"
+#include "catkingrade/rpc/codec.h"
 
 #define UPSTREAM_ADMIN_PROMOTE_LIMIT_US 8000000
+#define UPSTREAM_ADMIN_FULL_RETRY_US    50000
 #define UPSTREAM_ADMIN_MAX_PASSWORD     4096
 #define UPSTREAM_ADMIN_PORT_SIZE        8
 #define UPSTREAM_ADMIN_SAMPLE_FIELDS    3
@@ -27,7 +30,10 @@
     PGconn *conn;
     struct loop_watch *watch;
     struct loop_timer *timer;
+    struct loop_timer *retry_timer;
     bool connected;
+    bool queued; // behind another one at the same upstream
+    struct ck_upstream target;
     upstream_admin_fn done;
     void *data;
 };
@@ -66,9 +72,11 @@
     *place = operation->next;
     loop_watch_destroy(operation->watch);
     loop_timer_destroy(operation->timer);
+    loop_timer_destroy(operation->retry_timer);
     PQfinish(operation->conn);
     free(operation->upstream_name);
     free(operation->statements);
+    codec_free((xdrproc_t)xdr_ck_upstream, &operation->target);
     free(operation);
 }
 
@@ -83,13 +91,21 @@
     free(admin);
 }
 
+static void upstream_admin_start_next(struct upstream_admin *admin,
+                                      const char *name);
+
 static void
 upstream_operation_finish(struct upstream_operation *operation, int outcome)
 {
+    struct upstream_admin *admin = operation->admin;
+    char *name = xstrdup(operation->upstream_name);
+
     operation->result.outcome = outcome;
     operation->result.upstream = operation->upstream_name;
     operation->done(operation->data, &operation->result);
     upstream_operation_destroy(operation);
+    upstream_admin_start_next(admin, name);
+    free(name);
 }
 
 static void
@@ -218,6 +234,24 @@
                           events, upstream_operation_handle_io, operation);
 }
 
+// A server that has too many connections lives: try again until the time
+// limit. Any other refusal ends the operation.
+static void
+upstream_operation_handle_refusal(struct upstream_operation *operation)
+{
+    if (!upstream_error_is_full(operation->conn)) {
+        operation->result.refused = true;
+        upstream_operation_finish(operation, OUTCOME_UNAVAILABLE);
+        return;
+    }
+    loop_watch_destroy(operation->watch);
+    operation->watch = NULL;
+    PQfinish(operation->conn);
+    operation->conn = NULL;
+    loop_timer_set(operation->retry_timer,
+                   monotonic_get_us() + UPSTREAM_ADMIN_FULL_RETRY_US);
+}
+
 static void
 upstream_operation_connect(struct upstream_operation *operation)
 {
@@ -234,8 +268,7 @@
         upstream_operation_run_statements(operation);
         return;
     default:
-        operation->result.refused = true;
-        upstream_operation_finish(operation, OUTCOME_UNAVAILABLE);
+        upstream_operation_handle_refusal(operation);
         return;
     }
 }
@@ -330,9 +363,96 @@
     upstream_operation_finish(operation, OUTCOME_UNAVAILABLE);
 }
 
-// Runs an operation at an upstream; primary is for FOLLOW only. done is called
-// once, from the loop, within the connect time limit or, for a promotion, 8 s;
-// it is not called when the runner is destroyed first.
+// Opens a connection; one that cannot even be started ends the operation at
+// the next turn of the loop, so that done is never called from the run call.
+static void
+upstream_operation_open(void *data)
+{
+    struct upstream_operation *operation = data;
+
+    operation->conn =
+        upstream_admin_open(operation->admin, &operation->target);
+    if (operation->conn == NULL ||
+        PQstatus(operation->conn) == CONNECTION_BAD) {
+        loop_timer_destroy(operation->timer);
+        operation->timer =
+            loop_timer_create(operation->admin->loop,
+                              upstream_operation_handle_no_start, operation);
+        loop_timer_set(operation->timer, monotonic_get_us());
+        return;
+    }
+    upstream_error_prepare(operation->conn);
+    PQsetnonblocking(operation->conn, 1);
+    upstream_operation_watch(operation, LOOP_WRITE);
+}
+
+static int64_t
+upstream_admin_get_limit_us(const struct upstream_admin *admin,
+                            enum upstream_admin_kind kind)
+{
+    switch (kind) {
+    case UPSTREAM_ADMIN_PROBE:
+        return admin->settings->suspect_us;
+    case UPSTREAM_ADMIN_PROMOTE:
+        return UPSTREAM_ADMIN_PROMOTE_LIMIT_US;
+    default:
+        return admin->settings->connect_timeout_us;
+    }
+}
+
+// Begins the operation's turn and its time limit.
+static void
+upstream_operation_start(struct upstream_operation *operation)
+{
+    struct upstream_admin *admin = operation->admin;
+    int64_t limit_us =
+        upstream_admin_get_limit_us(admin, operation->result.kind);
+
+    operation->queued = false;
+    operation->timer = loop_timer_create(
+        admin->loop, upstream_operation_handle_timer, operation);
+    operation->retry_timer =
+        loop_timer_create(admin->loop, upstream_operation_open, operation);
+    loop_timer_set(operation->timer, monotonic_get_us() + limit_us);
+    upstream_operation_open(operation);
+}
+
+// Returns whether an operation runs at the upstream now.
+static bool
+upstream_admin_is_busy(const struct upstream_admin *admin, const char *name)
+{
+    const struct upstream_operation *row = admin->operations;
+
+    for (; row != NULL; row = row->next) {
+        if (!row->queued && strcmp(row->upstream_name, name) == 0) {
+            return true;
+        }
+    }
+    return false;
+}
+
+// Starts the oldest operation that waits for its turn at the upstream.
+static void
+upstream_admin_start_next(struct upstream_admin *admin, const char *name)
+{
+    struct upstream_operation *oldest = NULL;
+    struct upstream_operation *row = admin->operations;
+
+    for (; row != NULL; row = row->next) {
+        if (row->queued && strcmp(row->upstream_name, name) == 0) {
+            oldest = row;
+        }
+    }
+    if (oldest != NULL && !upstream_admin_is_busy(admin, name)) {
+        upstream_operation_start(oldest);
+    }
+}
+
+// Runs an operation at an upstream; primary is for FOLLOW only. Operations at
+// one upstream run one after the other, so that control uses one connection
+// there. done is called once, from the loop, within its limit after its turn:
+// the suspicion time for a probe, 8 s for a promotion, the connect time limit
+// otherwise. It is not called when the runner is destroyed first.
 void
 upstream_admin_run(struct upstream_admin *admin, enum upstream_admin_kind kind,
                    const struct ck_upstream *upstream,
@@ -340,32 +460,22 @@
                    void *data)
 {
     struct upstream_operation *operation = xcalloc(1, sizeof(*operation));
-    int64_t limit_us = kind == UPSTREAM_ADMIN_PROMOTE
-                           ? UPSTREAM_ADMIN_PROMOTE_LIMIT_US
-                           : admin->settings->connect_timeout_us;
+    bool busy = upstream_admin_is_busy(admin, upstream->name);
 
     operation->admin = admin;
     operation->next = admin->operations;
     admin->operations = operation;
+    operation->queued = true;
     operation->result.kind = kind;
     operation->upstream_name = xstrdup(upstream->name);
+    codec_copy((xdrproc_t)xdr_ck_upstream, upstream, &operation->target,
+               sizeof(operation->target));
     operation->statements =
         upstream_admin_get_statements(admin, kind, primary);
     operation->place = operation->statements;
     operation->done = done;
     operation->data = data;
-    operation->conn = upstream_admin_open(admin, upstream);
-    bool started =
-        operation->conn != NULL && PQstatus(operation->conn) != CONNECTION_BAD;
-    operation->timer =
-        loop_timer_create(admin->loop,
-                          started ? upstream_operation_handle_timer
-                                  : upstream_operation_handle_no_start,
-                          operation);
-    loop_timer_set(operation->timer,
-                   monotonic_get_us() + (started ? limit_us : 0));
-    if (started) {
-        PQsetnonblocking(operation->conn, 1);
-        upstream_operation_watch(operation, LOOP_WRITE);
+    if (!busy) {
+        upstream_operation_start(operation);
     }
 }
--- a/src/catkingrade/decide/leader_quota.c
+++ b/src/catkingrade/decide/leader_quota.c
@@ -177,6 +177,15 @@
     }
 }
 
+// Returns the connections that entries may use: one is kept for the group's
+// own probes and promotions.
+static uint32_t
+leader_get_lendable(const struct ck_upstream *upstream)
+{
+    return upstream->connections > 1 ? upstream->connections - 1
+                                     : upstream->connections;
+}
+
 // Fills which entries take part and who is near, and plans the guaranteed
 // shares that follow from that alone.
 static void
@@ -193,7 +202,7 @@
         entries[i].weight =
             group_find_daemon(leader->group, daemon->vm) == NULL ? 0 : 1;
     }
-    lending_plan(upstream->slots, upstream->connections, entries,
+    lending_plan(upstream->slots, leader_get_lendable(upstream), entries,
                  quota->shares_count, shares);
 }
 
@@ -216,8 +225,8 @@
         leader_fill_ghost(leader, &quota->shares[i], &entries[count + i]);
         frozen = frozen || unknown;
     }
-    lending_plan(upstream->slots, upstream->connections, entries, 2 * count,
-                 shares);
+    lending_plan(upstream->slots, leader_get_lendable(upstream), entries,
+                 2 * count, shares);
     own->unserved = entries[place].unserved;
     out->upstream = quota->name;
     out->slots = shares[place].slots;
--- a/src/catkingrade/decide/lending.c
+++ b/src/catkingrade/decide/lending.c
@@ -178,8 +178,8 @@
     }
 }
 
-// Plans connections after slots: an entry asks for at least as many as it has
-// slots.
+// Plans connections after slots: an entry asks for at least one for each of
+// its slots and one for its samples.
 static void
 lending_plan_connections(uint32_t connections,
                          const struct lending_entry *entries, size_t count,
@@ -188,10 +188,11 @@
 {
     for (size_t i = 0; i < count; i++) {
         uint32_t demand = entries[i].connections.demand;
-        rows[i] = (struct lending_row){
-            .entry = &entries[i],
-            .demand = demand > shares[i].slots ? demand : shares[i].slots,
-            .held = entries[i].connections.held};
+        uint32_t least = shares[i].slots == 0 ? 0 : shares[i].slots + 1;
+        rows[i] =
+            (struct lending_row){.entry = &entries[i],
+                                 .demand = demand > least ? demand : least,
+                                 .held = entries[i].connections.held};
     }
     lending_plan_limit(rows, count, connections);
     for (size_t i = 0; i < count; i++) {
--- a/src/catkingrade/decide/traffic.c
+++ b/src/catkingrade/decide/traffic.c
@@ -236,7 +236,7 @@
             .upstream = up->config->name,
             .waiting = traffic_get_peak_waiting(traffic, place),
             .running = up->peak_running,
-            .connections = up->open,
+            .connections = up->open + (up->may_sample ? 1 : 0),
         };
         up->peak_running = up->running;
     }
--- a/src/catkingrade/decide/traffic_defs.h
+++ b/src/catkingrade/decide/traffic_defs.h
@@ -121,6 +121,7 @@
     uint32_t upstream;
     bool is_primary;
     bool refused; // SAMPLE_FAILED: refused, otherwise silent
+    bool full;    // SAMPLE_FAILED: it takes no more connections, but lives
     struct ck_position position;
     int64_t asked_at_us; // monotonic, before the sample was asked for
     int64_t round_trip_us;
--- a/src/catkingrade/decide/traffic_sample.c
+++ b/src/catkingrade/decide/traffic_sample.c
@@ -43,6 +43,9 @@
 {
     struct upstream *up = &traffic->upstreams[upstream];
 
+    if (!up->may_sample) {
+        return;
+    }
     if (up->sample_pending &&
         traffic->now_us - up->sample_sent_us < traffic->params.suspect_us) {
         if (up->sample_sent_us < not_before_us) {
@@ -242,8 +245,10 @@
     if (sample->upstream >= traffic->upstreams_count) {
         return;
     }
-    sample_note_failure(traffic, sample->upstream,
-                        sample->refused ? CK_SUSPECT_REFUSED
-                                        : CK_SUSPECT_SILENT);
+    if (!sample->full) {
+        sample_note_failure(traffic, sample->upstream,
+                            sample->refused ? CK_SUSPECT_REFUSED
+                                            : CK_SUSPECT_SILENT);
+    }
     sample_ask_again(traffic, sample->upstream);
 }
--- a/src/catkingrade/decide/traffic_state.h
+++ b/src/catkingrade/decide/traffic_state.h
@@ -59,7 +59,8 @@
     const struct ck_upstream *config; // NULL: not in the view
     bool near;                        // in the entry's failure domain
     uint32_t slots;                   // this entry's share
-    uint32_t connections;
+    uint32_t connections;             // less the one for samples
+    bool may_sample;
     uint32_t running;
     uint32_t reads; // of those that run, reads
     uint32_t open;  // connections open or opening
--- a/src/catkingrade/decide/traffic_view.c
+++ b/src/catkingrade/decide/traffic_view.c
@@ -117,6 +117,16 @@
     }
 }
 
+// One connection of an entry's share is for its samples.
+static void
+view_keep_sample_connection(struct upstream *up)
+{
+    up->may_sample = up->connections > 0;
+    if (up->may_sample) {
+        up->connections--;
+    }
+}
+
 // Sets the limits of all upstreams, and closes idle connections above them.
 void
 view_set_limits(struct traffic *traffic)
@@ -128,6 +138,7 @@
     for (uint32_t i = 0; i < traffic->upstreams_count; i++) {
         struct upstream *up = &traffic->upstreams[i];
         view_set_upstream_limits(traffic, up, leased, &next_quota);
+        view_keep_sample_connection(up);
         if (up->config != NULL && up->config->state == CK_UPSTREAM_READY) {
             traffic->slots_total += up->slots;
         }
--- /dev/null
+++ b/src/catkingrade/entry/upstream_error.h
@@ -0,0 +1,10 @@
+#ifndef CATKINGRADE_ENTRY_UPSTREAM_ERROR_H
+#define CATKINGRADE_ENTRY_UPSTREAM_ERROR_H
+
+#include <libpq-fe.h>
+#include <stdbool.h>
+
+void upstream_error_prepare(PGconn *conn);
+bool upstream_error_is_full(const PGconn *conn);
+
+#endif
--- a/src/catkingrade/entry/upstream_link.h
+++ b/src/catkingrade/entry/upstream_link.h
@@ -36,6 +36,7 @@
     UPSTREAM_FAULT_REFUSED, // the host answered with a refusal
     UPSTREAM_FAULT_SILENT,  // no answer within the time limit
     UPSTREAM_FAULT_CUT,     // the connection ended
+    UPSTREAM_FAULT_FULL,    // the server takes no more connections
 };
 
 struct upstream_sample {
