--- a/bench/gap.sh
+++ b/bench/gap.sh
@@ -104,6 +104,11 @@
         kill -9 "${pids[up1]}"
     fi
     wait "$bench" || true
+    if [ -n "${KEEP_LOGS:-}" ]; then
+        $cli -j status >"$work/status.json" 2>&1 || true
+        rm -rf "$KEEP_LOGS"
+        cp -r "$work" "$KEEP_LOGS"
+    fi
     $cli timeline --last 10 | grep -vE 'lease_held|started|group_role|following|elected' || true
     for name in "${!pids[@]}"; do
         kill -9 "${pids[$name]}" 2>/dev/null || true
