--- a/test/contract/test_pg_clients.c
+++ b/test/contract/test_pg_clients.c
@@ -30,18 +30,13 @@
            const char *const *args, int *code)
 {
     char port[16];
-    char *log_path = xasprintf("%s/client.log", deployment->folder);
     const char *all[32] = {"-h", "127.0.0.1", "-p", port, "-U", "walker"};
 
     (void)snprintf(port, sizeof(port), "%d", deployment->entry_ports[0]);
     for (size_t i = 0; args[i] != NULL; i++) {
         all[6 + i] = args[i];
     }
-    (void)remove(log_path);
-    *code = process_wait(process_start(log_path, program, all));
-    char *text = process_read_file(log_path);
-    free(log_path);
-    return text;
+    return process_run(deployment->folder, program, all, code);
 }
 
 static void
@@ -294,6 +289,39 @@
 }
 END_TEST
 
+// A password against the customer's verifier of RFC 7677 ("pencil").
+START_TEST(test_password)
+{
+    struct deployment deployment;
+    struct deployment_params params = usual;
+
+    params.callers =
+        "[{\"user\": \"walker\", \"verifier\": \"SCRAM-SHA-256$4096:"
+        "W22ZaJ0SNY7soEsUEjb6gQ==$WG5d8oPm3OtcPnkdi4Uo7BkeZkBFzpcXkuLmtb"
+        "sT4qY=:wfPLwcE6nTWhTAmQ7tl2KeoiWGPlZqQxSrmfPwDl2dU=\"}]";
+    deployment_start(&deployment, "pg_password", &params);
+    PGconn *conn =
+        process_connect(deployment.entry_ports[0], "password=pencil");
+    char *text = process_query(conn, "SELECT 1");
+    ck_assert_str_eq(text, "1");
+    free(text);
+    PQfinish(conn);
+
+    static const char *const wrong[] = {"password=pencils", "password=''",
+                                        "password=pencil user=nobody"};
+    for (size_t i = 0; i < ARRAY_SIZE(wrong); i++) {
+        char *info = xasprintf("host=127.0.0.1 port=%d dbname=roster "
+                               "user=walker %s",
+                               deployment.entry_ports[0], wrong[i]);
+        conn = PQconnectdb(info);
+        ck_assert_int_eq(PQstatus(conn), CONNECTION_BAD);
+        PQfinish(conn);
+        free(info);
+    }
+    ck_assert(deployment_stop(&deployment));
+}
+END_TEST
+
 static void
 add_tests(TCase *tests)
 {
@@ -303,6 +331,7 @@
     tcase_add_test(tests, test_pipeline);
     tcase_add_test(tests, test_asynchronous);
     tcase_add_test(tests, test_upstream_limits);
+    tcase_add_test(tests, test_password);
 }
 
 TEST_MAIN("pg_clients", add_tests)
