--- a/src/catkingrade/decide/traffic.c
+++ b/src/catkingrade/decide/traffic.c
@@ -219,7 +219,7 @@
     *demand = (struct ck_demand){
         .upstream = up->config->name,
         .running = *work < room ? *work : room,
-        .connections = up->open,
+        .connections = up->open + (up->may_sample ? 1 : 0),
     };
     *work -= demand->running;
 }
