feat(cli): declarations reach the control groups that decide the databases

Problem: A customer whose database is decided by the group of a failure domain was applied to the fleet group alone, so that group refused the upstreams.

Solution: apply and plan go to the fleet group first and then to each group that the customer's or its template's document names. A delta that does not join on drops the lease that came with it.

--- a/bench/bench_gap.c
+++ b/bench/bench_gap.c
@@ -132,6 +132,9 @@
     bool made = PQresultStatus(result) == PGRES_COMMAND_OK ||
                 (state != NULL && strcmp(state, "42P07") == 0);
 
+    if (!made) {
+        (void)fputs(PQerrorMessage(conn), stderr);
+    }
     PQclear(result);
     PQfinish(conn);
     return made ? OUTCOME_OK : OUTCOME_UNAVAILABLE;
--- a/bench/gap.sh
+++ b/bench/gap.sh
@@ -120,5 +120,5 @@
 declarations
 for number in $(seq "$rounds"); do
     echo "== round $number, $fault"
-    round $((21000 + RANDOM % 300 * 100))
+    round $((21000 + RANDOM % 110 * 100))
 done
--- a/src/catkingrade/cli/apply.c
+++ b/src/catkingrade/cli/apply.c
@@ -13,12 +13,12 @@
 #include "catkingrade/kernel/outcome.h"
 #include "catkingrade/rpc/codec.h"
 
-#define CLI_FLEET_GROUP   "fleet"
 #define APPLY_MAX_REPLAYS 8
 
 // One run of plan or apply.
 struct apply_run {
     struct cli_client *client;
+    const char *group; // that the declarations are applied to now
     bool dry_run;
     struct json_object *report; // of --json, or NULL
     struct declaration_list list;
@@ -38,6 +38,9 @@
     if (run->report == NULL) {
         (void)printf("%s %s: %s", declaration_get_kind(declaration),
                      declaration->name, state);
+        if (strcmp(run->group, CLI_FLEET_GROUP) != 0) {
+            (void)printf(" in control group %s", run->group);
+        }
         if (revision > 0) {
             (void)printf(" (revision %" PRIu64 ")", revision);
         }
@@ -52,6 +55,7 @@
         json_object_new_string(declaration_get_kind(declaration)));
     json_object_object_add(row, "name",
                            json_object_new_string(declaration->name));
+    json_object_object_add(row, "group", json_object_new_string(run->group));
     json_object_object_add(row, "state", json_object_new_string(state));
     json_object_object_add(row, "revision", json_object_new_uint64(revision));
     json_object_object_add(row, "text", json_object_new_string(text));
@@ -66,7 +70,7 @@
     struct json_object *rows = json_object_new_array();
     enum ck_query_kind kind =
         declaration->is_customer ? CK_QUERY_CUSTOMERS : CK_QUERY_TEMPLATES;
-    int code = cli_client_list(run->client, kind, CLI_FLEET_GROUP,
+    int code = cli_client_list(run->client, kind, run->group,
                                declaration->name, rows);
 
     *revision = 0;
@@ -88,7 +92,7 @@
            struct ck_apply_result *result)
 {
     char id[CK_NAME_SIZE + 1];
-    struct ck_apply_args args = {.group = CLI_FLEET_GROUP,
+    struct ck_apply_args args = {.group = (char *)(uintptr_t)run->group,
                                  .change_id = id,
                                  .expected_revision = expected_revision,
                                  .check_revision = true,
@@ -244,6 +248,103 @@
     .doc = "Brings templates and customers to what a folder declares.",
 };
 
+// Returns whether a text names a control group as a JSON string.
+static bool
+apply_names_group(const char *document, const char *group)
+{
+    char quoted[CK_NAME_SIZE + 3];
+
+    (void)snprintf(quoted, sizeof(quoted), "\"%s\"", group);
+    return strstr(document, quoted) != NULL;
+}
+
+// Returns whether the group decides a database of the customer, as far as the
+// customer's document or that of its template says.
+static bool
+apply_customer_concerns(const struct apply_run *run,
+                        const struct declaration *customer, const char *group)
+{
+    struct json_object *root = json_tokener_parse(customer->document);
+    bool concerns = apply_names_group(customer->document, group);
+
+    for (size_t i = 0; i < run->list.count; i++) {
+        const struct declaration *other = &run->list.items[i];
+        concerns = concerns ||
+                   (!other->is_customer &&
+                    strcmp(other->name, cli_get_text(root, "template")) == 0 &&
+                    apply_names_group(other->document, group));
+    }
+    json_object_put(root);
+    return concerns;
+}
+
+// Returns whether a template is that of a customer which concerns the group.
+static bool
+apply_template_concerns(const struct apply_run *run,
+                        const struct declaration *declaration,
+                        const char *group)
+{
+    bool concerns = false;
+
+    for (size_t i = 0; i < run->list.count; i++) {
+        const struct declaration *customer = &run->list.items[i];
+        if (!customer->is_customer ||
+            !apply_customer_concerns(run, customer, group)) {
+            continue;
+        }
+        struct json_object *root = json_tokener_parse(customer->document);
+        concerns = concerns || strcmp(declaration->name,
+                                      cli_get_text(root, "template")) == 0;
+        json_object_put(root);
+    }
+    return concerns;
+}
+
+// The fleet group holds everything; the group of a failure domain holds the
+// customers whose databases it decides, and their templates.
+static bool
+apply_concerns(const struct apply_run *run,
+               const struct declaration *declaration, const char *group)
+{
+    if (strcmp(group, CLI_FLEET_GROUP) == 0) {
+        return true;
+    }
+    return declaration->is_customer
+               ? apply_customer_concerns(run, declaration, group)
+               : apply_template_concerns(run, declaration, group);
+}
+
+static int
+apply_to_group(struct apply_run *run, const char *group)
+{
+    int code = CLI_EXIT_OK;
+
+    run->group = group;
+    for (size_t i = 0; i < run->list.count && code == CLI_EXIT_OK; i++) {
+        if (apply_concerns(run, &run->list.items[i], group)) {
+            code = apply_one(run, &run->list.items[i]);
+        }
+    }
+    return code;
+}
+
+// Applies to the fleet group first: what it refuses goes nowhere.
+static int
+apply_to_all_groups(struct apply_run *run)
+{
+    struct json_object *groups = json_object_new_array();
+    int code = CLI_EXIT_OK;
+
+    cli_list_groups(run->client, groups);
+    size_t count = json_object_array_length(groups);
+    for (size_t i = 0; i < count && code == CLI_EXIT_OK; i++) {
+        code = apply_to_group(
+            run, json_object_get_string(json_object_array_get_idx(groups, i)));
+    }
+    json_object_put(groups);
+    return code;
+}
+
 // Runs plan or apply: templates before the customers that need them. The
 // first change that fails ends the run.
 static int
@@ -261,8 +362,8 @@
     if (options->json) {
         run.report = json_object_new_array();
     }
-    for (size_t i = 0; i < run.list.count && code == CLI_EXIT_OK; i++) {
-        code = apply_one(&run, &run.list.items[i]);
+    if (code == CLI_EXIT_OK) {
+        code = apply_to_all_groups(&run);
     }
     if (run.report != NULL) {
         cli_print_json(run.report);
--- a/src/catkingrade/cli/objects.c
+++ b/src/catkingrade/cli/objects.c
@@ -113,8 +113,8 @@
 
 // Collects the control groups that the first daemon votes in or holds leases
 // of. Without an answer that is the fleet group alone.
-static void
-objects_list_groups(struct cli_client *client, struct json_object *groups)
+void
+cli_list_groups(struct cli_client *client, struct json_object *groups)
 {
     struct ck_query_result result;
 
@@ -139,7 +139,7 @@
     struct json_object *groups = json_object_new_array();
     int code = CLI_EXIT_OK;
 
-    objects_list_groups(client, groups);
+    cli_list_groups(client, groups);
     for (size_t i = 0;
          code == CLI_EXIT_OK && i < json_object_array_length(groups); i++) {
         const char *group =
--- a/src/catkingrade/cli/objects.h
+++ b/src/catkingrade/cli/objects.h
@@ -19,6 +19,8 @@
                      const char *name, uint64_t *revision);
 int cli_show_document(struct cli_client *client, enum ck_query_kind kind,
                       const char *name);
+// Appends the names of the control groups, the fleet group first.
+void cli_list_groups(struct cli_client *client, struct json_object *groups);
 // Appends the databases of all control groups, each with its group.
 int cli_list_databases(struct cli_client *client, struct json_object *rows);
 
--- a/src/catkingrade/control/lease_agent.c
+++ b/src/catkingrade/control/lease_agent.c
@@ -129,9 +129,9 @@
                 action->send.timeout_us, lease_holder_handle_renewed, call);
 }
 
-// Brings a delta into a new view, or asks again from the revision at hand
-// when it does not join on.
-static void
+// Brings a delta into a new view. Returns false when it does not join on to
+// the revision at hand, from which the next renewal then asks.
+static bool
 lease_holder_apply_delta(struct lease_holder *holder,
                          const struct ck_view_delta *delta)
 {
@@ -147,6 +147,7 @@
     }
     event.revision = view_get_revision(agent->view, holder->group);
     lease_holder_step(holder, &event);
+    return view != NULL;
 }
 
 static void
@@ -172,7 +173,9 @@
     holder->held = false;
 }
 
-static void
+// Carries one action out. Returns false when those after it must not be: a
+// lease that came with a delta is worth nothing without it.
+static bool
 lease_holder_run_action(struct lease_holder *holder,
                         const struct leaseholder_action *action)
 {
@@ -183,8 +186,7 @@
         lease_holder_send_renew(holder, action);
         break;
     case LEASEHOLDER_ACTION_APPLY_DELTA:
-        lease_holder_apply_delta(holder, action->delta);
-        break;
+        return lease_holder_apply_delta(holder, action->delta);
     case LEASEHOLDER_ACTION_SET_LEASE:
         lease_holder_set_lease(holder, action->valid_until_us);
         break;
@@ -202,6 +204,7 @@
         loop_timer_set(holder->timer, action->wake_at_us);
         break;
     }
+    return true;
 }
 
 static void
@@ -211,8 +214,9 @@
     struct leaseholder_actions actions = {0};
 
     leaseholder_step(holder->machine, monotonic_get_us(), event, &actions);
-    for (size_t i = 0; i < actions.count; i++) {
-        lease_holder_run_action(holder, &actions.items[i]);
+    bool goes_on = true;
+    for (size_t i = 0; goes_on && i < actions.count; i++) {
+        goes_on = lease_holder_run_action(holder, &actions.items[i]);
     }
     leaseholder_actions_free(&actions);
 }
@@ -314,6 +318,10 @@
         lease_agent_reply_notify(request, OUTCOME_NOT_FOUND);
         return;
     }
+    const struct settings_address *peer = rpcnet_request_get_peer(request);
+    struct leaseholder_address from = {.port = peer->port};
+    memcpy(from.host, peer->host, sizeof(from.host));
+    event.from = &from;
     event.notified = notify_args;
     lease_holder_step(holder, &event);
     struct lease_notify *notify = lease_holder_find_free_notify(holder);
--- a/test/contract/test_operations.c
+++ b/test/contract/test_operations.c
@@ -199,6 +199,52 @@
 }
 END_TEST
 
+// A database decided by the group of its failure domain: the command brings
+// the customer to that group too, and saves go on after a loss.
+START_TEST(test_domain_group)
+{
+    struct installation_params params = three_daemons;
+    struct installation installation;
+    char words[400];
+
+    params.name = "operations_domain";
+    params.group = "noord";
+    installation_start(&installation, &params);
+    (void)installation_find_leader(&installation);
+    char *dir = xasprintf("%s/declared", installation.folder);
+    char *command = xasprintf("mkdir '%s'", dir);
+    char *template_path = xasprintf("%s/roster.json", dir);
+    char *customer_path = xasprintf("%s/pootafdruk.json", dir);
+    ck_assert_int_eq(system(command), 0);
+    process_write_file(template_path,
+                       "{\"template\": \"roster\", \"parameters\":"
+                       "{\"databases\": {\"type\": \"list\"}},"
+                       "\"customer\": {\"databases\": \"${databases}\","
+                       "\"request_types\": [{\"name\": \"other\"}]}}");
+    process_write_file(customer_path,
+                       "{\"customer\": \"pootafdruk\","
+                       "\"template\": \"roster\", \"parameters\":"
+                       "{\"databases\": [{\"name\": \"roster1\","
+                       "\"group\": \"noord\"}]}}");
+    (void)snprintf(words, sizeof(words), "apply -f %s", dir);
+    check_operate(&installation, 0, words, 0,
+                  "customer pootafdruk: accepted in control group noord");
+    check_operate(&installation, 0, words, 0,
+                  "template roster: unchanged in control group noord");
+    int primary = installation_wait_primary(&installation, "");
+    installation_wait_writable(&installation, 1);
+    installation_kill_upstream(&installation, primary);
+    (void)installation_wait_primary(&installation,
+                                    installation.upstreams[primary].name);
+    installation_wait_writable(&installation, 2);
+    free(customer_path);
+    free(template_path);
+    free(command);
+    free(dir);
+    installation_stop(&installation);
+}
+END_TEST
+
 static void
 add_tests(TCase *tests)
 {
@@ -206,6 +252,7 @@
     tcase_add_test(tests, test_switchover);
     tcase_add_test(tests, test_shutdown_and_stop);
     tcase_add_test(tests, test_declarations);
+    tcase_add_test(tests, test_domain_group);
 }
 
 TEST_MAIN("operations", add_tests)
--- a/test/fake/installation.c
+++ b/test/fake/installation.c
@@ -28,13 +28,12 @@
 static const char installation_customer[] =
     "{\"customer\": \"pootafdruk\", \"template\": \"roster\"}";
 
-// Appends the voters of the fleet group as settings.
+// Appends a group with its voters as settings.
 static void
-installation_append_voters(const struct installation *installation,
-                           struct buffer *text)
+installation_append_group(const struct installation *installation,
+                          const char *name, struct buffer *text)
 {
-    buffer_append_text(text, "\"groups\": [{\"name\": \"fleet\","
-                             "\"voters\": [");
+    buffer_append_format(text, "{\"name\": \"%s\", \"voters\": [", name);
     for (int i = 0; i < installation->params.voters_count; i++) {
         const struct installation_daemon *daemon = &installation->daemons[i];
         buffer_append_format(text,
@@ -43,7 +42,23 @@
                              i == 0 ? "" : ",", i + 1, daemon->vm,
                              daemon->rpc.port);
     }
-    buffer_append_text(text, "]}]");
+    buffer_append_text(text, "]}");
+}
+
+// Appends the fleet group, and the one that decides the database when it is
+// another; all voters vote in both.
+static void
+installation_append_voters(const struct installation *installation,
+                           struct buffer *text)
+{
+    buffer_append_text(text, "\"groups\": [");
+    installation_append_group(installation, "fleet", text);
+    if (installation->params.group != NULL) {
+        buffer_append_text(text, ",");
+        installation_append_group(installation, installation->params.group,
+                                  text);
+    }
+    buffer_append_text(text, "]");
 }
 
 static void
@@ -143,6 +158,10 @@
         args[count++] = "--primary-address";
         args[count++] = primary;
     }
+    if (installation->params.group != NULL) {
+        args[count++] = "--group";
+        args[count++] = installation->params.group;
+    }
     for (int i = 0; i < installation->params.daemons_count; i++) {
         (void)snprintf(announce[i], sizeof(announce[i]), "127.0.0.1:%d",
                        installation->daemons[i].http_port);
@@ -261,7 +280,12 @@
 installation_query(struct installation *installation, int place,
                    enum ck_query_kind kind)
 {
-    struct ck_query_args args = {.kind = kind, .group = "fleet", .name = ""};
+    const char *group = installation->params.group;
+    struct ck_query_args args = {
+        .kind = kind,
+        .group = group == NULL ? "fleet" : (char *)(uintptr_t)group,
+        .name = "",
+    };
     struct ck_query_result result = {0};
     char *json = NULL;
 
--- a/test/fake/installation.h
+++ b/test/fake/installation.h
@@ -22,6 +22,7 @@
     int voters_count;
     int upstreams_count;
     int lag_ms;
+    const char *group;    // that decides the database; NULL: fleet
     const char *settings; // further settings, "" or ", \"key\": value"
 };
 
--- a/test/fake/upstream.h
+++ b/test/fake/upstream.h
@@ -25,6 +25,7 @@
     const char *name;
     const char *database;
     const char *failure_domain;
+    const char *group; // control group that is announced; NULL: none
     unsigned slots;
     unsigned connections;
     const char *primary_address; // NULL: starts as the primary
--- a/test/fake/upstream_announce.c
+++ b/test/fake/upstream_announce.c
@@ -56,6 +56,10 @@
                            json_object_new_string(options->name));
     json_object_object_add(body, "failure_domain",
                            json_object_new_string(options->failure_domain));
+    if (options->group != NULL) {
+        json_object_object_add(body, "group",
+                               json_object_new_string(options->group));
+    }
     json_object_object_add(body, "host",
                            json_object_new_string(options->host));
     json_object_object_add(body, "port", json_object_new_int(options->port));
--- a/test/fake/upstream_main.c
+++ b/test/fake/upstream_main.c
@@ -16,6 +16,7 @@
     MAIN_PORT = 'p',
     MAIN_NAME = 'n',
     MAIN_DATABASE = 'd',
+    MAIN_GROUP = 'g',
     MAIN_SLOTS = 's',
     MAIN_CONNECTIONS = 'c',
     MAIN_LAG = 'l',
@@ -34,6 +35,7 @@
     {"control", MAIN_CONTROL, "PORT", 0, "Port for faults", 0},
     {"name", MAIN_NAME, "NAME", 0, "Name of the upstream", 0},
     {"database", MAIN_DATABASE, "NAME", 0, "Database group", 0},
+    {"group", MAIN_GROUP, "NAME", 0, "Control group to announce", 0},
     {"failure-domain", MAIN_FAILURE_DOMAIN, "NAME", 0, "Failure domain", 0},
     {"slots", MAIN_SLOTS, "N", 0, "Announced slots [5]", 0},
     {"connections", MAIN_CONNECTIONS, "N", 0, "Limit of connections [30]", 0},
@@ -65,6 +67,9 @@
     case MAIN_FAILURE_DOMAIN:
         options->failure_domain = arg;
         return 0;
+    case MAIN_GROUP:
+        options->group = arg;
+        return 0;
     case MAIN_PRIMARY:
         options->primary_address = arg;
         return 0;
