test(entry): the frame test runs again at once

Problem: all 10,000 client ports were of one loopback address, so a second run within a minute failed in bind. Solution: the clients spread over 97 loopback addresses and choose ports at connect.

--- a/test/contract/test_entry_frames.c
+++ b/test/contract/test_entry_frames.c
@@ -1,6 +1,7 @@
 #include <arpa/inet.h>
 #include <check.h>
 #include <errno.h>
+#include <netinet/in.h>
 #include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -16,6 +17,7 @@
 // Mutated frames against an entry as a process: nothing crashes, nothing
 // hangs, and it serves as before.
 
+#define FRAMES_SOURCES     97
 #define FRAMES_SEED        UINT64_C(0x5eed0f0ca71)
 #define FRAMES_SESSIONS    10000
 #define FRAMES_PER_SESSION 10
@@ -108,17 +110,21 @@
 {
     struct sockaddr_in address = {.sin_family = AF_INET};
     struct sockaddr_in source = {.sin_family = AF_INET};
+    int on = 1;
     struct timeval limit = {.tv_sec = FRAMES_LIMIT_S};
     struct buffer out = {0};
     int fd = socket(AF_INET, SOCK_STREAM, 0);
 
-    source.sin_addr.s_addr = htonl(INADDR_LOOPBACK + 1);
+    source.sin_addr.s_addr = htonl(INADDR_LOOPBACK + 1 +
+                                   (uint32_t)(*frames_count % FRAMES_SOURCES));
     address.sin_port = htons((uint16_t)port);
     address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
     ck_assert_int_ge(fd, 0);
     setsockopt(fd, SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof(limit));
-    // Thousands of local ports from another loopback address, so that they
-    // aren't the free ports that tests beside this one have just found.
+    // Thousands of local ports, spread over other loopback addresses: they
+    // aren't the free ports that tests beside this one have just found, and a
+    // second run finds enough of them.
+    setsockopt(fd, IPPROTO_IP, IP_BIND_ADDRESS_NO_PORT, &on, sizeof(on));
     ck_assert_int_eq(bind(fd, (struct sockaddr *)&source, sizeof(source)), 0);
     ck_assert_int_eq(connect(fd, (struct sockaddr *)&address, sizeof(address)),
                      0);
