refactor(decide): split requests into list, arrival and run

Solution: request_list.c holds lists and the kinds of requests, request_run.c sends, cancels and times them, traffic_request.c takes and ends them.

--- a/src/catkingrade/decide/dispatch.c
+++ b/src/catkingrade/decide/dispatch.c
@@ -2,6 +2,7 @@
 
 #include "catkingrade/decide/admission.h"
 #include "catkingrade/decide/pool.h"
+#include "catkingrade/decide/request_run.h"
 #include "catkingrade/decide/retry.h"
 #include "catkingrade/decide/route.h"
 #include "catkingrade/decide/traffic_lease.h"
--- /dev/null
+++ b/src/catkingrade/decide/request_list.c
@@ -0,0 +1,62 @@
+#include "catkingrade/decide/request_list.h"
+
+// Appends a request to a list.
+void
+request_list_append(struct request_list *list, struct request *request)
+{
+    request->next = NULL;
+    request->previous = list->last;
+    if (list->last != NULL) {
+        list->last->next = request;
+    }
+    else {
+        list->first = request;
+    }
+    list->last = request;
+    list->count++;
+}
+
+// Removes a request from the list that it is in.
+void
+request_list_remove(struct request_list *list, struct request *request)
+{
+    if (request->previous != NULL) {
+        request->previous->next = request->next;
+    }
+    else {
+        list->first = request->next;
+    }
+    if (request->next != NULL) {
+        request->next->previous = request->previous;
+    }
+    else {
+        list->last = request->previous;
+    }
+    request->next = request->previous = NULL;
+    list->count--;
+}
+
+// Returns whether a request may run on a replica.
+bool
+request_is_read(const struct request *request)
+{
+    return request->request_class == TRAFFIC_READ ||
+           request->request_class == TRAFFIC_BEGIN_READ_ONLY;
+}
+
+// Returns whether a request begins a transaction and does nothing else.
+bool
+request_opens_transaction(const struct request *request)
+{
+    return request->request_class == TRAFFIC_BEGIN ||
+           request->request_class == TRAFFIC_BEGIN_READ_ONLY;
+}
+
+// Returns whether a request belongs to a transaction that is open already.
+bool
+request_is_within_transaction(const struct request *request)
+{
+    return request->request_class == TRAFFIC_IN_TRANSACTION ||
+           request->request_class == TRAFFIC_COMMIT ||
+           request->request_class == TRAFFIC_ROLLBACK;
+}
--- /dev/null
+++ b/src/catkingrade/decide/request_list.h
@@ -0,0 +1,13 @@
+#ifndef CATKINGRADE_DECIDE_REQUEST_LIST_H
+#define CATKINGRADE_DECIDE_REQUEST_LIST_H
+
+#include "catkingrade/decide/traffic_state.h"
+
+void request_list_append(struct request_list *list, struct request *request);
+void request_list_remove(struct request_list *list, struct request *request);
+
+bool request_is_read(const struct request *request);
+bool request_opens_transaction(const struct request *request);
+bool request_is_within_transaction(const struct request *request);
+
+#endif
--- /dev/null
+++ b/src/catkingrade/decide/request_run.c
@@ -0,0 +1,201 @@
+#include "catkingrade/decide/request_run.h"
+
+#include "catkingrade/decide/admission.h"
+#include "catkingrade/decide/confirm.h"
+#include "catkingrade/decide/pool.h"
+#include "catkingrade/decide/retry.h"
+#include "catkingrade/decide/traffic_actions.h"
+#include "catkingrade/decide/traffic_lease.h"
+#include "catkingrade/decide/traffic_request.h"
+#include "catkingrade/kernel/memory.h"
+#include "catkingrade/kernel/outcome.h"
+
+// Takes a request out of the queue that it waits in.
+static void
+request_leave_queue(struct traffic *traffic, struct request *request)
+{
+    struct conn *conn = NULL;
+
+    if (request->state == REQUEST_CONFIRMING) {
+        request_list_remove(&traffic->confirming, request);
+        return;
+    }
+    if (request->state != REQUEST_QUEUED) {
+        return;
+    }
+    if (request->conn == TRAFFIC_NO_ID) {
+        admission_remove(traffic, request);
+        return;
+    }
+    conn = pool_find(traffic, request->conn);
+    INVARIANT(conn != NULL);
+    request_list_remove(&traffic->upstreams[conn->upstream].pinned, request);
+    traffic->pinned_waiting--;
+}
+
+// Ends a running request as unknown before its answer is there. The upstream
+// is asked to stop it. Its connection serves others only after the late
+// answer and a reset; within a transaction it is closed.
+static void
+request_abandon(struct traffic *traffic, struct request *request,
+                const char *reason)
+{
+    struct conn *conn = pool_find(traffic, request->conn);
+
+    INVARIANT(conn != NULL);
+    struct traffic_action *action =
+        traffic_add_action(traffic, TRAFFIC_ACTION_CANCEL);
+    action->conn = conn->id;
+    action->upstream = conn->upstream;
+    action->request = request->id;
+    conn->reset_wanted = true;
+    if (conn->session != NULL || request_opens_transaction(request)) {
+        pool_end_use(traffic, conn->upstream, conn->read);
+        pool_close(traffic, conn, TRAFFIC_CLOSE_ABNORMAL);
+    }
+    else {
+        timers_add(&traffic->timers,
+                   traffic->now_us + traffic->params.connect_timeout_us,
+                   TIMER_CONN, conn->id);
+        conn->abandoned_us = traffic->now_us;
+    }
+    request_unknown(traffic, request, reason);
+}
+
+// Ends a request because its caller cancelled it. One that runs is stopped by
+// the upstream, whose answer then ends it.
+void
+request_cancel(struct traffic *traffic, uint64_t id)
+{
+    struct request *request = id_map_get(&traffic->requests, id);
+
+    if (request == NULL || request->state == REQUEST_CONFIRMING) {
+        return;
+    }
+    if (request->state != REQUEST_RUNNING) {
+        request_leave_queue(traffic, request);
+        request_refuse(traffic, request, OUTCOME_NOT_RUN, 0,
+                       "cancelled by its caller");
+        return;
+    }
+    struct conn *conn = pool_find(traffic, request->conn);
+    INVARIANT(conn != NULL);
+    struct traffic_action *action =
+        traffic_add_action(traffic, TRAFFIC_ACTION_CANCEL);
+    action->conn = conn->id;
+    action->upstream = conn->upstream;
+    action->request = id;
+}
+
+// Ends a request whose caller is gone for good.
+void
+request_drop(struct traffic *traffic, struct request *request)
+{
+    switch (request->state) {
+    case REQUEST_RUNNING:
+        request_abandon(traffic, request, "its session has ended");
+        return;
+    case REQUEST_CONFIRMING:
+        request_leave_queue(traffic, request);
+        request_unknown(traffic, request, "its session has ended");
+        return;
+    default:
+        request_leave_queue(traffic, request);
+        request_refuse(traffic, request, OUTCOME_NOT_RUN, 0,
+                       "its session has ended");
+    }
+}
+
+// Returns why a request runs where it does, for people.
+static const char *
+request_get_route_reason(const struct request *request, bool on_replica)
+{
+    if (on_replica) {
+        return "covers the session's floor within the accepted age";
+    }
+    switch (request->request_class) {
+    case TRAFFIC_READ:
+        return "no replica that may serve the read was better";
+    case TRAFFIC_WRITE:
+    case TRAFFIC_BEGIN:
+        return "may write";
+    default:
+        return "runs in a transaction";
+    }
+}
+
+// Sends a request that is in no queue on a connection that is free for it.
+void
+request_send(struct traffic *traffic, struct request *request,
+             struct conn *conn)
+{
+    struct upstream *up = &traffic->upstreams[conn->upstream];
+
+    if (conn->state == CONN_PINNED) {
+        pool_end_use(traffic, conn->upstream, false);
+    }
+    request->state = REQUEST_RUNNING;
+    request->conn = conn->id;
+    request->started_us = traffic->now_us;
+    request->term = lease_get_term(traffic);
+    conn->state = CONN_BUSY;
+    conn->since_us = traffic->now_us;
+    conn->used_us = traffic->now_us;
+    conn->request = request->id;
+    conn->abandoned_us = 0;
+    conn->read = request_is_read(request);
+    up->running++;
+    up->reads += conn->read;
+    traffic->running++;
+    struct traffic_action *action =
+        traffic_add_action(traffic, TRAFFIC_ACTION_SEND);
+    action->request = request->id;
+    action->session = request->session->id;
+    action->conn = conn->id;
+    action->upstream = conn->upstream;
+    action->on_replica = conn->upstream != traffic->primary;
+    action->reason = request_get_route_reason(request, action->on_replica);
+}
+
+// Ends a request that has not been sent because its time is over.
+static void
+request_expire_unsent(struct traffic *traffic, struct request *request)
+{
+    request_leave_queue(traffic, request);
+    request_refuse(traffic, request, OUTCOME_TIMEOUT, RETRY_AFTER_US,
+                   "not started before its deadline");
+}
+
+// Handles a timer of a request: its deadline, or the end of a shorter wait.
+void
+request_handle_timer(struct traffic *traffic, uint64_t id)
+{
+    struct request *request = id_map_get(&traffic->requests, id);
+
+    if (request == NULL) {
+        return;
+    }
+    if (traffic->now_us >= request->deadline_us) {
+        if (request->state == REQUEST_RUNNING) {
+            request_abandon(traffic, request, "no answer before its deadline");
+        }
+        else if (request->state == REQUEST_CONFIRMING) {
+            confirm_expire(traffic, request);
+        }
+        else {
+            request_expire_unsent(traffic, request);
+        }
+        return;
+    }
+    if (request->state == REQUEST_BACKOFF &&
+        traffic->now_us >= request->wait_until_us) {
+        admission_enqueue(traffic, request);
+    }
+    else if (request->state == REQUEST_WAITING &&
+             request->session->floor_known &&
+             request->session->first == request &&
+             traffic->now_us >= request->arrived_us + REQUEST_VIEW_WAIT_US) {
+        request_refuse(traffic, request, OUTCOME_UNAVAILABLE, RETRY_AFTER_US,
+                       "the session's term is not known here");
+    }
+}
--- a/src/catkingrade/decide/traffic.c
+++ b/src/catkingrade/decide/traffic.c
@@ -7,6 +7,7 @@
 #include "catkingrade/decide/confirm.h"
 #include "catkingrade/decide/dispatch.h"
 #include "catkingrade/decide/pool.h"
+#include "catkingrade/decide/request_run.h"
 #include "catkingrade/decide/traffic_actions.h"
 #include "catkingrade/decide/traffic_lease.h"
 #include "catkingrade/decide/traffic_request.h"
--- a/src/catkingrade/decide/traffic_session.c
+++ b/src/catkingrade/decide/traffic_session.c
@@ -4,6 +4,7 @@
 
 #include "catkingrade/decide/floor.h"
 #include "catkingrade/decide/pool.h"
+#include "catkingrade/decide/request_run.h"
 #include "catkingrade/decide/traffic_actions.h"
 #include "catkingrade/decide/traffic_request.h"
 #include "catkingrade/kernel/memory.h"
