--- a/test/fake/traffic_rig.c
+++ b/test/fake/traffic_rig.c
@@ -47,6 +47,18 @@
     }
 }
 
+void
+rig_start(struct rig *rig, uint32_t upstreams_count)
+{
+    rig_init(rig, upstreams_count);
+    rig_post_view(rig);
+    for (uint32_t i = 0; i < upstreams_count; i++) {
+        rig_sample(rig, i, 100);
+    }
+    rig_open_session(rig, 1, NULL);
+    rig_open_all(rig);
+}
+
 void
 rig_free(struct rig *rig)
 {
--- a/test/fake/traffic_rig.h
+++ b/test/fake/traffic_rig.h
@@ -24,6 +24,9 @@
 
 // Upstreams "u0" (the primary), "u1", ... with 5 slots and 30 connections.
 void rig_init(struct rig *rig, uint32_t upstreams_count);
+// The same with a view, all upstreams at 100, and session 1, declared new,
+// with its connections open.
+void rig_start(struct rig *rig, uint32_t upstreams_count);
 void rig_free(struct rig *rig);
 void rig_step(struct rig *rig, const struct traffic_event *event);
 void rig_post_view(struct rig *rig);
--- a/test/unit/decide/test_pool.c
+++ b/test/unit/decide/test_pool.c
@@ -7,18 +7,6 @@
 
 static struct rig rig;
 
-static void
-setup(uint32_t upstreams_count)
-{
-    rig_init(&rig, upstreams_count);
-    rig_post_view(&rig);
-    for (uint32_t i = 0; i < upstreams_count; i++) {
-        rig_sample(&rig, i, 100);
-    }
-    rig_open_session(&rig, 1, NULL);
-    rig_open_all(&rig);
-}
-
 static void
 set_quotas(uint32_t slots, uint32_t connections, uint32_t guaranteed)
 {
@@ -78,7 +66,7 @@
 {
     struct ck_demand demand;
 
-    setup(1);
+    rig_start(&rig, 1);
     set_quotas(1, 1, 0);
     rig_post_view(&rig);
     ck_assert_uint_eq(rig_count(&rig, TRAFFIC_ACTION_CLOSE), 1);
@@ -95,7 +83,7 @@
 {
     struct ck_demand demand;
 
-    setup(1);
+    rig_start(&rig, 1);
     rig.database.group = rig.names[0];
     rig.database.term = 1;
     set_quotas(5, 5, 1);
@@ -111,7 +99,7 @@
 
 START_TEST(test_leaving_upstream_gets_nothing)
 {
-    setup(2);
+    rig_start(&rig, 2);
     rig.upstreams[1].state = CK_UPSTREAM_LEAVING;
     rig_post_view(&rig);
     const struct traffic_action *action =
@@ -134,7 +122,7 @@
 // A request in flight on an upstream that leaves is finished first.
 START_TEST(test_leaving_upstream_finishes_its_work)
 {
-    setup(1);
+    rig_start(&rig, 1);
     uint64_t request = rig_request(&rig, 1, TRAFFIC_WRITE, -1);
     uint32_t conn = rig_find(&rig, TRAFFIC_ACTION_SEND, request)->conn;
     rig.upstreams[0].state = CK_UPSTREAM_LEAVING;
@@ -153,14 +141,14 @@
 // A connection that was idle for long proves itself before it carries a save.
 START_TEST(test_idle_connection_proves_itself)
 {
-    setup(1);
+    rig_start(&rig, 1);
     rig.now_us += 3000 * RIG_MS_US;
     rig_sample(&rig, 0, 100);
     uint64_t request = rig_request(&rig, 1, TRAFFIC_WRITE, -1);
     ck_assert_ptr_null(rig_find(&rig, TRAFFIC_ACTION_SEND, request));
     rig_free(&rig);
 
-    setup(1);
+    rig_start(&rig, 1);
     rig_tick(&rig, 1600 * RIG_MS_US);
     ck_assert_uint_eq(rig_count(&rig, TRAFFIC_ACTION_PROVE), 2);
     rig_free(&rig);
@@ -172,7 +160,7 @@
 {
     struct traffic_event event = {.kind = TRAFFIC_EVENT_CONN_FAILED};
 
-    setup(1);
+    rig_start(&rig, 1);
     uint64_t request = rig_request(&rig, 1, TRAFFIC_WRITE, -1);
     event.conn.conn = rig_find(&rig, TRAFFIC_ACTION_SEND, request)->conn;
     event.conn.silent = true;
@@ -190,7 +178,7 @@
 {
     struct ck_demand demand;
 
-    setup(1);
+    rig_start(&rig, 1);
     (void)rig_request(&rig, 1, TRAFFIC_WRITE, -1);
     rig_tick(&rig, 5000 * RIG_MS_US);
     ck_assert_uint_eq(rig_count(&rig, TRAFFIC_ACTION_UNKNOWN), 1);
@@ -214,7 +202,7 @@
     uint64_t old = 0;
     uint64_t request = 0;
 
-    setup(1);
+    rig_start(&rig, 1);
     old = rig_request(&rig, 1, TRAFFIC_BEGIN, -1);
     uint32_t conn = rig_find(&rig, TRAFFIC_ACTION_SEND, old)->conn;
     rig_result(&rig, old, conn, TRAFFIC_RESULT_DONE, true, 0);
@@ -237,7 +225,7 @@
 // rate, and those to the old one are closed.
 START_TEST(test_failover_opens_in_bounds)
 {
-    setup(3);
+    rig_start(&rig, 3);
     rig.upstreams[1].slots = 20;
     rig.database.term = 1;
     rig.database.base.lsn = 100;
--- a/test/unit/decide/test_traffic.c
+++ b/test/unit/decide/test_traffic.c
@@ -7,19 +7,6 @@
 
 static struct rig rig;
 
-// A standalone database with u0 as primary and two replicas, all at 100.
-static void
-setup(uint32_t upstreams_count)
-{
-    rig_init(&rig, upstreams_count);
-    rig_post_view(&rig);
-    for (uint32_t i = 0; i < upstreams_count; i++) {
-        rig_sample(&rig, i, 100);
-    }
-    rig_open_session(&rig, 1, NULL);
-    rig_open_all(&rig);
-}
-
 // Sends a request and opens the connection that it needs.
 static const struct traffic_action *
 run(enum traffic_class request_class, uint64_t *request)
@@ -33,7 +20,7 @@
 {
     uint64_t request = 0;
 
-    setup(3);
+    rig_start(&rig, 3);
     const struct traffic_action *action = run(TRAFFIC_READ, &request);
     ck_assert_ptr_nonnull(action);
     ck_assert(action->on_replica);
@@ -50,7 +37,7 @@
 {
     uint64_t request = 0;
 
-    setup(3);
+    rig_start(&rig, 3);
     const struct traffic_action *action = run(TRAFFIC_WRITE, &request);
     ck_assert_ptr_nonnull(action);
     ck_assert(!action->on_replica);
@@ -69,7 +56,7 @@
     uint64_t insert = 0;
     uint64_t other = 0;
 
-    setup(1);
+    rig_start(&rig, 1);
     rig_open_session(&rig, 2, NULL);
     uint32_t conn = run(TRAFFIC_BEGIN, &begin)->conn;
     rig_result(&rig, begin, conn, TRAFFIC_RESULT_DONE, true, 0);
@@ -91,7 +78,7 @@
     const struct traffic_event event = {.kind = TRAFFIC_EVENT_SESSION_CLOSE,
                                         .session = 1};
 
-    setup(1);
+    rig_start(&rig, 1);
     uint32_t conn = run(TRAFFIC_BEGIN, &begin)->conn;
     rig_result(&rig, begin, conn, TRAFFIC_RESULT_DONE, true, 0);
     rig_step(&rig, &event);
@@ -126,7 +113,7 @@
 {
     uint64_t late = 0;
 
-    setup(1);
+    rig_start(&rig, 1);
     uint32_t conn = run(TRAFFIC_WRITE, &late)->conn;
     rig_tick(&rig, 5000 * RIG_MS_US);
     ck_assert_ptr_nonnull(rig_find(&rig, TRAFFIC_ACTION_UNKNOWN, late));
@@ -151,7 +138,7 @@
     uint64_t first = 0;
     uint64_t expected = 0;
 
-    setup(1);
+    rig_start(&rig, 1);
     uint32_t conn = run(TRAFFIC_WRITE, &first)->conn;
     for (unsigned i = 0; i < count; i++) {
         (void)rig_request(&rig, 1, TRAFFIC_IN_TRANSACTION, -1);
@@ -175,7 +162,7 @@
         .kind = TRAFFIC_EVENT_VIEW,
         .view = {.database = &rig.database, .failure_domain = "noord"}};
 
-    setup(1);
+    rig_start(&rig, 1);
     rig_step(&rig, &event);
     uint64_t request = rig_request(&rig, 1, TRAFFIC_WRITE, -1);
     ck_assert_ptr_nonnull(rig_find(&rig, TRAFFIC_ACTION_REFUSE, request));
@@ -208,7 +195,7 @@
     const struct cut *cut = &cuts[_i];
     uint64_t request = 0;
 
-    setup(3);
+    rig_start(&rig, 3);
     uint32_t conn = run(cut->request_class, &request)->conn;
     rig_result(&rig, request, conn, cut->result, false, 0);
     ck_assert_ptr_nonnull(rig_find(&rig, cut->final, request));
