test(decide): turns of lent slots and demand of reads

Problem: nothing failed when a freed slot went to whoever renewed next, or when reads asked for slots of a replica that is too old for them.

--- a/test/unit/decide/test_lending.c
+++ b/test/unit/decide/test_lending.c
@@ -80,6 +80,28 @@
 }
 END_TEST
 
+// What one entry gives up is kept for the entry whose turn it is, also when
+// another one renews first.
+START_TEST(test_freed_slot_waits_for_who_is_due)
+{
+    struct lending_entry entries[ENTRIES];
+    struct lending_share shares[ENTRIES];
+
+    init_entries(entries);
+    for (size_t i = 0; i < ENTRIES; i++) {
+        entries[i].slots.demand = 2;
+        entries[i].slots.held = i <= 3 ? 1 : 0;
+    }
+    entries[6].unserved = 4;
+    lending_plan(5, 30, entries, ENTRIES, shares);
+    ck_assert_uint_eq(shares[6].slots, 1);
+    ck_assert_uint_eq(shares[4].slots, 0);
+    ck_assert_uint_eq(shares[5].slots, 0);
+    ck_assert_uint_eq(entries[5].unserved, 1);
+    ck_assert_uint_eq(entries[6].unserved, 0);
+}
+END_TEST
+
 // What each entry may use, by its last share and those not yet confirmed.
 struct holder {
     uint32_t slots[2]; // confirmed, sent
@@ -141,6 +163,7 @@
     tcase_add_test(tests, test_scarce_slots);
     tcase_add_test(tests, test_idle_quota_flows_to_demand);
     tcase_add_test(tests, test_each_demand_has_its_turn);
+    tcase_add_test(tests, test_freed_slot_waits_for_who_is_due);
     tcase_add_loop_test(tests, test_sum_never_exceeds_limit, 0, 50);
 }
 
--- a/test/unit/decide/test_traffic.c
+++ b/test/unit/decide/test_traffic.c
@@ -155,6 +155,37 @@
 }
 END_TEST
 
+// Reads ask for slots where the entry has some, and of no replica that is half
+// as old as the customer accepts.
+START_TEST(test_demand_of_reads)
+{
+    struct ck_demand demands[3];
+
+    rig_start(&rig, 3);
+    for (int i = 0; i < 30; i++) {
+        rig.now_us += 50 * RIG_MS_US;
+        rig_sample(&rig, 0, 200 + (uint64_t)i);
+        rig_sample(&rig, 1, 200 + (uint64_t)i);
+        rig_sample(&rig, 2, 100);
+    }
+    rig_open_all(&rig);
+    for (uint64_t session = 10; session < 20; session++) {
+        rig_open_session(&rig, session, NULL);
+        rig_open_all(&rig);
+        (void)rig_request(&rig, session, TRAFFIC_READ, 2000 * RIG_MS_US);
+        rig_open_all(&rig);
+    }
+    (void)traffic_fill_demands(rig.traffic, demands, 3);
+    rig_tick(&rig, RIG_MS_US);
+    ck_assert_uint_eq(traffic_fill_demands(rig.traffic, demands, 3), 3);
+    ck_assert_uint_eq(demands[0].running + demands[0].waiting, 0);
+    ck_assert_uint_eq(demands[1].running, 5);
+    ck_assert_uint_ge(demands[1].waiting, 5);
+    ck_assert_uint_eq(demands[2].running + demands[2].waiting, 0);
+    rig_free(&rig);
+}
+END_TEST
+
 // A database may come before its customer; it then takes no transaction.
 START_TEST(test_view_without_customer)
 {
@@ -214,6 +245,7 @@
     tcase_add_test(tests, test_deadline_refuses_what_was_not_sent);
     tcase_add_test(tests, test_late_answer_is_not_the_next_ones);
     tcase_add_test(tests, test_long_pipeline_is_refused_in_order);
+    tcase_add_test(tests, test_demand_of_reads);
     tcase_add_test(tests, test_view_without_customer);
     tcase_add_loop_test(tests, test_outcome_of_each_cut, 0,
                         sizeof(cuts) / sizeof(cuts[0]));
