perf(decide): call refused savers back after 250 ms

Problem: without a primary under a valid lease a save is refused with the hint to come back after 1 s, as long as a whole failover should take: a caller that is refused late in it comes back long after the new primary is there.

Solution: the hint is 250 ms.

--- a/src/catkingrade/decide/admission.c
+++ b/src/catkingrade/decide/admission.c
@@ -16,7 +16,7 @@
 #define ADMISSION_SERVICE_SHARE       0.1    // of a new measurement
 // Slots that are asked for, for each one that was in use or waited for.
 #define ADMISSION_HEADROOM          1.5
-#define ADMISSION_FAILOVER_RETRY_US (1 * TRAFFIC_SECOND_US)
+#define ADMISSION_FAILOVER_RETRY_US (250 * TRAFFIC_MS_US)
 
 // Returns the place of the type of that name, or of a new one. When the table
 // is full the last one is shared.
