fix(store): count appends and syncs once

Problem: log_appends_total and log_syncs_total rose twice for each append and sync, since the control thread's adapter counts them as well. Solution: the store doesn't count; it stays free of the daemon's counters.

--- a/src/catkingrade/store/store_group.c
+++ b/src/catkingrade/store/store_group.c
@@ -7,7 +7,6 @@
 #include <string.h>
 #include <unistd.h>
 
-#include "catkingrade/kernel/counters.h"
 #include "catkingrade/kernel/memory.h"
 #include "catkingrade/kernel/outcome.h"
 #include "catkingrade/store/store_internal.h"
@@ -336,7 +335,6 @@
         if (entry->index > segment->max_index) {
             segment->max_index = entry->index;
         }
-        counter_add(COUNTER_LOG_APPENDS, 1);
     }
     return outcome;
 }
--- a/src/catkingrade/store/store_segment.c
+++ b/src/catkingrade/store/store_segment.c
@@ -5,7 +5,6 @@
 #include <stdlib.h>
 #include <unistd.h>
 
-#include "catkingrade/kernel/counters.h"
 #include "catkingrade/kernel/memory.h"
 #include "catkingrade/kernel/outcome.h"
 #include "catkingrade/store/store_internal.h"
@@ -60,7 +59,6 @@
     if (group->fd < 0 || group->synced_bytes == group->size_bytes) {
         return OUTCOME_OK;
     }
-    counter_add(COUNTER_LOG_SYNCS, 1);
     if (io->sync(io, group->fd) != 0) {
         return store_segment_fail(group, store_get_errno_outcome(errno));
     }
