fix(test): ports below the ephemeral range; sample connections counted once

Problem: Tests of processes failed now and then when a port got by binding port 0 was given to an outgoing connection before a program listened on it. An entry's sample connection was taken off its share twice, in the worker and in the traffic machine.

Solution: Ports come from a range of the test's process below the ephemeral ports, and are free for TCP and UDP. The traffic machine alone leaves one connection for samples.

--- a/src/catkingrade/entry/worker.c
+++ b/src/catkingrade/entry/worker.c
@@ -217,13 +217,6 @@
     return NULL;
 }
 
-// Takes the connection that samples the upstream's position off a share.
-static uint32_t
-worker_leave_sampling(uint32_t connections)
-{
-    return connections > 1 ? connections - 1 : connections;
-}
-
 // Fills the quota of one upstream. An entry with a static view has no one to
 // share with and may use all that the upstream accepts.
 static bool
@@ -239,9 +232,6 @@
     if (lent != NULL) {
         *quota = *lent;
     }
-    quota->connections = worker_leave_sampling(quota->connections);
-    quota->guaranteed_connections =
-        worker_leave_sampling(quota->guaranteed_connections);
     return lent != NULL || settings->view_file[0] != '\0';
 }
 
--- a/test/fake/process.c
+++ b/test/fake/process.c
@@ -20,14 +20,17 @@
 #include "catkingrade/kernel/memory.h"
 #include "catkingrade/kernel/outcome.h"
 
-#define PROCESS_MAX_ARGS    64
-#define PROCESS_PATH_SIZE   1024
-#define PROCESS_LIMIT_US    60000000
-#define PROCESS_POLL_US     10000
-#define PROCESS_MAX_FILE    (16U * 1024 * 1024)
-#define PROCESS_EXEC_FAILED 127
-#define PROCESS_FOLDER_MODE 0755
-#define PROCESS_FILE_MODE   0644
+#define PROCESS_FIRST_PORT      10240
+#define PROCESS_PORT_RANGES     220
+#define PROCESS_PORTS_PER_RANGE 100
+#define PROCESS_MAX_ARGS        64
+#define PROCESS_PATH_SIZE       1024
+#define PROCESS_LIMIT_US        60000000
+#define PROCESS_POLL_US         10000
+#define PROCESS_MAX_FILE        (16U * 1024 * 1024)
+#define PROCESS_EXEC_FAILED     127
+#define PROCESS_FOLDER_MODE     0755
+#define PROCESS_FILE_MODE       0644
 
 struct process {
     pid_t pid;
@@ -158,19 +161,40 @@
     return address;
 }
 
-// Returns a local port that was free a moment ago.
+static bool
+process_is_port_free(int port)
+{
+    struct sockaddr_in address = process_get_address(port);
+    bool is_free = true;
+
+    for (int i = 0; i < 2 && is_free; i++) {
+        int type = i == 0 ? SOCK_STREAM : SOCK_DGRAM;
+        int fd = socket(AF_INET, type | SOCK_CLOEXEC, 0);
+        INVARIANT(fd >= 0);
+        is_free = bind(fd, (struct sockaddr *)&address, sizeof(address)) == 0;
+        close(fd);
+    }
+    return is_free;
+}
+
+// Returns a local port that is free for TCP and UDP. It lies below the ports
+// that the system gives to outgoing connections, and in a range of this
+// process, so that nobody takes it before a program listens on it.
 int
 process_get_free_port(void)
 {
-    struct sockaddr_in address = process_get_address(0);
-    socklen_t size = sizeof(address);
-    int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-
-    INVARIANT(fd >= 0);
-    INVARIANT(bind(fd, (struct sockaddr *)&address, size) == 0);
-    INVARIANT(getsockname(fd, (struct sockaddr *)&address, &size) == 0);
-    close(fd);
-    return ntohs(address.sin_port);
+    static int next;
+    int range = (int)getpid() % PROCESS_PORT_RANGES;
+
+    for (int i = 0; i < PROCESS_PORTS_PER_RANGE; i++) {
+        int port = PROCESS_FIRST_PORT + range * PROCESS_PORTS_PER_RANGE +
+                   next++ % PROCESS_PORTS_PER_RANGE;
+        if (process_is_port_free(port)) {
+            return port;
+        }
+    }
+    INVARIANT(!"no free port");
+    return 0;
 }
 
 static int
