fix(decide): a planned switchover lets running saves finish

Problem: While a term was being superseded an entry acknowledged nothing more, so saves in flight at a planned switchover ended as unknown, and the leader waited its whole soft time for confirmations.

Cause: superseding was taken for the end of the term. Control promotes nobody before every holder has confirmed or its lease has run out, so a save may be acknowledged until then.

Solution: A superseding term takes no new saves; those that run are acknowledged under the lease; the end of the term is confirmed as soon as none runs or waits for its confirmation, at once in entries that do not use the database. The check of acknowledgements after superseding now lets the lease run out first: a trace of the switchover shows the case before that is allowed.

--- a/bench/bench_gap.c
+++ b/bench/bench_gap.c
@@ -11,7 +11,7 @@
 #include "catkingrade/kernel/settings.h"
 
 #define GAP_MAX_ENTRIES     16
-#define GAP_MAX_SAVES       200000
+#define GAP_MAX_SAVES       4000000
 #define GAP_US_PER_S        1000000
 #define GAP_US_PER_MS       1000.0
 #define GAP_TARGET_MS       1000
--- a/src/catkingrade/decide/confirm.c
+++ b/src/catkingrade/decide/confirm.c
@@ -55,7 +55,7 @@
         primary->position_asked_us >= request->saved_us) {
         request->save_lsn = primary->position.lsn;
     }
-    if (request->save_lsn == 0 || !lease_is_valid(traffic) ||
+    if (request->save_lsn == 0 || !lease_may_acknowledge(traffic) ||
         lease_get_term(traffic) != request->term) {
         return false;
     }
@@ -113,8 +113,8 @@
 confirm_expire(struct traffic *traffic, struct request *request)
 {
     enum ck_unconfirmed_policy policy = traffic->view.customer->unconfirmed;
-    bool current =
-        lease_is_valid(traffic) && lease_get_term(traffic) == request->term;
+    bool current = lease_may_acknowledge(traffic) &&
+                   lease_get_term(traffic) == request->term;
 
     request_list_remove(&traffic->confirming, request);
     if (policy == CK_UNCONFIRMED_WARN && current) {
--- a/src/catkingrade/decide/traffic.c
+++ b/src/catkingrade/decide/traffic.c
@@ -202,6 +202,7 @@
         traffic_follow_lease(traffic);
         sample_run(traffic);
         dispatch_run(traffic);
+        lease_end_superseded(traffic);
     }
     admission_note_work(traffic, elapsed_us);
     traffic_ask_wake(traffic);
--- a/src/catkingrade/decide/traffic_lease.c
+++ b/src/catkingrade/decide/traffic_lease.c
@@ -13,16 +13,13 @@
 // Returns whether the primary of the view's term was the only one at at_us,
 // which must not be in the future. A database without control is always
 // leased.
-bool
-lease_is_valid_at(const struct traffic *traffic, int64_t at_us)
+static bool
+lease_covers(const struct traffic *traffic, int64_t at_us)
 {
     if (!traffic->view_known) {
         return false;
     }
     const struct ck_database *database = traffic->view.database;
-    if (database->superseding) {
-        return false;
-    }
     if (!traffic->lease_known && database->group[0] == '\0') {
         return true;
     }
@@ -31,7 +28,25 @@
            traffic->lease.valid_until_us > at_us;
 }
 
-// Returns whether writes of the view's term may be acknowledged now.
+// Returns whether at_us lay in a lease of the view's term that may be used
+// for new work; a term that is about to end takes none.
+bool
+lease_is_valid_at(const struct traffic *traffic, int64_t at_us)
+{
+    return lease_covers(traffic, at_us) &&
+           !traffic->view.database->superseding;
+}
+
+// Returns whether a save of the view's term may be acknowledged now. While
+// the term is being superseded that is so until its lease ends or is revoked:
+// control promotes nobody before.
+bool
+lease_may_acknowledge(const struct traffic *traffic)
+{
+    return lease_covers(traffic, traffic->now_us);
+}
+
+// Returns whether new writes of the view's term may run now.
 bool
 lease_is_valid(const struct traffic *traffic)
 {
@@ -61,6 +76,22 @@
     return traffic->lease.valid_until_us > traffic->now_us;
 }
 
+// Ends a term that is being superseded as soon as none of its saves runs or
+// waits for its confirmation, so that a planned switchover need not cut any.
+void
+lease_end_superseded(struct traffic *traffic)
+{
+    uint64_t term = lease_get_term(traffic);
+    bool running = traffic->primary != TRAFFIC_NO_ID &&
+                   traffic->upstreams[traffic->primary].running > 0;
+
+    if (!traffic->view.database->superseding || term < traffic->min_term ||
+        running || traffic->confirming.first != NULL) {
+        return;
+    }
+    lease_revoke(traffic, term);
+}
+
 // Takes a renewal or a revocation. A renewal of a term that was revoked came
 // late and changes nothing; the end of a lease never moves back.
 void
--- a/src/catkingrade/entry/worker.c
+++ b/src/catkingrade/entry/worker.c
@@ -292,6 +292,22 @@
     return database;
 }
 
+// Confirms the end of terms that are being superseded in databases that this
+// entry does not use: nothing of them waits here, and the view keeps new saves
+// from beginning.
+static void
+worker_confirm_superseding(struct worker *worker)
+{
+    for (size_t i = 0; i < view_get_databases_count(worker->view); i++) {
+        const struct ck_database *config = view_get_database(worker->view, i);
+        if (config->superseding &&
+            entry_find_worker(worker->entry, config->name) == worker &&
+            worker_find_database(worker, config->name) == NULL) {
+            entry_post_revoked(worker->entry, config->name, config->term);
+        }
+    }
+}
+
 // Puts a view in force; takes over the caller's hold. Databases that are not
 // in it end their sessions and go once they are idle.
 void
@@ -309,6 +325,7 @@
             worker_remove_database(worker, i - 1);
         }
     }
+    worker_confirm_superseding(worker);
     view_release(old);
 }
 
--- a/test/contract/test_failover.c
+++ b/test/contract/test_failover.c
@@ -1,5 +1,7 @@
 #include <check.h>
+#include <pthread.h>
 #include <signal.h>
+#include <stdatomic.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -7,14 +9,17 @@
 
 #include "catkingrade/kernel/memory.h"
 #include "catkingrade/kernel/outcome.h"
+#include "catkingrade/rpc/codec.h"
 #include "test/fake/installation.h"
 #include "test/suite.h"
 
-#define MAX_BOOKINGS    4000
-#define BOOKINGS_BEFORE 20
-#define BOOKINGS_AFTER  20
-#define BOOKING_LIMIT   3000
-#define PAUSE_US        10000
+#define MAX_BOOKINGS        4000
+#define BOOKINGS_BEFORE     20
+#define BOOKINGS_AFTER      20
+#define BOOKING_LIMIT       3000
+#define SWITCHOVER_LIMIT_US 10000000
+#define SWITCHOVER_TRIES    500
+#define PAUSE_US            10000
 
 // What callers were told of each booking.
 struct bookings {
@@ -290,6 +295,88 @@
 }
 END_TEST
 
+// Books at every daemon in turn until told to stop.
+struct booking_thread {
+    struct bookings *bookings;
+    atomic_bool stop;
+    pthread_t thread;
+};
+
+static void *
+run_bookings(void *data)
+{
+    struct booking_thread *run = data;
+
+    for (int i = 0; !atomic_load(&run->stop) && i < BOOKING_LIMIT; i++) {
+        (void)book(run->bookings, i % 3);
+        usleep(PAUSE_US / 10);
+    }
+    return NULL;
+}
+
+static int
+switch_over(struct installation *installation, int target)
+{
+    struct ck_command_args args = {
+        .kind = CK_COMMAND_SWITCHOVER,
+        .change_id = "",
+        .group = "fleet",
+        .database = "roster1",
+        .target = installation->upstreams[target].name,
+    };
+    struct ck_command_result result = {0};
+    struct datagram_key key = {0};
+    int leader = installation_find_leader(installation);
+
+    args.voter.vm = "";
+    args.voter.host = "";
+    int outcome = rpcnet_call_blocking(&installation->daemons[leader].rpc,
+                                       &key, &rpcnet_command, &args, &result,
+                                       SWITCHOVER_LIMIT_US);
+    if (outcome == OUTCOME_OK) {
+        outcome = result.outcome;
+        codec_free((xdrproc_t)xdr_ck_command_result, &result);
+    }
+    return outcome;
+}
+
+// Planned switchovers under load: each booking is acknowledged or refused as
+// not run, none ends as unknown.
+START_TEST(test_switchover_under_load)
+{
+    struct installation installation;
+    struct bookings *bookings = xcalloc(1, sizeof(*bookings));
+    struct booking_thread run = {.bookings = bookings};
+
+    installation_start(&installation, &three_daemons);
+    start_bookings(bookings, &installation);
+    book_until(bookings, BOOKINGS_BEFORE);
+    ck_assert_int_eq(pthread_create(&run.thread, NULL, run_bookings, &run), 0);
+    int primary = installation_wait_primary(&installation, "");
+    for (int i = 0; i < 3; i++) {
+        primary = (primary + 1) % 3;
+        int outcome = OUTCOME_AGAIN;
+        // AGAIN: a replica does not follow the last primary yet.
+        for (int j = 0; j < SWITCHOVER_TRIES && outcome == OUTCOME_AGAIN;
+             j++) {
+            usleep(PAUSE_US);
+            outcome = switch_over(&installation, primary);
+        }
+        ck_assert_int_eq(outcome, OUTCOME_OK);
+    }
+    atomic_store(&run.stop, true);
+    pthread_join(run.thread, NULL);
+    book_until(bookings, BOOKINGS_AFTER);
+    for (int id = 0; id < bookings->count; id++) {
+        ck_assert_msg(bookings->acknowledged[id] || bookings->refused[id],
+                      "booking %d ended unknown", id);
+    }
+    check_bookings(bookings, primary);
+    free(bookings);
+    installation_stop(&installation);
+}
+END_TEST
+
 static void
 add_tests(TCase *tests)
 {
@@ -298,6 +385,7 @@
     tcase_add_test(tests, test_read_your_writes_roaming);
     tcase_add_test(tests, test_restart_far_behind);
     tcase_add_test(tests, test_planned_stop);
+    tcase_add_test(tests, test_switchover_under_load);
 }
 
 TEST_MAIN("failover", add_tests)
--- a/test/unit/decide/test_confirm.c
+++ b/test/unit/decide/test_confirm.c
@@ -127,8 +127,10 @@
         rig_revoke(&rig, 1);
         break;
     case ENDING_SUPERSEDING:
+        // Saves that run may finish until their lease ends.
         rig.database.superseding = true;
         rig_post_view(&rig);
+        rig.now_us += 1000 * RIG_MS_US;
         break;
     case ENDING_TERM:
         rig.database.term = 2;
@@ -177,6 +179,32 @@
 }
 END_TEST
 
+// A planned switchover: what runs is acknowledged under the lease that still
+// stands, nothing new begins, and the end of the term is confirmed after it.
+START_TEST(test_superseding_lets_saves_finish)
+{
+    setup();
+    uint64_t running = rig_request_typed(&rig, 1, TRAFFIC_WRITE, "",
+                                         rig.now_us + 500 * RIG_MS_US);
+    rig_open_all(&rig);
+    uint32_t conn = rig_find(&rig, TRAFFIC_ACTION_SEND, running)->conn;
+    rig.database.superseding = TRUE;
+    rig_post_view(&rig);
+    ck_assert_ptr_null(rig_find(&rig, TRAFFIC_ACTION_CONFIRM_REVOKED, 0));
+    rig_open_session(&rig, 2, NULL);
+    uint64_t late = rig_request(&rig, 2, TRAFFIC_WRITE, -1);
+    ck_assert_ptr_nonnull(rig_find(&rig, TRAFFIC_ACTION_REFUSE, late));
+    rig.now_us += 10;
+    rig_result(&rig, running, conn, TRAFFIC_RESULT_DONE, false, 200);
+    ck_assert_ptr_null(rig_find(&rig, TRAFFIC_ACTION_CONFIRM_REVOKED, 0));
+    rig.now_us += 10;
+    rig_sample(&rig, 1, 200);
+    ck_assert_ptr_nonnull(rig_find(&rig, TRAFFIC_ACTION_ANSWER, running));
+    ck_assert_ptr_nonnull(rig_find(&rig, TRAFFIC_ACTION_CONFIRM_REVOKED, 0));
+    rig_free(&rig);
+}
+END_TEST
+
 START_TEST(test_revocation_is_confirmed)
 {
     setup();
@@ -236,6 +264,7 @@
     tcase_add_loop_test(tests, test_no_acknowledgement_after_the_term, 0, 4);
     tcase_add_loop_test(tests, test_late_answer_after_the_term_is_unknown, 0,
                         4);
+    tcase_add_test(tests, test_superseding_lets_saves_finish);
     tcase_add_test(tests, test_revocation_is_confirmed);
     tcase_add_loop_test(tests, test_no_lease_refuses_saves_at_once, 0, 4);
     tcase_add_test(tests, test_renewed_lease_acknowledges);
