fix(decide): a primary that lost its term is not the first choice for the next

Problem: A primary that no entry reached, but the leader did, ended its term and was published again for the next one, so saves went on failing.

Cause: the old primary answers the leader's probe and is the most advanced.

Solution: The choice is first made without it; it is taken only when no other choice is known to be complete. The argument for completeness already covers the choice without the old primary's answer.

--- a/src/catkingrade/decide/leader_choice.c
+++ b/src/catkingrade/decide/leader_choice.c
@@ -46,10 +46,12 @@
     return place;
 }
 
-// Asks what promotion_choose makes of the answers.
+// Asks what promotion_choose makes of the answers, with that of the old
+// primary or without it.
 static struct promotion_choice
-leader_choose(const struct leader *leader, const struct leader_database *db,
-              const struct ck_database *database)
+leader_choose_among(const struct leader *leader,
+                    const struct leader_database *db,
+                    const struct ck_database *database, bool with_old)
 {
     const struct ck_customer *customer =
         group_find_customer_of_database(leader->group, db->name);
@@ -66,9 +68,10 @@
         const struct leader_member *member = &db->members[i];
         const struct ck_upstream *upstream =
             &database->upstreams.upstreams_val[i];
-        answers[i].answered = member->answered;
         answers[i].is_old_primary =
             strcmp(upstream->name, database->primary) == 0;
+        answers[i].answered =
+            member->answered && (with_old || !answers[i].is_old_primary);
         answers[i].is_leaving = upstream->state == CK_UPSTREAM_LEAVING;
         answers[i].is_regressed = member->is_regressed;
         answers[i].position = member->position;
@@ -78,6 +81,22 @@
     return choice;
 }
 
+// Chooses the next primary. One that lost its term is taken again only when no
+// other choice is known to be complete: the leader may reach it although the
+// entries do not.
+static struct promotion_choice
+leader_choose(const struct leader *leader, const struct leader_database *db,
+              const struct ck_database *database)
+{
+    struct promotion_choice choice =
+        leader_choose_among(leader, db, database, false);
+
+    if (choice.place == PROMOTION_NONE || !choice.is_complete) {
+        choice = leader_choose_among(leader, db, database, true);
+    }
+    return choice;
+}
+
 // Looks for the first primary of a database: the upstream that is one
 // already, or after a while the most advanced.
 void
