--- a/examples/demo.sh
+++ b/examples/demo.sh
@@ -40,7 +40,7 @@
 find_ports() {
     local first port busy
     for _ in $(seq 50); do
-        first=$((20000 + RANDOM % 20000))
+        first=$((11000 + RANDOM % 20000))
         busy=0
         for port in $(seq "$first" $((first + 11))); do
             if port_is_open "$port"; then
--- a/src/catkingrade/control/group_host.c
+++ b/src/catkingrade/control/group_host.c
@@ -635,6 +635,19 @@
     }
 }
 
+// Counts the voters that have caught up and vote.
+static unsigned
+host_count_voting(const struct group_host *host)
+{
+    const struct ck_voters_change *voters = raft_get_voters(host->raft);
+    unsigned count = 0;
+
+    for (u_int i = 0; i < voters->voters.voters_len; i++) {
+        count += voters->voters.voters_val[i].voting ? 1 : 0;
+    }
+    return count;
+}
+
 // Appends a JSON object with the group's state on this voter.
 void
 group_host_describe(const struct group_host *host, struct buffer *json)
@@ -649,12 +662,14 @@
         "{\"group\":\"%s\",\"voter\":%" PRIu64 ",\"role\":\"%s\","
         "\"term\":%" PRIu64 ",\"leader\":%" PRIu64 ",\"commit\":%" PRIu64
         ",\"last\":%" PRIu64 ",\"revision\":%" PRIu64
-        ",\"voters\":%u,\"elections\":%" PRIu64 ",\"databases\":",
+        ",\"voters\":%u,\"voting\":%u,\"elections\":%" PRIu64
+        ",\"databases\":",
         host->params.group->name, host->params.self,
         host_role_names[raft_get_role(host->raft)], raft_get_term(host->raft),
         raft_get_leader(host->raft), raft_get_commit_index(host->raft),
         raft_get_last_index(host->raft), group_get_revision(host->state),
-        raft_get_voters(host->raft)->voters.voters_len, host->elections);
+        raft_get_voters(host->raft)->voters.voters_len,
+        host_count_voting(host), host->elections);
     leader_describe(host->leader, monotonic_get_us(), json);
     buffer_append_text(json, "}");
 }
--- a/src/catkingrade/daemon/main.c
+++ b/src/catkingrade/daemon/main.c
@@ -4,6 +4,7 @@
 #include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
+#include <sys/resource.h>
 
 #include "catkingrade/kernel/daemon.h"
 #include "catkingrade/kernel/log.h"
@@ -74,6 +75,19 @@
     pthread_sigmask(SIG_BLOCK, &signals, NULL);
 }
 
+// Allows as many open files as the system lets this process have: each
+// session and each upstream connection takes one.
+static void
+main_raise_file_limit(void)
+{
+    struct rlimit limit;
+
+    if (getrlimit(RLIMIT_NOFILE, &limit) == 0) {
+        limit.rlim_cur = limit.rlim_max;
+        (void)setrlimit(RLIMIT_NOFILE, &limit);
+    }
+}
+
 static int
 main_run(struct settings *settings, bool bootstrap)
 {
@@ -121,6 +135,7 @@
         return EXIT_SUCCESS;
     }
     main_block_signals();
+    main_raise_file_limit();
     apr_initialize();
     int status = main_run(settings, options.bootstrap);
     settings_destroy(settings);
--- a/src/catkingrade/plugins/postgres_listener.c
+++ b/src/catkingrade/plugins/postgres_listener.c
@@ -26,6 +26,7 @@
 #define LISTENER_KEEPALIVE_INTERVAL_S 10
 #define LISTENER_KEEPALIVE_COUNT      3
 #define LISTENER_SILENT_MS            60000
+#define LISTENER_PAUSE_US             100000
 
 // ---- sockets ----
 
@@ -93,6 +94,28 @@
                      sizeof(timeout_ms));
 }
 
+static void
+listener_resume(void *data)
+{
+    struct postgres_listener *listener = data;
+
+    loop_watch_set(listener->watch, LOOP_READ);
+}
+
+// Out of descriptors or memory, callers wait in the system's queue for a
+// while: accepting at once again would only fail again.
+static void
+listener_pause_if_full(struct postgres_listener *listener)
+{
+    if (errno != EMFILE && errno != ENFILE && errno != ENOBUFS &&
+        errno != ENOMEM) {
+        return;
+    }
+    loop_watch_set(listener->watch, 0);
+    loop_timer_set(listener->resume_timer,
+                   monotonic_get_us() + LISTENER_PAUSE_US);
+}
+
 static void
 listener_accept(void *data, unsigned events)
 {
@@ -104,6 +127,7 @@
         int fd =
             accept4(listener->fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
         if (fd < 0) {
+            listener_pause_if_full(listener);
             return;
         }
         (void)setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
@@ -137,13 +161,17 @@
     }
     listener->watch = loop_watch_create(worker_get_loop(worker), listener->fd,
                                         LOOP_READ, listener_accept, listener);
+    listener->resume_timer =
+        loop_timer_create(worker_get_loop(worker), listener_resume, listener);
     return listener;
 }
 
 static void
 listener_close_socket(struct postgres_listener *listener)
 {
+    loop_timer_destroy(listener->resume_timer);
     loop_watch_destroy(listener->watch);
+    listener->resume_timer = NULL;
     listener->watch = NULL;
     if (listener->fd >= 0) {
         close(listener->fd);
--- a/src/catkingrade/plugins/postgres_listener.h
+++ b/src/catkingrade/plugins/postgres_listener.h
@@ -12,6 +12,7 @@
     struct worker *worker;
     int fd;
     struct loop_watch *watch;
+    struct loop_timer *resume_timer;
     struct postgres_session *sessions;
     SSL_CTX *tls; // NULL: no TLS
     bool draining;
--- a/test/contract/test_operations.c
+++ b/test/contract/test_operations.c
@@ -7,7 +7,8 @@
 #include "test/fake/installation.h"
 #include "test/suite.h"
 
-#define MAX_ARGS 8
+#define MAX_ARGS    8
+#define WAIT_ROUNDS 600
 
 // The command against real daemons.
 static const struct installation_params three_daemons = {
@@ -53,6 +54,22 @@
     free(text);
 }
 
+// Repeats a command until its output holds the part.
+static void
+wait_operate(const struct installation *installation, int daemon,
+             const char *words, const char *part)
+{
+    bool found = false;
+
+    for (int i = 0; i < WAIT_ROUNDS && !found; i++) {
+        int code = 0;
+        char *text = operate(installation, daemon, words, &code);
+        found = strstr(text, part) != NULL;
+        free(text);
+    }
+    ck_assert_msg(found, "%s never shows %s", words, part);
+}
+
 static void
 start(struct installation *installation, const char *name)
 {
@@ -245,6 +262,47 @@
 }
 END_TEST
 
+// A voter loses its disk and comes back under a new id; right after the repair
+// a second one is lost. The change made before and one after both stand.
+START_TEST(test_second_loss_after_repair)
+{
+    struct installation_params params = three_daemons;
+    struct installation installation;
+    char words[200];
+
+    params.name = "operations_repair";
+    params.upstreams_count = 0;
+    installation_start(&installation, &params);
+    installation_apply_customer(&installation);
+    int leader = installation_find_leader(&installation);
+    int lost = (leader + 1) % 3;
+    int second = (leader + 2) % 3;
+    const char *vm = installation.daemons[lost].vm;
+    installation_kill_daemon(&installation, lost);
+    installation_lose_disk(&installation, lost, 4);
+    (void)snprintf(words, sizeof(words), "voter remove fleet %s", vm);
+    check_operate(&installation, leader, words, 0, "accepted");
+    installation_start_daemon(&installation, lost, false);
+    (void)snprintf(words, sizeof(words), "voter add fleet %s 2 127.0.0.1:%u",
+                   vm, installation.daemons[lost].rpc.port);
+    check_operate(&installation, leader, words, 3, "");
+    (void)snprintf(words, sizeof(words), "voter add fleet %s 4 127.0.0.1:%u",
+                   vm, installation.daemons[lost].rpc.port);
+    check_operate(&installation, leader, words, 0, "accepted");
+    wait_operate(&installation, leader, "-j status", "\"voting\":3");
+    installation_kill_daemon(&installation, second);
+    check_operate(&installation, leader, "customer list", 0, "pootafdruk");
+    ck_assert_int_eq(
+        installation_apply(&installation, CK_CHANGE_TEMPLATE, "other",
+                           "{\"template\": \"other\", \"parameters\": {},"
+                           "\"customer\": {\"databases\": [],"
+                           "\"request_types\": [{\"name\": \"a\"}]}}",
+                           "after-repair"),
+        0);
+    installation_stop(&installation);
+}
+END_TEST
+
 static void
 add_tests(TCase *tests)
 {
@@ -253,6 +311,7 @@
     tcase_add_test(tests, test_shutdown_and_stop);
     tcase_add_test(tests, test_declarations);
     tcase_add_test(tests, test_domain_group);
+    tcase_add_test(tests, test_second_loss_after_repair);
 }
 
 TEST_MAIN("operations", add_tests)
--- a/test/fake/installation.c
+++ b/test/fake/installation.c
@@ -39,7 +39,7 @@
         buffer_append_format(text,
                              "%s{\"id\": %d, \"vm\": \"%s\","
                              "\"rpc\": \"127.0.0.1:%u\"}",
-                             i == 0 ? "" : ",", i + 1, daemon->vm,
+                             i == 0 ? "" : ",", daemon->voter_id, daemon->vm,
                              daemon->rpc.port);
     }
     buffer_append_text(text, "]}");
@@ -86,8 +86,6 @@
     installation_append_voters(installation, &text);
     buffer_append_text(&text, "}");
     buffer_append_u8(&text, 0);
-    (void)snprintf(daemon->settings_path, sizeof(daemon->settings_path),
-                   "%s/%s.json", installation->folder, daemon->vm);
     process_write_file(daemon->settings_path,
                        (const char *)buffer_get_data(&text));
     buffer_free(&text);
@@ -117,6 +115,22 @@
     installation->daemons[place].process = NULL;
 }
 
+// Empties a stopped daemon's data folder and gives it a new voter id.
+void
+installation_lose_disk(struct installation *installation, int place,
+                       int voter_id)
+{
+    struct installation_daemon *daemon = &installation->daemons[place];
+    char *command =
+        xasprintf("rm -r '%s/data-%s'", installation->folder, daemon->vm);
+
+    INVARIANT(daemon->process == NULL);
+    INVARIANT(system(command) == 0);
+    free(command);
+    daemon->voter_id = voter_id;
+    installation_write_settings(installation, place);
+}
+
 // Kills an upstream as a lost VM would end.
 void
 installation_kill_upstream(struct installation *installation, int place)
@@ -190,6 +204,9 @@
     for (int i = 0; i < params->daemons_count; i++) {
         struct installation_daemon *daemon = &installation->daemons[i];
         (void)snprintf(daemon->vm, sizeof(daemon->vm), "vm%d", i + 1);
+        daemon->voter_id = i + 1;
+        (void)snprintf(daemon->settings_path, sizeof(daemon->settings_path),
+                       "%s/vm%d.json", installation->folder, i + 1);
         (void)strncpy(daemon->rpc.host, "127.0.0.1",
                       sizeof(daemon->rpc.host) - 1);
         daemon->rpc.port = (uint16_t)process_get_free_port();
--- a/test/fake/installation.h
+++ b/test/fake/installation.h
@@ -31,6 +31,7 @@
     char vm[16];
     char settings_path[512];
     struct settings_address rpc;
+    int voter_id;
     int postgres_port;
     int http_port;
 };
@@ -55,6 +56,9 @@
 void installation_start_daemon(struct installation *installation, int daemon,
                                bool bootstrap);
 void installation_kill_daemon(struct installation *installation, int daemon);
+// Empties a stopped daemon's data folder and gives it a new voter id.
+void installation_lose_disk(struct installation *installation, int daemon,
+                            int voter_id);
 void installation_kill_upstream(struct installation *installation,
                                 int upstream);
 // Makes the customer "pootafdruk" with the database "roster1".
