feat(kernel): SIGHUP reads the settings again and refuses a faulty file

Problem: A reload opened the log again and nothing else; a faulty file showed only at the next start.

Solution: The file is read and checked; its log settings come into force, all else takes a restart. A file with faults is refused with its lines in the log.

Proof: test_settings_reload on a real daemon.

--- a/src/catkingrade/kernel/daemon.c
+++ b/src/catkingrade/kernel/daemon.c
@@ -6,6 +6,7 @@
 #include <sys/signalfd.h>
 #include <unistd.h>
 
+#include "catkingrade/kernel/buffer.h"
 #include "catkingrade/kernel/log.h"
 #include "catkingrade/kernel/loop.h"
 #include "catkingrade/kernel/outcome.h"
@@ -88,6 +89,28 @@
     loop_post(daemon->control_loop, daemon_begin_stop, daemon);
 }
 
+// Reads the settings file again. Its log settings come into force; all else
+// takes a restart. A file with faults is refused and changes nothing, but the
+// log is opened again in any case.
+static void
+daemon_reload(struct daemon *daemon)
+{
+    struct buffer errors = {0};
+    struct settings *fresh = settings_load(daemon->settings->file, &errors);
+
+    if (fresh == NULL) {
+        (void)log_reopen();
+        LOG_ERROR("settings_refused", "%.*s", (int)buffer_get_size(&errors),
+                  (const char *)buffer_get_data(&errors));
+        buffer_free(&errors);
+        return;
+    }
+    int outcome = log_open(fresh->log_path, fresh->log_level,
+                           fresh->log_format, daemon->settings->vm);
+    LOG_INFO("settings_reloaded", "log=%s", outcome_get_name(outcome));
+    settings_destroy(fresh);
+}
+
 static void
 daemon_handle_signal(void *data, unsigned events)
 {
@@ -99,7 +122,7 @@
         return;
     }
     if (info.ssi_signo == SIGHUP) {
-        LOG_INFO("log_reopened", "outcome=%s", outcome_get_name(log_reopen()));
+        daemon_reload(stop->daemon);
         return;
     }
     daemon_begin_stop(stop->daemon);
--- a/test/contract/test_operations.c
+++ b/test/contract/test_operations.c
@@ -1,14 +1,17 @@
 #include <check.h>
+#include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <unistd.h>
 
 #include "catkingrade/kernel/memory.h"
 #include "test/fake/installation.h"
 #include "test/suite.h"
 
-#define MAX_ARGS    8
-#define WAIT_ROUNDS 600
+#define MAX_ARGS     8
+#define WAIT_ROUNDS  600
+#define WAIT_STEP_US 20000
 
 // The command against real daemons.
 static const struct installation_params three_daemons = {
@@ -303,6 +306,51 @@
 }
 END_TEST
 
+// Waits until a daemon's log holds a text.
+static void
+wait_log(const struct installation *installation, int daemon, const char *part)
+{
+    char path[600];
+    bool found = false;
+
+    (void)snprintf(path, sizeof(path), "%s/%s.log", installation->folder,
+                   installation->daemons[daemon].vm);
+    for (int i = 0; i < WAIT_ROUNDS && !found; i++) {
+        char *text = process_read_file(path);
+        found = strstr(text, part) != NULL;
+        free(text);
+        usleep(WAIT_STEP_US);
+    }
+    ck_assert_msg(found, "%s never holds %s", path, part);
+}
+
+// SIGHUP with a faulty file names the fault and changes nothing; with a good
+// one the log's level comes into force.
+START_TEST(test_settings_reload)
+{
+    struct installation_params params = three_daemons;
+    struct installation installation;
+
+    params.name = "operations_reload";
+    params.daemons_count = params.voters_count = 1;
+    params.upstreams_count = 0;
+    installation_start(&installation, &params);
+    struct installation_daemon *daemon = &installation.daemons[0];
+    char *good = process_read_file(daemon->settings_path);
+    process_write_file(daemon->settings_path, "{\n\"vm\": 7}");
+    kill(process_get_pid(daemon->process), SIGHUP);
+    wait_log(&installation, 0, "event=settings_refused");
+    wait_log(&installation, 0, ":2: vm: must be a text");
+    check_operate(&installation, 0, "status", 0, "vm1");
+    process_write_file(daemon->settings_path, good);
+    kill(process_get_pid(daemon->process), SIGHUP);
+    wait_log(&installation, 0, "event=settings_reloaded log=ok");
+    check_operate(&installation, 0, "status", 0, "vm1");
+    free(good);
+    installation_stop(&installation);
+}
+END_TEST
+
 static void
 add_tests(TCase *tests)
 {
@@ -312,6 +360,7 @@
     tcase_add_test(tests, test_declarations);
     tcase_add_test(tests, test_domain_group);
     tcase_add_test(tests, test_second_loss_after_repair);
+    tcase_add_test(tests, test_settings_reload);
 }
 
 TEST_MAIN("operations", add_tests)
