refactor(entry): samples of a database in a file of their own

Solution: database_samples.c takes the second; what both need stands in database_private.h. No behaviour changes.

--- a/src/catkingrade/entry/database.c
+++ b/src/catkingrade/entry/database.c
@@ -8,62 +8,13 @@
 #include <string.h>
 
 #include "catkingrade/decide/traffic.h"
+#include "catkingrade/entry/database_private.h"
 #include "catkingrade/entry/worker.h"
 #include "catkingrade/kernel/counters.h"
 #include "catkingrade/kernel/memory.h"
 
 #define DATABASE_MAX_DEMANDS 256
 
-// A pooled connection.
-struct database_conn {
-    struct database *database;
-    struct upstream_link *link;
-    struct entry_request *request; // that runs on it
-    uint32_t id;
-    uint32_t upstream;
-};
-
-// The connection over which an upstream's position is sampled.
-struct database_monitor {
-    struct database *database;
-    struct upstream_link *link;
-    uint32_t upstream;
-    int64_t asked_at_us;
-    uint64_t timeline; // of the last sample; 0: not known
-    char host[CK_HOST_SIZE + 1];
-    unsigned port;
-    bool open;
-    bool busy;
-};
-
-struct database {
-    struct worker *worker;
-    char name[CK_NAME_SIZE + 1];
-    apr_pool_t *pool;
-    apr_hash_t *sessions;               // by id
-    apr_hash_t *requests;               // by id
-    apr_hash_t *conns;                  // by id
-    struct database_monitor **monitors; // by upstream id
-    size_t monitors_count;
-    struct traffic *traffic;
-    struct traffic_actions actions;
-    struct traffic_event *events; // queue of those raised in a step
-    size_t events_count;
-    size_t events_capacity;
-    bool stepping;
-    struct loop_timer *timer;
-    struct view *view;
-    const struct ck_customer *customer;
-    const struct ck_database *config;
-    struct ck_quota *quotas;
-    char customer_name[CK_NAME_SIZE + 1];
-    atomic_uint_fast64_t open_requests; // read by other threads
-    bool leaving;                       // not in the view anymore
-};
-
-static void database_step(struct database *database,
-                          const struct traffic_event *event);
-
 static void
 database_run_timer(void *data)
 {
@@ -305,76 +256,10 @@
     .lost = database_handle_lost,
 };
 
-// ---- samples ----
-
-static void
-database_raise_sample(struct database_monitor *monitor,
-                      const struct upstream_sample *sample)
-{
-    bool good = sample->fault == UPSTREAM_FAULT_NONE;
-    struct traffic_event event = {
-        .kind = good ? TRAFFIC_EVENT_SAMPLE : TRAFFIC_EVENT_SAMPLE_FAILED,
-        .sample = {.upstream = monitor->upstream,
-                   .is_primary = sample->is_primary,
-                   .refused = sample->fault == UPSTREAM_FAULT_REFUSED,
-                   .full = sample->fault == UPSTREAM_FAULT_FULL,
-                   .position = sample->position,
-                   .asked_at_us = sample->asked_at_us,
-                   .round_trip_us = sample->round_trip_us},
-    };
-
-    monitor->busy = false;
-    if (good) {
-        monitor->timeline = sample->position.timeline;
-    }
-    else {
-        monitor->link->ops->close(monitor->link);
-        monitor->link = NULL;
-        monitor->open = false;
-    }
-    database_step(monitor->database, &event);
-}
-
-static void
-database_handle_sampled(void *data, const struct upstream_sample *sample)
-{
-    database_raise_sample(data, sample);
-}
-
-static void
-database_handle_monitor_opened(void *data, enum upstream_fault fault)
-{
-    struct database_monitor *monitor = data;
-
-    if (fault == UPSTREAM_FAULT_NONE) {
-        monitor->open = true;
-        monitor->link->ops->sample(monitor->link);
-        return;
-    }
-    struct upstream_sample sample = {.fault = fault,
-                                     .asked_at_us = monitor->asked_at_us};
-    database_raise_sample(monitor, &sample);
-}
-
-static void
-database_handle_monitor_lost(void *data)
-{
-    struct database_monitor *monitor = data;
-
-    monitor->link->ops->close(monitor->link);
-    monitor->link = NULL;
-    monitor->open = false;
-}
-
-static const struct upstream_link_events database_monitor_events = {
-    .opened = database_handle_monitor_opened,
-    .sampled = database_handle_sampled,
-    .lost = database_handle_monitor_lost,
-};
-
 // ---- actions ----
 
-static struct upstream_link *
+// Opens a connection to an upstream of the view; events come with data.
+struct upstream_link *
 database_open_link(struct database *database, uint32_t upstream,
                    const struct upstream_link_events *events, void *data)
 {
@@ -412,72 +297,6 @@
     apr_hash_set(database->conns, &conn->id, sizeof(conn->id), conn);
 }
 
-static struct database_monitor *
-database_get_monitor(struct database *database, uint32_t upstream)
-{
-    size_t count = database->monitors_count;
-
-    if (upstream >= count) {
-        database->monitors = xrealloc(
-            database->monitors, (upstream + 1) * sizeof(*database->monitors));
-        memset(&database->monitors[count], 0,
-               (upstream + 1 - count) * sizeof(*database->monitors));
-        database->monitors_count = upstream + 1;
-    }
-    struct database_monitor *monitor = database->monitors[upstream];
-    if (monitor == NULL) {
-        monitor = xcalloc(1, sizeof(*monitor));
-        monitor->database = database;
-        monitor->upstream = upstream;
-        database->monitors[upstream] = monitor;
-    }
-    return monitor;
-}
-
-static void
-database_run_sample(struct database *database, uint32_t upstream)
-{
-    struct database_monitor *monitor =
-        database_get_monitor(database, upstream);
-
-    if (monitor->busy) {
-        return;
-    }
-    monitor->busy = true;
-    monitor->asked_at_us = monotonic_get_us();
-    if (monitor->open) {
-        monitor->link->ops->sample(monitor->link);
-        return;
-    }
-    const struct ck_upstream *config =
-        traffic_get_upstream(database->traffic, upstream);
-    INVARIANT(config != NULL);
-    (void)snprintf(monitor->host, sizeof(monitor->host), "%s", config->host);
-    monitor->port = config->port;
-    monitor->link = database_open_link(database, upstream,
-                                       &database_monitor_events, monitor);
-}
-
-// Closes idle sampling connections to upstreams that are not in the view, or
-// that have another address there.
-static void
-database_close_stale_monitors(struct database *database)
-{
-    for (uint32_t i = 0; i < database->monitors_count; i++) {
-        struct database_monitor *monitor = database->monitors[i];
-        const struct ck_upstream *config =
-            traffic_get_upstream(database->traffic, i);
-        if (monitor == NULL || monitor->busy || monitor->link == NULL ||
-            (config != NULL && config->port == monitor->port &&
-             strcmp(config->host, monitor->host) == 0)) {
-            continue;
-        }
-        monitor->link->ops->close(monitor->link);
-        monitor->link = NULL;
-        monitor->open = false;
-    }
-}
-
 static void
 database_count_send(const struct entry_request *request,
                     const struct traffic_action *action)
@@ -720,7 +539,7 @@
 
 // Feeds an event to the machine. One that is raised while actions are being
 // carried out waits until they are done.
-static void
+void
 database_step(struct database *database, const struct traffic_event *event)
 {
     if (database->stepping) {
--- /dev/null
+++ b/src/catkingrade/entry/database_private.h
@@ -0,0 +1,72 @@
+#ifndef CATKINGRADE_ENTRY_DATABASE_PRIVATE_H
+#define CATKINGRADE_ENTRY_DATABASE_PRIVATE_H
+
+#include <apr_hash.h>
+#include <apr_pools.h>
+#include <stdatomic.h>
+
+#include "catkingrade/decide/traffic.h"
+#include "catkingrade/entry/database.h"
+#include "catkingrade/entry/worker.h"
+
+// What database.c and database_samples.c share.
+
+// A pooled connection.
+struct database_conn {
+    struct database *database;
+    struct upstream_link *link;
+    struct entry_request *request; // that runs on it
+    uint32_t id;
+    uint32_t upstream;
+};
+
+// The connection over which an upstream's position is sampled.
+struct database_monitor {
+    struct database *database;
+    struct upstream_link *link;
+    uint32_t upstream;
+    int64_t asked_at_us;
+    uint64_t timeline; // of the last sample; 0: not known
+    char host[CK_HOST_SIZE + 1];
+    unsigned port;
+    bool open;
+    bool busy;
+};
+
+struct database {
+    struct worker *worker;
+    char name[CK_NAME_SIZE + 1];
+    apr_pool_t *pool;
+    apr_hash_t *sessions;               // by id
+    apr_hash_t *requests;               // by id
+    apr_hash_t *conns;                  // by id
+    struct database_monitor **monitors; // by upstream id
+    size_t monitors_count;
+    struct traffic *traffic;
+    struct traffic_actions actions;
+    struct traffic_event *events; // queue of those raised in a step
+    size_t events_count;
+    size_t events_capacity;
+    bool stepping;
+    struct loop_timer *timer;
+    struct view *view;
+    const struct ck_customer *customer;
+    const struct ck_database *config;
+    struct ck_quota *quotas;
+    char customer_name[CK_NAME_SIZE + 1];
+    atomic_uint_fast64_t open_requests; // read by other threads
+    bool leaving;                       // not in the view anymore
+};
+
+// database.c
+void database_step(struct database *database,
+                   const struct traffic_event *event);
+struct upstream_link *
+database_open_link(struct database *database, uint32_t upstream,
+                   const struct upstream_link_events *events, void *data);
+
+// database_samples.c
+void database_run_sample(struct database *database, uint32_t upstream);
+void database_close_stale_monitors(struct database *database);
+
+#endif
