--- a/test/fake/process.c
+++ b/test/fake/process.c
@@ -21,8 +21,8 @@
 #include "catkingrade/kernel/outcome.h"
 
 #define PROCESS_FIRST_PORT      10240
-#define PROCESS_PORT_RANGES     220
-#define PROCESS_PORTS_PER_RANGE 100
+#define PROCESS_PORT_RANGES     100
+#define PROCESS_PORTS_PER_RANGE 220
 #define PROCESS_MAX_ARGS        64
 #define PROCESS_PATH_SIZE       1024
 #define PROCESS_LIMIT_US        60000000
@@ -178,13 +178,16 @@
 }
 
 // Returns a local port that is free for TCP and UDP. It lies below the ports
-// that the system gives to outgoing connections, and in a range of this
-// process, so that nobody takes it before a program listens on it.
+// that the system gives to outgoing connections, and in a range of this test
+// program, so that nobody takes it before a program listens on it, and that
+// the port of one that was killed is not another test's.
 int
 process_get_free_port(void)
 {
     static int next;
-    int range = (int)getpid() % PROCESS_PORT_RANGES;
+    const char *number = getenv("TEST_PORT_RANGE");
+    int range =
+        (number == NULL ? (int)getpid() : atoi(number)) % PROCESS_PORT_RANGES;
 
     for (int i = 0; i < PROCESS_PORTS_PER_RANGE; i++) {
         int port = PROCESS_FIRST_PORT + range * PROCESS_PORTS_PER_RANGE +
