refactor: one reader each for secrets, log positions and a group's leader

Problem: The entry and the control side each read a password file and parsed a log position, and the place of a group's leader was looked up and copied in three ways.

Solution: file_read_secret in the kernel, upstream_position_parse_lsn, and host_find_leader with host_copy_address. The entry's parser took a position with text behind it; the one that stays refuses that, which no upstream sends.

--- a/src/catkingrade/control/group_host.c
+++ b/src/catkingrade/control/group_host.c
@@ -92,20 +92,32 @@
     return NULL;
 }
 
+// Returns the voter that leads, as far as this voter knows, or NULL.
+static const struct ck_voter *
+host_find_leader(const struct group_host *host)
+{
+    return host->failed ? NULL
+                        : host_find_voter(host, raft_get_leader(host->raft));
+}
+
+static void
+host_copy_address(const struct ck_voter *voter,
+                  struct settings_address *address)
+{
+    (void)strncpy(address->host, voter->host, sizeof(address->host) - 1);
+    address->port = (uint16_t)voter->port;
+}
+
 // Returns where the group's leader is; an empty host when not known.
 void
 group_host_get_leader(const struct group_host *host,
                       struct settings_address *address)
 {
-    const struct ck_voter *voter = NULL;
+    const struct ck_voter *voter = host_find_leader(host);
 
     memset(address, 0, sizeof(*address));
-    if (!host->failed) {
-        voter = host_find_voter(host, raft_get_leader(host->raft));
-    }
     if (voter != NULL) {
-        (void)strncpy(address->host, voter->host, sizeof(address->host) - 1);
-        address->port = (uint16_t)voter->port;
+        host_copy_address(voter, address);
     }
 }
 
@@ -114,11 +126,8 @@
 host_fill_leader_hint(const struct group_host *host, char **leader_host,
                       u_int *leader_port)
 {
-    const struct ck_voter *voter = NULL;
+    const struct ck_voter *voter = host_find_leader(host);
 
-    if (!host->failed) {
-        voter = host_find_voter(host, raft_get_leader(host->raft));
-    }
     *leader_host = voter == NULL ? "" : voter->host;
     *leader_port = voter == NULL ? 0 : voter->port;
 }
@@ -133,8 +142,7 @@
 
     memset(address, 0, sizeof(*address));
     if (voter != NULL) {
-        (void)strncpy(address->host, voter->host, sizeof(address->host) - 1);
-        address->port = (uint16_t)voter->port;
+        host_copy_address(voter, address);
         return;
     }
     for (size_t i = 0; i < group->voters_count; i++) {
--- a/src/catkingrade/control/upstream_admin.c
+++ b/src/catkingrade/control/upstream_admin.c
@@ -6,6 +6,7 @@
 #include <string.h>
 
 #include "catkingrade/entry/upstream_error.h"
+#include "catkingrade/entry/upstream_position.h"
 #include "catkingrade/entry/upstream_sql.h"
 #include "catkingrade/kernel/buffer.h"
 #include "catkingrade/kernel/file.h"
@@ -15,7 +16,6 @@
 
 #define UPSTREAM_ADMIN_PROMOTE_LIMIT_US 8000000
 #define UPSTREAM_ADMIN_FULL_RETRY_US    50000
-#define UPSTREAM_ADMIN_MAX_PASSWORD     4096
 #define UPSTREAM_ADMIN_PORT_SIZE        8
 #define UPSTREAM_ADMIN_SAMPLE_FIELDS    3
 
@@ -50,14 +50,10 @@
 upstream_admin_create(struct loop *loop, const struct settings *settings)
 {
     struct upstream_admin *admin = xcalloc(1, sizeof(*admin));
-    const char *path = settings->upstream_password_file;
 
     admin->loop = loop;
     admin->settings = settings;
-    if (path[0] != '\0' && file_read_text(path, UPSTREAM_ADMIN_MAX_PASSWORD,
-                                          &admin->password) == OUTCOME_OK) {
-        admin->password[strcspn(admin->password, "\r\n")] = '\0';
-    }
+    (void)file_read_secret(settings->upstream_password_file, &admin->password);
     return admin;
 }
 
@@ -114,23 +110,6 @@
     upstream_operation_finish(data, OUTCOME_TIMEOUT);
 }
 
-// Parses a log position such as 16/B374D848. Returns OUTCOME_OK or
-// OUTCOME_INVALID.
-int
-upstream_admin_parse_lsn(const char *text, uint64_t *lsn)
-{
-    unsigned high = 0;
-    unsigned low = 0;
-    int length = 0;
-
-    if (sscanf(text, "%8x/%8x%n", &high, &low, &length) != 2 ||
-        text[length] != '\0') {
-        return OUTCOME_INVALID;
-    }
-    *lsn = (uint64_t)high << 32 | low;
-    return OUTCOME_OK;
-}
-
 // Reads role and position when the result is that of a sample.
 static int
 upstream_operation_read_sample(struct upstream_operation *operation,
@@ -144,8 +123,8 @@
     }
     result->is_primary = PQgetvalue(answer, 0, 0)[0] == 'f';
     result->position.timeline = strtoull(PQgetvalue(answer, 0, 1), NULL, 10);
-    return upstream_admin_parse_lsn(PQgetvalue(answer, 0, 2),
-                                    &result->position.lsn);
+    return upstream_position_parse_lsn(PQgetvalue(answer, 0, 2),
+                                       &result->position.lsn);
 }
 
 static int
--- a/src/catkingrade/control/upstream_admin.h
+++ b/src/catkingrade/control/upstream_admin.h
@@ -38,6 +38,5 @@
                         const struct ck_upstream *upstream,
                         const struct ck_upstream *primary,
                         upstream_admin_fn done, void *data);
-int upstream_admin_parse_lsn(const char *text, uint64_t *lsn);
 
 #endif
--- a/src/catkingrade/entry/entry.c
+++ b/src/catkingrade/entry/entry.c
@@ -65,24 +65,6 @@
     return outcome;
 }
 
-static int
-entry_load_password(struct entry *entry)
-{
-    const char *path = entry->settings->upstream_password_file;
-
-    if (path[0] == '\0') {
-        entry->upstream_password = xstrdup("");
-        return OUTCOME_OK;
-    }
-    int outcome = file_read_text(path, ENTRY_MAX_SECRET_BYTES,
-                                 &entry->upstream_password);
-    if (outcome == OUTCOME_OK) {
-        char *text = entry->upstream_password;
-        text[strcspn(text, "\r\n")] = '\0';
-    }
-    return outcome;
-}
-
 // Creates an entry; settings must outlive it. reports may be NULL. Returns
 // NULL, with a line logged, when a key or password file cannot be read.
 struct entry *
@@ -103,7 +85,8 @@
         entry_destroy(entry);
         return NULL;
     }
-    if (entry_load_password(entry) != OUTCOME_OK) {
+    if (file_read_secret(settings->upstream_password_file,
+                         &entry->upstream_password) != OUTCOME_OK) {
         LOG_ERROR("password_unreadable", "file=%s",
                   settings->upstream_password_file);
         entry_destroy(entry);
--- a/src/catkingrade/kernel/file.c
+++ b/src/catkingrade/kernel/file.c
@@ -2,12 +2,14 @@
 
 #include <stdio.h>
 #include <stdlib.h>
+#include <string.h>
 
 #include "catkingrade/kernel/buffer.h"
 #include "catkingrade/kernel/memory.h"
 #include "catkingrade/kernel/outcome.h"
 
-#define FILE_READ_STEP_BYTES 16384
+#define FILE_READ_STEP_BYTES  16384
+#define FILE_MAX_SECRET_BYTES 65536
 
 // Reads a whole file as text that the caller frees. Returns OUTCOME_OK,
 // OUTCOME_IO with errno set, or OUTCOME_TOO_LARGE.
@@ -44,3 +46,20 @@
     buffer_free(&content);
     return outcome;
 }
+
+// Reads the first line of a file, such as a password, that the caller frees.
+// An empty path gives an empty text. Returns as file_read_text does; on an
+// error secret is left as it is.
+int
+file_read_secret(const char *path, char **secret)
+{
+    if (path[0] == '\0') {
+        *secret = xstrdup("");
+        return OUTCOME_OK;
+    }
+    int outcome = file_read_text(path, FILE_MAX_SECRET_BYTES, secret);
+    if (outcome == OUTCOME_OK) {
+        (*secret)[strcspn(*secret, "\r\n")] = '\0';
+    }
+    return outcome;
+}
--- a/src/catkingrade/kernel/file.h
+++ b/src/catkingrade/kernel/file.h
@@ -4,5 +4,6 @@
 #include <stddef.h>
 
 int file_read_text(const char *path, size_t max_size_bytes, char **text);
+int file_read_secret(const char *path, char **secret);
 
 #endif
--- a/src/catkingrade/plugins/libpq_upstream.c
+++ b/src/catkingrade/plugins/libpq_upstream.c
@@ -10,6 +10,7 @@
 #include <sys/socket.h>
 
 #include "catkingrade/entry/upstream_error.h"
+#include "catkingrade/entry/upstream_position.h"
 #include "catkingrade/entry/upstream_sql.h"
 #include "catkingrade/kernel/memory.h"
 #include "catkingrade/plugins/libpq_encode.h"
@@ -24,16 +25,11 @@
 static void libpq_link_run_phase(struct libpq_link *link,
                                  enum libpq_phase phase);
 
-// Reads a log position X/Y in hexadecimal; one that is not valid is 0.
+// Reads a log position; one that is not valid leaves it as it is.
 void
 libpq_link_parse_position(const char *text, struct ck_position *position)
 {
-    uint64_t high = 0;
-    uint64_t low = 0;
-
-    if (sscanf(text, "%" SCNx64 "/%" SCNx64, &high, &low) == 2) {
-        position->lsn = high << 32 | low;
-    }
+    (void)upstream_position_parse_lsn(text, &position->lsn);
 }
 
 // Forgets which statements the connection has prepared.
