--- a/src/catkingrade/control/control.c
+++ b/src/catkingrade/control/control.c
@@ -11,7 +11,8 @@
 #include "catkingrade/kernel/settings.h"
 #include "catkingrade/plugins/http.h"
 
-#define CONTROL_MAX_FLUSHES_A_TURN 16
+#define CONTROL_MAX_FLUSHES_A_TURN     16
+#define CONTROL_MAX_ANNOUNCEMENT_BYTES 16384
 
 // Returns the group's host, NULL when this VM does not vote in it.
 struct group_host *
@@ -39,6 +40,31 @@
     return NULL;
 }
 
+// Lists where the group's leader may be asked for: its voters, as far as they
+// are known here, then the seeds. Returns how many there are.
+size_t
+control_list_peers(const struct control *control, const char *group,
+                   struct settings_address *peers, size_t max_count)
+{
+    const struct settings *settings = control->daemon->settings;
+    const struct settings_group *row = control_find_group(control, group);
+    const struct group_host *host = control_find_host(control, group);
+    size_t count =
+        host == NULL ? 0 : group_host_list_voters(host, peers, max_count);
+
+    for (size_t i = 0; row != NULL && i < row->voters_count; i++) {
+        if (count < max_count) {
+            peers[count++] = row->voters[i].rpc;
+        }
+    }
+    for (size_t i = 0; i < settings->seeds_count; i++) {
+        if (count < max_count) {
+            peers[count++] = settings->seeds[i];
+        }
+    }
+    return count;
+}
+
 // Tells a caller that this VM does not vote in the group, and who does.
 static void
 control_fill_voter_hint(const struct control *control, const char *group,
@@ -111,6 +137,25 @@
     rpcnet_reply(request, &reply);
 }
 
+static void
+control_handle_read(void *data, struct rpcnet_request *request,
+                    const void *args)
+{
+    const struct ck_read_declaration_args *read = args;
+    struct group_host *host = control_find_host(data, read->group);
+    struct ck_read_declaration_result reply = {.leader_host = ""};
+
+    if (host != NULL) {
+        group_host_read_declaration(host, &reply);
+    }
+    else {
+        reply.outcome = control_get_no_host_outcome(data, read->group);
+        control_fill_voter_hint(data, read->group, &reply.leader_host,
+                                &reply.leader_port);
+    }
+    rpcnet_reply(request, &reply);
+}
+
 static void
 control_handle_query(void *data, struct rpcnet_request *request,
                      const void *args)
@@ -236,7 +281,8 @@
         .admin = control->admin,
         .group = group,
         .self = self,
-        .bootstrap = control->daemon->bootstrap,
+        .bootstrap =
+            control->daemon->bootstrap || control->daemon->settings->bootstrap,
     };
     int outcome =
         group_host_create(&params, &control->hosts[control->hosts_count]);
@@ -247,6 +293,19 @@
     return outcome;
 }
 
+// Returns whether a voter of the settings is this VM. Founders that come from
+// the seeds are known by their addresses alone.
+static bool
+control_is_self(const struct settings *settings,
+                const struct settings_voter *voter)
+{
+    if (!settings->voters_from_seeds) {
+        return strcmp(voter->vm, settings->vm) == 0;
+    }
+    return strcmp(voter->rpc.host, settings->rpc.host) == 0 &&
+           voter->rpc.port == settings->rpc.port;
+}
+
 // Opens every group of the settings in which this VM votes.
 static int
 control_open_groups(struct control *control)
@@ -257,7 +316,7 @@
     for (size_t i = 0; i < settings->groups_count; i++) {
         const struct settings_group *group = &settings->groups[i];
         for (size_t j = 0; j < group->voters_count; j++) {
-            if (strcmp(group->voters[j].vm, settings->vm) != 0) {
+            if (!control_is_self(settings, &group->voters[j])) {
                 continue;
             }
             int outcome =
@@ -281,6 +340,8 @@
     rpcnet_set_handler(rpcnet, &rpcnet_query, control_handle_query, control);
     rpcnet_set_handler(rpcnet, &rpcnet_command, control_handle_command,
                        control);
+    rpcnet_set_handler(rpcnet, &rpcnet_read_declaration, control_handle_read,
+                       control);
 }
 
 static void
@@ -293,6 +354,7 @@
     rpcnet_set_handler(rpcnet, &rpcnet_apply, NULL, NULL);
     rpcnet_set_handler(rpcnet, &rpcnet_query, NULL, NULL);
     rpcnet_set_handler(rpcnet, &rpcnet_command, NULL, NULL);
+    rpcnet_set_handler(rpcnet, &rpcnet_read_declaration, NULL, NULL);
 }
 
 // Starts the control side. With the role control it opens the data folder and
@@ -307,8 +369,10 @@
     control->daemon = daemon;
     control->loop = daemon->control_loop;
     if ((daemon->settings->roles & SETTINGS_ROLE_CONTROL) != 0) {
-        control->admin =
-            upstream_admin_create(control->loop, daemon->settings);
+        const struct upstream_admin_driver *driver =
+            daemon->admin_driver != NULL ? daemon->admin_driver
+                                         : &libpq_admin_driver;
+        control->admin = driver->create(control->loop, daemon->settings);
         outcome = control_open_store(control);
         if (outcome == OUTCOME_OK) {
             outcome = control_open_groups(control);
@@ -334,7 +398,7 @@
     }
     control_clear_handlers(control);
     if (control->admin != NULL) {
-        upstream_admin_destroy(control->admin);
+        control->admin->ops->destroy(control->admin);
     }
     if (control->store != NULL) {
         store_close(control->store);
@@ -347,15 +411,22 @@
 void
 control_start_announcements(struct control *control)
 {
-    http_set_announce(control->daemon->http, control_take_announcement,
-                      control);
+    struct http_route route = {
+        .method = "POST",
+        .path = "/announce",
+        .max_body_bytes = CONTROL_MAX_ANNOUNCEMENT_BYTES,
+        .handle = control_take_announcement,
+        .data = control,
+    };
+
+    http_add_route(control->daemon->http, &route);
 }
 
 // Refuses announcements from now on.
 void
 control_stop_announcements(struct control *control)
 {
-    http_set_announce(control->daemon->http, NULL, NULL);
+    http_remove_routes(control->daemon->http, control);
 }
 
 // Hands the leadership of all groups to other voters.
--- a/src/catkingrade/control/control_state.h
+++ b/src/catkingrade/control/control_state.h
@@ -8,7 +8,7 @@
 #include "catkingrade/rpc/rpcnet.h"
 #include "catkingrade/store/store.h"
 
-struct http_announcement;
+struct http_call;
 
 struct control {
     struct daemon *daemon;
@@ -25,14 +25,15 @@
 const struct settings_group *control_find_group(const struct control *control,
                                                 const char *group);
 
+size_t control_list_peers(const struct control *control, const char *group,
+                          struct settings_address *peers, size_t max_count);
+
 // queries.c
 void control_answer_query(struct control *control,
                           struct rpcnet_request *request,
                           const struct ck_query_args *args);
 
 // forward.c
-void control_take_announcement(void *data,
-                               struct http_announcement *announcement,
-                               const char *body);
+void control_take_announcement(void *data, struct http_call *call);
 
 #endif
--- a/src/catkingrade/control/forward.c
+++ b/src/catkingrade/control/forward.c
@@ -1,3 +1,5 @@
+#include "catkingrade/control/forward.h"
+
 #include <stdlib.h>
 #include <string.h>
 
@@ -9,44 +11,86 @@
 #include "catkingrade/plugins/http.h"
 #include "catkingrade/rpc/codec.h"
 
+// Callers over HTTP turn to another daemon after a second.
+#define FORWARD_LIMIT_US      900000
 #define FORWARD_CALL_LIMIT_US 300000
-#define FORWARD_MAX_HOPS      4
+#define FORWARD_PAUSE_US      30000
+#define FORWARD_MAX_PEERS     24
 
-// An announcement on its way to the group's leader.
+// One call on its way to the group's leader.
 struct forward {
     struct control *control;
-    struct http_announcement *announcement;
-    struct announcement content;
-    unsigned hops;
+    char *group;
+    struct loop_timer *timer; // pause before the next try
+    int64_t deadline_us;
+    unsigned tries;
+    bool is_read;
+    struct ck_change change; // unless it is a read
+    forward_apply_fn apply_done;
+    forward_read_fn read_done;
+    void *data;
 };
 
-static void forward_send(struct forward *forward,
-                         const struct settings_address *peer);
+static void forward_try(struct forward *forward);
 
 static void
-forward_finish(struct forward *forward, int outcome, const char *text)
+forward_free(struct forward *forward)
 {
-    counter_add(outcome == OUTCOME_OK ? COUNTER_ANNOUNCEMENTS
-                                      : COUNTER_ANNOUNCEMENTS_REFUSED,
-                1);
-    http_announcement_reply(forward->announcement, outcome, text);
-    announcement_free(&forward->content);
+    loop_timer_destroy(forward->timer);
+    codec_free((xdrproc_t)xdr_ck_change, &forward->change);
+    free(forward->group);
     free(forward);
 }
 
-// Asks the next voter of the group after one that did not answer.
 static void
-forward_try_next_voter(struct forward *forward)
+forward_finish(struct forward *forward, int outcome, const char *text,
+               const struct ck_packed_declaration *declaration)
+{
+    if (forward->is_read) {
+        forward->read_done(forward->data, outcome, declaration);
+    }
+    else {
+        forward->apply_done(forward->data, outcome, text);
+    }
+    forward_free(forward);
+}
+
+static void
+forward_handle_timer(void *data)
+{
+    forward_try(data);
+}
+
+// Tries again after a pause, or gives up when the time is over.
+static void
+forward_pause(struct forward *forward)
+{
+    int64_t next_us = monotonic_get_us() + FORWARD_PAUSE_US;
+
+    if (next_us >= forward->deadline_us) {
+        forward_finish(forward, OUTCOME_UNAVAILABLE,
+                       "the group's leader cannot be reached", NULL);
+        return;
+    }
+    loop_timer_set(forward->timer, next_us);
+}
+
+static void forward_send(struct forward *forward,
+                         const struct settings_address *peer);
+
+// Goes on after an answer that says who leads, if that is known.
+static void
+forward_follow(struct forward *forward, const char *host, u_int port)
 {
-    const struct settings_group *group =
-        control_find_group(forward->control, forward->content.group);
+    struct settings_address peer = {0};
 
-    if (group == NULL || group->voters_count == 0) {
-        forward_finish(forward, OUTCOME_NOT_FOUND, "no such control group");
+    if (port == 0 || monotonic_get_us() >= forward->deadline_us) {
+        forward_pause(forward);
         return;
     }
-    forward_send(forward,
-                 &group->voters[forward->hops % group->voters_count].rpc);
+    (void)strncpy(peer.host, host, sizeof(peer.host) - 1);
+    peer.port = (uint16_t)port;
+    forward_send(forward, &peer);
 }
 
 static void
@@ -54,86 +98,194 @@
 {
     struct forward *forward = data;
     const struct ck_apply_result *applied = result;
-    struct settings_address peer = {0};
 
     if (outcome == OUTCOME_CLOSED) {
-        forward_finish(forward, OUTCOME_UNAVAILABLE, "stopping");
-        return;
+        forward_finish(forward, OUTCOME_UNAVAILABLE, "stopping", NULL);
     }
-    forward->hops++;
-    if (outcome == OUTCOME_OK && applied->outcome != OUTCOME_NOT_LEADER) {
-        forward_finish(forward, applied->outcome, applied->message);
-        return;
+    else if (outcome != OUTCOME_OK) {
+        forward_pause(forward);
     }
-    if (forward->hops >= FORWARD_MAX_HOPS) {
-        forward_finish(forward, OUTCOME_UNAVAILABLE,
-                       "the group's leader cannot be reached");
-        return;
+    else if (applied->outcome == OUTCOME_NOT_LEADER) {
+        forward_follow(forward, applied->leader_host, applied->leader_port);
     }
-    if (outcome == OUTCOME_OK && applied->leader_port != 0) {
-        (void)strncpy(peer.host, applied->leader_host, sizeof(peer.host) - 1);
-        peer.port = (uint16_t)applied->leader_port;
-        forward_send(forward, &peer);
-        return;
+    else {
+        forward_finish(forward, applied->outcome, applied->message, NULL);
+    }
+}
+
+static void
+forward_handle_read(void *data, int outcome, const void *result)
+{
+    struct forward *forward = data;
+    const struct ck_read_declaration_result *read = result;
+
+    if (outcome == OUTCOME_CLOSED) {
+        forward_finish(forward, OUTCOME_UNAVAILABLE, "stopping", NULL);
+    }
+    else if (outcome != OUTCOME_OK) {
+        forward_pause(forward);
+    }
+    else if (read->outcome == OUTCOME_NOT_LEADER) {
+        forward_follow(forward, read->leader_host, read->leader_port);
+    }
+    else {
+        forward_finish(forward, read->outcome, "", &read->declaration);
     }
-    forward_try_next_voter(forward);
 }
 
 static void
 forward_send(struct forward *forward, const struct settings_address *peer)
 {
-    struct ck_apply_args args = {
-        .group = forward->content.group,
+    struct rpcnet *rpcnet = forward->control->daemon->rpcnet;
+    struct ck_read_declaration_args read = {.group = forward->group};
+    struct ck_apply_args apply = {
+        .group = forward->group,
         .change_id = "",
+        .change = forward->change,
     };
 
-    args.change.kind = CK_CHANGE_UPSTREAM;
-    args.change.ck_change_u.upstream = forward->content.upstream;
-    rpcnet_call(forward->control->daemon->rpcnet, peer, &rpcnet_apply, &args,
-                FORWARD_CALL_LIMIT_US, FORWARD_CALL_LIMIT_US,
-                forward_handle_applied, forward);
+    if (forward->is_read) {
+        rpcnet_call(rpcnet, peer, &rpcnet_read_declaration, &read,
+                    FORWARD_CALL_LIMIT_US, FORWARD_CALL_LIMIT_US,
+                    forward_handle_read, forward);
+    }
+    else {
+        rpcnet_call(rpcnet, peer, &rpcnet_apply, &apply, FORWARD_CALL_LIMIT_US,
+                    FORWARD_CALL_LIMIT_US, forward_handle_applied, forward);
+    }
 }
 
 static void
-forward_handle_announced(void *data, int outcome, const char *text)
+forward_handle_local(void *data, int outcome, const char *text)
 {
-    forward_finish(data, outcome, text);
+    struct forward *forward = data;
+
+    if (outcome == OUTCOME_NOT_LEADER) {
+        forward_pause(forward);
+        return;
+    }
+    forward_finish(forward, outcome, text, NULL);
 }
 
-// Takes an announcement from the HTTP side to the leader of its group: here,
-// or at the VM that leads.
-void
-control_take_announcement(void *data, struct http_announcement *announcement,
-                          const char *body)
+// Handles the call here, where the group's leader is.
+static void
+forward_run_local(struct forward *forward, struct group_host *host)
 {
-    struct control *control = data;
-    struct forward *forward = xcalloc(1, sizeof(*forward));
-    struct settings_address leader = {0};
-    struct buffer errors = {0};
-
-    forward->control = control;
-    forward->announcement = announcement;
-    if (announcement_parse(body, &forward->content, &errors) != OUTCOME_OK) {
-        buffer_append_u8(&errors, 0);
-        forward_finish(forward, OUTCOME_INVALID,
-                       (const char *)buffer_get_data(&errors));
-        buffer_free(&errors);
+    if (!forward->is_read) {
+        group_host_change(host, &forward->change, forward_handle_local,
+                          forward);
         return;
     }
-    buffer_free(&errors);
+    struct ck_read_declaration_result result = {0};
+    group_host_read_declaration(host, &result);
+    if (result.outcome == OUTCOME_NOT_LEADER) {
+        forward_pause(forward);
+        return;
+    }
+    forward_finish(forward, result.outcome, "", &result.declaration);
+}
+
+// Tries the leader that is known, else one of those that may know it.
+static void
+forward_try(struct forward *forward)
+{
+    struct settings_address peers[FORWARD_MAX_PEERS];
+    struct settings_address leader = {0};
     struct group_host *host =
-        control_find_host(control, forward->content.group);
+        control_find_host(forward->control, forward->group);
+
     if (host != NULL && group_host_leads(host)) {
-        group_host_announce(host, &forward->content.upstream,
-                            forward_handle_announced, forward);
+        forward_run_local(forward, host);
         return;
     }
     if (host != NULL) {
         group_host_get_leader(host, &leader);
     }
-    if (leader.port != 0) {
+    if (leader.port != 0 && forward->tries++ % 2 == 0) {
         forward_send(forward, &leader);
         return;
     }
-    forward_try_next_voter(forward);
+    size_t count = control_list_peers(forward->control, forward->group, peers,
+                                      FORWARD_MAX_PEERS);
+    if (count == 0) {
+        forward_pause(forward);
+        return;
+    }
+    forward_send(forward, &peers[forward->tries++ / 2 % count]);
+}
+
+static struct forward *
+forward_create(struct control *control, const char *group, void *data)
+{
+    struct forward *forward = xcalloc(1, sizeof(*forward));
+
+    forward->control = control;
+    forward->group = xstrdup(group);
+    forward->deadline_us = monotonic_get_us() + FORWARD_LIMIT_US;
+    forward->timer =
+        loop_timer_create(control->loop, forward_handle_timer, forward);
+    forward->data = data;
+    forward->change.kind = CK_CHANGE_NONE;
+    return forward;
+}
+
+// Takes a change to the leader of a group; done is called once, with
+// OUTCOME_UNAVAILABLE when it could not be shown to be applied in time.
+void
+forward_apply(struct control *control, const char *group,
+              const struct ck_change *change, forward_apply_fn done,
+              void *data)
+{
+    struct forward *forward = forward_create(control, group, data);
+
+    codec_copy((xdrproc_t)xdr_ck_change, change, &forward->change,
+               sizeof(forward->change));
+    forward->apply_done = done;
+    forward_try(forward);
+}
+
+// Reads the declaration in force at the leader of a group; done is called
+// once, with OUTCOME_UNAVAILABLE when nobody was sure to lead in time.
+void
+forward_read_declaration(struct control *control, const char *group,
+                         forward_read_fn done, void *data)
+{
+    struct forward *forward = forward_create(control, group, data);
+
+    forward->is_read = true;
+    forward->read_done = done;
+    forward_try(forward);
+}
+
+static void
+forward_handle_announced(void *data, int outcome, const char *text)
+{
+    counter_add(outcome == OUTCOME_OK ? COUNTER_ANNOUNCEMENTS
+                                      : COUNTER_ANNOUNCEMENTS_REFUSED,
+                1);
+    http_call_reply_outcome(data, outcome, text);
+}
+
+// Takes an announcement from the HTTP side to the leader of its group.
+void
+control_take_announcement(void *data, struct http_call *call)
+{
+    struct announcement announcement = {0};
+    struct buffer errors = {0};
+    struct ck_change change = {.kind = CK_CHANGE_UPSTREAM};
+    size_t size = 0;
+
+    if (announcement_parse(http_call_get_body(call, &size), &announcement,
+                           &errors) != OUTCOME_OK) {
+        buffer_append_u8(&errors, 0);
+        forward_handle_announced(call, OUTCOME_INVALID,
+                                 (const char *)buffer_get_data(&errors));
+        buffer_free(&errors);
+        return;
+    }
+    buffer_free(&errors);
+    change.ck_change_u.upstream = announcement.upstream;
+    forward_apply(data, announcement.group, &change, forward_handle_announced,
+                  call);
+    announcement_free(&announcement);
 }
--- a/src/catkingrade/control/group_host.c
+++ b/src/catkingrade/control/group_host.c
@@ -121,6 +121,26 @@
     }
 }
 
+// Lists the addresses of the voters that this one knows. Returns how many.
+size_t
+group_host_list_voters(const struct group_host *host,
+                       struct settings_address *addresses, size_t max_count)
+{
+    const struct ck_voters_change *voters =
+        host->failed ? NULL : raft_get_voters(host->raft);
+    size_t count = 0;
+
+    for (u_int i = 0; voters != NULL && i < voters->voters.voters_len; i++) {
+        if (count < max_count) {
+            memset(&addresses[count], 0, sizeof(addresses[count]));
+            host_copy_address(&voters->voters.voters_val[i],
+                              &addresses[count]);
+            count++;
+        }
+    }
+    return count;
+}
+
 // Fills the leader's place into a result; the text is borrowed.
 void
 host_fill_leader_hint(const struct group_host *host, char **leader_host,
@@ -186,6 +206,10 @@
         host_reply_command(host, waiter.request, result->outcome,
                            result->message);
         break;
+    case HOST_WAITER_CHANGE:
+        waiter.announce_done(waiter.announce_data, result->outcome,
+                             result->message);
+        break;
     default:
         break;
     }
@@ -234,6 +258,10 @@
         host_reply_command(host, waiter.request, action->outcome,
                            outcome_get_text(action->outcome));
         break;
+    case HOST_WAITER_CHANGE:
+        waiter.announce_done(waiter.announce_data, OUTCOME_UNAVAILABLE,
+                             outcome_get_text(action->outcome));
+        break;
     default:
         break;
     }
@@ -357,7 +385,8 @@
         };
         struct host_waiter waiter;
         if (host->waiters->kind == HOST_WAITER_APPLY ||
-            host->waiters->kind == HOST_WAITER_VOTERS) {
+            host->waiters->kind == HOST_WAITER_VOTERS ||
+            host->waiters->kind == HOST_WAITER_CHANGE) {
             host_refuse_proposal(host, &action);
             continue;
         }
--- a/src/catkingrade/control/group_host.h
+++ b/src/catkingrade/control/group_host.h
@@ -53,6 +53,17 @@
 void group_host_announce(struct group_host *host,
                          const struct ck_upstream *upstream,
                          group_host_announce_fn done, void *data);
+// The same for any change that a daemon may bring.
+void group_host_change(struct group_host *host, const struct ck_change *change,
+                       group_host_announce_fn done, void *data);
+// Fills the declaration in force, borrowed until the next change, or
+// OUTCOME_NOT_LEADER with a hint.
+void group_host_read_declaration(const struct group_host *host,
+                                 struct ck_read_declaration_result *result);
+size_t group_host_list_voters(const struct group_host *host,
+                              struct settings_address *addresses,
+                              size_t max_count);
+
 // Hands leadership over before a planned stop.
 void group_host_transfer(struct group_host *host);
 void group_host_get_leader(const struct group_host *host,
--- a/src/catkingrade/control/group_host_state.h
+++ b/src/catkingrade/control/group_host_state.h
@@ -15,6 +15,7 @@
     HOST_WAITER_RENEW,    // a renewal at the leader machine
     HOST_WAITER_COMMAND,  // a command at the leader machine
     HOST_WAITER_ANNOUNCE, // an announcement at the leader machine
+    HOST_WAITER_CHANGE,   // a change that this daemon has brought
 };
 
 struct host_waiter {
--- a/src/catkingrade/control/group_leader.c
+++ b/src/catkingrade/control/group_leader.c
@@ -75,6 +75,24 @@
     event->probe.position = result->position;
 }
 
+// An upstream that is too busy to answer lives, and is what it was.
+static void
+host_fill_alive_event(const struct group_host *host,
+                      const struct upstream_admin_result *result,
+                      struct leader_event *event)
+{
+    const struct ck_upstream *upstream =
+        group_find_upstream(host->state, result->upstream);
+    const struct ck_database *database =
+        upstream == NULL
+            ? NULL
+            : group_find_database(host->state, upstream->database);
+
+    event->kind = LEADER_EVENT_PROBED;
+    event->probe.is_primary =
+        database != NULL && strcmp(database->primary, result->upstream) == 0;
+}
+
 // Gives the leader machine what an operation at an upstream came to.
 static void
 host_handle_admin(void *data, const struct upstream_admin_result *result)
@@ -85,6 +103,9 @@
     case UPSTREAM_ADMIN_PROBE:
         host_fill_probe_event(result, &event, LEADER_EVENT_PROBED,
                               LEADER_EVENT_PROBE_FAILED);
+        if (result->outcome == OUTCOME_OVERLOADED) {
+            host_fill_alive_event(data, result, &event);
+        }
         break;
     case UPSTREAM_ADMIN_PROMOTE:
         if (result->outcome == OUTCOME_OK && result->is_primary) {
@@ -108,12 +129,32 @@
     host_step_leader(data, &event);
 }
 
+// Returns whether this voter is sure to lead at this moment.
+static bool
+host_may_promote(void *data)
+{
+    struct group_host *host = data;
+
+    return host->leads && !host->failed &&
+           raft_has_quorum(host->raft, monotonic_get_us());
+}
+
 static void
 host_run_admin(struct group_host *host, enum upstream_admin_kind kind,
                const struct leader_action *action)
 {
-    upstream_admin_run(host->params.admin, kind, action->upstream.upstream,
-                       action->upstream.primary, host_handle_admin, host);
+    struct upstream_admin *admin = host->params.admin;
+    struct upstream_admin_request request = {
+        .kind = kind,
+        .upstream = action->upstream.upstream,
+        .primary = action->upstream.primary,
+        .fence = raft_get_term(host->raft),
+        .may_go = host_may_promote,
+        .done = host_handle_admin,
+        .data = host,
+    };
+
+    admin->ops->run(admin, &request);
 }
 
 static void
--- a/src/catkingrade/control/group_requests.c
+++ b/src/catkingrade/control/group_requests.c
@@ -15,6 +15,33 @@
     return host->leads && raft_has_quorum(host->raft, monotonic_get_us());
 }
 
+// Proposes a change under a waiter's token. Returns OUTCOME_INVALID when it
+// cannot be encoded; the waiter is then left alone.
+static int
+host_propose_change(struct group_host *host, const struct ck_apply_args *args,
+                    uint64_t token)
+{
+    struct ck_log_payload payload = {
+        .change_id = args->change_id,
+        .expected_revision = args->expected_revision,
+        .check_revision = args->check_revision,
+        .change = args->change,
+    };
+    struct buffer bytes = {0};
+    struct raft_event event = {.kind = RAFT_EVENT_PROPOSE};
+
+    int outcome =
+        codec_encode((xdrproc_t)xdr_ck_log_payload, &payload, &bytes);
+    if (outcome == OUTCOME_OK) {
+        event.propose.token = token;
+        event.propose.payload = buffer_get_data(&bytes);
+        event.propose.size_bytes = buffer_get_size(&bytes);
+        host_step_raft(host, &event);
+    }
+    buffer_free(&bytes);
+    return outcome;
+}
+
 // Answers an operator's change; result is NULL when it was not applied.
 void
 host_reply_apply(struct group_host *host, struct rpcnet_request *request,
@@ -99,6 +126,60 @@
     host_step_leader(host, &event);
 }
 
+// Takes a change that a daemon brings: an announcement, or a declaration.
+// done is called once; OUTCOME_NOT_LEADER changes nothing.
+void
+group_host_change(struct group_host *host, const struct ck_change *change,
+                  group_host_announce_fn done, void *data)
+{
+    struct ck_apply_args args = {.change_id = "", .change = *change};
+    struct group_result result = {0};
+    struct buffer effect = {0};
+
+    if (change->kind == CK_CHANGE_UPSTREAM) {
+        group_host_announce(host, &change->ck_change_u.upstream, done, data);
+        return;
+    }
+    if (!host_is_current(host)) {
+        done(data, OUTCOME_NOT_LEADER, "this VM does not lead the group");
+        return;
+    }
+    group_check(host->state, &args, &result, &effect);
+    buffer_free(&effect);
+    if (result.outcome != OUTCOME_OK) {
+        done(data, result.outcome, result.message);
+        return;
+    }
+    struct host_waiter *waiter = host_add_waiter(host, HOST_WAITER_CHANGE);
+    struct host_waiter dropped;
+    uint64_t token = waiter->token;
+    waiter->announce_done = done;
+    waiter->announce_data = data;
+    if (host_propose_change(host, &args, token) != OUTCOME_OK) {
+        (void)host_take_waiter(host, token, &dropped);
+        done(data, OUTCOME_INVALID, "the change cannot be encoded");
+    }
+}
+
+// Reads the declaration in force. Only a leader that a majority has confirmed
+// within its lease knows that there is no newer one.
+void
+group_host_read_declaration(const struct group_host *host,
+                            struct ck_read_declaration_result *result)
+{
+    const struct ck_packed_declaration *own =
+        group_get_declaration(host->state);
+
+    memset(result, 0, sizeof(*result));
+    host_fill_leader_hint(host, &result->leader_host, &result->leader_port);
+    if (!host_is_current(host)) {
+        result->outcome = OUTCOME_NOT_LEADER;
+    }
+    else if (own != NULL) {
+        result->declaration = *own;
+    }
+}
+
 // An announcement that another daemon passed on.
 struct host_forwarded {
     struct group_host *host;
@@ -133,34 +214,23 @@
 host_is_operators_change(enum ck_change_kind kind)
 {
     return kind == CK_CHANGE_TEMPLATE || kind == CK_CHANGE_TEMPLATE_DELETE ||
-           kind == CK_CHANGE_CUSTOMER || kind == CK_CHANGE_CUSTOMER_STATE;
+           kind == CK_CHANGE_CUSTOMER || kind == CK_CHANGE_CUSTOMER_STATE ||
+           kind == CK_CHANGE_DECLARATION;
 }
 
 static void
 host_propose_apply(struct group_host *host, struct rpcnet_request *request,
                    const struct ck_apply_args *args)
 {
-    struct ck_log_payload payload = {
-        .change_id = args->change_id,
-        .expected_revision = args->expected_revision,
-        .check_revision = args->check_revision,
-        .change = args->change,
-    };
-    struct buffer bytes = {0};
-    struct raft_event event = {.kind = RAFT_EVENT_PROPOSE};
+    struct host_waiter *waiter = host_add_waiter(host, HOST_WAITER_APPLY);
+    struct host_waiter dropped;
+    uint64_t token = waiter->token;
 
-    if (codec_encode((xdrproc_t)xdr_ck_log_payload, &payload, &bytes) !=
-        OUTCOME_OK) {
+    waiter->request = request;
+    if (host_propose_change(host, args, token) != OUTCOME_OK) {
+        (void)host_take_waiter(host, token, &dropped);
         host_reply_apply(host, request, OUTCOME_INVALID, NULL);
-        return;
     }
-    struct host_waiter *waiter = host_add_waiter(host, HOST_WAITER_APPLY);
-    waiter->request = request;
-    event.propose.token = waiter->token;
-    event.propose.payload = buffer_get_data(&bytes);
-    event.propose.size_bytes = buffer_get_size(&bytes);
-    host_step_raft(host, &event);
-    buffer_free(&bytes);
 }
 
 // Judges a change before it is proposed; a dry run ends here.
--- a/src/catkingrade/control/upstream_admin.h
+++ b/src/catkingrade/control/upstream_admin.h
@@ -2,13 +2,15 @@
 #define CATKINGRADE_CONTROL_UPSTREAM_ADMIN_H
 
 #include <stdbool.h>
+#include <stdint.h>
 
 #include "catkingrade/kernel/loop.h"
 #include "catkingrade/kernel/settings.h"
 #include "catkingrade/rpc/messages.h"
 
-// Runs the control side's statements at upstreams: probe, promote, follow and
-// fence. Each opens a connection of its own and has a time limit.
+// The control side's operations at upstreams: probe, promote, follow and
+// fence. Each opens a connection of its own and has a time limit. Protocols
+// implement them.
 struct upstream_admin;
 
 enum upstream_admin_kind {
@@ -21,7 +23,7 @@
 struct upstream_admin_result {
     enum upstream_admin_kind kind;
     const char *upstream;
-    int outcome;
+    int outcome;  // OUTCOME_OVERLOADED: it lives, and can't tell more now
     bool refused; // the upstream's host answered and said no
     bool is_primary;
     struct ck_position position;
@@ -30,13 +32,34 @@
 typedef void (*upstream_admin_fn)(void *data,
                                   const struct upstream_admin_result *result);
 
-struct upstream_admin *upstream_admin_create(struct loop *loop,
-                                             const struct settings *settings);
-void upstream_admin_destroy(struct upstream_admin *admin);
-void upstream_admin_run(struct upstream_admin *admin,
-                        enum upstream_admin_kind kind,
-                        const struct ck_upstream *upstream,
-                        const struct ck_upstream *primary,
-                        upstream_admin_fn done, void *data);
+struct upstream_admin_request {
+    enum upstream_admin_kind kind;
+    const struct ck_upstream *upstream; // copied
+    const struct ck_upstream *primary;  // FOLLOW; copied
+    // Grows with each leader of the group: orders promotions by several.
+    uint64_t fence;
+    // Whether this VM still leads; asked right before a promotion is sent.
+    bool (*may_go)(void *data);
+    upstream_admin_fn done;
+    void *data; // of may_go and done
+};
+
+struct upstream_admin_ops {
+    void (*destroy)(struct upstream_admin *admin);
+    // Ends in done, never from inside the call.
+    void (*run)(struct upstream_admin *admin,
+                const struct upstream_admin_request *request);
+};
+
+struct upstream_admin {
+    const struct upstream_admin_ops *ops;
+};
+
+struct upstream_admin_driver {
+    struct upstream_admin *(*create)(struct loop *loop,
+                                     const struct settings *settings);
+};
+
+extern const struct upstream_admin_driver libpq_admin_driver;
 
 #endif
--- a/src/catkingrade/decide/admission.c
+++ b/src/catkingrade/decide/admission.c
@@ -93,7 +93,8 @@
 enum queue_kind
 admission_get_queue(const struct request *request)
 {
-    return request_is_read(request) ? QUEUE_READS : QUEUE_PRIMARY;
+    return request_is_read(request) && !request->primary_only ? QUEUE_READS
+                                                              : QUEUE_PRIMARY;
 }
 
 // Returns how many statements of a queue the upstreams run at once.
--- a/src/catkingrade/decide/announce.c
+++ b/src/catkingrade/decide/announce.c
@@ -15,7 +15,10 @@
     char *name;
     int64_t last_us;
     int64_t published_us;
+    uint64_t incarnation;
+    uint64_t sequence; // of the last announcement of that incarnation
     bool is_proposed;
+    bool is_gone; // this incarnation has withdrawn itself
     bool is_held;
     struct ck_upstream latest; // when held
 };
@@ -116,7 +119,9 @@
 {
     return left->port == right->port && left->slots == right->slots &&
            left->connections == right->connections &&
-           left->state == right->state && strcmp(left->host, right->host) == 0;
+           left->state == right->state &&
+           left->incarnation == right->incarnation &&
+           strcmp(left->host, right->host) == 0;
 }
 
 static void
@@ -128,6 +133,52 @@
     entry->is_held = true;
 }
 
+// Notes the sequence of an announcement. Returns whether it is late: sent
+// before one that has been taken, or by a process that has ended since.
+static bool
+announce_is_late(struct announce_entry *entry,
+                 const struct ck_upstream *upstream)
+{
+    if (upstream->incarnation != entry->incarnation) {
+        bool late = upstream->incarnation < entry->incarnation;
+        if (!late) {
+            entry->incarnation = upstream->incarnation;
+            entry->sequence = upstream->sequence;
+            entry->is_gone = false;
+        }
+        return late;
+    }
+    if (entry->is_gone && upstream->incarnation != 0) {
+        return true;
+    }
+    if (upstream->sequence != 0 && upstream->sequence <= entry->sequence) {
+        return upstream->sequence < entry->sequence;
+    }
+    entry->sequence = upstream->sequence;
+    return false;
+}
+
+// Takes the word of an upstream that it is gone for good.
+static enum announce_verdict
+announce_withdraw(struct announce *announce, int64_t now_us,
+                  const struct group_state *group,
+                  const struct ck_upstream *upstream)
+{
+    const struct ck_upstream *known =
+        group_find_upstream(group, upstream->name);
+
+    if (known == NULL || known->state == CK_UPSTREAM_LOST) {
+        return ANNOUNCE_UNCHANGED;
+    }
+    struct announce_entry *entry =
+        announce_add(announce, now_us, upstream->name);
+    entry->is_gone = true;
+    entry->is_held = false;
+    entry->is_proposed = true;
+    entry->published_us = now_us;
+    return ANNOUNCE_WITHDRAW;
+}
+
 // Judges an announcement. ANNOUNCE_REFUSED comes with the reason; after
 // ANNOUNCE_PUBLISH the caller proposes the change and calls announce_settle
 // when the proposal has ended.
@@ -137,11 +188,8 @@
               const struct ck_upstream *upstream, struct group_result *reason)
 {
     memset(reason, 0, sizeof(*reason));
-    if (upstream->state != CK_UPSTREAM_READY &&
-        upstream->state != CK_UPSTREAM_LEAVING) {
-        reason->outcome = OUTCOME_INVALID;
-        strcpy(reason->message, "state must be ready or leaving");
-        return ANNOUNCE_REFUSED;
+    if (upstream->state == CK_UPSTREAM_LOST) {
+        return announce_withdraw(announce, now_us, group, upstream);
     }
     if (!group_check_upstream(group, upstream, reason)) {
         return ANNOUNCE_REFUSED;
@@ -150,6 +198,9 @@
         announce_add(announce, now_us, upstream->name);
     const struct ck_upstream *known =
         group_find_upstream(group, upstream->name);
+    if (announce_is_late(entry, upstream)) {
+        return ANNOUNCE_UNCHANGED;
+    }
     entry->last_us = now_us;
     if (known != NULL && announce_is_equal(known, upstream)) {
         entry->is_held = false;
--- a/src/catkingrade/decide/announce.h
+++ b/src/catkingrade/decide/announce.h
@@ -18,8 +18,9 @@
 
 enum announce_verdict {
     ANNOUNCE_UNCHANGED,
-    ANNOUNCE_PUBLISH, // propose it now
-    ANNOUNCE_HELD,    // taken; published when the least time has passed
+    ANNOUNCE_PUBLISH,  // propose it now
+    ANNOUNCE_HELD,     // taken; published when the least time has passed
+    ANNOUNCE_WITHDRAW, // it is gone for good: propose its expiry now
     ANNOUNCE_REFUSED,
 };
 
--- a/src/catkingrade/decide/confirm.c
+++ b/src/catkingrade/decide/confirm.c
@@ -55,12 +55,16 @@
         primary->position_asked_us >= request->saved_us) {
         request->save_lsn = primary->position.lsn;
     }
-    if (request->save_lsn == 0 || !lease_may_acknowledge(traffic) ||
+    // Upstreams that check positions confirm saves themselves.
+    uint32_t wanted =
+        traffic->params.guarded ? 0 : traffic->view.customer->confirm;
+    if ((request->save_lsn == 0 && !traffic->params.guarded) ||
+        !lease_may_acknowledge(traffic) ||
         lease_get_term(traffic) != request->term) {
         return false;
     }
-    uint32_t wanted = traffic->view.customer->confirm;
-    if (confirm_count_replicas(traffic, request->save_lsn) < wanted) {
+    if (wanted > 0 &&
+        confirm_count_replicas(traffic, request->save_lsn) < wanted) {
         return false;
     }
     request_list_remove(&traffic->confirming, request);
--- /dev/null
+++ b/src/catkingrade/decide/declaration.c
@@ -0,0 +1,162 @@
+#include "catkingrade/decide/declaration.h"
+
+#include <stdlib.h>
+#include <string.h>
+#include <zstd.h>
+
+#include "catkingrade/kernel/memory.h"
+#include "catkingrade/kernel/outcome.h"
+#include "catkingrade/rpc/codec.h"
+
+#define DECLARATION_COMPRESSION_LEVEL 6
+// Bounds what a corrupt length may make us allocate.
+#define DECLARATION_MAX_SIZE_BYTES ((size_t)8 * 1024 * 1024)
+
+static const struct ck_declared_database *
+declaration_find_database(const struct ck_declaration *declaration,
+                          const char *name)
+{
+    for (u_int i = 0; i < declaration->databases.databases_len; i++) {
+        const struct ck_declared_database *database =
+            &declaration->databases.databases_val[i];
+        if (strcmp(database->name, name) == 0) {
+            return database;
+        }
+    }
+    return NULL;
+}
+
+// Returns the route of a name, or NULL.
+const struct ck_route *
+declaration_find_route(const struct ck_declaration *declaration,
+                       const char *name)
+{
+    for (u_int i = 0; i < declaration->routes.routes_len; i++) {
+        const struct ck_route *route = &declaration->routes.routes_val[i];
+        if (strcmp(route->name, name) == 0) {
+            return route;
+        }
+    }
+    return NULL;
+}
+
+static void
+declaration_check_route(const struct ck_declaration *declaration,
+                        const struct ck_route *route, struct buffer *errors)
+{
+    if (route->name[0] == '\0') {
+        buffer_append_text(errors, "a route has no name\n");
+    }
+    if (declaration_find_route(declaration, route->name) != route) {
+        buffer_append_format(errors, "two routes have the name %s\n",
+                             route->name);
+    }
+    if (declaration_find_database(declaration, route->database) == NULL) {
+        buffer_append_format(errors, "route %s: no database %s\n", route->name,
+                             route->database);
+    }
+    if (route->deadline_ms == 0) {
+        buffer_append_format(errors, "route %s: its deadline is 0\n",
+                             route->name);
+    }
+}
+
+// Checks what a declaration says as a whole. Returns OUTCOME_OK, or
+// OUTCOME_INVALID with one line in errors for each fault.
+int
+declaration_check(const struct ck_declaration *declaration,
+                  struct buffer *errors)
+{
+    size_t before = buffer_get_size(errors);
+
+    for (u_int i = 0; i < declaration->databases.databases_len; i++) {
+        const struct ck_declared_database *database =
+            &declaration->databases.databases_val[i];
+        if (database->name[0] == '\0') {
+            buffer_append_text(errors, "a database has no name\n");
+        }
+        if (declaration_find_database(declaration, database->name) !=
+            database) {
+            buffer_append_format(errors, "two databases have the name %s\n",
+                                 database->name);
+        }
+    }
+    for (u_int i = 0; i < declaration->routes.routes_len; i++) {
+        declaration_check_route(declaration,
+                                &declaration->routes.routes_val[i], errors);
+    }
+    return buffer_get_size(errors) == before ? OUTCOME_OK : OUTCOME_INVALID;
+}
+
+// Compresses a declaration; free it with declaration_free_packed. Returns
+// OUTCOME_TOO_LARGE when it does not fit one entry of the log.
+int
+declaration_pack(const struct ck_declaration *declaration, uint64_t number,
+                 struct ck_packed_declaration *packed)
+{
+    struct buffer bytes = {0};
+
+    memset(packed, 0, sizeof(*packed));
+    int outcome =
+        codec_encode((xdrproc_t)xdr_ck_declaration, declaration, &bytes);
+    if (outcome != OUTCOME_OK) {
+        buffer_free(&bytes);
+        return outcome;
+    }
+    size_t limit = ZSTD_compressBound(buffer_get_size(&bytes));
+    char *data = xmalloc(limit);
+    size_t size =
+        ZSTD_compress(data, limit, buffer_get_data(&bytes),
+                      buffer_get_size(&bytes), DECLARATION_COMPRESSION_LEVEL);
+    buffer_free(&bytes);
+    if (ZSTD_isError(size) || size > CK_BLOB_SIZE) {
+        free(data);
+        return OUTCOME_TOO_LARGE;
+    }
+    packed->number = number;
+    packed->data.data_val = data;
+    packed->data.data_len = (u_int)size;
+    return OUTCOME_OK;
+}
+
+// Frees what declaration_pack has made.
+void
+declaration_free_packed(struct ck_packed_declaration *packed)
+{
+    free(packed->data.data_val);
+    memset(packed, 0, sizeof(*packed));
+}
+
+// Reads a packed declaration; free it with declaration_free. Returns
+// OUTCOME_CORRUPT, with nothing to be freed, when it is none.
+int
+declaration_unpack(const struct ck_packed_declaration *packed,
+                   struct ck_declaration *declaration)
+{
+    memset(declaration, 0, sizeof(*declaration));
+    unsigned long long size =
+        ZSTD_getFrameContentSize(packed->data.data_val, packed->data.data_len);
+    if (size == ZSTD_CONTENTSIZE_UNKNOWN || size == ZSTD_CONTENTSIZE_ERROR ||
+        size > DECLARATION_MAX_SIZE_BYTES) {
+        return OUTCOME_CORRUPT;
+    }
+    char *bytes = xmalloc(size + 1);
+    size_t got = ZSTD_decompress(bytes, size, packed->data.data_val,
+                                 packed->data.data_len);
+    int outcome = OUTCOME_CORRUPT;
+    if (!ZSTD_isError(got) && got == size &&
+        codec_decode((xdrproc_t)xdr_ck_declaration, bytes, size,
+                     declaration) == OUTCOME_OK) {
+        outcome = OUTCOME_OK;
+    }
+    free(bytes);
+    return outcome;
+}
+
+// Frees what a declaration holds.
+void
+declaration_free(struct ck_declaration *declaration)
+{
+    codec_free((xdrproc_t)xdr_ck_declaration, declaration);
+    memset(declaration, 0, sizeof(*declaration));
+}
--- /dev/null
+++ b/src/catkingrade/decide/declaration.h
@@ -0,0 +1,23 @@
+#ifndef CATKINGRADE_DECIDE_DECLARATION_H
+#define CATKINGRADE_DECIDE_DECLARATION_H
+
+#include <stddef.h>
+
+#include "catkingrade/kernel/buffer.h"
+#include "catkingrade/rpc/messages.h"
+
+// A declaration is the whole set of routes and databases that an operator
+// sends under a number of his own. It travels and is stored compressed.
+int declaration_check(const struct ck_declaration *declaration,
+                      struct buffer *errors);
+int declaration_pack(const struct ck_declaration *declaration, uint64_t number,
+                     struct ck_packed_declaration *packed);
+void declaration_free_packed(struct ck_packed_declaration *packed);
+int declaration_unpack(const struct ck_packed_declaration *packed,
+                       struct ck_declaration *declaration);
+void declaration_free(struct ck_declaration *declaration);
+const struct ck_route *
+declaration_find_route(const struct ck_declaration *declaration,
+                       const char *name);
+
+#endif
--- a/src/catkingrade/decide/freshness.c
+++ b/src/catkingrade/decide/freshness.c
@@ -74,3 +74,16 @@
     return low == 0 ? FRESHNESS_UNKNOWN
                     : freshness->samples[low - 1].asked_at_us;
 }
+
+// Returns the oldest sample that was asked for at since_us or later: what was
+// committed before since_us lies at or below it. NULL when there is none.
+const struct freshness_sample *
+freshness_find_since(const struct freshness *freshness, int64_t since_us)
+{
+    for (size_t i = 0; i < freshness->samples_count; i++) {
+        if (freshness->samples[i].asked_at_us >= since_us) {
+            return &freshness->samples[i];
+        }
+    }
+    return NULL;
+}
--- a/src/catkingrade/decide/group.c
+++ b/src/catkingrade/decide/group.c
@@ -34,6 +34,7 @@
     document_customer_clear(&object->expanded);
     codec_free((xdrproc_t)xdr_ck_daemon, &object->daemon);
     codec_free((xdrproc_t)xdr_ck_database, &object->database);
+    codec_free((xdrproc_t)xdr_ck_packed_declaration, &object->declaration);
     free(object);
 }
 
@@ -353,6 +354,10 @@
     case CK_CHANGE_PRIMARY:
         group_apply_primary(group, &change->ck_change_u.primary, result);
         break;
+    case CK_CHANGE_DECLARATION:
+        group_apply_declaration(group, &change->ck_change_u.declaration,
+                                result);
+        break;
     }
 }
 
@@ -449,6 +454,10 @@
         (void)group_check_customer_state(
             group, &change->ck_change_u.customer_state, result);
         break;
+    case CK_CHANGE_DECLARATION:
+        (void)group_check_declaration(group, &change->ck_change_u.declaration,
+                                      result);
+        break;
     default:
         group_result_set(result, OUTCOME_DENIED, group->revision,
                          "only the group's leader makes such a change");
--- a/src/catkingrade/decide/group.h
+++ b/src/catkingrade/decide/group.h
@@ -64,6 +64,14 @@
                           const struct ck_upstream *upstream,
                           struct group_result *result);
 
+// Puts the limits that the customer sets in place of the announced ones.
+void group_limit_upstream(const struct group_state *group,
+                          struct ck_upstream *upstream);
+
+// The declaration in force, NULL before the first.
+const struct ck_packed_declaration *
+group_get_declaration(const struct group_state *group);
+
 void group_encode(const struct group_state *group, struct buffer *out);
 // Returns NULL when the bytes are no snapshot of this group.
 struct group_state *group_decode(const char *name, const void *data,
--- a/src/catkingrade/decide/group_delta.c
+++ b/src/catkingrade/decide/group_delta.c
@@ -67,6 +67,11 @@
     else if (object->kind == GROUP_DATABASE) {
         group_delta_add_database(object, filter, out);
     }
+    else if (object->kind == GROUP_DECLARATION) {
+        GROUP_DELTA_PUSH(out->declaration.declaration_len,
+                         out->declaration.declaration_val,
+                         object->declaration);
+    }
 }
 
 // Returns the size that an object takes in a delta.
@@ -81,6 +86,9 @@
         return xdr_sizeof((xdrproc_t)xdr_ck_database,
                           (void *)(uintptr_t)&object->database);
     }
+    if (object->kind == GROUP_DECLARATION) {
+        return object->declaration.data.data_len;
+    }
     return 0;
 }
 
@@ -140,5 +148,6 @@
     free(delta->customers_removed.customers_removed_val);
     free(delta->databases.databases_val);
     free(delta->databases_removed.databases_removed_val);
+    free(delta->declaration.declaration_val);
     memset(delta, 0, sizeof(*delta));
 }
--- a/src/catkingrade/decide/group_documents.c
+++ b/src/catkingrade/decide/group_documents.c
@@ -202,7 +202,7 @@
 }
 
 // Hides or shows a database whose customer no longer or again lists it.
-static void
+void
 group_set_listed(struct group_state *group, const char *database, bool listed)
 {
     struct group_object *object = group_find(group, GROUP_DATABASE, database);
--- a/src/catkingrade/decide/group_private.h
+++ b/src/catkingrade/decide/group_private.h
@@ -9,18 +9,21 @@
 #include "catkingrade/decide/group.h"
 #include "catkingrade/decide/group_index.h"
 
-// Kinds of names in the index. The first four own their objects.
+// Kinds of names in the index. The first five own their objects.
 enum group_kind {
     GROUP_TEMPLATE = 'T',
     GROUP_CUSTOMER = 'C',
     GROUP_DAEMON = 'D',
     GROUP_DATABASE = 'B',
-    GROUP_UPSTREAM = 'U', // to the object of its database
-    GROUP_ADDRESS = 'A',  // "host:port", to the object of its database
-    GROUP_LISTED = 'L',   // a database's name, to the customer that lists it
+    GROUP_DECLARATION = 'S', // at most one, of the name below
+    GROUP_UPSTREAM = 'U',    // to the object of its database
+    GROUP_ADDRESS = 'A',     // "host:port", to the object of its database
+    GROUP_LISTED = 'L', // a database's name, to the customer that lists it
     GROUP_CHANGE_ID = 'I',
 };
 
+#define GROUP_DECLARATION_NAME "declaration"
+
 // A named thing with the revision of its last change. All objects stand in
 // one list in the order of their revisions.
 struct group_object {
@@ -34,6 +37,8 @@
     struct document_customer expanded; // GROUP_CUSTOMER
     struct ck_daemon daemon;
     struct ck_database database;
+    struct ck_packed_declaration declaration;
+    bool declared; // GROUP_CUSTOMER: by a declaration, without a document
 };
 
 // The outcome of a change whose id is remembered.
@@ -109,6 +114,19 @@
                                const struct ck_customer_state_change *change,
                                struct group_result *result);
 
+void group_set_listed(struct group_state *group, const char *database,
+                      bool listed);
+
+// Declarations.
+void group_apply_declaration(struct group_state *group,
+                             const struct ck_packed_declaration *packed,
+                             struct group_result *result);
+int group_check_declaration(const struct group_state *group,
+                            const struct ck_packed_declaration *packed,
+                            struct group_result *result);
+void group_restore_declared(struct group_state *group,
+                            struct group_object *object);
+
 // Routing: daemons, upstreams and terms.
 void group_apply_daemon(struct group_state *group,
                         const struct ck_daemon *daemon,
--- a/src/catkingrade/decide/group_routing.c
+++ b/src/catkingrade/decide/group_routing.c
@@ -98,7 +98,13 @@
                          "upstream %s belongs to database %s", upstream->name,
                          holder->name);
     }
-    else if (at != NULL && strcmp(at->name, upstream->name) != 0) {
+    else if (same != NULL && upstream->incarnation < same->incarnation) {
+        group_result_set(result, OUTCOME_CONFLICT, holder->revision,
+                         "upstream %s has started again since",
+                         upstream->name);
+    }
+    else if (at != NULL && strcmp(at->name, upstream->name) != 0 &&
+             upstream->incarnation <= at->incarnation) {
         group_result_set(result, OUTCOME_CONFLICT, 0,
                          "address %s:%u is that of upstream %s",
                          upstream->host, upstream->port, at->name);
@@ -126,7 +132,9 @@
 {
     return left->port == right->port && left->slots == right->slots &&
            left->connections == right->connections &&
-           left->state == right->state && strcmp(left->host, right->host) == 0;
+           left->state == right->state &&
+           left->incarnation == right->incarnation &&
+           strcmp(left->host, right->host) == 0;
 }
 
 static struct ck_upstream *
@@ -173,15 +181,55 @@
     }
 }
 
+// Puts the limit of connections that the upstream's customer sets in place of
+// the announced ones. What runs at once is then bounded by it alone.
+void
+group_limit_upstream(const struct group_state *group,
+                     struct ck_upstream *upstream)
+{
+    const struct ck_customer *customer =
+        group_find_customer_of_database(group, upstream->database);
+
+    if (customer != NULL && customer->connections > 0) {
+        upstream->connections = customer->connections;
+        upstream->slots = customer->connections;
+    }
+}
+
+// Marks the one as lost that an upstream with a later start has replaced at
+// its address.
+static void
+group_give_up_address(struct group_state *group,
+                      const struct ck_upstream *upstream)
+{
+    const struct ck_upstream *at =
+        group_find_upstream_at(group, upstream->host, upstream->port);
+
+    if (at == NULL || strcmp(at->name, upstream->name) == 0) {
+        return;
+    }
+    struct group_object *object = group_find(group, GROUP_UPSTREAM, at->name);
+    struct ck_upstream *old =
+        group_search_upstreams(&object->database, at->name);
+    group_remove_address(group, old);
+    old->state = CK_UPSTREAM_LOST;
+    (void)group_touch(group, object);
+}
+
 // Enters an upstream, or a change of its address, limits or state.
 void
 group_apply_upstream(struct group_state *group,
-                     const struct ck_upstream *upstream,
+                     const struct ck_upstream *announced,
                      struct group_result *result)
 {
-    if (!group_check_upstream(group, upstream, result)) {
+    struct ck_upstream limited = *announced;
+
+    if (!group_check_upstream(group, announced, result)) {
         return;
     }
+    const struct ck_upstream *upstream = &limited;
+    group_limit_upstream(group, &limited);
+    group_give_up_address(group, upstream);
     struct group_object *object =
         group_find(group, GROUP_DATABASE, upstream->database);
     if (object == NULL) {
--- a/src/catkingrade/decide/group_snapshot.c
+++ b/src/catkingrade/decide/group_snapshot.c
@@ -54,6 +54,14 @@
     case GROUP_CUSTOMER:
         group_put_text(out, object->document);
         buffer_append_be32(out, (uint32_t)object->expanded.customer.state);
+        if (object->declared) {
+            group_put_xdr(out, (xdrproc_t)xdr_ck_customer,
+                          &object->expanded.customer);
+        }
+        break;
+    case GROUP_DECLARATION:
+        group_put_xdr(out, (xdrproc_t)xdr_ck_packed_declaration,
+                      &object->declaration);
         break;
     case GROUP_DAEMON:
         group_put_xdr(out, (xdrproc_t)xdr_ck_daemon, &object->daemon);
@@ -170,7 +178,8 @@
     bool removed = group_take_u32(reader) != 0;
     char *name = group_take_text(reader);
     bool known = kind == GROUP_TEMPLATE || kind == GROUP_CUSTOMER ||
-                 kind == GROUP_DAEMON || kind == GROUP_DATABASE;
+                 kind == GROUP_DAEMON || kind == GROUP_DATABASE ||
+                 kind == GROUP_DECLARATION;
 
     if (reader->failed || !known || group_find(group, kind, name) != NULL) {
         reader->failed = true;
@@ -188,6 +197,15 @@
         object->document = group_take_text(reader);
         object->expanded.customer.state =
             (ck_customer_state)group_take_u32(reader);
+        object->declared = object->document[0] == '\0';
+        if (object->declared) {
+            group_take_xdr(reader, (xdrproc_t)xdr_ck_customer,
+                           &object->expanded.customer);
+        }
+    }
+    else if (kind == GROUP_DECLARATION) {
+        group_take_xdr(reader, (xdrproc_t)xdr_ck_packed_declaration,
+                       &object->declaration);
     }
     else if (kind == GROUP_DAEMON) {
         group_take_xdr(reader, (xdrproc_t)xdr_ck_daemon, &object->daemon);
@@ -256,7 +274,10 @@
 {
     for (struct group_object *object = group->oldest;
          object != NULL && !reader->failed; object = object->newer) {
-        if (object->kind == GROUP_CUSTOMER) {
+        if (object->kind == GROUP_CUSTOMER && object->declared) {
+            group_restore_declared(group, object);
+        }
+        else if (object->kind == GROUP_CUSTOMER) {
             group_restore_customer(group, object, reader);
         }
         else if (object->kind == GROUP_DATABASE) {
--- a/src/catkingrade/decide/leader.c
+++ b/src/catkingrade/decide/leader.c
@@ -130,9 +130,11 @@
 
 static void
 leader_take_announce(struct leader *leader, uint64_t token,
-                     const struct ck_upstream *upstream)
+                     const struct ck_upstream *announced)
 {
     struct group_result reason;
+    struct ck_upstream limited = *announced;
+    const struct ck_upstream *upstream = &limited;
     struct ck_change change = {.kind = CK_CHANGE_UPSTREAM};
 
     if (!leader->is_active) {
@@ -140,6 +142,7 @@
                           OUTCOME_NOT_LEADER, "this VM does not lead");
         return;
     }
+    group_limit_upstream(leader->group, &limited);
     switch (announce_take(leader->announce, leader->now_us, leader->group,
                           upstream, &reason)) {
     case ANNOUNCE_UNCHANGED:
@@ -147,13 +150,24 @@
                           OUTCOME_OK, "no change");
         break;
     case ANNOUNCE_HELD:
+        // A departure is acknowledged only once it cannot be forgotten.
         leader_reply_text(leader, LEADER_ACTION_REPLY_ANNOUNCE, token,
-                          OUTCOME_OK, "taken; published within a second");
+                          upstream->state == CK_UPSTREAM_LEAVING
+                              ? OUTCOME_AGAIN
+                              : OUTCOME_OK,
+                          "taken; published within a second");
         break;
     case ANNOUNCE_REFUSED:
         leader_reply_text(leader, LEADER_ACTION_REPLY_ANNOUNCE, token,
                           reason.outcome, reason.message);
         break;
+    case ANNOUNCE_WITHDRAW:
+        change.kind = CK_CHANGE_UPSTREAM_EXPIRE;
+        change.ck_change_u.upstream =
+            *group_find_upstream(leader->group, upstream->name);
+        leader_propose(leader, &change, upstream->name, LEADER_REPLY_ANNOUNCE,
+                       token);
+        break;
     case ANNOUNCE_PUBLISH:
         change.ck_change_u.upstream = *upstream;
         leader_propose(leader, &change, upstream->name, LEADER_REPLY_ANNOUNCE,
@@ -298,6 +312,7 @@
     case CK_CHANGE_TEMPLATE:
     case CK_CHANGE_CUSTOMER:
     case CK_CHANGE_CUSTOMER_STATE:
+    case CK_CHANGE_DECLARATION:
         leader->publish_soon = true;
         break;
     case CK_CHANGE_SUPERSEDE:
--- a/src/catkingrade/decide/leader_choice.c
+++ b/src/catkingrade/decide/leader_choice.c
@@ -9,6 +9,8 @@
 // A planned switchover waits this part of its time limit for its target.
 #define LEADER_CATCH_UP_PART  2
 #define LEADER_PLANNED_PROBES 2
+// Where availability comes first, a complete choice is awaited for so long.
+#define LEADER_AVAILABLE_US 1000000
 
 // Probes all members and returns how many have neither answered nor failed
 // since the phase began. Lost ones are probed too: they may have come back.
@@ -203,6 +205,51 @@
                   db->members_count);
 }
 
+// Returns whether the customer would rather go on without unconfirmed saves
+// than wait for an upstream that holds them.
+static bool
+leader_prefers_available(const struct leader *leader,
+                         const struct leader_database *db)
+{
+    const struct ck_customer *customer =
+        group_find_customer_of_database(leader->group, db->name);
+
+    return customer != NULL && customer->promotion == CK_PROMOTION_AVAILABLE;
+}
+
+// Chooses the next primary where availability comes first. An old primary
+// that still answers takes no more saves: a replica may catch up with it, and
+// otherwise it stays. When it does not answer, all others that do are heard
+// for a short while, and the most advanced is taken.
+static void
+leader_run_available(struct leader *leader, struct leader_database *db,
+                     const struct ck_database *database, size_t pending)
+{
+    int old = leader_find_member(database, database->primary);
+    struct promotion_choice choice =
+        leader_choose_among(leader, db, database, false);
+    bool old_answers = old >= 0 && db->members[old].answered;
+    bool caught_up =
+        choice.place != PROMOTION_NONE &&
+        (choice.is_complete ||
+         (old_answers && promotion_compare(&db->members[choice.place].position,
+                                           &db->members[old].position) >= 0));
+    bool waited = leader->now_us - db->phase_us >= LEADER_AVAILABLE_US;
+    bool heard =
+        pending == 0 && leader->now_us - db->phase_us >= LEADER_COLLECT_US;
+
+    if (old_answers && !caught_up && waited) {
+        leader_promote(leader, db, database, old);
+    }
+    else if (choice.place != PROMOTION_NONE &&
+             (caught_up || (!old_answers && (heard || waited)))) {
+        leader_promote(leader, db, database, choice.place);
+    }
+    else {
+        leader_wake_at(leader, leader->now_us + leader->params.probe_us);
+    }
+}
+
 // Chooses among the answers of the upstreams left. A choice that is known to
 // be complete is promoted; otherwise more answers or an operator's word are
 // awaited.
@@ -217,6 +264,10 @@
         leader_run_planned(leader, db, database);
         return;
     }
+    if (leader_prefers_available(leader, db)) {
+        leader_run_available(leader, db, database, pending);
+        return;
+    }
     struct promotion_choice choice = leader_choose(leader, db, database);
     int64_t enough_us = db->phase_us + LEADER_COLLECT_US;
     if (choice.is_complete && (pending == 0 || leader->now_us >= enough_us)) {
--- a/src/catkingrade/decide/leader_database.c
+++ b/src/catkingrade/decide/leader_database.c
@@ -251,6 +251,8 @@
     if (member->asked_us >= db->phase_us) {
         if (answered) {
             leader_note_answer(member, probe);
+            db->is_demoted = !probe->is_primary &&
+                             strcmp(database->primary, probe->upstream) == 0;
         }
         else {
             member->failed = true;
@@ -290,6 +292,15 @@
     if (place < 0) {
         return;
     }
+    if (database->upstreams.upstreams_val[place].state == CK_UPSTREAM_LOST) {
+        leader_supersede(leader, db, database, "primary gone");
+        return;
+    }
+    if (db->is_demoted) {
+        db->is_demoted = false;
+        leader_supersede(leader, db, database, "primary was demoted");
+        return;
+    }
     struct suspicion_params params = {
         .suspect_us = leader->params.suspect_us,
         .silence_us = leader->params.announce_expiry_us / 2,
--- a/src/catkingrade/decide/leader_private.h
+++ b/src/catkingrade/decide/leader_private.h
@@ -90,6 +90,7 @@
     int64_t hard_us;
     int64_t next_notify_us;
     bool is_planned;       // a switchover
+    bool is_demoted;       // its primary says that it is a replica
     bool is_operator_word; // target may be incomplete
     bool waits_recorded;
     char *target;           // name; NULL: the most advanced
--- a/src/catkingrade/decide/pool.c
+++ b/src/catkingrade/decide/pool.c
@@ -202,8 +202,8 @@
 {
     const struct upstream *up = &traffic->upstreams[upstream];
 
-    return up->config != NULL && up->config->state == CK_UPSTREAM_READY &&
-           up->open < up->connections && up->opening < POOL_OPENING_MAX &&
+    return up->takes_work && up->open < up->connections &&
+           up->opening < POOL_OPENING_MAX &&
            traffic->now_us >= up->open_next_us;
 }
 
@@ -301,7 +301,7 @@
         conn->session = NULL;
     }
     conn->read_only = false;
-    if (up->config == NULL || up->config->state != CK_UPSTREAM_READY) {
+    if (!up->takes_work) {
         pool_close(traffic, conn, TRAFFIC_CLOSE_LEAVING);
     }
     else if (conn->superseded) {
@@ -332,6 +332,9 @@
     up->opening--;
     up->open_backoff_us = 0;
     conn->proved_us = traffic->now_us;
+    if (traffic->params.guarded) {
+        sample_note_answer(traffic, conn->upstream);
+    }
     pool_set_state(traffic, conn, CONN_CHECKING);
     pool_release(traffic, conn);
 }
@@ -388,6 +391,23 @@
     }
 }
 
+// Suspects an upstream that has answered nothing at all since a statement was
+// sent to it. Where upstreams are sampled, the samples tell that sooner.
+static void
+pool_watch_silence(struct traffic *traffic, const struct conn *conn)
+{
+    const struct upstream *up = &traffic->upstreams[conn->upstream];
+
+    if (traffic->params.guarded && conn->state == CONN_BUSY &&
+        traffic->now_us - conn->since_us >= traffic->params.suspect_us &&
+        up->answered_us < conn->since_us) {
+        sample_note_failure(traffic, conn->upstream, CK_SUSPECT_SILENT);
+        timers_add(&traffic->timers,
+                   traffic->now_us + traffic->params.suspect_us, TIMER_CONN,
+                   conn->id);
+    }
+}
+
 // Ends an opening, a reset, a proof or an abandoned statement that took too
 // long.
 void
@@ -395,6 +415,9 @@
 {
     struct conn *conn = pool_find(traffic, id);
 
+    if (conn != NULL) {
+        pool_watch_silence(traffic, conn);
+    }
     if (conn == NULL ||
         pool_get_wait_start_us(conn) >
             traffic->now_us - traffic->params.connect_timeout_us) {
@@ -419,7 +442,7 @@
 {
     const struct upstream *up = &traffic->upstreams[conn->upstream];
 
-    if (up->config == NULL || up->config->state != CK_UPSTREAM_READY) {
+    if (!up->takes_work) {
         return TRAFFIC_CLOSE_LEAVING;
     }
     if (conn->superseded) {
@@ -477,7 +500,7 @@
         traffic->now_us - conn->used_us > POOL_IDLE_CLOSE_US) {
         pool_close(traffic, conn, TRAFFIC_CLOSE_IDLE);
     }
-    else if (traffic->now_us >= proof_due_us) {
+    else if (traffic->now_us >= proof_due_us && !traffic->params.guarded) {
         pool_remove_idle(traffic, conn);
         pool_check(traffic, conn, TRAFFIC_ACTION_PROVE);
     }
--- a/src/catkingrade/decide/request_run.c
+++ b/src/catkingrade/decide/request_run.c
@@ -124,6 +124,23 @@
     }
 }
 
+// Lets a replica run a read only when it has the position that the route has
+// found, and sees to it that a silent upstream is noticed.
+static void
+request_guard(struct traffic *traffic, const struct request *request,
+              const struct conn *conn, struct traffic_action *action)
+{
+    struct upstream *up = &traffic->upstreams[conn->upstream];
+
+    if (action->on_replica && conn->session == NULL) {
+        action->after_lsn = request->guard_lsn;
+        replica_lag_note_trial(&up->lag, traffic->now_us,
+                               request->guard_age_us);
+    }
+    timers_add(&traffic->timers, traffic->now_us + traffic->params.suspect_us,
+               TIMER_CONN, conn->id);
+}
+
 // Sends a request that is in no queue on a connection that is free for it.
 void
 request_send(struct traffic *traffic, struct request *request,
@@ -154,6 +171,9 @@
     action->conn = conn->id;
     action->upstream = conn->upstream;
     action->on_replica = conn->upstream != traffic->primary;
+    if (traffic->params.guarded) {
+        request_guard(traffic, request, conn, action);
+    }
     action->reason = request_get_route_reason(request, action->on_replica);
 }
 
--- a/src/catkingrade/decide/route.c
+++ b/src/catkingrade/decide/route.c
@@ -26,6 +26,7 @@
     const struct request *request;
     uint64_t lsn;
     int64_t current_us; // it must have all that was committed before
+    int64_t age_us;     // guarded: since when lsn exists; -1: not known
     bool leased;
 };
 
@@ -51,8 +52,16 @@
 // Returns whether an upstream's position and age allow it to serve a read. A
 // primary whose lease ran out counts by its age, like a replica.
 static bool
-route_may_serve(const struct upstream *upstream, const struct route_need *need)
+route_may_serve(const struct traffic *traffic, uint32_t place,
+                const struct route_need *need)
 {
+    const struct upstream *upstream = &traffic->upstreams[place];
+
+    if (traffic->params.guarded) {
+        return place != traffic->primary && need->age_us >= 0 &&
+               replica_lag_allows(&upstream->lag, traffic->now_us,
+                                  need->age_us);
+    }
     return upstream->of_term && upstream->position.lsn >= need->lsn &&
            upstream->current_us >= need->current_us &&
            upstream->current_us != FRESHNESS_UNKNOWN;
@@ -96,7 +105,7 @@
     if (place == traffic->primary && need->leased) {
         return false;
     }
-    if (!route_may_serve(up, need) || up->failing_since_us != 0 ||
+    if (!route_may_serve(traffic, place, need) || up->failing_since_us != 0 ||
         retry_was_tried(need->request, place)) {
         return false;
     }
@@ -243,7 +252,8 @@
                         route_get_primary_limit(traffic, request, elsewhere) &&
                     route_has_room(traffic, traffic->primary);
 
-    if (!elsewhere && route_wait_for_floor(traffic, request, need, has_room)) {
+    if (!elsewhere && !traffic->params.guarded &&
+        route_wait_for_floor(traffic, request, need, has_room)) {
         return ROUTE_BUSY;
     }
     return has_room ? ROUTE_FOUND : ROUTE_BUSY;
@@ -267,17 +277,45 @@
     return route;
 }
 
+// Finds the position that an upstream must have to serve a read: all that was
+// committed so long before the read came as it accepts, and what its session
+// has saved. Without a sample of the primary since then it is not known.
+static void
+route_fill_guard(const struct traffic *traffic, const struct request *request,
+                 struct route_need *need)
+{
+    const struct session *session = request->session;
+    const struct freshness_sample *sample = freshness_find_since(
+        &traffic->freshness, request->arrived_us - request->max_age_us);
+
+    if (sample == NULL) {
+        return;
+    }
+    need->age_us = traffic->now_us - sample->asked_at_us;
+    if (need->lsn <= sample->lsn) {
+        need->lsn = sample->lsn;
+        return;
+    }
+    int64_t floor_age_us = traffic->now_us - session->floor_us;
+    if (floor_age_us < need->age_us) {
+        need->age_us = floor_age_us;
+    }
+}
+
 static struct route_need
 route_get_need(const struct traffic *traffic, const struct request *request)
 {
-    struct route_need need = {.request = request,
-                              .leased = lease_is_valid(traffic)};
+    struct route_need need = {
+        .request = request, .age_us = -1, .leased = lease_is_valid(traffic)};
 
     (void)floor_translate(traffic->view.database, &request->session->floor,
                           &need.lsn);
     need.current_us = request->max_age_us == 0
                           ? request->arrived_us
                           : traffic->now_us - request->max_age_us;
+    if (traffic->params.guarded) {
+        route_fill_guard(traffic, request, &need);
+    }
     return need;
 }
 
@@ -292,6 +330,8 @@
 
     route.upstream = route_pick_replica(traffic, &need, &elsewhere);
     if (route.upstream != TRAFFIC_NO_ID) {
+        request->guard_lsn = need.lsn;
+        request->guard_age_us = need.age_us;
         return route;
     }
     if (route_primary_is_usable(traffic) &&
--- a/src/catkingrade/decide/traffic.c
+++ b/src/catkingrade/decide/traffic.c
@@ -232,6 +232,9 @@
 traffic_takes_reads(const struct traffic *traffic, uint32_t place)
 {
     const struct upstream *up = &traffic->upstreams[place];
+    if (traffic->params.guarded) {
+        return place != traffic->primary && up->failing_since_us == 0;
+    }
     int64_t limit_us =
         (int64_t)traffic->view.customer->max_age_ms * TRAFFIC_MS_US / 2;
 
--- a/src/catkingrade/decide/traffic.h
+++ b/src/catkingrade/decide/traffic.h
@@ -11,6 +11,9 @@
     int64_t suspect_us;
     int64_t idle_proof_us;
     int64_t connect_timeout_us;
+    // Upstreams check the positions that they are asked for, and tell theirs
+    // with each answer, so that nothing is sampled.
+    bool guarded;
     uint64_t seed; // of the pseudo-random choices
 };
 
--- a/src/catkingrade/decide/traffic_defs.h
+++ b/src/catkingrade/decide/traffic_defs.h
@@ -35,10 +35,19 @@
     TRAFFIC_RESULT_DONE,     // whole answer, no error
     TRAFFIC_RESULT_ERROR,    // whole answer that is an error; not run
     TRAFFIC_RESULT_NOT_SENT, // no byte reached the upstream
+    TRAFFIC_RESULT_REFUSED,  // not run, by the upstream's word
     TRAFFIC_RESULT_CUT,      // connection ended after bytes were sent
     TRAFFIC_RESULT_PARTIAL,  // cut after part of the answer went out
 };
 
+// Why an upstream refused a statement without running it.
+enum traffic_refusal {
+    TRAFFIC_REFUSAL_NONE,
+    TRAFFIC_REFUSAL_BUSY,
+    TRAFFIC_REFUSAL_BEHIND,    // its log lacks the position asked for
+    TRAFFIC_REFUSAL_READ_ONLY, // it is no primary
+};
+
 enum traffic_close_reason {
     TRAFFIC_CLOSE_ABNORMAL, // a transaction or request was left open
     TRAFFIC_CLOSE_SILENT,
@@ -94,18 +103,21 @@
     uint64_t session;
     uint64_t request; // unique in this machine
     enum traffic_class request_class;
-    char type[64];       // request type's name; empty: the first one
-    int64_t deadline_us; // 0: the type's
-    int64_t max_age_us;  // accepted age; -1: the type's
-    bool repeatable;     // the caller says it may run twice
-    bool has_key;        // carries an idempotency key
+    char type[64];         // request type's name; empty: the first one
+    int64_t deadline_us;   // 0: the type's
+    int64_t max_age_us;    // accepted age; -1: the type's
+    bool repeatable;       // the caller says it may run twice
+    bool has_key;          // carries an idempotency key
+    bool primary_only;     // also when it only reads
+    bool reads_keep_floor; // what it reads does not raise its session's floor
 };
 
 struct traffic_result_event {
     uint64_t request;
     uint32_t conn;
     enum traffic_result result;
-    bool in_transaction;         // state after the answer
+    enum traffic_refusal refusal; // REFUSED
+    bool in_transaction;          // state after the answer
     bool answer_held;            // whole answer is buffered, nothing passed on
     struct ck_position position; // of the upstream after it; 0: not known
 };
@@ -175,6 +187,7 @@
     int64_t since_us;           // SUSPECT: when it began to fail
     struct traffic_floor floor; // ANSWER: the session's new floor
     bool on_replica;            // SEND
+    uint64_t after_lsn;         // SEND: to run only where the log has it
     const char *reason;         // constant text: why there
 };
 
--- a/src/catkingrade/decide/traffic_request.c
+++ b/src/catkingrade/decide/traffic_request.c
@@ -58,10 +58,12 @@
     struct session *session = request->session;
     struct traffic_floor floor = {lease_get_term(traffic), lsn};
 
-    if (lsn == 0) {
+    if (lsn == 0 || (request->reads_keep_floor && request_is_read(request))) {
         return;
     }
-    (void)floor_raise(&session->floor, &floor);
+    if (floor_raise(&session->floor, &floor)) {
+        session->floor_us = traffic->now_us;
+    }
     if (!session->floor_known && !request_is_read(request)) {
         session->floor_known = true;
         floor_stop_waiting(traffic, session);
@@ -228,6 +230,8 @@
         .state = REQUEST_WAITING,
         .repeatable = event->repeatable || type->repeatable,
         .has_key = event->has_key,
+        .primary_only = event->primary_only,
+        .reads_keep_floor = event->reads_keep_floor,
         .conn = TRAFFIC_NO_ID,
     };
     if (request->deadline_us == 0) {
--- a/src/catkingrade/decide/traffic_result.c
+++ b/src/catkingrade/decide/traffic_result.c
@@ -14,6 +14,7 @@
 #define RESULT_LATENCY_PART     8 // of a new measurement in the average
 #define RESULT_OPEN_BACKOFF_US  (10 * TRAFFIC_MS_US)
 #define RESULT_OPEN_BACKOFF_MAX (1 * TRAFFIC_SECOND_US)
+#define RESULT_REFUSED_PAUSE_US (15 * TRAFFIC_MS_US)
 
 static void
 result_note_latency(struct upstream *upstream, int64_t took_us)
@@ -100,6 +101,10 @@
 
     sample_note_answer(traffic, upstream);
     sample_note_position(traffic, upstream, &event->position, sent_us);
+    if (traffic->params.guarded && upstream != traffic->primary &&
+        up->current_us != FRESHNESS_UNKNOWN) {
+        replica_lag_note(&up->lag, traffic->now_us, sent_us - up->current_us);
+    }
     if (request != NULL) {
         result_note_latency(up, traffic->now_us - sent_us);
         admission_note_service(traffic, request);
@@ -161,6 +166,62 @@
     }
 }
 
+// Sets a request up for another try that an upstream has refused without
+// running it. What only the primary may run comes back to it after a pause.
+static bool
+result_try_again(struct traffic *traffic, struct request *request,
+                 uint32_t upstream, enum traffic_refusal refusal)
+{
+    bool elsewhere = admission_get_queue(request) == QUEUE_READS;
+    int64_t at_us = traffic->now_us + RESULT_REFUSED_PAUSE_US;
+
+    if (request->tries == TRAFFIC_TRIES_MAX || request->session->ended ||
+        refusal == TRAFFIC_REFUSAL_READ_ONLY ||
+        at_us >= request->deadline_us) {
+        return false;
+    }
+    request->tried[request->tries++] = elsewhere ? upstream : TRAFFIC_NO_ID;
+    request->conn = TRAFFIC_NO_ID;
+    if (elsewhere) {
+        admission_enqueue(traffic, request);
+        return true;
+    }
+    request->state = REQUEST_BACKOFF;
+    request->wait_until_us = at_us;
+    timers_add(&traffic->timers, at_us, TIMER_REQUEST, request->id);
+    return true;
+}
+
+// Takes the word of an upstream that it has not run a request. Its connection
+// is at a transaction boundary.
+static void
+result_handle_refused(struct traffic *traffic, struct conn *conn,
+                      struct request *request,
+                      const struct traffic_result_event *event)
+{
+    uint32_t upstream = conn->upstream;
+    struct upstream *up = &traffic->upstreams[upstream];
+
+    sample_note_answer(traffic, upstream);
+    if (event->refusal == TRAFFIC_REFUSAL_BEHIND && request != NULL) {
+        replica_lag_note_behind(&up->lag, traffic->now_us,
+                                request->guard_age_us);
+    }
+    if (event->refusal == TRAFFIC_REFUSAL_READ_ONLY) {
+        sample_note_failure(traffic, upstream, CK_SUSPECT_SILENT);
+    }
+    conn->proved_us = traffic->now_us;
+    pool_release(traffic, conn);
+    if (request == NULL ||
+        result_try_again(traffic, request, upstream, event->refusal)) {
+        return;
+    }
+    request_refuse(traffic, request, OUTCOME_NOT_RUN, RETRY_AFTER_US,
+                   event->refusal == TRAFFIC_REFUSAL_READ_ONLY
+                       ? "its upstream is no primary"
+                       : "its upstream refused it");
+}
+
 // Takes what the upstream's side says of a request. News of a request that
 // the connection does not run any more are late and change nothing.
 void
@@ -173,6 +234,14 @@
         conn->request != event->request) {
         return;
     }
+    if (event->result == TRAFFIC_RESULT_REFUSED) {
+        struct request *refused =
+            id_map_get(&traffic->requests, event->request);
+        pool_end_use(traffic, conn->upstream, conn->read);
+        result_handle_refused(traffic, conn,
+                              conn->abandoned_us != 0 ? NULL : refused, event);
+        return;
+    }
     if (event->result != TRAFFIC_RESULT_DONE &&
         event->result != TRAFFIC_RESULT_ERROR) {
         uint32_t upstream = conn->upstream;
--- a/src/catkingrade/decide/traffic_sample.c
+++ b/src/catkingrade/decide/traffic_sample.c
@@ -43,7 +43,7 @@
 {
     struct upstream *up = &traffic->upstreams[upstream];
 
-    if (!up->may_sample) {
+    if (!up->may_sample || traffic->params.guarded) {
         return;
     }
     if (up->sample_pending &&
@@ -156,6 +156,7 @@
 {
     struct upstream *up = &traffic->upstreams[upstream];
 
+    up->answered_us = traffic->now_us;
     if (up->failing_since_us != 0) {
         up->failing_since_us = 0;
         up->open_backoff_us = 0;
--- a/src/catkingrade/decide/traffic_state.h
+++ b/src/catkingrade/decide/traffic_state.h
@@ -3,6 +3,7 @@
 
 #include "catkingrade/decide/freshness.h"
 #include "catkingrade/decide/id_map.h"
+#include "catkingrade/decide/replica_lag.h"
 #include "catkingrade/decide/timers.h"
 #include "catkingrade/decide/traffic.h"
 
@@ -58,8 +59,11 @@
     char name[TRAFFIC_NAME_SIZE];
     const struct ck_upstream *config; // NULL: not in the view
     bool near;                        // in the entry's failure domain
-    uint32_t slots;                   // this entry's share
-    uint32_t connections;             // less the one for samples
+    bool takes_work;                  // ready, or a primary that leaves
+    struct replica_lag lag;
+    int64_t answered_us;  // its last answer
+    uint32_t slots;       // this entry's share
+    uint32_t connections; // less the one for samples
     bool may_sample;
     uint32_t running;
     uint32_t reads; // of those that run, reads
@@ -121,11 +125,16 @@
     bool repeatable;
     bool has_key;
     bool stale_wait; // no upstream may serve it; waits for a while
+    bool primary_only;
+    bool reads_keep_floor;
+    uint64_t guard_lsn;   // what a replica must have; set by the route
+    int64_t guard_age_us; // since when that position exists
 };
 
 struct session {
     uint64_t id;
     struct traffic_floor floor;
+    int64_t floor_us; // when it was raised last
     int64_t arrived_us;
     struct request *first; // current one, then those behind it
     struct request *last;
--- a/src/catkingrade/decide/traffic_view.c
+++ b/src/catkingrade/decide/traffic_view.c
@@ -53,6 +53,7 @@
 
     for (uint32_t i = 0; i < traffic->upstreams_count; i++) {
         traffic->upstreams[i].config = NULL;
+        traffic->upstreams[i].takes_work = false;
     }
     traffic->candidates_count = 0;
     traffic->primary = TRAFFIC_NO_ID;
@@ -64,13 +65,16 @@
         up->config = config;
         up->near =
             strcmp(config->failure_domain, traffic->view.failure_domain) == 0;
-        if (config->state != CK_UPSTREAM_READY) {
-            continue;
-        }
-        traffic->candidates[traffic->candidates_count++] = place;
-        if (strcmp(config->name, database->primary) == 0) {
+        bool primary = strcmp(config->name, database->primary) == 0;
+        // A primary that leaves works on until the next one stands.
+        up->takes_work = config->state == CK_UPSTREAM_READY ||
+                         (primary && config->state == CK_UPSTREAM_LEAVING);
+        if (primary && up->takes_work) {
             traffic->primary = place;
         }
+        if (config->state == CK_UPSTREAM_READY) {
+            traffic->candidates[traffic->candidates_count++] = place;
+        }
     }
 }
 
@@ -119,9 +123,9 @@
 
 // One connection of an entry's share is for its samples.
 static void
-view_keep_sample_connection(struct upstream *up)
+view_keep_sample_connection(const struct traffic *traffic, struct upstream *up)
 {
-    up->may_sample = up->connections > 0;
+    up->may_sample = up->connections > 0 && !traffic->params.guarded;
     if (up->may_sample) {
         up->connections--;
     }
@@ -138,8 +142,8 @@
     for (uint32_t i = 0; i < traffic->upstreams_count; i++) {
         struct upstream *up = &traffic->upstreams[i];
         view_set_upstream_limits(traffic, up, leased, &next_quota);
-        view_keep_sample_connection(up);
-        if (up->config != NULL && up->config->state == CK_UPSTREAM_READY) {
+        view_keep_sample_connection(traffic, up);
+        if (up->takes_work) {
             traffic->slots_total += up->slots;
         }
     }
--- a/src/catkingrade/entry/database.c
+++ b/src/catkingrade/entry/database.c
@@ -36,6 +36,7 @@
         .suspect_us = settings->suspect_us,
         .idle_proof_us = settings->idle_proof_us,
         .connect_timeout_us = settings->connect_timeout_us,
+        .guarded = !settings->sample_upstreams,
         .seed = (uint64_t)monotonic_get_us(),
     };
 
@@ -224,13 +225,15 @@
     struct database_conn *conn = data;
     struct database *database = conn->database;
     struct entry_request *request = conn->request;
-    bool whole =
-        result == TRAFFIC_RESULT_DONE || result == TRAFFIC_RESULT_ERROR;
+    bool whole = result == TRAFFIC_RESULT_DONE ||
+                 result == TRAFFIC_RESULT_ERROR ||
+                 result == TRAFFIC_RESULT_REFUSED;
     struct traffic_event event = {
         .kind = TRAFFIC_EVENT_RESULT,
         .result = {.request = request->id,
                    .conn = conn->id,
                    .result = result,
+                   .refusal = (enum traffic_refusal)job->refusal,
                    .in_transaction = whole && job->transaction_status != 'I',
                    .answer_held = true,
                    .position = database_get_position(conn, job)},
@@ -272,6 +275,7 @@
         .host = config->host,
         .port = config->port,
         .database = database->name,
+        .upstream = config->name,
         .user = settings->upstream_user,
         .password = entry_get_upstream_password(entry),
         .sslmode = settings->upstream_sslmode,
@@ -350,6 +354,9 @@
     request->running = true;
     conn->request = request;
     job_clear_answer(&request->job);
+    if (request->job.typed != NULL) {
+        request->job.typed->after_lsn = action->after_lsn;
+    }
     database_count_send(request, action);
     conn->link->ops->run(conn->link, &request->job);
 }
--- a/src/catkingrade/entry/job.c
+++ b/src/catkingrade/entry/job.c
@@ -29,6 +29,7 @@
     job->steps_done = 0;
     job->failed = false;
     job->position_known = false;
+    job->refusal = TYPED_REFUSAL_NONE;
     job->transaction_status = 'I';
     memset(&job->position, 0, sizeof(job->position));
 }
@@ -41,6 +42,7 @@
         statement_release(job->steps[i].statement);
         portal_release(job->steps[i].portal);
     }
+    typed_run_destroy(job->typed);
     free(job->steps);
     free(job->text);
     free(job->settings_text);
--- /dev/null
+++ b/src/catkingrade/entry/typed_run.h
@@ -0,0 +1,66 @@
+#ifndef CATKINGRADE_ENTRY_TYPED_RUN_H
+#define CATKINGRADE_ENTRY_TYPED_RUN_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+// One statement of a protocol whose statements say what they are, so that no
+// SQL is parsed, and what the connection must hold before it runs there.
+
+struct typed_value {
+    char *name;
+    char *value;
+};
+
+// The variables of a session: an immutable list that requests share.
+struct typed_values {
+    unsigned holders;
+    size_t count;
+    struct typed_value items[];
+};
+
+// A prepared statement. Upstream connections prepare it when they first need
+// it, so that sessions with equal ones share it.
+struct typed_prepared {
+    unsigned holders;
+    bool is_save;
+    char *shape;
+};
+
+enum typed_begin {
+    TYPED_BEGIN_NONE,
+    TYPED_BEGIN_SAVES, // a transaction that may write
+    TYPED_BEGIN_READS, // a read-only transaction
+};
+
+struct typed_run {
+    enum typed_begin begin;          // opened before the statement
+    char *id;                        // the caller's id of the request
+    char *text;                      // the statement, as the caller sent it
+    struct typed_prepared *prepared; // that it executes, or NULL
+    char *arguments;                 // of the prepared statement
+    struct typed_values *values;     // of the session, or NULL
+    uint64_t after_lsn; // runs only where the log has it; 0: anywhere
+};
+
+// The upstream's promise that a statement has not run, and why.
+enum typed_refusal {
+    TYPED_REFUSAL_NONE,
+    TYPED_REFUSAL_BUSY,
+    TYPED_REFUSAL_BEHIND,    // its log lacks the position asked for
+    TYPED_REFUSAL_READ_ONLY, // it is no primary
+};
+
+struct typed_values *typed_values_set(const struct typed_values *values,
+                                      const char *name, const char *value);
+struct typed_values *typed_values_hold(struct typed_values *values);
+void typed_values_release(struct typed_values *values);
+const char *typed_values_find(const struct typed_values *values,
+                              const char *name);
+struct typed_prepared *typed_prepared_create(bool is_save, const char *shape);
+struct typed_prepared *typed_prepared_hold(struct typed_prepared *prepared);
+void typed_prepared_release(struct typed_prepared *prepared);
+void typed_run_destroy(struct typed_run *run);
+
+#endif
--- a/src/catkingrade/entry/upstream_link.h
+++ b/src/catkingrade/entry/upstream_link.h
@@ -37,12 +37,14 @@
     UPSTREAM_FAULT_SILENT,  // no answer within the time limit
     UPSTREAM_FAULT_CUT,     // the connection ended
     UPSTREAM_FAULT_FULL,    // the server takes no more connections
+    UPSTREAM_FAULT_BUSY,    // it answered that it can't answer this now
 };
 
 struct upstream_sample {
     enum upstream_fault fault;
     bool is_primary;
     struct ck_position position;
+    uint64_t term;       // that the upstream itself counts; 0: it counts none
     int64_t asked_at_us; // monotonic
     int64_t round_trip_us;
 };
@@ -61,6 +63,7 @@
     const char *host;
     unsigned port;
     const char *database;
+    const char *upstream; // the name that it announces
     const char *user;
     const char *password;
     const char *sslmode;
--- a/src/catkingrade/entry/view.c
+++ b/src/catkingrade/entry/view.c
@@ -5,7 +5,9 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "catkingrade/decide/declaration.h"
 #include "catkingrade/kernel/memory.h"
+#include "catkingrade/kernel/outcome.h"
 #include "catkingrade/rpc/codec.h"
 
 #define VIEW_FLEET_GROUP "fleet"
@@ -39,8 +41,16 @@
     bool replacing; // a full delta has begun and more is to come
 };
 
+// A declaration, shared by all views that hold it.
+struct view_declaration {
+    atomic_uint holders;
+    uint64_t number;
+    struct ck_declaration declaration;
+};
+
 struct view {
     atomic_uint holders;
+    struct view_declaration *declaration; // NULL: none
     struct view_list customers;
     struct view_list databases;
     struct view_group *groups;
@@ -94,6 +104,47 @@
     free(list->slots);
 }
 
+static void
+view_declaration_release(struct view_declaration *held)
+{
+    if (held != NULL && atomic_fetch_sub(&held->holders, 1) == 1) {
+        declaration_free(&held->declaration);
+        free(held);
+    }
+}
+
+// Takes a declaration over from a delta. Its number never goes back.
+static void
+view_set_declaration(struct view *view,
+                     const struct ck_packed_declaration *packed)
+{
+    struct view_declaration *held = xcalloc(1, sizeof(*held));
+
+    if ((view->declaration != NULL &&
+         view->declaration->number >= packed->number) ||
+        declaration_unpack(packed, &held->declaration) != OUTCOME_OK) {
+        free(held);
+        return;
+    }
+    atomic_init(&held->holders, 1);
+    held->number = packed->number;
+    view_declaration_release(view->declaration);
+    view->declaration = held;
+}
+
+// Returns the declaration in force and in *number its number; NULL when there
+// is none. Valid while the view is held.
+const struct ck_declaration *
+view_get_declaration(const struct view *view, uint64_t *number)
+{
+    if (view->declaration == NULL) {
+        *number = 0;
+        return NULL;
+    }
+    *number = view->declaration->number;
+    return &view->declaration->declaration;
+}
+
 // Drops one holder; the last one frees the view. NULL is ignored.
 void
 view_release(struct view *view)
@@ -101,6 +152,7 @@
     if (view == NULL || atomic_fetch_sub(&view->holders, 1) != 1) {
         return;
     }
+    view_declaration_release(view->declaration);
     view_list_free(&view->customers);
     view_list_free(&view->databases);
     free(view->groups);
@@ -193,6 +245,10 @@
 
     view_list_copy(&view->customers, &copy->customers);
     view_list_copy(&view->databases, &copy->databases);
+    copy->declaration = view->declaration;
+    if (copy->declaration != NULL) {
+        atomic_fetch_add(&copy->declaration->holders, 1);
+    }
     copy->groups_count = view->groups_count;
     copy->groups = xcalloc(view->groups_count + 1, sizeof(*copy->groups));
     if (view->groups_count > 0) {
@@ -254,6 +310,9 @@
                                        sizeof(struct ck_database)),
                       generation);
     }
+    if (delta->declaration.declaration_len > 0) {
+        view_set_declaration(view, delta->declaration.declaration_val);
+    }
 }
 
 // Removes a group's objects that a full delta did not name. Customers belong
--- a/src/catkingrade/entry/view.h
+++ b/src/catkingrade/entry/view.h
@@ -24,6 +24,8 @@
                                              const char *name);
 const struct ck_customer *view_find_customer(const struct view *view,
                                              const char *name);
+const struct ck_declaration *view_get_declaration(const struct view *view,
+                                                  uint64_t *number);
 size_t view_get_databases_count(const struct view *view);
 const struct ck_database *view_get_database(const struct view *view,
                                             size_t place);
--- a/src/catkingrade/kernel/daemon.h
+++ b/src/catkingrade/kernel/daemon.h
@@ -12,6 +12,7 @@
 struct loop;
 struct rpcnet;
 struct settings;
+struct upstream_admin_driver;
 
 // One process of catkingraded. Plug-ins reach each other through it; each
 // pointer is NULL until its plug-in has started and after it has stopped.
@@ -25,6 +26,8 @@
     struct entry *entry;
     struct lease_agent *lease_agent;
     struct http *http;
+    // How control reaches upstreams; NULL: as PostgreSQL servers.
+    const struct upstream_admin_driver *admin_driver;
     atomic_bool ready;    // readyz
     atomic_bool draining; // a planned stop has begun
 };
--- a/src/catkingrade/kernel/loop.c
+++ b/src/catkingrade/kernel/loop.c
@@ -57,13 +57,14 @@
     bool stopping;
 };
 
-// Returns the monotonic clock in microseconds.
+// Returns the monotonic clock in microseconds. It counts the time that the VM
+// is suspended, so that a lease that ended meanwhile has ended.
 int64_t
 monotonic_get_us(void)
 {
     struct timespec now;
 
-    clock_gettime(CLOCK_MONOTONIC, &now);
+    clock_gettime(CLOCK_BOOTTIME, &now);
     return (int64_t)now.tv_sec * LOOP_US_PER_SECOND +
            now.tv_nsec / LOOP_NS_PER_US;
 }
--- a/src/catkingrade/kernel/settings.c
+++ b/src/catkingrade/kernel/settings.c
@@ -104,6 +104,13 @@
     "max_sessions",
     "classify_cache_entries",
     "seeds",
+    "seeds_port",
+    "voters_from_seeds",
+    "key_required",
+    "bootstrap",
+    "sample_upstreams",
+    "ready_with_lease",
+    "platform",
     "groups",
     "log_path",
     "log_level",
@@ -125,6 +132,8 @@
 
 static const char *const settings_listen_keys[] = {"postgres", "rpc", "http",
                                                    NULL};
+static const char *const settings_platform_keys[] = {"listen", "control",
+                                                     "promote", NULL};
 static const char *const settings_group_keys[] = {"name", "failure_domain",
                                                   "voters", NULL};
 static const char *const settings_voter_keys[] = {"id", "vm", "rpc", NULL};
@@ -210,6 +219,26 @@
     settings_read_address(reader, listen, "listen", "http", &settings->http);
 }
 
+static void
+settings_read_platform(struct json_reader *reader, struct settings *settings)
+{
+    struct json_object *platform =
+        json_reader_get_object(reader, reader->root, "", "platform");
+    struct settings_platform *out = &settings->platform;
+
+    if (platform == NULL) {
+        return;
+    }
+    json_reader_check_keys(reader, platform, "platform",
+                           settings_platform_keys);
+    settings_read_address(reader, platform, "platform", "listen",
+                          &out->listen);
+    settings_read_address(reader, platform, "platform", "promote",
+                          &out->promote);
+    out->control =
+        json_reader_get_bool(reader, platform, "platform", "control", false);
+}
+
 static void
 settings_read_roles(struct json_reader *reader, struct settings *settings)
 {
@@ -254,9 +283,47 @@
         (void)snprintf(path, sizeof(path), "seeds[%zu]", i);
         settings_read_address_text(reader, path, text == NULL ? "" : text,
                                    &settings->seeds[i]);
+        if (settings->seeds_port != 0) {
+            settings->seeds[i].port = settings->seeds_port;
+        }
     }
 }
 
+static int
+settings_compare_addresses(const void *left, const void *right)
+{
+    const struct settings_address *a = left;
+    const struct settings_address *b = right;
+    int order = strcmp(a->host, b->host);
+
+    return order != 0 ? order : (int)a->port - (int)b->port;
+}
+
+// Makes the fleet group with the seeds as founders. Their ids follow from the
+// order of their addresses, so that all daemons agree on them.
+static void
+settings_add_seed_voters(struct settings *settings)
+{
+    size_t count = settings->seeds_count;
+    struct settings_address *sorted = xcalloc(count + 1, sizeof(*sorted));
+    struct settings_group *group = xcalloc(1, sizeof(*group));
+
+    memcpy(sorted, settings->seeds, count * sizeof(*sorted));
+    qsort(sorted, count, sizeof(*sorted), settings_compare_addresses);
+    group->name = xstrdup("fleet");
+    group->failure_domain = xstrdup("");
+    group->voters = xcalloc(count + 1, sizeof(*group->voters));
+    group->voters_count = count;
+    for (size_t i = 0; i < count; i++) {
+        group->voters[i].id = i + 1;
+        group->voters[i].vm = xstrdup(sorted[i].host);
+        group->voters[i].rpc = sorted[i];
+    }
+    free(sorted);
+    settings->groups = group;
+    settings->groups_count = 1;
+}
+
 static void
 settings_read_voter(struct json_reader *reader, struct json_object *item,
                     const char *path, struct settings_voter *voter)
@@ -369,6 +436,18 @@
         reader, root, "", "clock_drift_ppm", 10000, 0, 100000);
     settings->tls_required =
         json_reader_get_bool(reader, root, "", "tls_required", false);
+    settings->seeds_port = (uint16_t)json_reader_get_number(
+        reader, root, "", "seeds_port", 0, 0, UINT16_MAX);
+    settings->voters_from_seeds =
+        json_reader_get_bool(reader, root, "", "voters_from_seeds", false);
+    settings->key_required =
+        json_reader_get_bool(reader, root, "", "key_required", true);
+    settings->bootstrap =
+        json_reader_get_bool(reader, root, "", "bootstrap", false);
+    settings->sample_upstreams =
+        json_reader_get_bool(reader, root, "", "sample_upstreams", true);
+    settings->ready_with_lease =
+        json_reader_get_bool(reader, root, "", "ready_with_lease", false);
     settings->log_level = (enum log_level)json_reader_get_choice(
         reader, root, "", "log_level", settings_log_levels, LOG_LEVEL_INFO);
     settings->log_format = (enum log_format)json_reader_get_choice(
@@ -396,10 +475,18 @@
                               "must be at most half of election_ms");
     }
     if ((settings->roles & SETTINGS_ROLE_ENTRY) != 0 &&
-        settings->postgres.port == 0) {
+        settings->postgres.port == 0 && settings->platform.listen.port == 0) {
         json_reader_add_error(reader, "listen.postgres",
                               "missing; the role entry needs it");
     }
+    if (settings->postgres.port != 0 && settings->platform.listen.port != 0) {
+        json_reader_add_error(reader, "platform.listen",
+                              "does not go with listen.postgres");
+    }
+    if (settings->voters_from_seeds && settings->groups_count > 0) {
+        json_reader_add_error(reader, "voters_from_seeds",
+                              "does not go with groups");
+    }
     if ((settings->roles & SETTINGS_ROLE_CONTROL) != 0 &&
         settings->data_dir[0] == '\0') {
         json_reader_add_error(reader, "data_dir",
@@ -411,9 +498,10 @@
                               "without it");
     }
     if (!settings_is_loopback(&settings->rpc) &&
-        settings->key_file[0] == '\0') {
+        settings->key_file[0] == '\0' && settings->key_required) {
         json_reader_add_error(reader, "key_file",
-                              "missing; listen.rpc is not on loopback");
+                              "missing; listen.rpc is not on loopback "
+                              "(key_required: false allows that)");
     }
     if ((settings->tls_cert_file[0] == '\0') !=
         (settings->tls_key_file[0] == '\0')) {
@@ -441,9 +529,14 @@
         settings_read_numbers(&reader, settings);
         settings_read_roles(&reader, settings);
         settings_read_listen(&reader, settings);
+        settings_read_platform(&reader, settings);
         settings_read_seeds(&reader, settings);
         settings_read_groups(&reader, settings);
         settings_check_whole(&reader, settings);
+        if (settings->voters_from_seeds && settings->groups_count == 0) {
+            free(settings->groups);
+            settings_add_seed_voters(settings);
+        }
     }
     bool failed = reader.failed;
     json_reader_close(&reader);
--- a/src/catkingrade/kernel/settings.h
+++ b/src/catkingrade/kernel/settings.h
@@ -33,6 +33,13 @@
     size_t voters_count;
 };
 
+// The users' platform, when callers and upstreams speak its protocols.
+struct settings_platform {
+    struct settings_address listen;  // for callers; port 0: none
+    bool control;                    // takes operators' calls over HTTP
+    struct settings_address promote; // where promotions are asked for
+};
+
 // All settings of a daemon; docs/SETTINGS.md lists keys, units and ranges.
 struct settings {
     char *file; // path it was read from
@@ -41,6 +48,7 @@
     char *region;
     unsigned roles; // enum settings_role
     struct settings_address postgres;
+    struct settings_platform platform;
     struct settings_address rpc;
     struct settings_address http;
     char *data_dir;
@@ -61,6 +69,12 @@
     unsigned classify_cache_entries;
     struct settings_address *seeds;
     size_t seeds_count;
+    uint16_t seeds_port;    // in place of the seeds' own ports; 0: keep those
+    bool voters_from_seeds; // the fleet group's founders are the seeds
+    bool key_required;      // off loopback
+    bool bootstrap;         // the groups are new: their very first start
+    bool sample_upstreams;  // false: positions come with answers alone
+    bool ready_with_lease;  // an entry is ready only with a lease
     struct settings_group *groups;
     size_t groups_count;
     char *log_path;
--- a/src/catkingrade/plugins/http.c
+++ b/src/catkingrade/plugins/http.c
@@ -16,47 +16,98 @@
 #include "catkingrade/kernel/settings.h"
 #include "catkingrade/rpc/datagram.h"
 
-#define HTTP_MAX_BODY_BYTES       16384
 #define HTTP_MAX_CONNECTIONS      256
+#define HTTP_MAX_ROUTES           16
 #define HTTP_CONNECTION_TIMEOUT_S 10
+#define HTTP_TEXT_TYPE            "text/plain; charset=utf-8"
 
 // A request while libmicrohttpd holds its connection.
 struct http_request {
     struct MHD_Connection *connection;
-    struct http_announcement *announcement; // out on the control loop
+    const struct http_route *route;
+    struct http_call *call; // out on the control loop
+    char *rest;
     struct buffer body;
     bool too_large;
     bool answered;
     unsigned status;
-    char *text;
+    const char *type;
+    void *reply;
+    size_t reply_size_bytes;
 };
 
-struct http_announcement {
-    struct http *http;
+struct http_call {
+    struct http *http;            // NULL once HTTP has stopped
     struct http_request *request; // NULL once its connection is gone
+    struct http_route route;
+    char *rest;
     char *body;
-    struct http_announcement *next;
+    size_t body_size_bytes;
+    struct http_call *next;
 };
 
 struct http {
     struct MHD_Daemon *server;
     struct daemon *daemon;
     pthread_mutex_t mutex;
-    struct http_announcement *announcements; // without a reply so far
-    http_announce_fn announce;
-    void *announce_data;
+    struct http_call *calls; // without a reply so far
+    struct http_route routes[HTTP_MAX_ROUTES];
+    size_t routes_count;
 };
 
-// Sets who decides on announcements; without one they are refused with 503.
+// Adds a route; its texts must outlive it. Routes are added before the first
+// call can come or on the control loop.
 void
-http_set_announce(struct http *http, http_announce_fn announce, void *data)
+http_add_route(struct http *http, const struct http_route *route)
 {
     pthread_mutex_lock(&http->mutex);
-    http->announce = announce;
-    http->announce_data = data;
+    INVARIANT(http->routes_count < HTTP_MAX_ROUTES);
+    http->routes[http->routes_count++] = *route;
     pthread_mutex_unlock(&http->mutex);
 }
 
+// Refuses the calls of all routes with that data from now on, with 503.
+void
+http_remove_routes(struct http *http, const void *data)
+{
+    pthread_mutex_lock(&http->mutex);
+    for (size_t i = 0; i < http->routes_count; i++) {
+        if (http->routes[i].data == data) {
+            http->routes[i].handle = NULL;
+        }
+    }
+    pthread_mutex_unlock(&http->mutex);
+}
+
+static bool
+http_route_matches(const struct http_route *route, const char *method,
+                   const char *path)
+{
+    size_t length = strlen(route->path);
+    bool prefix = route->path[length - 1] == '/';
+
+    if (strcmp(route->method, method) != 0) {
+        return false;
+    }
+    return prefix ? strncmp(route->path, path, length) == 0
+                  : strcmp(route->path, path) == 0;
+}
+
+static const struct http_route *
+http_find_route(struct http *http, const char *method, const char *path)
+{
+    const struct http_route *found = NULL;
+
+    pthread_mutex_lock(&http->mutex);
+    for (size_t i = 0; found == NULL && i < http->routes_count; i++) {
+        if (http_route_matches(&http->routes[i], method, path)) {
+            found = &http->routes[i];
+        }
+    }
+    pthread_mutex_unlock(&http->mutex);
+    return found;
+}
+
 static unsigned
 http_get_status(int outcome)
 {
@@ -76,87 +127,118 @@
     }
 }
 
+// Returns the path of a call behind that of its route.
+const char *
+http_call_get_rest(const struct http_call *call)
+{
+    return call->rest;
+}
+
+// Returns the body of a call, which a zero byte follows.
+const char *
+http_call_get_body(const struct http_call *call, size_t *size)
+{
+    *size = call->body_size_bytes;
+    return call->body;
+}
+
 static void
-http_unlink_announcement(struct http_announcement *announcement)
+http_unlink_call(struct http_call *call)
 {
-    struct http_announcement **place = &announcement->http->announcements;
+    struct http_call **place = &call->http->calls;
 
-    while (*place != NULL && *place != announcement) {
+    while (*place != NULL && *place != call) {
         place = &(*place)->next;
     }
     if (*place != NULL) {
-        *place = announcement->next;
+        *place = call->next;
     }
 }
 
 // Marks the request as answered and wakes its connection; the caller holds
 // the mutex.
 static void
-http_answer_locked(struct http_announcement *announcement, int outcome,
-                   const char *text)
+http_answer_locked(struct http_call *call, unsigned status, const char *type,
+                   const void *body, size_t size_bytes)
 {
-    struct http_request *request = announcement->request;
+    struct http_request *request = call->request;
 
     if (request == NULL) {
         return;
     }
-    announcement->request = NULL;
-    request->announcement = NULL;
+    call->request = NULL;
+    request->call = NULL;
     request->answered = true;
-    request->status = http_get_status(outcome);
-    request->text = xasprintf("%s: %s\n", outcome_get_name(outcome), text);
+    request->status = status;
+    request->type = type;
+    request->reply = xmemdupz(body, size_bytes);
+    request->reply_size_bytes = size_bytes;
     MHD_resume_connection(request->connection);
 }
 
-// Answers an announcement with its outcome and a reason, and frees it.
+// Answers a call and frees it. type is a constant text.
 void
-http_announcement_reply(struct http_announcement *announcement, int outcome,
-                        const char *text)
+http_call_reply(struct http_call *call, unsigned status, const char *type,
+                const void *body, size_t size_bytes)
 {
-    struct http *http = announcement->http;
+    struct http *http = call->http;
 
     if (http != NULL) {
         pthread_mutex_lock(&http->mutex);
-        http_unlink_announcement(announcement);
-        http_answer_locked(announcement, outcome, text);
+        http_unlink_call(call);
+        http_answer_locked(call, status, type, body, size_bytes);
         pthread_mutex_unlock(&http->mutex);
     }
-    free(announcement->body);
-    free(announcement);
+    free(call->rest);
+    free(call->body);
+    free(call);
 }
 
-// Hands an announcement to the control thread's decision.
+// Answers a call with the status of an outcome, its name and a reason, and
+// frees it.
+void
+http_call_reply_outcome(struct http_call *call, int outcome, const char *text)
+{
+    char *line = xasprintf("%s: %s\n", outcome_get_name(outcome), text);
+
+    http_call_reply(call, http_get_status(outcome), HTTP_TEXT_TYPE, line,
+                    strlen(line));
+    free(line);
+}
+
+// Hands a call to its route on the control thread.
 static void
-http_run_announcement(void *data)
+http_run_call(void *data)
 {
-    struct http_announcement *announcement = data;
-    struct http *http = announcement->http;
+    struct http_call *call = data;
 
-    if (http == NULL || http->announce == NULL) {
-        http_announcement_reply(announcement, OUTCOME_UNAVAILABLE,
-                                "this daemon takes no announcements yet");
+    if (call->http == NULL || call->route.handle == NULL) {
+        http_call_reply_outcome(call, OUTCOME_UNAVAILABLE,
+                                "this daemon is starting or stopping");
         return;
     }
-    http->announce(http->announce_data, announcement, announcement->body);
+    call->route.handle(call->route.data, call);
 }
 
 static void
-http_post_announcement(struct http *http, struct http_request *request)
+http_post_call(struct http *http, struct http_request *request)
 {
-    struct http_announcement *announcement = xcalloc(1, sizeof(*announcement));
-
-    announcement->http = http;
-    announcement->request = request;
-    announcement->body =
-        xmemdupz((const char *)buffer_get_data(&request->body),
-                 buffer_get_size(&request->body));
-    request->announcement = announcement;
+    struct http_call *call = xcalloc(1, sizeof(*call));
+
+    call->http = http;
+    call->request = request;
+    call->rest = xstrdup(request->rest);
+    call->body_size_bytes = buffer_get_size(&request->body);
+    call->body = xmemdupz((const char *)buffer_get_data(&request->body),
+                          call->body_size_bytes);
+    request->call = call;
     pthread_mutex_lock(&http->mutex);
-    announcement->next = http->announcements;
-    http->announcements = announcement;
+    call->route = *request->route;
+    call->next = http->calls;
+    http->calls = call;
     MHD_suspend_connection(request->connection);
     pthread_mutex_unlock(&http->mutex);
-    loop_post(http->daemon->control_loop, http_run_announcement, announcement);
+    loop_post(http->daemon->control_loop, http_run_call, call);
 }
 
 static enum MHD_Result
@@ -179,7 +261,7 @@
 http_respond_text(struct MHD_Connection *connection, unsigned status,
                   const char *text)
 {
-    return http_respond(connection, status, "text/plain; charset=utf-8", text,
+    return http_respond(connection, status, HTTP_TEXT_TYPE, text,
                         strlen(text));
 }
 
@@ -220,15 +302,17 @@
         return http_respond_metrics(connection);
     }
     return http_respond_text(connection, MHD_HTTP_NOT_FOUND,
-                             "no such page; there are /healthz, /readyz, "
-                             "/metrics and POST /announce\n");
+                             "no such page; there are /healthz, /readyz and "
+                             "/metrics\n");
 }
 
 static void
 http_take_body(struct http_request *request, const char *data,
                size_t *size_bytes)
 {
-    if (buffer_get_size(&request->body) + *size_bytes > HTTP_MAX_BODY_BYTES) {
+    size_t limit = request->route->max_body_bytes;
+
+    if (buffer_get_size(&request->body) + *size_bytes > limit) {
         request->too_large = true;
     }
     else {
@@ -238,8 +322,8 @@
 }
 
 static enum MHD_Result
-http_handle_announce(struct http *http, struct http_request *request,
-                     const char *data, size_t *size_bytes)
+http_handle_routed(struct http *http, struct http_request *request,
+                   const char *data, size_t *size_bytes)
 {
     if (*size_bytes > 0) {
         http_take_body(request, data, size_bytes);
@@ -251,10 +335,11 @@
                                  "too_large: the body is too long\n");
     }
     if (request->answered) {
-        return http_respond_text(request->connection, request->status,
-                                 request->text);
+        return http_respond(request->connection, request->status,
+                            request->type, request->reply,
+                            request->reply_size_bytes);
     }
-    http_post_announcement(http, request);
+    http_post_call(http, request);
     return MHD_YES;
 }
 
@@ -267,22 +352,24 @@
     struct http *http = data;
 
     (void)version;
-    if (strcmp(method, MHD_HTTP_METHOD_GET) == 0) {
-        return http_handle_get(http, connection, url);
-    }
-    if (strcmp(method, MHD_HTTP_METHOD_POST) != 0 ||
-        strcmp(url, "/announce") != 0) {
-        return http_respond_text(connection, MHD_HTTP_METHOD_NOT_ALLOWED,
-                                 "use GET, or POST /announce\n");
+    if (*request_data != NULL) {
+        return http_handle_routed(http, *request_data, upload_data,
+                                  upload_data_size);
     }
-    if (*request_data == NULL) {
+    const struct http_route *route = http_find_route(http, method, url);
+    if (route != NULL) {
         struct http_request *request = xcalloc(1, sizeof(*request));
         request->connection = connection;
+        request->route = route;
+        request->rest = xstrdup(url + strlen(route->path));
         *request_data = request;
         return MHD_YES;
     }
-    return http_handle_announce(http, *request_data, upload_data,
-                                upload_data_size);
+    if (strcmp(method, MHD_HTTP_METHOD_GET) == 0) {
+        return http_handle_get(http, connection, url);
+    }
+    return http_respond_text(connection, MHD_HTTP_METHOD_NOT_ALLOWED,
+                             "no such call here\n");
 }
 
 static void
@@ -299,12 +386,13 @@
         return;
     }
     pthread_mutex_lock(&http->mutex);
-    if (request->announcement != NULL) {
-        request->announcement->request = NULL;
+    if (request->call != NULL) {
+        request->call->request = NULL;
     }
     pthread_mutex_unlock(&http->mutex);
     buffer_free(&request->body);
-    free(request->text);
+    free(request->rest);
+    free(request->reply);
     free(request);
     *request_data = NULL;
 }
@@ -351,14 +439,17 @@
 
 // Answers what is still out with 503, so that no connection stays suspended.
 static void
-http_detach_announcements(struct http *http)
+http_detach_calls(struct http *http)
 {
+    static const char text[] = "unavailable: stopping\n";
+
     pthread_mutex_lock(&http->mutex);
-    while (http->announcements != NULL) {
-        struct http_announcement *announcement = http->announcements;
-        http->announcements = announcement->next;
-        http_answer_locked(announcement, OUTCOME_UNAVAILABLE, "stopping");
-        announcement->http = NULL;
+    while (http->calls != NULL) {
+        struct http_call *call = http->calls;
+        http->calls = call->next;
+        http_answer_locked(call, MHD_HTTP_SERVICE_UNAVAILABLE, HTTP_TEXT_TYPE,
+                           text, sizeof(text) - 1);
+        call->http = NULL;
     }
     pthread_mutex_unlock(&http->mutex);
 }
@@ -369,7 +460,7 @@
     struct http *http = daemon->http;
 
     daemon->http = NULL;
-    http_detach_announcements(http);
+    http_detach_calls(http);
     MHD_stop_daemon(http->server);
     pthread_mutex_destroy(&http->mutex);
     free(http);
--- a/src/catkingrade/control/upstream_admin.c
+++ b/src/catkingrade/plugins/libpq_admin.c
@@ -20,9 +20,9 @@
 #define UPSTREAM_ADMIN_SAMPLE_FIELDS    3
 
 // One operation at one upstream, from its connection to its last statement.
-struct upstream_operation {
-    struct upstream_admin *admin;
-    struct upstream_operation *next;
+struct libpq_operation {
+    struct libpq_admin *admin;
+    struct libpq_operation *next;
     struct upstream_admin_result result;
     char *upstream_name;
     char *statements; // separated by ;
@@ -38,29 +38,33 @@
     void *data;
 };
 
-struct upstream_admin {
+struct libpq_admin {
+    struct upstream_admin base;
     struct loop *loop;
     const struct settings *settings;
     char *password;
-    struct upstream_operation *operations;
+    struct libpq_operation *operations;
 };
 
+static const struct upstream_admin_ops libpq_admin_ops;
+
 // Creates the runner. A password file that cannot be read counts as empty.
-struct upstream_admin *
-upstream_admin_create(struct loop *loop, const struct settings *settings)
+static struct upstream_admin *
+libpq_admin_create(struct loop *loop, const struct settings *settings)
 {
-    struct upstream_admin *admin = xcalloc(1, sizeof(*admin));
+    struct libpq_admin *admin = xcalloc(1, sizeof(*admin));
 
+    admin->base.ops = &libpq_admin_ops;
     admin->loop = loop;
     admin->settings = settings;
     (void)file_read_secret(settings->upstream_password_file, &admin->password);
-    return admin;
+    return &admin->base;
 }
 
 static void
-upstream_operation_destroy(struct upstream_operation *operation)
+libpq_operation_destroy(struct libpq_operation *operation)
 {
-    struct upstream_operation **place = &operation->admin->operations;
+    struct libpq_operation **place = &operation->admin->operations;
 
     while (*place != operation) {
         place = &(*place)->next;
@@ -77,43 +81,45 @@
 }
 
 // Ends all operations without calling back and frees the runner.
-void
-upstream_admin_destroy(struct upstream_admin *admin)
+static void
+libpq_admin_destroy(struct upstream_admin *base)
 {
+    struct libpq_admin *admin = (struct libpq_admin *)base;
+
     while (admin->operations != NULL) {
-        upstream_operation_destroy(admin->operations);
+        libpq_operation_destroy(admin->operations);
     }
     free(admin->password);
     free(admin);
 }
 
-static void upstream_admin_start_next(struct upstream_admin *admin,
-                                      const char *name);
+static void libpq_admin_start_next(struct libpq_admin *admin,
+                                   const char *name);
 
 static void
-upstream_operation_finish(struct upstream_operation *operation, int outcome)
+libpq_operation_finish(struct libpq_operation *operation, int outcome)
 {
-    struct upstream_admin *admin = operation->admin;
+    struct libpq_admin *admin = operation->admin;
     char *name = xstrdup(operation->upstream_name);
 
     operation->result.outcome = outcome;
     operation->result.upstream = operation->upstream_name;
     operation->done(operation->data, &operation->result);
-    upstream_operation_destroy(operation);
-    upstream_admin_start_next(admin, name);
+    libpq_operation_destroy(operation);
+    libpq_admin_start_next(admin, name);
     free(name);
 }
 
 static void
-upstream_operation_handle_timer(void *data)
+libpq_operation_handle_timer(void *data)
 {
-    upstream_operation_finish(data, OUTCOME_TIMEOUT);
+    libpq_operation_finish(data, OUTCOME_TIMEOUT);
 }
 
 // Reads role and position when the result is that of a sample.
 static int
-upstream_operation_read_sample(struct upstream_operation *operation,
-                               const PGresult *answer)
+libpq_operation_read_sample(struct libpq_operation *operation,
+                            const PGresult *answer)
 {
     struct upstream_admin_result *result = &operation->result;
 
@@ -128,13 +134,13 @@
 }
 
 static int
-upstream_operation_take_answer(struct upstream_operation *operation,
-                               const PGresult *answer)
+libpq_operation_take_answer(struct libpq_operation *operation,
+                            const PGresult *answer)
 {
     ExecStatusType status = PQresultStatus(answer);
 
     if (status == PGRES_TUPLES_OK) {
-        return upstream_operation_read_sample(operation, answer);
+        return libpq_operation_read_sample(operation, answer);
     }
     return status == PGRES_COMMAND_OK ? OUTCOME_OK : OUTCOME_IO;
 }
@@ -142,7 +148,7 @@
 // Sends the next statement. Returns OUTCOME_OK, OUTCOME_IO, or OUTCOME_CLOSED
 // when there is none left.
 static int
-upstream_operation_send_next(struct upstream_operation *operation)
+libpq_operation_send_next(struct libpq_operation *operation)
 {
     char *statement = operation->place;
 
@@ -160,7 +166,7 @@
 // Takes all answers that have come. Returns OUTCOME_AGAIN while the statement
 // runs, OUTCOME_OK once it has ended well.
 static int
-upstream_operation_take_answers(struct upstream_operation *operation)
+libpq_operation_take_answers(struct libpq_operation *operation)
 {
     if (PQconsumeInput(operation->conn) != 1) {
         return OUTCOME_UNAVAILABLE;
@@ -170,7 +176,7 @@
         if (answer == NULL) {
             return OUTCOME_OK;
         }
-        int outcome = upstream_operation_take_answer(operation, answer);
+        int outcome = libpq_operation_take_answer(operation, answer);
         PQclear(answer);
         if (outcome != OUTCOME_OK) {
             return outcome;
@@ -180,47 +186,47 @@
 }
 
 static void
-upstream_operation_run_statements(struct upstream_operation *operation)
+libpq_operation_run_statements(struct libpq_operation *operation)
 {
     for (;;) {
-        int outcome = upstream_operation_take_answers(operation);
+        int outcome = libpq_operation_take_answers(operation);
         if (outcome == OUTCOME_AGAIN) {
             return;
         }
         if (outcome == OUTCOME_OK) {
-            outcome = upstream_operation_send_next(operation);
+            outcome = libpq_operation_send_next(operation);
         }
         if (outcome == OUTCOME_CLOSED) {
-            upstream_operation_finish(operation, OUTCOME_OK);
+            libpq_operation_finish(operation, OUTCOME_OK);
             return;
         }
         if (outcome != OUTCOME_OK) {
-            upstream_operation_finish(operation, outcome);
+            libpq_operation_finish(operation, outcome);
             return;
         }
     }
 }
 
-static void upstream_operation_handle_io(void *data, unsigned events);
+static void libpq_operation_handle_io(void *data, unsigned events);
 
 // Watches the connection's present socket, which changes while it opens.
 static void
-upstream_operation_watch(struct upstream_operation *operation, unsigned events)
+libpq_operation_watch(struct libpq_operation *operation, unsigned events)
 {
     loop_watch_destroy(operation->watch);
     operation->watch =
         loop_watch_create(operation->admin->loop, PQsocket(operation->conn),
-                          events, upstream_operation_handle_io, operation);
+                          events, libpq_operation_handle_io, operation);
 }
 
 // A server that has too many connections lives: try again until the time
 // limit. Any other refusal ends the operation.
 static void
-upstream_operation_handle_refusal(struct upstream_operation *operation)
+libpq_operation_handle_refusal(struct libpq_operation *operation)
 {
     if (!upstream_error_is_full(operation->conn)) {
         operation->result.refused = true;
-        upstream_operation_finish(operation, OUTCOME_UNAVAILABLE);
+        libpq_operation_finish(operation, OUTCOME_UNAVAILABLE);
         return;
     }
     loop_watch_destroy(operation->watch);
@@ -232,42 +238,42 @@
 }
 
 static void
-upstream_operation_connect(struct upstream_operation *operation)
+libpq_operation_connect(struct libpq_operation *operation)
 {
     switch (PQconnectPoll(operation->conn)) {
     case PGRES_POLLING_READING:
-        upstream_operation_watch(operation, LOOP_READ);
+        libpq_operation_watch(operation, LOOP_READ);
         return;
     case PGRES_POLLING_WRITING:
-        upstream_operation_watch(operation, LOOP_WRITE);
+        libpq_operation_watch(operation, LOOP_WRITE);
         return;
     case PGRES_POLLING_OK:
         operation->connected = true;
-        upstream_operation_watch(operation, LOOP_READ);
-        upstream_operation_run_statements(operation);
+        libpq_operation_watch(operation, LOOP_READ);
+        libpq_operation_run_statements(operation);
         return;
     default:
-        upstream_operation_handle_refusal(operation);
+        libpq_operation_handle_refusal(operation);
         return;
     }
 }
 
 static void
-upstream_operation_handle_io(void *data, unsigned events)
+libpq_operation_handle_io(void *data, unsigned events)
 {
-    struct upstream_operation *operation = data;
+    struct libpq_operation *operation = data;
 
     (void)events;
     if (operation->connected) {
-        upstream_operation_run_statements(operation);
+        libpq_operation_run_statements(operation);
         return;
     }
-    upstream_operation_connect(operation);
+    libpq_operation_connect(operation);
 }
 
 // Replaces {host} and {port} in the follow statements.
 static char *
-upstream_admin_expand(const char *text, const struct ck_upstream *primary)
+libpq_admin_expand(const char *text, const struct ck_upstream *primary)
 {
     struct buffer out = {0};
 
@@ -291,9 +297,9 @@
 }
 
 static char *
-upstream_admin_get_statements(const struct upstream_admin *admin,
-                              enum upstream_admin_kind kind,
-                              const struct ck_upstream *primary)
+libpq_admin_get_statements(const struct libpq_admin *admin,
+                           enum upstream_admin_kind kind,
+                           const struct ck_upstream *primary)
 {
     const struct settings *settings = admin->settings;
 
@@ -302,7 +308,7 @@
         return xasprintf("%s;%s", settings->upstream_promote_sql,
                          UPSTREAM_SQL_SAMPLE);
     case UPSTREAM_ADMIN_FOLLOW:
-        return upstream_admin_expand(settings->upstream_follow_sql, primary);
+        return libpq_admin_expand(settings->upstream_follow_sql, primary);
     case UPSTREAM_ADMIN_FENCE:
         return xstrdup(settings->upstream_fence_sql);
     default:
@@ -311,8 +317,8 @@
 }
 
 static PGconn *
-upstream_admin_open(const struct upstream_admin *admin,
-                    const struct ck_upstream *upstream)
+libpq_admin_open(const struct libpq_admin *admin,
+                 const struct ck_upstream *upstream)
 {
     char port[UPSTREAM_ADMIN_PORT_SIZE];
     const char *const keywords[] = {"hostaddr", "port",    "dbname",
@@ -334,40 +340,39 @@
 // Ends an operation whose connection could not even be started, at the next
 // turn of the loop, so that done is never called from inside the run call.
 static void
-upstream_operation_handle_no_start(void *data)
+libpq_operation_handle_no_start(void *data)
 {
-    struct upstream_operation *operation = data;
+    struct libpq_operation *operation = data;
 
     operation->result.refused = true;
-    upstream_operation_finish(operation, OUTCOME_UNAVAILABLE);
+    libpq_operation_finish(operation, OUTCOME_UNAVAILABLE);
 }
 
 // Opens a connection; one that cannot even be started ends the operation at
 // the next turn of the loop, so that done is never called from the run call.
 static void
-upstream_operation_open(void *data)
+libpq_operation_open(void *data)
 {
-    struct upstream_operation *operation = data;
+    struct libpq_operation *operation = data;
 
-    operation->conn =
-        upstream_admin_open(operation->admin, &operation->target);
+    operation->conn = libpq_admin_open(operation->admin, &operation->target);
     if (operation->conn == NULL ||
         PQstatus(operation->conn) == CONNECTION_BAD) {
         loop_timer_destroy(operation->timer);
         operation->timer =
             loop_timer_create(operation->admin->loop,
-                              upstream_operation_handle_no_start, operation);
+                              libpq_operation_handle_no_start, operation);
         loop_timer_set(operation->timer, monotonic_get_us());
         return;
     }
     upstream_error_prepare(operation->conn);
     PQsetnonblocking(operation->conn, 1);
-    upstream_operation_watch(operation, LOOP_WRITE);
+    libpq_operation_watch(operation, LOOP_WRITE);
 }
 
 static int64_t
-upstream_admin_get_limit_us(const struct upstream_admin *admin,
-                            enum upstream_admin_kind kind)
+libpq_admin_get_limit_us(const struct libpq_admin *admin,
+                         enum upstream_admin_kind kind)
 {
     switch (kind) {
     case UPSTREAM_ADMIN_PROBE:
@@ -381,26 +386,25 @@
 
 // Begins the operation's turn and its time limit.
 static void
-upstream_operation_start(struct upstream_operation *operation)
+libpq_operation_start(struct libpq_operation *operation)
 {
-    struct upstream_admin *admin = operation->admin;
-    int64_t limit_us =
-        upstream_admin_get_limit_us(admin, operation->result.kind);
+    struct libpq_admin *admin = operation->admin;
+    int64_t limit_us = libpq_admin_get_limit_us(admin, operation->result.kind);
 
     operation->queued = false;
     operation->timer = loop_timer_create(
-        admin->loop, upstream_operation_handle_timer, operation);
+        admin->loop, libpq_operation_handle_timer, operation);
     operation->retry_timer =
-        loop_timer_create(admin->loop, upstream_operation_open, operation);
+        loop_timer_create(admin->loop, libpq_operation_open, operation);
     loop_timer_set(operation->timer, monotonic_get_us() + limit_us);
-    upstream_operation_open(operation);
+    libpq_operation_open(operation);
 }
 
 // Returns whether an operation runs at the upstream now.
 static bool
-upstream_admin_is_busy(const struct upstream_admin *admin, const char *name)
+libpq_admin_is_busy(const struct libpq_admin *admin, const char *name)
 {
-    const struct upstream_operation *row = admin->operations;
+    const struct libpq_operation *row = admin->operations;
 
     for (; row != NULL; row = row->next) {
         if (!row->queued && strcmp(row->upstream_name, name) == 0) {
@@ -412,18 +416,18 @@
 
 // Starts the oldest operation that waits for its turn at the upstream.
 static void
-upstream_admin_start_next(struct upstream_admin *admin, const char *name)
+libpq_admin_start_next(struct libpq_admin *admin, const char *name)
 {
-    struct upstream_operation *oldest = NULL;
-    struct upstream_operation *row = admin->operations;
+    struct libpq_operation *oldest = NULL;
+    struct libpq_operation *row = admin->operations;
 
     for (; row != NULL; row = row->next) {
         if (row->queued && strcmp(row->upstream_name, name) == 0) {
             oldest = row;
         }
     }
-    if (oldest != NULL && !upstream_admin_is_busy(admin, name)) {
-        upstream_operation_start(oldest);
+    if (oldest != NULL && !libpq_admin_is_busy(admin, name)) {
+        libpq_operation_start(oldest);
     }
 }
 
@@ -432,29 +436,38 @@
 // there. done is called once, from the loop, within its limit after its turn:
 // the suspicion time for a probe, 8 s for a promotion, the connect time limit
 // otherwise. It is not called when the runner is destroyed first.
-void
-upstream_admin_run(struct upstream_admin *admin, enum upstream_admin_kind kind,
-                   const struct ck_upstream *upstream,
-                   const struct ck_upstream *primary, upstream_admin_fn done,
-                   void *data)
+static void
+libpq_admin_run(struct upstream_admin *base,
+                const struct upstream_admin_request *request)
 {
-    struct upstream_operation *operation = xcalloc(1, sizeof(*operation));
-    bool busy = upstream_admin_is_busy(admin, upstream->name);
+    struct libpq_admin *admin = (struct libpq_admin *)base;
+    const struct ck_upstream *upstream = request->upstream;
+    struct libpq_operation *operation = xcalloc(1, sizeof(*operation));
+    bool busy = libpq_admin_is_busy(admin, upstream->name);
 
     operation->admin = admin;
     operation->next = admin->operations;
     admin->operations = operation;
     operation->queued = true;
-    operation->result.kind = kind;
+    operation->result.kind = request->kind;
     operation->upstream_name = xstrdup(upstream->name);
     codec_copy((xdrproc_t)xdr_ck_upstream, upstream, &operation->target,
                sizeof(operation->target));
     operation->statements =
-        upstream_admin_get_statements(admin, kind, primary);
+        libpq_admin_get_statements(admin, request->kind, request->primary);
     operation->place = operation->statements;
-    operation->done = done;
-    operation->data = data;
+    operation->done = request->done;
+    operation->data = request->data;
     if (!busy) {
-        upstream_operation_start(operation);
+        libpq_operation_start(operation);
     }
 }
+
+static const struct upstream_admin_ops libpq_admin_ops = {
+    .destroy = libpq_admin_destroy,
+    .run = libpq_admin_run,
+};
+
+const struct upstream_admin_driver libpq_admin_driver = {
+    .create = libpq_admin_create,
+};
--- a/src/catkingrade/plugins/postgres_listener.c
+++ b/src/catkingrade/plugins/postgres_listener.c
@@ -283,7 +283,8 @@
 static bool
 postgres_wants(const struct settings *settings)
 {
-    return (settings->roles & SETTINGS_ROLE_ENTRY) != 0;
+    return (settings->roles & SETTINGS_ROLE_ENTRY) != 0 &&
+           settings->platform.listen.port == 0;
 }
 
 // Puts a static view in force, with leases that don't end: without control
--- a/src/catkingrade/rpc/messages.h
+++ b/src/catkingrade/rpc/messages.h
@@ -19,6 +19,7 @@
 #define CK_VERIFIER_SIZE 255
 #define CK_BLOB_SIZE 49152
 #define CK_LIST_SIZE 16384
+#define CK_ORIGINAL_SIZE 1048576
 
 typedef char *ck_name;
 
@@ -48,6 +49,8 @@
 	u_int slots;
 	u_int connections;
 	ck_upstream_state state;
+	u_quad_t incarnation;
+	u_quad_t sequence;
 };
 typedef struct ck_upstream ck_upstream;
 
@@ -93,6 +96,7 @@
 enum ck_promotion_policy {
 	CK_PROMOTION_WAIT = 0,
 	CK_PROMOTION_OPERATOR = 1,
+	CK_PROMOTION_AVAILABLE = 2,
 };
 typedef enum ck_promotion_policy ck_promotion_policy;
 
@@ -113,6 +117,7 @@
 	u_int drain_ms;
 	ck_unconfirmed_policy unconfirmed;
 	ck_promotion_policy promotion;
+	u_int connections;
 	struct {
 		u_int databases_len;
 		ck_name *databases_val;
@@ -128,6 +133,57 @@
 };
 typedef struct ck_customer ck_customer;
 
+enum ck_read_policy {
+	CK_READS_CURRENT = 0,
+	CK_READS_BY_AGE = 1,
+	CK_READS_OWN_SAVES = 2,
+};
+typedef enum ck_read_policy ck_read_policy;
+
+struct ck_route {
+	ck_name name;
+	ck_name database;
+	ck_read_policy reads;
+	u_int max_age_ms;
+	u_int deadline_ms;
+	u_int target_ms;
+	u_int priority;
+};
+typedef struct ck_route ck_route;
+
+struct ck_declared_database {
+	ck_name name;
+	u_int connections;
+	u_int confirm;
+};
+typedef struct ck_declared_database ck_declared_database;
+
+struct ck_declaration {
+	struct {
+		u_int routes_len;
+		ck_route *routes_val;
+	} routes;
+	struct {
+		u_int databases_len;
+		ck_declared_database *databases_val;
+	} databases;
+	u_int idle_transaction_ms;
+	struct {
+		u_int original_len;
+		char *original_val;
+	} original;
+};
+typedef struct ck_declaration ck_declaration;
+
+struct ck_packed_declaration {
+	u_quad_t number;
+	struct {
+		u_int data_len;
+		char *data_val;
+	} data;
+};
+typedef struct ck_packed_declaration ck_packed_declaration;
+
 struct ck_view_delta {
 	u_quad_t from_revision;
 	u_quad_t to_revision;
@@ -149,6 +205,10 @@
 		u_int databases_removed_len;
 		ck_name *databases_removed_val;
 	} databases_removed;
+	struct {
+		u_int declaration_len;
+		ck_packed_declaration *declaration_val;
+	} declaration;
 };
 typedef struct ck_view_delta ck_view_delta;
 
@@ -275,6 +335,7 @@
 	CK_CHANGE_SUPERSEDE = 9,
 	CK_CHANGE_PRIMARY = 10,
 	CK_CHANGE_VOTERS = 11,
+	CK_CHANGE_DECLARATION = 12,
 };
 typedef enum ck_change_kind ck_change_kind;
 
@@ -334,6 +395,7 @@
 		ck_supersede_change supersede;
 		ck_primary_change primary;
 		ck_voters_change voters;
+		ck_packed_declaration declaration;
 	} ck_change_u;
 };
 typedef struct ck_change ck_change;
@@ -523,6 +585,19 @@
 };
 typedef struct ck_command_result ck_command_result;
 
+struct ck_read_declaration_args {
+	ck_name group;
+};
+typedef struct ck_read_declaration_args ck_read_declaration_args;
+
+struct ck_read_declaration_result {
+	int outcome;
+	ck_packed_declaration declaration;
+	ck_host leader_host;
+	u_int leader_port;
+};
+typedef struct ck_read_declaration_result ck_read_declaration_result;
+
 #define CK_PROGRAM 0x20434b47
 #define CK_VERSION 1
 
@@ -545,6 +620,9 @@
 #define CK_COMMAND 6
 extern  ck_command_result * ck_command_1(ck_command_args *, CLIENT *);
 extern  ck_command_result * ck_command_1_svc(ck_command_args *, struct svc_req *);
+#define CK_READ_DECLARATION 7
+extern  ck_read_declaration_result * ck_read_declaration_1(ck_read_declaration_args *, CLIENT *);
+extern  ck_read_declaration_result * ck_read_declaration_1_svc(ck_read_declaration_args *, struct svc_req *);
 extern int ck_program_1_freeresult (SVCXPRT *, xdrproc_t, caddr_t);
 
 #else /* K&R C */
@@ -566,6 +644,9 @@
 #define CK_COMMAND 6
 extern  ck_command_result * ck_command_1();
 extern  ck_command_result * ck_command_1_svc();
+#define CK_READ_DECLARATION 7
+extern  ck_read_declaration_result * ck_read_declaration_1();
+extern  ck_read_declaration_result * ck_read_declaration_1_svc();
 extern int ck_program_1_freeresult ();
 #endif /* K&R C */
 
@@ -585,6 +666,11 @@
 extern  bool_t xdr_ck_promotion_policy (XDR *, ck_promotion_policy*);
 extern  bool_t xdr_ck_caller (XDR *, ck_caller*);
 extern  bool_t xdr_ck_customer (XDR *, ck_customer*);
+extern  bool_t xdr_ck_read_policy (XDR *, ck_read_policy*);
+extern  bool_t xdr_ck_route (XDR *, ck_route*);
+extern  bool_t xdr_ck_declared_database (XDR *, ck_declared_database*);
+extern  bool_t xdr_ck_declaration (XDR *, ck_declaration*);
+extern  bool_t xdr_ck_packed_declaration (XDR *, ck_packed_declaration*);
 extern  bool_t xdr_ck_view_delta (XDR *, ck_view_delta*);
 extern  bool_t xdr_ck_daemon (XDR *, ck_daemon*);
 extern  bool_t xdr_ck_demand (XDR *, ck_demand*);
@@ -623,6 +709,8 @@
 extern  bool_t xdr_ck_command_kind (XDR *, ck_command_kind*);
 extern  bool_t xdr_ck_command_args (XDR *, ck_command_args*);
 extern  bool_t xdr_ck_command_result (XDR *, ck_command_result*);
+extern  bool_t xdr_ck_read_declaration_args (XDR *, ck_read_declaration_args*);
+extern  bool_t xdr_ck_read_declaration_result (XDR *, ck_read_declaration_result*);
 
 #else /* K&R C */
 extern bool_t xdr_ck_name ();
@@ -638,6 +726,11 @@
 extern bool_t xdr_ck_promotion_policy ();
 extern bool_t xdr_ck_caller ();
 extern bool_t xdr_ck_customer ();
+extern bool_t xdr_ck_read_policy ();
+extern bool_t xdr_ck_route ();
+extern bool_t xdr_ck_declared_database ();
+extern bool_t xdr_ck_declaration ();
+extern bool_t xdr_ck_packed_declaration ();
 extern bool_t xdr_ck_view_delta ();
 extern bool_t xdr_ck_daemon ();
 extern bool_t xdr_ck_demand ();
@@ -676,6 +769,8 @@
 extern bool_t xdr_ck_command_kind ();
 extern bool_t xdr_ck_command_args ();
 extern bool_t xdr_ck_command_result ();
+extern bool_t xdr_ck_read_declaration_args ();
+extern bool_t xdr_ck_read_declaration_result ();
 
 #endif /* K&R C */
 
--- a/src/catkingrade/rpc/messages.x
+++ b/src/catkingrade/rpc/messages.x
@@ -9,6 +9,7 @@
 const CK_VERIFIER_SIZE = 255;
 const CK_BLOB_SIZE = 49152;
 const CK_LIST_SIZE = 16384;
+const CK_ORIGINAL_SIZE = 1048576;
 
 typedef string ck_name<CK_NAME_SIZE>;
 typedef string ck_host<CK_HOST_SIZE>;
@@ -37,6 +38,8 @@
     unsigned int slots;             /* statements it runs at once */
     unsigned int connections;       /* connections it accepts */
     ck_upstream_state state;
+    unsigned hyper incarnation;     /* start of its process; 0: not known */
+    unsigned hyper sequence;        /* of its announcements; 0: not known */
 };
 
 /* A database group: one primary and its replicas. */
@@ -74,7 +77,8 @@
 
 enum ck_promotion_policy {
     CK_PROMOTION_WAIT = 0,          /* only a replica known to be complete */
-    CK_PROMOTION_OPERATOR = 1       /* else by the operator's word */
+    CK_PROMOTION_OPERATOR = 1,      /* else by the operator's word */
+    CK_PROMOTION_AVAILABLE = 2      /* else the most advanced that answers */
 };
 
 struct ck_caller {
@@ -93,11 +97,51 @@
     unsigned int drain_ms;
     ck_unconfirmed_policy unconfirmed;
     ck_promotion_policy promotion;
+    unsigned int connections;       /* to each upstream; 0: as announced */
     ck_name databases<CK_LIST_SIZE>;
     ck_request_type types<64>;
     ck_caller callers<256>;
 };
 
+/* ---- declarations: whole sets under an operator's number ---- */
+
+/* Which upstreams may answer the reads of a route. */
+enum ck_read_policy {
+    CK_READS_CURRENT = 0,           /* only the primary */
+    CK_READS_BY_AGE = 1,            /* replicas within max_age_ms */
+    CK_READS_OWN_SAVES = 2          /* the same, and the session's own saves */
+};
+
+/* A name that sessions ask for, and what its requests get. */
+struct ck_route {
+    ck_name name;
+    ck_name database;
+    ck_read_policy reads;
+    unsigned int max_age_ms;
+    unsigned int deadline_ms;       /* of one statement */
+    unsigned int target_ms;         /* of a whole operation */
+    unsigned int priority;          /* 0: the most urgent */
+};
+
+struct ck_declared_database {
+    ck_name name;
+    unsigned int connections;       /* to each of its upstreams */
+    unsigned int confirm;           /* replicas that hold a save */
+};
+
+struct ck_declaration {
+    ck_route routes<CK_LIST_SIZE>;
+    ck_declared_database databases<CK_LIST_SIZE>;
+    unsigned int idle_transaction_ms;
+    opaque original<CK_ORIGINAL_SIZE>;  /* as the operator sent it */
+};
+
+/* A declaration in XDR, compressed. The highest number is in force. */
+struct ck_packed_declaration {
+    unsigned hyper number;
+    opaque data<CK_BLOB_SIZE>;
+};
+
 /* What changed in a group between two revisions. A full one starts at 0. */
 struct ck_view_delta {
     unsigned hyper from_revision;
@@ -108,6 +152,7 @@
     ck_name customers_removed<CK_LIST_SIZE>;
     ck_database databases<CK_LIST_SIZE>;
     ck_name databases_removed<CK_LIST_SIZE>;
+    ck_packed_declaration declaration<1>;
 };
 
 /* ---- leases of entries ---- */
@@ -211,7 +256,8 @@
     CK_CHANGE_UPSTREAM_EXPIRE = 8,
     CK_CHANGE_SUPERSEDE = 9,
     CK_CHANGE_PRIMARY = 10,
-    CK_CHANGE_VOTERS = 11
+    CK_CHANGE_VOTERS = 11,
+    CK_CHANGE_DECLARATION = 12
 };
 
 /* A template or a customer is a JSON document, checked before the change. */
@@ -274,6 +320,8 @@
     ck_primary_change primary;
 case CK_CHANGE_VOTERS:
     ck_voters_change voters;
+case CK_CHANGE_DECLARATION:
+    ck_packed_declaration declaration;
 };
 
 struct ck_apply_args {
@@ -443,6 +491,18 @@
     ck_text message;
 };
 
+/* The declaration in force, from a leader that is sure to lead. */
+struct ck_read_declaration_args {
+    ck_name group;
+};
+
+struct ck_read_declaration_result {
+    int outcome;
+    ck_packed_declaration declaration;  /* number 0: none yet */
+    ck_host leader_host;
+    unsigned int leader_port;
+};
+
 program CK_PROGRAM {
     version CK_VERSION {
         ck_renew_result CK_RENEW(ck_renew_args) = 1;
@@ -451,5 +511,7 @@
         ck_apply_result CK_APPLY(ck_apply_args) = 4;
         ck_query_result CK_QUERY(ck_query_args) = 5;
         ck_command_result CK_COMMAND(ck_command_args) = 6;
+        ck_read_declaration_result
+            CK_READ_DECLARATION(ck_read_declaration_args) = 7;
     } = 1;
 } = 0x20434b47;
--- a/src/catkingrade/rpc/messages_xdr.c
+++ b/src/catkingrade/rpc/messages_xdr.c
@@ -88,6 +88,10 @@
 		}
 		 if (!xdr_ck_upstream_state (xdrs, &objp->state))
 			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->incarnation))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->sequence))
+			 return FALSE;
 		return TRUE;
 	} else if (xdrs->x_op == XDR_DECODE) {
 		 if (!xdr_ck_name (xdrs, &objp->name))
@@ -114,6 +118,10 @@
 		}
 		 if (!xdr_ck_upstream_state (xdrs, &objp->state))
 			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->incarnation))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->sequence))
+			 return FALSE;
 	 return TRUE;
 	}
 
@@ -133,6 +141,10 @@
 		 return FALSE;
 	 if (!xdr_ck_upstream_state (xdrs, &objp->state))
 		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->incarnation))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->sequence))
+		 return FALSE;
 	return TRUE;
 }
 
@@ -310,6 +322,8 @@
 			 return FALSE;
 		 if (!xdr_ck_promotion_policy (xdrs, &objp->promotion))
 			 return FALSE;
+		 if (!xdr_u_int (xdrs, &objp->connections))
+			 return FALSE;
 		 if (!xdr_array (xdrs, (char **)&objp->databases.databases_val, (u_int *) &objp->databases.databases_len, CK_LIST_SIZE,
 			sizeof (ck_name), (xdrproc_t) xdr_ck_name))
 			 return FALSE;
@@ -350,6 +364,8 @@
 			 return FALSE;
 		 if (!xdr_ck_promotion_policy (xdrs, &objp->promotion))
 			 return FALSE;
+		 if (!xdr_u_int (xdrs, &objp->connections))
+			 return FALSE;
 		 if (!xdr_array (xdrs, (char **)&objp->databases.databases_val, (u_int *) &objp->databases.databases_len, CK_LIST_SIZE,
 			sizeof (ck_name), (xdrproc_t) xdr_ck_name))
 			 return FALSE;
@@ -382,6 +398,8 @@
 		 return FALSE;
 	 if (!xdr_ck_promotion_policy (xdrs, &objp->promotion))
 		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->connections))
+		 return FALSE;
 	 if (!xdr_array (xdrs, (char **)&objp->databases.databases_val, (u_int *) &objp->databases.databases_len, CK_LIST_SIZE,
 		sizeof (ck_name), (xdrproc_t) xdr_ck_name))
 		 return FALSE;
@@ -394,6 +412,133 @@
 	return TRUE;
 }
 
+bool_t
+xdr_ck_read_policy (XDR *xdrs, ck_read_policy *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_enum (xdrs, (enum_t *) objp))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_ck_route (XDR *xdrs, ck_route *objp)
+{
+	register int32_t *buf;
+
+
+	if (xdrs->x_op == XDR_ENCODE) {
+		 if (!xdr_ck_name (xdrs, &objp->name))
+			 return FALSE;
+		 if (!xdr_ck_name (xdrs, &objp->database))
+			 return FALSE;
+		 if (!xdr_ck_read_policy (xdrs, &objp->reads))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->max_age_ms))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->deadline_ms))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->target_ms))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->priority))
+				 return FALSE;
+		} else {
+			IXDR_PUT_U_LONG(buf, objp->max_age_ms);
+			IXDR_PUT_U_LONG(buf, objp->deadline_ms);
+			IXDR_PUT_U_LONG(buf, objp->target_ms);
+			IXDR_PUT_U_LONG(buf, objp->priority);
+		}
+		return TRUE;
+	} else if (xdrs->x_op == XDR_DECODE) {
+		 if (!xdr_ck_name (xdrs, &objp->name))
+			 return FALSE;
+		 if (!xdr_ck_name (xdrs, &objp->database))
+			 return FALSE;
+		 if (!xdr_ck_read_policy (xdrs, &objp->reads))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->max_age_ms))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->deadline_ms))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->target_ms))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->priority))
+				 return FALSE;
+		} else {
+			objp->max_age_ms = IXDR_GET_U_LONG(buf);
+			objp->deadline_ms = IXDR_GET_U_LONG(buf);
+			objp->target_ms = IXDR_GET_U_LONG(buf);
+			objp->priority = IXDR_GET_U_LONG(buf);
+		}
+	 return TRUE;
+	}
+
+	 if (!xdr_ck_name (xdrs, &objp->name))
+		 return FALSE;
+	 if (!xdr_ck_name (xdrs, &objp->database))
+		 return FALSE;
+	 if (!xdr_ck_read_policy (xdrs, &objp->reads))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->max_age_ms))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->deadline_ms))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->target_ms))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->priority))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_ck_declared_database (XDR *xdrs, ck_declared_database *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_ck_name (xdrs, &objp->name))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->connections))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->confirm))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_ck_declaration (XDR *xdrs, ck_declaration *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_array (xdrs, (char **)&objp->routes.routes_val, (u_int *) &objp->routes.routes_len, CK_LIST_SIZE,
+		sizeof (ck_route), (xdrproc_t) xdr_ck_route))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->databases.databases_val, (u_int *) &objp->databases.databases_len, CK_LIST_SIZE,
+		sizeof (ck_declared_database), (xdrproc_t) xdr_ck_declared_database))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->idle_transaction_ms))
+		 return FALSE;
+	 if (!xdr_bytes (xdrs, (char **)&objp->original.original_val, (u_int *) &objp->original.original_len, CK_ORIGINAL_SIZE))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_ck_packed_declaration (XDR *xdrs, ck_packed_declaration *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->number))
+		 return FALSE;
+	 if (!xdr_bytes (xdrs, (char **)&objp->data.data_val, (u_int *) &objp->data.data_len, CK_BLOB_SIZE))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_ck_view_delta (XDR *xdrs, ck_view_delta *objp)
 {
@@ -419,6 +564,9 @@
 	 if (!xdr_array (xdrs, (char **)&objp->databases_removed.databases_removed_val, (u_int *) &objp->databases_removed.databases_removed_len, CK_LIST_SIZE,
 		sizeof (ck_name), (xdrproc_t) xdr_ck_name))
 		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->declaration.declaration_val, (u_int *) &objp->declaration.declaration_len, 1,
+		sizeof (ck_packed_declaration), (xdrproc_t) xdr_ck_packed_declaration))
+		 return FALSE;
 	return TRUE;
 }
 
@@ -852,6 +1000,10 @@
 		 if (!xdr_ck_voters_change (xdrs, &objp->ck_change_u.voters))
 			 return FALSE;
 		break;
+	case CK_CHANGE_DECLARATION:
+		 if (!xdr_ck_packed_declaration (xdrs, &objp->ck_change_u.declaration))
+			 return FALSE;
+		break;
 	default:
 		return FALSE;
 	}
@@ -1187,3 +1339,29 @@
 		 return FALSE;
 	return TRUE;
 }
+
+bool_t
+xdr_ck_read_declaration_args (XDR *xdrs, ck_read_declaration_args *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_ck_name (xdrs, &objp->group))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_ck_read_declaration_result (XDR *xdrs, ck_read_declaration_result *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_int (xdrs, &objp->outcome))
+		 return FALSE;
+	 if (!xdr_ck_packed_declaration (xdrs, &objp->declaration))
+		 return FALSE;
+	 if (!xdr_ck_host (xdrs, &objp->leader_host))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->leader_port))
+		 return FALSE;
+	return TRUE;
+}
--- a/src/catkingrade/rpc/rpcnet.c
+++ b/src/catkingrade/rpc/rpcnet.c
@@ -69,6 +69,8 @@
 RPCNET_TYPES(apply, CK_APPLY, ck_apply_args, ck_apply_result);
 RPCNET_TYPES(query, CK_QUERY, ck_query_args, ck_query_result);
 RPCNET_TYPES(command, CK_COMMAND, ck_command_args, ck_command_result);
+RPCNET_TYPES(read_declaration, CK_READ_DECLARATION, ck_read_declaration_args,
+             ck_read_declaration_result);
 const struct rpcnet_types rpcnet_raft = {
     CK_RAFT, (xdrproc_t)xdr_ck_raft_message, sizeof(ck_raft_message), NULL, 0};
 
--- a/src/catkingrade/rpc/rpcnet.h
+++ b/src/catkingrade/rpc/rpcnet.h
@@ -41,6 +41,7 @@
 extern const struct rpcnet_types rpcnet_apply;
 extern const struct rpcnet_types rpcnet_query;
 extern const struct rpcnet_types rpcnet_command;
+extern const struct rpcnet_types rpcnet_read_declaration;
 
 struct rpcnet *rpcnet_create(struct loop *loop,
                              const struct settings_address *local,
