feat(control): voters from the seeds take care of themselves

Change: a VM whose disk is new gets an identity from the leader, is added without a vote, votes once it has caught up, and the identity before it goes. A silent voter goes only when there are more than the target.

--- a/src/catkingrade/control/control.c
+++ b/src/catkingrade/control/control.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "catkingrade/control/control_state.h"
+#include "catkingrade/control/joiner.h"
 #include "catkingrade/kernel/counters.h"
 #include "catkingrade/kernel/log.h"
 #include "catkingrade/kernel/memory.h"
@@ -273,7 +274,7 @@
 
 static int
 control_add_host(struct control *control, const struct settings_group *group,
-                 uint64_t self)
+                 uint64_t self, bool bootstrap)
 {
     struct group_host_params params = {
         .daemon = control->daemon,
@@ -281,8 +282,7 @@
         .admin = control->admin,
         .group = group,
         .self = self,
-        .bootstrap =
-            control->daemon->bootstrap || control->daemon->settings->bootstrap,
+        .bootstrap = bootstrap,
     };
     int outcome =
         group_host_create(&params, &control->hosts[control->hosts_count]);
@@ -306,6 +306,62 @@
            voter->rpc.port == settings->rpc.port;
 }
 
+// Opens a group under an identity that its leader has offered.
+int
+control_open_host(struct control *control, const char *group, uint64_t self)
+{
+    return control_add_host(control, control_find_group(control, group), self,
+                            false);
+}
+
+// Closes a group whose identity here is used up, and removes what is stored.
+void
+control_drop_host(struct control *control, const char *group)
+{
+    for (size_t i = 0; i < control->hosts_count; i++) {
+        if (strcmp(group_host_get_name(control->hosts[i]), group) != 0) {
+            continue;
+        }
+        group_host_destroy(control->hosts[i]);
+        control->hosts[i] = control->hosts[--control->hosts_count];
+        int outcome = store_group_remove(control->store, group);
+        if (outcome != OUTCOME_OK) {
+            LOG_ERROR("store_failed", "group=%s outcome=%s", group,
+                      outcome_get_name(outcome));
+        }
+        return;
+    }
+}
+
+// Opens the group whose founders are the seeds: under the identity that is
+// stored, or as a founder at its very first start. Any other VM asks to join.
+static int
+control_open_seeded_group(struct control *control)
+{
+    const struct settings *settings = control->daemon->settings;
+    const struct settings_group *group = &settings->groups[0];
+    uint64_t stored = 0;
+    int outcome = OUTCOME_OK;
+
+    if (store_find_voter(control->store, group->name, &stored) == OUTCOME_OK) {
+        bool founder = stored <= group->voters_count &&
+                       (control->daemon->bootstrap || settings->bootstrap);
+        outcome = control_add_host(control, group, stored, founder);
+    }
+    else if (control->daemon->bootstrap || settings->bootstrap) {
+        for (size_t i = 0; i < group->voters_count; i++) {
+            if (control_is_self(settings, &group->voters[i])) {
+                outcome = control_add_host(control, group,
+                                           group->voters[i].id, true);
+            }
+        }
+    }
+    if (outcome == OUTCOME_OK) {
+        control->joiner = joiner_create(control, group->name);
+    }
+    return outcome;
+}
+
 // Opens every group of the settings in which this VM votes.
 static int
 control_open_groups(struct control *control)
@@ -313,6 +369,9 @@
     const struct settings *settings = control->daemon->settings;
 
     control->hosts = xcalloc(settings->groups_count, sizeof(*control->hosts));
+    if (settings->voters_from_seeds) {
+        return control_open_seeded_group(control);
+    }
     for (size_t i = 0; i < settings->groups_count; i++) {
         const struct settings_group *group = &settings->groups[i];
         for (size_t j = 0; j < group->voters_count; j++) {
@@ -320,7 +379,9 @@
                 continue;
             }
             int outcome =
-                control_add_host(control, group, group->voters[j].id);
+                control_add_host(control, group, group->voters[j].id,
+                                 control->daemon->bootstrap ||
+                                     settings->bootstrap);
             if (outcome != OUTCOME_OK) {
                 return outcome;
             }
@@ -393,6 +454,7 @@
 control_destroy(struct control *control)
 {
     loop_set_after(control->loop, NULL, NULL);
+    joiner_destroy(control->joiner);
     for (size_t i = 0; i < control->hosts_count; i++) {
         group_host_destroy(control->hosts[i]);
     }
--- a/src/catkingrade/control/control_state.h
+++ b/src/catkingrade/control/control_state.h
@@ -9,6 +9,7 @@
 #include "catkingrade/store/store.h"
 
 struct http_call;
+struct joiner;
 
 struct control {
     struct daemon *daemon;
@@ -17,6 +18,7 @@
     struct upstream_admin *admin;
     struct group_host **hosts;
     size_t hosts_count;
+    struct joiner *joiner; // NULL: voters come and go by command
 };
 
 // control.c
@@ -25,6 +27,9 @@
 const struct settings_group *control_find_group(const struct control *control,
                                                 const char *group);
 
+int control_open_host(struct control *control, const char *group,
+                      uint64_t self);
+void control_drop_host(struct control *control, const char *group);
 size_t control_list_peers(const struct control *control, const char *group,
                           struct settings_address *peers, size_t max_count);
 
--- a/src/catkingrade/control/group_host.c
+++ b/src/catkingrade/control/group_host.c
@@ -19,6 +19,7 @@
 #define HOST_SNAPSHOT_BYTES      (16 * 1024 * 1024)
 #define HOST_KEPT_ENTRIES        1024
 #define HOST_REOPEN_US           1000000
+#define HOST_SETTLED_US          3000000
 
 static const char *const host_role_names[] = {
     [RAFT_FOLLOWER] = "follower",
@@ -562,6 +563,25 @@
     return host->params.group->name;
 }
 
+// Returns this voter's id.
+uint64_t
+group_host_get_self(const struct group_host *host)
+{
+    return host->params.self;
+}
+
+// Returns whether this voter votes, and leads or has heard from a leader.
+bool
+group_host_is_settled(const struct group_host *host)
+{
+    const struct ck_voter *own =
+        host->failed ? NULL : host_find_voter(host, host->params.self);
+    int64_t since_us = monotonic_get_us() - HOST_SETTLED_US;
+
+    return own != NULL && own->voting &&
+           (host->leads || raft_get_heard_us(host->raft) >= since_us);
+}
+
 // Returns whether this voter leads and has applied its term's first entry.
 bool
 group_host_leads(const struct group_host *host)
--- a/src/catkingrade/control/group_host.h
+++ b/src/catkingrade/control/group_host.h
@@ -30,6 +30,9 @@
                       struct group_host **out);
 void group_host_destroy(struct group_host *host);
 const char *group_host_get_name(const struct group_host *host);
+uint64_t group_host_get_self(const struct group_host *host);
+// Whether this voter votes and has heard from a leader of late.
+bool group_host_is_settled(const struct group_host *host);
 bool group_host_leads(const struct group_host *host);
 // Writes, syncs, sends and applies what the steps of this turn decided.
 // Returns whether something is left to do.
--- a/src/catkingrade/control/group_host_state.h
+++ b/src/catkingrade/control/group_host_state.h
@@ -28,6 +28,14 @@
     struct host_waiter *next;
 };
 
+#define HOST_MAX_VOTERS 15
+
+// Since when the leader has seen a voter in the list.
+struct host_member {
+    uint64_t id;
+    int64_t since_us;
+};
+
 struct group_host {
     struct group_host_params params;
     struct loop *loop;
@@ -43,6 +51,9 @@
     bool leads;
     bool failed; // the store failed; reopened by the timer
     uint64_t elections;
+    int64_t tended_us;       // when the voters were looked at last
+    struct host_member members[HOST_MAX_VOTERS];
+    size_t members_count;
 };
 
 // group_host.c
@@ -59,6 +70,11 @@
 void host_update_leadership(struct group_host *host);
 void host_handle_leader_timer(void *data);
 
+// group_voters.c
+void host_tend_voters(struct group_host *host);
+int host_judge_voter(const struct group_host *host,
+                     const struct ck_voter *voter, uint64_t *number);
+
 // group_requests.c
 void host_reply_apply(struct group_host *host, struct rpcnet_request *request,
                       int outcome, const struct group_result *result);
--- a/src/catkingrade/control/group_leader.c
+++ b/src/catkingrade/control/group_leader.c
@@ -25,6 +25,7 @@
     struct leader_event event = {.kind = LEADER_EVENT_TICK};
 
     host_step_leader(data, &event);
+    host_tend_voters(data);
 }
 
 static void
@@ -267,6 +268,7 @@
         return;
     }
     host->leads = leads;
+    host->tended_us = 0;
     if (leads) {
         event.kind = LEADER_EVENT_ELECTED;
         event.leader_term = raft_get_term(host->raft);
--- a/src/catkingrade/control/group_requests.c
+++ b/src/catkingrade/control/group_requests.c
@@ -332,6 +332,15 @@
 {
     struct raft_event event = {.kind = RAFT_EVENT_CHANGE_VOTERS};
 
+    if (args->kind == CK_COMMAND_ADD_VOTER &&
+        host->params.daemon->settings->voters_from_seeds) {
+        struct ck_command_result reply = {.leader_host = "", .message = ""};
+        reply.outcome = host_judge_voter(host, &args->voter, &reply.number);
+        if (reply.outcome != OUTCOME_OK || reply.number != 0) {
+            rpcnet_reply(request, &reply);
+            return;
+        }
+    }
     if (args->kind == CK_COMMAND_ADD_VOTER) {
         event.change_voters.added = &args->voter;
     }
--- /dev/null
+++ b/src/catkingrade/control/group_voters.c
@@ -0,0 +1,147 @@
+#include <inttypes.h>
+#include <string.h>
+
+#include "catkingrade/control/group_host_state.h"
+#include "catkingrade/decide/membership.h"
+#include "catkingrade/kernel/log.h"
+#include "catkingrade/kernel/outcome.h"
+
+// The voters of a group that takes care of itself (voters_from_seeds).
+
+#define HOST_TEND_US         200000
+#define HOST_VOTER_SILENT_US 2000000
+
+static int64_t
+host_find_member_since_us(const struct group_host *host, uint64_t id,
+                          int64_t now_us)
+{
+    for (size_t i = 0; i < host->members_count; i++) {
+        if (host->members[i].id == id) {
+            return host->members[i].since_us;
+        }
+    }
+    return now_us;
+}
+
+// Follows since when each voter stands in the list: a new one, and each one
+// after a pause of this leader, has had no time to answer.
+static void
+host_follow_members(struct group_host *host, int64_t now_us, bool paused)
+{
+    const struct ck_voters_change *voters = raft_get_voters(host->raft);
+    struct host_member members[HOST_MAX_VOTERS];
+    size_t count = voters->voters.voters_len;
+
+    for (size_t i = 0; i < count; i++) {
+        members[i].id = voters->voters.voters_val[i].id;
+        members[i].since_us =
+            paused ? now_us
+                   : host_find_member_since_us(host, members[i].id, now_us);
+    }
+    memcpy(host->members, members, count * sizeof(*members));
+    host->members_count = count;
+}
+
+// Lists the voters as the leader sees them. Returns how many there are.
+static size_t
+host_list_members(const struct group_host *host,
+                  struct membership_voter members[HOST_MAX_VOTERS])
+{
+    const struct ck_voters_change *voters = raft_get_voters(host->raft);
+    int64_t now_us = monotonic_get_us();
+    size_t count = 0;
+
+    for (u_int i = 0; i < voters->voters.voters_len; i++) {
+        const struct ck_voter *voter = &voters->voters.voters_val[i];
+        int64_t heard_us = raft_get_answered_us(host->raft, voter->id);
+        int64_t since_us = host_find_member_since_us(host, voter->id, now_us);
+        if (heard_us < since_us) {
+            heard_us = since_us;
+        }
+        members[count].voter = voter;
+        members[count].is_self = voter->id == host->params.self;
+        members[count].silent_us = now_us - heard_us;
+        count++;
+    }
+    return count;
+}
+
+static void
+host_fill_membership(const struct group_host *host,
+                     struct membership_params *params)
+{
+    params->target = 2 * host->params.daemon->settings->tolerated_losses + 1;
+    params->silent_us = HOST_VOTER_SILENT_US;
+}
+
+static void
+host_remove_voter(struct group_host *host, uint64_t id)
+{
+    struct raft_event event = {.kind = RAFT_EVENT_CHANGE_VOTERS};
+
+    LOG_INFO("voter_removed", "group=%s voter=%" PRIu64,
+             host->params.group->name, id);
+    event.change_voters.removed = id;
+    event.change_voters.change_id = "";
+    host_step_raft(host, &event);
+}
+
+// Removes voters that are gone for good. Called often; acts at intervals.
+void
+host_tend_voters(struct group_host *host)
+{
+    struct membership_voter members[HOST_MAX_VOTERS];
+    struct membership_params params;
+    int64_t now_us = monotonic_get_us();
+
+    if (!host->leads || !host->params.daemon->settings->voters_from_seeds ||
+        now_us - host->tended_us < HOST_TEND_US) {
+        return;
+    }
+    host_follow_members(host, now_us,
+                        now_us - host->tended_us > HOST_VOTER_SILENT_US / 2);
+    host->tended_us = now_us;
+    if (!raft_has_quorum(host->raft, now_us)) {
+        return;
+    }
+    host_fill_membership(host, &params);
+    size_t count = host_list_members(host, members);
+    uint64_t gone = membership_find_removal(&params, members, count);
+    if (gone != MEMBERSHIP_NOBODY) {
+        host_remove_voter(host, gone);
+    }
+}
+
+// Judges a VM that wants to vote. Returns OUTCOME_OK when it may be added
+// under its id, with that *number when it is in the list already; OUTCOME_AGAIN with *number when it is to
+// come back under that id, 0 when there is no place for it now; OUTCOME_INVALID
+// when its id was used before.
+int
+host_judge_voter(const struct group_host *host, const struct ck_voter *voter,
+                 uint64_t *number)
+{
+    struct membership_voter members[HOST_MAX_VOTERS];
+    struct membership_params params;
+    size_t count = host_list_members(host, members);
+
+    *number = 0;
+    for (size_t i = 0; i < count; i++) {
+        if (voter->id != 0 && members[i].voter->id == voter->id) {
+            *number = voter->id;
+            return OUTCOME_OK;
+        }
+    }
+    if (voter->id != 0 &&
+        voter->id <= raft_get_highest_voter_id(host->raft)) {
+        return OUTCOME_INVALID;
+    }
+    host_fill_membership(host, &params);
+    if (!membership_may_add(&params, members, count, voter)) {
+        return OUTCOME_AGAIN;
+    }
+    if (voter->id == 0) {
+        *number = raft_get_highest_voter_id(host->raft) + 1;
+        return OUTCOME_AGAIN;
+    }
+    return OUTCOME_OK;
+}
--- a/src/catkingrade/decide/raft_voters.c
+++ b/src/catkingrade/decide/raft_voters.c
@@ -339,3 +339,30 @@
     }
     raft_append_voters(raft, 0, NULL, voters, count);
 }
+
+// Returns the highest id that any voter ever had.
+uint64_t
+raft_get_highest_voter_id(const struct raft *raft)
+{
+    return raft->highest_voter_id;
+}
+
+// Returns when the newest round was sent that a voter has answered, far in the
+// past when it has answered none to this leader.
+int64_t
+raft_get_answered_us(const struct raft *raft, uint64_t voter)
+{
+    for (size_t i = 0; i < raft->peers_count; i++) {
+        if (raft->peers[i].id == voter) {
+            return raft->peers[i].answered_us;
+        }
+    }
+    return INT64_MIN / 2;
+}
+
+// Returns when this voter last heard from a leader.
+int64_t
+raft_get_heard_us(const struct raft *raft)
+{
+    return raft->heard_us;
+}
--- a/src/catkingrade/kernel/settings.c
+++ b/src/catkingrade/kernel/settings.c
@@ -106,6 +106,7 @@
     "seeds",
     "seeds_port",
     "voters_from_seeds",
+    "tolerated_losses",
     "key_required",
     "bootstrap",
     "sample_upstreams",
@@ -440,6 +441,8 @@
         reader, root, "", "seeds_port", 0, 0, UINT16_MAX);
     settings->voters_from_seeds =
         json_reader_get_bool(reader, root, "", "voters_from_seeds", false);
+    settings->tolerated_losses = (unsigned)json_reader_get_number(
+        reader, root, "", "tolerated_losses", 1, 0, 3);
     settings->key_required =
         json_reader_get_bool(reader, root, "", "key_required", true);
     settings->bootstrap =
--- a/src/catkingrade/kernel/settings.h
+++ b/src/catkingrade/kernel/settings.h
@@ -71,6 +71,7 @@
     size_t seeds_count;
     uint16_t seeds_port;    // in place of the seeds' own ports; 0: keep those
     bool voters_from_seeds; // the fleet group's founders are the seeds
+    unsigned tolerated_losses; // of voters at once; from the seeds
     bool key_required;      // off loopback
     bool bootstrap;         // the groups are new: their very first start
     bool sample_upstreams;  // false: positions come with answers alone
--- a/src/catkingrade/rpc/messages.h
+++ b/src/catkingrade/rpc/messages.h
@@ -579,6 +579,7 @@
 
 struct ck_command_result {
 	int outcome;
+	u_quad_t number;
 	ck_host leader_host;
 	u_int leader_port;
 	ck_text message;
--- a/src/catkingrade/rpc/messages.x
+++ b/src/catkingrade/rpc/messages.x
@@ -486,6 +486,7 @@
 
 struct ck_command_result {
     int outcome;
+    unsigned hyper number;          /* ADD_VOTER without an id: the next one */
     ck_host leader_host;
     unsigned int leader_port;
     ck_text message;
--- a/src/catkingrade/rpc/messages_xdr.c
+++ b/src/catkingrade/rpc/messages_xdr.c
@@ -1331,6 +1331,8 @@
 
 	 if (!xdr_int (xdrs, &objp->outcome))
 		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->number))
+		 return FALSE;
 	 if (!xdr_ck_host (xdrs, &objp->leader_host))
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->leader_port))
--- a/src/catkingrade/store/store.h
+++ b/src/catkingrade/store/store.h
@@ -49,6 +49,10 @@
                      struct store_group **group, struct raft_saved *saved,
                      struct buffer *report);
 void store_group_close(struct store_group *group);
+// Returns the voter id under which the folder holds a group, also before its
+// first write; OUTCOME_NOT_FOUND, OUTCOME_CORRUPT.
+int store_find_voter(const struct store *store, const char *group,
+                     uint64_t *voter);
 // Removes a group that is not open, so that the VM may join it again under
 // a new voter id.
 int store_group_remove(struct store *store, const char *name);
--- a/src/catkingrade/store/store_group.c
+++ b/src/catkingrade/store/store_group.c
@@ -43,6 +43,21 @@
     return store_has_files(dir, "snapshot-") || store_has_files(dir, "log-");
 }
 
+// Reads the voter id of a group's folder.
+int
+store_find_voter(const struct store *store, const char *group, uint64_t *voter)
+{
+    char dir[STORE_PATH_SIZE];
+    struct store_identity identity;
+    struct buffer report = {0};
+
+    store_group_format_dir(store, group, dir);
+    int outcome = store_identity_read(dir, "group", &identity, &report);
+    buffer_free(&report);
+    *voter = outcome == OUTCOME_OK ? identity.voter : 0;
+    return outcome;
+}
+
 static int
 store_group_create(struct store *store, const char *dir, const char *name,
                    uint64_t voter, struct store_image *image)
