--- a/src/catkingrade/decide/pool.c
+++ b/src/catkingrade/decide/pool.c
@@ -400,7 +400,7 @@
 
     if (traffic->params.guarded && conn->state == CONN_BUSY &&
         traffic->now_us - conn->since_us >= traffic->params.suspect_us &&
-        up->answered_us < conn->since_us) {
+        up->answered_us <= conn->since_us) {
         sample_note_failure(traffic, conn->upstream, CK_SUSPECT_SILENT);
         timers_add(&traffic->timers,
                    traffic->now_us + traffic->params.suspect_us, TIMER_CONN,
--- a/test/fake/traffic_rig.c
+++ b/test/fake/traffic_rig.c
@@ -11,10 +11,11 @@
 static char rig_near[] = "noord";
 static char rig_far[] = "midden";
 
-void
-rig_init(struct rig *rig, uint32_t upstreams_count)
+static void
+rig_init_with(struct rig *rig, uint32_t upstreams_count, bool guarded)
 {
     const struct traffic_params params = {
+        .guarded = guarded,
         .probe_us = 50 * RIG_MS_US,
         .suspect_us = 200 * RIG_MS_US,
         .idle_proof_us = 2000 * RIG_MS_US,
@@ -47,6 +48,18 @@
     }
 }
 
+void
+rig_init(struct rig *rig, uint32_t upstreams_count)
+{
+    rig_init_with(rig, upstreams_count, false);
+}
+
+void
+rig_init_guarded(struct rig *rig, uint32_t upstreams_count)
+{
+    rig_init_with(rig, upstreams_count, true);
+}
+
 void
 rig_start(struct rig *rig, uint32_t upstreams_count)
 {
--- a/test/fake/traffic_rig.h
+++ b/test/fake/traffic_rig.h
@@ -24,7 +24,9 @@
 
 // Upstreams "u0" (the primary), "u1", ... with 5 slots and 30 connections.
 void rig_init(struct rig *rig, uint32_t upstreams_count);
-// The same with a view, all upstreams at 100, and session 1, declared new,
+// The same with upstreams that check positions and are not sampled.
+void rig_init_guarded(struct rig *rig, uint32_t upstreams_count);
+// As rig_init with a view, all upstreams at 100, and session 1, declared new,
 // with its connections open.
 void rig_start(struct rig *rig, uint32_t upstreams_count);
 void rig_free(struct rig *rig);
--- /dev/null
+++ b/test/unit/decide/test_declaration.c
@@ -0,0 +1,272 @@
+#include <string.h>
+
+#include "catkingrade/decide/declaration.h"
+#include "catkingrade/decide/group.h"
+#include "catkingrade/kernel/memory.h"
+#include "catkingrade/kernel/outcome.h"
+#include "test/fake/changes.h"
+#include "test/suite.h"
+
+// A declaration with one database and some routes to it, made by hand.
+struct sample {
+    struct ck_declaration declaration;
+    struct ck_route routes[3];
+    struct ck_declared_database databases[2];
+};
+
+static void
+make_sample(struct sample *sample)
+{
+    *sample = (struct sample){
+        .routes = {{.name = (char *)"booking",
+                    .database = (char *)"roster1",
+                    .deadline_ms = 1000},
+                   {.name = (char *)"reading",
+                    .database = (char *)"roster1",
+                    .reads = CK_READS_BY_AGE,
+                    .max_age_ms = 1500,
+                    .deadline_ms = 3000}},
+        .databases = {{.name = (char *)"roster1",
+                       .connections = 33,
+                       .confirm = 1}}};
+    sample->declaration.routes.routes_val = sample->routes;
+    sample->declaration.routes.routes_len = 2;
+    sample->declaration.databases.databases_val = sample->databases;
+    sample->declaration.databases.databases_len = 1;
+    sample->declaration.original.original_val = (char *)"as it was sent";
+    sample->declaration.original.original_len = 14;
+}
+
+static int
+apply(struct group_state *group, const struct sample *sample, uint64_t number,
+      struct group_result *result)
+{
+    struct ck_change change = {.kind = CK_CHANGE_DECLARATION};
+
+    ck_assert_int_eq(declaration_pack(&sample->declaration, number,
+                                      &change.ck_change_u.declaration),
+                     OUTCOME_OK);
+    int outcome = changes_apply(group, number, &change, "", -1, result);
+    declaration_free_packed(&change.ck_change_u.declaration);
+    return outcome;
+}
+
+START_TEST(test_packed_and_back)
+{
+    struct sample sample;
+    struct ck_packed_declaration packed;
+    struct ck_declaration back;
+
+    make_sample(&sample);
+    ck_assert_int_eq(declaration_pack(&sample.declaration, 7, &packed),
+                     OUTCOME_OK);
+    ck_assert_uint_eq(packed.number, 7);
+    ck_assert_int_eq(declaration_unpack(&packed, &back), OUTCOME_OK);
+    ck_assert_uint_eq(back.routes.routes_len, 2);
+    ck_assert_uint_eq(
+        declaration_find_route(&back, "reading")->max_age_ms, 1500);
+    ck_assert_ptr_null(declaration_find_route(&back, "read"));
+    ck_assert_uint_eq(back.original.original_len, 14);
+    ck_assert_int_eq(
+        memcmp(back.original.original_val, "as it was sent", 14), 0);
+    declaration_free(&back);
+    for (u_int cut = 0; cut < packed.data.data_len; cut++) {
+        struct ck_packed_declaration shorter = packed;
+        shorter.data.data_len = cut;
+        ck_assert_int_eq(declaration_unpack(&shorter, &back),
+                         OUTCOME_CORRUPT);
+    }
+    declaration_free_packed(&packed);
+}
+END_TEST
+
+START_TEST(test_faults_are_named)
+{
+    static const struct {
+        const char *fault;
+        unsigned place;
+    } rows[] = {{"route reading: no database elsewhere", 0},
+                {"route reading: its deadline is 0", 1},
+                {"two routes have the name booking", 2},
+                {"two databases have the name roster1", 3},
+                {"a route has no name", 4}};
+
+    for (size_t i = 0; i < sizeof(rows) / sizeof(rows[0]); i++) {
+        struct sample sample;
+        struct buffer errors = {0};
+        make_sample(&sample);
+        switch (rows[i].place) {
+        case 0:
+            sample.routes[1].database = (char *)"elsewhere";
+            break;
+        case 1:
+            sample.routes[1].deadline_ms = 0;
+            break;
+        case 2:
+            sample.routes[1].name = (char *)"booking";
+            break;
+        case 3:
+            sample.databases[1] = sample.databases[0];
+            sample.declaration.databases.databases_len = 2;
+            break;
+        default:
+            sample.routes[0].name = (char *)"";
+            break;
+        }
+        ck_assert_int_eq(declaration_check(&sample.declaration, &errors),
+                         OUTCOME_INVALID);
+        buffer_append_u8(&errors, 0);
+        ck_assert_msg(strstr((const char *)buffer_get_data(&errors),
+                             rows[i].fault) != NULL,
+                      "%s: %s", rows[i].fault,
+                      (const char *)buffer_get_data(&errors));
+        buffer_free(&errors);
+    }
+}
+END_TEST
+
+// The highest number is in force; one that is not higher is accepted and
+// changes nothing, and a faulty one is refused, whatever its number.
+START_TEST(test_highest_number_is_in_force)
+{
+    struct group_state *group = group_create(GROUP_FLEET_NAME);
+    struct group_result result;
+    struct sample sample;
+    struct ck_declaration back;
+
+    make_sample(&sample);
+    ck_assert_ptr_null(group_get_declaration(group));
+    ck_assert_int_eq(apply(group, &sample, 5, &result), OUTCOME_OK);
+    uint64_t revision = group_get_revision(group);
+    sample.routes[0].deadline_ms = 9;
+    ck_assert_int_eq(apply(group, &sample, 5, &result), OUTCOME_OK);
+    ck_assert_int_eq(apply(group, &sample, 4, &result), OUTCOME_OK);
+    ck_assert_uint_eq(group_get_revision(group), revision);
+    ck_assert_int_eq(
+        declaration_unpack(group_get_declaration(group), &back), OUTCOME_OK);
+    ck_assert_uint_eq(declaration_find_route(&back, "booking")->deadline_ms,
+                      1000);
+    declaration_free(&back);
+    sample.routes[0].deadline_ms = 0;
+    ck_assert_int_eq(apply(group, &sample, 3, &result), OUTCOME_INVALID);
+    ck_assert_int_eq(apply(group, &sample, 9, &result), OUTCOME_INVALID);
+    ck_assert_uint_eq(group_get_declaration(group)->number, 5);
+    group_destroy(group);
+}
+END_TEST
+
+// Databases of a declaration come and go with it; its limit of connections
+// stands in place of the announced one, now and after a change.
+START_TEST(test_databases_follow)
+{
+    struct group_state *group = group_create(GROUP_FLEET_NAME);
+    struct group_result result;
+    struct sample sample;
+    struct ck_upstream upstream =
+        changes_make_upstream("u1", "roster1", "noord", "10.0.0.1");
+
+    ck_assert_int_eq(changes_apply_upstream(group, &upstream),
+                     OUTCOME_NOT_FOUND);
+    make_sample(&sample);
+    ck_assert_int_eq(apply(group, &sample, 1, &result), OUTCOME_OK);
+    ck_assert_uint_eq(group_find_customer(group, "roster1")->confirm, 1);
+    ck_assert_int_eq(changes_apply_upstream(group, &upstream), OUTCOME_OK);
+    ck_assert_uint_eq(group_find_upstream(group, "u1")->connections, 33);
+    sample.databases[0].connections = 20;
+    ck_assert_int_eq(apply(group, &sample, 2, &result), OUTCOME_OK);
+    ck_assert_uint_eq(group_find_upstream(group, "u1")->connections, 20);
+    ck_assert_uint_eq(group_find_upstream(group, "u1")->slots, 20);
+    sample.declaration.routes.routes_len = 0;
+    sample.declaration.databases.databases_len = 0;
+    ck_assert_int_eq(apply(group, &sample, 3, &result), OUTCOME_OK);
+    ck_assert_ptr_null(group_find_database(group, "roster1"));
+    ck_assert_int_eq(changes_apply_upstream(group, &upstream),
+                     OUTCOME_NOT_FOUND);
+    sample.declaration.databases.databases_len = 1;
+    ck_assert_int_eq(apply(group, &sample, 4, &result), OUTCOME_OK);
+    ck_assert_ptr_nonnull(group_find_database(group, "roster1"));
+    group_destroy(group);
+}
+END_TEST
+
+// A snapshot brings the same state, down to the bytes of the next snapshot,
+// and an entry that starts gets the declaration with its first delta.
+START_TEST(test_snapshot_and_delta)
+{
+    struct group_state *group = group_create(GROUP_FLEET_NAME);
+    struct group_result result;
+    struct sample sample;
+    struct ck_upstream upstream =
+        changes_make_upstream("u1", "roster1", "noord", "10.0.0.1");
+    struct buffer first = {0};
+    struct buffer second = {0};
+    struct ck_view_delta delta;
+
+    make_sample(&sample);
+    ck_assert_int_eq(apply(group, &sample, 1, &result), OUTCOME_OK);
+    ck_assert_int_eq(changes_apply_upstream(group, &upstream), OUTCOME_OK);
+    group_encode(group, &first);
+    group_destroy(group);
+    group = group_decode(GROUP_FLEET_NAME, buffer_get_data(&first),
+                         buffer_get_size(&first));
+    ck_assert_ptr_nonnull(group);
+    group_encode(group, &second);
+    ck_assert_uint_eq(buffer_get_size(&first), buffer_get_size(&second));
+    ck_assert_int_eq(memcmp(buffer_get_data(&first), buffer_get_data(&second),
+                            buffer_get_size(&first)),
+                     0);
+    group_fill_delta(group, 0, NULL, &delta);
+    ck_assert_uint_eq(delta.declaration.declaration_len, 1);
+    ck_assert_uint_eq(delta.declaration.declaration_val[0].number, 1);
+    group_delta_clear(&delta);
+    sample.databases[0].connections = 12;
+    ck_assert_int_eq(apply(group, &sample, 2, &result), OUTCOME_OK);
+    ck_assert_uint_eq(group_find_upstream(group, "u1")->connections, 12);
+    buffer_free(&first);
+    buffer_free(&second);
+    group_destroy(group);
+}
+END_TEST
+
+// At one address the process with the later start stays; the one before is
+// lost, and its late announcements are refused.
+START_TEST(test_address_goes_to_the_later_start)
+{
+    struct group_state *group = group_create(GROUP_FLEET_NAME);
+    struct group_result result;
+    struct sample sample;
+    struct ck_upstream old =
+        changes_make_upstream("u1", "roster1", "noord", "10.0.0.1");
+    struct ck_upstream fresh =
+        changes_make_upstream("u2", "roster1", "noord", "10.0.0.1");
+
+    make_sample(&sample);
+    ck_assert_int_eq(apply(group, &sample, 1, &result), OUTCOME_OK);
+    old.incarnation = 100;
+    fresh.incarnation = 200;
+    ck_assert_int_eq(changes_apply_upstream(group, &old), OUTCOME_OK);
+    ck_assert_int_eq(changes_apply_upstream(group, &fresh), OUTCOME_OK);
+    ck_assert_int_eq(group_find_upstream(group, "u1")->state,
+                     CK_UPSTREAM_LOST);
+    ck_assert_int_eq(group_find_upstream(group, "u2")->state,
+                     CK_UPSTREAM_READY);
+    old.sequence = 9;
+    ck_assert_int_eq(changes_apply_upstream(group, &old), OUTCOME_CONFLICT);
+    fresh.incarnation = 150;
+    ck_assert_int_eq(changes_apply_upstream(group, &fresh), OUTCOME_CONFLICT);
+    group_destroy(group);
+}
+END_TEST
+
+static void
+add_tests(TCase *tests)
+{
+    tcase_add_test(tests, test_packed_and_back);
+    tcase_add_test(tests, test_faults_are_named);
+    tcase_add_test(tests, test_highest_number_is_in_force);
+    tcase_add_test(tests, test_databases_follow);
+    tcase_add_test(tests, test_snapshot_and_delta);
+    tcase_add_test(tests, test_address_goes_to_the_later_start);
+}
+
+TEST_MAIN("declaration", add_tests)
--- /dev/null
+++ b/test/unit/decide/test_guarded.c
@@ -0,0 +1,246 @@
+#include "catkingrade/decide/freshness.h"
+#include "catkingrade/decide/replica_lag.h"
+#include "catkingrade/kernel/outcome.h"
+#include "test/fake/traffic_rig.h"
+#include "test/suite.h"
+
+// Reads of a machine whose upstreams check the positions that they are asked
+// for. "u0" is the primary, "u1" a replica.
+
+#define AGE_US (1500 * RIG_MS_US)
+
+static struct rig rig;
+
+static const struct traffic_action *
+sent_for(uint64_t request)
+{
+    rig_open_all(&rig);
+    return rig_find(&rig, TRAFFIC_ACTION_SEND, request);
+}
+
+static void
+finish_on(uint64_t request, uint64_t lsn)
+{
+    const struct traffic_action *action = sent_for(request);
+
+    ck_assert_ptr_nonnull(action);
+    rig_result(&rig, request, action->conn, TRAFFIC_RESULT_DONE, false, lsn);
+}
+
+static void
+refuse(uint64_t request, enum traffic_refusal refusal)
+{
+    const struct traffic_action *action = sent_for(request);
+    const struct traffic_event event = {
+        .kind = TRAFFIC_EVENT_RESULT,
+        .result = {.request = request,
+                   .conn = action->conn,
+                   .result = TRAFFIC_RESULT_REFUSED,
+                   .refusal = refusal}};
+
+    rig_step(&rig, &event);
+}
+
+static void
+start(uint32_t upstreams)
+{
+    rig_init_guarded(&rig, upstreams);
+    rig_post_view(&rig);
+    rig_open_session(&rig, 1, NULL);
+    rig_open_all(&rig);
+}
+
+// Without news of the primary nobody knows what a replica must have.
+START_TEST(test_first_read_goes_to_the_primary)
+{
+    start(2);
+    uint64_t request = rig_request(&rig, 1, TRAFFIC_READ, AGE_US);
+    ck_assert_uint_eq(sent_for(request)->upstream, 0);
+    ck_assert_uint_eq(sent_for(request)->after_lsn, 0);
+    rig_free(&rig);
+}
+END_TEST
+
+START_TEST(test_replica_must_have_what_is_old_enough)
+{
+    start(2);
+    finish_on(rig_request(&rig, 1, TRAFFIC_WRITE, -1), 100);
+    rig_tick(&rig, AGE_US / 2);
+    uint64_t request = rig_request(&rig, 1, TRAFFIC_WRITE, -1);
+    finish_on(request, 200);
+    rig_tick(&rig, AGE_US / 4);
+    rig_open_session(&rig, 2, NULL);
+    request = rig_request(&rig, 2, TRAFFIC_READ, AGE_US);
+    const struct traffic_action *action = sent_for(request);
+    ck_assert_uint_eq(action->upstream, 1);
+    ck_assert_uint_eq(action->after_lsn, 100);
+    rig_result(&rig, request, action->conn, TRAFFIC_RESULT_DONE, false, 200);
+    rig_tick(&rig, AGE_US / 2);
+    request = rig_request(&rig, 2, TRAFFIC_READ, AGE_US);
+    ck_assert_uint_eq(sent_for(request)->after_lsn, 200);
+    rig_free(&rig);
+}
+END_TEST
+
+START_TEST(test_own_save_is_read)
+{
+    start(2);
+    finish_on(rig_request(&rig, 1, TRAFFIC_WRITE, -1), 100);
+    rig_tick(&rig, 50 * RIG_MS_US);
+    finish_on(rig_request(&rig, 1, TRAFFIC_WRITE, -1), 200);
+    rig_tick(&rig, 400 * RIG_MS_US);
+    uint64_t request = rig_request(&rig, 1, TRAFFIC_READ, AGE_US);
+    const struct traffic_action *action = sent_for(request);
+    ck_assert_uint_eq(action->upstream, 1);
+    ck_assert_uint_eq(action->after_lsn, 200);
+    rig_free(&rig);
+}
+END_TEST
+
+// A save that was just made is not asked of a replica that needs longer.
+START_TEST(test_fresh_save_is_read_at_the_primary)
+{
+    start(2);
+    finish_on(rig_request(&rig, 1, TRAFFIC_WRITE, -1), 100);
+    rig_tick(&rig, 30 * RIG_MS_US);
+    uint64_t request = rig_request(&rig, 1, TRAFFIC_READ, AGE_US);
+    refuse(request, TRAFFIC_REFUSAL_BEHIND);
+    finish_on(request, 100);
+    finish_on(rig_request(&rig, 1, TRAFFIC_WRITE, -1), 200);
+    rig_tick(&rig, 1 * RIG_MS_US);
+    request = rig_request(&rig, 1, TRAFFIC_READ, AGE_US);
+    ck_assert_uint_eq(sent_for(request)->upstream, 0);
+    rig_free(&rig);
+}
+END_TEST
+
+START_TEST(test_replica_that_lacks_it_gives_way)
+{
+    start(2);
+    finish_on(rig_request(&rig, 1, TRAFFIC_WRITE, -1), 100);
+    rig_tick(&rig, 300 * RIG_MS_US);
+    uint64_t request = rig_request(&rig, 1, TRAFFIC_READ, AGE_US);
+    ck_assert_uint_eq(sent_for(request)->upstream, 1);
+    refuse(request, TRAFFIC_REFUSAL_BEHIND);
+    ck_assert_uint_eq(sent_for(request)->upstream, 0);
+    rig_free(&rig);
+}
+END_TEST
+
+START_TEST(test_current_reads_need_a_lease)
+{
+    start(2);
+    struct traffic_event event = {.kind = TRAFFIC_EVENT_REQUEST};
+    event.request = (struct traffic_request){.session = 1,
+                                             .request = 900,
+                                             .request_class = TRAFFIC_READ,
+                                             .max_age_us = 0,
+                                             .primary_only = true};
+    rig_step(&rig, &event);
+    ck_assert_uint_eq(sent_for(900)->upstream, 0);
+    rig_free(&rig);
+    start(2);
+    rig_post_lease(&rig, 0, rig.now_us - 1);
+    rig_step(&rig, &event);
+    const struct traffic_action *refusal =
+        rig_find(&rig, TRAFFIC_ACTION_REFUSE, 900);
+    ck_assert_ptr_nonnull(refusal);
+    ck_assert_int_eq(refusal->outcome, OUTCOME_UNAVAILABLE);
+    rig_free(&rig);
+}
+END_TEST
+
+// A save that its upstream was too busy for goes to it again, and is sent
+// once more only by the upstream's word that it has not run.
+START_TEST(test_busy_save_is_tried_again)
+{
+    start(2);
+    uint64_t request = rig_request(&rig, 1, TRAFFIC_WRITE, -1);
+    refuse(request, TRAFFIC_REFUSAL_BUSY);
+    ck_assert_ptr_null(rig_find(&rig, TRAFFIC_ACTION_REFUSE, request));
+    rig_tick(&rig, 50 * RIG_MS_US);
+    ck_assert_uint_eq(sent_for(request)->upstream, 0);
+    rig_free(&rig);
+}
+END_TEST
+
+START_TEST(test_save_at_a_replica_is_refused)
+{
+    start(2);
+    uint64_t request = rig_request(&rig, 1, TRAFFIC_WRITE, -1);
+    refuse(request, TRAFFIC_REFUSAL_READ_ONLY);
+    const struct traffic_action *refusal =
+        rig_find(&rig, TRAFFIC_ACTION_REFUSE, request);
+    ck_assert_ptr_nonnull(refusal);
+    ck_assert_int_eq(refusal->outcome, OUTCOME_NOT_RUN);
+    ck_assert_ptr_nonnull(rig_find(&rig, TRAFFIC_ACTION_SUSPECT, 0));
+    rig_free(&rig);
+}
+END_TEST
+
+// A primary that answers nothing is suspected before any request's deadline.
+START_TEST(test_silence_is_suspected)
+{
+    start(2);
+    uint64_t request = rig_request(&rig, 1, TRAFFIC_WRITE, -1);
+    ck_assert_ptr_nonnull(sent_for(request));
+    rig_tick(&rig, 250 * RIG_MS_US);
+    ck_assert_ptr_nonnull(rig_find(&rig, TRAFFIC_ACTION_SUSPECT, 0));
+    ck_assert_ptr_null(rig_find(&rig, TRAFFIC_ACTION_UNKNOWN, request));
+    rig_free(&rig);
+}
+END_TEST
+
+START_TEST(test_lag_estimate)
+{
+    struct replica_lag lag = {0};
+
+    ck_assert(!replica_lag_allows(&lag, 1000, 50000));
+    replica_lag_note(&lag, 1000, 100000);
+    ck_assert(!replica_lag_allows(&lag, 2000, 50000));
+    ck_assert(replica_lag_allows(&lag, 2000, 150000));
+    replica_lag_note_behind(&lag, 3000, 400000);
+    ck_assert(!replica_lag_allows(&lag, 4000, 500000));
+    ck_assert(replica_lag_allows(&lag, 4000, 700000));
+    // After a while it is tried again, by one at a time.
+    ck_assert(replica_lag_allows(&lag, 3000 + 400000, 500000));
+    replica_lag_note_trial(&lag, 3000 + 400000, 500000);
+    ck_assert(!replica_lag_allows(&lag, 3000 + 400001, 500000));
+    for (int i = 0; i < 60; i++) {
+        replica_lag_note(&lag, 500000 + i, 20000);
+    }
+    ck_assert(replica_lag_allows(&lag, 600000, 30000));
+}
+END_TEST
+
+START_TEST(test_oldest_sample_since)
+{
+    struct freshness freshness = {0};
+
+    ck_assert_ptr_null(freshness_find_since(&freshness, 0));
+    freshness_add(&freshness, 10, 100);
+    freshness_add(&freshness, 20, 200);
+    ck_assert_uint_eq(freshness_find_since(&freshness, 0)->lsn, 100);
+    ck_assert_uint_eq(freshness_find_since(&freshness, 11)->lsn, 200);
+    ck_assert_uint_eq(freshness_find_since(&freshness, 20)->lsn, 200);
+    ck_assert_ptr_null(freshness_find_since(&freshness, 21));
+}
+END_TEST
+
+static void
+add_tests(TCase *tests)
+{
+    tcase_add_test(tests, test_first_read_goes_to_the_primary);
+    tcase_add_test(tests, test_replica_must_have_what_is_old_enough);
+    tcase_add_test(tests, test_own_save_is_read);
+    tcase_add_test(tests, test_fresh_save_is_read_at_the_primary);
+    tcase_add_test(tests, test_replica_that_lacks_it_gives_way);
+    tcase_add_test(tests, test_current_reads_need_a_lease);
+    tcase_add_test(tests, test_busy_save_is_tried_again);
+    tcase_add_test(tests, test_save_at_a_replica_is_refused);
+    tcase_add_test(tests, test_silence_is_suspected);
+    tcase_add_test(tests, test_lag_estimate);
+    tcase_add_test(tests, test_oldest_sample_since);
+}
+
+TEST_MAIN("guarded", add_tests)
--- /dev/null
+++ b/test/unit/decide/test_membership.c
@@ -0,0 +1,151 @@
+#include "catkingrade/decide/membership.h"
+#include "test/suite.h"
+
+#define MAX_VOTERS 8
+#define SILENT_US  INT64_C(2000000)
+
+// Voters on VMs "10.0.0.N", of which the first is the leader itself.
+struct group {
+    struct ck_voter voters[MAX_VOTERS];
+    struct membership_voter members[MAX_VOTERS];
+    char hosts[MAX_VOTERS][16];
+    size_t count;
+};
+
+static const struct membership_params params = {.target = 3,
+                                                .silent_us = SILENT_US};
+
+static void
+add(struct group *group, uint64_t id, unsigned vm, bool voting,
+    int64_t silent_us)
+{
+    size_t place = group->count++;
+
+    (void)snprintf(group->hosts[place], sizeof(group->hosts[place]),
+                   "10.0.0.%u", vm);
+    group->voters[place] = (struct ck_voter){.id = id,
+                                             .vm = group->hosts[place],
+                                             .host = group->hosts[place],
+                                             .port = 7440,
+                                             .voting = voting};
+    group->members[place] =
+        (struct membership_voter){.voter = &group->voters[place],
+                                  .silent_us = silent_us,
+                                  .is_self = place == 0};
+}
+
+static uint64_t
+find(const struct group *group)
+{
+    return membership_find_removal(&params, group->members, group->count);
+}
+
+static bool
+may_add(const struct group *group, unsigned vm)
+{
+    struct group other = {0};
+
+    add(&other, 0, vm, false, 0);
+    return membership_may_add(&params, group->members, group->count,
+                              &other.voters[0]);
+}
+
+// With no more voters than the target a silent one stays: it may come back
+// with its disk, and until then its place must not be lost.
+START_TEST(test_silent_voter_keeps_its_place)
+{
+    struct group group = {0};
+
+    add(&group, 1, 1, true, 0);
+    add(&group, 2, 2, true, 0);
+    add(&group, 3, 3, true, 60 * SILENT_US);
+    ck_assert_uint_eq(find(&group), MEMBERSHIP_NOBODY);
+    ck_assert(may_add(&group, 4));
+    add(&group, 4, 4, false, 0);
+    ck_assert_uint_eq(find(&group), MEMBERSHIP_NOBODY);
+    ck_assert(!may_add(&group, 5));
+    group.voters[3].voting = true;
+    ck_assert_uint_eq(find(&group), 3);
+}
+END_TEST
+
+START_TEST(test_lost_disk_is_replaced_at_once)
+{
+    struct group group = {0};
+
+    add(&group, 1, 1, true, 0);
+    add(&group, 2, 2, true, 0);
+    add(&group, 3, 3, true, 100);
+    ck_assert(may_add(&group, 3));
+    add(&group, 4, 3, false, 0);
+    ck_assert_uint_eq(find(&group), MEMBERSHIP_NOBODY);
+    group.voters[3].voting = true;
+    ck_assert_uint_eq(find(&group), 3);
+}
+END_TEST
+
+// While a second voter is silent none is removed: the one that is left out
+// may be needed for a majority.
+START_TEST(test_two_silent_voters_both_stay)
+{
+    struct group group = {0};
+
+    add(&group, 1, 1, true, 0);
+    add(&group, 2, 2, true, 2 * SILENT_US);
+    add(&group, 3, 3, true, 2 * SILENT_US);
+    add(&group, 4, 4, true, 0);
+    ck_assert_uint_eq(find(&group), MEMBERSHIP_NOBODY);
+    group.members[2].silent_us = 0;
+    ck_assert_uint_eq(find(&group), 2);
+}
+END_TEST
+
+START_TEST(test_one_may_stand_by)
+{
+    struct group group = {0};
+
+    add(&group, 1, 1, true, 0);
+    add(&group, 2, 2, true, 0);
+    add(&group, 3, 3, true, 0);
+    ck_assert(may_add(&group, 4));
+    add(&group, 4, 4, true, 0);
+    ck_assert(!may_add(&group, 5));
+    ck_assert_uint_eq(find(&group), MEMBERSHIP_NOBODY);
+}
+END_TEST
+
+START_TEST(test_leader_never_removes_itself)
+{
+    struct group group = {0};
+
+    add(&group, 1, 1, true, 9 * SILENT_US);
+    add(&group, 2, 2, true, 0);
+    add(&group, 3, 3, true, 0);
+    add(&group, 4, 1, true, 0);
+    ck_assert_uint_eq(find(&group), MEMBERSHIP_NOBODY);
+}
+END_TEST
+
+START_TEST(test_silent_learner_goes)
+{
+    struct group group = {0};
+
+    add(&group, 1, 1, true, 0);
+    add(&group, 2, 2, true, 0);
+    add(&group, 5, 3, false, SILENT_US);
+    ck_assert_uint_eq(find(&group), 5);
+}
+END_TEST
+
+static void
+add_tests(TCase *tests)
+{
+    tcase_add_test(tests, test_silent_voter_keeps_its_place);
+    tcase_add_test(tests, test_lost_disk_is_replaced_at_once);
+    tcase_add_test(tests, test_two_silent_voters_both_stay);
+    tcase_add_test(tests, test_one_may_stand_by);
+    tcase_add_test(tests, test_leader_never_removes_itself);
+    tcase_add_test(tests, test_silent_learner_goes);
+}
+
+TEST_MAIN("membership", add_tests)
--- /dev/null
+++ b/test/unit/platform/test_platform_decode.c
@@ -0,0 +1,253 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "catkingrade/decide/declaration.h"
+#include "catkingrade/kernel/memory.h"
+#include "catkingrade/kernel/outcome.h"
+#include "catkingrade/rpc/codec.h"
+#include "platform/announcement_decode.h"
+#include "platform/config_decode.h"
+#include "platform/wire_message.h"
+#include "test/suite.h"
+
+#define ROUTE                                                                 \
+    "{\"name\":\"r-1\",\"host\":\"lepu270\",\"pathPrefix\":\"/\","            \
+    "\"routeKind\":\"bounded_staleness\",\"timeoutMs\":1500,"                 \
+    "\"targetLatencyMs\":600,\"priority\":2,\"service\":\"huvo11a\","         \
+    "\"maxAttempts\":2,\"maxStalenessMs\":1500}"
+#define SERVICE                                                               \
+    "{\"name\":\"huvo11a\",\"healthPath\":\"/health\",\"maxConns\":30,"       \
+    "\"protocol\":\"h1\",\"tls\":false,\"syncReplicas\":1}"
+#define CONFIG                                                                \
+    "{\"version\":7,\"routes\":[" ROUTE "],\"services\":[" SERVICE            \
+    "],\"limits\":{\"txIdleMs\":3000},\"later\":{}}"
+#define BEAT                                                                  \
+    "{\"service\":\"huvo11a\",\"addr\":\"10.128.0.9:8080\","                  \
+    "\"zone\":\"almaty-a\",\"version\":\"v1\",\"slots\":2,"                   \
+    "\"state\":\"ready\",\"coldLeftMs\":0,\"dbRole\":\"replica\",\"seq\":4,"  \
+    "\"born\":1785000000000}"
+
+static int
+decode(const char *text, size_t size, uint64_t *number,
+       struct ck_declaration *declaration)
+{
+    struct buffer errors = {0};
+    int outcome = config_decode(text, size, number, declaration, &errors);
+
+    ck_assert((outcome == OUTCOME_OK) == (buffer_get_size(&errors) == 0));
+    buffer_free(&errors);
+    return outcome;
+}
+
+START_TEST(test_config)
+{
+    struct ck_declaration declaration;
+    uint64_t number = 0;
+
+    ck_assert_int_eq(decode(CONFIG, strlen(CONFIG), &number, &declaration),
+                     OUTCOME_OK);
+    ck_assert_uint_eq(number, 7);
+    const struct ck_route *route =
+        declaration_find_route(&declaration, "lepu270");
+    ck_assert_ptr_nonnull(route);
+    ck_assert_int_eq(route->reads, CK_READS_BY_AGE);
+    ck_assert_uint_eq(route->max_age_ms, 1500);
+    ck_assert_uint_eq(route->deadline_ms, 1500);
+    ck_assert_uint_eq(route->priority, 2);
+    ck_assert_str_eq(route->database, "huvo11a");
+    ck_assert_uint_eq(declaration.databases.databases_val[0].connections, 30);
+    ck_assert_uint_eq(declaration.databases.databases_val[0].confirm, 1);
+    ck_assert_uint_eq(declaration.idle_transaction_ms, 3000);
+    ck_assert_uint_eq(declaration.original.original_len, strlen(CONFIG));
+    ck_assert_int_eq(memcmp(declaration.original.original_val, CONFIG,
+                            strlen(CONFIG)),
+                     0);
+    declaration_free(&declaration);
+}
+END_TEST
+
+// A body that is cut short anywhere is refused.
+START_TEST(test_config_cut_short)
+{
+    struct ck_declaration declaration;
+    uint64_t number = 0;
+
+    for (size_t size = 0; size < strlen(CONFIG); size++) {
+        ck_assert_int_eq(decode(CONFIG, size, &number, &declaration),
+                         OUTCOME_INVALID);
+    }
+}
+END_TEST
+
+START_TEST(test_config_faults)
+{
+    static const char *const rows[] = {
+        "[]", "7", "{}", "{\"version\":\"7\",\"routes\":[],\"services\":[]}",
+        "{\"version\":0,\"routes\":[],\"services\":[]}",
+        "{\"version\":1,\"routes\":{},\"services\":[]}",
+        "{\"version\":1,\"routes\":[7],\"services\":[]}",
+        "{\"version\":1,\"routes\":[" ROUTE "],\"services\":[]}",
+        "{\"version\":1,\"routes\":[" ROUTE "," ROUTE
+        "],\"services\":[" SERVICE "]}",
+        "{\"version\":1,\"routes\":[],\"services\":[" SERVICE "," SERVICE
+        "]}",
+        "{\"version\":1,\"routes\":[{\"host\":\"a\",\"routeKind\":\"other\","
+        "\"timeoutMs\":1,\"service\":\"huvo11a\"}],\"services\":[" SERVICE
+        "]}",
+        "{\"version\":1,\"routes\":[{\"host\":\"a\",\"routeKind\":\"primary\","
+        "\"timeoutMs\":0,\"service\":\"huvo11a\"}],\"services\":[" SERVICE
+        "]}",
+        "{\"version\":1,\"routes\":[{\"host\":\"a\",\"routeKind\":\"primary\","
+        "\"timeoutMs\":-5,\"service\":\"huvo11a\"}],\"services\":[" SERVICE
+        "]}",
+        "{\"version\":1,\"routes\":[],\"services\":[]} {}",
+        "{\"version\":1,\"routes\":[],\"services\":[],}"};
+
+    for (size_t i = 0; i < sizeof(rows) / sizeof(rows[0]); i++) {
+        struct ck_declaration declaration;
+        uint64_t number = 0;
+        ck_assert_msg(decode(rows[i], strlen(rows[i]), &number,
+                             &declaration) == OUTCOME_INVALID,
+                      "%s", rows[i]);
+    }
+}
+END_TEST
+
+START_TEST(test_announcement)
+{
+    struct ck_upstream upstream;
+
+    ck_assert_int_eq(announcement_decode("i-7f3a", BEAT, &upstream),
+                     OUTCOME_OK);
+    ck_assert_str_eq(upstream.name, "i-7f3a");
+    ck_assert_str_eq(upstream.database, "huvo11a");
+    ck_assert_str_eq(upstream.failure_domain, "almaty-a");
+    ck_assert_str_eq(upstream.host, "10.128.0.9");
+    ck_assert_uint_eq(upstream.port, 8080);
+    ck_assert_int_eq(upstream.state, CK_UPSTREAM_READY);
+    ck_assert_uint_eq(upstream.incarnation, UINT64_C(1785000000000));
+    ck_assert_uint_eq(upstream.sequence, 4);
+    codec_free((xdrproc_t)xdr_ck_upstream, &upstream);
+}
+END_TEST
+
+// What another writer sends names no upstream.
+START_TEST(test_foreign_announcements)
+{
+    static const char *const rows[] = {
+        "",
+        "\xff\xfe",
+        "[]",
+        "{\"addr\":\"10.128.0.9:8080\",\"zone\":\"a\",\"slots\":2,"
+        "\"state\":\"ready\",\"seq\":4}",
+        "{\"service\":7,\"addr\":\"10.128.0.9:8080\",\"zone\":\"a\","
+        "\"slots\":2,\"state\":\"ready\",\"seq\":4}",
+        "{\"service\":\"h\",\"addr\":\"somewhere\",\"zone\":\"a\","
+        "\"slots\":2,\"state\":\"ready\",\"seq\":4}",
+        "{\"service\":\"h\",\"addr\":\"10.128.0.9:8080\",\"zone\":\"a\","
+        "\"slots\":2,\"state\":\"asleep\",\"seq\":4}",
+        "{\"service\":\"h\",\"addr\":\"10.128.0.9:8080\",\"zone\":\"a\","
+        "\"slots\":\"2\",\"state\":\"ready\",\"seq\":4}",
+        "{\"service\":\"h\",\"addr\":\"10.128.0.9:8080\",\"zone\":\"a\","
+        "\"slots\":2,\"state\":\"ready\"}"};
+
+    for (size_t i = 0; i < sizeof(rows) / sizeof(rows[0]); i++) {
+        struct ck_upstream upstream;
+        ck_assert_msg(announcement_decode("i-1", rows[i], &upstream) ==
+                          OUTCOME_INVALID,
+                      "%s", rows[i]);
+    }
+}
+END_TEST
+
+#define MUTATIONS 100000
+
+static uint64_t
+next_random(uint64_t *state)
+{
+    *state ^= *state << 13;
+    *state ^= *state >> 7;
+    *state ^= *state << 17;
+    return *state;
+}
+
+static void
+mutate(char *text, size_t *size, uint64_t *random)
+{
+    for (uint64_t i = next_random(random) % 4 + 1; i > 0 && *size > 0; i--) {
+        size_t place = next_random(random) % *size;
+        switch (next_random(random) % 4) {
+        case 0:
+            text[place] = (char)next_random(random);
+            break;
+        case 1:
+            *size = place;
+            break;
+        case 2:
+            text[place] = "{}[]\",:0-9\r\n "[next_random(random) % 13];
+            break;
+        default:
+            memmove(text + place, text + place + 1, *size - place - 1);
+            (*size)--;
+            break;
+        }
+    }
+}
+
+// Nothing that anyone may send does any harm: the sanitizers watch this.
+START_TEST(test_mutated_inputs)
+{
+    static const char *const seeds[] = {
+        CONFIG, BEAT, "QUERY 5c0e AFTER 3.1207 READ 1a4\r\n",
+        "STARTUP lepu270 u3f1\r\nREADY T 3.1209\r\nERROR BUSY\r\n"};
+    uint64_t random = 20261203;
+
+    for (int i = 0; i < MUTATIONS; i++) {
+        char *text = xstrdup(seeds[i % 4]);
+        size_t size = strlen(text);
+        mutate(text, &size, &random);
+        char *copy = xmemdupz(text, size);
+        struct ck_declaration declaration;
+        struct ck_upstream upstream;
+        uint64_t number = 0;
+        if (i % 4 == 0 && decode(copy, size, &number, &declaration) ==
+                              OUTCOME_OK) {
+            declaration_free(&declaration);
+        }
+        else if (i % 4 == 1 && announcement_decode("i-1", copy, &upstream) ==
+                                   OUTCOME_OK) {
+            codec_free((xdrproc_t)xdr_ck_upstream, &upstream);
+        }
+        else if (i % 4 > 1) {
+            struct buffer in = {0};
+            struct buffer scratch = {0};
+            struct wire_message message;
+            const char *arguments = NULL;
+            buffer_append(&in, copy, size);
+            while (wire_message_read(&in, &scratch, &message) ==
+                   WIRE_READ_MESSAGE) {
+                uint64_t lsn = 0;
+                (void)wire_statement_parse(message.rest, &arguments);
+                (void)wire_position_parse(message.rest, &lsn);
+            }
+            buffer_free(&in);
+            buffer_free(&scratch);
+        }
+        free(copy);
+        free(text);
+    }
+}
+END_TEST
+
+static void
+add_tests(TCase *tests)
+{
+    tcase_add_test(tests, test_config);
+    tcase_add_test(tests, test_config_cut_short);
+    tcase_add_test(tests, test_config_faults);
+    tcase_add_test(tests, test_announcement);
+    tcase_add_test(tests, test_foreign_announcements);
+    tcase_add_test(tests, test_mutated_inputs);
+}
+
+TEST_MAIN("platform_decode", add_tests)
--- /dev/null
+++ b/test/unit/platform/test_wire_message.c
@@ -0,0 +1,151 @@
+#include <string.h>
+
+#include "platform/wire_message.h"
+#include "test/suite.h"
+
+static enum wire_read
+read_text(struct buffer *in, struct buffer *scratch, const char *text,
+          struct wire_message *message)
+{
+    buffer_append_text(in, text);
+    return wire_message_read(in, scratch, message);
+}
+
+START_TEST(test_lines)
+{
+    static const struct {
+        const char *line;
+        enum wire_verb verb;
+        const char *first;
+        const char *rest;
+    } rows[] = {
+        {"STARTUP lepu270 u3f1\r\n", WIRE_STARTUP, "lepu270", "u3f1"},
+        {"QUERY 5c0e READ 1a4\r\n", WIRE_QUERY, "5c0e", "READ 1a4"},
+        {"QUERY 5c0e\r\n", WIRE_QUERY, "5c0e", ""},
+        {"TERMINATE\r\n", WIRE_TERMINATE, "", ""},
+        {"READY I 3.1209\r\n", WIRE_READY, "I", "3.1209"},
+        {"DATAROW a b  c\r\n", WIRE_ROW, "", "a b  c"},
+        {"COMPLETE -\n", WIRE_COMPLETE, "", "-"},
+        {"ERROR BUSY come back\r\n", WIRE_ERROR, "BUSY", "come back"},
+        {"GET / HTTP/1.1\r\n", WIRE_UNKNOWN, "", "/ HTTP/1.1"},
+        {"\r\n", WIRE_UNKNOWN, "", ""},
+        {"query 1 READ 2\r\n", WIRE_UNKNOWN, "", "1 READ 2"},
+    };
+
+    for (size_t i = 0; i < sizeof(rows) / sizeof(rows[0]); i++) {
+        struct buffer in = {0};
+        struct buffer scratch = {0};
+        struct wire_message message;
+        ck_assert_int_eq(read_text(&in, &scratch, rows[i].line, &message),
+                         WIRE_READ_MESSAGE);
+        ck_assert_int_eq(message.verb, rows[i].verb);
+        ck_assert_str_eq(message.first, rows[i].first);
+        ck_assert_str_eq(message.rest, rows[i].rest);
+        ck_assert_uint_eq(message.line_size_bytes, strlen(rows[i].line));
+        ck_assert_uint_eq(buffer_get_size(&in), 0);
+        buffer_free(&in);
+        buffer_free(&scratch);
+    }
+}
+END_TEST
+
+START_TEST(test_parts_and_limits)
+{
+    struct buffer in = {0};
+    struct buffer scratch = {0};
+    struct wire_message message;
+
+    ck_assert_int_eq(wire_message_read(&in, &scratch, &message),
+                     WIRE_READ_MORE);
+    ck_assert_int_eq(read_text(&in, &scratch, "READY ", &message),
+                     WIRE_READ_MORE);
+    ck_assert_int_eq(read_text(&in, &scratch, "T -\r", &message),
+                     WIRE_READ_MORE);
+    ck_assert_int_eq(read_text(&in, &scratch, "\nREADY I -\r\n", &message),
+                     WIRE_READ_MESSAGE);
+    ck_assert_str_eq(message.first, "T");
+    ck_assert_int_eq(wire_message_read(&in, &scratch, &message),
+                     WIRE_READ_MESSAGE);
+    ck_assert_str_eq(message.first, "I");
+    buffer_append(&in, "QUERY 1 \0\r\n", 11);
+    ck_assert_int_eq(wire_message_read(&in, &scratch, &message),
+                     WIRE_READ_INVALID);
+    buffer_clear(&in);
+    for (size_t i = 0; i <= WIRE_MESSAGE_MAX_BYTES; i++) {
+        buffer_append_u8(&in, 'x');
+    }
+    ck_assert_int_eq(wire_message_read(&in, &scratch, &message),
+                     WIRE_READ_INVALID);
+    buffer_free(&in);
+    buffer_free(&scratch);
+}
+END_TEST
+
+START_TEST(test_statements)
+{
+    static const struct {
+        const char *text;
+        enum wire_statement statement;
+        const char *arguments;
+    } rows[] = {
+        {"BEGIN", WIRE_BEGIN, ""},
+        {"BEGIN READ", WIRE_BEGIN_READ, "READ"},
+        {"COMMIT", WIRE_COMMIT, ""},
+        {"ROLLBACK", WIRE_ROLLBACK, ""},
+        {"READ 1a4", WIRE_READ, "1a4"},
+        {"WRITE 1a4 some data", WIRE_WRITE, "1a4 some data"},
+        {"SET v1 a b", WIRE_SET, "v1 a b"},
+        {"PREPARE s1 WRITE q2c", WIRE_PREPARE, "s1 WRITE q2c"},
+        {"EXECUTE s1 1a4 x", WIRE_EXECUTE, "s1 1a4 x"},
+        {"CLOSE s1", WIRE_CLOSE, "s1"},
+        {"AFTER 3.1 READ 1", WIRE_NO_STATEMENT, "3.1 READ 1"},
+        {"STATUS", WIRE_NO_STATEMENT, ""},
+        {"", WIRE_NO_STATEMENT, ""},
+        {"A_WORD_THAT_IS_LONGER_THAN_ANY 1", WIRE_NO_STATEMENT,
+         "A_WORD_THAT_IS_LONGER_THAN_ANY 1"},
+    };
+
+    for (size_t i = 0; i < sizeof(rows) / sizeof(rows[0]); i++) {
+        const char *arguments = NULL;
+        ck_assert_int_eq(wire_statement_parse(rows[i].text, &arguments),
+                         rows[i].statement);
+        ck_assert_str_eq(arguments, rows[i].arguments);
+    }
+}
+END_TEST
+
+START_TEST(test_positions)
+{
+    static const char *const bad[] = {"-",   "",     "3",    "3.",
+                                      ".4",  "3.x",  "-1.2", "3.4x",
+                                      "a.b", "3 .4", "99999999999.1"};
+    uint64_t low = 0;
+    uint64_t high = 0;
+    struct buffer text = {0};
+
+    for (size_t i = 0; i < sizeof(bad) / sizeof(bad[0]); i++) {
+        ck_assert_msg(!wire_position_parse(bad[i], &low), "%s", bad[i]);
+        ck_assert_uint_eq(low, 0);
+    }
+    ck_assert(wire_position_parse("3.1209", &low));
+    ck_assert(wire_position_parse("3.1210 more", &high));
+    ck_assert_uint_lt(low, high);
+    ck_assert(wire_position_parse("4.1", &high));
+    ck_assert_uint_lt(low, high);
+    wire_position_append(&text, low);
+    buffer_append_u8(&text, 0);
+    ck_assert_str_eq((const char *)buffer_get_data(&text), "3.1209");
+    buffer_free(&text);
+}
+END_TEST
+
+static void
+add_tests(TCase *tests)
+{
+    tcase_add_test(tests, test_lines);
+    tcase_add_test(tests, test_parts_and_limits);
+    tcase_add_test(tests, test_statements);
+    tcase_add_test(tests, test_positions);
+}
+
+TEST_MAIN("wire_message", add_tests)
