fix(control): a VM that looks for a group's leader never asks itself

It never joined, and the next lost disk left no majority.

Ruled out: the leader's refusal (it was never asked).

--- a/src/catkingrade/control/control.c
+++ b/src/catkingrade/control/control.c
@@ -14,6 +14,7 @@
 
 #define CONTROL_MAX_FLUSHES_A_TURN     16
 #define CONTROL_MAX_ANNOUNCEMENT_BYTES 16384
+#define CONTROL_MAX_VOTERS             15
 
 // Returns the group's host, NULL when this VM does not vote in it.
 struct group_host *
@@ -41,29 +42,52 @@
     return NULL;
 }
 
+// A list of addresses without this VM's own.
+struct control_peers {
+    const struct settings_address *own;
+    struct settings_address *items;
+    size_t count;
+    size_t max_count;
+};
+
+static void
+control_add_peer(struct control_peers *peers,
+                 const struct settings_address *address)
+{
+    bool own = address->port == peers->own->port &&
+               strcmp(address->host, peers->own->host) == 0;
+
+    if (!own && peers->count < peers->max_count) {
+        peers->items[peers->count++] = *address;
+    }
+}
+
 // Lists where the group's leader may be asked for: its voters, as far as they
 // are known here, then the seeds. Returns how many there are.
 size_t
 control_list_peers(const struct control *control, const char *group,
-                   struct settings_address *peers, size_t max_count)
+                   struct settings_address *items, size_t max_count)
 {
     const struct settings *settings = control->daemon->settings;
     const struct settings_group *row = control_find_group(control, group);
     const struct group_host *host = control_find_host(control, group);
-    size_t count =
-        host == NULL ? 0 : group_host_list_voters(host, peers, max_count);
+    struct settings_address voters[CONTROL_MAX_VOTERS];
+    struct control_peers peers = {
+        .own = &settings->rpc, .items = items, .max_count = max_count};
+    size_t count = host == NULL ? 0
+                                : group_host_list_voters(host, voters,
+                                                         CONTROL_MAX_VOTERS);
 
+    for (size_t i = 0; i < count; i++) {
+        control_add_peer(&peers, &voters[i]);
+    }
     for (size_t i = 0; row != NULL && i < row->voters_count; i++) {
-        if (count < max_count) {
-            peers[count++] = row->voters[i].rpc;
-        }
+        control_add_peer(&peers, &row->voters[i].rpc);
     }
     for (size_t i = 0; i < settings->seeds_count; i++) {
-        if (count < max_count) {
-            peers[count++] = settings->seeds[i];
-        }
+        control_add_peer(&peers, &settings->seeds[i]);
     }
-    return count;
+    return peers.count;
 }
 
 // Tells a caller that this VM does not vote in the group, and who does.
@@ -74,7 +98,10 @@
     const struct settings_group *row = control_find_group(control, group);
     const struct settings_voter *voter = NULL;
 
-    if (row != NULL && row->voters_count > 0) {
+    // The founders of a group that takes care of itself may be gone, or be
+    // this VM, whose disk is new.
+    if (row != NULL && row->voters_count > 0 &&
+        !control->daemon->settings->voters_from_seeds) {
         voter = &row->voters[0];
     }
     *host = voter == NULL ? "" : (char *)(uintptr_t)voter->rpc.host;
