feat: startups wait for a view, types by priority, concurrency after BUSY

Elections took 0.9 s. Where both replicas lag, 30 connections ran into an upstream's queue of 18 (quotes), and its refusals reached callers.

--- a/src/catkingrade/control/lease_agent.c
+++ b/src/catkingrade/control/lease_agent.c
@@ -16,6 +16,8 @@
 #include "catkingrade/rpc/rpcnet.h"
 
 #define LEASE_AGENT_RETRY_US        50000
+// A voter that has not answered by then may be gone: the next is asked.
+#define LEASE_AGENT_CALL_US         250000
 #define LEASE_AGENT_NOTIFY_LIMIT_US 100000
 #define LEASE_AGENT_MAX_NOTIFIES    8
 
@@ -460,7 +462,9 @@
     params.daemon.port = settings->rpc.port;
     params.daemon.roles = settings->roles;
     params.renew_us = settings->renew_us;
-    params.call_timeout_us = settings->renew_us;
+    params.call_timeout_us = settings->renew_us < LEASE_AGENT_CALL_US
+                                 ? settings->renew_us
+                                 : LEASE_AGENT_CALL_US;
     params.retry_us = LEASE_AGENT_RETRY_US;
     params.drift_ppm = settings->clock_drift_ppm;
     params.seed = agent->daemon->incarnation;
--- a/src/catkingrade/decide/group_declaration.c
+++ b/src/catkingrade/decide/group_declaration.c
@@ -8,6 +8,13 @@
 #include "catkingrade/kernel/outcome.h"
 #include "catkingrade/rpc/codec.h"
 
+// Priorities that are told apart; those beyond count as the last.
+#define GROUP_PRIORITIES 6
+// Of one entry; beyond it a request is refused at once.
+#define GROUP_QUEUE_LIMIT 500
+// Of requests that bring no time limit of their own.
+#define GROUP_DEADLINE_MS 5000
+
 // The effects of a declaration on a group's state. Each database that it
 // names becomes a customer of its own, so that announcements, leases and
 // failover work as for customers with documents.
@@ -105,8 +112,73 @@
     (void)group_touch(group, object);
 }
 
+static bool
+group_has_types(const struct ck_customer *customer,
+                const bool used[GROUP_PRIORITIES], u_int count)
+{
+    bool same = customer->types.types_len == count;
+
+    for (u_int i = 0; same && i < count; i++) {
+        unsigned long priority =
+            strtoul(customer->types.types_val[i].name, NULL, 10);
+        same = priority < GROUP_PRIORITIES && used[priority];
+    }
+    return same;
+}
+
+static void
+group_free_types(struct ck_customer *customer)
+{
+    for (u_int i = 0; i < customer->types.types_len; i++) {
+        free(customer->types.types_val[i].name);
+    }
+    free(customer->types.types_val);
+    customer->types.types_val = NULL;
+    customer->types.types_len = 0;
+}
+
+// Makes a request type for each priority of a database's routes: the more
+// urgent one weighs twice as much as the next.
+static bool
+group_set_types(struct ck_customer *customer,
+                const struct ck_declaration *declaration)
+{
+    bool used[GROUP_PRIORITIES] = {false};
+    u_int count = 0;
+
+    for (u_int i = 0; i < declaration->routes.routes_len; i++) {
+        const struct ck_route *route = &declaration->routes.routes_val[i];
+        u_int priority = route->priority < GROUP_PRIORITIES
+                             ? route->priority
+                             : GROUP_PRIORITIES - 1;
+        if (strcmp(route->database, customer->name) == 0 && !used[priority]) {
+            used[priority] = true;
+            count++;
+        }
+    }
+    if (group_has_types(customer, used, count)) {
+        return false;
+    }
+    group_free_types(customer);
+    customer->types.types_val = xcalloc(count, sizeof(struct ck_request_type));
+    customer->types.types_len = 0;
+    for (u_int i = 0; i < GROUP_PRIORITIES; i++) {
+        if (!used[i]) {
+            continue;
+        }
+        struct ck_request_type *type =
+            &customer->types.types_val[customer->types.types_len++];
+        type->name = xasprintf("%u", i);
+        type->weight = 1U << (GROUP_PRIORITIES - 1 - i);
+        type->queue_limit = GROUP_QUEUE_LIMIT;
+        type->deadline_ms = GROUP_DEADLINE_MS;
+    }
+    return true;
+}
+
 static void
 group_declare_database(struct group_state *group,
+                       const struct ck_declaration *declaration,
                        const struct ck_declared_database *database)
 {
     struct group_object *object =
@@ -120,7 +192,8 @@
     }
     struct ck_customer *customer = &object->expanded.customer;
     bool was_removed = object->removed;
-    bool same = !was_removed && customer->revision != 0 &&
+    bool same = !group_set_types(customer, declaration) && !was_removed &&
+                customer->revision != 0 &&
                 customer->connections == database->connections &&
                 customer->confirm == database->confirm;
     if (same) {
@@ -204,7 +277,8 @@
     INVARIANT(outcome == OUTCOME_OK);
     group_remove_undeclared(group, &declaration);
     for (u_int i = 0; i < declaration.databases.databases_len; i++) {
-        group_declare_database(group, &declaration.databases.databases_val[i]);
+        group_declare_database(group, &declaration,
+                               &declaration.databases.databases_val[i]);
     }
     declaration_free(&declaration);
     struct group_object *object = group_make_declaration(group);
--- a/src/catkingrade/decide/route.c
+++ b/src/catkingrade/decide/route.c
@@ -45,7 +45,7 @@
 {
     const struct upstream *up = &traffic->upstreams[place];
 
-    return up->running < up->slots &&
+    return up->running < concurrency_get(&up->concurrency, up->slots) &&
            (up->idle > 0 || up->opening > 0 || pool_can_open(traffic, place));
 }
 
--- a/src/catkingrade/decide/traffic_result.c
+++ b/src/catkingrade/decide/traffic_result.c
@@ -106,6 +106,7 @@
         replica_lag_note(&up->lag, traffic->now_us, sent_us - up->current_us);
     }
     if (request != NULL) {
+        concurrency_note_done(&up->concurrency, up->slots);
         result_note_latency(up, traffic->now_us - sent_us);
         admission_note_service(traffic, request);
         if (request_opens_transaction(request)) {
@@ -210,6 +211,9 @@
     if (event->refusal == TRAFFIC_REFUSAL_READ_ONLY) {
         sample_note_failure(traffic, upstream, CK_SUSPECT_SILENT);
     }
+    if (event->refusal == TRAFFIC_REFUSAL_BUSY) {
+        concurrency_note_busy(&up->concurrency, traffic->now_us, up->running);
+    }
     conn->proved_us = traffic->now_us;
     pool_release(traffic, conn);
     if (request == NULL ||
--- a/src/catkingrade/decide/traffic_state.h
+++ b/src/catkingrade/decide/traffic_state.h
@@ -1,6 +1,7 @@
 #ifndef CATKINGRADE_DECIDE_TRAFFIC_STATE_H
 #define CATKINGRADE_DECIDE_TRAFFIC_STATE_H
 
+#include "catkingrade/decide/concurrency.h"
 #include "catkingrade/decide/freshness.h"
 #include "catkingrade/decide/id_map.h"
 #include "catkingrade/decide/replica_lag.h"
@@ -61,6 +62,7 @@
     bool near;                        // in the entry's failure domain
     bool takes_work;                  // ready, or a primary that leaves
     struct replica_lag lag;
+    struct concurrency concurrency;
     int64_t answered_us;  // its last answer
     uint32_t slots;       // this entry's share
     uint32_t connections; // less the one for samples
--- a/src/catkingrade/entry/worker.c
+++ b/src/catkingrade/entry/worker.c
@@ -327,6 +327,10 @@
     }
     worker_confirm_superseding(worker);
     view_release(old);
+    const struct entry_listener *listener = entry_get_listener(worker->entry);
+    if (worker->listener_state != NULL && listener->handle_view != NULL) {
+        listener->handle_view(worker->listener_state);
+    }
 }
 
 static struct worker_lease *
--- a/src/catkingrade/entry/worker.h
+++ b/src/catkingrade/entry/worker.h
@@ -21,6 +21,8 @@
 struct entry_listener {
     // Returns the listener's state, or NULL on failure.
     void *(*start)(struct worker *worker);
+    // The view in force is another one. May be NULL.
+    void (*handle_view)(void *state);
     // Closes the listening socket and ends idle sessions.
     void (*drain)(void *state);
     void (*stop)(void *state);
