feat(decide): a request waits for a slot only as long as that is of use

Ruled out: stale estimates of the replicas' lag (they refuse positions of 3 s ago, as debug lines show); connections (idle at the replicas).

A replica's lag falls by half with each answer and at once below the age of a position that it had.

--- a/src/catkingrade/decide/admission.c
+++ b/src/catkingrade/decide/admission.c
@@ -204,7 +204,9 @@
     int64_t wait_us = admission_estimate_wait_us(traffic, type, kind);
     int64_t left_us = request->deadline_us - traffic->now_us;
     if (queue->list.count >= type->queue_limit ||
-        wait_us + admission_get_service_us(type) > left_us) {
+        wait_us + admission_get_service_us(type) > left_us ||
+        (request->start_by_us != INT64_MAX &&
+         wait_us > request->start_by_us - traffic->now_us)) {
         request_refuse(traffic, request, OUTCOME_OVERLOADED,
                        wait_us > 0 ? wait_us : RETRY_AFTER_US,
                        "the queue is too long");
--- a/src/catkingrade/decide/replica_lag.c
+++ b/src/catkingrade/decide/replica_lag.c
@@ -2,7 +2,10 @@
 
 #define REPLICA_LAG_INITIAL_US INT64_C(100000) // before the first answer
 #define REPLICA_LAG_STEP_US    INT64_C(20000)  // added when it was too short
-#define REPLICA_LAG_PART       8 // of a new measurement in the average
+// Parts of a new measurement in the average: a replica that has caught up is
+// used again soon, one slow answer does not keep reads away from it.
+#define REPLICA_LAG_FALL_PART 2
+#define REPLICA_LAG_RISE_PART 8
 // A replica that is believed to be too far behind is tried again after so
 // long without news of it.
 #define REPLICA_LAG_TRIAL_US INT64_C(400000)
@@ -22,7 +25,21 @@
     if (measured_us < 0) {
         measured_us = 0;
     }
-    lag->lag_us = old_us + (measured_us - old_us) / REPLICA_LAG_PART;
+    lag->lag_us = old_us + (measured_us - old_us) /
+                               (measured_us < old_us ? REPLICA_LAG_FALL_PART
+                                                     : REPLICA_LAG_RISE_PART);
+    lag->noted_us = now_us;
+}
+
+// Takes the news that a replica had a position which had come to be age_us
+// before: it is not further behind than that.
+void
+replica_lag_note_reached(struct replica_lag *lag, int64_t now_us,
+                         int64_t age_us)
+{
+    if (replica_lag_get(lag) > age_us) {
+        lag->lag_us = age_us;
+    }
     lag->noted_us = now_us;
 }
 
--- a/src/catkingrade/decide/replica_lag.h
+++ b/src/catkingrade/decide/replica_lag.h
@@ -14,6 +14,8 @@
 
 void replica_lag_note(struct replica_lag *lag, int64_t now_us,
                       int64_t measured_us);
+void replica_lag_note_reached(struct replica_lag *lag, int64_t now_us,
+                              int64_t age_us);
 void replica_lag_note_behind(struct replica_lag *lag, int64_t now_us,
                              int64_t age_us);
 bool replica_lag_allows(const struct replica_lag *lag, int64_t now_us,
--- a/src/catkingrade/decide/request_run.c
+++ b/src/catkingrade/decide/request_run.c
@@ -186,6 +186,16 @@
                    "not started before its deadline");
 }
 
+// Returns whether a request waits for a slot that any other might take. A
+// statement of a transaction has its own connection.
+static bool
+request_is_impatient(const struct request *request)
+{
+    return request->state == REQUEST_BACKOFF ||
+           (request->state == REQUEST_QUEUED &&
+            request->conn == TRAFFIC_NO_ID);
+}
+
 // Handles a timer of a request: its deadline, or the end of a shorter wait.
 void
 request_handle_timer(struct traffic *traffic, uint64_t id)
@@ -207,6 +217,13 @@
         }
         return;
     }
+    if (traffic->now_us >= request->start_by_us &&
+        request_is_impatient(request)) {
+        request_leave_queue(traffic, request);
+        request_refuse(traffic, request, OUTCOME_OVERLOADED, RETRY_AFTER_US,
+                       "no slot was free in time");
+        return;
+    }
     if (request->state == REQUEST_BACKOFF &&
         traffic->now_us >= request->wait_until_us) {
         admission_enqueue(traffic, request);
--- a/src/catkingrade/decide/traffic_defs.h
+++ b/src/catkingrade/decide/traffic_defs.h
@@ -106,6 +106,7 @@
     char type[64];         // request type's name; empty: the first one
     int64_t deadline_us;   // 0: the type's
     int64_t max_age_us;    // accepted age; -1: the type's
+    int64_t patience_us; // longest useful wait for a slot; 0: any
     bool repeatable;       // the caller says it may run twice
     bool has_key;          // carries an idempotency key
     bool primary_only;     // also when it only reads
--- a/src/catkingrade/decide/traffic_request.c
+++ b/src/catkingrade/decide/traffic_request.c
@@ -225,6 +225,9 @@
         .arrived_us = traffic->now_us,
         .deadline_us = event->deadline_us,
         .max_age_us = event->max_age_us,
+        .start_by_us = event->patience_us > 0
+                           ? traffic->now_us + event->patience_us
+                           : INT64_MAX,
         .type = place,
         .request_class = (uint8_t)event->request_class,
         .state = REQUEST_WAITING,
@@ -287,6 +290,10 @@
     }
     timers_add(&traffic->timers, request->deadline_us, TIMER_REQUEST,
                request->id);
+    if (request->start_by_us < request->deadline_us) {
+        timers_add(&traffic->timers, request->start_by_us, TIMER_REQUEST,
+                   request->id);
+    }
     if (session->first == request) {
         request_begin(traffic, request);
     }
--- a/src/catkingrade/decide/traffic_result.c
+++ b/src/catkingrade/decide/traffic_result.c
@@ -88,6 +88,21 @@
     }
 }
 
+// Takes what a replica's answer shows of its lag. An answer to an older
+// statement of its transaction shows nothing new.
+static void
+result_note_lag(const struct traffic *traffic, struct upstream *up,
+                const struct request *request, int64_t sent_us)
+{
+    if (request != NULL && request->guard_lsn != 0) {
+        replica_lag_note_reached(&up->lag, traffic->now_us,
+                                 request->guard_age_us);
+    }
+    if (up->current_us != FRESHNESS_UNKNOWN) {
+        replica_lag_note(&up->lag, traffic->now_us, sent_us - up->current_us);
+    }
+}
+
 static void
 result_handle_whole(struct traffic *traffic, struct conn *conn,
                     struct request *request,
@@ -101,9 +116,8 @@
 
     sample_note_answer(traffic, upstream);
     sample_note_position(traffic, upstream, &event->position, sent_us);
-    if (traffic->params.guarded && upstream != traffic->primary &&
-        up->current_us != FRESHNESS_UNKNOWN) {
-        replica_lag_note(&up->lag, traffic->now_us, sent_us - up->current_us);
+    if (traffic->params.guarded && upstream != traffic->primary) {
+        result_note_lag(traffic, up, request, sent_us);
     }
     if (request != NULL) {
         concurrency_note_done(&up->concurrency, up->slots);
--- a/src/catkingrade/decide/traffic_state.h
+++ b/src/catkingrade/decide/traffic_state.h
@@ -110,6 +110,7 @@
     struct request *session_next; // sent later by the same session
     int64_t arrived_us;
     int64_t deadline_us;
+    int64_t start_by_us; // or it is refused; INT64_MAX: its deadline counts
     int64_t max_age_us;
     int64_t queued_us;
     int64_t started_us;
