--- a/src/catkingrade/control/control.c
+++ b/src/catkingrade/control/control.c
@@ -378,8 +378,8 @@
     else if (control->daemon->bootstrap || settings->bootstrap) {
         for (size_t i = 0; i < group->voters_count; i++) {
             if (control_is_self(settings, &group->voters[i])) {
-                outcome = control_add_host(control, group,
-                                           group->voters[i].id, true);
+                outcome = control_add_host(control, group, group->voters[i].id,
+                                           true);
             }
         }
     }
@@ -405,10 +405,9 @@
             if (!control_is_self(settings, &group->voters[j])) {
                 continue;
             }
-            int outcome =
-                control_add_host(control, group, group->voters[j].id,
-                                 control->daemon->bootstrap ||
-                                     settings->bootstrap);
+            int outcome = control_add_host(control, group, group->voters[j].id,
+                                           control->daemon->bootstrap ||
+                                               settings->bootstrap);
             if (outcome != OUTCOME_OK) {
                 return outcome;
             }
--- a/src/catkingrade/control/group_host_state.h
+++ b/src/catkingrade/control/group_host_state.h
@@ -51,7 +51,7 @@
     bool leads;
     bool failed; // the store failed; reopened by the timer
     uint64_t elections;
-    int64_t tended_us;       // when the voters were looked at last
+    int64_t tended_us; // when the voters were looked at last
     struct host_member members[HOST_MAX_VOTERS];
     size_t members_count;
 };
--- a/src/catkingrade/control/group_voters.c
+++ b/src/catkingrade/control/group_voters.c
@@ -113,9 +113,9 @@
 }
 
 // Judges a VM that wants to vote. Returns OUTCOME_OK when it may be added
-// under its id, with that *number when it is in the list already; OUTCOME_AGAIN with *number when it is to
-// come back under that id, 0 when there is no place for it now; OUTCOME_INVALID
-// when its id was used before.
+// under its id, with that *number when it is in the list already;
+// OUTCOME_AGAIN with *number when it is to come back under that id, 0 when
+// there is no place for it now; OUTCOME_INVALID when its id was used before.
 int
 host_judge_voter(const struct group_host *host, const struct ck_voter *voter,
                  uint64_t *number)
@@ -131,8 +131,7 @@
             return OUTCOME_OK;
         }
     }
-    if (voter->id != 0 &&
-        voter->id <= raft_get_highest_voter_id(host->raft)) {
+    if (voter->id != 0 && voter->id <= raft_get_highest_voter_id(host->raft)) {
         return OUTCOME_INVALID;
     }
     host_fill_membership(host, &params);
--- a/src/catkingrade/control/lease_agent.c
+++ b/src/catkingrade/control/lease_agent.c
@@ -15,7 +15,7 @@
 #include "catkingrade/rpc/codec.h"
 #include "catkingrade/rpc/rpcnet.h"
 
-#define LEASE_AGENT_RETRY_US        50000
+#define LEASE_AGENT_RETRY_US 50000
 // A voter that has not answered by then may be gone: the next is asked.
 #define LEASE_AGENT_CALL_US         250000
 #define LEASE_AGENT_NOTIFY_LIMIT_US 100000
--- a/src/catkingrade/decide/concurrency.c
+++ b/src/catkingrade/decide/concurrency.c
@@ -1,8 +1,8 @@
 #include "catkingrade/decide/concurrency.h"
 
-#define CONCURRENCY_LEAST   1.0
-#define CONCURRENCY_CUT     0.7
-#define CONCURRENCY_GROWTH  0.25 // statements more for each round of answers
+#define CONCURRENCY_LEAST  1.0
+#define CONCURRENCY_CUT    0.7
+#define CONCURRENCY_GROWTH 0.25 // statements more for each round of answers
 // Refusals of one moment are one piece of news.
 #define CONCURRENCY_CUT_US INT64_C(50000)
 
@@ -20,8 +20,7 @@
         limit = (double)running + 1;
     }
     limit *= CONCURRENCY_CUT;
-    concurrency->limit =
-        limit < CONCURRENCY_LEAST ? CONCURRENCY_LEAST : limit;
+    concurrency->limit = limit < CONCURRENCY_LEAST ? CONCURRENCY_LEAST : limit;
     concurrency->cut_us = now_us;
 }
 
--- a/src/catkingrade/decide/leader_quota.c
+++ b/src/catkingrade/decide/leader_quota.c
@@ -350,6 +350,9 @@
                 demand);
         }
     }
+    for (size_t i = 0; i < lending.count; i++) {
+        result->hasten = result->hasten || lending.quotas[i].connections == 0;
+    }
     result->quotas.quotas_val = leader_own(leader->actions, lending.quotas);
     result->quotas.quotas_len = (u_int)lending.count;
 }
--- a/src/catkingrade/decide/leaseholder.c
+++ b/src/catkingrade/decide/leaseholder.c
@@ -49,6 +49,9 @@
     free(holder);
 }
 
+// The next renewal when the leader will soon have more to lend.
+#define LEASEHOLDER_HASTE_US 60000
+
 static struct leaseholder_action *
 leaseholder_add_action(struct leaseholder_actions *actions,
                        enum leaseholder_action_kind kind)
@@ -204,6 +207,9 @@
         holder->next_renew_us = now_us + holder->params.retry_us;
         return;
     }
+    if (result->hasten && holder->params.renew_us > LEASEHOLDER_HASTE_US) {
+        holder->next_renew_us = now_us + LEASEHOLDER_HASTE_US;
+    }
     if (result->delta.more || holder->renew_again) {
         holder->next_renew_us = now_us;
     }
--- a/src/catkingrade/decide/membership.c
+++ b/src/catkingrade/decide/membership.c
@@ -95,8 +95,7 @@
         if (!voters[i].voter->voting) {
             return false;
         }
-        returns =
-            returns || membership_is_same_place(voters[i].voter, added);
+        returns = returns || membership_is_same_place(voters[i].voter, added);
     }
     return returns || membership_count_voting(voters, count) <= params->target;
 }
--- a/src/catkingrade/decide/traffic_defs.h
+++ b/src/catkingrade/decide/traffic_defs.h
@@ -106,7 +106,7 @@
     char type[64];         // request type's name; empty: the first one
     int64_t deadline_us;   // 0: the type's
     int64_t max_age_us;    // accepted age; -1: the type's
-    int64_t patience_us; // longest useful wait for a slot; 0: any
+    int64_t patience_us;   // longest useful wait for a slot; 0: any
     bool repeatable;       // the caller says it may run twice
     bool has_key;          // carries an idempotency key
     bool primary_only;     // also when it only reads
@@ -182,7 +182,11 @@
     int outcome;            // REFUSE: enum outcome
     int64_t retry_after_us; // REFUSE
     int64_t wake_at_us;     // WAKE
-    uint64_t term;          // CONFIRM_REVOKED, SUSPECT
+    // REFUSE and UNKNOWN, for the log: since its arrival, and what was left
+    // of the lease, negative when it had run out.
+    int64_t waited_us;
+    int64_t lease_left_us;
+    uint64_t term; // CONFIRM_REVOKED, SUSPECT
     enum traffic_close_reason close_reason;
     enum ck_suspicion_kind suspicion;
     int64_t since_us;           // SUSPECT: when it began to fail
--- a/src/catkingrade/decide/traffic_request.c
+++ b/src/catkingrade/decide/traffic_request.c
@@ -46,6 +46,9 @@
     action->request = request->id;
     action->session = request->session->id;
     action->conn = request->conn;
+    action->term = lease_get_term(traffic);
+    action->waited_us = traffic->now_us - request->arrived_us;
+    action->lease_left_us = traffic->lease.valid_until_us - traffic->now_us;
     return action;
 }
 
--- a/src/catkingrade/entry/database.c
+++ b/src/catkingrade/entry/database.c
@@ -2,6 +2,7 @@
 
 #include <apr_hash.h>
 #include <apr_pools.h>
+#include <inttypes.h>
 #include <stdatomic.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -11,9 +12,16 @@
 #include "catkingrade/entry/database_private.h"
 #include "catkingrade/entry/worker.h"
 #include "catkingrade/kernel/counters.h"
+#include "catkingrade/kernel/log.h"
 #include "catkingrade/kernel/memory.h"
+#include "catkingrade/kernel/outcome.h"
 
 #define DATABASE_MAX_DEMANDS 256
+#define DATABASE_US_PER_MS   1000
+// Lines a second and thread: what fails is told as far as a reader can take
+// it in, of what succeeds a few stand for all.
+#define DATABASE_LINES_FAILED 40
+#define DATABASE_LINES_SENT   2
 
 static void
 database_run_timer(void *data)
@@ -335,6 +343,77 @@
                : "writes run on the primary";
 }
 
+static const char *const database_class_names[] = {
+    [TRAFFIC_READ] = "read",
+    [TRAFFIC_WRITE] = "save",
+    [TRAFFIC_BEGIN] = "begin",
+    [TRAFFIC_BEGIN_READ_ONLY] = "begin_read_only",
+    [TRAFFIC_IN_TRANSACTION] = "in_transaction",
+    [TRAFFIC_COMMIT] = "commit",
+    [TRAFFIC_ROLLBACK] = "rollback",
+};
+
+// Returns the id by which its caller knows a request, or an empty text.
+static const char *
+database_get_caller_id(const struct entry_request *request)
+{
+    return request->job.typed == NULL ? "" : request->job.typed->id;
+}
+
+// Logs a request that was refused, or whose outcome is not known, with what
+// decided that.
+static void
+database_log_end(const struct database *database,
+                 const struct entry_request *request,
+                 const struct traffic_action *action)
+{
+    bool unknown = action->kind == TRAFFIC_ACTION_UNKNOWN;
+
+    LOG_LIMITED(DATABASE_LINES_FAILED, LOG_LEVEL_INFO,
+                unknown ? "request_unknown" : "request_refused",
+                "id=%s request=%" PRIu64 " session=%" PRIu64
+                " database=%s class=%s outcome=%s reason=%s waited_ms=%" PRId64
+                " term=%" PRIu64 " lease_left_ms=%" PRId64
+                " upstream=%s retry_after_ms=%" PRId64,
+                database_get_caller_id(request), request->id,
+                request->traffic.session, database->name,
+                database_class_names[request->traffic.request_class],
+                outcome_get_name(action->outcome),
+                action->reason == NULL ? "" : action->reason,
+                action->waited_us / DATABASE_US_PER_MS, action->term,
+                action->lease_left_us / DATABASE_US_PER_MS, request->upstream,
+                action->retry_after_us / DATABASE_US_PER_MS);
+}
+
+// Logs where a request is sent and why: always when it was sent before, and
+// otherwise a few.
+static void
+database_log_send(const struct database *database,
+                  const struct entry_request *request,
+                  const struct traffic_action *action)
+{
+    bool again = request->attempts > 1;
+
+    if (again) {
+        LOG_LIMITED(
+            DATABASE_LINES_FAILED, LOG_LEVEL_INFO, "request_sent_again",
+            "id=%s request=%" PRIu64
+            " database=%s attempt=%u upstream=%s reason=%s",
+            database_get_caller_id(request), request->id, database->name,
+            request->attempts, request->upstream, request->reason);
+        return;
+    }
+    LOG_LIMITED(DATABASE_LINES_SENT, LOG_LEVEL_INFO, "request_sent",
+                "id=%s request=%" PRIu64 " session=%" PRIu64
+                " database=%s class=%s upstream=%s on_replica=%d "
+                "after=%" PRIu64 " reason=%s",
+                database_get_caller_id(request), request->id,
+                request->traffic.session, database->name,
+                database_class_names[request->traffic.request_class],
+                request->upstream, action->on_replica, action->after_lsn,
+                request->reason);
+}
+
 static void
 database_run_send(struct database *database,
                   const struct traffic_action *action)
@@ -352,6 +431,8 @@
         strncpy(request->upstream, upstream->name, CK_NAME_SIZE);
     }
     request->running = true;
+    request->attempts++;
+    database_log_send(database, request, action);
     conn->request = request;
     job_clear_answer(&request->job);
     if (request->job.typed != NULL) {
@@ -406,6 +487,8 @@
     if (request == NULL || request->decided) {
         return;
     }
+    request->reason = action->reason;
+    database_log_end(database, request, action);
     struct entry_session *session = database_decide(
         database, request, unknown ? COUNTER_UNKNOWN : COUNTER_NOT_RUN);
     if (session != NULL && unknown) {
--- a/src/catkingrade/entry/session.h
+++ b/src/catkingrade/entry/session.h
@@ -21,6 +21,7 @@
     const char *reason; // constant text: why it ran where it ran
     char upstream[CK_NAME_SIZE + 1];
     bool on_replica;
+    unsigned attempts;
     bool running; // a connection works on its job
     bool decided; // its outcome has been told to the session
     bool cancelled;
--- a/src/catkingrade/entry/worker.c
+++ b/src/catkingrade/entry/worker.c
@@ -4,10 +4,12 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "catkingrade/kernel/log.h"
 #include "catkingrade/kernel/memory.h"
 #include "catkingrade/kernel/outcome.h"
 
-#define WORKER_ID_SHIFT 48
+#define WORKER_ID_SHIFT    48
+#define WORKER_LINES_QUOTA 10 // a second
 
 // Until when writes decided by a group may be acknowledged.
 struct worker_lease {
@@ -308,6 +310,27 @@
     }
 }
 
+// Lets the listener go on with what waits for a view or a lease.
+static void
+worker_tell_listener(struct worker *worker)
+{
+    const struct entry_listener *listener = entry_get_listener(worker->entry);
+
+    if (worker->listener_state != NULL && listener->handle_view != NULL) {
+        listener->handle_view(worker->listener_state);
+    }
+}
+
+// Returns whether this entry has had a view and a lease since its start.
+bool
+worker_is_informed(const struct worker *worker)
+{
+    uint64_t number = 0;
+
+    return worker->leases_count > 0 &&
+           view_get_declaration(worker->view, &number) != NULL;
+}
+
 // Puts a view in force; takes over the caller's hold. Databases that are not
 // in it end their sessions and go once they are idle.
 void
@@ -327,10 +350,7 @@
     }
     worker_confirm_superseding(worker);
     view_release(old);
-    const struct entry_listener *listener = entry_get_listener(worker->entry);
-    if (worker->listener_state != NULL && listener->handle_view != NULL) {
-        listener->handle_view(worker->listener_state);
-    }
+    worker_tell_listener(worker);
 }
 
 static struct worker_lease *
@@ -354,6 +374,8 @@
 worker_set_lease(struct worker *worker, const char *group,
                  int64_t valid_until_us)
 {
+    bool is_first = worker->leases_count == 0;
+
     worker_make_lease(worker, group)->valid_until_us = valid_until_us;
     for (size_t i = 0; i < worker->databases_count; i++) {
         struct database *database = worker->databases[i];
@@ -363,6 +385,9 @@
             database_set_lease(database, config->term, valid_until_us, false);
         }
     }
+    if (is_first) {
+        worker_tell_listener(worker);
+    }
 }
 
 // Revokes a term. The database is made if it was not in use, so that a later
@@ -380,12 +405,24 @@
     database_set_lease(database, term, 0, true);
 }
 
+static void
+worker_log_quota(const struct ck_quota *quota)
+{
+    LOG_LIMITED(WORKER_LINES_QUOTA, LOG_LEVEL_INFO, "quota",
+                "upstream=%s slots=%u connections=%u guaranteed=%u",
+                quota->upstream, quota->slots, quota->connections,
+                quota->guaranteed_connections);
+}
+
 static void
 worker_put_quota(struct worker *worker, const struct ck_quota *quota)
 {
     for (size_t i = 0; i < worker->quotas_count; i++) {
         if (strcmp(worker->quotas[i].upstream, quota->upstream) == 0) {
             char *name = worker->quotas[i].upstream;
+            if (worker->quotas[i].connections != quota->connections) {
+                worker_log_quota(quota);
+            }
             worker->quotas[i] = *quota;
             worker->quotas[i].upstream = name;
             return;
@@ -396,6 +433,7 @@
     struct ck_quota *place = &worker->quotas[worker->quotas_count++];
     *place = *quota;
     place->upstream = xstrdup(quota->upstream);
+    worker_log_quota(quota);
 }
 
 // Takes over new quotas; upstreams that are not named keep theirs.
--- a/src/catkingrade/entry/worker.h
+++ b/src/catkingrade/entry/worker.h
@@ -21,7 +21,8 @@
 struct entry_listener {
     // Returns the listener's state, or NULL on failure.
     void *(*start)(struct worker *worker);
-    // The view in force is another one. May be NULL.
+    // The view in force is another one, or a first lease has come. May be
+    // NULL.
     void (*handle_view)(void *state);
     // Closes the listening socket and ends idle sessions.
     void (*drain)(void *state);
@@ -37,6 +38,7 @@
 unsigned worker_get_place(const struct worker *worker);
 struct classifier *worker_get_classifier(const struct worker *worker);
 const struct view *worker_get_view(const struct worker *worker);
+bool worker_is_informed(const struct worker *worker);
 bool worker_is_draining(const struct worker *worker);
 void *worker_get_listener_state(const struct worker *worker);
 uint64_t worker_make_id(struct worker *worker);
--- a/src/catkingrade/kernel/log.c
+++ b/src/catkingrade/kernel/log.c
@@ -1,16 +1,22 @@
 #include "catkingrade/kernel/log.h"
 
+#include <poll.h>
 #include <pthread.h>
 #include <stdarg.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 #include <time.h>
+#include <unistd.h>
 
 #include "catkingrade/kernel/buffer.h"
+#include "catkingrade/kernel/loop.h"
 #include "catkingrade/kernel/memory.h"
 #include "catkingrade/kernel/outcome.h"
 
+#define LOG_TEXT_SIZE     1024
+#define LOG_US_PER_SECOND INT64_C(1000000)
+
 static struct {
     pthread_mutex_t mutex;
     FILE *file;
@@ -18,6 +24,7 @@
     char *vm;
     enum log_level level;
     enum log_format format;
+    uint64_t left_out; // lines that a stalled reader has cost
 } log_state = {
     .mutex = PTHREAD_MUTEX_INITIALIZER,
     .level = LOG_LEVEL_INFO,
@@ -30,7 +37,7 @@
     [LOG_LEVEL_ERROR] = "error",
 };
 
-// Opens the log. path NULL or "-" is standard error. Returns OUTCOME_OK, or
+// Opens the log. path NULL or "-" is standard output. Returns OUTCOME_OK, or
 // OUTCOME_IO when the file cannot be opened; the old log then stays.
 int
 log_open(const char *path, enum log_level level, enum log_format format,
@@ -77,7 +84,7 @@
     return outcome;
 }
 
-// Closes the log; later lines go to standard error.
+// Closes the log; later lines go to standard output.
 void
 log_close(void)
 {
@@ -95,9 +102,9 @@
 
 // Appends text as the inside of a JSON string.
 static void
-log_append_escaped(struct buffer *line, const char *text)
+log_append_escaped(struct buffer *line, const char *text, size_t size)
 {
-    for (const char *c = text; *c != '\0'; c++) {
+    for (const char *c = text; c < text + size; c++) {
         if (*c == '"' || *c == '\\') {
             buffer_append_format(line, "\\%c", *c);
         }
@@ -119,6 +126,54 @@
     }
 }
 
+// Returns whether a key and its equals sign begin here; *size is the key's.
+static bool
+log_is_key(const char *text, size_t *size)
+{
+    size_t length = strspn(text, "abcdefghijklmnopqrstuvwxyz_0123456789");
+
+    *size = length;
+    return length > 0 && text[length] == '=';
+}
+
+// Returns the length of a value: up to the blank before the next key.
+static size_t
+log_get_value_size(const char *text)
+{
+    size_t size = 0;
+    size_t ignored = 0;
+
+    while (text[size] != '\0' &&
+           !(text[size] == ' ' && log_is_key(text + size + 1, &ignored))) {
+        size++;
+    }
+    return size;
+}
+
+// Appends key=value pairs as members of a JSON object. What stands before the
+// first key becomes the member "text".
+static void
+log_append_members(struct buffer *line, const char *text)
+{
+    while (*text != '\0') {
+        size_t key_size = 0;
+        const char *key = text;
+        if (log_is_key(text, &key_size)) {
+            text += key_size + 1;
+        }
+        else {
+            key = "text";
+            key_size = strlen(key);
+        }
+        size_t size = log_get_value_size(text);
+        buffer_append_format(line, ",\"%.*s\":\"", (int)key_size, key);
+        log_append_escaped(line, text, size);
+        buffer_append_text(line, "\"");
+        text += size;
+        text += *text == ' ' ? 1 : 0;
+    }
+}
+
 static void
 log_format_line(struct buffer *line, enum log_level level, const char *event,
                 const char *text)
@@ -134,11 +189,11 @@
     if (log_state.format == LOG_FORMAT_JSON) {
         buffer_append_format(line,
                              "{\"time\":\"%s.%03ldZ\",\"vm\":\"%s\","
-                             "\"level\":\"%s\",\"event\":\"%s\",\"text\":\"",
+                             "\"level\":\"%s\",\"event\":\"%s\"",
                              when, now.tv_nsec / 1000000, vm,
                              log_level_names[level], event);
-        log_append_escaped(line, text);
-        buffer_append_text(line, "\"}\n");
+        log_append_members(line, text);
+        buffer_append_text(line, "}\n");
         return;
     }
     buffer_append_format(line, "%s.%03ldZ vm=%s level=%s event=%s ", when,
@@ -148,13 +203,52 @@
     buffer_append_u8(line, '\n');
 }
 
+// Returns whether a line can be written without waiting for its reader.
+static bool
+log_is_writable(int fd)
+{
+    struct pollfd pollfd = {.fd = fd, .events = POLLOUT};
+
+    return poll(&pollfd, 1, 0) == 1 && (pollfd.revents & POLLOUT) != 0;
+}
+
+// Writes a line, or counts it as left out when its reader has stalled.
+static void
+log_put_line(const struct buffer *line)
+{
+    int fd = log_state.file == NULL ? STDOUT_FILENO : fileno(log_state.file);
+
+    if (!log_is_writable(fd) ||
+        write(fd, buffer_get_data(line), buffer_get_size(line)) < 0) {
+        log_state.left_out++;
+    }
+}
+
+static void
+log_write_line(enum log_level level, const char *event, const char *text)
+{
+    struct buffer line = {0};
+
+    pthread_mutex_lock(&log_state.mutex);
+    if (log_state.left_out > 0) {
+        char count[48];
+        (void)snprintf(count, sizeof(count), "lines=%llu",
+                       (unsigned long long)log_state.left_out);
+        log_state.left_out = 0;
+        log_format_line(&line, LOG_LEVEL_WARNING, "log_stalled", count);
+    }
+    log_format_line(&line, level, event, text);
+    log_put_line(&line);
+    pthread_mutex_unlock(&log_state.mutex);
+    buffer_free(&line);
+}
+
 // Writes one line for a change of state. event is a short constant, format
-// and its arguments give key=value pairs. Thread-safe.
+// and its arguments give key=value pairs. Thread-safe; never waits.
 void
 log_write(enum log_level level, const char *event, const char *format, ...)
 {
-    char text[1024];
-    struct buffer line = {0};
+    char text[LOG_TEXT_SIZE];
     va_list args;
 
     if (level < log_state.level) {
@@ -163,11 +257,48 @@
     va_start(args, format);
     (void)vsnprintf(text, sizeof(text), format, args);
     va_end(args);
-    pthread_mutex_lock(&log_state.mutex);
-    log_format_line(&line, level, event, text);
-    FILE *file = log_state.file == NULL ? stderr : log_state.file;
-    (void)fwrite(buffer_get_data(&line), 1, buffer_get_size(&line), file);
-    (void)fflush(file);
-    pthread_mutex_unlock(&log_state.mutex);
-    buffer_free(&line);
+    log_write_line(level, event, text);
+}
+
+// Returns whether one more line of a kind may be written in this second.
+static bool
+log_limit_take(struct log_limit *limit, unsigned *left_out)
+{
+    int64_t second = monotonic_get_us() / LOG_US_PER_SECOND;
+
+    if (second != limit->second) {
+        limit->second = second;
+        limit->count = 0;
+    }
+    if (limit->count >= limit->lines_a_second) {
+        limit->left_out++;
+        return false;
+    }
+    limit->count++;
+    *left_out = limit->left_out;
+    limit->left_out = 0;
+    return true;
+}
+
+// Writes one line of a kind that load may make frequent; the next one that is
+// written tells how many were left out before.
+void
+log_write_limited(struct log_limit *limit, enum log_level level,
+                  const char *event, const char *format, ...)
+{
+    char text[LOG_TEXT_SIZE];
+    unsigned left_out = 0;
+    va_list args;
+
+    if (level < log_state.level || !log_limit_take(limit, &left_out)) {
+        return;
+    }
+    va_start(args, format);
+    int size = vsnprintf(text, sizeof(text), format, args);
+    va_end(args);
+    if (left_out > 0 && size >= 0 && (size_t)size < sizeof(text)) {
+        (void)snprintf(text + size, sizeof(text) - (size_t)size,
+                       " left_out=%u", left_out);
+    }
+    log_write_line(level, event, text);
 }
--- a/src/catkingrade/kernel/settings.h
+++ b/src/catkingrade/kernel/settings.h
@@ -72,10 +72,10 @@
     uint16_t seeds_port;    // in place of the seeds' own ports; 0: keep those
     bool voters_from_seeds; // the fleet group's founders are the seeds
     unsigned tolerated_losses; // of voters at once; from the seeds
-    bool key_required;      // off loopback
-    bool bootstrap;         // the groups are new: their very first start
-    bool sample_upstreams;  // false: positions come with answers alone
-    bool ready_with_lease;  // an entry is ready only with a lease
+    bool key_required;         // off loopback
+    bool bootstrap;            // the groups are new: their very first start
+    bool sample_upstreams;     // false: positions come with answers alone
+    bool ready_with_lease;     // an entry is ready only with a lease
     struct settings_group *groups;
     size_t groups_count;
     char *log_path;
--- a/src/catkingrade/rpc/messages.h
+++ b/src/catkingrade/rpc/messages.h
@@ -294,6 +294,7 @@
 	u_quad_t leader_term;
 	u_quad_t lease_us;
 	ck_view_delta delta;
+	bool_t hasten;
 	struct {
 		u_int quotas_len;
 		ck_quota *quotas_val;
--- a/src/catkingrade/rpc/messages.x
+++ b/src/catkingrade/rpc/messages.x
@@ -225,6 +225,7 @@
     unsigned hyper leader_term;
     unsigned hyper lease_us;
     ck_view_delta delta;
+    bool hasten;                    /* more is to be lent soon: renew then */
     ck_quota quotas<CK_LIST_SIZE>;
 };
 
--- a/src/catkingrade/rpc/messages_xdr.c
+++ b/src/catkingrade/rpc/messages_xdr.c
@@ -822,6 +822,8 @@
 		 return FALSE;
 	 if (!xdr_ck_view_delta (xdrs, &objp->delta))
 		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->hasten))
+		 return FALSE;
 	 if (!xdr_array (xdrs, (char **)&objp->quotas.quotas_val, (u_int *) &objp->quotas.quotas_len, CK_LIST_SIZE,
 		sizeof (ck_quota), (xdrproc_t) xdr_ck_quota))
 		 return FALSE;
--- a/test/unit/decide/test_declaration.c
+++ b/test/unit/decide/test_declaration.c
@@ -26,9 +26,8 @@
                     .reads = CK_READS_BY_AGE,
                     .max_age_ms = 1500,
                     .deadline_ms = 3000}},
-        .databases = {{.name = (char *)"roster1",
-                       .connections = 33,
-                       .confirm = 1}}};
+        .databases = {
+            {.name = (char *)"roster1", .connections = 33, .confirm = 1}}};
     sample->declaration.routes.routes_val = sample->routes;
     sample->declaration.routes.routes_len = 2;
     sample->declaration.databases.databases_val = sample->databases;
@@ -63,18 +62,17 @@
     ck_assert_uint_eq(packed.number, 7);
     ck_assert_int_eq(declaration_unpack(&packed, &back), OUTCOME_OK);
     ck_assert_uint_eq(back.routes.routes_len, 2);
-    ck_assert_uint_eq(
-        declaration_find_route(&back, "reading")->max_age_ms, 1500);
+    ck_assert_uint_eq(declaration_find_route(&back, "reading")->max_age_ms,
+                      1500);
     ck_assert_ptr_null(declaration_find_route(&back, "read"));
     ck_assert_uint_eq(back.original.original_len, 14);
-    ck_assert_int_eq(
-        memcmp(back.original.original_val, "as it was sent", 14), 0);
+    ck_assert_int_eq(memcmp(back.original.original_val, "as it was sent", 14),
+                     0);
     declaration_free(&back);
     for (u_int cut = 0; cut < packed.data.data_len; cut++) {
         struct ck_packed_declaration shorter = packed;
         shorter.data.data_len = cut;
-        ck_assert_int_eq(declaration_unpack(&shorter, &back),
-                         OUTCOME_CORRUPT);
+        ck_assert_int_eq(declaration_unpack(&shorter, &back), OUTCOME_CORRUPT);
     }
     declaration_free_packed(&packed);
 }
@@ -142,8 +140,8 @@
     ck_assert_int_eq(apply(group, &sample, 5, &result), OUTCOME_OK);
     ck_assert_int_eq(apply(group, &sample, 4, &result), OUTCOME_OK);
     ck_assert_uint_eq(group_get_revision(group), revision);
-    ck_assert_int_eq(
-        declaration_unpack(group_get_declaration(group), &back), OUTCOME_OK);
+    ck_assert_int_eq(declaration_unpack(group_get_declaration(group), &back),
+                     OUTCOME_OK);
     ck_assert_uint_eq(declaration_find_route(&back, "booking")->deadline_ms,
                       1000);
     declaration_free(&back);
--- a/test/unit/platform/test_platform_decode.c
+++ b/test/unit/platform/test_platform_decode.c
@@ -59,9 +59,8 @@
     ck_assert_uint_eq(declaration.databases.databases_val[0].confirm, 1);
     ck_assert_uint_eq(declaration.idle_transaction_ms, 3000);
     ck_assert_uint_eq(declaration.original.original_len, strlen(CONFIG));
-    ck_assert_int_eq(memcmp(declaration.original.original_val, CONFIG,
-                            strlen(CONFIG)),
-                     0);
+    ck_assert_int_eq(
+        memcmp(declaration.original.original_val, CONFIG, strlen(CONFIG)), 0);
     declaration_free(&declaration);
 }
 END_TEST
@@ -82,15 +81,17 @@
 START_TEST(test_config_faults)
 {
     static const char *const rows[] = {
-        "[]", "7", "{}", "{\"version\":\"7\",\"routes\":[],\"services\":[]}",
+        "[]",
+        "7",
+        "{}",
+        "{\"version\":\"7\",\"routes\":[],\"services\":[]}",
         "{\"version\":0,\"routes\":[],\"services\":[]}",
         "{\"version\":1,\"routes\":{},\"services\":[]}",
         "{\"version\":1,\"routes\":[7],\"services\":[]}",
         "{\"version\":1,\"routes\":[" ROUTE "],\"services\":[]}",
         "{\"version\":1,\"routes\":[" ROUTE "," ROUTE
         "],\"services\":[" SERVICE "]}",
-        "{\"version\":1,\"routes\":[],\"services\":[" SERVICE "," SERVICE
-        "]}",
+        "{\"version\":1,\"routes\":[],\"services\":[" SERVICE "," SERVICE "]}",
         "{\"version\":1,\"routes\":[{\"host\":\"a\",\"routeKind\":\"other\","
         "\"timeoutMs\":1,\"service\":\"huvo11a\"}],\"services\":[" SERVICE
         "]}",
@@ -210,12 +211,12 @@
         struct ck_declaration declaration;
         struct ck_upstream upstream;
         uint64_t number = 0;
-        if (i % 4 == 0 && decode(copy, size, &number, &declaration) ==
-                              OUTCOME_OK) {
+        if (i % 4 == 0 &&
+            decode(copy, size, &number, &declaration) == OUTCOME_OK) {
             declaration_free(&declaration);
         }
-        else if (i % 4 == 1 && announcement_decode("i-1", copy, &upstream) ==
-                                   OUTCOME_OK) {
+        else if (i % 4 == 1 &&
+                 announcement_decode("i-1", copy, &upstream) == OUTCOME_OK) {
             codec_free((xdrproc_t)xdr_ck_upstream, &upstream);
         }
         else if (i % 4 > 1) {
--- a/test/unit/platform/test_wire_message.c
+++ b/test/unit/platform/test_wire_message.c
@@ -116,9 +116,9 @@
 
 START_TEST(test_positions)
 {
-    static const char *const bad[] = {"-",   "",     "3",    "3.",
-                                      ".4",  "3.x",  "-1.2", "3.4x",
-                                      "a.b", "3 .4", "99999999999.1"};
+    static const char *const bad[] = {
+        "-",    "",     "3",   "3.",   ".4",           "3.x",
+        "-1.2", "3.4x", "a.b", "3 .4", "99999999999.1"};
     uint64_t low = 0;
     uint64_t high = 0;
     struct buffer text = {0};
--- a/test/unit/platform/test_wire_setup.c
+++ b/test/unit/platform/test_wire_setup.c
@@ -125,9 +125,8 @@
 START_TEST(test_many_statements_are_forgotten_in_time)
 {
     struct rig rig = {0};
-    struct typed_run run = {.id = (char *)"7",
-                            .text = (char *)"",
-                            .arguments = (char *)"1"};
+    struct typed_run run = {
+        .id = (char *)"7", .text = (char *)"", .arguments = (char *)"1"};
     bool reset = false;
 
     for (int i = 0; i <= WIRE_SETUP_MAX_PREPARED; i++) {
