--- a/bench/bench_throughput.c
+++ b/bench/bench_throughput.c
@@ -10,6 +10,7 @@
 #include <unistd.h>
 
 #include "bench/bench.h"
+#include "catkingrade/kernel/address.h"
 #include "catkingrade/kernel/buffer.h"
 #include "catkingrade/kernel/loop.h"
 #include "catkingrade/kernel/memory.h"
@@ -379,7 +380,7 @@
           const struct settings_address *entry)
 {
     struct sockaddr_storage address;
-    socklen_t length = datagram_fill_address(entry, &address);
+    socklen_t length = address_fill(entry, &address);
     struct buffer body = {0};
     struct buffer message = {0};
     int fd = socket(address.ss_family, SOCK_STREAM | SOCK_CLOEXEC, 0);
--- a/src/catkingrade/decide/dispatch.c
+++ b/src/catkingrade/decide/dispatch.c
@@ -78,7 +78,8 @@
         return DISPATCH_BLOCKED;
     }
     struct conn *conn =
-        pool_take_idle(traffic, route.upstream, !request_is_read(request));
+        pool_take_idle(traffic, route.upstream, request->session->id,
+                       !request_is_read(request));
     if (conn == NULL) {
         dispatch_want_conn(traffic, route.upstream);
         return DISPATCH_WAITING;
--- a/src/catkingrade/decide/pool.c
+++ b/src/catkingrade/decide/pool.c
@@ -255,16 +255,32 @@
            traffic->now_us - conn->proved_us > traffic->params.idle_proof_us;
 }
 
-// Takes an idle connection, the last used one first. With needs_proof, one
-// that was idle for too long is asked to prove itself instead, and the next is
-// tried. Returns NULL when none is left.
+// Returns the idle connection that holds a session's state, which need not be
+// brought there again, or the one that was used last.
+static struct conn *
+pool_find_idle(struct traffic *traffic, const struct upstream *up,
+               uint64_t session)
+{
+    for (uint32_t place = up->idle_first; place != TRAFFIC_NO_ID;
+         place = traffic->conns[place].next) {
+        if (traffic->conns[place].last_session == session) {
+            return &traffic->conns[place];
+        }
+    }
+    return &traffic->conns[up->idle_first];
+}
+
+// Takes an idle connection: the one that holds the session's state, or the
+// last used one. With needs_proof, one that was idle for too long is asked to
+// prove itself instead, and the next is tried. Returns NULL when none is left.
 struct conn *
-pool_take_idle(struct traffic *traffic, uint32_t upstream, bool needs_proof)
+pool_take_idle(struct traffic *traffic, uint32_t upstream, uint64_t session,
+               bool needs_proof)
 {
     struct upstream *up = &traffic->upstreams[upstream];
 
     while (up->idle_first != TRAFFIC_NO_ID) {
-        struct conn *conn = &traffic->conns[up->idle_first];
+        struct conn *conn = pool_find_idle(traffic, up, session);
         pool_remove_idle(traffic, conn);
         if (!conn->proof_wanted &&
             !(needs_proof && pool_needs_proof(traffic, conn))) {
--- a/src/catkingrade/decide/pool.h
+++ b/src/catkingrade/decide/pool.h
@@ -9,7 +9,7 @@
 bool pool_can_open(const struct traffic *traffic, uint32_t upstream);
 void pool_open(struct traffic *traffic, uint32_t upstream);
 struct conn *pool_take_idle(struct traffic *traffic, uint32_t upstream,
-                            bool needs_proof);
+                            uint64_t session, bool needs_proof);
 void pool_pin(struct traffic *traffic, struct conn *conn,
               struct session *session);
 void pool_release(struct traffic *traffic, struct conn *conn);
--- a/src/catkingrade/decide/request_run.c
+++ b/src/catkingrade/decide/request_run.c
@@ -137,8 +137,8 @@
         replica_lag_note_trial(&up->lag, traffic->now_us,
                                request->guard_age_us);
     }
-    timers_add(&traffic->timers, traffic->now_us + traffic->params.suspect_us,
-               TIMER_CONN, conn->id);
+    traffic_add_limit(traffic, traffic->now_us + traffic->params.suspect_us,
+                      TIMER_CONN, conn->id);
 }
 
 // Sends a request that is in no queue on a connection that is free for it.
@@ -159,6 +159,7 @@
     conn->since_us = traffic->now_us;
     conn->used_us = traffic->now_us;
     conn->request = request->id;
+    conn->last_session = request->session->id;
     conn->abandoned_us = 0;
     conn->read = request_is_read(request);
     up->running++;
--- a/src/catkingrade/decide/traffic.h
+++ b/src/catkingrade/decide/traffic.h
@@ -14,6 +14,9 @@
     // Upstreams check the positions that they are asked for, and tell theirs
     // with each answer, so that nothing is sampled.
     bool guarded;
+    // Limits of time are looked at no finer than this, so that many end with
+    // one wake-up; 0: exactly.
+    int64_t timer_grain_us;
     uint64_t seed; // of the pseudo-random choices
 };
 
--- a/src/catkingrade/decide/traffic_actions.c
+++ b/src/catkingrade/decide/traffic_actions.c
@@ -36,3 +36,15 @@
     free(actions->items);
     *actions = (struct traffic_actions){0};
 }
+
+void
+traffic_add_limit(struct traffic *traffic, int64_t at_us, enum timer_kind kind,
+                  uint64_t id)
+{
+    int64_t grain_us = traffic->params.timer_grain_us;
+
+    if (grain_us > 0) {
+        at_us = (at_us + grain_us - 1) / grain_us * grain_us;
+    }
+    timers_add(&traffic->timers, at_us, kind, id);
+}
--- a/src/catkingrade/decide/traffic_request.c
+++ b/src/catkingrade/decide/traffic_request.c
@@ -291,11 +291,11 @@
         request_refuse(traffic, request, OUTCOME_CLOSED, 0, refusal);
         return;
     }
-    timers_add(&traffic->timers, request->deadline_us, TIMER_REQUEST,
-               request->id);
+    traffic_add_limit(traffic, request->deadline_us, TIMER_REQUEST,
+                      request->id);
     if (request->start_by_us < request->deadline_us) {
-        timers_add(&traffic->timers, request->start_by_us, TIMER_REQUEST,
-                   request->id);
+        traffic_add_limit(traffic, request->start_by_us, TIMER_REQUEST,
+                          request->id);
     }
     if (session->first == request) {
         request_begin(traffic, request);
--- a/src/catkingrade/decide/traffic_state.h
+++ b/src/catkingrade/decide/traffic_state.h
@@ -47,6 +47,7 @@
     bool read;         // what runs on it may run on a replica
     bool superseded;   // to the primary of an ended term: closed when free
     uint64_t request;  // that runs on it
+    uint64_t last_session; // whose state it holds
     struct session *session;
     int64_t opened_us;
     int64_t proved_us;    // last time the upstream answered on it
--- a/src/catkingrade/entry/database.c
+++ b/src/catkingrade/entry/database.c
@@ -18,6 +18,8 @@
 
 #define DATABASE_MAX_DEMANDS 256
 #define DATABASE_US_PER_MS   1000
+// All databases look at their limits of time in the same wake-up.
+#define DATABASE_TIMER_GRAIN_US 50000
 // Lines a second and thread: what fails is told as far as a reader can take
 // it in, of what succeeds a few stand for all.
 #define DATABASE_LINES_FAILED 40
@@ -45,6 +47,8 @@
         .idle_proof_us = settings->idle_proof_us,
         .connect_timeout_us = settings->connect_timeout_us,
         .guarded = !settings->sample_upstreams,
+        .timer_grain_us =
+            settings->sample_upstreams ? 0 : DATABASE_TIMER_GRAIN_US,
         .seed = (uint64_t)monotonic_get_us(),
     };
 
--- a/platform/wire_socket.c
+++ b/src/catkingrade/kernel/tcp.c
@@ -1,4 +1,4 @@
-#include "platform/wire_socket.h"
+#include "catkingrade/kernel/tcp.h"
 
 #include <errno.h>
 #include <netinet/in.h>
@@ -7,22 +7,22 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include "catkingrade/kernel/address.h"
 #include "catkingrade/kernel/log.h"
 #include "catkingrade/kernel/outcome.h"
-#include "catkingrade/rpc/datagram.h"
 
-#define WIRE_BACKLOG              1024
-#define WIRE_READ_BYTES           4096
-#define WIRE_KEEPALIVE_INTERVAL_S 1
-#define WIRE_US_PER_MS            1000
-#define WIRE_US_PER_S             1000000
+#define TCP_BACKLOG              1024
+#define TCP_READ_BYTES           4096
+#define TCP_KEEPALIVE_INTERVAL_S 1
+#define TCP_US_PER_MS            1000
+#define TCP_US_PER_S             1000000
 
 // Opens a listening socket. Returns -1, with a line logged, on failure.
 int
-wire_socket_listen(const struct settings_address *address)
+tcp_listen(const struct settings_address *address)
 {
     struct sockaddr_storage place;
-    socklen_t size = datagram_fill_address(address, &place);
+    socklen_t size = address_fill(address, &place);
     int on = 1;
 
     int fd =
@@ -30,7 +30,7 @@
     if (fd >= 0 &&
         setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on)) == 0 &&
         bind(fd, (struct sockaddr *)&place, size) == 0 &&
-        listen(fd, WIRE_BACKLOG) == 0) {
+        listen(fd, TCP_BACKLOG) == 0) {
         return fd;
     }
     LOG_ERROR("listen_failed", "address=%s port=%u error=%s", address->host,
@@ -44,13 +44,13 @@
 // Makes the kernel end a connection whose peer has been silent for so long,
 // and send small messages at once.
 void
-wire_socket_tune(int fd, int64_t silent_us)
+tcp_tune(int fd, int64_t silent_us)
 {
     int on = 1;
-    int idle_s = (int)(silent_us / WIRE_US_PER_S);
-    int interval_s = WIRE_KEEPALIVE_INTERVAL_S;
+    int idle_s = (int)(silent_us / TCP_US_PER_S);
+    int interval_s = TCP_KEEPALIVE_INTERVAL_S;
     int count = 3;
-    unsigned timeout_ms = (unsigned)(silent_us / WIRE_US_PER_MS);
+    unsigned timeout_ms = (unsigned)(silent_us / TCP_US_PER_MS);
 
     idle_s = idle_s < 1 ? 1 : idle_s;
     (void)setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
@@ -65,13 +65,13 @@
 
 // Begins to connect. Returns the socket, or -1 when it failed at once.
 int
-wire_socket_connect(const char *host, unsigned port)
+tcp_connect(const char *host, unsigned port)
 {
     struct settings_address address = {.port = (uint16_t)port};
     struct sockaddr_storage place;
 
     (void)strncpy(address.host, host, sizeof(address.host) - 1);
-    socklen_t size = datagram_fill_address(&address, &place);
+    socklen_t size = address_fill(&address, &place);
     if (size == 0) {
         return -1;
     }
@@ -90,11 +90,11 @@
 
 // Appends what has come.
 int
-wire_socket_read(int fd, struct buffer *in)
+tcp_read(int fd, struct buffer *in)
 {
     for (;;) {
-        uint8_t *place = buffer_reserve(in, WIRE_READ_BYTES);
-        ssize_t size = recv(fd, place, WIRE_READ_BYTES, 0);
+        uint8_t *place = buffer_reserve(in, TCP_READ_BYTES);
+        ssize_t size = recv(fd, place, TCP_READ_BYTES, 0);
         if (size == 0) {
             return OUTCOME_CLOSED;
         }
@@ -103,7 +103,7 @@
                                                      : OUTCOME_CLOSED;
         }
         in->end += (size_t)size;
-        if (size < WIRE_READ_BYTES) {
+        if (size < TCP_READ_BYTES) {
             return OUTCOME_AGAIN;
         }
     }
@@ -111,7 +111,7 @@
 
 // Writes what the socket takes; OUTCOME_OK when all is out.
 int
-wire_socket_write(int fd, struct buffer *out)
+tcp_write(int fd, struct buffer *out)
 {
     while (buffer_get_size(out) > 0) {
         ssize_t size =
@@ -127,7 +127,7 @@
 
 // Closes a connection so that nothing which is still under way arrives.
 void
-wire_socket_reset(int fd)
+tcp_reset(int fd)
 {
     struct linger linger = {.l_onoff = 1, .l_linger = 0};
 
--- a/src/catkingrade/plugins/http.c
+++ b/src/catkingrade/plugins/http.c
@@ -1,4 +1,5 @@
 #include "catkingrade/plugins/http.h"
+#include "catkingrade/kernel/address.h"
 
 #include <microhttpd.h>
 #include <pthread.h>
@@ -414,7 +415,7 @@
 
     http->daemon = daemon;
     pthread_mutex_init(&http->mutex, NULL);
-    if (datagram_fill_address(address, &socket_address) == 0) {
+    if (address_fill(address, &socket_address) == 0) {
         free(http);
         return OUTCOME_INVALID;
     }
--- a/src/catkingrade/plugins/postgres_listener.c
+++ b/src/catkingrade/plugins/postgres_listener.c
@@ -10,6 +10,7 @@
 #include <unistd.h>
 
 #include "catkingrade/entry/entry.h"
+#include "catkingrade/kernel/address.h"
 #include "catkingrade/kernel/daemon.h"
 #include "catkingrade/kernel/log.h"
 #include "catkingrade/kernel/memory.h"
@@ -30,32 +31,13 @@
 
 // ---- sockets ----
 
-static socklen_t
-listener_fill_address(const struct settings_address *address,
-                      struct sockaddr_storage *out)
-{
-    struct sockaddr_in *v4 = (struct sockaddr_in *)out;
-    struct sockaddr_in6 *v6 = (struct sockaddr_in6 *)out;
-
-    memset(out, 0, sizeof(*out));
-    if (inet_pton(AF_INET, address->host, &v4->sin_addr) == 1) {
-        v4->sin_family = AF_INET;
-        v4->sin_port = htons(address->port);
-        return sizeof(*v4);
-    }
-    (void)inet_pton(AF_INET6, address->host, &v6->sin6_addr);
-    v6->sin6_family = AF_INET6;
-    v6->sin6_port = htons(address->port);
-    return sizeof(*v6);
-}
-
 // Opens a listening socket; each thread has its own on the same address.
 // Returns -1 with a line logged on failure.
 static int
 listener_open_socket(const struct settings_address *address)
 {
     struct sockaddr_storage place;
-    socklen_t size = listener_fill_address(address, &place);
+    socklen_t size = address_fill(address, &place);
     int on = 1;
     int fd =
         socket(place.ss_family, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
--- a/src/catkingrade/rpc/datagram.h
+++ b/src/catkingrade/rpc/datagram.h
@@ -40,9 +40,5 @@
                     const struct datagram_key *key, struct datagram *datagram);
 int datagram_key_load(const char *path, struct datagram_key *key,
                       struct buffer *errors);
-socklen_t datagram_fill_address(const struct settings_address *address,
-                                struct sockaddr_storage *out);
-void datagram_read_address(const struct sockaddr_storage *from,
-                           struct settings_address *address);
 
 #endif
