--- a/src/catkingrade/decide/leaseholder.c
+++ b/src/catkingrade/decide/leaseholder.c
@@ -10,6 +10,8 @@
 #include "catkingrade/kernel/outcome.h"
 #include "catkingrade/rpc/codec.h"
 
+// The next renewal when the leader will soon have more to lend.
+#define LEASEHOLDER_HASTE_US      60000
 #define LEASEHOLDER_MAX_REDIRECTS 3
 #define LEASEHOLDER_MAX_BACKOFF   4
 #define LEASEHOLDER_PPM           1000000
@@ -49,9 +51,6 @@
     free(holder);
 }
 
-// The next renewal when the leader will soon have more to lend.
-#define LEASEHOLDER_HASTE_US 60000
-
 static struct leaseholder_action *
 leaseholder_add_action(struct leaseholder_actions *actions,
                        enum leaseholder_action_kind kind)
--- a/test/fake/fleet.h
+++ b/test/fake/fleet.h
@@ -37,12 +37,16 @@
     int64_t remove_us;       // 0: the usual value
 };
 
+#define FLEET_MAX_TIMELINES 64
+
 // A database server.
 struct fleet_upstream {
     uint64_t *saves; // ids of saves; the place plus one is the lsn
     size_t saves_count;
     uint64_t timeline;
-    size_t base; // saves before this timeline
+    // Saves before each timeline of its history, as a server's history files
+    // tell: a log that missed a timeline forked off where that one began.
+    size_t bases[FLEET_MAX_TIMELINES];
     bool is_primary;
     bool is_dead; // its host refuses everything
     bool is_leaving;
--- a/test/fake/fleet_upstream.c
+++ b/test/fake/fleet_upstream.c
@@ -82,7 +82,8 @@
     own->is_primary = true;
     own->follows = -1;
     own->timeline++;
-    own->base = own->saves_count;
+    INVARIANT(own->timeline < FLEET_MAX_TIMELINES);
+    own->bases[own->timeline] = own->saves_count;
     own->waiting_count = 0;
     if (own->promote_term > fleet->promoted_term) {
         fleet->promoted_term = own->promote_term;
@@ -202,6 +203,20 @@
     fleet_send(fleet, fleet_upstream_node(fleet, upstream), to, message);
 }
 
+// Returns up to where a log of an older timeline is a part of this one: to the
+// beginning of the first timeline that it missed, at the most.
+static size_t
+fleet_find_fork(const struct fleet_upstream *own, uint64_t timeline,
+                size_t saves_count)
+{
+    for (uint64_t i = timeline + 1; i <= own->timeline; i++) {
+        if (saves_count > own->bases[i]) {
+            saves_count = own->bases[i];
+        }
+    }
+    return saves_count;
+}
+
 static void
 fleet_take_pull(struct fleet *fleet, int upstream, int from,
                 const struct fleet_message *message)
@@ -216,14 +231,24 @@
     if (same) {
         fleet_answer_saves(fleet, upstream, start);
     }
-    else if (start > own->base) {
-        start = own->base;
+    else {
+        start = fleet_find_fork(own, message->position.timeline, start);
     }
     if (!same || start < own->saves_count) {
         fleet_push(fleet, upstream, from, start);
     }
 }
 
+// Copies where the timelines began up to one, which never changes.
+static void
+fleet_take_history(struct fleet_upstream *own,
+                   const struct fleet_upstream *primary, uint64_t timeline)
+{
+    for (uint64_t i = own->timeline + 1; i <= timeline; i++) {
+        own->bases[i] = primary->bases[i];
+    }
+}
+
 static void
 fleet_take_push(struct fleet *fleet, int upstream, int from,
                 const struct fleet_message *message)
@@ -244,6 +269,8 @@
                count * sizeof(uint64_t));
     }
     own->saves_count = message->number + count;
+    fleet_take_history(own, &fleet->upstreams[own->follows],
+                       message->position.timeline);
     own->timeline = message->position.timeline;
     fleet_pull(fleet, upstream);
 }
