fix(control): a VM that joins answers a leader that is no founder

Cause, found by the new contract test (each of three control VMs loses its disk in turn): a VM with a new disk knows the founders' addresses only. When the leader had itself come back under a new identity, the newcomer had no address to answer to, counted as silent, and was removed and added for ever.

Change: a message of the log is answered where it came from while its sender stands in no list. An entry is ready only with a view and a lease, as its settings say (the key was read and not used).

--- a/src/catkingrade/control/control.c
+++ b/src/catkingrade/control/control.c
@@ -122,9 +122,9 @@
     const struct ck_raft_message *message = args;
     struct group_host *host = control_find_host(data, message->group);
 
-    (void)request;
     if (host != NULL) {
-        group_host_handle_raft(host, message);
+        group_host_handle_raft(host, message,
+                               rpcnet_request_get_peer(request));
     }
 }
 
--- a/src/catkingrade/control/group_host.c
+++ b/src/catkingrade/control/group_host.c
@@ -154,6 +154,8 @@
 }
 
 // A voter that is not in the list yet sends and is sent to by its settings.
+// One that has no list answers whoever has sent to it: its leader need not be
+// a founder.
 static void
 host_get_peer(const struct group_host *host, uint64_t id,
               struct settings_address *address)
@@ -171,6 +173,9 @@
             *address = group->voters[i].rpc;
         }
     }
+    if (address->port == 0 && host->last_sender == id) {
+        *address = host->last_sender_address;
+    }
 }
 
 static void
@@ -666,7 +671,8 @@
 // Takes a message of another voter.
 void
 group_host_handle_raft(struct group_host *host,
-                       const struct ck_raft_message *message)
+                       const struct ck_raft_message *message,
+                       const struct settings_address *from)
 {
     struct raft_event event = {
         .kind = RAFT_EVENT_MESSAGE,
@@ -674,6 +680,8 @@
     };
 
     if (message->to == host->params.self) {
+        host->last_sender = message->from;
+        host->last_sender_address = *from;
         host_step_raft(host, &event);
     }
 }
--- a/src/catkingrade/control/group_host.h
+++ b/src/catkingrade/control/group_host.h
@@ -40,7 +40,8 @@
 bool group_host_flush_rest(struct group_host *host, bool synced);
 
 void group_host_handle_raft(struct group_host *host,
-                            const struct ck_raft_message *message);
+                            const struct ck_raft_message *message,
+                            const struct settings_address *from);
 void group_host_handle_renew(struct group_host *host,
                              struct rpcnet_request *request,
                              const struct ck_renew_args *args);
--- a/src/catkingrade/control/group_host_state.h
+++ b/src/catkingrade/control/group_host_state.h
@@ -51,6 +51,8 @@
     bool leads;
     bool failed; // the store failed; reopened by the timer
     uint64_t elections;
+    uint64_t last_sender; // of a message of the log
+    struct settings_address last_sender_address;
     int64_t tended_us; // when the voters were looked at last
     struct host_member members[HOST_MAX_VOTERS];
     size_t members_count;
--- a/src/catkingrade/control/lease_agent.c
+++ b/src/catkingrade/control/lease_agent.c
@@ -152,12 +152,27 @@
     return view != NULL;
 }
 
+// An entry without a view or a lease cannot serve what needs a primary: the
+// balancer sends callers elsewhere.
+static void
+lease_holder_set_ready(const struct lease_holder *holder, bool leased)
+{
+    struct daemon *daemon = holder->agent->daemon;
+    uint64_t number = 0;
+    bool informed = view_get_declaration(holder->agent->view, &number) != NULL;
+
+    if (daemon->settings->ready_with_lease) {
+        atomic_store(&daemon->ready, leased && informed);
+    }
+}
+
 static void
 lease_holder_set_lease(struct lease_holder *holder, int64_t valid_until_us)
 {
     holder->valid_until_us = valid_until_us;
     entry_post_lease(holder->agent->daemon->entry, holder->group,
                      valid_until_us);
+    lease_holder_set_ready(holder, true);
     if (!holder->held) {
         LOG_INFO("lease_held", "group=%s", holder->group);
         timeline_record("lease_held", NULL, NULL, 0, "group=%s",
@@ -171,6 +186,7 @@
 {
     counter_add(COUNTER_LEASE_EXPIRED, 1);
     LOG_WARNING("lease_expired", "group=%s", holder->group);
+    lease_holder_set_ready(holder, false);
     timeline_record("lease_expired", NULL, NULL, 0, "group=%s", holder->group);
     holder->held = false;
 }
--- a/src/catkingrade/kernel/daemon.c
+++ b/src/catkingrade/kernel/daemon.c
@@ -152,7 +152,9 @@
                           daemon_handle_signal, stop);
     int outcome = plugin_start_all(daemon, daemon->settings);
     if (outcome == OUTCOME_OK) {
-        atomic_store(&daemon->ready, true);
+        // An entry that is ready with its lease only is told so by that.
+        atomic_store(&daemon->ready, !daemon->settings->ready_with_lease ||
+                                         daemon->entry == NULL);
         LOG_INFO("started", "vm=%s", daemon->settings->vm);
         timeline_record("started", NULL, NULL, 0, "vm=%s",
                         daemon->settings->vm);
--- a/src/catkingrade/rpc/rpcnet.c
+++ b/src/catkingrade/rpc/rpcnet.c
@@ -280,7 +280,7 @@
         return;
     }
     bool one_way = handler->types->result_xdr == NULL;
-    handler->run(handler->data, one_way ? NULL : request, args);
+    handler->run(handler->data, request, args);
     if (one_way) {
         free(request);
     }
--- /dev/null
+++ b/test/fake/platform.c
@@ -0,0 +1,684 @@
+#include "test/fake/platform.h"
+
+#include <arpa/inet.h>
+#include <curl/curl.h>
+#include <inttypes.h>
+#include <netinet/in.h>
+#include <poll.h>
+#include <pthread.h>
+#include <stdarg.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "catkingrade/kernel/buffer.h"
+#include "catkingrade/kernel/memory.h"
+
+#define MAX_CONNS   256
+#define MAX_WRITES  4096
+#define MAX_NAMES   32
+#define TEXT_SIZE   256
+#define POLL_MS     20
+#define NO_UPSTREAM (-1)
+
+struct write {
+    char item[64];
+    char value[TEXT_SIZE];
+};
+
+// Statements of a connection that were prepared, and whether they write.
+struct name {
+    char text[64];
+    bool writes;
+};
+
+struct conn {
+    int fd;
+    int upstream; // NO_UPSTREAM: an HTTP call
+    struct buffer in;
+    bool started;
+    char state; // I, T or E
+    bool reads_only;
+    struct name names[MAX_NAMES];
+    size_t names_count;
+    struct write writes[8]; // of its transaction
+    size_t writes_count;
+};
+
+struct upstream {
+    int listen_fd;
+    int port;
+    bool dead;
+    bool held;
+    uint64_t term;
+    size_t received;
+    size_t applied;
+};
+
+struct platform {
+    pthread_t thread;
+    pthread_mutex_t mutex;
+    bool stopping;
+    int promote_fd;
+    int promote_port;
+    struct upstream upstreams[PLATFORM_UPSTREAMS];
+    struct conn *conns[MAX_CONNS];
+    size_t conns_count;
+    struct write log[MAX_WRITES];
+    int primary;
+    uint64_t term;
+    uint64_t last_fence;
+    int faults;
+};
+
+static int
+open_listener(int *port)
+{
+    struct sockaddr_in address = {.sin_family = AF_INET,
+                                  .sin_port = htons((uint16_t)*port)};
+    socklen_t size = sizeof(address);
+    int on = 1;
+    int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    INVARIANT(fd >= 0);
+    (void)setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+    INVARIANT(bind(fd, (struct sockaddr *)&address, size) == 0);
+    INVARIANT(listen(fd, 64) == 0);
+    INVARIANT(getsockname(fd, (struct sockaddr *)&address, &size) == 0);
+    *port = ntohs(address.sin_port);
+    return fd;
+}
+
+static void say(struct conn *conn, const char *format, ...)
+    __attribute__((format(printf, 2, 3)));
+
+static void
+say(struct conn *conn, const char *format, ...)
+{
+    char text[1024];
+    va_list args;
+
+    va_start(args, format);
+    int size = vsnprintf(text, sizeof(text), format, args);
+    va_end(args);
+    (void)!send(conn->fd, text, (size_t)size, MSG_NOSIGNAL);
+}
+
+static void
+say_ready(const struct platform *platform, struct conn *conn)
+{
+    const struct upstream *own = &platform->upstreams[conn->upstream];
+
+    say(conn, "READY %c %" PRIu64 ".%zu\r\n", conn->state, own->term,
+        own->applied);
+}
+
+static void
+fail(const struct platform *platform, struct conn *conn, const char *code)
+{
+    say(conn, "ERROR %s no\r\n", code);
+    say_ready(platform, conn);
+}
+
+// Replicas apply what the primary has, unless they are held.
+static void
+replicate(struct platform *platform)
+{
+    const struct upstream *primary = &platform->upstreams[platform->primary];
+
+    for (int i = 0; i < PLATFORM_UPSTREAMS; i++) {
+        struct upstream *own = &platform->upstreams[i];
+        if (i != platform->primary && !own->held && !own->dead) {
+            own->received = own->applied = primary->applied;
+            own->term = primary->term;
+        }
+    }
+}
+
+static void
+commit(struct platform *platform, struct conn *conn)
+{
+    struct upstream *own = &platform->upstreams[conn->upstream];
+
+    for (size_t i = 0; i < conn->writes_count; i++) {
+        INVARIANT(own->applied < MAX_WRITES);
+        platform->log[own->applied++] = conn->writes[i];
+        own->received = own->applied;
+    }
+    conn->writes_count = 0;
+    replicate(platform);
+}
+
+static const char *
+find_value(const struct platform *platform, const struct upstream *own,
+           const char *item)
+{
+    for (size_t i = own->applied; i > 0; i--) {
+        if (strcmp(platform->log[i - 1].item, item) == 0) {
+            return platform->log[i - 1].value;
+        }
+    }
+    return "-";
+}
+
+static void
+run_item(struct platform *platform, struct conn *conn, const char *id,
+         bool writes, const char *text)
+{
+    struct upstream *own = &platform->upstreams[conn->upstream];
+    struct write write = {0};
+
+    (void)sscanf(text, "%63s %255s", write.item, write.value);
+    if (writes && conn->upstream != platform->primary) {
+        conn->state = conn->state == 'T' ? 'E' : conn->state;
+        fail(platform, conn, "READONLY");
+        return;
+    }
+    if (writes) {
+        INVARIANT(conn->writes_count < 8);
+        conn->writes[conn->writes_count++] = write;
+        if (conn->state == 'I') {
+            commit(platform, conn);
+        }
+        say(conn, "COMPLETE sig-%s\r\n", id);
+    }
+    else {
+        say(conn, "DATAROW %s\r\nCOMPLETE sig-%s\r\n",
+            find_value(platform, own, write.item), id);
+    }
+    say_ready(platform, conn);
+}
+
+static void
+run_execute(struct platform *platform, struct conn *conn, const char *id,
+            const char *text)
+{
+    char name[64] = "";
+
+    (void)sscanf(text, "%63s", name);
+    for (size_t i = 0; i < conn->names_count; i++) {
+        if (strcmp(conn->names[i].text, name) == 0) {
+            const char *rest = strchr(text, ' ');
+            run_item(platform, conn, id, conn->names[i].writes,
+                     rest == NULL ? "" : rest + 1);
+            return;
+        }
+    }
+    platform->faults++;
+    fail(platform, conn, "NOSTMT");
+}
+
+// Returns whether the position that a statement asks for is there; *text is
+// then what follows it.
+static bool
+has_position(const struct upstream *own, const char **text)
+{
+    uint64_t term = 0;
+    size_t number = 0;
+    int size = 0;
+
+    if (sscanf(*text, "AFTER %" SCNu64 ".%zu %n", &term, &number, &size) !=
+        2) {
+        return true;
+    }
+    *text += size;
+    return term <= own->term && number <= own->applied;
+}
+
+static void
+run_status(struct platform *platform, struct conn *conn)
+{
+    const struct upstream *own = &platform->upstreams[conn->upstream];
+
+    say(conn, "DATAROW %s %" PRIu64 " %" PRIu64 ".%zu 0 1 0 1\r\n",
+        conn->upstream == platform->primary ? "primary" : "replica", own->term,
+        own->term, own->received);
+    say(conn, "COMPLETE -\r\n");
+    say_ready(platform, conn);
+}
+
+static void
+run_control(struct platform *platform, struct conn *conn, const char *text)
+{
+    if (strncmp(text, "RESET", 5) == 0) {
+        conn->names_count = 0;
+    }
+    else if (strncmp(text, "PREPARE ", 8) == 0) {
+        char kind[16] = "";
+        struct name *name = &conn->names[conn->names_count++];
+        INVARIANT(conn->names_count < MAX_NAMES);
+        (void)sscanf(text, "PREPARE %63s %15s", name->text, kind);
+        name->writes = strcmp(kind, "WRITE") == 0;
+    }
+    else if (strncmp(text, "BEGIN", 5) == 0) {
+        conn->reads_only = strcmp(text, "BEGIN READ") == 0;
+        if (!conn->reads_only && conn->upstream != platform->primary) {
+            fail(platform, conn, "READONLY");
+            return;
+        }
+        conn->state = 'T';
+    }
+    else if (strncmp(text, "ROLLBACK", 8) == 0) {
+        conn->writes_count = 0;
+        conn->state = 'I';
+    }
+    say(conn, "COMPLETE -\r\n");
+    say_ready(platform, conn);
+}
+
+static void
+run_query(struct platform *platform, struct conn *conn, char *line)
+{
+    char *text = strchr(line, ' ');
+    const char *statement = NULL;
+
+    INVARIANT(text != NULL);
+    *text++ = '\0';
+    statement = text;
+    if (!has_position(&platform->upstreams[conn->upstream], &statement)) {
+        fail(platform, conn, "LAGGING");
+    }
+    else if (strcmp(statement, "STATUS") == 0) {
+        run_status(platform, conn);
+    }
+    else if (strncmp(statement, "READ ", 5) == 0) {
+        run_item(platform, conn, line, false, statement + 5);
+    }
+    else if (strncmp(statement, "WRITE ", 6) == 0) {
+        run_item(platform, conn, line, true, statement + 6);
+    }
+    else if (strncmp(statement, "EXECUTE ", 8) == 0) {
+        run_execute(platform, conn, line, statement + 8);
+    }
+    else if (strcmp(statement, "COMMIT") == 0) {
+        platform->faults += conn->state == 'I' ? 1 : 0;
+        conn->state = 'I';
+        commit(platform, conn);
+        say(conn, "COMPLETE sig-%s\r\n", line);
+        say_ready(platform, conn);
+    }
+    else {
+        run_control(platform, conn, statement);
+    }
+}
+
+static void
+run_line(struct platform *platform, struct conn *conn, char *line)
+{
+    char expected[32];
+
+    (void)snprintf(expected, sizeof(expected), "i-%d", conn->upstream);
+    if (strncmp(line, "QUERY ", 6) == 0 && conn->started) {
+        run_query(platform, conn, line + 6);
+    }
+    else if (strncmp(line, "STARTUP core ", 13) == 0 &&
+             strstr(line, expected) != NULL) {
+        conn->started = true;
+        conn->state = 'I';
+        say_ready(platform, conn);
+    }
+    else {
+        say(conn, "ERROR MISROUTED no\r\n");
+    }
+}
+
+// POST /failover: the named upstream leads the next term with what it has.
+static bool
+run_promote(struct platform *platform, struct conn *conn)
+{
+    buffer_append_u8(&conn->in, 0);
+    conn->in.end--;
+    char *text = (char *)conn->in.data + conn->in.start;
+    const char *fence = strstr(text, "Fencing-Token: ");
+    const char *id = strstr(text, "\"id\":\"i-");
+
+    if (id == NULL || fence == NULL) {
+        return false;
+    }
+    int upstream = atoi(id + 8);
+    struct upstream *own = &platform->upstreams[upstream];
+    platform->last_fence = strtoull(fence + 15, NULL, 10);
+    if (own->dead) {
+        say(conn, "HTTP/1.1 409 Conflict\r\nContent-Length: 0\r\n\r\n");
+        return true;
+    }
+    if (upstream != platform->primary) {
+        platform->primary = upstream;
+        own->term = ++platform->term;
+        own->applied = own->received;
+    }
+    say(conn, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}");
+    return true;
+}
+
+// Handles what has come. Returns whether the connection goes on.
+static bool
+handle_input(struct platform *platform, struct conn *conn)
+{
+    uint8_t *place = buffer_reserve(&conn->in, 4096);
+    ssize_t size = recv(conn->fd, place, 4095, 0);
+
+    if (size <= 0) {
+        return false;
+    }
+    conn->in.end += (size_t)size;
+    if (conn->upstream == NO_UPSTREAM) {
+        return !run_promote(platform, conn);
+    }
+    for (;;) {
+        size_t left = buffer_get_size(&conn->in);
+        char *data = (char *)conn->in.data + conn->in.start;
+        char *end = left == 0 ? NULL : memchr(data, '\n', left);
+        if (end == NULL) {
+            return true;
+        }
+        *end = '\0';
+        if (end > data && end[-1] == '\r') {
+            end[-1] = '\0';
+        }
+        run_line(platform, conn, data);
+        buffer_consume(&conn->in, (size_t)(end - data) + 1);
+    }
+}
+
+static void
+drop(struct platform *platform, size_t place)
+{
+    struct conn *conn = platform->conns[place];
+
+    close(conn->fd);
+    buffer_free(&conn->in);
+    free(conn);
+    platform->conns[place] = platform->conns[--platform->conns_count];
+}
+
+static void
+take(struct platform *platform, int listen_fd, int upstream)
+{
+    int fd = accept(listen_fd, NULL, NULL);
+
+    if (fd < 0 || platform->conns_count == MAX_CONNS) {
+        return;
+    }
+    struct conn *conn = xcalloc(1, sizeof(*conn));
+    conn->fd = fd;
+    conn->upstream = upstream;
+    platform->conns[platform->conns_count++] = conn;
+}
+
+static size_t
+fill_poll(const struct platform *platform, struct pollfd *fds)
+{
+    size_t count = 0;
+
+    fds[count++] = (struct pollfd){platform->promote_fd, POLLIN, 0};
+    for (int i = 0; i < PLATFORM_UPSTREAMS; i++) {
+        fds[count++] =
+            (struct pollfd){platform->upstreams[i].listen_fd, POLLIN, 0};
+    }
+    for (size_t i = 0; i < platform->conns_count; i++) {
+        fds[count++] = (struct pollfd){platform->conns[i]->fd, POLLIN, 0};
+    }
+    return count;
+}
+
+static void
+handle_poll(struct platform *platform, const struct pollfd *fds, size_t count)
+{
+    for (size_t i = count; i > PLATFORM_UPSTREAMS + 1; i--) {
+        size_t place = i - 1 - PLATFORM_UPSTREAMS - 1;
+        if (place < platform->conns_count &&
+            platform->conns[place]->fd == fds[i - 1].fd &&
+            fds[i - 1].revents != 0 &&
+            !handle_input(platform, platform->conns[place])) {
+            drop(platform, place);
+        }
+    }
+    if (fds[0].revents != 0) {
+        take(platform, platform->promote_fd, NO_UPSTREAM);
+    }
+    for (int i = 0; i < PLATFORM_UPSTREAMS; i++) {
+        if (fds[i + 1].revents != 0 && platform->upstreams[i].listen_fd >= 0) {
+            take(platform, platform->upstreams[i].listen_fd, i);
+        }
+    }
+}
+
+static void *
+run(void *data)
+{
+    struct platform *platform = data;
+    struct pollfd fds[MAX_CONNS + PLATFORM_UPSTREAMS + 1];
+
+    pthread_mutex_lock(&platform->mutex);
+    while (!platform->stopping) {
+        size_t count = fill_poll(platform, fds);
+        pthread_mutex_unlock(&platform->mutex);
+        (void)poll(fds, count, POLL_MS);
+        pthread_mutex_lock(&platform->mutex);
+        handle_poll(platform, fds, count);
+    }
+    pthread_mutex_unlock(&platform->mutex);
+    return NULL;
+}
+
+struct platform *
+platform_start(void)
+{
+    struct platform *platform = xcalloc(1, sizeof(*platform));
+
+    pthread_mutex_init(&platform->mutex, NULL);
+    platform->term = 1;
+    platform->promote_fd = open_listener(&platform->promote_port);
+    for (int i = 0; i < PLATFORM_UPSTREAMS; i++) {
+        platform->upstreams[i].term = 1;
+        platform->upstreams[i].listen_fd =
+            open_listener(&platform->upstreams[i].port);
+    }
+    INVARIANT(pthread_create(&platform->thread, NULL, run, platform) == 0);
+    return platform;
+}
+
+void
+platform_stop(struct platform *platform)
+{
+    pthread_mutex_lock(&platform->mutex);
+    platform->stopping = true;
+    pthread_mutex_unlock(&platform->mutex);
+    pthread_join(platform->thread, NULL);
+    while (platform->conns_count > 0) {
+        drop(platform, 0);
+    }
+    close(platform->promote_fd);
+    for (int i = 0; i < PLATFORM_UPSTREAMS; i++) {
+        if (platform->upstreams[i].listen_fd >= 0) {
+            close(platform->upstreams[i].listen_fd);
+        }
+    }
+    pthread_mutex_destroy(&platform->mutex);
+    free(platform);
+}
+
+int
+platform_get_promote_port(const struct platform *platform)
+{
+    return platform->promote_port;
+}
+
+void
+platform_kill(struct platform *platform, int upstream)
+{
+    struct upstream *own = &platform->upstreams[upstream];
+
+    pthread_mutex_lock(&platform->mutex);
+    own->dead = true;
+    close(own->listen_fd);
+    own->listen_fd = -1;
+    for (size_t i = platform->conns_count; i > 0; i--) {
+        if (platform->conns[i - 1]->upstream == upstream) {
+            drop(platform, i - 1);
+        }
+    }
+    pthread_mutex_unlock(&platform->mutex);
+}
+
+void
+platform_revive(struct platform *platform, int upstream)
+{
+    struct upstream *own = &platform->upstreams[upstream];
+
+    pthread_mutex_lock(&platform->mutex);
+    own->dead = false;
+    own->listen_fd = open_listener(&own->port);
+    replicate(platform);
+    pthread_mutex_unlock(&platform->mutex);
+}
+
+void
+platform_hold(struct platform *platform, int upstream, bool held)
+{
+    pthread_mutex_lock(&platform->mutex);
+    platform->upstreams[upstream].held = held;
+    replicate(platform);
+    pthread_mutex_unlock(&platform->mutex);
+}
+
+int
+platform_get_primary(struct platform *platform)
+{
+    pthread_mutex_lock(&platform->mutex);
+    int primary = platform->primary;
+    pthread_mutex_unlock(&platform->mutex);
+    return primary;
+}
+
+uint64_t
+platform_get_last_fence(struct platform *platform)
+{
+    pthread_mutex_lock(&platform->mutex);
+    uint64_t fence = platform->last_fence;
+    pthread_mutex_unlock(&platform->mutex);
+    return fence;
+}
+
+int
+platform_get_faults(struct platform *platform)
+{
+    pthread_mutex_lock(&platform->mutex);
+    int faults = platform->faults;
+    pthread_mutex_unlock(&platform->mutex);
+    return faults;
+}
+
+int
+platform_count(struct platform *platform, const char *value)
+{
+    int count = 0;
+
+    pthread_mutex_lock(&platform->mutex);
+    const struct upstream *own = &platform->upstreams[platform->primary];
+    for (size_t i = 0; i < own->applied; i++) {
+        count += strcmp(platform->log[i].value, value) == 0 ? 1 : 0;
+    }
+    pthread_mutex_unlock(&platform->mutex);
+    return count;
+}
+
+void
+platform_describe(struct platform *platform, int upstream, bool leaving,
+                  char *body, size_t size)
+{
+    static uint64_t sequence;
+
+    (void)snprintf(body, size,
+                   "{\"service\":\"core\",\"addr\":\"127.0.0.1:%d\","
+                   "\"zone\":\"noord\",\"version\":\"v1\",\"slots\":5,"
+                   "\"state\":\"%s\",\"dbRole\":\"replica\",\"seq\":%" PRIu64
+                   ",\"born\":1000}",
+                   platform->upstreams[upstream].port,
+                   leaving ? "draining" : "ready", ++sequence);
+}
+
+static size_t
+keep_body(char *data, size_t size, size_t count, void *user)
+{
+    buffer_append(user, data, size * count);
+    return size * count;
+}
+
+char *
+platform_call(const char *method, const char *url, const char *body,
+              long *status)
+{
+    struct buffer answer = {0};
+    CURL *curl = curl_easy_init();
+    struct curl_slist *headers =
+        curl_slist_append(NULL, "Content-Type: application/json");
+
+    *status = 0;
+    curl_easy_setopt(curl, CURLOPT_URL, url);
+    curl_easy_setopt(curl, CURLOPT_CUSTOMREQUEST, method);
+    curl_easy_setopt(curl, CURLOPT_HTTPHEADER, headers);
+    curl_easy_setopt(curl, CURLOPT_NOSIGNAL, 1L);
+    curl_easy_setopt(curl, CURLOPT_TIMEOUT_MS, 3000L);
+    curl_easy_setopt(curl, CURLOPT_WRITEFUNCTION, keep_body);
+    curl_easy_setopt(curl, CURLOPT_WRITEDATA, &answer);
+    if (body != NULL) {
+        curl_easy_setopt(curl, CURLOPT_POSTFIELDS, body);
+    }
+    if (curl_easy_perform(curl) == CURLE_OK) {
+        curl_easy_getinfo(curl, CURLINFO_RESPONSE_CODE, status);
+    }
+    curl_slist_free_all(headers);
+    curl_easy_cleanup(curl);
+    buffer_append_u8(&answer, 0);
+    return (char *)answer.data;
+}
+
+int
+platform_connect(int port)
+{
+    struct sockaddr_in address = {.sin_family = AF_INET,
+                                  .sin_port = htons((uint16_t)port)};
+    struct timeval limit = {.tv_sec = 20};
+    int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    (void)setsockopt(fd, SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof(limit));
+    if (connect(fd, (struct sockaddr *)&address, sizeof(address)) != 0) {
+        close(fd);
+        return -1;
+    }
+    return fd;
+}
+
+char *
+platform_ask(int fd, const char *line)
+{
+    struct buffer answer = {0};
+
+    (void)!send(fd, line, strlen(line), MSG_NOSIGNAL);
+    (void)!send(fd, "\r\n", 2, MSG_NOSIGNAL);
+    for (;;) {
+        uint8_t *place = buffer_reserve(&answer, 1024);
+        ssize_t size = recv(fd, place, 1023, 0);
+        if (size <= 0) {
+            bool empty = buffer_get_size(&answer) == 0;
+            buffer_append_u8(&answer, 0);
+            if (empty) {
+                buffer_free(&answer);
+                return NULL;
+            }
+            return (char *)answer.data;
+        }
+        answer.end += (size_t)size;
+        answer.data[answer.end] = 0;
+        const char *ready = strstr((const char *)answer.data, "READY ");
+        if (ready != NULL && strchr(ready, '\n') != NULL) {
+            return (char *)answer.data;
+        }
+    }
+}
