feat(kernel): histograms of request times; catkingrade explain tells what happened to a request

Cause: the users ask for times by phase, database, type and upstream on the page for metrics, and for a way from a caller's id to its cause over the logs of all VMs. The page came only with the plain HTTP listener, which the platform keeps for its own routes, so metrics get a listener of their own. Ruled out: a histogram for each session (memory); looking labels up for each request (a lock on the traffic threads): each database keeps its own. Before: no times at all; by hand with grep.

--- a/src/catkingrade/cli/cli.h
+++ b/src/catkingrade/cli/cli.h
@@ -53,6 +53,7 @@
 extern const struct cli_verb cli_verb_template;
 extern const struct cli_verb cli_verb_timeline;
 extern const struct cli_verb cli_verb_upstream;
+extern const struct cli_verb cli_verb_explain;
 extern const struct cli_verb cli_verb_version;
 
 #endif
--- /dev/null
+++ b/src/catkingrade/cli/explain.c
@@ -0,0 +1,267 @@
+#include <errno.h>
+#include <json-c/json.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "catkingrade/cli/cli.h"
+#include "catkingrade/kernel/memory.h"
+
+// Tells from collected logs what happened to one request, in order, over all
+// processes, with what changed around it where that may be the cause.
+
+// Lines of other events are shown when they are at most so far from one of the
+// request's own.
+#define EXPLAIN_AROUND_MS 3000
+#define EXPLAIN_MAX_LINE  8192
+
+struct explain_line {
+    char *time;
+    int64_t time_ms; // within its day
+    struct json_object *object;
+    bool is_own;
+    bool is_cause;
+};
+
+struct explain {
+    const char *id;
+    struct explain_line *lines;
+    size_t count;
+};
+
+// Events that may be the cause of what happens to a request.
+static const char *const explain_causes[] = {
+    "lease_held",       "lease_expired",   "primary_lost", "superseded",
+    "revoked",          "promoting",       "promoted",     "published",
+    "promotion_failed", "promotion_waits", "group_role",   "elected",
+    "started",          "stopping",        "stopped",      "upstream_refused",
+};
+
+static const char *
+explain_get(struct json_object *object, const char *key)
+{
+    struct json_object *member = NULL;
+
+    if (!json_object_object_get_ex(object, key, &member)) {
+        return "";
+    }
+    return json_object_get_string(member);
+}
+
+static int64_t
+explain_read_time(const char *time)
+{
+    unsigned hour = 0;
+    unsigned minute = 0;
+    unsigned second = 0;
+    unsigned ms = 0;
+    const char *clock = strchr(time, 'T');
+
+    if (clock == NULL || sscanf(clock + 1, "%2u:%2u:%2u.%3u", &hour, &minute,
+                                &second, &ms) != 4) {
+        return -1;
+    }
+    return (((int64_t)hour * 60 + minute) * 60 + second) * 1000 + ms;
+}
+
+static bool
+explain_is_cause(const char *event)
+{
+    for (size_t i = 0; i < ARRAY_SIZE(explain_causes); i++) {
+        if (strcmp(explain_causes[i], event) == 0) {
+            return true;
+        }
+    }
+    return false;
+}
+
+// Keeps a line that is the request's own or may be a cause. What stands
+// before the object, as a collector's prefix, is passed over.
+static void
+explain_take_line(struct explain *explain, const char *text)
+{
+    const char *start = strchr(text, '{');
+    struct json_object *object =
+        start == NULL ? NULL : json_tokener_parse(start);
+
+    if (!json_object_is_type(object, json_type_object)) {
+        json_object_put(object);
+        return;
+    }
+    bool own = strcmp(explain_get(object, "id"), explain->id) == 0;
+    bool cause = explain_is_cause(explain_get(object, "event"));
+    if (!own && !cause) {
+        json_object_put(object);
+        return;
+    }
+    explain->lines = xrealloc(explain->lines,
+                              (explain->count + 1) * sizeof(*explain->lines));
+    explain->lines[explain->count++] = (struct explain_line){
+        .time = xstrdup(explain_get(object, "time")),
+        .time_ms = explain_read_time(explain_get(object, "time")),
+        .object = object,
+        .is_own = own,
+        .is_cause = cause,
+    };
+}
+
+static int
+explain_read_file(struct explain *explain, const char *path)
+{
+    char text[EXPLAIN_MAX_LINE];
+    FILE *file = fopen(path, "re");
+
+    if (file == NULL) {
+        return cli_fail("%s: %s", path, strerror(errno));
+    }
+    while (fgets(text, sizeof(text), file) != NULL) {
+        explain_take_line(explain, text);
+    }
+    (void)fclose(file);
+    return CLI_EXIT_OK;
+}
+
+static int
+explain_compare(const void *left, const void *right)
+{
+    const struct explain_line *a = left;
+    const struct explain_line *b = right;
+
+    return strcmp(a->time, b->time);
+}
+
+static bool
+explain_is_near(const struct explain *explain, const struct explain_line *line)
+{
+    for (size_t i = 0; i < explain->count; i++) {
+        int64_t distance_ms = explain->lines[i].time_ms - line->time_ms;
+        if (explain->lines[i].is_own && distance_ms >= 0 &&
+            distance_ms <= EXPLAIN_AROUND_MS) {
+            return true;
+        }
+    }
+    return false;
+}
+
+// Prints what a line of the request says, in words.
+static void
+explain_print_own(struct json_object *object)
+{
+    const char *event = explain_get(object, "event");
+
+    if (strcmp(event, "request_refused") == 0) {
+        (void)printf(
+            "refused, not run: %s (waited %s ms, term %s, %s ms left "
+            "of the lease); may come back after %s ms",
+            explain_get(object, "reason"), explain_get(object, "waited_ms"),
+            explain_get(object, "term"), explain_get(object, "lease_left_ms"),
+            explain_get(object, "retry_after_ms"));
+    }
+    else if (strcmp(event, "request_unknown") == 0) {
+        (void)printf(
+            "unknown outcome at upstream %s: %s (after %s ms, term "
+            "%s, %s ms left of the lease)",
+            explain_get(object, "upstream"), explain_get(object, "reason"),
+            explain_get(object, "waited_ms"), explain_get(object, "term"),
+            explain_get(object, "lease_left_ms"));
+    }
+    else if (strcmp(event, "request_sent_again") == 0) {
+        (void)printf("sent again, attempt %s, to upstream %s: %s",
+                     explain_get(object, "attempt"),
+                     explain_get(object, "upstream"),
+                     explain_get(object, "reason"));
+    }
+    else if (strcmp(event, "request_sent") == 0) {
+        (void)printf(
+            "%s of database %s sent to upstream %s: %s",
+            explain_get(object, "class"), explain_get(object, "database"),
+            explain_get(object, "upstream"), explain_get(object, "reason"));
+    }
+    else {
+        (void)printf("%s", event);
+    }
+}
+
+// Prints the members of any other line.
+static void
+explain_print_cause(struct json_object *object)
+{
+    (void)printf("%s", explain_get(object, "event"));
+    json_object_object_foreach(object, key, value)
+    {
+        if (strcmp(key, "time") != 0 && strcmp(key, "vm") != 0 &&
+            strcmp(key, "level") != 0 && strcmp(key, "event") != 0) {
+            (void)printf(" %s=%s", key, json_object_get_string(value));
+        }
+    }
+}
+
+static void
+explain_print(const struct explain *explain)
+{
+    for (size_t i = 0; i < explain->count; i++) {
+        const struct explain_line *line = &explain->lines[i];
+        if (!line->is_own && !explain_is_near(explain, line)) {
+            continue;
+        }
+        (void)printf("%s %s%s: ", line->time, line->is_own ? "" : "  ",
+                     explain_get(line->object, "vm"));
+        if (line->is_own) {
+            explain_print_own(line->object);
+        }
+        else {
+            explain_print_cause(line->object);
+        }
+        (void)printf("\n");
+    }
+}
+
+static size_t
+explain_count_own(const struct explain *explain)
+{
+    size_t count = 0;
+
+    for (size_t i = 0; i < explain->count; i++) {
+        count += explain->lines[i].is_own ? 1 : 0;
+    }
+    return count;
+}
+
+static int
+explain_run(const struct cli_options *options, int argc, char **argv)
+{
+    struct explain explain = {0};
+    int code = CLI_EXIT_OK;
+
+    (void)options;
+    if (argc < 3) {
+        return cli_fail_usage(argv[0], "needs an id and a log file");
+    }
+    explain.id = argv[1];
+    for (int i = 2; i < argc && code == CLI_EXIT_OK; i++) {
+        code = explain_read_file(&explain, argv[i]);
+    }
+    if (code == CLI_EXIT_OK && explain_count_own(&explain) == 0) {
+        code = cli_fail("no line has the id %s: it went well and was thinned "
+                        "out, or its log is missing",
+                        explain.id);
+    }
+    else if (code == CLI_EXIT_OK) {
+        qsort(explain.lines, explain.count, sizeof(*explain.lines),
+              explain_compare);
+        explain_print(&explain);
+    }
+    for (size_t i = 0; i < explain.count; i++) {
+        free(explain.lines[i].time);
+        json_object_put(explain.lines[i].object);
+    }
+    free(explain.lines);
+    return code;
+}
+
+const struct cli_verb cli_verb_explain = {
+    .name = "explain",
+    .args = "ID FILE...",
+    .help = "tell from collected JSON logs what happened to a request",
+    .run = explain_run,
+};
--- a/src/catkingrade/entry/database.c
+++ b/src/catkingrade/entry/database.c
@@ -12,6 +12,7 @@
 #include "catkingrade/entry/database_private.h"
 #include "catkingrade/entry/worker.h"
 #include "catkingrade/kernel/counters.h"
+#include "catkingrade/kernel/histogram.h"
 #include "catkingrade/kernel/log.h"
 #include "catkingrade/kernel/memory.h"
 #include "catkingrade/kernel/outcome.h"
@@ -132,6 +133,46 @@
     return apr_hash_get(database->conns, &id, sizeof(id));
 }
 
+// Returns the histogram of a phase; this thread keeps those it has used.
+static struct histogram *
+database_get_histogram(struct database *database, enum histogram_phase phase,
+                       const char *type, const char *upstream)
+{
+    for (size_t i = 0; i < database->histograms_count; i++) {
+        const struct database_histogram *row = &database->histograms[i];
+        if (row->phase == phase && strcmp(row->type, type) == 0 &&
+            strcmp(row->upstream, upstream) == 0) {
+            return row->histogram;
+        }
+    }
+    // Upstreams come and go: the oldest rows make room.
+    size_t place = database->histograms_next++ % DATABASE_MAX_HISTOGRAMS;
+    struct database_histogram *row = &database->histograms[place];
+    if (database->histograms_count < DATABASE_MAX_HISTOGRAMS) {
+        database->histograms_count++;
+    }
+    row->phase = phase;
+    (void)snprintf(row->type, sizeof(row->type), "%s", type);
+    (void)snprintf(row->upstream, sizeof(row->upstream), "%s", upstream);
+    row->histogram = histogram_get(phase, database->name, type, upstream);
+    return row->histogram;
+}
+
+// Counts how long a phase of a request has taken.
+static void
+database_note_phase(struct database *database,
+                    const struct entry_request *request,
+                    enum histogram_phase phase)
+{
+    int64_t from_us =
+        phase == HISTOGRAM_TOTAL ? request->submitted_us : request->phase_us;
+    const char *upstream = phase == HISTOGRAM_RUN ? request->upstream : "";
+
+    histogram_note(database_get_histogram(database, phase,
+                                          request->traffic.type, upstream),
+                   monotonic_get_us() - from_us);
+}
+
 // ---- events of connections ----
 
 static void
@@ -253,6 +294,8 @@
 
     conn->request = NULL;
     request->running = false;
+    database_note_phase(database, request, HISTOGRAM_RUN);
+    request->phase_us = monotonic_get_us();
     if (!whole) {
         database_drop_conn(conn);
     }
@@ -436,6 +479,8 @@
     }
     request->running = true;
     request->attempts++;
+    database_note_phase(database, request, HISTOGRAM_QUEUE);
+    request->phase_us = monotonic_get_us();
     database_log_send(database, request, action);
     conn->request = request;
     job_clear_answer(&request->job);
@@ -454,6 +499,7 @@
 {
     INVARIANT(!request->decided);
     request->decided = true;
+    database_note_phase(database, request, HISTOGRAM_TOTAL);
     atomic_fetch_sub_explicit(&database->open_requests, 1,
                               memory_order_relaxed);
     counter_add(counter, 1);
@@ -794,6 +840,7 @@
     struct traffic_event event = {.kind = TRAFFIC_EVENT_REQUEST};
 
     request->id = worker_make_id(database->worker);
+    request->submitted_us = request->phase_us = monotonic_get_us();
     request->database = database;
     request->traffic.request = request->id;
     if (request->session != NULL) {
--- a/src/catkingrade/entry/database_private.h
+++ b/src/catkingrade/entry/database_private.h
@@ -8,6 +8,7 @@
 #include "catkingrade/decide/traffic.h"
 #include "catkingrade/entry/database.h"
 #include "catkingrade/entry/worker.h"
+#include "catkingrade/kernel/histogram.h"
 
 // What database.c and database_samples.c share.
 
@@ -33,7 +34,20 @@
     bool busy;
 };
 
+#define DATABASE_MAX_HISTOGRAMS 32
+
+// A histogram that this database has used.
+struct database_histogram {
+    enum histogram_phase phase;
+    char type[CK_NAME_SIZE + 1];
+    char upstream[CK_NAME_SIZE + 1];
+    struct histogram *histogram;
+};
+
 struct database {
+    struct database_histogram histograms[DATABASE_MAX_HISTOGRAMS];
+    size_t histograms_count;
+    size_t histograms_next;
     struct worker *worker;
     char name[CK_NAME_SIZE + 1];
     apr_pool_t *pool;
--- a/src/catkingrade/entry/session.h
+++ b/src/catkingrade/entry/session.h
@@ -22,8 +22,10 @@
     char upstream[CK_NAME_SIZE + 1];
     bool on_replica;
     unsigned attempts;
-    bool running; // a connection works on its job
-    bool decided; // its outcome has been told to the session
+    int64_t submitted_us;
+    int64_t phase_us; // when its present phase began
+    bool running;     // a connection works on its job
+    bool decided;     // its outcome has been told to the session
     bool cancelled;
 };
 
--- a/src/catkingrade/kernel/settings.c
+++ b/src/catkingrade/kernel/settings.c
@@ -132,7 +132,7 @@
 };
 
 static const char *const settings_listen_keys[] = {"postgres", "rpc", "http",
-                                                   NULL};
+                                                   "metrics", NULL};
 static const char *const settings_platform_keys[] = {"listen", "control",
                                                      "promote", NULL};
 static const char *const settings_group_keys[] = {"name", "failure_domain",
@@ -218,6 +218,8 @@
                           &settings->postgres);
     settings_read_address(reader, listen, "listen", "rpc", &settings->rpc);
     settings_read_address(reader, listen, "listen", "http", &settings->http);
+    settings_read_address(reader, listen, "listen", "metrics",
+                          &settings->metrics);
 }
 
 static void
--- a/src/catkingrade/kernel/settings.h
+++ b/src/catkingrade/kernel/settings.h
@@ -51,6 +51,7 @@
     struct settings_platform platform;
     struct settings_address rpc;
     struct settings_address http;
+    struct settings_address metrics; // of HTTP too, for scrapers
     char *data_dir;
     char *key_file;  // shared key of daemons and operators
     char *view_file; // static view for an entry without control
--- a/src/catkingrade/plugins/http.c
+++ b/src/catkingrade/plugins/http.c
@@ -9,6 +9,7 @@
 #include "catkingrade/kernel/buffer.h"
 #include "catkingrade/kernel/counters.h"
 #include "catkingrade/kernel/daemon.h"
+#include "catkingrade/kernel/histogram.h"
 #include "catkingrade/kernel/log.h"
 #include "catkingrade/kernel/loop.h"
 #include "catkingrade/kernel/memory.h"
@@ -49,6 +50,7 @@
 
 struct http {
     struct MHD_Daemon *server;
+    struct MHD_Daemon *metrics_server; // at an address of its own, or NULL
     struct daemon *daemon;
     pthread_mutex_t mutex;
     struct http_call *calls; // without a reply so far
@@ -272,6 +274,7 @@
     struct buffer text = {0};
 
     counter_append_prometheus(&text);
+    histogram_append_prometheus(&text);
     enum MHD_Result result =
         http_respond(connection, MHD_HTTP_OK, "text/plain; version=0.0.4",
                      buffer_get_data(&text), buffer_get_size(&text));
@@ -404,33 +407,49 @@
     return settings->http.port != 0;
 }
 
-static int
-http_start(struct daemon *daemon)
+// Opens a listener of libmicrohttpd. Returns NULL, with a line logged, when it
+// cannot listen there.
+static struct MHD_Daemon *
+http_listen(struct http *http, const struct settings_address *address)
 {
-    const struct settings_address *address = &daemon->settings->http;
     struct sockaddr_storage socket_address;
-    struct http *http = xcalloc(1, sizeof(*http));
     unsigned flags = MHD_USE_INTERNAL_POLLING_THREAD | MHD_USE_EPOLL |
                      MHD_ALLOW_SUSPEND_RESUME;
+    struct MHD_Daemon *server = NULL;
+
+    if (address_fill(address, &socket_address) > 0) {
+        flags |= socket_address.ss_family == AF_INET6 ? MHD_USE_IPv6 : 0;
+        server = MHD_start_daemon(
+            flags, address->port, NULL, NULL, http_handle_access, http,
+            MHD_OPTION_SOCK_ADDR, &socket_address, MHD_OPTION_CONNECTION_LIMIT,
+            HTTP_MAX_CONNECTIONS, MHD_OPTION_CONNECTION_TIMEOUT,
+            HTTP_CONNECTION_TIMEOUT_S, MHD_OPTION_NOTIFY_COMPLETED,
+            http_handle_completed, http, MHD_OPTION_END);
+    }
+    if (server == NULL) {
+        LOG_ERROR("http_failed", "address=%s:%u", address->host,
+                  address->port);
+    }
+    return server;
+}
+
+static int
+http_start(struct daemon *daemon)
+{
+    const struct settings *settings = daemon->settings;
+    struct http *http = xcalloc(1, sizeof(*http));
 
     http->daemon = daemon;
     pthread_mutex_init(&http->mutex, NULL);
-    if (address_fill(address, &socket_address) == 0) {
-        free(http);
-        return OUTCOME_INVALID;
-    }
-    if (socket_address.ss_family == AF_INET6) {
-        flags |= MHD_USE_IPv6;
+    http->server = http_listen(http, &settings->http);
+    if (http->server != NULL && settings->metrics.port != 0) {
+        http->metrics_server = http_listen(http, &settings->metrics);
     }
-    http->server = MHD_start_daemon(
-        flags, address->port, NULL, NULL, http_handle_access, http,
-        MHD_OPTION_SOCK_ADDR, &socket_address, MHD_OPTION_CONNECTION_LIMIT,
-        HTTP_MAX_CONNECTIONS, MHD_OPTION_CONNECTION_TIMEOUT,
-        HTTP_CONNECTION_TIMEOUT_S, MHD_OPTION_NOTIFY_COMPLETED,
-        http_handle_completed, http, MHD_OPTION_END);
-    if (http->server == NULL) {
-        LOG_ERROR("http_failed", "address=%s:%u", address->host,
-                  address->port);
+    if (http->server == NULL ||
+        (settings->metrics.port != 0 && http->metrics_server == NULL)) {
+        if (http->server != NULL) {
+            MHD_stop_daemon(http->server);
+        }
         free(http);
         return OUTCOME_IO;
     }
@@ -463,6 +482,9 @@
     daemon->http = NULL;
     http_detach_calls(http);
     MHD_stop_daemon(http->server);
+    if (http->metrics_server != NULL) {
+        MHD_stop_daemon(http->metrics_server);
+    }
     pthread_mutex_destroy(&http->mutex);
     free(http);
 }
--- a/test/contract/test_cli.c
+++ b/test/contract/test_cli.c
@@ -569,6 +569,8 @@
     {{"--key-file", "/no/such/key", "status"}, 1, "cannot be read"},
     {{"timeline", "--last", "soon"}, 64, "not a whole number above 0"},
     {{"check", "/no/such/settings"}, 1, "/no/such/settings"},
+    {{"explain", "a1"}, 64, "needs an id and a log file"},
+    {{"explain", "a1", "/no/such/log"}, 1, "/no/such/log: No such file"},
     {{"version"}, 0, "catkingrade "},
 };
 
@@ -589,6 +591,109 @@
 }
 END_TEST
 
+// Lines as three VMs wrote them: of a save whose outcome nobody knows, of a
+// read no replica was fresh enough for, of one refused for want of a slot, and
+// of what happened around them; some with a collector's prefix, some broken.
+static const char explain_logs[] =
+    "{\"time\":\"2026-03-01T06:31:04.900Z\",\"vm\":\"v2\",\"event\":"
+    "\"promoting\",\"group\":\"walks\",\"upstream\":\"u2\"}\n"
+    "-9.1 v1 {\"time\":\"2026-03-01T06:31:04.100Z\",\"vm\":\"v1\","
+    "\"event\":\"request_sent\",\"id\":\"a1\",\"database\":\"walks\","
+    "\"class\":\"save\",\"upstream\":\"u1\",\"reason\":\"may write\"}\n"
+    "{\"time\":\"2026-03-01T06:31:04.800Z\",\"vm\":\"v1\",\"event\":"
+    "\"request_unknown\",\"id\":\"a1\",\"upstream\":\"u1\",\"reason\":"
+    "\"the connection was lost\",\"waited_ms\":\"700\",\"term\":\"4\","
+    "\"lease_left_ms\":\"120\"}\n"
+    "{\"time\":\"2026-03-01T06:31:04.500Z\",\"vm\":\"v1\",\"event\":"
+    "\"primary_lost\",\"upstream\":\"u1\"}\n"
+    "{\"time\":\"2026-03-01T06:20:00.000Z\",\"vm\":\"v1\",\"event\":"
+    "\"lease_held\",\"group\":\"long ago\"}\n"
+    "{\"time\":\"2026-03-01T06:31:04.9\n"
+    "no line of ours\n"
+    "{\"time\":\"2026-03-01T06:32:00.000Z\",\"vm\":\"v3\",\"event\":"
+    "\"request_refused\",\"id\":\"b2\",\"reason\":\"no slot was free in "
+    "time\",\"waited_ms\":\"150\",\"term\":\"4\",\"lease_left_ms\":"
+    "\"2000\",\"retry_after_ms\":\"300\"}\n"
+    "{\"time\":\"2026-03-01T06:33:00.000Z\",\"vm\":\"v3\",\"event\":"
+    "\"request_refused\",\"id\":\"c3\",\"reason\":\"no upstream is fresh "
+    "enough\",\"waited_ms\":\"1\",\"term\":\"4\",\"lease_left_ms\":"
+    "\"2000\",\"retry_after_ms\":\"80\"}\n";
+
+struct explain_row {
+    const char *id;
+    int code;
+    const char *parts[3];
+    const char *absent;
+};
+
+static const struct explain_row explain_rows[] = {
+    {"a1",
+     0,
+     {"save of database walks sent to upstream u1: may write",
+      "primary_lost upstream=u1",
+      "unknown outcome at upstream u1: the connection was lost (after 700 ms, "
+      "term 4, 120 ms left of the lease)"},
+     "long ago"},
+    {"b2",
+     0,
+     {"refused, not run: no slot was free in time (waited 150 ms", "300 ms",
+      "v3"},
+     "primary_lost"},
+    {"c3",
+     0,
+     {"refused, not run: no upstream is fresh enough", "80 ms", "v3"},
+     "no slot"},
+    {"d4", 1, {"no line has the id d4", "", ""}, "u1"},
+};
+
+START_TEST(test_explain)
+{
+    const struct explain_row *row = &explain_rows[_i];
+    struct fake_control control;
+    char *text = NULL;
+
+    control_start(&control);
+    char *folder = process_make_folder("cli_explain");
+    char *path = xasprintf("%s/vms.log", folder);
+    process_write_file(path, explain_logs);
+    const char *args[] = {"explain", row->id, path, NULL};
+    ck_assert_int_eq(run_command(&control, folder, "1000", args, &text),
+                     row->code);
+    for (size_t i = 0; i < ARRAY_SIZE(row->parts); i++) {
+        check_contains(text, row->parts[i]);
+    }
+    ck_assert_ptr_null(strstr(text, row->absent));
+    free(text);
+    free(path);
+    free(folder);
+    control_stop(&control);
+}
+END_TEST
+
+// The id's own lines stand in the order of their time, over all files.
+START_TEST(test_explain_order)
+{
+    struct fake_control control;
+    char *text = NULL;
+
+    control_start(&control);
+    char *folder = process_make_folder("cli_explain_order");
+    char *path = xasprintf("%s/vms.log", folder);
+    process_write_file(path, explain_logs);
+    const char *args[] = {"explain", "a1", path, NULL};
+    ck_assert_int_eq(run_command(&control, folder, "1000", args, &text), 0);
+    const char *sent = strstr(text, "sent to upstream");
+    const char *lost = strstr(text, "primary_lost");
+    const char *unknown = strstr(text, "unknown outcome");
+    ck_assert(sent != NULL && lost != NULL && unknown != NULL);
+    ck_assert(sent < lost && lost < unknown);
+    free(text);
+    free(path);
+    free(folder);
+    control_stop(&control);
+}
+END_TEST
+
 static void
 add_tests(TCase *tests)
 {
@@ -599,6 +704,8 @@
     tcase_add_test(tests, test_deleted_and_applied_again);
     tcase_add_test(tests, test_customer_shutdown);
     tcase_add_test(tests, test_timeline);
+    tcase_add_loop_test(tests, test_explain, 0, ARRAY_SIZE(explain_rows));
+    tcase_add_test(tests, test_explain_order);
     tcase_add_loop_test(tests, test_usage, 0, ARRAY_SIZE(usage_rows));
 }
 
