perf(decide): after a restart entries find room, a leader and patience

By the log (1) upstreams still counted the dead connections, which had been all of them, and refused new ones (CONNLIMIT) until they noticed 3 s later; (2) requests were refused for want of a slot after half their target although nobody got slots; (3) entries that had asked voters in vain for longest backed off to 0.8 s and kept the others' quotas frozen.

--- a/src/catkingrade/decide/admission.c
+++ b/src/catkingrade/decide/admission.c
@@ -17,6 +17,8 @@
 // Slots that are asked for, for each one that was in use or waited for.
 #define ADMISSION_HEADROOM          1.5
 #define ADMISSION_FAILOVER_RETRY_US (250 * TRAFFIC_MS_US)
+// No statement got a slot for so long: several times what one takes.
+#define ADMISSION_STANDSTILL_US (200 * TRAFFIC_MS_US)
 
 // Returns the place of the type of that name, or of a new one. When the table
 // is full the last one is shared.
@@ -262,10 +264,31 @@
 {
     struct type_queue *queue = &type->queues[kind];
 
+    if (traffic->now_us - traffic->started_us[kind] >
+        ADMISSION_STANDSTILL_US) {
+        traffic->moving_since_us[kind] = traffic->now_us;
+    }
+    traffic->started_us[kind] = traffic->now_us;
     traffic->virtual_time[kind] = queue->virtual_time;
     queue->virtual_time += type->service_us / type->weight;
 }
 
+// Returns until when a queued request may wait, whose patience has run out:
+// while nothing of its kind gets slots, no wait says how long the next will
+// be, and once slots are given again its patience counts from then.
+int64_t
+admission_get_patient_until_us(const struct traffic *traffic,
+                               const struct request *request)
+{
+    enum queue_kind kind = admission_get_queue(request);
+
+    if (traffic->now_us - traffic->started_us[kind] >
+        ADMISSION_STANDSTILL_US) {
+        return traffic->now_us + request->patience_us;
+    }
+    return traffic->moving_since_us[kind] + request->patience_us;
+}
+
 // Refuses a queued request that can no longer end before its deadline.
 // Returns whether it did.
 bool
--- a/src/catkingrade/decide/leader_quota.c
+++ b/src/catkingrade/decide/leader_quota.c
@@ -8,6 +8,8 @@
 // Up to so many databases every entry gets a share of every upstream; beyond
 // that, only of those for which it reports a demand.
 #define LEADER_SHARED_DATABASES 64
+// One part in this many of an upstream's connections is lent.
+#define LEADER_LENDABLE_PART 2
 
 // What one entry may use of an upstream.
 struct leader_share {
@@ -177,13 +179,16 @@
     }
 }
 
-// Returns the connections that entries may use: one is kept for the group's
-// own probes and promotions.
+// Returns the connections that entries may use. The rest is kept free: for the
+// group's own probes and promotions, and for entries that come back after a
+// power loss. An upstream counts connections of those that are gone until it
+// notices, and with all of them in use nobody could connect before.
 static uint32_t
 leader_get_lendable(const struct ck_upstream *upstream)
 {
-    return upstream->connections > 1 ? upstream->connections - 1
-                                     : upstream->connections;
+    uint32_t lendable = upstream->connections / LEADER_LENDABLE_PART;
+
+    return lendable > 0 ? lendable : upstream->connections;
 }
 
 // Fills which entries take part and who is near. The guaranteed shares follow
--- a/src/catkingrade/decide/leaseholder.c
+++ b/src/catkingrade/decide/leaseholder.c
@@ -15,6 +15,9 @@
 #define LEASEHOLDER_MAX_REDIRECTS 3
 #define LEASEHOLDER_MAX_BACKOFF   4
 #define LEASEHOLDER_PPM           1000000
+// Without a lease an entry asks voters that answer at least so many times in
+// a renewal interval: a new leader may be found at any moment.
+#define LEASEHOLDER_UNLEASED_ASKS 8
 
 // Makes a leaseholder without a lease; it starts with the first TICK.
 struct leaseholder *
@@ -105,18 +108,31 @@
     }
 }
 
-// Picks the next voter and a moment within a jittered, growing interval.
-static void
-leaseholder_back_off(struct leaseholder *holder, int64_t now_us)
+// Returns the longest wait before the next voter is asked. It grows with the
+// failures in a row; less so without a lease when voters do answer.
+static int64_t
+leaseholder_get_backoff_us(const struct leaseholder *holder, int64_t now_us,
+                           bool answered)
 {
     unsigned shift = holder->failures < LEASEHOLDER_MAX_BACKOFF
                          ? holder->failures
                          : LEASEHOLDER_MAX_BACKOFF;
-    int64_t limit_us = holder->params.retry_us << shift;
+    int64_t wait_us = holder->params.retry_us << shift;
+    int64_t most_us = holder->params.renew_us;
 
-    if (limit_us > holder->params.renew_us) {
-        limit_us = holder->params.renew_us;
+    if (answered && holder->valid_until_us <= now_us) {
+        most_us /= LEASEHOLDER_UNLEASED_ASKS;
     }
+    return wait_us < most_us ? wait_us : most_us;
+}
+
+// Picks the next voter and a jittered moment; answered: the voter before was
+// there but is not the leader.
+static void
+leaseholder_back_off(struct leaseholder *holder, int64_t now_us, bool answered)
+{
+    int64_t limit_us = leaseholder_get_backoff_us(holder, now_us, answered);
+
     holder->failures++;
     holder->redirects = 0;
     holder->next_voter =
@@ -138,7 +154,7 @@
                 strcmp(result->leader_host, holder->target.host) == 0;
 
     if (!hinted || same || holder->redirects >= LEASEHOLDER_MAX_REDIRECTS) {
-        leaseholder_back_off(holder, now_us);
+        leaseholder_back_off(holder, now_us, true);
         return;
     }
     holder->redirects++;
@@ -195,7 +211,7 @@
         &holder->random, (uint32_t)(holder->params.renew_us / 8) + 1);
 
     if (!leaseholder_take_delta(holder, &result->delta, actions)) {
-        leaseholder_back_off(holder, now_us);
+        leaseholder_back_off(holder, now_us, false);
         return;
     }
     holder->failures = 0;
@@ -236,7 +252,7 @@
     }
     if ((result->outcome != OUTCOME_OK && result->outcome != OUTCOME_AGAIN) ||
         result->leader_term < holder->leader_term) {
-        leaseholder_back_off(holder, now_us);
+        leaseholder_back_off(holder, now_us, false);
         return;
     }
     holder->leader_term = result->leader_term;
@@ -315,7 +331,7 @@
     case LEASEHOLDER_EVENT_RENEW_FAILED:
         if (holder->in_flight && event->sequence == holder->sequence) {
             holder->in_flight = false;
-            leaseholder_back_off(holder, now_us);
+            leaseholder_back_off(holder, now_us, false);
         }
         break;
     case LEASEHOLDER_EVENT_NOTIFIED:
@@ -382,7 +398,7 @@
     if (holder->in_flight &&
         now_us - holder->sent_at_us >= 2 * holder->params.call_timeout_us) {
         holder->in_flight = false;
-        leaseholder_back_off(holder, now_us);
+        leaseholder_back_off(holder, now_us, false);
     }
     if (!holder->in_flight && now_us >= holder->next_renew_us) {
         leaseholder_send(holder, now_us, actions);
--- a/src/catkingrade/decide/request_run.c
+++ b/src/catkingrade/decide/request_run.c
@@ -197,6 +197,26 @@
             request->conn == TRAFFIC_NO_ID);
 }
 
+// Gives a request a new wait when nobody was served during the one that has
+// ended: to be refused would only bring it back to the same standstill.
+// Returns whether it did.
+static bool
+request_waits_on(struct traffic *traffic, struct request *request)
+{
+    if (request->state != REQUEST_QUEUED) {
+        return false;
+    }
+    int64_t until_us = admission_get_patient_until_us(traffic, request);
+    if (until_us <= traffic->now_us) {
+        return false;
+    }
+    request->start_by_us = until_us;
+    if (until_us < request->deadline_us) {
+        traffic_add_limit(traffic, until_us, TIMER_REQUEST, request->id);
+    }
+    return true;
+}
+
 // Handles a timer of a request: its deadline, or the end of a shorter wait.
 void
 request_handle_timer(struct traffic *traffic, uint64_t id)
@@ -218,6 +238,10 @@
         }
         return;
     }
+    if (traffic->now_us >= request->start_by_us &&
+        request_is_impatient(request) && request_waits_on(traffic, request)) {
+        return;
+    }
     if (traffic->now_us >= request->start_by_us &&
         request_is_impatient(request)) {
         request_leave_queue(traffic, request);
--- a/src/catkingrade/decide/traffic_request.c
+++ b/src/catkingrade/decide/traffic_request.c
@@ -231,6 +231,7 @@
         .start_by_us = event->patience_us > 0
                            ? traffic->now_us + event->patience_us
                            : INT64_MAX,
+        .patience_us = event->patience_us,
         .type = place,
         .request_class = (uint8_t)event->request_class,
         .state = REQUEST_WAITING,
--- a/src/catkingrade/decide/traffic_state.h
+++ b/src/catkingrade/decide/traffic_state.h
@@ -112,6 +112,7 @@
     int64_t arrived_us;
     int64_t deadline_us;
     int64_t start_by_us; // or it is refused; INT64_MAX: its deadline counts
+    int64_t patience_us; // the wait for a slot that start_by_us stands for
     int64_t max_age_us;
     int64_t queued_us;
     int64_t started_us;
@@ -212,9 +213,11 @@
     uint32_t queued[QUEUE_COUNT];
     uint32_t running;                // statements on all upstreams
     uint32_t work[QUEUE_COUNT];      // queued and running after the last step
-    double work_area[QUEUE_COUNT];   // its integral since the last report
-    int64_t work_from_us;            // moment of the last report
-    uint32_t peak_work[QUEUE_COUNT]; // since the last report
+    int64_t started_us[QUEUE_COUNT]; // when a statement last got a slot
+    int64_t moving_since_us[QUEUE_COUNT]; // after the last standstill
+    double work_area[QUEUE_COUNT];        // its integral since the last report
+    int64_t work_from_us;                 // moment of the last report
+    uint32_t peak_work[QUEUE_COUNT];      // since the last report
     uint32_t pinned_waiting;
     uint32_t round; // number of the present dispatch
     double retry_tokens;
--- a/test/fake/traffic_rig.c
+++ b/test/fake/traffic_rig.c
@@ -180,6 +180,18 @@
     return rig_send_request(rig, request);
 }
 
+uint64_t
+rig_request_patient(struct rig *rig, uint64_t session, int64_t patience_us,
+                    int64_t deadline_us)
+{
+    return rig_send_request(
+        rig, (struct traffic_request){.session = session,
+                                      .request_class = TRAFFIC_READ,
+                                      .max_age_us = -1,
+                                      .patience_us = patience_us,
+                                      .deadline_us = deadline_us});
+}
+
 void
 rig_result(struct rig *rig, uint64_t request, uint32_t conn,
            enum traffic_result result, bool in_transaction, uint64_t lsn)
--- a/test/unit/decide/test_guarded.c
+++ b/test/unit/decide/test_guarded.c
@@ -191,6 +191,93 @@
 }
 END_TEST
 
+#define PATIENCE_US (250 * RIG_MS_US)
+#define DEADLINE_US (3000 * RIG_MS_US)
+#define CROWD       40
+
+// Sends a read from a session of its own.
+static uint64_t
+request_patiently(uint64_t session)
+{
+    rig_open_session(&rig, session, NULL);
+    return rig_request_patient(&rig, session, PATIENCE_US,
+                               rig.now_us + DEADLINE_US);
+}
+
+// Steps through a time in small ticks and counts what is refused meanwhile.
+static size_t
+count_refused_for(int64_t time_us)
+{
+    size_t refused = 0;
+
+    for (int64_t passed_us = 0; passed_us < time_us;
+         passed_us += 10 * RIG_MS_US) {
+        rig_tick(&rig, 10 * RIG_MS_US);
+        refused += rig_count(&rig, TRAFFIC_ACTION_REFUSE);
+    }
+    return refused;
+}
+
+// Where others are served all the while, a wait beyond its use ends.
+START_TEST(test_wait_behind_others_ends)
+{
+    uint64_t running[CROWD] = {0};
+    uint32_t conns[CROWD] = {0};
+    size_t refused = 0;
+
+    start(1);
+    for (uint64_t i = 0; i < CROWD; i++) {
+        uint64_t request = request_patiently(i + 10);
+        const struct traffic_action *action = sent_for(request);
+        running[i] = action == NULL ? 0 : request;
+        conns[i] = action == NULL ? 0 : action->conn;
+    }
+    ck_assert_uint_ne(running[0], 0);
+    ck_assert_uint_eq(running[CROWD - 1], 0);
+    for (size_t i = 0; i < CROWD && running[i] != 0; i++) {
+        refused += count_refused_for(100 * RIG_MS_US);
+        rig_result(&rig, running[i], conns[i], TRAFFIC_RESULT_DONE, false, 1);
+    }
+    refused += count_refused_for(100 * RIG_MS_US);
+    ck_assert_uint_gt(refused, 0);
+    rig_free(&rig);
+}
+END_TEST
+
+// Where nothing is served, as after a restart, being refused is of no use: it
+// waits until its deadline, and is served once that is possible.
+START_TEST(test_wait_for_a_standstill_goes_on)
+{
+    rig_init_guarded(&rig, 1);
+    rig_post_view(&rig);
+    rig_open_session(&rig, 1, NULL);
+    struct traffic_action opening = *rig_find(&rig, TRAFFIC_ACTION_OPEN, 0);
+    uint64_t request = request_patiently(10);
+    ck_assert_uint_eq(count_refused_for(PATIENCE_US + 200 * RIG_MS_US), 0);
+    rig_conn(&rig, TRAFFIC_EVENT_CONN_OPENED, opening.conn);
+    ck_assert_ptr_nonnull(sent_for(request));
+    rig_free(&rig);
+}
+END_TEST
+
+// What waited through a standstill is not refused at once when it ends.
+START_TEST(test_standstill_ends_gently)
+{
+    rig_init_guarded(&rig, 1);
+    rig_post_view(&rig);
+    rig_open_session(&rig, 1, NULL);
+    struct traffic_action opening = *rig_find(&rig, TRAFFIC_ACTION_OPEN, 0);
+    for (uint64_t i = 0; i < CROWD; i++) {
+        (void)request_patiently(i + 10);
+    }
+    ck_assert_uint_eq(count_refused_for(PATIENCE_US + 200 * RIG_MS_US), 0);
+    rig_conn(&rig, TRAFFIC_EVENT_CONN_OPENED, opening.conn);
+    ck_assert_uint_ge(rig_count(&rig, TRAFFIC_ACTION_SEND), 1);
+    ck_assert_uint_eq(count_refused_for(PATIENCE_US / 4), 0);
+    rig_free(&rig);
+}
+END_TEST
+
 START_TEST(test_lag_estimate)
 {
     struct replica_lag lag = {0};
@@ -242,6 +329,9 @@
     tcase_add_test(tests, test_busy_save_is_tried_again);
     tcase_add_test(tests, test_save_at_a_replica_is_refused);
     tcase_add_test(tests, test_silence_is_suspected);
+    tcase_add_test(tests, test_wait_behind_others_ends);
+    tcase_add_test(tests, test_wait_for_a_standstill_goes_on);
+    tcase_add_test(tests, test_standstill_ends_gently);
     tcase_add_test(tests, test_lag_estimate);
     tcase_add_test(tests, test_oldest_sample_since);
 }
--- a/test/unit/decide/test_leader.c
+++ b/test/unit/decide/test_leader.c
@@ -541,6 +541,25 @@
 }
 END_TEST
 
+// An upstream of 30 connections keeps room for as many as are lent, so that
+// entries that come back after a power loss can connect beside the dead ones.
+START_TEST(test_half_of_the_connections_is_lent)
+{
+    struct rig rig;
+
+    start_database(&rig, "e1");
+    elect(&rig, 4);
+    rig.now_us = START_US + 900 * MS;
+    const struct ck_renew_result *result =
+        renew(&rig, "e1", 1, group_get_revision(rig.group));
+    ck_assert_uint_eq(result->quotas.quotas_len, 2);
+    for (u_int i = 0; i < result->quotas.quotas_len; i++) {
+        ck_assert_uint_eq(result->quotas.quotas_val[i].connections, 15);
+    }
+    finish(&rig);
+}
+END_TEST
+
 static void
 add_tests(TCase *tests)
 {
@@ -555,6 +574,7 @@
     tcase_add_test(tests, test_failed_proposal_is_answered);
     tcase_add_test(tests, test_customer_closes_when_nothing_is_open);
     tcase_add_test(tests, test_customer_closes_after_its_limit);
+    tcase_add_test(tests, test_half_of_the_connections_is_lent);
     tcase_add_test(tests, test_silent_daemon_is_forgotten);
 }
 
--- a/test/unit/decide/test_leaseholder.c
+++ b/test/unit/decide/test_leaseholder.c
@@ -208,6 +208,35 @@
 }
 END_TEST
 
+// Voters that answer but know no leader yet are asked often by an entry that
+// can serve nothing without a lease: the answer costs them little.
+START_TEST(test_without_a_lease_voters_are_asked_often)
+{
+    struct leaseholder *holder = make_holder();
+    struct ck_renew_result result = {.outcome = OUTCOME_NOT_LEADER};
+    struct leaseholder_event event = {.kind = LEASEHOLDER_EVENT_RENEWED,
+                                      .renewed = &result};
+    int64_t last_ms = 0;
+    uint64_t sent = 0;
+
+    result.leader_host = (char *)(uintptr_t) "";
+    for (int64_t at_ms = 0; at_ms < 3000; at_ms++) {
+        const struct leaseholder_action *send = find_action(
+            tick(holder, at_ms * MS), LEASEHOLDER_ACTION_SEND_RENEW);
+        if (send == NULL) {
+            ck_assert_int_le(at_ms - last_ms, 300 / 8 + 1);
+            continue;
+        }
+        last_ms = at_ms;
+        sent++;
+        result.sequence = send->send.args->sequence;
+        (void)step(holder, at_ms * MS, &event);
+    }
+    ck_assert_uint_le(sent, 3000 / (300 / 16));
+    leaseholder_destroy(holder);
+}
+END_TEST
+
 START_TEST(test_expiry_falls_back_to_the_guaranteed_share)
 {
     struct leaseholder *holder = make_holder();
@@ -339,6 +368,7 @@
     tcase_add_loop_test(tests, test_ignored_answer, 0, ARRAY_SIZE(ignored));
     tcase_add_test(tests, test_hint_leads_to_the_leader);
     tcase_add_test(tests, test_failures_back_off_over_all_voters);
+    tcase_add_test(tests, test_without_a_lease_voters_are_asked_often);
     tcase_add_test(tests, test_expiry_falls_back_to_the_guaranteed_share);
     tcase_add_test(tests, test_revocation_is_confirmed_until_the_next_term);
     tcase_add_test(tests, test_notice_shows_the_new_leader);
