--- a/src/catkingrade/cli/explain.c
+++ b/src/catkingrade/cli/explain.c
@@ -10,8 +10,8 @@
 // Tells from collected logs what happened to one request, in order, over all
 // processes, with what changed around it where that may be the cause.
 
-// Lines of other events are shown when they are at most so far from one of the
-// request's own.
+// Lines of other events are shown when they are at most so far before or after
+// one of the request's own: a failure is often noticed later.
 #define EXPLAIN_AROUND_MS 3000
 #define EXPLAIN_MAX_LINE  8192
 
@@ -135,7 +135,7 @@
 {
     for (size_t i = 0; i < explain->count; i++) {
         int64_t distance_ms = explain->lines[i].time_ms - line->time_ms;
-        if (explain->lines[i].is_own && distance_ms >= 0 &&
+        if (explain->lines[i].is_own && distance_ms >= -EXPLAIN_AROUND_MS &&
             distance_ms <= EXPLAIN_AROUND_MS) {
             return true;
         }
--- a/src/catkingrade/decide/dispatch.c
+++ b/src/catkingrade/decide/dispatch.c
@@ -74,6 +74,7 @@
         return kind == QUEUE_READS ? dispatch_stale(traffic, request)
                                    : DISPATCH_BLOCKED;
     }
+    request->stale_wait = false;
     if (route.verdict == ROUTE_BUSY) {
         return DISPATCH_BLOCKED;
     }
--- a/src/catkingrade/decide/request_run.c
+++ b/src/catkingrade/decide/request_run.c
@@ -217,6 +217,23 @@
     return true;
 }
 
+// Ends a wait that is of no more use to the caller, unless it goes on.
+static void
+request_end_patience(struct traffic *traffic, struct request *request)
+{
+    bool stale = request->stale_wait;
+
+    if (!stale && request_waits_on(traffic, request)) {
+        return;
+    }
+    request_leave_queue(traffic, request);
+    request_refuse(traffic, request,
+                   stale ? OUTCOME_UNAVAILABLE : OUTCOME_OVERLOADED,
+                   RETRY_AFTER_US,
+                   stale ? "no upstream has what the read needs"
+                         : "no slot was free in time");
+}
+
 // Handles a timer of a request: its deadline, or the end of a shorter wait.
 void
 request_handle_timer(struct traffic *traffic, uint64_t id)
@@ -238,15 +255,9 @@
         }
         return;
     }
-    if (traffic->now_us >= request->start_by_us &&
-        request_is_impatient(request) && request_waits_on(traffic, request)) {
-        return;
-    }
     if (traffic->now_us >= request->start_by_us &&
         request_is_impatient(request)) {
-        request_leave_queue(traffic, request);
-        request_refuse(traffic, request, OUTCOME_OVERLOADED, RETRY_AFTER_US,
-                       "no slot was free in time");
+        request_end_patience(traffic, request);
         return;
     }
     if (request->state == REQUEST_BACKOFF &&
--- a/test/unit/decide/test_guarded.c
+++ b/test/unit/decide/test_guarded.c
@@ -260,6 +260,25 @@
 }
 END_TEST
 
+// A read that no upstream may serve says so, and as soon as its wait is of no
+// more use to its caller.
+START_TEST(test_stale_read_says_so)
+{
+    start(2);
+    rig_post_lease(&rig, 0, rig.now_us - 1);
+    uint64_t request = request_patiently(10);
+    const struct traffic_action *refusal = NULL;
+    for (int i = 0; i < 35 && refusal == NULL; i++) {
+        rig_tick(&rig, 10 * RIG_MS_US);
+        refusal = rig_find(&rig, TRAFFIC_ACTION_REFUSE, request);
+    }
+    ck_assert_ptr_nonnull(refusal);
+    ck_assert_int_eq(refusal->outcome, OUTCOME_UNAVAILABLE);
+    ck_assert_str_eq(refusal->reason, "no upstream has what the read needs");
+    rig_free(&rig);
+}
+END_TEST
+
 // What waited through a standstill is not refused at once when it ends.
 START_TEST(test_standstill_ends_gently)
 {
@@ -331,6 +350,7 @@
     tcase_add_test(tests, test_silence_is_suspected);
     tcase_add_loop_test(tests, test_wait_behind_others_ends, 0, 2);
     tcase_add_test(tests, test_wait_for_a_standstill_goes_on);
+    tcase_add_test(tests, test_stale_read_says_so);
     tcase_add_test(tests, test_standstill_ends_gently);
     tcase_add_test(tests, test_lag_estimate);
     tcase_add_test(tests, test_oldest_sample_since);
