--- a/src/catkingrade/control/control_state.h
+++ b/src/catkingrade/control/control_state.h
@@ -31,7 +31,7 @@
                       uint64_t self);
 void control_drop_host(struct control *control, const char *group);
 size_t control_list_peers(const struct control *control, const char *group,
-                          struct settings_address *peers, size_t max_count);
+                          struct settings_address *items, size_t max_count);
 
 // queries.c
 void control_answer_query(struct control *control,
--- a/src/catkingrade/decide/group_private.h
+++ b/src/catkingrade/decide/group_private.h
@@ -135,7 +135,7 @@
                                const struct ck_daemon *daemon,
                                struct group_result *result);
 void group_apply_upstream(struct group_state *group,
-                          const struct ck_upstream *upstream,
+                          const struct ck_upstream *announced,
                           struct group_result *result);
 void group_apply_upstream_expire(struct group_state *group,
                                  const struct ck_upstream *upstream,
--- a/src/catkingrade/decide/group_routing.c
+++ b/src/catkingrade/decide/group_routing.c
@@ -98,7 +98,8 @@
                          "upstream %s belongs to database %s", upstream->name,
                          holder->name);
     }
-    else if (same != NULL && upstream->incarnation < same->incarnation) {
+    else if (same != NULL && holder != NULL &&
+             upstream->incarnation < same->incarnation) {
         group_result_set(result, OUTCOME_CONFLICT, holder->revision,
                          "upstream %s has started again since",
                          upstream->name);
