refactor: one copy of the listening socket and of an entry plug-in's parts

Cause: duplicates listed the PostgreSQL listener and the platform's as the same in 30 lines. Change: kernel/tcp opens both; entry/entry_plugin has drain, is_drained and stop. A platform listener may now have several traffic threads: it lacked SO_REUSEPORT. Ruled out: one listener type for both protocols: their sessions differ in all else. Left: generated XDR code, and tests of the same shape.

--- a/src/catkingrade/kernel/tcp.c
+++ b/src/catkingrade/kernel/tcp.c
@@ -17,7 +17,8 @@
 #define TCP_US_PER_MS            1000
 #define TCP_US_PER_S             1000000
 
-// Opens a listening socket. Returns -1, with a line logged, on failure.
+// Opens a listening socket; each thread has its own on the same address.
+// Returns -1, with a line logged, on failure.
 int
 tcp_listen(const struct settings_address *address)
 {
@@ -29,6 +30,7 @@
         socket(place.ss_family, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
     if (fd >= 0 &&
         setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on)) == 0 &&
+        setsockopt(fd, SOL_SOCKET, SO_REUSEPORT, &on, sizeof(on)) == 0 &&
         bind(fd, (struct sockaddr *)&place, size) == 0 &&
         listen(fd, TCP_BACKLOG) == 0) {
         return fd;
--- a/src/catkingrade/plugins/postgres_listener.c
+++ b/src/catkingrade/plugins/postgres_listener.c
@@ -1,6 +1,5 @@
 #include "catkingrade/plugins/postgres_listener.h"
 
-#include <arpa/inet.h>
 #include <errno.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
@@ -10,16 +9,16 @@
 #include <unistd.h>
 
 #include "catkingrade/entry/entry.h"
-#include "catkingrade/kernel/address.h"
+#include "catkingrade/entry/entry_plugin.h"
 #include "catkingrade/kernel/daemon.h"
 #include "catkingrade/kernel/log.h"
 #include "catkingrade/kernel/memory.h"
 #include "catkingrade/kernel/outcome.h"
 #include "catkingrade/kernel/plugin.h"
+#include "catkingrade/kernel/tcp.h"
 #include "catkingrade/plugins/libpq_upstream.h"
 #include "catkingrade/plugins/postgres_session.h"
 
-#define LISTENER_BACKLOG              1024
 #define LISTENER_ACCEPT_MAX           64 // connections of one turn
 #define LISTENER_PLACE_SHIFT          24 // of the worker in a cancel key
 #define LISTENER_ID_MASK              0xffffff
@@ -31,32 +30,6 @@
 
 // ---- sockets ----
 
-// Opens a listening socket; each thread has its own on the same address.
-// Returns -1 with a line logged on failure.
-static int
-listener_open_socket(const struct settings_address *address)
-{
-    struct sockaddr_storage place;
-    socklen_t size = address_fill(address, &place);
-    int on = 1;
-    int fd =
-        socket(place.ss_family, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-
-    if (fd >= 0 &&
-        setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on)) == 0 &&
-        setsockopt(fd, SOL_SOCKET, SO_REUSEPORT, &on, sizeof(on)) == 0 &&
-        bind(fd, (struct sockaddr *)&place, size) == 0 &&
-        listen(fd, LISTENER_BACKLOG) == 0) {
-        return fd;
-    }
-    LOG_ERROR("listen_failed", "address=%s port=%u error=%s", address->host,
-              (unsigned)address->port, strerror(errno));
-    if (fd >= 0) {
-        close(fd);
-    }
-    return -1;
-}
-
 // Makes the kernel find callers that have gone silent.
 static void
 listener_set_keepalive(int fd)
@@ -128,7 +101,7 @@
     struct postgres_listener *listener = xcalloc(1, sizeof(*listener));
 
     listener->worker = worker;
-    listener->fd = listener_open_socket(&settings->postgres);
+    listener->fd = tcp_listen(&settings->postgres);
     if (listener->fd < 0) {
         free(listener);
         return NULL;
@@ -313,33 +286,14 @@
     return entry_start(daemon->entry);
 }
 
-static void
-postgres_drain(struct daemon *daemon)
-{
-    entry_drain(daemon->entry);
-}
-
-static bool
-postgres_is_drained(struct daemon *daemon)
-{
-    return entry_is_drained(daemon->entry);
-}
-
-static void
-postgres_stop(struct daemon *daemon)
-{
-    entry_destroy(daemon->entry);
-    daemon->entry = NULL;
-}
-
 static const struct plugin postgres_plugin = {
     .name = "postgres",
     .order = 30,
     .wants = postgres_wants,
     .start = postgres_start,
-    .drain = postgres_drain,
-    .is_drained = postgres_is_drained,
-    .stop = postgres_stop,
+    .drain = entry_plugin_drain,
+    .is_drained = entry_plugin_is_drained,
+    .stop = entry_plugin_stop,
 };
 
 PLUGIN_REGISTER(postgres_plugin)
