perf(decide): a new leader tells its daemons at once

Ruled out: asking more often still: 7,900 daemons would ask voters that know nothing. One notice each is what every change of configuration costs too. Change: being elected counts as news for all holders; a notice without a quorum is kept until there is one. Test: test_new_leader_tells_daemons failed before.

--- a/src/catkingrade/decide/leader.c
+++ b/src/catkingrade/decide/leader.c
@@ -117,7 +117,7 @@
     leader->wake_us = 0;
     leader->next_tick_us = leader->now_us;
     leader->publish_soon = false;
-    leader->publish_now = false;
+    leader->publish_now = true; // daemons learn who leads
     leader->index = group_index_create();
     leader->announce = announce_create(&params);
     leader->drain = drain_create();
@@ -549,7 +549,7 @@
         break;
     }
     if (leader->is_active) {
-        if (leader->publish_now) {
+        if (leader->publish_now && leader->has_quorum) {
             leader_notify_all(leader);
         }
         leader_wake_at(leader, leader->next_tick_us);
--- a/test/unit/decide/test_leader.c
+++ b/test/unit/decide/test_leader.c
@@ -541,6 +541,27 @@
 }
 END_TEST
 
+// A new leader tells the daemons of the log at once: one that has restarted
+// need not find it by asking, and quotas wait for all of them.
+START_TEST(test_new_leader_tells_daemons)
+{
+    struct rig rig;
+
+    start_database(&rig, "e1");
+    elect(&rig, 4);
+    const struct leader_action *notify =
+        find_action(&rig, LEADER_ACTION_NOTIFY);
+    if (notify == NULL) {
+        tick(&rig, START_US + MS);
+        notify = find_action(&rig, LEADER_ACTION_NOTIFY);
+    }
+    ck_assert_ptr_nonnull(notify);
+    ck_assert_str_eq(notify->notify.daemon->vm, "e1");
+    ck_assert_uint_eq(notify->notify.args->leader_term, 4);
+    finish(&rig);
+}
+END_TEST
+
 // An upstream of 30 connections keeps room for as many as are lent, so that
 // entries that come back after a power loss can connect beside the dead ones.
 START_TEST(test_half_of_the_connections_is_lent)
@@ -574,6 +595,7 @@
     tcase_add_test(tests, test_failed_proposal_is_answered);
     tcase_add_test(tests, test_customer_closes_when_nothing_is_open);
     tcase_add_test(tests, test_customer_closes_after_its_limit);
+    tcase_add_test(tests, test_new_leader_tells_daemons);
     tcase_add_test(tests, test_half_of_the_connections_is_lent);
     tcase_add_test(tests, test_silent_daemon_is_forgotten);
 }
