refactor(entry): what a database tells of its requests has its own file

Cause: database.c had 912 lines, of which 150 were log lines, counters and times of requests. Change: database_report.c; no behaviour changes.

--- a/src/catkingrade/entry/database.c
+++ b/src/catkingrade/entry/database.c
@@ -12,19 +12,13 @@
 #include "catkingrade/entry/database_private.h"
 #include "catkingrade/entry/worker.h"
 #include "catkingrade/kernel/counters.h"
-#include "catkingrade/kernel/histogram.h"
 #include "catkingrade/kernel/log.h"
 #include "catkingrade/kernel/memory.h"
 #include "catkingrade/kernel/outcome.h"
 
 #define DATABASE_MAX_DEMANDS 256
-#define DATABASE_US_PER_MS   1000
 // All databases look at their limits of time in the same wake-up.
 #define DATABASE_TIMER_GRAIN_US 50000
-// Lines a second and thread: what fails is told as far as a reader can take
-// it in, of what succeeds a few stand for all.
-#define DATABASE_LINES_FAILED 40
-#define DATABASE_LINES_SENT   2
 
 static void
 database_run_timer(void *data)
@@ -133,46 +127,6 @@
     return apr_hash_get(database->conns, &id, sizeof(id));
 }
 
-// Returns the histogram of a phase; this thread keeps those it has used.
-static struct histogram *
-database_get_histogram(struct database *database, enum histogram_phase phase,
-                       const char *type, const char *upstream)
-{
-    for (size_t i = 0; i < database->histograms_count; i++) {
-        const struct database_histogram *row = &database->histograms[i];
-        if (row->phase == phase && strcmp(row->type, type) == 0 &&
-            strcmp(row->upstream, upstream) == 0) {
-            return row->histogram;
-        }
-    }
-    // Upstreams come and go: the oldest rows make room.
-    size_t place = database->histograms_next++ % DATABASE_MAX_HISTOGRAMS;
-    struct database_histogram *row = &database->histograms[place];
-    if (database->histograms_count < DATABASE_MAX_HISTOGRAMS) {
-        database->histograms_count++;
-    }
-    row->phase = phase;
-    (void)snprintf(row->type, sizeof(row->type), "%s", type);
-    (void)snprintf(row->upstream, sizeof(row->upstream), "%s", upstream);
-    row->histogram = histogram_get(phase, database->name, type, upstream);
-    return row->histogram;
-}
-
-// Counts how long a phase of a request has taken.
-static void
-database_note_phase(struct database *database,
-                    const struct entry_request *request,
-                    enum histogram_phase phase)
-{
-    int64_t from_us =
-        phase == HISTOGRAM_TOTAL ? request->submitted_us : request->phase_us;
-    const char *upstream = phase == HISTOGRAM_RUN ? request->upstream : "";
-
-    histogram_note(database_get_histogram(database, phase,
-                                          request->traffic.type, upstream),
-                   monotonic_get_us() - from_us);
-}
-
 // ---- events of connections ----
 
 static void
@@ -356,111 +310,6 @@
     apr_hash_set(database->conns, &conn->id, sizeof(conn->id), conn);
 }
 
-static void
-database_count_send(const struct entry_request *request,
-                    const struct traffic_action *action)
-{
-    if (request->traffic.request_class != TRAFFIC_READ) {
-        counter_add(COUNTER_WRITES, 1);
-    }
-    else if (action->on_replica) {
-        counter_add(COUNTER_READS_REPLICA, 1);
-    }
-    else {
-        counter_add(COUNTER_READS_PRIMARY, 1);
-    }
-}
-
-// Returns why a request runs where it runs, as a constant text.
-static const char *
-database_get_reason(const struct entry_request *request,
-                    const struct traffic_action *action)
-{
-    if (action->reason != NULL && action->reason[0] != '\0') {
-        return action->reason;
-    }
-    if (request->traffic.request_class == TRAFFIC_IN_TRANSACTION) {
-        return "belongs to the transaction on this connection";
-    }
-    if (action->on_replica) {
-        return "covers the session's floor within the accepted age";
-    }
-    return request->traffic.request_class == TRAFFIC_READ
-               ? "no replica covers the session's floor and accepted age"
-               : "writes run on the primary";
-}
-
-static const char *const database_class_names[] = {
-    [TRAFFIC_READ] = "read",
-    [TRAFFIC_WRITE] = "save",
-    [TRAFFIC_BEGIN] = "begin",
-    [TRAFFIC_BEGIN_READ_ONLY] = "begin_read_only",
-    [TRAFFIC_IN_TRANSACTION] = "in_transaction",
-    [TRAFFIC_COMMIT] = "commit",
-    [TRAFFIC_ROLLBACK] = "rollback",
-};
-
-// Returns the id by which its caller knows a request, or an empty text.
-static const char *
-database_get_caller_id(const struct entry_request *request)
-{
-    return request->job.typed == NULL ? "" : request->job.typed->id;
-}
-
-// Logs a request that was refused, or whose outcome is not known, with what
-// decided that.
-static void
-database_log_end(const struct database *database,
-                 const struct entry_request *request,
-                 const struct traffic_action *action)
-{
-    bool unknown = action->kind == TRAFFIC_ACTION_UNKNOWN;
-
-    LOG_LIMITED(DATABASE_LINES_FAILED, LOG_LEVEL_INFO,
-                unknown ? "request_unknown" : "request_refused",
-                "id=%s request=%" PRIu64 " session=%" PRIu64
-                " database=%s class=%s outcome=%s reason=%s waited_ms=%" PRId64
-                " term=%" PRIu64 " lease_left_ms=%" PRId64
-                " upstream=%s retry_after_ms=%" PRId64,
-                database_get_caller_id(request), request->id,
-                request->traffic.session, database->name,
-                database_class_names[request->traffic.request_class],
-                outcome_get_name(action->outcome),
-                action->reason == NULL ? "" : action->reason,
-                action->waited_us / DATABASE_US_PER_MS, action->term,
-                action->lease_left_us / DATABASE_US_PER_MS, request->upstream,
-                action->retry_after_us / DATABASE_US_PER_MS);
-}
-
-// Logs where a request is sent and why: always when it was sent before, and
-// otherwise a few.
-static void
-database_log_send(const struct database *database,
-                  const struct entry_request *request,
-                  const struct traffic_action *action)
-{
-    bool again = request->attempts > 1;
-
-    if (again) {
-        LOG_LIMITED(
-            DATABASE_LINES_FAILED, LOG_LEVEL_INFO, "request_sent_again",
-            "id=%s request=%" PRIu64
-            " database=%s attempt=%u upstream=%s reason=%s",
-            database_get_caller_id(request), request->id, database->name,
-            request->attempts, request->upstream, request->reason);
-        return;
-    }
-    LOG_LIMITED(DATABASE_LINES_SENT, LOG_LEVEL_INFO, "request_sent",
-                "id=%s request=%" PRIu64 " session=%" PRIu64
-                " database=%s class=%s upstream=%s on_replica=%d "
-                "after=%" PRIu64 " reason=%s",
-                database_get_caller_id(request), request->id,
-                request->traffic.session, database->name,
-                database_class_names[request->traffic.request_class],
-                request->upstream, action->on_replica, action->after_lsn,
-                request->reason);
-}
-
 static void
 database_run_send(struct database *database,
                   const struct traffic_action *action)
--- a/src/catkingrade/entry/database_private.h
+++ b/src/catkingrade/entry/database_private.h
@@ -10,7 +10,7 @@
 #include "catkingrade/entry/worker.h"
 #include "catkingrade/kernel/histogram.h"
 
-// What database.c and database_samples.c share.
+// What database.c, database_report.c and database_samples.c share.
 
 // A pooled connection.
 struct database_conn {
@@ -79,6 +79,21 @@
 database_open_link(struct database *database, uint32_t upstream,
                    const struct upstream_link_events *events, void *data);
 
+// database_report.c
+void database_note_phase(struct database *database,
+                         const struct entry_request *request,
+                         enum histogram_phase phase);
+void database_count_send(const struct entry_request *request,
+                         const struct traffic_action *action);
+const char *database_get_reason(const struct entry_request *request,
+                                const struct traffic_action *action);
+void database_log_end(const struct database *database,
+                      const struct entry_request *request,
+                      const struct traffic_action *action);
+void database_log_send(const struct database *database,
+                       const struct entry_request *request,
+                       const struct traffic_action *action);
+
 // database_samples.c
 void database_run_sample(struct database *database, uint32_t upstream);
 void database_close_stale_monitors(struct database *database);
