test(platform): three kinds of failed request are explained by the logs alone

Change: the stand-in's upstreams can go mute; test_failures_are_explained plays a save without a slot, a save whose primary goes silent, and a read of the session's own save that no replica has, and finds each cause with catkingrade explain over the logs of four daemons. Ruled out: asking for one reason of the unknown outcome: the failover may end the statement before its deadline does.

--- a/test/contract/test_platform.c
+++ b/test/contract/test_platform.c
@@ -116,7 +116,8 @@
         "[\"127.0.0.1:%d\", \"127.0.0.1:%d\", \"127.0.0.1:%d\"], "
         "\"voters_from_seeds\": true, \"sample_upstreams\": false, "
         "\"ready_with_lease\": true, \"announce_expiry_ms\": 3000, "
-        "\"drain_notice_ms\": 100, \"drain_limit_ms\": 1000, %s}",
+        "\"log_format\": \"json\", \"drain_notice_ms\": 100, "
+        "\"drain_limit_ms\": 1000, %s}",
         place, rig.rpc_ports[0], rig.rpc_ports[1], rig.rpc_ports[2], extra);
 
     process_write_file(path, text);
@@ -479,6 +480,137 @@
 }
 END_TEST
 
+// Runs the command on the logs of all VMs until its output has all parts.
+static void
+check_explained(const char *id, const char *const *parts, size_t parts_count)
+{
+    char *output = xasprintf("%s/explain.log", rig.folder);
+    char *logs[CONTROLS + 1];
+    const char *missing = parts[0];
+    char *text = NULL;
+
+    for (int i = 0; i <= CONTROLS; i++) {
+        logs[i] = xasprintf("%s/vm%d.log", rig.folder, i);
+    }
+    const char *args[] = {"explain", id,      logs[0], logs[1],
+                          logs[2],   logs[3], NULL};
+    for (int i = 0; i < WAIT_ROUNDS && missing != NULL; i++) {
+        free(text);
+        (void)process_wait(process_start(output, "catkingrade", args));
+        text = process_read_file(output);
+        missing = NULL;
+        for (size_t j = 0; j < parts_count && missing == NULL; j++) {
+            missing = strstr(text, parts[j]) == NULL ? parts[j] : NULL;
+        }
+        usleep(missing == NULL ? 0 : WAIT_STEP_US);
+    }
+    ck_assert_msg(missing == NULL, "no \"%s\" in: %.800s", missing, text);
+    free(text);
+    free(output);
+    for (int i = 0; i <= CONTROLS; i++) {
+        free(logs[i]);
+    }
+}
+
+// Few connections, and waits of 0.3 s.
+#define SMALL_CONFIG                                                          \
+    "{\"version\":1,\"routes\":["                                             \
+    "{\"host\":\"own\",\"routeKind\":\"read_own_writes\","                    \
+    "\"timeoutMs\":2000,\"targetLatencyMs\":900,\"priority\":2,"              \
+    "\"service\":\"core\",\"maxStalenessMs\":2500},"                          \
+    "{\"host\":\"current\",\"routeKind\":\"primary\",\"timeoutMs\":2000,"     \
+    "\"targetLatencyMs\":900,\"priority\":1,\"service\":\"core\"}],"          \
+    "\"services\":[{\"name\":\"core\",\"maxConns\":6,\"syncReplicas\":0}],"   \
+    "\"limits\":{\"txIdleMs\":60000}}"
+
+// Opens transactions until one is refused, whose id it fills in.
+static void
+fill_slots(char *id, size_t size)
+{
+    int fds[20];
+    size_t count = 0;
+    bool refused = false;
+
+    while (!refused) {
+        char line[64];
+        ck_assert_uint_lt(count, ARRAY_SIZE(fds));
+        int fd = wait_answer("current", "QUERY - SET v1 x", "COMPLETE");
+        fds[count++] = fd;
+        expect(fd, "QUERY - BEGIN", "COMPLETE -\r\nREADY T -\r\n");
+        (void)snprintf(id, size, "full%zu", count);
+        (void)snprintf(line, sizeof(line), "QUERY %s WRITE k9 x", id);
+        char *text = platform_ask(fd, line);
+        ck_assert_ptr_nonnull(text);
+        refused = strncmp(text, "ERROR", 5) == 0;
+        free(text);
+    }
+    for (size_t i = 0; i < count; i++) {
+        close(fds[i]);
+    }
+}
+
+// Asks until the answer is an error; fills the id of that statement.
+static void
+ask_until_refused(int fd, char *id, size_t size)
+{
+    bool refused = false;
+
+    for (int i = 0; i < WAIT_ROUNDS && !refused; i++) {
+        char line[64];
+        (void)snprintf(id, size, "stale%d", i);
+        (void)snprintf(line, sizeof(line), "QUERY %s READ k2", id);
+        char *text = platform_ask(fd, line);
+        ck_assert_ptr_nonnull(text);
+        refused = strncmp(text, "ERROR", 5) == 0;
+        free(text);
+        usleep(WAIT_STEP_US);
+    }
+    ck_assert(refused);
+}
+
+// The causes of three kinds of failed request are found by the logs alone.
+START_TEST(test_failures_are_explained)
+{
+    static const char *const full[] = {
+        "refused, not run: no slot was free in time"};
+    static const char *const unknown[] = {"unknown outcome at upstream",
+                                          "primary_lost", "promoted"};
+    static const char *const stale[] = {
+        "refused, not run: no upstream has what the read needs",
+        "lease_expired"};
+    char id[32];
+
+    start("platform_explained");
+    wait_config(0, SMALL_CONFIG);
+    close(wait_answer("own", "QUERY a0 WRITE k0 zero", "sig-a0"));
+    fill_slots(id, sizeof(id));
+    check_explained(id, full, ARRAY_SIZE(full));
+
+    int fd = wait_answer("current", "QUERY a1 READ k0", "DATAROW");
+    platform_mute(rig.platform, platform_get_primary(rig.platform));
+    char *text = platform_ask(fd, "QUERY lost1 WRITE k1 one");
+    ck_assert_ptr_nonnull(text);
+    ck_assert_ptr_nonnull(strstr(text, "ERROR INDOUBT"));
+    free(text);
+    close(fd);
+    check_explained("lost1", unknown, ARRAY_SIZE(unknown));
+
+    close(wait_answer("own", "QUERY b0 WRITE k0 one", "sig-b0"));
+    for (int i = 0; i < PLATFORM_UPSTREAMS; i++) {
+        platform_hold(rig.platform, i, true);
+    }
+    fd = wait_answer("own", "QUERY b1 WRITE k2 two", "sig-b1");
+    for (int i = 0; i < CONTROLS; i++) {
+        (void)process_stop(rig.controls[i], SIGKILL);
+        rig.controls[i] = NULL;
+    }
+    ask_until_refused(fd, id, sizeof(id));
+    check_explained(id, stale, ARRAY_SIZE(stale));
+    close(fd);
+    stop();
+}
+END_TEST
+
 static void
 add_tests(TCase *tests)
 {
@@ -489,6 +621,7 @@
     tcase_add_test(tests, test_leaving_primary);
     tcase_add_test(tests, test_own_saves_on_held_replicas);
     tcase_add_test(tests, test_lost_disks_in_turn);
+    tcase_add_test(tests, test_failures_are_explained);
     tcase_add_test(tests, test_starting_entry_denies_nothing);
 }
 
--- a/test/fake/platform.c
+++ b/test/fake/platform.c
@@ -39,6 +39,7 @@
     int upstream; // NO_UPSTREAM: an HTTP call
     struct buffer in;
     bool started;
+    bool mute;  // answers nothing more
     char state; // I, T or E
     bool reads_only;
     struct name names[MAX_NAMES];
@@ -52,6 +53,7 @@
     int port;
     bool dead;
     bool held;
+    bool mute;
     uint64_t term;
     size_t received;
     size_t applied;
@@ -101,6 +103,9 @@
     char text[1024];
     va_list args;
 
+    if (conn->mute) {
+        return;
+    }
     va_start(args, format);
     int size = vsnprintf(text, sizeof(text), format, args);
     va_end(args);
@@ -310,6 +315,7 @@
 {
     char expected[32];
 
+    conn->mute = platform->upstreams[conn->upstream].mute;
     (void)snprintf(expected, sizeof(expected), "i-%d", conn->upstream);
     if (strncmp(line, "QUERY ", 6) == 0 && conn->started) {
         run_query(platform, conn, line + 6);
@@ -546,6 +552,14 @@
     pthread_mutex_unlock(&platform->mutex);
 }
 
+void
+platform_mute(struct platform *platform, int upstream)
+{
+    pthread_mutex_lock(&platform->mutex);
+    platform->upstreams[upstream].mute = true;
+    pthread_mutex_unlock(&platform->mutex);
+}
+
 int
 platform_get_primary(struct platform *platform)
 {
--- a/test/fake/platform.h
+++ b/test/fake/platform.h
@@ -21,6 +21,8 @@
 void platform_revive(struct platform *platform, int upstream);
 // A replica applies nothing more until it is let go.
 void platform_hold(struct platform *platform, int upstream, bool held);
+// An upstream runs what it gets and answers nothing more.
+void platform_mute(struct platform *platform, int upstream);
 int platform_get_primary(struct platform *platform);
 uint64_t platform_get_last_fence(struct platform *platform);
 // How often a value was written, over the log of the present primary.
