--- a/src/catkingrade/decide/traffic_actions.c
+++ b/src/catkingrade/decide/traffic_actions.c
@@ -37,6 +37,8 @@
     *actions = (struct traffic_actions){0};
 }
 
+// Adds a timer for a limit of a request or a connection. Limits of about the
+// same time end together, a little late, so that they wake the entry once.
 void
 traffic_add_limit(struct traffic *traffic, int64_t at_us, enum timer_kind kind,
                   uint64_t id)
