refactor: one acceptor for both listeners; explain keeps the request's own times

Change: kernel/acceptor serves both listeners, tcp_tune_with both kinds of connection; explain compares with the request's own lines only. Behaviour stays: the same limits, pauses and options on the same sockets. Ruled out: one pause text or one listener type: sessions differ in all else.

--- a/src/catkingrade/cli/explain.c
+++ b/src/catkingrade/cli/explain.c
@@ -20,13 +20,14 @@
     int64_t time_ms; // within its day
     struct json_object *object;
     bool is_own;
-    bool is_cause;
 };
 
 struct explain {
     const char *id;
     struct explain_line *lines;
     size_t count;
+    int64_t *own_ms; // times of the request's own lines
+    size_t own_count;
 };
 
 // Events that may be the cause of what happens to a request.
@@ -75,6 +76,14 @@
     return false;
 }
 
+static void
+explain_add_own(struct explain *explain, int64_t time_ms)
+{
+    explain->own_ms = xrealloc(explain->own_ms, (explain->own_count + 1) *
+                                                    sizeof(*explain->own_ms));
+    explain->own_ms[explain->own_count++] = time_ms;
+}
+
 // Keeps a line that is the request's own or may be a cause. What stands
 // before the object, as a collector's prefix, is passed over.
 static void
@@ -101,8 +110,10 @@
         .time_ms = explain_read_time(explain_get(object, "time")),
         .object = object,
         .is_own = own,
-        .is_cause = cause,
     };
+    if (own) {
+        explain_add_own(explain, explain->lines[explain->count - 1].time_ms);
+    }
 }
 
 static int
@@ -133,10 +144,8 @@
 static bool
 explain_is_near(const struct explain *explain, const struct explain_line *line)
 {
-    for (size_t i = 0; i < explain->count; i++) {
-        int64_t distance_ms = explain->lines[i].time_ms - line->time_ms;
-        if (explain->lines[i].is_own && distance_ms >= -EXPLAIN_AROUND_MS &&
-            distance_ms <= EXPLAIN_AROUND_MS) {
+    for (size_t i = 0; i < explain->own_count; i++) {
+        if (llabs(explain->own_ms[i] - line->time_ms) <= EXPLAIN_AROUND_MS) {
             return true;
         }
     }
@@ -216,17 +225,6 @@
     }
 }
 
-static size_t
-explain_count_own(const struct explain *explain)
-{
-    size_t count = 0;
-
-    for (size_t i = 0; i < explain->count; i++) {
-        count += explain->lines[i].is_own ? 1 : 0;
-    }
-    return count;
-}
-
 static int
 explain_run(const struct cli_options *options, int argc, char **argv)
 {
@@ -241,7 +239,7 @@
     for (int i = 2; i < argc && code == CLI_EXIT_OK; i++) {
         code = explain_read_file(&explain, argv[i]);
     }
-    if (code == CLI_EXIT_OK && explain_count_own(&explain) == 0) {
+    if (code == CLI_EXIT_OK && explain.own_count == 0) {
         code = cli_fail("no line has the id %s: it went well and was thinned "
                         "out, or its log is missing",
                         explain.id);
@@ -256,6 +254,7 @@
         json_object_put(explain.lines[i].object);
     }
     free(explain.lines);
+    free(explain.own_ms);
     return code;
 }
 
--- a/src/catkingrade/kernel/tcp.c
+++ b/src/catkingrade/kernel/tcp.c
@@ -14,6 +14,7 @@
 #define TCP_BACKLOG              1024
 #define TCP_READ_BYTES           4096
 #define TCP_KEEPALIVE_INTERVAL_S 1
+#define TCP_KEEPALIVE_COUNT      3
 #define TCP_US_PER_MS            1000
 #define TCP_US_PER_S             1000000
 
@@ -43,26 +44,35 @@
     return -1;
 }
 
-// Makes the kernel end a connection whose peer has been silent for so long,
-// and send small messages at once.
+// Sends small messages at once, and makes the kernel ask a silent peer after
+// idle_s, then every interval_s, and end a connection that gets no answer:
+// after TCP_KEEPALIVE_COUNT of them, or silent_ms when something waits to be
+// sent.
 void
-tcp_tune(int fd, int64_t silent_us)
+tcp_tune_with(int fd, int idle_s, int interval_s, unsigned silent_ms)
 {
     int on = 1;
-    int idle_s = (int)(silent_us / TCP_US_PER_S);
-    int interval_s = TCP_KEEPALIVE_INTERVAL_S;
-    int count = 3;
-    unsigned timeout_ms = (unsigned)(silent_us / TCP_US_PER_MS);
+    int count = TCP_KEEPALIVE_COUNT;
 
-    idle_s = idle_s < 1 ? 1 : idle_s;
     (void)setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
     (void)setsockopt(fd, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof(on));
     (void)setsockopt(fd, IPPROTO_TCP, TCP_KEEPIDLE, &idle_s, sizeof(idle_s));
     (void)setsockopt(fd, IPPROTO_TCP, TCP_KEEPINTVL, &interval_s,
                      sizeof(interval_s));
     (void)setsockopt(fd, IPPROTO_TCP, TCP_KEEPCNT, &count, sizeof(count));
-    (void)setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout_ms,
-                     sizeof(timeout_ms));
+    (void)setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &silent_ms,
+                     sizeof(silent_ms));
+}
+
+// Makes the kernel end a connection whose peer has been silent for so long,
+// and send small messages at once.
+void
+tcp_tune(int fd, int64_t silent_us)
+{
+    int idle_s = (int)(silent_us / TCP_US_PER_S);
+
+    tcp_tune_with(fd, idle_s < 1 ? 1 : idle_s, TCP_KEEPALIVE_INTERVAL_S,
+                  (unsigned)(silent_us / TCP_US_PER_MS));
 }
 
 // Begins to connect. Returns the socket, or -1 when it failed at once.
--- a/src/catkingrade/kernel/tcp.h
+++ b/src/catkingrade/kernel/tcp.h
@@ -11,6 +11,7 @@
 int tcp_listen(const struct settings_address *address);
 int tcp_connect(const char *host, unsigned port);
 void tcp_tune(int fd, int64_t silent_us);
+void tcp_tune_with(int fd, int idle_s, int interval_s, unsigned silent_ms);
 // Each returns OUTCOME_OK, OUTCOME_AGAIN when the socket has or takes no more
 // now, or OUTCOME_CLOSED at its end.
 int tcp_read(int fd, struct buffer *in);
--- a/src/catkingrade/plugins/postgres_listener.c
+++ b/src/catkingrade/plugins/postgres_listener.c
@@ -1,15 +1,11 @@
 #include "catkingrade/plugins/postgres_listener.h"
 
-#include <errno.h>
-#include <netinet/in.h>
-#include <netinet/tcp.h>
 #include <stdlib.h>
 #include <string.h>
-#include <sys/socket.h>
-#include <unistd.h>
 
 #include "catkingrade/entry/entry.h"
 #include "catkingrade/entry/entry_plugin.h"
+#include "catkingrade/kernel/acceptor.h"
 #include "catkingrade/kernel/daemon.h"
 #include "catkingrade/kernel/log.h"
 #include "catkingrade/kernel/memory.h"
@@ -19,76 +15,18 @@
 #include "catkingrade/plugins/libpq_upstream.h"
 #include "catkingrade/plugins/postgres_session.h"
 
-#define LISTENER_ACCEPT_MAX           64 // connections of one turn
 #define LISTENER_PLACE_SHIFT          24 // of the worker in a cancel key
 #define LISTENER_ID_MASK              0xffffff
 #define LISTENER_KEEPALIVE_IDLE_S     30
 #define LISTENER_KEEPALIVE_INTERVAL_S 10
-#define LISTENER_KEEPALIVE_COUNT      3
 #define LISTENER_SILENT_MS            60000
-#define LISTENER_PAUSE_US             100000
-
-// ---- sockets ----
-
-// Makes the kernel find callers that have gone silent.
-static void
-listener_set_keepalive(int fd)
-{
-    int on = 1;
-    int idle_s = LISTENER_KEEPALIVE_IDLE_S;
-    int interval_s = LISTENER_KEEPALIVE_INTERVAL_S;
-    int count = LISTENER_KEEPALIVE_COUNT;
-    unsigned timeout_ms = LISTENER_SILENT_MS;
-
-    (void)setsockopt(fd, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof(on));
-    (void)setsockopt(fd, IPPROTO_TCP, TCP_KEEPIDLE, &idle_s, sizeof(idle_s));
-    (void)setsockopt(fd, IPPROTO_TCP, TCP_KEEPINTVL, &interval_s,
-                     sizeof(interval_s));
-    (void)setsockopt(fd, IPPROTO_TCP, TCP_KEEPCNT, &count, sizeof(count));
-    (void)setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout_ms,
-                     sizeof(timeout_ms));
-}
-
-static void
-listener_resume(void *data)
-{
-    struct postgres_listener *listener = data;
-
-    loop_watch_set(listener->watch, LOOP_READ);
-}
-
-// Out of descriptors or memory, callers wait in the system's queue for a
-// while: accepting at once again would only fail again.
-static void
-listener_pause_if_full(struct postgres_listener *listener)
-{
-    if (errno != EMFILE && errno != ENFILE && errno != ENOBUFS &&
-        errno != ENOMEM) {
-        return;
-    }
-    loop_watch_set(listener->watch, 0);
-    loop_timer_set(listener->resume_timer,
-                   monotonic_get_us() + LISTENER_PAUSE_US);
-}
 
 static void
-listener_accept(void *data, unsigned events)
+listener_accept(void *data, int fd)
 {
-    struct postgres_listener *listener = data;
-    int on = 1;
-
-    (void)events;
-    for (int i = 0; i < LISTENER_ACCEPT_MAX; i++) {
-        int fd =
-            accept4(listener->fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
-        if (fd < 0) {
-            listener_pause_if_full(listener);
-            return;
-        }
-        (void)setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
-        listener_set_keepalive(fd);
-        (void)postgres_session_create(listener, fd);
-    }
+    tcp_tune_with(fd, LISTENER_KEEPALIVE_IDLE_S, LISTENER_KEEPALIVE_INTERVAL_S,
+                  LISTENER_SILENT_MS);
+    (void)postgres_session_create(data, fd);
 }
 
 // ---- the listener of a thread ----
@@ -101,37 +39,29 @@
     struct postgres_listener *listener = xcalloc(1, sizeof(*listener));
 
     listener->worker = worker;
-    listener->fd = tcp_listen(&settings->postgres);
-    if (listener->fd < 0) {
-        free(listener);
-        return NULL;
-    }
     if (settings->tls_cert_file[0] != '\0') {
         listener->tls = postgres_transport_create_context(settings);
         if (listener->tls == NULL) {
-            close(listener->fd);
             free(listener);
             return NULL;
         }
     }
-    listener->watch = loop_watch_create(worker_get_loop(worker), listener->fd,
-                                        LOOP_READ, listener_accept, listener);
-    listener->resume_timer =
-        loop_timer_create(worker_get_loop(worker), listener_resume, listener);
+    listener->acceptor =
+        acceptor_create(worker_get_loop(worker), &settings->postgres,
+                        listener_accept, listener);
+    if (listener->acceptor == NULL) {
+        SSL_CTX_free(listener->tls);
+        free(listener);
+        return NULL;
+    }
     return listener;
 }
 
 static void
 listener_close_socket(struct postgres_listener *listener)
 {
-    loop_timer_destroy(listener->resume_timer);
-    loop_watch_destroy(listener->watch);
-    listener->resume_timer = NULL;
-    listener->watch = NULL;
-    if (listener->fd >= 0) {
-        close(listener->fd);
-        listener->fd = -1;
-    }
+    acceptor_destroy(listener->acceptor);
+    listener->acceptor = NULL;
 }
 
 static void
--- a/src/catkingrade/plugins/postgres_listener.h
+++ b/src/catkingrade/plugins/postgres_listener.h
@@ -10,9 +10,7 @@
 // The listener of one traffic thread.
 struct postgres_listener {
     struct worker *worker;
-    int fd;
-    struct loop_watch *watch;
-    struct loop_timer *resume_timer;
+    struct acceptor *acceptor; // NULL once it drains
     struct postgres_session *sessions;
     SSL_CTX *tls; // NULL: no TLS
     bool draining;
