fix(decide): a stale read that a replica refuses late keeps its true reason

Ruled out: load as the cause: it only moved the moment; the unit test plays the same order without a clock. Change: a replica's word that it lacks the position marks the read as stale where no primary may serve it; one place refuses waits of no more use. Test: test_stale_read_tried_late_says_so failed before (overloaded instead of unavailable). Conclusion: traced and mended.

--- a/src/catkingrade/decide/admission.c
+++ b/src/catkingrade/decide/admission.c
@@ -186,6 +186,19 @@
     return (int64_t)(type->service_us * ADMISSION_SERVICE_MARGIN);
 }
 
+// Refuses a request whose wait is of no more use, with what it waited for.
+void
+admission_refuse_impatient(struct traffic *traffic, struct request *request)
+{
+    bool stale = request->stale_wait;
+
+    request_refuse(traffic, request,
+                   stale ? OUTCOME_UNAVAILABLE : OUTCOME_OVERLOADED,
+                   RETRY_AFTER_US,
+                   stale ? "no upstream has what the read needs"
+                         : "no slot was free in time");
+}
+
 // Queues a request for a slot, or refuses it at once: when its queue is full,
 // when it could not start in time, or when it needs a primary and there is
 // none that may take writes.
@@ -203,6 +216,10 @@
                        "there is no primary under a valid lease");
         return;
     }
+    if (request->stale_wait && request->start_by_us <= traffic->now_us) {
+        admission_refuse_impatient(traffic, request);
+        return;
+    }
     int64_t wait_us = admission_estimate_wait_us(traffic, type, kind);
     int64_t left_us = request->deadline_us - traffic->now_us;
     if (queue->list.count >= type->queue_limit ||
--- a/src/catkingrade/decide/admission.h
+++ b/src/catkingrade/decide/admission.h
@@ -11,6 +11,8 @@
 void admission_remove(struct traffic *traffic, struct request *request);
 struct request_type *admission_pick(struct traffic *traffic,
                                     enum queue_kind kind);
+void admission_refuse_impatient(struct traffic *traffic,
+                                struct request *request);
 int64_t admission_get_patient_until_us(const struct traffic *traffic,
                                        const struct request *request);
 void admission_charge(struct traffic *traffic, struct request_type *type,
--- a/src/catkingrade/decide/request_run.c
+++ b/src/catkingrade/decide/request_run.c
@@ -221,17 +221,11 @@
 static void
 request_end_patience(struct traffic *traffic, struct request *request)
 {
-    bool stale = request->stale_wait;
-
-    if (!stale && request_waits_on(traffic, request)) {
+    if (!request->stale_wait && request_waits_on(traffic, request)) {
         return;
     }
     request_leave_queue(traffic, request);
-    request_refuse(traffic, request,
-                   stale ? OUTCOME_UNAVAILABLE : OUTCOME_OVERLOADED,
-                   RETRY_AFTER_US,
-                   stale ? "no upstream has what the read needs"
-                         : "no slot was free in time");
+    admission_refuse_impatient(traffic, request);
 }
 
 // Handles a timer of a request: its deadline, or the end of a shorter wait.
--- a/src/catkingrade/decide/traffic_result.c
+++ b/src/catkingrade/decide/traffic_result.c
@@ -5,6 +5,7 @@
 #include "catkingrade/decide/pool.h"
 #include "catkingrade/decide/random.h"
 #include "catkingrade/decide/retry.h"
+#include "catkingrade/decide/route.h"
 #include "catkingrade/decide/traffic_lease.h"
 #include "catkingrade/decide/traffic_request.h"
 #include "catkingrade/decide/traffic_sample.h"
@@ -221,6 +222,7 @@
     if (event->refusal == TRAFFIC_REFUSAL_BEHIND && request != NULL) {
         replica_lag_note_behind(&up->lag, traffic->now_us,
                                 request->guard_age_us);
+        request->stale_wait = !route_primary_is_usable(traffic);
     }
     if (event->refusal == TRAFFIC_REFUSAL_READ_ONLY) {
         sample_note_failure(traffic, upstream, CK_SUSPECT_SILENT);
--- a/test/unit/decide/test_guarded.c
+++ b/test/unit/decide/test_guarded.c
@@ -279,6 +279,35 @@
 }
 END_TEST
 
+// The same when a replica that was tried at the end of the wait lacks it.
+START_TEST(test_stale_read_tried_late_says_so)
+{
+    start(2);
+    finish_on(rig_request(&rig, 1, TRAFFIC_WRITE, -1), 100);
+    rig_open_session(&rig, 10, NULL);
+    uint64_t request =
+        rig_request_patient(&rig, 10, PATIENCE_US, rig.now_us + DEADLINE_US);
+    const struct traffic_action *action = sent_for(request);
+    ck_assert_ptr_nonnull(action);
+    uint32_t conn = action->conn;
+    rig_post_lease(&rig, 0, rig.now_us - 1);
+    rig.now_us += PATIENCE_US + RIG_MS_US;
+    const struct traffic_event event = {
+        .kind = TRAFFIC_EVENT_RESULT,
+        .result = {.request = request,
+                   .conn = conn,
+                   .result = TRAFFIC_RESULT_REFUSED,
+                   .refusal = TRAFFIC_REFUSAL_BEHIND}};
+    rig_step(&rig, &event);
+    const struct traffic_action *refusal =
+        rig_find(&rig, TRAFFIC_ACTION_REFUSE, request);
+    ck_assert_ptr_nonnull(refusal);
+    ck_assert_int_eq(refusal->outcome, OUTCOME_UNAVAILABLE);
+    ck_assert_str_eq(refusal->reason, "no upstream has what the read needs");
+    rig_free(&rig);
+}
+END_TEST
+
 // What waited through a standstill is not refused at once when it ends.
 START_TEST(test_standstill_ends_gently)
 {
@@ -351,6 +380,7 @@
     tcase_add_loop_test(tests, test_wait_behind_others_ends, 0, 2);
     tcase_add_test(tests, test_wait_for_a_standstill_goes_on);
     tcase_add_test(tests, test_stale_read_says_so);
+    tcase_add_test(tests, test_stale_read_tried_late_says_so);
     tcase_add_test(tests, test_standstill_ends_gently);
     tcase_add_test(tests, test_lag_estimate);
     tcase_add_test(tests, test_oldest_sample_since);
