feat(relay): entries that lack connections pass statements on to others

Cause: on the grown deployments 66 entries share 24 lent connections of an upstream; most have none, and a connection follows demand only with renewals.

The leader chooses holders for each database where an entry's share would be under relay_min_connections; all others open links to a holder, in the callers' protocol with the words VIA route position age.

Ruled out: handing connections round faster (a first statement still waits for a renewal); a relay of bytes, which saves no connection; see docs/PLATFORM.md.

--- a/src/catkingrade/control/lease_agent.c
+++ b/src/catkingrade/control/lease_agent.c
@@ -218,6 +218,10 @@
     case LEASEHOLDER_ACTION_SET_QUOTAS:
         entry_post_quotas(entry, action->quotas.items, action->quotas.count);
         break;
+    case LEASEHOLDER_ACTION_SET_RELAYS:
+        entry_post_relays(entry, action->relays->relays.relays_val,
+                          action->relays->relays.relays_len);
+        break;
     case LEASEHOLDER_ACTION_WAKE:
         loop_timer_set(holder->timer, action->wake_at_us);
         break;
--- a/src/catkingrade/decide/leader.c
+++ b/src/catkingrade/decide/leader.c
@@ -68,6 +68,7 @@
     leader_drop_proposals(leader);
     leader_free_databases(leader);
     leader_free_quotas(leader);
+    leader_free_relays(leader);
     leader_free_holders(leader);
     announce_destroy(leader->announce);
     drain_destroy(leader->drain);
--- a/src/catkingrade/decide/leader.h
+++ b/src/catkingrade/decide/leader.h
@@ -26,6 +26,9 @@
     int64_t probe_us;         // between two probes of a suspected upstream
     int64_t remove_us;  // a lost upstream stays a member for so long at least
     int64_t publish_us; // least time between two changes of routing
+    // An entry's share of an upstream's connections below which some entries
+    // hold them for all; 0: all hold them.
+    uint32_t relay_min_connections;
     size_t delta_max_size_bytes;
     uint64_t seed;
 };
--- a/src/catkingrade/decide/leader_private.h
+++ b/src/catkingrade/decide/leader_private.h
@@ -11,6 +11,9 @@
 #define LEADER_NOTIFY_US  50000   // between two tries to reach a holder
 #define LEADER_COLLECT_US 100000  // for answers beyond those that suffice
 #define LEADER_REPAIR_US  1000000 // between two tries to fence or follow
+// Up to so many databases every entry gets a share of every upstream, or a
+// relay; beyond that, a share of those for which it reports a demand.
+#define LEADER_SHARED_DATABASES 64
 
 // Kinds of names in the leader's index.
 enum leader_kind {
@@ -18,6 +21,7 @@
     LEADER_DATABASE = 'B',
     LEADER_PROPOSAL = 'P',
     LEADER_QUOTA = 'Q',
+    LEADER_RELAY = 'L',
 };
 
 // A daemon that may hold a lease. It stays until the leader is deposed.
@@ -138,6 +142,7 @@
     struct leader_proposal *proposals; // the newest
     struct leader_database *databases;
     struct leader_quota *quotas;
+    struct leader_relay *relays;
     struct announce *announce;
     struct drain *drain;
     struct leader_actions *actions; // of the present step
@@ -185,6 +190,16 @@
                         const struct ck_renew_args *args,
                         struct ck_renew_result *result);
 void leader_free_quotas(struct leader *leader);
+uint32_t leader_get_lendable(const struct ck_upstream *upstream);
+
+// Entries that run the statements of others; leader_relay.c.
+bool leader_holds_connections(struct leader *leader,
+                              const struct ck_database *database,
+                              const struct leader_holder *holder);
+void leader_fill_relays(struct leader *leader,
+                        const struct leader_holder *holder,
+                        struct ck_renew_result *result);
+void leader_free_relays(struct leader *leader);
 
 // Databases; leader_database.c.
 struct leader_database *leader_get_database(struct leader *leader,
--- a/src/catkingrade/decide/leader_quota.c
+++ b/src/catkingrade/decide/leader_quota.c
@@ -5,9 +5,6 @@
 #include "catkingrade/decide/lending.h"
 #include "catkingrade/kernel/memory.h"
 
-// Up to so many databases every entry gets a share of every upstream; beyond
-// that, only of those for which it reports a demand.
-#define LEADER_SHARED_DATABASES 64
 // One part in this many of an upstream's connections is lent.
 #define LEADER_LENDABLE_PART 2
 
@@ -183,7 +180,7 @@
 // group's own probes and promotions, and for entries that come back after a
 // power loss. An upstream counts connections of those that are gone until it
 // notices, and with all of them in use nobody could connect before.
-static uint32_t
+uint32_t
 leader_get_lendable(const struct ck_upstream *upstream)
 {
     uint32_t lendable = upstream->connections / LEADER_LENDABLE_PART;
@@ -191,11 +188,23 @@
     return lendable > 0 ? lendable : upstream->connections;
 }
 
+// Returns whether an entry may be lent connections of an upstream: it is
+// registered, and its statements of the database are not run by others.
+static bool
+leader_takes_part(struct leader *leader, const struct ck_database *database,
+                  const struct leader_holder *holder)
+{
+    return group_find_daemon(leader->group, holder->daemon.vm) != NULL &&
+           (database == NULL ||
+            leader_holds_connections(leader, database, holder));
+}
+
 // Fills which entries take part and who is near. The guaranteed shares follow
 // from that alone; they are planned only when they are needed, for an entry
 // that has not renewed with this leader.
 static void
-leader_plan_guaranteed(const struct leader *leader,
+leader_plan_guaranteed(struct leader *leader,
+                       const struct ck_database *database,
                        const struct leader_quota *quota,
                        const struct ck_upstream *upstream,
                        struct lending_entry *entries,
@@ -208,7 +217,8 @@
         entries[i].near =
             strcmp(upstream->failure_domain, daemon->failure_domain) == 0;
         entries[i].weight =
-            group_find_daemon(leader->group, daemon->vm) == NULL ? 0 : 1;
+            leader_takes_part(leader, database, quota->shares[i].holder) ? 1
+                                                                         : 0;
         needed = needed || !quota->shares[i].known;
     }
     if (needed) {
@@ -219,7 +229,8 @@
 
 // Plans an upstream and sets what the entry at place is lent now.
 static void
-leader_plan_quota(const struct leader *leader, struct leader_quota *quota,
+leader_plan_quota(struct leader *leader, const struct ck_database *database,
+                  struct leader_quota *quota,
                   const struct ck_upstream *upstream, size_t place,
                   struct ck_quota *out)
 {
@@ -229,7 +240,7 @@
     struct leader_share *own = &quota->shares[place];
     bool frozen = false;
 
-    leader_plan_guaranteed(leader, quota, upstream, entries, shares);
+    leader_plan_guaranteed(leader, database, quota, upstream, entries, shares);
     for (size_t i = 0; i < count; i++) {
         bool unknown = leader_fill_use(leader, &quota->shares[i], &shares[i],
                                        &entries[i]);
@@ -253,8 +264,19 @@
     free(shares);
 }
 
-static void
+static bool
+leader_holds_nothing(const struct leader_share *share)
+{
+    return share->held.slots == 0 && share->held.connections == 0 &&
+           share->held.guaranteed_slots == 0 &&
+           share->held.guaranteed_connections == 0;
+}
+
+// Sets what an entry is lent of an upstream. Returns false when it has nothing
+// and is to have nothing.
+static bool
 leader_lend(struct leader *leader, struct leader_holder *holder,
+            const struct ck_database *database,
             const struct ck_upstream *upstream,
             const struct ck_renew_args *args, const struct ck_demand *demand,
             struct ck_quota *out)
@@ -266,8 +288,12 @@
     }
     struct leader_share *own = leader_get_share(quota, holder);
     leader_see_share(leader, own, args, demand);
-    leader_plan_quota(leader, quota, upstream, (size_t)(own - quota->shares),
-                      out);
+    if (leader_holds_nothing(own) &&
+        !leader_takes_part(leader, database, holder)) {
+        return false;
+    }
+    leader_plan_quota(leader, database, quota, upstream,
+                      (size_t)(own - quota->shares), out);
     own->held.slots = leader_get_max(own->held.slots, out->slots);
     own->held.connections =
         leader_get_max(own->held.connections, out->connections);
@@ -275,6 +301,7 @@
         leader_get_max(own->held.guaranteed_slots, out->guaranteed_slots);
     own->held.guaranteed_connections = leader_get_max(
         own->held.guaranteed_connections, out->guaranteed_connections);
+    return true;
 }
 
 struct leader_lending {
@@ -299,6 +326,7 @@
 
 static void
 leader_lend_one(struct leader_lending *lending,
+                const struct ck_database *database,
                 const struct ck_upstream *upstream,
                 const struct ck_demand *demand)
 {
@@ -310,10 +338,12 @@
         lending->quotas = xrealloc(
             lending->quotas, lending->capacity * sizeof(*lending->quotas));
     }
-    struct ck_quota *out = &lending->quotas[lending->count++];
+    struct ck_quota *out = &lending->quotas[lending->count];
     memset(out, 0, sizeof(*out));
-    leader_lend(lending->leader, lending->holder, upstream, lending->args,
-                demand, out);
+    if (leader_lend(lending->leader, lending->holder, database, upstream,
+                    lending->args, demand, out)) {
+        lending->count++;
+    }
 }
 
 static bool
@@ -324,7 +354,7 @@
     for (u_int i = 0; i < database->upstreams.upstreams_len; i++) {
         const struct ck_upstream *upstream =
             &database->upstreams.upstreams_val[i];
-        leader_lend_one(lending, upstream,
+        leader_lend_one(lending, database, upstream,
                         leader_find_demand(lending->args, upstream->name));
     }
     return true;
@@ -351,8 +381,8 @@
         for (u_int i = 0; i < args->demands.demands_len; i++) {
             const struct ck_demand *demand = &args->demands.demands_val[i];
             leader_lend_one(
-                &lending, group_find_upstream(leader->group, demand->upstream),
-                demand);
+                &lending, NULL,
+                group_find_upstream(leader->group, demand->upstream), demand);
         }
     }
     for (size_t i = 0; i < lending.count; i++) {
--- /dev/null
+++ b/src/catkingrade/decide/leader_relay.c
@@ -0,0 +1,190 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "catkingrade/decide/leader_private.h"
+#include "catkingrade/decide/relay_plan.h"
+#include "catkingrade/kernel/memory.h"
+
+// The holders of a database are chosen anew no more often.
+#define LEADER_RELAY_PLAN_US 200000
+
+// Which entries hold the connections of a database.
+struct leader_relay {
+    struct leader_relay *next;
+    char *database;
+    int64_t planned_us; // 0: not yet
+    bool all_hold;
+    struct relay_entry *entries; // names are of the leader's holders
+    struct leader_holder **holders;
+    size_t count;
+};
+
+// Frees all that is known of relays.
+void
+leader_free_relays(struct leader *leader)
+{
+    while (leader->relays != NULL) {
+        struct leader_relay *relay = leader->relays;
+        leader->relays = relay->next;
+        free(relay->entries);
+        free(relay->holders);
+        free(relay->database);
+        free(relay);
+    }
+}
+
+static struct leader_relay *
+leader_get_relay(struct leader *leader, const char *database)
+{
+    struct leader_relay *relay =
+        group_index_get(leader->index, LEADER_RELAY, database);
+
+    if (relay == NULL) {
+        relay = xcalloc(1, sizeof(*relay));
+        relay->database = xstrdup(database);
+        relay->next = leader->relays;
+        leader->relays = relay;
+        group_index_put(leader->index, LEADER_RELAY, database, relay);
+    }
+    return relay;
+}
+
+// Returns the fewest connections that are lent of any upstream of a database.
+static uint32_t
+leader_get_scarcest(const struct ck_database *database)
+{
+    uint32_t scarcest = UINT32_MAX;
+
+    for (u_int i = 0; i < database->upstreams.upstreams_len; i++) {
+        const struct ck_upstream *upstream =
+            &database->upstreams.upstreams_val[i];
+        uint32_t lendable = leader_get_lendable(upstream);
+        if (upstream->state != CK_UPSTREAM_LOST && lendable < scarcest) {
+            scarcest = lendable;
+        }
+    }
+    return scarcest;
+}
+
+// Lists the entries that may hold connections: those that are registered and
+// whose lease may be valid.
+static void
+leader_list_relay_entries(const struct leader *leader,
+                          struct leader_relay *relay)
+{
+    size_t capacity = 0;
+
+    for (const struct leader_holder *holder = leader->holders; holder != NULL;
+         holder = holder->next) {
+        capacity++;
+    }
+    relay->entries =
+        xrealloc(relay->entries, (capacity + 1) * sizeof(*relay->entries));
+    relay->holders =
+        xrealloc(relay->holders, (capacity + 1) * sizeof(*relay->holders));
+    relay->count = 0;
+    for (struct leader_holder *holder = leader->holders; holder != NULL;
+         holder = holder->next) {
+        if (!leader_is_entry(holder) || !leader_is_live(leader, holder) ||
+            group_find_daemon(leader->group, holder->daemon.vm) == NULL) {
+            continue;
+        }
+        relay->entries[relay->count] = (struct relay_entry){
+            .vm = holder->daemon.vm,
+            .failure_domain = holder->daemon.failure_domain};
+        relay->holders[relay->count++] = holder;
+    }
+}
+
+// Chooses the holders of a database, unless that was done just now.
+static struct leader_relay *
+leader_plan_relay(struct leader *leader, const struct ck_database *database)
+{
+    struct leader_relay *relay = leader_get_relay(leader, database->name);
+
+    if (relay->planned_us != 0 &&
+        leader->now_us - relay->planned_us < LEADER_RELAY_PLAN_US) {
+        return relay;
+    }
+    relay->planned_us = leader->now_us;
+    leader_list_relay_entries(leader, relay);
+    uint32_t count = relay_count_holders(leader_get_scarcest(database),
+                                         leader->params.relay_min_connections,
+                                         relay->count);
+    relay->all_hold = count == 0;
+    relay_plan(database->name, count, relay->entries, relay->count);
+    return relay;
+}
+
+// Returns whether an entry holds connections to a database's upstreams.
+bool
+leader_holds_connections(struct leader *leader,
+                         const struct ck_database *database,
+                         const struct leader_holder *holder)
+{
+    if (leader->params.relay_min_connections == 0) {
+        return true;
+    }
+    const struct leader_relay *relay = leader_plan_relay(leader, database);
+    if (relay->all_hold) {
+        return true;
+    }
+    for (size_t i = 0; i < relay->count; i++) {
+        if (relay->holders[i] == holder) {
+            return relay->entries[i].holds;
+        }
+    }
+    return false;
+}
+
+struct leader_relaying {
+    struct leader *leader;
+    const struct leader_holder *holder;
+    struct ck_relay *relays;
+    size_t count;
+};
+
+static bool
+leader_fill_relay(void *data, const struct ck_database *database)
+{
+    struct leader_relaying *relaying = data;
+    struct leader *leader = relaying->leader;
+    const struct ck_daemon *daemon = &relaying->holder->daemon;
+    size_t places[CK_RELAY_HOSTS];
+
+    if (leader_holds_connections(leader, database, relaying->holder)) {
+        return true;
+    }
+    const struct leader_relay *relay = leader_plan_relay(leader, database);
+    struct ck_relay *out = &relaying->relays[relaying->count++];
+    out->database = relay->database;
+    size_t count =
+        relay_list(daemon->vm, daemon->failure_domain, relay->entries,
+                   relay->count, places, CK_RELAY_HOSTS);
+    out->hosts.hosts_len = (u_int)count;
+    out->hosts.hosts_val =
+        leader_own(leader->actions, xcalloc(count, sizeof(char *)));
+    for (size_t i = 0; i < count; i++) {
+        out->hosts.hosts_val[i] = relay->holders[places[i]]->daemon.host;
+    }
+    return true;
+}
+
+// Fills which entries run the statements of this one, database by database.
+void
+leader_fill_relays(struct leader *leader, const struct leader_holder *holder,
+                   struct ck_renew_result *result)
+{
+    size_t databases = group_get_databases_count(leader->group);
+    struct leader_relaying relaying = {.leader = leader, .holder = holder};
+
+    if (leader->params.relay_min_connections == 0 ||
+        !leader_is_entry(holder) || databases > LEADER_SHARED_DATABASES) {
+        return;
+    }
+    relaying.relays = leader_own(leader->actions,
+                                 xcalloc(databases, sizeof(*relaying.relays)));
+    group_visit_databases(leader->group, leader_fill_relay, &relaying);
+    result->relays.relays_val = relaying.relays;
+    result->relays.relays_len = (u_int)relaying.count;
+}
--- a/src/catkingrade/decide/leaseholder.c
+++ b/src/catkingrade/decide/leaseholder.c
@@ -230,6 +230,8 @@
     }
     if (result->lease_us > 0) {
         leaseholder_set_quotas(holder, result);
+        leaseholder_add_action(actions, LEASEHOLDER_ACTION_SET_RELAYS)
+            ->relays = result;
         leaseholder_add_quotas(holder, actions);
         leaseholder_take_lease(holder, result, actions);
     }
--- a/src/catkingrade/decide/leaseholder.h
+++ b/src/catkingrade/decide/leaseholder.h
@@ -65,6 +65,7 @@
     LEASEHOLDER_ACTION_LEASE_EXPIRED,
     LEASEHOLDER_ACTION_REVOKE,
     LEASEHOLDER_ACTION_SET_QUOTAS,
+    LEASEHOLDER_ACTION_SET_RELAYS,
     LEASEHOLDER_ACTION_WAKE,
 };
 
@@ -85,6 +86,7 @@
             const struct ck_quota *items;
             size_t count;
         } quotas;
+        const struct ck_renew_result *relays; // its list of relays counts
         int64_t wake_at_us;
     };
 };
--- /dev/null
+++ b/src/catkingrade/decide/relay_plan.c
@@ -0,0 +1,146 @@
+#include "catkingrade/decide/relay_plan.h"
+
+#include <string.h>
+#include <xxhash.h>
+
+// Connections of one upstream with which a holder serves the statements of
+// many entries.
+#define RELAY_HOLDER_CONNECTIONS 4
+
+static uint64_t
+relay_rank(const char *left, const char *right)
+{
+    uint64_t seed = XXH3_64bits(left, strlen(left));
+
+    return XXH3_64bits_withSeed(right, strlen(right), seed);
+}
+
+// Returns how many entries hold the connections of a database: 0 when all do,
+// because an equal share of connections is at least min_connections for each.
+// A min_connections of 0 lets all hold them.
+uint32_t
+relay_count_holders(uint32_t connections, uint32_t min_connections,
+                    size_t entries_count)
+{
+    uint32_t count = connections / RELAY_HOLDER_CONNECTIONS;
+
+    if ((uint64_t)min_connections * entries_count <= connections) {
+        return 0;
+    }
+    if (count == 0) {
+        count = 1;
+    }
+    return count < entries_count ? count : 0;
+}
+
+// Returns whether entry a is chosen before entry b: the failure domain with
+// the fewest holders comes first, then the one that ranks higher, then the
+// entry that ranks higher.
+static bool
+relay_comes_before(const char *database, const struct relay_entry *a,
+                   uint32_t holders_a, const struct relay_entry *b,
+                   uint32_t holders_b)
+{
+    if (holders_a != holders_b) {
+        return holders_a < holders_b;
+    }
+    if (strcmp(a->failure_domain, b->failure_domain) != 0) {
+        return relay_rank(database, a->failure_domain) >
+               relay_rank(database, b->failure_domain);
+    }
+    return a->rank > b->rank;
+}
+
+// Counts the holders in a failure domain.
+static uint32_t
+relay_count_in_domain(const struct relay_entry *entries, size_t entries_count,
+                      const char *failure_domain)
+{
+    uint32_t count = 0;
+
+    for (size_t i = 0; i < entries_count; i++) {
+        if (entries[i].holds &&
+            strcmp(entries[i].failure_domain, failure_domain) == 0) {
+            count++;
+        }
+    }
+    return count;
+}
+
+// Chooses the entries that hold the connections of a database: spread over
+// the failure domains, and within each by rendezvous hashing, so that an entry
+// which comes or goes moves few databases.
+void
+relay_plan(const char *database, uint32_t holders_count,
+           struct relay_entry *entries, size_t entries_count)
+{
+    for (size_t i = 0; i < entries_count; i++) {
+        entries[i].holds = false;
+        entries[i].rank = relay_rank(database, entries[i].vm);
+    }
+    for (uint32_t n = 0; n < holders_count; n++) {
+        struct relay_entry *best = NULL;
+        uint32_t best_holders = 0;
+        for (size_t i = 0; i < entries_count; i++) {
+            if (entries[i].holds) {
+                continue;
+            }
+            uint32_t holders = relay_count_in_domain(
+                entries, entries_count, entries[i].failure_domain);
+            if (best == NULL ||
+                relay_comes_before(database, &entries[i], holders, best,
+                                   best_holders)) {
+                best = &entries[i];
+                best_holders = holders;
+            }
+        }
+        if (best == NULL) {
+            return;
+        }
+        best->holds = true;
+    }
+}
+
+// Returns whether an entry turns to holder a rather than to holder b: to its
+// own failure domain's first, then in an order of its own.
+static bool
+relay_is_nearer(const char *vm, const char *failure_domain,
+                const struct relay_entry *a, const struct relay_entry *b)
+{
+    bool near_a = strcmp(a->failure_domain, failure_domain) == 0;
+    bool near_b = strcmp(b->failure_domain, failure_domain) == 0;
+
+    if (near_a != near_b) {
+        return near_a;
+    }
+    return relay_rank(vm, a->vm) > relay_rank(vm, b->vm);
+}
+
+// Lists the places of the holders that an entry turns to, the first to be
+// asked first, at most max_count. Returns their number.
+size_t
+relay_list(const char *vm, const char *failure_domain,
+           const struct relay_entry *entries, size_t entries_count,
+           size_t *places, size_t max_count)
+{
+    size_t count = 0;
+
+    for (size_t i = 0; i < entries_count; i++) {
+        size_t at = count;
+        if (!entries[i].holds || strcmp(entries[i].vm, vm) == 0) {
+            continue;
+        }
+        while (at > 0 && relay_is_nearer(vm, failure_domain, &entries[i],
+                                         &entries[places[at - 1]])) {
+            if (at < max_count) {
+                places[at] = places[at - 1];
+            }
+            at--;
+        }
+        if (at < max_count) {
+            places[at] = i;
+            count += count < max_count ? 1 : 0;
+        }
+    }
+    return count;
+}
--- a/src/catkingrade/decide/route.c
+++ b/src/catkingrade/decide/route.c
@@ -319,11 +319,32 @@
     return need;
 }
 
+// Finds the relay's place for a read. What it may run on is decided there.
+static struct route
+route_relayed(const struct traffic *traffic)
+{
+    struct route route = {ROUTE_STALE, TRAFFIC_NO_ID};
+
+    if (traffic->candidates_count == 0) {
+        return route;
+    }
+    uint32_t place = traffic->candidates[0];
+    route.verdict = ROUTE_BUSY;
+    if (route_has_room(traffic, place)) {
+        route.verdict = ROUTE_FOUND;
+        route.upstream = place;
+    }
+    return route;
+}
+
 // Finds the upstream for a read: a replica whose position covers the
 // session's floor and whose age is accepted, otherwise the primary.
 struct route
 route_read(struct traffic *traffic, struct request *request)
 {
+    if (traffic->view.relayed) {
+        return route_relayed(traffic);
+    }
     struct route route = {ROUTE_FOUND, TRAFFIC_NO_ID};
     struct route_need need = route_get_need(traffic, request);
     bool elsewhere = false;
--- a/src/catkingrade/decide/traffic_defs.h
+++ b/src/catkingrade/decide/traffic_defs.h
@@ -82,6 +82,7 @@
     const struct ck_quota *quotas;
     size_t quotas_count;
     const char *failure_domain; // of this entry
+    bool relayed; // its one upstream is another entry, which routes
 };
 
 // The lease of the database's group: writes of this term may be acknowledged
@@ -96,7 +97,9 @@
     uint64_t session;
     bool floor_known;  // a valid token came; floor holds it
     bool declared_new; // starts with an empty floor
+    bool replaces;     // SESSION_FLOOR: also when it is lower
     struct traffic_floor floor;
+    int64_t floor_age_us; // since when that position exists
 };
 
 struct traffic_request {
--- a/src/catkingrade/decide/traffic_sample.c
+++ b/src/catkingrade/decide/traffic_sample.c
@@ -172,7 +172,8 @@
 {
     struct upstream *up = &traffic->upstreams[upstream];
 
-    if (up->failing_since_us == 0) {
+    // Behind a relay there is another entry to turn to.
+    if (up->failing_since_us == 0 && !traffic->view.relayed) {
         up->failing_since_us = traffic->now_us;
     }
     if (up->config == NULL ||
--- a/src/catkingrade/decide/traffic_session.c
+++ b/src/catkingrade/decide/traffic_session.c
@@ -35,7 +35,8 @@
     session_end_if_due(traffic, session);
 }
 
-// Raises the floor of a session to that of a token which came later.
+// Raises the floor of a session to that of a token which came later, or sets
+// it to that of another session whose statements follow.
 void
 session_set_floor(struct traffic *traffic,
                   const struct traffic_session_open *event)
@@ -45,7 +46,13 @@
     if (session == NULL || !event->floor_known) {
         return;
     }
-    (void)floor_raise(&session->floor, &event->floor);
+    if (event->replaces) {
+        session->floor = event->floor;
+        session->floor_us = traffic->now_us - event->floor_age_us;
+    }
+    else {
+        (void)floor_raise(&session->floor, &event->floor);
+    }
     session->floor_known = true;
     floor_stop_waiting(traffic, session);
     request_continue_session(traffic, session);
--- a/src/catkingrade/entry/database.c
+++ b/src/catkingrade/entry/database.c
@@ -283,6 +283,7 @@
     struct upstream_target target = {
         .host = config->host,
         .port = config->port,
+        .relayed = database_is_relayed(database),
         .database = database->name,
         .upstream = config->name,
         .user = settings->upstream_user,
@@ -292,6 +293,10 @@
         .check_timeout_us = settings->suspect_us,
     };
 
+    if (target.relayed) {
+        target.host = database_get_relay_host(database);
+        target.port = settings->platform.relay.port;
+    }
     return entry_get_driver(entry)->open(worker_get_loop(database->worker),
                                          &target, events, data);
 }
@@ -335,6 +340,8 @@
     job_clear_answer(&request->job);
     if (request->job.typed != NULL) {
         request->job.typed->after_lsn = action->after_lsn;
+        database_fill_relay_floor(database, request->session,
+                                  request->job.typed);
     }
     database_count_send(request, action);
     conn->link->ops->run(conn->link, &request->job);
@@ -369,6 +376,9 @@
     struct entry_session *session =
         database_decide(database, request, COUNTER_DONE);
     if (session != NULL) {
+        if (action->floor.lsn != session->floor.lsn) {
+            session->floor_us = monotonic_get_us();
+        }
         session->floor = action->floor;
         session->ops->answer(session, request, warning);
     }
@@ -413,6 +423,11 @@
         .kind = action->suspicion,
     };
 
+    if (database_is_relayed(database)) {
+        // What fails is another entry, not an upstream.
+        database_leave_relay_host(database);
+        return;
+    }
     entry_post_suspicion(worker_get_entry(database->worker), &suspicion);
 }
 
@@ -574,6 +589,9 @@
                      entry_get_settings(worker_get_entry(database->worker))
                          ->failure_domain},
     };
+    if (database_is_relayed(database)) {
+        database_fill_relay_view(database, &event.view);
+    }
     database_step(database, &event);
     database_close_stale_monitors(database);
     free(old_quotas);
@@ -627,6 +645,9 @@
 database_report_demand(struct database *database)
 {
     struct ck_demand demands[DATABASE_MAX_DEMANDS];
+    if (database_is_relayed(database)) {
+        return;
+    }
     size_t count =
         traffic_fill_demands(database->traffic, demands, DATABASE_MAX_DEMANDS);
 
@@ -667,6 +688,27 @@
     database_step(database, &event);
 }
 
+// Gives a session the floor of another entry's session, whose statement comes
+// next: a position of the present term, and for how long it has stood.
+void
+database_replace_floor(struct database *database,
+                       struct entry_session *session, uint64_t lsn,
+                       int64_t age_us)
+{
+    session->floor = (struct traffic_floor){
+        .term = lsn == 0 ? 0 : database->config->term, .lsn = lsn};
+    struct traffic_event event = {
+        .kind = TRAFFIC_EVENT_SESSION_FLOOR,
+        .session_open = {.session = session->id,
+                         .floor_known = true,
+                         .replaces = true,
+                         .floor = session->floor,
+                         .floor_age_us = age_us},
+    };
+
+    database_step(database, &event);
+}
+
 // Closes a session. Its requests must have been cancelled.
 void
 database_close_session(struct database *database,
--- a/src/catkingrade/entry/database.h
+++ b/src/catkingrade/entry/database.h
@@ -23,6 +23,10 @@
 database_get_customer(const struct database *database);
 void database_set_view(struct database *database, struct view *view,
                        const struct ck_quota *quotas, size_t quotas_count);
+// Before database_set_view, with which it takes effect; NULL: none.
+void database_set_relay(struct database *database,
+                        const struct ck_relay *relay);
+bool database_is_relayed(const struct database *database);
 void database_set_lease(struct database *database, uint64_t term,
                         int64_t valid_until_us, bool revoked);
 void database_drain(struct database *database);
@@ -37,6 +41,10 @@
                            bool declared_new);
 void database_set_floor(struct database *database,
                         struct entry_session *session);
+// Gives a session another floor, which is that old and may be lower.
+void database_replace_floor(struct database *database,
+                            struct entry_session *session, uint64_t lsn,
+                            int64_t age_us);
 void database_close_session(struct database *database,
                             struct entry_session *session);
 // The request belongs to the database from here on.
--- a/src/catkingrade/entry/database_private.h
+++ b/src/catkingrade/entry/database_private.h
@@ -34,6 +34,18 @@
     bool busy;
 };
 
+// The entries that run this one's statements, and the view that stands for
+// them.
+struct database_relay {
+    char hosts[CK_RELAY_HOSTS][CK_HOST_SIZE + 1];
+    size_t hosts_count; // 0: this entry runs them itself
+    size_t next;        // place of the one that links are opened to
+    int64_t failed_us;  // when one was left last
+    struct ck_database config;
+    struct ck_upstream upstream;
+    struct ck_quota quota;
+};
+
 #define DATABASE_MAX_HISTOGRAMS 32
 
 // A histogram that this database has used.
@@ -67,6 +79,7 @@
     const struct ck_customer *customer;
     const struct ck_database *config;
     struct ck_quota *quotas;
+    struct database_relay relay;
     char customer_name[CK_NAME_SIZE + 1];
     atomic_uint_fast64_t open_requests; // read by other threads
     bool leaving;                       // not in the view anymore
@@ -94,6 +107,15 @@
                        const struct entry_request *request,
                        const struct traffic_action *action);
 
+// database_relay.c
+void database_fill_relay_view(struct database *database,
+                              struct traffic_view *view);
+const char *database_get_relay_host(struct database *database);
+void database_leave_relay_host(struct database *database);
+void database_fill_relay_floor(const struct database *database,
+                               const struct entry_session *session,
+                               struct typed_run *run);
+
 // database_samples.c
 void database_run_sample(struct database *database, uint32_t upstream);
 void database_close_stale_monitors(struct database *database);
--- /dev/null
+++ b/src/catkingrade/entry/database_relay.c
@@ -0,0 +1,118 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "catkingrade/decide/floor.h"
+#include "catkingrade/entry/database_private.h"
+#include "catkingrade/kernel/log.h"
+
+#define DATABASE_RELAY_NAME "relay"
+// Links that this entry may open to the entries that run its statements.
+#define DATABASE_RELAY_LINKS 32
+// After a failure the first holder is asked again only then.
+#define DATABASE_RELAY_RETURN_US 5000000
+
+// Sets which entries run this one's statements of the database; NULL when it
+// holds connections itself. Takes effect with the next view.
+void
+database_set_relay(struct database *database, const struct ck_relay *relay)
+{
+    struct database_relay *own = &database->relay;
+    size_t count = relay == NULL ? 0 : relay->hosts.hosts_len;
+
+    if ((count > 0) != (own->hosts_count > 0)) {
+        LOG_INFO(count > 0 ? "relay_begun" : "relay_ended",
+                 "database=%s host=%s", database->name,
+                 count > 0 ? relay->hosts.hosts_val[0] : "");
+    }
+    if (count != own->hosts_count) {
+        own->next = 0;
+    }
+    own->hosts_count = count;
+    for (size_t i = 0; i < count; i++) {
+        (void)strncpy(own->hosts[i], relay->hosts.hosts_val[i], CK_HOST_SIZE);
+    }
+}
+
+// Returns whether other entries run this one's statements of the database.
+bool
+database_is_relayed(const struct database *database)
+{
+    return database->relay.hosts_count > 0;
+}
+
+// Puts the relay in the place of the view's upstreams: one that takes all
+// statements as the primary does.
+void
+database_fill_relay_view(struct database *database, struct traffic_view *view)
+{
+    struct database_relay *relay = &database->relay;
+    static char name[] = DATABASE_RELAY_NAME;
+    static char none[] = "";
+
+    relay->upstream = (struct ck_upstream){
+        .name = name,
+        .database = database->name,
+        .failure_domain = none,
+        .host = none,
+        .slots = DATABASE_RELAY_LINKS,
+        .connections = DATABASE_RELAY_LINKS,
+        .state = CK_UPSTREAM_READY,
+    };
+    relay->config = *database->config;
+    relay->config.primary = database->config->primary[0] == '\0' ? none : name;
+    relay->config.upstreams.upstreams_len = 1;
+    relay->config.upstreams.upstreams_val = &relay->upstream;
+    relay->quota = (struct ck_quota){
+        .upstream = name,
+        .slots = DATABASE_RELAY_LINKS,
+        .connections = DATABASE_RELAY_LINKS,
+        .guaranteed_slots = DATABASE_RELAY_LINKS,
+        .guaranteed_connections = DATABASE_RELAY_LINKS,
+    };
+    view->database = &relay->config;
+    view->quotas = &relay->quota;
+    view->quotas_count = 1;
+    view->relayed = true;
+}
+
+// Returns the address of the holder to which the next link goes.
+const char *
+database_get_relay_host(struct database *database)
+{
+    struct database_relay *relay = &database->relay;
+
+    if (relay->next != 0 &&
+        monotonic_get_us() - relay->failed_us > DATABASE_RELAY_RETURN_US) {
+        relay->next = 0;
+    }
+    return relay->hosts[relay->next % relay->hosts_count];
+}
+
+// Turns to the next holder, since this one refuses or is silent. Links that
+// are open stay.
+void
+database_leave_relay_host(struct database *database)
+{
+    struct database_relay *relay = &database->relay;
+
+    LOG_INFO("relay_left", "database=%s host=%s", database->name,
+             relay->hosts[relay->next % relay->hosts_count]);
+    relay->next = (relay->next + 1) % relay->hosts_count;
+    relay->failed_us = monotonic_get_us();
+}
+
+// Tells the holder what the caller's session has saved, and how long ago.
+void
+database_fill_relay_floor(const struct database *database,
+                          const struct entry_session *session,
+                          struct typed_run *run)
+{
+    run->floor_lsn = 0;
+    run->floor_age_us = 0;
+    if (session == NULL ||
+        floor_translate(database->config, &session->floor, &run->floor_lsn) !=
+            FLOOR_NEED_LSN) {
+        return;
+    }
+    run->floor_age_us = monotonic_get_us() - session->floor_us;
+}
--- a/src/catkingrade/entry/entry.c
+++ b/src/catkingrade/entry/entry.c
@@ -227,6 +227,7 @@
     ENTRY_MESSAGE_LEASE,
     ENTRY_MESSAGE_REVOCATION,
     ENTRY_MESSAGE_QUOTAS,
+    ENTRY_MESSAGE_RELAYS,
     ENTRY_MESSAGE_DEMAND,
     ENTRY_MESSAGE_DRAIN,
 };
@@ -240,6 +241,8 @@
     uint64_t term;
     struct ck_quota *quotas;
     size_t quotas_count;
+    struct ck_relay *relays;
+    size_t relays_count;
 };
 
 static void
@@ -251,6 +254,38 @@
     free(quotas);
 }
 
+// Copies relays with their names and hosts; entry_free_relays frees them.
+struct ck_relay *
+entry_copy_relays(const struct ck_relay *relays, size_t count)
+{
+    struct ck_relay *copy = xcalloc(count, sizeof(*copy));
+
+    for (size_t i = 0; i < count; i++) {
+        u_int hosts_count = relays[i].hosts.hosts_len;
+        copy[i].database = xstrdup(relays[i].database);
+        copy[i].hosts.hosts_len = hosts_count;
+        copy[i].hosts.hosts_val = xcalloc(hosts_count, sizeof(char *));
+        for (u_int j = 0; j < hosts_count; j++) {
+            copy[i].hosts.hosts_val[j] = xstrdup(relays[i].hosts.hosts_val[j]);
+        }
+    }
+    return copy;
+}
+
+// Frees copies of relays.
+void
+entry_free_relays(struct ck_relay *relays, size_t count)
+{
+    for (size_t i = 0; i < count; i++) {
+        for (u_int j = 0; j < relays[i].hosts.hosts_len; j++) {
+            free(relays[i].hosts.hosts_val[j]);
+        }
+        free(relays[i].hosts.hosts_val);
+        free(relays[i].database);
+    }
+    free(relays);
+}
+
 static void
 entry_run_message(void *data)
 {
@@ -270,6 +305,9 @@
     case ENTRY_MESSAGE_QUOTAS:
         worker_set_quotas(worker, message->quotas, message->quotas_count);
         break;
+    case ENTRY_MESSAGE_RELAYS:
+        worker_set_relays(worker, message->relays, message->relays_count);
+        break;
     case ENTRY_MESSAGE_DEMAND:
         worker_ask_demand(worker);
         break;
@@ -278,6 +316,7 @@
         break;
     }
     entry_free_quotas(message->quotas, message->quotas_count);
+    entry_free_relays(message->relays, message->relays_count);
     free(message);
 }
 
@@ -352,6 +391,20 @@
     }
 }
 
+// Tells every thread which entries run this one's statements, in place of what
+// was said before.
+void
+entry_post_relays(struct entry *entry, const struct ck_relay *relays,
+                  size_t count)
+{
+    for (unsigned i = 0; i < entry->workers_count; i++) {
+        struct entry_message message = {.kind = ENTRY_MESSAGE_RELAYS,
+                                        .relays_count = count};
+        message.relays = entry_copy_relays(relays, count);
+        entry_post(entry->workers[i], &message);
+    }
+}
+
 // Asks for a report of the demand of each database in use.
 void
 entry_ask_demand(struct entry *entry)
--- a/src/catkingrade/entry/entry.h
+++ b/src/catkingrade/entry/entry.h
@@ -40,6 +40,9 @@
                            uint64_t term);
 void entry_post_quotas(struct entry *entry, const struct ck_quota *quotas,
                        size_t count);
+// Before entry_post_quotas, with which it takes effect.
+void entry_post_relays(struct entry *entry, const struct ck_relay *relays,
+                       size_t count);
 // Asks the threads to report their demand since the last time.
 void entry_ask_demand(struct entry *entry);
 // Planned stop: no new sessions; idle ones end at a transaction boundary.
--- a/src/catkingrade/entry/session.h
+++ b/src/catkingrade/entry/session.h
@@ -51,6 +51,7 @@
     struct database *database; // NULL until it is open
     uint64_t id;
     struct traffic_floor floor;
+    int64_t floor_us; // when it was raised last
 };
 
 #endif
--- a/src/catkingrade/entry/typed_run.h
+++ b/src/catkingrade/entry/typed_run.h
@@ -42,6 +42,11 @@
     char *arguments;                 // of the prepared statement
     struct typed_values *values;     // of the session, or NULL
     uint64_t after_lsn; // runs only where the log has it; 0: anywhere
+    // For an entry that runs it for this one: the caller's route, and what its
+    // session has saved.
+    char *route;
+    uint64_t floor_lsn;
+    int64_t floor_age_us; // since when that position exists
 };
 
 // The upstream's promise that a statement has not run, and why.
--- a/src/catkingrade/entry/upstream_link.h
+++ b/src/catkingrade/entry/upstream_link.h
@@ -62,6 +62,7 @@
 struct upstream_target {
     const char *host;
     unsigned port;
+    bool relayed; // it is another entry, which runs the statements
     const char *database;
     const char *upstream; // the name that it announces
     const char *user;
--- a/src/catkingrade/entry/worker.c
+++ b/src/catkingrade/entry/worker.c
@@ -32,6 +32,8 @@
     size_t leases_count;
     struct ck_quota *quotas; // names are copies
     size_t quotas_count;
+    struct ck_relay *relays; // names and hosts are copies
+    size_t relays_count;
     void *listener_state;
     uint64_t last_id;
     bool draining;
@@ -118,6 +120,7 @@
     }
     free(worker->databases);
     worker_free_quotas(worker->quotas, worker->quotas_count);
+    entry_free_relays(worker->relays, worker->relays_count);
     view_release(worker->view);
     classifier_destroy(worker->classifier);
     pthread_mutex_destroy(&worker->databases_mutex);
@@ -237,6 +240,17 @@
     return lent != NULL || settings->view_file[0] != '\0';
 }
 
+static const struct ck_relay *
+worker_find_relay(const struct worker *worker, const char *database)
+{
+    for (size_t i = 0; i < worker->relays_count; i++) {
+        if (strcmp(worker->relays[i].database, database) == 0) {
+            return &worker->relays[i];
+        }
+    }
+    return NULL;
+}
+
 static void
 worker_apply_view(struct worker *worker, struct database *database)
 {
@@ -256,6 +270,7 @@
             count++;
         }
     }
+    database_set_relay(database, worker_find_relay(worker, config->name));
     database_set_view(database, worker->view, quotas, count);
     free(quotas);
 }
@@ -449,6 +464,17 @@
     }
 }
 
+// Takes over which entries run this one's statements, in place of what was
+// said before; takes effect with the quotas that follow.
+void
+worker_set_relays(struct worker *worker, const struct ck_relay *relays,
+                  size_t count)
+{
+    entry_free_relays(worker->relays, worker->relays_count);
+    worker->relays = entry_copy_relays(relays, count);
+    worker->relays_count = count;
+}
+
 // Begins a planned stop: listeners close, sessions end at a transaction
 // boundary.
 void
--- a/src/catkingrade/entry/worker.h
+++ b/src/catkingrade/entry/worker.h
@@ -50,6 +50,8 @@
 void worker_revoke(struct worker *worker, const char *name, uint64_t term);
 void worker_set_quotas(struct worker *worker, const struct ck_quota *quotas,
                        size_t count);
+void worker_set_relays(struct worker *worker, const struct ck_relay *relays,
+                       size_t count);
 void worker_drain(struct worker *worker);
 void worker_ask_demand(struct worker *worker);
 // Any thread.
@@ -57,6 +59,9 @@
 
 // What the threads share; constant after entry_start.
 const struct settings *entry_get_settings(const struct entry *entry);
+struct ck_relay *entry_copy_relays(const struct ck_relay *relays,
+                                   size_t count);
+void entry_free_relays(struct ck_relay *relays, size_t count);
 const struct token_ring *entry_get_token_ring(const struct entry *entry);
 const struct upstream_driver *entry_get_driver(const struct entry *entry);
 const struct entry_listener *entry_get_listener(const struct entry *entry);
--- a/src/catkingrade/kernel/settings.c
+++ b/src/catkingrade/kernel/settings.c
@@ -107,6 +107,7 @@
     "seeds_port",
     "voters_from_seeds",
     "tolerated_losses",
+    "relay_min_connections",
     "key_required",
     "bootstrap",
     "sample_upstreams",
@@ -133,8 +134,8 @@
 
 static const char *const settings_listen_keys[] = {"postgres", "rpc", "http",
                                                    "metrics", NULL};
-static const char *const settings_platform_keys[] = {"listen", "control",
-                                                     "promote", NULL};
+static const char *const settings_platform_keys[] = {
+    "listen", "relay", "control", "promote", NULL};
 static const char *const settings_group_keys[] = {"name", "failure_domain",
                                                   "voters", NULL};
 static const char *const settings_voter_keys[] = {"id", "vm", "rpc", NULL};
@@ -236,6 +237,7 @@
                            settings_platform_keys);
     settings_read_address(reader, platform, "platform", "listen",
                           &out->listen);
+    settings_read_address(reader, platform, "platform", "relay", &out->relay);
     settings_read_address(reader, platform, "platform", "promote",
                           &out->promote);
     out->control =
@@ -445,6 +447,8 @@
         json_reader_get_bool(reader, root, "", "voters_from_seeds", false);
     settings->tolerated_losses = (unsigned)json_reader_get_number(
         reader, root, "", "tolerated_losses", 1, 0, 3);
+    settings->relay_min_connections = (unsigned)json_reader_get_number(
+        reader, root, "", "relay_min_connections", 0, 0, 1000);
     settings->key_required =
         json_reader_get_bool(reader, root, "", "key_required", true);
     settings->bootstrap =
--- a/src/catkingrade/kernel/settings.h
+++ b/src/catkingrade/kernel/settings.h
@@ -36,6 +36,7 @@
 // The users' platform, when callers and upstreams speak its protocols.
 struct settings_platform {
     struct settings_address listen;  // for callers; port 0: none
+    struct settings_address relay;   // for other entries; port 0: none
     bool control;                    // takes operators' calls over HTTP
     struct settings_address promote; // where promotions are asked for
 };
@@ -72,11 +73,12 @@
     size_t seeds_count;
     uint16_t seeds_port;    // in place of the seeds' own ports; 0: keep those
     bool voters_from_seeds; // the fleet group's founders are the seeds
-    unsigned tolerated_losses; // of voters at once; from the seeds
-    bool key_required;         // off loopback
-    bool bootstrap;            // the groups are new: their very first start
-    bool sample_upstreams;     // false: positions come with answers alone
-    bool ready_with_lease;     // an entry is ready only with a lease
+    unsigned tolerated_losses;      // of voters at once; from the seeds
+    unsigned relay_min_connections; // an entry's share; 0: none is relayed
+    bool key_required;              // off loopback
+    bool bootstrap;        // the groups are new: their very first start
+    bool sample_upstreams; // false: positions come with answers alone
+    bool ready_with_lease; // an entry is ready only with a lease
     struct settings_group *groups;
     size_t groups_count;
     char *log_path;
--- a/src/catkingrade/rpc/messages.h
+++ b/src/catkingrade/rpc/messages.h
@@ -19,6 +19,7 @@
 #define CK_VERIFIER_SIZE 255
 #define CK_BLOB_SIZE 49152
 #define CK_LIST_SIZE 16384
+#define CK_RELAY_HOSTS 3
 #define CK_ORIGINAL_SIZE 1048576
 
 typedef char *ck_name;
@@ -265,6 +266,15 @@
 };
 typedef struct ck_quota ck_quota;
 
+struct ck_relay {
+	ck_name database;
+	struct {
+		u_int hosts_len;
+		ck_host *hosts_val;
+	} hosts;
+};
+typedef struct ck_relay ck_relay;
+
 struct ck_renew_args {
 	ck_name group;
 	ck_daemon daemon;
@@ -299,6 +309,10 @@
 		u_int quotas_len;
 		ck_quota *quotas_val;
 	} quotas;
+	struct {
+		u_int relays_len;
+		ck_relay *relays_val;
+	} relays;
 };
 typedef struct ck_renew_result ck_renew_result;
 
@@ -680,6 +694,7 @@
 extern  bool_t xdr_ck_suspicion (XDR *, ck_suspicion*);
 extern  bool_t xdr_ck_revocation (XDR *, ck_revocation*);
 extern  bool_t xdr_ck_quota (XDR *, ck_quota*);
+extern  bool_t xdr_ck_relay (XDR *, ck_relay*);
 extern  bool_t xdr_ck_renew_args (XDR *, ck_renew_args*);
 extern  bool_t xdr_ck_renew_result (XDR *, ck_renew_result*);
 extern  bool_t xdr_ck_notify_args (XDR *, ck_notify_args*);
@@ -740,6 +755,7 @@
 extern bool_t xdr_ck_suspicion ();
 extern bool_t xdr_ck_revocation ();
 extern bool_t xdr_ck_quota ();
+extern bool_t xdr_ck_relay ();
 extern bool_t xdr_ck_renew_args ();
 extern bool_t xdr_ck_renew_result ();
 extern bool_t xdr_ck_notify_args ();
--- a/src/catkingrade/rpc/messages.x
+++ b/src/catkingrade/rpc/messages.x
@@ -9,6 +9,7 @@
 const CK_VERIFIER_SIZE = 255;
 const CK_BLOB_SIZE = 49152;
 const CK_LIST_SIZE = 16384;
+const CK_RELAY_HOSTS = 3;
 const CK_ORIGINAL_SIZE = 1048576;
 
 typedef string ck_name<CK_NAME_SIZE>;
@@ -206,6 +207,13 @@
     unsigned int guaranteed_connections;
 };
 
+/* Entries that run this one's statements of a database, the first to be asked
+   first. */
+struct ck_relay {
+    ck_name database;
+    ck_host hosts<CK_RELAY_HOSTS>;
+};
+
 struct ck_renew_args {
     ck_name group;
     ck_daemon daemon;
@@ -227,6 +235,7 @@
     ck_view_delta delta;
     bool hasten;                    /* more is to be lent soon: renew then */
     ck_quota quotas<CK_LIST_SIZE>;
+    ck_relay relays<CK_LIST_SIZE>;
 };
 
 /* Pushed by a leader: renew at once; these terms end. */
--- a/src/catkingrade/rpc/messages_xdr.c
+++ b/src/catkingrade/rpc/messages_xdr.c
@@ -776,6 +776,19 @@
 	return TRUE;
 }
 
+bool_t
+xdr_ck_relay (XDR *xdrs, ck_relay *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_ck_name (xdrs, &objp->database))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->hosts.hosts_val, (u_int *) &objp->hosts.hosts_len, CK_RELAY_HOSTS,
+		sizeof (ck_host), (xdrproc_t) xdr_ck_host))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_ck_renew_args (XDR *xdrs, ck_renew_args *objp)
 {
@@ -827,6 +840,9 @@
 	 if (!xdr_array (xdrs, (char **)&objp->quotas.quotas_val, (u_int *) &objp->quotas.quotas_len, CK_LIST_SIZE,
 		sizeof (ck_quota), (xdrproc_t) xdr_ck_quota))
 		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->relays.relays_val, (u_int *) &objp->relays.relays_len, CK_LIST_SIZE,
+		sizeof (ck_relay), (xdrproc_t) xdr_ck_relay))
+		 return FALSE;
 	return TRUE;
 }
 
--- a/test/fake/fleet_entry.c
+++ b/test/fake/fleet_entry.c
@@ -132,6 +132,8 @@
         fleet_take_quotas(fleet, entry, action->quotas.items,
                           action->quotas.count);
         break;
+    case LEASEHOLDER_ACTION_SET_RELAYS:
+        break; // this fleet's entries all hold connections
     case LEASEHOLDER_ACTION_REVOKE:
         if (action->revoke.term >= own->min_term) {
             own->min_term = action->revoke.term + 1;
--- a/test/unit/platform/test_wire_setup.c
+++ b/test/unit/platform/test_wire_setup.c
@@ -29,7 +29,7 @@
 expect_statement(struct rig *rig, const struct typed_run *run,
                  const char *text)
 {
-    wire_setup_append_statement(&rig->setup, run, &rig->out);
+    wire_setup_append_statement(&rig->setup, run, false, &rig->out);
     buffer_append_u8(&rig->out, 0);
     ck_assert_str_eq((const char *)buffer_get_data(&rig->out), text);
     buffer_clear(&rig->out);
