--- /dev/null
+++ b/test/rig/platform_rig.c
@@ -0,0 +1,218 @@
+#include "test/rig/platform_rig.h"
+
+#include <check.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "catkingrade/kernel/memory.h"
+
+struct platform_rig rig;
+
+static char *
+platform_rig_format_url(int place, const char *path)
+{
+    return xasprintf("http://127.0.0.1:%d%s", rig.http_ports[place], path);
+}
+
+// One HTTP call to the daemon at a place; see platform_call.
+char *
+platform_rig_call(int place, const char *method, const char *path,
+                  const char *body, long *status)
+{
+    char *url = platform_rig_format_url(place, path);
+    char *answer = platform_call(method, url, body, status);
+
+    free(url);
+    return answer;
+}
+
+// Returns the status of a configuration, 0: no answer.
+long
+platform_rig_put_config(int place, const char *body)
+{
+    long status = 0;
+
+    free(platform_rig_call(place, "PUT", "/v1/config", body, &status));
+    return status;
+}
+
+// Announces the upstreams that live, again and again, to one control VM after
+// the other.
+static void *
+platform_rig_beat(void *data)
+{
+    unsigned turn = 0;
+
+    (void)data;
+    while (!rig.stopping) {
+        for (int i = 0; i < PLATFORM_UPSTREAMS; i++) {
+            char body[512];
+            char path[64];
+            long status = 0;
+            platform_describe(rig.platform, i, rig.leaving[i], body,
+                              sizeof(body));
+            (void)snprintf(path, sizeof(path), "/v1/instances/i-%d", i);
+            free(platform_rig_call((int)(turn++ % RIG_CONTROLS), "PUT", path,
+                                   body, &status));
+        }
+        usleep(100000);
+    }
+    return NULL;
+}
+
+static void
+platform_rig_write_settings(const char *path, int place, bool bootstrap)
+{
+    bool entry = place >= RIG_CONTROLS;
+    int host = entry ? place - RIG_CONTROLS + 1 : 1;
+    char *extra =
+        entry ? xasprintf("\"listen\": {\"rpc\": \"127.0.0.%d:%d\", \"http\": "
+                          "\"127.0.0.1:%d\"}, \"roles\": [\"entry\"], "
+                          "\"platform\": {\"listen\": \"127.0.0.1:%d\", "
+                          "\"relay\": \"127.0.0.%d:%d\"}, "
+                          "\"traffic_threads\": 1",
+                          host, rig.rpc_ports[place], rig.http_ports[place],
+                          rig.caller_ports[place - RIG_CONTROLS], host,
+                          rig.relay_port)
+              : xasprintf("\"listen\": {\"rpc\": \"127.0.0.1:%d\", \"http\": "
+                          "\"127.0.0.1:%d\"}, \"roles\": [\"control\"], "
+                          "\"data_dir\": \"%s/data%d\", \"bootstrap\": %s, "
+                          "\"platform\": {\"control\": true, \"promote\": "
+                          "\"127.0.0.1:%d\"}%s",
+                          rig.rpc_ports[place], rig.http_ports[place],
+                          rig.folder, place, bootstrap ? "true" : "false",
+                          platform_get_promote_port(rig.platform),
+                          rig.control_extra);
+    char *text = xasprintf(
+        "{\"vm\": \"vm%d\", \"failure_domain\": \"noord\", \"seeds\": "
+        "[\"127.0.0.1:%d\", \"127.0.0.1:%d\", \"127.0.0.1:%d\"], "
+        "\"voters_from_seeds\": true, \"sample_upstreams\": false, "
+        "\"ready_with_lease\": true, \"announce_expiry_ms\": 3000, "
+        "\"log_format\": \"json\", \"drain_notice_ms\": 100, "
+        "\"drain_limit_ms\": 1000, %s}",
+        place, rig.rpc_ports[0], rig.rpc_ports[1], rig.rpc_ports[2], extra);
+
+    process_write_file(path, text);
+    free(text);
+    free(extra);
+}
+
+// Starts the daemon of a place, control VMs first, then entries.
+struct process *
+platform_rig_start_daemon(int place, bool bootstrap)
+{
+    char path[512];
+    char log[512];
+    const char *args[] = {"--settings", path, NULL};
+
+    (void)snprintf(path, sizeof(path), "%s/vm%d.json", rig.folder, place);
+    (void)snprintf(log, sizeof(log), "%s/vm%d.log", rig.folder, place);
+    platform_rig_write_settings(path, place, bootstrap);
+    return process_start(log, "catkingraded", args);
+}
+
+// Starts three control VMs and some entries. control_extra: settings of the
+// control VMs, each behind a comma.
+void
+platform_rig_start(const char *name, int entries, const char *control_extra)
+{
+    memset(&rig, 0, sizeof(rig));
+    rig.folder = process_make_folder(name);
+    rig.platform = platform_start();
+    rig.entries_count = entries;
+    rig.control_extra = control_extra;
+    rig.relay_port = process_get_free_port();
+    for (int i = 0; i < RIG_CONTROLS + entries; i++) {
+        rig.rpc_ports[i] = process_get_free_port();
+        rig.http_ports[i] = process_get_free_port();
+    }
+    for (int i = 0; i < RIG_CONTROLS; i++) {
+        rig.controls[i] = platform_rig_start_daemon(i, true);
+    }
+    for (int i = 0; i < entries; i++) {
+        rig.caller_ports[i] = process_get_free_port();
+        rig.entries[i] = platform_rig_start_daemon(RIG_CONTROLS + i, false);
+    }
+    for (int i = 0; i < RIG_CONTROLS + entries; i++) {
+        ck_assert(process_wait_port(rig.http_ports[i]));
+    }
+    ck_assert_int_eq(pthread_create(&rig.beats, NULL, platform_rig_beat, NULL),
+                     0);
+    rig.beating = true;
+}
+
+// Ends all.
+void
+platform_rig_stop(void)
+{
+    rig.stopping = true;
+    pthread_join(rig.beats, NULL);
+    for (int i = 0; i < RIG_CONTROLS; i++) {
+        if (rig.controls[i] != NULL) {
+            (void)process_stop(rig.controls[i], SIGKILL);
+        }
+    }
+    for (int i = 0; i < rig.entries_count; i++) {
+        if (rig.entries[i] != NULL) {
+            (void)process_stop(rig.entries[i], SIGKILL);
+        }
+    }
+    platform_stop(rig.platform);
+    free(rig.folder);
+}
+
+// Repeats a change until it is accepted.
+void
+platform_rig_wait_config(int place, const char *body)
+{
+    long status = 0;
+
+    for (int i = 0; i < RIG_WAIT_ROUNDS && status != 200; i++) {
+        status = platform_rig_put_config(place, body);
+        usleep(RIG_WAIT_STEP_US);
+    }
+    ck_assert_int_eq(status, 200);
+}
+
+// Repeats a request on new sessions until its answer holds the part.
+int
+platform_rig_wait_answer(int entry, const char *name, const char *line,
+                         const char *part)
+{
+    char startup[64];
+
+    (void)snprintf(startup, sizeof(startup), "STARTUP %s u1", name);
+    for (int i = 0; i < RIG_WAIT_ROUNDS; i++) {
+        int fd = platform_connect(rig.caller_ports[entry]);
+        char *text = fd < 0 ? NULL : platform_ask(fd, startup);
+        bool ready = text != NULL && strncmp(text, "READY", 5) == 0;
+        free(text);
+        text = ready ? platform_ask(fd, line) : NULL;
+        bool found = text != NULL && strstr(text, part) != NULL;
+        free(text);
+        if (found) {
+            return fd;
+        }
+        if (fd >= 0) {
+            close(fd);
+        }
+        usleep(RIG_WAIT_STEP_US);
+    }
+    ck_abort_msg("%s never gives %s", line, part);
+    return -1;
+}
+
+// Asks on a session and expects exactly that answer.
+void
+platform_rig_expect(int fd, const char *line, const char *answer)
+{
+    char *text = platform_ask(fd, line);
+
+    ck_assert_msg(text != NULL && strcmp(text, answer) == 0,
+                  "%s: %s, expected %s", line, text == NULL ? "end" : text,
+                  answer);
+    free(text);
+}
--- /dev/null
+++ b/test/unit/decide/test_relay_plan.c
@@ -0,0 +1,160 @@
+#include <stdio.h>
+#include <string.h>
+
+#include "catkingrade/decide/relay_plan.h"
+#include "test/suite.h"
+
+#define ENTRIES   66
+#define DOMAINS   6
+#define DATABASES 8
+#define HOLDERS   6
+
+static char names[ENTRIES][16];
+static char domains[DOMAINS][16];
+
+static void
+init_entries(struct relay_entry *entries)
+{
+    for (size_t i = 0; i < DOMAINS; i++) {
+        (void)snprintf(domains[i], sizeof(domains[i]), "domain%zu", i);
+    }
+    for (size_t i = 0; i < ENTRIES; i++) {
+        (void)snprintf(names[i], sizeof(names[i]), "entry%zu", i);
+        entries[i] = (struct relay_entry){
+            .vm = names[i], .failure_domain = domains[i % DOMAINS]};
+    }
+}
+
+static void
+name_database(char *name, size_t size, unsigned i)
+{
+    (void)snprintf(name, size, "database%u", i);
+}
+
+// All entries hold connections as long as each can have the least share.
+START_TEST(test_count_of_holders)
+{
+    static const struct {
+        uint32_t connections;
+        uint32_t least;
+        size_t entries;
+        uint32_t holders; // 0: all
+    } rows[] = {
+        {15, 2, 7, 0},  // a small site
+        {24, 2, 66, 6}, // a grown one
+        {83, 2, 78, 20}, {2, 2, 7, 1},   {0, 2, 7, 1}, {24, 0, 66, 0},
+        {24, 2, 12, 0},  {24, 2, 13, 6}, {3, 2, 1, 0}, {24, 30, 6, 0},
+    };
+
+    for (size_t i = 0; i < sizeof(rows) / sizeof(rows[0]); i++) {
+        ck_assert_msg(relay_count_holders(rows[i].connections, rows[i].least,
+                                          rows[i].entries) == rows[i].holders,
+                      "row %zu", i);
+    }
+}
+END_TEST
+
+// Each failure domain has its holder, and no entry has much more than its part
+// of all databases.
+START_TEST(test_holders_are_spread)
+{
+    struct relay_entry entries[ENTRIES];
+    unsigned load[ENTRIES] = {0};
+
+    init_entries(entries);
+    for (unsigned d = 0; d < DATABASES; d++) {
+        unsigned in_domain[DOMAINS] = {0};
+        char name[16];
+        name_database(name, sizeof(name), d);
+        relay_plan(name, HOLDERS, entries, ENTRIES);
+        for (size_t i = 0; i < ENTRIES; i++) {
+            in_domain[i % DOMAINS] += entries[i].holds;
+            load[i] += entries[i].holds;
+        }
+        for (size_t i = 0; i < DOMAINS; i++) {
+            ck_assert_uint_eq(in_domain[i], 1);
+        }
+    }
+    for (size_t i = 0; i < ENTRIES; i++) {
+        ck_assert_uint_le(load[i], 4);
+    }
+}
+END_TEST
+
+// An entry that goes moves only what it held, whatever the order in which the
+// entries are listed.
+START_TEST(test_a_lost_entry_moves_only_its_own)
+{
+    struct relay_entry before[ENTRIES];
+    struct relay_entry after[ENTRIES];
+
+    init_entries(before);
+    for (unsigned d = 0; d < DATABASES; d++) {
+        char name[16];
+        name_database(name, sizeof(name), d);
+        relay_plan(name, HOLDERS, before, ENTRIES);
+        for (size_t lost = 0; lost < ENTRIES; lost++) {
+            size_t count = 0;
+            unsigned kept = 0;
+            for (size_t i = ENTRIES; i > 0; i--) {
+                if (i - 1 != lost) {
+                    after[count++] = before[i - 1];
+                }
+            }
+            relay_plan(name, HOLDERS, after, count);
+            for (size_t i = 0; i < count; i++) {
+                for (size_t j = 0; j < ENTRIES; j++) {
+                    kept += before[j].holds && after[i].holds &&
+                            before[j].vm == after[i].vm;
+                }
+            }
+            ck_assert_uint_eq(kept,
+                              before[lost].holds ? HOLDERS - 1 : HOLDERS);
+        }
+    }
+}
+END_TEST
+
+// An entry turns to the holder in its own failure domain first, never to
+// itself, and entries of a domain without one spread over the others.
+START_TEST(test_nearest_holder_first)
+{
+    struct relay_entry entries[ENTRIES];
+    unsigned asked[ENTRIES] = {0};
+    size_t places[3];
+
+    init_entries(entries);
+    relay_plan("database1", HOLDERS, entries, ENTRIES);
+    for (size_t i = 0; i < ENTRIES; i++) {
+        size_t count = relay_list(names[i], domains[i % DOMAINS], entries,
+                                  ENTRIES, places, 3);
+        ck_assert_uint_eq(count, 3);
+        for (size_t j = 0; j < count; j++) {
+            ck_assert(entries[places[j]].holds);
+            ck_assert_uint_ne(places[j], i);
+        }
+        if (!entries[i].holds) {
+            ck_assert_uint_eq(places[0] % DOMAINS, i % DOMAINS);
+            ck_assert_uint_ne(places[1] % DOMAINS, i % DOMAINS);
+        }
+        count = relay_list(names[i], "elsewhere", entries, ENTRIES, places, 3);
+        asked[places[0]]++;
+    }
+    for (size_t i = 0; i < ENTRIES; i++) {
+        ck_assert(!entries[i].holds || asked[i] > 0);
+    }
+    ck_assert_uint_eq(
+        relay_list("entry0", "domain0", entries, ENTRIES, places, 0), 0);
+}
+END_TEST
+
+static void
+add_tests(TCase *tests)
+{
+    tcase_add_test(tests, test_count_of_holders);
+    tcase_add_test(tests, test_holders_are_spread);
+    tcase_add_test(tests, test_a_lost_entry_moves_only_its_own);
+    tcase_add_test(tests, test_nearest_holder_first);
+}
+
+TEST_MAIN("relay_plan", add_tests)
