fix(control): one id is one VM's, and a leader plans over those that count

Cause 1: three new control VMs asked at once, were all offered id 4, and the two that came later were told that 4 votes already: they waited for ever. With 3 founders and one more the loss of two disks ended the group. The judgement is pure now (membership_judge), with a test that failed first: an id at another address is another VM's.

Cause 2: on the grown quotes a new leader answered 78 renewals, each planning 24 upstreams over 156 rows unit by unit. It answered nobody for longer than the election time, and leadership went round.

--- a/src/catkingrade/control/group_voters.c
+++ b/src/catkingrade/control/group_voters.c
@@ -112,10 +112,7 @@
     }
 }
 
-// Judges a VM that wants to vote. Returns OUTCOME_OK when it may be added
-// under its id, with that *number when it is in the list already;
-// OUTCOME_AGAIN with *number when it is to come back under that id, 0 when
-// there is no place for it now; OUTCOME_INVALID when its id was used before.
+// Judges a VM that wants to vote; see membership_judge.
 int
 host_judge_voter(const struct group_host *host, const struct ck_voter *voter,
                  uint64_t *number)
@@ -124,23 +121,8 @@
     struct membership_params params;
     size_t count = host_list_members(host, members);
 
-    *number = 0;
-    for (size_t i = 0; i < count; i++) {
-        if (voter->id != 0 && members[i].voter->id == voter->id) {
-            *number = voter->id;
-            return OUTCOME_OK;
-        }
-    }
-    if (voter->id != 0 && voter->id <= raft_get_highest_voter_id(host->raft)) {
-        return OUTCOME_INVALID;
-    }
     host_fill_membership(host, &params);
-    if (!membership_may_add(&params, members, count, voter)) {
-        return OUTCOME_AGAIN;
-    }
-    if (voter->id == 0) {
-        *number = raft_get_highest_voter_id(host->raft) + 1;
-        return OUTCOME_AGAIN;
-    }
-    return OUTCOME_OK;
+    return membership_judge(&params, members, count,
+                            raft_get_highest_voter_id(host->raft), voter,
+                            number);
 }
--- a/src/catkingrade/decide/leader_lease.c
+++ b/src/catkingrade/decide/leader_lease.c
@@ -67,6 +67,7 @@
     holder->last_seen_us = leader->now_us;
     holder->next = leader->holders;
     leader->holders = holder;
+    leader->holders_count++;
     group_index_put(leader->index, LEADER_HOLDER, daemon->vm, holder);
     return holder;
 }
@@ -100,6 +101,7 @@
         codec_free((xdrproc_t)xdr_ck_daemon, &holder->daemon);
         free(holder);
     }
+    leader->holders_count = 0;
 }
 
 static bool
--- a/src/catkingrade/decide/leader_private.h
+++ b/src/catkingrade/decide/leader_private.h
@@ -138,7 +138,8 @@
     bool publish_soon; // with the next regular tick
     bool publish_now;
     struct group_index *index;
-    struct leader_holder *holders;
+    struct leader_holder *holders; // none goes before the leader is deposed
+    size_t holders_count;
     struct leader_proposal *proposals; // the newest
     struct leader_database *databases;
     struct leader_quota *quotas;
--- a/src/catkingrade/decide/leader_quota.c
+++ b/src/catkingrade/decide/leader_quota.c
@@ -25,6 +25,7 @@
     char *name;
     struct leader_share *shares;
     size_t shares_count;
+    size_t holders_count; // of the leader when all entries were added
 };
 
 static u_int
@@ -69,12 +70,18 @@
 leader_get_share(struct leader_quota *quota, struct leader_holder *holder)
 {
     size_t place = 0;
+    size_t end = quota->shares_count;
     size_t count = quota->shares_count;
     const char *vm = holder->daemon.vm;
 
-    while (place < count &&
-           strcmp(quota->shares[place].holder->daemon.vm, vm) < 0) {
-        place++;
+    while (place < end) {
+        size_t middle = place + (end - place) / 2;
+        if (strcmp(quota->shares[middle].holder->daemon.vm, vm) < 0) {
+            place = middle + 1;
+        }
+        else {
+            end = middle;
+        }
     }
     if (place < count && quota->shares[place].holder == holder) {
         return &quota->shares[place];
@@ -94,12 +101,16 @@
 static void
 leader_add_shares(struct leader *leader, struct leader_quota *quota)
 {
+    if (quota->holders_count == leader->holders_count) {
+        return;
+    }
     for (struct leader_holder *holder = leader->holders; holder != NULL;
          holder = holder->next) {
         if (leader_is_entry(holder)) {
             (void)leader_get_share(quota, holder);
         }
     }
+    quota->holders_count = leader->holders_count;
 }
 
 // Takes what an entry says of itself. What it held when it asked is all that
@@ -139,9 +150,9 @@
 }
 
 // Fills what lending_plan has to know of a share; guaranteed is its part of
-// the guaranteed shares. Returns whether it is not known what the entry holds:
-// a leader before lent it and it may use that until its lease runs out.
-static bool
+// the guaranteed shares, all that it may use when its lease was of a leader
+// before.
+static void
 leader_fill_use(const struct leader *leader, const struct leader_share *share,
                 const struct lending_share *guaranteed,
                 struct lending_entry *entry)
@@ -155,13 +166,12 @@
     if (!share->known) {
         entry->slots.held = guaranteed->guaranteed_slots;
         entry->connections.held = guaranteed->guaranteed_connections;
-        return live;
+        return;
     }
     entry->slots.held =
         live ? share->held.slots : share->held.guaranteed_slots;
     entry->connections.held =
         live ? share->held.connections : share->held.guaranteed_connections;
-    return false;
 }
 
 // Fills what the incarnation before may still use; it is to get nothing.
@@ -199,77 +209,103 @@
             leader_holds_connections(leader, database, holder));
 }
 
-// Fills which entries take part and who is near. The guaranteed shares follow
-// from that alone; they are planned only when they are needed, for an entry
-// that has not renewed with this leader.
-static void
-leader_plan_guaranteed(struct leader *leader,
-                       const struct ck_database *database,
-                       const struct leader_quota *quota,
-                       const struct ck_upstream *upstream,
-                       struct lending_entry *entries,
-                       struct lending_share *shares)
+// The entries that count in the plan of one upstream.
+struct leader_plan {
+    struct leader_share **rows;
+    struct lending_entry *entries; // of rows, then of incarnations before
+    struct lending_share *shares;
+    size_t count;
+    bool is_frozen; // it is not known what some entry holds
+};
+
+static bool
+leader_holds_nothing(const struct leader_share *share)
 {
-    bool needed = false;
+    return share->held.slots == 0 && share->held.connections == 0 &&
+           share->held.guaranteed_slots == 0 &&
+           share->held.guaranteed_connections == 0;
+}
 
+// Lists the entries that are to have something, or may still hold something.
+// All others would only make planning slow: of many entries few count.
+static void
+leader_list_rows(struct leader *leader, const struct ck_database *database,
+                 const struct leader_quota *quota,
+                 const struct ck_upstream *upstream, struct leader_plan *plan)
+{
     for (size_t i = 0; i < quota->shares_count; i++) {
-        const struct ck_daemon *daemon = &quota->shares[i].holder->daemon;
-        entries[i].near =
+        struct leader_share *share = &quota->shares[i];
+        const struct ck_daemon *daemon = &share->holder->daemon;
+        bool part = leader_takes_part(leader, database, share->holder);
+        bool ghost = share->holder->old_until_us > leader->now_us;
+        plan->is_frozen |=
+            !share->known && leader_is_live(leader, share->holder);
+        if (!part && leader_holds_nothing(share) && !ghost) {
+            continue;
+        }
+        plan->entries[plan->count].near =
             strcmp(upstream->failure_domain, daemon->failure_domain) == 0;
-        entries[i].weight =
-            leader_takes_part(leader, database, quota->shares[i].holder) ? 1
-                                                                         : 0;
-        needed = needed || !quota->shares[i].known;
+        plan->entries[plan->count].weight = part ? 1 : 0;
+        plan->rows[plan->count++] = share;
     }
-    if (needed) {
-        lending_plan(upstream->slots, leader_get_lendable(upstream), entries,
-                     quota->shares_count, shares);
+}
+
+// Plans the guaranteed shares, which follow from who takes part alone, if an
+// entry that has not renewed with this leader may use its own.
+static void
+leader_plan_guaranteed(const struct ck_upstream *upstream,
+                       struct leader_plan *plan)
+{
+    for (size_t i = 0; i < plan->count; i++) {
+        if (!plan->rows[i]->known) {
+            lending_plan(upstream->slots, leader_get_lendable(upstream),
+                         plan->entries, plan->count, plan->shares);
+            return;
+        }
     }
 }
 
-// Plans an upstream and sets what the entry at place is lent now.
+// Plans an upstream and sets what one entry is lent now.
 static void
 leader_plan_quota(struct leader *leader, const struct ck_database *database,
                   struct leader_quota *quota,
-                  const struct ck_upstream *upstream, size_t place,
+                  const struct ck_upstream *upstream, struct leader_share *own,
                   struct ck_quota *out)
 {
-    size_t count = quota->shares_count;
-    struct lending_entry *entries = xcalloc(2 * count, sizeof(*entries));
-    struct lending_share *shares = xcalloc(2 * count, sizeof(*shares));
-    struct leader_share *own = &quota->shares[place];
-    bool frozen = false;
-
-    leader_plan_guaranteed(leader, database, quota, upstream, entries, shares);
-    for (size_t i = 0; i < count; i++) {
-        bool unknown = leader_fill_use(leader, &quota->shares[i], &shares[i],
-                                       &entries[i]);
-        leader_fill_ghost(leader, &quota->shares[i], &entries[count + i]);
-        frozen = frozen || unknown;
+    size_t capacity = 2 * quota->shares_count;
+    struct leader_plan plan = {
+        .rows = xcalloc(capacity, sizeof(*plan.rows)),
+        .entries = xcalloc(capacity, sizeof(*plan.entries)),
+        .shares = xcalloc(capacity, sizeof(*plan.shares)),
+    };
+
+    leader_list_rows(leader, database, quota, upstream, &plan);
+    leader_plan_guaranteed(upstream, &plan);
+    for (size_t i = 0; i < plan.count; i++) {
+        leader_fill_use(leader, plan.rows[i], &plan.shares[i],
+                        &plan.entries[i]);
+        leader_fill_ghost(leader, plan.rows[i], &plan.entries[plan.count + i]);
     }
-    lending_plan(upstream->slots, leader_get_lendable(upstream), entries,
-                 2 * count, shares);
-    own->unserved = entries[place].unserved;
-    out->upstream = quota->name;
-    out->slots = shares[place].slots;
-    out->connections = shares[place].connections;
-    out->guaranteed_slots = shares[place].guaranteed_slots;
-    out->guaranteed_connections = shares[place].guaranteed_connections;
-    if (frozen) {
+    lending_plan(upstream->slots, leader_get_lendable(upstream), plan.entries,
+                 2 * plan.count, plan.shares);
+    for (size_t i = 0; i < plan.count; i++) {
+        if (plan.rows[i] == own) {
+            own->unserved = plan.entries[i].unserved;
+            out->slots = plan.shares[i].slots;
+            out->connections = plan.shares[i].connections;
+            out->guaranteed_slots = plan.shares[i].guaranteed_slots;
+            out->guaranteed_connections =
+                plan.shares[i].guaranteed_connections;
+        }
+    }
+    if (plan.is_frozen) {
         // Nobody gets more before all that was lent is known again.
         *out = own->held;
-        out->upstream = quota->name;
     }
-    free(entries);
-    free(shares);
-}
-
-static bool
-leader_holds_nothing(const struct leader_share *share)
-{
-    return share->held.slots == 0 && share->held.connections == 0 &&
-           share->held.guaranteed_slots == 0 &&
-           share->held.guaranteed_connections == 0;
+    out->upstream = quota->name;
+    free(plan.rows);
+    free(plan.entries);
+    free(plan.shares);
 }
 
 // Sets what an entry is lent of an upstream. Returns false when it has nothing
@@ -292,8 +328,7 @@
         !leader_takes_part(leader, database, holder)) {
         return false;
     }
-    leader_plan_quota(leader, database, quota, upstream,
-                      (size_t)(own - quota->shares), out);
+    leader_plan_quota(leader, database, quota, upstream, own, out);
     own->held.slots = leader_get_max(own->held.slots, out->slots);
     own->held.connections =
         leader_get_max(own->held.connections, out->connections);
--- a/src/catkingrade/decide/membership.c
+++ b/src/catkingrade/decide/membership.c
@@ -2,6 +2,8 @@
 
 #include <string.h>
 
+#include "catkingrade/kernel/outcome.h"
+
 static bool
 membership_is_same_place(const struct ck_voter *left,
                          const struct ck_voter *right)
@@ -84,7 +86,7 @@
 // A VM that has lost its disk may always come back, and one more than the
 // target may stand by to take the place of a voter that goes. While a newcomer
 // has no vote yet, no other is added.
-bool
+static bool
 membership_may_add(const struct membership_params *params,
                    const struct membership_voter *voters, size_t count,
                    const struct ck_voter *added)
@@ -99,3 +101,35 @@
     }
     return returns || membership_count_voting(voters, count) <= params->target;
 }
+
+// Judges a VM that wants to vote. Several that ask at once are offered the
+// same id: the first to come back has it, and the others ask again.
+int
+membership_judge(const struct membership_params *params,
+                 const struct membership_voter *voters, size_t count,
+                 uint64_t highest, const struct ck_voter *voter,
+                 uint64_t *number)
+{
+    *number = 0;
+    for (size_t i = 0; voter->id != 0 && i < count; i++) {
+        if (voters[i].voter->id != voter->id) {
+            continue;
+        }
+        if (!membership_is_same_place(voters[i].voter, voter)) {
+            return OUTCOME_INVALID;
+        }
+        *number = voter->id;
+        return OUTCOME_OK;
+    }
+    if (voter->id != 0 && voter->id <= highest) {
+        return OUTCOME_INVALID;
+    }
+    if (!membership_may_add(params, voters, count, voter)) {
+        return OUTCOME_AGAIN;
+    }
+    if (voter->id == 0) {
+        *number = highest + 1;
+        return OUTCOME_AGAIN;
+    }
+    return OUTCOME_OK;
+}
--- a/src/catkingrade/decide/membership.h
+++ b/src/catkingrade/decide/membership.h
@@ -27,9 +27,14 @@
 uint64_t membership_find_removal(const struct membership_params *params,
                                  const struct membership_voter *voters,
                                  size_t count);
-// Returns whether a VM that is no voter may become one now.
-bool membership_may_add(const struct membership_params *params,
-                        const struct membership_voter *voters, size_t count,
-                        const struct ck_voter *added);
+// Judges a VM that wants to vote, under the id that it has or 0. highest is
+// the highest id ever given. Returns OUTCOME_OK when it may be added under its
+// id, with *number set when it is in the list already; OUTCOME_AGAIN with
+// *number when it is to come back under that id, 0 when there is no place for
+// it now; OUTCOME_INVALID when its id is another VM's or was used before.
+int membership_judge(const struct membership_params *params,
+                     const struct membership_voter *voters, size_t count,
+                     uint64_t highest, const struct ck_voter *voter,
+                     uint64_t *number);
 
 #endif
--- a/src/catkingrade/decide/relay_plan.c
+++ b/src/catkingrade/decide/relay_plan.c
@@ -37,34 +37,39 @@
 // the fewest holders comes first, then the one that ranks higher, then the
 // entry that ranks higher.
 static bool
-relay_comes_before(const char *database, const struct relay_entry *a,
-                   uint32_t holders_a, const struct relay_entry *b,
-                   uint32_t holders_b)
+relay_comes_before(const struct relay_entry *entries,
+                   const struct relay_entry *a, const struct relay_entry *b)
 {
-    if (holders_a != holders_b) {
-        return holders_a < holders_b;
+    const struct relay_entry *domain_a = &entries[a->domain];
+    const struct relay_entry *domain_b = &entries[b->domain];
+
+    if (domain_a->domain_holders != domain_b->domain_holders) {
+        return domain_a->domain_holders < domain_b->domain_holders;
     }
-    if (strcmp(a->failure_domain, b->failure_domain) != 0) {
-        return relay_rank(database, a->failure_domain) >
-               relay_rank(database, b->failure_domain);
+    if (domain_a != domain_b) {
+        return domain_a->domain_rank > domain_b->domain_rank;
     }
     return a->rank > b->rank;
 }
 
-// Counts the holders in a failure domain.
-static uint32_t
-relay_count_in_domain(const struct relay_entry *entries, size_t entries_count,
-                      const char *failure_domain)
+// Prepares the entries for the choice of a database's holders.
+static void
+relay_rank_entries(const char *database, struct relay_entry *entries,
+                   size_t entries_count)
 {
-    uint32_t count = 0;
-
     for (size_t i = 0; i < entries_count; i++) {
-        if (entries[i].holds &&
-            strcmp(entries[i].failure_domain, failure_domain) == 0) {
-            count++;
+        size_t domain = 0;
+        while (strcmp(entries[domain].failure_domain,
+                      entries[i].failure_domain) != 0) {
+            domain++;
         }
+        entries[i].holds = false;
+        entries[i].rank = relay_rank(database, entries[i].vm);
+        entries[i].domain = domain;
+        entries[i].domain_rank =
+            relay_rank(database, entries[i].failure_domain);
+        entries[i].domain_holders = 0;
     }
-    return count;
 }
 
 // Chooses the entries that hold the connections of a database: spread over
@@ -74,30 +79,21 @@
 relay_plan(const char *database, uint32_t holders_count,
            struct relay_entry *entries, size_t entries_count)
 {
-    for (size_t i = 0; i < entries_count; i++) {
-        entries[i].holds = false;
-        entries[i].rank = relay_rank(database, entries[i].vm);
-    }
+    relay_rank_entries(database, entries, entries_count);
     for (uint32_t n = 0; n < holders_count; n++) {
         struct relay_entry *best = NULL;
-        uint32_t best_holders = 0;
         for (size_t i = 0; i < entries_count; i++) {
-            if (entries[i].holds) {
-                continue;
-            }
-            uint32_t holders = relay_count_in_domain(
-                entries, entries_count, entries[i].failure_domain);
-            if (best == NULL ||
-                relay_comes_before(database, &entries[i], holders, best,
-                                   best_holders)) {
+            if (!entries[i].holds &&
+                (best == NULL ||
+                 relay_comes_before(entries, &entries[i], best))) {
                 best = &entries[i];
-                best_holders = holders;
             }
         }
         if (best == NULL) {
             return;
         }
         best->holds = true;
+        entries[best->domain].domain_holders++;
     }
 }
 
--- a/src/catkingrade/decide/relay_plan.h
+++ b/src/catkingrade/decide/relay_plan.h
@@ -9,8 +9,12 @@
 struct relay_entry {
     const char *vm;
     const char *failure_domain;
-    bool holds;    // set by relay_plan
-    uint64_t rank; // scratch
+    bool holds; // set by relay_plan
+    // Scratch of relay_plan.
+    uint64_t rank;
+    size_t domain;        // place of the first entry of its failure domain
+    uint64_t domain_rank; // these two count at that place
+    uint32_t domain_holders;
 };
 
 uint32_t relay_count_holders(uint32_t connections, uint32_t min_connections,
--- a/test/unit/decide/test_membership.c
+++ b/test/unit/decide/test_membership.c
@@ -1,4 +1,5 @@
 #include "catkingrade/decide/membership.h"
+#include "catkingrade/kernel/outcome.h"
 #include "test/suite.h"
 
 #define MAX_VOTERS 8
@@ -40,14 +41,24 @@
     return membership_find_removal(&params, group->members, group->count);
 }
 
+// Has a VM ask under an id while the highest one given is 9.
+static int
+judge(const struct group *group, uint64_t id, unsigned vm, uint64_t *number)
+{
+    struct group other = {0};
+
+    add(&other, id, vm, false, 0);
+    return membership_judge(&params, group->members, group->count, 9,
+                            &other.voters[0], number);
+}
+
 static bool
 may_add(const struct group *group, unsigned vm)
 {
-    struct group other = {0};
+    uint64_t number = 0;
 
-    add(&other, 0, vm, false, 0);
-    return membership_may_add(&params, group->members, group->count,
-                              &other.voters[0]);
+    ck_assert_int_eq(judge(group, 0, vm, &number), OUTCOME_AGAIN);
+    return number != 0;
 }
 
 // With no more voters than the target a silent one stays: it may come back
@@ -137,9 +148,32 @@
 }
 END_TEST
 
+// Of several VMs that were offered the same id one has it; the others are told
+// to begin anew, or they would wait for ever or vote under one name.
+START_TEST(test_an_id_is_one_vms)
+{
+    struct group group = {0};
+    uint64_t number = 0;
+
+    add(&group, 1, 1, true, 0);
+    add(&group, 2, 2, true, 0);
+    add(&group, 3, 3, true, 0);
+    ck_assert_int_eq(judge(&group, 0, 4, &number), OUTCOME_AGAIN);
+    ck_assert_uint_eq(number, 10);
+    ck_assert_int_eq(judge(&group, 10, 4, &number), OUTCOME_OK);
+    ck_assert_uint_eq(number, 0);
+    add(&group, 10, 4, true, 0);
+    ck_assert_int_eq(judge(&group, 10, 4, &number), OUTCOME_OK);
+    ck_assert_uint_eq(number, 10);
+    ck_assert_int_eq(judge(&group, 10, 5, &number), OUTCOME_INVALID);
+    ck_assert_int_eq(judge(&group, 7, 5, &number), OUTCOME_INVALID);
+}
+END_TEST
+
 static void
 add_tests(TCase *tests)
 {
+    tcase_add_test(tests, test_an_id_is_one_vms);
     tcase_add_test(tests, test_silent_voter_keeps_its_place);
     tcase_add_test(tests, test_lost_disk_is_replaced_at_once);
     tcase_add_test(tests, test_two_silent_voters_both_stay);
