fix(decide): what comes with all its time is tried, however slow the last were

Cause: a type whose statements took over a third of its deadline on average was refused whole, also with free slots, and its average could never fall again. A request with half of its time left is tried.

Ruled out: letting the average age by itself, which needs a rate of its own.

--- a/src/catkingrade/decide/admission.c
+++ b/src/catkingrade/decide/admission.c
@@ -12,8 +12,10 @@
 #define ADMISSION_DEFAULT_DEADLINE_US (5 * TRAFFIC_SECOND_US)
 #define ADMISSION_DEFAULT_QUEUE_LIMIT 1000
 #define ADMISSION_SERVICE_US          1000.0 // before the first measurement
-#define ADMISSION_SERVICE_MARGIN      3.0    // of the average
-#define ADMISSION_SERVICE_SHARE       0.1    // of a new measurement
+// A request is tried as long as it has one part in so many of its time left.
+#define ADMISSION_TRIED_PART     2
+#define ADMISSION_SERVICE_MARGIN 3.0 // of the average
+#define ADMISSION_SERVICE_SHARE  0.1 // of a new measurement
 // Slots that are asked for, for each one that was in use or waited for.
 #define ADMISSION_HEADROOM          1.5
 #define ADMISSION_FAILOVER_RETRY_US (250 * TRAFFIC_MS_US)
@@ -178,12 +180,21 @@
     return wanted < peak ? wanted : peak;
 }
 
-// Returns how long a statement of a type may take: a request that starts later
-// than so long before its deadline would often end as unknown.
+// Returns how long a request's statement may take: if it starts later than so
+// long before its deadline it often ends as unknown. That is at most half of
+// the time that the request has: what comes with all its time is tried, for
+// only that can tell that statements are fast again.
 static int64_t
-admission_get_service_us(const struct request_type *type)
+admission_get_service_us(const struct traffic *traffic,
+                         const struct request *request)
 {
-    return (int64_t)(type->service_us * ADMISSION_SERVICE_MARGIN);
+    const struct request_type *type = &traffic->types[request->type];
+    int64_t service_us =
+        (int64_t)(type->service_us * ADMISSION_SERVICE_MARGIN);
+    int64_t most_us =
+        (request->deadline_us - request->arrived_us) / ADMISSION_TRIED_PART;
+
+    return service_us < most_us ? service_us : most_us;
 }
 
 // Refuses a request whose wait is of no more use, with what it waited for.
@@ -223,7 +234,7 @@
     int64_t wait_us = admission_estimate_wait_us(traffic, type, kind);
     int64_t left_us = request->deadline_us - traffic->now_us;
     if (queue->list.count >= type->queue_limit ||
-        wait_us + admission_get_service_us(type) > left_us ||
+        wait_us + admission_get_service_us(traffic, request) > left_us ||
         (request->start_by_us != INT64_MAX &&
          wait_us > request->start_by_us - traffic->now_us)) {
         request_refuse(traffic, request, OUTCOME_OVERLOADED,
@@ -319,9 +330,7 @@
 bool
 admission_drop_late(struct traffic *traffic, struct request *request)
 {
-    const struct request_type *type = &traffic->types[request->type];
-
-    if (traffic->now_us + admission_get_service_us(type) <=
+    if (traffic->now_us + admission_get_service_us(traffic, request) <=
         request->deadline_us) {
         return false;
     }
--- a/test/unit/decide/test_admission.c
+++ b/test/unit/decide/test_admission.c
@@ -100,6 +100,31 @@
 }
 END_TEST
 
+// However slow statements were, one that finds a free slot is tried: only that
+// can tell that they are fast again. One that has waited for half of its time
+// is not.
+START_TEST(test_slow_statements_do_not_shut_a_type)
+{
+    setup(1000);
+    for (int i = 0; i < 20; i++) {
+        uint64_t request = send_save(booking, 0);
+        const struct traffic_action *action =
+            rig_find(&rig, TRAFFIC_ACTION_SEND, request);
+        ck_assert_msg(action != NULL, "request %d is not tried", i);
+        uint32_t conn = action->conn;
+        ck_assert_ptr_null(finish(&request, &conn, 900 * RIG_MS_US));
+    }
+    int64_t deadline_us = rig.now_us + 5000 * RIG_MS_US;
+    uint64_t running = send_save(booking, deadline_us);
+    uint32_t conn = rig_find(&rig, TRAFFIC_ACTION_SEND, running)->conn;
+    uint64_t late = send_save(booking, deadline_us);
+    ck_assert_ptr_null(rig_find(&rig, TRAFFIC_ACTION_REFUSE, late));
+    ck_assert_ptr_null(finish(&running, &conn, 2600 * RIG_MS_US));
+    ck_assert_ptr_nonnull(rig_find(&rig, TRAFFIC_ACTION_REFUSE, late));
+    rig_free(&rig);
+}
+END_TEST
+
 // What could not start in time is refused when it comes, not at its deadline.
 START_TEST(test_early_refusal)
 {
@@ -181,6 +206,7 @@
 {
     tcase_add_test(tests, test_weighted_fair_queueing);
     tcase_add_test(tests, test_full_queue_refuses);
+    tcase_add_test(tests, test_slow_statements_do_not_shut_a_type);
     tcase_add_test(tests, test_early_refusal);
     tcase_add_test(tests, test_late_work_is_dropped);
     tcase_add_test(tests, test_closing_customer_refuses_new_transactions);
