--- a/src/catkingrade/decide/route.c
+++ b/src/catkingrade/decide/route.c
@@ -106,6 +106,7 @@
         return false;
     }
     if (!route_may_serve(traffic, place, need) || up->failing_since_us != 0 ||
+        failing_is_avoided(&up->failing, traffic->now_us) ||
         retry_was_tried(need->request, place)) {
         return false;
     }
--- a/src/catkingrade/decide/traffic_defs.h
+++ b/src/catkingrade/decide/traffic_defs.h
@@ -34,6 +34,7 @@
 enum traffic_result {
     TRAFFIC_RESULT_DONE,     // whole answer, no error
     TRAFFIC_RESULT_ERROR,    // whole answer that is an error; not run
+    TRAFFIC_RESULT_FAILED,   // whole answer: it ran, and the upstream failed
     TRAFFIC_RESULT_NOT_SENT, // no byte reached the upstream
     TRAFFIC_RESULT_REFUSED,  // not run, by the upstream's word
     TRAFFIC_RESULT_CUT,      // connection ended after bytes were sent
--- a/src/catkingrade/decide/traffic_result.c
+++ b/src/catkingrade/decide/traffic_result.c
@@ -126,6 +126,7 @@
         upstream != traffic->primary) {
         result_note_lag(traffic, up, request, sent_us);
     }
+    failing_note(&up->failing, traffic->now_us, false);
     if (request != NULL) {
         concurrency_note_done(&up->concurrency, up->slots);
         result_note_latency(up, traffic->now_us - sent_us);
@@ -248,6 +249,27 @@
                        : "its upstream refused it");
 }
 
+// Takes the word of an upstream that it has run a request and failed. A single
+// read may run again elsewhere; else the answer is passed on.
+static void
+result_handle_failed(struct traffic *traffic, struct conn *conn,
+                     struct request *request,
+                     const struct traffic_result_event *event)
+{
+    uint32_t upstream = conn->upstream;
+    bool was_pinned = conn->session != NULL;
+
+    sample_note_answer(traffic, upstream);
+    failing_note(&traffic->upstreams[upstream].failing, traffic->now_us, true);
+    result_keep_conn(traffic, conn, request, event);
+    if (request == NULL ||
+        (request->request_class == TRAFFIC_READ && !was_pinned &&
+         result_try_again(traffic, request, upstream, TRAFFIC_REFUSAL_NONE))) {
+        return;
+    }
+    request_answer(traffic, request, 0);
+}
+
 // Takes what the upstream's side says of a request. News of a request that
 // the connection does not run any more are late and change nothing.
 void
@@ -268,6 +290,14 @@
                               conn->abandoned_us != 0 ? NULL : refused, event);
         return;
     }
+    if (event->result == TRAFFIC_RESULT_FAILED) {
+        struct request *failed =
+            id_map_get(&traffic->requests, event->request);
+        pool_end_use(traffic, conn->upstream, conn->read);
+        result_handle_failed(traffic, conn,
+                             conn->abandoned_us != 0 ? NULL : failed, event);
+        return;
+    }
     if (event->result != TRAFFIC_RESULT_DONE &&
         event->result != TRAFFIC_RESULT_ERROR) {
         uint32_t upstream = conn->upstream;
--- a/src/catkingrade/decide/traffic_state.h
+++ b/src/catkingrade/decide/traffic_state.h
@@ -2,6 +2,7 @@
 #define CATKINGRADE_DECIDE_TRAFFIC_STATE_H
 
 #include "catkingrade/decide/concurrency.h"
+#include "catkingrade/decide/failing.h"
 #include "catkingrade/decide/freshness.h"
 #include "catkingrade/decide/id_map.h"
 #include "catkingrade/decide/replica_lag.h"
@@ -65,6 +66,7 @@
     bool relayed;                     // another entry, which routes
     struct replica_lag lag;
     struct concurrency concurrency;
+    struct failing failing;
     int64_t answered_us;  // its last answer
     uint32_t slots;       // this entry's share
     uint32_t connections; // less the one for samples
--- a/src/catkingrade/entry/database.c
+++ b/src/catkingrade/entry/database.c
@@ -236,9 +236,9 @@
     struct database_conn *conn = data;
     struct database *database = conn->database;
     struct entry_request *request = conn->request;
-    bool whole = result == TRAFFIC_RESULT_DONE ||
-                 result == TRAFFIC_RESULT_ERROR ||
-                 result == TRAFFIC_RESULT_REFUSED;
+    bool whole =
+        result == TRAFFIC_RESULT_DONE || result == TRAFFIC_RESULT_ERROR ||
+        result == TRAFFIC_RESULT_FAILED || result == TRAFFIC_RESULT_REFUSED;
     struct traffic_event event = {
         .kind = TRAFFIC_EVENT_RESULT,
         .result = {.request = request->id,
