--- a/src/catkingrade/entry/database.c
+++ b/src/catkingrade/entry/database.c
@@ -171,6 +171,7 @@
     if (fault == UPSTREAM_FAULT_NONE) {
         counter_add(COUNTER_UPSTREAM_OPENED, 1);
         conn->database->relay.failures = 0;
+        database_note_connected(conn->database, conn);
         database_raise_conn(conn, TRAFFIC_EVENT_CONN_OPENED, fault);
         return;
     }
@@ -317,6 +318,7 @@
     conn->database = database;
     conn->id = action->conn;
     conn->upstream = action->upstream;
+    conn->began_us = monotonic_get_us();
     conn->link = database_open_link(database, action->upstream,
                                     &database_conn_events, conn);
     apr_hash_set(database->conns, &conn->id, sizeof(conn->id), conn);
@@ -379,6 +381,10 @@
     if (request == NULL || request->decided) {
         return;
     }
+    if (request->traffic.request_class == TRAFFIC_WRITE ||
+        request->traffic.request_class == TRAFFIC_COMMIT) {
+        database_note_phase(database, request, HISTOGRAM_CONFIRM);
+    }
     struct entry_session *session =
         database_decide(database, request, COUNTER_DONE);
     if (session != NULL) {
@@ -804,6 +810,7 @@
     loop_timer_destroy(database->timer);
     traffic_destroy(database->traffic);
     traffic_actions_free(&database->actions);
+    free(database->histograms);
     free(database->events);
     free(database->quotas);
     view_release(database->view);
--- a/src/catkingrade/entry/database_private.h
+++ b/src/catkingrade/entry/database_private.h
@@ -19,6 +19,7 @@
     struct entry_request *request; // that runs on it
     uint32_t id;
     uint32_t upstream;
+    int64_t began_us; // to open
 };
 
 // The connection over which an upstream's position is sampled.
@@ -61,7 +62,7 @@
 };
 
 struct database {
-    struct database_histogram histograms[DATABASE_MAX_HISTOGRAMS];
+    struct database_histogram *histograms; // made with the first
     size_t histograms_count;
     size_t histograms_next;
     struct worker *worker;
@@ -101,6 +102,8 @@
 void database_note_phase(struct database *database,
                          const struct entry_request *request,
                          enum histogram_phase phase);
+void database_note_connected(struct database *database,
+                             const struct database_conn *conn);
 void database_count_send(const struct entry_request *request,
                          const struct traffic_action *action);
 const char *database_get_reason(const struct entry_request *request,
--- a/src/catkingrade/entry/database_report.c
+++ b/src/catkingrade/entry/database_report.c
@@ -30,6 +30,10 @@
             return row->histogram;
         }
     }
+    if (database->histograms == NULL) {
+        database->histograms =
+            xcalloc(DATABASE_MAX_HISTOGRAMS, sizeof(*database->histograms));
+    }
     // Upstreams come and go: the oldest rows make room.
     size_t place = database->histograms_next++ % DATABASE_MAX_HISTOGRAMS;
     struct database_histogram *row = &database->histograms[place];
@@ -58,6 +62,20 @@
                    monotonic_get_us() - from_us);
 }
 
+// Counts how long it took to open a connection.
+void
+database_note_connected(struct database *database,
+                        const struct database_conn *conn)
+{
+    const struct ck_upstream *upstream =
+        traffic_get_upstream(database->traffic, conn->upstream);
+
+    histogram_note(
+        database_get_histogram(database, HISTOGRAM_CONNECT, "",
+                               upstream == NULL ? "" : upstream->name),
+        monotonic_get_us() - conn->began_us);
+}
+
 // Counts a request that is sent: a save, or a read and where it goes.
 void
 database_count_send(const struct entry_request *request,
--- a/src/catkingrade/kernel/histogram.c
+++ b/src/catkingrade/kernel/histogram.c
@@ -37,9 +37,9 @@
 } histogram_table = {.mutex = PTHREAD_MUTEX_INITIALIZER};
 
 static const char *const histogram_phase_names[] = {
-    [HISTOGRAM_QUEUE] = "queue",
-    [HISTOGRAM_RUN] = "run",
-    [HISTOGRAM_TOTAL] = "total",
+    [HISTOGRAM_QUEUE] = "queue",     [HISTOGRAM_RUN] = "run",
+    [HISTOGRAM_CONFIRM] = "confirm", [HISTOGRAM_TOTAL] = "total",
+    [HISTOGRAM_CONNECT] = "connect",
 };
 
 static struct histogram *
--- a/src/catkingrade/kernel/histogram.h
+++ b/src/catkingrade/kernel/histogram.h
@@ -11,9 +11,11 @@
 
 // Phases of a request.
 enum histogram_phase {
-    HISTOGRAM_QUEUE, // from its arrival until it is sent
-    HISTOGRAM_RUN,   // from then until its upstream's whole answer
-    HISTOGRAM_TOTAL, // from its arrival until its outcome
+    HISTOGRAM_QUEUE,   // from its arrival until it is sent
+    HISTOGRAM_RUN,     // from then until its upstream's whole answer
+    HISTOGRAM_CONFIRM, // of a save: from then until it is confirmed
+    HISTOGRAM_TOTAL,   // from its arrival until its outcome
+    HISTOGRAM_CONNECT, // of no request: to open a connection
     HISTOGRAM_PHASES,
 };
 
--- a/test/contract/test_platform.c
+++ b/test/contract/test_platform.c
@@ -83,6 +83,74 @@
 }
 END_TEST
 
+// Each phase of a request is on the metrics page of the entry.
+START_TEST(test_phases_are_measured)
+{
+    static const char *const phases[] = {"queue", "run", "confirm", "total",
+                                         "connect"};
+    long status = 0;
+
+    platform_rig_start("platform_phases", 1, "");
+    platform_rig_wait_config(0, CONFIG("1", "5000"));
+    close(platform_rig_wait_answer(0, "own", "QUERY a0 WRITE k0 zero",
+                                   "sig-a0"));
+    char *text =
+        platform_rig_call(RIG_CONTROLS, "GET", "/metrics", NULL, &status);
+    ck_assert_int_eq(status, 200);
+    for (size_t i = 0; i < ARRAY_SIZE(phases); i++) {
+        char label[32];
+        (void)snprintf(label, sizeof(label), "phase=\"%s\"", phases[i]);
+        ck_assert_msg(strstr(text, label) != NULL, "no %s", label);
+    }
+    free(text);
+    platform_rig_stop();
+}
+END_TEST
+
+#if !defined(__SANITIZE_ADDRESS__)
+// Returns the resident memory of the entry in bytes.
+static long
+get_entry_memory(void)
+{
+    char path[64];
+    long pages = 0;
+    long resident = 0;
+
+    (void)snprintf(path, sizeof(path), "/proc/%d/statm",
+                   (int)process_get_pid(rig.entries[0]));
+    FILE *file = fopen(path, "re");
+    ck_assert_ptr_nonnull(file);
+    ck_assert_int_eq(fscanf(file, "%ld %ld", &pages, &resident), 2);
+    (void)fclose(file);
+    return resident * sysconf(_SC_PAGESIZE);
+}
+
+// An idle session that has run a statement takes at most 8 KB.
+START_TEST(test_idle_sessions_are_small)
+{
+    enum { SESSIONS = 400 };
+    int fds[SESSIONS];
+
+    platform_rig_start("platform_idle", 1, "");
+    platform_rig_wait_config(0, CONFIG("1", "5000"));
+    close(platform_rig_wait_answer(0, "own", "QUERY a0 WRITE k0 zero",
+                                   "sig-a0"));
+    long before = get_entry_memory();
+    for (int i = 0; i < SESSIONS; i++) {
+        fds[i] = platform_rig_wait_answer(0, "own", "QUERY b0 READ k0",
+                                          "DATAROW zero");
+    }
+    long each = (get_entry_memory() - before) / SESSIONS;
+    (void)printf("an idle session takes %ld bytes\n", each);
+    ck_assert_int_le(each, 8192);
+    for (int i = 0; i < SESSIONS; i++) {
+        close(fds[i]);
+    }
+    platform_rig_stop();
+}
+END_TEST
+#endif
+
 // A caller that leaves within its transaction takes nothing along, and the
 // next session never sees its connection's state.
 START_TEST(test_left_transaction_is_rolled_back)
@@ -442,6 +510,10 @@
 add_tests(TCase *tests)
 {
     tcase_add_test(tests, test_statements_of_a_session);
+    tcase_add_test(tests, test_phases_are_measured);
+#if !defined(__SANITIZE_ADDRESS__)
+    tcase_add_test(tests, test_idle_sessions_are_small);
+#endif
     tcase_add_test(tests, test_left_transaction_is_rolled_back);
     tcase_add_test(tests, test_configuration);
     tcase_add_test(tests, test_failover);
