feat(control): one stands by without a vote, so that votes stay odd

Cause: of six control VMs all voted. The sixth follows the log without a vote and gets one when a voter is missing (membership_find_standby). Where more than the target vote and all answer, the last one gives its vote up, once the leader has known all for 2 s.

The test that one may stand by said that it votes: it now asks for more, that it doesn't, and that it does as soon as a voter is silent.

--- a/src/catkingrade/control/group_host.c
+++ b/src/catkingrade/control/group_host.c
@@ -576,7 +576,8 @@
     return host->params.self;
 }
 
-// Returns whether this voter votes, and leads or has heard from a leader.
+// Returns whether this voter is in its group's list, and leads or has heard
+// from a leader.
 bool
 group_host_is_settled(const struct group_host *host)
 {
@@ -584,7 +585,7 @@
         host->failed ? NULL : host_find_voter(host, host->params.self);
     int64_t since_us = monotonic_get_us() - HOST_SETTLED_US;
 
-    return own != NULL && own->voting &&
+    return own != NULL &&
            (host->leads || raft_get_heard_us(host->raft) >= since_us);
 }
 
--- a/src/catkingrade/control/group_voters.c
+++ b/src/catkingrade/control/group_voters.c
@@ -61,6 +61,7 @@
         members[count].voter = voter;
         members[count].is_self = voter->id == host->params.self;
         members[count].silent_us = now_us - heard_us;
+        members[count].known_us = now_us - since_us;
         count++;
     }
     return count;
@@ -86,7 +87,8 @@
     host_step_raft(host, &event);
 }
 
-// Removes voters that are gone for good. Called often; acts at intervals.
+// Removes voters that are gone for good, and has one stand by. Called often;
+// acts at intervals.
 void
 host_tend_voters(struct group_host *host)
 {
@@ -106,6 +108,8 @@
     }
     host_fill_membership(host, &params);
     size_t count = host_list_members(host, members);
+    raft_set_standby(host->raft,
+                     membership_find_standby(&params, members, count));
     uint64_t gone = membership_find_removal(&params, members, count);
     if (gone != MEMBERSHIP_NOBODY) {
         host_remove_voter(host, gone);
--- a/src/catkingrade/decide/membership.c
+++ b/src/catkingrade/decide/membership.c
@@ -54,9 +54,90 @@
     return true;
 }
 
+// Returns whether every voter answers.
+static bool
+membership_all_answer(const struct membership_params *params,
+                      const struct membership_voter *voters, size_t count)
+{
+    return membership_others_answer(params, voters, count, count);
+}
+
+// Returns whether a VM that has no vote is that of a voter which has lost its
+// disk.
+static bool
+membership_returns(const struct membership_voter *voters, size_t count,
+                   const struct ck_voter *added)
+{
+    for (size_t i = 0; i < count; i++) {
+        if (voters[i].voter->voting &&
+            membership_is_same_place(voters[i].voter, added)) {
+            return true;
+        }
+    }
+    return false;
+}
+
+// Finds the one that stands by.
+uint64_t
+membership_find_standby(const struct membership_params *params,
+                        const struct membership_voter *voters, size_t count)
+{
+    size_t voting = membership_count_voting(voters, count);
+
+    if (voting < params->target ||
+        !membership_all_answer(params, voters, count)) {
+        return MEMBERSHIP_NOBODY;
+    }
+    for (size_t i = 0; i < count; i++) {
+        if (!voters[i].voter->voting &&
+            !membership_returns(voters, count, voters[i].voter)) {
+            return voters[i].voter->id;
+        }
+    }
+    return MEMBERSHIP_NOBODY;
+}
+
+// Returns whether another voter has the same place: one of the two is the
+// other's successor.
+static bool
+membership_shares_place(const struct membership_voter *voters, size_t count,
+                        size_t place)
+{
+    for (size_t i = 0; i < count; i++) {
+        if (i != place &&
+            membership_is_same_place(voters[i].voter, voters[place].voter)) {
+            return true;
+        }
+    }
+    return false;
+}
+
+// Finds the voter that came last, other than the leader; nobody while two
+// share a place, since one of them goes in any case, nor while the leader does
+// not know yet who will be silent.
+static uint64_t
+membership_find_last(const struct membership_params *params,
+                     const struct membership_voter *voters, size_t count)
+{
+    uint64_t last = MEMBERSHIP_NOBODY;
+
+    for (size_t i = 0; i < count; i++) {
+        if (membership_shares_place(voters, count, i) ||
+            voters[i].known_us < params->silent_us) {
+            return MEMBERSHIP_NOBODY;
+        }
+        if (voters[i].voter->voting && !voters[i].is_self &&
+            voters[i].voter->id > last) {
+            last = voters[i].voter->id;
+        }
+    }
+    return last;
+}
+
 // Finds a voter that is to go. One whose VM has lost its disk goes as soon as
 // its successor votes. One that is silent goes only when there are more than
-// the target, so that the others are as many as the group is to have.
+// the target, so that the others are as many as the group is to have. When all
+// answer and there are more, the last one goes, and may stand by.
 uint64_t
 membership_find_removal(const struct membership_params *params,
                         const struct membership_voter *voters, size_t count)
@@ -80,26 +161,28 @@
             return voter->id;
         }
     }
-    return MEMBERSHIP_NOBODY;
+    return voting > params->target &&
+                   membership_all_answer(params, voters, count)
+               ? membership_find_last(params, voters, count)
+               : MEMBERSHIP_NOBODY;
 }
 
 // A VM that has lost its disk may always come back, and one more than the
 // target may stand by to take the place of a voter that goes. While a newcomer
-// has no vote yet, no other is added.
+// that is to vote has no vote yet, no other is added.
 static bool
 membership_may_add(const struct membership_params *params,
                    const struct membership_voter *voters, size_t count,
                    const struct ck_voter *added)
 {
-    bool returns = false;
+    uint64_t standby = membership_find_standby(params, voters, count);
 
     for (size_t i = 0; i < count; i++) {
-        if (!voters[i].voter->voting) {
+        if (!voters[i].voter->voting && voters[i].voter->id != standby) {
             return false;
         }
-        returns = returns || membership_is_same_place(voters[i].voter, added);
     }
-    return returns || membership_count_voting(voters, count) <= params->target;
+    return membership_returns(voters, count, added) || count <= params->target;
 }
 
 // Judges a VM that wants to vote. Several that ask at once are offered the
--- a/src/catkingrade/decide/membership.h
+++ b/src/catkingrade/decide/membership.h
@@ -15,6 +15,7 @@
 struct membership_voter {
     const struct ck_voter *voter;
     int64_t silent_us; // since its last answer to this leader
+    int64_t known_us;  // since this leader has it in its list
     bool is_self;
 };
 
@@ -27,6 +28,13 @@
 uint64_t membership_find_removal(const struct membership_params *params,
                                  const struct membership_voter *voters,
                                  size_t count);
+// Returns the one that stands by: it follows the log without a vote, until a
+// voter is missing whose place it takes. So the number of votes stays odd, and
+// a group that is cut into halves has a majority in one. MEMBERSHIP_NOBODY
+// when there is none.
+uint64_t membership_find_standby(const struct membership_params *params,
+                                 const struct membership_voter *voters,
+                                 size_t count);
 // Judges a VM that wants to vote, under the id that it has or 0. highest is
 // the highest id ever given. Returns OUTCOME_OK when it may be added under its
 // id, with *number set when it is in the list already; OUTCOME_AGAIN with
--- a/src/catkingrade/decide/raft_internal.h
+++ b/src/catkingrade/decide/raft_internal.h
@@ -56,6 +56,7 @@
     struct raft_config *configs; // in order of their index
     size_t configs_count;
     uint64_t highest_voter_id; // ever used
+    uint64_t standby;          // gets no vote for now; 0: none
 
     uint64_t term;
     uint64_t voted_for;
--- a/src/catkingrade/decide/raft_voters.c
+++ b/src/catkingrade/decide/raft_voters.c
@@ -307,8 +307,8 @@
 {
     for (size_t i = 0; i < raft->peers_count; i++) {
         const struct raft_peer *peer = &raft->peers[i];
-        if (!peer->voting && peer->match_index >= raft->commit_index &&
-            peer->match_index > 0 &&
+        if (!peer->voting && peer->id != raft->standby &&
+            peer->match_index >= raft->commit_index && peer->match_index > 0 &&
             raft->now_us - peer->answered_us < raft->params.election_us) {
             return peer;
         }
@@ -340,6 +340,13 @@
     raft_append_voters(raft, 0, NULL, voters, count);
 }
 
+// Sets which learner gets no vote for now, however far it has caught up.
+void
+raft_set_standby(struct raft *raft, uint64_t voter)
+{
+    raft->standby = voter;
+}
+
 // Returns the highest id that any voter ever had.
 uint64_t
 raft_get_highest_voter_id(const struct raft *raft)
--- a/test/unit/decide/test_membership.c
+++ b/test/unit/decide/test_membership.c
@@ -32,6 +32,7 @@
     group->members[place] =
         (struct membership_voter){.voter = &group->voters[place],
                                   .silent_us = silent_us,
+                                  .known_us = SILENT_US,
                                   .is_self = place == 0};
 }
 
@@ -41,6 +42,12 @@
     return membership_find_removal(&params, group->members, group->count);
 }
 
+static uint64_t
+standby(const struct group *group)
+{
+    return membership_find_standby(&params, group->members, group->count);
+}
+
 // Has a VM ask under an id while the highest one given is 9.
 static int
 judge(const struct group *group, uint64_t id, unsigned vm, uint64_t *number)
@@ -111,6 +118,8 @@
 }
 END_TEST
 
+// One stands by without a vote, so that votes stay odd; it gets one when a
+// voter is missing, and no other is added meanwhile.
 START_TEST(test_one_may_stand_by)
 {
     struct group group = {0};
@@ -119,9 +128,51 @@
     add(&group, 2, 2, true, 0);
     add(&group, 3, 3, true, 0);
     ck_assert(may_add(&group, 4));
-    add(&group, 4, 4, true, 0);
+    add(&group, 4, 4, false, 0);
+    ck_assert_uint_eq(standby(&group), 4);
     ck_assert(!may_add(&group, 5));
+    ck_assert(may_add(&group, 2));
     ck_assert_uint_eq(find(&group), MEMBERSHIP_NOBODY);
+    group.members[1].silent_us = SILENT_US;
+    ck_assert_uint_eq(standby(&group), MEMBERSHIP_NOBODY);
+    ck_assert(!may_add(&group, 5));
+    group.voters[3].voting = true;
+    ck_assert_uint_eq(find(&group), 2);
+}
+END_TEST
+
+// Who comes back to a place that was given away finds one vote too many: the
+// last that came gives it up, never the leader.
+START_TEST(test_last_voter_gives_its_vote_up)
+{
+    struct group group = {0};
+
+    add(&group, 7, 1, true, 0);
+    add(&group, 2, 2, true, 0);
+    add(&group, 3, 3, true, SILENT_US - 1);
+    ck_assert_uint_eq(find(&group), MEMBERSHIP_NOBODY);
+    add(&group, 4, 4, true, 0);
+    ck_assert_uint_eq(find(&group), 4);
+    group.members[2].known_us = SILENT_US - 1;
+    ck_assert_uint_eq(find(&group), MEMBERSHIP_NOBODY);
+    group.members[1].silent_us = SILENT_US;
+    group.members[2].silent_us = SILENT_US;
+    ck_assert_uint_eq(find(&group), MEMBERSHIP_NOBODY);
+}
+END_TEST
+
+// A newcomer votes as soon as it can where votes are missing, or on the VM of
+// a voter that has lost its disk.
+START_TEST(test_missing_votes_are_filled)
+{
+    struct group group = {0};
+
+    add(&group, 1, 1, true, 0);
+    add(&group, 2, 2, true, 0);
+    add(&group, 5, 3, false, 0);
+    ck_assert_uint_eq(standby(&group), MEMBERSHIP_NOBODY);
+    add(&group, 3, 3, true, 0);
+    ck_assert_uint_eq(standby(&group), MEMBERSHIP_NOBODY);
 }
 END_TEST
 
@@ -178,6 +229,8 @@
     tcase_add_test(tests, test_lost_disk_is_replaced_at_once);
     tcase_add_test(tests, test_two_silent_voters_both_stay);
     tcase_add_test(tests, test_one_may_stand_by);
+    tcase_add_test(tests, test_last_voter_gives_its_vote_up);
+    tcase_add_test(tests, test_missing_votes_are_filled);
     tcase_add_test(tests, test_leader_never_removes_itself);
     tcase_add_test(tests, test_silent_learner_goes);
 }
