--- a/test/fake/platform.c
+++ b/test/fake/platform.c
@@ -17,7 +17,7 @@
 #include "catkingrade/kernel/memory.h"
 
 #define MAX_CONNS   256
-#define MAX_WRITES  4096
+#define MAX_WRITES  32768
 #define MAX_NAMES   32
 #define TEXT_SIZE   256
 #define POLL_MS     20
@@ -51,6 +51,7 @@
 struct upstream {
     int listen_fd;
     int port;
+    int announced_port;
     bool dead;
     bool held;
     bool mute;
@@ -483,6 +484,7 @@
         platform->upstreams[i].term = 1;
         platform->upstreams[i].listen_fd =
             open_listener(&platform->upstreams[i].port);
+        platform->upstreams[i].announced_port = platform->upstreams[i].port;
     }
     INVARIANT(pthread_create(&platform->thread, NULL, run, platform) == 0);
     return platform;
@@ -601,6 +603,18 @@
     return count;
 }
 
+int
+platform_get_port(const struct platform *platform, int upstream)
+{
+    return platform->upstreams[upstream].port;
+}
+
+void
+platform_announce_at(struct platform *platform, int upstream, int port)
+{
+    platform->upstreams[upstream].announced_port = port;
+}
+
 void
 platform_describe(struct platform *platform, int upstream, bool leaving,
                   char *body, size_t size)
@@ -612,7 +626,7 @@
                    "\"zone\":\"noord\",\"version\":\"v1\",\"slots\":5,"
                    "\"state\":\"%s\",\"dbRole\":\"replica\",\"seq\":%" PRIu64
                    ",\"born\":1000}",
-                   platform->upstreams[upstream].port,
+                   platform->upstreams[upstream].announced_port,
                    leaving ? "draining" : "ready", ++sequence);
 }
 
--- a/test/fake/platform.h
+++ b/test/fake/platform.h
@@ -30,6 +30,9 @@
 // How many statements were refused because they ran outside their
 // transaction, with values of another session or under an unknown name.
 int platform_get_faults(struct platform *platform);
+// The port that an upstream listens to, and another one that it announces.
+int platform_get_port(const struct platform *platform, int upstream);
+void platform_announce_at(struct platform *platform, int upstream, int port);
 // Fills the body of an announcement.
 void platform_describe(struct platform *platform, int upstream, bool leaving,
                        char *body, size_t size);
