feat(entry): callers leave an entry that has no lease

An entry calls itself not ready when half of its lease is left unrenewed, and when the lease has run out and balancers have had drain_notice_ms to notice, it ends its sessions at their next boundary, once; new ones are still taken.

--- a/src/catkingrade/control/lease_agent.c
+++ b/src/catkingrade/control/lease_agent.c
@@ -15,7 +15,8 @@
 #include "catkingrade/rpc/codec.h"
 #include "catkingrade/rpc/rpcnet.h"
 
-#define LEASE_AGENT_RETRY_US 50000
+#define LEASE_AGENT_RETRY_US  50000
+#define LEASE_AGENT_US_PER_MS 1000
 // A voter that has not answered by then may be gone: the next is asked.
 #define LEASE_AGENT_CALL_US         250000
 #define LEASE_AGENT_NOTIFY_LIMIT_US 100000
@@ -49,6 +50,10 @@
     uint64_t sequence;
 };
 
+// An entry calls itself not ready when this part of its lease is left, so that
+// callers go elsewhere before it has run out.
+#define LEASE_AGENT_WANING_PART 2
+
 struct lease_agent {
     struct daemon *daemon;
     struct loop *loop;
@@ -56,6 +61,8 @@
     size_t holders_count;
     struct loop_timer *demand_timer;
     struct view *view;
+    int64_t unready_since_us; // 0: it is ready
+    bool shed;                // its callers were sent elsewhere since then
 };
 
 static void lease_holder_step(struct lease_holder *holder,
@@ -161,8 +168,45 @@
     uint64_t number = 0;
     bool informed = view_get_declaration(holder->agent->view, &number) != NULL;
 
-    if (daemon->settings->ready_with_lease) {
-        atomic_store(&daemon->ready, leased && informed);
+    if (!daemon->settings->ready_with_lease) {
+        return;
+    }
+    bool ready = leased && informed;
+    atomic_store(&daemon->ready, ready);
+    if (ready) {
+        holder->agent->unready_since_us = 0;
+        holder->agent->shed = false;
+    }
+    else if (holder->agent->unready_since_us == 0) {
+        holder->agent->unready_since_us = monotonic_get_us();
+    }
+}
+
+// Calls this entry not ready while its lease is not renewed, and ends its
+// callers' sessions at their next boundary once the lease has run out and the
+// balancer has had time to notice: they come back to an entry that can serve
+// them.
+static void
+lease_holder_watch(struct lease_holder *holder)
+{
+    struct lease_agent *agent = holder->agent;
+    const struct settings *settings = agent->daemon->settings;
+    int64_t now_us = monotonic_get_us();
+
+    if (holder->valid_until_us == 0) {
+        return;
+    }
+    if (holder->valid_until_us - now_us <
+        settings->lease_us / LEASE_AGENT_WANING_PART) {
+        lease_holder_set_ready(holder, false);
+    }
+    if (!holder->held && !agent->shed && agent->unready_since_us != 0 &&
+        now_us - agent->unready_since_us >= settings->drain_notice_us) {
+        agent->shed = true;
+        LOG_INFO("sessions_ended", "group=%s unready_ms=%" PRId64,
+                 holder->group,
+                 (now_us - agent->unready_since_us) / LEASE_AGENT_US_PER_MS);
+        entry_post_shed(agent->daemon->entry);
     }
 }
 
@@ -435,6 +479,7 @@
     event.open_requests = lease_agent_count_open_requests(agent);
     for (size_t i = 0; i < agent->holders_count; i++) {
         lease_holder_step(&agent->holders[i], &event);
+        lease_holder_watch(&agent->holders[i]);
     }
     loop_timer_set(agent->demand_timer,
                    monotonic_get_us() + agent->daemon->settings->renew_us / 2);
--- a/src/catkingrade/entry/entry.c
+++ b/src/catkingrade/entry/entry.c
@@ -229,6 +229,7 @@
     ENTRY_MESSAGE_QUOTAS,
     ENTRY_MESSAGE_RELAYS,
     ENTRY_MESSAGE_DEMAND,
+    ENTRY_MESSAGE_SHED,
     ENTRY_MESSAGE_DRAIN,
 };
 
@@ -312,6 +313,9 @@
     case ENTRY_MESSAGE_DEMAND:
         worker_ask_demand(worker);
         break;
+    case ENTRY_MESSAGE_SHED:
+        worker_shed(worker);
+        break;
     case ENTRY_MESSAGE_DRAIN:
         worker_drain(worker);
         break;
@@ -415,6 +419,15 @@
     entry_post_all(entry, &message);
 }
 
+// Ends the sessions of callers at their next transaction boundary.
+void
+entry_post_shed(struct entry *entry)
+{
+    struct entry_message message = {.kind = ENTRY_MESSAGE_SHED};
+
+    entry_post_all(entry, &message);
+}
+
 // Begins a planned stop.
 void
 entry_drain(struct entry *entry)
--- a/src/catkingrade/entry/entry.h
+++ b/src/catkingrade/entry/entry.h
@@ -45,6 +45,9 @@
                        size_t count);
 // Asks the threads to report their demand since the last time.
 void entry_ask_demand(struct entry *entry);
+// Ends the sessions of callers at their next transaction boundary; new ones
+// are taken.
+void entry_post_shed(struct entry *entry);
 // Planned stop: no new sessions; idle ones end at a transaction boundary.
 void entry_drain(struct entry *entry);
 bool entry_is_drained(struct entry *entry);
--- a/src/catkingrade/entry/worker.c
+++ b/src/catkingrade/entry/worker.c
@@ -485,6 +485,17 @@
     worker->relays_count = count;
 }
 
+// Has the listener end the sessions of its callers.
+void
+worker_shed(struct worker *worker)
+{
+    const struct entry_listener *listener = entry_get_listener(worker->entry);
+
+    if (worker->listener_state != NULL && listener->shed != NULL) {
+        listener->shed(worker->listener_state);
+    }
+}
+
 // Begins a planned stop: listeners close, sessions end at a transaction
 // boundary.
 void
--- a/src/catkingrade/entry/worker.h
+++ b/src/catkingrade/entry/worker.h
@@ -24,6 +24,9 @@
     // The view in force is another one, or a first lease has come. May be
     // NULL.
     void (*handle_view)(void *state);
+    // Ends the sessions of callers at their next transaction boundary, and
+    // goes on taking new ones. May be NULL.
+    void (*shed)(void *state);
     // Closes the listening socket and ends idle sessions.
     void (*drain)(void *state);
     void (*stop)(void *state);
@@ -52,6 +55,7 @@
                        size_t count);
 void worker_set_relays(struct worker *worker, const struct ck_relay *relays,
                        size_t count);
+void worker_shed(struct worker *worker);
 void worker_drain(struct worker *worker);
 void worker_ask_demand(struct worker *worker);
 // Any thread.
--- a/test/contract/test_platform.c
+++ b/test/contract/test_platform.c
@@ -2,6 +2,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/socket.h>
 #include <unistd.h>
 
 #include "catkingrade/kernel/memory.h"
@@ -348,6 +349,39 @@
 }
 END_TEST
 
+// An entry that has lost its lease calls itself not ready and ends idle
+// sessions, so that callers come back elsewhere; one in a transaction goes on
+// until its end.
+START_TEST(test_sessions_leave_an_entry_without_a_lease)
+{
+    char byte = 0;
+    long status = 0;
+
+    platform_rig_start("platform_shed", 1, "");
+    platform_rig_wait_config(0, CONFIG("1", "5000"));
+    int idle =
+        platform_rig_wait_answer(0, "own", "QUERY a0 WRITE k0 zero", "sig-a0");
+    int busy = platform_rig_wait_answer(0, "own", "QUERY a1 READ k0", "zero");
+    platform_rig_expect(busy, "QUERY b1 BEGIN READ",
+                        "COMPLETE -\r\nREADY T -\r\n");
+    platform_rig_expect(busy, "QUERY b2 READ k0",
+                        "DATAROW zero\r\nCOMPLETE sig-b2\r\nREADY T -\r\n");
+    for (int i = 0; i < RIG_CONTROLS; i++) {
+        (void)process_stop(rig.controls[i], SIGKILL);
+        rig.controls[i] = NULL;
+    }
+    ck_assert_int_eq(recv(idle, &byte, 1, 0), 0);
+    free(platform_rig_call(RIG_CONTROLS, "GET", "/readyz", NULL, &status));
+    ck_assert_int_eq(status, 503);
+    platform_rig_expect(busy, "QUERY b3 COMMIT",
+                        "COMPLETE sig-b3\r\nREADY I -\r\n");
+    ck_assert_int_eq(recv(busy, &byte, 1, 0), 0);
+    close(idle);
+    close(busy);
+    platform_rig_stop();
+}
+END_TEST
+
 // Runs the command on the logs of all VMs until its output has all parts.
 static void
 check_explained(const char *id, const char *const *parts, size_t parts_count)
@@ -498,6 +532,7 @@
     tcase_add_test(tests, test_leaving_primary);
     tcase_add_test(tests, test_own_saves_on_held_replicas);
     tcase_add_test(tests, test_lost_disks_in_turn);
+    tcase_add_test(tests, test_sessions_leave_an_entry_without_a_lease);
     tcase_add_test(tests, test_failures_are_explained);
     tcase_add_test(tests, test_starting_entry_denies_nothing);
 }
