--- a/src/catkingrade/entry/database.c
+++ b/src/catkingrade/entry/database.c
@@ -170,7 +170,7 @@
 
     if (fault == UPSTREAM_FAULT_NONE) {
         counter_add(COUNTER_UPSTREAM_OPENED, 1);
-        conn->database->relay.failures = 0;
+        database_note_relay_open(conn->database);
         database_note_connected(conn->database, conn);
         database_raise_conn(conn, TRAFFIC_EVENT_CONN_OPENED, fault);
         return;
--- a/src/catkingrade/entry/database_private.h
+++ b/src/catkingrade/entry/database_private.h
@@ -44,6 +44,7 @@
     int64_t failed_us;     // when one was left last
     unsigned failures;     // of openings since the last that succeeded
     int64_t rest_until_us; // no relay is tried before
+    int64_t rest_us;       // the last such pause
     bool standby;          // only when this entry has no lease
     bool active;           // the view in force stands for it
     struct ck_database config;
@@ -120,6 +121,7 @@
 void database_fill_relay_view(struct database *database,
                               struct traffic_view *view);
 const char *database_get_relay_host(struct database *database);
+void database_note_relay_open(struct database *database);
 void database_leave_relay_host(struct database *database);
 void database_fill_relay_floor(const struct entry_session *session,
                                struct typed_run *run);
--- a/src/catkingrade/entry/database_relay.c
+++ b/src/catkingrade/entry/database_relay.c
@@ -10,8 +10,9 @@
 // After a failure the first holder is asked again only then.
 #define DATABASE_RELAY_RETURN_US 5000000
 // When all have refused, an entry without a lease does what it can by itself
-// for so long.
-#define DATABASE_RELAY_REST_US 1000000
+// for so long, twice as long each time.
+#define DATABASE_RELAY_REST_US      1000000
+#define DATABASE_RELAY_LONG_REST_US 4000000
 
 // Sets which entries run this one's statements of the database, or would; NULL
 // when there is none. Takes effect with the next view.
@@ -122,6 +123,14 @@
     view->relayed = true;
 }
 
+// Notes that the holder asked last runs statements.
+void
+database_note_relay_open(struct database *database)
+{
+    database->relay.failures = 0;
+    database->relay.rest_us = 0;
+}
+
 // Returns the address of the holder to which the next link goes.
 const char *
 database_get_relay_host(struct database *database)
@@ -146,9 +155,15 @@
              relay->hosts[relay->next % relay->hosts_count]);
     relay->next = (relay->next + 1) % relay->hosts_count;
     relay->failed_us = monotonic_get_us();
-    if (++relay->failures >= relay->hosts_count) {
-        relay->rest_until_us = relay->failed_us + DATABASE_RELAY_REST_US;
+    if (++relay->failures < relay->hosts_count) {
+        return;
+    }
+    relay->rest_us =
+        relay->rest_us == 0 ? DATABASE_RELAY_REST_US : 2 * relay->rest_us;
+    if (relay->rest_us > DATABASE_RELAY_LONG_REST_US) {
+        relay->rest_us = DATABASE_RELAY_LONG_REST_US;
     }
+    relay->rest_until_us = relay->failed_us + relay->rest_us;
 }
 
 // Tells the holder what the caller's session has saved, and how long ago.
