--- a/src/catkingrade/entry/database.c
+++ b/src/catkingrade/entry/database.c
@@ -2,9 +2,7 @@
 
 #include <apr_hash.h>
 #include <apr_pools.h>
-#include <inttypes.h>
 #include <stdatomic.h>
-#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -12,14 +10,9 @@
 #include "catkingrade/entry/database_private.h"
 #include "catkingrade/entry/worker.h"
 #include "catkingrade/kernel/counters.h"
-#include "catkingrade/kernel/log.h"
 #include "catkingrade/kernel/memory.h"
-#include "catkingrade/kernel/outcome.h"
 
 #define DATABASE_MAX_DEMANDS 256
-// Entries are near one another, and there are others to turn to: a link to one
-// opens within this part of suspect_us or not at all.
-#define DATABASE_RELAY_CONNECT_PART 2
 // All databases look at their limits of time in the same wake-up.
 #define DATABASE_TIMER_GRAIN_US 50000
 
@@ -109,7 +102,7 @@
 }
 
 // Frees a request that is decided and that no connection runs.
-static void
+void
 database_release_request(struct database *database,
                          struct entry_request *request)
 {
@@ -118,414 +111,20 @@
     }
 }
 
-static struct entry_request *
+// Returns a request, or NULL.
+struct entry_request *
 database_find_request(struct database *database, uint64_t id)
 {
     return apr_hash_get(database->requests, &id, sizeof(id));
 }
 
-static struct database_conn *
+// Returns a pooled connection, or NULL.
+struct database_conn *
 database_find_conn(struct database *database, uint32_t id)
 {
     return apr_hash_get(database->conns, &id, sizeof(id));
 }
 
-// ---- events of connections ----
-
-static void
-database_raise_conn(struct database_conn *conn, enum traffic_event_kind kind,
-                    enum upstream_fault fault)
-{
-    struct traffic_event event = {
-        .kind = kind,
-        .conn = {.upstream = conn->upstream,
-                 .conn = conn->id,
-                 .refused = fault == UPSTREAM_FAULT_REFUSED,
-                 .silent = fault == UPSTREAM_FAULT_SILENT},
-    };
-
-    database_step(conn->database, &event);
-}
-
-// Closes a connection and forgets it. A request that ran on it stays, until
-// its outcome is decided.
-static void
-database_drop_conn(struct database_conn *conn)
-{
-    struct database *database = conn->database;
-
-    apr_hash_set(database->conns, &conn->id, sizeof(conn->id), NULL);
-    conn->link->ops->close(conn->link);
-    if (conn->request != NULL) {
-        conn->request->running = false;
-        database_release_request(database, conn->request);
-    }
-    free(conn);
-}
-
-static void
-database_handle_opened(void *data, enum upstream_fault fault)
-{
-    struct database_conn *conn = data;
-
-    if (fault == UPSTREAM_FAULT_NONE) {
-        counter_add(COUNTER_UPSTREAM_OPENED, 1);
-        database_note_relay_open(conn->database);
-        database_note_connected(conn->database, conn);
-        database_raise_conn(conn, TRAFFIC_EVENT_CONN_OPENED, fault);
-        return;
-    }
-    counter_add(COUNTER_UPSTREAM_FAILED, 1);
-    struct database_conn copy = *conn;
-    database_drop_conn(conn);
-    database_raise_conn(&copy, TRAFFIC_EVENT_CONN_FAILED, fault);
-}
-
-static void
-database_handle_checked(void *data, enum upstream_fault fault)
-{
-    struct database_conn *conn = data;
-
-    if (fault == UPSTREAM_FAULT_NONE) {
-        database_raise_conn(conn, TRAFFIC_EVENT_CONN_READY, fault);
-        return;
-    }
-    if (fault == UPSTREAM_FAULT_SILENT) {
-        counter_add(COUNTER_UPSTREAM_SILENT, 1);
-    }
-    struct database_conn copy = *conn;
-    database_drop_conn(conn);
-    database_raise_conn(&copy, TRAFFIC_EVENT_CONN_FAILED, fault);
-}
-
-static void
-database_handle_lost(void *data)
-{
-    struct database_conn copy = *(struct database_conn *)data;
-
-    database_drop_conn(data);
-    database_raise_conn(&copy, TRAFFIC_EVENT_CONN_FAILED, UPSTREAM_FAULT_CUT);
-}
-
-// Returns the position that a job read, on the timeline that its upstream was
-// last seen on.
-static struct ck_position
-database_get_position(const struct database_conn *conn, const struct job *job)
-{
-    const struct database *database = conn->database;
-    struct ck_position position = {0};
-
-    if (!job->position_known) {
-        return position;
-    }
-    position.lsn = job->position.lsn;
-    position.timeline = database->config->base.timeline;
-    if (conn->upstream < database->monitors_count &&
-        database->monitors[conn->upstream] != NULL &&
-        database->monitors[conn->upstream]->timeline != 0) {
-        position.timeline = database->monitors[conn->upstream]->timeline;
-    }
-    return position;
-}
-
-// The machine hears of the end of a job with its result; a connection that
-// was cut is gone by then.
-static void
-database_handle_finished(void *data, struct job *job,
-                         enum traffic_result result)
-{
-    struct database_conn *conn = data;
-    struct database *database = conn->database;
-    struct entry_request *request = conn->request;
-    bool whole =
-        result == TRAFFIC_RESULT_DONE || result == TRAFFIC_RESULT_ERROR ||
-        result == TRAFFIC_RESULT_FAILED || result == TRAFFIC_RESULT_REFUSED;
-    struct traffic_event event = {
-        .kind = TRAFFIC_EVENT_RESULT,
-        .result = {.request = request->id,
-                   .conn = conn->id,
-                   .result = result,
-                   .refusal = (enum traffic_refusal)job->refusal,
-                   .in_transaction = whole && job->transaction_status != 'I',
-                   .answer_held = true,
-                   .floor = job->floor,
-                   .position = database_get_position(conn, job)},
-    };
-
-    conn->request = NULL;
-    request->running = false;
-    database_note_phase(database, request, HISTOGRAM_RUN);
-    request->phase_us = monotonic_get_us();
-    if (!whole) {
-        database_drop_conn(conn);
-    }
-    // Its caller may have its outcome already: free it after the step.
-    bool decided = request->decided;
-    database_step(database, &event);
-    if (decided) {
-        database_release_request(database, request);
-    }
-}
-
-static const struct upstream_link_events database_conn_events = {
-    .opened = database_handle_opened,
-    .finished = database_handle_finished,
-    .checked = database_handle_checked,
-    .lost = database_handle_lost,
-};
-
-// ---- actions ----
-
-// Opens a connection to an upstream of the view; events come with data.
-struct upstream_link *
-database_open_link(struct database *database, uint32_t upstream,
-                   const struct upstream_link_events *events, void *data)
-{
-    struct entry *entry = worker_get_entry(database->worker);
-    const struct settings *settings = entry_get_settings(entry);
-    const struct ck_upstream *config =
-        traffic_get_upstream(database->traffic, upstream);
-    INVARIANT(config != NULL);
-    struct upstream_target target = {
-        .host = config->host,
-        .port = config->port,
-        .relayed = database_is_relayed(database),
-        .database = database->name,
-        .upstream = config->name,
-        .user = settings->upstream_user,
-        .password = entry_get_upstream_password(entry),
-        .sslmode = settings->upstream_sslmode,
-        .connect_timeout_us = settings->connect_timeout_us,
-        .check_timeout_us = settings->suspect_us,
-    };
-
-    if (target.relayed) {
-        target.host = database_get_relay_host(database);
-        target.port = settings->platform.relay.port;
-        target.connect_timeout_us =
-            settings->suspect_us / DATABASE_RELAY_CONNECT_PART;
-    }
-    return entry_get_driver(entry)->open(worker_get_loop(database->worker),
-                                         &target, events, data);
-}
-
-static void
-database_run_open(struct database *database,
-                  const struct traffic_action *action)
-{
-    struct database_conn *conn = xcalloc(1, sizeof(*conn));
-
-    conn->database = database;
-    conn->id = action->conn;
-    conn->upstream = action->upstream;
-    conn->began_us = monotonic_get_us();
-    conn->link = database_open_link(database, action->upstream,
-                                    &database_conn_events, conn);
-    apr_hash_set(database->conns, &conn->id, sizeof(conn->id), conn);
-}
-
-static void
-database_run_send(struct database *database,
-                  const struct traffic_action *action)
-{
-    struct database_conn *conn = database_find_conn(database, action->conn);
-    struct entry_request *request =
-        database_find_request(database, action->request);
-    const struct ck_upstream *upstream =
-        traffic_get_upstream(database->traffic, action->upstream);
-
-    INVARIANT(conn != NULL && request != NULL && conn->request == NULL);
-    request->reason = database_get_reason(request, action);
-    request->on_replica = action->on_replica;
-    if (upstream != NULL) {
-        strncpy(request->upstream, upstream->name, CK_NAME_SIZE);
-    }
-    request->running = true;
-    request->attempts++;
-    database_note_phase(database, request, HISTOGRAM_QUEUE);
-    request->phase_us = monotonic_get_us();
-    database_log_send(database, request, action);
-    conn->request = request;
-    job_clear_answer(&request->job);
-    if (request->job.typed != NULL) {
-        request->job.typed->after_lsn = action->after_lsn;
-        database_fill_relay_floor(request->session, request->job.typed);
-    }
-    database_count_send(request, action);
-    conn->link->ops->run(conn->link, &request->job);
-}
-
-// Marks a request's outcome as decided. Returns its session, or NULL when
-// the caller went away.
-static struct entry_session *
-database_decide(struct database *database, struct entry_request *request,
-                enum counter counter)
-{
-    INVARIANT(!request->decided);
-    request->decided = true;
-    database_note_phase(database, request, HISTOGRAM_TOTAL);
-    atomic_fetch_sub_explicit(&database->open_requests, 1,
-                              memory_order_relaxed);
-    counter_add(counter, 1);
-    return request->session;
-}
-
-static void
-database_run_answer(struct database *database,
-                    const struct traffic_action *action)
-{
-    struct entry_request *request =
-        database_find_request(database, action->request);
-    bool warning = action->kind == TRAFFIC_ACTION_WARN;
-
-    if (request == NULL || request->decided) {
-        return;
-    }
-    if (request->traffic.request_class == TRAFFIC_WRITE ||
-        request->traffic.request_class == TRAFFIC_COMMIT) {
-        database_note_phase(database, request, HISTOGRAM_CONFIRM);
-    }
-    struct entry_session *session =
-        database_decide(database, request, COUNTER_DONE);
-    if (session != NULL) {
-        if (action->floor.lsn != session->floor.lsn) {
-            session->floor_us = monotonic_get_us();
-        }
-        session->floor = action->floor;
-        session->ops->answer(session, request, warning);
-    }
-    database_release_request(database, request);
-}
-
-static void
-database_run_refusal(struct database *database,
-                     const struct traffic_action *action)
-{
-    struct entry_request *request =
-        database_find_request(database, action->request);
-    bool unknown = action->kind == TRAFFIC_ACTION_UNKNOWN;
-
-    if (request == NULL || request->decided) {
-        return;
-    }
-    request->reason = action->reason;
-    database_log_end(database, request, action);
-    struct entry_session *session = database_decide(
-        database, request, unknown ? COUNTER_UNKNOWN : COUNTER_NOT_RUN);
-    if (session != NULL && unknown) {
-        session->ops->unknown(session, request);
-    }
-    else if (session != NULL) {
-        session->ops->refuse(session, request, action->outcome,
-                             action->retry_after_us);
-    }
-    database_release_request(database, request);
-}
-
-static void
-database_run_suspect(struct database *database,
-                     const struct traffic_action *action)
-{
-    const struct ck_upstream *upstream =
-        traffic_get_upstream(database->traffic, action->upstream);
-    struct ck_suspicion suspicion = {
-        .database = database->name,
-        .upstream = upstream == NULL ? database->name : upstream->name,
-        .term = action->term,
-        .kind = action->suspicion,
-    };
-
-    if (database_is_relayed(database)) {
-        // What fails is another entry, not an upstream.
-        database_leave_relay_host(database);
-        return;
-    }
-    entry_post_suspicion(worker_get_entry(database->worker), &suspicion);
-}
-
-static void
-database_run_end_session(struct database *database, uint64_t id)
-{
-    struct entry_session *session =
-        apr_hash_get(database->sessions, &id, sizeof(id));
-
-    if (session != NULL) {
-        session->ops->end(session);
-    }
-}
-
-// Carries out an action on a connection that may be gone by now.
-static void
-database_run_conn_action(struct database *database,
-                         const struct traffic_action *action)
-{
-    struct database_conn *conn = database_find_conn(database, action->conn);
-
-    if (conn == NULL) {
-        return;
-    }
-    switch (action->kind) {
-    case TRAFFIC_ACTION_CLOSE:
-        database_drop_conn(conn);
-        break;
-    case TRAFFIC_ACTION_RESET:
-        conn->link->ops->reset(conn->link);
-        break;
-    case TRAFFIC_ACTION_PROVE:
-        conn->link->ops->prove(conn->link);
-        break;
-    case TRAFFIC_ACTION_CANCEL:
-        conn->link->ops->cancel(conn->link);
-        break;
-    default:
-        break;
-    }
-}
-
-static void
-database_run_action(struct database *database,
-                    const struct traffic_action *action)
-{
-    switch (action->kind) {
-    case TRAFFIC_ACTION_OPEN:
-        database_run_open(database, action);
-        break;
-    case TRAFFIC_ACTION_CLOSE:
-    case TRAFFIC_ACTION_RESET:
-    case TRAFFIC_ACTION_PROVE:
-    case TRAFFIC_ACTION_CANCEL:
-        database_run_conn_action(database, action);
-        break;
-    case TRAFFIC_ACTION_SEND:
-        database_run_send(database, action);
-        break;
-    case TRAFFIC_ACTION_ANSWER:
-    case TRAFFIC_ACTION_WARN:
-        database_run_answer(database, action);
-        break;
-    case TRAFFIC_ACTION_REFUSE:
-    case TRAFFIC_ACTION_UNKNOWN:
-        database_run_refusal(database, action);
-        break;
-    case TRAFFIC_ACTION_SAMPLE:
-        database_run_sample(database, action->upstream);
-        break;
-    case TRAFFIC_ACTION_SUSPECT:
-        database_run_suspect(database, action);
-        break;
-    case TRAFFIC_ACTION_CONFIRM_REVOKED:
-        entry_post_revoked(worker_get_entry(database->worker), database->name,
-                           action->term);
-        break;
-    case TRAFFIC_ACTION_WAKE:
-        loop_timer_set(database->timer, action->wake_at_us);
-        break;
-    case TRAFFIC_ACTION_END_SESSION:
-        database_run_end_session(database, action->session);
-        break;
-    }
-}
-
 static void
 database_queue_event(struct database *database,
                      const struct traffic_event *event)
--- /dev/null
+++ b/src/catkingrade/entry/database_actions.c
@@ -0,0 +1,228 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "catkingrade/decide/traffic.h"
+#include "catkingrade/entry/database_private.h"
+#include "catkingrade/entry/worker.h"
+#include "catkingrade/kernel/counters.h"
+#include "catkingrade/kernel/memory.h"
+
+// What the machine asks for.
+
+static void
+database_run_open(struct database *database,
+                  const struct traffic_action *action)
+{
+    struct database_conn *conn = xcalloc(1, sizeof(*conn));
+
+    conn->database = database;
+    conn->id = action->conn;
+    conn->upstream = action->upstream;
+    conn->began_us = monotonic_get_us();
+    conn->link = database_open_link(database, action->upstream,
+                                    &database_conn_events, conn);
+    apr_hash_set(database->conns, &conn->id, sizeof(conn->id), conn);
+}
+
+static void
+database_run_send(struct database *database,
+                  const struct traffic_action *action)
+{
+    struct database_conn *conn = database_find_conn(database, action->conn);
+    struct entry_request *request =
+        database_find_request(database, action->request);
+    const struct ck_upstream *upstream =
+        traffic_get_upstream(database->traffic, action->upstream);
+
+    INVARIANT(conn != NULL && request != NULL && conn->request == NULL);
+    request->reason = database_get_reason(request, action);
+    request->on_replica = action->on_replica;
+    if (upstream != NULL) {
+        strncpy(request->upstream, upstream->name, CK_NAME_SIZE);
+    }
+    request->running = true;
+    request->attempts++;
+    database_note_phase(database, request, HISTOGRAM_QUEUE);
+    request->phase_us = monotonic_get_us();
+    database_log_send(database, request, action);
+    conn->request = request;
+    job_clear_answer(&request->job);
+    if (request->job.typed != NULL) {
+        request->job.typed->after_lsn = action->after_lsn;
+        database_fill_relay_floor(request->session, request->job.typed);
+    }
+    database_count_send(request, action);
+    conn->link->ops->run(conn->link, &request->job);
+}
+
+// Marks a request's outcome as decided. Returns its session, or NULL when
+// the caller went away.
+static struct entry_session *
+database_decide(struct database *database, struct entry_request *request,
+                enum counter counter)
+{
+    INVARIANT(!request->decided);
+    request->decided = true;
+    database_note_phase(database, request, HISTOGRAM_TOTAL);
+    atomic_fetch_sub_explicit(&database->open_requests, 1,
+                              memory_order_relaxed);
+    counter_add(counter, 1);
+    return request->session;
+}
+
+static void
+database_run_answer(struct database *database,
+                    const struct traffic_action *action)
+{
+    struct entry_request *request =
+        database_find_request(database, action->request);
+    bool warning = action->kind == TRAFFIC_ACTION_WARN;
+
+    if (request == NULL || request->decided) {
+        return;
+    }
+    if (request->traffic.request_class == TRAFFIC_WRITE ||
+        request->traffic.request_class == TRAFFIC_COMMIT) {
+        database_note_phase(database, request, HISTOGRAM_CONFIRM);
+    }
+    struct entry_session *session =
+        database_decide(database, request, COUNTER_DONE);
+    if (session != NULL) {
+        if (action->floor.lsn != session->floor.lsn) {
+            session->floor_us = monotonic_get_us();
+        }
+        session->floor = action->floor;
+        session->ops->answer(session, request, warning);
+    }
+    database_release_request(database, request);
+}
+
+static void
+database_run_refusal(struct database *database,
+                     const struct traffic_action *action)
+{
+    struct entry_request *request =
+        database_find_request(database, action->request);
+    bool unknown = action->kind == TRAFFIC_ACTION_UNKNOWN;
+
+    if (request == NULL || request->decided) {
+        return;
+    }
+    request->reason = action->reason;
+    database_log_end(database, request, action);
+    struct entry_session *session = database_decide(
+        database, request, unknown ? COUNTER_UNKNOWN : COUNTER_NOT_RUN);
+    if (session != NULL && unknown) {
+        session->ops->unknown(session, request);
+    }
+    else if (session != NULL) {
+        session->ops->refuse(session, request, action->outcome,
+                             action->retry_after_us);
+    }
+    database_release_request(database, request);
+}
+
+static void
+database_run_suspect(struct database *database,
+                     const struct traffic_action *action)
+{
+    const struct ck_upstream *upstream =
+        traffic_get_upstream(database->traffic, action->upstream);
+    struct ck_suspicion suspicion = {
+        .database = database->name,
+        .upstream = upstream == NULL ? database->name : upstream->name,
+        .term = action->term,
+        .kind = action->suspicion,
+    };
+
+    if (database_is_relayed(database)) {
+        // What fails is another entry, not an upstream.
+        database_leave_relay_host(database);
+        return;
+    }
+    entry_post_suspicion(worker_get_entry(database->worker), &suspicion);
+}
+
+static void
+database_run_end_session(struct database *database, uint64_t id)
+{
+    struct entry_session *session =
+        apr_hash_get(database->sessions, &id, sizeof(id));
+
+    if (session != NULL) {
+        session->ops->end(session);
+    }
+}
+
+// Carries out an action on a connection that may be gone by now.
+static void
+database_run_conn_action(struct database *database,
+                         const struct traffic_action *action)
+{
+    struct database_conn *conn = database_find_conn(database, action->conn);
+
+    if (conn == NULL) {
+        return;
+    }
+    switch (action->kind) {
+    case TRAFFIC_ACTION_CLOSE:
+        database_drop_conn(conn);
+        break;
+    case TRAFFIC_ACTION_RESET:
+        conn->link->ops->reset(conn->link);
+        break;
+    case TRAFFIC_ACTION_PROVE:
+        conn->link->ops->prove(conn->link);
+        break;
+    case TRAFFIC_ACTION_CANCEL:
+        conn->link->ops->cancel(conn->link);
+        break;
+    default:
+        break;
+    }
+}
+
+// Carries out an action of the machine.
+void
+database_run_action(struct database *database,
+                    const struct traffic_action *action)
+{
+    switch (action->kind) {
+    case TRAFFIC_ACTION_OPEN:
+        database_run_open(database, action);
+        break;
+    case TRAFFIC_ACTION_CLOSE:
+    case TRAFFIC_ACTION_RESET:
+    case TRAFFIC_ACTION_PROVE:
+    case TRAFFIC_ACTION_CANCEL:
+        database_run_conn_action(database, action);
+        break;
+    case TRAFFIC_ACTION_SEND:
+        database_run_send(database, action);
+        break;
+    case TRAFFIC_ACTION_ANSWER:
+    case TRAFFIC_ACTION_WARN:
+        database_run_answer(database, action);
+        break;
+    case TRAFFIC_ACTION_REFUSE:
+    case TRAFFIC_ACTION_UNKNOWN:
+        database_run_refusal(database, action);
+        break;
+    case TRAFFIC_ACTION_SAMPLE:
+        database_run_sample(database, action->upstream);
+        break;
+    case TRAFFIC_ACTION_SUSPECT:
+        database_run_suspect(database, action);
+        break;
+    case TRAFFIC_ACTION_CONFIRM_REVOKED:
+        entry_post_revoked(worker_get_entry(database->worker), database->name,
+                           action->term);
+        break;
+    case TRAFFIC_ACTION_WAKE:
+        loop_timer_set(database->timer, action->wake_at_us);
+        break;
+    case TRAFFIC_ACTION_END_SESSION:
+        database_run_end_session(database, action->session);
+        break;
+    }
+}
--- /dev/null
+++ b/src/catkingrade/entry/database_conn.c
@@ -0,0 +1,188 @@
+#include <stdlib.h>
+
+#include "catkingrade/decide/traffic.h"
+#include "catkingrade/entry/database_private.h"
+#include "catkingrade/entry/worker.h"
+#include "catkingrade/kernel/counters.h"
+#include "catkingrade/kernel/memory.h"
+
+// Pooled connections: what they tell the machine.
+
+// Entries are near one another, and there are others to turn to: a link to one
+// opens within this part of suspect_us or not at all.
+#define DATABASE_RELAY_CONNECT_PART 2
+
+static void
+database_raise_conn(struct database_conn *conn, enum traffic_event_kind kind,
+                    enum upstream_fault fault)
+{
+    struct traffic_event event = {
+        .kind = kind,
+        .conn = {.upstream = conn->upstream,
+                 .conn = conn->id,
+                 .refused = fault == UPSTREAM_FAULT_REFUSED,
+                 .silent = fault == UPSTREAM_FAULT_SILENT},
+    };
+
+    database_step(conn->database, &event);
+}
+
+// Closes a connection and forgets it. A request that ran on it stays, until
+// its outcome is decided.
+void
+database_drop_conn(struct database_conn *conn)
+{
+    struct database *database = conn->database;
+
+    apr_hash_set(database->conns, &conn->id, sizeof(conn->id), NULL);
+    conn->link->ops->close(conn->link);
+    if (conn->request != NULL) {
+        conn->request->running = false;
+        database_release_request(database, conn->request);
+    }
+    free(conn);
+}
+
+static void
+database_handle_opened(void *data, enum upstream_fault fault)
+{
+    struct database_conn *conn = data;
+
+    if (fault == UPSTREAM_FAULT_NONE) {
+        counter_add(COUNTER_UPSTREAM_OPENED, 1);
+        database_note_relay_open(conn->database);
+        database_note_connected(conn->database, conn);
+        database_raise_conn(conn, TRAFFIC_EVENT_CONN_OPENED, fault);
+        return;
+    }
+    counter_add(COUNTER_UPSTREAM_FAILED, 1);
+    struct database_conn copy = *conn;
+    database_drop_conn(conn);
+    database_raise_conn(&copy, TRAFFIC_EVENT_CONN_FAILED, fault);
+}
+
+static void
+database_handle_checked(void *data, enum upstream_fault fault)
+{
+    struct database_conn *conn = data;
+
+    if (fault == UPSTREAM_FAULT_NONE) {
+        database_raise_conn(conn, TRAFFIC_EVENT_CONN_READY, fault);
+        return;
+    }
+    if (fault == UPSTREAM_FAULT_SILENT) {
+        counter_add(COUNTER_UPSTREAM_SILENT, 1);
+    }
+    struct database_conn copy = *conn;
+    database_drop_conn(conn);
+    database_raise_conn(&copy, TRAFFIC_EVENT_CONN_FAILED, fault);
+}
+
+static void
+database_handle_lost(void *data)
+{
+    struct database_conn copy = *(struct database_conn *)data;
+
+    database_drop_conn(data);
+    database_raise_conn(&copy, TRAFFIC_EVENT_CONN_FAILED, UPSTREAM_FAULT_CUT);
+}
+
+// Returns the position that a job read, on the timeline that its upstream was
+// last seen on.
+static struct ck_position
+database_get_position(const struct database_conn *conn, const struct job *job)
+{
+    const struct database *database = conn->database;
+    struct ck_position position = {0};
+
+    if (!job->position_known) {
+        return position;
+    }
+    position.lsn = job->position.lsn;
+    position.timeline = database->config->base.timeline;
+    if (conn->upstream < database->monitors_count &&
+        database->monitors[conn->upstream] != NULL &&
+        database->monitors[conn->upstream]->timeline != 0) {
+        position.timeline = database->monitors[conn->upstream]->timeline;
+    }
+    return position;
+}
+
+// The machine hears of the end of a job with its result; a connection that
+// was cut is gone by then.
+static void
+database_handle_finished(void *data, struct job *job,
+                         enum traffic_result result)
+{
+    struct database_conn *conn = data;
+    struct database *database = conn->database;
+    struct entry_request *request = conn->request;
+    bool whole =
+        result == TRAFFIC_RESULT_DONE || result == TRAFFIC_RESULT_ERROR ||
+        result == TRAFFIC_RESULT_FAILED || result == TRAFFIC_RESULT_REFUSED;
+    struct traffic_event event = {
+        .kind = TRAFFIC_EVENT_RESULT,
+        .result = {.request = request->id,
+                   .conn = conn->id,
+                   .result = result,
+                   .refusal = (enum traffic_refusal)job->refusal,
+                   .in_transaction = whole && job->transaction_status != 'I',
+                   .answer_held = true,
+                   .floor = job->floor,
+                   .position = database_get_position(conn, job)},
+    };
+
+    conn->request = NULL;
+    request->running = false;
+    database_note_phase(database, request, HISTOGRAM_RUN);
+    request->phase_us = monotonic_get_us();
+    if (!whole) {
+        database_drop_conn(conn);
+    }
+    // Its caller may have its outcome already: free it after the step.
+    bool decided = request->decided;
+    database_step(database, &event);
+    if (decided) {
+        database_release_request(database, request);
+    }
+}
+
+const struct upstream_link_events database_conn_events = {
+    .opened = database_handle_opened,
+    .finished = database_handle_finished,
+    .checked = database_handle_checked,
+    .lost = database_handle_lost,
+};
+
+// Opens a connection to an upstream of the view; events come with data.
+struct upstream_link *
+database_open_link(struct database *database, uint32_t upstream,
+                   const struct upstream_link_events *events, void *data)
+{
+    struct entry *entry = worker_get_entry(database->worker);
+    const struct settings *settings = entry_get_settings(entry);
+    const struct ck_upstream *config =
+        traffic_get_upstream(database->traffic, upstream);
+    INVARIANT(config != NULL);
+    struct upstream_target target = {
+        .host = config->host,
+        .port = config->port,
+        .relayed = database_is_relayed(database),
+        .database = database->name,
+        .upstream = config->name,
+        .user = settings->upstream_user,
+        .password = entry_get_upstream_password(entry),
+        .sslmode = settings->upstream_sslmode,
+        .connect_timeout_us = settings->connect_timeout_us,
+        .check_timeout_us = settings->suspect_us,
+    };
+
+    if (target.relayed) {
+        target.host = database_get_relay_host(database);
+        target.port = settings->platform.relay.port;
+        target.connect_timeout_us =
+            settings->suspect_us / DATABASE_RELAY_CONNECT_PART;
+    }
+    return entry_get_driver(entry)->open(worker_get_loop(database->worker),
+                                         &target, events, data);
+}
--- a/src/catkingrade/entry/database_private.h
+++ b/src/catkingrade/entry/database_private.h
@@ -10,7 +10,7 @@
 #include "catkingrade/entry/worker.h"
 #include "catkingrade/kernel/histogram.h"
 
-// What database.c, database_report.c and database_samples.c share.
+// What the files of a database share.
 
 // A pooled connection.
 struct database_conn {
@@ -95,9 +95,23 @@
 // database.c
 void database_step(struct database *database,
                    const struct traffic_event *event);
+struct entry_request *database_find_request(struct database *database,
+                                            uint64_t id);
+struct database_conn *database_find_conn(struct database *database,
+                                         uint32_t id);
+void database_release_request(struct database *database,
+                              struct entry_request *request);
+
+// database_conn.c
+extern const struct upstream_link_events database_conn_events;
 struct upstream_link *
 database_open_link(struct database *database, uint32_t upstream,
                    const struct upstream_link_events *events, void *data);
+void database_drop_conn(struct database_conn *conn);
+
+// database_actions.c
+void database_run_action(struct database *database,
+                         const struct traffic_action *action);
 
 // database_report.c
 void database_note_phase(struct database *database,
