perf(control): entries hear of relays when these have changed

Cause: each renewal carried the holders of all databases, some 500 bytes for eight, and more with more databases. What entries are told has a version; a renewal says which is in force, and the list comes only with another one.

--- a/src/catkingrade/decide/leader_lease.c
+++ b/src/catkingrade/decide/leader_lease.c
@@ -207,7 +207,7 @@
         return;
     }
     leader_fill_quotas(leader, holder, args, result);
-    leader_fill_relays(leader, holder, result);
+    leader_fill_relays(leader, holder, args, result);
     result->lease_us = (uint64_t)leader->params.lease_us;
     holder->granted_until_us =
         leader->now_us + leader_get_lease_bound_us(leader);
--- a/src/catkingrade/decide/leader_private.h
+++ b/src/catkingrade/decide/leader_private.h
@@ -144,6 +144,7 @@
     struct leader_database *databases;
     struct leader_quota *quotas;
     struct leader_relay *relays;
+    uint64_t relays_version; // grows with each change of what entries are told
     struct announce *announce;
     struct drain *drain;
     struct leader_actions *actions; // of the present step
@@ -199,6 +200,7 @@
                               const struct leader_holder *holder);
 void leader_fill_relays(struct leader *leader,
                         const struct leader_holder *holder,
+                        const struct ck_renew_args *args,
                         struct ck_renew_result *result);
 void leader_free_relays(struct leader *leader);
 void leader_note_lacking(struct leader *leader, const char *database,
--- a/src/catkingrade/decide/leader_relay.c
+++ b/src/catkingrade/decide/leader_relay.c
@@ -1,12 +1,16 @@
 #include <stdlib.h>
 #include <string.h>
+#include <xxhash.h>
 
 #include "catkingrade/decide/leader_private.h"
 #include "catkingrade/decide/relay_plan.h"
 #include "catkingrade/kernel/memory.h"
 
 // The holders of a database are chosen anew no more often.
-#define LEADER_RELAY_PLAN_US 200000
+#define LEADER_RELAY_PLAN_US       200000
+#define LEADER_RELAYS_VERSION_BITS 32
+#define LEADER_RELAYS_VERSION_MASK                                            \
+    ((UINT64_C(1) << LEADER_RELAYS_VERSION_BITS) - 1)
 
 // An entry that has told that it does not reach the primary sends its
 // statements over others for so long.
@@ -30,6 +34,7 @@
     size_t registered_count; // entries, also those without a lease
     struct leader_lacking *lacking;
     size_t lacking_count;
+    uint64_t signature; // of what entries are told
 };
 
 // Frees all that is known of relays.
@@ -95,6 +100,7 @@
         relay->lacking[place].holder = holder;
     }
     relay->lacking[place].until_us = leader->now_us + LEADER_LACKING_US;
+    relay->planned_us = 0; // the entry that says so is told at once
 }
 
 // Returns the fewest connections that are lent of any upstream of a database.
@@ -149,6 +155,27 @@
     }
 }
 
+// Notes whether what entries are told of a database is another than before.
+static void
+leader_sign_relay(struct leader *leader, struct leader_relay *relay)
+{
+    const struct leader_database *db =
+        leader_find_database(leader, relay->database);
+    uint64_t signature = db != NULL && db->phase == LEADER_IDLE ? 1 : 0;
+
+    for (size_t i = 0; i < relay->count; i++) {
+        struct relay_entry *entry = &relay->entries[i];
+        entry->lacks = leader_is_lacking(leader, relay, relay->holders[i]);
+        const uint64_t row[] = {(uint64_t)(uintptr_t)relay->holders[i],
+                                entry->holds, entry->lacks};
+        signature = XXH3_64bits_withSeed(row, sizeof(row), signature);
+    }
+    if (signature != relay->signature) {
+        relay->signature = signature;
+        leader->relays_version++;
+    }
+}
+
 // Chooses the holders of a database, unless that was done just now.
 static struct leader_relay *
 leader_plan_relay(struct leader *leader, const struct ck_database *database)
@@ -166,6 +193,7 @@
                                          relay->registered_count);
     relay->all_hold = count == 0;
     relay_plan(database->name, count, relay->entries, relay->count);
+    leader_sign_relay(leader, relay);
     return relay;
 }
 
@@ -237,11 +265,7 @@
     const struct ck_daemon *daemon = &relaying->holder->daemon;
     size_t places[CK_RELAY_HOSTS];
 
-    struct leader_relay *relay = leader_plan_relay(leader, database);
-    for (size_t i = 0; i < relay->count; i++) {
-        relay->entries[i].lacks =
-            leader_is_lacking(leader, relay, relay->holders[i]);
-    }
+    const struct leader_relay *relay = leader_plan_relay(leader, database);
     struct ck_relay *out = &relaying->relays[relaying->count++];
     out->database = relay->database;
     size_t count =
@@ -265,10 +289,26 @@
     return true;
 }
 
+static bool
+leader_plan_one(void *data, const struct ck_database *database)
+{
+    (void)leader_plan_relay(data, database);
+    return true;
+}
+
+// Returns the version of what entries are told; another leader's is another.
+static uint64_t
+leader_get_relays_version(const struct leader *leader)
+{
+    return leader->leader_term << LEADER_RELAYS_VERSION_BITS |
+           (leader->relays_version & LEADER_RELAYS_VERSION_MASK);
+}
+
 // Fills which entries run the statements of this one, database by database,
-// now or when it has no lease.
+// now or when it has no lease, unless it has heard that already.
 void
 leader_fill_relays(struct leader *leader, const struct leader_holder *holder,
+                   const struct ck_renew_args *args,
                    struct ck_renew_result *result)
 {
     size_t databases = group_get_databases_count(leader->group);
@@ -278,6 +318,11 @@
         !leader_is_entry(holder) || databases > LEADER_SHARED_DATABASES) {
         return;
     }
+    group_visit_databases(leader->group, leader_plan_one, leader);
+    result->relays_version = leader_get_relays_version(leader);
+    if (args->relays_version == result->relays_version) {
+        return;
+    }
     relaying.relays = leader_own(leader->actions,
                                  xcalloc(databases, sizeof(*relaying.relays)));
     group_visit_databases(leader->group, leader_fill_relay, &relaying);
--- a/src/catkingrade/decide/leaseholder.c
+++ b/src/catkingrade/decide/leaseholder.c
@@ -202,6 +202,20 @@
     }
 }
 
+// Takes which entries run this one's statements, when that is news.
+static void
+leaseholder_take_relays(struct leaseholder *holder,
+                        const struct ck_renew_result *result,
+                        struct leaseholder_actions *actions)
+{
+    if (result->relays_version == holder->args.relays_version) {
+        return;
+    }
+    holder->args.relays_version = result->relays_version;
+    leaseholder_add_action(actions, LEASEHOLDER_ACTION_SET_RELAYS)->relays =
+        result;
+}
+
 static void
 leaseholder_take_grant(struct leaseholder *holder, int64_t now_us,
                        const struct ck_renew_result *result,
@@ -210,6 +224,10 @@
     int64_t jitter_us = random_below(
         &holder->random, (uint32_t)(holder->params.renew_us / 8) + 1);
 
+    // First, since what comes after a delta that does not fit is dropped.
+    if (result->lease_us > 0) {
+        leaseholder_take_relays(holder, result, actions);
+    }
     if (!leaseholder_take_delta(holder, &result->delta, actions)) {
         leaseholder_back_off(holder, now_us, false);
         return;
@@ -230,8 +248,6 @@
     }
     if (result->lease_us > 0) {
         leaseholder_set_quotas(holder, result);
-        leaseholder_add_action(actions, LEASEHOLDER_ACTION_SET_RELAYS)
-            ->relays = result;
         leaseholder_add_quotas(holder, actions);
         leaseholder_take_lease(holder, result, actions);
     }
--- a/src/catkingrade/rpc/messages.h
+++ b/src/catkingrade/rpc/messages.h
@@ -282,6 +282,7 @@
 	u_quad_t sequence;
 	u_quad_t known_revision;
 	u_int open_requests;
+	u_quad_t relays_version;
 	struct {
 		u_int demands_len;
 		ck_demand *demands_val;
@@ -310,6 +311,7 @@
 		u_int quotas_len;
 		ck_quota *quotas_val;
 	} quotas;
+	u_quad_t relays_version;
 	struct {
 		u_int relays_len;
 		ck_relay *relays_val;
--- a/src/catkingrade/rpc/messages.x
+++ b/src/catkingrade/rpc/messages.x
@@ -221,6 +221,7 @@
     unsigned hyper sequence;
     unsigned hyper known_revision;
     unsigned int open_requests;     /* of draining customers */
+    unsigned hyper relays_version;  /* of the relays in force; 0: none */
     ck_demand demands<CK_LIST_SIZE>;
     ck_suspicion suspicions<CK_LIST_SIZE>;
     ck_revocation confirmed<CK_LIST_SIZE>;
@@ -236,7 +237,8 @@
     ck_view_delta delta;
     bool hasten;                    /* more is to be lent soon: renew then */
     ck_quota quotas<CK_LIST_SIZE>;
-    ck_relay relays<CK_LIST_SIZE>;
+    unsigned hyper relays_version;  /* 0: relays are not planned */
+    ck_relay relays<CK_LIST_SIZE>;  /* empty when the version is known */
 };
 
 /* Pushed by a leader: renew at once; these terms end. */
--- a/test/unit/decide/test_leader.c
+++ b/test/unit/decide/test_leader.c
@@ -684,9 +684,39 @@
 }
 END_TEST
 
+// Entries hear of relays again only when these have changed.
+START_TEST(test_relays_are_sent_when_they_change)
+{
+    struct rig rig;
+    struct ck_renew_args args;
+    struct leader_event event = {.kind = LEADER_EVENT_RENEW, .token = 9};
+
+    start_relaying(&rig, 2, '3');
+    (void)renew_lacking(&rig, "e1", 1, false);
+    uint64_t version =
+        find_action(&rig, LEADER_ACTION_REPLY_RENEW)->renew->relays_version;
+    ck_assert_uint_ne(version, 0);
+    for (int lacks = 0; lacks < 2; lacks++) {
+        rig.now_us += 300 * MS;
+        (void)renew_lacking(&rig, "e2", 1 + (uint64_t)lacks, lacks != 0);
+        args = make_renewal("e1", 2 + (uint64_t)lacks,
+                            group_get_revision(rig.group));
+        args.relays_version = version;
+        event.renew = &args;
+        step(&rig, &event);
+        const struct ck_renew_result *result =
+            find_action(&rig, LEADER_ACTION_REPLY_RENEW)->renew;
+        ck_assert_uint_eq(result->relays.relays_len, lacks ? 1 : 0);
+        ck_assert_int_eq(result->relays_version == version, !lacks);
+    }
+    finish(&rig);
+}
+END_TEST
+
 static void
 add_tests(TCase *tests)
 {
+    tcase_add_test(tests, test_relays_are_sent_when_they_change);
     tcase_add_test(tests, test_few_connections_go_to_holders);
     tcase_add_test(tests, test_entry_without_a_way_to_the_primary);
     tcase_add_test(tests, test_renewals_that_grant_nothing);
--- a/test/unit/decide/test_leaseholder.c
+++ b/test/unit/decide/test_leaseholder.c
@@ -114,6 +114,34 @@
 }
 END_TEST
 
+// Relays are taken when they are news, also beside a delta that does not fit;
+// the next call tells which are in force.
+START_TEST(test_relays_are_told_by_version)
+{
+    struct leaseholder *holder = make_holder();
+    struct ck_renew_result result = make_result(1, 4, 5, 9);
+
+    result.relays_version = 7;
+    ck_assert_uint_eq(
+        find_action(tick(holder, 5000 * MS), LEASEHOLDER_ACTION_SEND_RENEW)
+            ->send.args->relays_version,
+        0);
+    const struct leaseholder_actions *actions =
+        answer(holder, 5010 * MS, &result);
+    ck_assert_ptr_nonnull(find_action(actions, LEASEHOLDER_ACTION_SET_RELAYS));
+    const struct leaseholder_action *again =
+        find_action(tick(holder, 9000 * MS), LEASEHOLDER_ACTION_SEND_RENEW);
+    ck_assert_ptr_nonnull(again);
+    ck_assert_uint_eq(again->send.args->relays_version, 7);
+    result = make_result(2, 4, 0, 9);
+    result.relays_version = 7;
+    actions = answer(holder, 9010 * MS, &result);
+    ck_assert_ptr_nonnull(find_action(actions, LEASEHOLDER_ACTION_SET_LEASE));
+    ck_assert_ptr_null(find_action(actions, LEASEHOLDER_ACTION_SET_RELAYS));
+    leaseholder_destroy(holder);
+}
+END_TEST
+
 // An answer that has no effect, and why.
 struct ignored {
     const char *name;
@@ -365,6 +393,7 @@
 add_tests(TCase *tests)
 {
     tcase_add_test(tests, test_lease_counts_from_sending);
+    tcase_add_test(tests, test_relays_are_told_by_version);
     tcase_add_loop_test(tests, test_ignored_answer, 0, ARRAY_SIZE(ignored));
     tcase_add_test(tests, test_hint_leads_to_the_leader);
     tcase_add_test(tests, test_failures_back_off_over_all_voters);
