fix(control): holders and relays also beyond 64 databases

Where few entries hold the connections of a database, a renewal tells of few upstreams: the bound is 1,024 databases then.

--- a/src/catkingrade/decide/leader_private.h
+++ b/src/catkingrade/decide/leader_private.h
@@ -11,9 +11,12 @@
 #define LEADER_NOTIFY_US  50000   // between two tries to reach a holder
 #define LEADER_COLLECT_US 100000  // for answers beyond those that suffice
 #define LEADER_REPAIR_US  1000000 // between two tries to fence or follow
-// Up to so many databases every entry gets a share of every upstream, or a
-// relay; beyond that, a share of those for which it reports a demand.
+// Up to so many databases entries get a share of every upstream; beyond that,
+// of those for which they report a demand.
 #define LEADER_SHARED_DATABASES 64
+// The same where few entries hold the connections of each database, so that
+// a renewal tells of few.
+#define LEADER_RELAYED_DATABASES 1024
 
 // Kinds of names in the leader's index.
 enum leader_kind {
@@ -193,6 +196,7 @@
                         struct ck_renew_result *result);
 void leader_free_quotas(struct leader *leader);
 uint32_t leader_get_lendable(const struct ck_upstream *upstream);
+bool leader_shares_all(const struct leader *leader);
 
 // Entries that run the statements of others; leader_relay.c.
 bool leader_holds_connections(struct leader *leader,
--- a/src/catkingrade/decide/leader_quota.c
+++ b/src/catkingrade/decide/leader_quota.c
@@ -319,7 +319,7 @@
 {
     struct leader_quota *quota = leader_get_quota(leader, upstream->name);
 
-    if (group_get_databases_count(leader->group) <= LEADER_SHARED_DATABASES) {
+    if (leader_shares_all(leader)) {
         leader_add_shares(leader, quota);
     }
     struct leader_share *own = leader_get_share(quota, holder);
@@ -395,6 +395,18 @@
     return true;
 }
 
+// Returns whether entries get a share of every upstream, also of those for
+// which they report no demand.
+bool
+leader_shares_all(const struct leader *leader)
+{
+    size_t most = leader->params.relay_min_connections == 0
+                      ? LEADER_SHARED_DATABASES
+                      : LEADER_RELAYED_DATABASES;
+
+    return group_get_databases_count(leader->group) <= most;
+}
+
 // Fills the quotas of an answer to a renewal. The sum of what entries may use
 // of an upstream never exceeds its limits, also while answers are lost, after
 // a change of leader and while an entry is cut off.
@@ -409,7 +421,7 @@
     if (!leader_is_entry(holder)) {
         return;
     }
-    if (group_get_databases_count(leader->group) <= LEADER_SHARED_DATABASES) {
+    if (leader_shares_all(leader)) {
         group_visit_databases(leader->group, leader_lend_database, &lending);
     }
     else {
--- a/src/catkingrade/decide/leader_relay.c
+++ b/src/catkingrade/decide/leader_relay.c
@@ -315,7 +315,7 @@
     struct leader_relaying relaying = {.leader = leader, .holder = holder};
 
     if (leader->params.relay_min_connections == 0 ||
-        !leader_is_entry(holder) || databases > LEADER_SHARED_DATABASES) {
+        !leader_is_entry(holder) || !leader_shares_all(leader)) {
         return;
     }
     group_visit_databases(leader->group, leader_plan_one, leader);
