fix(decide): a primary that announces itself in time is not probed in between

Cause: announcements come every 1.2 s; after 0.6 s without one, and without any report, the leader probed each primary ten times a second, over a connection of its own each time: 2.5 a second and upstream. Probes begin after half of the time after which announcements count as missing. The row of the tests that wants a probe at 600 of 1,000 ms stands.

--- a/src/catkingrade/decide/suspicion.c
+++ b/src/catkingrade/decide/suspicion.c
@@ -10,6 +10,9 @@
 #define SUSPICION_SILENT_PROBES   2
 #define SUSPICION_RECENT_PROBES   4
 #define SUSPICION_REPORT_LIFETIME 2 // times suspect_us
+// Without any report the primary is probed after this part of the time after
+// which its announcements count as missing.
+#define SUSPICION_PROBE_PART 2
 
 // Keeps an entry's newest report. One that only speaks of slowness is no sign
 // of a loss and takes back an earlier one.
@@ -125,8 +128,9 @@
     if (lost) {
         return SUSPICION_LOST;
     }
-    return reports > 0 || suspicion->probe_failures > 0 ||
-                   silence_us >= params->suspect_us
+    int64_t probe_us = params->silence_us / SUSPICION_PROBE_PART;
+    bool late = silence_us >= probe_us && silence_us >= params->suspect_us;
+    return reports > 0 || suspicion->probe_failures > 0 || late
                ? SUSPICION_PROBE
                : SUSPICION_NONE;
 }
--- a/test/unit/decide/test_suspicion.c
+++ b/test/unit/decide/test_suspicion.c
@@ -95,6 +95,24 @@
 }
 END_TEST
 
+// An upstream that announces itself in time is not probed between two
+// announcements.
+START_TEST(test_no_probes_between_announcements)
+{
+    struct suspicion suspicion = {0};
+    struct suspicion_params params = {.suspect_us = 600 * MS,
+                                      .silence_us = 2250 * MS,
+                                      .entries_count = 7,
+                                      .announced_us = NOW_US};
+
+    ck_assert_int_eq(suspicion_judge(&suspicion, NOW_US + 1100 * MS, &params),
+                     SUSPICION_NONE);
+    ck_assert_int_eq(suspicion_judge(&suspicion, NOW_US + 1200 * MS, &params),
+                     SUSPICION_PROBE);
+    suspicion_clear(&suspicion);
+}
+END_TEST
+
 START_TEST(test_reports_get_old)
 {
     struct suspicion suspicion = {0};
@@ -120,6 +138,7 @@
 add_tests(TCase *tests)
 {
     tcase_add_loop_test(tests, test_verdict, 0, ARRAY_SIZE(rows));
+    tcase_add_test(tests, test_no_probes_between_announcements);
     tcase_add_test(tests, test_reports_get_old);
 }
 
