perf(control): renewals in haste by the number of entries; holders found by number

Cause: an entry that lacks connections renewed every 60 ms, however many there are, and whether an entry holds connections was looked for in a list. Haste is 60 ms, or 5 ms for each entry when that is more.

--- a/src/catkingrade/decide/leader_lease.c
+++ b/src/catkingrade/decide/leader_lease.c
@@ -67,7 +67,7 @@
     holder->last_seen_us = leader->now_us;
     holder->next = leader->holders;
     leader->holders = holder;
-    leader->holders_count++;
+    holder->number = leader->holders_count++;
     group_index_put(leader->index, LEADER_HOLDER, daemon->vm, holder);
     return holder;
 }
--- a/src/catkingrade/decide/leader_private.h
+++ b/src/catkingrade/decide/leader_private.h
@@ -31,6 +31,7 @@
 struct leader_holder {
     struct leader_holder *next;
     struct ck_daemon daemon; // a copy
+    size_t number;           // of those of this leader, from 0
     int64_t granted_until_us;
     int64_t old_until_us; // of earlier incarnations
     int64_t last_seen_us;
--- a/src/catkingrade/decide/leader_quota.c
+++ b/src/catkingrade/decide/leader_quota.c
@@ -5,6 +5,10 @@
 #include "catkingrade/decide/lending.h"
 #include "catkingrade/kernel/memory.h"
 
+// An entry that lacks connections renews again after this time, and after this
+// for each entry that there is.
+#define LEADER_HASTE_US       60000
+#define LEADER_HASTE_ENTRY_US 5000
 // One part in this many of an upstream's connections is lent.
 #define LEADER_LENDABLE_PART 2
 
@@ -407,6 +411,16 @@
     return group_get_databases_count(leader->group) <= most;
 }
 
+// Returns when an entry that lacks connections is to renew again: soon, but
+// not so soon that this leader is busy with renewals alone.
+static uint64_t
+leader_get_haste_us(const struct leader *leader)
+{
+    uint64_t haste_us = leader->holders_count * LEADER_HASTE_ENTRY_US;
+
+    return haste_us > LEADER_HASTE_US ? haste_us : LEADER_HASTE_US;
+}
+
 // Fills the quotas of an answer to a renewal. The sum of what entries may use
 // of an upstream never exceeds its limits, also while answers are lost, after
 // a change of leader and while an entry is cut off.
@@ -433,7 +447,9 @@
         }
     }
     for (size_t i = 0; i < lending.count; i++) {
-        result->hasten = result->hasten || lending.quotas[i].connections == 0;
+        if (lending.quotas[i].connections == 0) {
+            result->hasten_us = leader_get_haste_us(leader);
+        }
     }
     result->quotas.quotas_val = leader_own(leader->actions, lending.quotas);
     result->quotas.quotas_len = (u_int)lending.count;
--- a/src/catkingrade/decide/leader_relay.c
+++ b/src/catkingrade/decide/leader_relay.c
@@ -30,7 +30,9 @@
     bool all_hold;
     struct relay_entry *entries; // names are of the leader's holders
     struct leader_holder **holders;
+    bool *holds; // by the holder's number
     size_t count;
+    size_t holds_count;
     size_t registered_count; // entries, also those without a lease
     struct leader_lacking *lacking;
     size_t lacking_count;
@@ -46,6 +48,7 @@
         leader->relays = relay->next;
         free(relay->entries);
         free(relay->holders);
+        free(relay->holds);
         free(relay->lacking);
         free(relay->database);
         free(relay);
@@ -155,6 +158,20 @@
     }
 }
 
+// Notes who holds connections under the holders' numbers, where it is found at
+// once.
+static void
+leader_number_holders(const struct leader *leader, struct leader_relay *relay)
+{
+    relay->holds_count = leader->holders_count;
+    relay->holds =
+        xrealloc(relay->holds, relay->holds_count * sizeof(*relay->holds));
+    memset(relay->holds, 0, relay->holds_count * sizeof(*relay->holds));
+    for (size_t i = 0; i < relay->count; i++) {
+        relay->holds[relay->holders[i]->number] = relay->entries[i].holds;
+    }
+}
+
 // Notes whether what entries are told of a database is another than before.
 static void
 leader_sign_relay(struct leader *leader, struct leader_relay *relay)
@@ -193,6 +210,7 @@
                                          relay->registered_count);
     relay->all_hold = count == 0;
     relay_plan(database->name, count, relay->entries, relay->count);
+    leader_number_holders(leader, relay);
     leader_sign_relay(leader, relay);
     return relay;
 }
@@ -210,12 +228,7 @@
     if (relay->all_hold) {
         return true;
     }
-    for (size_t i = 0; i < relay->count; i++) {
-        if (relay->holders[i] == holder) {
-            return relay->entries[i].holds;
-        }
-    }
-    return false;
+    return holder->number < relay->holds_count && relay->holds[holder->number];
 }
 
 // Counts the entries that would notice the loss of a database's primary.
--- a/src/catkingrade/decide/leaseholder.c
+++ b/src/catkingrade/decide/leaseholder.c
@@ -10,8 +10,6 @@
 #include "catkingrade/kernel/outcome.h"
 #include "catkingrade/rpc/codec.h"
 
-// The next renewal when the leader will soon have more to lend.
-#define LEASEHOLDER_HASTE_US      60000
 #define LEASEHOLDER_MAX_REDIRECTS 3
 #define LEASEHOLDER_MAX_BACKOFF   4
 #define LEASEHOLDER_PPM           1000000
@@ -240,8 +238,9 @@
         holder->next_renew_us = now_us + holder->params.retry_us;
         return;
     }
-    if (result->hasten && holder->params.renew_us > LEASEHOLDER_HASTE_US) {
-        holder->next_renew_us = now_us + LEASEHOLDER_HASTE_US;
+    if (result->hasten_us > 0 &&
+        (int64_t)result->hasten_us < holder->params.renew_us) {
+        holder->next_renew_us = now_us + (int64_t)result->hasten_us;
     }
     if (result->delta.more || holder->renew_again) {
         holder->next_renew_us = now_us;
--- a/src/catkingrade/rpc/messages.h
+++ b/src/catkingrade/rpc/messages.h
@@ -306,7 +306,7 @@
 	u_quad_t leader_term;
 	u_quad_t lease_us;
 	ck_view_delta delta;
-	bool_t hasten;
+	u_quad_t hasten_us;
 	struct {
 		u_int quotas_len;
 		ck_quota *quotas_val;
--- a/src/catkingrade/rpc/messages.x
+++ b/src/catkingrade/rpc/messages.x
@@ -235,7 +235,7 @@
     unsigned hyper leader_term;
     unsigned hyper lease_us;
     ck_view_delta delta;
-    bool hasten;                    /* more is to be lent soon: renew then */
+    unsigned hyper hasten_us;       /* more is lent then: renew; 0: no */
     ck_quota quotas<CK_LIST_SIZE>;
     unsigned hyper relays_version;  /* 0: relays are not planned */
     ck_relay relays<CK_LIST_SIZE>;  /* empty when the version is known */
--- a/src/catkingrade/rpc/messages_xdr.c
+++ b/src/catkingrade/rpc/messages_xdr.c
@@ -839,7 +839,7 @@
 		 return FALSE;
 	 if (!xdr_ck_view_delta (xdrs, &objp->delta))
 		 return FALSE;
-	 if (!xdr_bool (xdrs, &objp->hasten))
+	 if (!xdr_u_quad_t (xdrs, &objp->hasten_us))
 		 return FALSE;
 	 if (!xdr_array (xdrs, (char **)&objp->quotas.quotas_val, (u_int *) &objp->quotas.quotas_len, CK_LIST_SIZE,
 		sizeof (ck_quota), (xdrproc_t) xdr_ck_quota))
