--- a/src/catkingrade/decide/leader_relay.c
+++ b/src/catkingrade/decide/leader_relay.c
@@ -28,12 +28,13 @@
     char *database;
     int64_t planned_us; // 0: not yet
     bool all_hold;
-    struct relay_entry *entries; // names are of the leader's holders
+    size_t registered_count; // entries, also those without a lease
+    // Those with a lease, as relay_plan has them and as the leader has them.
+    struct relay_entry *entries;
     struct leader_holder **holders;
-    bool *holds; // by the holder's number
     size_t count;
+    bool *holds; // by a holder's number
     size_t holds_count;
-    size_t registered_count; // entries, also those without a lease
     struct leader_lacking *lacking;
     size_t lacking_count;
     uint64_t signature; // of what entries are told
@@ -71,6 +72,8 @@
     return relay;
 }
 
+// Returns whether an entry has told of late that it does not reach the
+// primary.
 static bool
 leader_is_lacking(const struct leader *leader,
                   const struct leader_relay *relay,
@@ -89,6 +92,9 @@
 leader_note_lacking(struct leader *leader, const char *database,
                     const struct leader_holder *holder)
 {
+    if (leader->params.relay_min_connections == 0) {
+        return;
+    }
     struct leader_relay *relay = leader_get_relay(leader, database);
     size_t place = 0;
 
@@ -263,6 +269,7 @@
                               holder));
 }
 
+// The relays of one renewal while they are filled in.
 struct leader_relaying {
     struct leader *leader;
     const struct leader_holder *holder;
