test(platform): a session may end once before its read is refused

By the platform's protocol a session may be closed between requests. The test asks once more on a new session; it still wants the refusal and its cause, and a second end fails it.

--- a/test/contract/test_platform.c
+++ b/test/contract/test_platform.c
@@ -400,22 +400,33 @@
     }
 }
 
-// Asks until the answer is an error; fills the id of that statement.
+// Asks until the answer is an error; fills the id of that statement. Closes
+// the session.
 static void
 ask_until_refused(int fd, char *id, size_t size)
 {
     bool refused = false;
+    bool ended = false;
 
     for (int i = 0; i < RIG_WAIT_ROUNDS && !refused; i++) {
         char line[64];
         (void)snprintf(id, size, "stale%d", i);
         (void)snprintf(line, sizeof(line), "QUERY %s READ k2", id);
         char *text = platform_ask(fd, line);
-        ck_assert_ptr_nonnull(text);
+        if (text == NULL) {
+            // An entry without a lease ends its sessions, once.
+            ck_assert(!ended);
+            ended = true;
+            close(fd);
+            fd = platform_rig_wait_answer(0, "own", "QUERY - SET v1 x",
+                                          "COMPLETE");
+            continue;
+        }
         refused = strncmp(text, "ERROR", 5) == 0;
         free(text);
         usleep(RIG_WAIT_STEP_US);
     }
+    close(fd);
     ck_assert(refused);
 }
 
@@ -460,7 +471,6 @@
     }
     ask_until_refused(fd, id, sizeof(id));
     check_explained(id, stale, ARRAY_SIZE(stale));
-    close(fd);
     platform_rig_stop();
 }
 END_TEST
