fix(decide): a relay's plan never keeps names of a record that was replaced

A plan of holders is kept for 0.2 s with the names in each entry's record, and each renewal replaced that record. A record is replaced only when it differs, and all plans are forgotten then.

--- a/src/catkingrade/decide/leader_lease.c
+++ b/src/catkingrade/decide/leader_lease.c
@@ -104,6 +104,17 @@
     leader->holders_count = 0;
 }
 
+// Returns whether two records of a VM's daemon say the same.
+static bool
+leader_is_same_daemon(const struct ck_daemon *left,
+                      const struct ck_daemon *right)
+{
+    return left->incarnation == right->incarnation &&
+           left->port == right->port && left->roles == right->roles &&
+           strcmp(left->host, right->host) == 0 &&
+           strcmp(left->failure_domain, right->failure_domain) == 0;
+}
+
 static bool
 leader_is_registered(const struct leader *leader,
                      const struct ck_daemon *daemon)
@@ -111,18 +122,20 @@
     const struct ck_daemon *known =
         group_find_daemon(leader->group, daemon->vm);
 
-    return known != NULL && known->incarnation == daemon->incarnation &&
-           known->port == daemon->port && known->roles == daemon->roles &&
-           strcmp(known->host, daemon->host) == 0 &&
-           strcmp(known->failure_domain, daemon->failure_domain) == 0;
+    return known != NULL && leader_is_same_daemon(known, daemon);
 }
 
 // Takes a daemon's new incarnation or address. The lease of the incarnation
 // before still counts until it runs out.
 static void
-leader_update_holder(struct leader_holder *holder,
+leader_update_holder(struct leader *leader, struct leader_holder *holder,
                      const struct ck_daemon *daemon)
 {
+    if (leader_is_same_daemon(&holder->daemon, daemon)) {
+        return;
+    }
+    // Relays are planned with the names of the record that goes.
+    leader_forget_relay_plans(leader);
     if (holder->daemon.incarnation != daemon->incarnation) {
         if (holder->granted_until_us > holder->old_until_us) {
             holder->old_until_us = holder->granted_until_us;
@@ -143,7 +156,7 @@
     if (holder == NULL) {
         holder = leader_add_holder(leader, &args->daemon);
     }
-    leader_update_holder(holder, &args->daemon);
+    leader_update_holder(leader, holder, &args->daemon);
     holder->last_seen_us = leader->now_us;
     holder->known_revision = args->known_revision;
     holder->open_requests = args->open_requests;
@@ -184,6 +197,7 @@
     (void)leader_own(actions, delta->customers_removed.customers_removed_val);
     (void)leader_own(actions, delta->databases.databases_val);
     (void)leader_own(actions, delta->databases_removed.databases_removed_val);
+    (void)leader_own(actions, delta->declaration.declaration_val);
 }
 
 // Answers a renewal with what the entry lacks. The lease comes only with an
--- a/src/catkingrade/decide/leader_relay.c
+++ b/src/catkingrade/decide/leader_relay.c
@@ -56,6 +56,16 @@
     }
 }
 
+// Has all relays planned anew before they are used again.
+void
+leader_forget_relay_plans(struct leader *leader)
+{
+    for (struct leader_relay *relay = leader->relays; relay != NULL;
+         relay = relay->next) {
+        relay->planned_us = 0;
+    }
+}
+
 static struct leader_relay *
 leader_get_relay(struct leader *leader, const char *database)
 {
