fix(test): a signal right after the start of a program ends that program alone

Between fork and exec a child still has the handlers of the check library, which pass SIGTERM on to the whole group of the test; the soak stopped vm1 in the millisecond in which it had started it (by the times of vm1.json and of the others' logs). Signals are blocked over the fork and taken as a new program takes them after it.

test_process failed before with just that signal, and passes after.

--- a/test/fake/process.c
+++ b/test/fake/process.c
@@ -57,9 +57,23 @@
     nanosleep(&pause, NULL);
 }
 
+// Takes the signals as a new program does. The handlers of the test, which are
+// this process's until it runs the program, would end the whole test.
+static void
+process_reset_signals(void)
+{
+    sigset_t none;
+
+    (void)signal(SIGTERM, SIG_DFL);
+    (void)signal(SIGINT, SIG_DFL);
+    (void)sigemptyset(&none);
+    (void)sigprocmask(SIG_SETMASK, &none, NULL);
+}
+
 static void
 process_run_child(const char *log_path, const char *path, char **argv)
 {
+    process_reset_signals();
     int fd = open(log_path, O_WRONLY | O_CREAT | O_APPEND, PROCESS_FILE_MODE);
 
     prctl(PR_SET_PDEATHSIG, SIGKILL);
@@ -87,11 +101,17 @@
         INVARIANT(i + 2 < PROCESS_MAX_ARGS);
         argv[i + 1] = (char *)(uintptr_t)args[i];
     }
+    // None may come before the child has its own way to take them.
+    sigset_t all;
+    sigset_t old;
+    (void)sigfillset(&all);
+    (void)pthread_sigmask(SIG_SETMASK, &all, &old);
     process->pid = fork();
     INVARIANT(process->pid >= 0);
     if (process->pid == 0) {
         process_run_child(log_path, path, argv);
     }
+    (void)pthread_sigmask(SIG_SETMASK, &old, NULL);
     free(path);
     free(build);
     return process;
