--- a/soak/soak.c
+++ b/soak/soak.c
@@ -174,17 +174,6 @@
     *process = NULL;
 }
 
-static void
-soak_remove_disk(int place)
-{
-    char folder[600];
-    const char *args[] = {"-rf", folder, NULL};
-    int code = 0;
-
-    (void)snprintf(folder, sizeof(folder), "%s/data%d", rig.folder, place);
-    free(process_run(rig.folder, "/bin/rm", args, &code));
-}
-
 static void
 soak_kill_all_control(void)
 {
@@ -248,7 +237,7 @@
     harm->lasts = false;
     switch (harm->kind) {
     case SOAK_LOSE_DISK:
-        soak_remove_disk(harm->target);
+        platform_rig_remove_disk(harm->target);
         *soak_get_process(harm) =
             platform_rig_start_daemon(soak_get_place(harm), false);
         break;
--- a/src/catkingrade/decide/traffic_result.c
+++ b/src/catkingrade/decide/traffic_result.c
@@ -270,6 +270,15 @@
     request_answer(traffic, request, 0);
 }
 
+// Returns whether an upstream has answered a request as a whole, so that its
+// connection stands.
+bool
+result_is_whole(enum traffic_result result)
+{
+    return result == TRAFFIC_RESULT_DONE || result == TRAFFIC_RESULT_ERROR ||
+           result == TRAFFIC_RESULT_FAILED || result == TRAFFIC_RESULT_REFUSED;
+}
+
 // Takes what the upstream's side says of a request. News of a request that
 // the connection does not run any more are late and change nothing.
 void
@@ -282,34 +291,29 @@
         conn->request != event->request) {
         return;
     }
-    if (event->result == TRAFFIC_RESULT_REFUSED) {
-        struct request *refused =
-            id_map_get(&traffic->requests, event->request);
-        pool_end_use(traffic, conn->upstream, conn->read);
-        result_handle_refused(traffic, conn,
-                              conn->abandoned_us != 0 ? NULL : refused, event);
-        return;
-    }
-    if (event->result == TRAFFIC_RESULT_FAILED) {
-        struct request *failed =
-            id_map_get(&traffic->requests, event->request);
-        pool_end_use(traffic, conn->upstream, conn->read);
-        result_handle_failed(traffic, conn,
-                             conn->abandoned_us != 0 ? NULL : failed, event);
-        return;
-    }
-    if (event->result != TRAFFIC_RESULT_DONE &&
-        event->result != TRAFFIC_RESULT_ERROR) {
+    if (!result_is_whole(event->result)) {
         uint32_t upstream = conn->upstream;
         int64_t opened_us = conn->opened_us;
         result_lose_conn(traffic, conn, event->result, TRAFFIC_CLOSE_ABNORMAL);
         pool_suspect_neighbours(traffic, upstream, opened_us);
         return;
     }
-    struct request *request = id_map_get(&traffic->requests, event->request);
+    struct request *request =
+        conn->abandoned_us != 0
+            ? NULL
+            : id_map_get(&traffic->requests, event->request);
     pool_end_use(traffic, conn->upstream, conn->read);
-    result_handle_whole(traffic, conn,
-                        conn->abandoned_us != 0 ? NULL : request, event);
+    switch (event->result) {
+    case TRAFFIC_RESULT_REFUSED:
+        result_handle_refused(traffic, conn, request, event);
+        break;
+    case TRAFFIC_RESULT_FAILED:
+        result_handle_failed(traffic, conn, request, event);
+        break;
+    default:
+        result_handle_whole(traffic, conn, request, event);
+        break;
+    }
 }
 
 // Makes the next open of a connection to an upstream wait, longer after each
--- a/src/catkingrade/decide/traffic_result.h
+++ b/src/catkingrade/decide/traffic_result.h
@@ -3,6 +3,7 @@
 
 #include "catkingrade/decide/traffic_state.h"
 
+bool result_is_whole(enum traffic_result result);
 void result_handle(struct traffic *traffic,
                    const struct traffic_result_event *event);
 void result_handle_conn_failed(struct traffic *traffic,
--- a/src/catkingrade/entry/database_actions.c
+++ b/src/catkingrade/entry/database_actions.c
@@ -43,13 +43,12 @@
     request->running = true;
     request->attempts++;
     database_note_phase(database, request, HISTOGRAM_QUEUE);
-    request->phase_us = monotonic_get_us();
     database_log_send(database, request, action);
     conn->request = request;
     job_clear_answer(&request->job);
     if (request->job.typed != NULL) {
         request->job.typed->after_lsn = action->after_lsn;
-        database_fill_relay_floor(request->session, request->job.typed);
+        database_fill_relay_words(request->session, request->job.typed);
     }
     database_count_send(request, action);
     conn->link->ops->run(conn->link, &request->job);
--- a/src/catkingrade/entry/database_conn.c
+++ b/src/catkingrade/entry/database_conn.c
@@ -1,6 +1,7 @@
 #include <stdlib.h>
 
 #include "catkingrade/decide/traffic.h"
+#include "catkingrade/decide/traffic_result.h"
 #include "catkingrade/entry/database_private.h"
 #include "catkingrade/entry/worker.h"
 #include "catkingrade/kernel/counters.h"
@@ -117,9 +118,7 @@
     struct database_conn *conn = data;
     struct database *database = conn->database;
     struct entry_request *request = conn->request;
-    bool whole =
-        result == TRAFFIC_RESULT_DONE || result == TRAFFIC_RESULT_ERROR ||
-        result == TRAFFIC_RESULT_FAILED || result == TRAFFIC_RESULT_REFUSED;
+    bool whole = result_is_whole(result);
     struct traffic_event event = {
         .kind = TRAFFIC_EVENT_RESULT,
         .result = {.request = request->id,
@@ -135,7 +134,6 @@
     conn->request = NULL;
     request->running = false;
     database_note_phase(database, request, HISTOGRAM_RUN);
-    request->phase_us = monotonic_get_us();
     if (!whole) {
         database_drop_conn(conn);
     }
--- a/src/catkingrade/entry/database_private.h
+++ b/src/catkingrade/entry/database_private.h
@@ -115,7 +115,7 @@
 
 // database_report.c
 void database_note_phase(struct database *database,
-                         const struct entry_request *request,
+                         struct entry_request *request,
                          enum histogram_phase phase);
 void database_note_connected(struct database *database,
                              const struct database_conn *conn);
@@ -137,7 +137,7 @@
 const char *database_get_relay_host(struct database *database);
 void database_note_relay_open(struct database *database);
 void database_leave_relay_host(struct database *database);
-void database_fill_relay_floor(const struct entry_session *session,
+void database_fill_relay_words(const struct entry_session *session,
                                struct typed_run *run);
 
 // database_samples.c
--- a/src/catkingrade/entry/database_relay.c
+++ b/src/catkingrade/entry/database_relay.c
@@ -166,13 +166,15 @@
     relay->rest_until_us = relay->failed_us + relay->rest_us;
 }
 
-// Tells the holder what the caller's session has saved, and how long ago.
+// Tells the holder the caller's route, what its session has saved, and how
+// long ago.
 void
-database_fill_relay_floor(const struct entry_session *session,
+database_fill_relay_words(const struct entry_session *session,
                           struct typed_run *run)
 {
     memset(&run->floor, 0, sizeof(run->floor));
     run->floor_age_us = 0;
+    run->route = session == NULL ? NULL : session->route;
     if (session != NULL && session->floor.lsn != 0) {
         run->floor = session->floor;
         run->floor_age_us = monotonic_get_us() - session->floor_us;
--- a/src/catkingrade/entry/database_report.c
+++ b/src/catkingrade/entry/database_report.c
@@ -47,19 +47,24 @@
     return row->histogram;
 }
 
-// Counts how long a phase of a request has taken.
+// Counts how long a phase of a request has taken, or all of them; after a
+// phase the next one begins.
 void
-database_note_phase(struct database *database,
-                    const struct entry_request *request,
+database_note_phase(struct database *database, struct entry_request *request,
                     enum histogram_phase phase)
 {
+    int64_t now_us = monotonic_get_us();
     int64_t from_us =
         phase == HISTOGRAM_TOTAL ? request->submitted_us : request->phase_us;
     const char *upstream = phase == HISTOGRAM_RUN ? request->upstream : "";
 
     histogram_note(database_get_histogram(database, phase,
                                           request->traffic.type, upstream),
-                   monotonic_get_us() - from_us);
+                   now_us - from_us);
+    // One that was given up still runs: its phase goes on.
+    if (phase != HISTOGRAM_TOTAL) {
+        request->phase_us = now_us;
+    }
 }
 
 // Counts how long it took to open a connection.
--- a/src/catkingrade/entry/entry.c
+++ b/src/catkingrade/entry/entry.c
@@ -262,14 +262,8 @@
     struct ck_relay *copy = xcalloc(count, sizeof(*copy));
 
     for (size_t i = 0; i < count; i++) {
-        u_int hosts_count = relays[i].hosts.hosts_len;
-        copy[i].database = xstrdup(relays[i].database);
-        copy[i].standby = relays[i].standby;
-        copy[i].hosts.hosts_len = hosts_count;
-        copy[i].hosts.hosts_val = xcalloc(hosts_count, sizeof(char *));
-        for (u_int j = 0; j < hosts_count; j++) {
-            copy[i].hosts.hosts_val[j] = xstrdup(relays[i].hosts.hosts_val[j]);
-        }
+        codec_copy((xdrproc_t)xdr_ck_relay, &relays[i], &copy[i],
+                   sizeof(copy[i]));
     }
     return copy;
 }
@@ -279,11 +273,7 @@
 entry_free_relays(struct ck_relay *relays, size_t count)
 {
     for (size_t i = 0; i < count; i++) {
-        for (u_int j = 0; j < relays[i].hosts.hosts_len; j++) {
-            free(relays[i].hosts.hosts_val[j]);
-        }
-        free(relays[i].hosts.hosts_val);
-        free(relays[i].database);
+        codec_free((xdrproc_t)xdr_ck_relay, &relays[i]);
     }
     free(relays);
 }
--- a/src/catkingrade/entry/session.h
+++ b/src/catkingrade/entry/session.h
@@ -51,7 +51,8 @@
     struct database *database; // NULL until it is open
     uint64_t id;
     struct traffic_floor floor;
-    int64_t floor_us; // when it was raised last
+    int64_t floor_us;  // when it was raised last
+    const char *route; // its name, where statements may go over other entries
 };
 
 #endif
--- a/src/catkingrade/entry/typed_run.c
+++ b/src/catkingrade/entry/typed_run.c
@@ -109,7 +109,6 @@
     typed_values_release(run->values);
     typed_prepared_release(run->prepared);
     free(run->arguments);
-    free(run->route);
     free(run->id);
     free(run->text);
     free(run);
--- a/src/catkingrade/entry/typed_run.h
+++ b/src/catkingrade/entry/typed_run.h
@@ -46,7 +46,7 @@
     uint64_t after_lsn; // runs only where the log has it; 0: anywhere
     // For an entry that runs it for this one: the caller's route, and what its
     // session has saved.
-    char *route;
+    const char *route; // the session's own text
     struct traffic_floor floor;
     int64_t floor_age_us; // since when that position exists
 };
--- a/test/contract/test_platform.c
+++ b/test/contract/test_platform.c
@@ -230,14 +230,8 @@
 static void
 lose_disk(int place)
 {
-    char command[600];
-    const char *args[] = {"-rf", command, NULL};
-    int code = 0;
-
     (void)process_stop(rig.controls[place], SIGKILL);
-    (void)snprintf(command, sizeof(command), "%s/data%d", rig.folder, place);
-    free(process_run(rig.folder, "/bin/rm", args, &code));
-    ck_assert_int_eq(code, 0);
+    platform_rig_remove_disk(place);
     rig.controls[place] = platform_rig_start_daemon(place, false);
 }
 
--- a/test/rig/platform_rig.c
+++ b/test/rig/platform_rig.c
@@ -310,3 +310,16 @@
         usleep(RIG_WAIT_STEP_US);
     }
 }
+
+// Removes all that a control VM which does not run has stored.
+void
+platform_rig_remove_disk(int place)
+{
+    char folder[600];
+    const char *args[] = {"-rf", folder, NULL};
+    int code = 0;
+
+    (void)snprintf(folder, sizeof(folder), "%s/data%d", rig.folder, place);
+    free(process_run(rig.folder, "/bin/rm", args, &code));
+    ck_assert_int_eq(code, 0);
+}
--- a/test/rig/platform_rig.h
+++ b/test/rig/platform_rig.h
@@ -46,6 +46,7 @@
 int platform_rig_wait_answer(int entry, const char *name, const char *line,
                              const char *part);
 bool platform_rig_is_settled(int place);
+void platform_rig_remove_disk(int place);
 void platform_rig_check_statements(int fd);
 void platform_rig_check_own_saves(int fd);
 void platform_rig_expect(int fd, const char *line, const char *answer);
