fix(decide): plans of relays take a new record's names and stand

Change: the plans that stand take the new names.

test_young_plan_has_no_old_names fails under sanitizers without the new call (use after free) and passes with it.

--- a/src/catkingrade/decide/leader_lease.c
+++ b/src/catkingrade/decide/leader_lease.c
@@ -134,8 +134,6 @@
     if (leader_is_same_daemon(&holder->daemon, daemon)) {
         return;
     }
-    // Relays are planned with the names of the record that goes.
-    leader_forget_relay_plans(leader);
     if (holder->daemon.incarnation != daemon->incarnation) {
         if (holder->granted_until_us > holder->old_until_us) {
             holder->old_until_us = holder->granted_until_us;
@@ -146,6 +144,7 @@
     codec_free((xdrproc_t)xdr_ck_daemon, &holder->daemon);
     codec_copy((xdrproc_t)xdr_ck_daemon, daemon, &holder->daemon,
                sizeof(holder->daemon));
+    leader_rename_in_relays(leader, holder);
 }
 
 static struct leader_holder *
--- a/src/catkingrade/decide/leader_private.h
+++ b/src/catkingrade/decide/leader_private.h
@@ -208,7 +208,8 @@
                         const struct ck_renew_args *args,
                         struct ck_renew_result *result);
 void leader_free_relays(struct leader *leader);
-void leader_forget_relay_plans(struct leader *leader);
+void leader_rename_in_relays(struct leader *leader,
+                             const struct leader_holder *holder);
 void leader_note_lacking(struct leader *leader, const char *database,
                          const struct leader_holder *holder);
 size_t leader_count_watchers(struct leader *leader,
--- a/src/catkingrade/decide/leader_relay.c
+++ b/src/catkingrade/decide/leader_relay.c
@@ -56,13 +56,21 @@
     }
 }
 
-// Has all relays planned anew before they are used again.
+// Has plans use the names of a holder's new record. They stand until their
+// time is over: with all entries back at once they would be made for each.
 void
-leader_forget_relay_plans(struct leader *leader)
+leader_rename_in_relays(struct leader *leader,
+                        const struct leader_holder *holder)
 {
     for (struct leader_relay *relay = leader->relays; relay != NULL;
          relay = relay->next) {
-        relay->planned_us = 0;
+        for (size_t i = 0; i < relay->count; i++) {
+            if (relay->holders[i] == holder) {
+                relay->entries[i].vm = holder->daemon.vm;
+                relay->entries[i].failure_domain =
+                    holder->daemon.failure_domain;
+            }
+        }
     }
 }
 
--- a/test/unit/decide/test_leader.c
+++ b/test/unit/decide/test_leader.c
@@ -684,25 +684,32 @@
 }
 END_TEST
 
+// A daemon that came back under another address renews.
+static void
+renew_moved(struct rig *rig, const char *vm, const char *host,
+            uint64_t sequence)
+{
+    struct ck_renew_args args =
+        make_renewal(vm, sequence, group_get_revision(rig->group));
+    struct leader_event event = {.kind = LEADER_EVENT_RENEW, .token = 9};
+
+    args.daemon = changes_make_daemon(vm, host, 2);
+    event.renew = &args;
+    step(rig, &event);
+}
+
 // A daemon that comes back under another address is told to others by that
 // one, also while a plan is young.
 START_TEST(test_relay_has_the_newest_address)
 {
     struct rig rig;
-    struct ck_renew_args args;
-    struct leader_event event = {.kind = LEADER_EVENT_RENEW, .token = 9};
     bool found = false;
 
     start_relaying(&rig, 2, '2');
     (void)renew_lacking(&rig, "e1", 1, false);
-    args = make_renewal("e2", 1, group_get_revision(rig.group));
-    args.daemon = changes_make_daemon("e2", "10.3.0.77", 2);
-    event.renew = &args;
-    step(&rig, &event);
+    renew_moved(&rig, "e2", "10.3.0.77", 1);
     rig.now_us += 10 * MS;
-    args.sequence = 2;
-    args.known_revision = group_get_revision(rig.group);
-    step(&rig, &event);
+    renew_moved(&rig, "e2", "10.3.0.77", 2);
     rig.now_us += 300 * MS;
     const struct ck_relay *relay = renew_lacking(&rig, "e1", 2, false);
     for (u_int i = 0; i < relay->hosts.hosts_len; i++) {
@@ -713,6 +720,23 @@
 }
 END_TEST
 
+// A plan that is still young has none of the names that went with a daemon's
+// old record: sanitizers see those read.
+START_TEST(test_young_plan_has_no_old_names)
+{
+    struct rig rig;
+
+    start_relaying(&rig, 2, '2');
+    (void)renew_lacking(&rig, "e2", 1, false);
+    (void)renew_lacking(&rig, "e1", 1, false);
+    renew_moved(&rig, "e2", "10.3.0.77", 1);
+    const struct ck_relay *relay = renew_lacking(&rig, "e1", 2, false);
+    ck_assert_uint_eq(relay->hosts.hosts_len, 1);
+    ck_assert_str_eq(relay->hosts.hosts_val[0], "10.3.0.77");
+    finish(&rig);
+}
+END_TEST
+
 // Entries hear of relays again only when these have changed.
 START_TEST(test_relays_are_sent_when_they_change)
 {
@@ -747,6 +771,7 @@
 {
     tcase_add_test(tests, test_relays_are_sent_when_they_change);
     tcase_add_test(tests, test_relay_has_the_newest_address);
+    tcase_add_test(tests, test_young_plan_has_no_old_names);
     tcase_add_test(tests, test_few_connections_go_to_holders);
     tcase_add_test(tests, test_entry_without_a_way_to_the_primary);
     tcase_add_test(tests, test_renewals_that_grant_nothing);
