fix(decide): a new address of an entry is a change of what entries are told

Cause: the signature of a database's relays had the entries but not their addresses. One that came back under another address within the 0.2 s that a plan stands left all the same to see, and entries that knew the version before kept the old address for good.

The signature has the address now. test_new_address_is_a_change_of_relays failed before and passes after.

--- a/src/catkingrade/decide/leader_relay.c
+++ b/src/catkingrade/decide/leader_relay.c
@@ -207,8 +207,10 @@
     for (size_t i = 0; i < relay->count; i++) {
         struct relay_entry *entry = &relay->entries[i];
         entry->lacks = leader_is_lacking(leader, relay, relay->holders[i]);
+        const char *host = relay->holders[i]->daemon.host;
         const uint64_t row[] = {(uint64_t)(uintptr_t)relay->holders[i],
-                                entry->holds, entry->lacks};
+                                XXH3_64bits(host, strlen(host)), entry->holds,
+                                entry->lacks};
         signature = XXH3_64bits_withSeed(row, sizeof(row), signature);
     }
     if (signature != relay->signature) {
--- a/test/unit/decide/test_leader.c
+++ b/test/unit/decide/test_leader.c
@@ -737,6 +737,38 @@
 }
 END_TEST
 
+// An entry that has heard of the relays hears of another's new address, though
+// nobody came or went.
+START_TEST(test_new_address_is_a_change_of_relays)
+{
+    struct rig rig;
+    struct ck_renew_args args;
+    struct leader_event event = {.kind = LEADER_EVENT_RENEW, .token = 9};
+
+    start_relaying(&rig, 2, '2');
+    (void)renew_lacking(&rig, "e2", 1, false);
+    (void)renew_lacking(&rig, "e1", 1, false);
+    uint64_t version =
+        find_action(&rig, LEADER_ACTION_REPLY_RENEW)->renew->relays_version;
+    renew_moved(&rig, "e2", "10.3.0.77", 1);
+    rig.now_us += 10 * MS;
+    renew_moved(&rig, "e2", "10.3.0.77", 2);
+    rig.now_us += 300 * MS;
+    args = make_renewal("e1", 2, group_get_revision(rig.group));
+    args.relays_version = version;
+    event.renew = &args;
+    step(&rig, &event);
+    const struct ck_renew_result *result =
+        find_action(&rig, LEADER_ACTION_REPLY_RENEW)->renew;
+    ck_assert_uint_ne(result->relays_version, version);
+    ck_assert_uint_eq(result->relays.relays_len, 1);
+    ck_assert_uint_eq(result->relays.relays_val[0].hosts.hosts_len, 1);
+    ck_assert_str_eq(result->relays.relays_val[0].hosts.hosts_val[0],
+                     "10.3.0.77");
+    finish(&rig);
+}
+END_TEST
+
 // Entries hear of relays again only when these have changed.
 START_TEST(test_relays_are_sent_when_they_change)
 {
@@ -772,6 +804,7 @@
     tcase_add_test(tests, test_relays_are_sent_when_they_change);
     tcase_add_test(tests, test_relay_has_the_newest_address);
     tcase_add_test(tests, test_young_plan_has_no_old_names);
+    tcase_add_test(tests, test_new_address_is_a_change_of_relays);
     tcase_add_test(tests, test_few_connections_go_to_holders);
     tcase_add_test(tests, test_entry_without_a_way_to_the_primary);
     tcase_add_test(tests, test_renewals_that_grant_nothing);
