feat(raft): elect without the restart wait when every member votes

Cause: a voter that has restarted votes only after the shortest election timeout, since it may have answered a leader just before. Solution: a unanimous election. A leader that still runs is a member of the group, so a candidate for which every member votes, learners included, needs no wait. Not under a voter list that the last leader appended, which may have removed that leader. Own message kinds: voters of an earlier build ignore them. In the pre-vote phase, the candidate with the lower id of two with equal logs continues. Ruled out: a shorter election timeout (a slow link would depose leaders); the age of the process (a kill leaves the old answer valid).

--- a/src/catkingrade/decide/raft.c
+++ b/src/catkingrade/decide/raft.c
@@ -48,6 +48,7 @@
                     (params->starts_passive || raft->configs_count == 0);
     raft->params.voters = NULL;
     raft->params.group = raft->group;
+    raft_unanimous_start(raft);
     return raft;
 }
 
@@ -121,7 +122,10 @@
     }
     raft_become_follower(raft, raft->term, RAFT_NO_VOTER);
     if (raft_is_voting(raft, raft->params.self)) {
-        raft_become_candidate(raft, true, false);
+        raft_become_candidate(raft, true,
+                              raft_unanimous_is_possible(raft)
+                                  ? RAFT_ELECTION_UNANIMOUS
+                                  : RAFT_ELECTION_TIMEOUT);
     }
 }
 
@@ -142,9 +146,11 @@
     }
     switch (message->body.kind) {
     case CK_RAFT_VOTE:
+    case CK_RAFT_UNANIMOUS_VOTE:
         raft_handle_vote(raft, message);
         break;
     case CK_RAFT_VOTE_RESULT:
+    case CK_RAFT_UNANIMOUS_VOTE_RESULT:
         raft_handle_vote_result(raft, message);
         break;
     case CK_RAFT_APPEND:
--- a/src/catkingrade/decide/raft_election.c
+++ b/src/catkingrade/decide/raft_election.c
@@ -3,7 +3,8 @@
 #include "catkingrade/kernel/memory.h"
 #include "catkingrade/kernel/outcome.h"
 
-static int64_t
+// Returns a random duration of at most limit_us.
+int64_t
 raft_get_random_us(struct raft *raft, int64_t limit_us)
 {
     return (int64_t)(random_next(&raft->random_state) %
@@ -22,11 +23,12 @@
         raft->now_us + shortest_us + raft_get_random_us(raft, shortest_us / 2);
 }
 
-// Starts the election timer of a candidate: a random timeout of 1 to 2
-// heartbeats in the pre-vote phase, 2 to 4 after it. It is shorter than the
+// Starts the election timer of a candidate, or of a voter that leaves an
+// election to another candidate: a random timeout of 1 to 2 heartbeats in the
+// pre-vote phase of a candidate, 2 to 4 otherwise. It is shorter than the
 // election timeout because the other voters may have refused only because
 // their own timeout had not yet passed.
-static void
+void
 raft_set_retry_timer(struct raft *raft)
 {
     int64_t base_us = raft->params.heartbeat_us * (raft->pre_vote ? 1 : 2);
@@ -77,40 +79,56 @@
     raft_set_election_timer(raft);
 }
 
+// Requests the votes of the other voters, or of all other members in a
+// unanimous election.
 static void
 raft_request_votes(struct raft *raft)
 {
+    bool unanimous = raft->election == RAFT_ELECTION_UNANIMOUS;
     const struct ck_raft_body body = {
-        .kind = CK_RAFT_VOTE,
+        .kind = unanimous ? CK_RAFT_UNANIMOUS_VOTE : CK_RAFT_VOTE,
         .ck_raft_body_u.vote = {
             .pre_vote = raft->pre_vote,
-            .transfer = raft->transfer_election,
+            .transfer = raft->election == RAFT_ELECTION_TRANSFER,
             .last_index = raft_log_get_last_index(&raft->log),
             .last_term = raft_log_get_last_term(&raft->log),
         }};
 
     for (size_t i = 0; i < raft->peers_count; i++) {
         raft->peers[i].granted = false;
-        if (raft->peers[i].voting) {
+        if (raft->peers[i].voting || unanimous) {
             raft_send(raft, raft->peers[i].id,
                       raft->term + (raft->pre_vote ? 1 : 0), &body);
         }
     }
 }
 
-static void
-raft_count_votes(struct raft *raft)
+// Returns whether the granted votes suffice: those of a majority of the
+// voters, or of all members in a unanimous election.
+static bool
+raft_has_enough_votes(const struct raft *raft)
 {
-    size_t count = 1; // own vote
+    size_t voters = 1; // own vote
+    size_t members = 1;
 
     for (size_t i = 0; i < raft->peers_count; i++) {
-        count += raft->peers[i].voting && raft->peers[i].granted;
+        const struct raft_peer *peer = &raft->peers[i];
+        voters += peer->voting && peer->granted;
+        members += peer->granted;
     }
-    if (count < raft_get_majority(raft)) {
+    return raft->election == RAFT_ELECTION_UNANIMOUS
+               ? members == raft->peers_count + 1
+               : voters >= raft_get_majority(raft);
+}
+
+static void
+raft_count_votes(struct raft *raft)
+{
+    if (!raft_has_enough_votes(raft)) {
         return;
     }
     if (raft->pre_vote) {
-        raft_become_candidate(raft, false, false);
+        raft_become_candidate(raft, false, raft->election);
     }
     else {
         raft_become_leader(raft);
@@ -119,14 +137,15 @@
 
 // Becomes a candidate. With pre_vote, asks the other voters whether they would
 // grant a vote, without a new term. Otherwise starts a new term, votes for
-// itself and requests votes. transfer: the leader requested this election.
+// itself and requests votes.
 void
-raft_become_candidate(struct raft *raft, bool pre_vote, bool transfer)
+raft_become_candidate(struct raft *raft, bool pre_vote,
+                      enum raft_election election)
 {
     raft->role = RAFT_CANDIDATE;
     raft->leader = RAFT_NO_VOTER;
     raft->pre_vote = pre_vote;
-    raft->transfer_election = transfer;
+    raft->election = election;
     if (!pre_vote) {
         raft->term++;
         raft->voted_for = raft->params.self;
@@ -149,17 +168,26 @@
     return vote->last_index >= raft_log_get_last_index(&raft->log);
 }
 
+static bool
+raft_is_unanimous(const struct ck_raft_message *message)
+{
+    return message->body.kind == CK_RAFT_UNANIMOUS_VOTE ||
+           message->body.kind == CK_RAFT_UNANIMOUS_VOTE_RESULT;
+}
+
 static void
-raft_answer_vote(struct raft *raft, uint64_t to, uint64_t term, bool pre_vote,
-                 bool granted)
+raft_answer_vote(struct raft *raft, const struct ck_raft_message *request,
+                 uint64_t term, bool granted)
 {
-    const struct ck_raft_body body = {.kind = CK_RAFT_VOTE_RESULT,
-                                      .ck_raft_body_u.vote_result = {
-                                          .pre_vote = pre_vote,
-                                          .granted = granted,
-                                      }};
+    const struct ck_raft_body body = {
+        .kind = raft_is_unanimous(request) ? CK_RAFT_UNANIMOUS_VOTE_RESULT
+                                           : CK_RAFT_VOTE_RESULT,
+        .ck_raft_body_u.vote_result = {
+            .pre_vote = request->body.ck_raft_body_u.vote.pre_vote,
+            .granted = granted,
+        }};
 
-    raft_send(raft, to, term, &body);
+    raft_send(raft, request->from, term, &body);
 }
 
 // Returns whether this voter may answer a vote request. It must not vote
@@ -181,6 +209,21 @@
            raft->now_us >= raft->leader_contact_us + raft->params.election_us;
 }
 
+// Returns whether this voter, a candidate in the pre-vote phase itself, leaves
+// the election to another one: to a more advanced log, or to the lower id
+// between equal logs. Without this rule, voters that restart together would
+// become candidates of the same term and split the votes.
+static bool
+raft_yields_to(const struct raft *raft, const struct ck_raft_message *message)
+{
+    const struct ck_raft_vote *vote = &message->body.ck_raft_body_u.vote;
+    bool same = vote->last_term == raft_log_get_last_term(&raft->log) &&
+                vote->last_index == raft_log_get_last_index(&raft->log);
+
+    return same ? message->from < raft->params.self
+                : raft_is_candidate_up_to_date(raft, vote);
+}
+
 static void
 raft_handle_pre_vote(struct raft *raft, const struct ck_raft_message *message)
 {
@@ -188,8 +231,18 @@
     bool granted =
         message->term > raft->term && raft_is_candidate_up_to_date(raft, vote);
 
-    raft_answer_vote(raft, message->from, granted ? message->term : raft->term,
-                     true, granted);
+    if (granted && raft->role == RAFT_CANDIDATE && raft->pre_vote) {
+        if (!raft_yields_to(raft, message)) {
+            return;
+        }
+        raft_become_follower(raft, raft->term, RAFT_NO_VOTER);
+        raft_set_retry_timer(raft);
+    }
+    if (raft_is_unanimous(message)) {
+        raft_unanimous_handle_pre_vote(raft, granted);
+    }
+    raft_answer_vote(raft, message, granted ? message->term : raft->term,
+                     granted);
 }
 
 // Handles a vote or pre-vote request. A granted vote is saved before the
@@ -199,7 +252,9 @@
 {
     const struct ck_raft_vote *vote = &message->body.ck_raft_body_u.vote;
 
-    if (!raft_may_vote(raft, vote)) {
+    bool may_vote = raft_is_unanimous(message) ? raft_unanimous_may_vote(raft)
+                                               : raft_may_vote(raft, vote);
+    if (!may_vote) {
         return;
     }
     if (vote->pre_vote) {
@@ -220,7 +275,7 @@
     if (granted) {
         raft_set_election_timer(raft);
     }
-    raft_answer_vote(raft, message->from, raft->term, false, granted);
+    raft_answer_vote(raft, message, raft->term, granted);
 }
 
 // Counts a granted vote or pre-vote. A refusal with a later term makes this
@@ -240,8 +295,10 @@
         return;
     }
     uint64_t requested_term = raft->term + (raft->pre_vote ? 1 : 0);
+    bool unanimous = raft->election == RAFT_ELECTION_UNANIMOUS;
     if (raft->role != RAFT_CANDIDATE || peer == NULL ||
         (bool)result->pre_vote != raft->pre_vote ||
+        raft_is_unanimous(message) != unanimous ||
         message->term != requested_term) {
         return;
     }
@@ -259,6 +316,6 @@
         raft->role == RAFT_FOLLOWER && message->term == raft->term &&
         message->from == raft->leader &&
         raft_is_voting(raft, raft->params.self)) {
-        raft_become_candidate(raft, false, true);
+        raft_become_candidate(raft, false, RAFT_ELECTION_TRANSFER);
     }
 }
--- a/src/catkingrade/decide/raft_internal.h
+++ b/src/catkingrade/decide/raft_internal.h
@@ -16,6 +16,13 @@
     RAFT_PEER_SNAPSHOT,  // entries it needs are compacted; send a snapshot
 };
 
+// What a candidate's election is based on.
+enum raft_election {
+    RAFT_ELECTION_TIMEOUT,   // no leader was heard of for the election timeout
+    RAFT_ELECTION_TRANSFER,  // the leader requested it
+    RAFT_ELECTION_UNANIMOUS, // see raft_unanimous.c
+};
+
 // Another member of the group: a voter, or a learner that has no vote yet.
 struct raft_peer {
     uint64_t id;
@@ -65,8 +72,8 @@
     enum raft_role role;
     // The store is empty and this voter is not known to be a member.
     bool passive;
-    bool pre_vote;          // candidate in the pre-vote phase
-    bool transfer_election; // the leader requested this candidacy
+    bool pre_vote;               // candidate in the pre-vote phase
+    enum raft_election election; // of this candidate
     uint64_t leader;
     uint64_t commit_index;
     uint64_t applied_index;
@@ -113,7 +120,10 @@
 // raft_election.c
 void raft_set_election_timer(struct raft *raft);
 void raft_become_follower(struct raft *raft, uint64_t term, uint64_t leader);
-void raft_become_candidate(struct raft *raft, bool pre_vote, bool transfer);
+void raft_set_retry_timer(struct raft *raft);
+int64_t raft_get_random_us(struct raft *raft, int64_t limit_us);
+void raft_become_candidate(struct raft *raft, bool pre_vote,
+                           enum raft_election election);
 void raft_handle_vote(struct raft *raft,
                       const struct ck_raft_message *message);
 void raft_handle_vote_result(struct raft *raft,
@@ -121,6 +131,12 @@
 void raft_handle_timeout_now(struct raft *raft,
                              const struct ck_raft_message *message);
 
+// raft_unanimous.c
+void raft_unanimous_start(struct raft *raft);
+bool raft_unanimous_is_possible(const struct raft *raft);
+bool raft_unanimous_may_vote(const struct raft *raft);
+void raft_unanimous_handle_pre_vote(struct raft *raft, bool granted);
+
 // raft_leader.c
 void raft_become_leader(struct raft *raft);
 void raft_leader_tick(struct raft *raft);
--- a/src/catkingrade/rpc/messages.h
+++ b/src/catkingrade/rpc/messages.h
@@ -465,6 +465,8 @@
 	CK_RAFT_SNAPSHOT_RESULT = 6,
 	CK_RAFT_TIMEOUT_NOW = 7,
 	CK_RAFT_LEARNER = 8,
+	CK_RAFT_UNANIMOUS_VOTE = 9,
+	CK_RAFT_UNANIMOUS_VOTE_RESULT = 10,
 };
 typedef enum ck_raft_kind ck_raft_kind;
 
--- a/src/catkingrade/rpc/messages.x
+++ b/src/catkingrade/rpc/messages.x
@@ -396,7 +396,9 @@
     CK_RAFT_SNAPSHOT = 5,
     CK_RAFT_SNAPSHOT_RESULT = 6,
     CK_RAFT_TIMEOUT_NOW = 7,
-    CK_RAFT_LEARNER = 8             /* receiver's id is new, without vote */
+    CK_RAFT_LEARNER = 8,            /* receiver's id is new, without vote */
+    CK_RAFT_UNANIMOUS_VOTE = 9,     /* as VOTE, in a unanimous election */
+    CK_RAFT_UNANIMOUS_VOTE_RESULT = 10
 };
 
 struct ck_raft_vote {
@@ -443,8 +445,10 @@
 
 union ck_raft_body switch (ck_raft_kind kind) {
 case CK_RAFT_VOTE:
+case CK_RAFT_UNANIMOUS_VOTE:
     ck_raft_vote vote;
 case CK_RAFT_VOTE_RESULT:
+case CK_RAFT_UNANIMOUS_VOTE_RESULT:
     ck_raft_vote_result vote_result;
 case CK_RAFT_APPEND:
     ck_raft_append append;
--- a/src/catkingrade/rpc/messages_xdr.c
+++ b/src/catkingrade/rpc/messages_xdr.c
@@ -1220,10 +1220,12 @@
 		 return FALSE;
 	switch (objp->kind) {
 	case CK_RAFT_VOTE:
+	case CK_RAFT_UNANIMOUS_VOTE:
 		 if (!xdr_ck_raft_vote (xdrs, &objp->ck_raft_body_u.vote))
 			 return FALSE;
 		break;
 	case CK_RAFT_VOTE_RESULT:
+	case CK_RAFT_UNANIMOUS_VOTE_RESULT:
 		 if (!xdr_ck_raft_vote_result (xdrs, &objp->ck_raft_body_u.vote_result))
 			 return FALSE;
 		break;
--- a/test/replay/test_replay_raft.c
+++ b/test/replay/test_replay_raft.c
@@ -112,6 +112,36 @@
 }
 END_TEST
 
+// Guards against a group that waits for the election timeout after a power
+// loss of all its VMs, which no leader can have survived. The voters return
+// one after the other.
+START_TEST(test_restart_of_all_elects_at_once)
+{
+    struct raft_group_params params = default_params;
+
+    params.seed = (uint64_t)_i + 1;
+    struct raft_group *group = raft_group_create(&params);
+    check_commits(group);
+    run_for(group, SECOND_US);
+    for (int i = 0; i < 3; i++) {
+        raft_group_crash(group, i);
+    }
+    run_for(group, SECOND_US);
+    for (int i = 0; i < 3; i++) {
+        run_for(group, 30000);
+        raft_group_restart(group, (i + _i) % 3);
+    }
+    int64_t from_us = network_get_now_us(raft_group_get_network(group));
+    await_leader(group);
+    // The start of a candidate, then three round trips of up to 20 ms:
+    // pre-vote, vote, first entry. The shortest election timeout is longer.
+    ck_assert_int_lt(network_get_now_us(raft_group_get_network(group)),
+                     from_us + 100000);
+    check_commits(group);
+    raft_group_destroy(group);
+}
+END_TEST
+
 // Guards against an isolated leader that stays leader, leaves its proposals
 // pending, or raises its term and so forces an election when it reconnects.
 START_TEST(test_isolated_leader_steps_down)
@@ -400,6 +430,7 @@
 {
     tcase_add_test(tests, test_replicates);
     tcase_add_test(tests, test_leader_crash_elects_successor);
+    tcase_add_loop_test(tests, test_restart_of_all_elects_at_once, 0, 12);
     tcase_add_test(tests, test_isolated_leader_steps_down);
     tcase_add_test(tests, test_no_commit_without_majority);
     tcase_add_test(tests, test_lagging_voter_installs_snapshot);
--- a/test/unit/decide/test_raft.c
+++ b/test/unit/decide/test_raft.c
@@ -676,6 +676,130 @@
 }
 END_TEST
 
+static void
+receive_unanimous_granted(struct fixture *fixture, uint64_t from,
+                          uint64_t term, bool pre_vote)
+{
+    receive(
+        fixture, from, term,
+        (struct ck_raft_body){.kind = CK_RAFT_UNANIMOUS_VOTE_RESULT,
+                              .ck_raft_body_u.vote_result = {pre_vote, true}});
+}
+
+// Guards against a group that waits for the election timeout although all of
+// its voters have restarted, and against two leaders with valid leases: right
+// after a restart the votes of a majority must not suffice.
+START_TEST(test_unanimous_election_needs_every_voter)
+{
+    struct fixture fixture;
+
+    fixture_start(&fixture, &empty);
+    tick(&fixture, HEARTBEAT_US);
+    ck_assert_ptr_nonnull(find_sent(&fixture, CK_RAFT_UNANIMOUS_VOTE));
+    receive_vote_granted(&fixture, 1, true);
+    receive_unanimous_granted(&fixture, 2, 1, true);
+    ck_assert_uint_eq(raft_get_term(fixture.raft), 0);
+    receive_unanimous_granted(&fixture, 3, 1, true);
+    ck_assert_uint_eq(raft_get_term(fixture.raft), 1);
+    receive_unanimous_granted(&fixture, 2, 1, false);
+    ck_assert_int_eq(raft_get_role(fixture.raft), RAFT_CANDIDATE);
+    receive_unanimous_granted(&fixture, 3, 1, false);
+    ck_assert_int_eq(raft_get_role(fixture.raft), RAFT_LEADER);
+    ck_assert_int_lt(fixture.now_us, ELECTION_US);
+    fixture_destroy(&fixture);
+}
+END_TEST
+
+static void
+receive_unanimous_pre_vote(struct fixture *fixture, uint64_t from,
+                           uint64_t term)
+{
+    receive(fixture, from, term,
+            (struct ck_raft_body){.kind = CK_RAFT_UNANIMOUS_VOTE,
+                                  .ck_raft_body_u.vote = {true, false, 0, 0}});
+}
+
+static bool
+has_unanimous_answer(const struct fixture *fixture)
+{
+    return find_sent(fixture, CK_RAFT_UNANIMOUS_VOTE_RESULT) != NULL;
+}
+
+// Guards against a unanimous election while a leader runs: a voter that leads,
+// or has heard of a leader since its restart, takes no part.
+START_TEST(test_no_unanimous_vote_beside_leader)
+{
+    struct fixture fixture;
+
+    fixture_start(&fixture, &empty);
+    fixture.now_us = HEARTBEAT_US;
+    receive_append(&fixture, 1, 0, 0, 0, NULL, 0);
+    fixture.now_us += ELECTION_US - 1;
+    receive_unanimous_pre_vote(&fixture, 3, 2);
+    ck_assert(!has_unanimous_answer(&fixture));
+    fixture.now_us++;
+    receive_unanimous_pre_vote(&fixture, 3, 2);
+    ck_assert(has_unanimous_answer(&fixture));
+    become_leader(&fixture);
+    receive_unanimous_pre_vote(&fixture, 3, 9);
+    ck_assert(!has_unanimous_answer(&fixture));
+    fixture_destroy(&fixture);
+}
+END_TEST
+
+// Guards against a unanimous election under a voter list that the last leader
+// appended: it may have removed itself by it and still lead.
+START_TEST(test_no_unanimous_election_with_new_voters)
+{
+    struct fixture fixture;
+    struct ck_log_entry entries[2] = {make_entry(1, 1), make_entry(2, 1)};
+    struct ck_log_payload payload = {.change_id = (char *)(uintptr_t) "",
+                                     .change = {.kind = CK_CHANGE_VOTERS}};
+    struct raft_saved saved = {
+        .term = 1, .entries = entries, .entries_count = 2};
+    struct buffer bytes = {0};
+
+    fixture_start(&fixture, &empty); // fills fixture.voters
+    fixture_destroy(&fixture);
+    payload.change.ck_change_u.voters.voters.voters_len = 3;
+    payload.change.ck_change_u.voters.voters.voters_val = fixture.voters;
+    ck_assert_int_eq(
+        codec_encode((xdrproc_t)xdr_ck_log_payload, &payload, &bytes),
+        OUTCOME_OK);
+    entries[0].payload.payload_val = (char *)bytes.data;
+    entries[0].payload.payload_len = (u_int)buffer_get_size(&bytes);
+    for (uint64_t last_term = 1; last_term <= 2; last_term++) {
+        entries[1].term = last_term;
+        saved.term = last_term;
+        fixture_start(&fixture, &saved);
+        tick(&fixture, HEARTBEAT_US);
+        bool begun = find_sent(&fixture, CK_RAFT_UNANIMOUS_VOTE) != NULL;
+        ck_assert(begun == (last_term == 2));
+        fixture_destroy(&fixture);
+    }
+    buffer_free(&bytes);
+}
+END_TEST
+
+// Guards against split votes: of two candidates with equal logs in the
+// pre-vote phase, the one with the lower id continues.
+START_TEST(test_candidate_yields_to_lower_id)
+{
+    struct fixture fixture;
+
+    fixture_start(&fixture, &empty);
+    tick(&fixture, HEARTBEAT_US);
+    ck_assert_int_eq(raft_get_role(fixture.raft), RAFT_CANDIDATE);
+    receive_unanimous_pre_vote(&fixture, 3, 1);
+    ck_assert(!has_unanimous_answer(&fixture));
+    ck_assert_int_eq(raft_get_role(fixture.raft), RAFT_CANDIDATE);
+    receive_unanimous_pre_vote(&fixture, 0, 1);
+    ck_assert(has_unanimous_answer(&fixture));
+    ck_assert_int_eq(raft_get_role(fixture.raft), RAFT_FOLLOWER);
+    fixture_destroy(&fixture);
+}
+END_TEST
+
 static void
 add_tests(TCase *tests)
 {
@@ -695,6 +819,10 @@
     tcase_add_test(tests, test_admitted_voter_is_member_after_restart);
     tcase_add_test(tests, test_learner_message_only_to_learners);
     tcase_add_test(tests, test_foreign_messages_are_ignored);
+    tcase_add_test(tests, test_unanimous_election_needs_every_voter);
+    tcase_add_test(tests, test_no_unanimous_vote_beside_leader);
+    tcase_add_test(tests, test_no_unanimous_election_with_new_voters);
+    tcase_add_test(tests, test_candidate_yields_to_lower_id);
 }
 
 TEST_MAIN("raft", add_tests)
