feat(raft): elect unanimously also after the voter list has grown

Cause: the rule about voter lists of the last leader also refused lists that only add members, which every group of six VMs has from its first leader. Solution: only a list that lacks a member of the one before it is refused.

--- a/src/catkingrade/decide/raft_unanimous.c
+++ b/src/catkingrade/decide/raft_unanimous.c
@@ -13,9 +13,40 @@
 // this, so that the last voter to return begins it at once.
 #define RAFT_UNANIMOUS_START_DIVISOR 4
 
+static bool
+raft_has_member(const struct ck_voters_change *voters, uint64_t id)
+{
+    for (u_int i = 0; i < voters->voters.voters_len; i++) {
+        if (voters->voters.voters_val[i].id == id) {
+            return true;
+        }
+    }
+    return false;
+}
+
+// Returns whether the configuration in force is known to contain all members
+// of the one before it.
+static bool
+raft_has_kept_members(const struct raft *raft)
+{
+    if (raft->configs_count < 2) {
+        return false;
+    }
+    const struct ck_voters_change *voters =
+        &raft->configs[raft->configs_count - 1].voters;
+    const struct ck_voters_change *previous =
+        &raft->configs[raft->configs_count - 2].voters;
+    for (u_int i = 0; i < previous->voters.voters_len; i++) {
+        if (!raft_has_member(voters, previous->voters.voters_val[i].id)) {
+            return false;
+        }
+    }
+    return true;
+}
+
 // Returns whether no leader outside of the configuration in force can still
-// run: there has been a leader of a later term than that of the configuration.
-// The leader that appended the configuration may have removed itself by it.
+// run. Such a leader has appended the configuration in its last term, and
+// removed itself by it.
 static bool
 raft_is_config_settled(const struct raft *raft)
 {
@@ -25,7 +56,7 @@
     if (config == NULL) {
         return false;
     }
-    if (config->index == 0) {
+    if (config->index == 0 || raft_has_kept_members(raft)) {
         return true;
     }
     return raft_log_get_term(&raft->log, config->index, &config_term) &&
