feat(coordinator): lease and quotas at once after a restart

Problem: after the election, entries wait for their registration, and relays for the quotas of all others, one early renewal later; relays are chosen from the entries that have not renewed yet, so that statements of a failure domain cross regions. Cause: a lease needs the registration of the incarnation; quotas are frozen until the quotas of all entries are known, and nobody tells those who wait; an entry that has restarted has no lease at the moment of the choice. Solution: a VM that is registered in the same roles gets its lease at once, since a later leader waits for it; entries without connections are notified when the quotas are known; a lease of an earlier incarnation counts for the choice of relays. Tests: three in test_coordinator, seen to fail on the code before.

--- a/src/catkingrade/decide/coordinator.c
+++ b/src/catkingrade/decide/coordinator.c
@@ -121,6 +121,7 @@
     coordinator->next_tick_us = coordinator->now_us;
     coordinator->publish_soon = false;
     coordinator->publish_now = true; // daemons learn the new leader
+    coordinator->quotas_known = false;
     coordinator->index = group_index_create();
     coordinator->announce = announce_create(&params);
     coordinator->drain = drain_create();
--- a/src/catkingrade/decide/coordinator_failover.c
+++ b/src/catkingrade/decide/coordinator_failover.c
@@ -50,9 +50,8 @@
         xcalloc(count, sizeof(struct coordinator_pending_lease));
     for (struct coordinator_holder *holder = coordinator->holders;
          holder != NULL; holder = holder->next) {
-        bool has_lease = coordinator_has_live_lease(coordinator, holder) ||
-                         holder->previous_until_us > coordinator->now_us;
-        if (has_lease && coordinator_is_entry(holder)) {
+        if (coordinator_has_any_lease(coordinator, holder) &&
+            coordinator_is_entry(holder)) {
             struct coordinator_pending_lease *pending =
                 &db->pending_leases[db->pending_leases_count++];
             pending->holder = holder;
--- a/src/catkingrade/decide/coordinator_lease.c
+++ b/src/catkingrade/decide/coordinator_lease.c
@@ -42,6 +42,16 @@
     return holder->granted_until_us > coordinator->now_us;
 }
 
+// Returns whether a lease of the holder's daemon may still be valid: of this
+// incarnation, or of one from before a restart.
+bool
+coordinator_has_any_lease(const struct coordinator *coordinator,
+                          const struct coordinator_holder *holder)
+{
+    return coordinator_has_live_lease(coordinator, holder) ||
+           holder->previous_until_us > coordinator->now_us;
+}
+
 // Returns whether the daemon is an entry, which serves client traffic.
 bool
 coordinator_is_entry(const struct coordinator_holder *holder)
@@ -135,6 +145,20 @@
     return known != NULL && coordinator_is_same_daemon(known, daemon);
 }
 
+// Returns whether the group state records that this VM may hold a lease: the
+// VM is registered in the same roles, perhaps with an earlier incarnation or
+// another address. A later leader then waits until the lease is over. So a
+// daemon that restarts gets its lease without waiting for its registration.
+static bool
+coordinator_may_be_granted(const struct coordinator *coordinator,
+                           const struct ck_daemon *daemon)
+{
+    const struct ck_daemon *known =
+        group_find_daemon(coordinator->group, daemon->vm);
+
+    return known != NULL && known->roles == daemon->roles;
+}
+
 // Updates a holder with a daemon's new incarnation or address. The lease of
 // the previous incarnation counts until it expires.
 static void
@@ -227,15 +251,15 @@
 {
     struct group_delta_filter filter = {
         .max_size_bytes = coordinator->params.delta_max_size_bytes};
-    bool registered = coordinator_is_registered(coordinator, &args->daemon);
+    bool recorded = coordinator_may_be_granted(coordinator, &args->daemon);
     struct ck_renew_result *result =
         coordinator_add_renew_reply(coordinator, token, args->sequence,
-                                    registered ? OUTCOME_OK : OUTCOME_AGAIN);
+                                    recorded ? OUTCOME_OK : OUTCOME_AGAIN);
 
     group_fill_delta(coordinator->group, args->known_revision, &filter,
                      &result->delta);
     coordinator_actions_own_delta(coordinator, &result->delta);
-    if (!registered || result->delta.more || holder->lease_denied) {
+    if (!recorded || result->delta.more || holder->lease_denied) {
         return;
     }
     coordinator_fill_quotas(coordinator, holder, args, result);
@@ -269,6 +293,7 @@
         args->confirmed.confirmed_val, args->confirmed.confirmed_len);
     coordinator_handle_suspicions(coordinator, args->daemon.vm, args);
     coordinator_reply_renewal(coordinator, token, holder, args);
+    coordinator_end_quota_wait(coordinator);
 }
 
 // Lists the terms whose in-flight requests the holders must abort. items may
--- a/src/catkingrade/decide/coordinator_private.h
+++ b/src/catkingrade/decide/coordinator_private.h
@@ -47,6 +47,8 @@
     bool is_notifying; // a notification is in flight
     bool notify_again; // notify again when the one in flight has ended
     bool lease_denied; // no lease until the unconfirmed revocation has ended
+    bool has_renewed;  // with this coordinator, which knows its quotas since
+    bool awaits_quota; // has a lease, but no connection to some upstream
 };
 
 // A lease that must end before the next term of a database may begin.
@@ -153,6 +155,7 @@
     // Holders are freed only when the coordinator is deposed.
     struct coordinator_holder *holders;
     size_t holders_count;
+    bool quotas_known; // those of all holders that may have a lease
     struct coordinator_proposal *proposals; // newest first
     struct coordinator_database *databases; // only those that need a state
     struct coordinator_quota *quotas;       // at most one per upstream
@@ -192,6 +195,8 @@
 coordinator_find_holder(const struct coordinator *coordinator, const char *vm);
 bool coordinator_has_live_lease(const struct coordinator *coordinator,
                                 const struct coordinator_holder *holder);
+bool coordinator_has_any_lease(const struct coordinator *coordinator,
+                               const struct coordinator_holder *holder);
 bool coordinator_is_entry(const struct coordinator_holder *holder);
 size_t coordinator_count_leased_entries(const struct coordinator *coordinator);
 void coordinator_handle_renewal(struct coordinator *coordinator,
@@ -210,6 +215,7 @@
                              struct coordinator_holder *holder,
                              const struct ck_renew_args *args,
                              struct ck_renew_result *result);
+void coordinator_end_quota_wait(struct coordinator *coordinator);
 void coordinator_free_quotas(struct coordinator *coordinator);
 uint32_t coordinator_get_quota_connections(const struct ck_upstream *upstream);
 bool coordinator_allocates_all(const struct coordinator *coordinator);
--- a/src/catkingrade/decide/coordinator_quota.c
+++ b/src/catkingrade/decide/coordinator_quota.c
@@ -472,6 +472,8 @@
     struct coordinator_allocation allocation = {
         .coordinator = coordinator, .holder = holder, .args = args};
 
+    holder->has_renewed = true;
+    holder->awaits_quota = false;
     if (!coordinator_is_entry(holder)) {
         return;
     }
@@ -490,6 +492,7 @@
     }
     for (size_t i = 0; i < allocation.count; i++) {
         if (allocation.quotas[i].connections == 0) {
+            holder->awaits_quota = true;
             result->hasten_us = coordinator_get_early_renewal_us(coordinator);
         }
     }
@@ -497,3 +500,37 @@
         coordinator_actions_own(coordinator->actions, allocation.quotas);
     result->quotas.quotas_len = (u_int)allocation.count;
 }
+
+// Returns whether the quotas of every entry that may have a lease are known.
+// Until then no quota grows.
+static bool
+coordinator_knows_all_quotas(const struct coordinator *coordinator)
+{
+    for (const struct coordinator_holder *holder = coordinator->holders;
+         holder != NULL; holder = holder->next) {
+        if (coordinator_is_entry(holder) && !holder->has_renewed &&
+            coordinator_has_live_lease(coordinator, holder)) {
+            return false;
+        }
+    }
+    return true;
+}
+
+// Notifies the entries that wait for connections once the quotas of all
+// entries are known, so that they renew at once. After a restart of all VMs
+// every caller waits for these entries.
+void
+coordinator_end_quota_wait(struct coordinator *coordinator)
+{
+    if (coordinator->quotas_known ||
+        !coordinator_knows_all_quotas(coordinator)) {
+        return;
+    }
+    coordinator->quotas_known = true;
+    for (struct coordinator_holder *holder = coordinator->holders;
+         holder != NULL; holder = holder->next) {
+        if (holder->awaits_quota) {
+            coordinator_notify(coordinator, holder);
+        }
+    }
+}
--- a/src/catkingrade/decide/coordinator_relay.c
+++ b/src/catkingrade/decide/coordinator_relay.c
@@ -162,8 +162,9 @@
     return min_connections;
 }
 
-// Lists the entries that can be relays: registered and with a lease that may
-// be valid.
+// Lists the entries that can be relays: registered, and with a lease that may
+// be valid. An entry that has just restarted counts by its earlier lease, so
+// that the relays stay the same.
 static void
 coordinator_list_relay_entries(const struct coordinator *coordinator,
                                struct coordinator_relay_plan *plan)
@@ -187,7 +188,7 @@
             continue;
         }
         plan->registered_count++;
-        if (!coordinator_has_live_lease(coordinator, holder)) {
+        if (!coordinator_has_any_lease(coordinator, holder)) {
             continue;
         }
         plan->entries[plan->count] = (struct relay_plan_entry){
--- a/src/catkingrade/decide/leaseholder.c
+++ b/src/catkingrade/decide/leaseholder.c
@@ -247,7 +247,8 @@
         holder->next_renew_us = now_us + holder->params.retry_us;
         return;
     }
-    if (result->hasten_us > 0 &&
+    holder->is_hastened = result->hasten_us > 0;
+    if (holder->is_hastened &&
         (int64_t)result->hasten_us < holder->params.renew_us) {
         holder->next_renew_us = now_us + (int64_t)result->hasten_us;
     }
@@ -305,9 +306,10 @@
     holder->next_renew_us = now_us;
 }
 
-// Handles a notification from the Raft leader: revokes the listed terms and,
-// if the notification announces a newer revision, renews at once. A
-// notification with a lower leader term is ignored.
+// Handles a notification from the Raft leader: revokes the listed terms, and
+// renews at once if the notification announces a newer revision or the leader
+// has asked for an early renewal. A notification with a lower leader term is
+// ignored.
 static void
 leaseholder_handle_notification(struct leaseholder *holder, int64_t now_us,
                                 const struct leaseholder_event *event,
@@ -329,7 +331,7 @@
     if (event->from != NULL) {
         leaseholder_switch_target(holder, now_us, event->from);
     }
-    if (args->revision > holder->revision) {
+    if (args->revision > holder->revision || holder->is_hastened) {
         leaseholder_renew_soon(holder, now_us);
     }
 }
--- a/src/catkingrade/decide/leaseholder_private.h
+++ b/src/catkingrade/decide/leaseholder_private.h
@@ -25,6 +25,7 @@
     bool in_flight;
     int64_t sent_at_us;
     bool renew_again; // right after the result of the in-flight call
+    bool is_hastened; // the leader asked for an early renewal
     // Target and time of the next call.
     struct leaseholder_address target;
     size_t next_voter;
--- a/test/unit/decide/test_coordinator.c
+++ b/test/unit/decide/test_coordinator.c
@@ -819,6 +819,97 @@
 }
 END_TEST
 
+// Renews with a later incarnation of a daemon, as after a restart. Returns the
+// reply, which is valid until the next step.
+static const struct ck_renew_result *
+renew_restarted(struct rig *rig, const char *vm, uint64_t sequence)
+{
+    struct ck_renew_args args =
+        make_renewal(vm, sequence, group_get_revision(rig->group));
+    struct coordinator_event event = {.kind = COORDINATOR_EVENT_RENEW,
+                                      .token = 9};
+
+    args.daemon.incarnation++;
+    event.renew = &args;
+    rig->hold_proposals = true; // keeps the reply in the action list
+    step(rig, &event);
+    const struct coordinator_action *reply =
+        find_action(rig, COORDINATOR_ACTION_REPLY_RENEW);
+    ck_assert_ptr_nonnull(reply);
+    return reply->renew;
+}
+
+// Guards against entries that wait for their registration after a restart: the
+// VM is known, so that a later leader waits for its lease, and the first
+// renewal gets the lease. The lease of the earlier incarnation still counts.
+START_TEST(test_restarted_entry_gets_lease_at_once)
+{
+    struct rig rig;
+
+    start_database(&rig, "e1");
+    elect(&rig, 4);
+    rig.now_us = START_US + 10 * MS;
+    const struct ck_renew_result *result = renew_restarted(&rig, "e1", 1);
+    ck_assert_int_eq(result->outcome, OUTCOME_OK);
+    ck_assert_uint_eq(result->lease_us, LEASE_US);
+    ck_assert_ptr_nonnull(find_action(&rig, COORDINATOR_ACTION_PROPOSE));
+    finish(&rig);
+}
+END_TEST
+
+// Guards against relays that depend on the order in which entries return after
+// a restart of all: an entry that has renewed, but had no lease yet, must be
+// selected like the others.
+START_TEST(test_restart_keeps_relays)
+{
+    struct rig rig;
+    size_t quotas[2][4] = {{0}};
+
+    start_with_relays(&rig, 6, '4');
+    for (int restarted = 0; restarted < 2; restarted++) {
+        for (int i = 0; i < 4; i++) {
+            char vm[] = {'e', (char)('1' + i), '\0'};
+            const struct ck_renew_result *result =
+                restarted == 1
+                    ? renew_restarted(&rig, vm, 1)
+                    : renew(&rig, vm, 1, group_get_revision(rig.group));
+            quotas[restarted][i] = result->quotas.quotas_len;
+        }
+        elect(&rig, 5);
+    }
+    ck_assert_mem_eq(quotas[0], quotas[1], sizeof(quotas[0]));
+    finish(&rig);
+}
+END_TEST
+
+// Guards against a relay that has its lease, but waits for its next renewal to
+// get connections: no quota grows until the quotas of all entries are known,
+// and then those that wait are notified.
+START_TEST(test_quotas_are_announced_when_known)
+{
+    struct rig rig;
+
+    start_database(&rig, "e1");
+    add_daemon(&rig, "e2");
+    elect(&rig, 4);
+    rig.now_us = START_US + 10 * MS;
+    const struct ck_renew_result *result = renew_restarted(&rig, "e1", 1);
+    ck_assert_uint_eq(result->quotas.quotas_val[0].connections, 0);
+    struct coordinator_event notified = {.kind = COORDINATOR_EVENT_NOTIFIED};
+    notified.notified.vm = "e1"; // the notification of the election
+    step(&rig, &notified);
+    result = renew_restarted(&rig, "e2", 1);
+    ck_assert_uint_gt(result->quotas.quotas_val[0].connections, 0);
+    const struct coordinator_action *notify =
+        find_action(&rig, COORDINATOR_ACTION_NOTIFY);
+    ck_assert_ptr_nonnull(notify);
+    ck_assert_str_eq(notify->notify.daemon->vm, "e1");
+    result = renew_restarted(&rig, "e1", 2);
+    ck_assert_uint_gt(result->quotas.quotas_val[0].connections, 0);
+    finish(&rig);
+}
+END_TEST
+
 static void
 add_tests(TCase *tests)
 {
@@ -842,6 +933,9 @@
     tcase_add_test(tests, test_new_leader_notifies_daemons);
     tcase_add_test(tests, test_half_of_connections_is_allocated);
     tcase_add_test(tests, test_silent_daemon_expires);
+    tcase_add_test(tests, test_restarted_entry_gets_lease_at_once);
+    tcase_add_test(tests, test_restart_keeps_relays);
+    tcase_add_test(tests, test_quotas_are_announced_when_known);
 }
 
 TEST_MAIN("coordinator", add_tests)
--- a/test/unit/decide/test_leaseholder.c
+++ b/test/unit/decide/test_leaseholder.c
@@ -393,6 +393,30 @@
 }
 END_TEST
 
+// Guards against an entry without connections that ignores a notification with
+// a known revision: the leader has asked for an early renewal, and notifies
+// once it can allocate connections.
+START_TEST(test_hastened_holder_renews_when_notified)
+{
+    struct leaseholder *holder = make_holder();
+    struct ck_renew_result result = make_result(1, 4, 0, 9);
+    struct ck_notify_args notice = {.leader_term = 4, .revision = 9};
+    struct leaseholder_event notified = {.kind = LEASEHOLDER_EVENT_NOTIFIED};
+
+    (void)tick(holder, 5000 * MS);
+    result.hasten_us = 60 * MS;
+    (void)answer(holder, 5010 * MS, &result);
+    notified.notified = &notice;
+    ck_assert_ptr_nonnull(find_action(step(holder, 5020 * MS, &notified),
+                                      LEASEHOLDER_ACTION_SEND_RENEW));
+    result = make_result(2, 4, 9, 9);
+    (void)answer(holder, 5030 * MS, &result);
+    ck_assert_ptr_null(find_action(step(holder, 5040 * MS, &notified),
+                                   LEASEHOLDER_ACTION_SEND_RENEW));
+    leaseholder_destroy(holder);
+}
+END_TEST
+
 static void
 add_tests(TCase *tests)
 {
@@ -406,6 +430,7 @@
     tcase_add_test(tests, test_revocation_is_confirmed_until_the_next_term);
     tcase_add_test(tests, test_notification_switches_to_sender);
     tcase_add_test(tests, test_suspicion_is_sent_and_expires);
+    tcase_add_test(tests, test_hastened_holder_renews_when_notified);
 }
 
 TEST_MAIN("leaseholder", add_tests)
