feat(coordinator): end the backlog of lagging replicas by a planned change

Cause: its replicas have received the log and apply it in order, many seconds late, so that one primary does the work of three. Nothing decided on that. Solution: an entry that refuses a request for want of a slot reports the replicas that serve no reads (a new kind of suspicion, which an earlier build ignores). decide/backlog weighs: half of the entries with connections must have reported every replica, for twice the time that a change costs, all upstreams usable, the primary unsuspected. A planned change (also of a leaving primary, and an operator's) first waits until every lease holder has answered or has no lease, since the old primary serves meanwhile. A planned change no longer counts as a failover, which asks for more evidence of the next loss. Mended on the way: suspicions carried no duration, so that the rule about lasting reports never applied.

--- a/src/catkingrade/decide/admission.c
+++ b/src/catkingrade/decide/admission.c
@@ -6,6 +6,7 @@
 #include "catkingrade/decide/retry.h"
 #include "catkingrade/decide/scheduler_lease.h"
 #include "catkingrade/decide/scheduler_request.h"
+#include "catkingrade/decide/scheduler_sample.h"
 #include "catkingrade/kernel/memory.h"
 #include "catkingrade/kernel/outcome.h"
 
@@ -218,6 +219,7 @@
 {
     bool stale = request->stale_wait;
 
+    sample_report_lagging(scheduler);
     request_refuse(scheduler, request,
                    stale ? OUTCOME_UNAVAILABLE : OUTCOME_OVERLOADED,
                    RETRY_AFTER_US,
@@ -253,6 +255,7 @@
             remaining_us ||
         (request->start_by_us != INT64_MAX &&
          wait_us > request->start_by_us - scheduler->now_us)) {
+        sample_report_lagging(scheduler);
         request_refuse(scheduler, request, OUTCOME_OVERLOADED,
                        wait_us > 0 ? wait_us : RETRY_AFTER_US,
                        "the queue is too long");
--- a/src/catkingrade/decide/coordinator_command.c
+++ b/src/catkingrade/decide/coordinator_command.c
@@ -32,7 +32,7 @@
 {
     int index = coordinator_find_upstream_index(database, target);
 
-    if (db->phase != COORDINATOR_PHASE_IDLE) {
+    if (db->phase != COORDINATOR_PHASE_IDLE || db->planned_reason != NULL) {
         coordinator_reply_command(coordinator, token, OUTCOME_AGAIN,
                                   "a change of primary is under way");
     }
@@ -47,8 +47,8 @@
     }
     else {
         coordinator_accept_command(db, token, target);
-        db->is_planned = true;
-        coordinator_supersede(coordinator, db, database, "switchover");
+        coordinator_plan_change(coordinator, db, "switchover");
+        coordinator_run_database(coordinator, db);
     }
 }
 
--- a/src/catkingrade/decide/coordinator_database.c
+++ b/src/catkingrade/decide/coordinator_database.c
@@ -65,6 +65,7 @@
                                        "this VM no longer leads");
         }
         suspicion_clear(&db->suspicion);
+        coordinator_clear_lagging(db);
         coordinator_free_members(db);
         free(db->pending_leases);
         free(db->target);
@@ -119,9 +120,11 @@
         struct coordinator_member *known = coordinator_lookup_member(db, name);
         if (known != NULL) {
             members[i] = *known;
+            memset(&known->backlog, 0, sizeof(known->backlog)); // moved
         }
         members[i].name = xstrdup(name);
     }
+    coordinator_clear_lagging(db);
     coordinator_free_members(db);
     db->members = members;
     db->members_count = count;
@@ -281,8 +284,9 @@
     coordinator_run_database(coordinator, db);
 }
 
-// Handles an entry's suspicions of primaries. A suspicion of another term, or
-// of an upstream that is not the primary, is ignored.
+// Handles an entry's suspicions of primaries, and its reports of replicas that
+// lag. A suspicion of another term, or of an upstream that is not the primary,
+// is ignored.
 void
 coordinator_handle_suspicions(struct coordinator *coordinator, const char *vm,
                               const struct ck_renew_args *args)
@@ -292,6 +296,13 @@
             &args->suspicions.suspicions_val[i];
         const struct ck_database *database =
             group_find_database(coordinator->group, report->database);
+        if (database != NULL && database->term == report->term &&
+            report->kind == CK_SUSPECT_LAGGING) {
+            coordinator_handle_lagging(
+                coordinator, coordinator_find_holder(coordinator, vm),
+                database, report);
+            continue;
+        }
         if (database == NULL || database->term != report->term ||
             strcmp(database->primary, report->upstream) != 0) {
             continue;
@@ -360,45 +371,6 @@
     }
 }
 
-// Returns whether an upstream other than the primary is ready.
-static bool
-coordinator_has_ready_replica(const struct ck_database *database)
-{
-    for (u_int i = 0; i < database->upstreams.upstreams_len; i++) {
-        const struct ck_upstream *upstream =
-            &database->upstreams.upstreams_val[i];
-        if (upstream->state == CK_UPSTREAM_READY &&
-            strcmp(upstream->name, database->primary) != 0) {
-            return true;
-        }
-    }
-    return false;
-}
-
-// Begins a planned switchover to the most advanced replica if the primary is
-// leaving, another upstream is ready, and no failover or switchover took place
-// within the last switchover_us. Returns whether the switchover was begun.
-static bool
-coordinator_replace_leaving_primary(struct coordinator *coordinator,
-                                    struct coordinator_database *db,
-                                    const struct ck_database *database)
-{
-    const struct ck_upstream *primary =
-        group_find_upstream(coordinator->group, database->primary);
-    bool recent =
-        db->failover_us != 0 && coordinator->now_us - db->failover_us <
-                                    coordinator->params.switchover_us;
-
-    if (primary == NULL || primary->state != CK_UPSTREAM_LEAVING || recent ||
-        !coordinator_has_ready_replica(database)) {
-        return false;
-    }
-    db->is_planned = true;
-    db->failover_us = coordinator->now_us;
-    coordinator_supersede(coordinator, db, database, "primary leaves");
-    return true;
-}
-
 static void
 coordinator_run_idle(struct coordinator *coordinator,
                      struct coordinator_database *db,
@@ -411,7 +383,12 @@
         coordinator_set_phase(coordinator, db, COORDINATOR_PHASE_INITIAL);
         coordinator_run_initial(coordinator, db, database);
     }
-    else if (!coordinator_replace_leaving_primary(coordinator, db, database)) {
+    else {
+        coordinator_replace_leaving_primary(coordinator, db, database);
+        coordinator_relieve_primary(coordinator, db, database);
+        if (coordinator_run_planned_change(coordinator, db, database)) {
+            return;
+        }
         coordinator_check_primary(coordinator, db, database);
         coordinator_run_repairs(coordinator, db, database);
         coordinator_run_removal(coordinator, db, database);
--- a/src/catkingrade/decide/coordinator_failover.c
+++ b/src/catkingrade/decide/coordinator_failover.c
@@ -25,6 +25,8 @@
 {
     struct ck_change change = {.kind = CK_CHANGE_SUPERSEDE};
 
+    db->planned_reason = NULL;
+    db->is_planned = false;
     change.ck_change_u.supersede.database = database->name;
     change.ck_change_u.supersede.term = database->term;
     change.ck_change_u.supersede.reason = (char *)(uintptr_t)reason;
@@ -407,6 +409,7 @@
                                struct coordinator_database *db,
                                const struct ck_database *database)
 {
+    bool planned = db->is_planned;
     bool reached =
         db->target == NULL || strcmp(db->target, database->primary) == 0;
 
@@ -426,7 +429,14 @@
         db->members[i].needs_follow = replica;
         db->members[i].next_repair_us = 0;
     }
-    db->failover_us = database->term > 1 ? coordinator->now_us : 0;
+    coordinator_clear_lagging(db);
+    if (planned) {
+        coordinator->change_cost_us = coordinator->now_us - db->changed_us;
+    }
+    else {
+        db->failover_us = database->term > 1 ? coordinator->now_us : 0;
+    }
+    db->changed_us = database->term > 1 ? coordinator->now_us : 0;
     coordinator_set_phase(coordinator, db, COORDINATOR_PHASE_IDLE);
     coordinator_run_database(coordinator, db);
 }
--- a/src/catkingrade/decide/coordinator_lease.c
+++ b/src/catkingrade/decide/coordinator_lease.c
@@ -391,6 +391,10 @@
     if (holder == NULL) {
         return;
     }
+    if (result != NULL && result->outcome == OUTCOME_OK &&
+        holder->daemon.incarnation == result->daemon.incarnation) {
+        holder->last_seen_us = coordinator->now_us;
+    }
     bool again = holder->notify_again;
     holder->is_notifying = false;
     if (again && coordinator_has_live_lease(coordinator, holder)) {
--- /dev/null
+++ b/src/catkingrade/decide/coordinator_planned.c
@@ -0,0 +1,210 @@
+// Planned changes of primary: the primary leaves, an operator requests a
+// switchover, or the replicas of an overloaded primary lag. The old primary
+// serves until its term is superseded, so there is no hurry: the term ends
+// only once every lease holder has answered or has no lease any more. The
+// revocation then waits for no frozen, cut-off or killed entry.
+
+#include <inttypes.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "catkingrade/decide/coordinator_private.h"
+#include "catkingrade/kernel/memory.h"
+
+// Time without a primary that a planned change is expected to take before one
+// has been observed.
+#define COORDINATOR_CHANGE_COST_INITIAL_US 1500000
+
+// Requests a planned change of primary. reason is constant text.
+void
+coordinator_plan_change(struct coordinator *coordinator,
+                        struct coordinator_database *db, const char *reason)
+{
+    db->planned_reason = reason;
+    db->planned_us = coordinator->now_us;
+    db->next_notify_us = coordinator->now_us;
+}
+
+// Returns whether a holder may have a lease but has not been heard of since
+// the change was planned.
+static bool
+coordinator_is_holder_silent(const struct coordinator *coordinator,
+                             const struct coordinator_holder *holder,
+                             int64_t planned_us)
+{
+    if (!coordinator_is_entry(holder)) {
+        return false;
+    }
+    return holder->previous_until_us > coordinator->now_us ||
+           (coordinator_has_live_lease(coordinator, holder) &&
+            holder->last_seen_us < planned_us);
+}
+
+// Returns whether a lease holder is silent, and notifies those that are.
+static bool
+coordinator_await_silent_holders(struct coordinator *coordinator,
+                                 struct coordinator_database *db)
+{
+    bool notify = coordinator->now_us >= db->next_notify_us;
+    size_t silent = 0;
+
+    for (struct coordinator_holder *holder = coordinator->holders;
+         holder != NULL; holder = holder->next) {
+        if (!coordinator_is_holder_silent(coordinator, holder,
+                                          db->planned_us)) {
+            continue;
+        }
+        silent++;
+        if (notify) {
+            coordinator_notify(coordinator, holder);
+        }
+    }
+    if (notify) {
+        db->next_notify_us =
+            coordinator->now_us + COORDINATOR_NOTIFY_INTERVAL_US;
+    }
+    if (silent > 0) {
+        coordinator_wake_at(coordinator, db->next_notify_us);
+    }
+    return silent > 0;
+}
+
+// Continues a planned change: supersedes the term once no lease holder is
+// silent. Returns whether the term was superseded.
+bool
+coordinator_run_planned_change(struct coordinator *coordinator,
+                               struct coordinator_database *db,
+                               const struct ck_database *database)
+{
+    const char *reason = db->planned_reason;
+
+    if (reason == NULL || coordinator_await_silent_holders(coordinator, db)) {
+        return false;
+    }
+    coordinator_supersede(coordinator, db, database, reason);
+    db->is_planned = true;
+    db->changed_us = coordinator->now_us;
+    return true;
+}
+
+// Returns whether an upstream other than the primary is ready.
+static bool
+coordinator_has_ready_replica(const struct ck_database *database)
+{
+    for (u_int i = 0; i < database->upstreams.upstreams_len; i++) {
+        const struct ck_upstream *upstream =
+            &database->upstreams.upstreams_val[i];
+        if (upstream->state == CK_UPSTREAM_READY &&
+            strcmp(upstream->name, database->primary) != 0) {
+            return true;
+        }
+    }
+    return false;
+}
+
+// Plans a change to the most advanced replica if the primary is leaving,
+// another upstream is ready, and no change took place within the last
+// switchover_us.
+void
+coordinator_replace_leaving_primary(struct coordinator *coordinator,
+                                    struct coordinator_database *db,
+                                    const struct ck_database *database)
+{
+    const struct ck_upstream *primary =
+        group_find_upstream(coordinator->group, database->primary);
+    bool recent = db->changed_us != 0 && coordinator->now_us - db->changed_us <
+                                             coordinator->params.switchover_us;
+
+    if (db->planned_reason == NULL && primary != NULL &&
+        primary->state == CK_UPSTREAM_LEAVING && !recent &&
+        coordinator_has_ready_replica(database)) {
+        coordinator_plan_change(coordinator, db, "primary leaves");
+    }
+}
+
+// Stores the report of an entry that refuses requests for want of a slot while
+// a replica lags.
+void
+coordinator_handle_lagging(struct coordinator *coordinator,
+                           const struct coordinator_holder *holder,
+                           const struct ck_database *database,
+                           const struct ck_suspicion *report)
+{
+    int index = coordinator_find_upstream_index(database, report->upstream);
+
+    if (index < 0 || holder == NULL ||
+        strcmp(database->primary, report->upstream) == 0) {
+        return;
+    }
+    struct coordinator_database *db =
+        coordinator_get_or_add_database(coordinator, database->name);
+    (void)coordinator_sync_members(db, database);
+    backlog_add_report(&db->members[index].backlog, coordinator->now_us,
+                       holder->index,
+                       (int64_t)report->since_ms * COORDINATOR_US_PER_MS);
+    coordinator_run_database(coordinator, db);
+}
+
+// Discards the reports about the replicas of a database.
+void
+coordinator_clear_lagging(struct coordinator_database *db)
+{
+    for (size_t i = 0; i < db->members_count; i++) {
+        backlog_clear(&db->members[i].backlog);
+    }
+}
+
+// Returns whether an upstream can be relied on during a change.
+static bool
+coordinator_is_upstream_usable(const struct coordinator *coordinator,
+                               const struct ck_upstream *upstream)
+{
+    int64_t announced_us =
+        announce_get_last_us(coordinator->announce, upstream->name);
+
+    return upstream->state == CK_UPSTREAM_READY &&
+           announced_us > coordinator->now_us -
+                              coordinator->params.announce_expiry_us / 2;
+}
+
+// Plans a change of primary if the primary is overloaded because no replica
+// serves reads; see backlog.h.
+void
+coordinator_relieve_primary(struct coordinator *coordinator,
+                            struct coordinator_database *db,
+                            const struct ck_database *database)
+{
+    struct backlog_replica *replicas =
+        xcalloc(db->members_count, sizeof(*replicas));
+    struct backlog_params params = {
+        .replicas = replicas,
+        .entries_count =
+            coordinator_count_connected_entries(coordinator, database),
+        .is_primary_suspected = db->suspicion.reports_count > 0 ||
+                                db->suspicion.probe_failures > 0,
+        .changed_us = db->changed_us,
+        .change_cost_us = coordinator->change_cost_us != 0
+                              ? coordinator->change_cost_us
+                              : COORDINATOR_CHANGE_COST_INITIAL_US,
+    };
+
+    for (size_t i = 0; i < db->members_count; i++) {
+        const struct ck_upstream *upstream =
+            &database->upstreams.upstreams_val[i];
+        if (strcmp(upstream->name, database->primary) != 0) {
+            replicas[params.replicas_count++] = (struct backlog_replica){
+                &db->members[i].backlog,
+                coordinator_is_upstream_usable(coordinator, upstream)};
+        }
+    }
+    if (db->planned_reason == NULL &&
+        backlog_should_change(&params, coordinator->now_us)) {
+        coordinator_record(coordinator, "replicas_lag", database,
+                           database->primary,
+                           "database=%s entries=%zu change_cost_ms=%" PRId64,
+                           db->name, params.entries_count,
+                           params.change_cost_us / COORDINATOR_US_PER_MS);
+        coordinator_plan_change(coordinator, db, "replicas lag");
+    }
+    free(replicas);
+}
--- a/src/catkingrade/decide/coordinator_private.h
+++ b/src/catkingrade/decide/coordinator_private.h
@@ -2,11 +2,13 @@
 #define CATKINGRADE_DECIDE_COORDINATOR_PRIVATE_H
 
 #include "catkingrade/decide/announce.h"
+#include "catkingrade/decide/backlog.h"
 #include "catkingrade/decide/coordinator.h"
 #include "catkingrade/decide/drain.h"
 #include "catkingrade/decide/group_index.h"
 #include "catkingrade/decide/suspicion.h"
 
+#define COORDINATOR_US_PER_MS        1000
 #define COORDINATOR_TICK_INTERVAL_US 50000
 // Interval between two notifications of a holder that has not confirmed a
 // revocation.
@@ -80,6 +82,7 @@
     bool needs_follow;      // must replicate from the current primary
     bool repairing;         // a FENCE or FOLLOW is in flight
     int64_t next_repair_us;
+    struct backlog backlog; // reports that it lags
 };
 
 enum coordinator_phase {
@@ -99,7 +102,8 @@
     enum coordinator_phase phase;
     int64_t phase_us; // start of the phase
     struct suspicion suspicion;
-    int64_t failover_us; // time of the last failover; 0: none
+    int64_t failover_us; // time of the last unplanned change; 0: none
+    int64_t changed_us;  // begin of the last change of primary; 0: none
     struct coordinator_member *members;
     size_t members_count;
     struct coordinator_pending_lease *pending_leases;
@@ -107,6 +111,8 @@
     bool is_grace_over;   // holders must abort in-flight requests
     int64_t grace_end_us; // when is_grace_over was set
     int64_t next_notify_us;
+    const char *planned_reason;  // a planned change waits; NULL: none
+    int64_t planned_us;          // when it was planned
     bool is_planned;             // planned switchover, not a failover
     bool is_demoted;             // the primary answered a probe as a replica
     bool is_operator_approved;   // an operator accepts an incomplete target
@@ -155,7 +161,8 @@
     // Holders are freed only when the coordinator is deposed.
     struct coordinator_holder *holders;
     size_t holders_count;
-    bool quotas_known; // those of all holders that may have a lease
+    bool quotas_known;      // those of all holders that may have a lease
+    int64_t change_cost_us; // duration of the last planned change; 0: none
     struct coordinator_proposal *proposals; // newest first
     struct coordinator_database *databases; // only those that need a state
     struct coordinator_quota *quotas;       // at most one per upstream
@@ -279,6 +286,25 @@
                              struct coordinator_database *db,
                              const struct ck_database *database);
 
+// Planned changes of primary; coordinator_planned.c.
+void coordinator_plan_change(struct coordinator *coordinator,
+                             struct coordinator_database *db,
+                             const char *reason);
+bool coordinator_run_planned_change(struct coordinator *coordinator,
+                                    struct coordinator_database *db,
+                                    const struct ck_database *database);
+void coordinator_replace_leaving_primary(struct coordinator *coordinator,
+                                         struct coordinator_database *db,
+                                         const struct ck_database *database);
+void coordinator_handle_lagging(struct coordinator *coordinator,
+                                const struct coordinator_holder *holder,
+                                const struct ck_database *database,
+                                const struct ck_suspicion *report);
+void coordinator_clear_lagging(struct coordinator_database *db);
+void coordinator_relieve_primary(struct coordinator *coordinator,
+                                 struct coordinator_database *db,
+                                 const struct ck_database *database);
+
 // Failover; coordinator_failover.c.
 void coordinator_supersede(struct coordinator *coordinator,
                            struct coordinator_database *db,
--- a/src/catkingrade/decide/replica_lag.c
+++ b/src/catkingrade/decide/replica_lag.c
@@ -44,6 +44,7 @@
         lag->lag_us = age_us;
     }
     lag->updated_us = now_us;
+    lag->behind_since_us = 0;
 }
 
 // Records that a replica had not reached a position which was age_us old: its
@@ -58,6 +59,9 @@
         lag->lag_us = min_us;
     }
     lag->updated_us = now_us;
+    if (lag->behind_since_us == 0) {
+        lag->behind_since_us = now_us;
+    }
 }
 
 // Returns whether to send the replica a read that needs a position which is
--- a/src/catkingrade/decide/replica_lag.h
+++ b/src/catkingrade/decide/replica_lag.h
@@ -9,7 +9,8 @@
 // the estimate only decides whether sending a read to it is worthwhile.
 struct replica_lag {
     int64_t lag_us;
-    int64_t updated_us; // last measurement or attempt; 0: none
+    int64_t updated_us;      // last measurement or attempt; 0: none
+    int64_t behind_since_us; // has served no read since; 0: it serves reads
 };
 
 void replica_lag_record(struct replica_lag *lag, int64_t now_us,
--- a/src/catkingrade/decide/scheduler_sample.c
+++ b/src/catkingrade/decide/scheduler_sample.c
@@ -205,6 +205,30 @@
     action->term = lease_get_term(scheduler);
 }
 
+// Reports the replicas that serve no reads because they lag, when a request is
+// refused for want of a slot. Each is reported at most once per
+// SAMPLE_SUSPECT_INTERVAL_US.
+void
+sample_report_lagging(struct scheduler *scheduler)
+{
+    for (uint32_t i = 0; i < scheduler->candidates_count; i++) {
+        uint32_t index = scheduler->candidates[i];
+        struct upstream *up = &scheduler->upstreams[index];
+        if (index == scheduler->primary || up->lag.behind_since_us == 0 ||
+            (up->suspected_us != 0 && scheduler->now_us - up->suspected_us <
+                                          SAMPLE_SUSPECT_INTERVAL_US)) {
+            continue;
+        }
+        up->suspected_us = scheduler->now_us;
+        struct scheduler_action *action =
+            scheduler_add_action(scheduler, SCHEDULER_ACTION_SUSPECT);
+        action->upstream = index;
+        action->suspicion = CK_SUSPECT_LAGGING;
+        action->since_us = up->lag.behind_since_us;
+        action->term = lease_get_term(scheduler);
+    }
+}
+
 // Ends a pending sample. Requests another one if that was asked for after the
 // sample was sent.
 static void
--- a/src/catkingrade/decide/scheduler_sample.h
+++ b/src/catkingrade/decide/scheduler_sample.h
@@ -20,6 +20,7 @@
                             int64_t asked_at_us);
 void sample_record_failure(struct scheduler *scheduler, uint32_t upstream,
                            enum ck_suspicion_kind kind);
+void sample_report_lagging(struct scheduler *scheduler);
 void sample_record_answer(struct scheduler *scheduler, uint32_t upstream);
 void sample_refresh_ages(struct scheduler *scheduler);
 
--- a/src/catkingrade/entry/database_actions.c
+++ b/src/catkingrade/entry/database_actions.c
@@ -134,6 +134,11 @@
         .kind = action->suspicion,
     };
 
+    if (action->since_us != 0) {
+        suspicion.since_ms =
+            (uint64_t)(monotonic_get_us() - action->since_us) /
+            DATABASE_US_PER_MS;
+    }
     if (database_is_relayed(database)) {
         // The failed upstream is a relay: try the next relay instead of
         // reporting a suspicion.
--- a/src/catkingrade/entry/database_private.h
+++ b/src/catkingrade/entry/database_private.h
@@ -10,6 +10,8 @@
 #include "catkingrade/entry/worker.h"
 #include "catkingrade/kernel/histogram.h"
 
+#define DATABASE_US_PER_MS 1000
+
 // Types and functions that the database_*.c files share.
 
 // Connection of the upstream connection pool.
--- a/src/catkingrade/entry/database_report.c
+++ b/src/catkingrade/entry/database_report.c
@@ -12,7 +12,6 @@
 
 // Counters, histograms and log lines of the requests of a database.
 
-#define DATABASE_US_PER_MS 1000
 // Limits of log lines per second and thread. Failures are logged up to a rate
 // that a person can read; of successful requests only a sample is logged.
 #define DATABASE_FAILED_LOG_LINES_PER_S 40
--- a/src/catkingrade/rpc/messages.h
+++ b/src/catkingrade/rpc/messages.h
@@ -239,6 +239,7 @@
 	CK_SUSPECT_REFUSED = 1,
 	CK_SUSPECT_SILENT = 2,
 	CK_SUSPECT_SLOW = 3,
+	CK_SUSPECT_LAGGING = 4,
 };
 typedef enum ck_suspicion_kind ck_suspicion_kind;
 
--- a/src/catkingrade/rpc/messages.x
+++ b/src/catkingrade/rpc/messages.x
@@ -195,10 +195,14 @@
 enum ck_suspicion_kind {
     CK_SUSPECT_REFUSED = 1,
     CK_SUSPECT_SILENT = 2,
-    CK_SUSPECT_SLOW = 3
+    CK_SUSPECT_SLOW = 3,
+    /* A replica serves no reads since its log lags, while requests are refused
+       for want of a slot. */
+    CK_SUSPECT_LAGGING = 4
 };
 
-/* A suspected failure of a primary, as an entry reports it. */
+/* A suspected failure of a primary, or the lag of a replica, as an entry
+   reports it. */
 struct ck_suspicion {
     ck_name database;
     ck_name upstream;
--- a/test/unit/decide/test_coordinator.c
+++ b/test/unit/decide/test_coordinator.c
@@ -910,6 +910,111 @@
 }
 END_TEST
 
+static void
+announce(struct rig *rig, const char *name, const char *host,
+         enum ck_upstream_state state)
+{
+    const char *failure_domain = strcmp(name, "u1") == 0 ? "noord" : "zuid";
+    struct ck_upstream upstream =
+        changes_make_upstream(name, "roster1", failure_domain, host);
+    struct coordinator_event event = {.kind = COORDINATOR_EVENT_ANNOUNCE,
+                                      .token = 9};
+
+    upstream.state = state;
+    event.announce = &upstream;
+    step(rig, &event);
+}
+
+static void
+answer_notification(struct rig *rig, const char *vm)
+{
+    struct ck_notify_result result = {.outcome = OUTCOME_OK};
+    struct coordinator_event event = {.kind = COORDINATOR_EVENT_NOTIFIED};
+
+    result.daemon = changes_make_daemon(vm, "10.3.0.1", 1);
+    event.notified.vm = vm;
+    event.notified.incarnation = result.daemon.incarnation;
+    event.notified.result = &result;
+    step(rig, &event);
+}
+
+// Guards against a gap of a planned change that lasts as long as the lease of
+// a frozen entry: the term of a primary that leaves is superseded only when
+// all lease holders have answered, or have no lease any more.
+START_TEST(test_planned_change_waits_for_silent_holder)
+{
+    struct rig rig;
+
+    start_database(&rig, "e1");
+    add_daemon(&rig, "e2");
+    elect(&rig, 4);
+    uint64_t revision = group_get_revision(rig.group);
+    rig.now_us = START_US + 100 * MS;
+    (void)renew(&rig, "e1", 1, revision);
+    (void)renew(&rig, "e2", 1, revision);
+    int64_t granted_us = rig.now_us;
+    rig.now_us += 200 * MS;
+    announce(&rig, "u2", "10.0.0.2", CK_UPSTREAM_READY);
+    announce(&rig, "u1", "10.0.0.1", CK_UPSTREAM_LEAVING);
+    const struct ck_database *database =
+        group_find_database(rig.group, "roster1");
+    ck_assert(!database->superseding);
+    tick(&rig, rig.now_us + 50 * MS);
+    answer_notification(&rig, "e1");
+    ck_assert(!database->superseding);
+    // e2 is silent until the lease plus twice the clock drift has passed.
+    tick(&rig, granted_us + LEASE_US + 2 * MS);
+    ck_assert(!group_find_database(rig.group, "roster1")->superseding);
+    tick(&rig, granted_us + LEASE_US + 2 * MS + 50 * MS);
+    ck_assert(group_find_database(rig.group, "roster1")->superseding);
+    finish(&rig);
+}
+END_TEST
+
+// Plays an entry that refuses requests while the replica u2 lags, for
+// duration_us. Returns whether the term was superseded.
+static bool
+play_overload(int64_t duration_us)
+{
+    struct rig rig;
+
+    start_database(&rig, "e1");
+    elect(&rig, 4);
+    int64_t end_us = START_US + duration_us;
+    bool superseding = false;
+    for (uint64_t i = 1; rig.now_us < end_us && !superseding; i++) {
+        struct ck_suspicion report = {.database = (char *)"roster1",
+                                      .upstream = (char *)"u2",
+                                      .term = 1,
+                                      .kind = CK_SUSPECT_LAGGING,
+                                      .since_ms = 9000};
+        struct ck_renew_args args =
+            make_renewal("e1", i, group_get_revision(rig.group));
+        struct coordinator_event event = {.kind = COORDINATOR_EVENT_RENEW,
+                                          .token = 9};
+        rig.now_us += 200 * MS;
+        announce(&rig, "u1", "10.0.0.1", CK_UPSTREAM_READY);
+        announce(&rig, "u2", "10.0.0.2", CK_UPSTREAM_READY);
+        args.suspicions.suspicions_val = &report;
+        args.suspicions.suspicions_len = 1;
+        event.renew = &args;
+        step(&rig, &event);
+        answer_notification(&rig, "e1");
+        superseding = group_find_database(rig.group, "roster1")->superseding;
+    }
+    finish(&rig);
+    return superseding;
+}
+
+// Guards against a primary that serves all reads for as long as its replicas
+// lag; see test_backlog for the cases.
+START_TEST(test_lagging_replicas_cause_planned_change)
+{
+    ck_assert(!play_overload(2000 * MS));
+    ck_assert(play_overload(5000 * MS));
+}
+END_TEST
+
 static void
 add_tests(TCase *tests)
 {
@@ -936,6 +1041,8 @@
     tcase_add_test(tests, test_restarted_entry_gets_lease_at_once);
     tcase_add_test(tests, test_restart_keeps_relays);
     tcase_add_test(tests, test_quotas_are_announced_when_known);
+    tcase_add_test(tests, test_planned_change_waits_for_silent_holder);
+    tcase_add_test(tests, test_lagging_replicas_cause_planned_change);
 }
 
 TEST_MAIN("coordinator", add_tests)
--- a/test/unit/decide/test_guarded.c
+++ b/test/unit/decide/test_guarded.c
@@ -405,6 +405,48 @@
 }
 END_TEST
 
+static const struct scheduler_action *
+find_lag_report(void)
+{
+    for (size_t i = 0; i < rig.actions.count; i++) {
+        const struct scheduler_action *action = &rig.actions.items[i];
+        if (action->kind == SCHEDULER_ACTION_SUSPECT &&
+            action->suspicion == CK_SUSPECT_LAGGING) {
+            return action;
+        }
+    }
+    return NULL;
+}
+
+// Guards against a coordinator that does not learn of an overload: when a read
+// is refused for want of a slot, the replicas that serve no reads because they
+// lag are reported, with the time since when.
+START_TEST(test_lagging_replica_is_reported_at_refusal)
+{
+    start(2);
+    finish_at_lsn(
+        scheduler_rig_post_request(&rig, 1, SCHEDULER_CLASS_WRITE, -1), 100);
+    scheduler_rig_tick(&rig, 300 * SCHEDULER_RIG_MS_US);
+    uint64_t read =
+        scheduler_rig_post_request(&rig, 1, SCHEDULER_CLASS_READ, AGE_US);
+    int64_t behind_us = rig.now_us;
+    refuse(read, SCHEDULER_REFUSAL_BEHIND);
+    ck_assert_ptr_null(find_lag_report());
+    for (uint64_t i = 0; i < REQUEST_COUNT; i++) {
+        (void)request_with_queue_timeout(i + 10);
+    }
+    const struct scheduler_action *report = NULL;
+    for (int i = 0; i < 100 && report == NULL; i++) {
+        scheduler_rig_tick(&rig, 10 * SCHEDULER_RIG_MS_US);
+        report = find_lag_report();
+    }
+    ck_assert_ptr_nonnull(report);
+    ck_assert_uint_eq(report->upstream, 1);
+    ck_assert_int_eq(report->since_us, behind_us);
+    scheduler_rig_free(&rig);
+}
+END_TEST
+
 static void
 add_tests(TCase *tests)
 {
@@ -425,6 +467,7 @@
     tcase_add_test(tests, test_queue_timeout_restarts_after_stall);
     tcase_add_test(tests, test_lag_estimate);
     tcase_add_test(tests, test_oldest_sample_since);
+    tcase_add_test(tests, test_lagging_replica_is_reported_at_refusal);
 }
 
 TEST_MAIN("guarded", add_tests)
