feat(scheduler): let requests wait for a change of primary that ends in time

Cause: every request for the primary was refused from the end of the term on; callers come back at once, twice at most, and find the same. Solution: decide/primary_wait estimates the rest of the change from earlier ones; a request that can still end before its deadline waits, others are refused at once, also later when the change takes longer than expected. Only under a lease and while the term is being superseded.

--- a/src/catkingrade/decide/admission.c
+++ b/src/catkingrade/decide/admission.c
@@ -192,6 +192,45 @@
     return wanted < peak ? wanted : peak;
 }
 
+// Returns whether a change of primary is in progress whose end this entry will
+// learn: it has a lease and the term is being superseded, or it was, and the
+// lease for the next term is on its way.
+static bool
+admission_is_primary_changing(const struct scheduler *scheduler)
+{
+    const struct ck_database *database = scheduler->view.database;
+
+    return scheduler->view_known && scheduler->lease_known &&
+           scheduler->lease.valid_until_us > scheduler->now_us &&
+           (database->superseding || (scheduler->primary_wait.since_us != 0 &&
+                                      scheduler->lease.term < database->term));
+}
+
+// Records the begin and the end of a change of primary. The queue timeouts of
+// the requests that have waited for it count from its end.
+void
+admission_update_primary_wait(struct scheduler *scheduler)
+{
+    struct primary_wait *wait = &scheduler->primary_wait;
+
+    if (admission_is_primary_changing(scheduler)) {
+        if (wait->since_us == 0) {
+            primary_wait_begin(wait, scheduler->now_us);
+            timers_add(&scheduler->timers,
+                       scheduler->now_us + primary_wait_get_remaining_us(
+                                               wait, scheduler->now_us),
+                       TIMER_WAKE, 0);
+        }
+    }
+    else if (wait->since_us != 0 && lease_is_valid(scheduler)) {
+        primary_wait_end(wait, scheduler->now_us);
+        scheduler->dispatch_resumed_us[QUEUE_PRIMARY] = scheduler->now_us;
+    }
+    else {
+        primary_wait_cancel(wait);
+    }
+}
+
 // Returns how long the statement of a request is expected to take, in
 // microseconds. A statement that starts later than this before its deadline
 // often ends with an unknown outcome. The result is capped at half of the
@@ -211,6 +250,21 @@
     return service_us < max_us ? service_us : max_us;
 }
 
+// Returns whether a request that needs the primary may wait for the end of a
+// change in progress: it can then still end before its deadline.
+static bool
+admission_may_await_primary(const struct scheduler *scheduler,
+                            const struct request *request)
+{
+    const struct primary_wait *wait = &scheduler->primary_wait;
+
+    return wait->since_us != 0 &&
+           scheduler->now_us +
+                   primary_wait_get_remaining_us(wait, scheduler->now_us) +
+                   admission_get_service_us(scheduler, request) <=
+               request->deadline_us;
+}
+
 // Refuses a request whose queue timeout has expired. The outcome and reason
 // tell whether no slot was free or no upstream was fresh enough for the read.
 void
@@ -237,8 +291,10 @@
     struct request_type *type = &scheduler->types[request->type];
     struct type_queue *queue = &type->queues[kind];
 
-    if (kind == QUEUE_PRIMARY && (scheduler->primary == SCHEDULER_NO_ID ||
-                                  !lease_is_valid(scheduler))) {
+    if (kind == QUEUE_PRIMARY &&
+        (scheduler->primary == SCHEDULER_NO_ID ||
+         !lease_is_valid(scheduler)) &&
+        !admission_may_await_primary(scheduler, request)) {
         request_refuse(scheduler, request, OUTCOME_UNAVAILABLE,
                        ADMISSION_FAILOVER_RETRY_US,
                        "there is no primary under a valid lease");
@@ -341,7 +397,8 @@
 {
     enum queue_kind kind = admission_get_queue(request);
 
-    if (admission_is_stalled(scheduler, kind)) {
+    if (admission_is_stalled(scheduler, kind) ||
+        (kind == QUEUE_PRIMARY && scheduler->primary_wait.since_us != 0)) {
         return scheduler->now_us + request->queue_timeout_us;
     }
     return scheduler->dispatch_resumed_us[kind] + request->queue_timeout_us;
@@ -374,18 +431,23 @@
         (service_us - type->service_us) * ADMISSION_SERVICE_EWMA_WEIGHT;
 }
 
-// Refuses all queued requests that need the primary, with this reason.
+// Refuses the queued requests that need the primary, with this reason, except
+// those that may wait for the end of a change of primary.
 void
 admission_refuse_primary(struct scheduler *scheduler, const char *reason)
 {
     for (uint32_t i = 0; i < scheduler->types_count; i++) {
-        struct request_list *list =
+        const struct request_list *list =
             &scheduler->types[i].queues[QUEUE_PRIMARY].list;
-        while (list->first != NULL) {
-            struct request *request = list->first;
-            admission_remove(scheduler, request);
-            request_refuse(scheduler, request, OUTCOME_UNAVAILABLE,
-                           ADMISSION_FAILOVER_RETRY_US, reason);
+        struct request *next = NULL;
+        for (struct request *request = list->first; request != NULL;
+             request = next) {
+            next = request->next;
+            if (!admission_may_await_primary(scheduler, request)) {
+                admission_remove(scheduler, request);
+                request_refuse(scheduler, request, OUTCOME_UNAVAILABLE,
+                               ADMISSION_FAILOVER_RETRY_US, reason);
+            }
         }
     }
 }
--- a/src/catkingrade/decide/admission.h
+++ b/src/catkingrade/decide/admission.h
@@ -7,7 +7,8 @@
 // statements that need the primary and one for reads that a replica may serve.
 // Weighted fair queueing picks the next type. A request is refused early when
 // its queue is full, when its estimated wait exceeds its deadline or queue
-// timeout, or when it needs a primary and there is none with a valid lease.
+// timeout, or when it needs a primary and there is none with a valid lease nor
+// one expected in time.
 
 void admission_handle_view(struct scheduler *scheduler);
 uint8_t admission_find_type(const struct scheduler *scheduler,
@@ -29,6 +30,7 @@
                            struct request *request);
 void admission_record_service_time(struct scheduler *scheduler,
                                    const struct request *request);
+void admission_update_primary_wait(struct scheduler *scheduler);
 void admission_refuse_primary(struct scheduler *scheduler, const char *reason);
 enum queue_kind admission_get_queue(const struct request *request);
 
--- a/src/catkingrade/decide/scheduler.c
+++ b/src/catkingrade/decide/scheduler.c
@@ -156,7 +156,7 @@
 
 // Applies the state of the lease at the present time. When the lease has run
 // out, the quotas shrink to their guaranteed part and queued requests that
-// need the primary are refused.
+// need the primary are refused. During a change of primary some of them wait.
 static void
 scheduler_check_lease(struct scheduler *scheduler)
 {
@@ -165,6 +165,7 @@
     if (leased != scheduler->limits_leased) {
         view_set_limits(scheduler);
     }
+    admission_update_primary_wait(scheduler);
     if (scheduler->queued[QUEUE_PRIMARY] > 0 && !lease_is_valid(scheduler)) {
         admission_refuse_primary(scheduler,
                                  "there is no primary under a valid lease");
--- a/src/catkingrade/decide/scheduler_state.h
+++ b/src/catkingrade/decide/scheduler_state.h
@@ -5,6 +5,7 @@
 #include "catkingrade/decide/concurrency.h"
 #include "catkingrade/decide/freshness.h"
 #include "catkingrade/decide/id_map.h"
+#include "catkingrade/decide/primary_wait.h"
 #include "catkingrade/decide/replica_lag.h"
 #include "catkingrade/decide/scheduler.h"
 #include "catkingrade/decide/timers.h"
@@ -217,7 +218,8 @@
     int64_t confirm_at_us; // next sample for unconfirmed commits
 
     struct scheduler_lease lease;
-    uint64_t min_term;              // lower terms have been revoked
+    uint64_t min_term; // lower terms have been revoked
+    struct primary_wait primary_wait;
     struct request_list confirming; // unconfirmed commits
 
     struct request_type types[SCHEDULER_TYPES_MAX];
--- a/src/catkingrade/decide/scheduler_view.c
+++ b/src/catkingrade/decide/scheduler_view.c
@@ -209,6 +209,7 @@
     sample_refresh_ages(scheduler);
     floor_handle_view(scheduler);
     pool_maintain(scheduler);
+    admission_update_primary_wait(scheduler);
     if (!lease_is_valid(scheduler) || scheduler->primary == SCHEDULER_NO_ID) {
         admission_refuse_primary(scheduler, "there is no primary");
     }
--- a/test/fake/scheduler_fleet.h
+++ b/test/fake/scheduler_fleet.h
@@ -126,6 +126,7 @@
     struct scheduler_fleet_session sessions[SCHEDULER_FLEET_MAX_SESSIONS];
     struct scheduler_fleet_request requests[SCHEDULER_FLEET_MAX_REQUESTS];
     uint64_t requests_count;
+    int64_t request_time_us; // time to the deadline of new requests
     uint64_t term;
     uint32_t primary;
     uint32_t base_rows;    // rows of the log at the start of the term
@@ -159,7 +160,8 @@
                                   enum scheduler_fleet_token token);
 void scheduler_fleet_close_session(struct scheduler_fleet *fleet,
                                    uint64_t session);
-// Posts a request of a session with a deadline of 2 s. Returns its id. A
+// Posts a request of a session; its deadline is request_time_us later, 2 s if
+// that is not set. Returns its id. A
 // COMMIT must directly follow the insert that it commits.
 uint64_t scheduler_fleet_post_request(struct scheduler_fleet *fleet,
                                       uint64_t session,
--- a/test/replay/test_replay_scheduler.c
+++ b/test/replay/test_replay_scheduler.c
@@ -71,6 +71,8 @@
             continue;
         }
         int64_t max_age_ms = get_number(line, "max_age_ms", -1);
+        fleet->request_time_us =
+            get_number(line, "time_ms", 0) * SCHEDULER_FLEET_MS_US;
         uint64_t id = scheduler_fleet_post_request(
             fleet, (uint64_t)get_number(line, "session", 0),
             classes[i].request_class,
--- a/test/unit/decide/test_confirm.c
+++ b/test/unit/decide/test_confirm.c
@@ -202,8 +202,9 @@
 END_TEST
 
 // In a planned switchover, running writes are acknowledged under the lease
-// that is still valid, new writes are refused, and the end of the term is
-// confirmed to control after the last write has finished.
+// that is still valid. New writes do not run: they wait for the next term, or
+// are refused at once if it is not expected before their deadline. The end of
+// the term is confirmed to control after the last write has finished.
 START_TEST(test_superseding_lets_writes_finish)
 {
     setup();
@@ -220,8 +221,16 @@
     scheduler_rig_open_session(&rig, 2, NULL);
     uint64_t late =
         scheduler_rig_post_request(&rig, 2, SCHEDULER_CLASS_WRITE, -1);
-    ck_assert_ptr_nonnull(
+    ck_assert_ptr_null(
         scheduler_rig_find_action(&rig, SCHEDULER_ACTION_REFUSE, late));
+    ck_assert_ptr_null(
+        scheduler_rig_find_action(&rig, SCHEDULER_ACTION_SEND, late));
+    scheduler_rig_open_session(&rig, 3, NULL);
+    uint64_t hopeless = scheduler_rig_post_typed_request(
+        &rig, 3, SCHEDULER_CLASS_WRITE, "",
+        rig.now_us + 100 * SCHEDULER_RIG_MS_US);
+    ck_assert_ptr_nonnull(
+        scheduler_rig_find_action(&rig, SCHEDULER_ACTION_REFUSE, hopeless));
     rig.now_us += 10;
     scheduler_rig_post_result(&rig, running, conn, SCHEDULER_RESULT_DONE,
                               false, 200);
@@ -233,6 +242,8 @@
         scheduler_rig_find_action(&rig, SCHEDULER_ACTION_ANSWER, running));
     ck_assert_ptr_nonnull(
         scheduler_rig_find_action(&rig, SCHEDULER_ACTION_CONFIRM_REVOKED, 0));
+    ck_assert_ptr_null(
+        scheduler_rig_find_action(&rig, SCHEDULER_ACTION_SEND, late));
     scheduler_rig_free(&rig);
 }
 END_TEST
