feat(scheduler): prefer the replica of the own failure domain

Cause: of two replicas the near one was preferred only at exactly equal load. Solution: it is preferred until it is busier by half of what the entry can run there. The choice is between replicas only, so the share of reads that they serve stays. Test: test_reads_prefer_near_replica, fails on the code before (3 of 6).

--- a/src/catkingrade/decide/route.c
+++ b/src/catkingrade/decide/route.c
@@ -19,6 +19,9 @@
 #define ROUTE_SPILL_WAIT_US (20 * SCHEDULER_MS_US)
 // Replicas that are checked to find one that is about to reach a floor.
 #define ROUTE_CATCHING_UP_SCAN_MAX 16
+// A near replica is preferred until it is busier than the other one by its
+// width divided by this.
+#define ROUTE_NEAR_DIVISOR 2
 // Latency of an upstream that has not answered a statement yet.
 #define ROUTE_INITIAL_LATENCY_US (1 * SCHEDULER_MS_US)
 
@@ -82,19 +85,39 @@
     return latency_us * (upstream->running + 1) / upstream->slots;
 }
 
+// Returns how many statements of this entry an upstream can run concurrently.
+static uint32_t
+route_get_width(const struct upstream *upstream)
+{
+    return upstream->slots < upstream->connections ? upstream->slots
+                                                   : upstream->connections;
+}
+
+// Returns whether a read should go to an upstream in this entry's failure
+// domain rather than to one elsewhere: unless the near one is busier by more
+// than half of what this entry can run there.
+static bool
+route_prefers_near(const struct upstream *near, const struct upstream *far)
+{
+    uint64_t near_load = (uint64_t)near->running * route_get_width(far);
+    uint64_t far_load = (uint64_t)far->running * route_get_width(near);
+    uint64_t half = (uint64_t)route_get_width(near) * route_get_width(far) /
+                    ROUTE_NEAR_DIVISOR;
+
+    return near_load <= far_load + half;
+}
+
 // Returns whether a read should go to upstream a rather than to b. An idle
-// connection is preferred to one that must be opened; then, at equal load, the
-// failure domain of the entry; then the lower cost.
+// connection is preferred to one that must be opened; then the failure domain
+// of the entry, unless the upstream there is much busier; then the lower cost.
 static bool
 route_is_better(const struct upstream *a, const struct upstream *b)
 {
     if ((a->idle > 0) != (b->idle > 0)) {
         return a->idle > 0;
     }
-    uint64_t load_a = (uint64_t)a->running * b->slots;
-    uint64_t load_b = (uint64_t)b->running * a->slots;
-    if (load_a == load_b && a->near != b->near) {
-        return a->near;
+    if (a->near != b->near) {
+        return a->near ? route_prefers_near(a, b) : !route_prefers_near(b, a);
     }
     return route_get_cost_us(a) < route_get_cost_us(b);
 }
--- a/test/unit/decide/test_route.c
+++ b/test/unit/decide/test_route.c
@@ -251,6 +251,34 @@
 }
 END_TEST
 
+// Guards against reads that cross failure domains while the replica of the
+// entry's own is little busier, and against a near replica that takes all
+// reads: with 5 slots each, the near replica gets at least 4 of 6 reads and
+// the far one at least 1.
+START_TEST(test_reads_prefer_near_replica)
+{
+    uint32_t counts[4] = {0};
+
+    setup(4);
+    // u3 is in the entry's failure domain, u1 is not. u2 is not sampled.
+    scheduler_rig_post_sample(&rig, 1, 1000);
+    scheduler_rig_post_sample(&rig, 3, 1000);
+    for (uint64_t session = 10; session < 10 + 6; session++) {
+        scheduler_rig_open_session(&rig, session, NULL);
+        uint64_t request = scheduler_rig_post_request(
+            &rig, session, SCHEDULER_CLASS_READ, -1);
+        scheduler_rig_complete_opens(&rig);
+        const struct scheduler_action *action =
+            scheduler_rig_find_action(&rig, SCHEDULER_ACTION_SEND, request);
+        ck_assert_ptr_nonnull(action);
+        counts[action->upstream]++;
+    }
+    ck_assert_uint_ge(counts[3], 4);
+    ck_assert_uint_ge(counts[1], 1);
+    scheduler_rig_free(&rig);
+}
+END_TEST
+
 static void
 add_tests(TCase *tests)
 {
@@ -262,6 +290,7 @@
     tcase_add_test(tests, test_reads_leave_a_slot_for_writes);
     tcase_add_test(tests, test_failing_replica_gets_no_read);
     tcase_add_test(tests, test_bounded_wait_for_replica);
+    tcase_add_test(tests, test_reads_prefer_near_replica);
 }
 
 TEST_MAIN("route", add_tests)
