--- a/bench/bench_leases.c
+++ b/bench/bench_leases.c
@@ -4,8 +4,8 @@
 #include <time.h>
 
 #include "bench/bench.h"
-#include "catkingrade/decide/coordinator.h"
-#include "catkingrade/decide/group.h"
+#include "catkingrade/decide/coordinator/coordinator.h"
+#include "catkingrade/decide/group/group.h"
 #include "catkingrade/kernel/memory.h"
 #include "catkingrade/kernel/outcome.h"
 #include "catkingrade/rpc/codec.h"
--- a/bench/bench_raft.c
+++ b/bench/bench_raft.c
@@ -4,7 +4,7 @@
 #include <time.h>
 
 #include "bench/bench.h"
-#include "catkingrade/decide/raft.h"
+#include "catkingrade/decide/raft/raft.h"
 #include "catkingrade/kernel/buffer.h"
 #include "catkingrade/kernel/memory.h"
 #include "catkingrade/kernel/outcome.h"
--- a/bench/bench_store.c
+++ b/bench/bench_store.c
@@ -5,7 +5,7 @@
 #include <unistd.h>
 
 #include "bench/bench.h"
-#include "catkingrade/decide/raft.h"
+#include "catkingrade/decide/raft/raft.h"
 #include "catkingrade/kernel/loop.h"
 #include "catkingrade/kernel/memory.h"
 #include "catkingrade/kernel/outcome.h"
--- a/bench/bench_traffic_sim.c
+++ b/bench/bench_traffic_sim.c
@@ -5,7 +5,7 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "catkingrade/decide/quota_plan.h"
+#include "catkingrade/decide/coordinator/quota_plan.h"
 #include "catkingrade/decide/random.h"
 #include "catkingrade/kernel/memory.h"
 
--- a/bench/bench_traffic_sim.h
+++ b/bench/bench_traffic_sim.h
@@ -1,7 +1,7 @@
 #ifndef BENCH_BENCH_TRAFFIC_SIM_H
 #define BENCH_BENCH_TRAFFIC_SIM_H
 
-#include "catkingrade/decide/scheduler.h"
+#include "catkingrade/decide/traffic/scheduler.h"
 
 // Discrete-event simulation of entries that send requests to one primary and
 // two replicas, on a virtual clock with network delay, service times and
--- a/src/catkingrade/control/group_host.h
+++ b/src/catkingrade/control/group_host.h
@@ -11,9 +11,9 @@
 #include "catkingrade/store/store.h"
 
 // Runs this VM's voter of one control group, on the control loop. It connects
-// the Raft log (decide/raft.h) with the store and with RPC, applies committed
-// entries to the group state, and, while this voter is the Raft leader, runs
-// the group's coordinator (decide/coordinator.h).
+// the Raft log (decide/raft/raft.h) with the store and with RPC, applies
+// committed entries to the group state, and, while this voter is the Raft
+// leader, runs the group's coordinator (decide/coordinator/coordinator.h).
 //
 // Raft actions are executed in batches at the end of a loop iteration:
 // group_host_write_actions, one store sync for all groups, then
--- a/src/catkingrade/control/group_host_state.h
+++ b/src/catkingrade/control/group_host_state.h
@@ -2,9 +2,9 @@
 #define CATKINGRADE_CONTROL_GROUP_HOST_STATE_H
 
 #include "catkingrade/control/group_host.h"
-#include "catkingrade/decide/coordinator.h"
-#include "catkingrade/decide/group.h"
-#include "catkingrade/decide/raft.h"
+#include "catkingrade/decide/coordinator/coordinator.h"
+#include "catkingrade/decide/group/group.h"
+#include "catkingrade/decide/raft/raft.h"
 #include "catkingrade/kernel/loop.h"
 
 // Kinds of waiters: which request or proposal waits for the result.
--- a/src/catkingrade/control/group_voters.c
+++ b/src/catkingrade/control/group_voters.c
@@ -2,13 +2,14 @@
 #include <string.h>
 
 #include "catkingrade/control/group_host_state.h"
-#include "catkingrade/decide/membership.h"
+#include "catkingrade/decide/raft/membership.h"
 #include "catkingrade/kernel/log.h"
 #include "catkingrade/kernel/outcome.h"
 
 // Automatic management of a group's voters at its leader (setting
 // voters_from_seeds): removes failed voters, keeps a standby learner and
-// decides about VMs that want to join. The rules are in decide/membership.h.
+// decides about VMs that want to join. The rules are in
+// decide/raft/membership.h.
 
 #define HOST_VOTERS_CHECK_INTERVAL_US 200000
 #define HOST_VOTER_SILENCE_TIMEOUT_US 2000000
--- a/src/catkingrade/control/lease_agent.c
+++ b/src/catkingrade/control/lease_agent.c
@@ -4,7 +4,7 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "catkingrade/decide/leaseholder.h"
+#include "catkingrade/decide/leaseholder/leaseholder.h"
 #include "catkingrade/kernel/counters.h"
 #include "catkingrade/kernel/log.h"
 #include "catkingrade/kernel/loop.h"
--- a/src/catkingrade/control/lease_agent.h
+++ b/src/catkingrade/control/lease_agent.h
@@ -9,10 +9,10 @@
 #include "catkingrade/kernel/daemon.h"
 
 // Connects an entry with the control groups, on the control loop. It runs one
-// leaseholder (decide/leaseholder.h) per group, which renews the entry's
-// lease, passes views, leases, quotas and revocations on to the traffic
-// threads, and sends their reports (suspicions, confirmed revocations, demand)
-// to the groups.
+// leaseholder (decide/leaseholder/leaseholder.h) per group, which renews the
+// entry's lease, passes views, leases, quotas and revocations on to the
+// traffic threads, and sends their reports (suspicions, confirmed revocations,
+// demand) to the groups.
 struct lease_agent;
 
 struct lease_agent *lease_agent_create(struct daemon *daemon);
--- a/src/catkingrade/decide/announce.c
+++ b/src/catkingrade/decide/coordinator/announce.c
@@ -1,9 +1,9 @@
-#include "catkingrade/decide/announce.h"
+#include "catkingrade/decide/coordinator/announce.h"
 
 #include <stdlib.h>
 #include <string.h>
 
-#include "catkingrade/decide/group_index.h"
+#include "catkingrade/decide/group/group_index.h"
 #include "catkingrade/kernel/memory.h"
 #include "catkingrade/kernel/outcome.h"
 #include "catkingrade/rpc/codec.h"
--- a/src/catkingrade/decide/announce.h
+++ b/src/catkingrade/decide/coordinator/announce.h
@@ -4,7 +4,7 @@
 #include <stdbool.h>
 #include <stdint.h>
 
-#include "catkingrade/decide/group.h"
+#include "catkingrade/decide/group/group.h"
 #include "catkingrade/rpc/messages.h"
 
 // Table of upstream announcements, kept by the coordinator of a control group.
--- a/src/catkingrade/decide/backlog.c
+++ b/src/catkingrade/decide/coordinator/backlog.c
@@ -1,4 +1,4 @@
-#include "catkingrade/decide/backlog.h"
+#include "catkingrade/decide/coordinator/backlog.h"
 
 #include <stdlib.h>
 #include <string.h>
--- a/src/catkingrade/decide/coordinator.c
+++ b/src/catkingrade/decide/coordinator/coordinator.c
@@ -1,10 +1,10 @@
-#include "catkingrade/decide/coordinator.h"
+#include "catkingrade/decide/coordinator/coordinator.h"
 
 #include <inttypes.h>
 #include <stdlib.h>
 #include <string.h>
 
-#include "catkingrade/decide/coordinator_private.h"
+#include "catkingrade/decide/coordinator/coordinator_private.h"
 #include "catkingrade/kernel/memory.h"
 #include "catkingrade/kernel/outcome.h"
 #include "catkingrade/rpc/codec.h"
--- a/src/catkingrade/decide/coordinator.h
+++ b/src/catkingrade/decide/coordinator/coordinator.h
@@ -5,10 +5,13 @@
 #include <stddef.h>
 #include <stdint.h>
 
-#include "catkingrade/decide/group.h"
+#include "catkingrade/decide/group/group.h"
 #include "catkingrade/kernel/buffer.h"
 #include "catkingrade/rpc/messages.h"
 
+// Main header of decide/coordinator, which decides on leases, quotas, relays
+// and primaries at the leader of a control group.
+//
 // Coordinator of a control group: grants leases and quotas, detects the loss
 // of a primary, runs failovers and switchovers, publishes what upstreams
 // announce and expires daemons that have stopped renewing.
--- a/src/catkingrade/decide/coordinator_choice.c
+++ b/src/catkingrade/decide/coordinator/coordinator_choice.c
@@ -3,8 +3,8 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "catkingrade/decide/coordinator_private.h"
-#include "catkingrade/decide/promotion.h"
+#include "catkingrade/decide/coordinator/coordinator_private.h"
+#include "catkingrade/decide/coordinator/promotion.h"
 #include "catkingrade/kernel/memory.h"
 #include "catkingrade/kernel/outcome.h"
 
--- a/src/catkingrade/decide/coordinator_command.c
+++ b/src/catkingrade/decide/coordinator/coordinator_command.c
@@ -2,7 +2,7 @@
 
 #include <string.h>
 
-#include "catkingrade/decide/coordinator_private.h"
+#include "catkingrade/decide/coordinator/coordinator_private.h"
 #include "catkingrade/kernel/memory.h"
 #include "catkingrade/kernel/outcome.h"
 
--- a/src/catkingrade/decide/coordinator_describe.c
+++ b/src/catkingrade/decide/coordinator/coordinator_describe.c
@@ -1,6 +1,6 @@
 #include <inttypes.h>
 
-#include "catkingrade/decide/coordinator_private.h"
+#include "catkingrade/decide/coordinator/coordinator_private.h"
 
 static const char *const coordinator_phase_names[] = {
     "watching",   "first_primary", "superseding", "revoking",
--- a/src/catkingrade/decide/coordinator_failover.c
+++ b/src/catkingrade/decide/coordinator/coordinator_failover.c
@@ -8,7 +8,7 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "catkingrade/decide/coordinator_private.h"
+#include "catkingrade/decide/coordinator/coordinator_private.h"
 #include "catkingrade/kernel/memory.h"
 #include "catkingrade/kernel/outcome.h"
 
--- a/src/catkingrade/decide/coordinator_planned.c
+++ b/src/catkingrade/decide/coordinator/coordinator_planned.c
@@ -8,7 +8,7 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "catkingrade/decide/coordinator_private.h"
+#include "catkingrade/decide/coordinator/coordinator_private.h"
 #include "catkingrade/kernel/memory.h"
 
 // Time without a primary that a planned change is expected to take before one
--- a/src/catkingrade/decide/coordinator_private.h
+++ b/src/catkingrade/decide/coordinator/coordinator_private.h
@@ -1,12 +1,12 @@
 #ifndef CATKINGRADE_DECIDE_COORDINATOR_PRIVATE_H
 #define CATKINGRADE_DECIDE_COORDINATOR_PRIVATE_H
 
-#include "catkingrade/decide/announce.h"
-#include "catkingrade/decide/backlog.h"
-#include "catkingrade/decide/coordinator.h"
-#include "catkingrade/decide/drain.h"
-#include "catkingrade/decide/group_index.h"
-#include "catkingrade/decide/suspicion.h"
+#include "catkingrade/decide/coordinator/announce.h"
+#include "catkingrade/decide/coordinator/backlog.h"
+#include "catkingrade/decide/coordinator/coordinator.h"
+#include "catkingrade/decide/coordinator/drain.h"
+#include "catkingrade/decide/coordinator/suspicion.h"
+#include "catkingrade/decide/group/group_index.h"
 
 #define COORDINATOR_US_PER_MS        1000
 #define COORDINATOR_TICK_INTERVAL_US 50000
--- a/src/catkingrade/decide/coordinator_quota.c
+++ b/src/catkingrade/decide/coordinator/coordinator_quota.c
@@ -4,8 +4,8 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "catkingrade/decide/coordinator_private.h"
-#include "catkingrade/decide/quota_plan.h"
+#include "catkingrade/decide/coordinator/coordinator_private.h"
+#include "catkingrade/decide/coordinator/quota_plan.h"
 #include "catkingrade/kernel/memory.h"
 
 // An entry without a quota of connections to an upstream renews early: after
--- a/src/catkingrade/decide/coordinator_relay.c
+++ b/src/catkingrade/decide/coordinator/coordinator_relay.c
@@ -7,8 +7,8 @@
 #include <string.h>
 #include <xxhash.h>
 
-#include "catkingrade/decide/coordinator_private.h"
-#include "catkingrade/decide/relay_plan.h"
+#include "catkingrade/decide/coordinator/coordinator_private.h"
+#include "catkingrade/decide/coordinator/relay_plan.h"
 #include "catkingrade/kernel/memory.h"
 
 // Minimum interval between two selections of the relays of a database.
--- a/src/catkingrade/decide/coordinator_removal.c
+++ b/src/catkingrade/decide/coordinator/coordinator_removal.c
@@ -1,7 +1,7 @@
 #include <string.h>
 
-#include "catkingrade/decide/coordinator_private.h"
-#include "catkingrade/decide/promotion.h"
+#include "catkingrade/decide/coordinator/coordinator_private.h"
+#include "catkingrade/decide/coordinator/promotion.h"
 
 // Removal of lost upstreams. A lost upstream remains a member of its database:
 // it may be one of the replicas that confirmed a save, so each lost member
--- a/src/catkingrade/decide/drain.c
+++ b/src/catkingrade/decide/coordinator/drain.c
@@ -1,4 +1,4 @@
-#include "catkingrade/decide/drain.h"
+#include "catkingrade/decide/coordinator/drain.h"
 
 #include <inttypes.h>
 #include <stdlib.h>
--- a/src/catkingrade/decide/drain.h
+++ b/src/catkingrade/decide/coordinator/drain.h
@@ -4,7 +4,7 @@
 #include <stdbool.h>
 #include <stdint.h>
 
-#include "catkingrade/decide/group.h"
+#include "catkingrade/decide/group/group.h"
 
 // Graceful shutdown of customers. A draining customer is closed when no entry
 // has an open request of it, or when its time limit has passed. The
--- a/src/catkingrade/decide/promotion.c
+++ b/src/catkingrade/decide/coordinator/promotion.c
@@ -1,4 +1,4 @@
-#include "catkingrade/decide/promotion.h"
+#include "catkingrade/decide/coordinator/promotion.h"
 
 // Compares two positions by timeline, then by LSN. Returns -1, 0 or 1 if left
 // is below, equal to or above right.
--- a/src/catkingrade/decide/quota_plan.c
+++ b/src/catkingrade/decide/coordinator/quota_plan.c
@@ -1,4 +1,4 @@
-#include "catkingrade/decide/quota_plan.h"
+#include "catkingrade/decide/coordinator/quota_plan.h"
 
 #include <stdlib.h>
 
--- a/src/catkingrade/decide/relay_plan.c
+++ b/src/catkingrade/decide/coordinator/relay_plan.c
@@ -1,4 +1,4 @@
-#include "catkingrade/decide/relay_plan.h"
+#include "catkingrade/decide/coordinator/relay_plan.h"
 
 #include <string.h>
 #include <xxhash.h>
--- a/src/catkingrade/decide/suspicion.c
+++ b/src/catkingrade/decide/coordinator/suspicion.c
@@ -1,4 +1,4 @@
-#include "catkingrade/decide/suspicion.h"
+#include "catkingrade/decide/coordinator/suspicion.h"
 
 #include <stdlib.h>
 #include <string.h>
--- a/src/catkingrade/decide/declaration.c
+++ b/src/catkingrade/decide/group/declaration.c
@@ -1,4 +1,4 @@
-#include "catkingrade/decide/declaration.h"
+#include "catkingrade/decide/group/declaration.h"
 
 #include <stdlib.h>
 #include <string.h>
--- a/src/catkingrade/decide/document.c
+++ b/src/catkingrade/decide/group/document.c
@@ -1,11 +1,11 @@
-#include "catkingrade/decide/document.h"
+#include "catkingrade/decide/group/document.h"
 
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
-#include "catkingrade/decide/document_customer.h"
-#include "catkingrade/decide/document_parameters.h"
+#include "catkingrade/decide/group/document_customer.h"
+#include "catkingrade/decide/group/document_parameters.h"
 #include "catkingrade/kernel/json_reader.h"
 #include "catkingrade/kernel/memory.h"
 #include "catkingrade/kernel/outcome.h"
--- a/src/catkingrade/decide/document_customer.c
+++ b/src/catkingrade/decide/group/document_customer.c
@@ -1,4 +1,4 @@
-#include "catkingrade/decide/document_customer.h"
+#include "catkingrade/decide/group/document_customer.h"
 
 #include <inttypes.h>
 #include <stddef.h>
@@ -6,7 +6,7 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "catkingrade/decide/group.h"
+#include "catkingrade/decide/group/group.h"
 #include "catkingrade/kernel/memory.h"
 
 #define DOCUMENT_MAX_REQUEST_TYPES 64
--- a/src/catkingrade/decide/document_customer.h
+++ b/src/catkingrade/decide/group/document_customer.h
@@ -3,7 +3,7 @@
 
 #include <stdbool.h>
 
-#include "catkingrade/decide/document.h"
+#include "catkingrade/decide/group/document.h"
 #include "catkingrade/kernel/json_reader.h"
 
 // Reads and validates the "customer" object of an expanded template.
--- a/src/catkingrade/decide/document_parameters.c
+++ b/src/catkingrade/decide/group/document_parameters.c
@@ -1,4 +1,4 @@
-#include "catkingrade/decide/document_parameters.h"
+#include "catkingrade/decide/group/document_parameters.h"
 
 #include <inttypes.h>
 #include <stdio.h>
--- a/src/catkingrade/decide/group.c
+++ b/src/catkingrade/decide/group/group.c
@@ -1,4 +1,4 @@
-#include "catkingrade/decide/group.h"
+#include "catkingrade/decide/group/group.h"
 
 #include <inttypes.h>
 #include <stdarg.h>
@@ -7,7 +7,7 @@
 #include <string.h>
 #include <xxhash.h>
 
-#include "catkingrade/decide/group_private.h"
+#include "catkingrade/decide/group/group_private.h"
 #include "catkingrade/kernel/memory.h"
 #include "catkingrade/kernel/outcome.h"
 #include "catkingrade/rpc/codec.h"
--- a/src/catkingrade/decide/group.h
+++ b/src/catkingrade/decide/group/group.h
@@ -8,6 +8,10 @@
 #include "catkingrade/kernel/buffer.h"
 #include "catkingrade/rpc/messages.h"
 
+// Main header of decide/group: the replicated state of a control group, that
+// is its customers, databases, upstreams, daemons and declaration, and how
+// each change in the log affects it.
+
 // The control group that publishes customers. It also decides a database whose
 // customer names no control group.
 #define GROUP_FLEET_NAME "fleet"
--- a/src/catkingrade/decide/group_index.c
+++ b/src/catkingrade/decide/group/group_index.c
@@ -1,4 +1,4 @@
-#include "catkingrade/decide/group_index.h"
+#include "catkingrade/decide/group/group_index.h"
 
 #include <stdint.h>
 #include <stdlib.h>
--- a/src/catkingrade/decide/group_private.h
+++ b/src/catkingrade/decide/group/group_private.h
@@ -5,9 +5,9 @@
 #include <stddef.h>
 #include <stdint.h>
 
-#include "catkingrade/decide/document.h"
-#include "catkingrade/decide/group.h"
-#include "catkingrade/decide/group_index.h"
+#include "catkingrade/decide/group/document.h"
+#include "catkingrade/decide/group/group.h"
+#include "catkingrade/decide/group/group_index.h"
 
 // Internals of struct group_state that the group_*.c files share.
 
--- a/src/catkingrade/decide/group_snapshot.c
+++ b/src/catkingrade/decide/group/group_snapshot.c
@@ -2,7 +2,7 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "catkingrade/decide/group_private.h"
+#include "catkingrade/decide/group/group_private.h"
 #include "catkingrade/kernel/memory.h"
 #include "catkingrade/kernel/outcome.h"
 #include "catkingrade/rpc/codec.h"
--- a/src/catkingrade/decide/leaseholder.c
+++ b/src/catkingrade/decide/leaseholder/leaseholder.c
@@ -1,10 +1,10 @@
-#include "catkingrade/decide/leaseholder.h"
+#include "catkingrade/decide/leaseholder/leaseholder.h"
 
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
-#include "catkingrade/decide/leaseholder_private.h"
+#include "catkingrade/decide/leaseholder/leaseholder_private.h"
 #include "catkingrade/decide/random.h"
 #include "catkingrade/kernel/memory.h"
 #include "catkingrade/kernel/outcome.h"
--- a/src/catkingrade/decide/leaseholder.h
+++ b/src/catkingrade/decide/leaseholder/leaseholder.h
@@ -7,6 +7,8 @@
 
 #include "catkingrade/rpc/messages.h"
 
+// Main header of decide/leaseholder, the entry's side of a lease.
+//
 // Lease state machine of an entry for one control group. It locates the
 // group's Raft leader, renews the entry's lease there and orders the effects
 // of each renewal: a view delta is applied before the lease that depends on it
--- a/src/catkingrade/decide/leaseholder_private.h
+++ b/src/catkingrade/decide/leaseholder/leaseholder_private.h
@@ -1,7 +1,7 @@
 #ifndef CATKINGRADE_DECIDE_LEASEHOLDER_PRIVATE_H
 #define CATKINGRADE_DECIDE_LEASEHOLDER_PRIVATE_H
 
-#include "catkingrade/decide/leaseholder.h"
+#include "catkingrade/decide/leaseholder/leaseholder.h"
 
 // Internal state of leaseholder.c and leaseholder_reports.c.
 
--- a/src/catkingrade/decide/leaseholder_reports.c
+++ b/src/catkingrade/decide/leaseholder/leaseholder_reports.c
@@ -4,7 +4,7 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "catkingrade/decide/leaseholder_private.h"
+#include "catkingrade/decide/leaseholder/leaseholder_private.h"
 #include "catkingrade/kernel/memory.h"
 
 // A suspicion not repeated within this many renewal intervals is dropped.
--- a/src/catkingrade/decide/membership.c
+++ b/src/catkingrade/decide/raft/membership.c
@@ -1,4 +1,4 @@
-#include "catkingrade/decide/membership.h"
+#include "catkingrade/decide/raft/membership.h"
 
 #include <string.h>
 
--- a/src/catkingrade/decide/raft.h
+++ b/src/catkingrade/decide/raft/raft.h
@@ -1,8 +1,10 @@
 #ifndef CATKINGRADE_DECIDE_RAFT_H
 #define CATKINGRADE_DECIDE_RAFT_H
 
-#include "catkingrade/decide/raft_defs.h"
+#include "catkingrade/decide/raft/raft_defs.h"
 
+// Main header of decide/raft, which replicates the log of a control group.
+//
 // One voter of one control group. It takes part in a replicated log by the
 // Raft algorithm, with pre-votes, leadership transfer, voter changes one at a
 // time and a quorum check for leases. It does no input or output: raft_step
--- a/src/catkingrade/decide/raft_actions.c
+++ b/src/catkingrade/decide/raft/raft_actions.c
@@ -1,7 +1,7 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "catkingrade/decide/raft_internal.h"
+#include "catkingrade/decide/raft/raft_internal.h"
 #include "catkingrade/kernel/memory.h"
 #include "catkingrade/kernel/outcome.h"
 #include "catkingrade/rpc/codec.h"
--- a/src/catkingrade/decide/raft_election.c
+++ b/src/catkingrade/decide/raft/raft_election.c
@@ -1,4 +1,4 @@
-#include "catkingrade/decide/raft_internal.h"
+#include "catkingrade/decide/raft/raft_internal.h"
 #include "catkingrade/decide/random.h"
 #include "catkingrade/kernel/memory.h"
 #include "catkingrade/kernel/outcome.h"
--- a/src/catkingrade/decide/raft_follower.c
+++ b/src/catkingrade/decide/raft/raft_follower.c
@@ -1,6 +1,6 @@
 #include <string.h>
 
-#include "catkingrade/decide/raft_internal.h"
+#include "catkingrade/decide/raft/raft_internal.h"
 
 static void
 raft_answer_append(struct raft *raft, const struct ck_raft_message *message,
--- a/src/catkingrade/decide/raft_internal.h
+++ b/src/catkingrade/decide/raft/raft_internal.h
@@ -1,8 +1,8 @@
 #ifndef CATKINGRADE_DECIDE_RAFT_INTERNAL_H
 #define CATKINGRADE_DECIDE_RAFT_INTERNAL_H
 
-#include "catkingrade/decide/raft.h"
-#include "catkingrade/decide/raft_log.h"
+#include "catkingrade/decide/raft/raft.h"
+#include "catkingrade/decide/raft/raft_log.h"
 #include "catkingrade/kernel/buffer.h"
 
 // Declarations shared by the source files of the module raft.
--- a/src/catkingrade/decide/raft_leader.c
+++ b/src/catkingrade/decide/raft/raft_leader.c
@@ -1,6 +1,6 @@
 #include <string.h>
 
-#include "catkingrade/decide/raft_internal.h"
+#include "catkingrade/decide/raft/raft_internal.h"
 #include "catkingrade/kernel/memory.h"
 #include "catkingrade/kernel/outcome.h"
 #include "catkingrade/rpc/codec.h"
--- a/src/catkingrade/decide/raft_log.c
+++ b/src/catkingrade/decide/raft/raft_log.c
@@ -1,4 +1,4 @@
-#include "catkingrade/decide/raft_log.h"
+#include "catkingrade/decide/raft/raft_log.h"
 
 #include <stdlib.h>
 #include <string.h>
--- a/src/catkingrade/decide/raft_replicate.c
+++ b/src/catkingrade/decide/raft/raft_replicate.c
@@ -1,6 +1,6 @@
 #include <string.h>
 
-#include "catkingrade/decide/raft_internal.h"
+#include "catkingrade/decide/raft/raft_internal.h"
 #include "catkingrade/kernel/memory.h"
 
 // Limits of one append message, which must fit into a datagram. A larger entry
--- a/src/catkingrade/decide/raft_unanimous.c
+++ b/src/catkingrade/decide/raft/raft_unanimous.c
@@ -7,7 +7,7 @@
 // a candidate for which every member votes, learners included, needs no such
 // wait: the former leader has voted too and thereby stepped down.
 
-#include "catkingrade/decide/raft_internal.h"
+#include "catkingrade/decide/raft/raft_internal.h"
 
 // The first unanimous election begins within a heartbeat interval divided by
 // this, so that the last voter to return begins it at once.
--- a/src/catkingrade/decide/admission.c
+++ b/src/catkingrade/decide/traffic/admission.c
@@ -1,12 +1,12 @@
-#include "catkingrade/decide/admission.h"
+#include "catkingrade/decide/traffic/admission.h"
 
 #include <math.h>
 #include <string.h>
 
-#include "catkingrade/decide/retry.h"
-#include "catkingrade/decide/scheduler_lease.h"
-#include "catkingrade/decide/scheduler_request.h"
-#include "catkingrade/decide/scheduler_sample.h"
+#include "catkingrade/decide/traffic/retry.h"
+#include "catkingrade/decide/traffic/scheduler_lease.h"
+#include "catkingrade/decide/traffic/scheduler_request.h"
+#include "catkingrade/decide/traffic/scheduler_sample.h"
 #include "catkingrade/kernel/memory.h"
 #include "catkingrade/kernel/outcome.h"
 
--- a/src/catkingrade/decide/admission.h
+++ b/src/catkingrade/decide/traffic/admission.h
@@ -1,7 +1,7 @@
 #ifndef CATKINGRADE_DECIDE_ADMISSION_H
 #define CATKINGRADE_DECIDE_ADMISSION_H
 
-#include "catkingrade/decide/scheduler_state.h"
+#include "catkingrade/decide/traffic/scheduler_state.h"
 
 // Admission control for statements. Each request type has one queue for
 // statements that need the primary and one for reads that a replica may serve.
--- a/src/catkingrade/decide/circuit_breaker.c
+++ b/src/catkingrade/decide/traffic/circuit_breaker.c
@@ -1,4 +1,4 @@
-#include "catkingrade/decide/circuit_breaker.h"
+#include "catkingrade/decide/traffic/circuit_breaker.h"
 
 // A new statement has the weight 1 / divisor in the moving average of
 // failures.
--- a/src/catkingrade/decide/concurrency.c
+++ b/src/catkingrade/decide/traffic/concurrency.c
@@ -1,4 +1,4 @@
-#include "catkingrade/decide/concurrency.h"
+#include "catkingrade/decide/traffic/concurrency.h"
 
 #define CONCURRENCY_LIMIT_MIN       1.0
 #define CONCURRENCY_DECREASE_FACTOR 0.7
--- a/src/catkingrade/decide/confirm.c
+++ b/src/catkingrade/decide/traffic/confirm.c
@@ -1,8 +1,8 @@
-#include "catkingrade/decide/confirm.h"
+#include "catkingrade/decide/traffic/confirm.h"
 
-#include "catkingrade/decide/scheduler_lease.h"
-#include "catkingrade/decide/scheduler_request.h"
-#include "catkingrade/decide/scheduler_sample.h"
+#include "catkingrade/decide/traffic/scheduler_lease.h"
+#include "catkingrade/decide/traffic/scheduler_request.h"
+#include "catkingrade/decide/traffic/scheduler_sample.h"
 
 #define CONFIRM_POLL_INTERVAL_US (2 * SCHEDULER_MS_US)
 
--- a/src/catkingrade/decide/confirm.h
+++ b/src/catkingrade/decide/traffic/confirm.h
@@ -1,7 +1,7 @@
 #ifndef CATKINGRADE_DECIDE_CONFIRM_H
 #define CATKINGRADE_DECIDE_CONFIRM_H
 
-#include "catkingrade/decide/scheduler_state.h"
+#include "catkingrade/decide/traffic/scheduler_state.h"
 
 // Confirmation of writes by replicas. A write here is a single statement or
 // the end of a transaction that may have committed data; other modules call it
--- a/src/catkingrade/decide/floor.c
+++ b/src/catkingrade/decide/traffic/floor.c
@@ -1,8 +1,8 @@
-#include "catkingrade/decide/floor.h"
+#include "catkingrade/decide/traffic/floor.h"
 
-#include "catkingrade/decide/scheduler_lease.h"
-#include "catkingrade/decide/scheduler_request.h"
-#include "catkingrade/decide/scheduler_sample.h"
+#include "catkingrade/decide/traffic/scheduler_lease.h"
+#include "catkingrade/decide/traffic/scheduler_request.h"
+#include "catkingrade/decide/traffic/scheduler_sample.h"
 
 // Translates a floor to a log position of the present term and stores it in
 // *lsn; it is meaningful only for FLOOR_NEED_LSN. A floor of an older term is
--- a/src/catkingrade/decide/floor.h
+++ b/src/catkingrade/decide/traffic/floor.h
@@ -1,7 +1,7 @@
 #ifndef CATKINGRADE_DECIDE_FLOOR_H
 #define CATKINGRADE_DECIDE_FLOOR_H
 
-#include "catkingrade/decide/scheduler_state.h"
+#include "catkingrade/decide/traffic/scheduler_state.h"
 
 // Session floors for read consistency. The floor of a session is the lowest
 // log position, with its term, that an upstream must have reached to serve the
--- a/src/catkingrade/decide/freshness.c
+++ b/src/catkingrade/decide/traffic/freshness.c
@@ -1,4 +1,4 @@
-#include "catkingrade/decide/freshness.h"
+#include "catkingrade/decide/traffic/freshness.h"
 
 #include <string.h>
 
--- a/src/catkingrade/decide/pool.c
+++ b/src/catkingrade/decide/traffic/pool.c
@@ -1,10 +1,10 @@
-#include "catkingrade/decide/pool.h"
+#include "catkingrade/decide/traffic/pool.h"
 
 #include <stdlib.h>
 
-#include "catkingrade/decide/scheduler_actions.h"
-#include "catkingrade/decide/scheduler_request.h"
-#include "catkingrade/decide/scheduler_sample.h"
+#include "catkingrade/decide/traffic/scheduler_actions.h"
+#include "catkingrade/decide/traffic/scheduler_request.h"
+#include "catkingrade/decide/traffic/scheduler_sample.h"
 #include "catkingrade/kernel/memory.h"
 #include "catkingrade/kernel/outcome.h"
 
--- a/src/catkingrade/decide/pool.h
+++ b/src/catkingrade/decide/traffic/pool.h
@@ -1,7 +1,7 @@
 #ifndef CATKINGRADE_DECIDE_POOL_H
 #define CATKINGRADE_DECIDE_POOL_H
 
-#include "catkingrade/decide/scheduler_state.h"
+#include "catkingrade/decide/traffic/scheduler_state.h"
 
 // Pool of connections to the upstreams of one database. The pool opens and
 // closes connections within the quotas of the entry, keeps some idle
--- a/src/catkingrade/decide/primary_wait.c
+++ b/src/catkingrade/decide/traffic/primary_wait.c
@@ -1,4 +1,4 @@
-#include "catkingrade/decide/primary_wait.h"
+#include "catkingrade/decide/traffic/primary_wait.h"
 
 // Expected duration of a change before one has been seen.
 #define PRIMARY_WAIT_INITIAL_US INT64_C(800000)
--- a/src/catkingrade/decide/replica_lag.c
+++ b/src/catkingrade/decide/traffic/replica_lag.c
@@ -1,4 +1,4 @@
-#include "catkingrade/decide/replica_lag.h"
+#include "catkingrade/decide/traffic/replica_lag.h"
 
 #define REPLICA_LAG_INITIAL_US INT64_C(100000) // before the first answer
 #define REPLICA_LAG_STEP_US    INT64_C(20000)  // added to a too low estimate
--- a/src/catkingrade/decide/request_list.c
+++ b/src/catkingrade/decide/traffic/request_list.c
@@ -1,4 +1,4 @@
-#include "catkingrade/decide/request_list.h"
+#include "catkingrade/decide/traffic/request_list.h"
 
 // Appends a request, which must be in no list.
 void
--- a/src/catkingrade/decide/request_list.h
+++ b/src/catkingrade/decide/traffic/request_list.h
@@ -1,7 +1,7 @@
 #ifndef CATKINGRADE_DECIDE_REQUEST_LIST_H
 #define CATKINGRADE_DECIDE_REQUEST_LIST_H
 
-#include "catkingrade/decide/scheduler_state.h"
+#include "catkingrade/decide/traffic/scheduler_state.h"
 
 // Doubly linked list of requests, used for queues, and predicates on the class
 // of a request. A request is in at most one list at a time.
--- a/src/catkingrade/decide/request_run.h
+++ b/src/catkingrade/decide/traffic/request_run.h
@@ -1,7 +1,7 @@
 #ifndef CATKINGRADE_DECIDE_REQUEST_RUN_H
 #define CATKINGRADE_DECIDE_REQUEST_RUN_H
 
-#include "catkingrade/decide/scheduler_state.h"
+#include "catkingrade/decide/traffic/scheduler_state.h"
 
 // Sends requests to upstreams and ends them early: on cancellation, at their
 // deadline, at their queue timeout or when their session closes.
--- a/src/catkingrade/decide/retry.c
+++ b/src/catkingrade/decide/traffic/retry.c
@@ -1,4 +1,4 @@
-#include "catkingrade/decide/retry.h"
+#include "catkingrade/decide/traffic/retry.h"
 
 #include "catkingrade/decide/random.h"
 
--- a/src/catkingrade/decide/retry.h
+++ b/src/catkingrade/decide/traffic/retry.h
@@ -1,7 +1,7 @@
 #ifndef CATKINGRADE_DECIDE_RETRY_H
 #define CATKINGRADE_DECIDE_RETRY_H
 
-#include "catkingrade/decide/scheduler_state.h"
+#include "catkingrade/decide/traffic/scheduler_state.h"
 
 // Retries of failed requests at another upstream, with exponential backoff and
 // a retry budget: each new request adds a fraction of a retry to the budget,
--- a/src/catkingrade/decide/route.c
+++ b/src/catkingrade/decide/traffic/route.c
@@ -1,11 +1,11 @@
-#include "catkingrade/decide/route.h"
+#include "catkingrade/decide/traffic/route.h"
 
-#include "catkingrade/decide/floor.h"
-#include "catkingrade/decide/pool.h"
 #include "catkingrade/decide/random.h"
-#include "catkingrade/decide/retry.h"
-#include "catkingrade/decide/scheduler_lease.h"
-#include "catkingrade/decide/scheduler_sample.h"
+#include "catkingrade/decide/traffic/floor.h"
+#include "catkingrade/decide/traffic/pool.h"
+#include "catkingrade/decide/traffic/retry.h"
+#include "catkingrade/decide/traffic/scheduler_lease.h"
+#include "catkingrade/decide/traffic/scheduler_sample.h"
 
 // Upstreams that are checked at random before all of them are scanned.
 #define ROUTE_RANDOM_PROBES 8
--- a/src/catkingrade/decide/route.h
+++ b/src/catkingrade/decide/traffic/route.h
@@ -1,7 +1,7 @@
 #ifndef CATKINGRADE_DECIDE_ROUTE_H
 #define CATKINGRADE_DECIDE_ROUTE_H
 
-#include "catkingrade/decide/scheduler_state.h"
+#include "catkingrade/decide/traffic/scheduler_state.h"
 
 // Routing of statements to upstreams. Statements that need the primary run
 // there under a valid lease. A read goes to a replica that covers the floor of
--- a/src/catkingrade/decide/scheduler.c
+++ b/src/catkingrade/decide/traffic/scheduler.c
@@ -1,21 +1,21 @@
-#include "catkingrade/decide/scheduler.h"
+#include "catkingrade/decide/traffic/scheduler.h"
 
 #include <stdlib.h>
 #include <string.h>
 
-#include "catkingrade/decide/admission.h"
-#include "catkingrade/decide/confirm.h"
-#include "catkingrade/decide/dispatch.h"
-#include "catkingrade/decide/pool.h"
-#include "catkingrade/decide/request_run.h"
-#include "catkingrade/decide/scheduler_actions.h"
-#include "catkingrade/decide/scheduler_lease.h"
-#include "catkingrade/decide/scheduler_request.h"
-#include "catkingrade/decide/scheduler_result.h"
-#include "catkingrade/decide/scheduler_sample.h"
-#include "catkingrade/decide/scheduler_session.h"
-#include "catkingrade/decide/scheduler_state.h"
-#include "catkingrade/decide/scheduler_view.h"
+#include "catkingrade/decide/traffic/admission.h"
+#include "catkingrade/decide/traffic/confirm.h"
+#include "catkingrade/decide/traffic/dispatch.h"
+#include "catkingrade/decide/traffic/pool.h"
+#include "catkingrade/decide/traffic/request_run.h"
+#include "catkingrade/decide/traffic/scheduler_actions.h"
+#include "catkingrade/decide/traffic/scheduler_lease.h"
+#include "catkingrade/decide/traffic/scheduler_request.h"
+#include "catkingrade/decide/traffic/scheduler_result.h"
+#include "catkingrade/decide/traffic/scheduler_sample.h"
+#include "catkingrade/decide/traffic/scheduler_session.h"
+#include "catkingrade/decide/traffic/scheduler_state.h"
+#include "catkingrade/decide/traffic/scheduler_view.h"
 #include "catkingrade/kernel/memory.h"
 
 // Creates the scheduler of one database. It refuses requests until the first
--- a/src/catkingrade/decide/scheduler.h
+++ b/src/catkingrade/decide/traffic/scheduler.h
@@ -1,8 +1,10 @@
 #ifndef CATKINGRADE_DECIDE_SCHEDULER_H
 #define CATKINGRADE_DECIDE_SCHEDULER_H
 
-#include "catkingrade/decide/scheduler_defs.h"
+#include "catkingrade/decide/traffic/scheduler_defs.h"
 
+// Main header of decide/traffic, which decides on the requests of callers.
+//
 // Request scheduler of one database in an entry: a deterministic state machine
 // without I/O. It holds the database's sessions, queues their requests, routes
 // each request to the primary or a replica, manages the connection pools,
--- a/src/catkingrade/decide/scheduler_actions.c
+++ b/src/catkingrade/decide/traffic/scheduler_actions.c
@@ -1,4 +1,4 @@
-#include "catkingrade/decide/scheduler_actions.h"
+#include "catkingrade/decide/traffic/scheduler_actions.h"
 
 #include <stdlib.h>
 
--- a/src/catkingrade/decide/scheduler_actions.h
+++ b/src/catkingrade/decide/traffic/scheduler_actions.h
@@ -1,7 +1,7 @@
 #ifndef CATKINGRADE_DECIDE_SCHEDULER_ACTIONS_H
 #define CATKINGRADE_DECIDE_SCHEDULER_ACTIONS_H
 
-#include "catkingrade/decide/scheduler_state.h"
+#include "catkingrade/decide/traffic/scheduler_state.h"
 
 // Adds actions and coarse timers in a scheduler step.
 
--- a/src/catkingrade/decide/scheduler_lease.c
+++ b/src/catkingrade/decide/traffic/scheduler_lease.c
@@ -1,7 +1,7 @@
-#include "catkingrade/decide/scheduler_lease.h"
+#include "catkingrade/decide/traffic/scheduler_lease.h"
 
-#include "catkingrade/decide/confirm.h"
-#include "catkingrade/decide/scheduler_actions.h"
+#include "catkingrade/decide/traffic/confirm.h"
+#include "catkingrade/decide/traffic/scheduler_actions.h"
 
 // Returns the term of the view's database; 0 before the first view.
 uint64_t
--- a/src/catkingrade/decide/scheduler_lease.h
+++ b/src/catkingrade/decide/traffic/scheduler_lease.h
@@ -1,7 +1,7 @@
 #ifndef CATKINGRADE_DECIDE_SCHEDULER_LEASE_H
 #define CATKINGRADE_DECIDE_SCHEDULER_LEASE_H
 
-#include "catkingrade/decide/scheduler_state.h"
+#include "catkingrade/decide/traffic/scheduler_state.h"
 
 // Lease that the control group grants to this entry for one term. While it is
 // valid, the primary of that term is the only primary of the database, so
--- a/src/catkingrade/decide/scheduler_request.c
+++ b/src/catkingrade/decide/traffic/scheduler_request.c
@@ -1,14 +1,14 @@
-#include "catkingrade/decide/scheduler_request.h"
+#include "catkingrade/decide/traffic/scheduler_request.h"
 
 #include <stdlib.h>
 
-#include "catkingrade/decide/admission.h"
-#include "catkingrade/decide/floor.h"
-#include "catkingrade/decide/pool.h"
-#include "catkingrade/decide/retry.h"
-#include "catkingrade/decide/scheduler_actions.h"
-#include "catkingrade/decide/scheduler_lease.h"
-#include "catkingrade/decide/scheduler_session.h"
+#include "catkingrade/decide/traffic/admission.h"
+#include "catkingrade/decide/traffic/floor.h"
+#include "catkingrade/decide/traffic/pool.h"
+#include "catkingrade/decide/traffic/retry.h"
+#include "catkingrade/decide/traffic/scheduler_actions.h"
+#include "catkingrade/decide/traffic/scheduler_lease.h"
+#include "catkingrade/decide/traffic/scheduler_session.h"
 #include "catkingrade/kernel/memory.h"
 #include "catkingrade/kernel/outcome.h"
 
--- a/src/catkingrade/decide/scheduler_request.h
+++ b/src/catkingrade/decide/traffic/scheduler_request.h
@@ -1,7 +1,7 @@
 #ifndef CATKINGRADE_DECIDE_SCHEDULER_REQUEST_H
 #define CATKINGRADE_DECIDE_SCHEDULER_REQUEST_H
 
-#include "catkingrade/decide/request_list.h"
+#include "catkingrade/decide/traffic/request_list.h"
 
 // Life cycle of requests from their arrival to their queue, and their final
 // actions. The functions that add a final action free the request.
--- a/src/catkingrade/decide/scheduler_result.h
+++ b/src/catkingrade/decide/traffic/scheduler_result.h
@@ -1,7 +1,7 @@
 #ifndef CATKINGRADE_DECIDE_SCHEDULER_RESULT_H
 #define CATKINGRADE_DECIDE_SCHEDULER_RESULT_H
 
-#include "catkingrade/decide/scheduler_state.h"
+#include "catkingrade/decide/traffic/scheduler_state.h"
 
 // Handles the results of requests and the failures of connections: decides
 // between retry, confirmation and a final outcome.
--- a/src/catkingrade/decide/scheduler_sample.c
+++ b/src/catkingrade/decide/traffic/scheduler_sample.c
@@ -1,10 +1,10 @@
-#include "catkingrade/decide/scheduler_sample.h"
+#include "catkingrade/decide/traffic/scheduler_sample.h"
 
-#include "catkingrade/decide/confirm.h"
-#include "catkingrade/decide/floor.h"
-#include "catkingrade/decide/pool.h"
-#include "catkingrade/decide/scheduler_actions.h"
-#include "catkingrade/decide/scheduler_lease.h"
+#include "catkingrade/decide/traffic/confirm.h"
+#include "catkingrade/decide/traffic/floor.h"
+#include "catkingrade/decide/traffic/pool.h"
+#include "catkingrade/decide/traffic/scheduler_actions.h"
+#include "catkingrade/decide/traffic/scheduler_lease.h"
 
 // Factor of the sampling interval for a database without sessions.
 #define SAMPLE_IDLE_FACTOR 8
--- a/src/catkingrade/decide/scheduler_sample.h
+++ b/src/catkingrade/decide/traffic/scheduler_sample.h
@@ -1,7 +1,7 @@
 #ifndef CATKINGRADE_DECIDE_SCHEDULER_SAMPLE_H
 #define CATKINGRADE_DECIDE_SCHEDULER_SAMPLE_H
 
-#include "catkingrade/decide/scheduler_state.h"
+#include "catkingrade/decide/traffic/scheduler_state.h"
 
 // Log positions of the upstreams: requests samples, records positions from
 // samples and answers, and derives freshness and suspicions from them.
--- a/src/catkingrade/decide/scheduler_session.c
+++ b/src/catkingrade/decide/traffic/scheduler_session.c
@@ -1,12 +1,12 @@
-#include "catkingrade/decide/scheduler_session.h"
+#include "catkingrade/decide/traffic/scheduler_session.h"
 
 #include <stdlib.h>
 
-#include "catkingrade/decide/floor.h"
-#include "catkingrade/decide/pool.h"
-#include "catkingrade/decide/request_run.h"
-#include "catkingrade/decide/scheduler_actions.h"
-#include "catkingrade/decide/scheduler_request.h"
+#include "catkingrade/decide/traffic/floor.h"
+#include "catkingrade/decide/traffic/pool.h"
+#include "catkingrade/decide/traffic/request_run.h"
+#include "catkingrade/decide/traffic/scheduler_actions.h"
+#include "catkingrade/decide/traffic/scheduler_request.h"
 #include "catkingrade/kernel/memory.h"
 
 // Opens a session. Without a floor, and unless it is declared new, the session
--- a/src/catkingrade/decide/scheduler_session.h
+++ b/src/catkingrade/decide/traffic/scheduler_session.h
@@ -1,7 +1,7 @@
 #ifndef CATKINGRADE_DECIDE_SCHEDULER_SESSION_H
 #define CATKINGRADE_DECIDE_SCHEDULER_SESSION_H
 
-#include "catkingrade/decide/scheduler_state.h"
+#include "catkingrade/decide/traffic/scheduler_state.h"
 
 // Opens and closes sessions and maintains their read floors.
 
--- a/src/catkingrade/decide/scheduler_state.h
+++ b/src/catkingrade/decide/traffic/scheduler_state.h
@@ -1,14 +1,14 @@
 #ifndef CATKINGRADE_DECIDE_SCHEDULER_STATE_H
 #define CATKINGRADE_DECIDE_SCHEDULER_STATE_H
 
-#include "catkingrade/decide/circuit_breaker.h"
-#include "catkingrade/decide/concurrency.h"
-#include "catkingrade/decide/freshness.h"
 #include "catkingrade/decide/id_map.h"
-#include "catkingrade/decide/primary_wait.h"
-#include "catkingrade/decide/replica_lag.h"
-#include "catkingrade/decide/scheduler.h"
 #include "catkingrade/decide/timers.h"
+#include "catkingrade/decide/traffic/circuit_breaker.h"
+#include "catkingrade/decide/traffic/concurrency.h"
+#include "catkingrade/decide/traffic/freshness.h"
+#include "catkingrade/decide/traffic/primary_wait.h"
+#include "catkingrade/decide/traffic/replica_lag.h"
+#include "catkingrade/decide/traffic/scheduler.h"
 
 // State of the scheduler, shared by and private to its modules (admission,
 // confirm, dispatch, floor, pool, request_*, retry, route and scheduler_*).
--- a/src/catkingrade/decide/scheduler_view.c
+++ b/src/catkingrade/decide/traffic/scheduler_view.c
@@ -1,15 +1,15 @@
-#include "catkingrade/decide/scheduler_view.h"
+#include "catkingrade/decide/traffic/scheduler_view.h"
 
 #include <string.h>
 
-#include "catkingrade/decide/admission.h"
-#include "catkingrade/decide/confirm.h"
-#include "catkingrade/decide/floor.h"
-#include "catkingrade/decide/pool.h"
-#include "catkingrade/decide/scheduler_lease.h"
-#include "catkingrade/decide/scheduler_result.h"
-#include "catkingrade/decide/scheduler_sample.h"
-#include "catkingrade/decide/scheduler_session.h"
+#include "catkingrade/decide/traffic/admission.h"
+#include "catkingrade/decide/traffic/confirm.h"
+#include "catkingrade/decide/traffic/floor.h"
+#include "catkingrade/decide/traffic/pool.h"
+#include "catkingrade/decide/traffic/scheduler_lease.h"
+#include "catkingrade/decide/traffic/scheduler_result.h"
+#include "catkingrade/decide/traffic/scheduler_sample.h"
+#include "catkingrade/decide/traffic/scheduler_session.h"
 #include "catkingrade/kernel/memory.h"
 
 // Returns the index of the upstream with a name, which is added if it is new.
--- a/src/catkingrade/decide/scheduler_view.h
+++ b/src/catkingrade/decide/traffic/scheduler_view.h
@@ -1,7 +1,7 @@
 #ifndef CATKINGRADE_DECIDE_SCHEDULER_VIEW_H
 #define CATKINGRADE_DECIDE_SCHEDULER_VIEW_H
 
-#include "catkingrade/decide/scheduler_state.h"
+#include "catkingrade/decide/traffic/scheduler_state.h"
 
 // Applies a new view of the database, its customer and the entry's quotas to
 // the upstreams, queues and sessions of the scheduler.
--- a/src/catkingrade/decide/token.c
+++ b/src/catkingrade/decide/traffic/token.c
@@ -1,4 +1,4 @@
-#include "catkingrade/decide/token.h"
+#include "catkingrade/decide/traffic/token.h"
 
 #include <openssl/crypto.h>
 #include <openssl/hmac.h>
--- a/src/catkingrade/decide/token.h
+++ b/src/catkingrade/decide/traffic/token.h
@@ -4,7 +4,7 @@
 #include <stddef.h>
 #include <stdint.h>
 
-#include "catkingrade/decide/scheduler_defs.h"
+#include "catkingrade/decide/traffic/scheduler_defs.h"
 
 // Session tokens. A client passes the token of one session to another to read
 // its writes there. A token holds the floor of a session, signed with
--- a/src/catkingrade/entry/database.c
+++ b/src/catkingrade/entry/database.c
@@ -6,7 +6,7 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "catkingrade/decide/scheduler.h"
+#include "catkingrade/decide/traffic/scheduler.h"
 #include "catkingrade/entry/database_private.h"
 #include "catkingrade/entry/worker.h"
 #include "catkingrade/kernel/counters.h"
--- a/src/catkingrade/entry/database_conn.c
+++ b/src/catkingrade/entry/database_conn.c
@@ -1,7 +1,7 @@
 #include <stdlib.h>
 
-#include "catkingrade/decide/scheduler.h"
-#include "catkingrade/decide/scheduler_result.h"
+#include "catkingrade/decide/traffic/scheduler.h"
+#include "catkingrade/decide/traffic/scheduler_result.h"
 #include "catkingrade/entry/database_private.h"
 #include "catkingrade/entry/worker.h"
 #include "catkingrade/kernel/counters.h"
--- a/src/catkingrade/entry/database_private.h
+++ b/src/catkingrade/entry/database_private.h
@@ -5,7 +5,7 @@
 #include <apr_pools.h>
 #include <stdatomic.h>
 
-#include "catkingrade/decide/scheduler.h"
+#include "catkingrade/decide/traffic/scheduler.h"
 #include "catkingrade/entry/database.h"
 #include "catkingrade/entry/worker.h"
 #include "catkingrade/kernel/histogram.h"
--- a/src/catkingrade/entry/session.h
+++ b/src/catkingrade/entry/session.h
@@ -4,7 +4,7 @@
 #include <stdbool.h>
 #include <stdint.h>
 
-#include "catkingrade/decide/scheduler_defs.h"
+#include "catkingrade/decide/traffic/scheduler_defs.h"
 #include "catkingrade/entry/job.h"
 
 // Interface between a database of the entry and the sessions of the protocol
--- a/src/catkingrade/entry/statement.h
+++ b/src/catkingrade/entry/statement.h
@@ -5,7 +5,7 @@
 #include <stddef.h>
 #include <stdint.h>
 
-#include "catkingrade/decide/scheduler_defs.h"
+#include "catkingrade/decide/traffic/scheduler_defs.h"
 #include "catkingrade/entry/classify.h"
 #include "catkingrade/kernel/buffer.h"
 
--- a/src/catkingrade/entry/typed_statement.h
+++ b/src/catkingrade/entry/typed_statement.h
@@ -5,7 +5,7 @@
 #include <stddef.h>
 #include <stdint.h>
 
-#include "catkingrade/decide/scheduler_defs.h"
+#include "catkingrade/decide/traffic/scheduler_defs.h"
 
 // Typed statements: statements of a protocol in which the caller declares
 // whether a statement reads or writes, so that the entry does not parse SQL. A
--- a/src/catkingrade/entry/upstream_link.h
+++ b/src/catkingrade/entry/upstream_link.h
@@ -4,7 +4,7 @@
 #include <stdbool.h>
 #include <stdint.h>
 
-#include "catkingrade/decide/scheduler_defs.h"
+#include "catkingrade/decide/traffic/scheduler_defs.h"
 #include "catkingrade/entry/job.h"
 #include "catkingrade/kernel/loop.h"
 
--- a/src/catkingrade/entry/worker.h
+++ b/src/catkingrade/entry/worker.h
@@ -5,7 +5,7 @@
 #include <stddef.h>
 #include <stdint.h>
 
-#include "catkingrade/decide/token.h"
+#include "catkingrade/decide/traffic/token.h"
 #include "catkingrade/entry/classify.h"
 #include "catkingrade/entry/database.h"
 #include "catkingrade/entry/entry.h"
--- a/src/catkingrade/store/store.h
+++ b/src/catkingrade/store/store.h
@@ -6,7 +6,7 @@
 #include <stdint.h>
 #include <sys/types.h>
 
-#include "catkingrade/decide/raft_defs.h"
+#include "catkingrade/decide/raft/raft_defs.h"
 #include "catkingrade/kernel/buffer.h"
 
 // The data folder of a control daemon. It holds, for each control group of the
--- a/test/contract/test_cli.c
+++ b/test/contract/test_cli.c
@@ -6,7 +6,7 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "catkingrade/decide/group.h"
+#include "catkingrade/decide/group/group.h"
 #include "catkingrade/kernel/memory.h"
 #include "catkingrade/kernel/outcome.h"
 #include "catkingrade/rpc/rpcnet.h"
--- a/test/fake/changes.h
+++ b/test/fake/changes.h
@@ -1,7 +1,7 @@
 #ifndef TEST_FAKE_CHANGES_H
 #define TEST_FAKE_CHANGES_H
 
-#include "catkingrade/decide/group.h"
+#include "catkingrade/decide/group/group.h"
 #include "catkingrade/rpc/messages.h"
 
 // Builds changes for a control group's replicated state from string constants
--- a/test/fake/fleet.h
+++ b/test/fake/fleet.h
@@ -5,10 +5,10 @@
 #include <stddef.h>
 #include <stdint.h>
 
-#include "catkingrade/decide/coordinator.h"
-#include "catkingrade/decide/group.h"
-#include "catkingrade/decide/leaseholder.h"
-#include "catkingrade/decide/raft.h"
+#include "catkingrade/decide/coordinator/coordinator.h"
+#include "catkingrade/decide/group/group.h"
+#include "catkingrade/decide/leaseholder/leaseholder.h"
+#include "catkingrade/decide/raft/raft.h"
 #include "test/fake/network.h"
 
 // Simulates a control group and the entries and upstreams that it manages, on
--- a/test/fake/raft_group.h
+++ b/test/fake/raft_group.h
@@ -5,7 +5,7 @@
 #include <stddef.h>
 #include <stdint.h>
 
-#include "catkingrade/decide/raft.h"
+#include "catkingrade/decide/raft/raft.h"
 #include "test/fake/network.h"
 
 // Simulates a Raft group on the simulated network (test/fake/network.h). Each
--- a/test/fake/scheduler_fleet.h
+++ b/test/fake/scheduler_fleet.h
@@ -1,7 +1,7 @@
 #ifndef TEST_FAKE_SCHEDULER_FLEET_H
 #define TEST_FAKE_SCHEDULER_FLEET_H
 
-#include "catkingrade/decide/scheduler.h"
+#include "catkingrade/decide/traffic/scheduler.h"
 #include "test/fake/network.h"
 
 #define SCHEDULER_FLEET_MAX_ENTRIES   7
--- a/test/fake/scheduler_rig.h
+++ b/test/fake/scheduler_rig.h
@@ -1,7 +1,7 @@
 #ifndef TEST_FAKE_SCHEDULER_RIG_H
 #define TEST_FAKE_SCHEDULER_RIG_H
 
-#include "catkingrade/decide/scheduler.h"
+#include "catkingrade/decide/traffic/scheduler.h"
 
 #define SCHEDULER_RIG_MAX_UPSTREAMS 1024
 #define SCHEDULER_RIG_MAX_TYPES     8
--- a/test/unit/decide/test_announce.c
+++ b/test/unit/decide/coordinator/test_announce.c
@@ -1,7 +1,7 @@
 #include <check.h>
 #include <string.h>
 
-#include "catkingrade/decide/announce.h"
+#include "catkingrade/decide/coordinator/announce.h"
 #include "catkingrade/kernel/outcome.h"
 #include "test/fake/changes.h"
 #include "test/suite.h"
--- a/test/unit/decide/test_backlog.c
+++ b/test/unit/decide/coordinator/test_backlog.c
@@ -3,7 +3,7 @@
 
 #include <check.h>
 
-#include "catkingrade/decide/backlog.h"
+#include "catkingrade/decide/coordinator/backlog.h"
 #include "catkingrade/kernel/memory.h"
 #include "test/suite.h"
 
--- a/test/unit/decide/test_coordinator.c
+++ b/test/unit/decide/coordinator/test_coordinator.c
@@ -5,7 +5,7 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "catkingrade/decide/coordinator.h"
+#include "catkingrade/decide/coordinator/coordinator.h"
 #include "catkingrade/kernel/memory.h"
 #include "catkingrade/kernel/outcome.h"
 #include "catkingrade/rpc/codec.h"
--- a/test/unit/decide/test_promotion.c
+++ b/test/unit/decide/coordinator/test_promotion.c
@@ -1,6 +1,6 @@
 #include <check.h>
 
-#include "catkingrade/decide/promotion.h"
+#include "catkingrade/decide/coordinator/promotion.h"
 #include "catkingrade/kernel/memory.h"
 #include "test/suite.h"
 
--- a/test/unit/decide/test_quota_plan.c
+++ b/test/unit/decide/coordinator/test_quota_plan.c
@@ -1,7 +1,7 @@
 #include <check.h>
 #include <string.h>
 
-#include "catkingrade/decide/quota_plan.h"
+#include "catkingrade/decide/coordinator/quota_plan.h"
 #include "catkingrade/decide/random.h"
 #include "test/suite.h"
 
--- a/test/unit/decide/test_relay_plan.c
+++ b/test/unit/decide/coordinator/test_relay_plan.c
@@ -1,7 +1,7 @@
 #include <stdio.h>
 #include <string.h>
 
-#include "catkingrade/decide/relay_plan.h"
+#include "catkingrade/decide/coordinator/relay_plan.h"
 #include "test/suite.h"
 
 #define ENTRIES   66
--- a/test/unit/decide/test_suspicion.c
+++ b/test/unit/decide/coordinator/test_suspicion.c
@@ -1,7 +1,7 @@
 #include <check.h>
 #include <stdio.h>
 
-#include "catkingrade/decide/suspicion.h"
+#include "catkingrade/decide/coordinator/suspicion.h"
 #include "catkingrade/kernel/memory.h"
 #include "test/suite.h"
 
--- a/test/unit/decide/test_declaration.c
+++ b/test/unit/decide/group/test_declaration.c
@@ -1,7 +1,7 @@
 #include <string.h>
 
-#include "catkingrade/decide/declaration.h"
-#include "catkingrade/decide/group.h"
+#include "catkingrade/decide/group/declaration.h"
+#include "catkingrade/decide/group/group.h"
 #include "catkingrade/kernel/memory.h"
 #include "catkingrade/kernel/outcome.h"
 #include "test/fake/changes.h"
--- a/test/unit/decide/test_document.c
+++ b/test/unit/decide/group/test_document.c
@@ -1,7 +1,7 @@
 #include <check.h>
 #include <string.h>
 
-#include "catkingrade/decide/document.h"
+#include "catkingrade/decide/group/document.h"
 #include "catkingrade/kernel/memory.h"
 #include "catkingrade/kernel/outcome.h"
 #include "test/fake/changes.h"
--- a/test/unit/decide/test_leaseholder.c
+++ b/test/unit/decide/leaseholder/test_leaseholder.c
@@ -2,7 +2,7 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "catkingrade/decide/leaseholder.h"
+#include "catkingrade/decide/leaseholder/leaseholder.h"
 #include "catkingrade/kernel/memory.h"
 #include "catkingrade/kernel/outcome.h"
 #include "test/fake/changes.h"
--- a/test/unit/decide/test_raft.c
+++ b/test/unit/decide/raft/test_raft.c
@@ -2,7 +2,7 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "catkingrade/decide/raft.h"
+#include "catkingrade/decide/raft/raft.h"
 #include "catkingrade/kernel/buffer.h"
 #include "catkingrade/kernel/memory.h"
 #include "catkingrade/kernel/outcome.h"
--- a/test/unit/decide/test_admission.c
+++ b/test/unit/decide/traffic/test_admission.c
@@ -1,6 +1,6 @@
 #include <check.h>
 
-#include "catkingrade/decide/retry.h"
+#include "catkingrade/decide/traffic/retry.h"
 #include "catkingrade/kernel/memory.h"
 #include "catkingrade/kernel/outcome.h"
 #include "test/fake/scheduler_rig.h"
--- a/test/unit/decide/test_circuit_breaker.c
+++ b/test/unit/decide/traffic/test_circuit_breaker.c
@@ -1,4 +1,4 @@
-#include "catkingrade/decide/circuit_breaker.h"
+#include "catkingrade/decide/traffic/circuit_breaker.h"
 #include "test/fake/scheduler_rig.h"
 #include "test/suite.h"
 
--- a/test/unit/decide/test_concurrency.c
+++ b/test/unit/decide/traffic/test_concurrency.c
@@ -1,4 +1,4 @@
-#include "catkingrade/decide/concurrency.h"
+#include "catkingrade/decide/traffic/concurrency.h"
 
 #include <check.h>
 
--- a/test/unit/decide/test_floor.c
+++ b/test/unit/decide/traffic/test_floor.c
@@ -1,6 +1,6 @@
 #include <check.h>
 
-#include "catkingrade/decide/floor.h"
+#include "catkingrade/decide/traffic/floor.h"
 #include "catkingrade/kernel/memory.h"
 #include "test/fake/scheduler_rig.h"
 #include "test/suite.h"
--- a/test/unit/decide/test_freshness.c
+++ b/test/unit/decide/traffic/test_freshness.c
@@ -1,6 +1,6 @@
 #include <check.h>
 
-#include "catkingrade/decide/freshness.h"
+#include "catkingrade/decide/traffic/freshness.h"
 #include "test/suite.h"
 
 START_TEST(test_last_time_at_or_below_position)
--- a/test/unit/decide/test_guarded.c
+++ b/test/unit/decide/traffic/test_guarded.c
@@ -1,5 +1,5 @@
-#include "catkingrade/decide/freshness.h"
-#include "catkingrade/decide/replica_lag.h"
+#include "catkingrade/decide/traffic/freshness.h"
+#include "catkingrade/decide/traffic/replica_lag.h"
 #include "catkingrade/kernel/outcome.h"
 #include "test/fake/scheduler_rig.h"
 #include "test/suite.h"
--- a/test/unit/decide/test_primary_wait.c
+++ b/test/unit/decide/traffic/test_primary_wait.c
@@ -3,7 +3,7 @@
 
 #include <check.h>
 
-#include "catkingrade/decide/primary_wait.h"
+#include "catkingrade/decide/traffic/primary_wait.h"
 #include "catkingrade/kernel/outcome.h"
 #include "test/fake/scheduler_rig.h"
 #include "test/suite.h"
--- a/test/unit/decide/test_token.c
+++ b/test/unit/decide/traffic/test_token.c
@@ -1,7 +1,7 @@
 #include <check.h>
 #include <string.h>
 
-#include "catkingrade/decide/token.h"
+#include "catkingrade/decide/traffic/token.h"
 #include "catkingrade/kernel/memory.h"
 #include "catkingrade/kernel/outcome.h"
 #include "test/suite.h"
