fix(kernel): count dropped log lines, and index JSON behind deep nesting

Problem 1: the count of dropped lines was reset by a report that was dropped itself, so log_stalled told of 1 line whatever was lost. Problem 2: the end of a container beyond 32 levels ended one of its parents in the index, so that errors behind it named wrong paths and lines. Tests: test_log and test_json_index, both seen to fail on the code before. Also: group_visit_customers leaves removed customers out, as its siblings do; nothing observable depended on it.

--- a/src/catkingrade/decide/group/group.c
+++ b/src/catkingrade/decide/group/group.c
@@ -651,15 +651,15 @@
     }
 }
 
-// Calls visit for each customer, also for declared customers that are marked
-// as removed, in the order of their last changes.
+// Calls visit for each customer that is not removed, in the order of their last
+// changes.
 void
 group_visit_customers(const struct group_state *group,
                       group_visit_customer_fn visit, void *data)
 {
     for (const struct group_object *object = group->oldest; object != NULL;
          object = object->newer) {
-        if (object->kind == GROUP_CUSTOMER &&
+        if (object->kind == GROUP_CUSTOMER && !object->removed &&
             !visit(data, &object->expanded.customer)) {
             return;
         }
--- a/src/catkingrade/kernel/json_index.c
+++ b/src/catkingrade/kernel/json_index.c
@@ -31,7 +31,7 @@
 };
 
 // State of a scan. Containers nested deeper than JSON_INDEX_MAX_DEPTH get no
-// level of their own.
+// level of their own, and their keys are left out.
 struct json_index_scan {
     struct json_index *index;
     const char *cursor;
@@ -39,6 +39,7 @@
     char path[JSON_INDEX_PATH_SIZE];
     struct json_index_level levels[JSON_INDEX_MAX_DEPTH];
     int depth;
+    unsigned unindexed_depth; // open containers without a level
 };
 
 static void
@@ -114,6 +115,7 @@
 {
     scan->cursor++;
     if (scan->depth + 1 >= JSON_INDEX_MAX_DEPTH) {
+        scan->unindexed_depth++;
         return;
     }
     scan->depth++;
@@ -126,6 +128,10 @@
 json_index_close(struct json_index_scan *scan)
 {
     scan->cursor++;
+    if (scan->unindexed_depth > 0) {
+        scan->unindexed_depth--;
+        return;
+    }
     if (scan->depth > 0) {
         scan->depth--;
     }
@@ -185,15 +191,18 @@
         json_index_close(scan);
         break;
     case ',':
-        level->item_number++;
-        scan->path[level->path_length] = '\0';
         scan->cursor++;
+        if (scan->unindexed_depth == 0) {
+            level->item_number++;
+            scan->path[level->path_length] = '\0';
+        }
         break;
     case '"':
     case '\'':
         // In an object, the string is a key unless the path already contains
         // the key of the current member.
-        if (!level->is_array && scan->path[level->path_length] == '\0') {
+        if (scan->unindexed_depth == 0 && !level->is_array &&
+            scan->path[level->path_length] == '\0') {
             json_index_read_key(scan);
         }
         else {
--- a/src/catkingrade/kernel/log.c
+++ b/src/catkingrade/kernel/log.c
@@ -214,19 +214,19 @@
     return poll(&pollfd, 1, 0) == 1 && (pollfd.revents & POLLOUT) != 0;
 }
 
-// Writes a line, or drops and counts it if the write fails or would block, so
-// that a stalled reader of the log does not stall the daemon.
-static void
+// Writes a line. Returns false if the write fails or would block, so that a
+// stalled reader of the log does not stall the daemon.
+static bool
 log_put_line(const struct buffer *line)
 {
     int fd = log_state.file == NULL ? STDOUT_FILENO : fileno(log_state.file);
 
-    if (!log_is_writable(fd) ||
-        write(fd, buffer_get_data(line), buffer_get_size(line)) < 0) {
-        log_state.dropped_lines++;
-    }
+    return log_is_writable(fd) &&
+           write(fd, buffer_get_data(line), buffer_get_size(line)) >= 0;
 }
 
+// Writes a line, preceded by a log_stalled event if lines were dropped before.
+// Drops and counts it if it cannot be written.
 static void
 log_write_line(enum log_level level, const char *event, const char *text)
 {
@@ -237,11 +237,11 @@
         char count[48];
         (void)snprintf(count, sizeof(count), "lines=%llu",
                        (unsigned long long)log_state.dropped_lines);
-        log_state.dropped_lines = 0;
         log_format_line(&line, LOG_LEVEL_WARNING, "log_stalled", count);
     }
     log_format_line(&line, level, event, text);
-    log_put_line(&line);
+    log_state.dropped_lines =
+        log_put_line(&line) ? 0 : log_state.dropped_lines + 1;
     pthread_mutex_unlock(&log_state.mutex);
     buffer_free(&line);
 }
