fix(plugins): a superseded leader does not promote a PostgreSQL upstream

Problem: a VM that lost the leadership while the connection for a promotion was being opened promoted the upstream all the same: two primaries. Cause: libpq_admin_driver ignored may_promote, which the other driver asks. Solution: it asks before each statement of a promotion. Test: test_libpq_admin, seen to fail on the code before (outcome 0, promoted).

--- a/src/catkingrade/control/upstream_admin.h
+++ b/src/catkingrade/control/upstream_admin.h
@@ -36,12 +36,12 @@
     const struct ck_upstream *upstream; // copied
     const struct ck_upstream *primary;  // FOLLOW; copied
     // Higher for each new leader of the group, so that the platform can reject
-    // a promotion requested by an earlier leader. libpq_admin_driver ignores
-    // it.
+    // a promotion requested by an earlier leader. PostgreSQL has no use for
+    // it, so libpq_admin_driver does not send it.
     uint64_t fencing_token;
-    // Called right before the platform is asked for a promotion. Returns false
-    // if this VM no longer leads the group; the promotion is then not sent.
-    // libpq_admin_driver, which promotes the server directly, ignores it.
+    // Called right before a promotion is sent. Returns false if this VM no
+    // longer leads the group; the promotion is then not sent. NULL: it is sent
+    // in any case.
     bool (*may_promote)(void *data);
     upstream_admin_fn done;
     void *data; // argument of may_promote and done
--- a/src/catkingrade/plugins/libpq_admin.c
+++ b/src/catkingrade/plugins/libpq_admin.c
@@ -38,6 +38,7 @@
     bool connected;
     bool queued; // waits for another operation at the same upstream
     struct ck_upstream target;
+    bool (*may_promote)(void *data); // NULL: no promotion
     upstream_admin_fn done;
     void *data;
 };
@@ -154,7 +155,10 @@
 }
 
 // Sends the next statement. Returns OUTCOME_OK, OUTCOME_IO if libpq could not
-// send it, or OUTCOME_CLOSED if there are no more statements.
+// send it, OUTCOME_CLOSED if there are no more statements, or
+// OUTCOME_NOT_LEADER if this VM may not promote the upstream any more. A VM
+// that has been superseded would otherwise promote it in a connection that was
+// long to open.
 static int
 libpq_operation_send_next(struct libpq_operation *operation)
 {
@@ -163,6 +167,10 @@
     if (statement == NULL || *statement == '\0') {
         return OUTCOME_CLOSED;
     }
+    if (operation->may_promote != NULL &&
+        !operation->may_promote(operation->data)) {
+        return OUTCOME_NOT_LEADER;
+    }
     size_t length = strcspn(statement, ";");
     operation->next_statement =
         statement[length] == '\0' ? NULL : statement + length + 1;
@@ -477,6 +485,8 @@
     operation->statements =
         libpq_admin_get_statements(admin, request->kind, request->primary);
     operation->next_statement = operation->statements;
+    operation->may_promote =
+        request->kind == UPSTREAM_ADMIN_PROMOTE ? request->may_promote : NULL;
     operation->done = request->done;
     operation->data = request->data;
     if (!busy) {
