--- a/test/contract/test_docs.c
+++ b/test/contract/test_docs.c
@@ -1,17 +1,20 @@
 #include <check.h>
+#include <ctype.h>
+#include <dirent.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
 #include "catkingrade/kernel/counters.h"
 #include "catkingrade/kernel/file.h"
+#include "catkingrade/kernel/memory.h"
 #include "catkingrade/kernel/outcome.h"
 #include "catkingrade/kernel/settings.h"
 #include "test/suite.h"
 
 // Guards against undocumented settings and counters: a setting or counter is
 // added, removed or reworded in the code, and the table in docs/SETTINGS.md or
-// docs/COUNTERS.md is not updated.
+// docs/COUNTERS.md is not updated. The same for the events of docs/LOGS.md.
 
 #define DOC_MAX_SIZE_BYTES 1000000
 
@@ -72,11 +75,103 @@
 }
 END_TEST
 
+// Returns whether the text of a string literal is the name of an event, and
+// not a format or an empty text.
+static bool
+is_event_name(const char *text, size_t size)
+{
+    for (size_t i = 0; i < size; i++) {
+        if (!islower((unsigned char)text[i]) && text[i] != '_') {
+            return false;
+        }
+    }
+    return size > 0;
+}
+
+// Checks the events of one call that records one: the literals before the
+// first that is no name.
+static void
+check_events_of_call(const char *path, const char *call, const char *doc)
+{
+    const char *end = strchr(call, ';');
+
+    for (const char *quote = strchr(call, '"'); quote != NULL && quote < end;
+         quote = strchr(quote, '"')) {
+        char cell[128];
+        size_t size = strcspn(++quote, "\"");
+        if (!is_event_name(quote, size)) {
+            return;
+        }
+        (void)snprintf(cell, sizeof(cell), "`%.*s`", (int)size, quote);
+        ck_assert_msg(strstr(doc, cell) != NULL, "LOGS.md lacks %s of %s",
+                      cell, path);
+        quote += size + 1;
+    }
+}
+
+static unsigned
+check_events_of_file(const char *path, const char *doc)
+{
+    static const char *const calls[] = {"LOG_INFO(", "LOG_WARNING(",
+                                        "LOG_ERROR(", "LOG_LIMITED(",
+                                        "coordinator_record(coordinator, "};
+    char *text = NULL;
+    unsigned count = 0;
+
+    ck_assert_int_eq(file_read_text(path, DOC_MAX_SIZE_BYTES, &text),
+                     OUTCOME_OK);
+    for (size_t i = 0; i < ARRAY_SIZE(calls); i++) {
+        for (const char *call = strstr(text, calls[i]); call != NULL;
+             call = strstr(call + 1, calls[i])) {
+            check_events_of_call(path, call, doc);
+            count++;
+        }
+    }
+    free(text);
+    return count;
+}
+
+static unsigned
+check_events_of_folder(const char *folder, const char *doc)
+{
+    DIR *dir = opendir(folder);
+    unsigned count = 0;
+
+    ck_assert_ptr_nonnull(dir);
+    for (struct dirent *entry = readdir(dir); entry != NULL;
+         entry = readdir(dir)) {
+        char path[1024];
+        const char *end = strrchr(entry->d_name, '.');
+        (void)snprintf(path, sizeof(path), "%s/%s", folder, entry->d_name);
+        if (end == NULL && entry->d_type == DT_DIR) {
+            count += check_events_of_folder(path, doc);
+        }
+        else if (end != NULL && strcmp(end, ".c") == 0) {
+            count += check_events_of_file(path, doc);
+        }
+    }
+    (void)closedir(dir);
+    return count;
+}
+
+START_TEST(test_events_documented)
+{
+    char *doc = read_doc("LOGS.md");
+
+    ck_assert_uint_gt(
+        check_events_of_folder(TEST_SOURCE_DIR "/src/catkingrade", doc), 40);
+    ck_assert_uint_gt(check_events_of_folder(TEST_SOURCE_DIR "/platform", doc),
+                      2);
+    free(doc);
+}
+END_TEST
+
 static void
 add_tests(TCase *tests)
 {
     tcase_add_test(tests, test_settings_keys_documented);
     tcase_add_test(tests, test_counters_documented);
+    tcase_add_test(tests, test_events_documented);
 }
 
 TEST_MAIN("docs", add_tests)
