--- a/src/catkingrade/decide/coordinator/coordinator_planned.c
+++ b/src/catkingrade/decide/coordinator/coordinator_planned.c
@@ -167,6 +167,39 @@
                               coordinator->params.announce_expiry_us / 2;
 }
 
+static bool
+coordinator_has_lag_reports(const struct coordinator_database *db)
+{
+    for (size_t i = 0; i < db->members_count; i++) {
+        if (db->members[i].backlog.reports_count > 0) {
+            return true;
+        }
+    }
+    return false;
+}
+
+// Lists the upstreams of a database other than the primary. Returns their
+// number.
+static size_t
+coordinator_list_replicas(const struct coordinator *coordinator,
+                          const struct coordinator_database *db,
+                          const struct ck_database *database,
+                          struct backlog_replica *replicas)
+{
+    size_t count = 0;
+
+    for (size_t i = 0; i < db->members_count; i++) {
+        const struct ck_upstream *upstream =
+            &database->upstreams.upstreams_val[i];
+        if (strcmp(upstream->name, database->primary) != 0) {
+            replicas[count++] = (struct backlog_replica){
+                &db->members[i].backlog,
+                coordinator_is_upstream_usable(coordinator, upstream)};
+        }
+    }
+    return count;
+}
+
 // Plans a change of primary if the primary is overloaded because no replica
 // serves reads; see backlog.h.
 void
@@ -174,10 +207,15 @@
                             struct coordinator_database *db,
                             const struct ck_database *database)
 {
+    if (db->planned_reason != NULL || !coordinator_has_lag_reports(db)) {
+        return;
+    }
     struct backlog_replica *replicas =
         xcalloc(db->members_count, sizeof(*replicas));
     struct backlog_params params = {
         .replicas = replicas,
+        .replicas_count =
+            coordinator_list_replicas(coordinator, db, database, replicas),
         .entries_count =
             coordinator_count_connected_entries(coordinator, database),
         .is_primary_suspected = db->suspicion.reports_count > 0 ||
@@ -187,18 +225,7 @@
                               ? coordinator->change_cost_us
                               : COORDINATOR_CHANGE_COST_INITIAL_US,
     };
-
-    for (size_t i = 0; i < db->members_count; i++) {
-        const struct ck_upstream *upstream =
-            &database->upstreams.upstreams_val[i];
-        if (strcmp(upstream->name, database->primary) != 0) {
-            replicas[params.replicas_count++] = (struct backlog_replica){
-                &db->members[i].backlog,
-                coordinator_is_upstream_usable(coordinator, upstream)};
-        }
-    }
-    if (db->planned_reason == NULL &&
-        backlog_should_change(&params, coordinator->now_us)) {
+    if (backlog_should_change(&params, coordinator->now_us)) {
         coordinator_record(coordinator, "replicas_lag", database,
                            database->primary,
                            "database=%s entries=%zu change_cost_ms=%" PRId64,
