--- a/src/catkingrade/decide/group/group.c
+++ b/src/catkingrade/decide/group/group.c
@@ -651,8 +651,8 @@
     }
 }
 
-// Calls visit for each customer that is not removed, in the order of their last
-// changes.
+// Calls visit for each customer that is not removed, in the order of their
+// last changes.
 void
 group_visit_customers(const struct group_state *group,
                       group_visit_customer_fn visit, void *data)
