refactor: one term, validate, for the check of an idle connection

"prove" and "proof" stood for a round trip that validates a connection; the glossary and the tests' names say validate already.

--- a/bench/bench_traffic_sim.c
+++ b/bench/bench_traffic_sim.c
@@ -340,7 +340,7 @@
     case SCHEDULER_ACTION_OPEN:
         sim_push_step(sim, entry, SIM_CONNECT_US, &event);
         break;
-    case SCHEDULER_ACTION_PROVE:
+    case SCHEDULER_ACTION_VALIDATE:
     case SCHEDULER_ACTION_RESET:
         event.kind = SCHEDULER_EVENT_CONN_READY;
         sim_push_step(sim, entry, 2 * SIM_NETWORK_DELAY_US, &event);
--- a/src/catkingrade/decide/traffic/pool.c
+++ b/src/catkingrade/decide/traffic/pool.c
@@ -237,7 +237,7 @@
                TIMER_CONN, conn->id);
 }
 
-// Requests a proof or a reset of a connection, with a time limit.
+// Requests a validation or a reset of a connection, with a time limit.
 static void
 pool_check(struct scheduler *scheduler, struct conn *conn,
            enum scheduler_action_kind kind)
@@ -247,7 +247,7 @@
     action->conn = conn->id;
     action->upstream = conn->upstream;
     pool_set_state(scheduler, conn, CONN_CHECKING);
-    conn->proof_wanted = false;
+    conn->validation_wanted = false;
     conn->reset_wanted = false;
     timers_add(&scheduler->timers,
                scheduler->now_us + scheduler->params.connect_timeout_us,
@@ -256,10 +256,11 @@
 
 // Returns whether a connection must be validated before it carries a write.
 static bool
-pool_needs_proof(const struct scheduler *scheduler, const struct conn *conn)
+pool_needs_validation(const struct scheduler *scheduler,
+                      const struct conn *conn)
 {
-    return conn->proof_wanted || scheduler->now_us - conn->proved_us >
-                                     scheduler->params.idle_proof_us;
+    return conn->validation_wanted || scheduler->now_us - conn->validated_us >
+                                          scheduler->params.idle_proof_us;
 }
 
 // Returns the idle connection that still holds the session state of a session,
@@ -280,23 +281,23 @@
 
 // Takes an idle connection off the idle list and returns it: preferably the
 // connection that holds the state of the session, or else the connection that
-// was used last. With needs_proof, a connection that was idle for too long is
-// validated instead and the next connection is tried. Returns NULL if no
-// connection is left.
+// was used last. With needs_validation, a connection that was idle for too
+// long is validated instead and the next connection is tried. Returns NULL if
+// no connection is left.
 struct conn *
 pool_acquire_idle(struct scheduler *scheduler, uint32_t upstream,
-                  uint64_t session, bool needs_proof)
+                  uint64_t session, bool needs_validation)
 {
     struct upstream *up = &scheduler->upstreams[upstream];
 
     while (up->idle_first != SCHEDULER_NO_ID) {
         struct conn *conn = pool_find_idle(scheduler, up, session);
         pool_remove_idle(scheduler, conn);
-        if (!conn->proof_wanted &&
-            !(needs_proof && pool_needs_proof(scheduler, conn))) {
+        if (!conn->validation_wanted &&
+            !(needs_validation && pool_needs_validation(scheduler, conn))) {
             return conn;
         }
-        pool_check(scheduler, conn, SCHEDULER_ACTION_PROVE);
+        pool_check(scheduler, conn, SCHEDULER_ACTION_VALIDATE);
     }
     return NULL;
 }
@@ -360,7 +361,7 @@
     struct upstream *up = &scheduler->upstreams[conn->upstream];
     up->opening--;
     up->open_backoff_us = 0;
-    conn->proved_us = scheduler->now_us;
+    conn->validated_us = scheduler->now_us;
     if (scheduler->params.guarded) {
         sample_record_answer(scheduler, conn->upstream);
     }
@@ -368,7 +369,8 @@
     pool_release(scheduler, conn);
 }
 
-// Handles the report of the adapter that a reset or a proof has succeeded.
+// Handles the report of the adapter that a reset or a validation has
+// succeeded.
 void
 pool_handle_ready(struct scheduler *scheduler,
                   const struct scheduler_conn_event *event)
@@ -378,12 +380,12 @@
     if (conn == NULL || conn->state != CONN_CHECKING) {
         return;
     }
-    conn->proved_us = scheduler->now_us;
+    conn->validated_us = scheduler->now_us;
     pool_release(scheduler, conn);
 }
 
 // Makes the connections of an upstream that were opened at about the same time
-// as a silent one prove themselves before their next use. A network device
+// as a silent one are validated before their next use. A network device
 // that has lost its state of one connection may have lost the others too.
 void
 pool_check_same_age(struct scheduler *scheduler, uint32_t upstream,
@@ -396,10 +398,10 @@
             distance_us > POOL_SAME_AGE_US) {
             continue;
         }
-        conn->proof_wanted = true;
+        conn->validation_wanted = true;
         if (conn->state == CONN_IDLE) {
             pool_remove_idle(scheduler, conn);
-            pool_check(scheduler, conn, SCHEDULER_ACTION_PROVE);
+            pool_check(scheduler, conn, SCHEDULER_ACTION_VALIDATE);
         }
     }
 }
@@ -438,8 +440,8 @@
     }
 }
 
-// Closes a connection whose opening, reset, proof or abandoned statement has
-// exceeded its time limit, and suspects its upstream.
+// Closes a connection whose opening, reset, validation or abandoned statement
+// has exceeded its time limit, and suspects its upstream.
 void
 pool_handle_timer(struct scheduler *scheduler, uint32_t id)
 {
@@ -519,21 +521,22 @@
 
 // Closes an idle connection that has not been used for long. Validates one
 // whose last answer is older than three quarters of idle_proof_us, so that a
-// later write need not wait for the proof.
+// later write need not wait for the validation.
 static void
 pool_maintain_idle(struct scheduler *scheduler, struct conn *conn)
 {
     const struct upstream *up = &scheduler->upstreams[conn->upstream];
-    int64_t proof_due_us =
-        conn->proved_us + scheduler->params.idle_proof_us / 4 * 3;
+    int64_t validation_due_us =
+        conn->validated_us + scheduler->params.idle_proof_us / 4 * 3;
 
     if (up->idle > POOL_SPARE_CONNS &&
         scheduler->now_us - conn->used_us > POOL_IDLE_CLOSE_US) {
         pool_close(scheduler, conn, SCHEDULER_CLOSE_IDLE);
     }
-    else if (scheduler->now_us >= proof_due_us && !scheduler->params.guarded) {
+    else if (scheduler->now_us >= validation_due_us &&
+             !scheduler->params.guarded) {
         pool_remove_idle(scheduler, conn);
-        pool_check(scheduler, conn, SCHEDULER_ACTION_PROVE);
+        pool_check(scheduler, conn, SCHEDULER_ACTION_VALIDATE);
     }
 }
 
--- a/src/catkingrade/decide/traffic/pool.h
+++ b/src/catkingrade/decide/traffic/pool.h
@@ -6,7 +6,7 @@
 // Pool of connections to the upstreams of one database. The pool opens and
 // closes connections within the quotas of the entry, keeps some idle
 // connections ready, validates idle connections and binds connections to
-// transactions. A proof validates a connection by a round trip to the
+// transactions. A validation checks a connection by a round trip to the
 // upstream; a reset clears its session state. The pool performs no I/O: it
 // adds actions that the adapter carries out.
 
@@ -16,7 +16,7 @@
 bool pool_can_open(const struct scheduler *scheduler, uint32_t upstream);
 void pool_open(struct scheduler *scheduler, uint32_t upstream);
 struct conn *pool_acquire_idle(struct scheduler *scheduler, uint32_t upstream,
-                               uint64_t session, bool needs_proof);
+                               uint64_t session, bool needs_validation);
 void pool_pin(struct scheduler *scheduler, struct conn *conn,
               struct session *session);
 void pool_release(struct scheduler *scheduler, struct conn *conn);
--- a/src/catkingrade/decide/traffic/scheduler.h
+++ b/src/catkingrade/decide/traffic/scheduler.h
@@ -19,10 +19,11 @@
 
 // Fixed parameters. Times are in microseconds.
 struct scheduler_params {
-    int64_t probe_us;      // interval of position samples
-    int64_t suspect_us;    // time without an answer that raises a suspicion
-    int64_t idle_proof_us; // idle time after which a proof is due; see pool.h
-    int64_t connect_timeout_us; // also the limit of resets and proofs
+    int64_t probe_us;   // interval of position samples
+    int64_t suspect_us; // time without an answer that raises a suspicion
+    int64_t
+        idle_proof_us; // idle time after which a validation is due; see pool.h
+    int64_t connect_timeout_us; // also the limit of resets and validations
     // Upstreams refuse reads for which they lack the required position, and
     // report their position with each answer. Positions are not sampled.
     bool guarded;
--- a/src/catkingrade/decide/traffic/scheduler_defs.h
+++ b/src/catkingrade/decide/traffic/scheduler_defs.h
@@ -74,7 +74,7 @@
     SCHEDULER_EVENT_RESULT,
     SCHEDULER_EVENT_CONN_OPENED,
     SCHEDULER_EVENT_CONN_FAILED,
-    SCHEDULER_EVENT_CONN_READY, // a reset or a proof has succeeded
+    SCHEDULER_EVENT_CONN_READY, // a reset or a validation has succeeded
     SCHEDULER_EVENT_SAMPLE,
     SCHEDULER_EVENT_SAMPLE_FAILED,
     SCHEDULER_EVENT_DRAIN,
@@ -167,14 +167,14 @@
 };
 
 enum scheduler_action_kind {
-    SCHEDULER_ACTION_OPEN,    // open conn to upstream
-    SCHEDULER_ACTION_CLOSE,   // close conn, with reason
-    SCHEDULER_ACTION_RESET,   // DISCARD ALL, then CONN_READY or CONN_FAILED
-    SCHEDULER_ACTION_PROVE,   // ping conn, then CONN_READY or CONN_FAILED
-    SCHEDULER_ACTION_SEND,    // run request on conn
-    SCHEDULER_ACTION_ANSWER,  // pass buffered answer on; floor is the token
-    SCHEDULER_ACTION_REFUSE,  // not_run, with outcome and retry_after_us
-    SCHEDULER_ACTION_UNKNOWN, // end as unknown (SQLSTATE 08007)
+    SCHEDULER_ACTION_OPEN,     // open conn to upstream
+    SCHEDULER_ACTION_CLOSE,    // close conn, with reason
+    SCHEDULER_ACTION_RESET,    // DISCARD ALL, then CONN_READY or CONN_FAILED
+    SCHEDULER_ACTION_VALIDATE, // ping conn, then CONN_READY or CONN_FAILED
+    SCHEDULER_ACTION_SEND,     // run request on conn
+    SCHEDULER_ACTION_ANSWER,   // pass buffered answer on; floor is the token
+    SCHEDULER_ACTION_REFUSE,   // not_run, with outcome and retry_after_us
+    SCHEDULER_ACTION_UNKNOWN,  // end as unknown (SQLSTATE 08007)
     SCHEDULER_ACTION_WARN,    // pass the answer on with a warning: unconfirmed
     SCHEDULER_ACTION_CANCEL,  // ask the upstream to cancel request on conn
     SCHEDULER_ACTION_SAMPLE,  // sample the position of upstream now
--- a/src/catkingrade/decide/traffic/scheduler_result.c
+++ b/src/catkingrade/decide/traffic/scheduler_result.c
@@ -86,7 +86,7 @@
                    const struct request *request,
                    const struct scheduler_result_event *event)
 {
-    conn->proved_us = scheduler->now_us;
+    conn->validated_us = scheduler->now_us;
     if (!event->in_transaction) {
         pool_release(scheduler, conn);
     }
@@ -254,7 +254,7 @@
         concurrency_record_rejection(&up->concurrency, scheduler->now_us,
                                      up->running);
     }
-    conn->proved_us = scheduler->now_us;
+    conn->validated_us = scheduler->now_us;
     pool_release(scheduler, conn);
     if (request == NULL ||
         result_retry(scheduler, request, upstream, event->refusal)) {
@@ -359,8 +359,8 @@
     timers_add(&scheduler->timers, upstream->open_next_us, TIMER_WAKE, 0);
 }
 
-// Handles a connection that could not be opened, reset or proved, or that was
-// lost.
+// Handles a connection that could not be opened, reset or validated, or that
+// was lost.
 void
 result_handle_conn_failed(struct scheduler *scheduler,
                           const struct scheduler_conn_event *event)
--- a/src/catkingrade/decide/traffic/scheduler_state.h
+++ b/src/catkingrade/decide/traffic/scheduler_state.h
@@ -37,7 +37,7 @@
     CONN_IDLE,
     CONN_BUSY,     // a request is in flight on it
     CONN_PINNED,   // owned by a transaction, between two statements
-    CONN_CHECKING, // a reset or a proof is in flight
+    CONN_CHECKING, // a reset or a validation is in flight
 };
 
 // Connection to an upstream; an element of the connection table.
@@ -47,7 +47,7 @@
     uint32_t next; // index of the next idle connection
     uint32_t previous;
     enum conn_state state;
-    bool proof_wanted;       // needs a proof before the next use
+    bool validation_wanted;  // needs a validation before the next use
     bool reset_wanted;       // a request was abandoned: reset before reuse
     bool read_only;          // the owning transaction is read-only
     bool read;               // the in-flight request may run on a replica
@@ -56,7 +56,7 @@
     uint64_t last_session;   // session whose state (SET) the connection holds
     struct session *session; // owner of the open transaction, or NULL
     int64_t opened_us;
-    int64_t proved_us;    // last time the upstream answered on it
+    int64_t validated_us; // last time the upstream answered on it
     int64_t since_us;     // time of the last state change
     int64_t used_us;      // last request sent on it
     int64_t abandoned_us; // when its request was abandoned; 0: not
--- a/src/catkingrade/entry/database_actions.c
+++ b/src/catkingrade/entry/database_actions.c
@@ -177,8 +177,8 @@
     case SCHEDULER_ACTION_RESET:
         conn->link->ops->reset(conn->link);
         break;
-    case SCHEDULER_ACTION_PROVE:
-        conn->link->ops->prove(conn->link);
+    case SCHEDULER_ACTION_VALIDATE:
+        conn->link->ops->validate(conn->link);
         break;
     case SCHEDULER_ACTION_CANCEL:
         conn->link->ops->cancel(conn->link);
@@ -199,7 +199,7 @@
         break;
     case SCHEDULER_ACTION_CLOSE:
     case SCHEDULER_ACTION_RESET:
-    case SCHEDULER_ACTION_PROVE:
+    case SCHEDULER_ACTION_VALIDATE:
     case SCHEDULER_ACTION_CANCEL:
         database_run_conn_action(database, action);
         break;
--- a/src/catkingrade/entry/upstream_link.h
+++ b/src/catkingrade/entry/upstream_link.h
@@ -21,7 +21,7 @@
     void (*reset)(struct upstream_link *link);
     // Checks that the upstream answers, with one round trip; ends with
     // checked.
-    void (*prove)(struct upstream_link *link);
+    void (*validate)(struct upstream_link *link);
     // Requests role and log position; ends with sampled.
     void (*sample)(struct upstream_link *link);
     // Asks the upstream to cancel the running job; has no event of its own.
@@ -75,7 +75,7 @@
     const char *password;
     const char *sslmode;
     int64_t connect_timeout_us;
-    int64_t check_timeout_us; // of reset, prove and sample
+    int64_t check_timeout_us; // of reset, validate and sample
 };
 
 struct upstream_driver {
--- a/src/catkingrade/entry/upstream_sql.h
+++ b/src/catkingrade/entry/upstream_sql.h
@@ -12,8 +12,8 @@
 // Log position of a primary, read after a commit on the same connection.
 #define UPSTREAM_SQL_POSITION "SELECT pg_current_wal_lsn()"
 
-#define UPSTREAM_SQL_RESET "DISCARD ALL"
-#define UPSTREAM_SQL_PROVE "SELECT 1"
+#define UPSTREAM_SQL_RESET    "DISCARD ALL"
+#define UPSTREAM_SQL_VALIDATE "SELECT 1"
 
 // Idempotency keys; %s is a quoted literal. One transaction contains the key,
 // the request's own write and the command tag of that write (the answer).
--- a/src/catkingrade/plugins/libpq_link.h
+++ b/src/catkingrade/plugins/libpq_link.h
@@ -28,7 +28,7 @@
     LIBPQ_PHASE_KEY_COMMIT,       // commit the idempotent write
     LIBPQ_PHASE_KEY_ROLLBACK,     // roll back a failed or repeated write
     LIBPQ_PHASE_POSITION,         // read the log position after the commit
-    LIBPQ_PHASE_CHECK,            // run the statement of reset or prove
+    LIBPQ_PHASE_CHECK,            // run the statement of reset or validate
     LIBPQ_PHASE_SAMPLE,           // read role and log position
     LIBPQ_PHASE_FAILED,           // unusable: the connection has failed
 };
--- a/src/catkingrade/plugins/libpq_upstream.c
+++ b/src/catkingrade/plugins/libpq_upstream.c
@@ -705,8 +705,8 @@
     libpq_link_run_settings(link);
 }
 
-// Runs the statement of a reset or prove operation. The link reports the end
-// with the event checked; an SQL error of the statement is ignored.
+// Runs the statement of a reset or validate operation. The link reports the
+// end with the event checked; an SQL error of the statement is ignored.
 static void
 libpq_link_check(struct libpq_link *link, const char *text)
 {
@@ -729,9 +729,9 @@
 }
 
 static void
-libpq_link_prove(struct upstream_link *base)
+libpq_link_validate(struct upstream_link *base)
 {
-    libpq_link_check((struct libpq_link *)base, UPSTREAM_SQL_PROVE);
+    libpq_link_check((struct libpq_link *)base, UPSTREAM_SQL_VALIDATE);
 }
 
 static void
@@ -802,7 +802,7 @@
 static const struct upstream_link_ops libpq_link_ops = {
     .run = libpq_link_run,
     .reset = libpq_link_reset,
-    .prove = libpq_link_prove,
+    .validate = libpq_link_validate,
     .sample = libpq_link_sample,
     .cancel = libpq_link_cancel,
     .close = libpq_link_close,
--- a/test/fake/scheduler_fleet_entry.c
+++ b/test/fake/scheduler_fleet_entry.c
@@ -154,7 +154,7 @@
         message.kind = SCHEDULER_FLEET_MESSAGE_CLOSE;
         break;
     case SCHEDULER_ACTION_RESET:
-    case SCHEDULER_ACTION_PROVE:
+    case SCHEDULER_ACTION_VALIDATE:
         message.kind = SCHEDULER_FLEET_MESSAGE_PROBE;
         break;
     case SCHEDULER_ACTION_SEND:
--- a/test/fake/scheduler_rig.c
+++ b/test/fake/scheduler_rig.c
@@ -249,7 +249,7 @@
         struct scheduler_action action = rig->actions.items[i];
         struct scheduler_event event = {.kind = SCHEDULER_EVENT_CONN_OPENED};
         event.conn.conn = action.conn;
-        if (action.kind == SCHEDULER_ACTION_PROVE ||
+        if (action.kind == SCHEDULER_ACTION_VALIDATE ||
             action.kind == SCHEDULER_ACTION_RESET) {
             event.kind = SCHEDULER_EVENT_CONN_READY;
         }
--- a/test/fake/scheduler_rig.h
+++ b/test/fake/scheduler_rig.h
@@ -77,8 +77,8 @@
 void scheduler_rig_post_conn_event(struct scheduler_rig *rig,
                                    enum scheduler_event_kind kind,
                                    uint32_t conn);
-// Reports success for each OPEN, RESET and PROVE action of the last step and
-// of the steps that these reports cause. Their actions are appended.
+// Reports success for each OPEN, RESET and VALIDATE action of the last step
+// and of the steps that these reports cause. Their actions are appended.
 void scheduler_rig_complete_opens(struct scheduler_rig *rig);
 // Returns the first action of a kind in the last step, or NULL. request 0
 // matches any request.
--- a/test/unit/decide/traffic/test_pool.c
+++ b/test/unit/decide/traffic/test_pool.c
@@ -212,7 +212,7 @@
     scheduler_rig_start(&rig, 1);
     scheduler_rig_tick(&rig, 1600 * SCHEDULER_RIG_MS_US);
     ck_assert_uint_eq(
-        scheduler_rig_count_actions(&rig, SCHEDULER_ACTION_PROVE), 2);
+        scheduler_rig_count_actions(&rig, SCHEDULER_ACTION_VALIDATE), 2);
     scheduler_rig_free(&rig);
 }
 END_TEST
@@ -233,7 +233,7 @@
     ck_assert_ptr_nonnull(
         scheduler_rig_find_action(&rig, SCHEDULER_ACTION_UNKNOWN, request));
     ck_assert_ptr_nonnull(
-        scheduler_rig_find_action(&rig, SCHEDULER_ACTION_PROVE, 0));
+        scheduler_rig_find_action(&rig, SCHEDULER_ACTION_VALIDATE, 0));
     ck_assert_ptr_nonnull(
         scheduler_rig_find_action(&rig, SCHEDULER_ACTION_SUSPECT, 0));
     scheduler_rig_free(&rig);
