refactor(control): execution of Raft's actions in a file of its own

group_host.c had 760 lines and two jobs. group_actions.c sends, stores, applies and installs; the host keeps its life and its waiters. Moved, not changed: same-code differs only where functions are no longer inlined over the files.

--- a/src/catkingrade/control/group_host_state.h
+++ b/src/catkingrade/control/group_host_state.h
@@ -70,6 +70,22 @@
                                     enum host_waiter_kind kind);
 bool host_remove_waiter(struct group_host *host, uint64_t token,
                         struct host_waiter *waiter);
+const struct ck_voter *host_find_voter(const struct group_host *host,
+                                       uint64_t id);
+
+void host_copy_address(const struct ck_voter *voter,
+                       struct settings_address *address);
+
+// group_actions.c
+extern const char *const host_role_names[]; // by enum raft_role
+struct group_state *host_decode_state(const struct group_host *host,
+                                      const struct raft_snapshot *snapshot);
+int host_write_action(struct group_host *host,
+                      const struct raft_action *action);
+void host_run_action(struct group_host *host,
+                     const struct raft_action *action);
+void host_refuse_proposal(struct group_host *host,
+                          const struct raft_action *action);
 
 // group_coordinator.c
 void host_step_coordinator(struct group_host *host,
