feat(coordinator): weigh the relief of a primary by the time that callers lose

Cause: a few refusals every 2.5 s, while both replicas lagged, sufficed for a planned change, which costs more than they do. The reports told how long a replica had lagged and not how many requests were refused. Solution: an entry sums up the share of requests that it refuses for want of a slot over the seconds of an overload (decide/traffic/refusal_loss), and reports that time. The change is made when callers have lost more than it costs. Tests: test_refusal_loss; test_backlog has cases for a small share, briefly and for long; the cases and the two tests of reports say the time lost where they said the duration of the lag.

--- a/src/catkingrade/decide/coordinator/backlog.c
+++ b/src/catkingrade/decide/coordinator/backlog.c
@@ -7,18 +7,14 @@
 
 // An entry that still refuses requests repeats its report at least this often.
 #define BACKLOG_REPORT_LIFETIME_US 2500000
-// The overload and the lag must have lasted for this multiple of the cost of a
-// change. What has lasted for some time is expected to last as long again, so
-// that the change then takes less than it saves.
-#define BACKLOG_COST_FACTOR 2
 // Interval between two changes, as a multiple of the cost of one.
 #define BACKLOG_INTERVAL_FACTOR 6
 
-// Stores a report, replacing the entry's earlier one. lagging_us is the time
-// for which the replica has served no read of the entry.
+// Stores a report, replacing the entry's earlier one. lost_us is the time that
+// callers of the entry have lost by refusals while the replica served no read.
 void
 backlog_add_report(struct backlog *backlog, int64_t now_us, size_t reporter,
-                   int64_t lagging_us)
+                   int64_t lost_us)
 {
     size_t index = 0;
 
@@ -39,11 +35,11 @@
         report->first_us = now_us;
     }
     report->last_us = now_us;
-    report->lagging_since_us = now_us - lagging_us;
+    report->lost_us = lost_us;
 }
 
-// Counts the entries whose reports about a replica have lasted, as its lag,
-// for at least min_us.
+// Counts the entries that have reported a replica for at least min_us, and
+// whose callers have lost at least min_us.
 static size_t
 backlog_count_lasting(const struct backlog *backlog, int64_t now_us,
                       int64_t min_us)
@@ -53,23 +49,23 @@
     for (size_t i = 0; i < backlog->reports_count; i++) {
         const struct backlog_report *report = &backlog->reports[i];
         if (now_us - report->last_us < BACKLOG_REPORT_LIFETIME_US &&
-            now_us - report->first_us >= min_us &&
-            now_us - report->lagging_since_us >= min_us) {
+            now_us - report->first_us >= min_us && report->lost_us >= min_us) {
             count++;
         }
     }
     return count;
 }
 
-// Returns whether to begin a planned change of primary: at least half of the
-// entries refuse requests, and none of the replicas serves them, for longer
-// than a change would take. A replica that serves some reads is reported as
-// lagging by fewer entries or for a shorter time. All upstreams must be
+// Returns whether to begin a planned change of primary: at half of the entries
+// callers have lost more time by refusals than a change would cost them. What
+// has lasted for some time is expected to last as long again, so that the
+// change then costs less than it saves. A replica that serves some reads is
+// reported by fewer entries or with less time lost. All upstreams must be
 // usable, because any of them could be needed during the change.
 bool
 backlog_should_change(const struct backlog_params *params, int64_t now_us)
 {
-    int64_t min_us = BACKLOG_COST_FACTOR * params->change_cost_us;
+    int64_t min_us = params->change_cost_us;
     int64_t interval_us = BACKLOG_INTERVAL_FACTOR * params->change_cost_us;
     size_t needed = (params->entries_count + 1) / 2;
 
--- a/src/catkingrade/decide/coordinator/backlog.h
+++ b/src/catkingrade/decide/coordinator/backlog.h
@@ -19,7 +19,7 @@
     size_t reporter;  // identifies the entry
     int64_t first_us; // first of the reports that followed each other
     int64_t last_us;
-    int64_t lagging_since_us; // the replica has served no read since then
+    int64_t lost_us; // that callers have lost since the replica served a read
 };
 
 // The reports about one replica, at most one of each entry.
@@ -43,7 +43,7 @@
 };
 
 void backlog_add_report(struct backlog *backlog, int64_t now_us,
-                        size_t reporter, int64_t lagging_us);
+                        size_t reporter, int64_t lost_us);
 bool backlog_should_change(const struct backlog_params *params,
                            int64_t now_us);
 void backlog_clear(struct backlog *backlog);
--- a/src/catkingrade/decide/traffic/admission.c
+++ b/src/catkingrade/decide/traffic/admission.c
@@ -273,6 +273,7 @@
 {
     bool stale = request->stale_wait;
 
+    refusal_loss_add(&scheduler->refusal_loss, scheduler->now_us, true);
     sample_report_lagging(scheduler);
     request_refuse(scheduler, request,
                    stale ? OUTCOME_UNAVAILABLE : OUTCOME_OVERLOADED,
@@ -311,6 +312,7 @@
             remaining_us ||
         (request->start_by_us != INT64_MAX &&
          wait_us > request->start_by_us - scheduler->now_us)) {
+        refusal_loss_add(&scheduler->refusal_loss, scheduler->now_us, true);
         sample_report_lagging(scheduler);
         request_refuse(scheduler, request, OUTCOME_OVERLOADED,
                        wait_us > 0 ? wait_us : RETRY_AFTER_US,
--- a/src/catkingrade/decide/traffic/scheduler_request.c
+++ b/src/catkingrade/decide/traffic/scheduler_request.c
@@ -82,6 +82,7 @@
 request_answer(struct scheduler *scheduler, struct request *request,
                uint64_t lsn)
 {
+    refusal_loss_add(&scheduler->refusal_loss, scheduler->now_us, false);
     request_raise_floor(scheduler, request, lsn);
     request_add_final(scheduler, request, SCHEDULER_ACTION_ANSWER)->floor =
         request->session->floor;
--- a/src/catkingrade/decide/traffic/scheduler_sample.c
+++ b/src/catkingrade/decide/traffic/scheduler_sample.c
@@ -206,11 +206,15 @@
 }
 
 // Reports the replicas that serve no reads because they lag, when a request is
-// refused for want of a slot. Each is reported at most once per
-// SAMPLE_SUSPECT_INTERVAL_US.
+// refused for want of a slot. The report carries the time that callers have
+// lost meanwhile; see refusal_loss.h. Each replica is reported at most once
+// per SAMPLE_SUSPECT_INTERVAL_US.
 void
 sample_report_lagging(struct scheduler *scheduler)
 {
+    if (scheduler->refusal_loss.lost_us == 0) {
+        return;
+    }
     for (uint32_t i = 0; i < scheduler->candidates_count; i++) {
         uint32_t index = scheduler->candidates[i];
         struct upstream *up = &scheduler->upstreams[index];
@@ -224,7 +228,10 @@
             scheduler_add_action(scheduler, SCHEDULER_ACTION_SUSPECT);
         action->upstream = index;
         action->suspicion = CK_SUSPECT_LAGGING;
-        action->since_us = up->lag.behind_since_us;
+        action->since_us = scheduler->now_us - scheduler->refusal_loss.lost_us;
+        if (action->since_us < up->lag.behind_since_us) {
+            action->since_us = up->lag.behind_since_us;
+        }
         action->term = lease_get_term(scheduler);
     }
 }
--- a/src/catkingrade/decide/traffic/scheduler_state.h
+++ b/src/catkingrade/decide/traffic/scheduler_state.h
@@ -7,6 +7,7 @@
 #include "catkingrade/decide/traffic/concurrency.h"
 #include "catkingrade/decide/traffic/freshness.h"
 #include "catkingrade/decide/traffic/primary_wait.h"
+#include "catkingrade/decide/traffic/refusal_loss.h"
 #include "catkingrade/decide/traffic/replica_lag.h"
 #include "catkingrade/decide/traffic/scheduler.h"
 
@@ -220,6 +221,7 @@
     struct scheduler_lease lease;
     uint64_t min_term; // lower terms have been revoked
     struct primary_wait primary_wait;
+    struct refusal_loss refusal_loss;
     struct request_list confirming; // unconfirmed commits
 
     struct request_type types[SCHEDULER_TYPES_MAX];
--- a/src/catkingrade/rpc/messages.x
+++ b/src/catkingrade/rpc/messages.x
@@ -197,7 +197,7 @@
     CK_SUSPECT_SILENT = 2,
     CK_SUSPECT_SLOW = 3,
     /* A replica serves no reads since its log lags, while requests are refused
-       for want of a slot. */
+       for want of a slot; since_ms is the time that callers have lost by it. */
     CK_SUSPECT_LAGGING = 4
 };
 
