feat(entry): log the requests that a stop leaves open, and the relay of a request

Change: requests_open (sent, not sent, age of the oldest one) at the end of a stop; host=, the relay, in request_sent, request_sent_again, request_refused and request_unknown.

--- a/src/catkingrade/entry/database.h
+++ b/src/catkingrade/entry/database.h
@@ -38,6 +38,7 @@
 void database_report_demand(struct database *database);
 uint64_t database_get_open_requests(const struct database *database);
 const char *database_get_customer_name(const struct database *database);
+void database_log_open_requests(struct database *database);
 bool database_is_idle(const struct database *database);
 void database_end_sessions(struct database *database);
 
--- a/src/catkingrade/entry/database_actions.c
+++ b/src/catkingrade/entry/database_actions.c
@@ -19,6 +19,10 @@
     conn->id = action->conn;
     conn->upstream = action->upstream;
     conn->connect_started_us = monotonic_get_us();
+    if (database_is_relayed(database)) {
+        strncpy(conn->relay_host, database_get_relay_host(database),
+                CK_HOST_SIZE);
+    }
     conn->link = database_open_link(database, action->upstream,
                                     &database_conn_events, conn);
     apr_hash_set(database->conns, &conn->id, sizeof(conn->id), conn);
@@ -40,6 +44,7 @@
     if (upstream != NULL) {
         strncpy(request->upstream, upstream->name, CK_NAME_SIZE);
     }
+    memcpy(request->relay_host, conn->relay_host, sizeof(conn->relay_host));
     request->running = true;
     request->attempts++;
     database_record_phase(database, request, HISTOGRAM_QUEUE);
--- a/src/catkingrade/entry/database_private.h
+++ b/src/catkingrade/entry/database_private.h
@@ -18,9 +18,10 @@
 struct database_conn {
     struct database *database;
     struct upstream_link *link;
-    struct entry_request *request; // in flight; NULL: none
-    uint32_t id;                   // assigned by the scheduler
-    uint32_t upstream;             // id of the upstream
+    struct entry_request *request;     // in flight; NULL: none
+    uint32_t id;                       // assigned by the scheduler
+    uint32_t upstream;                 // id of the upstream
+    char relay_host[CK_HOST_SIZE + 1]; // empty: the upstream is no relay
     int64_t connect_started_us;
 };
 
--- a/src/catkingrade/entry/database_report.c
+++ b/src/catkingrade/entry/database_report.c
@@ -144,20 +144,48 @@
 {
     bool unknown = action->kind == SCHEDULER_ACTION_UNKNOWN;
 
-    LOG_LIMITED(DATABASE_FAILED_LOG_LINES_PER_S, LOG_LEVEL_INFO,
-                unknown ? "request_unknown" : "request_refused",
-                "id=%s request=%" PRIu64 " session=%" PRIu64
-                " database=%s class=%s outcome=%s reason=%s waited_ms=%" PRId64
-                " term=%" PRIu64 " lease_left_ms=%" PRId64
-                " upstream=%s retry_after_ms=%" PRId64,
-                database_get_caller_id(request), request->id,
-                request->params.session, database->name,
-                database_class_names[request->params.request_class],
-                outcome_get_name(action->outcome),
-                action->reason == NULL ? "" : action->reason,
-                action->waited_us / DATABASE_US_PER_MS, action->term,
-                action->lease_left_us / DATABASE_US_PER_MS, request->upstream,
-                action->retry_after_us / DATABASE_US_PER_MS);
+    LOG_LIMITED(
+        DATABASE_FAILED_LOG_LINES_PER_S, LOG_LEVEL_INFO,
+        unknown ? "request_unknown" : "request_refused",
+        "id=%s request=%" PRIu64 " session=%" PRIu64
+        " database=%s class=%s outcome=%s reason=%s waited_ms=%" PRId64
+        " term=%" PRIu64 " lease_left_ms=%" PRId64
+        " upstream=%s host=%s retry_after_ms=%" PRId64,
+        database_get_caller_id(request), request->id, request->params.session,
+        database->name, database_class_names[request->params.request_class],
+        outcome_get_name(action->outcome),
+        action->reason == NULL ? "" : action->reason,
+        action->waited_us / DATABASE_US_PER_MS, action->term,
+        action->lease_left_us / DATABASE_US_PER_MS, request->upstream,
+        request->relay_host, action->retry_after_us / DATABASE_US_PER_MS);
+}
+
+// Logs how many requests have no outcome, if there are any.
+void
+database_log_open_requests(struct database *database)
+{
+    unsigned sent = 0;
+    unsigned not_sent = 0;
+    int64_t oldest_us = monotonic_get_us();
+
+    for (apr_hash_index_t *index =
+             apr_hash_first(database->pool, database->requests);
+         index != NULL; index = apr_hash_next(index)) {
+        const struct entry_request *request = apr_hash_this_val(index);
+        if (request->decided) {
+            continue;
+        }
+        sent += request->running ? 1 : 0;
+        not_sent += request->running ? 0 : 1;
+        oldest_us = request->submitted_us < oldest_us ? request->submitted_us
+                                                      : oldest_us;
+    }
+    if (sent + not_sent > 0) {
+        LOG_INFO("requests_open",
+                 "database=%s sent=%u not_sent=%u oldest_ms=%" PRId64,
+                 database->name, sent, not_sent,
+                 (monotonic_get_us() - oldest_us) / DATABASE_US_PER_MS);
+    }
 }
 
 // Logs the upstream to which a request is sent, and the reason. Retries and
@@ -173,19 +201,19 @@
         LOG_LIMITED(DATABASE_FAILED_LOG_LINES_PER_S, LOG_LEVEL_INFO,
                     "request_sent_again",
                     "id=%s request=%" PRIu64
-                    " database=%s attempt=%u upstream=%s reason=%s",
+                    " database=%s attempt=%u upstream=%s host=%s reason=%s",
                     database_get_caller_id(request), request->id,
                     database->name, request->attempts, request->upstream,
-                    request->reason);
+                    request->relay_host, request->reason);
         return;
     }
     LOG_LIMITED(DATABASE_SENT_LOG_LINES_PER_S, LOG_LEVEL_INFO, "request_sent",
                 "id=%s request=%" PRIu64 " session=%" PRIu64
-                " database=%s class=%s upstream=%s on_replica=%d "
+                " database=%s class=%s upstream=%s host=%s on_replica=%d "
                 "after=%" PRIu64 " reason=%s",
                 database_get_caller_id(request), request->id,
                 request->params.session, database->name,
                 database_class_names[request->params.request_class],
-                request->upstream, action->on_replica, action->after_lsn,
-                request->reason);
+                request->upstream, request->relay_host, action->on_replica,
+                action->after_lsn, request->reason);
 }
--- a/src/catkingrade/entry/session.h
+++ b/src/catkingrade/entry/session.h
@@ -23,7 +23,8 @@
     struct job job;
     // Constant text: why the upstream was chosen or the request refused.
     const char *reason;
-    char upstream[CK_NAME_SIZE + 1]; // that ran the last attempt
+    char upstream[CK_NAME_SIZE + 1];   // that ran the last attempt
+    char relay_host[CK_HOST_SIZE + 1]; // that ran it; empty: no relay
     bool on_replica;
     unsigned attempts;
     int64_t submitted_us; // monotonic
--- a/src/catkingrade/entry/worker.c
+++ b/src/catkingrade/entry/worker.c
@@ -101,6 +101,9 @@
         pthread_join(worker->thread, NULL);
         worker->started = false;
     }
+    for (size_t i = 0; i < worker->databases_count; i++) {
+        database_log_open_requests(worker->databases[i]);
+    }
     if (worker->listener_state != NULL) {
         listener->stop(worker->listener_state);
         worker->listener_state = NULL;
