--- a/test/contract/test_entry.c
+++ b/test/contract/test_entry.c
@@ -79,6 +79,7 @@
     char *text =
         xasprintf("{\"vm\": \"e%d\", \"failure_domain\": \"noord\",\n"
                   " \"roles\": [\"entry\"], \"drain_notice_ms\": 0,\n"
+                  " \"drain_limit_ms\": 2000,\n"
                   " \"listen\": {\"postgres\": \"127.0.0.1:%d\"},\n"
                   " \"token_keys_file\": \"%s/keys\",\n"
                   " \"view_file\": \"%s/view.json\"}\n",
@@ -521,6 +522,33 @@
 }
 END_TEST
 
+// Guards against a statement that is cut off by a stop without an answer.
+START_TEST(test_statement_in_flight_is_answered_at_stop)
+{
+    struct fleet fleet;
+
+    fleet_start(&fleet, "entry_stop_late", "0");
+    PGconn *busy = fleet_open(&fleet);
+    PGconn *other = process_connect(fleet.entry_ports[0], NULL);
+    ck_assert(process_send_fault_command(fleet.control_ports[0],
+                                         "late 20000 'slow'"));
+    ck_assert_int_eq(
+        PQsendQuery(busy, "INSERT INTO booking VALUES (2, 'slow')"), 1);
+    // The entry receives this statement after the request of busy.
+    check_query(other, "INSERT INTO booking VALUES (3, 'x')", "");
+    ck_assert_int_eq(kill(process_get_pid(fleet.entries[0]), SIGTERM), 0);
+    PGresult *result = PQgetResult(busy);
+    ck_assert_int_eq(PQresultStatus(result), PGRES_FATAL_ERROR);
+    ck_assert_pstr_eq(PQresultErrorField(result, PG_DIAG_SQLSTATE), "08007");
+    PQclear(result);
+    ck_assert_int_eq(process_wait(fleet.entries[0]), 0);
+    fleet.entries[0] = NULL;
+    PQfinish(busy);
+    PQfinish(other);
+    fleet_stop(&fleet);
+}
+END_TEST
+
 // ---- the protocol ----
 
 // Guards against errors of the simple query protocol: unsupported statements,
@@ -660,6 +688,7 @@
     tcase_add_test(tests, test_late_answer_is_dropped);
     tcase_add_test(tests, test_silent_connections_are_replaced);
     tcase_add_test(tests, test_planned_stop);
+    tcase_add_test(tests, test_statement_in_flight_is_answered_at_stop);
     tcase_add_test(tests, test_protocol);
     tcase_add_test(tests, test_pipeline);
     tcase_add_test(tests, test_cancel);
--- a/test/contract/test_relay.c
+++ b/test/contract/test_relay.c
@@ -28,19 +28,6 @@
     "\"services\":[{\"name\":\"core\",\"maxConns\":8,\"syncReplicas\":0}],"   \
     "\"limits\":{\"txIdleMs\":60000}}"
 
-static bool
-log_contains(int entry, const char *event)
-{
-    char path[512];
-
-    (void)snprintf(path, sizeof(path), "%s/vm%d.log", rig.folder,
-                   RIG_CONTROLS + entry);
-    char *text = process_read_file(path);
-    bool found = strstr(text, event) != NULL;
-    free(text);
-    return found;
-}
-
 // Starts two entries, waits until both answer, and returns the index of the
 // one that uses the other as its relay.
 static int
@@ -55,7 +42,9 @@
             close(platform_rig_wait_answer(entry, "own",
                                            "QUERY a0 WRITE k0 zero", "sig-"));
             entry_with_relay =
-                log_contains(entry, "relay_begun") ? entry : entry_with_relay;
+                platform_rig_log_contains(RIG_CONTROLS + entry, "relay_begun")
+                    ? entry
+                    : entry_with_relay;
         }
         usleep(RIG_WAIT_STEP_US);
     }
--- /dev/null
+++ b/test/contract/test_stop.c
@@ -0,0 +1,221 @@
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "catkingrade/kernel/memory.h"
+#include "test/fake/platform.h"
+#include "test/fake/process.h"
+#include "test/rig/platform_rig.h"
+#include "test/suite.h"
+
+// Planned stops (SIGTERM) of entries that have statements in flight, with real
+// daemons and the fake platform.
+
+#define CONFIG                                                                \
+    "{\"version\":1,\"routes\":["                                             \
+    "{\"host\":\"current\",\"routeKind\":\"primary\",\"timeoutMs\":9000,"     \
+    "\"targetLatencyMs\":9000,\"priority\":1,\"service\":\"core\"}],"         \
+    "\"services\":[{\"name\":\"core\",\"maxConns\":8,\"syncReplicas\":0}],"   \
+    "\"limits\":{\"txIdleMs\":60000}}"
+// Half of the connections go to entries: too few for two entries, so that one
+// relays the statements of the other.
+#define RELAY_SETTINGS ",\"relay_min_connections\": 3"
+#define WRITERS        20
+
+static void
+wait_for_held_reply(void)
+{
+    for (int i = 0;
+         i < RIG_WAIT_ROUNDS && platform_count_held_replies(rig.platform) == 0;
+         i++) {
+        usleep(RIG_WAIT_STEP_US);
+    }
+    ck_assert_uint_gt(platform_count_held_replies(rig.platform), 0);
+}
+
+// Makes the primary hold its replies, and returns it.
+static int
+hold_replies_of_primary(void)
+{
+    int primary = platform_get_primary(rig.platform);
+
+    platform_hold_replies(rig.platform, primary, true);
+    return primary;
+}
+
+static void
+stop_entry(int entry)
+{
+    ck_assert_int_eq(kill(process_get_pid(rig.entries[entry]), SIGTERM), 0);
+}
+
+// Waits for the end of an entry, which must be regular.
+static void
+wait_for_entry(int entry)
+{
+    ck_assert_int_eq(process_wait(rig.entries[entry]), 0);
+    rig.entries[entry] = NULL;
+}
+
+static void
+check_closed(int fd)
+{
+    char byte = 0;
+
+    ck_assert_int_eq(recv(fd, &byte, 1, 0), 0);
+    close(fd);
+}
+
+// Guards against a read that is cut off by a stop without an answer.
+START_TEST(test_read_in_flight_is_answered_at_stop)
+{
+    platform_rig_start("stop_read", 1, "");
+    platform_rig_wait_config(0, CONFIG);
+    int fd = platform_rig_wait_answer(0, "current", "QUERY a0 WRITE k0 zero",
+                                      "sig-a0");
+    (void)hold_replies_of_primary();
+    platform_send_line(fd, "QUERY a1 READ k0");
+    wait_for_held_reply();
+    stop_entry(0);
+    char *text = platform_receive_reply(fd);
+    ck_assert_ptr_nonnull(text);
+    ck_assert_msg(strncmp(text, "ERROR FAILED ", 13) == 0, "%s", text);
+    ck_assert_ptr_nonnull(strstr(text, "\r\nREADY I -\r\n"));
+    free(text);
+    check_closed(fd);
+    wait_for_entry(0);
+    platform_rig_stop();
+}
+END_TEST
+
+// Checks the answer to the write of a writer: not run, or in doubt if it ran.
+// Returns whether it was not run.
+static bool
+check_write_answer(int writer, const char *text)
+{
+    char value[32];
+
+    (void)snprintf(value, sizeof(value), "value%d", writer);
+    int count = platform_count_writes(rig.platform, value);
+    ck_assert_msg(text != NULL, "%s has no answer", value);
+    bool not_run = strncmp(text, "ERROR BUSY ", 11) == 0;
+    bool in_doubt = strncmp(text, "ERROR INDOUBT ", 14) == 0;
+    ck_assert_msg(not_run || in_doubt, "%s: %s", value, text);
+    ck_assert_msg(!not_run || count == 0, "%s ran: %s", value, text);
+    return not_run;
+}
+
+// Guards against writes, queued or in flight, that are cut off by a stop
+// without an answer or with a false one.
+START_TEST(test_writes_are_answered_at_stop)
+{
+    int fds[WRITERS];
+    int not_run = 0;
+
+    platform_rig_start("stop_writes", 1, "");
+    platform_rig_wait_config(0, CONFIG);
+    for (int i = 0; i < WRITERS; i++) {
+        fds[i] = platform_rig_wait_answer(0, "current",
+                                          "QUERY a0 WRITE k0 zero", "sig-a0");
+    }
+    (void)hold_replies_of_primary();
+    for (int i = 0; i < WRITERS; i++) {
+        char line[64];
+        (void)snprintf(line, sizeof(line), "QUERY w%d WRITE k1 value%d", i, i);
+        platform_send_line(fds[i], line);
+    }
+    wait_for_held_reply();
+    stop_entry(0);
+    for (int i = 0; i < WRITERS; i++) {
+        char *text = platform_receive_reply(fds[i]);
+        not_run += check_write_answer(i, text) ? 1 : 0;
+        free(text);
+        check_closed(fds[i]);
+    }
+    ck_assert_int_gt(not_run, 0);
+    ck_assert_int_lt(not_run, WRITERS);
+    wait_for_entry(0);
+    platform_rig_stop();
+}
+END_TEST
+
+// Guards against an answer that arrives during a stop and is not delivered.
+START_TEST(test_answer_during_stop_is_delivered)
+{
+    platform_rig_start("stop_answer", 1, "");
+    platform_rig_wait_config(0, CONFIG);
+    int fd = platform_rig_wait_answer(0, "current", "QUERY a0 WRITE k0 zero",
+                                      "sig-a0");
+    int primary = hold_replies_of_primary();
+    platform_send_line(fd, "QUERY a1 WRITE k0 one");
+    wait_for_held_reply();
+    stop_entry(0);
+    usleep(RIG_DRAIN_NOTICE_MS * 2 * 1000);
+    platform_hold_replies(rig.platform, primary, false);
+    char *text = platform_receive_reply(fd);
+    ck_assert_ptr_nonnull(text);
+    ck_assert_str_eq(text, "COMPLETE sig-a1\r\nREADY I -\r\n");
+    free(text);
+    check_closed(fd);
+    wait_for_entry(0);
+    platform_rig_stop();
+}
+END_TEST
+
+// Returns the entry that uses the other one as its relay.
+static int
+wait_for_relay(void)
+{
+    for (int i = 0; i < RIG_WAIT_ROUNDS; i++) {
+        for (int entry = 0; entry < 2; entry++) {
+            close(platform_rig_wait_answer(entry, "current",
+                                           "QUERY a0 WRITE k0 zero", "sig-"));
+            if (platform_rig_log_contains(RIG_CONTROLS + entry,
+                                          "relay_begun")) {
+                return entry;
+            }
+        }
+        usleep(RIG_WAIT_STEP_US);
+    }
+    ck_abort_msg("no entry uses a relay");
+    return -1;
+}
+
+// Guards against a relay that stops while it runs the write of another entry,
+// which then does not know whether the write took effect.
+START_TEST(test_relay_stop_awaits_relayed_write)
+{
+    platform_rig_start("stop_relay", 2, RELAY_SETTINGS);
+    platform_rig_wait_config(0, CONFIG);
+    int entry = wait_for_relay();
+    int fd = platform_rig_wait_answer(entry, "current",
+                                      "QUERY a0 WRITE k0 zero", "sig-a0");
+    int primary = hold_replies_of_primary();
+    platform_send_line(fd, "QUERY a1 WRITE k0 one");
+    wait_for_held_reply();
+    stop_entry(1 - entry);
+    usleep(RIG_DRAIN_NOTICE_MS * 4 * 1000);
+    platform_hold_replies(rig.platform, primary, false);
+    char *text = platform_receive_reply(fd);
+    ck_assert_ptr_nonnull(text);
+    ck_assert_str_eq(text, "COMPLETE sig-a1\r\nREADY I -\r\n");
+    free(text);
+    close(fd);
+    wait_for_entry(1 - entry);
+    platform_rig_stop();
+}
+END_TEST
+
+static void
+add_tests(TCase *tests)
+{
+    tcase_add_test(tests, test_read_in_flight_is_answered_at_stop);
+    tcase_add_test(tests, test_writes_are_answered_at_stop);
+    tcase_add_test(tests, test_answer_during_stop_is_delivered);
+    tcase_add_test(tests, test_relay_stop_awaits_relayed_write);
+}
+
+TEST_MAIN("stop", add_tests)
--- a/test/fake/platform.c
+++ b/test/fake/platform.c
@@ -40,6 +40,8 @@
     struct buffer in;
     bool started;
     bool replies_suppressed;
+    bool replies_held;
+    struct buffer held; // replies to send once they are no longer held
     char state; // I: idle, T: in a transaction, E: in a failed transaction
     bool is_read_only;
     struct prepared prepared[MAX_PREPARED];
@@ -55,6 +57,7 @@
     bool is_down;
     bool replication_paused;
     bool replies_suppressed;
+    bool replies_held;
     uint64_t term;
     size_t received; // number of log entries received
     size_t applied;  // number of log entries applied
@@ -110,6 +113,10 @@
     va_start(args, format);
     int size = vsnprintf(text, sizeof(text), format, args);
     va_end(args);
+    if (conn->replies_held) {
+        buffer_append(&conn->held, text, (size_t)size);
+        return;
+    }
     (void)!send(conn->fd, text, (size_t)size, MSG_NOSIGNAL);
 }
 
@@ -323,6 +330,9 @@
 
     conn->replies_suppressed =
         platform->upstreams[conn->upstream].replies_suppressed;
+    conn->replies_held = platform->upstreams[conn->upstream].replies_held &&
+                         strncmp(line, "QUERY ", 6) == 0 &&
+                         strncmp(line, "QUERY - ", 8) != 0;
     (void)snprintf(expected, sizeof(expected), "i-%d", conn->upstream);
     if (strncmp(line, "QUERY ", 6) == 0 && conn->started) {
         run_query(platform, conn, line + 6);
@@ -408,6 +418,7 @@
 
     close(conn->fd);
     buffer_free(&conn->in);
+    buffer_free(&conn->held);
     free(conn);
     platform->conns[index] = platform->conns[--platform->conns_count];
 }
@@ -573,6 +584,41 @@
     pthread_mutex_unlock(&platform->mutex);
 }
 
+// Sends the held replies of a connection.
+static void
+send_held_replies(struct conn *conn)
+{
+    (void)!send(conn->fd, buffer_get_data(&conn->held),
+                buffer_get_size(&conn->held), MSG_NOSIGNAL);
+    buffer_free(&conn->held);
+}
+
+void
+platform_hold_replies(struct platform *platform, int upstream, bool held)
+{
+    pthread_mutex_lock(&platform->mutex);
+    platform->upstreams[upstream].replies_held = held;
+    for (size_t i = 0; !held && i < platform->conns_count; i++) {
+        if (platform->conns[i]->upstream == upstream) {
+            send_held_replies(platform->conns[i]);
+        }
+    }
+    pthread_mutex_unlock(&platform->mutex);
+}
+
+size_t
+platform_count_held_replies(struct platform *platform)
+{
+    size_t count = 0;
+
+    pthread_mutex_lock(&platform->mutex);
+    for (size_t i = 0; i < platform->conns_count; i++) {
+        count += buffer_get_size(&platform->conns[i]->held) > 0 ? 1 : 0;
+    }
+    pthread_mutex_unlock(&platform->mutex);
+    return count;
+}
+
 int
 platform_get_primary(struct platform *platform)
 {
@@ -694,13 +740,18 @@
     return fd;
 }
 
+void
+platform_send_line(int fd, const char *line)
+{
+    (void)!send(fd, line, strlen(line), MSG_NOSIGNAL);
+    (void)!send(fd, "\r\n", 2, MSG_NOSIGNAL);
+}
+
 char *
-platform_send_request(int fd, const char *line)
+platform_receive_reply(int fd)
 {
     struct buffer reply = {0};
 
-    (void)!send(fd, line, strlen(line), MSG_NOSIGNAL);
-    (void)!send(fd, "\r\n", 2, MSG_NOSIGNAL);
     for (;;) {
         uint8_t *tail = buffer_reserve(&reply, 1024);
         ssize_t size = recv(fd, tail, 1023, 0);
@@ -721,3 +772,10 @@
         }
     }
 }
+
+char *
+platform_send_request(int fd, const char *line)
+{
+    platform_send_line(fd, line);
+    return platform_receive_reply(fd);
+}
--- a/test/fake/platform.h
+++ b/test/fake/platform.h
@@ -27,6 +27,11 @@
                                 bool paused);
 // Makes an upstream run its statements without sending replies.
 void platform_suppress_replies(struct platform *platform, int upstream);
+// Makes an upstream run its statements and hold the replies to those of
+// clients until this is called again with held false.
+void platform_hold_replies(struct platform *platform, int upstream, bool held);
+// Returns the number of connections with held replies.
+size_t platform_count_held_replies(struct platform *platform);
 int platform_get_primary(struct platform *platform);
 // Returns the fencing token of the last POST /failover.
 uint64_t platform_get_last_fencing_token(struct platform *platform);
@@ -55,10 +60,13 @@
 
 // Opens a blocking client connection. Returns its file descriptor, or -1.
 int platform_connect(int port);
-// Sends one request on a connection and waits for the READY line, 20 s for
-// each read. Returns the reply, which the caller frees. The reply is
-// incomplete if the connection ends before READY, and NULL if nothing was
-// received.
+// Sends one request on a connection.
+void platform_send_line(int fd, const char *line);
+// Waits for the READY line, 20 s for each read. Returns the reply, which the
+// caller frees. The reply is incomplete if the connection ends before READY,
+// and NULL if nothing was received.
+char *platform_receive_reply(int fd);
+// Sends one request and returns the reply, see platform_receive_reply.
 char *platform_send_request(int fd, const char *line);
 
 #endif
--- a/test/rig/platform_rig.c
+++ b/test/rig/platform_rig.c
@@ -90,9 +90,10 @@
         "[\"127.0.0.1:%d\", \"127.0.0.1:%d\", \"127.0.0.1:%d\"], "
         "\"voters_from_seeds\": true, \"sample_upstreams\": false, "
         "\"ready_with_lease\": true, \"announce_expiry_ms\": 3000, "
-        "\"log_format\": \"json\", \"drain_notice_ms\": 100, "
-        "\"drain_limit_ms\": 1000, %s}",
-        vm_index, rig.rpc_ports[0], rig.rpc_ports[1], rig.rpc_ports[2], extra);
+        "\"log_format\": \"json\", \"drain_notice_ms\": %d, "
+        "\"drain_limit_ms\": %d, %s}",
+        vm_index, rig.rpc_ports[0], rig.rpc_ports[1], rig.rpc_ports[2],
+        RIG_DRAIN_NOTICE_MS, RIG_DRAIN_LIMIT_MS, extra);
 
     process_write_file(path, text);
     free(text);
@@ -300,6 +301,18 @@
     }
 }
 
+bool
+platform_rig_log_contains(int vm_index, const char *text)
+{
+    char path[512];
+
+    (void)snprintf(path, sizeof(path), "%s/vm%d.log", rig.folder, vm_index);
+    char *log = process_read_file(path);
+    bool found = strstr(log, text) != NULL;
+    free(log);
+    return found;
+}
+
 void
 platform_rig_remove_disk(int vm_index)
 {
--- a/test/rig/platform_rig.h
+++ b/test/rig/platform_rig.h
@@ -19,6 +19,9 @@
 #define RIG_ENTRIES      3
 #define RIG_WAIT_ROUNDS  500
 #define RIG_WAIT_STEP_US 20000
+// Of a planned stop: until the listeners close, and until it ends.
+#define RIG_DRAIN_NOTICE_MS 100
+#define RIG_DRAIN_LIMIT_MS  2000
 
 // Arrays of RIG_CONTROLS + RIG_ENTRIES elements are indexed by vm_index.
 struct platform_rig {
@@ -61,6 +64,8 @@
                              const char *expected);
 // Returns whether a control VM reports three voters, all of which vote.
 bool platform_rig_is_settled(int vm_index);
+// Returns whether the log of a VM contains a text.
+bool platform_rig_log_contains(int vm_index, const char *text);
 // Removes the data directory of a control VM, which must not be running.
 void platform_rig_remove_disk(int vm_index);
 // Runs each kind of statement on a session: variables, prepared statements,
