fix(entry): answer each request in flight before a planned stop ends

Cause: at drain_limit_ms the control loop ended, and plugin_stop_all destroyed all sessions with their requests. Nothing in a stop answered requests; the limit stood for the answer. The class: a process ends while a request that was read whole has no outcome. Change: a stop has a third stage. At drain_limit_ms all plug-ins finish: the scheduler ends each request, as not run if it was not sent and as unknown if it was, refuses those that still arrive, and sessions close once their answers are written, for at most 0.5 s. Why it works: the only way out of a stop with requests in flight now passes through their outcome; the listener destroys sessions only after that.

--- a/src/catkingrade/decide/traffic/request_run.c
+++ b/src/catkingrade/decide/traffic/request_run.c
@@ -90,23 +90,23 @@
     action->request = id;
 }
 
-// Ends a request whose session closes: as not run if it was not sent,
+// Ends a request whose session or entry ends: as not run if it was not sent,
 // otherwise with outcome unknown.
 void
-request_drop(struct scheduler *scheduler, struct request *request)
+request_drop(struct scheduler *scheduler, struct request *request,
+             const char *reason)
 {
     switch (request->state) {
     case REQUEST_RUNNING:
-        request_abandon(scheduler, request, "its session has ended");
+        request_abandon(scheduler, request, reason);
         return;
     case REQUEST_CONFIRMING:
         request_leave_queue(scheduler, request);
-        request_unknown(scheduler, request, "its session has ended");
+        request_unknown(scheduler, request, reason);
         return;
     default:
         request_leave_queue(scheduler, request);
-        request_refuse(scheduler, request, OUTCOME_NOT_RUN, 0,
-                       "its session has ended");
+        request_refuse(scheduler, request, OUTCOME_NOT_RUN, 0, reason);
     }
 }
 
--- a/src/catkingrade/decide/traffic/request_run.h
+++ b/src/catkingrade/decide/traffic/request_run.h
@@ -9,7 +9,8 @@
 void request_send(struct scheduler *scheduler, struct request *request,
                   struct conn *conn);
 void request_cancel(struct scheduler *scheduler, uint64_t id);
-void request_drop(struct scheduler *scheduler, struct request *request);
+void request_drop(struct scheduler *scheduler, struct request *request,
+                  const char *reason);
 void request_handle_timer(struct scheduler *scheduler, uint64_t id);
 
 #endif
--- a/src/catkingrade/decide/traffic/scheduler.c
+++ b/src/catkingrade/decide/traffic/scheduler.c
@@ -149,6 +149,11 @@
         scheduler->draining = true;
         session_end_idle(scheduler);
         break;
+    case SCHEDULER_EVENT_FINISH:
+        scheduler->draining = true;
+        scheduler->finishing = true;
+        session_finish_all(scheduler);
+        break;
     case SCHEDULER_EVENT_TICK:
         break;
     }
--- a/src/catkingrade/decide/traffic/scheduler_defs.h
+++ b/src/catkingrade/decide/traffic/scheduler_defs.h
@@ -77,7 +77,8 @@
     SCHEDULER_EVENT_CONN_READY, // a reset or a validation has succeeded
     SCHEDULER_EVENT_SAMPLE,
     SCHEDULER_EVENT_SAMPLE_FAILED,
-    SCHEDULER_EVENT_DRAIN,
+    SCHEDULER_EVENT_DRAIN,  // accept no new transactions
+    SCHEDULER_EVENT_FINISH, // end all requests, and refuse later ones
     SCHEDULER_EVENT_TICK,
 };
 
--- a/src/catkingrade/decide/traffic/scheduler_request.c
+++ b/src/catkingrade/decide/traffic/scheduler_request.c
@@ -277,7 +277,8 @@
 
 // Handles a new request. It begins once the earlier requests of its session
 // have ended. While the entry is stopping or the customer is closing, it is
-// refused unless the session has an open transaction or earlier requests.
+// refused unless the session has an open transaction or earlier requests. At
+// the end of a stop it is refused in any case.
 void
 request_arrive(struct scheduler *scheduler,
                const struct scheduler_request *event)
@@ -302,8 +303,9 @@
     session->last = request;
     retry_add_credit(scheduler);
     const char *refusal = request_find_refusal(scheduler, session);
-    if (refusal != NULL && session->conn == SCHEDULER_NO_ID &&
-        session->first == request) {
+    bool is_new =
+        session->conn == SCHEDULER_NO_ID && session->first == request;
+    if (refusal != NULL && (is_new || scheduler->finishing)) {
         request_refuse(scheduler, request, OUTCOME_CLOSED, 0, refusal);
         return;
     }
--- a/src/catkingrade/decide/traffic/scheduler_session.c
+++ b/src/catkingrade/decide/traffic/scheduler_session.c
@@ -60,6 +60,18 @@
     request_continue_session(scheduler, session);
 }
 
+// Ends all requests of a session. None of those behind the first one begins.
+static void
+session_drop_requests(struct scheduler *scheduler, struct session *session,
+                      const char *reason)
+{
+    session->continuing = true;
+    while (session->first != NULL) {
+        request_drop(scheduler, session->first, reason);
+    }
+    session->continuing = false;
+}
+
 // Closes a session: ends its requests, closes the connection that is pinned to
 // its transaction, and frees it.
 void
@@ -71,10 +83,7 @@
         return;
     }
     session->ended = true;
-    session->continuing = true;
-    while (session->first != NULL) {
-        request_drop(scheduler, session->first);
-    }
+    session_drop_requests(scheduler, session, "its session has ended");
     struct conn *conn = pool_find(scheduler, session->conn);
     if (conn != NULL) {
         pool_close(scheduler, conn, SCHEDULER_CLOSE_ABNORMAL);
@@ -114,6 +123,21 @@
     }
 }
 
+// Ends the requests of all sessions, and the sessions outside a transaction,
+// as the time of a planned stop has run out.
+void
+session_finish_all(struct scheduler *scheduler)
+{
+    for (size_t i = 0; i < scheduler->sessions.capacity; i++) {
+        struct session *session = scheduler->sessions.items[i];
+        if (session != NULL) {
+            session_drop_requests(scheduler, session,
+                                  "the entry stops before its answer");
+            session_end_if_due(scheduler, session);
+        }
+    }
+}
+
 // Frees all sessions and requests without adding actions.
 void
 session_free_all(struct scheduler *scheduler)
--- a/src/catkingrade/decide/traffic/scheduler_session.h
+++ b/src/catkingrade/decide/traffic/scheduler_session.h
@@ -12,6 +12,7 @@
 void session_close(struct scheduler *scheduler, uint64_t id);
 void session_end_if_due(struct scheduler *scheduler, struct session *session);
 void session_end_idle(struct scheduler *scheduler);
+void session_finish_all(struct scheduler *scheduler);
 void session_free_all(struct scheduler *scheduler);
 
 #endif
--- a/src/catkingrade/decide/traffic/scheduler_state.h
+++ b/src/catkingrade/decide/traffic/scheduler_state.h
@@ -246,8 +246,9 @@
     struct freshness freshness;
     bool view_known;
     bool lease_known;
-    bool limits_leased; // limits are the full quota of a valid lease
-    bool draining;
+    bool limits_leased;   // limits are the full quota of a valid lease
+    bool draining;        // refuses new transactions
+    bool finishing;       // refuses all requests
     uint8_t default_type; // index; for requests without a known type
 };
 
--- a/src/catkingrade/entry/database.c
+++ b/src/catkingrade/entry/database.c
@@ -259,6 +259,16 @@
     database_step(database, &event);
 }
 
+// Ends all requests and refuses later ones, at the end of a planned stop.
+void
+database_finish(struct database *database)
+{
+    struct scheduler_event event = {.kind = SCHEDULER_EVENT_FINISH};
+
+    database_log_open_requests(database);
+    database_step(database, &event);
+}
+
 // Reports the demand for each upstream since the previous report to the
 // control loop. A relayed database has no demand of its own.
 void
--- a/src/catkingrade/entry/database.h
+++ b/src/catkingrade/entry/database.h
@@ -35,6 +35,7 @@
 void database_set_lease(struct database *database, uint64_t term,
                         int64_t valid_until_us, bool revoked);
 void database_drain(struct database *database);
+void database_finish(struct database *database);
 void database_report_demand(struct database *database);
 uint64_t database_get_open_requests(const struct database *database);
 const char *database_get_customer_name(const struct database *database);
--- a/src/catkingrade/entry/entry.c
+++ b/src/catkingrade/entry/entry.c
@@ -235,6 +235,7 @@
     ENTRY_MESSAGE_COLLECT_DEMAND,
     ENTRY_MESSAGE_SHED,
     ENTRY_MESSAGE_DRAIN,
+    ENTRY_MESSAGE_FINISH,
 };
 
 struct entry_message {
@@ -313,6 +314,9 @@
     case ENTRY_MESSAGE_DRAIN:
         worker_drain(worker);
         break;
+    case ENTRY_MESSAGE_FINISH:
+        worker_finish(worker);
+        break;
     }
     entry_free_quotas(message->quotas, message->quotas_count);
     entry_free_relays(message->relays, message->relays_count);
@@ -437,6 +441,17 @@
     entry_post_all(entry, &message);
 }
 
+// Ends a planned stop: requests that have not been sent are answered as not
+// run, those in flight as unknown, and the sessions close when their answers
+// are written. After entry_drain.
+void
+entry_finish(struct entry *entry)
+{
+    struct entry_message message = {.kind = ENTRY_MESSAGE_FINISH};
+
+    entry_post_all(entry, &message);
+}
+
 // ---- sessions ----
 
 static struct entry_customer *
--- a/src/catkingrade/entry/entry.h
+++ b/src/catkingrade/entry/entry.h
@@ -56,6 +56,7 @@
 void entry_collect_demand(struct entry *entry);
 void entry_post_shed(struct entry *entry);
 void entry_drain(struct entry *entry);
+void entry_finish(struct entry *entry);
 bool entry_is_drained(struct entry *entry);
 uint64_t entry_get_sessions_count(struct entry *entry);
 uint64_t entry_get_open_requests(struct entry *entry, const char *customer);
--- a/src/catkingrade/entry/entry_plugin.c
+++ b/src/catkingrade/entry/entry_plugin.c
@@ -12,6 +12,13 @@
     entry_drain(daemon->entry);
 }
 
+// Ends all requests with an answer, and all sessions.
+void
+entry_plugin_finish(struct daemon *daemon)
+{
+    entry_finish(daemon->entry);
+}
+
 // Returns whether a planned stop has begun and all sessions have ended.
 bool
 entry_plugin_is_drained(struct daemon *daemon)
--- a/src/catkingrade/entry/worker.c
+++ b/src/catkingrade/entry/worker.c
@@ -101,9 +101,6 @@
         pthread_join(worker->thread, NULL);
         worker->started = false;
     }
-    for (size_t i = 0; i < worker->databases_count; i++) {
-        database_log_open_requests(worker->databases[i]);
-    }
     if (worker->listener_state != NULL) {
         listener->stop(worker->listener_state);
         worker->listener_state = NULL;
@@ -529,6 +526,20 @@
     }
 }
 
+// Ends all requests, so that each has an answer, and then all sessions.
+void
+worker_finish(struct worker *worker)
+{
+    const struct entry_listener *listener = entry_get_listener(worker->entry);
+
+    for (size_t i = 0; i < worker->databases_count; i++) {
+        database_finish(worker->databases[i]);
+    }
+    if (worker->listener_state != NULL) {
+        listener->finish(worker->listener_state);
+    }
+}
+
 // Reports the demand of each database in use, and starts or stops the use of
 // relays where that is due. Called at regular intervals, through
 // entry_collect_demand.
--- a/src/catkingrade/entry/worker.h
+++ b/src/catkingrade/entry/worker.h
@@ -33,6 +33,9 @@
     // Closes the listening socket and ends the sessions at their next
     // transaction boundary.
     void (*drain)(void *state);
+    // Ends all sessions once the answers to their requests, which have ended,
+    // are written.
+    void (*finish)(void *state);
     // Closes all sessions and frees the state.
     void (*stop)(void *state);
 };
@@ -61,6 +64,7 @@
                        size_t count);
 void worker_shed(struct worker *worker);
 void worker_drain(struct worker *worker);
+void worker_finish(struct worker *worker);
 void worker_report_demand(struct worker *worker);
 uint64_t worker_get_open_requests(struct worker *worker, const char *customer);
 
--- a/src/catkingrade/kernel/daemon.c
+++ b/src/catkingrade/kernel/daemon.c
@@ -15,6 +15,8 @@
 #include "catkingrade/kernel/timeline.h"
 
 #define DAEMON_DRAIN_POLL_US 50000
+// Maximum time to write the last answers of a planned stop.
+#define DAEMON_FINISH_LIMIT_US 500000
 
 // State of a planned stop. Used only on the control loop's thread.
 struct daemon_stop {
@@ -23,13 +25,15 @@
     int signal_fd;
     int64_t started_us;
     bool listeners_closed;
+    bool finishing; // drain_limit_us has passed
 };
 
 static struct daemon_stop daemon_stop_state;
 
-// Stops the control loop once no request is in flight or drain_limit_us has
-// passed since the stop began. Until then, checks again every
-// DAEMON_DRAIN_POLL_US.
+// Stops the control loop once no request is in flight. When drain_limit_us has
+// passed since the stop began, has the requests in flight answered, and allows
+// DAEMON_FINISH_LIMIT_US for the answers to be written. Until then, checks
+// again every DAEMON_DRAIN_POLL_US.
 static void
 daemon_poll_drain(void *data)
 {
@@ -37,9 +41,14 @@
     struct daemon *daemon = stop->daemon;
     int64_t now_us = loop_get_now_us(daemon->control_loop);
     bool drained = plugin_all_drained(daemon);
-    int64_t limit_us = daemon->settings->drain_limit_us;
+    int64_t over_us =
+        now_us - stop->started_us - daemon->settings->drain_limit_us;
 
-    if (!drained && now_us - stop->started_us < limit_us) {
+    if (!drained && over_us >= 0 && !stop->finishing) {
+        stop->finishing = true;
+        plugin_finish_all(daemon);
+    }
+    if (!drained && over_us < DAEMON_FINISH_LIMIT_US) {
         loop_timer_set(stop->timer, now_us + DAEMON_DRAIN_POLL_US);
         return;
     }
@@ -86,9 +95,10 @@
 
 // Begins a planned stop. The health check fails at once, and the listeners
 // close drain_notice_us later, so that the load balancer can stop routing to
-// this process. The process exits once no request is in flight, at the latest
-// drain_limit_us after the stop began. Thread-safe; further calls have no
-// effect.
+// this process. Requests that are in flight drain_limit_us after the stop
+// began are answered as not run or unknown. The process exits once no request
+// is in flight, at the latest DAEMON_FINISH_LIMIT_US later. Thread-safe;
+// further calls have no effect.
 void
 daemon_request_stop(struct daemon *daemon)
 {
--- a/src/catkingrade/kernel/plugin.c
+++ b/src/catkingrade/kernel/plugin.c
@@ -60,6 +60,17 @@
     }
 }
 
+// Makes all running plug-ins answer the requests that are in flight.
+void
+plugin_finish_all(struct daemon *daemon)
+{
+    for (size_t i = plugin_count; i > 0; i--) {
+        if (plugins_started[i - 1] && plugins[i - 1]->finish != NULL) {
+            plugins[i - 1]->finish(daemon);
+        }
+    }
+}
+
 // Returns whether no running plug-in has a request in flight.
 bool
 plugin_all_drained(struct daemon *daemon)
--- a/src/catkingrade/kernel/plugin.h
+++ b/src/catkingrade/kernel/plugin.h
@@ -18,6 +18,9 @@
     // Stops accepting new work, at the beginning of a planned stop. May be
     // NULL.
     void (*drain)(struct daemon *daemon);
+    // Answers the requests that are still in flight when the time of a planned
+    // stop has run out. May be NULL.
+    void (*finish)(struct daemon *daemon);
     // Returns whether no request is in flight. NULL: always drained.
     bool (*is_drained)(struct daemon *daemon);
     void (*stop)(struct daemon *daemon);
@@ -26,6 +29,7 @@
 void plugin_register(const struct plugin *plugin);
 int plugin_start_all(struct daemon *daemon, const struct settings *settings);
 void plugin_drain_all(struct daemon *daemon);
+void plugin_finish_all(struct daemon *daemon);
 bool plugin_all_drained(struct daemon *daemon);
 void plugin_stop_all(struct daemon *daemon);
 
--- a/src/catkingrade/plugins/postgres_listener.c
+++ b/src/catkingrade/plugins/postgres_listener.c
@@ -86,6 +86,19 @@
     }
 }
 
+static void
+listener_finish(void *state)
+{
+    struct postgres_listener *listener = state;
+    struct postgres_session *session = listener->sessions;
+
+    while (session != NULL) {
+        struct postgres_session *next = session->next;
+        postgres_session_finish(session);
+        session = next;
+    }
+}
+
 static void
 listener_stop(void *state)
 {
@@ -174,6 +187,7 @@
 static const struct entry_listener postgres_entry_listener = {
     .start = listener_start,
     .drain = listener_drain,
+    .finish = listener_finish,
     .stop = listener_stop,
 };
 
@@ -237,6 +251,7 @@
     .is_enabled = postgres_is_enabled,
     .start = postgres_start,
     .drain = entry_plugin_drain,
+    .finish = entry_plugin_finish,
     .is_drained = entry_plugin_is_drained,
     .stop = entry_plugin_stop,
 };
--- a/src/catkingrade/plugins/postgres_session.c
+++ b/src/catkingrade/plugins/postgres_session.c
@@ -189,6 +189,18 @@
     session->state = POSTGRES_STATE_CLOSING;
 }
 
+// Ends a session without a request in flight, in a transaction or not. May
+// free the session.
+void
+postgres_session_finish(struct postgres_session *session)
+{
+    if (session->state != POSTGRES_STATE_CLOSING) {
+        postgres_session_fail(session, SQLSTATE_SHUTDOWN,
+                              "terminating connection due to a planned stop");
+    }
+    postgres_session_process_io(session);
+}
+
 // Ends a session gracefully: immediately if the session is idle outside a
 // transaction, otherwise at its next transaction boundary.
 void
--- a/src/catkingrade/plugins/postgres_session.h
+++ b/src/catkingrade/plugins/postgres_session.h
@@ -86,6 +86,7 @@
 void postgres_session_destroy(struct postgres_session *session);
 void postgres_session_process_io(struct postgres_session *session);
 void postgres_session_end(struct postgres_session *session);
+void postgres_session_finish(struct postgres_session *session);
 void postgres_session_attach(struct postgres_session *session,
                              struct postgres_listener *listener);
 void postgres_session_fail(struct postgres_session *session,
