fix(relay): hand over the sessions of other entries before a relay stops

Callers saw: INDOUBT for writes, and reads that were refused or started again, while entries stopped in turn, at entries that did not stop themselves. Cause: a relay that stops counted only its own callers' sessions. With none left it exited at drain_notice_ms, with other entries' statements in flight; links closed under statements that were on their way; and a statement that no relay had read counted as in doubt. A link that its peer has ended takes no further job: that job has not been sent.

--- a/src/catkingrade/decide/traffic/retry.c
+++ b/src/catkingrade/decide/traffic/retry.c
@@ -45,14 +45,17 @@
 // Schedules another attempt of a request that failed at an upstream, to run at
 // another one. Returns false if the request must end: it has used all its
 // attempts, the retry budget is empty, its deadline is too near, its session
-// has ended, or it may only run on the primary, which has just failed.
+// has ended, or it may only run on the primary, which has just failed. Relays
+// stand for the primary in turn, so that the next one may run it.
 bool
 retry_schedule(struct scheduler *scheduler, struct request *request,
                uint32_t failed_upstream)
 {
+    bool needs_primary = request->request_class == SCHEDULER_CLASS_WRITE ||
+                         request->request_class == SCHEDULER_CLASS_BEGIN;
+
     if (request->tries == SCHEDULER_TRIES_MAX || scheduler->retry_tokens < 1 ||
-        request->request_class == SCHEDULER_CLASS_WRITE ||
-        request->request_class == SCHEDULER_CLASS_BEGIN ||
+        (needs_primary && !scheduler->view.relayed) ||
         request->session->ended) {
         return false;
     }
--- a/src/catkingrade/entry/database_conn.c
+++ b/src/catkingrade/entry/database_conn.c
@@ -88,6 +88,7 @@
     struct database_conn copy = *(struct database_conn *)data;
 
     database_drop_conn(data);
+    database_leave_relay_host(copy.database, copy.relay_host);
     database_raise_conn_event(&copy, SCHEDULER_EVENT_CONN_FAILED,
                               UPSTREAM_FAULT_CONN_LOST);
 }
@@ -140,6 +141,9 @@
     conn->request = NULL;
     request->running = false;
     database_record_phase(database, request, HISTOGRAM_RUN);
+    if (result == SCHEDULER_RESULT_NOT_SENT) {
+        database_leave_relay_host(database, conn->relay_host);
+    }
     if (!is_complete) {
         database_drop_conn(conn);
     }
--- a/src/catkingrade/entry/database_private.h
+++ b/src/catkingrade/entry/database_private.h
@@ -142,6 +142,7 @@
 const char *database_get_relay_host(struct database *database);
 void database_record_relay_open(struct database *database);
 void database_switch_relay_host(struct database *database);
+void database_leave_relay_host(struct database *database, const char *host);
 void database_fill_relay_context(const struct entry_session *session,
                                  struct typed_statement *statement);
 
--- a/src/catkingrade/entry/database_relay.c
+++ b/src/catkingrade/entry/database_relay.c
@@ -178,6 +178,20 @@
     relay->backoff_until_us = relay->failed_us + relay->backoff_us;
 }
 
+// Switches new links to the next relay if they still go to the relay at this
+// host, which has ended a link.
+void
+database_leave_relay_host(struct database *database, const char *host)
+{
+    const struct database_relay *relay = &database->relay;
+
+    if (relay->active && relay->hosts_count > 1 &&
+        strcmp(relay->hosts[relay->host_index % relay->hosts_count], host) ==
+            0) {
+        database_switch_relay_host(database);
+    }
+}
+
 // Adds to a statement what a relay needs to know of the client's session: the
 // route, the floor and the time since the floor was last raised.
 void
--- a/src/catkingrade/entry/entry.c
+++ b/src/catkingrade/entry/entry.c
@@ -34,8 +34,9 @@
     pthread_mutex_t customers_mutex;
     struct entry_customer *customers;
     size_t customers_count;
-    uint64_t sessions_count; // guarded by customers_mutex
-    bool draining;           // guarded by customers_mutex
+    uint64_t sessions_count;       // guarded by customers_mutex
+    uint64_t relay_sessions_count; // guarded by customers_mutex
+    bool draining;                 // guarded by customers_mutex
 };
 
 // ---- life cycle ----
@@ -502,6 +503,24 @@
     pthread_mutex_unlock(&entry->customers_mutex);
 }
 
+// Counts a session of another entry that uses this one as its relay.
+void
+entry_add_relay_session(struct entry *entry)
+{
+    pthread_mutex_lock(&entry->customers_mutex);
+    entry->relay_sessions_count++;
+    pthread_mutex_unlock(&entry->customers_mutex);
+}
+
+// Removes an ended session from the count of entry_add_relay_session.
+void
+entry_release_relay_session(struct entry *entry)
+{
+    pthread_mutex_lock(&entry->customers_mutex);
+    entry->relay_sessions_count--;
+    pthread_mutex_unlock(&entry->customers_mutex);
+}
+
 // Returns the number of open sessions; any thread.
 uint64_t
 entry_get_sessions_count(struct entry *entry)
@@ -512,13 +531,14 @@
     return count;
 }
 
-// Returns whether a planned stop has begun and all sessions have ended; any
-// thread.
+// Returns whether a planned stop has begun and all sessions have ended, those
+// of other entries included; any thread.
 bool
 entry_is_drained(struct entry *entry)
 {
     pthread_mutex_lock(&entry->customers_mutex);
-    bool drained = entry->draining && entry->sessions_count == 0;
+    bool drained = entry->draining && entry->sessions_count == 0 &&
+                   entry->relay_sessions_count == 0;
     pthread_mutex_unlock(&entry->customers_mutex);
     return drained;
 }
--- a/src/catkingrade/entry/worker.h
+++ b/src/catkingrade/entry/worker.h
@@ -99,5 +99,9 @@
 bool entry_admit_session(struct entry *entry, const char *name,
                          unsigned limit);
 void entry_release_session(struct entry *entry, const char *name);
+// Count the sessions of other entries that use this one as their relay; any
+// thread.
+void entry_add_relay_session(struct entry *entry);
+void entry_release_relay_session(struct entry *entry);
 
 #endif
--- a/test/contract/test_stop.c
+++ b/test/contract/test_stop.c
@@ -209,6 +209,67 @@
 }
 END_TEST
 
+// Sends the writes of a round, one on each session, and checks their answers:
+// each is done, or has not run. Returns how many are done.
+static int
+write_round(const int *fds, int round)
+{
+    int done = 0;
+
+    for (int i = 0; i < WRITERS; i++) {
+        char line[64];
+        (void)snprintf(line, sizeof(line), "QUERY r%dw%d WRITE k1 r%dw%d",
+                       round, i, round, i);
+        platform_send_line(fds[i], line);
+    }
+    for (int i = 0; i < WRITERS; i++) {
+        char value[32];
+        (void)snprintf(value, sizeof(value), "r%dw%d", round, i);
+        char *text = platform_receive_reply(fds[i]);
+        ck_assert_msg(text != NULL, "%s has no answer", value);
+        bool is_done = strncmp(text, "COMPLETE ", 9) == 0;
+        ck_assert_msg(is_done || strncmp(text, "ERROR BUSY ", 11) == 0,
+                      "%s: %s", value, text);
+        ck_assert_int_eq(platform_count_writes(rig.platform, value),
+                         is_done ? 1 : 0);
+        done += is_done ? 1 : 0;
+        free(text);
+    }
+    return done;
+}
+
+// Guards against writes in doubt because they cross the end of the relay.
+START_TEST(test_relay_stop_leaves_no_write_in_doubt)
+{
+    int fds[WRITERS];
+    int done = 0;
+
+    platform_rig_start("stop_handover", 2, RELAY_SETTINGS);
+    platform_rig_wait_config(0, CONFIG);
+    int entry = wait_for_relay();
+    for (int i = 0; i < WRITERS; i++) {
+        fds[i] = platform_rig_wait_answer(entry, "current",
+                                          "QUERY a0 WRITE k0 zero", "sig-a0");
+    }
+    for (int round = 0; round < RIG_WAIT_ROUNDS && done == 0; round++) {
+        (void)write_round(fds, round);
+        if (round == 5) {
+            stop_entry(1 - entry);
+        }
+        else if (round > 5 && process_has_ended(rig.entries[1 - entry])) {
+            done = write_round(fds, RIG_WAIT_ROUNDS + round);
+        }
+        usleep(RIG_WAIT_STEP_US);
+    }
+    ck_assert_int_gt(done, 0);
+    for (int i = 0; i < WRITERS; i++) {
+        close(fds[i]);
+    }
+    wait_for_entry(1 - entry);
+    platform_rig_stop();
+}
+END_TEST
+
 static void
 add_tests(TCase *tests)
 {
@@ -216,6 +277,7 @@
     tcase_add_test(tests, test_writes_are_answered_at_stop);
     tcase_add_test(tests, test_answer_during_stop_is_delivered);
     tcase_add_test(tests, test_relay_stop_awaits_relayed_write);
+    tcase_add_test(tests, test_relay_stop_leaves_no_write_in_doubt);
 }
 
 TEST_MAIN("stop", add_tests)
--- a/test/fake/process.c
+++ b/test/fake/process.c
@@ -137,6 +137,16 @@
     return process_wait(process);
 }
 
+bool
+process_has_ended(const struct process *process)
+{
+    siginfo_t info = {0};
+
+    return waitid(P_PID, (id_t)process->pid, &info,
+                  WEXITED | WNOHANG | WNOWAIT) == 0 &&
+           info.si_pid == process->pid;
+}
+
 int
 process_wait(struct process *process)
 {
--- a/test/fake/process.h
+++ b/test/fake/process.h
@@ -19,6 +19,8 @@
 struct process *process_start(const char *log_path, const char *program,
                               const char *const *args);
 pid_t process_get_pid(const struct process *process);
+// Returns whether the process has ended; process_wait() is still needed.
+bool process_has_ended(const struct process *process);
 // Sends a signal, then waits as process_wait() does.
 int process_stop(struct process *process, int signal_number);
 // Waits until the process ends and frees it. Kills the process after 60 s.
