fix(platform): announce the end of a session, so that no statement crosses it

Callers saw: a broken connection with a statement in flight when an entry ended an idle session (a planned stop, a lost lease). A write is then in doubt. Cause: the session was closed at once; a statement on its way met a closed socket. Evidence: test_statement_that_crosses_end_is_refused; before, the connection is closed instead. How often it happened to callers was not measured before this change. Change: the entry announces the end by ERROR BUSY outside a request, for which the platform's clients close their sessions. A statement that crosses it is not run and is answered by it: the entry adds READY. Changed test: test_entry_without_lease_ends_sessions expected a close alone; now it expects the announcement and then the close.

--- a/test/contract/test_platform.c
+++ b/test/contract/test_platform.c
@@ -305,7 +305,6 @@
 // entry. A session in a transaction is ended after the transaction.
 START_TEST(test_entry_without_lease_ends_sessions)
 {
-    char byte = 0;
     long status = 0;
 
     platform_rig_start("platform_shed", 1, "");
@@ -321,13 +320,14 @@
         (void)process_stop(rig.controls[i], SIGKILL);
         rig.controls[i] = NULL;
     }
-    ck_assert_int_eq(recv(idle, &byte, 1, 0), 0);
+    platform_rig_expect_close(idle);
     free(platform_rig_call(RIG_CONTROLS, "GET", "/readyz", NULL, &status));
     ck_assert_int_eq(status, 503);
-    platform_rig_expect(busy, "QUERY b3 COMMIT",
-                        "COMPLETE sig-b3\r\nREADY I -\r\n");
-    ck_assert_int_eq(recv(busy, &byte, 1, 0), 0);
-    close(idle);
+    platform_send_line(busy, "QUERY b3 COMMIT");
+    char *text = platform_receive_rest(busy);
+    ck_assert_str_eq(text, "COMPLETE sig-b3\r\nREADY I -\r\n"
+                           "ERROR BUSY this entry ends its sessions\r\n");
+    free(text);
     close(busy);
     platform_rig_stop();
 }
--- a/test/contract/test_stop.c
+++ b/test/contract/test_stop.c
@@ -60,13 +60,25 @@
     rig.entries[entry] = NULL;
 }
 
-static void
-check_closed(int fd)
+#define ANSWERED "\r\nREADY I -\r\n"
+#define ENDED    "ERROR BUSY this entry ends its sessions\r\n"
+
+// Returns what an entry that stops still sends on a session, which it must
+// close: the answer to the session's statement, without the announcement that
+// the session ends.
+static char *
+receive_last_answer(int fd)
 {
-    char byte = 0;
+    char *text = platform_receive_rest(fd);
+    size_t size = strlen(text);
+    size_t end_size = strlen(ENDED);
 
-    ck_assert_int_eq(recv(fd, &byte, 1, 0), 0);
+    ck_assert_msg(size >= end_size &&
+                      strcmp(text + size - end_size, ENDED) == 0,
+                  "%s", text);
+    text[size - end_size] = '\0';
     close(fd);
+    return text;
 }
 
 // Guards against a read that is cut off by a stop without an answer.
@@ -80,12 +92,9 @@
     platform_send_line(fd, "QUERY a1 READ k0");
     wait_for_held_reply();
     stop_entry(0);
-    char *text = platform_receive_reply(fd);
-    ck_assert_ptr_nonnull(text);
-    ck_assert_msg(strncmp(text, "ERROR FAILED ", 13) == 0, "%s", text);
-    ck_assert_ptr_nonnull(strstr(text, "\r\nREADY I -\r\n"));
+    char *text = receive_last_answer(fd);
+    ck_assert_str_eq(text, "ERROR FAILED the answer was lost" ANSWERED);
     free(text);
-    check_closed(fd);
     wait_for_entry(0);
     platform_rig_stop();
 }
@@ -100,7 +109,7 @@
 
     (void)snprintf(value, sizeof(value), "value%d", writer);
     int count = platform_count_writes(rig.platform, value);
-    ck_assert_msg(text != NULL, "%s has no answer", value);
+    ck_assert_msg(strstr(text, ANSWERED) != NULL, "%s: %s", value, text);
     bool not_run = strncmp(text, "ERROR BUSY ", 11) == 0;
     bool in_doubt = strncmp(text, "ERROR INDOUBT ", 14) == 0;
     ck_assert_msg(not_run || in_doubt, "%s: %s", value, text);
@@ -130,10 +139,9 @@
     wait_for_held_reply();
     stop_entry(0);
     for (int i = 0; i < WRITERS; i++) {
-        char *text = platform_receive_reply(fds[i]);
+        char *text = receive_last_answer(fds[i]);
         not_run += check_write_answer(i, text) ? 1 : 0;
         free(text);
-        check_closed(fds[i]);
     }
     ck_assert_int_gt(not_run, 0);
     ck_assert_int_lt(not_run, WRITERS);
@@ -155,11 +163,28 @@
     stop_entry(0);
     usleep(RIG_DRAIN_NOTICE_MS * 2 * 1000);
     platform_hold_replies(rig.platform, primary, false);
-    char *text = platform_receive_reply(fd);
-    ck_assert_ptr_nonnull(text);
-    ck_assert_str_eq(text, "COMPLETE sig-a1\r\nREADY I -\r\n");
+    char *text = receive_last_answer(fd);
+    ck_assert_str_eq(text, "COMPLETE sig-a1" ANSWERED);
     free(text);
-    check_closed(fd);
+    wait_for_entry(0);
+    platform_rig_stop();
+}
+END_TEST
+
+// Guards against a write in doubt because it crosses the end of its session.
+START_TEST(test_statement_that_crosses_end_is_refused)
+{
+    platform_rig_start("stop_crossing", 1, "");
+    platform_rig_wait_config(0, CONFIG);
+    int fd = platform_rig_wait_answer(0, "current", "QUERY a0 WRITE k0 zero",
+                                      "sig-a0");
+    stop_entry(0);
+    platform_rig_expect_end(fd);
+    platform_rig_expect(fd, "QUERY a1 WRITE k0 one", "READY I -\r\n");
+    platform_rig_expect(fd, "QUERY a2 WRITE k0 two", ENDED "READY I -\r\n");
+    ck_assert_int_eq(platform_count_writes(rig.platform, "one"), 0);
+    ck_assert_int_eq(platform_count_writes(rig.platform, "two"), 0);
+    close(fd);
     wait_for_entry(0);
     platform_rig_stop();
 }
@@ -276,6 +301,7 @@
     tcase_add_test(tests, test_read_in_flight_is_answered_at_stop);
     tcase_add_test(tests, test_writes_are_answered_at_stop);
     tcase_add_test(tests, test_answer_during_stop_is_delivered);
+    tcase_add_test(tests, test_statement_that_crosses_end_is_refused);
     tcase_add_test(tests, test_relay_stop_awaits_relayed_write);
     tcase_add_test(tests, test_relay_stop_leaves_no_write_in_doubt);
 }
--- a/test/fake/platform.c
+++ b/test/fake/platform.c
@@ -779,3 +779,18 @@
     platform_send_line(fd, line);
     return platform_receive_reply(fd);
 }
+
+char *
+platform_receive_rest(int fd)
+{
+    struct buffer text = {0};
+    ssize_t size = 0;
+
+    do {
+        uint8_t *tail = buffer_reserve(&text, 1024);
+        size = recv(fd, tail, 1023, 0);
+        text.end += size > 0 ? (size_t)size : 0;
+    } while (size > 0);
+    buffer_append_u8(&text, 0);
+    return (char *)text.data;
+}
--- a/test/rig/platform_rig.c
+++ b/test/rig/platform_rig.c
@@ -5,6 +5,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/socket.h>
 #include <unistd.h>
 
 #include "catkingrade/kernel/memory.h"
@@ -211,6 +212,28 @@
     free(text);
 }
 
+void
+platform_rig_expect_end(int fd)
+{
+    static const char expected[] =
+        "ERROR BUSY this entry ends its sessions\r\n";
+    char text[sizeof(expected)] = "";
+
+    ck_assert_int_eq(recv(fd, text, sizeof(expected) - 1, MSG_WAITALL),
+                     sizeof(expected) - 1);
+    ck_assert_str_eq(text, expected);
+}
+
+void
+platform_rig_expect_close(int fd)
+{
+    char byte = 0;
+
+    platform_rig_expect_end(fd);
+    ck_assert_int_eq(recv(fd, &byte, 1, 0), 0);
+    close(fd);
+}
+
 // Whitespace is removed from the JSON output before it is searched.
 bool
 platform_rig_is_settled(int vm_index)
--- a/test/rig/platform_rig.h
+++ b/test/rig/platform_rig.h
@@ -74,6 +74,11 @@
 void platform_rig_check_statements(int fd);
 // Checks that a session reads what it wrote while no replica applies it.
 void platform_rig_check_read_own_writes(int fd);
+// Expects the announcement that an entry ends a session.
+void platform_rig_expect_end(int fd);
+// Expects the same, and then that the entry closes the connection, although
+// the client does not; closes the socket.
+void platform_rig_expect_close(int fd);
 // Sends a request on a session and expects exactly this answer.
 void platform_rig_expect(int fd, const char *line, const char *answer);
 
