fix(entry): a session that closes is not ended a second time

Seen: the soak's process aborted (double free) at the end of a stop; test_stop under AddressSanitizer reports a use after free in database_close_session. Cause: a session that was being destroyed first cancelled its request. While the entry stops, the end of its last request ends a session; the session, still registered at its database, was then destroyed by that callback too. Clients that disconnect while the entry stops were enough. After the first such session the process ended, and all later ones lost their answers. Change: database_close_session takes the request, and removes the session before it cancels the request, so that no callback can reach the session.

--- a/src/catkingrade/entry/database.c
+++ b/src/catkingrade/entry/database.c
@@ -341,16 +341,22 @@
     database_step(database, &event);
 }
 
-// Closes a session. Its requests must have been cancelled before.
+// Closes a session and cancels its request in flight; NULL: none. No callback
+// of the session is called from then on.
 void
 database_close_session(struct database *database,
-                       struct entry_session *session)
+                       struct entry_session *session,
+                       struct entry_request *request)
 {
     struct scheduler_event event = {.kind = SCHEDULER_EVENT_SESSION_CLOSE,
                                     .session = session->id};
 
     apr_hash_set(database->sessions, &session->id, sizeof(session->id), NULL);
     session->database = NULL;
+    if (request != NULL) {
+        request->session = NULL;
+        database_cancel(database, request);
+    }
     database_step(database, &event);
 }
 
--- a/src/catkingrade/entry/database.h
+++ b/src/catkingrade/entry/database.h
@@ -53,7 +53,8 @@
                             const struct scheduler_floor *floor,
                             int64_t age_us);
 void database_close_session(struct database *database,
-                            struct entry_session *session);
+                            struct entry_session *session,
+                            struct entry_request *request);
 void database_submit(struct database *database, struct entry_request *request);
 void database_cancel(struct database *database, struct entry_request *request);
 
--- a/src/catkingrade/plugins/postgres_session.c
+++ b/src/catkingrade/plugins/postgres_session.c
@@ -153,18 +153,12 @@
         worker_get_entry(postgres_session_get_worker(session));
 
     postgres_session_detach(session);
-    if (session->request != NULL) {
-        struct entry_request *request = session->request;
-        session->request = NULL;
-        request->session = NULL;
-        database_cancel(database, request);
-    }
     if (session->admitted) {
         entry_release_session(entry, database_get_customer_name(database));
         counter_add(COUNTER_SESSIONS_CLOSED, 1);
     }
     if (database != NULL) {
-        database_close_session(database, &session->base);
+        database_close_session(database, &session->base, session->request);
     }
     postgres_session_free_batch(session);
     postgres_session_free_startup(session);
--- a/test/contract/test_stop.c
+++ b/test/contract/test_stop.c
@@ -6,6 +6,7 @@
 #include <unistd.h>
 
 #include "catkingrade/kernel/memory.h"
+#include "catkingrade/kernel/tcp.h"
 #include "test/fake/platform.h"
 #include "test/fake/process.h"
 #include "test/rig/platform_rig.h"
@@ -171,6 +172,37 @@
 }
 END_TEST
 
+// Guards against a second release of a session whose client disconnects while
+// the entry stops and its statement is queued.
+START_TEST(test_client_that_leaves_during_stop)
+{
+    int fds[WRITERS];
+
+    platform_rig_start("stop_leaving", 1, "");
+    platform_rig_wait_config(0, CONFIG);
+    for (int i = 0; i < WRITERS; i++) {
+        fds[i] = platform_rig_wait_answer(0, "current",
+                                          "QUERY a0 WRITE k0 zero", "sig-a0");
+    }
+    int primary = hold_replies_of_primary();
+    for (int i = 0; i < WRITERS; i++) {
+        platform_send_line(fds[i], "QUERY a1 WRITE k1 one");
+    }
+    wait_for_held_reply();
+    int idle = platform_rig_wait_answer(0, "current", "QUERY b0 SET v1 x",
+                                        "COMPLETE");
+    stop_entry(0);
+    platform_rig_expect_end(idle);
+    for (int i = 0; i < WRITERS; i++) {
+        tcp_reset(fds[i]);
+    }
+    close(idle);
+    platform_hold_replies(rig.platform, primary, false);
+    wait_for_entry(0);
+    platform_rig_stop();
+}
+END_TEST
+
 // Guards against a write in doubt because it crosses the end of its session.
 START_TEST(test_statement_that_crosses_end_is_refused)
 {
@@ -301,6 +333,7 @@
     tcase_add_test(tests, test_read_in_flight_is_answered_at_stop);
     tcase_add_test(tests, test_writes_are_answered_at_stop);
     tcase_add_test(tests, test_answer_during_stop_is_delivered);
+    tcase_add_test(tests, test_client_that_leaves_during_stop);
     tcase_add_test(tests, test_statement_that_crosses_end_is_refused);
     tcase_add_test(tests, test_relay_stop_awaits_relayed_write);
     tcase_add_test(tests, test_relay_stop_leaves_no_write_in_doubt);
