--- a/test/contract/test_stop.c
+++ b/test/contract/test_stop.c
@@ -330,6 +330,60 @@
 }
 END_TEST
 
+// Guards against a read of another entry that fails for good as its relay stops.
+START_TEST(test_read_at_stopping_relay_goes_on)
+{
+    platform_rig_start("stop_relayed_read", 2, RELAY_SETTINGS);
+    platform_rig_wait_config(0, CONFIG);
+    int entry = wait_for_relay();
+    int fd = platform_rig_wait_answer(entry, "current",
+                                      "QUERY a0 WRITE k0 zero", "sig-a0");
+    int primary = hold_replies_of_primary();
+    platform_send_line(fd, "QUERY a1 READ k0");
+    wait_for_held_reply();
+    stop_entry(1 - entry);
+    wait_for_entry(1 - entry);
+    platform_hold_replies(rig.platform, primary, false);
+    char *text = platform_receive_reply(fd);
+    ck_assert_ptr_nonnull(text);
+    ck_assert_msg(strstr(text, "COMPLETE sig-a1") != NULL, "%s", text);
+    free(text);
+    close(fd);
+    platform_rig_stop();
+}
+END_TEST
+
+#define IDLE_CONFIG                                                           \
+    "{\"version\":1,\"routes\":["                                             \
+    "{\"host\":\"current\",\"routeKind\":\"primary\",\"timeoutMs\":1000,"     \
+    "\"targetLatencyMs\":1000,\"priority\":1,\"service\":\"core\"}],"         \
+    "\"services\":[{\"name\":\"core\",\"maxConns\":8,\"syncReplicas\":0}],"   \
+    "\"limits\":{\"txIdleMs\":1000}}"
+
+// Guards against a session outside a transaction that is closed for an idle one.
+START_TEST(test_session_stays_after_lost_transaction)
+{
+    platform_rig_start("stop_idle_timer", 1, "");
+    platform_rig_wait_config(0, IDLE_CONFIG);
+    int fd = platform_rig_wait_answer(0, "current", "QUERY a0 WRITE k0 zero",
+                                      "sig-a0");
+    platform_rig_expect(fd, "QUERY a1 BEGIN", "COMPLETE -\r\nREADY T -\r\n");
+    int primary = hold_replies_of_primary();
+    char *text = platform_send_request(fd, "QUERY a2 READ k0");
+    ck_assert_msg(strstr(text, "ABORTED") != NULL, "%s", text);
+    free(text);
+    platform_hold_replies(rig.platform, primary, false);
+    platform_rig_expect(fd, "QUERY a3 ROLLBACK",
+                        "COMPLETE -\r\nREADY I -\r\n");
+    usleep(2000000);
+    text = platform_send_request(fd, "QUERY a4 READ k0");
+    ck_assert_msg(text != NULL, "the session was closed");
+    free(text);
+    close(fd);
+    platform_rig_stop();
+}
+END_TEST
+
 static void
 add_tests(TCase *tests)
 {
@@ -339,6 +393,8 @@
     tcase_add_test(tests, test_client_that_leaves_during_stop);
     tcase_add_test(tests, test_statement_that_crosses_end_is_refused);
     tcase_add_test(tests, test_relay_stop_awaits_relayed_write);
+    tcase_add_test(tests, test_read_at_stopping_relay_goes_on);
+    tcase_add_test(tests, test_session_stays_after_lost_transaction);
     tcase_add_test(tests, test_relay_stop_leaves_no_write_in_doubt);
 }
 
