--- a/test/contract/test_stop.c
+++ b/test/contract/test_stop.c
@@ -384,6 +384,46 @@
 }
 END_TEST
 
+static int
+count_entry_sockets(void)
+{
+    char command[128];
+    int count = -1;
+
+    (void)snprintf(command, sizeof(command),
+                   "ls -l /proc/%d/fd | grep -c socket",
+                   (int)process_get_pid(rig.entries[0]));
+    FILE *output = popen(command, "r");
+    ck_assert_ptr_nonnull(output);
+    ck_assert_int_eq(fscanf(output, "%d", &count), 1);
+    (void)pclose(output);
+    return count;
+}
+
+// Guards against a removed database that keeps its upstream connections.
+START_TEST(test_removed_database_closes_its_connections)
+{
+    platform_rig_start("stop_removed", 1, "");
+    platform_rig_wait_config(0, CONFIG);
+    int before = count_entry_sockets();
+    int fd = platform_rig_wait_answer(0, "current", "QUERY a0 WRITE k0 zero",
+                                      "sig-a0");
+    ck_assert_int_eq(
+        platform_rig_put_config(0, "{\"version\":2,\"routes\":[],"
+                                   "\"services\":[],"
+                                   "\"limits\":{\"txIdleMs\":60000}}"),
+        200);
+    free(platform_receive_rest(fd));
+    close(fd);
+    for (int i = 0; i < RIG_WAIT_ROUNDS && count_entry_sockets() > before;
+         i++) {
+        usleep(RIG_WAIT_STEP_US);
+    }
+    ck_assert_int_le(count_entry_sockets(), before);
+    platform_rig_stop();
+}
+END_TEST
+
 static void
 add_tests(TCase *tests)
 {
@@ -395,6 +435,7 @@
     tcase_add_test(tests, test_relay_stop_awaits_relayed_write);
     tcase_add_test(tests, test_read_at_stopping_relay_goes_on);
     tcase_add_test(tests, test_session_stays_after_lost_transaction);
+    tcase_add_test(tests, test_removed_database_closes_its_connections);
     tcase_add_test(tests, test_relay_stop_leaves_no_write_in_doubt);
 }
 
