fix(entry): remove a database when its last session ends

Seen by the review: after a configuration removed a database, the entry kept its connections to the upstreams until the next view: 10 sockets where 4 were before its first use. Others then lack these connections. Cause: removal was tried only when a view was put in force. Since sessions end by an announcement, the last one ends after that. Change: a removed database that becomes idle is removed from the event loop.

--- a/src/catkingrade/entry/database.c
+++ b/src/catkingrade/entry/database.c
@@ -86,6 +86,16 @@
                                 memory_order_relaxed);
 }
 
+// Has the worker remove a database that the view no longer contains, if it has
+// become idle.
+static void
+database_check_removal(struct database *database)
+{
+    if (database->removed && database_is_idle(database)) {
+        worker_schedule_removal(database->worker);
+    }
+}
+
 // Returns whether the database has no sessions and no requests.
 bool
 database_is_idle(const struct database *database)
@@ -100,6 +110,7 @@
     apr_hash_set(database->requests, &request->id, sizeof(request->id), NULL);
     job_free(&request->job);
     free(request);
+    database_check_removal(database);
 }
 
 // Frees a request if its outcome is decided and no connection runs it.
@@ -358,6 +369,7 @@
         database_cancel(database, request);
     }
     database_step(database, &event);
+    database_check_removal(database);
 }
 
 // Submits a request to the scheduler. The database takes ownership of the
--- a/src/catkingrade/entry/worker.c
+++ b/src/catkingrade/entry/worker.c
@@ -26,6 +26,7 @@
     pthread_t thread;
     bool started;
     struct loop *loop;
+    struct loop_timer *removal_timer;
     struct classifier *classifier;
     struct database **databases;
     size_t databases_count;
@@ -43,6 +44,8 @@
     bool draining;
 };
 
+static void worker_remove_databases(void *data);
+
 // Creates a worker whose thread does not run yet.
 struct worker *
 worker_create(struct entry *entry, unsigned index)
@@ -53,6 +56,8 @@
     worker->index = index;
     worker->loop = loop_create();
     INVARIANT(worker->loop != NULL);
+    worker->removal_timer =
+        loop_timer_create(worker->loop, worker_remove_databases, worker);
     worker->classifier =
         classifier_create(entry_get_settings(entry)->classify_cache_entries);
     pthread_mutex_init(&worker->databases_mutex, NULL);
@@ -128,6 +133,7 @@
     entry_free_relays(worker->relays, worker->relays_count);
     view_release(worker->view);
     classifier_destroy(worker->classifier);
+    loop_timer_destroy(worker->removal_timer);
     pthread_mutex_destroy(&worker->databases_mutex);
     loop_destroy(worker->loop);
     free(worker->leases);
@@ -294,6 +300,29 @@
     database_destroy(database);
 }
 
+// Removes the databases that the view does not contain and that are idle.
+static void
+worker_remove_databases(void *data)
+{
+    struct worker *worker = data;
+
+    for (size_t i = worker->databases_count; i > 0; i--) {
+        const struct database *database = worker->databases[i - 1];
+        const char *name = database_get_name(database);
+        if (view_find_database(worker->view, name) == NULL &&
+            database_is_idle(database)) {
+            worker_remove_database(worker, i - 1);
+        }
+    }
+}
+
+// Removes such databases from the event loop, after the current callback.
+void
+worker_schedule_removal(struct worker *worker)
+{
+    loop_timer_set(worker->removal_timer, loop_get_now_us(worker->loop));
+}
+
 // Returns a database of the view, which is created at its first use, or NULL
 // if the view does not contain it.
 struct database *
@@ -358,7 +387,7 @@
 
 // Puts a view in force and takes ownership of the caller's reference. The
 // sessions of databases that the view does not contain are ended; such a
-// database is removed if it is idle, otherwise at a later view.
+// database is removed once it is idle.
 void
 worker_set_view(struct worker *worker, struct view *view)
 {
@@ -369,11 +398,8 @@
         struct database *database = worker->databases[i - 1];
         worker_apply_view(worker, database);
         worker_apply_lease(worker, database);
-        if (view_find_database(view, database_get_name(database)) == NULL &&
-            database_is_idle(database)) {
-            worker_remove_database(worker, i - 1);
-        }
     }
+    worker_remove_databases(worker);
     worker_confirm_unused_databases(worker);
     view_release(old);
     worker_notify_listener(worker);
--- a/src/catkingrade/entry/worker.h
+++ b/src/catkingrade/entry/worker.h
@@ -54,6 +54,7 @@
 void *worker_get_listener_state(const struct worker *worker);
 uint64_t worker_make_id(struct worker *worker);
 struct database *worker_open_database(struct worker *worker, const char *name);
+void worker_schedule_removal(struct worker *worker);
 void worker_set_view(struct worker *worker, struct view *view);
 void worker_set_lease(struct worker *worker, const char *group,
                       int64_t valid_until_us);
