fix(entry): a database opened during a stop stops as well

Found by the review, by reading: a session that opens a database after the drain or the finish began got a scheduler that was told of neither, and its statement could be cut off without an answer. Change: worker_open_database passes both on.

--- a/src/catkingrade/entry/worker.c
+++ b/src/catkingrade/entry/worker.c
@@ -42,6 +42,7 @@
     void *listener_state;
     uint64_t last_id;
     bool draining;
+    bool finishing;
 };
 
 static void worker_remove_databases(void *data);
@@ -343,6 +344,12 @@
     pthread_mutex_unlock(&worker->databases_mutex);
     worker_apply_view(worker, database);
     worker_apply_lease(worker, database);
+    if (worker->draining) {
+        database_drain(database);
+    }
+    if (worker->finishing) {
+        database_finish(database);
+    }
     return database;
 }
 
@@ -558,6 +565,7 @@
 {
     const struct entry_listener *listener = entry_get_listener(worker->entry);
 
+    worker->finishing = true;
     for (size_t i = 0; i < worker->databases_count; i++) {
         database_finish(worker->databases[i]);
     }
