--- a/src/catkingrade/decide/traffic/request_run.c
+++ b/src/catkingrade/decide/traffic/request_run.c
@@ -106,7 +106,7 @@
         return;
     default:
         request_leave_queue(scheduler, request);
-        request_refuse(scheduler, request, OUTCOME_NOT_RUN, 0, reason);
+        request_refuse(scheduler, request, OUTCOME_CLOSED, 0, reason);
     }
 }
 
