test(relay): a save goes to the next relay only if no relay has read it

Asked for by the review: nothing checked that a write which was not sent goes to the next relay, and that one whose connection was lost does not.

--- a/test/unit/decide/traffic/test_scheduler_relay.c
+++ b/test/unit/decide/traffic/test_scheduler_relay.c
@@ -133,12 +133,60 @@
 }
 END_TEST
 
+// Reports that the connection of a request was lost, then advances the clock
+// past the backoff of a retry. Returns whether the request was sent again.
+static bool
+lose_and_check_retry(const struct scheduler_action *sent,
+                     enum scheduler_result result)
+{
+    scheduler_rig_post_result(&rig, sent->request, sent->conn, result, false,
+                              0);
+    bool ended = scheduler_rig_find_action(&rig, SCHEDULER_ACTION_UNKNOWN,
+                                           sent->request) != NULL ||
+                 scheduler_rig_find_action(&rig, SCHEDULER_ACTION_REFUSE,
+                                           sent->request) != NULL;
+    scheduler_rig_tick(&rig, 10 * SCHEDULER_RIG_MS_US);
+    scheduler_rig_complete_opens(&rig);
+    bool sent_again = scheduler_rig_find_action(&rig, SCHEDULER_ACTION_SEND,
+                                                sent->request) != NULL;
+    ck_assert(ended != sent_again);
+    return sent_again;
+}
+
+// Sends reads until the retry budget allows a retry.
+static void
+fill_retry_budget(void)
+{
+    for (int i = 0; i < 20; i++) {
+        struct scheduler_action sent = send_request(SCHEDULER_CLASS_READ);
+        (void)finish_request(&sent, (struct scheduler_floor){0});
+    }
+}
+
+// Guards against a save that is refused although only a stopping relay has
+// seen it, and against one that runs twice because a relay may have run it.
+START_TEST(test_save_goes_to_next_relay_unless_it_may_have_run)
+{
+    setup();
+    fill_retry_budget();
+    struct scheduler_action sent = send_request(SCHEDULER_CLASS_WRITE);
+    ck_assert(lose_and_check_retry(&sent, SCHEDULER_RESULT_NOT_SENT));
+    scheduler_rig_free(&rig);
+    setup();
+    fill_retry_budget();
+    sent = send_request(SCHEDULER_CLASS_WRITE);
+    ck_assert(!lose_and_check_retry(&sent, SCHEDULER_RESULT_CONN_LOST));
+    scheduler_rig_free(&rig);
+}
+END_TEST
+
 static void
 add_tests(TCase *tests)
 {
     tcase_add_test(tests, test_relayed_requests_need_no_lease);
     tcase_add_test(tests, test_floor_takes_term_of_relay_entry);
     tcase_add_test(tests, test_new_term_keeps_relayed_requests);
+    tcase_add_test(tests, test_save_goes_to_next_relay_unless_it_may_have_run);
     tcase_add_test(tests, test_lease_needed_after_relaying_ends);
 }
 
