fix(metrics): keep the size of /metrics apart from the number of databases

Cause: the page had 30 lines for each combination of phase, database, type and upstream, up to 512 of them. It was about 250 KB on that entry, over a second of its link of 2 Mbit/s, and answers waited behind it.

/metrics now has the counters and the histograms by phase. These are counted when a duration is recorded, so that they include the requests beyond the limit of 512 combinations, which the page left out before. The detail is on /metrics/databases, under a metric name of its own, since it counts the same requests. The page is formatted without the mutex that the traffic threads take, and with one formatted line per bucket.

--- a/src/catkingrade/kernel/histogram.c
+++ b/src/catkingrade/kernel/histogram.c
@@ -3,30 +3,42 @@
 #include <inttypes.h>
 #include <pthread.h>
 #include <stdatomic.h>
+#include <stdbool.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
 #include "catkingrade/kernel/memory.h"
 
-// Limits the memory and the size of the metrics page. Label combinations
-// beyond the limit are not recorded.
+// Limits the memory and the size of the page by database. Label combinations
+// beyond the limit are recorded by phase only.
 #define HISTOGRAM_MAX_COUNT   512
 #define HISTOGRAM_LABELS_SIZE 224
 #define HISTOGRAM_US_PER_S    1000000.0
 
+struct histogram_bound {
+    int64_t bound_us;
+    const char *text; // in seconds, as the value of the label le
+};
+
 // Upper bounds of the buckets: two per doubling from 1 ms to about 4 s, then
 // one per doubling. A last bucket without a bound follows.
-static const int64_t histogram_bounds_us[] = {
-    1000,    1500,    2000,    3000,    4000,    6000,     8000,
-    12000,   16000,   24000,   32000,   48000,   64000,    96000,
-    128000,  192000,  256000,  384000,  512000,  768000,   1024000,
-    1536000, 2048000, 3072000, 4096000, 8192000, 16384000,
+static const struct histogram_bound histogram_bounds[] = {
+    {1000, "0.001"},    {1500, "0.0015"},   {2000, "0.002"},
+    {3000, "0.003"},    {4000, "0.004"},    {6000, "0.006"},
+    {8000, "0.008"},    {12000, "0.012"},   {16000, "0.016"},
+    {24000, "0.024"},   {32000, "0.032"},   {48000, "0.048"},
+    {64000, "0.064"},   {96000, "0.096"},   {128000, "0.128"},
+    {192000, "0.192"},  {256000, "0.256"},  {384000, "0.384"},
+    {512000, "0.512"},  {768000, "0.768"},  {1024000, "1.024"},
+    {1536000, "1.536"}, {2048000, "2.048"}, {3072000, "3.072"},
+    {4096000, "4.096"}, {8192000, "8.192"}, {16384000, "16.384"},
 };
 
-#define HISTOGRAM_BUCKETS (ARRAY_SIZE(histogram_bounds_us) + 1)
+#define HISTOGRAM_BUCKETS (ARRAY_SIZE(histogram_bounds) + 1)
 
 struct histogram {
+    struct histogram *total; // of its phase; NULL if this is one
     char labels[HISTOGRAM_LABELS_SIZE];
     atomic_uint_fast64_t buckets[HISTOGRAM_BUCKETS];
     atomic_uint_fast64_t sum_us;
@@ -38,10 +50,13 @@
     size_t count;
 } histogram_table = {.mutex = PTHREAD_MUTEX_INITIALIZER};
 
-static const char *const histogram_phase_names[] = {
-    [HISTOGRAM_QUEUE] = "queue",     [HISTOGRAM_RUN] = "run",
-    [HISTOGRAM_CONFIRM] = "confirm", [HISTOGRAM_TOTAL] = "total",
-    [HISTOGRAM_CONNECT] = "connect",
+// The histograms of all requests, by phase.
+static struct histogram histogram_totals[HISTOGRAM_PHASE_COUNT] = {
+    [HISTOGRAM_QUEUE] = {.labels = "phase=\"queue\""},
+    [HISTOGRAM_RUN] = {.labels = "phase=\"run\""},
+    [HISTOGRAM_CONFIRM] = {.labels = "phase=\"confirm\""},
+    [HISTOGRAM_TOTAL] = {.labels = "phase=\"total\""},
+    [HISTOGRAM_CONNECT] = {.labels = "phase=\"connect\""},
 };
 
 static struct histogram *
@@ -55,82 +70,119 @@
     return NULL;
 }
 
+static struct histogram *
+histogram_create(const char *labels, struct histogram *total)
+{
+    struct histogram *histogram = xcalloc(1, sizeof(*histogram));
+
+    histogram->total = total;
+    (void)snprintf(histogram->labels, sizeof(histogram->labels), "%s", labels);
+    histogram_table.items[histogram_table.count++] = histogram;
+    return histogram;
+}
+
 // Returns the histogram of a phase with these labels, creating it if needed.
-// upstream may be empty. Returns NULL once HISTOGRAM_MAX_COUNT histograms
-// exist.
+// upstream may be empty. Once HISTOGRAM_MAX_COUNT histograms exist, returns
+// that of the phase for any further labels.
 struct histogram *
 histogram_get(enum histogram_phase phase, const char *database,
               const char *type, const char *upstream)
 {
+    struct histogram *total = &histogram_totals[phase];
     char labels[HISTOGRAM_LABELS_SIZE];
 
     (void)snprintf(labels, sizeof(labels),
-                   "phase=\"%s\",database=\"%s\",type=\"%s\",upstream=\"%s\"",
-                   histogram_phase_names[phase], database, type, upstream);
+                   "%s,database=\"%s\",type=\"%s\",upstream=\"%s\"",
+                   total->labels, database, type, upstream);
     pthread_mutex_lock(&histogram_table.mutex);
     struct histogram *histogram = histogram_find(labels);
-    if (histogram == NULL && histogram_table.count < HISTOGRAM_MAX_COUNT) {
-        histogram = xcalloc(1, sizeof(*histogram));
-        memcpy(histogram->labels, labels, sizeof(labels));
-        histogram_table.items[histogram_table.count++] = histogram;
+    if (histogram == NULL) {
+        histogram = histogram_table.count < HISTOGRAM_MAX_COUNT
+                        ? histogram_create(labels, total)
+                        : total;
     }
     pthread_mutex_unlock(&histogram_table.mutex);
     return histogram;
 }
 
-// Records one duration; a NULL histogram is ignored.
-void
-histogram_record(struct histogram *histogram, int64_t duration_us)
+static size_t
+histogram_find_bucket(int64_t duration_us)
 {
     size_t bucket = 0;
 
-    if (histogram == NULL) {
-        return;
-    }
-    while (bucket < ARRAY_SIZE(histogram_bounds_us) &&
-           duration_us > histogram_bounds_us[bucket]) {
+    while (bucket < ARRAY_SIZE(histogram_bounds) &&
+           duration_us > histogram_bounds[bucket].bound_us) {
         bucket++;
     }
+    return bucket;
+}
+
+static void
+histogram_add(struct histogram *histogram, size_t bucket, uint64_t amount_us)
+{
     atomic_fetch_add_explicit(&histogram->buckets[bucket], 1,
                               memory_order_relaxed);
-    atomic_fetch_add_explicit(&histogram->sum_us,
-                              (uint64_t)(duration_us < 0 ? 0 : duration_us),
+    atomic_fetch_add_explicit(&histogram->sum_us, amount_us,
                               memory_order_relaxed);
 }
 
+// Records one duration, also in the histogram of the phase.
+void
+histogram_record(struct histogram *histogram, int64_t duration_us)
+{
+    size_t bucket = histogram_find_bucket(duration_us);
+    uint64_t amount_us = (uint64_t)(duration_us < 0 ? 0 : duration_us);
+
+    histogram_add(histogram, bucket, amount_us);
+    if (histogram->total != NULL) {
+        histogram_add(histogram->total, bucket, amount_us);
+    }
+}
+
+static uint64_t
+histogram_load_bucket(const struct histogram *histogram, size_t bucket)
+{
+    return atomic_load_explicit(&histogram->buckets[bucket],
+                                memory_order_relaxed);
+}
+
 static void
-histogram_append(const struct histogram *histogram, struct buffer *text)
+histogram_append(const struct histogram *histogram, const char *name,
+                 struct buffer *text)
 {
     uint64_t count = 0;
+    uint64_t sum_us =
+        atomic_load_explicit(&histogram->sum_us, memory_order_relaxed);
 
     for (size_t i = 0; i < HISTOGRAM_BUCKETS; i++) {
-        count +=
-            atomic_load_explicit(&histogram->buckets[i], memory_order_relaxed);
-        buffer_append_format(text,
-                             "catkingrade_request_seconds_bucket{%s,le=\"",
-                             histogram->labels);
-        if (i < ARRAY_SIZE(histogram_bounds_us)) {
-            buffer_append_format(text, "%g",
-                                 (double)histogram_bounds_us[i] /
-                                     HISTOGRAM_US_PER_S);
-        }
-        else {
-            buffer_append_text(text, "+Inf");
-        }
-        buffer_append_format(text, "\"} %" PRIu64 "\n", count);
+        bool bounded = i < ARRAY_SIZE(histogram_bounds);
+        count += histogram_load_bucket(histogram, i);
+        buffer_append_format(text, "%s_bucket{%s,le=\"%s\"} %" PRIu64 "\n",
+                             name, histogram->labels,
+                             bounded ? histogram_bounds[i].text : "+Inf",
+                             count);
     }
     buffer_append_format(text,
-                         "catkingrade_request_seconds_sum{%s} %.6f\n"
-                         "catkingrade_request_seconds_count{%s} %" PRIu64 "\n",
-                         histogram->labels,
-                         (double)atomic_load_explicit(&histogram->sum_us,
-                                                      memory_order_relaxed) /
-                             HISTOGRAM_US_PER_S,
+                         "%s_sum{%s} %.6f\n"
+                         "%s_count{%s} %" PRIu64 "\n",
+                         name, histogram->labels,
+                         (double)sum_us / HISTOGRAM_US_PER_S, name,
                          histogram->labels, count);
 }
 
-// Appends all histograms in the Prometheus text exposition format, as one
-// metric with labels.
+static bool
+histogram_is_empty(const struct histogram *histogram)
+{
+    for (size_t i = 0; i < HISTOGRAM_BUCKETS; i++) {
+        if (histogram_load_bucket(histogram, i) > 0) {
+            return false;
+        }
+    }
+    return true;
+}
+
+// Appends the histograms by phase in the Prometheus text exposition format,
+// except for phases without a recorded duration.
 void
 histogram_append_prometheus(struct buffer *text)
 {
@@ -138,9 +190,30 @@
                        "# HELP catkingrade_request_seconds time of requests "
                        "by phase\n"
                        "# TYPE catkingrade_request_seconds histogram\n");
-    pthread_mutex_lock(&histogram_table.mutex);
-    for (size_t i = 0; i < histogram_table.count; i++) {
-        histogram_append(histogram_table.items[i], text);
+    for (size_t i = 0; i < HISTOGRAM_PHASE_COUNT; i++) {
+        if (!histogram_is_empty(&histogram_totals[i])) {
+            histogram_append(&histogram_totals[i],
+                             "catkingrade_request_seconds", text);
+        }
     }
+}
+
+// Appends the histograms by phase, database, type and upstream in the
+// Prometheus text exposition format. The metric has a name of its own, since
+// it counts the same requests as that by phase.
+void
+histogram_append_databases(struct buffer *text)
+{
+    pthread_mutex_lock(&histogram_table.mutex);
+    size_t count = histogram_table.count;
     pthread_mutex_unlock(&histogram_table.mutex);
+    buffer_append_text(
+        text, "# HELP catkingrade_database_request_seconds time of requests "
+              "by phase, database, type and upstream\n"
+              "# TYPE catkingrade_database_request_seconds histogram\n");
+    // Histograms are only added, so the first ones are read without the mutex.
+    for (size_t i = 0; i < count; i++) {
+        histogram_append(histogram_table.items[i],
+                         "catkingrade_database_request_seconds", text);
+    }
 }
--- a/src/catkingrade/kernel/histogram.h
+++ b/src/catkingrade/kernel/histogram.h
@@ -6,7 +6,8 @@
 #include "catkingrade/kernel/buffer.h"
 
 // A latency histogram with log-linear buckets, exported to Prometheus. There
-// is one histogram for each combination of labels. All functions are
+// is one histogram for each phase, which counts all requests, and one for each
+// combination of phase, database, type and upstream. All functions are
 // thread-safe.
 struct histogram;
 
@@ -25,5 +26,6 @@
                                 const char *upstream);
 void histogram_record(struct histogram *histogram, int64_t duration_us);
 void histogram_append_prometheus(struct buffer *text);
+void histogram_append_databases(struct buffer *text);
 
 #endif
--- a/src/catkingrade/plugins/http.c
+++ b/src/catkingrade/plugins/http.c
@@ -275,17 +275,15 @@
                         strlen(text));
 }
 
+// Responds with a page of metrics and empties the buffer.
 static enum MHD_Result
-http_respond_metrics(struct MHD_Connection *connection)
+http_respond_metrics(struct MHD_Connection *connection, struct buffer *text)
 {
-    struct buffer text = {0};
-
-    counter_append_prometheus(&text);
-    histogram_append_prometheus(&text);
     enum MHD_Result result =
         http_respond(connection, MHD_HTTP_OK, "text/plain; version=0.0.4",
-                     buffer_get_data(&text), buffer_get_size(&text));
-    buffer_free(&text);
+                     buffer_get_data(text), buffer_get_size(text));
+
+    buffer_free(text);
     return result;
 }
 
@@ -295,6 +293,7 @@
 {
     bool draining = atomic_load(&http->daemon->draining);
     bool ready = atomic_load(&http->daemon->ready);
+    struct buffer text = {0};
 
     if (strcmp(url, "/healthz") == 0) {
         return draining ? http_respond_text(connection,
@@ -310,11 +309,17 @@
                                        "not ready\n");
     }
     if (strcmp(url, "/metrics") == 0) {
-        return http_respond_metrics(connection);
+        counter_append_prometheus(&text);
+        histogram_append_prometheus(&text);
+        return http_respond_metrics(connection, &text);
+    }
+    if (strcmp(url, "/metrics/databases") == 0) {
+        histogram_append_databases(&text);
+        return http_respond_metrics(connection, &text);
     }
     return http_respond_text(connection, MHD_HTTP_NOT_FOUND,
-                             "no such page; there are /healthz, /readyz and "
-                             "/metrics\n");
+                             "no such page; there are /healthz, /readyz, "
+                             "/metrics and /metrics/databases\n");
 }
 
 // Appends a part of the request's body. A part that would exceed the route's
--- a/src/catkingrade/plugins/http.h
+++ b/src/catkingrade/plugins/http.h
@@ -5,8 +5,8 @@
 
 // HTTP server of a daemon, based on libmicrohttpd. It serves the health checks
 // of load balancers (/healthz, /readyz), metrics in the Prometheus text format
-// (/metrics), and routes that other modules add, such as the announcements of
-// upstreams.
+// (/metrics, and by database /metrics/databases), and routes that other
+// modules add, such as the announcements of upstreams.
 struct http;
 
 // A request to a route. Its handler runs on the control loop and must reply
--- a/test/contract/test_platform.c
+++ b/test/contract/test_platform.c
@@ -68,6 +68,31 @@
 }
 END_TEST
 
+// Guards against detail by database on /metrics, which every scrape fetches,
+// and against its loss: /metrics/databases must have it.
+START_TEST(test_metrics_by_database_apart)
+{
+    static const char label[] = "phase=\"run\",database=\"core\",type=";
+    long status = 0;
+
+    platform_rig_start("platform_metrics", 1, "");
+    platform_rig_wait_config(0, CONFIG("1", "5000"));
+    close(platform_rig_wait_answer(0, "own", "QUERY a0 WRITE k0 zero",
+                                   "sig-a0"));
+    char *text =
+        platform_rig_call(RIG_CONTROLS, "GET", "/metrics", NULL, &status);
+    ck_assert_int_eq(status, 200);
+    ck_assert_ptr_null(strstr(text, "database="));
+    free(text);
+    text = platform_rig_call(RIG_CONTROLS, "GET", "/metrics/databases", NULL,
+                             &status);
+    ck_assert_int_eq(status, 200);
+    ck_assert_msg(strstr(text, label) != NULL, "no %s", label);
+    free(text);
+    platform_rig_stop();
+}
+END_TEST
+
 #if !defined(__SANITIZE_ADDRESS__)
 // Returns the resident memory of the entry in bytes.
 static long
@@ -490,6 +515,7 @@
 {
     tcase_add_test(tests, test_session_statements);
     tcase_add_test(tests, test_phase_histograms);
+    tcase_add_test(tests, test_metrics_by_database_apart);
 #if !defined(__SANITIZE_ADDRESS__)
     tcase_add_test(tests, test_idle_session_memory);
 #endif
