fix(http): answer the calls that were read whole before a stop

Cause: the HTTP server took no part in the drain. A control VM that leads no group counted as drained at once, and the process ended within 50 ms, while a call that is forwarded may wait for 900 ms. At the end each call was given a stored 503 and its connection was resumed, but the server was stopped before its thread had sent it: libmicrohttpd closes what is left. A response that the caller had not taken whole was cut in the same way.

The server now counts each request from the moment at which it was read whole until its response has been sent. The drain waits for these, up to drain_limit_ms as for all requests. Calls that arrive once the drain has begun get 503 at once, so that the drain ends; nothing was done for them. What is left at the limit gets 503, and the server is stopped when the responses have left, at most 500 ms later: a caller that does not read cannot hold up the stop, and 3000 + 500 ms are within the 6 s after which the platform sends SIGKILL. From SIGTERM on, responses carry Connection: close, so that a kept connection is not used for a further call. The check for the drain and the post of a call now hold the mutex together: before, a call could be suspended after the calls had been aborted, and libmicrohttpd aborts the process when it is stopped with one.

Health and metrics pages are counted as well.

--- a/src/catkingrade/plugins/http.c
+++ b/src/catkingrade/plugins/http.c
@@ -5,6 +5,8 @@
 #include <pthread.h>
 #include <stdlib.h>
 #include <string.h>
+#include <time.h>
+#include <unistd.h>
 
 #include "catkingrade/kernel/buffer.h"
 #include "catkingrade/kernel/counters.h"
@@ -23,14 +25,21 @@
 #define HTTP_CONNECTION_TIMEOUT_S 10
 #define HTTP_TEXT_CONTENT_TYPE    "text/plain; charset=utf-8"
 
-// A request to a route, from its headers until libmicrohttpd has completed it.
+// Time for the responses that are left when the daemon stops.
+#define HTTP_STOP_LIMIT_MS 500
+#define HTTP_STOPPING_TEXT "unavailable: this daemon is stopping\n"
+#define HTTP_NS_PER_MS     1000000L
+#define HTTP_NS_PER_S      1000000000L
+
+// A request, from its headers until libmicrohttpd has completed it.
 struct http_request {
     struct MHD_Connection *connection;
-    const struct http_route *route;
+    const struct http_route *route; // NULL: has its response already
     struct http_call *call; // at the control loop, not replied to; or NULL
     char *path_suffix;
     struct buffer body;
     bool too_large;
+    bool is_open; // counted in open_count of struct http
     bool replied;
     unsigned status;
     const char *content_type;
@@ -53,7 +62,10 @@
     struct MHD_Daemon *metrics_server; // at a second address, or NULL
     struct daemon *daemon;
     pthread_mutex_t mutex;
-    struct http_call *calls; // not replied to yet
+    pthread_cond_t completed; // open_count has become 0
+    size_t open_count;        // requests read whole, response not sent whole
+    bool draining;            // further calls are refused
+    struct http_call *calls;  // not replied to yet
     struct http_route routes[HTTP_MAX_ROUTES];
     size_t routes_count;
 };
@@ -182,6 +194,14 @@
     MHD_resume_connection(request->connection);
 }
 
+static void
+http_free_call(struct http_call *call)
+{
+    free(call->path_suffix);
+    free(call->body);
+    free(call);
+}
+
 // Replies to a call and frees it. The body is copied. content_type is not
 // copied and must be a string constant.
 void
@@ -196,9 +216,7 @@
         http_store_reply_locked(call, status, content_type, body, size_bytes);
         pthread_mutex_unlock(&http->mutex);
     }
-    free(call->path_suffix);
-    free(call->body);
-    free(call);
+    http_free_call(call);
 }
 
 // Replies to a call with the HTTP status of an outcome and frees the call. The
@@ -227,32 +245,58 @@
     call->route.handle(call->route.data, call);
 }
 
-// Suspends the connection of a complete request and posts the request to the
-// control loop as a call. The reply resumes the connection.
+// Counts a request, which has been read whole, until its response has been
+// sent. The caller must hold the mutex.
 static void
-http_post_call(struct http *http, struct http_request *request)
+http_open_request_locked(struct http *http, struct http_request *request)
+{
+    request->is_open = true;
+    http->open_count++;
+}
+
+static struct http_call *
+http_create_call(struct http *http, struct http_request *request)
 {
     struct http_call *call = xcalloc(1, sizeof(*call));
 
     call->http = http;
     call->request = request;
+    call->route = *request->route;
     call->path_suffix = xstrdup(request->path_suffix);
     call->body_size_bytes = buffer_get_size(&request->body);
     call->body = xmemdupz((const char *)buffer_get_data(&request->body),
                           call->body_size_bytes);
-    request->call = call;
+    return call;
+}
+
+// Suspends the connection of a request that has been read whole and posts the
+// request to the control loop as a call. The reply resumes the connection.
+// Returns false, with nothing posted, if the daemon stops.
+static bool
+http_post_call(struct http *http, struct http_request *request)
+{
     pthread_mutex_lock(&http->mutex);
-    call->route = *request->route;
+    http_open_request_locked(http, request);
+    if (http->draining) {
+        pthread_mutex_unlock(&http->mutex);
+        return false;
+    }
+    struct http_call *call = http_create_call(http, request);
+    request->call = call;
     call->next = http->calls;
     http->calls = call;
     MHD_suspend_connection(request->connection);
     pthread_mutex_unlock(&http->mutex);
     loop_post(http->daemon->control_loop, http_dispatch_call, call);
+    return true;
 }
 
+// Sends a response. Once a stop has begun, the connection ends with it, so
+// that the caller's next request goes to another daemon.
 static enum MHD_Result
-http_respond(struct MHD_Connection *connection, unsigned status,
-             const char *content_type, const void *body, size_t size_bytes)
+http_respond(struct http *http, struct MHD_Connection *connection,
+             unsigned status, const char *content_type, const void *body,
+             size_t size_bytes)
 {
     struct MHD_Response *response = MHD_create_response_from_buffer(
         size_bytes, (void *)(uintptr_t)body, MHD_RESPMEM_MUST_COPY);
@@ -262,26 +306,30 @@
     }
     MHD_add_response_header(response, MHD_HTTP_HEADER_CONTENT_TYPE,
                             content_type);
+    if (atomic_load(&http->daemon->draining)) {
+        MHD_add_response_header(response, MHD_HTTP_HEADER_CONNECTION, "close");
+    }
     enum MHD_Result result = MHD_queue_response(connection, status, response);
     MHD_destroy_response(response);
     return result;
 }
 
 static enum MHD_Result
-http_respond_text(struct MHD_Connection *connection, unsigned status,
-                  const char *text)
+http_respond_text(struct http *http, struct MHD_Connection *connection,
+                  unsigned status, const char *text)
 {
-    return http_respond(connection, status, HTTP_TEXT_CONTENT_TYPE, text,
+    return http_respond(http, connection, status, HTTP_TEXT_CONTENT_TYPE, text,
                         strlen(text));
 }
 
 // Responds with a page of metrics and empties the buffer.
 static enum MHD_Result
-http_respond_metrics(struct MHD_Connection *connection, struct buffer *text)
+http_respond_metrics(struct http *http, struct MHD_Connection *connection,
+                     struct buffer *text)
 {
-    enum MHD_Result result =
-        http_respond(connection, MHD_HTTP_OK, "text/plain; version=0.0.4",
-                     buffer_get_data(text), buffer_get_size(text));
+    enum MHD_Result result = http_respond(
+        http, connection, MHD_HTTP_OK, "text/plain; version=0.0.4",
+        buffer_get_data(text), buffer_get_size(text));
 
     buffer_free(text);
     return result;
@@ -296,28 +344,30 @@
     struct buffer text = {0};
 
     if (strcmp(url, "/healthz") == 0) {
-        return draining ? http_respond_text(connection,
-                                            MHD_HTTP_SERVICE_UNAVAILABLE,
-                                            "stopping\n")
-                        : http_respond_text(connection, MHD_HTTP_OK, "ok\n");
+        return draining
+                   ? http_respond_text(http, connection,
+                                       MHD_HTTP_SERVICE_UNAVAILABLE,
+                                       "stopping\n")
+                   : http_respond_text(http, connection, MHD_HTTP_OK, "ok\n");
     }
     if (strcmp(url, "/readyz") == 0) {
         return ready && !draining
-                   ? http_respond_text(connection, MHD_HTTP_OK, "ready\n")
-                   : http_respond_text(connection,
+                   ? http_respond_text(http, connection, MHD_HTTP_OK,
+                                       "ready\n")
+                   : http_respond_text(http, connection,
                                        MHD_HTTP_SERVICE_UNAVAILABLE,
                                        "not ready\n");
     }
     if (strcmp(url, "/metrics") == 0) {
         counter_append_prometheus(&text);
         histogram_append_prometheus(&text);
-        return http_respond_metrics(connection, &text);
+        return http_respond_metrics(http, connection, &text);
     }
     if (strcmp(url, "/metrics/databases") == 0) {
         histogram_append_databases(&text);
-        return http_respond_metrics(connection, &text);
+        return http_respond_metrics(http, connection, &text);
     }
-    return http_respond_text(connection, MHD_HTTP_NOT_FOUND,
+    return http_respond_text(http, connection, MHD_HTTP_NOT_FOUND,
                              "no such page; there are /healthz, /readyz, "
                              "/metrics and /metrics/databases\n");
 }
@@ -348,19 +398,36 @@
         return MHD_YES;
     }
     if (request->too_large) {
-        return http_respond_text(request->connection,
+        return http_respond_text(http, request->connection,
                                  MHD_HTTP_CONTENT_TOO_LARGE,
                                  "too_large: the body is too long\n");
     }
     if (request->replied) {
-        return http_respond(request->connection, request->status,
+        return http_respond(http, request->connection, request->status,
                             request->content_type, request->reply,
                             request->reply_size_bytes);
     }
-    http_post_call(http, request);
+    if (!http_post_call(http, request)) {
+        return http_respond_text(http, request->connection,
+                                 MHD_HTTP_SERVICE_UNAVAILABLE,
+                                 HTTP_STOPPING_TEXT);
+    }
     return MHD_YES;
 }
 
+static struct http_request *
+http_create_request(struct MHD_Connection *connection,
+                    const struct http_route *route, const char *url)
+{
+    struct http_request *request = xcalloc(1, sizeof(*request));
+    size_t prefix_size = route == NULL ? 0 : strlen(route->path);
+
+    request->connection = connection;
+    request->route = route;
+    request->path_suffix = xstrdup(url + prefix_size);
+    return request;
+}
+
 static enum MHD_Result
 http_handle_access(void *data, struct MHD_Connection *connection,
                    const char *url, const char *method, const char *version,
@@ -375,18 +442,18 @@
                                   upload_data_size);
     }
     const struct http_route *route = http_find_route(http, method, url);
+    struct http_request *request = http_create_request(connection, route, url);
+    *request_data = request;
     if (route != NULL) {
-        struct http_request *request = xcalloc(1, sizeof(*request));
-        request->connection = connection;
-        request->route = route;
-        request->path_suffix = xstrdup(url + strlen(route->path));
-        *request_data = request;
         return MHD_YES;
     }
+    pthread_mutex_lock(&http->mutex);
+    http_open_request_locked(http, request);
+    pthread_mutex_unlock(&http->mutex);
     if (strcmp(method, MHD_HTTP_METHOD_GET) == 0) {
         return http_handle_builtin_path(http, connection, url);
     }
-    return http_respond_text(connection, MHD_HTTP_METHOD_NOT_ALLOWED,
+    return http_respond_text(http, connection, MHD_HTTP_METHOD_NOT_ALLOWED,
                              "no such call here\n");
 }
 
@@ -407,6 +474,9 @@
     if (request->call != NULL) {
         request->call->request = NULL;
     }
+    if (request->is_open && --http->open_count == 0) {
+        pthread_cond_signal(&http->completed);
+    }
     pthread_mutex_unlock(&http->mutex);
     buffer_free(&request->body);
     free(request->path_suffix);
@@ -452,9 +522,14 @@
 {
     const struct settings *settings = daemon->settings;
     struct http *http = xcalloc(1, sizeof(*http));
+    pthread_condattr_t attributes;
 
     http->daemon = daemon;
     pthread_mutex_init(&http->mutex, NULL);
+    pthread_condattr_init(&attributes);
+    pthread_condattr_setclock(&attributes, CLOCK_MONOTONIC);
+    pthread_cond_init(&http->completed, &attributes);
+    pthread_condattr_destroy(&attributes);
     http->server = http_start_server(http, &settings->http);
     if (http->server != NULL && settings->metrics.port != 0) {
         http->metrics_server = http_start_server(http, &settings->metrics);
@@ -471,36 +546,100 @@
     return OUTCOME_OK;
 }
 
-// Replies to all pending calls with status 503, because libmicrohttpd must not
-// be stopped while a connection is suspended.
+// Refuses further calls from now on.
 static void
-http_abort_calls(struct http *http)
+http_drain(struct daemon *daemon)
+{
+    struct http *http = daemon->http;
+
+    pthread_mutex_lock(&http->mutex);
+    http->draining = true;
+    pthread_mutex_unlock(&http->mutex);
+}
+
+// Returns whether each request that was read whole has its whole response.
+static bool
+http_is_drained(struct daemon *daemon)
 {
-    static const char text[] = "unavailable: stopping\n";
+    struct http *http = daemon->http;
 
+    pthread_mutex_lock(&http->mutex);
+    bool drained = http->open_count == 0;
+    pthread_mutex_unlock(&http->mutex);
+    return drained;
+}
+
+// Replies to all pending calls with status 503. libmicrohttpd must not be
+// stopped while a connection is suspended.
+static void
+http_abort_calls(struct http *http)
+{
     pthread_mutex_lock(&http->mutex);
     while (http->calls != NULL) {
         struct http_call *call = http->calls;
         http->calls = call->next;
         http_store_reply_locked(call, MHD_HTTP_SERVICE_UNAVAILABLE,
-                                HTTP_TEXT_CONTENT_TYPE, text,
-                                sizeof(text) - 1);
+                                HTTP_TEXT_CONTENT_TYPE, HTTP_STOPPING_TEXT,
+                                sizeof(HTTP_STOPPING_TEXT) - 1);
         call->http = NULL;
     }
     pthread_mutex_unlock(&http->mutex);
 }
 
+// Waits until all responses have been sent, at most HTTP_STOP_LIMIT_MS.
+static void
+http_wait_responses(struct http *http)
+{
+    struct timespec until;
+    int result = 0;
+
+    (void)clock_gettime(CLOCK_MONOTONIC, &until);
+    until.tv_nsec += HTTP_STOP_LIMIT_MS * HTTP_NS_PER_MS;
+    until.tv_sec += until.tv_nsec / HTTP_NS_PER_S;
+    until.tv_nsec %= HTTP_NS_PER_S;
+    pthread_mutex_lock(&http->mutex);
+    while (http->open_count > 0 && result == 0) {
+        result =
+            pthread_cond_timedwait(&http->completed, &http->mutex, &until);
+    }
+    pthread_mutex_unlock(&http->mutex);
+}
+
+// Stops accepting connections. Returns the listening socket, to be closed when
+// the server has been stopped, or -1.
+static int
+http_quiesce_server(struct MHD_Daemon *server)
+{
+    return server == NULL ? -1 : MHD_quiesce_daemon(server);
+}
+
+static void
+http_stop_server(struct MHD_Daemon *server, int listen_fd)
+{
+    if (server != NULL) {
+        MHD_stop_daemon(server);
+    }
+    if (listen_fd >= 0) {
+        close(listen_fd);
+    }
+}
+
+// Answers the calls that are left, lets the responses leave and frees the
+// server.
 static void
 http_stop(struct daemon *daemon)
 {
     struct http *http = daemon->http;
+    int listen_fd = http_quiesce_server(http->server);
+    int metrics_fd = http_quiesce_server(http->metrics_server);
 
+    http_drain(daemon);
     daemon->http = NULL;
     http_abort_calls(http);
-    MHD_stop_daemon(http->server);
-    if (http->metrics_server != NULL) {
-        MHD_stop_daemon(http->metrics_server);
-    }
+    http_wait_responses(http);
+    http_stop_server(http->server, listen_fd);
+    http_stop_server(http->metrics_server, metrics_fd);
+    pthread_cond_destroy(&http->completed);
     pthread_mutex_destroy(&http->mutex);
     free(http);
 }
@@ -510,6 +649,8 @@
     .order = 40,
     .is_enabled = http_is_enabled,
     .start = http_start,
+    .drain = http_drain,
+    .is_drained = http_is_drained,
     .stop = http_stop,
 };
 
