fix(control): send a change again when its leader hands over

The 503 was true, but not needed.

Cause: a leader that hands over refuses proposals with again, and one that steps down ends its pending proposals with unknown. The VM that holds the call took both for a final result, though its deadline of 900 ms had hardly begun. On the leader itself both were turned into unavailable, and so were proposals that are too large.

Both are now reasons to send the change again until the deadline, like not_leader. This is safe: a declaration has the operator's number and an announcement its sequence number, so one that was applied already changes nothing and is acknowledged. An announcement with again stays final, since its withdrawal was deferred and must be announced again.

--- a/src/catkingrade/control/forward.c
+++ b/src/catkingrade/control/forward.c
@@ -96,6 +96,18 @@
     forward_send(forward, &peer);
 }
 
+// Returns whether a change is sent again after this outcome: its leader lost
+// its leadership before the change was committed, or is about to hand it over.
+// A change that was applied already changes nothing. An announcement with
+// OUTCOME_AGAIN was deferred, and is left to the upstream.
+static bool
+forward_must_repeat(const struct forward *forward, int outcome)
+{
+    return outcome == OUTCOME_UNKNOWN ||
+           (outcome == OUTCOME_AGAIN &&
+            forward->change.kind != CK_CHANGE_UPSTREAM);
+}
+
 static void
 forward_handle_apply_result(void *data, int outcome, const void *result)
 {
@@ -105,7 +117,8 @@
     if (outcome == OUTCOME_CLOSED) {
         forward_finish(forward, OUTCOME_UNAVAILABLE, "stopping", NULL);
     }
-    else if (outcome != OUTCOME_OK) {
+    else if (outcome != OUTCOME_OK ||
+             forward_must_repeat(forward, applied->outcome)) {
         forward_schedule_retry(forward);
     }
     else if (applied->outcome == OUTCOME_NOT_LEADER) {
@@ -164,7 +177,8 @@
 {
     struct forward *forward = data;
 
-    if (outcome == OUTCOME_NOT_LEADER) {
+    if (outcome == OUTCOME_NOT_LEADER ||
+        forward_must_repeat(forward, outcome)) {
         forward_schedule_retry(forward);
         return;
     }
--- a/src/catkingrade/control/group_actions.c
+++ b/src/catkingrade/control/group_actions.c
@@ -137,7 +137,7 @@
                            outcome_get_text(action->outcome));
         break;
     case HOST_WAITER_CHANGE:
-        waiter.change_done(waiter.change_data, OUTCOME_UNAVAILABLE,
+        waiter.change_done(waiter.change_data, action->outcome,
                            outcome_get_text(action->outcome));
         break;
     default:
--- a/src/catkingrade/control/group_requests.c
+++ b/src/catkingrade/control/group_requests.c
@@ -132,7 +132,8 @@
 
 // Submits a change from this VM: an announcement goes to the coordinator, any
 // other change is checked and proposed. done is called once.
-// OUTCOME_NOT_LEADER: nothing was changed.
+// OUTCOME_NOT_LEADER and OUTCOME_AGAIN: nothing was changed. OUTCOME_UNKNOWN:
+// leadership ended, and a later leader may still apply the change.
 void
 group_host_submit_change(struct group_host *host,
                          const struct ck_change *change,
