feat(coordinator): log whom a change of primary waits for

A planned change of primary waits for lease holders that are silent, and every change waits until no lease covers the term.

--- a/src/catkingrade/decide/coordinator/coordinator_failover.c
+++ b/src/catkingrade/decide/coordinator/coordinator_failover.c
@@ -15,6 +15,8 @@
 // A planned switchover lets in-flight requests finish during its time limit
 // divided by this. Then holders must abort them.
 #define COORDINATOR_GRACE_DIVISOR 5
+// A holder that has not confirmed a revocation for this time is recorded.
+#define COORDINATOR_AWAITED_RECORD_US 200000
 
 // Proposes the end of the current term. The failover continues when the change
 // is applied.
@@ -75,10 +77,14 @@
     }
     coordinator_set_phase(coordinator, db, COORDINATOR_PHASE_REVOKING);
     coordinator_list_pending_leases(coordinator, db);
+    if (!db->is_planned) {
+        db->planned_us = coordinator->now_us;
+    }
     db->is_grace_over = !db->is_planned;
     db->grace_end_us = coordinator->now_us;
     db->next_notify_us = coordinator->now_us;
     db->is_incomplete_recorded = false;
+    db->awaited = NULL;
     const struct ck_database *database =
         group_find_database(coordinator->group, db->name);
     coordinator_record(coordinator, "superseded", database, database->primary,
@@ -190,6 +196,8 @@
                          struct coordinator_database *db,
                          const struct ck_database *database)
 {
+    const struct coordinator_holder *last = NULL;
+    int64_t last_until_us = 0;
     size_t open = 0;
     int64_t grace_us =
         coordinator->params.switchover_us / COORDINATOR_GRACE_DIVISOR;
@@ -201,6 +209,14 @@
             continue;
         }
         open++;
+        int64_t until_us = pending->holder->granted_until_us >
+                                   pending->holder->previous_until_us
+                               ? pending->holder->granted_until_us
+                               : pending->holder->previous_until_us;
+        if (until_us > last_until_us) {
+            last = pending->holder;
+            last_until_us = until_us;
+        }
         if (pending->holder->granted_until_us > coordinator->now_us) {
             coordinator_wake_at(coordinator,
                                 pending->holder->granted_until_us);
@@ -210,6 +226,10 @@
                                 pending->holder->previous_until_us);
         }
     }
+    // Most holders confirm at the first notification.
+    if (coordinator->now_us - db->phase_us >= COORDINATOR_AWAITED_RECORD_US) {
+        coordinator_record_awaited(coordinator, db, last, open, last_until_us);
+    }
     if (open > 0) {
         if (!db->is_grace_over &&
             coordinator->now_us - db->phase_us >= grace_us) {
--- a/src/catkingrade/decide/coordinator/coordinator_planned.c
+++ b/src/catkingrade/decide/coordinator/coordinator_planned.c
@@ -20,9 +20,41 @@
 coordinator_plan_change(struct coordinator *coordinator,
                         struct coordinator_database *db, const char *reason)
 {
+    const struct ck_database *database =
+        group_find_database(coordinator->group, db->name);
+
     db->planned_reason = reason;
     db->planned_us = coordinator->now_us;
     db->next_notify_us = coordinator->now_us;
+    db->awaited = NULL;
+    coordinator_record(coordinator, "change_planned", database,
+                       database->primary, "database=%s reason=\"%s\"",
+                       db->name, reason);
+}
+
+// Records the holder whose lease ends last among those that a change waits
+// for, when it is another one than before.
+void
+coordinator_record_awaited(struct coordinator *coordinator,
+                           struct coordinator_database *db,
+                           const struct coordinator_holder *holder,
+                           size_t count, int64_t until_us)
+{
+    const struct ck_database *database =
+        group_find_database(coordinator->group, db->name);
+
+    if (holder == NULL || holder == db->awaited) {
+        return;
+    }
+    db->awaited = holder;
+    coordinator_record(
+        coordinator, "change_waits", database, database->primary,
+        "database=%s holders=%zu holder=%s restarted=%d lease_left_ms=%" PRId64
+        " waited_ms=%" PRId64,
+        db->name, count, holder->daemon.vm,
+        holder->previous_until_us > coordinator->now_us,
+        (until_us - coordinator->now_us) / COORDINATOR_US_PER_MS,
+        (coordinator->now_us - db->planned_us) / COORDINATOR_US_PER_MS);
 }
 
 // Returns whether a holder may have a lease but has not been heard of since
@@ -46,6 +78,8 @@
                                  struct coordinator_database *db)
 {
     bool notify = coordinator->now_us >= db->next_notify_us;
+    const struct coordinator_holder *last = NULL;
+    int64_t last_until_us = 0;
     size_t silent = 0;
 
     for (struct coordinator_holder *holder = coordinator->holders;
@@ -55,10 +89,18 @@
             continue;
         }
         silent++;
+        int64_t until_us = holder->previous_until_us > holder->granted_until_us
+                               ? holder->previous_until_us
+                               : holder->granted_until_us;
+        if (until_us > last_until_us) {
+            last = holder;
+            last_until_us = until_us;
+        }
         if (notify) {
             coordinator_notify(coordinator, holder);
         }
     }
+    coordinator_record_awaited(coordinator, db, last, silent, last_until_us);
     if (notify) {
         db->next_notify_us =
             coordinator->now_us + COORDINATOR_NOTIFY_INTERVAL_US;
--- a/src/catkingrade/decide/coordinator/coordinator_private.h
+++ b/src/catkingrade/decide/coordinator/coordinator_private.h
@@ -111,8 +111,9 @@
     bool is_grace_over;   // holders must abort in-flight requests
     int64_t grace_end_us; // when is_grace_over was set
     int64_t next_notify_us;
-    const char *planned_reason;  // a planned change waits; NULL: none
-    int64_t planned_us;          // when it was planned
+    const char *planned_reason; // a planned change waits; NULL: none
+    int64_t planned_us;         // when it was planned
+    const struct coordinator_holder *awaited; // recorded last; NULL: none
     bool is_planned;             // planned switchover, not a failover
     bool is_demoted;             // the primary answered a probe as a replica
     bool is_operator_approved;   // an operator accepts an incomplete target
@@ -290,6 +291,10 @@
 void coordinator_plan_change(struct coordinator *coordinator,
                              struct coordinator_database *db,
                              const char *reason);
+void coordinator_record_awaited(struct coordinator *coordinator,
+                                struct coordinator_database *db,
+                                const struct coordinator_holder *holder,
+                                size_t count, int64_t until_us);
 bool coordinator_run_planned_change(struct coordinator *coordinator,
                                     struct coordinator_database *db,
                                     const struct ck_database *database);
