test(coordinator): planned changes while entries stop, freeze or are cut off in turn

The test plays a leaving primary with 24 entries of which one is hit every 250 ms: stopped, frozen, cut off, or killed and restarted. It also checks that nothing is promoted while an entry may acknowledge a write of the old term.

--- /dev/null
+++ b/test/unit/decide/coordinator/test_planned_bound.c
@@ -0,0 +1,464 @@
+// Unit tests of the bound of a planned change of primary: entries stop,
+// freeze, are cut off, or are killed one after another while it runs.
+
+#include <check.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "catkingrade/decide/coordinator/coordinator.h"
+#include "catkingrade/kernel/memory.h"
+#include "catkingrade/kernel/outcome.h"
+#include "catkingrade/rpc/codec.h"
+#include "test/fake/changes.h"
+#include "test/suite.h"
+
+#define MS       INT64_C(1000)
+#define START_US (1000 * MS)
+#define STEP_US  (10 * MS)
+#define LEASE_US (3000 * MS)
+#define RENEW_US (1000 * MS)
+// A leaving upstream serves for this time after its announcement.
+#define SERVES_US         (7000 * MS)
+#define PROMOTION_US      (500 * MS)
+#define NOTIFY_TIMEOUT_US (300 * MS)
+#define ANNOUNCE_US       (500 * MS)
+#define SERIES_GAP_US     (250 * MS)
+#define SERIES_LEAD_US    (2000 * MS)
+#define ENTRIES           24
+#define UPSTREAMS         3
+
+enum series_kind {
+    SERIES_STOP,
+    SERIES_FREEZE,
+    SERIES_CUT,
+    SERIES_KILL,
+};
+
+// What the entries of a series do: how many take turns, how long one is
+// silent, and whether it returns as a new incarnation.
+struct series {
+    enum series_kind kind;
+    size_t entries;
+    int64_t silent_us;
+    bool is_restart;
+};
+
+static const struct series series[] = {
+    {SERIES_STOP, ENTRIES, 300 * MS, true},
+    {SERIES_FREEZE, ENTRIES, 2000 * MS, false},
+    {SERIES_CUT, ENTRIES, 4000 * MS, false},
+    {SERIES_KILL, 8, 100 * MS, true},
+};
+
+struct entry {
+    char vm[8];
+    uint64_t incarnation;
+    uint64_t sequence;
+    uint64_t revision;
+    uint64_t confirmed; // term
+    int64_t silent_until_us;
+    int64_t next_renew_us;
+    int64_t notified_us; // notification in flight since; 0: none
+    int64_t covers_us;   // until then it may acknowledge writes of the term
+    bool restarts;       // when its silence ends
+};
+
+struct upstream {
+    char name[8];
+    char host[16];
+    ck_upstream_state state;
+    bool is_probed;
+    int64_t promoted_us; // end of its promotion; 0: none
+};
+
+struct rig {
+    struct group_state *group;
+    struct coordinator *coordinator;
+    int64_t now_us;
+    struct entry entries[ENTRIES];
+    struct upstream upstreams[UPSTREAMS];
+    struct entry *renewing;
+    size_t next_victim;
+};
+
+static void step(struct rig *rig, struct coordinator_event *event);
+
+static const struct ck_database *
+get_database(const struct rig *rig)
+{
+    return group_find_database(rig->group, "roster1");
+}
+
+static struct ck_daemon
+make_daemon(const struct entry *entry)
+{
+    return changes_make_daemon(entry->vm, "10.3.0.1", entry->incarnation);
+}
+
+static bool
+is_silent(const struct rig *rig, const struct entry *entry)
+{
+    return entry->silent_until_us > rig->now_us;
+}
+
+static void
+apply_proposal(struct rig *rig, const struct coordinator_action *action)
+{
+    struct ck_log_payload payload;
+    struct group_result result;
+    struct coordinator_event event = {.kind = COORDINATOR_EVENT_APPLIED};
+
+    memset(&payload, 0, sizeof(payload));
+    ck_assert_int_eq(codec_decode((xdrproc_t)xdr_ck_log_payload,
+                                  action->payload.data,
+                                  action->payload.size_bytes, &payload),
+                     OUTCOME_OK);
+    group_apply_payload(rig->group, group_get_applied_index(rig->group) + 1,
+                        &payload, &result);
+    event.token = action->token;
+    event.applied.change = &payload.change;
+    event.applied.result = &result;
+    step(rig, &event);
+    codec_free((xdrproc_t)xdr_ck_log_payload, &payload);
+}
+
+static struct entry *
+find_entry(struct rig *rig, const char *vm)
+{
+    for (size_t i = 0; i < ENTRIES; i++) {
+        if (strcmp(rig->entries[i].vm, vm) == 0) {
+            return &rig->entries[i];
+        }
+    }
+    ck_abort_msg("no entry %s", vm);
+    return NULL;
+}
+
+static struct upstream *
+find_upstream(struct rig *rig, const char *name)
+{
+    for (size_t i = 0; i < UPSTREAMS; i++) {
+        if (strcmp(rig->upstreams[i].name, name) == 0) {
+            return &rig->upstreams[i];
+        }
+    }
+    ck_abort_msg("no upstream %s", name);
+    return NULL;
+}
+
+// The entry runs writes of the term until it knows that the term ends.
+static void
+handle_renewed(struct rig *rig, const struct ck_renew_result *result)
+{
+    struct entry *entry = rig->renewing;
+    const struct ck_database *database = get_database(rig);
+
+    entry->revision = result->delta.to_revision;
+    if (database->superseding) {
+        entry->confirmed = database->term;
+    }
+    else if (result->lease_us > 0) {
+        entry->covers_us = rig->now_us + (int64_t)result->lease_us;
+    }
+}
+
+static void
+check_no_lease_covers_term(const struct rig *rig)
+{
+    for (size_t i = 0; i < ENTRIES; i++) {
+        ck_assert_int_le(rig->entries[i].covers_us, rig->now_us);
+    }
+}
+
+static void
+run_action(struct rig *rig, const struct coordinator_action *action)
+{
+    switch (action->kind) {
+    case COORDINATOR_ACTION_PROPOSE:
+        apply_proposal(rig, action);
+        break;
+    case COORDINATOR_ACTION_REPLY_RENEW:
+        handle_renewed(rig, action->renew);
+        break;
+    case COORDINATOR_ACTION_NOTIFY:
+        find_entry(rig, action->notify.daemon->vm)->notified_us = rig->now_us;
+        break;
+    case COORDINATOR_ACTION_PROBE:
+        find_upstream(rig, action->upstream.upstream->name)->is_probed = true;
+        break;
+    case COORDINATOR_ACTION_PROMOTE:
+        check_no_lease_covers_term(rig);
+        find_upstream(rig, action->upstream.upstream->name)->promoted_us =
+            rig->now_us + PROMOTION_US;
+        break;
+    default:
+        break;
+    }
+}
+
+static void
+step(struct rig *rig, struct coordinator_event *event)
+{
+    struct coordinator_actions actions = {0};
+
+    event->quorum = true;
+    coordinator_step(rig->coordinator, rig->now_us, event, &actions);
+    for (size_t i = 0; i < actions.count; i++) {
+        run_action(rig, &actions.items[i]);
+    }
+    coordinator_actions_free(&actions);
+}
+
+static void
+send_renewal(struct rig *rig, struct entry *entry)
+{
+    struct ck_revocation confirmed = {(char *)(uintptr_t) "roster1",
+                                      entry->confirmed};
+    struct ck_renew_args args = {.sequence = ++entry->sequence,
+                                 .known_revision = entry->revision};
+    struct coordinator_event event = {.kind = COORDINATOR_EVENT_RENEW};
+
+    args.group = (char *)(uintptr_t)GROUP_FLEET_NAME;
+    args.daemon = make_daemon(entry);
+    args.confirmed.confirmed_val = &confirmed;
+    args.confirmed.confirmed_len = entry->confirmed > 0 ? 1 : 0;
+    if (entry->confirmed == get_database(rig)->term) {
+        entry->covers_us = 0;
+    }
+    event.renew = &args;
+    rig->renewing = entry;
+    step(rig, &event);
+    entry->next_renew_us = rig->now_us + RENEW_US;
+}
+
+static void
+answer_notification(struct rig *rig, struct entry *entry)
+{
+    struct ck_notify_result result = {.outcome = OUTCOME_OK};
+    struct coordinator_event event = {.kind = COORDINATOR_EVENT_NOTIFIED};
+
+    event.notified.vm = entry->vm;
+    event.notified.incarnation = entry->incarnation;
+    if (is_silent(rig, entry)) {
+        if (rig->now_us - entry->notified_us < NOTIFY_TIMEOUT_US) {
+            return;
+        }
+        event.kind = COORDINATOR_EVENT_NOTIFY_FAILED;
+        entry->notified_us = 0;
+        step(rig, &event);
+        return;
+    }
+    entry->notified_us = 0;
+    send_renewal(rig, entry);
+    result.daemon = make_daemon(entry);
+    event.notified.result = &result;
+    step(rig, &event);
+}
+
+static void
+run_entry(struct rig *rig, struct entry *entry)
+{
+    if (entry->restarts && !is_silent(rig, entry)) {
+        entry->restarts = false;
+        entry->incarnation++;
+        entry->sequence = 0;
+        entry->revision = 0;
+        entry->confirmed = 0;
+        entry->next_renew_us = rig->now_us;
+    }
+    if (entry->notified_us != 0 && entry->notified_us < rig->now_us) {
+        answer_notification(rig, entry);
+    }
+    if (!is_silent(rig, entry) && entry->next_renew_us <= rig->now_us) {
+        send_renewal(rig, entry);
+    }
+}
+
+static void
+announce(struct rig *rig, const struct upstream *upstream)
+{
+    struct ck_upstream announced = changes_make_upstream(
+        upstream->name, "roster1", "noord", upstream->host);
+    struct coordinator_event event = {.kind = COORDINATOR_EVENT_ANNOUNCE};
+
+    announced.state = upstream->state;
+    event.announce = &announced;
+    step(rig, &event);
+}
+
+static void
+run_upstream(struct rig *rig, struct upstream *upstream)
+{
+    struct coordinator_event event = {.kind = COORDINATOR_EVENT_PROBED};
+    bool is_promoted =
+        upstream->promoted_us != 0 && upstream->promoted_us <= rig->now_us;
+
+    event.probe.upstream = upstream->name;
+    event.probe.is_primary =
+        is_promoted || strcmp(get_database(rig)->primary, upstream->name) == 0;
+    event.probe.position.timeline = 1;
+    event.probe.position.lsn = 50;
+    if (upstream->is_probed) {
+        upstream->is_probed = false;
+        step(rig, &event);
+    }
+    if (is_promoted) {
+        upstream->promoted_us = 0;
+        event.kind = COORDINATOR_EVENT_PROMOTED;
+        step(rig, &event);
+    }
+    if (rig->now_us % ANNOUNCE_US == 0) {
+        announce(rig, upstream);
+    }
+}
+
+// Silences the next entry of the series. A process that has ended acknowledges
+// nothing any more.
+static void
+run_series(struct rig *rig, const struct series *plan)
+{
+    struct entry *victim = &rig->entries[rig->next_victim % plan->entries];
+
+    if (plan->kind == SERIES_STOP) {
+        send_renewal(rig, victim);
+    }
+    victim->silent_until_us = rig->now_us + plan->silent_us;
+    if (plan->is_restart) {
+        victim->restarts = true;
+        victim->covers_us = 0;
+    }
+    rig->next_victim++;
+}
+
+static void
+advance(struct rig *rig, const struct series *plan)
+{
+    struct coordinator_event event = {.kind = COORDINATOR_EVENT_TICK};
+
+    rig->now_us += STEP_US;
+    step(rig, &event);
+    if (rig->now_us % SERIES_GAP_US == 0) {
+        run_series(rig, plan);
+    }
+    for (size_t i = 0; i < ENTRIES; i++) {
+        run_entry(rig, &rig->entries[i]);
+    }
+    for (size_t i = 0; i < UPSTREAMS; i++) {
+        run_upstream(rig, &rig->upstreams[i]);
+    }
+}
+
+static void
+add_entry(struct rig *rig, size_t index)
+{
+    struct ck_change change = {.kind = CK_CHANGE_DAEMON};
+    struct entry *entry = &rig->entries[index];
+
+    (void)snprintf(entry->vm, sizeof(entry->vm), "e%zu", index);
+    entry->incarnation = 1;
+    entry->next_renew_us = START_US + (int64_t)index * RENEW_US / ENTRIES;
+    change.ck_change_u.daemon = make_daemon(entry);
+    ck_assert_int_eq(changes_apply(rig->group, 0, &change, "", -1, NULL),
+                     OUTCOME_OK);
+}
+
+static void
+add_upstream(struct rig *rig, size_t index)
+{
+    struct upstream *upstream = &rig->upstreams[index];
+
+    (void)snprintf(upstream->name, sizeof(upstream->name), "u%zu", index);
+    (void)snprintf(upstream->host, sizeof(upstream->host), "10.0.0.%zu",
+                   index + 1);
+    upstream->state = CK_UPSTREAM_READY;
+    struct ck_upstream announced = changes_make_upstream(
+        upstream->name, "roster1", "noord", upstream->host);
+    changes_apply_upstream(rig->group, &announced);
+}
+
+static void
+set_first_primary(struct rig *rig)
+{
+    struct ck_change change = {.kind = CK_CHANGE_PRIMARY};
+
+    change.ck_change_u.primary.database = (char *)"roster1";
+    change.ck_change_u.primary.term = 1;
+    change.ck_change_u.primary.primary = (char *)"u0";
+    ck_assert_int_eq(changes_apply(rig->group, 0, &change, "", -1, NULL),
+                     OUTCOME_OK);
+}
+
+static void
+start(struct rig *rig)
+{
+    struct coordinator_params params;
+    struct coordinator_event event = {.kind = COORDINATOR_EVENT_ELECTED,
+                                      .leader_term = 4};
+
+    memset(rig, 0, sizeof(*rig));
+    coordinator_params_init(&params);
+    params.lease_us = LEASE_US;
+    params.drift_ppm = 10000;
+    params.switchover_us = SERVES_US;
+    rig->now_us = START_US;
+    rig->group = group_create(GROUP_FLEET_NAME);
+    changes_set_customer(rig->group, "[{\"name\": \"roster1\"}]", "wait");
+    rig->coordinator = coordinator_create(&params, rig->group);
+    for (size_t i = 0; i < ENTRIES; i++) {
+        add_entry(rig, i);
+    }
+    for (size_t i = 0; i < UPSTREAMS; i++) {
+        add_upstream(rig, i);
+    }
+    set_first_primary(rig);
+    step(rig, &event);
+}
+
+static void
+finish(struct rig *rig)
+{
+    coordinator_destroy(rig->coordinator);
+    group_destroy(rig->group);
+}
+
+// Runs until the upstream is no longer the primary. Returns the time.
+static int64_t
+replace_primary(struct rig *rig, const char *leaving,
+                const struct series *plan)
+{
+    struct upstream *upstream = find_upstream(rig, leaving);
+    int64_t begin_us = rig->now_us;
+
+    ck_assert_str_eq(get_database(rig)->primary, leaving);
+    upstream->state = CK_UPSTREAM_LEAVING;
+    announce(rig, upstream);
+    while (strcmp(get_database(rig)->primary, leaving) == 0 &&
+           rig->now_us - begin_us < 4 * SERVES_US) {
+        advance(rig, plan);
+    }
+    return rig->now_us - begin_us;
+}
+
+// Guards against a planned change that waits for each silent entry in turn.
+START_TEST(test_change_ends_while_entries_fail_in_turn)
+{
+    struct rig rig;
+
+    start(&rig);
+    while (rig.now_us < START_US + SERIES_LEAD_US) {
+        advance(&rig, &series[_i]);
+    }
+    ck_assert_int_le(replace_primary(&rig, "u0", &series[_i]), SERVES_US);
+    finish(&rig);
+}
+END_TEST
+
+static void
+add_tests(TCase *tests)
+{
+    tcase_add_loop_test(tests, test_change_ends_while_entries_fail_in_turn, 0,
+                        sizeof(series) / sizeof(series[0]));
+}
+
+TEST_MAIN("planned_bound", add_tests)
