fix(coordinator): the wait of a planned change for silent holders has an end

Cause: a holder counts as silent while a lease of its earlier incarnation may be valid, 3 s after its restart, also if it restarted after the change was planned. The wait had no end of its own.

Solution: when the change begins, the time is set by which no lease may cover the term: switchover_us less a fifth of it for the promotion.

--- a/src/catkingrade/decide/coordinator/coordinator_planned.c
+++ b/src/catkingrade/decide/coordinator/coordinator_planned.c
@@ -1,8 +1,13 @@
 // Planned changes of primary: the primary leaves, an operator requests a
 // switchover, or the replicas of an overloaded primary lag. The old primary
-// serves until its term is superseded, so there is no hurry: the term ends
-// only once every lease holder has answered or has no lease any more. The
-// revocation then waits for no frozen, cut-off or killed entry.
+// serves until its term is superseded: the term ends only once every lease
+// holder has answered or has no lease any more. The revocation then waits for
+// no frozen, cut-off or killed entry.
+//
+// All waits of a change end by times that are set when it begins, whatever
+// happens to the holders meanwhile: leases that cover the term are over in
+// time for a promotion within switchover_us, and the wait for silent holders
+// ends one lease before that.
 
 #include <inttypes.h>
 #include <stdlib.h>
@@ -14,6 +19,9 @@
 // Time without a primary that a planned change is expected to take before one
 // has been observed.
 #define COORDINATOR_CHANGE_COST_INITIAL_US 1500000
+// The time limit of a planned change divided by this is kept for the
+// promotion.
+#define COORDINATOR_PROMOTION_DIVISOR 5
 
 // Requests a planned change of primary. reason is constant text.
 void
@@ -22,9 +30,12 @@
 {
     const struct ck_database *database =
         group_find_database(coordinator->group, db->name);
+    int64_t limit_us = coordinator->params.switchover_us;
 
     db->planned_reason = reason;
     db->planned_us = coordinator->now_us;
+    db->lease_end_us = coordinator->now_us + limit_us -
+                       limit_us / COORDINATOR_PROMOTION_DIVISOR;
     db->next_notify_us = coordinator->now_us;
     db->awaited = NULL;
     coordinator_record(coordinator, "change_planned", database,
@@ -72,16 +83,32 @@
             holder->last_seen_us < planned_us);
 }
 
-// Returns whether a lease holder is silent, and notifies those that are.
+// Returns the end of the lease because of which a holder counts as silent.
+static int64_t
+coordinator_get_last_lease_us(const struct coordinator *coordinator,
+                              const struct coordinator_holder *holder)
+{
+    return holder->previous_until_us > coordinator->now_us
+               ? holder->previous_until_us
+               : holder->granted_until_us;
+}
+
+// Returns whether the change must wait for a silent lease holder, and notifies
+// those that are silent. The wait ends one lease before lease_end_us.
 static bool
 coordinator_await_silent_holders(struct coordinator *coordinator,
                                  struct coordinator_database *db)
 {
+    int64_t end_us =
+        db->lease_end_us - coordinator_get_lease_bound_us(coordinator);
     bool notify = coordinator->now_us >= db->next_notify_us;
     const struct coordinator_holder *last = NULL;
     int64_t last_until_us = 0;
     size_t silent = 0;
 
+    if (coordinator->now_us >= end_us) {
+        return false;
+    }
     for (struct coordinator_holder *holder = coordinator->holders;
          holder != NULL; holder = holder->next) {
         if (!coordinator_is_holder_silent(coordinator, holder,
@@ -89,9 +116,7 @@
             continue;
         }
         silent++;
-        int64_t until_us = holder->previous_until_us > holder->granted_until_us
-                               ? holder->previous_until_us
-                               : holder->granted_until_us;
+        int64_t until_us = coordinator_get_last_lease_us(coordinator, holder);
         if (until_us > last_until_us) {
             last = holder;
             last_until_us = until_us;
@@ -112,7 +137,7 @@
 }
 
 // Continues a planned change: supersedes the term once no lease holder is
-// silent. Returns whether the term was superseded.
+// awaited. Returns whether the term was superseded.
 bool
 coordinator_run_planned_change(struct coordinator *coordinator,
                                struct coordinator_database *db,
--- a/src/catkingrade/decide/coordinator/coordinator_private.h
+++ b/src/catkingrade/decide/coordinator/coordinator_private.h
@@ -113,6 +113,9 @@
     int64_t next_notify_us;
     const char *planned_reason; // a planned change waits; NULL: none
     int64_t planned_us;         // when it was planned
+    // By then no lease covers the term of a planned change; set when the
+    // change begins.
+    int64_t lease_end_us;
     const struct coordinator_holder *awaited; // recorded last; NULL: none
     bool is_planned;             // planned switchover, not a failover
     bool is_demoted;             // the primary answered a probe as a replica
--- a/test/unit/decide/coordinator/test_planned_bound.c
+++ b/test/unit/decide/coordinator/test_planned_bound.c
@@ -422,17 +422,24 @@
     group_destroy(rig->group);
 }
 
+static void
+withdraw(struct rig *rig, const char *name)
+{
+    struct upstream *upstream = find_upstream(rig, name);
+
+    ck_assert_str_eq(get_database(rig)->primary, name);
+    upstream->state = CK_UPSTREAM_LEAVING;
+    announce(rig, upstream);
+}
+
 // Runs until the upstream is no longer the primary. Returns the time.
 static int64_t
 replace_primary(struct rig *rig, const char *leaving,
                 const struct series *plan)
 {
-    struct upstream *upstream = find_upstream(rig, leaving);
     int64_t begin_us = rig->now_us;
 
-    ck_assert_str_eq(get_database(rig)->primary, leaving);
-    upstream->state = CK_UPSTREAM_LEAVING;
-    announce(rig, upstream);
+    withdraw(rig, leaving);
     while (strcmp(get_database(rig)->primary, leaving) == 0 &&
            rig->now_us - begin_us < 4 * SERVES_US) {
         advance(rig, plan);
@@ -440,6 +447,27 @@
     return rig->now_us - begin_us;
 }
 
+// Guards against a wait for silent entries that leaves no time for the leases
+// of entries that fail later.
+START_TEST(test_term_ends_while_entries_fail_in_turn)
+{
+    struct rig rig;
+
+    start(&rig);
+    while (rig.now_us < START_US + SERIES_LEAD_US) {
+        advance(&rig, &series[_i]);
+    }
+    int64_t begin_us = rig.now_us;
+    withdraw(&rig, "u0");
+    while (!get_database(&rig)->superseding &&
+           rig.now_us - begin_us < SERVES_US) {
+        advance(&rig, &series[_i]);
+    }
+    ck_assert_int_le(rig.now_us - begin_us, SERVES_US - LEASE_US);
+    finish(&rig);
+}
+END_TEST
+
 // Guards against a planned change that waits for each silent entry in turn.
 START_TEST(test_change_ends_while_entries_fail_in_turn)
 {
@@ -457,6 +485,8 @@
 static void
 add_tests(TCase *tests)
 {
+    tcase_add_loop_test(tests, test_term_ends_while_entries_fail_in_turn, 0,
+                        sizeof(series) / sizeof(series[0]));
     tcase_add_loop_test(tests, test_change_ends_while_entries_fail_in_turn, 0,
                         sizeof(series) / sizeof(series[0]));
 }
