fix(coordinator): a restart does not extend the revocation of a term

Problem: a change of primary waits until no lease covers the old term. A holder that restarts during the wait, and gets a lease as a new incarnation, moved the end of the wait on: with entries that restart in turn, at least one lease was always open. test_planned_bound, series of stops and kills: no new primary within 28 s, bound 7 s.

Cause: the wait looked at the end of the leases of all earlier incarnations of the holder at present. A lease that is granted after the end of the term comes with that end and covers no write of the term.

Solution: the wait keeps the end of the lease that it has listed, and of the leases before it.

--- a/src/catkingrade/decide/coordinator/coordinator_failover.c
+++ b/src/catkingrade/decide/coordinator/coordinator_failover.c
@@ -60,6 +60,25 @@
                 &db->pending_leases[db->pending_leases_count++];
             pending->holder = holder;
             pending->incarnation = holder->daemon.incarnation;
+            pending->previous_until_us = holder->previous_until_us;
+        }
+    }
+}
+
+// Stores the end of the holder's lease in the revocations that wait for it.
+// Called before the holder gets a new incarnation.
+void
+coordinator_keep_pending_leases(struct coordinator *coordinator,
+                                const struct coordinator_holder *holder)
+{
+    for (struct coordinator_database *db = coordinator->databases; db != NULL;
+         db = db->next) {
+        for (size_t i = 0; i < db->pending_leases_count; i++) {
+            struct coordinator_pending_lease *pending = &db->pending_leases[i];
+            if (pending->holder == holder &&
+                pending->incarnation == holder->daemon.incarnation) {
+                pending->until_us = holder->granted_until_us;
+            }
         }
     }
 }
@@ -130,23 +149,27 @@
     }
 }
 
-// Returns whether the lease no longer covers the term: its holder has
-// confirmed the revocation or the lease has expired, and the leases of the
+// Returns the time at which the lease no longer covers the term: its holder
+// has confirmed the revocation or the lease has expired, and the leases of the
 // holder's earlier incarnations have expired.
-static bool
-coordinator_is_lease_over(const struct coordinator *coordinator,
-                          const struct coordinator_pending_lease *pending)
+static int64_t
+coordinator_get_lease_end_us(const struct coordinator_pending_lease *pending)
 {
     const struct coordinator_holder *holder = pending->holder;
     bool same = holder->daemon.incarnation == pending->incarnation;
-    int64_t until_us =
-        same ? holder->granted_until_us : holder->previous_until_us;
+    int64_t until_us = same ? holder->granted_until_us : pending->until_us;
 
-    if (same && pending->confirmed) {
-        return holder->previous_until_us <= coordinator->now_us;
+    if (pending->confirmed || until_us < pending->previous_until_us) {
+        return pending->previous_until_us;
     }
-    return until_us <= coordinator->now_us &&
-           holder->previous_until_us <= coordinator->now_us;
+    return until_us;
+}
+
+static bool
+coordinator_is_lease_over(const struct coordinator *coordinator,
+                          const struct coordinator_pending_lease *pending)
+{
+    return coordinator_get_lease_end_us(pending) <= coordinator->now_us;
 }
 
 // Notifies the holders that have not confirmed the revocation, every
@@ -209,22 +232,12 @@
             continue;
         }
         open++;
-        int64_t until_us = pending->holder->granted_until_us >
-                                   pending->holder->previous_until_us
-                               ? pending->holder->granted_until_us
-                               : pending->holder->previous_until_us;
+        int64_t until_us = coordinator_get_lease_end_us(pending);
         if (until_us > last_until_us) {
             last = pending->holder;
             last_until_us = until_us;
         }
-        if (pending->holder->granted_until_us > coordinator->now_us) {
-            coordinator_wake_at(coordinator,
-                                pending->holder->granted_until_us);
-        }
-        if (pending->holder->previous_until_us > coordinator->now_us) {
-            coordinator_wake_at(coordinator,
-                                pending->holder->previous_until_us);
-        }
+        coordinator_wake_at(coordinator, until_us);
     }
     // Most holders confirm at the first notification.
     if (coordinator->now_us - db->phase_us >= COORDINATOR_AWAITED_RECORD_US) {
--- a/src/catkingrade/decide/coordinator/coordinator_lease.c
+++ b/src/catkingrade/decide/coordinator/coordinator_lease.c
@@ -170,6 +170,7 @@
         return;
     }
     if (holder->daemon.incarnation != daemon->incarnation) {
+        coordinator_keep_pending_leases(coordinator, holder);
         if (holder->granted_until_us > holder->previous_until_us) {
             holder->previous_until_us = holder->granted_until_us;
         }
--- a/src/catkingrade/decide/coordinator/coordinator_private.h
+++ b/src/catkingrade/decide/coordinator/coordinator_private.h
@@ -53,10 +53,14 @@
     bool awaits_quota; // has a lease, but no connection to some upstream
 };
 
-// A lease that must end before the next term of a database may begin.
+// A lease that must end before the next term of a database may begin. Leases
+// of later incarnations of its holder come with the end of the term and need
+// not end.
 struct coordinator_pending_lease {
     struct coordinator_holder *holder;
     uint64_t incarnation;
+    int64_t previous_until_us; // end of the leases of earlier incarnations
+    int64_t until_us; // end of the lease, once the holder has restarted
     bool confirmed;
 };
 
@@ -320,6 +324,8 @@
                            const char *reason);
 void coordinator_begin_revocation(struct coordinator *coordinator,
                                   struct coordinator_database *db);
+void coordinator_keep_pending_leases(struct coordinator *coordinator,
+                                     const struct coordinator_holder *holder);
 void coordinator_handle_confirmations(struct coordinator *coordinator,
                                       const struct coordinator_holder *holder,
                                       uint64_t incarnation,
