--- a/test/unit/decide/coordinator/test_planned_bound.c
+++ b/test/unit/decide/coordinator/test_planned_bound.c
@@ -26,7 +26,9 @@
 #define SERIES_GAP_US     (250 * MS)
 #define SERIES_LEAD_US    (2000 * MS)
 #define ENTRIES           24
-#define UPSTREAMS         3
+#define DATABASES         2
+#define UPSTREAMS_EACH    3
+#define UPSTREAMS         (DATABASES * UPSTREAMS_EACH)
 
 enum series_kind {
     SERIES_STOP,
@@ -56,16 +58,19 @@
     uint64_t incarnation;
     uint64_t sequence;
     uint64_t revision;
-    uint64_t confirmed; // term
+    uint64_t confirmed[DATABASES]; // terms
     int64_t silent_until_us;
     int64_t next_renew_us;
     int64_t notified_us; // notification in flight since; 0: none
     int64_t covers_us;   // until then it may acknowledge writes of the term
     bool restarts;       // when its silence ends
+    int64_t renew_us;
+    bool is_stuck; // a write in the first database does not end
 };
 
 struct upstream {
     char name[8];
+    size_t database;
     char host[16];
     ck_upstream_state state;
     bool is_probed;
@@ -84,10 +89,12 @@
 
 static void step(struct rig *rig, struct coordinator_event *event);
 
+static const char *const database_names[DATABASES] = {"roster1", "roster2"};
+
 static const struct ck_database *
-get_database(const struct rig *rig)
+get_database(const struct rig *rig, size_t index)
 {
-    return group_find_database(rig->group, "roster1");
+    return group_find_database(rig->group, database_names[index]);
 }
 
 static struct ck_daemon
@@ -147,19 +154,23 @@
     return NULL;
 }
 
-// The entry runs writes of the term until it knows that the term ends.
+// The entry runs writes in the first database until it knows that the term
+// ends.
 static void
 handle_renewed(struct rig *rig, const struct ck_renew_result *result)
 {
     struct entry *entry = rig->renewing;
-    const struct ck_database *database = get_database(rig);
 
     entry->revision = result->delta.to_revision;
-    if (database->superseding) {
-        entry->confirmed = database->term;
-    }
-    else if (result->lease_us > 0) {
-        entry->covers_us = rig->now_us + (int64_t)result->lease_us;
+    for (size_t i = 0; i < DATABASES; i++) {
+        const struct ck_database *database = get_database(rig, i);
+        bool runs = i == 0 && (entry->is_stuck || !database->superseding);
+        if (runs && result->lease_us > 0) {
+            entry->covers_us = rig->now_us + (int64_t)result->lease_us;
+        }
+        else if (!runs && database->superseding) {
+            entry->confirmed[i] = database->term;
+        }
     }
 }
 
@@ -171,6 +182,17 @@
     }
 }
 
+static void
+handle_promote(struct rig *rig, const char *name)
+{
+    struct upstream *upstream = find_upstream(rig, name);
+
+    if (upstream->database == 0) {
+        check_no_lease_covers_term(rig);
+    }
+    upstream->promoted_us = rig->now_us + PROMOTION_US;
+}
+
 static void
 run_action(struct rig *rig, const struct coordinator_action *action)
 {
@@ -188,9 +210,7 @@
         find_upstream(rig, action->upstream.upstream->name)->is_probed = true;
         break;
     case COORDINATOR_ACTION_PROMOTE:
-        check_no_lease_covers_term(rig);
-        find_upstream(rig, action->upstream.upstream->name)->promoted_us =
-            rig->now_us + PROMOTION_US;
+        handle_promote(rig, action->upstream.upstream->name);
         break;
     default:
         break;
@@ -213,23 +233,26 @@
 static void
 send_renewal(struct rig *rig, struct entry *entry)
 {
-    struct ck_revocation confirmed = {(char *)(uintptr_t) "roster1",
-                                      entry->confirmed};
+    struct ck_revocation confirmed[DATABASES];
     struct ck_renew_args args = {.sequence = ++entry->sequence,
                                  .known_revision = entry->revision};
     struct coordinator_event event = {.kind = COORDINATOR_EVENT_RENEW};
 
     args.group = (char *)(uintptr_t)GROUP_FLEET_NAME;
     args.daemon = make_daemon(entry);
-    args.confirmed.confirmed_val = &confirmed;
-    args.confirmed.confirmed_len = entry->confirmed > 0 ? 1 : 0;
-    if (entry->confirmed == get_database(rig)->term) {
+    for (size_t i = 0; i < DATABASES; i++) {
+        confirmed[i].database = (char *)(uintptr_t)database_names[i];
+        confirmed[i].term = entry->confirmed[i];
+    }
+    args.confirmed.confirmed_val = confirmed;
+    args.confirmed.confirmed_len = DATABASES;
+    if (entry->confirmed[0] == get_database(rig, 0)->term) {
         entry->covers_us = 0;
     }
     event.renew = &args;
     rig->renewing = entry;
     step(rig, &event);
-    entry->next_renew_us = rig->now_us + RENEW_US;
+    entry->next_renew_us = rig->now_us + entry->renew_us;
 }
 
 static void
@@ -264,7 +287,7 @@
         entry->incarnation++;
         entry->sequence = 0;
         entry->revision = 0;
-        entry->confirmed = 0;
+        memset(entry->confirmed, 0, sizeof(entry->confirmed));
         entry->next_renew_us = rig->now_us;
     }
     if (entry->notified_us != 0 && entry->notified_us < rig->now_us) {
@@ -279,7 +302,8 @@
 announce(struct rig *rig, const struct upstream *upstream)
 {
     struct ck_upstream announced = changes_make_upstream(
-        upstream->name, "roster1", "noord", upstream->host);
+        upstream->name, database_names[upstream->database], "noord",
+        upstream->host);
     struct coordinator_event event = {.kind = COORDINATOR_EVENT_ANNOUNCE};
 
     announced.state = upstream->state;
@@ -296,7 +320,8 @@
 
     event.probe.upstream = upstream->name;
     event.probe.is_primary =
-        is_promoted || strcmp(get_database(rig)->primary, upstream->name) == 0;
+        is_promoted || strcmp(get_database(rig, upstream->database)->primary,
+                              upstream->name) == 0;
     event.probe.position.timeline = 1;
     event.probe.position.lsn = 50;
     if (upstream->is_probed) {
@@ -338,7 +363,7 @@
 
     rig->now_us += STEP_US;
     step(rig, &event);
-    if (rig->now_us % SERIES_GAP_US == 0) {
+    if (plan != NULL && rig->now_us % SERIES_GAP_US == 0) {
         run_series(rig, plan);
     }
     for (size_t i = 0; i < ENTRIES; i++) {
@@ -357,6 +382,7 @@
 
     (void)snprintf(entry->vm, sizeof(entry->vm), "e%zu", index);
     entry->incarnation = 1;
+    entry->renew_us = RENEW_US;
     entry->next_renew_us = START_US + (int64_t)index * RENEW_US / ENTRIES;
     change.ck_change_u.daemon = make_daemon(entry);
     ck_assert_int_eq(changes_apply(rig->group, 0, &change, "", -1, NULL),
@@ -371,20 +397,24 @@
     (void)snprintf(upstream->name, sizeof(upstream->name), "u%zu", index);
     (void)snprintf(upstream->host, sizeof(upstream->host), "10.0.0.%zu",
                    index + 1);
+    upstream->database = index / UPSTREAMS_EACH;
     upstream->state = CK_UPSTREAM_READY;
     struct ck_upstream announced = changes_make_upstream(
-        upstream->name, "roster1", "noord", upstream->host);
+        upstream->name, database_names[upstream->database], "noord",
+        upstream->host);
     changes_apply_upstream(rig->group, &announced);
 }
 
 static void
-set_first_primary(struct rig *rig)
+set_first_primary(struct rig *rig, size_t database)
 {
     struct ck_change change = {.kind = CK_CHANGE_PRIMARY};
 
-    change.ck_change_u.primary.database = (char *)"roster1";
+    change.ck_change_u.primary.database =
+        (char *)(uintptr_t)database_names[database];
     change.ck_change_u.primary.term = 1;
-    change.ck_change_u.primary.primary = (char *)"u0";
+    change.ck_change_u.primary.primary =
+        rig->upstreams[database * UPSTREAMS_EACH].name;
     ck_assert_int_eq(changes_apply(rig->group, 0, &change, "", -1, NULL),
                      OUTCOME_OK);
 }
@@ -403,7 +433,9 @@
     params.switchover_us = SERVES_US;
     rig->now_us = START_US;
     rig->group = group_create(GROUP_FLEET_NAME);
-    changes_set_customer(rig->group, "[{\"name\": \"roster1\"}]", "wait");
+    changes_set_customer(rig->group,
+                         "[{\"name\": \"roster1\"}, {\"name\": \"roster2\"}]",
+                         "wait");
     rig->coordinator = coordinator_create(&params, rig->group);
     for (size_t i = 0; i < ENTRIES; i++) {
         add_entry(rig, i);
@@ -411,7 +443,9 @@
     for (size_t i = 0; i < UPSTREAMS; i++) {
         add_upstream(rig, i);
     }
-    set_first_primary(rig);
+    for (size_t i = 0; i < DATABASES; i++) {
+        set_first_primary(rig, i);
+    }
     step(rig, &event);
 }
 
@@ -427,7 +461,7 @@
 {
     struct upstream *upstream = find_upstream(rig, name);
 
-    ck_assert_str_eq(get_database(rig)->primary, name);
+    ck_assert_str_eq(get_database(rig, upstream->database)->primary, name);
     upstream->state = CK_UPSTREAM_LEAVING;
     announce(rig, upstream);
 }
@@ -440,7 +474,7 @@
     int64_t begin_us = rig->now_us;
 
     withdraw(rig, leaving);
-    while (strcmp(get_database(rig)->primary, leaving) == 0 &&
+    while (strcmp(get_database(rig, 0)->primary, leaving) == 0 &&
            rig->now_us - begin_us < 4 * SERVES_US) {
         advance(rig, plan);
     }
@@ -459,7 +493,7 @@
     }
     int64_t begin_us = rig.now_us;
     withdraw(&rig, "u0");
-    while (!get_database(&rig)->superseding &&
+    while (!get_database(&rig, 0)->superseding &&
            rig.now_us - begin_us < SERVES_US) {
         advance(&rig, &series[_i]);
     }
@@ -482,6 +516,59 @@
 }
 END_TEST
 
+// Guards against an entry whose open write delays the change by two leases
+// after the time for open writes.
+START_TEST(test_change_ends_despite_open_write)
+{
+    struct rig rig;
+
+    start(&rig);
+    rig.entries[3].is_stuck = true;
+    ck_assert_int_le(replace_primary(&rig, "u0", NULL), SERVES_US);
+    finish(&rig);
+}
+END_TEST
+
+static void
+switch_second_database(struct rig *rig)
+{
+    const struct ck_database *database = get_database(rig, 1);
+    bool is_first = strcmp(database->primary, "u3") == 0;
+    struct ck_command_args args = {.kind = CK_COMMAND_SWITCHOVER};
+    struct coordinator_event event = {.kind = COORDINATOR_EVENT_COMMAND,
+                                      .token = 7};
+
+    args.database = database->name;
+    args.target = (char *)(uintptr_t)(is_first ? "u4" : "u3");
+    event.command = &args;
+    step(rig, &event);
+}
+
+// Guards against changes of other databases that end the denial of leases to
+// an entry that does not confirm.
+START_TEST(test_change_ends_while_other_database_changes)
+{
+    struct rig rig;
+
+    start(&rig);
+    rig.entries[3].is_stuck = true;
+    rig.entries[3].renew_us = STEP_US;
+    advance(&rig, NULL);
+    int64_t begin_us = rig.now_us;
+    withdraw(&rig, "u0");
+    while (strcmp(get_database(&rig, 0)->primary, "u0") == 0 &&
+           rig.now_us - begin_us < 4 * SERVES_US) {
+        advance(&rig, NULL);
+        if (rig.now_us % SERIES_GAP_US == 0) {
+            switch_second_database(&rig);
+        }
+    }
+    ck_assert_uint_gt(get_database(&rig, 1)->term, 4);
+    ck_assert_int_le(rig.now_us - begin_us, SERVES_US);
+    finish(&rig);
+}
+END_TEST
+
 static void
 add_tests(TCase *tests)
 {
@@ -489,6 +576,8 @@
                         sizeof(series) / sizeof(series[0]));
     tcase_add_loop_test(tests, test_change_ends_while_entries_fail_in_turn, 0,
                         sizeof(series) / sizeof(series[0]));
+    tcase_add_test(tests, test_change_ends_despite_open_write);
+    tcase_add_test(tests, test_change_ends_while_other_database_changes);
 }
 
 TEST_MAIN("planned_bound", add_tests)
