fix(coordinator): the time for open writes counts from the begin of a change

Problem: an entry that renews its lease, and does not confirm the end of the term as its write does not end, delays a planned change by the time for open writes, one lease until it is denied a further one, and one until that lease has ended: with a switchover limit of 7 s and a lease of 3 s, 7.93 s until the new primary is published (test_planned_bound), longer than a leaving upstream serves.

Cause: each of the three times counted from the end of the one before.

Solution: leases are denied from one lease before the time by which no lease may cover the term, which is set when the change begins. An unplanned change keeps its limits: one lease until leases are denied, and one until they have ended.

--- a/src/catkingrade/decide/coordinator/coordinator_failover.c
+++ b/src/catkingrade/decide/coordinator/coordinator_failover.c
@@ -98,9 +98,10 @@
     coordinator_list_pending_leases(coordinator, db);
     if (!db->is_planned) {
         db->planned_us = coordinator->now_us;
+        db->lease_end_us = coordinator->now_us + coordinator->params.lease_us +
+                           coordinator_get_lease_bound_us(coordinator);
     }
     db->is_grace_over = !db->is_planned;
-    db->grace_end_us = coordinator->now_us;
     db->next_notify_us = coordinator->now_us;
     db->is_incomplete_recorded = false;
     db->awaited = NULL;
@@ -173,16 +174,16 @@
 }
 
 // Notifies the holders that have not confirmed the revocation, every
-// COORDINATOR_NOTIFY_INTERVAL_US. A holder that has not confirmed within
-// lease_us after the grace period gets no further lease even if it renews, so
-// that its last lease expires.
+// COORDINATOR_NOTIFY_INTERVAL_US. A holder that has not confirmed one lease
+// before lease_end_us gets no further lease even if it renews, so that its
+// last lease expires in time.
 static void
 coordinator_send_revocation(struct coordinator *coordinator,
                             struct coordinator_database *db)
 {
     bool overdue =
-        db->is_grace_over &&
-        coordinator->now_us - db->grace_end_us >= coordinator->params.lease_us;
+        coordinator->now_us >=
+        db->lease_end_us - coordinator_get_lease_bound_us(coordinator);
 
     if (coordinator->now_us < db->next_notify_us) {
         coordinator_wake_at(coordinator, db->next_notify_us);
@@ -247,7 +248,6 @@
         if (!db->is_grace_over &&
             coordinator->now_us - db->phase_us >= grace_us) {
             db->is_grace_over = true;
-            db->grace_end_us = coordinator->now_us;
             db->next_notify_us = coordinator->now_us;
         }
         coordinator_send_revocation(coordinator, db);
--- a/src/catkingrade/decide/coordinator/coordinator_private.h
+++ b/src/catkingrade/decide/coordinator/coordinator_private.h
@@ -112,13 +112,11 @@
     size_t members_count;
     struct coordinator_pending_lease *pending_leases;
     size_t pending_leases_count;
-    bool is_grace_over;   // holders must abort in-flight requests
-    int64_t grace_end_us; // when is_grace_over was set
+    bool is_grace_over; // holders must abort in-flight requests
     int64_t next_notify_us;
     const char *planned_reason; // a planned change waits; NULL: none
     int64_t planned_us;         // when it was planned
-    // By then no lease covers the term of a planned change; set when the
-    // change begins.
+    // By then no lease covers the term any more; set when the change begins.
     int64_t lease_end_us;
     const struct coordinator_holder *awaited; // recorded last; NULL: none
     bool is_planned;             // planned switchover, not a failover
