fix(coordinator): changes of other databases do not end the denial of a lease

Problem: an entry that does not confirm the end of a term is denied a lease until the revocation is over. A change of any other database ended the denial too, for up to 50 ms, so that a renewal at that moment extended the wait by a lease, and a series of changes without end: no new primary within 28 s (test_planned_bound, test_change_ends_while_other_database_changes).

Cause: the denial was one flag of the holder, shared by all databases.

Solution: whether a holder is denied a lease follows from the revocations that wait for it.

--- a/src/catkingrade/decide/coordinator/coordinator_failover.c
+++ b/src/catkingrade/decide/coordinator/coordinator_failover.c
@@ -173,18 +173,52 @@
     return coordinator_get_lease_end_us(pending) <= coordinator->now_us;
 }
 
+// Returns whether the revocation of a database denies the holder a lease.
+static bool
+coordinator_denies_lease(const struct coordinator *coordinator,
+                         const struct coordinator_database *db,
+                         const struct coordinator_holder *holder)
+{
+    int64_t denied_from_us =
+        db->lease_end_us - coordinator_get_lease_bound_us(coordinator);
+
+    if (db->phase != COORDINATOR_PHASE_REVOKING ||
+        coordinator->now_us < denied_from_us) {
+        return false;
+    }
+    for (size_t i = 0; i < db->pending_leases_count; i++) {
+        const struct coordinator_pending_lease *pending =
+            &db->pending_leases[i];
+        if (pending->holder == holder &&
+            pending->incarnation == holder->daemon.incarnation) {
+            return !pending->confirmed;
+        }
+    }
+    return false;
+}
+
+// Returns whether the holder gets no lease even if it renews: it has not
+// confirmed a revocation one lease before the time by which no lease may cover
+// the term.
+bool
+coordinator_is_lease_denied(const struct coordinator *coordinator,
+                            const struct coordinator_holder *holder)
+{
+    for (const struct coordinator_database *db = coordinator->databases;
+         db != NULL; db = db->next) {
+        if (coordinator_denies_lease(coordinator, db, holder)) {
+            return true;
+        }
+    }
+    return false;
+}
+
 // Notifies the holders that have not confirmed the revocation, every
-// COORDINATOR_NOTIFY_INTERVAL_US. A holder that has not confirmed one lease
-// before lease_end_us gets no further lease even if it renews, so that its
-// last lease expires in time.
+// COORDINATOR_NOTIFY_INTERVAL_US.
 static void
 coordinator_send_revocation(struct coordinator *coordinator,
                             struct coordinator_database *db)
 {
-    bool overdue =
-        coordinator->now_us >=
-        db->lease_end_us - coordinator_get_lease_bound_us(coordinator);
-
     if (coordinator->now_us < db->next_notify_us) {
         coordinator_wake_at(coordinator, db->next_notify_us);
         return;
@@ -197,8 +231,6 @@
             coordinator_is_lease_over(coordinator, pending)) {
             continue;
         }
-        pending->holder->lease_denied =
-            pending->holder->lease_denied || overdue;
         coordinator_notify(coordinator, pending->holder);
     }
 }
@@ -206,9 +238,6 @@
 static void
 coordinator_clear_pending_leases(struct coordinator_database *db)
 {
-    for (size_t i = 0; i < db->pending_leases_count; i++) {
-        db->pending_leases[i].holder->lease_denied = false;
-    }
     free(db->pending_leases);
     db->pending_leases = NULL;
     db->pending_leases_count = 0;
--- a/src/catkingrade/decide/coordinator/coordinator_lease.c
+++ b/src/catkingrade/decide/coordinator/coordinator_lease.c
@@ -175,7 +175,6 @@
             holder->previous_until_us = holder->granted_until_us;
         }
         holder->granted_until_us = 0;
-        holder->lease_denied = false;
     }
     codec_free((xdrproc_t)xdr_ck_daemon, &holder->daemon);
     codec_copy((xdrproc_t)xdr_ck_daemon, daemon, &holder->daemon,
@@ -260,7 +259,8 @@
     group_fill_delta(coordinator->group, args->known_revision, &filter,
                      &result->delta);
     coordinator_actions_own_delta(coordinator, &result->delta);
-    if (!recorded || result->delta.more || holder->lease_denied) {
+    if (!recorded || result->delta.more ||
+        coordinator_is_lease_denied(coordinator, holder)) {
         return;
     }
     coordinator_fill_quotas(coordinator, holder, args, result);
--- a/src/catkingrade/decide/coordinator/coordinator_private.h
+++ b/src/catkingrade/decide/coordinator/coordinator_private.h
@@ -48,7 +48,6 @@
     bool is_proposed; // a proposal to register or expire the daemon is pending
     bool is_notifying; // a notification is in flight
     bool notify_again; // notify again when the one in flight has ended
-    bool lease_denied; // no lease until the unconfirmed revocation has ended
     bool has_renewed;  // with this coordinator, which knows its quotas since
     bool awaits_quota; // has a lease, but no connection to some upstream
 };
@@ -322,6 +321,8 @@
                            const char *reason);
 void coordinator_begin_revocation(struct coordinator *coordinator,
                                   struct coordinator_database *db);
+bool coordinator_is_lease_denied(const struct coordinator *coordinator,
+                                 const struct coordinator_holder *holder);
 void coordinator_keep_pending_leases(struct coordinator *coordinator,
                                      const struct coordinator_holder *holder);
 void coordinator_handle_confirmations(struct coordinator *coordinator,
