fix(coordinator): no lease for an unconfirmed holder until the next term

Problem: an entry that is cut off or frozen, has a write open, and comes back when its lease has run out and the next primary is being promoted, got a new lease. Its view still shows the old term, so it could acknowledge a write of that term that the new primary lacks. Found by the check of test_planned_bound that nothing is promoted while an entry may acknowledge.

Cause: leases were denied only while the revocation waits, and only to holders with a lease at its begin.

Solution: the revocation lists all entries, and those that have not confirmed get no lease from its end until the next term is published. They are told to abort their open writes, and get a lease once they confirm. The figures "holders" of superseded and of the status still count leases only.

--- a/src/catkingrade/decide/coordinator/coordinator_describe.c
+++ b/src/catkingrade/decide/coordinator/coordinator_describe.c
@@ -21,12 +21,13 @@
         if (db->phase == COORDINATOR_PHASE_IDLE) {
             continue;
         }
-        buffer_append_format(
-            json,
-            "%s{\"database\":\"%s\",\"phase\":\"%s\","
-            "\"since_ms\":%" PRId64 ",\"holders\":%zu}",
-            separator, db->name, coordinator_phase_names[db->phase],
-            (now_us - db->phase_us) / 1000, db->pending_leases_count);
+        buffer_append_format(json,
+                             "%s{\"database\":\"%s\",\"phase\":\"%s\","
+                             "\"since_ms\":%" PRId64 ",\"holders\":%zu}",
+                             separator, db->name,
+                             coordinator_phase_names[db->phase],
+                             (now_us - db->phase_us) / 1000,
+                             coordinator_count_pending_leases(db, now_us));
         separator = ",";
     }
     buffer_append_text(json, "]");
--- a/src/catkingrade/decide/coordinator/coordinator_failover.c
+++ b/src/catkingrade/decide/coordinator/coordinator_failover.c
@@ -37,32 +37,34 @@
                         COORDINATOR_REPLY_NONE, 0);
 }
 
-// Lists the leases that may cover the current term. Leases that are granted
-// later need not be listed: they come with the revision that ends the term.
-static void
+// Lists the entries that may acknowledge writes of the current term: under a
+// lease, or under the next one, if they had a lease before. Leases that are
+// granted to other daemons later need not be listed: they come with the
+// revision that ends the term. Returns the number of leases that may cover the
+// term.
+static size_t
 coordinator_list_pending_leases(struct coordinator *coordinator,
                                 struct coordinator_database *db)
 {
+    size_t leases = 0;
+
     free(db->pending_leases);
     db->pending_leases_count = 0;
-    size_t count = 0;
-    for (struct coordinator_holder *holder = coordinator->holders;
-         holder != NULL; holder = holder->next) {
-        count++;
-    }
     db->pending_leases =
-        xcalloc(count, sizeof(struct coordinator_pending_lease));
+        xcalloc(coordinator->holders_count, sizeof(*db->pending_leases));
     for (struct coordinator_holder *holder = coordinator->holders;
          holder != NULL; holder = holder->next) {
-        if (coordinator_has_any_lease(coordinator, holder) &&
-            coordinator_is_entry(holder)) {
-            struct coordinator_pending_lease *pending =
-                &db->pending_leases[db->pending_leases_count++];
-            pending->holder = holder;
-            pending->incarnation = holder->daemon.incarnation;
-            pending->previous_until_us = holder->previous_until_us;
+        if (!coordinator_is_entry(holder)) {
+            continue;
         }
+        struct coordinator_pending_lease *pending =
+            &db->pending_leases[db->pending_leases_count++];
+        pending->holder = holder;
+        pending->incarnation = holder->daemon.incarnation;
+        pending->previous_until_us = holder->previous_until_us;
+        leases += coordinator_has_any_lease(coordinator, holder) ? 1 : 0;
     }
+    return leases;
 }
 
 // Stores the end of the holder's lease in the revocations that wait for it.
@@ -95,7 +97,7 @@
         return;
     }
     coordinator_set_phase(coordinator, db, COORDINATOR_PHASE_REVOKING);
-    coordinator_list_pending_leases(coordinator, db);
+    size_t leases = coordinator_list_pending_leases(coordinator, db);
     if (!db->is_planned) {
         db->planned_us = coordinator->now_us;
         db->lease_end_us = coordinator->now_us + coordinator->params.lease_us +
@@ -109,7 +111,7 @@
         group_find_database(coordinator->group, db->name);
     coordinator_record(coordinator, "superseded", database, database->primary,
                        "database=%s term=%" PRIu64 " holders=%zu", db->name,
-                       (uint64_t)database->term, db->pending_leases_count);
+                       (uint64_t)database->term, leases);
     coordinator_run_database(coordinator, db);
 }
 
@@ -141,12 +143,14 @@
         const struct ck_database *database =
             db == NULL ? NULL
                        : group_find_database(coordinator->group, db->name);
-        if (database == NULL || db->phase != COORDINATOR_PHASE_REVOKING ||
+        if (database == NULL || !database->superseding ||
             items[i].term < database->term) {
             continue;
         }
         coordinator_mark_confirmed(db, holder, incarnation);
-        coordinator_run_database(coordinator, db);
+        if (db->phase == COORDINATOR_PHASE_REVOKING) {
+            coordinator_run_database(coordinator, db);
+        }
     }
 }
 
@@ -166,6 +170,21 @@
     return until_us;
 }
 
+// Counts the leases that must end before the next term of a database.
+size_t
+coordinator_count_pending_leases(const struct coordinator_database *db,
+                                 int64_t now_us)
+{
+    size_t count = 0;
+
+    for (size_t i = 0; i < db->pending_leases_count; i++) {
+        const struct coordinator_pending_lease *pending =
+            &db->pending_leases[i];
+        count += coordinator_get_lease_end_us(pending) > now_us ? 1 : 0;
+    }
+    return count;
+}
+
 static bool
 coordinator_is_lease_over(const struct coordinator *coordinator,
                           const struct coordinator_pending_lease *pending)
@@ -173,19 +192,32 @@
     return coordinator_get_lease_end_us(pending) <= coordinator->now_us;
 }
 
-// Returns whether the revocation of a database denies the holder a lease.
+// Returns whether a change of primary denies a lease to holders that have not
+// confirmed the end of the term: from one lease before the time by which no
+// lease may cover the term, and from the end of the revocation until the next
+// term is published.
 static bool
-coordinator_denies_lease(const struct coordinator *coordinator,
-                         const struct coordinator_database *db,
-                         const struct coordinator_holder *holder)
+coordinator_denies_leases(const struct coordinator *coordinator,
+                          const struct coordinator_database *db)
 {
-    int64_t denied_from_us =
-        db->lease_end_us - coordinator_get_lease_bound_us(coordinator);
-
-    if (db->phase != COORDINATOR_PHASE_REVOKING ||
-        coordinator->now_us < denied_from_us) {
+    switch (db->phase) {
+    case COORDINATOR_PHASE_REVOKING:
+        return coordinator->now_us >=
+               db->lease_end_us - coordinator_get_lease_bound_us(coordinator);
+    case COORDINATOR_PHASE_COLLECTING:
+    case COORDINATOR_PHASE_PROMOTING:
+    case COORDINATOR_PHASE_PUBLISHING:
+        return true;
+    default:
         return false;
     }
+}
+
+// Returns whether a revocation lists the holder, which has not confirmed it.
+static bool
+coordinator_is_unconfirmed(const struct coordinator_database *db,
+                           const struct coordinator_holder *holder)
+{
     for (size_t i = 0; i < db->pending_leases_count; i++) {
         const struct coordinator_pending_lease *pending =
             &db->pending_leases[i];
@@ -197,16 +229,16 @@
     return false;
 }
 
-// Returns whether the holder gets no lease even if it renews: it has not
-// confirmed a revocation one lease before the time by which no lease may cover
-// the term.
+// Returns whether the holder gets no lease even if it renews, as it may still
+// acknowledge writes of a term that ends.
 bool
 coordinator_is_lease_denied(const struct coordinator *coordinator,
                             const struct coordinator_holder *holder)
 {
     for (const struct coordinator_database *db = coordinator->databases;
          db != NULL; db = db->next) {
-        if (coordinator_denies_lease(coordinator, db, holder)) {
+        if (coordinator_denies_leases(coordinator, db) &&
+            coordinator_is_unconfirmed(db, holder)) {
             return true;
         }
     }
@@ -282,7 +314,7 @@
         coordinator_send_revocation(coordinator, db);
         return;
     }
-    coordinator_clear_pending_leases(db);
+    db->is_grace_over = true;
     coordinator_record(coordinator, "revoked", database, database->primary,
                        "database=%s term=%" PRIu64, db->name,
                        (uint64_t)database->term);
--- a/src/catkingrade/decide/coordinator/coordinator_lease.c
+++ b/src/catkingrade/decide/coordinator/coordinator_lease.c
@@ -259,8 +259,11 @@
     group_fill_delta(coordinator->group, args->known_revision, &filter,
                      &result->delta);
     coordinator_actions_own_delta(coordinator, &result->delta);
-    if (!recorded || result->delta.more ||
-        coordinator_is_lease_denied(coordinator, holder)) {
+    if (!recorded || result->delta.more) {
+        return;
+    }
+    if (coordinator_is_lease_denied(coordinator, holder)) {
+        coordinator_notify(coordinator, holder);
         return;
     }
     coordinator_fill_quotas(coordinator, holder, args, result);
@@ -297,8 +300,9 @@
     coordinator_end_quota_wait(coordinator);
 }
 
-// Lists the terms whose in-flight requests the holders must abort. items may
-// be NULL. Returns the number of terms.
+// Lists the terms whose in-flight requests the holders must abort: once the
+// time for them is over, until the next term is published. items may be NULL.
+// Returns the number of terms.
 static u_int
 coordinator_list_revocations(const struct coordinator *coordinator,
                              struct ck_revocation *items)
@@ -307,7 +311,7 @@
 
     for (const struct coordinator_database *db = coordinator->databases;
          db != NULL; db = db->next) {
-        if (db->phase != COORDINATOR_PHASE_REVOKING || !db->is_grace_over) {
+        if (db->phase < COORDINATOR_PHASE_REVOKING || !db->is_grace_over) {
             continue;
         }
         const struct ck_database *database =
--- a/src/catkingrade/decide/coordinator/coordinator_private.h
+++ b/src/catkingrade/decide/coordinator/coordinator_private.h
@@ -321,6 +321,8 @@
                            const char *reason);
 void coordinator_begin_revocation(struct coordinator *coordinator,
                                   struct coordinator_database *db);
+size_t coordinator_count_pending_leases(const struct coordinator_database *db,
+                                        int64_t now_us);
 bool coordinator_is_lease_denied(const struct coordinator *coordinator,
                                  const struct coordinator_holder *holder);
 void coordinator_keep_pending_leases(struct coordinator *coordinator,
--- a/test/unit/decide/coordinator/test_planned_bound.c
+++ b/test/unit/decide/coordinator/test_planned_bound.c
@@ -84,6 +84,7 @@
     struct entry entries[ENTRIES];
     struct upstream upstreams[UPSTREAMS];
     struct entry *renewing;
+    uint64_t promoted_term; // term after which PROMOTE was ordered
     size_t next_victim;
 };
 
@@ -166,6 +167,7 @@
         const struct ck_database *database = get_database(rig, i);
         bool runs = i == 0 && (entry->is_stuck || !database->superseding);
         if (runs && result->lease_us > 0) {
+            ck_assert_uint_lt(rig->promoted_term, database->term);
             entry->covers_us = rig->now_us + (int64_t)result->lease_us;
         }
         else if (!runs && database->superseding) {
@@ -189,6 +191,7 @@
 
     if (upstream->database == 0) {
         check_no_lease_covers_term(rig);
+        rig->promoted_term = get_database(rig, 0)->term;
     }
     upstream->promoted_us = rig->now_us + PROMOTION_US;
 }
@@ -569,6 +572,21 @@
 }
 END_TEST
 
+// Guards against a write of the old term that is acknowledged under a lease
+// granted after the promotion.
+START_TEST(test_lapsed_holder_gets_no_lease_before_next_term)
+{
+    struct rig rig;
+
+    start(&rig);
+    advance(&rig, NULL);
+    rig.entries[3].is_stuck = true;
+    rig.entries[3].silent_until_us = rig.now_us + LEASE_US + PROMOTION_US / 2;
+    ck_assert_int_le(replace_primary(&rig, "u0", NULL), SERVES_US);
+    finish(&rig);
+}
+END_TEST
+
 static void
 add_tests(TCase *tests)
 {
@@ -578,6 +596,7 @@
                         sizeof(series) / sizeof(series[0]));
     tcase_add_test(tests, test_change_ends_despite_open_write);
     tcase_add_test(tests, test_change_ends_while_other_database_changes);
+    tcase_add_test(tests, test_lapsed_holder_gets_no_lease_before_next_term);
 }
 
 TEST_MAIN("planned_bound", add_tests)
