--- a/test/unit/decide/coordinator/test_planned_bound.c
+++ b/test/unit/decide/coordinator/test_planned_bound.c
@@ -587,6 +587,59 @@
 }
 END_TEST
 
+// Guards against a new primary that leaves as well, and is kept because the
+// last change is recent.
+START_TEST(test_new_primary_that_leaves_is_replaced)
+{
+    struct rig rig;
+    char second[8];
+
+    start(&rig);
+    (void)replace_primary(&rig, "u0", NULL);
+    (void)snprintf(second, sizeof(second), "%s",
+                   get_database(&rig, 0)->primary);
+    ck_assert_int_le(replace_primary(&rig, second, NULL), SERVES_US);
+    finish(&rig);
+}
+END_TEST
+
+static struct upstream *
+run_until_promoting(struct rig *rig, const struct series *plan)
+{
+    for (;;) {
+        advance(rig, plan);
+        for (size_t i = 0; i < UPSTREAMS_EACH; i++) {
+            if (rig->upstreams[i].promoted_us != 0) {
+                return &rig->upstreams[i];
+            }
+        }
+    }
+}
+
+// Guards against a bound that begins only when an upstream which leaves during
+// its promotion has become the primary.
+START_TEST(test_upstream_that_leaves_while_promoted_is_replaced)
+{
+    struct rig rig;
+
+    start(&rig);
+    while (rig.now_us < START_US + SERIES_LEAD_US) {
+        advance(&rig, &series[_i]);
+    }
+    withdraw(&rig, "u0");
+    struct upstream *second = run_until_promoting(&rig, &series[_i]);
+    int64_t begin_us = rig.now_us;
+    second->state = CK_UPSTREAM_LEAVING;
+    announce(&rig, second);
+    while (get_database(&rig, 0)->term < 3 &&
+           rig.now_us - begin_us < 4 * SERVES_US) {
+        advance(&rig, &series[_i]);
+    }
+    ck_assert_int_le(rig.now_us - begin_us, SERVES_US);
+    finish(&rig);
+}
+END_TEST
+
 static void
 add_tests(TCase *tests)
 {
@@ -597,6 +650,10 @@
     tcase_add_test(tests, test_change_ends_despite_open_write);
     tcase_add_test(tests, test_change_ends_while_other_database_changes);
     tcase_add_test(tests, test_lapsed_holder_gets_no_lease_before_next_term);
+    tcase_add_test(tests, test_new_primary_that_leaves_is_replaced);
+    tcase_add_loop_test(tests,
+                        test_upstream_that_leaves_while_promoted_is_replaced,
+                        0, sizeof(series) / sizeof(series[0]));
 }
 
 TEST_MAIN("planned_bound", add_tests)
