fix(coordinator): replace a new primary that leaves at once

Problem: a primary that leaves is not replaced while the last change of primary is less than switchover_us ago. When upstreams are replaced in turn, the one that was chosen may leave next; then the wait uses up the time that it still serves: 7.54 s and 12.0 to 13.5 s until it is replaced (test_planned_bound), bound 7 s.

Cause: the pause is there for a change that has kept the leaving primary, as the others have not caught up; it also followed a change that succeeded.

Solution: only a change that has kept the primary begins the pause.

--- a/src/catkingrade/decide/coordinator/coordinator_failover.c
+++ b/src/catkingrade/decide/coordinator/coordinator_failover.c
@@ -376,10 +376,11 @@
         return;
     }
     db->candidate_index = index;
+    db->is_kept = strcmp(upstream->name, database->primary) == 0;
     if (member->is_primary) {
         // If the old primary stays, its timeline and thus the base of the term
         // stay too.
-        bool stays = strcmp(upstream->name, database->primary) == 0 &&
+        bool stays = db->is_kept &&
                      member->position.timeline == database->base.timeline;
         db->base = stays ? database->base : member->position;
         coordinator_propose_primary(coordinator, db, database);
@@ -531,6 +532,7 @@
         db->failover_us = database->term > 1 ? coordinator->now_us : 0;
     }
     db->changed_us = database->term > 1 ? coordinator->now_us : 0;
+    db->kept_us = db->is_kept ? coordinator->now_us : 0;
     coordinator_set_phase(coordinator, db, COORDINATOR_PHASE_IDLE);
     coordinator_run_database(coordinator, db);
 }
--- a/src/catkingrade/decide/coordinator/coordinator_planned.c
+++ b/src/catkingrade/decide/coordinator/coordinator_planned.c
@@ -169,9 +169,9 @@
     return false;
 }
 
-// Plans a change to the most advanced replica if the primary is leaving,
-// another upstream is ready, and no change took place within the last
-// switchover_us.
+// Plans a change to the most advanced replica if the primary is leaving and
+// another upstream is ready, unless a change within the last switchover_us has
+// kept this primary.
 void
 coordinator_replace_leaving_primary(struct coordinator *coordinator,
                                     struct coordinator_database *db,
@@ -179,11 +179,11 @@
 {
     const struct ck_upstream *primary =
         group_find_upstream(coordinator->group, database->primary);
-    bool recent = db->changed_us != 0 && coordinator->now_us - db->changed_us <
-                                             coordinator->params.switchover_us;
+    bool kept = db->kept_us != 0 && coordinator->now_us - db->kept_us <
+                                        coordinator->params.switchover_us;
 
     if (db->planned_reason == NULL && primary != NULL &&
-        primary->state == CK_UPSTREAM_LEAVING && !recent &&
+        primary->state == CK_UPSTREAM_LEAVING && !kept &&
         coordinator_has_ready_replica(database)) {
         coordinator_plan_change(coordinator, db, "primary leaves");
     }
--- a/src/catkingrade/decide/coordinator/coordinator_private.h
+++ b/src/catkingrade/decide/coordinator/coordinator_private.h
@@ -107,6 +107,8 @@
     struct suspicion suspicion;
     int64_t failover_us; // time of the last unplanned change; 0: none
     int64_t changed_us;  // begin of the last change of primary; 0: none
+    int64_t kept_us;     // last change, if it kept the primary; else 0
+    bool is_kept;        // the candidate is the primary of the ended term
     struct coordinator_member *members;
     size_t members_count;
     struct coordinator_pending_lease *pending_leases;
