--- a/test/unit/decide/coordinator/test_planned_bound.c
+++ b/test/unit/decide/coordinator/test_planned_bound.c
@@ -640,6 +640,33 @@
 }
 END_TEST
 
+// Guards against a bound that begins only when a replica is ready.
+START_TEST(test_late_replica_does_not_extend_change)
+{
+    struct rig rig;
+
+    start(&rig);
+    for (size_t i = 1; i < UPSTREAMS_EACH; i++) {
+        rig.upstreams[i].state = CK_UPSTREAM_LEAVING;
+    }
+    while (rig.now_us < START_US + SERIES_LEAD_US) {
+        advance(&rig, &series[_i]);
+    }
+    int64_t begin_us = rig.now_us;
+    withdraw(&rig, "u0");
+    while (rig.now_us - begin_us < PROMOTION_US * 5) {
+        advance(&rig, &series[_i]);
+    }
+    rig.upstreams[2].state = CK_UPSTREAM_READY;
+    while (get_database(&rig, 0)->term < 2 &&
+           rig.now_us - begin_us < 4 * SERVES_US) {
+        advance(&rig, &series[_i]);
+    }
+    ck_assert_int_le(rig.now_us - begin_us, SERVES_US);
+    finish(&rig);
+}
+END_TEST
+
 static void
 add_tests(TCase *tests)
 {
@@ -654,6 +681,8 @@
     tcase_add_loop_test(tests,
                         test_upstream_that_leaves_while_promoted_is_replaced,
                         0, sizeof(series) / sizeof(series[0]));
+    tcase_add_loop_test(tests, test_late_replica_does_not_extend_change, 0,
+                        sizeof(series) / sizeof(series[0]));
 }
 
 TEST_MAIN("planned_bound", add_tests)
