fix(coordinator): the limit of a change counts from the announcement

Problem: a primary that leaves while no replica is ready is replaced once one is; the bound began only then, 7.51 to 9.07 s after the announcement that the upstream leaves (test_planned_bound), bound 7 s.

Cause: the time limit of a planned change began with its plan.

Solution: it begins when the upstream announced that it leaves, as far as this leader knows.

--- a/src/catkingrade/decide/coordinator/coordinator.c
+++ b/src/catkingrade/decide/coordinator/coordinator.c
@@ -319,6 +319,12 @@
         member->lost_revision = database->revision;
     }
     member->was_lost = upstream->state == CK_UPSTREAM_LOST;
+    if (upstream->state != CK_UPSTREAM_LEAVING) {
+        member->leaving_us = 0;
+    }
+    else if (member->leaving_us == 0) {
+        member->leaving_us = coordinator->now_us;
+    }
     coordinator_run_database(coordinator, db);
 }
 
--- a/src/catkingrade/decide/coordinator/coordinator_command.c
+++ b/src/catkingrade/decide/coordinator/coordinator_command.c
@@ -47,7 +47,8 @@
     }
     else {
         coordinator_accept_command(db, token, target);
-        coordinator_plan_change(coordinator, db, "switchover");
+        coordinator_plan_change(coordinator, db, "switchover",
+                                coordinator->now_us);
         coordinator_run_database(coordinator, db);
     }
 }
--- a/src/catkingrade/decide/coordinator/coordinator_planned.c
+++ b/src/catkingrade/decide/coordinator/coordinator_planned.c
@@ -23,10 +23,12 @@
 // promotion.
 #define COORDINATOR_PROMOTION_DIVISOR 5
 
-// Requests a planned change of primary. reason is constant text.
+// Requests a planned change of primary, whose time limit counts from begin_us.
+// reason is constant text.
 void
 coordinator_plan_change(struct coordinator *coordinator,
-                        struct coordinator_database *db, const char *reason)
+                        struct coordinator_database *db, const char *reason,
+                        int64_t begin_us)
 {
     const struct ck_database *database =
         group_find_database(coordinator->group, db->name);
@@ -34,8 +36,8 @@
 
     db->planned_reason = reason;
     db->planned_us = coordinator->now_us;
-    db->lease_end_us = coordinator->now_us + limit_us -
-                       limit_us / COORDINATOR_PROMOTION_DIVISOR;
+    db->lease_end_us =
+        begin_us + limit_us - limit_us / COORDINATOR_PROMOTION_DIVISOR;
     db->next_notify_us = coordinator->now_us;
     db->awaited = NULL;
     coordinator_record(coordinator, "change_planned", database,
@@ -169,6 +171,20 @@
     return false;
 }
 
+// Returns when the primary announced that it leaves, as far as this leader
+// knows.
+static int64_t
+coordinator_get_leaving_us(const struct coordinator *coordinator,
+                           struct coordinator_database *db,
+                           const struct ck_database *database)
+{
+    (void)coordinator_sync_members(db, database);
+    int index = coordinator_find_upstream_index(database, database->primary);
+    int64_t leaving_us = index < 0 ? 0 : db->members[index].leaving_us;
+
+    return leaving_us != 0 ? leaving_us : coordinator->now_us;
+}
+
 // Plans a change to the most advanced replica if the primary is leaving and
 // another upstream is ready, unless a change within the last switchover_us has
 // kept this primary.
@@ -185,7 +201,9 @@
     if (db->planned_reason == NULL && primary != NULL &&
         primary->state == CK_UPSTREAM_LEAVING && !kept &&
         coordinator_has_ready_replica(database)) {
-        coordinator_plan_change(coordinator, db, "primary leaves");
+        coordinator_plan_change(
+            coordinator, db, "primary leaves",
+            coordinator_get_leaving_us(coordinator, db, database));
     }
 }
 
@@ -298,7 +316,8 @@
                            "database=%s entries=%zu change_cost_ms=%" PRId64,
                            db->name, params.entries_count,
                            params.change_cost_us / COORDINATOR_US_PER_MS);
-        coordinator_plan_change(coordinator, db, "replicas lag");
+        coordinator_plan_change(coordinator, db, "replicas lag",
+                                coordinator->now_us);
     }
     free(replicas);
 }
--- a/src/catkingrade/decide/coordinator/coordinator_private.h
+++ b/src/catkingrade/decide/coordinator/coordinator_private.h
@@ -79,6 +79,7 @@
     struct ck_position max_position; // highest position ever answered
     bool was_lost;                   // CK_UPSTREAM_LOST at the last change
     bool is_removing;                // its removal is being prepared
+    int64_t leaving_us;              // since when it is leaving; 0: it is not
     int64_t lost_us;
     uint64_t lost_revision; // revision that marks the upstream as lost
     bool needs_fence;       // may still accept writes as a primary
@@ -296,7 +297,7 @@
 // Planned changes of primary; coordinator_planned.c.
 void coordinator_plan_change(struct coordinator *coordinator,
                              struct coordinator_database *db,
-                             const char *reason);
+                             const char *reason, int64_t begin_us);
 void coordinator_record_awaited(struct coordinator *coordinator,
                                 struct coordinator_database *db,
                                 const struct coordinator_holder *holder,
