fix(coordinator): a new leader replaces a primary that left before

Problem: a leader that is elected while a primary leaves did not replace it when more than 64 revisions were made since; the primary stayed until it was lost (test_next_leader_replaces_leaving_primary: not within 28 s, bound 7 s).

Cause: of the databases, a new leader loads those with a recent change, a lost upstream, or an unfinished change of primary. Storms of configuration or replacements of other upstreams make a change old within seconds.

Solution: it loads those with a leaving upstream as well.

--- a/src/catkingrade/decide/coordinator/coordinator_database.c
+++ b/src/catkingrade/decide/coordinator/coordinator_database.c
@@ -153,8 +153,8 @@
                   group_get_revision(coordinator->group);
 
     for (u_int i = 0; i < database->upstreams.upstreams_len; i++) {
-        recent = recent || database->upstreams.upstreams_val[i].state ==
-                               CK_UPSTREAM_LOST;
+        recent = recent || database->upstreams.upstreams_val[i].state !=
+                               CK_UPSTREAM_READY;
     }
     if (!recent && !database->superseding && database->term > 0) {
         return true;
--- a/test/unit/decide/coordinator/test_planned_bound.c
+++ b/test/unit/decide/coordinator/test_planned_bound.c
@@ -667,6 +667,39 @@
 }
 END_TEST
 
+// Guards against a leader that forgets a leaving primary when many changes
+// were made since it left.
+START_TEST(test_next_leader_replaces_leaving_primary)
+{
+    struct rig rig;
+    struct coordinator_event event = {.kind = COORDINATOR_EVENT_DEPOSED};
+
+    start(&rig);
+    event.leader_term = 5;
+    step(&rig, &event);
+    struct ck_upstream leaving =
+        changes_make_upstream("u0", "roster1", "noord", "10.0.0.1");
+    leaving.state = CK_UPSTREAM_LEAVING;
+    changes_apply_upstream(rig.group, &leaving);
+    rig.upstreams[0].state = CK_UPSTREAM_LEAVING;
+    struct ck_upstream other =
+        changes_make_upstream("u5", "roster2", "noord", "10.0.0.6");
+    for (int i = 0; i < 100; i++) {
+        other.state = i % 2 == 0 ? CK_UPSTREAM_LEAVING : CK_UPSTREAM_READY;
+        changes_apply_upstream(rig.group, &other);
+    }
+    event.kind = COORDINATOR_EVENT_ELECTED;
+    step(&rig, &event);
+    int64_t begin_us = rig.now_us;
+    while (get_database(&rig, 0)->term < 2 &&
+           rig.now_us - begin_us < 4 * SERVES_US) {
+        advance(&rig, NULL);
+    }
+    ck_assert_int_le(rig.now_us - begin_us, SERVES_US);
+    finish(&rig);
+}
+END_TEST
+
 static void
 add_tests(TCase *tests)
 {
@@ -681,6 +714,7 @@
     tcase_add_loop_test(tests,
                         test_upstream_that_leaves_while_promoted_is_replaced,
                         0, sizeof(series) / sizeof(series[0]));
+    tcase_add_test(tests, test_next_leader_replaces_leaving_primary);
     tcase_add_loop_test(tests, test_late_replica_does_not_extend_change, 0,
                         sizeof(series) / sizeof(series[0]));
 }
