fix(coordinator): the wait for lagging replicas ends within the time limit

Problem: a planned change whose leases end late, and whose replicas lag, keeps the database without a primary for writes up to 9.08 s after its begin (test_planned_bound, test_lagging_replicas_do_not_extend_change), bound 7 s.

Cause: the wait for the target counted from the end of the revocation.

Solution: the wait also ends a tenth of the time limit before the limit. The target still has that tenth to answer when a change is overdue.

--- a/src/catkingrade/decide/coordinator/coordinator_choice.c
+++ b/src/catkingrade/decide/coordinator/coordinator_choice.c
@@ -9,8 +9,10 @@
 #include "catkingrade/kernel/outcome.h"
 
 // A planned switchover waits for its target to catch up during its time limit
-// divided by this.
-#define COORDINATOR_CATCH_UP_DIVISOR 2
+// divided by this, and until no more than its time limit divided by
+// COORDINATOR_LAST_CATCH_UP_DIVISOR is left.
+#define COORDINATOR_CATCH_UP_DIVISOR      2
+#define COORDINATOR_LAST_CATCH_UP_DIVISOR 10
 // A planned switchover becomes a failover after this number of failed probes
 // of the old primary.
 #define COORDINATOR_PLANNED_PROBE_FAILURES_MAX 2
@@ -166,6 +168,25 @@
     return index;
 }
 
+// Returns when a planned switchover stops waiting for its target. The target
+// has the last share of the time limit to answer, however late the change is.
+static int64_t
+coordinator_get_catch_up_end_us(const struct coordinator *coordinator,
+                                const struct coordinator_database *db)
+{
+    int64_t limit_us = coordinator->params.switchover_us;
+    int64_t share_us = limit_us / COORDINATOR_LAST_CATCH_UP_DIVISOR;
+    int64_t end_us = db->phase_us + limit_us / COORDINATOR_CATCH_UP_DIVISOR;
+
+    if (end_us > db->change_end_us - share_us) {
+        end_us = db->change_end_us - share_us;
+    }
+    if (end_us < db->phase_us + share_us) {
+        end_us = db->phase_us + share_us;
+    }
+    return end_us;
+}
+
 // Promotes the target of a planned switchover once it has reached the position
 // of the old primary, which accepts no more writes. If the target does not
 // catch up in time, the old primary stays, in a new term. If the old primary
@@ -178,8 +199,7 @@
     int old_primary =
         coordinator_find_upstream_index(database, database->primary);
     int target = coordinator_find_target(db, database);
-    int64_t limit_us = db->phase_us + coordinator->params.switchover_us /
-                                          COORDINATOR_CATCH_UP_DIVISOR;
+    int64_t limit_us = coordinator_get_catch_up_end_us(coordinator, db);
 
     if (db->members[old_primary].failures >=
         COORDINATOR_PLANNED_PROBE_FAILURES_MAX) {
--- a/src/catkingrade/decide/coordinator/coordinator_planned.c
+++ b/src/catkingrade/decide/coordinator/coordinator_planned.c
@@ -36,8 +36,9 @@
 
     db->planned_reason = reason;
     db->planned_us = coordinator->now_us;
+    db->change_end_us = begin_us + limit_us;
     db->lease_end_us =
-        begin_us + limit_us - limit_us / COORDINATOR_PROMOTION_DIVISOR;
+        db->change_end_us - limit_us / COORDINATOR_PROMOTION_DIVISOR;
     db->next_notify_us = coordinator->now_us;
     db->awaited = NULL;
     coordinator_record(coordinator, "change_planned", database,
--- a/src/catkingrade/decide/coordinator/coordinator_private.h
+++ b/src/catkingrade/decide/coordinator/coordinator_private.h
@@ -118,6 +118,7 @@
     int64_t next_notify_us;
     const char *planned_reason; // a planned change waits; NULL: none
     int64_t planned_us;         // when it was planned
+    int64_t change_end_us;      // time limit of a planned change
     // By then no lease covers the term any more; set when the change begins.
     int64_t lease_end_us;
     const struct coordinator_holder *awaited; // recorded last; NULL: none
--- a/test/unit/decide/coordinator/test_planned_bound.c
+++ b/test/unit/decide/coordinator/test_planned_bound.c
@@ -71,6 +71,7 @@
 struct upstream {
     char name[8];
     size_t database;
+    uint64_t lsn;
     char host[16];
     ck_upstream_state state;
     bool is_probed;
@@ -326,7 +327,7 @@
         is_promoted || strcmp(get_database(rig, upstream->database)->primary,
                               upstream->name) == 0;
     event.probe.position.timeline = 1;
-    event.probe.position.lsn = 50;
+    event.probe.position.lsn = upstream->lsn;
     if (upstream->is_probed) {
         upstream->is_probed = false;
         step(rig, &event);
@@ -401,6 +402,7 @@
     (void)snprintf(upstream->host, sizeof(upstream->host), "10.0.0.%zu",
                    index + 1);
     upstream->database = index / UPSTREAMS_EACH;
+    upstream->lsn = 50;
     upstream->state = CK_UPSTREAM_READY;
     struct ck_upstream announced = changes_make_upstream(
         upstream->name, database_names[upstream->database], "noord",
@@ -700,6 +702,54 @@
 }
 END_TEST
 
+// Guards against a wait for lagging replicas that begins when the leases are
+// over, which leaves the database without a primary for longer.
+START_TEST(test_lagging_replicas_do_not_extend_change)
+{
+    struct rig rig;
+
+    start(&rig);
+    rig.entries[3].is_stuck = true;
+    rig.upstreams[1].lsn = 40;
+    rig.upstreams[2].lsn = 40;
+    int64_t begin_us = rig.now_us;
+    withdraw(&rig, "u0");
+    while (get_database(&rig, 0)->term < 2 &&
+           rig.now_us - begin_us < 4 * SERVES_US) {
+        advance(&rig, NULL);
+    }
+    ck_assert_str_eq(get_database(&rig, 0)->primary, "u0");
+    ck_assert_int_le(rig.now_us - begin_us, SERVES_US);
+    finish(&rig);
+}
+END_TEST
+
+// Guards against an overdue change that keeps the leaving primary before the
+// replicas have answered.
+START_TEST(test_overdue_change_waits_for_answers)
+{
+    struct rig rig;
+
+    start(&rig);
+    rig.upstreams[1].state = CK_UPSTREAM_LEAVING;
+    rig.upstreams[2].state = CK_UPSTREAM_LEAVING;
+    while (rig.now_us < START_US + 2 * ANNOUNCE_US) {
+        advance(&rig, NULL);
+    }
+    withdraw(&rig, "u0");
+    int64_t ready_us = rig.now_us + 2 * SERVES_US;
+    while (rig.now_us < ready_us) {
+        advance(&rig, NULL);
+    }
+    rig.upstreams[2].state = CK_UPSTREAM_READY;
+    while (get_database(&rig, 0)->term < 2) {
+        advance(&rig, NULL);
+    }
+    ck_assert_str_eq(get_database(&rig, 0)->primary, "u2");
+    finish(&rig);
+}
+END_TEST
+
 static void
 add_tests(TCase *tests)
 {
@@ -715,6 +765,8 @@
                         test_upstream_that_leaves_while_promoted_is_replaced,
                         0, sizeof(series) / sizeof(series[0]));
     tcase_add_test(tests, test_next_leader_replaces_leaving_primary);
+    tcase_add_test(tests, test_lagging_replicas_do_not_extend_change);
+    tcase_add_test(tests, test_overdue_change_waits_for_answers);
     tcase_add_loop_test(tests, test_late_replica_does_not_extend_change, 0,
                         sizeof(series) / sizeof(series[0]));
 }
