feat(lease): an entry gives its lease back when it stops

Problem: an entry that stops is waited for by each change of primary until its last lease has run out, up to 3 s, also after it has started again.

Cause: a stop ended the renewals, and left the lease to run out.

Solution: lease_agent_return has the traffic threads give up the terms of all databases, then sends a renewal with "returned" until a Raft leader answers, for at most 0.5 s. The coordinator then waits for the holder no more, and grants this incarnation no lease. Quotas count as before until the lease would have run out, since connections may still be open; so do the relays. The layout of the renewal call changes: all daemons of a fleet are updated together.

test_planned_bound, test_stopped_entries_are_not_awaited: a change among entries that stop in turn takes no longer than the promotion and two notifications.

--- a/src/catkingrade/control/lease_agent.c
+++ b/src/catkingrade/control/lease_agent.c
@@ -22,6 +22,8 @@
 #define LEASE_AGENT_CALL_TIMEOUT_US           250000
 #define LEASE_AGENT_NOTIFICATION_TIMEOUT_US   100000
 #define LEASE_AGENT_MAX_PENDING_NOTIFICATIONS 8
+// Time after which a stop no longer waits for the return of the leases.
+#define LEASE_AGENT_RETURN_LIMIT_US 500000
 
 struct group_lease;
 
@@ -44,6 +46,9 @@
         notifications[LEASE_AGENT_MAX_PENDING_NOTIFICATIONS];
     int64_t valid_until_us; // 0: never granted
     bool held;
+    // Databases whose terms the traffic threads still have to give up before
+    // the lease is returned.
+    size_t in_use;
 };
 
 // Renewal call that has not returned yet.
@@ -65,6 +70,10 @@
     struct view *view;
     int64_t unready_since_us; // 0: the entry is ready
     bool sessions_ended;      // sessions were ended since then
+    // Return of the leases at a stop: its begin (0: none), and by index of the
+    // view which databases' terms are given up.
+    int64_t return_us;
+    bool *given_up;
 };
 
 static void group_lease_step(struct group_lease *lease,
@@ -249,6 +258,13 @@
 {
     struct entry *entry = lease->agent->daemon->entry;
 
+    // From the begin of the return on, no view or lease reaches the traffic
+    // threads, which would use a new term under it.
+    if (lease->agent->return_us != 0 &&
+        (action->kind == LEASEHOLDER_ACTION_APPLY_DELTA ||
+         action->kind == LEASEHOLDER_ACTION_SET_LEASE)) {
+        return false;
+    }
     switch (action->kind) {
     case LEASEHOLDER_ACTION_SEND_RENEW:
         group_lease_send_renewal(lease, action);
@@ -272,6 +288,12 @@
         entry_post_relays(entry, action->relays->relays.relays_val,
                           action->relays->relays.relays_len);
         break;
+    case LEASEHOLDER_ACTION_RETURNED:
+        LOG_INFO("lease_returned", "group=%s", lease->group);
+        timeline_record("lease_returned", NULL, NULL, 0, "group=%s",
+                        lease->group);
+        lease->held = false;
+        break;
     case LEASEHOLDER_ACTION_WAKE:
         loop_timer_set(lease->timer, action->wake_at_us);
         break;
@@ -426,18 +448,56 @@
     }
 }
 
+static void
+group_lease_return(struct group_lease *lease)
+{
+    struct leaseholder_event event = {.kind = LEASEHOLDER_EVENT_RETURN};
+
+    group_lease_step(lease, &event);
+}
+
+// Notes that no traffic thread uses the term of a database any more, and
+// returns the group's lease when this was the last of its databases.
+static void
+lease_agent_give_up_term(struct lease_agent *agent, struct group_lease *lease,
+                         const char *name, uint64_t term)
+{
+    const struct ck_database *database = view_find_database(agent->view, name);
+    size_t index = 0;
+
+    if (database == NULL || term < database->term) {
+        return;
+    }
+    while (view_get_database(agent->view, index) != database) {
+        index++;
+    }
+    if (agent->given_up[index]) {
+        return;
+    }
+    agent->given_up[index] = true;
+    lease->in_use--;
+    if (lease->in_use == 0) {
+        group_lease_return(lease);
+    }
+}
+
 static void
 lease_agent_handle_revocation_confirmed(void *data, const char *database,
                                         uint64_t term)
 {
+    struct lease_agent *agent = data;
     struct leaseholder_event event = {.kind =
                                           LEASEHOLDER_EVENT_CONFIRM_REVOKED};
     struct group_lease *lease =
-        lease_agent_find_database_lease(data, database);
+        lease_agent_find_database_lease(agent, database);
 
     if (lease == NULL) {
         return;
     }
+    if (agent->return_us != 0) {
+        lease_agent_give_up_term(agent, lease, database, term);
+        return;
+    }
     event.revocation.database = (char *)(uintptr_t)database;
     event.revocation.term = term;
     group_lease_step(lease, &event);
@@ -603,10 +663,62 @@
     }
     loop_timer_destroy(agent->demand_timer);
     view_release(agent->view);
+    free(agent->given_up);
     free(agent->leases);
     free(agent);
 }
 
+// Gives all leases back, as the last act of a stop that needs them: no entry
+// or control VM waits for them afterwards. First the traffic threads give up
+// the term of every database, as for a revocation; so from then on this entry
+// acknowledges no write and sends no read that needs the lease. Requests that
+// wait for an answer must be answered before. Calls after the first have no
+// effect.
+void
+lease_agent_return(struct lease_agent *agent)
+{
+    size_t count = view_get_databases_count(agent->view);
+
+    if (agent->return_us != 0) {
+        return;
+    }
+    agent->return_us = monotonic_get_us();
+    agent->given_up = xcalloc(count, sizeof(*agent->given_up));
+    for (size_t i = 0; i < count; i++) {
+        const struct ck_database *database = view_get_database(agent->view, i);
+        struct group_lease *lease =
+            lease_agent_find_lease(agent, database->group);
+        if (lease != NULL) {
+            lease->in_use++;
+            entry_post_revocation(agent->daemon->entry, database->name,
+                                  database->term);
+        }
+    }
+    for (size_t i = 0; i < agent->leases_count; i++) {
+        if (agent->leases[i].in_use == 0) {
+            group_lease_return(&agent->leases[i]);
+        }
+    }
+}
+
+// Returns whether all leases are returned, or LEASE_AGENT_RETURN_LIMIT_US have
+// passed since lease_agent_return was called.
+bool
+lease_agent_is_returned(const struct lease_agent *agent)
+{
+    bool returned = agent->return_us != 0;
+
+    if (returned &&
+        monotonic_get_us() - agent->return_us >= LEASE_AGENT_RETURN_LIMIT_US) {
+        return true;
+    }
+    for (size_t i = 0; i < agent->leases_count; i++) {
+        returned =
+            returned && leaseholder_is_returned(agent->leases[i].leaseholder);
+    }
+    return returned;
+}
+
 // Returns the current view, borrowed until the next loop iteration.
 const struct view *
 lease_agent_get_view(const struct lease_agent *agent)
--- a/src/catkingrade/control/lease_agent.h
+++ b/src/catkingrade/control/lease_agent.h
@@ -1,6 +1,7 @@
 #ifndef CATKINGRADE_CONTROL_LEASE_AGENT_H
 #define CATKINGRADE_CONTROL_LEASE_AGENT_H
 
+#include <stdbool.h>
 #include <stdint.h>
 
 #include "catkingrade/entry/entry.h"
@@ -17,6 +18,8 @@
 
 struct lease_agent *lease_agent_create(struct daemon *daemon);
 void lease_agent_destroy(struct lease_agent *agent);
+void lease_agent_return(struct lease_agent *agent);
+bool lease_agent_is_returned(const struct lease_agent *agent);
 const struct view *lease_agent_get_view(const struct lease_agent *agent);
 void lease_agent_describe(const struct lease_agent *agent,
                           struct buffer *json);
--- a/src/catkingrade/decide/coordinator/coordinator_failover.c
+++ b/src/catkingrade/decide/coordinator/coordinator_failover.c
@@ -79,7 +79,7 @@
             struct coordinator_pending_lease *pending = &db->pending_leases[i];
             if (pending->holder == holder &&
                 pending->incarnation == holder->daemon.incarnation) {
-                pending->until_us = holder->granted_until_us;
+                pending->until_us = coordinator_get_term_until_us(holder);
             }
         }
     }
@@ -128,6 +128,18 @@
     }
 }
 
+// Continues the revocations that wait for a lease which was given back.
+void
+coordinator_end_pending_leases(struct coordinator *coordinator,
+                               const struct coordinator_holder *holder)
+{
+    for (struct coordinator_database *db = coordinator->databases; db != NULL;
+         db = db->next) {
+        coordinator_mark_confirmed(db, holder, holder->daemon.incarnation);
+        coordinator_run_database(coordinator, db);
+    }
+}
+
 // Handles a holder's confirmations: the holder acknowledges no more writes of
 // the listed terms.
 void
@@ -162,7 +174,8 @@
 {
     const struct coordinator_holder *holder = pending->holder;
     bool same = holder->daemon.incarnation == pending->incarnation;
-    int64_t until_us = same ? holder->granted_until_us : pending->until_us;
+    int64_t until_us =
+        same ? coordinator_get_term_until_us(holder) : pending->until_us;
 
     if (pending->confirmed || until_us < pending->previous_until_us) {
         return pending->previous_until_us;
--- a/src/catkingrade/decide/coordinator/coordinator_lease.c
+++ b/src/catkingrade/decide/coordinator/coordinator_lease.c
@@ -34,14 +34,37 @@
     return group_index_get(coordinator->index, COORDINATOR_KEY_HOLDER, vm);
 }
 
+// Returns until when a term may be used under the lease of this incarnation.
+int64_t
+coordinator_get_term_until_us(const struct coordinator_holder *holder)
+{
+    return holder->is_returned ? 0 : holder->granted_until_us;
+}
+
 // Returns whether the holder's lease may still be valid.
 bool
 coordinator_has_live_lease(const struct coordinator *coordinator,
                            const struct coordinator_holder *holder)
+{
+    return coordinator_get_term_until_us(holder) > coordinator->now_us;
+}
+
+// Returns whether the holder may use the quotas of this incarnation's lease.
+bool
+coordinator_has_quota(const struct coordinator *coordinator,
+                      const struct coordinator_holder *holder)
 {
     return holder->granted_until_us > coordinator->now_us;
 }
 
+// Returns whether quotas of earlier incarnations of the holder may be in use.
+bool
+coordinator_has_previous_quota(const struct coordinator *coordinator,
+                               const struct coordinator_holder *holder)
+{
+    return holder->previous_quota_until_us > coordinator->now_us;
+}
+
 // Returns whether a lease of the holder's daemon may still be valid: of this
 // incarnation, or of one from before a restart.
 bool
@@ -171,10 +194,15 @@
     }
     if (holder->daemon.incarnation != daemon->incarnation) {
         coordinator_keep_pending_leases(coordinator, holder);
-        if (holder->granted_until_us > holder->previous_until_us) {
+        if (holder->granted_until_us > holder->previous_quota_until_us) {
+            holder->previous_quota_until_us = holder->granted_until_us;
+        }
+        if (coordinator_get_term_until_us(holder) >
+            holder->previous_until_us) {
             holder->previous_until_us = holder->granted_until_us;
         }
         holder->granted_until_us = 0;
+        holder->is_returned = false;
     }
     codec_free((xdrproc_t)xdr_ck_daemon, &holder->daemon);
     codec_copy((xdrproc_t)xdr_ck_daemon, daemon, &holder->daemon,
@@ -241,6 +269,19 @@
     (void)coordinator_actions_own(actions, delta->declaration.declaration_val);
 }
 
+// Handles the return of a lease: the entry acknowledges no write and sends no
+// read to a primary any more, so no change of primary waits for it.
+static void
+coordinator_handle_return(struct coordinator *coordinator, uint64_t token,
+                          struct coordinator_holder *holder,
+                          const struct ck_renew_args *args)
+{
+    holder->is_returned = true;
+    (void)coordinator_add_renew_reply(coordinator, token, args->sequence,
+                                      OUTCOME_OK);
+    coordinator_end_pending_leases(coordinator, holder);
+}
+
 // Replies to a renewal with the changes that the entry does not have yet. The
 // lease is granted only in a reply that brings the entry up to the current
 // revision, so that a lease never covers a term that was superseded before.
@@ -259,7 +300,7 @@
     group_fill_delta(coordinator->group, args->known_revision, &filter,
                      &result->delta);
     coordinator_actions_own_delta(coordinator, &result->delta);
-    if (!recorded || result->delta.more) {
+    if (!recorded || result->delta.more || holder->is_returned) {
         return;
     }
     if (coordinator_is_lease_denied(coordinator, holder)) {
@@ -292,6 +333,10 @@
     }
     struct coordinator_holder *holder =
         coordinator_record_renewal(coordinator, args);
+    if (args->returned) {
+        coordinator_handle_return(coordinator, token, holder, args);
+        return;
+    }
     coordinator_handle_confirmations(
         coordinator, holder, args->daemon.incarnation,
         args->confirmed.confirmed_val, args->confirmed.confirmed_len);
--- a/src/catkingrade/decide/coordinator/coordinator_private.h
+++ b/src/catkingrade/decide/coordinator/coordinator_private.h
@@ -38,10 +38,16 @@
 // kept until the coordinator is deposed, since other records point to them.
 struct coordinator_holder {
     struct coordinator_holder *next;
-    struct ck_daemon daemon;   // deep copy
-    size_t index;              // unique within this coordinator, from 0
-    int64_t granted_until_us;  // end of the lease of this incarnation
-    int64_t previous_until_us; // end of the leases of earlier incarnations
+    struct ck_daemon daemon;  // deep copy
+    size_t index;             // unique within this coordinator, from 0
+    int64_t granted_until_us; // end of the lease of this incarnation
+    // This incarnation has given its lease back. Its quotas count until
+    // granted_until_us all the same, as its connections may still be open.
+    bool is_returned;
+    // End of the leases of earlier incarnations, and the same with those that
+    // were given back, whose quotas count.
+    int64_t previous_until_us;
+    int64_t previous_quota_until_us;
     int64_t last_seen_us;
     uint64_t known_revision;
     unsigned open_requests;
@@ -211,6 +217,11 @@
 coordinator_find_holder(const struct coordinator *coordinator, const char *vm);
 bool coordinator_has_live_lease(const struct coordinator *coordinator,
                                 const struct coordinator_holder *holder);
+bool coordinator_has_quota(const struct coordinator *coordinator,
+                           const struct coordinator_holder *holder);
+bool coordinator_has_previous_quota(const struct coordinator *coordinator,
+                                    const struct coordinator_holder *holder);
+int64_t coordinator_get_term_until_us(const struct coordinator_holder *holder);
 bool coordinator_has_any_lease(const struct coordinator *coordinator,
                                const struct coordinator_holder *holder);
 bool coordinator_is_entry(const struct coordinator_holder *holder);
@@ -327,6 +338,8 @@
                                   struct coordinator_database *db);
 size_t coordinator_count_pending_leases(const struct coordinator_database *db,
                                         int64_t now_us);
+void coordinator_end_pending_leases(struct coordinator *coordinator,
+                                    const struct coordinator_holder *holder);
 bool coordinator_is_lease_denied(const struct coordinator *coordinator,
                                  const struct coordinator_holder *holder);
 void coordinator_keep_pending_leases(struct coordinator *coordinator,
--- a/src/catkingrade/decide/coordinator/coordinator_quota.c
+++ b/src/catkingrade/decide/coordinator/coordinator_quota.c
@@ -136,7 +136,8 @@
     static const struct ck_demand none;
 
     if (share->incarnation != args->daemon.incarnation) {
-        bool overlaps = share->holder->previous_until_us > coordinator->now_us;
+        bool overlaps =
+            coordinator_has_previous_quota(coordinator, share->holder);
         share->previous.slots =
             share->held.slots + (overlaps ? share->previous.slots : 0);
         share->previous.connections =
@@ -173,7 +174,7 @@
                        struct quota_plan_entry *entry)
 {
     const struct coordinator_holder *holder = share->holder;
-    bool live = coordinator_has_live_lease(coordinator, holder);
+    bool live = coordinator_has_quota(coordinator, holder);
 
     entry->unserved = share->unserved;
     entry->slots.demand = share->demand.waiting + share->demand.running;
@@ -196,7 +197,7 @@
                                 const struct coordinator_share *share,
                                 struct quota_plan_entry *entry)
 {
-    if (share->holder->previous_until_us > coordinator->now_us) {
+    if (coordinator_has_previous_quota(coordinator, share->holder)) {
         entry->slots.held = share->previous.slots;
         entry->connections.held = share->previous.connections;
     }
@@ -261,10 +262,10 @@
         const struct ck_daemon *daemon = &share->holder->daemon;
         bool eligible = coordinator_is_quota_eligible(coordinator, database,
                                                       share->holder);
-        bool previous = share->holder->previous_until_us > coordinator->now_us;
-        plan->is_frozen |=
-            !share->has_renewed &&
-            coordinator_has_live_lease(coordinator, share->holder);
+        bool previous =
+            coordinator_has_previous_quota(coordinator, share->holder);
+        plan->is_frozen |= !share->has_renewed &&
+                           coordinator_has_quota(coordinator, share->holder);
         if (!eligible && coordinator_is_share_empty(share) && !previous) {
             continue;
         }
@@ -509,7 +510,7 @@
     for (const struct coordinator_holder *holder = coordinator->holders;
          holder != NULL; holder = holder->next) {
         if (coordinator_is_entry(holder) && !holder->has_renewed &&
-            coordinator_has_live_lease(coordinator, holder)) {
+            coordinator_has_quota(coordinator, holder)) {
             return false;
         }
     }
--- a/src/catkingrade/decide/coordinator/coordinator_relay.c
+++ b/src/catkingrade/decide/coordinator/coordinator_relay.c
@@ -188,7 +188,8 @@
             continue;
         }
         plan->registered_count++;
-        if (!coordinator_has_any_lease(coordinator, holder)) {
+        if (!coordinator_has_quota(coordinator, holder) &&
+            !coordinator_has_previous_quota(coordinator, holder)) {
             continue;
         }
         plan->entries[plan->count] = (struct relay_plan_entry){
--- a/src/catkingrade/decide/leaseholder/leaseholder.c
+++ b/src/catkingrade/decide/leaseholder/leaseholder.c
@@ -262,6 +262,15 @@
     }
 }
 
+// Handles the Raft leader's answer to the return of the lease.
+static void
+leaseholder_handle_returned(struct leaseholder *holder,
+                            struct leaseholder_actions *actions)
+{
+    holder->is_returned = true;
+    (void)leaseholder_add_action(actions, LEASEHOLDER_ACTION_RETURNED);
+}
+
 // Handles the result of a renewal call. A result of an earlier call is
 // ignored. A result from a Raft leader with a lower term than one already
 // received only makes the leaseholder call the next voter.
@@ -284,6 +293,10 @@
         return;
     }
     holder->leader_term = result->leader_term;
+    if (holder->is_returning) {
+        leaseholder_handle_returned(holder, actions);
+        return;
+    }
     leaseholder_handle_grant(holder, now_us, result, actions);
 }
 
@@ -348,6 +361,19 @@
     }
 }
 
+// Gives the lease back. A call in flight is abandoned, and its result ignored:
+// the next call says that the lease is returned.
+static void
+leaseholder_return(struct leaseholder *holder, int64_t now_us)
+{
+    holder->is_returning = true;
+    holder->valid_until_us = 0;
+    holder->in_flight = false;
+    holder->failures = 0;
+    holder->redirects = 0;
+    holder->next_renew_us = now_us;
+}
+
 static void
 leaseholder_handle_event(struct leaseholder *holder, int64_t now_us,
                          const struct leaseholder_event *event,
@@ -385,6 +411,9 @@
     case LEASEHOLDER_EVENT_APPLIED:
         holder->revision = event->revision;
         break;
+    case LEASEHOLDER_EVENT_RETURN:
+        leaseholder_return(holder, now_us);
+        break;
     }
 }
 
@@ -417,7 +446,8 @@
 }
 
 // Handles one event and appends the resulting actions. The last action is
-// always WAKE, which replaces the wake-up time requested earlier. A call
+// WAKE, which replaces the wake-up time requested earlier; it is missing once
+// the lease is returned. A call
 // without a result or a reported failure within twice its timeout counts as
 // failed.
 void
@@ -432,10 +462,13 @@
         holder->in_flight = false;
         leaseholder_back_off(holder, now_us, false);
     }
-    if (!holder->in_flight && now_us >= holder->next_renew_us) {
+    if (!holder->in_flight && !holder->is_returned &&
+        now_us >= holder->next_renew_us) {
         leaseholder_send(holder, now_us, actions);
     }
-    leaseholder_add_wake(holder, actions);
+    if (!holder->is_returned) {
+        leaseholder_add_wake(holder, actions);
+    }
 }
 
 // Frees the action list; the list is empty afterwards.
@@ -446,6 +479,13 @@
     memset(actions, 0, sizeof(*actions));
 }
 
+// Returns whether the Raft leader has the lease back.
+bool
+leaseholder_is_returned(const struct leaseholder *holder)
+{
+    return holder->is_returned;
+}
+
 // Returns the revision of the view in force at this entry.
 uint64_t
 leaseholder_get_revision(const struct leaseholder *holder)
--- a/src/catkingrade/decide/leaseholder/leaseholder.h
+++ b/src/catkingrade/decide/leaseholder/leaseholder.h
@@ -47,6 +47,9 @@
     LEASEHOLDER_EVENT_OPEN_REQUESTS,
     // The view has applied the last delta, or starts at this revision.
     LEASEHOLDER_EVENT_APPLIED,
+    // The entry uses its lease no more: it acknowledges no write, and sends no
+    // read to a primary, from now on.
+    LEASEHOLDER_EVENT_RETURN,
 };
 
 // Pointers are borrowed and used only during the step.
@@ -76,7 +79,8 @@
     LEASEHOLDER_ACTION_REVOKE,
     LEASEHOLDER_ACTION_SET_QUOTAS,
     LEASEHOLDER_ACTION_SET_RELAYS,
-    LEASEHOLDER_ACTION_WAKE, // send TICK at wake_at_us
+    LEASEHOLDER_ACTION_RETURNED, // the Raft leader has the lease back
+    LEASEHOLDER_ACTION_WAKE,     // send TICK at wake_at_us
 };
 
 // Pointers stay valid until the next step of this leaseholder; those into the
@@ -116,6 +120,7 @@
                       struct leaseholder_actions *actions);
 void leaseholder_actions_free(struct leaseholder_actions *actions);
 
+bool leaseholder_is_returned(const struct leaseholder *holder);
 uint64_t leaseholder_get_revision(const struct leaseholder *holder);
 uint64_t leaseholder_get_leader_term(const struct leaseholder *holder);
 int64_t leaseholder_get_valid_until_us(const struct leaseholder *holder);
--- a/src/catkingrade/decide/leaseholder/leaseholder_private.h
+++ b/src/catkingrade/decide/leaseholder/leaseholder_private.h
@@ -21,6 +21,8 @@
     uint64_t revision;    // of the view in force
     unsigned open_requests;
     int64_t valid_until_us; // 0: no lease
+    bool is_returning;      // the lease is given back, and never held again
+    bool is_returned;       // the Raft leader has answered
     // The in-flight renewal call.
     bool in_flight;
     int64_t sent_at_us;
--- a/src/catkingrade/decide/leaseholder/leaseholder_reports.c
+++ b/src/catkingrade/decide/leaseholder/leaseholder_reports.c
@@ -259,6 +259,7 @@
     args->suspicions.suspicions_len = (u_int)count;
     args->confirmed.confirmed_val = holder->confirmed;
     args->confirmed.confirmed_len = (u_int)holder->confirmed_count;
+    args->returned = holder->is_returning;
 }
 
 void
--- a/src/catkingrade/rpc/messages.h
+++ b/src/catkingrade/rpc/messages.h
@@ -296,6 +296,7 @@
 		u_int confirmed_len;
 		ck_revocation *confirmed_val;
 	} confirmed;
+	bool_t returned;
 };
 typedef struct ck_renew_args ck_renew_args;
 
--- a/src/catkingrade/rpc/messages.x
+++ b/src/catkingrade/rpc/messages.x
@@ -244,6 +244,7 @@
     ck_demand demands<CK_LIST_SIZE>;
     ck_suspicion suspicions<CK_LIST_SIZE>;
     ck_revocation confirmed<CK_LIST_SIZE>;
+    bool returned;                  /* the lease is given back for good */
 };
 
 struct ck_renew_result {
--- a/src/catkingrade/rpc/messages_xdr.c
+++ b/src/catkingrade/rpc/messages_xdr.c
@@ -817,6 +817,8 @@
 	 if (!xdr_array (xdrs, (char **)&objp->confirmed.confirmed_val, (u_int *) &objp->confirmed.confirmed_len, CK_LIST_SIZE,
 		sizeof (ck_revocation), (xdrproc_t) xdr_ck_revocation))
 		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->returned))
+		 return FALSE;
 	return TRUE;
 }
 
--- a/test/fake/fleet_entry.c
+++ b/test/fake/fleet_entry.c
@@ -141,7 +141,8 @@
                          action->quotas.count);
         break;
     case LEASEHOLDER_ACTION_SET_RELAYS:
-        break; // every entry here has connections and uses no relay
+    case LEASEHOLDER_ACTION_RETURNED:
+        break; // every entry here has connections, uses no relay, stays
     case LEASEHOLDER_ACTION_REVOKE:
         if (action->revoke.term >= self->min_term) {
             self->min_term = action->revoke.term + 1;
--- a/test/unit/decide/coordinator/test_coordinator.c
+++ b/test/unit/decide/coordinator/test_coordinator.c
@@ -1017,6 +1017,43 @@
 }
 END_TEST
 
+// Guards against a late renewal that takes back the return of a lease, and
+// against quotas that are allocated again while the connections of the entry
+// that stops may be open.
+START_TEST(test_returned_lease_frees_no_quota)
+{
+    struct rig rig;
+    struct ck_renew_args args = make_renewal("e1", 2, 0);
+    struct coordinator_event event = {.kind = COORDINATOR_EVENT_RENEW,
+                                      .token = 9};
+
+    start_database(&rig, "e1");
+    elect(&rig, 4);
+    uint64_t revision = group_get_revision(rig.group);
+    rig.now_us = START_US + 1100 * MS;
+    uint32_t all =
+        renew(&rig, "e1", 1, revision)->quotas.quotas_val[0].connections;
+    int64_t granted_us = rig.now_us;
+    args.returned = true;
+    event.renew = &args;
+    step(&rig, &event);
+    ck_assert_uint_eq(renew(&rig, "e1", 3, revision)->lease_us, 0);
+    add_daemon(&rig, "e2");
+    uint32_t held = renew(&rig, "e2", 1, group_get_revision(rig.group))
+                        ->quotas.quotas_val[0]
+                        .connections;
+    // e1 had all connections.
+    ck_assert_uint_gt(all, 0);
+    ck_assert_uint_eq(held, 0);
+    rig.now_us = granted_us + LEASE_US + 10 * MS;
+    ck_assert_uint_gt(renew(&rig, "e2", 2, group_get_revision(rig.group))
+                          ->quotas.quotas_val[0]
+                          .connections,
+                      0);
+    finish(&rig);
+}
+END_TEST
+
 static void
 add_tests(TCase *tests)
 {
@@ -1045,6 +1082,7 @@
     tcase_add_test(tests, test_quotas_are_announced_when_known);
     tcase_add_test(tests, test_planned_change_waits_for_silent_holder);
     tcase_add_test(tests, test_lagging_replicas_cause_planned_change);
+    tcase_add_test(tests, test_returned_lease_frees_no_quota);
 }
 
 TEST_MAIN("coordinator", add_tests)
--- a/test/unit/decide/coordinator/test_planned_bound.c
+++ b/test/unit/decide/coordinator/test_planned_bound.c
@@ -235,11 +235,12 @@
 }
 
 static void
-send_renewal(struct rig *rig, struct entry *entry)
+send_call(struct rig *rig, struct entry *entry, bool returned)
 {
     struct ck_revocation confirmed[DATABASES];
     struct ck_renew_args args = {.sequence = ++entry->sequence,
-                                 .known_revision = entry->revision};
+                                 .known_revision = entry->revision,
+                                 .returned = returned};
     struct coordinator_event event = {.kind = COORDINATOR_EVENT_RENEW};
 
     args.group = (char *)(uintptr_t)GROUP_FLEET_NAME;
@@ -250,7 +251,7 @@
     }
     args.confirmed.confirmed_val = confirmed;
     args.confirmed.confirmed_len = DATABASES;
-    if (entry->confirmed[0] == get_database(rig, 0)->term) {
+    if (returned || entry->confirmed[0] == get_database(rig, 0)->term) {
         entry->covers_us = 0;
     }
     event.renew = &args;
@@ -259,6 +260,12 @@
     entry->next_renew_us = rig->now_us + entry->renew_us;
 }
 
+static void
+send_renewal(struct rig *rig, struct entry *entry)
+{
+    send_call(rig, entry, false);
+}
+
 static void
 answer_notification(struct rig *rig, struct entry *entry)
 {
@@ -342,15 +349,15 @@
     }
 }
 
-// Silences the next entry of the series. A process that has ended acknowledges
-// nothing any more.
+// Silences the next entry of the series. One that stops returns its lease. A
+// process that has ended acknowledges nothing any more.
 static void
 run_series(struct rig *rig, const struct series *plan)
 {
     struct entry *victim = &rig->entries[rig->next_victim % plan->entries];
 
     if (plan->kind == SERIES_STOP) {
-        send_renewal(rig, victim);
+        send_call(rig, victim, true);
     }
     victim->silent_until_us = rig->now_us + plan->silent_us;
     if (plan->is_restart) {
@@ -750,6 +757,22 @@
 }
 END_TEST
 
+// Guards against a change that waits for the leases of entries that have
+// stopped.
+START_TEST(test_stopped_entries_are_not_awaited)
+{
+    struct rig rig;
+
+    start(&rig);
+    while (rig.now_us < START_US + SERIES_LEAD_US) {
+        advance(&rig, &series[SERIES_STOP]);
+    }
+    int64_t changed_us = replace_primary(&rig, "u0", &series[SERIES_STOP]);
+    ck_assert_int_le(changed_us, PROMOTION_US + 2 * NOTIFY_TIMEOUT_US);
+    finish(&rig);
+}
+END_TEST
+
 static void
 add_tests(TCase *tests)
 {
@@ -767,6 +790,7 @@
     tcase_add_test(tests, test_next_leader_replaces_leaving_primary);
     tcase_add_test(tests, test_lagging_replicas_do_not_extend_change);
     tcase_add_test(tests, test_overdue_change_waits_for_answers);
+    tcase_add_test(tests, test_stopped_entries_are_not_awaited);
     tcase_add_loop_test(tests, test_late_replica_does_not_extend_change, 0,
                         sizeof(series) / sizeof(series[0]));
 }
--- a/test/unit/decide/leaseholder/test_leaseholder.c
+++ b/test/unit/decide/leaseholder/test_leaseholder.c
@@ -417,6 +417,44 @@
 }
 END_TEST
 
+// Guards against an entry that uses a lease which it has returned, or whose
+// return is lost with one call.
+START_TEST(test_returned_lease_is_not_held_again)
+{
+    struct leaseholder *holder = make_holder();
+    struct ck_renew_result result = make_result(1, 4, 0, 9);
+    struct leaseholder_event event = {.kind = LEASEHOLDER_EVENT_RETURN};
+    struct leaseholder_event failed = {.kind = LEASEHOLDER_EVENT_RENEW_FAILED,
+                                       .sequence = 3};
+
+    (void)tick(holder, 5000 * MS);
+    (void)answer(holder, 5010 * MS, &result);
+    (void)tick(holder, 5300 * MS); // the call that is in flight
+    const struct leaseholder_action *call = find_action(
+        step(holder, 5310 * MS, &event), LEASEHOLDER_ACTION_SEND_RENEW);
+    ck_assert_ptr_nonnull(call);
+    ck_assert(call->send.args->returned);
+    ck_assert_int_eq(leaseholder_get_valid_until_us(holder), 0);
+    result = make_result(2, 4, 9, 9);
+    ck_assert_ptr_null(find_action(answer(holder, 5320 * MS, &result),
+                                   LEASEHOLDER_ACTION_SET_LEASE));
+    (void)step(holder, 5510 * MS, &failed);
+    call = find_action(tick(holder, 5810 * MS), LEASEHOLDER_ACTION_SEND_RENEW);
+    ck_assert_ptr_nonnull(call);
+    ck_assert(call->send.args->returned);
+    ck_assert(!leaseholder_is_returned(holder));
+    result = make_result(4, 4, 9, 9);
+    const struct leaseholder_actions *actions =
+        answer(holder, 5820 * MS, &result);
+    ck_assert_ptr_nonnull(find_action(actions, LEASEHOLDER_ACTION_RETURNED));
+    ck_assert_ptr_null(find_action(actions, LEASEHOLDER_ACTION_SET_LEASE));
+    ck_assert(leaseholder_is_returned(holder));
+    ck_assert_ptr_null(
+        find_action(tick(holder, 9000 * MS), LEASEHOLDER_ACTION_SEND_RENEW));
+    leaseholder_destroy(holder);
+}
+END_TEST
+
 static void
 add_tests(TCase *tests)
 {
@@ -431,6 +469,7 @@
     tcase_add_test(tests, test_notification_switches_to_sender);
     tcase_add_test(tests, test_suspicion_is_sent_and_expires);
     tcase_add_test(tests, test_hastened_holder_renews_when_notified);
+    tcase_add_test(tests, test_returned_lease_is_not_held_again);
 }
 
 TEST_MAIN("leaseholder", add_tests)
