feat(settings): switchover_ms, the time limit of a planned change of primary

Problem: how long a leaving upstream serves is declared by the platform, 7,000 ms (bounds.drainMs), and the time limit of a planned change was the constant 5,000 ms. Since the wait for silent holders ends one lease before the leases must be over, a lease of 3 s left 0.94 s for it, so that a frozen holder would cost a gap of up to 2 s.

--- a/src/catkingrade/control/group_host.c
+++ b/src/catkingrade/control/group_host.c
@@ -289,6 +289,7 @@
     params->drift_ppm = settings->clock_drift_ppm;
     params->announce_expiry_us = settings->announce_expiry_us;
     params->suspect_us = settings->suspect_us;
+    params->switchover_us = settings->switchover_us;
     params->probe_us = settings->probe_us;
     params->relay_min_connections = settings->relay_min_connections;
     params->seed = host->params.daemon->incarnation;
--- a/src/catkingrade/kernel/settings.h
+++ b/src/catkingrade/kernel/settings.h
@@ -103,7 +103,8 @@
     int64_t election_us;  // minimum Raft election timeout
     // Time without announcements after which an upstream expires.
     int64_t announce_expiry_us;
-    int64_t suspect_us; // silence after which an upstream is suspected
+    int64_t suspect_us;    // silence after which an upstream is suspected
+    int64_t switchover_us; // time limit of a planned change of primary
     // A connection whose last response is older is validated before a write.
     int64_t idle_proof_us;
     int64_t connect_timeout_us;
