fix(coordinator): restarts in turn do not keep old quotas allocated

Problem: what an incarnation of an entry may use of an upstream stays allocated until its lease has run out. An entry that restarts again before that kept the quotas of all its incarnations, as long as the restarts went on: with one entry and a restart every 0.9 of a lease, the third incarnation still got no connection (test_restarts_in_turn_free_quotas).

Cause: the quotas of earlier incarnations were one sum, which ended with the lease of the last one.

Solution: each earlier incarnation's quota has the end of its own lease. The test fails before and passes after.

--- a/src/catkingrade/decide/coordinator/coordinator_quota.c
+++ b/src/catkingrade/decide/coordinator/coordinator_quota.c
@@ -15,6 +15,13 @@
 // Quotas are allocated from an upstream's connections divided by this.
 #define COORDINATOR_QUOTA_CONNECTIONS_DIVISOR 2
 
+// What an incarnation that has ended may use until its lease has run out.
+struct coordinator_previous_quota {
+    int64_t until_us;
+    u_int slots;
+    u_int connections;
+};
+
 // An entry's demand and quota of one upstream.
 struct coordinator_share {
     struct coordinator_holder *holder;
@@ -25,7 +32,9 @@
     struct ck_demand demand; // its name is not used
     // Upper bound of what the entry may use now, even if a reply was lost.
     struct ck_quota held;
-    struct ck_quota previous; // of the previous incarnation
+    // What incarnations before a restart may still use, oldest first.
+    struct coordinator_previous_quota *previous;
+    size_t previous_count;
 };
 
 // The shares of all entries in one upstream, sorted by VM.
@@ -66,6 +75,9 @@
     while (coordinator->quotas != NULL) {
         struct coordinator_quota *quota = coordinator->quotas;
         coordinator->quotas = quota->next;
+        for (size_t i = 0; i < quota->shares_count; i++) {
+            free(quota->shares[i].previous);
+        }
         free(quota->shares);
         free(quota->name);
         free(quota);
@@ -124,6 +136,32 @@
     quota->holders_count = coordinator->holders_count;
 }
 
+// Keeps what the incarnation that has ended may use until its lease has run
+// out, and drops what incarnations before it may use no more.
+static void
+coordinator_keep_previous_quota(const struct coordinator *coordinator,
+                                struct coordinator_share *share)
+{
+    size_t kept = 0;
+
+    for (size_t i = 0; i < share->previous_count; i++) {
+        if (share->previous[i].until_us > coordinator->now_us) {
+            share->previous[kept++] = share->previous[i];
+        }
+    }
+    share->previous_count = kept;
+    if (share->held.slots == 0 && share->held.connections == 0) {
+        return;
+    }
+    share->previous =
+        xrealloc(share->previous, (kept + 1) * sizeof(*share->previous));
+    share->previous[kept] = (struct coordinator_previous_quota){
+        .until_us = share->holder->previous_quota_until_us,
+        .slots = share->held.slots,
+        .connections = share->held.connections};
+    share->previous_count = kept + 1;
+}
+
 // Updates a share with the demand that an entry reports. The quota that the
 // entry reports as held is all that it can hold: it ignores replies to earlier
 // renewals.
@@ -136,13 +174,7 @@
     static const struct ck_demand none;
 
     if (share->incarnation != args->daemon.incarnation) {
-        bool overlaps =
-            coordinator_has_previous_quota(coordinator, share->holder);
-        share->previous.slots =
-            share->held.slots + (overlaps ? share->previous.slots : 0);
-        share->previous.connections =
-            share->held.connections +
-            (overlaps ? share->previous.connections : 0);
+        coordinator_keep_previous_quota(coordinator, share);
         memset(&share->held, 0, sizeof(share->held));
         share->incarnation = args->daemon.incarnation;
         share->sequence = 0;
@@ -190,16 +222,19 @@
         live ? share->held.connections : share->held.guaranteed_connections;
 }
 
-// Fills the quota that the previous incarnation of an entry may still use. It
+// Fills the quotas that earlier incarnations of an entry may still use. It
 // has no demand and gets no new quota.
 static void
 coordinator_fill_previous_usage(const struct coordinator *coordinator,
                                 const struct coordinator_share *share,
                                 struct quota_plan_entry *entry)
 {
-    if (coordinator_has_previous_quota(coordinator, share->holder)) {
-        entry->slots.held = share->previous.slots;
-        entry->connections.held = share->previous.connections;
+    for (size_t i = 0; i < share->previous_count; i++) {
+        const struct coordinator_previous_quota *previous =
+            &share->previous[i];
+        bool ended = previous->until_us <= coordinator->now_us;
+        entry->slots.held += ended ? 0 : previous->slots;
+        entry->connections.held += ended ? 0 : previous->connections;
     }
 }
 
--- a/test/unit/decide/coordinator/test_coordinator.c
+++ b/test/unit/decide/coordinator/test_coordinator.c
@@ -1054,6 +1054,43 @@
 }
 END_TEST
 
+// Renews as a new incarnation. Returns its connections to the first upstream.
+static uint32_t
+renew_after_restart(struct rig *rig, uint64_t incarnation)
+{
+    struct ck_renew_args args =
+        make_renewal("e1", 1, group_get_revision(rig->group));
+    struct coordinator_event event = {.kind = COORDINATOR_EVENT_RENEW,
+                                      .token = 9};
+
+    args.daemon.incarnation = incarnation;
+    event.renew = &args;
+    rig->hold_proposals = true;
+    step(rig, &event);
+    rig->hold_proposals = false;
+    const struct coordinator_action *reply =
+        find_action(rig, COORDINATOR_ACTION_REPLY_RENEW);
+    return reply->renew->quotas.quotas_val[0].connections;
+}
+
+// Guards against quotas that stay allocated to incarnations of long ago while
+// an entry restarts again before its last lease has run out.
+START_TEST(test_restarts_in_turn_free_quotas)
+{
+    struct rig rig;
+
+    start_database(&rig, "e1");
+    elect(&rig, 4);
+    rig.now_us = START_US + 1100 * MS;
+    ck_assert_uint_gt(renew_after_restart(&rig, 1), 0);
+    rig.now_us += LEASE_US * 9 / 10;
+    ck_assert_uint_eq(renew_after_restart(&rig, 2), 0);
+    rig.now_us += LEASE_US * 9 / 10;
+    ck_assert_uint_gt(renew_after_restart(&rig, 3), 0);
+    finish(&rig);
+}
+END_TEST
+
 static void
 add_tests(TCase *tests)
 {
@@ -1083,6 +1120,7 @@
     tcase_add_test(tests, test_planned_change_waits_for_silent_holder);
     tcase_add_test(tests, test_lagging_replicas_cause_planned_change);
     tcase_add_test(tests, test_returned_lease_frees_no_quota);
+    tcase_add_test(tests, test_restarts_in_turn_free_quotas);
 }
 
 TEST_MAIN("coordinator", add_tests)
