fix(coordinator): restarts in turn do not put off the removal of a lost upstream

Problem: a lost upstream stays a member while any entry that may have a lease has not applied the loss. With entries that stop or are killed in turn there always is one: not removed within 28 s, where 3 s of retention are set (test_lost_upstream_is_removed_while_entries_fail_in_turn). Each lost member makes a promotion need one more answer.

Cause: the check looked at the present incarnations and at the end of the leases of all earlier ones.

Solution: one lease after the loss it is over, since leases from before have ended and later ones come with the revision of the loss. The test fails before and passes after.

--- a/src/catkingrade/decide/coordinator/coordinator_removal.c
+++ b/src/catkingrade/decide/coordinator/coordinator_removal.c
@@ -19,17 +19,23 @@
 //    position. So each acknowledged save is held by that many of the remaining
 //    members, which promotion_choose relies on.
 
-// Returns whether every entry that may hold a lease has applied the revision.
+// Returns whether every entry that may hold a lease has applied the revision
+// of the loss. Leases from before the loss end within one lease of it, and
+// later ones come with its revision, whatever restarts meanwhile.
 static bool
-coordinator_is_revision_applied(const struct coordinator *coordinator,
-                                uint64_t revision)
+coordinator_is_loss_applied(const struct coordinator *coordinator,
+                            const struct coordinator_member *member)
 {
+    if (coordinator->now_us - member->lost_us >=
+        coordinator_get_lease_bound_us(coordinator)) {
+        return true;
+    }
     for (const struct coordinator_holder *holder = coordinator->holders;
          holder != NULL; holder = holder->next) {
         bool counts = coordinator_is_entry(holder) &&
                       (coordinator_has_live_lease(coordinator, holder) ||
                        holder->previous_until_us > coordinator->now_us);
-        if (counts && holder->known_revision < revision) {
+        if (counts && holder->known_revision < member->lost_revision) {
             return false;
         }
     }
@@ -51,10 +57,9 @@
         bool due = member->was_lost && upstream->state == CK_UPSTREAM_LOST &&
                    coordinator->now_us - member->lost_us >=
                        coordinator->params.lost_retention_us;
-        member->is_removing =
-            due && strcmp(upstream->name, database->primary) != 0 &&
-            coordinator_is_revision_applied(coordinator,
-                                            member->lost_revision);
+        member->is_removing = due &&
+                              strcmp(upstream->name, database->primary) != 0 &&
+                              coordinator_is_loss_applied(coordinator, member);
         found = found || member->is_removing;
     }
     return found;
--- a/test/unit/decide/coordinator/test_planned_bound.c
+++ b/test/unit/decide/coordinator/test_planned_bound.c
@@ -74,6 +74,7 @@
     uint64_t lsn;
     char host[16];
     ck_upstream_state state;
+    bool is_gone; // it neither announces itself nor answers
     bool is_probed;
     int64_t promoted_us; // end of its promotion; 0: none
 };
@@ -335,6 +336,9 @@
                               upstream->name) == 0;
     event.probe.position.timeline = 1;
     event.probe.position.lsn = upstream->lsn;
+    if (upstream->is_gone) {
+        return;
+    }
     if (upstream->is_probed) {
         upstream->is_probed = false;
         step(rig, &event);
@@ -443,6 +447,7 @@
     params.lease_us = LEASE_US;
     params.drift_ppm = 10000;
     params.switchover_us = SERVES_US;
+    params.lost_retention_us = LEASE_US;
     rig->now_us = START_US;
     rig->group = group_create(GROUP_FLEET_NAME);
     changes_set_customer(rig->group,
@@ -773,6 +778,24 @@
 }
 END_TEST
 
+// Guards against a lost upstream that stays a member as long as entries
+// restart in turn.
+START_TEST(test_lost_upstream_is_removed_while_entries_fail_in_turn)
+{
+    struct rig rig;
+
+    start(&rig);
+    rig.upstreams[2].is_gone = true;
+    while (get_database(&rig, 0)->upstreams.upstreams_len == UPSTREAMS_EACH &&
+           rig.now_us - START_US < 4 * SERVES_US) {
+        advance(&rig, &series[_i]);
+    }
+    // The announcements expire, then the lost upstream is retained.
+    ck_assert_int_le(rig.now_us - START_US, 2 * SERVES_US);
+    finish(&rig);
+}
+END_TEST
+
 static void
 add_tests(TCase *tests)
 {
@@ -791,6 +814,9 @@
     tcase_add_test(tests, test_lagging_replicas_do_not_extend_change);
     tcase_add_test(tests, test_overdue_change_waits_for_answers);
     tcase_add_test(tests, test_stopped_entries_are_not_awaited);
+    tcase_add_loop_test(
+        tests, test_lost_upstream_is_removed_while_entries_fail_in_turn, 0,
+        sizeof(series) / sizeof(series[0]));
     tcase_add_loop_test(tests, test_late_replica_does_not_extend_change, 0,
                         sizeof(series) / sizeof(series[0]));
 }
