fix(coordinator): an election adds one lease to a planned change, not a limit

Problem: a leader that is elected while a primary leaves began the time limit of the change anew: with entries that fail in turn, 4.51 to 6.04 s from the election to the next primary (test_election_adds_one_lease_to_change), on top of the time before.

Cause: how long an upstream has been leaving is in the leader's memory.

Solution: a leader that finds a leaving upstream takes the limit as reached. It waits for no silent holder, and for leases no longer than one lease.

--- a/src/catkingrade/decide/coordinator/coordinator_database.c
+++ b/src/catkingrade/decide/coordinator/coordinator_database.c
@@ -167,6 +167,11 @@
             &database->upstreams.upstreams_val[i];
         bool replica = database->term > 0 &&
                        strcmp(upstream->name, database->primary) != 0;
+        // How long it has been leaving is not known, so no time is left.
+        db->members[i].leaving_us =
+            upstream->state == CK_UPSTREAM_LEAVING
+                ? coordinator->now_us - coordinator->params.switchover_us
+                : 0;
         db->members[i].was_lost = upstream->state == CK_UPSTREAM_LOST;
         db->members[i].lost_us = coordinator->now_us;
         db->members[i].lost_revision = database->revision;
--- a/test/unit/decide/coordinator/test_planned_bound.c
+++ b/test/unit/decide/coordinator/test_planned_bound.c
@@ -796,6 +796,35 @@
 }
 END_TEST
 
+// Guards against an election that begins the time limit of a change anew: the
+// next leader waits for leases, and not for silent holders.
+START_TEST(test_election_adds_one_lease_to_change)
+{
+    struct rig rig;
+    struct coordinator_event event = {.kind = COORDINATOR_EVENT_DEPOSED};
+
+    start(&rig);
+    while (rig.now_us < START_US + SERIES_LEAD_US) {
+        advance(&rig, &series[_i]);
+    }
+    withdraw(&rig, "u0");
+    step(&rig, &event);
+    for (size_t i = 0; i < ENTRIES; i++) {
+        rig.entries[i].notified_us = 0;
+    }
+    event.kind = COORDINATOR_EVENT_ELECTED;
+    event.leader_term = 5;
+    step(&rig, &event);
+    int64_t begin_us = rig.now_us;
+    while (get_database(&rig, 0)->term < 2 &&
+           rig.now_us - begin_us < 4 * SERVES_US) {
+        advance(&rig, &series[_i]);
+    }
+    ck_assert_int_le(rig.now_us - begin_us, LEASE_US + 2 * PROMOTION_US);
+    finish(&rig);
+}
+END_TEST
+
 static void
 add_tests(TCase *tests)
 {
@@ -817,6 +846,8 @@
     tcase_add_loop_test(
         tests, test_lost_upstream_is_removed_while_entries_fail_in_turn, 0,
         sizeof(series) / sizeof(series[0]));
+    tcase_add_loop_test(tests, test_election_adds_one_lease_to_change, 0,
+                        sizeof(series) / sizeof(series[0]));
     tcase_add_loop_test(tests, test_late_replica_does_not_extend_change, 0,
                         sizeof(series) / sizeof(series[0]));
 }
