test(soak): planned work that overlaps, and checks of answers around it

Problem: the soak stopped one entry at a time, at a drain limit of 1 s, before one database whose primary never left.

Change: series of stops, reloads, freezes and changes of primary in several databases overlap with each other and with the faults. The rig has three databases and five entries; an announcer for each upstream plays its planned replacement. Two checks: no request that was sent 200 ms or more before its connection ends is without an answer, and none reaches an upstream later than 7 s after the acknowledgement that it leaves, unless an unplanned fault touched what it needs within 5 s. A process that needs more than 6 s to stop fails. soak.c is split by job. The stand-in binds its upstreams below the system's range for outgoing connections, and waits for the end of a poll() before it opens a listener again; both made a restart fail with "address in use".

--- a/soak/caller.c
+++ b/soak/caller.c
@@ -10,13 +10,19 @@
 #include "catkingrade/decide/random.h"
 #include "catkingrade/kernel/loop.h"
 #include "catkingrade/kernel/memory.h"
+#include "soak/checks.h"
+#include "soak/config.h"
+#include "soak/events.h"
 #include "test/rig/platform_rig.h"
 
-#define CALLER_MAX_VALUES   8192
-#define CALLER_MAX_PAUSE_US 30000
-#define CALLER_LINE_SIZE    128
-// maxStalenessMs of the route `own`, see soak_make_config() in soak.c
-#define CALLER_MAX_STALENESS_US 2500000
+#define CALLER_MAX_VALUES       8192
+#define CALLER_MAX_PAUSE_US     30000
+#define CALLER_LINE_SIZE        128
+#define CALLER_MAX_STALENESS_US (CONFIG_MAX_STALENESS_MS * 1000)
+// Operations of a session. Every other caller has long sessions, which it uses
+// until the entry closes them.
+#define CALLER_SHORT_SESSION 100
+#define CALLER_LONG_SESSION  10000
 
 // Outcome of a save as its answer reported it.
 enum caller_save_outcome {
@@ -30,7 +36,9 @@
     struct callers *callers;
     pthread_t thread;
     int number;
+    int database;
     uint64_t random;
+    int entry;                // entry of the session
     int fd;                   // socket of the session; -1: none
     int operations_left;      // operations left until the caller reconnects
     bool on_primary_route;    // the session uses the route of the primary
@@ -42,33 +50,85 @@
 };
 
 struct callers {
-    pthread_mutex_t mutex; // guards failures
     volatile bool stopping;
     struct caller *items;
     int count;
-    struct buffer failures;
 };
 
-// Records an inconsistent answer.
 static void
-caller_record_failure(struct caller *caller, const char *what,
-                      const char *detail)
+caller_disconnect(struct caller *caller)
+{
+    if (caller->fd >= 0) {
+        (void)close(caller->fd);
+    }
+    caller->fd = -1;
+}
+
+static bool
+caller_starts_with(const char *text, const char *prefix)
+{
+    return text != NULL && strncmp(text, prefix, strlen(prefix)) == 0;
+}
+
+// Returns whether an answer is complete: its last line is READY.
+static bool
+caller_is_complete(const char *text)
 {
-    struct callers *callers = caller->callers;
+    const char *ready = text == NULL ? NULL : strstr(text, "READY ");
 
-    pthread_mutex_lock(&callers->mutex);
-    buffer_append_format(&callers->failures, "caller %d: %s: %s\n",
-                         caller->number, what, detail);
-    pthread_mutex_unlock(&callers->mutex);
+    return ready != NULL && strchr(ready, '\n') != NULL;
 }
 
+// Returns whether an answer leaves the session outside of a transaction.
+static bool
+caller_is_idle(const char *text)
+{
+    return caller_is_complete(text) && strstr(text, "READY I") != NULL;
+}
+
+// Sends a request on the session. Records a connection that ends without a
+// complete answer.
+static char *
+caller_request(struct caller *caller, const char *line)
+{
+    struct checks_cut cut = {.entry = caller->entry,
+                             .database = caller->database,
+                             .sent_us = monotonic_get_us()};
+    char *text = platform_send_request(caller->fd, line);
+
+    if (!caller_is_complete(text)) {
+        cut.closed_us = monotonic_get_us();
+        (void)snprintf(cut.line, sizeof(cut.line), "%s", line);
+        checks_record_cut(&cut);
+    }
+    return text;
+}
+
+// Formats a statement. Its id begins with the number of the entry, by which
+// checks.c knows which entry took it.
 static void
-caller_disconnect(struct caller *caller)
+caller_format(const struct caller *caller, char *line, const char *text)
 {
-    if (caller->fd >= 0) {
-        (void)close(caller->fd);
+    (void)snprintf(line, CALLER_LINE_SIZE, "QUERY e%dc%d %s", caller->entry,
+                   caller->number, text);
+}
+
+// Returns whether an answer to STARTUP opens the session.
+static bool
+caller_start_session(struct caller *caller)
+{
+    char line[CALLER_LINE_SIZE];
+    char database[16] = "";
+
+    if (caller->database > 0) {
+        (void)snprintf(database, sizeof(database), "%d", caller->database);
     }
-    caller->fd = -1;
+    (void)snprintf(line, sizeof(line), "STARTUP %s%s u1",
+                   caller->on_primary_route ? "current" : "own", database);
+    char *text = platform_send_request(caller->fd, line);
+    bool ready = caller_starts_with(text, "READY");
+    free(text);
+    return ready;
 }
 
 // Makes sure that the caller has a session. Opens a new one at a random entry
@@ -77,10 +137,8 @@
 static bool
 caller_ensure_session(struct caller *caller)
 {
-    static const char *const startups[] = {"STARTUP own u1",
-                                           "STARTUP current u1"};
-    uint32_t entry =
-        random_below(&caller->random, (uint32_t)rig.entries_count);
+    int entry =
+        (int)random_below(&caller->random, (uint32_t)rig.entries_count);
 
     if (caller->fd >= 0 && caller->operations_left-- > 0) {
         return true;
@@ -90,23 +148,18 @@
     if (caller->fd < 0) {
         return false;
     }
+    caller->entry = entry;
     caller->on_primary_route = random_below(&caller->random, 2) == 1;
     caller->session_newest_saved = 0;
-    char *text = platform_send_request(
-        caller->fd, startups[caller->on_primary_route ? 1 : 0]);
-    bool ready = text != NULL && strncmp(text, "READY", 5) == 0;
-    free(text);
-    if (!ready) {
+    caller->operations_left = (int)random_below(
+        &caller->random, caller->number / rig.databases_count % 2 == 0
+                             ? CALLER_SHORT_SESSION
+                             : CALLER_LONG_SESSION);
+    if (!caller_start_session(caller)) {
         caller_disconnect(caller);
+        return false;
     }
-    caller->operations_left = (int)random_below(&caller->random, 100);
-    return ready;
-}
-
-static bool
-caller_starts_with(const char *text, const char *prefix)
-{
-    return text != NULL && strncmp(text, prefix, strlen(prefix)) == 0;
+    return true;
 }
 
 // Returns whether an answer guarantees that the operation has no effect.
@@ -131,7 +184,8 @@
 }
 
 // Records the outcome of a save from its final answer, which is that of the
-// write itself or that of the commit. Ends the session after an error.
+// write itself or that of the commit. Ends the session after an error that
+// leaves it in a transaction or closed.
 static void
 caller_record_save(struct caller *caller, int value, const char *text)
 {
@@ -142,7 +196,19 @@
     caller_set_outcome(caller, value,
                        caller_is_not_run_answer(text) ? CALLER_NOT_RUN
                                                       : CALLER_UNKNOWN);
-    caller_disconnect(caller);
+    if (!caller_is_idle(text)) {
+        caller_disconnect(caller);
+    }
+}
+
+static void
+caller_format_save(const struct caller *caller, char *line, int value)
+{
+    char text[CALLER_LINE_SIZE / 2];
+
+    (void)snprintf(text, sizeof(text), "WRITE k%d v%dn%d", caller->number,
+                   caller->number, value);
+    caller_format(caller, line, text);
 }
 
 static void
@@ -154,10 +220,8 @@
         return;
     }
     int value = ++caller->newest_tried;
-    (void)snprintf(line, sizeof(line), "QUERY s%dn%d WRITE k%d v%dn%d",
-                   caller->number, value, caller->number, caller->number,
-                   value);
-    char *text = platform_send_request(caller->fd, line);
+    caller_format_save(caller, line, value);
+    char *text = caller_request(caller, line);
     caller_record_save(caller, value, text);
     free(text);
 }
@@ -174,11 +238,9 @@
         return;
     }
     int value = ++caller->newest_tried;
-    free(platform_send_request(caller->fd, "QUERY b BEGIN"));
-    (void)snprintf(line, sizeof(line), "QUERY t%dn%d WRITE k%d v%dn%d",
-                   caller->number, value, caller->number, caller->number,
-                   value);
-    char *text = platform_send_request(caller->fd, line);
+    free(caller_request(caller, "QUERY b BEGIN"));
+    caller_format_save(caller, line, value);
+    char *text = caller_request(caller, line);
     bool is_written = caller_starts_with(text, "COMPLETE");
     free(text);
     if (!is_written || end == 0) {
@@ -189,14 +251,14 @@
     }
     if (end == 1) {
         caller_set_outcome(caller, value, CALLER_NOT_RUN);
-        text = platform_send_request(caller->fd, "QUERY r ROLLBACK");
+        text = caller_request(caller, "QUERY r ROLLBACK");
         if (!caller_starts_with(text, "COMPLETE")) {
             caller_disconnect(caller);
         }
         free(text);
         return;
     }
-    text = platform_send_request(caller->fd, "QUERY c COMMIT");
+    text = caller_request(caller, "QUERY c COMMIT");
     caller_record_save(caller, value, text);
     free(text);
 }
@@ -233,28 +295,30 @@
     int value = 0;
     int required = caller_get_min_value(caller);
 
-    (void)snprintf(line, sizeof(line), "QUERY q%d READ k%d", caller->number,
-                   caller->number);
-    char *text = platform_send_request(caller->fd, line);
+    (void)snprintf(line, sizeof(line), "QUERY e%dc%d READ k%d", caller->entry,
+                   caller->number, caller->number);
+    char *text = caller_request(caller, line);
     if (!caller_starts_with(text, "DATAROW")) {
+        if (!caller_is_idle(text)) {
+            caller_disconnect(caller);
+        }
         free(text);
-        caller_disconnect(caller);
         return;
     }
     bool known = sscanf(text, "DATAROW v%dn%d", &number, &value) == 2 &&
                  number == caller->number && value > 0 &&
                  value < CALLER_MAX_VALUES;
     if (known && caller->outcomes[value] == CALLER_NOT_RUN) {
-        caller_record_failure(
-            caller, "a read returned a save that was answered as not run",
-            text);
+        events_fail("caller %d: a read returned a save that was answered as "
+                    "not run: %s",
+                    caller->number, text);
     }
     if (known ? value < required && caller->outcomes[value] != CALLER_UNKNOWN
               : required > 0) {
         (void)snprintf(line, sizeof(line),
                        "a read on %s misses the acknowledged value %d",
                        caller->on_primary_route ? "current" : "own", required);
-        caller_record_failure(caller, line, text);
+        events_fail("caller %d: %s: %s", caller->number, line, text);
     }
     free(text);
 }
@@ -291,13 +355,13 @@
 {
     struct callers *callers = xcalloc(1, sizeof(*callers));
 
-    pthread_mutex_init(&callers->mutex, NULL);
     callers->count = count;
     callers->items = xcalloc((size_t)count, sizeof(*callers->items));
     for (int i = 0; i < count; i++) {
         struct caller *caller = &callers->items[i];
         caller->callers = callers;
         caller->number = i;
+        caller->database = i % rig.databases_count;
         caller->random = seed * 1000 + (uint64_t)i;
         caller->fd = -1;
         INVARIANT(pthread_create(&caller->thread, NULL, caller_run, caller) ==
@@ -320,7 +384,7 @@
 // stored: acknowledged saves once, saves not run never, unknown ones at most
 // once.
 static void
-caller_check_saves(const struct caller *caller, struct buffer *failures)
+caller_check_saves(const struct caller *caller)
 {
     static const char *const outcomes[] = {"unsent", "saved", "not run",
                                            "unknown"};
@@ -329,26 +393,21 @@
         char text[64];
         enum caller_save_outcome outcome = caller->outcomes[value];
         (void)snprintf(text, sizeof(text), "v%dn%d", caller->number, value);
-        int count = platform_count_writes(rig.platform, text);
+        int count =
+            platform_count_writes(rig.platforms[caller->database], text);
         if (count > 1 || (outcome == CALLER_SAVED && count != 1) ||
             (outcome == CALLER_NOT_RUN && count != 0)) {
-            buffer_append_format(failures,
-                                 "%s: answered as %s, stored %d times\n", text,
-                                 outcomes[outcome], count);
+            events_fail("%s: answered as %s, stored %d times", text,
+                        outcomes[outcome], count);
         }
     }
 }
 
-// Appends a line to failures for each inconsistent answer that a caller has
-// seen, and for each value that is lost, stored twice, or stored although its
-// save was answered as not run.
 void
-callers_check(const struct callers *callers, struct buffer *failures)
+callers_check(const struct callers *callers)
 {
-    buffer_append(failures, buffer_get_data(&callers->failures),
-                  buffer_get_size(&callers->failures));
     for (int i = 0; i < callers->count; i++) {
-        caller_check_saves(&callers->items[i], failures);
+        caller_check_saves(&callers->items[i]);
     }
 }
 
@@ -370,8 +429,6 @@
 void
 callers_destroy(struct callers *callers)
 {
-    buffer_free(&callers->failures);
-    pthread_mutex_destroy(&callers->mutex);
     free(callers->items);
     free(callers);
 }
--- a/test/contract/test_platform.c
+++ b/test/contract/test_platform.c
@@ -14,6 +14,7 @@
 // End-to-end tests on the users' platform: three control VMs and an entry as
 // real daemons, with the fake platform as upstreams.
 
+#define STATUS_TIMEOUT_MS 5000
 #define CONFIG(number, deadline)                                              \
     "{\"version\":" number ",\"routes\":["                                    \
     "{\"host\":\"own\",\"routeKind\":\"read_own_writes\","                    \
@@ -280,11 +281,12 @@
     platform_rig_wait_config(0, CONFIG("5", "5000"));
     for (int i = 0; i < RIG_CONTROLS; i++) {
         restart_with_empty_data_dir(i);
-        for (int j = 0; j < RIG_WAIT_ROUNDS && !platform_rig_is_settled(i);
+        for (int j = 0; j < RIG_WAIT_ROUNDS &&
+                        !platform_rig_is_settled(i, STATUS_TIMEOUT_MS);
              j++) {
             usleep(RIG_WAIT_STEP_US);
         }
-        ck_assert_msg(platform_rig_is_settled(i),
+        ck_assert_msg(platform_rig_is_settled(i, STATUS_TIMEOUT_MS),
                       "vm%d does not report three voters that all vote", i);
     }
     char *text = NULL;
--- a/test/fake/platform.c
+++ b/test/fake/platform.c
@@ -7,6 +7,7 @@
 #include <poll.h>
 #include <pthread.h>
 #include <stdarg.h>
+#include <stdatomic.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -14,7 +15,9 @@
 #include <unistd.h>
 
 #include "catkingrade/kernel/buffer.h"
+#include "catkingrade/kernel/loop.h"
 #include "catkingrade/kernel/memory.h"
+#include "test/fake/process.h"
 
 #define MAX_CONNS    256
 #define MAX_WRITES   32768
@@ -39,6 +42,8 @@
     int upstream; // NO_UPSTREAM: connection for HTTP calls
     struct buffer in;
     bool started;
+    char sender[PLATFORM_ID_SIZE]; // user name in STARTUP
+    bool is_first;                 // no statement of the transaction yet
     bool replies_suppressed;
     bool replies_held;
     struct buffer held; // replies to send once they are no longer held
@@ -61,9 +66,14 @@
     uint64_t term;
     size_t received; // number of log entries received
     size_t applied;  // number of log entries applied
+    unsigned incarnation;
+    int64_t deadline_us; // end of the time for requests; 0: none
 };
 
 struct platform {
+    const char *service;
+    int first_id;          // number in the id of upstream 0
+    struct platform *next; // another database, for POST /failover
     pthread_t thread;
     pthread_mutex_t mutex;
     bool stopping;
@@ -77,6 +87,8 @@
     uint64_t term;
     uint64_t last_fencing_token;
     int protocol_errors;
+    struct platform_late late[PLATFORM_MAX_LATE];
+    int late_count;
 };
 
 static int
@@ -277,6 +289,7 @@
             return;
         }
         conn->state = 'T';
+        conn->is_first = true;
     }
     else if (strncmp(text, "ROLLBACK", 8) == 0) {
         conn->writes_count = 0;
@@ -286,6 +299,32 @@
     send_ready(platform, conn);
 }
 
+// Records a client's statement that arrives after the upstream's deadline.
+// Only a single statement and the first one of a transaction count. Statements
+// that the system issues itself carry the id "-".
+static void
+check_deadline(struct platform *platform, struct conn *conn, const char *id)
+{
+    int64_t deadline_us = platform->upstreams[conn->upstream].deadline_us;
+    int64_t now_us = monotonic_get_us();
+    bool counts = conn->state == 'I' || conn->is_first;
+
+    if (strcmp(id, "-") == 0) {
+        return;
+    }
+    conn->is_first = false;
+    if (!counts || deadline_us == 0 || now_us <= deadline_us ||
+        platform->late_count == PLATFORM_MAX_LATE) {
+        return;
+    }
+    struct platform_late *late = &platform->late[platform->late_count++];
+    late->upstream = conn->upstream;
+    late->arrived_us = now_us;
+    late->deadline_us = deadline_us;
+    (void)snprintf(late->id, sizeof(late->id), "%s", id);
+    (void)snprintf(late->sender, sizeof(late->sender), "%s", conn->sender);
+}
+
 static void
 run_query(struct platform *platform, struct conn *conn, char *line)
 {
@@ -295,6 +334,7 @@
     INVARIANT(text != NULL);
     *text++ = '\0';
     statement = text;
+    check_deadline(platform, conn, line);
     if (!is_position_applied(&platform->upstreams[conn->upstream],
                              &statement)) {
         send_error(platform, conn, "LAGGING");
@@ -326,19 +366,23 @@
 static void
 run_line(struct platform *platform, struct conn *conn, char *line)
 {
-    char expected[32];
+    char service[32];
+    char id[32];
 
     conn->replies_suppressed =
         platform->upstreams[conn->upstream].replies_suppressed;
     conn->replies_held = platform->upstreams[conn->upstream].replies_held &&
                          strncmp(line, "QUERY ", 6) == 0 &&
                          strncmp(line, "QUERY - ", 8) != 0;
-    (void)snprintf(expected, sizeof(expected), "i-%d", conn->upstream);
+    (void)snprintf(service, sizeof(service), "STARTUP %s ", platform->service);
+    (void)snprintf(id, sizeof(id), " i-%d",
+                   platform->first_id + conn->upstream);
     if (strncmp(line, "QUERY ", 6) == 0 && conn->started) {
         run_query(platform, conn, line + 6);
     }
-    else if (strncmp(line, "STARTUP core ", 13) == 0 &&
-             strstr(line, expected) != NULL) {
+    else if (strncmp(line, service, strlen(service)) == 0 &&
+             strstr(line, id) != NULL) {
+        (void)sscanf(line + strlen(service), "%63s", conn->sender);
         conn->started = true;
         conn->state = 'I';
         send_ready(platform, conn);
@@ -348,10 +392,52 @@
     }
 }
 
-// Handles POST /failover: promotes the named upstream in the next term with
-// the log entries that it has received. Promoting the primary changes nothing;
-// an upstream that is down gets status 409. Returns false while the request is
-// incomplete.
+// Promotes an upstream in the next term with the log entries that it has
+// received. Promoting the primary changes nothing. Returns whether the
+// upstream runs.
+static bool
+promote(struct platform *platform, int upstream, uint64_t fencing_token)
+{
+    struct upstream *up = &platform->upstreams[upstream];
+
+    platform->last_fencing_token = fencing_token;
+    if (up->is_down) {
+        return false;
+    }
+    if (upstream != platform->primary) {
+        platform->primary = upstream;
+        up->term = ++platform->term;
+        up->applied = up->received;
+    }
+    return true;
+}
+
+// Promotes the upstream with an id, in the database that has it. The caller
+// holds the mutex of the first database only.
+static bool
+promote_id(struct platform *first, int id, uint64_t fencing_token)
+{
+    struct platform *platform = first;
+
+    while (platform != NULL &&
+           (id < platform->first_id ||
+            id >= platform->first_id + PLATFORM_UPSTREAMS)) {
+        platform = platform->next;
+    }
+    if (platform == NULL) {
+        return false;
+    }
+    if (platform == first) {
+        return promote(platform, id - platform->first_id, fencing_token);
+    }
+    pthread_mutex_lock(&platform->mutex);
+    bool promoted = promote(platform, id - platform->first_id, fencing_token);
+    pthread_mutex_unlock(&platform->mutex);
+    return promoted;
+}
+
+// Handles POST /failover: promotes the named upstream. An upstream that is
+// down gets status 409. Returns false while the request is incomplete.
 static bool
 handle_failover_call(struct platform *platform, struct conn *conn)
 {
@@ -364,19 +450,13 @@
     if (id == NULL || fencing_token == NULL) {
         return false;
     }
-    int upstream = atoi(id + 8);
-    struct upstream *up = &platform->upstreams[upstream];
-    platform->last_fencing_token = strtoull(fencing_token + 15, NULL, 10);
-    if (up->is_down) {
-        send_reply(conn, "HTTP/1.1 409 Conflict\r\nContent-Length: 0\r\n\r\n");
-        return true;
+    if (promote_id(platform, atoi(id + 8),
+                   strtoull(fencing_token + 15, NULL, 10))) {
+        send_reply(conn, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}");
     }
-    if (upstream != platform->primary) {
-        platform->primary = upstream;
-        up->term = ++platform->term;
-        up->applied = up->received;
+    else {
+        send_reply(conn, "HTTP/1.1 409 Conflict\r\nContent-Length: 0\r\n\r\n");
     }
-    send_reply(conn, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}");
     return true;
 }
 
@@ -494,14 +574,19 @@
 }
 
 struct platform *
-platform_start(void)
+platform_start(const char *service, int first_id)
 {
     struct platform *platform = xcalloc(1, sizeof(*platform));
 
+    platform->service = service;
+    platform->first_id = first_id;
     pthread_mutex_init(&platform->mutex, NULL);
     platform->term = 1;
     platform->promote_fd = open_listener(&platform->promote_port);
     for (int i = 0; i < PLATFORM_UPSTREAMS; i++) {
+        // An outgoing connection may take a port that the system chooses
+        // while the upstream is stopped.
+        platform->upstreams[i].port = process_get_free_port();
         platform->upstreams[i].term = 1;
         platform->upstreams[i].listen_fd =
             open_listener(&platform->upstreams[i].port);
@@ -531,6 +616,15 @@
     free(platform);
 }
 
+void
+platform_add_database(struct platform *first, struct platform *platform)
+{
+    pthread_mutex_lock(&first->mutex);
+    platform->next = first->next;
+    first->next = platform;
+    pthread_mutex_unlock(&first->mutex);
+}
+
 int
 platform_get_promote_port(const struct platform *platform)
 {
@@ -559,6 +653,8 @@
 {
     struct upstream *up = &platform->upstreams[upstream];
 
+    // A poll() that has begun keeps a closed listener, and so its port.
+    usleep(2 * POLL_MS * 1000);
     pthread_mutex_lock(&platform->mutex);
     up->is_down = false;
     up->listen_fd = open_listener(&up->port);
@@ -566,6 +662,33 @@
     pthread_mutex_unlock(&platform->mutex);
 }
 
+void
+platform_begin_incarnation(struct platform *platform, int upstream)
+{
+    pthread_mutex_lock(&platform->mutex);
+    platform->upstreams[upstream].incarnation++;
+    pthread_mutex_unlock(&platform->mutex);
+}
+
+void
+platform_set_deadline(struct platform *platform, int upstream,
+                      int64_t deadline_us)
+{
+    pthread_mutex_lock(&platform->mutex);
+    platform->upstreams[upstream].deadline_us = deadline_us;
+    pthread_mutex_unlock(&platform->mutex);
+}
+
+int
+platform_get_late(struct platform *platform, struct platform_late *late)
+{
+    pthread_mutex_lock(&platform->mutex);
+    int count = platform->late_count;
+    memcpy(late, platform->late, sizeof(platform->late));
+    pthread_mutex_unlock(&platform->mutex);
+    return count;
+}
+
 void
 platform_pause_replication(struct platform *platform, int upstream,
                            bool paused)
@@ -676,15 +799,17 @@
 platform_format_announcement(struct platform *platform, int upstream,
                              bool leaving, char *body, size_t size)
 {
-    static uint64_t sequence;
+    static atomic_uint_fast64_t sequence;
+    const struct upstream *up = &platform->upstreams[upstream];
 
-    (void)snprintf(body, size,
-                   "{\"service\":\"core\",\"addr\":\"127.0.0.1:%d\","
-                   "\"zone\":\"noord\",\"version\":\"v1\",\"slots\":5,"
-                   "\"state\":\"%s\",\"dbRole\":\"replica\",\"seq\":%" PRIu64
-                   ",\"born\":1000}",
-                   platform->upstreams[upstream].announced_port,
-                   leaving ? "draining" : "ready", ++sequence);
+    (void)snprintf(
+        body, size,
+        "{\"service\":\"%s\",\"addr\":\"127.0.0.1:%d\","
+        "\"zone\":\"noord\",\"version\":\"v1\",\"slots\":5,"
+        "\"state\":\"%s\",\"dbRole\":\"replica\",\"seq\":%" PRIu64
+        ",\"born\":%u}",
+        platform->service, up->announced_port, leaving ? "draining" : "ready",
+        (uint64_t)atomic_fetch_add(&sequence, 1) + 1, 1000 + up->incarnation);
 }
 
 static size_t
@@ -696,7 +821,7 @@
 
 char *
 platform_call_http(const char *method, const char *url, const char *body,
-                   long *status)
+                   long timeout_ms, long *status)
 {
     struct buffer reply = {0};
     CURL *curl = curl_easy_init();
@@ -708,7 +833,7 @@
     curl_easy_setopt(curl, CURLOPT_CUSTOMREQUEST, method);
     curl_easy_setopt(curl, CURLOPT_HTTPHEADER, headers);
     curl_easy_setopt(curl, CURLOPT_NOSIGNAL, 1L);
-    curl_easy_setopt(curl, CURLOPT_TIMEOUT_MS, 3000L);
+    curl_easy_setopt(curl, CURLOPT_TIMEOUT_MS, timeout_ms);
     curl_easy_setopt(curl, CURLOPT_WRITEFUNCTION, append_body);
     curl_easy_setopt(curl, CURLOPT_WRITEDATA, &reply);
     if (body != NULL) {
--- a/test/fake/platform.h
+++ b/test/fake/platform.h
@@ -11,10 +11,26 @@
 // is the first primary. One thread serves all connections.
 
 #define PLATFORM_UPSTREAMS 3
+#define PLATFORM_ID_SIZE   64
+#define PLATFORM_MAX_LATE  256
 
 struct platform;
 
-struct platform *platform_start(void);
+// A client's statement that reached an upstream after its deadline.
+struct platform_late {
+    int upstream;
+    int64_t arrived_us;
+    int64_t deadline_us;
+    char id[PLATFORM_ID_SIZE];     // id of the statement
+    char sender[PLATFORM_ID_SIZE]; // user name of the connection
+};
+
+// Starts a database. service: its name, a string literal. The ids of its
+// upstreams are i-<first_id> and the following numbers.
+struct platform *platform_start(const char *service, int first_id);
+// Lets POST /failover at the port of the first database promote upstreams of
+// another one as well. That one stops after the first.
+void platform_add_database(struct platform *first, struct platform *platform);
 void platform_stop(struct platform *platform);
 // Returns the port of the HTTP call that promotes an upstream.
 int platform_get_promote_port(const struct platform *platform);
@@ -22,6 +38,15 @@
 void platform_stop_upstream(struct platform *platform, int upstream);
 // Opens the listener of a stopped upstream again, on the same port.
 void platform_restart_upstream(struct platform *platform, int upstream);
+// Marks the next start of an upstream as a new process in its announcements.
+void platform_begin_incarnation(struct platform *platform, int upstream);
+// Sets the time after which no client's statement may reach an upstream. 0:
+// none.
+void platform_set_deadline(struct platform *platform, int upstream,
+                           int64_t deadline_us);
+// Copies the statements that came after a deadline into an array of
+// PLATFORM_MAX_LATE elements, the oldest first. Returns their number.
+int platform_get_late(struct platform *platform, struct platform_late *late);
 // Pauses or resumes the replication to a replica.
 void platform_pause_replication(struct platform *platform, int upstream,
                                 bool paused);
@@ -53,10 +78,10 @@
 void platform_format_announcement(struct platform *platform, int upstream,
                                   bool leaving, char *body, size_t size);
 
-// Makes an HTTP call with a timeout of 3 s. Returns the body of the response,
-// which the caller frees. *status is the HTTP status, or 0 without a response.
+// Makes an HTTP call. Returns the body of the response, which the caller
+// frees. *status is the HTTP status, or 0 without a response.
 char *platform_call_http(const char *method, const char *url, const char *body,
-                         long *status);
+                         long timeout_ms, long *status);
 
 // Opens a blocking client connection. Returns its file descriptor, or -1.
 int platform_connect(int port);
--- a/test/fake/process.c
+++ b/test/fake/process.c
@@ -165,6 +165,19 @@
     return process_decode_status(status);
 }
 
+bool
+process_try_wait(struct process *process, int *code)
+{
+    int status = 0;
+
+    if (waitpid(process->pid, &status, WNOHANG) == 0) {
+        return false;
+    }
+    free(process);
+    *code = process_decode_status(status);
+    return true;
+}
+
 char *
 process_run(const char *folder, const char *program, const char *const *args,
             int *code)
--- a/test/fake/process.h
+++ b/test/fake/process.h
@@ -27,6 +27,9 @@
 // Returns the exit status, or the negated number of the signal that ended the
 // process.
 int process_wait(struct process *process);
+// Frees the process if it has ended, with its exit status in *code as of
+// process_wait(). Returns whether it has.
+bool process_try_wait(struct process *process, int *code);
 
 // Runs a program to its end, with its output in a new file of the folder.
 // Returns the output, which the caller frees. *code is as of process_wait().
--- a/test/rig/platform_rig.c
+++ b/test/rig/platform_rig.c
@@ -1,6 +1,7 @@
 #include "test/rig/platform_rig.h"
 
 #include <check.h>
+#include <curl/curl.h>
 #include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -10,8 +11,17 @@
 
 #include "catkingrade/kernel/memory.h"
 
+// Timings of the daemons in tests that don't set their own.
+#define PLATFORM_RIG_TIMINGS                                                  \
+    "\"announce_expiry_ms\": 3000, \"drain_notice_ms\": 100, "                \
+    "\"drain_limit_ms\": 2000"
+#define PLATFORM_RIG_TIMEOUT_MS 3000
+
 struct platform_rig rig;
 
+static const char *const platform_rig_services[RIG_DATABASES] = {
+    "core", "core1", "core2"};
+
 static char *
 platform_rig_format_url(int vm_index, const char *path)
 {
@@ -19,16 +29,24 @@
 }
 
 char *
-platform_rig_call(int vm_index, const char *method, const char *path,
-                  const char *body, long *status)
+platform_rig_call_within(int vm_index, const char *method, const char *path,
+                         const char *body, long timeout_ms, long *status)
 {
     char *url = platform_rig_format_url(vm_index, path);
-    char *answer = platform_call_http(method, url, body, status);
+    char *answer = platform_call_http(method, url, body, timeout_ms, status);
 
     free(url);
     return answer;
 }
 
+char *
+platform_rig_call(int vm_index, const char *method, const char *path,
+                  const char *body, long *status)
+{
+    return platform_rig_call_within(vm_index, method, path, body,
+                                    PLATFORM_RIG_TIMEOUT_MS, status);
+}
+
 long
 platform_rig_put_config(int vm_index, const char *body)
 {
@@ -38,30 +56,6 @@
     return status;
 }
 
-// Thread that announces all upstreams every 100 ms, each time to the next
-// control VM in turn.
-static void *
-platform_rig_announce_upstreams(void *data)
-{
-    unsigned next_control = 0;
-
-    (void)data;
-    while (!rig.stopping) {
-        for (int i = 0; i < PLATFORM_UPSTREAMS; i++) {
-            char body[512];
-            char path[64];
-            long status = 0;
-            platform_format_announcement(rig.platform, i, rig.leaving[i], body,
-                                         sizeof(body));
-            (void)snprintf(path, sizeof(path), "/v1/instances/i-%d", i);
-            free(platform_rig_call((int)(next_control++ % RIG_CONTROLS), "PUT",
-                                   path, body, &status));
-        }
-        usleep(100000);
-    }
-    return NULL;
-}
-
 static void
 platform_rig_write_settings(const char *path, int vm_index, bool bootstrap)
 {
@@ -72,29 +66,27 @@
                           "\"127.0.0.1:%d\"}, \"roles\": [\"entry\"], "
                           "\"platform\": {\"listen\": \"127.0.0.1:%d\", "
                           "\"relay\": \"127.0.0.%d:%d\"}, "
-                          "\"traffic_threads\": 1",
+                          "\"upstream_user\": \"vm%d\", "
+                          "\"traffic_threads\": 1, %s",
                           host, rig.rpc_ports[vm_index],
                           rig.http_ports[vm_index],
                           rig.client_ports[vm_index - RIG_CONTROLS], host,
-                          rig.relay_port)
+                          rig.relay_port, vm_index, rig.entry_timings)
               : xasprintf("\"listen\": {\"rpc\": \"127.0.0.1:%d\", \"http\": "
                           "\"127.0.0.1:%d\"}, \"roles\": [\"control\"], "
                           "\"data_dir\": \"%s/data%d\", \"bootstrap\": %s, "
                           "\"platform\": {\"control\": true, \"promote\": "
-                          "\"127.0.0.1:%d\"}%s",
+                          "\"127.0.0.1:%d\"}%s, %s",
                           rig.rpc_ports[vm_index], rig.http_ports[vm_index],
                           rig.folder, vm_index, bootstrap ? "true" : "false",
                           platform_get_promote_port(rig.platform),
-                          rig.control_extra);
+                          rig.control_extra, rig.control_timings);
     char *text = xasprintf(
         "{\"vm\": \"vm%d\", \"failure_domain\": \"noord\", \"seeds\": "
         "[\"127.0.0.1:%d\", \"127.0.0.1:%d\", \"127.0.0.1:%d\"], "
         "\"voters_from_seeds\": true, \"sample_upstreams\": false, "
-        "\"ready_with_lease\": true, \"announce_expiry_ms\": 3000, "
-        "\"log_format\": \"json\", \"drain_notice_ms\": %d, "
-        "\"drain_limit_ms\": %d, %s}",
-        vm_index, rig.rpc_ports[0], rig.rpc_ports[1], rig.rpc_ports[2],
-        RIG_DRAIN_NOTICE_MS, RIG_DRAIN_LIMIT_MS, extra);
+        "\"ready_with_lease\": true, \"log_format\": \"json\", %s}",
+        vm_index, rig.rpc_ports[0], rig.rpc_ports[1], rig.rpc_ports[2], extra);
 
     process_write_file(path, text);
     free(text);
@@ -114,40 +106,86 @@
     return process_start(log, "catkingraded", args);
 }
 
-void
-platform_rig_start(const char *name, int entries, const char *control_extra)
+static void
+platform_rig_start_platforms(void)
+{
+    for (int i = 0; i < rig.databases_count; i++) {
+        rig.platforms[i] =
+            platform_start(platform_rig_services[i], i * PLATFORM_UPSTREAMS);
+        if (i > 0) {
+            platform_add_database(rig.platforms[0], rig.platforms[i]);
+        }
+    }
+    rig.platform = rig.platforms[0];
+}
+
+static void
+platform_rig_start_daemons(void)
 {
-    memset(&rig, 0, sizeof(rig));
-    rig.folder = process_make_folder(name);
-    rig.platform = platform_start();
-    rig.entries_count = entries;
-    rig.control_extra = control_extra;
     rig.relay_port = process_get_free_port();
-    for (int i = 0; i < RIG_CONTROLS + entries; i++) {
+    for (int i = 0; i < RIG_CONTROLS + rig.entries_count; i++) {
         rig.rpc_ports[i] = process_get_free_port();
         rig.http_ports[i] = process_get_free_port();
     }
     for (int i = 0; i < RIG_CONTROLS; i++) {
         rig.controls[i] = platform_rig_start_daemon(i, true);
     }
-    for (int i = 0; i < entries; i++) {
+    for (int i = 0; i < rig.entries_count; i++) {
         rig.client_ports[i] = process_get_free_port();
         rig.entries[i] = platform_rig_start_daemon(RIG_CONTROLS + i, false);
     }
-    for (int i = 0; i < RIG_CONTROLS + entries; i++) {
+    for (int i = 0; i < RIG_CONTROLS + rig.entries_count; i++) {
         ck_assert(process_wait_port(rig.http_ports[i]));
     }
-    ck_assert_int_eq(pthread_create(&rig.announcer, NULL,
-                                    platform_rig_announce_upstreams, NULL),
-                     0);
-    rig.announcing = true;
+}
+
+static void
+platform_rig_start_announcers(void)
+{
+    for (int i = 0; i < rig.databases_count * PLATFORM_UPSTREAMS; i++) {
+        rig.announcers[i] =
+            announcer_start(rig.platforms[i / PLATFORM_UPSTREAMS],
+                            i % PLATFORM_UPSTREAMS, i, &rig.leaving[i]);
+    }
+}
+
+void
+platform_rig_start_with(const char *name,
+                        const struct platform_rig_options *options)
+{
+    memset(&rig, 0, sizeof(rig));
+    (void)curl_global_init(CURL_GLOBAL_DEFAULT);
+    rig.folder = process_make_folder(name);
+    rig.entries_count = options->entries;
+    rig.databases_count = options->databases;
+    rig.control_extra = options->control_extra;
+    rig.entry_timings = options->entry_timings;
+    rig.control_timings = options->control_timings;
+    platform_rig_start_platforms();
+    platform_rig_start_daemons();
+    platform_rig_start_announcers();
+}
+
+void
+platform_rig_start(const char *name, int entries, const char *control_extra)
+{
+    struct platform_rig_options options = {
+        .entries = entries,
+        .databases = 1,
+        .control_extra = control_extra,
+        .entry_timings = PLATFORM_RIG_TIMINGS,
+        .control_timings = PLATFORM_RIG_TIMINGS,
+    };
+
+    platform_rig_start_with(name, &options);
 }
 
 void
 platform_rig_stop(void)
 {
-    rig.stopping = true;
-    pthread_join(rig.announcer, NULL);
+    for (int i = 0; i < rig.databases_count * PLATFORM_UPSTREAMS; i++) {
+        announcer_stop(rig.announcers[i]);
+    }
     for (int i = 0; i < RIG_CONTROLS; i++) {
         if (rig.controls[i] != NULL) {
             (void)process_stop(rig.controls[i], SIGKILL);
@@ -158,7 +196,9 @@
             (void)process_stop(rig.entries[i], SIGKILL);
         }
     }
-    platform_stop(rig.platform);
+    for (int i = 0; i < rig.databases_count; i++) {
+        platform_stop(rig.platforms[i]);
+    }
     free(rig.folder);
 }
 
@@ -236,14 +276,17 @@
 
 // Whitespace is removed from the JSON output before it is searched.
 bool
-platform_rig_is_settled(int vm_index)
+platform_rig_is_settled(int vm_index, int timeout_ms)
 {
     char address[64];
-    const char *args[] = {"--connect", address, "--json", "status", NULL};
+    char timeout[16];
+    const char *args[] = {"--connect", address,  "--timeout", timeout,
+                          "--json",    "status", NULL};
     int code = 0;
 
     (void)snprintf(address, sizeof(address), "127.0.0.1:%d",
                    rig.rpc_ports[vm_index]);
+    (void)snprintf(timeout, sizeof(timeout), "%d", timeout_ms);
     char *text = process_run(rig.folder, "catkingrade", args, &code);
     char *end = text;
     for (const char *c = text; *c != '\0'; c++) {
--- a/test/rig/platform_rig.h
+++ b/test/rig/platform_rig.h
@@ -1,14 +1,14 @@
 #ifndef TEST_RIG_PLATFORM_RIG_H
 #define TEST_RIG_PLATFORM_RIG_H
 
-#include <pthread.h>
 #include <stdbool.h>
 
 #include "test/fake/platform.h"
 #include "test/fake/process.h"
+#include "test/rig/announcer.h"
 
 // Test rig: real daemons, three control VMs and up to RIG_ENTRIES entries,
-// that use the fake platform of test/fake/platform.h. Entry i listens on
+// that use the databases of test/fake/platform.h. Entry i listens on
 // loopback address 127.0.0.(i + 1) for RPC and relay connections, since all
 // entries share one relay port.
 //
@@ -16,17 +16,19 @@
 // then the entries.
 
 #define RIG_CONTROLS     3
-#define RIG_ENTRIES      3
+#define RIG_ENTRIES      5
+#define RIG_DATABASES    3
 #define RIG_WAIT_ROUNDS  500
 #define RIG_WAIT_STEP_US 20000
-// Of a planned stop: until the listeners close, and until it ends.
+// drain_notice_ms of the default timings.
 #define RIG_DRAIN_NOTICE_MS 100
-#define RIG_DRAIN_LIMIT_MS  2000
 
 // Arrays of RIG_CONTROLS + RIG_ENTRIES elements are indexed by vm_index.
 struct platform_rig {
     char *folder;
-    struct platform *platform;
+    struct platform *platform; // the first database
+    struct platform *platforms[RIG_DATABASES];
+    int databases_count;
     struct process *controls[RIG_CONTROLS];
     struct process *entries[RIG_ENTRIES];
     int entries_count;
@@ -35,10 +37,21 @@
     int http_ports[RIG_CONTROLS + RIG_ENTRIES];
     int client_ports[RIG_ENTRIES]; // for clients, by entry
     int relay_port;
-    pthread_t announcer;
-    bool announcing;
-    volatile bool stopping;
-    volatile bool leaving[PLATFORM_UPSTREAMS]; // announced as draining
+    const char *entry_timings;
+    const char *control_timings;
+    // By the number in the upstream's id.
+    struct announcer *announcers[RIG_DATABASES * PLATFORM_UPSTREAMS];
+    // Announced as draining for good.
+    volatile bool leaving[RIG_DATABASES * PLATFORM_UPSTREAMS];
+};
+
+struct platform_rig_options {
+    int entries;
+    int databases;
+    const char *control_extra; // see platform_rig_start()
+    // JSON settings that end in _ms, separated by commas.
+    const char *entry_timings;
+    const char *control_timings;
 };
 
 extern struct platform_rig rig;
@@ -47,11 +60,18 @@
 // additional JSON settings of the control VMs, each preceded by a comma.
 void platform_rig_start(const char *name, int entries,
                         const char *control_extra);
+// The same with further options, which must stay valid.
+void platform_rig_start_with(const char *name,
+                             const struct platform_rig_options *options);
 // Kills all daemons and stops the fake platform.
 void platform_rig_stop(void);
 // Starts the daemon of a VM. bootstrap: the value of that setting.
 struct process *platform_rig_start_daemon(int vm_index, bool bootstrap);
-// Sends one HTTP request to a daemon; see platform_call_http.
+// Sends one HTTP request to a daemon; see platform_call_http. The second one
+// waits for 3 s.
+char *platform_rig_call_within(int vm_index, const char *method,
+                               const char *path, const char *body,
+                               long timeout_ms, long *status);
 char *platform_rig_call(int vm_index, const char *method, const char *path,
                         const char *body, long *status);
 // Sends a configuration. Returns the HTTP status; 0: no response.
@@ -63,7 +83,8 @@
 int platform_rig_wait_answer(int entry, const char *name, const char *line,
                              const char *expected);
 // Returns whether a control VM reports three voters, all of which vote.
-bool platform_rig_is_settled(int vm_index);
+// timeout_ms: time to wait for each daemon.
+bool platform_rig_is_settled(int vm_index, int timeout_ms);
 // Returns whether the log of a VM contains a text.
 bool platform_rig_log_contains(int vm_index, const char *text);
 // Removes the data directory of a control VM, which must not be running.
