--- a/soak/faults.c
+++ b/soak/faults.c
@@ -314,6 +314,19 @@
     return replaced < 2 && !announcer_is_replacing(rig.announcers[id]);
 }
 
+// Returns whether a control VM listens. Before that SIGTERM ends it at once,
+// since it handles no signals yet.
+static bool
+fault_can_stop_control(int control)
+{
+    int fd = platform_connect(rig.http_ports[control]);
+
+    if (fd >= 0) {
+        (void)close(fd);
+    }
+    return fd >= 0;
+}
+
 static bool
 fault_excludes(enum fault_kind one, enum fault_kind other)
 {
@@ -339,6 +352,9 @@
     if (fault_affects_entry(fault->kind)) {
         return entries_is_up(fault->target) && entries_count_up() > 1;
     }
+    if (fault->kind == FAULT_STOP_CONTROL) {
+        return fault_can_stop_control(fault->target);
+    }
     if (fault->kind == FAULT_KILL_UPSTREAM) {
         return fault_can_kill_upstream(fault->target);
     }
