--- a/src/catkingrade/kernel/daemon.c
+++ b/src/catkingrade/kernel/daemon.c
@@ -14,7 +14,8 @@
 #include "catkingrade/kernel/settings.h"
 #include "catkingrade/kernel/timeline.h"
 
-#define DAEMON_DRAIN_POLL_US 50000
+#define DAEMON_DRAIN_POLL_US   50000
+#define DAEMON_RELEASE_POLL_US 5000
 // Maximum time to write the last answers of a planned stop.
 #define DAEMON_FINISH_LIMIT_US 500000
 
@@ -30,10 +31,10 @@
 
 static struct daemon_stop daemon_stop_state;
 
-// Stops the control loop once no request is in flight. When drain_limit_us has
-// passed since the stop began, has the requests in flight answered, and allows
-// DAEMON_FINISH_LIMIT_US for the answers to be written. Until then, checks
-// again every DAEMON_DRAIN_POLL_US.
+// Stops the control loop once no request is in flight and nothing is held that
+// other VMs wait for. When drain_limit_us has passed since the stop began, has
+// the requests in flight answered, and allows DAEMON_FINISH_LIMIT_US for the
+// answers to be written. Until then, checks again.
 static void
 daemon_poll_drain(void *data)
 {
@@ -48,8 +49,10 @@
         stop->finishing = true;
         plugin_finish_all(daemon);
     }
-    if (!drained && over_us < DAEMON_FINISH_LIMIT_US) {
-        loop_timer_set(stop->timer, now_us + DAEMON_DRAIN_POLL_US);
+    bool released = drained && plugin_release_all(daemon);
+    if (!released && over_us < DAEMON_FINISH_LIMIT_US) {
+        loop_timer_set(stop->timer, now_us + (drained ? DAEMON_RELEASE_POLL_US
+                                                      : DAEMON_DRAIN_POLL_US));
         return;
     }
     LOG_INFO("stopped", "drained=%d", drained);
--- a/src/catkingrade/kernel/plugin.c
+++ b/src/catkingrade/kernel/plugin.c
@@ -84,6 +84,21 @@
     return true;
 }
 
+// Makes all running plug-ins give up what other VMs wait for. Returns whether
+// all have done so.
+bool
+plugin_release_all(struct daemon *daemon)
+{
+    bool released = true;
+
+    for (size_t i = 0; i < plugin_count; i++) {
+        if (plugins_started[i] && plugins[i]->release != NULL) {
+            released = plugins[i]->release(daemon) && released;
+        }
+    }
+    return released;
+}
+
 // Stops all running plug-ins in the reverse order of their start.
 void
 plugin_stop_all(struct daemon *daemon)
--- a/src/catkingrade/kernel/plugin.h
+++ b/src/catkingrade/kernel/plugin.h
@@ -23,6 +23,9 @@
     void (*finish)(struct daemon *daemon);
     // Returns whether no request is in flight. NULL: always drained.
     bool (*is_drained)(struct daemon *daemon);
+    // Gives up what other VMs wait for, once no request is in flight. Called
+    // until it returns true, as long as the stop has time. NULL: nothing.
+    bool (*release)(struct daemon *daemon);
     void (*stop)(struct daemon *daemon);
 };
 
@@ -31,6 +34,7 @@
 void plugin_drain_all(struct daemon *daemon);
 void plugin_finish_all(struct daemon *daemon);
 bool plugin_all_drained(struct daemon *daemon);
+bool plugin_release_all(struct daemon *daemon);
 void plugin_stop_all(struct daemon *daemon);
 
 #define PLUGIN_REGISTER(plugin_variable)                                      \
--- a/src/catkingrade/plugins/control.c
+++ b/src/catkingrade/plugins/control.c
@@ -74,11 +74,20 @@
     daemon->lease_agent = NULL;
 }
 
+// Gives the leases back, so that no change of primary waits for them.
+static bool
+leases_release(struct daemon *daemon)
+{
+    lease_agent_return(daemon->lease_agent);
+    return lease_agent_is_returned(daemon->lease_agent);
+}
+
 static const struct plugin leases_plugin = {
     .name = "leases",
     .order = 35,
     .is_enabled = leases_is_enabled,
     .start = leases_start,
+    .release = leases_release,
     .stop = leases_stop,
 };
 
