fix(coordinator): a primary too busy to report its position is not at position 0

Callers could lose saves: a planned change of primary promoted a replica that lacked acknowledged writes. Cause: a probe that the upstream answers with BUSY until its timeout counts as an answer, so that a busy primary is not taken for lost. It carried position 0, which every replica has reached. Change: such a probe is evidence that the upstream lives, and no position. A planned change waits for a position until its time to catch up is over; then the old primary stays, with the base of its term.

--- a/src/catkingrade/control/group_coordinator.c
+++ b/src/catkingrade/control/group_coordinator.c
@@ -98,6 +98,7 @@
             : group_find_database(host->state, upstream->database);
 
     event->kind = COORDINATOR_EVENT_PROBED;
+    event->probe.is_busy = true;
     event->probe.is_primary =
         database != NULL && strcmp(database->primary, result->upstream) == 0;
 }
--- a/src/catkingrade/decide/coordinator/coordinator.h
+++ b/src/catkingrade/decide/coordinator/coordinator.h
@@ -81,6 +81,7 @@
     const char *upstream;
     bool is_primary;
     bool refused; // PROBE_FAILED: the host refused; else there was no answer
+    bool is_busy; // PROBED: too busy to report its role and position
     struct ck_position position;
 };
 
--- a/src/catkingrade/decide/coordinator/coordinator_choice.c
+++ b/src/catkingrade/decide/coordinator/coordinator_choice.c
@@ -206,10 +206,12 @@
         db->is_planned = false;
         return;
     }
-    if (!db->members[old_primary].answered) {
+    bool old_answered = db->members[old_primary].answered;
+    if (!old_answered && !db->members[old_primary].is_busy) {
         return;
     }
-    if (target != PROMOTION_NONE && db->members[target].answered &&
+    if (old_answered && target != PROMOTION_NONE &&
+        db->members[target].answered &&
         promotion_compare(&db->members[target].position,
                           &db->members[old_primary].position) >= 0) {
         coordinator_promote(coordinator, db, database, target);
--- a/src/catkingrade/decide/coordinator/coordinator_database.c
+++ b/src/catkingrade/decide/coordinator/coordinator_database.c
@@ -202,6 +202,7 @@
     for (size_t i = 0; i < db->members_count; i++) {
         struct coordinator_member *member = &db->members[i];
         member->answered = false;
+        member->is_busy = false;
         member->failed = false;
         member->failures = 0;
         member->next_probe_us = 0;
@@ -276,7 +277,11 @@
                             probe->refused);
     }
     if (member->probe_sent_us >= db->phase_us) {
-        if (answered) {
+        if (answered && probe->is_busy) {
+            member->is_busy = true;
+            member->is_primary = probe->is_primary;
+        }
+        else if (answered) {
             coordinator_record_probe_answer(member, probe);
             db->is_demoted = !probe->is_primary &&
                              strcmp(database->primary, probe->upstream) == 0;
--- a/src/catkingrade/decide/coordinator/coordinator_failover.c
+++ b/src/catkingrade/decide/coordinator/coordinator_failover.c
@@ -394,7 +394,8 @@
         // If the old primary stays, its timeline and thus the base of the term
         // stay too.
         bool stays = db->is_kept &&
-                     member->position.timeline == database->base.timeline;
+                     (!member->answered ||
+                      member->position.timeline == database->base.timeline);
         db->base = stays ? database->base : member->position;
         coordinator_propose_primary(coordinator, db, database);
         return;
--- a/src/catkingrade/decide/coordinator/coordinator_private.h
+++ b/src/catkingrade/decide/coordinator/coordinator_private.h
@@ -74,7 +74,8 @@
 struct coordinator_member {
     char *name;
     bool probing;      // a probe is in flight
-    bool answered;     // in this phase
+    bool answered;     // in this phase, with its position
+    bool is_busy;      // in this phase it was too busy to report it
     bool failed;       // in this phase
     bool is_primary;   // in the last answer
     bool is_regressed; // position is below max_position
--- a/test/unit/decide/coordinator/test_planned_bound.c
+++ b/test/unit/decide/coordinator/test_planned_bound.c
@@ -74,6 +74,7 @@
     uint64_t lsn;
     char host[16];
     ck_upstream_state state;
+    bool is_busy; // it answers probes without a position
     bool is_gone; // it neither announces itself nor answers
     bool is_probed;
     int64_t promoted_us; // end of its promotion; 0: none
@@ -334,8 +335,9 @@
     event.probe.is_primary =
         is_promoted || strcmp(get_database(rig, upstream->database)->primary,
                               upstream->name) == 0;
-    event.probe.position.timeline = 1;
-    event.probe.position.lsn = upstream->lsn;
+    event.probe.is_busy = upstream->is_busy;
+    event.probe.position.timeline = upstream->is_busy ? 0 : 1;
+    event.probe.position.lsn = upstream->is_busy ? 0 : upstream->lsn;
     if (upstream->is_gone) {
         return;
     }
@@ -825,6 +827,22 @@
 }
 END_TEST
 
+// Guards against a replica that is promoted without what the old primary has
+// acknowledged, because the old primary is too busy to report its position.
+START_TEST(test_busy_primary_does_not_count_as_reached)
+{
+    struct rig rig;
+
+    start(&rig);
+    rig.upstreams[0].is_busy = true;
+    rig.upstreams[1].lsn = 40;
+    advance(&rig, NULL);
+    (void)replace_primary(&rig, "u0", NULL);
+    ck_assert_str_ne(get_database(&rig, 0)->primary, "u1");
+    finish(&rig);
+}
+END_TEST
+
 static void
 add_tests(TCase *tests)
 {
@@ -842,6 +860,7 @@
     tcase_add_test(tests, test_next_leader_replaces_leaving_primary);
     tcase_add_test(tests, test_lagging_replicas_do_not_extend_change);
     tcase_add_test(tests, test_overdue_change_waits_for_answers);
+    tcase_add_test(tests, test_busy_primary_does_not_count_as_reached);
     tcase_add_test(tests, test_stopped_entries_are_not_awaited);
     tcase_add_loop_test(
         tests, test_lost_upstream_is_removed_while_entries_fail_in_turn, 0,
