--- a/soak/soak.c
+++ b/soak/soak.c
@@ -42,7 +42,9 @@
 #define SOAK_MAX_FAULTY_US 8000000
 #define SOAK_MIN_CALM_US   10000000
 #define SOAK_MAX_CALM_US   18000000
-#define SOAK_SETTINGS      ",\"relay_min_connections\": 2"
+// switchover_ms is the time for which a leaving upstream serves, as in
+// test/rig/announcer.h.
+#define SOAK_SETTINGS ",\"relay_min_connections\": 2,\"switchover_ms\": 7000"
 
 enum soak_mode {
     SOAK_PLANNED,
@@ -62,7 +64,8 @@
 static struct soak soak = {.seed = 1, .minutes = 1};
 
 // Returns the settings in milliseconds of a file in the folder deploy, which
-// has each on a line of its own. The caller frees the text.
+// has each on a line of its own, except those that the platform fills in. The
+// caller frees the text.
 static char *
 soak_read_timings(const char *name)
 {
@@ -74,7 +77,7 @@
     for (char *line = strtok_r(text, "\n", &rest); line != NULL;
          line = strtok_r(NULL, "\n", &rest)) {
         size_t size = strcspn(line, ",");
-        if (strstr(line, "_ms\": ") != NULL) {
+        if (strstr(line, "_ms\": ") != NULL && strstr(line, "{{") == NULL) {
             buffer_append_format(&timings, "%s%.*s",
                                  buffer_get_size(&timings) == 0 ? "" : ",",
                                  (int)size, line);
