--- a/test/fake/platform.h
+++ b/test/fake/platform.h
@@ -91,8 +91,8 @@
 // caller frees. The reply is incomplete if the connection ends before READY,
 // and NULL if nothing was received.
 char *platform_receive_reply(int fd);
-// Waits for the end of the connection, 20 s for each read. Returns all that was
-// received, which the caller frees.
+// Waits for the end of the connection, 20 s for each read. Returns all that
+// was received, which the caller frees.
 char *platform_receive_rest(int fd);
 // Sends one request and returns the reply, see platform_receive_reply.
 char *platform_send_request(int fd, const char *line);
