fix(daemon): a signal that arrives during the start does not end the daemon

Seen by the soak: a SIGHUP or SIGTERM within about 15 ms of a start ended the process, as the default of these signals does; a reload must not. Cause: the signals were blocked only after the settings had been read. Change: they are blocked first. Result: test_reload_while_starting fails before (the process is killed while it reads its settings from a pipe) and passes now.

--- a/src/catkingrade/daemon/main.c
+++ b/src/catkingrade/daemon/main.c
@@ -125,6 +125,7 @@
     struct main_options options = {0};
     struct buffer errors = {0};
 
+    main_block_signals();
     argp_parse(&main_argp, argc, argv, 0, NULL, &options);
     struct settings *settings = settings_load(options.settings_path, &errors);
     if (settings == NULL) {
@@ -138,7 +139,6 @@
         settings_destroy(settings);
         return EXIT_SUCCESS;
     }
-    main_block_signals();
     main_raise_file_limit();
     apr_initialize();
     int status = main_run(settings, options.bootstrap);
--- a/test/contract/test_stop.c
+++ b/test/contract/test_stop.c
@@ -1,8 +1,9 @@
+#include <fcntl.h>
 #include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
-#include <sys/socket.h>
+#include <sys/stat.h>
 #include <unistd.h>
 
 #include "catkingrade/kernel/memory.h"
@@ -225,6 +226,34 @@
 }
 END_TEST
 
+// Guards against a daemon that a reload ends because it is still starting.
+START_TEST(test_reload_while_starting)
+{
+    static const char settings[] =
+        "{\"vm\": \"vm0\", \"failure_domain\": \"noord\", "
+        "\"roles\": [\"entry\"], \"view_file\": \"view.json\", "
+        "\"listen\": {\"postgres\": \"127.0.0.1:5432\"}}";
+    char *folder = process_make_folder("stop_start");
+    char *path = xasprintf("%s/settings.json", folder);
+    char *log = xasprintf("%s/daemon.log", folder);
+    const char *args[] = {"--settings", path, "--check", NULL};
+
+    (void)signal(SIGPIPE, SIG_IGN);
+    ck_assert_int_eq(mkfifo(path, 0600), 0);
+    struct process *process = process_start(log, "catkingraded", args);
+    // Returns once the daemon reads its settings.
+    int fd = open(path, O_WRONLY | O_CLOEXEC);
+    ck_assert_int_ge(fd, 0);
+    ck_assert_int_eq(kill(process_get_pid(process), SIGHUP), 0);
+    (void)!write(fd, settings, strlen(settings));
+    close(fd);
+    ck_assert_int_eq(process_wait(process), 0);
+    free(log);
+    free(path);
+    free(folder);
+}
+END_TEST
+
 // Returns the entry that uses the other one as its relay.
 static int
 wait_for_relay(void)
@@ -445,6 +474,7 @@
     tcase_add_test(tests, test_answer_during_stop_is_delivered);
     tcase_add_test(tests, test_client_that_leaves_during_stop);
     tcase_add_test(tests, test_statement_that_crosses_end_is_refused);
+    tcase_add_test(tests, test_reload_while_starting);
     tcase_add_test(tests, test_relay_stop_awaits_relayed_write);
     tcase_add_test(tests, test_read_at_stopping_relay_goes_on);
     tcase_add_test(tests, test_session_stays_after_lost_transaction);
