--- a/src/catkingrade/control/lease_agent.c
+++ b/src/catkingrade/control/lease_agent.c
@@ -668,7 +668,7 @@
     free(agent);
 }
 
-// Gives all leases back, as the last act of a stop that needs them: no entry
+// Gives all leases back, as the last step of a stop that needs them: no entry
 // or control VM waits for them afterwards. First the traffic threads give up
 // the term of every database, as for a revocation; so from then on this entry
 // acknowledges no write and sends no read that needs the lease. Requests that
--- a/src/catkingrade/decide/leaseholder/leaseholder.c
+++ b/src/catkingrade/decide/leaseholder/leaseholder.c
@@ -445,11 +445,10 @@
         at_us;
 }
 
-// Handles one event and appends the resulting actions. The last action is
-// WAKE, which replaces the wake-up time requested earlier; it is missing once
-// the lease is returned. A call
-// without a result or a reported failure within twice its timeout counts as
-// failed.
+// Handles one event and appends the resulting actions. Until the lease is
+// returned, the last action is WAKE, which replaces the wake-up time requested
+// earlier. A call without a result or a reported failure within twice its
+// timeout counts as failed.
 void
 leaseholder_step(struct leaseholder *holder, int64_t now_us,
                  const struct leaseholder_event *event,
