fix(relay): the role of a relay moves without refusals

Callers saw: BUSY not_run, 300 ms, for a statement with 5 s left, through an entry whose relay stops being one because a preferred entry has started. Cause, two faults: - The retry budget starts empty and gains a tenth with each request, so that an entry that has started can send nothing again. The budget limits the load on upstreams; a statement that no relay has read has loaded none. - An entry that stops being a relay left the sessions of other entries open, and each answered one statement as misrouted: three idle links use up the attempts of one request within 20 ms. Change: sending again what no relay has read needs no budget (attempts, backoff and deadline still limit it), and an entry that begins to use relays announces the end of its relay sessions at once.

--- a/src/catkingrade/decide/traffic/retry.c
+++ b/src/catkingrade/decide/traffic/retry.c
@@ -42,21 +42,34 @@
     return limit_us / 2 + random_below(&scheduler->random, limit_us / 2);
 }
 
+// Returns whether a request may have another attempt: it has attempts left,
+// its session goes on, and it may run elsewhere. A request for the primary may
+// not, since the primary has just failed. Relays stand for the primary in
+// turn, so that the next one may run it.
+static bool
+retry_is_allowed(const struct scheduler *scheduler,
+                 const struct request *request)
+{
+    bool needs_primary = request->request_class == SCHEDULER_CLASS_WRITE ||
+                         request->request_class == SCHEDULER_CLASS_BEGIN;
+
+    return request->tries < SCHEDULER_TRIES_MAX && !request->session->ended &&
+           (!needs_primary || scheduler->view.relayed);
+}
+
 // Schedules another attempt of a request that failed at an upstream, to run at
-// another one. Returns false if the request must end: it has used all its
-// attempts, the retry budget is empty, its deadline is too near, its session
-// has ended, or it may only run on the primary, which has just failed. Relays
-// stand for the primary in turn, so that the next one may run it.
+// another one. Returns false if the request must end: no other attempt is
+// allowed, its deadline is too near, or the retry budget is empty. A request
+// that no relay has read needs no budget, as its attempt has loaded no
+// upstream.
 bool
 retry_schedule(struct scheduler *scheduler, struct request *request,
-               uint32_t failed_upstream)
+               uint32_t failed_upstream, bool not_sent)
 {
-    bool needs_primary = request->request_class == SCHEDULER_CLASS_WRITE ||
-                         request->request_class == SCHEDULER_CLASS_BEGIN;
+    double tokens = not_sent && scheduler->view.relayed ? 0 : 1;
 
-    if (request->tries == SCHEDULER_TRIES_MAX || scheduler->retry_tokens < 1 ||
-        (needs_primary && !scheduler->view.relayed) ||
-        request->session->ended) {
+    if (!retry_is_allowed(scheduler, request) ||
+        scheduler->retry_tokens < tokens) {
         return false;
     }
     request->tried[request->tries++] = failed_upstream;
@@ -65,7 +78,7 @@
     if (at_us >= request->deadline_us) {
         return false;
     }
-    scheduler->retry_tokens -= 1;
+    scheduler->retry_tokens -= tokens;
     request->state = REQUEST_BACKOFF;
     request->conn = SCHEDULER_NO_ID;
     request->wait_until_us = at_us;
--- a/src/catkingrade/decide/traffic/retry.h
+++ b/src/catkingrade/decide/traffic/retry.h
@@ -14,6 +14,6 @@
 void retry_add_credit(struct scheduler *scheduler);
 bool retry_was_tried(const struct request *request, uint32_t upstream);
 bool retry_schedule(struct scheduler *scheduler, struct request *request,
-                    uint32_t failed_upstream);
+                    uint32_t failed_upstream, bool not_sent);
 
 #endif
--- a/src/catkingrade/decide/traffic/scheduler_result.c
+++ b/src/catkingrade/decide/traffic/scheduler_result.c
@@ -169,7 +169,7 @@
     if (!was_pinned &&
         (not_sent || (result == SCHEDULER_RESULT_CONN_LOST && repeatable &&
                       request_is_read(request)))) {
-        if (retry_schedule(scheduler, request, upstream)) {
+        if (retry_schedule(scheduler, request, upstream, not_sent)) {
             return;
         }
     }
--- a/src/catkingrade/entry/worker.c
+++ b/src/catkingrade/entry/worker.c
@@ -27,6 +27,7 @@
     bool started;
     struct loop *loop;
     struct loop_timer *removal_timer;
+    struct loop_timer *listener_timer;
     struct classifier *classifier;
     struct database **databases;
     size_t databases_count;
@@ -46,6 +47,7 @@
 };
 
 static void worker_remove_databases(void *data);
+static void worker_notify_listener(void *data);
 
 // Creates a worker whose thread does not run yet.
 struct worker *
@@ -59,6 +61,8 @@
     INVARIANT(worker->loop != NULL);
     worker->removal_timer =
         loop_timer_create(worker->loop, worker_remove_databases, worker);
+    worker->listener_timer =
+        loop_timer_create(worker->loop, worker_notify_listener, worker);
     worker->classifier =
         classifier_create(entry_get_settings(entry)->classify_cache_entries);
     pthread_mutex_init(&worker->databases_mutex, NULL);
@@ -135,6 +139,7 @@
     view_release(worker->view);
     classifier_destroy(worker->classifier);
     loop_timer_destroy(worker->removal_timer);
+    loop_timer_destroy(worker->listener_timer);
     pthread_mutex_destroy(&worker->databases_mutex);
     loop_destroy(worker->loop);
     free(worker->leases);
@@ -265,12 +270,14 @@
 }
 
 // Puts the worker's view, quotas and relays in force for a database. Ends the
-// sessions of a database that the view does not contain.
+// sessions of a database that the view does not contain. Once this entry uses
+// relays itself, the listener ends the sessions of other entries.
 static void
 worker_apply_view(struct worker *worker, struct database *database)
 {
     const struct ck_database *config =
         view_find_database(worker->view, database_get_name(database));
+    bool was_relayed = database_is_relayed(database);
     size_t count = 0;
 
     if (config == NULL) {
@@ -288,6 +295,9 @@
     database_set_relay(database, worker_find_relay(worker, config->name));
     database_set_view(database, worker->view, quotas, count);
     free(quotas);
+    if (!was_relayed && database_is_relayed(database)) {
+        loop_timer_set(worker->listener_timer, loop_get_now_us(worker->loop));
+    }
 }
 
 static void
@@ -370,10 +380,11 @@
 }
 
 // Notifies the listener of a new view or the first lease, for which sessions
-// may be waiting.
+// may be waiting, or of the use of relays.
 static void
-worker_notify_listener(struct worker *worker)
+worker_notify_listener(void *data)
 {
+    struct worker *worker = data;
     const struct entry_listener *listener = entry_get_listener(worker->entry);
 
     if (worker->listener_state != NULL && listener->handle_view != NULL) {
--- a/test/contract/test_relay.c
+++ b/test/contract/test_relay.c
@@ -18,6 +18,12 @@
 #define ENTRIES        2
 #define RELAY_SETTINGS ",\"relay_min_connections\": 3"
 
+// Entries, the time until their roles do not change any more, and the writes
+// at each in which the role moves.
+#define ROLE_ENTRIES   3
+#define ROLE_SETTLE_US 2000000
+#define ROLE_WRITES    200
+
 #define CONFIG                                                                \
     "{\"version\":1,\"routes\":["                                             \
     "{\"host\":\"own\",\"routeKind\":\"read_own_writes\","                    \
@@ -171,6 +177,59 @@
 }
 END_TEST
 
+// Returns the entry that holds the connections to the upstreams: the last one
+// that has not begun to use a relay, or has ended it since.
+static int
+find_relay_entry(int entries)
+{
+    for (int entry = 0; entry < entries; entry++) {
+        if (platform_rig_count_in_log(RIG_CONTROLS + entry, "relay_begun") ==
+            platform_rig_count_in_log(RIG_CONTROLS + entry, "relay_ended")) {
+            return entry;
+        }
+    }
+    return -1;
+}
+
+// Guards against refusals while the role of the relay moves to an entry that
+// has started: the requests of the other entries have time left.
+START_TEST(test_requests_go_on_while_relay_role_moves)
+{
+    int fds[ROLE_ENTRIES];
+
+    platform_rig_start("relay_role_moves", ROLE_ENTRIES, RELAY_SETTINGS);
+    platform_rig_wait_config(0, CONFIG);
+    for (int i = 0; i < ROLE_ENTRIES; i++) {
+        close(platform_rig_wait_answer(i, "current", "QUERY a0 WRITE k0 zero",
+                                       "sig-a0"));
+    }
+    usleep(ROLE_SETTLE_US);
+    int relay = find_relay_entry(ROLE_ENTRIES);
+    ck_assert_int_ge(relay, 0);
+    (void)process_stop(rig.entries[relay], SIGTERM);
+    for (int i = 0; i < ROLE_ENTRIES; i++) {
+        fds[i] = i == relay
+                     ? -1
+                     : platform_rig_wait_answer(
+                           i, "current", "QUERY a0 WRITE k0 zero", "sig-a0");
+    }
+    usleep(ROLE_SETTLE_US);
+    rig.entries[relay] =
+        platform_rig_start_daemon(RIG_CONTROLS + relay, false);
+    for (int n = 0; n < ROLE_WRITES; n++) {
+        for (int i = 0; i < ROLE_ENTRIES; i++) {
+            if (i != relay) {
+                platform_rig_expect(fds[i], "QUERY b0 WRITE k1 one",
+                                    "COMPLETE sig-b0\r\nREADY I -\r\n");
+            }
+        }
+        usleep(RIG_WAIT_STEP_US / 4);
+    }
+    ck_assert_int_eq(find_relay_entry(ROLE_ENTRIES), relay);
+    platform_rig_stop();
+}
+END_TEST
+
 static void
 add_tests(TCase *tests)
 {
@@ -179,6 +238,7 @@
     tcase_add_test(tests, test_relay_entry_is_killed);
     tcase_add_test(tests, test_relay_entry_is_stopped);
     tcase_add_test(tests, test_failover_behind_relay);
+    tcase_add_test(tests, test_requests_go_on_while_relay_role_moves);
 }
 
 TEST_MAIN("relay", add_tests)
--- a/test/rig/platform_rig.c
+++ b/test/rig/platform_rig.c
@@ -367,16 +367,26 @@
     }
 }
 
-bool
-platform_rig_log_contains(int vm_index, const char *text)
+int
+platform_rig_count_in_log(int vm_index, const char *text)
 {
     char path[512];
+    int count = 0;
 
     (void)snprintf(path, sizeof(path), "%s/vm%d.log", rig.folder, vm_index);
     char *log = process_read_file(path);
-    bool found = strstr(log, text) != NULL;
+    for (const char *at = strstr(log, text); at != NULL;
+         at = strstr(at + 1, text)) {
+        count++;
+    }
     free(log);
-    return found;
+    return count;
+}
+
+bool
+platform_rig_log_contains(int vm_index, const char *text)
+{
+    return platform_rig_count_in_log(vm_index, text) > 0;
 }
 
 void
--- a/test/rig/platform_rig.h
+++ b/test/rig/platform_rig.h
@@ -85,6 +85,8 @@
 // Returns whether a control VM reports three voters, all of which vote.
 // timeout_ms: time to wait for each daemon.
 bool platform_rig_is_settled(int vm_index, int timeout_ms);
+// Returns how often the log of a VM contains a text.
+int platform_rig_count_in_log(int vm_index, const char *text);
 // Returns whether the log of a VM contains a text.
 bool platform_rig_log_contains(int vm_index, const char *text);
 // Removes the data directory of a control VM, which must not be running.
--- a/test/unit/decide/traffic/test_scheduler_relay.c
+++ b/test/unit/decide/traffic/test_scheduler_relay.c
@@ -180,6 +180,20 @@
 }
 END_TEST
 
+// Guards against refusals by an entry that has just started, whose retry
+// budget is empty, when its relay ends the session.
+START_TEST(test_first_requests_go_to_next_relay)
+{
+    static const enum scheduler_class classes[] = {
+        SCHEDULER_CLASS_READ, SCHEDULER_CLASS_WRITE, SCHEDULER_CLASS_BEGIN};
+
+    setup();
+    struct scheduler_action sent = send_request(classes[_i]);
+    ck_assert(lose_and_check_retry(&sent, SCHEDULER_RESULT_NOT_SENT));
+    scheduler_rig_free(&rig);
+}
+END_TEST
+
 static void
 add_tests(TCase *tests)
 {
@@ -188,6 +202,7 @@
     tcase_add_test(tests, test_new_term_keeps_relayed_requests);
     tcase_add_test(tests, test_save_goes_to_next_relay_unless_it_may_have_run);
     tcase_add_test(tests, test_lease_needed_after_relaying_ends);
+    tcase_add_loop_test(tests, test_first_requests_go_to_next_relay, 0, 3);
 }
 
 TEST_MAIN("scheduler_relay", add_tests)
