--- a/src/catkingrade/cli/explain.c
+++ b/src/catkingrade/cli/explain.c
@@ -38,6 +38,7 @@
     "revoked",          "promoting",       "promoted",     "published",
     "promotion_failed", "promotion_waits", "group_role",   "elected",
     "started",          "stopping",        "stopped",      "upstream_refused",
+    "sessions_ended",
 };
 
 // Returns a member of a log line, or "" if it is missing.
@@ -182,6 +183,11 @@
                      explain_get_text(object, "lease_left_ms"),
                      explain_get_text(object, "retry_after_ms"));
     }
+    else if (strcmp(event, "statement_refused") == 0) {
+        (void)printf("refused with %s, not run: %s",
+                     explain_get_text(object, "code"),
+                     explain_get_text(object, "reason"));
+    }
     else if (strcmp(event, "request_unknown") == 0) {
         (void)printf("unknown outcome at upstream %s: %s (after %s ms, term "
                      "%s, %s ms left of the lease)",
--- a/test/contract/test_platform.c
+++ b/test/contract/test_platform.c
@@ -434,6 +434,20 @@
     }
 }
 
+// Sends a read. Returns its answer, or NULL if the entry ends the session: by
+// an announcement, or by closing the connection.
+static char *
+read_unless_ended(int fd, const char *line)
+{
+    char *text = platform_send_request(fd, line);
+
+    if (text != NULL && strstr(text, "this entry ends its sessions") != NULL) {
+        free(text);
+        return NULL;
+    }
+    return text;
+}
+
 // Reads until the answer is an error and closes the session. id receives the
 // request id of that read.
 static void
@@ -446,7 +460,7 @@
         char line[64];
         (void)snprintf(id, size, "stale%d", i);
         (void)snprintf(line, sizeof(line), "QUERY %s READ k2", id);
-        char *text = platform_send_request(fd, line);
+        char *text = read_unless_ended(fd, line);
         if (text == NULL) {
             // An entry without a lease ends its sessions, once.
             ck_assert(!ended);
--- a/test/contract/test_stop.c
+++ b/test/contract/test_stop.c
@@ -220,6 +220,8 @@
     free(text);
     ck_assert_int_eq(platform_count_writes(rig.platform, "one"), 0);
     ck_assert_int_eq(platform_count_writes(rig.platform, "two"), 0);
+    ck_assert(platform_rig_log_contains(RIG_CONTROLS, "\"id\":\"a1\""));
+    ck_assert(platform_rig_log_contains(RIG_CONTROLS, "\"id\":\"a2\""));
     close(fd);
     wait_for_entry(0);
     platform_rig_stop();
