fix(coordinator): a planned change waits for a replica that follows

Cause: the primary and the replica that takes over leave within a second. The second change superseded the term as soon as the lease holders had answered, milliseconds after the publication of the term. No replica had its position by then (in the stand-in it comes with the first write; at PostgreSQL with FOLLOW, which a change puts off), and without a term nothing moves it: half of switchover_ms passed without a primary. After that the pause of switchover_ms from the end of the change ruled out a second try.

Solution: a planned change supersedes the term once a ready replica has reached a position that the primary reported since the plan, besides the answers of the holders. The primary serves meanwhile. The wait ends one lease before the leases, a time that is set from the announcement, so nothing extends it. The pause is a tenth of switchover_ms while another change can still end within the limit of the leaving primary; such a second try waits for its target until the last moment at which it fits. A change is dropped before the term ends if no upstream is ready any more. A change because replicas lag doesn't wait, as it ends the lag.

test_planned_change_waits_for_silent_holder now answers the probes, which the change sends; its checks are the same.

--- a/src/catkingrade/decide/coordinator/coordinator_planned.c
+++ b/src/catkingrade/decide/coordinator/coordinator_planned.c
@@ -1,19 +1,22 @@
 // Planned changes of primary: the primary leaves, an operator requests a
 // switchover, or the replicas of an overloaded primary lag. The old primary
 // serves until its term is superseded: the term ends only once every lease
-// holder has answered or has no lease any more. The revocation then waits for
-// no frozen, cut-off or killed entry.
+// holder has answered or has no lease any more, and once a replica has reached
+// a position that the primary reported since the change was planned. The
+// revocation then waits for no frozen, cut-off or killed entry, and the
+// promotion for no replica that does not follow the primary yet.
 //
 // All waits of a change end by times that are set when it begins, whatever
 // happens to the holders meanwhile: leases that cover the term are over in
-// time for a promotion within switchover_us, and the wait for silent holders
-// ends one lease before that.
+// time for a promotion within switchover_us, and the waits before the term is
+// superseded end one lease before that.
 
 #include <inttypes.h>
 #include <stdlib.h>
 #include <string.h>
 
 #include "catkingrade/decide/coordinator/coordinator_private.h"
+#include "catkingrade/decide/coordinator/promotion.h"
 #include "catkingrade/kernel/memory.h"
 
 // Time without a primary that a planned change is expected to take before one
@@ -22,6 +25,37 @@
 // The time limit of a planned change divided by this is kept for the
 // promotion.
 #define COORDINATOR_PROMOTION_DIVISOR 5
+// A change that kept a leaving primary is followed by another one after the
+// time limit divided by this, which is also the least time for a change before
+// its promotion.
+#define COORDINATOR_RETRY_DIVISOR 10
+
+// Returns the last time at which a change whose time limit counts from
+// begin_us can begin and still end within it.
+static int64_t
+coordinator_get_last_begin_us(const struct coordinator *coordinator,
+                              int64_t begin_us)
+{
+    int64_t limit_us = coordinator->params.switchover_us;
+
+    return begin_us + limit_us - limit_us / COORDINATOR_PROMOTION_DIVISOR -
+           limit_us / COORDINATOR_RETRY_DIVISOR;
+}
+
+// Returns when a planned change stops waiting for a replica before it
+// supersedes the term: like the wait for silent holders, but as late as
+// possible if an earlier change since begin_us has kept the primary because no
+// replica caught up.
+static int64_t
+coordinator_get_target_end_us(const struct coordinator *coordinator,
+                              const struct coordinator_database *db,
+                              int64_t begin_us)
+{
+    if (db->kept_us != 0 && db->kept_us >= begin_us) {
+        return coordinator_get_last_begin_us(coordinator, begin_us);
+    }
+    return db->lease_end_us - coordinator_get_lease_bound_us(coordinator);
+}
 
 // Requests a planned change of primary, whose time limit counts from begin_us.
 // reason is constant text.
@@ -39,8 +73,13 @@
     db->change_end_us = begin_us + limit_us;
     db->lease_end_us =
         db->change_end_us - limit_us / COORDINATOR_PROMOTION_DIVISOR;
+    db->target_end_us =
+        coordinator_get_target_end_us(coordinator, db, begin_us);
+    db->is_planned_position_known = false;
     db->next_notify_us = coordinator->now_us;
     db->awaited = NULL;
+    // Discards the answers to probes sent before this moment.
+    coordinator_set_phase(coordinator, db, COORDINATOR_PHASE_IDLE);
     coordinator_record(coordinator, "change_planned", database,
                        database->primary, "database=%s reason=\"%s\"",
                        db->name, reason);
@@ -139,24 +178,75 @@
     return silent > 0;
 }
 
-// Continues a planned change: supersedes the term once no lease holder is
-// awaited. Returns whether the term was superseded.
-bool
-coordinator_run_planned_change(struct coordinator *coordinator,
-                               struct coordinator_database *db,
-                               const struct ck_database *database)
+// Stores the first position that the primary reports after the change was
+// planned. Returns whether it is known.
+static bool
+coordinator_read_planned_position(struct coordinator *coordinator,
+                                  struct coordinator_database *db,
+                                  const struct ck_database *database,
+                                  size_t primary)
 {
-    const char *reason = db->planned_reason;
+    const struct coordinator_member *member = &db->members[primary];
 
-    if (reason == NULL || coordinator_await_silent_holders(coordinator, db)) {
+    if (db->is_planned_position_known) {
+        return true;
+    }
+    if (!member->answered || !member->is_primary) {
+        coordinator_probe_member(coordinator, db, database, primary);
         return false;
     }
-    coordinator_supersede(coordinator, db, database, reason);
-    db->is_planned = true;
-    db->changed_us = coordinator->now_us;
+    db->is_planned_position_known = true;
+    db->planned_position = member->position;
     return true;
 }
 
+// Returns whether an upstream that a planned change may promote has reached
+// planned_position. Probes those that may be promoted.
+static bool
+coordinator_has_target_followed(struct coordinator *coordinator,
+                                struct coordinator_database *db,
+                                const struct ck_database *database)
+{
+    bool followed = false;
+
+    for (size_t i = 0; i < db->members_count; i++) {
+        const struct coordinator_member *member = &db->members[i];
+        const struct ck_upstream *upstream =
+            &database->upstreams.upstreams_val[i];
+        if (upstream->state != CK_UPSTREAM_READY ||
+            strcmp(upstream->name, database->primary) == 0 ||
+            (db->target != NULL && strcmp(upstream->name, db->target) != 0)) {
+            continue;
+        }
+        coordinator_probe_member(coordinator, db, database, i);
+        followed = followed || (member->answered && !member->is_regressed &&
+                                promotion_compare(&member->position,
+                                                  &db->planned_position) >= 0);
+    }
+    return followed;
+}
+
+// Returns whether the change must wait for a replica to reach a position that
+// the primary has reported since the change was planned. The primary serves
+// meanwhile. A primary that is too busy to report its position is not waited
+// for.
+static bool
+coordinator_await_target(struct coordinator *coordinator,
+                         struct coordinator_database *db,
+                         const struct ck_database *database)
+{
+    int primary = coordinator_find_upstream_index(database, database->primary);
+
+    if (primary < 0 || coordinator->now_us >= db->target_end_us ||
+        db->members[primary].is_busy) {
+        return false;
+    }
+    coordinator_wake_at(coordinator, db->target_end_us);
+    return !coordinator_read_planned_position(coordinator, db, database,
+                                              (size_t)primary) ||
+           !coordinator_has_target_followed(coordinator, db, database);
+}
+
 // Returns whether an upstream other than the primary is ready.
 static bool
 coordinator_has_ready_replica(const struct ck_database *database)
@@ -172,6 +262,35 @@
     return false;
 }
 
+// Continues a planned change: supersedes the term once neither a lease holder
+// nor a replica is awaited. Without a target the change is dropped if no
+// upstream is ready to take over any more. Returns whether the term was
+// superseded.
+bool
+coordinator_run_planned_change(struct coordinator *coordinator,
+                               struct coordinator_database *db,
+                               const struct ck_database *database)
+{
+    const char *reason = db->planned_reason;
+
+    if (reason == NULL) {
+        return false;
+    }
+    if (db->target == NULL && !coordinator_has_ready_replica(database)) {
+        db->planned_reason = NULL;
+        return false;
+    }
+    bool awaits_holder = coordinator_await_silent_holders(coordinator, db);
+    bool awaits_target = coordinator_await_target(coordinator, db, database);
+    if (awaits_holder || awaits_target) {
+        return false;
+    }
+    coordinator_supersede(coordinator, db, database, reason);
+    db->is_planned = true;
+    db->changed_us = coordinator->now_us;
+    return true;
+}
+
 // Returns when the primary announced that it leaves, as far as this leader
 // knows.
 static int64_t
@@ -186,9 +305,29 @@
     return leaving_us != 0 ? leaving_us : coordinator->now_us;
 }
 
+// Returns whether a recent change that kept the primary rules out another one.
+// The pause lasts switchover_us from its end, but is short while a change can
+// still end within the time limit of a primary that has left since leaving_us.
+static bool
+coordinator_pauses_changes(const struct coordinator *coordinator,
+                           const struct coordinator_database *db,
+                           int64_t leaving_us)
+{
+    int64_t pause_us =
+        coordinator->params.switchover_us / COORDINATOR_RETRY_DIVISOR;
+
+    if (db->kept_us == 0) {
+        return false;
+    }
+    if (db->kept_us + pause_us >
+        coordinator_get_last_begin_us(coordinator, leaving_us)) {
+        pause_us = coordinator->params.switchover_us;
+    }
+    return coordinator->now_us - db->kept_us < pause_us;
+}
+
 // Plans a change to the most advanced replica if the primary is leaving and
-// another upstream is ready, unless a change within the last switchover_us has
-// kept this primary.
+// another upstream is ready, unless a recent change has kept this primary.
 void
 coordinator_replace_leaving_primary(struct coordinator *coordinator,
                                     struct coordinator_database *db,
@@ -196,15 +335,15 @@
 {
     const struct ck_upstream *primary =
         group_find_upstream(coordinator->group, database->primary);
-    bool kept = db->kept_us != 0 && coordinator->now_us - db->kept_us <
-                                        coordinator->params.switchover_us;
-
-    if (db->planned_reason == NULL && primary != NULL &&
-        primary->state == CK_UPSTREAM_LEAVING && !kept &&
-        coordinator_has_ready_replica(database)) {
-        coordinator_plan_change(
-            coordinator, db, "primary leaves",
-            coordinator_get_leaving_us(coordinator, db, database));
+
+    if (db->planned_reason != NULL || primary == NULL ||
+        primary->state != CK_UPSTREAM_LEAVING ||
+        !coordinator_has_ready_replica(database)) {
+        return;
+    }
+    int64_t leaving_us = coordinator_get_leaving_us(coordinator, db, database);
+    if (!coordinator_pauses_changes(coordinator, db, leaving_us)) {
+        coordinator_plan_change(coordinator, db, "primary leaves", leaving_us);
     }
 }
 
@@ -319,6 +458,8 @@
                            params.change_cost_us / COORDINATOR_US_PER_MS);
         coordinator_plan_change(coordinator, db, "replicas lag",
                                 coordinator->now_us);
+        // The change itself ends the lag.
+        db->target_end_us = coordinator->now_us;
     }
     free(replicas);
 }
--- a/src/catkingrade/decide/coordinator/coordinator_private.h
+++ b/src/catkingrade/decide/coordinator/coordinator_private.h
@@ -128,6 +128,11 @@
     int64_t change_end_us;      // time limit of a planned change
     // By then no lease covers the term any more; set when the change begins.
     int64_t lease_end_us;
+    // By then a planned change no longer waits for a replica to reach the
+    // position of the primary that serves; set when the change begins.
+    int64_t target_end_us;
+    bool is_planned_position_known;      // planned_position is set
+    struct ck_position planned_position; // primary's first one since the plan
     const struct coordinator_holder *awaited; // recorded last; NULL: none
     bool is_planned;             // planned switchover, not a failover
     bool is_demoted;             // the primary answered a probe as a replica
--- a/test/unit/decide/coordinator/test_coordinator.c
+++ b/test/unit/decide/coordinator/test_coordinator.c
@@ -938,6 +938,20 @@
     step(rig, &event);
 }
 
+// Answers the probes of a planned change whose replica u2 lacks nothing.
+static void
+answer_planned_probes(struct rig *rig)
+{
+    struct coordinator_event event = {.kind = COORDINATOR_EVENT_PROBED};
+
+    event.probe.upstream = "u1";
+    event.probe.is_primary = true;
+    event.probe.position.timeline = 1;
+    event.probe.position.lsn = 50;
+    step(rig, &event);
+    probe(rig, "u2", true, false);
+}
+
 // Guards against a gap of a planned change that lasts as long as the lease of
 // a frozen entry: the term of a primary that leaves is superseded only when
 // all lease holders have answered, or have no lease any more.
@@ -960,6 +974,7 @@
         group_find_database(rig.group, "roster1");
     ck_assert(!database->superseding);
     tick(&rig, rig.now_us + 50 * MS);
+    answer_planned_probes(&rig);
     answer_notification(&rig, "e1");
     ck_assert(!database->superseding);
     // e2 is silent until the lease plus twice the clock drift has passed.
--- a/test/unit/decide/coordinator/test_planned_bound.c
+++ b/test/unit/decide/coordinator/test_planned_bound.c
@@ -24,11 +24,13 @@
 #define NOTIFY_TIMEOUT_US (300 * MS)
 #define ANNOUNCE_US       (500 * MS)
 #define SERIES_GAP_US     (250 * MS)
-#define SERIES_LEAD_US    (2000 * MS)
-#define ENTRIES           24
-#define DATABASES         2
-#define UPSTREAMS_EACH    3
-#define UPSTREAMS         (DATABASES * UPSTREAMS_EACH)
+// Time from the begin of a term to its first write.
+#define FIRST_WRITE_US (200 * MS)
+#define SERIES_LEAD_US (2000 * MS)
+#define ENTRIES        24
+#define DATABASES      2
+#define UPSTREAMS_EACH 3
+#define UPSTREAMS      (DATABASES * UPSTREAMS_EACH)
 
 enum series_kind {
     SERIES_STOP,
@@ -89,6 +91,12 @@
     struct entry *renewing;
     uint64_t promoted_term; // term after which PROMOTE was ordered
     size_t next_victim;
+    // A term of the first database begins at a position that its replicas
+    // reach with its first write.
+    bool is_replicated;
+    int64_t serves_since_us; // the term of the first database; 0: not
+    int64_t longest_gap_us;  // without a term of the first database
+    int64_t gap_since_us;
 };
 
 static void step(struct rig *rig, struct coordinator_event *event);
@@ -347,6 +355,8 @@
     }
     if (is_promoted) {
         upstream->promoted_us = 0;
+        upstream->lsn += rig->is_replicated ? 1 : 0;
+        event.probe.position.lsn = upstream->lsn;
         event.kind = COORDINATOR_EVENT_PROMOTED;
         step(rig, &event);
     }
@@ -373,6 +383,36 @@
     rig->next_victim++;
 }
 
+// Measures the time without a term of the first database, and brings its
+// upstreams to the position of the primary with the first write of a term.
+static void
+run_term(struct rig *rig)
+{
+    const struct ck_database *database = get_database(rig, 0);
+
+    if (database->superseding) {
+        rig->serves_since_us = 0;
+        rig->gap_since_us =
+            rig->gap_since_us == 0 ? rig->now_us : rig->gap_since_us;
+        return;
+    }
+    if (rig->serves_since_us == 0) {
+        int64_t gap_us =
+            rig->gap_since_us == 0 ? 0 : rig->now_us - rig->gap_since_us;
+        rig->longest_gap_us =
+            gap_us > rig->longest_gap_us ? gap_us : rig->longest_gap_us;
+        rig->gap_since_us = 0;
+        rig->serves_since_us = rig->now_us;
+    }
+    if (!rig->is_replicated ||
+        rig->now_us - rig->serves_since_us < FIRST_WRITE_US) {
+        return;
+    }
+    for (size_t i = 0; i < UPSTREAMS_EACH; i++) {
+        rig->upstreams[i].lsn = find_upstream(rig, database->primary)->lsn;
+    }
+}
+
 static void
 advance(struct rig *rig, const struct series *plan)
 {
@@ -389,6 +429,7 @@
     for (size_t i = 0; i < UPSTREAMS; i++) {
         run_upstream(rig, &rig->upstreams[i]);
     }
+    run_term(rig);
 }
 
 static void
@@ -843,6 +884,144 @@
 }
 END_TEST
 
+// Runs until the upstream is the primary of the first database. Returns the
+// time since begin_us.
+static int64_t
+run_until_primary(struct rig *rig, const char *name, int64_t begin_us)
+{
+    while (strcmp(get_database(rig, 0)->primary, name) != 0 &&
+           rig->now_us - begin_us < 4 * SERVES_US) {
+        advance(rig, NULL);
+    }
+    return rig->now_us - begin_us;
+}
+
+static void
+run_until_superseding(struct rig *rig)
+{
+    while (!get_database(rig, 0)->superseding) {
+        advance(rig, NULL);
+    }
+}
+
+static void
+run_until(struct rig *rig, int64_t until_us)
+{
+    while (rig->now_us < until_us) {
+        advance(rig, NULL);
+    }
+}
+
+// Guards against a term that ends before its replicas follow its primary.
+START_TEST(test_primary_that_leaves_at_once_is_replaced)
+{
+    struct rig rig;
+
+    start(&rig);
+    rig.is_replicated = true;
+    run_until(&rig, START_US + 2 * ANNOUNCE_US);
+    withdraw(&rig, "u0");
+    struct upstream *second = run_until_promoting(&rig, NULL);
+    second->state = CK_UPSTREAM_LEAVING;
+    announce(&rig, second);
+    const char *third = second == &rig.upstreams[1] ? "u2" : "u1";
+    ck_assert_int_le(run_until_primary(&rig, third, rig.now_us), SERVES_US);
+    ck_assert_int_le(rig.longest_gap_us, 2 * PROMOTION_US);
+    finish(&rig);
+}
+END_TEST
+
+// Guards against a pause after a kept primary that outlasts its leaving.
+START_TEST(test_second_try_ends_in_time)
+{
+    struct rig rig;
+
+    start(&rig);
+    rig.upstreams[2].is_gone = true;
+    run_until(&rig, START_US + SERVES_US);
+    int64_t begin_us = rig.now_us;
+    withdraw(&rig, "u0");
+    run_until_superseding(&rig);
+    rig.upstreams[0].lsn = 60;
+    run_until(&rig, begin_us + 4000 * MS);
+    rig.upstreams[1].lsn = 60;
+    ck_assert_int_le(run_until_primary(&rig, "u1", begin_us), SERVES_US);
+    finish(&rig);
+}
+END_TEST
+
+// Guards against a pause that began before the primary leaves.
+START_TEST(test_change_kept_before_does_not_delay_leaving_primary)
+{
+    struct rig rig;
+    struct ck_command_args args = {.kind = CK_COMMAND_SWITCHOVER};
+    struct coordinator_event event = {.kind = COORDINATOR_EVENT_COMMAND,
+                                      .token = 7};
+
+    start(&rig);
+    run_until(&rig, START_US + 2 * ANNOUNCE_US);
+    args.database = (char *)(uintptr_t)database_names[0];
+    args.target = rig.upstreams[1].name;
+    event.command = &args;
+    step(&rig, &event);
+    run_until_superseding(&rig);
+    rig.upstreams[0].lsn = 60;
+    while (get_database(&rig, 0)->term < 2) {
+        advance(&rig, NULL);
+    }
+    ck_assert_str_eq(get_database(&rig, 0)->primary, "u0");
+    rig.upstreams[1].lsn = 60;
+    ck_assert_int_le(replace_primary(&rig, "u0", NULL), SERVES_US / 2);
+    finish(&rig);
+}
+END_TEST
+
+// Guards against a lost target that leaves no time for a late one.
+START_TEST(test_change_ends_when_target_is_lost)
+{
+    struct rig rig;
+    struct coordinator_event event = {.kind =
+                                          COORDINATOR_EVENT_PROMOTE_FAILED};
+
+    start(&rig);
+    run_until(&rig, START_US + 2 * ANNOUNCE_US);
+    rig.upstreams[2].lsn = 40;
+    int64_t begin_us = rig.now_us;
+    withdraw(&rig, "u0");
+    struct upstream *first = run_until_promoting(&rig, NULL);
+    ck_assert_str_eq(first->name, "u1");
+    first->is_gone = true;
+    first->promoted_us = 0;
+    event.done.upstream = first->name;
+    event.done.outcome = OUTCOME_UNAVAILABLE;
+    step(&rig, &event);
+    run_until(&rig, begin_us + 4000 * MS);
+    rig.upstreams[2].lsn = 50;
+    ck_assert_int_le(run_until_primary(&rig, "u2", begin_us), SERVES_US);
+    finish(&rig);
+}
+END_TEST
+
+// Guards against a term that ends without an upstream that can take over.
+START_TEST(test_all_upstreams_leave_at_once)
+{
+    struct rig rig;
+
+    start(&rig);
+    run_until(&rig, START_US + 2 * ANNOUNCE_US + STEP_US);
+    int64_t begin_us = rig.now_us;
+    for (size_t i = 0; i < UPSTREAMS_EACH; i++) {
+        rig.upstreams[i].state = CK_UPSTREAM_LEAVING;
+        announce(&rig, &rig.upstreams[i]);
+    }
+    run_until(&rig, begin_us + SERVES_US / 2);
+    rig.upstreams[2].state = CK_UPSTREAM_READY;
+    ck_assert_int_le(run_until_primary(&rig, "u2", begin_us), SERVES_US);
+    ck_assert_int_le(rig.longest_gap_us, 2 * PROMOTION_US);
+    finish(&rig);
+}
+END_TEST
+
 static void
 add_tests(TCase *tests)
 {
@@ -862,6 +1041,12 @@
     tcase_add_test(tests, test_overdue_change_waits_for_answers);
     tcase_add_test(tests, test_busy_primary_does_not_count_as_reached);
     tcase_add_test(tests, test_stopped_entries_are_not_awaited);
+    tcase_add_test(tests, test_primary_that_leaves_at_once_is_replaced);
+    tcase_add_test(tests, test_second_try_ends_in_time);
+    tcase_add_test(tests,
+                   test_change_kept_before_does_not_delay_leaving_primary);
+    tcase_add_test(tests, test_change_ends_when_target_is_lost);
+    tcase_add_test(tests, test_all_upstreams_leave_at_once);
     tcase_add_loop_test(
         tests, test_lost_upstream_is_removed_while_entries_fail_in_turn, 0,
         sizeof(series) / sizeof(series[0]));
