fix(coordinator): a replica that holds all replaces a leaving primary

What callers saw: a planned change whose replicas lag kept the leaving primary, so that requests still reached it after its time, although its replicas held every acknowledged write.

Cause: a planned change promoted only a replica at the position of the old primary, and waited for it until 0.9 of switchover_ms, which left less than the fifth that is kept for the promotion.

Solution: when the wait for a target ends (0.8 of switchover_ms at the latest) and the primary leaves, the answers of the replicas decide, by the proof that a failover uses (promotion_choose without the old primary): a ready replica that is known to hold every acknowledged write is promoted. The term has ended by then, so that no further write of it is acknowledged. Otherwise the old primary stays. It also stays for customers whose unconfirmed writes are answered with a warning, and if an operator has named the target.

test_lagging_replicas_do_not_extend_change asserted that u0 stays; both replicas answer there, and a write is acknowledged once one of them holds it, so nothing acknowledged is lost. It is replaced by two: with the same load the primary is replaced within the same bound (fails on the code before: u0 stays), and with one replica lost, where the other is not proven, u0 stays within the bound (test_unproven_replica_does_not_extend_change).

--- a/src/catkingrade/decide/coordinator/coordinator_choice.c
+++ b/src/catkingrade/decide/coordinator/coordinator_choice.c
@@ -9,10 +9,11 @@
 #include "catkingrade/kernel/outcome.h"
 
 // A planned switchover waits for its target to catch up during its time limit
-// divided by this, and until no more than its time limit divided by
-// COORDINATOR_LAST_CATCH_UP_DIVISOR is left.
-#define COORDINATOR_CATCH_UP_DIVISOR      2
-#define COORDINATOR_LAST_CATCH_UP_DIVISOR 10
+// divided by COORDINATOR_CATCH_UP_DIVISOR, and until no more than what is kept
+// for the promotion is left, but at least for its time limit divided by
+// COORDINATOR_LEAST_CATCH_UP_DIVISOR.
+#define COORDINATOR_CATCH_UP_DIVISOR       2
+#define COORDINATOR_LEAST_CATCH_UP_DIVISOR 10
 // A planned switchover becomes a failover after this number of failed probes
 // of the old primary.
 #define COORDINATOR_PLANNED_PROBE_FAILURES_MAX 2
@@ -169,28 +170,73 @@
 }
 
 // Returns when a planned switchover stops waiting for its target. The target
-// has the last share of the time limit to answer, however late the change is.
+// has a least time to answer, however late the change is.
 static int64_t
 coordinator_get_catch_up_end_us(const struct coordinator *coordinator,
                                 const struct coordinator_database *db)
 {
     int64_t limit_us = coordinator->params.switchover_us;
-    int64_t share_us = limit_us / COORDINATOR_LAST_CATCH_UP_DIVISOR;
+    int64_t last_us =
+        db->change_end_us - limit_us / COORDINATOR_PROMOTION_DIVISOR;
+    int64_t least_us =
+        db->phase_us + limit_us / COORDINATOR_LEAST_CATCH_UP_DIVISOR;
     int64_t end_us = db->phase_us + limit_us / COORDINATOR_CATCH_UP_DIVISOR;
 
-    if (end_us > db->change_end_us - share_us) {
-        end_us = db->change_end_us - share_us;
+    if (end_us > last_us) {
+        end_us = last_us;
     }
-    if (end_us < db->phase_us + share_us) {
-        end_us = db->phase_us + share_us;
+    return end_us < least_us ? least_us : end_us;
+}
+
+// Returns the index of a ready upstream that is known to hold every
+// acknowledged write without an answer of the old primary, as in a failover.
+// PROMOTION_NONE if there is none, or if the customer takes unconfirmed writes
+// for acknowledged.
+static int
+coordinator_choose_without_old(const struct coordinator *coordinator,
+                               const struct coordinator_database *db,
+                               const struct ck_database *database)
+{
+    const struct ck_customer *customer =
+        group_find_customer_of_database(coordinator->group, db->name);
+    struct promotion_choice choice =
+        coordinator_choose_from_answers(coordinator, db, database, false);
+    bool holds_all = customer != NULL &&
+                     customer->unconfirmed == CK_UNCONFIRMED_UNKNOWN &&
+                     choice.is_complete;
+
+    if (!holds_all || database->upstreams.upstreams_val[choice.index].state !=
+                          CK_UPSTREAM_READY) {
+        return PROMOTION_NONE;
+    }
+    return choice.index;
+}
+
+// Ends a planned switchover whose target has not caught up. A leaving primary
+// is replaced by an upstream that holds every acknowledged write, if there is
+// one. Otherwise the old primary stays, in a new term.
+static void
+coordinator_end_catch_up(struct coordinator *coordinator,
+                         struct coordinator_database *db,
+                         const struct ck_database *database, int old_primary)
+{
+    bool is_leaving = database->upstreams.upstreams_val[old_primary].state ==
+                      CK_UPSTREAM_LEAVING;
+    int index = is_leaving && db->target == NULL
+                    ? coordinator_choose_without_old(coordinator, db, database)
+                    : PROMOTION_NONE;
+
+    if (index == PROMOTION_NONE) {
+        coordinator_record(coordinator, "switchover_given_up", database,
+                           database->primary, "database=%s", db->name);
+        index = old_primary;
     }
-    return end_us;
+    coordinator_promote(coordinator, db, database, index);
 }
 
 // Promotes the target of a planned switchover once it has reached the position
-// of the old primary, which accepts no more writes. If the target does not
-// catch up in time, the old primary stays, in a new term. If the old primary
-// is lost meanwhile, the switchover becomes a failover.
+// of the old primary, which accepts no more writes. If the old primary is lost
+// meanwhile, the switchover becomes a failover.
 static void
 coordinator_run_planned(struct coordinator *coordinator,
                         struct coordinator_database *db,
@@ -218,9 +264,7 @@
         return;
     }
     if (coordinator->now_us >= limit_us) {
-        coordinator_record(coordinator, "switchover_given_up", database,
-                           database->primary, "database=%s", db->name);
-        coordinator_promote(coordinator, db, database, old_primary);
+        coordinator_end_catch_up(coordinator, db, database, old_primary);
         return;
     }
     coordinator_wake_at(coordinator, limit_us);
--- a/src/catkingrade/decide/coordinator/coordinator_planned.c
+++ b/src/catkingrade/decide/coordinator/coordinator_planned.c
@@ -22,9 +22,6 @@
 // Time without a primary that a planned change is expected to take before one
 // has been observed.
 #define COORDINATOR_CHANGE_COST_INITIAL_US 1500000
-// The time limit of a planned change divided by this is kept for the
-// promotion.
-#define COORDINATOR_PROMOTION_DIVISOR 5
 // A change that kept a leaving primary is followed by another one after the
 // time limit divided by this, which is also the least time for a change before
 // its promotion.
--- a/src/catkingrade/decide/coordinator/coordinator_private.h
+++ b/src/catkingrade/decide/coordinator/coordinator_private.h
@@ -15,6 +15,9 @@
 #define COORDINATOR_NOTIFY_INTERVAL_US 50000
 // Wait for further answers once the answers suffice for a choice.
 #define COORDINATOR_COLLECT_WAIT_US 100000
+// The time limit of a planned change divided by this is kept for the
+// promotion.
+#define COORDINATOR_PROMOTION_DIVISOR 5
 // Delay between a failed FENCE or FOLLOW and its retry.
 #define COORDINATOR_REPAIR_RETRY_US 1000000
 // Up to this number of databases, a renewal allocates quotas of every
