fix(coordinator): the next try begins as soon as a replica follows

What callers saw: after an election, or when its time was over, a leaving primary that a change had kept stayed for switchover_ms more, although a replica had caught up long before. A switchover whose target left before the term had ended still ended it, and promoted an upstream that left.

Cause: a new leader doesn't know since when a primary leaves and takes its time as over, so that the pause of switchover_ms from the end of the last change held. A plan was never dropped when its target was no longer ready.

Solution: the pause is always a tenth of switchover_ms. The change that follows it waits for a replica while the primary serves, as every planned change does, until the last time that fits into the limit, and if that is over until switchover_ms after the last change, when a try began before as well. So no try begins later than before. A plan whose target (or, without one, every other upstream) is not ready any more is dropped before the term ends, and the command is answered as unavailable.

--- a/src/catkingrade/decide/coordinator/coordinator_planned.c
+++ b/src/catkingrade/decide/coordinator/coordinator_planned.c
@@ -18,6 +18,7 @@
 #include "catkingrade/decide/coordinator/coordinator_private.h"
 #include "catkingrade/decide/coordinator/promotion.h"
 #include "catkingrade/kernel/memory.h"
+#include "catkingrade/kernel/outcome.h"
 
 // Time without a primary that a planned change is expected to take before one
 // has been observed.
@@ -42,16 +43,22 @@
 // Returns when a planned change stops waiting for a replica before it
 // supersedes the term: like the wait for silent holders, but as late as
 // possible if an earlier change since begin_us has kept the primary because no
-// replica caught up.
+// replica caught up. If no further change fits into the time limit, the next
+// one waits for a replica for switchover_us from the last.
 static int64_t
 coordinator_get_target_end_us(const struct coordinator *coordinator,
                               const struct coordinator_database *db,
                               int64_t begin_us)
 {
-    if (db->kept_us != 0 && db->kept_us >= begin_us) {
-        return coordinator_get_last_begin_us(coordinator, begin_us);
+    int64_t limit_us = coordinator->params.switchover_us;
+    int64_t last_us = coordinator_get_last_begin_us(coordinator, begin_us);
+
+    if (db->kept_us == 0 || db->kept_us < begin_us) {
+        return db->lease_end_us - coordinator_get_lease_bound_us(coordinator);
     }
-    return db->lease_end_us - coordinator_get_lease_bound_us(coordinator);
+    return db->kept_us + limit_us / COORDINATOR_RETRY_DIVISOR <= last_us
+               ? last_us
+               : db->kept_us + limit_us;
 }
 
 // Requests a planned change of primary, whose time limit counts from begin_us.
@@ -197,6 +204,32 @@
     return true;
 }
 
+// Returns whether a planned change may promote the upstream: a ready one other
+// than the primary, and the target if there is one.
+static bool
+coordinator_is_target(const struct coordinator_database *db,
+                      const struct ck_database *database,
+                      const struct ck_upstream *upstream)
+{
+    return upstream->state == CK_UPSTREAM_READY &&
+           strcmp(upstream->name, database->primary) != 0 &&
+           (db->target == NULL || strcmp(upstream->name, db->target) == 0);
+}
+
+// Returns whether there is an upstream that a planned change may promote.
+static bool
+coordinator_has_target(const struct coordinator_database *db,
+                       const struct ck_database *database)
+{
+    for (u_int i = 0; i < database->upstreams.upstreams_len; i++) {
+        if (coordinator_is_target(db, database,
+                                  &database->upstreams.upstreams_val[i])) {
+            return true;
+        }
+    }
+    return false;
+}
+
 // Returns whether an upstream that a planned change may promote has reached
 // planned_position. Probes those that may be promoted.
 static bool
@@ -210,9 +243,7 @@
         const struct coordinator_member *member = &db->members[i];
         const struct ck_upstream *upstream =
             &database->upstreams.upstreams_val[i];
-        if (upstream->state != CK_UPSTREAM_READY ||
-            strcmp(upstream->name, database->primary) == 0 ||
-            (db->target != NULL && strcmp(upstream->name, db->target) != 0)) {
+        if (!coordinator_is_target(db, database, upstream)) {
             continue;
         }
         coordinator_probe_member(coordinator, db, database, i);
@@ -244,25 +275,9 @@
            !coordinator_has_target_followed(coordinator, db, database);
 }
 
-// Returns whether an upstream other than the primary is ready.
-static bool
-coordinator_has_ready_replica(const struct ck_database *database)
-{
-    for (u_int i = 0; i < database->upstreams.upstreams_len; i++) {
-        const struct ck_upstream *upstream =
-            &database->upstreams.upstreams_val[i];
-        if (upstream->state == CK_UPSTREAM_READY &&
-            strcmp(upstream->name, database->primary) != 0) {
-            return true;
-        }
-    }
-    return false;
-}
-
 // Continues a planned change: supersedes the term once neither a lease holder
-// nor a replica is awaited. Without a target the change is dropped if no
-// upstream is ready to take over any more. Returns whether the term was
-// superseded.
+// nor a replica is awaited. The change is dropped if no upstream is ready to
+// take over any more. Returns whether the term was superseded.
 bool
 coordinator_run_planned_change(struct coordinator *coordinator,
                                struct coordinator_database *db,
@@ -273,8 +288,10 @@
     if (reason == NULL) {
         return false;
     }
-    if (db->target == NULL && !coordinator_has_ready_replica(database)) {
+    if (!coordinator_has_target(db, database)) {
         db->planned_reason = NULL;
+        coordinator_finish_command(coordinator, db, OUTCOME_UNAVAILABLE,
+                                   "the target is not ready any more");
         return false;
     }
     bool awaits_holder = coordinator_await_silent_holders(coordinator, db);
@@ -302,29 +319,8 @@
     return leaving_us != 0 ? leaving_us : coordinator->now_us;
 }
 
-// Returns whether a recent change that kept the primary rules out another one.
-// The pause lasts switchover_us from its end, but is short while a change can
-// still end within the time limit of a primary that has left since leaving_us.
-static bool
-coordinator_pauses_changes(const struct coordinator *coordinator,
-                           const struct coordinator_database *db,
-                           int64_t leaving_us)
-{
-    int64_t pause_us =
-        coordinator->params.switchover_us / COORDINATOR_RETRY_DIVISOR;
-
-    if (db->kept_us == 0) {
-        return false;
-    }
-    if (db->kept_us + pause_us >
-        coordinator_get_last_begin_us(coordinator, leaving_us)) {
-        pause_us = coordinator->params.switchover_us;
-    }
-    return coordinator->now_us - db->kept_us < pause_us;
-}
-
 // Plans a change to the most advanced replica if the primary is leaving and
-// another upstream is ready, unless a recent change has kept this primary.
+// another upstream is ready, unless a change has just kept this primary.
 void
 coordinator_replace_leaving_primary(struct coordinator *coordinator,
                                     struct coordinator_database *db,
@@ -335,12 +331,15 @@
 
     if (db->planned_reason != NULL || primary == NULL ||
         primary->state != CK_UPSTREAM_LEAVING ||
-        !coordinator_has_ready_replica(database)) {
+        !coordinator_has_target(db, database)) {
         return;
     }
-    int64_t leaving_us = coordinator_get_leaving_us(coordinator, db, database);
-    if (!coordinator_pauses_changes(coordinator, db, leaving_us)) {
-        coordinator_plan_change(coordinator, db, "primary leaves", leaving_us);
+    int64_t pause_us =
+        coordinator->params.switchover_us / COORDINATOR_RETRY_DIVISOR;
+    if (db->kept_us == 0 || coordinator->now_us - db->kept_us >= pause_us) {
+        coordinator_plan_change(
+            coordinator, db, "primary leaves",
+            coordinator_get_leaving_us(coordinator, db, database));
     }
 }
 
