fix(loop): a task that never runs is discarded by its own function

Seen: at the exit of a stopped entry LeakSanitizer finds 464 bytes, once in four runs of soak_3 with sanitizers; the entry then ends with code 1.

Cause: the order at a stop is: loop_run of the control loop returns; plugin_stop_all stops the announcements, HTTP, the lease agent (which clears the handlers of reports), then the listener, whose entry_destroy stops and joins each worker; the control plane and RPC follow; main destroys the control loop last. From the last loop_run_tasks of the control loop to the join of the last worker, the workers still run and post. No further turn takes those tasks, and loop_destroy freed the task but not what its data owns. A report of demand (144 bytes, its rows and names) was lost so, as it would be for a suspicion or a confirmed revocation.

To run the tasks that are left in loop_destroy would be wrong: a report refers to its entry, which is freed by then. So each post names a second function, which frees the data and is called in loop_destroy in place of the task. The argument is not optional, so that each caller says what its data owns (NULL: nothing). loop_destroy goes on until nothing is left, since a discard function may post; the old code left tasks_tail pointing into a freed task meanwhile.

Use after free: a task runs in loop_run only, and every object that a task uses is freed after the loop's thread has left loop_run. Posts to a freed loop: all workers are joined before the first worker loop is freed; libmicrohttpd is stopped, and workers are joined, before the control loop is.

Lost with an undelivered report: no promised outcome. Demand and suspicions concern an entry that is leaving. A revocation that is not confirmed leaves the lease to end at its normal time, which is the safe side; the stop has waited for the return of the leases before (LEASE_AGENT_RETURN_LIMIT_US). No counter counts reports.

--- a/src/catkingrade/control/control.c
+++ b/src/catkingrade/control/control.c
@@ -282,7 +282,7 @@
             return;
         }
     }
-    loop_post(control->loop, control_handle_deferred_flush, control);
+    loop_post(control->loop, control_handle_deferred_flush, NULL, control);
 }
 
 static int
--- a/src/catkingrade/entry/entry.c
+++ b/src/catkingrade/entry/entry.c
@@ -331,7 +331,7 @@
 
     *copy = *message;
     copy->worker = worker;
-    loop_post(worker_get_loop(worker), entry_handle_message, copy);
+    loop_post(worker_get_loop(worker), entry_handle_message, NULL, copy);
 }
 
 static void
@@ -573,6 +573,20 @@
     size_t demands_count;
 };
 
+// Frees a report, delivered or not. Its entry may have been freed before.
+static void
+entry_free_report(void *data)
+{
+    struct entry_report *report = data;
+
+    for (size_t i = 0; i < report->demands_count; i++) {
+        free(report->demands[i].upstream);
+    }
+    free(report->demands);
+    codec_free((xdrproc_t)xdr_ck_suspicion, &report->suspicion);
+    free(report);
+}
+
 static void
 entry_deliver_report(void *data)
 {
@@ -591,12 +605,7 @@
         handlers->demand(handlers->data, report->database, report->demands,
                          report->demands_count);
     }
-    for (size_t i = 0; i < report->demands_count; i++) {
-        free(report->demands[i].upstream);
-    }
-    free(report->demands);
-    codec_free((xdrproc_t)xdr_ck_suspicion, &report->suspicion);
-    free(report);
+    entry_free_report(report);
 }
 
 static struct entry_report *
@@ -621,7 +630,8 @@
 
     codec_copy((xdrproc_t)xdr_ck_suspicion, suspicion, &report->suspicion,
                sizeof(report->suspicion));
-    loop_post(entry->control_loop, entry_deliver_report, report);
+    loop_post(entry->control_loop, entry_deliver_report, entry_free_report,
+              report);
 }
 
 // Reports to the control loop that this entry acknowledges no more writes of a
@@ -633,7 +643,8 @@
         entry_create_report(entry, ENTRY_REPORT_REVOKED, database);
 
     report->term = term;
-    loop_post(entry->control_loop, entry_deliver_report, report);
+    loop_post(entry->control_loop, entry_deliver_report, entry_free_report,
+              report);
 }
 
 // Reports the demand of a database to the control loop; any thread.
@@ -650,5 +661,6 @@
         report->demands[i] = demands[i];
         report->demands[i].upstream = xstrdup(demands[i].upstream);
     }
-    loop_post(entry->control_loop, entry_deliver_report, report);
+    loop_post(entry->control_loop, entry_deliver_report, entry_free_report,
+              report);
 }
--- a/src/catkingrade/kernel/daemon.c
+++ b/src/catkingrade/kernel/daemon.c
@@ -105,7 +105,7 @@
 void
 daemon_request_stop(struct daemon *daemon)
 {
-    loop_post(daemon->control_loop, daemon_begin_stop, daemon);
+    loop_post(daemon->control_loop, daemon_begin_stop, NULL, daemon);
 }
 
 // Reloads the settings file and applies its log settings; all other settings
--- a/src/catkingrade/kernel/loop.c
+++ b/src/catkingrade/kernel/loop.c
@@ -18,6 +18,7 @@
 
 struct loop_task {
     loop_task_fn run;
+    loop_task_fn discard; // or NULL
     void *data;
     struct loop_task *next;
 };
@@ -116,17 +117,42 @@
     }
 }
 
-// Frees the loop. All its watches and timers must have been destroyed. Posted
-// tasks that have not run are discarded.
+// Takes all posted tasks from the loop, as a list in the order of the posts.
+static struct loop_task *
+loop_take_tasks(struct loop *loop)
+{
+    pthread_mutex_lock(&loop->tasks_mutex);
+    struct loop_task *task = loop->tasks_head;
+    loop->tasks_head = NULL;
+    loop->tasks_tail = &loop->tasks_head;
+    pthread_mutex_unlock(&loop->tasks_mutex);
+    return task;
+}
+
+// Discards a list of tasks, which will not run.
+static void
+loop_discard_tasks(struct loop_task *task)
+{
+    while (task != NULL) {
+        struct loop_task *next = task->next;
+        if (task->discard != NULL) {
+            task->discard(task->data);
+        }
+        free(task);
+        task = next;
+    }
+}
+
+// Frees the loop. All its watches and timers must have been destroyed, and the
+// other threads that post to it must have ended. Posted tasks that have not
+// run are discarded, and so is what a discard function posts.
 void
 loop_destroy(struct loop *loop)
 {
-    loop_free_destroyed_watches(loop);
     while (loop->tasks_head != NULL) {
-        struct loop_task *task = loop->tasks_head;
-        loop->tasks_head = task->next;
-        free(task);
+        loop_discard_tasks(loop_take_tasks(loop));
     }
+    loop_free_destroyed_watches(loop);
     pthread_mutex_destroy(&loop->tasks_mutex);
     apr_pollset_destroy(loop->pollset);
     apr_pool_destroy(loop->pool);
@@ -135,13 +161,16 @@
 }
 
 // Queues task(data) to run once on the loop's thread, after the tasks posted
-// before. Thread-safe.
+// before. If the loop is destroyed before that, discard(data) is called there
+// instead. Thread-safe.
 void
-loop_post(struct loop *loop, loop_task_fn task, void *data)
+loop_post(struct loop *loop, loop_task_fn task, loop_task_fn discard,
+          void *data)
 {
     struct loop_task *item = xcalloc(1, sizeof(*item));
 
     item->run = task;
+    item->discard = discard;
     item->data = data;
     pthread_mutex_lock(&loop->tasks_mutex);
     *loop->tasks_tail = item;
@@ -163,7 +192,7 @@
 void
 loop_stop(struct loop *loop)
 {
-    loop_post(loop, loop_mark_stopping, loop);
+    loop_post(loop, loop_mark_stopping, NULL, loop);
 }
 
 // Sets a task that runs at the end of each loop iteration, for work that is
@@ -372,11 +401,8 @@
 static void
 loop_run_tasks(struct loop *loop)
 {
-    pthread_mutex_lock(&loop->tasks_mutex);
-    struct loop_task *task = loop->tasks_head;
-    loop->tasks_head = NULL;
-    loop->tasks_tail = &loop->tasks_head;
-    pthread_mutex_unlock(&loop->tasks_mutex);
+    struct loop_task *task = loop_take_tasks(loop);
+
     while (task != NULL) {
         struct loop_task *next = task->next;
         task->run(task->data);
--- a/src/catkingrade/kernel/loop.h
+++ b/src/catkingrade/kernel/loop.h
@@ -25,7 +25,12 @@
 void loop_destroy(struct loop *loop);
 void loop_run(struct loop *loop);
 void loop_stop(struct loop *loop);
-void loop_post(struct loop *loop, loop_task_fn task, void *data);
+// Each posted task ends in one call: task(data) on the loop's thread, or
+// discard(data) in loop_destroy if the loop has ended before the task. discard
+// frees what data owns and must not use what the task would have used, which
+// may be freed by then; NULL: data owns nothing.
+void loop_post(struct loop *loop, loop_task_fn task, loop_task_fn discard,
+               void *data);
 void loop_set_iteration_end_task(struct loop *loop, loop_task_fn task,
                                  void *data);
 
--- a/src/catkingrade/plugins/http.c
+++ b/src/catkingrade/plugins/http.c
@@ -287,7 +287,7 @@
     http->calls = call;
     MHD_suspend_connection(request->connection);
     pthread_mutex_unlock(&http->mutex);
-    loop_post(http->daemon->control_loop, http_dispatch_call, call);
+    loop_post(http->daemon->control_loop, http_dispatch_call, NULL, call);
     return true;
 }
 
--- a/src/catkingrade/plugins/postgres_session.c
+++ b/src/catkingrade/plugins/postgres_session.c
@@ -429,7 +429,7 @@
     postgres_session_detach(session);
     session->listener = NULL;
     loop_post(worker_get_loop(move->worker), postgres_session_finish_move,
-              move);
+              NULL, move);
 }
 
 // Writes pending output. Returns false if the session must be destroyed:
--- a/test/contract/test_entry.c
+++ b/test/contract/test_entry.c
@@ -1,3 +1,4 @@
+#include <apr_general.h>
 #include <check.h>
 #include <signal.h>
 #include <stdio.h>
@@ -5,6 +6,7 @@
 #include <string.h>
 #include <time.h>
 
+#include "catkingrade/entry/worker.h"
 #include "catkingrade/kernel/memory.h"
 #include "test/fake/process.h"
 #include "test/suite.h"
@@ -676,6 +678,32 @@
 }
 END_TEST
 
+// ---- messages between threads at the end of the process ----
+
+static struct settings unit_settings = {.traffic_threads = 2,
+                                        .classify_cache_entries = 16,
+                                        .token_keys_file = "",
+                                        .upstream_password_file = "",
+                                        .view_file = ""};
+
+START_TEST(test_report_after_last_turn_is_not_leaked)
+{
+    struct ck_demand demand = {.upstream = "n1"};
+    struct ck_suspicion suspicion = {.database = "roster", .upstream = "n1"};
+
+    apr_initialize();
+    struct loop *loop = loop_create();
+    struct entry *entry = entry_create(&unit_settings, loop, NULL);
+    loop_stop(loop);
+    loop_run(loop);
+    entry_report_demand(entry, "roster", &demand, 1);
+    entry_report_suspicion(entry, &suspicion);
+    entry_report_revoked(entry, "roster", 1);
+    entry_destroy(entry);
+    loop_destroy(loop);
+}
+END_TEST
+
 static void
 add_tests(TCase *tests)
 {
@@ -692,6 +720,7 @@
     tcase_add_test(tests, test_protocol);
     tcase_add_test(tests, test_pipeline);
     tcase_add_test(tests, test_cancel);
+    tcase_add_test(tests, test_report_after_last_turn_is_not_leaked);
 }
 
 TEST_MAIN("entry", add_tests)
--- a/test/unit/plugins/test_http.c
+++ b/test/unit/plugins/test_http.c
@@ -185,7 +185,7 @@
     int fd = send_held_call();
     drain_rig();
     ck_assert(!plugin_all_drained(&rig.daemon));
-    loop_post(rig.daemon.control_loop, reply_held, NULL);
+    loop_post(rig.daemon.control_loop, reply_held, NULL, NULL);
     wait_drained();
     stop_rig();
     assert_response(fd, "HTTP/1.1 200 ", "done");
