fix(entry): messages to a worker that has ended are freed

Cause: the control loop posts views, quotas, relays, leases and revocations to each worker. What it posts after a worker's last turn, or to a worker that never runs since an earlier one failed to start, was not freed: the message, its copies of quotas and relays, and its reference to the view, so that the view stayed too.

Fix: a discard function gives the reference back and frees the copies. It does not use the worker, whose databases are freed before its loop.

Lost with such a message: no promised outcome. A stop has answered all requests before the workers end (plugin_finish_all), and a revocation that is not confirmed leaves the lease to end by itself.

--- a/src/catkingrade/entry/entry.c
+++ b/src/catkingrade/entry/entry.c
@@ -284,6 +284,25 @@
     free(relays);
 }
 
+// Frees a message. The view of a message that has been handled belongs to the
+// worker.
+static void
+entry_free_message(struct entry_message *message)
+{
+    entry_free_quotas(message->quotas, message->quotas_count);
+    entry_free_relays(message->relays, message->relays_count);
+    free(message);
+}
+
+static void
+entry_discard_message(void *data)
+{
+    struct entry_message *message = data;
+
+    view_release(message->view);
+    entry_free_message(message);
+}
+
 static void
 entry_handle_message(void *data)
 {
@@ -319,9 +338,7 @@
         worker_finish(worker);
         break;
     }
-    entry_free_quotas(message->quotas, message->quotas_count);
-    entry_free_relays(message->relays, message->relays_count);
-    free(message);
+    entry_free_message(message);
 }
 
 static void
@@ -331,7 +348,8 @@
 
     *copy = *message;
     copy->worker = worker;
-    loop_post(worker_get_loop(worker), entry_handle_message, NULL, copy);
+    loop_post(worker_get_loop(worker), entry_handle_message,
+              entry_discard_message, copy);
 }
 
 static void
--- a/test/contract/test_entry.c
+++ b/test/contract/test_entry.c
@@ -704,6 +704,25 @@
 }
 END_TEST
 
+START_TEST(test_message_after_last_turn_is_not_leaked)
+{
+    struct ck_quota quota = {.upstream = "n1"};
+    struct ck_relay relay = {.database = "roster"};
+
+    apr_initialize();
+    struct loop *loop = loop_create();
+    struct view *view = view_create();
+    struct entry *entry = entry_create(&unit_settings, loop, NULL);
+    entry_post_view(entry, view);
+    entry_post_quotas(entry, &quota, 1);
+    entry_post_relays(entry, &relay, 1);
+    entry_post_lease(entry, "fleet", 1);
+    entry_destroy(entry);
+    view_release(view);
+    loop_destroy(loop);
+}
+END_TEST
+
 static void
 add_tests(TCase *tests)
 {
@@ -721,6 +740,7 @@
     tcase_add_test(tests, test_pipeline);
     tcase_add_test(tests, test_cancel);
     tcase_add_test(tests, test_report_after_last_turn_is_not_leaked);
+    tcase_add_test(tests, test_message_after_last_turn_is_not_leaked);
 }
 
 TEST_MAIN("entry", add_tests)
