fix(http): a call that the control loop never takes is freed

Cause: a call that libmicrohttpd's thread posts after the control loop's last turn stayed behind with its path and body. http_stop has it answered (status 503, not run), but leaves the call itself to http_dispatch_call, which does not run any more.

Fix: the post is discarded by the function that refuses a call: it replies if HTTP still runs and frees the call. HTTP is stopped before the loop is freed; a call then refers neither to the server nor to a request (both are set to NULL under the mutex by http_abort_calls and http_handle_completed).

Lost: nothing. The caller has its answer, as the test checks too.

--- a/src/catkingrade/plugins/http.c
+++ b/src/catkingrade/plugins/http.c
@@ -231,6 +231,14 @@
     free(line);
 }
 
+// Replies to a call that no handler gets, and frees it.
+static void
+http_refuse_call(void *data)
+{
+    http_call_reply_outcome(data, OUTCOME_UNAVAILABLE,
+                            "this daemon is starting or stopping");
+}
+
 // Passes a call to the handler of its route. Runs on the control loop.
 static void
 http_dispatch_call(void *data)
@@ -238,8 +246,7 @@
     struct http_call *call = data;
 
     if (call->http == NULL || call->route.handle == NULL) {
-        http_call_reply_outcome(call, OUTCOME_UNAVAILABLE,
-                                "this daemon is starting or stopping");
+        http_refuse_call(call);
         return;
     }
     call->route.handle(call->route.data, call);
@@ -287,7 +294,8 @@
     http->calls = call;
     MHD_suspend_connection(request->connection);
     pthread_mutex_unlock(&http->mutex);
-    loop_post(http->daemon->control_loop, http_dispatch_call, NULL, call);
+    loop_post(http->daemon->control_loop, http_dispatch_call, http_refuse_call,
+              call);
     return true;
 }
 
--- a/test/unit/plugins/test_http.c
+++ b/test/unit/plugins/test_http.c
@@ -81,17 +81,29 @@
         0);
 }
 
-// Ends the control loop and then the HTTP server, as daemon_run does.
 static void
-stop_rig(void)
+stop_control_loop(void)
 {
     loop_stop(rig.daemon.control_loop);
     pthread_join(rig.thread, NULL);
+}
+
+static void
+free_rig(void)
+{
     plugin_stop_all(&rig.daemon);
     loop_destroy(rig.daemon.control_loop);
     free(rig.large);
 }
 
+// Ends the control loop and then the HTTP server, as daemon_run does.
+static void
+stop_rig(void)
+{
+    stop_control_loop();
+    free_rig();
+}
+
 static void
 drain_rig(void)
 {
@@ -203,6 +215,24 @@
 }
 END_TEST
 
+START_TEST(test_call_after_last_turn_is_not_leaked)
+{
+    start_rig();
+    stop_control_loop();
+    int fd = platform_connect(rig.settings.http.port);
+    send_text(fd, "PUT /held HTTP/1.1\r\nHost: a\r\n"
+                  "Content-Length: 2\r\n\r\n{}");
+    for (int i = 0; plugin_all_drained(&rig.daemon); i++) {
+        ck_assert_int_lt(i, HTTP_TEST_ROUNDS);
+        usleep(HTTP_TEST_STEP_US);
+    }
+    atomic_store(&rig.daemon.draining, true);
+    free_rig();
+    assert_response(fd, "HTTP/1.1 503 ", STOPPING);
+    ck_assert_ptr_null(atomic_load(&rig.held));
+}
+END_TEST
+
 // A call that arrives during the drain is refused at once and starts nothing.
 START_TEST(test_stop_refuses_new_call)
 {
@@ -259,6 +289,7 @@
     tcase_set_timeout(tests, 60);
     tcase_add_test(tests, test_stop_waits_for_call);
     tcase_add_test(tests, test_stop_answers_call_without_result);
+    tcase_add_test(tests, test_call_after_last_turn_is_not_leaked);
     tcase_add_test(tests, test_stop_refuses_new_call);
     tcase_add_test(tests, test_stop_completes_response);
     tcase_add_test(tests, test_stop_leaves_caller_that_does_not_read);
