fix(postgres): a session on its way to an ended worker is closed

Cause: each session moves to the worker of its database with a post. Workers are stopped one after the other, so a worker that still runs can post a session to one that has ended. No listener owns the session then, and nothing freed it or closed its connection: the client's connection stayed open until the process ended.

Fix: the post is discarded by a function that closes the connection and frees the session. Such a session has read its startup message only: it is not admitted, no database knows it and it has no watch or timer, so the function uses neither worker nor entry. postgres_session_destroy shares the code.

Lost: no promised outcome, since no request can have been read as one; neither entry_admit_session nor COUNTER_SESSIONS_OPENED has counted the session.

Test: test_session_moved_to_ended_worker_is_not_leaked on the code before, with and without sanitizers: a client's connection is not closed (no event in 20 s); now it passes in both.

--- a/src/catkingrade/plugins/postgres_session.c
+++ b/src/catkingrade/plugins/postgres_session.c
@@ -142,6 +142,23 @@
     }
 }
 
+// Closes the client connection and frees a session that no listener owns and
+// that no database knows.
+static void
+postgres_session_free(struct postgres_session *session)
+{
+    postgres_session_free_batch(session);
+    postgres_session_free_startup(session);
+    postgres_names_free(session);
+    postgres_transport_close(&session->transport);
+    buffer_free(&session->in);
+    buffer_free(&session->out);
+    free(session->variables);
+    free(session->settings_text);
+    free(session->settings_pending);
+    free(session);
+}
+
 // Closes the client connection and frees the session, in any state. A request
 // in flight is cancelled. If a transaction is open, the scheduler closes or
 // resets its upstream connection.
@@ -160,16 +177,7 @@
     if (database != NULL) {
         database_close_session(database, &session->base, session->request);
     }
-    postgres_session_free_batch(session);
-    postgres_session_free_startup(session);
-    postgres_names_free(session);
-    postgres_transport_close(&session->transport);
-    buffer_free(&session->in);
-    buffer_free(&session->out);
-    free(session->variables);
-    free(session->settings_text);
-    free(session->settings_pending);
-    free(session);
+    postgres_session_free(session);
 }
 
 // Queues a fatal error for the client. The session is closed when the error
@@ -415,6 +423,16 @@
     postgres_session_process_io(session);
 }
 
+// Closes a moved session whose new thread has ended.
+static void
+postgres_session_discard_move(void *data)
+{
+    struct postgres_move *move = data;
+
+    postgres_session_free(move->session);
+    free(move);
+}
+
 // Moves a session to the thread that owns its database. The caller must not
 // use the session afterwards.
 static void
@@ -429,7 +447,7 @@
     postgres_session_detach(session);
     session->listener = NULL;
     loop_post(worker_get_loop(move->worker), postgres_session_finish_move,
-              NULL, move);
+              postgres_session_discard_move, move);
 }
 
 // Writes pending output. Returns false if the session must be destroyed:
