fix(postgres): a cancel request to an ended worker is freed

Cause: as for the other posts: a cancel request that reaches a worker's loop after its last turn was not freed.

Fix: its data owns nothing else, so free discards it. Lost: nothing; a cancel request has no answer, and the requests of that worker have ended.

Test: test_cancel_request_to_ended_worker_is_not_leaked on the code before, with sanitizers: "16 byte(s) leaked in 1 allocation(s)"; now test_postgres_session passes (2 of 2), with and without sanitizers.

--- a/src/catkingrade/plugins/postgres_listener.c
+++ b/src/catkingrade/plugins/postgres_listener.c
@@ -181,7 +181,7 @@
     message->key_id = key_id;
     message->key_secret = key_secret;
     loop_post(worker_get_loop(message->worker), listener_handle_cancel_request,
-              NULL, message);
+              free, message);
 }
 
 static const struct entry_listener postgres_entry_listener = {
--- a/test/unit/plugins/test_postgres_session.c
+++ b/test/unit/plugins/test_postgres_session.c
@@ -13,6 +13,7 @@
 #include "catkingrade/kernel/outcome.h"
 #include "catkingrade/kernel/plugin.h"
 #include "catkingrade/kernel/settings.h"
+#include "catkingrade/plugins/postgres_listener.h"
 #include "test/fake/platform.h"
 #include "test/fake/process.h"
 #include "test/suite.h"
@@ -120,10 +121,21 @@
 }
 END_TEST
 
+START_TEST(test_cancel_request_to_ended_worker_is_not_leaked)
+{
+    start_rig();
+    run_task(worker_get_loop(entry_get_worker(rig.daemon.entry, 0)), end_loop);
+    postgres_listener_cancel(rig.daemon.entry, 1, 1);
+    plugin_stop_all(&rig.daemon);
+    loop_destroy(rig.daemon.control_loop);
+}
+END_TEST
+
 static void
 add_tests(TCase *tests)
 {
     tcase_add_test(tests, test_session_moved_to_ended_worker_is_not_leaked);
+    tcase_add_test(tests, test_cancel_request_to_ended_worker_is_not_leaked);
 }
 
 TEST_MAIN("postgres_session", add_tests)
