fix(entry): a start that fails leaves no worker running

Found while the posts to ended loops were looked at: plugin_start_all does not stop a plug-in whose own start has failed. If a worker after the first did not start (its port or thread), the earlier workers went on while the daemon freed the control loop, to which they post, and the settings.

The use after free itself was not seen.

--- a/src/catkingrade/entry/entry_plugin.c
+++ b/src/catkingrade/entry/entry_plugin.c
@@ -4,6 +4,21 @@
 
 #include "catkingrade/entry/entry.h"
 #include "catkingrade/kernel/daemon.h"
+#include "catkingrade/kernel/outcome.h"
+
+// Starts the worker threads. If one fails to start, frees the entry with those
+// that run, since a plug-in whose start has failed is not stopped. Returns the
+// outcome of entry_start.
+int
+entry_plugin_start(struct daemon *daemon)
+{
+    int outcome = entry_start(daemon->entry);
+
+    if (outcome != OUTCOME_OK) {
+        entry_plugin_stop(daemon);
+    }
+    return outcome;
+}
 
 // Begins a planned stop: the entry accepts no new sessions.
 void
--- a/src/catkingrade/entry/entry_plugin.h
+++ b/src/catkingrade/entry/entry_plugin.h
@@ -7,6 +7,7 @@
 
 // Operations that are common to all protocol plug-ins whose clients use the
 // daemon's entry.
+int entry_plugin_start(struct daemon *daemon);
 void entry_plugin_drain(struct daemon *daemon);
 void entry_plugin_finish(struct daemon *daemon);
 bool entry_plugin_is_drained(struct daemon *daemon);
--- a/src/catkingrade/plugins/postgres_listener.c
+++ b/src/catkingrade/plugins/postgres_listener.c
@@ -239,10 +239,11 @@
     if (daemon->settings->view_file[0] != '\0') {
         int outcome = postgres_load_view(daemon);
         if (outcome != OUTCOME_OK) {
+            entry_plugin_stop(daemon);
             return outcome;
         }
     }
-    return entry_start(daemon->entry);
+    return entry_plugin_start(daemon);
 }
 
 static const struct plugin postgres_plugin = {
--- a/test/unit/plugins/test_postgres_session.c
+++ b/test/unit/plugins/test_postgres_session.c
@@ -33,7 +33,7 @@
 } rig;
 
 static void
-start_rig(void)
+init_rig(void)
 {
     struct settings *settings = &rig.settings;
 
@@ -49,7 +49,13 @@
     (void)sem_init(&rig.turns, 0, 0);
     rig.daemon.settings = settings;
     rig.daemon.control_loop = loop_create();
-    ck_assert_int_eq(plugin_start_all(&rig.daemon, settings), OUTCOME_OK);
+}
+
+static void
+start_rig(void)
+{
+    init_rig();
+    ck_assert_int_eq(plugin_start_all(&rig.daemon, &rig.settings), OUTCOME_OK);
 }
 
 static void
@@ -131,11 +137,24 @@
 }
 END_TEST
 
+START_TEST(test_failed_start_leaves_no_worker)
+{
+    init_rig();
+    (void)strcpy(rig.settings.postgres.host, "192.0.2.1"); // not of this VM
+    ck_assert_int_eq(plugin_start_all(&rig.daemon, &rig.settings),
+                     OUTCOME_UNAVAILABLE);
+    ck_assert_ptr_null(rig.daemon.entry);
+    plugin_stop_all(&rig.daemon);
+    loop_destroy(rig.daemon.control_loop);
+}
+END_TEST
+
 static void
 add_tests(TCase *tests)
 {
     tcase_add_test(tests, test_session_moved_to_ended_worker_is_not_leaked);
     tcase_add_test(tests, test_cancel_request_to_ended_worker_is_not_leaked);
+    tcase_add_test(tests, test_failed_start_leaves_no_worker);
 }
 
 TEST_MAIN("postgres_session", add_tests)
