test(process): a program claims its range of ports

Cause: process_get_free_port tests that a port is free, and a daemon binds it later. Within one clone the ranges keep programs apart; two clones give the same range to the same program.

Fix: at its first call a program claims its range by a Unix socket with an abstract name, held until the program ends. If another program has the range, the next free one is claimed. The kernel keeps such names for each network namespace, as it does the ports, and drops them with the process, so no file can be left behind. A clone without this change claims nothing and can still clash. What is checked stays as it was.

--- a/test/fake/process.c
+++ b/test/fake/process.c
@@ -5,12 +5,14 @@
 #include <fcntl.h>
 #include <netinet/in.h>
 #include <signal.h>
+#include <stddef.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 #include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/stat.h>
+#include <sys/un.h>
 #include <sys/wait.h>
 #include <time.h>
 #include <unistd.h>
@@ -23,6 +25,7 @@
 #define PROCESS_FIRST_PORT       10240
 #define PROCESS_PORT_RANGES      100
 #define PROCESS_PORTS_PER_RANGE  220
+#define PROCESS_CLAIM_NAME       "catkingrade-test-ports-%d"
 #define PROCESS_MAX_ARGS         64
 #define PROCESS_PATH_SIZE        1024
 #define PROCESS_TIMEOUT_US       60000000
@@ -217,14 +220,54 @@
     return is_free;
 }
 
+// Claims a port range until this program ends, by a Unix socket with an
+// abstract name: the kernel keeps these names for each network namespace, as
+// it does the ports. Returns false if another program has the range.
+static bool
+process_claim_range(int range)
+{
+    struct sockaddr_un address = {.sun_family = AF_UNIX};
+    int fd = socket(AF_UNIX, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    int length = snprintf(address.sun_path + 1, sizeof(address.sun_path) - 1,
+                          PROCESS_CLAIM_NAME, range);
+    size_t size = offsetof(struct sockaddr_un, sun_path) + 1 + (size_t)length;
+
+    INVARIANT(fd >= 0);
+    if (bind(fd, (struct sockaddr *)&address, (socklen_t)size) == 0) {
+        return true;
+    }
+    INVARIANT(errno == EADDRINUSE);
+    close(fd);
+    return false;
+}
+
+// Claims the port range that TEST_PORT_RANGE or else the process id selects,
+// or the first one after it that no other program has.
+static int
+process_select_range(void)
+{
+    const char *number = getenv("TEST_PORT_RANGE");
+    int first = number == NULL ? (int)getpid() : atoi(number);
+
+    for (int i = 0; i < PROCESS_PORT_RANGES; i++) {
+        int range = (first + i) % PROCESS_PORT_RANGES;
+        if (process_claim_range(range)) {
+            return range;
+        }
+    }
+    INVARIANT(!"no free port range");
+    return 0;
+}
+
 int
 process_get_free_port(void)
 {
     static int next;
-    const char *number = getenv("TEST_PORT_RANGE");
-    int range =
-        (number == NULL ? (int)getpid() : atoi(number)) % PROCESS_PORT_RANGES;
+    static int range = -1;
 
+    if (range < 0) {
+        range = process_select_range();
+    }
     for (int i = 0; i < PROCESS_PORTS_PER_RANGE; i++) {
         int port = PROCESS_FIRST_PORT + range * PROCESS_PORTS_PER_RANGE +
                    next++ % PROCESS_PORTS_PER_RANGE;
--- a/test/fake/process.h
+++ b/test/fake/process.h
@@ -39,10 +39,11 @@
 // Returns a port of the loopback address that is free for TCP and UDP.
 //
 // The port lies below the system's range for outgoing connections, so that no
-// connection takes it before a program listens on it. It lies in the port
-// range of this test program, which the environment variable TEST_PORT_RANGE
-// or else the process id selects, so that another test does not get the port
-// of a program that was killed.
+// connection takes it before a program listens on it. It lies in a port range
+// that this test program has claimed at its first call, and that no other one
+// gets until this one ends, whichever clone and build it is of. The
+// environment variable TEST_PORT_RANGE or else the process id selects the
+// range; if another program has it, the next one that is free is claimed.
 int process_get_free_port(void);
 // Waits up to 60 s until a local port accepts connections. Returns whether it
 // does.
