fix(coordinator): entries are not sent to relays that run no statements

Callers: while entries stop in turn, requests were sent to relays that had given their lease back, or had just restarted and held no connections; they waited there until their deadline, were refused, or ended with an unknown outcome.

Cause: a stopped relay stayed in the lists until its lease would have run out. After its restart it was listed as before, though it gets no connections until the quotas of its earlier incarnation are free, up to 3 s later.

A relay is now idle when its lease is given back or denied, or when it waits for its first connection to the primary. An idle relay is left out of the lists unless there is no other. The selection stays, because the quotas are not free for another relay: so only its users move, and they come back when it has connections. Until the quotas of all entries are known none counts as waiting, so an election changes no list.

Lists change more often by that. An entry counted its place in a list, so that a shorter list sent it back to the relay that it had left, and another list of the same length to a third one. decide/traffic/relay_hosts keeps the relay in use unless the list begins with another one than before.

--- a/src/catkingrade/decide/coordinator/coordinator_lease.c
+++ b/src/catkingrade/decide/coordinator/coordinator_lease.c
@@ -277,6 +277,7 @@
                           const struct ck_renew_args *args)
 {
     holder->is_returned = true;
+    coordinator_expire_relay_plans(coordinator);
     (void)coordinator_add_renew_reply(coordinator, token, args->sequence,
                                       OUTCOME_OK);
     coordinator_end_pending_leases(coordinator, holder);
--- a/src/catkingrade/decide/coordinator/coordinator_private.h
+++ b/src/catkingrade/decide/coordinator/coordinator_private.h
@@ -255,6 +255,9 @@
 void coordinator_free_quotas(struct coordinator *coordinator);
 uint32_t coordinator_get_quota_connections(const struct ck_upstream *upstream);
 bool coordinator_allocates_all(const struct coordinator *coordinator);
+bool coordinator_awaits_connections(const struct coordinator *coordinator,
+                                    const char *upstream,
+                                    const struct coordinator_holder *holder);
 
 // Relays: entries that run the statements of others; coordinator_relay.c.
 bool coordinator_is_relay(struct coordinator *coordinator,
@@ -265,6 +268,7 @@
                              const struct ck_renew_args *args,
                              struct ck_renew_result *result);
 void coordinator_free_relays(struct coordinator *coordinator);
+void coordinator_expire_relay_plans(struct coordinator *coordinator);
 void coordinator_update_relay_entries(struct coordinator *coordinator,
                                       const struct coordinator_holder *holder);
 void coordinator_record_unreachable(struct coordinator *coordinator,
--- a/src/catkingrade/decide/coordinator/coordinator_quota.c
+++ b/src/catkingrade/decide/coordinator/coordinator_quota.c
@@ -84,17 +84,15 @@
     }
 }
 
-// Returns the share of an entry. Adds an empty one if there is none. Shares
+// Returns the index of a VM's share, or the index at which to add it. Shares
 // are sorted by VM, because the remainder of integer division is allocated in
 // this order and every leader must compute the same guaranteed shares.
-static struct coordinator_share *
-coordinator_get_or_add_share(struct coordinator_quota *quota,
-                             struct coordinator_holder *holder)
+static size_t
+coordinator_find_share_index(const struct coordinator_quota *quota,
+                             const char *vm)
 {
     size_t index = 0;
     size_t end = quota->shares_count;
-    size_t count = quota->shares_count;
-    const char *vm = holder->daemon.vm;
 
     while (index < end) {
         size_t middle = index + (end - index) / 2;
@@ -105,6 +103,17 @@
             end = middle;
         }
     }
+    return index;
+}
+
+// Returns the share of an entry. Adds an empty one if there is none.
+static struct coordinator_share *
+coordinator_get_or_add_share(struct coordinator_quota *quota,
+                             struct coordinator_holder *holder)
+{
+    size_t count = quota->shares_count;
+    size_t index = coordinator_find_share_index(quota, holder->daemon.vm);
+
     if (index < count && quota->shares[index].holder == holder) {
         return &quota->shares[index];
     }
@@ -238,6 +247,30 @@
     }
 }
 
+// Returns whether an entry has renewed, but got no connection to an upstream
+// yet: after a restart, quotas of its earlier incarnation are still in use.
+// Not known before the quotas of all entries are.
+bool
+coordinator_awaits_connections(const struct coordinator *coordinator,
+                               const char *upstream,
+                               const struct coordinator_holder *holder)
+{
+    const struct coordinator_quota *quota =
+        group_index_get(coordinator->index, COORDINATOR_KEY_QUOTA, upstream);
+
+    if (quota == NULL || !coordinator->quotas_known) {
+        return false;
+    }
+    size_t index = coordinator_find_share_index(quota, holder->daemon.vm);
+    if (index == quota->shares_count) {
+        return false;
+    }
+    const struct coordinator_share *share = &quota->shares[index];
+    return share->holder == holder && share->has_renewed &&
+           (share->incarnation != holder->daemon.incarnation ||
+            share->held.connections == 0);
+}
+
 // Returns the number of an upstream's connections from which quotas are
 // allocated. The other connections stay free for the coordinator's own probes
 // and promotions, and for entries that restart after a power loss: an upstream
--- a/src/catkingrade/decide/coordinator/coordinator_relay.c
+++ b/src/catkingrade/decide/coordinator/coordinator_relay.c
@@ -213,10 +213,36 @@
     }
 }
 
+// Returns whether a relay runs no statements of others at present: it has
+// given its lease back, gets none, or waits for its first connection to the
+// primary after a restart. It stays selected, because its quotas are not free
+// for another relay yet.
+static bool
+coordinator_is_relay_idle(const struct coordinator *coordinator,
+                          const struct ck_database *database,
+                          const struct coordinator_holder *holder)
+{
+    return holder->is_returned ||
+           coordinator_is_lease_denied(coordinator, holder) ||
+           coordinator_awaits_connections(coordinator, database->primary,
+                                          holder);
+}
+
+// Selects the relays of each database anew at its next use.
+void
+coordinator_expire_relay_plans(struct coordinator *coordinator)
+{
+    for (struct coordinator_relay_plan *plan = coordinator->relay_plans;
+         plan != NULL; plan = plan->next) {
+        plan->planned_us = 0;
+    }
+}
+
 // Increases relays_version if what entries are sent about a database has
 // changed.
 static void
 coordinator_update_relays_version(struct coordinator *coordinator,
+                                  const struct ck_database *database,
                                   struct coordinator_relay_plan *plan)
 {
     const struct coordinator_database *db =
@@ -227,10 +253,14 @@
         struct relay_plan_entry *entry = &plan->entries[i];
         entry->primary_unreachable = coordinator_is_primary_unreachable(
             coordinator, plan, plan->holders[i]);
+        entry->is_idle =
+            entry->is_relay &&
+            coordinator_is_relay_idle(coordinator, database, plan->holders[i]);
         const char *host = plan->holders[i]->daemon.host;
         const uint64_t row[] = {(uint64_t)(uintptr_t)plan->holders[i],
                                 XXH3_64bits(host, strlen(host)),
-                                entry->is_relay, entry->primary_unreachable};
+                                entry->is_relay, entry->primary_unreachable,
+                                entry->is_idle};
         hash = XXH3_64bits_withSeed(row, sizeof(row), hash);
     }
     if (hash != plan->hash) {
@@ -259,7 +289,7 @@
     plan->all_are_relays = count == 0;
     relay_plan_select(database->name, count, plan->entries, plan->count);
     coordinator_index_relays(coordinator, plan);
-    coordinator_update_relays_version(coordinator, plan);
+    coordinator_update_relays_version(coordinator, database, plan);
     return plan;
 }
 
--- a/src/catkingrade/decide/coordinator/relay_plan.c
+++ b/src/catkingrade/decide/coordinator/relay_plan.c
@@ -102,13 +102,17 @@
 }
 
 // Returns whether an entry prefers relay a over relay b: first a relay that
-// reaches the primary, then a relay in its own failure domain, then by a hash
-// that differs between entries and so spreads their load.
+// runs statements, then one that reaches the primary, then one in the entry's
+// own failure domain, then by a hash that differs between entries and so
+// spreads their load.
 static bool
 relay_plan_is_preferred(const char *vm, const char *failure_domain,
                         const struct relay_plan_entry *a,
                         const struct relay_plan_entry *b)
 {
+    if (a->is_idle != b->is_idle) {
+        return b->is_idle;
+    }
     if (a->primary_unreachable != b->primary_unreachable) {
         return b->primary_unreachable;
     }
@@ -122,8 +126,9 @@
 }
 
 // Fills indexes with the relays that an entry uses, most preferred first and
-// at most max_count, as indexes into entries. The entry itself is left out.
-// Returns the number of relays listed.
+// at most max_count, as indexes into entries. The entry itself is left out,
+// and so are idle relays unless there is no other. Returns the number of
+// relays listed.
 size_t
 relay_plan_list_nearest(const char *vm, const char *failure_domain,
                         const struct relay_plan_entry *entries,
@@ -150,5 +155,9 @@
             count += count < max_count ? 1 : 0;
         }
     }
+    while (count > 1 && entries[indexes[count - 1]].is_idle &&
+           !entries[indexes[0]].is_idle) {
+        count--;
+    }
     return count;
 }
--- a/src/catkingrade/decide/coordinator/relay_plan.h
+++ b/src/catkingrade/decide/coordinator/relay_plan.h
@@ -17,6 +17,9 @@
     // The entry has recently reported that it does not reach the primary. Such
     // a relay is listed last.
     bool primary_unreachable;
+    // The entry runs no statements of others at present. Such a relay is
+    // listed only if there is no other.
+    bool is_idle;
     // Set by relay_plan_select; true for each entry if all entries connect.
     bool is_relay;
     // Working state of relay_plan_select.
--- a/src/catkingrade/entry/database_relay.c
+++ b/src/catkingrade/entry/database_relay.c
@@ -1,6 +1,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "catkingrade/decide/traffic/relay_hosts.h"
 #include "catkingrade/entry/database_private.h"
 #include "catkingrade/kernel/log.h"
 
@@ -20,6 +21,19 @@
 #define DATABASE_RELAY_BACKOFF_MIN_US 1000000
 #define DATABASE_RELAY_BACKOFF_MAX_US 4000000
 
+// Returns the index in a new list of the relay for new links.
+static size_t
+database_follow_relay(const struct database_relay *state,
+                      const struct ck_relay *relay)
+{
+    if (relay == NULL || state->hosts_count == 0) {
+        return 0;
+    }
+    return relay_hosts_follow(
+        state->hosts[0], state->hosts[state->host_index % state->hosts_count],
+        relay->hosts.hosts_val, relay->hosts.hosts_len);
+}
+
 // Sets the relays of the database; NULL: none. They are in use or on standby.
 // Takes effect with the next database_set_view.
 void
@@ -28,9 +42,7 @@
     struct database_relay *state = &database->relay;
     size_t count = relay == NULL ? 0 : relay->hosts.hosts_len;
 
-    if (count != state->hosts_count) {
-        state->host_index = 0;
-    }
+    state->host_index = database_follow_relay(state, relay);
     state->standby = relay != NULL && relay->standby;
     state->hosts_count = count;
     for (size_t i = 0; i < count; i++) {
--- a/test/unit/decide/coordinator/test_coordinator.c
+++ b/test/unit/decide/coordinator/test_coordinator.c
@@ -857,6 +857,168 @@
 }
 END_TEST
 
+// The entries of a test of lists: each has an address of its own, and one of
+// them, the user, has no connections and uses the other three.
+struct relay_rig {
+    struct rig rig;
+    const char *user;
+    char first[16]; // VM of the user's first relay
+    uint64_t sequence;
+    struct ck_revocation *confirmed; // by the next renewal; NULL: none
+};
+
+// Renews an entry at its own address. Returns the reply, which is valid until
+// the next step.
+static const struct ck_renew_result *
+renew_relay(struct relay_rig *relays, const char *vm, uint64_t incarnation,
+            bool returned)
+{
+    struct rig *rig = &relays->rig;
+    char host[] = "10.3.1.0";
+    struct ck_renew_args args =
+        make_renewal(vm, ++relays->sequence, group_get_revision(rig->group));
+    struct coordinator_event event = {.kind = COORDINATOR_EVENT_RENEW,
+                                      .token = 9};
+
+    host[strlen(host) - 1] = vm[1];
+    args.daemon = changes_make_daemon(vm, host, incarnation);
+    args.returned = returned;
+    args.confirmed.confirmed_val = relays->confirmed;
+    args.confirmed.confirmed_len = relays->confirmed == NULL ? 0 : 1;
+    event.renew = &args;
+    rig->hold_proposals = true; // keeps the reply in the action list
+    step(rig, &event);
+    rig->hold_proposals = false;
+    const struct coordinator_action *reply =
+        find_action(rig, COORDINATOR_ACTION_REPLY_RENEW);
+    ck_assert_ptr_nonnull(reply);
+    return reply->renew;
+}
+
+// Writes the hosts that the user is sent, each by its last digit.
+static const char *
+list_hosts(struct relay_rig *relays)
+{
+    static char digits[CK_RELAY_HOSTS + 1];
+    const struct ck_renew_result *result =
+        renew_relay(relays, relays->user, 1, false);
+
+    ck_assert_uint_eq(result->relays.relays_len, 1);
+    const struct ck_relay *relay = &result->relays.relays_val[0];
+    ck_assert(!relay->standby);
+    memset(digits, 0, sizeof(digits));
+    for (u_int i = 0; i < relay->hosts.hosts_len; i++) {
+        const char *host = relay->hosts.hosts_val[i];
+        digits[i] = host[strlen(host) - 1];
+    }
+    return digits;
+}
+
+// Renews an entry and confirms the end of term 1 with it.
+static void
+confirm_revocation(struct relay_rig *relays, const char *vm)
+{
+    struct ck_revocation revocation = {(char *)(uintptr_t) "roster1", 1};
+
+    relays->confirmed = &revocation;
+    (void)renew_relay(relays, vm, 1, false);
+    relays->confirmed = NULL;
+}
+
+static void
+start_with_lists(struct relay_rig *relays)
+{
+    static const char *const vms[] = {"e1", "e2", "e3", "e4"};
+
+    memset(relays, 0, sizeof(*relays));
+    start_with_relays(&relays->rig, 6, '4');
+    for (int round = 0; round < 2; round++) {
+        for (size_t i = 0; i < 4; i++) {
+            const struct ck_renew_result *result =
+                renew_relay(relays, vms[i], 1, false);
+            if (result->quotas.quotas_len == 0) {
+                relays->user = vms[i];
+            }
+        }
+        relays->rig.now_us += 300 * MS;
+    }
+    ck_assert_ptr_nonnull(relays->user);
+    (void)snprintf(relays->first, sizeof(relays->first), "e%c",
+                   list_hosts(relays)[0]);
+}
+
+// Guards against entries that keep asking a relay that has given its lease
+// back: it is listed no more at once, and the others keep their order.
+START_TEST(test_returned_relay_leaves_lists)
+{
+    struct relay_rig relays;
+    char others[CK_RELAY_HOSTS + 1];
+
+    start_with_lists(&relays);
+    (void)strcpy(others, list_hosts(&relays) + 1);
+    ck_assert_uint_eq(strlen(others), 2);
+    (void)renew_relay(&relays, relays.first, 1, true);
+    ck_assert_str_eq(list_hosts(&relays), others);
+    finish(&relays.rig);
+}
+END_TEST
+
+// Guards against entries that keep asking a relay which is denied its lease.
+START_TEST(test_denied_relay_leaves_lists)
+{
+    struct relay_rig relays;
+    char others[CK_RELAY_HOSTS + 1];
+    bool denied = false;
+
+    start_with_lists(&relays);
+    (void)strcpy(others, list_hosts(&relays) + 1);
+    lose_primary(&relays.rig);
+    for (int i = 0; i < 100 && !denied; i++) {
+        tick(&relays.rig, relays.rig.now_us + 50 * MS);
+        for (const char *host = others; *host != '\0'; host++) {
+            char vm[] = {'e', *host, '\0'};
+            confirm_revocation(&relays, vm);
+        }
+        confirm_revocation(&relays, relays.user);
+        denied = renew_relay(&relays, relays.first, 1, false)->lease_us == 0;
+    }
+    relays.rig.now_us += 300 * MS;
+    confirm_revocation(&relays, relays.user);
+    ck_assert_str_eq(list_hosts(&relays), others);
+    ck_assert(denied);
+    finish(&relays.rig);
+}
+END_TEST
+
+// Guards against entries that ask a relay which waits for its connections
+// after a restart: it is listed again, as the first, once it has some.
+START_TEST(test_restarted_relay_is_listed_with_its_connections)
+{
+    struct relay_rig relays;
+    char all[CK_RELAY_HOSTS + 1];
+    bool waits = true;
+
+    start_with_lists(&relays);
+    (void)strcpy(all, list_hosts(&relays));
+    (void)renew_relay(&relays, relays.first, 1, true);
+    for (int i = 0; i < 20; i++) {
+        const struct ck_renew_result *result =
+            renew_relay(&relays, relays.first, 2, false);
+        ck_assert_uint_gt(result->quotas.quotas_len, 0);
+        ck_assert(i > 0 || result->quotas.quotas_val[0].connections == 0);
+        waits = result->quotas.quotas_val[0].connections == 0;
+        relays.rig.now_us += 300 * MS;
+        ck_assert_str_eq(list_hosts(&relays), waits ? all + 1 : all);
+        for (const char *host = all + 1; *host != '\0'; host++) {
+            char vm[] = {'e', *host, '\0'};
+            (void)renew_relay(&relays, vm, 1, false);
+        }
+    }
+    ck_assert(!waits);
+    finish(&relays.rig);
+}
+END_TEST
+
 // Guards against relays that depend on the order in which entries return after
 // a restart of all: an entry that has renewed, but had no lease yet, must be
 // selected like the others.
@@ -1131,6 +1293,9 @@
     tcase_add_test(tests, test_silent_daemon_expires);
     tcase_add_test(tests, test_restarted_entry_gets_lease_at_once);
     tcase_add_test(tests, test_restart_keeps_relays);
+    tcase_add_test(tests, test_returned_relay_leaves_lists);
+    tcase_add_test(tests, test_denied_relay_leaves_lists);
+    tcase_add_test(tests, test_restarted_relay_is_listed_with_its_connections);
     tcase_add_test(tests, test_quotas_are_announced_when_known);
     tcase_add_test(tests, test_planned_change_waits_for_silent_holder);
     tcase_add_test(tests, test_lagging_replicas_cause_planned_change);
