feat(coordinator): entries that leave a relay spread over those that serve

Callers: while relays were missing, a few of the remaining ones refused most of the requests, for want of a slot.

Cause: the entries of a failure domain have the same first relay.

decide/coordinator/relay_spread chooses for each entry the relay that it uses while its first is missing. The users of one relay are divided among the others that serve, rounded up or down, in proportion to what they can take over: the guaranteed connections of all relays of a database are equal, and a relay of several databases takes over less of each. Within these limits an entry takes the nearest relay, so a change moves few entries. An entry whose first relay serves keeps it, and the others come back to theirs. The choice depends on the set of entries, not on the order of the list, which differs between leaders.

The calls in test_relay_plan have one more argument; its checks are as before.

--- a/src/catkingrade/decide/coordinator/coordinator_private.h
+++ b/src/catkingrade/decide/coordinator/coordinator_private.h
@@ -58,6 +58,7 @@
     bool is_notifying; // a notification is in flight
     bool notify_again; // notify again when the one in flight has ended
     bool has_renewed;  // with this coordinator, which knows its quotas since
+    int relayed_count; // databases for which the entry is a relay
     bool awaits_quota; // has a lease, but no connection to some upstream
 };
 
--- a/src/catkingrade/decide/coordinator/coordinator_relay.c
+++ b/src/catkingrade/decide/coordinator/coordinator_relay.c
@@ -9,6 +9,7 @@
 
 #include "catkingrade/decide/coordinator/coordinator_private.h"
 #include "catkingrade/decide/coordinator/relay_plan.h"
+#include "catkingrade/decide/coordinator/relay_spread.h"
 #include "catkingrade/kernel/memory.h"
 
 // Minimum interval between two selections of the relays of a database.
@@ -39,9 +40,12 @@
     // their holders at the same index.
     struct relay_plan_entry *entries;
     struct coordinator_holder **holders;
+    struct relay_plan_choice *choices;
     size_t count;
-    bool *is_relay;        // by index of struct coordinator_holder
-    size_t is_relay_count; // length of is_relay
+    // Index in entries by index of struct coordinator_holder; RELAY_PLAN_NONE:
+    // not in the plan.
+    size_t *positions;
+    size_t positions_count; // length of positions
     struct coordinator_unreachable *unreachable;
     size_t unreachable_count;
     uint64_t hash; // of what is sent to entries about this plan
@@ -55,7 +59,8 @@
         coordinator->relay_plans = plan->next;
         free(plan->entries);
         free(plan->holders);
-        free(plan->is_relay);
+        free(plan->choices);
+        free(plan->positions);
         free(plan->unreachable);
         free(plan->database);
         free(plan);
@@ -179,6 +184,8 @@
         xrealloc(plan->entries, (capacity + 1) * sizeof(*plan->entries));
     plan->holders =
         xrealloc(plan->holders, (capacity + 1) * sizeof(*plan->holders));
+    plan->choices =
+        xrealloc(plan->choices, (capacity + 1) * sizeof(*plan->choices));
     plan->count = 0;
     plan->registered_count = 0;
     for (struct coordinator_holder *holder = coordinator->holders;
@@ -199,17 +206,41 @@
     }
 }
 
-// Builds the lookup table of relays by holder index.
+// Builds the lookup table of entries by holder index.
 static void
 coordinator_index_relays(const struct coordinator *coordinator,
                          struct coordinator_relay_plan *plan)
 {
-    plan->is_relay_count = coordinator->holders_count;
-    plan->is_relay = xrealloc(plan->is_relay,
-                              plan->is_relay_count * sizeof(*plan->is_relay));
-    memset(plan->is_relay, 0, plan->is_relay_count * sizeof(*plan->is_relay));
+    plan->positions_count = coordinator->holders_count;
+    plan->positions = xrealloc(plan->positions, (plan->positions_count + 1) *
+                                                    sizeof(*plan->positions));
+    for (size_t i = 0; i < plan->positions_count; i++) {
+        plan->positions[i] = RELAY_PLAN_NONE;
+    }
+    for (size_t i = 0; i < plan->count; i++) {
+        plan->positions[plan->holders[i]->index] = i;
+    }
+}
+
+// Returns the index of an entry in a plan, or RELAY_PLAN_NONE.
+static size_t
+coordinator_get_relay_position(const struct coordinator_relay_plan *plan,
+                               const struct coordinator_holder *holder)
+{
+    return holder->index < plan->positions_count
+               ? plan->positions[holder->index]
+               : RELAY_PLAN_NONE;
+}
+
+// Adds the relays of a plan to the numbers of databases of their holders, or
+// takes them away.
+static void
+coordinator_count_relays(const struct coordinator_relay_plan *plan, bool added)
+{
     for (size_t i = 0; i < plan->count; i++) {
-        plan->is_relay[plan->holders[i]->index] = plan->entries[i].is_relay;
+        if (plan->entries[i].is_relay) {
+            plan->holders[i]->relayed_count += added ? 1 : -1;
+        }
     }
 }
 
@@ -256,15 +287,19 @@
         entry->is_idle =
             entry->is_relay &&
             coordinator_is_relay_idle(coordinator, database, plan->holders[i]);
+        entry->databases_count = (uint32_t)plan->holders[i]->relayed_count;
         const char *host = plan->holders[i]->daemon.host;
         const uint64_t row[] = {(uint64_t)(uintptr_t)plan->holders[i],
                                 XXH3_64bits(host, strlen(host)),
-                                entry->is_relay, entry->primary_unreachable,
-                                entry->is_idle};
+                                entry->is_relay,
+                                entry->primary_unreachable,
+                                entry->is_idle,
+                                entry->is_relay ? entry->databases_count : 0};
         hash = XXH3_64bits_withSeed(row, sizeof(row), hash);
     }
     if (hash != plan->hash) {
         plan->hash = hash;
+        relay_spread_assign(plan->entries, plan->count, plan->choices);
         coordinator->relays_version++;
     }
 }
@@ -282,12 +317,14 @@
         return plan;
     }
     plan->planned_us = coordinator->now_us;
+    coordinator_count_relays(plan, false);
     coordinator_list_relay_entries(coordinator, plan);
     uint32_t count = relay_plan_count(
         coordinator_get_min_connections(database),
         coordinator->params.relay_min_connections, plan->registered_count);
     plan->all_are_relays = count == 0;
     relay_plan_select(database->name, count, plan->entries, plan->count);
+    coordinator_count_relays(plan, true);
     coordinator_index_relays(coordinator, plan);
     coordinator_update_relays_version(coordinator, database, plan);
     return plan;
@@ -307,8 +344,8 @@
     if (plan->all_are_relays) {
         return true;
     }
-    return holder->index < plan->is_relay_count &&
-           plan->is_relay[holder->index];
+    size_t position = coordinator_get_relay_position(plan, holder);
+    return position != RELAY_PLAN_NONE && plan->entries[position].is_relay;
 }
 
 // Returns the number of entries with connections to a database, which detect
@@ -369,9 +406,11 @@
         coordinator_update_relay_plan(coordinator, database);
     struct ck_relay *out = &list->relays[list->count++];
     out->database = plan->database;
-    size_t count = relay_plan_list_nearest(daemon->vm, daemon->failure_domain,
-                                           plan->entries, plan->count, indexes,
-                                           CK_RELAY_HOSTS);
+    size_t position = coordinator_get_relay_position(plan, list->holder);
+    size_t count = relay_plan_list_nearest(
+        daemon->vm, daemon->failure_domain,
+        position == RELAY_PLAN_NONE ? NULL : &plan->choices[position],
+        plan->entries, plan->count, indexes, CK_RELAY_HOSTS);
     if (count == 0) {
         list->count--;
         return true;
--- a/src/catkingrade/decide/coordinator/relay_plan.c
+++ b/src/catkingrade/decide/coordinator/relay_plan.c
@@ -101,40 +101,84 @@
     }
 }
 
-// Returns whether an entry prefers relay a over relay b: first a relay that
-// runs statements, then one that reaches the primary, then one in the entry's
-// own failure domain, then by a hash that differs between entries and so
-// spreads their load.
+// Returns whether an entry is nearer to relay a than to relay b: a is in its
+// own failure domain, or has the higher hash. The hash differs between entries
+// and so spreads their load.
+bool
+relay_plan_is_nearer(const char *vm, const char *failure_domain,
+                     const struct relay_plan_entry *a,
+                     const struct relay_plan_entry *b)
+{
+    bool near_a = strcmp(a->failure_domain, failure_domain) == 0;
+    bool near_b = strcmp(b->failure_domain, failure_domain) == 0;
+
+    if (near_a != near_b) {
+        return near_a;
+    }
+    return relay_plan_hash(vm, a->vm) > relay_plan_hash(vm, b->vm);
+}
+
+// An entry, its choice of relays and the list of all entries.
+struct relay_plan_user {
+    const char *vm;
+    const char *failure_domain;
+    const struct relay_plan_choice *choice; // NULL: the nearest relays
+    const struct relay_plan_entry *entries;
+};
+
+// Returns 0 for the first relay of the user's choice, 1 for the alternate and
+// 2 for others.
+static unsigned
+relay_plan_get_place(const struct relay_plan_user *user, size_t index)
+{
+    if (user->choice == NULL) {
+        return 2;
+    }
+    if (index == user->choice->first) {
+        return 0;
+    }
+    return index == user->choice->alternate ? 1 : 2;
+}
+
+// Returns whether a user prefers relay a over relay b: first a relay that runs
+// statements, then one that reaches the primary, then by the user's choice,
+// then the nearer one.
 static bool
-relay_plan_is_preferred(const char *vm, const char *failure_domain,
-                        const struct relay_plan_entry *a,
-                        const struct relay_plan_entry *b)
+relay_plan_is_preferred(const struct relay_plan_user *user, size_t index_a,
+                        size_t index_b)
 {
+    const struct relay_plan_entry *a = &user->entries[index_a];
+    const struct relay_plan_entry *b = &user->entries[index_b];
+    unsigned place_a = relay_plan_get_place(user, index_a);
+    unsigned place_b = relay_plan_get_place(user, index_b);
+
     if (a->is_idle != b->is_idle) {
         return b->is_idle;
     }
     if (a->primary_unreachable != b->primary_unreachable) {
         return b->primary_unreachable;
     }
-    bool near_a = strcmp(a->failure_domain, failure_domain) == 0;
-    bool near_b = strcmp(b->failure_domain, failure_domain) == 0;
-
-    if (near_a != near_b) {
-        return near_a;
+    if (place_a != place_b) {
+        return place_a < place_b;
     }
-    return relay_plan_hash(vm, a->vm) > relay_plan_hash(vm, b->vm);
+    return relay_plan_is_nearer(user->vm, user->failure_domain, a, b);
 }
 
 // Fills indexes with the relays that an entry uses, most preferred first and
-// at most max_count, as indexes into entries. The entry itself is left out,
-// and so are idle relays unless there is no other. Returns the number of
-// relays listed.
+// at most max_count, as indexes into entries. choice may be NULL. The entry
+// itself is left out, and so are idle relays unless there is no other. Returns
+// the number of relays listed.
 size_t
 relay_plan_list_nearest(const char *vm, const char *failure_domain,
+                        const struct relay_plan_choice *choice,
                         const struct relay_plan_entry *entries,
                         size_t entries_count, size_t *indexes,
                         size_t max_count)
 {
+    const struct relay_plan_user user = {.vm = vm,
+                                         .failure_domain = failure_domain,
+                                         .choice = choice,
+                                         .entries = entries};
     size_t count = 0;
 
     for (size_t i = 0; i < entries_count; i++) {
@@ -142,9 +186,7 @@
         if (!entries[i].is_relay || strcmp(entries[i].vm, vm) == 0) {
             continue;
         }
-        while (at > 0 &&
-               relay_plan_is_preferred(vm, failure_domain, &entries[i],
-                                       &entries[indexes[at - 1]])) {
+        while (at > 0 && relay_plan_is_preferred(&user, i, indexes[at - 1])) {
             if (at < max_count) {
                 indexes[at] = indexes[at - 1];
             }
--- a/src/catkingrade/decide/coordinator/relay_plan.h
+++ b/src/catkingrade/decide/coordinator/relay_plan.h
@@ -10,6 +10,15 @@
 // relays: they hold the connections and run the statements of the other
 // entries as well.
 
+#define RELAY_PLAN_NONE SIZE_MAX
+
+// The relays that an entry uses, as indexes into the list of entries;
+// RELAY_PLAN_NONE: none. See relay_spread.h.
+struct relay_plan_choice {
+    size_t first;
+    size_t alternate; // while the first is missing
+};
+
 // One entry that may become a relay of a database.
 struct relay_plan_entry {
     const char *vm;
@@ -20,6 +29,8 @@
     // The entry runs no statements of others at present. Such a relay is
     // listed only if there is no other.
     bool is_idle;
+    // Number of databases for which the entry is a relay.
+    uint32_t databases_count;
     // Set by relay_plan_select; true for each entry if all entries connect.
     bool is_relay;
     // Working state of relay_plan_select.
@@ -33,7 +44,11 @@
                           size_t entries_count);
 void relay_plan_select(const char *database, uint32_t relays_count,
                        struct relay_plan_entry *entries, size_t entries_count);
+bool relay_plan_is_nearer(const char *vm, const char *failure_domain,
+                          const struct relay_plan_entry *a,
+                          const struct relay_plan_entry *b);
 size_t relay_plan_list_nearest(const char *vm, const char *failure_domain,
+                               const struct relay_plan_choice *choice,
                                const struct relay_plan_entry *entries,
                                size_t entries_count, size_t *indexes,
                                size_t max_count);
--- a/test/unit/decide/coordinator/test_relay_plan.c
+++ b/test/unit/decide/coordinator/test_relay_plan.c
@@ -127,8 +127,9 @@
     init_entries(entries);
     relay_plan_select("database1", RELAYS, entries, ENTRIES);
     for (size_t i = 0; i < ENTRIES; i++) {
-        size_t count = relay_plan_list_nearest(names[i], domains[i % DOMAINS],
-                                               entries, ENTRIES, indexes, 3);
+        size_t count =
+            relay_plan_list_nearest(names[i], domains[i % DOMAINS], NULL,
+                                    entries, ENTRIES, indexes, 3);
         ck_assert_uint_eq(count, 3);
         for (size_t j = 0; j < count; j++) {
             ck_assert(entries[indexes[j]].is_relay);
@@ -138,15 +139,15 @@
             ck_assert_uint_eq(indexes[0] % DOMAINS, i % DOMAINS);
             ck_assert_uint_ne(indexes[1] % DOMAINS, i % DOMAINS);
         }
-        count = relay_plan_list_nearest(names[i], "elsewhere", entries,
+        count = relay_plan_list_nearest(names[i], "elsewhere", NULL, entries,
                                         ENTRIES, indexes, 3);
         asked[indexes[0]]++;
     }
     for (size_t i = 0; i < ENTRIES; i++) {
         ck_assert(!entries[i].is_relay || asked[i] > 0);
     }
-    ck_assert_uint_eq(relay_plan_list_nearest("entry0", "domain0", entries,
-                                              ENTRIES, indexes, 0),
+    ck_assert_uint_eq(relay_plan_list_nearest("entry0", "domain0", NULL,
+                                              entries, ENTRIES, indexes, 0),
                       0);
 }
 END_TEST
