--- a/test/unit/decide/coordinator/test_coordinator.c
+++ b/test/unit/decide/coordinator/test_coordinator.c
@@ -963,6 +963,69 @@
 }
 END_TEST
 
+#define SPREAD_ENTRIES 9
+
+// Renews all entries but one that has left, and fills first with the last
+// digit of the first relay of each; '\0' for a relay and for the one that has
+// left.
+static void
+list_first_hosts(struct relay_rig *relays, char left, char *first)
+{
+    for (int i = 0; i < SPREAD_ENTRIES; i++) {
+        char vm[] = {'e', (char)('1' + i), '\0'};
+        first[i] = '\0';
+        if (vm[1] == left) {
+            continue;
+        }
+        const struct ck_renew_result *result =
+            renew_relay(relays, vm, 1, false);
+        ck_assert_uint_eq(result->relays.relays_len, 1);
+        const struct ck_relay *relay = &result->relays.relays_val[0];
+        if (!relay->standby) {
+            const char *host = relay->hosts.hosts_val[0];
+            first[i] = host[strlen(host) - 1];
+        }
+    }
+}
+
+// Guards against lists that leave out the spread: the entries that used a
+// relay which stops are divided evenly among the two others.
+START_TEST(test_users_of_stopped_relay_are_divided)
+{
+    for (char left = '1'; left <= '0' + SPREAD_ENTRIES; left++) {
+        struct relay_rig relays;
+        char before[SPREAD_ENTRIES];
+        char after[SPREAD_ENTRIES];
+        char vm[] = {'e', left, '\0'};
+        int taken['9' + 1] = {0};
+        memset(&relays, 0, sizeof(relays));
+        start_with_relays(&relays.rig, 6, '0' + SPREAD_ENTRIES);
+        for (int round = 0; round < 3; round++) {
+            list_first_hosts(&relays, '\0', before);
+            relays.rig.now_us += 300 * MS;
+        }
+        (void)renew_relay(&relays, vm, 1, true);
+        list_first_hosts(&relays, left, after);
+        int min = SPREAD_ENTRIES;
+        int max = 0;
+        for (int i = 0; i < SPREAD_ENTRIES; i++) {
+            taken[(int)after[i]] += before[i] == left ? 1 : 0;
+            ck_assert(before[i] == left || after[i] == before[i] ||
+                      '1' + i == left);
+        }
+        for (int i = 0; i < SPREAD_ENTRIES; i++) {
+            int count = taken['1' + i];
+            if (before[i] == '\0' && '1' + i != left) {
+                min = count < min ? count : min;
+                max = count > max ? count : max;
+            }
+        }
+        ck_assert_msg(max - min <= 1, "%s: %d to %d", vm, min, max);
+        finish(&relays.rig);
+    }
+}
+END_TEST
+
 // Guards against entries that keep asking a relay which is denied its lease.
 START_TEST(test_denied_relay_leaves_lists)
 {
@@ -1295,6 +1358,7 @@
     tcase_add_test(tests, test_restart_keeps_relays);
     tcase_add_test(tests, test_returned_relay_leaves_lists);
     tcase_add_test(tests, test_denied_relay_leaves_lists);
+    tcase_add_test(tests, test_users_of_stopped_relay_are_divided);
     tcase_add_test(tests, test_restarted_relay_is_listed_with_its_connections);
     tcase_add_test(tests, test_quotas_are_announced_when_known);
     tcase_add_test(tests, test_planned_change_waits_for_silent_holder);
