--- a/test/contract/test_stop.c
+++ b/test/contract/test_stop.c
@@ -3,9 +3,11 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/socket.h>
 #include <sys/stat.h>
 #include <unistd.h>
 
+#include "catkingrade/kernel/buffer.h"
 #include "catkingrade/kernel/memory.h"
 #include "catkingrade/kernel/tcp.h"
 #include "test/fake/platform.h"
@@ -428,6 +430,92 @@
 }
 END_TEST
 
+// Statements whose answers are more than the buffers of a connection hold.
+#define UNREAD_STATEMENTS 200000
+
+// Sends statements that the entry itself answers, and reads no answer.
+static void
+send_unread_statements(int fd)
+{
+    struct buffer text = {0};
+
+    for (int i = 0; i < UNREAD_STATEMENTS; i++) {
+        buffer_append_text(&text, "QUERY x UNKNOWN\r\n");
+    }
+    while (buffer_get_size(&text) > 0) {
+        ssize_t size = send(fd, buffer_get_data(&text), buffer_get_size(&text),
+                            MSG_NOSIGNAL);
+        ck_assert_int_gt(size, 0);
+        buffer_consume(&text, (size_t)size);
+    }
+    buffer_free(&text);
+}
+
+// Checks that a session, which the entry closes, gets all answers to these
+// statements and ends with a text.
+static void
+check_unread_answers(int fd, const char *end)
+{
+    char *text = platform_receive_rest(fd);
+    size_t size = strlen(text);
+    int count = 0;
+
+    for (const char *next = text; (next = strstr(next, "READY ")) != NULL;
+         next++) {
+        count++;
+    }
+    ck_assert_int_eq(count, UNREAD_STATEMENTS);
+    ck_assert_uint_ge(size, strlen(end));
+    ck_assert_str_eq(text + size - strlen(end), end);
+    free(text);
+    close(fd);
+}
+
+// Guards against answers that are cut off because the client needs longer to
+// receive them than a transaction may be idle.
+START_TEST(test_idle_transaction_gets_its_answers)
+{
+    platform_rig_start("stop_unread", 1, "");
+    platform_rig_wait_config(0, IDLE_CONFIG);
+    int fd = platform_rig_wait_answer(0, "current", "QUERY a0 WRITE k0 zero",
+                                      "sig-a0");
+    platform_rig_expect(fd, "QUERY a1 BEGIN", "COMPLETE -\r\nREADY T -\r\n");
+    platform_rig_expect(fd, "QUERY a2 READ k0",
+                        "DATAROW zero\r\nCOMPLETE sig-a2\r\nREADY T -\r\n");
+    send_unread_statements(fd);
+    usleep(1500000);
+    check_unread_answers(fd, "READY T -\r\n");
+    platform_rig_stop();
+}
+END_TEST
+
+// Guards against answers that a stop cuts off because the client needs longer
+// to receive them than to close its connection.
+START_TEST(test_ended_session_gets_its_answers)
+{
+    struct platform_rig_options options = {
+        .entries = 1,
+        .databases = 1,
+        .control_extra = "",
+        .entry_timings = "\"announce_expiry_ms\": 3000, "
+                         "\"drain_notice_ms\": 100, "
+                         "\"drain_limit_ms\": 9000",
+        .control_timings = "\"announce_expiry_ms\": 3000",
+    };
+
+    platform_rig_start_with("stop_unread_end", &options);
+    platform_rig_wait_config(0, CONFIG);
+    int fd = platform_rig_wait_answer(0, "current", "QUERY a0 WRITE k0 zero",
+                                      "sig-a0");
+    send_unread_statements(fd);
+    stop_entry(0);
+    usleep(3000000);
+    check_unread_answers(fd, ENDED);
+    wait_for_entry(0);
+    platform_rig_stop();
+}
+END_TEST
+
 static int
 count_entry_sockets(void)
 {
@@ -480,6 +568,8 @@
     tcase_add_test(tests, test_relay_stop_awaits_relayed_write);
     tcase_add_test(tests, test_read_at_stopping_relay_goes_on);
     tcase_add_test(tests, test_session_stays_after_lost_transaction);
+    tcase_add_test(tests, test_idle_transaction_gets_its_answers);
+    tcase_add_test(tests, test_ended_session_gets_its_answers);
     tcase_add_test(tests, test_removed_database_closes_its_connections);
     tcase_add_test(tests, test_relay_stop_leaves_no_write_in_doubt);
 }
