--- a/test/contract/test_stop.c
+++ b/test/contract/test_stop.c
@@ -489,6 +489,23 @@
 }
 END_TEST
 
+// Guards against answers that are cut off because of a later invalid message.
+START_TEST(test_answers_before_invalid_message_arrive)
+{
+    static const char invalid[] = "QUERY x\0\r\n";
+
+    platform_rig_start("stop_invalid", 1, "");
+    platform_rig_wait_config(0, CONFIG);
+    int fd = platform_rig_wait_answer(0, "current", "QUERY a0 WRITE k0 zero",
+                                      "sig-a0");
+    send_unread_statements(fd);
+    ck_assert_int_eq(send(fd, invalid, sizeof(invalid) - 1, MSG_NOSIGNAL),
+                     sizeof(invalid) - 1);
+    check_unread_answers(fd, "ERROR MALFORMED not a message\r\n");
+    platform_rig_stop();
+}
+END_TEST
+
 // Guards against answers that a stop cuts off because the client needs longer
 // to receive them than to close its connection.
 START_TEST(test_ended_session_gets_its_answers)
@@ -570,6 +587,7 @@
     tcase_add_test(tests, test_session_stays_after_lost_transaction);
     tcase_add_test(tests, test_idle_transaction_gets_its_answers);
     tcase_add_test(tests, test_ended_session_gets_its_answers);
+    tcase_add_test(tests, test_answers_before_invalid_message_arrive);
     tcase_add_test(tests, test_removed_database_closes_its_connections);
     tcase_add_test(tests, test_relay_stop_leaves_no_write_in_doubt);
 }
