fix(entry): a connection closes once its client has received the last answer

Callers saw: a connection reset in the middle of answers that the entry had written whole, at a planned stop, when they sent a statement meanwhile. On the platform this is one after the 2 s in which a client is to close, with PostgreSQL any statement behind answers that are still on their way. Cause: data that arrives at a closed socket resets the connection, and the kernel drops what the peer has not acknowledged. Closing when the output buffer is empty thus still cuts off answers. A PostgreSQL session waits 2 s at most.

--- a/src/catkingrade/kernel/tcp.c
+++ b/src/catkingrade/kernel/tcp.c
@@ -1,9 +1,11 @@
 #include "catkingrade/kernel/tcp.h"
 
 #include <errno.h>
+#include <linux/sockios.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <string.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -143,6 +145,29 @@
     return OUTCOME_OK;
 }
 
+// Returns whether the peer has acknowledged all bytes that were sent.
+bool
+tcp_is_acknowledged(int fd)
+{
+    int size = 0;
+
+    return ioctl(fd, SIOCOUTQ, &size) != 0 || size == 0;
+}
+
+// Returns whether a connection can be closed without a loss of sent bytes.
+// Otherwise ends the stream to the peer: data that arrives from the peer after
+// a close resets the connection, and the kernel drops what is not
+// acknowledged.
+bool
+tcp_finish(int fd)
+{
+    if (tcp_is_acknowledged(fd)) {
+        return true;
+    }
+    (void)shutdown(fd, SHUT_WR);
+    return false;
+}
+
 // Closes a connection with a TCP reset, so that unsent data and data in
 // transit are not delivered to the peer.
 void
--- a/src/catkingrade/kernel/tcp.h
+++ b/src/catkingrade/kernel/tcp.h
@@ -15,6 +15,8 @@
                        unsigned user_timeout_ms);
 int tcp_read(int fd, struct buffer *in);
 int tcp_write(int fd, struct buffer *out);
+bool tcp_finish(int fd);
+bool tcp_is_acknowledged(int fd);
 void tcp_reset(int fd);
 
 #endif
--- a/src/catkingrade/plugins/postgres_session.c
+++ b/src/catkingrade/plugins/postgres_session.c
@@ -12,6 +12,10 @@
 
 // Maximum time from the connection to the end of authentication.
 #define POSTGRES_STARTUP_TIMEOUT_US 10000000
+// Maximum time for the last answers of a session to reach the client, and the
+// interval of checks.
+#define POSTGRES_DELIVERY_TIMEOUT_US 2000000
+#define POSTGRES_DELIVERY_POLL_US    10000
 // Input that is buffered while a request is in flight.
 #define POSTGRES_READ_AHEAD_MAX_BYTES 262144
 // Input that is buffered beyond a message of maximum length. The type byte of
@@ -37,8 +41,13 @@
 static void
 postgres_session_handle_watch(void *data, unsigned events)
 {
-    (void)events;
-    postgres_session_process_io(data);
+    struct postgres_session *session = data;
+
+    if (session->delivery_deadline_us != 0 && (events & LOOP_ERROR) != 0) {
+        postgres_session_destroy(session);
+        return;
+    }
+    postgres_session_process_io(session);
 }
 
 // Closes a session whose startup or authentication took too long.
@@ -468,6 +477,36 @@
            buffer_get_size(&session->out) > 0;
 }
 
+static void
+postgres_session_handle_delivery_timer(void *data)
+{
+    postgres_session_process_io(data);
+}
+
+// Returns whether a session that is closing, with all output written, still
+// waits until the client has received it.
+static bool
+postgres_session_awaits_delivery(struct postgres_session *session)
+{
+    struct loop *loop = worker_get_loop(postgres_session_get_worker(session));
+    int64_t now_us = monotonic_get_us();
+
+    if (session->state != POSTGRES_STATE_CLOSING ||
+        buffer_get_size(&session->out) > 0 ||
+        postgres_transport_finish(&session->transport)) {
+        return false;
+    }
+    if (session->delivery_deadline_us == 0) {
+        session->delivery_deadline_us = now_us + POSTGRES_DELIVERY_TIMEOUT_US;
+        loop_timer_destroy(session->timer);
+        session->timer = loop_timer_create(
+            loop, postgres_session_handle_delivery_timer, session);
+        loop_watch_set_events(session->watch, 0);
+    }
+    loop_timer_set(session->timer, now_us + POSTGRES_DELIVERY_POLL_US);
+    return now_us < session->delivery_deadline_us;
+}
+
 // Reads input, handles complete messages and writes output until one of these
 // would block. May free the session or move it to another thread.
 void
@@ -492,7 +531,11 @@
         session->state == POSTGRES_STATE_READY) {
         postgres_session_end(session);
     }
-    if (!postgres_session_write(session) || !alive) {
+    bool open = postgres_session_write(session);
+    if (!open && alive && postgres_session_awaits_delivery(session)) {
+        return;
+    }
+    if (!open || !alive) {
         postgres_session_destroy(session);
         return;
     }
--- a/src/catkingrade/plugins/postgres_session.h
+++ b/src/catkingrade/plugins/postgres_session.h
@@ -53,7 +53,10 @@
     struct postgres_session **prev_next; // pointer to this session in the list
     struct postgres_transport transport;
     struct loop_watch *watch;
-    struct loop_timer *timer;         // limits startup; NULL once logged in
+    // Limits the startup or, at the end, the time for the last answers to
+    // reach the client; NULL meanwhile.
+    struct loop_timer *timer;
+    int64_t delivery_deadline_us;     // 0: not at the end
     struct postgres_startup *startup; // NULL once logged in
     struct scram *scram;              // exchange in progress, or NULL
     struct buffer in;
--- a/src/catkingrade/plugins/postgres_transport.c
+++ b/src/catkingrade/plugins/postgres_transport.c
@@ -7,6 +7,7 @@
 
 #include "catkingrade/kernel/log.h"
 #include "catkingrade/kernel/outcome.h"
+#include "catkingrade/kernel/tcp.h"
 
 #define POSTGRES_READ_BYTES 8192
 
@@ -163,6 +164,18 @@
     return OUTCOME_OK;
 }
 
+// Returns whether the connection can be closed without a loss of output.
+// Otherwise ends the stream to the client, see tcp_finish.
+bool
+postgres_transport_finish(struct postgres_transport *transport)
+{
+    if (transport->ssl != NULL && !tcp_is_acknowledged(transport->fd)) {
+        (void)SSL_shutdown(transport->ssl);
+        ERR_clear_error();
+    }
+    return tcp_finish(transport->fd);
+}
+
 // Closes the connection. Sends the TLS close notification without waiting for
 // the client's.
 void
--- a/src/catkingrade/plugins/postgres_transport.h
+++ b/src/catkingrade/plugins/postgres_transport.h
@@ -23,6 +23,7 @@
                             struct buffer *in, size_t max_bytes);
 int postgres_transport_write(struct postgres_transport *transport,
                              struct buffer *out);
+bool postgres_transport_finish(struct postgres_transport *transport);
 void postgres_transport_close(struct postgres_transport *transport);
 
 #endif
--- a/test/contract/test_entry.c
+++ b/test/contract/test_entry.c
@@ -1,12 +1,16 @@
 #include <apr_general.h>
 #include <check.h>
+#include <fcntl.h>
 #include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/socket.h>
 #include <time.h>
+#include <unistd.h>
 
 #include "catkingrade/entry/worker.h"
+#include "catkingrade/kernel/buffer.h"
 #include "catkingrade/kernel/memory.h"
 #include "test/fake/process.h"
 #include "test/suite.h"
@@ -524,6 +528,74 @@
 }
 END_TEST
 
+// Statements whose answers the buffers of a connection hold.
+#define SENT_STATEMENTS 20000
+
+static void
+send_all(int fd, struct buffer *out)
+{
+    while (buffer_get_size(out) > 0) {
+        ssize_t size =
+            send(fd, buffer_get_data(out), buffer_get_size(out), MSG_NOSIGNAL);
+        ck_assert_int_gt(size, 0);
+        buffer_consume(out, (size_t)size);
+    }
+}
+
+// Receives until the connection ends. Returns whether the last bytes contain a
+// text; *count is the number of bytes.
+static bool
+receive_rest(int fd, const char *text, size_t *count)
+{
+    char last[512];
+    size_t size = 0;
+    ssize_t got = 0;
+
+    *count = 0;
+    while ((got = recv(fd, last + size, sizeof(last) - size, 0)) > 0) {
+        *count += (size_t)got;
+        size += (size_t)got;
+        if (size > sizeof(last) / 2) {
+            memmove(last, last + size - sizeof(last) / 2, sizeof(last) / 2);
+            size = sizeof(last) / 2;
+        }
+    }
+    return memmem(last, size, text, strlen(text)) != NULL;
+}
+
+// Guards against answers that a stop destroys on their way: a connection that
+// is closed and then receives a statement is reset.
+START_TEST(test_stop_destroys_no_answer_on_its_way)
+{
+    static const char statement[] = "Q\0\0\0\x20SHOW catkingrade.last_route";
+    struct buffer out = {0};
+    size_t count = 0;
+    struct fleet fleet;
+
+    fleet_start(&fleet, "entry_stop_sent", "0");
+    PGconn *conn = fleet_open(&fleet);
+    int fd = PQsocket(conn);
+    ck_assert_int_eq(fcntl(fd, F_SETFL, 0), 0);
+    for (int i = 0; i < SENT_STATEMENTS; i++) {
+        buffer_append(&out, statement, sizeof(statement));
+    }
+    send_all(fd, &out);
+    usleep(500000);
+    ck_assert_int_eq(kill(process_get_pid(fleet.entries[0]), SIGTERM), 0);
+    usleep(500000);
+    buffer_append(&out, statement, sizeof(statement));
+    send_all(fd, &out);
+    usleep(200000);
+    ck_assert_msg(receive_rest(fd, "due to a planned stop", &count),
+                  "cut after %zu bytes", count);
+    ck_assert_int_eq(process_wait(fleet.entries[0]), 0);
+    fleet.entries[0] = NULL;
+    buffer_free(&out);
+    PQfinish(conn);
+    fleet_stop(&fleet);
+}
+END_TEST
+
 // Guards against a statement that is cut off by a stop without an answer.
 START_TEST(test_statement_in_flight_is_answered_at_stop)
 {
@@ -736,6 +808,7 @@
     tcase_add_test(tests, test_silent_connections_are_replaced);
     tcase_add_test(tests, test_planned_stop);
     tcase_add_test(tests, test_statement_in_flight_is_answered_at_stop);
+    tcase_add_test(tests, test_stop_destroys_no_answer_on_its_way);
     tcase_add_test(tests, test_protocol);
     tcase_add_test(tests, test_pipeline);
     tcase_add_test(tests, test_cancel);
--- a/test/contract/test_stop.c
+++ b/test/contract/test_stop.c
@@ -430,16 +430,18 @@
 }
 END_TEST
 
-// Statements whose answers are more than the buffers of a connection hold.
+// Statements whose answers are more than the buffers of a connection hold, and
+// less than that.
 #define UNREAD_STATEMENTS 200000
+#define SENT_STATEMENTS   60000
 
 // Sends statements that the entry itself answers, and reads no answer.
 static void
-send_unread_statements(int fd)
+send_unread_statements(int fd, int count)
 {
     struct buffer text = {0};
 
-    for (int i = 0; i < UNREAD_STATEMENTS; i++) {
+    for (int i = 0; i < count; i++) {
         buffer_append_text(&text, "QUERY x UNKNOWN\r\n");
     }
     while (buffer_get_size(&text) > 0) {
@@ -454,7 +456,7 @@
 // Checks that a session, which the entry closes, gets all answers to these
 // statements and ends with a text.
 static void
-check_unread_answers(int fd, const char *end)
+check_unread_answers(int fd, int expected_count, const char *end)
 {
     char *text = platform_receive_rest(fd);
     size_t size = strlen(text);
@@ -464,7 +466,7 @@
          next++) {
         count++;
     }
-    ck_assert_int_eq(count, UNREAD_STATEMENTS);
+    ck_assert_int_eq(count, expected_count);
     ck_assert_uint_ge(size, strlen(end));
     ck_assert_str_eq(text + size - strlen(end), end);
     free(text);
@@ -482,9 +484,9 @@
     platform_rig_expect(fd, "QUERY a1 BEGIN", "COMPLETE -\r\nREADY T -\r\n");
     platform_rig_expect(fd, "QUERY a2 READ k0",
                         "DATAROW zero\r\nCOMPLETE sig-a2\r\nREADY T -\r\n");
-    send_unread_statements(fd);
+    send_unread_statements(fd, UNREAD_STATEMENTS);
     usleep(1500000);
-    check_unread_answers(fd, "READY T -\r\n");
+    check_unread_answers(fd, UNREAD_STATEMENTS, "READY T -\r\n");
     platform_rig_stop();
 }
 END_TEST
@@ -498,36 +500,56 @@
     platform_rig_wait_config(0, CONFIG);
     int fd = platform_rig_wait_answer(0, "current", "QUERY a0 WRITE k0 zero",
                                       "sig-a0");
-    send_unread_statements(fd);
+    send_unread_statements(fd, UNREAD_STATEMENTS);
     ck_assert_int_eq(send(fd, invalid, sizeof(invalid) - 1, MSG_NOSIGNAL),
                      sizeof(invalid) - 1);
-    check_unread_answers(fd, "ERROR MALFORMED not a message\r\n");
+    check_unread_answers(fd, UNREAD_STATEMENTS,
+                         "ERROR MALFORMED not a message\r\n");
     platform_rig_stop();
 }
 END_TEST
 
+static const struct platform_rig_options slow_stop_options = {
+    .entries = 1,
+    .databases = 1,
+    .control_extra = "",
+    .entry_timings = "\"announce_expiry_ms\": 3000, "
+                     "\"drain_notice_ms\": 100, "
+                     "\"drain_limit_ms\": 9000",
+    .control_timings = "\"announce_expiry_ms\": 3000",
+};
+
 // Guards against answers that a stop cuts off because the client needs longer
 // to receive them than to close its connection.
 START_TEST(test_ended_session_gets_its_answers)
 {
-    struct platform_rig_options options = {
-        .entries = 1,
-        .databases = 1,
-        .control_extra = "",
-        .entry_timings = "\"announce_expiry_ms\": 3000, "
-                         "\"drain_notice_ms\": 100, "
-                         "\"drain_limit_ms\": 9000",
-        .control_timings = "\"announce_expiry_ms\": 3000",
-    };
-
-    platform_rig_start_with("stop_unread_end", &options);
+    platform_rig_start_with("stop_unread_end", &slow_stop_options);
+    platform_rig_wait_config(0, CONFIG);
+    int fd = platform_rig_wait_answer(0, "current", "QUERY a0 WRITE k0 zero",
+                                      "sig-a0");
+    send_unread_statements(fd, UNREAD_STATEMENTS);
+    stop_entry(0);
+    usleep(3000000);
+    check_unread_answers(fd, UNREAD_STATEMENTS, ENDED);
+    wait_for_entry(0);
+    platform_rig_stop();
+}
+END_TEST
+
+// Guards against answers that are destroyed on their way because the client
+// sends a statement after the time in which it is to close its connection.
+START_TEST(test_late_statement_destroys_no_answer)
+{
+    platform_rig_start_with("stop_unread_late", &slow_stop_options);
     platform_rig_wait_config(0, CONFIG);
     int fd = platform_rig_wait_answer(0, "current", "QUERY a0 WRITE k0 zero",
                                       "sig-a0");
-    send_unread_statements(fd);
+    send_unread_statements(fd, SENT_STATEMENTS);
     stop_entry(0);
     usleep(3000000);
-    check_unread_answers(fd, ENDED);
+    send_unread_statements(fd, 1);
+    usleep(200000);
+    check_unread_answers(fd, SENT_STATEMENTS + 1, ENDED);
     wait_for_entry(0);
     platform_rig_stop();
 }
@@ -587,6 +609,7 @@
     tcase_add_test(tests, test_session_stays_after_lost_transaction);
     tcase_add_test(tests, test_idle_transaction_gets_its_answers);
     tcase_add_test(tests, test_ended_session_gets_its_answers);
+    tcase_add_test(tests, test_late_statement_destroys_no_answer);
     tcase_add_test(tests, test_answers_before_invalid_message_arrive);
     tcase_add_test(tests, test_removed_database_closes_its_connections);
     tcase_add_test(tests, test_relay_stop_leaves_no_write_in_doubt);
