fix(control): a stopping leader that is elected again hands over again

Operators saw: a daemon that was told to stop did not end before drain_limit_ms (60 s by default) and led its control group until then. Cause: a stop hands the leadership over once. If the VM that is to take over does not answer, the leader steps down after an election timeout, may win the next election, and then nothing hands over any more. Since the last act of a stop waits for the return of its leases, a stop meets this more easily. Change: as long as it leads, a stopping VM starts a transfer whenever none is in progress.

--- a/src/catkingrade/control/control.c
+++ b/src/catkingrade/control/control.c
@@ -531,7 +531,8 @@
     http_remove_routes(control->daemon->http, control);
 }
 
-// Starts to transfer the Raft leadership of all groups to other voters.
+// Starts to transfer the Raft leadership of all groups to other voters, where
+// no transfer is in progress.
 void
 control_drain(struct control *control)
 {
--- a/src/catkingrade/plugins/control.c
+++ b/src/catkingrade/plugins/control.c
@@ -28,10 +28,16 @@
     control_drain(daemon->control);
 }
 
+// Hands over again if this VM leads, since the VM that was to take over may
+// not answer, and this one may be elected again.
 static bool
 control_plugin_is_drained(struct daemon *daemon)
 {
-    return control_is_drained(daemon->control);
+    if (control_is_drained(daemon->control)) {
+        return true;
+    }
+    control_drain(daemon->control);
+    return false;
 }
 
 static void
--- a/test/contract/test_operations.c
+++ b/test/contract/test_operations.c
@@ -79,19 +79,26 @@
 }
 
 static void
-start_three_daemons(struct installation *installation, const char *name)
+start_daemons(struct installation *installation,
+              const struct installation_params *params)
 {
-    struct installation_params params = three_daemons;
-
-    params.name = name;
-    installation_start(installation, &params);
+    installation_start(installation, params);
     installation_create_customer(installation);
     (void)installation_wait_primary(installation, "");
-    for (int i = 0; i < params.daemons_count; i++) {
+    for (int i = 0; i < params->daemons_count; i++) {
         installation_wait_writable(installation, i);
     }
 }
 
+static void
+start_three_daemons(struct installation *installation, const char *name)
+{
+    struct installation_params params = three_daemons;
+
+    params.name = name;
+    start_daemons(installation, &params);
+}
+
 static int
 count_occurrences(const char *text, const char *part)
 {
@@ -195,6 +202,71 @@
 }
 END_TEST
 
+// Returns whether a daemon's log contains a text after another one.
+static bool
+log_contains_after(const struct installation *installation, int daemon,
+                   const char *text, const char *after)
+{
+    char *path = xasprintf("%s/%s.log", installation->folder,
+                           installation->daemons[daemon].vm);
+    char *log = process_read_file(path);
+    const char *begin = strstr(log, after);
+    bool found = begin != NULL && strstr(begin, text) != NULL;
+
+    free(log);
+    free(path);
+    return found;
+}
+
+static void
+wait_for_role(const struct installation *installation, int daemon,
+              const char *role)
+{
+    for (int i = 0; i < WAIT_ROUNDS; i++) {
+        if (log_contains_after(installation, daemon, role, "event=stopping")) {
+            return;
+        }
+        usleep(WAIT_STEP_US);
+    }
+    ck_abort_msg("no %s", role);
+}
+
+// Guards against a daemon that stops, hands its leadership over to one that
+// does not answer, is elected again and then does not end.
+START_TEST(test_stopped_leader_hands_over_again)
+{
+    struct installation_params params = three_daemons;
+    struct installation installation;
+
+    params.name = "operations_handover";
+    params.settings = ", \"drain_limit_ms\": 30000";
+    start_daemons(&installation, &params);
+    int leader = installation_find_leader(&installation);
+    struct process *process = installation.daemons[leader].process;
+    int behind = (leader + 1) % 3;
+    pid_t next =
+        process_get_pid(installation.daemons[(leader + 2) % 3].process);
+    PGconn *open = installation_connect(&installation, leader, NULL);
+
+    free(process_query(open, "BEGIN"));
+    free(process_query(open, "SELECT 1"));
+    installation_kill_daemon(&installation, behind);
+    check_command(&installation, leader, "customer shutdown pootafdruk", 0,
+                  "accepted");
+    (void)kill(next, SIGSTOP);
+    (void)kill(process_get_pid(process), SIGTERM);
+    wait_for_role(&installation, leader, "role=follower");
+    installation_start_daemon(&installation, behind, false);
+    wait_for_role(&installation, leader, "role=leader");
+    PQfinish(open);
+    installation.daemons[leader].process = NULL;
+    ck_assert_int_eq(process_wait(process), 0);
+    ck_assert(log_contains_after(&installation, leader,
+                                 "event=stopped drained=1", "event=stopping"));
+    installation_stop(&installation);
+}
+END_TEST
+
 // Guards against a database that belongs to two customers, and against the
 // deletion of a template in use. An unused template is created, applied
 // without a change and deleted.
@@ -377,6 +449,7 @@
     tcase_add_test(tests, test_status);
     tcase_add_test(tests, test_switchover);
     tcase_add_test(tests, test_shutdown_and_stop);
+    tcase_add_test(tests, test_stopped_leader_hands_over_again);
     tcase_add_test(tests, test_manifests);
     tcase_add_test(tests, test_customer_in_failure_domain_group);
     tcase_add_test(tests, test_voter_loss_after_replacement);
