--- a/soak/caller.c
+++ b/soak/caller.c
@@ -86,6 +86,16 @@
     return caller_is_complete(text) && strstr(text, "READY I") != NULL;
 }
 
+// Returns when a request line with the caller's id last reached an upstream.
+static int64_t
+caller_get_arrival_us(const struct caller *caller, const char *line)
+{
+    char id[PLATFORM_ID_SIZE] = "";
+
+    (void)sscanf(line, "QUERY %63s", id);
+    return platform_get_arrival_us(rig.platforms[caller->database], id);
+}
+
 // Sends a request on the session. Records a connection that ends without a
 // complete answer.
 static char *
@@ -98,6 +108,7 @@
 
     if (!caller_is_complete(text)) {
         cut.closed_us = monotonic_get_us();
+        cut.arrived_us = caller_get_arrival_us(caller, line);
         (void)snprintf(cut.line, sizeof(cut.line), "%s", line);
         checks_record_cut(&cut);
     }
--- a/soak/checks.c
+++ b/soak/checks.c
@@ -11,8 +11,8 @@
 #define CHECKS_MAX_CUTS   4096
 #define CHECKS_MAX_LISTED 5 // late requests that are written in full
 #define CHECKS_US_PER_MS  1000
-// A request that was sent this long before its connection closed was read by
-// the process: lossSlackMs.
+// A request that was sent this long before its connection closed counts as
+// read by the process even if it reached no upstream: lossSlackMs.
 #define CHECKS_SLACK_US 200000
 // A planned stop counts until 1 s after graceS.
 #define CHECKS_STOP_US 7000000
@@ -85,9 +85,11 @@
 {
     int64_t held_us = cut->closed_us - cut->sent_us;
 
-    if (held_us < CHECKS_SLACK_US ||
-        checks_is_disrupted(cut->entry, cut->database, cut->sent_us,
-                            cut->closed_us)) {
+    bool is_read =
+        held_us >= CHECKS_SLACK_US || cut->arrived_us >= cut->sent_us;
+
+    if (!is_read || checks_is_disrupted(cut->entry, cut->database,
+                                        cut->sent_us, cut->closed_us)) {
         return;
     }
     events_fail("%s, entry %d: the request sent at %.3f s has no answer when "
--- a/soak/checks.h
+++ b/soak/checks.h
@@ -13,6 +13,7 @@
     int database;
     int64_t sent_us;
     int64_t closed_us;
+    int64_t arrived_us; // last arrival of its id at an upstream; 0: none
     char line[96];
 };
 
--- a/soak/faults.c
+++ b/soak/faults.c
@@ -57,7 +57,8 @@
     int target; // entry, control VM, or number in the id of an upstream
     int64_t until_us;
     int64_t begun_us;
-    bool is_active; // the fault has started and not ended yet
+    bool is_active;     // the fault has started and not ended yet
+    bool was_listening; // of a control VM that is stopped, before SIGTERM
     int event;
 };
 
@@ -170,6 +171,17 @@
     }
 }
 
+static bool
+fault_is_control_listening(int control)
+{
+    int fd = platform_connect(rig.http_ports[control]);
+
+    if (fd >= 0) {
+        (void)close(fd);
+    }
+    return fd >= 0;
+}
+
 // Starts a fault. Faults without a duration are over at once.
 static void
 fault_start(struct fault *fault)
@@ -194,6 +206,7 @@
         rig.controls[fault->target] = NULL;
         break;
     case FAULT_STOP_CONTROL:
+        fault->was_listening = fault_is_control_listening(fault->target);
         (void)kill(process_get_pid(rig.controls[fault->target]), SIGTERM);
         break;
     case FAULT_FREEZE_CONTROL:
@@ -224,14 +237,16 @@
 }
 
 // Returns whether a control VM has ended after SIGTERM. Kills one that takes
-// longer than the grace period, which is a failure.
+// longer than the grace period, which is a failure. A process that does not
+// listen yet may not have begun to handle signals, and is ended by it.
 static bool
 fault_has_stopped(const struct fault *fault)
 {
     int code = 0;
 
     if (process_try_wait(rig.controls[fault->target], &code)) {
-        if (code != 0) {
+        bool is_early = !fault->was_listening && code == -SIGTERM;
+        if (code != 0 && !is_early) {
             events_fail("control %d ended by %d at a planned stop",
                         fault->target, code);
         }
@@ -314,19 +329,6 @@
     return replaced < 2 && !announcer_is_replacing(rig.announcers[id]);
 }
 
-// Returns whether a control VM listens. Before that SIGTERM ends it at once,
-// since it handles no signals yet.
-static bool
-fault_can_stop_control(int control)
-{
-    int fd = platform_connect(rig.http_ports[control]);
-
-    if (fd >= 0) {
-        (void)close(fd);
-    }
-    return fd >= 0;
-}
-
 static bool
 fault_excludes(enum fault_kind one, enum fault_kind other)
 {
@@ -352,9 +354,6 @@
     if (fault_affects_entry(fault->kind)) {
         return entries_is_up(fault->target) && entries_count_up() > 1;
     }
-    if (fault->kind == FAULT_STOP_CONTROL) {
-        return fault_can_stop_control(fault->target);
-    }
     if (fault->kind == FAULT_KILL_UPSTREAM) {
         return fault_can_kill_upstream(fault->target);
     }
--- a/test/fake/platform.c
+++ b/test/fake/platform.c
@@ -70,6 +70,12 @@
     int64_t deadline_us; // end of the time for requests; 0: none
 };
 
+// Last arrival of a statement with an id.
+struct arrival {
+    char id[PLATFORM_ID_SIZE];
+    int64_t at_us;
+};
+
 struct platform {
     const char *service;
     int first_id;          // number in the id of upstream 0
@@ -89,6 +95,8 @@
     int protocol_errors;
     struct platform_late late[PLATFORM_MAX_LATE];
     int late_count;
+    struct arrival arrivals[PLATFORM_MAX_ARRIVALS];
+    int arrivals_count;
 };
 
 static int
@@ -299,6 +307,31 @@
     send_ready(platform, conn);
 }
 
+static struct arrival *
+find_arrival(struct platform *platform, const char *id)
+{
+    for (int i = 0; i < platform->arrivals_count; i++) {
+        if (strcmp(platform->arrivals[i].id, id) == 0) {
+            return &platform->arrivals[i];
+        }
+    }
+    return NULL;
+}
+
+static void
+record_arrival(struct platform *platform, const char *id, int64_t now_us)
+{
+    struct arrival *arrival = find_arrival(platform, id);
+
+    if (arrival == NULL && platform->arrivals_count < PLATFORM_MAX_ARRIVALS) {
+        arrival = &platform->arrivals[platform->arrivals_count++];
+        (void)snprintf(arrival->id, sizeof(arrival->id), "%s", id);
+    }
+    if (arrival != NULL) {
+        arrival->at_us = now_us;
+    }
+}
+
 // Records a client's statement that arrives after the upstream's deadline.
 // Only a single statement and the first one of a transaction count. Statements
 // that the system issues itself carry the id "-".
@@ -312,6 +345,7 @@
     if (strcmp(id, "-") == 0) {
         return;
     }
+    record_arrival(platform, id, now_us);
     conn->is_first = false;
     if (!counts || deadline_us == 0 || now_us <= deadline_us ||
         platform->late_count == PLATFORM_MAX_LATE) {
@@ -679,6 +713,16 @@
     pthread_mutex_unlock(&platform->mutex);
 }
 
+int64_t
+platform_get_arrival_us(struct platform *platform, const char *id)
+{
+    pthread_mutex_lock(&platform->mutex);
+    const struct arrival *arrival = find_arrival(platform, id);
+    int64_t at_us = arrival == NULL ? 0 : arrival->at_us;
+    pthread_mutex_unlock(&platform->mutex);
+    return at_us;
+}
+
 int
 platform_get_late(struct platform *platform, struct platform_late *late)
 {
--- a/test/fake/platform.h
+++ b/test/fake/platform.h
@@ -16,6 +16,9 @@
 
 struct platform;
 
+// Number of statement ids whose last arrival is kept.
+#define PLATFORM_MAX_ARRIVALS 256
+
 // A client's statement that reached an upstream after its deadline.
 struct platform_late {
     int upstream;
@@ -47,6 +50,9 @@
 // Copies the statements that came after a deadline into an array of
 // PLATFORM_MAX_LATE elements, the oldest first. Returns their number.
 int platform_get_late(struct platform *platform, struct platform_late *late);
+// Returns when a statement with this id last reached an upstream, in monotonic
+// microseconds; 0: none has, or the id is beyond PLATFORM_MAX_ARRIVALS.
+int64_t platform_get_arrival_us(struct platform *platform, const char *id);
 // Pauses or resumes the replication to a replica.
 void platform_pause_replication(struct platform *platform, int upstream,
                                 bool paused);
