fix(platform): a client that pipelines does not fill the entry's memory

Callers would see: the entry ends for want of memory, and with it the requests of all its clients. Cause: a platform session read whatever came, however much was buffered. A client that goes away meanwhile is still noticed: each event reads at least once.

--- a/src/catkingrade/kernel/tcp.c
+++ b/src/catkingrade/kernel/tcp.c
@@ -105,12 +105,13 @@
     return fd;
 }
 
-// Appends all received bytes to in. Returns OUTCOME_AGAIN when no more bytes
-// are available, or OUTCOME_CLOSED at the end of the stream or on an error.
+// Appends received bytes to in, at least once and until it holds max_bytes.
+// Returns OUTCOME_AGAIN then or when no more bytes are available, or
+// OUTCOME_CLOSED at the end of the stream or on an error.
 int
-tcp_read(int fd, struct buffer *in)
+tcp_read(int fd, struct buffer *in, size_t max_bytes)
 {
-    for (;;) {
+    do {
         uint8_t *chunk = buffer_reserve(in, TCP_READ_BYTES);
         ssize_t size = recv(fd, chunk, TCP_READ_BYTES, 0);
         if (size == 0) {
@@ -124,7 +125,8 @@
         if (size < TCP_READ_BYTES) {
             return OUTCOME_AGAIN;
         }
-    }
+    } while (buffer_get_size(in) < max_bytes);
+    return OUTCOME_AGAIN;
 }
 
 // Sends the bytes in out and consumes those that were sent. Returns OUTCOME_OK
--- a/test/contract/test_stop.c
+++ b/test/contract/test_stop.c
@@ -556,6 +556,53 @@
 }
 END_TEST
 
+// More than the buffers of a connection and an entry's read-ahead hold.
+#define PIPELINED_MAX_BYTES (16 * 1024 * 1024)
+
+// Sends statements until the entry has taken no more of them for a second.
+// Returns the number of bytes that were sent.
+static size_t
+send_until_blocked(int fd)
+{
+    static char block[65536];
+    size_t sent = 0;
+    int blocked = 0;
+
+    for (size_t i = 0; i < sizeof(block); i += 16) {
+        memcpy(block + i, "QUERY x READ k\r\n", 16);
+    }
+    while (blocked < 50 && sent <= PIPELINED_MAX_BYTES) {
+        ssize_t size = send(fd, block + sent % 16, sizeof(block) - sent % 16,
+                            MSG_NOSIGNAL | MSG_DONTWAIT);
+        sent += size > 0 ? (size_t)size : 0;
+        blocked = size > 0 ? 0 : blocked + 1;
+        usleep(size > 0 ? 0 : RIG_WAIT_STEP_US);
+    }
+    return sent;
+}
+
+// Guards against one client that fills the memory of an entry, and so ends the
+// requests of all.
+START_TEST(test_pipelining_client_does_not_fill_memory)
+{
+    platform_rig_start("stop_pipelined", 1, "");
+    platform_rig_wait_config(0, CONFIG);
+    int fd = platform_rig_wait_answer(0, "current", "QUERY a0 WRITE k0 zero",
+                                      "sig-a0");
+    int primary = hold_replies_of_primary();
+    platform_send_line(fd, "QUERY a1 READ k0");
+    wait_for_held_reply();
+    ck_assert_uint_le(send_until_blocked(fd), PIPELINED_MAX_BYTES);
+    platform_hold_replies(rig.platform, primary, false);
+    char *text = platform_receive_reply(fd);
+    ck_assert_ptr_nonnull(text);
+    ck_assert_msg(strstr(text, "COMPLETE sig-a1") != NULL, "%s", text);
+    free(text);
+    close(fd);
+    platform_rig_stop();
+}
+END_TEST
+
 static int
 count_entry_sockets(void)
 {
@@ -612,6 +659,7 @@
     tcase_add_test(tests, test_ended_session_gets_its_answers);
     tcase_add_test(tests, test_late_statement_destroys_no_answer);
     tcase_add_test(tests, test_answers_before_invalid_message_arrive);
+    tcase_add_test(tests, test_pipelining_client_does_not_fill_memory);
     tcase_add_test(tests, test_removed_database_closes_its_connections);
     tcase_add_test(tests, test_relay_stop_leaves_no_write_in_doubt);
 }
