--- a/test/contract/test_stop.c
+++ b/test/contract/test_stop.c
@@ -29,6 +29,16 @@
 #define RELAY_SETTINGS ",\"relay_min_connections\": 3"
 #define WRITERS        20
 
+// Starts one entry and returns a session on it that has written.
+static int
+start_session(const char *name)
+{
+    platform_rig_start(name, 1, "");
+    platform_rig_wait_config(0, CONFIG);
+    return platform_rig_wait_answer(0, "current", "QUERY a0 WRITE k0 zero",
+                                    "sig-a0");
+}
+
 static void
 wait_for_held_reply(void)
 {
@@ -88,10 +98,7 @@
 // Guards against a read that is cut off by a stop without an answer.
 START_TEST(test_read_in_flight_is_answered_at_stop)
 {
-    platform_rig_start("stop_read", 1, "");
-    platform_rig_wait_config(0, CONFIG);
-    int fd = platform_rig_wait_answer(0, "current", "QUERY a0 WRITE k0 zero",
-                                      "sig-a0");
+    int fd = start_session("stop_read");
     (void)hold_replies_of_primary();
     platform_send_line(fd, "QUERY a1 READ k0");
     wait_for_held_reply();
@@ -157,10 +164,7 @@
 // Guards against an answer that arrives during a stop and is not delivered.
 START_TEST(test_answer_during_stop_is_delivered)
 {
-    platform_rig_start("stop_answer", 1, "");
-    platform_rig_wait_config(0, CONFIG);
-    int fd = platform_rig_wait_answer(0, "current", "QUERY a0 WRITE k0 zero",
-                                      "sig-a0");
+    int fd = start_session("stop_answer");
     int primary = hold_replies_of_primary();
     platform_send_line(fd, "QUERY a1 WRITE k0 one");
     wait_for_held_reply();
@@ -209,10 +213,7 @@
 // Guards against a write in doubt because it crosses the end of its session.
 START_TEST(test_statement_that_crosses_end_is_refused)
 {
-    platform_rig_start("stop_crossing", 1, "");
-    platform_rig_wait_config(0, CONFIG);
-    int fd = platform_rig_wait_answer(0, "current", "QUERY a0 WRITE k0 zero",
-                                      "sig-a0");
+    int fd = start_session("stop_crossing");
     stop_entry(0);
     platform_rig_expect_end(fd);
     platform_send_line(fd, "QUERY a1 WRITE k0 one");
@@ -497,10 +498,7 @@
 {
     static const char invalid[] = "QUERY x\0\r\n";
 
-    platform_rig_start("stop_invalid", 1, "");
-    platform_rig_wait_config(0, CONFIG);
-    int fd = platform_rig_wait_answer(0, "current", "QUERY a0 WRITE k0 zero",
-                                      "sig-a0");
+    int fd = start_session("stop_invalid");
     send_unread_statements(fd, UNREAD_STATEMENTS);
     ck_assert_int_eq(send(fd, invalid, sizeof(invalid) - 1, MSG_NOSIGNAL),
                      sizeof(invalid) - 1);
@@ -585,10 +583,7 @@
 // requests of all.
 START_TEST(test_pipelining_client_does_not_fill_memory)
 {
-    platform_rig_start("stop_pipelined", 1, "");
-    platform_rig_wait_config(0, CONFIG);
-    int fd = platform_rig_wait_answer(0, "current", "QUERY a0 WRITE k0 zero",
-                                      "sig-a0");
+    int fd = start_session("stop_pipelined");
     int primary = hold_replies_of_primary();
     platform_send_line(fd, "QUERY a1 READ k0");
     wait_for_held_reply();
