fix(postgres): the startup limit holds after a session has moved

Callers would see: no session is free, since clients that never send their password keep theirs for good. Cause: each session moves to the worker of its database after its startup message; the move freed the timer of the limit, and nothing set it again. Change: the deadline belongs to the session, and attaching it to a listener sets the timer.

--- a/src/catkingrade/plugins/postgres_session.c
+++ b/src/catkingrade/plugins/postgres_session.c
@@ -74,7 +74,8 @@
     return session->status != 'I';
 }
 
-// Adds a session to a listener. Must run on the listener's thread.
+// Adds a session that has not logged in to a listener, with the timer that
+// limits its startup. Must run on the listener's thread.
 void
 postgres_session_attach(struct postgres_session *session,
                         struct postgres_listener *listener)
@@ -91,6 +92,9 @@
     session->watch = loop_watch_create(loop, session->transport.fd, LOOP_READ,
                                        postgres_session_handle_watch, session);
     INVARIANT(session->watch != NULL);
+    session->timer =
+        loop_timer_create(loop, postgres_session_handle_timer, session);
+    loop_timer_set(session->timer, session->startup_deadline_us);
 }
 
 // Removes a session from its listener, before it moves to another thread or is
@@ -108,8 +112,7 @@
     session->timer = NULL;
 }
 
-// Creates the session of a new client connection and starts the timer that
-// limits its startup. Takes ownership of fd.
+// Creates the session of a new client connection. Takes ownership of fd.
 struct postgres_session *
 postgres_session_create(struct postgres_listener *listener, int fd)
 {
@@ -121,11 +124,9 @@
     session->transport.fd = fd;
     session->status = 'I';
     session->state = POSTGRES_STATE_STARTUP;
+    session->startup_deadline_us =
+        loop_get_now_us(loop) + POSTGRES_STARTUP_TIMEOUT_US;
     postgres_session_attach(session, listener);
-    session->timer =
-        loop_timer_create(loop, postgres_session_handle_timer, session);
-    loop_timer_set(session->timer,
-                   loop_get_now_us(loop) + POSTGRES_STARTUP_TIMEOUT_US);
     return session;
 }
 
--- a/src/catkingrade/plugins/postgres_session.h
+++ b/src/catkingrade/plugins/postgres_session.h
@@ -56,6 +56,7 @@
     // Limits the startup or, at the end, the time for the last answers to
     // reach the client; NULL meanwhile.
     struct loop_timer *timer;
+    int64_t startup_deadline_us;
     int64_t delivery_deadline_us;     // 0: not at the end
     struct postgres_startup *startup; // NULL once logged in
     struct scram *scram;              // exchange in progress, or NULL
--- a/test/contract/test_pg_clients.c
+++ b/test/contract/test_pg_clients.c
@@ -3,9 +3,13 @@
 #include <stdlib.h>
 #include <string.h>
 #include <sys/select.h>
+#include <sys/socket.h>
+#include <sys/time.h>
+#include <unistd.h>
 
 #include "catkingrade/kernel/memory.h"
 #include "test/fake/deployment.h"
+#include "test/fake/platform.h"
 #include "test/suite.h"
 
 // Runs pgbench, psql and libpq clients against an entry with upstreams of the
@@ -305,18 +309,49 @@
 }
 END_TEST
 
-// Guards against logins with a wrong password or an unknown user: the customer
-// has one caller, with the verifier of the example in RFC 7677 (password
+// One caller, with the verifier of the example in RFC 7677 (password
 // "pencil").
+#define CALLERS                                                               \
+    "[{\"user\": \"walker\", \"verifier\": \"SCRAM-SHA-256$4096:"             \
+    "W22ZaJ0SNY7soEsUEjb6gQ==$WG5d8oPm3OtcPnkdi4Uo7BkeZkBFzpcXkuLmtb"         \
+    "sT4qY=:wfPLwcE6nTWhTAmQ7tl2KeoiWGPlZqQxSrmfPwDl2dU=\"}]"
+
+// Guards against a client that keeps a session without ever logging in.
+START_TEST(test_client_without_password_is_closed)
+{
+    static const char startup[] =
+        "\0\0\0\x25\0\3\0\0user\0walker\0database\0roster\0";
+    // The limit is 10 s.
+    const struct timeval timeout = {.tv_sec = 15};
+    struct deployment deployment;
+    struct deployment_params params = default_params;
+    char answer[512];
+    ssize_t size = 0;
+
+    params.callers = CALLERS;
+    deployment_start(&deployment, "pg_no_password", &params);
+    int fd = platform_connect(deployment.entry_ports[0]);
+    ck_assert_int_eq(
+        setsockopt(fd, SOL_SOCKET, SO_RCVTIMEO, &timeout, sizeof(timeout)), 0);
+    ck_assert_int_eq(send(fd, startup, sizeof(startup), MSG_NOSIGNAL),
+                     sizeof(startup));
+    ck_assert_int_gt(recv(fd, answer, sizeof(answer), 0), 0);
+    ck_assert_int_eq(answer[0], 'R');
+    while ((size = recv(fd, answer, sizeof(answer), 0)) > 0) {
+    }
+    ck_assert_int_eq(size, 0);
+    (void)close(fd);
+    ck_assert(deployment_stop(&deployment));
+}
+END_TEST
+
+// Guards against logins with a wrong password or an unknown user.
 START_TEST(test_password)
 {
     struct deployment deployment;
     struct deployment_params params = default_params;
 
-    params.callers =
-        "[{\"user\": \"walker\", \"verifier\": \"SCRAM-SHA-256$4096:"
-        "W22ZaJ0SNY7soEsUEjb6gQ==$WG5d8oPm3OtcPnkdi4Uo7BkeZkBFzpcXkuLmtb"
-        "sT4qY=:wfPLwcE6nTWhTAmQ7tl2KeoiWGPlZqQxSrmfPwDl2dU=\"}]";
+    params.callers = CALLERS;
     deployment_start(&deployment, "pg_password", &params);
     PGconn *conn =
         process_connect(deployment.entry_ports[0], "password=pencil");
@@ -350,6 +385,7 @@
     tcase_add_test(tests, test_async_replies_match_connections);
     tcase_add_test(tests, test_upstream_connection_limit);
     tcase_add_test(tests, test_password);
+    tcase_add_test(tests, test_client_without_password_is_closed);
 }
 
 TEST_MAIN("pg_clients", add_tests)
