test(stop): a client that reads no answers does not fill the entry's memory

The limit of buffered output had no test of its own. This one also checks that every answer comes once the client reads on.

--- a/test/contract/test_stop.c
+++ b/test/contract/test_stop.c
@@ -5,6 +5,7 @@
 #include <string.h>
 #include <sys/socket.h>
 #include <sys/stat.h>
+#include <sys/time.h>
 #include <unistd.h>
 
 #include "catkingrade/kernel/buffer.h"
@@ -556,21 +557,27 @@
 
 // More than the buffers of a connection and an entry's read-ahead hold.
 #define PIPELINED_MAX_BYTES (16 * 1024 * 1024)
+// More than the statements whose answers an entry buffers as well.
+#define UNREAD_MAX_BYTES (32 * 1024 * 1024)
+// Size of one statement of send_until_blocked.
+#define BLOCK_STATEMENT_SIZE 16
 
-// Sends statements until the entry has taken no more of them for a second.
-// Returns the number of bytes that were sent.
+// Sends a statement again and again until the entry has taken no more for a
+// second, or more than max_bytes. Returns the number of bytes that were sent.
 static size_t
-send_until_blocked(int fd)
+send_until_blocked(int fd, const char *statement, size_t max_bytes)
 {
     static char block[65536];
     size_t sent = 0;
     int blocked = 0;
 
-    for (size_t i = 0; i < sizeof(block); i += 16) {
-        memcpy(block + i, "QUERY x READ k\r\n", 16);
+    ck_assert_uint_eq(strlen(statement), BLOCK_STATEMENT_SIZE);
+    for (size_t i = 0; i < sizeof(block); i += BLOCK_STATEMENT_SIZE) {
+        memcpy(block + i, statement, BLOCK_STATEMENT_SIZE);
     }
-    while (blocked < 50 && sent <= PIPELINED_MAX_BYTES) {
-        ssize_t size = send(fd, block + sent % 16, sizeof(block) - sent % 16,
+    while (blocked < 50 && sent <= max_bytes) {
+        ssize_t size = send(fd, block + sent % BLOCK_STATEMENT_SIZE,
+                            sizeof(block) - sent % BLOCK_STATEMENT_SIZE,
                             MSG_NOSIGNAL | MSG_DONTWAIT);
         sent += size > 0 ? (size_t)size : 0;
         blocked = size > 0 ? 0 : blocked + 1;
@@ -587,7 +594,9 @@
     int primary = hold_replies_of_primary();
     platform_send_line(fd, "QUERY a1 READ k0");
     wait_for_held_reply();
-    ck_assert_uint_le(send_until_blocked(fd), PIPELINED_MAX_BYTES);
+    ck_assert_uint_le(
+        send_until_blocked(fd, "QUERY x READ k\r\n", PIPELINED_MAX_BYTES),
+        PIPELINED_MAX_BYTES);
     platform_hold_replies(rig.platform, primary, false);
     char *text = platform_receive_reply(fd);
     ck_assert_ptr_nonnull(text);
@@ -598,6 +607,43 @@
 }
 END_TEST
 
+// Receives the answers of this number of statements.
+static void
+receive_answers(int fd, size_t statements)
+{
+    static char block[65536];
+    const struct timeval timeout = {.tv_sec = 20};
+    size_t lines = 0;
+
+    ck_assert_int_eq(
+        setsockopt(fd, SOL_SOCKET, SO_RCVTIMEO, &timeout, sizeof(timeout)), 0);
+    // Each answer is an ERROR line and a READY line.
+    while (lines < 2 * statements) {
+        ssize_t size = recv(fd, block, sizeof(block), 0);
+        ck_assert_msg(size > 0, "no more after %zu lines of %zu", lines,
+                      2 * statements);
+        for (ssize_t i = 0; i < size; i++) {
+            lines += block[i] == '\n' ? 1 : 0;
+        }
+    }
+    ck_assert_uint_eq(lines, 2 * statements);
+}
+
+// Guards against a client that fills the memory of an entry with answers that
+// it does not read, and against answers that do not come when it reads on.
+START_TEST(test_client_that_reads_no_answers_does_not_fill_memory)
+{
+    int fd = start_session("stop_unread_memory");
+    size_t sent =
+        send_until_blocked(fd, "QUERY x UNKNOW\r\n", UNREAD_MAX_BYTES);
+
+    ck_assert_uint_le(sent, UNREAD_MAX_BYTES);
+    receive_answers(fd, sent / BLOCK_STATEMENT_SIZE);
+    close(fd);
+    platform_rig_stop();
+}
+END_TEST
+
 static int
 count_entry_sockets(void)
 {
@@ -655,6 +701,8 @@
     tcase_add_test(tests, test_late_statement_destroys_no_answer);
     tcase_add_test(tests, test_answers_before_invalid_message_arrive);
     tcase_add_test(tests, test_pipelining_client_does_not_fill_memory);
+    tcase_add_test(tests,
+                   test_client_that_reads_no_answers_does_not_fill_memory);
     tcase_add_test(tests, test_removed_database_closes_its_connections);
     tcase_add_test(tests, test_relay_stop_leaves_no_write_in_doubt);
 }
