--- a/soak/soak.c
+++ b/soak/soak.c
@@ -32,6 +32,7 @@
 // A seed that divides by 3 has planned work only. One with remainder 1 has
 // unplanned faults all the time, one with remainder 2 has them at times.
 
+#define SOAK_CALL_TIMEOUT_MS     3000
 #define SOAK_CALLERS             12
 #define SOAK_STEP_US             10000
 #define SOAK_RECOVERY_TIMEOUT_US 30000000
@@ -200,6 +201,7 @@
         .control_extra = SOAK_SETTINGS,
         .entry_timings = soak_read_timings("entry.json"),
         .control_timings = soak_read_timings("control.json"),
+        .call_timeout_ms = SOAK_CALL_TIMEOUT_MS,
     };
 
     (void)snprintf(name, sizeof(name), "soak_%" PRIu64, soak.seed);
--- a/test/rig/platform_rig.c
+++ b/test/rig/platform_rig.c
@@ -45,7 +45,7 @@
                   const char *body, long *status)
 {
     return platform_rig_call_within(vm_index, method, path, body,
-                                    PLATFORM_RIG_TIMEOUT_MS, status);
+                                    rig.call_timeout_ms, status);
 }
 
 long
@@ -162,6 +162,9 @@
     rig.control_extra = options->control_extra;
     rig.entry_timings = options->entry_timings;
     rig.control_timings = options->control_timings;
+    rig.call_timeout_ms = options->call_timeout_ms == 0
+                              ? PLATFORM_RIG_TIMEOUT_MS
+                              : options->call_timeout_ms;
     platform_rig_start_platforms();
     platform_rig_start_daemons();
     platform_rig_start_announcers();
--- a/test/rig/platform_rig.h
+++ b/test/rig/platform_rig.h
@@ -39,6 +39,7 @@
     int relay_port;
     const char *entry_timings;
     const char *control_timings;
+    long call_timeout_ms; // of HTTP calls
     // By the number in the upstream's id.
     struct announcer *announcers[RIG_DATABASES * PLATFORM_UPSTREAMS];
     // Announced as draining for good.
@@ -52,6 +53,7 @@
     // JSON settings that end in _ms, separated by commas.
     const char *entry_timings;
     const char *control_timings;
+    long call_timeout_ms; // of HTTP calls; 0: 20 s
 };
 
 extern struct platform_rig rig;
@@ -68,7 +70,7 @@
 // Starts the daemon of a VM. bootstrap: the value of that setting.
 struct process *platform_rig_start_daemon(int vm_index, bool bootstrap);
 // Sends one HTTP request to a daemon; see platform_call_http. The second one
-// waits for 20 s.
+// waits for the time in the options.
 char *platform_rig_call_within(int vm_index, const char *method,
                                const char *path, const char *body,
                                long timeout_ms, long *status);
