--- a/src/catkingrade/entry/entry.c
+++ b/src/catkingrade/entry/entry.c
@@ -461,8 +461,8 @@
 }
 
 // Ends a planned stop: requests that have not been sent are answered as not
-// run, those in flight as unknown, and the sessions close when their answers
-// are written. After entry_drain.
+// run, those in flight as unknown, and the sessions close when their clients
+// have received the answers. After entry_drain.
 void
 entry_finish(struct entry *entry)
 {
--- a/src/catkingrade/entry/worker.h
+++ b/src/catkingrade/entry/worker.h
@@ -33,8 +33,8 @@
     // Closes the listening socket and ends the sessions at their next
     // transaction boundary.
     void (*drain)(void *state);
-    // Ends all sessions once the answers to their requests, which have ended,
-    // are written.
+    // Ends all sessions once their clients have received the answers to their
+    // requests, which have ended.
     void (*finish)(void *state);
     // Closes all sessions and frees the state.
     void (*stop)(void *state);
