feat(metrics): times of the control thread, and bytes by kind of message

A leader with 40 databases loses its role twice a second, and no counter says which work holds its heartbeats up. /metrics now has the number, sum and longest duration of each kind of work of the control loop, the longest turn, how late heartbeats are sent and how long their answers take, and the RPC bytes by kind of message. A turn longer than heartbeat_ms is logged as long_turn, once a second at most.

--- a/src/catkingrade/control/control.c
+++ b/src/catkingrade/control/control.c
@@ -1,5 +1,6 @@
 #include "catkingrade/control/control.h"
 
+#include <inttypes.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -10,11 +11,15 @@
 #include "catkingrade/kernel/memory.h"
 #include "catkingrade/kernel/outcome.h"
 #include "catkingrade/kernel/settings.h"
+#include "catkingrade/kernel/work_time.h"
 #include "catkingrade/plugins/http.h"
 
 #define CONTROL_MAX_FLUSHES_PER_ITERATION 16
 #define CONTROL_MAX_ANNOUNCEMENT_BYTES    16384
 #define CONTROL_MAX_VOTERS                15
+// Lines about long turns of the control loop, per second.
+#define CONTROL_MAX_TURN_LINES 1
+#define CONTROL_US_PER_MS      1000
 
 // Returns this VM's voter of the group, or NULL if this VM has none.
 struct group_host *
@@ -276,13 +281,32 @@
 control_flush(void *data)
 {
     struct control *control = data;
+    int64_t begun_us = monotonic_get_us();
+    bool more = true;
 
-    for (int i = 0; i < CONTROL_MAX_FLUSHES_PER_ITERATION; i++) {
-        if (!control_flush_once(control)) {
-            return;
-        }
+    for (int i = 0; more && i < CONTROL_MAX_FLUSHES_PER_ITERATION; i++) {
+        more = control_flush_once(control);
+    }
+    if (more) {
+        loop_post(control->loop, control_handle_deferred_flush, NULL, control);
+    }
+    int64_t now_us = monotonic_get_us();
+    work_time_record(WORK_TIME_LOG, now_us, now_us - begun_us);
+}
+
+// Records the duration of a turn of the control loop, during which nothing
+// else is handled. Logs one that delays the heartbeats of a group.
+static void
+control_observe_turn(void *data, int64_t duration_us)
+{
+    const struct control *control = data;
+
+    work_time_record(WORK_TIME_TURN, monotonic_get_us(), duration_us);
+    if (duration_us < control->daemon->settings->heartbeat_us) {
+        return;
     }
-    loop_post(control->loop, control_handle_deferred_flush, NULL, control);
+    LOG_LIMITED(CONTROL_MAX_TURN_LINES, LOG_LEVEL_INFO, "long_turn",
+                "turn_ms=%" PRId64, duration_us / CONTROL_US_PER_MS);
 }
 
 static int
@@ -485,6 +509,7 @@
     }
     control_set_handlers(control);
     loop_set_iteration_end_task(control->loop, control_flush, control);
+    loop_set_iteration_observer(control->loop, control_observe_turn, control);
     *control_out = control;
     return OUTCOME_OK;
 }
@@ -494,6 +519,7 @@
 control_destroy(struct control *control)
 {
     loop_set_iteration_end_task(control->loop, NULL, NULL);
+    loop_set_iteration_observer(control->loop, NULL, NULL);
     membership_agent_destroy(control->membership_agent);
     for (size_t i = 0; i < control->hosts_count; i++) {
         group_host_destroy(control->hosts[i]);
--- a/src/catkingrade/control/group_actions.c
+++ b/src/catkingrade/control/group_actions.c
@@ -250,6 +250,7 @@
         host_update_leadership(host);
         break;
     case RAFT_ACTION_WAKE:
+        host->raft_wake_us = action->wake_at_us;
         loop_timer_set(host->raft_timer, action->wake_at_us);
         break;
     default:
--- a/src/catkingrade/control/group_coordinator.c
+++ b/src/catkingrade/control/group_coordinator.c
@@ -7,6 +7,7 @@
 #include "catkingrade/kernel/memory.h"
 #include "catkingrade/kernel/outcome.h"
 #include "catkingrade/kernel/timeline.h"
+#include "catkingrade/kernel/work_time.h"
 
 // Connects a group's coordinator with Raft, RPC and the upstreams: passes
 // events to it and executes its actions.
@@ -27,9 +28,12 @@
 host_handle_coordinator_timer(void *data)
 {
     struct coordinator_event event = {.kind = COORDINATOR_EVENT_TICK};
+    int64_t begun_us = monotonic_get_us();
 
     host_step_coordinator(data, &event);
     host_maintain_voters(data);
+    int64_t now_us = monotonic_get_us();
+    work_time_record(WORK_TIME_TICK, now_us, now_us - begun_us);
 }
 
 static void
--- a/src/catkingrade/control/group_host.c
+++ b/src/catkingrade/control/group_host.c
@@ -10,6 +10,7 @@
 #include "catkingrade/kernel/memory.h"
 #include "catkingrade/kernel/outcome.h"
 #include "catkingrade/kernel/timeline.h"
+#include "catkingrade/kernel/work_time.h"
 #include "catkingrade/rpc/codec.h"
 
 #define HOST_MAX_PENDING_ENTRIES       4096
@@ -69,9 +70,32 @@
 static void
 host_handle_raft_timer(void *data)
 {
+    struct group_host *host = data;
     struct raft_event event = {.kind = RAFT_EVENT_TICK};
+    int64_t now_us = monotonic_get_us();
+
+    if (host->leads) {
+        work_time_record(WORK_TIME_HEARTBEAT_DELAY, now_us,
+                         now_us - host->raft_wake_us);
+    }
+    host_step_raft(host, &event);
+}
 
-    host_step_raft(data, &event);
+// Records how long the answer to a heartbeat took. Without an answer, or
+// without the lead, does nothing.
+static void
+host_record_round(const struct group_host *host,
+                  const struct ck_raft_message *message)
+{
+    int64_t now_us = monotonic_get_us();
+
+    if (!host->leads || message->body.kind != CK_RAFT_APPEND_RESULT) {
+        return;
+    }
+    work_time_record(
+        WORK_TIME_HEARTBEAT_ROUND, now_us,
+        now_us - raft_get_round_sent_us(
+                     message->body.ck_raft_body_u.append_result.round));
 }
 
 // Returns the voter with an id in the voter list in force, or NULL.
@@ -467,6 +491,7 @@
     if (message->to == host->params.self) {
         host->last_sender_id = message->from;
         host->last_sender_address = *from;
+        host_record_round(host, message);
         host_step_raft(host, &event);
     }
 }
--- a/src/catkingrade/control/group_host_state.h
+++ b/src/catkingrade/control/group_host_state.h
@@ -47,6 +47,7 @@
     struct coordinator *coordinator;
     struct raft_actions actions; // requested by Raft, not executed yet
     struct loop_timer *raft_timer;
+    int64_t raft_wake_us; // when Raft wants its next TICK
     struct loop_timer *coordinator_timer;
     struct host_waiter *waiters;
     uint64_t last_token;
--- a/src/catkingrade/decide/raft/raft_replicate.c
+++ b/src/catkingrade/decide/raft/raft_replicate.c
@@ -31,11 +31,19 @@
     return raft->round;
 }
 
+// Returns the send time of a round on the clock of the leader that sent it, in
+// microseconds.
+int64_t
+raft_get_round_sent_us(uint64_t round)
+{
+    return (int64_t)(round >> RAFT_ROUND_COUNTER_BITS);
+}
+
 // Records that a peer has answered a round of this term.
 void
 raft_peer_record_ack(struct raft_peer *peer, uint64_t round)
 {
-    int64_t sent_us = (int64_t)(round >> RAFT_ROUND_COUNTER_BITS);
+    int64_t sent_us = raft_get_round_sent_us(round);
 
     if (sent_us > peer->acked_round_us) {
         peer->acked_round_us = sent_us;
--- a/src/catkingrade/kernel/counters.h
+++ b/src/catkingrade/kernel/counters.h
@@ -41,6 +41,16 @@
     ROW(RPC_RECEIVED, "rpc_received_total", "RPC datagrams received")         \
     ROW(RPC_RECEIVED_BYTES, "rpc_received_bytes_total",                       \
         "bytes of RPC datagrams received")                                    \
+    ROW(RPC_RAFT_BYTES, "rpc_raft_bytes_total",                               \
+        "bytes of RPC datagrams sent for the replicated log")                 \
+    ROW(RPC_RENEW_BYTES, "rpc_renew_bytes_total",                             \
+        "bytes of RPC datagrams sent for lease renewals")                     \
+    ROW(RPC_NOTIFY_BYTES, "rpc_notify_bytes_total",                           \
+        "bytes of RPC datagrams sent for notifications of lease holders")     \
+    ROW(RPC_APPLY_BYTES, "rpc_apply_bytes_total",                             \
+        "bytes of RPC datagrams sent for changes and announcements")          \
+    ROW(RPC_QUERY_BYTES, "rpc_query_bytes_total",                             \
+        "bytes of RPC datagrams sent for queries and commands")               \
     ROW(RPC_DENIED, "rpc_denied_total", "RPC datagrams with a wrong key")     \
     ROW(RPC_BAD, "rpc_bad_total", "RPC datagrams that could not be decoded")  \
     ROW(LOG_APPENDS, "log_appends_total", "entries appended to group logs")   \
--- a/src/catkingrade/kernel/loop.c
+++ b/src/catkingrade/kernel/loop.c
@@ -54,6 +54,8 @@
     struct loop_watch *destroyed_watches;
     loop_task_fn iteration_end_task;
     void *iteration_end_data;
+    loop_iteration_fn observe_iteration;
+    void *observe_data;
     int64_t now_us;
     bool stopping;
 };
@@ -204,6 +206,16 @@
     loop->iteration_end_data = data;
 }
 
+// Sets a function that gets the duration of each loop iteration. NULL removes
+// it.
+void
+loop_set_iteration_observer(struct loop *loop, loop_iteration_fn observe,
+                            void *data)
+{
+    loop->observe_iteration = observe;
+    loop->observe_data = data;
+}
+
 // Returns the monotonic time in microseconds at which the current loop
 // iteration began to handle events.
 int64_t
@@ -481,5 +493,9 @@
             loop->iteration_end_task(loop->iteration_end_data);
         }
         loop_free_destroyed_watches(loop);
+        if (loop->observe_iteration != NULL) {
+            loop->observe_iteration(loop->observe_data,
+                                    monotonic_get_us() - loop->now_us);
+        }
     }
 }
--- a/src/catkingrade/kernel/loop.h
+++ b/src/catkingrade/kernel/loop.h
@@ -18,6 +18,8 @@
 struct loop_watch;
 struct loop_timer;
 
+// Gets the duration of an iteration of the loop, without its wait for events.
+typedef void (*loop_iteration_fn)(void *data, int64_t duration_us);
 typedef void (*loop_watch_fn)(void *data, unsigned events);
 typedef void (*loop_task_fn)(void *data);
 
@@ -33,6 +35,8 @@
                void *data);
 void loop_set_iteration_end_task(struct loop *loop, loop_task_fn task,
                                  void *data);
+void loop_set_iteration_observer(struct loop *loop, loop_iteration_fn observe,
+                                 void *data);
 
 struct loop_watch *loop_watch_create(struct loop *loop, int fd,
                                      unsigned events, loop_watch_fn callback,
--- a/src/catkingrade/plugins/http.c
+++ b/src/catkingrade/plugins/http.c
@@ -18,6 +18,7 @@
 #include "catkingrade/kernel/outcome.h"
 #include "catkingrade/kernel/plugin.h"
 #include "catkingrade/kernel/settings.h"
+#include "catkingrade/kernel/work_time.h"
 #include "catkingrade/rpc/datagram.h"
 
 #define HTTP_MAX_CONNECTIONS      256
@@ -249,7 +250,10 @@
         http_refuse_call(call);
         return;
     }
+    int64_t begun_us = monotonic_get_us();
     call->route.handle(call->route.data, call);
+    int64_t now_us = monotonic_get_us();
+    work_time_record(WORK_TIME_HTTP, now_us, now_us - begun_us);
 }
 
 // Counts a request, which has been read whole, until its response has been
@@ -369,6 +373,7 @@
     if (strcmp(url, "/metrics") == 0) {
         counter_append_prometheus(&text);
         histogram_append_prometheus(&text);
+        work_time_append_prometheus(&text, monotonic_get_us());
         return http_respond_metrics(http, connection, &text);
     }
     if (strcmp(url, "/metrics/databases") == 0) {
--- a/src/catkingrade/rpc/rpcnet.c
+++ b/src/catkingrade/rpc/rpcnet.c
@@ -60,20 +60,31 @@
     uint8_t received[DATAGRAM_MAX_SIZE_BYTES];
 };
 
-#define RPCNET_PROCEDURE(name, number, args, result)                          \
-    const struct rpcnet_procedure rpcnet_##name = {                           \
-        number, (xdrproc_t)xdr_##args, sizeof(args), (xdrproc_t)xdr_##result, \
-        sizeof(result)}
-
-RPCNET_PROCEDURE(renew, CK_RENEW, ck_renew_args, ck_renew_result);
-RPCNET_PROCEDURE(notify, CK_NOTIFY, ck_notify_args, ck_notify_result);
-RPCNET_PROCEDURE(apply, CK_APPLY, ck_apply_args, ck_apply_result);
-RPCNET_PROCEDURE(query, CK_QUERY, ck_query_args, ck_query_result);
-RPCNET_PROCEDURE(command, CK_COMMAND, ck_command_args, ck_command_result);
+#define RPCNET_PROCEDURE(name, number, args, result, bytes, time)             \
+    const struct rpcnet_procedure rpcnet_##name = {number,                    \
+                                                   (xdrproc_t)xdr_##args,     \
+                                                   sizeof(args),              \
+                                                   (xdrproc_t)xdr_##result,   \
+                                                   sizeof(result),            \
+                                                   bytes,                     \
+                                                   time}
+
+RPCNET_PROCEDURE(renew, CK_RENEW, ck_renew_args, ck_renew_result,
+                 COUNTER_RPC_RENEW_BYTES, WORK_TIME_RENEWAL);
+RPCNET_PROCEDURE(notify, CK_NOTIFY, ck_notify_args, ck_notify_result,
+                 COUNTER_RPC_NOTIFY_BYTES, WORK_TIME_NOTIFICATION);
+RPCNET_PROCEDURE(apply, CK_APPLY, ck_apply_args, ck_apply_result,
+                 COUNTER_RPC_APPLY_BYTES, WORK_TIME_CHANGE);
+RPCNET_PROCEDURE(query, CK_QUERY, ck_query_args, ck_query_result,
+                 COUNTER_RPC_QUERY_BYTES, WORK_TIME_QUERY);
+RPCNET_PROCEDURE(command, CK_COMMAND, ck_command_args, ck_command_result,
+                 COUNTER_RPC_QUERY_BYTES, WORK_TIME_QUERY);
 RPCNET_PROCEDURE(read_declaration, CK_READ_DECLARATION,
-                 ck_read_declaration_args, ck_read_declaration_result);
+                 ck_read_declaration_args, ck_read_declaration_result,
+                 COUNTER_RPC_QUERY_BYTES, WORK_TIME_QUERY);
 const struct rpcnet_procedure rpcnet_raft = {
-    CK_RAFT, (xdrproc_t)xdr_ck_raft_message, sizeof(ck_raft_message), NULL, 0};
+    CK_RAFT, (xdrproc_t)xdr_ck_raft_message, sizeof(ck_raft_message), NULL,
+    0,       COUNTER_RPC_RAFT_BYTES,         WORK_TIME_RAFT};
 
 static int
 rpcnet_open_socket(const struct settings_address *local)
@@ -102,6 +113,7 @@
 static int
 rpcnet_send_datagram(struct rpcnet *rpcnet,
                      const struct settings_address *peer,
+                     const struct rpcnet_procedure *procedure,
                      const struct buffer *datagram)
 {
     struct sockaddr_storage address;
@@ -113,6 +125,7 @@
     }
     counter_add(COUNTER_RPC_SENT, 1);
     counter_add(COUNTER_RPC_SENT_BYTES, size);
+    counter_add(procedure->sent_bytes, size);
     ssize_t sent = sendto(rpcnet->fd, buffer_get_data(datagram), size, 0,
                           (struct sockaddr *)&address, length);
     return sent == (ssize_t)size ? OUTCOME_OK : OUTCOME_UNAVAILABLE;
@@ -157,7 +170,8 @@
                              OUTCOME_TIMEOUT, NULL);
         return;
     }
-    (void)rpcnet_send_datagram(rpcnet, &pending->peer, &pending->datagram);
+    (void)rpcnet_send_datagram(rpcnet, &pending->peer, pending->procedure,
+                               &pending->datagram);
     int64_t next_us = now_us + pending->retry_us;
     loop_timer_set(pending->timer, next_us < pending->deadline_us
                                        ? next_us
@@ -198,7 +212,7 @@
         loop_timer_set(pending->timer, now_us);
         return;
     }
-    (void)rpcnet_send_datagram(rpcnet, peer, &pending->datagram);
+    (void)rpcnet_send_datagram(rpcnet, peer, procedure, &pending->datagram);
     loop_timer_set(pending->timer,
                    now_us + (retry_us < timeout_us ? retry_us : timeout_us));
 }
@@ -215,7 +229,7 @@
         timeline_get_hlc(), procedure->args_xdr, args);
 
     if (outcome == OUTCOME_OK) {
-        outcome = rpcnet_send_datagram(rpcnet, peer, &datagram);
+        outcome = rpcnet_send_datagram(rpcnet, peer, procedure, &datagram);
     }
     buffer_free(&datagram);
     return outcome;
@@ -238,7 +252,8 @@
                                   SYSTEM_ERR, timeline_get_hlc(), NULL, NULL);
     }
     if (outcome == OUTCOME_OK) {
-        (void)rpcnet_send_datagram(rpcnet, &request->peer, &datagram);
+        (void)rpcnet_send_datagram(rpcnet, &request->peer, request->procedure,
+                                   &datagram);
     }
     buffer_free(&datagram);
 }
@@ -260,6 +275,15 @@
     return &request->peer;
 }
 
+// Records the time since begun_us as that of a procedure's kind of work.
+static void
+rpcnet_record_time(const struct rpcnet_procedure *procedure, int64_t begun_us)
+{
+    int64_t now_us = monotonic_get_us();
+
+    work_time_record(procedure->work, now_us, now_us - begun_us);
+}
+
 static void
 rpcnet_handle_call(struct rpcnet *rpcnet, const struct datagram *datagram,
                    const struct settings_address *peer)
@@ -273,6 +297,7 @@
         counter_add(COUNTER_RPC_BAD, 1);
         return;
     }
+    int64_t begun_us = monotonic_get_us();
     struct rpcnet_request *request = xcalloc(1, sizeof(*request));
     request->rpcnet = rpcnet;
     request->procedure = handler->procedure;
@@ -293,6 +318,7 @@
     }
     codec_free(handler->procedure->args_xdr, args);
     free(args);
+    rpcnet_record_time(handler->procedure, begun_us);
 }
 
 static void
@@ -303,6 +329,7 @@
     if (*link == NULL) {
         return;
     }
+    int64_t begun_us = monotonic_get_us();
     const struct rpcnet_procedure *procedure = (*link)->procedure;
     if (datagram->accept_status != SUCCESS) {
         rpcnet_complete_call(link, OUTCOME_UNAVAILABLE, NULL);
@@ -318,6 +345,7 @@
         counter_add(COUNTER_RPC_BAD, 1);
     }
     free(result);
+    rpcnet_record_time(procedure, begun_us);
 }
 
 static void
--- a/src/catkingrade/rpc/rpcnet.h
+++ b/src/catkingrade/rpc/rpcnet.h
@@ -5,8 +5,10 @@
 #include <stddef.h>
 #include <stdint.h>
 
+#include "catkingrade/kernel/counters.h"
 #include "catkingrade/kernel/loop.h"
 #include "catkingrade/kernel/settings.h"
+#include "catkingrade/kernel/work_time.h"
 #include "catkingrade/rpc/datagram.h"
 #include "catkingrade/rpc/messages.h"
 
@@ -31,15 +33,18 @@
 // an RPC error) and OUTCOME_CLOSED (rpcnet_destroy).
 typedef void (*rpcnet_done_fn)(void *data, int outcome, const void *result);
 
-// The number of a procedure and the XDR routines and sizes of its argument and
-// result types. A procedure without a result_xdr is one-way: no reply is sent,
-// and its handler must not call rpcnet_reply.
+// The number of a procedure, the XDR routines and sizes of its argument and
+// result types, the counter of the bytes sent for it and the kind of work as
+// which its handling is timed. A procedure without a result_xdr is one-way: no
+// reply is sent, and its handler must not call rpcnet_reply.
 struct rpcnet_procedure {
     uint32_t number;
     xdrproc_t args_xdr;
     size_t args_size_bytes;
     xdrproc_t result_xdr;
     size_t result_size_bytes;
+    enum counter sent_bytes;
+    enum work_time work;
 };
 
 extern const struct rpcnet_procedure rpcnet_renew;
--- a/test/contract/test_docs.c
+++ b/test/contract/test_docs.c
@@ -10,6 +10,7 @@
 #include "catkingrade/kernel/memory.h"
 #include "catkingrade/kernel/outcome.h"
 #include "catkingrade/kernel/settings.h"
+#include "catkingrade/kernel/work_time.h"
 #include "test/suite.h"
 
 // Guards against undocumented settings and counters: a setting or counter is
@@ -75,6 +76,21 @@
 }
 END_TEST
 
+START_TEST(test_work_times_documented)
+{
+    char *text = read_doc("COUNTERS.md");
+
+    for (int i = 0; i < WORK_TIME_COUNT; i++) {
+        char row[256];
+        (void)snprintf(row, sizeof(row), "\n- `%s`: %s\n",
+                       work_time_get_label((enum work_time)i),
+                       work_time_get_help((enum work_time)i));
+        ck_assert_msg(strstr(text, row) != NULL, "COUNTERS.md lacks %s", row);
+    }
+    free(text);
+}
+END_TEST
+
 // Returns whether the text of a string literal is the name of an event, and
 // not a format or an empty text.
 static bool
@@ -172,6 +188,7 @@
     tcase_add_test(tests, test_settings_keys_documented);
     tcase_add_test(tests, test_counters_documented);
     tcase_add_test(tests, test_events_documented);
+    tcase_add_test(tests, test_work_times_documented);
 }
 
 TEST_MAIN("docs", add_tests)
