fix(rpc): heartbeats and timers pass a flood of calls

Cause: the control loop handled all calls that waited (up to 256 datagrams), and all posted HTTP calls, before its timers and before messages of the log behind them. The leader sent its heartbeats too late, or gave its role up because answers lay unread.

Change: messages of the replicated log and replies are handled when they are read, calls wait in a queue (rpc/call_queue) that is worked off in turns of 10 ms, and so are posted tasks. A call that has waited for longer than its caller waits is dropped. A tick of Raft counts the time up to which messages were read, so a voter does not take its own delay for silence of others.

--- a/src/catkingrade/control/group_host.c
+++ b/src/catkingrade/control/group_host.c
@@ -56,15 +56,21 @@
     return true;
 }
 
+static void
+host_step_raft_at(struct group_host *host, int64_t now_us,
+                  const struct raft_event *event)
+{
+    if (!host->failed) {
+        raft_step(host->raft, now_us, event, &host->actions);
+    }
+}
+
 // Passes an event to Raft. The resulting actions are executed at the end of
 // the loop iteration. Ignored while the store has failed.
 void
 host_step_raft(struct group_host *host, const struct raft_event *event)
 {
-    if (host->failed) {
-        return;
-    }
-    raft_step(host->raft, monotonic_get_us(), event, &host->actions);
+    host_step_raft_at(host, monotonic_get_us(), event);
 }
 
 static void
@@ -78,7 +84,10 @@
         work_time_record(WORK_TIME_HEARTBEAT_DELAY, now_us,
                          now_us - host->raft_wake_us);
     }
-    host_step_raft(host, &event);
+    // All messages that had arrived by the begin of this loop iteration have
+    // been handled. So this voter's own delay since then, which leaves later
+    // ones unread, does not count as silence of others.
+    host_step_raft_at(host, loop_get_now_us(host->loop), &event);
 }
 
 // Records how long the answer to a heartbeat took. Without an answer, or
--- a/src/catkingrade/kernel/counters.h
+++ b/src/catkingrade/kernel/counters.h
@@ -51,6 +51,8 @@
         "bytes of RPC datagrams sent for changes and announcements")          \
     ROW(RPC_QUERY_BYTES, "rpc_query_bytes_total",                             \
         "bytes of RPC datagrams sent for queries and commands")               \
+    ROW(RPC_OVERDUE, "rpc_overdue_total",                                     \
+        "RPC calls dropped because they waited for too long")                 \
     ROW(RPC_DENIED, "rpc_denied_total", "RPC datagrams with a wrong key")     \
     ROW(RPC_BAD, "rpc_bad_total", "RPC datagrams that could not be decoded")  \
     ROW(LOG_APPENDS, "log_appends_total", "entries appended to group logs")   \
--- a/src/catkingrade/kernel/loop.c
+++ b/src/catkingrade/kernel/loop.c
@@ -15,6 +15,9 @@
 #define LOOP_TIMER_NOT_SET SIZE_MAX
 #define LOOP_US_PER_SECOND 1000000
 #define LOOP_NS_PER_US     1000
+// Posted tasks that are left after this time run in the next iteration, so
+// that many of them do not hold up timers and watches.
+#define LOOP_TASKS_LIMIT_US 10000
 
 struct loop_task {
     loop_task_fn run;
@@ -48,6 +51,7 @@
     pthread_mutex_t tasks_mutex;
     struct loop_task *tasks_head;
     struct loop_task **tasks_tail;
+    struct loop_task *due_tasks; // taken from the posted ones, not run yet
     struct loop_timer **heap;
     size_t heap_size;
     size_t heap_capacity;
@@ -151,6 +155,7 @@
 void
 loop_destroy(struct loop *loop)
 {
+    loop_discard_tasks(loop->due_tasks);
     while (loop->tasks_head != NULL) {
         loop_discard_tasks(loop_take_tasks(loop));
     }
@@ -410,16 +415,26 @@
     loop->destroyed_watches = watch;
 }
 
+// Runs the posted tasks in order. Those that are left after
+// LOOP_TASKS_LIMIT_US stay due.
 static void
 loop_run_tasks(struct loop *loop)
 {
-    struct loop_task *task = loop_take_tasks(loop);
-
-    while (task != NULL) {
-        struct loop_task *next = task->next;
+    if (loop->due_tasks == NULL) {
+        loop->due_tasks = loop_take_tasks(loop);
+    }
+    if (loop->due_tasks == NULL) {
+        return;
+    }
+    int64_t until_us = monotonic_get_us() + LOOP_TASKS_LIMIT_US;
+    while (loop->due_tasks != NULL) {
+        struct loop_task *task = loop->due_tasks;
+        loop->due_tasks = task->next;
         task->run(task->data);
         free(task);
-        task = next;
+        if (loop->due_tasks != NULL && monotonic_get_us() >= until_us) {
+            return;
+        }
     }
 }
 
@@ -442,6 +457,9 @@
 static int64_t
 loop_get_wait_us(const struct loop *loop)
 {
+    if (loop->due_tasks != NULL) {
+        return 0;
+    }
     if (loop->heap_size == 0) {
         return LOOP_MAX_WAIT_US;
     }
--- a/src/catkingrade/rpc/rpcnet.c
+++ b/src/catkingrade/rpc/rpcnet.c
@@ -12,14 +12,21 @@
 #include "catkingrade/kernel/memory.h"
 #include "catkingrade/kernel/outcome.h"
 #include "catkingrade/kernel/timeline.h"
+#include "catkingrade/rpc/call_queue.h"
 #include "catkingrade/rpc/codec.h"
 
 #define RPCNET_MAX_PROCEDURES           16
 #define RPCNET_PENDING_BUCKETS          1024
 #define RPCNET_SOCKET_BUFFER_BYTES      (4 * 1024 * 1024)
-#define RPCNET_MAX_DATAGRAMS_PER_WAKEUP 256
-#define RPCNET_BLOCKING_RETRY_US        200000
-#define RPCNET_US_PER_MS                1000
+#define RPCNET_MAX_DATAGRAMS_PER_WAKEUP 1024
+// Waiting calls that are left after this time are handled in the next loop
+// iteration, so that they do not hold up heartbeats and timers.
+#define RPCNET_CALLS_LIMIT_US 10000
+// Callers wait for 250 ms or longer.
+#define RPCNET_MAX_WAIT_US       200000
+#define RPCNET_MAX_WAITING_BYTES (8 * 1024 * 1024)
+#define RPCNET_BLOCKING_RETRY_US 200000
+#define RPCNET_US_PER_MS         1000
 
 struct rpcnet_handler {
     const struct rpcnet_procedure *procedure;
@@ -57,17 +64,20 @@
     struct datagram_key key;
     struct rpcnet_handler handlers[RPCNET_MAX_PROCEDURES];
     struct rpcnet_pending *pending[RPCNET_PENDING_BUCKETS];
+    struct call_queue *waiting;
+    struct loop_timer *waiting_timer; // set while calls wait
     uint8_t received[DATAGRAM_MAX_SIZE_BYTES];
 };
 
-#define RPCNET_PROCEDURE(name, number, args, result, bytes, time)             \
-    const struct rpcnet_procedure rpcnet_##name = {number,                    \
-                                                   (xdrproc_t)xdr_##args,     \
-                                                   sizeof(args),              \
-                                                   (xdrproc_t)xdr_##result,   \
-                                                   sizeof(result),            \
-                                                   bytes,                     \
-                                                   time}
+#define RPCNET_PROCEDURE(name, id, args, result, bytes, time)                 \
+    const struct rpcnet_procedure rpcnet_##name = {                           \
+        .number = (id),                                                       \
+        .args_xdr = (xdrproc_t)xdr_##args,                                    \
+        .args_size_bytes = sizeof(args),                                      \
+        .result_xdr = (xdrproc_t)xdr_##result,                                \
+        .result_size_bytes = sizeof(result),                                  \
+        .sent_bytes = (bytes),                                                \
+        .work = (time)}
 
 RPCNET_PROCEDURE(renew, CK_RENEW, ck_renew_args, ck_renew_result,
                  COUNTER_RPC_RENEW_BYTES, WORK_TIME_RENEWAL);
@@ -83,8 +93,12 @@
                  ck_read_declaration_args, ck_read_declaration_result,
                  COUNTER_RPC_QUERY_BYTES, WORK_TIME_QUERY);
 const struct rpcnet_procedure rpcnet_raft = {
-    CK_RAFT, (xdrproc_t)xdr_ck_raft_message, sizeof(ck_raft_message), NULL,
-    0,       COUNTER_RPC_RAFT_BYTES,         WORK_TIME_RAFT};
+    .number = CK_RAFT,
+    .args_xdr = (xdrproc_t)xdr_ck_raft_message,
+    .args_size_bytes = sizeof(ck_raft_message),
+    .sent_bytes = COUNTER_RPC_RAFT_BYTES,
+    .work = WORK_TIME_RAFT,
+    .is_urgent = true};
 
 static int
 rpcnet_open_socket(const struct settings_address *local)
@@ -348,6 +362,15 @@
     rpcnet_record_time(procedure, begun_us);
 }
 
+// Returns whether a call is to be handled at once.
+static bool
+rpcnet_is_urgent(const struct rpcnet *rpcnet, const struct datagram *datagram)
+{
+    return datagram->procedure < RPCNET_MAX_PROCEDURES &&
+           rpcnet->handlers[datagram->procedure].procedure != NULL &&
+           rpcnet->handlers[datagram->procedure].procedure->is_urgent;
+}
+
 static void
 rpcnet_handle_datagram(struct rpcnet *rpcnet, size_t size_bytes,
                        const struct sockaddr_storage *from)
@@ -367,11 +390,38 @@
     }
     timeline_observe_hlc(datagram.hlc);
     address_from_sockaddr(from, &peer);
-    if (datagram.is_call) {
+    if (!datagram.is_call) {
+        rpcnet_handle_reply(rpcnet, &datagram);
+    }
+    else if (rpcnet_is_urgent(rpcnet, &datagram)) {
         rpcnet_handle_call(rpcnet, &datagram, &peer);
     }
     else {
-        rpcnet_handle_reply(rpcnet, &datagram);
+        int64_t now_us = loop_get_now_us(rpcnet->loop);
+        call_queue_push(rpcnet->waiting, now_us, &peer, &datagram);
+        loop_timer_set(rpcnet->waiting_timer, now_us);
+    }
+}
+
+// Handles waiting calls until none is left or RPCNET_CALLS_LIMIT_US have
+// passed.
+static void
+rpcnet_handle_waiting(void *data)
+{
+    struct rpcnet *rpcnet = data;
+    int64_t now_us = monotonic_get_us();
+    int64_t until_us = now_us + RPCNET_CALLS_LIMIT_US;
+    struct queued_call *call = call_queue_pop(rpcnet->waiting, now_us);
+
+    while (call != NULL) {
+        rpcnet_handle_call(rpcnet, &call->datagram, &call->peer);
+        free(call);
+        now_us = monotonic_get_us();
+        if (now_us >= until_us) {
+            loop_timer_set(rpcnet->waiting_timer, now_us);
+            return;
+        }
+        call = call_queue_pop(rpcnet->waiting, now_us);
     }
 }
 
@@ -413,6 +463,10 @@
     // accept a reply to a call of the previous process.
     (void)RAND_bytes((unsigned char *)&rpcnet->last_xid,
                      sizeof(rpcnet->last_xid));
+    rpcnet->waiting =
+        call_queue_create(RPCNET_MAX_WAIT_US, RPCNET_MAX_WAITING_BYTES);
+    rpcnet->waiting_timer =
+        loop_timer_create(loop, rpcnet_handle_waiting, rpcnet);
     rpcnet->watch =
         loop_watch_create(loop, fd, LOOP_READ, rpcnet_handle_readable, rpcnet);
     return rpcnet;
@@ -430,6 +484,8 @@
         }
     }
     loop_watch_destroy(rpcnet->watch);
+    loop_timer_destroy(rpcnet->waiting_timer);
+    call_queue_destroy(rpcnet->waiting);
     close(rpcnet->fd);
     free(rpcnet);
 }
--- a/src/catkingrade/rpc/rpcnet.h
+++ b/src/catkingrade/rpc/rpcnet.h
@@ -45,6 +45,8 @@
     size_t result_size_bytes;
     enum counter sent_bytes;
     enum work_time work;
+    // Handled when it is read, before calls that have arrived earlier.
+    bool is_urgent;
 };
 
 extern const struct rpcnet_procedure rpcnet_renew;
--- a/test/contract/test_rpcnet.c
+++ b/test/contract/test_rpcnet.c
@@ -275,6 +275,150 @@
 }
 END_TEST
 
+// ---- a flood of calls ----
+
+#define FLOOD_CALLS      60
+#define FLOOD_WORK_US    1000
+#define FLOOD_HEARTBEATS 3
+#define FLOOD_MAX_LAG    20 // calls that may be handled before a heartbeat
+#define FLOOD_LIMIT_US   10000000 // ends a test that does not end by itself
+
+// A daemon that gets a flood of slow calls and, behind them, messages of the
+// replicated log.
+struct flood {
+    struct loop *loop;
+    struct rpcnet *rpcnet;
+    struct loop_timer *timer;
+    struct loop_timer *limit_timer;
+    unsigned calls;      // handled
+    unsigned heartbeats; // handled
+    unsigned calls_before_heartbeat;
+    unsigned calls_before_timer;
+};
+
+static void
+handle_slow_query(void *data, struct rpcnet_request *request, const void *args)
+{
+    struct flood *flood = data;
+    const struct ck_query_args *query = args;
+    struct ck_query_result result = {
+        .json = query->name, .leader_host = "", .message = ""};
+    int64_t until_us = monotonic_get_us() + FLOOD_WORK_US;
+
+    while (monotonic_get_us() < until_us) {
+    }
+    flood->calls++;
+    rpcnet_reply(request, &result);
+    if (flood->calls == FLOOD_CALLS) {
+        loop_stop(flood->loop);
+    }
+}
+
+static void
+handle_heartbeat(void *data, struct rpcnet_request *request, const void *args)
+{
+    struct flood *flood = data;
+
+    (void)request;
+    (void)args;
+    flood->heartbeats++;
+    flood->calls_before_heartbeat = flood->calls;
+}
+
+static void
+handle_flood_timer(void *data)
+{
+    struct flood *flood = data;
+
+    flood->calls_before_timer = flood->calls;
+}
+
+static void
+handle_flood_limit(void *data)
+{
+    struct flood *flood = data;
+
+    loop_stop(flood->loop);
+}
+
+static void
+ignore_answer(void *data, int outcome, const void *result)
+{
+    (void)data;
+    (void)outcome;
+    (void)result;
+}
+
+static void
+send_flood(struct rpcnet *sender, const struct settings_address *to)
+{
+    struct ck_query_args query = {
+        .kind = CK_QUERY_STATUS, .group = "g", .name = "n"};
+    struct ck_raft_message heartbeat = {.group = "g", .from = 1, .to = 2};
+
+    heartbeat.body.kind = CK_RAFT_APPEND;
+    for (int i = 0; i < FLOOD_CALLS; i++) {
+        rpcnet_call(sender, to, &rpcnet_query, &query, LONG_TIMEOUT_US,
+                    LONG_TIMEOUT_US, ignore_answer, NULL);
+    }
+    for (int i = 0; i < FLOOD_HEARTBEATS; i++) {
+        ck_assert_int_eq(rpcnet_send(sender, to, &rpcnet_raft, &heartbeat),
+                         OUTCOME_OK);
+    }
+}
+
+static void
+run_flood(struct flood *flood)
+{
+    struct settings_address address = find_free_address();
+    struct settings_address sender_address = find_free_address();
+
+    apr_initialize();
+    flood->loop = loop_create();
+    flood->rpcnet = rpcnet_create(flood->loop, &address, &key);
+    flood->timer = loop_timer_create(flood->loop, handle_flood_timer, flood);
+    flood->limit_timer =
+        loop_timer_create(flood->loop, handle_flood_limit, flood);
+    loop_timer_set(flood->limit_timer, monotonic_get_us() + FLOOD_LIMIT_US);
+    rpcnet_set_handler(flood->rpcnet, &rpcnet_query, handle_slow_query, flood);
+    rpcnet_set_handler(flood->rpcnet, &rpcnet_raft, handle_heartbeat, flood);
+    // The sender's loop does not run, so it reads no replies.
+    struct loop *sender_loop = loop_create();
+    struct rpcnet *sender = rpcnet_create(sender_loop, &sender_address, &key);
+    send_flood(sender, &address);
+    loop_timer_set(flood->timer, monotonic_get_us() + FLOOD_WORK_US);
+    loop_run(flood->loop);
+    rpcnet_destroy(sender);
+    loop_destroy(sender_loop);
+    loop_timer_destroy(flood->timer);
+    loop_timer_destroy(flood->limit_timer);
+    rpcnet_destroy(flood->rpcnet);
+    loop_destroy(flood->loop);
+}
+
+// A leader that handles all calls of a flood before a heartbeat, or before it
+// sends its own, loses its leadership although it is alive.
+START_TEST(test_heartbeats_pass_a_flood_of_calls)
+{
+    struct flood flood = {0};
+
+    run_flood(&flood);
+    ck_assert_uint_eq(flood.heartbeats, FLOOD_HEARTBEATS);
+    ck_assert_uint_le(flood.calls_before_heartbeat, FLOOD_MAX_LAG);
+}
+END_TEST
+
+START_TEST(test_timers_pass_a_flood_of_calls)
+{
+    struct flood flood = {0};
+
+    run_flood(&flood);
+    ck_assert_uint_gt(flood.calls_before_timer, 0);
+    ck_assert_uint_le(flood.calls_before_timer, FLOOD_MAX_LAG);
+    ck_assert_uint_eq(flood.calls, FLOOD_CALLS);
+}
+END_TEST
+
 static void
 add_tests(TCase *tests)
 {
@@ -284,6 +428,8 @@
     tcase_add_test(tests, test_silent_peer_times_out);
     tcase_add_test(tests, test_modified_call_is_rejected);
     tcase_add_test(tests, test_reply_round_trip);
+    tcase_add_test(tests, test_heartbeats_pass_a_flood_of_calls);
+    tcase_add_test(tests, test_timers_pass_a_flood_of_calls);
 }
 
 TEST_MAIN("rpcnet", add_tests)
