--- a/src/catkingrade/decide/coordinator/coordinator.c
+++ b/src/catkingrade/decide/coordinator/coordinator.c
@@ -127,8 +127,13 @@
     coordinator->drain = drain_create();
     announce_load(coordinator->announce, coordinator->now_us,
                   coordinator->group);
+    coordinator->synced_revision = 0;
+    coordinator->synced_daemons_count = 0;
+    coordinator->candidates_version = 1;
+    coordinator->relays_version = 0;
     coordinator_load_holders(coordinator);
     coordinator_load_databases(coordinator);
+    coordinator_sync_group(coordinator);
     coordinator_record(coordinator, "elected", NULL, "",
                        "group=%s term=%" PRIu64,
                        group_get_name(coordinator->group), leader_term);
@@ -480,6 +485,8 @@
                       coordinator->group, coordinator_propose_upstream,
                       coordinator);
         coordinator_expire_daemons(coordinator);
+        coordinator_update_candidates(coordinator);
+        coordinator_run_relay_plans(coordinator);
         coordinator_run_drain(coordinator);
         coordinator->publish_now =
             coordinator->publish_now || coordinator->publish_soon;
@@ -578,6 +585,9 @@
     if (event->kind == COORDINATOR_EVENT_TICK) {
         coordinator->wake_us = 0;
     }
+    if (coordinator->is_active) {
+        coordinator_sync_group(coordinator);
+    }
     switch (event->kind) {
     case COORDINATOR_EVENT_ELECTED:
         coordinator_handle_elected(coordinator, event->leader_term);
--- a/src/catkingrade/decide/coordinator/coordinator_database.c
+++ b/src/catkingrade/decide/coordinator/coordinator_database.c
@@ -197,6 +197,7 @@
                       enum coordinator_phase phase)
 {
     db->phase = phase;
+    coordinator_check_relays_of(coordinator, db->name);
     db->is_removing = false;
     db->phase_us = coordinator->now_us;
     for (size_t i = 0; i < db->members_count; i++) {
--- a/src/catkingrade/decide/coordinator/coordinator_lease.c
+++ b/src/catkingrade/decide/coordinator/coordinator_lease.c
@@ -106,14 +106,102 @@
     codec_copy((xdrproc_t)xdr_ck_daemon, daemon, &holder->daemon,
                sizeof(holder->daemon));
     holder->last_seen_us = coordinator->now_us;
+    holder->relay_state = COORDINATOR_RELAY_STATE_UNKNOWN;
     holder->next = coordinator->holders;
     coordinator->holders = holder;
     holder->index = coordinator->holders_count++;
     group_index_put(coordinator->index, COORDINATOR_KEY_HOLDER, daemon->vm,
                     holder);
+    coordinator_add_holder_shares(coordinator, holder);
     return holder;
 }
 
+// Updates whether a holder may be a relay. will_hold: it is about to get a
+// lease.
+static void
+coordinator_update_candidate(struct coordinator *coordinator,
+                             struct coordinator_holder *holder, bool will_hold)
+{
+    bool is_candidate =
+        coordinator_is_entry(holder) && holder->is_registered &&
+        (will_hold || coordinator_has_quota(coordinator, holder) ||
+         coordinator_has_previous_quota(coordinator, holder));
+
+    if (is_candidate == holder->is_candidate) {
+        return;
+    }
+    holder->is_candidate = is_candidate;
+    holder->candidate_us = coordinator->now_us;
+    coordinator->candidates_version++;
+}
+
+// Updates which holders may be relays, as leases end with the time.
+void
+coordinator_update_candidates(struct coordinator *coordinator)
+{
+    for (struct coordinator_holder *holder = coordinator->holders;
+         holder != NULL; holder = holder->next) {
+        coordinator_update_candidate(coordinator, holder, false);
+    }
+}
+
+static void
+coordinator_update_registration(struct coordinator *coordinator,
+                                struct coordinator_holder *holder)
+{
+    bool is_registered =
+        group_find_daemon(coordinator->group, holder->daemon.vm) != NULL;
+
+    if (is_registered == holder->is_registered) {
+        return;
+    }
+    holder->is_registered = is_registered;
+    coordinator->candidates_version++;
+    for (size_t i = 0; i < holder->shares_count; i++) {
+        holder->shares[i]->quota->is_stale = true;
+    }
+}
+
+static void
+coordinator_sync_change(void *data, bool is_daemon, const char *name)
+{
+    struct coordinator *coordinator = data;
+
+    if (!is_daemon) {
+        coordinator_sync_quotas(coordinator, name);
+        coordinator_sync_relays(coordinator, name);
+        return;
+    }
+    struct coordinator_holder *holder =
+        coordinator_find_holder(coordinator, name);
+    if (holder != NULL) {
+        coordinator_update_registration(coordinator, holder);
+    }
+}
+
+// Takes over what has changed in the group state: databases with their
+// upstreams, and registered daemons.
+void
+coordinator_sync_group(struct coordinator *coordinator)
+{
+    const struct group_state *group = coordinator->group;
+    uint64_t revision = group_get_revision(group);
+    size_t daemons_count = group_get_daemons_count(group);
+
+    if (revision != coordinator->synced_revision) {
+        group_visit_changes(group, coordinator->synced_revision,
+                            coordinator_sync_change, coordinator);
+        coordinator->synced_revision = revision;
+    }
+    if (daemons_count < coordinator->synced_daemons_count) {
+        for (struct coordinator_holder *holder = coordinator->holders;
+             holder != NULL; holder = holder->next) {
+            coordinator_update_registration(coordinator, holder);
+        }
+    }
+    coordinator->synced_daemons_count = daemons_count;
+}
+
 static bool
 coordinator_load_holder(void *data, const struct ck_daemon *daemon)
 {
@@ -123,6 +211,9 @@
 
     holder->granted_until_us =
         coordinator->elected_us + coordinator_get_lease_bound_us(coordinator);
+    holder->is_registered = true;
+    holder->is_candidate = coordinator_is_entry(holder);
+    holder->candidate_us = INT64_MIN / 2;
     return true;
 }
 
@@ -142,6 +233,7 @@
         struct coordinator_holder *holder = coordinator->holders;
         coordinator->holders = holder->next;
         codec_free((xdrproc_t)xdr_ck_daemon, &holder->daemon);
+        free(holder->shares);
         free(holder);
     }
     coordinator->holders_count = 0;
@@ -203,6 +295,7 @@
         }
         holder->granted_until_us = 0;
         holder->is_returned = false;
+        coordinator_restart_shares(coordinator, holder);
     }
     codec_free((xdrproc_t)xdr_ck_daemon, &holder->daemon);
     codec_copy((xdrproc_t)xdr_ck_daemon, daemon, &holder->daemon,
@@ -210,29 +303,46 @@
     coordinator_update_relay_entries(coordinator, holder);
 }
 
+// Returns the holder that sends a renewal, with the daemon record of a
+// complete one. Returns NULL if the renewal continues reports that this
+// coordinator does not have.
 static struct coordinator_holder *
-coordinator_record_renewal(struct coordinator *coordinator,
-                           const struct ck_renew_args *args)
+coordinator_identify_holder(struct coordinator *coordinator,
+                            const struct ck_renew_args *args)
 {
     struct coordinator_holder *holder =
         coordinator_find_holder(coordinator, args->daemon.vm);
 
+    if (args->reported_term != 0) {
+        bool known = holder != NULL && holder->has_renewed &&
+                     holder->daemon.incarnation == args->daemon.incarnation &&
+                     args->reported_term == coordinator->leader_term;
+        return known ? holder : NULL;
+    }
     if (holder == NULL) {
         holder = coordinator_add_holder(coordinator, &args->daemon);
+        coordinator_update_registration(coordinator, holder);
     }
     coordinator_update_holder(coordinator, holder, &args->daemon);
+    return holder;
+}
+
+static void
+coordinator_record_renewal(struct coordinator *coordinator,
+                           struct coordinator_holder *holder,
+                           const struct ck_renew_args *args)
+{
     holder->last_seen_us = coordinator->now_us;
     holder->known_revision = args->known_revision;
     holder->open_requests = args->open_requests;
-    if (!coordinator_is_registered(coordinator, &args->daemon) &&
+    if (!coordinator_is_registered(coordinator, &holder->daemon) &&
         !holder->is_proposed) {
         struct ck_change change = {.kind = CK_CHANGE_DAEMON};
-        change.ck_change_u.daemon = args->daemon;
+        change.ck_change_u.daemon = holder->daemon;
         holder->is_proposed = true;
-        coordinator_propose(coordinator, &change, args->daemon.vm,
+        coordinator_propose(coordinator, &change, holder->daemon.vm,
                             COORDINATOR_REPLY_NONE, 0);
     }
-    return holder;
 }
 
 static struct ck_renew_result *
@@ -277,7 +387,7 @@
                           const struct ck_renew_args *args)
 {
     holder->is_returned = true;
-    coordinator_expire_relay_plans(coordinator);
+    coordinator_check_relay(coordinator, holder);
     (void)coordinator_add_renew_reply(coordinator, token, args->sequence,
                                       OUTCOME_OK);
     coordinator_end_pending_leases(coordinator, holder);
@@ -293,7 +403,7 @@
 {
     struct group_delta_filter filter = {
         .max_size_bytes = coordinator->params.delta_max_size_bytes};
-    bool recorded = coordinator_may_be_granted(coordinator, &args->daemon);
+    bool recorded = coordinator_may_be_granted(coordinator, &holder->daemon);
     struct ck_renew_result *result =
         coordinator_add_renew_reply(coordinator, token, args->sequence,
                                     recorded ? OUTCOME_OK : OUTCOME_AGAIN);
@@ -315,6 +425,23 @@
         coordinator->now_us + coordinator_get_lease_bound_us(coordinator);
 }
 
+// Has the lists of relays checked if the holder has begun or ceased to run
+// statements of others: it is denied a lease, or lacks connections.
+static void
+coordinator_check_relay_state(struct coordinator *coordinator,
+                              struct coordinator_holder *holder)
+{
+    uint32_t state = coordinator_is_lease_denied(coordinator, holder) ? 1 : 0;
+
+    for (size_t i = 0; i < holder->shares_count; i++) {
+        state += holder->shares[i]->held.connections == 0 ? 2 : 0;
+    }
+    if (state != holder->relay_state) {
+        holder->relay_state = state;
+        coordinator_check_relay(coordinator, holder);
+    }
+}
+
 // Handles a lease renewal. An entry that reports a revision which this group
 // never had is refused: its state comes from another history.
 void
@@ -333,7 +460,18 @@
         return;
     }
     struct coordinator_holder *holder =
-        coordinator_record_renewal(coordinator, args);
+        coordinator_identify_holder(coordinator, args);
+    if (holder == NULL) {
+        coordinator_add_renew_reply(coordinator, token, args->sequence,
+                                    OUTCOME_AGAIN)
+            ->report_wanted = true;
+        return;
+    }
+    coordinator_record_renewal(coordinator, holder, args);
+    coordinator_update_candidate(coordinator, holder,
+                                 args->known_revision ==
+                                     group_get_revision(coordinator->group));
+    coordinator_run_relay_plans(coordinator);
     if (args->returned) {
         coordinator_handle_return(coordinator, token, holder, args);
         return;
@@ -342,8 +480,13 @@
         coordinator, holder, args->daemon.incarnation,
         args->confirmed.confirmed_val, args->confirmed.confirmed_len);
     coordinator_handle_suspicions(coordinator, args->daemon.vm, args);
+    coordinator_record_reports(coordinator, holder, args);
+    bool learned = coordinator_learn_quotas(coordinator);
     coordinator_reply_renewal(coordinator, token, holder, args);
-    coordinator_end_quota_wait(coordinator);
+    coordinator_check_relay_state(coordinator, holder);
+    if (learned) {
+        coordinator_notify_waiting(coordinator);
+    }
 }
 
 // Lists the terms whose in-flight requests the holders must abort: once the
--- a/src/catkingrade/decide/coordinator/coordinator_private.h
+++ b/src/catkingrade/decide/coordinator/coordinator_private.h
@@ -5,6 +5,7 @@
 #include "catkingrade/decide/coordinator/backlog.h"
 #include "catkingrade/decide/coordinator/coordinator.h"
 #include "catkingrade/decide/coordinator/drain.h"
+#include "catkingrade/decide/coordinator/quota_plan.h"
 #include "catkingrade/decide/coordinator/suspicion.h"
 #include "catkingrade/decide/group/group_index.h"
 
@@ -20,13 +21,8 @@
 #define COORDINATOR_PROMOTION_DIVISOR 5
 // Delay between a failed FENCE or FOLLOW and its retry.
 #define COORDINATOR_REPAIR_RETRY_US 1000000
-// Up to this number of databases, a renewal allocates quotas of every
-// upstream. With more databases it allocates only those for which the entry
-// reports a demand, so that the reply stays small.
-#define COORDINATOR_ALLOCATE_ALL_MAX_DATABASES 64
-// The same limit when relays are in use. It is higher, because an entry then
-// gets quotas of few databases.
-#define COORDINATOR_ALLOCATE_ALL_MAX_RELAYED 1024
+
+#define COORDINATOR_RELAY_STATE_UNKNOWN UINT32_MAX
 
 // Kinds of keys in the coordinator's index.
 enum coordinator_key_kind {
@@ -34,6 +30,7 @@
     COORDINATOR_KEY_DATABASE = 'B',
     COORDINATOR_KEY_PROPOSAL = 'P',
     COORDINATOR_KEY_QUOTA = 'Q',
+    COORDINATOR_KEY_QUOTA_SET = 'S',
     COORDINATOR_KEY_RELAY = 'L',
 };
 
@@ -57,9 +54,66 @@
     bool is_proposed; // a proposal to register or expire the daemon is pending
     bool is_notifying; // a notification is in flight
     bool notify_again; // notify again when the one in flight has ended
-    bool has_renewed;  // with this coordinator, which knows its quotas since
-    int relayed_count; // databases for which the entry is a relay
-    bool awaits_quota; // has a lease, but no connection to some upstream
+    // This incarnation has renewed with this coordinator, which knows its
+    // quotas since.
+    bool has_renewed;
+    uint64_t report_sequence; // of the newest renewal
+    bool is_registered;       // in the group state
+    // May be a relay: registered, with quotas of this or an earlier lease.
+    bool is_candidate;
+    int64_t candidate_us; // since when; valid if is_candidate
+    int relayed_count;    // databases for which the entry is a relay
+    bool awaits_quota;    // has a lease, but no connection to some upstream
+    // Changes with what decides whether the entry runs statements of others.
+    uint32_t relay_state;
+    struct coordinator_share **shares;
+    size_t shares_count;
+};
+
+// What an incarnation that has ended may use until its lease has run out.
+struct coordinator_previous_quota {
+    int64_t until_us;
+    uint32_t slots;
+    uint32_t connections;
+};
+
+// What an entry demands, holds and gets of an upstream.
+struct coordinator_share {
+    struct coordinator_quota *quota;
+    struct coordinator_holder *holder;
+    bool is_member;      // the entry is one that connects to the upstream
+    bool is_next_member; // working state of a change of the members
+    // Renewals in a row that gave it no slot; see struct quota_plan_entry.
+    uint32_t unserved;
+    uint32_t slots_demand;
+    uint32_t connections_demand;
+    struct quota_plan_share reported; // held, by its newest renewal
+    // Upper bound of what the entry may use now, even if a reply was lost.
+    struct quota_plan_share held;
+    struct quota_plan_share planned; // what its next renewal gets
+    // What incarnations before a restart may still use, oldest first.
+    struct coordinator_previous_quota *previous;
+    size_t previous_count;
+};
+
+// The shares of all entries in one upstream, sorted by VM.
+struct coordinator_quota {
+    struct coordinator_quota *next;
+    char *name;
+    bool is_removed;     // the upstream is no longer in its database
+    bool is_lost;        // CK_UPSTREAM_LOST in the group state
+    bool is_stale;       // an input of the plan has changed
+    int64_t planned_us;  // time of the plan; 0: none
+    int64_t outdated_us; // when a lease that the plan counts may have ended
+    struct coordinator_share **shares;
+    size_t shares_count;
+};
+
+// The quotas of the upstreams of a database.
+struct coordinator_quota_set {
+    struct coordinator_quota_set *next;
+    char *database;
+    struct coordinator_quota *quotas;
 };
 
 // A lease that must end before the next term of a database may begin. Leases
@@ -188,11 +242,21 @@
     size_t holders_count;
     bool quotas_known;      // those of all holders that may have a lease
     int64_t change_cost_us; // duration of the last planned change; 0: none
-    struct coordinator_proposal *proposals; // newest first
-    struct coordinator_database *databases; // only those that need a state
-    struct coordinator_quota *quotas;       // at most one per upstream
+    struct coordinator_proposal *proposals;   // newest first
+    struct coordinator_database *databases;   // only those that need a state
+    struct coordinator_quota_set *quota_sets; // one per database
+    size_t quotas_count;                      // in all sets
     struct coordinator_relay_plan *relay_plans;
-    uint64_t relays_version; // increased by each change of a relay plan
+    size_t relay_plans_count;
+    struct coordinator_relay_plan *relay_cursor; // checked next
+    // The plans in the order in which what entries are sent about them has
+    // changed, and the number of such changes.
+    struct coordinator_relay_plan *relays_oldest;
+    struct coordinator_relay_plan *relays_newest;
+    uint64_t relays_version;
+    uint64_t candidates_version; // increased when a candidate joins or leaves
+    uint64_t synced_revision;    // of the group state
+    size_t synced_daemons_count;
     struct announce *announce;
     struct drain *drain;
     struct coordinator_actions *actions; // of this step; NULL between steps
@@ -235,6 +299,8 @@
 bool coordinator_has_any_lease(const struct coordinator *coordinator,
                                const struct coordinator_holder *holder);
 bool coordinator_is_entry(const struct coordinator_holder *holder);
+void coordinator_sync_group(struct coordinator *coordinator);
+void coordinator_update_candidates(struct coordinator *coordinator);
 size_t coordinator_count_leased_entries(const struct coordinator *coordinator);
 void coordinator_handle_renewal(struct coordinator *coordinator,
                                 uint64_t token,
@@ -247,36 +313,71 @@
                                       const struct ck_notify_result *result);
 void coordinator_expire_daemons(struct coordinator *coordinator);
 
+// Shares of entries in upstreams; coordinator_share.c.
+bool coordinator_is_same_quota(const struct quota_plan_share *left,
+                               const struct quota_plan_share *right);
+bool coordinator_holds_quota(const struct ck_demand *demand);
+bool coordinator_allocates_all(const struct coordinator *coordinator);
+struct coordinator_quota *
+coordinator_find_quota(const struct coordinator *coordinator,
+                       const char *upstream);
+struct coordinator_quota_set *
+coordinator_get_or_add_quota_set(struct coordinator *coordinator,
+                                 const char *database);
+struct coordinator_share *
+coordinator_find_share(const struct coordinator_quota *quota,
+                       const struct coordinator_holder *holder);
+void coordinator_set_members(struct coordinator *coordinator,
+                             const char *database,
+                             struct coordinator_holder *const *holders,
+                             size_t holders_count);
+void coordinator_add_holder_shares(struct coordinator *coordinator,
+                                   struct coordinator_holder *holder);
+void coordinator_sync_quotas(struct coordinator *coordinator,
+                             const char *database);
+void coordinator_restart_shares(struct coordinator *coordinator,
+                                struct coordinator_holder *holder);
+void coordinator_record_reports(struct coordinator *coordinator,
+                                struct coordinator_holder *holder,
+                                const struct ck_renew_args *args);
+void coordinator_free_quotas(struct coordinator *coordinator);
+
 // Allocation of slots and connections; coordinator_quota.c.
 void coordinator_fill_quotas(struct coordinator *coordinator,
                              struct coordinator_holder *holder,
                              const struct ck_renew_args *args,
                              struct ck_renew_result *result);
-void coordinator_end_quota_wait(struct coordinator *coordinator);
-void coordinator_free_quotas(struct coordinator *coordinator);
+bool coordinator_learn_quotas(struct coordinator *coordinator);
+void coordinator_notify_waiting(struct coordinator *coordinator);
 uint32_t coordinator_get_quota_connections(const struct ck_upstream *upstream);
-bool coordinator_allocates_all(const struct coordinator *coordinator);
 bool coordinator_awaits_connections(const struct coordinator *coordinator,
                                     const char *upstream,
                                     const struct coordinator_holder *holder);
 
 // Relays: entries that run the statements of others; coordinator_relay.c.
-bool coordinator_is_relay(struct coordinator *coordinator,
-                          const struct ck_database *database,
-                          const struct coordinator_holder *holder);
+void coordinator_sync_relays(struct coordinator *coordinator,
+                             const char *database);
+void coordinator_run_relay_plans(struct coordinator *coordinator);
+bool
+coordinator_is_relay_choice_pending(const struct coordinator *coordinator,
+                                    const struct coordinator_holder *holder);
 void coordinator_fill_relays(struct coordinator *coordinator,
                              const struct coordinator_holder *holder,
                              const struct ck_renew_args *args,
                              struct ck_renew_result *result);
 void coordinator_free_relays(struct coordinator *coordinator);
-void coordinator_expire_relay_plans(struct coordinator *coordinator);
+void coordinator_check_relay(struct coordinator *coordinator,
+                             const struct coordinator_holder *holder);
+void coordinator_check_relays_of(struct coordinator *coordinator,
+                                 const char *database);
 void coordinator_update_relay_entries(struct coordinator *coordinator,
                                       const struct coordinator_holder *holder);
 void coordinator_record_unreachable(struct coordinator *coordinator,
                                     const char *database,
                                     const struct coordinator_holder *holder);
-size_t coordinator_count_connected_entries(struct coordinator *coordinator,
-                                           const struct ck_database *database);
+size_t
+coordinator_count_connected_entries(const struct coordinator *coordinator,
+                                    const struct ck_database *database);
 
 // State of databases; coordinator_database.c.
 struct coordinator_database *
--- a/src/catkingrade/decide/coordinator/coordinator_relay.c
+++ b/src/catkingrade/decide/coordinator/coordinator_relay.c
@@ -14,6 +14,17 @@
 
 // Minimum interval between two selections of the relays of a database.
 #define COORDINATOR_RELAY_PLAN_INTERVAL_US 200000
+// A plan without a known reason for a change is checked after this time.
+#define COORDINATOR_RELAY_CHECK_INTERVAL_US 2000000
+// Plans that one step looks at, and that it updates. The others wait for the
+// next step, so that no step takes long.
+#define COORDINATOR_RELAY_MAX_CHECKS  64
+#define COORDINATOR_RELAY_MAX_UPDATES 16
+// Relays of this many databases fit into a reply with a delta of full size.
+#define COORDINATOR_MAX_RELAYS_PER_REPLY 128
+// An entry that has joined renews early for this time, to learn the choice of
+// relays and its quotas.
+#define COORDINATOR_JOINING_US 1000000
 // Lower bits of the relays version that count changes; the upper bits contain
 // the leader term.
 #define COORDINATOR_RELAYS_VERSION_BITS 32
@@ -33,58 +44,133 @@
 struct coordinator_relay_plan {
     struct coordinator_relay_plan *next;
     char *database;
-    int64_t planned_us;      // last selection; 0: select at the next use
-    bool all_are_relays;     // every entry is a relay
-    size_t registered_count; // registered entries, with or without a lease
-    // Registered entries with a lease: parameters of relay_plan_select, and
-    // their holders at the same index.
+    int64_t planned_us;          // last update; 0: update at the next step
+    uint64_t candidates_version; // that the choice is made from; 0: none
+    bool all_are_relays;         // every entry is a relay
+    size_t registered_count;     // registered entries, with or without a lease
+    // Candidates: parameters of relay_plan_select, and their holders at the
+    // same index.
     struct relay_plan_entry *entries;
     struct coordinator_holder **holders;
     struct relay_plan_choice *choices;
     size_t count;
+    size_t relays_count;
     // Index in entries by index of struct coordinator_holder; RELAY_PLAN_NONE:
     // not in the plan.
     size_t *positions;
     size_t positions_count; // length of positions
     struct coordinator_unreachable *unreachable;
     size_t unreachable_count;
-    uint64_t hash; // of what is sent to entries about this plan
+    int64_t reachable_us; // when the next of these reports ends
+    uint64_t input_hash;  // of what the lists of relays follow from
+    uint64_t output_hash; // of what is sent to entries about this plan
+    uint64_t version;     // of the last change of output_hash; 0: none yet
+    struct coordinator_relay_plan *older; // by version
+    struct coordinator_relay_plan *newer;
 };
 
+// Removes a plan from the list of changed plans.
+static void
+coordinator_unlink_relay_plan(struct coordinator *coordinator,
+                              struct coordinator_relay_plan *plan)
+{
+    if (plan->version == 0) {
+        return;
+    }
+    if (plan->older != NULL) {
+        plan->older->newer = plan->newer;
+    }
+    else {
+        coordinator->relays_oldest = plan->newer;
+    }
+    if (plan->newer != NULL) {
+        plan->newer->older = plan->older;
+    }
+    else {
+        coordinator->relays_newest = plan->older;
+    }
+    plan->older = NULL;
+    plan->newer = NULL;
+}
+
+// Gives a plan the next version, as what entries are sent about it has
+// changed.
+static void
+coordinator_advance_relay_plan(struct coordinator *coordinator,
+                               struct coordinator_relay_plan *plan)
+{
+    coordinator_unlink_relay_plan(coordinator, plan);
+    plan->version = ++coordinator->relays_version;
+    plan->older = coordinator->relays_newest;
+    if (plan->older != NULL) {
+        plan->older->newer = plan;
+    }
+    else {
+        coordinator->relays_oldest = plan;
+    }
+    coordinator->relays_newest = plan;
+}
+
+static void
+coordinator_free_relay_plan(struct coordinator_relay_plan *plan)
+{
+    free(plan->entries);
+    free(plan->holders);
+    free(plan->choices);
+    free(plan->positions);
+    free(plan->unreachable);
+    free(plan->database);
+    free(plan);
+}
+
 void
 coordinator_free_relays(struct coordinator *coordinator)
 {
     while (coordinator->relay_plans != NULL) {
         struct coordinator_relay_plan *plan = coordinator->relay_plans;
         coordinator->relay_plans = plan->next;
-        free(plan->entries);
-        free(plan->holders);
-        free(plan->choices);
-        free(plan->positions);
-        free(plan->unreachable);
-        free(plan->database);
-        free(plan);
+        coordinator_free_relay_plan(plan);
     }
+    coordinator->relay_plans_count = 0;
+    coordinator->relay_cursor = NULL;
+    coordinator->relays_oldest = NULL;
+    coordinator->relays_newest = NULL;
+}
+
+// Returns the index of an entry in a plan, or RELAY_PLAN_NONE.
+static size_t
+coordinator_get_relay_position(const struct coordinator_relay_plan *plan,
+                               const struct coordinator_holder *holder)
+{
+    return holder->index < plan->positions_count
+               ? plan->positions[holder->index]
+               : RELAY_PLAN_NONE;
 }
 
 // Updates the plans that contain a holder whose daemon record has changed:
-// they point to strings of that record. The relays are not selected anew,
-// because after a restart of all entries each of them would cause a new
-// selection.
+// they point to strings of that record.
 void
 coordinator_update_relay_entries(struct coordinator *coordinator,
                                  const struct coordinator_holder *holder)
 {
     for (struct coordinator_relay_plan *plan = coordinator->relay_plans;
          plan != NULL; plan = plan->next) {
-        for (size_t i = 0; i < plan->count; i++) {
-            if (plan->holders[i] == holder) {
-                plan->entries[i].vm = holder->daemon.vm;
-                plan->entries[i].failure_domain =
-                    holder->daemon.failure_domain;
-            }
+        size_t position = coordinator_get_relay_position(plan, holder);
+        if (position != RELAY_PLAN_NONE) {
+            plan->entries[position].vm = holder->daemon.vm;
+            plan->entries[position].failure_domain =
+                holder->daemon.failure_domain;
         }
     }
+    coordinator->candidates_version++;
+}
+
+static struct coordinator_relay_plan *
+coordinator_find_relay_plan(const struct coordinator *coordinator,
+                            const char *database)
+{
+    return group_index_get(coordinator->index, COORDINATOR_KEY_RELAY,
+                           database);
 }
 
 static struct coordinator_relay_plan *
@@ -92,19 +178,66 @@
                                   const char *database)
 {
     struct coordinator_relay_plan *plan =
-        group_index_get(coordinator->index, COORDINATOR_KEY_RELAY, database);
+        coordinator_find_relay_plan(coordinator, database);
 
     if (plan == NULL) {
         plan = xcalloc(1, sizeof(*plan));
         plan->database = xstrdup(database);
         plan->next = coordinator->relay_plans;
         coordinator->relay_plans = plan;
+        coordinator->relay_plans_count++;
         group_index_put(coordinator->index, COORDINATOR_KEY_RELAY, database,
                         plan);
     }
     return plan;
 }
 
+static void coordinator_count_relays(const struct coordinator_relay_plan *plan,
+                                     bool added);
+
+static void
+coordinator_remove_relay_plan(struct coordinator *coordinator,
+                              struct coordinator_relay_plan *plan)
+{
+    struct coordinator_relay_plan **link = &coordinator->relay_plans;
+
+    while (*link != plan) {
+        link = &(*link)->next;
+    }
+    *link = plan->next;
+    if (coordinator->relay_cursor == plan) {
+        coordinator->relay_cursor = plan->next;
+    }
+    coordinator->relay_plans_count--;
+    coordinator_unlink_relay_plan(coordinator, plan);
+    coordinator_count_relays(plan, false);
+    group_index_remove(coordinator->index, COORDINATOR_KEY_RELAY,
+                       plan->database);
+    coordinator_free_relay_plan(plan);
+}
+
+// Has the relays of a database chosen anew after a change of its upstreams, or
+// forgets them after its removal.
+void
+coordinator_sync_relays(struct coordinator *coordinator, const char *database)
+{
+    struct coordinator_relay_plan *plan = NULL;
+
+    if (coordinator->params.relay_min_connections == 0) {
+        return;
+    }
+    if (group_find_database(coordinator->group, database) == NULL) {
+        plan = coordinator_find_relay_plan(coordinator, database);
+        if (plan != NULL) {
+            coordinator_remove_relay_plan(coordinator, plan);
+        }
+        return;
+    }
+    plan = coordinator_get_or_add_relay_plan(coordinator, database);
+    plan->planned_us = 0;
+    plan->candidates_version = 0;
+}
+
 // Returns whether an entry has recently reported the primary as unreachable.
 static bool
 coordinator_is_primary_unreachable(const struct coordinator *coordinator,
@@ -119,6 +252,20 @@
     return false;
 }
 
+// Sets when the next report of an unreachable primary ends.
+static void
+coordinator_set_reachable_time(const struct coordinator *coordinator,
+                               struct coordinator_relay_plan *plan)
+{
+    plan->reachable_us = INT64_MAX;
+    for (size_t i = 0; i < plan->unreachable_count; i++) {
+        int64_t until_us = plan->unreachable[i].until_us;
+        if (until_us > coordinator->now_us && until_us < plan->reachable_us) {
+            plan->reachable_us = until_us;
+        }
+    }
+}
+
 // Records that an entry has reported the primary of a database as unreachable.
 void
 coordinator_record_unreachable(struct coordinator *coordinator,
@@ -167,6 +314,18 @@
     return min_connections;
 }
 
+// Makes room for all holders as candidates of a plan.
+static void
+coordinator_reserve_relay_entries(const struct coordinator *coordinator,
+                                  struct coordinator_relay_plan *plan)
+{
+    size_t capacity = coordinator->holders_count + 1;
+
+    plan->entries = xrealloc(plan->entries, capacity * sizeof(*plan->entries));
+    plan->holders = xrealloc(plan->holders, capacity * sizeof(*plan->holders));
+    plan->choices = xrealloc(plan->choices, capacity * sizeof(*plan->choices));
+}
+
 // Lists the entries that can be relays: registered, and with a lease that may
 // be valid. An entry that has just restarted counts by its earlier lease, so
 // that the relays stay the same.
@@ -174,29 +333,14 @@
 coordinator_list_relay_entries(const struct coordinator *coordinator,
                                struct coordinator_relay_plan *plan)
 {
-    size_t capacity = 0;
-
-    for (const struct coordinator_holder *holder = coordinator->holders;
-         holder != NULL; holder = holder->next) {
-        capacity++;
-    }
-    plan->entries =
-        xrealloc(plan->entries, (capacity + 1) * sizeof(*plan->entries));
-    plan->holders =
-        xrealloc(plan->holders, (capacity + 1) * sizeof(*plan->holders));
-    plan->choices =
-        xrealloc(plan->choices, (capacity + 1) * sizeof(*plan->choices));
+    coordinator_reserve_relay_entries(coordinator, plan);
     plan->count = 0;
     plan->registered_count = 0;
     for (struct coordinator_holder *holder = coordinator->holders;
          holder != NULL; holder = holder->next) {
-        if (!coordinator_is_entry(holder) ||
-            group_find_daemon(coordinator->group, holder->daemon.vm) == NULL) {
-            continue;
-        }
-        plan->registered_count++;
-        if (!coordinator_has_quota(coordinator, holder) &&
-            !coordinator_has_previous_quota(coordinator, holder)) {
+        bool counts = coordinator_is_entry(holder) && holder->is_registered;
+        plan->registered_count += counts ? 1 : 0;
+        if (!holder->is_candidate) {
             continue;
         }
         plan->entries[plan->count] = (struct relay_plan_entry){
@@ -222,16 +366,6 @@
     }
 }
 
-// Returns the index of an entry in a plan, or RELAY_PLAN_NONE.
-static size_t
-coordinator_get_relay_position(const struct coordinator_relay_plan *plan,
-                               const struct coordinator_holder *holder)
-{
-    return holder->index < plan->positions_count
-               ? plan->positions[holder->index]
-               : RELAY_PLAN_NONE;
-}
-
 // Adds the relays of a plan to the numbers of databases of their holders, or
 // takes them away.
 static void
@@ -259,22 +393,40 @@
                                           holder);
 }
 
-// Selects the relays of each database anew at its next use.
+// Has the relays of a database checked at the next step.
 void
-coordinator_expire_relay_plans(struct coordinator *coordinator)
+coordinator_check_relays_of(struct coordinator *coordinator,
+                            const char *database)
+{
+    struct coordinator_relay_plan *plan =
+        coordinator_find_relay_plan(coordinator, database);
+
+    if (plan != NULL) {
+        plan->planned_us = 0;
+    }
+}
+
+// Has the plans checked of which an entry is a relay, at the next step:
+// whether it runs the statements of others has changed.
+void
+coordinator_check_relay(struct coordinator *coordinator,
+                        const struct coordinator_holder *holder)
 {
     for (struct coordinator_relay_plan *plan = coordinator->relay_plans;
          plan != NULL; plan = plan->next) {
-        plan->planned_us = 0;
+        size_t position = coordinator_get_relay_position(plan, holder);
+        if (position != RELAY_PLAN_NONE && plan->entries[position].is_relay) {
+            plan->planned_us = 0;
+        }
     }
 }
 
-// Increases relays_version if what entries are sent about a database has
-// changed.
-static void
-coordinator_update_relays_version(struct coordinator *coordinator,
-                                  const struct ck_database *database,
-                                  struct coordinator_relay_plan *plan)
+// Sets the flags of the entries of a plan. Returns a hash of what the lists of
+// relays follow from, besides the choice of relays.
+static uint64_t
+coordinator_update_relay_flags(struct coordinator *coordinator,
+                               const struct ck_database *database,
+                               struct coordinator_relay_plan *plan)
 {
     const struct coordinator_database *db =
         coordinator_find_database(coordinator, plan->database);
@@ -284,39 +436,55 @@
         struct relay_plan_entry *entry = &plan->entries[i];
         entry->primary_unreachable = coordinator_is_primary_unreachable(
             coordinator, plan, plan->holders[i]);
+        if (!entry->is_relay) {
+            hash += entry->primary_unreachable ? i + 1 : 0;
+            continue;
+        }
         entry->is_idle =
-            entry->is_relay &&
             coordinator_is_relay_idle(coordinator, database, plan->holders[i]);
         entry->databases_count = (uint32_t)plan->holders[i]->relayed_count;
-        const char *host = plan->holders[i]->daemon.host;
-        const uint64_t row[] = {(uint64_t)(uintptr_t)plan->holders[i],
-                                XXH3_64bits(host, strlen(host)),
-                                entry->is_relay,
-                                entry->primary_unreachable,
-                                entry->is_idle,
-                                entry->is_relay ? entry->databases_count : 0};
+        const uint64_t row[] = {i, entry->primary_unreachable, entry->is_idle,
+                                entry->databases_count};
         hash = XXH3_64bits_withSeed(row, sizeof(row), hash);
     }
-    if (hash != plan->hash) {
-        plan->hash = hash;
-        relay_spread_assign(plan->entries, plan->count, plan->choices);
-        coordinator->relays_version++;
-    }
+    return XXH3_64bits_withSeed(&plan->candidates_version,
+                                sizeof(plan->candidates_version), hash);
 }
 
-// Selects the relays of a database, unless the last selection is recent.
-static struct coordinator_relay_plan *
-coordinator_update_relay_plan(struct coordinator *coordinator,
-                              const struct ck_database *database)
+// Returns a hash of what entries are sent about a plan.
+static uint64_t
+coordinator_hash_relays(const struct coordinator_relay_plan *plan,
+                        bool is_failover)
 {
-    struct coordinator_relay_plan *plan =
-        coordinator_get_or_add_relay_plan(coordinator, database->name);
+    uint64_t hash = is_failover ? 1 : 0;
 
-    if (plan->planned_us != 0 && coordinator->now_us - plan->planned_us <
-                                     COORDINATOR_RELAY_PLAN_INTERVAL_US) {
-        return plan;
+    for (size_t i = 0; i < plan->count; i++) {
+        const struct relay_plan_entry *entry = &plan->entries[i];
+        const struct relay_plan_choice *choice = &plan->choices[i];
+        const char *host = plan->holders[i]->daemon.host;
+        const uint64_t row[] = {
+            (uint64_t)(uintptr_t)plan->holders[i],
+            entry->is_relay ? XXH3_64bits(host, strlen(host)) : 0,
+            entry->is_relay,
+            entry->primary_unreachable,
+            entry->is_relay && entry->is_idle,
+            choice->first == RELAY_PLAN_NONE
+                ? 0
+                : (uint64_t)(uintptr_t)plan->holders[choice->first],
+            choice->alternate == RELAY_PLAN_NONE
+                ? 0
+                : (uint64_t)(uintptr_t)plan->holders[choice->alternate]};
+        hash = XXH3_64bits_withSeed(row, sizeof(row), hash);
     }
-    plan->planned_us = coordinator->now_us;
+    return hash;
+}
+
+// Chooses the relays of a database from the present candidates.
+static void
+coordinator_select_relays(struct coordinator *coordinator,
+                          const struct ck_database *database,
+                          struct coordinator_relay_plan *plan)
+{
     coordinator_count_relays(plan, false);
     coordinator_list_relay_entries(coordinator, plan);
     uint32_t count = relay_plan_count(
@@ -326,44 +494,136 @@
     relay_plan_select(database->name, count, plan->entries, plan->count);
     coordinator_count_relays(plan, true);
     coordinator_index_relays(coordinator, plan);
-    coordinator_update_relays_version(coordinator, database, plan);
-    return plan;
+    plan->candidates_version = coordinator->candidates_version;
 }
 
-// Returns whether an entry holds connections to the upstreams of a database.
-bool
-coordinator_is_relay(struct coordinator *coordinator,
-                     const struct ck_database *database,
-                     const struct coordinator_holder *holder)
+// Lets exactly the relays of a plan get quotas of its database.
+static void
+coordinator_set_relays_as_members(struct coordinator *coordinator,
+                                  struct coordinator_relay_plan *plan)
 {
-    if (coordinator->params.relay_min_connections == 0) {
-        return true;
+    struct coordinator_holder **relays =
+        xcalloc(plan->count + 1, sizeof(*relays));
+
+    plan->relays_count = 0;
+    for (size_t i = 0; i < plan->count; i++) {
+        if (plan->entries[i].is_relay) {
+            relays[plan->relays_count++] = plan->holders[i];
+        }
     }
-    const struct coordinator_relay_plan *plan =
-        coordinator_update_relay_plan(coordinator, database);
-    if (plan->all_are_relays) {
+    coordinator_set_members(coordinator, plan->database, relays,
+                            plan->relays_count);
+    free(relays);
+}
+
+// Chooses the relays of a database, if the candidates have changed, and
+// updates what entries are sent about them.
+static void
+coordinator_update_relay_plan(struct coordinator *coordinator,
+                              struct coordinator_relay_plan *plan)
+{
+    const struct ck_database *database =
+        group_find_database(coordinator->group, plan->database);
+
+    if (database == NULL) {
+        return;
+    }
+    plan->planned_us = coordinator->now_us;
+    coordinator_set_reachable_time(coordinator, plan);
+    if (plan->candidates_version != coordinator->candidates_version) {
+        coordinator_select_relays(coordinator, database, plan);
+        coordinator_set_relays_as_members(coordinator, plan);
+    }
+    uint64_t input_hash =
+        coordinator_update_relay_flags(coordinator, database, plan);
+    if (plan->version != 0 && input_hash == plan->input_hash) {
+        return;
+    }
+    plan->input_hash = input_hash;
+    relay_spread_assign(plan->entries, plan->count, plan->choices);
+    const struct coordinator_database *db =
+        coordinator_find_database(coordinator, plan->database);
+    uint64_t output_hash = coordinator_hash_relays(
+        plan, db != NULL && db->phase != COORDINATOR_PHASE_IDLE);
+    if (plan->version == 0 || output_hash != plan->output_hash) {
+        plan->output_hash = output_hash;
+        coordinator_advance_relay_plan(coordinator, plan);
+    }
+}
+
+// Returns whether a plan is to be updated.
+static bool
+coordinator_is_relay_plan_due(const struct coordinator *coordinator,
+                              const struct coordinator_relay_plan *plan)
+{
+    int64_t age_us = coordinator->now_us - plan->planned_us;
+
+    if (plan->planned_us == 0 || coordinator->now_us >= plan->reachable_us ||
+        age_us >= COORDINATOR_RELAY_CHECK_INTERVAL_US) {
         return true;
     }
+    return plan->candidates_version != coordinator->candidates_version &&
+           age_us >= COORDINATOR_RELAY_PLAN_INTERVAL_US;
+}
+
+// Updates some of the plans that are due, in turn.
+void
+coordinator_run_relay_plans(struct coordinator *coordinator)
+{
+    size_t checks = coordinator->relay_plans_count;
+    size_t updates = 0;
+
+    if (!coordinator_allocates_all(coordinator)) {
+        return;
+    }
+    if (checks > COORDINATOR_RELAY_MAX_CHECKS) {
+        checks = COORDINATOR_RELAY_MAX_CHECKS;
+    }
+    for (; checks > 0 && updates < COORDINATOR_RELAY_MAX_UPDATES; checks--) {
+        struct coordinator_relay_plan *plan = coordinator->relay_cursor == NULL
+                                                  ? coordinator->relay_plans
+                                                  : coordinator->relay_cursor;
+        coordinator->relay_cursor = plan->next;
+        if (coordinator_is_relay_plan_due(coordinator, plan)) {
+            coordinator_update_relay_plan(coordinator, plan);
+            updates++;
+        }
+    }
+}
+
+// Returns whether the choice of relays may not take account of an entry yet,
+// which has just joined.
+bool
+coordinator_is_relay_choice_pending(const struct coordinator *coordinator,
+                                    const struct coordinator_holder *holder)
+{
+    return coordinator->params.relay_min_connections > 0 &&
+           holder->is_candidate &&
+           coordinator->now_us - holder->candidate_us < COORDINATOR_JOINING_US;
+}
+
+// Returns whether an entry holds connections to the upstreams of a database.
+static bool
+coordinator_is_relay(const struct coordinator_relay_plan *plan,
+                     const struct coordinator_holder *holder)
+{
     size_t position = coordinator_get_relay_position(plan, holder);
-    return position != RELAY_PLAN_NONE && plan->entries[position].is_relay;
+
+    return plan->all_are_relays ||
+           (position != RELAY_PLAN_NONE && plan->entries[position].is_relay);
 }
 
 // Returns the number of entries with connections to a database, which detect
 // the loss of its primary.
 size_t
-coordinator_count_connected_entries(struct coordinator *coordinator,
+coordinator_count_connected_entries(const struct coordinator *coordinator,
                                     const struct ck_database *database)
 {
-    if (coordinator->params.relay_min_connections == 0) {
-        return coordinator_count_leased_entries(coordinator);
-    }
     const struct coordinator_relay_plan *plan =
-        coordinator_update_relay_plan(coordinator, database);
-    size_t count = 0;
-    for (size_t i = 0; i < plan->count; i++) {
-        count += plan->entries[i].is_relay ? 1 : 0;
-    }
-    return count;
+        coordinator_find_relay_plan(coordinator, database->name);
+
+    return plan == NULL ? coordinator_count_leased_entries(coordinator)
+                        : plan->relays_count;
 }
 
 // Returns whether an entry sends its statements of a database through relays:
@@ -371,108 +631,123 @@
 // primary does not count during a failover, so that no relay is used to reach
 // the old primary.
 static bool
-coordinator_uses_relays(struct coordinator *coordinator,
-                        const struct ck_database *database,
+coordinator_uses_relays(const struct coordinator *coordinator,
+                        const struct coordinator_relay_plan *plan,
                         const struct coordinator_holder *holder)
 {
     const struct coordinator_database *db =
-        coordinator_find_database(coordinator, database->name);
+        coordinator_find_database(coordinator, plan->database);
 
-    return !coordinator_is_relay(coordinator, database, holder) ||
+    return !coordinator_is_relay(plan, holder) ||
            (db != NULL && db->phase == COORDINATOR_PHASE_IDLE &&
-            coordinator_is_primary_unreachable(
-                coordinator,
-                coordinator_get_or_add_relay_plan(coordinator, database->name),
-                holder));
+            coordinator_is_primary_unreachable(coordinator, plan, holder));
 }
 
-// The relays of one renewal reply under construction.
-struct coordinator_relay_list {
-    struct coordinator *coordinator;
-    const struct coordinator_holder *holder;
-    struct ck_relay *relays;
-    size_t count;
-};
-
-static bool
-coordinator_append_relay(void *data, const struct ck_database *database)
+// Fills the relays of an entry for one database.
+static void
+coordinator_fill_relay(struct coordinator *coordinator,
+                       const struct coordinator_relay_plan *plan,
+                       const struct coordinator_holder *holder,
+                       struct ck_relay *out)
 {
-    struct coordinator_relay_list *list = data;
-    struct coordinator *coordinator = list->coordinator;
-    const struct ck_daemon *daemon = &list->holder->daemon;
+    const struct ck_daemon *daemon = &holder->daemon;
     size_t indexes[CK_RELAY_HOSTS];
-
-    const struct coordinator_relay_plan *plan =
-        coordinator_update_relay_plan(coordinator, database);
-    struct ck_relay *out = &list->relays[list->count++];
-    out->database = plan->database;
-    size_t position = coordinator_get_relay_position(plan, list->holder);
+    size_t position = coordinator_get_relay_position(plan, holder);
     size_t count = relay_plan_list_nearest(
         daemon->vm, daemon->failure_domain,
         position == RELAY_PLAN_NONE ? NULL : &plan->choices[position],
         plan->entries, plan->count, indexes, CK_RELAY_HOSTS);
+
+    out->database = plan->database;
     if (count == 0) {
-        list->count--;
-        return true;
+        return;
     }
     // If no other entry reaches the primary either, the entry runs its
     // statements itself.
-    out->standby =
-        !coordinator_uses_relays(coordinator, database, list->holder) ||
-        (coordinator_is_relay(coordinator, database, list->holder) &&
-         plan->entries[indexes[0]].primary_unreachable);
+    out->standby = !coordinator_uses_relays(coordinator, plan, holder) ||
+                   (coordinator_is_relay(plan, holder) &&
+                    plan->entries[indexes[0]].primary_unreachable);
     out->hosts.hosts_len = (u_int)count;
     out->hosts.hosts_val = coordinator_actions_own(
         coordinator->actions, xcalloc(count, sizeof(char *)));
     for (size_t i = 0; i < count; i++) {
         out->hosts.hosts_val[i] = plan->holders[indexes[i]]->daemon.host;
     }
-    return true;
 }
 
-static bool
-coordinator_visit_relay_plan(void *data, const struct ck_database *database)
+// Returns a version of the relays as an entry reports it. It contains the
+// leader term, so that versions of different leaders differ.
+static uint64_t
+coordinator_make_relays_version(const struct coordinator *coordinator,
+                                uint64_t version)
 {
-    (void)coordinator_update_relay_plan(data, database);
-    return true;
+    return coordinator->leader_term << COORDINATOR_RELAYS_VERSION_BITS |
+           (version & COORDINATOR_RELAYS_VERSION_MASK);
 }
 
-// Returns the version of all relay plans. It contains the leader term, so that
-// versions of different leaders differ.
+// Returns the version up to which an entry has the relays; 0 if it has those
+// of another leader or none.
 static uint64_t
-coordinator_get_relays_version(const struct coordinator *coordinator)
+coordinator_get_known_relays(const struct coordinator *coordinator,
+                             uint64_t reported)
 {
-    return coordinator->leader_term << COORDINATOR_RELAYS_VERSION_BITS |
-           (coordinator->relays_version & COORDINATOR_RELAYS_VERSION_MASK);
+    uint64_t version = reported & COORDINATOR_RELAYS_VERSION_MASK;
+
+    return reported == coordinator_make_relays_version(coordinator, version)
+               ? version
+               : 0;
+}
+
+// Returns the oldest plan with a change after a version, or NULL.
+static const struct coordinator_relay_plan *
+coordinator_find_relays_after(const struct coordinator *coordinator,
+                              uint64_t version, size_t *count)
+{
+    const struct coordinator_relay_plan *plan = coordinator->relays_newest;
+    const struct coordinator_relay_plan *found = NULL;
+
+    *count = 0;
+    while (plan != NULL && plan->version > version) {
+        found = plan;
+        plan = plan->older;
+        (*count)++;
+    }
+    return found;
 }
 
-// Fills the relays of a renewal reply: for each database, the entries that run
-// the statements of this entry now, or only while it has no lease (standby).
-// The list is empty if the entry already has the current version.
+// Fills the relays of a renewal reply that have changed since the version
+// which the entry has: for each database, the entries that run the statements
+// of this entry now, or only while it has no lease (standby).
 void
 coordinator_fill_relays(struct coordinator *coordinator,
                         const struct coordinator_holder *holder,
                         const struct ck_renew_args *args,
                         struct ck_renew_result *result)
 {
-    size_t databases = group_get_databases_count(coordinator->group);
-    struct coordinator_relay_list list = {.coordinator = coordinator,
-                                          .holder = holder};
+    size_t count = 0;
 
     if (coordinator->params.relay_min_connections == 0 ||
         !coordinator_is_entry(holder) ||
         !coordinator_allocates_all(coordinator)) {
         return;
     }
-    group_visit_databases(coordinator->group, coordinator_visit_relay_plan,
-                          coordinator);
-    result->relays_version = coordinator_get_relays_version(coordinator);
-    if (args->relays_version == result->relays_version) {
-        return;
+    uint64_t version =
+        coordinator_get_known_relays(coordinator, args->relays_version);
+    const struct coordinator_relay_plan *plan =
+        coordinator_find_relays_after(coordinator, version, &count);
+    result->relays_more = count > COORDINATOR_MAX_RELAYS_PER_REPLY;
+    if (result->relays_more) {
+        count = COORDINATOR_MAX_RELAYS_PER_REPLY;
+    }
+    result->relays.relays_val = coordinator_actions_own(
+        coordinator->actions, xcalloc(count, sizeof(struct ck_relay)));
+    result->relays.relays_len = (u_int)count;
+    for (size_t i = 0; i < count; i++) {
+        coordinator_fill_relay(coordinator, plan, holder,
+                               &result->relays.relays_val[i]);
+        version = plan->version;
+        plan = plan->newer;
     }
-    list.relays = coordinator_actions_own(
-        coordinator->actions, xcalloc(databases, sizeof(*list.relays)));
-    group_visit_databases(coordinator->group, coordinator_append_relay, &list);
-    result->relays.relays_val = list.relays;
-    result->relays.relays_len = (u_int)list.count;
+    result->relays_version =
+        coordinator_make_relays_version(coordinator, version);
 }
--- a/src/catkingrade/decide/group/group.c
+++ b/src/catkingrade/decide/group/group.c
@@ -678,3 +678,20 @@
         }
     }
 }
+
+// Calls visit for each database and daemon that changed after a revision,
+// newest first.
+void
+group_visit_changes(const struct group_state *group, uint64_t revision,
+                    group_visit_change_fn visit, void *data)
+{
+    const struct group_object *object = group->newest;
+
+    while (object != NULL && object->revision > revision) {
+        const struct group_object *older = object->older;
+        if (object->kind == GROUP_DATABASE || object->kind == GROUP_DAEMON) {
+            visit(data, object->kind == GROUP_DAEMON, object->name);
+        }
+        object = older;
+    }
+}
--- a/src/catkingrade/decide/group/group.h
+++ b/src/catkingrade/decide/group/group.h
@@ -56,6 +56,11 @@
 typedef bool (*group_visit_daemon_fn)(void *data,
                                       const struct ck_daemon *daemon);
 
+// Gets the name of a database that has changed or was removed, or the name of
+// the VM of a daemon that was registered or has changed.
+typedef void (*group_visit_change_fn)(void *data, bool is_daemon,
+                                      const char *name);
+
 struct group_state *group_create(const char *name);
 void group_destroy(struct group_state *group);
 void group_apply(struct group_state *group, uint64_t index,
@@ -148,5 +153,9 @@
                            group_visit_customer_fn visit, void *data);
 void group_visit_daemons(const struct group_state *group,
                          group_visit_daemon_fn visit, void *data);
+// Calls visit for each database and daemon that changed after a revision.
+// Daemons that have expired are not visited.
+void group_visit_changes(const struct group_state *group, uint64_t revision,
+                         group_visit_change_fn visit, void *data);
 
 #endif
--- a/src/catkingrade/decide/leaseholder/leaseholder.c
+++ b/src/catkingrade/decide/leaseholder/leaseholder.c
@@ -69,6 +69,8 @@
     return action;
 }
 
+// Delivers the quotas that have changed. The action is needed without any as
+// well, if the relays have changed: it puts them in force.
 static void
 leaseholder_add_quotas(struct leaseholder *holder,
                        struct leaseholder_actions *actions)
@@ -76,8 +78,8 @@
     struct leaseholder_action *action =
         leaseholder_add_action(actions, LEASEHOLDER_ACTION_SET_QUOTAS);
 
-    action->quotas.items = holder->quotas;
-    action->quotas.count = holder->quotas_count;
+    action->quotas.items = holder->changed_quotas;
+    action->quotas.count = holder->changed_quotas_count;
 }
 
 static void
@@ -208,19 +210,20 @@
     }
 }
 
-// Delivers the list of relays, the entries that run this entry's statements,
-// if its version has changed.
-static void
+// Delivers the relays that have changed, the entries that run this entry's
+// statements. Returns whether there are any.
+static bool
 leaseholder_update_relays(struct leaseholder *holder,
                           const struct ck_renew_result *result,
                           struct leaseholder_actions *actions)
 {
     if (result->relays_version == holder->args.relays_version) {
-        return;
+        return false;
     }
     holder->args.relays_version = result->relays_version;
     leaseholder_add_action(actions, LEASEHOLDER_ACTION_SET_RELAYS)->relays =
         result;
+    return true;
 }
 
 static void
@@ -230,12 +233,14 @@
 {
     int64_t jitter_us = random_below(
         &holder->random, (uint32_t)(holder->params.renew_us / 8) + 1);
+    bool has_relays = false;
 
     // Relays come first: a delta that cannot be applied ends the handling.
     if (result->lease_us > 0) {
-        leaseholder_update_relays(holder, result, actions);
+        has_relays = leaseholder_update_relays(holder, result, actions);
     }
     if (!leaseholder_apply_delta(holder, &result->delta, actions)) {
+        holder->redelivers_quotas = true;
         leaseholder_back_off(holder, now_us, false);
         return;
     }
@@ -252,12 +257,19 @@
         (int64_t)result->hasten_us < holder->params.renew_us) {
         holder->next_renew_us = now_us + (int64_t)result->hasten_us;
     }
-    if (result->delta.more || holder->renew_again) {
+    if (result->delta.more || result->relays_more || holder->renew_again) {
         holder->next_renew_us = now_us;
     }
     if (result->lease_us > 0) {
-        leaseholder_set_quotas(holder, result);
-        leaseholder_add_quotas(holder, actions);
+        leaseholder_set_quotas(holder, result,
+                               holder->args.reported_term == 0);
+        if (holder->redelivers_quotas) {
+            leaseholder_list_all_quotas(holder);
+            has_relays = true;
+        }
+        if (has_relays || holder->changed_quotas_count > 0) {
+            leaseholder_add_quotas(holder, actions);
+        }
         leaseholder_extend_lease(holder, result, actions);
     }
 }
@@ -293,6 +305,12 @@
         return;
     }
     holder->leader_term = result->leader_term;
+    if (result->report_wanted) {
+        leaseholder_report_all(holder);
+        holder->next_renew_us = now_us;
+        return;
+    }
+    leaseholder_acknowledge_reports(holder, result->leader_term);
     if (holder->is_returning) {
         leaseholder_handle_returned(holder, actions);
         return;
@@ -333,6 +351,9 @@
     if (args->leader_term < holder->leader_term) {
         return;
     }
+    if (args->leader_term > holder->leader_term) {
+        leaseholder_report_all(holder);
+    }
     holder->leader_term = args->leader_term;
     for (u_int i = 0; i < args->revoked.revoked_len; i++) {
         const struct ck_revocation *revocation = &args->revoked.revoked_val[i];
@@ -409,6 +430,9 @@
         holder->open_requests = event->open_requests;
         break;
     case LEASEHOLDER_EVENT_APPLIED:
+        // The actions after a delta that could not be applied are not run.
+        holder->redelivers_quotas =
+            holder->redelivers_quotas || event->revision < holder->revision;
         holder->revision = event->revision;
         break;
     case LEASEHOLDER_EVENT_RETURN:
@@ -427,7 +451,9 @@
     holder->valid_until_us = 0;
     (void)leaseholder_add_action(actions, LEASEHOLDER_ACTION_LEASE_EXPIRED);
     leaseholder_reset_quotas(holder);
-    leaseholder_add_quotas(holder, actions);
+    if (holder->changed_quotas_count > 0) {
+        leaseholder_add_quotas(holder, actions);
+    }
 }
 
 static void
--- a/src/catkingrade/decide/leaseholder/leaseholder.h
+++ b/src/catkingrade/decide/leaseholder/leaseholder.h
@@ -43,7 +43,7 @@
     LEASEHOLDER_EVENT_NOTIFIED,
     LEASEHOLDER_EVENT_SUSPECT,
     LEASEHOLDER_EVENT_CONFIRM_REVOKED,
-    LEASEHOLDER_EVENT_DEMAND, // replaces the demand of the same upstream
+    LEASEHOLDER_EVENT_DEMAND, // a measurement of the demand of an upstream
     LEASEHOLDER_EVENT_OPEN_REQUESTS,
     // The view has applied the last delta, or starts at this revision.
     LEASEHOLDER_EVENT_APPLIED,
@@ -96,11 +96,14 @@
         const struct ck_view_delta *delta;
         int64_t valid_until_us;
         struct ck_revocation revoke;
+        // SET_QUOTAS: those that have changed.
         struct {
             const struct ck_quota *items;
             size_t count;
         } quotas;
-        // SET_RELAYS: only the list of relays in this result is used.
+        // SET_RELAYS: only the relays in this result are used, those of the
+        // databases for which they have changed. In force with the SET_QUOTAS
+        // that follows.
         const struct ck_renew_result *relays;
         int64_t wake_at_us;
     };
--- a/src/catkingrade/decide/leaseholder/leaseholder_private.h
+++ b/src/catkingrade/decide/leaseholder/leaseholder_private.h
@@ -12,6 +12,20 @@
     int64_t reported_us;
 };
 
+// What the entry demands and holds of an upstream.
+struct leaseholder_upstream {
+    // As the next call reports it: its demand, smoothed, and the quota in
+    // force. The name is owned.
+    struct ck_demand report;
+    uint64_t changed_in; // sequence number of the first call with this report
+    // Peaks of the demand in the present window of measurements.
+    u_int peak_waiting;
+    u_int peak_running;
+    u_int peak_connections;
+    unsigned measurements;
+    bool is_listed; // in the renewal result that is being applied
+};
+
 struct leaseholder {
     struct leaseholder_params params; // strings are owned copies
     struct leaseholder_address *voters;
@@ -35,15 +49,21 @@
     unsigned redirects; // consecutive
     int64_t next_renew_us;
     // Contents of the next call.
-    struct ck_demand *demands;
-    size_t demands_count;
+    struct leaseholder_upstream *upstreams; // sorted by name
+    size_t upstreams_count;
+    struct ck_demand *sent_demands; // array that args refers to
+    // The leader of this term has the reports up to acked_sequence; 0: the
+    // next call reports everything.
+    uint64_t reported_term;
+    uint64_t acked_sequence;
     struct leaseholder_suspicion *suspicions;
     size_t suspicions_count;
     struct ck_suspicion *sent_suspicions; // array that args refers to
     struct ck_revocation *confirmed;
     size_t confirmed_count;
-    struct ck_quota *quotas; // in force
-    size_t quotas_count;
+    struct ck_quota *changed_quotas; // since the last action SET_QUOTAS
+    size_t changed_quotas_count;
+    bool redelivers_quotas; // the entry may not have got all of them
     struct ck_renew_args args;
 };
 
@@ -59,7 +79,12 @@
 void leaseholder_drop_superseded(struct leaseholder *holder,
                                  const struct ck_view_delta *delta);
 void leaseholder_set_quotas(struct leaseholder *holder,
-                            const struct ck_renew_result *result);
+                            const struct ck_renew_result *result,
+                            bool is_complete);
+void leaseholder_list_all_quotas(struct leaseholder *holder);
+void leaseholder_report_all(struct leaseholder *holder);
+void leaseholder_acknowledge_reports(struct leaseholder *holder,
+                                     uint64_t leader_term);
 void leaseholder_reset_quotas(struct leaseholder *holder);
 void leaseholder_fill_args(struct leaseholder *holder, int64_t now_us);
 void leaseholder_free_reports(struct leaseholder *holder);
--- a/src/catkingrade/entry/database.c
+++ b/src/catkingrade/entry/database.c
@@ -224,6 +224,24 @@
     view_release(old_view);
 }
 
+// Refers to a newer view in which the database and its customer are the same
+// objects as in the view in force. Returns false, and changes nothing, if they
+// are not: the view must then be put in force.
+bool
+database_follow_view(struct database *database, struct view *view)
+{
+    if (database->view == NULL || database->removed ||
+        view_find_database(view, database->name) != database->config ||
+        view_find_customer(view, database->config->customer) !=
+            database->customer) {
+        return false;
+    }
+    struct view *old_view = database->view;
+    database->view = view_retain(view);
+    view_release(old_view);
+    return true;
+}
+
 // Extends the lease of a term: writes of the term may be acknowledged until
 // valid_until_us. If revoked is set, the term is revoked instead and
 // valid_until_us is ignored.
--- a/src/catkingrade/entry/database.h
+++ b/src/catkingrade/entry/database.h
@@ -32,6 +32,7 @@
 bool database_is_relayed(const struct database *database);
 bool database_is_relay_change_due(const struct database *database);
 bool database_accepts_relayed(const struct database *database);
+bool database_follow_view(struct database *database, struct view *view);
 void database_set_lease(struct database *database, uint64_t term,
                         int64_t valid_until_us, bool revoked);
 void database_drain(struct database *database);
--- a/src/catkingrade/entry/entry.c
+++ b/src/catkingrade/entry/entry.c
@@ -414,7 +414,8 @@
     }
 }
 
-// Sets the relays of this entry on every worker, in place of all earlier ones.
+// Sets the relays of databases on every worker. Databases that are not listed
+// keep theirs. In force with the next entry_post_quotas.
 void
 entry_post_relays(struct entry *entry, const struct ck_relay *relays,
                   size_t count)
--- a/src/catkingrade/entry/worker.c
+++ b/src/catkingrade/entry/worker.c
@@ -7,6 +7,7 @@
 #include "catkingrade/kernel/log.h"
 #include "catkingrade/kernel/memory.h"
 #include "catkingrade/kernel/outcome.h"
+#include "catkingrade/rpc/codec.h"
 
 // An id has the worker's index in the bits from this one up, and a counter of
 // the worker in the lower bits.
@@ -20,6 +21,18 @@
     int64_t valid_until_us;
 };
 
+// The granted quota of an upstream.
+struct worker_quota {
+    struct ck_quota quota; // its name is a copy
+    bool is_changed;       // not in force yet
+};
+
+// The relays of a database.
+struct worker_relay {
+    struct ck_relay relay; // a deep copy
+    bool is_changed;       // not in force yet
+};
+
 struct worker {
     struct entry *entry;
     unsigned index; // among the workers of the entry
@@ -36,10 +49,11 @@
     struct view *view;
     struct worker_lease *leases;
     size_t leases_count;
-    struct ck_quota *quotas; // names are copies
+    struct worker_quota *quotas; // sorted by upstream
     size_t quotas_count;
-    struct ck_relay *relays; // names and hosts are copies
+    struct worker_relay *relays; // sorted by database
     size_t relays_count;
+    size_t changes_count; // quotas and relays that are not in force yet
     void *listener_state;
     uint64_t last_id;
     bool draining;
@@ -118,12 +132,16 @@
 }
 
 static void
-worker_free_quotas(struct ck_quota *quotas, size_t count)
+worker_free_grants(struct worker *worker)
 {
-    for (size_t i = 0; i < count; i++) {
-        free(quotas[i].upstream);
+    for (size_t i = 0; i < worker->quotas_count; i++) {
+        free(worker->quotas[i].quota.upstream);
     }
-    free(quotas);
+    for (size_t i = 0; i < worker->relays_count; i++) {
+        codec_free((xdrproc_t)xdr_ck_relay, &worker->relays[i].relay);
+    }
+    free(worker->quotas);
+    free(worker->relays);
 }
 
 // Frees a stopped worker and its databases.
@@ -134,8 +152,7 @@
         database_destroy(worker->databases[i]);
     }
     free(worker->databases);
-    worker_free_quotas(worker->quotas, worker->quotas_count);
-    entry_free_relays(worker->relays, worker->relays_count);
+    worker_free_grants(worker);
     view_release(worker->view);
     classifier_destroy(worker->classifier);
     loop_timer_destroy(worker->removal_timer);
@@ -227,15 +244,36 @@
     }
 }
 
-static const struct ck_quota *
-worker_find_quota(const struct worker *worker, const char *upstream)
+// Returns the index of an upstream's quota, or the index at which to add it,
+// and sets *found.
+static size_t
+worker_find_quota_index(const struct worker *worker, const char *upstream,
+                        bool *found)
 {
-    for (size_t i = 0; i < worker->quotas_count; i++) {
-        if (strcmp(worker->quotas[i].upstream, upstream) == 0) {
-            return &worker->quotas[i];
+    size_t index = 0;
+    size_t end = worker->quotas_count;
+
+    while (index < end) {
+        size_t middle = index + (end - index) / 2;
+        if (strcmp(worker->quotas[middle].quota.upstream, upstream) < 0) {
+            index = middle + 1;
+        }
+        else {
+            end = middle;
         }
     }
-    return NULL;
+    *found = index < worker->quotas_count &&
+             strcmp(worker->quotas[index].quota.upstream, upstream) == 0;
+    return index;
+}
+
+static const struct worker_quota *
+worker_find_quota(const struct worker *worker, const char *upstream)
+{
+    bool found = false;
+    size_t index = worker_find_quota_index(worker, upstream, &found);
+
+    return found ? &worker->quotas[index] : NULL;
 }
 
 // Sets quota to the granted quota of an upstream, or to the upstream's full
@@ -246,27 +284,49 @@
 worker_fill_quota(const struct worker *worker,
                   const struct ck_upstream *upstream, struct ck_quota *quota)
 {
-    const struct ck_quota *granted = worker_find_quota(worker, upstream->name);
+    const struct worker_quota *granted =
+        worker_find_quota(worker, upstream->name);
     const struct settings *settings = entry_get_settings(worker->entry);
 
     quota->upstream = upstream->name;
     quota->slots = quota->guaranteed_slots = upstream->slots;
     quota->connections = quota->guaranteed_connections = upstream->connections;
     if (granted != NULL) {
-        *quota = *granted;
+        *quota = granted->quota;
     }
     return granted != NULL || settings->view_file[0] != '\0';
 }
 
-static const struct ck_relay *
-worker_find_relay(const struct worker *worker, const char *database)
+// Returns the index of a database's relays, or the index at which to add
+// them, and sets *found.
+static size_t
+worker_find_relay_index(const struct worker *worker, const char *database,
+                        bool *found)
 {
-    for (size_t i = 0; i < worker->relays_count; i++) {
-        if (strcmp(worker->relays[i].database, database) == 0) {
-            return &worker->relays[i];
+    size_t index = 0;
+    size_t end = worker->relays_count;
+
+    while (index < end) {
+        size_t middle = index + (end - index) / 2;
+        if (strcmp(worker->relays[middle].relay.database, database) < 0) {
+            index = middle + 1;
+        }
+        else {
+            end = middle;
         }
     }
-    return NULL;
+    *found = index < worker->relays_count &&
+             strcmp(worker->relays[index].relay.database, database) == 0;
+    return index;
+}
+
+static const struct worker_relay *
+worker_find_relay(const struct worker *worker, const char *database)
+{
+    bool found = false;
+    size_t index = worker_find_relay_index(worker, database, &found);
+
+    return found ? &worker->relays[index] : NULL;
 }
 
 // Puts the worker's view, quotas and relays in force for a database. Ends the
@@ -292,7 +352,8 @@
             count++;
         }
     }
-    database_set_relay(database, worker_find_relay(worker, config->name));
+    const struct worker_relay *relay = worker_find_relay(worker, config->name);
+    database_set_relay(database, relay == NULL ? NULL : &relay->relay);
     database_set_view(database, worker->view, quotas, count);
     free(quotas);
     if (!was_relayed && database_is_relayed(database)) {
@@ -403,6 +464,30 @@
            view_get_declaration(worker->view, &number) != NULL;
 }
 
+// Returns whether relays or a quota of a database have changed and are not in
+// force yet.
+static bool
+worker_has_changes(const struct worker *worker,
+                   const struct database *database)
+{
+    const char *name = database_get_name(database);
+    const struct ck_database *config = view_find_database(worker->view, name);
+    const struct worker_relay *relay = worker_find_relay(worker, name);
+
+    if (relay != NULL && relay->is_changed) {
+        return true;
+    }
+    for (u_int i = 0; config != NULL && i < config->upstreams.upstreams_len;
+         i++) {
+        const struct worker_quota *quota =
+            worker_find_quota(worker, config->upstreams.upstreams_val[i].name);
+        if (quota != NULL && quota->is_changed) {
+            return true;
+        }
+    }
+    return false;
+}
+
 // Puts a view in force and takes ownership of the caller's reference. The
 // sessions of databases that the view does not contain are ended; such a
 // database is removed once it is idle.
@@ -414,8 +499,11 @@
     worker->view = view;
     for (size_t i = worker->databases_count; i > 0; i--) {
         struct database *database = worker->databases[i - 1];
-        worker_apply_view(worker, database);
-        worker_apply_lease(worker, database);
+        if (worker_has_changes(worker, database) ||
+            !database_follow_view(database, view)) {
+            worker_apply_view(worker, database);
+            worker_apply_lease(worker, database);
+        }
     }
     worker_remove_databases(worker);
     worker_confirm_unused_databases(worker);
@@ -498,28 +586,45 @@
 
 static void
 worker_store_quota(struct worker *worker, const struct ck_quota *quota)
+{
+    bool found = false;
+    size_t index = worker_find_quota_index(worker, quota->upstream, &found);
+    size_t count = worker->quotas_count;
+
+    if (!found) {
+        worker->quotas =
+            xrealloc(worker->quotas, (count + 1) * sizeof(*worker->quotas));
+        memmove(&worker->quotas[index + 1], &worker->quotas[index],
+                (count - index) * sizeof(*worker->quotas));
+        memset(&worker->quotas[index], 0, sizeof(*worker->quotas));
+        worker->quotas[index].quota.upstream = xstrdup(quota->upstream);
+        worker->quotas_count = count + 1;
+    }
+    struct worker_quota *stored = &worker->quotas[index];
+    char *name = stored->quota.upstream;
+    if (!found || stored->quota.connections != quota->connections) {
+        worker_log_quota(quota);
+    }
+    worker->changes_count += stored->is_changed ? 0 : 1;
+    stored->is_changed = true;
+    stored->quota = *quota;
+    stored->quota.upstream = name;
+}
+
+static void
+worker_clear_changes(struct worker *worker)
 {
     for (size_t i = 0; i < worker->quotas_count; i++) {
-        if (strcmp(worker->quotas[i].upstream, quota->upstream) == 0) {
-            char *name = worker->quotas[i].upstream;
-            if (worker->quotas[i].connections != quota->connections) {
-                worker_log_quota(quota);
-            }
-            worker->quotas[i] = *quota;
-            worker->quotas[i].upstream = name;
-            return;
-        }
+        worker->quotas[i].is_changed = false;
+    }
+    for (size_t i = 0; i < worker->relays_count; i++) {
+        worker->relays[i].is_changed = false;
     }
-    worker->quotas = xrealloc(worker->quotas, (worker->quotas_count + 1) *
-                                                  sizeof(*worker->quotas));
-    struct ck_quota *added = &worker->quotas[worker->quotas_count++];
-    *added = *quota;
-    added->upstream = xstrdup(quota->upstream);
-    worker_log_quota(quota);
+    worker->changes_count = 0;
 }
 
-// Sets the quotas of upstreams and applies them to all databases. Upstreams
-// that are not listed keep their quotas.
+// Sets the quotas of upstreams, and puts them and the relays that have changed
+// in force. Upstreams that are not listed keep their quotas.
 void
 worker_set_quotas(struct worker *worker, const struct ck_quota *quotas,
                   size_t count)
@@ -527,20 +632,49 @@
     for (size_t i = 0; i < count; i++) {
         worker_store_quota(worker, &quotas[i]);
     }
+    if (worker->changes_count == 0) {
+        return;
+    }
     for (size_t i = 0; i < worker->databases_count; i++) {
-        worker_apply_view(worker, worker->databases[i]);
+        if (worker_has_changes(worker, worker->databases[i])) {
+            worker_apply_view(worker, worker->databases[i]);
+        }
     }
+    worker_clear_changes(worker);
 }
 
-// Sets the relays of this entry, in place of all earlier ones. Takes effect
-// with the next worker_set_quotas.
+static void
+worker_store_relay(struct worker *worker, const struct ck_relay *relay)
+{
+    bool found = false;
+    size_t index = worker_find_relay_index(worker, relay->database, &found);
+    size_t count = worker->relays_count;
+
+    if (!found) {
+        worker->relays =
+            xrealloc(worker->relays, (count + 1) * sizeof(*worker->relays));
+        memmove(&worker->relays[index + 1], &worker->relays[index],
+                (count - index) * sizeof(*worker->relays));
+        memset(&worker->relays[index], 0, sizeof(*worker->relays));
+        worker->relays_count = count + 1;
+    }
+    struct worker_relay *stored = &worker->relays[index];
+    codec_free((xdrproc_t)xdr_ck_relay, &stored->relay);
+    codec_copy((xdrproc_t)xdr_ck_relay, relay, &stored->relay,
+               sizeof(stored->relay));
+    worker->changes_count += stored->is_changed ? 0 : 1;
+    stored->is_changed = true;
+}
+
+// Sets the relays of databases. Databases that are not listed keep theirs.
+// Takes effect with the next worker_set_quotas.
 void
 worker_set_relays(struct worker *worker, const struct ck_relay *relays,
                   size_t count)
 {
-    entry_free_relays(worker->relays, worker->relays_count);
-    worker->relays = entry_copy_relays(relays, count);
-    worker->relays_count = count;
+    for (size_t i = 0; i < count; i++) {
+        worker_store_relay(worker, &relays[i]);
+    }
 }
 
 // Ends the client sessions at their next transaction boundary.
--- a/src/catkingrade/rpc/messages.h
+++ b/src/catkingrade/rpc/messages.h
@@ -284,6 +284,7 @@
 	u_quad_t known_revision;
 	u_int open_requests;
 	u_quad_t relays_version;
+	u_quad_t reported_term;
 	struct {
 		u_int demands_len;
 		ck_demand *demands_val;
@@ -308,6 +309,7 @@
 	u_quad_t leader_term;
 	u_quad_t lease_us;
 	ck_view_delta delta;
+	bool_t report_wanted;
 	u_quad_t hasten_us;
 	struct {
 		u_int quotas_len;
@@ -318,6 +320,7 @@
 		u_int relays_len;
 		ck_relay *relays_val;
 	} relays;
+	bool_t relays_more;
 };
 typedef struct ck_renew_result ck_renew_result;
 
--- a/src/catkingrade/rpc/messages.x
+++ b/src/catkingrade/rpc/messages.x
@@ -227,13 +227,18 @@
 };
 
 /* The entries that run the statements of the receiving entry on a database, in
-   order of preference. */
+   order of preference; none: it uses no relays of this database. */
 struct ck_relay {
     ck_name database;
     bool standby;                   /* only while the receiver has no lease */
     ck_host hosts<CK_RELAY_HOSTS>;
 };
 
+/*
+ * A renewal is complete, or it continues the reports of earlier ones: then it
+ * has only the VM and the incarnation of the daemon, and only the demands that
+ * have changed since the last renewal that the leader has answered.
+ */
 struct ck_renew_args {
     ck_name group;
     ck_daemon daemon;
@@ -241,6 +246,8 @@
     unsigned hyper known_revision;
     unsigned int open_requests;     /* of draining customers */
     unsigned hyper relays_version;  /* of the relays in use; 0: none */
+    /* Term of the leader that has the earlier reports; 0: complete. */
+    unsigned hyper reported_term;
     ck_demand demands<CK_LIST_SIZE>;
     ck_suspicion suspicions<CK_LIST_SIZE>;
     ck_revocation confirmed<CK_LIST_SIZE>;
@@ -255,12 +262,16 @@
     unsigned hyper leader_term;
     unsigned hyper lease_us;
     ck_view_delta delta;
+    bool report_wanted;             /* renew again at once, completely */
     /* Time after which the entry renews early, since it got a quota without
        connections and some may be free by then; 0: renew at the usual time. */
     unsigned hyper hasten_us;
+    /* All quotas of the caller after a complete renewal, else those that
+       differ from what it holds. One without any slot and connection ends. */
     ck_quota quotas<CK_LIST_SIZE>;
     unsigned hyper relays_version;  /* 0: no relays in this group */
-    ck_relay relays<CK_LIST_SIZE>;  /* empty if the caller has the version */
+    ck_relay relays<CK_LIST_SIZE>;  /* changed since the caller's version */
+    bool relays_more;               /* renew at once for further changes */
 };
 
 /* From a leader to an entry: renew the lease now and stop these terms. */
--- a/src/catkingrade/rpc/messages_xdr.c
+++ b/src/catkingrade/rpc/messages_xdr.c
@@ -808,6 +808,8 @@
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->relays_version))
 		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->reported_term))
+		 return FALSE;
 	 if (!xdr_array (xdrs, (char **)&objp->demands.demands_val, (u_int *) &objp->demands.demands_len, CK_LIST_SIZE,
 		sizeof (ck_demand), (xdrproc_t) xdr_ck_demand))
 		 return FALSE;
@@ -841,6 +843,8 @@
 		 return FALSE;
 	 if (!xdr_ck_view_delta (xdrs, &objp->delta))
 		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->report_wanted))
+		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->hasten_us))
 		 return FALSE;
 	 if (!xdr_array (xdrs, (char **)&objp->quotas.quotas_val, (u_int *) &objp->quotas.quotas_len, CK_LIST_SIZE,
@@ -851,6 +855,8 @@
 	 if (!xdr_array (xdrs, (char **)&objp->relays.relays_val, (u_int *) &objp->relays.relays_len, CK_LIST_SIZE,
 		sizeof (ck_relay), (xdrproc_t) xdr_ck_relay))
 		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->relays_more))
+		 return FALSE;
 	return TRUE;
 }
 
