--- a/bench/bench_leases.c
+++ b/bench/bench_leases.c
@@ -6,19 +6,22 @@
 #include "bench/bench.h"
 #include "catkingrade/decide/coordinator/coordinator.h"
 #include "catkingrade/decide/group/group.h"
+#include "catkingrade/decide/leaseholder/leaseholder.h"
 #include "catkingrade/kernel/memory.h"
 #include "catkingrade/kernel/outcome.h"
 #include "catkingrade/rpc/codec.h"
 #include "test/fake/changes.h"
 
 // CPU time and message sizes of lease renewals at the coordinator, for fleets
-// of 10 to 10,000 daemons. The coordinator runs in this process, without
-// network and storage.
+// of 10 to 10,000 daemons and 20 to 9,000 databases. The coordinator and the
+// entries' leaseholders run in this process, without network and storage.
 
-#define LEASES_RENEWAL_INTERVAL_US    300000
+#define LEASES_RENEWAL_INTERVAL_US    1000000
 #define LEASES_TICK_INTERVAL_US       50000
-#define LEASES_ROUNDS                 10 // renewals of each daemon
-#define LEASES_DATABASES_PER_ENTRY    3
+#define LEASES_SETTLING_ROUNDS        4 // until quotas and relays are settled
+#define LEASES_ROUNDS                 5 // renewals of each daemon
+#define LEASES_RELAY_MIN_CONNECTIONS  2
+#define LEASES_US_PER_MS              1000.0
 #define LEASES_UPSTREAMS              3
 #define LEASES_DATABASES_PER_CUSTOMER 100
 #define LEASES_NAME_SIZE              32
@@ -128,10 +131,11 @@
     struct group_state *group;
     struct coordinator *coordinator;
     struct coordinator_actions actions;
+    struct leaseholder **holders; // by daemon
     int daemons;
-    int databases;
     int64_t now_us;
-    double cpu_us; // CPU time of the coordinator's steps
+    // Of the renewals since the last reset:
+    double cpu_us; // of the coordinator's steps, ticks included
     uint64_t renewals;
     uint64_t request_bytes;
     uint64_t reply_bytes;
@@ -148,66 +152,85 @@
     run->cpu_us += leases_get_cpu_us() - before_us;
 }
 
-// Renews the lease of one daemon with its demand for the upstreams of three
-// databases. Adds the encoded sizes of request and reply to the run; encoding
-// is not part of the measured CPU time.
-static void
-leases_renew(struct leases_run *run, int number, uint64_t sequence)
+static size_t
+leases_get_size(xdrproc_t xdr, const void *object)
+{
+    struct buffer bytes = {0};
+
+    (void)codec_encode(xdr, object, &bytes);
+    size_t size = buffer_get_size(&bytes);
+    buffer_free(&bytes);
+    return size;
+}
+
+// Passes a renewal to the coordinator. Returns its reply, which is valid until
+// the next step. Adds the encoded sizes of both to the run; encoding is not
+// part of the measured time.
+static const struct ck_renew_result *
+leases_renew(struct leases_run *run, const struct ck_renew_args *args)
 {
-    struct ck_renew_args args = {.sequence = sequence};
-    struct ck_demand demands[LEASES_DATABASES_PER_ENTRY * LEASES_UPSTREAMS];
-    char names[ARRAY_SIZE(demands)][LEASES_NAME_SIZE];
-    char vm[LEASES_NAME_SIZE];
     struct coordinator_event event = {.kind = COORDINATOR_EVENT_RENEW,
                                       .token = 1};
-    struct buffer bytes = {0};
+    const struct ck_renew_result *reply = NULL;
 
-    (void)snprintf(vm, sizeof(vm), "e%d", number);
-    memset(demands, 0, sizeof(demands));
-    for (size_t i = 0; i < ARRAY_SIZE(demands); i++) {
-        int database = (number + (int)i / LEASES_UPSTREAMS) % run->databases;
-        (void)snprintf(names[i], sizeof(names[i]), "u%d-%d", database,
-                       (int)i % LEASES_UPSTREAMS);
-        demands[i].upstream = names[i];
-        demands[i].running = 2;
-        demands[i].connections = 4;
-    }
-    args.group = (char *)(uintptr_t)GROUP_FLEET_NAME;
-    args.daemon = changes_make_daemon(vm, "10.9.0.1", 1);
-    args.known_revision = group_get_revision(run->group);
-    args.demands.demands_val = demands;
-    args.demands.demands_len = ARRAY_SIZE(demands);
-    (void)codec_encode((xdrproc_t)xdr_ck_renew_args, &args, &bytes);
-    run->request_bytes += buffer_get_size(&bytes);
-    buffer_clear(&bytes);
-    event.renew = &args;
+    run->request_bytes += leases_get_size((xdrproc_t)xdr_ck_renew_args, args);
+    event.renew = args;
     leases_step(run, &event);
     for (size_t i = 0; i < run->actions.count; i++) {
-        const struct coordinator_action *action = &run->actions.items[i];
-        if (action->kind == COORDINATOR_ACTION_REPLY_RENEW) {
-            INVARIANT(action->renew->lease_us > 0);
-            (void)codec_encode((xdrproc_t)xdr_ck_renew_result, action->renew,
-                               &bytes);
-            run->reply_bytes += buffer_get_size(&bytes);
-            run->renewals++;
+        if (run->actions.items[i].kind == COORDINATOR_ACTION_REPLY_RENEW) {
+            reply = run->actions.items[i].renew;
         }
     }
-    buffer_free(&bytes);
+    INVARIANT(reply != NULL);
+    run->reply_bytes +=
+        leases_get_size((xdrproc_t)xdr_ck_renew_result, reply);
+    run->renewals++;
+    return reply;
+}
+
+static const struct ck_renew_args *
+leases_find_renewal(const struct leaseholder_actions *actions)
+{
+    for (size_t i = 0; i < actions->count; i++) {
+        if (actions->items[i].kind == LEASEHOLDER_ACTION_SEND_RENEW) {
+            return actions->items[i].send.args;
+        }
+    }
+    return NULL;
 }
 
-// Renews the lease of each daemon once. The renewals are spread evenly over
-// one renewal interval, with the coordinator's ticks between them.
+// Lets a daemon renew if it is time, and again at once while it wants to.
 static void
-leases_run_round(struct leases_run *run, uint64_t sequence)
+leases_tick_holder(struct leases_run *run, int number)
+{
+    struct leaseholder_event event = {.kind = LEASEHOLDER_EVENT_TICK};
+    struct leaseholder_actions actions = {0};
+
+    leaseholder_step(run->holders[number], run->now_us, &event, &actions);
+    const struct ck_renew_args *args = leases_find_renewal(&actions);
+    while (args != NULL) {
+        event.kind = LEASEHOLDER_EVENT_RENEWED;
+        event.renewed = leases_renew(run, args);
+        leaseholder_actions_free(&actions);
+        leaseholder_step(run->holders[number], run->now_us, &event, &actions);
+        args = leases_find_renewal(&actions);
+    }
+    leaseholder_actions_free(&actions);
+}
+
+// Lets the daemons renew for some intervals, spread evenly over each, with the
+// coordinator's ticks between them.
+static void
+leases_run_rounds(struct leases_run *run, int rounds)
 {
     struct coordinator_event tick = {.kind = COORDINATOR_EVENT_TICK};
     int ticks = LEASES_RENEWAL_INTERVAL_US / LEASES_TICK_INTERVAL_US;
-    int next = 0;
 
-    for (int i = 0; i < ticks; i++) {
-        int until = (int)((int64_t)run->daemons * (i + 1) / ticks);
-        for (; next < until; next++) {
-            leases_renew(run, next, sequence);
+    run->cpu_us = 0;
+    run->renewals = run->request_bytes = run->reply_bytes = 0;
+    for (int i = 0; i < rounds * ticks; i++) {
+        for (int j = 0; j < run->daemons; j++) {
+            leases_tick_holder(run, j);
         }
         run->now_us += LEASES_TICK_INTERVAL_US;
         leases_step(run, &tick);
@@ -215,86 +238,116 @@
 }
 
 static void
-leases_report(const struct leases_run *run, int64_t duration_us,
-              double setup_us)
+leases_create_holders(struct leases_run *run)
+{
+    const struct leaseholder_address voter = {.host = "10.1.0.1", .port = 1};
+
+    run->holders = xcalloc((size_t)run->daemons, sizeof(*run->holders));
+    for (int i = 0; i < run->daemons; i++) {
+        char vm[LEASES_NAME_SIZE];
+        (void)snprintf(vm, sizeof(vm), "e%d", i);
+        struct leaseholder_params params = {
+            .group = GROUP_FLEET_NAME,
+            .daemon = changes_make_daemon(vm, "10.9.0.1", 1),
+            .voters = &voter,
+            .voters_count = 1,
+            .renew_us = LEASES_RENEWAL_INTERVAL_US,
+            .call_timeout_us = LEASES_RENEWAL_INTERVAL_US / 4,
+            .retry_us = LEASES_TICK_INTERVAL_US,
+            .seed = (uint64_t)i};
+        run->holders[i] = leaseholder_create(&params);
+    }
+}
+
+static void
+leases_report(const struct leases_run *run, const char *what, int databases,
+              int rounds)
 {
     char figure[96];
     double renewals = (double)run->renewals;
-    struct buffer snapshot = {0};
+    double interval_us = (double)rounds * LEASES_RENEWAL_INTERVAL_US;
 
-    group_encode(run->group, &snapshot);
-    (void)snprintf(figure, sizeof(figure), "%d daemons: CPU time per renewal",
-                   run->daemons);
+    (void)snprintf(figure, sizeof(figure), "%d x %d, %s: CPU per renewal",
+                   run->daemons, databases, what);
     bench_report(figure, run->cpu_us / renewals, "us");
-    (void)snprintf(figure, sizeof(figure), "%d daemons: coordinator's load",
-                   run->daemons);
-    bench_report(figure, 100.0 * run->cpu_us / (double)duration_us,
-                 "% of a core");
-    (void)snprintf(figure, sizeof(figure), "%d daemons: request",
-                   run->daemons);
+    (void)snprintf(figure, sizeof(figure), "%d x %d, %s: load", run->daemons,
+                   databases, what);
+    bench_report(figure, 100.0 * run->cpu_us / interval_us, "% of a core");
+    (void)snprintf(figure, sizeof(figure), "%d x %d, %s: request",
+                   run->daemons, databases, what);
     bench_report(figure, (double)run->request_bytes / renewals, "bytes");
-    (void)snprintf(figure, sizeof(figure), "%d daemons: reply", run->daemons);
+    (void)snprintf(figure, sizeof(figure), "%d x %d, %s: reply", run->daemons,
+                   databases, what);
     bench_report(figure, (double)run->reply_bytes / renewals, "bytes");
-    (void)snprintf(figure, sizeof(figure), "%d daemons: snapshot",
-                   run->daemons);
-    bench_report(figure, (double)buffer_get_size(&snapshot), "bytes");
-    (void)snprintf(figure, sizeof(figure), "%d daemons: setup by log entries",
-                   run->daemons);
-    bench_report(figure, setup_us / 1e3, "ms");
-    buffer_free(&snapshot);
 }
 
-// Measures LEASES_ROUNDS renewals of each daemon. The first round allocates
-// the initial quotas and is not measured.
+// Measures the renewals of a fleet once its quotas and relays are settled, and
+// then those of the first seconds after a change of leader.
 static void
-leases_measure(int daemons)
+leases_measure(int daemons, int databases)
 {
     struct coordinator_params params;
     struct coordinator_event event = {.kind = COORDINATOR_EVENT_ELECTED,
                                       .leader_term = 1};
-    double start_us = leases_get_cpu_us();
     struct leases_run run = {.daemons = daemons,
-                             .databases = daemons,
-                             .group = leases_create_group(daemons, daemons),
+                             .group = leases_create_group(daemons, databases),
                              .now_us = LEASES_RENEWAL_INTERVAL_US};
-    double setup_us = leases_get_cpu_us() - start_us;
 
     coordinator_params_init(&params);
+    params.lease_us = 3 * (int64_t)LEASES_RENEWAL_INTERVAL_US;
+    params.relay_min_connections = LEASES_RELAY_MIN_CONNECTIONS;
     params.announce_expiry_us = INT64_MAX / 4; // no upstream announces itself
     params.suspect_us = INT64_MAX / 4;
     run.coordinator = coordinator_create(&params, run.group);
+    leases_create_holders(&run);
     leases_step(&run, &event);
-    leases_run_round(&run, 1);
+    leases_run_rounds(&run, LEASES_SETTLING_ROUNDS);
+    leases_run_rounds(&run, LEASES_ROUNDS);
+    leases_report(&run, "settled", databases, LEASES_ROUNDS);
+    coordinator_destroy(run.coordinator);
+    run.coordinator = coordinator_create(&params, run.group);
+    event.leader_term = 2;
     run.cpu_us = 0;
-    run.renewals = run.request_bytes = run.reply_bytes = 0;
-    for (uint64_t round = 0; round < LEASES_ROUNDS; round++) {
-        leases_run_round(&run, round + 2);
+    leases_step(&run, &event);
+    bench_report("  election", run.cpu_us / LEASES_US_PER_MS, "ms");
+    leases_run_rounds(&run, LEASES_SETTLING_ROUNDS);
+    leases_report(&run, "new leader", databases, LEASES_SETTLING_ROUNDS);
+    for (int i = 0; i < daemons; i++) {
+        leaseholder_destroy(run.holders[i]);
     }
-    leases_report(&run, LEASES_ROUNDS * (int64_t)LEASES_RENEWAL_INTERVAL_US,
-                  setup_us);
+    free(run.holders);
     coordinator_destroy(run.coordinator);
     coordinator_actions_free(&run.actions);
     group_destroy(run.group);
 }
 
-// Measures the coordinator with as many databases as daemons, where each entry
-// serves three databases. The times exclude XDR encoding and decoding.
+// Measures fleets of several sizes, or the one that the arguments give as the
+// numbers of daemons and databases. The times exclude XDR encoding and
+// decoding.
 static int
 leases_run(int argc, char **argv)
 {
-    static const int sizes[] = {10, 100, 1000, 10000};
+    static const struct {
+        int daemons;
+        int databases;
+    } sizes[] = {{10, 20},     {10, 300},     {10, 9000},   {100, 20},
+                 {100, 300},   {200, 300},    {300, 1000},  {1000, 300},
+                 {1000, 9000}, {10000, 20},   {10000, 9000}};
 
-    (void)argc;
-    (void)argv;
+    if (argc == 2) {
+        leases_measure(atoi(argv[0]), atoi(argv[1]));
+        return OUTCOME_OK;
+    }
     for (size_t i = 0; i < ARRAY_SIZE(sizes); i++) {
-        leases_measure(sizes[i]);
+        leases_measure(sizes[i].daemons, sizes[i].databases);
     }
     return OUTCOME_OK;
 }
 
 static const struct bench leases_bench = {
     .name = "leases",
-    .help = "cost of lease renewals at the coordinator, 10 to 10,000 daemons",
+    .help = "cost of lease renewals at the coordinator, 10 to 10,000 daemons "
+            "and 20 to 9,000 databases",
     .run = leases_run,
 };
 
