perf(coordinator): entries follow published revisions; relays keep their roles

- The state of a group is published to entries at intervals that grow with their number, and at once when a term ends.
A publication keeps its objects encoded; its deltas are compressed, built once and sent to all who ask for them (decide/group/publication, in place of group_delta).
- An entry without a lease stays a relay until it has been silent for three leases; meanwhile it is left out of the lists.
- A reply has the relays of 64 databases at most; the entry renews for more after 200 ms.

--- a/bench/bench_leases.c
+++ b/bench/bench_leases.c
@@ -182,8 +182,7 @@
         }
     }
     INVARIANT(reply != NULL);
-    run->reply_bytes +=
-        leases_get_size((xdrproc_t)xdr_ck_renew_result, reply);
+    run->reply_bytes += leases_get_size((xdrproc_t)xdr_ck_renew_result, reply);
     run->renewals++;
     return reply;
 }
@@ -330,9 +329,9 @@
     static const struct {
         int daemons;
         int databases;
-    } sizes[] = {{10, 20},     {10, 300},     {10, 9000},   {100, 20},
-                 {100, 300},   {200, 300},    {300, 1000},  {1000, 300},
-                 {1000, 9000}, {10000, 20},   {10000, 9000}};
+    } sizes[] = {{10, 20},     {10, 300},   {10, 9000},   {100, 20},
+                 {100, 300},   {200, 300},  {300, 1000},  {1000, 300},
+                 {1000, 9000}, {10000, 20}, {10000, 9000}};
 
     if (argc == 2) {
         leases_measure(atoi(argv[0]), atoi(argv[1]));
--- a/src/catkingrade/decide/coordinator/coordinator.c
+++ b/src/catkingrade/decide/coordinator/coordinator.c
@@ -24,7 +24,7 @@
     params->probe_us = 100000;
     params->publish_us = 1000000;
     params->lost_retention_us = 60000000;
-    params->delta_max_size_bytes = GROUP_DELTA_MAX_SIZE_BYTES;
+    params->delta_max_size_bytes = PUBLICATION_MAX_DELTA_BYTES;
 }
 
 // Creates an inactive coordinator. group is borrowed.
@@ -72,9 +72,11 @@
     coordinator_free_holders(coordinator);
     announce_destroy(coordinator->announce);
     drain_destroy(coordinator->drain);
+    publication_destroy(coordinator->publication);
     group_index_destroy(coordinator->index);
     coordinator->announce = NULL;
     coordinator->drain = NULL;
+    coordinator->publication = NULL;
     coordinator->index = NULL;
     coordinator->is_active = false;
 }
@@ -125,6 +127,9 @@
     coordinator->index = group_index_create();
     coordinator->announce = announce_create(&params);
     coordinator->drain = drain_create();
+    coordinator->publication = publication_create();
+    coordinator->next_publish_us = coordinator->now_us;
+    publication_update(coordinator->publication, coordinator->group);
     announce_load(coordinator->announce, coordinator->now_us,
                   coordinator->group);
     coordinator->synced_revision = 0;
@@ -364,7 +369,12 @@
         db = coordinator_get_or_add_database(coordinator, name);
         coordinator_handle_new_primary(
             coordinator, db, group_find_database(coordinator->group, name));
-        coordinator->publish_now = true;
+        // Nobody waits for the first primary of a database as for the end of
+        // a failover, and at a start there are as many as databases.
+        coordinator->publish_now =
+            coordinator->publish_now ||
+            change->ck_change_u.primary.term > COORDINATOR_FIRST_TERM;
+        coordinator->publish_soon = true;
         break;
     default:
         break;
@@ -489,7 +499,9 @@
         coordinator_run_relay_plans(coordinator);
         coordinator_run_drain(coordinator);
         coordinator->publish_now =
-            coordinator->publish_now || coordinator->publish_soon;
+            coordinator->publish_now ||
+            (coordinator->publish_soon &&
+             coordinator->now_us >= coordinator->next_publish_us);
     }
     for (struct coordinator_database *db = coordinator->databases; db != NULL;
          db = db->next) {
@@ -610,7 +622,7 @@
     }
     if (coordinator->is_active) {
         if (coordinator->publish_now && coordinator->has_quorum) {
-            coordinator_notify_all(coordinator);
+            coordinator_publish(coordinator);
         }
         coordinator_wake_at(coordinator, coordinator->next_tick_us);
     }
--- a/src/catkingrade/decide/coordinator/coordinator.h
+++ b/src/catkingrade/decide/coordinator/coordinator.h
@@ -44,7 +44,7 @@
     // and run the statements of the other entries. 0: every entry holds
     // connections.
     uint32_t relay_min_connections;
-    size_t delta_max_size_bytes;
+    size_t delta_max_size_bytes; // before compression
     uint64_t seed;
 };
 
--- a/src/catkingrade/decide/coordinator/coordinator_lease.c
+++ b/src/catkingrade/decide/coordinator/coordinator_lease.c
@@ -11,6 +11,11 @@
 
 #define COORDINATOR_PPM_PER_UNIT 1000000
 #define COORDINATOR_ROLE_ENTRY   1U
+// An entry that is silent for this many leases cannot be a relay any more.
+#define COORDINATOR_CANDIDATE_SILENCE_LEASES 3
+// A change that is not urgent is published this time after the last one,
+// multiplied by the number of holders.
+#define COORDINATOR_PUBLISH_INTERVAL_PER_HOLDER_US 1000
 
 // Returns the maximum lifetime, on the coordinator's clock, of a lease from
 // the receipt of its renewal: the lease plus twice the bound on the drift of
@@ -116,16 +121,16 @@
     return holder;
 }
 
-// Updates whether a holder may be a relay. will_hold: it is about to get a
-// lease.
+// Updates whether a holder may be a relay.
 static void
 coordinator_update_candidate(struct coordinator *coordinator,
-                             struct coordinator_holder *holder, bool will_hold)
+                             struct coordinator_holder *holder)
 {
-    bool is_candidate =
-        coordinator_is_entry(holder) && holder->is_registered &&
-        (will_hold || coordinator_has_quota(coordinator, holder) ||
-         coordinator_has_previous_quota(coordinator, holder));
+    int64_t silent_us = coordinator->now_us - holder->last_seen_us;
+    bool is_candidate = coordinator_is_entry(holder) &&
+                        holder->is_registered &&
+                        silent_us < COORDINATOR_CANDIDATE_SILENCE_LEASES *
+                                        coordinator->params.lease_us;
 
     if (is_candidate == holder->is_candidate) {
         return;
@@ -135,13 +140,19 @@
     coordinator->candidates_version++;
 }
 
-// Updates which holders may be relays, as leases end with the time.
+// Updates which holders may be relays, and which relays run statements, as
+// leases end with the time.
 void
 coordinator_update_candidates(struct coordinator *coordinator)
 {
     for (struct coordinator_holder *holder = coordinator->holders;
          holder != NULL; holder = holder->next) {
-        coordinator_update_candidate(coordinator, holder, false);
+        bool has_lease = coordinator_has_any_lease(coordinator, holder);
+        coordinator_update_candidate(coordinator, holder);
+        if (has_lease != holder->had_lease) {
+            holder->had_lease = has_lease;
+            coordinator_check_relay(coordinator, holder);
+        }
     }
 }
 
@@ -162,12 +173,33 @@
     }
 }
 
+// Publishes the group state at once if a term has ended: no lease may be
+// granted any more with the state before it.
+static void
+coordinator_sync_term(struct coordinator *coordinator, const char *name)
+{
+    const struct ck_database *database =
+        group_find_database(coordinator->group, name);
+    struct coordinator_quota_set *set =
+        coordinator_get_or_add_quota_set(coordinator, name);
+
+    if (database == NULL) {
+        return;
+    }
+    if (database->superseding ||
+        (database->term != set->term && set->term > 0)) {
+        publication_update(coordinator->publication, coordinator->group);
+    }
+    set->term = database->term;
+}
+
 static void
 coordinator_sync_change(void *data, bool is_daemon, const char *name)
 {
     struct coordinator *coordinator = data;
 
     if (!is_daemon) {
+        coordinator_sync_term(coordinator, name);
         coordinator_sync_quotas(coordinator, name);
         coordinator_sync_relays(coordinator, name);
         return;
@@ -212,6 +244,7 @@
     holder->granted_until_us =
         coordinator->elected_us + coordinator_get_lease_bound_us(coordinator);
     holder->is_registered = true;
+    holder->had_lease = true;
     holder->is_candidate = coordinator_is_entry(holder);
     holder->candidate_us = INT64_MIN / 2;
     return true;
@@ -363,22 +396,6 @@
     return result;
 }
 
-// Transfers ownership of the lists of a delta to the action list.
-static void
-coordinator_actions_own_delta(struct coordinator *coordinator,
-                              struct ck_view_delta *delta)
-{
-    struct coordinator_actions *actions = coordinator->actions;
-
-    (void)coordinator_actions_own(actions, delta->customers.customers_val);
-    (void)coordinator_actions_own(
-        actions, delta->customers_removed.customers_removed_val);
-    (void)coordinator_actions_own(actions, delta->databases.databases_val);
-    (void)coordinator_actions_own(
-        actions, delta->databases_removed.databases_removed_val);
-    (void)coordinator_actions_own(actions, delta->declaration.declaration_val);
-}
-
 // Handles the return of a lease: the entry acknowledges no write and sends no
 // read to a primary any more, so no change of primary waits for it.
 static void
@@ -401,16 +418,18 @@
                           struct coordinator_holder *holder,
                           const struct ck_renew_args *args)
 {
-    struct group_delta_filter filter = {
-        .max_size_bytes = coordinator->params.delta_max_size_bytes};
     bool recorded = coordinator_may_be_granted(coordinator, &holder->daemon);
     struct ck_renew_result *result =
         coordinator_add_renew_reply(coordinator, token, args->sequence,
                                     recorded ? OUTCOME_OK : OUTCOME_AGAIN);
 
-    group_fill_delta(coordinator->group, args->known_revision, &filter,
-                     &result->delta);
-    coordinator_actions_own_delta(coordinator, &result->delta);
+    if (args->known_revision >
+        publication_get_revision(coordinator->publication)) {
+        publication_update(coordinator->publication, coordinator->group);
+    }
+    publication_fill_delta(coordinator->publication, args->known_revision,
+                           coordinator->params.delta_max_size_bytes,
+                           &result->delta);
     if (!recorded || result->delta.more || holder->is_returned) {
         return;
     }
@@ -421,6 +440,7 @@
     coordinator_fill_quotas(coordinator, holder, args, result);
     coordinator_fill_relays(coordinator, holder, args, result);
     result->lease_us = (uint64_t)coordinator->params.lease_us;
+    holder->sent_revision = result->delta.to_revision;
     holder->granted_until_us =
         coordinator->now_us + coordinator_get_lease_bound_us(coordinator);
 }
@@ -468,9 +488,7 @@
         return;
     }
     coordinator_record_renewal(coordinator, holder, args);
-    coordinator_update_candidate(coordinator, holder,
-                                 args->known_revision ==
-                                     group_get_revision(coordinator->group));
+    coordinator_update_candidate(coordinator, holder);
     coordinator_run_relay_plans(coordinator);
     if (args->returned) {
         coordinator_handle_return(coordinator, token, holder, args);
@@ -527,7 +545,7 @@
 
     args->group = (char *)(uintptr_t)group_get_name(coordinator->group);
     args->leader_term = coordinator->leader_term;
-    args->revision = group_get_revision(coordinator->group);
+    args->revision = publication_get_revision(coordinator->publication);
     args->revoked.revoked_val = coordinator_actions_own(
         actions, xcalloc(count, sizeof(struct ck_revocation)));
     args->revoked.revoked_len =
@@ -558,15 +576,33 @@
     action->notify.args = args;
 }
 
-// Notifies every holder of a lease that there is a newer revision.
+// Has the entry that gets a renewal reply renew after a time, unless it renews
+// earlier anyway.
+void
+coordinator_hasten(struct ck_renew_result *result, uint64_t after_us)
+{
+    if (result->hasten_us == 0 || after_us < result->hasten_us) {
+        result->hasten_us = after_us;
+    }
+}
+
+// Publishes the group state, and notifies the holders of a lease that do not
+// have it. Further changes that are not urgent wait for a time that grows with
+// the number of holders, as each of them renews for every publication.
 void
-coordinator_notify_all(struct coordinator *coordinator)
+coordinator_publish(struct coordinator *coordinator)
 {
+    publication_update(coordinator->publication, coordinator->group);
+    uint64_t revision = publication_get_revision(coordinator->publication);
     coordinator->publish_soon = false;
     coordinator->publish_now = false;
+    coordinator->next_publish_us =
+        coordinator->now_us + (int64_t)coordinator->holders_count *
+                                  COORDINATOR_PUBLISH_INTERVAL_PER_HOLDER_US;
     for (struct coordinator_holder *holder = coordinator->holders;
          holder != NULL; holder = holder->next) {
-        if (coordinator_has_live_lease(coordinator, holder)) {
+        bool has_it = holder->has_renewed && holder->sent_revision >= revision;
+        if (!has_it && coordinator_has_live_lease(coordinator, holder)) {
             coordinator_notify(coordinator, holder);
         }
     }
--- a/src/catkingrade/decide/coordinator/coordinator_private.h
+++ b/src/catkingrade/decide/coordinator/coordinator_private.h
@@ -8,6 +8,7 @@
 #include "catkingrade/decide/coordinator/quota_plan.h"
 #include "catkingrade/decide/coordinator/suspicion.h"
 #include "catkingrade/decide/group/group_index.h"
+#include "catkingrade/decide/group/publication.h"
 
 #define COORDINATOR_US_PER_MS        1000
 #define COORDINATOR_TICK_INTERVAL_US 50000
@@ -23,6 +24,7 @@
 #define COORDINATOR_REPAIR_RETRY_US 1000000
 
 #define COORDINATOR_RELAY_STATE_UNKNOWN UINT32_MAX
+#define COORDINATOR_FIRST_TERM          1
 
 // Kinds of keys in the coordinator's index.
 enum coordinator_key_kind {
@@ -50,6 +52,7 @@
     int64_t previous_quota_until_us;
     int64_t last_seen_us;
     uint64_t known_revision;
+    uint64_t sent_revision; // of the last reply with a lease
     unsigned open_requests;
     bool is_proposed; // a proposal to register or expire the daemon is pending
     bool is_notifying; // a notification is in flight
@@ -59,9 +62,10 @@
     bool has_renewed;
     uint64_t report_sequence; // of the newest renewal
     bool is_registered;       // in the group state
-    // May be a relay: registered, with quotas of this or an earlier lease.
+    // May be a relay: registered, and heard of not long ago.
     bool is_candidate;
     int64_t candidate_us; // since when; valid if is_candidate
+    bool had_lease;       // at the last tick
     int relayed_count;    // databases for which the entry is a relay
     bool awaits_quota;    // has a lease, but no connection to some upstream
     // Changes with what decides whether the entry runs statements of others.
@@ -113,6 +117,7 @@
 struct coordinator_quota_set {
     struct coordinator_quota_set *next;
     char *database;
+    uint64_t term; // of the database when it was last looked at
     struct coordinator_quota *quotas;
 };
 
@@ -234,8 +239,12 @@
     int64_t wake_us; // last requested TICK
     int64_t next_tick_us;
     uint64_t next_token;
-    bool publish_soon; // notify holders at the next regular tick
-    bool publish_now;  // notify holders at the end of this step
+    // What entries follow of the group state, and when it may be published
+    // again for a change that is not urgent.
+    struct publication *publication;
+    int64_t next_publish_us;
+    bool publish_soon; // publish when it is time
+    bool publish_now;  // publish and notify holders at the end of this step
     struct group_index *index;
     // Holders are freed only when the coordinator is deposed.
     struct coordinator_holder *holders;
@@ -307,7 +316,8 @@
                                 const struct ck_renew_args *args);
 void coordinator_notify(struct coordinator *coordinator,
                         struct coordinator_holder *holder);
-void coordinator_notify_all(struct coordinator *coordinator);
+void coordinator_hasten(struct ck_renew_result *result, uint64_t after_us);
+void coordinator_publish(struct coordinator *coordinator);
 void coordinator_handle_notify_result(struct coordinator *coordinator,
                                       const char *vm, uint64_t incarnation,
                                       const struct ck_notify_result *result);
--- a/src/catkingrade/decide/coordinator/coordinator_quota.c
+++ b/src/catkingrade/decide/coordinator/coordinator_quota.c
@@ -402,7 +402,8 @@
     coordinator_end_unknown_quotas(coordinator, args, &allocation);
     if (holder->awaits_quota ||
         coordinator_is_relay_choice_pending(coordinator, holder)) {
-        result->hasten_us = coordinator_get_early_renewal_us(coordinator);
+        coordinator_hasten(result,
+                           coordinator_get_early_renewal_us(coordinator));
     }
     result->quotas.quotas_val = allocation.quotas;
     result->quotas.quotas_len = (u_int)allocation.count;
--- a/src/catkingrade/decide/coordinator/coordinator_relay.c
+++ b/src/catkingrade/decide/coordinator/coordinator_relay.c
@@ -20,8 +20,10 @@
 // next step, so that no step takes long.
 #define COORDINATOR_RELAY_MAX_CHECKS  64
 #define COORDINATOR_RELAY_MAX_UPDATES 16
-// Relays of this many databases fit into a reply with a delta of full size.
-#define COORDINATOR_MAX_RELAYS_PER_REPLY 128
+// The relays of more databases are sent with a renewal after this time, so
+// that a change of many does not occupy the links of the entries.
+#define COORDINATOR_MAX_RELAYS_PER_REPLY 64
+#define COORDINATOR_MORE_RELAYS_US       200000
 // An entry that has joined renews early for this time, to learn the choice of
 // relays and its quotas.
 #define COORDINATOR_JOINING_US 1000000
@@ -326,9 +328,9 @@
     plan->choices = xrealloc(plan->choices, capacity * sizeof(*plan->choices));
 }
 
-// Lists the entries that can be relays: registered, and with a lease that may
-// be valid. An entry that has just restarted counts by its earlier lease, so
-// that the relays stay the same.
+// Lists the entries that can be relays: registered, and heard of not long ago.
+// One that has no lease for a while stays a candidate, so that it has its role
+// when it is back; meanwhile the others run its statements.
 static void
 coordinator_list_relay_entries(const struct coordinator *coordinator,
                                struct coordinator_relay_plan *plan)
@@ -378,16 +380,17 @@
     }
 }
 
-// Returns whether a relay runs no statements of others at present: it has
-// given its lease back, gets none, or waits for its first connection to the
-// primary after a restart. It stays selected, because its quotas are not free
-// for another relay yet.
+// Returns whether a relay runs no statements of others at present: it has no
+// lease, has given it back, gets none, or waits for its first connection to
+// the primary after a restart. It stays selected, because it may be back soon,
+// and its quotas are not free for another relay yet.
 static bool
 coordinator_is_relay_idle(const struct coordinator *coordinator,
                           const struct ck_database *database,
                           const struct coordinator_holder *holder)
 {
-    return holder->is_returned ||
+    return !coordinator_has_any_lease(coordinator, holder) ||
+           holder->is_returned ||
            coordinator_is_lease_denied(coordinator, holder) ||
            coordinator_awaits_connections(coordinator, database->primary,
                                           holder);
@@ -735,9 +738,9 @@
         coordinator_get_known_relays(coordinator, args->relays_version);
     const struct coordinator_relay_plan *plan =
         coordinator_find_relays_after(coordinator, version, &count);
-    result->relays_more = count > COORDINATOR_MAX_RELAYS_PER_REPLY;
-    if (result->relays_more) {
+    if (count > COORDINATOR_MAX_RELAYS_PER_REPLY) {
         count = COORDINATOR_MAX_RELAYS_PER_REPLY;
+        coordinator_hasten(result, COORDINATOR_MORE_RELAYS_US);
     }
     result->relays.relays_val = coordinator_actions_own(
         coordinator->actions, xcalloc(count, sizeof(struct ck_relay)));
--- a/src/catkingrade/decide/group/group.h
+++ b/src/catkingrade/decide/group/group.h
@@ -17,9 +17,6 @@
 #define GROUP_FLEET_NAME "fleet"
 // Number of changes with a change id whose result is kept for retries.
 #define GROUP_MAX_RECORDED_RESULTS 20000
-// Default size limit of a delta. A single object may exceed it.
-#define GROUP_DELTA_MAX_SIZE_BYTES 40000
-
 // The replicated state machine of one control group: templates, customers,
 // daemons, the declaration, and databases with their upstreams and terms.
 // Only group_apply and group_apply_payload change the state, so all voters
@@ -36,17 +33,6 @@
     char message[512];
 };
 
-// Returns whether an entry daemon serves a database.
-typedef bool (*group_serves_fn)(void *data,
-                                const struct ck_database *database);
-
-// Limits a delta to the databases that one entry daemon serves.
-struct group_delta_filter {
-    group_serves_fn serves; // NULL: all databases
-    void *data;
-    size_t max_size_bytes; // 0: GROUP_DELTA_MAX_SIZE_BYTES
-};
-
 // Callbacks of the group_visit_* functions; returning false ends the
 // iteration.
 typedef bool (*group_visit_database_fn)(void *data,
@@ -99,15 +85,6 @@
 struct group_state *group_decode(const char *name, const void *data,
                                  size_t size_bytes);
 
-// Fills a delta with the changes after from_revision. A NULL filter selects
-// all databases. The texts of the delta are borrowed from the state, so the
-// delta is valid until the next change. The caller frees its lists with
-// group_delta_clear.
-void group_fill_delta(const struct group_state *group, uint64_t from_revision,
-                      const struct group_delta_filter *filter,
-                      struct ck_view_delta *out);
-void group_delta_clear(struct ck_view_delta *delta);
-
 // Appends one page of objects to json as a JSON array and sets *next_cursor to
 // the start of the next page, or 0 after the last page. An empty name selects
 // all objects of the kind. Returns OUTCOME_OK, or OUTCOME_NOT_SUPPORTED for a
--- /dev/null
+++ b/src/catkingrade/decide/group/publication.c
@@ -0,0 +1,469 @@
+#include "catkingrade/decide/group/publication.h"
+
+#include <stdlib.h>
+#include <string.h>
+#include <zstd.h>
+
+#include "catkingrade/decide/group/group_private.h"
+#include "catkingrade/kernel/memory.h"
+#include "catkingrade/kernel/outcome.h"
+#include "catkingrade/rpc/codec.h"
+
+#define PUBLICATION_COMPRESSION_LEVEL 1
+#define PUBLICATION_MAX_PARTS         64
+// Leaves room in a datagram for quotas and relays.
+#define PUBLICATION_MAX_PACKED_BYTES 40000
+// Limits the memory allocated for a delta with a corrupt length.
+#define PUBLICATION_MAX_UNPACKED_BYTES ((size_t)4 * 1024 * 1024)
+
+// A published object. A list holds all in ascending order of revision.
+struct published {
+    enum group_kind kind;
+    char *name;
+    uint64_t revision;
+    bool is_removed;
+    struct buffer bytes; // in XDR; empty if removed
+    struct published *older;
+    struct published *newer;
+};
+
+// A packed delta, kept until the publication changes.
+struct publication_part {
+    struct ck_packed_delta delta;
+    size_t max_size_bytes;
+    const struct published *next; // first object of the delta that follows
+};
+
+struct publication {
+    uint64_t revision;
+    struct group_index *index;
+    struct published *oldest;
+    struct published *newest;
+    struct publication_part parts[PUBLICATION_MAX_PARTS];
+    size_t parts_count;
+    size_t next_part; // replaced next once there are PUBLICATION_MAX_PARTS
+    ZSTD_CCtx *compressor;
+};
+
+// Returns an empty publication of revision 0.
+struct publication *
+publication_create(void)
+{
+    struct publication *publication = xcalloc(1, sizeof(*publication));
+
+    publication->index = group_index_create();
+    publication->compressor = ZSTD_createCCtx();
+    INVARIANT(publication->compressor != NULL);
+    return publication;
+}
+
+static void
+publication_drop_parts(struct publication *publication)
+{
+    for (size_t i = 0; i < publication->parts_count; i++) {
+        free(publication->parts[i].delta.data.data_val);
+    }
+    publication->parts_count = 0;
+    publication->next_part = 0;
+}
+
+// Frees the publication. NULL is ignored.
+void
+publication_destroy(struct publication *publication)
+{
+    if (publication == NULL) {
+        return;
+    }
+    publication_drop_parts(publication);
+    while (publication->oldest != NULL) {
+        struct published *object = publication->oldest;
+        publication->oldest = object->newer;
+        buffer_free(&object->bytes);
+        free(object->name);
+        free(object);
+    }
+    group_index_destroy(publication->index);
+    (void)ZSTD_freeCCtx(publication->compressor);
+    free(publication);
+}
+
+// Returns the revision of the group state that is published.
+uint64_t
+publication_get_revision(const struct publication *publication)
+{
+    return publication->revision;
+}
+
+static void
+publication_unlink(struct publication *publication, struct published *object)
+{
+    if (object->older != NULL) {
+        object->older->newer = object->newer;
+    }
+    else {
+        publication->oldest = object->newer;
+    }
+    if (object->newer != NULL) {
+        object->newer->older = object->older;
+    }
+    else {
+        publication->newest = object->older;
+    }
+}
+
+static void
+publication_append(struct publication *publication, struct published *object)
+{
+    object->older = publication->newest;
+    object->newer = NULL;
+    if (object->older != NULL) {
+        object->older->newer = object;
+    }
+    else {
+        publication->oldest = object;
+    }
+    publication->newest = object;
+}
+
+// Returns the published object of an object of the group at the end of the
+// list, adding it if there is none.
+static struct published *
+publication_move_to_end(struct publication *publication,
+                        const struct group_object *source)
+{
+    struct published *object =
+        group_index_get(publication->index, (char)source->kind, source->name);
+
+    if (object != NULL) {
+        publication_unlink(publication, object);
+    }
+    else {
+        object = xcalloc(1, sizeof(*object));
+        object->kind = source->kind;
+        object->name = xstrdup(source->name);
+        group_index_put(publication->index, (char)source->kind, source->name,
+                        object);
+    }
+    publication_append(publication, object);
+    return object;
+}
+
+// Encodes an object of the group.
+static void
+publication_encode(const struct group_object *source, struct buffer *bytes)
+{
+    int outcome = OUTCOME_OK;
+
+    buffer_clear(bytes);
+    if (source->removed) {
+        outcome = codec_encode((xdrproc_t)xdr_ck_name, &source->name, bytes);
+    }
+    else if (source->kind == GROUP_CUSTOMER) {
+        outcome = codec_encode((xdrproc_t)xdr_ck_customer,
+                               &source->expanded.customer, bytes);
+    }
+    else if (source->kind == GROUP_DATABASE) {
+        outcome =
+            codec_encode((xdrproc_t)xdr_ck_database, &source->database, bytes);
+    }
+    else {
+        outcome = codec_encode((xdrproc_t)xdr_ck_packed_declaration,
+                               &source->declaration, bytes);
+    }
+    INVARIANT(outcome == OUTCOME_OK);
+}
+
+// Returns whether entries are sent an object of the group. Only the fleet's
+// control group publishes customers: that of a failure domain has its own
+// documents.
+static bool
+publication_has_object(const struct group_state *group,
+                       const struct group_object *object)
+{
+    if (object->kind == GROUP_CUSTOMER) {
+        return strcmp(group->name, GROUP_FLEET_NAME) == 0;
+    }
+    return object->kind == GROUP_DATABASE || object->kind == GROUP_DECLARATION;
+}
+
+// Returns the oldest object of the group with a revision above the given one,
+// or NULL.
+static const struct group_object *
+publication_find_change(const struct group_state *group, uint64_t revision)
+{
+    const struct group_object *object = group->newest;
+    const struct group_object *found = NULL;
+
+    while (object != NULL && object->revision > revision) {
+        found = object;
+        object = object->older;
+    }
+    return found;
+}
+
+// Publishes the group state as it is now.
+void
+publication_update(struct publication *publication,
+                   const struct group_state *group)
+{
+    const struct group_object *source =
+        publication_find_change(group, publication->revision);
+
+    if (group->revision == publication->revision) {
+        return;
+    }
+    for (; source != NULL; source = source->newer) {
+        if (!publication_has_object(group, source)) {
+            continue;
+        }
+        struct published *object =
+            publication_move_to_end(publication, source);
+        object->revision = source->revision;
+        object->is_removed = source->removed;
+        publication_encode(source, &object->bytes);
+    }
+    publication->revision = group->revision;
+    publication_drop_parts(publication);
+}
+
+// Returns the oldest object with a revision above the given one, or NULL.
+static const struct published *
+publication_find_first_after(const struct publication *publication,
+                             uint64_t revision)
+{
+    const struct published *object = publication->newest;
+    const struct published *found = NULL;
+
+    for (size_t i = 0; i < publication->parts_count; i++) {
+        if (publication->parts[i].delta.to_revision == revision &&
+            publication->parts[i].delta.more) {
+            return publication->parts[i].next;
+        }
+    }
+    while (object != NULL && object->revision > revision) {
+        found = object;
+        object = object->older;
+    }
+    return found;
+}
+
+// Returns the first object that does not fit into a delta of max_size_bytes,
+// or NULL. The delta has at least one object.
+static const struct published *
+publication_find_end(const struct published *first, size_t max_size_bytes)
+{
+    const struct published *object = first;
+    size_t size = 0;
+
+    while (object != NULL) {
+        size += buffer_get_size(&object->bytes);
+        if (object != first && size > max_size_bytes) {
+            return object;
+        }
+        object = object->newer;
+    }
+    return NULL;
+}
+
+// Appends the objects of a kind as a list in XDR.
+static void
+publication_append_list(const struct published *first,
+                        const struct published *end, enum group_kind kind,
+                        bool is_removed, struct buffer *out)
+{
+    u_int count = 0;
+
+    for (const struct published *object = first; object != end;
+         object = object->newer) {
+        count +=
+            object->kind == kind && object->is_removed == is_removed ? 1 : 0;
+    }
+    (void)codec_encode((xdrproc_t)xdr_u_int, &count, out);
+    for (const struct published *object = first; object != end;
+         object = object->newer) {
+        if (object->kind == kind && object->is_removed == is_removed) {
+            buffer_append(out, buffer_get_data(&object->bytes),
+                          buffer_get_size(&object->bytes));
+        }
+    }
+}
+
+// Encodes the objects from first up to, but not including, end as a
+// ck_view_delta.
+static void
+publication_encode_delta(const struct ck_packed_delta *delta,
+                         const struct published *first,
+                         const struct published *end, struct buffer *out)
+{
+    (void)codec_encode((xdrproc_t)xdr_u_quad_t, &delta->from_revision, out);
+    (void)codec_encode((xdrproc_t)xdr_u_quad_t, &delta->to_revision, out);
+    (void)codec_encode((xdrproc_t)xdr_bool, &delta->full, out);
+    (void)codec_encode((xdrproc_t)xdr_bool, &delta->more, out);
+    publication_append_list(first, end, GROUP_CUSTOMER, false, out);
+    publication_append_list(first, end, GROUP_CUSTOMER, true, out);
+    publication_append_list(first, end, GROUP_DATABASE, false, out);
+    publication_append_list(first, end, GROUP_DATABASE, true, out);
+    publication_append_list(first, end, GROUP_DECLARATION, false, out);
+}
+
+// Compresses bytes into a delta.
+static void
+publication_compress(struct publication *publication,
+                     const struct buffer *bytes, struct ck_packed_delta *delta)
+{
+    size_t limit = ZSTD_compressBound(buffer_get_size(bytes));
+    char *data = xmalloc(limit);
+    size_t size = ZSTD_compressCCtx(
+        publication->compressor, data, limit, buffer_get_data(bytes),
+        buffer_get_size(bytes), PUBLICATION_COMPRESSION_LEVEL);
+
+    INVARIANT(!ZSTD_isError(size));
+    delta->data.data_val = data;
+    delta->data.data_len = (u_int)size;
+}
+
+// Packs the objects after from_revision that fit into the size.
+static void
+publication_build_part(struct publication *publication, uint64_t from_revision,
+                       const struct published *first,
+                       struct publication_part *part)
+{
+    size_t max_size_bytes = part->max_size_bytes;
+    struct buffer bytes = {0};
+
+    for (;;) {
+        const struct published *end =
+            publication_find_end(first, max_size_bytes);
+        part->next = end;
+        part->delta = (struct ck_packed_delta){
+            .from_revision = from_revision,
+            .to_revision =
+                end == NULL ? publication->revision : end->older->revision,
+            .full = from_revision == 0,
+            .more = end != NULL};
+        publication_encode_delta(&part->delta, first, end, &bytes);
+        publication_compress(publication, &bytes, &part->delta);
+        buffer_free(&bytes);
+        if (part->delta.data.data_len <= PUBLICATION_MAX_PACKED_BYTES ||
+            first->newer == end) {
+            return;
+        }
+        free(part->delta.data.data_val);
+        max_size_bytes /= 2;
+    }
+}
+
+static const struct publication_part *
+publication_find_part(const struct publication *publication,
+                      uint64_t from_revision, size_t max_size_bytes)
+{
+    for (size_t i = 0; i < publication->parts_count; i++) {
+        const struct publication_part *part = &publication->parts[i];
+        if (part->delta.from_revision == from_revision &&
+            part->max_size_bytes == max_size_bytes) {
+            return part;
+        }
+    }
+    return NULL;
+}
+
+static struct publication_part *
+publication_add_part(struct publication *publication)
+{
+    struct publication_part *part = NULL;
+
+    if (publication->parts_count < PUBLICATION_MAX_PARTS) {
+        return &publication->parts[publication->parts_count++];
+    }
+    part = &publication->parts[publication->next_part];
+    publication->next_part =
+        (publication->next_part + 1) % PUBLICATION_MAX_PARTS;
+    free(part->delta.data.data_val);
+    return part;
+}
+
+// Fills a delta with the objects that have changed after from_revision, in the
+// order of their revisions, up to the size limit. If objects are left, more is
+// set and the next delta starts at to_revision. A from_revision of 0 yields a
+// full delta. The data is valid until the next call or update.
+void
+publication_fill_delta(struct publication *publication, uint64_t from_revision,
+                       size_t max_size_bytes, struct ck_packed_delta *out)
+{
+    const struct publication_part *found =
+        publication_find_part(publication, from_revision, max_size_bytes);
+
+    if (found != NULL) {
+        *out = found->delta;
+        return;
+    }
+    const struct published *first =
+        publication_find_first_after(publication, from_revision);
+    if (first == NULL) {
+        *out = (struct ck_packed_delta){
+            .from_revision = from_revision,
+            .to_revision = from_revision > publication->revision
+                               ? from_revision
+                               : publication->revision,
+            .full = from_revision == 0};
+        return;
+    }
+    struct publication_part part = {.max_size_bytes = max_size_bytes};
+    publication_build_part(publication, from_revision, first, &part);
+    *publication_add_part(publication) = part;
+    *out = part.delta;
+}
+
+// Decompresses the data of a delta. The caller frees *bytes.
+static int
+publication_decompress(const struct ck_packed_delta *packed, void **bytes,
+                       size_t *size_bytes)
+{
+    unsigned long long size =
+        ZSTD_getFrameContentSize(packed->data.data_val, packed->data.data_len);
+
+    if (size == ZSTD_CONTENTSIZE_ERROR || size == ZSTD_CONTENTSIZE_UNKNOWN ||
+        size > PUBLICATION_MAX_UNPACKED_BYTES) {
+        return OUTCOME_PROTOCOL;
+    }
+    *bytes = xmalloc((size_t)size);
+    *size_bytes = ZSTD_decompress(*bytes, (size_t)size, packed->data.data_val,
+                                  packed->data.data_len);
+    if (ZSTD_isError(*size_bytes)) {
+        free(*bytes);
+        return OUTCOME_PROTOCOL;
+    }
+    return OUTCOME_OK;
+}
+
+int
+publication_unpack_delta(const struct ck_packed_delta *packed,
+                         struct ck_view_delta *delta)
+{
+    void *bytes = NULL;
+    size_t size_bytes = 0;
+
+    memset(delta, 0, sizeof(*delta));
+    if (packed->data.data_len == 0) {
+        delta->from_revision = packed->from_revision;
+        delta->to_revision = packed->to_revision;
+        delta->full = packed->full;
+        delta->more = packed->more;
+        return OUTCOME_OK;
+    }
+    if (publication_decompress(packed, &bytes, &size_bytes) != OUTCOME_OK) {
+        return OUTCOME_PROTOCOL;
+    }
+    int outcome =
+        codec_decode((xdrproc_t)xdr_ck_view_delta, bytes, size_bytes, delta);
+    free(bytes);
+    return outcome;
+}
+
+// Frees the lists of an unpacked delta.
+void
+publication_free_delta(struct ck_view_delta *delta)
+{
+    codec_free((xdrproc_t)xdr_ck_view_delta, delta);
+    memset(delta, 0, sizeof(*delta));
+}
--- a/src/catkingrade/decide/leaseholder/leaseholder.c
+++ b/src/catkingrade/decide/leaseholder/leaseholder.c
@@ -4,6 +4,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "catkingrade/decide/group/publication.h"
 #include "catkingrade/decide/leaseholder/leaseholder_private.h"
 #include "catkingrade/decide/random.h"
 #include "catkingrade/kernel/memory.h"
@@ -48,6 +49,7 @@
         return;
     }
     leaseholder_free_reports(holder);
+    publication_free_delta(&holder->delta);
     codec_free((xdrproc_t)xdr_ck_daemon, &holder->params.daemon);
     free((char *)(uintptr_t)holder->params.group);
     free(holder->voters);
@@ -170,23 +172,29 @@
 }
 
 // Applies a view delta. Returns whether the entry's view is now at the delta's
-// target revision. A delta that leads to an older revision, or that starts at
-// a revision the entry does not have yet, is not applied.
+// target revision. A delta that leads to an older revision, that starts at a
+// revision the entry does not have yet, or that cannot be unpacked, is not
+// applied.
 static bool
 leaseholder_apply_delta(struct leaseholder *holder,
-                        const struct ck_view_delta *delta,
+                        const struct ck_packed_delta *packed,
                         struct leaseholder_actions *actions)
 {
-    if (delta->from_revision > holder->revision ||
-        delta->to_revision < holder->revision) {
+    if (packed->from_revision > holder->revision ||
+        packed->to_revision < holder->revision) {
         return false;
     }
-    if (delta->to_revision > holder->revision) {
-        leaseholder_add_action(actions, LEASEHOLDER_ACTION_APPLY_DELTA)
-            ->delta = delta;
-        holder->revision = delta->to_revision;
-        leaseholder_drop_superseded(holder, delta);
+    if (packed->to_revision == holder->revision) {
+        return true;
     }
+    publication_free_delta(&holder->delta);
+    if (publication_unpack_delta(packed, &holder->delta) != OUTCOME_OK) {
+        return false;
+    }
+    leaseholder_add_action(actions, LEASEHOLDER_ACTION_APPLY_DELTA)->delta =
+        &holder->delta;
+    holder->revision = packed->to_revision;
+    leaseholder_drop_superseded(holder, &holder->delta);
     return true;
 }
 
@@ -257,7 +265,7 @@
         (int64_t)result->hasten_us < holder->params.renew_us) {
         holder->next_renew_us = now_us + (int64_t)result->hasten_us;
     }
-    if (result->delta.more || result->relays_more || holder->renew_again) {
+    if (result->delta.more || holder->renew_again) {
         holder->next_renew_us = now_us;
     }
     if (result->lease_us > 0) {
--- a/src/catkingrade/decide/leaseholder/leaseholder_private.h
+++ b/src/catkingrade/decide/leaseholder/leaseholder_private.h
@@ -61,6 +61,7 @@
     struct ck_suspicion *sent_suspicions; // array that args refers to
     struct ck_revocation *confirmed;
     size_t confirmed_count;
+    struct ck_view_delta delta;      // of the last action APPLY_DELTA
     struct ck_quota *changed_quotas; // since the last action SET_QUOTAS
     size_t changed_quotas_count;
     bool redelivers_quotas; // the entry may not have got all of them
--- a/src/catkingrade/rpc/messages.h
+++ b/src/catkingrade/rpc/messages.h
@@ -213,6 +213,18 @@
 };
 typedef struct ck_view_delta ck_view_delta;
 
+struct ck_packed_delta {
+	u_quad_t from_revision;
+	u_quad_t to_revision;
+	bool_t full;
+	bool_t more;
+	struct {
+		u_int data_len;
+		char *data_val;
+	} data;
+};
+typedef struct ck_packed_delta ck_packed_delta;
+
 struct ck_daemon {
 	ck_name vm;
 	u_quad_t incarnation;
@@ -308,7 +320,7 @@
 	u_int leader_port;
 	u_quad_t leader_term;
 	u_quad_t lease_us;
-	ck_view_delta delta;
+	ck_packed_delta delta;
 	bool_t report_wanted;
 	u_quad_t hasten_us;
 	struct {
@@ -320,7 +332,6 @@
 		u_int relays_len;
 		ck_relay *relays_val;
 	} relays;
-	bool_t relays_more;
 };
 typedef struct ck_renew_result ck_renew_result;
 
@@ -698,6 +709,7 @@
 extern  bool_t xdr_ck_declaration (XDR *, ck_declaration*);
 extern  bool_t xdr_ck_packed_declaration (XDR *, ck_packed_declaration*);
 extern  bool_t xdr_ck_view_delta (XDR *, ck_view_delta*);
+extern  bool_t xdr_ck_packed_delta (XDR *, ck_packed_delta*);
 extern  bool_t xdr_ck_daemon (XDR *, ck_daemon*);
 extern  bool_t xdr_ck_demand (XDR *, ck_demand*);
 extern  bool_t xdr_ck_suspicion_kind (XDR *, ck_suspicion_kind*);
@@ -759,6 +771,7 @@
 extern bool_t xdr_ck_declaration ();
 extern bool_t xdr_ck_packed_declaration ();
 extern bool_t xdr_ck_view_delta ();
+extern bool_t xdr_ck_packed_delta ();
 extern bool_t xdr_ck_daemon ();
 extern bool_t xdr_ck_demand ();
 extern bool_t xdr_ck_suspicion_kind ();
--- a/src/catkingrade/rpc/messages.x
+++ b/src/catkingrade/rpc/messages.x
@@ -168,6 +168,18 @@
     ck_packed_declaration declaration<1>;
 };
 
+/*
+ * A ck_view_delta in compressed XDR. The first fields repeat those of the
+ * delta; data is empty if it has no objects.
+ */
+struct ck_packed_delta {
+    unsigned hyper from_revision;
+    unsigned hyper to_revision;
+    bool full;
+    bool more;
+    opaque data<CK_BLOB_SIZE>;
+};
+
 /* ---- leases of entries ---- */
 
 struct ck_daemon {
@@ -261,17 +273,17 @@
     unsigned int leader_port;
     unsigned hyper leader_term;
     unsigned hyper lease_us;
-    ck_view_delta delta;
+    ck_packed_delta delta;
     bool report_wanted;             /* renew again at once, completely */
     /* Time after which the entry renews early, since it got a quota without
-       connections and some may be free by then; 0: renew at the usual time. */
+       connections and some may be free by then, or since relays are left to
+       send; 0: renew at the usual time. */
     unsigned hyper hasten_us;
     /* All quotas of the caller after a complete renewal, else those that
        differ from what it holds. One without any slot and connection ends. */
     ck_quota quotas<CK_LIST_SIZE>;
     unsigned hyper relays_version;  /* 0: no relays in this group */
     ck_relay relays<CK_LIST_SIZE>;  /* changed since the caller's version */
-    bool relays_more;               /* renew at once for further changes */
 };
 
 /* From a leader to an entry: renew the lease now and stop these terms. */
--- a/src/catkingrade/rpc/messages_xdr.c
+++ b/src/catkingrade/rpc/messages_xdr.c
@@ -570,6 +570,24 @@
 	return TRUE;
 }
 
+bool_t
+xdr_ck_packed_delta (XDR *xdrs, ck_packed_delta *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->from_revision))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->to_revision))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->full))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->more))
+		 return FALSE;
+	 if (!xdr_bytes (xdrs, (char **)&objp->data.data_val, (u_int *) &objp->data.data_len, CK_BLOB_SIZE))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_ck_daemon (XDR *xdrs, ck_daemon *objp)
 {
@@ -841,7 +859,7 @@
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->lease_us))
 		 return FALSE;
-	 if (!xdr_ck_view_delta (xdrs, &objp->delta))
+	 if (!xdr_ck_packed_delta (xdrs, &objp->delta))
 		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->report_wanted))
 		 return FALSE;
@@ -855,8 +873,6 @@
 	 if (!xdr_array (xdrs, (char **)&objp->relays.relays_val, (u_int *) &objp->relays.relays_len, CK_LIST_SIZE,
 		sizeof (ck_relay), (xdrproc_t) xdr_ck_relay))
 		 return FALSE;
-	 if (!xdr_bool (xdrs, &objp->relays_more))
-		 return FALSE;
 	return TRUE;
 }
 
--- a/test/fake/changes.c
+++ b/test/fake/changes.c
@@ -3,6 +3,7 @@
 #include <stdint.h>
 #include <stdio.h>
 #include <string.h>
+#include <zstd.h>
 
 #include "catkingrade/kernel/memory.h"
 #include "catkingrade/kernel/outcome.h"
@@ -129,3 +130,24 @@
                                      document, "", -1, NULL);
     INVARIANT(outcome == OUTCOME_OK);
 }
+
+void
+changes_pack_delta(const struct ck_view_delta *delta,
+                   struct ck_packed_delta *packed)
+{
+    struct buffer bytes = {0};
+
+    (void)codec_encode((xdrproc_t)xdr_ck_view_delta, delta, &bytes);
+    size_t limit = ZSTD_compressBound(buffer_get_size(&bytes));
+    char *data = xmalloc(limit);
+    size_t size = ZSTD_compress(data, limit, buffer_get_data(&bytes),
+                                buffer_get_size(&bytes), 1);
+    INVARIANT(!ZSTD_isError(size));
+    buffer_free(&bytes);
+    *packed = (struct ck_packed_delta){.from_revision = delta->from_revision,
+                                       .to_revision = delta->to_revision,
+                                       .full = delta->full,
+                                       .more = delta->more};
+    packed->data.data_val = data;
+    packed->data.data_len = (u_int)size;
+}
--- a/test/fake/changes.h
+++ b/test/fake/changes.h
@@ -36,6 +36,9 @@
                                          const char *database,
                                          const char *failure_domain,
                                          const char *host);
+// Packs a delta as a publication does. The caller frees the data with free.
+void changes_pack_delta(const struct ck_view_delta *delta,
+                        struct ck_packed_delta *packed);
 struct ck_daemon changes_make_daemon(const char *vm, const char *host,
                                      uint64_t incarnation);
 int changes_apply_upstream(struct group_state *group,
--- a/test/unit/decide/group/test_declaration.c
+++ b/test/unit/decide/group/test_declaration.c
@@ -2,6 +2,7 @@
 
 #include "catkingrade/decide/group/declaration.h"
 #include "catkingrade/decide/group/group.h"
+#include "catkingrade/decide/group/publication.h"
 #include "catkingrade/kernel/memory.h"
 #include "catkingrade/kernel/outcome.h"
 #include "test/fake/changes.h"
@@ -200,7 +201,9 @@
         changes_make_upstream("u1", "roster1", "noord", "10.0.0.1");
     struct buffer first = {0};
     struct buffer second = {0};
+    struct ck_packed_delta packed;
     struct ck_view_delta delta;
+    struct publication *publication = publication_create();
 
     make_sample(&sample);
     ck_assert_int_eq(apply(group, &sample, 1, &result), OUTCOME_OK);
@@ -215,10 +218,14 @@
     ck_assert_int_eq(memcmp(buffer_get_data(&first), buffer_get_data(&second),
                             buffer_get_size(&first)),
                      0);
-    group_fill_delta(group, 0, NULL, &delta);
+    publication_update(publication, group);
+    publication_fill_delta(publication, 0, PUBLICATION_MAX_DELTA_BYTES,
+                           &packed);
+    ck_assert_int_eq(publication_unpack_delta(&packed, &delta), OUTCOME_OK);
     ck_assert_uint_eq(delta.declaration.declaration_len, 1);
     ck_assert_uint_eq(delta.declaration.declaration_val[0].number, 1);
-    group_delta_clear(&delta);
+    publication_free_delta(&delta);
+    publication_destroy(publication);
     sample.databases[0].connections = 12;
     ck_assert_int_eq(apply(group, &sample, 2, &result), OUTCOME_OK);
     ck_assert_uint_eq(group_find_upstream(group, "u1")->connections, 12);
--- a/test/unit/decide/group/test_group.c
+++ b/test/unit/decide/group/test_group.c
@@ -5,6 +5,7 @@
 #include <string.h>
 
 #include "catkingrade/decide/group/group.h"
+#include "catkingrade/decide/group/publication.h"
 #include "catkingrade/kernel/memory.h"
 #include "catkingrade/kernel/outcome.h"
 #include "test/fake/changes.h"
@@ -340,8 +341,9 @@
 START_TEST(test_delta_pagination)
 {
     struct group_state *group = make_group();
-    struct group_delta_filter filter = {.max_size_bytes = 300};
-    struct ck_view_delta delta;
+    struct publication *publication = publication_create();
+    struct ck_packed_delta delta;
+    struct ck_view_delta part;
     uint64_t revision = 0;
     size_t databases = 0;
     size_t pages = 0;
@@ -355,15 +357,18 @@
             changes_make_upstream(name, "roster1", "noord", host);
         ck_assert_int_eq(changes_apply_upstream(group, &upstream), OUTCOME_OK);
     }
+    publication_update(publication, group);
     do {
-        group_fill_delta(group, revision, &filter, &delta);
+        publication_fill_delta(publication, revision, 300, &delta);
+        ck_assert_int_eq(publication_unpack_delta(&delta, &part), OUTCOME_OK);
+        ck_assert_uint_eq(part.from_revision, revision);
         ck_assert_uint_eq(delta.from_revision, revision);
         ck_assert_uint_gt(delta.to_revision, revision);
         ck_assert_int_eq(delta.full, revision == 0);
         revision = delta.to_revision;
-        databases += delta.databases.databases_len;
+        databases += part.databases.databases_len;
         bool more = delta.more;
-        group_delta_clear(&delta);
+        publication_free_delta(&part);
         pages++;
         if (!more) {
             break;
@@ -372,10 +377,10 @@
     ck_assert_uint_eq(revision, group_get_revision(group));
     ck_assert_uint_eq(databases, 1);
     ck_assert_uint_gt(pages, 1);
-    group_fill_delta(group, revision, &filter, &delta);
+    publication_fill_delta(publication, revision, 300, &delta);
     ck_assert_uint_eq(delta.to_revision, revision);
     ck_assert(!delta.full);
-    group_delta_clear(&delta);
+    publication_destroy(publication);
     group_destroy(group);
 }
 END_TEST
@@ -386,7 +391,9 @@
 START_TEST(test_failure_domain_group)
 {
     struct group_state *group = group_create("noord");
+    struct ck_packed_delta packed;
     struct ck_view_delta delta;
+    struct publication *publication = publication_create();
     struct ck_upstream local =
         changes_make_upstream("u1", "local", "noord", "10.0.0.1");
     struct ck_upstream spanning =
@@ -403,11 +410,15 @@
     ck_assert_str_eq(group_find_database(group, "local")->group, "noord");
     ck_assert_str_eq(group_find_database(group, "local")->customer,
                      "pootafdruk");
-    group_fill_delta(group, 0, NULL, &delta);
+    publication_update(publication, group);
+    publication_fill_delta(publication, 0, PUBLICATION_MAX_DELTA_BYTES,
+                           &packed);
+    ck_assert_int_eq(publication_unpack_delta(&packed, &delta), OUTCOME_OK);
     ck_assert_uint_eq(delta.customers.customers_len, 0);
     ck_assert_uint_eq(delta.databases.databases_len, 1);
     ck_assert_uint_eq(delta.to_revision, group_get_revision(group));
-    group_delta_clear(&delta);
+    publication_free_delta(&delta);
+    publication_destroy(publication);
     group_destroy(group);
 }
 END_TEST
--- a/test/unit/decide/leaseholder/test_leaseholder.c
+++ b/test/unit/decide/leaseholder/test_leaseholder.c
@@ -303,7 +303,10 @@
     struct leaseholder_event confirm = {.kind =
                                             LEASEHOLDER_EVENT_CONFIRM_REVOKED};
     struct ck_notify_result reply;
-    struct ck_database database = {.name = (char *)(uintptr_t) "roster1"};
+    struct ck_database database = {.name = (char *)(uintptr_t) "roster1",
+                                   .customer = (char *)(uintptr_t) "",
+                                   .group = (char *)(uintptr_t) "",
+                                   .primary = (char *)(uintptr_t) ""};
 
     (void)tick(holder, 5000 * MS);
     (void)answer(holder, 5010 * MS, &result);
@@ -334,9 +337,12 @@
     ck_assert_uint_eq(send->send.args->confirmed.confirmed_len, 1);
     database.term = 4;
     result = make_result(3, 4, 10, 11);
-    result.delta.databases.databases_val = &database;
-    result.delta.databases.databases_len = 1;
+    struct ck_view_delta delta = {.from_revision = 10, .to_revision = 11};
+    delta.databases.databases_val = &database;
+    delta.databases.databases_len = 1;
+    changes_pack_delta(&delta, &result.delta);
     (void)answer(holder, 5050 * MS, &result);
+    free(result.delta.data.data_val);
     leaseholder_fill_notify_result(holder, &reply);
     ck_assert_uint_eq(reply.confirmed.confirmed_len, 0);
     leaseholder_destroy(holder);
