feat(rpc): messages larger than a datagram travel in fragments

Cause: a message above 65,507 bytes was never sent: its caller waited for its whole timeout. A declaration of 1,000 databases needs one, from operator to leader and from leader to followers.

Change: rpc/fragment splits a message of up to 4 MB into fragments of 32 KB, each signed by itself, and reassembles them with bounds of age (1 s) and memory (16 MB). Blocking calls and the procedures have files of their own.

Result: test_fragment (any order, repeated, forged, malformed, never completed).

--- a/src/catkingrade/rpc/datagram.c
+++ b/src/catkingrade/rpc/datagram.c
@@ -19,7 +19,6 @@
 // carries both in its verifier. The sizes are fixed, so the offsets of the
 // HLC, the HMAC and the body are constants.
 #define DATAGRAM_AUTH_FLAVOR        0x434b0001
-#define DATAGRAM_HMAC_SIZE_BYTES    32
 #define DATAGRAM_HLC_SIZE_BYTES     8
 #define DATAGRAM_CALL_HLC_OFFSET    32
 #define DATAGRAM_CALL_HMAC_OFFSET   48
@@ -73,7 +72,7 @@
     INVARIANT(result != NULL);
 }
 
-static void
+void
 datagram_sign(uint8_t *data, size_t size_bytes, size_t hmac_offset,
               const struct datagram_key *key)
 {
@@ -115,12 +114,13 @@
     if (outcome != OUTCOME_OK) {
         return outcome;
     }
-    return buffer_get_size(out) > DATAGRAM_MAX_SIZE_BYTES ? OUTCOME_TOO_LARGE
-                                                          : OUTCOME_OK;
+    return buffer_get_size(out) > DATAGRAM_MAX_MESSAGE_BYTES
+               ? OUTCOME_TOO_LARGE
+               : OUTCOME_OK;
 }
 
 // Encodes and signs a call into out, which must be empty. Returns OUTCOME_OK,
-// OUTCOME_TOO_LARGE if the datagram exceeds DATAGRAM_MAX_SIZE_BYTES, or
+// OUTCOME_TOO_LARGE if the message exceeds DATAGRAM_MAX_MESSAGE_BYTES, or
 // OUTCOME_INVALID if a string or list in args is longer than its type allows.
 int
 datagram_encode_call(struct buffer *out, const struct datagram_key *key,
@@ -184,8 +184,7 @@
     return outcome;
 }
 
-// Verifies the HMAC of a datagram and overwrites it with zeros.
-static bool
+bool
 datagram_verify(uint8_t *data, size_t size_bytes, size_t hmac_offset,
                 const struct datagram_key *key)
 {
--- a/src/catkingrade/rpc/rpcnet.c
+++ b/src/catkingrade/rpc/rpcnet.c
@@ -2,7 +2,6 @@
 #include "catkingrade/kernel/address.h"
 
 #include <openssl/rand.h>
-#include <poll.h>
 #include <stdlib.h>
 #include <string.h>
 #include <sys/socket.h>
@@ -14,6 +13,7 @@
 #include "catkingrade/kernel/timeline.h"
 #include "catkingrade/rpc/call_queue.h"
 #include "catkingrade/rpc/codec.h"
+#include "catkingrade/rpc/fragment.h"
 
 #define RPCNET_MAX_PROCEDURES           16
 #define RPCNET_PENDING_BUCKETS          1024
@@ -25,8 +25,11 @@
 // Callers wait for 250 ms or longer.
 #define RPCNET_MAX_WAIT_US       200000
 #define RPCNET_MAX_WAITING_BYTES (8 * 1024 * 1024)
-#define RPCNET_BLOCKING_RETRY_US 200000
-#define RPCNET_US_PER_MS         1000
+// Limits of messages of which fragments are missing.
+#define RPCNET_MAX_REASSEMBLY_US    1000000
+#define RPCNET_MAX_REASSEMBLY_BYTES ((size_t)16 * 1024 * 1024)
+#define RPCNET_BLOCKING_RETRY_US    200000
+#define RPCNET_US_PER_MS            1000
 
 struct rpcnet_handler {
     const struct rpcnet_procedure *procedure;
@@ -41,7 +44,7 @@
     struct loop_timer *timer;
     const struct rpcnet_procedure *procedure;
     struct settings_address peer;
-    struct buffer datagram;
+    struct buffer message;
     uint32_t xid;
     int64_t deadline_us;
     int64_t retry_us;
@@ -66,40 +69,11 @@
     struct rpcnet_pending *pending[RPCNET_PENDING_BUCKETS];
     struct call_queue *waiting;
     struct loop_timer *waiting_timer; // set while calls wait
+    struct fragment_set *fragments;
+    uint64_t last_message; // number of the last message sent
     uint8_t received[DATAGRAM_MAX_SIZE_BYTES];
 };
 
-#define RPCNET_PROCEDURE(name, id, args, result, bytes, time)                 \
-    const struct rpcnet_procedure rpcnet_##name = {                           \
-        .number = (id),                                                       \
-        .args_xdr = (xdrproc_t)xdr_##args,                                    \
-        .args_size_bytes = sizeof(args),                                      \
-        .result_xdr = (xdrproc_t)xdr_##result,                                \
-        .result_size_bytes = sizeof(result),                                  \
-        .sent_bytes = (bytes),                                                \
-        .work = (time)}
-
-RPCNET_PROCEDURE(renew, CK_RENEW, ck_renew_args, ck_renew_result,
-                 COUNTER_RPC_RENEW_BYTES, WORK_TIME_RENEWAL);
-RPCNET_PROCEDURE(notify, CK_NOTIFY, ck_notify_args, ck_notify_result,
-                 COUNTER_RPC_NOTIFY_BYTES, WORK_TIME_NOTIFICATION);
-RPCNET_PROCEDURE(apply, CK_APPLY, ck_apply_args, ck_apply_result,
-                 COUNTER_RPC_APPLY_BYTES, WORK_TIME_CHANGE);
-RPCNET_PROCEDURE(query, CK_QUERY, ck_query_args, ck_query_result,
-                 COUNTER_RPC_QUERY_BYTES, WORK_TIME_QUERY);
-RPCNET_PROCEDURE(command, CK_COMMAND, ck_command_args, ck_command_result,
-                 COUNTER_RPC_QUERY_BYTES, WORK_TIME_QUERY);
-RPCNET_PROCEDURE(read_declaration, CK_READ_DECLARATION,
-                 ck_read_declaration_args, ck_read_declaration_result,
-                 COUNTER_RPC_QUERY_BYTES, WORK_TIME_QUERY);
-const struct rpcnet_procedure rpcnet_raft = {
-    .number = CK_RAFT,
-    .args_xdr = (xdrproc_t)xdr_ck_raft_message,
-    .args_size_bytes = sizeof(ck_raft_message),
-    .sent_bytes = COUNTER_RPC_RAFT_BYTES,
-    .work = WORK_TIME_RAFT,
-    .is_urgent = true};
-
 static int
 rpcnet_open_socket(const struct settings_address *local)
 {
@@ -125,14 +99,13 @@
 }
 
 static int
-rpcnet_send_datagram(struct rpcnet *rpcnet,
-                     const struct settings_address *peer,
-                     const struct rpcnet_procedure *procedure,
-                     const struct buffer *datagram)
+rpcnet_send_message(struct rpcnet *rpcnet, const struct settings_address *peer,
+                    const struct rpcnet_procedure *procedure,
+                    const struct buffer *message)
 {
     struct sockaddr_storage address;
     socklen_t length = address_to_sockaddr(peer, &address);
-    size_t size = buffer_get_size(datagram);
+    size_t size = buffer_get_size(message);
 
     if (length == 0) {
         return OUTCOME_INVALID;
@@ -140,9 +113,8 @@
     counter_add(COUNTER_RPC_SENT, 1);
     counter_add(COUNTER_RPC_SENT_BYTES, size);
     counter_add(procedure->sent_bytes, size);
-    ssize_t sent = sendto(rpcnet->fd, buffer_get_data(datagram), size, 0,
-                          (struct sockaddr *)&address, length);
-    return sent == (ssize_t)size ? OUTCOME_OK : OUTCOME_UNAVAILABLE;
+    return fragment_send(rpcnet->fd, &address, length, &rpcnet->key,
+                         ++rpcnet->last_message, message);
 }
 
 static struct rpcnet_pending **
@@ -168,7 +140,7 @@
     *link = pending->next;
     pending->done(pending->data, outcome, result);
     loop_timer_destroy(pending->timer);
-    buffer_free(&pending->datagram);
+    buffer_free(&pending->message);
     free(pending);
 }
 
@@ -184,8 +156,8 @@
                              OUTCOME_TIMEOUT, NULL);
         return;
     }
-    (void)rpcnet_send_datagram(rpcnet, &pending->peer, pending->procedure,
-                               &pending->datagram);
+    (void)rpcnet_send_message(rpcnet, &pending->peer, pending->procedure,
+                              &pending->message);
     int64_t next_us = now_us + pending->retry_us;
     loop_timer_set(pending->timer, next_us < pending->deadline_us
                                        ? next_us
@@ -217,7 +189,7 @@
     struct rpcnet_pending **link = rpcnet_find_pending(rpcnet, pending->xid);
     *link = pending;
     int outcome = datagram_encode_call(
-        &pending->datagram, &rpcnet->key, pending->xid, procedure->number,
+        &pending->message, &rpcnet->key, pending->xid, procedure->number,
         timeline_get_hlc(), procedure->args_xdr, args);
     if (outcome != OUTCOME_OK) {
         // A call that cannot be encoded ends with OUTCOME_TIMEOUT in the next
@@ -226,7 +198,7 @@
         loop_timer_set(pending->timer, now_us);
         return;
     }
-    (void)rpcnet_send_datagram(rpcnet, peer, procedure, &pending->datagram);
+    (void)rpcnet_send_message(rpcnet, peer, procedure, &pending->message);
     loop_timer_set(pending->timer,
                    now_us + (retry_us < timeout_us ? retry_us : timeout_us));
 }
@@ -237,15 +209,15 @@
 rpcnet_send(struct rpcnet *rpcnet, const struct settings_address *peer,
             const struct rpcnet_procedure *procedure, const void *args)
 {
-    struct buffer datagram = {0};
+    struct buffer message = {0};
     int outcome = datagram_encode_call(
-        &datagram, &rpcnet->key, ++rpcnet->last_xid, procedure->number,
+        &message, &rpcnet->key, ++rpcnet->last_xid, procedure->number,
         timeline_get_hlc(), procedure->args_xdr, args);
 
     if (outcome == OUTCOME_OK) {
-        outcome = rpcnet_send_datagram(rpcnet, peer, procedure, &datagram);
+        outcome = rpcnet_send_message(rpcnet, peer, procedure, &message);
     }
-    buffer_free(&datagram);
+    buffer_free(&message);
     return outcome;
 }
 
@@ -254,22 +226,22 @@
                   const void *result)
 {
     struct rpcnet *rpcnet = request->rpcnet;
-    struct buffer datagram = {0};
+    struct buffer message = {0};
     int outcome = datagram_encode_reply(
-        &datagram, &rpcnet->key, request->xid, accept_status,
+        &message, &rpcnet->key, request->xid, accept_status,
         timeline_get_hlc(), request->procedure->result_xdr, result);
 
     if (outcome != OUTCOME_OK) {
-        buffer_clear(&datagram);
+        buffer_clear(&message);
         outcome =
-            datagram_encode_reply(&datagram, &rpcnet->key, request->xid,
+            datagram_encode_reply(&message, &rpcnet->key, request->xid,
                                   SYSTEM_ERR, timeline_get_hlc(), NULL, NULL);
     }
     if (outcome == OUTCOME_OK) {
-        (void)rpcnet_send_datagram(rpcnet, &request->peer, request->procedure,
-                                   &datagram);
+        (void)rpcnet_send_message(rpcnet, &request->peer, request->procedure,
+                                  &message);
     }
-    buffer_free(&datagram);
+    buffer_free(&message);
 }
 
 // Sends the result to the caller and frees the request. If the result cannot
@@ -371,38 +343,75 @@
            rpcnet->handlers[datagram->procedure].procedure->is_urgent;
 }
 
+// Counts a datagram that is not processed.
 static void
-rpcnet_handle_datagram(struct rpcnet *rpcnet, size_t size_bytes,
-                       const struct sockaddr_storage *from)
+rpcnet_count_refused(int outcome)
+{
+    counter_add(
+        outcome == OUTCOME_DENIED ? COUNTER_RPC_DENIED : COUNTER_RPC_BAD, 1);
+}
+
+static void
+rpcnet_handle_message(struct rpcnet *rpcnet, uint8_t *data, size_t size_bytes,
+                      const struct settings_address *peer)
 {
     struct datagram datagram;
-    struct settings_address peer;
+    int outcome = datagram_decode(data, size_bytes, &rpcnet->key, &datagram);
 
-    counter_add(COUNTER_RPC_RECEIVED, 1);
-    counter_add(COUNTER_RPC_RECEIVED_BYTES, size_bytes);
-    int outcome =
-        datagram_decode(rpcnet->received, size_bytes, &rpcnet->key, &datagram);
     if (outcome != OUTCOME_OK) {
-        counter_add(outcome == OUTCOME_DENIED ? COUNTER_RPC_DENIED
-                                              : COUNTER_RPC_BAD,
-                    1);
+        rpcnet_count_refused(outcome);
         return;
     }
     timeline_observe_hlc(datagram.hlc);
-    address_from_sockaddr(from, &peer);
     if (!datagram.is_call) {
         rpcnet_handle_reply(rpcnet, &datagram);
     }
     else if (rpcnet_is_urgent(rpcnet, &datagram)) {
-        rpcnet_handle_call(rpcnet, &datagram, &peer);
+        rpcnet_handle_call(rpcnet, &datagram, peer);
     }
     else {
         int64_t now_us = loop_get_now_us(rpcnet->loop);
-        call_queue_push(rpcnet->waiting, now_us, &peer, &datagram);
+        call_queue_push(rpcnet->waiting, now_us, peer, &datagram);
         loop_timer_set(rpcnet->waiting_timer, now_us);
     }
 }
 
+static void
+rpcnet_handle_fragment(struct rpcnet *rpcnet, size_t size_bytes,
+                       const struct settings_address *peer)
+{
+    struct buffer message = {0};
+    int outcome = fragment_set_add(
+        rpcnet->fragments, loop_get_now_us(rpcnet->loop), peer, &rpcnet->key,
+        rpcnet->received, size_bytes, &message);
+
+    if (outcome == OUTCOME_OK) {
+        rpcnet_handle_message(rpcnet, message.data + message.start,
+                              buffer_get_size(&message), peer);
+    }
+    else if (outcome != OUTCOME_AGAIN) {
+        rpcnet_count_refused(outcome);
+    }
+    buffer_free(&message);
+}
+
+static void
+rpcnet_handle_datagram(struct rpcnet *rpcnet, size_t size_bytes,
+                       const struct sockaddr_storage *from)
+{
+    struct settings_address peer;
+
+    counter_add(COUNTER_RPC_RECEIVED, 1);
+    counter_add(COUNTER_RPC_RECEIVED_BYTES, size_bytes);
+    address_from_sockaddr(from, &peer);
+    if (fragment_is_one(rpcnet->received, size_bytes)) {
+        rpcnet_handle_fragment(rpcnet, size_bytes, &peer);
+    }
+    else {
+        rpcnet_handle_message(rpcnet, rpcnet->received, size_bytes, &peer);
+    }
+}
+
 // Handles waiting calls until none is left or RPCNET_CALLS_LIMIT_US have
 // passed.
 static void
@@ -463,6 +472,10 @@
     // accept a reply to a call of the previous process.
     (void)RAND_bytes((unsigned char *)&rpcnet->last_xid,
                      sizeof(rpcnet->last_xid));
+    (void)RAND_bytes((unsigned char *)&rpcnet->last_message,
+                     sizeof(rpcnet->last_message));
+    rpcnet->fragments = fragment_set_create(RPCNET_MAX_REASSEMBLY_US,
+                                            RPCNET_MAX_REASSEMBLY_BYTES);
     rpcnet->waiting =
         call_queue_create(RPCNET_MAX_WAIT_US, RPCNET_MAX_WAITING_BYTES);
     rpcnet->waiting_timer =
@@ -486,6 +499,7 @@
     loop_watch_destroy(rpcnet->watch);
     loop_timer_destroy(rpcnet->waiting_timer);
     call_queue_destroy(rpcnet->waiting);
+    fragment_set_destroy(rpcnet->fragments);
     close(rpcnet->fd);
     free(rpcnet);
 }
@@ -502,93 +516,3 @@
     rpcnet->handlers[procedure->number].run = handler;
     rpcnet->handlers[procedure->number].data = data;
 }
-
-// Waits for one datagram until until_us (monotonic time). Returns its size, or
-// 0 if no datagram arrived.
-static size_t
-rpcnet_wait_datagram(int fd, int64_t until_us, uint8_t *data)
-{
-    struct pollfd poll_fd = {.fd = fd, .events = POLLIN};
-    int64_t wait_us = until_us - monotonic_get_us();
-    int wait_ms = wait_us <= 0 ? 0 : (int)(wait_us / RPCNET_US_PER_MS) + 1;
-
-    if (poll(&poll_fd, 1, wait_ms) <= 0) {
-        return 0;
-    }
-    ssize_t size = recv(fd, data, DATAGRAM_MAX_SIZE_BYTES, 0);
-    return size < 0 ? 0 : (size_t)size;
-}
-
-// Sends a call and waits for its reply. Retransmits the call every
-// RPCNET_BLOCKING_RETRY_US until the deadline.
-static int
-rpcnet_exchange(int fd, const struct buffer *call, uint32_t xid,
-                const struct datagram_key *key,
-                const struct rpcnet_procedure *procedure, void *result,
-                int64_t deadline_us)
-{
-    uint8_t *data = xmalloc(DATAGRAM_MAX_SIZE_BYTES);
-    struct datagram reply;
-    int outcome = OUTCOME_TIMEOUT;
-
-    while (outcome == OUTCOME_TIMEOUT && monotonic_get_us() < deadline_us) {
-        (void)send(fd, buffer_get_data(call), buffer_get_size(call), 0);
-        int64_t until_us = monotonic_get_us() + RPCNET_BLOCKING_RETRY_US;
-        until_us = until_us < deadline_us ? until_us : deadline_us;
-        size_t size = 0;
-        while ((size = rpcnet_wait_datagram(fd, until_us, data)) > 0) {
-            if (datagram_decode(data, size, key, &reply) != OUTCOME_OK ||
-                reply.is_call || reply.xid != xid) {
-                continue;
-            }
-            outcome = reply.accept_status != SUCCESS
-                          ? OUTCOME_UNAVAILABLE
-                          : codec_decode(procedure->result_xdr, reply.body,
-                                         reply.body_size_bytes, result);
-            break;
-        }
-    }
-    free(data);
-    return outcome;
-}
-
-// Calls a procedure and blocks the thread until the reply arrives or
-// timeout_us has passed; for the command-line tool. The caller zeroes result
-// before the call and frees its members with codec_free after OUTCOME_OK.
-// Returns OUTCOME_OK, OUTCOME_TIMEOUT (the procedure may have run), or another
-// error.
-int
-rpcnet_call_blocking(const struct settings_address *peer,
-                     const struct datagram_key *key,
-                     const struct rpcnet_procedure *procedure,
-                     const void *args, void *result, int64_t timeout_us)
-{
-    struct sockaddr_storage address;
-    socklen_t length = address_to_sockaddr(peer, &address);
-    struct buffer call = {0};
-    uint32_t xid = 0;
-
-    if (length == 0) {
-        return OUTCOME_INVALID;
-    }
-    int fd = socket(address.ss_family,
-                    SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-    if (fd < 0) {
-        return OUTCOME_IO;
-    }
-    (void)RAND_bytes((unsigned char *)&xid, sizeof(xid));
-    int outcome =
-        datagram_encode_call(&call, key, xid, procedure->number,
-                             timeline_get_hlc(), procedure->args_xdr, args);
-    if (outcome == OUTCOME_OK &&
-        connect(fd, (struct sockaddr *)&address, length) != 0) {
-        outcome = OUTCOME_UNAVAILABLE;
-    }
-    if (outcome == OUTCOME_OK) {
-        outcome = rpcnet_exchange(fd, &call, xid, key, procedure, result,
-                                  monotonic_get_us() + timeout_us);
-    }
-    buffer_free(&call);
-    close(fd);
-    return outcome;
-}
