fix(group): declarations of thousands of databases are accepted

What callers saw: with about 1,000 databases no request was served at all: the configuration was refused with 413 (declaration_refused outcome=too_large), because a declaration had to fit into one datagram and one log entry of 48 KB. Every change of a declaration was also sent whole, with the operator's text, to every entry.

Change: a log entry may hold a declaration of 2 MB in its packed form; the operator's text may have 4 MB. Entries are sent a declaration's number and only those routes that have changed, as objects of the publication; a delta holds all objects of a revision, so that a declaration takes effect as a whole. Declarations are checked and applied through an index by name instead of in quadratic time.

--- a/src/catkingrade/control/group_lease.c
+++ b/src/catkingrade/control/group_lease.c
@@ -105,9 +105,7 @@
 group_lease_set_ready(const struct group_lease *lease, bool has_lease)
 {
     struct daemon *daemon = lease->agent->daemon;
-    uint64_t number = 0;
-    bool has_declaration =
-        view_get_declaration(lease->agent->view, &number) != NULL;
+    bool has_declaration = view_get_declared(lease->agent->view)->number != 0;
 
     if (!daemon->settings->ready_with_lease) {
         return;
--- a/src/catkingrade/decide/group/declaration.c
+++ b/src/catkingrade/decide/group/declaration.c
@@ -4,6 +4,7 @@
 #include <string.h>
 #include <zstd.h>
 
+#include "catkingrade/decide/group/declaration_index.h"
 #include "catkingrade/kernel/memory.h"
 #include "catkingrade/kernel/outcome.h"
 #include "catkingrade/rpc/codec.h"
@@ -12,46 +13,18 @@
 // Limits the memory allocated for a packed declaration with a corrupt length.
 #define DECLARATION_MAX_SIZE_BYTES ((size_t)8 * 1024 * 1024)
 
-static const struct ck_declared_database *
-declaration_find_database(const struct ck_declaration *declaration,
-                          const char *name)
-{
-    for (u_int i = 0; i < declaration->databases.databases_len; i++) {
-        const struct ck_declared_database *database =
-            &declaration->databases.databases_val[i];
-        if (strcmp(database->name, name) == 0) {
-            return database;
-        }
-    }
-    return NULL;
-}
-
-// Returns the route with this name, or NULL if there is none.
-const struct ck_route *
-declaration_find_route(const struct ck_declaration *declaration,
-                       const char *name)
-{
-    for (u_int i = 0; i < declaration->routes.routes_len; i++) {
-        const struct ck_route *route = &declaration->routes.routes_val[i];
-        if (strcmp(route->name, name) == 0) {
-            return route;
-        }
-    }
-    return NULL;
-}
-
 static void
-declaration_check_route(const struct ck_declaration *declaration,
+declaration_check_route(const struct declaration_index *index,
                         const struct ck_route *route, struct buffer *errors)
 {
     if (route->name[0] == '\0') {
         buffer_append_text(errors, "a route has no name\n");
     }
-    if (declaration_find_route(declaration, route->name) != route) {
+    if (declaration_index_find_route(index, route->name) != route) {
         buffer_append_format(errors, "two routes have the name %s\n",
                              route->name);
     }
-    if (declaration_find_database(declaration, route->database) == NULL) {
+    if (declaration_index_find_database(index, route->database) == NULL) {
         buffer_append_format(errors, "route %s: no database %s\n", route->name,
                              route->database);
     }
@@ -69,6 +42,7 @@
                   struct buffer *errors)
 {
     size_t size_before = buffer_get_size(errors);
+    struct declaration_index *index = declaration_index_create(declaration);
 
     for (u_int i = 0; i < declaration->databases.databases_len; i++) {
         const struct ck_declared_database *database =
@@ -76,16 +50,17 @@
         if (database->name[0] == '\0') {
             buffer_append_text(errors, "a database has no name\n");
         }
-        if (declaration_find_database(declaration, database->name) !=
+        if (declaration_index_find_database(index, database->name) !=
             database) {
             buffer_append_format(errors, "two databases have the name %s\n",
                                  database->name);
         }
     }
     for (u_int i = 0; i < declaration->routes.routes_len; i++) {
-        declaration_check_route(declaration,
-                                &declaration->routes.routes_val[i], errors);
+        declaration_check_route(index, &declaration->routes.routes_val[i],
+                                errors);
     }
+    declaration_index_destroy(index);
     return buffer_get_size(errors) == size_before ? OUTCOME_OK
                                                   : OUTCOME_INVALID;
 }
@@ -113,7 +88,7 @@
         ZSTD_compress(data, limit, buffer_get_data(&bytes),
                       buffer_get_size(&bytes), DECLARATION_COMPRESSION_LEVEL);
     buffer_free(&bytes);
-    if (ZSTD_isError(size) || size > CK_BLOB_SIZE) {
+    if (ZSTD_isError(size) || size > CK_DECLARATION_SIZE) {
         free(data);
         return OUTCOME_TOO_LARGE;
     }
--- a/src/catkingrade/decide/group/declaration.h
+++ b/src/catkingrade/decide/group/declaration.h
@@ -17,8 +17,5 @@
 int declaration_unpack(const struct ck_packed_declaration *packed,
                        struct ck_declaration *declaration);
 void declaration_free(struct ck_declaration *declaration);
-const struct ck_route *
-declaration_find_route(const struct ck_declaration *declaration,
-                       const char *name);
 
 #endif
--- a/src/catkingrade/decide/group/group_declaration.c
+++ b/src/catkingrade/decide/group/group_declaration.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "catkingrade/decide/group/declaration.h"
+#include "catkingrade/decide/group/declaration_index.h"
 #include "catkingrade/decide/group/group_private.h"
 #include "catkingrade/kernel/memory.h"
 #include "catkingrade/kernel/outcome.h"
@@ -150,17 +151,19 @@
 // urgent one. Returns false if the customer already has these request types.
 static bool
 group_set_request_types(struct ck_customer *customer,
-                        const struct ck_declaration *declaration)
+                        const struct declaration_index *index)
 {
     bool used[GROUP_PRIORITY_COUNT] = {false};
+    size_t routes_count = 0;
+    const struct ck_route *const *routes =
+        declaration_index_list_routes(index, customer->name, &routes_count);
     u_int count = 0;
 
-    for (u_int i = 0; i < declaration->routes.routes_len; i++) {
-        const struct ck_route *route = &declaration->routes.routes_val[i];
-        u_int priority = route->priority < GROUP_PRIORITY_COUNT
-                             ? route->priority
+    for (size_t i = 0; i < routes_count; i++) {
+        u_int priority = routes[i]->priority < GROUP_PRIORITY_COUNT
+                             ? routes[i]->priority
                              : GROUP_PRIORITY_COUNT - 1;
-        if (strcmp(route->database, customer->name) == 0 && !used[priority]) {
+        if (!used[priority]) {
             used[priority] = true;
             count++;
         }
@@ -189,7 +192,7 @@
 // new revision only if it changes.
 static void
 group_declare_database(struct group_state *group,
-                       const struct ck_declaration *declaration,
+                       const struct declaration_index *index,
                        const struct ck_declared_database *database)
 {
     struct group_object *object =
@@ -203,7 +206,7 @@
     }
     struct ck_customer *customer = &object->expanded.customer;
     bool was_removed = object->removed;
-    bool unchanged = !group_set_request_types(customer, declaration) &&
+    bool unchanged = !group_set_request_types(customer, index) &&
                      !was_removed && customer->revision != 0 &&
                      customer->connections == database->connections &&
                      customer->confirm == database->confirm;
@@ -221,24 +224,13 @@
     group_override_database_limits(group, database->name);
 }
 
-static bool
-group_is_declared(const struct ck_declaration *declaration, const char *name)
-{
-    for (u_int i = 0; i < declaration->databases.databases_len; i++) {
-        if (strcmp(declaration->databases.databases_val[i].name, name) == 0) {
-            return true;
-        }
-    }
-    return false;
-}
-
 // Marks the declared customers that a new declaration leaves out, and their
 // databases, as removed. The loop ends at the first object with a revision
 // assigned by this function, because assigning one moves the object to the end
 // of the list.
 static void
 group_remove_undeclared(struct group_state *group,
-                        const struct ck_declaration *declaration)
+                        const struct declaration_index *index)
 {
     struct group_object *object = group->oldest;
     uint64_t before = group->revision;
@@ -247,7 +239,7 @@
         struct group_object *next = object->newer;
         if (object->kind == GROUP_CUSTOMER && object->declared &&
             !object->removed &&
-            !group_is_declared(declaration, object->name)) {
+            declaration_index_find_database(index, object->name) == NULL) {
             object->removed = true;
             group_index_remove(group->index, GROUP_LISTED_DATABASE,
                                object->name);
@@ -291,11 +283,13 @@
     }
     int outcome = declaration_unpack(packed, &declaration);
     INVARIANT(outcome == OUTCOME_OK);
-    group_remove_undeclared(group, &declaration);
+    struct declaration_index *index = declaration_index_create(&declaration);
+    group_remove_undeclared(group, index);
     for (u_int i = 0; i < declaration.databases.databases_len; i++) {
-        group_declare_database(group, &declaration,
+        group_declare_database(group, index,
                                &declaration.databases.databases_val[i]);
     }
+    declaration_index_destroy(index);
     declaration_free(&declaration);
     struct group_object *object = group_ensure_declaration(group);
     codec_free((xdrproc_t)xdr_ck_packed_declaration, &object->declaration);
--- a/src/catkingrade/decide/group/publication.c
+++ b/src/catkingrade/decide/group/publication.c
@@ -4,6 +4,7 @@
 #include <string.h>
 #include <zstd.h>
 
+#include "catkingrade/decide/group/declaration.h"
 #include "catkingrade/decide/group/group_private.h"
 #include "catkingrade/kernel/memory.h"
 #include "catkingrade/kernel/outcome.h"
@@ -16,12 +17,22 @@
 // Limits the memory allocated for a delta with a corrupt length.
 #define PUBLICATION_MAX_UNPACKED_BYTES ((size_t)4 * 1024 * 1024)
 
-// A published object. A list holds all in ascending order of revision.
+enum published_kind {
+    PUBLISHED_CUSTOMER = 'C',
+    PUBLISHED_DATABASE = 'B',
+    PUBLISHED_ROUTE = 'R',
+    PUBLISHED_DECLARED = 'S'
+};
+
+// A published object. A list holds all in ascending order of revision. A delta
+// holds all objects of a revision or none, so that a declaration takes effect
+// as a whole.
 struct published {
-    enum group_kind kind;
+    enum published_kind kind;
     char *name;
     uint64_t revision;
     bool is_removed;
+    bool is_declared;    // route of the declaration that is being published
     struct buffer bytes; // in XDR; empty if removed
     struct published *older;
     struct published *newer;
@@ -125,65 +136,176 @@
     publication->newest = object;
 }
 
-// Returns the published object of an object of the group at the end of the
-// list, adding it if there is none.
+// Returns the published object of a kind and name, or NULL.
+static struct published *
+publication_find(const struct publication *publication,
+                 enum published_kind kind, const char *name)
+{
+    return group_index_get(publication->index, (char)kind, name);
+}
+
+// Returns the published object of a kind and name at the end of the list,
+// adding it if there is none.
 static struct published *
 publication_move_to_end(struct publication *publication,
-                        const struct group_object *source)
+                        enum published_kind kind, const char *name)
 {
-    struct published *object =
-        group_index_get(publication->index, (char)source->kind, source->name);
+    struct published *object = publication_find(publication, kind, name);
 
     if (object != NULL) {
         publication_unlink(publication, object);
     }
     else {
         object = xcalloc(1, sizeof(*object));
-        object->kind = source->kind;
-        object->name = xstrdup(source->name);
-        group_index_put(publication->index, (char)source->kind, source->name,
-                        object);
+        object->kind = kind;
+        object->name = xstrdup(name);
+        group_index_put(publication->index, (char)kind, name, object);
     }
     publication_append(publication, object);
     return object;
 }
 
-// Encodes an object of the group.
+// Publishes an object with its encoding, which is moved out of bytes.
+static struct published *
+publication_publish(struct publication *publication, enum published_kind kind,
+                    const char *name, uint64_t revision, bool is_removed,
+                    struct buffer *bytes)
+{
+    struct published *object =
+        publication_move_to_end(publication, kind, name);
+
+    object->revision = revision;
+    object->is_removed = is_removed;
+    buffer_free(&object->bytes);
+    object->bytes = *bytes;
+    *bytes = (struct buffer){0};
+    return object;
+}
+
 static void
-publication_encode(const struct group_object *source, struct buffer *bytes)
+publication_encode(xdrproc_t xdr, const void *object, struct buffer *bytes)
 {
-    int outcome = OUTCOME_OK;
+    int outcome = codec_encode(xdr, object, bytes);
 
-    buffer_clear(bytes);
-    if (source->removed) {
-        outcome = codec_encode((xdrproc_t)xdr_ck_name, &source->name, bytes);
+    INVARIANT(outcome == OUTCOME_OK);
+}
+
+// Publishes that an object is removed.
+static void
+publication_remove(struct publication *publication, enum published_kind kind,
+                   const char *name, uint64_t revision)
+{
+    struct buffer bytes = {0};
+
+    publication_encode((xdrproc_t)xdr_ck_name, &name, &bytes);
+    (void)publication_publish(publication, kind, name, revision, true, &bytes);
+}
+
+// Publishes a route of a declaration if it has changed.
+static void
+publication_update_route(struct publication *publication,
+                         const struct ck_route *route, uint64_t revision)
+{
+    struct published *object =
+        publication_find(publication, PUBLISHED_ROUTE, route->name);
+    struct buffer bytes = {0};
+
+    publication_encode((xdrproc_t)xdr_ck_route, route, &bytes);
+    bool is_changed =
+        object == NULL || object->is_removed ||
+        buffer_get_size(&bytes) != buffer_get_size(&object->bytes) ||
+        memcmp(buffer_get_data(&bytes), buffer_get_data(&object->bytes),
+               buffer_get_size(&bytes)) != 0;
+    if (is_changed) {
+        object = publication_publish(publication, PUBLISHED_ROUTE, route->name,
+                                     revision, false, &bytes);
+    }
+    object->is_declared = true;
+    buffer_free(&bytes);
+}
+
+// Publishes that the routes that the declaration lacks are removed. The loop
+// ends at the first object of this revision: publishing moves objects there.
+static void
+publication_remove_routes(struct publication *publication, uint64_t revision)
+{
+    struct published *object = publication->oldest;
+
+    while (object != NULL && object->revision < revision) {
+        struct published *next = object->newer;
+        if (object->kind == PUBLISHED_ROUTE && !object->is_declared &&
+            !object->is_removed) {
+            publication_remove(publication, PUBLISHED_ROUTE, object->name,
+                               revision);
+        }
+        object = next;
     }
-    else if (source->kind == GROUP_CUSTOMER) {
-        outcome = codec_encode((xdrproc_t)xdr_ck_customer,
-                               &source->expanded.customer, bytes);
+}
+
+// Publishes a declaration and those of its routes that have changed.
+static void
+publication_update_declaration(struct publication *publication,
+                               const struct group_object *source)
+{
+    struct ck_declaration declaration;
+    struct ck_declared declared = {.number = source->declaration.number};
+    struct buffer bytes = {0};
+    int outcome = declaration_unpack(&source->declaration, &declaration);
+
+    INVARIANT(outcome == OUTCOME_OK);
+    for (struct published *object = publication->oldest; object != NULL;
+         object = object->newer) {
+        object->is_declared = false;
+    }
+    for (u_int i = 0; i < declaration.routes.routes_len; i++) {
+        publication_update_route(
+            publication, &declaration.routes.routes_val[i], source->revision);
+    }
+    publication_remove_routes(publication, source->revision);
+    declared.idle_transaction_ms = declaration.idle_transaction_ms;
+    publication_encode((xdrproc_t)xdr_ck_declared, &declared, &bytes);
+    (void)publication_publish(publication, PUBLISHED_DECLARED, source->name,
+                              source->revision, false, &bytes);
+    declaration_free(&declaration);
+}
+
+// Publishes a customer or a database.
+static void
+publication_update_object(struct publication *publication,
+                          const struct group_object *source)
+{
+    bool is_customer = source->kind == GROUP_CUSTOMER;
+    enum published_kind kind =
+        is_customer ? PUBLISHED_CUSTOMER : PUBLISHED_DATABASE;
+    struct buffer bytes = {0};
+
+    if (source->removed) {
+        publication_remove(publication, kind, source->name, source->revision);
+        return;
     }
-    else if (source->kind == GROUP_DATABASE) {
-        outcome =
-            codec_encode((xdrproc_t)xdr_ck_database, &source->database, bytes);
+    if (is_customer) {
+        publication_encode((xdrproc_t)xdr_ck_customer,
+                           &source->expanded.customer, &bytes);
     }
     else {
-        outcome = codec_encode((xdrproc_t)xdr_ck_packed_declaration,
-                               &source->declaration, bytes);
+        publication_encode((xdrproc_t)xdr_ck_database, &source->database,
+                           &bytes);
     }
-    INVARIANT(outcome == OUTCOME_OK);
+    (void)publication_publish(publication, kind, source->name,
+                              source->revision, false, &bytes);
 }
 
 // Returns whether entries are sent an object of the group. Only the fleet's
-// control group publishes customers: that of a failure domain has its own
-// documents.
+// control group publishes customers and a declaration: that of a failure
+// domain has its own documents.
 static bool
 publication_has_object(const struct group_state *group,
                        const struct group_object *object)
 {
-    if (object->kind == GROUP_CUSTOMER) {
+    if (object->kind == GROUP_CUSTOMER || object->kind == GROUP_DECLARATION) {
         return strcmp(group->name, GROUP_FLEET_NAME) == 0;
     }
-    return object->kind == GROUP_DATABASE || object->kind == GROUP_DECLARATION;
+    return object->kind == GROUP_DATABASE;
 }
 
 // Returns the oldest object of the group with a revision above the given one,
@@ -216,11 +338,12 @@
         if (!publication_has_object(group, source)) {
             continue;
         }
-        struct published *object =
-            publication_move_to_end(publication, source);
-        object->revision = source->revision;
-        object->is_removed = source->removed;
-        publication_encode(source, &object->bytes);
+        if (source->kind == GROUP_DECLARATION) {
+            publication_update_declaration(publication, source);
+        }
+        else {
+            publication_update_object(publication, source);
+        }
     }
     publication->revision = group->revision;
     publication_drop_parts(publication);
@@ -248,7 +371,7 @@
 }
 
 // Returns the first object that does not fit into a delta of max_size_bytes,
-// or NULL. The delta has at least one object.
+// or NULL. The delta has at least the objects of one revision.
 static const struct published *
 publication_find_end(const struct published *first, size_t max_size_bytes)
 {
@@ -257,7 +380,8 @@
 
     while (object != NULL) {
         size += buffer_get_size(&object->bytes);
-        if (object != first && size > max_size_bytes) {
+        if (object != first && object->revision != object->older->revision &&
+            size > max_size_bytes) {
             return object;
         }
         object = object->newer;
@@ -268,7 +392,7 @@
 // Appends the objects of a kind as a list in XDR.
 static void
 publication_append_list(const struct published *first,
-                        const struct published *end, enum group_kind kind,
+                        const struct published *end, enum published_kind kind,
                         bool is_removed, struct buffer *out)
 {
     u_int count = 0;
@@ -299,11 +423,13 @@
     (void)codec_encode((xdrproc_t)xdr_u_quad_t, &delta->to_revision, out);
     (void)codec_encode((xdrproc_t)xdr_bool, &delta->full, out);
     (void)codec_encode((xdrproc_t)xdr_bool, &delta->more, out);
-    publication_append_list(first, end, GROUP_CUSTOMER, false, out);
-    publication_append_list(first, end, GROUP_CUSTOMER, true, out);
-    publication_append_list(first, end, GROUP_DATABASE, false, out);
-    publication_append_list(first, end, GROUP_DATABASE, true, out);
-    publication_append_list(first, end, GROUP_DECLARATION, false, out);
+    publication_append_list(first, end, PUBLISHED_CUSTOMER, false, out);
+    publication_append_list(first, end, PUBLISHED_CUSTOMER, true, out);
+    publication_append_list(first, end, PUBLISHED_DATABASE, false, out);
+    publication_append_list(first, end, PUBLISHED_DATABASE, true, out);
+    publication_append_list(first, end, PUBLISHED_ROUTE, false, out);
+    publication_append_list(first, end, PUBLISHED_ROUTE, true, out);
+    publication_append_list(first, end, PUBLISHED_DECLARED, false, out);
 }
 
 // Compresses bytes into a delta.
@@ -345,7 +471,7 @@
         publication_compress(publication, &bytes, &part->delta);
         buffer_free(&bytes);
         if (part->delta.data.data_len <= PUBLICATION_MAX_PACKED_BYTES ||
-            first->newer == end) {
+            end == publication_find_end(first, 0)) {
             return;
         }
         free(part->delta.data.data_val);
--- a/src/catkingrade/decide/group/publication.h
+++ b/src/catkingrade/decide/group/publication.h
@@ -17,8 +17,8 @@
 // once.
 struct publication;
 
-// Limit of the size of a delta before its compression. A single object may
-// exceed it.
+// Limit of the size of a delta before its compression. The objects of a single
+// revision, as the routes of a declaration, may exceed it.
 #define PUBLICATION_MAX_DELTA_BYTES 120000
 
 struct publication *publication_create(void);
--- a/src/catkingrade/decide/raft/raft_leader.c
+++ b/src/catkingrade/decide/raft/raft_leader.c
@@ -172,7 +172,7 @@
     if (raft->transfer_deadline_us != 0) {
         return OUTCOME_AGAIN;
     }
-    if (propose->size_bytes > CK_BLOB_SIZE) {
+    if (propose->size_bytes > CK_ENTRY_SIZE) {
         return OUTCOME_TOO_LARGE;
     }
     if (raft_is_voters_payload(propose->payload, propose->size_bytes)) {
--- a/src/catkingrade/entry/view.c
+++ b/src/catkingrade/entry/view.c
@@ -5,21 +5,21 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "catkingrade/decide/group/declaration.h"
 #include "catkingrade/kernel/memory.h"
 #include "catkingrade/kernel/outcome.h"
 #include "catkingrade/rpc/codec.h"
 
 #define VIEW_FLEET_GROUP "fleet"
 
-// A customer or a database, shared by all views that contain it.
+// A customer, database or route, shared by all views that contain it.
 struct view_item {
     atomic_uint ref_count;
     xdrproc_t xdr;
     union {
-        const char *name; // first member of both structures
+        const char *name; // first member of all structures
         struct ck_customer customer;
         struct ck_database database;
+        struct ck_route route;
     };
 };
 
@@ -42,18 +42,12 @@
     bool replacing;      // a full delta has started; more parts follow
 };
 
-// A declaration, shared by all views that contain it.
-struct view_declaration {
-    atomic_uint ref_count;
-    uint64_t number;
-    struct ck_declaration declaration;
-};
-
 struct view {
     atomic_uint ref_count;
-    struct view_declaration *declaration; // NULL: none
+    struct ck_declared declared; // number 0: none
     struct view_list customers;
     struct view_list databases;
+    struct view_list routes;
     struct view_group *groups;
     size_t groups_count;
 };
@@ -105,50 +99,6 @@
     free(list->slots);
 }
 
-static void
-view_declaration_release(struct view_declaration *declaration)
-{
-    if (declaration != NULL &&
-        atomic_fetch_sub(&declaration->ref_count, 1) == 1) {
-        declaration_free(&declaration->declaration);
-        free(declaration);
-    }
-}
-
-// Replaces the view's declaration by one received in a delta. A declaration
-// whose number is not higher, or which can't be unpacked, is ignored.
-static void
-view_set_declaration(struct view *view,
-                     const struct ck_packed_declaration *packed)
-{
-    struct view_declaration *received = xcalloc(1, sizeof(*received));
-
-    if ((view->declaration != NULL &&
-         view->declaration->number >= packed->number) ||
-        declaration_unpack(packed, &received->declaration) != OUTCOME_OK) {
-        free(received);
-        return;
-    }
-    atomic_init(&received->ref_count, 1);
-    received->number = packed->number;
-    view_declaration_release(view->declaration);
-    view->declaration = received;
-}
-
-// Returns the declaration in force and sets *number to its number. If there is
-// none, returns NULL and sets *number to 0. Valid while the caller holds a
-// reference to the view.
-const struct ck_declaration *
-view_get_declaration(const struct view *view, uint64_t *number)
-{
-    if (view->declaration == NULL) {
-        *number = 0;
-        return NULL;
-    }
-    *number = view->declaration->number;
-    return &view->declaration->declaration;
-}
-
 // Drops a reference; frees the view with the last one. NULL is ignored.
 void
 view_release(struct view *view)
@@ -156,9 +106,9 @@
     if (view == NULL || atomic_fetch_sub(&view->ref_count, 1) != 1) {
         return;
     }
-    view_declaration_release(view->declaration);
     view_list_free(&view->customers);
     view_list_free(&view->databases);
+    view_list_free(&view->routes);
     free(view->groups);
     free(view);
 }
@@ -250,10 +200,8 @@
 
     view_list_copy(&view->customers, &copy->customers);
     view_list_copy(&view->databases, &copy->databases);
-    copy->declaration = view->declaration;
-    if (copy->declaration != NULL) {
-        atomic_fetch_add(&copy->declaration->ref_count, 1);
-    }
+    view_list_copy(&view->routes, &copy->routes);
+    copy->declared = view->declared;
     copy->groups_count = view->groups_count;
     copy->groups = xcalloc(view->groups_count + 1, sizeof(*copy->groups));
     if (view->groups_count > 0) {
@@ -289,8 +237,7 @@
 }
 
 static void
-view_apply_objects(struct view *view, const struct ck_view_delta *delta,
-                   uint64_t generation)
+view_apply_removals(struct view *view, const struct ck_view_delta *delta)
 {
     for (unsigned i = 0; i < delta->customers_removed.customers_removed_len;
          i++) {
@@ -302,6 +249,16 @@
         view_list_remove(&view->databases,
                          delta->databases_removed.databases_removed_val[i]);
     }
+    for (unsigned i = 0; i < delta->routes_removed.routes_removed_len; i++) {
+        view_list_remove(&view->routes,
+                         delta->routes_removed.routes_removed_val[i]);
+    }
+}
+
+static void
+view_apply_objects(struct view *view, const struct ck_view_delta *delta,
+                   uint64_t generation)
+{
     for (unsigned i = 0; i < delta->customers.customers_len; i++) {
         view_list_upsert(&view->customers,
                          view_item_create((xdrproc_t)xdr_ck_customer,
@@ -316,22 +273,37 @@
                                           sizeof(struct ck_database)),
                          generation);
     }
-    if (delta->declaration.declaration_len > 0) {
-        view_set_declaration(view, delta->declaration.declaration_val);
+    for (unsigned i = 0; i < delta->routes.routes_len; i++) {
+        view_list_upsert(&view->routes,
+                         view_item_create((xdrproc_t)xdr_ck_route,
+                                          &delta->routes.routes_val[i],
+                                          sizeof(struct ck_route)),
+                         generation);
+    }
+    if (delta->declared.declared_len > 0) {
+        view->declared = delta->declared.declared_val[0];
+    }
+}
+
+// Removes the items of a list that were not part of the last full delta.
+static void
+view_list_remove_stale(struct view_list *list, const struct view_group *group)
+{
+    for (size_t i = list->count; i > 0; i--) {
+        if (list->slots[i - 1].generation < group->generation) {
+            view_list_remove_at(list, i - 1);
+        }
     }
 }
 
 // Removes the objects of a group that were not part of its last full delta.
-// Customers belong to the fleet group.
+// Customers and routes belong to the fleet group.
 static void
 view_remove_stale_objects(struct view *view, const struct view_group *group)
 {
-    bool is_fleet = strcmp(group->name, VIEW_FLEET_GROUP) == 0;
-
-    for (size_t i = view->customers.count; is_fleet && i > 0; i--) {
-        if (view->customers.slots[i - 1].generation < group->generation) {
-            view_list_remove_at(&view->customers, i - 1);
-        }
+    if (strcmp(group->name, VIEW_FLEET_GROUP) == 0) {
+        view_list_remove_stale(&view->customers, group);
+        view_list_remove_stale(&view->routes, group);
     }
     for (size_t i = view->databases.count; i > 0; i--) {
         const struct view_slot *slot = &view->databases.slots[i - 1];
@@ -366,6 +338,7 @@
         group->generation++;
         group->replacing = true;
     }
+    view_apply_removals(copy, delta);
     view_apply_objects(copy, delta, group->generation);
     if (group->replacing && !delta->more) {
         view_remove_stale_objects(copy, group);
@@ -407,6 +380,26 @@
     return found ? &view->customers.slots[index].item->customer : NULL;
 }
 
+// Returns a route by name, or NULL. Valid while the caller holds a reference
+// to the view.
+const struct ck_route *
+view_find_route(const struct view *view, const char *name)
+{
+    bool found;
+    size_t index = view_list_find(&view->routes, name, &found);
+
+    return found ? &view->routes.slots[index].item->route : NULL;
+}
+
+// Returns what the view has of the declaration in force besides its routes;
+// number 0 if there is none. Valid while the caller holds a reference to the
+// view.
+const struct ck_declared *
+view_get_declared(const struct view *view)
+{
+    return &view->declared;
+}
+
 size_t
 view_get_databases_count(const struct view *view)
 {
--- a/src/catkingrade/entry/worker.c
+++ b/src/catkingrade/entry/worker.c
@@ -458,10 +458,8 @@
 bool
 worker_has_view_and_lease(const struct worker *worker)
 {
-    uint64_t number = 0;
-
     return worker->leases_count > 0 &&
-           view_get_declaration(worker->view, &number) != NULL;
+           view_get_declared(worker->view)->number != 0;
 }
 
 // Returns whether relays or a quota of a database have changed and are not in
--- a/src/catkingrade/rpc/messages.h
+++ b/src/catkingrade/rpc/messages.h
@@ -18,9 +18,12 @@
 #define CK_TEXT_SIZE 4096
 #define CK_VERIFIER_SIZE 255
 #define CK_BLOB_SIZE 49152
+#define CK_DELTA_SIZE 1048576
+#define CK_DECLARATION_SIZE 2097152
+#define CK_ENTRY_SIZE 2162688
 #define CK_LIST_SIZE 16384
 #define CK_RELAY_HOSTS 3
-#define CK_ORIGINAL_SIZE 1048576
+#define CK_ORIGINAL_SIZE 4194304
 
 typedef char *ck_name;
 
@@ -185,6 +188,12 @@
 };
 typedef struct ck_packed_declaration ck_packed_declaration;
 
+struct ck_declared {
+	u_quad_t number;
+	u_int idle_transaction_ms;
+};
+typedef struct ck_declared ck_declared;
+
 struct ck_view_delta {
 	u_quad_t from_revision;
 	u_quad_t to_revision;
@@ -207,9 +216,17 @@
 		ck_name *databases_removed_val;
 	} databases_removed;
 	struct {
-		u_int declaration_len;
-		ck_packed_declaration *declaration_val;
-	} declaration;
+		u_int routes_len;
+		ck_route *routes_val;
+	} routes;
+	struct {
+		u_int routes_removed_len;
+		ck_name *routes_removed_val;
+	} routes_removed;
+	struct {
+		u_int declared_len;
+		ck_declared *declared_val;
+	} declared;
 };
 typedef struct ck_view_delta ck_view_delta;
 
@@ -708,6 +725,7 @@
 extern  bool_t xdr_ck_declared_database (XDR *, ck_declared_database*);
 extern  bool_t xdr_ck_declaration (XDR *, ck_declaration*);
 extern  bool_t xdr_ck_packed_declaration (XDR *, ck_packed_declaration*);
+extern  bool_t xdr_ck_declared (XDR *, ck_declared*);
 extern  bool_t xdr_ck_view_delta (XDR *, ck_view_delta*);
 extern  bool_t xdr_ck_packed_delta (XDR *, ck_packed_delta*);
 extern  bool_t xdr_ck_daemon (XDR *, ck_daemon*);
@@ -770,6 +788,7 @@
 extern bool_t xdr_ck_declared_database ();
 extern bool_t xdr_ck_declaration ();
 extern bool_t xdr_ck_packed_declaration ();
+extern bool_t xdr_ck_declared ();
 extern bool_t xdr_ck_view_delta ();
 extern bool_t xdr_ck_packed_delta ();
 extern bool_t xdr_ck_daemon ();
--- a/src/catkingrade/rpc/messages.x
+++ b/src/catkingrade/rpc/messages.x
@@ -10,9 +10,12 @@
 const CK_TEXT_SIZE = 4096;
 const CK_VERIFIER_SIZE = 255;
 const CK_BLOB_SIZE = 49152;
+const CK_DELTA_SIZE = 1048576;
+const CK_DECLARATION_SIZE = 2097152;
+const CK_ENTRY_SIZE = 2162688;      /* with a declaration */
 const CK_LIST_SIZE = 16384;
 const CK_RELAY_HOSTS = 3;
-const CK_ORIGINAL_SIZE = 1048576;
+const CK_ORIGINAL_SIZE = 4194304;
 
 typedef string ck_name<CK_NAME_SIZE>;
 typedef string ck_host<CK_HOST_SIZE>;
@@ -149,7 +152,13 @@
 /* A ck_declaration in compressed XDR. The highest number is in force. */
 struct ck_packed_declaration {
     unsigned hyper number;
-    opaque data<CK_BLOB_SIZE>;
+    opaque data<CK_DECLARATION_SIZE>;
+};
+
+/* What entries are sent of a declaration besides its routes. */
+struct ck_declared {
+    unsigned hyper number;
+    unsigned int idle_transaction_ms;
 };
 
 /*
@@ -165,7 +174,9 @@
     ck_name customers_removed<CK_LIST_SIZE>;
     ck_database databases<CK_LIST_SIZE>;
     ck_name databases_removed<CK_LIST_SIZE>;
-    ck_packed_declaration declaration<1>;
+    ck_route routes<CK_LIST_SIZE>;
+    ck_name routes_removed<CK_LIST_SIZE>;
+    ck_declared declared<1>;
 };
 
 /*
@@ -177,7 +188,7 @@
     unsigned hyper to_revision;
     bool full;
     bool more;
-    opaque data<CK_BLOB_SIZE>;
+    opaque data<CK_DELTA_SIZE>;
 };
 
 /* ---- leases of entries ---- */
@@ -406,7 +417,7 @@
 struct ck_log_entry {
     unsigned hyper term;
     unsigned hyper index;
-    opaque payload<CK_BLOB_SIZE>;   /* ck_log_payload in XDR */
+    opaque payload<CK_ENTRY_SIZE>;  /* ck_log_payload in XDR */
 };
 
 struct ck_log_payload {
--- a/src/catkingrade/rpc/messages_xdr.c
+++ b/src/catkingrade/rpc/messages_xdr.c
@@ -534,7 +534,19 @@
 
 	 if (!xdr_u_quad_t (xdrs, &objp->number))
 		 return FALSE;
-	 if (!xdr_bytes (xdrs, (char **)&objp->data.data_val, (u_int *) &objp->data.data_len, CK_BLOB_SIZE))
+	 if (!xdr_bytes (xdrs, (char **)&objp->data.data_val, (u_int *) &objp->data.data_len, CK_DECLARATION_SIZE))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_ck_declared (XDR *xdrs, ck_declared *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->number))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->idle_transaction_ms))
 		 return FALSE;
 	return TRUE;
 }
@@ -564,8 +576,14 @@
 	 if (!xdr_array (xdrs, (char **)&objp->databases_removed.databases_removed_val, (u_int *) &objp->databases_removed.databases_removed_len, CK_LIST_SIZE,
 		sizeof (ck_name), (xdrproc_t) xdr_ck_name))
 		 return FALSE;
-	 if (!xdr_array (xdrs, (char **)&objp->declaration.declaration_val, (u_int *) &objp->declaration.declaration_len, 1,
-		sizeof (ck_packed_declaration), (xdrproc_t) xdr_ck_packed_declaration))
+	 if (!xdr_array (xdrs, (char **)&objp->routes.routes_val, (u_int *) &objp->routes.routes_len, CK_LIST_SIZE,
+		sizeof (ck_route), (xdrproc_t) xdr_ck_route))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->routes_removed.routes_removed_val, (u_int *) &objp->routes_removed.routes_removed_len, CK_LIST_SIZE,
+		sizeof (ck_name), (xdrproc_t) xdr_ck_name))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->declared.declared_val, (u_int *) &objp->declared.declared_len, 1,
+		sizeof (ck_declared), (xdrproc_t) xdr_ck_declared))
 		 return FALSE;
 	return TRUE;
 }
@@ -583,7 +601,7 @@
 		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->more))
 		 return FALSE;
-	 if (!xdr_bytes (xdrs, (char **)&objp->data.data_val, (u_int *) &objp->data.data_len, CK_BLOB_SIZE))
+	 if (!xdr_bytes (xdrs, (char **)&objp->data.data_val, (u_int *) &objp->data.data_len, CK_DELTA_SIZE))
 		 return FALSE;
 	return TRUE;
 }
@@ -1107,7 +1125,7 @@
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->index))
 		 return FALSE;
-	 if (!xdr_bytes (xdrs, (char **)&objp->payload.payload_val, (u_int *) &objp->payload.payload_len, CK_BLOB_SIZE))
+	 if (!xdr_bytes (xdrs, (char **)&objp->payload.payload_val, (u_int *) &objp->payload.payload_len, CK_ENTRY_SIZE))
 		 return FALSE;
 	return TRUE;
 }
--- a/test/contract/test_rpcnet.c
+++ b/test/contract/test_rpcnet.c
@@ -275,6 +275,163 @@
 }
 END_TEST
 
+// ---- messages larger than a datagram ----
+
+#define LARGE_BYTES 200000
+
+// A daemon that keeps the size of the declaration it is sent, and sends one.
+struct large_server {
+    struct loop *loop;
+    struct rpcnet *rpcnet;
+    struct settings_address address;
+    pthread_t thread;
+    size_t received_bytes;
+};
+
+static void
+fill_large(struct ck_packed_declaration *packed)
+{
+    packed->number = 9;
+    packed->data.data_len = LARGE_BYTES;
+    packed->data.data_val = xmalloc(LARGE_BYTES);
+    for (u_int i = 0; i < LARGE_BYTES; i++) {
+        packed->data.data_val[i] = (char)(i * 31 + i / 251);
+    }
+}
+
+static void
+handle_large_apply(void *data, struct rpcnet_request *request,
+                   const void *args)
+{
+    struct large_server *server = data;
+    const struct ck_apply_args *apply = args;
+    struct ck_apply_result result = {.leader_host = (char *)"",
+                                     .message = (char *)""};
+    struct ck_packed_declaration expected;
+
+    fill_large(&expected);
+    if (apply->change.ck_change_u.declaration.data.data_len == LARGE_BYTES &&
+        memcmp(apply->change.ck_change_u.declaration.data.data_val,
+               expected.data.data_val, LARGE_BYTES) == 0) {
+        server->received_bytes = LARGE_BYTES;
+    }
+    free(expected.data.data_val);
+    rpcnet_reply(request, &result);
+}
+
+static void
+handle_large_read(void *data, struct rpcnet_request *request, const void *args)
+{
+    struct ck_read_declaration_result result = {.leader_host = (char *)""};
+
+    (void)data;
+    (void)args;
+    fill_large(&result.declaration);
+    rpcnet_reply(request, &result);
+    free(result.declaration.data.data_val);
+}
+
+static void *
+run_large_server(void *data)
+{
+    struct large_server *server = data;
+
+    loop_run(server->loop);
+    return NULL;
+}
+
+static void
+start_large_server(struct large_server *server)
+{
+    memset(server, 0, sizeof(*server));
+    apr_initialize();
+    server->address = find_free_address();
+    server->loop = loop_create();
+    server->rpcnet = rpcnet_create(server->loop, &server->address, &key);
+    ck_assert_ptr_nonnull(server->rpcnet);
+    rpcnet_set_handler(server->rpcnet, &rpcnet_apply, handle_large_apply,
+                       server);
+    rpcnet_set_handler(server->rpcnet, &rpcnet_read_declaration,
+                       handle_large_read, server);
+    pthread_create(&server->thread, NULL, run_large_server, server);
+}
+
+static void
+stop_large_server(struct large_server *server)
+{
+    loop_stop(server->loop);
+    pthread_join(server->thread, NULL);
+    rpcnet_destroy(server->rpcnet);
+    loop_destroy(server->loop);
+}
+
+// A call or a reply that does not fit into one datagram was never sent: its
+// caller waited for its whole timeout.
+START_TEST(test_large_call_arrives)
+{
+    struct large_server server;
+    struct ck_apply_args args = {.group = (char *)"g",
+                                 .change_id = (char *)"",
+                                 .change = {.kind = CK_CHANGE_DECLARATION}};
+    struct ck_apply_result result = {0};
+
+    start_large_server(&server);
+    fill_large(&args.change.ck_change_u.declaration);
+    ck_assert_int_eq(rpcnet_call_blocking(&server.address, &key, &rpcnet_apply,
+                                          &args, &result, LONG_TIMEOUT_US),
+                     OUTCOME_OK);
+    stop_large_server(&server);
+    ck_assert_uint_eq(server.received_bytes, LARGE_BYTES);
+    codec_free((xdrproc_t)xdr_ck_apply_result, &result);
+    free(args.change.ck_change_u.declaration.data.data_val);
+}
+END_TEST
+
+struct large_answer {
+    struct loop *loop;
+    int outcome;
+    bool is_equal;
+};
+
+static void
+handle_large_answer(void *data, int outcome, const void *result)
+{
+    struct large_answer *answer = data;
+    const struct ck_read_declaration_result *read = result;
+    struct ck_packed_declaration expected;
+
+    answer->outcome = outcome;
+    fill_large(&expected);
+    answer->is_equal = read != NULL &&
+                       read->declaration.data.data_len == LARGE_BYTES &&
+                       memcmp(read->declaration.data.data_val,
+                              expected.data.data_val, LARGE_BYTES) == 0;
+    free(expected.data.data_val);
+    loop_stop(answer->loop);
+}
+
+START_TEST(test_large_reply_arrives)
+{
+    struct large_server server;
+    struct settings_address local = find_free_address();
+    struct ck_read_declaration_args args = {.group = (char *)"g"};
+    struct large_answer answer = {0};
+
+    start_large_server(&server);
+    answer.loop = loop_create();
+    struct rpcnet *rpcnet = rpcnet_create(answer.loop, &local, &key);
+    rpcnet_call(rpcnet, &server.address, &rpcnet_read_declaration, &args,
+                LONG_TIMEOUT_US, LONG_TIMEOUT_US, handle_large_answer,
+                &answer);
+    loop_run(answer.loop);
+    stop_large_server(&server);
+    rpcnet_destroy(rpcnet);
+    loop_destroy(answer.loop);
+    ck_assert_int_eq(answer.outcome, OUTCOME_OK);
+    ck_assert(answer.is_equal);
+}
+END_TEST
+
 // ---- a flood of calls ----
 
 #define FLOOD_CALLS      60
@@ -428,6 +585,8 @@
     tcase_add_test(tests, test_silent_peer_times_out);
     tcase_add_test(tests, test_modified_call_is_rejected);
     tcase_add_test(tests, test_reply_round_trip);
+    tcase_add_test(tests, test_large_call_arrives);
+    tcase_add_test(tests, test_large_reply_arrives);
     tcase_add_test(tests, test_heartbeats_pass_a_flood_of_calls);
     tcase_add_test(tests, test_timers_pass_a_flood_of_calls);
 }
--- a/test/unit/entry/test_view.c
+++ b/test/unit/entry/test_view.c
@@ -218,9 +218,88 @@
 }
 END_TEST
 
+static struct ck_route
+make_route(const char *name, unsigned deadline_ms)
+{
+    struct ck_route route = {.name = text(name),
+                             .database = text("roster"),
+                             .deadline_ms = deadline_ms};
+    return route;
+}
+
+// A delta of a declaration lists only the routes that have changed; the others
+// must stay, and those removed must go.
+START_TEST(test_routes_change_one_by_one)
+{
+    struct ck_route both[] = {make_route("booking", 1),
+                              make_route("reading", 2)};
+    struct ck_route changed[] = {make_route("reading", 3)};
+    struct ck_declared numbers[] = {{.number = 1}, {.number = 2}};
+    char *removed[] = {text("booking")};
+    struct ck_view_delta first = make_delta(0, 5, true, NULL, 0);
+    struct ck_view_delta second = make_delta(5, 6, false, NULL, 0);
+    struct ck_view_delta third = make_delta(6, 7, false, NULL, 0);
+    struct view *view = view_create();
+
+    ck_assert_uint_eq(view_get_declared(view)->number, 0);
+    first.routes.routes_val = both;
+    first.routes.routes_len = 2;
+    first.declared.declared_val = &numbers[0];
+    first.declared.declared_len = 1;
+    view = apply(view, "fleet", &first);
+    ck_assert_uint_eq(view_get_declared(view)->number, 1);
+    second.routes.routes_val = changed;
+    second.routes.routes_len = 1;
+    second.declared.declared_val = &numbers[1];
+    second.declared.declared_len = 1;
+    view = apply(view, "fleet", &second);
+    ck_assert_uint_eq(view_get_declared(view)->number, 2);
+    ck_assert_uint_eq(view_find_route(view, "booking")->deadline_ms, 1);
+    ck_assert_uint_eq(view_find_route(view, "reading")->deadline_ms, 3);
+    third.routes_removed.routes_removed_val = removed;
+    third.routes_removed.routes_removed_len = 1;
+    view = apply(view, "fleet", &third);
+    ck_assert_ptr_null(view_find_route(view, "booking"));
+    ck_assert_ptr_nonnull(view_find_route(view, "reading"));
+    view_release(view);
+}
+END_TEST
+
+// A full delta replaces the routes with its last part; a delta of another
+// group does not touch them.
+START_TEST(test_full_delta_replaces_routes)
+{
+    struct ck_route old[] = {make_route("booking", 1),
+                             make_route("reading", 2)};
+    struct ck_route new[] = {make_route("reading", 3)};
+    struct ck_view_delta first = make_delta(0, 5, true, NULL, 0);
+    struct ck_view_delta other = make_delta(0, 9, true, NULL, 0);
+    struct ck_view_delta part = make_delta(0, 6, true, NULL, 0);
+    struct ck_view_delta last = make_delta(6, 7, false, NULL, 0);
+    struct view *view = view_create();
+
+    first.routes.routes_val = old;
+    first.routes.routes_len = 2;
+    view = apply(view, "fleet", &first);
+    view = apply(view, "noord", &other);
+    ck_assert_ptr_nonnull(view_find_route(view, "booking"));
+    part.routes.routes_val = new;
+    part.routes.routes_len = 1;
+    part.more = true;
+    view = apply(view, "fleet", &part);
+    ck_assert_ptr_nonnull(view_find_route(view, "booking"));
+    view = apply(view, "fleet", &last);
+    ck_assert_ptr_null(view_find_route(view, "booking"));
+    ck_assert_uint_eq(view_find_route(view, "reading")->deadline_ms, 3);
+    view_release(view);
+}
+END_TEST
+
 static void
 add_tests(TCase *tests)
 {
+    tcase_add_test(tests, test_routes_change_one_by_one);
+    tcase_add_test(tests, test_full_delta_replaces_routes);
     tcase_add_test(tests, test_delta_with_gap_is_rejected);
     tcase_add_test(tests, test_older_delta_is_ignored);
     tcase_add_test(tests, test_full_delta_replaces_only_its_group);
