fix(platform): an entry without a lease does not deny routes

What callers saw: an entry that could not renew its lease refused a database as unknown (NODB) although it had been declared meanwhile.

Cause: the view may be of any age while no lease is valid; only a missing view or lease held a startup back.

Test: test_platform, entry_without_lease_denies_no_route; before: 'ERROR NODB there is no such database' from an entry whose control VMs were all killed.

--- a/src/catkingrade/entry/view.c
+++ b/src/catkingrade/entry/view.c
@@ -5,12 +5,11 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "catkingrade/decide/group/group.h"
 #include "catkingrade/kernel/memory.h"
 #include "catkingrade/kernel/outcome.h"
 #include "catkingrade/rpc/codec.h"
 
-#define VIEW_FLEET_GROUP "fleet"
-
 // A customer, database or route, shared by all views that contain it.
 struct view_item {
     atomic_uint ref_count;
@@ -301,7 +300,7 @@
 static void
 view_remove_stale_objects(struct view *view, const struct view_group *group)
 {
-    if (strcmp(group->name, VIEW_FLEET_GROUP) == 0) {
+    if (strcmp(group->name, GROUP_FLEET_NAME) == 0) {
         view_list_remove_stale(&view->customers, group);
         view_list_remove_stale(&view->routes, group);
     }
--- a/src/catkingrade/entry/worker.c
+++ b/src/catkingrade/entry/worker.c
@@ -4,6 +4,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "catkingrade/decide/group/group.h"
 #include "catkingrade/kernel/log.h"
 #include "catkingrade/kernel/memory.h"
 #include "catkingrade/kernel/outcome.h"
@@ -462,6 +463,19 @@
            view_get_declared(worker->view)->number != 0;
 }
 
+// Returns whether the view is recent enough to say that a route does not
+// exist, which it is while the lease that it comes with is valid.
+bool
+worker_may_deny_routes(const struct worker *worker)
+{
+    for (size_t i = 0; i < worker->leases_count; i++) {
+        if (strcmp(worker->leases[i].group, GROUP_FLEET_NAME) == 0) {
+            return worker->leases[i].valid_until_us > monotonic_get_us();
+        }
+    }
+    return false;
+}
+
 // Returns whether relays or a quota of a database have changed and are not in
 // force yet.
 static bool
--- a/src/catkingrade/entry/worker.h
+++ b/src/catkingrade/entry/worker.h
@@ -50,6 +50,7 @@
 struct classifier *worker_get_classifier(const struct worker *worker);
 const struct view *worker_get_view(const struct worker *worker);
 bool worker_has_view_and_lease(const struct worker *worker);
+bool worker_may_deny_routes(const struct worker *worker);
 bool worker_is_draining(const struct worker *worker);
 void *worker_get_listener_state(const struct worker *worker);
 uint64_t worker_make_id(struct worker *worker);
--- a/test/contract/test_platform.c
+++ b/test/contract/test_platform.c
@@ -327,6 +327,44 @@
 }
 END_TEST
 
+// Sends a startup for a database that was never declared; returns the answer.
+static char *
+send_unknown_startup(void)
+{
+    int fd = platform_connect(rig.client_ports[0]);
+    char *text = platform_send_request(fd, "STARTUP unknown u1");
+
+    close(fd);
+    return text;
+}
+
+// An entry that was cut off denied a route that had been declared meanwhile:
+// without a lease its view may be old, and it must not say what does not
+// exist.
+START_TEST(test_entry_without_lease_denies_no_route)
+{
+    platform_rig_start("platform_denied", 1, "");
+    platform_rig_wait_config(0, CONFIG("1", "5000"));
+    int idle =
+        platform_rig_wait_answer(0, "own", "QUERY a0 WRITE k0 zero", "sig-a0");
+    char *text = send_unknown_startup();
+    ck_assert_msg(strstr(text, "NODB") != NULL, "%s", text);
+    free(text);
+    for (int i = 0; i < RIG_CONTROLS; i++) {
+        (void)process_stop(rig.controls[i], SIGKILL);
+        rig.controls[i] = NULL;
+    }
+    platform_rig_expect_close(idle);
+    for (int i = 0; i < 20; i++) {
+        text = send_unknown_startup();
+        ck_assert_msg(text == NULL || strstr(text, "NODB") == NULL, "%s",
+                      text);
+        free(text);
+    }
+    platform_rig_stop();
+}
+END_TEST
+
 // Guards against clients that stay at an entry without a lease: it must report
 // itself not ready and end idle sessions, so that clients reconnect to another
 // entry. A session in a transaction is ended after the transaction.
@@ -541,6 +579,7 @@
     tcase_add_test(tests, test_leaving_primary);
     tcase_add_test(tests, test_own_writes_with_lagging_replicas);
     tcase_add_test(tests, test_control_vms_lose_data_in_turn);
+    tcase_add_test(tests, test_entry_without_lease_denies_no_route);
     tcase_add_test(tests, test_entry_without_lease_ends_sessions);
     tcase_add_test(tests, test_failures_are_explained);
     tcase_add_test(tests, test_entry_without_view_holds_startups);
