--- a/src/catkingrade/rpc/fragment.c
+++ b/src/catkingrade/rpc/fragment.c
@@ -269,13 +269,14 @@
         return outcome;
     }
     fragment_set_trim(set, now_us, 0);
-    if (*fragment_set_find(set, peer, &fragment) == NULL) {
-        fragment_set_trim(set, now_us, fragment.size_bytes);
-        *fragment_set_find(set, peer, &fragment) =
-            fragment_set_add_message(set, now_us, peer, &fragment);
-    }
     struct fragment_message **link = fragment_set_find(set, peer, &fragment);
     struct fragment_message *found = *link;
+    if (found == NULL) {
+        fragment_set_trim(set, now_us, fragment.size_bytes);
+        found = fragment_set_add_message(set, now_us, peer, &fragment);
+        link = fragment_set_find(set, peer, &fragment);
+        *link = found;
+    }
     if (!found->is_received[fragment.index]) {
         found->is_received[fragment.index] = true;
         found->missing_count--;
