fix(http): a control VM keeps a connection for each upstream

Cause: at 1,000 databases 3,000 upstreams announce themselves to 6 control VMs about every 1.2 s. Change: 3,000 connections, with 8 KB of memory each for headers.

--- a/src/catkingrade/plugins/http.c
+++ b/src/catkingrade/plugins/http.c
@@ -21,7 +21,11 @@
 #include "catkingrade/kernel/work_time.h"
 #include "catkingrade/rpc/datagram.h"
 
-#define HTTP_MAX_CONNECTIONS      256
+// Upstreams keep a connection each to the daemon that they announce
+// themselves to.
+#define HTTP_MAX_CONNECTIONS 3000
+// Holds the headers of a request. Bodies are stored elsewhere.
+#define HTTP_CONNECTION_BYTES     8192
 #define HTTP_MAX_ROUTES           16
 #define HTTP_CONNECTION_TIMEOUT_S 10
 #define HTTP_TEXT_CONTENT_TYPE    "text/plain; charset=utf-8"
@@ -520,7 +524,8 @@
             flags, address->port, NULL, NULL, http_handle_access, http,
             MHD_OPTION_SOCK_ADDR, &socket_address, MHD_OPTION_CONNECTION_LIMIT,
             HTTP_MAX_CONNECTIONS, MHD_OPTION_CONNECTION_TIMEOUT,
-            HTTP_CONNECTION_TIMEOUT_S, MHD_OPTION_NOTIFY_COMPLETED,
+            HTTP_CONNECTION_TIMEOUT_S, MHD_OPTION_CONNECTION_MEMORY_LIMIT,
+            (size_t)HTTP_CONNECTION_BYTES, MHD_OPTION_NOTIFY_COMPLETED,
             http_handle_completed, http, MHD_OPTION_END);
     }
     if (server == NULL) {
