perf(coordinator): relay plans are updated within a budget

Cause: after an election, or when all entries start, the relays of every database were due at once. Each update compared names of entries by hashing pairs of strings, entries x relays x relays of a database. Change: places of entries are hashed once an update; plans wait in a queue and are updated within a budget of candidates a second; the input of a plan counts the databases of a relay only as far as its share depends on them.

--- a/src/catkingrade/decide/coordinator/coordinator_private.h
+++ b/src/catkingrade/decide/coordinator/coordinator_private.h
@@ -258,6 +258,10 @@
     struct coordinator_relay_plan *relay_plans;
     size_t relay_plans_count;
     struct coordinator_relay_plan *relay_cursor; // checked next
+    struct coordinator_relay_plan *relays_queued;
+    struct coordinator_relay_plan *relays_queued_last;
+    int64_t relay_budget; // candidates that may be worked on
+    int64_t relay_budget_us;
     // The plans in the order in which what entries are sent about them has
     // changed, and the number of such changes.
     struct coordinator_relay_plan *relays_oldest;
@@ -330,7 +334,7 @@
 bool coordinator_allocates_all(const struct coordinator *coordinator);
 struct coordinator_quota *
 coordinator_find_quota(const struct coordinator *coordinator,
-                       const char *upstream);
+                       const char *name);
 struct coordinator_quota_set *
 coordinator_get_or_add_quota_set(struct coordinator *coordinator,
                                  const char *database);
@@ -344,7 +348,7 @@
 void coordinator_add_holder_shares(struct coordinator *coordinator,
                                    struct coordinator_holder *holder);
 void coordinator_sync_quotas(struct coordinator *coordinator,
-                             const char *database);
+                             const char *name);
 void coordinator_restart_shares(struct coordinator *coordinator,
                                 struct coordinator_holder *holder);
 void coordinator_record_reports(struct coordinator *coordinator,
--- a/src/catkingrade/decide/coordinator/coordinator_relay.c
+++ b/src/catkingrade/decide/coordinator/coordinator_relay.c
@@ -16,10 +16,14 @@
 #define COORDINATOR_RELAY_PLAN_INTERVAL_US 200000
 // A plan without a known reason for a change is checked after this time.
 #define COORDINATOR_RELAY_CHECK_INTERVAL_US 2000000
-// Plans that one step looks at, and that it updates. The others wait for the
-// next step, so that no step takes long.
-#define COORDINATOR_RELAY_MAX_CHECKS  64
-#define COORDINATOR_RELAY_MAX_UPDATES 16
+// Plans that one step looks at.
+#define COORDINATOR_RELAY_MAX_CHECKS 64
+// Candidates of the plans that are updated in a second, and at once after a
+// pause. The other plans wait, so that a change of many, as when all entries
+// start, leaves time for renewals.
+#define COORDINATOR_RELAY_CANDIDATES_PER_S 120000
+#define COORDINATOR_RELAY_MAX_CANDIDATES   6000
+#define COORDINATOR_US_PER_S               1000000
 // The relays of more databases are sent with a renewal after this time, so
 // that a change of many does not occupy the links of the entries.
 #define COORDINATOR_MAX_RELAYS_PER_REPLY 64
@@ -46,7 +50,9 @@
 struct coordinator_relay_plan {
     struct coordinator_relay_plan *next;
     char *database;
-    int64_t planned_us;          // last update; 0: update at the next step
+    int64_t planned_us; // last update; 0: none yet
+    bool is_queued;     // to be updated at the next step
+    struct coordinator_relay_plan *next_queued;
     uint64_t candidates_version; // that the choice is made from; 0: none
     bool all_are_relays;         // every entry is a relay
     size_t registered_count;     // registered entries, with or without a lease
@@ -135,10 +141,73 @@
     }
     coordinator->relay_plans_count = 0;
     coordinator->relay_cursor = NULL;
+    coordinator->relays_queued = NULL;
+    coordinator->relays_queued_last = NULL;
     coordinator->relays_oldest = NULL;
     coordinator->relays_newest = NULL;
 }
 
+// Has a plan updated at the next step.
+static void
+coordinator_queue_relay_plan(struct coordinator *coordinator,
+                             struct coordinator_relay_plan *plan)
+{
+    if (plan->is_queued) {
+        return;
+    }
+    plan->is_queued = true;
+    plan->next_queued = NULL;
+    if (coordinator->relays_queued_last != NULL) {
+        coordinator->relays_queued_last->next_queued = plan;
+    }
+    else {
+        coordinator->relays_queued = plan;
+    }
+    coordinator->relays_queued_last = plan;
+}
+
+// Takes the first plan of the queue, or returns NULL.
+static struct coordinator_relay_plan *
+coordinator_pop_relay_plan(struct coordinator *coordinator)
+{
+    struct coordinator_relay_plan *plan = coordinator->relays_queued;
+
+    if (plan == NULL) {
+        return NULL;
+    }
+    coordinator->relays_queued = plan->next_queued;
+    if (coordinator->relays_queued == NULL) {
+        coordinator->relays_queued_last = NULL;
+    }
+    plan->is_queued = false;
+    return plan;
+}
+
+static void
+coordinator_unqueue_relay_plan(struct coordinator *coordinator,
+                               struct coordinator_relay_plan *plan)
+{
+    struct coordinator_relay_plan *previous = NULL;
+    struct coordinator_relay_plan *queued = coordinator->relays_queued;
+
+    while (queued != NULL && queued != plan) {
+        previous = queued;
+        queued = queued->next_queued;
+    }
+    if (queued == NULL) {
+        return;
+    }
+    if (previous == NULL) {
+        coordinator->relays_queued = plan->next_queued;
+    }
+    else {
+        previous->next_queued = plan->next_queued;
+    }
+    if (coordinator->relays_queued_last == plan) {
+        coordinator->relays_queued_last = previous;
+    }
+}
+
 // Returns the index of an entry in a plan, or RELAY_PLAN_NONE.
 static size_t
 coordinator_get_relay_position(const struct coordinator_relay_plan *plan,
@@ -211,6 +280,7 @@
         coordinator->relay_cursor = plan->next;
     }
     coordinator->relay_plans_count--;
+    coordinator_unqueue_relay_plan(coordinator, plan);
     coordinator_unlink_relay_plan(coordinator, plan);
     coordinator_count_relays(plan, false);
     group_index_remove(coordinator->index, COORDINATOR_KEY_RELAY,
@@ -236,8 +306,8 @@
         return;
     }
     plan = coordinator_get_or_add_relay_plan(coordinator, database);
-    plan->planned_us = 0;
     plan->candidates_version = 0;
+    coordinator_queue_relay_plan(coordinator, plan);
 }
 
 // Returns whether an entry has recently reported the primary as unreachable.
@@ -294,7 +364,7 @@
     }
     plan->unreachable[index].until_us =
         coordinator->now_us + COORDINATOR_UNREACHABLE_LIFETIME_US;
-    plan->planned_us = 0; // update the plan in this renewal's reply
+    coordinator_queue_relay_plan(coordinator, plan);
 }
 
 // Returns the smallest number of connections available for quotas among the
@@ -405,7 +475,7 @@
         coordinator_find_relay_plan(coordinator, database);
 
     if (plan != NULL) {
-        plan->planned_us = 0;
+        coordinator_queue_relay_plan(coordinator, plan);
     }
 }
 
@@ -419,7 +489,7 @@
          plan != NULL; plan = plan->next) {
         size_t position = coordinator_get_relay_position(plan, holder);
         if (position != RELAY_PLAN_NONE && plan->entries[position].is_relay) {
-            plan->planned_us = 0;
+            coordinator_queue_relay_plan(coordinator, plan);
         }
     }
 }
@@ -446,8 +516,9 @@
         entry->is_idle =
             coordinator_is_relay_idle(coordinator, database, plan->holders[i]);
         entry->databases_count = (uint32_t)plan->holders[i]->relayed_count;
-        const uint64_t row[] = {i, entry->primary_unreachable, entry->is_idle,
-                                entry->databases_count};
+        const uint64_t row[] = {
+            i, entry->primary_unreachable, entry->is_idle,
+            relay_spread_share_capacity(entry->databases_count)};
         hash = XXH3_64bits_withSeed(row, sizeof(row), hash);
     }
     return XXH3_64bits_withSeed(&plan->candidates_version,
@@ -561,7 +632,7 @@
 {
     int64_t age_us = coordinator->now_us - plan->planned_us;
 
-    if (plan->planned_us == 0 || coordinator->now_us >= plan->reachable_us ||
+    if (coordinator->now_us >= plan->reachable_us ||
         age_us >= COORDINATOR_RELAY_CHECK_INTERVAL_US) {
         return true;
     }
@@ -569,12 +640,54 @@
            age_us >= COORDINATOR_RELAY_PLAN_INTERVAL_US;
 }
 
-// Updates some of the plans that are due, in turn.
+// Adds the candidates that may be worked on since the last call.
+static void
+coordinator_refill_relay_budget(struct coordinator *coordinator)
+{
+    int64_t elapsed_us = coordinator->now_us - coordinator->relay_budget_us;
+    int64_t full_us = (int64_t)COORDINATOR_RELAY_MAX_CANDIDATES *
+                      COORDINATOR_US_PER_S /
+                      COORDINATOR_RELAY_CANDIDATES_PER_S;
+
+    if (elapsed_us > full_us) {
+        elapsed_us = full_us;
+    }
+    coordinator->relay_budget_us = coordinator->now_us;
+    coordinator->relay_budget +=
+        elapsed_us * COORDINATOR_RELAY_CANDIDATES_PER_S / COORDINATOR_US_PER_S;
+    if (coordinator->relay_budget > COORDINATOR_RELAY_MAX_CANDIDATES) {
+        coordinator->relay_budget = COORDINATOR_RELAY_MAX_CANDIDATES;
+    }
+}
+
+// Returns the next plan to update: the first queued one, else one that is due
+// although nothing has queued it. NULL if there is none among the next
+// *checks.
+static struct coordinator_relay_plan *
+coordinator_find_due_relay_plan(struct coordinator *coordinator,
+                                size_t *checks)
+{
+    struct coordinator_relay_plan *plan =
+        coordinator_pop_relay_plan(coordinator);
+
+    while (plan == NULL && *checks > 0) {
+        struct coordinator_relay_plan *next = coordinator->relay_cursor == NULL
+                                                  ? coordinator->relay_plans
+                                                  : coordinator->relay_cursor;
+        coordinator->relay_cursor = next->next;
+        if (coordinator_is_relay_plan_due(coordinator, next)) {
+            plan = next;
+        }
+        (*checks)--;
+    }
+    return plan;
+}
+
+// Updates some of the plans that are due, within the budget.
 void
 coordinator_run_relay_plans(struct coordinator *coordinator)
 {
     size_t checks = coordinator->relay_plans_count;
-    size_t updates = 0;
 
     if (!coordinator_allocates_all(coordinator)) {
         return;
@@ -582,15 +695,15 @@
     if (checks > COORDINATOR_RELAY_MAX_CHECKS) {
         checks = COORDINATOR_RELAY_MAX_CHECKS;
     }
-    for (; checks > 0 && updates < COORDINATOR_RELAY_MAX_UPDATES; checks--) {
-        struct coordinator_relay_plan *plan = coordinator->relay_cursor == NULL
-                                                  ? coordinator->relay_plans
-                                                  : coordinator->relay_cursor;
-        coordinator->relay_cursor = plan->next;
-        if (coordinator_is_relay_plan_due(coordinator, plan)) {
-            coordinator_update_relay_plan(coordinator, plan);
-            updates++;
+    coordinator_refill_relay_budget(coordinator);
+    while (coordinator->relay_budget > 0) {
+        struct coordinator_relay_plan *plan =
+            coordinator_find_due_relay_plan(coordinator, &checks);
+        if (plan == NULL) {
+            return;
         }
+        coordinator_update_relay_plan(coordinator, plan);
+        coordinator->relay_budget -= (int64_t)coordinator->holders_count + 1;
     }
 }
 
--- a/src/catkingrade/decide/coordinator/relay_plan.c
+++ b/src/catkingrade/decide/coordinator/relay_plan.c
@@ -3,6 +3,8 @@
 #include <string.h>
 #include <xxhash.h>
 
+#include "catkingrade/kernel/memory.h"
+
 // Number of connections to one upstream with which a relay can run the
 // statements of many entries.
 #define RELAY_PLAN_CONNECTIONS_PER_RELAY 4
@@ -101,73 +103,94 @@
     }
 }
 
+// Returns the place of an entry.
+struct relay_plan_place
+relay_plan_get_place(const char *vm, const char *failure_domain)
+{
+    return (struct relay_plan_place){
+        .vm_hash = XXH3_64bits(vm, strlen(vm)),
+        .domain_hash = XXH3_64bits(failure_domain, strlen(failure_domain))};
+}
+
+// Returns a hash of a pair of places.
+static uint64_t
+relay_plan_hash_pair(const struct relay_plan_place *user,
+                     const struct relay_plan_place *relay)
+{
+    return XXH3_64bits_withSeed(&relay->vm_hash, sizeof(relay->vm_hash),
+                                user->vm_hash);
+}
+
 // Returns whether an entry is nearer to relay a than to relay b: a is in its
 // own failure domain, or has the higher hash. The hash differs between entries
 // and so spreads their load.
 bool
-relay_plan_is_nearer(const char *vm, const char *failure_domain,
-                     const struct relay_plan_entry *a,
-                     const struct relay_plan_entry *b)
+relay_plan_is_nearer(const struct relay_plan_place *user,
+                     const struct relay_plan_place *a,
+                     const struct relay_plan_place *b)
 {
-    bool near_a = strcmp(a->failure_domain, failure_domain) == 0;
-    bool near_b = strcmp(b->failure_domain, failure_domain) == 0;
+    bool near_a = a->domain_hash == user->domain_hash;
+    bool near_b = b->domain_hash == user->domain_hash;
 
     if (near_a != near_b) {
         return near_a;
     }
-    return relay_plan_hash(vm, a->vm) > relay_plan_hash(vm, b->vm);
+    return relay_plan_hash_pair(user, a) > relay_plan_hash_pair(user, b);
 }
 
-// An entry, its choice of relays and the list of all entries.
-struct relay_plan_user {
-    const char *vm;
-    const char *failure_domain;
-    const struct relay_plan_choice *choice; // NULL: the nearest relays
-    const struct relay_plan_entry *entries;
+// A relay as an entry sees it.
+struct relay_plan_option {
+    size_t index; // in the list of entries
+    const struct relay_plan_entry *entry;
+    struct relay_plan_place place;
+    // 0: the first relay of the entry's choice; 1: the alternate; 2: others.
+    unsigned rank;
 };
 
-// Returns 0 for the first relay of the user's choice, 1 for the alternate and
-// 2 for others.
-static unsigned
-relay_plan_get_place(const struct relay_plan_user *user, size_t index)
-{
-    if (user->choice == NULL) {
-        return 2;
-    }
-    if (index == user->choice->first) {
-        return 0;
-    }
-    return index == user->choice->alternate ? 1 : 2;
-}
-
 // Returns whether a user prefers relay a over relay b: first a relay that runs
 // statements, then one that reaches the primary, then by the user's choice,
 // then the nearer one.
 static bool
-relay_plan_is_preferred(const struct relay_plan_user *user, size_t index_a,
-                        size_t index_b)
+relay_plan_is_preferred(const struct relay_plan_place *user,
+                        const struct relay_plan_option *a,
+                        const struct relay_plan_option *b)
 {
-    const struct relay_plan_entry *a = &user->entries[index_a];
-    const struct relay_plan_entry *b = &user->entries[index_b];
-    unsigned place_a = relay_plan_get_place(user, index_a);
-    unsigned place_b = relay_plan_get_place(user, index_b);
-
-    if (a->is_idle != b->is_idle) {
-        return b->is_idle;
+    if (a->entry->is_idle != b->entry->is_idle) {
+        return b->entry->is_idle;
+    }
+    if (a->entry->primary_unreachable != b->entry->primary_unreachable) {
+        return b->entry->primary_unreachable;
     }
-    if (a->primary_unreachable != b->primary_unreachable) {
-        return b->primary_unreachable;
+    if (a->rank != b->rank) {
+        return a->rank < b->rank;
     }
-    if (place_a != place_b) {
-        return place_a < place_b;
+    return relay_plan_is_nearer(user, &a->place, &b->place);
+}
+
+static struct relay_plan_option
+relay_plan_make_option(const struct relay_plan_choice *choice,
+                       const struct relay_plan_entry *entries, size_t index)
+{
+    const struct relay_plan_entry *entry = &entries[index];
+    struct relay_plan_option option = {
+        .index = index,
+        .entry = entry,
+        .place = relay_plan_get_place(entry->vm, entry->failure_domain),
+        .rank = 2};
+
+    if (choice != NULL && index == choice->first) {
+        option.rank = 0;
     }
-    return relay_plan_is_nearer(user->vm, user->failure_domain, a, b);
+    else if (choice != NULL && index == choice->alternate) {
+        option.rank = 1;
+    }
+    return option;
 }
 
 // Fills indexes with the relays that an entry uses, most preferred first and
-// at most max_count, as indexes into entries. choice may be NULL. The entry
-// itself is left out, and so are idle relays unless there is no other. Returns
-// the number of relays listed.
+// at most max_count, which is at most RELAY_PLAN_MAX_LISTED, as indexes into
+// entries. choice may be NULL. The entry itself is left out, and so are idle
+// relays unless there is no other. Returns the number of relays listed.
 size_t
 relay_plan_list_nearest(const char *vm, const char *failure_domain,
                         const struct relay_plan_choice *choice,
@@ -175,31 +198,37 @@
                         size_t entries_count, size_t *indexes,
                         size_t max_count)
 {
-    const struct relay_plan_user user = {.vm = vm,
-                                         .failure_domain = failure_domain,
-                                         .choice = choice,
-                                         .entries = entries};
+    const struct relay_plan_place user =
+        relay_plan_get_place(vm, failure_domain);
+    struct relay_plan_option listed[RELAY_PLAN_MAX_LISTED];
     size_t count = 0;
 
+    INVARIANT(max_count <= RELAY_PLAN_MAX_LISTED);
     for (size_t i = 0; i < entries_count; i++) {
         size_t at = count;
         if (!entries[i].is_relay || strcmp(entries[i].vm, vm) == 0) {
             continue;
         }
-        while (at > 0 && relay_plan_is_preferred(&user, i, indexes[at - 1])) {
+        struct relay_plan_option option =
+            relay_plan_make_option(choice, entries, i);
+        while (at > 0 &&
+               relay_plan_is_preferred(&user, &option, &listed[at - 1])) {
             if (at < max_count) {
-                indexes[at] = indexes[at - 1];
+                listed[at] = listed[at - 1];
             }
             at--;
         }
         if (at < max_count) {
-            indexes[at] = i;
+            listed[at] = option;
             count += count < max_count ? 1 : 0;
         }
     }
-    while (count > 1 && entries[indexes[count - 1]].is_idle &&
-           !entries[indexes[0]].is_idle) {
+    while (count > 1 && listed[count - 1].entry->is_idle &&
+           !listed[0].entry->is_idle) {
         count--;
     }
+    for (size_t i = 0; i < count; i++) {
+        indexes[i] = listed[i].index;
+    }
     return count;
 }
--- a/src/catkingrade/decide/coordinator/relay_plan.h
+++ b/src/catkingrade/decide/coordinator/relay_plan.h
@@ -10,7 +10,8 @@
 // relays: they hold the connections and run the statements of the other
 // entries as well.
 
-#define RELAY_PLAN_NONE SIZE_MAX
+#define RELAY_PLAN_NONE       SIZE_MAX
+#define RELAY_PLAN_MAX_LISTED 4
 
 // The relays that an entry uses, as indexes into the list of entries;
 // RELAY_PLAN_NONE: none. See relay_spread.h.
@@ -40,13 +41,21 @@
     uint32_t domain_relays_count; // valid for the entry at index domain
 };
 
+// What the nearness of two entries follows from.
+struct relay_plan_place {
+    uint64_t vm_hash;
+    uint64_t domain_hash; // of the failure domain
+};
+
 uint32_t relay_plan_count(uint32_t connections, uint32_t min_connections,
                           size_t entries_count);
 void relay_plan_select(const char *database, uint32_t relays_count,
                        struct relay_plan_entry *entries, size_t entries_count);
-bool relay_plan_is_nearer(const char *vm, const char *failure_domain,
-                          const struct relay_plan_entry *a,
-                          const struct relay_plan_entry *b);
+struct relay_plan_place relay_plan_get_place(const char *vm,
+                                             const char *failure_domain);
+bool relay_plan_is_nearer(const struct relay_plan_place *user,
+                          const struct relay_plan_place *a,
+                          const struct relay_plan_place *b);
 size_t relay_plan_list_nearest(const char *vm, const char *failure_domain,
                                const struct relay_plan_choice *choice,
                                const struct relay_plan_entry *entries,
--- a/src/catkingrade/decide/coordinator/relay_spread.c
+++ b/src/catkingrade/decide/coordinator/relay_spread.c
@@ -13,6 +13,7 @@
 // Working state: an entry that uses relays, or a relay.
 struct relay_spread_member {
     const struct relay_plan_entry *entry;
+    struct relay_plan_place place;
     size_t index; // in the list of entries
     // Of a relay: the number of entries that it takes over from the missing
     // relay, and the limits of this number.
@@ -40,28 +41,28 @@
     return strcmp(a->entry->vm, b->entry->vm);
 }
 
+// Returns what a relay of this many databases can take over for one of them.
+size_t
+relay_spread_share_capacity(uint32_t databases_count)
+{
+    if (databases_count >= RELAY_SPREAD_CAPACITY) {
+        return 1;
+    }
+    return databases_count > 1 ? RELAY_SPREAD_CAPACITY / databases_count
+                               : RELAY_SPREAD_CAPACITY;
+}
+
 // Returns what a relay can take over from the missing one.
 static size_t
 relay_spread_get_capacity(const struct relay_spread_member *relay,
                           const struct relay_spread_member *missing)
 {
     const struct relay_plan_entry *entry = relay->entry;
-    uint32_t count = entry->databases_count > 1 ? entry->databases_count : 1;
 
     if (relay == missing || entry->is_idle || entry->primary_unreachable) {
         return 0;
     }
-    return count < RELAY_SPREAD_CAPACITY ? RELAY_SPREAD_CAPACITY / count : 1;
-}
-
-// Returns whether relay a is nearer to a user than relay b.
-static bool
-relay_spread_is_nearer(const struct relay_spread_member *user,
-                       const struct relay_spread_member *a,
-                       const struct relay_spread_member *b)
-{
-    return relay_plan_is_nearer(user->entry->vm, user->entry->failure_domain,
-                                a->entry, b->entry);
+    return relay_spread_share_capacity(entry->databases_count);
 }
 
 // Returns the index in the list of entries of the relay that is nearest to a
@@ -73,8 +74,8 @@
     size_t best = 0;
 
     for (size_t i = 1; i < spread->relays_count; i++) {
-        if (relay_spread_is_nearer(user, &spread->relays[i],
-                                   &spread->relays[best])) {
+        if (relay_plan_is_nearer(&user->place, &spread->relays[i].place,
+                                 &spread->relays[best].place)) {
             best = i;
         }
     }
@@ -98,7 +99,8 @@
             relay->taken >= relay->limit + extra) {
             continue;
         }
-        if (best == NULL || relay_spread_is_nearer(user, relay, best)) {
+        if (best == NULL ||
+            relay_plan_is_nearer(&user->place, &relay->place, &best->place)) {
             best = relay;
         }
     }
@@ -158,7 +160,11 @@
                           size_t entries_count, struct relay_spread *spread)
 {
     for (size_t i = 0; i < entries_count; i++) {
-        struct relay_spread_member member = {.entry = &entries[i], .index = i};
+        struct relay_spread_member member = {
+            .entry = &entries[i],
+            .place =
+                relay_plan_get_place(entries[i].vm, entries[i].failure_domain),
+            .index = i};
         spread->choices[i].first = RELAY_PLAN_NONE;
         spread->choices[i].alternate = RELAY_PLAN_NONE;
         if (entries[i].is_relay) {
