perf(coordinator): renewals cost no work for calm databases

Evidence: profile of the leader from the start on: quota_plan_select_row 15 %, coordinator_is_lease_denied 11 %, lists of relays 8 %; announcements 3 %, so they are not the cause at this size. Cause: each renewal looked at every database for a revocation, each plan of quotas compared all entries for every unit, each list of relays looked at every entry.

--- a/src/catkingrade/decide/coordinator/coordinator_database.c
+++ b/src/catkingrade/decide/coordinator/coordinator_database.c
@@ -57,6 +57,7 @@
 void
 coordinator_free_databases(struct coordinator *coordinator)
 {
+    coordinator->revocations = NULL;
     while (coordinator->databases != NULL) {
         struct coordinator_database *db = coordinator->databases;
         coordinator->databases = db->next;
@@ -197,6 +198,7 @@
                       enum coordinator_phase phase)
 {
     db->phase = phase;
+    db->is_quiet = false;
     coordinator_check_relays_of(coordinator, db->name);
     db->is_removing = false;
     db->phase_us = coordinator->now_us;
@@ -406,10 +408,33 @@
     }
 }
 
-// Continues the work on a database until it waits for another event.
-void
-coordinator_run_database(struct coordinator *coordinator,
-                         struct coordinator_database *db)
+// Returns whether nothing about a member is in progress.
+static bool
+coordinator_is_member_quiet(const struct coordinator_member *member)
+{
+    return !member->probing && !member->needs_fence && !member->needs_follow &&
+           !member->repairing && !member->was_lost && !member->is_removing &&
+           member->leaving_us == 0 && member->backlog.reports_count == 0;
+}
+
+// Returns whether nothing of a database is in progress that goes on with the
+// time: there is no evidence against an upstream, no change and no repair.
+static bool
+coordinator_is_database_quiet(const struct coordinator_database *db)
+{
+    for (size_t i = 0; i < db->members_count; i++) {
+        if (!coordinator_is_member_quiet(&db->members[i])) {
+            return false;
+        }
+    }
+    return db->phase == COORDINATOR_PHASE_IDLE && !db->is_demoted &&
+           db->planned_reason == NULL && db->suspicion.reports_count == 0 &&
+           db->suspicion.probe_failures == 0;
+}
+
+static void
+coordinator_continue_database(struct coordinator *coordinator,
+                              struct coordinator_database *db)
 {
     const struct ck_database *database =
         group_find_database(coordinator->group, db->name);
@@ -431,6 +456,15 @@
     coordinator_run_failover(coordinator, db, database);
 }
 
+// Continues the work on a database until it waits for another event.
+void
+coordinator_run_database(struct coordinator *coordinator,
+                         struct coordinator_database *db)
+{
+    coordinator_continue_database(coordinator, db);
+    db->is_quiet = coordinator_is_database_quiet(db);
+}
+
 // Fences replicas that may still accept writes as a primary, then makes them
 // follow the current primary.
 void
--- a/src/catkingrade/decide/coordinator/coordinator_failover.c
+++ b/src/catkingrade/decide/coordinator/coordinator_failover.c
@@ -73,8 +73,8 @@
 coordinator_keep_pending_leases(struct coordinator *coordinator,
                                 const struct coordinator_holder *holder)
 {
-    for (struct coordinator_database *db = coordinator->databases; db != NULL;
-         db = db->next) {
+    for (struct coordinator_database *db = coordinator->revocations;
+         db != NULL; db = db->next_revoked) {
         for (size_t i = 0; i < db->pending_leases_count; i++) {
             struct coordinator_pending_lease *pending = &db->pending_leases[i];
             if (pending->holder == holder &&
@@ -85,6 +85,33 @@
     }
 }
 
+static void
+coordinator_add_revocation(struct coordinator *coordinator,
+                           struct coordinator_database *db)
+{
+    if (db->is_revoked) {
+        return;
+    }
+    db->is_revoked = true;
+    db->next_revoked = coordinator->revocations;
+    coordinator->revocations = db;
+}
+
+static void
+coordinator_remove_revocation(struct coordinator *coordinator,
+                              struct coordinator_database *db)
+{
+    struct coordinator_database **link = &coordinator->revocations;
+
+    while (*link != NULL && *link != db) {
+        link = &(*link)->next_revoked;
+    }
+    if (*link != NULL) {
+        *link = db->next_revoked;
+    }
+    db->is_revoked = false;
+}
+
 // Begins the revocation of the current term at all lease holders. Called when
 // the end of the term has been applied, or when a new leader finds an ended
 // term in the group state.
@@ -98,6 +125,7 @@
     }
     coordinator_set_phase(coordinator, db, COORDINATOR_PHASE_REVOKING);
     size_t leases = coordinator_list_pending_leases(coordinator, db);
+    coordinator_add_revocation(coordinator, db);
     if (!db->is_planned) {
         db->planned_us = coordinator->now_us;
         db->lease_end_us = coordinator->now_us + coordinator->params.lease_us +
@@ -133,8 +161,11 @@
 coordinator_end_pending_leases(struct coordinator *coordinator,
                                const struct coordinator_holder *holder)
 {
-    for (struct coordinator_database *db = coordinator->databases; db != NULL;
-         db = db->next) {
+    struct coordinator_database *next = NULL;
+
+    for (struct coordinator_database *db = coordinator->revocations;
+         db != NULL; db = next) {
+        next = db->next_revoked; // db may leave the list
         coordinator_mark_confirmed(db, holder, holder->daemon.incarnation);
         coordinator_run_database(coordinator, db);
     }
@@ -248,8 +279,8 @@
 coordinator_is_lease_denied(const struct coordinator *coordinator,
                             const struct coordinator_holder *holder)
 {
-    for (const struct coordinator_database *db = coordinator->databases;
-         db != NULL; db = db->next) {
+    for (const struct coordinator_database *db = coordinator->revocations;
+         db != NULL; db = db->next_revoked) {
         if (coordinator_denies_leases(coordinator, db) &&
             coordinator_is_unconfirmed(db, holder)) {
             return true;
@@ -281,8 +312,10 @@
 }
 
 static void
-coordinator_clear_pending_leases(struct coordinator_database *db)
+coordinator_end_revocation(struct coordinator *coordinator,
+                           struct coordinator_database *db)
 {
+    coordinator_remove_revocation(coordinator, db);
     free(db->pending_leases);
     db->pending_leases = NULL;
     db->pending_leases_count = 0;
@@ -528,7 +561,7 @@
     coordinator_finish_command(
         coordinator, db, reached ? OUTCOME_OK : OUTCOME_TIMEOUT,
         reached ? "the new term stands" : "another upstream is the primary");
-    coordinator_clear_pending_leases(db);
+    coordinator_end_revocation(coordinator, db);
     suspicion_clear(&db->suspicion);
     coordinator_sync_members(db, database);
     for (size_t i = 0; i < db->members_count; i++) {
--- a/src/catkingrade/decide/coordinator/coordinator_lease.c
+++ b/src/catkingrade/decide/coordinator/coordinator_lease.c
@@ -516,8 +516,8 @@
 {
     u_int count = 0;
 
-    for (const struct coordinator_database *db = coordinator->databases;
-         db != NULL; db = db->next) {
+    for (const struct coordinator_database *db = coordinator->revocations;
+         db != NULL; db = db->next_revoked) {
         if (db->phase < COORDINATOR_PHASE_REVOKING || !db->is_grace_over) {
             continue;
         }
--- a/src/catkingrade/decide/coordinator/coordinator_private.h
+++ b/src/catkingrade/decide/coordinator/coordinator_private.h
@@ -12,6 +12,8 @@
 
 #define COORDINATOR_US_PER_MS        1000
 #define COORDINATOR_TICK_INTERVAL_US 50000
+// A quiet database is looked at in one of this many ticks.
+#define COORDINATOR_QUIET_TICKS 8
 // Interval between two notifications of a holder that has not confirmed a
 // revocation.
 #define COORDINATOR_NOTIFY_INTERVAL_US 50000
@@ -175,6 +177,7 @@
     char *name;
     enum coordinator_phase phase;
     int64_t phase_us; // start of the phase
+    bool is_quiet;    // nothing in progress that goes on with the time
     struct suspicion suspicion;
     int64_t failover_us; // time of the last unplanned change; 0: none
     int64_t changed_us;  // begin of the last change of primary; 0: none
@@ -184,6 +187,8 @@
     size_t members_count;
     struct coordinator_pending_lease *pending_leases;
     size_t pending_leases_count;
+    bool is_revoked; // in the list of revocations
+    struct coordinator_database *next_revoked;
     bool is_grace_over; // holders must abort in-flight requests
     int64_t next_notify_us;
     const char *planned_reason; // a planned change waits; NULL: none
@@ -238,6 +243,7 @@
     int64_t elected_us;
     int64_t wake_us; // last requested TICK
     int64_t next_tick_us;
+    uint64_t ticks_count;
     uint64_t next_token;
     // What entries follow of the group state, and when it may be published
     // again for a change that is not urgent.
@@ -253,6 +259,7 @@
     int64_t change_cost_us; // duration of the last planned change; 0: none
     struct coordinator_proposal *proposals;   // newest first
     struct coordinator_database *databases;   // only those that need a state
+    struct coordinator_database *revocations; // whose term is ending
     struct coordinator_quota_set *quota_sets; // one per database
     size_t quotas_count;                      // in all sets
     struct coordinator_relay_plan *relay_plans;
--- a/src/catkingrade/decide/coordinator/coordinator_relay.c
+++ b/src/catkingrade/decide/coordinator/coordinator_relay.c
@@ -62,6 +62,7 @@
     struct coordinator_holder **holders;
     struct relay_plan_choice *choices;
     size_t count;
+    size_t *relays; // indexes of the relays in entries
     size_t relays_count;
     // Index in entries by index of struct coordinator_holder; RELAY_PLAN_NONE:
     // not in the plan.
@@ -125,6 +126,7 @@
     free(plan->entries);
     free(plan->holders);
     free(plan->choices);
+    free(plan->relays);
     free(plan->positions);
     free(plan->unreachable);
     free(plan->database);
@@ -443,10 +445,8 @@
 static void
 coordinator_count_relays(const struct coordinator_relay_plan *plan, bool added)
 {
-    for (size_t i = 0; i < plan->count; i++) {
-        if (plan->entries[i].is_relay) {
-            plan->holders[i]->relayed_count += added ? 1 : -1;
-        }
+    for (size_t i = 0; i < plan->relays_count; i++) {
+        plan->holders[plan->relays[i]]->relayed_count += added ? 1 : -1;
     }
 }
 
@@ -566,6 +566,10 @@
         coordinator->params.relay_min_connections, plan->registered_count);
     plan->all_are_relays = count == 0;
     relay_plan_select(database->name, count, plan->entries, plan->count);
+    plan->relays =
+        xrealloc(plan->relays, (plan->count + 1) * sizeof(*plan->relays));
+    plan->relays_count =
+        relay_plan_list_relays(plan->entries, plan->count, plan->relays);
     coordinator_count_relays(plan, true);
     coordinator_index_relays(coordinator, plan);
     plan->candidates_version = coordinator->candidates_version;
@@ -577,13 +581,10 @@
                                   struct coordinator_relay_plan *plan)
 {
     struct coordinator_holder **relays =
-        xcalloc(plan->count + 1, sizeof(*relays));
+        xcalloc(plan->relays_count + 1, sizeof(*relays));
 
-    plan->relays_count = 0;
-    for (size_t i = 0; i < plan->count; i++) {
-        if (plan->entries[i].is_relay) {
-            relays[plan->relays_count++] = plan->holders[i];
-        }
+    for (size_t i = 0; i < plan->relays_count; i++) {
+        relays[i] = plan->holders[plan->relays[i]];
     }
     coordinator_set_members(coordinator, plan->database, relays,
                             plan->relays_count);
@@ -772,7 +773,8 @@
     size_t count = relay_plan_list_nearest(
         daemon->vm, daemon->failure_domain,
         position == RELAY_PLAN_NONE ? NULL : &plan->choices[position],
-        plan->entries, plan->count, indexes, CK_RELAY_HOSTS);
+        plan->entries, plan->relays, plan->relays_count, indexes,
+        CK_RELAY_HOSTS);
 
     out->database = plan->database;
     if (count == 0) {
--- a/src/catkingrade/decide/coordinator/quota_plan.c
+++ b/src/catkingrade/decide/coordinator/quota_plan.c
@@ -92,23 +92,59 @@
     return a->entry->near && !b->entry->near;
 }
 
-// Returns the row that gets the next unit, or NULL if all rows have reached
-// their caps.
-static struct quota_plan_row *
-quota_plan_select_row(struct quota_plan_row *rows, size_t count)
+// Returns whether row a gets the next unit before row b. Among equal rows the
+// first in the list does.
+static bool
+quota_plan_is_next(const struct quota_plan_row *a,
+                   const struct quota_plan_row *b)
 {
-    struct quota_plan_row *best = NULL;
+    if (quota_plan_precedes(a, b)) {
+        return true;
+    }
+    return !quota_plan_precedes(b, a) && a < b;
+}
 
-    for (size_t i = 0; i < count; i++) {
-        struct quota_plan_row *row = &rows[i];
-        if (row->entry->weight == 0 || row->allocated >= row->cap) {
-            continue;
+// Moves the row at an index of the heap down to its place.
+static void
+quota_plan_sift_down(struct quota_plan_row **heap, size_t count, size_t index)
+{
+    struct quota_plan_row *row = heap[index];
+
+    for (;;) {
+        size_t child = 2 * index + 1;
+        if (child >= count) {
+            break;
+        }
+        if (child + 1 < count &&
+            quota_plan_is_next(heap[child + 1], heap[child])) {
+            child++;
+        }
+        if (!quota_plan_is_next(heap[child], row)) {
+            break;
         }
-        if (best == NULL || quota_plan_precedes(row, best)) {
-            best = row;
+        heap[index] = heap[child];
+        index = child;
+    }
+    heap[index] = row;
+}
+
+// Builds a heap of the rows below their caps; the row that gets the next unit
+// is its first. Returns the number of rows in it.
+static size_t
+quota_plan_build_heap(struct quota_plan_row *rows, size_t count,
+                      struct quota_plan_row **heap)
+{
+    size_t heap_count = 0;
+
+    for (size_t i = 0; i < count; i++) {
+        if (rows[i].entry->weight > 0 && rows[i].allocated < rows[i].cap) {
+            heap[heap_count++] = &rows[i];
         }
     }
-    return best;
+    for (size_t i = heap_count / 2; i > 0; i--) {
+        quota_plan_sift_down(heap, heap_count, i - 1);
+    }
+    return heap_count;
 }
 
 // Allocates units one at a time until none is left or all caps are reached.
@@ -117,12 +153,23 @@
 quota_plan_allocate_units(struct quota_plan_row *rows, size_t count,
                           uint32_t units)
 {
-    struct quota_plan_row *row = NULL;
+    if (units == 0) {
+        return 0;
+    }
+    struct quota_plan_row **heap = xcalloc(count, sizeof(*heap));
+    size_t heap_count = quota_plan_build_heap(rows, count, heap);
 
-    while (units > 0 && (row = quota_plan_select_row(rows, count)) != NULL) {
-        row->allocated++;
+    while (units > 0 && heap_count > 0) {
+        heap[0]->allocated++;
         units--;
+        if (heap[0]->allocated >= heap[0]->cap) {
+            heap[0] = heap[--heap_count];
+        }
+        if (heap_count > 0) {
+            quota_plan_sift_down(heap, heap_count, 0);
+        }
     }
+    free(heap);
     return units;
 }
 
--- a/src/catkingrade/decide/coordinator/relay_plan.c
+++ b/src/catkingrade/decide/coordinator/relay_plan.c
@@ -187,16 +187,33 @@
     return option;
 }
 
-// Fills indexes with the relays that an entry uses, most preferred first and
-// at most max_count, which is at most RELAY_PLAN_MAX_LISTED, as indexes into
-// entries. choice may be NULL. The entry itself is left out, and so are idle
-// relays unless there is no other. Returns the number of relays listed.
+// Fills relays with the indexes of the entries that are relays; it has room
+// for all entries. Returns their number.
+size_t
+relay_plan_list_relays(const struct relay_plan_entry *entries,
+                       size_t entries_count, size_t *relays)
+{
+    size_t count = 0;
+
+    for (size_t i = 0; i < entries_count; i++) {
+        if (entries[i].is_relay) {
+            relays[count++] = i;
+        }
+    }
+    return count;
+}
+
+// Fills indexes with those of the relays that an entry uses, most preferred
+// first and at most max_count, which is at most RELAY_PLAN_MAX_LISTED. relays
+// are the indexes of all relays in entries. choice may be NULL. The entry
+// itself is left out, and so are idle relays unless there is no other. Returns
+// the number of relays listed.
 size_t
 relay_plan_list_nearest(const char *vm, const char *failure_domain,
                         const struct relay_plan_choice *choice,
                         const struct relay_plan_entry *entries,
-                        size_t entries_count, size_t *indexes,
-                        size_t max_count)
+                        const size_t *relays, size_t relays_count,
+                        size_t *indexes, size_t max_count)
 {
     const struct relay_plan_place user =
         relay_plan_get_place(vm, failure_domain);
@@ -204,13 +221,13 @@
     size_t count = 0;
 
     INVARIANT(max_count <= RELAY_PLAN_MAX_LISTED);
-    for (size_t i = 0; i < entries_count; i++) {
+    for (size_t i = 0; i < relays_count; i++) {
         size_t at = count;
-        if (!entries[i].is_relay || strcmp(entries[i].vm, vm) == 0) {
+        if (strcmp(entries[relays[i]].vm, vm) == 0) {
             continue;
         }
         struct relay_plan_option option =
-            relay_plan_make_option(choice, entries, i);
+            relay_plan_make_option(choice, entries, relays[i]);
         while (at > 0 &&
                relay_plan_is_preferred(&user, &option, &listed[at - 1])) {
             if (at < max_count) {
--- a/src/catkingrade/decide/coordinator/relay_plan.h
+++ b/src/catkingrade/decide/coordinator/relay_plan.h
@@ -56,10 +56,12 @@
 bool relay_plan_is_nearer(const struct relay_plan_place *user,
                           const struct relay_plan_place *a,
                           const struct relay_plan_place *b);
+size_t relay_plan_list_relays(const struct relay_plan_entry *entries,
+                              size_t entries_count, size_t *relays);
 size_t relay_plan_list_nearest(const char *vm, const char *failure_domain,
                                const struct relay_plan_choice *choice,
                                const struct relay_plan_entry *entries,
-                               size_t entries_count, size_t *indexes,
-                               size_t max_count);
+                               const size_t *relays, size_t relays_count,
+                               size_t *indexes, size_t max_count);
 
 #endif
--- a/test/unit/decide/coordinator/test_relay_plan.c
+++ b/test/unit/decide/coordinator/test_relay_plan.c
@@ -123,13 +123,16 @@
     struct relay_plan_entry entries[ENTRIES];
     unsigned asked[ENTRIES] = {0};
     size_t indexes[3];
+    size_t relays[ENTRIES];
 
     init_entries(entries);
     relay_plan_select("database1", RELAYS, entries, ENTRIES);
+    size_t relays_count = relay_plan_list_relays(entries, ENTRIES, relays);
+    ck_assert_uint_eq(relays_count, RELAYS);
     for (size_t i = 0; i < ENTRIES; i++) {
         size_t count =
             relay_plan_list_nearest(names[i], domains[i % DOMAINS], NULL,
-                                    entries, ENTRIES, indexes, 3);
+                                    entries, relays, relays_count, indexes, 3);
         ck_assert_uint_eq(count, 3);
         for (size_t j = 0; j < count; j++) {
             ck_assert(entries[indexes[j]].is_relay);
@@ -140,14 +143,15 @@
             ck_assert_uint_ne(indexes[1] % DOMAINS, i % DOMAINS);
         }
         count = relay_plan_list_nearest(names[i], "elsewhere", NULL, entries,
-                                        ENTRIES, indexes, 3);
+                                        relays, relays_count, indexes, 3);
         asked[indexes[0]]++;
     }
     for (size_t i = 0; i < ENTRIES; i++) {
         ck_assert(!entries[i].is_relay || asked[i] > 0);
     }
     ck_assert_uint_eq(relay_plan_list_nearest("entry0", "domain0", NULL,
-                                              entries, ENTRIES, indexes, 0),
+                                              entries, relays, relays_count,
+                                              indexes, 0),
                       0);
 }
 END_TEST
--- a/test/unit/decide/coordinator/test_relay_spread.c
+++ b/test/unit/decide/coordinator/test_relay_spread.c
@@ -46,12 +46,16 @@
 count_users(struct rig *rig, size_t *used)
 {
     size_t indexes[NEAREST];
+    size_t relays[ENTRIES];
+    size_t relays_count =
+        relay_plan_list_relays(rig->entries, ENTRIES, relays);
 
     memset(rig->users_of, 0, sizeof(rig->users_of));
     for (size_t i = RELAYS; i < ENTRIES; i++) {
         size_t count = relay_plan_list_nearest(
             rig->entries[i].vm, rig->entries[i].failure_domain,
-            &rig->choices[i], rig->entries, ENTRIES, indexes, NEAREST);
+            &rig->choices[i], rig->entries, relays, relays_count, indexes,
+            NEAREST);
         ck_assert_uint_eq(count, NEAREST);
         ck_assert(!rig->entries[indexes[0]].is_idle);
         rig->users_of[indexes[0]]++;
