perf(coordinator): calm databases are looked at in turn

Cause: each tick, and each wake-up for a probe, continued the work on every database: 30 % of the leader's time at 1,000 databases. Events about it are handled at once, as before.

--- a/src/catkingrade/decide/coordinator/coordinator.c
+++ b/src/catkingrade/decide/coordinator/coordinator.c
@@ -478,17 +478,40 @@
     int64_t last_us =
         announce_get_last_us(coordinator->announce, database->primary);
     if (coordinator->now_us - last_us >= coordinator->params.suspect_us) {
-        (void)coordinator_get_or_add_database(coordinator, database->name);
+        coordinator_get_or_add_database(coordinator, database->name)
+            ->is_quiet = false;
     }
     return true;
 }
 
+// Continues the work on databases that are not quiet, and on some of the
+// others in turn.
+static void
+coordinator_run_databases(struct coordinator *coordinator, bool is_interval)
+{
+    uint64_t index = 0;
+
+    for (struct coordinator_database *db = coordinator->databases; db != NULL;
+         db = db->next) {
+        bool is_next = is_interval &&
+                       index % COORDINATOR_QUIET_TICKS ==
+                           coordinator->ticks_count % COORDINATOR_QUIET_TICKS;
+        index++;
+        if (!db->is_quiet || is_next) {
+            coordinator_run_database(coordinator, db);
+        }
+    }
+}
+
 static void
 coordinator_handle_tick(struct coordinator *coordinator)
 {
-    if (coordinator->now_us >= coordinator->next_tick_us) {
+    bool is_interval = coordinator->now_us >= coordinator->next_tick_us;
+
+    if (is_interval) {
         coordinator->next_tick_us =
             coordinator->now_us + COORDINATOR_TICK_INTERVAL_US;
+        coordinator->ticks_count++;
         group_visit_databases(coordinator->group,
                               coordinator_visit_silent_primary, coordinator);
         announce_tick(coordinator->announce, coordinator->now_us,
@@ -503,10 +526,7 @@
             (coordinator->publish_soon &&
              coordinator->now_us >= coordinator->next_publish_us);
     }
-    for (struct coordinator_database *db = coordinator->databases; db != NULL;
-         db = db->next) {
-        coordinator_run_database(coordinator, db);
-    }
+    coordinator_run_databases(coordinator, is_interval);
 }
 
 static void
