fix(group): an upstream that has left stays out after a change of leader

What callers would see: an upstream that had been withdrawn, or was leaving, got statements again when the leader changed and one of its announcements arrived late. Cause: withdrawals and sequence numbers were known to the leader only. Change: the record of the upstream in the group state holds them; a leader begins with these. An upstream that is lost can be withdrawn too. Evidence: three tests in test_announce, each fails on the old code.

--- a/src/catkingrade/decide/coordinator/announce.c
+++ b/src/catkingrade/decide/coordinator/announce.c
@@ -134,6 +134,27 @@
     entry->is_deferred = true;
 }
 
+// Takes over what the group state knows of an upstream's last announcement, as
+// an earlier leader may have accepted it.
+static void
+announce_learn(struct announce_entry *entry, const struct ck_upstream *known)
+{
+    if (known == NULL || known->incarnation < entry->incarnation) {
+        return;
+    }
+    if (known->incarnation > entry->incarnation) {
+        entry->incarnation = known->incarnation;
+        entry->sequence = 0;
+        entry->is_withdrawn = false;
+    }
+    if (known->sequence == GROUP_SEQUENCE_WITHDRAWN) {
+        entry->is_withdrawn = true;
+    }
+    else if (known->sequence > entry->sequence) {
+        entry->sequence = known->sequence;
+    }
+}
+
 // Records the incarnation and sequence number of an announcement. Returns
 // whether the announcement is stale: it was sent before one that was already
 // accepted, by an earlier incarnation or by an incarnation that was withdrawn.
@@ -169,7 +190,7 @@
     const struct ck_upstream *known =
         group_find_upstream(group, upstream->name);
 
-    if (known == NULL || known->state == CK_UPSTREAM_LOST) {
+    if (known == NULL || known->sequence == GROUP_SEQUENCE_WITHDRAWN) {
         return ANNOUNCE_UNCHANGED;
     }
     struct announce_entry *entry =
@@ -202,6 +223,7 @@
         announce_add(announce, now_us, upstream->name);
     const struct ck_upstream *known =
         group_find_upstream(group, upstream->name);
+    announce_learn(entry, known);
     if (announce_is_stale(entry, upstream)) {
         return ANNOUNCE_UNCHANGED;
     }
--- a/src/catkingrade/decide/coordinator/coordinator.c
+++ b/src/catkingrade/decide/coordinator/coordinator.c
@@ -185,6 +185,9 @@
         change.kind = CK_CHANGE_UPSTREAM_EXPIRE;
         change.ck_change_u.upstream =
             *group_find_upstream(coordinator->group, upstream->name);
+        // With the state "lost" the change would remove the record.
+        change.ck_change_u.upstream.state = CK_UPSTREAM_LEAVING;
+        change.ck_change_u.upstream.sequence = GROUP_SEQUENCE_WITHDRAWN;
         coordinator_propose(coordinator, &change, upstream->name,
                             COORDINATOR_REPLY_ANNOUNCE, token);
         break;
--- a/src/catkingrade/decide/group/group.h
+++ b/src/catkingrade/decide/group/group.h
@@ -15,6 +15,9 @@
 // The control group that publishes customers. It also decides a database whose
 // customer names no control group.
 #define GROUP_FLEET_NAME "fleet"
+// Sequence of an upstream that has left for good: above that of any
+// announcement of its incarnation, which therefore counts as stale.
+#define GROUP_SEQUENCE_WITHDRAWN UINT64_MAX
 // Number of changes with a change id whose result is kept for retries.
 #define GROUP_MAX_RECORDED_RESULTS 20000
 // The replicated state machine of one control group: templates, customers,
--- a/src/catkingrade/decide/group/group_routing.c
+++ b/src/catkingrade/decide/group/group_routing.c
@@ -301,7 +301,8 @@
 // Marks an upstream as lost. It stays a member of its database, because
 // whether a replica is complete depends on the number of members. If the
 // change has the state CK_UPSTREAM_LOST, an upstream that is already lost is
-// removed instead.
+// removed instead. With the sequence GROUP_SEQUENCE_WITHDRAWN this incarnation
+// of the upstream has left for good, which later leaders learn from the state.
 void
 group_apply_upstream_expire(struct group_state *group,
                             const struct ck_upstream *upstream,
@@ -320,6 +321,11 @@
                               "no such upstream");
         return;
     }
+    bool is_withdrawn = upstream->sequence == GROUP_SEQUENCE_WITHDRAWN &&
+                        upstream->incarnation == existing->incarnation;
+    if (!removal && is_withdrawn) {
+        existing->sequence = GROUP_SEQUENCE_WITHDRAWN;
+    }
     if (removal != (existing->state == CK_UPSTREAM_LOST)) {
         group_result_set_text(result, removal ? OUTCOME_CONFLICT : OUTCOME_OK,
                               object->revision, "no change");
--- a/test/unit/decide/coordinator/test_announce.c
+++ b/test/unit/decide/coordinator/test_announce.c
@@ -225,6 +225,110 @@
 }
 END_TEST
 
+// Applies the withdrawal of an upstream as the coordinator proposes it.
+static void
+apply_withdrawal(struct fixture *fixture, const char *name)
+{
+    struct ck_change change = {.kind = CK_CHANGE_UPSTREAM_EXPIRE};
+
+    change.ck_change_u.upstream = *group_find_upstream(fixture->group, name);
+    change.ck_change_u.upstream.state = CK_UPSTREAM_LEAVING;
+    change.ck_change_u.upstream.sequence = GROUP_SEQUENCE_WITHDRAWN;
+    ck_assert_int_eq(changes_apply(fixture->group, 0, &change, "", -1, NULL),
+                     OUTCOME_OK);
+    announce_end_proposal(fixture->announce, name);
+}
+
+// Continues with an empty table, as a new leader does.
+static void
+change_leader(struct fixture *fixture, int64_t now_us)
+{
+    announce_destroy(fixture->announce);
+    fixture->announce = announce_create(&params);
+    announce_load(fixture->announce, now_us, fixture->group);
+}
+
+// Guards against an upstream that has left and is used again: the leader
+// changes after its withdrawal, and one of its announcements arrives late.
+START_TEST(test_withdrawal_holds_after_leader_change)
+{
+    struct fixture fixture = make_fixture();
+    struct group_result reason;
+    struct ck_upstream one =
+        changes_make_upstream("u1", "roster1", "noord", "10.0.0.1");
+
+    one.incarnation = 100;
+    one.sequence = 3;
+    ck_assert_int_eq(announce_once(&fixture, 0, &one), ANNOUNCE_PUBLISH);
+    apply_withdrawal(&fixture, "u1");
+    change_leader(&fixture, 1000 * MS);
+    one.sequence = 4;
+    ck_assert_int_eq(announce_handle_upstream(fixture.announce, 1001 * MS,
+                                              fixture.group, &one, &reason),
+                     ANNOUNCE_UNCHANGED);
+    one.incarnation = 200;
+    one.sequence = 1;
+    ck_assert_int_eq(announce_handle_upstream(fixture.announce, 1002 * MS,
+                                              fixture.group, &one, &reason),
+                     ANNOUNCE_PUBLISH);
+    free_fixture(&fixture);
+}
+END_TEST
+
+// The same for an upstream that had been silent before it left.
+START_TEST(test_lost_upstream_can_be_withdrawn)
+{
+    struct fixture fixture = make_fixture();
+    struct group_result reason;
+    struct ck_upstream one =
+        changes_make_upstream("u1", "roster1", "noord", "10.0.0.1");
+
+    one.incarnation = 100;
+    one.sequence = 3;
+    ck_assert_int_eq(announce_once(&fixture, 0, &one), ANNOUNCE_PUBLISH);
+    announce_tick(fixture.announce, 3000 * MS, fixture.group, apply_change,
+                  &fixture);
+    ck_assert_int_eq(fixture.expiries, 1);
+    one.state = CK_UPSTREAM_LOST;
+    ck_assert_int_eq(announce_handle_upstream(fixture.announce, 3100 * MS,
+                                              fixture.group, &one, &reason),
+                     ANNOUNCE_WITHDRAW);
+    apply_withdrawal(&fixture, "u1");
+    ck_assert_int_eq(group_find_upstream(fixture.group, "u1")->state,
+                     CK_UPSTREAM_LOST);
+    one.state = CK_UPSTREAM_READY;
+    one.sequence = 4;
+    ck_assert_int_eq(announce_handle_upstream(fixture.announce, 6000 * MS,
+                                              fixture.group, &one, &reason),
+                     ANNOUNCE_UNCHANGED);
+    free_fixture(&fixture);
+}
+END_TEST
+
+// Guards against an upstream that leaves and gets statements again: the leader
+// changes after it has announced that it leaves, and an earlier announcement
+// arrives late.
+START_TEST(test_late_announcement_is_stale_for_new_leader)
+{
+    struct fixture fixture = make_fixture();
+    struct group_result reason;
+    struct ck_upstream one =
+        changes_make_upstream("u1", "roster1", "noord", "10.0.0.1");
+
+    one.incarnation = 100;
+    one.sequence = 5;
+    one.state = CK_UPSTREAM_LEAVING;
+    ck_assert_int_eq(announce_once(&fixture, 0, &one), ANNOUNCE_PUBLISH);
+    change_leader(&fixture, 1000 * MS);
+    one.sequence = 4;
+    one.state = CK_UPSTREAM_READY;
+    ck_assert_int_eq(announce_handle_upstream(fixture.announce, 3000 * MS,
+                                              fixture.group, &one, &reason),
+                     ANNOUNCE_UNCHANGED);
+    free_fixture(&fixture);
+}
+END_TEST
+
 // Guards against outdated state: an announcement arrives after one with a
 // higher sequence number, or after one of a later incarnation.
 START_TEST(test_stale_announcement_is_ignored)
@@ -262,6 +366,9 @@
     tcase_add_test(tests, test_load_restarts_expiry);
     tcase_add_test(tests, test_refusal_has_a_reason);
     tcase_add_test(tests, test_withdrawal_ends_incarnation);
+    tcase_add_test(tests, test_withdrawal_holds_after_leader_change);
+    tcase_add_test(tests, test_lost_upstream_can_be_withdrawn);
+    tcase_add_test(tests, test_late_announcement_is_stale_for_new_leader);
     tcase_add_test(tests, test_stale_announcement_is_ignored);
 }
 
