perf(publication): deltas are cut before they are compressed

Cause: a limit of 12 KB after compression, with 120 KB before it, compressed each delta three times, of up to 295 entries at different revisions. Change: 36 KB before compression, which is about 12 KB after it.

--- a/src/catkingrade/decide/group/publication.h
+++ b/src/catkingrade/decide/group/publication.h
@@ -17,9 +17,10 @@
 // once.
 struct publication;
 
-// Limit of the size of a delta before its compression. The objects of a single
-// revision, as the routes of a declaration, may exceed it.
-#define PUBLICATION_MAX_DELTA_BYTES 120000
+// Limit of the size of a delta before its compression, which is to about a
+// third. The objects of a single revision, as the routes of a declaration, may
+// exceed it.
+#define PUBLICATION_MAX_DELTA_BYTES 36000
 
 struct publication *publication_create(void);
 void publication_destroy(struct publication *publication);
