perf(coordinator): quotas are planned when shares may change

Change: planned soon if a report frees a part, differs from the plan or is short of it; within 2 s if a demand varies; if a lease has really ended.

--- a/src/catkingrade/decide/coordinator/coordinator_private.h
+++ b/src/catkingrade/decide/coordinator/coordinator_private.h
@@ -108,7 +108,8 @@
     char *name;
     bool is_removed;     // the upstream is no longer in its database
     bool is_lost;        // CK_UPSTREAM_LOST in the group state
-    bool is_stale;       // an input of the plan has changed
+    bool is_stale;       // an input has changed and may change the plan
+    bool is_used;        // so has one that hardly does; planned again later
     int64_t planned_us;  // time of the plan; 0: none
     int64_t outdated_us; // when a lease that the plan counts may have ended
     struct coordinator_share **shares;
--- a/src/catkingrade/decide/coordinator/coordinator_quota.c
+++ b/src/catkingrade/decide/coordinator/coordinator_quota.c
@@ -22,6 +22,9 @@
 // An upstream is planned again after this time multiplied by the number of
 // upstreams at the earliest, which bounds the time spent on plans.
 #define COORDINATOR_PLAN_INTERVAL_PER_UPSTREAM_US 200
+// An upstream whose entries' demands vary within their quotas is planned again
+// after this time.
+#define COORDINATOR_PLAN_MAX_AGE_US 2000000
 
 // Fills the demand and the held quota of an entry for quota_plan_compute.
 // guaranteed is the entry's guaranteed share: the upper bound of its use if
@@ -165,29 +168,46 @@
     }
 }
 
-// Stores the planned quotas, and when the plan is outdated because a lease or
-// a quota of an earlier incarnation may have ended.
+// Returns whether a lease that the last plan of an upstream counts has ended
+// since. If not, sets when the first of them may end.
+static bool
+coordinator_has_lease_ended(const struct coordinator *coordinator,
+                            struct coordinator_quota *quota)
+{
+    quota->outdated_us = INT64_MAX;
+    for (size_t i = 0; i < quota->shares_count; i++) {
+        const struct coordinator_holder *holder = quota->shares[i]->holder;
+        const int64_t ends_us[] = {holder->granted_until_us,
+                                   holder->previous_quota_until_us};
+        for (size_t j = 0; j < 2; j++) {
+            if (ends_us[j] <= quota->planned_us) {
+                continue;
+            }
+            if (ends_us[j] <= coordinator->now_us) {
+                return true;
+            }
+            if (ends_us[j] < quota->outdated_us) {
+                quota->outdated_us = ends_us[j];
+            }
+        }
+    }
+    return false;
+}
+
+// Stores the planned quotas, and when a lease or a quota of an earlier
+// incarnation may have ended, which the plan counts.
 static void
 coordinator_store_plan(const struct coordinator *coordinator,
                        struct coordinator_quota *quota,
                        const struct coordinator_plan *plan)
 {
     quota->is_stale = false;
+    quota->is_used = false;
     quota->planned_us = coordinator->now_us;
-    quota->outdated_us = INT64_MAX;
     for (size_t i = 0; i < plan->count; i++) {
-        struct coordinator_share *share = plan->rows[i];
-        const struct coordinator_holder *holder = share->holder;
-        share->planned = plan->shares[i];
-        if (coordinator_has_quota(coordinator, holder) &&
-            holder->granted_until_us < quota->outdated_us) {
-            quota->outdated_us = holder->granted_until_us;
-        }
-        if (coordinator_has_previous_quota(coordinator, holder) &&
-            holder->previous_quota_until_us < quota->outdated_us) {
-            quota->outdated_us = holder->previous_quota_until_us;
-        }
+        plan->rows[i]->planned = plan->shares[i];
     }
+    (void)coordinator_has_lease_ended(coordinator, quota);
 }
 
 static void
@@ -225,6 +245,7 @@
                          struct coordinator_quota *quota)
 {
     quota->is_stale = false;
+    quota->is_used = false;
     quota->planned_us = coordinator->now_us;
     quota->outdated_us = INT64_MAX;
     for (size_t i = 0; i < quota->shares_count; i++) {
@@ -241,11 +262,15 @@
 {
     int64_t interval_us = (int64_t)coordinator->quotas_count *
                           COORDINATOR_PLAN_INTERVAL_PER_UPSTREAM_US;
-    bool is_stale =
-        quota->is_stale || coordinator->now_us >= quota->outdated_us;
+    int64_t age_us = coordinator->now_us - quota->planned_us;
+    bool is_stale = quota->is_stale ||
+                    (quota->is_used && age_us >= COORDINATOR_PLAN_MAX_AGE_US);
 
-    if (!is_stale || (quota->planned_us != 0 &&
-                      coordinator->now_us - quota->planned_us < interval_us)) {
+    if (!is_stale && coordinator->now_us >= quota->outdated_us) {
+        quota->is_stale = coordinator_has_lease_ended(coordinator, quota);
+        is_stale = quota->is_stale;
+    }
+    if (!is_stale || (quota->planned_us != 0 && age_us < interval_us)) {
         return;
     }
     const struct ck_upstream *upstream =
--- a/src/catkingrade/decide/coordinator/coordinator_share.c
+++ b/src/catkingrade/decide/coordinator/coordinator_share.c
@@ -423,8 +423,31 @@
     }
 }
 
+// Returns whether an entry demands more of an upstream than it is to get.
+static bool
+coordinator_is_short(const struct coordinator_share *share)
+{
+    return share->slots_demand > share->planned.slots ||
+           share->connections_demand > share->planned.connections;
+}
+
+// Returns whether a report frees a part of what the entry may use.
+static bool
+coordinator_is_freed(const struct quota_plan_share *held,
+                     const struct quota_plan_share *reported)
+{
+    return reported->slots < held->slots ||
+           reported->connections < held->connections ||
+           reported->guaranteed_slots < held->guaranteed_slots ||
+           reported->guaranteed_connections < held->guaranteed_connections;
+}
+
 // Sets what an entry reports of an upstream. The quota that it reports as held
-// is all that it can hold: it ignores replies to earlier renewals.
+// is all that it can hold: it ignores replies to earlier renewals. The
+// upstream is planned again soon if the entry frees a part, reports another
+// quota than the planned one, or is short before or after the report. It need
+// not be for an entry that has got its quota, or whose demand varies within
+// it.
 static void
 coordinator_set_report(struct coordinator_share *share,
                        const struct ck_demand *demand)
@@ -435,15 +458,22 @@
         .guaranteed_slots = demand->held_guaranteed_slots,
         .guaranteed_connections = demand->held_guaranteed_connections};
     uint32_t slots_demand = demand->waiting + demand->running;
+    bool has_new_demand = slots_demand != share->slots_demand ||
+                          demand->connections != share->connections_demand;
+    bool has_new_quota =
+        !coordinator_is_same_quota(&reported, &share->reported);
+    bool is_stale =
+        (has_new_quota &&
+         (coordinator_is_freed(&share->held, &reported) ||
+          !coordinator_is_same_quota(&reported, &share->planned))) ||
+        (has_new_demand && coordinator_is_short(share));
 
-    if (slots_demand != share->slots_demand ||
-        demand->connections != share->connections_demand ||
-        !coordinator_is_same_quota(&reported, &share->reported)) {
-        share->quota->is_stale = true;
-    }
     share->slots_demand = slots_demand;
     share->connections_demand = demand->connections;
     share->reported = reported;
+    is_stale = is_stale || (has_new_demand && coordinator_is_short(share));
+    share->quota->is_stale = share->quota->is_stale || is_stale;
+    share->quota->is_used = share->quota->is_used || has_new_demand;
 }
 
 // Returns the share for a report, or NULL if the upstream is not known or the
