perf(control): announcements that change nothing go to the leader in lists

Cause: 3,000 upstreams announce themselves about every 1.2 s, and each announcement was a call of its own from the control VM that got it to the leader: about 2,500 calls a second there. Change: announcements that equal the record which this VM's voter has applied are gathered for 50 ms, up to 64, and sent as one list (new call CK_ANNOUNCE). The leader handles each as before. What it does not accept at once, and all of a list that is not answered, are forwarded one by one. Changes go at once. All control VMs must be updated together.

--- a/src/catkingrade/control/control.c
+++ b/src/catkingrade/control/control.c
@@ -4,8 +4,10 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "catkingrade/control/announcement_batch.h"
 #include "catkingrade/control/control_state.h"
 #include "catkingrade/control/membership_agent.h"
+#include "catkingrade/decide/group/group.h"
 #include "catkingrade/kernel/counters.h"
 #include "catkingrade/kernel/log.h"
 #include "catkingrade/kernel/memory.h"
@@ -154,6 +156,22 @@
     rpcnet_reply(request, &reply);
 }
 
+static void
+control_handle_announce(void *data, struct rpcnet_request *request,
+                        const void *args)
+{
+    const struct ck_announce_args *announce = args;
+    struct group_host *host = control_find_host(data, announce->group);
+    struct ck_announce_result reply = {0};
+
+    if (host != NULL) {
+        group_host_handle_announce(host, request, announce);
+        return;
+    }
+    reply.outcome = control_get_unhosted_outcome(data, announce->group);
+    rpcnet_reply(request, &reply);
+}
+
 static void
 control_handle_apply(void *data, struct rpcnet_request *request,
                      const void *args)
@@ -462,6 +480,8 @@
     rpcnet_set_handler(rpcnet, &rpcnet_raft, control_handle_raft, control);
     rpcnet_set_handler(rpcnet, &rpcnet_renew, control_handle_renew, control);
     rpcnet_set_handler(rpcnet, &rpcnet_apply, control_handle_apply, control);
+    rpcnet_set_handler(rpcnet, &rpcnet_announce, control_handle_announce,
+                       control);
     rpcnet_set_handler(rpcnet, &rpcnet_query, control_handle_query, control);
     rpcnet_set_handler(rpcnet, &rpcnet_command, control_handle_command,
                        control);
@@ -477,6 +497,7 @@
     rpcnet_set_handler(rpcnet, &rpcnet_raft, NULL, NULL);
     rpcnet_set_handler(rpcnet, &rpcnet_renew, NULL, NULL);
     rpcnet_set_handler(rpcnet, &rpcnet_apply, NULL, NULL);
+    rpcnet_set_handler(rpcnet, &rpcnet_announce, NULL, NULL);
     rpcnet_set_handler(rpcnet, &rpcnet_query, NULL, NULL);
     rpcnet_set_handler(rpcnet, &rpcnet_command, NULL, NULL);
     rpcnet_set_handler(rpcnet, &rpcnet_read_declaration, NULL, NULL);
@@ -493,6 +514,8 @@
 
     control->daemon = daemon;
     control->loop = daemon->control_loop;
+    control->announcements =
+        announcement_batch_create(control, GROUP_FLEET_NAME);
     if ((daemon->settings->roles & SETTINGS_ROLE_CONTROL) != 0) {
         const struct upstream_admin_driver *driver =
             daemon->admin_driver != NULL ? daemon->admin_driver
@@ -521,6 +544,7 @@
     loop_set_iteration_end_task(control->loop, NULL, NULL);
     loop_set_iteration_observer(control->loop, NULL, NULL);
     membership_agent_destroy(control->membership_agent);
+    announcement_batch_destroy(control->announcements);
     for (size_t i = 0; i < control->hosts_count; i++) {
         group_host_destroy(control->hosts[i]);
     }
--- a/src/catkingrade/control/control_state.h
+++ b/src/catkingrade/control/control_state.h
@@ -8,6 +8,7 @@
 #include "catkingrade/rpc/rpcnet.h"
 #include "catkingrade/store/store.h"
 
+struct announcement_batch;
 struct http_call;
 struct membership_agent;
 
@@ -19,6 +20,7 @@
     struct upstream_admin *admin;
     struct group_host **hosts;
     size_t hosts_count;
+    struct announcement_batch *announcements; // of the fleet's group
     struct membership_agent
         *membership_agent; // NULL: voters change only by command
 };
--- a/src/catkingrade/control/forward.c
+++ b/src/catkingrade/control/forward.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "catkingrade/control/announcement.h"
+#include "catkingrade/control/announcement_batch.h"
 #include "catkingrade/control/control_state.h"
 #include "catkingrade/kernel/counters.h"
 #include "catkingrade/kernel/memory.h"
@@ -295,7 +296,6 @@
 {
     struct announcement announcement = {0};
     struct buffer errors = {0};
-    struct ck_change change = {.kind = CK_CHANGE_UPSTREAM};
     size_t size = 0;
 
     if (announcement_parse(http_call_get_body(call, &size), &announcement,
@@ -307,8 +307,7 @@
         return;
     }
     buffer_free(&errors);
-    change.ck_change_u.upstream = announcement.upstream;
-    forward_apply(data, announcement.group, &change,
-                  forward_reply_announcement, call);
+    announcement_submit(data, announcement.group, &announcement.upstream,
+                        forward_reply_announcement, call);
     announcement_free(&announcement);
 }
--- a/src/catkingrade/control/group_requests.c
+++ b/src/catkingrade/control/group_requests.c
@@ -220,6 +220,87 @@
         host, upstream, host_reply_forwarded_announcement, forwarded);
 }
 
+// Returns whether an announcement changes nothing in the state that this voter
+// has applied, which may be behind that of the leader.
+bool
+group_host_has_upstream(const struct group_host *host,
+                        const struct ck_upstream *announced)
+{
+    struct ck_upstream limited = *announced;
+    const struct ck_upstream *known =
+        group_find_upstream(host->state, announced->name);
+
+    group_override_upstream_limits(host->state, &limited);
+    return known != NULL && known->state != CK_UPSTREAM_LOST &&
+           group_is_same_upstream(known, &limited);
+}
+
+// Outcome of an announcement of a list. The list is answered without waiting
+// for those that lead to a change.
+struct host_listed_announcement {
+    bool is_done;
+    bool is_answered; // the list has been; the outcome is not wanted
+    int outcome;
+};
+
+static void
+host_handle_listed_announcement(void *data, int outcome, const char *text)
+{
+    struct host_listed_announcement *listed = data;
+
+    (void)text;
+    if (listed->is_answered) {
+        free(listed);
+        return;
+    }
+    listed->is_done = true;
+    listed->outcome = outcome;
+}
+
+// Submits an announcement of a list. Returns its outcome, or OUTCOME_UNKNOWN
+// if it is not known yet.
+static int
+host_submit_listed_announcement(struct group_host *host,
+                                const struct ck_upstream *upstream)
+{
+    struct host_listed_announcement *listed = xcalloc(1, sizeof(*listed));
+
+    group_host_submit_announcement(host, upstream,
+                                   host_handle_listed_announcement, listed);
+    if (!listed->is_done) {
+        listed->is_answered = true;
+        return OUTCOME_UNKNOWN;
+    }
+    int outcome = listed->outcome;
+    free(listed);
+    return outcome;
+}
+
+// Handles a list of announcements from another control VM.
+void
+group_host_handle_announce(struct group_host *host,
+                           struct rpcnet_request *request,
+                           const struct ck_announce_args *args)
+{
+    u_int count = args->upstreams.upstreams_len;
+    struct ck_announce_result reply = {.outcome = OUTCOME_NOT_LEADER};
+
+    if (!host_is_confirmed_leader(host)) {
+        rpcnet_reply(request, &reply);
+        return;
+    }
+    int *outcomes = xcalloc(count, sizeof(*outcomes));
+    for (u_int i = 0; i < count; i++) {
+        outcomes[i] = host_submit_listed_announcement(
+            host, &args->upstreams.upstreams_val[i]);
+    }
+    reply.outcome = OUTCOME_OK;
+    reply.outcomes.outcomes_val = outcomes;
+    reply.outcomes.outcomes_len = count;
+    rpcnet_reply(request, &reply);
+    free(outcomes);
+}
+
 // Returns whether operators may request a change of this kind. Only the
 // coordinator may propose the other kinds.
 static bool
--- a/src/catkingrade/decide/coordinator/announce.c
+++ b/src/catkingrade/decide/coordinator/announce.c
@@ -113,17 +113,6 @@
     group_visit_databases(group, announce_load_database, &load);
 }
 
-static bool
-announce_is_equal(const struct ck_upstream *left,
-                  const struct ck_upstream *right)
-{
-    return left->port == right->port && left->slots == right->slots &&
-           left->connections == right->connections &&
-           left->state == right->state &&
-           left->incarnation == right->incarnation &&
-           strcmp(left->host, right->host) == 0;
-}
-
 static void
 announce_defer(struct announce_entry *entry,
                const struct ck_upstream *upstream)
@@ -228,7 +217,7 @@
         return ANNOUNCE_UNCHANGED;
     }
     entry->last_announced_us = now_us;
-    if (known != NULL && announce_is_equal(known, upstream)) {
+    if (known != NULL && group_is_same_upstream(known, upstream)) {
         entry->is_deferred = false;
         return ANNOUNCE_UNCHANGED;
     }
--- a/src/catkingrade/decide/group/group.h
+++ b/src/catkingrade/decide/group/group.h
@@ -74,6 +74,8 @@
 
 // Replaces the limits that the upstream announced by those of its customer, if
 // the customer sets any.
+bool group_is_same_upstream(const struct ck_upstream *left,
+                            const struct ck_upstream *right);
 void group_override_upstream_limits(const struct group_state *group,
                                     struct ck_upstream *upstream);
 
--- a/src/catkingrade/decide/group/group_routing.c
+++ b/src/catkingrade/decide/group/group_routing.c
@@ -138,9 +138,11 @@
     return false;
 }
 
-static bool
-group_upstreams_equal(const struct ck_upstream *left,
-                      const struct ck_upstream *right)
+// Returns whether two records of an upstream differ in nothing but their
+// sequence numbers.
+bool
+group_is_same_upstream(const struct ck_upstream *left,
+                       const struct ck_upstream *right)
 {
     return left->port == right->port && left->slots == right->slots &&
            left->connections == right->connections &&
@@ -254,7 +256,7 @@
     }
     struct ck_upstream *existing =
         group_find_member_upstream(&object->database, upstream->name);
-    if (existing != NULL && group_upstreams_equal(existing, upstream)) {
+    if (existing != NULL && group_is_same_upstream(existing, upstream)) {
         group_result_set_text(result, OUTCOME_OK, object->revision,
                               "no change");
         return;
--- a/src/catkingrade/rpc/messages.h
+++ b/src/catkingrade/rpc/messages.h
@@ -471,6 +471,24 @@
 };
 typedef struct ck_apply_result ck_apply_result;
 
+struct ck_announce_args {
+	ck_name group;
+	struct {
+		u_int upstreams_len;
+		ck_upstream *upstreams_val;
+	} upstreams;
+};
+typedef struct ck_announce_args ck_announce_args;
+
+struct ck_announce_result {
+	int outcome;
+	struct {
+		u_int outcomes_len;
+		int *outcomes_val;
+	} outcomes;
+};
+typedef struct ck_announce_result ck_announce_result;
+
 struct ck_log_entry {
 	u_quad_t term;
 	u_quad_t index;
@@ -677,6 +695,9 @@
 #define CK_READ_DECLARATION 7
 extern  ck_read_declaration_result * ck_read_declaration_1(ck_read_declaration_args *, CLIENT *);
 extern  ck_read_declaration_result * ck_read_declaration_1_svc(ck_read_declaration_args *, struct svc_req *);
+#define CK_ANNOUNCE 8
+extern  ck_announce_result * ck_announce_1(ck_announce_args *, CLIENT *);
+extern  ck_announce_result * ck_announce_1_svc(ck_announce_args *, struct svc_req *);
 extern int ck_program_1_freeresult (SVCXPRT *, xdrproc_t, caddr_t);
 
 #else /* K&R C */
@@ -701,6 +722,9 @@
 #define CK_READ_DECLARATION 7
 extern  ck_read_declaration_result * ck_read_declaration_1();
 extern  ck_read_declaration_result * ck_read_declaration_1_svc();
+#define CK_ANNOUNCE 8
+extern  ck_announce_result * ck_announce_1();
+extern  ck_announce_result * ck_announce_1_svc();
 extern int ck_program_1_freeresult ();
 #endif /* K&R C */
 
@@ -749,6 +773,8 @@
 extern  bool_t xdr_ck_change (XDR *, ck_change*);
 extern  bool_t xdr_ck_apply_args (XDR *, ck_apply_args*);
 extern  bool_t xdr_ck_apply_result (XDR *, ck_apply_result*);
+extern  bool_t xdr_ck_announce_args (XDR *, ck_announce_args*);
+extern  bool_t xdr_ck_announce_result (XDR *, ck_announce_result*);
 extern  bool_t xdr_ck_log_entry (XDR *, ck_log_entry*);
 extern  bool_t xdr_ck_log_payload (XDR *, ck_log_payload*);
 extern  bool_t xdr_ck_raft_kind (XDR *, ck_raft_kind*);
@@ -812,6 +838,8 @@
 extern bool_t xdr_ck_change ();
 extern bool_t xdr_ck_apply_args ();
 extern bool_t xdr_ck_apply_result ();
+extern bool_t xdr_ck_announce_args ();
+extern bool_t xdr_ck_announce_result ();
 extern bool_t xdr_ck_log_entry ();
 extern bool_t xdr_ck_log_payload ();
 extern bool_t xdr_ck_raft_kind ();
--- a/src/catkingrade/rpc/messages.x
+++ b/src/catkingrade/rpc/messages.x
@@ -412,6 +412,21 @@
     ck_text message;
 };
 
+/*
+ * Announcements of upstreams that change nothing as far as the sender knows,
+ * from a control VM to the leader. The leader handles each like a change.
+ */
+struct ck_announce_args {
+    ck_name group;
+    ck_upstream upstreams<CK_LIST_SIZE>;
+};
+
+struct ck_announce_result {
+    int outcome;                    /* not OUTCOME_OK: none was handled */
+    /* Of each in the same order; OUTCOME_UNKNOWN: not known yet. */
+    int outcomes<CK_LIST_SIZE>;
+};
+
 /* ---- replicated log ---- */
 
 struct ck_log_entry {
@@ -588,5 +603,6 @@
         ck_command_result CK_COMMAND(ck_command_args) = 6;
         ck_read_declaration_result
             CK_READ_DECLARATION(ck_read_declaration_args) = 7;
+        ck_announce_result CK_ANNOUNCE(ck_announce_args) = 8;
     } = 1;
 } = 0x20434b47;
--- a/src/catkingrade/rpc/messages_xdr.c
+++ b/src/catkingrade/rpc/messages_xdr.c
@@ -1116,6 +1116,32 @@
 	return TRUE;
 }
 
+bool_t
+xdr_ck_announce_args (XDR *xdrs, ck_announce_args *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_ck_name (xdrs, &objp->group))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->upstreams.upstreams_val, (u_int *) &objp->upstreams.upstreams_len, CK_LIST_SIZE,
+		sizeof (ck_upstream), (xdrproc_t) xdr_ck_upstream))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_ck_announce_result (XDR *xdrs, ck_announce_result *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_int (xdrs, &objp->outcome))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->outcomes.outcomes_val, (u_int *) &objp->outcomes.outcomes_len, CK_LIST_SIZE,
+		sizeof (int), (xdrproc_t) xdr_int))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_ck_log_entry (XDR *xdrs, ck_log_entry *objp)
 {
--- a/src/catkingrade/rpc/rpcnet.h
+++ b/src/catkingrade/rpc/rpcnet.h
@@ -53,6 +53,7 @@
 extern const struct rpcnet_procedure rpcnet_notify;
 extern const struct rpcnet_procedure rpcnet_raft;
 extern const struct rpcnet_procedure rpcnet_apply;
+extern const struct rpcnet_procedure rpcnet_announce;
 extern const struct rpcnet_procedure rpcnet_query;
 extern const struct rpcnet_procedure rpcnet_command;
 extern const struct rpcnet_procedure rpcnet_read_declaration;
--- a/src/catkingrade/rpc/rpcnet_procedures.c
+++ b/src/catkingrade/rpc/rpcnet_procedures.c
@@ -25,6 +25,8 @@
 RPCNET_PROCEDURE(read_declaration, CK_READ_DECLARATION,
                  ck_read_declaration_args, ck_read_declaration_result,
                  COUNTER_RPC_QUERY_BYTES, WORK_TIME_QUERY);
+RPCNET_PROCEDURE(announce, CK_ANNOUNCE, ck_announce_args, ck_announce_result,
+                 COUNTER_RPC_APPLY_BYTES, WORK_TIME_CHANGE);
 const struct rpcnet_procedure rpcnet_raft = {
     .number = CK_RAFT,
     .args_xdr = (xdrproc_t)xdr_ck_raft_message,
