--- a/src/catkingrade/decide/group/publication.c
+++ b/src/catkingrade/decide/group/publication.c
@@ -12,7 +12,7 @@
 
 #define PUBLICATION_COMPRESSION_LEVEL 1
 #define PUBLICATION_MAX_PARTS         64
-// Takes a link of 2 Mbit/s 64 ms, a fraction of the timeout of a renewal.
+// A slow link carries this within a fraction of the timeout of a renewal.
 #define PUBLICATION_MAX_PACKED_BYTES 16000
 // Limits the memory allocated for a delta with a corrupt length.
 #define PUBLICATION_MAX_UNPACKED_BYTES ((size_t)4 * 1024 * 1024)
