--- a/src/catkingrade/control/control.c
+++ b/src/catkingrade/control/control.c
@@ -312,19 +312,41 @@
     work_time_record(WORK_TIME_LOG, now_us, now_us - begun_us);
 }
 
+// Returns the kind of work that took most of the turn that ends, and its time.
+static enum work_time
+control_find_longest_work(struct control *control, int64_t *longest_us)
+{
+    enum work_time longest = WORK_TIME_RAFT;
+
+    *longest_us = 0;
+    for (int i = WORK_TIME_RAFT; i <= WORK_TIME_TICK; i++) {
+        int64_t sum_us = work_time_get_sum_us((enum work_time)i);
+        if (sum_us - control->work_sums_us[i] > *longest_us) {
+            longest = (enum work_time)i;
+            *longest_us = sum_us - control->work_sums_us[i];
+        }
+        control->work_sums_us[i] = sum_us;
+    }
+    return longest;
+}
+
 // Records the duration of a turn of the control loop, during which nothing
 // else is handled. Logs one that delays the heartbeats of a group.
 static void
 control_observe_turn(void *data, int64_t duration_us)
 {
-    const struct control *control = data;
+    struct control *control = data;
+    int64_t longest_us = 0;
+    enum work_time longest = control_find_longest_work(control, &longest_us);
 
     work_time_record(WORK_TIME_TURN, monotonic_get_us(), duration_us);
     if (duration_us < control->daemon->settings->heartbeat_us) {
         return;
     }
     LOG_LIMITED(CONTROL_MAX_TURN_LINES, LOG_LEVEL_INFO, "long_turn",
-                "turn_ms=%" PRId64, duration_us / CONTROL_US_PER_MS);
+                "turn_ms=%" PRId64 " longest=%s longest_ms=%" PRId64,
+                duration_us / CONTROL_US_PER_MS, work_time_get_label(longest),
+                longest_us / CONTROL_US_PER_MS);
 }
 
 static int
--- a/src/catkingrade/control/control_state.h
+++ b/src/catkingrade/control/control_state.h
@@ -5,6 +5,7 @@
 #include "catkingrade/control/group_host.h"
 #include "catkingrade/control/upstream_admin.h"
 #include "catkingrade/kernel/loop.h"
+#include "catkingrade/kernel/work_time.h"
 #include "catkingrade/rpc/rpcnet.h"
 #include "catkingrade/store/store.h"
 
@@ -21,6 +22,7 @@
     struct group_host **hosts;
     size_t hosts_count;
     struct announcement_batch *announcements; // of the fleet's group
+    int64_t work_sums_us[WORK_TIME_COUNT];    // at the end of the last turn
     struct membership_agent
         *membership_agent; // NULL: voters change only by command
 };
--- a/src/catkingrade/rpc/rpcnet_procedures.c
+++ b/src/catkingrade/rpc/rpcnet_procedures.c
@@ -26,7 +26,7 @@
                  ck_read_declaration_args, ck_read_declaration_result,
                  COUNTER_RPC_QUERY_BYTES, WORK_TIME_QUERY);
 RPCNET_PROCEDURE(announce, CK_ANNOUNCE, ck_announce_args, ck_announce_result,
-                 COUNTER_RPC_APPLY_BYTES, WORK_TIME_CHANGE);
+                 COUNTER_RPC_APPLY_BYTES, WORK_TIME_ANNOUNCEMENT);
 const struct rpcnet_procedure rpcnet_raft = {
     .number = CK_RAFT,
     .args_xdr = (xdrproc_t)xdr_ck_raft_message,
