--- a/test/fake/changes.c
+++ b/test/fake/changes.c
@@ -115,19 +115,23 @@
 changes_set_customer(struct group_state *group, const char *databases,
                      const char *promotion)
 {
-    char document[4096];
+    struct buffer document = {0};
 
     int outcome =
         changes_apply_document(group, CK_CHANGE_TEMPLATE, "roster",
                                CHANGES_TEMPLATE_ROSTER, "", -1, NULL);
     INVARIANT(outcome == OUTCOME_OK);
-    (void)snprintf(document, sizeof(document),
-                   "{\"customer\": \"pootafdruk\", \"template\": \"roster\","
-                   " \"parameters\": {\"databases\": %s,"
-                   " \"promotion\": \"%s\"}}",
-                   databases, promotion);
+    buffer_append_format(
+        &document,
+        "{\"customer\": \"pootafdruk\", \"template\": \"roster\","
+        " \"parameters\": {\"databases\": %s,"
+        " \"promotion\": \"%s\"}}",
+        databases, promotion);
+    buffer_append_u8(&document, 0);
     outcome = changes_apply_document(group, CK_CHANGE_CUSTOMER, "pootafdruk",
-                                     document, "", -1, NULL);
+                                     (const char *)buffer_get_data(&document),
+                                     "", -1, NULL);
+    buffer_free(&document);
     INVARIANT(outcome == OUTCOME_OK);
 }
 
--- a/test/unit/decide/coordinator/test_coordinator.c
+++ b/test/unit/decide/coordinator/test_coordinator.c
@@ -2,6 +2,7 @@
 // shutdown and proposals. Failovers are tested by test_replay_failover.c.
 
 #include <check.h>
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -888,6 +889,89 @@
 }
 END_TEST
 
+// More databases than one step plans the relays of.
+#define MANY_DATABASES 1000
+
+// Declares databases d0 to d999, each with an upstream.
+static void
+add_many_databases(struct rig *rig)
+{
+    struct buffer list = {0};
+    char name[16];
+    char host[16];
+
+    buffer_append_text(&list, "[");
+    for (int i = 0; i < MANY_DATABASES; i++) {
+        buffer_append_format(&list, "%s{\"name\": \"d%d\"}", i == 0 ? "" : ",",
+                             i);
+    }
+    buffer_append_text(&list, "]");
+    buffer_append_u8(&list, 0);
+    changes_set_customer(rig->group, (const char *)buffer_get_data(&list),
+                         "wait");
+    buffer_free(&list);
+    for (int i = 0; i < MANY_DATABASES; i++) {
+        char database[16];
+        (void)snprintf(database, sizeof(database), "d%d", i);
+        (void)snprintf(name, sizeof(name), "m%d", i);
+        (void)snprintf(host, sizeof(host), "10.9.%d.%d", i / 250, i % 250);
+        struct ck_upstream upstream =
+            changes_make_upstream(name, database, "noord", host);
+        changes_apply_upstream(rig->group, &upstream);
+    }
+}
+
+// Renews until no more relays are listed. Returns the number of replies that
+// listed some.
+static unsigned
+take_all_relays(struct rig *rig, size_t *listed)
+{
+    uint64_t version = 0;
+    unsigned replies = 0;
+
+    *listed = 0;
+    for (uint64_t sequence = 2;; sequence++) {
+        struct ck_renew_args args =
+            make_renewal("e1", sequence, group_get_revision(rig->group));
+        struct coordinator_event event = {.kind = COORDINATOR_EVENT_RENEW,
+                                          .token = 9};
+        args.relays_version = version;
+        event.renew = &args;
+        step(rig, &event);
+        const struct ck_renew_result *result =
+            find_action(rig, COORDINATOR_ACTION_REPLY_RENEW)->renew;
+        if (result->relays.relays_len == 0) {
+            return replies;
+        }
+        *listed += result->relays.relays_len;
+        version = result->relays_version;
+        replies++;
+    }
+}
+
+// Guards against a step that plans the relays of all databases, as after an
+// election: a step plans some, so that heartbeats do not wait for the rest,
+// and the steps after it plan the others.
+START_TEST(test_relays_are_planned_in_steps)
+{
+    struct rig rig;
+    size_t listed = 0;
+
+    start_with_relays(&rig, 6, '9');
+    add_many_databases(&rig);
+    tick(&rig, rig.now_us + 50 * MS);
+    (void)take_all_relays(&rig, &listed);
+    ck_assert_uint_gt(listed, 0);
+    ck_assert_uint_lt(listed, MANY_DATABASES);
+    for (int i = 0; i < 40; i++) {
+        tick(&rig, rig.now_us + 50 * MS);
+    }
+    (void)take_all_relays(&rig, &listed);
+    ck_assert_uint_eq(listed, MANY_DATABASES);
+    finish(&rig);
+}
+END_TEST
+
 // Renews with a later incarnation of a daemon, as after a restart. Returns the
 // reply, which is valid until the next step.
 static const struct ck_renew_result *
@@ -1404,6 +1488,7 @@
 add_tests(TCase *tests)
 {
     tcase_add_test(tests, test_relays_are_sent_when_they_change);
+    tcase_add_test(tests, test_relays_are_planned_in_steps);
     tcase_add_test(tests, test_relays_have_current_address);
     tcase_add_test(tests, test_recent_plan_drops_old_record);
     tcase_add_test(tests, test_new_address_changes_relays_version);
