fix(view): routes removed before a change of leader do not stay

Cause: since routes are published one by one, a delta names the routes that were removed. Change: a delta says since which revision its leader has published all routes. A view from before it drops the routes that it does not get again, once it has caught up. All daemons must be updated together. Tests: test_view, test_routes_that_a_new_leader_lacks_are_removed (fails without the removal); test_publication, test_new_leader_sends_all_routes.

--- a/src/catkingrade/decide/group/publication.c
+++ b/src/catkingrade/decide/group/publication.c
@@ -47,6 +47,7 @@
 
 struct publication {
     uint64_t revision;
+    uint64_t routes_since; // revision at which routes were first published
     struct group_index *index;
     struct published *oldest;
     struct published *newest;
@@ -257,6 +258,9 @@
          object = object->newer) {
         object->is_declared = false;
     }
+    if (publication->routes_since == 0) {
+        publication->routes_since = source->revision;
+    }
     for (u_int i = 0; i < declaration.routes.routes_len; i++) {
         publication_update_route(
             publication, &declaration.routes.routes_val[i], source->revision);
@@ -419,7 +423,8 @@
 // Encodes the objects from first up to, but not including, end as a
 // ck_view_delta.
 static void
-publication_encode_delta(const struct ck_packed_delta *delta,
+publication_encode_delta(const struct publication *publication,
+                         const struct ck_packed_delta *delta,
                          const struct published *first,
                          const struct published *end, struct buffer *out)
 {
@@ -427,6 +432,8 @@
     (void)codec_encode((xdrproc_t)xdr_u_quad_t, &delta->to_revision, out);
     (void)codec_encode((xdrproc_t)xdr_bool, &delta->full, out);
     (void)codec_encode((xdrproc_t)xdr_bool, &delta->more, out);
+    (void)codec_encode((xdrproc_t)xdr_u_quad_t, &publication->routes_since,
+                       out);
     publication_append_list(first, end, PUBLISHED_CUSTOMER, false, out);
     publication_append_list(first, end, PUBLISHED_CUSTOMER, true, out);
     publication_append_list(first, end, PUBLISHED_DATABASE, false, out);
@@ -471,7 +478,8 @@
                 end == NULL ? publication->revision : end->older->revision,
             .full = from_revision == 0,
             .more = end != NULL};
-        publication_encode_delta(&part->delta, first, end, &bytes);
+        publication_encode_delta(publication, &part->delta, first, end,
+                                 &bytes);
         publication_compress(publication, &bytes, &part->delta);
         buffer_free(&bytes);
         if (part->delta.data.data_len <= PUBLICATION_MAX_PACKED_BYTES ||
--- a/src/catkingrade/entry/view.c
+++ b/src/catkingrade/entry/view.c
@@ -37,8 +37,9 @@
 struct view_group {
     char name[CK_NAME_SIZE + 1];
     uint64_t revision;
-    uint64_t generation; // number of full deltas started
-    bool replacing;      // a full delta has started; more parts follow
+    uint64_t generation;  // number of full deltas started
+    bool replacing;       // a full delta has started; more parts follow
+    bool replaces_routes; // so have all routes; see ck_view_delta
 };
 
 struct view {
@@ -336,6 +337,12 @@
     if (delta->full) {
         group->generation++;
         group->replacing = true;
+        group->replaces_routes = false;
+    }
+    else if (!group->replacing && delta->from_revision < delta->routes_since &&
+             delta->to_revision >= delta->routes_since) {
+        group->generation++;
+        group->replaces_routes = true;
     }
     view_apply_removals(copy, delta);
     view_apply_objects(copy, delta, group->generation);
@@ -343,6 +350,10 @@
         view_remove_stale_objects(copy, group);
         group->replacing = false;
     }
+    if (group->replaces_routes && !delta->more) {
+        view_list_remove_stale(&copy->routes, group);
+        group->replaces_routes = false;
+    }
     group->revision = delta->to_revision;
     return copy;
 }
--- a/src/catkingrade/rpc/messages.h
+++ b/src/catkingrade/rpc/messages.h
@@ -199,6 +199,7 @@
 	u_quad_t to_revision;
 	bool_t full;
 	bool_t more;
+	u_quad_t routes_since;
 	struct {
 		u_int customers_len;
 		ck_customer *customers_val;
--- a/src/catkingrade/rpc/messages.x
+++ b/src/catkingrade/rpc/messages.x
@@ -170,6 +170,9 @@
     unsigned hyper to_revision;
     bool full;
     bool more;                      /* the next reply continues */
+    /* A view from before this revision gets all routes again, and drops those
+       that it does not get: this leader does not know what was removed. */
+    unsigned hyper routes_since;
     ck_customer customers<CK_LIST_SIZE>;
     ck_name customers_removed<CK_LIST_SIZE>;
     ck_database databases<CK_LIST_SIZE>;
--- a/src/catkingrade/rpc/messages_xdr.c
+++ b/src/catkingrade/rpc/messages_xdr.c
@@ -564,6 +564,8 @@
 		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->more))
 		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->routes_since))
+		 return FALSE;
 	 if (!xdr_array (xdrs, (char **)&objp->customers.customers_val, (u_int *) &objp->customers.customers_len, CK_LIST_SIZE,
 		sizeof (ck_customer), (xdrproc_t) xdr_ck_customer))
 		 return FALSE;
--- a/test/unit/decide/group/test_publication.c
+++ b/test/unit/decide/group/test_publication.c
@@ -161,6 +161,31 @@
 }
 END_TEST
 
+// A new leader knows the routes that there are, but not those that were
+// removed before: it sends them all, and says since when they are all.
+START_TEST(test_new_leader_sends_all_routes)
+{
+    struct fixture fixture;
+
+    fixture_create(&fixture);
+    declare(&fixture);
+    uint64_t revision = publication_get_revision(fixture.publication);
+    fixture.declaration.routes.routes_len--;
+    declare(&fixture);
+    publication_destroy(fixture.publication);
+    fixture.publication = publication_create();
+    publication_update(fixture.publication, fixture.group);
+    struct ck_view_delta delta =
+        get_delta(&fixture, revision, PUBLICATION_MAX_DELTA_BYTES);
+    ck_assert_uint_eq(delta.routes.routes_len, ROUTES_COUNT - 1);
+    ck_assert_uint_gt(delta.routes_since, revision);
+    ck_assert_uint_le(delta.routes_since, delta.to_revision);
+    publication_free_delta(&delta);
+    fixture.declaration.routes.routes_len++;
+    fixture_destroy(&fixture);
+}
+END_TEST
+
 // Half of a declaration must never be in force: a delta ends between two
 // revisions only, however small its limit is.
 START_TEST(test_declaration_is_sent_whole)
@@ -281,6 +306,7 @@
     tcase_add_test(tests, test_only_changed_routes_are_sent);
     tcase_add_test(tests, test_route_that_returns_is_sent);
     tcase_add_test(tests, test_declaration_is_sent_whole);
+    tcase_add_test(tests, test_new_leader_sends_all_routes);
     tcase_add_test(tests, test_changes_between_two_parts);
     tcase_add_test(tests, test_corrupt_deltas_are_refused);
     tcase_add_test(tests, test_nothing_new);
--- a/test/unit/entry/test_view.c
+++ b/test/unit/entry/test_view.c
@@ -295,9 +295,41 @@
 }
 END_TEST
 
+// Guards against a route that was removed and is still served: the leader
+// changes before an entry learns of the removal, and the new leader sends all
+// routes that there are.
+START_TEST(test_routes_that_a_new_leader_lacks_are_removed)
+{
+    struct ck_route old[] = {make_route("booking", 1),
+                             make_route("reading", 2)};
+    struct ck_route new[] = {make_route("reading", 3)};
+    struct ck_view_delta first = make_delta(0, 5, true, NULL, 0);
+    struct ck_view_delta part = make_delta(5, 7, false, NULL, 0);
+    struct ck_view_delta last = make_delta(7, 9, false, NULL, 0);
+    struct ck_view_delta later = make_delta(9, 10, false, NULL, 0);
+    struct view *view = view_create();
+
+    first.routes.routes_val = old;
+    first.routes.routes_len = 2;
+    view = apply(view, "fleet", &first);
+    part.routes_since = last.routes_since = later.routes_since = 6;
+    part.routes.routes_val = new;
+    part.routes.routes_len = 1;
+    part.more = true;
+    view = apply(view, "fleet", &part);
+    view = apply(view, "fleet", &last);
+    ck_assert_ptr_null(view_find_route(view, "booking"));
+    ck_assert_uint_eq(view_find_route(view, "reading")->deadline_ms, 3);
+    view = apply(view, "fleet", &later);
+    ck_assert_ptr_nonnull(view_find_route(view, "reading"));
+    view_release(view);
+}
+END_TEST
+
 static void
 add_tests(TCase *tests)
 {
+    tcase_add_test(tests, test_routes_that_a_new_leader_lacks_are_removed);
     tcase_add_test(tests, test_routes_change_one_by_one);
     tcase_add_test(tests, test_full_delta_replaces_routes);
     tcase_add_test(tests, test_delta_with_gap_is_rejected);
