--- a/src/catkingrade/control/group_host.c
+++ b/src/catkingrade/control/group_host.c
@@ -362,6 +362,7 @@
 group_host_destroy(struct group_host *host)
 {
     host_drop_waiters(host);
+    host_free_listed_announcements(host);
     loop_timer_destroy(host->raft_timer);
     loop_timer_destroy(host->coordinator_timer);
     coordinator_destroy(host->coordinator);
--- a/src/catkingrade/control/group_requests.c
+++ b/src/catkingrade/control/group_requests.c
@@ -235,11 +235,11 @@
            group_is_same_upstream(known, &limited);
 }
 
-// Outcome of an announcement of a list. The list is answered without waiting
-// for those that lead to a change.
+// Outcome of an announcement of a list, kept until it is known. The list is
+// answered without waiting for those that lead to a change.
 struct host_listed_announcement {
+    struct host_listed_announcement *next;
     bool is_done;
-    bool is_answered; // the list has been; the outcome is not wanted
     int outcome;
 };
 
@@ -249,10 +249,6 @@
     struct host_listed_announcement *listed = data;
 
     (void)text;
-    if (listed->is_answered) {
-        free(listed);
-        return;
-    }
     listed->is_done = true;
     listed->outcome = outcome;
 }
@@ -265,15 +261,28 @@
 {
     struct host_listed_announcement *listed = xcalloc(1, sizeof(*listed));
 
+    listed->next = host->listed;
+    host->listed = listed;
     group_host_submit_announcement(host, upstream,
                                    host_handle_listed_announcement, listed);
-    if (!listed->is_done) {
-        listed->is_answered = true;
-        return OUTCOME_UNKNOWN;
+    return listed->is_done ? listed->outcome : OUTCOME_UNKNOWN;
+}
+
+// Frees the outcomes of listed announcements that are known.
+void
+host_free_listed_announcements(struct group_host *host)
+{
+    struct host_listed_announcement **link = &host->listed;
+
+    while (*link != NULL) {
+        struct host_listed_announcement *listed = *link;
+        if (!listed->is_done) {
+            link = &listed->next;
+            continue;
+        }
+        *link = listed->next;
+        free(listed);
     }
-    int outcome = listed->outcome;
-    free(listed);
-    return outcome;
 }
 
 // Handles a list of announcements from another control VM.
@@ -299,6 +308,7 @@
     reply.outcomes.outcomes_len = count;
     rpcnet_reply(request, &reply);
     free(outcomes);
+    host_free_listed_announcements(host);
 }
 
 // Returns whether operators may request a change of this kind. Only the
--- a/src/catkingrade/decide/coordinator/coordinator_private.h
+++ b/src/catkingrade/decide/coordinator/coordinator_private.h
@@ -178,7 +178,6 @@
     char *name;
     enum coordinator_phase phase;
     int64_t phase_us; // start of the phase
-    bool is_quiet;    // nothing in progress that goes on with the time
     struct suspicion suspicion;
     int64_t failover_us; // time of the last unplanned change; 0: none
     int64_t changed_us;  // begin of the last change of primary; 0: none
@@ -188,8 +187,9 @@
     size_t members_count;
     struct coordinator_pending_lease *pending_leases;
     size_t pending_leases_count;
-    bool is_revoked; // in the list of revocations
     struct coordinator_database *next_revoked;
+    bool is_revoked;    // in the list of revocations
+    bool is_quiet;      // nothing in progress that goes on with the time
     bool is_grace_over; // holders must abort in-flight requests
     int64_t next_notify_us;
     const char *planned_reason; // a planned change waits; NULL: none
