--- a/src/catkingrade/decide/coordinator/announce.c
+++ b/src/catkingrade/decide/coordinator/announce.c
@@ -124,11 +124,13 @@
 }
 
 // Takes over what the group state knows of an upstream's last announcement, as
-// an earlier leader may have accepted it.
+// an earlier leader may have accepted it. Of an unknown incarnation it knows
+// nothing that holds for the present one.
 static void
 announce_learn(struct announce_entry *entry, const struct ck_upstream *known)
 {
-    if (known == NULL || known->incarnation < entry->incarnation) {
+    if (known == NULL || known->incarnation == 0 ||
+        known->incarnation < entry->incarnation) {
         return;
     }
     if (known->incarnation > entry->incarnation) {
@@ -184,6 +186,7 @@
     }
     struct announce_entry *entry =
         announce_add(announce, now_us, upstream->name);
+    announce_learn(entry, known);
     entry->is_withdrawn = true;
     entry->is_deferred = false;
     entry->is_proposed = true;
--- a/src/catkingrade/decide/coordinator/coordinator_lease.c
+++ b/src/catkingrade/decide/coordinator/coordinator_lease.c
@@ -20,6 +20,8 @@
 // databases change, entries' links carry the changes of the last publication
 // before the next one.
 #define COORDINATOR_PUBLISH_INTERVAL_PER_OBJECT_US 1000
+// But not longer than this, so that a declaration is in force in time.
+#define COORDINATOR_PUBLISH_MAX_INTERVAL_US 2000000
 
 // Returns the maximum lifetime, on the coordinator's clock, of a lease from
 // the receipt of its renewal: the lease plus twice the bound on the drift of
@@ -627,6 +629,21 @@
     return objects_count;
 }
 
+// Returns how long changes that are not urgent wait after a publication.
+static int64_t
+coordinator_get_publish_interval_us(const struct coordinator *coordinator,
+                                    size_t objects_count)
+{
+    int64_t interval_us =
+        (int64_t)coordinator->holders_count *
+            COORDINATOR_PUBLISH_INTERVAL_PER_HOLDER_US +
+        (int64_t)objects_count * COORDINATOR_PUBLISH_INTERVAL_PER_OBJECT_US;
+
+    return interval_us < COORDINATOR_PUBLISH_MAX_INTERVAL_US
+               ? interval_us
+               : COORDINATOR_PUBLISH_MAX_INTERVAL_US;
+}
+
 // Publishes the group state, and notifies the holders of a lease that do not
 // have it. Further changes that are not urgent wait for a time that grows with
 // the number of holders, as each of them renews for every publication.
@@ -639,9 +656,7 @@
     coordinator->publish_now = false;
     coordinator->next_publish_us =
         coordinator->now_us +
-        (int64_t)coordinator->holders_count *
-            COORDINATOR_PUBLISH_INTERVAL_PER_HOLDER_US +
-        (int64_t)objects_count * COORDINATOR_PUBLISH_INTERVAL_PER_OBJECT_US;
+        coordinator_get_publish_interval_us(coordinator, objects_count);
     for (struct coordinator_holder *holder = coordinator->holders;
          holder != NULL; holder = holder->next) {
         bool has_it = holder->has_renewed && holder->sent_revision >= revision;
--- a/src/catkingrade/entry/view.c
+++ b/src/catkingrade/entry/view.c
@@ -350,7 +350,9 @@
         view_remove_stale_objects(copy, group);
         group->replacing = false;
     }
-    if (group->replaces_routes && !delta->more) {
+    // The declaration comes with the last of its routes.
+    if (group->replaces_routes &&
+        (delta->declared.declared_len > 0 || !delta->more)) {
         view_list_remove_stale(&copy->routes, group);
         group->replaces_routes = false;
     }
--- a/test/unit/decide/coordinator/test_announce.c
+++ b/test/unit/decide/coordinator/test_announce.c
@@ -275,6 +275,54 @@
 }
 END_TEST
 
+// The same while the withdrawal is being proposed by a new leader, to which
+// the upstream has not announced itself before.
+START_TEST(test_proposed_withdrawal_holds_for_new_leader)
+{
+    struct fixture fixture = make_fixture();
+    struct group_result reason;
+    struct ck_upstream one =
+        changes_make_upstream("u1", "roster1", "noord", "10.0.0.1");
+    struct ck_upstream gone = {.name = one.name, .state = CK_UPSTREAM_LOST};
+
+    one.incarnation = 100;
+    one.sequence = 3;
+    one.state = CK_UPSTREAM_LEAVING;
+    ck_assert_int_eq(announce_once(&fixture, 0, &one), ANNOUNCE_PUBLISH);
+    change_leader(&fixture, 1000 * MS);
+    ck_assert_int_eq(announce_handle_upstream(fixture.announce, 1001 * MS,
+                                              fixture.group, &gone, &reason),
+                     ANNOUNCE_WITHDRAW);
+    one.sequence = 4;
+    one.state = CK_UPSTREAM_READY;
+    ck_assert_int_eq(announce_handle_upstream(fixture.announce, 1002 * MS,
+                                              fixture.group, &one, &reason),
+                     ANNOUNCE_UNCHANGED);
+    free_fixture(&fixture);
+}
+END_TEST
+
+// Guards against an upstream that is never accepted again: one that does not
+// say when it was started begins its sequence numbers anew.
+START_TEST(test_unknown_incarnation_keeps_no_sequence)
+{
+    struct fixture fixture = make_fixture();
+    struct group_result reason;
+    struct ck_upstream one =
+        changes_make_upstream("u1", "roster1", "noord", "10.0.0.1");
+
+    one.sequence = 50;
+    ck_assert_int_eq(announce_once(&fixture, 0, &one), ANNOUNCE_PUBLISH);
+    change_leader(&fixture, 1000 * MS);
+    one.sequence = 1;
+    one.port = 5433;
+    ck_assert_int_eq(announce_handle_upstream(fixture.announce, 1001 * MS,
+                                              fixture.group, &one, &reason),
+                     ANNOUNCE_PUBLISH);
+    free_fixture(&fixture);
+}
+END_TEST
+
 // The same for an upstream that had been silent before it left.
 START_TEST(test_lost_upstream_can_be_withdrawn)
 {
@@ -367,6 +415,8 @@
     tcase_add_test(tests, test_refusal_has_a_reason);
     tcase_add_test(tests, test_withdrawal_ends_incarnation);
     tcase_add_test(tests, test_withdrawal_holds_after_leader_change);
+    tcase_add_test(tests, test_proposed_withdrawal_holds_for_new_leader);
+    tcase_add_test(tests, test_unknown_incarnation_keeps_no_sequence);
     tcase_add_test(tests, test_lost_upstream_can_be_withdrawn);
     tcase_add_test(tests, test_late_announcement_is_stale_for_new_leader);
     tcase_add_test(tests, test_stale_announcement_is_ignored);
--- a/test/unit/decide/coordinator/test_coordinator.c
+++ b/test/unit/decide/coordinator/test_coordinator.c
@@ -892,16 +892,16 @@
 // More databases than one step plans the relays of.
 #define MANY_DATABASES 1000
 
-// Declares databases d0 to d999, each with an upstream.
+// Declares databases d0, d1 and so on, each with an upstream.
 static void
-add_many_databases(struct rig *rig)
+add_many_databases(struct rig *rig, int databases_count)
 {
     struct buffer list = {0};
     char name[16];
     char host[16];
 
     buffer_append_text(&list, "[");
-    for (int i = 0; i < MANY_DATABASES; i++) {
+    for (int i = 0; i < databases_count; i++) {
         buffer_append_format(&list, "%s{\"name\": \"d%d\"}", i == 0 ? "" : ",",
                              i);
     }
@@ -910,7 +910,7 @@
     changes_set_customer(rig->group, (const char *)buffer_get_data(&list),
                          "wait");
     buffer_free(&list);
-    for (int i = 0; i < MANY_DATABASES; i++) {
+    for (int i = 0; i < databases_count; i++) {
         char database[16];
         (void)snprintf(database, sizeof(database), "d%d", i);
         (void)snprintf(name, sizeof(name), "m%d", i);
@@ -921,6 +921,63 @@
     }
 }
 
+static void
+announce_one(struct rig *rig, const char *name, const char *host)
+{
+    struct ck_upstream upstream =
+        changes_make_upstream(name, "d0", "noord", host);
+    struct coordinator_event event = {
+        .kind = COORDINATOR_EVENT_ANNOUNCE, .token = 8, .announce = &upstream};
+
+    step(rig, &event);
+}
+
+// Lets time pass until the entry, which has a lease and knows a revision, is
+// notified of a newer one, but not longer than so many ticks. Returns the
+// newer revision, or 0.
+static uint64_t
+wait_for_publication(struct rig *rig, uint64_t known, int ticks_count)
+{
+    static uint64_t sequence;
+    struct coordinator_event failed = {.kind =
+                                           COORDINATOR_EVENT_NOTIFY_FAILED};
+
+    failed.notified.vm = "e1";
+    failed.notified.incarnation = 1;
+    for (int i = 0; i < ticks_count; i++) {
+        step(rig, &failed); // the last notification has ended
+        (void)renew(rig, "e1", ++sequence, known);
+        tick(rig, rig->now_us + 50 * MS);
+        const struct coordinator_action *notify =
+            find_action(rig, COORDINATOR_ACTION_NOTIFY);
+        if (notify != NULL && notify->notify.args->revision > known) {
+            return notify->notify.args->revision;
+        }
+    }
+    return 0;
+}
+
+// Guards against a change that waits for as long as the publication of all
+// databases before it was large: it is published within 2 s, so that a
+// declaration is in force in time.
+START_TEST(test_change_after_large_publication_is_published)
+{
+    struct rig rig;
+
+    start_database(&rig, "e1");
+    uint64_t known = group_get_revision(rig.group);
+    elect(&rig, 4);
+    add_many_databases(&rig, 2500);
+    announce_one(&rig, "x1", "10.8.0.1");
+    known = wait_for_publication(&rig, known, 60);
+    ck_assert_uint_ne(known, 0);
+    announce_one(&rig, "x2", "10.8.0.2");
+    ck_assert_uint_gt(group_get_revision(rig.group), known);
+    ck_assert_uint_ne(wait_for_publication(&rig, known, 41), 0);
+    finish(&rig);
+}
+END_TEST
+
 // Renews until no more relays are listed. Returns the number of replies that
 // listed some.
 static unsigned
@@ -958,7 +1015,7 @@
     size_t listed = 0;
 
     start_with_relays(&rig, 6, '9');
-    add_many_databases(&rig);
+    add_many_databases(&rig, MANY_DATABASES);
     tick(&rig, rig.now_us + 50 * MS);
     (void)take_all_relays(&rig, &listed);
     ck_assert_uint_gt(listed, 0);
@@ -1489,6 +1546,7 @@
 {
     tcase_add_test(tests, test_relays_are_sent_when_they_change);
     tcase_add_test(tests, test_relays_are_planned_in_steps);
+    tcase_add_test(tests, test_change_after_large_publication_is_published);
     tcase_add_test(tests, test_relays_have_current_address);
     tcase_add_test(tests, test_recent_plan_drops_old_record);
     tcase_add_test(tests, test_new_address_changes_relays_version);
--- a/test/unit/entry/test_view.c
+++ b/test/unit/entry/test_view.c
@@ -326,9 +326,38 @@
 }
 END_TEST
 
+// Guards against an entry that serves a new route and then a removed one: the
+// routes that a new leader lacks go with the delta that brings its
+// declaration, also if other changes are left.
+START_TEST(test_routes_are_removed_with_the_declaration)
+{
+    struct ck_route old[] = {make_route("booking", 1)};
+    struct ck_route new[] = {make_route("reading", 2)};
+    struct ck_declared declared = {.number = 2};
+    struct ck_view_delta first = make_delta(0, 5, true, NULL, 0);
+    struct ck_view_delta part = make_delta(5, 7, false, NULL, 0);
+    struct view *view = view_create();
+
+    first.routes.routes_val = old;
+    first.routes.routes_len = 1;
+    view = apply(view, "fleet", &first);
+    part.routes_since = 6;
+    part.routes.routes_val = new;
+    part.routes.routes_len = 1;
+    part.declared.declared_val = &declared;
+    part.declared.declared_len = 1;
+    part.more = true;
+    view = apply(view, "fleet", &part);
+    ck_assert_ptr_null(view_find_route(view, "booking"));
+    ck_assert_ptr_nonnull(view_find_route(view, "reading"));
+    view_release(view);
+}
+END_TEST
+
 static void
 add_tests(TCase *tests)
 {
+    tcase_add_test(tests, test_routes_are_removed_with_the_declaration);
     tcase_add_test(tests, test_routes_that_a_new_leader_lacks_are_removed);
     tcase_add_test(tests, test_routes_change_one_by_one);
     tcase_add_test(tests, test_full_delta_replaces_routes);
