--- a/test/unit/decide/coordinator/test_planned_bound.c
+++ b/test/unit/decide/coordinator/test_planned_bound.c
@@ -1148,6 +1148,101 @@
 }
 END_TEST
 
+// Runs until a leaving upstream has used up its time. From then on no entry
+// may write to it, and it is the primary of no term that entries serve.
+static void
+check_serves_no_longer(struct rig *rig, const char *name, int64_t leaving_us)
+{
+    run_until(rig, leaving_us + SERVES_US);
+    while (rig->now_us < leaving_us + 3 * SERVES_US) {
+        const struct ck_database *database = get_database(rig, 0);
+        if (strcmp(database->primary, name) == 0) {
+            ck_assert(database->superseding);
+            check_no_lease_covers_term(rig);
+        }
+        advance(rig, NULL);
+    }
+}
+
+// Guards against a leaving primary that serves until it is gone, because no
+// other upstream can take over.
+START_TEST(test_leaving_primary_without_successor_stops_in_time)
+{
+    struct rig rig;
+
+    start(&rig);
+    rig.upstreams[1].is_gone = true;
+    rig.upstreams[2].is_gone = true;
+    run_until(&rig, START_US + SERVES_US);
+    int64_t begin_us = rig.now_us;
+    withdraw(&rig, "u0");
+    run_until(&rig, begin_us + SERVES_US / 2);
+    ck_assert(!get_database(&rig, 0)->superseding);
+    check_serves_no_longer(&rig, "u0", begin_us);
+    finish(&rig);
+}
+END_TEST
+
+// Guards against a leaving upstream that is promoted when its successor fails,
+// and then serves as if it had just announced that it leaves.
+START_TEST(test_leaving_upstream_promoted_again_stops_in_time)
+{
+    struct rig rig;
+
+    start(&rig);
+    run_until(&rig, START_US + 2 * ANNOUNCE_US);
+    rig.upstreams[2].lsn = 40;
+    int64_t begin_us = rig.now_us;
+    withdraw(&rig, "u0");
+    (void)run_until_primary(&rig, "u1", begin_us);
+    rig.upstreams[1].state = CK_UPSTREAM_LOST;
+    announce(&rig, &rig.upstreams[1]);
+    rig.upstreams[1].is_gone = true;
+    (void)run_until_primary(&rig, "u0", begin_us);
+    ck_assert_int_le(rig.now_us - begin_us, SERVES_US);
+    check_serves_no_longer(&rig, "u0", begin_us);
+    finish(&rig);
+}
+END_TEST
+
+// Guards against a leaving primary that is kept in term after term while no
+// replica catches up.
+START_TEST(test_kept_leaving_primary_stops_in_time)
+{
+    struct rig rig;
+
+    start(&rig);
+    rig.upstreams[2].is_gone = true;
+    int64_t begin_us = rig.now_us;
+    (void)play_lagging_replicas(&rig);
+    rig.entries[3].is_stuck = false;
+    ck_assert_str_eq(get_database(&rig, 0)->primary, "u0");
+    check_serves_no_longer(&rig, "u0", begin_us);
+    finish(&rig);
+}
+END_TEST
+
+// Guards against a next leader that gives a leaving primary its time anew, or
+// none.
+START_TEST(test_next_leader_keeps_time_of_leaving_primary)
+{
+    struct rig rig;
+
+    start(&rig);
+    rig.upstreams[1].is_gone = true;
+    rig.upstreams[2].is_gone = true;
+    run_until(&rig, START_US + SERVES_US);
+    int64_t begin_us = rig.now_us;
+    withdraw(&rig, "u0");
+    run_until(&rig, begin_us + SERVES_US / 3);
+    elect_next_leader(&rig);
+    run_until(&rig, begin_us + SERVES_US / 2);
+    ck_assert(!get_database(&rig, 0)->superseding);
+    check_serves_no_longer(&rig, "u0", begin_us);
+    finish(&rig);
+}
+END_TEST
+
 static void
 add_tests(TCase *tests)
 {
@@ -1177,6 +1272,11 @@
     tcase_add_test(tests, test_switchover_to_leaving_target_is_dropped);
     tcase_add_test(tests, test_next_leader_tries_again_once_replica_follows);
     tcase_add_test(tests, test_warned_writes_are_not_lost);
+    tcase_add_test(tests,
+                   test_leaving_primary_without_successor_stops_in_time);
+    tcase_add_test(tests, test_leaving_upstream_promoted_again_stops_in_time);
+    tcase_add_test(tests, test_kept_leaving_primary_stops_in_time);
+    tcase_add_test(tests, test_next_leader_keeps_time_of_leaving_primary);
     tcase_add_loop_test(
         tests, test_lost_upstream_is_removed_while_entries_fail_in_turn, 0,
         sizeof(series) / sizeof(series[0]));
--- a/test/unit/decide/traffic/test_pool.c
+++ b/test/unit/decide/traffic/test_pool.c
@@ -2,6 +2,7 @@
 #include <string.h>
 
 #include "catkingrade/kernel/memory.h"
+#include "catkingrade/kernel/outcome.h"
 #include "test/fake/scheduler_rig.h"
 #include "test/suite.h"
 
@@ -197,6 +198,40 @@
 }
 END_TEST
 
+// Guards against a leaving primary that gets statements until it is gone,
+// because control names no other: new ones are refused, an open transaction
+// goes on.
+START_TEST(test_leaving_primary_gets_nothing_new_after_its_time)
+{
+    scheduler_rig_start(&rig, 2);
+    scheduler_rig_post_lease(&rig, rig.database.term,
+                             60000 * SCHEDULER_RIG_MS_US);
+    scheduler_rig_open_session(&rig, 2, NULL);
+    uint64_t begin =
+        scheduler_rig_post_request(&rig, 2, SCHEDULER_CLASS_BEGIN, -1);
+    const struct scheduler_action *action =
+        scheduler_rig_find_action(&rig, SCHEDULER_ACTION_SEND, begin);
+    ck_assert_ptr_nonnull(action);
+    uint32_t conn = action->conn;
+    scheduler_rig_post_result(&rig, begin, conn, SCHEDULER_RESULT_DONE, true,
+                              100);
+    rig.upstreams[0].state = CK_UPSTREAM_LEAVING;
+    scheduler_rig_post_view(&rig);
+    scheduler_rig_tick(&rig, 10000 * SCHEDULER_RIG_MS_US);
+    uint64_t request =
+        scheduler_rig_post_request(&rig, 1, SCHEDULER_CLASS_WRITE, -1);
+    action = scheduler_rig_find_action(&rig, SCHEDULER_ACTION_REFUSE, request);
+    ck_assert_ptr_nonnull(action);
+    ck_assert_int_eq(action->outcome, OUTCOME_UNAVAILABLE);
+    request = scheduler_rig_post_request(&rig, 2,
+                                         SCHEDULER_CLASS_IN_TRANSACTION, -1);
+    action = scheduler_rig_find_action(&rig, SCHEDULER_ACTION_SEND, request);
+    ck_assert_ptr_nonnull(action);
+    ck_assert_uint_eq(action->conn, conn);
+    scheduler_rig_free(&rig);
+}
+END_TEST
+
 // A connection that was idle for long is validated before it carries a write.
 START_TEST(test_idle_connection_is_validated)
 {
@@ -360,6 +395,8 @@
     tcase_add_test(tests, test_leaving_upstream_gets_no_requests);
     tcase_add_test(tests, test_leaving_upstream_finishes_in_flight_request);
     tcase_add_test(tests, test_leaving_primary_serves_until_switchover);
+    tcase_add_test(tests,
+                   test_leaving_primary_gets_nothing_new_after_its_time);
     tcase_add_test(tests, test_idle_connection_is_validated);
     tcase_add_test(tests, test_connections_of_same_age_are_validated);
     tcase_add_test(tests, test_silent_connection_frees_its_slot);
