fix(traffic): an entry stops using a leaving primary on its own

What callers saw: statements sent to an upstream more than 7 s after its announcement that it leaves was acknowledged; it goes away soon after, and what it runs then may be lost.

Cause: a leaving primary took requests "until its successor is promoted", without a limit in time. Where there is no successor, or control is late, that is until the upstream is gone.

Change: the scheduler notes when it learns that an incarnation leaves. After leaving_limit_us (nine tenths of switchover_ms, which entries now read as control does) a leaving primary takes no new request: queued ones are refused as without a primary, idle connections are closed, open transactions go on. Nothing else changes: the term, floors and unconfirmed commits are kept.

Why it works: it needs no message at the moment of the limit.

--- a/src/catkingrade/decide/traffic/scheduler.c
+++ b/src/catkingrade/decide/traffic/scheduler.c
@@ -162,11 +162,15 @@
 // Applies the state of the lease at the present time. When the lease has run
 // out, the quotas shrink to their guaranteed part and queued requests that
 // need the primary are refused. During a change of primary some of them wait.
+// So do those for a leaving primary whose time is over.
 static void
 scheduler_check_lease(struct scheduler *scheduler)
 {
     bool leased = lease_has_quota(scheduler);
 
+    if (!scheduler->primary_stopped && view_is_primary_over(scheduler)) {
+        view_stop_primary(scheduler);
+    }
     if (leased != scheduler->limits_leased) {
         view_set_limits(scheduler);
     }
--- a/src/catkingrade/decide/traffic/scheduler.h
+++ b/src/catkingrade/decide/traffic/scheduler.h
@@ -24,6 +24,9 @@
     int64_t
         idle_proof_us; // idle time after which a validation is due; see pool.h
     int64_t connect_timeout_us; // also the limit of resets and validations
+    // A leaving primary takes requests for this time after this entry has
+    // learnt that it leaves.
+    int64_t leaving_limit_us;
     // Upstreams refuse reads for which they lack the required position, and
     // report their position with each answer. Positions are not sampled.
     bool guarded;
--- a/src/catkingrade/decide/traffic/scheduler_lease.c
+++ b/src/catkingrade/decide/traffic/scheduler_lease.c
@@ -50,11 +50,13 @@
     return lease_covers(scheduler, scheduler->now_us);
 }
 
-// Returns whether new writes of the view's term may run now.
+// Returns whether new writes of the view's term may run now. A primary that
+// leaves admits none once its time is over.
 bool
 lease_is_valid(const struct scheduler *scheduler)
 {
-    return lease_is_valid_at(scheduler, scheduler->now_us);
+    return !scheduler->primary_stopped &&
+           lease_is_valid_at(scheduler, scheduler->now_us);
 }
 
 // Revokes a term: its unconfirmed commits end with outcome unknown, and the
--- a/src/catkingrade/decide/traffic/scheduler_state.h
+++ b/src/catkingrade/decide/traffic/scheduler_state.h
@@ -68,11 +68,14 @@
     char name[SCHEDULER_NAME_SIZE];
     const struct ck_upstream *config; // NULL: not in the current view
     bool near;                        // in the entry's failure domain
-    bool takes_work;                  // ready, or a primary in state leaving
-    bool relayed;                     // the upstream is another entry
+    bool takes_work; // ready, or a leaving primary with time left
+    bool relayed;    // the upstream is another entry
     struct replica_lag lag;
     struct concurrency concurrency;
     struct circuit_breaker circuit_breaker;
+    // Since when this incarnation is known to leave; 0: it does not.
+    int64_t leaving_us;
+    uint64_t leaving_incarnation;
     int64_t answered_us;  // time of the last answer
     uint32_t slots;       // quota of this entry: requests in flight
     uint32_t connections; // quota without the connection for samples
@@ -247,6 +250,7 @@
     bool view_known;
     bool lease_known;
     bool limits_leased;   // limits are the full quota of a valid lease
+    bool primary_stopped; // it leaves, and its time is over
     bool draining;        // refuses new transactions
     bool finishing;       // refuses all requests
     uint8_t default_type; // index; for requests without a known type
--- a/src/catkingrade/decide/traffic/scheduler_view.c
+++ b/src/catkingrade/decide/traffic/scheduler_view.c
@@ -45,6 +45,38 @@
     return upstream;
 }
 
+// Takes note of when an upstream begins to leave.
+static void
+view_note_leaving(struct scheduler *scheduler, struct upstream *up)
+{
+    if (up->config->state != CK_UPSTREAM_LEAVING) {
+        up->leaving_us = 0;
+        return;
+    }
+    if (up->leaving_us != 0 &&
+        up->leaving_incarnation == up->config->incarnation) {
+        return;
+    }
+    up->leaving_us = scheduler->now_us;
+    up->leaving_incarnation = up->config->incarnation;
+    timers_add(&scheduler->timers,
+               scheduler->now_us + scheduler->params.leaving_limit_us,
+               TIMER_WAKE, 0);
+}
+
+// Returns whether the primary leaves and its time is over.
+bool
+view_is_primary_over(const struct scheduler *scheduler)
+{
+    if (scheduler->primary == SCHEDULER_NO_ID) {
+        return false;
+    }
+    const struct upstream *up = &scheduler->upstreams[scheduler->primary];
+
+    return up->leaving_us != 0 && scheduler->now_us - up->leaving_us >=
+                                      scheduler->params.leaving_limit_us;
+}
+
 // Sets the configuration of each upstream from the new view, and finds the
 // primary and the ready upstreams.
 static void
@@ -69,16 +101,33 @@
         up->near = strcmp(config->failure_domain,
                           scheduler->view.failure_domain) == 0;
         bool primary = strcmp(config->name, database->primary) == 0;
-        // A leaving primary serves requests until its successor is promoted.
-        up->takes_work = config->state == CK_UPSTREAM_READY ||
-                         (primary && config->state == CK_UPSTREAM_LEAVING);
-        if (primary && up->takes_work) {
+        view_note_leaving(scheduler, up);
+        if (primary && config->state != CK_UPSTREAM_LOST) {
             scheduler->primary = upstream;
         }
+        up->takes_work = config->state == CK_UPSTREAM_READY;
         if (config->state == CK_UPSTREAM_READY) {
             scheduler->candidates[scheduler->candidates_count++] = upstream;
         }
     }
+    // A leaving primary serves requests until its successor is promoted, or
+    // its time is over.
+    scheduler->primary_stopped = view_is_primary_over(scheduler);
+    if (scheduler->primary != SCHEDULER_NO_ID) {
+        scheduler->upstreams[scheduler->primary].takes_work =
+            !scheduler->primary_stopped;
+    }
+}
+
+// Stops a leaving primary whose time is over: new requests for it are refused,
+// and open transactions go on.
+void
+view_stop_primary(struct scheduler *scheduler)
+{
+    scheduler->primary_stopped = true;
+    scheduler->upstreams[scheduler->primary].takes_work = false;
+    view_set_limits(scheduler);
+    admission_refuse_primary(scheduler, "the primary has left");
 }
 
 // Returns the quota of the upstream with a name, or NULL. The search begins at
@@ -138,7 +187,8 @@
     }
 }
 
-// Sets the limits of all upstreams and closes idle connections above them.
+// Sets the limits of all upstreams and closes idle connections above them, or
+// that may not be used any more.
 void
 view_set_limits(struct scheduler *scheduler)
 {
--- a/src/catkingrade/decide/traffic/scheduler_view.h
+++ b/src/catkingrade/decide/traffic/scheduler_view.h
@@ -9,5 +9,7 @@
 void view_handle(struct scheduler *scheduler,
                  const struct scheduler_view *view);
 void view_set_limits(struct scheduler *scheduler);
+bool view_is_primary_over(const struct scheduler *scheduler);
+void view_stop_primary(struct scheduler *scheduler);
 
 #endif
--- a/src/catkingrade/entry/database.c
+++ b/src/catkingrade/entry/database.c
@@ -16,6 +16,9 @@
 // Timers of all databases are rounded up to a multiple of this, so that one
 // wake-up of the thread handles the timeouts of many databases.
 #define DATABASE_TIMER_GRANULARITY_US 50000
+// An entry learns that an upstream leaves up to this part of switchover_ms
+// later than control.
+#define DATABASE_STOP_DIVISOR 10
 
 static void
 database_run_timer(void *data)
@@ -39,6 +42,8 @@
         .suspect_us = settings->suspect_us,
         .idle_proof_us = settings->idle_proof_us,
         .connect_timeout_us = settings->connect_timeout_us,
+        .leaving_limit_us = settings->switchover_us -
+                            settings->switchover_us / DATABASE_STOP_DIVISOR,
         .guarded = !settings->sample_upstreams,
         .timer_granularity_us =
             settings->sample_upstreams ? 0 : DATABASE_TIMER_GRANULARITY_US,
--- a/test/fake/scheduler_fleet.c
+++ b/test/fake/scheduler_fleet.c
@@ -302,6 +302,7 @@
             .probe_us = 50 * SCHEDULER_FLEET_MS_US,
             .suspect_us = 200 * SCHEDULER_FLEET_MS_US,
             .idle_proof_us = 2000 * SCHEDULER_FLEET_MS_US,
+            .leaving_limit_us = 7000 * SCHEDULER_FLEET_MS_US,
             .connect_timeout_us = 500 * SCHEDULER_FLEET_MS_US,
             .seed = seed + i};
         fleet->entries[i].scheduler = scheduler_create(&params);
--- a/test/fake/scheduler_rig.c
+++ b/test/fake/scheduler_rig.c
@@ -20,6 +20,7 @@
         .probe_us = 50 * SCHEDULER_RIG_MS_US,
         .suspect_us = 200 * SCHEDULER_RIG_MS_US,
         .idle_proof_us = 2000 * SCHEDULER_RIG_MS_US,
+        .leaving_limit_us = 7000 * SCHEDULER_RIG_MS_US,
         .connect_timeout_us = 500 * SCHEDULER_RIG_MS_US,
         .seed = 7,
     };
