fix(coordinator): a leaving primary stops in time without a successor

Cause: the limit of a planned change bounds the waits of the change and not the service of the upstream. Without a ready replica no change was planned; a leaving upstream was promoted and kept with no regard to the time left; after a kept primary the next change waited for a further switchover_ms.

Change: after nine tenths of switchover_ms the term of a leaving primary is superseded (`primary_stopped`), with or without a successor. From then on it is barred: it counts for the proof of completeness, and is neither promoted, kept nor published; to be promoted it needs a fifth of the limit.

Voters note when they apply that an upstream leaves (leaving.c), so a new leader goes on with the time left. A voter that was out of contact for an election timeout, or has just started, applies late: what it notes within a second after that has an unknown age, which counts as over.

--- a/src/catkingrade/control/group_actions.c
+++ b/src/catkingrade/control/group_actions.c
@@ -12,6 +12,10 @@
 #include "catkingrade/kernel/timeline.h"
 #include "catkingrade/rpc/codec.h"
 
+// A voter whose contact with the leader was broken may apply changes late for
+// this time.
+#define HOST_CATCH_UP_US 1000000
+
 const char *const host_role_names[] = {
     [RAFT_FOLLOWER] = "follower",
     [RAFT_CANDIDATE] = "candidate",
@@ -108,6 +112,10 @@
     event.applied.index = entry->index;
     event.applied.change = &payload.change;
     event.applied.result = &result;
+    event.applied.is_late =
+        event.token == 0 &&
+        monotonic_get_us() <
+            raft_get_contact_since_us(host->raft) + HOST_CATCH_UP_US;
     host_step_coordinator(host, &event);
     codec_free((xdrproc_t)xdr_ck_log_payload, &payload);
 }
--- a/src/catkingrade/decide/coordinator/coordinator.c
+++ b/src/catkingrade/decide/coordinator/coordinator.c
@@ -36,6 +36,7 @@
 
     coordinator->params = *params;
     coordinator->group = group;
+    coordinator->leaving = leaving_create(group);
     return coordinator;
 }
 
@@ -89,6 +90,7 @@
         return;
     }
     coordinator_reset(coordinator);
+    leaving_destroy(coordinator->leaving);
     free(coordinator);
 }
 
@@ -99,6 +101,8 @@
                       const struct group_state *group)
 {
     coordinator->group = group;
+    leaving_destroy(coordinator->leaving);
+    coordinator->leaving = leaving_create(group);
 }
 
 // Returns whether this voter is the Raft leader, between ELECTED and DEPOSED.
@@ -333,11 +337,12 @@
         member->lost_revision = database->revision;
     }
     member->was_lost = upstream->state == CK_UPSTREAM_LOST;
-    if (upstream->state != CK_UPSTREAM_LEAVING) {
-        member->leaving_us = 0;
-    }
-    else if (member->leaving_us == 0) {
-        member->leaving_us = coordinator->now_us;
+    bool was_leaving = member->leaving_us != 0;
+    coordinator_set_leaving(coordinator, member, upstream);
+    if (member->leaving_us != 0 && !was_leaving) {
+        coordinator_record(coordinator, "upstream_leaving", database, name,
+                           "database=%s primary=%s", database->name,
+                           database->primary);
     }
     coordinator_run_database(coordinator, db);
 }
@@ -640,6 +645,9 @@
         coordinator_handle_command(coordinator, event->token, event->command);
         break;
     default:
+        if (event->kind == COORDINATOR_EVENT_APPLIED) {
+            coordinator_note_leaving(coordinator, event);
+        }
         if (coordinator->is_active) {
             coordinator_handle_event(coordinator, event);
         }
--- a/src/catkingrade/decide/coordinator/coordinator.h
+++ b/src/catkingrade/decide/coordinator/coordinator.h
@@ -101,7 +101,8 @@
             uint64_t index;
             const struct ck_change *change;
             const struct group_result *result;
-        } applied; // APPLIED; token 0: not proposed by this coordinator
+            bool is_late; // may have been committed long ago
+        } applied;        // APPLIED; token 0: not proposed by this coordinator
         struct coordinator_probe probe; // PROBED, PROBE_FAILED, PROMOTED
         struct {
             const char *upstream;
--- a/src/catkingrade/decide/coordinator/coordinator_choice.c
+++ b/src/catkingrade/decide/coordinator/coordinator_choice.c
@@ -14,9 +14,9 @@
 // COORDINATOR_LEAST_CATCH_UP_DIVISOR.
 #define COORDINATOR_CATCH_UP_DIVISOR       2
 #define COORDINATOR_LEAST_CATCH_UP_DIVISOR 10
-// A planned switchover becomes a failover after this number of failed probes
-// of the old primary.
-#define COORDINATOR_PLANNED_PROBE_FAILURES_MAX 2
+// After this number of failed probes the old primary counts as silent, and a
+// planned switchover becomes a failover.
+#define COORDINATOR_SILENT_PROBE_FAILURES 2
 // With CK_PROMOTION_AVAILABLE, a complete choice is awaited for this time.
 #define COORDINATOR_AVAILABLE_WAIT_US 1000000
 
@@ -40,16 +40,18 @@
     return pending;
 }
 
-// Returns the index of the member that answered as a primary, or
+// Returns the index of the member that answered as a primary and may serve, or
 // PROMOTION_NONE. Of several it returns the most advanced.
 static int
-coordinator_find_answered_primary(const struct coordinator_database *db)
+coordinator_find_answered_primary(const struct coordinator *coordinator,
+                                  const struct coordinator_database *db)
 {
     int index = PROMOTION_NONE;
 
     for (size_t i = 0; i < db->members_count; i++) {
         const struct coordinator_member *member = &db->members[i];
         if (member->answered && member->is_primary &&
+            coordinator_may_serve(coordinator, member, 0) &&
             (index == PROMOTION_NONE ||
              promotion_compare(&member->position,
                                &db->members[index].position) > 0)) {
@@ -59,6 +61,21 @@
     return index;
 }
 
+// Returns whether a member has left, or leaves too soon to become or stay the
+// primary.
+static bool
+coordinator_is_barred(const struct coordinator *coordinator,
+                      const struct coordinator_member *member,
+                      const struct ck_upstream *upstream)
+{
+    int64_t promotion_us =
+        coordinator->params.switchover_us / COORDINATOR_PROMOTION_DIVISOR;
+
+    return upstream->sequence == GROUP_SEQUENCE_WITHDRAWN ||
+           !coordinator_may_serve(coordinator, member,
+                                  member->is_primary ? 0 : promotion_us);
+}
+
 // Calls promotion_choose on the answers, with or without the answer of the old
 // primary.
 static struct promotion_choice
@@ -87,6 +104,8 @@
         answers[i].answered =
             member->answered && (with_old || !answers[i].is_old_primary);
         answers[i].is_leaving = upstream->state == CK_UPSTREAM_LEAVING;
+        answers[i].is_barred =
+            coordinator_is_barred(coordinator, member, upstream);
         answers[i].is_regressed = member->is_regressed;
         answers[i].position = member->position;
     }
@@ -124,7 +143,7 @@
         db->phase_us + coordinator->params.initial_primary_wait_us;
     size_t pending =
         coordinator_probe_members(coordinator, db, database, PROMOTION_NONE);
-    int primary = coordinator_find_answered_primary(db);
+    int primary = coordinator_find_answered_primary(coordinator, db);
 
     if (primary != PROMOTION_NONE &&
         (pending == 0 || coordinator->now_us >= wait_end_us)) {
@@ -214,18 +233,25 @@
 
 // Ends a planned switchover whose target has not caught up. A leaving primary
 // is replaced by an upstream that holds every acknowledged write, if there is
-// one. Otherwise the old primary stays, in a new term.
+// one. Otherwise the old primary stays, in a new term. If its time is over,
+// the switchover becomes a failover.
 static void
 coordinator_end_catch_up(struct coordinator *coordinator,
                          struct coordinator_database *db,
                          const struct ck_database *database, int old_primary)
 {
-    bool is_leaving = database->upstreams.upstreams_val[old_primary].state ==
-                      CK_UPSTREAM_LEAVING;
+    const struct ck_upstream *old =
+        &database->upstreams.upstreams_val[old_primary];
+    bool is_leaving = old->state == CK_UPSTREAM_LEAVING;
     int index = is_leaving && db->target == NULL
                     ? coordinator_choose_without_old(coordinator, db, database)
                     : PROMOTION_NONE;
 
+    if (index == PROMOTION_NONE &&
+        coordinator_is_barred(coordinator, &db->members[old_primary], old)) {
+        db->is_planned = false;
+        return;
+    }
     if (index == PROMOTION_NONE) {
         coordinator_record(coordinator, "switchover_given_up", database,
                            database->primary, "database=%s", db->name);
@@ -248,7 +274,7 @@
     int64_t limit_us = coordinator_get_catch_up_end_us(coordinator, db);
 
     if (db->members[old_primary].failures >=
-        COORDINATOR_PLANNED_PROBE_FAILURES_MAX) {
+        COORDINATOR_SILENT_PROBE_FAILURES) {
         db->is_planned = false;
         return;
     }
@@ -301,9 +327,21 @@
     return customer != NULL && customer->promotion == CK_PROMOTION_AVAILABLE;
 }
 
+// Returns whether a member has answered in this phase, and has not fallen
+// silent since.
+static bool
+coordinator_still_answers(const struct coordinator_member *member)
+{
+    bool is_silent = member->failed &&
+                     member->failures >= COORDINATOR_SILENT_PROBE_FAILURES;
+
+    return member->answered && !is_silent;
+}
+
 // Chooses the next primary of a customer that prefers availability. While the
 // old primary answers, it accepts no more saves: a replica that catches up
-// with it is promoted, otherwise the old primary stays. If it does not answer,
+// with it is promoted, otherwise the old primary stays, or is waited for if it
+// leaves too soon to stay. If it does not answer,
 // the coordinator waits for the other upstreams up to
 // COORDINATOR_AVAILABLE_WAIT_US and promotes the most advanced one.
 static void
@@ -315,19 +353,24 @@
         coordinator_find_upstream_index(database, database->primary);
     struct promotion_choice choice =
         coordinator_choose_from_answers(coordinator, db, database, false);
-    bool old_answers = old_primary >= 0 && db->members[old_primary].answered;
+    bool old_answers = old_primary >= 0 &&
+                       coordinator_still_answers(&db->members[old_primary]);
     bool caught_up =
         choice.index != PROMOTION_NONE &&
         (choice.is_complete ||
          (old_answers &&
           promotion_compare(&db->members[choice.index].position,
                             &db->members[old_primary].position) >= 0));
+    bool old_may_stay = old_primary >= 0 &&
+                        !coordinator_is_barred(
+                            coordinator, &db->members[old_primary],
+                            &database->upstreams.upstreams_val[old_primary]);
     bool waited =
         coordinator->now_us - db->phase_us >= COORDINATOR_AVAILABLE_WAIT_US;
     bool is_collected = pending == 0 && coordinator->now_us - db->phase_us >=
                                             COORDINATOR_COLLECT_WAIT_US;
 
-    if (old_answers && !caught_up && waited) {
+    if (old_answers && !caught_up && waited && old_may_stay) {
         coordinator_promote(coordinator, db, database, old_primary);
     }
     else if (choice.index != PROMOTION_NONE &&
@@ -376,7 +419,9 @@
     int target = db->is_operator_approved
                      ? coordinator_find_upstream_index(database, db->target)
                      : PROMOTION_NONE;
-    if (target != PROMOTION_NONE && db->members[target].answered) {
+    if (target != PROMOTION_NONE && db->members[target].answered &&
+        !coordinator_is_barred(coordinator, &db->members[target],
+                               &database->upstreams.upstreams_val[target])) {
         coordinator_promote(coordinator, db, database, target);
         return;
     }
--- a/src/catkingrade/decide/coordinator/coordinator_database.c
+++ b/src/catkingrade/decide/coordinator/coordinator_database.c
@@ -168,11 +168,7 @@
             &database->upstreams.upstreams_val[i];
         bool replica = database->term > 0 &&
                        strcmp(upstream->name, database->primary) != 0;
-        // How long it has been leaving is not known, so no time is left.
-        db->members[i].leaving_us =
-            upstream->state == CK_UPSTREAM_LEAVING
-                ? coordinator->now_us - coordinator->params.switchover_us
-                : 0;
+        coordinator_set_leaving(coordinator, &db->members[i], upstream);
         db->members[i].was_lost = upstream->state == CK_UPSTREAM_LOST;
         db->members[i].lost_us = coordinator->now_us;
         db->members[i].lost_revision = database->revision;
@@ -399,7 +395,8 @@
     else {
         coordinator_replace_leaving_primary(coordinator, db, database);
         coordinator_relieve_primary(coordinator, db, database);
-        if (coordinator_run_planned_change(coordinator, db, database)) {
+        if (coordinator_run_planned_change(coordinator, db, database) ||
+            coordinator_stop_leaving_primary(coordinator, db, database)) {
             return;
         }
         coordinator_check_primary(coordinator, db, database);
--- a/src/catkingrade/decide/coordinator/coordinator_planned.c
+++ b/src/catkingrade/decide/coordinator/coordinator_planned.c
@@ -23,10 +23,6 @@
 // Time without a primary that a planned change is expected to take before one
 // has been observed.
 #define COORDINATOR_CHANGE_COST_INITIAL_US 1500000
-// A change that kept a leaving primary is followed by another one after the
-// time limit divided by this, which is also the least time for a change before
-// its promotion.
-#define COORDINATOR_RETRY_DIVISOR 10
 
 // Returns the last time at which a change whose time limit counts from
 // begin_us can begin and still end within it.
@@ -217,7 +213,7 @@
 }
 
 // Returns whether there is an upstream that a planned change may promote.
-static bool
+bool
 coordinator_has_target(const struct coordinator_database *db,
                        const struct ck_database *database)
 {
@@ -275,6 +271,17 @@
            !coordinator_has_target_followed(coordinator, db, database);
 }
 
+// Supersedes the term for the planned change.
+void
+coordinator_supersede_planned(struct coordinator *coordinator,
+                              struct coordinator_database *db,
+                              const struct ck_database *database)
+{
+    coordinator_supersede(coordinator, db, database, db->planned_reason);
+    db->is_planned = true;
+    db->changed_us = coordinator->now_us;
+}
+
 // Continues a planned change: supersedes the term once neither a lease holder
 // nor a replica is awaited. The change is dropped if no upstream is ready to
 // take over any more. Returns whether the term was superseded.
@@ -283,9 +290,7 @@
                                struct coordinator_database *db,
                                const struct ck_database *database)
 {
-    const char *reason = db->planned_reason;
-
-    if (reason == NULL) {
+    if (db->planned_reason == NULL) {
         return false;
     }
     if (!coordinator_has_target(db, database)) {
@@ -299,50 +304,10 @@
     if (awaits_holder || awaits_target) {
         return false;
     }
-    coordinator_supersede(coordinator, db, database, reason);
-    db->is_planned = true;
-    db->changed_us = coordinator->now_us;
+    coordinator_supersede_planned(coordinator, db, database);
     return true;
 }
 
-// Returns when the primary announced that it leaves, as far as this leader
-// knows.
-static int64_t
-coordinator_get_leaving_us(const struct coordinator *coordinator,
-                           struct coordinator_database *db,
-                           const struct ck_database *database)
-{
-    (void)coordinator_sync_members(db, database);
-    int index = coordinator_find_upstream_index(database, database->primary);
-    int64_t leaving_us = index < 0 ? 0 : db->members[index].leaving_us;
-
-    return leaving_us != 0 ? leaving_us : coordinator->now_us;
-}
-
-// Plans a change to the most advanced replica if the primary is leaving and
-// another upstream is ready, unless a change has just kept this primary.
-void
-coordinator_replace_leaving_primary(struct coordinator *coordinator,
-                                    struct coordinator_database *db,
-                                    const struct ck_database *database)
-{
-    const struct ck_upstream *primary =
-        group_find_upstream(coordinator->group, database->primary);
-
-    if (db->planned_reason != NULL || primary == NULL ||
-        primary->state != CK_UPSTREAM_LEAVING ||
-        !coordinator_has_target(db, database)) {
-        return;
-    }
-    int64_t pause_us =
-        coordinator->params.switchover_us / COORDINATOR_RETRY_DIVISOR;
-    if (db->kept_us == 0 || coordinator->now_us - db->kept_us >= pause_us) {
-        coordinator_plan_change(
-            coordinator, db, "primary leaves",
-            coordinator_get_leaving_us(coordinator, db, database));
-    }
-}
-
 // Stores the report of an entry that refuses requests for want of a slot while
 // a replica lags.
 void
--- a/src/catkingrade/decide/coordinator/coordinator_private.h
+++ b/src/catkingrade/decide/coordinator/coordinator_private.h
@@ -5,6 +5,7 @@
 #include "catkingrade/decide/coordinator/backlog.h"
 #include "catkingrade/decide/coordinator/coordinator.h"
 #include "catkingrade/decide/coordinator/drain.h"
+#include "catkingrade/decide/coordinator/leaving.h"
 #include "catkingrade/decide/coordinator/quota_plan.h"
 #include "catkingrade/decide/coordinator/suspicion.h"
 #include "catkingrade/decide/group/group_index.h"
@@ -22,6 +23,10 @@
 // The time limit of a planned change divided by this is kept for the
 // promotion.
 #define COORDINATOR_PROMOTION_DIVISOR 5
+// A change that kept a leaving primary is followed by another one after the
+// time limit divided by this, which is also the least time for a change before
+// its promotion.
+#define COORDINATOR_RETRY_DIVISOR 10
 // Delay between a failed FENCE or FOLLOW and its retry.
 #define COORDINATOR_REPAIR_RETRY_US 1000000
 
@@ -284,6 +289,7 @@
     size_t synced_daemons_count;
     struct announce *announce;
     struct drain *drain;
+    struct leaving *leaving;             // kept while inactive
     struct coordinator_actions *actions; // of this step; NULL between steps
 };
 
@@ -456,12 +462,14 @@
                                 struct coordinator_database *db,
                                 const struct coordinator_holder *holder,
                                 size_t count, int64_t until_us);
+bool coordinator_has_target(const struct coordinator_database *db,
+                            const struct ck_database *database);
+void coordinator_supersede_planned(struct coordinator *coordinator,
+                                   struct coordinator_database *db,
+                                   const struct ck_database *database);
 bool coordinator_run_planned_change(struct coordinator *coordinator,
                                     struct coordinator_database *db,
                                     const struct ck_database *database);
-void coordinator_replace_leaving_primary(struct coordinator *coordinator,
-                                         struct coordinator_database *db,
-                                         const struct ck_database *database);
 void coordinator_handle_lagging(struct coordinator *coordinator,
                                 const struct coordinator_holder *holder,
                                 const struct ck_database *database,
@@ -471,6 +479,22 @@
                                  struct coordinator_database *db,
                                  const struct ck_database *database);
 
+// Upstreams that leave; coordinator_leaving.c.
+bool coordinator_may_serve(const struct coordinator *coordinator,
+                           const struct coordinator_member *member,
+                           int64_t needed_us);
+void coordinator_set_leaving(const struct coordinator *coordinator,
+                             struct coordinator_member *member,
+                             const struct ck_upstream *upstream);
+void coordinator_note_leaving(struct coordinator *coordinator,
+                              const struct coordinator_event *event);
+void coordinator_replace_leaving_primary(struct coordinator *coordinator,
+                                         struct coordinator_database *db,
+                                         const struct ck_database *database);
+bool coordinator_stop_leaving_primary(struct coordinator *coordinator,
+                                      struct coordinator_database *db,
+                                      const struct ck_database *database);
+
 // Failover; coordinator_failover.c.
 void coordinator_supersede(struct coordinator *coordinator,
                            struct coordinator_database *db,
--- a/src/catkingrade/decide/coordinator/promotion.c
+++ b/src/catkingrade/decide/coordinator/promotion.c
@@ -56,11 +56,16 @@
 //    lost data. It may be one of the c replicas of a save, so its answer is
 //    ignored.
 //
+// 5. A member that may not be promoted counts like the others: if it has a
+//    higher position than all that may be, none of these is known to be
+//    complete.
+//
 // With c = 0 only an answer of the old primary proves completeness.
 struct promotion_choice
 promotion_choose(const struct promotion_params *params)
 {
     struct promotion_choice choice = {PROMOTION_NONE, false};
+    struct ck_position highest = params->base;
     size_t replicas = 0;
     bool old_primary = false;
 
@@ -71,6 +76,12 @@
         }
         replicas += answer->is_old_primary ? 0 : 1;
         old_primary = old_primary || answer->is_old_primary;
+        if (promotion_compare(&answer->position, &highest) > 0) {
+            highest = answer->position;
+        }
+        if (answer->is_barred) {
+            continue;
+        }
         if (choice.index == PROMOTION_NONE ||
             promotion_is_better(answer, &params->answers[choice.index])) {
             choice.index = (int)i;
@@ -79,11 +90,11 @@
     if (choice.index == PROMOTION_NONE) {
         return choice;
     }
-    bool above_base =
-        promotion_compare(&params->answers[choice.index].position,
-                          &params->base) >= 0;
+    bool is_highest =
+        promotion_compare(&params->answers[choice.index].position, &highest) >=
+        0;
     choice.is_complete =
-        above_base &&
+        is_highest &&
         (old_primary || replicas + params->confirm >= params->count);
     return choice;
 }
--- a/src/catkingrade/decide/coordinator/promotion.h
+++ b/src/catkingrade/decide/coordinator/promotion.h
@@ -17,6 +17,7 @@
     bool answered;
     bool is_old_primary; // primary of the superseded term
     bool is_leaving;
+    bool is_barred;    // counts for the proof, and may not be promoted
     bool is_regressed; // reported a higher position before
     struct ck_position position;
 };
@@ -31,7 +32,7 @@
 };
 
 struct promotion_choice {
-    int index;        // in answers; PROMOTION_NONE: no usable answer
+    int index;        // in answers; PROMOTION_NONE: none may be promoted
     bool is_complete; // known to hold every acknowledged save
 };
 
--- a/src/catkingrade/decide/raft/raft.c
+++ b/src/catkingrade/decide/raft/raft.c
@@ -28,6 +28,7 @@
     raft->voted_for = saved->voted_for;
     raft->reported_wake_us = -1;
     raft->leader_contact_us = INT64_MIN / 2;
+    raft->contact_since_us = now_us;
     raft->now_us = now_us;
     raft->no_vote_until_us = now_us + params->election_us;
     raft_set_election_timer(raft);
--- a/src/catkingrade/decide/raft/raft.h
+++ b/src/catkingrade/decide/raft/raft.h
@@ -33,6 +33,7 @@
 void raft_set_standby(struct raft *raft, uint64_t voter);
 int64_t raft_get_acked_round_us(const struct raft *raft, uint64_t voter);
 int64_t raft_get_leader_contact_us(const struct raft *raft);
+int64_t raft_get_contact_since_us(const struct raft *raft);
 int64_t raft_get_round_sent_us(uint64_t round);
 bool raft_has_quorum(const struct raft *raft, int64_t now_us);
 bool raft_is_ready(const struct raft *raft);
--- a/src/catkingrade/decide/raft/raft_follower.c
+++ b/src/catkingrade/decide/raft/raft_follower.c
@@ -28,6 +28,7 @@
         return false;
     }
     raft_become_follower(raft, message->term, message->from);
+    raft_note_contact(raft);
     raft->leader_contact_us = raft->now_us;
     return true;
 }
--- a/src/catkingrade/decide/raft/raft_internal.h
+++ b/src/catkingrade/decide/raft/raft_internal.h
@@ -79,6 +79,7 @@
     uint64_t applied_index;
     uint64_t snapshot_requested_index;
     int64_t leader_contact_us; // last message from a leader
+    int64_t contact_since_us;  // begin of the contact without a break
     int64_t no_vote_until_us;  // grants no vote before, after a restart
     int64_t election_at_us;
     struct raft_incoming_snapshot incoming;
@@ -194,6 +195,7 @@
 void raft_drop_configs_before(struct raft *raft, uint64_t index);
 void raft_free_configs(struct raft *raft);
 bool raft_is_voting(const struct raft *raft, uint64_t id);
+void raft_note_contact(struct raft *raft);
 struct raft_peer *raft_find_peer(struct raft *raft, uint64_t id);
 size_t raft_get_majority(const struct raft *raft);
 bool raft_is_voters_payload(const void *payload, size_t size_bytes);
--- a/src/catkingrade/decide/raft/raft_leader.c
+++ b/src/catkingrade/decide/raft/raft_leader.c
@@ -48,6 +48,7 @@
 {
     uint64_t next_index = raft_log_get_last_index(&raft->log) + 1;
 
+    raft_note_contact(raft);
     raft->role = RAFT_LEADER;
     raft->leader = raft->params.self;
     raft->leader_since_us = raft->now_us;
--- a/src/catkingrade/decide/raft/raft_voters.c
+++ b/src/catkingrade/decide/raft/raft_voters.c
@@ -372,6 +372,24 @@
     return INT64_MIN / 2;
 }
 
+// Begins the contact with a leader anew if it was broken for the election
+// timeout: changes made meanwhile are received late.
+void
+raft_note_contact(struct raft *raft)
+{
+    if (raft->now_us - raft->leader_contact_us >= raft->params.election_us) {
+        raft->contact_since_us = raft->now_us;
+    }
+}
+
+// Returns since when this voter has been in contact with a leader, or has led,
+// without a break.
+int64_t
+raft_get_contact_since_us(const struct raft *raft)
+{
+    return raft->contact_since_us;
+}
+
 // Returns when this voter last received a message from a leader.
 int64_t
 raft_get_leader_contact_us(const struct raft *raft)
--- a/test/unit/decide/coordinator/test_planned_bound.c
+++ b/test/unit/decide/coordinator/test_planned_bound.c
@@ -864,25 +864,44 @@
 }
 END_TEST
 
+static void
+elect_next_leader(struct rig *rig)
+{
+    struct coordinator_event event = {.kind = COORDINATOR_EVENT_DEPOSED};
+
+    step(rig, &event);
+    for (size_t i = 0; i < ENTRIES; i++) {
+        rig->entries[i].notified_us = 0;
+    }
+    event.kind = COORDINATOR_EVENT_ELECTED;
+    event.leader_term = 5;
+    step(rig, &event);
+}
+
+// Elects a leader that has just started, and knows the group state only.
+static void
+elect_restarted_leader(struct rig *rig)
+{
+    struct coordinator_event event = {.kind = COORDINATOR_EVENT_DEPOSED};
+
+    step(rig, &event);
+    coordinator_set_group(rig->coordinator, rig->group);
+    elect_next_leader(rig);
+}
+
 // Guards against an election that begins the time limit of a change anew: the
-// next leader waits for leases, and not for silent holders.
+// next leader, which does not know how much of it has passed, waits for leases
+// and not for silent holders.
 START_TEST(test_election_adds_one_lease_to_change)
 {
     struct rig rig;
-    struct coordinator_event event = {.kind = COORDINATOR_EVENT_DEPOSED};
 
     start(&rig);
     while (rig.now_us < START_US + SERIES_LEAD_US) {
         advance(&rig, &series[_i]);
     }
     withdraw(&rig, "u0");
-    step(&rig, &event);
-    for (size_t i = 0; i < ENTRIES; i++) {
-        rig.entries[i].notified_us = 0;
-    }
-    event.kind = COORDINATOR_EVENT_ELECTED;
-    event.leader_term = 5;
-    step(&rig, &event);
+    elect_restarted_leader(&rig);
     int64_t begin_us = rig.now_us;
     while (get_database(&rig, 0)->term < 2 &&
            rig.now_us - begin_us < 4 * SERVES_US) {
@@ -893,6 +912,30 @@
 }
 END_TEST
 
+// Guards against an election that adds to the time limit of a change.
+START_TEST(test_election_does_not_extend_change)
+{
+    struct rig rig;
+
+    start(&rig);
+    while (rig.now_us < START_US + SERIES_LEAD_US) {
+        advance(&rig, &series[_i]);
+    }
+    int64_t begin_us = rig.now_us;
+    withdraw(&rig, "u0");
+    while (rig.now_us - begin_us < PROMOTION_US / 2) {
+        advance(&rig, &series[_i]);
+    }
+    elect_next_leader(&rig);
+    while (get_database(&rig, 0)->term < 2 &&
+           rig.now_us - begin_us < 4 * SERVES_US) {
+        advance(&rig, &series[_i]);
+    }
+    ck_assert_int_le(rig.now_us - begin_us, SERVES_US);
+    finish(&rig);
+}
+END_TEST
+
 // Guards against a replica that is promoted without what the old primary has
 // acknowledged, because the old primary is too busy to report its position.
 START_TEST(test_busy_primary_does_not_count_as_reached)
@@ -937,6 +980,22 @@
     }
 }
 
+// Runs until a leaving upstream has used up its time. From then on no entry
+// may write to it, and it is the primary of no term that entries serve.
+static void
+check_serves_no_longer(struct rig *rig, const char *name, int64_t leaving_us)
+{
+    run_until(rig, leaving_us + SERVES_US);
+    while (rig->now_us < leaving_us + 3 * SERVES_US) {
+        const struct ck_database *database = get_database(rig, 0);
+        if (strcmp(database->primary, name) == 0) {
+            ck_assert(database->superseding);
+            check_no_lease_covers_term(rig);
+        }
+        advance(rig, NULL);
+    }
+}
+
 // Guards against a term that ends before its replicas follow its primary.
 START_TEST(test_primary_that_leaves_at_once_is_replaced)
 {
@@ -1078,20 +1137,6 @@
 }
 END_TEST
 
-static void
-elect_next_leader(struct rig *rig)
-{
-    struct coordinator_event event = {.kind = COORDINATOR_EVENT_DEPOSED};
-
-    step(rig, &event);
-    for (size_t i = 0; i < ENTRIES; i++) {
-        rig->entries[i].notified_us = 0;
-    }
-    event.kind = COORDINATOR_EVENT_ELECTED;
-    event.leader_term = 5;
-    step(rig, &event);
-}
-
 // Guards against a next leader that keeps a leaving primary for switchover_ms.
 START_TEST(test_next_leader_tries_again_once_replica_follows)
 {
@@ -1148,22 +1193,6 @@
 }
 END_TEST
 
-// Runs until a leaving upstream has used up its time. From then on no entry
-// may write to it, and it is the primary of no term that entries serve.
-static void
-check_serves_no_longer(struct rig *rig, const char *name, int64_t leaving_us)
-{
-    run_until(rig, leaving_us + SERVES_US);
-    while (rig->now_us < leaving_us + 3 * SERVES_US) {
-        const struct ck_database *database = get_database(rig, 0);
-        if (strcmp(database->primary, name) == 0) {
-            ck_assert(database->superseding);
-            check_no_lease_covers_term(rig);
-        }
-        advance(rig, NULL);
-    }
-}
-
 // Guards against a leaving primary that serves until it is gone, because no
 // other upstream can take over.
 START_TEST(test_leaving_primary_without_successor_stops_in_time)
@@ -1243,6 +1272,48 @@
 }
 END_TEST
 
+// Guards against a leader that does not know since when the primary leaves and
+// lets it serve on.
+START_TEST(test_restarted_leader_stops_leaving_primary)
+{
+    struct rig rig;
+
+    start(&rig);
+    rig.upstreams[1].is_gone = true;
+    rig.upstreams[2].is_gone = true;
+    run_until(&rig, START_US + SERVES_US);
+    withdraw(&rig, "u0");
+    run_until(&rig, rig.now_us + SERVES_US / 3);
+    elect_restarted_leader(&rig);
+    check_serves_no_longer(&rig, "u0", rig.now_us + LEASE_US - SERVES_US);
+    finish(&rig);
+}
+END_TEST
+
+// Guards against an upstream that has left and is published again, because it
+// had answered before it left.
+START_TEST(test_upstream_that_has_left_is_not_kept)
+{
+    struct rig rig;
+
+    start(&rig);
+    rig.upstreams[1].is_gone = true;
+    rig.upstreams[2].is_gone = true;
+    run_until(&rig, START_US + SERVES_US);
+    int64_t begin_us = rig.now_us;
+    withdraw(&rig, "u0");
+    run_until(&rig, begin_us + SERVES_US);
+    ck_assert(get_database(&rig, 0)->superseding);
+    rig.upstreams[0].state = CK_UPSTREAM_LOST;
+    announce(&rig, &rig.upstreams[0]);
+    rig.upstreams[0].is_gone = true;
+    run_until(&rig, begin_us + 3 * SERVES_US);
+    ck_assert(get_database(&rig, 0)->superseding);
+    ck_assert_uint_eq(get_database(&rig, 0)->term, 1);
+    finish(&rig);
+}
+END_TEST
+
 static void
 add_tests(TCase *tests)
 {
@@ -1277,11 +1348,15 @@
     tcase_add_test(tests, test_leaving_upstream_promoted_again_stops_in_time);
     tcase_add_test(tests, test_kept_leaving_primary_stops_in_time);
     tcase_add_test(tests, test_next_leader_keeps_time_of_leaving_primary);
+    tcase_add_test(tests, test_restarted_leader_stops_leaving_primary);
+    tcase_add_test(tests, test_upstream_that_has_left_is_not_kept);
     tcase_add_loop_test(
         tests, test_lost_upstream_is_removed_while_entries_fail_in_turn, 0,
         sizeof(series) / sizeof(series[0]));
     tcase_add_loop_test(tests, test_election_adds_one_lease_to_change, 0,
                         sizeof(series) / sizeof(series[0]));
+    tcase_add_loop_test(tests, test_election_does_not_extend_change, 0,
+                        sizeof(series) / sizeof(series[0]));
     tcase_add_loop_test(tests, test_late_replica_does_not_extend_change, 0,
                         sizeof(series) / sizeof(series[0]));
 }
--- a/test/unit/decide/coordinator/test_promotion.c
+++ b/test/unit/decide/coordinator/test_promotion.c
@@ -30,6 +30,15 @@
         .answered = true, .is_leaving = true, .position = { 1, 80 }           \
     }
 
+#define BARRED(lsn_value)                                                     \
+    {                                                                         \
+        .answered = true, .is_leaving = true, .is_barred = true,              \
+        .position = {                                                         \
+            1,                                                                \
+            lsn_value                                                         \
+        }                                                                     \
+    }
+
 // Answers of the members and the expected choice.
 struct row {
     const char *name;
@@ -109,6 +118,27 @@
      {1, 0},
      1,
      true},
+    {"the replica that is ahead may not be promoted",
+     {LOST_OLD, BARRED(80), AT(1, 70)},
+     3,
+     1,
+     {1, 0},
+     2,
+     false},
+    {"a replica that may not be promoted proves another one",
+     {LOST_OLD, BARRED(70), AT(1, 70)},
+     3,
+     1,
+     {1, 0},
+     2,
+     true},
+    {"nobody may be promoted",
+     {LOST_OLD, BARRED(70), LOST},
+     3,
+     2,
+     {1, 0},
+     -1,
+     false},
     {"four members, two answer",
      {LOST_OLD, AT(1, 1), AT(1, 2), LOST},
      4,
--- a/test/unit/decide/raft/test_raft.c
+++ b/test/unit/decide/raft/test_raft.c
@@ -271,6 +271,26 @@
 }
 END_TEST
 
+// Guards against a voter that takes what it receives after a break of contact
+// for recent.
+START_TEST(test_break_of_contact_is_noted)
+{
+    struct fixture fixture;
+
+    fixture_start(&fixture, &empty);
+    fixture.now_us = ELECTION_US;
+    receive_append(&fixture, 1, 0, 0, 0, NULL, 0);
+    ck_assert_int_eq(raft_get_contact_since_us(fixture.raft), ELECTION_US);
+    fixture.now_us = 2 * ELECTION_US - 1;
+    receive_append(&fixture, 1, 0, 0, 0, NULL, 0);
+    ck_assert_int_eq(raft_get_contact_since_us(fixture.raft), ELECTION_US);
+    fixture.now_us = 4 * ELECTION_US;
+    receive_append(&fixture, 1, 0, 0, 0, NULL, 0);
+    ck_assert_int_eq(raft_get_contact_since_us(fixture.raft), 4 * ELECTION_US);
+    fixture_destroy(&fixture);
+}
+END_TEST
+
 // Guards against a second vote in the same term after a crash: term and vote
 // must be saved before any answer is sent.
 START_TEST(test_term_and_vote_are_saved_first)
@@ -812,6 +832,7 @@
     tcase_add_test(tests, test_earlier_term_needs_current_term_entry);
     tcase_add_test(tests, test_restart_waits_before_vote);
     tcase_add_test(tests, test_no_vote_after_leader_contact);
+    tcase_add_test(tests, test_break_of_contact_is_noted);
     tcase_add_test(tests, test_term_and_vote_are_saved_first);
     tcase_add_test(tests, test_commit_stops_at_last_matched_entry);
     tcase_add_test(tests, test_one_voters_change_at_a_time);
