fix(coordinator): a term does not end for a silent successor

Cause: the wait for a replica that follows ends one lease before the leases must be over. That moment had passed, so the term ended although no upstream that could take over had answered since.

Change: while the primary leaves and every possible successor is silent, the wait goes on; the end of the primary's time ends it. Plans for other reasons end their wait as before.

Evidence: test_silent_successor_does_not_end_service fails without the change (term 4 instead of 3).

--- a/src/catkingrade/decide/coordinator/coordinator_planned.c
+++ b/src/catkingrade/decide/coordinator/coordinator_planned.c
@@ -250,6 +250,27 @@
     return followed;
 }
 
+// Returns whether a planned change of a leaving primary goes on waiting
+// because every upstream that it may promote has been silent since it was
+// planned. To end the term then gains nothing.
+// coordinator_stop_leaving_primary ends this wait.
+static bool
+coordinator_awaits_silent_target(const struct coordinator_database *db,
+                                 const struct ck_database *database,
+                                 const struct coordinator_member *primary)
+{
+    for (size_t i = 0; i < db->members_count; i++) {
+        const struct coordinator_member *member = &db->members[i];
+        const struct ck_upstream *upstream =
+            &database->upstreams.upstreams_val[i];
+        if (coordinator_is_target(db, database, upstream) &&
+            (member->answered || member->is_busy)) {
+            return false;
+        }
+    }
+    return primary->leaving_us != 0;
+}
+
 // Returns whether the change must wait for a replica to reach a position that
 // the primary has reported since the change was planned. The primary serves
 // meanwhile. A primary that is too busy to report its position is not waited
@@ -261,14 +282,22 @@
 {
     int primary = coordinator_find_upstream_index(database, database->primary);
 
-    if (primary < 0 || coordinator->now_us >= db->target_end_us ||
-        db->members[primary].is_busy) {
+    if (primary < 0 || db->members[primary].is_busy) {
         return false;
     }
-    coordinator_wake_at(coordinator, db->target_end_us);
-    return !coordinator_read_planned_position(coordinator, db, database,
-                                              (size_t)primary) ||
-           !coordinator_has_target_followed(coordinator, db, database);
+    bool is_over = coordinator->now_us >= db->target_end_us;
+    if (is_over && !coordinator_awaits_silent_target(db, database,
+                                                     &db->members[primary])) {
+        return false;
+    }
+    if (!is_over) {
+        coordinator_wake_at(coordinator, db->target_end_us);
+    }
+    bool is_known = coordinator_read_planned_position(
+        coordinator, db, database, (size_t)primary);
+    bool has_followed =
+        coordinator_has_target_followed(coordinator, db, database);
+    return !is_known || !has_followed;
 }
 
 // Supersedes the term for the planned change.
--- a/test/unit/decide/coordinator/test_planned_bound.c
+++ b/test/unit/decide/coordinator/test_planned_bound.c
@@ -1314,6 +1314,34 @@
 }
 END_TEST
 
+// Guards against a term that ends for a successor that is silent, while the
+// leaving primary has time left.
+START_TEST(test_silent_successor_does_not_end_service)
+{
+    struct rig rig;
+
+    start(&rig);
+    run_until(&rig, START_US + 2 * ANNOUNCE_US);
+    rig.upstreams[2].lsn = 40;
+    int64_t begin_us = rig.now_us;
+    withdraw(&rig, "u0");
+    (void)run_until_primary(&rig, "u1", begin_us);
+    run_until(&rig, begin_us + SERVES_US / 4);
+    rig.upstreams[1].state = CK_UPSTREAM_LOST;
+    announce(&rig, &rig.upstreams[1]);
+    rig.upstreams[1].is_gone = true;
+    ck_assert_str_eq(run_until_promoting(&rig, NULL)->name, "u0");
+    rig.upstreams[2].is_gone = true;
+    (void)run_until_primary(&rig, "u0", begin_us);
+    uint64_t term = get_database(&rig, 0)->term;
+    run_until(&rig, begin_us + SERVES_US * 4 / 5);
+    ck_assert_uint_eq(get_database(&rig, 0)->term, term);
+    ck_assert(!get_database(&rig, 0)->superseding);
+    check_serves_no_longer(&rig, "u0", begin_us);
+    finish(&rig);
+}
+END_TEST
+
 static void
 add_tests(TCase *tests)
 {
@@ -1350,6 +1378,7 @@
     tcase_add_test(tests, test_next_leader_keeps_time_of_leaving_primary);
     tcase_add_test(tests, test_restarted_leader_stops_leaving_primary);
     tcase_add_test(tests, test_upstream_that_has_left_is_not_kept);
+    tcase_add_test(tests, test_silent_successor_does_not_end_service);
     tcase_add_loop_test(
         tests, test_lost_upstream_is_removed_while_entries_fail_in_turn, 0,
         sizeof(series) / sizeof(series[0]));
