fix(coordinator): silence does not give a leaving upstream its time anew

What callers would see: statements sent to a leaving upstream past its limit if it is silent for the announcements' expiry and is heard again.

Cause: the state "lost" between two states "leaving" of one incarnation ended the record of its time, at the voters and at the entries.

Change: only "ready", another incarnation or the removal of the record ends it.

Evidence: test_silence_does_not_renew_time (test_leaving) and test_silence_does_not_renew_time_of_leaving_primary (test_pool) failed before. test_queue_of_leaving_primary_ends_with_its_time is new: requests in the queue are refused at the limit, not held to their deadline.

--- a/src/catkingrade/decide/coordinator/coordinator_leaving.c
+++ b/src/catkingrade/decide/coordinator/coordinator_leaving.c
@@ -26,18 +26,21 @@
     return member->leaving_us == 0 || coordinator->now_us + needed_us < end_us;
 }
 
-// Sets since when an upstream has been leaving. If that is not known, no time
-// is left.
+// Sets since when an upstream has been leaving, also before it was lost. If
+// that is not known of one that leaves, no time is left.
 void
 coordinator_set_leaving(const struct coordinator *coordinator,
                         struct coordinator_member *member,
                         const struct ck_upstream *upstream)
 {
-    if (upstream->state != CK_UPSTREAM_LEAVING) {
+    int64_t since_us = leaving_get_since_us(coordinator->leaving, upstream);
+
+    if (upstream->state == CK_UPSTREAM_READY ||
+        (upstream->state == CK_UPSTREAM_LOST &&
+         since_us == LEAVING_SINCE_UNKNOWN)) {
         member->leaving_us = 0;
         return;
     }
-    int64_t since_us = leaving_get_since_us(coordinator->leaving, upstream);
     member->leaving_us =
         since_us == LEAVING_SINCE_UNKNOWN
             ? coordinator->now_us - coordinator->params.switchover_us
@@ -56,12 +59,15 @@
         change->kind != CK_CHANGE_UPSTREAM_EXPIRE) {
         return;
     }
-    const struct ck_upstream *upstream = group_find_upstream(
-        coordinator->group, change->ck_change_u.upstream.name);
-    if (upstream != NULL) {
-        leaving_handle_change(coordinator->leaving, coordinator->now_us,
-                              upstream, event->applied.is_late);
+    const char *name = change->ck_change_u.upstream.name;
+    const struct ck_upstream *upstream =
+        group_find_upstream(coordinator->group, name);
+    if (upstream == NULL) {
+        leaving_forget(coordinator->leaving, name);
+        return;
     }
+    leaving_handle_change(coordinator->leaving, coordinator->now_us, upstream,
+                          event->applied.is_late);
 }
 
 // Returns the primary as a member if it is leaving, or NULL.
--- a/src/catkingrade/decide/coordinator/leaving.c
+++ b/src/catkingrade/decide/coordinator/leaving.c
@@ -91,7 +91,7 @@
 
 // Handles an upstream as it is after a change. The first change with which an
 // incarnation leaves begins its time; with is_late, the change may be older
-// than now_us.
+// than now_us. An upstream that counts as lost meanwhile keeps its time.
 void
 leaving_handle_change(struct leaving *leaving, int64_t now_us,
                       const struct ck_upstream *upstream, bool is_late)
@@ -99,17 +99,25 @@
     struct leaving_upstream **link =
         leaving_find_link(leaving, upstream->name);
 
-    if (upstream->state != CK_UPSTREAM_LEAVING) {
+    if (upstream->state == CK_UPSTREAM_READY) {
         leaving_remove(link);
         return;
     }
-    if (*link != NULL && (*link)->incarnation == upstream->incarnation) {
+    if (upstream->state == CK_UPSTREAM_LOST ||
+        (*link != NULL && (*link)->incarnation == upstream->incarnation)) {
         return;
     }
     leaving_remove(link);
     leaving_add(leaving, upstream, is_late ? LEAVING_SINCE_UNKNOWN : now_us);
 }
 
+// Forgets an upstream that has been removed.
+void
+leaving_forget(struct leaving *leaving, const char *name)
+{
+    leaving_remove(leaving_find_link(leaving, name));
+}
+
 // Returns since when this incarnation of an upstream has been leaving;
 // LEAVING_SINCE_UNKNOWN if that is not known.
 int64_t
--- a/src/catkingrade/decide/coordinator/leaving.h
+++ b/src/catkingrade/decide/coordinator/leaving.h
@@ -19,6 +19,7 @@
 void leaving_destroy(struct leaving *leaving);
 void leaving_handle_change(struct leaving *leaving, int64_t now_us,
                            const struct ck_upstream *upstream, bool is_late);
+void leaving_forget(struct leaving *leaving, const char *name);
 int64_t leaving_get_since_us(const struct leaving *leaving,
                              const struct ck_upstream *upstream);
 
--- a/src/catkingrade/decide/traffic/scheduler_view.c
+++ b/src/catkingrade/decide/traffic/scheduler_view.c
@@ -45,16 +45,18 @@
     return upstream;
 }
 
-// Takes note of when an upstream begins to leave.
+// Takes note of when an upstream begins to leave. One that counts as lost
+// meanwhile keeps its time.
 static void
 view_note_leaving(struct scheduler *scheduler, struct upstream *up)
 {
-    if (up->config->state != CK_UPSTREAM_LEAVING) {
+    if (up->config->state == CK_UPSTREAM_READY) {
         up->leaving_us = 0;
         return;
     }
-    if (up->leaving_us != 0 &&
-        up->leaving_incarnation == up->config->incarnation) {
+    if (up->config->state == CK_UPSTREAM_LOST ||
+        (up->leaving_us != 0 &&
+         up->leaving_incarnation == up->config->incarnation)) {
         return;
     }
     up->leaving_us = scheduler->now_us;
--- a/test/unit/decide/coordinator/test_leaving.c
+++ b/test/unit/decide/coordinator/test_leaving.c
@@ -67,6 +67,26 @@
 }
 END_TEST
 
+// Guards against an upstream that gets its time anew because it was silent for
+// so long that it counted as lost.
+START_TEST(test_silence_does_not_renew_time)
+{
+    struct group_state *group = make_group();
+    struct leaving *leaving = leaving_create(group);
+    struct ck_upstream one = make_leaving(100);
+
+    leaving_handle_change(leaving, 1000 * MS, &one, false);
+    one.state = CK_UPSTREAM_LOST;
+    leaving_handle_change(leaving, 5000 * MS, &one, false);
+    ck_assert_int_eq(leaving_get_since_us(leaving, &one), 1000 * MS);
+    one.state = CK_UPSTREAM_LEAVING;
+    leaving_handle_change(leaving, 6000 * MS, &one, false);
+    ck_assert_int_eq(leaving_get_since_us(leaving, &one), 1000 * MS);
+    leaving_destroy(leaving);
+    group_destroy(group);
+}
+END_TEST
+
 // Guards against a voter that counts the time of an upstream from when it
 // caught up with the log, or from its own start.
 START_TEST(test_late_change_has_unknown_age)
@@ -95,6 +115,7 @@
 {
     tcase_add_test(tests, test_time_begins_once);
     tcase_add_test(tests, test_next_incarnation_has_its_own_time);
+    tcase_add_test(tests, test_silence_does_not_renew_time);
     tcase_add_test(tests, test_late_change_has_unknown_age);
 }
 
--- a/test/unit/decide/traffic/test_pool.c
+++ b/test/unit/decide/traffic/test_pool.c
@@ -232,6 +232,65 @@
 }
 END_TEST
 
+// Guards against a leaving primary that gets its time anew: it counts as lost
+// for a while, or its announcement is repeated. A restarted one has its own.
+START_TEST(test_silence_does_not_renew_time_of_leaving_primary)
+{
+    scheduler_rig_start(&rig, 2);
+    scheduler_rig_post_lease(&rig, rig.database.term,
+                             60000 * SCHEDULER_RIG_MS_US);
+    static const ck_upstream_state states[] = {
+        CK_UPSTREAM_LEAVING, CK_UPSTREAM_LOST, CK_UPSTREAM_LEAVING};
+    for (size_t i = 0; i < sizeof(states) / sizeof(states[0]); i++) {
+        rig.upstreams[0].state = states[i];
+        scheduler_rig_post_view(&rig);
+        scheduler_rig_tick(&rig, 4000 * SCHEDULER_RIG_MS_US);
+    }
+    uint64_t request =
+        scheduler_rig_post_request(&rig, 1, SCHEDULER_CLASS_WRITE, -1);
+    ck_assert_ptr_nonnull(
+        scheduler_rig_find_action(&rig, SCHEDULER_ACTION_REFUSE, request));
+    rig.upstreams[0].incarnation++;
+    scheduler_rig_post_view(&rig);
+    scheduler_rig_complete_opens(&rig);
+    request = scheduler_rig_post_request(&rig, 1, SCHEDULER_CLASS_WRITE, -1);
+    ck_assert_ptr_null(
+        scheduler_rig_find_action(&rig, SCHEDULER_ACTION_REFUSE, request));
+    scheduler_rig_free(&rig);
+}
+END_TEST
+
+// Guards against callers that wait for a leaving primary whose time is over:
+// requests in its queue are refused at that moment.
+START_TEST(test_queue_of_leaving_primary_ends_with_its_time)
+{
+    uint64_t request = 0;
+
+    scheduler_rig_start(&rig, 1);
+    scheduler_rig_post_lease(&rig, rig.database.term,
+                             60000 * SCHEDULER_RIG_MS_US);
+    rig.upstreams[0].state = CK_UPSTREAM_LEAVING;
+    scheduler_rig_post_view(&rig);
+    scheduler_rig_tick(&rig, 6900 * SCHEDULER_RIG_MS_US);
+    for (uint64_t session = 10; session < 30; session++) {
+        scheduler_rig_open_session(&rig, session, NULL);
+        request = scheduler_rig_post_typed_request(
+            &rig, session, SCHEDULER_CLASS_WRITE, "",
+            rig.now_us + 5000 * SCHEDULER_RIG_MS_US);
+        if (scheduler_rig_find_action(&rig, SCHEDULER_ACTION_SEND, request) ==
+            NULL) {
+            break;
+        }
+    }
+    ck_assert_ptr_null(
+        scheduler_rig_find_action(&rig, SCHEDULER_ACTION_REFUSE, request));
+    scheduler_rig_tick(&rig, 200 * SCHEDULER_RIG_MS_US);
+    ck_assert_ptr_nonnull(
+        scheduler_rig_find_action(&rig, SCHEDULER_ACTION_REFUSE, request));
+    scheduler_rig_free(&rig);
+}
+END_TEST
+
 // A connection that was idle for long is validated before it carries a write.
 START_TEST(test_idle_connection_is_validated)
 {
@@ -397,6 +456,8 @@
     tcase_add_test(tests, test_leaving_primary_serves_until_switchover);
     tcase_add_test(tests,
                    test_leaving_primary_gets_nothing_new_after_its_time);
+    tcase_add_test(tests, test_silence_does_not_renew_time_of_leaving_primary);
+    tcase_add_test(tests, test_queue_of_leaving_primary_ends_with_its_time);
     tcase_add_test(tests, test_idle_connection_is_validated);
     tcase_add_test(tests, test_connections_of_same_age_are_validated);
     tcase_add_test(tests, test_silent_connection_frees_its_slot);
