fix(control): a late leader makes no upstream call again

Cause: a control VM held the answer to an announcement that changes nothing until the leader had answered its list. After 250 ms without an answer it sent each of the 64 as a call of its own, and after 1 s the upstream called the next control VM.

Change: such an announcement is acknowledged at once by a voter that has heard the leader within 1 s: its state is in the log. The list goes to the leader by itself and is sent again as a list; what is lost comes with the next announcement.

--- a/src/catkingrade/control/announcement_batch.h
+++ b/src/catkingrade/control/announcement_batch.h
@@ -10,9 +10,8 @@
 //
 // The batch answers the load of thousands of upstreams that announce
 // themselves every second though nothing has changed: the leader gets some
-// lists a second from each control VM and not a call from each upstream. An
-// announcement that the leader does not accept at once is forwarded by itself;
-// see forward.h.
+// lists a second from each control VM and not a call from each upstream, and a
+// leader that is late makes no upstream call again.
 struct announcement_batch;
 
 struct announcement_batch *announcement_batch_create(struct control *control,
@@ -23,7 +22,6 @@
                          forward_apply_fn done, void *data);
 void announcement_batch_add(struct announcement_batch *batch,
                             const struct settings_address *leader,
-                            const struct ck_upstream *upstream,
-                            forward_apply_fn done, void *data);
+                            const struct ck_upstream *upstream);
 
 #endif
--- a/src/catkingrade/control/group_host.c
+++ b/src/catkingrade/control/group_host.c
@@ -21,6 +21,8 @@
 #define HOST_RETAINED_ENTRIES          1024
 #define HOST_REOPEN_DELAY_US           1000000
 #define HOST_LEADER_CONTACT_TIMEOUT_US 3000000
+// A voter that has heard of the leader within this time answers for it.
+#define HOST_HEARS_LEADER_US 1000000
 
 // Adds a waiter with a new token. The host owns it until host_remove_waiter.
 struct host_waiter *
@@ -362,7 +364,6 @@
 group_host_destroy(struct group_host *host)
 {
     host_drop_waiters(host);
-    host_free_listed_announcements(host);
     loop_timer_destroy(host->raft_timer);
     loop_timer_destroy(host->coordinator_timer);
     coordinator_destroy(host->coordinator);
@@ -406,6 +407,15 @@
     return host->leads;
 }
 
+// Returns whether this voter has received a message from the leader within
+// HOST_HEARS_LEADER_US.
+bool
+group_host_hears_leader(const struct group_host *host)
+{
+    return !host->failed && raft_get_leader_contact_us(host->raft) >=
+                                monotonic_get_us() - HOST_HEARS_LEADER_US;
+}
+
 // Writes the state that the pending actions must make durable. The caller then
 // syncs the store once for all groups and calls group_host_run_actions.
 // Returns whether the group has pending actions; after a failed write it has
--- a/src/catkingrade/control/group_host.h
+++ b/src/catkingrade/control/group_host.h
@@ -41,6 +41,7 @@
 uint64_t group_host_get_self(const struct group_host *host);
 bool group_host_is_in_contact(const struct group_host *host);
 bool group_host_leads(const struct group_host *host);
+bool group_host_hears_leader(const struct group_host *host);
 bool group_host_write_actions(struct group_host *host);
 bool group_host_run_actions(struct group_host *host, bool synced);
 
--- a/src/catkingrade/control/group_host_state.h
+++ b/src/catkingrade/control/group_host_state.h
@@ -49,7 +49,6 @@
     struct loop_timer *raft_timer;
     int64_t raft_wake_us; // when Raft wants its next TICK
     struct loop_timer *coordinator_timer;
-    struct host_listed_announcement *listed;
     struct host_waiter *waiters;
     uint64_t last_token;
     bool leads;  // the leader, and its term's first entry is applied
@@ -106,7 +105,6 @@
 void host_reply_command(struct group_host *host,
                         struct rpcnet_request *request, int outcome,
                         const char *text);
-void host_free_listed_announcements(struct group_host *host);
 void host_reply_renew(struct group_host *host, struct rpcnet_request *request,
                       int outcome, uint64_t sequence);
 
--- a/src/catkingrade/control/group_requests.c
+++ b/src/catkingrade/control/group_requests.c
@@ -235,54 +235,13 @@
            group_is_same_upstream(known, &limited);
 }
 
-// Outcome of an announcement of a list, kept until it is known. The list is
-// answered without waiting for those that lead to a change.
-struct host_listed_announcement {
-    struct host_listed_announcement *next;
-    bool is_done;
-    int outcome;
-};
-
+// The upstream already has its answer, from the control VM that sent the list.
 static void
-host_handle_listed_announcement(void *data, int outcome, const char *text)
+host_ignore_listed_announcement(void *data, int outcome, const char *text)
 {
-    struct host_listed_announcement *listed = data;
-
+    (void)data;
+    (void)outcome;
     (void)text;
-    listed->is_done = true;
-    listed->outcome = outcome;
-}
-
-// Submits an announcement of a list. Returns its outcome, or OUTCOME_UNKNOWN
-// if it is not known yet.
-static int
-host_submit_listed_announcement(struct group_host *host,
-                                const struct ck_upstream *upstream)
-{
-    struct host_listed_announcement *listed = xcalloc(1, sizeof(*listed));
-
-    listed->next = host->listed;
-    host->listed = listed;
-    group_host_submit_announcement(host, upstream,
-                                   host_handle_listed_announcement, listed);
-    return listed->is_done ? listed->outcome : OUTCOME_UNKNOWN;
-}
-
-// Frees the outcomes of listed announcements that are known.
-void
-host_free_listed_announcements(struct group_host *host)
-{
-    struct host_listed_announcement **link = &host->listed;
-
-    while (*link != NULL) {
-        struct host_listed_announcement *listed = *link;
-        if (!listed->is_done) {
-            link = &listed->next;
-            continue;
-        }
-        *link = listed->next;
-        free(listed);
-    }
 }
 
 // Handles a list of announcements from another control VM.
@@ -291,24 +250,18 @@
                            struct rpcnet_request *request,
                            const struct ck_announce_args *args)
 {
-    u_int count = args->upstreams.upstreams_len;
     struct ck_announce_result reply = {.outcome = OUTCOME_NOT_LEADER};
 
     if (!host_is_confirmed_leader(host)) {
         rpcnet_reply(request, &reply);
         return;
     }
-    int *outcomes = xcalloc(count, sizeof(*outcomes));
-    for (u_int i = 0; i < count; i++) {
-        outcomes[i] = host_submit_listed_announcement(
-            host, &args->upstreams.upstreams_val[i]);
+    for (u_int i = 0; i < args->upstreams.upstreams_len; i++) {
+        group_host_submit_announcement(host, &args->upstreams.upstreams_val[i],
+                                       host_ignore_listed_announcement, NULL);
     }
     reply.outcome = OUTCOME_OK;
-    reply.outcomes.outcomes_val = outcomes;
-    reply.outcomes.outcomes_len = count;
     rpcnet_reply(request, &reply);
-    free(outcomes);
-    host_free_listed_announcements(host);
 }
 
 // Returns whether operators may request a change of this kind. Only the
--- a/src/catkingrade/kernel/counters.h
+++ b/src/catkingrade/kernel/counters.h
@@ -62,6 +62,8 @@
     ROW(ANNOUNCEMENTS, "announcements_total", "upstream announcements taken") \
     ROW(ANNOUNCEMENTS_REFUSED, "announcements_refused_total",                 \
         "upstream announcements refused")                                     \
+    ROW(ANNOUNCEMENT_LISTS_LOST, "announcement_lists_lost_total",             \
+        "lists of announcements that the leader did not answer")              \
     ROW(CHANGES, "changes_total", "configuration changes applied")
 
 enum counter {
--- a/src/catkingrade/rpc/messages.h
+++ b/src/catkingrade/rpc/messages.h
@@ -483,10 +483,6 @@
 
 struct ck_announce_result {
 	int outcome;
-	struct {
-		u_int outcomes_len;
-		int *outcomes_val;
-	} outcomes;
 };
 typedef struct ck_announce_result ck_announce_result;
 
--- a/src/catkingrade/rpc/messages.x
+++ b/src/catkingrade/rpc/messages.x
@@ -426,8 +426,6 @@
 
 struct ck_announce_result {
     int outcome;                    /* not OUTCOME_OK: none was handled */
-    /* Of each in the same order; OUTCOME_UNKNOWN: not known yet. */
-    int outcomes<CK_LIST_SIZE>;
 };
 
 /* ---- replicated log ---- */
--- a/src/catkingrade/rpc/messages_xdr.c
+++ b/src/catkingrade/rpc/messages_xdr.c
@@ -1138,9 +1138,6 @@
 
 	 if (!xdr_int (xdrs, &objp->outcome))
 		 return FALSE;
-	 if (!xdr_array (xdrs, (char **)&objp->outcomes.outcomes_val, (u_int *) &objp->outcomes.outcomes_len, CK_LIST_SIZE,
-		sizeof (int), (xdrproc_t) xdr_int))
-		 return FALSE;
 	return TRUE;
 }
 
