refactor(coordinator): relays are three files

coordinator_relay.c had 871 lines: the table of plans, the choice of relays and what entries are sent.

--- a/src/catkingrade/decide/coordinator/coordinator_private.h
+++ b/src/catkingrade/decide/coordinator/coordinator_private.h
@@ -387,7 +387,7 @@
                                     const char *upstream,
                                     const struct coordinator_holder *holder);
 
-// Relays: entries that run the statements of others; coordinator_relay.c.
+// Relays: entries that run the statements of others; coordinator_relay*.c.
 void coordinator_sync_relays(struct coordinator *coordinator,
                              const char *database);
 void coordinator_run_relay_plans(struct coordinator *coordinator);
