--- a/src/catkingrade/decide/coordinator/coordinator_relay_list.c
+++ b/src/catkingrade/decide/coordinator/coordinator_relay_list.c
@@ -1,9 +1,5 @@
 // What entries are sent about relays: the lists of those databases whose lists
 // have changed since the entry learnt of them.
-
-#include <stdlib.h>
-#include <string.h>
-
 #include "catkingrade/decide/coordinator/coordinator_relay.h"
 #include "catkingrade/kernel/memory.h"
 
--- a/src/catkingrade/decide/coordinator/coordinator_relay_table.c
+++ b/src/catkingrade/decide/coordinator/coordinator_relay_table.c
@@ -2,7 +2,6 @@
 // are to be updated and the list in the order of their changes.
 
 #include <stdlib.h>
-#include <string.h>
 
 #include "catkingrade/decide/coordinator/coordinator_relay.h"
 #include "catkingrade/kernel/memory.h"
