fix(coordinator): a former primary is fenced before it is promoted again

Cause: an upstream that answers as a primary was published without a promotion. It can be one of an earlier term that is not fenced yet, if the term in between ended at once, as that of a leaving upstream does.

Change: if this leader has published a term since, it is fenced, probed again and promoted like any other.

--- a/src/catkingrade/decide/coordinator/coordinator_database.c
+++ b/src/catkingrade/decide/coordinator/coordinator_database.c
@@ -462,6 +462,42 @@
     db->is_quiet = coordinator_is_database_quiet(db);
 }
 
+static void
+coordinator_order_repair(struct coordinator *coordinator,
+                         struct coordinator_database *db,
+                         const struct ck_database *database, size_t index)
+{
+    struct coordinator_member *member = &db->members[index];
+    int primary = coordinator_find_upstream_index(database, database->primary);
+
+    member->repairing = true;
+    struct coordinator_action *action = coordinator_add_action(
+        coordinator, member->needs_fence ? COORDINATOR_ACTION_FENCE
+                                         : COORDINATOR_ACTION_FOLLOW);
+    action->upstream.upstream = &database->upstreams.upstreams_val[index];
+    action->upstream.primary = &database->upstreams.upstreams_val[primary];
+    action->upstream.term = database->term;
+}
+
+// Orders a FENCE of a member that needs one, unless one is in flight or has
+// just failed.
+void
+coordinator_order_fence(struct coordinator *coordinator,
+                        struct coordinator_database *db,
+                        const struct ck_database *database, size_t index)
+{
+    const struct coordinator_member *member = &db->members[index];
+
+    if (member->repairing) {
+        return;
+    }
+    if (coordinator->now_us < member->next_repair_us) {
+        coordinator_wake_at(coordinator, member->next_repair_us);
+        return;
+    }
+    coordinator_order_repair(coordinator, db, database, index);
+}
+
 // Fences replicas that may still accept writes as a primary, then makes them
 // follow the current primary.
 void
@@ -472,7 +508,7 @@
     int primary = coordinator_find_upstream_index(database, database->primary);
 
     for (size_t i = 0; i < db->members_count && coordinator->has_quorum; i++) {
-        struct coordinator_member *member = &db->members[i];
+        const struct coordinator_member *member = &db->members[i];
         const struct ck_upstream *upstream =
             &database->upstreams.upstreams_val[i];
         if ((int)i == primary || member->repairing || primary < 0 ||
@@ -481,13 +517,7 @@
             (!member->needs_fence && !member->needs_follow)) {
             continue;
         }
-        member->repairing = true;
-        struct coordinator_action *action = coordinator_add_action(
-            coordinator, member->needs_fence ? COORDINATOR_ACTION_FENCE
-                                             : COORDINATOR_ACTION_FOLLOW);
-        action->upstream.upstream = upstream;
-        action->upstream.primary = &database->upstreams.upstreams_val[primary];
-        action->upstream.term = database->term;
+        coordinator_order_repair(coordinator, db, database, i);
     }
 }
 
@@ -520,6 +550,9 @@
     }
     else if (is_fence) {
         member->needs_fence = false;
+        // Its last answer is from before.
+        member->answered = false;
+        member->next_probe_us = 0;
     }
     else {
         member->needs_follow = false;
--- a/src/catkingrade/decide/coordinator/coordinator_failover.c
+++ b/src/catkingrade/decide/coordinator/coordinator_failover.c
@@ -407,8 +407,22 @@
                         COORDINATOR_REPLY_NONE, 0);
 }
 
+// Returns whether an upstream claims to be a primary, although this leader has
+// made another one the primary since and has not fenced it yet. With the term
+// of an earlier leader it may be one whose promotion that leader has ordered.
+static bool
+coordinator_is_unfenced(const struct coordinator_database *db,
+                        const struct ck_database *database, int index)
+{
+    const struct coordinator_member *member = &db->members[index];
+
+    return db->has_published && member->is_primary && member->needs_fence &&
+           strcmp(member->name, database->primary) != 0;
+}
+
 // Promotes the upstream with this index. An upstream that already is a primary
-// is published without a promotion. Does nothing without a quorum.
+// is published without a promotion; one that was a primary before is fenced
+// first. Does nothing without a quorum.
 void
 coordinator_promote(struct coordinator *coordinator,
                     struct coordinator_database *db,
@@ -421,6 +435,10 @@
     if (!coordinator->has_quorum) {
         return;
     }
+    if (coordinator_is_unfenced(db, database, index)) {
+        coordinator_order_fence(coordinator, db, database, (size_t)index);
+        return;
+    }
     db->candidate_index = index;
     db->is_kept = strcmp(upstream->name, database->primary) == 0;
     if (member->is_primary) {
@@ -562,6 +580,7 @@
         coordinator, db, reached ? OUTCOME_OK : OUTCOME_TIMEOUT,
         reached ? "the new term stands" : "another upstream is the primary");
     coordinator_end_revocation(coordinator, db);
+    db->has_published = true;
     suspicion_clear(&db->suspicion);
     coordinator_sync_members(db, database);
     for (size_t i = 0; i < db->members_count; i++) {
--- a/src/catkingrade/decide/coordinator/coordinator_private.h
+++ b/src/catkingrade/decide/coordinator/coordinator_private.h
@@ -182,7 +182,8 @@
     struct coordinator_database *next;
     char *name;
     enum coordinator_phase phase;
-    int64_t phase_us; // start of the phase
+    int64_t phase_us;   // start of the phase
+    bool has_published; // this leader has published a term
     struct suspicion suspicion;
     int64_t failover_us; // time of the last unplanned change; 0: none
     int64_t changed_us;  // begin of the last change of primary; 0: none
@@ -439,6 +440,9 @@
                                      bool answered);
 void coordinator_run_database(struct coordinator *coordinator,
                               struct coordinator_database *db);
+void coordinator_order_fence(struct coordinator *coordinator,
+                             struct coordinator_database *db,
+                             const struct ck_database *database, size_t index);
 void coordinator_run_repairs(struct coordinator *coordinator,
                              struct coordinator_database *db,
                              const struct ck_database *database);
--- a/src/catkingrade/decide/coordinator/coordinator_relay_list.c
+++ b/src/catkingrade/decide/coordinator/coordinator_relay_list.c
@@ -1,5 +1,6 @@
 // What entries are sent about relays: the lists of those databases whose lists
 // have changed since the entry learnt of them.
+
 #include "catkingrade/decide/coordinator/coordinator_relay.h"
 #include "catkingrade/kernel/memory.h"
 
--- a/test/unit/decide/coordinator/test_planned_bound.c
+++ b/test/unit/decide/coordinator/test_planned_bound.c
@@ -79,6 +79,9 @@
     bool is_busy; // it answers probes without a position
     bool is_gone; // it neither announces itself nor answers
     bool is_probed;
+    bool is_unfenced;    // claims to be a primary, although another one is
+    bool is_fencing;     // a FENCE is in flight
+    int64_t fence_us;    // no FENCE ends before
     int64_t promoted_us; // end of its promotion; 0: none
 };
 
@@ -227,6 +230,9 @@
     case COORDINATOR_ACTION_PROMOTE:
         handle_promote(rig, action->upstream.upstream->name);
         break;
+    case COORDINATOR_ACTION_FENCE:
+        find_upstream(rig, action->upstream.upstream->name)->is_fencing = true;
+        break;
     case COORDINATOR_ACTION_REPLY_COMMAND:
         rig->command_outcome = action->reply.outcome;
         break;
@@ -336,6 +342,18 @@
     step(rig, &event);
 }
 
+static void
+finish_fence(struct rig *rig, struct upstream *upstream)
+{
+    struct coordinator_event event = {.kind = COORDINATOR_EVENT_FENCED};
+
+    upstream->is_fencing = false;
+    upstream->is_unfenced = false;
+    event.done.upstream = upstream->name;
+    event.done.outcome = OUTCOME_OK;
+    step(rig, &event);
+}
+
 static void
 run_upstream(struct rig *rig, struct upstream *upstream)
 {
@@ -345,8 +363,9 @@
 
     event.probe.upstream = upstream->name;
     event.probe.is_primary =
-        is_promoted || strcmp(get_database(rig, upstream->database)->primary,
-                              upstream->name) == 0;
+        is_promoted || upstream->is_unfenced ||
+        strcmp(get_database(rig, upstream->database)->primary,
+               upstream->name) == 0;
     event.probe.is_busy = upstream->is_busy;
     event.probe.position.timeline = upstream->is_busy ? 0 : 1;
     event.probe.position.lsn = upstream->is_busy ? 0 : upstream->lsn;
@@ -357,6 +376,9 @@
         upstream->is_probed = false;
         step(rig, &event);
     }
+    if (upstream->is_fencing && upstream->fence_us <= rig->now_us) {
+        finish_fence(rig, upstream);
+    }
     if (is_promoted) {
         upstream->promoted_us = 0;
         upstream->lsn += rig->is_replicated ? 1 : 0;
@@ -1342,6 +1364,37 @@
 }
 END_TEST
 
+// Guards against a second primary: an earlier one that has not been fenced yet
+// still claims to be one, and is published without a promotion.
+START_TEST(test_unfenced_upstream_is_fenced_and_promoted)
+{
+    struct rig rig;
+    bool is_promoted = false;
+
+    start(&rig);
+    run_until(&rig, START_US + 2 * ANNOUNCE_US);
+    rig.upstreams[2].lsn = 40;
+    int64_t begin_us = rig.now_us;
+    withdraw(&rig, "u0");
+    struct upstream *old = &rig.upstreams[0];
+    old->is_unfenced = true;
+    old->fence_us = rig.now_us + SERVES_US / 3;
+    (void)run_until_primary(&rig, "u1", begin_us);
+    rig.upstreams[1].state = CK_UPSTREAM_LOST;
+    announce(&rig, &rig.upstreams[1]);
+    rig.upstreams[1].is_gone = true;
+    while (strcmp(get_database(&rig, 0)->primary, "u0") != 0 &&
+           rig.now_us - begin_us < SERVES_US) {
+        advance(&rig, NULL);
+        ck_assert(old->promoted_us == 0 || !old->is_unfenced);
+        is_promoted = is_promoted || old->promoted_us != 0;
+    }
+    ck_assert(is_promoted);
+    ck_assert_str_eq(get_database(&rig, 0)->primary, "u0");
+    finish(&rig);
+}
+END_TEST
+
 static void
 add_tests(TCase *tests)
 {
@@ -1379,6 +1432,7 @@
     tcase_add_test(tests, test_restarted_leader_stops_leaving_primary);
     tcase_add_test(tests, test_upstream_that_has_left_is_not_kept);
     tcase_add_test(tests, test_silent_successor_does_not_end_service);
+    tcase_add_test(tests, test_unfenced_upstream_is_fenced_and_promoted);
     tcase_add_loop_test(
         tests, test_lost_upstream_is_removed_while_entries_fail_in_turn, 0,
         sizeof(series) / sizeof(series[0]));
