--- a/src/catkingrade/decide/coordinator/coordinator_private.h
+++ b/src/catkingrade/decide/coordinator/coordinator_private.h
@@ -182,8 +182,7 @@
     struct coordinator_database *next;
     char *name;
     enum coordinator_phase phase;
-    int64_t phase_us;   // start of the phase
-    bool has_published; // this leader has published a term
+    int64_t phase_us; // start of the phase
     struct suspicion suspicion;
     int64_t failover_us; // time of the last unplanned change; 0: none
     int64_t changed_us;  // begin of the last change of primary; 0: none
@@ -194,6 +193,7 @@
     struct coordinator_pending_lease *pending_leases;
     size_t pending_leases_count;
     struct coordinator_database *next_revoked;
+    bool has_published; // this leader has published a term
     bool is_revoked;    // in the list of revocations
     bool is_quiet;      // nothing in progress that goes on with the time
     bool is_grace_over; // holders must abort in-flight requests
