--- a/src/catkingrade/decide/traffic/scheduler.c
+++ b/src/catkingrade/decide/traffic/scheduler.c
@@ -161,8 +161,8 @@
 
 // Applies the state of the lease at the present time. When the lease has run
 // out, the quotas shrink to their guaranteed part and queued requests that
-// need the primary are refused. During a change of primary some of them wait.
-// So do those for a leaving primary whose time is over.
+// need the primary are refused; during a change of primary some of them wait.
+// A leaving primary whose time is over is stopped.
 static void
 scheduler_check_lease(struct scheduler *scheduler)
 {
