refactor(entry): a request and a connection may belong to a customer

Problem: with keys, an upstream is told on whose behalf a connection runs statements, and a relay has to learn it from the entry that has the caller. Change: fields for the customer in a session, a request, the OPEN action and the target of a link; a statement for a relay carries it in front of its context. Nothing sets them yet, so that nothing is sent that was not sent before. Measured: test_wire_relay (a context with a customer, malformed ones).

--- a/src/catkingrade/decide/traffic/scheduler_defs.h
+++ b/src/catkingrade/decide/traffic/scheduler_defs.h
@@ -115,6 +115,7 @@
     uint64_t request; // unique in this scheduler
     enum scheduler_class request_class;
     char type[64];            // request type's name; empty: the default type
+    char customer[64];        // on whose behalf it runs; empty: no customer
     int64_t deadline_us;      // 0: the type's default
     int64_t max_age_us;       // accepted age of data; -1: the type's default
     int64_t queue_timeout_us; // maximum wait for a slot; 0: no limit
@@ -208,6 +209,7 @@
     bool on_replica;              // SEND
     uint64_t after_lsn;           // SEND: position the replica must have
     const char *reason;           // constant text: why this action
+    const char *customer;         // OPEN: whose connection it will be, or ""
 };
 
 // Growable list of actions, filled by a scheduler step and executed by the
--- a/src/catkingrade/entry/database_actions.c
+++ b/src/catkingrade/entry/database_actions.c
@@ -23,8 +23,9 @@
         strncpy(conn->relay_host, database_get_relay_host(database),
                 CK_HOST_SIZE);
     }
-    conn->link = database_open_link(database, action->upstream,
-                                    &database_conn_events, conn);
+    conn->link =
+        database_open_link(database, action->upstream, action->customer,
+                           &database_conn_events, conn);
     apr_hash_set(database->conns, &conn->id, sizeof(conn->id), conn);
 }
 
--- a/src/catkingrade/entry/database_conn.c
+++ b/src/catkingrade/entry/database_conn.c
@@ -164,9 +164,11 @@
 };
 
 // Starts to open a connection to an upstream of the view, or to a relay if the
-// database is relayed. data is passed to the events. Never returns NULL.
+// database is relayed. customer is that of the requests that it will carry;
+// NULL or empty: any. data is passed to the events. Never returns NULL.
 struct upstream_link *
 database_open_link(struct database *database, uint32_t upstream,
+                   const char *customer,
                    const struct upstream_link_events *events, void *data)
 {
     struct entry *entry = worker_get_entry(database->worker);
@@ -180,6 +182,7 @@
         .relayed = database_is_relayed(database),
         .database = database->name,
         .upstream = config->name,
+        .customer = customer == NULL ? "" : customer,
         .user = settings->upstream_user,
         .password = entry_get_upstream_password(entry),
         .sslmode = settings->upstream_sslmode,
--- a/src/catkingrade/entry/database_private.h
+++ b/src/catkingrade/entry/database_private.h
@@ -111,6 +111,7 @@
 extern const struct upstream_link_events database_conn_events;
 struct upstream_link *
 database_open_link(struct database *database, uint32_t upstream,
+                   const char *customer,
                    const struct upstream_link_events *events, void *data);
 void database_drop_conn(struct database_conn *conn);
 
--- a/src/catkingrade/entry/database_relay.c
+++ b/src/catkingrade/entry/database_relay.c
@@ -213,6 +213,7 @@
     memset(&statement->floor, 0, sizeof(statement->floor));
     statement->floor_age_us = 0;
     statement->route = session == NULL ? NULL : session->route;
+    statement->customer = session == NULL ? "" : session->customer;
     if (session != NULL && session->floor.lsn != 0) {
         statement->floor = session->floor;
         statement->floor_age_us = monotonic_get_us() - session->floor_us;
--- a/src/catkingrade/entry/database_samples.c
+++ b/src/catkingrade/entry/database_samples.c
@@ -119,7 +119,7 @@
     INVARIANT(config != NULL);
     (void)snprintf(monitor->host, sizeof(monitor->host), "%s", config->host);
     monitor->port = config->port;
-    monitor->link = database_open_link(database, upstream,
+    monitor->link = database_open_link(database, upstream, NULL,
                                        &database_monitor_events, monitor);
 }
 
--- a/src/catkingrade/entry/session.h
+++ b/src/catkingrade/entry/session.h
@@ -60,6 +60,8 @@
     struct scheduler_floor floor;
     int64_t floor_us;  // monotonic time at which the floor was last raised
     const char *route; // route name, passed on to relay entries; or NULL
+    // Name of the customer to which the session's key belongs; empty: none.
+    char customer[CK_NAME_SIZE + 1];
 };
 
 #endif
--- a/src/catkingrade/entry/typed_statement.h
+++ b/src/catkingrade/entry/typed_statement.h
@@ -49,7 +49,8 @@
     uint64_t after_lsn; // log position the upstream must have; 0: any
     // Passed on if another entry runs the statement: the caller's route and
     // the session's read floor.
-    const char *route; // owned by the session
+    const char *route;    // owned by the session
+    const char *customer; // owned by the session; empty: none
     struct scheduler_floor floor;
     int64_t floor_age_us; // time since the floor was last raised
 };
--- a/src/catkingrade/entry/upstream_link.h
+++ b/src/catkingrade/entry/upstream_link.h
@@ -71,6 +71,7 @@
     bool relayed; // the target is another entry, which runs the statements
     const char *database;
     const char *upstream; // name announced by the upstream
+    const char *customer; // that the connection serves; empty: any
     const char *user;
     const char *password;
     const char *sslmode;
--- a/test/unit/platform/test_wire_relay.c
+++ b/test/unit/platform/test_wire_relay.c
@@ -39,6 +39,31 @@
     ck_assert(wire_relay_parse_context(&text, &context));
     ck_assert_str_eq(text, "");
     ck_assert_uint_eq(context.floor.lsn, 0);
+    ck_assert_str_eq(context.customer, "");
+    buffer_free(&out);
+}
+END_TEST
+
+// Guards against a relay that runs a statement for another customer than the
+// entry's client belongs to, or for none.
+START_TEST(test_relay_context_has_customer)
+{
+    struct typed_statement statement = {
+        .route = (char *)"r-1",
+        .customer = "c-1",
+    };
+    struct wire_relay_context context;
+    struct buffer out = {0};
+
+    wire_relay_append_context(&out, &statement);
+    buffer_append_text(&out, "READ 1a4");
+    buffer_append_u8(&out, 0);
+    const char *text = (const char *)buffer_get_data(&out);
+    ck_assert_str_eq(text, "FOR c-1 VIA r-1 - 0 0 READ 1a4");
+    ck_assert(wire_relay_parse_context(&text, &context));
+    ck_assert_str_eq(text, "READ 1a4");
+    ck_assert_str_eq(context.route, "r-1");
+    ck_assert_str_eq(context.customer, "c-1");
     buffer_free(&out);
 }
 END_TEST
@@ -62,6 +87,10 @@
         "VIA r-1 - x 4 READ k",
         "VIA r-1 - 4 99999999999 READ k",
         "VIAr-1 - 4 4 READ k",
+        "FOR",
+        "FOR c-1",
+        "FOR c-1 FOR c-2 VIA r-1 - 4 4 READ k",
+        "FOR c-1 READ 1a4",
         "VIA 0123456789012345678901234567890123456789012345678901234567890123"
         " - 4 4 READ k",
     };
@@ -80,6 +109,7 @@
 add_tests(TCase *tests)
 {
     tcase_add_test(tests, test_relay_context_round_trip);
+    tcase_add_test(tests, test_relay_context_has_customer);
     tcase_add_test(tests, test_invalid_relay_context);
 }
 
