feat(group): a declaration has customers with keys and limits

Problem: sessions with API keys need to know which customers there are. Two customers with one name or one key are refused. Customers are published like routes: changed ones only, in the delta with the declaration's number.

--- a/src/catkingrade/decide/group/declaration.c
+++ b/src/catkingrade/decide/group/declaration.c
@@ -4,6 +4,7 @@
 #include <string.h>
 #include <zstd.h>
 
+#include "catkingrade/decide/customer/customer_check.h"
 #include "catkingrade/decide/group/declaration_index.h"
 #include "catkingrade/kernel/memory.h"
 #include "catkingrade/kernel/outcome.h"
@@ -35,8 +36,9 @@
 }
 
 // Validates a declaration: names must be present and unique, routes must refer
-// to declared databases and have a deadline. Returns OUTCOME_OK, or
-// OUTCOME_INVALID after appending one line to errors for each fault.
+// to declared databases and have a deadline, and customers must not share a
+// key. Returns OUTCOME_OK, or OUTCOME_INVALID after appending one line to
+// errors for each fault.
 int
 declaration_check(const struct ck_declaration *declaration,
                   struct buffer *errors)
@@ -61,6 +63,7 @@
                                 errors);
     }
     declaration_index_destroy(index);
+    customer_check(declaration, errors);
     return buffer_get_size(errors) == size_before ? OUTCOME_OK
                                                   : OUTCOME_INVALID;
 }
--- a/src/catkingrade/decide/group/publication.c
+++ b/src/catkingrade/decide/group/publication.c
@@ -21,6 +21,7 @@
     PUBLISHED_CUSTOMER = 'C',
     PUBLISHED_DATABASE = 'B',
     PUBLISHED_ROUTE = 'R',
+    PUBLISHED_DECLARED_CUSTOMER = 'K',
     PUBLISHED_DECLARED = 'S'
 };
 
@@ -32,7 +33,7 @@
     char *name;
     uint64_t revision;
     bool is_removed;
-    bool is_declared;    // route of the declaration that is being published
+    bool is_declared;    // by the declaration that is being published
     struct buffer bytes; // in XDR; empty if removed
     struct published *older;
     struct published *newer;
@@ -47,7 +48,8 @@
 
 struct publication {
     uint64_t revision;
-    uint64_t routes_since; // revision at which routes were first published
+    // Revision at which routes and declared customers were first published.
+    uint64_t routes_since;
     struct group_index *index;
     struct published *oldest;
     struct published *newest;
@@ -202,48 +204,53 @@
     (void)publication_publish(publication, kind, name, revision, true, &bytes);
 }
 
-// Publishes a route of a declaration if it has changed.
+// Publishes an object of a declaration if it has changed.
 static void
-publication_update_route(struct publication *publication,
-                         const struct ck_route *route, uint64_t revision)
+publication_update_declared(struct publication *publication,
+                            enum published_kind kind, const char *name,
+                            xdrproc_t xdr, const void *declared,
+                            uint64_t revision)
 {
-    struct published *object =
-        publication_find(publication, PUBLISHED_ROUTE, route->name);
+    struct published *object = publication_find(publication, kind, name);
     struct buffer bytes = {0};
 
-    publication_encode((xdrproc_t)xdr_ck_route, route, &bytes);
+    publication_encode(xdr, declared, &bytes);
     bool is_changed =
         object == NULL || object->is_removed ||
         buffer_get_size(&bytes) != buffer_get_size(&object->bytes) ||
         memcmp(buffer_get_data(&bytes), buffer_get_data(&object->bytes),
                buffer_get_size(&bytes)) != 0;
     if (is_changed) {
-        object = publication_publish(publication, PUBLISHED_ROUTE, route->name,
-                                     revision, false, &bytes);
+        object = publication_publish(publication, kind, name, revision, false,
+                                     &bytes);
     }
     object->is_declared = true;
     buffer_free(&bytes);
 }
 
-// Publishes that the routes that the declaration lacks are removed. The loop
-// ends at the first object of this revision: publishing moves objects there.
+// Publishes that the routes and customers that the declaration lacks are
+// removed. The loop ends at the first object of this revision: publishing
+// moves objects there.
 static void
-publication_remove_routes(struct publication *publication, uint64_t revision)
+publication_remove_undeclared(struct publication *publication,
+                              uint64_t revision)
 {
     struct published *object = publication->oldest;
 
     while (object != NULL && object->revision < revision) {
         struct published *next = object->newer;
-        if (object->kind == PUBLISHED_ROUTE && !object->is_declared &&
-            !object->is_removed) {
-            publication_remove(publication, PUBLISHED_ROUTE, object->name,
+        if ((object->kind == PUBLISHED_ROUTE ||
+             object->kind == PUBLISHED_DECLARED_CUSTOMER) &&
+            !object->is_declared && !object->is_removed) {
+            publication_remove(publication, object->kind, object->name,
                                revision);
         }
         object = next;
     }
 }
 
-// Publishes a declaration and those of its routes that have changed.
+// Publishes a declaration and those of its routes and customers that have
+// changed.
 static void
 publication_update_declaration(struct publication *publication,
                                const struct group_object *source)
@@ -262,10 +269,19 @@
         publication->routes_since = source->revision;
     }
     for (u_int i = 0; i < declaration.routes.routes_len; i++) {
-        publication_update_route(
-            publication, &declaration.routes.routes_val[i], source->revision);
-    }
-    publication_remove_routes(publication, source->revision);
+        const struct ck_route *route = &declaration.routes.routes_val[i];
+        publication_update_declared(publication, PUBLISHED_ROUTE, route->name,
+                                    (xdrproc_t)xdr_ck_route, route,
+                                    source->revision);
+    }
+    for (u_int i = 0; i < declaration.customers.customers_len; i++) {
+        const struct ck_declared_customer *customer =
+            &declaration.customers.customers_val[i];
+        publication_update_declared(
+            publication, PUBLISHED_DECLARED_CUSTOMER, customer->name,
+            (xdrproc_t)xdr_ck_declared_customer, customer, source->revision);
+    }
+    publication_remove_undeclared(publication, source->revision);
     declared.idle_transaction_ms = declaration.idle_transaction_ms;
     publication_encode((xdrproc_t)xdr_ck_declared, &declared, &bytes);
     (void)publication_publish(publication, PUBLISHED_DECLARED, source->name,
@@ -440,6 +456,10 @@
     publication_append_list(first, end, PUBLISHED_DATABASE, true, out);
     publication_append_list(first, end, PUBLISHED_ROUTE, false, out);
     publication_append_list(first, end, PUBLISHED_ROUTE, true, out);
+    publication_append_list(first, end, PUBLISHED_DECLARED_CUSTOMER, false,
+                            out);
+    publication_append_list(first, end, PUBLISHED_DECLARED_CUSTOMER, true,
+                            out);
     publication_append_list(first, end, PUBLISHED_DECLARED, false, out);
 }
 
--- a/src/catkingrade/rpc/messages.h
+++ b/src/catkingrade/rpc/messages.h
@@ -24,6 +24,7 @@
 #define CK_LIST_SIZE 16384
 #define CK_RELAY_HOSTS 3
 #define CK_ORIGINAL_SIZE 4194304
+#define CK_KEY_DIGEST_SIZE 32
 
 typedef char *ck_name;
 
@@ -152,9 +153,25 @@
 	u_int deadline_ms;
 	u_int target_ms;
 	u_int priority;
+	bool_t is_public;
 };
 typedef struct ck_route ck_route;
 
+typedef char ck_key_digest[CK_KEY_DIGEST_SIZE];
+
+struct ck_declared_customer {
+	ck_name name;
+	struct {
+		u_int keys_len;
+		ck_key_digest *keys_val;
+	} keys;
+	u_int priority;
+	bool_t is_limited;
+	u_int rate_per_1000_s;
+	u_int burst;
+};
+typedef struct ck_declared_customer ck_declared_customer;
+
 struct ck_declared_database {
 	ck_name name;
 	u_int connections;
@@ -171,6 +188,10 @@
 		u_int databases_len;
 		ck_declared_database *databases_val;
 	} databases;
+	struct {
+		u_int customers_len;
+		ck_declared_customer *customers_val;
+	} customers;
 	u_int idle_transaction_ms;
 	struct {
 		u_int original_len;
@@ -224,6 +245,14 @@
 		u_int routes_removed_len;
 		ck_name *routes_removed_val;
 	} routes_removed;
+	struct {
+		u_int declared_customers_len;
+		ck_declared_customer *declared_customers_val;
+	} declared_customers;
+	struct {
+		u_int declared_customers_removed_len;
+		ck_name *declared_customers_removed_val;
+	} declared_customers_removed;
 	struct {
 		u_int declared_len;
 		ck_declared *declared_val;
@@ -743,6 +772,8 @@
 extern  bool_t xdr_ck_customer (XDR *, ck_customer*);
 extern  bool_t xdr_ck_read_policy (XDR *, ck_read_policy*);
 extern  bool_t xdr_ck_route (XDR *, ck_route*);
+extern  bool_t xdr_ck_key_digest (XDR *, ck_key_digest);
+extern  bool_t xdr_ck_declared_customer (XDR *, ck_declared_customer*);
 extern  bool_t xdr_ck_declared_database (XDR *, ck_declared_database*);
 extern  bool_t xdr_ck_declaration (XDR *, ck_declaration*);
 extern  bool_t xdr_ck_packed_declaration (XDR *, ck_packed_declaration*);
@@ -808,6 +839,8 @@
 extern bool_t xdr_ck_customer ();
 extern bool_t xdr_ck_read_policy ();
 extern bool_t xdr_ck_route ();
+extern bool_t xdr_ck_key_digest ();
+extern bool_t xdr_ck_declared_customer ();
 extern bool_t xdr_ck_declared_database ();
 extern bool_t xdr_ck_declaration ();
 extern bool_t xdr_ck_packed_declaration ();
--- a/src/catkingrade/rpc/messages.x
+++ b/src/catkingrade/rpc/messages.x
@@ -16,6 +16,7 @@
 const CK_LIST_SIZE = 16384;
 const CK_RELAY_HOSTS = 3;
 const CK_ORIGINAL_SIZE = 4194304;
+const CK_KEY_DIGEST_SIZE = 32;      /* SHA-256 */
 
 typedef string ck_name<CK_NAME_SIZE>;
 typedef string ck_host<CK_HOST_SIZE>;
@@ -134,6 +135,19 @@
     unsigned int deadline_ms;       /* per statement */
     unsigned int target_ms;         /* latency target of an operation */
     unsigned int priority;          /* 0: highest */
+    bool is_public;                 /* sessions need no key of a customer */
+};
+
+typedef opaque ck_key_digest[CK_KEY_DIGEST_SIZE];
+
+/* A customer of a declaration, to whom the sessions with its keys belong. */
+struct ck_declared_customer {
+    ck_name name;                   /* one word */
+    ck_key_digest keys<CK_LIST_SIZE>;   /* SHA-256 of the keys */
+    unsigned int priority;          /* 0: highest */
+    bool is_limited;                /* else rate and burst are 0 */
+    unsigned int rate_per_1000_s;   /* operations in 1,000 s */
+    unsigned int burst;             /* operations */
 };
 
 struct ck_declared_database {
@@ -145,6 +159,7 @@
 struct ck_declaration {
     ck_route routes<CK_LIST_SIZE>;
     ck_declared_database databases<CK_LIST_SIZE>;
+    ck_declared_customer customers<CK_LIST_SIZE>;
     unsigned int idle_transaction_ms;
     opaque original<CK_ORIGINAL_SIZE>;  /* text that the operator sent */
 };
@@ -155,7 +170,7 @@
     opaque data<CK_DECLARATION_SIZE>;
 };
 
-/* What entries are sent of a declaration besides its routes. */
+/* What entries are sent of a declaration besides its routes and customers. */
 struct ck_declared {
     unsigned hyper number;
     unsigned int idle_transaction_ms;
@@ -170,8 +185,9 @@
     unsigned hyper to_revision;
     bool full;
     bool more;                      /* the next reply continues */
-    /* A view from before this revision gets all routes again, and drops those
-       that it does not get: this leader does not know what was removed. */
+    /* A view from before this revision gets all routes and declared customers
+       again, and drops those that it does not get: this leader does not know
+       what was removed. */
     unsigned hyper routes_since;
     ck_customer customers<CK_LIST_SIZE>;
     ck_name customers_removed<CK_LIST_SIZE>;
@@ -179,6 +195,8 @@
     ck_name databases_removed<CK_LIST_SIZE>;
     ck_route routes<CK_LIST_SIZE>;
     ck_name routes_removed<CK_LIST_SIZE>;
+    ck_declared_customer declared_customers<CK_LIST_SIZE>;
+    ck_name declared_customers_removed<CK_LIST_SIZE>;
     ck_declared declared<1>;
 };
 
--- a/src/catkingrade/rpc/messages_xdr.c
+++ b/src/catkingrade/rpc/messages_xdr.c
@@ -435,7 +435,7 @@
 			 return FALSE;
 		 if (!xdr_ck_read_policy (xdrs, &objp->reads))
 			 return FALSE;
-		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
+		buf = XDR_INLINE (xdrs, 5 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
 			 if (!xdr_u_int (xdrs, &objp->max_age_ms))
 				 return FALSE;
@@ -445,11 +445,14 @@
 				 return FALSE;
 			 if (!xdr_u_int (xdrs, &objp->priority))
 				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->is_public))
+				 return FALSE;
 		} else {
 			IXDR_PUT_U_LONG(buf, objp->max_age_ms);
 			IXDR_PUT_U_LONG(buf, objp->deadline_ms);
 			IXDR_PUT_U_LONG(buf, objp->target_ms);
 			IXDR_PUT_U_LONG(buf, objp->priority);
+			IXDR_PUT_BOOL(buf, objp->is_public);
 		}
 		return TRUE;
 	} else if (xdrs->x_op == XDR_DECODE) {
@@ -459,7 +462,7 @@
 			 return FALSE;
 		 if (!xdr_ck_read_policy (xdrs, &objp->reads))
 			 return FALSE;
-		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
+		buf = XDR_INLINE (xdrs, 5 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
 			 if (!xdr_u_int (xdrs, &objp->max_age_ms))
 				 return FALSE;
@@ -469,11 +472,14 @@
 				 return FALSE;
 			 if (!xdr_u_int (xdrs, &objp->priority))
 				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->is_public))
+				 return FALSE;
 		} else {
 			objp->max_age_ms = IXDR_GET_U_LONG(buf);
 			objp->deadline_ms = IXDR_GET_U_LONG(buf);
 			objp->target_ms = IXDR_GET_U_LONG(buf);
 			objp->priority = IXDR_GET_U_LONG(buf);
+			objp->is_public = IXDR_GET_BOOL(buf);
 		}
 	 return TRUE;
 	}
@@ -492,6 +498,88 @@
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->priority))
 		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->is_public))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_ck_key_digest (XDR *xdrs, ck_key_digest objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_opaque (xdrs, objp, CK_KEY_DIGEST_SIZE))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_ck_declared_customer (XDR *xdrs, ck_declared_customer *objp)
+{
+	register int32_t *buf;
+
+
+	if (xdrs->x_op == XDR_ENCODE) {
+		 if (!xdr_ck_name (xdrs, &objp->name))
+			 return FALSE;
+		 if (!xdr_array (xdrs, (char **)&objp->keys.keys_val, (u_int *) &objp->keys.keys_len, CK_LIST_SIZE,
+			sizeof (ck_key_digest), (xdrproc_t) xdr_ck_key_digest))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->priority))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->is_limited))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->rate_per_1000_s))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->burst))
+				 return FALSE;
+		} else {
+			IXDR_PUT_U_LONG(buf, objp->priority);
+			IXDR_PUT_BOOL(buf, objp->is_limited);
+			IXDR_PUT_U_LONG(buf, objp->rate_per_1000_s);
+			IXDR_PUT_U_LONG(buf, objp->burst);
+		}
+		return TRUE;
+	} else if (xdrs->x_op == XDR_DECODE) {
+		 if (!xdr_ck_name (xdrs, &objp->name))
+			 return FALSE;
+		 if (!xdr_array (xdrs, (char **)&objp->keys.keys_val, (u_int *) &objp->keys.keys_len, CK_LIST_SIZE,
+			sizeof (ck_key_digest), (xdrproc_t) xdr_ck_key_digest))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->priority))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->is_limited))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->rate_per_1000_s))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->burst))
+				 return FALSE;
+		} else {
+			objp->priority = IXDR_GET_U_LONG(buf);
+			objp->is_limited = IXDR_GET_BOOL(buf);
+			objp->rate_per_1000_s = IXDR_GET_U_LONG(buf);
+			objp->burst = IXDR_GET_U_LONG(buf);
+		}
+	 return TRUE;
+	}
+
+	 if (!xdr_ck_name (xdrs, &objp->name))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->keys.keys_val, (u_int *) &objp->keys.keys_len, CK_LIST_SIZE,
+		sizeof (ck_key_digest), (xdrproc_t) xdr_ck_key_digest))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->priority))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->is_limited))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->rate_per_1000_s))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->burst))
+		 return FALSE;
 	return TRUE;
 }
 
@@ -520,6 +608,9 @@
 	 if (!xdr_array (xdrs, (char **)&objp->databases.databases_val, (u_int *) &objp->databases.databases_len, CK_LIST_SIZE,
 		sizeof (ck_declared_database), (xdrproc_t) xdr_ck_declared_database))
 		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->customers.customers_val, (u_int *) &objp->customers.customers_len, CK_LIST_SIZE,
+		sizeof (ck_declared_customer), (xdrproc_t) xdr_ck_declared_customer))
+		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->idle_transaction_ms))
 		 return FALSE;
 	 if (!xdr_bytes (xdrs, (char **)&objp->original.original_val, (u_int *) &objp->original.original_len, CK_ORIGINAL_SIZE))
@@ -584,6 +675,12 @@
 	 if (!xdr_array (xdrs, (char **)&objp->routes_removed.routes_removed_val, (u_int *) &objp->routes_removed.routes_removed_len, CK_LIST_SIZE,
 		sizeof (ck_name), (xdrproc_t) xdr_ck_name))
 		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->declared_customers.declared_customers_val, (u_int *) &objp->declared_customers.declared_customers_len, CK_LIST_SIZE,
+		sizeof (ck_declared_customer), (xdrproc_t) xdr_ck_declared_customer))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->declared_customers_removed.declared_customers_removed_val, (u_int *) &objp->declared_customers_removed.declared_customers_removed_len, CK_LIST_SIZE,
+		sizeof (ck_name), (xdrproc_t) xdr_ck_name))
+		 return FALSE;
 	 if (!xdr_array (xdrs, (char **)&objp->declared.declared_val, (u_int *) &objp->declared.declared_len, 1,
 		sizeof (ck_declared), (xdrproc_t) xdr_ck_declared))
 		 return FALSE;
