feat(entry): the view finds a declared customer by name and key digest

Problem: an entry has to find the customer of a session's key. Change: successive views share a table of the customers until one changes; an array of pointers, sorted by digest, finds them. A number tells whether customers or public routes have changed.

--- a/src/catkingrade/entry/view.c
+++ b/src/catkingrade/entry/view.c
@@ -6,6 +6,7 @@
 #include <string.h>
 
 #include "catkingrade/decide/group/group.h"
+#include "catkingrade/entry/customer_table.h"
 #include "catkingrade/kernel/memory.h"
 #include "catkingrade/kernel/outcome.h"
 #include "catkingrade/rpc/codec.h"
@@ -48,6 +49,8 @@
     struct view_list customers;
     struct view_list databases;
     struct view_list routes;
+    struct customer_table *declared_customers;
+    uint64_t access_version; // see view_get_access_version
     struct view_group *groups;
     size_t groups_count;
 };
@@ -59,6 +62,7 @@
     struct view *view = xcalloc(1, sizeof(*view));
 
     atomic_init(&view->ref_count, 1);
+    view->declared_customers = customer_table_create();
     return view;
 }
 
@@ -109,6 +113,7 @@
     view_list_free(&view->customers);
     view_list_free(&view->databases);
     view_list_free(&view->routes);
+    customer_table_release(view->declared_customers);
     free(view->groups);
     free(view);
 }
@@ -196,8 +201,11 @@
 static struct view *
 view_copy(const struct view *view)
 {
-    struct view *copy = view_create();
+    struct view *copy = xcalloc(1, sizeof(*copy));
 
+    atomic_init(&copy->ref_count, 1);
+    copy->declared_customers = customer_table_retain(view->declared_customers);
+    copy->access_version = view->access_version;
     view_list_copy(&view->customers, &copy->customers);
     view_list_copy(&view->databases, &copy->databases);
     view_list_copy(&view->routes, &copy->routes);
@@ -255,6 +263,17 @@
     }
 }
 
+// Changes the access version if a route becomes public or private.
+static void
+view_note_route(struct view *view, const struct ck_route *route)
+{
+    const struct ck_route *before = view_find_route(view, route->name);
+
+    if (before != NULL && before->is_public != route->is_public) {
+        view->access_version++;
+    }
+}
+
 static void
 view_apply_objects(struct view *view, const struct ck_view_delta *delta,
                    uint64_t generation)
@@ -274,6 +293,7 @@
                          generation);
     }
     for (unsigned i = 0; i < delta->routes.routes_len; i++) {
+        view_note_route(view, &delta->routes.routes_val[i]);
         view_list_upsert(&view->routes,
                          view_item_create((xdrproc_t)xdr_ck_route,
                                           &delta->routes.routes_val[i],
@@ -314,6 +334,21 @@
     }
 }
 
+// Applies the declared customers of a delta. min_generation: those of earlier
+// generations are removed.
+static void
+view_apply_declared_customers(struct view *view,
+                              const struct ck_view_delta *delta,
+                              uint64_t generation, uint64_t min_generation)
+{
+    struct customer_table *table = customer_table_apply_delta(
+        view->declared_customers, delta, generation, min_generation);
+
+    view->access_version += table != view->declared_customers ? 1 : 0;
+    customer_table_release(view->declared_customers);
+    view->declared_customers = table;
+}
+
 // Applies a control group's delta and returns the resulting view, with a
 // reference for the caller. A delta older than the group's revision is
 // ignored: the same view is returned, with one more reference. A full delta
@@ -325,6 +360,7 @@
                  const struct ck_view_delta *delta)
 {
     uint64_t revision = view_get_revision(view, group_name);
+    bool drops_customers = false;
 
     if (!delta->full && delta->from_revision > revision) {
         return NULL;
@@ -349,13 +385,17 @@
     if (group->replacing && !delta->more) {
         view_remove_stale_objects(copy, group);
         group->replacing = false;
+        drops_customers = strcmp(group_name, GROUP_FLEET_NAME) == 0;
     }
     // The declaration comes with the last of its routes.
     if (group->replaces_routes &&
         (delta->declared.declared_len > 0 || !delta->more)) {
         view_list_remove_stale(&copy->routes, group);
         group->replaces_routes = false;
+        drops_customers = true;
     }
+    view_apply_declared_customers(copy, delta, group->generation,
+                                  drops_customers ? group->generation : 0);
     group->revision = delta->to_revision;
     return copy;
 }
@@ -412,6 +452,22 @@
     return &view->declared;
 }
 
+// Returns the declared customers, valid while the caller holds a reference to
+// the view.
+const struct customer_table *
+view_get_declared_customers(const struct view *view)
+{
+    return view->declared_customers;
+}
+
+// Returns a number that changes from one view to the next when a declared
+// customer is added, changed or removed, or a route becomes public or private.
+uint64_t
+view_get_access_version(const struct view *view)
+{
+    return view->access_version;
+}
+
 size_t
 view_get_databases_count(const struct view *view)
 {
