feat(platform): sessions belong to the customer of their key

Problem: upstreams have to run requests under the name of the customer that owns the session's key, and a removed key must not be used any longer. Change: the second word of STARTUP is the key. An unknown one is refused with AUTHFAIL, after an early renewal of the lease, as the entry may be behind. When a key is removed, an idle session is ended and an open transaction may finish within key_revoke_ms.

--- a/src/catkingrade/control/lease_agent.c
+++ b/src/catkingrade/control/lease_agent.c
@@ -5,6 +5,7 @@
 #include <string.h>
 
 #include "catkingrade/control/lease_agent_private.h"
+#include "catkingrade/decide/group/group.h"
 #include "catkingrade/kernel/memory.h"
 #include "catkingrade/kernel/settings.h"
 
@@ -83,6 +84,21 @@
     }
 }
 
+// Renews the lease from the fleet's control group early, since its view may be
+// out of date.
+static void
+lease_agent_handle_want_renewal(void *data)
+{
+    struct lease_agent *agent = data;
+    struct leaseholder_event event = {.kind = LEASEHOLDER_EVENT_WANT_RENEWAL};
+    struct group_lease *lease =
+        lease_agent_find_lease(agent, GROUP_FLEET_NAME);
+
+    if (lease != NULL && agent->return_us == 0) {
+        group_lease_step(lease, &event);
+    }
+}
+
 // Counts the open requests of draining customers in this entry.
 static unsigned
 lease_agent_count_open_requests(const struct lease_agent *agent)
@@ -130,6 +146,7 @@
         .suspect = lease_agent_handle_suspicion,
         .confirm_revoked = lease_agent_handle_revocation_confirmed,
         .demand = lease_agent_handle_demand,
+        .want_renewal = lease_agent_handle_want_renewal,
         .data = agent,
     };
 
--- a/src/catkingrade/decide/leaseholder/leaseholder.c
+++ b/src/catkingrade/decide/leaseholder/leaseholder.c
@@ -20,6 +20,10 @@
 // at any time.
 #define LEASEHOLDER_UNLEASED_CALLS_PER_RENEWAL 8
 
+// Minimum time between two early renewals that sessions with unknown keys ask
+// for, so that such sessions cannot load the control VMs.
+#define LEASEHOLDER_WANTED_INTERVAL_US 100000
+
 // Returns a leaseholder without a lease. It sends its first renewal call at
 // the first TICK. params must name at least one voter.
 struct leaseholder *
@@ -92,6 +96,9 @@
     holder->in_flight = true;
     holder->sent_at_us = now_us;
     holder->renew_again = false;
+    holder->last_wanted_us =
+        holder->wanted_at_us != 0 ? now_us : holder->last_wanted_us;
+    holder->wanted_at_us = 0;
     leaseholder_fill_args(holder, now_us);
     struct leaseholder_action *action =
         leaseholder_add_action(actions, LEASEHOLDER_ACTION_SEND_RENEW);
@@ -390,6 +397,29 @@
     }
 }
 
+// Schedules a renewal that starts after now.
+static void
+leaseholder_want_renewal(struct leaseholder *holder, int64_t now_us)
+{
+    int64_t earliest_us =
+        holder->last_wanted_us + LEASEHOLDER_WANTED_INTERVAL_US;
+
+    if (holder->wanted_at_us == 0) {
+        holder->wanted_at_us = now_us > earliest_us ? now_us : earliest_us;
+    }
+}
+
+// Returns when the next call is due. After a failed call the backoff stays in
+// effect.
+static int64_t
+leaseholder_get_due_us(const struct leaseholder *holder)
+{
+    bool is_wanted = holder->wanted_at_us != 0 && holder->failures == 0 &&
+                     holder->wanted_at_us < holder->next_renew_us;
+
+    return is_wanted ? holder->wanted_at_us : holder->next_renew_us;
+}
+
 // Gives the lease back. A call in flight is abandoned, and its result ignored:
 // the next call says that the lease is returned.
 static void
@@ -437,6 +467,9 @@
     case LEASEHOLDER_EVENT_OPEN_REQUESTS:
         holder->open_requests = event->open_requests;
         break;
+    case LEASEHOLDER_EVENT_WANT_RENEWAL:
+        leaseholder_want_renewal(holder, now_us);
+        break;
     case LEASEHOLDER_EVENT_APPLIED:
         // The actions after a delta that could not be applied are not run.
         holder->redelivers_quotas =
@@ -470,7 +503,7 @@
 {
     int64_t at_us = holder->in_flight ? holder->sent_at_us +
                                             2 * holder->params.call_timeout_us
-                                      : holder->next_renew_us;
+                                      : leaseholder_get_due_us(holder);
 
     if (holder->valid_until_us != 0 && holder->valid_until_us < at_us) {
         at_us = holder->valid_until_us;
@@ -496,7 +529,7 @@
         leaseholder_back_off(holder, now_us, false);
     }
     if (!holder->in_flight && !holder->is_returned &&
-        now_us >= holder->next_renew_us) {
+        now_us >= leaseholder_get_due_us(holder)) {
         leaseholder_send(holder, now_us, actions);
     }
     if (!holder->is_returned) {
--- a/src/catkingrade/decide/leaseholder/leaseholder.h
+++ b/src/catkingrade/decide/leaseholder/leaseholder.h
@@ -45,6 +45,8 @@
     LEASEHOLDER_EVENT_CONFIRM_REVOKED,
     LEASEHOLDER_EVENT_DEMAND, // a measurement of the demand of an upstream
     LEASEHOLDER_EVENT_OPEN_REQUESTS,
+    // The view may be out of date: renew soon.
+    LEASEHOLDER_EVENT_WANT_RENEWAL,
     // The view has applied the last delta, or starts at this revision.
     LEASEHOLDER_EVENT_APPLIED,
     // The entry uses its lease no more: it acknowledges no write, and sends no
--- a/src/catkingrade/decide/leaseholder/leaseholder_private.h
+++ b/src/catkingrade/decide/leaseholder/leaseholder_private.h
@@ -48,6 +48,8 @@
     unsigned failures;  // consecutive
     unsigned redirects; // consecutive
     int64_t next_renew_us;
+    int64_t wanted_at_us;   // of an earlier call that is wanted; 0: none
+    int64_t last_wanted_us; // last call that was wanted
     // Contents of the next call.
     struct leaseholder_upstream *upstreams; // sorted by name
     size_t upstreams_count;
--- a/src/catkingrade/entry/entry.c
+++ b/src/catkingrade/entry/entry.c
@@ -580,6 +580,7 @@
     ENTRY_REPORT_SUSPICION,
     ENTRY_REPORT_REVOKED,
     ENTRY_REPORT_DEMAND,
+    ENTRY_REPORT_WANT_RENEWAL,
 };
 
 struct entry_report {
@@ -620,6 +621,10 @@
         handlers->confirm_revoked(handlers->data, report->database,
                                   report->term);
     }
+    if (report->kind == ENTRY_REPORT_WANT_RENEWAL &&
+        handlers->want_renewal != NULL) {
+        handlers->want_renewal(handlers->data);
+    }
     if (report->kind == ENTRY_REPORT_DEMAND && handlers->demand != NULL) {
         handlers->demand(handlers->data, report->database, report->demands,
                          report->demands_count);
@@ -666,6 +671,14 @@
               report);
 }
 
+// Reports to the control loop that the view may be out of date; any thread.
+void
+entry_report_want_renewal(struct entry *entry)
+{
+    loop_post(entry->control_loop, entry_deliver_report, entry_free_report,
+              entry_create_report(entry, ENTRY_REPORT_WANT_RENEWAL, ""));
+}
+
 // Reports the demand of a database to the control loop; any thread.
 void
 entry_report_demand(struct entry *entry, const char *database,
--- a/src/catkingrade/entry/entry.h
+++ b/src/catkingrade/entry/entry.h
@@ -32,6 +32,8 @@
     // Demand for the upstreams of a database since the previous report.
     void (*demand)(void *data, const char *database,
                    const struct ck_demand *demands, size_t count);
+    // A client may know a newer configuration than this entry.
+    void (*want_renewal)(void *data);
     void *data;
 };
 
--- a/src/catkingrade/entry/worker.h
+++ b/src/catkingrade/entry/worker.h
@@ -88,6 +88,7 @@
                             const struct ck_suspicion *suspicion);
 void entry_report_revoked(struct entry *entry, const char *database,
                           uint64_t term);
+void entry_report_want_renewal(struct entry *entry);
 void entry_report_demand(struct entry *entry, const char *database,
                          const struct ck_demand *demands, size_t count);
 
--- a/src/catkingrade/kernel/counters.h
+++ b/src/catkingrade/kernel/counters.h
@@ -14,6 +14,10 @@
     ROW(SESSIONS_CLOSED, "sessions_closed_total", "client sessions closed")   \
     ROW(SESSIONS_REFUSED, "sessions_refused_total",                           \
         "client sessions refused at their start")                             \
+    ROW(KEYS_REFUSED, "keys_refused_total",                                   \
+        "client sessions refused because of an unknown key")                  \
+    ROW(KEYS_REMOVED, "keys_removed_total",                                   \
+        "client sessions that end because their key was removed")             \
     ROW(FRAMES_BAD, "frames_bad_total",                                       \
         "client frames that broke the protocol")                              \
     ROW(REQUESTS, "requests_total", "requests received from callers")         \
--- a/src/catkingrade/kernel/settings.c
+++ b/src/catkingrade/kernel/settings.c
@@ -44,6 +44,7 @@
     SETTINGS_TIME(connect_timeout, 1000, 50, 60000),
     SETTINGS_TIME(drain_notice, 2000, 0, 600000),
     SETTINGS_TIME(drain_limit, 60000, 0, 3600000),
+    SETTINGS_TIME(key_revoke, 2000, 0, 600000),
 };
 
 // A string setting. The key is the field name.
@@ -132,6 +133,7 @@
     "connect_timeout_ms",
     "drain_notice_ms",
     "drain_limit_ms",
+    "key_revoke_ms",
     "clock_drift_ppm",
     NULL,
 };
--- a/src/catkingrade/kernel/settings.h
+++ b/src/catkingrade/kernel/settings.h
@@ -108,8 +108,9 @@
     // A connection whose last response is older is validated before a write.
     int64_t idle_proof_us;
     int64_t connect_timeout_us;
-    int64_t drain_notice_us;  // from failing health check to closed listeners
-    int64_t drain_limit_us;   // maximum duration of a planned stop
+    int64_t drain_notice_us; // from failing health check to closed listeners
+    int64_t drain_limit_us;  // maximum duration of a planned stop
+    int64_t key_revoke_us; // that a transaction may last after its key is gone
     unsigned clock_drift_ppm; // upper bound of each VM's clock drift
 };
 
