--- a/test/unit/decide/group/test_publication.c
+++ b/test/unit/decide/group/test_publication.c
@@ -11,6 +11,7 @@
 
 #define ROUTES_COUNT    40
 #define DATABASES_COUNT 4
+#define CUSTOMERS_COUNT 30
 #define SMALL_BYTES     300 // less than the objects of one declaration take
 
 // A control group with a declaration that the tests change.
@@ -186,6 +187,95 @@
 }
 END_TEST
 
+// Adds customers to the fixture's declaration.
+static void
+add_customers(struct fixture *fixture)
+{
+    struct ck_declaration *declaration = &fixture->declaration;
+
+    declaration->customers.customers_len = CUSTOMERS_COUNT;
+    declaration->customers.customers_val =
+        xcalloc(CUSTOMERS_COUNT, sizeof(struct ck_declared_customer));
+    for (u_int i = 0; i < CUSTOMERS_COUNT; i++) {
+        struct ck_declared_customer *customer =
+            &declaration->customers.customers_val[i];
+        customer->name = xasprintf("customer%u", i);
+        customer->keys.keys_len = 1;
+        customer->keys.keys_val = xcalloc(1, sizeof(ck_key_digest));
+        customer->keys.keys_val[0][0] = (char)(i + 1);
+    }
+}
+
+// Guards against keys that are sent to all entries with every declaration, and
+// against a removed customer or key that entries do not learn of together with
+// the declaration's number.
+START_TEST(test_only_changed_customers_are_sent)
+{
+    struct fixture fixture;
+
+    fixture_create(&fixture);
+    add_customers(&fixture);
+    declare(&fixture);
+    uint64_t revision = publication_get_revision(fixture.publication);
+    struct ck_declared_customer *customers =
+        fixture.declaration.customers.customers_val;
+    customers[3].keys.keys_val[0][1] = 9;
+    fixture.declaration.customers.customers_len--;
+    declare(&fixture);
+    struct ck_view_delta delta = get_delta(&fixture, revision, SMALL_BYTES);
+    ck_assert_uint_eq(delta.declared.declared_len, 1);
+    ck_assert_uint_eq(delta.declared_customers.declared_customers_len, 1);
+    const struct ck_declared_customer *changed =
+        delta.declared_customers.declared_customers_val;
+    ck_assert_str_eq(changed->name, "customer3");
+    ck_assert_int_eq(changed->keys.keys_val[0][1], 9);
+    ck_assert_uint_eq(
+        delta.declared_customers_removed.declared_customers_removed_len, 1);
+    ck_assert_str_eq(
+        delta.declared_customers_removed.declared_customers_removed_val[0],
+        "customer29");
+    ck_assert_uint_eq(delta.routes.routes_len, 0);
+    publication_free_delta(&delta);
+    // A declaration without any change of a customer sends none.
+    revision = publication_get_revision(fixture.publication);
+    declare(&fixture);
+    delta = get_delta(&fixture, revision, SMALL_BYTES);
+    ck_assert_uint_eq(delta.declared.declared_len, 1);
+    ck_assert_uint_eq(delta.declared_customers.declared_customers_len, 0);
+    publication_free_delta(&delta);
+    fixture.declaration.customers.customers_len++;
+    fixture_destroy(&fixture);
+}
+END_TEST
+
+// Guards against a removed customer that stays in force after a change of
+// leader: the new leader does not know that it was removed, so that it sends
+// all customers and says since when they are all.
+START_TEST(test_new_leader_sends_all_customers)
+{
+    struct fixture fixture;
+
+    fixture_create(&fixture);
+    add_customers(&fixture);
+    declare(&fixture);
+    uint64_t revision = publication_get_revision(fixture.publication);
+    fixture.declaration.customers.customers_len--;
+    declare(&fixture);
+    publication_destroy(fixture.publication);
+    fixture.publication = publication_create();
+    publication_update(fixture.publication, fixture.group);
+    struct ck_view_delta delta =
+        get_delta(&fixture, revision, PUBLICATION_MAX_DELTA_BYTES);
+    ck_assert_uint_eq(delta.declared_customers.declared_customers_len,
+                      CUSTOMERS_COUNT - 1);
+    ck_assert_uint_gt(delta.routes_since, revision);
+    ck_assert_uint_le(delta.routes_since, delta.to_revision);
+    publication_free_delta(&delta);
+    fixture.declaration.customers.customers_len++;
+    fixture_destroy(&fixture);
+}
+END_TEST
+
 // Half of a declaration must never be in force: a delta ends between two
 // revisions only, however small its limit is.
 START_TEST(test_declaration_is_sent_whole)
@@ -307,6 +397,8 @@
     tcase_add_test(tests, test_route_that_returns_is_sent);
     tcase_add_test(tests, test_declaration_is_sent_whole);
     tcase_add_test(tests, test_new_leader_sends_all_routes);
+    tcase_add_test(tests, test_only_changed_customers_are_sent);
+    tcase_add_test(tests, test_new_leader_sends_all_customers);
     tcase_add_test(tests, test_changes_between_two_parts);
     tcase_add_test(tests, test_corrupt_deltas_are_refused);
     tcase_add_test(tests, test_nothing_new);
--- a/test/unit/decide/leaseholder/test_leaseholder.c
+++ b/test/unit/decide/leaseholder/test_leaseholder.c
@@ -461,9 +461,41 @@
 }
 END_TEST
 
+// Guards against a client with an unknown key that is refused although a
+// renewal would have brought it, and against such clients loading the control
+// VMs: renewals that are wanted come at once, at most every 100 ms.
+START_TEST(test_wanted_renewals_are_limited)
+{
+    struct leaseholder *holder = make_holder();
+    struct leaseholder_event want = {.kind = LEASEHOLDER_EVENT_WANT_RENEWAL};
+    struct ck_renew_result result = make_result(1, 4, 0, 9);
+
+    (void)tick(holder, 5000 * MS);
+    // While a call is in flight, the wanted one follows its result.
+    ck_assert_ptr_null(find_action(step(holder, 5010 * MS, &want),
+                                   LEASEHOLDER_ACTION_SEND_RENEW));
+    ck_assert_ptr_nonnull(find_action(answer(holder, 5020 * MS, &result),
+                                      LEASEHOLDER_ACTION_SEND_RENEW));
+    result = make_result(2, 4, 9, 9);
+    (void)answer(holder, 5030 * MS, &result);
+    const struct leaseholder_actions *actions = step(holder, 5040 * MS, &want);
+    ck_assert_ptr_null(find_action(actions, LEASEHOLDER_ACTION_SEND_RENEW));
+    ck_assert_int_eq(find_action(actions, LEASEHOLDER_ACTION_WAKE)->wake_at_us,
+                     5120 * MS);
+    ck_assert_ptr_nonnull(
+        find_action(tick(holder, 5120 * MS), LEASEHOLDER_ACTION_SEND_RENEW));
+    result = make_result(3, 4, 9, 9);
+    (void)answer(holder, 5130 * MS, &result);
+    ck_assert_ptr_nonnull(find_action(step(holder, 5230 * MS, &want),
+                                      LEASEHOLDER_ACTION_SEND_RENEW));
+    leaseholder_destroy(holder);
+}
+END_TEST
+
 static void
 add_tests(TCase *tests)
 {
+    tcase_add_test(tests, test_wanted_renewals_are_limited);
     tcase_add_test(tests, test_lease_counts_from_sending);
     tcase_add_test(tests, test_relays_are_set_on_new_version);
     tcase_add_loop_test(tests, test_ignored_answer, 0, ARRAY_SIZE(ignored));
--- a/test/unit/entry/test_view.c
+++ b/test/unit/entry/test_view.c
@@ -354,9 +354,159 @@
 }
 END_TEST
 
+// Sets the declared customers of a delta: one for each character of names,
+// which is the name and the first byte of the only key. The arrays are valid
+// until the next call with the same index.
+static void
+set_customers(struct ck_view_delta *delta, unsigned index, const char *names)
+{
+    static struct ck_declared_customer customers[4][4];
+    static char customer_names[4][4][2];
+    static ck_key_digest keys[4][4];
+    unsigned count = (unsigned)strlen(names);
+
+    memset(customers[index], 0, sizeof(customers[index]));
+    for (unsigned i = 0; i < count; i++) {
+        customer_names[index][i][0] = names[i];
+        keys[index][i][0] = names[i];
+        customers[index][i].name = customer_names[index][i];
+        customers[index][i].keys.keys_len = 1;
+        customers[index][i].keys.keys_val = &keys[index][i];
+    }
+    delta->declared_customers.declared_customers_val = customers[index];
+    delta->declared_customers.declared_customers_len = count;
+}
+
+// Returns the name of the customer with a key, "" if there is none.
+static const char *
+find_key(const struct view *view, char first_byte)
+{
+    ck_key_digest digest = {first_byte};
+    const struct ck_declared_customer *customer =
+        customer_table_find_key(view_get_declared_customers(view), digest);
+
+    return customer == NULL ? "" : customer->name;
+}
+
+// Guards against keys that are added or removed late, and against a check of
+// all sessions for a view in which no customer has changed.
+START_TEST(test_declared_customers_change_one_by_one)
+{
+    char *removed[] = {text("a")};
+    struct ck_view_delta first = make_delta(0, 5, true, NULL, 0);
+    struct ck_view_delta second = make_delta(5, 6, false, NULL, 0);
+    struct ck_view_delta third = make_delta(6, 7, false, NULL, 0);
+    struct view *view = view_create();
+
+    set_customers(&first, 0, "ba");
+    view = apply(view, "fleet", &first);
+    ck_assert_str_eq(find_key(view, 'a'), "a");
+    ck_assert_str_eq(find_key(view, 'b'), "b");
+    uint64_t version = view_get_access_version(view);
+    set_customers(&second, 1, "c");
+    second.declared_customers_removed.declared_customers_removed_val = removed;
+    second.declared_customers_removed.declared_customers_removed_len = 1;
+    view = apply(view, "fleet", &second);
+    ck_assert_str_eq(find_key(view, 'a'), "");
+    ck_assert_str_eq(find_key(view, 'b'), "b");
+    ck_assert_str_eq(find_key(view, 'c'), "c");
+    ck_assert_uint_ne(view_get_access_version(view), version);
+    version = view_get_access_version(view);
+    view = apply(view, "fleet", &third);
+    ck_assert_uint_eq(view_get_access_version(view), version);
+    view_release(view);
+}
+END_TEST
+
+// Guards against a removed key that is still accepted: the leader changes
+// before an entry learns of the removal, and the new leader sends all
+// customers that there are, in the delta with its declaration.
+START_TEST(test_customers_that_a_new_leader_lacks_are_removed)
+{
+    struct ck_declared declared = {.number = 2};
+    struct ck_view_delta first = make_delta(0, 5, true, NULL, 0);
+    struct ck_view_delta part = make_delta(5, 7, false, NULL, 0);
+    struct ck_view_delta last = make_delta(7, 9, false, NULL, 0);
+    struct view *view = view_create();
+
+    set_customers(&first, 0, "ab");
+    view = apply(view, "fleet", &first);
+    part.routes_since = last.routes_since = 6;
+    set_customers(&part, 1, "b");
+    part.declared.declared_val = &declared;
+    part.declared.declared_len = 1;
+    part.more = true;
+    view = apply(view, "fleet", &part);
+    ck_assert_str_eq(find_key(view, 'a'), "");
+    ck_assert_str_eq(find_key(view, 'b'), "b");
+    view = apply(view, "fleet", &last);
+    ck_assert_str_eq(find_key(view, 'b'), "b");
+    view_release(view);
+}
+END_TEST
+
+// Guards against removed keys that survive a full delta, also one without any
+// customer, and against another group's full delta that drops customers.
+START_TEST(test_full_delta_replaces_customers)
+{
+    struct ck_view_delta first = make_delta(0, 5, true, NULL, 0);
+    struct ck_view_delta other = make_delta(0, 9, true, NULL, 0);
+    struct ck_view_delta part = make_delta(0, 6, true, NULL, 0);
+    struct ck_view_delta last = make_delta(6, 7, false, NULL, 0);
+    struct ck_view_delta empty = make_delta(0, 8, true, NULL, 0);
+    struct view *view = view_create();
+
+    set_customers(&first, 0, "ab");
+    view = apply(view, "fleet", &first);
+    view = apply(view, "noord", &other);
+    ck_assert_str_eq(find_key(view, 'a'), "a");
+    set_customers(&part, 1, "b");
+    part.more = true;
+    view = apply(view, "fleet", &part);
+    view = apply(view, "fleet", &last);
+    ck_assert_str_eq(find_key(view, 'a'), "");
+    ck_assert_str_eq(find_key(view, 'b'), "b");
+    view = apply(view, "fleet", &empty);
+    ck_assert_str_eq(find_key(view, 'b'), "");
+    view_release(view);
+}
+END_TEST
+
+// Guards against a session without a key that stays on a route which is no
+// longer public.
+START_TEST(test_public_route_changes_access)
+{
+    struct ck_route before[] = {make_route("booking", 1)};
+    struct ck_route same[] = {make_route("booking", 2)};
+    struct ck_route after[] = {make_route("booking", 1)};
+    struct ck_view_delta first = make_delta(0, 5, true, NULL, 0);
+    struct ck_view_delta second = make_delta(5, 6, false, NULL, 0);
+    struct ck_view_delta third = make_delta(6, 7, false, NULL, 0);
+    struct view *view = view_create();
+
+    before[0].is_public = same[0].is_public = true;
+    first.routes.routes_val = before;
+    second.routes.routes_val = same;
+    third.routes.routes_val = after;
+    first.routes.routes_len = second.routes.routes_len = 1;
+    third.routes.routes_len = 1;
+    view = apply(view, "fleet", &first);
+    uint64_t version = view_get_access_version(view);
+    view = apply(view, "fleet", &second);
+    ck_assert_uint_eq(view_get_access_version(view), version);
+    view = apply(view, "fleet", &third);
+    ck_assert_uint_ne(view_get_access_version(view), version);
+    view_release(view);
+}
+END_TEST
+
 static void
 add_tests(TCase *tests)
 {
+    tcase_add_test(tests, test_declared_customers_change_one_by_one);
+    tcase_add_test(tests, test_customers_that_a_new_leader_lacks_are_removed);
+    tcase_add_test(tests, test_full_delta_replaces_customers);
+    tcase_add_test(tests, test_public_route_changes_access);
     tcase_add_test(tests, test_routes_are_removed_with_the_declaration);
     tcase_add_test(tests, test_routes_that_a_new_leader_lacks_are_removed);
     tcase_add_test(tests, test_routes_change_one_by_one);
--- a/test/unit/platform/test_platform_decode.c
+++ b/test/unit/platform/test_platform_decode.c
@@ -1,6 +1,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "catkingrade/decide/customer/key_digest.h"
 #include "catkingrade/decide/group/declaration.h"
 #include "catkingrade/decide/group/declaration_index.h"
 #include "catkingrade/kernel/memory.h"
@@ -22,6 +23,9 @@
 #define CONFIG                                                                \
     "{\"version\":7,\"routes\":[" ROUTE "],\"services\":[" SERVICE            \
     "],\"limits\":{\"txIdleMs\":3000},\"later\":{}}"
+// A configuration with this list of customers.
+#define CUSTOMERS(list)                                                       \
+    "{\"version\":7,\"routes\":[],\"services\":[],\"tenants\":" list "}"
 #define ANNOUNCEMENT                                                          \
     "{\"service\":\"huvo11a\",\"addr\":\"10.128.0.9:8080\","                  \
     "\"zone\":\"almaty-a\",\"version\":\"v1\",\"slots\":2,"                   \
@@ -129,6 +133,114 @@
 }
 END_TEST
 
+// Guards against customers that are decoded to wrong limits or other digests
+// than those of their keys, and against a limit where none is given.
+START_TEST(test_customers)
+{
+    static const char config[] =
+        CUSTOMERS("[{\"name\":\"t-1\",\"apiKeys\":[\"k-1\",\"k-2\",\"k-1\"],"
+                  "\"priority\":2,\"ratePerS\":12.5,\"burst\":30},"
+                  "{\"name\":\"t-2\",\"apiKeys\":[]},"
+                  "{\"name\":\"t-3\",\"apiKeys\":[\"k-3\"],\"ratePerS\":0}]");
+    struct ck_declaration declaration;
+    ck_key_digest digest;
+    uint64_t number = 0;
+
+    ck_assert_int_eq(decode(config, strlen(config), &number, &declaration),
+                     OUTCOME_OK);
+    ck_assert_uint_eq(declaration.customers.customers_len, 3);
+    const struct ck_declared_customer *customers =
+        declaration.customers.customers_val;
+    ck_assert_str_eq(customers[0].name, "t-1");
+    ck_assert_uint_eq(customers[0].keys.keys_len, 3);
+    key_digest_compute("k-2", 3, digest);
+    ck_assert_int_eq(
+        memcmp(customers[0].keys.keys_val[1], digest, sizeof(digest)), 0);
+    ck_assert_uint_eq(customers[0].priority, 2);
+    ck_assert(customers[0].is_limited);
+    ck_assert_uint_eq(customers[0].rate_per_1000_s, 12500);
+    ck_assert_uint_eq(customers[0].burst, 30);
+    ck_assert_uint_eq(customers[1].keys.keys_len, 0);
+    ck_assert(!customers[1].is_limited);
+    ck_assert(customers[2].is_limited);
+    ck_assert_uint_eq(customers[2].rate_per_1000_s, 0);
+    declaration_free(&declaration);
+}
+END_TEST
+
+// Guards against a public route that needs a key, and the reverse.
+START_TEST(test_public_route)
+{
+    static const char public_config[] =
+        "{\"version\":7,\"routes\":[{\"host\":\"a\",\"routeKind\":\"primary\","
+        "\"timeoutMs\":5,\"service\":\"huvo11a\",\"public\":true}],"
+        "\"services\":[" SERVICE "]}";
+    struct ck_declaration declaration;
+    uint64_t number = 0;
+
+    ck_assert_int_eq(
+        decode(public_config, strlen(public_config), &number, &declaration),
+        OUTCOME_OK);
+    ck_assert(find_route(&declaration, "a")->is_public);
+    declaration_free(&declaration);
+    ck_assert_int_eq(decode(CONFIG, strlen(CONFIG), &number, &declaration),
+                     OUTCOME_OK);
+    ck_assert(!find_route(&declaration, "lepu270")->is_public);
+    ck_assert_uint_eq(declaration.customers.customers_len, 0);
+    declaration_free(&declaration);
+}
+END_TEST
+
+static const char *const invalid_customers[] = {
+    CUSTOMERS("{}"),
+    CUSTOMERS("null"),
+    CUSTOMERS("[7]"),
+    CUSTOMERS("[{\"name\":\"a\"}]"),
+    CUSTOMERS("[{\"apiKeys\":[\"SECRET\"]}]"),
+    CUSTOMERS("[{\"name\":7,\"apiKeys\":[\"SECRET\"]}]"),
+    CUSTOMERS("[{\"name\":\"\",\"apiKeys\":[\"SECRET\"]}]"),
+    CUSTOMERS("[{\"name\":\"a b\",\"apiKeys\":[\"SECRET\"]}]"),
+    CUSTOMERS("[{\"name\":\"a\\n\",\"apiKeys\":[\"SECRET\"]}]"),
+    CUSTOMERS("[{\"name\":\"a\",\"apiKeys\":\"SECRET\"}]"),
+    CUSTOMERS("[{\"name\":\"a\",\"apiKeys\":[7]}]"),
+    CUSTOMERS("[{\"name\":\"a\",\"apiKeys\":[\"\"]}]"),
+    CUSTOMERS("[{\"name\":\"a\",\"apiKeys\":[\"SECRET two\"]}]"),
+    CUSTOMERS("[{\"name\":\"a\",\"apiKeys\":[\"SECRET\\u0000\"]}]"),
+    CUSTOMERS("[{\"name\":\"a\",\"apiKeys\":[\"SECRET\"],"
+              "\"priority\":\"high\"}]"),
+    CUSTOMERS("[{\"name\":\"a\",\"apiKeys\":[],\"ratePerS\":\"1\"}]"),
+    CUSTOMERS("[{\"name\":\"a\",\"apiKeys\":[],\"ratePerS\":-1}]"),
+    CUSTOMERS("[{\"name\":\"a\",\"apiKeys\":[],\"ratePerS\":1e12}]"),
+    CUSTOMERS("[{\"name\":\"a\",\"apiKeys\":[],\"burst\":true}]"),
+    CUSTOMERS("[{\"name\":\"a\",\"apiKeys\":[\"SECRET\"]},"
+              "{\"name\":\"a\",\"apiKeys\":[\"k\"]}]"),
+    CUSTOMERS("[{\"name\":\"a\",\"apiKeys\":[\"k\",\"SECRET\"]},"
+              "{\"name\":\"b\",\"apiKeys\":[\"SECRET\"]}]"),
+    "{\"version\":7,\"routes\":[{\"host\":\"a\",\"routeKind\":\"primary\","
+    "\"timeoutMs\":5,\"service\":\"huvo11a\",\"public\":1}],"
+    "\"services\":[" SERVICE "]}"};
+
+// Guards against the acceptance of customers with a wrong type, a duplicate
+// name or a key of another customer, and against a key in the error text,
+// which is sent and logged.
+START_TEST(test_invalid_customers)
+{
+    const char *config = invalid_customers[_i];
+    struct ck_declaration declaration;
+    struct buffer errors = {0};
+    uint64_t number = 0;
+
+    ck_assert_msg(config_decode(config, strlen(config), &number, &declaration,
+                                &errors) == OUTCOME_INVALID,
+                  "%s", config);
+    ck_assert_uint_gt(buffer_get_size(&errors), 0);
+    buffer_append_u8(&errors, 0);
+    ck_assert_ptr_null(
+        strstr((const char *)buffer_get_data(&errors), "SECRET"));
+    buffer_free(&errors);
+}
+END_TEST
+
 // Guards against members of an announcement that are decoded to a wrong value
 // or field.
 START_TEST(test_announcement)
@@ -267,6 +379,10 @@
     tcase_add_test(tests, test_config);
     tcase_add_test(tests, test_truncated_config);
     tcase_add_test(tests, test_invalid_configs);
+    tcase_add_test(tests, test_customers);
+    tcase_add_test(tests, test_public_route);
+    tcase_add_loop_test(tests, test_invalid_customers, 0,
+                        ARRAY_SIZE(invalid_customers));
     tcase_add_test(tests, test_announcement);
     tcase_add_test(tests, test_invalid_announcements);
     tcase_add_test(tests, test_mutated_inputs);
