--- a/test/fake/platform.c
+++ b/test/fake/platform.c
@@ -73,6 +73,7 @@
 // Last arrival of a statement with an id.
 struct arrival {
     char id[PLATFORM_ID_SIZE];
+    char sender[PLATFORM_ID_SIZE];
     int64_t at_us;
 };
 
@@ -97,6 +98,8 @@
     int late_count;
     struct arrival arrivals[PLATFORM_MAX_ARRIVALS];
     int arrivals_count;
+    const char *forbidden_text; // or NULL
+    int forbidden_count;
 };
 
 static int
@@ -319,7 +322,8 @@
 }
 
 static void
-record_arrival(struct platform *platform, const char *id, int64_t now_us)
+record_arrival(struct platform *platform, const struct conn *conn,
+               const char *id, int64_t now_us)
 {
     struct arrival *arrival = find_arrival(platform, id);
 
@@ -329,6 +333,7 @@
     }
     if (arrival != NULL) {
         arrival->at_us = now_us;
+        memcpy(arrival->sender, conn->sender, sizeof(arrival->sender));
     }
 }
 
@@ -345,7 +350,7 @@
     if (strcmp(id, "-") == 0) {
         return;
     }
-    record_arrival(platform, id, now_us);
+    record_arrival(platform, conn, id, now_us);
     conn->is_first = false;
     if (!counts || deadline_us == 0 || now_us <= deadline_us ||
         platform->late_count == PLATFORM_MAX_LATE) {
@@ -403,6 +408,10 @@
     char service[32];
     char id[32];
 
+    if (platform->forbidden_text != NULL &&
+        strstr(line, platform->forbidden_text) != NULL) {
+        platform->forbidden_count++;
+    }
     conn->replies_suppressed =
         platform->upstreams[conn->upstream].replies_suppressed;
     conn->replies_held = platform->upstreams[conn->upstream].replies_held &&
@@ -723,6 +732,36 @@
     return at_us;
 }
 
+bool
+platform_get_arrival_sender(struct platform *platform, const char *id,
+                            char sender[PLATFORM_ID_SIZE])
+{
+    pthread_mutex_lock(&platform->mutex);
+    const struct arrival *arrival = find_arrival(platform, id);
+    if (arrival != NULL) {
+        memcpy(sender, arrival->sender, PLATFORM_ID_SIZE);
+    }
+    pthread_mutex_unlock(&platform->mutex);
+    return arrival != NULL;
+}
+
+void
+platform_forbid_text(struct platform *platform, const char *text)
+{
+    pthread_mutex_lock(&platform->mutex);
+    platform->forbidden_text = text;
+    pthread_mutex_unlock(&platform->mutex);
+}
+
+int
+platform_count_forbidden(struct platform *platform)
+{
+    pthread_mutex_lock(&platform->mutex);
+    int count = platform->forbidden_count;
+    pthread_mutex_unlock(&platform->mutex);
+    return count;
+}
+
 int
 platform_get_late(struct platform *platform, struct platform_late *late)
 {
--- a/test/fake/platform.h
+++ b/test/fake/platform.h
@@ -53,6 +53,14 @@
 // Returns when a statement with this id last reached an upstream, in monotonic
 // microseconds; 0: none has, or the id is beyond PLATFORM_MAX_ARRIVALS.
 int64_t platform_get_arrival_us(struct platform *platform, const char *id);
+// Copies the user name of the connection on which a statement with this id
+// last reached an upstream. Returns false if none has.
+bool platform_get_arrival_sender(struct platform *platform, const char *id,
+                                 char sender[PLATFORM_ID_SIZE]);
+// Sets a text, a string literal, that no line to an upstream may contain, and
+// returns how many lines contained it.
+void platform_forbid_text(struct platform *platform, const char *text);
+int platform_count_forbidden(struct platform *platform);
 // Pauses or resumes the replication to a replica.
 void platform_pause_replication(struct platform *platform, int upstream,
                                 bool paused);
