--- /dev/null
+++ b/test/contract/test_key_names.c
@@ -0,0 +1,105 @@
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "catkingrade/kernel/memory.h"
+#include "test/fake/platform.h"
+#include "test/rig/platform_rig.h"
+#include "test/suite.h"
+
+// The names under which upstreams run the statements of customers, with real
+// daemons and the fake platform. Of two entries one is the relay of the other,
+// so that both ways to an upstream occur.
+
+#define KEY            "SECRET"
+#define ENTRIES        2
+#define RELAY_SETTINGS ",\"relay_min_connections\": 3"
+#define ROUTE(name, is_public)                                                \
+    "{\"host\":\"" name "\",\"routeKind\":\"primary\",\"timeoutMs\":5000,"    \
+    "\"targetLatencyMs\":4000,\"priority\":1,\"service\":\"core\","           \
+    "\"public\":" is_public "}"
+#define CONFIG                                                                \
+    "{\"version\":1,\"routes\":[" ROUTE("own", "false") "," ROUTE(            \
+        "open",                                                               \
+        "true") "],\"services\":[{\"name\":\"core\","                         \
+                "\"maxConns\":8,\"syncReplicas\":0}],\"limits\":{"            \
+                "\"txIdleMs\":60000},"                                        \
+                "\"tenants\":[{\"name\":\"cust-a\",\"apiKeys\":[\"" KEY       \
+                "-a\"]},"                                                     \
+                "{\"name\":\"cust-b\",\"apiKeys\":[\"" KEY "-b\"]}]}"
+
+// Runs a write and a transaction on a new session, and checks the name under
+// which each statement reached the upstream. NULL: the name of no customer.
+static void
+check_names(int entry, const char *startup, const char *id,
+            const char *customer)
+{
+    static const char *const statements[] = {"WRITE k1 one", "BEGIN",
+                                             "WRITE k2 two", "COMMIT"};
+    int fd = platform_connect(rig.client_ports[entry]);
+    char sender[PLATFORM_ID_SIZE];
+
+    ck_assert_int_ge(fd, 0);
+    platform_rig_expect(fd, startup, "READY I -\r\n");
+    for (size_t i = 0; i < ARRAY_SIZE(statements); i++) {
+        char *line =
+            xasprintf("QUERY %s-%d-%zu %s", id, entry, i, statements[i]);
+        char *text = platform_send_request(fd, line);
+        ck_assert_msg(text != NULL && strncmp(text, "COMPLETE", 8) == 0,
+                      "%s: %s", line, text == NULL ? "end" : text);
+        free(text);
+        free(line);
+    }
+    close(fd);
+    for (size_t i = 0; i < ARRAY_SIZE(statements); i++) {
+        char *statement_id = xasprintf("%s-%d-%zu", id, entry, i);
+        bool arrived =
+            platform_get_arrival_sender(rig.platform, statement_id, sender);
+        bool is_own_name = arrived && strncmp(sender, "vm", 2) == 0;
+        ck_assert_msg(!arrived ||
+                          (customer == NULL ? is_own_name
+                                            : strcmp(sender, customer) == 0),
+                      "%s arrived as %s", statement_id, sender);
+        ck_assert_msg(arrived || strcmp(statements[i], "BEGIN") == 0,
+                      "%s has not arrived", statement_id);
+        free(statement_id);
+    }
+}
+
+// Guards against a statement that an upstream runs under the name of another
+// customer, of none, or under the key, on the direct way and through a relay.
+START_TEST(test_upstreams_see_the_customer)
+{
+    platform_rig_start("key_names", ENTRIES, RELAY_SETTINGS);
+    platform_forbid_text(rig.platform, KEY);
+    platform_rig_wait_config(0, CONFIG);
+    bool has_relay = false;
+    for (int i = 0; i < RIG_WAIT_ROUNDS && !has_relay; i++) {
+        for (int entry = 0; entry < ENTRIES; entry++) {
+            close(platform_rig_wait_answer(entry, "open",
+                                           "QUERY a0 WRITE k0 zero", "sig-"));
+            has_relay = has_relay || platform_rig_log_contains(
+                                         RIG_CONTROLS + entry, "relay_begun");
+        }
+        usleep(RIG_WAIT_STEP_US);
+    }
+    ck_assert_msg(has_relay, "no entry uses a relay");
+    for (int entry = 0; entry < ENTRIES; entry++) {
+        check_names(entry, "STARTUP own " KEY "-a", "a", "cust-a");
+        check_names(entry, "STARTUP own " KEY "-b", "b", "cust-b");
+        check_names(entry, "STARTUP open " KEY "-a", "p", "cust-a");
+        check_names(entry, "STARTUP open " KEY "-x", "x", NULL);
+    }
+    ck_assert_int_eq(platform_count_forbidden(rig.platform), 0);
+    platform_rig_stop();
+}
+END_TEST
+
+static void
+add_tests(TCase *tests)
+{
+    tcase_add_test(tests, test_upstreams_see_the_customer);
+}
+
+TEST_MAIN("key_names", add_tests)
