--- a/src/catkingrade/entry/customer_table.c
+++ b/src/catkingrade/entry/declared_customers.c
@@ -1,4 +1,4 @@
-#include "catkingrade/entry/customer_table.h"
+#include "catkingrade/entry/declared_customers.h"
 
 #include <stdatomic.h>
 #include <stdbool.h>
@@ -11,13 +11,14 @@
 
 // A customer, shared by all tables that contain it. generation is that of the
 // view's group when the customer was received; see view.c.
-struct customer_item {
-    struct ck_declared_customer customer; // first, see customer_table_get_item
+struct declared_item {
+    struct ck_declared_customer
+        customer; // first, see declared_customers_get_item
     atomic_uint ref_count;
     uint64_t generation;
 };
 
-struct customer_table {
+struct declared_customers {
     atomic_uint ref_count;
     size_t count;
     const struct ck_declared_customer **customers; // sorted by name
@@ -25,17 +26,17 @@
 };
 
 // Returns the item of a customer in a table.
-static struct customer_item *
-customer_table_get_item(const struct ck_declared_customer *customer)
+static struct declared_item *
+declared_customers_get_item(const struct ck_declared_customer *customer)
 {
-    return (struct customer_item *)(uintptr_t)customer;
+    return (struct declared_item *)(uintptr_t)customer;
 }
 
 static const struct ck_declared_customer *
-customer_item_create(const struct ck_declared_customer *customer,
+declared_item_create(const struct ck_declared_customer *customer,
                      uint64_t generation)
 {
-    struct customer_item *item = xcalloc(1, sizeof(*item));
+    struct declared_item *item = xcalloc(1, sizeof(*item));
 
     atomic_init(&item->ref_count, 1);
     item->generation = generation;
@@ -45,9 +46,9 @@
 }
 
 static void
-customer_item_release(const struct ck_declared_customer *customer)
+declared_item_release(const struct ck_declared_customer *customer)
 {
-    struct customer_item *item = customer_table_get_item(customer);
+    struct declared_item *item = declared_customers_get_item(customer);
 
     if (atomic_fetch_sub(&item->ref_count, 1) == 1) {
         codec_free((xdrproc_t)xdr_ck_declared_customer, &item->customer);
@@ -55,10 +56,10 @@
     }
 }
 
-static struct customer_table *
-customer_table_allocate(size_t max_count)
+static struct declared_customers *
+declared_customers_allocate(size_t max_count)
 {
-    struct customer_table *table = xcalloc(1, sizeof(*table));
+    struct declared_customers *table = xcalloc(1, sizeof(*table));
 
     atomic_init(&table->ref_count, 1);
     table->customers = xcalloc(max_count + 1, sizeof(*table->customers));
@@ -66,18 +67,18 @@
 }
 
 // Returns an empty table with one reference.
-struct customer_table *
-customer_table_create(void)
+struct declared_customers *
+declared_customers_create(void)
 {
-    struct customer_table *table = customer_table_allocate(0);
+    struct declared_customers *table = declared_customers_allocate(0);
 
     table->keys = key_index_create(table->customers, 0);
     return table;
 }
 
 // Adds a reference and returns the table.
-struct customer_table *
-customer_table_retain(struct customer_table *table)
+struct declared_customers *
+declared_customers_retain(struct declared_customers *table)
 {
     atomic_fetch_add(&table->ref_count, 1);
     return table;
@@ -85,13 +86,13 @@
 
 // Drops a reference; frees the table with the last one.
 void
-customer_table_release(struct customer_table *table)
+declared_customers_release(struct declared_customers *table)
 {
     if (atomic_fetch_sub(&table->ref_count, 1) != 1) {
         return;
     }
     for (size_t i = 0; i < table->count; i++) {
-        customer_item_release(table->customers[i]);
+        declared_item_release(table->customers[i]);
     }
     key_index_destroy(table->keys);
     free(table->customers);
@@ -99,7 +100,7 @@
 }
 
 static int
-customer_table_compare(const void *a, const void *b)
+declared_customers_compare(const void *a, const void *b)
 {
     const struct ck_declared_customer *left =
         *(const struct ck_declared_customer *const *)a;
@@ -110,7 +111,7 @@
 }
 
 static int
-customer_table_compare_names(const void *a, const void *b)
+declared_customers_compare_names(const void *a, const void *b)
 {
     const char *const *left = a;
     const char *const *right = b;
@@ -120,7 +121,7 @@
 
 // Returns the names of the removed customers, sorted; to be freed.
 static const char **
-customer_table_sort_removed(const struct ck_view_delta *delta)
+declared_customers_sort_removed(const struct ck_view_delta *delta)
 {
     size_t count =
         delta->declared_customers_removed.declared_customers_removed_len;
@@ -130,24 +131,24 @@
         names[i] = delta->declared_customers_removed
                        .declared_customers_removed_val[i];
     }
-    qsort(names, count, sizeof(*names), customer_table_compare_names);
+    qsort(names, count, sizeof(*names), declared_customers_compare_names);
     return names;
 }
 
 // Returns a table of the customers in a delta only, without an index of keys.
-static struct customer_table *
-customer_table_create_changed(const struct ck_view_delta *delta,
-                              uint64_t generation)
+static struct declared_customers *
+declared_customers_create_changed(const struct ck_view_delta *delta,
+                                  uint64_t generation)
 {
     size_t count = delta->declared_customers.declared_customers_len;
-    struct customer_table *table = customer_table_allocate(count);
+    struct declared_customers *table = declared_customers_allocate(count);
 
     for (size_t i = 0; i < count; i++) {
-        table->customers[table->count++] = customer_item_create(
+        table->customers[table->count++] = declared_item_create(
             &delta->declared_customers.declared_customers_val[i], generation);
     }
     qsort(table->customers, count, sizeof(*table->customers),
-          customer_table_compare);
+          declared_customers_compare);
     return table;
 }
 
@@ -155,10 +156,11 @@
 // is NULL, that are not removed and of min_generation or later. Returns the
 // index of the next customer.
 static size_t
-customer_table_add_kept(struct customer_table *merged,
-                        const struct customer_table *table, size_t index,
-                        const char *name, const char **removed,
-                        size_t removed_count, uint64_t min_generation)
+declared_customers_add_kept(struct declared_customers *merged,
+                            const struct declared_customers *table,
+                            size_t index, const char *name,
+                            const char **removed, size_t removed_count,
+                            uint64_t min_generation)
 {
     for (; index < table->count; index++) {
         const struct ck_declared_customer *customer = table->customers[index];
@@ -167,13 +169,14 @@
             return index;
         }
         const char *key = customer->name;
-        bool is_kept =
-            order != 0 &&
-            customer_table_get_item(customer)->generation >= min_generation &&
-            bsearch(&key, removed, removed_count, sizeof(*removed),
-                    customer_table_compare_names) == NULL;
+        bool is_kept = order != 0 &&
+                       declared_customers_get_item(customer)->generation >=
+                           min_generation &&
+                       bsearch(&key, removed, removed_count, sizeof(*removed),
+                               declared_customers_compare_names) == NULL;
         if (is_kept) {
-            atomic_fetch_add(&customer_table_get_item(customer)->ref_count, 1);
+            atomic_fetch_add(&declared_customers_get_item(customer)->ref_count,
+                             1);
             merged->customers[merged->count++] = customer;
         }
     }
@@ -181,11 +184,11 @@
 }
 
 static bool
-customer_table_has_stale(const struct customer_table *table,
-                         uint64_t min_generation)
+declared_customers_has_stale(const struct declared_customers *table,
+                             uint64_t min_generation)
 {
     for (size_t i = 0; i < table->count; i++) {
-        if (customer_table_get_item(table->customers[i])->generation <
+        if (declared_customers_get_item(table->customers[i])->generation <
             min_generation) {
             return true;
         }
@@ -196,10 +199,10 @@
 // Applies the customers of a delta, which belong to a generation, and drops
 // those of generations before min_generation. Returns the resulting table with
 // a reference for the caller; the same table if nothing changes.
-struct customer_table *
-customer_table_apply_delta(struct customer_table *table,
-                           const struct ck_view_delta *delta,
-                           uint64_t generation, uint64_t min_generation)
+struct declared_customers *
+declared_customers_apply_delta(struct declared_customers *table,
+                               const struct ck_view_delta *delta,
+                               uint64_t generation, uint64_t min_generation)
 {
     size_t removed_count =
         delta->declared_customers_removed.declared_customers_removed_len;
@@ -207,60 +210,61 @@
 
     if (delta->declared_customers.declared_customers_len == 0 &&
         removed_count == 0 &&
-        !customer_table_has_stale(table, min_generation)) {
-        return customer_table_retain(table);
+        !declared_customers_has_stale(table, min_generation)) {
+        return declared_customers_retain(table);
     }
-    const char **removed = customer_table_sort_removed(delta);
-    struct customer_table *changed =
-        customer_table_create_changed(delta, generation);
-    struct customer_table *merged =
-        customer_table_allocate(table->count + changed->count);
+    const char **removed = declared_customers_sort_removed(delta);
+    struct declared_customers *changed =
+        declared_customers_create_changed(delta, generation);
+    struct declared_customers *merged =
+        declared_customers_allocate(table->count + changed->count);
     for (size_t i = 0; i < changed->count; i++) {
         const struct ck_declared_customer *customer = changed->customers[i];
-        index =
-            customer_table_add_kept(merged, table, index, customer->name,
-                                    removed, removed_count, min_generation);
+        index = declared_customers_add_kept(merged, table, index,
+                                            customer->name, removed,
+                                            removed_count, min_generation);
         merged->customers[merged->count++] = customer;
     }
-    (void)customer_table_add_kept(merged, table, index, NULL, removed,
-                                  removed_count, min_generation);
+    (void)declared_customers_add_kept(merged, table, index, NULL, removed,
+                                      removed_count, min_generation);
     merged->keys = key_index_create(merged->customers, merged->count);
     changed->count = 0; // its references have moved
-    customer_table_release(changed);
+    declared_customers_release(changed);
     free(removed);
     return merged;
 }
 
 // Returns a customer by name, or NULL.
 const struct ck_declared_customer *
-customer_table_find(const struct customer_table *table, const char *name)
+declared_customers_find(const struct declared_customers *table,
+                        const char *name)
 {
     struct ck_declared_customer key = {.name = (char *)(uintptr_t)name};
     const struct ck_declared_customer *pointer = &key;
     const struct ck_declared_customer *const *found =
         bsearch(&pointer, table->customers, table->count,
-                sizeof(*table->customers), customer_table_compare);
+                sizeof(*table->customers), declared_customers_compare);
 
     return found == NULL ? NULL : *found;
 }
 
 // Returns the customer that has a key with this digest, or NULL.
 const struct ck_declared_customer *
-customer_table_find_key(const struct customer_table *table,
-                        const ck_key_digest digest)
+declared_customers_find_key(const struct declared_customers *table,
+                            const ck_key_digest digest)
 {
     return key_index_find(table->keys, digest);
 }
 
 size_t
-customer_table_get_count(const struct customer_table *table)
+declared_customers_get_count(const struct declared_customers *table)
 {
     return table->count;
 }
 
 // Returns the customer at an index below the count.
 const struct ck_declared_customer *
-customer_table_get(const struct customer_table *table, size_t index)
+declared_customers_get(const struct declared_customers *table, size_t index)
 {
     return table->customers[index];
 }
--- a/src/catkingrade/entry/view.c
+++ b/src/catkingrade/entry/view.c
@@ -6,7 +6,7 @@
 #include <string.h>
 
 #include "catkingrade/decide/group/group.h"
-#include "catkingrade/entry/customer_table.h"
+#include "catkingrade/entry/declared_customers.h"
 #include "catkingrade/kernel/memory.h"
 #include "catkingrade/kernel/outcome.h"
 #include "catkingrade/rpc/codec.h"
@@ -49,7 +49,7 @@
     struct view_list customers;
     struct view_list databases;
     struct view_list routes;
-    struct customer_table *declared_customers;
+    struct declared_customers *declared_customers;
     uint64_t access_version; // see view_get_access_version
     struct view_group *groups;
     size_t groups_count;
@@ -62,7 +62,7 @@
     struct view *view = xcalloc(1, sizeof(*view));
 
     atomic_init(&view->ref_count, 1);
-    view->declared_customers = customer_table_create();
+    view->declared_customers = declared_customers_create();
     return view;
 }
 
@@ -113,7 +113,7 @@
     view_list_free(&view->customers);
     view_list_free(&view->databases);
     view_list_free(&view->routes);
-    customer_table_release(view->declared_customers);
+    declared_customers_release(view->declared_customers);
     free(view->groups);
     free(view);
 }
@@ -204,7 +204,8 @@
     struct view *copy = xcalloc(1, sizeof(*copy));
 
     atomic_init(&copy->ref_count, 1);
-    copy->declared_customers = customer_table_retain(view->declared_customers);
+    copy->declared_customers =
+        declared_customers_retain(view->declared_customers);
     copy->access_version = view->access_version;
     view_list_copy(&view->customers, &copy->customers);
     view_list_copy(&view->databases, &copy->databases);
@@ -341,11 +342,11 @@
                               const struct ck_view_delta *delta,
                               uint64_t generation, uint64_t min_generation)
 {
-    struct customer_table *table = customer_table_apply_delta(
+    struct declared_customers *table = declared_customers_apply_delta(
         view->declared_customers, delta, generation, min_generation);
 
     view->access_version += table != view->declared_customers ? 1 : 0;
-    customer_table_release(view->declared_customers);
+    declared_customers_release(view->declared_customers);
     view->declared_customers = table;
 }
 
@@ -454,7 +455,7 @@
 
 // Returns the declared customers, valid while the caller holds a reference to
 // the view.
-const struct customer_table *
+const struct declared_customers *
 view_get_declared_customers(const struct view *view)
 {
     return view->declared_customers;
--- a/src/catkingrade/entry/view.h
+++ b/src/catkingrade/entry/view.h
@@ -4,7 +4,7 @@
 #include <stddef.h>
 #include <stdint.h>
 
-#include "catkingrade/entry/customer_table.h"
+#include "catkingrade/entry/declared_customers.h"
 #include "catkingrade/kernel/buffer.h"
 #include "catkingrade/rpc/messages.h"
 
@@ -28,7 +28,7 @@
 const struct ck_route *view_find_route(const struct view *view,
                                        const char *name);
 const struct ck_declared *view_get_declared(const struct view *view);
-const struct customer_table *
+const struct declared_customers *
 view_get_declared_customers(const struct view *view);
 uint64_t view_get_access_version(const struct view *view);
 size_t view_get_databases_count(const struct view *view);
--- a/test/unit/entry/test_customer_table.c
+++ b/test/unit/entry/test_declared_customers.c
@@ -7,7 +7,7 @@
 
 #include "catkingrade/decide/customer/key_digest.h"
 #include "catkingrade/decide/random.h"
-#include "catkingrade/entry/customer_table.h"
+#include "catkingrade/entry/declared_customers.h"
 #include "catkingrade/kernel/memory.h"
 #include "test/suite.h"
 
@@ -37,8 +37,8 @@
 
 // Applies a random delta and the same change to an array of versions, where 0
 // means that there is no such customer.
-static struct customer_table *
-apply_random(struct customer_table *table, unsigned versions[NAMES],
+static struct declared_customers *
+apply_random(struct declared_customers *table, unsigned versions[NAMES],
              uint64_t *seed, uint64_t generation, uint64_t min_generation)
 {
     struct ck_declared_customer changed[NAMES];
@@ -71,14 +71,14 @@
             versions[name] = 0;
         }
     }
-    struct customer_table *next =
-        customer_table_apply_delta(table, &delta, generation, min_generation);
-    customer_table_release(table);
+    struct declared_customers *next = declared_customers_apply_delta(
+        table, &delta, generation, min_generation);
+    declared_customers_release(table);
     return next;
 }
 
 static void
-check_customer(const struct customer_table *table, unsigned name,
+check_customer(const struct declared_customers *table, unsigned name,
                unsigned version)
 {
     char customer_name[16];
@@ -86,12 +86,12 @@
 
     (void)snprintf(customer_name, sizeof(customer_name), "cust-%u", name);
     const struct ck_declared_customer *customer =
-        customer_table_find(table, customer_name);
+        declared_customers_find(table, customer_name);
     ck_assert((customer != NULL) == (version > 0));
     make_digest(name, version, digest);
-    ck_assert_ptr_eq(customer_table_find_key(table, digest), customer);
+    ck_assert_ptr_eq(declared_customers_find_key(table, digest), customer);
     make_digest(name, version + 1, digest);
-    ck_assert_ptr_null(customer_table_find_key(table, digest));
+    ck_assert_ptr_null(declared_customers_find_key(table, digest));
 }
 
 // Guards against customers that are lost, stay after their removal or keep an
@@ -99,7 +99,7 @@
 // starts a generation drops all customers that it does not have.
 START_TEST(test_table_against_array)
 {
-    struct customer_table *table = customer_table_create();
+    struct declared_customers *table = declared_customers_create();
     unsigned versions[NAMES] = {0};
     uint64_t seed = (uint64_t)_i;
     uint64_t generation = 1;
@@ -114,9 +114,9 @@
             check_customer(table, name, versions[name]);
             count += versions[name] > 0 ? 1 : 0;
         }
-        ck_assert_uint_eq(customer_table_get_count(table), count);
+        ck_assert_uint_eq(declared_customers_get_count(table), count);
     }
-    customer_table_release(table);
+    declared_customers_release(table);
 }
 END_TEST
 
@@ -129,28 +129,28 @@
     struct ck_view_delta empty = {0};
     struct ck_view_delta add = {0};
     struct ck_view_delta remove = {0};
-    struct customer_table *first = customer_table_create();
+    struct declared_customers *first = declared_customers_create();
 
-    struct customer_table *same =
-        customer_table_apply_delta(first, &empty, 2, 2);
+    struct declared_customers *same =
+        declared_customers_apply_delta(first, &empty, 2, 2);
     ck_assert_ptr_eq(first, same);
     add.declared_customers.declared_customers_val = &customer;
     add.declared_customers.declared_customers_len = 1;
-    struct customer_table *second =
-        customer_table_apply_delta(first, &add, 2, 0);
+    struct declared_customers *second =
+        declared_customers_apply_delta(first, &add, 2, 0);
     remove.declared_customers_removed.declared_customers_removed_val =
         &removed;
     remove.declared_customers_removed.declared_customers_removed_len = 1;
-    struct customer_table *third =
-        customer_table_apply_delta(second, &remove, 2, 0);
-    ck_assert_uint_eq(customer_table_get_count(first), 0);
-    ck_assert_uint_eq(customer_table_get_count(second), 1);
-    ck_assert_uint_eq(customer_table_get_count(third), 0);
-    customer_table_release(first);
-    customer_table_release(same);
-    customer_table_release(third);
-    ck_assert_str_eq(customer_table_get(second, 0)->name, "a");
-    customer_table_release(second);
+    struct declared_customers *third =
+        declared_customers_apply_delta(second, &remove, 2, 0);
+    ck_assert_uint_eq(declared_customers_get_count(first), 0);
+    ck_assert_uint_eq(declared_customers_get_count(second), 1);
+    ck_assert_uint_eq(declared_customers_get_count(third), 0);
+    declared_customers_release(first);
+    declared_customers_release(same);
+    declared_customers_release(third);
+    ck_assert_str_eq(declared_customers_get(second, 0)->name, "a");
+    declared_customers_release(second);
 }
 END_TEST
 
@@ -183,15 +183,15 @@
     }
     delta.declared_customers.declared_customers_val = customers;
     delta.declared_customers.declared_customers_len = DESIGN_SIZE;
-    struct customer_table *empty = customer_table_create();
+    struct declared_customers *empty = declared_customers_create();
     size_t before_bytes = count_used_bytes();
-    struct customer_table *table =
-        customer_table_apply_delta(empty, &delta, 1, 0);
+    struct declared_customers *table =
+        declared_customers_apply_delta(empty, &delta, 1, 0);
     size_t kib = (count_used_bytes() - before_bytes) / BYTES_PER_KIB;
     printf("%d customers take %zu KiB\n", DESIGN_SIZE, kib);
     ck_assert_uint_lt(kib, DESIGN_MAX_KIB);
-    customer_table_release(table);
-    customer_table_release(empty);
+    declared_customers_release(table);
+    declared_customers_release(empty);
     for (unsigned i = 0; i < DESIGN_SIZE; i++) {
         free(customers[i].name);
         free(customers[i].keys.keys_val);
@@ -211,4 +211,4 @@
 #endif
 }
 
-TEST_MAIN("customer_table", add_tests)
+TEST_MAIN("declared_customers", add_tests)
--- a/test/unit/entry/test_view.c
+++ b/test/unit/entry/test_view.c
@@ -383,7 +383,7 @@
 {
     ck_key_digest digest = {first_byte};
     const struct ck_declared_customer *customer =
-        customer_table_find_key(view_get_declared_customers(view), digest);
+        declared_customers_find_key(view_get_declared_customers(view), digest);
 
     return customer == NULL ? "" : customer->name;
 }
