feat(traffic): connections belong to customers, and give way to each other

Problem: an upstream is told the customer when a connection opens, so that a request must not run on a connection that was opened for another one. A pool of the present kind would send it on any idle connection. Change: the scheduler interns the names of customers. Connections are grouped by customer and upstream; a request takes an idle connection of its group, waits for one that opens, has one opened, or closes the idle connection of another customer that is expected to stay unused for the longest time. Links to relays belong to no customer. Requests without a customer are served as before.

--- a/src/catkingrade/decide/traffic/admission.c
+++ b/src/catkingrade/decide/traffic/admission.c
@@ -328,6 +328,7 @@
     }
     request_list_append(&queue->list, request);
     scheduler->queued[kind]++;
+    scheduler->customers.items[request->customer]->queued++;
 }
 
 // Removes a request from its queue.
@@ -339,6 +340,7 @@
     request_list_remove(&scheduler->types[request->type].queues[kind].list,
                         request);
     scheduler->queued[kind]--;
+    scheduler->customers.items[request->customer]->queued--;
 }
 
 // Returns the type that weighted fair queueing serves next, or NULL when no
--- a/src/catkingrade/decide/traffic/dispatch.c
+++ b/src/catkingrade/decide/traffic/dispatch.c
@@ -23,23 +23,6 @@
     DISPATCH_BLOCKED, // stays queued; no slot is free for its queue
 };
 
-// Counts a request that waits for a connection to an upstream. Opens a
-// connection unless as many are being opened as requests wait in this round.
-static void
-dispatch_request_conn(struct scheduler *scheduler, uint32_t upstream)
-{
-    struct upstream *up = &scheduler->upstreams[upstream];
-
-    if (up->waiting_round != scheduler->round) {
-        up->waiting_round = scheduler->round;
-        up->waiting = 0;
-    }
-    up->waiting++;
-    if (up->opening < up->waiting && pool_can_open(scheduler, upstream)) {
-        pool_open(scheduler, upstream);
-    }
-}
-
 // Handles a read for which no upstream is fresh enough: the read stays queued
 // for DISPATCH_STALE_WAIT_US and is then refused.
 static enum dispatch_verdict
@@ -68,8 +51,9 @@
     if (admission_refuse_late(scheduler, request)) {
         return DISPATCH_ENDED;
     }
-    struct route route = kind == QUEUE_READS ? route_read(scheduler, request)
-                                             : route_primary(scheduler);
+    struct route route = kind == QUEUE_READS
+                             ? route_read(scheduler, request)
+                             : route_primary(scheduler, request);
     if (route.verdict == ROUTE_STALE) {
         return kind == QUEUE_READS ? dispatch_handle_stale(scheduler, request)
                                    : DISPATCH_BLOCKED;
@@ -78,11 +62,9 @@
     if (route.verdict == ROUTE_BUSY) {
         return DISPATCH_BLOCKED;
     }
-    struct conn *conn =
-        pool_acquire_idle(scheduler, route.upstream, request->session->id,
-                          !request_is_read(request));
+    struct conn *conn = pool_acquire_idle(scheduler, route.upstream, request);
     if (conn == NULL) {
-        dispatch_request_conn(scheduler, route.upstream);
+        pool_open_for(scheduler, route.upstream, request);
         return DISPATCH_WAITING;
     }
     admission_remove(scheduler, request);
--- a/src/catkingrade/decide/traffic/pool.c
+++ b/src/catkingrade/decide/traffic/pool.c
@@ -2,6 +2,8 @@
 
 #include <stdlib.h>
 
+#include "catkingrade/decide/traffic/pool_evict.h"
+#include "catkingrade/decide/traffic/pool_group.h"
 #include "catkingrade/decide/traffic/scheduler_actions.h"
 #include "catkingrade/decide/traffic/scheduler_request.h"
 #include "catkingrade/decide/traffic/scheduler_sample.h"
@@ -11,8 +13,9 @@
 #define POOL_INDEX_BITS    16
 #define POOL_INDEX_MASK    ((UINT32_C(1) << POOL_INDEX_BITS) - 1)
 #define POOL_CONNS_MAX     (POOL_INDEX_MASK - 1)
-#define POOL_OPENING_MAX   4 // for each upstream
+#define POOL_OPENING_MAX   4 // for each upstream and customer
 #define POOL_SPARE_CONNS   2 // idle connections kept for each upstream
+#define POOL_OPEN_DIVISOR  8 // a new opening time has a weight of 1/8
 #define POOL_IDLE_CLOSE_US (60 * SCHEDULER_SECOND_US)
 // Connections opened within this time of a silent connection are validated
 // too.
@@ -30,6 +33,7 @@
 pool_free(struct scheduler *scheduler)
 {
     free(scheduler->conns);
+    pool_group_free_all(scheduler);
 }
 
 static uint32_t
@@ -75,8 +79,11 @@
     }
     struct conn *conn = &scheduler->conns[index];
     uint32_t id = conn->id + (UINT32_C(1) << POOL_INDEX_BITS);
-    *conn = (struct conn){
-        .id = id, .next = SCHEDULER_NO_ID, .previous = SCHEDULER_NO_ID};
+    *conn = (struct conn){.id = id,
+                          .next = SCHEDULER_NO_ID,
+                          .previous = SCHEDULER_NO_ID,
+                          .newer = SCHEDULER_NO_ID,
+                          .older = SCHEDULER_NO_ID};
     return conn;
 }
 
@@ -91,41 +98,8 @@
 static void
 pool_add_idle(struct scheduler *scheduler, struct conn *conn)
 {
-    struct upstream *upstream = &scheduler->upstreams[conn->upstream];
-    uint32_t index = pool_get_index(scheduler, conn);
-
     pool_set_state(scheduler, conn, CONN_IDLE);
-    conn->previous = SCHEDULER_NO_ID;
-    conn->next = upstream->idle_first;
-    if (conn->next != SCHEDULER_NO_ID) {
-        scheduler->conns[conn->next].previous = index;
-    }
-    else {
-        upstream->idle_last = index;
-    }
-    upstream->idle_first = index;
-    upstream->idle++;
-}
-
-static void
-pool_remove_idle(struct scheduler *scheduler, struct conn *conn)
-{
-    struct upstream *upstream = &scheduler->upstreams[conn->upstream];
-
-    if (conn->previous != SCHEDULER_NO_ID) {
-        scheduler->conns[conn->previous].next = conn->next;
-    }
-    else {
-        upstream->idle_first = conn->next;
-    }
-    if (conn->next != SCHEDULER_NO_ID) {
-        scheduler->conns[conn->next].previous = conn->previous;
-    }
-    else {
-        upstream->idle_last = conn->previous;
-    }
-    conn->next = conn->previous = SCHEDULER_NO_ID;
-    upstream->idle--;
+    pool_group_add_idle(scheduler, conn);
 }
 
 // Frees the slot of a statement that has ended, or whose connection has ended.
@@ -140,6 +114,13 @@
     scheduler->running--;
 }
 
+static void
+pool_end_opening(struct scheduler *scheduler, const struct conn *conn)
+{
+    scheduler->upstreams[conn->upstream].opening--;
+    pool_group_find(scheduler, conn->upstream, conn->customer)->opening--;
+}
+
 // Removes a connection whose end the adapter has reported or has been asked
 // for.
 void
@@ -148,10 +129,10 @@
     struct upstream *upstream = &scheduler->upstreams[conn->upstream];
 
     if (conn->state == CONN_IDLE) {
-        pool_remove_idle(scheduler, conn);
+        pool_group_remove_idle(scheduler, conn);
     }
     else if (conn->state == CONN_OPENING) {
-        upstream->opening--;
+        pool_end_opening(scheduler, conn);
     }
     else if (conn->state == CONN_PINNED) {
         pool_release_slot(scheduler, conn->upstream, false);
@@ -160,6 +141,7 @@
         conn->session->conn = SCHEDULER_NO_ID;
     }
     upstream->open--;
+    pool_group_remove_conn(scheduler, conn);
     conn->state = CONN_FREE;
     conn->session = NULL;
     conn->next = scheduler->conns_free;
@@ -201,21 +183,85 @@
     pool_remove(scheduler, conn);
 }
 
+// Returns whether the open rate and the state of an upstream allow to open a
+// connection for a customer now, if there is place for one.
+static bool
+pool_may_open(const struct scheduler *scheduler, uint32_t upstream,
+              uint32_t customer)
+{
+    const struct upstream *up = &scheduler->upstreams[upstream];
+    const struct conn_group *group =
+        pool_group_find(scheduler, upstream, customer);
+
+    return up->takes_work && up->connections > 0 &&
+           (group == NULL || group->opening < POOL_OPENING_MAX) &&
+           scheduler->now_us >= up->open_next_us;
+}
+
 // Returns whether the limits, the open rate and the state of an upstream allow
-// one more connection to it now.
+// one more connection of a customer to it now, without closing another one.
 bool
-pool_can_open(const struct scheduler *scheduler, uint32_t upstream)
+pool_can_open(const struct scheduler *scheduler, uint32_t upstream,
+              uint32_t customer)
 {
     const struct upstream *up = &scheduler->upstreams[upstream];
 
-    return up->takes_work && up->open < up->connections &&
-           up->opening < POOL_OPENING_MAX &&
-           scheduler->now_us >= up->open_next_us;
+    return up->open < up->connections &&
+           pool_may_open(scheduler, upstream, customer);
+}
+
+// Returns the idle connection of another customer that may be closed for a
+// request which has waited for waited_us, if a connection can be opened in its
+// place, or NULL. While the upstream has more connections than it allows, none
+// takes the place of a closed one.
+static struct conn *
+pool_find_evictable(struct scheduler *scheduler, uint32_t upstream,
+                    uint32_t customer, int64_t waited_us)
+{
+    const struct upstream *up = &scheduler->upstreams[upstream];
+
+    if (up->open != up->connections ||
+        !pool_may_open(scheduler, upstream, customer)) {
+        return NULL;
+    }
+    return pool_evict_choose(scheduler, upstream, customer, waited_us);
 }
 
-// Opens a connection. The caller must have checked pool_can_open.
+// Returns how well an upstream can provide a connection for a request.
+enum pool_room
+pool_get_room(struct scheduler *scheduler, uint32_t upstream,
+              const struct request *request)
+{
+    uint32_t customer = pool_group_get_customer(scheduler, upstream, request);
+    const struct conn_group *group =
+        pool_group_find(scheduler, upstream, customer);
+    int64_t waited_us = scheduler->now_us - request->queued_us;
+
+    if (group != NULL && group->idle > 0) {
+        return POOL_ROOM_IDLE;
+    }
+    if (group != NULL && group->opening > 0) {
+        uint32_t claimed =
+            group->waiting_round == scheduler->round ? group->waiting : 0;
+        if (group->opening > claimed) {
+            return POOL_ROOM_OPENING;
+        }
+    }
+    if (pool_can_open(scheduler, upstream, customer)) {
+        return POOL_ROOM_OPEN;
+    }
+    if (pool_find_evictable(scheduler, upstream, customer, waited_us) !=
+        NULL) {
+        return POOL_ROOM_EVICT;
+    }
+    return group != NULL && group->opening > 0 ? POOL_ROOM_OPENING_CLAIMED
+                                               : POOL_ROOM_NONE;
+}
+
+// Opens a connection for a customer. The caller must have checked
+// pool_can_open.
 void
-pool_open(struct scheduler *scheduler, uint32_t upstream)
+pool_open(struct scheduler *scheduler, uint32_t upstream, uint32_t customer)
 {
     struct upstream *up = &scheduler->upstreams[upstream];
     struct conn *conn = pool_add(scheduler);
@@ -224,14 +270,17 @@
         return;
     }
     conn->upstream = upstream;
+    conn->customer = customer;
     conn->opened_us = conn->used_us = scheduler->now_us;
     pool_set_state(scheduler, conn, CONN_OPENING);
     up->open++;
     up->opening++;
+    pool_group_add_conn(scheduler, conn)->opening++;
     struct scheduler_action *action =
         scheduler_add_action(scheduler, SCHEDULER_ACTION_OPEN);
     action->conn = conn->id;
     action->upstream = upstream;
+    action->customer = scheduler->customers.items[customer]->name;
     timers_add(&scheduler->timers,
                scheduler->now_us + scheduler->params.connect_timeout_us,
                TIMER_CONN, conn->id);
@@ -263,36 +312,83 @@
                                           scheduler->params.idle_proof_us;
 }
 
-// Returns the idle connection that still holds the session state of a session,
-// so that the state need not be set up again. Without one, returns the
-// connection that was used last.
-static struct conn *
-pool_find_idle(struct scheduler *scheduler, const struct upstream *up,
-               uint64_t session)
+// Returns whether a request should wait for a connection of its customer that
+// is in use, rather than close one of another customer: it is expected to be
+// free sooner than a new one would be open. Wakes the scheduler when that time
+// is over.
+static bool
+pool_awaits_own(struct scheduler *scheduler, const struct upstream *up,
+                const struct conn_group *group, const struct request *request)
 {
-    for (uint32_t index = up->idle_first; index != SCHEDULER_NO_ID;
-         index = scheduler->conns[index].next) {
-        if (scheduler->conns[index].last_session == session) {
-            return &scheduler->conns[index];
+    int64_t until_us = request->queued_us + pool_evict_get_open_us(up);
+
+    if (group == NULL || group->open == group->opening ||
+        scheduler->now_us >= until_us) {
+        return false;
+    }
+    timers_add(&scheduler->timers, until_us, TIMER_WAKE, 0);
+    return true;
+}
+
+// Opens a connection to an upstream for a request that found none, unless as
+// many are being opened for its customer as requests wait in this round. An
+// idle connection of another customer is closed before if there is no place
+// left.
+void
+pool_open_for(struct scheduler *scheduler, uint32_t upstream,
+              const struct request *request)
+{
+    uint32_t customer = pool_group_get_customer(scheduler, upstream, request);
+    struct conn_group *group = pool_group_find(scheduler, upstream, customer);
+    uint32_t waiting = 1;
+
+    if (group != NULL) {
+        if (group->waiting_round != scheduler->round) {
+            group->waiting_round = scheduler->round;
+            group->waiting = 0;
+        }
+        waiting = ++group->waiting;
+        if (group->opening >= waiting) {
+            return;
+        }
+    }
+    if (!pool_can_open(scheduler, upstream, customer)) {
+        struct conn *conn =
+            pool_find_evictable(scheduler, upstream, customer,
+                                scheduler->now_us - request->queued_us);
+        if (conn == NULL ||
+            pool_awaits_own(scheduler, &scheduler->upstreams[upstream], group,
+                            request)) {
+            return;
         }
+        pool_close(scheduler, conn, SCHEDULER_CLOSE_EVICTED);
+    }
+    pool_open(scheduler, upstream, customer);
+    group = pool_group_find(scheduler, upstream, customer);
+    if (group != NULL) {
+        group->waiting_round = scheduler->round;
+        group->waiting = waiting;
     }
-    return &scheduler->conns[up->idle_first];
 }
 
-// Takes an idle connection off the idle list and returns it: preferably the
-// connection that holds the state of the session, or else the connection that
-// was used last. With needs_validation, a connection that was idle for too
-// long is validated instead and the next connection is tried. Returns NULL if
-// no connection is left.
+// Takes an idle connection of a customer off the idle list and returns it:
+// preferably the connection that holds the state of the session, or else the
+// connection that was used last. For a write, a connection that was idle for
+// too long is validated instead and the next connection is tried. Returns NULL
+// if no connection is left.
 struct conn *
 pool_acquire_idle(struct scheduler *scheduler, uint32_t upstream,
-                  uint64_t session, bool needs_validation)
+                  const struct request *request)
 {
-    struct upstream *up = &scheduler->upstreams[upstream];
-
-    while (up->idle_first != SCHEDULER_NO_ID) {
-        struct conn *conn = pool_find_idle(scheduler, up, session);
-        pool_remove_idle(scheduler, conn);
+    const struct conn_group *group =
+        pool_group_find(scheduler, upstream,
+                        pool_group_get_customer(scheduler, upstream, request));
+    bool needs_validation = !request_is_read(request);
+
+    while (group != NULL && group->idle_first != SCHEDULER_NO_ID) {
+        struct conn *conn =
+            pool_group_find_idle(scheduler, group, request->session->id);
+        pool_group_remove_idle(scheduler, conn);
         if (!conn->validation_wanted &&
             !(needs_validation && pool_needs_validation(scheduler, conn))) {
             return conn;
@@ -348,6 +444,18 @@
     }
 }
 
+// Updates the moving average of the opening time of an upstream.
+static void
+pool_record_open_time(struct scheduler *scheduler, const struct conn *conn)
+{
+    struct upstream *up = &scheduler->upstreams[conn->upstream];
+    int64_t took_us = scheduler->now_us - conn->opened_us;
+
+    up->open_us += up->open_us == 0
+                       ? took_us
+                       : (took_us - up->open_us) / POOL_OPEN_DIVISOR;
+}
+
 // Handles the report of the adapter that a connection is open.
 void
 pool_handle_opened(struct scheduler *scheduler,
@@ -359,7 +467,8 @@
         return;
     }
     struct upstream *up = &scheduler->upstreams[conn->upstream];
-    up->opening--;
+    pool_end_opening(scheduler, conn);
+    pool_record_open_time(scheduler, conn);
     up->open_backoff_us = 0;
     conn->validated_us = scheduler->now_us;
     if (scheduler->params.guarded) {
@@ -400,7 +509,7 @@
         }
         conn->validation_wanted = true;
         if (conn->state == CONN_IDLE) {
-            pool_remove_idle(scheduler, conn);
+            pool_group_remove_idle(scheduler, conn);
             pool_check(scheduler, conn, SCHEDULER_ACTION_VALIDATE);
         }
     }
@@ -505,8 +614,8 @@
     }
 }
 
-// Opens connections until POOL_SPARE_CONNS are idle or opening, but no more
-// than the free slots can use.
+// Opens connections of no customer until POOL_SPARE_CONNS are idle or opening,
+// but no more than the free slots can use.
 static void
 pool_open_spares(struct scheduler *scheduler, uint32_t upstream)
 {
@@ -514,8 +623,8 @@
 
     while (up->idle + up->opening < POOL_SPARE_CONNS &&
            up->running + up->idle + up->opening < up->slots &&
-           pool_can_open(scheduler, upstream)) {
-        pool_open(scheduler, upstream);
+           pool_can_open(scheduler, upstream, CUSTOMER_NONE)) {
+        pool_open(scheduler, upstream, CUSTOMER_NONE);
     }
 }
 
@@ -535,7 +644,7 @@
     }
     else if (scheduler->now_us >= validation_due_us &&
              !scheduler->params.guarded) {
-        pool_remove_idle(scheduler, conn);
+        pool_group_remove_idle(scheduler, conn);
         pool_check(scheduler, conn, SCHEDULER_ACTION_VALIDATE);
     }
 }
@@ -554,6 +663,10 @@
     if (scheduler->sessions.count == 0) {
         return;
     }
+    // No request of a customer could use a spare connection of no customer.
+    if (scheduler->customers.count > 1 && !scheduler->view.relayed) {
+        return;
+    }
     for (uint32_t i = 0; i < scheduler->candidates_count; i++) {
         pool_open_spares(scheduler, scheduler->candidates[i]);
     }
--- a/src/catkingrade/decide/traffic/route.c
+++ b/src/catkingrade/decide/traffic/route.c
@@ -43,16 +43,16 @@
            scheduler->upstreams[scheduler->primary].writable;
 }
 
-// Returns whether an upstream has a free slot and a connection for it that is
-// idle, opening or may be opened now.
+// Returns whether an upstream has a free slot and a connection for a request
+// that is idle, opening or may be opened now.
 static bool
-route_has_room(const struct scheduler *scheduler, uint32_t index)
+route_has_room(struct scheduler *scheduler, uint32_t index,
+               const struct request *request)
 {
     const struct upstream *up = &scheduler->upstreams[index];
 
     return up->running < concurrency_get_limit(&up->concurrency, up->slots) &&
-           (up->idle > 0 || up->opening > 0 ||
-            pool_can_open(scheduler, index));
+           pool_get_room(scheduler, index, request) != POOL_ROOM_NONE;
 }
 
 // Returns whether the position and age of an upstream allow it to serve a
@@ -107,14 +107,35 @@
     return near_load <= far_load + half;
 }
 
-// Returns whether a read should go to upstream a rather than to b. An idle
-// connection is preferred to one that must be opened; then the failure domain
-// of the entry, unless the upstream there is much busier; then the lower cost.
+// Returns how well an upstream can provide a connection for a read. Without
+// customers only the idle connections count, as a connection that opens is
+// soon used by another request.
+static enum pool_room
+route_get_room(struct scheduler *scheduler, uint32_t index,
+               const struct request *request)
+{
+    enum pool_room room = pool_get_room(scheduler, index, request);
+
+    return request->customer == CUSTOMER_NONE && room != POOL_ROOM_IDLE
+               ? POOL_ROOM_NONE
+               : room;
+}
+
+// Returns whether a read should go to upstream first rather than to second. An
+// idle connection is preferred to one that must be opened; then the failure
+// domain of the entry, unless the upstream there is much busier; then the
+// lower cost.
 static bool
-route_is_better(const struct upstream *a, const struct upstream *b)
+route_is_better(struct scheduler *scheduler, const struct request *request,
+                uint32_t first, uint32_t second)
 {
-    if ((a->idle > 0) != (b->idle > 0)) {
-        return a->idle > 0;
+    const struct upstream *a = &scheduler->upstreams[first];
+    const struct upstream *b = &scheduler->upstreams[second];
+    enum pool_room room_a = route_get_room(scheduler, first, request);
+    enum pool_room room_b = route_get_room(scheduler, second, request);
+
+    if (room_a != room_b) {
+        return room_a > room_b;
     }
     if (a->near != b->near) {
         return a->near ? route_prefers_near(a, b) : !route_prefers_near(b, a);
@@ -125,7 +146,7 @@
 // Returns whether an upstream can take a read now. Sets *eligible if the
 // upstream may serve the read, even if it has no free slot now.
 static bool
-route_is_candidate(const struct scheduler *scheduler, uint32_t index,
+route_is_candidate(struct scheduler *scheduler, uint32_t index,
                    const struct route_need *need, bool *eligible)
 {
     const struct upstream *up = &scheduler->upstreams[index];
@@ -142,7 +163,7 @@
     if (up->slots > 0 && up->connections > 0) {
         *eligible = true;
     }
-    return route_has_room(scheduler, index);
+    return route_has_room(scheduler, index, need->request);
 }
 
 // Finds up to two replicas that can take a read. Checks random replicas first
@@ -189,8 +210,7 @@
         route_find_two(scheduler, need, picked, eligible) < 2) {
         return picked[0];
     }
-    return route_is_better(&scheduler->upstreams[picked[1]],
-                           &scheduler->upstreams[picked[0]])
+    return route_is_better(scheduler, need->request, picked[1], picked[0])
                ? picked[1]
                : picked[0];
 }
@@ -288,7 +308,7 @@
     bool has_room =
         primary->reads <
             route_get_primary_limit(scheduler, request, replica_eligible) &&
-        route_has_room(scheduler, scheduler->primary);
+        route_has_room(scheduler, scheduler->primary, request);
 
     if (!replica_eligible && !scheduler->params.guarded &&
         route_wait_for_floor(scheduler, request, need, has_room)) {
@@ -299,7 +319,7 @@
 
 // Finds the upstream for a statement that only the primary may run.
 struct route
-route_primary(const struct scheduler *scheduler)
+route_primary(struct scheduler *scheduler, const struct request *request)
 {
     struct route route = {ROUTE_STALE, SCHEDULER_NO_ID};
 
@@ -308,7 +328,7 @@
     }
     route.verdict = ROUTE_BUSY;
     if (scheduler->upstreams[scheduler->primary].failing_since_us == 0 &&
-        route_has_room(scheduler, scheduler->primary)) {
+        route_has_room(scheduler, scheduler->primary, request)) {
         route.verdict = ROUTE_FOUND;
         route.upstream = scheduler->primary;
     }
@@ -364,7 +384,7 @@
 // Routes a read to the relay, the entry that forwards statements to the
 // upstreams. The relay chooses the upstream.
 static struct route
-route_to_relay(const struct scheduler *scheduler)
+route_to_relay(struct scheduler *scheduler, const struct request *request)
 {
     struct route route = {ROUTE_STALE, SCHEDULER_NO_ID};
 
@@ -373,7 +393,7 @@
     }
     uint32_t index = scheduler->candidates[0];
     route.verdict = ROUTE_BUSY;
-    if (route_has_room(scheduler, index)) {
+    if (route_has_room(scheduler, index, request)) {
         route.verdict = ROUTE_FOUND;
         route.upstream = index;
     }
@@ -387,7 +407,7 @@
 route_read(struct scheduler *scheduler, struct request *request)
 {
     if (scheduler->view.relayed) {
-        return route_to_relay(scheduler);
+        return route_to_relay(scheduler, request);
     }
     struct route route = {ROUTE_FOUND, SCHEDULER_NO_ID};
     struct route_need need = route_get_need(scheduler, request);
--- a/src/catkingrade/decide/traffic/scheduler.c
+++ b/src/catkingrade/decide/traffic/scheduler.c
@@ -29,6 +29,7 @@
     scheduler->random = params->seed;
     scheduler->primary = SCHEDULER_NO_ID;
     scheduler->wake_at_us = SCHEDULER_NO_WAKE;
+    customer_table_init(&scheduler->customers);
     pool_init(scheduler);
     return scheduler;
 }
@@ -45,6 +46,7 @@
     id_map_free(&scheduler->requests);
     timers_free(&scheduler->timers);
     pool_free(scheduler);
+    customer_table_free(&scheduler->customers);
     free(scheduler->upstreams);
     free(scheduler->candidates);
     free(scheduler);
--- a/src/catkingrade/decide/traffic/scheduler_actions.c
+++ b/src/catkingrade/decide/traffic/scheduler_actions.c
@@ -26,6 +26,7 @@
         .upstream = SCHEDULER_NO_ID,
         .conn = SCHEDULER_NO_ID,
         .reason = "",
+        .customer = "",
     };
     return action;
 }
--- a/src/catkingrade/decide/traffic/scheduler_defs.h
+++ b/src/catkingrade/decide/traffic/scheduler_defs.h
@@ -61,6 +61,7 @@
     SCHEDULER_CLOSE_LEAVING,    // the upstream takes no more work
     SCHEDULER_CLOSE_SUPERSEDED, // the primary's term has ended
     SCHEDULER_CLOSE_IDLE,       // unused for long
+    SCHEDULER_CLOSE_EVICTED,    // another customer needs its place
 };
 
 enum scheduler_event_kind {
--- a/src/catkingrade/decide/traffic/scheduler_request.c
+++ b/src/catkingrade/decide/traffic/scheduler_request.c
@@ -31,6 +31,7 @@
         session->last = before;
     }
     (void)id_map_remove(&scheduler->requests, request->id);
+    customer_table_release(&scheduler->customers, request->customer);
     free(request);
     if (was_first) {
         request_continue_session(scheduler, session);
@@ -252,7 +253,11 @@
         .primary_only = event->primary_only,
         .reads_keep_floor = event->reads_keep_floor,
         .conn = SCHEDULER_NO_ID,
+        .customer =
+            customer_table_acquire(&scheduler->customers, event->customer),
     };
+    customer_table_record_request(&scheduler->customers, request->customer,
+                                  scheduler->now_us);
     if (request->deadline_us == 0) {
         request->deadline_us = scheduler->now_us + type->deadline_us;
     }
--- a/src/catkingrade/decide/traffic/scheduler_state.h
+++ b/src/catkingrade/decide/traffic/scheduler_state.h
@@ -5,6 +5,7 @@
 #include "catkingrade/decide/timers.h"
 #include "catkingrade/decide/traffic/circuit_breaker.h"
 #include "catkingrade/decide/traffic/concurrency.h"
+#include "catkingrade/decide/traffic/customer_table.h"
 #include "catkingrade/decide/traffic/freshness.h"
 #include "catkingrade/decide/traffic/primary_wait.h"
 #include "catkingrade/decide/traffic/refusal_loss.h"
@@ -12,7 +13,7 @@
 #include "catkingrade/decide/traffic/scheduler.h"
 
 // State of the scheduler, shared by and private to its modules (admission,
-// confirm, dispatch, floor, pool, request_*, retry, route and scheduler_*).
+// confirm, dispatch, floor, pool*, request_*, retry, route and scheduler_*).
 // Times are in microseconds of the monotonic clock that drives the steps.
 
 #define SCHEDULER_NAME_SIZE 64
@@ -45,8 +46,11 @@
 struct conn {
     uint32_t id; // index in the table and generation
     uint32_t upstream;
-    uint32_t next; // index of the next idle connection
+    uint32_t customer; // index; it carries only requests of this customer
+    uint32_t next;     // index of the next idle connection of the customer
     uint32_t previous;
+    uint32_t newer; // idle connections of the upstream by their last use
+    uint32_t older;
     enum conn_state state;
     bool validation_wanted;  // needs a validation before the next use
     bool reset_wanted;       // a request was abandoned: reset before reuse
@@ -63,6 +67,16 @@
     int64_t abandoned_us; // when its request was abandoned; 0: not
 };
 
+// Connections of one customer to one upstream; see pool_group.h.
+struct conn_group {
+    uint32_t open; // open or opening
+    uint32_t opening;
+    uint32_t idle;
+    uint32_t idle_first; // most recently used idle connection
+    uint32_t waiting;    // requests without a connection in waiting_round
+    uint32_t waiting_round;
+};
+
 // State of one upstream. Its index in the table never changes.
 struct upstream {
     char name[SCHEDULER_NAME_SIZE];
@@ -85,10 +99,11 @@
     uint32_t open;        // connections open or opening
     uint32_t opening;
     uint32_t idle;
-    uint32_t idle_first; // most recently used idle connection
-    uint32_t idle_last;
-    uint32_t waiting; // requests without a connection in waiting_round
-    uint32_t waiting_round;
+    uint32_t idle_first;        // most recently used idle connection
+    uint32_t idle_last;         // least recently used one
+    uint32_t groups;            // customers with connections open or opening
+    struct conn_group unowned;  // connections of no customer
+    int64_t open_us;            // moving average of opening times; 0: unknown
     struct request_list pinned; // queued statements of open transactions
     int64_t latency_us;         // moving average of answer times
     struct ck_position position;
@@ -135,6 +150,7 @@
     int64_t committed_us;
     uint64_t term; // the view's term when it was sent
     uint32_t conn;
+    uint32_t customer;                   // index, on whose behalf it runs
     uint32_t tried[SCHEDULER_TRIES_MAX]; // upstreams of failed attempts
     uint8_t tries;
     uint8_t type;
@@ -213,6 +229,9 @@
     uint32_t conns_count;
     uint32_t conns_free; // first free index, linked by next
 
+    struct customer_table customers;
+    struct id_map groups; // of the connections of customers
+
     struct id_map sessions;
     struct id_map requests;
     struct session *floor_first; // sessions that wait for a floor
--- a/src/catkingrade/decide/traffic/scheduler_view.c
+++ b/src/catkingrade/decide/traffic/scheduler_view.c
@@ -39,6 +39,7 @@
     struct upstream *up = &scheduler->upstreams[upstream];
     *up = (struct upstream){.idle_first = SCHEDULER_NO_ID,
                             .idle_last = SCHEDULER_NO_ID,
+                            .unowned = {.idle_first = SCHEDULER_NO_ID},
                             .caught_up_us = FRESHNESS_UNKNOWN,
                             .writable = true};
     (void)strncpy(up->name, name, sizeof(up->name) - 1);
--- a/src/catkingrade/entry/database_actions.c
+++ b/src/catkingrade/entry/database_actions.c
@@ -23,6 +23,7 @@
         strncpy(conn->relay_host, database_get_relay_host(database),
                 CK_HOST_SIZE);
     }
+    counter_add(COUNTER_CUSTOMER_CONNS_OPENED, action->customer[0] != '\0');
     conn->link =
         database_open_link(database, action->upstream, action->customer,
                            &database_conn_events, conn);
@@ -178,6 +179,8 @@
     }
     switch (action->kind) {
     case SCHEDULER_ACTION_CLOSE:
+        counter_add(COUNTER_CUSTOMER_CONNS_EVICTED,
+                    action->close_reason == SCHEDULER_CLOSE_EVICTED);
         database_drop_conn(conn);
         break;
     case SCHEDULER_ACTION_RESET:
--- a/src/catkingrade/kernel/counters.h
+++ b/src/catkingrade/kernel/counters.h
@@ -33,6 +33,10 @@
         "upstream connections that failed")                                   \
     ROW(UPSTREAM_SILENT, "upstream_silent_total",                             \
         "upstream connections dropped because they were silent")              \
+    ROW(CUSTOMER_CONNS_OPENED, "customer_conns_opened_total",                 \
+        "upstream connections begun for a customer")                          \
+    ROW(CUSTOMER_CONNS_EVICTED, "customer_conns_evicted_total",               \
+        "idle upstream connections closed for another customer")              \
     ROW(LEASE_RENEWALS, "lease_renewals_total", "lease renewals answered")    \
     ROW(LEASE_EXPIRED, "lease_expired_total", "leases that ran out")          \
     ROW(RPC_SENT, "rpc_sent_total", "RPC datagrams sent")                     \
