feat(traffic): customers share the slots of a database fairly

Problem: requests of one type were served in the order of their arrival, so that the requests of one customer that sends several times its usual load kept those of all others waiting until they were refused. Change: while customers use a database, its slots are shared max-min fairly between them by slot time used, and within the shares by the urgency of types; each eighth start goes to the longest waiting request. The estimate of the wait and the limit of a queue count a customer's own requests. Without customers the order is as before.

--- a/src/catkingrade/decide/traffic/admission.c
+++ b/src/catkingrade/decide/traffic/admission.c
@@ -3,6 +3,7 @@
 #include <math.h>
 #include <string.h>
 
+#include "catkingrade/decide/traffic/fair_queue.h"
 #include "catkingrade/decide/traffic/retry.h"
 #include "catkingrade/decide/traffic/scheduler_lease.h"
 #include "catkingrade/decide/traffic/scheduler_request.h"
@@ -145,6 +146,69 @@
                      share);
 }
 
+// Returns whether an upstream has a slot and a connection of this entry that
+// no statement uses.
+static bool
+admission_has_width(const struct upstream *up)
+{
+    uint32_t limit = concurrency_get_limit(&up->concurrency, up->slots);
+
+    return up->takes_work && up->running < limit &&
+           up->running < up->connections;
+}
+
+// Returns whether a slot that may serve a queue is free.
+bool
+admission_has_free_slot(const struct scheduler *scheduler,
+                        enum queue_kind kind)
+{
+    if (scheduler->primary != SCHEDULER_NO_ID &&
+        admission_has_width(&scheduler->upstreams[scheduler->primary])) {
+        return true;
+    }
+    for (uint32_t i = 0;
+         kind == QUEUE_READS && i < scheduler->candidates_count; i++) {
+        if (admission_has_width(
+                &scheduler->upstreams[scheduler->candidates[i]])) {
+            return true;
+        }
+    }
+    return false;
+}
+
+// Estimates in microseconds how long a new request would wait for a slot while
+// customers share the slots fairly. 0 while a slot is free.
+static int64_t
+admission_estimate_fair_wait_us(const struct scheduler *scheduler,
+                                const struct request *request,
+                                enum queue_kind kind)
+{
+    uint32_t slots = admission_get_slots(scheduler, kind);
+
+    if (slots == 0 || admission_has_free_slot(scheduler, kind)) {
+        return 0;
+    }
+    return (int64_t)(fair_queue_get_work_us(scheduler, request, kind) / slots);
+}
+
+// Returns whether the queue of a type has no place for a new request. A
+// customer that has less than its share of a full queue is not refused for the
+// requests of others.
+static bool
+admission_is_queue_full(const struct scheduler *scheduler,
+                        const struct request *request, enum queue_kind kind)
+{
+    const struct request_type *type = &scheduler->types[request->type];
+    const struct type_queue *queue = &type->queues[kind];
+
+    if (queue->list.count < type->queue_limit) {
+        return false;
+    }
+    return scheduler->customers.used == 0 || queue->fair_count == 0 ||
+           fair_queue_count(scheduler, request, kind) >=
+               type->queue_limit / queue->fair_count;
+}
+
 // Records how many statements wait or run at the end of a step; elapsed_us is
 // the time since the previous step. Every statement that runs on the primary,
 // also a read, counts towards the demand for the primary.
@@ -305,9 +369,12 @@
         admission_refuse_queue_timeout(scheduler, request);
         return;
     }
-    int64_t wait_us = admission_estimate_wait_us(scheduler, type, kind);
+    int64_t wait_us =
+        scheduler->customers.used > 0
+            ? admission_estimate_fair_wait_us(scheduler, request, kind)
+            : admission_estimate_wait_us(scheduler, type, kind);
     int64_t remaining_us = request->deadline_us - scheduler->now_us;
-    if (queue->list.count >= type->queue_limit ||
+    if (admission_is_queue_full(scheduler, request, kind) ||
         wait_us + admission_get_service_us(scheduler, request) >
             remaining_us ||
         (request->start_by_us != INT64_MAX &&
@@ -329,6 +396,7 @@
     request_list_append(&queue->list, request);
     scheduler->queued[kind]++;
     scheduler->customers.items[request->customer]->queued++;
+    fair_queue_add(scheduler, request, kind);
 }
 
 // Removes a request from its queue.
@@ -341,6 +409,7 @@
                         request);
     scheduler->queued[kind]--;
     scheduler->customers.items[request->customer]->queued--;
+    fair_queue_remove(scheduler, request);
 }
 
 // Returns the type that weighted fair queueing serves next, or NULL when no
@@ -375,18 +444,25 @@
                ADMISSION_STALL_US;
 }
 
+// Records that a statement of a queue has got a slot, and with it the end of a
+// stall.
+void
+admission_record_start(struct scheduler *scheduler, enum queue_kind kind)
+{
+    if (admission_is_stalled(scheduler, kind)) {
+        scheduler->dispatch_resumed_us[kind] = scheduler->now_us;
+    }
+    scheduler->started_us[kind] = scheduler->now_us;
+}
+
 // Advances the virtual time of a type by the cost of a statement that has got
-// a slot. Also records the end of a stall.
+// a slot.
 void
 admission_charge(struct scheduler *scheduler, struct request_type *type,
                  enum queue_kind kind)
 {
     struct type_queue *queue = &type->queues[kind];
 
-    if (admission_is_stalled(scheduler, kind)) {
-        scheduler->dispatch_resumed_us[kind] = scheduler->now_us;
-    }
-    scheduler->started_us[kind] = scheduler->now_us;
     scheduler->virtual_time[kind] = queue->virtual_time;
     queue->virtual_time += type->service_us / type->weight;
 }
--- a/src/catkingrade/decide/traffic/admission.h
+++ b/src/catkingrade/decide/traffic/admission.h
@@ -5,10 +5,11 @@
 
 // Admission control for statements. Each request type has one queue for
 // statements that need the primary and one for reads that a replica may serve.
-// Weighted fair queueing picks the next type. A request is refused early when
-// its queue is full, when its estimated wait exceeds its deadline or queue
-// timeout, or when it needs a primary and there is none with a valid lease nor
-// one expected in time.
+// Weighted fair queueing picks the next type; while customers use the
+// database, they share the slots as in fair_queue.h. A request is refused
+// early when its queue is full, when its estimated wait exceeds its deadline
+// or queue timeout, or when it needs a primary and there is none with a valid
+// lease nor one expected in time.
 
 void admission_handle_view(struct scheduler *scheduler);
 uint8_t admission_find_type(const struct scheduler *scheduler,
@@ -24,6 +25,9 @@
                                     struct request *request);
 int64_t admission_get_queue_deadline_us(const struct scheduler *scheduler,
                                         const struct request *request);
+bool admission_has_free_slot(const struct scheduler *scheduler,
+                             enum queue_kind kind);
+void admission_record_start(struct scheduler *scheduler, enum queue_kind kind);
 void admission_charge(struct scheduler *scheduler, struct request_type *type,
                       enum queue_kind kind);
 bool admission_refuse_late(struct scheduler *scheduler,
--- a/src/catkingrade/decide/traffic/customer_table.h
+++ b/src/catkingrade/decide/traffic/customer_table.h
@@ -13,6 +13,7 @@
 
 #define CUSTOMER_NONE      0
 #define CUSTOMER_NAME_SIZE 64
+#define CUSTOMER_QUEUES    2 // kinds of queues, QUEUE_COUNT
 
 struct customer {
     char name[CUSTOMER_NAME_SIZE];
@@ -23,8 +24,8 @@
     uint32_t queued;          // requests in the queues
     int64_t asked_us;         // last request; 0: none
     int64_t gap_us;           // moving average between requests; 0: unknown
-    // Slot time used, for fair queueing; see fair_queue.h.
-    double virtual_us;
+    // Slot time used, by kind of queue, for fair queueing; see fair_queue.h.
+    double virtual_us[CUSTOMER_QUEUES];
 };
 
 struct customer_table {
--- a/src/catkingrade/decide/traffic/dispatch.c
+++ b/src/catkingrade/decide/traffic/dispatch.c
@@ -1,6 +1,7 @@
 #include "catkingrade/decide/traffic/dispatch.h"
 
 #include "catkingrade/decide/traffic/admission.h"
+#include "catkingrade/decide/traffic/fair_queue.h"
 #include "catkingrade/decide/traffic/pool.h"
 #include "catkingrade/decide/traffic/request_run.h"
 #include "catkingrade/decide/traffic/retry.h"
@@ -68,7 +69,10 @@
         return DISPATCH_WAITING;
     }
     admission_remove(scheduler, request);
-    admission_charge(scheduler, &scheduler->types[request->type], kind);
+    admission_record_start(scheduler, kind);
+    if (scheduler->customers.used == 0) {
+        admission_charge(scheduler, &scheduler->types[request->type], kind);
+    }
     request_send(scheduler, request, conn);
     return DISPATCH_STARTED;
 }
@@ -97,6 +101,59 @@
     queue->blocked_round = scheduler->round;
 }
 
+// Starts at most one request of a customer and type. If none can start, marks
+// their queue as blocked for the rest of this dispatch round.
+static void
+dispatch_fair_queue(struct scheduler *scheduler, struct fair_queue *queue)
+{
+    struct request *request = queue->first;
+
+    for (int i = 0; request != NULL && i < DISPATCH_SCAN_MAX; i++) {
+        struct request *next = request->fair_next;
+        enum dispatch_verdict verdict =
+            dispatch_try(scheduler, request, queue->kind);
+        // The queue is freed after its last request.
+        if (verdict == DISPATCH_STARTED || verdict == DISPATCH_ENDED) {
+            return;
+        }
+        request = next;
+    }
+    queue->blocked_round = scheduler->round;
+}
+
+// Refuses the first requests of a queue that can no longer end before their
+// deadlines.
+static void
+dispatch_refuse_late(struct scheduler *scheduler, struct fair_queue *queue)
+{
+    struct request *request = queue->first;
+
+    for (uint32_t left = queue->count; left > 0; left--) {
+        struct request *next = request->fair_next;
+        if (!admission_refuse_late(scheduler, request)) {
+            return;
+        }
+        request = next;
+    }
+}
+
+// Starts the requests of a kind that can start, in the order of fair_queue.h.
+static void
+dispatch_fairly(struct scheduler *scheduler, enum queue_kind kind)
+{
+    struct fair_queue *queue = scheduler->fair_first[kind];
+
+    while (queue != NULL) {
+        struct fair_queue *next = queue->next;
+        dispatch_refuse_late(scheduler, queue);
+        queue = next;
+    }
+    while (admission_has_free_slot(scheduler, kind) &&
+           (queue = fair_queue_pick(scheduler, kind)) != NULL) {
+        dispatch_fair_queue(scheduler, queue);
+    }
+}
+
 // Sends the queued statements of open transactions to an upstream. Their
 // connections are pinned and hold a slot already.
 static void
@@ -114,7 +171,7 @@
 
 // Starts all requests that can start: first statements of open transactions,
 // then requests for the primary, then reads. Within the last two, weighted
-// fair queueing picks the request type.
+// fair queueing picks the request type, or the customers share the slots.
 void
 dispatch_run(struct scheduler *scheduler)
 {
@@ -126,6 +183,10 @@
     }
     for (int kind = 0; kind < QUEUE_COUNT; kind++) {
         struct request_type *type = NULL;
+        if (scheduler->customers.used > 0) {
+            dispatch_fairly(scheduler, kind);
+            continue;
+        }
         while (scheduler->queued[kind] > 0 &&
                (type = admission_pick_type(scheduler, kind)) != NULL) {
             dispatch_type(scheduler, type, kind);
--- a/src/catkingrade/decide/traffic/pool.c
+++ b/src/catkingrade/decide/traffic/pool.c
@@ -2,6 +2,7 @@
 
 #include <stdlib.h>
 
+#include "catkingrade/decide/traffic/fair_queue.h"
 #include "catkingrade/decide/traffic/pool_evict.h"
 #include "catkingrade/decide/traffic/pool_group.h"
 #include "catkingrade/decide/traffic/scheduler_actions.h"
@@ -104,11 +105,12 @@
 
 // Frees the slot of a statement that has ended, or whose connection has ended.
 void
-pool_release_slot(struct scheduler *scheduler, uint32_t upstream, bool read)
+pool_release_slot(struct scheduler *scheduler, struct conn *conn, bool read)
 {
-    struct upstream *up = &scheduler->upstreams[upstream];
+    struct upstream *up = &scheduler->upstreams[conn->upstream];
 
     INVARIANT(up->running > 0);
+    fair_queue_settle(scheduler, conn);
     up->running--;
     up->reads -= read;
     scheduler->running--;
@@ -135,13 +137,14 @@
         pool_end_opening(scheduler, conn);
     }
     else if (conn->state == CONN_PINNED) {
-        pool_release_slot(scheduler, conn->upstream, false);
+        pool_release_slot(scheduler, conn, false);
     }
     if (conn->session != NULL) {
         conn->session->conn = SCHEDULER_NO_ID;
     }
     upstream->open--;
     pool_group_remove_conn(scheduler, conn);
+    customer_table_release(&scheduler->customers, conn->user);
     conn->state = CONN_FREE;
     conn->session = NULL;
     conn->next = scheduler->conns_free;
@@ -568,7 +571,7 @@
     uint32_t upstream = conn->upstream;
     int64_t opened_us = conn->opened_us;
     if (conn->state == CONN_BUSY) {
-        pool_release_slot(scheduler, upstream, conn->read);
+        pool_release_slot(scheduler, conn, conn->read);
     }
     pool_close(scheduler, conn, SCHEDULER_CLOSE_SILENT);
     sample_record_failure(scheduler, upstream, CK_SUSPECT_SILENT);
--- a/src/catkingrade/decide/traffic/pool.h
+++ b/src/catkingrade/decide/traffic/pool.h
@@ -43,7 +43,7 @@
 void pool_release(struct scheduler *scheduler, struct conn *conn);
 void pool_close(struct scheduler *scheduler, struct conn *conn,
                 enum scheduler_close_reason reason);
-void pool_release_slot(struct scheduler *scheduler, uint32_t upstream,
+void pool_release_slot(struct scheduler *scheduler, struct conn *conn,
                        bool read);
 void pool_remove(struct scheduler *scheduler, struct conn *conn);
 void pool_refuse_pinned(struct scheduler *scheduler, struct conn *conn);
--- a/src/catkingrade/decide/traffic/request_run.c
+++ b/src/catkingrade/decide/traffic/request_run.c
@@ -2,6 +2,7 @@
 
 #include "catkingrade/decide/traffic/admission.h"
 #include "catkingrade/decide/traffic/confirm.h"
+#include "catkingrade/decide/traffic/fair_queue.h"
 #include "catkingrade/decide/traffic/pool.h"
 #include "catkingrade/decide/traffic/retry.h"
 #include "catkingrade/decide/traffic/scheduler_actions.h"
@@ -51,7 +52,7 @@
     action->request = request->id;
     conn->reset_wanted = true;
     if (conn->session != NULL || request_opens_transaction(request)) {
-        pool_release_slot(scheduler, conn->upstream, conn->read);
+        pool_release_slot(scheduler, conn, conn->read);
         pool_close(scheduler, conn, SCHEDULER_CLOSE_ABNORMAL);
     }
     else {
@@ -159,8 +160,9 @@
     struct upstream *up = &scheduler->upstreams[conn->upstream];
 
     if (conn->state == CONN_PINNED) {
-        pool_release_slot(scheduler, conn->upstream, false);
+        pool_release_slot(scheduler, conn, false);
     }
+    fair_queue_charge(scheduler, conn, request, admission_get_queue(request));
     request->state = REQUEST_RUNNING;
     request->conn = conn->id;
     request->started_us = scheduler->now_us;
--- a/src/catkingrade/decide/traffic/scheduler.c
+++ b/src/catkingrade/decide/traffic/scheduler.c
@@ -6,6 +6,7 @@
 #include "catkingrade/decide/traffic/admission.h"
 #include "catkingrade/decide/traffic/confirm.h"
 #include "catkingrade/decide/traffic/dispatch.h"
+#include "catkingrade/decide/traffic/fair_queue.h"
 #include "catkingrade/decide/traffic/pool.h"
 #include "catkingrade/decide/traffic/request_run.h"
 #include "catkingrade/decide/traffic/scheduler_actions.h"
@@ -46,6 +47,7 @@
     id_map_free(&scheduler->requests);
     timers_free(&scheduler->timers);
     pool_free(scheduler);
+    fair_queue_free_all(scheduler);
     customer_table_free(&scheduler->customers);
     free(scheduler->upstreams);
     free(scheduler->candidates);
--- a/src/catkingrade/decide/traffic/scheduler_result.c
+++ b/src/catkingrade/decide/traffic/scheduler_result.c
@@ -193,7 +193,7 @@
     uint32_t upstream = conn->upstream;
     bool was_pinned = conn->session != NULL;
 
-    pool_release_slot(scheduler, conn->upstream, conn->read);
+    pool_release_slot(scheduler, conn, conn->read);
     if (conn->abandoned_us != 0) {
         request = NULL;
     }
@@ -325,7 +325,7 @@
         conn->abandoned_us != 0
             ? NULL
             : id_map_get(&scheduler->requests, event->request);
-    pool_release_slot(scheduler, conn->upstream, conn->read);
+    pool_release_slot(scheduler, conn, conn->read);
     switch (event->result) {
     case SCHEDULER_RESULT_REFUSED:
         result_handle_refused(scheduler, conn, request, event);
--- a/src/catkingrade/decide/traffic/scheduler_state.h
+++ b/src/catkingrade/decide/traffic/scheduler_state.h
@@ -33,6 +33,13 @@
     uint32_t count;
 };
 
+// Queues of each request type, in the order in which they are served.
+enum queue_kind {
+    QUEUE_PRIMARY, // must run on the primary
+    QUEUE_READS,   // may run on a replica
+    QUEUE_COUNT,
+};
+
 enum conn_state {
     CONN_FREE, // no connection at this index
     CONN_OPENING,
@@ -52,6 +59,9 @@
     uint32_t newer; // idle connections of the upstream by their last use
     uint32_t older;
     enum conn_state state;
+    uint32_t user;           // customer of the last request sent on it
+    enum queue_kind kind;    // of that request
+    double charged_us;       // slot time charged for it in advance
     bool validation_wanted;  // needs a validation before the next use
     bool reset_wanted;       // a request was abandoned: reset before reuse
     bool read_only;          // the owning transaction is read-only
@@ -137,6 +147,9 @@
     struct request *next; // in a request_list
     struct request *previous;
     struct request *session_next; // next request of the session
+    struct fair_queue *fair;      // in which it waits; see fair_queue.h
+    struct request *fair_next;
+    struct request *fair_previous;
     int64_t arrived_us;
     int64_t deadline_us;
     int64_t start_by_us;      // end of the queue timeout; INT64_MAX: none
@@ -183,16 +196,24 @@
     bool continuing;    // requests are begun or dropped; prevents recursion
 };
 
-// Queues of each request type, in the order in which they are served.
-enum queue_kind {
-    QUEUE_PRIMARY, // must run on the primary
-    QUEUE_READS,   // may run on a replica
-    QUEUE_COUNT,
+// Requests of one customer that wait in the queue of one type.
+struct fair_queue {
+    struct fair_queue *next; // all queues of this kind
+    struct fair_queue *previous;
+    struct request *first;
+    struct request *last;
+    uint32_t count;
+    uint32_t customer;
+    uint32_t blocked_round; // dispatch round in which none can start
+    uint8_t type;
+    enum queue_kind kind;
 };
 
 // Queue of one request type for weighted fair queueing.
 struct type_queue {
     struct request_list list;
+    struct fair_queue unowned; // the requests of no customer in list
+    uint32_t fair_count;       // customers with requests in list
     double virtual_time;
     uint32_t blocked_round; // dispatch round in which none can start
 };
@@ -230,7 +251,11 @@
     uint32_t conns_free; // first free index, linked by next
 
     struct customer_table customers;
-    struct id_map groups; // of the connections of customers
+    struct id_map groups;      // of the connections of customers
+    struct id_map fair_queues; // of customers that wait
+    struct fair_queue *fair_first[QUEUE_COUNT];
+    double fair_us[QUEUE_COUNT];       // lowest virtual time that waits
+    uint32_t fair_starts[QUEUE_COUNT]; // requests that have got a slot
 
     struct id_map sessions;
     struct id_map requests;
