feat(limit): the leader lends tokens of customers' rate limits to entries

Cause: a customer's rate limit must hold over all entries. Change: a token bucket for each customer with a limit at the leader (limit_lender), tokens in hand and waits at the entry (limit_borrower), the call CK_BORROW between them, and a check in database_submit. Nothing sets limits at an entry yet, so nothing is sent. Measured: builds; no test of its own yet.

--- a/src/catkingrade/control/control.c
+++ b/src/catkingrade/control/control.c
@@ -172,6 +172,24 @@
     rpcnet_reply(request, &reply);
 }
 
+static void
+control_handle_borrow(void *data, struct rpcnet_request *request,
+                      const void *args)
+{
+    const struct ck_borrow_args *borrow = args;
+    struct group_host *host = control_find_host(data, borrow->group);
+    struct ck_borrow_result reply = {.sequence = borrow->sequence};
+
+    if (host != NULL) {
+        group_host_handle_borrow(host, request, borrow);
+        return;
+    }
+    reply.outcome = control_get_unhosted_outcome(data, borrow->group);
+    control_fill_voter_hint(data, borrow->group, &reply.leader_host,
+                            &reply.leader_port);
+    rpcnet_reply(request, &reply);
+}
+
 static void
 control_handle_apply(void *data, struct rpcnet_request *request,
                      const void *args)
@@ -505,6 +523,7 @@
     rpcnet_set_handler(rpcnet, &rpcnet_announce, control_handle_announce,
                        control);
     rpcnet_set_handler(rpcnet, &rpcnet_query, control_handle_query, control);
+    rpcnet_set_handler(rpcnet, &rpcnet_borrow, control_handle_borrow, control);
     rpcnet_set_handler(rpcnet, &rpcnet_command, control_handle_command,
                        control);
     rpcnet_set_handler(rpcnet, &rpcnet_read_declaration,
@@ -521,6 +540,7 @@
     rpcnet_set_handler(rpcnet, &rpcnet_apply, NULL, NULL);
     rpcnet_set_handler(rpcnet, &rpcnet_announce, NULL, NULL);
     rpcnet_set_handler(rpcnet, &rpcnet_query, NULL, NULL);
+    rpcnet_set_handler(rpcnet, &rpcnet_borrow, NULL, NULL);
     rpcnet_set_handler(rpcnet, &rpcnet_command, NULL, NULL);
     rpcnet_set_handler(rpcnet, &rpcnet_read_declaration, NULL, NULL);
 }
--- a/src/catkingrade/control/group_coordinator.c
+++ b/src/catkingrade/control/group_coordinator.c
@@ -282,10 +282,12 @@
                  raft_is_ready(host->raft);
     struct coordinator_event event = {.kind = COORDINATOR_EVENT_DEPOSED};
 
+    host_note_term(host);
     if (leads == host->leads) {
         return;
     }
     host->leads = leads;
+    host_reset_limits(host);
     host->voters_checked_us = 0;
     if (leads) {
         event.kind = COORDINATOR_EVENT_ELECTED;
--- a/src/catkingrade/control/group_host.c
+++ b/src/catkingrade/control/group_host.c
@@ -5,6 +5,7 @@
 #include <string.h>
 
 #include "catkingrade/control/group_host_state.h"
+#include "catkingrade/decide/customer/limit_lender.h"
 #include "catkingrade/kernel/counters.h"
 #include "catkingrade/kernel/log.h"
 #include "catkingrade/kernel/memory.h"
@@ -370,6 +371,7 @@
     host_close(host);
     group_destroy(host->state);
     raft_actions_free(&host->actions);
+    limit_lender_destroy(host->limits.lender);
     free(host);
 }
 
--- a/src/catkingrade/control/group_host.h
+++ b/src/catkingrade/control/group_host.h
@@ -63,6 +63,9 @@
 void group_host_handle_announce(struct group_host *host,
                                 struct rpcnet_request *request,
                                 const struct ck_announce_args *args);
+void group_host_handle_borrow(struct group_host *host,
+                              struct rpcnet_request *request,
+                              const struct ck_borrow_args *args);
 bool group_host_has_upstream(const struct group_host *host,
                              const struct ck_upstream *announced);
 void group_host_submit_announcement(struct group_host *host,
--- a/src/catkingrade/control/group_host_state.h
+++ b/src/catkingrade/control/group_host_state.h
@@ -30,6 +30,16 @@
     struct host_waiter *next;
 };
 
+// Rate limits of customers, while this voter leads.
+struct host_limits {
+    struct limit_lender *lender; // NULL: no entry has borrowed
+    int64_t begun_us;            // begin of the leadership
+    uint64_t first_number;       // of the declaration at that time; 0: none
+    uint64_t term;               // of Raft, as last seen
+    int64_t term_since_us;
+    bool settled; // the term before was seen to be long
+};
+
 #define HOST_MAX_VOTERS 15
 
 // A voter in the voter list, and since when this leader has seen it there.
@@ -38,6 +48,8 @@
     int64_t since_us;
 };
 
+struct limit_lender;
+
 struct group_host {
     struct group_host_params params;
     struct loop *loop;
@@ -54,6 +66,7 @@
     bool leads;  // the leader, and its term's first entry is applied
     bool failed; // the store failed; raft_timer reopens it
     uint64_t elections;
+    struct host_limits limits;
     uint64_t last_sender_id; // of the last Raft message
     struct settings_address last_sender_address;
     // Time of the last check of the voters; 0: none since this voter became
@@ -94,6 +107,12 @@
 void host_update_leadership(struct group_host *host);
 void host_handle_coordinator_timer(void *data);
 
+// group_limits.c
+void host_note_term(struct group_host *host);
+void host_reset_limits(struct group_host *host);
+void host_describe_limits(struct group_host *host, const char *name,
+                          struct buffer *json);
+
 // group_voters.c
 void host_maintain_voters(struct group_host *host);
 int host_check_join(const struct group_host *host,
--- a/src/catkingrade/control/group_requests.c
+++ b/src/catkingrade/control/group_requests.c
@@ -360,7 +360,11 @@
     struct ck_query_result reply = {.outcome = OUTCOME_NOT_LEADER};
     struct buffer json = {0};
 
-    if (host_is_confirmed_leader(host)) {
+    if (host_is_confirmed_leader(host) && args->kind == CK_QUERY_LIMITS) {
+        host_describe_limits(host, args->name, &json);
+        reply.outcome = OUTCOME_OK;
+    }
+    else if (host_is_confirmed_leader(host)) {
         reply.outcome = group_query(host->state, args->kind, args->name,
                                     args->cursor, &json, &reply.next_cursor);
         reply.revision = group_get_revision(host->state);
--- /dev/null
+++ b/src/catkingrade/decide/customer/limit.h
@@ -0,0 +1,45 @@
+#ifndef CATKINGRADE_DECIDE_CUSTOMER_LIMIT_H
+#define CATKINGRADE_DECIDE_CUSTOMER_LIMIT_H
+
+#include <stdint.h>
+
+#include "catkingrade/rpc/messages.h"
+
+// The rate limit of a customer, and the bound that must hold for it: in each
+// window, all entries together admit at most
+//     (rate * window + burst) * (1 + excess) + slack
+// operations.
+
+struct limit {
+    char customer[CK_NAME_SIZE + 1];
+    double rate_per_s;
+    double burst;
+};
+
+struct limit_bound {
+    int64_t window_us;
+    double excess; // a fraction
+    double slack;  // operations
+};
+
+// What is admitted without a call to the leader, and what the leader itself
+// may get wrong, share the tolerance of the bound: excess and slack.
+struct limit_budget {
+    // Tokens that a new leader starts with, at most once in a window.
+    double initial;
+    // Tokens that the leader's bucket holds at most.
+    double bucket;
+    // Tokens that entries hold at most, including those in answers.
+    double held;
+    // The same while tokens of an earlier leader may still be valid.
+    double held_at_start;
+    // Time for which a token may be used after the leader has granted it.
+    int64_t validity_us;
+};
+
+void limit_get_budget(const struct limit *limit,
+                      const struct limit_bound *bound,
+                      struct limit_budget *budget);
+uint64_t limit_hash_customer(const char *customer);
+
+#endif
--- a/src/catkingrade/entry/database.c
+++ b/src/catkingrade/entry/database.c
@@ -300,6 +300,7 @@
     struct scheduler_event event = {.kind = SCHEDULER_EVENT_FINISH};
 
     database_log_open_requests(database);
+    database_finish_limits(database);
     database_step(database, &event);
 }
 
@@ -417,7 +418,9 @@
     atomic_fetch_add_explicit(&database->open_requests, 1,
                               memory_order_relaxed);
     counter_add(COUNTER_REQUESTS, 1);
-    database_step(database, &event);
+    if (database_take_token(database, request)) {
+        database_step(database, &event);
+    }
 }
 
 // Cancels a request whose client has cancelled it or has disconnected.
@@ -428,6 +431,10 @@
                                     .request_cancel = request->id};
 
     request->cancelled = true;
+    if (request->ticket != NULL) {
+        database_cancel_limit(database, request);
+        return;
+    }
     database_step(database, &event);
 }
 
--- a/src/catkingrade/entry/database.h
+++ b/src/catkingrade/entry/database.h
@@ -16,6 +16,7 @@
 // control group to the scheduler, and executes the scheduler's actions. All
 // functions run on the worker's thread unless their comment says otherwise.
 // Times are in microseconds on the monotonic clock.
+struct limiter_ticket;
 struct database;
 
 struct database *database_create(struct worker *worker, const char *name,
@@ -58,5 +59,7 @@
                             struct entry_request *request);
 void database_submit(struct database *database, struct entry_request *request);
 void database_cancel(struct database *database, struct entry_request *request);
+void database_decide_limit(struct database *database,
+                           const struct limiter_ticket *ticket);
 
 #endif
--- a/src/catkingrade/entry/database_actions.c
+++ b/src/catkingrade/entry/database_actions.c
@@ -127,6 +127,24 @@
     database_release_request(database, request);
 }
 
+// Refuses a request that was not passed to the scheduler.
+void
+database_refuse_request(struct database *database,
+                        struct entry_request *request, int outcome,
+                        const char *reason, int64_t retry_after_us)
+{
+    struct scheduler_action action = {
+        .kind = SCHEDULER_ACTION_REFUSE,
+        .request = request->id,
+        .outcome = outcome,
+        .reason = reason,
+        .retry_after_us = retry_after_us,
+        .waited_us = monotonic_get_us() - request->submitted_us,
+    };
+
+    database_run_refusal(database, &action);
+}
+
 static void
 database_run_suspect(struct database *database,
                      const struct scheduler_action *action)
--- a/src/catkingrade/entry/database_private.h
+++ b/src/catkingrade/entry/database_private.h
@@ -95,6 +95,7 @@
     char customer_name[CK_NAME_SIZE + 1];
     atomic_uint_fast64_t open_requests; // read by other threads
     bool removed;                       // the view no longer contains it
+    bool finishing;                     // requests are refused
 };
 
 // database.c
@@ -119,6 +120,17 @@
 void database_run_action(struct database *database,
                          const struct scheduler_action *action);
 
+void database_refuse_request(struct database *database,
+                             struct entry_request *request, int outcome,
+                             const char *reason, int64_t retry_after_us);
+
+// database_limit.c
+bool database_take_token(struct database *database,
+                         struct entry_request *request);
+void database_cancel_limit(struct database *database,
+                           struct entry_request *request);
+void database_finish_limits(struct database *database);
+
 // database_report.c
 void database_record_phase(struct database *database,
                            struct entry_request *request,
--- a/src/catkingrade/entry/entry.c
+++ b/src/catkingrade/entry/entry.c
@@ -6,6 +6,7 @@
 #include <string.h>
 #include <xxhash.h>
 
+#include "catkingrade/entry/limiter.h"
 #include "catkingrade/entry/worker.h"
 #include "catkingrade/kernel/file.h"
 #include "catkingrade/kernel/log.h"
@@ -29,6 +30,7 @@
     char *upstream_password;
     const struct upstream_driver *driver;
     const struct entry_listener *listener;
+    struct limiter *limiter;
     struct worker **workers;
     unsigned workers_count;
     pthread_mutex_t customers_mutex;
@@ -83,6 +85,8 @@
         entry->handlers = *handlers;
     }
     pthread_mutex_init(&entry->customers_mutex, NULL);
+    entry->limiter =
+        limiter_create(control_loop, (uint64_t)monotonic_get_us());
     if (entry_load_token_keys(entry) != OUTCOME_OK) {
         LOG_ERROR("token_keys_unreadable", "file=%s",
                   settings->token_keys_file);
@@ -154,6 +158,7 @@
     for (unsigned i = 0; i < entry->workers_count; i++) {
         worker_destroy(entry->workers[i]);
     }
+    limiter_destroy(entry->limiter);
     free(entry->workers);
     free(entry->customers);
     token_ring_free(&entry->ring);
@@ -202,6 +207,20 @@
     return entry->upstream_password;
 }
 
+// Returns the rate limits of the customers.
+struct limiter *
+entry_get_limiter(const struct entry *entry)
+{
+    return entry->limiter;
+}
+
+// Replaces the list of customers with a rate limit.
+void
+entry_set_limits(struct entry *entry, const struct limit *limits, size_t count)
+{
+    limiter_set_limits(entry->limiter, limits, count);
+}
+
 // Returns the worker at an index below entry_get_workers_count.
 struct worker *
 entry_get_worker(struct entry *entry, unsigned index)
--- a/src/catkingrade/entry/entry.h
+++ b/src/catkingrade/entry/entry.h
@@ -20,6 +20,8 @@
 // before the message is handled. Times are in microseconds on the monotonic
 // clock.
 struct entry;
+struct limit;
+struct limiter;
 
 // Handlers of the workers' reports. They run on the control loop, which is a
 // parameter of entry_create, and their arguments are valid during the call. A
@@ -54,6 +56,10 @@
 void entry_post_relays(struct entry *entry, const struct ck_relay *relays,
                        size_t count);
 void entry_collect_demand(struct entry *entry);
+// The customers with a rate limit in the view in force; any thread.
+void entry_set_limits(struct entry *entry, const struct limit *limits,
+                      size_t count);
+struct limiter *entry_get_limiter(const struct entry *entry);
 void entry_post_shed(struct entry *entry);
 void entry_drain(struct entry *entry);
 void entry_finish(struct entry *entry);
--- a/src/catkingrade/entry/session.h
+++ b/src/catkingrade/entry/session.h
@@ -12,6 +12,7 @@
 
 struct database;
 struct entry_session;
+struct limiter_ticket;
 
 // One request of a session. It lives from its arrival until its outcome has
 // been passed to the session and no connection runs its job.
@@ -32,6 +33,10 @@
     bool running;         // a connection is running the job
     bool decided;         // the outcome was passed to the session, if open
     bool cancelled;
+    // From another entry, which has the client and has counted the request
+    // for the customer's rate limit.
+    bool is_relayed;
+    struct limiter_ticket *ticket; // waits for a token; NULL: does not
 };
 
 // Callbacks of a protocol front end. Each request of an open session ends with
--- a/src/catkingrade/entry/worker.c
+++ b/src/catkingrade/entry/worker.c
@@ -5,6 +5,7 @@
 #include <string.h>
 
 #include "catkingrade/decide/group/group.h"
+#include "catkingrade/entry/limiter.h"
 #include "catkingrade/kernel/log.h"
 #include "catkingrade/kernel/memory.h"
 #include "catkingrade/kernel/outcome.h"
@@ -759,3 +760,15 @@
     pthread_mutex_unlock(&worker->databases_mutex);
     return count;
 }
+
+// Ends the wait of a request for a token of its customer's rate limit, if the
+// request still exists.
+void
+worker_decide_limit(struct worker *worker, const struct limiter_ticket *ticket)
+{
+    struct database *database = worker_find_database(worker, ticket->database);
+
+    if (database != NULL) {
+        database_decide_limit(database, ticket);
+    }
+}
--- a/src/catkingrade/entry/worker.h
+++ b/src/catkingrade/entry/worker.h
@@ -17,6 +17,7 @@
 // client protocol and owns the databases whose names hash to it. Functions run
 // on the worker's thread unless their comment says otherwise.
 struct worker;
+struct limiter_ticket;
 
 // Client protocol, which listens on the loop of each worker. start runs before
 // the worker's thread begins, stop after it has ended; the other functions run
@@ -68,6 +69,8 @@
 void worker_drain(struct worker *worker);
 void worker_finish(struct worker *worker);
 void worker_report_demand(struct worker *worker);
+void worker_decide_limit(struct worker *worker,
+                         const struct limiter_ticket *ticket);
 uint64_t worker_get_open_requests(struct worker *worker, const char *customer);
 
 // State of the entry that all workers share; constant after entry_start.
--- a/src/catkingrade/kernel/counters.h
+++ b/src/catkingrade/kernel/counters.h
@@ -51,6 +51,18 @@
         "bytes of RPC datagrams sent for changes and announcements")          \
     ROW(RPC_QUERY_BYTES, "rpc_query_bytes_total",                             \
         "bytes of RPC datagrams sent for queries and commands")               \
+    ROW(RPC_BORROW_BYTES, "rpc_borrow_bytes_total",                           \
+        "bytes of RPC datagrams sent for tokens of rate limits")              \
+    ROW(LIMIT_CALLS, "limit_calls_total",                                     \
+        "calls for tokens that the leader answered")                          \
+    ROW(LIMIT_CALLS_FAILED, "limit_calls_failed_total",                       \
+        "calls for tokens without an answer of the leader")                   \
+    ROW(LIMIT_WAITED, "limit_waited_total",                                   \
+        "operations that waited for a token")                                 \
+    ROW(LIMIT_REFUSED, "limit_refused_total",                                 \
+        "operations refused because the customer is over its rate limit")     \
+    ROW(LIMIT_UNANSWERED, "limit_unanswered_total",                           \
+        "operations refused because no token could be borrowed in time")      \
     ROW(RPC_OVERDUE, "rpc_overdue_total",                                     \
         "RPC calls dropped because they waited for too long")                 \
     ROW(RPC_DENIED, "rpc_denied_total", "RPC datagrams with a wrong key")     \
--- a/src/catkingrade/kernel/daemon.h
+++ b/src/catkingrade/kernel/daemon.h
@@ -9,6 +9,7 @@
 struct entry;
 struct http;
 struct lease_agent;
+struct limit_agent;
 struct loop;
 struct rpcnet;
 struct settings;
@@ -26,6 +27,7 @@
     struct control *control;
     struct entry *entry;
     struct lease_agent *lease_agent;
+    struct limit_agent *limit_agent;
     struct http *http;
     // Driver for administrative operations at upstreams; NULL: PostgreSQL.
     const struct upstream_admin_driver *admin_driver;
--- a/src/catkingrade/kernel/json_reader.c
+++ b/src/catkingrade/kernel/json_reader.c
@@ -193,6 +193,32 @@
     return value;
 }
 
+// Returns a member that is a number with or without a fraction, or fallback. A
+// value outside min to max adds an error and yields fallback.
+double
+json_reader_get_fraction(struct json_reader *reader,
+                         struct json_object *object, const char *path,
+                         const char *key, double fallback, double min,
+                         double max)
+{
+    char joined[JSON_READER_PATH_SIZE];
+    struct json_object *member = NULL;
+
+    if (!json_object_object_get_ex(object, key, &member)) {
+        return fallback;
+    }
+    double value = json_object_get_double(member);
+    if ((json_object_is_type(member, json_type_int) ||
+         json_object_is_type(member, json_type_double)) &&
+        value >= min && value <= max) {
+        return value;
+    }
+    json_reader_join(joined, path, key);
+    json_reader_add_error(reader, joined, "must be a number from %g to %g",
+                          min, max);
+    return fallback;
+}
+
 // Returns a boolean member, or fallback.
 bool
 json_reader_get_bool(struct json_reader *reader, struct json_object *object,
--- a/src/catkingrade/kernel/json_reader.h
+++ b/src/catkingrade/kernel/json_reader.h
@@ -42,6 +42,10 @@
                                struct json_object *object, const char *path,
                                const char *key, int64_t fallback, int64_t min,
                                int64_t max);
+double json_reader_get_fraction(struct json_reader *reader,
+                                struct json_object *object, const char *path,
+                                const char *key, double fallback, double min,
+                                double max);
 bool json_reader_get_bool(struct json_reader *reader,
                           struct json_object *object, const char *path,
                           const char *key, bool fallback);
--- a/src/catkingrade/kernel/settings.c
+++ b/src/catkingrade/kernel/settings.c
@@ -12,6 +12,7 @@
 #include "catkingrade/kernel/outcome.h"
 
 #define SETTINGS_US_PER_MS       1000
+#define SETTINGS_US_PER_S        1000000
 #define SETTINGS_MAX_SIZE_BYTES  (1024 * 1024)
 #define SETTINGS_MAX_NAME_LENGTH 63
 #define SETTINGS_PATH_SIZE       256
@@ -132,6 +133,9 @@
     "connect_timeout_ms",
     "drain_notice_ms",
     "drain_limit_ms",
+    "limit_window_s",
+    "limit_excess",
+    "limit_slack",
     "clock_drift_ppm",
     NULL,
 };
@@ -445,6 +449,14 @@
         reader, root, "", "classify_cache_entries", 4096, 16, 1000000);
     settings->clock_drift_ppm = (unsigned)json_reader_get_number(
         reader, root, "", "clock_drift_ppm", 10000, 0, 100000);
+    settings->limit_window_us =
+        (int64_t)(SETTINGS_US_PER_S *
+                  json_reader_get_fraction(reader, root, "", "limit_window_s",
+                                           5, 0.5, 600));
+    settings->limit_excess =
+        json_reader_get_fraction(reader, root, "", "limit_excess", 0.1, 0, 10);
+    settings->limit_slack = json_reader_get_fraction(
+        reader, root, "", "limit_slack", 20, 0, 1000000);
     settings->tls_required =
         json_reader_get_bool(reader, root, "", "tls_required", false);
     settings->seeds_port = (uint16_t)json_reader_get_number(
--- a/src/catkingrade/kernel/settings.h
+++ b/src/catkingrade/kernel/settings.h
@@ -108,8 +108,13 @@
     // A connection whose last response is older is validated before a write.
     int64_t idle_proof_us;
     int64_t connect_timeout_us;
-    int64_t drain_notice_us;  // from failing health check to closed listeners
-    int64_t drain_limit_us;   // maximum duration of a planned stop
+    int64_t drain_notice_us; // from failing health check to closed listeners
+    int64_t drain_limit_us;  // maximum duration of a planned stop
+    // Bound of the rate limits of customers: in each window at most
+    // (rate * window + burst) * (1 + excess) + slack operations.
+    int64_t limit_window_us;
+    double limit_excess;      // a fraction
+    double limit_slack;       // operations
     unsigned clock_drift_ppm; // upper bound of each VM's clock drift
 };
 
--- a/src/catkingrade/kernel/work_time.h
+++ b/src/catkingrade/kernel/work_time.h
@@ -18,6 +18,8 @@
         "announcements forwarded by another daemon or the reply to them")     \
     ROW(CHANGE, "change", "a change of an operator or the reply to one")      \
     ROW(QUERY, "query", "a query or command")                                 \
+    ROW(BORROW, "borrow",                                                     \
+        "a call for tokens of rate limits or the reply to one")               \
     ROW(HTTP, "http", "an HTTP request of an operator or upstream")           \
     ROW(LOG, "log",                                                           \
         "writes to the replicated log and what follows from them")            \
--- a/src/catkingrade/plugins/control.c
+++ b/src/catkingrade/plugins/control.c
@@ -1,6 +1,7 @@
 #include "catkingrade/control/control.h"
 
 #include "catkingrade/control/lease_agent.h"
+#include "catkingrade/control/limit_agent.h"
 #include "catkingrade/kernel/outcome.h"
 #include "catkingrade/kernel/plugin.h"
 #include "catkingrade/kernel/settings.h"
@@ -70,12 +71,15 @@
 leases_start(struct daemon *daemon)
 {
     daemon->lease_agent = lease_agent_create(daemon);
+    daemon->limit_agent = limit_agent_create(daemon);
     return OUTCOME_OK;
 }
 
 static void
 leases_stop(struct daemon *daemon)
 {
+    limit_agent_destroy(daemon->limit_agent);
+    daemon->limit_agent = NULL;
     lease_agent_destroy(daemon->lease_agent);
     daemon->lease_agent = NULL;
 }
--- a/src/catkingrade/rpc/messages.h
+++ b/src/catkingrade/rpc/messages.h
@@ -162,6 +162,18 @@
 };
 typedef struct ck_declared_database ck_declared_database;
 
+struct ck_declared_customer {
+	ck_name name;
+	struct {
+		u_int keys_len;
+		char *keys_val;
+	} keys;
+	u_int priority;
+	u_int rate_per_s;
+	u_int burst;
+};
+typedef struct ck_declared_customer ck_declared_customer;
+
 struct ck_declaration {
 	struct {
 		u_int routes_len;
@@ -171,6 +183,10 @@
 		u_int databases_len;
 		ck_declared_database *databases_val;
 	} databases;
+	struct {
+		u_int customers_len;
+		ck_declared_customer *customers_val;
+	} customers;
 	u_int idle_transaction_ms;
 	struct {
 		u_int original_len;
@@ -603,6 +619,7 @@
 	CK_QUERY_TIMELINE = 6,
 	CK_QUERY_COUNTERS = 7,
 	CK_QUERY_GROUPS = 8,
+	CK_QUERY_LIMITS = 9,
 };
 typedef enum ck_query_kind ck_query_kind;
 
@@ -667,6 +684,50 @@
 };
 typedef struct ck_read_declaration_result ck_read_declaration_result;
 
+struct ck_borrow_row {
+	ck_name customer;
+	u_int waiting;
+	u_int stock;
+	u_int held;
+	u_int returned;
+};
+typedef struct ck_borrow_row ck_borrow_row;
+
+struct ck_borrow_args {
+	ck_name group;
+	ck_name vm;
+	u_quad_t incarnation;
+	u_quad_t sequence;
+	u_quad_t applied;
+	struct {
+		u_int rows_len;
+		ck_borrow_row *rows_val;
+	} rows;
+};
+typedef struct ck_borrow_args ck_borrow_args;
+
+struct ck_lent_row {
+	ck_name customer;
+	u_int kept;
+	u_int granted;
+	u_int valid_ms;
+	u_int retry_after_ms;
+	bool_t wait;
+};
+typedef struct ck_lent_row ck_lent_row;
+
+struct ck_borrow_result {
+	int outcome;
+	u_quad_t sequence;
+	ck_host leader_host;
+	u_int leader_port;
+	struct {
+		u_int rows_len;
+		ck_lent_row *rows_val;
+	} rows;
+};
+typedef struct ck_borrow_result ck_borrow_result;
+
 #define CK_PROGRAM 0x20434b47
 #define CK_VERSION 1
 
@@ -695,6 +756,9 @@
 #define CK_ANNOUNCE 8
 extern  ck_announce_result * ck_announce_1(ck_announce_args *, CLIENT *);
 extern  ck_announce_result * ck_announce_1_svc(ck_announce_args *, struct svc_req *);
+#define CK_BORROW 9
+extern  ck_borrow_result * ck_borrow_1(ck_borrow_args *, CLIENT *);
+extern  ck_borrow_result * ck_borrow_1_svc(ck_borrow_args *, struct svc_req *);
 extern int ck_program_1_freeresult (SVCXPRT *, xdrproc_t, caddr_t);
 
 #else /* K&R C */
@@ -722,6 +786,9 @@
 #define CK_ANNOUNCE 8
 extern  ck_announce_result * ck_announce_1();
 extern  ck_announce_result * ck_announce_1_svc();
+#define CK_BORROW 9
+extern  ck_borrow_result * ck_borrow_1();
+extern  ck_borrow_result * ck_borrow_1_svc();
 extern int ck_program_1_freeresult ();
 #endif /* K&R C */
 
@@ -744,6 +811,7 @@
 extern  bool_t xdr_ck_read_policy (XDR *, ck_read_policy*);
 extern  bool_t xdr_ck_route (XDR *, ck_route*);
 extern  bool_t xdr_ck_declared_database (XDR *, ck_declared_database*);
+extern  bool_t xdr_ck_declared_customer (XDR *, ck_declared_customer*);
 extern  bool_t xdr_ck_declaration (XDR *, ck_declaration*);
 extern  bool_t xdr_ck_packed_declaration (XDR *, ck_packed_declaration*);
 extern  bool_t xdr_ck_declared (XDR *, ck_declared*);
@@ -791,6 +859,10 @@
 extern  bool_t xdr_ck_command_result (XDR *, ck_command_result*);
 extern  bool_t xdr_ck_read_declaration_args (XDR *, ck_read_declaration_args*);
 extern  bool_t xdr_ck_read_declaration_result (XDR *, ck_read_declaration_result*);
+extern  bool_t xdr_ck_borrow_row (XDR *, ck_borrow_row*);
+extern  bool_t xdr_ck_borrow_args (XDR *, ck_borrow_args*);
+extern  bool_t xdr_ck_lent_row (XDR *, ck_lent_row*);
+extern  bool_t xdr_ck_borrow_result (XDR *, ck_borrow_result*);
 
 #else /* K&R C */
 extern bool_t xdr_ck_name ();
@@ -809,6 +881,7 @@
 extern bool_t xdr_ck_read_policy ();
 extern bool_t xdr_ck_route ();
 extern bool_t xdr_ck_declared_database ();
+extern bool_t xdr_ck_declared_customer ();
 extern bool_t xdr_ck_declaration ();
 extern bool_t xdr_ck_packed_declaration ();
 extern bool_t xdr_ck_declared ();
@@ -856,6 +929,10 @@
 extern bool_t xdr_ck_command_result ();
 extern bool_t xdr_ck_read_declaration_args ();
 extern bool_t xdr_ck_read_declaration_result ();
+extern bool_t xdr_ck_borrow_row ();
+extern bool_t xdr_ck_borrow_args ();
+extern bool_t xdr_ck_lent_row ();
+extern bool_t xdr_ck_borrow_result ();
 
 #endif /* K&R C */
 
--- a/src/catkingrade/rpc/messages.x
+++ b/src/catkingrade/rpc/messages.x
@@ -142,9 +142,18 @@
     unsigned int confirm;           /* replicas that confirm a write */
 };
 
+struct ck_declared_customer {
+    ck_name name;
+    opaque keys<CK_LIST_SIZE>;      /* digests */
+    unsigned int priority;
+    unsigned int rate_per_s;        /* 0: no limit */
+    unsigned int burst;
+};
+
 struct ck_declaration {
     ck_route routes<CK_LIST_SIZE>;
     ck_declared_database databases<CK_LIST_SIZE>;
+    ck_declared_customer customers<CK_LIST_SIZE>;
     unsigned int idle_transaction_ms;
     opaque original<CK_ORIGINAL_SIZE>;  /* text that the operator sent */
 };
@@ -536,7 +545,8 @@
     CK_QUERY_CUSTOMERS = 5,
     CK_QUERY_TIMELINE = 6,
     CK_QUERY_COUNTERS = 7,
-    CK_QUERY_GROUPS = 8
+    CK_QUERY_GROUPS = 8,
+    CK_QUERY_LIMITS = 9             /* rate limits of customers */
 };
 
 struct ck_query_args {
@@ -594,6 +604,48 @@
     unsigned int leader_port;
 };
 
+/* ---- rate limits of customers ---- */
+
+/* What an entry has of a customer's tokens, and what it asks for. */
+struct ck_borrow_row {
+    ck_name customer;
+    unsigned int waiting;           /* operations that wait for a token */
+    unsigned int stock;             /* tokens for operations to come */
+    unsigned int held;              /* tokens in hand */
+    unsigned int returned;          /* tokens given back with this call */
+};
+
+/*
+ * Asks the leader for tokens. Calls of an entry have rising sequence numbers,
+ * one at a time. A repeated call gets the same answer. An answer to an earlier
+ * call is never applied: applied tells the leader which was the last one.
+ */
+struct ck_borrow_args {
+    ck_name group;
+    ck_name vm;
+    unsigned hyper incarnation;
+    unsigned hyper sequence;
+    unsigned hyper applied;         /* sequence of the last answer applied */
+    ck_borrow_row rows<CK_LIST_SIZE>;
+};
+
+struct ck_lent_row {
+    ck_name customer;
+    unsigned int kept;              /* of the tokens in hand; others lapse */
+    unsigned int granted;           /* new tokens */
+    unsigned int valid_ms;          /* of all of them, from the call on */
+    unsigned int retry_after_ms;    /* no new call before; 0: at any time */
+    bool wait;                      /* tokens are left, others hold too many */
+};
+
+struct ck_borrow_result {
+    int outcome;
+    unsigned hyper sequence;
+    ck_host leader_host;
+    unsigned int leader_port;
+    ck_lent_row rows<CK_LIST_SIZE>;
+};
+
 program CK_PROGRAM {
     version CK_VERSION {
         ck_renew_result CK_RENEW(ck_renew_args) = 1;
@@ -605,5 +657,6 @@
         ck_read_declaration_result
             CK_READ_DECLARATION(ck_read_declaration_args) = 7;
         ck_announce_result CK_ANNOUNCE(ck_announce_args) = 8;
+        ck_borrow_result CK_BORROW(ck_borrow_args) = 9;
     } = 1;
 } = 0x20434b47;
--- a/src/catkingrade/rpc/messages_xdr.c
+++ b/src/catkingrade/rpc/messages_xdr.c
@@ -509,6 +509,24 @@
 	return TRUE;
 }
 
+bool_t
+xdr_ck_declared_customer (XDR *xdrs, ck_declared_customer *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_ck_name (xdrs, &objp->name))
+		 return FALSE;
+	 if (!xdr_bytes (xdrs, (char **)&objp->keys.keys_val, (u_int *) &objp->keys.keys_len, CK_LIST_SIZE))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->priority))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->rate_per_s))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->burst))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_ck_declaration (XDR *xdrs, ck_declaration *objp)
 {
@@ -520,6 +538,9 @@
 	 if (!xdr_array (xdrs, (char **)&objp->databases.databases_val, (u_int *) &objp->databases.databases_len, CK_LIST_SIZE,
 		sizeof (ck_declared_database), (xdrproc_t) xdr_ck_declared_database))
 		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->customers.customers_val, (u_int *) &objp->customers.customers_len, CK_LIST_SIZE,
+		sizeof (ck_declared_customer), (xdrproc_t) xdr_ck_declared_customer))
+		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->idle_transaction_ms))
 		 return FALSE;
 	 if (!xdr_bytes (xdrs, (char **)&objp->original.original_val, (u_int *) &objp->original.original_len, CK_ORIGINAL_SIZE))
@@ -1460,3 +1481,173 @@
 		 return FALSE;
 	return TRUE;
 }
+
+bool_t
+xdr_ck_borrow_row (XDR *xdrs, ck_borrow_row *objp)
+{
+	register int32_t *buf;
+
+
+	if (xdrs->x_op == XDR_ENCODE) {
+		 if (!xdr_ck_name (xdrs, &objp->customer))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->waiting))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->stock))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->held))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->returned))
+				 return FALSE;
+		} else {
+			IXDR_PUT_U_LONG(buf, objp->waiting);
+			IXDR_PUT_U_LONG(buf, objp->stock);
+			IXDR_PUT_U_LONG(buf, objp->held);
+			IXDR_PUT_U_LONG(buf, objp->returned);
+		}
+		return TRUE;
+	} else if (xdrs->x_op == XDR_DECODE) {
+		 if (!xdr_ck_name (xdrs, &objp->customer))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->waiting))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->stock))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->held))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->returned))
+				 return FALSE;
+		} else {
+			objp->waiting = IXDR_GET_U_LONG(buf);
+			objp->stock = IXDR_GET_U_LONG(buf);
+			objp->held = IXDR_GET_U_LONG(buf);
+			objp->returned = IXDR_GET_U_LONG(buf);
+		}
+	 return TRUE;
+	}
+
+	 if (!xdr_ck_name (xdrs, &objp->customer))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->waiting))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->stock))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->held))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->returned))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_ck_borrow_args (XDR *xdrs, ck_borrow_args *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_ck_name (xdrs, &objp->group))
+		 return FALSE;
+	 if (!xdr_ck_name (xdrs, &objp->vm))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->incarnation))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->sequence))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->applied))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->rows.rows_val, (u_int *) &objp->rows.rows_len, CK_LIST_SIZE,
+		sizeof (ck_borrow_row), (xdrproc_t) xdr_ck_borrow_row))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_ck_lent_row (XDR *xdrs, ck_lent_row *objp)
+{
+	register int32_t *buf;
+
+
+	if (xdrs->x_op == XDR_ENCODE) {
+		 if (!xdr_ck_name (xdrs, &objp->customer))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 5 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->kept))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->granted))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->valid_ms))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->retry_after_ms))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->wait))
+				 return FALSE;
+		} else {
+			IXDR_PUT_U_LONG(buf, objp->kept);
+			IXDR_PUT_U_LONG(buf, objp->granted);
+			IXDR_PUT_U_LONG(buf, objp->valid_ms);
+			IXDR_PUT_U_LONG(buf, objp->retry_after_ms);
+			IXDR_PUT_BOOL(buf, objp->wait);
+		}
+		return TRUE;
+	} else if (xdrs->x_op == XDR_DECODE) {
+		 if (!xdr_ck_name (xdrs, &objp->customer))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 5 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->kept))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->granted))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->valid_ms))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->retry_after_ms))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->wait))
+				 return FALSE;
+		} else {
+			objp->kept = IXDR_GET_U_LONG(buf);
+			objp->granted = IXDR_GET_U_LONG(buf);
+			objp->valid_ms = IXDR_GET_U_LONG(buf);
+			objp->retry_after_ms = IXDR_GET_U_LONG(buf);
+			objp->wait = IXDR_GET_BOOL(buf);
+		}
+	 return TRUE;
+	}
+
+	 if (!xdr_ck_name (xdrs, &objp->customer))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->kept))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->granted))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->valid_ms))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->retry_after_ms))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->wait))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_ck_borrow_result (XDR *xdrs, ck_borrow_result *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_int (xdrs, &objp->outcome))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->sequence))
+		 return FALSE;
+	 if (!xdr_ck_host (xdrs, &objp->leader_host))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->leader_port))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->rows.rows_val, (u_int *) &objp->rows.rows_len, CK_LIST_SIZE,
+		sizeof (ck_lent_row), (xdrproc_t) xdr_ck_lent_row))
+		 return FALSE;
+	return TRUE;
+}
--- a/src/catkingrade/rpc/rpcnet.h
+++ b/src/catkingrade/rpc/rpcnet.h
@@ -57,6 +57,7 @@
 extern const struct rpcnet_procedure rpcnet_query;
 extern const struct rpcnet_procedure rpcnet_command;
 extern const struct rpcnet_procedure rpcnet_read_declaration;
+extern const struct rpcnet_procedure rpcnet_borrow;
 
 struct rpcnet *rpcnet_create(struct loop *loop,
                              const struct settings_address *local,
--- a/src/catkingrade/rpc/rpcnet_procedures.c
+++ b/src/catkingrade/rpc/rpcnet_procedures.c
@@ -27,6 +27,8 @@
                  COUNTER_RPC_QUERY_BYTES, WORK_TIME_QUERY);
 RPCNET_PROCEDURE(announce, CK_ANNOUNCE, ck_announce_args, ck_announce_result,
                  COUNTER_RPC_APPLY_BYTES, WORK_TIME_ANNOUNCEMENT);
+RPCNET_PROCEDURE(borrow, CK_BORROW, ck_borrow_args, ck_borrow_result,
+                 COUNTER_RPC_BORROW_BYTES, WORK_TIME_BORROW);
 const struct rpcnet_procedure rpcnet_raft = {
     .number = CK_RAFT,
     .args_xdr = (xdrproc_t)xdr_ck_raft_message,
