--- a/src/catkingrade/decide/customer/limit.c
+++ b/src/catkingrade/decide/customer/limit.c
@@ -5,10 +5,11 @@
 
 #define LIMIT_US_PER_S 1000000.0
 // Parts of the tolerance. An empty bucket of a customer without a burst must
-// be able to hold whole tokens.
-#define LIMIT_INITIAL_PART 0.125
-#define LIMIT_BUCKET_PART  0.125
-#define LIMIT_HELD_PART    0.75
+// be able to hold whole tokens. The rest is left for operations that run later
+// than they were admitted, since they wait for a slot.
+#define LIMIT_INITIAL_PART 0.1
+#define LIMIT_BUCKET_PART  0.1
+#define LIMIT_HELD_PART    0.5
 // Validity of a token, within the time in which the burst is refilled.
 #define LIMIT_VALIDITY_MIN_US 1000000
 #define LIMIT_VALIDITY_MAX_US 3000000
