feat(limit): tokens of waiting operations count as lent for one call only

Change: the answer separates tokens for operations that wait from the stock; what new leaders lend is bounded by the validity of tokens.

--- a/src/catkingrade/control/limit_agent.c
+++ b/src/catkingrade/control/limit_agent.c
@@ -14,9 +14,8 @@
 #include "catkingrade/rpc/rpcnet.h"
 
 // An operation waits for a third of its latency target, so a lost datagram is
-// sent again soon, and a leader that does not answer is given up.
-#define LIMIT_AGENT_TIMEOUT_US 200000
-#define LIMIT_AGENT_RETRY_US   60000
+// sent again soon.
+#define LIMIT_AGENT_RETRY_US 60000
 
 struct limit_agent {
     struct daemon *daemon;
@@ -154,7 +153,7 @@
         agent->next_peer = (agent->next_peer + 1) % agent->peers_count;
     }
     rpcnet_call(agent->daemon->rpcnet, &agent->leader, &rpcnet_borrow, args,
-                LIMIT_AGENT_TIMEOUT_US, LIMIT_AGENT_RETRY_US,
+                LIMIT_CALL_US, LIMIT_AGENT_RETRY_US,
                 limit_agent_handle_result, agent);
 }
 
--- a/src/catkingrade/decide/customer/limit.c
+++ b/src/catkingrade/decide/customer/limit.c
@@ -4,53 +4,53 @@
 #include <xxhash.h>
 
 #define LIMIT_US_PER_S 1000000.0
-// Parts of the tolerance. An empty bucket of a customer without a burst must
-// be able to hold whole tokens. The rest is left for operations that run later
-// than they were admitted, since they wait for a slot.
-#define LIMIT_INITIAL_PART 0.1
-#define LIMIT_BUCKET_PART  0.1
-#define LIMIT_HELD_PART    0.5
-// Validity of a token, within the time in which the burst is refilled.
-#define LIMIT_VALIDITY_MIN_US 1000000
-#define LIMIT_VALIDITY_MAX_US 3000000
+// Parts of the slack and of the excess. A small customer, whose tolerance is
+// mostly slack, rarely has tokens in stock, and its operations come in bursts.
+// The rest is left for operations that run later than they were admitted,
+// since they wait for a slot.
+#define LIMIT_INITIAL_PART       0.1
+#define LIMIT_BUCKET_SLACK_PART  0.5
+#define LIMIT_BUCKET_EXCESS_PART 0.2
+#define LIMIT_HELD_SLACK_PART    0.25
+#define LIMIT_HELD_EXCESS_PART   0.5
+#define LIMIT_VALIDITY_MAX_US    3000000
+
+// With less than one token nothing could be granted.
+static double
+limit_at_least_one(double tokens)
+{
+    return tokens < 1 ? 1 : tokens;
+}
 
 // Divides the tolerance of a limit. Let the potential be the leader's tokens
-// plus all tokens that entries may still use. It grows with the rate, and
-// falls with each operation; so a window admits at most the potential at its
-// begin plus rate * window, plus the initial tokens of a new leader. The parts
-// keep that within the bound.
+// plus all tokens that entries may still use. It grows with the rate and falls
+// with each operation; so a window admits at most the potential at its begin
+// plus rate * window, plus the initial tokens of a new leader. The parts keep
+// that within the bound.
 //
-// After a change of leader the bucket starts empty, so the potential can only
-// have grown by rate * validity while tokens of the earlier leader are valid.
-// A burst of that size makes up for it. With a smaller one, each of the two
-// leaders gets a half of what entries may hold, and a new leader a quarter
-// until the tokens of earlier ones have expired.
+// After a change of leader the bucket starts empty, so what the new leader has
+// and has granted grows with the rate. It stays below what the bucket may hold
+// until the tokens of the earlier leader have expired: this limits the
+// validity of a token.
 void
 limit_get_budget(const struct limit *limit, const struct limit_bound *bound,
                  struct limit_budget *budget)
 {
     double window_s = (double)bound->window_us / LIMIT_US_PER_S;
-    double tolerance =
-        (limit->rate_per_s * window_s + limit->burst) * bound->excess +
-        bound->slack;
-    double held = tolerance * LIMIT_HELD_PART;
-    double validity_us = LIMIT_VALIDITY_MAX_US;
+    double excess = (limit->rate_per_s * window_s + limit->burst) *
+                    bound->excess;
 
-    if (limit->rate_per_s * (validity_us / LIMIT_US_PER_S) > limit->burst) {
-        validity_us = limit->burst / limit->rate_per_s * LIMIT_US_PER_S;
-    }
-    if (validity_us < LIMIT_VALIDITY_MIN_US) {
-        validity_us = LIMIT_VALIDITY_MIN_US;
-    }
-    budget->validity_us = (int64_t)validity_us;
-    budget->initial = tolerance * LIMIT_INITIAL_PART;
-    budget->bucket = limit->burst + tolerance * LIMIT_BUCKET_PART;
-    budget->held = held;
-    budget->held_at_start = held;
-    if (limit->rate_per_s * validity_us / LIMIT_US_PER_S > limit->burst) {
-        budget->held = held / 2;
-        budget->held_at_start = held / 4;
-    }
+    budget->initial = (excess + bound->slack) * LIMIT_INITIAL_PART;
+    budget->bucket =
+        limit_at_least_one(limit->burst +
+                           bound->slack * LIMIT_BUCKET_SLACK_PART +
+                           excess * LIMIT_BUCKET_EXCESS_PART);
+    budget->held = limit_at_least_one(bound->slack * LIMIT_HELD_SLACK_PART +
+                                      excess * LIMIT_HELD_EXCESS_PART);
+    double validity_us = budget->bucket / limit->rate_per_s * LIMIT_US_PER_S;
+    budget->validity_us = validity_us > LIMIT_VALIDITY_MAX_US
+                              ? LIMIT_VALIDITY_MAX_US
+                              : (int64_t)validity_us;
 }
 
 // Returns the key of a customer in tables of this folder.
--- a/src/catkingrade/decide/customer/limit.h
+++ b/src/catkingrade/decide/customer/limit.h
@@ -22,17 +22,19 @@
     double slack;  // operations
 };
 
+// Time after which an entry gives up a call for tokens. The leader then no
+// longer counts the tokens of an answer for operations that waited.
+#define LIMIT_CALL_US 200000
+
 // What is admitted without a call to the leader, and what the leader itself
 // may get wrong, share the tolerance of the bound: excess and slack.
 struct limit_budget {
-    // Tokens that a new leader starts with, at most once in a window.
+    // Tokens that a new leader starts with, at most once in two windows.
     double initial;
     // Tokens that the leader's bucket holds at most.
     double bucket;
     // Tokens that entries hold at most, including those in answers.
     double held;
-    // The same while tokens of an earlier leader may still be valid.
-    double held_at_start;
     // Time for which a token may be used after the leader has granted it.
     int64_t validity_us;
 };
--- a/src/catkingrade/decide/customer/limit_borrower.c
+++ b/src/catkingrade/decide/customer/limit_borrower.c
@@ -17,15 +17,18 @@
 // tokens are then held in stock for the next second. Of others, each operation
 // borrows its own token.
 #define BORROWER_STEADY_PER_S 1.0
-#define BORROWER_STOCK_S      1.0
+#define BORROWER_STOCK_US 1000000
 #define BORROWER_STOCK_MAX    1000
 // The stock is refilled when less than this part is left.
 #define BORROWER_REFILL_PART 0.5
 // A call that only concerns the stock comes this long after the last call at
 // the earliest.
 #define BORROWER_STOCK_INTERVAL_US 150000
-// Tokens beyond the stock are returned at least this often.
+// Tokens in hand are reported, and those beyond the stock returned, at least
+// this often.
 #define BORROWER_RETURN_US 700000
+// Tokens are held for this part of their validity, so that few expire.
+#define BORROWER_VALIDITY_DIVISOR 2
 // Delay after a call that failed.
 #define BORROWER_FAILURE_US 50000
 // Customers that were not seen for this time are forgotten.
@@ -45,7 +48,8 @@
     char name[CK_NAME_SIZE + 1];
     uint64_t hash;
     uint32_t tokens;
-    int64_t valid_until_us;   // of the tokens
+    int64_t valid_until_us; // of the tokens
+    int64_t validity_us; // as last answered; 0: not known
     double use_per_s;         // moving average of admitted operations
     int64_t used_us;          // time of the average
     int64_t seen_us;          // last operation
@@ -185,6 +189,16 @@
     customer->used_us = now_us;
 }
 
+// Returns the time for which tokens are held in stock.
+static int64_t
+borrower_get_hold_us(const struct borrower_customer *customer)
+{
+    int64_t hold_us = customer->validity_us / BORROWER_VALIDITY_DIVISOR;
+
+    return hold_us == 0 || hold_us > BORROWER_STOCK_US ? BORROWER_STOCK_US
+                                                       : hold_us;
+}
+
 // Returns the tokens that this entry wants to have in hand.
 static uint32_t
 borrower_get_stock(const struct borrower_customer *customer, int64_t now_us)
@@ -194,7 +208,8 @@
     if (use_per_s < BORROWER_STEADY_PER_S) {
         return 0;
     }
-    double stock = ceil(use_per_s * BORROWER_STOCK_S);
+    double stock = ceil(use_per_s * (double)borrower_get_hold_us(customer) /
+                        BORROWER_US_PER_S);
     return stock > BORROWER_STOCK_MAX ? BORROWER_STOCK_MAX : (uint32_t)stock;
 }
 
@@ -537,11 +552,17 @@
         customer->tokens = row->kept;
     }
     customer->valid_until_us = until_us;
+    customer->validity_us = until_us - borrower->sent_us;
     if (until_us > now_us) {
-        customer->tokens += row->granted;
+        customer->tokens += row->stock;
+    }
+    // Tokens for operations that wait are used now or never.
+    for (u_int i = 0; i < row->granted && customer->first != NULL; i++) {
+        borrower_count_use(customer, now_us);
+        borrower_end_first_wait(borrower, customer, LIMIT_ADMIT, 0);
     }
     borrower_admit_waiting(borrower, customer, now_us);
-    customer->lent = row->kept + row->granted > 0;
+    customer->lent = row->kept + row->granted + row->stock > 0;
     if (row->retry_after_ms == 0) {
         return;
     }
@@ -571,7 +592,11 @@
                                         : now_us);
         }
         if (customer->tokens > 0) {
-            borrower_wake(borrower, now_us + BORROWER_RETURN_US);
+            int64_t hold_us = borrower_get_hold_us(customer);
+            borrower_wake(borrower,
+                          now_us + (hold_us < BORROWER_RETURN_US
+                                        ? hold_us
+                                        : BORROWER_RETURN_US));
         }
     }
 }
@@ -585,7 +610,8 @@
     if (!borrower->in_flight || result->sequence != borrower->sequence) {
         return;
     }
-    if (result->outcome != OUTCOME_OK) {
+    if (result->outcome != OUTCOME_OK ||
+        now_us - borrower->sent_us >= LIMIT_CALL_US) {
         limit_borrower_handle_failure(borrower, now_us, result->sequence);
         return;
     }
--- a/src/catkingrade/decide/customer/limit_lender.c
+++ b/src/catkingrade/decide/customer/limit_lender.c
@@ -11,8 +11,6 @@
 #define LENDER_US_PER_S  1000000.0
 #define LENDER_US_PER_MS 1000
 #define LENDER_PPM       1000000
-// No token that was granted before is valid after this time.
-#define LENDER_START_US 3100000
 // An entry that has not called for this time is forgotten.
 #define LENDER_FORGET_US       60000000
 #define LENDER_FORGET_EVERY_US 10000000
@@ -39,8 +37,10 @@
 // What an entry may hold of a customer's tokens.
 struct lender_record {
     const struct lender_entry *entry;
-    uint32_t held;
+    uint32_t held; // until until_us
     int64_t until_us;
+    uint32_t answered; // until answered_until_us: for waiting operations
+    int64_t answered_until_us;
 };
 
 struct lender_bucket {
@@ -271,10 +271,13 @@
     bucket->swept_us = now_us;
     bucket->held = 0;
     for (size_t i = 0; i < bucket->records_count; i++) {
-        if (bucket->records[i].until_us > now_us &&
-            bucket->records[i].held > 0) {
-            bucket->held += bucket->records[i].held;
-            bucket->records[kept++] = bucket->records[i];
+        struct lender_record record = bucket->records[i];
+        record.held = record.until_us > now_us ? record.held : 0;
+        record.answered =
+            record.answered_until_us > now_us ? record.answered : 0;
+        if (record.held + record.answered > 0) {
+            bucket->held += record.held + record.answered;
+            bucket->records[kept++] = record;
         }
     }
     bucket->records_count = kept;
@@ -358,7 +361,7 @@
         struct lender_bucket *bucket =
             lender_find_bucket(lender, row->customer);
         if (bucket != NULL) {
-            bucket->tokens += row->granted;
+            bucket->tokens += row->granted + row->stock;
         }
     }
 }
@@ -395,13 +398,10 @@
 
 // Grants tokens of one customer. others: what the other entries hold.
 static void
-lender_grant(const struct limit_lender *lender, struct lender_bucket *bucket,
-             int64_t now_us, double others, const struct ck_borrow_row *row,
-             struct ck_lent_row *lent)
+lender_grant(struct lender_bucket *bucket, int64_t now_us, double others,
+             const struct ck_borrow_row *row, struct ck_lent_row *lent)
 {
-    double most = now_us - lender->begun_us < LENDER_START_US
-                      ? bucket->budget.held_at_start
-                      : bucket->budget.held;
+    double most = bucket->budget.held;
     double room = most - others;
 
     lent->kept = lender_round_down(room, row->held);
@@ -416,7 +416,8 @@
     available = available < room ? available : room;
     uint32_t stock = lender_round_down(available, row->stock);
     bucket->tokens -= stock;
-    lent->granted = granted + stock;
+    lent->granted = granted;
+    lent->stock = stock;
     if (granted == row->waiting) {
         return;
     }
@@ -449,15 +450,19 @@
         lender_sweep(bucket, now_us);
     }
     struct lender_record *record = lender_get_or_add_record(bucket, entry);
-    double others = bucket->held - record->held;
-    lender_grant(lender, bucket, now_us, others, row, lent);
+    double others = bucket->held - record->held - record->answered;
+    lender_grant(bucket, now_us, others, row, lent);
     // If the entry does not get the answer, it still holds all that it had.
-    uint32_t after = lent->kept + lent->granted;
+    uint32_t after = lent->kept + lent->stock;
     record->held = after > row->held ? after : row->held;
     record->until_us =
         now_us + bucket->budget.validity_us +
         bucket->budget.validity_us * lender->params.drift_ppm / LENDER_PPM;
-    bucket->held = others + record->held;
+    record->answered = lent->granted;
+    record->answered_until_us =
+        now_us + LIMIT_CALL_US +
+        (int64_t)LIMIT_CALL_US * lender->params.drift_ppm / LENDER_PPM;
+    bucket->held = others + record->held + record->answered;
     lent->valid_ms = (u_int)((bucket->budget.validity_us -
                               bucket->budget.validity_us *
                                   lender->params.drift_ppm / LENDER_PPM) /
--- a/src/catkingrade/rpc/messages.h
+++ b/src/catkingrade/rpc/messages.h
@@ -710,6 +710,7 @@
 	ck_name customer;
 	u_int kept;
 	u_int granted;
+	u_int stock;
 	u_int valid_ms;
 	u_int retry_after_ms;
 	bool_t wait;
--- a/src/catkingrade/rpc/messages.x
+++ b/src/catkingrade/rpc/messages.x
@@ -632,8 +632,9 @@
 struct ck_lent_row {
     ck_name customer;
     unsigned int kept;              /* of the tokens in hand; others lapse */
-    unsigned int granted;           /* new tokens */
-    unsigned int valid_ms;          /* of all of them, from the call on */
+    unsigned int granted;           /* for operations that wait, only now */
+    unsigned int stock;             /* for operations to come */
+    unsigned int valid_ms;          /* of kept and stock, from the call on */
     unsigned int retry_after_ms;    /* no new call before; 0: at any time */
     bool wait;                      /* tokens are left, others hold too many */
 };
--- a/src/catkingrade/rpc/messages_xdr.c
+++ b/src/catkingrade/rpc/messages_xdr.c
@@ -1573,12 +1573,14 @@
 	if (xdrs->x_op == XDR_ENCODE) {
 		 if (!xdr_ck_name (xdrs, &objp->customer))
 			 return FALSE;
-		buf = XDR_INLINE (xdrs, 5 * BYTES_PER_XDR_UNIT);
+		buf = XDR_INLINE (xdrs, 6 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
 			 if (!xdr_u_int (xdrs, &objp->kept))
 				 return FALSE;
 			 if (!xdr_u_int (xdrs, &objp->granted))
 				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->stock))
+				 return FALSE;
 			 if (!xdr_u_int (xdrs, &objp->valid_ms))
 				 return FALSE;
 			 if (!xdr_u_int (xdrs, &objp->retry_after_ms))
@@ -1588,6 +1590,7 @@
 		} else {
 			IXDR_PUT_U_LONG(buf, objp->kept);
 			IXDR_PUT_U_LONG(buf, objp->granted);
+			IXDR_PUT_U_LONG(buf, objp->stock);
 			IXDR_PUT_U_LONG(buf, objp->valid_ms);
 			IXDR_PUT_U_LONG(buf, objp->retry_after_ms);
 			IXDR_PUT_BOOL(buf, objp->wait);
@@ -1596,12 +1599,14 @@
 	} else if (xdrs->x_op == XDR_DECODE) {
 		 if (!xdr_ck_name (xdrs, &objp->customer))
 			 return FALSE;
-		buf = XDR_INLINE (xdrs, 5 * BYTES_PER_XDR_UNIT);
+		buf = XDR_INLINE (xdrs, 6 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
 			 if (!xdr_u_int (xdrs, &objp->kept))
 				 return FALSE;
 			 if (!xdr_u_int (xdrs, &objp->granted))
 				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->stock))
+				 return FALSE;
 			 if (!xdr_u_int (xdrs, &objp->valid_ms))
 				 return FALSE;
 			 if (!xdr_u_int (xdrs, &objp->retry_after_ms))
@@ -1611,6 +1616,7 @@
 		} else {
 			objp->kept = IXDR_GET_U_LONG(buf);
 			objp->granted = IXDR_GET_U_LONG(buf);
+			objp->stock = IXDR_GET_U_LONG(buf);
 			objp->valid_ms = IXDR_GET_U_LONG(buf);
 			objp->retry_after_ms = IXDR_GET_U_LONG(buf);
 			objp->wait = IXDR_GET_BOOL(buf);
@@ -1624,6 +1630,8 @@
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->granted))
 		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->stock))
+		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->valid_ms))
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->retry_after_ms))
--- a/test/fake/limit_fleet.c
+++ b/test/fake/limit_fleet.c
@@ -11,7 +11,6 @@
 
 #define FLEET_TICK_US      5000
 #define FLEET_RETRY_US     60000
-#define FLEET_TIMEOUT_US   200000
 #define FLEET_DRIFT_PPM    10000
 #define FLEET_US_PER_S     1000000.0
 #define FLEET_RANDOM_SCALE 1000000
@@ -491,7 +490,7 @@
     struct ck_borrow_args args = {0};
 
     if (entry->in_flight &&
-        fleet->now_us - entry->sent_us >= FLEET_TIMEOUT_US) {
+        fleet->now_us - entry->sent_us >= LIMIT_CALL_US) {
         uint64_t sequence = entry->args.sequence;
         fleet_end_call(entry);
         limit_borrower_handle_failure(entry->borrower, local_us, sequence);
