--- a/src/catkingrade/decide/customer/limit_borrower.c
+++ b/src/catkingrade/decide/customer/limit_borrower.c
@@ -487,6 +487,30 @@
     free(old);
 }
 
+// Sets the time of the next call, while none is in flight.
+static void
+borrower_plan_call(struct limit_borrower *borrower, int64_t now_us)
+{
+    for (size_t i = 0; i < borrower->customers.capacity; i++) {
+        struct borrower_customer *customer = borrower->customers.items[i];
+        if (customer == NULL) {
+            continue;
+        }
+        customer->asked = false;
+        if (customer->first != NULL) {
+            borrower_wake(borrower, customer->blocked_until_us > now_us
+                                        ? customer->blocked_until_us
+                                        : now_us);
+        }
+        if (customer->tokens > 0) {
+            int64_t hold_us = borrower_get_hold_us(customer);
+            borrower_wake(borrower, now_us + (hold_us < BORROWER_RETURN_US
+                                                  ? hold_us
+                                                  : BORROWER_RETURN_US));
+        }
+    }
+}
+
 // Fills the arguments of a call if one is due now: the caller sends it, and
 // passes the answer or the failure. The rows are valid until the next call of
 // this function. Customers of which only the use is to be reported are listed
@@ -524,6 +548,7 @@
         borrower->rows[count++] = row;
     }
     if (count == 0) {
+        borrower_plan_call(borrower, now_us);
         return false;
     }
     borrower->in_flight = true;
@@ -576,30 +601,6 @@
     }
 }
 
-// Sets the time of the next call after the end of one.
-static void
-borrower_plan_call(struct limit_borrower *borrower, int64_t now_us)
-{
-    for (size_t i = 0; i < borrower->customers.capacity; i++) {
-        struct borrower_customer *customer = borrower->customers.items[i];
-        if (customer == NULL) {
-            continue;
-        }
-        customer->asked = false;
-        if (customer->first != NULL) {
-            borrower_wake(borrower, customer->blocked_until_us > now_us
-                                        ? customer->blocked_until_us
-                                        : now_us);
-        }
-        if (customer->tokens > 0) {
-            int64_t hold_us = borrower_get_hold_us(customer);
-            borrower_wake(borrower, now_us + (hold_us < BORROWER_RETURN_US
-                                                  ? hold_us
-                                                  : BORROWER_RETURN_US));
-        }
-    }
-}
-
 // Applies the answer to the call in flight. Answers to other calls are
 // ignored.
 void
