--- a/src/catkingrade/control/limit_list.c
+++ b/src/catkingrade/control/limit_list.c
@@ -5,10 +5,9 @@
 
 #include "catkingrade/kernel/memory.h"
 
-#define LIMIT_LIST_PER_RATE 1000.0
-// A rate of 0 admits a burst and then about one operation in this many
-// seconds.
-#define LIMIT_LIST_MIN_RATE_DIVISOR 1000.0
+#define LIMIT_LIST_RATE_UNIT_S 1000.0 // of rate_per_1000_s
+// Operations per second in place of a rate of 0, which would mean no limit.
+#define LIMIT_LIST_MIN_RATE 0.001
 
 // Appends a customer, if it has a limit.
 void
@@ -28,9 +27,10 @@
     struct limit *limit = &list->items[list->count++];
     memset(limit, 0, sizeof(*limit));
     strncpy(limit->customer, customer->name, CK_NAME_SIZE);
-    limit->rate_per_s = customer->rate_per_1000_s == 0
-                            ? 1 / LIMIT_LIST_MIN_RATE_DIVISOR
-                            : customer->rate_per_1000_s / LIMIT_LIST_PER_RATE;
+    limit->rate_per_s =
+        customer->rate_per_1000_s == 0
+            ? LIMIT_LIST_MIN_RATE
+            : customer->rate_per_1000_s / LIMIT_LIST_RATE_UNIT_S;
     limit->burst = customer->burst;
 }
 
