--- a/test/contract/test_key_names.c
+++ b/test/contract/test_key_names.c
@@ -14,20 +14,21 @@
 
 #define KEY            "SECRET"
 #define ENTRIES        2
+#define APPLY_US       4000000 // a configuration is in force after this time
 #define RELAY_SETTINGS ",\"relay_min_connections\": 3"
 #define ROUTE(name, is_public)                                                \
     "{\"host\":\"" name "\",\"routeKind\":\"primary\",\"timeoutMs\":5000,"    \
     "\"targetLatencyMs\":4000,\"priority\":1,\"service\":\"core\","           \
     "\"public\":" is_public "}"
-#define CONFIG                                                                \
-    "{\"version\":1,\"routes\":[" ROUTE("own", "false") "," ROUTE(            \
-        "open",                                                               \
-        "true") "],\"services\":[{\"name\":\"core\","                         \
-                "\"maxConns\":8,\"syncReplicas\":0}],\"limits\":{"            \
-                "\"txIdleMs\":60000},"                                        \
-                "\"tenants\":[{\"name\":\"cust-a\",\"apiKeys\":[\"" KEY       \
-                "-a\"]},"                                                     \
-                "{\"name\":\"cust-b\",\"apiKeys\":[\"" KEY "-b\"]}]}"
+#define ROUTES              ROUTE("own", "false") "," ROUTE("open", "true")
+#define SERVICE             "{\"name\":\"core\",\"maxConns\":8,\"syncReplicas\":0}"
+#define CUSTOMER(name, key) "{\"name\":\"" name "\",\"apiKeys\":[\"" key "\"]}"
+#define CONFIG(number, customers)                                             \
+    "{\"version\":" number ",\"routes\":[" ROUTES "],\"services\":[" SERVICE  \
+    "],\"limits\":{\"txIdleMs\":60000},\"tenants\":[" customers "]}"
+#define CUSTOMERS CUSTOMER("cust-a", KEY "-a") "," CUSTOMER("cust-b", KEY "-b")
+#define CUSTOMERS_EXCHANGED                                                   \
+    CUSTOMER("cust-a", KEY "-b") "," CUSTOMER("cust-b", KEY "-a")
 
 // Runs a write and a transaction on a new session, and checks the name under
 // which each statement reached the upstream. NULL: the name of no customer.
@@ -73,7 +74,7 @@
 {
     platform_rig_start("key_names", ENTRIES, RELAY_SETTINGS);
     platform_forbid_text(rig.platform, KEY);
-    platform_rig_wait_config(0, CONFIG);
+    platform_rig_wait_config(0, CONFIG("1", CUSTOMERS));
     bool has_relay = false;
     for (int i = 0; i < RIG_WAIT_ROUNDS && !has_relay; i++) {
         for (int entry = 0; entry < ENTRIES; entry++) {
@@ -91,6 +92,13 @@
         check_names(entry, "STARTUP open " KEY "-a", "p", "cust-a");
         check_names(entry, "STARTUP open " KEY "-x", "x", NULL);
     }
+    // The customers exchange their keys.
+    platform_rig_wait_config(0, CONFIG("2", CUSTOMERS_EXCHANGED));
+    usleep(APPLY_US);
+    for (int entry = 0; entry < ENTRIES; entry++) {
+        check_names(entry, "STARTUP own " KEY "-a", "ab", "cust-b");
+        check_names(entry, "STARTUP own " KEY "-b", "ba", "cust-a");
+    }
     ck_assert_int_eq(platform_count_forbidden(rig.platform), 0);
     platform_rig_stop();
 }
--- a/test/contract/test_keys.c
+++ b/test/contract/test_keys.c
@@ -29,12 +29,11 @@
     "{\"host\":\"" name "\",\"routeKind\":\"primary\",\"timeoutMs\":5000,"    \
     "\"targetLatencyMs\":4000,\"priority\":1,\"service\":\"core\","           \
     "\"public\":" is_public "}"
+#define ROUTES  ROUTE("own", "false") "," ROUTE("open", "true")
+#define SERVICE "{\"name\":\"core\",\"maxConns\":30,\"syncReplicas\":0}"
 #define CONFIG(number, customers)                                             \
-    "{\"version\":" number ",\"routes\":[" ROUTE("own", "false") "," ROUTE(   \
-        "open", "true") "],\"services\":[{\"name\":\"core\","                 \
-                        "\"maxConns\":30,\"syncReplicas\":0}],\"limits\":{"   \
-                        "\"txIdleMs\":60000},"                                \
-                        "\"tenants\":[" customers "]}"
+    "{\"version\":" number ",\"routes\":[" ROUTES "],\"services\":[" SERVICE  \
+    "],\"limits\":{\"txIdleMs\":60000},\"tenants\":[" customers "]}"
 #define CUSTOMER_A CUSTOMER("cust-a", KEY "-a")
 #define CUSTOMER_B CUSTOMER("cust-b", KEY "-b")
 
@@ -270,6 +269,41 @@
 }
 END_TEST
 
+// Guards against a session that ends although its key is still declared, and
+// against a transaction that goes on for a customer who no longer has the key.
+START_TEST(test_key_moves_to_another_customer)
+{
+    start("keys_move", CONFIG("1", CUSTOMER_A));
+    int idle = connect_with("STARTUP own " KEY "-a");
+    int open = connect_with("STARTUP own " KEY "-a");
+    platform_rig_expect(open, "QUERY a1 BEGIN", "COMPLETE -\r\nREADY T -\r\n");
+    platform_rig_expect(open, "QUERY a2 WRITE k1 one",
+                        "COMPLETE sig-a2\r\nREADY T -\r\n");
+    (void)put(CONFIG("2", CUSTOMER("cust-b", KEY "-a")));
+    usleep(APPLY_US);
+    platform_rig_expect(idle, "QUERY b1 WRITE k2 two",
+                        "COMPLETE sig-b1\r\nREADY I -\r\n");
+    platform_rig_expect(open, "QUERY a3 WRITE k1 three",
+                        "ERROR ABORTED the key of the transaction was "
+                        "removed\r\nREADY E -\r\n");
+    platform_rig_expect(open, "QUERY a4 ROLLBACK",
+                        "COMPLETE -\r\nREADY I -\r\n");
+    platform_rig_expect(open, "QUERY a5 WRITE k1 four",
+                        "COMPLETE sig-a5\r\nREADY I -\r\n");
+    platform_rig_expect(open, "QUERY a6 BEGIN", "COMPLETE -\r\nREADY T -\r\n");
+    platform_rig_expect(open, "QUERY a7 WRITE k1 five",
+                        "COMPLETE sig-a7\r\nREADY T -\r\n");
+    platform_rig_expect(open, "QUERY a8 COMMIT",
+                        "COMPLETE sig-a8\r\nREADY I -\r\n");
+    close(idle);
+    close(open);
+    ck_assert_int_eq(platform_count_writes(rig.platform, "one"), 0);
+    ck_assert_int_eq(platform_count_writes(rig.platform, "five"), 1);
+    ck_assert_uint_eq(get_counter("keys_removed_total"), 0);
+    stop();
+}
+END_TEST
+
 // Guards against a check of keys in a declaration without customers, and
 // against sessions that escape the check once there are customers.
 START_TEST(test_without_customers_no_key_is_checked)
@@ -333,6 +367,7 @@
     tcase_add_test(tests, test_removed_key_ends_idle_sessions);
     tcase_add_test(tests, test_removed_key_ends_transactions);
     tcase_add_test(tests, test_late_commit_stores_nothing);
+    tcase_add_test(tests, test_key_moves_to_another_customer);
     tcase_add_test(tests, test_without_customers_no_key_is_checked);
     tcase_add_test(tests, test_keys_without_control);
     tcase_add_test(tests, test_shared_key_is_refused);
