feat(cli): status shows the declared customers, without their keys

Problem: an operator could not see which customers are in force without reading the configuration, which contains the keys. Change: a query lists name, number of keys, priority and limits; status shows them if there are any.

--- a/src/catkingrade/cli/status.c
+++ b/src/catkingrade/cli/status.c
@@ -10,8 +10,8 @@
 #include "catkingrade/kernel/outcome.h"
 #include "catkingrade/rpc/codec.h"
 
-// The verb status: shows the daemons, control groups and databases of the
-// fleet.
+// The verb status: shows the daemons, control groups, databases and declared
+// customers of the fleet.
 
 #define STATUS_WATCH_INTERVAL_S 2
 #define STATUS_CLEAR_SCREEN     "\033[H\033[2J"
@@ -37,6 +37,14 @@
     {"PRIMARY", "primary"},   {"SUPERSEDING", "superseding"},
 };
 
+static const struct cli_column status_customer_columns[] = {
+    {"DECLARED CUSTOMER", "customer"},
+    {"KEYS", "keys"},
+    {"PRIORITY", "priority"},
+    {"RATE PER S", "rate_per_s"},
+    {"BURST", "burst"},
+};
+
 static void
 status_set_text(struct json_object *row, const char *key, const char *text)
 {
@@ -100,7 +108,7 @@
 
 static void
 status_print(struct json_object *daemons, struct json_object *groups,
-             struct json_object *databases)
+             struct json_object *databases, struct json_object *customers)
 {
     cli_print_table(daemons, status_daemon_columns,
                     ARRAY_SIZE(status_daemon_columns));
@@ -110,15 +118,23 @@
     (void)putchar('\n');
     cli_print_table(databases, status_database_columns,
                     ARRAY_SIZE(status_database_columns));
+    if (json_object_array_length(customers) > 0) {
+        (void)putchar('\n');
+        cli_print_table(customers, status_customer_columns,
+                        ARRAY_SIZE(status_customer_columns));
+    }
 }
 
 static void
-status_print_json(struct json_object *daemons, struct json_object *databases)
+status_print_json(struct json_object *daemons, struct json_object *databases,
+                  struct json_object *customers)
 {
     struct json_object *root = json_object_new_object();
 
     json_object_object_add(root, "daemons", json_object_get(daemons));
     json_object_object_add(root, "databases", json_object_get(databases));
+    json_object_object_add(root, "declared_customers",
+                           json_object_get(customers));
     cli_print_json(root);
     json_object_put(root);
 }
@@ -131,6 +147,7 @@
     struct json_object *daemons = json_object_new_array();
     struct json_object *groups = json_object_new_array();
     struct json_object *databases = json_object_new_array();
+    struct json_object *customers = json_object_new_array();
     struct daemon_list list;
     bool fleet_group_replied = false;
     int code = CLI_EXIT_ERROR;
@@ -145,16 +162,21 @@
     if (fleet_group_replied) {
         code = cli_fetch_databases(client, databases);
     }
+    if (code == CLI_EXIT_OK) {
+        code = cli_client_query_all(client, CK_QUERY_DECLARED_CUSTOMERS,
+                                    CLI_FLEET_GROUP, "", customers);
+    }
     if (options->json) {
-        status_print_json(daemons, databases);
+        status_print_json(daemons, databases, customers);
     }
     else {
-        status_print(daemons, groups, databases);
+        status_print(daemons, groups, databases, customers);
     }
     daemon_list_free(&list);
     json_object_put(daemons);
     json_object_put(groups);
     json_object_put(databases);
+    json_object_put(customers);
     return code;
 }
 
@@ -188,6 +210,6 @@
 const struct cli_verb cli_verb_status = {
     .name = "status",
     .args = "[--watch]",
-    .help = "show daemons, control groups and databases",
+    .help = "show daemons, control groups, databases and declared customers",
     .run = cli_run_status,
 };
--- a/src/catkingrade/decide/group/group_private.h
+++ b/src/catkingrade/decide/group/group_private.h
@@ -135,6 +135,11 @@
 void group_restore_declared_customer(struct group_state *group,
                                      struct group_object *object);
 
+// group_query_declared.c
+int group_query_declared_customers(const struct group_state *group,
+                                   const char *name, uint64_t cursor,
+                                   struct buffer *json, uint64_t *next_cursor);
+
 // group_routing.c: daemons, upstreams and terms.
 void group_apply_daemon(struct group_state *group,
                         const struct ck_daemon *daemon,
--- a/src/catkingrade/decide/group/group_query.c
+++ b/src/catkingrade/decide/group/group_query.c
@@ -231,6 +231,9 @@
     case CK_QUERY_CUSTOMERS:
         object_kind = GROUP_CUSTOMER;
         break;
+    case CK_QUERY_DECLARED_CUSTOMERS:
+        return group_query_declared_customers(group, name, cursor, json,
+                                              next_cursor);
     default:
         return OUTCOME_NOT_SUPPORTED;
     }
--- a/src/catkingrade/rpc/messages.h
+++ b/src/catkingrade/rpc/messages.h
@@ -632,6 +632,7 @@
 	CK_QUERY_TIMELINE = 6,
 	CK_QUERY_COUNTERS = 7,
 	CK_QUERY_GROUPS = 8,
+	CK_QUERY_DECLARED_CUSTOMERS = 9,
 };
 typedef enum ck_query_kind ck_query_kind;
 
--- a/src/catkingrade/rpc/messages.x
+++ b/src/catkingrade/rpc/messages.x
@@ -554,7 +554,8 @@
     CK_QUERY_CUSTOMERS = 5,
     CK_QUERY_TIMELINE = 6,
     CK_QUERY_COUNTERS = 7,
-    CK_QUERY_GROUPS = 8
+    CK_QUERY_GROUPS = 8,
+    CK_QUERY_DECLARED_CUSTOMERS = 9     /* without their keys */
 };
 
 struct ck_query_args {
--- a/test/contract/test_key_names.c
+++ b/test/contract/test_key_names.c
@@ -20,8 +20,10 @@
     "{\"host\":\"" name "\",\"routeKind\":\"primary\",\"timeoutMs\":5000,"    \
     "\"targetLatencyMs\":4000,\"priority\":1,\"service\":\"core\","           \
     "\"public\":" is_public "}"
-#define ROUTES              ROUTE("own", "false") "," ROUTE("open", "true")
-#define SERVICE             "{\"name\":\"core\",\"maxConns\":8,\"syncReplicas\":0}"
+#define ROUTES ROUTE("own", "false") "," ROUTE("open", "true")
+#define SERVICE                                                               \
+    "{\"name\":\"core\",\"maxConns\":8,"                                      \
+    "\"syncReplicas\":0}"
 #define CUSTOMER(name, key) "{\"name\":\"" name "\",\"apiKeys\":[\"" key "\"]}"
 #define CONFIG(number, customers)                                             \
     "{\"version\":" number ",\"routes\":[" ROUTES "],\"services\":[" SERVICE  \
--- a/test/contract/test_keys.c
+++ b/test/contract/test_keys.c
@@ -127,6 +127,22 @@
     return value;
 }
 
+// Checks that the command line shows a customer and no key.
+static void
+check_status(const char *customer)
+{
+    char address[32];
+    const char *args[] = {"--connect", address, "status", NULL};
+    int code = 0;
+
+    (void)snprintf(address, sizeof(address), "127.0.0.1:%d", rig.rpc_ports[0]);
+    char *text = process_run(rig.folder, "catkingrade", args, &code);
+    ck_assert_int_eq(code, 0);
+    ck_assert_msg(strstr(text, customer) != NULL, "%s", text);
+    ck_assert_ptr_null(strstr(text, KEY));
+    free(text);
+}
+
 // Guards against a session without a valid key on a route that is not public,
 // against a refused session on a public one, and against answers that tell
 // those who have no key which routes there are.
@@ -148,6 +164,7 @@
     close(connect_with("STARTUP open"));
     ck_assert_uint_eq(get_counter("keys_refused_total"), 5);
     ck_assert(platform_rig_log_contains(RIG_CONTROLS, "key_refused"));
+    check_status("cust-b");
     stop();
 }
 END_TEST
