--- a/src/catkingrade/rpc/messages.h
+++ b/src/catkingrade/rpc/messages.h
@@ -633,6 +633,7 @@
 	CK_QUERY_COUNTERS = 7,
 	CK_QUERY_GROUPS = 8,
 	CK_QUERY_LIMITS = 9,
+	CK_QUERY_DECLARED_CUSTOMERS = 10,
 };
 typedef enum ck_query_kind ck_query_kind;
 
--- a/src/catkingrade/rpc/messages.x
+++ b/src/catkingrade/rpc/messages.x
@@ -555,7 +555,8 @@
     CK_QUERY_TIMELINE = 6,
     CK_QUERY_COUNTERS = 7,
     CK_QUERY_GROUPS = 8,
-    CK_QUERY_LIMITS = 9             /* rate limits of customers */
+    CK_QUERY_LIMITS = 9,            /* rate limits of customers */
+    CK_QUERY_DECLARED_CUSTOMERS = 10    /* without their keys */
 };
 
 struct ck_query_args {
