feat(coordinator): the customers of a database are divided among its relays

Problem: each entry sends all statements of a database to the relay nearest to it. Each relay then gets requests of every customer, but has connections for few of them, and opens and closes one for most requests. Change: with the setting relay_by_customer, control tells the entries all relays of a database, and an entry sends the statements of a customer to one of them, chosen by rendezvous hashing; statements without a customer go to the nearest relay as before. A relay that refuses or does not answer is left for 5 s. Without the setting nothing is sent and nothing changes. The connections opened by a deployment are not measured here.

--- a/src/catkingrade/decide/coordinator/coordinator.h
+++ b/src/catkingrade/decide/coordinator/coordinator.h
@@ -44,6 +44,7 @@
     // and run the statements of the other entries. 0: every entry holds
     // connections.
     uint32_t relay_min_connections;
+    bool relay_by_customer; // entries are told all relays, see relay_choice.h
     size_t delta_max_size_bytes; // before compression
     uint64_t seed;
 };
--- a/src/catkingrade/decide/coordinator/coordinator_relay_list.c
+++ b/src/catkingrade/decide/coordinator/coordinator_relay_list.c
@@ -55,6 +55,31 @@
             coordinator_is_primary_unreachable(coordinator, plan, holder));
 }
 
+// Fills the relays among which entries divide the customers of a database.
+// Those that run no statements or do not reach the primary are left out, which
+// is the same for all entries, and so is the entry itself.
+static void
+coordinator_fill_spread(struct coordinator *coordinator,
+                        const struct coordinator_relay_plan *plan,
+                        const struct coordinator_holder *holder,
+                        struct ck_relay *out)
+{
+    char **hosts = coordinator_actions_own(
+        coordinator->actions, xcalloc(CK_RELAY_SPREAD, sizeof(char *)));
+    u_int count = 0;
+
+    for (size_t i = 0; i < plan->relays_count && count < CK_RELAY_SPREAD;
+         i++) {
+        size_t index = plan->relays[i];
+        if (plan->holders[index] != holder && !plan->entries[index].is_idle &&
+            !plan->entries[index].primary_unreachable) {
+            hosts[count++] = plan->holders[index]->daemon.host;
+        }
+    }
+    out->spread.spread_val = hosts;
+    out->spread.spread_len = count;
+}
+
 // Fills the relays of an entry for one database.
 static void
 coordinator_fill_relay(struct coordinator *coordinator,
@@ -86,6 +111,9 @@
     for (size_t i = 0; i < count; i++) {
         out->hosts.hosts_val[i] = plan->holders[indexes[i]]->daemon.host;
     }
+    if (coordinator->params.relay_by_customer && !out->standby) {
+        coordinator_fill_spread(coordinator, plan, holder, out);
+    }
 }
 
 // Returns a version of the relays as an entry reports it. It contains the
--- a/src/catkingrade/decide/traffic/pool.c
+++ b/src/catkingrade/decide/traffic/pool.c
@@ -670,7 +670,9 @@
     if (scheduler->customers.count > 1 && !scheduler->view.relayed) {
         return;
     }
-    for (uint32_t i = 0; i < scheduler->candidates_count; i++) {
+    // Of relays, only the first candidate serves requests of no customer.
+    uint32_t count = scheduler->view.relayed ? 1 : scheduler->candidates_count;
+    for (uint32_t i = 0; i < count && i < scheduler->candidates_count; i++) {
         pool_open_spares(scheduler, scheduler->candidates[i]);
     }
 }
--- a/src/catkingrade/decide/traffic/request_run.c
+++ b/src/catkingrade/decide/traffic/request_run.c
@@ -184,7 +184,7 @@
     action->session = request->session->id;
     action->conn = conn->id;
     action->upstream = conn->upstream;
-    action->on_replica = conn->upstream != scheduler->primary;
+    action->on_replica = conn->upstream != scheduler->primary && !up->relayed;
     if (scheduler->params.guarded) {
         request_require_position(scheduler, request, conn, action);
     }
--- a/src/catkingrade/decide/traffic/route.c
+++ b/src/catkingrade/decide/traffic/route.c
@@ -3,6 +3,7 @@
 #include "catkingrade/decide/random.h"
 #include "catkingrade/decide/traffic/floor.h"
 #include "catkingrade/decide/traffic/pool.h"
+#include "catkingrade/decide/traffic/relay_choice.h"
 #include "catkingrade/decide/traffic/retry.h"
 #include "catkingrade/decide/traffic/scheduler_lease.h"
 #include "catkingrade/decide/traffic/scheduler_sample.h"
@@ -22,6 +23,8 @@
 // A near replica is preferred until it is busier than the other one by its
 // width divided by this.
 #define ROUTE_NEAR_DIVISOR 2
+// Time after which a relay that has failed is tried again for its customers.
+#define ROUTE_RELAY_RETRY_US (5 * SCHEDULER_SECOND_US)
 // Latency of an upstream that has not answered a statement yet.
 #define ROUTE_INITIAL_LATENCY_US (1 * SCHEDULER_MS_US)
 
@@ -317,6 +320,64 @@
     return has_room ? ROUTE_FOUND : ROUTE_BUSY;
 }
 
+// Returns whether a relay among which customers are divided may be used.
+static bool
+route_is_relay_usable(const struct scheduler *scheduler, uint32_t index,
+                      const struct request *request)
+{
+    const struct upstream *up = &scheduler->upstreams[index];
+
+    return index != scheduler->primary &&
+           (up->failing_since_us == 0 ||
+            scheduler->now_us - up->failing_since_us > ROUTE_RELAY_RETRY_US) &&
+           !retry_was_tried(request, index);
+}
+
+// Returns the relay for a request: the one of its customer, or else the first
+// candidate, which represents the nearest relays.
+static uint32_t
+route_choose_relay(const struct scheduler *scheduler,
+                   const struct request *request)
+{
+    const char *customer = scheduler->customers.items[request->customer]->name;
+    uint32_t best = scheduler->candidates[0];
+    uint64_t best_rank = 0;
+
+    for (uint32_t i = 1;
+         request->customer != CUSTOMER_NONE && i < scheduler->candidates_count;
+         i++) {
+        uint32_t index = scheduler->candidates[i];
+        uint64_t rank =
+            relay_choice_get_rank(scheduler->view.database->name, customer,
+                                  scheduler->upstreams[index].config->host);
+        if (route_is_relay_usable(scheduler, index, request) &&
+            rank >= best_rank) {
+            best = index;
+            best_rank = rank;
+        }
+    }
+    return best;
+}
+
+// Routes a request to a relay, an entry that forwards statements to the
+// upstreams. The relay chooses the upstream.
+static struct route
+route_to_relay(struct scheduler *scheduler, const struct request *request)
+{
+    struct route route = {ROUTE_STALE, SCHEDULER_NO_ID};
+
+    if (scheduler->candidates_count == 0) {
+        return route;
+    }
+    uint32_t index = route_choose_relay(scheduler, request);
+    route.verdict = ROUTE_BUSY;
+    if (route_has_room(scheduler, index, request)) {
+        route.verdict = ROUTE_FOUND;
+        route.upstream = index;
+    }
+    return route;
+}
+
 // Finds the upstream for a statement that only the primary may run.
 struct route
 route_primary(struct scheduler *scheduler, const struct request *request)
@@ -326,6 +387,9 @@
     if (!route_primary_is_usable(scheduler)) {
         return route;
     }
+    if (scheduler->view.relayed && request->customer != CUSTOMER_NONE) {
+        return route_to_relay(scheduler, request);
+    }
     route.verdict = ROUTE_BUSY;
     if (scheduler->upstreams[scheduler->primary].failing_since_us == 0 &&
         route_has_room(scheduler, scheduler->primary, request)) {
@@ -381,25 +445,6 @@
     return need;
 }
 
-// Routes a read to the relay, the entry that forwards statements to the
-// upstreams. The relay chooses the upstream.
-static struct route
-route_to_relay(struct scheduler *scheduler, const struct request *request)
-{
-    struct route route = {ROUTE_STALE, SCHEDULER_NO_ID};
-
-    if (scheduler->candidates_count == 0) {
-        return route;
-    }
-    uint32_t index = scheduler->candidates[0];
-    route.verdict = ROUTE_BUSY;
-    if (route_has_room(scheduler, index, request)) {
-        route.verdict = ROUTE_FOUND;
-        route.upstream = index;
-    }
-    return route;
-}
-
 // Finds the upstream for a read: a replica whose position covers the floor of
 // the session and whose age is accepted, otherwise the primary. May start a
 // wait for a replica that is catching up.
--- a/src/catkingrade/decide/traffic/scheduler_sample.c
+++ b/src/catkingrade/decide/traffic/scheduler_sample.c
@@ -191,6 +191,9 @@
     if (up->failing_since_us == 0 && !scheduler->view.relayed) {
         up->failing_since_us = scheduler->now_us;
     }
+    if (up->relayed && upstream != scheduler->primary) {
+        up->failing_since_us = scheduler->now_us;
+    }
     if (up->config == NULL ||
         (up->suspected_us != 0 &&
          scheduler->now_us - up->suspected_us < SAMPLE_SUSPECT_INTERVAL_US)) {
--- a/src/catkingrade/decide/traffic/scheduler_state.h
+++ b/src/catkingrade/decide/traffic/scheduler_state.h
@@ -94,6 +94,7 @@
     bool near;                        // in the entry's failure domain
     bool takes_work; // ready, or a leaving primary with time left
     bool relayed;    // the upstream is another entry
+    char relay_host[SCHEDULER_NAME_SIZE]; // of that entry, if it is fixed
     struct replica_lag lag;
     struct concurrency concurrency;
     struct circuit_breaker circuit_breaker;
--- a/src/catkingrade/decide/traffic/scheduler_view.c
+++ b/src/catkingrade/decide/traffic/scheduler_view.c
@@ -80,6 +80,27 @@
                                       scheduler->params.leaving_limit_us;
 }
 
+// Lets the connections to an upstream end if it stands for another relay now.
+static void
+view_update_relay_host(struct scheduler *scheduler, uint32_t upstream)
+{
+    struct upstream *up = &scheduler->upstreams[upstream];
+
+    if (!up->relayed || up->config->host[0] == '\0' ||
+        strcmp(up->relay_host, up->config->host) == 0) {
+        return;
+    }
+    for (uint32_t i = 0; i < scheduler->conns_count; i++) {
+        struct conn *conn = &scheduler->conns[i];
+        conn->superseded |= up->relay_host[0] != '\0' &&
+                            conn->state != CONN_FREE &&
+                            conn->upstream == upstream;
+    }
+    (void)strncpy(up->relay_host, up->config->host,
+                  sizeof(up->relay_host) - 1);
+    up->failing_since_us = 0;
+}
+
 // Sets the configuration of each upstream from the new view, and finds the
 // primary and the ready upstreams.
 static void
@@ -101,6 +122,7 @@
         struct upstream *up = &scheduler->upstreams[upstream];
         up->config = config;
         up->relayed = scheduler->view.relayed;
+        view_update_relay_host(scheduler, upstream);
         up->near = strcmp(config->failure_domain,
                           scheduler->view.failure_domain) == 0;
         bool primary = strcmp(config->name, database->primary) == 0;
--- a/src/catkingrade/entry/database_actions.c
+++ b/src/catkingrade/entry/database_actions.c
@@ -20,7 +20,8 @@
     conn->upstream = action->upstream;
     conn->connect_started_us = monotonic_get_us();
     if (database_is_relayed(database)) {
-        strncpy(conn->relay_host, database_get_relay_host(database),
+        strncpy(conn->relay_host,
+                database_get_link_host(database, action->upstream),
                 CK_HOST_SIZE);
     }
     counter_add(COUNTER_CUSTOMER_CONNS_OPENED, action->customer[0] != '\0');
@@ -148,8 +149,11 @@
     }
     if (database_is_relayed(database)) {
         // The failed upstream is a relay: try the next relay instead of
-        // reporting a suspicion.
-        database_switch_relay_host(database);
+        // reporting a suspicion. The scheduler itself avoids one of those
+        // among which customers are divided.
+        if (upstream == NULL || upstream->host[0] == '\0') {
+            database_switch_relay_host(database);
+        }
         return;
     }
     entry_report_suspicion(worker_get_entry(database->worker), &suspicion);
--- a/src/catkingrade/entry/database_conn.c
+++ b/src/catkingrade/entry/database_conn.c
@@ -191,7 +191,7 @@
     };
 
     if (target.relayed) {
-        target.host = database_get_relay_host(database);
+        target.host = database_get_link_host(database, upstream);
         target.port = settings->platform.relay.port;
         target.connect_timeout_us =
             settings->suspect_us / DATABASE_RELAY_CONNECT_TIMEOUT_DIVISOR;
--- a/src/catkingrade/entry/database_private.h
+++ b/src/catkingrade/entry/database_private.h
@@ -45,6 +45,9 @@
 struct database_relay {
     char hosts[CK_RELAY_HOSTS][CK_HOST_SIZE + 1];
     size_t hosts_count;
+    // Relays among which customers are divided. A host keeps its place while
+    // it is listed; empty: free.
+    char spread[CK_RELAY_SPREAD][CK_HOST_SIZE + 1];
     size_t host_index;        // index in hosts of the relay for new links
     int64_t failed_us;        // time of the last switch to the next host
     unsigned failures;        // switches since a link was last opened
@@ -53,8 +56,9 @@
     bool standby;             // use relays only without a valid lease
     bool active;              // the view in force uses the relays
     struct ck_database config;
-    struct ck_upstream upstream;
-    struct ck_quota quota;
+    // The relay of statements without a customer, and those of spread.
+    struct ck_upstream upstreams[1 + CK_RELAY_SPREAD];
+    struct ck_quota quotas[1 + CK_RELAY_SPREAD];
 };
 
 #define DATABASE_MAX_HISTOGRAMS 32
@@ -140,7 +144,8 @@
 void database_update_relay_active(struct database *database);
 void database_fill_relay_view(struct database *database,
                               struct scheduler_view *view);
-const char *database_get_relay_host(struct database *database);
+const char *database_get_link_host(struct database *database,
+                                   uint32_t upstream);
 void database_record_relay_open(struct database *database);
 void database_switch_relay_host(struct database *database);
 void database_leave_relay_host(struct database *database, const char *host);
--- a/src/catkingrade/entry/database_relay.c
+++ b/src/catkingrade/entry/database_relay.c
@@ -2,8 +2,10 @@
 #include <string.h>
 
 #include "catkingrade/decide/traffic/relay_hosts.h"
+#include "catkingrade/decide/traffic/scheduler.h"
 #include "catkingrade/entry/database_private.h"
 #include "catkingrade/kernel/log.h"
+#include "catkingrade/kernel/memory.h"
 
 // Use of relays: other entries that run this entry's statements of a database.
 // The control group assigns them, in order of preference, to an entry without
@@ -34,6 +36,50 @@
         relay->hosts.hosts_val, relay->hosts.hosts_len);
 }
 
+static bool
+database_is_spread_listed(const struct ck_relay *relay, const char *host)
+{
+    for (u_int i = 0; relay != NULL && i < relay->spread.spread_len; i++) {
+        if (strcmp(relay->spread.spread_val[i], host) == 0) {
+            return true;
+        }
+    }
+    return false;
+}
+
+// Returns the place of a host, or the first free one for the empty host.
+static char *
+database_find_spread(struct database_relay *state, const char *host)
+{
+    for (size_t i = 0; i < CK_RELAY_SPREAD; i++) {
+        if (strcmp(state->spread[i], host) == 0) {
+            return state->spread[i];
+        }
+    }
+    return NULL;
+}
+
+// Sets the relays among which customers are divided. Those that stay listed
+// keep their places, and thus their links.
+static void
+database_set_spread(struct database_relay *state, const struct ck_relay *relay)
+{
+    for (size_t i = 0; i < CK_RELAY_SPREAD; i++) {
+        if (!database_is_spread_listed(relay, state->spread[i])) {
+            state->spread[i][0] = '\0';
+        }
+    }
+    for (u_int i = 0; relay != NULL && i < relay->spread.spread_len; i++) {
+        const char *host = relay->spread.spread_val[i];
+        char *place = database_find_spread(state, host);
+        if (place == NULL) {
+            place = database_find_spread(state, "");
+            INVARIANT(place != NULL);
+            (void)strncpy(place, host, CK_HOST_SIZE);
+        }
+    }
+}
+
 // Sets the relays of the database; NULL: none. They are in use or on standby.
 // Takes effect with the next database_set_view.
 void
@@ -45,6 +91,7 @@
     state->host_index = database_follow_relay(state, relay);
     state->standby = relay != NULL && relay->standby;
     state->hosts_count = count;
+    database_set_spread(state, relay);
     for (size_t i = 0; i < count; i++) {
         (void)strncpy(state->hosts[i], relay->hosts.hosts_val[i],
                       CK_HOST_SIZE);
@@ -110,39 +157,59 @@
             database->lease_until_us > monotonic_get_us());
 }
 
-// Replaces the upstreams and quotas of a scheduler view by a single primary
-// that represents the relays.
-void
-database_fill_relay_view(struct database *database,
-                         struct scheduler_view *view)
+static void
+database_fill_relay_upstream(struct database *database, size_t index,
+                             char *name, char *host)
 {
-    struct database_relay *relay = &database->relay;
-    static char name[] = DATABASE_RELAY_NAME;
     static char none[] = "";
 
-    relay->upstream = (struct ck_upstream){
+    database->relay.upstreams[index] = (struct ck_upstream){
         .name = name,
         .database = database->name,
         .failure_domain = none,
-        .host = none,
+        .host = host,
         .slots = DATABASE_RELAY_MAX_LINKS,
         .connections = DATABASE_RELAY_MAX_LINKS,
         .state = CK_UPSTREAM_READY,
     };
-    relay->config = *database->config;
-    relay->config.primary = name;
-    relay->config.upstreams.upstreams_len = 1;
-    relay->config.upstreams.upstreams_val = &relay->upstream;
-    relay->quota = (struct ck_quota){
+    database->relay.quotas[index] = (struct ck_quota){
         .upstream = name,
         .slots = DATABASE_RELAY_MAX_LINKS,
         .connections = DATABASE_RELAY_MAX_LINKS,
         .guaranteed_slots = DATABASE_RELAY_MAX_LINKS,
         .guaranteed_connections = DATABASE_RELAY_MAX_LINKS,
     };
+}
+
+// Replaces the upstreams and quotas of a scheduler view by a primary that
+// represents the relays in order of preference, and by those relays among
+// which customers are divided.
+void
+database_fill_relay_view(struct database *database,
+                         struct scheduler_view *view)
+{
+    struct database_relay *relay = &database->relay;
+    static char name[] = DATABASE_RELAY_NAME;
+    static char none[] = "";
+    static char spread_names[CK_RELAY_SPREAD][sizeof("relay-0")] = {
+        "relay-0", "relay-1", "relay-2", "relay-3",
+        "relay-4", "relay-5", "relay-6", "relay-7"};
+    size_t count = 0;
+
+    database_fill_relay_upstream(database, count++, name, none);
+    for (size_t i = 0; i < CK_RELAY_SPREAD; i++) {
+        if (relay->spread[i][0] != '\0') {
+            database_fill_relay_upstream(database, count++, spread_names[i],
+                                         relay->spread[i]);
+        }
+    }
+    relay->config = *database->config;
+    relay->config.primary = name;
+    relay->config.upstreams.upstreams_len = (u_int)count;
+    relay->config.upstreams.upstreams_val = relay->upstreams;
     view->database = &relay->config;
-    view->quotas = &relay->quota;
-    view->quotas_count = 1;
+    view->quotas = relay->quotas;
+    view->quotas_count = count;
     view->relayed = true;
 }
 
@@ -156,7 +223,7 @@
 
 // Returns the host of the relay for the next link. Returns to the first relay
 // once DATABASE_RELAY_FIRST_HOST_RETRY_US have passed without a failure.
-const char *
+static const char *
 database_get_relay_host(struct database *database)
 {
     struct database_relay *relay = &database->relay;
@@ -168,6 +235,19 @@
     return relay->hosts[relay->host_index % relay->hosts_count];
 }
 
+// Returns the host of the relay for the next link to an upstream of a relayed
+// view.
+const char *
+database_get_link_host(struct database *database, uint32_t upstream)
+{
+    const struct ck_upstream *config =
+        scheduler_get_upstream(database->scheduler, upstream);
+
+    INVARIANT(config != NULL);
+    return config->host[0] == '\0' ? database_get_relay_host(database)
+                                   : config->host;
+}
+
 // Switches new links to the next relay after the current one has refused or is
 // silent. Open links are kept. Starts a backoff when all relays have failed.
 void
--- a/src/catkingrade/kernel/settings.c
+++ b/src/catkingrade/kernel/settings.c
@@ -111,6 +111,7 @@
     "voters_from_seeds",
     "tolerated_losses",
     "relay_min_connections",
+    "relay_by_customer",
     "key_required",
     "bootstrap",
     "sample_upstreams",
@@ -455,6 +456,8 @@
         reader, root, "", "tolerated_losses", 1, 0, 3);
     settings->relay_min_connections = (unsigned)json_reader_get_number(
         reader, root, "", "relay_min_connections", 0, 0, 1000);
+    settings->relay_by_customer =
+        json_reader_get_bool(reader, root, "", "relay_by_customer", false);
     settings->key_required =
         json_reader_get_bool(reader, root, "", "key_required", true);
     settings->bootstrap =
--- a/src/catkingrade/kernel/settings.h
+++ b/src/catkingrade/kernel/settings.h
@@ -85,6 +85,7 @@
     // If an entry's share of an upstream's connections would be smaller, only
     // some entries, the relays, hold connections. 0: every entry holds them.
     unsigned relay_min_connections;
+    bool relay_by_customer; // a customer's statements go to one relay
     bool key_required; // key_file is required unless rpc is on loopback
     bool bootstrap;    // the control groups are new; for the first start
     // Whether entries query upstreams for their replication positions. false:
--- a/src/catkingrade/rpc/messages.h
+++ b/src/catkingrade/rpc/messages.h
@@ -23,6 +23,7 @@
 #define CK_ENTRY_SIZE 2162688
 #define CK_LIST_SIZE 16384
 #define CK_RELAY_HOSTS 3
+#define CK_RELAY_SPREAD 8
 #define CK_ORIGINAL_SIZE 4194304
 
 typedef char *ck_name;
@@ -304,6 +305,10 @@
 		u_int hosts_len;
 		ck_host *hosts_val;
 	} hosts;
+	struct {
+		u_int spread_len;
+		ck_host *spread_val;
+	} spread;
 };
 typedef struct ck_relay ck_relay;
 
--- a/src/catkingrade/rpc/messages.x
+++ b/src/catkingrade/rpc/messages.x
@@ -15,6 +15,7 @@
 const CK_ENTRY_SIZE = 2162688;      /* with a declaration */
 const CK_LIST_SIZE = 16384;
 const CK_RELAY_HOSTS = 3;
+const CK_RELAY_SPREAD = 8;
 const CK_ORIGINAL_SIZE = 4194304;
 
 typedef string ck_name<CK_NAME_SIZE>;
@@ -258,6 +259,9 @@
     ck_name database;
     bool standby;                   /* only while the receiver has no lease */
     ck_host hosts<CK_RELAY_HOSTS>;
+    /* Relays among which the statements of customers are divided, in the same
+       order at all entries; none: they are not. */
+    ck_host spread<CK_RELAY_SPREAD>;
 };
 
 /*
--- a/src/catkingrade/rpc/messages_xdr.c
+++ b/src/catkingrade/rpc/messages_xdr.c
@@ -826,6 +826,9 @@
 	 if (!xdr_array (xdrs, (char **)&objp->hosts.hosts_val, (u_int *) &objp->hosts.hosts_len, CK_RELAY_HOSTS,
 		sizeof (ck_host), (xdrproc_t) xdr_ck_host))
 		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->spread.spread_val, (u_int *) &objp->spread.spread_len, CK_RELAY_SPREAD,
+		sizeof (ck_host), (xdrproc_t) xdr_ck_host))
+		 return FALSE;
 	return TRUE;
 }
 
--- a/test/unit/decide/coordinator/test_coordinator.c
+++ b/test/unit/decide/coordinator/test_coordinator.c
@@ -663,6 +663,9 @@
 }
 END_TEST
 
+static bool
+    relay_by_customer; // of the coordinator that start_with_relays sets up
+
 // Starts a coordinator that uses relays when entries e1 to e<last_digit> would
 // have fewer than min_connections each.
 static void
@@ -679,6 +682,7 @@
     coordinator_params_init(&params);
     params.lease_us = LEASE_US;
     params.relay_min_connections = min_connections;
+    params.relay_by_customer = relay_by_customer;
     rig->coordinator = coordinator_create(&params, rig->group);
     elect(rig, 4);
 }
@@ -746,6 +750,34 @@
 }
 END_TEST
 
+// Guards against entries that divide the customers among different relays:
+// each entry without connections is told all relays, but only with the
+// setting, and relays themselves run their statements.
+START_TEST(test_relays_are_told_for_customers)
+{
+    struct rig rig;
+    unsigned told = 0;
+
+    relay_by_customer = _i == 1;
+    start_with_relays(&rig, 6, '4');
+    for (uint64_t sequence = 1; sequence <= 4; sequence++) {
+        for (char digit = '1'; digit <= '4'; digit++) {
+            char vm[] = {'e', digit, '\0'};
+            const struct ck_renew_result *result =
+                renew(&rig, vm, sequence, group_get_revision(rig.group));
+            for (u_int i = 0; i < result->relays.relays_len; i++) {
+                const struct ck_relay *relay = &result->relays.relays_val[i];
+                ck_assert(!relay->standby || relay->spread.spread_len == 0);
+                told = relay->standby ? told : relay->spread.spread_len;
+            }
+        }
+    }
+    ck_assert_uint_eq(told, _i == 1 ? 3 : 0);
+    relay_by_customer = false;
+    finish(&rig);
+}
+END_TEST
+
 // An entry that reports the primary as unreachable uses relays for a while. If
 // no entry reaches the primary, it runs its statements itself.
 START_TEST(test_entry_that_cannot_reach_primary_uses_relays)
@@ -1551,6 +1583,7 @@
     tcase_add_test(tests, test_recent_plan_drops_old_record);
     tcase_add_test(tests, test_new_address_changes_relays_version);
     tcase_add_test(tests, test_scarce_connections_go_to_relays);
+    tcase_add_loop_test(tests, test_relays_are_told_for_customers, 0, 2);
     tcase_add_test(tests, test_entry_that_cannot_reach_primary_uses_relays);
     tcase_add_test(tests, test_renewal_without_lease);
     tcase_add_test(tests, test_lease_is_granted_with_last_delta_page);
