--- a/src/catkingrade/decide/traffic/scheduler_sample.c
+++ b/src/catkingrade/decide/traffic/scheduler_sample.c
@@ -188,12 +188,14 @@
 {
     struct upstream *up = &scheduler->upstreams[upstream];
 
-    // The upstream of a relayed database represents all entries that may serve
-    // as relay. After a failure the next one is tried, so that the upstream is
-    // not marked as failing.
+    // The first upstream of a relayed database represents all entries that may
+    // serve as relay. After a failure the next one is tried, so that it is not
+    // marked as failing.
     if (scheduler->view.relayed) {
         relay_contact_record_failure(&scheduler->relay_contact,
                                      scheduler->now_us);
+        up->failing_since_us =
+            upstream == scheduler->primary ? 0 : scheduler->now_us;
     }
     else if (up->failing_since_us == 0) {
         up->failing_since_us = scheduler->now_us;
