--- a/src/catkingrade/cli/cli.h
+++ b/src/catkingrade/cli/cli.h
@@ -58,6 +58,7 @@
 extern const struct cli_verb cli_verb_switchover;
 extern const struct cli_verb cli_verb_voter;
 extern const struct cli_verb cli_verb_template;
+extern const struct cli_verb cli_verb_limits;
 extern const struct cli_verb cli_verb_timeline;
 extern const struct cli_verb cli_verb_upstream;
 extern const struct cli_verb cli_verb_explain;
--- a/src/catkingrade/cli/main.c
+++ b/src/catkingrade/cli/main.c
@@ -17,11 +17,12 @@
 const char *argp_program_version = "catkingrade " CATKINGRADE_VERSION;
 
 static const struct cli_verb *const main_verbs[] = {
-    &cli_verb_plan,       &cli_verb_apply,    &cli_verb_template,
-    &cli_verb_customer,   &cli_verb_upstream, &cli_verb_voter,
-    &cli_verb_switchover, &cli_verb_promote,  &cli_verb_status,
-    &cli_verb_timeline,   &cli_verb_stop,     &cli_verb_check,
-    &cli_verb_bench,      &cli_verb_explain,  &cli_verb_version,
+    &cli_verb_plan,    &cli_verb_apply,      &cli_verb_template,
+    &cli_verb_limits,  &cli_verb_customer,   &cli_verb_upstream,
+    &cli_verb_voter,   &cli_verb_switchover, &cli_verb_promote,
+    &cli_verb_status,  &cli_verb_timeline,   &cli_verb_stop,
+    &cli_verb_check,   &cli_verb_bench,      &cli_verb_explain,
+    &cli_verb_version,
 };
 
 static const struct argp_option main_option_rows[] = {
--- a/src/catkingrade/control/group_host_state.h
+++ b/src/catkingrade/control/group_host_state.h
@@ -110,8 +110,8 @@
 // group_limits.c
 void host_note_term(struct group_host *host);
 void host_reset_limits(struct group_host *host);
-void host_describe_limits(struct group_host *host, const char *name,
-                          struct buffer *json);
+uint64_t host_describe_limits(struct group_host *host, const char *name,
+                              uint64_t cursor, struct buffer *json);
 
 // group_voters.c
 void host_maintain_voters(struct group_host *host);
--- a/src/catkingrade/control/group_limits.c
+++ b/src/catkingrade/control/group_limits.c
@@ -124,15 +124,16 @@
 }
 
 // Appends what is left and lent of the limits; an empty list if no entry has
-// borrowed.
-void
+// borrowed. Returns the cursor of the next page, or 0 after the last one.
+uint64_t
 host_describe_limits(struct group_host *host, const char *name,
-                     struct buffer *json)
+                     uint64_t cursor, struct buffer *json)
 {
     if (host->limits.lender == NULL) {
         buffer_append_text(json, "[]");
-        return;
+        return 0;
     }
     host_update_limits(host);
-    limit_lender_describe(host->limits.lender, monotonic_get_us(), name, json);
+    return limit_lender_describe(host->limits.lender, monotonic_get_us(), name,
+                                 cursor, json);
 }
--- a/src/catkingrade/control/group_requests.c
+++ b/src/catkingrade/control/group_requests.c
@@ -361,7 +361,8 @@
     struct buffer json = {0};
 
     if (host_is_confirmed_leader(host) && args->kind == CK_QUERY_LIMITS) {
-        host_describe_limits(host, args->name, &json);
+        reply.next_cursor =
+            host_describe_limits(host, args->name, args->cursor, &json);
         reply.outcome = OUTCOME_OK;
     }
     else if (host_is_confirmed_leader(host)) {
--- a/src/catkingrade/decide/customer/limit_lender.c
+++ b/src/catkingrade/decide/customer/limit_lender.c
@@ -24,7 +24,9 @@
 #define LENDER_RETRY_MAX_US    1000000
 // Delay of the next call if tokens are left, but entries hold too many.
 #define LENDER_HELD_RETRY_MS 25
-#define LENDER_MIN_RATE      0.001
+// Rows of one page of limit_lender_describe.
+#define LENDER_PAGE_ROWS 200
+#define LENDER_MIN_RATE  0.001
 
 // An entry, one incarnation of a VM, and the answer to its last call.
 struct lender_entry {
@@ -504,39 +506,53 @@
     return &entry->answer;
 }
 
+// Appends a name to a JSON string; characters that JSON escapes become "?".
+static void
+lender_append_name(const char *name, struct buffer *json)
+{
+    for (; *name != '\0'; name++) {
+        bool plain =
+            (unsigned char)*name >= ' ' && *name != '"' && *name != '\\';
+        char text[2] = {plain ? *name : '?', '\0'};
+        buffer_append_text(json, text);
+    }
+}
+
 static void
 lender_describe_bucket(struct lender_bucket *bucket, int64_t now_us,
                        struct buffer *json)
 {
     lender_fill(bucket, now_us);
     lender_sweep(bucket, now_us);
+    buffer_append_text(json, "{\"customer\":\"");
+    lender_append_name(bucket->limit.customer, json);
     buffer_append_format(json,
-                         "{\"customer\":\"%s\",\"rate_per_s\":%g,"
-                         "\"burst\":%g,\"left\":%.1f,\"lent\":%.0f,"
-                         "\"entries\":%zu}",
-                         bucket->limit.customer, bucket->limit.rate_per_s,
-                         bucket->limit.burst, bucket->tokens, bucket->held,
-                         bucket->records_count);
+                         "\",\"rate_per_s\":%g,\"burst\":%g,"
+                         "\"left\":%.1f,\"lent\":%.0f,\"entries\":%zu}",
+                         bucket->limit.rate_per_s, bucket->limit.burst,
+                         bucket->tokens, bucket->held, bucket->records_count);
 }
 
-// Appends a JSON array with what is left and lent of each customer's limit, or
-// of one with a name; empty: all.
-void
+// Appends a JSON array with what is left and lent of the limits of a customer;
+// of all customers if name is empty. Returns the cursor of the next page, or 0
+// after the last one.
+uint64_t
 limit_lender_describe(struct limit_lender *lender, int64_t now_us,
-                      const char *name, struct buffer *json)
+                      const char *name, uint64_t cursor, struct buffer *json)
 {
-    bool first = true;
+    size_t rows = 0;
+    size_t i = (size_t)cursor;
 
     buffer_append_text(json, "[");
-    for (size_t i = 0; i < lender->buckets.capacity; i++) {
+    for (; i < lender->buckets.capacity && rows < LENDER_PAGE_ROWS; i++) {
         struct lender_bucket *bucket = lender->buckets.items[i];
         if (bucket == NULL || !bucket->declared ||
             (name[0] != '\0' && strcmp(bucket->limit.customer, name) != 0)) {
             continue;
         }
-        buffer_append_text(json, first ? "" : ",");
-        first = false;
+        buffer_append_text(json, rows++ == 0 ? "" : ",");
         lender_describe_bucket(bucket, now_us, json);
     }
     buffer_append_text(json, "]");
+    return i < lender->buckets.capacity ? i : 0;
 }
--- a/src/catkingrade/decide/customer/limit_lender.h
+++ b/src/catkingrade/decide/customer/limit_lender.h
@@ -32,7 +32,8 @@
 const struct ck_borrow_result *
 limit_lender_borrow(struct limit_lender *lender, int64_t now_us,
                     const struct ck_borrow_args *args);
-void limit_lender_describe(struct limit_lender *lender, int64_t now_us,
-                           const char *name, struct buffer *json);
+uint64_t limit_lender_describe(struct limit_lender *lender, int64_t now_us,
+                               const char *name, uint64_t cursor,
+                               struct buffer *json);
 
 #endif
--- a/test/unit/decide/customer/test_limit_lender.c
+++ b/test/unit/decide/customer/test_limit_lender.c
@@ -202,6 +202,30 @@
 }
 END_TEST
 
+// Guards against a query that shows something else than what entries can get.
+START_TEST(test_description)
+{
+    struct limit_lender *lender = create(true);
+    struct buffer json = {0};
+
+    (void)borrow(lender, START_US, "vm", 1,
+                 (struct ck_borrow_row){.waiting = 3});
+    ck_assert_uint_eq(limit_lender_describe(lender, START_US, "", 0, &json),
+                      0);
+    buffer_append_u8(&json, 0);
+    ck_assert_str_eq((const char *)buffer_get_data(&json),
+                     "[{\"customer\":\"ada\",\"rate_per_s\":2,\"burst\":10,"
+                     "\"left\":17.4,\"lent\":3,\"entries\":1}]");
+    buffer_free(&json);
+    ck_assert_uint_eq(limit_lender_describe(lender, START_US, "eve", 0, &json),
+                      0);
+    buffer_append_u8(&json, 0);
+    ck_assert_str_eq((const char *)buffer_get_data(&json), "[]");
+    buffer_free(&json);
+    limit_lender_destroy(lender);
+}
+END_TEST
+
 static void
 add_tests(TCase *tests)
 {
@@ -210,6 +234,7 @@
     tcase_add_test(tests, test_calls_are_counted_once);
     tcase_add_test(tests, test_held_tokens_are_bounded);
     tcase_add_test(tests, test_limits_change);
+    tcase_add_test(tests, test_description);
 }
 
 TEST_MAIN("limit_lender", add_tests)
