--- a/test/unit/decide/customer/test_limits.c
+++ b/test/unit/decide/customer/test_limits.c
@@ -187,50 +187,103 @@
     customer->limit.burst = customer->limit.rate_per_s;
 }
 
+// Sets loads of 83 customers, about 700 operations per second together, and
+// limits of 1.6 times the load.
+static void
+set_usual_loads(struct limit_fleet *fleet)
+{
+    double load = 220;
+
+    for (size_t i = 0; i < 83; i++) {
+        load *= i == 0 ? 1 : 1 - 1.2 / ((double)i + 1);
+        set_customer(fleet, i, load < 1 ? 1 : load, 1.6);
+    }
+}
+
+struct totals {
+    uint64_t arrived;
+    uint64_t refused;
+    uint64_t unanswered;
+};
+
+static struct totals
+sum_up(struct limit_fleet *fleet, size_t customers_count)
+{
+    struct totals sum = {0};
+
+    for (size_t i = 0; i < customers_count; i++) {
+        const struct limit_fleet_customer *customer =
+            limit_fleet_get_customer(fleet, i);
+        sum.arrived += customer->arrived;
+        sum.refused += customer->refused;
+        sum.unanswered += customer->unanswered;
+    }
+    return sum;
+}
+
 // Guards against refusals of customers that stay below their limits, where
-// most pairs of a customer and an entry are rare.
+// most pairs of a customer and an entry are rare, and against more than about
+// one call for each operation of a rare pair.
 START_TEST(test_no_refusal_below_the_limit)
 {
     struct limit_fleet *fleet = create_large_fleet(7, 83);
-    double sum = 0;
 
-    for (size_t i = 0; i < 83; i++) {
-        double load = 220;
-        for (size_t j = 1; j <= i; j++) {
-            load *= 1 - 1.2 / ((double)j + 1);
-        }
-        load = load < 1 ? 1 : load;
-        sum += load;
-        set_customer(fleet, i, load, 1.6);
-    }
+    set_usual_loads(fleet);
     start_large_fleet(fleet);
-    uint64_t refused = 0;
-    uint64_t arrived = 0;
     uint64_t calls = limit_fleet_get_calls(fleet);
-    for (size_t i = 0; i < 83; i++) {
-        refused -= limit_fleet_get_customer(fleet, i)->refused +
-                   limit_fleet_get_customer(fleet, i)->unanswered;
-        arrived -= limit_fleet_get_customer(fleet, i)->arrived;
-    }
+    struct totals before = sum_up(fleet, 83);
     limit_fleet_run(fleet, 30 * S_US);
     calls = limit_fleet_get_calls(fleet) - calls;
-    for (size_t i = 0; i < 83; i++) {
-        const struct limit_fleet_customer *customer =
-            limit_fleet_get_customer(fleet, i);
-        refused += customer->refused + customer->unanswered;
-        if (customer->refused + customer->unanswered)
-            printf("c%zu load %.1f refused %d unanswered %d peak %zu\n", i,
-                   customer->load_per_s, (int)customer->refused,
-                   (int)customer->unanswered, customer->peak);
-        arrived += customer->arrived;
-    }
-    printf("below the limits: load %.0f/s, %llu operations, %llu refused, "
-           "%llu calls in 30 s\n",
-           sum, (unsigned long long)arrived, (unsigned long long)refused,
+    struct totals after = sum_up(fleet, 83);
+    printf("below the limits: %llu operations, %llu refused, %llu unanswered, "
+           "%llu calls\n",
+           (unsigned long long)(after.arrived - before.arrived),
+           (unsigned long long)(after.refused - before.refused),
+           (unsigned long long)(after.unanswered - before.unanswered),
            (unsigned long long)calls);
-    ck_assert_uint_eq(refused, 0);
-    // At most about one call for each operation of a rare pair.
-    ck_assert_uint_le(calls, arrived);
+    ck_assert_uint_eq(after.refused, before.refused);
+    ck_assert_uint_eq(after.unanswered, before.unanswered);
+    ck_assert_uint_le(calls, after.arrived - before.arrived);
+    ck_assert_msg(limit_fleet_holds_bound(fleet), "%s",
+                  limit_fleet_get_violation(fleet));
+    limit_fleet_destroy(fleet);
+}
+END_TEST
+
+// Guards against a new leader that refuses for long: operations are refused
+// while there is no leader, and few once there is one.
+START_TEST(test_new_leader_soon_serves)
+{
+    struct limit_fleet *fleet = create_large_fleet(8, 83);
+
+    set_usual_loads(fleet);
+    start_large_fleet(fleet);
+    limit_fleet_run(fleet, 5 * S_US);
+    struct totals before = sum_up(fleet, 83);
+    limit_fleet_end_leader(fleet);
+    limit_fleet_run(fleet, 600 * MS_US);
+    limit_fleet_begin_leader(fleet, 1);
+    struct totals gap = sum_up(fleet, 83);
+    limit_fleet_run(fleet, 2 * S_US);
+    struct totals soon = sum_up(fleet, 83);
+    limit_fleet_run(fleet, 10 * S_US);
+    struct totals after = sum_up(fleet, 83);
+    printf("without a leader: %llu of %llu not admitted; 2 s after: %llu of "
+           "%llu; 10 s after that: %llu of %llu\n",
+           (unsigned long long)(gap.refused + gap.unanswered - before.refused -
+                                before.unanswered),
+           (unsigned long long)(gap.arrived - before.arrived),
+           (unsigned long long)(soon.refused + soon.unanswered - gap.refused -
+                                gap.unanswered),
+           (unsigned long long)(soon.arrived - gap.arrived),
+           (unsigned long long)(after.refused + after.unanswered -
+                                soon.refused - soon.unanswered),
+           (unsigned long long)(after.arrived - soon.arrived));
+    ck_assert_uint_le(soon.refused + soon.unanswered - gap.refused -
+                          gap.unanswered,
+                      (soon.arrived - gap.arrived) / 10);
+    ck_assert_uint_eq(after.refused + after.unanswered,
+                      soon.refused + soon.unanswered);
     ck_assert_msg(limit_fleet_holds_bound(fleet), "%s",
                   limit_fleet_get_violation(fleet));
     limit_fleet_destroy(fleet);
@@ -282,6 +335,7 @@
     }
     tcase_add_test(tests, test_bound_holds_under_faults);
     tcase_add_test(tests, test_no_refusal_below_the_limit);
+    tcase_add_test(tests, test_new_leader_soon_serves);
     tcase_add_test(tests, test_overload_gets_the_limit);
 }
 
