--- a/src/catkingrade/decide/traffic/dispatch.c
+++ b/src/catkingrade/decide/traffic/dispatch.c
@@ -7,6 +7,7 @@
 #include "catkingrade/decide/traffic/route.h"
 #include "catkingrade/decide/traffic/scheduler_lease.h"
 #include "catkingrade/decide/traffic/scheduler_request.h"
+#include "catkingrade/decide/traffic/upstream_capacity.h"
 #include "catkingrade/kernel/memory.h"
 #include "catkingrade/kernel/outcome.h"
 
@@ -68,8 +69,9 @@
     if (admission_refuse_late(scheduler, request)) {
         return DISPATCH_ENDED;
     }
-    struct route route = kind == QUEUE_READS ? route_read(scheduler, request)
-                                             : route_primary(scheduler);
+    struct route route = kind == QUEUE_READS
+                             ? route_read(scheduler, request)
+                             : route_primary(scheduler, request);
     if (route.verdict == ROUTE_STALE) {
         return kind == QUEUE_READS ? dispatch_handle_stale(scheduler, request)
                                    : DISPATCH_BLOCKED;
@@ -137,6 +139,7 @@
 dispatch_run(struct scheduler *scheduler)
 {
     scheduler->round++;
+    upstream_capacity_check_overdue(scheduler);
     for (uint32_t i = 0;
          scheduler->pinned_waiting > 0 && i < scheduler->upstreams_count;
          i++) {
--- a/src/catkingrade/decide/traffic/request_run.c
+++ b/src/catkingrade/decide/traffic/request_run.c
@@ -7,6 +7,7 @@
 #include "catkingrade/decide/traffic/scheduler_actions.h"
 #include "catkingrade/decide/traffic/scheduler_lease.h"
 #include "catkingrade/decide/traffic/scheduler_request.h"
+#include "catkingrade/decide/traffic/upstream_capacity.h"
 #include "catkingrade/kernel/memory.h"
 #include "catkingrade/kernel/outcome.h"
 
@@ -172,7 +173,9 @@
     conn->request = request->id;
     conn->last_session = request->session->id;
     conn->abandoned_us = 0;
+    conn->overdue = 0;
     conn->read = request_is_read(request);
+    upstream_capacity_record_send(scheduler, up, request);
     up->running++;
     up->reads += conn->read;
     scheduler->running++;
--- a/src/catkingrade/decide/traffic/route.c
+++ b/src/catkingrade/decide/traffic/route.c
@@ -5,7 +5,9 @@
 #include "catkingrade/decide/traffic/pool.h"
 #include "catkingrade/decide/traffic/retry.h"
 #include "catkingrade/decide/traffic/scheduler_lease.h"
+#include "catkingrade/decide/traffic/scheduler_request.h"
 #include "catkingrade/decide/traffic/scheduler_sample.h"
+#include "catkingrade/decide/traffic/upstream_capacity.h"
 
 // Upstreams that are checked at random before all of them are scanned.
 #define ROUTE_RANDOM_PROBES 8
@@ -25,6 +27,24 @@
 // Latency of an upstream that has not answered a statement yet.
 #define ROUTE_INITIAL_LATENCY_US (1 * SCHEDULER_MS_US)
 
+// Time that a statement for the primary waits for the learned limit. After it
+// only the quota counts: the limit keeps statements in the queue of the entry,
+// where they are ordered by urgency, and must not make one late.
+#define ROUTE_LIMIT_WAIT_US (20 * SCHEDULER_MS_US)
+// A read waits for the learned limit this part of its time to the deadline.
+#define ROUTE_READ_WAIT_DIVISOR 4
+// The expected time of a read until its answer must fit this many times into
+// its remaining time for a trial at a slow upstream.
+#define ROUTE_TRIAL_MARGIN 2
+// A slow upstream without a trial for this long gets the next read in any
+// case: it must be able to recover.
+#define ROUTE_TRIAL_OVERDUE_US (1 * SCHEDULER_SECOND_US)
+// A loaded replica loses a read to the primary if that is faster by this many
+// halves.
+#define ROUTE_PRIMARY_GAIN_HALVES 3
+// Scale of the random number that chooses between two replicas.
+#define ROUTE_CHOICE_SCALE 65536
+
 // Requirements of a read on the upstream that serves it.
 struct route_need {
     const struct request *request;
@@ -43,14 +63,52 @@
            scheduler->upstreams[scheduler->primary].writable;
 }
 
+// What the search for a replica found besides the choice.
+struct route_replicas {
+    bool eligible; // one may serve the read, even if it has no free slot
+    bool healthy;  // one of these is not slow
+};
+
+// Returns whether a request has waited for a learned limit for as long as it
+// may.
+static bool
+route_ignores_limit(const struct scheduler *scheduler,
+                    const struct request *request)
+{
+    int64_t wait_us = ROUTE_LIMIT_WAIT_US;
+
+    if (request_is_read(request) && !request->primary_only) {
+        wait_us = (request->deadline_us - request->queued_us) /
+                  ROUTE_READ_WAIT_DIVISOR;
+    }
+    return scheduler->now_us - request->queued_us >= wait_us;
+}
+
+// Returns how many statements may run at an upstream when a request is to be
+// sent there.
+static uint32_t
+route_get_limit(const struct scheduler *scheduler, uint32_t index,
+                const struct request *request)
+{
+    const struct upstream *up = &scheduler->upstreams[index];
+    uint32_t limit = concurrency_get_limit(&up->concurrency, up->slots);
+
+    if (!upstream_capacity_is_used(scheduler, up) ||
+        route_ignores_limit(scheduler, request)) {
+        return limit;
+    }
+    return capacity_get_limit(&up->capacity, limit);
+}
+
 // Returns whether an upstream has a free slot and a connection for it that is
 // idle, opening or may be opened now.
 static bool
-route_has_room(const struct scheduler *scheduler, uint32_t index)
+route_has_room(const struct scheduler *scheduler, uint32_t index,
+               const struct request *request)
 {
     const struct upstream *up = &scheduler->upstreams[index];
 
-    return up->running < concurrency_get_limit(&up->concurrency, up->slots) &&
+    return up->running < route_get_limit(scheduler, index, request) &&
            (up->idle > 0 || up->opening > 0 ||
             pool_can_open(scheduler, index));
 }
@@ -122,13 +180,86 @@
     return route_get_cost_us(a) < route_get_cost_us(b);
 }
 
-// Returns whether an upstream can take a read now. Sets *eligible if the
-// upstream may serve the read, even if it has no free slot now.
+// Returns the expected time until a read is answered by an upstream, by its
+// learned capacity.
+static int64_t
+route_get_completion_us(const struct scheduler *scheduler, uint32_t index)
+{
+    const struct upstream *up = &scheduler->upstreams[index];
+
+    return capacity_get_completion_us(&up->capacity, scheduler->now_us,
+                                      CAPACITY_KIND_READ, up->running,
+                                      up->slots);
+}
+
+// Returns whether read a should go to upstream a rather than to b by their
+// expected completion times: with a probability that falls with the fourth
+// power of the time. Entries that share the upstreams learn of a queue late;
+// if each of them always chose the lower time, all would choose the same
+// upstream until its queue is long.
+static bool
+route_is_faster(struct scheduler *scheduler, uint32_t a, uint32_t b)
+{
+    double a_us = (double)route_get_completion_us(scheduler, a);
+    double b_us = (double)route_get_completion_us(scheduler, b);
+    double ratio = (a_us * a_us) / (b_us * b_us);
+    double share = 1 / (1 + ratio * ratio);
+
+    return random_below(&scheduler->random, ROUTE_CHOICE_SCALE) <
+           (uint32_t)(share * ROUTE_CHOICE_SCALE);
+}
+
+// Returns whether the learned latencies of two upstreams can be compared.
+static bool
+route_can_compare(const struct scheduler *scheduler, uint32_t a, uint32_t b)
+{
+    const struct upstream *up_a = &scheduler->upstreams[a];
+    const struct upstream *up_b = &scheduler->upstreams[b];
+
+    return upstream_capacity_is_used(scheduler, up_a) &&
+           capacity_is_known(&up_a->capacity, CAPACITY_KIND_READ) &&
+           capacity_is_known(&up_b->capacity, CAPACITY_KIND_READ) &&
+           (up_a->idle > 0) == (up_b->idle > 0);
+}
+
+// Returns whether an upstream is slow by its learned capacity.
+static bool
+route_is_slow(const struct scheduler *scheduler, uint32_t index)
+{
+    const struct upstream *up = &scheduler->upstreams[index];
+
+    return upstream_capacity_is_used(scheduler, up) &&
+           capacity_is_slow(&up->capacity);
+}
+
+// Returns whether a read is due as a trial of a slow upstream and has the time
+// for it.
+static bool
+route_may_try(const struct scheduler *scheduler, uint32_t index,
+              const struct request *request)
+{
+    const struct capacity *capacity = &scheduler->upstreams[index].capacity;
+    int64_t latency_us = capacity_get_latency_us(capacity, scheduler->now_us,
+                                                 CAPACITY_KIND_READ);
+
+    return capacity_may_try(capacity, scheduler->now_us,
+                            scheduler->upstreams[index].running) &&
+           (latency_us * ROUTE_TRIAL_MARGIN <=
+                request->deadline_us - scheduler->now_us ||
+            scheduler->now_us - capacity->trial_at_us >=
+                ROUTE_TRIAL_OVERDUE_US);
+}
+
+// Returns whether an upstream can take a read now. Sets replicas->eligible if
+// the upstream may serve the read, even if it has no free slot now. A slow
+// upstream takes trial reads only.
 static bool
 route_is_candidate(const struct scheduler *scheduler, uint32_t index,
-                   const struct route_need *need, bool *eligible)
+                   const struct route_need *need,
+                   struct route_replicas *replicas)
 {
     const struct upstream *up = &scheduler->upstreams[index];
+    bool slow = route_is_slow(scheduler, index);
 
     if (index == scheduler->primary && need->leased) {
         return false;
@@ -140,9 +271,11 @@
         return false;
     }
     if (up->slots > 0 && up->connections > 0) {
-        *eligible = true;
+        replicas->eligible = true;
+        replicas->healthy |= !slow;
     }
-    return route_has_room(scheduler, index);
+    return route_has_room(scheduler, index, need->request) &&
+           (!slow || route_may_try(scheduler, index, need->request));
 }
 
 // Finds up to two replicas that can take a read. Checks random replicas first
@@ -150,7 +283,7 @@
 // found.
 static uint32_t
 route_find_two(struct scheduler *scheduler, const struct route_need *need,
-               uint32_t picked[2], bool *eligible)
+               uint32_t picked[2], struct route_replicas *replicas)
 {
     uint32_t count = scheduler->candidates_count;
     uint32_t picked_count = 0;
@@ -159,7 +292,7 @@
          i++) {
         uint32_t index =
             scheduler->candidates[random_below(&scheduler->random, count)];
-        if (route_is_candidate(scheduler, index, need, eligible)) {
+        if (route_is_candidate(scheduler, index, need, replicas)) {
             picked[picked_count++] = index;
         }
         if (picked_count == 2) {
@@ -170,7 +303,7 @@
     for (uint32_t i = 0; i < count && picked_count < 2; i++) {
         uint32_t index = scheduler->candidates[next];
         next = next + 1 == count ? 0 : next + 1;
-        if (route_is_candidate(scheduler, index, need, eligible)) {
+        if (route_is_candidate(scheduler, index, need, replicas)) {
             picked[picked_count++] = index;
         }
     }
@@ -181,35 +314,63 @@
 // SCHEDULER_NO_ID if there is none.
 static uint32_t
 route_pick_replica(struct scheduler *scheduler, const struct route_need *need,
-                   bool *eligible)
+                   struct route_replicas *replicas)
 {
     uint32_t picked[2] = {SCHEDULER_NO_ID, SCHEDULER_NO_ID};
 
     if (scheduler->candidates_count == 0 ||
-        route_find_two(scheduler, need, picked, eligible) < 2) {
+        route_find_two(scheduler, need, picked, replicas) < 2) {
+        return picked[0];
+    }
+    // A slow upstream was found because a trial is due.
+    if (route_is_slow(scheduler, picked[0])) {
         return picked[0];
     }
+    if (route_is_slow(scheduler, picked[1])) {
+        return picked[1];
+    }
+    if (route_can_compare(scheduler, picked[0], picked[1])) {
+        return route_is_faster(scheduler, picked[1], picked[0]) ? picked[1]
+                                                                : picked[0];
+    }
     return route_is_better(&scheduler->upstreams[picked[1]],
                            &scheduler->upstreams[picked[0]])
                ? picked[1]
                : picked[0];
 }
 
+// Returns whether statements wait for the primary: in this entry, or at the
+// primary itself.
+static bool
+route_primary_is_loaded(const struct scheduler *scheduler)
+{
+    const struct upstream *primary = &scheduler->upstreams[scheduler->primary];
+
+    return scheduler->queued[QUEUE_PRIMARY] > 0 ||
+           (upstream_capacity_is_used(scheduler, primary) &&
+            capacity_is_loaded(&primary->capacity, scheduler->now_us));
+}
+
 // Returns how many reads may run on the primary concurrently without starving
-// its writes. With replica_eligible, a replica could serve the read too; such
-// a read uses the primary only after it has waited ROUTE_SPILL_WAIT_US for the
-// replicas and while no statement is queued for the primary.
+// its writes. If a replica that is not slow could serve the read too, the read
+// uses the primary only after it has waited ROUTE_SPILL_WAIT_US for the
+// replicas. If any replica could serve it, it uses the primary only while no
+// statement waits there.
 static uint32_t
 route_get_primary_limit(const struct scheduler *scheduler,
-                        const struct request *request, bool replica_eligible)
+                        const struct request *request,
+                        const struct route_replicas *replicas)
 {
     uint32_t slots = scheduler->upstreams[scheduler->primary].slots;
     uint32_t part = slots / ROUTE_PRIMARY_DIVISOR;
 
-    if (replica_eligible) {
+    if (replicas->eligible && replicas->healthy) {
         bool waited =
             scheduler->now_us - request->queued_us >= ROUTE_SPILL_WAIT_US;
-        return waited && scheduler->queued[QUEUE_PRIMARY] == 0 ? part : 0;
+        return waited && !route_primary_is_loaded(scheduler) ? part : 0;
+    }
+    if (replicas->eligible && route_primary_is_loaded(scheduler)) {
+        return 0;
     }
     if (slots <= 1) {
         return scheduler->queued[QUEUE_PRIMARY] == 0 ? slots : 0;
@@ -282,24 +443,39 @@
 // waits.
 static enum route_verdict
 route_read_on_primary(struct scheduler *scheduler, struct request *request,
-                      const struct route_need *need, bool replica_eligible)
+                      const struct route_need *need,
+                      const struct route_replicas *replicas)
 {
     const struct upstream *primary = &scheduler->upstreams[scheduler->primary];
-    bool has_room =
-        primary->reads <
-            route_get_primary_limit(scheduler, request, replica_eligible) &&
-        route_has_room(scheduler, scheduler->primary);
+    bool has_room = primary->reads < route_get_primary_limit(
+                                         scheduler, request, replicas) &&
+                    route_has_room(scheduler, scheduler->primary, request);
 
-    if (!replica_eligible && !scheduler->params.guarded &&
+    if (!replicas->eligible && !scheduler->params.guarded &&
         route_wait_for_floor(scheduler, request, need, has_room)) {
         return ROUTE_BUSY;
     }
     return has_room ? ROUTE_FOUND : ROUTE_BUSY;
 }
 
+// Has the scheduler run again when a request no longer waits for a learned
+// limit.
+static void
+route_limit_wait(struct scheduler *scheduler, struct request *request)
+{
+    int64_t wait_us = ROUTE_LIMIT_WAIT_US;
+
+    if (request->limit_wait || !scheduler->params.learned_capacity) {
+        return;
+    }
+    request->limit_wait = true;
+    timers_add(&scheduler->timers, request->queued_us + wait_us, TIMER_WAKE,
+               0);
+}
+
 // Finds the upstream for a statement that only the primary may run.
 struct route
-route_primary(const struct scheduler *scheduler)
+route_primary(struct scheduler *scheduler, struct request *request)
 {
     struct route route = {ROUTE_STALE, SCHEDULER_NO_ID};
 
@@ -308,10 +484,12 @@
     }
     route.verdict = ROUTE_BUSY;
     if (scheduler->upstreams[scheduler->primary].failing_since_us == 0 &&
-        route_has_room(scheduler, scheduler->primary)) {
+        route_has_room(scheduler, scheduler->primary, request)) {
         route.verdict = ROUTE_FOUND;
         route.upstream = scheduler->primary;
+        return route;
     }
+    route_limit_wait(scheduler, request);
     return route;
 }
 
@@ -364,7 +542,8 @@
 // Routes a read to the relay, the entry that forwards statements to the
 // upstreams. The relay chooses the upstream.
 static struct route
-route_to_relay(const struct scheduler *scheduler)
+route_to_relay(const struct scheduler *scheduler,
+               const struct request *request)
 {
     struct route route = {ROUTE_STALE, SCHEDULER_NO_ID};
 
@@ -373,13 +552,81 @@
     }
     uint32_t index = scheduler->candidates[0];
     route.verdict = ROUTE_BUSY;
-    if (route_has_room(scheduler, index)) {
+    if (route_has_room(scheduler, index, request)) {
         route.verdict = ROUTE_FOUND;
         route.upstream = index;
     }
     return route;
 }
 
+// Returns whether a read should go to the primary rather than to a replica
+// that can take it: the replica's statements queue, and the primary has room
+// and is clearly faster.
+static bool
+route_prefers_primary(const struct scheduler *scheduler, uint32_t replica,
+                      const struct request *request)
+{
+    const struct route_replicas replicas = {.eligible = true};
+    const struct upstream *up = &scheduler->upstreams[replica];
+
+    if (!upstream_capacity_is_used(scheduler, up) ||
+        !capacity_is_loaded(&up->capacity, scheduler->now_us) ||
+        route_is_slow(scheduler, replica) ||
+        !route_primary_is_usable(scheduler) ||
+        retry_was_tried(request, scheduler->primary)) {
+        return false;
+    }
+    const struct upstream *primary = &scheduler->upstreams[scheduler->primary];
+    return capacity_is_known(&primary->capacity, CAPACITY_KIND_READ) &&
+           primary->failing_since_us == 0 &&
+           primary->reads <
+               route_get_primary_limit(scheduler, request, &replicas) &&
+           route_has_room(scheduler, scheduler->primary, request) &&
+           route_get_completion_us(scheduler, replica) * 2 >
+               route_get_completion_us(scheduler, scheduler->primary) *
+                   ROUTE_PRIMARY_GAIN_HALVES;
+}
+
+// Picks the slow replica that is expected to answer a read first, for a read
+// that nothing else takes now. While a replica that is not slow could serve
+// it, the read waits for that one as long as the slow one would take. Returns
+// SCHEDULER_NO_ID if there is none.
+static uint32_t
+route_pick_slow(const struct scheduler *scheduler,
+                const struct route_need *need,
+                const struct route_replicas *replicas)
+{
+    int64_t waited_us = scheduler->now_us - need->request->queued_us;
+    uint32_t best = SCHEDULER_NO_ID;
+    int64_t best_us = replicas->healthy ? waited_us : INT64_MAX;
+
+    for (uint32_t i = 0; i < scheduler->candidates_count; i++) {
+        struct route_replicas ignored = {false, false};
+        uint32_t index = scheduler->candidates[i];
+        if (!route_is_slow(scheduler, index) || index == scheduler->primary ||
+            !route_has_room(scheduler, index, need->request)) {
+            continue;
+        }
+        (void)route_is_candidate(scheduler, index, need, &ignored);
+        int64_t completion_us = route_get_completion_us(scheduler, index);
+        if (ignored.eligible && completion_us < best_us) {
+            best = index;
+            best_us = completion_us;
+        }
+    }
+    return best;
+}
+
+// Sends a read to a replica.
+static struct route
+route_to_replica(struct request *request, const struct route_need *need,
+                 uint32_t replica)
+{
+    request->required_lsn = need->lsn;
+    request->required_lsn_age_us = need->age_us;
+    return (struct route){ROUTE_FOUND, replica};
+}
+
 // Finds the upstream for a read: a replica whose position covers the floor of
 // the session and whose age is accepted, otherwise the primary. May start a
 // wait for a replica that is catching up.
@@ -387,25 +634,36 @@
 route_read(struct scheduler *scheduler, struct request *request)
 {
     if (scheduler->view.relayed) {
-        return route_to_relay(scheduler);
+        return route_to_relay(scheduler, request);
     }
     struct route route = {ROUTE_FOUND, SCHEDULER_NO_ID};
     struct route_need need = route_get_need(scheduler, request);
-    bool replica_eligible = false;
+    struct route_replicas replicas = {false, false};
 
-    route.upstream = route_pick_replica(scheduler, &need, &replica_eligible);
-    if (route.upstream != SCHEDULER_NO_ID) {
-        request->required_lsn = need.lsn;
-        request->required_lsn_age_us = need.age_us;
-        return route;
+    uint32_t replica = route_pick_replica(scheduler, &need, &replicas);
+    if (replica != SCHEDULER_NO_ID) {
+        if (route_prefers_primary(scheduler, replica, request)) {
+            route.upstream = scheduler->primary;
+            return route;
+        }
+        return route_to_replica(request, &need, replica);
     }
     if (route_primary_is_usable(scheduler) &&
         !retry_was_tried(request, scheduler->primary)) {
         route.verdict =
-            route_read_on_primary(scheduler, request, &need, replica_eligible);
+            route_read_on_primary(scheduler, request, &need, &replicas);
         route.upstream = scheduler->primary;
-        return route;
     }
-    route.verdict = replica_eligible ? ROUTE_BUSY : ROUTE_STALE;
+    else {
+        route.verdict = replicas.eligible ? ROUTE_BUSY : ROUTE_STALE;
+    }
+    if (route.verdict == ROUTE_BUSY && replicas.eligible &&
+        scheduler->params.learned_capacity) {
+        replica = route_pick_slow(scheduler, &need, &replicas);
+        if (replica != SCHEDULER_NO_ID) {
+            return route_to_replica(request, &need, replica);
+        }
+        route_limit_wait(scheduler, request);
+    }
     return route;
 }
--- a/src/catkingrade/decide/traffic/scheduler.h
+++ b/src/catkingrade/decide/traffic/scheduler.h
@@ -30,6 +30,9 @@
     // Upstreams refuse reads for which they lack the required position, and
     // report their position with each answer. Positions are not sampled.
     bool guarded;
+    // The latency of statements decides on the choice of replicas and on the
+    // number of concurrent statements at each upstream.
+    bool learned_capacity;
     // Deadlines and timeouts are rounded up to a multiple of this, so that one
     // wake-up serves many of them; 0: not rounded.
     int64_t timer_granularity_us;
--- a/src/catkingrade/decide/traffic/scheduler_result.c
+++ b/src/catkingrade/decide/traffic/scheduler_result.c
@@ -9,6 +9,7 @@
 #include "catkingrade/decide/traffic/scheduler_lease.h"
 #include "catkingrade/decide/traffic/scheduler_request.h"
 #include "catkingrade/decide/traffic/scheduler_sample.h"
+#include "catkingrade/decide/traffic/upstream_capacity.h"
 #include "catkingrade/kernel/memory.h"
 #include "catkingrade/kernel/outcome.h"
 
@@ -139,6 +140,11 @@
     if (request != NULL) {
         concurrency_record_success(&up->concurrency, up->slots);
         result_update_latency(up, scheduler->now_us - sent_us);
+        if (event->result == SCHEDULER_RESULT_DONE) {
+            upstream_capacity_record_answer(scheduler, up, request,
+                                            scheduler->now_us - sent_us,
+                                            conn->overdue);
+        }
         admission_record_service_time(scheduler, request);
         if (request_opens_transaction(request)) {
             conn->read_only =
--- a/src/catkingrade/decide/traffic/scheduler_state.h
+++ b/src/catkingrade/decide/traffic/scheduler_state.h
@@ -1,6 +1,7 @@
 #ifndef CATKINGRADE_DECIDE_SCHEDULER_STATE_H
 #define CATKINGRADE_DECIDE_SCHEDULER_STATE_H
 
+#include "catkingrade/decide/capacity/capacity.h"
 #include "catkingrade/decide/id_map.h"
 #include "catkingrade/decide/timers.h"
 #include "catkingrade/decide/traffic/circuit_breaker.h"
@@ -53,6 +54,7 @@
     bool read_only;          // the owning transaction is read-only
     bool read;               // the in-flight request may run on a replica
     bool superseded;         // the primary's term has ended: closed when free
+    uint8_t overdue;         // level recorded for its statement; capacity.h
     uint64_t request;        // in flight on it
     uint64_t last_session;   // session whose state (SET) the connection holds
     struct session *session; // owner of the open transaction, or NULL
@@ -72,6 +74,7 @@
     bool relayed;    // the upstream is another entry
     struct replica_lag lag;
     struct concurrency concurrency;
+    struct capacity capacity; // with learned_capacity
     struct circuit_breaker circuit_breaker;
     // Since when this incarnation is known to leave; 0: it does not.
     int64_t leaving_us;
@@ -142,6 +145,7 @@
     uint8_t state;         // enum request_state
     bool repeatable;
     bool has_key;
+    bool limit_wait; // a timer ends its wait for a learned limit
     bool stale_wait; // no upstream is fresh enough; bounded wait
     bool relayed;    // was sent to a relay entry
     bool primary_only;
--- /dev/null
+++ b/src/catkingrade/decide/traffic/upstream_capacity.c
@@ -0,0 +1,91 @@
+#include "catkingrade/decide/traffic/upstream_capacity.h"
+
+// Returns the kind of a request's statement. A statement of a transaction may
+// read or write, and waits for locks of other transactions: its latency shows
+// nothing about the upstream, and it has no kind (CAPACITY_KIND_COUNT).
+static enum capacity_kind
+upstream_capacity_get_kind(const struct request *request)
+{
+    switch (request->request_class) {
+    case SCHEDULER_CLASS_READ:
+        return CAPACITY_KIND_READ;
+    case SCHEDULER_CLASS_WRITE:
+        return CAPACITY_KIND_WRITE;
+    case SCHEDULER_CLASS_COMMIT:
+        return CAPACITY_KIND_COMMIT;
+    default:
+        return CAPACITY_KIND_COUNT;
+    }
+}
+
+// Returns whether the estimator of an upstream is used. The latency of another
+// entry contains the time in its queue, so a relay has none.
+bool
+upstream_capacity_is_used(const struct scheduler *scheduler,
+                          const struct upstream *up)
+{
+    return scheduler->params.learned_capacity && !up->relayed;
+}
+
+// Records that a request is sent to an upstream.
+void
+upstream_capacity_record_send(const struct scheduler *scheduler,
+                              struct upstream *up,
+                              const struct request *request)
+{
+    if (upstream_capacity_is_used(scheduler, up) &&
+        capacity_is_slow(&up->capacity) &&
+        request->request_class == SCHEDULER_CLASS_READ) {
+        capacity_record_trial(&up->capacity, scheduler->now_us,
+                              CAPACITY_KIND_READ);
+    }
+}
+
+// Records the answer to a request. Its slot is free already.
+void
+upstream_capacity_record_answer(const struct scheduler *scheduler,
+                                struct upstream *up,
+                                const struct request *request, int64_t took_us,
+                                uint8_t overdue)
+{
+    enum capacity_kind kind = upstream_capacity_get_kind(request);
+
+    if (upstream_capacity_is_used(scheduler, up) &&
+        kind != CAPACITY_KIND_COUNT) {
+        capacity_record_answer(&up->capacity, scheduler->now_us, kind, took_us,
+                               up->running + 1, up->slots, overdue);
+    }
+}
+
+// Records the statements in flight that have become overdue since the last
+// call.
+void
+upstream_capacity_check_overdue(struct scheduler *scheduler)
+{
+    if (!scheduler->params.learned_capacity || scheduler->running == 0) {
+        return;
+    }
+    for (uint32_t i = 0; i < scheduler->conns_count; i++) {
+        struct conn *conn = &scheduler->conns[i];
+        if (conn->state != CONN_BUSY) {
+            continue;
+        }
+        struct upstream *up = &scheduler->upstreams[conn->upstream];
+        const struct request *request =
+            id_map_get(&scheduler->requests, conn->request);
+        if (request == NULL || !upstream_capacity_is_used(scheduler, up)) {
+            continue;
+        }
+        enum capacity_kind kind = upstream_capacity_get_kind(request);
+        if (kind == CAPACITY_KIND_COUNT) {
+            continue;
+        }
+        uint8_t level = capacity_get_overdue(
+            &up->capacity, kind, scheduler->now_us - conn->since_us);
+        if (level > conn->overdue) {
+            capacity_record_overdue(&up->capacity, scheduler->now_us,
+                                    conn->overdue, level);
+            conn->overdue = level;
+        }
+    }
+}
--- a/src/catkingrade/entry/database.c
+++ b/src/catkingrade/entry/database.c
@@ -45,6 +45,7 @@
         .leaving_limit_us = settings->switchover_us -
                             settings->switchover_us / DATABASE_STOP_DIVISOR,
         .guarded = !settings->sample_upstreams,
+        .learned_capacity = settings->learned_capacity,
         .timer_granularity_us =
             settings->sample_upstreams ? 0 : DATABASE_TIMER_GRANULARITY_US,
         .seed = (uint64_t)monotonic_get_us(),
--- a/src/catkingrade/kernel/settings.c
+++ b/src/catkingrade/kernel/settings.c
@@ -114,6 +114,7 @@
     "key_required",
     "bootstrap",
     "sample_upstreams",
+    "learned_capacity",
     "ready_with_lease",
     "platform",
     "groups",
@@ -461,6 +462,8 @@
         json_reader_get_bool(reader, root, "", "bootstrap", false);
     settings->sample_upstreams =
         json_reader_get_bool(reader, root, "", "sample_upstreams", true);
+    settings->learned_capacity =
+        json_reader_get_bool(reader, root, "", "learned_capacity", false);
     settings->ready_with_lease =
         json_reader_get_bool(reader, root, "", "ready_with_lease", false);
     settings->log_level = (enum log_level)json_reader_get_choice(
--- a/src/catkingrade/kernel/settings.h
+++ b/src/catkingrade/kernel/settings.h
@@ -90,6 +90,9 @@
     // Whether entries query upstreams for their replication positions. false:
     // upstreams report the position with each response instead.
     bool sample_upstreams;
+    // Whether entries choose upstreams and limit their concurrent statements
+    // by the latency that they learn.
+    bool learned_capacity;
     bool ready_with_lease; // an entry without a lease is not ready
     struct settings_group *groups;
     size_t groups_count;
