--- a/src/catkingrade/decide/capacity/capacity.c
+++ b/src/catkingrade/decide/capacity/capacity.c
@@ -2,12 +2,14 @@
 
 #include <math.h>
 
+#include "catkingrade/decide/random.h"
+
 // Answers of a kind after which its base latency is used. With fewer answers
 // the mean of a skewed distribution is too uncertain to judge by.
 #define CAPACITY_SAMPLES_MIN 8
 // Weights of a new answer in the moving averages.
 #define CAPACITY_EXCESS_WEIGHT   (1.0 / 32)
-#define CAPACITY_RECENT_WEIGHT   (1.0 / 8)
+#define CAPACITY_RECENT_WEIGHT   (1.0 / 4)
 #define CAPACITY_LOW_WEIGHT      (1.0 / 64)
 #define CAPACITY_VARIANCE_WEIGHT (1.0 / 256)
 #define CAPACITY_KNEE_WEIGHT     (1.0 / 256)
@@ -55,14 +57,14 @@
 #define CAPACITY_RECOVER_MAX      1.2 // evidence of one answer
 // A statement counts as overdue at this multiple of its base latency, and once
 // more at each doubling of it.
-#define CAPACITY_OVERDUE_FACTOR 4
+#define CAPACITY_OVERDUE_FACTOR 3
 #define CAPACITY_OVERDUE_MAX    2
-// Trial reads to a slow upstream: one at a time, at most one in this time.
-#define CAPACITY_TRIAL_MIN_US INT64_C(250000)
-#define CAPACITY_TRIAL_MAX_US INT64_C(800000)
-// Multiple of the present latency between two trial reads. Several entries
-// send them; together they stay below the capacity of the slow upstream.
-#define CAPACITY_TRIAL_FACTOR 3
+// Trial reads to a slow upstream: one at a time, the next after this time and
+// up to as much again in part. Several entries send them; together they are a
+// small part of the reads, and an upstream that has recovered is still found
+// within 2 s.
+#define CAPACITY_TRIAL_US        INT64_C(800000)
+#define CAPACITY_TRIAL_JITTER_US 400000
 // After this time the slow latency becomes the new base latency.
 #define CAPACITY_ADOPT_US     INT64_C(30000000)
 #define CAPACITY_ADOPT_WEIGHT (1.0 / 8)
@@ -102,23 +104,23 @@
     return capacity->slow;
 }
 
-// Returns the excess of the latency at present.
+// Returns the part of a moving average of the excess that is still valid.
 static double
-capacity_get_excess(const struct capacity *capacity, int64_t now_us)
+capacity_get_valid(const struct capacity *capacity, int64_t now_us,
+                   double excess)
 {
     int64_t idle_us = now_us - capacity->answered_us;
 
-    if (capacity->recent <= 0) {
+    if (excess <= 0) {
         return 0;
     }
     if (capacity->slow) {
-        return capacity->recent;
+        return excess;
     }
     if (idle_us >= CAPACITY_EXCESS_VALID_US) {
         return 0;
     }
-    return capacity->recent *
-           (1 - (double)idle_us / (double)CAPACITY_EXCESS_VALID_US);
+    return excess * (1 - (double)idle_us / (double)CAPACITY_EXCESS_VALID_US);
 }
 
 // Returns whether statements queue at the upstream, judged by their latency.
@@ -126,7 +128,8 @@
 capacity_is_loaded(const struct capacity *capacity, int64_t now_us)
 {
     return capacity->slow ||
-           capacity_get_excess(capacity, now_us) > CAPACITY_EXCESS_LOADED;
+           capacity_get_valid(capacity, now_us, capacity->excess) >
+               CAPACITY_EXCESS_LOADED;
 }
 
 static void
@@ -135,7 +138,7 @@
     capacity->slow = true;
     capacity->slow_since_us = now_us;
     capacity->evidence = 0;
-    capacity->trial_at_us = now_us + CAPACITY_TRIAL_MIN_US;
+    capacity->trial_at_us = now_us + CAPACITY_TRIAL_US;
     if (capacity->recent < CAPACITY_REFERENCE) {
         capacity->recent = CAPACITY_REFERENCE;
     }
@@ -366,6 +369,13 @@
 capacity_record_overdue(struct capacity *capacity, int64_t now_us,
                         uint8_t before, uint8_t after)
 {
+    double excess =
+        log(CAPACITY_OVERDUE_FACTOR) + (after - 1) * log(2.0);
+
+    if (excess > capacity->recent) {
+        capacity->recent +=
+            (excess - capacity->recent) * CAPACITY_RECENT_WEIGHT;
+    }
     if (capacity->slow) {
         capacity->evidence = 0;
         return;
@@ -383,21 +393,15 @@
     return running == 0 && now_us >= capacity->trial_at_us;
 }
 
-// Records that a trial read was sent to a slow upstream.
+// Records that a trial read was sent to a slow upstream. *random is the state
+// of a pseudorandom generator: the trials of several entries must not come at
+// the same time.
 void
 capacity_record_trial(struct capacity *capacity, int64_t now_us,
-                      enum capacity_kind kind)
+                      uint64_t *random)
 {
-    int64_t wait_us = capacity_get_latency_us(capacity, now_us, kind) *
-                      CAPACITY_TRIAL_FACTOR;
-
-    if (wait_us < CAPACITY_TRIAL_MIN_US) {
-        wait_us = CAPACITY_TRIAL_MIN_US;
-    }
-    if (wait_us > CAPACITY_TRIAL_MAX_US) {
-        wait_us = CAPACITY_TRIAL_MAX_US;
-    }
-    capacity->trial_at_us = now_us + wait_us;
+    capacity->trial_at_us = now_us + CAPACITY_TRIAL_US +
+                            random_below(random, CAPACITY_TRIAL_JITTER_US);
 }
 
 // Returns how many statements of this entry may run at the upstream
@@ -427,7 +431,7 @@
         return CAPACITY_UNKNOWN_LATENCY_US;
     }
     return (int64_t)exp(capacity->base[kind] +
-                        capacity_get_excess(capacity, now_us));
+                        capacity_get_valid(capacity, now_us, capacity->recent));
 }
 
 // Returns the expected time until one more statement of a kind is answered.
--- a/src/catkingrade/decide/capacity/capacity.h
+++ b/src/catkingrade/decide/capacity/capacity.h
@@ -49,7 +49,7 @@
 void capacity_record_overdue(struct capacity *capacity, int64_t now_us,
                              uint8_t before, uint8_t after);
 void capacity_record_trial(struct capacity *capacity, int64_t now_us,
-                           enum capacity_kind kind);
+                           uint64_t *random);
 bool capacity_is_known(const struct capacity *capacity,
                        enum capacity_kind kind);
 bool capacity_is_slow(const struct capacity *capacity);
--- a/src/catkingrade/decide/traffic/route.c
+++ b/src/catkingrade/decide/traffic/route.c
@@ -27,10 +27,6 @@
 // Latency of an upstream that has not answered a statement yet.
 #define ROUTE_INITIAL_LATENCY_US (1 * SCHEDULER_MS_US)
 
-// Time that a statement for the primary waits for the learned limit. After it
-// only the quota counts: the limit keeps statements in the queue of the entry,
-// where they are ordered by urgency, and must not make one late.
-#define ROUTE_LIMIT_WAIT_US (20 * SCHEDULER_MS_US)
 // A read waits for the learned limit this part of its time to the deadline.
 #define ROUTE_READ_WAIT_DIVISOR 4
 // The expected time of a read until its answer must fit this many times into
@@ -69,19 +65,18 @@
     bool healthy;  // one of these is not slow
 };
 
-// Returns whether a request has waited for a learned limit for as long as it
-// may.
+// Returns whether the learned limit does not hold for a request: only the
+// primary may serve it, so that it has no alternative, or it has waited for
+// the limit for as long as it may.
 static bool
 route_ignores_limit(const struct scheduler *scheduler,
                     const struct request *request)
 {
-    int64_t wait_us = ROUTE_LIMIT_WAIT_US;
+    int64_t wait_us = (request->deadline_us - request->queued_us) /
+                      ROUTE_READ_WAIT_DIVISOR;
 
-    if (request_is_read(request) && !request->primary_only) {
-        wait_us = (request->deadline_us - request->queued_us) /
-                  ROUTE_READ_WAIT_DIVISOR;
-    }
-    return scheduler->now_us - request->queued_us >= wait_us;
+    return !request_is_read(request) || request->primary_only ||
+           scheduler->now_us - request->queued_us >= wait_us;
 }
 
 // Returns how many statements may run at an upstream when a request is to be
@@ -361,16 +356,22 @@
                         const struct request *request,
                         const struct route_replicas *replicas)
 {
-    uint32_t slots = scheduler->upstreams[scheduler->primary].slots;
+    const struct upstream *primary = &scheduler->upstreams[scheduler->primary];
+    uint32_t slots = primary->slots;
     uint32_t part = slots / ROUTE_PRIMARY_DIVISOR;
 
+    if (replicas->eligible && upstream_capacity_is_used(scheduler, primary)) {
+        part = capacity_get_limit(&primary->capacity, slots) /
+               ROUTE_PRIMARY_DIVISOR;
+        part = part == 0 ? 1 : part;
+    }
     if (replicas->eligible && replicas->healthy) {
         bool waited =
             scheduler->now_us - request->queued_us >= ROUTE_SPILL_WAIT_US;
         return waited && !route_primary_is_loaded(scheduler) ? part : 0;
     }
-    if (replicas->eligible && route_primary_is_loaded(scheduler)) {
-        return 0;
+    if (replicas->eligible) {
+        return route_primary_is_loaded(scheduler) ? 0 : part;
     }
     if (slots <= 1) {
         return scheduler->queued[QUEUE_PRIMARY] == 0 ? slots : 0;
@@ -458,24 +459,25 @@
     return has_room ? ROUTE_FOUND : ROUTE_BUSY;
 }
 
-// Has the scheduler run again when a request no longer waits for a learned
-// limit.
+// Has the scheduler run again when a read no longer waits for a learned limit.
 static void
 route_limit_wait(struct scheduler *scheduler, struct request *request)
 {
-    int64_t wait_us = ROUTE_LIMIT_WAIT_US;
-
-    if (request->limit_wait || !scheduler->params.learned_capacity) {
+    if (request->limit_wait) {
         return;
     }
     request->limit_wait = true;
-    timers_add(&scheduler->timers, request->queued_us + wait_us, TIMER_WAKE,
-               0);
+    timers_add(&scheduler->timers,
+               request->queued_us +
+                   (request->deadline_us - request->queued_us) /
+                       ROUTE_READ_WAIT_DIVISOR,
+               TIMER_WAKE, 0);
 }
 
 // Finds the upstream for a statement that only the primary may run.
 struct route
-route_primary(struct scheduler *scheduler, struct request *request)
+route_primary(const struct scheduler *scheduler,
+              const struct request *request)
 {
     struct route route = {ROUTE_STALE, SCHEDULER_NO_ID};
 
@@ -487,9 +489,7 @@
         route_has_room(scheduler, scheduler->primary, request)) {
         route.verdict = ROUTE_FOUND;
         route.upstream = scheduler->primary;
-        return route;
     }
-    route_limit_wait(scheduler, request);
     return route;
 }
 
--- a/src/catkingrade/decide/traffic/upstream_capacity.c
+++ b/src/catkingrade/decide/traffic/upstream_capacity.c
@@ -29,7 +29,7 @@
 
 // Records that a request is sent to an upstream.
 void
-upstream_capacity_record_send(const struct scheduler *scheduler,
+upstream_capacity_record_send(struct scheduler *scheduler,
                               struct upstream *up,
                               const struct request *request)
 {
@@ -37,7 +37,7 @@
         capacity_is_slow(&up->capacity) &&
         request->request_class == SCHEDULER_CLASS_READ) {
         capacity_record_trial(&up->capacity, scheduler->now_us,
-                              CAPACITY_KIND_READ);
+                              &scheduler->random);
     }
 }
 
--- a/src/catkingrade/decide/traffic/upstream_capacity.h
+++ b/src/catkingrade/decide/traffic/upstream_capacity.h
@@ -8,7 +8,7 @@
 
 bool upstream_capacity_is_used(const struct scheduler *scheduler,
                                const struct upstream *up);
-void upstream_capacity_record_send(const struct scheduler *scheduler,
+void upstream_capacity_record_send(struct scheduler *scheduler,
                                    struct upstream *up,
                                    const struct request *request);
 void upstream_capacity_record_answer(const struct scheduler *scheduler,
