--- a/src/catkingrade/decide/capacity/capacity.c
+++ b/src/catkingrade/decide/capacity/capacity.c
@@ -63,11 +63,13 @@
 // up to as much again in part. Several entries send them; together they are a
 // small part of the reads, and an upstream that has recovered is still found
 // within 2 s.
-#define CAPACITY_TRIAL_US        INT64_C(800000)
+#define CAPACITY_TRIAL_US        INT64_C(1000000)
 #define CAPACITY_TRIAL_JITTER_US 400000
 // After this time the slow latency becomes the new base latency.
 #define CAPACITY_ADOPT_US     INT64_C(30000000)
 #define CAPACITY_ADOPT_WEIGHT (1.0 / 8)
+// The excess of few answers counts from this on, above what chance gives.
+#define CAPACITY_RECENT_MARGIN 0.35
 // Time without an answer after which the last excess of an upstream that is
 // not slow tells nothing. Without it, an upstream that loses all statements
 // because of a short queue would never get one again.
@@ -430,8 +432,12 @@
     if (capacity->samples[kind] == 0) {
         return CAPACITY_UNKNOWN_LATENCY_US;
     }
+    double excess = capacity->recent - CAPACITY_RECENT_MARGIN;
+    if (excess < capacity->excess) {
+        excess = capacity->excess;
+    }
     return (int64_t)exp(capacity->base[kind] +
-                        capacity_get_valid(capacity, now_us, capacity->recent));
+                        capacity_get_valid(capacity, now_us, excess));
 }
 
 // Returns the expected time until one more statement of a kind is answered.
--- a/src/catkingrade/decide/traffic/route.c
+++ b/src/catkingrade/decide/traffic/route.c
@@ -198,6 +198,7 @@
     double a_us = (double)route_get_completion_us(scheduler, a);
     double b_us = (double)route_get_completion_us(scheduler, b);
     double ratio = (a_us * a_us) / (b_us * b_us);
+    ratio *= ratio;
     double share = 1 / (1 + ratio * ratio);
 
     return random_below(&scheduler->random, ROUTE_CHOICE_SCALE) <
