--- a/src/catkingrade/decide/capacity/capacity.c
+++ b/src/catkingrade/decide/capacity/capacity.c
@@ -12,7 +12,7 @@
 #define CAPACITY_RECENT_WEIGHT   (1.0 / 4)
 #define CAPACITY_LOW_WEIGHT      (1.0 / 64)
 #define CAPACITY_VARIANCE_WEIGHT (1.0 / 256)
-#define CAPACITY_KNEE_WEIGHT     (1.0 / 256)
+#define CAPACITY_KNEE_WEIGHT     (1.0 / 2048)
 // Part of its deviation from low_excess by which a kind's own base moves.
 #define CAPACITY_KIND_WEIGHT (1.0 / 256)
 // Parts of low_excess by which an answer at low concurrency moves the base.
@@ -20,7 +20,7 @@
 // the limit was halved and the excess has remained.
 #define CAPACITY_BASE_DOWN    (1.0 / 16)
 #define CAPACITY_BASE_UP      (1.0 / 512)
-#define CAPACITY_BASE_UP_FAST (1.0 / 32)
+#define CAPACITY_BASE_UP_FAST (1.0 / 64)
 // Standard deviation 0.7 of the logarithm, until more is known.
 #define CAPACITY_VARIANCE_INITIAL 0.49
 // A single answer counts at most as e^2, about 7, times the base latency.
@@ -65,9 +65,9 @@
 // within 2 s.
 #define CAPACITY_TRIAL_US        INT64_C(1000000)
 #define CAPACITY_TRIAL_JITTER_US 400000
-// After this time the slow latency becomes the new base latency.
-#define CAPACITY_ADOPT_US     INT64_C(30000000)
-#define CAPACITY_ADOPT_WEIGHT (1.0 / 8)
+// After this time of being slow the estimator starts again: the upstream has
+// become slower for good.
+#define CAPACITY_RESTART_US INT64_C(30000000)
 // The excess of few answers counts from this on, above what chance gives.
 #define CAPACITY_RECENT_MARGIN 0.35
 // Time without an answer after which the last excess of an upstream that is
@@ -210,15 +210,12 @@
 
 // Moves the base latencies with an answer. They follow answers at low
 // concurrency only, so that a queue that this entry has caused does not become
-// the base, and the answers of an upstream that has been slow for long.
+// the base.
 static void
-capacity_update_base(struct capacity *capacity, int64_t now_us,
-                     enum capacity_kind kind, double excess, uint32_t running)
+capacity_update_base(struct capacity *capacity, enum capacity_kind kind,
+                     double excess, uint32_t running)
 {
     if (capacity->slow) {
-        if (now_us - capacity->slow_since_us > CAPACITY_ADOPT_US) {
-            capacity->base[kind] += excess * CAPACITY_ADOPT_WEIGHT;
-        }
         return;
     }
     if (running > 1 && running * 2.0 > capacity->knee + 1) {
@@ -231,12 +228,17 @@
                         ? CAPACITY_BASE_UP_FAST
                         : CAPACITY_BASE_UP;
     double step = capacity->low_excess * weight;
+    double kind_step = (excess - capacity->low_excess) * CAPACITY_KIND_WEIGHT;
     for (int i = 0; i < CAPACITY_KIND_COUNT; i++) {
-        capacity->base[i] += step;
+        double is_kind = i == (int)kind ? 1 : 0;
+        capacity->share[i] +=
+            (is_kind - capacity->share[i]) * CAPACITY_LOW_WEIGHT;
+    }
+    // The correction of this kind against the others leaves their mean.
+    capacity->base[kind] += kind_step;
+    for (int i = 0; i < CAPACITY_KIND_COUNT; i++) {
+        capacity->base[i] += step - kind_step * capacity->share[kind];
     }
-    // Corrects this kind against the others.
-    capacity->base[kind] +=
-        (excess - capacity->low_excess) * CAPACITY_KIND_WEIGHT;
     capacity->low_excess -= step;
 }
 
@@ -262,7 +264,8 @@
 }
 
 // Moves the limit to the concurrency at which the excess of the latency is
-// the headroom. Until latency grows for the first time, the limit grows faster.
+// the headroom. Until latency grows for the first time, the limit grows
+// faster.
 static void
 capacity_update_limit(struct capacity *capacity, uint32_t running,
                       uint32_t max_limit)
@@ -278,11 +281,10 @@
         capacity->grown = true;
     }
     if (change < 0 ||
-        capacity->limit < running * (double)CAPACITY_UNUSED_FACTOR +
-                              CAPACITY_UNUSED_COUNT) {
-        capacity->limit +=
-            capacity->grown ? change * CAPACITY_LIMIT_GAIN
-                            : CAPACITY_LIMIT_GROWTH;
+        capacity->limit <
+            running * (double)CAPACITY_UNUSED_FACTOR + CAPACITY_UNUSED_COUNT) {
+        capacity->limit += capacity->grown ? change * CAPACITY_LIMIT_GAIN
+                                           : CAPACITY_LIMIT_GROWTH;
     }
     capacity->limit = capacity_clamp(capacity->limit, 1, max);
     capacity->knee +=
@@ -316,6 +318,10 @@
 {
     double latency = log(took_us < 1 ? 1 : (double)took_us);
 
+    if (capacity->slow &&
+        now_us - capacity->slow_since_us > CAPACITY_RESTART_US) {
+        *capacity = (struct capacity){0};
+    }
     capacity->answered_us = now_us;
     if (capacity->limit == 0) {
         capacity->limit = capacity->knee = CAPACITY_LIMIT_INITIAL;
@@ -335,7 +341,7 @@
         capacity->variance += (bounded * bounded - capacity->variance) *
                               CAPACITY_VARIANCE_WEIGHT;
     }
-    capacity_update_base(capacity, now_us, kind, bounded, running);
+    capacity_update_base(capacity, kind, bounded, running);
     capacity_judge(capacity, now_us, excess, overdue);
     if (!capacity->slow) {
         capacity_update_dip(capacity, running);
@@ -371,8 +377,7 @@
 capacity_record_overdue(struct capacity *capacity, int64_t now_us,
                         uint8_t before, uint8_t after)
 {
-    double excess =
-        log(CAPACITY_OVERDUE_FACTOR) + (after - 1) * log(2.0);
+    double excess = log(CAPACITY_OVERDUE_FACTOR) + (after - 1) * log(2.0);
 
     if (excess > capacity->recent) {
         capacity->recent +=
--- a/src/catkingrade/decide/capacity/capacity.h
+++ b/src/catkingrade/decide/capacity/capacity.h
@@ -24,6 +24,7 @@
 struct capacity {
     double base[CAPACITY_KIND_COUNT]; // mean with little load
     uint32_t samples[CAPACITY_KIND_COUNT];
+    double share[CAPACITY_KIND_COUNT]; // of the answers at low concurrency
     double excess;     // moving average of the latency above base
     double recent;     // the same over fewer answers, for routing
     double low_excess; // the same for answers at low concurrency
@@ -33,7 +34,7 @@
     bool grown;        // the limit has met a growing latency
     uint32_t answers_since_dip;
     uint32_t dip_answers; // answers left with a reduced limit; 0: no dip
-    double evidence; // for a change of state: towards slow, or from it
+    double evidence;      // for a change of state: towards slow, or from it
     bool slow;
     int64_t slow_since_us;
     int64_t trial_at_us; // slow: earliest time of the next trial read
--- a/src/catkingrade/decide/traffic/route.c
+++ b/src/catkingrade/decide/traffic/route.c
@@ -72,8 +72,8 @@
 route_ignores_limit(const struct scheduler *scheduler,
                     const struct request *request)
 {
-    int64_t wait_us = (request->deadline_us - request->queued_us) /
-                      ROUTE_READ_WAIT_DIVISOR;
+    int64_t wait_us =
+        (request->deadline_us - request->queued_us) / ROUTE_READ_WAIT_DIVISOR;
 
     return !request_is_read(request) || request->primary_only ||
            scheduler->now_us - request->queued_us >= wait_us;
@@ -477,8 +477,7 @@
 
 // Finds the upstream for a statement that only the primary may run.
 struct route
-route_primary(const struct scheduler *scheduler,
-              const struct request *request)
+route_primary(const struct scheduler *scheduler, const struct request *request)
 {
     struct route route = {ROUTE_STALE, SCHEDULER_NO_ID};
 
--- a/src/catkingrade/decide/traffic/upstream_capacity.c
+++ b/src/catkingrade/decide/traffic/upstream_capacity.c
@@ -29,8 +29,7 @@
 
 // Records that a request is sent to an upstream.
 void
-upstream_capacity_record_send(struct scheduler *scheduler,
-                              struct upstream *up,
+upstream_capacity_record_send(struct scheduler *scheduler, struct upstream *up,
                               const struct request *request)
 {
     if (upstream_capacity_is_used(scheduler, up) &&
--- a/test/fake/scheduler_rig.c
+++ b/test/fake/scheduler_rig.c
@@ -65,6 +65,27 @@
     scheduler_rig_init_with(rig, upstreams_count, true);
 }
 
+void
+scheduler_rig_init_learned(struct scheduler_rig *rig, uint32_t upstreams_count,
+                           bool learned_capacity, uint64_t seed)
+{
+    const struct scheduler_params params = {
+        .guarded = true,
+        .learned_capacity = learned_capacity,
+        .probe_us = 1000 * SCHEDULER_RIG_MS_US,
+        .suspect_us = 600 * SCHEDULER_RIG_MS_US,
+        .idle_proof_us = 2000 * SCHEDULER_RIG_MS_US,
+        .leaving_limit_us = 7000 * SCHEDULER_RIG_MS_US,
+        .connect_timeout_us = 1000 * SCHEDULER_RIG_MS_US,
+        .timer_granularity_us = 50 * SCHEDULER_RIG_MS_US,
+        .seed = seed,
+    };
+
+    scheduler_rig_init_with(rig, upstreams_count, true);
+    scheduler_destroy(rig->scheduler);
+    rig->scheduler = scheduler_create(&params);
+}
+
 void
 scheduler_rig_start(struct scheduler_rig *rig, uint32_t upstreams_count)
 {
--- a/test/fake/scheduler_rig.h
+++ b/test/fake/scheduler_rig.h
@@ -32,6 +32,11 @@
 // themselves and are not sampled (`guarded` of struct scheduler_params).
 void scheduler_rig_init_guarded(struct scheduler_rig *rig,
                                 uint32_t upstreams_count);
+// As scheduler_rig_init_guarded(), with `learned_capacity` of struct
+// scheduler_params and a seed.
+void scheduler_rig_init_learned(struct scheduler_rig *rig,
+                                uint32_t upstreams_count,
+                                bool learned_capacity, uint64_t seed);
 // As scheduler_rig_init(), then posts the view and a sample at LSN 100 for
 // each upstream, opens session 1, declared new, and completes the opening of
 // its connections.
--- a/test/unit/decide/capacity/test_capacity.c
+++ b/test/unit/decide/capacity/test_capacity.c
@@ -265,10 +265,188 @@
 }
 END_TEST
 
+static const double speeds[] = {1.5, 2, 3, 6, 0.5};
+
+#define SPEEDS ((int)(sizeof(speeds) / sizeof(speeds[0])))
+
+// Guards against a base latency that never follows: after a lasting change of
+// the speed the limit is right again.
+START_TEST(test_follows_a_change_of_speed)
+{
+    sim_init(SERVICE_LOGNORMAL, 4, 1, 11);
+    sim.fixed_limit = 4;
+    sim.speed = speeds[_i];
+    sim_run(30 * SECOND_US);
+    double best = (double)sim.answered;
+    int64_t best_p99_us = sim_get_p99_us();
+    sim_init(SERVICE_LOGNORMAL, 4, 1, 12);
+    sim_run(20 * SECOND_US);
+    sim.speed = speeds[_i];
+    sim_run(40 * SECOND_US);
+    sim_clear_results();
+    sim_run(30 * SECOND_US);
+    double answered = (double)sim.answered;
+    int64_t p99_us = sim_get_p99_us();
+    ck_assert_msg(answered >= 0.9 * best, "throughput %.3f of best",
+                  answered / best);
+    ck_assert_msg((double)p99_us <= 1.5 * (double)best_p99_us,
+                  "p99 %.3f times the best",
+                  (double)p99_us / (double)best_p99_us);
+}
+END_TEST
+
+// Guards against a limit that stays low after a spike: all statements in
+// flight are delayed by 200 ms once, and the throughput of the next 5 s is at
+// least 0.9 of the best possible.
+START_TEST(test_spike)
+{
+    double answered = 0;
+    double best = 0;
+
+    for (uint64_t seed = 1; seed <= 10; seed++) {
+        for (int fixed = 0; fixed < 2; fixed++) {
+            sim_init(SERVICE_LOGNORMAL, 4, 1, seed);
+            sim.fixed_limit = fixed == 1 ? 4 : 0;
+            sim_run(20 * SECOND_US);
+            for (size_t i = 0; i < STATEMENTS_MAX; i++) {
+                if (sim.statements[i].used &&
+                    sim.statements[i].done_us != INT64_MAX) {
+                    sim.statements[i].done_us += 200 * MS_US;
+                }
+            }
+            sim_clear_results();
+            sim_run(5 * SECOND_US);
+            *(fixed == 1 ? &best : &answered) += (double)sim.answered;
+        }
+    }
+    ck_assert_msg(answered >= 0.9 * best, "throughput %.3f of best",
+                  answered / best);
+}
+END_TEST
+
+static const int64_t kind_us[CAPACITY_KIND_COUNT] = {20 * MS_US, 5 * MS_US,
+                                                     4 * MS_US};
+
+// Records `count` answers of the kinds of SERVICE_MIXED in turn, one each
+// 20 ms. The spread of the latencies is that of the real ones.
+static void
+record(struct capacity *capacity, int64_t *now_us, int count, double speed)
+{
+    for (int i = 0; i < count; i++) {
+        enum capacity_kind kind = (enum capacity_kind)(i % 3);
+        double us = (double)kind_us[kind] * exp(0.7 * draw_normal()) * speed;
+        *now_us += 20 * MS_US;
+        capacity_record_answer(capacity, *now_us, kind, (int64_t)us, 1,
+                               LIMIT_MAX, 0);
+    }
+}
+
+// Guards against a mix of kinds or a single long statement that is taken for a
+// slow upstream.
+START_TEST(test_single_slow_answer)
+{
+    for (uint64_t seed = 1; seed <= 100; seed++) {
+        struct capacity capacity = {0};
+        int64_t now_us = SECOND_US;
+        sim.random = seed;
+        record(&capacity, &now_us, 600, 1);
+        // Writes only after many reads.
+        for (int i = 0; i < 50; i++) {
+            capacity_record_answer(&capacity, now_us, CAPACITY_KIND_READ,
+                                   kind_us[CAPACITY_KIND_READ], 1, LIMIT_MAX,
+                                   0);
+        }
+        ck_assert(!capacity_is_slow(&capacity));
+        capacity_record_overdue(&capacity, now_us, 0, 2);
+        capacity_record_answer(&capacity, now_us, CAPACITY_KIND_READ,
+                               100 * kind_us[CAPACITY_KIND_READ], 1, LIMIT_MAX,
+                               2);
+        ck_assert(!capacity_is_slow(&capacity));
+        ck_assert(!capacity_is_loaded(&capacity, now_us));
+    }
+}
+END_TEST
+
+// Guards against an upstream that is found slow only after many answers, or
+// recovers only after many: at 5 times the latency, ten answers are enough in
+// 95 of 100 cases, and six good ones.
+START_TEST(test_slow_and_recovered)
+{
+    int found = 0;
+    int recovered = 0;
+
+    for (uint64_t seed = 1; seed <= 100; seed++) {
+        struct capacity capacity = {0};
+        int64_t now_us = SECOND_US;
+        sim.random = seed;
+        record(&capacity, &now_us, 600, 1);
+        for (int i = 0; i < 10 && !capacity_is_slow(&capacity); i++) {
+            record(&capacity, &now_us, 1, 5);
+        }
+        found += capacity_is_slow(&capacity);
+        record(&capacity, &now_us, 20, 5);
+        for (int i = 0; i < 6 && capacity_is_slow(&capacity); i++) {
+            record(&capacity, &now_us, 1, 1);
+        }
+        recovered += !capacity_is_slow(&capacity);
+    }
+    ck_assert_msg(found >= 95, "found %d", found);
+    ck_assert_msg(recovered >= 95, "recovered %d", recovered);
+}
+END_TEST
+
+// Guards against hanging statements that are noticed only when they end.
+START_TEST(test_overdue_statements_make_slow)
+{
+    struct capacity capacity = {0};
+    int64_t now_us = SECOND_US;
+    int64_t base_us = kind_us[CAPACITY_KIND_READ];
+
+    sim.random = 5;
+    record(&capacity, &now_us, 600, 1);
+    ck_assert_uint_eq(
+        capacity_get_overdue(&capacity, CAPACITY_KIND_READ, base_us), 0);
+    ck_assert_uint_eq(
+        capacity_get_overdue(&capacity, CAPACITY_KIND_READ, 10 * base_us), 2);
+    for (int i = 0; i < 6 && !capacity_is_slow(&capacity); i++) {
+        capacity_record_overdue(&capacity, now_us, 0, 2);
+    }
+    ck_assert(capacity_is_slow(&capacity));
+}
+END_TEST
+
+// Guards against trials that come together or keep the upstream busy.
+START_TEST(test_trials_are_spread)
+{
+    struct capacity capacity = {.slow = true};
+    uint64_t random = 1;
+    int64_t first_us = INT64_MAX;
+    int64_t last_us = 0;
+
+    for (int i = 0; i < 20; i++) {
+        capacity_record_trial(&capacity, SECOND_US, &random);
+        ck_assert(!capacity_may_try(&capacity, capacity.trial_at_us - 1, 0));
+        ck_assert(!capacity_may_try(&capacity, capacity.trial_at_us, 1));
+        ck_assert(capacity_may_try(&capacity, capacity.trial_at_us, 0));
+        int64_t after_us = capacity.trial_at_us - SECOND_US;
+        first_us = after_us < first_us ? after_us : first_us;
+        last_us = after_us > last_us ? after_us : last_us;
+    }
+    ck_assert_int_le(last_us, 1500 * MS_US);
+    ck_assert_int_ge(last_us - first_us, 200 * MS_US);
+}
+END_TEST
+
 static void
 add_tests(TCase *tests)
 {
     tcase_add_loop_test(tests, test_finds_the_knee, 0, LOOP_CASES);
+    tcase_add_loop_test(tests, test_follows_a_change_of_speed, 0, SPEEDS);
+    tcase_add_test(tests, test_spike);
+    tcase_add_test(tests, test_single_slow_answer);
+    tcase_add_test(tests, test_slow_and_recovered);
+    tcase_add_test(tests, test_overdue_statements_make_slow);
+    tcase_add_test(tests, test_trials_are_spread);
 }
 
 TEST_MAIN("capacity", add_tests)
