--- a/src/catkingrade/decide/capacity/capacity.c
+++ b/src/catkingrade/decide/capacity/capacity.c
@@ -445,6 +445,16 @@
                         capacity_get_valid(capacity, now_us, excess));
 }
 
+// Returns the latency that a statement of a kind has with little load; 0:
+// unknown.
+int64_t
+capacity_get_usual_latency_us(const struct capacity *capacity,
+                              enum capacity_kind kind)
+{
+    return capacity->samples[kind] == 0 ? 0
+                                        : (int64_t)exp(capacity->base[kind]);
+}
+
 // Returns the expected time until one more statement of a kind is answered.
 // The learned latency contains the round trip and the queue that the
 // statements of other entries cause. Statements of this entry that run already
--- a/src/catkingrade/decide/capacity/capacity.h
+++ b/src/catkingrade/decide/capacity/capacity.h
@@ -60,6 +60,8 @@
 uint32_t capacity_get_limit(const struct capacity *capacity, uint32_t max);
 int64_t capacity_get_latency_us(const struct capacity *capacity,
                                 int64_t now_us, enum capacity_kind kind);
+int64_t capacity_get_usual_latency_us(const struct capacity *capacity,
+                                      enum capacity_kind kind);
 int64_t capacity_get_completion_us(const struct capacity *capacity,
                                    int64_t now_us, enum capacity_kind kind,
                                    uint32_t running, uint32_t max_limit);
--- a/src/catkingrade/decide/traffic/scheduler_defs.h
+++ b/src/catkingrade/decide/traffic/scheduler_defs.h
@@ -181,9 +181,11 @@
     SCHEDULER_ACTION_CANCEL,  // ask the upstream to cancel request on conn
     SCHEDULER_ACTION_SAMPLE,  // sample the position of upstream now
     SCHEDULER_ACTION_SUSPECT, // report the upstream to the control group
-    SCHEDULER_ACTION_CONFIRM_REVOKED, // report: no more commits acked in term
-    SCHEDULER_ACTION_WAKE,            // send a TICK event at wake_at_us
-    SCHEDULER_ACTION_END_SESSION,     // end session outside a transaction
+    SCHEDULER_ACTION_CONFIRM_REVOKED,  // report: no more commits acked in term
+    SCHEDULER_ACTION_WAKE,             // send a TICK event at wake_at_us
+    SCHEDULER_ACTION_END_SESSION,      // end session outside a transaction
+    SCHEDULER_ACTION_REPORT_SLOW,      // log: upstream was found slow
+    SCHEDULER_ACTION_REPORT_RECOVERED, // log: upstream is no longer slow
 };
 
 // One action for the adapter. Fields that name an action kind are set for it
@@ -210,6 +212,10 @@
     uint64_t after_lsn;           // SEND: position the replica must have
     const char *reason;           // constant text: why this action
     const char *customer;         // OPEN: whose connection it will be, or ""
+    // REPORT_SLOW, REPORT_RECOVERED: latency of reads (of writes at a primary
+    // without reads) at present and with little load; 0: unknown.
+    int64_t latency_us;
+    int64_t usual_latency_us;
 };
 
 // Growable list of actions, filled by a scheduler step and executed by the
--- a/src/catkingrade/decide/traffic/upstream_capacity.c
+++ b/src/catkingrade/decide/traffic/upstream_capacity.c
@@ -1,5 +1,7 @@
 #include "catkingrade/decide/traffic/upstream_capacity.h"
 
+#include "catkingrade/decide/traffic/scheduler_actions.h"
+
 // Returns the kind of a request's statement. A statement of a transaction may
 // read or write, and waits for locks of other transactions: its latency shows
 // nothing about the upstream, and it has no kind (CAPACITY_KIND_COUNT).
@@ -27,6 +29,30 @@
     return scheduler->params.learned_capacity && !up->relayed;
 }
 
+// Has the adapter log that an upstream was found slow or has recovered, if
+// that has changed.
+static void
+upstream_capacity_report(struct scheduler *scheduler,
+                         const struct upstream *up, bool was_slow)
+{
+    const struct capacity *capacity = &up->capacity;
+    bool slow = capacity_is_slow(capacity);
+    enum capacity_kind kind = capacity_is_known(capacity, CAPACITY_KIND_READ)
+                                  ? CAPACITY_KIND_READ
+                                  : CAPACITY_KIND_WRITE;
+
+    if (slow == was_slow) {
+        return;
+    }
+    struct scheduler_action *action = scheduler_add_action(
+        scheduler, slow ? SCHEDULER_ACTION_REPORT_SLOW
+                        : SCHEDULER_ACTION_REPORT_RECOVERED);
+    action->upstream = (uint32_t)(up - scheduler->upstreams);
+    action->latency_us =
+        capacity_get_latency_us(capacity, scheduler->now_us, kind);
+    action->usual_latency_us = capacity_get_usual_latency_us(capacity, kind);
+}
+
 // Records that a request is sent to an upstream.
 void
 upstream_capacity_record_send(struct scheduler *scheduler, struct upstream *up,
@@ -42,17 +68,45 @@
 
 // Records the answer to a request. Its slot is free already.
 void
-upstream_capacity_record_answer(const struct scheduler *scheduler,
+upstream_capacity_record_answer(struct scheduler *scheduler,
                                 struct upstream *up,
                                 const struct request *request, int64_t took_us,
                                 uint8_t overdue)
 {
     enum capacity_kind kind = upstream_capacity_get_kind(request);
+    bool was_slow = capacity_is_slow(&up->capacity);
 
     if (upstream_capacity_is_used(scheduler, up) &&
         kind != CAPACITY_KIND_COUNT) {
         capacity_record_answer(&up->capacity, scheduler->now_us, kind, took_us,
                                up->running + 1, up->slots, overdue);
+        upstream_capacity_report(scheduler, up, was_slow);
+    }
+}
+
+// Records the statement on a busy connection if it has become overdue.
+static void
+upstream_capacity_check_conn(struct scheduler *scheduler, struct conn *conn)
+{
+    struct upstream *up = &scheduler->upstreams[conn->upstream];
+    const struct request *request =
+        id_map_get(&scheduler->requests, conn->request);
+
+    if (request == NULL || !upstream_capacity_is_used(scheduler, up)) {
+        return;
+    }
+    enum capacity_kind kind = upstream_capacity_get_kind(request);
+    if (kind == CAPACITY_KIND_COUNT) {
+        return;
+    }
+    uint8_t level = capacity_get_overdue(&up->capacity, kind,
+                                         scheduler->now_us - conn->since_us);
+    if (level > conn->overdue) {
+        bool was_slow = capacity_is_slow(&up->capacity);
+        capacity_record_overdue(&up->capacity, scheduler->now_us,
+                                conn->overdue, level);
+        conn->overdue = level;
+        upstream_capacity_report(scheduler, up, was_slow);
     }
 }
 
@@ -65,26 +119,8 @@
         return;
     }
     for (uint32_t i = 0; i < scheduler->conns_count; i++) {
-        struct conn *conn = &scheduler->conns[i];
-        if (conn->state != CONN_BUSY) {
-            continue;
-        }
-        struct upstream *up = &scheduler->upstreams[conn->upstream];
-        const struct request *request =
-            id_map_get(&scheduler->requests, conn->request);
-        if (request == NULL || !upstream_capacity_is_used(scheduler, up)) {
-            continue;
-        }
-        enum capacity_kind kind = upstream_capacity_get_kind(request);
-        if (kind == CAPACITY_KIND_COUNT) {
-            continue;
-        }
-        uint8_t level = capacity_get_overdue(
-            &up->capacity, kind, scheduler->now_us - conn->since_us);
-        if (level > conn->overdue) {
-            capacity_record_overdue(&up->capacity, scheduler->now_us,
-                                    conn->overdue, level);
-            conn->overdue = level;
+        if (scheduler->conns[i].state == CONN_BUSY) {
+            upstream_capacity_check_conn(scheduler, &scheduler->conns[i]);
         }
     }
 }
--- a/src/catkingrade/decide/traffic/upstream_capacity.h
+++ b/src/catkingrade/decide/traffic/upstream_capacity.h
@@ -11,7 +11,7 @@
 void upstream_capacity_record_send(struct scheduler *scheduler,
                                    struct upstream *up,
                                    const struct request *request);
-void upstream_capacity_record_answer(const struct scheduler *scheduler,
+void upstream_capacity_record_answer(struct scheduler *scheduler,
                                      struct upstream *up,
                                      const struct request *request,
                                      int64_t took_us, uint8_t overdue);
--- a/src/catkingrade/entry/database_actions.c
+++ b/src/catkingrade/entry/database_actions.c
@@ -236,5 +236,9 @@
     case SCHEDULER_ACTION_END_SESSION:
         database_run_end_session(database, action->session);
         break;
+    case SCHEDULER_ACTION_REPORT_SLOW:
+    case SCHEDULER_ACTION_REPORT_RECOVERED:
+        database_report_capacity(database, action);
+        break;
     }
 }
--- a/src/catkingrade/entry/database_private.h
+++ b/src/catkingrade/entry/database_private.h
@@ -135,6 +135,8 @@
 void database_log_send(const struct database *database,
                        const struct entry_request *request,
                        const struct scheduler_action *action);
+void database_report_capacity(const struct database *database,
+                              const struct scheduler_action *action);
 
 // database_relay.c
 void database_update_relay_active(struct database *database);
--- a/src/catkingrade/entry/database_report.c
+++ b/src/catkingrade/entry/database_report.c
@@ -16,6 +16,7 @@
 // that a person can read; of successful requests only a sample is logged.
 #define DATABASE_FAILED_LOG_LINES_PER_S 40
 #define DATABASE_SENT_LOG_LINES_PER_S   2
+#define DATABASE_SLOW_LOG_LINES_PER_S   10
 
 // Returns the histogram of a phase with the given labels, from the database's
 // cache if possible.
@@ -217,3 +218,22 @@
                 request->upstream, request->relay_host, action->on_replica,
                 action->after_lsn, request->reason);
 }
+
+// Counts and logs that an upstream was found slow, or that it has recovered.
+void
+database_report_capacity(const struct database *database,
+                         const struct scheduler_action *action)
+{
+    const struct ck_upstream *upstream =
+        scheduler_get_upstream(database->scheduler, action->upstream);
+    bool slow = action->kind == SCHEDULER_ACTION_REPORT_SLOW;
+
+    counter_add(slow ? COUNTER_UPSTREAM_SLOW : COUNTER_UPSTREAM_RECOVERED, 1);
+    LOG_LIMITED(DATABASE_SLOW_LOG_LINES_PER_S, LOG_LEVEL_INFO,
+                slow ? "upstream_slow" : "upstream_recovered",
+                "upstream=%s database=%s latency_ms=%" PRId64
+                " usual_ms=%" PRId64,
+                upstream == NULL ? "" : upstream->name, database->name,
+                action->latency_us / DATABASE_US_PER_MS,
+                action->usual_latency_us / DATABASE_US_PER_MS);
+}
--- a/src/catkingrade/kernel/counters.h
+++ b/src/catkingrade/kernel/counters.h
@@ -33,6 +33,9 @@
         "upstream connections that failed")                                   \
     ROW(UPSTREAM_SILENT, "upstream_silent_total",                             \
         "upstream connections dropped because they were silent")              \
+    ROW(UPSTREAM_SLOW, "upstream_slow_total", "upstreams found slow")         \
+    ROW(UPSTREAM_RECOVERED, "upstream_recovered_total",                       \
+        "upstreams that were slow and have recovered")                        \
     ROW(LEASE_RENEWALS, "lease_renewals_total", "lease renewals answered")    \
     ROW(LEASE_EXPIRED, "lease_expired_total", "leases that ran out")          \
     ROW(RPC_SENT, "rpc_sent_total", "RPC datagrams sent")                     \
--- a/test/fake/scheduler_fleet_entry.c
+++ b/test/fake/scheduler_fleet_entry.c
@@ -189,6 +189,8 @@
         return;
     case SCHEDULER_ACTION_CANCEL:
     case SCHEDULER_ACTION_SUSPECT:
+    case SCHEDULER_ACTION_REPORT_SLOW:
+    case SCHEDULER_ACTION_REPORT_RECOVERED:
         return;
     }
     scheduler_fleet_send_message(
