--- a/test/unit/decide/traffic/test_upstream_capacity.c
+++ b/test/unit/decide/traffic/test_upstream_capacity.c
@@ -601,6 +601,71 @@
 }
 END_TEST
 
+// Sends a request of session 1 of the only entry and answers it after a time.
+// Returns the upstream that it was sent to, or SCHEDULER_NO_ID.
+static uint32_t
+run_one(struct scheduler_rig *rig, enum scheduler_class request_class,
+        int64_t took_us, uint64_t lsn)
+{
+    uint64_t request = scheduler_rig_post_request(
+        rig, 1, request_class,
+        request_class == SCHEDULER_CLASS_READ ? SECOND_US : -1);
+    scheduler_rig_complete_opens(rig);
+    const struct scheduler_action *found =
+        scheduler_rig_find_action(rig, SCHEDULER_ACTION_SEND, request);
+    if (found == NULL) {
+        return SCHEDULER_NO_ID;
+    }
+    struct scheduler_action action = *found;
+    rig->now_us += took_us;
+    scheduler_rig_post_result(rig, request, action.conn, SCHEDULER_RESULT_DONE,
+                              false, lsn);
+    return action.upstream;
+}
+
+// Guards against a read that goes to a fast replica which lacks the session's
+// own write, because the primary is slow, and against changes of state that
+// are not reported or are reported more than once.
+START_TEST(test_floor_is_kept_and_changes_are_reported)
+{
+    static struct scheduler_rig rig;
+    size_t slow_reports = 0;
+
+    scheduler_rig_init_learned(&rig, 2, true, 7);
+    scheduler_rig_post_view(&rig);
+    scheduler_rig_open_session(&rig, 1, NULL);
+    scheduler_rig_complete_opens(&rig);
+    for (uint64_t i = 0; i < 100; i++) {
+        (void)run_one(&rig, SCHEDULER_CLASS_WRITE, 5 * MS_US, 100 + i);
+        scheduler_rig_tick(&rig, 2 * SECOND_US);
+        (void)run_one(&rig, SCHEDULER_CLASS_READ, 15 * MS_US, 100 + i);
+    }
+    for (uint64_t i = 0; i < 20; i++) {
+        (void)run_one(&rig, SCHEDULER_CLASS_WRITE, 50 * MS_US, 300 + i);
+        slow_reports +=
+            scheduler_rig_count_actions(&rig, SCHEDULER_ACTION_REPORT_SLOW);
+        // The replica is behind by more than the age of the write.
+        uint64_t request = scheduler_rig_post_request(
+            &rig, 1, SCHEDULER_CLASS_READ, SECOND_US);
+        scheduler_rig_complete_opens(&rig);
+        const struct scheduler_action *send =
+            scheduler_rig_find_action(&rig, SCHEDULER_ACTION_SEND, request);
+        ck_assert_ptr_nonnull(send);
+        ck_assert_msg(send->upstream == 0 || send->after_lsn >= 300 + i,
+                      "read %u at upstream %u after %u", (unsigned)i,
+                      send->upstream, (unsigned)send->after_lsn);
+        uint32_t conn = send->conn;
+        rig.now_us += send->upstream == 0 ? 150 * MS_US : 15 * MS_US;
+        scheduler_rig_post_result(&rig, request, conn, SCHEDULER_RESULT_DONE,
+                                  false, 300 + i);
+        slow_reports +=
+            scheduler_rig_count_actions(&rig, SCHEDULER_ACTION_REPORT_SLOW);
+    }
+    ck_assert_uint_eq(slow_reports, 1);
+    scheduler_rig_free(&rig);
+}
+END_TEST
+
 static void
 add_tests(TCase *tests)
 {
@@ -610,6 +675,7 @@
     tcase_add_test(tests, test_primary_takes_reads_of_a_slow_replica);
     tcase_add_test(tests, test_slow_primary_serves_writes);
     tcase_add_test(tests, test_no_fault_no_cost);
+    tcase_add_test(tests, test_floor_is_kept_and_changes_are_reported);
 }
 
 TEST_MAIN("upstream_capacity", add_tests)
