--- a/src/catkingrade/decide/traffic/route.c
+++ b/src/catkingrade/decide/traffic/route.c
@@ -176,15 +176,20 @@
 }
 
 // Returns the expected time until a read is answered by an upstream, by its
-// learned capacity.
+// learned capacity: at least as long as a statement that is overdue there has
+// taken so far.
 static int64_t
 route_get_completion_us(const struct scheduler *scheduler, uint32_t index)
 {
     const struct upstream *up = &scheduler->upstreams[index];
-
-    return capacity_get_completion_us(&up->capacity, scheduler->now_us,
-                                      CAPACITY_KIND_READ, up->running,
-                                      up->slots);
+    int64_t completion_us = capacity_get_completion_us(
+        &up->capacity, scheduler->now_us, CAPACITY_KIND_READ, up->running,
+        up->slots);
+    int64_t overdue_us = up->overdue_since_us == 0
+                             ? 0
+                             : scheduler->now_us - up->overdue_since_us;
+
+    return completion_us > overdue_us ? completion_us : overdue_us;
 }
 
 // Returns whether read a should go to upstream a rather than to b by their
--- a/src/catkingrade/decide/traffic/scheduler_state.h
+++ b/src/catkingrade/decide/traffic/scheduler_state.h
@@ -75,6 +75,8 @@
     struct replica_lag lag;
     struct concurrency concurrency;
     struct capacity capacity; // with learned_capacity
+    // When the oldest overdue statement in flight was sent; 0: none.
+    int64_t overdue_since_us;
     struct circuit_breaker circuit_breaker;
     // Since when this incarnation is known to leave; 0: it does not.
     int64_t leaving_us;
--- a/src/catkingrade/decide/traffic/upstream_capacity.c
+++ b/src/catkingrade/decide/traffic/upstream_capacity.c
@@ -84,15 +84,18 @@
     }
 }
 
-// Records the statement on a busy connection if it has become overdue.
+// Records the statement on a busy connection if it is overdue.
 static void
 upstream_capacity_check_conn(struct scheduler *scheduler, struct conn *conn)
 {
     struct upstream *up = &scheduler->upstreams[conn->upstream];
+
+    if (up->relayed) {
+        return;
+    }
     const struct request *request =
         id_map_get(&scheduler->requests, conn->request);
-
-    if (request == NULL || !upstream_capacity_is_used(scheduler, up)) {
+    if (request == NULL) {
         return;
     }
     enum capacity_kind kind = upstream_capacity_get_kind(request);
@@ -101,6 +104,10 @@
     }
     uint8_t level = capacity_get_overdue(&up->capacity, kind,
                                          scheduler->now_us - conn->since_us);
+    if (level > 0 && (up->overdue_since_us == 0 ||
+                      conn->since_us < up->overdue_since_us)) {
+        up->overdue_since_us = conn->since_us;
+    }
     if (level > conn->overdue) {
         bool was_slow = capacity_is_slow(&up->capacity);
         capacity_record_overdue(&up->capacity, scheduler->now_us,
@@ -110,14 +117,17 @@
     }
 }
 
-// Records the statements in flight that have become overdue since the last
-// call.
+// Records the overdue statements in flight: those that have become overdue
+// since the last call, and the oldest one of each upstream.
 void
 upstream_capacity_check_overdue(struct scheduler *scheduler)
 {
-    if (!scheduler->params.learned_capacity || scheduler->running == 0) {
+    if (!scheduler->params.learned_capacity) {
         return;
     }
+    for (uint32_t i = 0; i < scheduler->upstreams_count; i++) {
+        scheduler->upstreams[i].overdue_since_us = 0;
+    }
     for (uint32_t i = 0; i < scheduler->conns_count; i++) {
         if (scheduler->conns[i].state == CONN_BUSY) {
             upstream_capacity_check_conn(scheduler, &scheduler->conns[i]);
