--- a/src/catkingrade/decide/traffic/dispatch.c
+++ b/src/catkingrade/decide/traffic/dispatch.c
@@ -8,6 +8,7 @@
 #include "catkingrade/decide/traffic/route.h"
 #include "catkingrade/decide/traffic/scheduler_lease.h"
 #include "catkingrade/decide/traffic/scheduler_request.h"
+#include "catkingrade/decide/traffic/upstream_capacity.h"
 #include "catkingrade/kernel/memory.h"
 #include "catkingrade/kernel/outcome.h"
 
@@ -176,6 +177,7 @@
 dispatch_run(struct scheduler *scheduler)
 {
     scheduler->round++;
+    upstream_capacity_check_overdue(scheduler);
     for (uint32_t i = 0;
          scheduler->pinned_waiting > 0 && i < scheduler->upstreams_count;
          i++) {
--- a/src/catkingrade/kernel/counters.h
+++ b/src/catkingrade/kernel/counters.h
@@ -41,6 +41,9 @@
         "upstream connections begun for a customer")                          \
     ROW(CUSTOMER_CONNS_EVICTED, "customer_conns_evicted_total",               \
         "idle upstream connections closed for another customer")              \
+    ROW(UPSTREAM_SLOW, "upstream_slow_total", "upstreams found slow")         \
+    ROW(UPSTREAM_RECOVERED, "upstream_recovered_total",                       \
+        "upstreams that were slow and have recovered")                        \
     ROW(LEASE_RENEWALS, "lease_renewals_total", "lease renewals answered")    \
     ROW(LEASE_EXPIRED, "lease_expired_total", "leases that ran out")          \
     ROW(RPC_SENT, "rpc_sent_total", "RPC datagrams sent")                     \
--- a/test/contract/test_borrow.c
+++ b/test/contract/test_borrow.c
@@ -42,7 +42,10 @@
 declare_limits(void)
 {
     struct ck_declared_customer customers[] = {
-        {.name = "ada", .rate_per_s = 1, .burst = 10},
+        {.name = "ada",
+         .is_limited = true,
+         .rate_per_1000_s = 1000,
+         .burst = 10},
         {.name = "bob"},
     };
     struct ck_declaration declaration = {
