--- a/src/catkingrade/entry/database_report.c
+++ b/src/catkingrade/entry/database_report.c
@@ -149,11 +149,12 @@
         DATABASE_FAILED_LOG_LINES_PER_S, LOG_LEVEL_INFO,
         unknown ? "request_unknown" : "request_refused",
         "id=%s request=%" PRIu64 " session=%" PRIu64
-        " database=%s class=%s outcome=%s reason=%s waited_ms=%" PRId64
-        " term=%" PRIu64 " lease_left_ms=%" PRId64
+        " database=%s customer=%s class=%s outcome=%s reason=%s"
+        " waited_ms=%" PRId64 " term=%" PRIu64 " lease_left_ms=%" PRId64
         " upstream=%s host=%s retry_after_ms=%" PRId64,
         database_get_caller_id(request), request->id, request->params.session,
-        database->name, database_class_names[request->params.request_class],
+        database->name, request->params.customer,
+        database_class_names[request->params.request_class],
         outcome_get_name(action->outcome),
         action->reason == NULL ? "" : action->reason,
         action->waited_us / DATABASE_US_PER_MS, action->term,
