--- a/src/catkingrade/control/limit_agent.c
+++ b/src/catkingrade/control/limit_agent.c
@@ -16,6 +16,10 @@
 // An operation waits for a third of its latency target, so a lost datagram is
 // sent again soon.
 #define LIMIT_AGENT_RETRY_US 60000
+// Delay of the next call after one that no leader answered.
+#define LIMIT_AGENT_FAILURE_US 50000
+// Addresses of leaders that are followed at once, one after the other.
+#define LIMIT_AGENT_MAX_REDIRECTS 2
 
 struct limit_agent {
     struct daemon *daemon;
@@ -26,6 +30,7 @@
     size_t next_peer;
     struct settings_address leader; // port 0: not known
     uint64_t sequence;              // of the call in flight
+    unsigned redirects;             // consecutive
     bool failing;                   // the last call was not answered
 };
 
@@ -76,24 +81,25 @@
 }
 
 static void
-limit_agent_set_failing(struct limit_agent *agent, bool failing)
+limit_agent_set_failing(struct limit_agent *agent, bool failing,
+                        const struct settings_address *asked)
 {
     if (agent->failing == failing) {
         return;
     }
     agent->failing = failing;
     if (failing) {
-        LOG_WARNING("limits_unanswered", "leader=%s:%u", agent->leader.host,
-                    agent->leader.port);
+        LOG_WARNING("limits_unanswered", "leader=%s:%u", asked->host,
+                    asked->port);
     }
     else {
-        LOG_INFO("limits_answered", "leader=%s:%u", agent->leader.host,
-                 agent->leader.port);
+        LOG_INFO("limits_answered", "leader=%s:%u", asked->host, asked->port);
     }
 }
 
-// Takes over the leader's address from a result of another voter.
-static void
+// Takes over the leader's address from a result of another voter. Returns
+// whether it is to be called at once.
+static bool
 limit_agent_follow_hint(struct limit_agent *agent,
                         const struct ck_borrow_result *result)
 {
@@ -106,35 +112,51 @@
     bool same = hint.port == agent->leader.port &&
                 strcmp(hint.host, agent->leader.host) == 0;
     memset(&agent->leader, 0, sizeof(agent->leader));
-    if (!same) {
-        agent->leader = hint;
+    if (hint.port == 0 || same ||
+        agent->redirects >= LIMIT_AGENT_MAX_REDIRECTS) {
+        return false;
     }
+    agent->redirects++;
+    agent->leader = hint;
+    return true;
+}
+
+static void
+limit_agent_handle_failure(struct limit_agent *agent,
+                           const struct ck_borrow_result *answer)
+{
+    struct settings_address asked = agent->leader;
+
+    counter_add(COUNTER_LIMIT_CALLS_FAILED, 1);
+    if (answer != NULL && limit_agent_follow_hint(agent, answer)) {
+        limiter_handle_failure(agent->limiter, agent->sequence, 0);
+        return;
+    }
+    limit_agent_set_failing(agent, true, &asked);
+    agent->redirects = 0;
+    memset(&agent->leader, 0, sizeof(agent->leader));
+    limiter_handle_failure(agent->limiter, agent->sequence,
+                           LIMIT_AGENT_FAILURE_US);
 }
 
 static void
 limit_agent_handle_result(void *data, int outcome, const void *result)
 {
     struct limit_agent *agent = data;
-    const struct ck_borrow_result *answer = result;
+    const struct ck_borrow_result *answer =
+        outcome == OUTCOME_OK ? result : NULL;
 
     if (outcome == OUTCOME_CLOSED) {
         return;
     }
-    if (outcome == OUTCOME_OK && answer->outcome == OUTCOME_OK) {
+    if (answer != NULL && answer->outcome == OUTCOME_OK) {
         counter_add(COUNTER_LIMIT_CALLS, 1);
-        limit_agent_set_failing(agent, false);
+        agent->redirects = 0;
+        limit_agent_set_failing(agent, false, &agent->leader);
         limiter_handle_answer(agent->limiter, answer);
     }
     else {
-        counter_add(COUNTER_LIMIT_CALLS_FAILED, 1);
-        limit_agent_set_failing(agent, true);
-        limiter_handle_failure(agent->limiter, agent->sequence);
-        if (outcome == OUTCOME_OK) {
-            limit_agent_follow_hint(agent, answer);
-        }
-        else {
-            memset(&agent->leader, 0, sizeof(agent->leader));
-        }
+        limit_agent_handle_failure(agent, answer);
     }
     limit_agent_run(agent);
 }
--- a/src/catkingrade/decide/customer/limit_borrower.c
+++ b/src/catkingrade/decide/customer/limit_borrower.c
@@ -29,7 +29,7 @@
 #define BORROWER_RETURN_US 700000
 // Tokens are held for this part of their validity, so that few expire.
 #define BORROWER_VALIDITY_DIVISOR 2
-// Delay after a call that failed.
+// Delay after an answer that is late or not of the leader.
 #define BORROWER_FAILURE_US 50000
 // Customers that were not seen for this time are forgotten.
 #define BORROWER_FORGET_US 30000000
@@ -612,7 +612,8 @@
     }
     if (result->outcome != OUTCOME_OK ||
         now_us - borrower->sent_us >= LIMIT_CALL_US) {
-        limit_borrower_handle_failure(borrower, now_us, result->sequence);
+        limit_borrower_handle_failure(borrower, now_us, result->sequence,
+                                      BORROWER_FAILURE_US);
         return;
     }
     borrower->in_flight = false;
@@ -623,16 +624,17 @@
     borrower_plan_call(borrower, now_us);
 }
 
-// Ends the call in flight, which was not answered or not by the leader.
+// Ends the call in flight, which was not answered or not by the leader. The
+// next call follows after delay_us.
 void
 limit_borrower_handle_failure(struct limit_borrower *borrower, int64_t now_us,
-                              uint64_t sequence)
+                              uint64_t sequence, int64_t delay_us)
 {
     if (!borrower->in_flight || sequence != borrower->sequence) {
         return;
     }
     borrower->in_flight = false;
-    borrower->backoff_until_us = now_us + BORROWER_FAILURE_US;
+    borrower->backoff_until_us = now_us + delay_us;
     borrower_plan_call(borrower, now_us);
 }
 
--- a/src/catkingrade/decide/customer/limit_borrower.h
+++ b/src/catkingrade/decide/customer/limit_borrower.h
@@ -52,7 +52,8 @@
                                   int64_t now_us,
                                   const struct ck_borrow_result *result);
 void limit_borrower_handle_failure(struct limit_borrower *borrower,
-                                   int64_t now_us, uint64_t sequence);
+                                   int64_t now_us, uint64_t sequence,
+                                   int64_t delay_us);
 int64_t limit_borrower_get_wake_us(const struct limit_borrower *borrower);
 
 #endif
--- a/src/catkingrade/entry/limiter.c
+++ b/src/catkingrade/entry/limiter.c
@@ -186,11 +186,12 @@
 }
 
 void
-limiter_handle_failure(struct limiter *limiter, uint64_t sequence)
+limiter_handle_failure(struct limiter *limiter, uint64_t sequence,
+                       int64_t delay_us)
 {
     pthread_mutex_lock(&limiter->mutex);
     limit_borrower_handle_failure(limiter->borrower, monotonic_get_us(),
-                                  sequence);
+                                  sequence, delay_us);
     pthread_mutex_unlock(&limiter->mutex);
 }
 
--- a/src/catkingrade/entry/limiter.h
+++ b/src/catkingrade/entry/limiter.h
@@ -43,7 +43,8 @@
 bool limiter_fill_call(struct limiter *limiter, struct ck_borrow_args *args);
 void limiter_handle_answer(struct limiter *limiter,
                            const struct ck_borrow_result *result);
-void limiter_handle_failure(struct limiter *limiter, uint64_t sequence);
+void limiter_handle_failure(struct limiter *limiter, uint64_t sequence,
+                            int64_t delay_us);
 int64_t limiter_get_wake_us(struct limiter *limiter);
 
 #endif
--- a/test/fake/limit_fleet.c
+++ b/test/fake/limit_fleet.c
@@ -9,6 +9,7 @@
 #include "catkingrade/kernel/outcome.h"
 #include "catkingrade/rpc/codec.h"
 
+#define FLEET_BACKOFF_US   50000
 #define FLEET_TICK_US      5000
 #define FLEET_RETRY_US     60000
 #define FLEET_DRIFT_PPM    10000
@@ -492,7 +493,8 @@
     if (entry->in_flight && fleet->now_us - entry->sent_us >= LIMIT_CALL_US) {
         uint64_t sequence = entry->args.sequence;
         fleet_end_call(entry);
-        limit_borrower_handle_failure(entry->borrower, local_us, sequence);
+        limit_borrower_handle_failure(entry->borrower, local_us, sequence,
+                                      FLEET_BACKOFF_US);
     }
     else if (entry->in_flight && fleet->now_us >= entry->again_us) {
         entry->again_us += FLEET_RETRY_US;
--- a/test/unit/decide/customer/test_limit_borrower.c
+++ b/test/unit/decide/customer/test_limit_borrower.c
@@ -191,7 +191,7 @@
     ck_assert(limit_borrower_fill_call(borrower, now_us, &args));
     ck_assert_uint_eq(
         args.rows.rows_val[0].held + args.rows.rows_val[0].returned, 2);
-    limit_borrower_handle_failure(borrower, now_us, 3);
+    limit_borrower_handle_failure(borrower, now_us, 3, 50 * MS_US);
     now_us += 11 * MS_US;
     ck_assert_int_eq(admit(borrower, now_us, "ada", 10), LIMIT_WAIT);
     limit_borrower_destroy(borrower, ignore_ticket);
