--- a/src/catkingrade/decide/customer/limit.c
+++ b/src/catkingrade/decide/customer/limit.c
@@ -8,7 +8,7 @@
 // mostly slack, rarely has tokens in stock, and its operations come in bursts.
 // The rest is left for operations that run later than they were admitted,
 // since they wait for a slot.
-#define LIMIT_INITIAL_PART       0.1
+#define LIMIT_INITIAL_PART       0.2
 #define LIMIT_BUCKET_SLACK_PART  0.5
 #define LIMIT_BUCKET_EXCESS_PART 0.2
 #define LIMIT_HELD_SLACK_PART    0.25
