--- a/src/catkingrade/control/group_lease.c
+++ b/src/catkingrade/control/group_lease.c
@@ -3,6 +3,8 @@
 #include <string.h>
 
 #include "catkingrade/control/lease_agent_private.h"
+#include "catkingrade/control/limit_list.h"
+#include "catkingrade/entry/declared_customers.h"
 #include "catkingrade/kernel/counters.h"
 #include "catkingrade/kernel/log.h"
 #include "catkingrade/kernel/memory.h"
@@ -76,6 +78,26 @@
                 call);
 }
 
+// Gives the entry the rate limits of the customers in a view, if they differ
+// from those in the view before; NULL: there was none.
+static void
+group_lease_update_limits(const struct group_lease *lease,
+                          const struct view *before, const struct view *view)
+{
+    const struct declared_customers *customers =
+        view_get_declared_customers(view);
+    struct limit_list limits = {0};
+
+    if (before != NULL && view_get_declared_customers(before) == customers) {
+        return;
+    }
+    for (size_t i = 0; i < declared_customers_get_count(customers); i++) {
+        limit_list_add(&limits, declared_customers_get(customers, i));
+    }
+    entry_set_limits(lease->agent->daemon->entry, limits.items, limits.count);
+    limit_list_free(&limits);
+}
+
 // Replaces the view by one with the delta applied. Returns false if the delta
 // starts after the view's revision. The next renewal then requests the changes
 // since that revision.
@@ -88,6 +110,7 @@
     struct view *view = view_apply_delta(agent->view, lease->group, delta);
 
     if (view != NULL) {
+        group_lease_update_limits(lease, agent->view, view);
         view_release(agent->view);
         agent->view = view;
         entry_post_view(agent->daemon->entry, view);
--- a/src/catkingrade/decide/traffic/scheduler.c
+++ b/src/catkingrade/decide/traffic/scheduler.c
@@ -6,6 +6,7 @@
 #include "catkingrade/decide/traffic/admission.h"
 #include "catkingrade/decide/traffic/confirm.h"
 #include "catkingrade/decide/traffic/dispatch.h"
+#include "catkingrade/decide/traffic/fair_queue.h"
 #include "catkingrade/decide/traffic/pool.h"
 #include "catkingrade/decide/traffic/request_run.h"
 #include "catkingrade/decide/traffic/scheduler_actions.h"
@@ -29,6 +30,7 @@
     scheduler->random = params->seed;
     scheduler->primary = SCHEDULER_NO_ID;
     scheduler->wake_at_us = SCHEDULER_NO_WAKE;
+    customer_table_init(&scheduler->customers);
     pool_init(scheduler);
     return scheduler;
 }
@@ -45,6 +47,8 @@
     id_map_free(&scheduler->requests);
     timers_free(&scheduler->timers);
     pool_free(scheduler);
+    fair_queue_free_all(scheduler);
+    customer_table_free(&scheduler->customers);
     free(scheduler->upstreams);
     free(scheduler->candidates);
     free(scheduler);
@@ -214,6 +218,7 @@
     scheduler_handle_event(scheduler, event);
     if (scheduler->view_known) {
         scheduler_check_lease(scheduler);
+        admission_check_relay_contact(scheduler);
         sample_run(scheduler);
         dispatch_run(scheduler);
         lease_end_superseded(scheduler);
--- a/src/catkingrade/entry/database.c
+++ b/src/catkingrade/entry/database.c
@@ -44,6 +44,7 @@
         .connect_timeout_us = settings->connect_timeout_us,
         .leaving_limit_us = settings->switchover_us -
                             settings->switchover_us / DATABASE_STOP_DIVISOR,
+        .lease_us = settings->lease_us,
         .guarded = !settings->sample_upstreams,
         .timer_granularity_us =
             settings->sample_upstreams ? 0 : DATABASE_TIMER_GRANULARITY_US,
@@ -300,6 +301,7 @@
     struct scheduler_event event = {.kind = SCHEDULER_EVENT_FINISH};
 
     database_log_open_requests(database);
+    database_finish_limits(database);
     database_step(database, &event);
 }
 
@@ -417,7 +419,9 @@
     atomic_fetch_add_explicit(&database->open_requests, 1,
                               memory_order_relaxed);
     counter_add(COUNTER_REQUESTS, 1);
-    database_step(database, &event);
+    if (database_take_token(database, request)) {
+        database_step(database, &event);
+    }
 }
 
 // Cancels a request whose client has cancelled it or has disconnected.
@@ -428,6 +432,10 @@
                                     .request_cancel = request->id};
 
     request->cancelled = true;
+    if (request->ticket != NULL) {
+        database_cancel_limit(database, request);
+        return;
+    }
     database_step(database, &event);
 }
 
--- a/src/catkingrade/entry/database_actions.c
+++ b/src/catkingrade/entry/database_actions.c
@@ -23,6 +23,7 @@
         strncpy(conn->relay_host, database_get_relay_host(database),
                 CK_HOST_SIZE);
     }
+    counter_add(COUNTER_CUSTOMER_CONNS_OPENED, action->customer[0] != '\0');
     conn->link =
         database_open_link(database, action->upstream, action->customer,
                            &database_conn_events, conn);
@@ -127,6 +128,24 @@
     database_release_request(database, request);
 }
 
+// Refuses a request that was not passed to the scheduler.
+void
+database_refuse_request(struct database *database,
+                        struct entry_request *request, int outcome,
+                        const char *reason, int64_t retry_after_us)
+{
+    struct scheduler_action action = {
+        .kind = SCHEDULER_ACTION_REFUSE,
+        .request = request->id,
+        .outcome = outcome,
+        .reason = reason,
+        .retry_after_us = retry_after_us,
+        .waited_us = monotonic_get_us() - request->submitted_us,
+    };
+
+    database_run_refusal(database, &action);
+}
+
 static void
 database_run_suspect(struct database *database,
                      const struct scheduler_action *action)
@@ -148,6 +167,9 @@
     if (database_is_relayed(database)) {
         // The failed upstream is a relay: try the next relay instead of
         // reporting a suspicion.
+        if (action->suspicion == CK_SUSPECT_SILENT) {
+            database_record_relay_silent(database);
+        }
         database_switch_relay_host(database);
         return;
     }
@@ -178,6 +200,8 @@
     }
     switch (action->kind) {
     case SCHEDULER_ACTION_CLOSE:
+        counter_add(COUNTER_CUSTOMER_CONNS_EVICTED,
+                    action->close_reason == SCHEDULER_CLOSE_EVICTED);
         database_drop_conn(conn);
         break;
     case SCHEDULER_ACTION_RESET:
--- a/src/catkingrade/entry/worker.c
+++ b/src/catkingrade/entry/worker.c
@@ -5,6 +5,7 @@
 #include <string.h>
 
 #include "catkingrade/decide/group/group.h"
+#include "catkingrade/entry/limiter.h"
 #include "catkingrade/kernel/log.h"
 #include "catkingrade/kernel/memory.h"
 #include "catkingrade/kernel/outcome.h"
@@ -55,6 +56,7 @@
     struct worker_relay *relays; // sorted by database
     size_t relays_count;
     size_t changes_count; // quotas and relays that are not in force yet
+    struct relay_silence relay_silence;
     void *listener_state;
     uint64_t last_id;
     bool draining;
@@ -64,6 +66,13 @@
 static void worker_remove_databases(void *data);
 static void worker_notify_listener(void *data);
 
+// Returns the relays that have not answered the databases of this worker.
+struct relay_silence *
+worker_get_relay_silence(struct worker *worker)
+{
+    return &worker->relay_silence;
+}
+
 // Creates a worker whose thread does not run yet.
 struct worker *
 worker_create(struct entry *entry, unsigned index)
@@ -759,3 +768,15 @@
     pthread_mutex_unlock(&worker->databases_mutex);
     return count;
 }
+
+// Ends the wait of a request for a token of its customer's rate limit, if the
+// request still exists.
+void
+worker_decide_limit(struct worker *worker, const struct limiter_ticket *ticket)
+{
+    struct database *database = worker_find_database(worker, ticket->database);
+
+    if (database != NULL) {
+        database_decide_limit(database, ticket);
+    }
+}
--- a/src/catkingrade/entry/worker.h
+++ b/src/catkingrade/entry/worker.h
@@ -5,6 +5,7 @@
 #include <stddef.h>
 #include <stdint.h>
 
+#include "catkingrade/decide/traffic/relay_silence.h"
 #include "catkingrade/decide/traffic/token.h"
 #include "catkingrade/entry/classify.h"
 #include "catkingrade/entry/database.h"
@@ -17,6 +18,7 @@
 // client protocol and owns the databases whose names hash to it. Functions run
 // on the worker's thread unless their comment says otherwise.
 struct worker;
+struct limiter_ticket;
 
 // Client protocol, which listens on the loop of each worker. start runs before
 // the worker's thread begins, stop after it has ended; the other functions run
@@ -50,6 +52,7 @@
 struct classifier *worker_get_classifier(const struct worker *worker);
 const struct view *worker_get_view(const struct worker *worker);
 bool worker_has_view_and_lease(const struct worker *worker);
+struct relay_silence *worker_get_relay_silence(struct worker *worker);
 bool worker_may_deny_routes(const struct worker *worker);
 bool worker_is_draining(const struct worker *worker);
 void *worker_get_listener_state(const struct worker *worker);
@@ -68,6 +71,8 @@
 void worker_drain(struct worker *worker);
 void worker_finish(struct worker *worker);
 void worker_report_demand(struct worker *worker);
+void worker_decide_limit(struct worker *worker,
+                         const struct limiter_ticket *ticket);
 uint64_t worker_get_open_requests(struct worker *worker, const char *customer);
 
 // State of the entry that all workers share; constant after entry_start.
--- a/src/catkingrade/kernel/settings.h
+++ b/src/catkingrade/kernel/settings.h
@@ -111,6 +111,11 @@
     int64_t drain_notice_us; // from failing health check to closed listeners
     int64_t drain_limit_us;  // maximum duration of a planned stop
     int64_t key_revoke_us; // that a transaction may last after its key is gone
+    // Bound of the rate limits of customers: in each window at most
+    // (rate * window + burst) * (1 + excess) + slack operations.
+    int64_t limit_window_us;
+    double limit_excess;      // a fraction
+    double limit_slack;       // operations
     unsigned clock_drift_ppm; // upper bound of each VM's clock drift
 };
 
--- a/src/catkingrade/rpc/messages.x
+++ b/src/catkingrade/rpc/messages.x
@@ -555,7 +555,8 @@
     CK_QUERY_TIMELINE = 6,
     CK_QUERY_COUNTERS = 7,
     CK_QUERY_GROUPS = 8,
-    CK_QUERY_DECLARED_CUSTOMERS = 9     /* without their keys */
+    CK_QUERY_LIMITS = 9,            /* rate limits of customers */
+    CK_QUERY_DECLARED_CUSTOMERS = 10    /* without their keys */
 };
 
 struct ck_query_args {
@@ -613,6 +614,49 @@
     unsigned int leader_port;
 };
 
+/* ---- rate limits of customers ---- */
+
+/* What an entry has of a customer's tokens, and what it asks for. */
+struct ck_borrow_row {
+    ck_name customer;
+    unsigned int waiting;           /* operations that wait for a token */
+    unsigned int stock;             /* tokens for operations to come */
+    unsigned int held;              /* tokens in hand */
+    unsigned int returned;          /* tokens given back with this call */
+};
+
+/*
+ * Asks the leader for tokens. Calls of an entry have rising sequence numbers,
+ * one at a time. A repeated call gets the same answer. An answer to an earlier
+ * call is never applied: applied tells the leader which was the last one.
+ */
+struct ck_borrow_args {
+    ck_name group;
+    ck_name vm;
+    unsigned hyper incarnation;
+    unsigned hyper sequence;
+    unsigned hyper applied;         /* sequence of the last answer applied */
+    ck_borrow_row rows<CK_LIST_SIZE>;
+};
+
+struct ck_lent_row {
+    ck_name customer;
+    unsigned int kept;              /* of the tokens in hand; others lapse */
+    unsigned int granted;           /* for operations that wait, only now */
+    unsigned int stock;             /* for operations to come */
+    unsigned int valid_ms;          /* of kept and stock, from the call on */
+    unsigned int retry_after_ms;    /* no new call before; 0: at any time */
+    bool wait;                      /* tokens are left, others hold too many */
+};
+
+struct ck_borrow_result {
+    int outcome;
+    unsigned hyper sequence;
+    ck_host leader_host;
+    unsigned int leader_port;
+    ck_lent_row rows<CK_LIST_SIZE>;
+};
+
 program CK_PROGRAM {
     version CK_VERSION {
         ck_renew_result CK_RENEW(ck_renew_args) = 1;
@@ -624,5 +668,6 @@
         ck_read_declaration_result
             CK_READ_DECLARATION(ck_read_declaration_args) = 7;
         ck_announce_result CK_ANNOUNCE(ck_announce_args) = 8;
+        ck_borrow_result CK_BORROW(ck_borrow_args) = 9;
     } = 1;
 } = 0x20434b47;
