--- a/test/contract/test_keys.c
+++ b/test/contract/test_keys.c
@@ -24,6 +24,13 @@
 // Time after which the entry has no lease any more: twice lease_ms.
 #define LEASE_END_US 2000000
 
+#define TIMINGS                                                               \
+    "\"announce_expiry_ms\": 3000, \"drain_notice_ms\": 100, "                \
+    "\"drain_limit_ms\": 2000"
+// The lease outlasts an election or a pause of the entry, which otherwise ends
+// its sessions.
+#define LONG_LEASE TIMINGS ", \"lease_ms\": 4000"
+
 #define CUSTOMER(name, key) "{\"name\":\"" name "\",\"apiKeys\":[\"" key "\"]}"
 #define ROUTE(name, is_public)                                                \
     "{\"host\":\"" name "\",\"routeKind\":\"primary\",\"timeoutMs\":5000,"    \
@@ -42,15 +49,29 @@
 // Starts the daemons with a configuration and waits until the entry serves the
 // public route.
 static void
-start(const char *name, const char *config)
+start_with(const char *name, const char *timings, const char *config)
 {
-    platform_rig_start(name, 1, "");
+    struct platform_rig_options options = {
+        .entries = 1,
+        .databases = 1,
+        .control_extra = "",
+        .entry_timings = timings,
+        .control_timings = timings,
+    };
+
+    platform_rig_start_with(name, &options);
     platform_forbid_text(rig.platform, KEY);
     platform_rig_wait_config(0, config);
     close(platform_rig_wait_answer(0, "open", "QUERY a0 WRITE k0 zero",
                                    "sig-a0"));
 }
 
+static void
+start(const char *name, const char *config)
+{
+    start_with(name, TIMINGS, config);
+}
+
 // Stops the daemons after the check that no key got out.
 static void
 stop(void)
@@ -184,6 +205,25 @@
 }
 END_TEST
 
+// Guards against the same while the entry cannot have the configuration yet:
+// it is stopped when the configuration is acknowledged.
+START_TEST(test_added_key_at_entry_that_is_behind)
+{
+    start_with("keys_behind", LONG_LEASE, CONFIG("1", CUSTOMER_A));
+    ck_assert_int_eq(kill(process_get_pid(rig.entries[0]), SIGSTOP), 0);
+    (void)put(CONFIG("2", CUSTOMER_A "," CUSTOMER_B));
+    int fd = platform_connect(rig.client_ports[0]);
+    ck_assert_int_ge(fd, 0);
+    platform_send_line(fd, "STARTUP own " KEY "-b");
+    ck_assert_int_eq(kill(process_get_pid(rig.entries[0]), SIGCONT), 0);
+    char *text = platform_receive_reply(fd);
+    ck_assert_str_eq(text, "READY I -\r\n");
+    free(text);
+    close(fd);
+    stop();
+}
+END_TEST
+
 // Guards against a removed key that stays in use by idle or new sessions, and
 // against the end of sessions that have another key or need none.
 START_TEST(test_removed_key_ends_idle_sessions)
@@ -358,6 +398,40 @@
 }
 END_TEST
 
+// Returns the control VM that was elected last.
+static int
+find_leader(void)
+{
+    int leader = -1;
+
+    for (int i = 0; i < RIG_CONTROLS; i++) {
+        leader = platform_rig_log_contains(i, "\"elected\"") ? i : leader;
+    }
+    ck_assert_int_ge(leader, 0);
+    return leader;
+}
+
+// Guards against a removed key that stays in use when the leader changes
+// before the entry learns of the removal, of which the new leader knows
+// nothing.
+START_TEST(test_removed_key_after_change_of_leader)
+{
+    start_with("keys_leader", LONG_LEASE,
+               CONFIG("1", CUSTOMER_A "," CUSTOMER_B));
+    int idle = connect_with("STARTUP own " KEY "-a");
+    ck_assert_int_eq(kill(process_get_pid(rig.entries[0]), SIGSTOP), 0);
+    int64_t acknowledged_us = put(CONFIG("2", CUSTOMER_B));
+    int leader = find_leader();
+    (void)process_stop(rig.controls[leader], SIGKILL);
+    rig.controls[leader] = NULL;
+    ck_assert_int_eq(kill(process_get_pid(rig.entries[0]), SIGCONT), 0);
+    expect_key_end(idle, acknowledged_us);
+    expect_refusal("STARTUP own " KEY "-a", UNKNOWN_KEY);
+    close(connect_with("STARTUP own " KEY "-b"));
+    stop();
+}
+END_TEST
+
 // Guards against a configuration with a shared key that comes into force.
 START_TEST(test_shared_key_is_refused)
 {
@@ -381,12 +455,14 @@
 {
     tcase_add_test(tests, test_unknown_key_is_refused);
     tcase_add_test(tests, test_added_key_is_accepted);
+    tcase_add_test(tests, test_added_key_at_entry_that_is_behind);
     tcase_add_test(tests, test_removed_key_ends_idle_sessions);
     tcase_add_test(tests, test_removed_key_ends_transactions);
     tcase_add_test(tests, test_late_commit_stores_nothing);
     tcase_add_test(tests, test_key_moves_to_another_customer);
     tcase_add_test(tests, test_without_customers_no_key_is_checked);
     tcase_add_test(tests, test_keys_without_control);
+    tcase_add_test(tests, test_removed_key_after_change_of_leader);
     tcase_add_test(tests, test_shared_key_is_refused);
 }
 
