perf(traffic): a customer's request waits for a connection in use before it opens one

Problem: a request opened a connection when those of its customer were in use, although one of them is usually free sooner than a new one is open. Change: a request of a customer waits for one for as long as opening takes, also where a place for another one is free. A read prefers the replica with such a connection.

--- a/src/catkingrade/decide/traffic/pool.c
+++ b/src/catkingrade/decide/traffic/pool.c
@@ -230,6 +230,50 @@
     return pool_evict_choose(scheduler, upstream, customer, waited_us);
 }
 
+// Returns how many requests of a group have been found to wait for a
+// connection in this dispatch round.
+static uint32_t
+pool_get_claimed(const struct scheduler *scheduler,
+                 const struct conn_group *group)
+{
+    return group != NULL && group->waiting_round == scheduler->round
+               ? group->waiting
+               : 0;
+}
+
+// Returns whether a request of a customer should wait for a connection of its
+// customer that is in use or opens, rather than have another one opened: until
+// it has waited for as long as opening one takes, if no earlier request waits
+// for the same connection.
+static bool
+pool_awaits_own(const struct scheduler *scheduler, uint32_t upstream,
+                const struct request *request)
+{
+    uint32_t customer = pool_group_get_customer(scheduler, upstream, request);
+    const struct conn_group *group =
+        pool_group_find(scheduler, upstream, customer);
+    int64_t waited_us = scheduler->now_us - request->queued_us;
+
+    return customer != CUSTOMER_NONE && group != NULL &&
+           group->open - group->idle > pool_get_claimed(scheduler, group) &&
+           waited_us < pool_evict_get_open_us(&scheduler->upstreams[upstream]);
+}
+
+// Has the scheduler run again when a request need no longer wait for a
+// connection of its customer.
+static void
+pool_wake_at_end_of_wait(struct scheduler *scheduler, uint32_t upstream,
+                         struct request *request)
+{
+    int64_t at_us = request->queued_us +
+                    pool_evict_get_open_us(&scheduler->upstreams[upstream]);
+
+    if (at_us > request->conn_wake_us) {
+        request->conn_wake_us = at_us;
+        timers_add(&scheduler->timers, at_us, TIMER_WAKE, 0);
+    }
+}
+
 // Returns how well an upstream can provide a connection for a request.
 enum pool_room
 pool_get_room(struct scheduler *scheduler, uint32_t upstream,
@@ -243,12 +287,11 @@
     if (group != NULL && group->idle > 0) {
         return POOL_ROOM_IDLE;
     }
-    if (group != NULL && group->opening > 0) {
-        uint32_t claimed =
-            group->waiting_round == scheduler->round ? group->waiting : 0;
-        if (group->opening > claimed) {
-            return POOL_ROOM_OPENING;
-        }
+    if (group != NULL && group->opening > pool_get_claimed(scheduler, group)) {
+        return POOL_ROOM_OPENING;
+    }
+    if (pool_awaits_own(scheduler, upstream, request)) {
+        return POOL_ROOM_IN_USE;
     }
     if (pool_can_open(scheduler, upstream, customer)) {
         return POOL_ROOM_OPEN;
@@ -315,53 +358,35 @@
                                           scheduler->params.idle_proof_us;
 }
 
-// Returns whether a request should wait for a connection of its customer that
-// is in use, rather than close one of another customer: it is expected to be
-// free sooner than a new one would be open. Wakes the scheduler when that time
-// is over.
-static bool
-pool_awaits_own(struct scheduler *scheduler, const struct upstream *up,
-                const struct conn_group *group, const struct request *request)
-{
-    int64_t until_us = request->queued_us + pool_evict_get_open_us(up);
-
-    if (group == NULL || group->open == group->opening ||
-        scheduler->now_us >= until_us) {
-        return false;
-    }
-    timers_add(&scheduler->timers, until_us, TIMER_WAKE, 0);
-    return true;
-}
-
 // Opens a connection to an upstream for a request that found none, unless as
-// many are being opened for its customer as requests wait in this round. An
-// idle connection of another customer is closed before if there is no place
-// left.
+// many are being opened for its customer as requests wait in this round, or
+// the request should wait for one that is in use. An idle connection of
+// another customer is closed before if there is no place left.
 void
 pool_open_for(struct scheduler *scheduler, uint32_t upstream,
-              const struct request *request)
+              struct request *request)
 {
     uint32_t customer = pool_group_get_customer(scheduler, upstream, request);
     struct conn_group *group = pool_group_find(scheduler, upstream, customer);
-    uint32_t waiting = 1;
+    uint32_t waiting = pool_get_claimed(scheduler, group) + 1;
 
     if (group != NULL) {
-        if (group->waiting_round != scheduler->round) {
-            group->waiting_round = scheduler->round;
-            group->waiting = 0;
-        }
-        waiting = ++group->waiting;
+        bool awaits = pool_awaits_own(scheduler, upstream, request);
+        group->waiting_round = scheduler->round;
+        group->waiting = waiting;
         if (group->opening >= waiting) {
             return;
         }
+        if (awaits) {
+            pool_wake_at_end_of_wait(scheduler, upstream, request);
+            return;
+        }
     }
     if (!pool_can_open(scheduler, upstream, customer)) {
         struct conn *conn =
             pool_find_evictable(scheduler, upstream, customer,
                                 scheduler->now_us - request->queued_us);
-        if (conn == NULL ||
-            pool_awaits_own(scheduler, &scheduler->upstreams[upstream], group,
-                            request)) {
+        if (conn == NULL) {
             return;
         }
         pool_close(scheduler, conn, SCHEDULER_CLOSE_EVICTED);
--- a/src/catkingrade/decide/traffic/pool.h
+++ b/src/catkingrade/decide/traffic/pool.h
@@ -21,7 +21,8 @@
     POOL_ROOM_OPENING_CLAIMED, // one that opens for an earlier request
     POOL_ROOM_EVICT,           // a new one in place of another customer's
     POOL_ROOM_OPEN,            // a new one
-    POOL_ROOM_OPENING,         // one that opens and is not claimed yet
+    POOL_ROOM_IN_USE,  // one in use, which is free sooner than a new one
+    POOL_ROOM_OPENING, // one that opens and is not claimed yet
     POOL_ROOM_IDLE,
 };
 
@@ -35,7 +36,7 @@
 void pool_open(struct scheduler *scheduler, uint32_t upstream,
                uint32_t customer);
 void pool_open_for(struct scheduler *scheduler, uint32_t upstream,
-                   const struct request *request);
+                   struct request *request);
 struct conn *pool_acquire_idle(struct scheduler *scheduler, uint32_t upstream,
                                const struct request *request);
 void pool_pin(struct scheduler *scheduler, struct conn *conn,
--- a/src/catkingrade/decide/traffic/scheduler_state.h
+++ b/src/catkingrade/decide/traffic/scheduler_state.h
@@ -159,6 +159,7 @@
     int64_t queued_us;
     int64_t started_us;
     int64_t wait_until_us;       // BACKOFF
+    int64_t conn_wake_us;        // end of a wait for a connection in use
     int64_t floor_wait_until_us; // end of the wait for a replica; 0: none
     uint64_t commit_lsn;         // CONFIRMING; 0: unknown
     int64_t committed_us;
