--- a/src/catkingrade/decide/traffic/fair_queue.c
+++ b/src/catkingrade/decide/traffic/fair_queue.c
@@ -23,19 +23,36 @@
     return key * QUEUE_COUNT + kind;
 }
 
-static struct fair_queue *
+// Returns the queue of a customer, type and kind, or NULL if it is empty.
+static const struct fair_queue *
 fair_queue_find(const struct scheduler *scheduler, uint32_t customer,
                 uint8_t type, enum queue_kind kind)
 {
     if (customer == CUSTOMER_NONE) {
-        return (struct fair_queue *)&scheduler->types[type]
-            .queues[kind]
-            .unowned;
+        return &scheduler->types[type].queues[kind].unowned;
     }
     return id_map_get(&scheduler->fair_queues,
                       fair_queue_get_key(customer, type, kind));
 }
 
+// Returns the queue of a customer, type and kind, which is created if it is
+// empty.
+static struct fair_queue *
+fair_queue_get_or_create(struct scheduler *scheduler, uint32_t customer,
+                         uint8_t type, enum queue_kind kind)
+{
+    if (customer == CUSTOMER_NONE) {
+        return &scheduler->types[type].queues[kind].unowned;
+    }
+    uint64_t key = fair_queue_get_key(customer, type, kind);
+    struct fair_queue *queue = id_map_get(&scheduler->fair_queues, key);
+    if (queue == NULL) {
+        queue = xcalloc(1, sizeof(*queue));
+        id_map_put(&scheduler->fair_queues, key, queue);
+    }
+    return queue;
+}
+
 // Frees the memory of all queues of customers.
 void
 fair_queue_free_all(struct scheduler *scheduler)
@@ -95,15 +112,9 @@
 fair_queue_add(struct scheduler *scheduler, struct request *request,
                enum queue_kind kind)
 {
-    struct fair_queue *queue =
-        fair_queue_find(scheduler, request->customer, request->type, kind);
+    struct fair_queue *queue = fair_queue_get_or_create(
+        scheduler, request->customer, request->type, kind);
 
-    if (queue == NULL) {
-        queue = xcalloc(1, sizeof(*queue));
-        id_map_put(&scheduler->fair_queues,
-                   fair_queue_get_key(request->customer, request->type, kind),
-                   queue);
-    }
     if (queue->count == 0) {
         queue->customer = request->customer;
         queue->type = request->type;
