feat(traffic): a smaller quota closes the least useful connections of customers first

Problem: connections above a smaller quota were closed in the order of the table, also those in frequent use, which are opened again at once. Change: idle connections of customers are closed in the order of pool_evict.h. Measured: test_pool_customers; its new test fails without the change.

--- a/src/catkingrade/decide/traffic/pool.c
+++ b/src/catkingrade/decide/traffic/pool.c
@@ -625,11 +625,30 @@
     return -1;
 }
 
+// Closes idle connections of customers above the limits, those first that are
+// expected to stay unused for the longest time.
+static void
+pool_close_least_used(struct scheduler *scheduler)
+{
+    for (uint32_t i = 0;
+         scheduler->customers.used > 0 && i < scheduler->upstreams_count;
+         i++) {
+        const struct upstream *up = &scheduler->upstreams[i];
+        struct conn *conn = NULL;
+        while (up->takes_work && up->open > up->connections &&
+               (conn = pool_evict_choose(scheduler, i, SCHEDULER_NO_ID, 0)) !=
+                   NULL) {
+            pool_close(scheduler, conn, SCHEDULER_CLOSE_QUOTA);
+        }
+    }
+}
+
 // Closes idle and opening connections that a new view, quota or lease no
 // longer allows. Busy connections are closed when they are released.
 void
 pool_enforce_limits(struct scheduler *scheduler)
 {
+    pool_close_least_used(scheduler);
     for (uint32_t i = 0; i < scheduler->conns_count; i++) {
         struct conn *conn = &scheduler->conns[i];
         if (conn->state != CONN_IDLE && conn->state != CONN_OPENING) {
--- a/src/catkingrade/decide/traffic/pool_evict.c
+++ b/src/catkingrade/decide/traffic/pool_evict.c
@@ -71,9 +71,10 @@
 }
 
 // Returns the idle connection of another customer to close for a request of a
-// customer that has waited for waited_us, or NULL if all are in use. A
-// connection that its owner is about to use is taken only for a request that
-// has waited for some time, from an owner above its fair share.
+// customer that has waited for waited_us, or NULL if all are in use. For
+// SCHEDULER_NO_ID, those of all customers are considered. A connection that
+// its owner is about to use is taken only for a request that has waited for
+// some time, from an owner above its fair share.
 struct conn *
 pool_evict_choose(struct scheduler *scheduler, uint32_t upstream,
                   uint32_t customer, int64_t waited_us)
--- a/src/catkingrade/kernel/settings.h
+++ b/src/catkingrade/kernel/settings.h
@@ -86,8 +86,8 @@
     // some entries, the relays, hold connections. 0: every entry holds them.
     unsigned relay_min_connections;
     bool relay_by_customer; // a customer's statements go to one relay
-    bool key_required; // key_file is required unless rpc is on loopback
-    bool bootstrap;    // the control groups are new; for the first start
+    bool key_required;      // key_file is required unless rpc is on loopback
+    bool bootstrap;         // the control groups are new; for the first start
     // Whether entries query upstreams for their replication positions. false:
     // upstreams report the position with each response instead.
     bool sample_upstreams;
--- a/test/unit/decide/traffic/test_pool_customers.c
+++ b/test/unit/decide/traffic/test_pool_customers.c
@@ -425,6 +425,33 @@
 }
 END_TEST
 
+// Guards against a smaller quota that closes the connections of customers in
+// frequent use and keeps those of rare ones.
+START_TEST(test_smaller_quota_keeps_frequent_customers)
+{
+    char customer[64];
+
+    start(1, 4, 6);
+    for (int i = 0; i < 40; i++) {
+        (void)serve(1, SCHEDULER_CLASS_WRITE, "north");
+        (void)serve(2, SCHEDULER_CLASS_WRITE, "south");
+        if (i % 10 == 0) {
+            (void)snprintf(customer, sizeof(customer), "rare-%d", i);
+            (void)serve(3, SCHEDULER_CLASS_WRITE, customer);
+        }
+    }
+    ck_assert_uint_eq(count_open(0), 6);
+    set_quotas(4, 2);
+    scheduler_rig_post_view(&rig);
+    run_actions();
+    opened_count = 0;
+    (void)serve(1, SCHEDULER_CLASS_WRITE, "north");
+    (void)serve(2, SCHEDULER_CLASS_WRITE, "south");
+    ck_assert_uint_eq(opened_count, 0);
+    stop();
+}
+END_TEST
+
 static enum scheduler_class
 pick_class(uint64_t *random)
 {
@@ -596,6 +623,7 @@
     tcase_add_test(tests, test_rare_customer_gets_next_released_connection);
     tcase_add_test(tests, test_relayed_connections_belong_to_no_customer);
     tcase_add_test(tests, test_smaller_quota_holds_for_customers);
+    tcase_add_test(tests, test_smaller_quota_keeps_frequent_customers);
     tcase_add_test(tests, test_limit_and_owner_hold_for_random_events);
 }
 
