--- a/src/catkingrade/control/limit_list.c
+++ b/src/catkingrade/control/limit_list.c
@@ -5,14 +5,18 @@
 
 #include "catkingrade/kernel/memory.h"
 
-// Appends a customer, if it has a limit: a rate above 0.
+#define LIMIT_LIST_RATE_UNIT_S 1000.0 // of rate_per_1000_s
+// Operations per second in place of a rate of 0, which would mean no limit.
+#define LIMIT_LIST_MIN_RATE 0.001
+
+// Appends a customer, if it has a limit.
 void
-limit_list_add(struct limit_list *list, const char *customer,
-               double rate_per_s, double burst)
+limit_list_add(struct limit_list *list,
+               const struct ck_declared_customer *customer)
 {
     size_t count = list->count;
 
-    if (!(rate_per_s > 0)) {
+    if (!customer->is_limited) {
         return;
     }
     // Grows when the count is a power of two.
@@ -20,11 +24,14 @@
         list->items = xrealloc(list->items, (count == 0 ? 1 : 2 * count) *
                                                 sizeof(*list->items));
     }
-    memset(&list->items[count], 0, sizeof(list->items[count]));
-    strncpy(list->items[count].customer, customer, CK_NAME_SIZE);
-    list->items[count].rate_per_s = rate_per_s;
-    list->items[count].burst = burst;
-    list->count++;
+    struct limit *limit = &list->items[list->count++];
+    memset(limit, 0, sizeof(*limit));
+    strncpy(limit->customer, customer->name, CK_NAME_SIZE);
+    limit->rate_per_s =
+        customer->rate_per_1000_s == 0
+            ? LIMIT_LIST_MIN_RATE
+            : customer->rate_per_1000_s / LIMIT_LIST_RATE_UNIT_S;
+    limit->burst = customer->burst;
 }
 
 // Appends the customers of a declaration that have a limit.
@@ -33,10 +40,7 @@
                 const struct ck_declaration *declaration)
 {
     for (u_int i = 0; i < declaration->customers.customers_len; i++) {
-        const struct ck_declared_customer *customer =
-            &declaration->customers.customers_val[i];
-        limit_list_add(list, customer->name, customer->rate_per_s,
-                       customer->burst);
+        limit_list_add(list, &declaration->customers.customers_val[i]);
     }
 }
 
--- a/src/catkingrade/control/limit_list.h
+++ b/src/catkingrade/control/limit_list.h
@@ -12,8 +12,8 @@
     size_t count;
 };
 
-void limit_list_add(struct limit_list *list, const char *customer,
-                    double rate_per_s, double burst);
+void limit_list_add(struct limit_list *list,
+                    const struct ck_declared_customer *customer);
 void limit_list_fill(struct limit_list *list,
                      const struct ck_declaration *declaration);
 void limit_list_free(struct limit_list *list);
--- a/src/catkingrade/decide/traffic/admission.c
+++ b/src/catkingrade/decide/traffic/admission.c
@@ -3,10 +3,13 @@
 #include <math.h>
 #include <string.h>
 
+#include "catkingrade/decide/traffic/fair_queue.h"
+#include "catkingrade/decide/traffic/pool.h"
 #include "catkingrade/decide/traffic/retry.h"
 #include "catkingrade/decide/traffic/scheduler_lease.h"
 #include "catkingrade/decide/traffic/scheduler_request.h"
 #include "catkingrade/decide/traffic/scheduler_sample.h"
+#include "catkingrade/decide/traffic/scheduler_session.h"
 #include "catkingrade/kernel/memory.h"
 #include "catkingrade/kernel/outcome.h"
 
@@ -23,6 +26,8 @@
 #define ADMISSION_HEADROOM_FACTOR 1.5
 // Retry delay of a request that is refused because no primary is usable.
 #define ADMISSION_FAILOVER_RETRY_US (250 * SCHEDULER_MS_US)
+// Retry delay of a request that another entry may serve at once.
+#define ADMISSION_ELSEWHERE_RETRY_US (50 * SCHEDULER_MS_US)
 // A queue counts as stalled when none of its statements has got a slot for
 // this long. The time is several times that of one statement.
 #define ADMISSION_STALL_US (200 * SCHEDULER_MS_US)
@@ -145,6 +150,69 @@
                      share);
 }
 
+// Returns whether an upstream has a slot and a connection of this entry that
+// no statement uses.
+static bool
+admission_has_width(const struct upstream *up)
+{
+    uint32_t limit = concurrency_get_limit(&up->concurrency, up->slots);
+
+    return up->takes_work && up->running < limit &&
+           up->running < up->connections;
+}
+
+// Returns whether a slot that may serve a queue is free.
+bool
+admission_has_free_slot(const struct scheduler *scheduler,
+                        enum queue_kind kind)
+{
+    if (scheduler->primary != SCHEDULER_NO_ID &&
+        admission_has_width(&scheduler->upstreams[scheduler->primary])) {
+        return true;
+    }
+    for (uint32_t i = 0;
+         kind == QUEUE_READS && i < scheduler->candidates_count; i++) {
+        if (admission_has_width(
+                &scheduler->upstreams[scheduler->candidates[i]])) {
+            return true;
+        }
+    }
+    return false;
+}
+
+// Estimates in microseconds how long a new request would wait for a slot while
+// customers share the slots fairly. 0 while a slot is free.
+static int64_t
+admission_estimate_fair_wait_us(const struct scheduler *scheduler,
+                                const struct request *request,
+                                enum queue_kind kind)
+{
+    uint32_t slots = admission_get_slots(scheduler, kind);
+
+    if (slots == 0 || admission_has_free_slot(scheduler, kind)) {
+        return 0;
+    }
+    return (int64_t)(fair_queue_get_work_us(scheduler, request, kind) / slots);
+}
+
+// Returns whether the queue of a type has no place for a new request. A
+// customer that has less than its share of a full queue is not refused for the
+// requests of others.
+static bool
+admission_is_queue_full(const struct scheduler *scheduler,
+                        const struct request *request, enum queue_kind kind)
+{
+    const struct request_type *type = &scheduler->types[request->type];
+    const struct type_queue *queue = &type->queues[kind];
+
+    if (queue->list.count < type->queue_limit) {
+        return false;
+    }
+    return scheduler->customers.used == 0 || queue->fair_count == 0 ||
+           fair_queue_count(scheduler, request, kind) >=
+               type->queue_limit / queue->fair_count;
+}
+
 // Records how many statements wait or run at the end of a step; elapsed_us is
 // the time since the previous step. Every statement that runs on the primary,
 // also a read, counts towards the demand for the primary.
@@ -265,6 +333,35 @@
                request->deadline_us;
 }
 
+// Refuses a request that another entry may serve, and ends its session: a
+// client repeats a request in the session that it has, if there is one.
+static void
+admission_refuse_elsewhere(struct scheduler *scheduler,
+                           struct request *request, int64_t retry_after_us,
+                           const char *reason)
+{
+    struct session *session = request->session;
+
+    request_refuse(scheduler, request, OUTCOME_UNAVAILABLE, retry_after_us,
+                   reason);
+    session_move(scheduler, session);
+}
+
+// Refuses a request for want of a primary. Other entries may have one if this
+// entry has lost its lease.
+static void
+admission_refuse_without_primary(struct scheduler *scheduler,
+                                 struct request *request, const char *reason)
+{
+    if (lease_has_quota(scheduler)) {
+        request_refuse(scheduler, request, OUTCOME_UNAVAILABLE,
+                       ADMISSION_FAILOVER_RETRY_US, reason);
+        return;
+    }
+    admission_refuse_elsewhere(scheduler, request,
+                               ADMISSION_ELSEWHERE_RETRY_US, reason);
+}
+
 // Refuses a request whose queue timeout has expired. The outcome and reason
 // tell whether no slot was free or no upstream was fresh enough for the read.
 void
@@ -273,6 +370,13 @@
 {
     bool stale = request->stale_wait;
 
+    if (relay_contact_is_failing(&scheduler->relay_contact) &&
+        (scheduler->view.relayed || !lease_has_quota(scheduler))) {
+        admission_refuse_elsewhere(scheduler, request,
+                                   ADMISSION_ELSEWHERE_RETRY_US,
+                                   "its relay does not answer");
+        return;
+    }
     refusal_loss_add(&scheduler->refusal_loss, scheduler->now_us, true);
     sample_report_lagging(scheduler);
     request_refuse(scheduler, request,
@@ -296,18 +400,20 @@
         (scheduler->primary == SCHEDULER_NO_ID ||
          !lease_is_valid(scheduler)) &&
         !admission_may_await_primary(scheduler, request)) {
-        request_refuse(scheduler, request, OUTCOME_UNAVAILABLE,
-                       ADMISSION_FAILOVER_RETRY_US,
-                       "there is no primary under a valid lease");
+        admission_refuse_without_primary(
+            scheduler, request, "there is no primary under a valid lease");
         return;
     }
     if (request->stale_wait && request->start_by_us <= scheduler->now_us) {
         admission_refuse_queue_timeout(scheduler, request);
         return;
     }
-    int64_t wait_us = admission_estimate_wait_us(scheduler, type, kind);
+    int64_t wait_us =
+        scheduler->customers.used > 0
+            ? admission_estimate_fair_wait_us(scheduler, request, kind)
+            : admission_estimate_wait_us(scheduler, type, kind);
     int64_t remaining_us = request->deadline_us - scheduler->now_us;
-    if (queue->list.count >= type->queue_limit ||
+    if (admission_is_queue_full(scheduler, request, kind) ||
         wait_us + admission_get_service_us(scheduler, request) >
             remaining_us ||
         (request->start_by_us != INT64_MAX &&
@@ -328,6 +434,8 @@
     }
     request_list_append(&queue->list, request);
     scheduler->queued[kind]++;
+    scheduler->customers.items[request->customer]->queued++;
+    fair_queue_add(scheduler, request, kind);
 }
 
 // Removes a request from its queue.
@@ -339,6 +447,8 @@
     request_list_remove(&scheduler->types[request->type].queues[kind].list,
                         request);
     scheduler->queued[kind]--;
+    scheduler->customers.items[request->customer]->queued--;
+    fair_queue_remove(scheduler, request);
 }
 
 // Returns the type that weighted fair queueing serves next, or NULL when no
@@ -373,18 +483,25 @@
                ADMISSION_STALL_US;
 }
 
+// Records that a statement of a queue has got a slot, and with it the end of a
+// stall.
+void
+admission_record_start(struct scheduler *scheduler, enum queue_kind kind)
+{
+    if (admission_is_stalled(scheduler, kind)) {
+        scheduler->dispatch_resumed_us[kind] = scheduler->now_us;
+    }
+    scheduler->started_us[kind] = scheduler->now_us;
+}
+
 // Advances the virtual time of a type by the cost of a statement that has got
-// a slot. Also records the end of a stall.
+// a slot.
 void
 admission_charge(struct scheduler *scheduler, struct request_type *type,
                  enum queue_kind kind)
 {
     struct type_queue *queue = &type->queues[kind];
 
-    if (admission_is_stalled(scheduler, kind)) {
-        scheduler->dispatch_resumed_us[kind] = scheduler->now_us;
-    }
-    scheduler->started_us[kind] = scheduler->now_us;
     scheduler->virtual_time[kind] = queue->virtual_time;
     queue->virtual_time += type->service_us / type->weight;
 }
@@ -433,6 +550,47 @@
         (service_us - type->service_us) * ADMISSION_SERVICE_EWMA_WEIGHT;
 }
 
+// Returns whether the lease has been renewed lately, so that the control group
+// will soon name other relays in place of those that are lost.
+static bool
+admission_has_control(const struct scheduler *scheduler)
+{
+    return scheduler->lease.valid_until_us - scheduler->now_us >
+           scheduler->params.lease_us / 2;
+}
+
+// Refuses all queued requests if neither a relay of the database nor the
+// control group can be reached, and probes for a relay. At another entry they
+// may still be in time.
+void
+admission_check_relay_contact(struct scheduler *scheduler)
+{
+    if (!scheduler->view.relayed || !scheduler->relay_contact.lost ||
+        admission_has_control(scheduler)) {
+        return;
+    }
+    if (scheduler->queued[QUEUE_PRIMARY] + scheduler->queued[QUEUE_READS] >
+            0 &&
+        scheduler->candidates_count > 0 &&
+        scheduler->upstreams[scheduler->candidates[0]].opening == 0 &&
+        pool_can_open(scheduler, scheduler->candidates[0], CUSTOMER_NONE)) {
+        pool_open(scheduler, scheduler->candidates[0], CUSTOMER_NONE);
+    }
+    for (uint32_t i = 0; i < scheduler->types_count; i++) {
+        for (int kind = 0; kind < QUEUE_COUNT; kind++) {
+            const struct request_list *list =
+                &scheduler->types[i].queues[kind].list;
+            while (list->first != NULL) {
+                struct request *request = list->first;
+                admission_remove(scheduler, request);
+                admission_refuse_elsewhere(scheduler, request,
+                                           ADMISSION_ELSEWHERE_RETRY_US,
+                                           "no relay can be reached");
+            }
+        }
+    }
+}
+
 // Refuses the queued requests that need the primary, with this reason, except
 // those that may wait for the end of a change of primary.
 void
@@ -447,8 +605,7 @@
             next = request->next;
             if (!admission_may_await_primary(scheduler, request)) {
                 admission_remove(scheduler, request);
-                request_refuse(scheduler, request, OUTCOME_UNAVAILABLE,
-                               ADMISSION_FAILOVER_RETRY_US, reason);
+                admission_refuse_without_primary(scheduler, request, reason);
             }
         }
     }
--- a/src/catkingrade/decide/traffic/request_run.c
+++ b/src/catkingrade/decide/traffic/request_run.c
@@ -2,11 +2,13 @@
 
 #include "catkingrade/decide/traffic/admission.h"
 #include "catkingrade/decide/traffic/confirm.h"
+#include "catkingrade/decide/traffic/fair_queue.h"
 #include "catkingrade/decide/traffic/pool.h"
 #include "catkingrade/decide/traffic/retry.h"
 #include "catkingrade/decide/traffic/scheduler_actions.h"
 #include "catkingrade/decide/traffic/scheduler_lease.h"
 #include "catkingrade/decide/traffic/scheduler_request.h"
+#include "catkingrade/decide/traffic/upstream_capacity.h"
 #include "catkingrade/kernel/memory.h"
 #include "catkingrade/kernel/outcome.h"
 
@@ -51,7 +53,7 @@
     action->request = request->id;
     conn->reset_wanted = true;
     if (conn->session != NULL || request_opens_transaction(request)) {
-        pool_release_slot(scheduler, conn->upstream, conn->read);
+        pool_release_slot(scheduler, conn, conn->read);
         pool_close(scheduler, conn, SCHEDULER_CLOSE_ABNORMAL);
     }
     else {
@@ -159,8 +161,9 @@
     struct upstream *up = &scheduler->upstreams[conn->upstream];
 
     if (conn->state == CONN_PINNED) {
-        pool_release_slot(scheduler, conn->upstream, false);
+        pool_release_slot(scheduler, conn, false);
     }
+    fair_queue_charge(scheduler, conn, request, admission_get_queue(request));
     request->state = REQUEST_RUNNING;
     request->conn = conn->id;
     request->started_us = scheduler->now_us;
@@ -172,7 +175,9 @@
     conn->request = request->id;
     conn->last_session = request->session->id;
     conn->abandoned_us = 0;
+    conn->overdue = 0;
     conn->read = request_is_read(request);
+    upstream_capacity_record_send(scheduler, up, request);
     up->running++;
     up->reads += conn->read;
     scheduler->running++;
@@ -182,7 +187,7 @@
     action->session = request->session->id;
     action->conn = conn->id;
     action->upstream = conn->upstream;
-    action->on_replica = conn->upstream != scheduler->primary;
+    action->on_replica = conn->upstream != scheduler->primary && !up->relayed;
     if (scheduler->params.guarded) {
         request_require_position(scheduler, request, conn, action);
     }
--- a/src/catkingrade/decide/traffic/route.c
+++ b/src/catkingrade/decide/traffic/route.c
@@ -3,9 +3,12 @@
 #include "catkingrade/decide/random.h"
 #include "catkingrade/decide/traffic/floor.h"
 #include "catkingrade/decide/traffic/pool.h"
+#include "catkingrade/decide/traffic/relay_choice.h"
 #include "catkingrade/decide/traffic/retry.h"
 #include "catkingrade/decide/traffic/scheduler_lease.h"
+#include "catkingrade/decide/traffic/scheduler_request.h"
 #include "catkingrade/decide/traffic/scheduler_sample.h"
+#include "catkingrade/decide/traffic/upstream_capacity.h"
 
 // Upstreams that are checked at random before all of them are scanned.
 #define ROUTE_RANDOM_PROBES 8
@@ -22,9 +25,25 @@
 // A near replica is preferred until it is busier than the other one by its
 // width divided by this.
 #define ROUTE_NEAR_DIVISOR 2
+// Time after which a relay that has failed is tried again for its customers.
+#define ROUTE_RELAY_RETRY_US (5 * SCHEDULER_SECOND_US)
 // Latency of an upstream that has not answered a statement yet.
 #define ROUTE_INITIAL_LATENCY_US (1 * SCHEDULER_MS_US)
 
+// A read waits for the learned limit this part of its time to the deadline.
+#define ROUTE_READ_WAIT_DIVISOR 4
+// The expected time of a read until its answer must fit this many times into
+// its remaining time for a trial at a slow upstream.
+#define ROUTE_TRIAL_MARGIN 2
+// A slow upstream without a trial for this long gets the next read in any
+// case: it must be able to recover.
+#define ROUTE_TRIAL_OVERDUE_US (1 * SCHEDULER_SECOND_US)
+// A loaded replica loses a read to the primary if that is faster by this many
+// halves.
+#define ROUTE_PRIMARY_GAIN_HALVES 3
+// Scale of the random number that chooses between two replicas.
+#define ROUTE_CHOICE_SCALE 65536
+
 // Requirements of a read on the upstream that serves it.
 struct route_need {
     const struct request *request;
@@ -43,16 +62,52 @@
            scheduler->upstreams[scheduler->primary].writable;
 }
 
-// Returns whether an upstream has a free slot and a connection for it that is
-// idle, opening or may be opened now.
+// What the search for a replica found besides the choice.
+struct route_replicas {
+    bool eligible; // one may serve the read, even if it has no free slot
+    bool healthy;  // one of these is not slow
+};
+
+// Returns whether the learned limit does not hold for a request: only the
+// primary may serve it, so that it has no alternative, or it has waited for
+// the limit for as long as it may.
 static bool
-route_has_room(const struct scheduler *scheduler, uint32_t index)
+route_ignores_limit(const struct scheduler *scheduler,
+                    const struct request *request)
+{
+    int64_t wait_us =
+        (request->deadline_us - request->queued_us) / ROUTE_READ_WAIT_DIVISOR;
+
+    return !request_is_read(request) || request->primary_only ||
+           scheduler->now_us - request->queued_us >= wait_us;
+}
+
+// Returns how many statements may run at an upstream when a request is to be
+// sent there.
+static uint32_t
+route_get_limit(const struct scheduler *scheduler, uint32_t index,
+                const struct request *request)
 {
     const struct upstream *up = &scheduler->upstreams[index];
+    uint32_t limit = concurrency_get_limit(&up->concurrency, up->slots);
 
-    return up->running < concurrency_get_limit(&up->concurrency, up->slots) &&
-           (up->idle > 0 || up->opening > 0 ||
-            pool_can_open(scheduler, index));
+    if (!upstream_capacity_is_used(scheduler, up) ||
+        route_ignores_limit(scheduler, request)) {
+        return limit;
+    }
+    return capacity_get_limit(&up->capacity, limit);
+}
+
+// Returns whether an upstream has a free slot and a connection for a request
+// that is idle, opening or may be opened now.
+static bool
+route_has_room(struct scheduler *scheduler, uint32_t index,
+               const struct request *request)
+{
+    const struct upstream *up = &scheduler->upstreams[index];
+
+    return up->running < route_get_limit(scheduler, index, request) &&
+           pool_get_room(scheduler, index, request) != POOL_ROOM_NONE;
 }
 
 // Returns whether the position and age of an upstream allow it to serve a
@@ -107,14 +162,35 @@
     return near_load <= far_load + half;
 }
 
-// Returns whether a read should go to upstream a rather than to b. An idle
-// connection is preferred to one that must be opened; then the failure domain
-// of the entry, unless the upstream there is much busier; then the lower cost.
+// Returns how well an upstream can provide a connection for a read. Without
+// customers only the idle connections count, as a connection that opens is
+// soon used by another request.
+static enum pool_room
+route_get_room(struct scheduler *scheduler, uint32_t index,
+               const struct request *request)
+{
+    enum pool_room room = pool_get_room(scheduler, index, request);
+
+    return request->customer == CUSTOMER_NONE && room != POOL_ROOM_IDLE
+               ? POOL_ROOM_NONE
+               : room;
+}
+
+// Returns whether a read should go to upstream first rather than to second. An
+// idle connection is preferred to one that must be opened; then the failure
+// domain of the entry, unless the upstream there is much busier; then the
+// lower cost.
 static bool
-route_is_better(const struct upstream *a, const struct upstream *b)
+route_is_better(struct scheduler *scheduler, const struct request *request,
+                uint32_t first, uint32_t second)
 {
-    if ((a->idle > 0) != (b->idle > 0)) {
-        return a->idle > 0;
+    const struct upstream *a = &scheduler->upstreams[first];
+    const struct upstream *b = &scheduler->upstreams[second];
+    enum pool_room room_a = route_get_room(scheduler, first, request);
+    enum pool_room room_b = route_get_room(scheduler, second, request);
+
+    if (room_a != room_b) {
+        return room_a > room_b;
     }
     if (a->near != b->near) {
         return a->near ? route_prefers_near(a, b) : !route_prefers_near(b, a);
@@ -122,14 +198,97 @@
     return route_get_cost_us(a) < route_get_cost_us(b);
 }
 
-// Returns whether an upstream can take a read now. Sets *eligible if the
-// upstream may serve the read, even if it has no free slot now.
+// Returns the expected time until a read is answered by an upstream, by its
+// learned capacity: at least as long as a statement that is overdue there has
+// taken so far.
+static int64_t
+route_get_completion_us(const struct scheduler *scheduler, uint32_t index)
+{
+    const struct upstream *up = &scheduler->upstreams[index];
+    int64_t completion_us =
+        capacity_get_completion_us(&up->capacity, scheduler->now_us,
+                                   CAPACITY_KIND_READ, up->running, up->slots);
+    int64_t overdue_us = up->overdue_since_us == 0
+                             ? 0
+                             : scheduler->now_us - up->overdue_since_us;
+
+    return completion_us > overdue_us ? completion_us : overdue_us;
+}
+
+// Returns whether read a should go to upstream a rather than to b by their
+// expected completion times: with a probability that falls with the fourth
+// power of the time. Entries that share the upstreams learn of a queue late;
+// if each of them always chose the lower time, all would choose the same
+// upstream until its queue is long.
+static bool
+route_is_faster(struct scheduler *scheduler, uint32_t a, uint32_t b)
+{
+    double a_us = (double)route_get_completion_us(scheduler, a);
+    double b_us = (double)route_get_completion_us(scheduler, b);
+    double ratio = (a_us * a_us) / (b_us * b_us);
+    ratio *= ratio;
+    double share = 1 / (1 + ratio * ratio);
+
+    return random_below(&scheduler->random, ROUTE_CHOICE_SCALE) <
+           (uint32_t)(share * ROUTE_CHOICE_SCALE);
+}
+
+// Returns whether two upstreams can be compared by their learned latencies:
+// these are known, and both or neither have an idle connection for the
+// request.
 static bool
-route_is_candidate(const struct scheduler *scheduler, uint32_t index,
-                   const struct route_need *need, bool *eligible)
+route_can_compare(struct scheduler *scheduler, const struct request *request,
+                  uint32_t a, uint32_t b)
+{
+    const struct upstream *up_a = &scheduler->upstreams[a];
+    const struct upstream *up_b = &scheduler->upstreams[b];
+
+    return upstream_capacity_is_used(scheduler, up_a) &&
+           capacity_is_known(&up_a->capacity, CAPACITY_KIND_READ) &&
+           capacity_is_known(&up_b->capacity, CAPACITY_KIND_READ) &&
+           (pool_get_room(scheduler, a, request) == POOL_ROOM_IDLE) ==
+               (pool_get_room(scheduler, b, request) == POOL_ROOM_IDLE);
+}
+
+// Returns whether an upstream is slow by its learned capacity.
+static bool
+route_is_slow(const struct scheduler *scheduler, uint32_t index)
 {
     const struct upstream *up = &scheduler->upstreams[index];
 
+    return upstream_capacity_is_used(scheduler, up) &&
+           capacity_is_slow(&up->capacity);
+}
+
+// Returns whether a read is due as a trial of a slow upstream and has the time
+// for it.
+static bool
+route_may_try(const struct scheduler *scheduler, uint32_t index,
+              const struct request *request)
+{
+    const struct capacity *capacity = &scheduler->upstreams[index].capacity;
+    int64_t latency_us = capacity_get_latency_us(capacity, scheduler->now_us,
+                                                 CAPACITY_KIND_READ);
+
+    return capacity_may_try(capacity, scheduler->now_us,
+                            scheduler->upstreams[index].running) &&
+           (latency_us * ROUTE_TRIAL_MARGIN <=
+                request->deadline_us - scheduler->now_us ||
+            scheduler->now_us - capacity->trial_at_us >=
+                ROUTE_TRIAL_OVERDUE_US);
+}
+
+// Returns whether an upstream can take a read now. Sets replicas->eligible if
+// the upstream may serve the read, even if it has no free slot now. A slow
+// upstream takes trial reads only.
+static bool
+route_is_candidate(struct scheduler *scheduler, uint32_t index,
+                   const struct route_need *need,
+                   struct route_replicas *replicas)
+{
+    const struct upstream *up = &scheduler->upstreams[index];
+    bool slow = route_is_slow(scheduler, index);
+
     if (index == scheduler->primary && need->leased) {
         return false;
     }
@@ -140,9 +299,11 @@
         return false;
     }
     if (up->slots > 0 && up->connections > 0) {
-        *eligible = true;
+        replicas->eligible = true;
+        replicas->healthy |= !slow;
     }
-    return route_has_room(scheduler, index);
+    return route_has_room(scheduler, index, need->request) &&
+           (!slow || route_may_try(scheduler, index, need->request));
 }
 
 // Finds up to two replicas that can take a read. Checks random replicas first
@@ -150,7 +311,7 @@
 // found.
 static uint32_t
 route_find_two(struct scheduler *scheduler, const struct route_need *need,
-               uint32_t picked[2], bool *eligible)
+               uint32_t picked[2], struct route_replicas *replicas)
 {
     uint32_t count = scheduler->candidates_count;
     uint32_t picked_count = 0;
@@ -159,7 +320,7 @@
          i++) {
         uint32_t index =
             scheduler->candidates[random_below(&scheduler->random, count)];
-        if (route_is_candidate(scheduler, index, need, eligible)) {
+        if (route_is_candidate(scheduler, index, need, replicas)) {
             picked[picked_count++] = index;
         }
         if (picked_count == 2) {
@@ -170,7 +331,7 @@
     for (uint32_t i = 0; i < count && picked_count < 2; i++) {
         uint32_t index = scheduler->candidates[next];
         next = next + 1 == count ? 0 : next + 1;
-        if (route_is_candidate(scheduler, index, need, eligible)) {
+        if (route_is_candidate(scheduler, index, need, replicas)) {
             picked[picked_count++] = index;
         }
     }
@@ -181,35 +342,68 @@
 // SCHEDULER_NO_ID if there is none.
 static uint32_t
 route_pick_replica(struct scheduler *scheduler, const struct route_need *need,
-                   bool *eligible)
+                   struct route_replicas *replicas)
 {
     uint32_t picked[2] = {SCHEDULER_NO_ID, SCHEDULER_NO_ID};
 
     if (scheduler->candidates_count == 0 ||
-        route_find_two(scheduler, need, picked, eligible) < 2) {
+        route_find_two(scheduler, need, picked, replicas) < 2) {
+        return picked[0];
+    }
+    // A slow upstream was found because a trial is due.
+    if (route_is_slow(scheduler, picked[0])) {
         return picked[0];
     }
-    return route_is_better(&scheduler->upstreams[picked[1]],
-                           &scheduler->upstreams[picked[0]])
+    if (route_is_slow(scheduler, picked[1])) {
+        return picked[1];
+    }
+    if (route_can_compare(scheduler, need->request, picked[0], picked[1])) {
+        return route_is_faster(scheduler, picked[1], picked[0]) ? picked[1]
+                                                                : picked[0];
+    }
+    return route_is_better(scheduler, need->request, picked[1], picked[0])
                ? picked[1]
                : picked[0];
 }
 
+// Returns whether statements wait for the primary: in this entry, or at the
+// primary itself.
+static bool
+route_primary_is_loaded(const struct scheduler *scheduler)
+{
+    const struct upstream *primary = &scheduler->upstreams[scheduler->primary];
+
+    return scheduler->queued[QUEUE_PRIMARY] > 0 ||
+           (upstream_capacity_is_used(scheduler, primary) &&
+            capacity_is_loaded(&primary->capacity, scheduler->now_us));
+}
+
 // Returns how many reads may run on the primary concurrently without starving
-// its writes. With replica_eligible, a replica could serve the read too; such
-// a read uses the primary only after it has waited ROUTE_SPILL_WAIT_US for the
-// replicas and while no statement is queued for the primary.
+// its writes. If a replica that is not slow could serve the read too, the read
+// uses the primary only after it has waited ROUTE_SPILL_WAIT_US for the
+// replicas. If any replica could serve it, it uses the primary only while no
+// statement waits there.
 static uint32_t
 route_get_primary_limit(const struct scheduler *scheduler,
-                        const struct request *request, bool replica_eligible)
+                        const struct request *request,
+                        const struct route_replicas *replicas)
 {
-    uint32_t slots = scheduler->upstreams[scheduler->primary].slots;
+    const struct upstream *primary = &scheduler->upstreams[scheduler->primary];
+    uint32_t slots = primary->slots;
     uint32_t part = slots / ROUTE_PRIMARY_DIVISOR;
 
-    if (replica_eligible) {
+    if (replicas->eligible && upstream_capacity_is_used(scheduler, primary)) {
+        part = capacity_get_limit(&primary->capacity, slots) /
+               ROUTE_PRIMARY_DIVISOR;
+        part = part == 0 ? 1 : part;
+    }
+    if (replicas->eligible && replicas->healthy) {
         bool waited =
             scheduler->now_us - request->queued_us >= ROUTE_SPILL_WAIT_US;
-        return waited && scheduler->queued[QUEUE_PRIMARY] == 0 ? part : 0;
+        return waited && !route_primary_is_loaded(scheduler) ? part : 0;
+    }
+    if (replicas->eligible) {
+        return route_primary_is_loaded(scheduler) ? 0 : part;
     }
     if (slots <= 1) {
         return scheduler->queued[QUEUE_PRIMARY] == 0 ? slots : 0;
@@ -282,33 +476,109 @@
 // waits.
 static enum route_verdict
 route_read_on_primary(struct scheduler *scheduler, struct request *request,
-                      const struct route_need *need, bool replica_eligible)
+                      const struct route_need *need,
+                      const struct route_replicas *replicas)
 {
     const struct upstream *primary = &scheduler->upstreams[scheduler->primary];
-    bool has_room =
-        primary->reads <
-            route_get_primary_limit(scheduler, request, replica_eligible) &&
-        route_has_room(scheduler, scheduler->primary);
+    bool has_room = primary->reads < route_get_primary_limit(
+                                         scheduler, request, replicas) &&
+                    route_has_room(scheduler, scheduler->primary, request);
 
-    if (!replica_eligible && !scheduler->params.guarded &&
+    if (!replicas->eligible && !scheduler->params.guarded &&
         route_wait_for_floor(scheduler, request, need, has_room)) {
         return ROUTE_BUSY;
     }
     return has_room ? ROUTE_FOUND : ROUTE_BUSY;
 }
 
+// Returns whether a relay among which customers are divided may be used.
+static bool
+route_is_relay_usable(const struct scheduler *scheduler, uint32_t index,
+                      const struct request *request)
+{
+    const struct upstream *up = &scheduler->upstreams[index];
+
+    return index != scheduler->primary &&
+           (up->failing_since_us == 0 ||
+            scheduler->now_us - up->failing_since_us > ROUTE_RELAY_RETRY_US) &&
+           !retry_was_tried(request, index);
+}
+
+// Returns the relay for a request: the one of its customer, or else the first
+// candidate, which represents the nearest relays.
+static uint32_t
+route_choose_relay(const struct scheduler *scheduler,
+                   const struct request *request)
+{
+    const char *customer = scheduler->customers.items[request->customer]->name;
+    uint32_t best = scheduler->candidates[0];
+    uint64_t best_rank = 0;
+
+    for (uint32_t i = 1;
+         request->customer != CUSTOMER_NONE && i < scheduler->candidates_count;
+         i++) {
+        uint32_t index = scheduler->candidates[i];
+        uint64_t rank =
+            relay_choice_get_rank(scheduler->view.database->name, customer,
+                                  scheduler->upstreams[index].config->host);
+        if (route_is_relay_usable(scheduler, index, request) &&
+            rank >= best_rank) {
+            best = index;
+            best_rank = rank;
+        }
+    }
+    return best;
+}
+
+// Routes a request to a relay, an entry that forwards statements to the
+// upstreams. The relay chooses the upstream.
+static struct route
+route_to_relay(struct scheduler *scheduler, const struct request *request)
+{
+    struct route route = {ROUTE_STALE, SCHEDULER_NO_ID};
+
+    if (scheduler->candidates_count == 0) {
+        return route;
+    }
+    uint32_t index = route_choose_relay(scheduler, request);
+    route.verdict = ROUTE_BUSY;
+    if (route_has_room(scheduler, index, request)) {
+        route.verdict = ROUTE_FOUND;
+        route.upstream = index;
+    }
+    return route;
+}
+
+// Has the scheduler run again when a read no longer waits for a learned limit.
+static void
+route_limit_wait(struct scheduler *scheduler, struct request *request)
+{
+    if (request->limit_wait) {
+        return;
+    }
+    request->limit_wait = true;
+    timers_add(&scheduler->timers,
+               request->queued_us +
+                   (request->deadline_us - request->queued_us) /
+                       ROUTE_READ_WAIT_DIVISOR,
+               TIMER_WAKE, 0);
+}
+
 // Finds the upstream for a statement that only the primary may run.
 struct route
-route_primary(const struct scheduler *scheduler)
+route_primary(struct scheduler *scheduler, const struct request *request)
 {
     struct route route = {ROUTE_STALE, SCHEDULER_NO_ID};
 
     if (!route_primary_is_usable(scheduler)) {
         return route;
     }
+    if (scheduler->view.relayed && request->customer != CUSTOMER_NONE) {
+        return route_to_relay(scheduler, request);
+    }
     route.verdict = ROUTE_BUSY;
     if (scheduler->upstreams[scheduler->primary].failing_since_us == 0 &&
-        route_has_room(scheduler, scheduler->primary)) {
+        route_has_room(scheduler, scheduler->primary, request)) {
         route.verdict = ROUTE_FOUND;
         route.upstream = scheduler->primary;
     }
@@ -361,23 +631,71 @@
     return need;
 }
 
-// Routes a read to the relay, the entry that forwards statements to the
-// upstreams. The relay chooses the upstream.
-static struct route
-route_to_relay(const struct scheduler *scheduler)
+// Returns whether a read should go to the primary rather than to a replica
+// that can take it: the replica's statements queue, and the primary has room
+// and is clearly faster.
+static bool
+route_prefers_primary(struct scheduler *scheduler, uint32_t replica,
+                      const struct request *request)
 {
-    struct route route = {ROUTE_STALE, SCHEDULER_NO_ID};
-
-    if (scheduler->candidates_count == 0) {
-        return route;
+    const struct route_replicas replicas = {.eligible = true};
+    const struct upstream *up = &scheduler->upstreams[replica];
+
+    if (!upstream_capacity_is_used(scheduler, up) ||
+        !capacity_is_loaded(&up->capacity, scheduler->now_us) ||
+        route_is_slow(scheduler, replica) ||
+        !route_primary_is_usable(scheduler) ||
+        retry_was_tried(request, scheduler->primary)) {
+        return false;
     }
-    uint32_t index = scheduler->candidates[0];
-    route.verdict = ROUTE_BUSY;
-    if (route_has_room(scheduler, index)) {
-        route.verdict = ROUTE_FOUND;
-        route.upstream = index;
+    const struct upstream *primary = &scheduler->upstreams[scheduler->primary];
+    return capacity_is_known(&primary->capacity, CAPACITY_KIND_READ) &&
+           primary->failing_since_us == 0 &&
+           primary->reads <
+               route_get_primary_limit(scheduler, request, &replicas) &&
+           route_has_room(scheduler, scheduler->primary, request) &&
+           route_get_completion_us(scheduler, replica) * 2 >
+               route_get_completion_us(scheduler, scheduler->primary) *
+                   ROUTE_PRIMARY_GAIN_HALVES;
+}
+
+// Picks the slow replica that is expected to answer a read first, for a read
+// that nothing else takes now. While a replica that is not slow could serve
+// it, the read waits for that one as long as the slow one would take. Returns
+// SCHEDULER_NO_ID if there is none.
+static uint32_t
+route_pick_slow(struct scheduler *scheduler, const struct route_need *need,
+                const struct route_replicas *replicas)
+{
+    int64_t waited_us = scheduler->now_us - need->request->queued_us;
+    uint32_t best = SCHEDULER_NO_ID;
+    int64_t best_us = replicas->healthy ? waited_us : INT64_MAX;
+
+    for (uint32_t i = 0; i < scheduler->candidates_count; i++) {
+        struct route_replicas ignored = {false, false};
+        uint32_t index = scheduler->candidates[i];
+        if (!route_is_slow(scheduler, index) || index == scheduler->primary ||
+            !route_has_room(scheduler, index, need->request)) {
+            continue;
+        }
+        (void)route_is_candidate(scheduler, index, need, &ignored);
+        int64_t completion_us = route_get_completion_us(scheduler, index);
+        if (ignored.eligible && completion_us < best_us) {
+            best = index;
+            best_us = completion_us;
+        }
     }
-    return route;
+    return best;
+}
+
+// Sends a read to a replica.
+static struct route
+route_to_replica(struct request *request, const struct route_need *need,
+                 uint32_t replica)
+{
+    request->required_lsn = need->lsn;
+    request->required_lsn_age_us = need->age_us;
+    return (struct route){ROUTE_FOUND, replica};
 }
 
 // Finds the upstream for a read: a replica whose position covers the floor of
@@ -387,25 +705,36 @@
 route_read(struct scheduler *scheduler, struct request *request)
 {
     if (scheduler->view.relayed) {
-        return route_to_relay(scheduler);
+        return route_to_relay(scheduler, request);
     }
     struct route route = {ROUTE_FOUND, SCHEDULER_NO_ID};
     struct route_need need = route_get_need(scheduler, request);
-    bool replica_eligible = false;
+    struct route_replicas replicas = {false, false};
 
-    route.upstream = route_pick_replica(scheduler, &need, &replica_eligible);
-    if (route.upstream != SCHEDULER_NO_ID) {
-        request->required_lsn = need.lsn;
-        request->required_lsn_age_us = need.age_us;
-        return route;
+    uint32_t replica = route_pick_replica(scheduler, &need, &replicas);
+    if (replica != SCHEDULER_NO_ID) {
+        if (route_prefers_primary(scheduler, replica, request)) {
+            route.upstream = scheduler->primary;
+            return route;
+        }
+        return route_to_replica(request, &need, replica);
     }
     if (route_primary_is_usable(scheduler) &&
         !retry_was_tried(request, scheduler->primary)) {
         route.verdict =
-            route_read_on_primary(scheduler, request, &need, replica_eligible);
+            route_read_on_primary(scheduler, request, &need, &replicas);
         route.upstream = scheduler->primary;
-        return route;
     }
-    route.verdict = replica_eligible ? ROUTE_BUSY : ROUTE_STALE;
+    else {
+        route.verdict = replicas.eligible ? ROUTE_BUSY : ROUTE_STALE;
+    }
+    if (route.verdict == ROUTE_BUSY && replicas.eligible &&
+        scheduler->params.learned_capacity) {
+        replica = route_pick_slow(scheduler, &need, &replicas);
+        if (replica != SCHEDULER_NO_ID) {
+            return route_to_replica(request, &need, replica);
+        }
+        route_limit_wait(scheduler, request);
+    }
     return route;
 }
--- a/src/catkingrade/decide/traffic/scheduler.h
+++ b/src/catkingrade/decide/traffic/scheduler.h
@@ -27,9 +27,13 @@
     // A leaving primary takes requests for this time after this entry has
     // learnt that it leaves.
     int64_t leaving_limit_us;
+    int64_t lease_us; // duration of the entry's lease when it is renewed
     // Upstreams refuse reads for which they lack the required position, and
     // report their position with each answer. Positions are not sampled.
     bool guarded;
+    // The latency of statements decides on the choice of replicas and on the
+    // number of concurrent statements at each upstream.
+    bool learned_capacity;
     // Deadlines and timeouts are rounded up to a multiple of this, so that one
     // wake-up serves many of them; 0: not rounded.
     int64_t timer_granularity_us;
--- a/src/catkingrade/decide/traffic/scheduler_result.c
+++ b/src/catkingrade/decide/traffic/scheduler_result.c
@@ -9,12 +9,15 @@
 #include "catkingrade/decide/traffic/scheduler_lease.h"
 #include "catkingrade/decide/traffic/scheduler_request.h"
 #include "catkingrade/decide/traffic/scheduler_sample.h"
+#include "catkingrade/decide/traffic/upstream_capacity.h"
 #include "catkingrade/kernel/memory.h"
 #include "catkingrade/kernel/outcome.h"
 
 #define RESULT_LATENCY_DIVISOR     8 // a new value has a weight of 1/8
 #define RESULT_OPEN_BACKOFF_MIN_US (10 * SCHEDULER_MS_US)
 #define RESULT_OPEN_BACKOFF_MAX_US (1 * SCHEDULER_SECOND_US)
+// For links to relays, which are tried in turn: the next one may answer.
+#define RESULT_RELAY_BACKOFF_MAX_US (100 * SCHEDULER_MS_US)
 // Delay before a request that the primary refused is sent to it again.
 #define RESULT_REFUSED_RETRY_US (15 * SCHEDULER_MS_US)
 
@@ -139,6 +142,11 @@
     if (request != NULL) {
         concurrency_record_success(&up->concurrency, up->slots);
         result_update_latency(up, scheduler->now_us - sent_us);
+        if (event->result == SCHEDULER_RESULT_DONE) {
+            upstream_capacity_record_answer(scheduler, up, request,
+                                            scheduler->now_us - sent_us,
+                                            conn->overdue);
+        }
         admission_record_service_time(scheduler, request);
         if (request_opens_transaction(request)) {
             conn->read_only =
@@ -193,7 +201,7 @@
     uint32_t upstream = conn->upstream;
     bool was_pinned = conn->session != NULL;
 
-    pool_release_slot(scheduler, conn->upstream, conn->read);
+    pool_release_slot(scheduler, conn, conn->read);
     if (conn->abandoned_us != 0) {
         request = NULL;
     }
@@ -316,6 +324,10 @@
     if (!result_is_complete(event->result)) {
         uint32_t upstream = conn->upstream;
         int64_t opened_us = conn->opened_us;
+        if (scheduler->view.relayed) {
+            relay_contact_record_failure(&scheduler->relay_contact,
+                                         scheduler->now_us);
+        }
         result_lose_conn(scheduler, conn, event->result,
                          SCHEDULER_CLOSE_ABNORMAL);
         pool_check_same_age(scheduler, upstream, opened_us);
@@ -325,7 +337,7 @@
         conn->abandoned_us != 0
             ? NULL
             : id_map_get(&scheduler->requests, event->request);
-    pool_release_slot(scheduler, conn->upstream, conn->read);
+    pool_release_slot(scheduler, conn, conn->read);
     switch (event->result) {
     case SCHEDULER_RESULT_REFUSED:
         result_handle_refused(scheduler, conn, request, event);
@@ -345,12 +357,14 @@
 result_back_off_open(struct scheduler *scheduler, struct upstream *upstream)
 {
     int64_t wait_us = upstream->open_backoff_us * 2;
+    int64_t max_us = upstream->relayed ? RESULT_RELAY_BACKOFF_MAX_US
+                                       : RESULT_OPEN_BACKOFF_MAX_US;
 
     if (wait_us < RESULT_OPEN_BACKOFF_MIN_US) {
         wait_us = RESULT_OPEN_BACKOFF_MIN_US;
     }
-    else if (wait_us > RESULT_OPEN_BACKOFF_MAX_US) {
-        wait_us = RESULT_OPEN_BACKOFF_MAX_US;
+    else if (wait_us > max_us) {
+        wait_us = max_us;
     }
     upstream->open_backoff_us = wait_us;
     upstream->open_next_us =
--- a/src/catkingrade/decide/traffic/scheduler_state.h
+++ b/src/catkingrade/decide/traffic/scheduler_state.h
@@ -1,18 +1,21 @@
 #ifndef CATKINGRADE_DECIDE_SCHEDULER_STATE_H
 #define CATKINGRADE_DECIDE_SCHEDULER_STATE_H
 
+#include "catkingrade/decide/capacity/capacity.h"
 #include "catkingrade/decide/id_map.h"
 #include "catkingrade/decide/timers.h"
 #include "catkingrade/decide/traffic/circuit_breaker.h"
 #include "catkingrade/decide/traffic/concurrency.h"
+#include "catkingrade/decide/traffic/customer_table.h"
 #include "catkingrade/decide/traffic/freshness.h"
 #include "catkingrade/decide/traffic/primary_wait.h"
 #include "catkingrade/decide/traffic/refusal_loss.h"
+#include "catkingrade/decide/traffic/relay_contact.h"
 #include "catkingrade/decide/traffic/replica_lag.h"
 #include "catkingrade/decide/traffic/scheduler.h"
 
 // State of the scheduler, shared by and private to its modules (admission,
-// confirm, dispatch, floor, pool, request_*, retry, route and scheduler_*).
+// confirm, dispatch, floor, pool*, request_*, retry, route and scheduler_*).
 // Times are in microseconds of the monotonic clock that drives the steps.
 
 #define SCHEDULER_NAME_SIZE 64
@@ -32,6 +35,13 @@
     uint32_t count;
 };
 
+// Queues of each request type, in the order in which they are served.
+enum queue_kind {
+    QUEUE_PRIMARY, // must run on the primary
+    QUEUE_READS,   // may run on a replica
+    QUEUE_COUNT,
+};
+
 enum conn_state {
     CONN_FREE, // no connection at this index
     CONN_OPENING,
@@ -45,14 +55,21 @@
 struct conn {
     uint32_t id; // index in the table and generation
     uint32_t upstream;
-    uint32_t next; // index of the next idle connection
+    uint32_t customer; // index; it carries only requests of this customer
+    uint32_t next;     // index of the next idle connection of the customer
     uint32_t previous;
+    uint32_t newer; // idle connections of the upstream by their last use
+    uint32_t older;
     enum conn_state state;
+    uint32_t user;           // customer of the last request sent on it
+    enum queue_kind kind;    // of that request
+    double charged_us;       // slot time charged for it in advance
     bool validation_wanted;  // needs a validation before the next use
     bool reset_wanted;       // a request was abandoned: reset before reuse
     bool read_only;          // the owning transaction is read-only
     bool read;               // the in-flight request may run on a replica
     bool superseded;         // the primary's term has ended: closed when free
+    uint8_t overdue;         // level recorded for its statement; capacity.h
     uint64_t request;        // in flight on it
     uint64_t last_session;   // session whose state (SET) the connection holds
     struct session *session; // owner of the open transaction, or NULL
@@ -63,6 +80,16 @@
     int64_t abandoned_us; // when its request was abandoned; 0: not
 };
 
+// Connections of one customer to one upstream; see pool_group.h.
+struct conn_group {
+    uint32_t open; // open or opening
+    uint32_t opening;
+    uint32_t idle;
+    uint32_t idle_first; // most recently used idle connection
+    uint32_t waiting;    // requests without a connection in waiting_round
+    uint32_t waiting_round;
+};
+
 // State of one upstream. Its index in the table never changes.
 struct upstream {
     char name[SCHEDULER_NAME_SIZE];
@@ -70,8 +97,12 @@
     bool near;                        // in the entry's failure domain
     bool takes_work; // ready, or a leaving primary with time left
     bool relayed;    // the upstream is another entry
+    char relay_host[SCHEDULER_NAME_SIZE]; // of that entry, if it is fixed
     struct replica_lag lag;
     struct concurrency concurrency;
+    struct capacity capacity; // with learned_capacity
+    // When the oldest overdue statement in flight was sent; 0: none.
+    int64_t overdue_since_us;
     struct circuit_breaker circuit_breaker;
     // Since when this incarnation is known to leave; 0: it does not.
     int64_t leaving_us;
@@ -85,10 +116,11 @@
     uint32_t open;        // connections open or opening
     uint32_t opening;
     uint32_t idle;
-    uint32_t idle_first; // most recently used idle connection
-    uint32_t idle_last;
-    uint32_t waiting; // requests without a connection in waiting_round
-    uint32_t waiting_round;
+    uint32_t idle_first;        // most recently used idle connection
+    uint32_t idle_last;         // least recently used one
+    uint32_t groups;            // customers with connections open or opening
+    struct conn_group unowned;  // connections of no customer
+    int64_t open_us;            // moving average of opening times; 0: unknown
     struct request_list pinned; // queued statements of open transactions
     int64_t latency_us;         // moving average of answer times
     struct ck_position position;
@@ -122,6 +154,9 @@
     struct request *next; // in a request_list
     struct request *previous;
     struct request *session_next; // next request of the session
+    struct fair_queue *fair;      // in which it waits; see fair_queue.h
+    struct request *fair_next;
+    struct request *fair_previous;
     int64_t arrived_us;
     int64_t deadline_us;
     int64_t start_by_us;      // end of the queue timeout; INT64_MAX: none
@@ -135,6 +170,7 @@
     int64_t committed_us;
     uint64_t term; // the view's term when it was sent
     uint32_t conn;
+    uint32_t customer;                   // index, on whose behalf it runs
     uint32_t tried[SCHEDULER_TRIES_MAX]; // upstreams of failed attempts
     uint8_t tries;
     uint8_t type;
@@ -142,6 +178,7 @@
     uint8_t state;         // enum request_state
     bool repeatable;
     bool has_key;
+    bool limit_wait; // a timer ends its wait for a learned limit
     bool stale_wait; // no upstream is fresh enough; bounded wait
     bool relayed;    // was sent to a relay entry
     bool primary_only;
@@ -167,16 +204,24 @@
     bool continuing;    // requests are begun or dropped; prevents recursion
 };
 
-// Queues of each request type, in the order in which they are served.
-enum queue_kind {
-    QUEUE_PRIMARY, // must run on the primary
-    QUEUE_READS,   // may run on a replica
-    QUEUE_COUNT,
+// Requests of one customer that wait in the queue of one type.
+struct fair_queue {
+    struct fair_queue *next; // all queues of this kind
+    struct fair_queue *previous;
+    struct request *first;
+    struct request *last;
+    uint32_t count;
+    uint32_t customer;
+    uint32_t blocked_round; // dispatch round in which none can start
+    uint8_t type;
+    enum queue_kind kind;
 };
 
 // Queue of one request type for weighted fair queueing.
 struct type_queue {
     struct request_list list;
+    struct fair_queue unowned; // the requests of no customer in list
+    uint32_t fair_count;       // customers with requests in list
     double virtual_time;
     uint32_t blocked_round; // dispatch round in which none can start
 };
@@ -213,6 +258,13 @@
     uint32_t conns_count;
     uint32_t conns_free; // first free index, linked by next
 
+    struct customer_table customers;
+    struct id_map groups;      // of the connections of customers
+    struct id_map fair_queues; // of customers that wait
+    struct fair_queue *fair_first[QUEUE_COUNT];
+    double fair_us[QUEUE_COUNT];       // lowest virtual time that waits
+    uint32_t fair_starts[QUEUE_COUNT]; // requests that have got a slot
+
     struct id_map sessions;
     struct id_map requests;
     struct session *floor_first; // sessions that wait for a floor
@@ -225,6 +277,7 @@
     uint64_t min_term; // lower terms have been revoked
     struct primary_wait primary_wait;
     struct refusal_loss refusal_loss;
+    struct relay_contact relay_contact;
     struct request_list confirming; // unconfirmed commits
 
     struct request_type types[SCHEDULER_TYPES_MAX];
--- a/src/catkingrade/entry/database_actions.c
+++ b/src/catkingrade/entry/database_actions.c
@@ -20,9 +20,11 @@
     conn->upstream = action->upstream;
     conn->connect_started_us = monotonic_get_us();
     if (database_is_relayed(database)) {
-        strncpy(conn->relay_host, database_get_relay_host(database),
+        strncpy(conn->relay_host,
+                database_get_link_host(database, action->upstream),
                 CK_HOST_SIZE);
     }
+    counter_add(COUNTER_CUSTOMER_CONNS_OPENED, action->customer[0] != '\0');
     conn->link =
         database_open_link(database, action->upstream, action->customer,
                            &database_conn_events, conn);
@@ -165,8 +167,14 @@
     }
     if (database_is_relayed(database)) {
         // The failed upstream is a relay: try the next relay instead of
-        // reporting a suspicion.
-        database_switch_relay_host(database);
+        // reporting a suspicion. The scheduler itself avoids one of those
+        // among which customers are divided.
+        if (action->suspicion == CK_SUSPECT_SILENT) {
+            database_record_relay_silent(database, action->upstream);
+        }
+        if (upstream == NULL || upstream->host[0] == '\0') {
+            database_switch_relay_host(database);
+        }
         return;
     }
     entry_report_suspicion(worker_get_entry(database->worker), &suspicion);
@@ -196,6 +204,8 @@
     }
     switch (action->kind) {
     case SCHEDULER_ACTION_CLOSE:
+        counter_add(COUNTER_CUSTOMER_CONNS_EVICTED,
+                    action->close_reason == SCHEDULER_CLOSE_EVICTED);
         database_drop_conn(conn);
         break;
     case SCHEDULER_ACTION_RESET:
@@ -254,5 +264,9 @@
     case SCHEDULER_ACTION_END_SESSION:
         database_run_end_session(database, action->session);
         break;
+    case SCHEDULER_ACTION_REPORT_SLOW:
+    case SCHEDULER_ACTION_REPORT_RECOVERED:
+        database_report_capacity(database, action);
+        break;
     }
 }
--- a/src/catkingrade/entry/database_conn.c
+++ b/src/catkingrade/entry/database_conn.c
@@ -54,7 +54,7 @@
 
     if (fault == UPSTREAM_FAULT_NONE) {
         counter_add(COUNTER_UPSTREAM_OPENED, 1);
-        database_record_relay_open(conn->database);
+        database_record_relay_open(conn->database, conn->relay_host);
         database_record_connect_time(conn->database, conn);
         database_raise_conn_event(conn, SCHEDULER_EVENT_CONN_OPENED, fault);
         return;
@@ -191,7 +191,7 @@
     };
 
     if (target.relayed) {
-        target.host = database_get_relay_host(database);
+        target.host = database_get_link_host(database, upstream);
         target.port = settings->platform.relay.port;
         target.connect_timeout_us =
             settings->suspect_us / DATABASE_RELAY_CONNECT_TIMEOUT_DIVISOR;
--- a/src/catkingrade/entry/worker.h
+++ b/src/catkingrade/entry/worker.h
@@ -5,6 +5,7 @@
 #include <stddef.h>
 #include <stdint.h>
 
+#include "catkingrade/decide/traffic/relay_silence.h"
 #include "catkingrade/decide/traffic/token.h"
 #include "catkingrade/entry/classify.h"
 #include "catkingrade/entry/database.h"
@@ -51,6 +52,7 @@
 struct classifier *worker_get_classifier(const struct worker *worker);
 const struct view *worker_get_view(const struct worker *worker);
 bool worker_has_view_and_lease(const struct worker *worker);
+struct relay_silence *worker_get_relay_silence(struct worker *worker);
 bool worker_may_deny_routes(const struct worker *worker);
 bool worker_is_draining(const struct worker *worker);
 void *worker_get_listener_state(const struct worker *worker);
@@ -91,6 +93,7 @@
                             const struct ck_suspicion *suspicion);
 void entry_report_revoked(struct entry *entry, const char *database,
                           uint64_t term);
+void entry_report_want_renewal(struct entry *entry);
 void entry_report_demand(struct entry *entry, const char *database,
                          const struct ck_demand *demands, size_t count);
 
--- a/src/catkingrade/kernel/counters.h
+++ b/src/catkingrade/kernel/counters.h
@@ -14,6 +14,10 @@
     ROW(SESSIONS_CLOSED, "sessions_closed_total", "client sessions closed")   \
     ROW(SESSIONS_REFUSED, "sessions_refused_total",                           \
         "client sessions refused at their start")                             \
+    ROW(KEYS_REFUSED, "keys_refused_total",                                   \
+        "client sessions refused because of an unknown key")                  \
+    ROW(KEYS_REMOVED, "keys_removed_total",                                   \
+        "client sessions that end because their key was removed")             \
     ROW(FRAMES_BAD, "frames_bad_total",                                       \
         "client frames that broke the protocol")                              \
     ROW(REQUESTS, "requests_total", "requests received from callers")         \
@@ -33,6 +37,13 @@
         "upstream connections that failed")                                   \
     ROW(UPSTREAM_SILENT, "upstream_silent_total",                             \
         "upstream connections dropped because they were silent")              \
+    ROW(CUSTOMER_CONNS_OPENED, "customer_conns_opened_total",                 \
+        "upstream connections begun for a customer")                          \
+    ROW(CUSTOMER_CONNS_EVICTED, "customer_conns_evicted_total",               \
+        "idle upstream connections closed for another customer")              \
+    ROW(UPSTREAM_SLOW, "upstream_slow_total", "upstreams found slow")         \
+    ROW(UPSTREAM_RECOVERED, "upstream_recovered_total",                       \
+        "upstreams that were slow and have recovered")                        \
     ROW(LEASE_RENEWALS, "lease_renewals_total", "lease renewals answered")    \
     ROW(LEASE_EXPIRED, "lease_expired_total", "leases that ran out")          \
     ROW(RPC_SENT, "rpc_sent_total", "RPC datagrams sent")                     \
--- a/src/catkingrade/kernel/settings.c
+++ b/src/catkingrade/kernel/settings.c
@@ -45,6 +45,7 @@
     SETTINGS_TIME(connect_timeout, 1000, 50, 60000),
     SETTINGS_TIME(drain_notice, 2000, 0, 600000),
     SETTINGS_TIME(drain_limit, 60000, 0, 3600000),
+    SETTINGS_TIME(key_revoke, 2000, 0, 600000),
 };
 
 // A string setting. The key is the field name.
@@ -112,9 +113,11 @@
     "voters_from_seeds",
     "tolerated_losses",
     "relay_min_connections",
+    "relay_by_customer",
     "key_required",
     "bootstrap",
     "sample_upstreams",
+    "learned_capacity",
     "ready_with_lease",
     "platform",
     "groups",
@@ -133,6 +136,7 @@
     "connect_timeout_ms",
     "drain_notice_ms",
     "drain_limit_ms",
+    "key_revoke_ms",
     "limit_window_s",
     "limit_excess",
     "limit_slack",
@@ -467,12 +471,16 @@
         reader, root, "", "tolerated_losses", 1, 0, 3);
     settings->relay_min_connections = (unsigned)json_reader_get_number(
         reader, root, "", "relay_min_connections", 0, 0, 1000);
+    settings->relay_by_customer =
+        json_reader_get_bool(reader, root, "", "relay_by_customer", false);
     settings->key_required =
         json_reader_get_bool(reader, root, "", "key_required", true);
     settings->bootstrap =
         json_reader_get_bool(reader, root, "", "bootstrap", false);
     settings->sample_upstreams =
         json_reader_get_bool(reader, root, "", "sample_upstreams", true);
+    settings->learned_capacity =
+        json_reader_get_bool(reader, root, "", "learned_capacity", false);
     settings->ready_with_lease =
         json_reader_get_bool(reader, root, "", "ready_with_lease", false);
     settings->log_level = (enum log_level)json_reader_get_choice(
--- a/src/catkingrade/kernel/settings.h
+++ b/src/catkingrade/kernel/settings.h
@@ -85,11 +85,15 @@
     // If an entry's share of an upstream's connections would be smaller, only
     // some entries, the relays, hold connections. 0: every entry holds them.
     unsigned relay_min_connections;
+    bool relay_by_customer; // a customer's statements go to one relay
     bool key_required; // key_file is required unless rpc is on loopback
     bool bootstrap;    // the control groups are new; for the first start
     // Whether entries query upstreams for their replication positions. false:
     // upstreams report the position with each response instead.
     bool sample_upstreams;
+    // Whether entries choose upstreams and limit their concurrent statements
+    // by the latency that they learn.
+    bool learned_capacity;
     bool ready_with_lease; // an entry without a lease is not ready
     struct settings_group *groups;
     size_t groups_count;
@@ -110,6 +114,7 @@
     int64_t connect_timeout_us;
     int64_t drain_notice_us; // from failing health check to closed listeners
     int64_t drain_limit_us;  // maximum duration of a planned stop
+    int64_t key_revoke_us; // that a transaction may last after its key is gone
     // Bound of the rate limits of customers: in each window at most
     // (rate * window + burst) * (1 + excess) + slack operations.
     int64_t limit_window_us;
--- a/src/catkingrade/rpc/messages.h
+++ b/src/catkingrade/rpc/messages.h
@@ -23,7 +23,9 @@
 #define CK_ENTRY_SIZE 2162688
 #define CK_LIST_SIZE 16384
 #define CK_RELAY_HOSTS 3
+#define CK_RELAY_SPREAD 8
 #define CK_ORIGINAL_SIZE 4194304
+#define CK_KEY_DIGEST_SIZE 32
 
 typedef char *ck_name;
 
@@ -152,28 +154,32 @@
 	u_int deadline_ms;
 	u_int target_ms;
 	u_int priority;
+	bool_t is_public;
 };
 typedef struct ck_route ck_route;
 
-struct ck_declared_database {
-	ck_name name;
-	u_int connections;
-	u_int confirm;
-};
-typedef struct ck_declared_database ck_declared_database;
+typedef char ck_key_digest[CK_KEY_DIGEST_SIZE];
 
 struct ck_declared_customer {
 	ck_name name;
 	struct {
 		u_int keys_len;
-		char *keys_val;
+		ck_key_digest *keys_val;
 	} keys;
 	u_int priority;
-	u_int rate_per_s;
+	bool_t is_limited;
+	u_int rate_per_1000_s;
 	u_int burst;
 };
 typedef struct ck_declared_customer ck_declared_customer;
 
+struct ck_declared_database {
+	ck_name name;
+	u_int connections;
+	u_int confirm;
+};
+typedef struct ck_declared_database ck_declared_database;
+
 struct ck_declaration {
 	struct {
 		u_int routes_len;
@@ -240,6 +246,14 @@
 		u_int routes_removed_len;
 		ck_name *routes_removed_val;
 	} routes_removed;
+	struct {
+		u_int declared_customers_len;
+		ck_declared_customer *declared_customers_val;
+	} declared_customers;
+	struct {
+		u_int declared_customers_removed_len;
+		ck_name *declared_customers_removed_val;
+	} declared_customers_removed;
 	struct {
 		u_int declared_len;
 		ck_declared *declared_val;
@@ -320,6 +334,10 @@
 		u_int hosts_len;
 		ck_host *hosts_val;
 	} hosts;
+	struct {
+		u_int spread_len;
+		ck_host *spread_val;
+	} spread;
 };
 typedef struct ck_relay ck_relay;
 
@@ -620,6 +638,7 @@
 	CK_QUERY_COUNTERS = 7,
 	CK_QUERY_GROUPS = 8,
 	CK_QUERY_LIMITS = 9,
+	CK_QUERY_DECLARED_CUSTOMERS = 10,
 };
 typedef enum ck_query_kind ck_query_kind;
 
@@ -811,8 +830,9 @@
 extern  bool_t xdr_ck_customer (XDR *, ck_customer*);
 extern  bool_t xdr_ck_read_policy (XDR *, ck_read_policy*);
 extern  bool_t xdr_ck_route (XDR *, ck_route*);
-extern  bool_t xdr_ck_declared_database (XDR *, ck_declared_database*);
+extern  bool_t xdr_ck_key_digest (XDR *, ck_key_digest);
 extern  bool_t xdr_ck_declared_customer (XDR *, ck_declared_customer*);
+extern  bool_t xdr_ck_declared_database (XDR *, ck_declared_database*);
 extern  bool_t xdr_ck_declaration (XDR *, ck_declaration*);
 extern  bool_t xdr_ck_packed_declaration (XDR *, ck_packed_declaration*);
 extern  bool_t xdr_ck_declared (XDR *, ck_declared*);
@@ -881,8 +901,9 @@
 extern bool_t xdr_ck_customer ();
 extern bool_t xdr_ck_read_policy ();
 extern bool_t xdr_ck_route ();
-extern bool_t xdr_ck_declared_database ();
+extern bool_t xdr_ck_key_digest ();
 extern bool_t xdr_ck_declared_customer ();
+extern bool_t xdr_ck_declared_database ();
 extern bool_t xdr_ck_declaration ();
 extern bool_t xdr_ck_packed_declaration ();
 extern bool_t xdr_ck_declared ();
--- a/src/catkingrade/rpc/messages.x
+++ b/src/catkingrade/rpc/messages.x
@@ -15,7 +15,9 @@
 const CK_ENTRY_SIZE = 2162688;      /* with a declaration */
 const CK_LIST_SIZE = 16384;
 const CK_RELAY_HOSTS = 3;
+const CK_RELAY_SPREAD = 8;
 const CK_ORIGINAL_SIZE = 4194304;
+const CK_KEY_DIGEST_SIZE = 32;      /* SHA-256 */
 
 typedef string ck_name<CK_NAME_SIZE>;
 typedef string ck_host<CK_HOST_SIZE>;
@@ -134,6 +136,19 @@
     unsigned int deadline_ms;       /* per statement */
     unsigned int target_ms;         /* latency target of an operation */
     unsigned int priority;          /* 0: highest */
+    bool is_public;                 /* sessions need no key of a customer */
+};
+
+typedef opaque ck_key_digest[CK_KEY_DIGEST_SIZE];
+
+/* A customer of a declaration, to whom the sessions with its keys belong. */
+struct ck_declared_customer {
+    ck_name name;                   /* one word */
+    ck_key_digest keys<CK_LIST_SIZE>;   /* SHA-256 of the keys */
+    unsigned int priority;          /* 0: highest */
+    bool is_limited;                /* else rate and burst are 0 */
+    unsigned int rate_per_1000_s;   /* operations in 1,000 s */
+    unsigned int burst;             /* operations */
 };
 
 struct ck_declared_database {
@@ -142,14 +157,6 @@
     unsigned int confirm;           /* replicas that confirm a write */
 };
 
-struct ck_declared_customer {
-    ck_name name;
-    opaque keys<CK_LIST_SIZE>;      /* digests */
-    unsigned int priority;
-    unsigned int rate_per_s;        /* 0: no limit */
-    unsigned int burst;
-};
-
 struct ck_declaration {
     ck_route routes<CK_LIST_SIZE>;
     ck_declared_database databases<CK_LIST_SIZE>;
@@ -164,7 +171,7 @@
     opaque data<CK_DECLARATION_SIZE>;
 };
 
-/* What entries are sent of a declaration besides its routes. */
+/* What entries are sent of a declaration besides its routes and customers. */
 struct ck_declared {
     unsigned hyper number;
     unsigned int idle_transaction_ms;
@@ -179,8 +186,9 @@
     unsigned hyper to_revision;
     bool full;
     bool more;                      /* the next reply continues */
-    /* A view from before this revision gets all routes again, and drops those
-       that it does not get: this leader does not know what was removed. */
+    /* A view from before this revision gets all routes and declared customers
+       again, and drops those that it does not get: this leader does not know
+       what was removed. */
     unsigned hyper routes_since;
     ck_customer customers<CK_LIST_SIZE>;
     ck_name customers_removed<CK_LIST_SIZE>;
@@ -188,6 +196,8 @@
     ck_name databases_removed<CK_LIST_SIZE>;
     ck_route routes<CK_LIST_SIZE>;
     ck_name routes_removed<CK_LIST_SIZE>;
+    ck_declared_customer declared_customers<CK_LIST_SIZE>;
+    ck_name declared_customers_removed<CK_LIST_SIZE>;
     ck_declared declared<1>;
 };
 
@@ -267,6 +277,9 @@
     ck_name database;
     bool standby;                   /* only while the receiver has no lease */
     ck_host hosts<CK_RELAY_HOSTS>;
+    /* Relays among which the statements of customers are divided, in the same
+       order at all entries; none: they are not. */
+    ck_host spread<CK_RELAY_SPREAD>;
 };
 
 /*
@@ -546,7 +559,8 @@
     CK_QUERY_TIMELINE = 6,
     CK_QUERY_COUNTERS = 7,
     CK_QUERY_GROUPS = 8,
-    CK_QUERY_LIMITS = 9             /* rate limits of customers */
+    CK_QUERY_LIMITS = 9,            /* rate limits of customers */
+    CK_QUERY_DECLARED_CUSTOMERS = 10    /* without their keys */
 };
 
 struct ck_query_args {
--- a/src/catkingrade/rpc/messages_xdr.c
+++ b/src/catkingrade/rpc/messages_xdr.c
@@ -435,7 +435,7 @@
 			 return FALSE;
 		 if (!xdr_ck_read_policy (xdrs, &objp->reads))
 			 return FALSE;
-		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
+		buf = XDR_INLINE (xdrs, 5 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
 			 if (!xdr_u_int (xdrs, &objp->max_age_ms))
 				 return FALSE;
@@ -445,11 +445,14 @@
 				 return FALSE;
 			 if (!xdr_u_int (xdrs, &objp->priority))
 				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->is_public))
+				 return FALSE;
 		} else {
 			IXDR_PUT_U_LONG(buf, objp->max_age_ms);
 			IXDR_PUT_U_LONG(buf, objp->deadline_ms);
 			IXDR_PUT_U_LONG(buf, objp->target_ms);
 			IXDR_PUT_U_LONG(buf, objp->priority);
+			IXDR_PUT_BOOL(buf, objp->is_public);
 		}
 		return TRUE;
 	} else if (xdrs->x_op == XDR_DECODE) {
@@ -459,7 +462,7 @@
 			 return FALSE;
 		 if (!xdr_ck_read_policy (xdrs, &objp->reads))
 			 return FALSE;
-		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
+		buf = XDR_INLINE (xdrs, 5 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
 			 if (!xdr_u_int (xdrs, &objp->max_age_ms))
 				 return FALSE;
@@ -469,11 +472,14 @@
 				 return FALSE;
 			 if (!xdr_u_int (xdrs, &objp->priority))
 				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->is_public))
+				 return FALSE;
 		} else {
 			objp->max_age_ms = IXDR_GET_U_LONG(buf);
 			objp->deadline_ms = IXDR_GET_U_LONG(buf);
 			objp->target_ms = IXDR_GET_U_LONG(buf);
 			objp->priority = IXDR_GET_U_LONG(buf);
+			objp->is_public = IXDR_GET_BOOL(buf);
 		}
 	 return TRUE;
 	}
@@ -492,19 +498,17 @@
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->priority))
 		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->is_public))
+		 return FALSE;
 	return TRUE;
 }
 
 bool_t
-xdr_ck_declared_database (XDR *xdrs, ck_declared_database *objp)
+xdr_ck_key_digest (XDR *xdrs, ck_key_digest objp)
 {
 	register int32_t *buf;
 
-	 if (!xdr_ck_name (xdrs, &objp->name))
-		 return FALSE;
-	 if (!xdr_u_int (xdrs, &objp->connections))
-		 return FALSE;
-	 if (!xdr_u_int (xdrs, &objp->confirm))
+	 if (!xdr_opaque (xdrs, objp, CK_KEY_DIGEST_SIZE))
 		 return FALSE;
 	return TRUE;
 }
@@ -514,19 +518,85 @@
 {
 	register int32_t *buf;
 
+
+	if (xdrs->x_op == XDR_ENCODE) {
+		 if (!xdr_ck_name (xdrs, &objp->name))
+			 return FALSE;
+		 if (!xdr_array (xdrs, (char **)&objp->keys.keys_val, (u_int *) &objp->keys.keys_len, CK_LIST_SIZE,
+			sizeof (ck_key_digest), (xdrproc_t) xdr_ck_key_digest))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->priority))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->is_limited))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->rate_per_1000_s))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->burst))
+				 return FALSE;
+		} else {
+			IXDR_PUT_U_LONG(buf, objp->priority);
+			IXDR_PUT_BOOL(buf, objp->is_limited);
+			IXDR_PUT_U_LONG(buf, objp->rate_per_1000_s);
+			IXDR_PUT_U_LONG(buf, objp->burst);
+		}
+		return TRUE;
+	} else if (xdrs->x_op == XDR_DECODE) {
+		 if (!xdr_ck_name (xdrs, &objp->name))
+			 return FALSE;
+		 if (!xdr_array (xdrs, (char **)&objp->keys.keys_val, (u_int *) &objp->keys.keys_len, CK_LIST_SIZE,
+			sizeof (ck_key_digest), (xdrproc_t) xdr_ck_key_digest))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->priority))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->is_limited))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->rate_per_1000_s))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->burst))
+				 return FALSE;
+		} else {
+			objp->priority = IXDR_GET_U_LONG(buf);
+			objp->is_limited = IXDR_GET_BOOL(buf);
+			objp->rate_per_1000_s = IXDR_GET_U_LONG(buf);
+			objp->burst = IXDR_GET_U_LONG(buf);
+		}
+	 return TRUE;
+	}
+
 	 if (!xdr_ck_name (xdrs, &objp->name))
 		 return FALSE;
-	 if (!xdr_bytes (xdrs, (char **)&objp->keys.keys_val, (u_int *) &objp->keys.keys_len, CK_LIST_SIZE))
+	 if (!xdr_array (xdrs, (char **)&objp->keys.keys_val, (u_int *) &objp->keys.keys_len, CK_LIST_SIZE,
+		sizeof (ck_key_digest), (xdrproc_t) xdr_ck_key_digest))
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->priority))
 		 return FALSE;
-	 if (!xdr_u_int (xdrs, &objp->rate_per_s))
+	 if (!xdr_bool (xdrs, &objp->is_limited))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->rate_per_1000_s))
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->burst))
 		 return FALSE;
 	return TRUE;
 }
 
+bool_t
+xdr_ck_declared_database (XDR *xdrs, ck_declared_database *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_ck_name (xdrs, &objp->name))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->connections))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->confirm))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_ck_declaration (XDR *xdrs, ck_declaration *objp)
 {
@@ -605,6 +675,12 @@
 	 if (!xdr_array (xdrs, (char **)&objp->routes_removed.routes_removed_val, (u_int *) &objp->routes_removed.routes_removed_len, CK_LIST_SIZE,
 		sizeof (ck_name), (xdrproc_t) xdr_ck_name))
 		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->declared_customers.declared_customers_val, (u_int *) &objp->declared_customers.declared_customers_len, CK_LIST_SIZE,
+		sizeof (ck_declared_customer), (xdrproc_t) xdr_ck_declared_customer))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->declared_customers_removed.declared_customers_removed_val, (u_int *) &objp->declared_customers_removed.declared_customers_removed_len, CK_LIST_SIZE,
+		sizeof (ck_name), (xdrproc_t) xdr_ck_name))
+		 return FALSE;
 	 if (!xdr_array (xdrs, (char **)&objp->declared.declared_val, (u_int *) &objp->declared.declared_len, 1,
 		sizeof (ck_declared), (xdrproc_t) xdr_ck_declared))
 		 return FALSE;
@@ -847,6 +923,9 @@
 	 if (!xdr_array (xdrs, (char **)&objp->hosts.hosts_val, (u_int *) &objp->hosts.hosts_len, CK_RELAY_HOSTS,
 		sizeof (ck_host), (xdrproc_t) xdr_ck_host))
 		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->spread.spread_val, (u_int *) &objp->spread.spread_len, CK_RELAY_SPREAD,
+		sizeof (ck_host), (xdrproc_t) xdr_ck_host))
+		 return FALSE;
 	return TRUE;
 }
 
