--- a/src/catkingrade/decide/capacity/capacity.c
+++ b/src/catkingrade/decide/capacity/capacity.c
@@ -9,7 +9,7 @@
 #define CAPACITY_SAMPLES_MIN 8
 // Weights of a new answer in the moving averages.
 #define CAPACITY_EXCESS_WEIGHT   (1.0 / 32)
-#define CAPACITY_RECENT_WEIGHT   (1.0 / 4)
+#define CAPACITY_RECENT_WEIGHT   (1.0 / 8)
 #define CAPACITY_LOW_WEIGHT      (1.0 / 64)
 #define CAPACITY_VARIANCE_WEIGHT (1.0 / 256)
 #define CAPACITY_KNEE_WEIGHT     (1.0 / 2048)
@@ -337,6 +337,7 @@
     double bounded =
         capacity_clamp(excess, -CAPACITY_EXCESS_MAX, CAPACITY_EXCESS_MAX);
     capacity->excess += (bounded - capacity->excess) * CAPACITY_EXCESS_WEIGHT;
+    capacity->recent += (bounded - capacity->recent) * CAPACITY_RECENT_WEIGHT;
     if (!capacity->slow) {
         capacity->variance += (bounded * bounded - capacity->variance) *
                               CAPACITY_VARIANCE_WEIGHT;
@@ -377,12 +378,6 @@
 capacity_record_overdue(struct capacity *capacity, int64_t now_us,
                         uint8_t before, uint8_t after)
 {
-    double excess = log(CAPACITY_OVERDUE_FACTOR) + (after - 1) * log(2.0);
-
-    if (excess > capacity->recent) {
-        capacity->recent +=
-            (excess - capacity->recent) * CAPACITY_RECENT_WEIGHT;
-    }
     if (capacity->slow) {
         capacity->evidence = 0;
         return;
