--- a/src/catkingrade/decide/traffic/route.c
+++ b/src/catkingrade/decide/traffic/route.c
@@ -4,6 +4,7 @@
 #include "catkingrade/decide/traffic/floor.h"
 #include "catkingrade/decide/traffic/pool.h"
 #include "catkingrade/decide/traffic/retry.h"
+#include "catkingrade/decide/traffic/route_learned.h"
 #include "catkingrade/decide/traffic/scheduler_lease.h"
 #include "catkingrade/decide/traffic/scheduler_request.h"
 #include "catkingrade/decide/traffic/scheduler_sample.h"
@@ -27,20 +28,9 @@
 // Latency of an upstream that has not answered a statement yet.
 #define ROUTE_INITIAL_LATENCY_US (1 * SCHEDULER_MS_US)
 
-// A read waits for the learned limit this part of its time to the deadline.
-#define ROUTE_READ_WAIT_DIVISOR 4
-// The expected time of a read until its answer must fit this many times into
-// its remaining time for a trial at a slow upstream.
-#define ROUTE_TRIAL_MARGIN 2
-// A slow upstream without a trial for this long gets the next read in any
-// case: it must be able to recover.
-#define ROUTE_TRIAL_OVERDUE_US (1 * SCHEDULER_SECOND_US)
 // A loaded replica loses a read to the primary if that is faster by this many
 // halves.
 #define ROUTE_PRIMARY_GAIN_HALVES 3
-// Scale of the random number that chooses between two replicas.
-#define ROUTE_CHOICE_SCALE 65536
-
 // Requirements of a read on the upstream that serves it.
 struct route_need {
     const struct request *request;
@@ -50,49 +40,19 @@
     bool leased;          // the primary's lease is valid
 };
 
-// Returns whether the primary accepts statements that only it may run.
-bool
-route_primary_is_usable(const struct scheduler *scheduler)
-{
-    return scheduler->primary != SCHEDULER_NO_ID &&
-           lease_is_valid(scheduler) &&
-           scheduler->upstreams[scheduler->primary].writable;
-}
-
 // What the search for a replica found besides the choice.
 struct route_replicas {
     bool eligible; // one may serve the read, even if it has no free slot
     bool healthy;  // one of these is not slow
 };
 
-// Returns whether the learned limit does not hold for a request: only the
-// primary may serve it, so that it has no alternative, or it has waited for
-// the limit for as long as it may.
-static bool
-route_ignores_limit(const struct scheduler *scheduler,
-                    const struct request *request)
-{
-    int64_t wait_us =
-        (request->deadline_us - request->queued_us) / ROUTE_READ_WAIT_DIVISOR;
-
-    return !request_is_read(request) || request->primary_only ||
-           scheduler->now_us - request->queued_us >= wait_us;
-}
-
-// Returns how many statements may run at an upstream when a request is to be
-// sent there.
-static uint32_t
-route_get_limit(const struct scheduler *scheduler, uint32_t index,
-                const struct request *request)
+// Returns whether the primary accepts statements that only it may run.
+bool
+route_primary_is_usable(const struct scheduler *scheduler)
 {
-    const struct upstream *up = &scheduler->upstreams[index];
-    uint32_t limit = concurrency_get_limit(&up->concurrency, up->slots);
-
-    if (!upstream_capacity_is_used(scheduler, up) ||
-        route_ignores_limit(scheduler, request)) {
-        return limit;
-    }
-    return capacity_get_limit(&up->capacity, limit);
+    return scheduler->primary != SCHEDULER_NO_ID &&
+           lease_is_valid(scheduler) &&
+           scheduler->upstreams[scheduler->primary].writable;
 }
 
 // Returns whether an upstream has a free slot and a connection for it that is
@@ -103,7 +63,7 @@
 {
     const struct upstream *up = &scheduler->upstreams[index];
 
-    return up->running < route_get_limit(scheduler, index, request) &&
+    return up->running < route_learned_get_limit(scheduler, index, request) &&
            (up->idle > 0 || up->opening > 0 ||
             pool_can_open(scheduler, index));
 }
@@ -175,82 +135,6 @@
     return route_get_cost_us(a) < route_get_cost_us(b);
 }
 
-// Returns the expected time until a read is answered by an upstream, by its
-// learned capacity: at least as long as a statement that is overdue there has
-// taken so far.
-static int64_t
-route_get_completion_us(const struct scheduler *scheduler, uint32_t index)
-{
-    const struct upstream *up = &scheduler->upstreams[index];
-    int64_t completion_us = capacity_get_completion_us(
-        &up->capacity, scheduler->now_us, CAPACITY_KIND_READ, up->running,
-        up->slots);
-    int64_t overdue_us = up->overdue_since_us == 0
-                             ? 0
-                             : scheduler->now_us - up->overdue_since_us;
-
-    return completion_us > overdue_us ? completion_us : overdue_us;
-}
-
-// Returns whether read a should go to upstream a rather than to b by their
-// expected completion times: with a probability that falls with the fourth
-// power of the time. Entries that share the upstreams learn of a queue late;
-// if each of them always chose the lower time, all would choose the same
-// upstream until its queue is long.
-static bool
-route_is_faster(struct scheduler *scheduler, uint32_t a, uint32_t b)
-{
-    double a_us = (double)route_get_completion_us(scheduler, a);
-    double b_us = (double)route_get_completion_us(scheduler, b);
-    double ratio = (a_us * a_us) / (b_us * b_us);
-    ratio *= ratio;
-    double share = 1 / (1 + ratio * ratio);
-
-    return random_below(&scheduler->random, ROUTE_CHOICE_SCALE) <
-           (uint32_t)(share * ROUTE_CHOICE_SCALE);
-}
-
-// Returns whether the learned latencies of two upstreams can be compared.
-static bool
-route_can_compare(const struct scheduler *scheduler, uint32_t a, uint32_t b)
-{
-    const struct upstream *up_a = &scheduler->upstreams[a];
-    const struct upstream *up_b = &scheduler->upstreams[b];
-
-    return upstream_capacity_is_used(scheduler, up_a) &&
-           capacity_is_known(&up_a->capacity, CAPACITY_KIND_READ) &&
-           capacity_is_known(&up_b->capacity, CAPACITY_KIND_READ) &&
-           (up_a->idle > 0) == (up_b->idle > 0);
-}
-
-// Returns whether an upstream is slow by its learned capacity.
-static bool
-route_is_slow(const struct scheduler *scheduler, uint32_t index)
-{
-    const struct upstream *up = &scheduler->upstreams[index];
-
-    return upstream_capacity_is_used(scheduler, up) &&
-           capacity_is_slow(&up->capacity);
-}
-
-// Returns whether a read is due as a trial of a slow upstream and has the time
-// for it.
-static bool
-route_may_try(const struct scheduler *scheduler, uint32_t index,
-              const struct request *request)
-{
-    const struct capacity *capacity = &scheduler->upstreams[index].capacity;
-    int64_t latency_us = capacity_get_latency_us(capacity, scheduler->now_us,
-                                                 CAPACITY_KIND_READ);
-
-    return capacity_may_try(capacity, scheduler->now_us,
-                            scheduler->upstreams[index].running) &&
-           (latency_us * ROUTE_TRIAL_MARGIN <=
-                request->deadline_us - scheduler->now_us ||
-            scheduler->now_us - capacity->trial_at_us >=
-                ROUTE_TRIAL_OVERDUE_US);
-}
-
 // Returns whether an upstream can take a read now. Sets replicas->eligible if
 // the upstream may serve the read, even if it has no free slot now. A slow
 // upstream takes trial reads only.
@@ -260,7 +144,7 @@
                    struct route_replicas *replicas)
 {
     const struct upstream *up = &scheduler->upstreams[index];
-    bool slow = route_is_slow(scheduler, index);
+    bool slow = route_learned_is_slow(scheduler, index);
 
     if (index == scheduler->primary && need->leased) {
         return false;
@@ -276,7 +160,7 @@
         replicas->healthy |= !slow;
     }
     return route_has_room(scheduler, index, need->request) &&
-           (!slow || route_may_try(scheduler, index, need->request));
+           (!slow || route_learned_may_try(scheduler, index, need->request));
 }
 
 // Finds up to two replicas that can take a read. Checks random replicas first
@@ -324,15 +208,16 @@
         return picked[0];
     }
     // A slow upstream was found because a trial is due.
-    if (route_is_slow(scheduler, picked[0])) {
+    if (route_learned_is_slow(scheduler, picked[0])) {
         return picked[0];
     }
-    if (route_is_slow(scheduler, picked[1])) {
+    if (route_learned_is_slow(scheduler, picked[1])) {
         return picked[1];
     }
-    if (route_can_compare(scheduler, picked[0], picked[1])) {
-        return route_is_faster(scheduler, picked[1], picked[0]) ? picked[1]
-                                                                : picked[0];
+    if (route_learned_can_compare(scheduler, picked[0], picked[1])) {
+        return route_learned_is_faster(scheduler, picked[1], picked[0])
+                   ? picked[1]
+                   : picked[0];
     }
     return route_is_better(&scheduler->upstreams[picked[1]],
                            &scheduler->upstreams[picked[0]])
@@ -473,10 +358,7 @@
         return;
     }
     request->limit_wait = true;
-    timers_add(&scheduler->timers,
-               request->queued_us +
-                   (request->deadline_us - request->queued_us) /
-                       ROUTE_READ_WAIT_DIVISOR,
+    timers_add(&scheduler->timers, route_learned_get_wait_end_us(request),
                TIMER_WAKE, 0);
 }
 
@@ -576,7 +458,7 @@
 
     if (!upstream_capacity_is_used(scheduler, up) ||
         !capacity_is_loaded(&up->capacity, scheduler->now_us) ||
-        route_is_slow(scheduler, replica) ||
+        route_learned_is_slow(scheduler, replica) ||
         !route_primary_is_usable(scheduler) ||
         retry_was_tried(request, scheduler->primary)) {
         return false;
@@ -587,8 +469,8 @@
            primary->reads <
                route_get_primary_limit(scheduler, request, &replicas) &&
            route_has_room(scheduler, scheduler->primary, request) &&
-           route_get_completion_us(scheduler, replica) * 2 >
-               route_get_completion_us(scheduler, scheduler->primary) *
+           route_learned_get_completion_us(scheduler, replica) * 2 >
+               route_learned_get_completion_us(scheduler, scheduler->primary) *
                    ROUTE_PRIMARY_GAIN_HALVES;
 }
 
@@ -608,12 +490,14 @@
     for (uint32_t i = 0; i < scheduler->candidates_count; i++) {
         struct route_replicas ignored = {false, false};
         uint32_t index = scheduler->candidates[i];
-        if (!route_is_slow(scheduler, index) || index == scheduler->primary ||
+        if (!route_learned_is_slow(scheduler, index) ||
+            index == scheduler->primary ||
             !route_has_room(scheduler, index, need->request)) {
             continue;
         }
         (void)route_is_candidate(scheduler, index, need, &ignored);
-        int64_t completion_us = route_get_completion_us(scheduler, index);
+        int64_t completion_us =
+            route_learned_get_completion_us(scheduler, index);
         if (ignored.eligible && completion_us < best_us) {
             best = index;
             best_us = completion_us;
--- a/src/catkingrade/decide/traffic/upstream_capacity.c
+++ b/src/catkingrade/decide/traffic/upstream_capacity.c
@@ -104,8 +104,8 @@
     }
     uint8_t level = capacity_get_overdue(&up->capacity, kind,
                                          scheduler->now_us - conn->since_us);
-    if (level > 0 && (up->overdue_since_us == 0 ||
-                      conn->since_us < up->overdue_since_us)) {
+    if (level > 0 &&
+        (up->overdue_since_us == 0 || conn->since_us < up->overdue_since_us)) {
         up->overdue_since_us = conn->since_us;
     }
     if (level > conn->overdue) {
