--- a/src/catkingrade/decide/capacity/capacity.c
+++ b/src/catkingrade/decide/capacity/capacity.c
@@ -9,7 +9,7 @@
 #define CAPACITY_SAMPLES_MIN 8
 // Weights of a new answer in the moving averages.
 #define CAPACITY_EXCESS_WEIGHT   (1.0 / 32)
-#define CAPACITY_RECENT_WEIGHT   (1.0 / 8)
+#define CAPACITY_RECENT_WEIGHT   (1.0 / 2)
 #define CAPACITY_LOW_WEIGHT      (1.0 / 64)
 #define CAPACITY_VARIANCE_WEIGHT (1.0 / 256)
 #define CAPACITY_KNEE_WEIGHT     (1.0 / 2048)
