--- a/test/fake/scheduler_fleet.c
+++ b/test/fake/scheduler_fleet.c
@@ -269,9 +269,10 @@
     }
 }
 
-struct scheduler_fleet *
-scheduler_fleet_create(uint64_t seed, uint32_t entries_count,
-                       uint32_t upstreams_count, uint32_t slots)
+static struct scheduler_fleet *
+scheduler_fleet_create_with(uint64_t seed, uint32_t entries_count,
+                            uint32_t upstreams_count, uint32_t slots,
+                            bool learned_capacity)
 {
     struct scheduler_fleet *fleet = xcalloc(1, sizeof(*fleet));
 
@@ -304,6 +305,7 @@
             .idle_proof_us = 2000 * SCHEDULER_FLEET_MS_US,
             .leaving_limit_us = 7000 * SCHEDULER_FLEET_MS_US,
             .connect_timeout_us = 500 * SCHEDULER_FLEET_MS_US,
+            .learned_capacity = learned_capacity,
             .seed = seed + i};
         fleet->entries[i].scheduler = scheduler_create(&params);
     }
@@ -312,6 +314,22 @@
     return fleet;
 }
 
+struct scheduler_fleet *
+scheduler_fleet_create(uint64_t seed, uint32_t entries_count,
+                       uint32_t upstreams_count, uint32_t slots)
+{
+    return scheduler_fleet_create_with(seed, entries_count, upstreams_count,
+                                       slots, false);
+}
+
+struct scheduler_fleet *
+scheduler_fleet_create_learned(uint64_t seed, uint32_t entries_count,
+                               uint32_t upstreams_count, uint32_t slots)
+{
+    return scheduler_fleet_create_with(seed, entries_count, upstreams_count,
+                                       slots, true);
+}
+
 void
 scheduler_fleet_destroy(struct scheduler_fleet *fleet)
 {
--- a/test/fake/scheduler_fleet.h
+++ b/test/fake/scheduler_fleet.h
@@ -148,6 +148,10 @@
                                                uint32_t entries_count,
                                                uint32_t upstreams_count,
                                                uint32_t slots);
+// The same with `learned_capacity` of struct scheduler_params.
+struct scheduler_fleet *
+scheduler_fleet_create_learned(uint64_t seed, uint32_t entries_count,
+                               uint32_t upstreams_count, uint32_t slots);
 void scheduler_fleet_destroy(struct scheduler_fleet *fleet);
 void scheduler_fleet_run_until(struct scheduler_fleet *fleet,
                                int64_t until_us);
--- a/test/replay/test_replay_scheduler.c
+++ b/test/replay/test_replay_scheduler.c
@@ -342,11 +342,46 @@
 }
 END_TEST
 
+// Guards against guarantees that hold only without learned capacity: the same
+// random requests and faults, and upstreams that become slow and recover.
+START_TEST(test_random_faults_learned)
+{
+    struct scheduler_fleet *fleet =
+        scheduler_fleet_create_learned((uint64_t)_i + 1, 3, 3, 9);
+    unsigned done = 0;
+
+    for (int step = 0; step < 1500; step++) {
+        scheduler_fleet_run_until(fleet, network_get_now_us(fleet->network) +
+                                             (int64_t)pick(fleet, 10) *
+                                                 SCHEDULER_FLEET_MS_US);
+        if (pick(fleet, 30) == 0) {
+            run_random_fault(fleet);
+        }
+        if (pick(fleet, 50) == 0) {
+            fleet->upstreams[pick(fleet, 3)].service_us =
+                (pick(fleet, 2) == 0 ? 2 : 30) * SCHEDULER_FLEET_MS_US;
+        }
+        run_random_session(fleet, 1 + pick(fleet, 12));
+    }
+    scheduler_fleet_run_until(fleet,
+                              network_get_now_us(fleet->network) + END_US);
+    scheduler_fleet_check_final_state(fleet);
+    ck_assert_msg(fleet->violations == 0, "seed %d: %s", _i + 1,
+                  fleet->first_violation);
+    for (uint64_t id = 1; id <= fleet->requests_count; id++) {
+        done += fleet->requests[id].outcome == SCHEDULER_FLEET_OUTCOME_DONE;
+    }
+    ck_assert_uint_gt(done, 100);
+    scheduler_fleet_destroy(fleet);
+}
+END_TEST
+
 static void
 add_tests(TCase *tests)
 {
     tcase_add_loop_test(tests, test_trace, 0, ARRAY_SIZE(traces));
     tcase_add_loop_test(tests, test_random_faults, 0, 40);
+    tcase_add_loop_test(tests, test_random_faults_learned, 0, 40);
 }
 
 TEST_MAIN("replay_scheduler", add_tests)
