fix(traffic): the learned limit holds only for reads that have a choice

Open transactions hold slots of the primary, and a read that only the primary may serve waited for the limit for up to a quarter of its time.

--- a/src/catkingrade/decide/traffic/dispatch.c
+++ b/src/catkingrade/decide/traffic/dispatch.c
@@ -69,9 +69,8 @@
     if (admission_refuse_late(scheduler, request)) {
         return DISPATCH_ENDED;
     }
-    struct route route = kind == QUEUE_READS
-                             ? route_read(scheduler, request)
-                             : route_primary(scheduler, request);
+    struct route route = kind == QUEUE_READS ? route_read(scheduler, request)
+                                             : route_primary(scheduler);
     if (route.verdict == ROUTE_STALE) {
         return kind == QUEUE_READS ? dispatch_handle_stale(scheduler, request)
                                    : DISPATCH_BLOCKED;
--- a/src/catkingrade/decide/traffic/route.c
+++ b/src/catkingrade/decide/traffic/route.c
@@ -58,12 +58,11 @@
 // Returns whether an upstream has a free slot and a connection for it that is
 // idle, opening or may be opened now.
 static bool
-route_has_room(const struct scheduler *scheduler, uint32_t index,
-               const struct request *request)
+route_has_room(const struct scheduler *scheduler, uint32_t index)
 {
     const struct upstream *up = &scheduler->upstreams[index];
 
-    return up->running < route_learned_get_limit(scheduler, index, request) &&
+    return up->running < concurrency_get_limit(&up->concurrency, up->slots) &&
            (up->idle > 0 || up->opening > 0 ||
             pool_can_open(scheduler, index));
 }
@@ -159,7 +158,8 @@
         replicas->eligible = true;
         replicas->healthy |= !slow;
     }
-    return route_has_room(scheduler, index, need->request) &&
+    return route_has_room(scheduler, index) &&
+           route_learned_allows(scheduler, index, need->request) &&
            (!slow || route_learned_may_try(scheduler, index, need->request));
 }
 
@@ -339,9 +339,12 @@
                       const struct route_replicas *replicas)
 {
     const struct upstream *primary = &scheduler->upstreams[scheduler->primary];
-    bool has_room = primary->reads < route_get_primary_limit(
-                                         scheduler, request, replicas) &&
-                    route_has_room(scheduler, scheduler->primary, request);
+    bool has_room =
+        primary->reads <
+            route_get_primary_limit(scheduler, request, replicas) &&
+        route_has_room(scheduler, scheduler->primary) &&
+        (!replicas->eligible ||
+         route_learned_allows(scheduler, scheduler->primary, request));
 
     if (!replicas->eligible && !scheduler->params.guarded &&
         route_wait_for_floor(scheduler, request, need, has_room)) {
@@ -364,7 +367,7 @@
 
 // Finds the upstream for a statement that only the primary may run.
 struct route
-route_primary(const struct scheduler *scheduler, const struct request *request)
+route_primary(const struct scheduler *scheduler)
 {
     struct route route = {ROUTE_STALE, SCHEDULER_NO_ID};
 
@@ -373,7 +376,7 @@
     }
     route.verdict = ROUTE_BUSY;
     if (scheduler->upstreams[scheduler->primary].failing_since_us == 0 &&
-        route_has_room(scheduler, scheduler->primary, request)) {
+        route_has_room(scheduler, scheduler->primary)) {
         route.verdict = ROUTE_FOUND;
         route.upstream = scheduler->primary;
     }
@@ -429,8 +432,7 @@
 // Routes a read to the relay, the entry that forwards statements to the
 // upstreams. The relay chooses the upstream.
 static struct route
-route_to_relay(const struct scheduler *scheduler,
-               const struct request *request)
+route_to_relay(const struct scheduler *scheduler)
 {
     struct route route = {ROUTE_STALE, SCHEDULER_NO_ID};
 
@@ -439,7 +441,7 @@
     }
     uint32_t index = scheduler->candidates[0];
     route.verdict = ROUTE_BUSY;
-    if (route_has_room(scheduler, index, request)) {
+    if (route_has_room(scheduler, index)) {
         route.verdict = ROUTE_FOUND;
         route.upstream = index;
     }
@@ -468,7 +470,8 @@
            primary->failing_since_us == 0 &&
            primary->reads <
                route_get_primary_limit(scheduler, request, &replicas) &&
-           route_has_room(scheduler, scheduler->primary, request) &&
+           route_has_room(scheduler, scheduler->primary) &&
+           route_learned_allows(scheduler, scheduler->primary, request) &&
            route_learned_get_completion_us(scheduler, replica) * 2 >
                route_learned_get_completion_us(scheduler, scheduler->primary) *
                    ROUTE_PRIMARY_GAIN_HALVES;
@@ -491,8 +494,8 @@
         struct route_replicas ignored = {false, false};
         uint32_t index = scheduler->candidates[i];
         if (!route_learned_is_slow(scheduler, index) ||
-            index == scheduler->primary ||
-            !route_has_room(scheduler, index, need->request)) {
+            index == scheduler->primary || !route_has_room(scheduler, index) ||
+            !route_learned_allows(scheduler, index, need->request)) {
             continue;
         }
         (void)route_is_candidate(scheduler, index, need, &ignored);
@@ -523,7 +526,7 @@
 route_read(struct scheduler *scheduler, struct request *request)
 {
     if (scheduler->view.relayed) {
-        return route_to_relay(scheduler, request);
+        return route_to_relay(scheduler);
     }
     struct route route = {ROUTE_FOUND, SCHEDULER_NO_ID};
     struct route_need need = route_get_need(scheduler, request);
--- a/src/catkingrade/decide/traffic/route.h
+++ b/src/catkingrade/decide/traffic/route.h
@@ -20,7 +20,6 @@
 
 bool route_primary_is_usable(const struct scheduler *scheduler);
 struct route route_read(struct scheduler *scheduler, struct request *request);
-struct route route_primary(const struct scheduler *scheduler,
-                           const struct request *request);
+struct route route_primary(const struct scheduler *scheduler);
 
 #endif
--- a/src/catkingrade/decide/traffic/route_learned.c
+++ b/src/catkingrade/decide/traffic/route_learned.c
@@ -1,7 +1,6 @@
 #include "catkingrade/decide/traffic/route_learned.h"
 
 #include "catkingrade/decide/random.h"
-#include "catkingrade/decide/traffic/scheduler_request.h"
 #include "catkingrade/decide/traffic/upstream_capacity.h"
 
 // A read waits for the learned limit this part of its time to the deadline.
@@ -23,31 +22,17 @@
                                     ROUTE_READ_WAIT_DIVISOR;
 }
 
-// Returns whether the learned limit does not hold for a request: only the
-// primary may serve it, so that it has no alternative, or it has waited for
-// the limit for as long as it may.
-static bool
-route_learned_ignores_limit(const struct scheduler *scheduler,
-                            const struct request *request)
-{
-    return !request_is_read(request) || request->primary_only ||
-           scheduler->now_us >= route_learned_get_wait_end_us(request);
-}
-
-// Returns how many statements may run at an upstream when a request is to be
-// sent there.
-uint32_t
-route_learned_get_limit(const struct scheduler *scheduler, uint32_t index,
-                        const struct request *request)
+// Returns whether the learned limit of an upstream allows one more read there.
+// A read that has waited for the limit for long ignores it.
+bool
+route_learned_allows(const struct scheduler *scheduler, uint32_t index,
+                     const struct request *request)
 {
     const struct upstream *up = &scheduler->upstreams[index];
-    uint32_t limit = concurrency_get_limit(&up->concurrency, up->slots);
 
-    if (!upstream_capacity_is_used(scheduler, up) ||
-        route_learned_ignores_limit(scheduler, request)) {
-        return limit;
-    }
-    return capacity_get_limit(&up->capacity, limit);
+    return !upstream_capacity_is_used(scheduler, up) ||
+           up->running < capacity_get_limit(&up->capacity, up->slots) ||
+           scheduler->now_us >= route_learned_get_wait_end_us(request);
 }
 
 // Returns the expected time until a read is answered by an upstream, by its
--- a/src/catkingrade/decide/traffic/route_learned.h
+++ b/src/catkingrade/decide/traffic/route_learned.h
@@ -7,9 +7,8 @@
 // the parameter learned_capacity no upstream is slow and no limit is learned.
 
 int64_t route_learned_get_wait_end_us(const struct request *request);
-uint32_t route_learned_get_limit(const struct scheduler *scheduler,
-                                 uint32_t index,
-                                 const struct request *request);
+bool route_learned_allows(const struct scheduler *scheduler, uint32_t index,
+                          const struct request *request);
 int64_t route_learned_get_completion_us(const struct scheduler *scheduler,
                                         uint32_t index);
 bool route_learned_is_faster(struct scheduler *scheduler, uint32_t a,
--- a/test/unit/decide/traffic/test_upstream_capacity.c
+++ b/test/unit/decide/traffic/test_upstream_capacity.c
@@ -666,6 +666,40 @@
 }
 END_TEST
 
+// Guards against reads that wait for the learned limit of the primary, where
+// open transactions hold slots, although no replica may serve them.
+START_TEST(test_read_without_alternative_is_not_limited)
+{
+    static struct scheduler_rig rig;
+
+    scheduler_rig_init_learned(&rig, 2, true, 7);
+    rig.upstreams[0].slots = 16;
+    scheduler_rig_post_view(&rig);
+    for (uint64_t session = 1; session <= 8; session++) {
+        scheduler_rig_open_session(&rig, session, NULL);
+        scheduler_rig_complete_opens(&rig);
+        uint64_t request = scheduler_rig_post_request(
+            &rig, session, SCHEDULER_CLASS_BEGIN, -1);
+        scheduler_rig_complete_opens(&rig);
+        const struct scheduler_action *send =
+            scheduler_rig_find_action(&rig, SCHEDULER_ACTION_SEND, request);
+        ck_assert_ptr_nonnull(send);
+        scheduler_rig_post_result(&rig, request, send->conn,
+                                  SCHEDULER_RESULT_DONE, true, 100);
+    }
+    scheduler_rig_open_session(&rig, 20, NULL);
+    scheduler_rig_complete_opens(&rig);
+    uint64_t request =
+        scheduler_rig_post_request(&rig, 20, SCHEDULER_CLASS_READ, 0);
+    scheduler_rig_complete_opens(&rig);
+    const struct scheduler_action *send =
+        scheduler_rig_find_action(&rig, SCHEDULER_ACTION_SEND, request);
+    ck_assert_ptr_nonnull(send);
+    ck_assert_uint_eq(send->upstream, 0);
+    scheduler_rig_free(&rig);
+}
+END_TEST
+
 static void
 add_tests(TCase *tests)
 {
@@ -676,6 +710,7 @@
     tcase_add_test(tests, test_slow_primary_serves_writes);
     tcase_add_test(tests, test_no_fault_no_cost);
     tcase_add_test(tests, test_floor_is_kept_and_changes_are_reported);
+    tcase_add_test(tests, test_read_without_alternative_is_not_limited);
 }
 
 TEST_MAIN("upstream_capacity", add_tests)
