--- a/test/unit/decide/traffic/test_upstream_capacity.c
+++ b/test/unit/decide/traffic/test_upstream_capacity.c
@@ -687,6 +687,8 @@
         scheduler_rig_post_result(&rig, request, send->conn,
                                   SCHEDULER_RESULT_DONE, true, 100);
     }
+    // No sample of the primary is new enough for a replica.
+    scheduler_rig_tick(&rig, 10 * SCHEDULER_RIG_MS_US);
     scheduler_rig_open_session(&rig, 20, NULL);
     scheduler_rig_complete_opens(&rig);
     uint64_t request =
