--- a/src/catkingrade/decide/capacity/capacity.c
+++ b/src/catkingrade/decide/capacity/capacity.c
@@ -59,16 +59,15 @@
 // more at each doubling of it.
 #define CAPACITY_OVERDUE_FACTOR 3
 #define CAPACITY_OVERDUE_MAX    2
-// Trial reads to a slow upstream: one at a time, the next after this time and
-// up to as much again in part. Several entries send them; together they are a
-// small part of the reads, and an upstream that has recovered is still found
-// within 2 s.
+// Time between two trial reads to a slow upstream, and its random part. The
+// trials of several entries together are a small part of the reads, and an
+// upstream that has recovered is still found within 2 s.
 #define CAPACITY_TRIAL_US        INT64_C(1000000)
 #define CAPACITY_TRIAL_JITTER_US 400000
 // After this time of being slow the estimator starts again: the upstream has
 // become slower for good.
 #define CAPACITY_RESTART_US INT64_C(30000000)
-// The excess of few answers counts from this on, above what chance gives.
+// Excess that the last few answers may show by chance.
 #define CAPACITY_RECENT_MARGIN 0.35
 // Time without an answer after which the last excess of an upstream that is
 // not slow tells nothing. Without it, an upstream that loses all statements
