--- a/test/contract/test_borrow.c
+++ b/test/contract/test_borrow.c
@@ -92,6 +92,26 @@
     return outcome;
 }
 
+// Checks that a query of the leader shows the one customer with a limit.
+static void
+check_query(int leader)
+{
+    struct ck_query_args args = {
+        .kind = CK_QUERY_LIMITS, .group = "fleet", .name = ""};
+    struct ck_query_result result = {0};
+
+    ck_assert_int_eq(rpcnet_call_blocking(&installation.daemons[leader].rpc,
+                                          &no_key, &rpcnet_query, &args,
+                                          &result, CALL_TIMEOUT_US),
+                     OUTCOME_OK);
+    ck_assert_int_eq(result.outcome, OUTCOME_OK);
+    ck_assert_ptr_nonnull(strstr(result.json,
+                                 "{\"customer\":\"ada\",\"rate_per_s\":1,"
+                                 "\"burst\":10,\"left\":"));
+    ck_assert_ptr_null(strstr(result.json, "bob"));
+    codec_free((xdrproc_t)xdr_ck_query_result, &result);
+}
+
 // Guards against a voter that lends without leading, a leader that does not
 // know the declaration, and one that lends what its predecessor has lent.
 START_TEST(test_only_the_leader_lends)
@@ -122,6 +142,7 @@
     ck_assert_uint_le(sum, 25);
     ck_assert_int_eq(borrow(leader, 40, "bob", 99, &granted), OUTCOME_OK);
     ck_assert_uint_eq(granted, 99);
+    check_query(leader);
     installation_kill_daemon(&installation, leader);
     int next = installation_find_leader(&installation);
     ck_assert_int_eq(borrow(next, 41, "ada", 30, &granted), OUTCOME_OK);
--- a/test/unit/kernel/test_settings.c
+++ b/test/unit/kernel/test_settings.c
@@ -76,6 +76,42 @@
 }
 END_TEST
 
+// Guards against numbers with a fraction that are truncated, refused or not
+// checked.
+START_TEST(test_fractions)
+{
+    struct buffer errors = {0};
+    struct settings *settings = settings_parse(
+        "a.json",
+        VALID_HEAD ", \"limit_window_s\": 2.5, \"limit_excess\": 0.25,"
+                   "\"limit_slack\": 7}",
+        &errors);
+
+    ck_assert_ptr_nonnull(settings);
+    ck_assert_int_eq(settings->limit_window_us, 2500000);
+    ck_assert_double_eq(settings->limit_excess, 0.25);
+    ck_assert_double_eq(settings->limit_slack, 7);
+    settings_destroy(settings);
+    settings = settings_parse("a.json", VALID_HEAD "}", &errors);
+    ck_assert_int_eq(settings->limit_window_us, 5000000);
+    ck_assert_double_eq(settings->limit_excess, 0.1);
+    ck_assert_double_eq(settings->limit_slack, 20);
+    settings_destroy(settings);
+    ck_assert_ptr_null(settings_parse(
+        "a.json", VALID_HEAD ",\n\"limit_excess\": -1}", &errors));
+    ck_assert_ptr_null(settings_parse(
+        "a.json", VALID_HEAD ",\n\"limit_slack\": \"20\"}", &errors));
+    buffer_append_u8(&errors, 0);
+    ck_assert_ptr_nonnull(
+        strstr((const char *)buffer_get_data(&errors),
+               "a.json:7: limit_excess: must be a number from 0 to 10\n"));
+    ck_assert_ptr_nonnull(
+        strstr((const char *)buffer_get_data(&errors),
+               "a.json:7: limit_slack: must be a number from 0 to 1e+06\n"));
+    buffer_free(&errors);
+}
+END_TEST
+
 START_TEST(test_missing_file)
 {
     struct buffer errors = {0};
@@ -92,6 +128,7 @@
     tcase_add_test(tests, test_valid_settings);
     tcase_add_loop_test(tests, test_invalid_settings, 0,
                         ARRAY_SIZE(invalid_rows));
+    tcase_add_test(tests, test_fractions);
     tcase_add_test(tests, test_missing_file);
 }
 
