--- a/src/catkingrade/decide/customer/limit_borrower.c
+++ b/src/catkingrade/decide/customer/limit_borrower.c
@@ -33,6 +33,13 @@
 #define BORROWER_FAILURE_US 50000
 // Customers that were not seen for this time are forgotten.
 #define BORROWER_FORGET_US 30000000
+// Without an answer of a leader, an entry admits one operation of a customer
+// that it has served within the last BORROWER_OUTAGE_SEEN_US, and what it used
+// of the customer's tokens in BORROWER_OUTAGE_STOCK_US before.
+#define BORROWER_OUTAGE_SEEN_US  10000000
+#define BORROWER_OUTAGE_STOCK_US 300000
+// Failures within this time belong to one outage.
+#define BORROWER_OUTAGE_US 6000000
 // Time after which a client may retry if no leader answers.
 #define BORROWER_UNANSWERED_RETRY_US 300000
 // Rows of one call; the others follow with the next one.
@@ -54,6 +61,8 @@
     int64_t used_us;          // time of the average
     int64_t seen_us;          // last operation
     int64_t blocked_until_us; // no new call before, operations are refused
+    uint64_t outage;          // in which outage_left was set
+    uint32_t outage_left;     // operations that the outage may still admit
     bool holds_back; // until then operations wait: others hold too much
     bool lent;       // the leader may count tokens as held here
     bool asked;      // in the call in flight
@@ -78,6 +87,9 @@
     bool in_flight;
     int64_t sent_us;
     int64_t backoff_until_us; // after a failed call
+    bool unanswered;          // the last call has failed
+    uint64_t outage;          // number of the last outage
+    int64_t outage_us;        // its begin
     int64_t wake_us;          // INT64_MAX: none
     int64_t swept_us;
     struct ck_borrow_row *rows;
@@ -346,6 +358,33 @@
     }
 }
 
+// Returns whether an operation may be admitted because no leader answers, and
+// counts it.
+static bool
+borrower_admit_in_outage(struct limit_borrower *borrower,
+                         struct borrower_customer *customer, int64_t now_us,
+                         int64_t seen_us)
+{
+    if (!borrower->unanswered || customer->blocked_until_us > now_us) {
+        return false;
+    }
+    if (customer->outage != borrower->outage) {
+        double use = borrower_get_use(customer, now_us) *
+                     BORROWER_OUTAGE_STOCK_US / BORROWER_US_PER_S;
+        customer->outage = borrower->outage;
+        customer->outage_left = (uint32_t)use;
+        if (customer->used_us != 0 &&
+            now_us - seen_us < BORROWER_OUTAGE_SEEN_US) {
+            customer->outage_left++;
+        }
+    }
+    if (customer->outage_left == 0) {
+        return false;
+    }
+    customer->outage_left--;
+    return true;
+}
+
 // Decides about one operation of a customer: admit it, refuse it with
 // *retry_after_us, or have it wait for at most wait_us. Then the decision
 // follows with ticket, and the caller looks at limit_borrower_get_wake_us.
@@ -358,8 +397,13 @@
         return LIMIT_ADMIT;
     }
     struct borrower_customer *customer = borrower_get_or_add(borrower, name);
+    int64_t seen_us = customer->seen_us;
     customer->seen_us = now_us;
     borrower_expire_tokens(customer, now_us);
+    if (customer->first == NULL && customer->tokens == 0 &&
+        borrower_admit_in_outage(borrower, customer, now_us, seen_us)) {
+        return LIMIT_ADMIT;
+    }
     if (customer->tokens > 0 && customer->first == NULL) {
         customer->tokens--;
         borrower_count_use(customer, now_us);
@@ -601,6 +645,27 @@
     }
 }
 
+// Notes that no leader answers, and admits what may be admitted for that.
+static void
+borrower_begin_outage(struct limit_borrower *borrower, int64_t now_us)
+{
+    if (borrower->outage == 0 ||
+        (!borrower->unanswered &&
+         now_us - borrower->outage_us > BORROWER_OUTAGE_US)) {
+        borrower->outage++;
+        borrower->outage_us = now_us;
+    }
+    borrower->unanswered = true;
+    for (size_t i = 0; i < borrower->customers.capacity; i++) {
+        struct borrower_customer *customer = borrower->customers.items[i];
+        while (customer != NULL && customer->first != NULL &&
+               borrower_admit_in_outage(borrower, customer, now_us,
+                                        customer->used_us)) {
+            borrower_end_first_wait(borrower, customer, LIMIT_ADMIT, 0);
+        }
+    }
+}
+
 // Applies the answer to the call in flight. Answers to other calls are
 // ignored.
 void
@@ -617,6 +682,7 @@
         return;
     }
     borrower->in_flight = false;
+    borrower->unanswered = false;
     borrower->applied = result->sequence;
     for (u_int i = 0; i < result->rows.rows_len; i++) {
         borrower_apply_row(borrower, now_us, &result->rows.rows_val[i]);
@@ -635,6 +701,9 @@
     }
     borrower->in_flight = false;
     borrower->backoff_until_us = now_us + delay_us;
+    if (delay_us > 0) {
+        borrower_begin_outage(borrower, now_us);
+    }
     borrower_plan_call(borrower, now_us);
 }
 
--- a/src/catkingrade/decide/customer/limit_lender.c
+++ b/src/catkingrade/decide/customer/limit_lender.c
@@ -26,7 +26,10 @@
 #define LENDER_HELD_RETRY_MS 25
 // Rows of one page of limit_lender_describe.
 #define LENDER_PAGE_ROWS 200
-#define LENDER_MIN_RATE  0.001
+// A new leader makes operations wait instead of refusing them for this time:
+// its buckets start empty, so that it does not know who is over the limit.
+#define LENDER_START_US 1000000
+#define LENDER_MIN_RATE 0.001
 
 // An entry, one incarnation of a VM, and the answer to its last call.
 struct lender_entry {
@@ -400,8 +403,9 @@
 
 // Grants tokens of one customer. others: what the other entries hold.
 static void
-lender_grant(struct lender_bucket *bucket, int64_t now_us, double others,
-             const struct ck_borrow_row *row, struct ck_lent_row *lent)
+lender_grant(struct lender_bucket *bucket, int64_t now_us, bool starting,
+             double others, const struct ck_borrow_row *row,
+             struct ck_lent_row *lent)
 {
     double most = bucket->budget.held;
     double room = most - others;
@@ -410,8 +414,8 @@
     room -= lent->kept;
     double available = bucket->tokens < room ? bucket->tokens : room;
     uint32_t granted = lender_round_down(available, row->waiting);
-    bool short_of_tokens =
-        granted < row->waiting && bucket->tokens - granted < 1;
+    bool refuses =
+        !starting && granted < row->waiting && bucket->tokens - granted < 1;
     bucket->tokens -= granted;
     room = most * LENDER_STOCK_HELD_PART - others - lent->kept - granted;
     available = bucket->tokens / LENDER_STOCK_DIVISOR;
@@ -423,9 +427,9 @@
     if (granted == row->waiting) {
         return;
     }
-    lent->wait = !short_of_tokens;
+    lent->wait = !refuses;
     lent->retry_after_ms =
-        short_of_tokens
+        refuses
             ? (u_int)(lender_make_retry_us(bucket, now_us) / LENDER_US_PER_MS)
             : LENDER_HELD_RETRY_MS;
 }
@@ -453,7 +457,8 @@
     }
     struct lender_record *record = lender_get_or_add_record(bucket, entry);
     double others = bucket->held - record->held - record->answered;
-    lender_grant(bucket, now_us, others, row, lent);
+    bool starting = now_us - lender->begun_us < LENDER_START_US;
+    lender_grant(bucket, now_us, starting, others, row, lent);
     // If the entry does not get the answer, it still holds all that it had.
     uint32_t after = lent->kept + lent->stock;
     record->held = after > row->held ? after : row->held;
