fix(limit): without a leader only customers well below their limit go on

Cause: an outage admitted operations of a customer at every entry that had served it, whether or not the customer was over its limit. Change: the leader says in its answers whether a customer has half of its bucket left; an entry admits in an outage only if it had.

--- a/src/catkingrade/decide/customer/limit_borrower.c
+++ b/src/catkingrade/decide/customer/limit_borrower.c
@@ -34,8 +34,9 @@
 // Customers that were not seen for this time are forgotten.
 #define BORROWER_FORGET_US 30000000
 // Without an answer of a leader, an entry admits one operation of a customer
-// that it has served within the last BORROWER_OUTAGE_SEEN_US, and what it used
-// of the customer's tokens in BORROWER_OUTAGE_STOCK_US before.
+// that it has served within the last BORROWER_OUTAGE_SEEN_US, if the leader
+// said in that time that the customer was well below its limit, and what it
+// used of the customer's tokens in BORROWER_OUTAGE_STOCK_US before.
 #define BORROWER_OUTAGE_SEEN_US  10000000
 #define BORROWER_OUTAGE_STOCK_US 300000
 // Failures within this time belong to one outage.
@@ -61,11 +62,12 @@
     int64_t used_us;          // time of the average
     int64_t seen_us;          // last operation
     int64_t blocked_until_us; // no new call before, operations are refused
-    uint64_t outage;          // in which outage_left was set
-    uint32_t outage_left;     // operations that the outage may still admit
-    bool holds_back; // until then operations wait: others hold too much
-    bool lent;       // the leader may count tokens as held here
-    bool asked;      // in the call in flight
+    int64_t plenty_us; // time of the last answer, if there was plenty; else 0
+    uint64_t outage;   // in which outage_left was set
+    uint32_t outage_left; // operations that the outage may still admit
+    bool holds_back;      // until then operations wait: others hold too much
+    bool lent;            // the leader may count tokens as held here
+    bool asked;           // in the call in flight
     struct borrower_waiter *first;
     struct borrower_waiter **end;
     size_t waiters_count;
@@ -365,7 +367,9 @@
                          struct borrower_customer *customer, int64_t now_us,
                          int64_t seen_us)
 {
-    if (!borrower->unanswered || customer->blocked_until_us > now_us) {
+    if (!borrower->unanswered || customer->blocked_until_us > now_us ||
+        customer->plenty_us == 0 ||
+        now_us - customer->plenty_us >= BORROWER_OUTAGE_SEEN_US) {
         return false;
     }
     if (customer->outage != borrower->outage) {
@@ -632,6 +636,7 @@
     }
     borrower_admit_waiting(borrower, customer, now_us);
     customer->lent = row->kept + row->granted + row->stock > 0;
+    customer->plenty_us = row->plenty ? now_us : 0;
     if (row->retry_after_ms == 0) {
         return;
     }
--- a/src/catkingrade/decide/customer/limit_lender.c
+++ b/src/catkingrade/decide/customer/limit_lender.c
@@ -20,8 +20,10 @@
 #define LENDER_STOCK_DIVISOR 4
 // A part of what entries may hold is kept for operations that wait.
 #define LENDER_STOCK_HELD_PART 0.75
-#define LENDER_RETRY_MIN_US    50000
-#define LENDER_RETRY_MAX_US    1000000
+// A customer with this part of its bucket left is well below its limit.
+#define LENDER_PLENTY_PART  0.5
+#define LENDER_RETRY_MIN_US 50000
+#define LENDER_RETRY_MAX_US 1000000
 // Delay of the next call if tokens are left, but entries hold too many.
 #define LENDER_HELD_RETRY_MS 25
 // Rows of one page of limit_lender_describe.
@@ -424,6 +426,8 @@
     bucket->tokens -= stock;
     lent->granted = granted;
     lent->stock = stock;
+    lent->plenty =
+        bucket->tokens >= bucket->budget.bucket * LENDER_PLENTY_PART;
     if (granted == row->waiting) {
         return;
     }
--- a/src/catkingrade/rpc/messages.h
+++ b/src/catkingrade/rpc/messages.h
@@ -733,6 +733,7 @@
 	u_int valid_ms;
 	u_int retry_after_ms;
 	bool_t wait;
+	bool_t plenty;
 };
 typedef struct ck_lent_row ck_lent_row;
 
--- a/src/catkingrade/rpc/messages.x
+++ b/src/catkingrade/rpc/messages.x
@@ -651,6 +651,7 @@
     unsigned int valid_ms;          /* of kept and stock, from the call on */
     unsigned int retry_after_ms;    /* no new call before; 0: at any time */
     bool wait;                      /* tokens are left, others hold too many */
+    bool plenty;                    /* the customer is well below its limit */
 };
 
 struct ck_borrow_result {
--- a/src/catkingrade/rpc/messages_xdr.c
+++ b/src/catkingrade/rpc/messages_xdr.c
@@ -1652,7 +1652,7 @@
 	if (xdrs->x_op == XDR_ENCODE) {
 		 if (!xdr_ck_name (xdrs, &objp->customer))
 			 return FALSE;
-		buf = XDR_INLINE (xdrs, 6 * BYTES_PER_XDR_UNIT);
+		buf = XDR_INLINE (xdrs, 7 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
 			 if (!xdr_u_int (xdrs, &objp->kept))
 				 return FALSE;
@@ -1666,6 +1666,8 @@
 				 return FALSE;
 			 if (!xdr_bool (xdrs, &objp->wait))
 				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->plenty))
+				 return FALSE;
 		} else {
 			IXDR_PUT_U_LONG(buf, objp->kept);
 			IXDR_PUT_U_LONG(buf, objp->granted);
@@ -1673,12 +1675,13 @@
 			IXDR_PUT_U_LONG(buf, objp->valid_ms);
 			IXDR_PUT_U_LONG(buf, objp->retry_after_ms);
 			IXDR_PUT_BOOL(buf, objp->wait);
+			IXDR_PUT_BOOL(buf, objp->plenty);
 		}
 		return TRUE;
 	} else if (xdrs->x_op == XDR_DECODE) {
 		 if (!xdr_ck_name (xdrs, &objp->customer))
 			 return FALSE;
-		buf = XDR_INLINE (xdrs, 6 * BYTES_PER_XDR_UNIT);
+		buf = XDR_INLINE (xdrs, 7 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
 			 if (!xdr_u_int (xdrs, &objp->kept))
 				 return FALSE;
@@ -1692,6 +1695,8 @@
 				 return FALSE;
 			 if (!xdr_bool (xdrs, &objp->wait))
 				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->plenty))
+				 return FALSE;
 		} else {
 			objp->kept = IXDR_GET_U_LONG(buf);
 			objp->granted = IXDR_GET_U_LONG(buf);
@@ -1699,6 +1704,7 @@
 			objp->valid_ms = IXDR_GET_U_LONG(buf);
 			objp->retry_after_ms = IXDR_GET_U_LONG(buf);
 			objp->wait = IXDR_GET_BOOL(buf);
+			objp->plenty = IXDR_GET_BOOL(buf);
 		}
 	 return TRUE;
 	}
@@ -1717,6 +1723,8 @@
 		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->wait))
 		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->plenty))
+		 return FALSE;
 	return TRUE;
 }
 
--- a/test/unit/decide/customer/test_limit_borrower.c
+++ b/test/unit/decide/customer/test_limit_borrower.c
@@ -174,7 +174,7 @@
 
     ck_assert_int_eq(admit(borrower, now_us, "ada", 1), LIMIT_WAIT);
     ck_assert(limit_borrower_fill_call(borrower, now_us, &args));
-    struct ck_lent_row row = {.customer = "ada", .granted = 1};
+    struct ck_lent_row row = {.customer = "ada", .granted = 1, .plenty = TRUE};
     answer(borrower, now_us, 1, &row);
     struct limit_decision decision;
     ck_assert(limit_borrower_next_decision(borrower, now_us, &decision));
@@ -219,7 +219,8 @@
     ck_assert(limit_borrower_fill_call(borrower, now_us, &args));
     ck_assert_uint_eq(args.rows.rows_len, 1);
     ck_assert_uint_eq(args.rows.rows_val[0].held, 2);
-    row = (struct ck_lent_row){.customer = "ada", .kept = 2, .valid_ms = 2000};
+    row = (struct ck_lent_row){
+        .customer = "ada", .kept = 2, .valid_ms = 2000, .plenty = TRUE};
     answer(borrower, now_us, 2, &row);
     now_us += 1990 * MS_US;
     ck_assert(limit_borrower_fill_call(borrower, now_us, &args));
--- a/test/unit/decide/customer/test_limits.c
+++ b/test/unit/decide/customer/test_limits.c
@@ -301,6 +301,35 @@
 }
 END_TEST
 
+// Guards against more operations than the bound while no leader answers, of a
+// customer that is over its limit at all entries when the leader is lost.
+START_TEST(test_outage_keeps_the_bound)
+{
+    static const double rates[] = {1.6, 8, 40, 350};
+
+    for (size_t i = 0; i < 4; i++) {
+        struct limit_fleet *fleet = create_large_fleet(31 + i, 1);
+        struct limit_fleet_customer *customer =
+            limit_fleet_get_customer(fleet, 0);
+        set_customer(fleet, 0, rates[i], 1);
+        customer->load_per_s = rates[i] / 1.6;
+        start_large_fleet(fleet);
+        limit_fleet_run(fleet, 60 * S_US);
+        customer->load_per_s = 7.5 * rates[i] / 1.6;
+        limit_fleet_run(fleet, 3 * S_US);
+        limit_fleet_end_leader(fleet);
+        limit_fleet_run(fleet, 4 * S_US);
+        limit_fleet_begin_leader(fleet, 1);
+        limit_fleet_run(fleet, 6 * S_US);
+        printf("outage at rate %.1f: peak %zu of %.1f\n", rates[i],
+               customer->peak, (rates[i] * 5 + rates[i]) * 1.1 + 20);
+        ck_assert_msg(limit_fleet_holds_bound(fleet), "%s",
+                      limit_fleet_get_violation(fleet));
+        limit_fleet_destroy(fleet);
+    }
+}
+END_TEST
+
 // Guards against a limiter that wastes tokens: a customer that sends four
 // times its limit gets at least nine tenths of it.
 START_TEST(test_overload_gets_the_limit)
@@ -347,6 +376,7 @@
     tcase_add_test(tests, test_bound_holds_under_faults);
     tcase_add_test(tests, test_no_refusal_below_the_limit);
     tcase_add_test(tests, test_new_leader_soon_serves);
+    tcase_add_test(tests, test_outage_keeps_the_bound);
     tcase_add_test(tests, test_overload_gets_the_limit);
 }
 
