feat(limit): a customer at its limit keeps tokens for urgent operations

Problem: at the limit tokens went to operations in the order in which they came. With 7.5 times its usual load a customer's urgent writes were refused as often as its least urgent ones. Change: calls tell how many operations of each priority wait; an eighth of the bucket for each priority is left to more urgent ones, tokens go to the most urgent operation, and a refusal holds from its priority on.

--- a/src/catkingrade/decide/customer/limit.h
+++ b/src/catkingrade/decide/customer/limit.h
@@ -22,6 +22,9 @@
     double slack;  // operations
 };
 
+// Priorities that are told apart: 0, the most urgent, to 2.
+#define LIMIT_PRIORITIES 3
+
 // Time after which an entry gives up a call for tokens. The leader then no
 // longer counts the tokens of an answer for operations that waited.
 #define LIMIT_CALL_US 200000
--- a/src/catkingrade/decide/customer/limit_borrower.c
+++ b/src/catkingrade/decide/customer/limit_borrower.c
@@ -48,6 +48,7 @@
 
 struct borrower_waiter {
     void *ticket;
+    unsigned priority; // 0: most urgent; below LIMIT_PRIORITIES
     int64_t deadline_us;
     struct borrower_waiter *next;
 };
@@ -56,12 +57,14 @@
     char name[CK_NAME_SIZE + 1];
     uint64_t hash;
     uint32_t tokens;
-    int64_t valid_until_us;   // of the tokens
-    int64_t validity_us;      // as last answered; 0: not known
-    double use_per_s;         // moving average of admitted operations
-    int64_t used_us;          // time of the average
-    int64_t seen_us;          // last operation
-    int64_t blocked_until_us; // no new call before, operations are refused
+    int64_t valid_until_us; // of the tokens
+    int64_t validity_us;    // as last answered; 0: not known
+    double use_per_s;       // moving average of admitted operations
+    int64_t used_us;        // time of the average
+    int64_t seen_us;        // last operation
+    // No new call before, and operations are refused, from a priority on.
+    int64_t blocked_until_us;
+    unsigned blocked_priority;
     int64_t plenty_us; // time of the last answer, if there was plenty; else 0
     uint64_t outage;   // in which outage_left was set
     uint32_t outage_left; // operations that the outage may still admit
@@ -259,18 +262,66 @@
     borrower->waiters_count--;
 }
 
+// Returns the link to the waiter that gets the next token: of the most urgent
+// ones the first.
+static struct borrower_waiter **
+borrower_find_most_urgent(struct borrower_customer *customer)
+{
+    struct borrower_waiter **best = &customer->first;
+
+    for (struct borrower_waiter **link = &customer->first; *link != NULL;
+         link = &(*link)->next) {
+        if ((*link)->priority < (*best)->priority) {
+            best = link;
+        }
+    }
+    return best;
+}
+
 static void
-borrower_end_first_wait(struct limit_borrower *borrower,
-                        struct borrower_customer *customer,
-                        enum limit_verdict verdict, int64_t retry_after_us)
+borrower_end_wait(struct limit_borrower *borrower,
+                  struct borrower_customer *customer,
+                  struct borrower_waiter **link, enum limit_verdict verdict,
+                  int64_t retry_after_us)
 {
-    struct borrower_waiter *waiter = customer->first;
+    struct borrower_waiter *waiter = *link;
 
-    borrower_unlink(borrower, customer, &customer->first);
+    borrower_unlink(borrower, customer, link);
     borrower_decide(borrower, verdict, waiter->ticket, retry_after_us);
     free(waiter);
 }
 
+// Admits the most urgent operation that waits.
+static void
+borrower_admit_next(struct limit_borrower *borrower,
+                    struct borrower_customer *customer)
+{
+    borrower_end_wait(borrower, customer, borrower_find_most_urgent(customer),
+                      LIMIT_ADMIT, 0);
+}
+
+// Returns whether operations of a priority may not ask for a token now.
+static bool
+borrower_is_blocked(const struct borrower_customer *customer, int64_t now_us,
+                    unsigned priority)
+{
+    return customer->blocked_until_us > now_us &&
+           priority >= customer->blocked_priority;
+}
+
+// Returns when the operations that wait may ask for tokens.
+static int64_t
+borrower_get_ask_us(const struct borrower_customer *customer, int64_t now_us)
+{
+    for (const struct borrower_waiter *waiter = customer->first;
+         waiter != NULL; waiter = waiter->next) {
+        if (!borrower_is_blocked(customer, now_us, waiter->priority)) {
+            return now_us;
+        }
+    }
+    return customer->blocked_until_us;
+}
+
 // Returns after how long a client may retry a refused operation: tokens are
 // there from the end of the block on, and clients come one after the other.
 static int64_t
@@ -344,12 +395,13 @@
 
 static void
 borrower_add_waiter(struct limit_borrower *borrower,
-                    struct borrower_customer *customer, int64_t deadline_us,
-                    void *ticket)
+                    struct borrower_customer *customer, unsigned priority,
+                    int64_t deadline_us, void *ticket)
 {
     struct borrower_waiter *waiter = xcalloc(1, sizeof(*waiter));
 
     waiter->ticket = ticket;
+    waiter->priority = priority;
     waiter->deadline_us = deadline_us;
     *customer->end = waiter;
     customer->end = &waiter->next;
@@ -394,9 +446,12 @@
 // follows with ticket, and the caller looks at limit_borrower_get_wake_us.
 enum limit_verdict
 limit_borrower_admit(struct limit_borrower *borrower, int64_t now_us,
-                     const char *name, int64_t wait_us, void *ticket,
-                     int64_t *retry_after_us)
+                     const char *name, unsigned priority, int64_t wait_us,
+                     void *ticket, int64_t *retry_after_us)
 {
+    if (priority >= LIMIT_PRIORITIES) {
+        priority = LIMIT_PRIORITIES - 1;
+    }
     if (!limit_borrower_has_limit(borrower, name)) {
         return LIMIT_ADMIT;
     }
@@ -418,14 +473,14 @@
         }
         return LIMIT_ADMIT;
     }
-    if (customer->blocked_until_us > now_us && !customer->holds_back) {
+    if (borrower_is_blocked(customer, now_us, priority) &&
+        !customer->holds_back) {
         *retry_after_us = borrower_make_retry_us(borrower, customer, now_us);
         return LIMIT_REFUSE;
     }
-    borrower_add_waiter(borrower, customer, now_us + wait_us, ticket);
-    borrower_wake(borrower, customer->blocked_until_us > now_us
-                                ? customer->blocked_until_us
-                                : now_us);
+    borrower_add_waiter(borrower, customer, priority, now_us + wait_us,
+                        ticket);
+    borrower_wake(borrower, borrower_get_ask_us(customer, now_us));
     return LIMIT_WAIT;
 }
 
@@ -458,7 +513,7 @@
     while (customer->tokens > 0 && customer->first != NULL) {
         customer->tokens--;
         borrower_count_use(customer, now_us);
-        borrower_end_first_wait(borrower, customer, LIMIT_ADMIT, 0);
+        borrower_admit_next(borrower, customer);
     }
 }
 
@@ -480,13 +535,29 @@
         struct borrower_customer *customer = borrower->customers.items[i];
         while (customer != NULL && customer->first != NULL &&
                !borrower_is_limited(borrower, customer->hash)) {
-            borrower_end_first_wait(borrower, customer, LIMIT_ADMIT, 0);
+            borrower_admit_next(borrower, customer);
         }
     }
 }
 
 // ---- calls ----
 
+// Counts the operations that may ask for a token, by priority.
+static void
+borrower_count_waiting(const struct borrower_customer *customer,
+                       int64_t now_us, struct ck_borrow_row *row)
+{
+    for (const struct borrower_waiter *waiter = customer->first;
+         waiter != NULL; waiter = waiter->next) {
+        if (borrower_is_blocked(customer, now_us, waiter->priority)) {
+            continue;
+        }
+        row->waiting++;
+        row->less_urgent += waiter->priority == 1;
+        row->least_urgent += waiter->priority > 1;
+    }
+}
+
 // Fills the row of a customer. Returns false if the leader need not know of
 // it.
 static bool
@@ -503,8 +574,8 @@
         row->returned = customer->tokens - stock;
     }
     row->held = customer->tokens - row->returned;
+    borrower_count_waiting(customer, now_us, row);
     if (may_ask) {
-        row->waiting = (u_int)customer->waiters_count;
         row->stock = stock > row->held ? stock - row->held : 0;
     }
     return row->waiting > 0 || row->stock > 0 || row->returned > 0 ||
@@ -546,9 +617,7 @@
         }
         customer->asked = false;
         if (customer->first != NULL) {
-            borrower_wake(borrower, customer->blocked_until_us > now_us
-                                        ? customer->blocked_until_us
-                                        : now_us);
+            borrower_wake(borrower, borrower_get_ask_us(customer, now_us));
         }
         if (customer->tokens > 0) {
             int64_t hold_us = borrower_get_hold_us(customer);
@@ -632,7 +701,7 @@
     // Tokens for operations that wait are used now or never.
     for (u_int i = 0; i < row->granted && customer->first != NULL; i++) {
         borrower_count_use(customer, now_us);
-        borrower_end_first_wait(borrower, customer, LIMIT_ADMIT, 0);
+        borrower_admit_next(borrower, customer);
     }
     borrower_admit_waiting(borrower, customer, now_us);
     customer->lent = row->kept + row->granted + row->stock > 0;
@@ -642,11 +711,16 @@
     }
     customer->blocked_until_us =
         now_us + (int64_t)row->retry_after_ms * BORROWER_US_PER_MS;
+    customer->blocked_priority = row->retry_priority;
     customer->holds_back = row->wait;
-    while (!row->wait && customer->first != NULL) {
-        borrower_end_first_wait(
-            borrower, customer, LIMIT_REFUSE,
-            borrower_make_retry_us(borrower, customer, now_us));
+    struct borrower_waiter **link = &customer->first;
+    while (!row->wait && *link != NULL) {
+        if ((*link)->priority < row->retry_priority) {
+            link = &(*link)->next;
+            continue;
+        }
+        borrower_end_wait(borrower, customer, link, LIMIT_REFUSE,
+                          borrower_make_retry_us(borrower, customer, now_us));
     }
 }
 
@@ -666,7 +740,7 @@
         while (customer != NULL && customer->first != NULL &&
                borrower_admit_in_outage(borrower, customer, now_us,
                                         customer->used_us)) {
-            borrower_end_first_wait(borrower, customer, LIMIT_ADMIT, 0);
+            borrower_admit_next(borrower, customer);
         }
     }
 }
--- a/src/catkingrade/decide/customer/limit_lender.c
+++ b/src/catkingrade/decide/customer/limit_lender.c
@@ -21,7 +21,10 @@
 // A part of what entries may hold is kept for operations that wait.
 #define LENDER_STOCK_HELD_PART 0.75
 // A customer with this part of its bucket left is well below its limit.
-#define LENDER_PLENTY_PART  0.5
+#define LENDER_PLENTY_PART 0.5
+// Part of the bucket that operations of each priority leave to more urgent
+// ones: a customer at its limit loses the least urgent ones first.
+#define LENDER_RESERVE_PART 0.125
 #define LENDER_RETRY_MIN_US 50000
 #define LENDER_RETRY_MAX_US 1000000
 // Delay of the next call if tokens are left, but entries hold too many.
@@ -403,6 +406,44 @@
     return value >= (double)limit ? limit : (uint32_t)value;
 }
 
+// Returns the tokens that are kept for operations more urgent than those of a
+// priority.
+static double
+lender_get_reserve(const struct lender_bucket *bucket, unsigned priority)
+{
+    return bucket->budget.bucket * LENDER_RESERVE_PART * priority;
+}
+
+// Grants tokens to operations that wait, the most urgent ones first. available
+// is what the entry may get. Sets lent->retry_priority to the first priority
+// that gets too few. Returns whether the bucket is the reason for that.
+static bool
+lender_grant_waiting(struct lender_bucket *bucket, double available,
+                     const struct ck_borrow_row *row, struct ck_lent_row *lent)
+{
+    u_int later = row->less_urgent + row->least_urgent;
+    const u_int waiting[LIMIT_PRIORITIES] = {
+        row->waiting > later ? row->waiting - later : 0, row->less_urgent,
+        row->least_urgent};
+    bool is_empty = false;
+
+    lent->retry_priority = LIMIT_PRIORITIES;
+    for (unsigned i = 0; i < LIMIT_PRIORITIES; i++) {
+        double left =
+            bucket->tokens - lent->granted - lender_get_reserve(bucket, i);
+        double room = available - lent->granted;
+        uint32_t granted =
+            lender_round_down(left < room ? left : room, waiting[i]);
+        lent->granted += granted;
+        if (granted < waiting[i] && lent->retry_priority > i) {
+            lent->retry_priority = i;
+            is_empty = left - granted < 1;
+        }
+    }
+    bucket->tokens -= lent->granted;
+    return is_empty;
+}
+
 // Grants tokens of one customer. others: what the other entries hold.
 static void
 lender_grant(struct lender_bucket *bucket, int64_t now_us, bool starting,
@@ -414,17 +455,15 @@
 
     lent->kept = lender_round_down(room, row->held);
     room -= lent->kept;
-    double available = bucket->tokens < room ? bucket->tokens : room;
-    uint32_t granted = lender_round_down(available, row->waiting);
-    bool refuses =
-        !starting && granted < row->waiting && bucket->tokens - granted < 1;
-    bucket->tokens -= granted;
+    bool refuses = lender_grant_waiting(bucket, room, row, lent) && !starting;
+    uint32_t granted = lent->granted;
     room = most * LENDER_STOCK_HELD_PART - others - lent->kept - granted;
-    available = bucket->tokens / LENDER_STOCK_DIVISOR;
+    double available =
+        (bucket->tokens - lender_get_reserve(bucket, LIMIT_PRIORITIES - 1)) /
+        LENDER_STOCK_DIVISOR;
     available = available < room ? available : room;
     uint32_t stock = lender_round_down(available, row->stock);
     bucket->tokens -= stock;
-    lent->granted = granted;
     lent->stock = stock;
     lent->plenty =
         bucket->tokens >= bucket->budget.bucket * LENDER_PLENTY_PART;
@@ -432,6 +471,7 @@
         return;
     }
     lent->wait = !refuses;
+    lent->retry_priority = refuses ? lent->retry_priority : 0;
     lent->retry_after_ms =
         refuses
             ? (u_int)(lender_make_retry_us(bucket, now_us) / LENDER_US_PER_MS)
--- a/src/catkingrade/entry/database_limit.c
+++ b/src/catkingrade/entry/database_limit.c
@@ -53,7 +53,8 @@
     struct limiter *limiter =
         entry_get_limiter(worker_get_entry(database->worker));
     struct limiter_ticket ticket = {.worker = database->worker,
-                                    .request = request->id};
+                                    .request = request->id,
+                                    .priority = request->priority};
     int64_t wait_us = request->params.queue_timeout_us;
     int64_t retry_after_us = 0;
 
--- a/src/catkingrade/entry/limiter.c
+++ b/src/catkingrade/entry/limiter.c
@@ -104,7 +104,7 @@
     int64_t wake_us = limit_borrower_get_wake_us(limiter->borrower);
     enum limit_verdict verdict =
         limit_borrower_admit(limiter->borrower, now_us, copy->customer,
-                             wait_us, copy, retry_after_us);
+                             copy->priority, wait_us, copy, retry_after_us);
     bool is_earlier = limit_borrower_get_wake_us(limiter->borrower) < wake_us;
     pthread_mutex_unlock(&limiter->mutex);
     if (is_earlier) {
--- a/src/catkingrade/entry/limiter.h
+++ b/src/catkingrade/entry/limiter.h
@@ -20,6 +20,7 @@
     char database[CK_NAME_SIZE + 1];
     char customer[CK_NAME_SIZE + 1];
     uint64_t request;
+    unsigned priority; // 0: highest
     struct limit_decision decision;
 };
 
--- a/src/catkingrade/entry/session.h
+++ b/src/catkingrade/entry/session.h
@@ -22,6 +22,7 @@
     uint64_t id;
     struct scheduler_request params;
     struct job job;
+    unsigned priority; // of the route; 0: highest
     // Constant text: why the upstream was chosen or the request refused.
     const char *reason;
     char upstream[CK_NAME_SIZE + 1];   // that ran the last attempt
--- a/src/catkingrade/rpc/messages.h
+++ b/src/catkingrade/rpc/messages.h
@@ -706,6 +706,8 @@
 struct ck_borrow_row {
 	ck_name customer;
 	u_int waiting;
+	u_int less_urgent;
+	u_int least_urgent;
 	u_int stock;
 	u_int held;
 	u_int returned;
@@ -732,6 +734,7 @@
 	u_int stock;
 	u_int valid_ms;
 	u_int retry_after_ms;
+	u_int retry_priority;
 	bool_t wait;
 	bool_t plenty;
 };
--- a/src/catkingrade/rpc/messages.x
+++ b/src/catkingrade/rpc/messages.x
@@ -624,6 +624,8 @@
 struct ck_borrow_row {
     ck_name customer;
     unsigned int waiting;           /* operations that wait for a token */
+    unsigned int less_urgent;       /* of these, with priority 1 */
+    unsigned int least_urgent;      /* of these, with priority 2 or higher */
     unsigned int stock;             /* tokens for operations to come */
     unsigned int held;              /* tokens in hand */
     unsigned int returned;          /* tokens given back with this call */
@@ -646,10 +648,12 @@
 struct ck_lent_row {
     ck_name customer;
     unsigned int kept;              /* of the tokens in hand; others lapse */
-    unsigned int granted;           /* for operations that wait, only now */
+    unsigned int granted;           /* for operations that wait, only now,
+                                       the most urgent ones first */
     unsigned int stock;             /* for operations to come */
     unsigned int valid_ms;          /* of kept and stock, from the call on */
     unsigned int retry_after_ms;    /* no new call before; 0: at any time */
+    unsigned int retry_priority;    /* holds from this priority number on */
     bool wait;                      /* tokens are left, others hold too many */
     bool plenty;                    /* the customer is well below its limit */
 };
--- a/src/catkingrade/rpc/messages_xdr.c
+++ b/src/catkingrade/rpc/messages_xdr.c
@@ -1570,10 +1570,14 @@
 	if (xdrs->x_op == XDR_ENCODE) {
 		 if (!xdr_ck_name (xdrs, &objp->customer))
 			 return FALSE;
-		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
+		buf = XDR_INLINE (xdrs, 6 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
 			 if (!xdr_u_int (xdrs, &objp->waiting))
 				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->less_urgent))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->least_urgent))
+				 return FALSE;
 			 if (!xdr_u_int (xdrs, &objp->stock))
 				 return FALSE;
 			 if (!xdr_u_int (xdrs, &objp->held))
@@ -1582,6 +1586,8 @@
 				 return FALSE;
 		} else {
 			IXDR_PUT_U_LONG(buf, objp->waiting);
+			IXDR_PUT_U_LONG(buf, objp->less_urgent);
+			IXDR_PUT_U_LONG(buf, objp->least_urgent);
 			IXDR_PUT_U_LONG(buf, objp->stock);
 			IXDR_PUT_U_LONG(buf, objp->held);
 			IXDR_PUT_U_LONG(buf, objp->returned);
@@ -1590,10 +1596,14 @@
 	} else if (xdrs->x_op == XDR_DECODE) {
 		 if (!xdr_ck_name (xdrs, &objp->customer))
 			 return FALSE;
-		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
+		buf = XDR_INLINE (xdrs, 6 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
 			 if (!xdr_u_int (xdrs, &objp->waiting))
 				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->less_urgent))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->least_urgent))
+				 return FALSE;
 			 if (!xdr_u_int (xdrs, &objp->stock))
 				 return FALSE;
 			 if (!xdr_u_int (xdrs, &objp->held))
@@ -1602,6 +1612,8 @@
 				 return FALSE;
 		} else {
 			objp->waiting = IXDR_GET_U_LONG(buf);
+			objp->less_urgent = IXDR_GET_U_LONG(buf);
+			objp->least_urgent = IXDR_GET_U_LONG(buf);
 			objp->stock = IXDR_GET_U_LONG(buf);
 			objp->held = IXDR_GET_U_LONG(buf);
 			objp->returned = IXDR_GET_U_LONG(buf);
@@ -1613,6 +1625,10 @@
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->waiting))
 		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->less_urgent))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->least_urgent))
+		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->stock))
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->held))
@@ -1652,7 +1668,7 @@
 	if (xdrs->x_op == XDR_ENCODE) {
 		 if (!xdr_ck_name (xdrs, &objp->customer))
 			 return FALSE;
-		buf = XDR_INLINE (xdrs, 7 * BYTES_PER_XDR_UNIT);
+		buf = XDR_INLINE (xdrs, 8 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
 			 if (!xdr_u_int (xdrs, &objp->kept))
 				 return FALSE;
@@ -1664,6 +1680,8 @@
 				 return FALSE;
 			 if (!xdr_u_int (xdrs, &objp->retry_after_ms))
 				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->retry_priority))
+				 return FALSE;
 			 if (!xdr_bool (xdrs, &objp->wait))
 				 return FALSE;
 			 if (!xdr_bool (xdrs, &objp->plenty))
@@ -1674,6 +1692,7 @@
 			IXDR_PUT_U_LONG(buf, objp->stock);
 			IXDR_PUT_U_LONG(buf, objp->valid_ms);
 			IXDR_PUT_U_LONG(buf, objp->retry_after_ms);
+			IXDR_PUT_U_LONG(buf, objp->retry_priority);
 			IXDR_PUT_BOOL(buf, objp->wait);
 			IXDR_PUT_BOOL(buf, objp->plenty);
 		}
@@ -1681,7 +1700,7 @@
 	} else if (xdrs->x_op == XDR_DECODE) {
 		 if (!xdr_ck_name (xdrs, &objp->customer))
 			 return FALSE;
-		buf = XDR_INLINE (xdrs, 7 * BYTES_PER_XDR_UNIT);
+		buf = XDR_INLINE (xdrs, 8 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
 			 if (!xdr_u_int (xdrs, &objp->kept))
 				 return FALSE;
@@ -1693,6 +1712,8 @@
 				 return FALSE;
 			 if (!xdr_u_int (xdrs, &objp->retry_after_ms))
 				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->retry_priority))
+				 return FALSE;
 			 if (!xdr_bool (xdrs, &objp->wait))
 				 return FALSE;
 			 if (!xdr_bool (xdrs, &objp->plenty))
@@ -1703,6 +1724,7 @@
 			objp->stock = IXDR_GET_U_LONG(buf);
 			objp->valid_ms = IXDR_GET_U_LONG(buf);
 			objp->retry_after_ms = IXDR_GET_U_LONG(buf);
+			objp->retry_priority = IXDR_GET_U_LONG(buf);
 			objp->wait = IXDR_GET_BOOL(buf);
 			objp->plenty = IXDR_GET_BOOL(buf);
 		}
@@ -1721,6 +1743,8 @@
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->retry_after_ms))
 		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->retry_priority))
+		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->wait))
 		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->plenty))
--- a/test/fake/limit_fleet.c
+++ b/test/fake/limit_fleet.c
@@ -462,10 +462,10 @@
     customer->arrived++;
     fleet_record_verdict(
         fleet, customer,
-        limit_borrower_admit(entry->borrower,
-                             fleet_get_local_us(fleet, entry->clock_rate),
-                             customer->limit.customer, fleet->params.wait_us,
-                             &fleet_tickets[customer_index], &retry_after_us));
+        limit_borrower_admit(
+            entry->borrower, fleet_get_local_us(fleet, entry->clock_rate),
+            customer->limit.customer, 0, fleet->params.wait_us,
+            &fleet_tickets[customer_index], &retry_after_us));
 }
 
 static void
--- a/test/unit/decide/customer/test_limit_borrower.c
+++ b/test/unit/decide/customer/test_limit_borrower.c
@@ -37,7 +37,7 @@
 {
     int64_t retry_after_us = 0;
 
-    return limit_borrower_admit(borrower, now_us, customer, WAIT_US,
+    return limit_borrower_admit(borrower, now_us, customer, 0, WAIT_US,
                                 &tickets[ticket], &retry_after_us);
 }
 
@@ -148,7 +148,7 @@
     ck_assert_int_ge(decision.retry_after_us, 100 * MS_US);
     for (int i = 0; i < 2; i++) {
         ck_assert_int_eq(limit_borrower_admit(borrower, START_US + MS_US,
-                                              "ada", WAIT_US, &tickets[1],
+                                              "ada", 0, WAIT_US, &tickets[1],
                                               &delays[i]),
                          LIMIT_REFUSE);
         ck_assert_int_ge(delays[i], 99 * MS_US);
@@ -162,6 +162,50 @@
 }
 END_TEST
 
+// Guards against urgent operations that are refused or delayed with the less
+// urgent ones of their customer: a token goes to the most urgent operation,
+// and a refusal holds from its priority on.
+START_TEST(test_urgent_operations_go_first)
+{
+    struct limit_borrower *borrower = create();
+    struct ck_borrow_args args = {0};
+    struct limit_decision decision;
+    int64_t now_us = START_US;
+    int64_t retry_after_us = 0;
+    static int urgent;
+    static int later;
+
+    ck_assert_int_eq(limit_borrower_admit(borrower, now_us, "ada", 2, WAIT_US,
+                                          &later, &retry_after_us),
+                     LIMIT_WAIT);
+    ck_assert_int_eq(limit_borrower_admit(borrower, now_us, "ada", 0, WAIT_US,
+                                          &urgent, &retry_after_us),
+                     LIMIT_WAIT);
+    ck_assert(limit_borrower_fill_call(borrower, now_us, &args));
+    ck_assert_uint_eq(args.rows.rows_val[0].waiting, 2);
+    ck_assert_uint_eq(args.rows.rows_val[0].least_urgent, 1);
+    struct ck_lent_row row = {.customer = "ada",
+                              .granted = 1,
+                              .retry_after_ms = 500,
+                              .retry_priority = 2};
+    answer(borrower, now_us, 1, &row);
+    ck_assert(limit_borrower_next_decision(borrower, now_us, &decision));
+    ck_assert_int_eq(decision.verdict, LIMIT_ADMIT);
+    ck_assert_ptr_eq(decision.ticket, &urgent);
+    ck_assert(limit_borrower_next_decision(borrower, now_us, &decision));
+    ck_assert_int_eq(decision.verdict, LIMIT_REFUSE);
+    ck_assert_ptr_eq(decision.ticket, &later);
+    ck_assert_int_eq(limit_borrower_admit(borrower, now_us, "ada", 2, WAIT_US,
+                                          &later, &retry_after_us),
+                     LIMIT_REFUSE);
+    ck_assert_int_eq(limit_borrower_admit(borrower, now_us, "ada", 0, WAIT_US,
+                                          &urgent, &retry_after_us),
+                     LIMIT_WAIT);
+    ck_assert(limit_borrower_fill_call(borrower, now_us, &args));
+    limit_borrower_destroy(borrower, ignore_ticket);
+}
+END_TEST
+
 // Guards against refusals of customers below their limits while no leader
 // answers, and against an outage that admits without bound: one operation of a
 // customer that was served lately, once in several seconds, and none of
@@ -268,6 +312,7 @@
     tcase_add_test(tests, test_waiting_operations_share_a_call);
     tcase_add_test(tests, test_late_answer_is_ignored);
     tcase_add_test(tests, test_over_the_limit_is_refused_at_once);
+    tcase_add_test(tests, test_urgent_operations_go_first);
     tcase_add_test(tests, test_outage_admits_little);
     tcase_add_test(tests, test_stock_is_used_returned_and_expires);
     tcase_add_test(tests, test_waits_end);
--- a/test/unit/decide/customer/test_limit_lender.c
+++ b/test/unit/decide/customer/test_limit_lender.c
@@ -75,6 +75,33 @@
     return drain_from(lender, now_us, 1, wanted);
 }
 
+// Guards against a customer at its limit whose urgent operations are refused
+// because less urgent ones have used up its tokens.
+START_TEST(test_urgent_operations_have_a_reserve)
+{
+    struct limit_lender *lender = create(true);
+    int64_t now_us = START_US + 2 * S_US; // no longer a new leader
+    struct ck_lent_row row =
+        borrow(lender, now_us, "vm", 1,
+               (struct ck_borrow_row){.waiting = 40, .least_urgent = 40});
+
+    ck_assert_uint_gt(row.granted, 0);
+    ck_assert_uint_lt(row.granted, 40);
+    for (unsigned i = 2; i < 40; i++) {
+        row = borrow(lender, now_us, "vm", i,
+                     (struct ck_borrow_row){.waiting = 1, .least_urgent = 1});
+    }
+    ck_assert_uint_eq(row.granted, 0);
+    ck_assert(!row.wait);
+    ck_assert_uint_eq(row.retry_priority, 2);
+    row = borrow(lender, now_us, "vm", 40,
+                 (struct ck_borrow_row){.waiting = 2, .least_urgent = 1});
+    ck_assert_uint_eq(row.granted, 1);
+    ck_assert_uint_eq(row.retry_priority, 2);
+    limit_lender_destroy(lender);
+}
+END_TEST
+
 // Guards against more tokens than the bucket has, and against a refusal
 // without a time to ask again.
 START_TEST(test_bucket_empties_and_fills)
@@ -243,6 +270,7 @@
 static void
 add_tests(TCase *tests)
 {
+    tcase_add_test(tests, test_urgent_operations_have_a_reserve);
     tcase_add_test(tests, test_bucket_empties_and_fills);
     tcase_add_test(tests, test_new_leader_starts_empty);
     tcase_add_test(tests, test_calls_are_counted_once);
