--- a/src/catkingrade/decide/capacity/capacity.c
+++ b/src/catkingrade/decide/capacity/capacity.c
@@ -9,7 +9,7 @@
 #define CAPACITY_SAMPLES_MIN 8
 // Weights of a new answer in the moving averages.
 #define CAPACITY_EXCESS_WEIGHT   (1.0 / 32)
-#define CAPACITY_RECENT_WEIGHT   (1.0 / 4)
+#define CAPACITY_RECENT_WEIGHT   (1.0 / 2)
 #define CAPACITY_LOW_WEIGHT      (1.0 / 64)
 #define CAPACITY_VARIANCE_WEIGHT (1.0 / 256)
 #define CAPACITY_KNEE_WEIGHT     (1.0 / 2048)
@@ -59,16 +59,15 @@
 // more at each doubling of it.
 #define CAPACITY_OVERDUE_FACTOR 3
 #define CAPACITY_OVERDUE_MAX    2
-// Trial reads to a slow upstream: one at a time, the next after this time and
-// up to as much again in part. Several entries send them; together they are a
-// small part of the reads, and an upstream that has recovered is still found
-// within 2 s.
+// Time between two trial reads to a slow upstream, and its random part. The
+// trials of several entries together are a small part of the reads, and an
+// upstream that has recovered is still found within 2 s.
 #define CAPACITY_TRIAL_US        INT64_C(1000000)
 #define CAPACITY_TRIAL_JITTER_US 400000
 // After this time of being slow the estimator starts again: the upstream has
 // become slower for good.
 #define CAPACITY_RESTART_US INT64_C(30000000)
-// The excess of few answers counts from this on, above what chance gives.
+// Excess that the last few answers may show by chance.
 #define CAPACITY_RECENT_MARGIN 0.35
 // Time without an answer after which the last excess of an upstream that is
 // not slow tells nothing. Without it, an upstream that loses all statements
@@ -337,6 +336,7 @@
     double bounded =
         capacity_clamp(excess, -CAPACITY_EXCESS_MAX, CAPACITY_EXCESS_MAX);
     capacity->excess += (bounded - capacity->excess) * CAPACITY_EXCESS_WEIGHT;
+    capacity->recent += (bounded - capacity->recent) * CAPACITY_RECENT_WEIGHT;
     if (!capacity->slow) {
         capacity->variance += (bounded * bounded - capacity->variance) *
                               CAPACITY_VARIANCE_WEIGHT;
@@ -377,12 +377,6 @@
 capacity_record_overdue(struct capacity *capacity, int64_t now_us,
                         uint8_t before, uint8_t after)
 {
-    double excess = log(CAPACITY_OVERDUE_FACTOR) + (after - 1) * log(2.0);
-
-    if (excess > capacity->recent) {
-        capacity->recent +=
-            (excess - capacity->recent) * CAPACITY_RECENT_WEIGHT;
-    }
     if (capacity->slow) {
         capacity->evidence = 0;
         return;
