refactor(traffic): comments that match the code after the merges

Stale, missing or unclear comments on routing, relays, rate limits and admission; a comment line that a merge had doubled; a field of the borrower that nothing read. No change of behaviour; the unit tests of the modules pass.

--- a/src/catkingrade/control/group_host_state.h
+++ b/src/catkingrade/control/group_host_state.h
@@ -30,6 +30,8 @@
     struct host_waiter *next;
 };
 
+struct limit_lender;
+
 // Rate limits of customers, while this voter leads.
 struct host_limits {
     struct limit_lender *lender; // NULL: no entry has borrowed
@@ -48,8 +50,6 @@
     int64_t since_us;
 };
 
-struct limit_lender;
-
 struct group_host {
     struct group_host_params params;
     struct loop *loop;
--- a/src/catkingrade/control/group_limits.c
+++ b/src/catkingrade/control/group_limits.c
@@ -11,6 +11,8 @@
 // Rate limits of customers at the leader. The lender is created at the first
 // call of an entry.
 
+// Windows of the rate limits that the term before must have lasted, so that a
+// new leader may give initial tokens; see struct limit_budget.
 #define HOST_LIMIT_WINDOWS 2
 
 static uint64_t
--- a/src/catkingrade/decide/customer/limit_borrower.c
+++ b/src/catkingrade/decide/customer/limit_borrower.c
@@ -18,7 +18,7 @@
 // borrows its own token.
 #define BORROWER_STEADY_PER_S 1.0
 #define BORROWER_STOCK_US     1000000
-#define BORROWER_STOCK_MAX    1000
+#define BORROWER_STOCK_MAX    1000 // tokens
 // The stock is refilled when less than this part is left.
 #define BORROWER_REFILL_PART 0.5
 // A call that only concerns the stock comes this long after the last call at
@@ -33,10 +33,11 @@
 #define BORROWER_FAILURE_US 50000
 // Customers that were not seen for this time are forgotten.
 #define BORROWER_FORGET_US 30000000
-// Without an answer of a leader, an entry admits one operation of a customer
-// that it has served within the last BORROWER_OUTAGE_SEEN_US, if the leader
-// said in that time that the customer was well below its limit, and what it
-// used of the customer's tokens in BORROWER_OUTAGE_STOCK_US before.
+// Without an answer of a leader, an entry admits as many operations of a
+// customer as it admits on average in BORROWER_OUTAGE_STOCK_US, and one more
+// if it has served the customer within the last BORROWER_OUTAGE_SEEN_US. The
+// condition is that the leader said in that time that the customer was well
+// below its limit.
 #define BORROWER_OUTAGE_SEEN_US  10000000
 #define BORROWER_OUTAGE_STOCK_US 300000
 // Failures within this time belong to one outage.
@@ -72,12 +73,13 @@
     int64_t plenty_us; // time of the last answer, if there was plenty; else 0
     uint64_t outage;   // in which outage_left was set
     uint32_t outage_left; // operations that the outage may still admit
-    bool holds_back;      // until then operations wait: others hold too much
-    bool lent;            // the leader may count tokens as held here
-    bool asked;           // in the call in flight
+    // Until blocked_until_us operations wait and are not refused: the bucket
+    // has tokens, but other entries hold too many.
+    bool holds_back;
+    bool lent;  // the leader may count tokens as held here
+    bool asked; // in the call in flight
     struct borrower_waiter *first;
     struct borrower_waiter **end;
-    size_t waiters_count;
 };
 
 struct limit_borrower {
@@ -90,7 +92,8 @@
     size_t decisions_count;
     size_t decisions_capacity;
     size_t waiters_count;
-    int64_t next_deadline_us; // INT64_MAX: none waits; not after the first
+    // At or before the first deadline of a waiter; INT64_MAX: none waits.
+    int64_t next_deadline_us;
     uint64_t sequence;
     uint64_t applied;
     bool in_flight;
@@ -263,7 +266,6 @@
     if (*link == NULL) {
         customer->end = link;
     }
-    customer->waiters_count--;
     borrower->waiters_count--;
 }
 
@@ -416,7 +418,6 @@
     waiter->deadline_us = deadline_us;
     *customer->end = waiter;
     customer->end = &waiter->next;
-    customer->waiters_count++;
     borrower->waiters_count++;
     if (deadline_us < borrower->next_deadline_us) {
         borrower->next_deadline_us = deadline_us;
@@ -714,7 +715,8 @@
     if (until_us > now_us) {
         customer->tokens += row->stock;
     }
-    // Tokens for operations that wait are used now or never.
+    // Tokens that were granted for waiting operations are not kept: the leader
+    // counts them for LIMIT_CALL_US only.
     for (u_int i = 0; i < row->granted && customer->first != NULL; i++) {
         borrower_count_use(customer, now_us);
         borrower_admit_next(borrower, customer);
--- a/src/catkingrade/decide/traffic/admission.c
+++ b/src/catkingrade/decide/traffic/admission.c
@@ -333,8 +333,9 @@
                request->deadline_us;
 }
 
-// Refuses a request that another entry may serve, and ends its session: a
-// client repeats a request in the session that it has, if there is one.
+// Refuses a request that another entry may serve. Ends its session if it has
+// no other request and no open transaction: a client repeats a request in the
+// session that it has, so it would ask this entry again.
 static void
 admission_refuse_elsewhere(struct scheduler *scheduler,
                            struct request *request, int64_t retry_after_us,
@@ -516,7 +517,8 @@
 {
     enum queue_kind kind = admission_get_queue(request);
 
-    // Without contact to a relay, a retry at another entry is better.
+    // Without contact to any relay, another entry is more likely to serve the
+    // request than this one.
     if (scheduler->view.relayed && scheduler->relay_contact.lost) {
         return scheduler->now_us;
     }
--- a/src/catkingrade/decide/traffic/customer_table.h
+++ b/src/catkingrade/decide/traffic/customer_table.h
@@ -13,7 +13,7 @@
 
 #define CUSTOMER_NONE      0
 #define CUSTOMER_NAME_SIZE 64
-#define CUSTOMER_QUEUES    2 // kinds of queues, QUEUE_COUNT
+#define CUSTOMER_QUEUES    2 // as many as QUEUE_COUNT
 
 struct customer {
     char name[CUSTOMER_NAME_SIZE];
--- a/src/catkingrade/decide/traffic/relay_contact.h
+++ b/src/catkingrade/decide/traffic/relay_contact.h
@@ -4,10 +4,10 @@
 #include <stdbool.h>
 #include <stdint.h>
 
-// Whether an entry can reach any relay of a database. The load that it
-// answers: a network partition separates entries from all relays while clients
-// still reach them. A request that waits there for a relay is lost time; one
-// that is refused at once may be in time at another entry.
+// Whether an entry can reach any relay of a database. A network partition may
+// separate entries from all relays while clients still reach them. There a
+// request that waits for a relay waits in vain; one that is refused at once
+// may still be in time at another entry.
 struct relay_contact {
     int64_t failing_since_us; // first failure since the last contact; 0: none
     bool lost;
--- a/src/catkingrade/decide/traffic/relay_silence.h
+++ b/src/catkingrade/decide/traffic/relay_silence.h
@@ -7,9 +7,11 @@
 
 #include "catkingrade/rpc/messages.h"
 
-// Relays that have not answered lately, by host. The load that it answers: a
-// network partition makes several relays silent at once, each of several
-// databases. What one database finds out holds for the others.
+// Relays that have not answered lately, by host. A network partition makes
+// several relays silent at once, each of which may serve several databases.
+// What one database finds out holds for the others.
+
+// Hosts that are recorded at a time; a further one replaces the oldest.
 #define RELAY_SILENCE_MAX_HOSTS 16
 
 struct relay_silence {
--- a/src/catkingrade/decide/traffic/route.c
+++ b/src/catkingrade/decide/traffic/route.c
@@ -26,14 +26,15 @@
 // A near replica is preferred until it is busier than the other one by its
 // width divided by this.
 #define ROUTE_NEAR_DIVISOR 2
-// Time after which a relay that has failed is tried again for its customers.
+// Time without a failure after which a relay that has failed is tried again
+// for its customers.
 #define ROUTE_RELAY_RETRY_US (5 * SCHEDULER_SECOND_US)
 // Latency of an upstream that has not answered a statement yet.
 #define ROUTE_INITIAL_LATENCY_US (1 * SCHEDULER_MS_US)
-
-// A loaded replica loses a read to the primary if that is faster by this many
-// halves.
+// A loaded replica loses a read to the primary if the replica is expected to
+// take more than this many halves of the primary's time: 1.5 times as long.
 #define ROUTE_PRIMARY_GAIN_HALVES 3
+
 // Requirements of a read on the upstream that serves it.
 struct route_need {
     const struct request *request;
@@ -136,10 +137,10 @@
                : room;
 }
 
-// Returns whether a read should go to upstream first rather than to second. An
-// idle connection is preferred to one that must be opened; then the failure
-// domain of the entry, unless the upstream there is much busier; then the
-// lower cost.
+// Returns whether a read should go to upstream first rather than to second:
+// first by how soon a connection is available there, in the order of enum
+// pool_room; then by the failure domain of the entry, unless the upstream
+// there is much busier; then by the lower cost.
 static bool
 route_is_better(struct scheduler *scheduler, const struct request *request,
                 uint32_t first, uint32_t second)
@@ -447,7 +448,8 @@
                TIMER_WAKE, 0);
 }
 
-// Finds the upstream for a statement that only the primary may run.
+// Finds the upstream for a statement that only the primary may run: the
+// primary, or with relays the relay of the request's customer.
 struct route
 route_primary(struct scheduler *scheduler, const struct request *request)
 {
@@ -521,6 +523,7 @@
 route_prefers_primary(struct scheduler *scheduler, uint32_t replica,
                       const struct request *request)
 {
+    // healthy is not set: the read need not wait ROUTE_SPILL_WAIT_US.
     const struct route_replicas replicas = {.eligible = true};
     const struct upstream *up = &scheduler->upstreams[replica];
 
@@ -556,7 +559,7 @@
     int64_t best_us = replicas->healthy ? waited_us : INT64_MAX;
 
     for (uint32_t i = 0; i < scheduler->candidates_count; i++) {
-        struct route_replicas ignored = {false, false};
+        struct route_replicas found = {false, false};
         uint32_t index = scheduler->candidates[i];
         if (!route_learned_is_slow(scheduler, index) ||
             index == scheduler->primary ||
@@ -564,10 +567,10 @@
             !route_learned_allows(scheduler, index, need->request)) {
             continue;
         }
-        (void)route_is_candidate(scheduler, index, need, &ignored);
+        (void)route_is_candidate(scheduler, index, need, &found);
         int64_t completion_us =
             route_learned_get_completion_us(scheduler, index);
-        if (ignored.eligible && completion_us < best_us) {
+        if (found.eligible && completion_us < best_us) {
             best = index;
             best_us = completion_us;
         }
--- a/src/catkingrade/decide/traffic/scheduler_sample.c
+++ b/src/catkingrade/decide/traffic/scheduler_sample.c
@@ -188,9 +188,10 @@
 {
     struct upstream *up = &scheduler->upstreams[upstream];
 
-    // The first upstream of a relayed database represents all entries that may
-    // serve as relay. After a failure the next one is tried, so that it is not
-    // marked as failing.
+    // The primary of a relayed view represents all relays in order of
+    // preference. After a failure the next relay is tried, so that the primary
+    // is not marked as failing. The other upstreams are single relays, which
+    // are avoided for a time after their last failure (see route.c).
     if (scheduler->view.relayed) {
         relay_contact_record_failure(&scheduler->relay_contact,
                                      scheduler->now_us);
--- a/src/catkingrade/decide/traffic/scheduler_state.h
+++ b/src/catkingrade/decide/traffic/scheduler_state.h
@@ -133,9 +133,10 @@
     bool sample_pending;
     bool sample_again; // another sample is needed after the pending one
     int64_t sample_sent_us;
-    int64_t failing_since_us; // first failure since the last answer; 0: none
-    int64_t suspected_us;     // time of the last report to the control group
-    int64_t open_next_us;     // earliest time to open another connection
+    // First failure since the last answer, for a relay the last one; 0: none.
+    int64_t failing_since_us;
+    int64_t suspected_us; // time of the last report to the control group
+    int64_t open_next_us; // earliest time to open another connection
     int64_t open_backoff_us;
 };
 
--- a/src/catkingrade/entry/database_private.h
+++ b/src/catkingrade/entry/database_private.h
@@ -99,7 +99,7 @@
     char customer_name[CK_NAME_SIZE + 1];
     atomic_uint_fast64_t open_requests; // read by other threads
     bool removed;                       // the view no longer contains it
-    bool finishing;                     // requests are refused
+    bool finishing; // the scheduler refuses requests: none takes a token
 };
 
 // database.c
--- a/src/catkingrade/entry/database_relay.c
+++ b/src/catkingrade/entry/database_relay.c
@@ -9,9 +9,12 @@
 
 // Use of relays: other entries that run this entry's statements of a database.
 // The control group assigns them, in order of preference, to an entry without
-// connections of its own, or as a standby for the time without a lease.
+// connections of its own, or as a standby for the time without a lease. With
+// relay_by_customer it also assigns relays among which customers are divided,
+// the spread.
 
-// Name of the upstream that represents the relays in the scheduler's view.
+// Name of the upstream that represents the relays in order of preference in
+// the scheduler's view.
 #define DATABASE_RELAY_NAME "relay"
 // Maximum number of links to relays.
 #define DATABASE_RELAY_MAX_LINKS 32
@@ -47,7 +50,8 @@
     return false;
 }
 
-// Returns the place of a host, or the first free one for the empty host.
+// Returns the place of a host, or the first free one for the empty host. NULL
+// if there is none.
 static char *
 database_find_spread(struct database_relay *state, const char *host)
 {
@@ -213,7 +217,8 @@
     view->relayed = true;
 }
 
-// Resets the failure count and the backoff after a link has opened.
+// Resets the failure count and the backoff after a link to a relay has opened.
+// host is empty if the link is not one to a relay.
 void
 database_record_relay_open(struct database *database, const char *host)
 {
