style(limit): state what clang-tidy could not see

The header named a parameter differently from its definition, and the analyzer could not see that a relayed database has relays: an INVARIANT says it. Both files pass clang-tidy; the limiter's unit tests pass.

--- a/src/catkingrade/decide/customer/limit_borrower.h
+++ b/src/catkingrade/decide/customer/limit_borrower.h
@@ -38,7 +38,7 @@
 bool limit_borrower_has_limit(const struct limit_borrower *borrower,
                               const char *customer);
 enum limit_verdict limit_borrower_admit(struct limit_borrower *borrower,
-                                        int64_t now_us, const char *customer,
+                                        int64_t now_us, const char *name,
                                         unsigned priority, int64_t wait_us,
                                         void *ticket, int64_t *retry_after_us);
 bool limit_borrower_cancel(struct limit_borrower *borrower, const char *name,
--- a/src/catkingrade/entry/database_relay.c
+++ b/src/catkingrade/entry/database_relay.c
@@ -240,6 +240,7 @@
         worker_get_relay_silence(database->worker);
     int64_t now_us = monotonic_get_us();
 
+    INVARIANT(relay->hosts_count > 0); // a database without is not relayed
     if (relay->host_index != 0 &&
         now_us - relay->failed_us > DATABASE_RELAY_FIRST_HOST_RETRY_US) {
         relay->host_index = 0;
