--- a/src/catkingrade/decide/customer/limit_lender.c
+++ b/src/catkingrade/decide/customer/limit_lender.c
@@ -29,7 +29,8 @@
 #define LENDER_RETRY_MAX_US 1000000
 // Delay of the next call if tokens are left, but entries hold too many.
 #define LENDER_HELD_RETRY_MS 25
-// Rows of one page of limit_lender_describe.
+// Rows of one page of limit_lender_describe. A row takes less than 200 bytes,
+// a page at most CK_BLOB_SIZE.
 #define LENDER_PAGE_ROWS 200
 // A new leader makes operations wait instead of refusing them for this time:
 // its buckets start empty, so that it does not know who is over the limit.
--- a/src/catkingrade/decide/traffic/fair_queue.c
+++ b/src/catkingrade/decide/traffic/fair_queue.c
@@ -13,7 +13,10 @@
 // idle transactions hold.
 #define FAIR_QUEUE_DEBT_MAX_US (4 * FAIR_QUEUE_WINDOW_US)
 #define FAIR_QUEUE_TURN        8
-#define FAIR_QUEUE_TYPE_BITS   8
+#define FAIR_QUEUE_TYPE_BITS   8 // of the index of a type in a queue's key
+
+_Static_assert(CUSTOMER_QUEUES == QUEUE_COUNT,
+               "a customer has a virtual time for each kind of queue");
 
 static uint64_t
 fair_queue_get_key(uint32_t customer, uint8_t type, enum queue_kind kind)
