fix(limit): no reserve without urgent operations; a refusal may end its session

Problems: a customer below its limit had less urgent operations refused for the sake of urgent ones that it does not have (test_rate_limit, 2 to 3 of 112 after a limit was raised). A refusal that ends the session of its client could be followed by a use of that session. Requests at a relay that stops as planned were refused at their queue timeout (test_stop, two tests). Change: the reserve is what more urgent operations ask for in half a second. The session is looked up again by its id. Only relays that are silent, not those that refuse, take the extension of the queue timeout away.

--- a/src/catkingrade/decide/customer/limit_lender.c
+++ b/src/catkingrade/decide/customer/limit_lender.c
@@ -1,5 +1,6 @@
 #include "catkingrade/decide/customer/limit_lender.h"
 
+#include <math.h>
 #include <stdlib.h>
 #include <string.h>
 #include <xxhash.h>
@@ -22,9 +23,13 @@
 #define LENDER_STOCK_HELD_PART 0.75
 // A customer with this part of its bucket left is well below its limit.
 #define LENDER_PLENTY_PART 0.5
-// Part of the bucket that operations of each priority leave to more urgent
-// ones: a customer at its limit loses the least urgent ones first.
+// A customer at its limit loses its least urgent operations first: they leave
+// to more urgent ones what these ask for in LENDER_RESERVE_S, at most this
+// part of the bucket for each priority.
 #define LENDER_RESERVE_PART 0.125
+#define LENDER_RESERVE_S    0.5
+// Time over which the operations that ask are averaged.
+#define LENDER_AVERAGE_S    2.0
 #define LENDER_RETRY_MIN_US 50000
 #define LENDER_RETRY_MAX_US 1000000
 // Delay of the next call if tokens are left, but entries hold too many.
@@ -61,6 +66,9 @@
     int64_t filled_us;
     int64_t slot_us; // next time at which a refused entry may ask again
     double held;     // sum of the records
+    // Moving average of the operations that ask for a token, by priority.
+    double asked_per_s[LIMIT_PRIORITIES];
+    int64_t asked_us;
     struct lender_record *records;
     size_t records_count;
     size_t records_capacity;
@@ -412,15 +420,50 @@
 static double
 lender_get_reserve(const struct lender_bucket *bucket, unsigned priority)
 {
-    return bucket->budget.bucket * LENDER_RESERVE_PART * priority;
+    double most = bucket->budget.bucket * LENDER_RESERVE_PART * priority;
+    double reserve = 0;
+
+    for (unsigned i = 0; i < priority; i++) {
+        reserve += bucket->asked_per_s[i] * LENDER_RESERVE_S;
+    }
+    return reserve < most ? reserve : most;
+}
+
+// Returns the tokens that do not go into the stock of entries, where any
+// operation takes them: the reserve, as far as less urgent operations ask.
+static double
+lender_get_stock_reserve(const struct lender_bucket *bucket)
+{
+    double reserve = lender_get_reserve(bucket, LIMIT_PRIORITIES - 1);
+    double later = 0;
+
+    for (unsigned i = 1; i < LIMIT_PRIORITIES; i++) {
+        later += bucket->asked_per_s[i] * LENDER_RESERVE_S;
+    }
+    return reserve < later ? reserve : later;
+}
+
+static void
+lender_count_asked(struct lender_bucket *bucket, int64_t now_us,
+                   const u_int waiting[LIMIT_PRIORITIES])
+{
+    double elapsed_s = (double)(now_us - bucket->asked_us) / LENDER_US_PER_S;
+    double kept = exp(-elapsed_s / LENDER_AVERAGE_S);
+
+    for (unsigned i = 0; i < LIMIT_PRIORITIES; i++) {
+        bucket->asked_per_s[i] =
+            bucket->asked_per_s[i] * kept + waiting[i] / LENDER_AVERAGE_S;
+    }
+    bucket->asked_us = now_us;
 }
 
 // Grants tokens to operations that wait, the most urgent ones first. available
 // is what the entry may get. Sets lent->retry_priority to the first priority
 // that gets too few. Returns whether the bucket is the reason for that.
 static bool
-lender_grant_waiting(struct lender_bucket *bucket, double available,
-                     const struct ck_borrow_row *row, struct ck_lent_row *lent)
+lender_grant_waiting(struct lender_bucket *bucket, int64_t now_us,
+                     double available, const struct ck_borrow_row *row,
+                     struct ck_lent_row *lent)
 {
     u_int later = row->less_urgent + row->least_urgent;
     const u_int waiting[LIMIT_PRIORITIES] = {
@@ -428,6 +471,7 @@
         row->least_urgent};
     bool is_empty = false;
 
+    lender_count_asked(bucket, now_us, waiting);
     lent->retry_priority = LIMIT_PRIORITIES;
     for (unsigned i = 0; i < LIMIT_PRIORITIES; i++) {
         double left =
@@ -456,12 +500,12 @@
 
     lent->kept = lender_round_down(room, row->held);
     room -= lent->kept;
-    bool refuses = lender_grant_waiting(bucket, room, row, lent) && !starting;
+    bool refuses =
+        lender_grant_waiting(bucket, now_us, room, row, lent) && !starting;
     uint32_t granted = lent->granted;
     room = most * LENDER_STOCK_HELD_PART - others - lent->kept - granted;
-    double available =
-        (bucket->tokens - lender_get_reserve(bucket, LIMIT_PRIORITIES - 1)) /
-        LENDER_STOCK_DIVISOR;
+    double available = (bucket->tokens - lender_get_stock_reserve(bucket)) /
+                       LENDER_STOCK_DIVISOR;
     available = available < room ? available : room;
     uint32_t stock = lender_round_down(available, row->stock);
     bucket->tokens -= stock;
--- a/src/catkingrade/decide/traffic/admission.c
+++ b/src/catkingrade/decide/traffic/admission.c
@@ -371,7 +371,7 @@
 {
     bool stale = request->stale_wait;
 
-    if (relay_contact_is_failing(&scheduler->relay_contact) &&
+    if (relay_contact_is_silent(&scheduler->relay_contact) &&
         (scheduler->view.relayed || !lease_has_quota(scheduler))) {
         admission_refuse_elsewhere(scheduler, request,
                                    ADMISSION_ELSEWHERE_RETRY_US,
@@ -517,9 +517,9 @@
 {
     enum queue_kind kind = admission_get_queue(request);
 
-    // Without contact to any relay, another entry is more likely to serve the
-    // request than this one.
-    if (scheduler->view.relayed && scheduler->relay_contact.lost) {
+    // While all relays are silent, a retry at another entry is better.
+    if (scheduler->view.relayed && scheduler->relay_contact.lost &&
+        relay_contact_is_silent(&scheduler->relay_contact)) {
         return scheduler->now_us;
     }
     if (admission_is_stalled(scheduler, kind) ||
--- a/src/catkingrade/decide/traffic/relay_contact.c
+++ b/src/catkingrade/decide/traffic/relay_contact.c
@@ -9,11 +9,13 @@
 // the relay does not serve. Contact is lost if failures go on for
 // RELAY_CONTACT_LOSS_US without any answer.
 void
-relay_contact_record_failure(struct relay_contact *contact, int64_t now_us)
+relay_contact_record_failure(struct relay_contact *contact, int64_t now_us,
+                             bool silent)
 {
     if (contact->failing_since_us == 0) {
         contact->failing_since_us = now_us;
     }
+    contact->silent = contact->silent || silent;
     contact->lost =
         now_us - contact->failing_since_us >= RELAY_CONTACT_LOSS_US;
 }
@@ -24,11 +26,13 @@
 {
     contact->failing_since_us = 0;
     contact->lost = false;
+    contact->silent = false;
 }
 
-// Returns whether no relay has answered since the last failure.
+// Returns whether no relay has answered since one was silent. A relay that
+// refuses, as at a planned stop, has another one named in its place soon.
 bool
-relay_contact_is_failing(const struct relay_contact *contact)
+relay_contact_is_silent(const struct relay_contact *contact)
 {
-    return contact->failing_since_us != 0;
+    return contact->silent;
 }
--- a/src/catkingrade/decide/traffic/relay_contact.h
+++ b/src/catkingrade/decide/traffic/relay_contact.h
@@ -11,11 +11,12 @@
 struct relay_contact {
     int64_t failing_since_us; // first failure since the last contact; 0: none
     bool lost;
+    bool silent; // a failure since the last contact was silence, not a refusal
 };
 
 void relay_contact_record_failure(struct relay_contact *contact,
-                                  int64_t now_us);
+                                  int64_t now_us, bool silent);
 void relay_contact_record_answer(struct relay_contact *contact);
-bool relay_contact_is_failing(const struct relay_contact *contact);
+bool relay_contact_is_silent(const struct relay_contact *contact);
 
 #endif
--- a/src/catkingrade/decide/traffic/scheduler_result.c
+++ b/src/catkingrade/decide/traffic/scheduler_result.c
@@ -326,7 +326,7 @@
         int64_t opened_us = conn->opened_us;
         if (scheduler->view.relayed) {
             relay_contact_record_failure(&scheduler->relay_contact,
-                                         scheduler->now_us);
+                                         scheduler->now_us, false);
         }
         result_lose_conn(scheduler, conn, event->result,
                          SCHEDULER_CLOSE_ABNORMAL);
--- a/src/catkingrade/decide/traffic/scheduler_sample.c
+++ b/src/catkingrade/decide/traffic/scheduler_sample.c
@@ -194,7 +194,8 @@
     // are avoided for a time after their last failure (see route.c).
     if (scheduler->view.relayed) {
         relay_contact_record_failure(&scheduler->relay_contact,
-                                     scheduler->now_us);
+                                     scheduler->now_us,
+                                     kind == CK_SUSPECT_SILENT);
         up->failing_since_us =
             upstream == scheduler->primary ? 0 : scheduler->now_us;
     }
--- a/src/catkingrade/entry/database_actions.c
+++ b/src/catkingrade/entry/database_actions.c
@@ -180,8 +180,9 @@
     entry_report_suspicion(worker_get_entry(database->worker), &suspicion);
 }
 
-static void
-database_run_end_session(struct database *database, uint64_t id)
+// Ends a session outside a transaction, if it still exists.
+void
+database_end_session(struct database *database, uint64_t id)
 {
     struct entry_session *session =
         apr_hash_get(database->sessions, &id, sizeof(id));
@@ -262,7 +263,7 @@
         loop_timer_set(database->timer, action->wake_at_us);
         break;
     case SCHEDULER_ACTION_END_SESSION:
-        database_run_end_session(database, action->session);
+        database_end_session(database, action->session);
         break;
     case SCHEDULER_ACTION_REPORT_SLOW:
     case SCHEDULER_ACTION_REPORT_RECOVERED:
--- a/src/catkingrade/entry/database_limit.c
+++ b/src/catkingrade/entry/database_limit.c
@@ -36,7 +36,7 @@
                         enum limit_verdict verdict, int64_t retry_after_us)
 {
     bool over = verdict == LIMIT_REFUSE;
-    struct entry_session *session = request->session;
+    uint64_t session = request->params.session;
 
     counter_add(over ? COUNTER_LIMIT_REFUSED : COUNTER_LIMIT_UNANSWERED, 1);
     database_refuse_request(database, request, OUTCOME_OVERLOADED,
@@ -45,8 +45,8 @@
                             retry_after_us);
     // Another entry may reach the leader, and a client repeats an operation in
     // the session that it has.
-    if (!over && session != NULL) {
-        session->ops->end(session);
+    if (!over) {
+        database_end_session(database, session);
     }
 }
 
--- a/src/catkingrade/entry/database_private.h
+++ b/src/catkingrade/entry/database_private.h
@@ -121,6 +121,7 @@
 void database_drop_conn(struct database_conn *conn);
 
 // database_actions.c
+void database_end_session(struct database *database, uint64_t id);
 void database_run_action(struct database *database,
                          const struct scheduler_action *action);
 
