test(soak): customers with keys and rate limits

The soak declared no customers, so keys and limits were tested without combinations of faults. Half of its callers now start sessions with a customer's key, on routes that are not public, and the operator removes and replaces keys and changes limits every 0.5 to 3 s. Checked: no statement reaches an upstream with a key removed 4 s before it was sent, statements run under the customer's name, and the limit of each window of 5 s.

A transaction whose BEGIN is refused ends there: its write would run outside of it. A request late at a leaving upstream that came under a customer's name does not tell which entry sent it on; a fault of any entry excuses it.

--- a/soak/caller.c
+++ b/soak/caller.c
@@ -12,6 +12,7 @@
 #include "catkingrade/kernel/memory.h"
 #include "soak/checks.h"
 #include "soak/config.h"
+#include "soak/customers.h"
 #include "soak/events.h"
 #include "test/rig/platform_rig.h"
 
@@ -40,6 +41,9 @@
     uint64_t random;
     int entry;                // entry of the session
     int fd;                   // socket of the session; -1: none
+    bool has_customer;        // the session has a customer's key
+    int customer;             // of the session
+    int key;                  // number of the customer's key
     int operations_left;      // operations left until the caller reconnects
     bool on_primary_route;    // the session uses the route of the primary
     int session_newest_saved; // newest value acknowledged in this session
@@ -96,8 +100,27 @@
     return platform_get_arrival_us(rig.platforms[caller->database], id);
 }
 
+// Records a statement of a customer that has reached an upstream.
+static void
+caller_record_keyed(const struct caller *caller, const char *line,
+                    int64_t sent_us, const char *text)
+{
+    struct checks_keyed keyed = {
+        .customer = caller->customer,
+        .key = caller->key,
+        .entry = caller->entry,
+        .sent_us = sent_us,
+        .arrived_us = caller_get_arrival_us(caller, line),
+        .has_run = caller_starts_with(text, "COMPLETE") ||
+                   caller_starts_with(text, "DATAROW")};
+
+    if (keyed.arrived_us >= sent_us) {
+        checks_record_keyed(&keyed);
+    }
+}
+
 // Sends a request on the session. Records a connection that ends without a
-// complete answer.
+// complete answer, and statements of customers.
 static char *
 caller_request(struct caller *caller, const char *line)
 {
@@ -112,16 +135,35 @@
         (void)snprintf(cut.line, sizeof(cut.line), "%s", line);
         checks_record_cut(&cut);
     }
+    if (caller->has_customer && strncmp(line, "QUERY e", 7) == 0) {
+        caller_record_keyed(caller, line, cut.sent_us, text);
+    }
     return text;
 }
 
 // Formats a statement. Its id begins with the number of the entry, by which
-// checks.c knows which entry took it.
+// checks.c knows which entry took it, and ends with a dot and the beginning of
+// the user name that the upstream must be sent, see platform_get_misnamed().
 static void
 caller_format(const struct caller *caller, char *line, const char *text)
 {
-    (void)snprintf(line, CALLER_LINE_SIZE, "QUERY e%dc%d %s", caller->entry,
-                   caller->number, text);
+    (void)snprintf(line, CALLER_LINE_SIZE, "QUERY e%dc%d.%s %s", caller->entry,
+                   caller->number,
+                   caller->has_customer ? customers_get_name(caller->customer)
+                                        : "vm",
+                   text);
+}
+
+// Picks the customer and the key of a session, for every other caller of a
+// database.
+static void
+caller_pick_customer(struct caller *caller)
+{
+    caller->has_customer = caller->number / rig.databases_count / 2 % 2 == 0;
+    if (caller->has_customer) {
+        caller->customer = (int)random_below(&caller->random, CUSTOMERS_COUNT);
+        caller->key = customers_pick_key(caller->customer, &caller->random);
+    }
 }
 
 // Returns whether an answer to STARTUP opens the session.
@@ -130,14 +172,24 @@
 {
     char line[CALLER_LINE_SIZE];
     char database[16] = "";
+    char key[CUSTOMERS_KEY_SIZE] = "u1";
 
     if (caller->database > 0) {
         (void)snprintf(database, sizeof(database), "%d", caller->database);
     }
-    (void)snprintf(line, sizeof(line), "STARTUP %s%s u1",
-                   caller->on_primary_route ? "current" : "own", database);
+    if (caller->has_customer) {
+        (void)snprintf(key, sizeof(key), "key-%s-%d",
+                       customers_get_name(caller->customer), caller->key);
+    }
+    (void)snprintf(line, sizeof(line), "STARTUP %s%s%s %s",
+                   caller->has_customer ? "keyed-" : "",
+                   caller->on_primary_route ? "current" : "own", database,
+                   key);
     char *text = platform_send_request(caller->fd, line);
     bool ready = caller_starts_with(text, "READY");
+    if (caller->has_customer && caller_starts_with(text, "ERROR AUTHFAIL")) {
+        checks_count_refusal();
+    }
     free(text);
     return ready;
 }
@@ -162,6 +214,7 @@
     caller->entry = entry;
     caller->on_primary_route = random_below(&caller->random, 2) == 1;
     caller->session_newest_saved = 0;
+    caller_pick_customer(caller);
     caller->operations_left = (int)random_below(
         &caller->random, caller->number / rig.databases_count % 2 == 0
                              ? CALLER_SHORT_SESSION
@@ -180,7 +233,8 @@
     return caller_starts_with(text, "ERROR BUSY") ||
            caller_starts_with(text, "ERROR ABORTED") ||
            caller_starts_with(text, "ERROR LAGGING") ||
-           caller_starts_with(text, "ERROR NODB");
+           caller_starts_with(text, "ERROR NODB") ||
+           caller_starts_with(text, "ERROR AUTHFAIL");
 }
 
 static void
@@ -249,9 +303,17 @@
         return;
     }
     int value = ++caller->newest_tried;
-    free(caller_request(caller, "QUERY b BEGIN"));
+    char *text = caller_request(caller, "QUERY b BEGIN");
+    bool has_begun = caller_starts_with(text, "COMPLETE");
+    free(text);
+    if (!has_begun) {
+        // A write would run outside of a transaction.
+        caller_set_outcome(caller, value, CALLER_NOT_RUN);
+        caller_disconnect(caller);
+        return;
+    }
     caller_format_save(caller, line, value);
-    char *text = caller_request(caller, line);
+    text = caller_request(caller, line);
     bool is_written = caller_starts_with(text, "COMPLETE");
     free(text);
     if (!is_written || end == 0) {
@@ -302,13 +364,14 @@
 caller_read(struct caller *caller)
 {
     char line[CALLER_LINE_SIZE];
+    char request[CALLER_LINE_SIZE];
     int number = 0;
     int value = 0;
     int required = caller_get_min_value(caller);
 
-    (void)snprintf(line, sizeof(line), "QUERY e%dc%d READ k%d", caller->entry,
-                   caller->number, caller->number);
-    char *text = caller_request(caller, line);
+    (void)snprintf(line, sizeof(line), "READ k%d", caller->number);
+    caller_format(caller, request, line);
+    char *text = caller_request(caller, request);
     if (!caller_starts_with(text, "DATAROW")) {
         if (!caller_is_idle(text)) {
             caller_disconnect(caller);
--- a/soak/checks.c
+++ b/soak/checks.c
@@ -4,11 +4,14 @@
 #include <pthread.h>
 #include <stdbool.h>
 #include <stdio.h>
+#include <stdlib.h>
 
+#include "soak/customers.h"
 #include "soak/events.h"
 #include "test/rig/platform_rig.h"
 
 #define CHECKS_MAX_CUTS   4096
+#define CHECKS_MAX_KEYED  262144
 #define CHECKS_MAX_LISTED 5 // late requests that are written in full
 #define CHECKS_US_PER_MS  1000
 // A request that was sent this long before its connection closed counts as
@@ -25,6 +28,9 @@
     pthread_mutex_t mutex;
     struct checks_cut cuts[CHECKS_MAX_CUTS];
     int cuts_count;
+    struct checks_keyed keyed[CHECKS_MAX_KEYED];
+    int keyed_count;
+    int refusals_count;
 };
 
 static struct checks checks = {.mutex = PTHREAD_MUTEX_INITIALIZER};
@@ -42,6 +48,40 @@
     pthread_mutex_unlock(&checks.mutex);
 }
 
+void
+checks_record_keyed(const struct checks_keyed *keyed)
+{
+    pthread_mutex_lock(&checks.mutex);
+    if (checks.keyed_count < CHECKS_MAX_KEYED) {
+        checks.keyed[checks.keyed_count++] = *keyed;
+    }
+    pthread_mutex_unlock(&checks.mutex);
+}
+
+void
+checks_count_refusal(void)
+{
+    pthread_mutex_lock(&checks.mutex);
+    checks.refusals_count++;
+    pthread_mutex_unlock(&checks.mutex);
+}
+
+void
+checks_print(void)
+{
+    int removed = 0;
+
+    for (int i = 0; i < checks.keyed_count; i++) {
+        const struct checks_keyed *keyed = &checks.keyed[i];
+        int64_t removed_us =
+            customers_get_removed_us(keyed->customer, keyed->key);
+        removed += removed_us != 0 && keyed->sent_us > removed_us ? 1 : 0;
+    }
+    (void)printf(" %d statements of customers, %d of them after the removal "
+                 "of their key, %d sessions refused for their key;",
+                 checks.keyed_count, removed, checks.refusals_count);
+}
+
 int
 checks_count_cuts(void)
 {
@@ -135,12 +175,17 @@
     int64_t acknowledged_us = late->deadline_us - ANNOUNCER_DRAIN_US;
 
     (void)sscanf(late->id, "e%d", &entry);
-    (void)sscanf(late->sender, "vm%d", &sender);
+    // The name of a customer does not tell the sender, which may then be any
+    // entry.
+    bool has_sender = sscanf(late->sender, "vm%d", &sender) == 1;
     sender -= RIG_CONTROLS;
     if (checks_is_core_disrupted(database, acknowledged_us) ||
         checks_is_core_disrupted(database, late->arrived_us) ||
         checks_is_entry_disrupted(entry, late->arrived_us) ||
-        checks_is_entry_disrupted(sender, late->arrived_us)) {
+        checks_is_entry_disrupted(sender, late->arrived_us) ||
+        (!has_sender && events_overlap(EVENT_FAULT, EVENT_ENTRY, EVENT_ANY,
+                                       late->arrived_us - CHECKS_STABLE_US,
+                                       late->arrived_us))) {
         return false;
     }
     if (!is_listed) {
@@ -176,6 +221,80 @@
     }
 }
 
+// Fails for statements that ran under the name of another customer.
+static void
+checks_check_names(int database)
+{
+    char text[PLATFORM_MISNAMED_SIZE];
+    int count = platform_get_misnamed(rig.platforms[database], text);
+
+    if (count > 0) {
+        events_fail("database %d: %d statements under a wrong name, first %s",
+                    database, count, text);
+    }
+}
+
+// Fails for a statement sent later than configApplyMs after the
+// acknowledgement that its key is removed, at an entry that was in contact
+// with control.
+static void
+checks_check_key(const struct checks_keyed *keyed)
+{
+    int64_t removed_us = customers_get_removed_us(keyed->customer, keyed->key);
+    int64_t late_us = keyed->sent_us - removed_us;
+
+    if (removed_us == 0 || late_us <= CUSTOMERS_APPLY_US ||
+        checks_is_entry_disrupted(keyed->entry, keyed->arrived_us) ||
+        events_overlap(EVENT_FAULT, EVENT_CONTROL, EVENT_ANY,
+                       keyed->sent_us - CHECKS_STABLE_US, keyed->arrived_us)) {
+        return;
+    }
+    events_fail("entry %d: a statement sent at %.3f s reached an upstream "
+                "with key %d of %s, removed %" PRId64 " ms before",
+                keyed->entry, events_get_seconds(keyed->sent_us), keyed->key,
+                customers_get_name(keyed->customer),
+                late_us / CHECKS_US_PER_MS);
+}
+
+static int
+checks_compare_times(const void *a, const void *b)
+{
+    int64_t left = *(const int64_t *)a;
+    int64_t right = *(const int64_t *)b;
+
+    return (left > right) - (left < right);
+}
+
+// Fails for a customer of which more operations ran in a window than its limit
+// allows. Lists the first such window.
+static void
+checks_check_limit(int customer)
+{
+    static int64_t times_us[CHECKS_MAX_KEYED];
+    int count = 0;
+    int first = 0;
+
+    for (int i = 0; i < checks.keyed_count; i++) {
+        if (checks.keyed[i].customer == customer && checks.keyed[i].has_run) {
+            times_us[count++] = checks.keyed[i].arrived_us;
+        }
+    }
+    qsort(times_us, (size_t)count, sizeof(times_us[0]), checks_compare_times);
+    for (int i = 0; i < count; i++) {
+        while (times_us[first] + CUSTOMERS_WINDOW_US < times_us[i]) {
+            first++;
+        }
+        double bound = customers_get_bound(customer, times_us[first]);
+        if (i - first + 1 > bound) {
+            events_fail("customer %s: %d operations in 5 s up to %.3f s, "
+                        "allowed %.1f",
+                        customers_get_name(customer), i - first + 1,
+                        events_get_seconds(times_us[i]), bound);
+            return;
+        }
+    }
+}
+
 void
 checks_run(void)
 {
@@ -184,5 +303,12 @@
     }
     for (int i = 0; i < rig.databases_count; i++) {
         checks_check_database(i);
+        checks_check_names(i);
+    }
+    for (int i = 0; i < checks.keyed_count; i++) {
+        checks_check_key(&checks.keyed[i]);
+    }
+    for (int i = 0; i < CUSTOMERS_COUNT; i++) {
+        checks_check_limit(i);
     }
 }
--- a/soak/config.c
+++ b/soak/config.c
@@ -8,7 +8,9 @@
 
 #include "catkingrade/decide/random.h"
 #include "catkingrade/kernel/buffer.h"
+#include "catkingrade/kernel/loop.h"
 #include "catkingrade/kernel/memory.h"
+#include "soak/customers.h"
 #include "soak/events.h"
 #include "test/rig/platform_rig.h"
 
@@ -20,10 +22,14 @@
 #define CONFIG_MANY_CONNECTIONS 40
 #define CONFIG_SHORT_TIMEOUT_MS 1500
 #define CONFIG_LONG_TIMEOUT_MS  4000
+// Time between two changes of customers.
+#define CONFIG_MIN_CHANGE_US 500000
+#define CONFIG_MAX_CHANGE_US 3000000
 
 struct config {
     pthread_t thread;
     uint64_t random;
+    int64_t change_us; // time of the next change of customers
     atomic_bool stopping;
     atomic_int requested;     // control VM for the next upload
     int sent_version;         // newest version sent
@@ -32,12 +38,16 @@
 
 static struct config config;
 
-// Appends the routes of a database: `own` and `current`, followed by its
-// number unless that is 0.
+// Appends the routes of a database, followed by its number unless that is 0:
+// `own` and `current`, or those for customers, `keyed-own` and
+// `keyed-current`.
 static void
-config_append_routes(struct buffer *body, int database, int version)
+config_append_routes(struct buffer *body, int database, int version,
+                     bool is_keyed)
 {
     char number[16] = "";
+    const char *prefix = is_keyed ? "keyed-" : "";
+    const char *public = is_keyed ? "false" : "true";
     int timeout_ms =
         database == 0 ? CONFIG_SHORT_TIMEOUT_MS : CONFIG_LONG_TIMEOUT_MS;
 
@@ -46,13 +56,15 @@
     }
     buffer_append_format(
         body,
-        "%s{\"host\":\"own%s\",\"routeKind\":\"read_own_writes\","
+        "%s{\"host\":\"%sown%s\",\"routeKind\":\"read_own_writes\","
         "\"timeoutMs\":%d,\"targetLatencyMs\":900,\"priority\":2,"
-        "\"service\":\"core%s\",\"maxStalenessMs\":%d},"
-        "{\"host\":\"current%s\",\"routeKind\":\"primary\",\"timeoutMs\":%d,"
-        "\"targetLatencyMs\":900,\"priority\":1,\"service\":\"core%s\"}",
-        database == 0 ? "" : ",", number, timeout_ms + version % 7, number,
-        CONFIG_MAX_STALENESS_MS, number, timeout_ms, number);
+        "\"service\":\"core%s\",\"maxStalenessMs\":%d,\"public\":%s},"
+        "{\"host\":\"%scurrent%s\",\"routeKind\":\"primary\",\"timeoutMs\":%d,"
+        "\"targetLatencyMs\":900,\"priority\":1,\"service\":\"core%s\","
+        "\"public\":%s}",
+        database == 0 && !is_keyed ? "" : ",", prefix, number,
+        timeout_ms + version % 7, number, CONFIG_MAX_STALENESS_MS, public,
+        prefix, number, timeout_ms, number, public);
 }
 
 static void
@@ -78,13 +90,16 @@
 
     buffer_append_format(&body, "{\"version\":%d,\"routes\":[", version);
     for (int i = 0; i < rig.databases_count; i++) {
-        config_append_routes(&body, i, version);
+        config_append_routes(&body, i, version, false);
+        config_append_routes(&body, i, version, true);
     }
     buffer_append_format(&body, "],\"services\":[");
     for (int i = 0; i < rig.databases_count; i++) {
         config_append_service(&body, i);
     }
-    buffer_append_format(&body, "],\"limits\":{\"txIdleMs\":3000}}");
+    buffer_append_format(&body, "],\"limits\":{\"txIdleMs\":3000}");
+    customers_append(&body);
+    buffer_append_format(&body, "}");
     buffer_append_u8(&body, 0);
     return (char *)body.data;
 }
@@ -96,6 +111,7 @@
 
     if (platform_rig_put_config(control, body) == 200) {
         config.acknowledged_version = config.sent_version;
+        customers_acknowledge();
     }
     free(body);
 }
@@ -119,6 +135,20 @@
     return is_valid;
 }
 
+// Changes a customer when it is time, which needs an upload.
+static void
+config_change_customers(void)
+{
+    if (monotonic_get_us() < config.change_us) {
+        return;
+    }
+    customers_change(&config.random);
+    config_upload((int)random_below(&config.random, RIG_CONTROLS));
+    config.change_us = monotonic_get_us() + CONFIG_MIN_CHANGE_US +
+                       random_below(&config.random, CONFIG_MAX_CHANGE_US -
+                                                        CONFIG_MIN_CHANGE_US);
+}
+
 static void *
 config_run(void *data)
 {
@@ -128,6 +158,7 @@
         if (control != CONFIG_NO_REQUEST) {
             config_upload(control);
         }
+        config_change_customers();
         (void)config_check((int)random_below(&config.random, RIG_CONTROLS));
         usleep(CONFIG_INTERVAL_US);
     }
@@ -138,6 +169,7 @@
 config_start(uint64_t seed)
 {
     config.random = seed;
+    customers_start();
     atomic_store(&config.requested, CONFIG_NO_REQUEST);
     config.acknowledged_version = config.sent_version = 1;
     char *body = config_format(config.sent_version);
--- a/soak/soak.c
+++ b/soak/soak.c
@@ -182,6 +182,7 @@
                  " saves, %d connections cut;",
                  soak.seed, soak.minutes, callers_count_saves(callers),
                  checks_count_cuts());
+    checks_print();
     faults_print();
     (void)printf(
         " stops in turn %u, reloads %u, upstreams replaced %u, "
--- a/test/fake/platform.c
+++ b/test/fake/platform.c
@@ -98,6 +98,8 @@
     int late_count;
     struct arrival arrivals[PLATFORM_MAX_ARRIVALS];
     int arrivals_count;
+    char misnamed[PLATFORM_MISNAMED_SIZE]; // first one
+    int misnamed_count;
     const char *forbidden_text; // or NULL
     int forbidden_count;
 };
@@ -337,6 +339,21 @@
     }
 }
 
+// Counts a statement whose id calls for another user name.
+static void
+check_name(struct platform *platform, const struct conn *conn, const char *id)
+{
+    const char *dot = strchr(id, '.');
+
+    if (dot == NULL || strncmp(conn->sender, dot + 1, strlen(dot + 1)) == 0) {
+        return;
+    }
+    if (platform->misnamed_count++ == 0) {
+        (void)snprintf(platform->misnamed, sizeof(platform->misnamed),
+                       "%.63s by %s", id, conn->sender);
+    }
+}
+
 // Records a client's statement that arrives after the upstream's deadline.
 // Only a single statement and the first one of a transaction count. Statements
 // that the system issues itself carry the id "-".
@@ -351,6 +368,7 @@
         return;
     }
     record_arrival(platform, conn, id, now_us);
+    check_name(platform, conn, id);
     conn->is_first = false;
     if (!counts || deadline_us == 0 || now_us <= deadline_us ||
         platform->late_count == PLATFORM_MAX_LATE) {
@@ -745,6 +763,17 @@
     return arrival != NULL;
 }
 
+int
+platform_get_misnamed(struct platform *platform,
+                      char text[PLATFORM_MISNAMED_SIZE])
+{
+    pthread_mutex_lock(&platform->mutex);
+    memcpy(text, platform->misnamed, PLATFORM_MISNAMED_SIZE);
+    int count = platform->misnamed_count;
+    pthread_mutex_unlock(&platform->mutex);
+    return count;
+}
+
 void
 platform_forbid_text(struct platform *platform, const char *text)
 {
--- a/test/fake/platform.h
+++ b/test/fake/platform.h
@@ -13,6 +13,8 @@
 #define PLATFORM_UPSTREAMS 3
 #define PLATFORM_ID_SIZE   64
 #define PLATFORM_MAX_LATE  256
+// Size of the text about a statement under a wrong name.
+#define PLATFORM_MISNAMED_SIZE (2 * PLATFORM_ID_SIZE + 8)
 
 struct platform;
 
@@ -57,6 +59,11 @@
 // last reached an upstream. Returns false if none has.
 bool platform_get_arrival_sender(struct platform *platform, const char *id,
                                  char sender[PLATFORM_ID_SIZE]);
+// Returns how many statements, whose id contains a dot, came on a connection
+// whose user name does not begin with what follows the dot. Copies the id and
+// the user name of the first.
+int platform_get_misnamed(struct platform *platform,
+                          char text[PLATFORM_MISNAMED_SIZE]);
 // Sets a text, a string literal, that no line to an upstream may contain, and
 // returns how many lines contained it.
 void platform_forbid_text(struct platform *platform, const char *text);
