fix(traffic): a relay that refuses after a slow statement does not count as silent

Problem: a statement that waits for its upstream for suspect_ms counts as silence of the relay; when that relay stopped as planned, the read was refused at its queue timeout (test_stop, test_read_at_stopping_relay_goes_on). Change: the last failure decides; a refusal shows that the relay's VM answers.

--- a/src/catkingrade/decide/traffic/relay_contact.c
+++ b/src/catkingrade/decide/traffic/relay_contact.c
@@ -15,7 +15,7 @@
     if (contact->failing_since_us == 0) {
         contact->failing_since_us = now_us;
     }
-    contact->silent = contact->silent || silent;
+    contact->silent = silent;
     contact->lost =
         now_us - contact->failing_since_us >= RELAY_CONTACT_LOSS_US;
 }
@@ -29,8 +29,8 @@
     contact->silent = false;
 }
 
-// Returns whether no relay has answered since one was silent. A relay that
-// refuses, as at a planned stop, has another one named in its place soon.
+// Returns whether the last failure was silence. In place of a relay that
+// refuses, as at a planned stop, another one is named soon.
 bool
 relay_contact_is_silent(const struct relay_contact *contact)
 {
--- a/src/catkingrade/decide/traffic/relay_contact.h
+++ b/src/catkingrade/decide/traffic/relay_contact.h
@@ -11,7 +11,7 @@
 struct relay_contact {
     int64_t failing_since_us; // first failure since the last contact; 0: none
     bool lost;
-    bool silent; // a failure since the last contact was silence, not a refusal
+    bool silent; // the last failure was silence, not a refusal
 };
 
 void relay_contact_record_failure(struct relay_contact *contact,
--- a/src/catkingrade/decide/traffic/scheduler_result.c
+++ b/src/catkingrade/decide/traffic/scheduler_result.c
@@ -326,7 +326,8 @@
         int64_t opened_us = conn->opened_us;
         if (scheduler->view.relayed) {
             relay_contact_record_failure(&scheduler->relay_contact,
-                                         scheduler->now_us, false);
+                                         scheduler->now_us,
+                                         scheduler->relay_contact.silent);
         }
         result_lose_conn(scheduler, conn, event->result,
                          SCHEDULER_CLOSE_ABNORMAL);
