test(review): an entry crashes when it wakes after its lease

Case 4 of the review: an entry is frozen for 3.3 s while it takes over a new version, and ends with a segmentation fault when it wakes.

--- a/review/common/rig.c
+++ b/review/common/rig.c
@@ -968,7 +968,7 @@
 {
     char out[RIG_REPLY_SIZE];
 
-    rig_note("operator sends %s", body);
+    rig_note("operator sends %.1500s", body);
     for (int i = 0; i < 200; i++) {
         int status = rig_http(i % RIG_CONTROLS, "PUT", "/v1/config", body, out,
                               sizeof(out));
@@ -1238,9 +1238,56 @@
 }
 
 bool
-rig_is_running(int daemon)
+rig_has_ended(int daemon, char *how, size_t size)
 {
-    return daemons[daemon] > 0 && waitpid(daemons[daemon], NULL, WNOHANG) == 0;
+    int status = 0;
+
+    if (daemons[daemon] <= 0) {
+        return true;
+    }
+    if (waitpid(daemons[daemon], &status, WNOHANG) == 0) {
+        return false;
+    }
+    daemons[daemon] = 0;
+    if (WIFSIGNALED(status)) {
+        (void)snprintf(how, size, "signal %d, %s", WTERMSIG(status),
+                       strsignal(WTERMSIG(status)));
+    }
+    else {
+        (void)snprintf(how, size, "exit code %d", WEXITSTATUS(status));
+    }
+    return true;
+}
+
+int
+rig_find_leader(void)
+{
+    int leader = -1;
+    int leader_term = -1;
+
+    for (int i = 0; i < RIG_CONTROLS; i++) {
+        char path[200];
+        char line[2048];
+        bool leads = false;
+        int term = 0;
+        (void)snprintf(path, sizeof(path), "%s/%d.log", folder, i);
+        FILE *log = fopen(path, "r");
+        while (log != NULL && fgets(line, sizeof(line), log) != NULL) {
+            const char *at = strstr(line, "\"term\":\"");
+            if (strstr(line, "\"event\":\"group_role\"") != NULL) {
+                leads = strstr(line, "\"role\":\"leader\"") != NULL;
+                term = at == NULL ? 0 : atoi(at + 8);
+            }
+        }
+        if (log != NULL) {
+            fclose(log);
+        }
+        if (leads && term > leader_term) {
+            leader = i;
+            leader_term = term;
+        }
+    }
+    return leader;
 }
 
 static void
--- a/review/common/rig.h
+++ b/review/common/rig.h
@@ -115,7 +115,10 @@
 
 // Signals to the daemons: 0 to RIG_CONTROLS - 1, then the entries.
 void rig_signal(int daemon, int signal);
-bool rig_is_running(int daemon);
+// Returns whether a daemon's process has ended by itself, and how.
+bool rig_has_ended(int daemon, char *how, size_t size);
+// Returns the control VM that leads by its log, -1 if none does.
+int rig_find_leader(void);
 
 // Clients. A session is a connection; -1 if it is not ready.
 int rig_connect(int entry);
