fix(group): promote only complete upstreams where replicas confirm writes

Cause: a declaration gave each database the policy "availability first", also where writes are confirmed by replicas. The coordinator then promoted the most advanced upstream that answered, 0.6 s after the crash, while the replica with all writes was silent for 5 s.

--- a/src/catkingrade/decide/group/group_declaration.c
+++ b/src/catkingrade/decide/group/group_declaration.c
@@ -63,15 +63,26 @@
     return result->outcome;
 }
 
+// Returns the promotion policy of a declared database. An acknowledged write
+// must not be lost where replicas confirm writes, so only an operator may have
+// a replica promoted that is not known to hold them all.
+static ck_promotion_policy
+group_get_declared_promotion(u_int confirm)
+{
+    return confirm > 0 ? CK_PROMOTION_OPERATOR : CK_PROMOTION_AVAILABLE;
+}
+
 // Sets this group as the control group of a declared customer's databases and
-// adds the databases to the index, unless the customer is removed.
+// adds the databases to the index, unless the customer is removed. Derives the
+// promotion policy, which snapshots of earlier versions hold differently.
 void
 group_restore_declared_customer(struct group_state *group,
                                 struct group_object *object)
 {
-    const struct ck_customer *customer = &object->expanded.customer;
+    struct ck_customer *customer = &object->expanded.customer;
     u_int count = customer->databases.databases_len;
 
+    customer->promotion = group_get_declared_promotion(customer->confirm);
     object->expanded.groups = xcalloc(count + 1, sizeof(char *));
     for (u_int i = 0; i < count; i++) {
         object->expanded.groups[i] = xstrdup(group->name);
@@ -94,7 +105,6 @@
     object->declared = true;
     customer->name = xstrdup(database->name);
     customer->template_name = xstrdup("");
-    customer->promotion = CK_PROMOTION_AVAILABLE;
     customer->databases.databases_val = xcalloc(1, sizeof(ck_name));
     customer->databases.databases_val[0] = xstrdup(database->name);
     customer->databases.databases_len = 1;
@@ -216,6 +226,7 @@
     object->removed = false;
     customer->connections = database->connections;
     customer->confirm = database->confirm;
+    customer->promotion = group_get_declared_promotion(database->confirm);
     if (was_removed) {
         group_index_customer(group, object);
         group_set_database_listed(group, database->name, true);
--- /dev/null
+++ b/test/rig/promotion_rig.c
@@ -0,0 +1,300 @@
+#include "test/rig/promotion_rig.h"
+
+#include <check.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "catkingrade/decide/group/declaration.h"
+#include "catkingrade/kernel/outcome.h"
+#include "catkingrade/rpc/codec.h"
+#include "test/fake/changes.h"
+
+#define DATABASE    "roster1"
+#define START_US    INT64_C(1000000)
+#define ANNOUNCE_US INT64_C(500000)
+
+static void promotion_rig_step(struct promotion_rig *rig,
+                               struct coordinator_event *event);
+
+const struct ck_database *
+promotion_rig_get_database(const struct promotion_rig *rig)
+{
+    return group_find_database(rig->group, DATABASE);
+}
+
+static struct promotion_rig_upstream *
+promotion_rig_find(struct promotion_rig *rig, const char *name)
+{
+    for (size_t i = 0; i < PROMOTION_RIG_UPSTREAMS; i++) {
+        if (strcmp(rig->upstreams[i].name, name) == 0) {
+            return &rig->upstreams[i];
+        }
+    }
+    ck_abort_msg("no upstream %s", name);
+    return NULL;
+}
+
+static void
+promotion_rig_apply(struct promotion_rig *rig,
+                    const struct coordinator_action *action)
+{
+    struct ck_log_payload payload;
+    struct group_result result;
+    struct coordinator_event event = {.kind = COORDINATOR_EVENT_APPLIED};
+
+    memset(&payload, 0, sizeof(payload));
+    ck_assert_int_eq(codec_decode((xdrproc_t)xdr_ck_log_payload,
+                                  action->payload.data,
+                                  action->payload.size_bytes, &payload),
+                     OUTCOME_OK);
+    group_apply_payload(rig->group, group_get_applied_index(rig->group) + 1,
+                        &payload, &result);
+    event.token = action->token;
+    event.applied.change = &payload.change;
+    event.applied.result = &result;
+    promotion_rig_step(rig, &event);
+    codec_free((xdrproc_t)xdr_ck_log_payload, &payload);
+}
+
+// Answers FENCE and FOLLOW orders at once.
+static void
+promotion_rig_finish_repair(struct promotion_rig *rig, const char *upstream,
+                            enum coordinator_event_kind kind)
+{
+    struct coordinator_event event = {.kind = kind};
+
+    event.done.upstream = upstream;
+    event.done.outcome = promotion_rig_find(rig, upstream)->is_silent
+                             ? OUTCOME_TIMEOUT
+                             : OUTCOME_OK;
+    promotion_rig_step(rig, &event);
+}
+
+static void
+promotion_rig_order(struct promotion_rig *rig, const char *name)
+{
+    rig->orders_count++;
+    promotion_rig_find(rig, name)->promoted_us =
+        rig->now_us + rig->promotion_us;
+}
+
+static void
+promotion_rig_run_action(struct promotion_rig *rig,
+                         const struct coordinator_action *action)
+{
+    switch (action->kind) {
+    case COORDINATOR_ACTION_PROPOSE:
+        promotion_rig_apply(rig, action);
+        break;
+    case COORDINATOR_ACTION_PROBE:
+        promotion_rig_find(rig, action->upstream.upstream->name)->is_probed =
+            true;
+        break;
+    case COORDINATOR_ACTION_PROMOTE:
+        promotion_rig_order(rig, action->upstream.upstream->name);
+        break;
+    case COORDINATOR_ACTION_FENCE:
+        promotion_rig_finish_repair(rig, action->upstream.upstream->name,
+                                    COORDINATOR_EVENT_FENCED);
+        break;
+    case COORDINATOR_ACTION_FOLLOW:
+        promotion_rig_finish_repair(rig, action->upstream.upstream->name,
+                                    COORDINATOR_EVENT_FOLLOWED);
+        break;
+    default:
+        break;
+    }
+}
+
+static void
+promotion_rig_step(struct promotion_rig *rig, struct coordinator_event *event)
+{
+    struct coordinator_actions actions = {0};
+
+    event->quorum = true;
+    coordinator_step(rig->coordinator, rig->now_us, event, &actions);
+    for (size_t i = 0; i < actions.count; i++) {
+        promotion_rig_run_action(rig, &actions.items[i]);
+    }
+    coordinator_actions_free(&actions);
+}
+
+static void
+promotion_rig_answer_probe(struct promotion_rig *rig,
+                           struct promotion_rig_upstream *upstream)
+{
+    struct coordinator_event event = {.kind = COORDINATOR_EVENT_PROBED};
+
+    upstream->is_probed = false;
+    event.probe.upstream = upstream->name;
+    if (upstream->is_silent) {
+        event.kind = COORDINATOR_EVENT_PROBE_FAILED;
+    }
+    else {
+        event.probe.is_primary = upstream->is_primary;
+        event.probe.position.timeline = upstream->timeline;
+        event.probe.position.lsn = upstream->lsn;
+    }
+    promotion_rig_step(rig, &event);
+}
+
+static void
+promotion_rig_announce(struct promotion_rig *rig,
+                       const struct promotion_rig_upstream *upstream)
+{
+    struct ck_upstream announced = changes_make_upstream(
+        upstream->name, DATABASE, "noord", upstream->name);
+    struct coordinator_event event = {.kind = COORDINATOR_EVENT_ANNOUNCE};
+
+    event.announce = &announced;
+    promotion_rig_step(rig, &event);
+}
+
+// The promotion of one upstream takes effect: it begins a new timeline, and
+// the others stop being primaries.
+static void
+promotion_rig_promote(struct promotion_rig *rig,
+                      struct promotion_rig_upstream *upstream)
+{
+    struct coordinator_event event = {.kind = COORDINATOR_EVENT_PROMOTED};
+    uint64_t timeline = 0;
+
+    for (size_t i = 0; i < PROMOTION_RIG_UPSTREAMS; i++) {
+        rig->upstreams[i].is_primary = false;
+        if (rig->upstreams[i].timeline > timeline) {
+            timeline = rig->upstreams[i].timeline;
+        }
+    }
+    upstream->promoted_us = 0;
+    upstream->is_primary = true;
+    upstream->timeline = timeline + 1;
+    event.probe.upstream = upstream->name;
+    event.probe.is_primary = true;
+    event.probe.position.timeline = upstream->timeline;
+    event.probe.position.lsn = upstream->lsn;
+    promotion_rig_step(rig, &event);
+}
+
+static void
+promotion_rig_advance(struct promotion_rig *rig)
+{
+    struct coordinator_event tick = {.kind = COORDINATOR_EVENT_TICK};
+
+    rig->now_us += PROMOTION_RIG_STEP_US;
+    promotion_rig_step(rig, &tick);
+    for (size_t i = 0; i < PROMOTION_RIG_UPSTREAMS; i++) {
+        struct promotion_rig_upstream *upstream = &rig->upstreams[i];
+        if (upstream->is_probed) {
+            promotion_rig_answer_probe(rig, upstream);
+        }
+        if (upstream->promoted_us != 0 &&
+            upstream->promoted_us <= rig->now_us) {
+            promotion_rig_promote(rig, upstream);
+        }
+        if (!upstream->is_silent && rig->now_us % ANNOUNCE_US == 0) {
+            promotion_rig_announce(rig, upstream);
+        }
+    }
+}
+
+void
+promotion_rig_run(struct promotion_rig *rig, int64_t duration_us)
+{
+    int64_t end_us = rig->now_us + duration_us;
+
+    while (rig->now_us < end_us) {
+        promotion_rig_advance(rig);
+    }
+}
+
+static void
+promotion_rig_declare(struct promotion_rig *rig, unsigned confirm)
+{
+    struct ck_change change = {.kind = CK_CHANGE_DECLARATION};
+    struct ck_route route = {.name = (char *)"booking",
+                             .database = (char *)DATABASE,
+                             .deadline_ms = 1000};
+    struct ck_declared_database database = {
+        .name = (char *)DATABASE, .connections = 33, .confirm = confirm};
+    struct ck_declaration declaration = {
+        .routes = {.routes_len = 1, .routes_val = &route},
+        .databases = {.databases_len = 1, .databases_val = &database},
+        .original = {.original_len = 4, .original_val = (char *)"text"}};
+
+    ck_assert_int_eq(
+        declaration_pack(&declaration, 1, &change.ck_change_u.declaration),
+        OUTCOME_OK);
+    ck_assert_int_eq(changes_apply(rig->group, 0, &change, "", -1, NULL),
+                     OUTCOME_OK);
+    declaration_free_packed(&change.ck_change_u.declaration);
+}
+
+static void
+promotion_rig_add_upstreams(struct promotion_rig *rig)
+{
+    struct ck_change change = {.kind = CK_CHANGE_PRIMARY};
+
+    for (size_t i = 0; i < PROMOTION_RIG_UPSTREAMS; i++) {
+        struct promotion_rig_upstream *upstream = &rig->upstreams[i];
+        (void)snprintf(upstream->name, sizeof(upstream->name), "u%zu", i);
+        upstream->timeline = 1;
+        upstream->lsn = 50;
+        struct ck_upstream announced = changes_make_upstream(
+            upstream->name, DATABASE, "noord", upstream->name);
+        ck_assert_int_eq(changes_apply_upstream(rig->group, &announced),
+                         OUTCOME_OK);
+    }
+    rig->upstreams[0].is_primary = true;
+    change.ck_change_u.primary.database = (char *)DATABASE;
+    change.ck_change_u.primary.term = 1;
+    change.ck_change_u.primary.primary = rig->upstreams[0].name;
+    change.ck_change_u.primary.base.timeline = 1;
+    ck_assert_int_eq(changes_apply(rig->group, 0, &change, "", -1, NULL),
+                     OUTCOME_OK);
+}
+
+static void
+promotion_rig_elect(struct promotion_rig *rig)
+{
+    struct coordinator_params params;
+    struct coordinator_event event = {.kind = COORDINATOR_EVENT_ELECTED,
+                                      .leader_term = ++rig->leader_term};
+
+    coordinator_params_init(&params);
+    rig->coordinator = coordinator_create(&params, rig->group);
+    promotion_rig_step(rig, &event);
+}
+
+void
+promotion_rig_start(struct promotion_rig *rig, unsigned confirm)
+{
+    memset(rig, 0, sizeof(*rig));
+    rig->now_us = START_US;
+    rig->promotion_us = 50 * PROMOTION_RIG_STEP_US;
+    rig->group = group_create(GROUP_FLEET_NAME);
+    promotion_rig_declare(rig, confirm);
+    promotion_rig_add_upstreams(rig);
+    promotion_rig_elect(rig);
+    promotion_rig_run(rig, ANNOUNCE_US);
+}
+
+void
+promotion_rig_finish(struct promotion_rig *rig)
+{
+    coordinator_destroy(rig->coordinator);
+    group_destroy(rig->group);
+}
+
+void
+promotion_rig_lose_primary(struct promotion_rig *rig)
+{
+    const struct ck_database *database = promotion_rig_get_database(rig);
+    struct coordinator_event event = {.kind = COORDINATOR_EVENT_ANNOUNCE};
+    struct ck_upstream lost = changes_make_upstream(
+        database->primary, DATABASE, "noord", database->primary);
+
+    promotion_rig_find(rig, database->primary)->is_silent = true;
+    lost.state = CK_UPSTREAM_LOST;
+    event.announce = &lost;
+    promotion_rig_step(rig, &event);
+}
--- /dev/null
+++ b/test/rig/promotion_rig.h
@@ -0,0 +1,49 @@
+#ifndef TEST_RIG_PROMOTION_RIG_H
+#define TEST_RIG_PROMOTION_RIG_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "catkingrade/decide/coordinator/coordinator.h"
+#include "catkingrade/decide/group/group.h"
+
+// One declared database, the coordinator of the leading control VM, and models
+// of the database's upstreams, in virtual time. There are no entries, so that
+// no lease delays a change of primary. Upstream u0 is the first primary.
+
+#define PROMOTION_RIG_UPSTREAMS 3
+#define PROMOTION_RIG_STEP_US   INT64_C(10000)
+
+struct promotion_rig_upstream {
+    char name[8];
+    uint64_t timeline;
+    uint64_t lsn;
+    bool is_primary;     // as it sees itself
+    bool is_silent;      // answers nothing and announces nothing
+    bool is_probed;      // a probe waits for its answer
+    int64_t promoted_us; // when an ordered promotion takes effect; 0: none
+};
+
+struct promotion_rig {
+    struct group_state *group;
+    struct coordinator *coordinator;
+    int64_t now_us;
+    uint64_t leader_term;
+    struct promotion_rig_upstream upstreams[PROMOTION_RIG_UPSTREAMS];
+    int64_t promotion_us; // from the order of a promotion to its effect
+    size_t orders_count;  // promotions ordered
+};
+
+// Creates the database with one primary and two replicas, of which `confirm`
+// must confirm a write, and elects the first leader.
+void promotion_rig_start(struct promotion_rig *rig, unsigned confirm);
+void promotion_rig_finish(struct promotion_rig *rig);
+// Lets virtual time pass.
+void promotion_rig_run(struct promotion_rig *rig, int64_t duration_us);
+// Stops the primary's process and supersedes its term.
+void promotion_rig_lose_primary(struct promotion_rig *rig);
+const struct ck_database *
+promotion_rig_get_database(const struct promotion_rig *rig);
+
+#endif
--- a/test/unit/decide/group/test_declaration.c
+++ b/test/unit/decide/group/test_declaration.c
@@ -165,6 +165,35 @@
 }
 END_TEST
 
+static ck_promotion_policy
+get_promotion(const struct group_state *group)
+{
+    return group_find_customer_of_database(group, "roster1")->promotion;
+}
+
+// Guards against the loss of acknowledged writes: a database whose writes
+// replicas confirm is never promoted automatically without all of them, also
+// if an earlier declaration did not ask for confirmations.
+START_TEST(test_confirmed_writes_exclude_availability_first)
+{
+    struct group_state *group = group_create(GROUP_FLEET_NAME);
+    struct group_result result;
+    struct sample sample;
+
+    make_sample(&sample);
+    sample.databases[0].confirm = 0;
+    ck_assert_int_eq(apply(group, &sample, 1, &result), OUTCOME_OK);
+    ck_assert_int_eq(get_promotion(group), CK_PROMOTION_AVAILABLE);
+    sample.databases[0].confirm = 1;
+    ck_assert_int_eq(apply(group, &sample, 2, &result), OUTCOME_OK);
+    ck_assert_int_eq(get_promotion(group), CK_PROMOTION_OPERATOR);
+    sample.databases[0].confirm = 0;
+    ck_assert_int_eq(apply(group, &sample, 3, &result), OUTCOME_OK);
+    ck_assert_int_eq(get_promotion(group), CK_PROMOTION_AVAILABLE);
+    group_destroy(group);
+}
+END_TEST
+
 // A new declaration adds and removes databases. The connection limit of the
 // declaration overrides the announced limit, also after the limit has changed.
 START_TEST(test_declaration_updates_databases)
@@ -348,6 +377,7 @@
     tcase_add_test(tests, test_pack_and_unpack);
     tcase_add_test(tests, test_check_names_each_fault);
     tcase_add_test(tests, test_highest_number_is_in_force);
+    tcase_add_test(tests, test_confirmed_writes_exclude_availability_first);
     tcase_add_test(tests, test_declaration_updates_databases);
     tcase_add_test(tests, test_snapshot_and_delta);
     tcase_add_test(tests, test_declaration_of_many_databases);
