fix(entry): keep a session's read floor at the databases that it leaves

Cause: a session had one read floor, which was cleared when the database of its route changed; none was kept for the database that it left.

Evidence: test_moved_route failed before in both checks, directly and through a relay ("DATAROW zero, expected DATAROW one").

Change: database_move_session keeps the floor by database (entry/session_floors.c) and opens the session with it when it comes back, with the age that it has.

--- a/src/catkingrade/decide/traffic/scheduler_session.c
+++ b/src/catkingrade/decide/traffic/scheduler_session.c
@@ -25,6 +25,7 @@
     session->floor_known = event->floor_known || event->declared_new;
     if (event->floor_known) {
         session->floor = event->floor;
+        session->floor_us = scheduler->now_us - event->floor_age_us;
     }
     id_map_put(&scheduler->sessions, session->id, session);
     if (!session->floor_known) {
--- a/src/catkingrade/entry/database.c
+++ b/src/catkingrade/entry/database.c
@@ -333,7 +333,9 @@
         .session_open = {.session = session->id,
                          .floor_known = floor_known,
                          .declared_new = declared_new,
-                         .floor = session->floor},
+                         .floor = session->floor,
+                         .floor_age_us =
+                             monotonic_get_us() - session->floor_us},
     };
 
     session->database = database;
@@ -398,6 +400,44 @@
     database_check_removal(database);
 }
 
+// Keeps the read floor of a session that leaves its database.
+static void
+database_keep_floor(struct entry_session *session)
+{
+    const struct session_floor left = {session->floor, session->floor_us};
+
+    if (session->floor.lsn == 0) {
+        return;
+    }
+    if (session->left_floors == NULL) {
+        session->left_floors = session_floors_create();
+    }
+    session_floors_put(session->left_floors, session->database->name, &left);
+}
+
+// Moves a session from its database, if any, to another one; NULL: to none.
+// Its request in flight is cancelled; NULL: none. The session continues with
+// the read floor that it had when it left the new database, or with none.
+void
+database_move_session(struct database *database, struct entry_session *session,
+                      struct entry_request *request)
+{
+    struct session_floor floor = {0};
+
+    if (session->database != NULL) {
+        database_keep_floor(session);
+        database_close_session(session->database, session, request);
+    }
+    bool is_known =
+        database != NULL && session->left_floors != NULL &&
+        session_floors_take(session->left_floors, database->name, &floor);
+    session->floor = floor.floor;
+    session->floor_us = floor.raised_us;
+    if (database != NULL) {
+        database_open_session(database, session, is_known, true);
+    }
+}
+
 // Submits a request to the scheduler. The database takes ownership of the
 // request. The outcome may be delivered before this function returns. If
 // request->session is NULL, params.session contains the session's id and the
--- a/src/catkingrade/entry/database.h
+++ b/src/catkingrade/entry/database.h
@@ -57,6 +57,9 @@
 void database_close_session(struct database *database,
                             struct entry_session *session,
                             struct entry_request *request);
+void database_move_session(struct database *database,
+                           struct entry_session *session,
+                           struct entry_request *request);
 void database_submit(struct database *database, struct entry_request *request);
 void database_cancel(struct database *database, struct entry_request *request);
 void database_decide_limit(struct database *database,
--- a/src/catkingrade/entry/session.h
+++ b/src/catkingrade/entry/session.h
@@ -6,6 +6,7 @@
 
 #include "catkingrade/decide/traffic/scheduler_defs.h"
 #include "catkingrade/entry/job.h"
+#include "catkingrade/entry/session_floors.h"
 
 // Interface between a database of the entry and the sessions of the protocol
 // front ends.
@@ -64,7 +65,8 @@
     struct database *database; // NULL until the session is opened there
     uint64_t id;
     struct scheduler_floor floor;
-    int64_t floor_us;  // monotonic time at which the floor was last raised
+    int64_t floor_us; // monotonic time at which the floor was last raised
+    struct session_floors *left_floors; // NULL until it leaves a database
     const char *route; // route name, passed on to relay entries; or NULL
     // Name of the customer to which the session's key belongs; empty: none.
     char customer[CK_NAME_SIZE + 1];
--- a/test/rig/platform_rig.c
+++ b/test/rig/platform_rig.c
@@ -160,8 +160,12 @@
     rig.entries_count = options->entries;
     rig.databases_count = options->databases;
     rig.control_extra = options->control_extra;
-    rig.entry_timings = options->entry_timings;
-    rig.control_timings = options->control_timings;
+    rig.entry_timings = options->entry_timings == NULL
+                            ? PLATFORM_RIG_TIMINGS
+                            : options->entry_timings;
+    rig.control_timings = options->control_timings == NULL
+                              ? PLATFORM_RIG_TIMINGS
+                              : options->control_timings;
     rig.call_timeout_ms = options->call_timeout_ms == 0
                               ? PLATFORM_RIG_TIMEOUT_MS
                               : options->call_timeout_ms;
@@ -177,8 +181,6 @@
         .entries = entries,
         .databases = 1,
         .control_extra = control_extra,
-        .entry_timings = PLATFORM_RIG_TIMINGS,
-        .control_timings = PLATFORM_RIG_TIMINGS,
     };
 
     platform_rig_start_with(name, &options);
--- a/test/rig/platform_rig.h
+++ b/test/rig/platform_rig.h
@@ -50,7 +50,7 @@
     int entries;
     int databases;
     const char *control_extra; // see platform_rig_start()
-    // JSON settings that end in _ms, separated by commas.
+    // JSON settings that end in _ms, separated by commas; NULL: the default.
     const char *entry_timings;
     const char *control_timings;
     long call_timeout_ms; // of HTTP calls; 0: 20 s
