fix(control): answer a leader at its own address, not at a seed's

Cause: a VM without a list of voters took its seeds, numbered 1, 2, 3, for the voters with these ids, and answered a leader of id 1 to 3 at another VM.

Change: the address of the last sender goes before the settings.

--- a/src/catkingrade/control/group_actions.c
+++ b/src/catkingrade/control/group_actions.c
@@ -22,10 +22,11 @@
     [RAFT_LEADER] = "leader",
 };
 
-// Finds the RPC address of a voter: in the voter list, else in the settings,
-// else that of the last sender if it has this id. The last case lets a voter
-// without a voter list reply to a leader that is not in the settings. Port 0
-// if not found.
+// Finds the RPC address of a voter: in the voter list, else that of the last
+// sender if it has this id, else in the settings. A voter without a voter list
+// replies to a leader by way of the second. The ids of the settings come last:
+// they are those of the first voters, and the settings of a VM that joins
+// later may list others. Port 0 if not found.
 static void
 host_find_peer_address(const struct group_host *host, uint64_t id,
                        struct settings_address *address)
@@ -38,14 +39,15 @@
         host_copy_address(voter, address);
         return;
     }
+    if (host->last_sender_id == id) {
+        *address = host->last_sender_address;
+        return;
+    }
     for (size_t i = 0; i < group->voters_count; i++) {
         if (group->voters[i].id == id) {
             *address = group->voters[i].rpc;
         }
     }
-    if (address->port == 0 && host->last_sender_id == id) {
-        *address = host->last_sender_address;
-    }
 }
 
 static void
--- /dev/null
+++ b/test/contract/test_replaced_controls.c
@@ -0,0 +1,83 @@
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "test/rig/control_group.h"
+#include "test/suite.h"
+
+// End-to-end tests of control VMs that are replaced by empty ones at other
+// addresses: real daemons, no upstreams.
+
+#define VMS              6
+#define TOLERATED_LOSSES 2
+#define VOTES            (2 * TOLERATED_LOSSES + 1)
+#define WAIT_ROUNDS      150
+#define WAIT_STEP_US     200000
+#define STANDBY_CHECKS   20
+#define CONFIG_FORMAT                                                         \
+    "{\"version\":%d,\"routes\":[],\"services\":[],"                          \
+    "\"limits\":{\"txIdleMs\":60000}}"
+
+// Returns how many VMs that run are in contact with the leader.
+static int
+count_following(const struct control_group *group)
+{
+    struct control_group_status status;
+    int following = 0;
+
+    for (int vm = 0; vm < group->count; vm++) {
+        following += group->processes[vm] != NULL &&
+                     control_group_get_status(group, vm, &status) &&
+                     status.leader != 0;
+    }
+    return following;
+}
+
+// Waits until all VMs are members and as many of them vote as should.
+static void
+wait_settled(const struct control_group *group)
+{
+    struct control_group_status status = {0};
+
+    for (int i = 0; i < WAIT_ROUNDS; i++) {
+        int leader = control_group_find_leader(group);
+        if (leader >= 0 && control_group_get_status(group, leader, &status) &&
+            status.voting == VOTES && status.members == VMS &&
+            count_following(group) == VMS) {
+            return;
+        }
+        usleep(WAIT_STEP_US);
+    }
+    ck_abort_msg("the group has %d votes of %d members", status.voting,
+                 status.members);
+}
+
+// Guards against a VM that can never join: its seeds are other VMs than the
+// first voters, and it took their numbers in its own list for the voters' ids,
+// so that its answers to the leader went to another VM.
+START_TEST(test_vm_with_other_seeds_joins)
+{
+    struct control_group group;
+
+    control_group_start(&group, "other_seeds", VMS, TOLERATED_LOSSES);
+    wait_settled(&group);
+    for (int vm = 0; vm < CONTROL_GROUP_SEEDS; vm++) {
+        if (control_group_find_leader(&group) != vm) {
+            control_group_kill(&group, vm);
+            break;
+        }
+    }
+    (void)control_group_add(&group);
+    wait_settled(&group);
+    control_group_stop(&group);
+}
+END_TEST
+
+static void
+add_tests(TCase *tests)
+{
+    tcase_add_test(tests, test_vm_with_other_seeds_joins);
+}
+
+TEST_MAIN("replaced_controls", add_tests)
