fix(control): name the standby before it can get a vote

Operators saw: with six control VMs and two tolerated losses, the newest voter was removed some 2 s after the start, and there was no standby for some 5 s, again and again.

Cause: the standby was named every 200 ms; a VM that joined and answered in between got a vote as any learner does, and was then one voter too many.

Change: it is named when a VM is added, and when a leader begins, before the next message is handled.

--- a/src/catkingrade/control/group_actions.c
+++ b/src/catkingrade/control/group_actions.c
@@ -211,6 +211,7 @@
     if (action->role == RAFT_LEADER) {
         counter_add(COUNTER_ELECTIONS, 1);
         host->elections++;
+        host_begin_voters(host);
     }
 }
 
--- a/src/catkingrade/control/group_coordinator.c
+++ b/src/catkingrade/control/group_coordinator.c
@@ -288,7 +288,6 @@
     }
     host->leads = leads;
     host_reset_limits(host);
-    host->voters_checked_us = 0;
     if (leads) {
         event.kind = COORDINATOR_EVENT_ELECTED;
         event.leader_term = raft_get_term(host->raft);
--- a/src/catkingrade/control/group_host_state.h
+++ b/src/catkingrade/control/group_host_state.h
@@ -114,6 +114,8 @@
                               uint64_t cursor, struct buffer *json);
 
 // group_voters.c
+void host_begin_voters(struct group_host *host);
+void host_select_standby(struct group_host *host);
 void host_maintain_voters(struct group_host *host);
 int host_check_join(const struct group_host *host,
                     const struct ck_voter *voter, uint64_t *number);
--- a/src/catkingrade/control/group_requests.c
+++ b/src/catkingrade/control/group_requests.c
@@ -424,6 +424,8 @@
     event.change_voters.token = waiter->token;
     event.change_voters.change_id = args->change_id;
     host_step_raft(host, &event);
+    // Before the new learner answers, lest it get a vote that is not needed.
+    host_select_standby(host);
 }
 
 static void
--- a/src/catkingrade/control/group_voters.c
+++ b/src/catkingrade/control/group_voters.c
@@ -83,6 +83,33 @@
     params->silence_timeout_us = HOST_VOTER_SILENCE_TIMEOUT_US;
 }
 
+// Names the standby of the voter list in force to Raft, which gives a vote to
+// every other learner that has caught up.
+void
+host_select_standby(struct group_host *host)
+{
+    struct membership_voter members[HOST_MAX_VOTERS];
+    struct membership_params params;
+
+    if (!host->params.daemon->settings->voters_from_seeds) {
+        return;
+    }
+    host_fill_membership_params(host, &params);
+    size_t count = host_list_membership_voters(host, members);
+    raft_set_standby(host->raft,
+                     membership_find_standby(&params, members, count));
+}
+
+// Begins the management of the voters at a new leader, which has not heard of
+// any of them yet.
+void
+host_begin_voters(struct group_host *host)
+{
+    host->voters_checked_us = 0;
+    host->members_count = 0;
+    host_select_standby(host);
+}
+
 static void
 host_remove_voter(struct group_host *host, uint64_t id)
 {
@@ -118,8 +145,7 @@
     }
     host_fill_membership_params(host, &params);
     size_t count = host_list_membership_voters(host, members);
-    raft_set_standby(host->raft,
-                     membership_find_standby(&params, members, count));
+    host_select_standby(host);
     uint64_t removed_id = membership_find_removal(&params, members, count);
     if (removed_id != MEMBERSHIP_NONE) {
         host_remove_voter(host, removed_id);
--- a/test/contract/test_replaced_controls.c
+++ b/test/contract/test_replaced_controls.c
@@ -53,6 +53,34 @@
                  status.members);
 }
 
+// Guards against a standby that gets a vote as soon as it has joined, before
+// it is known to be the standby: it was removed again, joined again, and so
+// on, and the group had an even number of votes or no standby in between.
+START_TEST(test_standby_gets_no_vote)
+{
+    struct control_group group;
+    struct control_group_status status = {0};
+
+    control_group_start(&group, "standby_control", VMS, TOLERATED_LOSSES);
+    for (int i = 0; i < WAIT_ROUNDS && status.members < VMS; i++) {
+        int leader = control_group_find_leader(&group);
+        if (leader >= 0) {
+            ck_assert(control_group_get_status(&group, leader, &status));
+            ck_assert_int_le(status.voting, VOTES);
+        }
+    }
+    for (int i = 0; i < STANDBY_CHECKS; i++) {
+        int leader = control_group_find_leader(&group);
+        ck_assert_int_ge(leader, 0);
+        ck_assert(control_group_get_status(&group, leader, &status));
+        ck_assert_int_eq(status.members, VMS);
+        ck_assert_int_eq(status.voting, VOTES);
+        usleep(WAIT_STEP_US);
+    }
+    control_group_stop(&group);
+}
+END_TEST
+
 // Guards against a VM that can never join: its seeds are other VMs than the
 // first voters, and it took their numbers in its own list for the voters' ids,
 // so that its answers to the leader went to another VM.
@@ -77,6 +105,7 @@
 static void
 add_tests(TCase *tests)
 {
+    tcase_add_test(tests, test_standby_gets_no_vote);
     tcase_add_test(tests, test_vm_with_other_seeds_joins);
 }
 
