fix(raft): remove one silent voter while others are silent too

Cause: a silent voter was removed only if all others answered. Of two that were replaced at the same moment neither was removed, no successor could join a group of six members, and the group stayed one loss away from its end although the loss of two is to be borne at once. A candidate that yields, which the record shows, is all that is seen of a majority that is gone.

Change: with more voters than the target and a majority that answers, the voter that has been silent for longest is removed. Groups of three voters behave as before. The group_role log lines have the voters of this voter's configuration and its last index, so that a lost majority and a candidate that cannot win are told apart.

--- a/src/catkingrade/control/group_actions.c
+++ b/src/catkingrade/control/group_actions.c
@@ -202,9 +202,15 @@
 host_record_role_change(struct group_host *host,
                         const struct raft_action *action)
 {
-    LOG_INFO("group_role", "group=%s role=%s term=%" PRIu64 " leader=%" PRIu64,
+    char voters[HOST_VOTERS_TEXT_SIZE];
+
+    host_format_voters(host, voters);
+    LOG_INFO("group_role",
+             "group=%s role=%s term=%" PRIu64 " leader=%" PRIu64
+             " voters=%s last=%" PRIu64,
              host->params.group->name, host_role_names[action->role],
-             action->term, action->leader);
+             action->term, action->leader, voters,
+             raft_get_last_index(host->raft));
     timeline_record("group_role", NULL, NULL, 0,
                     "group=%s role=%s term=%" PRIu64, host->params.group->name,
                     host_role_names[action->role], action->term);
--- a/src/catkingrade/control/group_host_state.h
+++ b/src/catkingrade/control/group_host_state.h
@@ -43,6 +43,8 @@
 };
 
 #define HOST_MAX_VOTERS 15
+// Text of a list of voter ids: up to 20 digits, a separator and a mark each.
+#define HOST_VOTERS_TEXT_SIZE (HOST_MAX_VOTERS * 22 + 1)
 
 // A voter in the voter list, and since when this leader has seen it there.
 struct host_member {
@@ -117,6 +119,8 @@
 void host_begin_voters(struct group_host *host);
 void host_select_standby(struct group_host *host);
 void host_maintain_voters(struct group_host *host);
+void host_format_voters(const struct group_host *host,
+                        char text[HOST_VOTERS_TEXT_SIZE]);
 int host_check_join(const struct group_host *host,
                     const struct ck_voter *voter, uint64_t *number);
 
--- a/src/catkingrade/control/group_voters.c
+++ b/src/catkingrade/control/group_voters.c
@@ -1,4 +1,5 @@
 #include <inttypes.h>
+#include <stdio.h>
 #include <string.h>
 
 #include "catkingrade/control/group_host_state.h"
@@ -152,6 +153,25 @@
     }
 }
 
+// Writes the ids of the voters in the configuration in force, separated by
+// commas. A learner's id is followed by "-", as it has no vote.
+void
+host_format_voters(const struct group_host *host,
+                   char text[HOST_VOTERS_TEXT_SIZE])
+{
+    const struct ck_voters_change *voters = raft_get_voters(host->raft);
+    size_t length = 0;
+
+    text[0] = '\0';
+    for (u_int i = 0; i < voters->voters.voters_len && i < HOST_MAX_VOTERS;
+         i++) {
+        const struct ck_voter *voter = &voters->voters.voters_val[i];
+        length += (size_t)snprintf(
+            text + length, HOST_VOTERS_TEXT_SIZE - length, "%s%" PRIu64 "%s",
+            i == 0 ? "" : ",", voter->id, voter->voting ? "" : "-");
+    }
+}
+
 // Decides whether a VM may join the group as a voter. Results as those of
 // membership_check_join.
 int
--- a/src/catkingrade/decide/raft/membership.c
+++ b/src/catkingrade/decide/raft/membership.c
@@ -38,21 +38,26 @@
     return voting;
 }
 
-// Returns whether all voters other than the one at excluded_index answer. Then
-// removing the excluded voter costs the group no working voter.
 static bool
-membership_others_answer(const struct membership_params *params,
-                         const struct membership_voter *voters, size_t count,
-                         size_t excluded_index)
+membership_answers(const struct membership_params *params,
+                   const struct membership_voter *voter)
 {
+    return voter->is_self || voter->silent_us < params->silence_timeout_us;
+}
+
+static size_t
+membership_count_answering(const struct membership_params *params,
+                           const struct membership_voter *voters, size_t count)
+{
+    size_t answering = 0;
+
     for (size_t i = 0; i < count; i++) {
-        if (i != excluded_index && voters[i].voter->voting &&
-            !voters[i].is_self &&
-            voters[i].silent_us >= params->silence_timeout_us) {
-            return false;
-        }
+        answering +=
+            voters[i].voter->voting && membership_answers(params, &voters[i])
+                ? 1
+                : 0;
     }
-    return true;
+    return answering;
 }
 
 // Returns whether every voter answers.
@@ -60,7 +65,8 @@
 membership_all_answer(const struct membership_params *params,
                       const struct membership_voter *voters, size_t count)
 {
-    return membership_others_answer(params, voters, count, count);
+    return membership_count_answering(params, voters, count) ==
+           membership_count_voting(voters, count);
 }
 
 // Returns whether a VM without a vote has the address of a listed voter. Such
@@ -138,39 +144,66 @@
     return newest;
 }
 
+// Finds a voter whose VM has lost its disk and has a vote under a new id.
+static uint64_t
+membership_find_superseded(const struct membership_voter *voters, size_t count)
+{
+    for (size_t i = 0; i < count; i++) {
+        if (!voters[i].is_self &&
+            membership_is_superseded(voters, count, voters[i].voter)) {
+            return voters[i].voter->id;
+        }
+    }
+    return MEMBERSHIP_NONE;
+}
+
+// Finds the silent learner or voter that has been silent for longest.
+static uint64_t
+membership_find_silent(const struct membership_params *params,
+                       const struct membership_voter *voters, size_t count,
+                       bool voting)
+{
+    const struct membership_voter *longest = NULL;
+
+    for (size_t i = 0; i < count; i++) {
+        if ((bool)voters[i].voter->voting == voting &&
+            !membership_answers(params, &voters[i]) &&
+            (longest == NULL || voters[i].silent_us > longest->silent_us)) {
+            longest = &voters[i];
+        }
+    }
+    return longest == NULL ? MEMBERSHIP_NONE : longest->voter->id;
+}
+
 // Finds the voter to remove. A voter whose VM has lost its disk is removed as
-// soon as the VM's new id has a vote. A silent voter is removed only while the
-// group has more voters than the target, so that the target number remains,
-// and only if all other voters answer. A silent learner is always removed. If
-// all voters answer and there are too many, the newest voter is removed; it
-// may rejoin as the standby.
+// soon as the VM's new id has a vote. A silent learner is always removed. A
+// silent voter is removed only while the group has more voters than the
+// target, so that the target number remains, and while a majority answers. The
+// voters that answer are then a larger part of those that remain, however many
+// others are silent, and a VM that replaces one of these can join. If all
+// voters answer and there are too many, the newest voter is removed; it may
+// rejoin as the standby.
 uint64_t
 membership_find_removal(const struct membership_params *params,
                         const struct membership_voter *voters, size_t count)
 {
     size_t voting = membership_count_voting(voters, count);
+    size_t answering = membership_count_answering(params, voters, count);
+    uint64_t superseded = membership_find_superseded(voters, count);
+    uint64_t learner = membership_find_silent(params, voters, count, false);
 
-    for (size_t i = 0; i < count; i++) {
-        const struct ck_voter *voter = voters[i].voter;
-        if (voters[i].is_self) {
-            continue;
-        }
-        if (membership_is_superseded(voters, count, voter)) {
-            return voter->id;
-        }
-        if (voters[i].silent_us < params->silence_timeout_us) {
-            continue;
-        }
-        if (!voter->voting ||
-            (voting > params->target &&
-             membership_others_answer(params, voters, count, i))) {
-            return voter->id;
-        }
+    if (superseded != MEMBERSHIP_NONE) {
+        return superseded;
+    }
+    if (learner != MEMBERSHIP_NONE) {
+        return learner;
+    }
+    if (voting <= params->target || answering <= voting / 2) {
+        return MEMBERSHIP_NONE;
     }
-    return voting > params->target &&
-                   membership_all_answer(params, voters, count)
-               ? membership_find_newest(params, voters, count)
-               : MEMBERSHIP_NONE;
+    return answering < voting
+               ? membership_find_silent(params, voters, count, true)
+               : membership_find_newest(params, voters, count);
 }
 
 // Returns whether a VM may be added now. No VM is added while a learner that
--- a/test/contract/test_replaced_controls.c
+++ b/test/contract/test_replaced_controls.c
@@ -53,6 +53,68 @@
                  status.members);
 }
 
+// Sends a configuration to all VMs that run, in turn, until one accepts it.
+static void
+wait_config(const struct control_group *group, int number)
+{
+    char body[sizeof(CONFIG_FORMAT) + 16];
+
+    (void)snprintf(body, sizeof(body), CONFIG_FORMAT, number);
+    for (int i = 0; i < WAIT_ROUNDS; i++) {
+        int vm = i % group->count;
+        if (group->processes[vm] != NULL &&
+            control_group_put_config(group, vm, body) == 200) {
+            return;
+        }
+        usleep(WAIT_STEP_US);
+    }
+    ck_abort_msg("no VM accepts configuration %d", number);
+}
+
+// Replaces two VMs that vote at the same moment. with_leader: one of them
+// leads.
+static void
+replace_two(struct control_group *group, bool with_leader)
+{
+    int leader = control_group_find_leader(group);
+    int killed = 0;
+
+    ck_assert_int_ge(leader, 0);
+    if (with_leader) {
+        control_group_kill(group, leader);
+        killed++;
+    }
+    // The oldest VMs vote; the newest one may be the standby.
+    for (int vm = 0; vm < group->count && killed < TOLERATED_LOSSES; vm++) {
+        if (group->processes[vm] != NULL && vm != leader) {
+            control_group_kill(group, vm);
+            killed++;
+        }
+    }
+    for (int i = 0; i < killed; i++) {
+        (void)control_group_add(group);
+    }
+}
+
+// Guards against a group that is lost for good: two VMs of six were replaced
+// at the same moment, neither was removed from the voters, and no successor
+// could join. The next loss took the majority, within what is tolerated.
+START_TEST(test_two_control_vms_are_replaced_at_once)
+{
+    struct control_group group;
+
+    control_group_start(&group, "replaced_controls", VMS, TOLERATED_LOSSES);
+    wait_config(&group, 1);
+    wait_settled(&group);
+    replace_two(&group, false);
+    wait_settled(&group);
+    replace_two(&group, true);
+    wait_config(&group, 2);
+    wait_settled(&group);
+    control_group_stop(&group);
+}
+END_TEST
+
 // Guards against a standby that gets a vote as soon as it has joined, before
 // it is known to be the standby: it was removed again, joined again, and so
 // on, and the group had an even number of votes or no standby in between.
@@ -107,6 +169,7 @@
 {
     tcase_add_test(tests, test_standby_gets_no_vote);
     tcase_add_test(tests, test_vm_with_other_seeds_joins);
+    tcase_add_test(tests, test_two_control_vms_are_replaced_at_once);
 }
 
 TEST_MAIN("replaced_controls", add_tests)
--- a/test/unit/decide/raft/test_membership.c
+++ b/test/unit/decide/raft/test_membership.c
@@ -36,6 +36,10 @@
                                   .is_self = index == 0};
 }
 
+// A group that bears the loss of two voters.
+static const struct membership_params large_params = {
+    .target = 5, .silence_timeout_us = SILENT_US};
+
 static uint64_t
 find_removal(const struct group *group)
 {
@@ -120,6 +124,51 @@
 }
 END_TEST
 
+// Guards against a group that can replace none of two lost voters: the standby
+// has got the vote of one, and as long as neither is removed no VM can join.
+// The group must get back to the target size, one change at a time.
+START_TEST(test_two_lost_voters_are_replaced)
+{
+    struct group group = {0};
+    struct group joining = {0};
+    uint64_t assigned_id = 0;
+
+    for (unsigned i = 1; i <= 6; i++) {
+        add_member(&group, i, i, true, 0);
+    }
+    group.members[2].silent_us = SILENT_US;
+    group.members[4].silent_us = SILENT_US + 1;
+    ck_assert_uint_eq(
+        membership_find_removal(&large_params, group.members, group.count), 5);
+    group.members[4] = group.members[--group.count];
+    ck_assert_uint_eq(
+        membership_find_removal(&large_params, group.members, group.count),
+        MEMBERSHIP_NONE);
+    add_member(&joining, 7, 7, false, 0);
+    ck_assert_int_eq(membership_check_join(&large_params, group.members,
+                                           group.count, 6, joining.voters,
+                                           &assigned_id),
+                     OUTCOME_OK);
+    add_member(&group, 7, 7, true, 0);
+    ck_assert_uint_eq(
+        membership_find_removal(&large_params, group.members, group.count), 3);
+}
+END_TEST
+
+// Without a majority no voter is removed.
+START_TEST(test_three_silent_voters_of_six_stay)
+{
+    struct group group = {0};
+
+    for (unsigned i = 1; i <= 6; i++) {
+        add_member(&group, i, i, true, i > 3 ? SILENT_US : 0);
+    }
+    ck_assert_uint_eq(
+        membership_find_removal(&large_params, group.members, group.count),
+        MEMBERSHIP_NONE);
+}
+END_TEST
+
 // Guards against an even number of votes: one learner is the standby and gets
 // a vote only when a voter is missing. No other VM is added meanwhile.
 START_TEST(test_single_standby)
@@ -232,6 +281,8 @@
     tcase_add_test(tests, test_silent_voter_stays_at_target_size);
     tcase_add_test(tests, test_lost_disk_voter_is_replaced);
     tcase_add_test(tests, test_two_silent_voters_both_stay);
+    tcase_add_test(tests, test_two_lost_voters_are_replaced);
+    tcase_add_test(tests, test_three_silent_voters_of_six_stay);
     tcase_add_test(tests, test_single_standby);
     tcase_add_test(tests, test_newest_surplus_voter_is_removed);
     tcase_add_test(tests, test_no_standby_while_votes_are_missing);
