fix(coordinator): put a promotion into the log before it is ordered

Cause, shown: an order stood in no log. The next leader found the term ended and ordered another upstream for it, or kept the old primary; so did the same leader when the answer to its call was lost. That this is the users' case is suspected.

Change: CK_CHANGE_PROMOTION, kept by the group until the term begins. Every leader continues with its upstream while it answers, waits up to 2 s for a silent one, and chooses another one only when the order takes effect no more.

--- a/src/catkingrade/decide/coordinator/coordinator.c
+++ b/src/catkingrade/decide/coordinator/coordinator.c
@@ -265,6 +265,12 @@
             coordinator_restart_collection(coordinator, db);
         }
         break;
+    case CK_CHANGE_PROMOTION:
+        db = coordinator_get_or_add_database(coordinator, proposal->name);
+        if (outcome != OUTCOME_OK && db->phase == COORDINATOR_PHASE_ORDERING) {
+            coordinator_restart_collection(coordinator, db);
+        }
+        break;
     default:
         break;
     }
@@ -374,6 +380,11 @@
             coordinator, coordinator_get_or_add_database(coordinator, name));
         coordinator->publish_now = true;
         break;
+    case CK_CHANGE_PROMOTION:
+        name = change->ck_change_u.primary.database;
+        coordinator_handle_ordered(
+            coordinator, coordinator_get_or_add_database(coordinator, name));
+        break;
     case CK_CHANGE_PRIMARY:
         name = change->ck_change_u.primary.database;
         db = coordinator_get_or_add_database(coordinator, name);
--- a/src/catkingrade/decide/coordinator/coordinator_choice.c
+++ b/src/catkingrade/decide/coordinator/coordinator_choice.c
@@ -145,6 +145,9 @@
         coordinator_probe_members(coordinator, db, database, PROMOTION_NONE);
     int primary = coordinator_find_answered_primary(coordinator, db);
 
+    if (coordinator_continue_order(coordinator, db, database)) {
+        return;
+    }
     if (primary != PROMOTION_NONE &&
         (pending == 0 || coordinator->now_us >= wait_end_us)) {
         coordinator_promote(coordinator, db, database, primary);
@@ -396,6 +399,9 @@
     size_t pending =
         coordinator_probe_members(coordinator, db, database, old_primary);
 
+    if (coordinator_continue_order(coordinator, db, database)) {
+        return;
+    }
     if (db->is_planned) {
         coordinator_run_planned(coordinator, db, database);
         return;
--- a/src/catkingrade/decide/coordinator/coordinator_describe.c
+++ b/src/catkingrade/decide/coordinator/coordinator_describe.c
@@ -4,7 +4,7 @@
 
 static const char *const coordinator_phase_names[] = {
     "watching",   "first_primary", "superseding", "revoking",
-    "collecting", "promoting",     "publishing",
+    "collecting", "ordering",      "promoting",   "publishing",
 };
 
 // Appends a JSON array of the databases whose phase is not idle: name, phase,
--- a/src/catkingrade/decide/coordinator/coordinator_failover.c
+++ b/src/catkingrade/decide/coordinator/coordinator_failover.c
@@ -1,14 +1,15 @@
 // Failover of a database. The phases follow each other in this order: the end
 // of the term is committed to the log (SUPERSEDING), all leases that may cover
-// the term end (REVOKING), the upstreams are probed (COLLECTING), one of them
-// is promoted (PROMOTING), and the new term is committed to the log
-// (PUBLISHING).
+// the term end (REVOKING), the upstreams are probed (COLLECTING), the choice
+// of one of them is committed to the log (ORDERING), it is promoted
+// (PROMOTING), and the new term is committed to the log (PUBLISHING).
 
 #include <inttypes.h>
 #include <stdlib.h>
 #include <string.h>
 
 #include "catkingrade/decide/coordinator/coordinator_private.h"
+#include "catkingrade/decide/promotion/ordered.h"
 #include "catkingrade/kernel/memory.h"
 #include "catkingrade/kernel/outcome.h"
 
@@ -17,6 +18,9 @@
 #define COORDINATOR_GRACE_DIVISOR 5
 // A holder that has not confirmed a revocation for this time is recorded.
 #define COORDINATOR_AWAITED_RECORD_US 200000
+// Longest time from the order of a promotion to its effect: a call and the
+// promotion itself.
+#define COORDINATOR_ORDER_SETTLE_US 2000000
 
 // Proposes the end of the current term. The failover continues when the change
 // is applied.
@@ -249,6 +253,7 @@
         return coordinator->now_us >=
                db->lease_end_us - coordinator_get_lease_bound_us(coordinator);
     case COORDINATOR_PHASE_COLLECTING:
+    case COORDINATOR_PHASE_ORDERING:
     case COORDINATOR_PHASE_PROMOTING:
     case COORDINATOR_PHASE_PUBLISHING:
         return true;
@@ -389,12 +394,15 @@
     }
 }
 
+// Proposes that the candidate be promoted for the next term (PROMOTION), or
+// that the term begins with it (PRIMARY).
 static void
-coordinator_propose_primary(struct coordinator *coordinator,
-                            struct coordinator_database *db,
-                            const struct ck_database *database)
+coordinator_propose_candidate(struct coordinator *coordinator,
+                              struct coordinator_database *db,
+                              const struct ck_database *database,
+                              enum ck_change_kind kind)
 {
-    struct ck_change change = {.kind = CK_CHANGE_PRIMARY};
+    struct ck_change change = {.kind = kind};
     struct ck_primary_change *primary = &change.ck_change_u.primary;
 
     primary->database = database->name;
@@ -402,11 +410,100 @@
     primary->primary =
         database->upstreams.upstreams_val[db->candidate_index].name;
     primary->base = db->base;
-    coordinator_set_phase(coordinator, db, COORDINATOR_PHASE_PUBLISHING);
+    coordinator_set_phase(coordinator, db,
+                          kind == CK_CHANGE_PRIMARY
+                              ? COORDINATOR_PHASE_PUBLISHING
+                              : COORDINATOR_PHASE_ORDERING);
     coordinator_propose(coordinator, &change, database->name,
                         COORDINATOR_REPLY_NONE, 0);
 }
 
+// Orders the promotion of the candidate, which is in the log.
+static void
+coordinator_send_order(struct coordinator *coordinator,
+                       struct coordinator_database *db,
+                       const struct ck_database *database)
+{
+    const struct coordinator_member *member =
+        &db->members[db->candidate_index];
+    const struct ck_upstream *upstream =
+        &database->upstreams.upstreams_val[db->candidate_index];
+
+    coordinator_record(
+        coordinator, "promoting", database, upstream->name,
+        "database=%s term=%" PRIu64 " timeline=%" PRIu64 " lsn=%" PRIu64,
+        db->name, (uint64_t)database->term + 1,
+        (uint64_t)member->position.timeline, (uint64_t)member->position.lsn);
+    db->ordered_us = coordinator->now_us;
+    db->is_order_refused = false;
+    coordinator_set_phase(coordinator, db, COORDINATOR_PHASE_PROMOTING);
+    struct coordinator_action *action =
+        coordinator_add_action(coordinator, COORDINATOR_ACTION_PROMOTE);
+    action->upstream.upstream = upstream;
+    action->upstream.term = database->term + 1;
+}
+
+// Handles the order of a promotion that has got into the log. Without a quorum
+// it is not sent: this leader may have been replaced.
+void
+coordinator_handle_ordered(struct coordinator *coordinator,
+                           struct coordinator_database *db)
+{
+    const struct ck_database *database =
+        group_find_database(coordinator->group, db->name);
+
+    if (db->phase != COORDINATOR_PHASE_ORDERING) {
+        return;
+    }
+    (void)coordinator_sync_members(db, database);
+    if (!coordinator->has_quorum) {
+        coordinator_restart_collection(coordinator, db);
+        coordinator_run_database(coordinator, db);
+        return;
+    }
+    coordinator_send_order(coordinator, db, database);
+}
+
+// Continues with the upstream whose promotion is in the log, from an earlier
+// leader or from an order of this one that seems to have failed. Returns false
+// if another upstream may be chosen.
+bool
+coordinator_continue_order(struct coordinator *coordinator,
+                           struct coordinator_database *db,
+                           const struct ck_database *database)
+{
+    const struct ck_primary_change *order =
+        group_find_promotion(coordinator->group, db->name);
+
+    if (order == NULL) {
+        return false;
+    }
+    int index = coordinator_find_upstream_index(database, order->primary);
+    int64_t since_us =
+        db->ordered_us == 0 ? coordinator->elected_us : db->ordered_us;
+    struct ordered_params params = {
+        .is_member = index >= 0,
+        .answers = index >= 0 && db->members[index].answered,
+        .is_regressed = index >= 0 && db->members[index].is_regressed,
+        .is_refused = db->is_order_refused,
+        .waited_us = coordinator->now_us - since_us,
+        .settle_us = COORDINATOR_ORDER_SETTLE_US,
+    };
+
+    switch (ordered_decide(&params)) {
+    case ORDERED_CHOOSE:
+        return false;
+    case ORDERED_CONTINUE:
+        coordinator_promote(coordinator, db, database, index);
+        return true;
+    case ORDERED_WAIT:
+        coordinator_wake_at(coordinator,
+                            since_us + COORDINATOR_ORDER_SETTLE_US);
+        return true;
+    }
+    return false;
+}
+
 // Returns whether an upstream claims to be a primary, although this leader has
 // made another one the primary since and has not fenced it yet. With the term
 // of an earlier leader it may be one whose promotion that leader has ordered.
@@ -422,7 +519,8 @@
 
 // Promotes the upstream with this index. An upstream that already is a primary
 // is published without a promotion; one that was a primary before is fenced
-// first. Does nothing without a quorum.
+// first. The promotion gets into the log before it is ordered, so that the
+// next leader continues with it. Does nothing without a quorum.
 void
 coordinator_promote(struct coordinator *coordinator,
                     struct coordinator_database *db,
@@ -448,19 +546,19 @@
                      (!member->answered ||
                       member->position.timeline == database->base.timeline);
         db->base = stays ? database->base : member->position;
-        coordinator_propose_primary(coordinator, db, database);
+        coordinator_propose_candidate(coordinator, db, database,
+                                      CK_CHANGE_PRIMARY);
         return;
     }
-    coordinator_record(
-        coordinator, "promoting", database, upstream->name,
-        "database=%s term=%" PRIu64 " timeline=%" PRIu64 " lsn=%" PRIu64,
-        db->name, (uint64_t)database->term + 1,
-        (uint64_t)member->position.timeline, (uint64_t)member->position.lsn);
-    coordinator_set_phase(coordinator, db, COORDINATOR_PHASE_PROMOTING);
-    struct coordinator_action *action =
-        coordinator_add_action(coordinator, COORDINATOR_ACTION_PROMOTE);
-    action->upstream.upstream = upstream;
-    action->upstream.term = database->term + 1;
+    const struct ck_primary_change *order =
+        group_find_promotion(coordinator->group, db->name);
+    if (order != NULL && strcmp(order->primary, upstream->name) == 0) {
+        coordinator_send_order(coordinator, db, database);
+        return;
+    }
+    db->base = member->position;
+    coordinator_propose_candidate(coordinator, db, database,
+                                  CK_CHANGE_PROMOTION);
 }
 
 // Returns the database that is promoting this upstream, or NULL.
@@ -521,7 +619,8 @@
         "database=%s term=%" PRIu64 " timeline=%" PRIu64 " lsn=%" PRIu64,
         db->name, (uint64_t)database->term + 1,
         (uint64_t)probe->position.timeline, (uint64_t)probe->position.lsn);
-    coordinator_propose_primary(coordinator, db, database);
+    coordinator_propose_candidate(coordinator, db, database,
+                                  CK_CHANGE_PRIMARY);
 }
 
 // Handles a failed promotion: positions are collected again.
@@ -540,6 +639,7 @@
     coordinator_record(coordinator, "promotion_failed", database, upstream,
                        "database=%s outcome=%s", db->name,
                        outcome_get_name(outcome));
+    db->is_order_refused = outcome == OUTCOME_NOT_RUN;
     coordinator_restart_collection(coordinator, db);
     coordinator_run_database(coordinator, db);
 }
@@ -580,6 +680,8 @@
         coordinator, db, reached ? OUTCOME_OK : OUTCOME_TIMEOUT,
         reached ? "the new term stands" : "another upstream is the primary");
     coordinator_end_revocation(coordinator, db);
+    db->ordered_us = 0;
+    db->is_order_refused = false;
     db->has_published = true;
     suspicion_clear(&db->suspicion);
     coordinator_sync_members(db, database);
--- a/src/catkingrade/decide/coordinator/coordinator_private.h
+++ b/src/catkingrade/decide/coordinator/coordinator_private.h
@@ -173,6 +173,7 @@
     COORDINATOR_PHASE_SUPERSEDING, // end of the term is proposed
     COORDINATOR_PHASE_REVOKING,    // waiting until no lease covers the term
     COORDINATOR_PHASE_COLLECTING,  // probing positions of all upstreams
+    COORDINATOR_PHASE_ORDERING,    // the upstream to promote is proposed
     COORDINATOR_PHASE_PROMOTING,   // PROMOTE is in flight
     COORDINATOR_PHASE_PUBLISHING,  // the new primary is proposed
 };
@@ -216,6 +217,8 @@
     char *target;           // upstream to promote; NULL: the most advanced
     uint64_t command_token; // command to reply to; 0: none
     int candidate_index;    // index of the next primary
+    int64_t ordered_us;     // this leader's last order of a promotion; 0: none
+    bool is_order_refused;  // that order was answered as not run
     // Removal of lost upstreams; see coordinator_removal.c.
     bool is_removing;
     bool is_removal_known; // removal_position is set
@@ -524,6 +527,11 @@
                               const struct ck_database *database);
 void coordinator_handle_promoted(struct coordinator *coordinator,
                                  const struct coordinator_probe *probe);
+bool coordinator_continue_order(struct coordinator *coordinator,
+                                struct coordinator_database *db,
+                                const struct ck_database *database);
+void coordinator_handle_ordered(struct coordinator *coordinator,
+                                struct coordinator_database *db);
 void coordinator_handle_promote_failed(struct coordinator *coordinator,
                                        const char *upstream, int outcome);
 void coordinator_handle_new_primary(struct coordinator *coordinator,
--- a/src/catkingrade/decide/group/group.h
+++ b/src/catkingrade/decide/group/group.h
@@ -108,6 +108,8 @@
 // returned object is borrowed until the next change.
 const struct ck_database *group_find_database(const struct group_state *group,
                                               const char *name);
+const struct ck_primary_change *
+group_find_promotion(const struct group_state *group, const char *database);
 const struct ck_customer *group_find_customer(const struct group_state *group,
                                               const char *name);
 const struct ck_customer *
--- a/src/catkingrade/decide/group/group_routing.c
+++ b/src/catkingrade/decide/group/group_routing.c
@@ -404,6 +404,56 @@
     return true;
 }
 
+// Records that an upstream is about to be promoted for the next term. A later
+// order for the same term replaces it.
+void
+group_apply_promotion(struct group_state *group,
+                      const struct ck_primary_change *change,
+                      struct group_result *result)
+{
+    const struct group_object *database =
+        group_find(group, GROUP_DATABASE, change->database);
+
+    if (database == NULL || database->removed) {
+        group_result_set_text(result, OUTCOME_NOT_FOUND, 0,
+                              "no such database");
+        return;
+    }
+    if (!group_check_primary(database, change, result)) {
+        return;
+    }
+    struct group_object *object =
+        group_find(group, GROUP_PROMOTION, change->database);
+    if (object == NULL) {
+        object = group_add(group, GROUP_PROMOTION, change->database);
+    }
+    codec_free((xdrproc_t)xdr_ck_primary_change, &object->promotion);
+    codec_copy((xdrproc_t)xdr_ck_primary_change, change, &object->promotion,
+               sizeof(object->promotion));
+    group_result_set_text(result, OUTCOME_OK, group->revision, "ordered");
+}
+
+// Returns the promotion that was ordered for the next term of a database, or
+// NULL. It is borrowed until the next change.
+const struct ck_primary_change *
+group_find_promotion(const struct group_state *group, const char *database)
+{
+    const struct group_object *object =
+        group_find(group, GROUP_PROMOTION, database);
+
+    return object == NULL ? NULL : &object->promotion;
+}
+
+static void
+group_end_promotion(struct group_state *group, const char *database)
+{
+    struct group_object *object = group_find(group, GROUP_PROMOTION, database);
+
+    if (object != NULL) {
+        group_delete(group, object);
+    }
+}
+
 // Starts a new term of a database with its primary. The previous term must
 // have been ended with group_apply_supersede.
 void
@@ -428,6 +478,7 @@
     database->term = change->term;
     database->base = change->base;
     database->superseding = false;
+    group_end_promotion(group, change->database);
     group_result_set_text(result, OUTCOME_OK,
                           group_assign_revision(group, object), "promoted");
 }
--- a/src/catkingrade/decide/group/group_snapshot.c
+++ b/src/catkingrade/decide/group/group_snapshot.c
@@ -10,7 +10,8 @@
 // Encodes the state of a control group as a snapshot and restores it. A
 // snapshot consists of big-endian numbers and of byte blocks, each preceded by
 // its length. Texts are stored as such blocks; daemons, databases,
-// declarations and declared customers are stored in XDR in such blocks.
+// declarations, ordered promotions and declared customers are stored in XDR in
+// such blocks.
 
 #define GROUP_SNAPSHOT_MAGIC 0x434b4731 // "CKG1"
 
@@ -68,6 +69,10 @@
     case GROUP_DAEMON:
         group_append_xdr(out, (xdrproc_t)xdr_ck_daemon, &object->daemon);
         break;
+    case GROUP_PROMOTION:
+        group_append_xdr(out, (xdrproc_t)xdr_ck_primary_change,
+                         &object->promotion);
+        break;
     default:
         group_append_xdr(out, (xdrproc_t)xdr_ck_database, &object->database);
         break;
@@ -185,7 +190,7 @@
     char *name = group_read_text(reader);
     bool known = kind == GROUP_TEMPLATE || kind == GROUP_CUSTOMER ||
                  kind == GROUP_DAEMON || kind == GROUP_DATABASE ||
-                 kind == GROUP_DECLARATION;
+                 kind == GROUP_DECLARATION || kind == GROUP_PROMOTION;
 
     if (reader->failed || !known || group_find(group, kind, name) != NULL) {
         reader->failed = true;
@@ -217,6 +222,10 @@
         group_read_xdr(reader, (xdrproc_t)xdr_ck_daemon, &object->daemon);
         group->daemons_count++;
     }
+    else if (kind == GROUP_PROMOTION) {
+        group_read_xdr(reader, (xdrproc_t)xdr_ck_primary_change,
+                       &object->promotion);
+    }
     else {
         group_read_xdr(reader, (xdrproc_t)xdr_ck_database, &object->database);
         group->databases_count += removed ? 0 : 1;
--- a/src/catkingrade/rpc/messages.h
+++ b/src/catkingrade/rpc/messages.h
@@ -422,6 +422,7 @@
 	CK_CHANGE_PRIMARY = 10,
 	CK_CHANGE_VOTERS = 11,
 	CK_CHANGE_DECLARATION = 12,
+	CK_CHANGE_PROMOTION = 13,
 };
 typedef enum ck_change_kind ck_change_kind;
 
--- a/src/catkingrade/rpc/messages.x
+++ b/src/catkingrade/rpc/messages.x
@@ -351,7 +351,8 @@
     CK_CHANGE_SUPERSEDE = 9,
     CK_CHANGE_PRIMARY = 10,
     CK_CHANGE_VOTERS = 11,
-    CK_CHANGE_DECLARATION = 12
+    CK_CHANGE_DECLARATION = 12,
+    CK_CHANGE_PROMOTION = 13
 };
 
 /* A template or a customer: a JSON document that was already validated. */
@@ -373,7 +374,10 @@
     ck_text reason;
 };
 
-/* Starts a new term of a database with its primary. */
+/*
+ * The primary of a new term of a database: as PROMOTION, it is about to be
+ * promoted; as PRIMARY, the term starts.
+ */
 struct ck_primary_change {
     ck_name database;
     unsigned hyper term;
@@ -412,6 +416,7 @@
 case CK_CHANGE_SUPERSEDE:
     ck_supersede_change supersede;
 case CK_CHANGE_PRIMARY:
+case CK_CHANGE_PROMOTION:
     ck_primary_change primary;
 case CK_CHANGE_VOTERS:
     ck_voters_change voters;
--- a/src/catkingrade/rpc/messages_xdr.c
+++ b/src/catkingrade/rpc/messages_xdr.c
@@ -1161,6 +1161,7 @@
 			 return FALSE;
 		break;
 	case CK_CHANGE_PRIMARY:
+	case CK_CHANGE_PROMOTION:
 		 if (!xdr_ck_primary_change (xdrs, &objp->ck_change_u.primary))
 			 return FALSE;
 		break;
--- a/test/rig/promotion_rig.c
+++ b/test/rig/promotion_rig.c
@@ -70,12 +70,25 @@
     promotion_rig_step(rig, &event);
 }
 
+// An upstream that is being promoted, or is the primary, takes no second
+// order.
 static void
 promotion_rig_order(struct promotion_rig *rig, const char *name)
 {
+    struct coordinator_event event = {.kind =
+                                          COORDINATOR_EVENT_PROMOTE_FAILED};
+    struct promotion_rig_upstream *upstream = promotion_rig_find(rig, name);
+
     rig->orders_count++;
-    promotion_rig_find(rig, name)->promoted_us =
-        rig->now_us + rig->promotion_us;
+    (void)snprintf(rig->ordered, sizeof(rig->ordered), "%s", name);
+    if (upstream->promoted_us == 0 && !upstream->is_primary) {
+        upstream->promoted_us = rig->now_us + rig->promotion_us;
+    }
+    if (rig->fails_orders) {
+        event.done.upstream = name;
+        event.done.outcome = OUTCOME_TIMEOUT;
+        promotion_rig_step(rig, &event);
+    }
 }
 
 static void
@@ -84,7 +97,9 @@
 {
     switch (action->kind) {
     case COORDINATOR_ACTION_PROPOSE:
-        promotion_rig_apply(rig, action);
+        if (!rig->loses_proposals) {
+            promotion_rig_apply(rig, action);
+        }
         break;
     case COORDINATOR_ACTION_PROBE:
         promotion_rig_find(rig, action->upstream.upstream->name)->is_probed =
@@ -175,6 +190,19 @@
     promotion_rig_step(rig, &event);
 }
 
+// Counts a step in which the primary of a term that is in force is not the one
+// that was promoted last: its writes would be acknowledged and lost.
+static void
+promotion_rig_check_split(struct promotion_rig *rig)
+{
+    const struct ck_database *database = promotion_rig_get_database(rig);
+
+    if (!database->superseding &&
+        !promotion_rig_find(rig, database->primary)->is_primary) {
+        rig->split_count++;
+    }
+}
+
 static void
 promotion_rig_advance(struct promotion_rig *rig)
 {
@@ -195,6 +223,7 @@
             promotion_rig_announce(rig, upstream);
         }
     }
+    promotion_rig_check_split(rig);
 }
 
 void
@@ -298,3 +327,32 @@
     event.announce = &lost;
     promotion_rig_step(rig, &event);
 }
+
+void
+promotion_rig_supersede(struct promotion_rig *rig)
+{
+    const struct ck_database *database = promotion_rig_get_database(rig);
+    struct ck_change change = {.kind = CK_CHANGE_SUPERSEDE};
+    struct group_result result = {0};
+    struct coordinator_event event = {.kind = COORDINATOR_EVENT_APPLIED};
+
+    change.ck_change_u.supersede.database = database->name;
+    change.ck_change_u.supersede.term = database->term;
+    change.ck_change_u.supersede.reason = (char *)"test";
+    ck_assert_int_eq(changes_apply(rig->group, 0, &change, "", -1, &result),
+                     OUTCOME_OK);
+    event.applied.change = &change;
+    event.applied.result = &result;
+    promotion_rig_step(rig, &event);
+}
+
+void
+promotion_rig_change_leader(struct promotion_rig *rig)
+{
+    coordinator_destroy(rig->coordinator);
+    for (size_t i = 0; i < PROMOTION_RIG_UPSTREAMS; i++) {
+        rig->upstreams[i].is_probed = false;
+    }
+    rig->loses_proposals = false;
+    promotion_rig_elect(rig);
+}
--- a/test/rig/promotion_rig.h
+++ b/test/rig/promotion_rig.h
@@ -33,6 +33,10 @@
     struct promotion_rig_upstream upstreams[PROMOTION_RIG_UPSTREAMS];
     int64_t promotion_us; // from the order of a promotion to its effect
     size_t orders_count;  // promotions ordered
+    char ordered[8];      // upstream whose promotion was ordered last
+    size_t split_count;   // steps in which a superseded primary was in force
+    bool loses_proposals; // the log takes no more changes
+    bool fails_orders;    // an order is reported as failed, and takes effect
 };
 
 // Creates the database with one primary and two replicas, of which `confirm`
@@ -45,5 +49,10 @@
 void promotion_rig_lose_primary(struct promotion_rig *rig);
 const struct ck_database *
 promotion_rig_get_database(const struct promotion_rig *rig);
+// Ends the term of the primary, which goes on running, as a planned change.
+void promotion_rig_supersede(struct promotion_rig *rig);
+// Replaces the leader by another one, which knows the log only. What the old
+// one has ordered still takes effect, without being reported.
+void promotion_rig_change_leader(struct promotion_rig *rig);
 
 #endif
--- a/test/unit/decide/group/test_group.c
+++ b/test/unit/decide/group/test_group.c
@@ -34,9 +34,10 @@
 }
 
 static int
-apply_primary(struct group_state *group, uint64_t term, const char *primary)
+apply_candidate(struct group_state *group, enum ck_change_kind kind,
+                uint64_t term, const char *primary)
 {
-    struct ck_change change = {.kind = CK_CHANGE_PRIMARY};
+    struct ck_change change = {.kind = kind};
 
     change.ck_change_u.primary.database = (char *)"roster1";
     change.ck_change_u.primary.term = term;
@@ -44,6 +45,18 @@
     return changes_apply(group, 0, &change, "", -1, NULL);
 }
 
+static int
+apply_primary(struct group_state *group, uint64_t term, const char *primary)
+{
+    return apply_candidate(group, CK_CHANGE_PRIMARY, term, primary);
+}
+
+static int
+apply_promotion(struct group_state *group, uint64_t term, const char *primary)
+{
+    return apply_candidate(group, CK_CHANGE_PROMOTION, term, primary);
+}
+
 // Guards against lost updates and changes that are applied twice: two
 // operators change the same revision of a customer, and both retry their
 // change because the answer was lost.
@@ -193,6 +206,47 @@
 }
 END_TEST
 
+// Guards against a second promotion for one term: the ordered one is known to
+// each voter, also from a snapshot, until its term begins.
+START_TEST(test_ordered_promotion_is_known_until_its_term)
+{
+    struct group_state *group = make_group();
+    struct buffer bytes = {0};
+    struct buffer copy_bytes = {0};
+    struct ck_upstream one =
+        changes_make_upstream("u1", "roster1", "noord", "10.0.0.1");
+    struct ck_upstream two =
+        changes_make_upstream("u2", "roster1", "midden", "10.0.0.2");
+
+    changes_apply_upstream(group, &one);
+    changes_apply_upstream(group, &two);
+    ck_assert_ptr_null(group_find_promotion(group, "roster1"));
+    ck_assert_int_eq(apply_promotion(group, 1, "u9"), OUTCOME_NOT_FOUND);
+    ck_assert_int_eq(apply_promotion(group, 1, "u1"), OUTCOME_OK);
+    ck_assert_int_eq(apply_primary(group, 1, "u1"), OUTCOME_OK);
+    ck_assert_ptr_null(group_find_promotion(group, "roster1"));
+    ck_assert_int_eq(apply_promotion(group, 2, "u2"), OUTCOME_CONFLICT);
+    ck_assert_int_eq(apply_supersede(group, 1), OUTCOME_OK);
+    ck_assert_int_eq(apply_promotion(group, 1, "u2"), OUTCOME_FENCED);
+    ck_assert_int_eq(apply_promotion(group, 2, "u1"), OUTCOME_OK);
+    ck_assert_int_eq(apply_promotion(group, 2, "u2"), OUTCOME_OK);
+    group_encode(group, &bytes);
+    struct group_state *copy =
+        group_decode(GROUP_FLEET_NAME, bytes.data, buffer_get_size(&bytes));
+    ck_assert_ptr_nonnull(copy);
+    ck_assert_str_eq(group_find_promotion(copy, "roster1")->primary, "u2");
+    group_encode(copy, &copy_bytes);
+    ck_assert_uint_eq(buffer_get_size(&bytes), buffer_get_size(&copy_bytes));
+    ck_assert_mem_eq(bytes.data, copy_bytes.data, buffer_get_size(&bytes));
+    ck_assert_int_eq(apply_primary(copy, 2, "u2"), OUTCOME_OK);
+    ck_assert_ptr_null(group_find_promotion(copy, "roster1"));
+    buffer_free(&bytes);
+    buffer_free(&copy_bytes);
+    group_destroy(copy);
+    group_destroy(group);
+}
+END_TEST
+
 struct announcement {
     const char *name;
     const char *database;
@@ -514,6 +568,7 @@
     tcase_add_test(tests, test_snapshot_keeps_recorded_results);
     tcase_add_test(tests, test_recorded_results_are_bounded);
     tcase_add_test(tests, test_term_transitions);
+    tcase_add_test(tests, test_ordered_promotion_is_known_until_its_term);
     tcase_add_loop_test(tests, test_upstream_announcement, 0,
                         ARRAY_SIZE(announcements));
     tcase_add_test(tests, test_lost_upstream_releases_address);
