--- a/test/unit/platform/test_platform_decode.c
+++ b/test/unit/platform/test_platform_decode.c
@@ -105,6 +105,8 @@
         "{}",
         "{\"version\":\"7\",\"routes\":[],\"services\":[]}",
         "{\"version\":0,\"routes\":[],\"services\":[]}",
+        "{\"version\":9007199254740992,\"routes\":[],\"services\":[]}",
+        "{\"version\":99999999999999999999,\"routes\":[],\"services\":[]}",
         "{\"version\":1,\"routes\":{},\"services\":[]}",
         "{\"version\":1,\"routes\":[7],\"services\":[]}",
         "{\"version\":1,\"routes\":[" ROUTE "],\"services\":[]}",
@@ -261,8 +263,15 @@
 }
 END_TEST
 
+#define ODD(addr, slots, seq, born)                                           \
+    "{\"service\":\"h\",\"addr\":\"" addr                                     \
+    "\",\"zone\":\"a\",\"slots\":" slots ",\"state\":\"ready\",\"seq\":" seq  \
+    ",\"born\":" born "}"
+
 // Guards against an upstream that is made from an announcement with a missing
-// field or a wrong type or value.
+// field or a wrong type or value. A number that is too large must not be taken
+// for the largest one: the upstream's own announcements would be older
+// forever.
 START_TEST(test_invalid_announcements)
 {
     static const char *const rows[] = {
@@ -280,7 +289,22 @@
         "{\"service\":\"h\",\"addr\":\"10.128.0.9:8080\",\"zone\":\"a\","
         "\"slots\":\"2\",\"state\":\"ready\",\"seq\":4}",
         "{\"service\":\"h\",\"addr\":\"10.128.0.9:8080\",\"zone\":\"a\","
-        "\"slots\":2,\"state\":\"ready\"}"};
+        "\"slots\":2,\"state\":\"ready\"}",
+        ODD("10.128.0.9:0", "2", "4", "5"),
+        ODD("10.128.0.9:65536", "2", "4", "5"),
+        ODD("10.128.0.9:99999999999999999999", "2", "4", "5"),
+        ODD("10.128.0.9:-1", "2", "4", "5"),
+        ODD("10.128.0.9:8080", "99999999999999999999", "4", "5"),
+        ODD("10.128.0.9:8080", "2147483648", "4", "5"),
+        ODD("10.128.0.9:8080", "2", "99999999999999999999", "5"),
+        ODD("10.128.0.9:8080", "2", "9007199254740992", "5"),
+        ODD("10.128.0.9:8080", "2", "1e400", "5"),
+        ODD("10.128.0.9:8080", "2", "4", "99999999999999999999"),
+        ODD("10.128.0.9:8080", "2", "4", "9007199254740992"),
+        ODD("10.128.0.9:8080", "2", "4", "1785000000000.5"),
+        ODD("10.128.0.9:8080", "2", "4", "\"1785000000000\""),
+        ODD("10.128.0.9:8080", "2", "4", "5") "]",
+    };
 
     for (size_t i = 0; i < sizeof(rows) / sizeof(rows[0]); i++) {
         struct ck_upstream upstream;
@@ -291,6 +315,28 @@
 }
 END_TEST
 
+#define DEPTH 100000
+
+// Guards against a process that ends because of deeply nested input.
+START_TEST(test_deeply_nested_inputs)
+{
+    char *text = xcalloc(2 * DEPTH + 64, 1);
+    struct ck_declaration declaration;
+    struct ck_upstream upstream;
+    uint64_t number = 0;
+
+    for (int i = 0; i < 2; i++) {
+        char *at = text + sprintf(text, "{\"seq\":");
+        memset(at, i == 0 ? '[' : '{', DEPTH);
+        ck_assert_int_eq(announcement_decode("i-1", text, &upstream),
+                         OUTCOME_INVALID);
+        ck_assert_int_eq(decode(text, strlen(text), &number, &declaration),
+                         OUTCOME_INVALID);
+    }
+    free(text);
+}
+END_TEST
+
 #define MUTATIONS 100000
 
 static uint64_t
@@ -385,6 +431,7 @@
                         ARRAY_SIZE(invalid_customers));
     tcase_add_test(tests, test_announcement);
     tcase_add_test(tests, test_invalid_announcements);
+    tcase_add_test(tests, test_deeply_nested_inputs);
     tcase_add_test(tests, test_mutated_inputs);
 }
 
