--- a/test/unit/platform/test_platform_decode.c
+++ b/test/unit/platform/test_platform_decode.c
@@ -260,6 +260,10 @@
     ck_assert_uint_eq(upstream.incarnation, UINT64_C(1785000000000));
     ck_assert_uint_eq(upstream.sequence, 4);
     codec_free((xdrproc_t)xdr_ck_upstream, &upstream);
+    ck_assert_int_eq(
+        announcement_decode("i-7f3a", ANNOUNCEMENT "\r\n ", &upstream),
+        OUTCOME_OK);
+    codec_free((xdrproc_t)xdr_ck_upstream, &upstream);
 }
 END_TEST
 
