--- a/src/catkingrade/decide/coordinator/coordinator_failover.c
+++ b/src/catkingrade/decide/coordinator/coordinator_failover.c
@@ -443,8 +443,25 @@
     action->upstream.term = database->term + 1;
 }
 
-// Handles the order of a promotion that has got into the log. Without a quorum
-// it is not sent: this leader may have been replaced.
+// Returns whether the promotion of the candidate is in the log.
+static bool
+coordinator_is_ordered(const struct coordinator *coordinator,
+                       const struct coordinator_database *db,
+                       const struct ck_database *database)
+{
+    const struct ck_primary_change *order =
+        group_find_promotion(coordinator->group, db->name);
+
+    return order != NULL &&
+           strcmp(
+               order->primary,
+               database->upstreams.upstreams_val[db->candidate_index].name) ==
+               0;
+}
+
+// Handles the order of a promotion that has got into the log. It is not sent
+// without a quorum, as this leader may have been replaced, nor if the upstream
+// was removed meanwhile.
 void
 coordinator_handle_ordered(struct coordinator *coordinator,
                            struct coordinator_database *db)
@@ -456,7 +473,8 @@
         return;
     }
     (void)coordinator_sync_members(db, database);
-    if (!coordinator->has_quorum) {
+    if (!coordinator->has_quorum ||
+        !coordinator_is_ordered(coordinator, db, database)) {
         coordinator_restart_collection(coordinator, db);
         coordinator_run_database(coordinator, db);
         return;
@@ -550,9 +568,7 @@
                                       CK_CHANGE_PRIMARY);
         return;
     }
-    const struct ck_primary_change *order =
-        group_find_promotion(coordinator->group, db->name);
-    if (order != NULL && strcmp(order->primary, upstream->name) == 0) {
+    if (coordinator_is_ordered(coordinator, db, database)) {
         coordinator_send_order(coordinator, db, database);
         return;
     }
--- a/src/catkingrade/decide/coordinator/coordinator_private.h
+++ b/src/catkingrade/decide/coordinator/coordinator_private.h
@@ -214,17 +214,17 @@
     bool is_demoted;             // the primary answered a probe as a replica
     bool is_operator_approved;   // an operator accepts an incomplete target
     bool is_incomplete_recorded; // "promotion_waits" is recorded
+    bool is_order_refused;       // the last order was answered as not run
     char *target;           // upstream to promote; NULL: the most advanced
     uint64_t command_token; // command to reply to; 0: none
     int candidate_index;    // index of the next primary
-    int64_t ordered_us;     // this leader's last order of a promotion; 0: none
-    bool is_order_refused;  // that order was answered as not run
     // Removal of lost upstreams; see coordinator_removal.c.
     bool is_removing;
     bool is_removal_known; // removal_position is set
     bool is_removal_proposed;
     struct ck_position removal_position; // primary's position at the start
     struct ck_position base; // position at which the next term begins
+    int64_t ordered_us; // this leader's last order of a promotion; 0: none
 };
 
 enum coordinator_reply {
