test(platform): statements are cut at a line feed (fails)

A WRITE with a line feed is cut and the session ends with 'ERROR MALFORMED not a request'; a 'QUERY x1 WRITE ..' inside of data runs at the upstream ('QUERY b2 READ k9' is answered by 'COMPLETE sig-x1').

The row 'COMPLETE -\n' of test_wire_message was wrong: the protocol ends a message at CR LF, and a test now requires that a lone line feed ends none. The stand-in of the platform cut at a line feed as well, and cut values at white space: it reads as the protocol says, and keeps the texts that arrive.

--- a/test/fake/platform.c
+++ b/test/fake/platform.c
@@ -74,6 +74,7 @@
 struct arrival {
     char id[PLATFORM_ID_SIZE];
     char sender[PLATFORM_ID_SIZE];
+    char *text;
     int64_t at_us;
 };
 
@@ -212,7 +213,11 @@
     struct upstream *up = &platform->upstreams[conn->upstream];
     struct write write = {0};
 
-    (void)sscanf(text, "%63s %255s", write.item, write.value);
+    const char *value = strchrnul(text, ' ');
+    (void)snprintf(write.item, sizeof(write.item), "%.*s", (int)(value - text),
+                   text);
+    (void)snprintf(write.value, sizeof(write.value), "%s",
+                   *value == '\0' ? "" : value + 1);
     if (writes && conn->upstream != platform->primary) {
         conn->state = conn->state == 'T' ? 'E' : conn->state;
         send_error(platform, conn, "READONLY");
@@ -325,7 +330,7 @@
 
 static void
 record_arrival(struct platform *platform, const struct conn *conn,
-               const char *id, int64_t now_us)
+               const char *id, const char *text, int64_t now_us)
 {
     struct arrival *arrival = find_arrival(platform, id);
 
@@ -335,6 +340,8 @@
     }
     if (arrival != NULL) {
         arrival->at_us = now_us;
+        free(arrival->text);
+        arrival->text = xstrdup(text);
         memcpy(arrival->sender, conn->sender, sizeof(arrival->sender));
     }
 }
@@ -358,7 +365,8 @@
 // Only a single statement and the first one of a transaction count. Statements
 // that the system issues itself carry the id "-".
 static void
-check_deadline(struct platform *platform, struct conn *conn, const char *id)
+check_deadline(struct platform *platform, struct conn *conn, const char *id,
+               const char *text)
 {
     int64_t deadline_us = platform->upstreams[conn->upstream].deadline_us;
     int64_t now_us = monotonic_get_us();
@@ -367,7 +375,7 @@
     if (strcmp(id, "-") == 0) {
         return;
     }
-    record_arrival(platform, conn, id, now_us);
+    record_arrival(platform, conn, id, text, now_us);
     check_name(platform, conn, id);
     conn->is_first = false;
     if (!counts || deadline_us == 0 || now_us <= deadline_us ||
@@ -391,7 +399,7 @@
     INVARIANT(text != NULL);
     *text++ = '\0';
     statement = text;
-    check_deadline(platform, conn, line);
+    check_deadline(platform, conn, line, text);
     if (!is_position_applied(&platform->upstreams[conn->upstream],
                              &statement)) {
         send_error(platform, conn, "LAGGING");
@@ -539,16 +547,13 @@
     for (;;) {
         size_t left = buffer_get_size(&conn->in);
         char *data = (char *)conn->in.data + conn->in.start;
-        char *end = left == 0 ? NULL : memchr(data, '\n', left);
+        char *end = left == 0 ? NULL : memmem(data, left, "\r\n", 2);
         if (end == NULL) {
             return true;
         }
         *end = '\0';
-        if (end > data && end[-1] == '\r') {
-            end[-1] = '\0';
-        }
         run_line(platform, conn, data);
-        buffer_consume(&conn->in, (size_t)(end - data) + 1);
+        buffer_consume(&conn->in, (size_t)(end - data) + 2);
     }
 }
 
@@ -673,6 +678,9 @@
             close(platform->upstreams[i].listen_fd);
         }
     }
+    for (int i = 0; i < platform->arrivals_count; i++) {
+        free(platform->arrivals[i].text);
+    }
     pthread_mutex_destroy(&platform->mutex);
     free(platform);
 }
@@ -750,6 +758,16 @@
     return at_us;
 }
 
+char *
+platform_get_arrival_text(struct platform *platform, const char *id)
+{
+    pthread_mutex_lock(&platform->mutex);
+    const struct arrival *arrival = find_arrival(platform, id);
+    char *text = arrival == NULL ? NULL : xstrdup(arrival->text);
+    pthread_mutex_unlock(&platform->mutex);
+    return text;
+}
+
 bool
 platform_get_arrival_sender(struct platform *platform, const char *id,
                             char sender[PLATFORM_ID_SIZE])
--- a/test/fake/platform.h
+++ b/test/fake/platform.h
@@ -55,6 +55,10 @@
 // Returns when a statement with this id last reached an upstream, in monotonic
 // microseconds; 0: none has, or the id is beyond PLATFORM_MAX_ARRIVALS.
 int64_t platform_get_arrival_us(struct platform *platform, const char *id);
+// Returns the text of the statement with this id that last reached an
+// upstream, with the prefix AFTER, if any; the caller frees it. NULL: none
+// has, or the id is beyond PLATFORM_MAX_ARRIVALS.
+char *platform_get_arrival_text(struct platform *platform, const char *id);
 // Copies the user name of the connection on which a statement with this id
 // last reached an upstream. Returns false if none has.
 bool platform_get_arrival_sender(struct platform *platform, const char *id,
--- a/test/unit/platform/test_wire_message.c
+++ b/test/unit/platform/test_wire_message.c
@@ -26,7 +26,13 @@
         {"TERMINATE\r\n", WIRE_TERMINATE, "", ""},
         {"READY I 3.1209\r\n", WIRE_READY, "I", "3.1209"},
         {"DATAROW a b  c\r\n", WIRE_ROW, "", "a b  c"},
-        {"COMPLETE -\n", WIRE_COMPLETE, "", "-"},
+        {"COMPLETE -\r\n", WIRE_COMPLETE, "", "-"},
+        {"QUERY 1 WRITE d a\nb\r\n", WIRE_QUERY, "1", "WRITE d a\nb"},
+        {"QUERY 1 WRITE d \nQUERY 2 WRITE d c\r\n", WIRE_QUERY, "1",
+         "WRITE d \nQUERY 2 WRITE d c"},
+        {"QUERY 1 WRITE d a\rb\r\r\n", WIRE_QUERY, "1", "WRITE d a\rb\r"},
+        {"DATAROW a\n\nREADY I -\n\r\n", WIRE_ROW, "", "a\n\nREADY I -\n"},
+        {"STARTUP d\ne u\nv\r\n", WIRE_STARTUP, "d\ne", "u\nv"},
         {"ERROR BUSY come back\r\n", WIRE_ERROR, "BUSY", "come back"},
         {"GET / HTTP/1.1\r\n", WIRE_UNKNOWN, "", "/ HTTP/1.1"},
         {"\r\n", WIRE_UNKNOWN, "", ""},
@@ -50,6 +56,28 @@
 }
 END_TEST
 
+// Guards against a line feed or a carriage return alone that ends a message.
+START_TEST(test_lone_line_ends_end_no_message)
+{
+    static const char *const parts[] = {"COMPLETE -\n", "\n", "\r", "a\r",
+                                        "\r"};
+    struct buffer in = {0};
+    struct buffer scratch = {0};
+    struct wire_message message;
+
+    for (size_t i = 0; i < sizeof(parts) / sizeof(parts[0]); i++) {
+        ck_assert_int_eq(read_text(&in, &scratch, parts[i], &message),
+                         WIRE_READ_INCOMPLETE);
+    }
+    ck_assert_int_eq(read_text(&in, &scratch, "\n", &message),
+                     WIRE_READ_MESSAGE);
+    ck_assert_str_eq(message.rest, "-\n\n\ra\r");
+    ck_assert_uint_eq(buffer_get_size(&in), 0);
+    buffer_free(&in);
+    buffer_free(&scratch);
+}
+END_TEST
+
 // Guards against errors at the ends of the input: a line that arrives in
 // parts, two lines at once, a NUL byte and a line that is too long.
 START_TEST(test_parts_and_limits)
@@ -150,6 +178,7 @@
 add_tests(TCase *tests)
 {
     tcase_add_test(tests, test_lines);
+    tcase_add_test(tests, test_lone_line_ends_end_no_message);
     tcase_add_test(tests, test_parts_and_limits);
     tcase_add_test(tests, test_statements);
     tcase_add_test(tests, test_positions);
