fix(control): a name ends no string in what control describes

What callers saw: 'catkingrade status' aborts (json_object_array_get_idx, exit -6) while a database whose name contains a quote waits for a primary.

Change: kernel/json_text writes a text as a JSON string (json-c); the limits page, which replaced such characters by question marks, uses it as well. The command reports a daemon whose status can't be read as unreachable.

--- a/src/catkingrade/cli/status.c
+++ b/src/catkingrade/cli/status.c
@@ -83,7 +83,9 @@
                                           CK_QUERY_STATUS, 0, &result);
     if (outcome == OUTCOME_OK) {
         struct json_object *rows = json_tokener_parse(result.json);
-        row = json_object_get(json_object_array_get_idx(rows, 0));
+        if (json_object_is_type(rows, json_type_array)) {
+            row = json_object_get(json_object_array_get_idx(rows, 0));
+        }
         json_object_put(rows);
         codec_free((xdrproc_t)xdr_ck_query_result, &result);
     }
--- a/src/catkingrade/control/group_host.c
+++ b/src/catkingrade/control/group_host.c
@@ -7,6 +7,7 @@
 #include "catkingrade/control/group_host_state.h"
 #include "catkingrade/decide/customer/limit_lender.h"
 #include "catkingrade/kernel/counters.h"
+#include "catkingrade/kernel/json_text.h"
 #include "catkingrade/kernel/log.h"
 #include "catkingrade/kernel/memory.h"
 #include "catkingrade/kernel/outcome.h"
@@ -551,22 +552,23 @@
 void
 group_host_describe(const struct group_host *host, struct buffer *json)
 {
+    buffer_append_text(json, "{\"group\":");
+    json_text_append(json, host->params.group->name);
     if (host->failed) {
-        buffer_append_format(json, "{\"group\":\"%s\",\"role\":\"failed\"}",
-                             host->params.group->name);
+        buffer_append_text(json, ",\"role\":\"failed\"}");
         return;
     }
     buffer_append_format(
         json,
-        "{\"group\":\"%s\",\"voter\":%" PRIu64 ",\"role\":\"%s\","
+        ",\"voter\":%" PRIu64 ",\"role\":\"%s\","
         "\"term\":%" PRIu64 ",\"leader\":%" PRIu64 ",\"commit\":%" PRIu64
         ",\"last\":%" PRIu64 ",\"revision\":%" PRIu64
         ",\"voters\":%u,\"voting\":%u,\"elections\":%" PRIu64
         ",\"databases\":",
-        host->params.group->name, host->params.self,
-        host_role_names[raft_get_role(host->raft)], raft_get_term(host->raft),
-        raft_get_leader(host->raft), raft_get_commit_index(host->raft),
-        raft_get_last_index(host->raft), group_get_revision(host->state),
+        host->params.self, host_role_names[raft_get_role(host->raft)],
+        raft_get_term(host->raft), raft_get_leader(host->raft),
+        raft_get_commit_index(host->raft), raft_get_last_index(host->raft),
+        group_get_revision(host->state),
         raft_get_voters(host->raft)->voters.voters_len,
         host_count_voting(host), host->elections);
     coordinator_describe(host->coordinator, monotonic_get_us(), json);
--- a/src/catkingrade/control/lease_agent.c
+++ b/src/catkingrade/control/lease_agent.c
@@ -6,6 +6,7 @@
 
 #include "catkingrade/control/lease_agent_private.h"
 #include "catkingrade/decide/group/group.h"
+#include "catkingrade/kernel/json_text.h"
 #include "catkingrade/kernel/memory.h"
 #include "catkingrade/kernel/settings.h"
 
@@ -202,11 +203,12 @@
     buffer_append_text(json, "[");
     for (size_t i = 0; i < agent->leases_count; i++) {
         const struct group_lease *lease = &agent->leases[i];
+        buffer_append_text(json, i == 0 ? "{\"group\":" : ",{\"group\":");
+        json_text_append(json, lease->group);
         buffer_append_format(
             json,
-            "%s{\"group\":\"%s\",\"revision\":%" PRIu64
-            ",\"leader_term\":%" PRIu64 ",\"lease_left_ms\":%" PRId64 "}",
-            i == 0 ? "" : ",", lease->group,
+            ",\"revision\":%" PRIu64 ",\"leader_term\":%" PRIu64
+            ",\"lease_left_ms\":%" PRId64 "}",
             view_get_revision(agent->view, lease->group),
             leaseholder_get_leader_term(lease->leaseholder),
             lease->valid_until_us > now_us
--- a/src/catkingrade/control/queries.c
+++ b/src/catkingrade/control/queries.c
@@ -9,6 +9,7 @@
 #include "catkingrade/control/lease_agent.h"
 #include "catkingrade/entry/entry.h"
 #include "catkingrade/kernel/counters.h"
+#include "catkingrade/kernel/json_text.h"
 #include "catkingrade/kernel/memory.h"
 #include "catkingrade/kernel/outcome.h"
 #include "catkingrade/kernel/settings.h"
@@ -36,12 +37,16 @@
     struct daemon *daemon = control->daemon;
     const struct settings *settings = daemon->settings;
 
+    buffer_append_text(json, "[{\"vm\":");
+    json_text_append(json, settings->vm);
+    buffer_append_text(json, ",\"failure_domain\":");
+    json_text_append(json, settings->failure_domain);
     buffer_append_format(
         json,
-        "[{\"vm\":\"%s\",\"failure_domain\":\"%s\",\"version\":\"%s\","
+        ",\"version\":\"%s\","
         "\"entry\":%s,\"control\":%s,\"ready\":%s,\"draining\":%s,"
         "\"sessions\":%" PRIu64 ",\"groups\":",
-        settings->vm, settings->failure_domain, CATKINGRADE_VERSION,
+        CATKINGRADE_VERSION,
         (settings->roles & SETTINGS_ROLE_ENTRY) != 0 ? "true" : "false",
         (settings->roles & SETTINGS_ROLE_CONTROL) != 0 ? "true" : "false",
         atomic_load(&daemon->ready) ? "true" : "false",
--- a/src/catkingrade/decide/customer/limit_lender.c
+++ b/src/catkingrade/decide/customer/limit_lender.c
@@ -6,6 +6,7 @@
 #include <xxhash.h>
 
 #include "catkingrade/decide/id_map.h"
+#include "catkingrade/kernel/json_text.h"
 #include "catkingrade/kernel/memory.h"
 #include "catkingrade/kernel/outcome.h"
 
@@ -600,28 +601,16 @@
     return &entry->answer;
 }
 
-// Appends a name to a JSON string; characters that JSON escapes become "?".
-static void
-lender_append_name(const char *name, struct buffer *json)
-{
-    for (; *name != '\0'; name++) {
-        bool plain =
-            (unsigned char)*name >= ' ' && *name != '"' && *name != '\\';
-        char text[2] = {plain ? *name : '?', '\0'};
-        buffer_append_text(json, text);
-    }
-}
-
 static void
 lender_describe_bucket(struct lender_bucket *bucket, int64_t now_us,
                        struct buffer *json)
 {
     lender_fill(bucket, now_us);
     lender_sweep(bucket, now_us);
-    buffer_append_text(json, "{\"customer\":\"");
-    lender_append_name(bucket->limit.customer, json);
+    buffer_append_text(json, "{\"customer\":");
+    json_text_append(json, bucket->limit.customer);
     buffer_append_format(json,
-                         "\",\"rate_per_s\":%g,\"burst\":%g,"
+                         ",\"rate_per_s\":%g,\"burst\":%g,"
                          "\"left\":%.1f,\"lent\":%.0f,\"entries\":%zu}",
                          bucket->limit.rate_per_s, bucket->limit.burst,
                          bucket->tokens, bucket->held, bucket->records_count);
