fix(view): a group's name that is too long is an error of the file

What operators saw: an entry with a view file whose "group" has 64 characters or more aborts at its start (codec.c: invariant broken).

Cause: the length of every other name was checked, this one was not. Change: it is read like the others, with "fleet" as its default.

test_load_error failed before (signal 6) and passes.

--- a/src/catkingrade/entry/view_file.c
+++ b/src/catkingrade/entry/view_file.c
@@ -50,10 +50,12 @@
 }
 
 static char *
-view_file_get_name(struct json_reader *reader, struct json_object *object,
-                   const char *path, const char *key, bool required)
+view_file_get_name_or(struct json_reader *reader, struct json_object *object,
+                      const char *path, const char *key, const char *fallback,
+                      bool required)
 {
-    char *name = json_reader_get_text(reader, object, path, key, "", required);
+    char *name =
+        json_reader_get_text(reader, object, path, key, fallback, required);
 
     if (strlen(name) > CK_NAME_SIZE) {
         json_reader_add_error(reader, path, "%s: longer than %d characters",
@@ -62,6 +64,13 @@
     return name;
 }
 
+static char *
+view_file_get_name(struct json_reader *reader, struct json_object *object,
+                   const char *path, const char *key, bool required)
+{
+    return view_file_get_name_or(reader, object, path, key, "", required);
+}
+
 // Decodes a list of at most max_count objects into a new array *items. Returns
 // the number of items.
 static unsigned
@@ -242,7 +251,7 @@
     database->customer =
         view_file_get_name(reader, object, path, "customer", true);
     database->group =
-        json_reader_get_text(reader, object, path, "group", "fleet", false);
+        view_file_get_name_or(reader, object, path, "group", "fleet", false);
     database->primary =
         view_file_get_name(reader, object, path, "primary", false);
     database->revision = 1;
--- a/test/unit/entry/test_view.c
+++ b/test/unit/entry/test_view.c
@@ -163,6 +163,9 @@
     "  \"types\": [{\"name\": \"booking\", \"weight\": 10}],\n"               \
     "  \"callers\": [{\"user\": \"walker\"}]}],\n"
 
+#define NAME_TOO_LONG                                                         \
+    "0123456789012345678901234567890123456789012345678901234567890123"
+
 START_TEST(test_load)
 {
     struct buffer errors = {0};
@@ -203,6 +206,9 @@
                "\"upstreams\": [{\"name\": \"n\", \"host\": \"127.0.0.1\", "
                "\"port\": 70000}]}]}",
      "70000 is out of range"},
+    {CUSTOMERS "\"databases\": [{\"name\": \"a\", \"customer\": \"roster\", "
+               "\"group\": \"" NAME_TOO_LONG "\"}]}",
+     "databases[0]: group: longer than 63 characters"},
     {"{", ": "},
 };
 
