--- a/test/contract/test_relay.c
+++ b/test/contract/test_relay.c
@@ -18,6 +18,11 @@
 #define ENTRIES        2
 #define RELAY_SETTINGS ",\"relay_min_connections\": 3"
 
+// The largest message without its CR LF, and a bound of what a relay's prefix
+// adds to it.
+#define LARGEST_LINE_BYTES     (1024 * 1024 - 2)
+#define RELAY_PREFIX_MAX_BYTES 256
+
 // Entries, the time until their roles do not change any more, and the writes
 // at each in which the role moves.
 #define ROLE_ENTRIES   3
@@ -180,6 +185,122 @@
 }
 END_TEST
 
+// Opens a relay session of the first entry.
+static int
+open_relay_session(void)
+{
+    for (int i = 0; i < RIG_WAIT_ROUNDS; i++) {
+        int fd = platform_connect(rig.relay_port);
+        if (fd >= 0) {
+            char *text = platform_send_request(fd, "STARTUP core e relay");
+            bool is_open =
+                text != NULL && strcmp(text, "READY I - 0\r\n") == 0;
+            free(text);
+            if (is_open) {
+                return fd;
+            }
+            close(fd);
+        }
+        usleep(RIG_WAIT_STEP_US);
+    }
+    ck_abort_msg("the entry takes no relay session");
+    return -1;
+}
+
+static void
+expect_refused(int fd, const char *line, const char *end)
+{
+    char *text = platform_send_request(fd, line);
+
+    ck_assert_ptr_nonnull(text);
+    ck_assert_msg(strncmp(text, "ERROR MALFORMED ", 16) == 0, "%s: %s", line,
+                  text);
+    ck_assert_msg(strstr(text, end) != NULL, "%s: %s", line, text);
+    free(text);
+}
+
+// The answer ends with the session's read floor.
+static void
+expect_start(int fd, const char *line, const char *start)
+{
+    char *text = platform_send_request(fd, line);
+
+    ck_assert_ptr_nonnull(text);
+    ck_assert_msg(strncmp(text, start, strlen(start)) == 0, "%s: %s", line,
+                  text);
+    free(text);
+}
+
+// Guards against a relayed statement that runs with the route, read floor or
+// customer of the statement before it.
+START_TEST(test_statement_without_relay_context)
+{
+    static const char *const lines[] = {
+        "QUERY x1 WRITE k9 stolen",
+        "QUERY x1 READ k9",
+        "QUERY x1 EXECUTE p0 k9 stolen",
+        "QUERY - BEGIN",
+        "QUERY - BEGIN READ",
+        "QUERY x1 VIA own - 0 WRITE k9 stolen",
+        "QUERY x1 FOR c 1 VIA own - 0 0 WRITE k9 stolen",
+        "QUERY x1 VIA own - 99999999999999999999 0 WRITE k9 stolen",
+    };
+
+    platform_rig_start("relay_no_context", 1, "");
+    platform_rig_wait_config(0, CONFIG);
+    close(platform_rig_wait_answer(0, "own", "QUERY a0 WRITE k0 zero",
+                                   "sig-a0"));
+    int fd = open_relay_session();
+    free(platform_send_request(fd, "QUERY - PREPARE p0 WRITE q"));
+    expect_start(fd, "QUERY b1 VIA own - 0 0 WRITE k1 one",
+                 "COMPLETE sig-b1\r\nREADY I ");
+    for (size_t i = 0; i < sizeof(lines) / sizeof(lines[0]); i++) {
+        expect_refused(fd, lines[i], "\r\nREADY I ");
+    }
+    expect_start(fd, "QUERY - VIA own - 0 0 BEGIN", "COMPLETE -\r\nREADY T ");
+    expect_start(fd, "QUERY c1 WRITE k2 two", "COMPLETE sig-c1\r\nREADY T ");
+    expect_refused(fd, "QUERY x1 VIA current - 0 0 WRITE k9 stolen",
+                   "\r\nREADY T ");
+    expect_start(fd, "QUERY c2 COMMIT", "COMPLETE sig-c2\r\nREADY I ");
+    close(fd);
+    fd = open_relay_session();
+    expect_refused(fd, lines[0], "\r\nREADY I - 0\r\n");
+    close(fd);
+    ck_assert_int_eq(platform_count_writes(rig.platform, "stolen"), 0);
+    ck_assert_int_eq(platform_get_arrival_us(rig.platform, "x1"), 0);
+    platform_rig_stop();
+}
+END_TEST
+
+// Guards against a write whose outcome is unknown because the relay's prefix
+// makes its message longer than the protocol allows: it has not run.
+START_TEST(test_largest_statements_through_relay)
+{
+    int entry = start_with_relay("relay_largest");
+    int fd = platform_rig_wait_answer(entry, "own", "QUERY a0 WRITE k0 zero",
+                                      "sig-a0");
+    const size_t size = LARGEST_LINE_BYTES;
+    char *line = xcalloc(1, size + 1);
+
+    memset(line, 'x', size);
+    memcpy(line, "QUERY b1 WRITE k1 ", strlen("QUERY b1 WRITE k1 "));
+    char *text = platform_send_request(fd, line);
+    ck_assert_msg(text != NULL && strncmp(text, "ERROR BUSY ", 11) == 0,
+                  "%.200s", text == NULL ? "the end" : text);
+    ck_assert_ptr_nonnull(strstr(text, "\r\nREADY I -\r\n"));
+    free(text);
+    ck_assert_int_eq(platform_get_arrival_us(rig.platform, "b1"), 0);
+    memcpy(line, "QUERY b2", strlen("QUERY b2"));
+    line[size - RELAY_PREFIX_MAX_BYTES] = '\0';
+    platform_rig_expect(fd, line, "COMPLETE sig-b2\r\nREADY I -\r\n");
+    platform_rig_expect(fd, "QUERY b3 WRITE k1 one",
+                        "COMPLETE sig-b3\r\nREADY I -\r\n");
+    free(line);
+    close(fd);
+    platform_rig_stop();
+}
+END_TEST
+
 // Returns the entry that holds the connections to the upstreams: the last one
 // that has not begun to use a relay, or has ended it since.
 static int
@@ -248,6 +369,8 @@
     tcase_add_test(tests, test_relay_entry_is_killed);
     tcase_add_test(tests, test_relay_entry_is_stopped);
     tcase_add_test(tests, test_failover_behind_relay);
+    tcase_add_test(tests, test_statement_without_relay_context);
+    tcase_add_test(tests, test_largest_statements_through_relay);
     tcase_add_test(tests, test_requests_go_on_while_relay_role_moves);
 }
 
--- a/test/unit/platform/test_wire_relay.c
+++ b/test/unit/platform/test_wire_relay.c
@@ -68,6 +68,41 @@
 }
 END_TEST
 
+// Guards against a name that ends the message or the prefix, so that the relay
+// runs another statement, or for another customer.
+START_TEST(test_relay_context_keeps_any_name)
+{
+    static const char *const names[] = {
+        "big shop",
+        "x VIA r-2 - 0 0 WRITE k9 stolen",
+        "c\r\nQUERY x WRITE k9 stolen",
+        "FOR",
+        "VIA",
+        "50% off\n%20",
+        "%",
+        "                                                               ",
+    };
+    const char *name = names[_i / 2];
+    struct typed_statement statement = {
+        .route = _i % 2 == 0 ? "r-1" : name,
+        .customer = _i % 2 == 0 ? name : "c-1",
+    };
+    struct wire_relay_context context;
+    struct buffer out = {0};
+
+    wire_relay_append_context(&out, &statement);
+    buffer_append_text(&out, "READ 1a4");
+    buffer_append_u8(&out, 0);
+    const char *text = (const char *)buffer_get_data(&out);
+    ck_assert_ptr_null(strstr(text, "\r\n"));
+    ck_assert_msg(wire_relay_parse_context(&text, &context), "%s", text);
+    ck_assert_str_eq(text, "READ 1a4");
+    ck_assert_str_eq(context.route, statement.route);
+    ck_assert_str_eq(context.customer, statement.customer);
+    buffer_free(&out);
+}
+END_TEST
+
 // Guards against an incomplete or malformed prefix that is taken for a relay
 // context: the text must stay unchanged.
 START_TEST(test_invalid_relay_context)
@@ -86,6 +121,16 @@
         "VIA r-1 - 4 4x READ k",
         "VIA r-1 - x 4 READ k",
         "VIA r-1 - 4 99999999999 READ k",
+        "VIA r-1 - 99999999999999999999 4 READ k",
+        "VIA r-1 - 4 18446744073709551617 READ k",
+        "VIA r-1 16777216.1 4 4 READ k",
+        "VIA r-1 1.1099511627776 4 4 READ k",
+        "VIA % - 4 4 READ k",
+        "VIA r%2 - 4 4 READ k",
+        "VIA r%00 - 4 4 READ k",
+        "VIA r%0a - 4 4 READ k",
+        "FOR c%2g VIA r-1 - 4 4 READ k",
+        "VIA  - 4 4 READ k",
         "VIAr-1 - 4 4 READ k",
         "FOR",
         "FOR c-1",
@@ -110,6 +155,7 @@
 {
     tcase_add_test(tests, test_relay_context_round_trip);
     tcase_add_test(tests, test_relay_context_has_customer);
+    tcase_add_loop_test(tests, test_relay_context_keeps_any_name, 0, 16);
     tcase_add_test(tests, test_invalid_relay_context);
 }
 
