--- a/test/contract/test_relay.c
+++ b/test/contract/test_relay.c
@@ -162,6 +162,7 @@
     int entry = start_with_relay("relay_stopped");
 
     write_while_relay_entry_ends(entry, SIGTERM);
+    ck_assert(!platform_rig_log_contains(RIG_CONTROLS + entry, "out_of_step"));
     platform_rig_stop();
 }
 END_TEST
