fix(platform): refuse announcements with names that are not words

What callers saw: PUT and DELETE /v1/instances/ID were answered 200 for any id. With %0D%0A in the id, entries and control VMs sent the rest of it as a statement to the announced address. With %00 the id was taken for the part before it: another writer's PUT or DELETE of i-0%00x replaced or withdrew i-0. The same held for texts of the body with \u0000, and for all that follows a zero byte in a body.

Cause: names were checked for their length only; libmicrohttpd decodes the path before it passes it on as a C string; the body was measured by strlen, and the JSON parser takes a zero byte for the end of the text.

Evidence: test_odd_entries, 15 ids and 20 bodies at each of three control VMs.

Change: the HTTP server keeps the path as sent and decodes it once; a percent sign without two hexadecimal digits or for a zero byte gets 400. An id, service and zone must be a word in UTF-8 without control characters (kernel/name, which the check of customers' names now shares). Bodies are read by their size and must be UTF-8 without zero bytes. A port consists of digits: strtol also read blanks and a sign.

--- a/src/catkingrade/decide/customer/customer_check.c
+++ b/src/catkingrade/decide/customer/customer_check.c
@@ -1,11 +1,11 @@
 #include "catkingrade/decide/customer/customer_check.h"
 
-#include <stdbool.h>
 #include <stdlib.h>
 #include <string.h>
 
 #include "catkingrade/decide/customer/key_index.h"
 #include "catkingrade/kernel/memory.h"
+#include "catkingrade/kernel/name.h"
 
 // Limits the size of the error text.
 #define CUSTOMER_CHECK_MAX_CONFLICTS 16
@@ -21,19 +21,7 @@
     return strcmp(left->name, right->name);
 }
 
-// A customer's name is a word in messages to upstreams and relays. Returns
-// whether it has no blank and no control character.
-static bool
-customer_check_is_word(const char *name)
-{
-    const char *byte = name;
-
-    while ((unsigned char)*byte > ' ' && *byte != 0x7f) {
-        byte++;
-    }
-    return name[0] != '\0' && *byte == '\0';
-}
-
+// A customer's name is a word in messages to upstreams and relays.
 static void
 customer_check_names(const struct ck_declared_customer **customers,
                      size_t count, struct buffer *errors)
@@ -41,14 +29,14 @@
     qsort(customers, count, sizeof(const struct ck_declared_customer *),
           customer_check_compare_names);
     for (size_t i = 0; i < count; i++) {
-        if (!customer_check_is_word(customers[i]->name)) {
+        const char *name = customers[i]->name;
+        if (!name_is_word(name, strlen(name))) {
             buffer_append_text(errors,
                                "the name of a customer is not one word\n");
         }
-        else if (i > 0 &&
-                 strcmp(customers[i]->name, customers[i - 1]->name) == 0) {
+        else if (i > 0 && strcmp(name, customers[i - 1]->name) == 0) {
             buffer_append_format(errors, "two customers have the name %s\n",
-                                 customers[i]->name);
+                                 name);
         }
     }
 }
--- a/src/catkingrade/kernel/settings.c
+++ b/src/catkingrade/kernel/settings.c
@@ -1,6 +1,7 @@
 #include "catkingrade/kernel/settings.h"
 
 #include <arpa/inet.h>
+#include <ctype.h>
 #include <errno.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -180,8 +181,10 @@
     }
     memcpy(address->host, host, length);
     address->host[length] = '\0';
-    long port = strtol(colon + 1, &end, 10);
-    if (end == colon + 1 || *end != '\0' || port < 1 || port > UINT16_MAX) {
+    // strtol would also read blanks and a sign.
+    long port =
+        isdigit((unsigned char)colon[1]) ? strtol(colon + 1, &end, 10) : 0;
+    if (port < 1 || port > UINT16_MAX || *end != '\0') {
         return false;
     }
     address->port = (uint16_t)port;
--- a/src/catkingrade/plugins/http.c
+++ b/src/catkingrade/plugins/http.c
@@ -100,6 +100,53 @@
     pthread_mutex_unlock(&http->mutex);
 }
 
+// Keeps the path of a request as it was sent, because the decoded one may
+// contain a zero byte, at which the path would end for http_handle_access.
+static size_t
+http_keep_escapes(void *data, struct MHD_Connection *connection, char *text)
+{
+    (void)data;
+    (void)connection;
+    return strlen(text);
+}
+
+// Returns the value of a hexadecimal digit, or -1.
+static int
+http_parse_digit(char digit)
+{
+    if (digit >= '0' && digit <= '9') {
+        return digit - '0';
+    }
+    digit |= 'a' ^ 'A';
+    return digit >= 'a' && digit <= 'f' ? digit - 'a' + 10 : -1;
+}
+
+// Decodes the percent-encoded bytes of a path (RFC 3986, 2.1), once. Returns
+// NULL if one has no two hexadecimal digits or is zero. The caller frees the
+// result.
+static char *
+http_decode_path(const char *url)
+{
+    char *path = xstrdup(url);
+    char *end = path;
+
+    for (const char *at = url; *at != '\0'; at++) {
+        *end = *at;
+        if (*at == '%') {
+            int high = http_parse_digit(at[1]);
+            int low = high < 0 ? -1 : http_parse_digit(at[2]);
+            *end = low < 0 ? '\0' : (char)(high * 16 + low);
+            at += 2;
+        }
+        if (*end++ == '\0') {
+            free(path);
+            return NULL;
+        }
+    }
+    *end = '\0';
+    return path;
+}
+
 static bool
 http_route_matches(const struct http_route *route, const char *method,
                    const char *path)
@@ -432,19 +479,41 @@
     return MHD_YES;
 }
 
+// path: decoded; NULL if it cannot be decoded.
 static struct http_request *
 http_create_request(struct MHD_Connection *connection,
-                    const struct http_route *route, const char *url)
+                    const struct http_route *route, const char *path)
 {
     struct http_request *request = xcalloc(1, sizeof(*request));
     size_t prefix_size = route == NULL ? 0 : strlen(route->path);
 
     request->connection = connection;
     request->route = route;
-    request->path_suffix = xstrdup(url + prefix_size);
+    request->path_suffix = xstrdup(path == NULL ? "" : path + prefix_size);
     return request;
 }
 
+// Responds to a request that has no route. path: decoded, or NULL.
+static enum MHD_Result
+http_respond_unrouted(struct http *http, struct http_request *request,
+                      const char *method, const char *path)
+{
+    pthread_mutex_lock(&http->mutex);
+    http_open_request_locked(http, request);
+    pthread_mutex_unlock(&http->mutex);
+    if (path == NULL) {
+        return http_respond_text(http, request->connection,
+                                 MHD_HTTP_BAD_REQUEST,
+                                 "invalid: the path cannot be read\n");
+    }
+    if (strcmp(method, MHD_HTTP_METHOD_GET) == 0) {
+        return http_handle_builtin_path(http, request->connection, path);
+    }
+    return http_respond_text(http, request->connection,
+                             MHD_HTTP_METHOD_NOT_ALLOWED,
+                             "no such call here\n");
+}
+
 static enum MHD_Result
 http_handle_access(void *data, struct MHD_Connection *connection,
                    const char *url, const char *method, const char *version,
@@ -458,20 +527,18 @@
         return http_handle_routed(http, *request_data, upload_data,
                                   upload_data_size);
     }
-    const struct http_route *route = http_find_route(http, method, url);
-    struct http_request *request = http_create_request(connection, route, url);
+    char *path = http_decode_path(url);
+    const struct http_route *route =
+        path == NULL ? NULL : http_find_route(http, method, path);
+    struct http_request *request =
+        http_create_request(connection, route, path);
+    enum MHD_Result result = MHD_YES;
     *request_data = request;
-    if (route != NULL) {
-        return MHD_YES;
+    if (route == NULL) {
+        result = http_respond_unrouted(http, request, method, path);
     }
-    pthread_mutex_lock(&http->mutex);
-    http_open_request_locked(http, request);
-    pthread_mutex_unlock(&http->mutex);
-    if (strcmp(method, MHD_HTTP_METHOD_GET) == 0) {
-        return http_handle_builtin_path(http, connection, url);
-    }
-    return http_respond_text(http, connection, MHD_HTTP_METHOD_NOT_ALLOWED,
-                             "no such call here\n");
+    free(path);
+    return result;
 }
 
 static void
@@ -526,7 +593,8 @@
             HTTP_MAX_CONNECTIONS, MHD_OPTION_CONNECTION_TIMEOUT,
             HTTP_CONNECTION_TIMEOUT_S, MHD_OPTION_CONNECTION_MEMORY_LIMIT,
             (size_t)HTTP_CONNECTION_BYTES, MHD_OPTION_NOTIFY_COMPLETED,
-            http_handle_completed, http, MHD_OPTION_END);
+            http_handle_completed, http, MHD_OPTION_UNESCAPE_CALLBACK,
+            http_keep_escapes, NULL, MHD_OPTION_END);
     }
     if (server == NULL) {
         LOG_ERROR("http_failed", "address=%s:%u", address->host,
--- a/test/contract/test_odd_entries.c
+++ b/test/contract/test_odd_entries.c
@@ -1,8 +1,10 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/socket.h>
 #include <unistd.h>
 
+#include "catkingrade/kernel/buffer.h"
 #include "catkingrade/kernel/memory.h"
 #include "test/fake/platform.h"
 #include "test/rig/platform_rig.h"
@@ -34,6 +36,66 @@
     "[]",
 };
 
+// An announcement with other texts, newer than any of the upstream itself.
+#define WORDED(service, zone, state)                                          \
+    "{\"service\":\"" service "\",\"addr\":\"127.0.0.1:7\",\"zone\":\"" zone  \
+    "\",\"slots\":5,\"state\":\"" state "\",\"dbRole\":\"replica\","          \
+    "\"seq\":999999999,\"born\":999999999}"
+// Arrives at an upstream only out of a name.
+#define STOLEN "QUERY x WRITE k9 stolen"
+#define LONG_NAME                                                             \
+    "0123456789012345678901234567890123456789012345678901234567890123"
+#define BODY(text)   (text), sizeof(text) - 1
+#define REQUEST_SIZE 1024
+
+struct odd_body {
+    const char *text;
+    size_t size_bytes;
+};
+
+static const struct odd_body odd_texts[] = {
+    {BODY(WORDED("core\\r\\n" STOLEN, "noord", "ready"))},
+    {BODY(WORDED("core x", "noord", "ready"))},
+    {BODY(WORDED("core\\u0000x", "noord", "ready"))},
+    {BODY(WORDED("core\\u0001", "noord", "ready"))},
+    {BODY(WORDED("core\\u007f", "noord", "ready"))},
+    {BODY(WORDED("core\xff", "noord", "ready"))},
+    {BODY(WORDED(LONG_NAME, "noord", "ready"))},
+    {BODY(WORDED("core", "noord\\r\\n" STOLEN, "ready"))},
+    {BODY(WORDED("core", "noord\\u0000x", "ready"))},
+    {BODY(WORDED("core", "noord\\t", "ready"))},
+    {BODY(WORDED("core", "noord", "ready\\u0000x"))},
+    {BODY(WORDED("core", "noord", "draining\\u0000"))},
+    {BODY(WORDED("core", "noord", "ready") "\0")},
+    {BODY(WORDED("core", "noord", "ready") "\0{}")},
+    {BODY(ODD("127.0.0.1:7\\u0000", "999999", "2000"))},
+    {BODY(ODD("127.0.0.1\\u0000:7", "999999", "2000"))},
+    {BODY(ODD("127.0.0.1: 7", "999999", "2000"))},
+    {BODY(ODD("127.0.0.1:+7", "999999", "2000"))},
+    {BODY(ODD("127.0.0.1\\r\\n:7", "999999", "2000"))},
+    {BODY(ODD(" 127.0.0.1:7", "999999", "2000"))},
+};
+
+// Ids as in a request path.
+static const char *const odd_ids[] = {
+    "",
+    "%00",
+    "%20",
+    "i-0%00",
+    "i-0%00x",
+    "i-0%0D%0A"
+    "QUERY%20x%20WRITE%20k9%20stolen",
+    "i-0%0AQUERY%20x%20WRITE%20k9%20stolen",
+    "i-0%20stolen",
+    "i-0%09",
+    "i-0%7F",
+    "i-0%01",
+    "i-0%FF%FE",
+    "i-0%zz",
+    "i-0%0",
+    LONG_NAME,
+};
+
 // Sends a body in the name of each upstream of the first database to each
 // control VM, which must refuse it.
 static void
@@ -50,6 +112,87 @@
     }
 }
 
+// Sends bytes to a control VM as they are, on a connection of their own.
+// Returns the status of the answer; 0: none.
+static int
+send_request(int vm, const char *bytes, size_t size_bytes)
+{
+    int fd = platform_connect(rig.http_ports[vm]);
+    int status = 0;
+
+    ck_assert_int_ge(fd, 0);
+    (void)!send(fd, bytes, size_bytes, MSG_NOSIGNAL);
+    char *text = platform_receive_rest(fd);
+    (void)sscanf(text, "HTTP/1.1 %d", &status);
+    free(text);
+    close(fd);
+    return status;
+}
+
+static int
+call_instance(int vm, const char *method, const char *id,
+              const struct odd_body *body)
+{
+    struct buffer bytes = {0};
+
+    buffer_append_format(&bytes,
+                         "%s /v1/instances/%s HTTP/1.1\r\nHost: x\r\n"
+                         "Connection: close\r\nContent-Length: %zu\r\n\r\n",
+                         method, id, body->size_bytes);
+    buffer_append(&bytes, body->text, body->size_bytes);
+    int status = send_request(vm, (const char *)buffer_get_data(&bytes),
+                              buffer_get_size(&bytes));
+    buffer_free(&bytes);
+    return status;
+}
+
+// Notes a call that was not refused with status 400.
+static void
+expect_refusal(struct buffer *faults, int vm, const char *method,
+               const char *id, const struct odd_body *body)
+{
+    int status = call_instance(vm, method, id, body);
+
+    if (status != 400) {
+        buffer_append_format(faults, "%s of \"%s\" at VM %d: %d; ", method, id,
+                             vm, status);
+    }
+}
+
+// Announces the address of an upstream under odd ids at a control VM, and
+// withdraws them.
+static void
+call_odd_ids(struct buffer *faults, int vm)
+{
+    const struct odd_body none = {"", 0};
+    char text[REQUEST_SIZE];
+    int size = snprintf(text, sizeof(text),
+                        ODD("127.0.0.1:%d", "999999999", "999999999"),
+                        platform_get_port(rig.platform, 0));
+    const struct odd_body body = {text, (size_t)size};
+
+    for (size_t i = 0; i < ARRAY_SIZE(odd_ids); i++) {
+        expect_refusal(faults, vm, "PUT", odd_ids[i], &body);
+        expect_refusal(faults, vm, "DELETE", odd_ids[i], &none);
+    }
+}
+
+// Announces odd texts in the name of an upstream at a control VM.
+static void
+announce_odd_texts(struct buffer *faults, int vm)
+{
+    char id[32];
+
+    for (size_t i = 0; i < ARRAY_SIZE(odd_texts); i++) {
+        size_t size = buffer_get_size(faults);
+        (void)snprintf(id, sizeof(id), "i-%zu", i % PLATFORM_UPSTREAMS);
+        expect_refusal(faults, vm, "PUT", id, &odd_texts[i]);
+        if (buffer_get_size(faults) > size) {
+            buffer_append_format(faults, "(body %zu) ", i);
+        }
+    }
+}
+
 static void
 announce_nested(void)
 {
@@ -89,10 +232,71 @@
 }
 END_TEST
 
+static void
+check_controls(void)
+{
+    for (int vm = 0; vm < RIG_CONTROLS; vm++) {
+        ck_assert(!process_has_ended(rig.controls[vm]));
+    }
+}
+
+// Makes odd calls at each control VM. Checks that all are refused, that
+// statements run once all the while, and that no upstream gets anything that
+// no client sent.
+static void
+check_odd_calls(const char *name, void (*call)(struct buffer *faults, int vm))
+{
+    struct buffer faults = {0};
+
+    platform_rig_start(name, 1, "");
+    platform_rig_wait_config(0, CONFIG);
+    int fd = platform_rig_wait_answer(0, "current", "QUERY a0 WRITE k0 zero",
+                                      "sig-a0");
+    platform_forbid_text(rig.platform, "stolen");
+    for (int vm = 0; vm < RIG_CONTROLS; vm++) {
+        call(&faults, vm);
+    }
+    for (int i = 0; i < EXPIRY_ROUNDS; i++) {
+        platform_rig_expect(fd, "QUERY a1 WRITE k1 one",
+                            "COMPLETE sig-a1\r\nREADY I -\r\n");
+        usleep(RIG_WAIT_STEP_US);
+    }
+    int stolen = platform_count_forbidden(rig.platform);
+    buffer_append_u8(&faults, 0);
+    ck_assert_msg(stolen == 0 && buffer_get_size(&faults) == 1,
+                  "%d lines that no client sent; not refused: %s", stolen,
+                  (const char *)buffer_get_data(&faults));
+    buffer_free(&faults);
+    ck_assert_int_eq(platform_get_protocol_errors(rig.platform), 0);
+    ck_assert_int_eq(platform_count_writes(rig.platform, "one"),
+                     EXPIRY_ROUNDS);
+    check_controls();
+    close(fd);
+    platform_rig_stop();
+}
+
+// Guards against the id of an upstream whose rest is sent to it as a
+// statement, and against one that is taken for the part before a zero byte.
+START_TEST(test_odd_ids_are_refused)
+{
+    check_odd_calls("odd_ids", call_odd_ids);
+}
+END_TEST
+
+// Guards against texts of announcements that are not words or are taken for
+// the part before a zero byte, and against bytes after the announcement.
+START_TEST(test_odd_texts_are_refused)
+{
+    check_odd_calls("odd_texts", announce_odd_texts);
+}
+END_TEST
+
 static void
 add_tests(TCase *tests)
 {
     tcase_add_test(tests, test_odd_announcements_change_nothing);
+    tcase_add_test(tests, test_odd_ids_are_refused);
+    tcase_add_test(tests, test_odd_texts_are_refused);
 }
 
 TEST_MAIN("odd_entries", add_tests)
--- a/test/unit/platform/test_platform_decode.c
+++ b/test/unit/platform/test_platform_decode.c
@@ -243,13 +243,20 @@
 }
 END_TEST
 
+static int
+decode_announcement(const char *id, const char *body,
+                    struct ck_upstream *upstream)
+{
+    return announcement_decode(id, body, strlen(body), upstream);
+}
+
 // Guards against members of an announcement that are decoded to a wrong value
 // or field.
 START_TEST(test_announcement)
 {
     struct ck_upstream upstream;
 
-    ck_assert_int_eq(announcement_decode("i-7f3a", ANNOUNCEMENT, &upstream),
+    ck_assert_int_eq(decode_announcement("i-7f3a", ANNOUNCEMENT, &upstream),
                      OUTCOME_OK);
     ck_assert_str_eq(upstream.name, "i-7f3a");
     ck_assert_str_eq(upstream.database, "huvo11a");
@@ -261,7 +268,7 @@
     ck_assert_uint_eq(upstream.sequence, 4);
     codec_free((xdrproc_t)xdr_ck_upstream, &upstream);
     ck_assert_int_eq(
-        announcement_decode("i-7f3a", ANNOUNCEMENT "\r\n ", &upstream),
+        decode_announcement("i-7f3a", ANNOUNCEMENT "\r\n ", &upstream),
         OUTCOME_OK);
     codec_free((xdrproc_t)xdr_ck_upstream, &upstream);
 }
@@ -312,7 +319,7 @@
 
     for (size_t i = 0; i < sizeof(rows) / sizeof(rows[0]); i++) {
         struct ck_upstream upstream;
-        ck_assert_msg(announcement_decode("i-1", rows[i], &upstream) ==
+        ck_assert_msg(decode_announcement("i-1", rows[i], &upstream) ==
                           OUTCOME_INVALID,
                       "%s", rows[i]);
     }
@@ -332,7 +339,7 @@
     for (int i = 0; i < 2; i++) {
         char *at = text + sprintf(text, "{\"seq\":");
         memset(at, i == 0 ? '[' : '{', DEPTH);
-        ck_assert_int_eq(announcement_decode("i-1", text, &upstream),
+        ck_assert_int_eq(decode_announcement("i-1", text, &upstream),
                          OUTCOME_INVALID);
         ck_assert_int_eq(decode(text, strlen(text), &number, &declaration),
                          OUTCOME_INVALID);
@@ -398,8 +405,8 @@
             decode(copy, size, &number, &declaration) == OUTCOME_OK) {
             declaration_free(&declaration);
         }
-        else if (i % 4 == 1 &&
-                 announcement_decode("i-1", copy, &upstream) == OUTCOME_OK) {
+        else if (i % 4 == 1 && announcement_decode("i-1", copy, size,
+                                                   &upstream) == OUTCOME_OK) {
             codec_free((xdrproc_t)xdr_ck_upstream, &upstream);
         }
         else if (i % 4 > 1) {
