fix(control): refuse announcements with control characters in names

What callers saw: POST /announce, which control VMs on the users' platform serve as well, took a name with a line end; control and the entries sent the rest of it as a statement to the announced address. A text with \u0000 and a body with a zero byte were taken for the part before it.

Cause: names were checked for their length only. Announcements that other daemons pass on (change and list of the RPC interface) were not checked at all.

Evidence: test_odd_own_announcements_are_refused, 8 bodies at each of three control VMs.

Change: group_host_submit_announcement, which all announcements pass, also those from other daemons, refuses names with control characters. Documents of a control group are read as before, so that a log is applied alike by each version.

The check of names that come by RPC was run by way of the HTTP call only.

--- a/src/catkingrade/control/forward.c
+++ b/src/catkingrade/control/forward.c
@@ -297,9 +297,14 @@
     struct announcement announcement = {0};
     struct buffer errors = {0};
     size_t size = 0;
+    const char *body = http_call_get_body(call, &size);
 
-    if (announcement_parse(http_call_get_body(call, &size), &announcement,
-                           &errors) != OUTCOME_OK) {
+    if (strlen(body) != size) {
+        forward_reply_announcement(call, OUTCOME_INVALID,
+                                   "the body has a zero byte");
+        return;
+    }
+    if (announcement_parse(body, &announcement, &errors) != OUTCOME_OK) {
         buffer_append_u8(&errors, 0);
         forward_reply_announcement(call, OUTCOME_INVALID,
                                    (const char *)buffer_get_data(&errors));
--- a/src/catkingrade/control/group_requests.c
+++ b/src/catkingrade/control/group_requests.c
@@ -5,6 +5,7 @@
 #include "catkingrade/control/group_host_state.h"
 #include "catkingrade/kernel/counters.h"
 #include "catkingrade/kernel/memory.h"
+#include "catkingrade/kernel/name.h"
 #include "catkingrade/kernel/outcome.h"
 #include "catkingrade/rpc/codec.h"
 
@@ -108,8 +109,17 @@
     host_step_coordinator(host, &event);
 }
 
+// Returns whether a name can be sent to upstreams and other daemons. An empty
+// one can: that of an upstream that is withdrawn lacks its database.
+static bool
+host_is_announced_name(const char *name)
+{
+    return name[0] == '\0' || name_is_printable(name, strlen(name));
+}
+
 // Passes an announcement of an upstream to the coordinator. done is called
-// once.
+// once. All announcements come this way, also those that other daemons pass
+// on; one with a control character in a name is refused.
 void
 group_host_submit_announcement(struct group_host *host,
                                const struct ck_upstream *upstream,
@@ -121,6 +131,12 @@
         done(data, OUTCOME_NOT_LEADER, "this VM does not lead the group");
         return;
     }
+    if (!host_is_announced_name(upstream->name) ||
+        !host_is_announced_name(upstream->database) ||
+        !host_is_announced_name(upstream->failure_domain)) {
+        done(data, OUTCOME_INVALID, "a name has a control character");
+        return;
+    }
     struct host_waiter *waiter =
         host_add_waiter(host, HOST_WAITER_ANNOUNCEMENT);
     waiter->change_done = done;
--- a/src/catkingrade/kernel/json_reader.c
+++ b/src/catkingrade/kernel/json_reader.c
@@ -100,6 +100,43 @@
                    path[0] == '\0' ? "" : ".", key);
 }
 
+// Adds an error for each text below a value that has a zero byte.
+static void
+json_reader_check_value(struct json_reader *reader, struct json_object *value,
+                        const char *path)
+{
+    char joined[JSON_READER_PATH_SIZE];
+
+    if (json_object_is_type(value, json_type_string) &&
+        strlen(json_object_get_string(value)) !=
+            (size_t)json_object_get_string_len(value)) {
+        json_reader_add_error(reader, path, "must not have a zero byte");
+    }
+    if (json_object_is_type(value, json_type_array)) {
+        for (size_t i = 0; i < json_object_array_length(value); i++) {
+            (void)snprintf(joined, sizeof(joined), "%s[%zu]", path, i);
+            json_reader_check_value(
+                reader, json_object_array_get_idx(value, i), joined);
+        }
+    }
+    if (json_object_is_type(value, json_type_object)) {
+        json_object_object_foreach(value, key, member)
+        {
+            json_reader_join(joined, path, key);
+            json_reader_check_value(reader, member, joined);
+        }
+    }
+}
+
+// Adds an error for each text that has a zero byte, at which all other
+// functions end it. Documents that control groups have accepted are not
+// checked, so that each version of this program reads them alike.
+void
+json_reader_check_texts(struct json_reader *reader)
+{
+    json_reader_check_value(reader, reader->root, "");
+}
+
 // Returns a member, borrowed, or NULL if it is missing. A member of the wrong
 // type also yields NULL and adds an error.
 static struct json_object *
--- a/src/catkingrade/kernel/json_reader.h
+++ b/src/catkingrade/kernel/json_reader.h
@@ -22,6 +22,7 @@
 
 int json_reader_open(struct json_reader *reader, const char *file,
                      const char *text, struct buffer *errors);
+void json_reader_check_texts(struct json_reader *reader);
 void json_reader_close(struct json_reader *reader);
 void json_reader_add_error(struct json_reader *reader, const char *path,
                            const char *format, ...)
--- a/test/contract/test_odd_entries.c
+++ b/test/contract/test_odd_entries.c
@@ -130,15 +130,15 @@
 }
 
 static int
-call_instance(int vm, const char *method, const char *id,
-              const struct odd_body *body)
+call_path(int vm, const char *method, const char *path,
+          const struct odd_body *body)
 {
     struct buffer bytes = {0};
 
     buffer_append_format(&bytes,
-                         "%s /v1/instances/%s HTTP/1.1\r\nHost: x\r\n"
+                         "%s %s HTTP/1.1\r\nHost: x\r\n"
                          "Connection: close\r\nContent-Length: %zu\r\n\r\n",
-                         method, id, body->size_bytes);
+                         method, path, body->size_bytes);
     buffer_append(&bytes, body->text, body->size_bytes);
     int status = send_request(vm, (const char *)buffer_get_data(&bytes),
                               buffer_get_size(&bytes));
@@ -149,13 +149,13 @@
 // Notes a call that was not refused with status 400.
 static void
 expect_refusal(struct buffer *faults, int vm, const char *method,
-               const char *id, const struct odd_body *body)
+               const char *path, const struct odd_body *body)
 {
-    int status = call_instance(vm, method, id, body);
+    int status = call_path(vm, method, path, body);
 
     if (status != 400) {
-        buffer_append_format(faults, "%s of \"%s\" at VM %d: %d; ", method, id,
-                             vm, status);
+        buffer_append_format(faults, "%s of \"%s\" at VM %d: %d; ", method,
+                             path, vm, status);
     }
 }
 
@@ -172,8 +172,10 @@
     const struct odd_body body = {text, (size_t)size};
 
     for (size_t i = 0; i < ARRAY_SIZE(odd_ids); i++) {
-        expect_refusal(faults, vm, "PUT", odd_ids[i], &body);
-        expect_refusal(faults, vm, "DELETE", odd_ids[i], &none);
+        char path[REQUEST_SIZE];
+        (void)snprintf(path, sizeof(path), "/v1/instances/%s", odd_ids[i]);
+        expect_refusal(faults, vm, "PUT", path, &body);
+        expect_refusal(faults, vm, "DELETE", path, &none);
     }
 }
 
@@ -181,12 +183,13 @@
 static void
 announce_odd_texts(struct buffer *faults, int vm)
 {
-    char id[32];
+    char path[64];
 
     for (size_t i = 0; i < ARRAY_SIZE(odd_texts); i++) {
         size_t size = buffer_get_size(faults);
-        (void)snprintf(id, sizeof(id), "i-%zu", i % PLATFORM_UPSTREAMS);
-        expect_refusal(faults, vm, "PUT", id, &odd_texts[i]);
+        (void)snprintf(path, sizeof(path), "/v1/instances/i-%zu",
+                       i % PLATFORM_UPSTREAMS);
+        expect_refusal(faults, vm, "PUT", path, &odd_texts[i]);
         if (buffer_get_size(faults) > size) {
             buffer_append_format(faults, "(body %zu) ", i);
         }
@@ -232,6 +235,40 @@
 }
 END_TEST
 
+// An announcement over the product's own interface.
+#define OWN(name, database, domain)                                           \
+    "{\"name\":\"" name "\",\"database\":\"" database                         \
+    "\",\"failure_domain\":\"" domain                                         \
+    "\",\"host\":\"127.0.0.1\",\"port\":%d,\"slots\":5,\"connections\":9}"
+
+static const struct odd_body odd_own[] = {
+    {BODY(OWN("i-0\\r\\n" STOLEN, "core", "noord"))},
+    {BODY(OWN("i-0\\n" STOLEN, "core", "noord"))},
+    {BODY(OWN("i-0\\u0000x", "core", "noord"))},
+    {BODY(OWN("i-0\\u007f", "core", "noord"))},
+    {BODY(OWN("i-9", "core\\r\\n" STOLEN, "noord"))},
+    {BODY(OWN("i-9", "core\\u0000x", "noord"))},
+    {BODY(OWN("i-9", "core", "noord\\u0001"))},
+    {BODY(OWN("i-9", "core", "noord") "\0x")},
+};
+
+// Announces the address of an upstream that has no record, since its database
+// is not declared.
+static void
+announce_odd_own(struct buffer *faults, int vm)
+{
+    for (size_t i = 0; i < ARRAY_SIZE(odd_own); i++) {
+        char text[REQUEST_SIZE] = "";
+        int size = snprintf(text, sizeof(text), odd_own[i].text,
+                            platform_get_port(rig.platforms[1], 0));
+        // snprintf ends at a zero byte: what follows it is added.
+        size_t rest = odd_own[i].size_bytes - strlen(odd_own[i].text);
+        memcpy(text + size, odd_own[i].text + strlen(odd_own[i].text), rest);
+        const struct odd_body body = {text, (size_t)size + rest};
+        expect_refusal(faults, vm, "POST", "/announce", &body);
+    }
+}
+
 static void
 check_controls(void)
 {
@@ -246,13 +283,19 @@
 static void
 check_odd_calls(const char *name, void (*call)(struct buffer *faults, int vm))
 {
+    const struct platform_rig_options options = {
+        .entries = 1,
+        .databases = 2, // the second one is not declared
+        .control_extra = "",
+    };
     struct buffer faults = {0};
 
-    platform_rig_start(name, 1, "");
+    platform_rig_start_with(name, &options);
     platform_rig_wait_config(0, CONFIG);
     int fd = platform_rig_wait_answer(0, "current", "QUERY a0 WRITE k0 zero",
                                       "sig-a0");
-    platform_forbid_text(rig.platform, "stolen");
+    platform_forbid_text(rig.platforms[0], "stolen");
+    platform_forbid_text(rig.platforms[1], "stolen");
     for (int vm = 0; vm < RIG_CONTROLS; vm++) {
         call(&faults, vm);
     }
@@ -261,7 +304,8 @@
                             "COMPLETE sig-a1\r\nREADY I -\r\n");
         usleep(RIG_WAIT_STEP_US);
     }
-    int stolen = platform_count_forbidden(rig.platform);
+    int stolen = platform_count_forbidden(rig.platforms[0]) +
+                 platform_count_forbidden(rig.platforms[1]);
     buffer_append_u8(&faults, 0);
     ck_assert_msg(stolen == 0 && buffer_get_size(&faults) == 1,
                   "%d lines that no client sent; not refused: %s", stolen,
@@ -291,12 +335,20 @@
 }
 END_TEST
 
+// Guards against the same over the product's own interface.
+START_TEST(test_odd_own_announcements_are_refused)
+{
+    check_odd_calls("odd_own", announce_odd_own);
+}
+END_TEST
+
 static void
 add_tests(TCase *tests)
 {
     tcase_add_test(tests, test_odd_announcements_change_nothing);
     tcase_add_test(tests, test_odd_ids_are_refused);
     tcase_add_test(tests, test_odd_texts_are_refused);
+    tcase_add_test(tests, test_odd_own_announcements_are_refused);
 }
 
 TEST_MAIN("odd_entries", add_tests)
--- a/test/unit/control/test_announcement.c
+++ b/test/unit/control/test_announcement.c
@@ -45,6 +45,8 @@
     {BODY_START "\"connections\":30,\"port\":1}", "port: given twice"},
     {"{\"host\":\"db.example\"}", "\"db.example\" is not an IP number"},
     {BODY_START "}", "must be given"},
+    {BODY_START "\"connections\":30,\"group\":\"fleet\\u0000x\"}",
+     "group: must not have a zero byte"},
 };
 
 START_TEST(test_rejects_invalid_body)
