fix(settings): refuse settings whose texts would be cut

What operators saw: settings with \u0000 in a text or a zero byte in the file were read up to there, and anything after the first object was ignored without a word: a value with an unescaped quotation mark and brace, as a template may insert it, dropped the settings after it. A line end in vm was sent to the platform as a header of its own after Duty-Holder.

Cause: the parser takes a zero byte for the end of the text and stops after one object; names were checked for their length only.

Evidence: test_settings, 15 new rows and 2 new tests.

Change: vm, failure_domain, region, upstream_user and the names of groups and voters must not have control characters. Texts with a zero byte, files with one, and text other than blanks and comments after the object are errors with file and line. The product's announcements (POST /announce) get the check of what follows the object too. A file that is too large is reported as such instead of with an unrelated errno.

--- a/src/catkingrade/control/announcement.c
+++ b/src/catkingrade/control/announcement.c
@@ -87,7 +87,7 @@
     memset(announcement, 0, sizeof(*announcement));
     if (json_reader_open(&reader, "announcement", body, errors) ==
         OUTCOME_OK) {
-        json_reader_check_texts(&reader);
+        json_reader_check_whole(&reader);
         announcement_read(&reader, announcement);
     }
     bool failed = reader.failed;
--- a/src/catkingrade/kernel/file.c
+++ b/src/catkingrade/kernel/file.c
@@ -12,10 +12,13 @@
 #define FILE_MAX_SECRET_BYTES 65536
 
 // Reads a whole file into a new zero-terminated string, which the caller
-// frees. Returns OUTCOME_OK, OUTCOME_IO with errno set, or OUTCOME_TOO_LARGE
-// for a file of more than max_size_bytes. On an error, *text is unchanged.
+// frees. *size_bytes is its size without the terminating zero byte; the file
+// may have others. Returns OUTCOME_OK, OUTCOME_IO with errno set, or
+// OUTCOME_TOO_LARGE for a file of more than max_size_bytes. On an error, *text
+// is unchanged.
 int
-file_read_text(const char *path, size_t max_size_bytes, char **text)
+file_read_bytes(const char *path, size_t max_size_bytes, char **text,
+                size_t *size_bytes)
 {
     struct buffer content = {0};
     FILE *file = fopen(path, "re");
@@ -26,9 +29,9 @@
     }
     for (;;) {
         uint8_t *chunk = buffer_reserve(&content, FILE_READ_CHUNK_BYTES);
-        size_t size_bytes = fread(chunk, 1, FILE_READ_CHUNK_BYTES, file);
-        content.end += size_bytes;
-        if (size_bytes == 0) {
+        size_t read_bytes = fread(chunk, 1, FILE_READ_CHUNK_BYTES, file);
+        content.end += read_bytes;
+        if (read_bytes == 0) {
             break;
         }
         if (buffer_get_size(&content) > max_size_bytes) {
@@ -41,13 +44,22 @@
     }
     (void)fclose(file);
     if (outcome == OUTCOME_OK) {
-        *text = xmemdupz((const char *)buffer_get_data(&content),
-                         buffer_get_size(&content));
+        *size_bytes = buffer_get_size(&content);
+        *text = xmemdupz((const char *)buffer_get_data(&content), *size_bytes);
     }
     buffer_free(&content);
     return outcome;
 }
 
+// Reads a whole file like file_read_bytes.
+int
+file_read_text(const char *path, size_t max_size_bytes, char **text)
+{
+    size_t size_bytes = 0;
+
+    return file_read_bytes(path, max_size_bytes, text, &size_bytes);
+}
+
 // Reads the first line of a file, such as a password, into a new string, which
 // the caller frees. An empty path yields an empty string. Returns the same
 // outcomes as file_read_text. On an error, *secret is unchanged.
--- a/src/catkingrade/kernel/file.h
+++ b/src/catkingrade/kernel/file.h
@@ -4,6 +4,8 @@
 #include <stddef.h>
 
 // Reading of whole files into memory.
+int file_read_bytes(const char *path, size_t max_size_bytes, char **text,
+                    size_t *size_bytes);
 int file_read_text(const char *path, size_t max_size_bytes, char **text);
 int file_read_secret(const char *path, char **secret);
 
--- a/src/catkingrade/kernel/json_reader.c
+++ b/src/catkingrade/kernel/json_reader.c
@@ -45,6 +45,9 @@
                              reader->file);
         return OUTCOME_INVALID;
     }
+    if (offset < strlen(text)) {
+        reader->rest_line = json_reader_count_lines(text, offset);
+    }
     return OUTCOME_OK;
 }
 
@@ -129,11 +132,18 @@
 }
 
 // Adds an error for each text that has a zero byte, at which all other
-// functions end it. Documents that control groups have accepted are not
-// checked, so that each version of this program reads them alike.
+// functions end it, and one if anything but blanks and comments follows the
+// object. Documents that control groups have accepted are not checked, so that
+// each version of this program reads them alike.
 void
-json_reader_check_texts(struct json_reader *reader)
+json_reader_check_whole(struct json_reader *reader)
 {
+    if (reader->rest_line != 0) {
+        buffer_append_format(reader->errors,
+                             "%s:%u: text follows the object\n", reader->file,
+                             reader->rest_line);
+        reader->failed = true;
+    }
     json_reader_check_value(reader, reader->root, "");
 }
 
--- a/src/catkingrade/kernel/json_reader.h
+++ b/src/catkingrade/kernel/json_reader.h
@@ -17,12 +17,13 @@
     struct json_index *index;
     struct json_object *root;
     struct buffer *errors;
+    unsigned rest_line; // of the text that follows the object; 0: none
     bool failed;
 };
 
 int json_reader_open(struct json_reader *reader, const char *file,
                      const char *text, struct buffer *errors);
-void json_reader_check_texts(struct json_reader *reader);
+void json_reader_check_whole(struct json_reader *reader);
 void json_reader_close(struct json_reader *reader);
 void json_reader_add_error(struct json_reader *reader, const char *path,
                            const char *format, ...)
--- a/src/catkingrade/kernel/settings.c
+++ b/src/catkingrade/kernel/settings.c
@@ -10,6 +10,7 @@
 #include "catkingrade/kernel/file.h"
 #include "catkingrade/kernel/json_reader.h"
 #include "catkingrade/kernel/memory.h"
+#include "catkingrade/kernel/name.h"
 #include "catkingrade/kernel/outcome.h"
 
 #define SETTINGS_US_PER_MS       1000
@@ -192,6 +193,16 @@
            inet_pton(AF_INET6, address->host, ignored) == 1;
 }
 
+static void
+settings_check_name(struct json_reader *reader, const char *path,
+                    const char *name)
+{
+    if (name[0] != '\0' && !name_is_printable(name, strlen(name))) {
+        json_reader_add_error(reader, path,
+                              "must not have a control character");
+    }
+}
+
 static void
 settings_read_address_text(struct json_reader *reader, const char *path,
                            const char *text, struct settings_address *address)
@@ -345,6 +356,20 @@
     settings->groups_count = 1;
 }
 
+// Returns a copy of a name, which the caller frees: it is sent to other
+// daemons, upstreams and the platform, also in HTTP headers.
+static char *
+settings_read_name(struct json_reader *reader, struct json_object *object,
+                   const char *path, const char *key, bool required)
+{
+    char joined[SETTINGS_PATH_SIZE];
+    char *name = json_reader_get_text(reader, object, path, key, "", required);
+
+    (void)snprintf(joined, sizeof(joined), "%s.%s", path, key);
+    settings_check_name(reader, joined, name);
+    return name;
+}
+
 static void
 settings_read_voter(struct json_reader *reader, struct json_object *item,
                     const char *path, struct settings_voter *voter)
@@ -357,7 +382,7 @@
     json_reader_check_keys(reader, item, path, settings_voter_keys);
     voter->id = (uint64_t)json_reader_get_number(reader, item, path, "id", 0,
                                                  1, INT64_MAX);
-    voter->vm = json_reader_get_text(reader, item, path, "vm", "", true);
+    voter->vm = settings_read_name(reader, item, path, "vm", true);
     settings_read_address(reader, item, path, "rpc", &voter->rpc);
     if (voter->id == 0) {
         json_reader_add_error(reader, path, "id: missing or not positive");
@@ -405,10 +430,9 @@
             continue;
         }
         json_reader_check_keys(reader, item, path, settings_group_keys);
-        group->name =
-            json_reader_get_text(reader, item, path, "name", "", true);
-        group->failure_domain = json_reader_get_text(
-            reader, item, path, "failure_domain", "", false);
+        group->name = settings_read_name(reader, item, path, "name", true);
+        group->failure_domain =
+            settings_read_name(reader, item, path, "failure_domain", false);
         settings_read_voters(reader, item, path, group);
     }
 }
@@ -422,6 +446,10 @@
         *field = json_reader_get_text(reader, reader->root, "", row->key,
                                       row->fallback, row->required);
     }
+    settings_check_name(reader, "vm", settings->vm);
+    settings_check_name(reader, "failure_domain", settings->failure_domain);
+    settings_check_name(reader, "region", settings->region);
+    settings_check_name(reader, "upstream_user", settings->upstream_user);
     if (strlen(settings->vm) > SETTINGS_MAX_NAME_LENGTH) {
         json_reader_add_error(reader, "vm", "longer than %d characters",
                               SETTINGS_MAX_NAME_LENGTH);
@@ -564,6 +592,7 @@
 
     settings->file = xstrdup(path);
     if (json_reader_open(&reader, path, text, errors) == OUTCOME_OK) {
+        json_reader_check_whole(&reader);
         json_reader_check_keys(&reader, reader.root, "", settings_keys);
         settings_read_texts(&reader, settings);
         settings_read_numbers(&reader, settings);
@@ -593,14 +622,23 @@
 settings_load(const char *path, struct buffer *errors)
 {
     char *text = NULL;
-    int outcome = file_read_text(path, SETTINGS_MAX_SIZE_BYTES, &text);
+    size_t size_bytes = 0;
+    int outcome =
+        file_read_bytes(path, SETTINGS_MAX_SIZE_BYTES, &text, &size_bytes);
 
     if (outcome != OUTCOME_OK) {
         buffer_append_format(errors, "%s: cannot be read: %s\n", path,
-                             strerror(errno));
+                             outcome == OUTCOME_IO ? strerror(errno)
+                                                   : "it is too large");
         return NULL;
     }
-    struct settings *settings = settings_parse(path, text, errors);
+    struct settings *settings = NULL;
+    if (strlen(text) == size_bytes) {
+        settings = settings_parse(path, text, errors);
+    }
+    else {
+        buffer_append_format(errors, "%s: has a zero byte\n", path);
+    }
     free(text);
     return settings;
 }
--- a/test/unit/kernel/test_settings.c
+++ b/test/unit/kernel/test_settings.c
@@ -1,6 +1,7 @@
 #include <check.h>
 #include <stdlib.h>
 #include <string.h>
+#include <unistd.h>
 
 #include "catkingrade/kernel/memory.h"
 #include "catkingrade/kernel/settings.h"
@@ -56,6 +57,34 @@
     {VALID_HEAD ",\n\"groups\": [{\"name\": \"fleet\", \"voters\": []}]}",
      "a.json:7: groups[0]: voters: must be 1, 3, 5 or 7"},
     {"[]", "a.json:1: must be an object"},
+    {VALID_HEAD ",\n\"upstream_user\": \"a\\r\\nX: y\"}",
+     "a.json:7: upstream_user: must not have a control character"},
+    {VALID_HEAD ",\n\"region\": \"a\\u007f\"}",
+     "a.json:7: region: must not have a control character"},
+    {"{\"vm\": \"a\\r\\nDuty-Holder: b\"}",
+     "a.json:1: vm: must not have a control character"},
+    {"{\"failure_domain\": \"a\\n\"}",
+     "a.json:1: failure_domain: must not have a control character"},
+    {"{\"vm\": \"a\\u0000b\"}", "a.json:1: vm: must not have a zero byte"},
+    {VALID_HEAD ",\n\"log_path\": \"a\\u0000b\"}",
+     "a.json:7: log_path: must not have a zero byte"},
+    {VALID_HEAD ",\n\"seeds\": [\"127.0.0.1:1\\u0000\"]}",
+     "a.json:7: seeds[0]: must not have a zero byte"},
+    {VALID_HEAD ",\n\"seeds\": [\"127.0.0.1: 1\"]}",
+     "a.json:7: seeds[0]: \"127.0.0.1: 1\" is not an IP number"},
+    {VALID_HEAD ",\n\"seeds\": [\"127.0.0.1:+1\"]}",
+     "a.json:7: seeds[0]: \"127.0.0.1:+1\" is not an IP number"},
+    {VALID_HEAD ",\n\"seeds\": [\"127.0.0.1:65537\"]}",
+     "a.json:7: seeds[0]: \"127.0.0.1:65537\" is not an IP number"},
+    {VALID_HEAD ",\n\"seeds\": [\"127.0.0.1\\r\\n:1\"]}",
+     "a.json:7: seeds[0]: "},
+    {VALID_HEAD "}\n, \"lease_ms\": 800}",
+     "a.json:7: text follows the object"},
+    {VALID_HEAD "} // end\n{}", "a.json:7: text follows the object"},
+    {"{\"groups\": [{\"name\": \"a\\n\"}]}",
+     "a.json:1: groups[0].name: must not have a control character"},
+    {"{\"groups\": [{\"voters\": [{\"vm\": \"a\\n\"}]}]}",
+     "a.json:1: groups[0].voters[0].vm: must not have a control character"},
     {"{\n\"vm\": }", "a.json:2: "},
     {"", "a.json:1: "},
 };
@@ -112,6 +141,39 @@
 }
 END_TEST
 
+// Guards against refused comments and blanks after the settings.
+START_TEST(test_comments_after_the_object)
+{
+    struct buffer errors = {0};
+    struct settings *settings = settings_parse(
+        "a.json", VALID_HEAD "}\r\n\t // end\n /* of\n the file */ \n// x",
+        &errors);
+
+    ck_assert_ptr_nonnull(settings);
+    settings_destroy(settings);
+    buffer_free(&errors);
+}
+END_TEST
+
+// Guards against settings that are read up to a zero byte only.
+START_TEST(test_file_with_zero_byte)
+{
+    static const char text[] = VALID_HEAD "}\0, \"lease_ms\": 800}";
+    char path[] = "/tmp/test_settings.XXXXXX";
+    struct buffer errors = {0};
+    int fd = mkstemp(path);
+
+    ck_assert_int_eq(write(fd, text, sizeof(text) - 1), sizeof(text) - 1);
+    ck_assert_ptr_null(settings_load(path, &errors));
+    buffer_append_u8(&errors, 0);
+    ck_assert_ptr_nonnull(
+        strstr((const char *)buffer_get_data(&errors), "has a zero byte"));
+    buffer_free(&errors);
+    close(fd);
+    (void)unlink(path);
+}
+END_TEST
+
 START_TEST(test_missing_file)
 {
     struct buffer errors = {0};
@@ -126,6 +188,8 @@
 add_tests(TCase *tests)
 {
     tcase_add_test(tests, test_valid_settings);
+    tcase_add_test(tests, test_comments_after_the_object);
+    tcase_add_test(tests, test_file_with_zero_byte);
     tcase_add_loop_test(tests, test_invalid_settings, 0,
                         ARRAY_SIZE(invalid_rows));
     tcase_add_test(tests, test_fractions);
