--- a/test/contract/test_odd_entries.c
+++ b/test/contract/test_odd_entries.c
@@ -342,6 +342,71 @@
 }
 END_TEST
 
+#define NAMED_ROUTE(host, prefix, service)                                    \
+    "{\"host\":\"" host "\",\"pathPrefix\":\"" prefix                         \
+    "\",\"routeKind\":\"primary\",\"timeoutMs\":5000,\"service\":\"" service  \
+    "\"}"
+// Of two members of one object, the last counts.
+#define NAMED_CONFIG                                                                                                                                                       \
+    "{\"version\":9,\"version\":2,\"routes\":[" NAMED_ROUTE("current", "/", "core") "," NAMED_ROUTE("a b", "/", "core") "," NAMED_ROUTE(                                   \
+        "c\\r\\n" STOLEN, "/",                                                                                                                                             \
+        "core") "," NAMED_ROUTE("d", "/e",                                                                                                                                 \
+                                "core") "," NAMED_ROUTE("f", "/",                                                                                                          \
+                                                        "core x i-0") "," NAMED_ROUTE("g",                                                                                 \
+                                                                                      "/",                                                                                 \
+                                                                                      "core\\r\\n" STOLEN) "],\"services\":["                                              \
+                                                                                                           "{\"name\":\"core\",\"maxConns\":30,\"syncReplicas\":0},"       \
+                                                                                                           "{\"name\":\"core x i-0\",\"maxConns\":30,\"syncReplicas\":0}," \
+                                                                                                           "{\"name\":\"core\\r\\n" STOLEN                                 \
+                                                                                                           "\",\"maxConns\":30,\"syncReplicas\":0}"                        \
+                                                                                                           "],\"limits\":{\"txIdleMs\":60000}}"
+
+static void
+expect_no_database(const char *startup)
+{
+    int fd = platform_connect(rig.client_ports[0]);
+
+    platform_send_line(fd, startup);
+    char *text = platform_receive_rest(fd);
+    ck_assert_msg(strncmp(text, "ERROR NODB ", 11) == 0, "%s: %s", startup,
+                  text);
+    free(text);
+    close(fd);
+}
+
+// Guards against a valid configuration that is not served because of names
+// that no message can carry, and against such names in messages.
+START_TEST(test_odd_names_in_configuration)
+{
+    platform_rig_start("odd_names", 1, "");
+    platform_forbid_text(rig.platform, "stolen");
+    platform_rig_wait_config(0, NAMED_CONFIG);
+    int fd = platform_rig_wait_answer(0, "current", "QUERY a0 WRITE k0 zero",
+                                      "sig-a0");
+    for (int vm = 0; vm < RIG_CONTROLS; vm++) {
+        long status = 0;
+        char *text = platform_rig_call(vm, "GET", "/v1/config", NULL, &status);
+        ck_assert_int_eq(status, 200);
+        ck_assert_str_eq(text, NAMED_CONFIG);
+        free(text);
+    }
+    expect_no_database("STARTUP a b");
+    expect_no_database("STARTUP d/e u1");
+    expect_no_database("STARTUP d /e");
+    for (int i = 0; i < EXPIRY_ROUNDS; i++) {
+        platform_rig_expect(fd, "QUERY a1 WRITE k1 one",
+                            "COMPLETE sig-a1\r\nREADY I -\r\n");
+        usleep(RIG_WAIT_STEP_US);
+    }
+    ck_assert_int_eq(platform_count_forbidden(rig.platform), 0);
+    ck_assert_int_ge(platform_rig_count_in_log(0, "name_unusable"), 5);
+    check_controls();
+    ck_assert(!process_has_ended(rig.entries[0]));
+    close(fd);
+    platform_rig_stop();
+}
+END_TEST
+
 static void
 add_tests(TCase *tests)
 {
@@ -349,6 +414,7 @@
     tcase_add_test(tests, test_odd_ids_are_refused);
     tcase_add_test(tests, test_odd_texts_are_refused);
     tcase_add_test(tests, test_odd_own_announcements_are_refused);
+    tcase_add_test(tests, test_odd_names_in_configuration);
 }
 
 TEST_MAIN("odd_entries", add_tests)
--- a/test/unit/platform/test_platform_decode.c
+++ b/test/unit/platform/test_platform_decode.c
@@ -135,6 +135,111 @@
 }
 END_TEST
 
+#define HOST(host, prefix)                                                    \
+    "{\"host\":\"" host "\",\"pathPrefix\":\"" prefix                         \
+    "\",\"routeKind\":\"primary\",\"timeoutMs\":5,\"service\":\"huvo11a\"}"
+#define HOSTS(list)                                                           \
+    "{\"version\":7,\"routes\":[" list "],\"services\":[" SERVICE "]}"
+#define FORTY "0123456789012345678901234567890123456789"
+
+// Guards against a route that answers to the host of another one, and against
+// a refused configuration, because host and prefix together read alike.
+START_TEST(test_hosts_and_prefixes)
+{
+    static const char alike[] =
+        HOSTS(HOST("a", "/b") "," HOST("a/b", "/") "," HOST("a", "") "," HOST(
+            "a/",
+            "b") "," HOST("a",
+                          "/" FORTY) "," HOST(FORTY,
+                                              "/" FORTY) "," HOST(FORTY,
+                                                                  "/1" FORTY));
+    static const char single[] = HOSTS(HOST("a", "/b"));
+    struct ck_declaration declaration;
+    uint64_t number = 0;
+
+    ck_assert_int_eq(decode(alike, strlen(alike), &number, &declaration),
+                     OUTCOME_OK);
+    const struct ck_route *routes = declaration.routes.routes_val;
+    ck_assert_ptr_eq(find_route(&declaration, "a/b"), &routes[1]);
+    ck_assert_ptr_eq(find_route(&declaration, "a"), &routes[2]);
+    declaration_free(&declaration);
+    ck_assert_int_eq(decode(single, strlen(single), &number, &declaration),
+                     OUTCOME_OK);
+    ck_assert_ptr_null(find_route(&declaration, "a/b"));
+    declaration_free(&declaration);
+}
+END_TEST
+
+struct body {
+    const char *text;
+    size_t size_bytes;
+};
+
+#define BODY(text)                                                            \
+    {                                                                         \
+        (text), sizeof(text) - 1                                              \
+    }
+
+static const struct body unreadable_configs[] = {
+    BODY(CONFIG "\0"),
+    BODY(CONFIG "\0{}"),
+    BODY("\0" CONFIG),
+    BODY(CONFIG "x"),
+    BODY(CONFIG "\r\n{}"),
+    BODY(HOSTS(HOST("a\0b", "/"))),
+    BODY(HOSTS(HOST("a\\u0000b", "/"))),
+    BODY(HOSTS(HOST("a", "/\\u0000b"))),
+    BODY(HOSTS(HOST("a\xff", "/"))),
+    BODY(HOSTS(HOST("a\xc0\xaf", "/"))),
+    BODY("{\"version\":7,\"routes\":[],\"services\":[{\"name\":\"a\\u0000\"}]"
+         "}"),
+    BODY("{\"version\":7,\"routes\":[],\"services\":[{\"name\":\"" FORTY FORTY
+         "\"}]}"),
+    BODY(CUSTOMERS("[{\"name\":\"a\\u0000b\",\"apiKeys\":[]}]")),
+};
+
+// Guards against a configuration that is read up to a zero byte only.
+START_TEST(test_unreadable_configs)
+{
+    const struct body *body = &unreadable_configs[_i];
+    struct ck_declaration declaration;
+    uint64_t number = 0;
+
+    ck_assert_int_eq(
+        decode(body->text, body->size_bytes, &number, &declaration),
+        OUTCOME_INVALID);
+}
+END_TEST
+
+// Guards against a configuration of which another part counts than the one
+// that most readers of JSON take, and against names that are refused though
+// they are merely of no use.
+START_TEST(test_odd_configs)
+{
+    static const char config[] =
+        "{\"version\":6,\"version\":7,\"routes\":[" HOST("a b", "/") "," HOST(
+            "a\\r\\nb",
+            "/") "," HOST("\\u00e9",
+                          "/") "],\"services\":[],\"services\":[" SERVICE
+                               ",{\"name\":\"x y\"},{\"name\":\"x\\r\\ny\"}]} "
+                               "\r\n";
+    struct ck_declaration declaration;
+    uint64_t number = 0;
+
+    ck_assert_int_eq(decode(config, strlen(config), &number, &declaration),
+                     OUTCOME_OK);
+    ck_assert_uint_eq(number, 7);
+    ck_assert_ptr_nonnull(find_route(&declaration, "a b"));
+    ck_assert_ptr_nonnull(find_route(&declaration, "a\r\nb"));
+    ck_assert_ptr_nonnull(find_route(&declaration, "\xc3\xa9"));
+    ck_assert_uint_eq(declaration.databases.databases_len, 3);
+    ck_assert_uint_eq(declaration.original.original_len, strlen(config));
+    ck_assert_mem_eq(declaration.original.original_val, config,
+                     strlen(config));
+    declaration_free(&declaration);
+}
+END_TEST
+
 // Guards against customers that are decoded to wrong limits or other digests
 // than those of their keys, and against a limit where none is given.
 START_TEST(test_customers)
@@ -436,6 +541,10 @@
     tcase_add_test(tests, test_config);
     tcase_add_test(tests, test_truncated_config);
     tcase_add_test(tests, test_invalid_configs);
+    tcase_add_test(tests, test_hosts_and_prefixes);
+    tcase_add_loop_test(tests, test_unreadable_configs, 0,
+                        ARRAY_SIZE(unreadable_configs));
+    tcase_add_test(tests, test_odd_configs);
     tcase_add_test(tests, test_customers);
     tcase_add_test(tests, test_public_route);
     tcase_add_loop_test(tests, test_invalid_customers, 0,
