fix(metrics): escape names in labels and keep them whole

What monitoring saw: /metrics/databases with names as they are: a quotation mark, backslash or line end in the name of a database, type or upstream ended the label or the line. Three names of 63 characters were cut to 224 bytes: the label had no end, and two upstreams shared one histogram.

Cause: labels were put together by snprintf into a fixed size, without the escapes of the text exposition format.

Evidence: test_names_in_labels failed: the histograms of upstreams whose names differ in the last character were the same one.

Change: labels of any length, in which backslash, quotation mark and line end are escaped.

--- a/src/catkingrade/kernel/histogram.c
+++ b/src/catkingrade/kernel/histogram.c
@@ -4,7 +4,6 @@
 #include <pthread.h>
 #include <stdatomic.h>
 #include <stdbool.h>
-#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -12,9 +11,8 @@
 
 // Limits the memory and the size of the page by database. Label combinations
 // beyond the limit are recorded by phase only.
-#define HISTOGRAM_MAX_COUNT   512
-#define HISTOGRAM_LABELS_SIZE 224
-#define HISTOGRAM_US_PER_S    1000000.0
+#define HISTOGRAM_MAX_COUNT 512
+#define HISTOGRAM_US_PER_S  1000000.0
 
 struct histogram_bound {
     int64_t bound_us;
@@ -39,7 +37,7 @@
 
 struct histogram {
     struct histogram *total; // of its phase; NULL if this is one
-    char labels[HISTOGRAM_LABELS_SIZE];
+    char *labels;            // never freed, like the histogram itself
     atomic_uint_fast64_t buckets[HISTOGRAM_BUCKETS];
     atomic_uint_fast64_t sum_us;
 };
@@ -70,13 +68,33 @@
     return NULL;
 }
 
+// Appends a label with its value, in which the text exposition format escapes
+// three characters.
+static void
+histogram_append_label(struct buffer *labels, const char *name,
+                       const char *value)
+{
+    buffer_append_format(labels, ",%s=\"", name);
+    for (const char *at = value; *at != '\0'; at++) {
+        if (*at == '\n') {
+            buffer_append_text(labels, "\\n");
+            continue;
+        }
+        if (*at == '\\' || *at == '"') {
+            buffer_append_u8(labels, '\\');
+        }
+        buffer_append_u8(labels, (uint8_t)*at);
+    }
+    buffer_append_u8(labels, '"');
+}
+
 static struct histogram *
 histogram_create(const char *labels, struct histogram *total)
 {
     struct histogram *histogram = xcalloc(1, sizeof(*histogram));
 
     histogram->total = total;
-    (void)snprintf(histogram->labels, sizeof(histogram->labels), "%s", labels);
+    histogram->labels = xstrdup(labels);
     histogram_table.items[histogram_table.count++] = histogram;
     return histogram;
 }
@@ -89,11 +107,14 @@
               const char *type, const char *upstream)
 {
     struct histogram *total = &histogram_totals[phase];
-    char labels[HISTOGRAM_LABELS_SIZE];
-
-    (void)snprintf(labels, sizeof(labels),
-                   "%s,database=\"%s\",type=\"%s\",upstream=\"%s\"",
-                   total->labels, database, type, upstream);
+    struct buffer text = {0};
+
+    buffer_append_text(&text, total->labels);
+    histogram_append_label(&text, "database", database);
+    histogram_append_label(&text, "type", type);
+    histogram_append_label(&text, "upstream", upstream);
+    buffer_append_u8(&text, 0);
+    const char *labels = (const char *)buffer_get_data(&text);
     pthread_mutex_lock(&histogram_table.mutex);
     struct histogram *histogram = histogram_find(labels);
     if (histogram == NULL) {
@@ -102,6 +123,7 @@
                         : total;
     }
     pthread_mutex_unlock(&histogram_table.mutex);
+    buffer_free(&text);
     return histogram;
 }
 
--- a/test/unit/kernel/test_histogram.c
+++ b/test/unit/kernel/test_histogram.c
@@ -95,6 +95,29 @@
 }
 END_TEST
 
+#define LONG "012345678901234567890123456789012345678901234567890123456789"
+
+// Guards against a page that cannot be read, or that counts one upstream as
+// another, because of bytes in a name or its length.
+START_TEST(test_names_in_labels)
+{
+    histogram_record(histogram_get(HISTOGRAM_CONFIRM, "a\"b", "c\\", "d\ne\r"),
+                     1000);
+    histogram_record(
+        histogram_get(HISTOGRAM_CONFIRM, LONG "abc", LONG "abc", LONG "abc"),
+        1000);
+    ck_assert_ptr_ne(
+        histogram_get(HISTOGRAM_CONFIRM, LONG "abc", LONG "abc", LONG "abc"),
+        histogram_get(HISTOGRAM_CONFIRM, LONG "abc", LONG "abc", LONG "abd"));
+    assert_metrics_contain(
+        "_count{phase=\"confirm\",database=\"a\\\"b\",type=\"c\\\\\","
+        "upstream=\"d\\ne\r\"} 1\n");
+    assert_metrics_contain("_count{phase=\"confirm\",database=\"" LONG
+                           "abc\",type=\"" LONG "abc\",upstream=\"" LONG
+                           "abc\"} 1\n");
+}
+END_TEST
+
 // Beyond the limit all labels of a phase share its histogram, which is on no
 // page by database and counts each request once.
 START_TEST(test_histogram_limit)
@@ -172,6 +195,7 @@
     tcase_add_loop_test(tests, test_bucket_bounds, 0,
                         ARRAY_SIZE(duration_rows));
     tcase_add_test(tests, test_labels_select_histogram);
+    tcase_add_test(tests, test_names_in_labels);
     tcase_add_test(tests, test_histogram_limit);
     tcase_add_test(tests, test_phase_sums_labels);
     tcase_add_test(tests, test_metrics_page_does_not_grow);
