fix(http): refuse requests whose end is ambiguous

What callers saw: a PUT with Content-Length and Transfer-Encoding, or with two different Content-Length fields, was answered 200; which of them counted was libmicrohttpd's choice, so that bytes of the body ran as the next request, or bytes of the next request became part of the body ("{}P" of a body of two bytes). "Content-Length : 2" counted as no length. A request with an unknown Transfer-Encoding got no answer.

Repeated equal lengths and plain chunked bodies stay valid.

--- a/src/catkingrade/plugins/http.c
+++ b/src/catkingrade/plugins/http.c
@@ -5,6 +5,7 @@
 #include <pthread.h>
 #include <stdlib.h>
 #include <string.h>
+#include <strings.h>
 #include <time.h>
 #include <unistd.h>
 
@@ -15,6 +16,7 @@
 #include "catkingrade/kernel/log.h"
 #include "catkingrade/kernel/loop.h"
 #include "catkingrade/kernel/memory.h"
+#include "catkingrade/kernel/name.h"
 #include "catkingrade/kernel/outcome.h"
 #include "catkingrade/kernel/plugin.h"
 #include "catkingrade/kernel/settings.h"
@@ -479,7 +481,7 @@
     return MHD_YES;
 }
 
-// path: decoded; NULL if it cannot be decoded.
+// path: decoded; NULL if the request cannot be read.
 static struct http_request *
 http_create_request(struct MHD_Connection *connection,
                     const struct http_route *route, const char *path)
@@ -493,7 +495,79 @@
     return request;
 }
 
-// Responds to a request that has no route. path: decoded, or NULL.
+// Where the body of a request ends, from its header fields.
+struct http_framing {
+    const char *length; // value of Content-Length, or NULL
+    bool is_chunked;
+    bool is_invalid;
+};
+
+// Notes a header field. A name with a space (before the colon, RFC 9112, 5.1)
+// would be another field for another reader.
+static enum MHD_Result
+http_read_field(void *data, enum MHD_ValueKind kind, const char *name,
+                const char *value)
+{
+    struct http_framing *framing = data;
+
+    (void)kind;
+    if (!name_is_word(name, strlen(name))) {
+        framing->is_invalid = true;
+    }
+    if (strcasecmp(name, MHD_HTTP_HEADER_CONTENT_LENGTH) == 0) {
+        if (value == NULL ||
+            (framing->length != NULL && strcmp(framing->length, value) != 0)) {
+            framing->is_invalid = true;
+        }
+        framing->length = value;
+    }
+    if (strcasecmp(name, MHD_HTTP_HEADER_TRANSFER_ENCODING) == 0) {
+        if (framing->is_chunked || value == NULL ||
+            strcasecmp(value, "chunked") != 0) {
+            framing->is_invalid = true;
+        }
+        framing->is_chunked = true;
+    }
+    return MHD_YES;
+}
+
+// Returns whether the header of a request says in one way only where its body
+// ends (RFC 9112, 6.3). Otherwise a part of the body might be run as a request
+// of its own.
+static bool
+http_is_framed(struct MHD_Connection *connection)
+{
+    struct http_framing framing = {0};
+
+    (void)MHD_get_connection_values(connection, MHD_HEADER_KIND,
+                                    http_read_field, &framing);
+    return !framing.is_invalid &&
+           !(framing.is_chunked && framing.length != NULL);
+}
+
+// Responds to a request that cannot be read, and ends the connection, because
+// the next request may begin anywhere.
+static enum MHD_Result
+http_respond_unreadable(struct MHD_Connection *connection)
+{
+    static char text[] = "invalid: the request cannot be read\n";
+    struct MHD_Response *response = MHD_create_response_from_buffer(
+        sizeof(text) - 1, text, MHD_RESPMEM_PERSISTENT);
+
+    if (response == NULL) {
+        return MHD_NO;
+    }
+    MHD_add_response_header(response, MHD_HTTP_HEADER_CONTENT_TYPE,
+                            HTTP_TEXT_CONTENT_TYPE);
+    MHD_add_response_header(response, MHD_HTTP_HEADER_CONNECTION, "close");
+    enum MHD_Result result =
+        MHD_queue_response(connection, MHD_HTTP_BAD_REQUEST, response);
+    MHD_destroy_response(response);
+    return result;
+}
+
+// Responds to a request that has no route. path: decoded; NULL if the request
+// cannot be read.
 static enum MHD_Result
 http_respond_unrouted(struct http *http, struct http_request *request,
                       const char *method, const char *path)
@@ -502,9 +576,7 @@
     http_open_request_locked(http, request);
     pthread_mutex_unlock(&http->mutex);
     if (path == NULL) {
-        return http_respond_text(http, request->connection,
-                                 MHD_HTTP_BAD_REQUEST,
-                                 "invalid: the path cannot be read\n");
+        return http_respond_unreadable(request->connection);
     }
     if (strcmp(method, MHD_HTTP_METHOD_GET) == 0) {
         return http_handle_builtin_path(http, request->connection, path);
@@ -527,7 +599,7 @@
         return http_handle_routed(http, *request_data, upload_data,
                                   upload_data_size);
     }
-    char *path = http_decode_path(url);
+    char *path = http_is_framed(connection) ? http_decode_path(url) : NULL;
     const struct http_route *route =
         path == NULL ? NULL : http_find_route(http, method, path);
     struct http_request *request =
