--- a/src/catkingrade/plugins/http.c
+++ b/src/catkingrade/plugins/http.c
@@ -5,6 +5,7 @@
 #include <pthread.h>
 #include <stdlib.h>
 #include <string.h>
+#include <strings.h>
 #include <time.h>
 #include <unistd.h>
 
@@ -15,6 +16,7 @@
 #include "catkingrade/kernel/log.h"
 #include "catkingrade/kernel/loop.h"
 #include "catkingrade/kernel/memory.h"
+#include "catkingrade/kernel/name.h"
 #include "catkingrade/kernel/outcome.h"
 #include "catkingrade/kernel/plugin.h"
 #include "catkingrade/kernel/settings.h"
@@ -100,6 +102,53 @@
     pthread_mutex_unlock(&http->mutex);
 }
 
+// Keeps the path of a request as it was sent, because the decoded one may
+// contain a zero byte, at which the path would end for http_handle_access.
+static size_t
+http_keep_escapes(void *data, struct MHD_Connection *connection, char *text)
+{
+    (void)data;
+    (void)connection;
+    return strlen(text);
+}
+
+// Returns the value of a hexadecimal digit, or -1.
+static int
+http_parse_digit(char digit)
+{
+    if (digit >= '0' && digit <= '9') {
+        return digit - '0';
+    }
+    digit |= 'a' ^ 'A';
+    return digit >= 'a' && digit <= 'f' ? digit - 'a' + 10 : -1;
+}
+
+// Decodes the percent-encoded bytes of a path (RFC 3986, 2.1), once. Returns
+// NULL if one has no two hexadecimal digits or is zero. The caller frees the
+// result.
+static char *
+http_decode_path(const char *url)
+{
+    char *path = xstrdup(url);
+    char *end = path;
+
+    for (const char *at = url; *at != '\0'; at++) {
+        *end = *at;
+        if (*at == '%') {
+            int high = http_parse_digit(at[1]);
+            int low = high < 0 ? -1 : http_parse_digit(at[2]);
+            *end = low < 0 ? '\0' : (char)(high * 16 + low);
+            at += 2;
+        }
+        if (*end++ == '\0') {
+            free(path);
+            return NULL;
+        }
+    }
+    *end = '\0';
+    return path;
+}
+
 static bool
 http_route_matches(const struct http_route *route, const char *method,
                    const char *path)
@@ -432,19 +481,111 @@
     return MHD_YES;
 }
 
+// path: decoded; NULL if the request cannot be read.
 static struct http_request *
 http_create_request(struct MHD_Connection *connection,
-                    const struct http_route *route, const char *url)
+                    const struct http_route *route, const char *path)
 {
     struct http_request *request = xcalloc(1, sizeof(*request));
     size_t prefix_size = route == NULL ? 0 : strlen(route->path);
 
     request->connection = connection;
     request->route = route;
-    request->path_suffix = xstrdup(url + prefix_size);
+    request->path_suffix = xstrdup(path == NULL ? "" : path + prefix_size);
     return request;
 }
 
+// Where the body of a request ends, from its header fields.
+struct http_framing {
+    const char *length; // value of Content-Length, or NULL
+    bool is_chunked;
+    bool is_invalid;
+};
+
+// Notes a header field. A name with a space (before the colon, RFC 9112, 5.1)
+// would be another field for another reader.
+static enum MHD_Result
+http_read_field(void *data, enum MHD_ValueKind kind, const char *name,
+                const char *value)
+{
+    struct http_framing *framing = data;
+
+    (void)kind;
+    if (!name_is_word(name, strlen(name))) {
+        framing->is_invalid = true;
+    }
+    if (strcasecmp(name, MHD_HTTP_HEADER_CONTENT_LENGTH) == 0) {
+        if (value == NULL ||
+            (framing->length != NULL && strcmp(framing->length, value) != 0)) {
+            framing->is_invalid = true;
+        }
+        framing->length = value;
+    }
+    if (strcasecmp(name, MHD_HTTP_HEADER_TRANSFER_ENCODING) == 0) {
+        if (framing->is_chunked || value == NULL ||
+            strcasecmp(value, "chunked") != 0) {
+            framing->is_invalid = true;
+        }
+        framing->is_chunked = true;
+    }
+    return MHD_YES;
+}
+
+// Returns whether the header of a request says in one way only where its body
+// ends (RFC 9112, 6.3). Otherwise a part of the body might be run as a request
+// of its own.
+static bool
+http_is_framed(struct MHD_Connection *connection)
+{
+    struct http_framing framing = {0};
+
+    (void)MHD_get_connection_values(connection, MHD_HEADER_KIND,
+                                    http_read_field, &framing);
+    return !framing.is_invalid &&
+           !(framing.is_chunked && framing.length != NULL);
+}
+
+// Responds to a request that cannot be read, and ends the connection, because
+// the next request may begin anywhere.
+static enum MHD_Result
+http_respond_unreadable(struct MHD_Connection *connection)
+{
+    static char text[] = "invalid: the request cannot be read\n";
+    struct MHD_Response *response = MHD_create_response_from_buffer(
+        sizeof(text) - 1, text, MHD_RESPMEM_PERSISTENT);
+
+    if (response == NULL) {
+        return MHD_NO;
+    }
+    MHD_add_response_header(response, MHD_HTTP_HEADER_CONTENT_TYPE,
+                            HTTP_TEXT_CONTENT_TYPE);
+    MHD_add_response_header(response, MHD_HTTP_HEADER_CONNECTION, "close");
+    enum MHD_Result result =
+        MHD_queue_response(connection, MHD_HTTP_BAD_REQUEST, response);
+    MHD_destroy_response(response);
+    return result;
+}
+
+// Responds to a request that has no route. path: decoded; NULL if the request
+// cannot be read.
+static enum MHD_Result
+http_respond_unrouted(struct http *http, struct http_request *request,
+                      const char *method, const char *path)
+{
+    pthread_mutex_lock(&http->mutex);
+    http_open_request_locked(http, request);
+    pthread_mutex_unlock(&http->mutex);
+    if (path == NULL) {
+        return http_respond_unreadable(request->connection);
+    }
+    if (strcmp(method, MHD_HTTP_METHOD_GET) == 0) {
+        return http_handle_builtin_path(http, request->connection, path);
+    }
+    return http_respond_text(http, request->connection,
+                             MHD_HTTP_METHOD_NOT_ALLOWED,
+                             "no such call here\n");
+}
+
 static enum MHD_Result
 http_handle_access(void *data, struct MHD_Connection *connection,
                    const char *url, const char *method, const char *version,
@@ -458,20 +599,18 @@
         return http_handle_routed(http, *request_data, upload_data,
                                   upload_data_size);
     }
-    const struct http_route *route = http_find_route(http, method, url);
-    struct http_request *request = http_create_request(connection, route, url);
+    char *path = http_is_framed(connection) ? http_decode_path(url) : NULL;
+    const struct http_route *route =
+        path == NULL ? NULL : http_find_route(http, method, path);
+    struct http_request *request =
+        http_create_request(connection, route, path);
+    enum MHD_Result result = MHD_YES;
     *request_data = request;
-    if (route != NULL) {
-        return MHD_YES;
-    }
-    pthread_mutex_lock(&http->mutex);
-    http_open_request_locked(http, request);
-    pthread_mutex_unlock(&http->mutex);
-    if (strcmp(method, MHD_HTTP_METHOD_GET) == 0) {
-        return http_handle_builtin_path(http, connection, url);
+    if (route == NULL) {
+        result = http_respond_unrouted(http, request, method, path);
     }
-    return http_respond_text(http, connection, MHD_HTTP_METHOD_NOT_ALLOWED,
-                             "no such call here\n");
+    free(path);
+    return result;
 }
 
 static void
@@ -526,7 +665,8 @@
             HTTP_MAX_CONNECTIONS, MHD_OPTION_CONNECTION_TIMEOUT,
             HTTP_CONNECTION_TIMEOUT_S, MHD_OPTION_CONNECTION_MEMORY_LIMIT,
             (size_t)HTTP_CONNECTION_BYTES, MHD_OPTION_NOTIFY_COMPLETED,
-            http_handle_completed, http, MHD_OPTION_END);
+            http_handle_completed, http, MHD_OPTION_UNESCAPE_CALLBACK,
+            http_keep_escapes, NULL, MHD_OPTION_END);
     }
     if (server == NULL) {
         LOG_ERROR("http_failed", "address=%s:%u", address->host,
