fix(postgres): a comment hides no later setting

A session's SET statements are sent again, joined by semicolons, to each connection that runs a request of the session. A session that had run

SET search_path = a -- the schema SET search_path = b

got "SET search_path = a -- the schema;SET search_path = b;" there: the comment hid the second statement, and later statements ran in schema a.

Each statement is now ended by a newline and a semicolon.

test_pg_texts, new, compares what a recorder receives in place of the upstream; the recorder reads the protocol itself. Before the change test_comment_hides_no_later_setting failed with "Q SET search_path = a -- the schema;SET search_path = b;"; it passes now.

--- a/src/catkingrade/plugins/postgres_query.c
+++ b/src/catkingrade/plugins/postgres_query.c
@@ -147,11 +147,13 @@
 // SET within a transaction takes effect for the session when the transaction
 // commits.
 
+// Appends a statement to the settings. The newline ends a comment in the last
+// line of the statement, which would otherwise hide the next one.
 static void
 postgres_settings_append(char **settings, const char *text)
 {
     char *joined =
-        xasprintf("%s%s;", *settings == NULL ? "" : *settings, text);
+        xasprintf("%s%s\n;", *settings == NULL ? "" : *settings, text);
 
     free(*settings);
     *settings = joined;
--- /dev/null
+++ b/test/contract/test_pg_texts.c
@@ -0,0 +1,373 @@
+// Contract tests of the texts that an upstream receives from an entry process.
+// A recorder in place of the upstream reads the PostgreSQL protocol itself, so
+// that it shares no reader with the entry, and compares bytes.
+
+#include <arpa/inet.h>
+#include <check.h>
+#include <netinet/in.h>
+#include <poll.h>
+#include <pthread.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "catkingrade/kernel/buffer.h"
+#include "catkingrade/kernel/memory.h"
+#include "test/fake/process.h"
+#include "test/suite.h"
+
+#define RECORDER_CONNECTIONS 16
+#define RECORDER_POLL_MS     20
+
+// One connection of the entry.
+struct connection {
+    int fd;
+    bool started;
+    struct buffer in;
+};
+
+// Records each Query, Parse and Bind message as a line: the type byte, a
+// space, and the body with a dot for each zero byte.
+static struct {
+    pthread_t thread;
+    pthread_mutex_t mutex;
+    struct buffer lines;
+    struct connection connections[RECORDER_CONNECTIONS];
+    int listener;
+    bool stopping;
+} recorder = {.mutex = PTHREAD_MUTEX_INITIALIZER};
+
+struct rig {
+    char *folder;
+    struct process *entry;
+    int port;
+};
+
+static void
+recorder_send(int fd, const struct buffer *out)
+{
+    (void)!send(fd, buffer_get_data(out), buffer_get_size(out), MSG_NOSIGNAL);
+}
+
+static void
+recorder_add_message(struct buffer *out, char type, const char *body,
+                     size_t size)
+{
+    buffer_append_u8(out, (uint8_t)type);
+    buffer_append_be32(out, (uint32_t)size + 4);
+    buffer_append(out, body, size);
+}
+
+// Appends one row of the role, timeline and log position of a primary, or
+// nothing for any other statement.
+static void
+recorder_add_sample(struct buffer *out, const char *text)
+{
+    static const char columns[] = "\0\3"
+                                  "a\0\0\0\0\0\0\0\0\0\0\31\377\377\377\377"
+                                  "\377\377\0\0"
+                                  "b\0\0\0\0\0\0\0\0\0\0\31\377\377\377\377"
+                                  "\377\377\0\0"
+                                  "c\0\0\0\0\0\0\0\0\0\0\31\377\377\377\377"
+                                  "\377\377\0";
+    static const char row[] = "\0\3\0\0\0\1f\0\0\0\0011\0\0\0\0030/1";
+
+    if (strstr(text, "pg_is_in_recovery") != NULL) {
+        recorder_add_message(out, 'T', columns, sizeof(columns));
+        recorder_add_message(out, 'D', row, sizeof(row) - 1);
+    }
+}
+
+static void
+recorder_record(char type, const char *body, size_t size)
+{
+    pthread_mutex_lock(&recorder.mutex);
+    buffer_append_u8(&recorder.lines, (uint8_t)type);
+    buffer_append_u8(&recorder.lines, ' ');
+    for (size_t i = 0; i < size; i++) {
+        buffer_append_u8(&recorder.lines,
+                         body[i] == '\0' ? '.' : (uint8_t)body[i]);
+    }
+    buffer_append_u8(&recorder.lines, '\n');
+    pthread_mutex_unlock(&recorder.mutex);
+}
+
+static void
+recorder_answer(int fd, char type, const char *body, size_t size)
+{
+    struct buffer out = {0};
+
+    if (type == 'Q' || type == 'P' || type == 'B') {
+        recorder_record(type, body, size);
+    }
+    switch (type) {
+    case 'Q':
+        recorder_add_sample(&out, body);
+        recorder_add_message(&out, 'C', "SET", 4);
+        recorder_add_message(&out, 'Z', "I", 1);
+        break;
+    case 'P':
+        recorder_add_message(&out, '1', "", 0);
+        break;
+    case 'B':
+        recorder_add_message(&out, '2', "", 0);
+        break;
+    case 'D':
+        recorder_add_message(&out, 'n', "", 0);
+        break;
+    case 'E':
+        recorder_add_message(&out, 'C', "SET", 4);
+        break;
+    case 'S':
+        recorder_add_message(&out, 'Z', "I", 1);
+        break;
+    default:
+        break;
+    }
+    recorder_send(fd, &out);
+    buffer_free(&out);
+}
+
+static uint32_t
+recorder_get_length(const uint8_t *bytes)
+{
+    return (uint32_t)bytes[0] << 24 | (uint32_t)bytes[1] << 16 |
+           (uint32_t)bytes[2] << 8 | bytes[3];
+}
+
+static void
+recorder_accept_startup(struct connection *connection)
+{
+    struct buffer out = {0};
+
+    connection->started = true;
+    recorder_add_message(&out, 'R', "\0\0\0\0", 4);
+    recorder_add_message(&out, 'Z', "I", 1);
+    recorder_send(connection->fd, &out);
+    buffer_free(&out);
+}
+
+static void
+recorder_take_messages(struct connection *connection)
+{
+    for (;;) {
+        const uint8_t *data = buffer_get_data(&connection->in);
+        size_t head = connection->started ? 1 : 0;
+        size_t size = buffer_get_size(&connection->in);
+        if (size < head + 4 ||
+            size < head + recorder_get_length(data + head)) {
+            return;
+        }
+        size_t length = recorder_get_length(data + head);
+        if (!connection->started && length == 8) {
+            (void)!send(connection->fd, "N", 1, MSG_NOSIGNAL);
+        }
+        else if (!connection->started) {
+            recorder_accept_startup(connection);
+        }
+        else {
+            recorder_answer(connection->fd, (char)data[0],
+                            (const char *)data + 5, length - 4);
+        }
+        buffer_consume(&connection->in, head + length);
+    }
+}
+
+static void
+recorder_read(struct connection *connection)
+{
+    uint8_t *space = buffer_reserve(&connection->in, 4096);
+    ssize_t size = recv(connection->fd, space, 4096, 0);
+
+    if (size <= 0) {
+        close(connection->fd);
+        buffer_free(&connection->in);
+        memset(connection, 0, sizeof(*connection));
+        connection->fd = -1;
+        return;
+    }
+    connection->in.end += (size_t)size;
+    recorder_take_messages(connection);
+}
+
+static void
+recorder_accept(void)
+{
+    int fd = accept(recorder.listener, NULL, NULL);
+
+    for (int i = 0; i < RECORDER_CONNECTIONS; i++) {
+        if (recorder.connections[i].fd < 0) {
+            recorder.connections[i].fd = fd;
+            return;
+        }
+    }
+    close(fd);
+}
+
+static void *
+recorder_run(void *data)
+{
+    (void)data;
+    while (!__atomic_load_n(&recorder.stopping, __ATOMIC_RELAXED)) {
+        struct pollfd fds[RECORDER_CONNECTIONS + 1];
+        fds[0] = (struct pollfd){recorder.listener, POLLIN, 0};
+        for (int i = 0; i < RECORDER_CONNECTIONS; i++) {
+            fds[i + 1] =
+                (struct pollfd){recorder.connections[i].fd, POLLIN, 0};
+        }
+        (void)poll(fds, RECORDER_CONNECTIONS + 1, RECORDER_POLL_MS);
+        for (int i = 0; i < RECORDER_CONNECTIONS; i++) {
+            if (fds[i + 1].revents != 0) {
+                recorder_read(&recorder.connections[i]);
+            }
+        }
+        if (fds[0].revents != 0) {
+            recorder_accept();
+        }
+    }
+    return NULL;
+}
+
+static int
+recorder_start(void)
+{
+    struct sockaddr_in address = {.sin_family = AF_INET};
+    int port = process_get_free_port();
+
+    for (int i = 0; i < RECORDER_CONNECTIONS; i++) {
+        recorder.connections[i].fd = -1;
+    }
+    address.sin_port = htons((uint16_t)port);
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    recorder.listener = socket(AF_INET, SOCK_STREAM, 0);
+    ck_assert_int_eq(
+        bind(recorder.listener, (struct sockaddr *)&address, sizeof(address)),
+        0);
+    ck_assert_int_eq(listen(recorder.listener, RECORDER_CONNECTIONS), 0);
+    ck_assert_int_eq(
+        pthread_create(&recorder.thread, NULL, recorder_run, NULL), 0);
+    return port;
+}
+
+// Returns the lines recorded so far, which the caller frees.
+static char *
+recorder_get_lines(void)
+{
+    pthread_mutex_lock(&recorder.mutex);
+    char *lines = xmemdupz((const char *)buffer_get_data(&recorder.lines),
+                           buffer_get_size(&recorder.lines));
+    pthread_mutex_unlock(&recorder.mutex);
+    return lines;
+}
+
+static void
+recorder_clear(void)
+{
+    pthread_mutex_lock(&recorder.mutex);
+    buffer_clear(&recorder.lines);
+    pthread_mutex_unlock(&recorder.mutex);
+}
+
+#define assert_received(part)                                                 \
+    do {                                                                      \
+        char *lines = recorder_get_lines();                                   \
+        ck_assert_msg(strstr(lines, (part)) != NULL,                          \
+                      "not received: %s\nreceived:\n%s", (part), lines);      \
+        free(lines);                                                          \
+    } while (0)
+
+static void
+start_rig(struct rig *rig, const char *name)
+{
+    rig->folder = process_make_folder(name);
+    rig->port = process_get_free_port();
+    int upstream_port = recorder_start();
+    char *log_path = xasprintf("%s/entry.log", rig->folder);
+    char *view_path = xasprintf("%s/view.json", rig->folder);
+    char *path = xasprintf("%s/entry.json", rig->folder);
+    char *view = xasprintf(
+        "{\"customers\": [{\"name\": \"pootafdruk\", \"confirm\": 0,\n"
+        " \"types\": [{\"name\": \"default\", \"deadline_ms\": 30000}]}],\n"
+        " \"databases\": [{\"name\": \"roster\", \"primary\": \"n1\",\n"
+        " \"customer\": \"pootafdruk\", \"upstreams\": [{\"name\": \"n1\",\n"
+        " \"host\": \"127.0.0.1\", \"port\": %d}]}]}",
+        upstream_port);
+    char *text = xasprintf("{\"vm\": \"e\", \"failure_domain\": \"noord\",\n"
+                           " \"roles\": [\"entry\"], \"view_file\": \"%s\",\n"
+                           " \"listen\": {\"postgres\": \"127.0.0.1:%d\"}}",
+                           view_path, rig->port);
+
+    process_write_file(view_path, view);
+    process_write_file(path, text);
+    const char *args[] = {"--settings", path, NULL};
+    rig->entry = process_start(log_path, "catkingraded", args);
+    ck_assert(process_wait_port(rig->port));
+    free(text);
+    free(view);
+    free(path);
+    free(view_path);
+    free(log_path);
+}
+
+static void
+stop_rig(struct rig *rig)
+{
+    (void)process_stop(rig->entry, SIGKILL);
+    __atomic_store_n(&recorder.stopping, true, __ATOMIC_RELAXED);
+    (void)pthread_join(recorder.thread, NULL);
+    for (int i = 0; i < RECORDER_CONNECTIONS; i++) {
+        buffer_free(&recorder.connections[i].in);
+    }
+    buffer_free(&recorder.lines);
+    free(rig->folder);
+}
+
+static void
+run(PGconn *conn, const char *sql)
+{
+    char *text = process_query(conn, sql);
+
+    ck_assert_msg(text[0] == '\0', "%s: %s", sql, text);
+    free(text);
+}
+
+// Runs a statement of another session, whose settings differ, and then one of
+// the session, so that the entry sends the session's settings again.
+static void
+replay_settings(struct rig *rig, PGconn *conn)
+{
+    PGconn *other = process_connect(rig->port, NULL);
+
+    run(other, "DELETE FROM other");
+    PQfinish(other);
+    recorder_clear();
+    run(conn, "DELETE FROM own");
+}
+
+// Guards against a setting that the comment at the end of another one hides.
+START_TEST(test_comment_hides_no_later_setting)
+{
+    struct rig rig;
+
+    start_rig(&rig, "pg_texts_comment");
+    PGconn *conn = process_connect(rig.port, NULL);
+    run(conn, "SET search_path = a -- the schema");
+    run(conn, "SET search_path = b");
+    replay_settings(&rig, conn);
+    assert_received(
+        "Q SET search_path = a -- the schema\n;SET search_path = b\n;.");
+    PQfinish(conn);
+    stop_rig(&rig);
+}
+END_TEST
+
+static void
+add_tests(TCase *tests)
+{
+    tcase_add_test(tests, test_comment_hides_no_later_setting);
+}
+
+TEST_MAIN("pg_texts", add_tests)
