fix(postgres): settings are told apart by the parse tree

What a statement changes in the session was guessed from its first bytes, and not at all for a text with several statements.

- "RESET allow_system_table_mods" was sent as "RESET ALL", and all settings of the session were lost.
- "SET localized.name = 'x'" counted as SET LOCAL and was lost with the next connection; "SET LOCAL" and "/* note */ SET LOCAL" counted as settings of the session.
A SET LOCAL outside a transaction marked a connection with settings as one without.
- "SET search_path = a; SET lock_timeout = 5" in one message stayed on the connection: the next session's statements ran with search_path a, and the session's own later statements without it.
- "DISCARD ALL" as an extended statement was sent again joined with others, which PostgreSQL refuses, so that all settings of the session were lost.
- "/* note */ LISTEN x" passed the check for what isn't supported.

The classification now says what a statement changes, from the parse tree. The settings among several statements become the session's, and a text that changes session state beside its other effects, or that could not be parsed (above 256 KiB, or a syntax error), has its connection reset before the next request. Settings in one text with BEGIN or COMMIT are still not kept for the session; they no longer reach another one.

Three tests of test_pg_texts failed before: "P .RESET ALL..." was received for the first, "Q SET LOCAL lock_timeout = 1;/* note */ SET LOCAL ..." in place of the setting for the second, no DISCARD ALL for the third. They pass now, and so do test_classify, test_entry, test_pg_clients and test_postgres_session.

--- a/src/catkingrade/entry/classify.c
+++ b/src/catkingrade/entry/classify.c
@@ -8,6 +8,7 @@
 
 #include "catkingrade/entry/classify_functions.h"
 #include "catkingrade/entry/classify_hint.h"
+#include "catkingrade/kernel/buffer.h"
 #include "catkingrade/kernel/memory.h"
 
 #define CLASSIFY_MAX_DEPTH       1000
@@ -257,6 +258,38 @@
     return CLASSIFY_SET_CATKINGRADE;
 }
 
+// Returns what a statement, named by its node of the parse tree, changes in
+// the session state.
+static enum classify_setting
+classify_get_setting(const char *name, json *node)
+{
+    static const char *const connection_names[] = {
+        "ListenStmt", "UnlistenStmt", "PrepareStmt", "ExecuteStmt",
+        "DeallocateStmt"};
+    const char *variable = classify_get_member_text(node, "name");
+
+    for (size_t i = 0; i < ARRAY_SIZE(connection_names); i++) {
+        if (strcmp(name, connection_names[i]) == 0) {
+            return CLASSIFY_SETTING_CONNECTION;
+        }
+    }
+    if (strcmp(name, "DiscardStmt") == 0) {
+        return strcmp(classify_get_member_text(node, "target"),
+                      "DISCARD_ALL") == 0
+                   ? CLASSIFY_SETTING_RESET_ALL
+                   : CLASSIFY_SETTING_NONE;
+    }
+    if (strcmp(name, "VariableSetStmt") != 0 ||
+        classify_get_member(node, "is_local") != NULL ||
+        strcmp(variable, "TRANSACTION") == 0 ||
+        strcmp(variable, "TRANSACTION SNAPSHOT") == 0) {
+        return CLASSIFY_SETTING_NONE;
+    }
+    return strcmp(classify_get_member_text(node, "kind"), "VAR_RESET_ALL") == 0
+               ? CLASSIFY_SETTING_RESET_ALL
+               : CLASSIFY_SETTING_SESSION;
+}
+
 static bool
 classify_is_session_state(const char *name)
 {
@@ -281,6 +314,7 @@
     const char *name = json_object_iter_peek_name(&item);
     json *node = json_object_iter_peek_value(&item);
 
+    result->setting = classify_get_setting(name, node);
     if (strcmp(name, "SelectStmt") == 0) {
         return classify_is_read_tree(node, 0) ? CLASSIFY_READ : CLASSIFY_WRITE;
     }
@@ -312,44 +346,134 @@
 
     result->statements = (unsigned)count;
     result->only_reads = true;
+    result->changes_session = false;
     result->kind = CLASSIFY_EMPTY;
     for (size_t i = 0; i < count; i++) {
         json *statement = classify_get_member(
             json_object_array_get_idx(statements, i), "stmt");
         enum classify_kind kind = classify_statement(statement, text, result);
         result->only_reads = result->only_reads && kind == CLASSIFY_READ;
+        result->changes_session = result->changes_session ||
+                                  kind == CLASSIFY_SET_CATKINGRADE ||
+                                  result->setting != CLASSIFY_SETTING_NONE;
         result->kind = kind;
     }
+    if (count <= 1) {
+        result->changes_session = false;
+    }
     if (count > 1) {
+        result->setting = CLASSIFY_SETTING_NONE;
         result->kind = result->only_reads ? CLASSIFY_READ : CLASSIFY_WRITE;
         result->name[0] = '\0';
         result->value[0] = '\0';
     }
 }
 
+// Parses a text into its list of statements. Returns the parse tree, which the
+// caller releases, or NULL if the text is invalid or nested too deeply.
+static json *
+classify_parse_tree(const char *text, bool *is_invalid)
+{
+    PgQueryParseResult parsed = pg_query_parse(text);
+    struct json_tokener *tokener = json_tokener_new_ex(CLASSIFY_MAX_DEPTH);
+    json *root = NULL;
+
+    *is_invalid = parsed.error != NULL;
+    if (parsed.error == NULL && tokener != NULL) {
+        root = json_tokener_parse_ex(tokener, parsed.parse_tree,
+                                     (int)strlen(parsed.parse_tree));
+    }
+    json_tokener_free(tokener);
+    pg_query_free_parse_result(parsed);
+    return root;
+}
+
 // Parses a NUL-terminated text and classifies its statements. If the parse
 // tree can't be decoded, for example because it is nested too deeply, the kind
 // remains a write.
 static void
 classify_parse(const char *text, struct classification *result)
 {
-    PgQueryParseResult parsed = pg_query_parse(text);
-    struct json_tokener *tokener = json_tokener_new_ex(CLASSIFY_MAX_DEPTH);
+    bool is_invalid = false;
+    json *root = classify_parse_tree(text, &is_invalid);
 
-    if (parsed.error != NULL) {
+    if (is_invalid) {
         result->kind = CLASSIFY_INVALID;
     }
-    else if (tokener != NULL) {
-        json *root = json_tokener_parse_ex(tokener, parsed.parse_tree,
-                                           (int)strlen(parsed.parse_tree));
-        if (root != NULL) {
-            classify_statements(classify_get_member(root, "stmts"), text,
-                                result);
+    if (root != NULL) {
+        classify_statements(classify_get_member(root, "stmts"), text, result);
+    }
+    json_object_put(root);
+}
+
+// Appends the text of one statement of the parse tree to settings.
+static void
+classify_append_setting(struct buffer *settings, json *row, const char *text)
+{
+    size_t length = strlen(text);
+    size_t start =
+        (size_t)json_object_get_int(classify_get_member(row, "stmt_location"));
+    json *size_member = classify_get_member(row, "stmt_len");
+
+    start = start < length ? start : length;
+    size_t size = size_member == NULL
+                      ? length - start
+                      : (size_t)json_object_get_int(size_member);
+    size = size < length - start ? size : length - start;
+    size_t blanks = strspn(text + start, " \t\r\n");
+    blanks = blanks < size ? blanks : size;
+    buffer_append(settings, text + start + blanks, size - blanks);
+    buffer_append_text(settings, "\n;");
+}
+
+// Appends the settings of a list of statements. Returns whether none of them
+// begins or ends a transaction.
+static bool
+classify_append_settings(struct buffer *settings, json *statements,
+                         const char *text)
+{
+    size_t count = classify_get_array_length(statements);
+
+    for (size_t i = 0; i < count; i++) {
+        json *row = json_object_array_get_idx(statements, i);
+        json *statement = classify_get_member(row, "stmt");
+        struct json_object_iterator item = json_object_iter_begin(statement);
+        const char *name = json_object_iter_peek_name(&item);
+        json *node = json_object_iter_peek_value(&item);
+        enum classify_setting setting = classify_get_setting(name, node);
+        if (strcmp(name, "TransactionStmt") == 0) {
+            return false;
+        }
+        if (setting == CLASSIFY_SETTING_SESSION ||
+            (setting == CLASSIFY_SETTING_RESET_ALL &&
+             strcmp(name, "VariableSetStmt") == 0)) {
+            classify_append_setting(settings, row, text);
         }
-        json_object_put(root);
     }
-    json_tokener_free(tokener);
-    pg_query_free_parse_result(parsed);
+    return true;
+}
+
+char *
+classify_copy_settings(const char *text)
+{
+    struct buffer settings = {0};
+    bool is_invalid = false;
+    char *copy = NULL;
+
+    if (strlen(text) > CLASSIFY_MAX_PARSE_BYTES) {
+        return NULL;
+    }
+    json *root = classify_parse_tree(text, &is_invalid);
+    if (root != NULL &&
+        classify_append_settings(&settings, classify_get_member(root, "stmts"),
+                                 text) &&
+        buffer_get_size(&settings) > 0) {
+        copy = xmemdupz((const char *)buffer_get_data(&settings),
+                        buffer_get_size(&settings));
+    }
+    json_object_put(root);
+    buffer_free(&settings);
+    return copy;
 }
 
 // Classifies a text whose leading hint has been removed, without using a
@@ -361,6 +485,7 @@
 {
     memset(result, 0, sizeof(*result));
     result->kind = CLASSIFY_WRITE;
+    result->changes_session = true;
     result->hint_max_age_ms = -1;
     result->hint_deadline_ms = -1;
     result->hint_repeatable = -1;
--- a/src/catkingrade/entry/classify.h
+++ b/src/catkingrade/entry/classify.h
@@ -26,10 +26,22 @@
     CLASSIFY_INVALID, // syntax error; the upstream reports the error
 };
 
+// What a statement changes in the session state of its connection.
+enum classify_setting {
+    CLASSIFY_SETTING_NONE,       // nothing that outlives its transaction
+    CLASSIFY_SETTING_SESSION,    // a setting, until the end of the session
+    CLASSIFY_SETTING_RESET_ALL,  // RESET ALL, DISCARD ALL
+    CLASSIFY_SETTING_CONNECTION, // LISTEN, PREPARE, EXECUTE, DEALLOCATE
+};
+
 struct classification {
     enum classify_kind kind;
-    unsigned statements; // number of statements in the text
-    bool only_reads;     // every statement in the text is a read
+    enum classify_setting setting; // of a text with a single statement
+    unsigned statements;           // number of statements in the text
+    bool only_reads;               // every statement in the text is a read
+    // The text may change session state beside its other effects: one of its
+    // several statements does, or the text could not be parsed.
+    bool changes_session;
     // Setting of SET_CATKINGRADE and SHOW_CATKINGRADE: the name without the
     // prefix "catkingrade.", and the value for SET.
     char name[64];
@@ -53,6 +65,10 @@
 const struct classification *classifier_get(struct classifier *classifier,
                                             const char *text,
                                             size_t size_bytes);
+// Returns the statements of a text with several that change a setting of the
+// session, each ended by a newline and a semicolon, or NULL if there are none
+// or if the text also begins or ends a transaction. The caller frees it.
+char *classify_copy_settings(const char *text);
 // Classifies a text without a cache.
 void classify_text(const char *text, size_t size_bytes,
                    struct classification *result);
--- a/src/catkingrade/plugins/postgres_extended.c
+++ b/src/catkingrade/plugins/postgres_extended.c
@@ -273,13 +273,15 @@
             continue;
         }
         const char *text = step->portal->statement->text;
-        postgres_request_apply_hints(
-            session, batch, classifier_get(classifier, text, strlen(text)));
+        const struct classification *class =
+            classifier_get(classifier, text, strlen(text));
+        postgres_request_apply_hints(session, batch, class);
         if (step->portal->statement->kind == CLASSIFY_SET) {
-            postgres_request_add_setting(batch, text);
+            postgres_request_add_setting(batch, text, class->setting);
         }
-        else if (step->portal->statement->kind == CLASSIFY_WRITE &&
-                 postgres_query_may_leave_state(text)) {
+        else if (class->changes_session ||
+                 (step->portal->statement->kind == CLASSIFY_WRITE &&
+                  postgres_query_may_leave_state(text))) {
             batch->job.changes_settings = true;
             batch->job.settings_hash_after = JOB_SETTINGS_UNKNOWN;
         }
@@ -483,9 +485,10 @@
     }
     struct classifier *classifier =
         worker_get_classifier(postgres_session_get_worker(session));
-    enum classify_kind kind =
-        classifier_get(classifier, text, strlen(text))->kind;
-    if (postgres_query_refuse_unsupported(session, kind, text)) {
+    const struct classification *class =
+        classifier_get(classifier, text, strlen(text));
+    enum classify_kind kind = class->kind;
+    if (postgres_query_refuse_unsupported(session, class, text)) {
         postgres_batch_abort(session);
         return;
     }
--- a/src/catkingrade/plugins/postgres_query.c
+++ b/src/catkingrade/plugins/postgres_query.c
@@ -13,9 +13,10 @@
 // Simple queries of a client session, its requests to the database, its
 // settings, and the outcomes of its requests.
 
-#define QUERY_US_PER_MS          1000
-#define QUERY_DETAIL_SIZE        160
-#define QUERY_SETTINGS_MAX_BYTES 8192 // SET statements of one session
+#define QUERY_US_PER_MS              1000
+#define QUERY_DETAIL_SIZE            160
+#define QUERY_SETTINGS_MAX_BYTES     8192 // SET statements of one session
+#define QUERY_TOO_MANY_SETTINGS_TEXT "too many settings in one session"
 // Maximum age of the data for a SET outside a transaction. The value is large
 // because SET reads no data and may run on any replica.
 #define QUERY_SET_MAX_AGE_US (INT64_C(3600) * 1000000)
@@ -159,28 +160,70 @@
     *settings = joined;
 }
 
-// Records in a request that it runs a SET statement, and adds the statement to
-// the pending settings of the session. SET LOCAL and SET TRANSACTION end with
-// their transaction and are not added.
-void
-postgres_request_add_setting(struct entry_request *request, const char *text)
+// Records in a request that the session has other settings after it: those in
+// the session's pending settings.
+static void
+postgres_request_set_settings_after(struct entry_request *request)
 {
     struct postgres_session *session =
         (struct postgres_session *)request->session;
-
-    request->job.changes_settings = true;
-    if (strncasecmp(text, "SET LOCAL", strlen("SET LOCAL")) == 0 ||
-        strncasecmp(text, "SET TRANSACTION", strlen("SET TRANSACTION")) == 0) {
-        return;
-    }
-    postgres_settings_append(&session->settings_pending, text);
     char *joined = xasprintf(
         "%s%s", session->settings_text == NULL ? "" : session->settings_text,
         session->settings_pending);
+
     request->job.settings_hash_after = XXH3_64bits(joined, strlen(joined));
     free(joined);
 }
 
+// Records in a request that it runs a statement that changes settings, and
+// adds the statement to the pending settings of the session unless its effect
+// ends with its transaction.
+void
+postgres_request_add_setting(struct entry_request *request, const char *text,
+                             enum classify_setting setting)
+{
+    struct postgres_session *session =
+        (struct postgres_session *)request->session;
+
+    switch (setting) {
+    case CLASSIFY_SETTING_SESSION:
+        postgres_settings_append(&session->settings_pending, text);
+        request->job.changes_settings = true;
+        postgres_request_set_settings_after(request);
+        return;
+    case CLASSIFY_SETTING_RESET_ALL:
+        // The text may be DISCARD ALL, which can't run with other statements,
+        // and which also drops the connection's prepared statements.
+        postgres_settings_append(&session->settings_pending, "RESET ALL");
+        request->job.changes_settings = true;
+        request->job.settings_hash_after = JOB_SETTINGS_UNKNOWN;
+        return;
+    default:
+        return;
+    }
+}
+
+// Adds the settings among the several statements of a request's text to the
+// pending settings of the session. settings may be NULL: none, or they are not
+// known. The connection is reset before it runs another request.
+static void
+postgres_request_add_settings(struct entry_request *request, char *settings)
+{
+    struct postgres_session *session =
+        (struct postgres_session *)request->session;
+    char **pending = &session->settings_pending;
+
+    request->job.changes_settings = true;
+    request->job.settings_hash_after = JOB_SETTINGS_UNKNOWN;
+    if (settings == NULL) {
+        return;
+    }
+    char *joined =
+        xasprintf("%s%s", *pending == NULL ? "" : *pending, settings);
+    free(*pending);
+    *pending = joined;
+}
+
 // Adds the pending settings to the session's settings if commit is set;
 // discards them otherwise.
 static void
@@ -242,14 +285,26 @@
            strcasestr(text, "temp") != NULL;
 }
 
+static bool
+postgres_settings_are_too_many(const struct postgres_session *session,
+                               const char *text)
+{
+    return session->settings_text != NULL && text != NULL &&
+           strlen(session->settings_text) + strlen(text) >
+               QUERY_SETTINGS_MAX_BYTES;
+}
+
 // Returns the error text for a statement that is not supported on pooled
 // connections, or NULL if it is supported.
 static const char *
 postgres_query_get_refusal_text(const struct postgres_session *session,
-                                enum classify_kind kind, const char *text)
+                                const struct classification *class,
+                                const char *text)
 {
     static const char *const words[] = {"LISTEN", "UNLISTEN", "PREPARE",
                                         "EXECUTE", "DEALLOCATE"};
+    enum classify_kind kind = class->kind;
+    bool refused = class->setting == CLASSIFY_SETTING_CONNECTION;
 
     if (kind == CLASSIFY_COPY) {
         return "COPY is not supported";
@@ -258,36 +313,44 @@
         return NULL;
     }
     for (size_t i = 0; i < ARRAY_SIZE(words); i++) {
-        if (postgres_query_has_prefix(text, words[i])) {
-            return "statements that live in one connection are not supported; "
-                   "use the protocol's prepared statements";
-        }
+        refused = refused || postgres_query_has_prefix(text, words[i]);
+    }
+    if (refused) {
+        return "statements that live in one connection are not supported; "
+               "use the protocol's prepared statements";
     }
     if (session->status == 'I' &&
         postgres_query_has_prefix(text, "CREATE TEMP")) {
         return "temporary tables are supported within a transaction only";
     }
-    if (kind == CLASSIFY_SET && session->settings_text != NULL &&
-        strlen(session->settings_text) + strlen(text) >
-            QUERY_SETTINGS_MAX_BYTES) {
-        return "too many settings in one session";
+    if (kind == CLASSIFY_SET &&
+        postgres_settings_are_too_many(session, text)) {
+        return QUERY_TOO_MANY_SETTINGS_TEXT;
     }
     return NULL;
 }
 
+static void
+postgres_query_refuse(struct postgres_session *session, const char *refusal)
+{
+    postgres_message_add_error(&session->out, "ERROR", SQLSTATE_NOT_SUPPORTED,
+                               "outcome=not_run", "%s", refusal);
+}
+
 // Appends an error if a statement is not supported on pooled connections.
 // Returns whether it did.
 bool
 postgres_query_refuse_unsupported(struct postgres_session *session,
-                                  enum classify_kind kind, const char *text)
+                                  const struct classification *class,
+                                  const char *text)
 {
-    const char *refusal = postgres_query_get_refusal_text(session, kind, text);
+    const char *refusal =
+        postgres_query_get_refusal_text(session, class, text);
 
     if (refusal == NULL) {
         return false;
     }
-    postgres_message_add_error(&session->out, "ERROR", SQLSTATE_NOT_SUPPORTED,
-                               "outcome=not_run", "%s", refusal);
+    postgres_query_refuse(session, refusal);
     return true;
 }
 
@@ -341,12 +404,24 @@
     }
 }
 
-// Returns whether a statement resets all settings of the session.
-static bool
-postgres_query_resets_settings(const char *text)
+// Prepares the request of a single statement that changes session state. A
+// statement that resets all settings is replaced by RESET ALL: DISCARD ALL
+// would drop what other sessions have prepared on the connection.
+static void
+postgres_query_apply_setting(struct postgres_session *session,
+                             struct entry_request *request,
+                             const struct classification *class)
 {
-    return postgres_query_has_prefix(text, "DISCARD ALL") ||
-           postgres_query_has_prefix(text, "RESET ALL");
+    if (class->setting != CLASSIFY_SETTING_RESET_ALL) {
+        postgres_request_add_setting(request, request->job.text,
+                                     class->setting);
+        return;
+    }
+    free(session->settings_text);
+    session->settings_text = NULL;
+    session->settings_hash = 0;
+    free(request->job.text);
+    request->job.text = xstrdup("RESET ALL");
 }
 
 // Handles a simple query of a session that is ready. text may contain several
@@ -364,10 +439,18 @@
         return;
     }
     if (postgres_query_answer_local(session, class) ||
-        postgres_query_refuse_unsupported(session, class->kind, text)) {
+        postgres_query_refuse_unsupported(session, class, text)) {
         postgres_query_end_local(session);
         return;
     }
+    char *settings =
+        class->changes_session ? classify_copy_settings(text) : NULL;
+    if (postgres_settings_are_too_many(session, settings)) {
+        postgres_query_refuse(session, QUERY_TOO_MANY_SETTINGS_TEXT);
+        postgres_query_end_local(session);
+        free(settings);
+        return;
+    }
     struct entry_request *request = postgres_request_create(session);
     enum classify_kind kind = class->statements > 1 && class->only_reads
                                   ? CLASSIFY_READ
@@ -379,22 +462,13 @@
         request->job.key[0] = '\0';
     }
     if (kind == CLASSIFY_SET) {
-        if (postgres_query_resets_settings(text)) {
-            free(session->settings_text);
-            session->settings_text = NULL;
-            session->settings_hash = 0;
-            request->job.text[0] = '\0';
-            free(request->job.text);
-            request->job.text = xstrdup("RESET ALL");
-        }
-        else {
-            postgres_request_add_setting(request, text);
-        }
+        postgres_query_apply_setting(session, request, class);
     }
-    if (kind == CLASSIFY_WRITE && postgres_query_may_leave_state(text)) {
-        request->job.changes_settings = true;
-        request->job.settings_hash_after = JOB_SETTINGS_UNKNOWN;
+    if (class->changes_session ||
+        (kind == CLASSIFY_WRITE && postgres_query_may_leave_state(text))) {
+        postgres_request_add_settings(request, settings);
     }
+    free(settings);
     session->ends_with_sync = true;
     postgres_request_submit(session, request,
                             postgres_request_get_class(session, kind));
--- a/src/catkingrade/plugins/postgres_session.h
+++ b/src/catkingrade/plugins/postgres_session.h
@@ -124,10 +124,11 @@
 postgres_request_get_class(const struct postgres_session *session,
                            enum classify_kind kind);
 void postgres_request_add_setting(struct entry_request *request,
-                                  const char *text);
+                                  const char *text,
+                                  enum classify_setting setting);
 bool postgres_query_may_leave_state(const char *text);
 bool postgres_query_refuse_unsupported(struct postgres_session *session,
-                                       enum classify_kind kind,
+                                       const struct classification *class,
                                        const char *text);
 // Outcomes of requests, called by the database.
 void postgres_answer_done(struct entry_session *base,
--- a/test/contract/test_pg_texts.c
+++ b/test/contract/test_pg_texts.c
@@ -271,6 +271,16 @@
     pthread_mutex_unlock(&recorder.mutex);
 }
 
+static bool
+recorder_has(const char *part)
+{
+    char *lines = recorder_get_lines();
+    bool found = strstr(lines, part) != NULL;
+
+    free(lines);
+    return found;
+}
+
 #define assert_received(part)                                                 \
     do {                                                                      \
         char *lines = recorder_get_lines();                                   \
@@ -364,9 +374,77 @@
 }
 END_TEST
 
+// Guards against RESET of one setting that is sent as RESET ALL, because its
+// name begins with ALL.
+START_TEST(test_reset_of_one_setting_is_sent_unchanged)
+{
+    struct rig rig;
+
+    start_rig(&rig, "pg_texts_reset");
+    PGconn *conn = process_connect(rig.port, NULL);
+    run(conn, "SET search_path = a");
+    recorder_clear();
+    run(conn, "RESET allow_system_table_mods");
+    assert_received("P .RESET allow_system_table_mods.");
+    replay_settings(&rig, conn);
+    assert_received(
+        "Q SET search_path = a\n;RESET allow_system_table_mods\n;.");
+    PQfinish(conn);
+    stop_rig(&rig);
+}
+END_TEST
+
+// Guards against a lifetime of a setting that is guessed from the first words
+// of its statement.
+START_TEST(test_lifetime_of_a_setting_comes_from_its_statement)
+{
+    struct rig rig;
+
+    start_rig(&rig, "pg_texts_lifetime");
+    PGconn *conn = process_connect(rig.port, NULL);
+    run(conn, "SET localized.name = 'x'");
+    run(conn, "SET  LOCAL lock_timeout = 1");
+    run(conn, "/* note */ SET LOCAL lock_timeout = 2");
+    replay_settings(&rig, conn);
+    assert_received("Q SET localized.name = 'x'\n;.");
+    run(conn, "/* note */ RESET ALL");
+    recorder_clear();
+    run(conn, "DELETE FROM own");
+    ck_assert(!recorder_has("Q SET"));
+    PQfinish(conn);
+    stop_rig(&rig);
+}
+END_TEST
+
+// Guards against settings of a text with several statements that another
+// session gets and that the session itself loses.
+START_TEST(test_settings_of_several_statements_are_the_session_s)
+{
+    struct rig rig;
+
+    start_rig(&rig, "pg_texts_several");
+    PGconn *conn = process_connect(rig.port, NULL);
+    PGconn *other = process_connect(rig.port, NULL);
+    run(conn, "SET search_path = a; SET lock_timeout = 5 -- ms");
+    recorder_clear();
+    run(other, "DELETE FROM other");
+    assert_received("Q DISCARD ALL.");
+    recorder_clear();
+    run(conn, "DELETE FROM own");
+    assert_received("Q SET search_path = a\n;SET lock_timeout = 5 -- ms\n;.");
+    PQfinish(conn);
+    PQfinish(other);
+    stop_rig(&rig);
+}
+END_TEST
+
 static void
 add_tests(TCase *tests)
 {
+    tcase_add_test(tests, test_reset_of_one_setting_is_sent_unchanged);
+    tcase_add_test(tests, test_lifetime_of_a_setting_comes_from_its_statement);
+    tcase_add_test(tests,
+                   test_settings_of_several_statements_are_the_session_s);
     tcase_add_test(tests, test_comment_hides_no_later_setting);
 }
 
