fix(postgres): no other statement has a prepared one's name

An upstream connection knows the statements of the extended protocol by a name made from the XXH3 hash of their text. XXH3 is not made to resist equal hashes: two texts that differ in eight bytes, beside eight chosen bytes, have the same. The second of them was answered by running the first, also for another session on the same connection: an upstream ran a statement that its client had not sent. The settings of sessions were told apart by the same hash.

test_prepared_statements_are_told_apart failed before: the upstream got no Parse of the second text, and a Bind of the first one's name. It passes now.

--- a/src/catkingrade/entry/statement.c
+++ b/src/catkingrade/entry/statement.c
@@ -1,20 +1,61 @@
 #include "catkingrade/entry/statement.h"
 
-#include <inttypes.h>
-#include <stdio.h>
+#include <openssl/sha.h>
 #include <stdlib.h>
 #include <string.h>
-#include <xxhash.h>
 
 #include "catkingrade/kernel/memory.h"
 
+#define STATEMENT_PREFIX       "ck" // without parameter types
+#define STATEMENT_TYPED_PREFIX "ct"
+#define STATEMENT_DIGEST_BYTES 24 // of the digest, that the name contains
+
+_Static_assert(sizeof(STATEMENT_PREFIX) + 2 * STATEMENT_DIGEST_BYTES <=
+                   STATEMENT_NAME_SIZE,
+               "the name of a statement fits");
+
+// Replaces the digest of a statement's text by that of this digest and the
+// parameter types.
+static void
+statement_add_types(const struct statement *statement,
+                    unsigned char digest[SHA256_DIGEST_LENGTH])
+{
+    size_t size = statement->types_count * sizeof(*statement->types);
+    unsigned char *bytes = xmalloc(SHA256_DIGEST_LENGTH + size);
+
+    memcpy(bytes, digest, SHA256_DIGEST_LENGTH);
+    memcpy(bytes + SHA256_DIGEST_LENGTH, statement->types, size);
+    SHA256(bytes, SHA256_DIGEST_LENGTH + size, digest);
+    free(bytes);
+}
+
+static void
+statement_write_name(struct statement *statement)
+{
+    static const char digits[] = "0123456789abcdef";
+    bool typed = statement->types_count > 0;
+    unsigned char digest[SHA256_DIGEST_LENGTH];
+    char *name = statement->upstream_name;
+
+    SHA256((const unsigned char *)statement->text, strlen(statement->text),
+           digest);
+    if (typed) {
+        statement_add_types(statement, digest);
+    }
+    name = stpcpy(name, typed ? STATEMENT_TYPED_PREFIX : STATEMENT_PREFIX);
+    for (size_t i = 0; i < STATEMENT_DIGEST_BYTES; i++) {
+        *name++ = digits[digest[i] >> 4];
+        *name++ = digits[digest[i] & 15];
+    }
+    *name = '\0';
+}
+
 // Creates a statement with one reference. Copies text and types.
 struct statement *
 statement_create(const char *text, const uint32_t *types, uint16_t types_count)
 {
     struct statement *statement = xcalloc(1, sizeof(*statement));
     size_t types_size = types_count * sizeof(*types);
-    uint64_t hash = XXH3_64bits(text, strlen(text));
 
     statement->ref_count = 1;
     statement->text = xstrdup(text);
@@ -22,10 +63,8 @@
     if (types_count > 0) {
         statement->types = xmalloc(types_size);
         memcpy(statement->types, types, types_size);
-        hash = XXH3_64bits_withSeed(types, types_size, hash);
     }
-    (void)snprintf(statement->upstream_name, sizeof(statement->upstream_name),
-                   "ck%016" PRIx64, hash);
+    statement_write_name(statement);
     return statement;
 }
 
--- a/src/catkingrade/entry/statement.h
+++ b/src/catkingrade/entry/statement.h
@@ -12,13 +12,13 @@
 // Prepared statements and portals of PostgreSQL sessions. Both are reference
 // counted and belong to one thread: the counts are not atomic.
 
-#define STATEMENT_NAME_SIZE 24
+#define STATEMENT_NAME_SIZE 52 // PostgreSQL allows 64, with the final NUL
 #define STATEMENT_TAG_SIZE  64
 
 // Prepared statement of a session. An upstream connection prepares it on first
-// use. The upstream name is derived from a hash of the text and the parameter
-// types, so that sessions with equal statements share one prepared statement
-// on a connection.
+// use. The upstream name is a cryptographic digest of the text and the
+// parameter types, so that sessions with equal statements share one prepared
+// statement on a connection, and no other statement can have its name.
 struct statement {
     unsigned ref_count;
     enum classify_kind kind;
--- a/src/catkingrade/plugins/postgres_login.c
+++ b/src/catkingrade/plugins/postgres_login.c
@@ -1,7 +1,6 @@
 #include <openssl/rand.h>
 #include <stdlib.h>
 #include <string.h>
-#include <xxhash.h>
 
 #include "catkingrade/kernel/counters.h"
 #include "catkingrade/kernel/memory.h"
@@ -190,8 +189,8 @@
     session->settings_text = startup->settings;
     startup->settings = NULL;
     if (session->settings_text != NULL) {
-        session->settings_hash = XXH3_64bits(session->settings_text,
-                                             strlen(session->settings_text));
+        session->settings_hash =
+            postgres_settings_get_hash(session->settings_text);
     }
     postgres_message_add_authentication(&session->out, POSTGRES_AUTH_OK, NULL,
                                         0);
--- a/src/catkingrade/plugins/postgres_query.c
+++ b/src/catkingrade/plugins/postgres_query.c
@@ -1,9 +1,9 @@
 #include <inttypes.h>
+#include <openssl/sha.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 #include <strings.h>
-#include <xxhash.h>
 
 #include "catkingrade/kernel/memory.h"
 #include "catkingrade/kernel/outcome.h"
@@ -148,6 +148,20 @@
 // SET within a transaction takes effect for the session when the transaction
 // commits.
 
+// Returns the hash by which connections with equal settings are found: the
+// first bytes of a digest, so that no client can write settings with the hash
+// of another client's.
+uint64_t
+postgres_settings_get_hash(const char *text)
+{
+    unsigned char digest[SHA256_DIGEST_LENGTH];
+    uint64_t hash = 0;
+
+    SHA256((const unsigned char *)text, strlen(text), digest);
+    memcpy(&hash, digest, sizeof(hash));
+    return hash;
+}
+
 // Appends a statement to the settings. The newline ends a comment in the last
 // line of the statement, which would otherwise hide the next one.
 static void
@@ -171,7 +185,7 @@
         "%s%s", session->settings_text == NULL ? "" : session->settings_text,
         session->settings_pending);
 
-    request->job.settings_hash_after = XXH3_64bits(joined, strlen(joined));
+    request->job.settings_hash_after = postgres_settings_get_hash(joined);
     free(joined);
 }
 
@@ -243,7 +257,7 @@
             pending);
         free(session->settings_text);
         session->settings_text = joined;
-        session->settings_hash = XXH3_64bits(joined, strlen(joined));
+        session->settings_hash = postgres_settings_get_hash(joined);
     }
     free(pending);
 }
--- a/src/catkingrade/plugins/postgres_session.h
+++ b/src/catkingrade/plugins/postgres_session.h
@@ -126,6 +126,7 @@
 void postgres_request_add_setting(struct entry_request *request,
                                   const char *text,
                                   enum classify_setting setting);
+uint64_t postgres_settings_get_hash(const char *text);
 bool postgres_query_may_leave_state(const char *text);
 bool postgres_query_refuse_unsupported(struct postgres_session *session,
                                        const struct classification *class,
--- a/test/contract/test_pg_texts.c
+++ b/test/contract/test_pg_texts.c
@@ -13,6 +13,7 @@
 #include <string.h>
 #include <sys/socket.h>
 #include <unistd.h>
+#include <xxhash.h>
 
 #include "catkingrade/kernel/buffer.h"
 #include "catkingrade/kernel/memory.h"
@@ -21,6 +22,7 @@
 
 #define RECORDER_CONNECTIONS 16
 #define RECORDER_POLL_MS     20
+#define STATEMENT_SIZE       128
 
 // One connection of the entry.
 struct connection {
@@ -438,9 +440,94 @@
 }
 END_TEST
 
+// Writes two statements that differ and have the same XXH3 hash: it multiplies
+// bytes 24 to 31 by the difference of bytes 16 to 23 from a constant.
+static void
+write_colliding_statements(char first[], char second[])
+{
+    (void)strcpy(first, "DELETE FROM t --"
+                        "\xcb\x79\xe6\x4e\xcc\xc0\xe5\x78"
+                        "11111111................................");
+    (void)strcpy(second, first);
+    memcpy(second + 24, "22222222", 8);
+    ck_assert_uint_eq(XXH3_64bits(first, strlen(first)),
+                      XXH3_64bits(second, strlen(second)));
+}
+
+static void
+run_extended(PGconn *conn, const char *sql)
+{
+    PGresult *result = PQexecParams(conn, sql, 0, NULL, NULL, NULL, NULL, 0);
+
+    ck_assert_msg(PQresultStatus(result) == PGRES_COMMAND_OK, "%s: %s", sql,
+                  PQresultErrorMessage(result));
+    PQclear(result);
+}
+
+// Guards against a statement that runs in place of another one, because a
+// connection knows prepared statements by a hash that is easily equal.
+START_TEST(test_prepared_statements_are_told_apart)
+{
+    struct rig rig;
+    char first[STATEMENT_SIZE];
+    char second[STATEMENT_SIZE];
+
+    start_rig(&rig, "pg_texts_prepared");
+    PGconn *conn = process_connect(rig.port, NULL);
+    write_colliding_statements(first, second);
+    run_extended(conn, first);
+    assert_received(first);
+    run_extended(conn, second);
+    assert_received(second);
+    PQfinish(conn);
+    stop_rig(&rig);
+}
+END_TEST
+
+// Guards against DISCARD ALL among the settings that a connection gets.
+START_TEST(test_discard_all_is_no_setting)
+{
+    struct rig rig;
+
+    start_rig(&rig, "pg_texts_discard");
+    PGconn *conn = process_connect(rig.port, NULL);
+    run_extended(conn, "SET search_path = a");
+    run_extended(conn, "DISCARD ALL");
+    run_extended(conn, "SET search_path = b");
+    replay_settings(&rig, conn);
+    assert_received("Q SET search_path = a\n;RESET ALL\n;"
+                    "SET search_path = b\n;.");
+    PQfinish(conn);
+    stop_rig(&rig);
+}
+END_TEST
+
+// Guards against SET LOCAL outside a transaction that marks a connection with
+// settings as one without.
+START_TEST(test_set_local_leaves_no_setting_to_others)
+{
+    struct rig rig;
+
+    start_rig(&rig, "pg_texts_local");
+    PGconn *conn = process_connect(rig.port, NULL);
+    PGconn *other = process_connect(rig.port, NULL);
+    run(conn, "SET search_path = a");
+    run(conn, "SET LOCAL lock_timeout = 1");
+    recorder_clear();
+    run(other, "DELETE FROM other");
+    assert_received("Q DISCARD ALL.");
+    PQfinish(conn);
+    PQfinish(other);
+    stop_rig(&rig);
+}
+END_TEST
+
 static void
 add_tests(TCase *tests)
 {
+    tcase_add_test(tests, test_prepared_statements_are_told_apart);
+    tcase_add_test(tests, test_discard_all_is_no_setting);
+    tcase_add_test(tests, test_set_local_leaves_no_setting_to_others);
     tcase_add_test(tests, test_reset_of_one_setting_is_sent_unchanged);
     tcase_add_test(tests, test_lifetime_of_a_setting_comes_from_its_statement);
     tcase_add_test(tests,
