fix(postgres): refuse a text parameter with a zero byte

libpq takes a parameter in text format up to its first zero byte, whatever its length says. A Bind message with the value "ab\0cd" ran with "ab" and was answered as done; PostgreSQL itself refuses it.

Such a Bind is now refused with PostgreSQL's own error, 22021, and nothing of its batch runs. Values in binary format are not affected. A Bind whose number of format codes fits neither one nor all of its parameters is a malformed message, as for PostgreSQL; the missing codes counted as text.

test_text_parameter_is_not_cut failed before: the answer was "SET" and the upstream had got the value "ab". It passes now; test_entry, test_entry_frames and test_pg_clients pass.

--- a/src/catkingrade/plugins/postgres_extended.c
+++ b/src/catkingrade/plugins/postgres_extended.c
@@ -528,9 +528,15 @@
                      : 0;
 }
 
+// Outcome of reading the parameters of a Bind message.
+struct postgres_bind_result {
+    bool mixed_formats; // the result columns have different formats
+    bool has_zero_byte; // within a value in text format
+};
+
 static bool
 postgres_bind_read_value(struct postgres_reader *reader, struct portal *portal,
-                         uint16_t index)
+                         uint16_t index, struct postgres_bind_result *result)
 {
     uint32_t size = postgres_reader_get_u32(reader);
 
@@ -543,31 +549,35 @@
     }
     portal->values[index] = xmemdupz((const char *)bytes, size);
     portal->lengths[index] = (int)size;
+    result->has_zero_byte =
+        result->has_zero_byte ||
+        (portal->formats[index] == 0 && memchr(bytes, 0, size) != NULL);
     return true;
 }
 
 // Reads the parameters and result formats of a Bind message into a new portal.
-// Returns NULL if the message is malformed. Sets *mixed_formats if the message
-// requests different formats for the result columns.
+// Returns NULL if the message is malformed; else sets *result.
 static struct portal *
 postgres_bind_read(struct postgres_reader *reader, struct statement *statement,
-                   bool *mixed_formats)
+                   struct postgres_bind_result *result)
 {
     uint16_t formats_count;
     const uint8_t *formats;
 
+    memset(result, 0, sizeof(*result));
     if (!postgres_bind_read_formats(reader, &formats_count, &formats)) {
         return NULL;
     }
     uint16_t count = postgres_reader_get_u16(reader);
-    if (reader->failed || reader->remaining_bytes < 4UL * count) {
+    if (reader->failed || reader->remaining_bytes < 4UL * count ||
+        (formats_count > 1 && formats_count != count)) {
         return NULL;
     }
     struct portal *portal = portal_create(statement, count);
     for (uint16_t i = 0; i < count; i++) {
         portal->formats[i] =
             postgres_bind_get_format(formats, formats_count, i) == 1;
-        if (!postgres_bind_read_value(reader, portal, i)) {
+        if (!postgres_bind_read_value(reader, portal, i, result)) {
             portal_release(portal);
             return NULL;
         }
@@ -579,10 +589,10 @@
     }
     portal->result_format =
         postgres_bind_get_format(formats, formats_count, 0) == 1;
-    *mixed_formats = false;
     for (uint16_t i = 1; i < formats_count; i++) {
-        *mixed_formats |= postgres_bind_get_format(formats, formats_count,
-                                                   i) != portal->result_format;
+        result->mixed_formats |=
+            postgres_bind_get_format(formats, formats_count, i) !=
+            portal->result_format;
     }
     return portal;
 }
@@ -595,7 +605,7 @@
     const char *statement_name = postgres_reader_get_string(reader);
     const struct postgres_name *name =
         *postgres_names_find(session, statement_name, false);
-    bool mixed_formats = false;
+    struct postgres_bind_result result;
 
     if (reader->failed) {
         postgres_extended_reject_message(session);
@@ -608,12 +618,22 @@
         return;
     }
     struct portal *portal =
-        postgres_bind_read(reader, name->statement, &mixed_formats);
+        postgres_bind_read(reader, name->statement, &result);
     if (portal == NULL) {
         postgres_extended_reject_message(session);
         return;
     }
-    if (mixed_formats) {
+    // libpq ends a value in text format at a zero byte. PostgreSQL refuses
+    // such a value with this error.
+    if (result.has_zero_byte) {
+        portal_release(portal);
+        postgres_batch_fail(session, SQLSTATE_INVALID_TEXT,
+                            "invalid byte sequence for encoding \"UTF8\": "
+                            "0x00%s",
+                            "");
+        return;
+    }
+    if (result.mixed_formats) {
         portal_release(portal);
         postgres_batch_fail(session, SQLSTATE_NOT_SUPPORTED,
                             "columns in different formats are not "
--- a/test/contract/test_pg_texts.c
+++ b/test/contract/test_pg_texts.c
@@ -4,6 +4,7 @@
 
 #include <arpa/inet.h>
 #include <check.h>
+#include <ctype.h>
 #include <netinet/in.h>
 #include <poll.h>
 #include <pthread.h>
@@ -22,6 +23,7 @@
 
 #define RECORDER_CONNECTIONS 16
 #define RECORDER_POLL_MS     20
+#define ANSWER_WAIT_MS       20000
 #define STATEMENT_SIZE       128
 
 // One connection of the entry.
@@ -522,12 +524,82 @@
 }
 END_TEST
 
+// Reads answers up to ReadyForQuery or the end of the connection. Returns them
+// with a dot for each byte that can't be printed; the caller frees the text.
+static char *
+receive_until_ready(PGconn *conn)
+{
+    struct buffer text = {0};
+    struct pollfd wait = {PQsocket(conn), POLLIN, 0};
+    char bytes[4096];
+    ssize_t size = 0;
+
+    do {
+        ck_assert_int_eq(poll(&wait, 1, ANSWER_WAIT_MS), 1);
+        size = recv(wait.fd, bytes, sizeof(bytes), MSG_DONTWAIT);
+        for (ssize_t i = 0; i < size; i++) {
+            buffer_append_u8(&text, isprint((unsigned char)bytes[i])
+                                        ? (uint8_t)bytes[i]
+                                        : (uint8_t)'.');
+        }
+    } while (size > 0 && !(size >= 6 && bytes[size - 6] == 'Z'));
+    char *copy =
+        xmemdupz((const char *)buffer_get_data(&text), buffer_get_size(&text));
+    buffer_free(&text);
+    return copy;
+}
+
+// Sends a Parse, a Bind with one text parameter of the given bytes, an Execute
+// and a Sync, and returns the answer, which the caller frees.
+static char *
+send_parameter(PGconn *conn, const char *bytes, size_t size)
+{
+    static const char parse[] = "\0DELETE FROM t WHERE v = $1\0\0";
+    struct buffer out = {0};
+    struct buffer bind = {0};
+
+    buffer_append(&bind, "\0\0\0\0\0\1", 6);
+    buffer_append_be32(&bind, (uint32_t)size);
+    buffer_append(&bind, bytes, size);
+    buffer_append(&bind, "\0\0", 2);
+    recorder_add_message(&out, 'P', parse, sizeof(parse));
+    recorder_add_message(&out, 'B', (const char *)buffer_get_data(&bind),
+                         buffer_get_size(&bind));
+    recorder_add_message(&out, 'E', "\0\0\0\0\0", 5);
+    recorder_add_message(&out, 'S', "", 0);
+    recorder_send(PQsocket(conn), &out);
+    buffer_free(&bind);
+    buffer_free(&out);
+    return receive_until_ready(conn);
+}
+
+// Guards against a parameter whose value is cut at a zero byte.
+START_TEST(test_text_parameter_is_not_cut)
+{
+    struct rig rig;
+
+    start_rig(&rig, "pg_texts_parameter");
+    PGconn *conn = process_connect(rig.port, NULL);
+    char *answer = send_parameter(conn, "ab\0cd", 5);
+    ck_assert_msg(strstr(answer, "C22021.") != NULL, "%s", answer);
+    free(answer);
+    ck_assert(!recorder_has("B "));
+    answer = send_parameter(conn, "abcd", 4);
+    ck_assert_msg(strstr(answer, "SET.") != NULL, "%s", answer);
+    free(answer);
+    assert_received("abcd");
+    PQfinish(conn);
+    stop_rig(&rig);
+}
+END_TEST
+
 static void
 add_tests(TCase *tests)
 {
     tcase_add_test(tests, test_prepared_statements_are_told_apart);
     tcase_add_test(tests, test_discard_all_is_no_setting);
     tcase_add_test(tests, test_set_local_leaves_no_setting_to_others);
+    tcase_add_test(tests, test_text_parameter_is_not_cut);
     tcase_add_test(tests, test_reset_of_one_setting_is_sent_unchanged);
     tcase_add_test(tests, test_lifetime_of_a_setting_comes_from_its_statement);
     tcase_add_test(tests,
