fix(log): no value forges a key, a line or a character

A log line is key=value text, split again into JSON members at each space that is followed by a key. The values come from clients, announcements and configurations. What readers saw:

- id "a status=200 event=elected" gave a member "status" and a second "event"; with a line feed before the key, in the text format too.
- A byte that is not UTF-8 stood in the JSON line as it was, as did ESC sequences in the two-byte form (U+0080 to U+009F) in the text.
- The whole line was cut at 1,023 bytes, in the middle of a character or key: with an id of 1 MiB the rest of the line was missing.

Lines are now put together by kernel/pairs.c, which walks the format itself and knows what is a key and what is a value. In a value an equals sign that would begin a pair is written as \x3d, control characters and bytes that are not UTF-8 as \xNN, and a value ends after 512 bytes with "...". A %s in place of pairs (the text of an event of the coordinator) keeps its pairs; the coordinator and the time line use the same function, so that theirs can't be forged either.

test_log: four new tests failed before (7 members in place of 6, the forged text, a line that is not UTF-8, "request" missing after a long id), and one that normal lines stay as they are passed before and after. test_pairs is new.

--- a/src/catkingrade/decide/coordinator/coordinator_actions.c
+++ b/src/catkingrade/decide/coordinator/coordinator_actions.c
@@ -7,6 +7,7 @@
 #include "catkingrade/decide/coordinator/coordinator_private.h"
 #include "catkingrade/kernel/memory.h"
 #include "catkingrade/kernel/outcome.h"
+#include "catkingrade/kernel/pairs.h"
 #include "catkingrade/rpc/codec.h"
 
 #define COORDINATOR_TEXT_SIZE_BYTES 192
@@ -77,7 +78,7 @@
     va_list args;
 
     va_start(args, format);
-    (void)vsnprintf(text, COORDINATOR_TEXT_SIZE_BYTES, format, args);
+    (void)pairs_format(text, COORDINATOR_TEXT_SIZE_BYTES, format, args);
     va_end(args);
     struct coordinator_action *action =
         coordinator_add_action(coordinator, COORDINATOR_ACTION_RECORD);
--- a/src/catkingrade/kernel/log.c
+++ b/src/catkingrade/kernel/log.c
@@ -13,15 +13,18 @@
 #include "catkingrade/kernel/loop.h"
 #include "catkingrade/kernel/memory.h"
 #include "catkingrade/kernel/outcome.h"
+#include "catkingrade/kernel/pairs.h"
 
-#define LOG_TEXT_SIZE     1024
+#define LOG_TEXT_SIZE     2048
+#define LOG_VM_SIZE       256
+#define LOG_LEFT_OUT_SIZE 32 // of the text for left_out
 #define LOG_US_PER_SECOND INT64_C(1000000)
 
 static struct {
     pthread_mutex_t mutex;
     FILE *file;
     char *path;
-    char *vm;
+    char vm[LOG_VM_SIZE];
     enum log_level level;
     enum log_format format;
     uint64_t dropped_lines; // reported by the next log_stalled event
@@ -56,7 +59,8 @@
     pthread_mutex_lock(&log_state.mutex);
     log_state.file = file;
     log_state.path = file == NULL ? NULL : xstrdup(path);
-    log_state.vm = xstrdup(vm == NULL ? "" : vm);
+    (void)pairs_append_text(log_state.vm, 0, sizeof(log_state.vm),
+                            vm == NULL ? "" : vm);
     log_state.level = level;
     log_state.format = format;
     pthread_mutex_unlock(&log_state.mutex);
@@ -95,9 +99,8 @@
         log_state.file = NULL;
     }
     free(log_state.path);
-    free(log_state.vm);
     log_state.path = NULL;
-    log_state.vm = NULL;
+    log_state.vm[0] = '\0';
     pthread_mutex_unlock(&log_state.mutex);
 }
 
@@ -118,15 +121,6 @@
     }
 }
 
-// Appends text with control characters replaced by spaces.
-static void
-log_append_plain(struct buffer *line, const char *text)
-{
-    for (const char *c = text; *c != '\0'; c++) {
-        buffer_append_u8(line, (unsigned char)*c < 0x20 ? ' ' : (uint8_t)*c);
-    }
-}
-
 // Returns whether text begins with a key and an equals sign. Sets *size to the
 // length of the key.
 static bool
@@ -183,16 +177,16 @@
     struct timespec now;
     struct tm parts;
     char when[32];
-    const char *vm = log_state.vm == NULL ? "" : log_state.vm;
+    const char *vm = log_state.vm;
 
     clock_gettime(CLOCK_REALTIME, &now);
     gmtime_r(&now.tv_sec, &parts);
     (void)strftime(when, sizeof(when), "%Y-%m-%dT%H:%M:%S", &parts);
     if (log_state.format == LOG_FORMAT_JSON) {
-        buffer_append_format(line,
-                             "{\"time\":\"%s.%03ldZ\",\"vm\":\"%s\","
-                             "\"level\":\"%s\",\"event\":\"%s\"",
-                             when, now.tv_nsec / 1000000, vm,
+        buffer_append_format(line, "{\"time\":\"%s.%03ldZ\",\"vm\":\"", when,
+                             now.tv_nsec / 1000000);
+        log_append_escaped(line, vm, strlen(vm));
+        buffer_append_format(line, "\",\"level\":\"%s\",\"event\":\"%s\"",
                              log_level_names[level], event);
         log_append_members(line, text);
         buffer_append_text(line, "}\n");
@@ -201,7 +195,7 @@
     buffer_append_format(line, "%s.%03ldZ vm=%s level=%s event=%s ", when,
                          now.tv_nsec / 1000000, vm, log_level_names[level],
                          event);
-    log_append_plain(line, text);
+    buffer_append_text(line, text);
     buffer_append_u8(line, '\n');
 }
 
@@ -247,8 +241,9 @@
 }
 
 // Writes one log line. event is a short constant; format and its arguments
-// yield key=value pairs. Drops the line instead of waiting for a stalled
-// reader; the next line is then preceded by a log_stalled event. Thread-safe.
+// yield key=value pairs, see pairs_format. Drops the line instead of waiting
+// for a stalled reader; the next line is then preceded by a log_stalled event.
+// Thread-safe.
 void
 log_write(enum log_level level, const char *event, const char *format, ...)
 {
@@ -259,7 +254,7 @@
         return;
     }
     va_start(args, format);
-    (void)vsnprintf(text, sizeof(text), format, args);
+    (void)pairs_format(text, sizeof(text), format, args);
     va_end(args);
     log_write_line(level, event, text);
 }
@@ -301,11 +296,12 @@
         return;
     }
     va_start(args, format);
-    int size = vsnprintf(text, sizeof(text), format, args);
+    size_t size =
+        pairs_format(text, sizeof(text) - LOG_LEFT_OUT_SIZE, format, args);
     va_end(args);
-    if (suppressed_lines > 0 && size >= 0 && (size_t)size < sizeof(text)) {
-        (void)snprintf(text + size, sizeof(text) - (size_t)size,
-                       " left_out=%u", suppressed_lines);
+    if (suppressed_lines > 0) {
+        (void)snprintf(text + size, LOG_LEFT_OUT_SIZE, " left_out=%u",
+                       suppressed_lines);
     }
     log_write_line(level, event, text);
 }
--- a/src/catkingrade/kernel/timeline.c
+++ b/src/catkingrade/kernel/timeline.c
@@ -6,6 +6,7 @@
 
 #include "catkingrade/kernel/loop.h"
 #include "catkingrade/kernel/memory.h"
+#include "catkingrade/kernel/pairs.h"
 
 #define TIMELINE_RING_EVENTS      4096
 #define TIMELINE_HLC_COUNTER_BITS 16 // low bits of a hybrid logical clock
@@ -67,12 +68,12 @@
     va_list args;
 
     (void)snprintf(event.kind, sizeof(event.kind), "%s", kind);
-    (void)snprintf(event.customer, sizeof(event.customer), "%s",
-                   customer == NULL ? "" : customer);
-    (void)snprintf(event.upstream, sizeof(event.upstream), "%s",
-                   upstream == NULL ? "" : upstream);
+    (void)pairs_append_text(event.customer, 0, sizeof(event.customer),
+                            customer == NULL ? "" : customer);
+    (void)pairs_append_text(event.upstream, 0, sizeof(event.upstream),
+                            upstream == NULL ? "" : upstream);
     va_start(args, format);
-    (void)vsnprintf(event.text, sizeof(event.text), format, args);
+    (void)pairs_format(event.text, sizeof(event.text), format, args);
     va_end(args);
     pthread_mutex_lock(&timeline_state.mutex);
     if (timeline_state.ring == NULL) {
