fix(postgres): the primary's host stays within its literal

The control plane writes the host of a primary into upstream_follow_sql and cuts the result at each semicolon. A host "1' || x(); DROP TABLE t; --", for example of a declaration, ended the literal it was written into and ran as statements; a blank in it added keywords to primary_conninfo; a semicolon within a literal or a comment of the setting cut the statement in two.

A host with other characters than those of an address or a name is refused with the new event follow_refused, and nothing is sent. The statements are split by PostgreSQL's own scanner before they are sent.

test_follow_keeps_its_statements failed before: the operation with that host was answered with OUTCOME_OK. It passes now, as do test_libpq_admin and test_docs.

--- a/src/catkingrade/plugins/libpq_admin.c
+++ b/src/catkingrade/plugins/libpq_admin.c
@@ -1,6 +1,7 @@
 #include "catkingrade/control/upstream_admin.h"
 
 #include <libpq-fe.h>
+#include <pg_query.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -10,6 +11,7 @@
 #include "catkingrade/entry/upstream_sql.h"
 #include "catkingrade/kernel/buffer.h"
 #include "catkingrade/kernel/file.h"
+#include "catkingrade/kernel/log.h"
 #include "catkingrade/kernel/memory.h"
 #include "catkingrade/kernel/outcome.h"
 #include "catkingrade/rpc/codec.h"
@@ -29,8 +31,8 @@
     struct libpq_operation *next;
     struct upstream_admin_result result;
     char *upstream_name;
-    char *statements;     // separated by semicolons
-    char *next_statement; // next statement to send; NULL: none
+    char **statements; // the last one is followed by NULL
+    size_t next_statement;
     PGconn *conn;
     struct loop_watch *watch;
     struct loop_timer *timeout_timer;
@@ -67,6 +69,15 @@
     return &admin->base;
 }
 
+static void
+libpq_admin_free_statements(char **statements)
+{
+    for (size_t i = 0; statements != NULL && statements[i] != NULL; i++) {
+        free(statements[i]);
+    }
+    free(statements);
+}
+
 static void
 libpq_operation_destroy(struct libpq_operation *operation)
 {
@@ -81,7 +92,7 @@
     loop_timer_destroy(operation->retry_timer);
     PQfinish(operation->conn);
     free(operation->upstream_name);
-    free(operation->statements);
+    libpq_admin_free_statements(operation->statements);
     codec_free((xdrproc_t)xdr_ck_upstream, &operation->target);
     free(operation);
 }
@@ -162,19 +173,16 @@
 static int
 libpq_operation_send_next(struct libpq_operation *operation)
 {
-    char *statement = operation->next_statement;
+    const char *statement = operation->statements[operation->next_statement];
 
-    if (statement == NULL || *statement == '\0') {
+    if (statement == NULL) {
         return OUTCOME_CLOSED;
     }
     if (operation->may_promote != NULL &&
         !operation->may_promote(operation->data)) {
         return OUTCOME_NOT_LEADER;
     }
-    size_t length = strcspn(statement, ";");
-    operation->next_statement =
-        statement[length] == '\0' ? NULL : statement + length + 1;
-    statement[length] = '\0';
+    operation->next_statement++;
     return PQsendQuery(operation->conn, statement) == 1 ? OUTCOME_OK
                                                         : OUTCOME_IO;
 }
@@ -292,14 +300,30 @@
     libpq_operation_poll_connect(operation);
 }
 
+// Returns whether a host can stand in a literal of a connection string: it is
+// an address or the name of a host, and not empty.
+static bool
+libpq_admin_is_host(const char *host)
+{
+    size_t length = strspn(host, "ABCDEFGHIJKLMNOPQRSTUVWXYZ"
+                                 "abcdefghijklmnopqrstuvwxyz"
+                                 "0123456789.:%_-");
+
+    return length > 0 && host[length] == '\0';
+}
+
 // Returns a copy of text with {host} and {port} replaced by those of the
-// primary. Without a primary the placeholders stay. The caller frees it.
+// primary. Without a primary the placeholders stay. Returns NULL if the host
+// is not one. The caller frees the text.
 static char *
 libpq_admin_expand_placeholders(const char *text,
                                 const struct ck_upstream *primary)
 {
     struct buffer out = {0};
 
+    if (primary != NULL && !libpq_admin_is_host(primary->host)) {
+        return NULL;
+    }
     for (const char *c = text; *c != '\0'; c++) {
         if (primary != NULL && strncmp(c, "{host}", 6) == 0) {
             buffer_append_text(&out, primary->host);
@@ -319,7 +343,37 @@
     return expanded;
 }
 
-static char *
+// Splits a text into its statements: at semicolons outside of literals and
+// comments. A text that can't be scanned is one statement, so that the server
+// reports its error. Returns NULL for NULL; frees the text.
+static char **
+libpq_admin_split_statements(char *text)
+{
+    if (text == NULL) {
+        return NULL;
+    }
+    PgQuerySplitResult split = pg_query_split_with_scanner(text);
+    size_t count = split.error == NULL ? (size_t)split.n_stmts : 1;
+    char **statements = xcalloc(count + 1, sizeof(*statements));
+
+    for (size_t i = 0; i < count && split.error == NULL; i++) {
+        const char *start = text + split.stmts[i]->stmt_location;
+        size_t length = (size_t)split.stmts[i]->stmt_len;
+        size_t blanks = strspn(start, " \t\r\n");
+        blanks = blanks < length ? blanks : length;
+        statements[i] = xmemdupz(start + blanks, length - blanks);
+    }
+    if (split.error != NULL) {
+        statements[0] = xstrdup(text);
+    }
+    pg_query_free_split_result(split);
+    free(text);
+    return statements;
+}
+
+// Returns the statements of an operation, or NULL if the host of the primary
+// can't be written into them.
+static char **
 libpq_admin_get_statements(const struct libpq_admin *admin,
                            enum upstream_admin_kind kind,
                            const struct ck_upstream *primary)
@@ -328,15 +382,16 @@
 
     switch (kind) {
     case UPSTREAM_ADMIN_PROMOTE:
-        return xasprintf("%s;%s", settings->upstream_promote_sql,
-                         UPSTREAM_SQL_SAMPLE);
+        return libpq_admin_split_statements(xasprintf(
+            "%s\n;%s", settings->upstream_promote_sql, UPSTREAM_SQL_SAMPLE));
     case UPSTREAM_ADMIN_FOLLOW:
-        return libpq_admin_expand_placeholders(settings->upstream_follow_sql,
-                                               primary);
+        return libpq_admin_split_statements(libpq_admin_expand_placeholders(
+            settings->upstream_follow_sql, primary));
     case UPSTREAM_ADMIN_FENCE:
-        return xstrdup(settings->upstream_fence_sql);
+        return libpq_admin_split_statements(
+            xstrdup(settings->upstream_fence_sql));
     default:
-        return xstrdup(UPSTREAM_SQL_SAMPLE);
+        return libpq_admin_split_statements(xstrdup(UPSTREAM_SQL_SAMPLE));
     }
 }
 
@@ -371,23 +426,46 @@
     libpq_operation_finish(operation, OUTCOME_UNAVAILABLE);
 }
 
-// Starts to open a connection. If libpq cannot start it, the operation
-// finishes in the next iteration of the loop, so that done is never called
-// from within run.
+// Finishes an operation that has no statements, because the host of the
+// primary can't be written into them.
+static void
+libpq_operation_handle_bad_host(void *data)
+{
+    libpq_operation_finish(data, OUTCOME_INVALID);
+}
+
+// Calls a function in the next iteration of the loop, in place of the timeout,
+// so that done is never called from within run.
+static void
+libpq_operation_finish_soon(struct libpq_operation *operation,
+                            void (*finish)(void *data))
+{
+    loop_timer_destroy(operation->timeout_timer);
+    operation->timeout_timer =
+        loop_timer_create(operation->admin->loop, finish, operation);
+    loop_timer_set(operation->timeout_timer, monotonic_get_us());
+}
+
+// Starts to open a connection, unless there is nothing to run.
 static void
 libpq_operation_start_connect(void *data)
 {
     struct libpq_operation *operation = data;
 
+    if (operation->statements == NULL) {
+        LOG_WARNING("follow_refused", "upstream=%s reason=%s",
+                    operation->upstream_name,
+                    "the primary's host is neither an address nor a name");
+        libpq_operation_finish_soon(operation,
+                                    libpq_operation_handle_bad_host);
+        return;
+    }
     operation->conn =
         libpq_admin_connect(operation->admin, &operation->target);
     if (operation->conn == NULL ||
         PQstatus(operation->conn) == CONNECTION_BAD) {
-        loop_timer_destroy(operation->timeout_timer);
-        operation->timeout_timer =
-            loop_timer_create(operation->admin->loop,
-                              libpq_operation_handle_start_error, operation);
-        loop_timer_set(operation->timeout_timer, monotonic_get_us());
+        libpq_operation_finish_soon(operation,
+                                    libpq_operation_handle_start_error);
         return;
     }
     upstream_error_enable_sqlstate(operation->conn);
@@ -484,7 +562,6 @@
                sizeof(operation->target));
     operation->statements =
         libpq_admin_get_statements(admin, request->kind, request->primary);
-    operation->next_statement = operation->statements;
     operation->may_promote =
         request->kind == UPSTREAM_ADMIN_PROMOTE ? request->may_promote : NULL;
     operation->done = request->done;
--- a/test/contract/test_pg_texts.c
+++ b/test/contract/test_pg_texts.c
@@ -2,6 +2,7 @@
 // A recorder in place of the upstream reads the PostgreSQL protocol itself, so
 // that it shares no reader with the entry, and compares bytes.
 
+#include <apr_general.h>
 #include <arpa/inet.h>
 #include <check.h>
 #include <ctype.h>
@@ -16,8 +17,12 @@
 #include <unistd.h>
 #include <xxhash.h>
 
+#include "catkingrade/control/upstream_admin.h"
 #include "catkingrade/kernel/buffer.h"
+#include "catkingrade/kernel/loop.h"
 #include "catkingrade/kernel/memory.h"
+#include "catkingrade/kernel/outcome.h"
+#include "catkingrade/kernel/settings.h"
 #include "test/fake/process.h"
 #include "test/suite.h"
 
@@ -256,6 +261,17 @@
     return port;
 }
 
+static void
+recorder_stop(void)
+{
+    __atomic_store_n(&recorder.stopping, true, __ATOMIC_RELAXED);
+    (void)pthread_join(recorder.thread, NULL);
+    for (int i = 0; i < RECORDER_CONNECTIONS; i++) {
+        buffer_free(&recorder.connections[i].in);
+    }
+    buffer_free(&recorder.lines);
+}
+
 // Returns the lines recorded so far, which the caller frees.
 static char *
 recorder_get_lines(void)
@@ -330,12 +346,7 @@
 stop_rig(struct rig *rig)
 {
     (void)process_stop(rig->entry, SIGKILL);
-    __atomic_store_n(&recorder.stopping, true, __ATOMIC_RELAXED);
-    (void)pthread_join(recorder.thread, NULL);
-    for (int i = 0; i < RECORDER_CONNECTIONS; i++) {
-        buffer_free(&recorder.connections[i].in);
-    }
-    buffer_free(&recorder.lines);
+    recorder_stop();
     free(rig->folder);
 }
 
@@ -593,9 +604,84 @@
 }
 END_TEST
 
+// ---- operations of the control plane ----
+
+struct follow {
+    struct loop *loop;
+    int outcome;
+};
+
+static void
+follow_handle_done(void *data, const struct upstream_admin_result *result)
+{
+    struct follow *follow = data;
+
+    follow->outcome = result->outcome;
+    loop_stop(follow->loop);
+}
+
+// Tells the recorder to follow a primary at the host. Returns the outcome.
+static int
+run_follow(int port, const char *sql, const char *host)
+{
+    struct settings settings = {
+        .upstream_user = (char *)"walker",
+        .upstream_sslmode = (char *)"disable",
+        .upstream_password_file = (char *)"",
+        .upstream_follow_sql = (char *)(uintptr_t)sql,
+        .connect_timeout_us = ANSWER_WAIT_MS * INT64_C(1000),
+    };
+    struct ck_upstream upstream = {.name = (char *)"second",
+                                   .database = (char *)"roster",
+                                   .failure_domain = (char *)"z1",
+                                   .host = (char *)"127.0.0.1",
+                                   .port = (u_int)port};
+    struct ck_upstream primary = upstream;
+    struct follow follow = {.loop = loop_create()};
+    struct upstream_admin_request request = {.kind = UPSTREAM_ADMIN_FOLLOW,
+                                             .upstream = &upstream,
+                                             .primary = &primary,
+                                             .done = follow_handle_done,
+                                             .data = &follow};
+
+    primary.host = (char *)(uintptr_t)host;
+    primary.port = 5432;
+    struct upstream_admin *admin =
+        libpq_admin_driver.create(follow.loop, &settings);
+    admin->ops->run(admin, &request);
+    loop_run(follow.loop);
+    admin->ops->destroy(admin);
+    loop_destroy(follow.loop);
+    return follow.outcome;
+}
+
+// Guards against a host that ends the literal it is written into, and against
+// a statement that is cut at a semicolon within a literal or a comment.
+START_TEST(test_follow_keeps_its_statements)
+{
+    int port = recorder_start();
+
+    apr_initialize();
+    ck_assert(process_wait_port(port));
+    ck_assert_int_ne(run_follow(port, "ALTER SYSTEM SET a = 'host={host}'",
+                                "1' || x(); DROP TABLE t; --"),
+                     OUTCOME_OK);
+    ck_assert(!recorder_has("Q "));
+    ck_assert_int_eq(run_follow(port,
+                                "ALTER SYSTEM SET a = 'host={host};{port}'; "
+                                "SELECT f() -- one; two",
+                                "fe80::1%eth0"),
+                     OUTCOME_OK);
+    assert_received("Q ALTER SYSTEM SET a = 'host=fe80::1%eth0;5432'.\n");
+    assert_received("Q SELECT f() -- one; two.\n");
+    recorder_stop();
+}
+END_TEST
+
 static void
 add_tests(TCase *tests)
 {
+    tcase_add_test(tests, test_follow_keeps_its_statements);
     tcase_add_test(tests, test_prepared_statements_are_told_apart);
     tcase_add_test(tests, test_discard_all_is_no_setting);
     tcase_add_test(tests, test_set_local_leaves_no_setting_to_others);
