fix(postgres): a text is parsed as the upstream reads it, or not at all

A session that sets standard_conforming_strings to off, or client_encoding to one whose characters contain ASCII bytes (SJIS, GBK, BIG5, ...), moves the ends of literals for the upstream but not for the entry's parser. With it off, "SELECT 'a\' , ', f(' s, ') --'" calls f at the upstream and was a read of three literals for the entry: it could go to a replica, and it was repeated after a lost connection as reads are.

The classification now says that a SET has this effect. From then on a text of the session with a backslash or bytes beyond ASCII is not parsed: it counts as several statements that write, as a text above 256 KiB does. Other texts, and sessions that set UTF8, on or another safe encoding, are parsed as before. A SET statement with such bytes is refused there: sent again on a connection it would be read in yet another way.

test_write_is_no_read_with_other_literals failed before: the log position of a write was not asked for. It passes now, as do test_classify, test_entry, test_pg_clients, test_postgres_frame and test_postgres_session.

--- a/src/catkingrade/entry/classify.c
+++ b/src/catkingrade/entry/classify.c
@@ -1,10 +1,12 @@
 #include "catkingrade/entry/classify.h"
 
+#include <ctype.h>
 #include <json-c/json.h>
 #include <pg_query.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <strings.h>
 
 #include "catkingrade/entry/classify_functions.h"
 #include "catkingrade/entry/classify_hint.h"
@@ -13,6 +15,7 @@
 
 #define CLASSIFY_MAX_DEPTH       1000
 #define CLASSIFY_MAX_PARSE_BYTES (256 * 1024)
+#define CLASSIFY_ENCODING_SIZE   32
 #define CLASSIFY_NAME_PREFIX     "catkingrade."
 #define CLASSIFY_NAME_PREFIX_LEN (sizeof(CLASSIFY_NAME_PREFIX) - 1)
 
@@ -258,6 +261,60 @@
     return CLASSIFY_SET_CATKINGRADE;
 }
 
+// Returns whether all bytes of a character beyond ASCII are beyond ASCII in an
+// encoding, so that the parser finds the same quotes as the upstream. The name
+// is compared as PostgreSQL does: by its letters and digits, without case.
+static bool
+classify_is_safe_encoding(const char *name)
+{
+    static const char *const prefixes[] = {
+        "utf8",   "unicode",    "sqlascii", "latin",      "iso8859",
+        "euc",    "koi8",       "win125",   "windows125", "mule",
+        "win866", "windows866", "win874",   "windows874"};
+    char text[CLASSIFY_ENCODING_SIZE];
+    size_t length = 0;
+
+    for (; *name != '\0' && length + 1 < sizeof(text); name++) {
+        if (isalnum((unsigned char)*name)) {
+            text[length++] = (char)tolower((unsigned char)*name);
+        }
+    }
+    text[length] = '\0';
+    for (size_t i = 0; i < ARRAY_SIZE(prefixes); i++) {
+        if (strncmp(text, prefixes[i], strlen(prefixes[i])) == 0) {
+            return true;
+        }
+    }
+    return false;
+}
+
+bool
+classify_changes_lexing(const char *name, const char *value)
+{
+    if (strcasecmp(name, "client_encoding") == 0) {
+        return !classify_is_safe_encoding(value);
+    }
+    // PostgreSQL also accepts other prefixes of on, true and yes.
+    return strcasecmp(name, "standard_conforming_strings") == 0 &&
+           strcasecmp(value, "on") != 0 && strcasecmp(value, "true") != 0 &&
+           strcmp(value, "1") != 0;
+}
+
+// Returns whether a SET statement changes the lexing of texts. RESET and SET
+// TO DEFAULT set what the upstream has by itself.
+static bool
+classify_set_changes_lexing(json *node, const char *text)
+{
+    struct classification value = {0};
+
+    if (strcmp(classify_get_member_text(node, "kind"), "VAR_SET_VALUE") != 0) {
+        return false;
+    }
+    classify_copy_value(node, text, &value);
+    return classify_changes_lexing(classify_get_member_text(node, "name"),
+                                   value.value);
+}
+
 // Returns what a statement, named by its node of the parse tree, changes in
 // the session state.
 static enum classify_setting
@@ -315,6 +372,10 @@
     json *node = json_object_iter_peek_value(&item);
 
     result->setting = classify_get_setting(name, node);
+    if (strcmp(name, "VariableSetStmt") == 0 &&
+        classify_set_changes_lexing(node, text)) {
+        result->changes_lexing = true;
+    }
     if (strcmp(name, "SelectStmt") == 0) {
         return classify_is_read_tree(node, 0) ? CLASSIFY_READ : CLASSIFY_WRITE;
     }
@@ -476,23 +537,32 @@
     return copy;
 }
 
-// Classifies a text whose leading hint has been removed, without using a
-// cache. A text longer than CLASSIFY_MAX_PARSE_BYTES is not parsed and is
-// classified as several statements that write.
+// Sets the classification of a text that is not parsed: several statements
+// that write, without a hint.
 void
-classify_text_without_hint(const char *text, size_t size_bytes,
-                           struct classification *result)
+classify_unparsed(struct classification *result)
 {
     memset(result, 0, sizeof(*result));
     result->kind = CLASSIFY_WRITE;
+    result->statements = 2;
     result->changes_session = true;
     result->hint_max_age_ms = -1;
     result->hint_deadline_ms = -1;
     result->hint_repeatable = -1;
+}
+
+// Classifies a text whose leading hint has been removed, without using a
+// cache. A text longer than CLASSIFY_MAX_PARSE_BYTES is not parsed and is
+// classified as several statements that write.
+void
+classify_text_without_hint(const char *text, size_t size_bytes,
+                           struct classification *result)
+{
+    classify_unparsed(result);
     if (size_bytes > CLASSIFY_MAX_PARSE_BYTES) {
-        result->statements = 2;
         return;
     }
+    result->statements = 0;
     if (memchr(text, 0, size_bytes) != NULL) {
         result->kind = CLASSIFY_INVALID;
         return;
--- a/src/catkingrade/entry/classify.h
+++ b/src/catkingrade/entry/classify.h
@@ -42,6 +42,11 @@
     // The text may change session state beside its other effects: one of its
     // several statements does, or the text could not be parsed.
     bool changes_session;
+    // The text sets standard_conforming_strings to off, or client_encoding to
+    // one whose characters may contain ASCII bytes. The parser reads no later
+    // text of the session as the upstream does if it has a backslash or bytes
+    // beyond ASCII.
+    bool changes_lexing;
     // Setting of SET_CATKINGRADE and SHOW_CATKINGRADE: the name without the
     // prefix "catkingrade.", and the value for SET.
     char name[64];
@@ -65,6 +70,13 @@
 const struct classification *classifier_get(struct classifier *classifier,
                                             const char *text,
                                             size_t size_bytes);
+// Returns the classification of a text that is not parsed: several statements
+// that write. Its hint applies.
+const struct classification *
+classifier_get_unparsed(struct classifier *classifier, const char *text,
+                        size_t size_bytes);
+// Returns whether a setting changes the lexing of texts, see changes_lexing.
+bool classify_changes_lexing(const char *name, const char *value);
 // Returns the statements of a text with several that change a setting of the
 // session, each ended by a newline and a semicolon, or NULL if there are none
 // or if the text also begins or ends a transaction. The caller frees it.
--- a/src/catkingrade/entry/classify_cache.c
+++ b/src/catkingrade/entry/classify_cache.c
@@ -160,6 +160,18 @@
     return &cache_add(classifier, hash, text, size_bytes)->classification;
 }
 
+const struct classification *
+classifier_get_unparsed(struct classifier *classifier, const char *text,
+                        size_t size_bytes)
+{
+    struct classification *result = &classifier->result;
+
+    classify_unparsed(result);
+    classify_hint_parse(text, classify_hint_get_size(text, size_bytes),
+                        result);
+    return result;
+}
+
 // Returns the classification of a text, from the cache if possible. The cache
 // is keyed by the text without its hint, because a hint may contain an
 // idempotency key, which differs for each request.
--- a/src/catkingrade/entry/classify_hint.h
+++ b/src/catkingrade/entry/classify_hint.h
@@ -12,6 +12,7 @@
 void classify_hint_parse(const char *text, size_t size_bytes,
                          struct classification *result);
 
+void classify_unparsed(struct classification *result);
 void classify_text_without_hint(const char *text, size_t size_bytes,
                                 struct classification *result);
 
--- a/src/catkingrade/plugins/postgres_extended.c
+++ b/src/catkingrade/plugins/postgres_extended.c
@@ -264,9 +264,6 @@
                                 struct entry_request *batch,
                                 size_t executes_count)
 {
-    struct classifier *classifier =
-        worker_get_classifier(postgres_session_get_worker(session));
-
     for (size_t i = 0; i < batch->job.steps_count; i++) {
         const struct job_step *step = &batch->job.steps[i];
         if (step->kind != JOB_STEP_EXECUTE) {
@@ -274,7 +271,9 @@
         }
         const char *text = step->portal->statement->text;
         const struct classification *class =
-            classifier_get(classifier, text, strlen(text));
+            postgres_query_classify(session, text);
+        session->lexes_otherwise =
+            session->lexes_otherwise || class->changes_lexing;
         postgres_request_apply_hints(session, batch, class);
         if (step->portal->statement->kind == CLASSIFY_SET) {
             postgres_request_add_setting(batch, text, class->setting);
@@ -321,10 +320,8 @@
 postgres_local_execute(struct postgres_session *session,
                        const struct statement *statement)
 {
-    struct classifier *classifier =
-        worker_get_classifier(postgres_session_get_worker(session));
     const struct classification *class =
-        classifier_get(classifier, statement->text, strlen(statement->text));
+        postgres_query_classify(session, statement->text);
 
     switch (class->kind) {
     case CLASSIFY_SET_CATKINGRADE:
@@ -483,10 +480,8 @@
                             "prepared statement \"%s\" already exists", name);
         return;
     }
-    struct classifier *classifier =
-        worker_get_classifier(postgres_session_get_worker(session));
     const struct classification *class =
-        classifier_get(classifier, text, strlen(text));
+        postgres_query_classify(session, text);
     enum classify_kind kind = class->kind;
     if (postgres_query_refuse_unsupported(session, class, text)) {
         postgres_batch_abort(session);
--- a/src/catkingrade/plugins/postgres_login.c
+++ b/src/catkingrade/plugins/postgres_login.c
@@ -186,6 +186,7 @@
         postgres_variables_get_or_create(session)->max_age_us =
             startup->max_age_us;
     }
+    session->lexes_otherwise = startup->changes_lexing;
     session->settings_text = startup->settings;
     startup->settings = NULL;
     if (session->settings_text != NULL) {
--- a/src/catkingrade/plugins/postgres_query.c
+++ b/src/catkingrade/plugins/postgres_query.c
@@ -299,6 +299,35 @@
            strcasestr(text, "temp") != NULL;
 }
 
+// Returns whether a text may be read by the upstream otherwise than by the
+// parser, because of the settings of the session.
+static bool
+postgres_query_is_lexed_otherwise(const struct postgres_session *session,
+                                  const char *text)
+{
+    if (!session->lexes_otherwise) {
+        return false;
+    }
+    while (*text != '\0' && *text != '\\' && (unsigned char)*text < 0x80) {
+        text++;
+    }
+    return *text != '\0';
+}
+
+// Returns the classification of a text of the session; it is valid until the
+// next call on this thread.
+const struct classification *
+postgres_query_classify(struct postgres_session *session, const char *text)
+{
+    struct classifier *classifier =
+        worker_get_classifier(postgres_session_get_worker(session));
+
+    if (postgres_query_is_lexed_otherwise(session, text)) {
+        return classifier_get_unparsed(classifier, text, strlen(text));
+    }
+    return classifier_get(classifier, text, strlen(text));
+}
+
 static bool
 postgres_settings_are_too_many(const struct postgres_session *session,
                                const char *text)
@@ -333,6 +362,12 @@
         return "statements that live in one connection are not supported; "
                "use the protocol's prepared statements";
     }
+    if (postgres_query_is_lexed_otherwise(session, text) &&
+        postgres_query_has_prefix(text, "SET")) {
+        return "after a change of client_encoding or "
+               "standard_conforming_strings, SET statements with a backslash "
+               "or with other than ASCII characters are not supported";
+    }
     if (session->status == 'I' &&
         postgres_query_has_prefix(text, "CREATE TEMP")) {
         return "temporary tables are supported within a transaction only";
@@ -443,10 +478,9 @@
 void
 postgres_query_handle(struct postgres_session *session, const char *text)
 {
-    struct classifier *classifier =
-        worker_get_classifier(postgres_session_get_worker(session));
     const struct classification *class =
-        classifier_get(classifier, text, strlen(text));
+        postgres_query_classify(session, text);
+    bool unparsed = postgres_query_is_lexed_otherwise(session, text);
 
     if (session->transaction_lost) {
         postgres_query_handle_lost_transaction(session, class->kind);
@@ -457,8 +491,9 @@
         postgres_query_end_local(session);
         return;
     }
-    char *settings =
-        class->changes_session ? classify_copy_settings(text) : NULL;
+    char *settings = class->changes_session && !unparsed
+                         ? classify_copy_settings(text)
+                         : NULL;
     if (postgres_settings_are_too_many(session, settings)) {
         postgres_query_refuse(session, QUERY_TOO_MANY_SETTINGS_TEXT);
         postgres_query_end_local(session);
@@ -483,6 +518,8 @@
         postgres_request_add_settings(request, settings);
     }
     free(settings);
+    session->lexes_otherwise =
+        session->lexes_otherwise || class->changes_lexing;
     session->ends_with_sync = true;
     postgres_request_submit(session, request,
                             postgres_request_get_class(session, kind));
--- a/src/catkingrade/plugins/postgres_session.h
+++ b/src/catkingrade/plugins/postgres_session.h
@@ -76,6 +76,7 @@
     uint32_t key_secret; // secret of the cancel key
     enum postgres_state state;
     char status;           // I, T or E, as in ReadyForQuery
+    bool lexes_otherwise;  // see changes_lexing of struct classification
     bool admitted;         // counts against the customer's session limit
     bool transaction_lost; // rolled back by the entry; client has not ended it
     bool ignores_until_sync; // after an error in the extended protocol
@@ -127,6 +128,8 @@
                                   const char *text,
                                   enum classify_setting setting);
 uint64_t postgres_settings_get_hash(const char *text);
+const struct classification *
+postgres_query_classify(struct postgres_session *session, const char *text);
 bool postgres_query_may_leave_state(const char *text);
 bool postgres_query_refuse_unsupported(struct postgres_session *session,
                                        const struct classification *class,
--- a/src/catkingrade/plugins/postgres_startup.c
+++ b/src/catkingrade/plugins/postgres_startup.c
@@ -5,6 +5,7 @@
 #include <string.h>
 #include <strings.h>
 
+#include "catkingrade/entry/classify.h"
 #include "catkingrade/kernel/buffer.h"
 #include "catkingrade/kernel/memory.h"
 #include "catkingrade/kernel/outcome.h"
@@ -116,6 +117,8 @@
          postgres_startup_is_utf8(value))) {
         return OUTCOME_OK;
     }
+    startup->changes_lexing =
+        startup->changes_lexing || classify_changes_lexing(name, value);
     return postgres_startup_add_setting(startup, name, value);
 }
 
--- a/src/catkingrade/plugins/postgres_startup.h
+++ b/src/catkingrade/plugins/postgres_startup.h
@@ -22,9 +22,10 @@
     char user[CK_NAME_SIZE + 1];
     char database[CK_NAME_SIZE + 1];
     char token[POSTGRES_TOKEN_SIZE];
-    bool declared_new;  // the client states that the session is new
-    int64_t max_age_us; // -1: maximum age of the request type
-    char *settings;     // SET statements for other parameters, or NULL
+    bool declared_new;   // the client states that the session is new
+    int64_t max_age_us;  // -1: maximum age of the request type
+    bool changes_lexing; // see struct classification
+    char *settings;      // SET statements for other parameters, or NULL
 };
 
 int postgres_startup_read(struct postgres_reader *reader,
--- a/test/contract/test_pg_texts.c
+++ b/test/contract/test_pg_texts.c
@@ -604,6 +604,40 @@
 }
 END_TEST
 
+// Guards against a write that is taken for a read, because the upstream ends
+// its literals elsewhere: writes alone are followed by the log position.
+START_TEST(test_write_is_no_read_with_other_literals)
+{
+    struct rig rig;
+    static const char backslash[] = "SELECT 'a\\' , ', f(' s, ') --'";
+    static const char sjis[] = "SELECT \x95|lower('a')";
+
+    start_rig(&rig, "pg_texts_lexing");
+    PGconn *conn = process_connect(rig.port, NULL);
+    run(conn, backslash);
+    ck_assert(!recorder_has("pg_current_wal_lsn()."));
+    run(conn, "SET standard_conforming_strings = off");
+    run(conn, backslash);
+    assert_received("pg_current_wal_lsn().");
+    PQfinish(conn);
+    conn = process_connect(rig.port, "options='-c client_encoding=SJIS'");
+    recorder_clear();
+    run(conn, sjis);
+    assert_received("pg_current_wal_lsn().");
+    recorder_clear();
+    run(conn, "SELECT 'a' , ', f(' s, ') --'");
+    ck_assert(!recorder_has("pg_current_wal_lsn()."));
+    PQfinish(conn);
+    conn = process_connect(rig.port, NULL);
+    run(conn, "SET standard_conforming_strings = on; SET NAMES 'utf-8'");
+    recorder_clear();
+    run(conn, backslash);
+    ck_assert(!recorder_has("pg_current_wal_lsn()."));
+    PQfinish(conn);
+    stop_rig(&rig);
+}
+END_TEST
+
 // ---- operations of the control plane ----
 
 struct follow {
@@ -681,6 +715,7 @@
 static void
 add_tests(TCase *tests)
 {
+    tcase_add_test(tests, test_write_is_no_read_with_other_literals);
     tcase_add_test(tests, test_follow_keeps_its_statements);
     tcase_add_test(tests, test_prepared_statements_are_told_apart);
     tcase_add_test(tests, test_discard_all_is_no_setting);
