fix(postgres): no statement runs without its session's settings

If the upstream refused one of a session's settings, for example of the startup options "-c search_path=a -c unknown.setting=1", none of them took effect there, and the entry ran each of the session's statements without them: they could change tables of another schema, and the client was told that they were done.

The upstream's error is now the answer, and the statement is not run. PostgreSQL itself refuses such a login.

test_statement_does_not_run_without_its_settings failed before: DELETE was answered as done.

--- a/src/catkingrade/plugins/libpq_upstream.c
+++ b/src/catkingrade/plugins/libpq_upstream.c
@@ -371,8 +371,12 @@
         libpq_link_run_settings(link);
         return;
     case LIBPQ_PHASE_SETTINGS:
-        link->settings_hash =
-            link->phase_failed ? JOB_SETTINGS_UNKNOWN : job->settings_hash;
+        if (link->phase_failed) {
+            link->settings_hash = JOB_SETTINGS_UNKNOWN;
+            libpq_link_end_job(link);
+            return;
+        }
+        link->settings_hash = job->settings_hash;
         libpq_link_run_after_settings(link);
         return;
     case LIBPQ_PHASE_KEY_BEGIN:
@@ -481,7 +485,8 @@
 }
 
 // Handles a result of a statement that the link itself has sent. An error of
-// an idempotency statement becomes the answer of the job.
+// an idempotency statement or of the session's settings becomes the answer of
+// the job: without its settings a statement could change other tables.
 static void
 libpq_link_handle_internal_result(struct libpq_link *link, PGresult *result)
 {
@@ -491,7 +496,6 @@
     if (status != PGRES_TUPLES_OK && status != PGRES_COMMAND_OK) {
         link->phase_failed = true;
         if (job != NULL && link->phase != LIBPQ_PHASE_POSITION &&
-            link->phase != LIBPQ_PHASE_SETTINGS &&
             link->phase != LIBPQ_PHASE_DISCARD && !job->failed) {
             buffer_clear(&job->answer);
             libpq_encode_diagnostic(result, 'E', &job->answer);
--- a/test/contract/test_pg_texts.c
+++ b/test/contract/test_pg_texts.c
@@ -29,6 +29,7 @@
 #define RECORDER_CONNECTIONS 16
 #define RECORDER_POLL_MS     20
 #define ANSWER_WAIT_MS       20000
+#define REFUSED_SETTING      "unknown.setting"
 #define STATEMENT_SIZE       128
 
 // One connection of the entry.
@@ -107,6 +108,7 @@
 static void
 recorder_answer(int fd, char type, const char *body, size_t size)
 {
+    static const char refusal[] = "SERROR\0C42704\0Munknown setting\0";
     struct buffer out = {0};
 
     if (type == 'Q' || type == 'P' || type == 'B') {
@@ -115,7 +117,12 @@
     switch (type) {
     case 'Q':
         recorder_add_sample(&out, body);
-        recorder_add_message(&out, 'C', "SET", 4);
+        if (strstr(body, REFUSED_SETTING) != NULL) {
+            recorder_add_message(&out, 'E', refusal, sizeof(refusal));
+        }
+        else {
+            recorder_add_message(&out, 'C', "SET", 4);
+        }
         recorder_add_message(&out, 'Z', "I", 1);
         break;
     case 'P':
@@ -477,6 +484,15 @@
     PQclear(result);
 }
 
+static void
+run_extended_fails(PGconn *conn, const char *sql, const char *sqlstate)
+{
+    PGresult *result = PQexecParams(conn, sql, 0, NULL, NULL, NULL, NULL, 0);
+
+    ck_assert_pstr_eq(PQresultErrorField(result, PG_DIAG_SQLSTATE), sqlstate);
+    PQclear(result);
+}
+
 // Guards against a statement that runs in place of another one, because a
 // connection knows prepared statements by a hash that is easily equal.
 START_TEST(test_prepared_statements_are_told_apart)
@@ -638,6 +654,31 @@
 }
 END_TEST
 
+// Guards against a statement that runs without its session's settings, because
+// the upstream has refused one of them.
+START_TEST(test_statement_does_not_run_without_its_settings)
+{
+    struct rig rig;
+
+    start_rig(&rig, "pg_texts_refused");
+    PGconn *conn = process_connect(rig.port, "options='-c search_path=a "
+                                             "-c " REFUSED_SETTING "=1'");
+    recorder_clear();
+    char *text = process_query(conn, "DELETE FROM own");
+    ck_assert_str_eq(text, "42704 unknown setting");
+    free(text);
+    run_extended_fails(conn, "DELETE FROM own", "42704");
+    run_extended_fails(conn, "DELETE FROM own", "42704");
+    ck_assert(!recorder_has("DELETE"));
+    PGconn *other = process_connect(rig.port, NULL);
+    run(other, "DELETE FROM other");
+    assert_received("DELETE FROM other");
+    PQfinish(other);
+    PQfinish(conn);
+    stop_rig(&rig);
+}
+END_TEST
+
 // ---- operations of the control plane ----
 
 struct follow {
@@ -716,6 +757,7 @@
 add_tests(TCase *tests)
 {
     tcase_add_test(tests, test_write_is_no_read_with_other_literals);
+    tcase_add_test(tests, test_statement_does_not_run_without_its_settings);
     tcase_add_test(tests, test_follow_keeps_its_statements);
     tcase_add_test(tests, test_prepared_statements_are_told_apart);
     tcase_add_test(tests, test_discard_all_is_no_setting);
