fix(postgres): client messages are read whole and in their order

- A Query message after Parse, Bind and Execute without a Sync ran before them.
It is now refused with 0A000 and ReadyForQuery, and none of them runs; messages that need no upstream (Close) are answered first.
- Bytes in a Sync, Flush, SSLRequest or GSSENCRequest message were ignored; they are now a protocol error, as in every other message.
- A word of the startup options was cut at 511 bytes: a longer search_path named another schema.
It may now be as long as the startup message.
- An error text with a client's name in it was cut at 511 bytes within a UTF-8 character, which client libraries fail to decode.

In test_pg_texts, test_query_does_not_overtake_a_batch, test_bytes_after_the_end_of_a_message_are_refused (Sync and Flush; the other seven rows passed), test_startup_option_is_not_cut and test_error_text_ends_with_a_character failed before and pass now. The check of SSLRequest and GSSENCRequest has no test. test_entry_frames and test_pg_clients pass.

--- a/src/catkingrade/plugins/postgres_extended.c
+++ b/src/catkingrade/plugins/postgres_extended.c
@@ -720,6 +720,31 @@
     postgres_message_add_ready(&session->out, session->status);
 }
 
+// Returns whether a simple query may run after messages without a Sync. If
+// they need no upstream, for example a Close, they are answered first. Else
+// the query would run before them: an error is appended, and none of them
+// runs.
+bool
+postgres_extended_allow_query(struct postgres_session *session)
+{
+    if (session->batch == NULL) {
+        return true;
+    }
+    struct postgres_batch_summary summary =
+        postgres_batch_summarize(&session->batch->job);
+    if (session->transaction_lost || !summary.has_upstream) {
+        postgres_batch_answer_local(session);
+        return !session->ignores_until_sync;
+    }
+    postgres_batch_fail(session, SQLSTATE_NOT_SUPPORTED,
+                        "a simple query needs a Sync message after messages "
+                        "of the extended protocol%s",
+                        "");
+    session->ignores_until_sync = false;
+    postgres_message_add_ready(&session->out, session->status);
+    return false;
+}
+
 // Handles one message of the extended protocol in a session that is ready.
 void
 postgres_extended_handle(struct postgres_session *session,
@@ -735,6 +760,11 @@
                             "too many messages before a Sync%s", "");
         return;
     }
+    if ((frame->type == 'H' || frame->type == 'S') &&
+        !postgres_reader_is_done(&reader)) {
+        postgres_extended_reject_message(session);
+        return;
+    }
     switch (frame->type) {
     case 'P':
         postgres_extended_parse(session, &reader);
--- a/src/catkingrade/plugins/postgres_login.c
+++ b/src/catkingrade/plugins/postgres_login.c
@@ -121,6 +121,13 @@
                               "invalid startup message");
         return;
     }
+    bool is_request = code == POSTGRES_CODE_SSL || code == POSTGRES_CODE_GSS;
+    if (is_request && !postgres_reader_is_done(&reader)) {
+        counter_add(COUNTER_FRAMES_BAD, 1);
+        postgres_login_refuse(session, SQLSTATE_PROTOCOL,
+                              "invalid startup message");
+        return;
+    }
     switch (code) {
     case POSTGRES_CODE_SSL:
         postgres_login_answer_tls(session);
--- a/src/catkingrade/plugins/postgres_message.c
+++ b/src/catkingrade/plugins/postgres_message.c
@@ -126,6 +126,26 @@
     postgres_message_end(out, length_offset);
 }
 
+// Removes an incomplete UTF-8 character from the end of a text that was cut.
+static void
+postgres_message_trim_character(char *text)
+{
+    size_t length = strlen(text);
+    size_t start = length;
+
+    while (start > 0 && ((unsigned char)text[start - 1] & 0xc0) == 0x80) {
+        start--;
+    }
+    if (start == 0 || (unsigned char)text[start - 1] < 0xc0) {
+        return;
+    }
+    unsigned char first = (unsigned char)text[start - 1];
+    size_t size = first < 0xe0 ? 2 : first < 0xf0 ? 3 : 4;
+    if (length - start + 1 < size) {
+        text[start - 1] = '\0';
+    }
+}
+
 // Appends ErrorResponse. severity is ERROR or FATAL, and detail may be NULL.
 // The formatted message is truncated to POSTGRES_ERROR_TEXT_SIZE - 1 bytes.
 void
@@ -137,8 +157,11 @@
     va_list args;
 
     va_start(args, format);
-    (void)vsnprintf(text, sizeof(text), format, args);
+    int size = vsnprintf(text, sizeof(text), format, args);
     va_end(args);
+    if (size < 0 || (size_t)size >= sizeof(text)) {
+        postgres_message_trim_character(text);
+    }
     postgres_message_add_error_or_notice(out, 'E', severity, sqlstate, detail,
                                          text);
 }
--- a/src/catkingrade/plugins/postgres_session.c
+++ b/src/catkingrade/plugins/postgres_session.c
@@ -264,6 +264,9 @@
                                   "invalid query message");
             return;
         }
+        if (!postgres_extended_allow_query(session)) {
+            return;
+        }
         postgres_query_handle(session, text);
         return;
     case 'P':
--- a/src/catkingrade/plugins/postgres_session.h
+++ b/src/catkingrade/plugins/postgres_session.h
@@ -144,6 +144,7 @@
                              struct entry_request *request);
 
 // Extended protocol.
+bool postgres_extended_allow_query(struct postgres_session *session);
 void postgres_extended_handle(struct postgres_session *session,
                               const struct postgres_frame *frame);
 void postgres_extended_end_batch(struct postgres_session *session,
--- a/src/catkingrade/plugins/postgres_startup.c
+++ b/src/catkingrade/plugins/postgres_startup.c
@@ -12,7 +12,7 @@
 
 #define POSTGRES_US_PER_MS        1000
 #define POSTGRES_PARAMETER_PREFIX "catkingrade."
-#define POSTGRES_OPTION_SIZE      512
+#define POSTGRES_OPTION_SIZE      POSTGRES_STARTUP_MESSAGE_MAX_BYTES
 
 static int
 postgres_startup_copy(char *target, size_t size_bytes, const char *text)
@@ -122,8 +122,9 @@
     return postgres_startup_add_setting(startup, name, value);
 }
 
-// Copies the next word of an options text into word, truncated to its size. A
-// backslash escapes a space. Returns the rest of the text.
+// Copies the next word of an options text into word, which has room for the
+// longest startup message. A backslash escapes a space. Returns the rest of
+// the text.
 static const char *
 postgres_startup_read_word(const char *text, char *word, size_t size_bytes)
 {
--- a/test/contract/test_pg_texts.c
+++ b/test/contract/test_pg_texts.c
@@ -679,6 +679,147 @@
 }
 END_TEST
 
+// Appends a Parse, Bind and Execute of a statement without parameters.
+static void
+add_extended(struct buffer *out, const char *sql)
+{
+    struct buffer parse = {0};
+
+    buffer_append_u8(&parse, 0);
+    buffer_append(&parse, sql, strlen(sql) + 1);
+    buffer_append(&parse, "\0\0", 2);
+    recorder_add_message(out, 'P', (const char *)buffer_get_data(&parse),
+                         buffer_get_size(&parse));
+    recorder_add_message(out, 'B', "\0\0\0\0\0\0\0\0", 8);
+    recorder_add_message(out, 'E', "\0\0\0\0\0", 5);
+    buffer_free(&parse);
+}
+
+static const char query_body[] = "DELETE FROM second";
+
+// Guards against a simple query that runs before the statements that its
+// client has sent first.
+START_TEST(test_query_does_not_overtake_a_batch)
+{
+    struct rig rig;
+    struct buffer out = {0};
+
+    start_rig(&rig, "pg_texts_order");
+    PGconn *conn = process_connect(rig.port, NULL);
+    add_extended(&out, "DELETE FROM first");
+    recorder_add_message(&out, 'Q', query_body, sizeof(query_body));
+    recorder_send(PQsocket(conn), &out);
+    char *answer = receive_until_ready(conn);
+    ck_assert_msg(strstr(answer, "C0A000.") != NULL, "%s", answer);
+    free(answer);
+    ck_assert(!recorder_has("DELETE"));
+    buffer_clear(&out);
+    recorder_add_message(&out, 'Q', query_body, sizeof(query_body));
+    recorder_send(PQsocket(conn), &out);
+    free(receive_until_ready(conn));
+    assert_received("DELETE FROM second");
+    ck_assert(!recorder_has("DELETE FROM first"));
+    buffer_clear(&out);
+    recorder_add_message(&out, 'C', "Ss", 3);
+    recorder_add_message(&out, 'Q', query_body, sizeof(query_body));
+    recorder_send(PQsocket(conn), &out);
+    answer = receive_until_ready(conn);
+    ck_assert_msg(strncmp(answer, "3....C....SET.", 14) == 0, "%s", answer);
+    free(answer);
+    buffer_free(&out);
+    PQfinish(conn);
+    stop_rig(&rig);
+}
+END_TEST
+
+struct malformed_case {
+    char type;
+    const char *body;
+    size_t size;
+};
+
+static const struct malformed_case malformed_cases[] = {
+    {'S', "x", 1},
+    {'H', "x", 1},
+    {'Q', "DELETE FROM own\0x", 17},
+    {'Q', "DELETE FROM own", 15},
+    {'P', "\0DELETE FROM own\0\0\0x", 20},
+    {'B', "\0\0\0\0\0\0\0\0x", 9},
+    {'E', "\0\0\0\0\0x", 6},
+    {'D', "S\0x", 3},
+    {'C', "S\0x", 3},
+};
+
+// Guards against bytes of a message that are neither read nor refused.
+START_TEST(test_bytes_after_the_end_of_a_message_are_refused)
+{
+    struct rig rig;
+    const struct malformed_case *row = &malformed_cases[_i];
+    struct buffer out = {0};
+
+    start_rig(&rig, "pg_texts_malformed");
+    PGconn *conn = process_connect(rig.port, NULL);
+    add_extended(&out, "DELETE FROM first");
+    recorder_add_message(&out, row->type, row->body, row->size);
+    recorder_add_message(&out, 'S', "", 0);
+    recorder_send(PQsocket(conn), &out);
+    char *answer = receive_until_ready(conn);
+    ck_assert_msg(strstr(answer, "C08P01.") != NULL, "%s", answer);
+    free(answer);
+    ck_assert(!recorder_has("DELETE"));
+    buffer_free(&out);
+    PQfinish(conn);
+    stop_rig(&rig);
+}
+END_TEST
+
+// Guards against an option of the startup message that is cut.
+START_TEST(test_startup_option_is_not_cut)
+{
+    struct rig rig;
+    char path[2001];
+    char options[2100];
+
+    memset(path, 'a', sizeof(path) - 1);
+    path[sizeof(path) - 1] = '\0';
+    (void)snprintf(options, sizeof(options), "options='-c search_path=%s'",
+                   path);
+    start_rig(&rig, "pg_texts_option");
+    PGconn *conn = process_connect(rig.port, options);
+    run(conn, "DELETE FROM own");
+    (void)snprintf(options, sizeof(options), "Q SET search_path = '%s';.",
+                   path);
+    assert_received(options);
+    PQfinish(conn);
+    stop_rig(&rig);
+}
+END_TEST
+
+// Guards against an error text that ends within a UTF-8 character.
+START_TEST(test_error_text_ends_with_a_character)
+{
+    struct rig rig;
+    char name[1000];
+
+    start_rig(&rig, "pg_texts_error");
+    PGconn *conn = process_connect(rig.port, NULL);
+    for (int odd = 0; odd < 2; odd++) {
+        memset(name, 'a', sizeof(name));
+        for (size_t i = (size_t)odd; i + 2 < sizeof(name); i += 2) {
+            memcpy(name + i, "\xc3\xbc", 2);
+        }
+        name[sizeof(name) - 1] = '\0';
+        PGresult *result = PQexecPrepared(conn, name, 0, NULL, NULL, NULL, 0);
+        const char *text = PQresultErrorField(result, PG_DIAG_MESSAGE_PRIMARY);
+        ck_assert_ptr_nonnull(text);
+        ck_assert_int_ne((unsigned char)text[strlen(text) - 1], 0xc3);
+        PQclear(result);
+    }
+    PQfinish(conn);
+    stop_rig(&rig);
+}
+END_TEST
+
 // ---- operations of the control plane ----
 
 struct follow {
@@ -758,6 +899,12 @@
 {
     tcase_add_test(tests, test_write_is_no_read_with_other_literals);
     tcase_add_test(tests, test_statement_does_not_run_without_its_settings);
+    tcase_add_test(tests, test_query_does_not_overtake_a_batch);
+    tcase_add_loop_test(tests,
+                        test_bytes_after_the_end_of_a_message_are_refused, 0,
+                        ARRAY_SIZE(malformed_cases));
+    tcase_add_test(tests, test_startup_option_is_not_cut);
+    tcase_add_test(tests, test_error_text_ends_with_a_character);
     tcase_add_test(tests, test_follow_keeps_its_statements);
     tcase_add_test(tests, test_prepared_statements_are_told_apart);
     tcase_add_test(tests, test_discard_all_is_no_setting);
