fix(cli): names and texts stay within their line of the output

Tables, the time line and explain printed names and texts of announcements, configurations and logs as they are: an ESC sequence could clear the operator's terminal, and a line feed begin a line that no daemon had sent. explain also read a line above 8,191 bytes as two, of which the second could be taken for a line of its own, and crashed at a member that is null; it now looks for the id in the form in which the log writes it.

Control characters and bytes that are not UTF-8 are printed as \xNN, line ends as spaces. JSON and HTML output escaped them before.

test_timeline with such a text and test_explain_of_odd_texts failed before (ESC [2J and a line of its own in the output; the id was not found) and pass now. That explain reads a long line as one has not been shown to fail by itself. Tables are printed by the same function and have no test of it.

--- a/src/catkingrade/cli/explain.c
+++ b/src/catkingrade/cli/explain.c
@@ -5,7 +5,9 @@
 #include <string.h>
 
 #include "catkingrade/cli/cli.h"
+#include "catkingrade/cli/output.h"
 #include "catkingrade/kernel/memory.h"
+#include "catkingrade/kernel/pairs.h"
 
 // The verb explain: prints, from collected JSON logs of all processes, the log
 // lines of one request in order of time, together with context events (such as
@@ -14,8 +16,8 @@
 // Largest time between a context event and a log line of the request, in ms.
 // The window also extends past the request's lines because a failure is often
 // detected later than it affects requests.
-#define EXPLAIN_CONTEXT_MS     3000
-#define EXPLAIN_MAX_LINE_BYTES 8192
+#define EXPLAIN_CONTEXT_MS 3000
+#define EXPLAIN_ID_SIZE    (PAIRS_VALUE_MAX_BYTES + 16)
 
 struct explain_line {
     char *time;             // as in the log
@@ -25,7 +27,7 @@
 };
 
 struct explain {
-    const char *id; // that the caller gave the request
+    char id[EXPLAIN_ID_SIZE]; // of the request, as the log writes it
     struct explain_line *lines;
     size_t count;
     int64_t *request_times_ms; // times of the request's lines
@@ -41,18 +43,35 @@
     "sessions_ended",
 };
 
-// Returns a member of a log line, or "" if it is missing.
+// Returns a member of a log line, or "" if it is missing or null.
 static const char *
 explain_get_text(struct json_object *object, const char *key)
 {
     struct json_object *member = NULL;
 
-    if (!json_object_object_get_ex(object, key, &member)) {
+    if (!json_object_object_get_ex(object, key, &member) || member == NULL) {
         return "";
     }
     return json_object_get_string(member);
 }
 
+// Prints a format with one %s for each of the keys, in their order; the
+// members' texts contain no control characters.
+static void
+explain_print_members(struct json_object *object, const char *format,
+                      const char *const *keys)
+{
+    for (const char *c = format; *c != '\0'; c++) {
+        if (c[0] == '%' && c[1] == 's') {
+            cli_print_text(explain_get_text(object, *keys++), 0);
+            c++;
+        }
+        else {
+            (void)putchar(*c);
+        }
+    }
+}
+
 // Parses an ISO 8601 time. Returns the milliseconds since midnight, or -1 on
 // an error.
 static int64_t
@@ -130,15 +149,17 @@
 static int
 explain_read_file(struct explain *explain, const char *path)
 {
-    char text[EXPLAIN_MAX_LINE_BYTES];
+    char *text = NULL;
+    size_t size = 0;
     FILE *file = fopen(path, "re");
 
     if (file == NULL) {
         return cli_fail("%s: %s", path, strerror(errno));
     }
-    while (fgets(text, sizeof(text), file) != NULL) {
+    while (getline(&text, &size, file) > 0) {
         explain_add_line(explain, text);
     }
+    free(text);
     (void)fclose(file);
     return CLI_EXIT_OK;
 }
@@ -168,63 +189,59 @@
     return false;
 }
 
+// Sentences for the events of a request.
+static const struct {
+    const char *event;
+    const char *format;
+    const char *keys[5];
+} explain_sentences[] = {
+    {"request_refused",
+     "refused, not run: %s (waited %s ms, term %s, %s ms left of the lease); "
+     "may be retried after %s ms",
+     {"reason", "waited_ms", "term", "lease_left_ms", "retry_after_ms"}},
+    {"statement_refused", "refused with %s, not run: %s", {"code", "reason"}},
+    {"request_unknown",
+     "unknown outcome at upstream %s: %s (after %s ms, term %s, %s ms left of "
+     "the lease)",
+     {"upstream", "reason", "waited_ms", "term", "lease_left_ms"}},
+    {"request_sent_again",
+     "sent again, attempt %s, to upstream %s: %s",
+     {"attempt", "upstream", "reason"}},
+    {"request_sent",
+     "%s of database %s sent to upstream %s: %s",
+     {"class", "database", "upstream", "reason"}},
+};
+
 // Prints a log line of the request as a sentence.
 static void
 explain_print_request_line(struct json_object *object)
 {
     const char *event = explain_get_text(object, "event");
 
-    if (strcmp(event, "request_refused") == 0) {
-        (void)printf("refused, not run: %s (waited %s ms, term %s, %s ms left "
-                     "of the lease); may be retried after %s ms",
-                     explain_get_text(object, "reason"),
-                     explain_get_text(object, "waited_ms"),
-                     explain_get_text(object, "term"),
-                     explain_get_text(object, "lease_left_ms"),
-                     explain_get_text(object, "retry_after_ms"));
-    }
-    else if (strcmp(event, "statement_refused") == 0) {
-        (void)printf("refused with %s, not run: %s",
-                     explain_get_text(object, "code"),
-                     explain_get_text(object, "reason"));
-    }
-    else if (strcmp(event, "request_unknown") == 0) {
-        (void)printf("unknown outcome at upstream %s: %s (after %s ms, term "
-                     "%s, %s ms left of the lease)",
-                     explain_get_text(object, "upstream"),
-                     explain_get_text(object, "reason"),
-                     explain_get_text(object, "waited_ms"),
-                     explain_get_text(object, "term"),
-                     explain_get_text(object, "lease_left_ms"));
-    }
-    else if (strcmp(event, "request_sent_again") == 0) {
-        (void)printf("sent again, attempt %s, to upstream %s: %s",
-                     explain_get_text(object, "attempt"),
-                     explain_get_text(object, "upstream"),
-                     explain_get_text(object, "reason"));
-    }
-    else if (strcmp(event, "request_sent") == 0) {
-        (void)printf("%s of database %s sent to upstream %s: %s",
-                     explain_get_text(object, "class"),
-                     explain_get_text(object, "database"),
-                     explain_get_text(object, "upstream"),
-                     explain_get_text(object, "reason"));
-    }
-    else {
-        (void)printf("%s", event);
+    for (size_t i = 0; i < ARRAY_SIZE(explain_sentences); i++) {
+        if (strcmp(explain_sentences[i].event, event) == 0) {
+            explain_print_members(object, explain_sentences[i].format,
+                                  explain_sentences[i].keys);
+            return;
+        }
     }
+    cli_print_text(event, 0);
 }
 
 // Prints a context event with its members as key=value.
 static void
 explain_print_context_line(struct json_object *object)
 {
-    (void)printf("%s", explain_get_text(object, "event"));
+    cli_print_text(explain_get_text(object, "event"), 0);
     json_object_object_foreach(object, key, value)
     {
         if (strcmp(key, "time") != 0 && strcmp(key, "vm") != 0 &&
             strcmp(key, "level") != 0 && strcmp(key, "event") != 0) {
-            (void)printf(" %s=%s", key, json_object_get_string(value));
+            (void)putchar(' ');
+            cli_print_text(key, 0);
+            (void)putchar('=');
+            cli_print_text(value == NULL ? "" : json_object_get_string(value),
+                           0);
         }
     }
 }
@@ -238,8 +255,10 @@
             !explain_is_near_request_line(explain, line)) {
             continue;
         }
-        (void)printf("%s %s%s: ", line->time, line->is_request ? "" : "  ",
-                     explain_get_text(line->object, "vm"));
+        cli_print_text(line->time, 0);
+        (void)fputs(line->is_request ? " " : "   ", stdout);
+        cli_print_text(explain_get_text(line->object, "vm"), 0);
+        (void)fputs(": ", stdout);
         if (line->is_request) {
             explain_print_request_line(line->object);
         }
@@ -260,7 +279,7 @@
     if (argc < 3) {
         return cli_fail_usage(argv[0], "needs an id and a log file");
     }
-    explain.id = argv[1];
+    (void)pairs_append_text(explain.id, 0, sizeof(explain.id), argv[1]);
     for (int i = 2; i < argc && code == CLI_EXIT_OK; i++) {
         code = explain_read_file(&explain, argv[i]);
     }
--- a/src/catkingrade/cli/output.c
+++ b/src/catkingrade/cli/output.c
@@ -1,8 +1,12 @@
 #include "catkingrade/cli/output.h"
 
+#include <stdbool.h>
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 
+#include "catkingrade/kernel/pairs.h"
+
 #define OUTPUT_MAX_COLUMNS 16
 
 const char *
@@ -16,31 +20,52 @@
     return json_object_get_string(member);
 }
 
+void
+cli_print_text(const char *text, size_t width)
+{
+    char *printable = pairs_copy_printable(text);
+
+    (void)printf("%-*s", (int)width, printable);
+    free(printable);
+}
+
+static size_t
+output_get_width(struct json_object *row, const char *key)
+{
+    char *printable = pairs_copy_printable(cli_get_text(row, key));
+    size_t width = strlen(printable);
+
+    free(printable);
+    return width;
+}
+
 void
 cli_print_table(struct json_object *rows, const struct cli_column *columns,
                 size_t columns_count)
 {
-    int widths[OUTPUT_MAX_COLUMNS] = {0};
+    size_t widths[OUTPUT_MAX_COLUMNS] = {0};
     size_t rows_count = json_object_array_length(rows);
 
     for (size_t c = 0; c < columns_count; c++) {
-        widths[c] = (int)strlen(columns[c].title);
+        widths[c] = strlen(columns[c].title);
         for (size_t i = 0; i < rows_count; i++) {
             struct json_object *row = json_object_array_get_idx(rows, i);
-            int width = (int)strlen(cli_get_text(row, columns[c].key));
+            size_t width = output_get_width(row, columns[c].key);
             widths[c] = width > widths[c] ? width : widths[c];
         }
     }
     for (size_t c = 0; c < columns_count; c++) {
-        (void)printf("%-*s%s", c + 1 == columns_count ? 0 : widths[c],
-                     columns[c].title, c + 1 == columns_count ? "\n" : "  ");
+        bool is_last = c + 1 == columns_count;
+        cli_print_text(columns[c].title, is_last ? 0 : widths[c]);
+        (void)fputs(is_last ? "\n" : "  ", stdout);
     }
     for (size_t i = 0; i < rows_count; i++) {
         struct json_object *row = json_object_array_get_idx(rows, i);
         for (size_t c = 0; c < columns_count; c++) {
-            (void)printf("%-*s%s", c + 1 == columns_count ? 0 : widths[c],
-                         cli_get_text(row, columns[c].key),
-                         c + 1 == columns_count ? "\n" : "  ");
+            bool is_last = c + 1 == columns_count;
+            cli_print_text(cli_get_text(row, columns[c].key),
+                           is_last ? 0 : widths[c]);
+            (void)fputs(is_last ? "\n" : "  ", stdout);
         }
     }
 }
--- a/src/catkingrade/cli/output.h
+++ b/src/catkingrade/cli/output.h
@@ -12,6 +12,9 @@
     const char *key; // of the member of each row to print
 };
 
+// Prints a text as one line, without control characters: texts may come from
+// other parties. It is padded with spaces to a width in bytes.
+void cli_print_text(const char *text, size_t width);
 // Prints rows as a table; each column is as wide as its widest text.
 void cli_print_table(struct json_object *rows,
                      const struct cli_column *columns, size_t columns_count);
--- a/src/catkingrade/cli/timeline.c
+++ b/src/catkingrade/cli/timeline.c
@@ -14,6 +14,8 @@
 #define TIMELINE_MS_PER_S       1000
 #define TIMELINE_US_PER_MS      1000
 #define TIMELINE_TIME_TEXT_SIZE 40
+#define TIMELINE_VM_WIDTH       12 // of the column
+#define TIMELINE_KIND_WIDTH     20
 
 // Keys of the options for argp.
 enum timeline_option {
@@ -93,31 +95,45 @@
            "buffer are shown as \"gap\".",
 };
 
+// Prints a member of an event as key=value unless it is empty.
+static void
+timeline_print_member(struct json_object *event, const char *key)
+{
+    const char *text = cli_get_text(event, key);
+
+    if (text[0] != '\0') {
+        (void)printf(" %s=", key);
+        cli_print_text(text, 0);
+    }
+}
+
 static void
 timeline_print_text(const struct timeline_merge *merge)
 {
     for (size_t i = 0; i < json_object_array_length(merge->unreachable); i++) {
-        (void)printf("# not reachable: %s\n",
-                     json_object_get_string(
-                         json_object_array_get_idx(merge->unreachable, i)));
+        (void)fputs("# not reachable: ", stdout);
+        cli_print_text(json_object_get_string(
+                           json_object_array_get_idx(merge->unreachable, i)),
+                       0);
+        (void)putchar('\n');
     }
     for (size_t i = 0; i < json_object_array_length(merge->events); i++) {
         struct json_object *event =
             json_object_array_get_idx(merge->events, i);
         char time[TIMELINE_TIME_TEXT_SIZE];
         cli_format_hlc(cli_get_number(event, "hlc"), time, sizeof(time));
-        (void)printf("%s %-12s %-20s", time, cli_get_text(event, "vm"),
-                     cli_get_text(event, "kind"));
-        if (cli_get_text(event, "customer")[0] != '\0') {
-            (void)printf(" customer=%s", cli_get_text(event, "customer"));
-        }
-        if (cli_get_text(event, "upstream")[0] != '\0') {
-            (void)printf(" upstream=%s", cli_get_text(event, "upstream"));
-        }
+        (void)printf("%s ", time);
+        cli_print_text(cli_get_text(event, "vm"), TIMELINE_VM_WIDTH);
+        (void)putchar(' ');
+        cli_print_text(cli_get_text(event, "kind"), TIMELINE_KIND_WIDTH);
+        timeline_print_member(event, "customer");
+        timeline_print_member(event, "upstream");
         if (cli_get_number(event, "session") != 0) {
-            (void)printf(" session=%s", cli_get_text(event, "session"));
+            timeline_print_member(event, "session");
         }
-        (void)printf(" %s\n", cli_get_text(event, "text"));
+        (void)putchar(' ');
+        cli_print_text(cli_get_text(event, "text"), 0);
+        (void)putchar('\n');
     }
 }
 
--- a/src/catkingrade/kernel/pairs.c
+++ b/src/catkingrade/kernel/pairs.c
@@ -238,6 +238,18 @@
     return pairs.length;
 }
 
+char *
+pairs_copy_printable(const char *text)
+{
+    size_t length = strlen(text);
+    size_t size = length * (PAIRS_ESCAPE_SIZE - 1) + 1;
+    struct pairs pairs = {.text = xmalloc(size), .size = size};
+
+    pairs_add_text(&pairs, text, length, false);
+    pairs.text[pairs.length] = '\0';
+    return pairs.text;
+}
+
 size_t
 pairs_format(char *out, size_t size, const char *format, va_list args)
 {
--- a/src/catkingrade/kernel/pairs.h
+++ b/src/catkingrade/kernel/pairs.h
@@ -17,6 +17,11 @@
 size_t pairs_append_text(char *out, size_t length, size_t size,
                          const char *text);
 
+// Returns a copy of a text with control characters and bytes that are not
+// UTF-8 written as \xNN, and with a space for each line end. The caller frees
+// it.
+char *pairs_copy_printable(const char *text);
+
 // Formats pairs into out; never ends a UTF-8 character or a key in the middle.
 // A text within a value (%s after key=) can't begin another pair: an equals
 // sign that would is written as \x3d. A text in place of pairs (%s after a
--- a/test/contract/test_cli.c
+++ b/test/contract/test_cli.c
@@ -143,7 +143,7 @@
     static char second[] =
         "[{\"vm\":\"noord-1\",\"sequence\":5,\"hlc\":65536,"
         "\"kind\":\"started\",\"customer\":\"\",\"upstream\":\"\","
-        "\"session\":0,\"text\":\"\"}]";
+        "\"session\":0,\"text\":\"\\u001b[2J\\nforged line\"}]";
     struct ck_query_result reply = {.leader_host = "", .message = ""};
 
     reply.json = cursor == 0 ? first : second;
@@ -555,6 +555,7 @@
     const char *promoted = strstr(text, "promoted");
     ck_assert(started != NULL && gap != NULL && promoted != NULL);
     ck_assert(started < gap && gap < promoted);
+    check_contains(text, "\\x1b[2J forged line\n");
     free(text);
     ck_assert_int_eq(run_command(&control, folder, "1000", filter, &text), 0);
     ck_assert_ptr_null(strstr(text, "started"));
@@ -692,6 +693,40 @@
 }
 END_TEST
 
+// Guards against a log line whose texts begin another line of the output or
+// hide it, against a long line that is read as two, and against an id that is
+// logged in another form.
+START_TEST(test_explain_of_odd_texts)
+{
+    struct fake_control control;
+    char *text = NULL;
+    char padding[9001];
+
+    memset(padding, 'x', sizeof(padding) - 1);
+    padding[sizeof(padding) - 1] = '\0';
+    control_start(&control);
+    char *folder = process_make_folder("cli_explain_odd");
+    char *path = xasprintf("%s/vms.log", folder);
+    char *log = xasprintf(
+        "{\"time\":\"2026-03-01T06:31:04.900Z\",\"vm\":null,\"id\":"
+        "\"a b\\\\x3d1\",\"event\":\"request_sent_again\",\"upstream\":"
+        "\"\\u001b[2J\\nforged\"}\n"
+        "{\"time\":\"2026-03-01T06:31:04.900Z\",\"text\":\"%s{'time':"
+        "'2026-03-01T06:31:04.900Z','id':'a b\\\\x3d1','event':'inner'}\"}\n",
+        padding);
+    process_write_file(path, log);
+    const char *args[] = {"explain", "a b=1", path, NULL};
+    ck_assert_int_eq(run_command(&control, folder, "1000", args, &text), 0);
+    check_contains(text, "to upstream \\x1b[2J forged: \n");
+    ck_assert_ptr_null(strstr(text, "inner"));
+    free(text);
+    free(log);
+    free(path);
+    free(folder);
+    control_stop(&control);
+}
+END_TEST
+
 // Guards against output in the order of the log files: lines must be sorted by
 // time.
 START_TEST(test_explain_order)
@@ -729,6 +764,7 @@
     tcase_add_test(tests, test_timeline);
     tcase_add_loop_test(tests, test_explain, 0, ARRAY_SIZE(explain_cases));
     tcase_add_test(tests, test_explain_order);
+    tcase_add_test(tests, test_explain_of_odd_texts);
     tcase_add_loop_test(tests, test_usage, 0, ARRAY_SIZE(usage_cases));
 }
 
