--- a/src/catkingrade/entry/classify.c
+++ b/src/catkingrade/entry/classify.c
@@ -1,17 +1,21 @@
 #include "catkingrade/entry/classify.h"
 
+#include <ctype.h>
 #include <json-c/json.h>
 #include <pg_query.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <strings.h>
 
 #include "catkingrade/entry/classify_functions.h"
 #include "catkingrade/entry/classify_hint.h"
+#include "catkingrade/kernel/buffer.h"
 #include "catkingrade/kernel/memory.h"
 
 #define CLASSIFY_MAX_DEPTH       1000
 #define CLASSIFY_MAX_PARSE_BYTES (256 * 1024)
+#define CLASSIFY_ENCODING_SIZE   32
 #define CLASSIFY_NAME_PREFIX     "catkingrade."
 #define CLASSIFY_NAME_PREFIX_LEN (sizeof(CLASSIFY_NAME_PREFIX) - 1)
 
@@ -257,6 +261,92 @@
     return CLASSIFY_SET_CATKINGRADE;
 }
 
+// Returns whether all bytes of a character beyond ASCII are beyond ASCII in an
+// encoding, so that the parser finds the same quotes as the upstream. The name
+// is compared as PostgreSQL does: by its letters and digits, without case.
+static bool
+classify_is_safe_encoding(const char *name)
+{
+    static const char *const prefixes[] = {
+        "utf8",   "unicode",    "sqlascii", "latin",      "iso8859",
+        "euc",    "koi8",       "win125",   "windows125", "mule",
+        "win866", "windows866", "win874",   "windows874"};
+    char text[CLASSIFY_ENCODING_SIZE];
+    size_t length = 0;
+
+    for (; *name != '\0' && length + 1 < sizeof(text); name++) {
+        if (isalnum((unsigned char)*name)) {
+            text[length++] = (char)tolower((unsigned char)*name);
+        }
+    }
+    text[length] = '\0';
+    for (size_t i = 0; i < ARRAY_SIZE(prefixes); i++) {
+        if (strncmp(text, prefixes[i], strlen(prefixes[i])) == 0) {
+            return true;
+        }
+    }
+    return false;
+}
+
+bool
+classify_changes_lexing(const char *name, const char *value)
+{
+    if (strcasecmp(name, "client_encoding") == 0) {
+        return !classify_is_safe_encoding(value);
+    }
+    // PostgreSQL also accepts other prefixes of on, true and yes.
+    return strcasecmp(name, "standard_conforming_strings") == 0 &&
+           strcasecmp(value, "on") != 0 && strcasecmp(value, "true") != 0 &&
+           strcmp(value, "1") != 0;
+}
+
+// Returns whether a SET statement changes the lexing of texts. RESET and SET
+// TO DEFAULT set what the upstream has by itself.
+static bool
+classify_set_changes_lexing(json *node, const char *text)
+{
+    struct classification value = {0};
+
+    if (strcmp(classify_get_member_text(node, "kind"), "VAR_SET_VALUE") != 0) {
+        return false;
+    }
+    classify_copy_value(node, text, &value);
+    return classify_changes_lexing(classify_get_member_text(node, "name"),
+                                   value.value);
+}
+
+// Returns what a statement, named by its node of the parse tree, changes in
+// the session state.
+static enum classify_setting
+classify_get_setting(const char *name, json *node)
+{
+    static const char *const connection_names[] = {
+        "ListenStmt", "UnlistenStmt", "PrepareStmt", "ExecuteStmt",
+        "DeallocateStmt"};
+    const char *variable = classify_get_member_text(node, "name");
+
+    for (size_t i = 0; i < ARRAY_SIZE(connection_names); i++) {
+        if (strcmp(name, connection_names[i]) == 0) {
+            return CLASSIFY_SETTING_CONNECTION;
+        }
+    }
+    if (strcmp(name, "DiscardStmt") == 0) {
+        return strcmp(classify_get_member_text(node, "target"),
+                      "DISCARD_ALL") == 0
+                   ? CLASSIFY_SETTING_RESET_ALL
+                   : CLASSIFY_SETTING_NONE;
+    }
+    if (strcmp(name, "VariableSetStmt") != 0 ||
+        classify_get_member(node, "is_local") != NULL ||
+        strcmp(variable, "TRANSACTION") == 0 ||
+        strcmp(variable, "TRANSACTION SNAPSHOT") == 0) {
+        return CLASSIFY_SETTING_NONE;
+    }
+    return strcmp(classify_get_member_text(node, "kind"), "VAR_RESET_ALL") == 0
+               ? CLASSIFY_SETTING_RESET_ALL
+               : CLASSIFY_SETTING_SESSION;
+}
+
 static bool
 classify_is_session_state(const char *name)
 {
@@ -281,6 +371,11 @@
     const char *name = json_object_iter_peek_name(&item);
     json *node = json_object_iter_peek_value(&item);
 
+    result->setting = classify_get_setting(name, node);
+    if (strcmp(name, "VariableSetStmt") == 0 &&
+        classify_set_changes_lexing(node, text)) {
+        result->changes_lexing = true;
+    }
     if (strcmp(name, "SelectStmt") == 0) {
         return classify_is_read_tree(node, 0) ? CLASSIFY_READ : CLASSIFY_WRITE;
     }
@@ -312,62 +407,162 @@
 
     result->statements = (unsigned)count;
     result->only_reads = true;
+    result->changes_session = false;
     result->kind = CLASSIFY_EMPTY;
     for (size_t i = 0; i < count; i++) {
         json *statement = classify_get_member(
             json_object_array_get_idx(statements, i), "stmt");
         enum classify_kind kind = classify_statement(statement, text, result);
         result->only_reads = result->only_reads && kind == CLASSIFY_READ;
+        result->changes_session = result->changes_session ||
+                                  kind == CLASSIFY_SET_CATKINGRADE ||
+                                  result->setting != CLASSIFY_SETTING_NONE;
         result->kind = kind;
     }
+    if (count <= 1) {
+        result->changes_session = false;
+    }
     if (count > 1) {
+        result->setting = CLASSIFY_SETTING_NONE;
         result->kind = result->only_reads ? CLASSIFY_READ : CLASSIFY_WRITE;
         result->name[0] = '\0';
         result->value[0] = '\0';
     }
 }
 
+// Parses a text into its list of statements. Returns the parse tree, which the
+// caller releases, or NULL if the text is invalid or nested too deeply.
+static json *
+classify_parse_tree(const char *text, bool *is_invalid)
+{
+    PgQueryParseResult parsed = pg_query_parse(text);
+    struct json_tokener *tokener = json_tokener_new_ex(CLASSIFY_MAX_DEPTH);
+    json *root = NULL;
+
+    *is_invalid = parsed.error != NULL;
+    if (parsed.error == NULL && tokener != NULL) {
+        root = json_tokener_parse_ex(tokener, parsed.parse_tree,
+                                     (int)strlen(parsed.parse_tree));
+    }
+    json_tokener_free(tokener);
+    pg_query_free_parse_result(parsed);
+    return root;
+}
+
 // Parses a NUL-terminated text and classifies its statements. If the parse
 // tree can't be decoded, for example because it is nested too deeply, the kind
 // remains a write.
 static void
 classify_parse(const char *text, struct classification *result)
 {
-    PgQueryParseResult parsed = pg_query_parse(text);
-    struct json_tokener *tokener = json_tokener_new_ex(CLASSIFY_MAX_DEPTH);
+    bool is_invalid = false;
+    json *root = classify_parse_tree(text, &is_invalid);
 
-    if (parsed.error != NULL) {
+    if (is_invalid) {
         result->kind = CLASSIFY_INVALID;
     }
-    else if (tokener != NULL) {
-        json *root = json_tokener_parse_ex(tokener, parsed.parse_tree,
-                                           (int)strlen(parsed.parse_tree));
-        if (root != NULL) {
-            classify_statements(classify_get_member(root, "stmts"), text,
-                                result);
+    if (root != NULL) {
+        classify_statements(classify_get_member(root, "stmts"), text, result);
+    }
+    json_object_put(root);
+}
+
+// Appends the text of one statement of the parse tree to settings.
+static void
+classify_append_setting(struct buffer *settings, json *row, const char *text)
+{
+    size_t length = strlen(text);
+    size_t start =
+        (size_t)json_object_get_int(classify_get_member(row, "stmt_location"));
+    json *size_member = classify_get_member(row, "stmt_len");
+
+    start = start < length ? start : length;
+    size_t size = size_member == NULL
+                      ? length - start
+                      : (size_t)json_object_get_int(size_member);
+    size = size < length - start ? size : length - start;
+    size_t blanks = strspn(text + start, " \t\r\n");
+    blanks = blanks < size ? blanks : size;
+    buffer_append(settings, text + start + blanks, size - blanks);
+    buffer_append_text(settings, "\n;");
+}
+
+// Appends the settings of a list of statements. Returns whether none of them
+// begins or ends a transaction.
+static bool
+classify_append_settings(struct buffer *settings, json *statements,
+                         const char *text)
+{
+    size_t count = classify_get_array_length(statements);
+
+    for (size_t i = 0; i < count; i++) {
+        json *row = json_object_array_get_idx(statements, i);
+        json *statement = classify_get_member(row, "stmt");
+        struct json_object_iterator item = json_object_iter_begin(statement);
+        const char *name = json_object_iter_peek_name(&item);
+        json *node = json_object_iter_peek_value(&item);
+        enum classify_setting setting = classify_get_setting(name, node);
+        if (strcmp(name, "TransactionStmt") == 0) {
+            return false;
+        }
+        if (setting == CLASSIFY_SETTING_SESSION ||
+            (setting == CLASSIFY_SETTING_RESET_ALL &&
+             strcmp(name, "VariableSetStmt") == 0)) {
+            classify_append_setting(settings, row, text);
         }
-        json_object_put(root);
     }
-    json_tokener_free(tokener);
-    pg_query_free_parse_result(parsed);
+    return true;
 }
 
-// Classifies a text whose leading hint has been removed, without using a
-// cache. A text longer than CLASSIFY_MAX_PARSE_BYTES is not parsed and is
-// classified as several statements that write.
+char *
+classify_copy_settings(const char *text)
+{
+    struct buffer settings = {0};
+    bool is_invalid = false;
+    char *copy = NULL;
+
+    if (strlen(text) > CLASSIFY_MAX_PARSE_BYTES) {
+        return NULL;
+    }
+    json *root = classify_parse_tree(text, &is_invalid);
+    if (root != NULL &&
+        classify_append_settings(&settings, classify_get_member(root, "stmts"),
+                                 text) &&
+        buffer_get_size(&settings) > 0) {
+        copy = xmemdupz((const char *)buffer_get_data(&settings),
+                        buffer_get_size(&settings));
+    }
+    json_object_put(root);
+    buffer_free(&settings);
+    return copy;
+}
+
+// Sets the classification of a text that is not parsed: several statements
+// that write, without a hint.
 void
-classify_text_without_hint(const char *text, size_t size_bytes,
-                           struct classification *result)
+classify_unparsed(struct classification *result)
 {
     memset(result, 0, sizeof(*result));
     result->kind = CLASSIFY_WRITE;
+    result->statements = 2;
+    result->changes_session = true;
     result->hint_max_age_ms = -1;
     result->hint_deadline_ms = -1;
     result->hint_repeatable = -1;
+}
+
+// Classifies a text whose leading hint has been removed, without using a
+// cache. A text longer than CLASSIFY_MAX_PARSE_BYTES is not parsed and is
+// classified as several statements that write.
+void
+classify_text_without_hint(const char *text, size_t size_bytes,
+                           struct classification *result)
+{
+    classify_unparsed(result);
     if (size_bytes > CLASSIFY_MAX_PARSE_BYTES) {
-        result->statements = 2;
         return;
     }
+    result->statements = 0;
     if (memchr(text, 0, size_bytes) != NULL) {
         result->kind = CLASSIFY_INVALID;
         return;
--- a/src/catkingrade/plugins/postgres_extended.c
+++ b/src/catkingrade/plugins/postgres_extended.c
@@ -264,22 +264,23 @@
                                 struct entry_request *batch,
                                 size_t executes_count)
 {
-    struct classifier *classifier =
-        worker_get_classifier(postgres_session_get_worker(session));
-
     for (size_t i = 0; i < batch->job.steps_count; i++) {
         const struct job_step *step = &batch->job.steps[i];
         if (step->kind != JOB_STEP_EXECUTE) {
             continue;
         }
         const char *text = step->portal->statement->text;
-        postgres_request_apply_hints(
-            session, batch, classifier_get(classifier, text, strlen(text)));
+        const struct classification *class =
+            postgres_query_classify(session, text);
+        session->lexes_otherwise =
+            session->lexes_otherwise || class->changes_lexing;
+        postgres_request_apply_hints(session, batch, class);
         if (step->portal->statement->kind == CLASSIFY_SET) {
-            postgres_request_add_setting(batch, text);
+            postgres_request_add_setting(batch, text, class->setting);
         }
-        else if (step->portal->statement->kind == CLASSIFY_WRITE &&
-                 postgres_query_may_leave_state(text)) {
+        else if (class->changes_session ||
+                 (step->portal->statement->kind == CLASSIFY_WRITE &&
+                  postgres_query_may_leave_state(text))) {
             batch->job.changes_settings = true;
             batch->job.settings_hash_after = JOB_SETTINGS_UNKNOWN;
         }
@@ -319,10 +320,8 @@
 postgres_local_execute(struct postgres_session *session,
                        const struct statement *statement)
 {
-    struct classifier *classifier =
-        worker_get_classifier(postgres_session_get_worker(session));
     const struct classification *class =
-        classifier_get(classifier, statement->text, strlen(statement->text));
+        postgres_query_classify(session, statement->text);
 
     switch (class->kind) {
     case CLASSIFY_SET_CATKINGRADE:
@@ -481,11 +480,10 @@
                             "prepared statement \"%s\" already exists", name);
         return;
     }
-    struct classifier *classifier =
-        worker_get_classifier(postgres_session_get_worker(session));
-    enum classify_kind kind =
-        classifier_get(classifier, text, strlen(text))->kind;
-    if (postgres_query_refuse_unsupported(session, kind, text)) {
+    const struct classification *class =
+        postgres_query_classify(session, text);
+    enum classify_kind kind = class->kind;
+    if (postgres_query_refuse_unsupported(session, class, text)) {
         postgres_batch_abort(session);
         return;
     }
@@ -525,9 +523,15 @@
                      : 0;
 }
 
+// Outcome of reading the parameters of a Bind message.
+struct postgres_bind_result {
+    bool mixed_formats; // the result columns have different formats
+    bool has_zero_byte; // within a value in text format
+};
+
 static bool
 postgres_bind_read_value(struct postgres_reader *reader, struct portal *portal,
-                         uint16_t index)
+                         uint16_t index, struct postgres_bind_result *result)
 {
     uint32_t size = postgres_reader_get_u32(reader);
 
@@ -540,31 +544,35 @@
     }
     portal->values[index] = xmemdupz((const char *)bytes, size);
     portal->lengths[index] = (int)size;
+    result->has_zero_byte =
+        result->has_zero_byte ||
+        (portal->formats[index] == 0 && memchr(bytes, 0, size) != NULL);
     return true;
 }
 
 // Reads the parameters and result formats of a Bind message into a new portal.
-// Returns NULL if the message is malformed. Sets *mixed_formats if the message
-// requests different formats for the result columns.
+// Returns NULL if the message is malformed; else sets *result.
 static struct portal *
 postgres_bind_read(struct postgres_reader *reader, struct statement *statement,
-                   bool *mixed_formats)
+                   struct postgres_bind_result *result)
 {
     uint16_t formats_count;
     const uint8_t *formats;
 
+    memset(result, 0, sizeof(*result));
     if (!postgres_bind_read_formats(reader, &formats_count, &formats)) {
         return NULL;
     }
     uint16_t count = postgres_reader_get_u16(reader);
-    if (reader->failed || reader->remaining_bytes < 4UL * count) {
+    if (reader->failed || reader->remaining_bytes < 4UL * count ||
+        (formats_count > 1 && formats_count != count)) {
         return NULL;
     }
     struct portal *portal = portal_create(statement, count);
     for (uint16_t i = 0; i < count; i++) {
         portal->formats[i] =
             postgres_bind_get_format(formats, formats_count, i) == 1;
-        if (!postgres_bind_read_value(reader, portal, i)) {
+        if (!postgres_bind_read_value(reader, portal, i, result)) {
             portal_release(portal);
             return NULL;
         }
@@ -576,10 +584,10 @@
     }
     portal->result_format =
         postgres_bind_get_format(formats, formats_count, 0) == 1;
-    *mixed_formats = false;
     for (uint16_t i = 1; i < formats_count; i++) {
-        *mixed_formats |= postgres_bind_get_format(formats, formats_count,
-                                                   i) != portal->result_format;
+        result->mixed_formats |=
+            postgres_bind_get_format(formats, formats_count, i) !=
+            portal->result_format;
     }
     return portal;
 }
@@ -592,7 +600,7 @@
     const char *statement_name = postgres_reader_get_string(reader);
     const struct postgres_name *name =
         *postgres_names_find(session, statement_name, false);
-    bool mixed_formats = false;
+    struct postgres_bind_result result;
 
     if (reader->failed) {
         postgres_extended_reject_message(session);
@@ -605,12 +613,22 @@
         return;
     }
     struct portal *portal =
-        postgres_bind_read(reader, name->statement, &mixed_formats);
+        postgres_bind_read(reader, name->statement, &result);
     if (portal == NULL) {
         postgres_extended_reject_message(session);
         return;
     }
-    if (mixed_formats) {
+    // libpq ends a value in text format at a zero byte. PostgreSQL refuses
+    // such a value with this error.
+    if (result.has_zero_byte) {
+        portal_release(portal);
+        postgres_batch_fail(session, SQLSTATE_INVALID_TEXT,
+                            "invalid byte sequence for encoding \"UTF8\": "
+                            "0x00%s",
+                            "");
+        return;
+    }
+    if (result.mixed_formats) {
         portal_release(portal);
         postgres_batch_fail(session, SQLSTATE_NOT_SUPPORTED,
                             "columns in different formats are not "
@@ -702,6 +720,31 @@
     postgres_message_add_ready(&session->out, session->status);
 }
 
+// Returns whether a simple query may run after messages without a Sync. If
+// they need no upstream, for example a Close, they are answered first. Else
+// the query would run before them: an error is appended, and none of them
+// runs.
+bool
+postgres_extended_allow_query(struct postgres_session *session)
+{
+    if (session->batch == NULL) {
+        return true;
+    }
+    struct postgres_batch_summary summary =
+        postgres_batch_summarize(&session->batch->job);
+    if (session->transaction_lost || !summary.has_upstream) {
+        postgres_batch_answer_local(session);
+        return !session->ignores_until_sync;
+    }
+    postgres_batch_fail(session, SQLSTATE_NOT_SUPPORTED,
+                        "a simple query needs a Sync message after messages "
+                        "of the extended protocol%s",
+                        "");
+    session->ignores_until_sync = false;
+    postgres_message_add_ready(&session->out, session->status);
+    return false;
+}
+
 // Handles one message of the extended protocol in a session that is ready.
 void
 postgres_extended_handle(struct postgres_session *session,
@@ -717,6 +760,11 @@
                             "too many messages before a Sync%s", "");
         return;
     }
+    if ((frame->type == 'H' || frame->type == 'S') &&
+        !postgres_reader_is_done(&reader)) {
+        postgres_extended_reject_message(session);
+        return;
+    }
     switch (frame->type) {
     case 'P':
         postgres_extended_parse(session, &reader);
--- a/src/catkingrade/plugins/postgres_login.c
+++ b/src/catkingrade/plugins/postgres_login.c
@@ -1,7 +1,6 @@
 #include <openssl/rand.h>
 #include <stdlib.h>
 #include <string.h>
-#include <xxhash.h>
 
 #include "catkingrade/kernel/counters.h"
 #include "catkingrade/kernel/memory.h"
@@ -122,6 +121,13 @@
                               "invalid startup message");
         return;
     }
+    bool is_request = code == POSTGRES_CODE_SSL || code == POSTGRES_CODE_GSS;
+    if (is_request && !postgres_reader_is_done(&reader)) {
+        counter_add(COUNTER_FRAMES_BAD, 1);
+        postgres_login_refuse(session, SQLSTATE_PROTOCOL,
+                              "invalid startup message");
+        return;
+    }
     switch (code) {
     case POSTGRES_CODE_SSL:
         postgres_login_answer_tls(session);
@@ -187,11 +193,12 @@
         postgres_variables_get_or_create(session)->max_age_us =
             startup->max_age_us;
     }
+    session->lexes_otherwise = startup->changes_lexing;
     session->settings_text = startup->settings;
     startup->settings = NULL;
     if (session->settings_text != NULL) {
-        session->settings_hash = XXH3_64bits(session->settings_text,
-                                             strlen(session->settings_text));
+        session->settings_hash =
+            postgres_settings_get_hash(session->settings_text);
     }
     postgres_message_add_authentication(&session->out, POSTGRES_AUTH_OK, NULL,
                                         0);
--- a/src/catkingrade/plugins/postgres_session.h
+++ b/src/catkingrade/plugins/postgres_session.h
@@ -76,6 +76,7 @@
     uint32_t key_secret; // secret of the cancel key
     enum postgres_state state;
     char status;           // I, T or E, as in ReadyForQuery
+    bool lexes_otherwise;  // see changes_lexing of struct classification
     bool admitted;         // counts against the customer's session limit
     bool transaction_lost; // rolled back by the entry; client has not ended it
     bool ignores_until_sync; // after an error in the extended protocol
@@ -124,10 +125,14 @@
 postgres_request_get_class(const struct postgres_session *session,
                            enum classify_kind kind);
 void postgres_request_add_setting(struct entry_request *request,
-                                  const char *text);
+                                  const char *text,
+                                  enum classify_setting setting);
+uint64_t postgres_settings_get_hash(const char *text);
+const struct classification *
+postgres_query_classify(struct postgres_session *session, const char *text);
 bool postgres_query_may_leave_state(const char *text);
 bool postgres_query_refuse_unsupported(struct postgres_session *session,
-                                       enum classify_kind kind,
+                                       const struct classification *class,
                                        const char *text);
 // Outcomes of requests, called by the database.
 void postgres_answer_done(struct entry_session *base,
@@ -139,6 +144,7 @@
                              struct entry_request *request);
 
 // Extended protocol.
+bool postgres_extended_allow_query(struct postgres_session *session);
 void postgres_extended_handle(struct postgres_session *session,
                               const struct postgres_frame *frame);
 void postgres_extended_end_batch(struct postgres_session *session,
