fix(platform): carry texts of clients by their size

What callers saw: a statement whose text contained a NUL byte, which the protocol does not exclude, ended the session with 'ERROR MALFORMED not a message', rolled back its open transaction and dropped the statements sent behind it. 'EXECUTE s4' without arguments arrived as 'EXECUTE p0 ', with a space that the client had not sent. A message of 1 MiB was refused, since CR LF counted.

Cause: texts were NUL-terminated from the reader to the writer, so that the reader had to refuse a NUL, and EXECUTE was put together anew from two parts.

Change: the reader gives the sizes of a message's fields; statement texts, values and prepared statements keep theirs and are compared by it. An EXECUTE is the connection's name and, unchanged, all that followed the client's name. wire_setup writes with wire_line; a relay context that would end its message is not sent (statement_not_sent). Words that the system uses itself (statement, id, name) contain no NUL: such a statement is answered MALFORMED, or NOSTMT by EXECUTE, and the session and its transaction go on. 1 MiB is the size without CR LF; a relay accepts the context in addition. The search for the line end goes on where it ended, so that a long message in small parts is searched once.

Evidence: test_line_ends, whose sessions have a reader of their own and compare bytes at the stand-in, which keeps sizes now. With the daemon of the parent commit these failed: test_any_byte_is_sent_on, test_any_byte_is_relayed, test_session_state_differs_after_nul, test_statements_behind_refused_ones, test_commit_inside_data_commits_nothing, test_messages_in_parts and test_largest_message ('ERROR MALFORMED not a message'), test_execute_is_sent_on_unchanged ('11 bytes arrived: EXECUTE p0 '). All pass now, direct and through a relay; test_wire_message and test_wire_setup cover the parts.

test_wire_message required WIRE_READ_INVALID for a NUL, which was the fault: in its place test_nul_bytes_end_nothing requires whole fields, and no known word in READY or in an error's code with a NUL.

--- a/src/catkingrade/entry/typed_statement.c
+++ b/src/catkingrade/entry/typed_statement.c
@@ -5,11 +5,20 @@
 
 #include "catkingrade/kernel/memory.h"
 
+static void
+typed_variable_init(struct typed_variable *variable, const char *name,
+                    const char *value, size_t value_size_bytes)
+{
+    variable->name = xstrdup(name);
+    variable->value = xmemdupz(value, value_size_bytes);
+    variable->value_size_bytes = value_size_bytes;
+}
+
 // Returns a copy of the list, with one reference, in which the variable name
 // is set to value. values may be NULL, which is the empty list.
 struct typed_variables *
 typed_variables_set(const struct typed_variables *values, const char *name,
-                    const char *value)
+                    const char *value, size_t value_size_bytes)
 {
     size_t count = values == NULL ? 0 : values->count;
     struct typed_variables *copy =
@@ -21,13 +30,14 @@
         const struct typed_variable *item = &values->items[i];
         bool matches = strcmp(item->name, name) == 0;
         found = found || matches;
-        copy->items[i].name = xstrdup(item->name);
-        copy->items[i].value = xstrdup(matches ? value : item->value);
+        typed_variable_init(
+            &copy->items[i], item->name, matches ? value : item->value,
+            matches ? value_size_bytes : item->value_size_bytes);
     }
     copy->count = count;
     if (!found) {
-        copy->items[count].name = xstrdup(name);
-        copy->items[count].value = xstrdup(value);
+        typed_variable_init(&copy->items[count], name, value,
+                            value_size_bytes);
         copy->count++;
     }
     return copy;
@@ -57,31 +67,54 @@
     free(values);
 }
 
-// Returns the value of a variable, or NULL if it is not set. values may be
+// Returns a variable of the list, or NULL if it is not set. values may be
 // NULL.
-const char *
+const struct typed_variable *
 typed_variables_find(const struct typed_variables *values, const char *name)
 {
     for (size_t i = 0; values != NULL && i < values->count; i++) {
         if (strcmp(values->items[i].name, name) == 0) {
-            return values->items[i].value;
+            return &values->items[i];
         }
     }
     return NULL;
 }
 
+// Returns whether a variable, which may be NULL, has this value.
+bool
+typed_variable_has_value(const struct typed_variable *variable,
+                         const char *value, size_t value_size_bytes)
+{
+    return variable != NULL &&
+           variable->value_size_bytes == value_size_bytes &&
+           memcmp(variable->value, value, value_size_bytes) == 0;
+}
+
 // Creates a prepared statement with one reference. Copies statement_text.
 struct typed_prepared *
-typed_prepared_create(bool is_write, const char *statement_text)
+typed_prepared_create(bool is_write, const char *statement_text,
+                      size_t statement_size_bytes)
 {
     struct typed_prepared *prepared = xcalloc(1, sizeof(*prepared));
 
     prepared->ref_count = 1;
     prepared->is_write = is_write;
-    prepared->statement_text = xstrdup(statement_text);
+    prepared->statement_text = xmemdupz(statement_text, statement_size_bytes);
+    prepared->statement_size_bytes = statement_size_bytes;
     return prepared;
 }
 
+// Returns whether one prepared statement can stand for the other.
+bool
+typed_prepared_is_equal(const struct typed_prepared *prepared,
+                        const struct typed_prepared *other)
+{
+    return prepared->is_write == other->is_write &&
+           prepared->statement_size_bytes == other->statement_size_bytes &&
+           memcmp(prepared->statement_text, other->statement_text,
+                  prepared->statement_size_bytes) == 0;
+}
+
 // Adds a reference and returns the prepared statement.
 struct typed_prepared *
 typed_prepared_retain(struct typed_prepared *prepared)
@@ -102,6 +135,19 @@
     free(prepared);
 }
 
+// Creates a statement without session state. Copies id and text.
+struct typed_statement *
+typed_statement_create(const char *id, const char *text,
+                       size_t text_size_bytes)
+{
+    struct typed_statement *statement = xcalloc(1, sizeof(*statement));
+
+    statement->id = xstrdup(id);
+    statement->text = xmemdupz(text, text_size_bytes);
+    statement->text_size_bytes = text_size_bytes;
+    return statement;
+}
+
 // Frees a typed statement and drops its references. NULL is ignored.
 void
 typed_statement_destroy(struct typed_statement *statement)
@@ -111,7 +157,6 @@
     }
     typed_variables_release(statement->values);
     typed_prepared_release(statement->prepared);
-    free(statement->arguments);
     free(statement->id);
     free(statement->text);
     free(statement);
--- a/test/fake/platform.h
+++ b/test/fake/platform.h
@@ -57,7 +57,10 @@
 int64_t platform_get_arrival_us(struct platform *platform, const char *id);
 // Returns the text of the statement with this id that last reached an
 // upstream, with the prefix AFTER, if any; the caller frees it. NULL: none
-// has, or the id is beyond PLATFORM_MAX_ARRIVALS.
+// has, or the id is beyond PLATFORM_MAX_ARRIVALS. The first gives the size of
+// a text that may contain NUL bytes; the texts are NUL-terminated.
+char *platform_get_arrival_bytes(struct platform *platform, const char *id,
+                                 size_t *size_bytes);
 char *platform_get_arrival_text(struct platform *platform, const char *id);
 // Copies the user name of the connection on which a statement with this id
 // last reached an upstream. Returns false if none has.
