fix(platform): refuse a statement that grows beyond 1 MiB

What callers saw: a READ, an EXECUTE or a PREPARE of nearly 1 MiB was sent to an upstream longer than a message may be, since the system puts AFTER before a read and replaces the name of a prepared statement. An upstream that ends such a connection leaves the caller with an unknown outcome, or with a session whose every statement fails.

Cause: nothing checked the size of what is sent.

Change: such a statement is answered 'ERROR MALFORMED the statement is too long to be sent on' and READY, before it is a request; the session goes on. A WRITE of 1 MiB is sent unchanged.

Evidence: test_line_ends: test_largest_message fails with the parent's daemon (a READ of 1 MiB is run: 'DATAROW -') and passes now.

--- a/test/contract/test_line_ends.c
+++ b/test/contract/test_line_ends.c
@@ -532,6 +532,8 @@
 // allowed, and against a longer one that is run.
 START_TEST(test_largest_message)
 {
+    static const char *const longer[] = {
+        "QUERY a2 READ ", "QUERY a3 EXECUTE s ", "QUERY a4 PREPARE s READ "};
     struct buffer message = {0};
     int fd = start("line_ends_largest", 1);
 
@@ -541,12 +543,23 @@
     expect_answer(fd, "COMPLETE sig-a1\r\nREADY I -\r\n");
     expect_arrival("a1", data + strlen("QUERY a1 "),
                    MESSAGE_MAX_BYTES - strlen("QUERY a1 "));
+    send_message(fd, BYTES("QUERY s1 PREPARE s WRITE q"));
+    expect_answer(fd, "COMPLETE -\r\nREADY I -\r\n");
+    for (size_t i = 0; i < ARRAY_SIZE(longer); i++) {
+        fill_message(&message, longer[i], MESSAGE_MAX_BYTES);
+        send_message(fd, (const char *)buffer_get_data(&message),
+                     MESSAGE_MAX_BYTES);
+        expect_answer(fd, "ERROR MALFORMED the statement is too long to be "
+                          "sent on\r\nREADY I -\r\n");
+    }
     fill_message(&message, "QUERY b1 WRITE k1 ", MESSAGE_MAX_BYTES + 1);
     send_message(fd, (const char *)buffer_get_data(&message),
                  MESSAGE_MAX_BYTES + 1);
     char *rest = platform_receive_rest(fd);
     ck_assert_str_eq(rest, "ERROR MALFORMED a message is too long\r\n");
     free(rest);
+    ck_assert_ptr_null(platform_get_arrival_text(rig.platform, "a2"));
+    ck_assert_ptr_null(platform_get_arrival_text(rig.platform, "a3"));
     ck_assert_ptr_null(platform_get_arrival_text(rig.platform, "b1"));
     ck_assert(platform_rig_log_contains(RIG_CONTROLS, "too_long"));
     close(fd);
