--- a/test/contract/test_line_ends.c
+++ b/test/contract/test_line_ends.c
@@ -568,6 +568,24 @@
 }
 END_TEST
 
+// Guards against a client that ends its messages otherwise than by CR LF and
+// is never told.
+START_TEST(test_startup_without_line_end_is_answered)
+{
+    int fd = start("line_ends_startup", 1);
+    int other = platform_connect(rig.client_ports[0]);
+
+    send_all(other, BYTES("STARTUP own u1\n"));
+    char *rest = platform_receive_rest(other);
+    ck_assert_str_eq(rest, "ERROR MALFORMED no message that ends with CR LF "
+                           "came in time\r\n");
+    free(rest);
+    close(other);
+    close(fd);
+    platform_rig_stop();
+}
+END_TEST
+
 static void
 add_tests(TCase *tests)
 {
@@ -583,6 +601,7 @@
     tcase_add_test(tests, test_commit_inside_data_commits_nothing);
     tcase_add_test(tests, test_messages_in_parts);
     tcase_add_test(tests, test_largest_message);
+    tcase_add_test(tests, test_startup_without_line_end_is_answered);
 }
 
 TEST_MAIN("line_ends", add_tests)
