--- a/test/contract/test_line_ends.c
+++ b/test/contract/test_line_ends.c
@@ -586,6 +586,32 @@
 }
 END_TEST
 
+// Guards against a BEGIN with other words that begins a transaction of another
+// kind than its client may have meant.
+START_TEST(test_begin_with_other_words_is_refused)
+{
+    int fd = start("line_ends_begin", 1);
+
+    send_all(fd, BYTES("QUERY a1 BEGIN x\r\nQUERY a2 BEGIN READX\r\n"
+                       "QUERY a3 BEGIN READ x\r\nQUERY a4 BEGIN\0\r\n"));
+    for (int i = 0; i < 4; i++) {
+        expect_answer(fd,
+                      "ERROR MALFORMED no such statement\r\nREADY I -\r\n");
+    }
+    send_all(fd, BYTES("QUERY b1 BEGIN READ \r\nQUERY b2 READ k0\r\n"
+                       "QUERY b3 COMMIT\r\nQUERY b4 BEGIN \r\n"
+                       "QUERY b5 WRITE k1 x\r\nQUERY b6 COMMIT\r\n"));
+    expect_answer(fd, "COMPLETE -\r\nREADY T -\r\n"
+                      "DATAROW zero\r\nCOMPLETE sig-b2\r\nREADY T -\r\n"
+                      "COMPLETE sig-b3\r\nREADY I -\r\n"
+                      "COMPLETE -\r\nREADY T -\r\n"
+                      "COMPLETE sig-b5\r\nREADY T -\r\n"
+                      "COMPLETE sig-b6\r\nREADY I -\r\n");
+    close(fd);
+    platform_rig_stop();
+}
+END_TEST
+
 static void
 add_tests(TCase *tests)
 {
@@ -602,6 +628,7 @@
     tcase_add_test(tests, test_messages_in_parts);
     tcase_add_test(tests, test_largest_message);
     tcase_add_test(tests, test_startup_without_line_end_is_answered);
+    tcase_add_test(tests, test_begin_with_other_words_is_refused);
 }
 
 TEST_MAIN("line_ends", add_tests)
--- a/test/unit/platform/test_wire_message.c
+++ b/test/unit/platform/test_wire_message.c
@@ -223,7 +223,11 @@
         const char *arguments;
     } rows[] = {
         {"BEGIN", WIRE_STATEMENT_BEGIN, ""},
+        {"BEGIN ", WIRE_STATEMENT_BEGIN, ""},
         {"BEGIN READ", WIRE_STATEMENT_BEGIN_READ, "READ"},
+        {"BEGIN  READ ", WIRE_STATEMENT_BEGIN_READ, " READ "},
+        {"BEGIN x", WIRE_STATEMENT_UNKNOWN, "x"},
+        {"BEGIN READX", WIRE_STATEMENT_UNKNOWN, "READX"},
         {"COMMIT", WIRE_STATEMENT_COMMIT, ""},
         {"ROLLBACK", WIRE_STATEMENT_ROLLBACK, ""},
         {"READ 1a4", WIRE_STATEMENT_READ, "1a4"},
