test(soak): saves with bytes that end no message

Of eight saves six carry a tail: a line feed, a carriage return, spaces, bytes above 0x7f, '%s', and a 'QUERY smuggled WRITE ..' behind a line feed. After each statement the text that last arrived for its id is compared with what the caller sends for that value, an arrival of the id 'smuggled' fails, and a read must return the data whole.

--- a/soak/caller.c
+++ b/soak/caller.c
@@ -18,12 +18,16 @@
 
 #define CALLER_MAX_VALUES       8192
 #define CALLER_MAX_PAUSE_US     30000
-#define CALLER_LINE_SIZE        128
+#define CALLER_LINE_SIZE        192
+#define CALLER_TEXT_SIZE        112
+#define CALLER_DATA_SIZE        80
 #define CALLER_MAX_STALENESS_US (CONFIG_MAX_STALENESS_MS * 1000)
 // Operations of a session. Every other caller has long sessions, which it uses
 // until the entry closes them.
 #define CALLER_SHORT_SESSION 100
 #define CALLER_LONG_SESSION  10000
+// Id of a statement that stands inside of data.
+#define CALLER_SMUGGLED_ID "smuggled"
 
 // Outcome of a save as its answer reported it.
 enum caller_save_outcome {
@@ -266,27 +270,91 @@
     }
 }
 
+// Formats the data of a save. Some contain bytes that end no message, and a
+// statement that must not run.
 static void
-caller_format_save(const struct caller *caller, char *line, int value)
+caller_format_data(const struct caller *caller, char *data, int value)
 {
-    char text[CALLER_LINE_SIZE / 2];
+    static const char *const tails[] = {
+        "",
+        "",
+        "\n",
+        "\r",
+        " a  b ",
+        "\n\r\ta\r\r",
+        "\xff\x80 %s",
+        "\nQUERY " CALLER_SMUGGLED_ID " WRITE k0 s\nQUERY x COMMIT",
+    };
+
+    (void)snprintf(data, CALLER_DATA_SIZE, "v%dn%d%s", caller->number, value,
+                   tails[(size_t)value % ARRAY_SIZE(tails)]);
+}
 
-    (void)snprintf(text, sizeof(text), "WRITE k%d v%dn%d", caller->number,
-                   caller->number, value);
-    caller_format(caller, line, text);
+static void
+caller_format_save(const struct caller *caller, char *text, int value)
+{
+    char data[CALLER_DATA_SIZE];
+
+    caller_format_data(caller, data, value);
+    (void)snprintf(text, CALLER_TEXT_SIZE, "WRITE k%d %s", caller->number,
+                   data);
 }
 
+// Checks the text of the caller's statement that last reached an upstream,
+// which may be an earlier one that was late: it must be one that the caller
+// has sent, and none may have run that stood inside of another.
 static void
-caller_save(struct caller *caller)
+caller_check_arrival(const struct caller *caller, const char *line)
+{
+    struct platform *platform = rig.platforms[caller->database];
+    char id[PLATFORM_ID_SIZE] = "";
+    char expected[CALLER_TEXT_SIZE];
+    int value = 0;
+
+    (void)sscanf(line, "QUERY %63s", id);
+    char *text = platform_get_arrival_text(platform, id);
+    const char *at = text;
+    if (caller_starts_with(text, "AFTER ")) {
+        at = strchrnul(text + strlen("AFTER "), ' ') + 1;
+    }
+    (void)snprintf(expected, sizeof(expected), "READ k%d", caller->number);
+    if (at != NULL && sscanf(at, "WRITE k%*d v%*dn%d", &value) == 1) {
+        caller_format_save(caller, expected, value);
+    }
+    if (at != NULL &&
+        (strcmp(at, expected) != 0 || value > caller->newest_tried)) {
+        events_fail("caller %d: an upstream ran a changed text: %s",
+                    caller->number, text);
+    }
+    if (platform_get_arrival_us(platform, CALLER_SMUGGLED_ID) != 0) {
+        events_fail("caller %d: an upstream ran a text inside of data",
+                    caller->number);
+    }
+    free(text);
+}
+
+// Saves a value and checks what arrived. Returns the answer.
+static char *
+caller_request_save(struct caller *caller, int value)
 {
+    char text[CALLER_TEXT_SIZE];
     char line[CALLER_LINE_SIZE];
 
+    caller_format_save(caller, text, value);
+    caller_format(caller, line, text);
+    char *answer = caller_request(caller, line);
+    caller_check_arrival(caller, line);
+    return answer;
+}
+
+static void
+caller_save(struct caller *caller)
+{
     if (caller->newest_tried + 1 == CALLER_MAX_VALUES) {
         return;
     }
     int value = ++caller->newest_tried;
-    caller_format_save(caller, line, value);
-    char *text = caller_request(caller, line);
+    char *text = caller_request_save(caller, value);
     caller_record_save(caller, value, text);
     free(text);
 }
@@ -296,7 +364,6 @@
 static void
 caller_save_in_transaction(struct caller *caller)
 {
-    char line[CALLER_LINE_SIZE];
     uint32_t end = random_below(&caller->random, 10);
 
     if (caller->newest_tried + 1 == CALLER_MAX_VALUES) {
@@ -312,8 +379,7 @@
         caller_disconnect(caller);
         return;
     }
-    caller_format_save(caller, line, value);
-    text = caller_request(caller, line);
+    text = caller_request_save(caller, value);
     bool is_written = caller_starts_with(text, "COMPLETE");
     free(text);
     if (!is_written || end == 0) {
@@ -357,6 +423,18 @@
     return value;
 }
 
+// Returns whether a read returned the data of a save unchanged.
+static bool
+caller_is_data(const struct caller *caller, const char *text, int value)
+{
+    char data[CALLER_DATA_SIZE];
+
+    caller_format_data(caller, data, value);
+    text += strlen("DATAROW ");
+    return strncmp(text, data, strlen(data)) == 0 &&
+           strncmp(text + strlen(data), "\r\n", 2) == 0;
+}
+
 // Reads the caller's key and checks the value. The read must return the
 // required value, a newer one, or a save of unknown outcome, which may have
 // run late.
@@ -372,6 +450,7 @@
     (void)snprintf(line, sizeof(line), "READ k%d", caller->number);
     caller_format(caller, request, line);
     char *text = caller_request(caller, request);
+    caller_check_arrival(caller, request);
     if (!caller_starts_with(text, "DATAROW")) {
         if (!caller_is_idle(text)) {
             caller_disconnect(caller);
@@ -382,6 +461,10 @@
     bool known = sscanf(text, "DATAROW v%dn%d", &number, &value) == 2 &&
                  number == caller->number && value > 0 &&
                  value < CALLER_MAX_VALUES;
+    if (known && !caller_is_data(caller, text, value)) {
+        events_fail("caller %d: a read returned changed data: %s",
+                    caller->number, text);
+    }
     if (known && caller->outcomes[value] == CALLER_NOT_RUN) {
         events_fail("caller %d: a read returned a save that was answered as "
                     "not run: %s",
@@ -464,9 +547,9 @@
                                            "unknown"};
 
     for (int value = 1; value <= caller->newest_tried; value++) {
-        char text[64];
+        char text[CALLER_DATA_SIZE];
         enum caller_save_outcome outcome = caller->outcomes[value];
-        (void)snprintf(text, sizeof(text), "v%dn%d", caller->number, value);
+        caller_format_data(caller, text, value);
         int count =
             platform_count_writes(rig.platforms[caller->database], text);
         if (count > 1 || (outcome == CALLER_SAVED && count != 1) ||
