--- a/test/contract/test_line_ends.c
+++ b/test/contract/test_line_ends.c
@@ -450,6 +450,27 @@
 }
 END_TEST
 
+// Guards against an id that leaves no room in the log for the reason.
+START_TEST(test_refusal_with_long_id_is_logged)
+{
+    struct buffer message = {0};
+    int fd = start("line_ends_long_id", 1);
+
+    buffer_append_text(&message, "QUERY ");
+    for (int i = 0; i < 2000; i++) {
+        buffer_append_u8(&message, 'i');
+    }
+    buffer_append_text(&message, " NONSENSE");
+    send_message(fd, (const char *)buffer_get_data(&message),
+                 buffer_get_size(&message));
+    expect_answer(fd, "ERROR MALFORMED no such statement\r\nREADY I -\r\n");
+    ck_assert(platform_rig_log_contains(RIG_CONTROLS, "no such statement"));
+    close(fd);
+    buffer_free(&message);
+    platform_rig_stop();
+}
+END_TEST
+
 // Guards against a COMMIT inside of data that commits a transaction which its
 // client then rolls back.
 START_TEST(test_commit_inside_data_commits_nothing)
@@ -568,6 +589,25 @@
 }
 END_TEST
 
+// Guards against the largest message being refused between an entry and its
+// relay, which adds a context.
+START_TEST(test_largest_message_is_relayed)
+{
+    struct buffer message = {0};
+    int fd = start("line_ends_relay_largest", 2);
+
+    fill_message(&message, "QUERY a1 WRITE k1 ", MESSAGE_MAX_BYTES);
+    const char *data = (const char *)buffer_get_data(&message);
+    send_message(fd, data, MESSAGE_MAX_BYTES);
+    expect_answer(fd, "COMPLETE sig-a1\r\nREADY I -\r\n");
+    expect_arrival("a1", data + strlen("QUERY a1 "),
+                   MESSAGE_MAX_BYTES - strlen("QUERY a1 "));
+    close(fd);
+    buffer_free(&message);
+    platform_rig_stop();
+}
+END_TEST
+
 // Guards against a client that ends its messages otherwise than by CR LF and
 // is never told.
 START_TEST(test_startup_without_line_end_is_answered)
@@ -624,9 +664,11 @@
     tcase_add_test(tests, test_any_byte_is_relayed);
     tcase_add_test(tests, test_session_state_differs_after_nul);
     tcase_add_test(tests, test_statements_behind_refused_ones);
+    tcase_add_test(tests, test_refusal_with_long_id_is_logged);
     tcase_add_test(tests, test_commit_inside_data_commits_nothing);
     tcase_add_test(tests, test_messages_in_parts);
     tcase_add_test(tests, test_largest_message);
+    tcase_add_test(tests, test_largest_message_is_relayed);
     tcase_add_test(tests, test_startup_without_line_end_is_answered);
     tcase_add_test(tests, test_begin_with_other_words_is_refused);
 }
