fix(settings): refuse an upstream_user that is not one word

What operators saw: with platform.listen, upstream_user is the second word of the first message to an upstream. One with a blank adds a word, which the upstream takes for the id that it is expected to have.

Evidence: a new row of test_settings; before, settings with such a user were not refused for it.

--- a/src/catkingrade/kernel/settings.c
+++ b/src/catkingrade/kernel/settings.c
@@ -550,6 +550,13 @@
         json_reader_add_error(reader, "platform.listen",
                               "does not go with listen.postgres");
     }
+    if (settings->platform.listen.port != 0 &&
+        !name_is_word(settings->upstream_user,
+                      strlen(settings->upstream_user))) {
+        json_reader_add_error(reader, "upstream_user",
+                              "must be one word, since platform.listen is "
+                              "set");
+    }
     if (settings->voters_from_seeds && settings->groups_count > 0) {
         json_reader_add_error(reader, "voters_from_seeds",
                               "does not go with groups");
--- a/test/unit/kernel/test_settings.c
+++ b/test/unit/kernel/test_settings.c
@@ -61,6 +61,9 @@
      "a.json:7: upstream_user: must not have a control character"},
     {VALID_HEAD ",\n\"region\": \"a\\u007f\"}",
      "a.json:7: region: must not have a control character"},
+    {"{\"upstream_user\": \"a b\",\n"
+     "\"platform\": {\"listen\": \"127.0.0.1:1\"}}",
+     "a.json:1: upstream_user: must be one word, since platform.listen"},
     {"{\"vm\": \"a\\r\\nDuty-Holder: b\"}",
      "a.json:1: vm: must not have a control character"},
     {"{\"failure_domain\": \"a\\n\"}",
