fix(postgres): a prepared statement is read as it was prepared

The entry prepares a statement on each connection that needs it. One that a client had prepared before it set standard_conforming_strings to off (or a client_encoding with ASCII bytes in its characters) was prepared again with the new setting, and could then end its literals elsewhere; and one prepared after it could run as the connection had read it before.

Such a statement, if it has a backslash or other than ASCII characters, must be prepared again: its Bind is refused with 0A000. A connection is reset after each SET of such a session, which drops what is prepared on it.

test_prepared_statement_is_read_as_it_was_prepared failed before: the statement ran. It passes now, as do the other tests of test_pg_texts, test_entry, test_entry_frames, test_pg_clients, test_classify and test_docs.

--- a/src/catkingrade/entry/statement.h
+++ b/src/catkingrade/entry/statement.h
@@ -22,6 +22,7 @@
 struct statement {
     unsigned ref_count;
     enum classify_kind kind;
+    bool unparsed; // the kind is not known, see changes_lexing
     uint16_t types_count;
     char upstream_name[STATEMENT_NAME_SIZE];
     uint32_t *types; // OIDs of the parameters; 0: inferred by the upstream
--- a/src/catkingrade/plugins/postgres_extended.c
+++ b/src/catkingrade/plugins/postgres_extended.c
@@ -496,6 +496,7 @@
     struct statement *statement = statement_create(text, oids, count);
     free(oids);
     statement->kind = kind;
+    statement->unparsed = postgres_query_is_lexed_otherwise(session, text);
     postgres_names_set(session, name, statement, NULL);
     postgres_batch_add_step(session, JOB_STEP_PARSE)->statement =
         statement_retain(statement);
@@ -612,6 +613,16 @@
                             statement_name);
         return;
     }
+    if (postgres_query_is_lexed_otherwise(session, name->statement->text) &&
+        !name->statement->unparsed) {
+        postgres_batch_fail(
+            session, SQLSTATE_NOT_SUPPORTED,
+            "prepared statement \"%s\" is from before a change "
+            "of client_encoding or "
+            "standard_conforming_strings",
+            statement_name);
+        return;
+    }
     struct portal *portal =
         postgres_bind_read(reader, name->statement, &result);
     if (portal == NULL) {
--- a/src/catkingrade/plugins/postgres_query.c
+++ b/src/catkingrade/plugins/postgres_query.c
@@ -185,7 +185,10 @@
         "%s%s", session->settings_text == NULL ? "" : session->settings_text,
         session->settings_pending);
 
-    request->job.settings_hash_after = postgres_settings_get_hash(joined);
+    // What is prepared on the connection was read with the earlier settings.
+    request->job.settings_hash_after =
+        session->lexes_otherwise ? JOB_SETTINGS_UNKNOWN
+                                 : postgres_settings_get_hash(joined);
     free(joined);
 }
 
@@ -301,7 +304,7 @@
 
 // Returns whether a text may be read by the upstream otherwise than by the
 // parser, because of the settings of the session.
-static bool
+bool
 postgres_query_is_lexed_otherwise(const struct postgres_session *session,
                                   const char *text)
 {
@@ -507,6 +510,8 @@
     postgres_request_apply_hints(session, request, class);
     request->job.text = xstrdup(text);
     request->job.one_statement = class->statements == 1;
+    session->lexes_otherwise =
+        session->lexes_otherwise || class->changes_lexing;
     if (!request->job.one_statement) {
         request->job.key[0] = '\0';
     }
@@ -518,8 +523,6 @@
         postgres_request_add_settings(request, settings);
     }
     free(settings);
-    session->lexes_otherwise =
-        session->lexes_otherwise || class->changes_lexing;
     session->ends_with_sync = true;
     postgres_request_submit(session, request,
                             postgres_request_get_class(session, kind));
--- a/src/catkingrade/plugins/postgres_session.h
+++ b/src/catkingrade/plugins/postgres_session.h
@@ -130,6 +130,8 @@
 uint64_t postgres_settings_get_hash(const char *text);
 const struct classification *
 postgres_query_classify(struct postgres_session *session, const char *text);
+bool postgres_query_is_lexed_otherwise(const struct postgres_session *session,
+                                       const char *text);
 bool postgres_query_may_leave_state(const char *text);
 bool postgres_query_refuse_unsupported(struct postgres_session *session,
                                        const struct classification *class,
--- a/test/contract/test_pg_texts.c
+++ b/test/contract/test_pg_texts.c
@@ -654,6 +654,29 @@
 }
 END_TEST
 
+// Guards against a prepared statement that is read with other settings than
+// those it was prepared with.
+START_TEST(test_prepared_statement_is_read_as_it_was_prepared)
+{
+    struct rig rig;
+    static const char sql[] = "DELETE FROM t WHERE v = 'a\\'";
+
+    start_rig(&rig, "pg_texts_reprepared");
+    PGconn *conn = process_connect(rig.port, NULL);
+    PQclear(PQprepare(conn, "s", sql, 0, NULL));
+    run(conn, "SET standard_conforming_strings = off");
+    recorder_clear();
+    PGresult *result = PQexecPrepared(conn, "s", 0, NULL, NULL, NULL, 0);
+    ck_assert_pstr_eq(PQresultErrorField(result, PG_DIAG_SQLSTATE), "0A000");
+    PQclear(result);
+    run_extended(conn, sql);
+    assert_received("DISCARD ALL");
+    assert_received(sql);
+    PQfinish(conn);
+    stop_rig(&rig);
+}
+END_TEST
+
 // Guards against a statement that runs without its session's settings, because
 // the upstream has refused one of them.
 START_TEST(test_statement_does_not_run_without_its_settings)
@@ -905,6 +928,7 @@
                         ARRAY_SIZE(malformed_cases));
     tcase_add_test(tests, test_startup_option_is_not_cut);
     tcase_add_test(tests, test_error_text_ends_with_a_character);
+    tcase_add_test(tests, test_prepared_statement_is_read_as_it_was_prepared);
     tcase_add_test(tests, test_follow_keeps_its_statements);
     tcase_add_test(tests, test_prepared_statements_are_told_apart);
     tcase_add_test(tests, test_discard_all_is_no_setting);
