--- a/src/catkingrade/kernel/pairs.c
+++ b/src/catkingrade/kernel/pairs.c
@@ -6,6 +6,7 @@
 #include <string.h>
 
 #include "catkingrade/kernel/memory.h"
+#include "catkingrade/kernel/utf8.h"
 
 #define PAIRS_SPEC_SIZE   16
 #define PAIRS_NUMBER_SIZE 64
@@ -41,31 +42,6 @@
     pairs_add(pairs, text, sizeof(text) - 1);
 }
 
-// Returns the size of the UTF-8 character at the start of a text, or 0 if it
-// is not one. Overlong forms and surrogates are none.
-static size_t
-pairs_get_character_size(const unsigned char *text, size_t size)
-{
-    unsigned char first = text[0];
-    unsigned char low = first == 0xe0 ? 0xa0 : first == 0xf0 ? 0x90 : 0x80;
-    unsigned char high = first == 0xed ? 0x9f : first == 0xf4 ? 0x8f : 0xbf;
-    size_t count = first < 0x80 ? 1 : first < 0xe0 ? 2 : first < 0xf0 ? 3 : 4;
-
-    if (count == 1) {
-        return 1;
-    }
-    if (first < 0xc2 || first > 0xf4 || count > size || text[1] < low ||
-        text[1] > high) {
-        return 0;
-    }
-    for (size_t i = 2; i < count; i++) {
-        if ((text[i] & 0xc0) != 0x80) {
-            return 0;
-        }
-    }
-    return count;
-}
-
 // Returns whether the text so far ends with a space and the characters of a
 // key, so that an equals sign would begin a pair.
 static bool
@@ -84,7 +60,7 @@
 pairs_add_character(struct pairs *pairs, const unsigned char *text,
                     size_t size, bool in_value)
 {
-    size_t count = pairs_get_character_size(text, size);
+    size_t count = utf8_get_character_size((const char *)text, size);
     bool is_control = count == 1
                           ? text[0] < 0x20 || text[0] == 0x7f
                           : count == 2 && text[0] == 0xc2 && text[1] < 0xa0;
