--- a/soak/caller.c
+++ b/soak/caller.c
@@ -27,7 +27,8 @@
 #define CALLER_SHORT_SESSION 100
 #define CALLER_LONG_SESSION  10000
 // Id of a statement that stands inside of data.
-#define CALLER_SMUGGLED_ID "smuggled"
+#define CALLER_SMUGGLED_ID    "smuggled"
+#define CALLER_SMUGGLING_TAIL "\nQUERY smuggled WRITE k0 s\nQUERY x COMMIT"
 
 // Outcome of a save as its answer reported it.
 enum caller_save_outcome {
@@ -283,7 +284,7 @@
         " a  b ",
         "\n\r\ta\r\r",
         "\xff\x80 %s",
-        "\nQUERY " CALLER_SMUGGLED_ID " WRITE k0 s\nQUERY x COMMIT",
+        CALLER_SMUGGLING_TAIL,
     };
 
     (void)snprintf(data, CALLER_DATA_SIZE, "v%dn%d%s", caller->number, value,
--- a/src/catkingrade/kernel/pairs.c
+++ b/src/catkingrade/kernel/pairs.c
@@ -14,6 +14,11 @@
 #define PAIRS_CUT_MARK    "..."
 #define PAIRS_KEY_CHARS   "abcdefghijklmnopqrstuvwxyz_0123456789"
 
+// l, ll, z and j are read alike.
+_Static_assert(sizeof(long) == sizeof(long long) &&
+                   sizeof(size_t) == sizeof(long long),
+               "integers with a length modifier have one size");
+
 // Text that is being written.
 struct pairs {
     char *text;
@@ -149,6 +154,30 @@
 
 #pragma GCC diagnostic push
 #pragma GCC diagnostic ignored "-Wformat-nonliteral"
+static int
+pairs_print_real(char text[PAIRS_NUMBER_SIZE], const char *format,
+                 struct pairs_arguments *arguments)
+{
+    return snprintf(text, PAIRS_NUMBER_SIZE, format,
+                    va_arg(arguments->list, double));
+}
+
+static int
+pairs_print_long(char text[PAIRS_NUMBER_SIZE], const char *format,
+                 struct pairs_arguments *arguments)
+{
+    return snprintf(text, PAIRS_NUMBER_SIZE, format,
+                    va_arg(arguments->list, long long));
+}
+
+static int
+pairs_print_int(char text[PAIRS_NUMBER_SIZE], const char *format,
+                struct pairs_arguments *arguments)
+{
+    return snprintf(text, PAIRS_NUMBER_SIZE, format,
+                    va_arg(arguments->list, int));
+}
+
 static void
 pairs_add_number(struct pairs *pairs, const struct pairs_spec *spec,
                  struct pairs_arguments *arguments)
@@ -158,20 +187,13 @@
 
     if (strchr("diuxXoc", spec->conversion) == NULL) {
         INVARIANT(strchr("feg", spec->conversion) != NULL);
-        size = snprintf(text, sizeof(text), spec->text,
-                        va_arg(arguments->list, double));
-    }
-    else if (spec->length == 'l' || spec->length == 'z') {
-        size = snprintf(text, sizeof(text), spec->text,
-                        va_arg(arguments->list, long));
+        size = pairs_print_real(text, spec->text, arguments);
     }
-    else if (spec->length == 'q' || spec->length == 'j') {
-        size = snprintf(text, sizeof(text), spec->text,
-                        va_arg(arguments->list, long long));
+    else if (spec->length != '\0' && strchr("lqzj", spec->length) != NULL) {
+        size = pairs_print_long(text, spec->text, arguments);
     }
     else {
-        size = snprintf(text, sizeof(text), spec->text,
-                        va_arg(arguments->list, int));
+        size = pairs_print_int(text, spec->text, arguments);
     }
     INVARIANT(size >= 0 && (size_t)size < sizeof(text));
     pairs_add(pairs, text, (size_t)size);
