--- a/test/contract/test_line_ends.c
+++ b/test/contract/test_line_ends.c
@@ -573,6 +573,20 @@
         expect_answer(fd, "ERROR MALFORMED the statement is too long to be "
                           "sent on\r\nREADY I -\r\n");
     }
+    send_message(fd, BYTES("QUERY s2 PREPARE longername READ q"));
+    expect_answer(fd, "COMPLETE -\r\nREADY I -\r\n");
+    send_message(fd, BYTES("QUERY t1 BEGIN"));
+    expect_answer(fd, "COMPLETE -\r\nREADY T -\r\n");
+    fill_message(&message, "QUERY t2 READ ", MESSAGE_MAX_BYTES);
+    send_message(fd, (const char *)buffer_get_data(&message),
+                 MESSAGE_MAX_BYTES);
+    expect_answer(fd, "DATAROW -\r\nCOMPLETE sig-t2\r\nREADY T -\r\n");
+    fill_message(&message, "QUERY t3 EXECUTE longername ", MESSAGE_MAX_BYTES);
+    send_message(fd, (const char *)buffer_get_data(&message),
+                 MESSAGE_MAX_BYTES);
+    expect_answer(fd, "DATAROW -\r\nCOMPLETE sig-t3\r\nREADY T -\r\n");
+    send_message(fd, BYTES("QUERY t4 COMMIT"));
+    expect_answer(fd, "COMPLETE sig-t4\r\nREADY I -\r\n");
     fill_message(&message, "QUERY b1 WRITE k1 ", MESSAGE_MAX_BYTES + 1);
     send_message(fd, (const char *)buffer_get_data(&message),
                  MESSAGE_MAX_BYTES + 1);
