--- a/src/catkingrade/entry/view_file.c
+++ b/src/catkingrade/entry/view_file.c
@@ -60,6 +60,8 @@
     if (strlen(name) > CK_NAME_SIZE) {
         json_reader_add_error(reader, path, "%s: longer than %d characters",
                               key, CK_NAME_SIZE);
+        // The codec that frees the view takes no longer name.
+        name[0] = '\0';
     }
     return name;
 }
