fix(fake): the platform's ports are none that other processes get

Cause, from the code: the stand-in let the system choose its ports, from the range that outgoing connections of all processes use; while an upstream is stopped, its port is free to them. Its ports now come from the test's own range, as the daemons' do.

Soak and test_platform (14) and test_failover (6) pass.

--- a/test/fake/platform.c
+++ b/test/fake/platform.c
@@ -107,9 +107,12 @@
     int forbidden_count;
 };
 
+// Opens a listener on a port, or on a free one if it is 0, outside of the
+// range from which other processes get theirs while this one is closed.
 static int
 open_listener(int *port)
 {
+    *port = *port == 0 ? process_get_free_port() : *port;
     struct sockaddr_in address = {.sin_family = AF_INET,
                                   .sin_port = htons((uint16_t)*port)};
     socklen_t size = sizeof(address);
