--- a/test/contract/test_line_ends.c
+++ b/test/contract/test_line_ends.c
@@ -67,6 +67,18 @@
     free(text);
 }
 
+// Checks that a statement has reached its upstream by an entry without relay.
+static void
+expect_sent_by_relay(const char *id)
+{
+    char sender[PLATFORM_ID_SIZE] = "";
+    int vm = 0;
+
+    ck_assert(platform_get_arrival_sender(rig.platform, id, sender));
+    ck_assert_int_eq(sscanf(sender, "vm%d", &vm), 1);
+    ck_assert(!platform_rig_log_contains(vm, "relay_begun"));
+}
+
 static void
 check_texts(int fd)
 {
@@ -103,6 +115,13 @@
     platform_forbid_text(rig.platform, "SET v1 four\nfive\r");
     check_texts(fd);
     ck_assert_int_ge(platform_count_forbidden(rig.platform), 1);
+    int before = platform_count_forbidden(rig.platform);
+    platform_forbid_text(rig.platform, "WRITE q\nsix");
+    platform_rig_expect(fd, "QUERY e1 PREPARE s5 WRITE q\nsix",
+                        "COMPLETE -\r\nREADY I -\r\n");
+    platform_rig_expect(fd, "QUERY e2 EXECUTE s5 k5 x",
+                        "COMPLETE sig-e2\r\nREADY I -\r\n");
+    ck_assert_int_eq(platform_count_forbidden(rig.platform), before + 1);
     close(fd);
     platform_rig_stop();
 }
@@ -114,6 +133,9 @@
     int fd = start("line_ends_relay", 2);
 
     check_texts(fd);
+    expect_sent_by_relay("b1");
+    expect_sent_by_relay("c3");
+    expect_sent_by_relay("d2");
     close(fd);
     platform_rig_stop();
 }
@@ -597,6 +619,7 @@
     ck_assert_ptr_null(platform_get_arrival_text(rig.platform, "a3"));
     ck_assert_ptr_null(platform_get_arrival_text(rig.platform, "b1"));
     ck_assert(platform_rig_log_contains(RIG_CONTROLS, "too_long"));
+    ck_assert_int_eq(platform_get_protocol_errors(rig.platform), 0);
     close(fd);
     buffer_free(&message);
     platform_rig_stop();
@@ -616,6 +639,7 @@
     expect_answer(fd, "COMPLETE sig-a1\r\nREADY I -\r\n");
     expect_arrival("a1", data + strlen("QUERY a1 "),
                    MESSAGE_MAX_BYTES - strlen("QUERY a1 "));
+    ck_assert_int_eq(platform_get_protocol_errors(rig.platform), 0);
     close(fd);
     buffer_free(&message);
     platform_rig_stop();
--- a/test/fake/platform.c
+++ b/test/fake/platform.c
@@ -19,12 +19,13 @@
 #include "catkingrade/kernel/memory.h"
 #include "test/fake/process.h"
 
-#define MAX_CONNS    256
-#define MAX_WRITES   32768
-#define MAX_PREPARED 32
-#define TEXT_SIZE    256
-#define POLL_MS      20
-#define NO_UPSTREAM  (-1)
+#define MAX_CONNS         256
+#define MAX_WRITES        32768
+#define MAX_PREPARED      32
+#define MAX_MESSAGE_BYTES (1024 * 1024)
+#define TEXT_SIZE         256
+#define POLL_MS           20
+#define NO_UPSTREAM       (-1)
 
 struct write {
     char item[64];
@@ -585,6 +586,7 @@
             return true;
         }
         *end = '\0';
+        platform->protocol_errors += end - data > MAX_MESSAGE_BYTES ? 1 : 0;
         run_line(platform, conn, data, (size_t)(end - data));
         buffer_consume(&conn->in, (size_t)(end - data) + 2);
     }
--- a/test/fake/platform.h
+++ b/test/fake/platform.h
@@ -90,10 +90,10 @@
 uint64_t platform_get_last_fencing_token(struct platform *platform);
 // Returns how many writes of a value the current primary has applied.
 int platform_count_writes(struct platform *platform, const char *value);
-// Returns how many statements broke the protocol: a COMMIT outside a
-// transaction, or an EXECUTE of a statement that was not prepared on the
-// connection, for example because the connection was set up for another
-// session.
+// Returns how many statements broke the protocol: a message of more than 1
+// MiB, a COMMIT outside a transaction, or an EXECUTE of a statement that was
+// not prepared on the connection, for example because the connection was set
+// up for another session.
 int platform_get_protocol_errors(struct platform *platform);
 // Returns the port that an upstream listens to.
 int platform_get_port(const struct platform *platform, int upstream);
