test(review): case 7, a front machine crashes as it wakes

The process of a front machine ends with SIGSEGV when it wakes after a freeze that outlasts its lease, if the answer to a renewal with changed quotas came meanwhile: two actions of one step refer to the same array of quotas.

--- a/review/7/case.py
+++ b/review/7/case.py
@@ -17,9 +17,10 @@
 FRONTS = 7
 CLIENTS_PER_FRONT = 16
 SERVICES = ["core0", "core1", "core2"]
-CONTROL_FREEZE_S = 0.2  # a renewal that is sent meanwhile is on its way
+NOTIFY_S = 0.12  # control notifies the front machines of a new version
+RENEW_S = 0.03  # control freezes for this time: a renewal is on its way
 FRONT_FREEZE_S = 3.4  # longer than lease_ms of the template, 3 s
-PAUSE_S = 0.8
+PAUSE_S = 0.2
 PLAY_S = 100
 CALM_PLAY_S = 40
 PHASE_S = 1.1  # after this time, clients turn to another service
@@ -54,16 +55,22 @@
     return ended
 
 
-async def freeze_once(rig, entry):
-    """Freezes a front machine while a renewal may be on its way."""
+async def freeze_once(rig, number, routes):
+    """Freezes a front machine for longer than a lease, while the answer to its
+    renewal is on its way: the machine renews because of a new version."""
     record = rig.record
+    entry = rig.entries[number % FRONTS]
     leader = rig.find_leader()
-    record.write("%s freezes for %.1f s" % (leader.name, CONTROL_FREEZE_S))
+    entry.freeze()
+    routes[0]["timeoutMs"] = 3000 + number % 2
+    await rig.put_config(routes)
+    await asyncio.sleep(NOTIFY_S)
     leader.freeze()
-    await asyncio.sleep(CONTROL_FREEZE_S)
-    record.write("%s freezes for %.1f s" % (entry.name, FRONT_FREEZE_S))
+    entry.thaw()
+    await asyncio.sleep(RENEW_S)
     entry.freeze()
     leader.thaw()
+    record.write("%s freezes for %.1f s" % (entry.name, FRONT_FREEZE_S))
     await asyncio.sleep(FRONT_FREEZE_S)
     entry.thaw()
     record.write("%s wakes" % entry.name)
@@ -97,7 +104,7 @@
         number = 0
         while record.now() < until and not ended:
             if rig_module.TROUBLE:
-                await freeze_once(rig, rig.entries[number % FRONTS])
+                await freeze_once(rig, number, routes)
                 number += 1
             else:
                 await asyncio.sleep(1)
