--- a/review/common-2/rig.py
+++ b/review/common-2/rig.py
@@ -7,6 +7,8 @@
 """
 
 import asyncio
+import hashlib
+import hmac
 import json
 import os
 import random
@@ -135,6 +137,24 @@
 # ---- daemons ----
 
 
+def find_owner(peer, daemons):
+    """Returns the daemon that holds the socket at an address, or None."""
+    parts = [int(part) for part in peer[0].split(".")]
+    local = "%02X%02X%02X%02X:%04X" % (parts[3], parts[2], parts[1], parts[0], peer[1])
+    with open("/proc/net/tcp", encoding="ascii") as file:
+        rows = [line.split() for line in file]
+    names = {"socket:[%s]" % row[9] for row in rows if row[1] == local}
+    for daemon in daemons:
+        folder = "/proc/%d/fd" % daemon.process.pid
+        for number in os.listdir(folder):
+            try:
+                if os.readlink(os.path.join(folder, number)) in names:
+                    return daemon
+            except OSError:
+                continue
+    return None
+
+
 class Daemon:
     """One process of the project on a machine of its own."""
 
@@ -164,7 +184,7 @@
             },
             "cloudApi": {"addr": "%s:%d" % (rig.platform_address, rig.control_port)},
             "dataDir": os.path.join(folder, "data"),
-            "seeds": ["%s:%d" % (core.address, rig.control_port) for core in rig.cores],
+            "seeds": ["%s:%d" % (address, rig.control_port) for address in self.seeds()],
             "bootstrap": self.starts == 0,
             "faultTolerance": {"machines": 1},
             "bounds": {"drainMs": 7000},
@@ -184,6 +204,11 @@
         log.close()
         self.starts += 1
 
+    def seeds(self):
+        """Returns the addresses of the machines of control as this one knows them."""
+        link = self.rig.links.get(self.name)
+        return link.core_addresses if link else [core.address for core in self.rig.cores]
+
     def freeze(self):
         self.process.send_signal(signal.SIGSTOP)
 
@@ -234,6 +259,77 @@
         return 0
 
 
+# ---- link between a machine and control ----
+
+
+class ControlLink:
+    """A proxy between one front machine and control, which can be cut.
+
+    Datagrams between daemons carry addresses. The proxy translates them, so
+    that both sides know only its addresses, and signs the datagram again; in
+    the template the key is empty.
+    """
+
+    REPLY, FRAGMENT = 1, 2
+    HMAC_OFFSETS = {0: 48, 1: 20, 2: 24}  # of a call, a reply, a fragment
+    HMAC_BYTES = 32
+
+    def __init__(self, rig, entry):
+        self.rig = rig
+        self.entry = entry
+        self.is_cut = False
+        self.core_addresses = [rig.make_address(60 + i) for i in range(len(rig.cores))]
+        self.entry_address = rig.make_address(70)
+        self.sockets = {}
+
+    def start(self):
+        loop = asyncio.get_event_loop()
+        for address in self.core_addresses + [self.entry_address]:
+            sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+            sock.setblocking(False)
+            sock.bind((address, self.rig.rpc_port))
+            self.sockets[address] = sock
+            loop.add_reader(sock, self.forward, address)
+
+    def translate(self, data, names):
+        for old, new in names:
+            if len(old) != len(new):
+                raise CannotRun("addresses of different lengths")
+            size = len(old).to_bytes(4, "big")
+            data = data.replace(size + old.encode(), size + new.encode())
+        offset = self.HMAC_OFFSETS.get(int.from_bytes(data[4:8], "big"))
+        if offset is None or len(data) < offset + self.HMAC_BYTES:
+            return data
+        end = offset + self.HMAC_BYTES
+        blank = data[:offset] + bytes(self.HMAC_BYTES) + data[end:]
+        return data[:offset] + hmac.new(b"", blank, hashlib.sha256).digest() + data[end:]
+
+    def forward(self, address):
+        port = self.rig.rpc_port
+        cores = [core.address for core in self.rig.cores]
+        while True:
+            try:
+                data, peer = self.sockets[address].recvfrom(65536)
+            except OSError:
+                return
+            if self.is_cut:
+                continue
+            if address == self.entry_address:
+                if peer[0] not in cores:
+                    continue
+                data = self.translate(data, list(zip(cores, self.core_addresses)))
+                source = self.core_addresses[cores.index(peer[0])]
+                self.sockets[source].sendto(data, (self.entry.address, port))
+            else:
+                data = self.translate(data, [(self.entry.address, self.entry_address)])
+                core = cores[self.core_addresses.index(address)]
+                self.sockets[self.entry_address].sendto(data, (core, port))
+
+    def end(self):
+        for sock in self.sockets.values():
+            sock.close()
+
+
 # ---- servers ----
 
 
@@ -245,6 +341,7 @@
         self.number = number
         self.writes = writes  # (id of the statement, item, data)
         self.time = time.monotonic()
+        self.seen = None  # seconds of the record
 
     def position(self):
         return "%d.%d" % (self.term, self.number)
@@ -267,6 +364,9 @@
         self.sequence = 0
         self.born_ms = int(time.time() * 1000)
         self.connections = 0
+        self.is_cut = False  # from all but the machines in kept
+        self.kept = set()
+        self.reaches_primary_since = None
 
     async def start(self):
         rig = self.service.rig
@@ -280,6 +380,9 @@
         """Sends heartbeats to a machine of control, and to the next without an answer."""
         rig = self.service.rig
         while True:
+            if self.is_cut:
+                await asyncio.sleep(0.05)
+                continue
             self.sequence += 1
             body = {
                 "service": self.service.name,
@@ -302,16 +405,34 @@
             await asyncio.sleep(self.HEARTBEAT_S)
 
     async def replicate(self):
-        """Applies the commits of the primary, lag_s after they were made."""
+        """Applies the commits of the primary, lag_s after they were made. An
+        old primary steps down a second after it can reach the new one."""
         while True:
             await asyncio.sleep(0.002)
             primary = self.service.primary
-            if primary is self:
+            now = time.monotonic()
+            if primary is self or self.is_cut or primary.is_cut:
+                self.reaches_primary_since = None
+            elif self.reaches_primary_since is None:
+                self.reaches_primary_since = now
+            if self.is_primary and primary is not self:
+                since = self.reaches_primary_since
+                if since is not None and now - since >= 1:
+                    self.is_primary = False
+            if self.is_primary:
                 self.held = len(self.log)
                 continue
+            if self.is_cut or primary.is_cut:
+                continue
             self.term = primary.term
+            same = 0
+            while same < min(len(self.log), len(primary.log)) and (
+                self.log[same] is primary.log[same]
+            ):
+                same += 1
             self.log = primary.log[:]
-            until = time.monotonic() - self.service.lag_s
+            self.held = min(self.held, same)
+            until = now - self.service.lag_s
             while self.held < len(self.log) and self.log[self.held].time <= until:
                 self.held += 1
 
@@ -332,6 +453,7 @@
 
     def commit(self, writes):
         commit = Commit(self.term, len(self.log) + 1, writes)
+        commit.seen = self.service.rig.record.now()
         self.log.append(commit)
         self.held = len(self.log)
         for statement_id, _, _ in writes:
@@ -348,6 +470,7 @@
                 writer.write(b"ERROR CONNLIMIT too many\r\n")
                 return
             await asyncio.sleep(self.service.handshake_s)
+            await self.wait_reachable(writer)
             writer.write(("READY I %s\r\n" % self.position()).encode())
             await self.serve_requests(reader, writer)
         except (asyncio.IncompleteReadError, ConnectionError):
@@ -356,10 +479,25 @@
             self.connections -= 1
             writer.close()
 
+    async def wait_reachable(self, writer):
+        while self.is_cut and self.service.rig.find_machine(writer) not in self.kept:
+            await asyncio.sleep(0.02)
+
+    def cut(self, entries):
+        """Cuts the server off from its replicas, control and all front machines
+        but these."""
+        self.kept = set(entries)
+        self.is_cut = True
+
+    def heal(self):
+        self.is_cut = False
+        self.kept = set()
+
     async def serve_requests(self, reader, writer):
         session = {"state": "I", "writes": [], "values": {}, "prepared": {}}
         while True:
             line = (await reader.readuntil(READY_SUFFIX))[:-2].decode("latin1")
+            await self.wait_reachable(writer)
             if line == "TERMINATE":
                 return
             _, statement_id, text = line.split(" ", 2)
@@ -386,6 +524,14 @@
             last = self.log[-1].position() if self.log else "1.0"
             row = "DATAROW %s %d %s 0 0 0 %d" % (role, self.term, last, self.connections)
             return [row, "COMPLETE -"]
+        if verb == "STEPDOWN":
+            if self.is_primary and self.term < int(words[1]):
+                self.is_primary = False
+                self.service.rig.record.write("%s steps down" % self.id)
+            role = "primary" if self.is_primary else "replica"
+            last = self.log[-1].position() if self.log else "1.0"
+            row = "DATAROW %s %d %s 0 0 0 %d" % (role, self.term, last, self.connections)
+            return [row, "COMPLETE -"]
         if verb == "RESET":
             session["values"], session["prepared"] = {}, {}
         elif verb == "SET":
@@ -407,6 +553,9 @@
                 session["state"] = "I"
                 return ["COMPLETE -"]
             await asyncio.sleep(self.service.work_s)
+            if session["writes"] and not self.is_primary:
+                session["state"] = "E"
+                return ["ERROR READONLY " + self.id]
             if session["writes"]:
                 self.commit(session["writes"])
             session["state"] = "I"
@@ -445,6 +594,7 @@
         self.slots = slots
         self.max_connections = max_connections
         self.handshake_s = 0.012
+        self.promote_s = 1.0
         self.servers = [Server(self, i, rig.make_address(100 + 10 * index + i)) for i in range(3)]
         self.primary = self.servers[0]
 
@@ -528,6 +678,8 @@
             for i in range(fronts)
         ]
         self.platform_address = self.make_address(5)
+        self.links = {}  # name of a front machine: its link to control
+        self.promotions = []  # (time of the effect, server)
         self.services = []
         self.version = 0
         self.commits = {}  # statement id: (server, commit)
@@ -547,6 +699,8 @@
             raise CannotRun("the build of the deploy file is missing")
         addresses = [daemon.address for daemon in self.cores + self.entries]
         addresses += [server.address for service in self.services for server in service.servers]
+        for link in self.links.values():
+            addresses += link.core_addresses + [link.entry_address]
         ports = choose_ports(addresses + [self.platform_address], 5)
         self.rpc_port, self.relay_port, self.front_port = ports[:3]
         self.ready_port, self.control_port = ports[3:]
@@ -556,23 +710,55 @@
         for service in self.services:
             for server in service.servers:
                 await server.start()
+        for link in self.links.values():
+            link.start()
         for daemon in self.cores + self.entries:
             daemon.start()
         await self.put_config(routes)
         for entry in self.entries:
             await self.wait_ready(entry)
 
+    def add_link(self, entry):
+        """Puts a proxy between a front machine and control. Call it before start."""
+        self.links[entry.name] = ControlLink(self, entry)
+        return self.links[entry.name]
+
     async def serve_platform(self, reader, writer):
-        """Answers POST /failover: the named server already leads."""
+        """Answers POST /failover; the named server leads some time later."""
         try:
-            await reader.readuntil(b"\r\n\r\n")
-            self.record.write("platform: a call, which changes nothing in this case")
+            head = (await reader.readuntil(b"\r\n\r\n")).decode()
+            fields = dict(re.findall(r"^([\w-]+): *(.*?)\r$", head, flags=re.M))
+            fields = {name.lower(): value for name, value in fields.items()}
+            body = json.loads(await reader.readexactly(int(fields["content-length"])))
+            service = next(one for one in self.services if one.name == body["service"])
+            server = next(one for one in service.servers if one.id == body["id"])
+            self.record.write(
+                "platform: POST /failover of %s by %s, fence %s"
+                % (server.id, fields.get("duty-holder"), fields.get("fencing-token"))
+            )
+            if server is not service.primary:
+                asyncio.ensure_future(self.promote(service, server))
             writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
         except (asyncio.IncompleteReadError, ConnectionError):
             pass
         finally:
             writer.close()
 
+    async def promote(self, service, server):
+        await asyncio.sleep(service.promote_s)
+        server.term = max(one.term for one in service.servers) + 1
+        server.is_primary = True
+        server.held = len(server.log)
+        service.primary = server
+        self.promotions.append((self.record.now(), server))
+        self.record.write("platform: %s leads term %d" % (server.id, server.term))
+
+    def find_machine(self, writer):
+        """Returns the daemon that made a connection to a server, or None."""
+        if not hasattr(writer, "machine"):
+            writer.machine = find_owner(writer.get_extra_info("peername"), self.entries)
+        return writer.machine
+
     async def wait_ready(self, entry):
         for _ in range(400):
             if await call_http(entry.address, self.ready_port, "GET", "/readyz") == 200:
@@ -644,6 +830,8 @@
     def end(self):
         for daemon in self.cores + self.entries:
             daemon.end()
+        for link in self.links.values():
+            link.end()
         shutil.rmtree(self.folder, ignore_errors=True)
 
 
