fix(entry): request_sent names where a transaction's statement runs

The line could not tell whether the entry held a lease.

Cause: name and role of the upstream were looked up in the view of the moment. A transaction stays on its connection while views change, so after a change to relays its upstream is in no view.

Change: the scheduler keeps upstreams' names across views and hands them out; a connection records whether its transaction began at a replica. The line also has the term and the time left of the lease, as refusals do.

--- a/src/catkingrade/decide/traffic/request_run.c
+++ b/src/catkingrade/decide/traffic/request_run.c
@@ -177,6 +177,10 @@
     conn->abandoned_us = 0;
     conn->overdue = 0;
     conn->read = request_is_read(request);
+    if (conn->session == NULL) {
+        conn->on_replica =
+            conn->upstream != scheduler->primary && !up->relayed;
+    }
     upstream_capacity_record_send(scheduler, up, request);
     up->running++;
     up->reads += conn->read;
@@ -187,7 +191,10 @@
     action->session = request->session->id;
     action->conn = conn->id;
     action->upstream = conn->upstream;
-    action->on_replica = conn->upstream != scheduler->primary && !up->relayed;
+    action->on_replica = conn->on_replica;
+    action->term = request->term;
+    action->lease_left_us =
+        scheduler->lease.valid_until_us - scheduler->now_us;
     if (scheduler->params.guarded) {
         request_require_position(scheduler, request, conn, action);
     }
--- a/src/catkingrade/decide/traffic/scheduler.c
+++ b/src/catkingrade/decide/traffic/scheduler.c
@@ -66,6 +66,16 @@
     return SCHEDULER_NO_ID;
 }
 
+// Returns the name of an upstream of this view or an earlier one. Valid until
+// the next VIEW event.
+const char *
+scheduler_get_upstream_name(const struct scheduler *scheduler,
+                            uint32_t upstream)
+{
+    INVARIANT(upstream < scheduler->upstreams_count);
+    return scheduler->upstreams[upstream].name;
+}
+
 // Returns the configuration of an upstream in the current view, or NULL when
 // the view does not contain the upstream. Valid until the next VIEW event.
 const struct ck_upstream *
--- a/src/catkingrade/decide/traffic/scheduler.h
+++ b/src/catkingrade/decide/traffic/scheduler.h
@@ -47,6 +47,8 @@
                     struct scheduler_actions *actions);
 uint32_t scheduler_get_upstream_id(const struct scheduler *scheduler,
                                    const char *name);
+const char *scheduler_get_upstream_name(const struct scheduler *scheduler,
+                                        uint32_t upstream);
 const struct ck_upstream *
 scheduler_get_upstream(const struct scheduler *scheduler, uint32_t upstream);
 size_t scheduler_fill_demands(struct scheduler *scheduler,
--- a/src/catkingrade/decide/traffic/scheduler_defs.h
+++ b/src/catkingrade/decide/traffic/scheduler_defs.h
@@ -200,11 +200,12 @@
     int outcome;            // REFUSE: enum outcome
     int64_t retry_after_us; // REFUSE
     int64_t wake_at_us;     // WAKE
-    // Final actions, for the log: time since the request's arrival, and
-    // remaining time of the lease, negative when the lease has run out.
+    // Final actions, for the log: time since the request's arrival.
     int64_t waited_us;
+    // SEND and final actions, for the log: remaining time of the lease,
+    // negative when the lease has run out.
     int64_t lease_left_us;
-    uint64_t term; // CONFIRM_REVOKED, SUSPECT
+    uint64_t term; // SEND and final actions, CONFIRM_REVOKED, SUSPECT
     enum scheduler_close_reason close_reason;
     enum ck_suspicion_kind suspicion;
     int64_t since_us;             // SUSPECT: time of the first failure
--- a/src/catkingrade/decide/traffic/scheduler_state.h
+++ b/src/catkingrade/decide/traffic/scheduler_state.h
@@ -68,6 +68,7 @@
     bool reset_wanted;       // a request was abandoned: reset before reuse
     bool read_only;          // the owning transaction is read-only
     bool read;               // the in-flight request may run on a replica
+    bool on_replica;         // of a statement, or when its transaction began
     bool superseded;         // the primary's term has ended: closed when free
     uint8_t overdue;         // level recorded for its statement; capacity.h
     uint64_t request;        // in flight on it
--- a/src/catkingrade/entry/database_actions.c
+++ b/src/catkingrade/entry/database_actions.c
@@ -38,15 +38,13 @@
     struct database_conn *conn = database_find_conn(database, action->conn);
     struct entry_request *request =
         database_find_request(database, action->request);
-    const struct ck_upstream *upstream =
-        scheduler_get_upstream(database->scheduler, action->upstream);
 
     INVARIANT(conn != NULL && request != NULL && conn->request == NULL);
     request->reason = database_get_reason(request, action);
     request->on_replica = action->on_replica;
-    if (upstream != NULL) {
-        strncpy(request->upstream, upstream->name, CK_NAME_SIZE);
-    }
+    strncpy(request->upstream,
+            scheduler_get_upstream_name(database->scheduler, action->upstream),
+            CK_NAME_SIZE);
     memcpy(request->relay_host, conn->relay_host, sizeof(conn->relay_host));
     request->running = true;
     request->attempts++;
--- a/src/catkingrade/entry/database_report.c
+++ b/src/catkingrade/entry/database_report.c
@@ -203,21 +203,26 @@
         LOG_LIMITED(DATABASE_FAILED_LOG_LINES_PER_S, LOG_LEVEL_INFO,
                     "request_sent_again",
                     "id=%s request=%" PRIu64
-                    " database=%s attempt=%u upstream=%s host=%s reason=%s",
+                    " database=%s attempt=%u upstream=%s host=%s term=%" PRIu64
+                    " lease_left_ms=%" PRId64 " reason=%s",
                     database_get_caller_id(request), request->id,
                     database->name, request->attempts, request->upstream,
-                    request->relay_host, request->reason);
+                    request->relay_host, action->term,
+                    action->lease_left_us / DATABASE_US_PER_MS,
+                    request->reason);
         return;
     }
     LOG_LIMITED(DATABASE_SENT_LOG_LINES_PER_S, LOG_LEVEL_INFO, "request_sent",
                 "id=%s request=%" PRIu64 " session=%" PRIu64
                 " database=%s class=%s upstream=%s host=%s on_replica=%d "
-                "after=%" PRIu64 " reason=%s",
+                "after=%" PRIu64 " term=%" PRIu64 " lease_left_ms=%" PRId64
+                " reason=%s",
                 database_get_caller_id(request), request->id,
                 request->params.session, database->name,
                 database_class_names[request->params.request_class],
                 request->upstream, request->relay_host, action->on_replica,
-                action->after_lsn, request->reason);
+                action->after_lsn, action->term,
+                action->lease_left_us / DATABASE_US_PER_MS, request->reason);
 }
 
 // Counts and logs that an upstream was found slow, or that it has recovered.
