fix(traffic): a commit needs the lease of its transaction's term

Cause: the right to acknowledge belongs to the term in which a write or transaction began, but it was read from the view of the moment. lease_covers held for everything once the view was a relayed one; view_begin_term closed the connections to the view's former primary, which on standby relays was the relay, and none at all if the primary was marked as lost; request_send labelled each statement with the term of now, so the later comparison of terms compared a number with itself.

Change: an acknowledgement asks for this entry's own lease of the term in which the write or transaction began, whatever the view. A COMMIT that can't be acknowledged is not sent but refused as not run, and its connection is closed, so the client knows that nothing is stored and may begin anew. The end of a term closes the connections to the last primary that the entry had of its own, also if relays stand for it or it is lost.

--- a/src/catkingrade/decide/traffic/confirm.c
+++ b/src/catkingrade/decide/traffic/confirm.c
@@ -64,8 +64,7 @@
     uint32_t required =
         scheduler->params.guarded ? 0 : scheduler->view.customer->confirm;
     if ((request->commit_lsn == 0 && !scheduler->params.guarded) ||
-        !lease_may_acknowledge(scheduler) ||
-        lease_get_term(scheduler) != request->term) {
+        !lease_may_acknowledge(scheduler, request->term)) {
         return false;
     }
     if (required > 0 &&
@@ -123,8 +122,7 @@
 confirm_expire(struct scheduler *scheduler, struct request *request)
 {
     enum ck_unconfirmed_policy policy = scheduler->view.customer->unconfirmed;
-    bool current = lease_may_acknowledge(scheduler) &&
-                   lease_get_term(scheduler) == request->term;
+    bool current = lease_may_acknowledge(scheduler, request->term);
 
     request_list_remove(&scheduler->confirming, request);
     if (policy == CK_UNCONFIRMED_WARN && current) {
--- a/src/catkingrade/decide/traffic/dispatch.c
+++ b/src/catkingrade/decide/traffic/dispatch.c
@@ -155,6 +155,31 @@
     }
 }
 
+// Returns whether a statement of the open transaction on a connection may be
+// sent. A COMMIT that this entry may not acknowledge is not sent: its outcome
+// would be unknown. A read-only transaction commits nothing, and a relay entry
+// decides by its own lease.
+static bool
+dispatch_may_send_pinned(const struct scheduler *scheduler,
+                         const struct request *request,
+                         const struct conn *conn)
+{
+    return request->request_class != SCHEDULER_CLASS_COMMIT ||
+           conn->read_only || scheduler->upstreams[conn->upstream].relayed ||
+           lease_may_acknowledge(scheduler, conn->term);
+}
+
+// Refuses the queued COMMIT of a transaction and rolls that back by closing
+// its connection, so that the client can begin anew. Relays take it at once.
+static void
+dispatch_end_transaction(struct scheduler *scheduler, struct conn *conn)
+{
+    pool_refuse_pinned(scheduler, conn,
+                       scheduler->view.relayed ? 0 : RETRY_AFTER_US,
+                       "the entry has no lease of the transaction's term");
+    pool_close(scheduler, conn, SCHEDULER_CLOSE_ABNORMAL);
+}
+
 // Sends the queued statements of open transactions to an upstream. Their
 // connections are pinned and hold a slot already.
 static void
@@ -164,6 +189,10 @@
         struct request *request = up->pinned.first;
         struct conn *conn = pool_find(scheduler, request->conn);
         INVARIANT(conn != NULL && conn->state == CONN_PINNED);
+        if (!dispatch_may_send_pinned(scheduler, request, conn)) {
+            dispatch_end_transaction(scheduler, conn);
+            continue;
+        }
         request_list_remove(&up->pinned, request);
         scheduler->pinned_waiting--;
         request_send(scheduler, request, conn);
--- a/src/catkingrade/decide/traffic/pool.c
+++ b/src/catkingrade/decide/traffic/pool.c
@@ -152,9 +152,10 @@
 }
 
 // Refuses the statement that waits for the pinned connection of its
-// transaction, because that connection is lost.
+// transaction, because that transaction has ended or is about to.
 void
-pool_refuse_pinned(struct scheduler *scheduler, struct conn *conn)
+pool_refuse_pinned(struct scheduler *scheduler, struct conn *conn,
+                   int64_t retry_after_us, const char *reason)
 {
     struct session *session = conn->session;
 
@@ -167,8 +168,8 @@
     session->conn = SCHEDULER_NO_ID;
     request_list_remove(&scheduler->upstreams[conn->upstream].pinned, request);
     scheduler->pinned_waiting--;
-    request_refuse(scheduler, request, OUTCOME_NOT_RUN, 0,
-                   "the transaction's connection is lost");
+    request_refuse(scheduler, request, OUTCOME_NOT_RUN, retry_after_us,
+                   reason);
 }
 
 // Closes a connection in any state. The caller ends the request that ran on
--- a/src/catkingrade/decide/traffic/pool.h
+++ b/src/catkingrade/decide/traffic/pool.h
@@ -47,7 +47,8 @@
 void pool_release_slot(struct scheduler *scheduler, struct conn *conn,
                        bool read);
 void pool_remove(struct scheduler *scheduler, struct conn *conn);
-void pool_refuse_pinned(struct scheduler *scheduler, struct conn *conn);
+void pool_refuse_pinned(struct scheduler *scheduler, struct conn *conn,
+                        int64_t retry_after_us, const char *reason);
 void pool_check_same_age(struct scheduler *scheduler, uint32_t upstream,
                          int64_t opened_us);
 void pool_handle_opened(struct scheduler *scheduler,
--- a/src/catkingrade/decide/traffic/request_run.c
+++ b/src/catkingrade/decide/traffic/request_run.c
@@ -167,7 +167,6 @@
     request->state = REQUEST_RUNNING;
     request->conn = conn->id;
     request->started_us = scheduler->now_us;
-    request->term = lease_get_term(scheduler);
     request->relayed = up->relayed;
     conn->state = CONN_BUSY;
     conn->since_us = scheduler->now_us;
@@ -178,9 +177,11 @@
     conn->overdue = 0;
     conn->read = request_is_read(request);
     if (conn->session == NULL) {
+        conn->term = lease_get_term(scheduler);
         conn->on_replica =
             conn->upstream != scheduler->primary && !up->relayed;
     }
+    request->term = conn->read_only ? lease_get_term(scheduler) : conn->term;
     upstream_capacity_record_send(scheduler, up, request);
     up->running++;
     up->reads += conn->read;
--- a/src/catkingrade/decide/traffic/scheduler.c
+++ b/src/catkingrade/decide/traffic/scheduler.c
@@ -29,6 +29,7 @@
     scheduler->params = *params;
     scheduler->random = params->seed;
     scheduler->primary = SCHEDULER_NO_ID;
+    scheduler->own_primary = SCHEDULER_NO_ID;
     scheduler->wake_at_us = SCHEDULER_NO_WAKE;
     customer_table_init(&scheduler->customers);
     pool_init(scheduler);
--- a/src/catkingrade/decide/traffic/scheduler_lease.c
+++ b/src/catkingrade/decide/traffic/scheduler_lease.c
@@ -10,19 +10,15 @@
     return scheduler->term;
 }
 
-// Returns whether the lease guarantees that the primary of the view's term was
-// the only primary at at_us, which must not be in the future. A database
-// without a control group counts as always leased.
+// Returns whether this entry's own lease guarantees that the primary of the
+// view's term was the only primary at at_us, which must not be in the future.
+// A database without a control group counts as always leased.
 static bool
 lease_covers(const struct scheduler *scheduler, int64_t at_us)
 {
     if (!scheduler->view_known) {
         return false;
     }
-    // The relay entry acknowledges under its own lease.
-    if (scheduler->view.relayed) {
-        return true;
-    }
     const struct ck_database *database = scheduler->view.database;
     if (!scheduler->lease_known && database->group[0] == '\0') {
         return true;
@@ -33,21 +29,26 @@
 }
 
 // Returns whether a lease of the view's term that admits new writes was valid
-// at at_us. A term that is being superseded admits none.
+// at at_us. A term that is being superseded admits none. In a relayed view,
+// new requests run at a relay entry, which needs the lease.
 bool
 lease_is_valid_at(const struct scheduler *scheduler, int64_t at_us)
 {
-    return lease_covers(scheduler, at_us) &&
-           (scheduler->view.relayed || !scheduler->view.database->superseding);
+    return scheduler->view_known && (scheduler->view.relayed ||
+                                     (lease_covers(scheduler, at_us) &&
+                                      !scheduler->view.database->superseding));
 }
 
-// Returns whether a commit in the view's term may be acknowledged now. A term
-// that is being superseded may acknowledge until its lease runs out or is
-// revoked, as the control group promotes no new primary before.
+// Returns whether a commit at an upstream of this entry's own may be
+// acknowledged now, if its write or transaction began in a term. A term that
+// is being superseded may acknowledge until its lease runs out or is revoked,
+// as the control group promotes no new primary before. What runs at a relay
+// entry is acknowledged by that one.
 bool
-lease_may_acknowledge(const struct scheduler *scheduler)
+lease_may_acknowledge(const struct scheduler *scheduler, uint64_t term)
 {
-    return lease_covers(scheduler, scheduler->now_us);
+    return term == lease_get_term(scheduler) &&
+           lease_covers(scheduler, scheduler->now_us);
 }
 
 // Returns whether new writes of the view's term may run now. A primary that
--- a/src/catkingrade/decide/traffic/scheduler_lease.h
+++ b/src/catkingrade/decide/traffic/scheduler_lease.h
@@ -12,7 +12,7 @@
 uint64_t lease_get_term(const struct scheduler *scheduler);
 bool lease_has_quota(const struct scheduler *scheduler);
 bool lease_is_valid_at(const struct scheduler *scheduler, int64_t at_us);
-bool lease_may_acknowledge(const struct scheduler *scheduler);
+bool lease_may_acknowledge(const struct scheduler *scheduler, uint64_t term);
 void lease_end_superseded(struct scheduler *scheduler);
 bool lease_is_valid(const struct scheduler *scheduler);
 void lease_handle(struct scheduler *scheduler,
--- a/src/catkingrade/decide/traffic/scheduler_result.c
+++ b/src/catkingrade/decide/traffic/scheduler_result.c
@@ -393,7 +393,8 @@
                          SCHEDULER_CLOSE_ABNORMAL);
     }
     else {
-        pool_refuse_pinned(scheduler, conn);
+        pool_refuse_pinned(scheduler, conn, 0,
+                           "the transaction's connection is lost");
         pool_remove(scheduler, conn);
     }
     if (was_opening) {
@@ -424,7 +425,7 @@
         }
         return;
     case CONN_PINNED:
-        pool_refuse_pinned(scheduler, conn);
+        pool_refuse_pinned(scheduler, conn, 0, "the primary's term has ended");
         pool_close(scheduler, conn, SCHEDULER_CLOSE_SUPERSEDED);
         return;
     default:
--- a/src/catkingrade/decide/traffic/scheduler_state.h
+++ b/src/catkingrade/decide/traffic/scheduler_state.h
@@ -74,6 +74,7 @@
     uint64_t request;        // in flight on it
     uint64_t last_session;   // session whose state (SET) the connection holds
     struct session *session; // owner of the open transaction, or NULL
+    uint64_t term; // view's term when its transaction or statement began
     int64_t opened_us;
     int64_t validated_us; // last time the upstream answered on it
     int64_t since_us;     // time of the last state change
@@ -171,7 +172,7 @@
     int64_t floor_wait_until_us; // end of the wait for a replica; 0: none
     uint64_t commit_lsn;         // CONFIRMING; 0: unknown
     int64_t committed_us;
-    uint64_t term; // the view's term when it was sent
+    uint64_t term; // the view's when it, or its transaction, was first sent
     uint32_t conn;
     uint32_t customer;                   // index, on whose behalf it runs
     uint32_t tried[SCHEDULER_TRIES_MAX]; // upstreams of failed attempts
@@ -256,6 +257,9 @@
     uint32_t *candidates; // indices of the upstreams in state ready
     uint32_t candidates_count;
     uint32_t primary; // index; SCHEDULER_NO_ID: none
+    // Index of the last primary in a view that was not relayed, also if it has
+    // been lost since; SCHEDULER_NO_ID: none so far.
+    uint32_t own_primary;
 
     struct conn *conns;
     uint32_t conns_count;
--- a/src/catkingrade/decide/traffic/scheduler_view.c
+++ b/src/catkingrade/decide/traffic/scheduler_view.c
@@ -135,6 +135,9 @@
             scheduler->candidates[scheduler->candidates_count++] = upstream;
         }
     }
+    if (!scheduler->view.relayed && scheduler->primary != SCHEDULER_NO_ID) {
+        scheduler->own_primary = scheduler->primary;
+    }
     // A leaving primary serves requests until its successor is promoted, or
     // its time is over.
     scheduler->primary_stopped = view_is_primary_over(scheduler);
@@ -234,19 +237,18 @@
 }
 
 // Begins a new term: ends unconfirmed commits of older terms, closes the
-// connections to the former primary and samples the new primary.
+// connections to the former primary and samples the new primary. A relay entry
+// ends the requests of older terms itself.
 static void
-view_begin_term(struct scheduler *scheduler, uint32_t old_primary)
+view_begin_term(struct scheduler *scheduler, uint32_t former_primary)
 {
     const struct ck_database *database = scheduler->view.database;
 
     if (database->term > 0) {
         confirm_end_term(scheduler, database->term - 1);
     }
-    // A relay entry ends the requests of the old term itself.
-    if (old_primary != SCHEDULER_NO_ID &&
-        !scheduler->upstreams[old_primary].relayed) {
-        result_close_primary_conns(scheduler, old_primary);
+    if (former_primary != SCHEDULER_NO_ID) {
+        result_close_primary_conns(scheduler, former_primary);
     }
     freshness_truncate(&scheduler->freshness, database->base.lsn);
     if (scheduler->primary != SCHEDULER_NO_ID) {
@@ -267,7 +269,7 @@
 view_handle(struct scheduler *scheduler, const struct scheduler_view *view)
 {
     uint64_t old_term = scheduler->term;
-    uint32_t old_primary = scheduler->primary;
+    uint32_t former_primary = scheduler->own_primary;
 
     scheduler->view = *view;
     if (view->customer == NULL) {
@@ -278,7 +280,7 @@
     view_update_upstreams(scheduler);
     admission_handle_view(scheduler);
     if (view->database->term != old_term) {
-        view_begin_term(scheduler, old_primary);
+        view_begin_term(scheduler, former_primary);
     }
     view_set_limits(scheduler);
     sample_refresh_ages(scheduler);
