feat(control): published says what makes the upstream the primary

What was missing: the log has the same line for a primary that was promoted for its term, for one that was kept, and for an upstream that only said of itself that it is the primary.

Change: published has by=promotion, order, kept or claim. No decision changes.

--- a/src/catkingrade/decide/coordinator/coordinator_failover.c
+++ b/src/catkingrade/decide/coordinator/coordinator_failover.c
@@ -535,6 +535,18 @@
            strcmp(member->name, database->primary) != 0;
 }
 
+// Returns why the candidate, which claims to be a primary, is published.
+static const char *
+coordinator_describe_claim(const struct coordinator *coordinator,
+                           const struct coordinator_database *db,
+                           const struct ck_database *database)
+{
+    if (coordinator_is_ordered(coordinator, db, database)) {
+        return "order";
+    }
+    return db->is_kept ? "kept" : "claim";
+}
+
 // Promotes the upstream with this index. An upstream that already is a primary
 // is published without a promotion; one that was a primary before is fenced
 // first. The promotion gets into the log before it is ordered, so that the
@@ -564,6 +576,8 @@
                      (!member->answered ||
                       member->position.timeline == database->base.timeline);
         db->base = stays ? database->base : member->position;
+        db->candidate_by =
+            coordinator_describe_claim(coordinator, db, database);
         coordinator_propose_candidate(coordinator, db, database,
                                       CK_CHANGE_PRIMARY);
         return;
@@ -630,6 +644,7 @@
     const struct ck_database *database =
         group_find_database(coordinator->group, db->name);
     db->base = probe->position;
+    db->candidate_by = "promotion";
     coordinator_record(
         coordinator, "promoted", database, probe->upstream,
         "database=%s term=%" PRIu64 " timeline=%" PRIu64 " lsn=%" PRIu64,
@@ -690,8 +705,10 @@
         db->target == NULL || strcmp(db->target, database->primary) == 0;
 
     coordinator_record(coordinator, "published", database, database->primary,
-                       "database=%s term=%" PRIu64, db->name,
-                       (uint64_t)database->term);
+                       "database=%s term=%" PRIu64 " by=%s", db->name,
+                       (uint64_t)database->term,
+                       db->candidate_by == NULL ? "" : db->candidate_by);
+    db->candidate_by = NULL;
     coordinator_finish_command(
         coordinator, db, reached ? OUTCOME_OK : OUTCOME_TIMEOUT,
         reached ? "the new term stands" : "another upstream is the primary");
--- a/src/catkingrade/decide/coordinator/coordinator_private.h
+++ b/src/catkingrade/decide/coordinator/coordinator_private.h
@@ -185,10 +185,11 @@
     enum coordinator_phase phase;
     int64_t phase_us; // start of the phase
     struct suspicion suspicion;
-    int64_t failover_us; // time of the last unplanned change; 0: none
-    int64_t changed_us;  // begin of the last change of primary; 0: none
-    int64_t kept_us;     // last change, if it kept the primary; else 0
-    bool is_kept;        // the candidate is the primary of the ended term
+    int64_t failover_us;      // time of the last unplanned change; 0: none
+    int64_t changed_us;       // begin of the last change of primary; 0: none
+    int64_t kept_us;          // last change, if it kept the primary; else 0
+    bool is_kept;             // the candidate is the primary of the ended term
+    const char *candidate_by; // what makes it the primary, for the log
     struct coordinator_member *members;
     size_t members_count;
     struct coordinator_pending_lease *pending_leases;
