test(coordinator): a former primary is published on its own word (red)

The model of the upstreams is stricter than before: one that is silent does not hear of a promotion and goes on claiming to be the primary; a fence ends the claim; a term in force whose primary is not the one that was promoted last counts as split.

--- a/test/rig/promotion_rig.c
+++ b/test/rig/promotion_rig.c
@@ -56,22 +56,48 @@
     codec_free((xdrproc_t)xdr_ck_log_payload, &payload);
 }
 
-// Answers FENCE and FOLLOW orders at once.
+// Answers FENCE and FOLLOW orders at once. A fence ends the upstream's claim
+// to be the primary.
 static void
-promotion_rig_finish_repair(struct promotion_rig *rig, const char *upstream,
+promotion_rig_finish_repair(struct promotion_rig *rig, const char *name,
                             enum coordinator_event_kind kind)
 {
+    struct promotion_rig_upstream *upstream = promotion_rig_find(rig, name);
     struct coordinator_event event = {.kind = kind};
 
-    event.done.upstream = upstream;
-    event.done.outcome = promotion_rig_find(rig, upstream)->is_silent
-                             ? OUTCOME_TIMEOUT
-                             : OUTCOME_OK;
+    event.done.upstream = name;
+    event.done.outcome = upstream->is_silent ? OUTCOME_TIMEOUT : OUTCOME_OK;
+    if (kind == COORDINATOR_EVENT_FENCED && !upstream->is_silent) {
+        rig->fences_count += upstream->is_primary ? 1 : 0;
+        upstream->is_primary = upstream->is_primary && rig->fences_only;
+    }
     promotion_rig_step(rig, &event);
 }
 
-// An upstream that is being promoted, or is the primary, takes no second
-// order.
+static void
+promotion_rig_report_promoted(struct promotion_rig *rig,
+                              const struct promotion_rig_upstream *upstream)
+{
+    struct coordinator_event event = {.kind = COORDINATOR_EVENT_PROMOTED};
+
+    event.probe.upstream = upstream->name;
+    event.probe.is_primary = true;
+    event.probe.position.timeline = upstream->timeline;
+    event.probe.position.lsn = upstream->lsn;
+    promotion_rig_step(rig, &event);
+}
+
+// Returns whether an order changes nothing: the upstream was promoted last,
+// and still is the primary.
+static bool
+promotion_rig_is_leading(const struct promotion_rig *rig,
+                         const struct promotion_rig_upstream *upstream)
+{
+    return upstream == &rig->upstreams[rig->promoted] && upstream->is_primary;
+}
+
+// An upstream that is being promoted, or was promoted last, takes no second
+// order. One that claims to be the primary is seen as promoted at once.
 static void
 promotion_rig_order(struct promotion_rig *rig, const char *name)
 {
@@ -81,14 +107,19 @@
 
     rig->orders_count++;
     (void)snprintf(rig->ordered, sizeof(rig->ordered), "%s", name);
-    if (upstream->promoted_us == 0 && !upstream->is_primary) {
+    if (!rig->refuses_orders && upstream->promoted_us == 0 &&
+        !promotion_rig_is_leading(rig, upstream)) {
         upstream->promoted_us = rig->now_us + rig->promotion_us;
     }
-    if (rig->fails_orders) {
+    if (rig->fails_orders || rig->refuses_orders) {
         event.done.upstream = name;
-        event.done.outcome = OUTCOME_TIMEOUT;
+        event.done.outcome =
+            rig->refuses_orders ? OUTCOME_NOT_RUN : OUTCOME_TIMEOUT;
         promotion_rig_step(rig, &event);
     }
+    else if (upstream->is_primary) {
+        promotion_rig_report_promoted(rig, upstream);
+    }
 }
 
 static void
@@ -166,28 +197,27 @@
 }
 
 // The promotion of one upstream takes effect: it begins a new timeline, and
-// the others stop being primaries.
+// the others stop being primaries once they hear of it.
 static void
 promotion_rig_promote(struct promotion_rig *rig,
                       struct promotion_rig_upstream *upstream)
 {
-    struct coordinator_event event = {.kind = COORDINATOR_EVENT_PROMOTED};
     uint64_t timeline = 0;
 
     for (size_t i = 0; i < PROMOTION_RIG_UPSTREAMS; i++) {
-        rig->upstreams[i].is_primary = false;
-        if (rig->upstreams[i].timeline > timeline) {
-            timeline = rig->upstreams[i].timeline;
+        struct promotion_rig_upstream *other = &rig->upstreams[i];
+        other->is_primary = other->is_primary && other->is_silent;
+        if (other->timeline > timeline) {
+            timeline = other->timeline;
         }
     }
+    rig->promoted = (size_t)(upstream - rig->upstreams);
     upstream->promoted_us = 0;
     upstream->is_primary = true;
     upstream->timeline = timeline + 1;
-    event.probe.upstream = upstream->name;
-    event.probe.is_primary = true;
-    event.probe.position.timeline = upstream->timeline;
-    event.probe.position.lsn = upstream->lsn;
-    promotion_rig_step(rig, &event);
+    if (!upstream->is_silent) {
+        promotion_rig_report_promoted(rig, upstream);
+    }
 }
 
 // Counts a step in which the primary of a term that is in force is not the one
@@ -196,9 +226,10 @@
 promotion_rig_check_split(struct promotion_rig *rig)
 {
     const struct ck_database *database = promotion_rig_get_database(rig);
+    const struct promotion_rig_upstream *primary =
+        promotion_rig_find(rig, database->primary);
 
-    if (!database->superseding &&
-        !promotion_rig_find(rig, database->primary)->is_primary) {
+    if (!database->superseding && primary != &rig->upstreams[rig->promoted]) {
         rig->split_count++;
     }
 }
@@ -314,6 +345,29 @@
     group_destroy(rig->group);
 }
 
+void
+promotion_rig_fail_order(struct promotion_rig *rig)
+{
+    struct coordinator_event event = {.kind =
+                                          COORDINATOR_EVENT_PROMOTE_FAILED};
+
+    event.done.upstream = rig->ordered;
+    event.done.outcome = OUTCOME_TIMEOUT;
+    promotion_rig_step(rig, &event);
+}
+
+void
+promotion_rig_add_changes(struct promotion_rig *rig, size_t count)
+{
+    for (size_t i = 0; i < count; i++) {
+        struct ck_change change = {.kind = CK_CHANGE_DAEMON};
+        change.ck_change_u.daemon =
+            changes_make_daemon("front-0", "10.3.0.1", i + 1);
+        ck_assert_int_eq(changes_apply(rig->group, 0, &change, "", -1, NULL),
+                         OUTCOME_OK);
+    }
+}
+
 void
 promotion_rig_lose_primary(struct promotion_rig *rig)
 {
--- a/test/rig/promotion_rig.h
+++ b/test/rig/promotion_rig.h
@@ -20,7 +20,7 @@
     uint64_t timeline;
     uint64_t lsn;
     bool is_primary;     // as it sees itself
-    bool is_silent;      // answers nothing and announces nothing
+    bool is_silent;      // answers nothing, and hears of no other primary
     bool is_probed;      // a probe waits for its answer
     int64_t promoted_us; // when an ordered promotion takes effect; 0: none
 };
@@ -33,10 +33,14 @@
     struct promotion_rig_upstream upstreams[PROMOTION_RIG_UPSTREAMS];
     int64_t promotion_us; // from the order of a promotion to its effect
     size_t orders_count;  // promotions ordered
+    size_t fences_count;  // FENCE orders at upstreams that claimed to be one
     char ordered[8];      // upstream whose promotion was ordered last
-    size_t split_count;   // steps in which a superseded primary was in force
+    size_t promoted;      // index of the upstream that was promoted last
+    size_t split_count;   // steps in which another one was in force
     bool loses_proposals; // the log takes no more changes
     bool fails_orders;    // an order is reported as failed, and takes effect
+    bool refuses_orders;  // an order is answered as not run, and is not
+    bool fences_only;     // a fenced upstream still claims to be the primary
 };
 
 // Creates the database with one primary and two replicas, of which `confirm`
@@ -45,6 +49,10 @@
 void promotion_rig_finish(struct promotion_rig *rig);
 // Lets virtual time pass.
 void promotion_rig_run(struct promotion_rig *rig, int64_t duration_us);
+// Reports the last order as failed, although it takes effect.
+void promotion_rig_fail_order(struct promotion_rig *rig);
+// Changes the group state this many times, without an effect on the database.
+void promotion_rig_add_changes(struct promotion_rig *rig, size_t count);
 // Stops the primary's process and supersedes its term.
 void promotion_rig_lose_primary(struct promotion_rig *rig);
 const struct ck_database *
