fix(coordinator): publish no upstream on its own word

Cause: an upstream that answers a probe as a primary was published without a promotion. That was right for one whose promotion an earlier leader had ordered, but the leader could not tell that one from a primary of an earlier term: what it went by (has_published, needs_fence) was its own memory, empty after an election. And the primary of the ended term counted as kept even if the promotion of another upstream was in the log and may have taken effect. Class: an upstream's word, or a leader's memory, in place of what the log has decided.

Change: a claim is judged by the log alone (decide/promotion/claim.c). It stands if the log holds this upstream's promotion for the next term; for the primary of the ended term, if no promotion for the next term may have taken effect; in the first term of a database. Any other claimant is fenced, probed again and promoted like a replica, by an order of its own in the log. A promotion that the platform has refused as not run does not count, so the old primary is still kept at once while the platform takes no calls. A fence that does not demote (PostgreSQL) ends the wait as before.

--- a/src/catkingrade/decide/coordinator/coordinator_database.c
+++ b/src/catkingrade/decide/coordinator/coordinator_database.c
@@ -238,6 +238,7 @@
     member->answered = true;
     member->failed = false;
     member->is_primary = probe->is_primary;
+    member->is_fenced = member->is_fenced && probe->is_primary;
     member->position = probe->position;
     member->is_regressed =
         promotion_compare(&probe->position, &member->max_position) < 0;
@@ -390,6 +391,7 @@
     }
     else if (database->term == 0) {
         coordinator_set_phase(coordinator, db, COORDINATOR_PHASE_INITIAL);
+        coordinator_reset_claims(coordinator, db, database);
         coordinator_run_initial(coordinator, db, database);
     }
     else {
@@ -465,22 +467,23 @@
 static void
 coordinator_order_repair(struct coordinator *coordinator,
                          struct coordinator_database *db,
-                         const struct ck_database *database, size_t index)
+                         const struct ck_database *database, size_t index,
+                         enum coordinator_action_kind kind)
 {
     struct coordinator_member *member = &db->members[index];
     int primary = coordinator_find_upstream_index(database, database->primary);
 
     member->repairing = true;
-    struct coordinator_action *action = coordinator_add_action(
-        coordinator, member->needs_fence ? COORDINATOR_ACTION_FENCE
-                                         : COORDINATOR_ACTION_FOLLOW);
+    struct coordinator_action *action =
+        coordinator_add_action(coordinator, kind);
     action->upstream.upstream = &database->upstreams.upstreams_val[index];
-    action->upstream.primary = &database->upstreams.upstreams_val[primary];
+    // A fence needs no primary, which a database may not have yet.
+    action->upstream.primary =
+        primary < 0 ? NULL : &database->upstreams.upstreams_val[primary];
     action->upstream.term = database->term;
 }
 
-// Orders a FENCE of a member that needs one, unless one is in flight or has
-// just failed.
+// Orders a FENCE of a member, unless one is in flight or has just failed.
 void
 coordinator_order_fence(struct coordinator *coordinator,
                         struct coordinator_database *db,
@@ -495,7 +498,8 @@
         coordinator_wake_at(coordinator, member->next_repair_us);
         return;
     }
-    coordinator_order_repair(coordinator, db, database, index);
+    coordinator_order_repair(coordinator, db, database, index,
+                             COORDINATOR_ACTION_FENCE);
 }
 
 // Fences replicas that may still accept writes as a primary, then makes them
@@ -517,7 +521,10 @@
             (!member->needs_fence && !member->needs_follow)) {
             continue;
         }
-        coordinator_order_repair(coordinator, db, database, i);
+        coordinator_order_repair(coordinator, db, database, i,
+                                 member->needs_fence
+                                     ? COORDINATOR_ACTION_FENCE
+                                     : COORDINATOR_ACTION_FOLLOW);
     }
 }
 
@@ -544,15 +551,18 @@
     struct coordinator_member *member =
         &db->members[coordinator_find_upstream_index(database, upstream_name)];
     member->repairing = false;
+    if (is_fence) {
+        // Its last answer is from before.
+        member->answered = false;
+        member->next_probe_us = 0;
+    }
     if (outcome != OUTCOME_OK) {
         member->next_repair_us =
             coordinator->now_us + COORDINATOR_REPAIR_RETRY_US;
     }
     else if (is_fence) {
         member->needs_fence = false;
-        // Its last answer is from before.
-        member->answered = false;
-        member->next_probe_us = 0;
+        member->is_fenced = true;
     }
     else {
         member->needs_follow = false;
--- a/src/catkingrade/decide/coordinator/coordinator_failover.c
+++ b/src/catkingrade/decide/coordinator/coordinator_failover.c
@@ -9,6 +9,7 @@
 #include <string.h>
 
 #include "catkingrade/decide/coordinator/coordinator_private.h"
+#include "catkingrade/decide/promotion/claim.h"
 #include "catkingrade/decide/promotion/ordered.h"
 #include "catkingrade/kernel/memory.h"
 #include "catkingrade/kernel/outcome.h"
@@ -116,6 +117,33 @@
     db->is_revoked = false;
 }
 
+// Returns the promotion for the next term of a database that is in the log, or
+// NULL.
+static const struct ck_primary_change *
+coordinator_find_order(const struct coordinator *coordinator,
+                       const struct ck_database *database)
+{
+    const struct ck_primary_change *order =
+        group_find_promotion(coordinator->group, database->name);
+
+    return order != NULL && order->term == database->term + 1 ? order : NULL;
+}
+
+// Discards what is known of upstreams that claim to be the primary, as a
+// change of primary begins. A promotion that is in the log then was ordered by
+// an earlier leader and may have taken effect.
+void
+coordinator_reset_claims(const struct coordinator *coordinator,
+                         struct coordinator_database *db,
+                         const struct ck_database *database)
+{
+    db->may_be_superseded =
+        coordinator_find_order(coordinator, database) != NULL;
+    for (size_t i = 0; i < db->members_count; i++) {
+        db->members[i].is_fenced = false;
+    }
+}
+
 // Begins the revocation of the current term at all lease holders. Called when
 // the end of the term has been applied, or when a new leader finds an ended
 // term in the group state.
@@ -141,6 +169,7 @@
     db->awaited = NULL;
     const struct ck_database *database =
         group_find_database(coordinator->group, db->name);
+    coordinator_reset_claims(coordinator, db, database);
     coordinator_record(coordinator, "superseded", database, database->primary,
                        "database=%s term=%" PRIu64 " holders=%zu", db->name,
                        (uint64_t)database->term, leases);
@@ -443,20 +472,17 @@
     action->upstream.term = database->term + 1;
 }
 
-// Returns whether the promotion of the candidate is in the log.
+// Returns whether the promotion of the upstream with this index is in the log.
 static bool
 coordinator_is_ordered(const struct coordinator *coordinator,
-                       const struct coordinator_database *db,
-                       const struct ck_database *database)
+                       const struct ck_database *database, int index)
 {
     const struct ck_primary_change *order =
-        group_find_promotion(coordinator->group, db->name);
+        coordinator_find_order(coordinator, database);
 
     return order != NULL &&
-           strcmp(
-               order->primary,
-               database->upstreams.upstreams_val[db->candidate_index].name) ==
-               0;
+           strcmp(order->primary,
+                  database->upstreams.upstreams_val[index].name) == 0;
 }
 
 // Handles the order of a promotion that has got into the log. It is not sent
@@ -474,7 +500,7 @@
     }
     (void)coordinator_sync_members(db, database);
     if (!coordinator->has_quorum ||
-        !coordinator_is_ordered(coordinator, db, database)) {
+        !coordinator_is_ordered(coordinator, database, db->candidate_index)) {
         coordinator_restart_collection(coordinator, db);
         coordinator_run_database(coordinator, db);
         return;
@@ -491,7 +517,7 @@
                            const struct ck_database *database)
 {
     const struct ck_primary_change *order =
-        group_find_promotion(coordinator->group, db->name);
+        coordinator_find_order(coordinator, database);
 
     if (order == NULL) {
         return false;
@@ -522,67 +548,60 @@
     return false;
 }
 
-// Returns whether an upstream claims to be a primary, although this leader has
-// made another one the primary since and has not fenced it yet. With the term
-// of an earlier leader it may be one whose promotion that leader has ordered.
-static bool
-coordinator_is_unfenced(const struct coordinator_database *db,
-                        const struct ck_database *database, int index)
+// Publishes the upstream with this index, which claims to be the primary, or
+// fences it if nothing in the log supports the claim.
+static void
+coordinator_handle_claim(struct coordinator *coordinator,
+                         struct coordinator_database *db,
+                         const struct ck_database *database, int index)
 {
     const struct coordinator_member *member = &db->members[index];
+    const struct claim_params params = {
+        .is_first_term = database->term == 0,
+        .is_last_primary = strcmp(member->name, database->primary) == 0,
+        .is_ordered = coordinator_is_ordered(coordinator, database, index),
+        .may_be_superseded = db->may_be_superseded,
+        .is_fenced = member->is_fenced,
+    };
+    enum claim_verdict verdict = claim_judge(&params);
 
-    return db->has_published && member->is_primary && member->needs_fence &&
-           strcmp(member->name, database->primary) != 0;
-}
-
-// Returns why the candidate, which claims to be a primary, is published.
-static const char *
-coordinator_describe_claim(const struct coordinator *coordinator,
-                           const struct coordinator_database *db,
-                           const struct ck_database *database)
-{
-    if (coordinator_is_ordered(coordinator, db, database)) {
-        return "order";
+    if (verdict == CLAIM_UNKNOWN) {
+        coordinator_order_fence(coordinator, db, database, (size_t)index);
+        return;
     }
-    return db->is_kept ? "kept" : "claim";
+    db->candidate_index = index;
+    db->candidate_by = claim_get_name(verdict);
+    db->is_kept = params.is_last_primary;
+    // If the old primary stays, its timeline and thus the base of the term
+    // stay too.
+    bool stays = verdict == CLAIM_KEPT &&
+                 (!member->answered ||
+                  member->position.timeline == database->base.timeline);
+    db->base = stays ? database->base : member->position;
+    coordinator_propose_candidate(coordinator, db, database,
+                                  CK_CHANGE_PRIMARY);
 }
 
-// Promotes the upstream with this index. An upstream that already is a primary
-// is published without a promotion; one that was a primary before is fenced
-// first. The promotion gets into the log before it is ordered, so that the
-// next leader continues with it. Does nothing without a quorum.
+// Promotes the upstream with this index. The promotion gets into the log
+// before it is ordered, so that the next leader continues with it. Does
+// nothing without a quorum.
 void
 coordinator_promote(struct coordinator *coordinator,
                     struct coordinator_database *db,
                     const struct ck_database *database, int index)
 {
     const struct coordinator_member *member = &db->members[index];
-    const struct ck_upstream *upstream =
-        &database->upstreams.upstreams_val[index];
 
     if (!coordinator->has_quorum) {
         return;
     }
-    if (coordinator_is_unfenced(db, database, index)) {
-        coordinator_order_fence(coordinator, db, database, (size_t)index);
-        return;
-    }
-    db->candidate_index = index;
-    db->is_kept = strcmp(upstream->name, database->primary) == 0;
     if (member->is_primary) {
-        // If the old primary stays, its timeline and thus the base of the term
-        // stay too.
-        bool stays = db->is_kept &&
-                     (!member->answered ||
-                      member->position.timeline == database->base.timeline);
-        db->base = stays ? database->base : member->position;
-        db->candidate_by =
-            coordinator_describe_claim(coordinator, db, database);
-        coordinator_propose_candidate(coordinator, db, database,
-                                      CK_CHANGE_PRIMARY);
+        coordinator_handle_claim(coordinator, db, database, index);
         return;
     }
-    if (coordinator_is_ordered(coordinator, db, database)) {
+    db->candidate_index = index;
+    db->is_kept = strcmp(member->name, database->primary) == 0;
+    if (coordinator_is_ordered(coordinator, database, index)) {
         coordinator_send_order(coordinator, db, database);
         return;
     }
@@ -671,6 +690,7 @@
                        "database=%s outcome=%s", db->name,
                        outcome_get_name(outcome));
     db->is_order_refused = outcome == OUTCOME_NOT_RUN;
+    db->may_be_superseded = db->may_be_superseded || !db->is_order_refused;
     coordinator_restart_collection(coordinator, db);
     coordinator_run_database(coordinator, db);
 }
@@ -715,7 +735,6 @@
     coordinator_end_revocation(coordinator, db);
     db->ordered_us = 0;
     db->is_order_refused = false;
-    db->has_published = true;
     suspicion_clear(&db->suspicion);
     coordinator_sync_members(db, database);
     for (size_t i = 0; i < db->members_count; i++) {
--- a/src/catkingrade/decide/coordinator/coordinator_private.h
+++ b/src/catkingrade/decide/coordinator/coordinator_private.h
@@ -161,6 +161,7 @@
     int64_t lost_us;
     uint64_t lost_revision; // revision that marks the upstream as lost
     bool needs_fence;       // may still accept writes as a primary
+    bool is_fenced;         // in this change, and has not been a replica since
     bool needs_follow;      // must replicate from the current primary
     bool repairing;         // a FENCE or FOLLOW is in flight
     int64_t next_repair_us;
@@ -195,7 +196,8 @@
     struct coordinator_pending_lease *pending_leases;
     size_t pending_leases_count;
     struct coordinator_database *next_revoked;
-    bool has_published; // this leader has published a term
+    // A promotion for the next term may have taken effect.
+    bool may_be_superseded;
     bool is_revoked;    // in the list of revocations
     bool is_quiet;      // nothing in progress that goes on with the time
     bool is_grace_over; // holders must abort in-flight requests
@@ -508,6 +510,9 @@
                            struct coordinator_database *db,
                            const struct ck_database *database,
                            const char *reason);
+void coordinator_reset_claims(const struct coordinator *coordinator,
+                              struct coordinator_database *db,
+                              const struct ck_database *database);
 void coordinator_begin_revocation(struct coordinator *coordinator,
                                   struct coordinator_database *db);
 size_t coordinator_count_pending_leases(const struct coordinator_database *db,
--- /dev/null
+++ b/src/catkingrade/decide/promotion/claim.h
@@ -0,0 +1,33 @@
+#ifndef CATKINGRADE_DECIDE_PROMOTION_CLAIM_H
+#define CATKINGRADE_DECIDE_PROMOTION_CLAIM_H
+
+#include <stdbool.h>
+
+// Decides about an upstream that says of itself that it is the primary, while
+// the next term of its database has none yet. Its word does not tell whether
+// another upstream was promoted since: one that was cut off goes on claiming.
+// What the log holds tells it, to every leader alike.
+
+enum claim_verdict {
+    CLAIM_FIRST,   // the database has had no primary
+    CLAIM_KEPT,    // primary of the ended term; none was promoted since
+    CLAIM_ORDERED, // its promotion is in the log, and has taken effect
+    CLAIM_FENCED,  // a fence does not end the claims of such upstreams
+    CLAIM_UNKNOWN, // to be fenced, and then promoted like any other
+};
+
+struct claim_params {
+    bool is_first_term;
+    bool is_last_primary; // of the ended term
+    // Its promotion for the next term is in the log. It did not claim to be
+    // the primary when that was ordered.
+    bool is_ordered;
+    // Some promotion for the next term may have taken effect.
+    bool may_be_superseded;
+    bool is_fenced; // since it began to claim
+};
+
+enum claim_verdict claim_judge(const struct claim_params *params);
+const char *claim_get_name(enum claim_verdict verdict);
+
+#endif
--- a/test/rig/promotion_rig.h
+++ b/test/rig/promotion_rig.h
@@ -46,6 +46,8 @@
 // Creates the database with one primary and two replicas, of which `confirm`
 // must confirm a write, and elects the first leader.
 void promotion_rig_start(struct promotion_rig *rig, unsigned confirm);
+// Does the same without a primary: u0 claims to be the primary and is silent.
+void promotion_rig_start_without_primary(struct promotion_rig *rig);
 void promotion_rig_finish(struct promotion_rig *rig);
 // Lets virtual time pass.
 void promotion_rig_run(struct promotion_rig *rig, int64_t duration_us);
--- a/test/unit/decide/coordinator/test_former_primary.c
+++ b/test/unit/decide/coordinator/test_former_primary.c
@@ -153,6 +153,31 @@
 }
 END_TEST
 
+// Guards against commits at an upstream that claims to be the first primary
+// after another one was ordered to be it.
+START_TEST(test_first_primary_is_promoted_anew_after_order_of_another)
+{
+    struct promotion_rig rig;
+
+    promotion_rig_start_without_primary(&rig);
+    for (int i = 0; i < 1500 && rig.orders_count == 0; i++) {
+        promotion_rig_run(&rig, PROMOTION_RIG_STEP_US);
+    }
+    promotion_rig_run(&rig, S_US / 10);
+    promotion_rig_change_leader(&rig);
+    rig.upstreams[1].is_silent = true;
+    rig.upstreams[2].is_silent = true;
+    promotion_rig_run(&rig, S_US);
+    ck_assert_uint_ne(rig.promoted, 0);
+    rig.upstreams[0].is_silent = false;
+    run_until_term(&rig, 1);
+    promotion_rig_run(&rig, S_US);
+    ck_assert_uint_eq(rig.split_count, 0);
+    ck_assert_str_eq(get_primary(&rig), "u0");
+    promotion_rig_finish(&rig);
+}
+END_TEST
+
 // Guards against a second promotion of an upstream whose order an earlier
 // leader has sent and which has taken effect.
 START_TEST(test_ordered_upstream_is_published_by_next_leader)
@@ -205,6 +230,8 @@
         tests, test_kept_primary_is_promoted_anew_after_order_of_another, 0,
         2);
     tcase_add_test(tests, test_primary_is_kept_after_refused_order);
+    tcase_add_test(tests,
+                   test_first_primary_is_promoted_anew_after_order_of_another);
     tcase_add_test(tests, test_ordered_upstream_is_published_by_next_leader);
     tcase_add_test(tests, test_fence_without_demotion_ends_the_wait);
 }
