test(coordinator): an empty log publishes a former primary as the first (red)

After all control disks were lost, the first term begins with an upstream that says it is the primary (CLAIM_FIRST). The word of a former primary that was cut off is the same.

Time line of the play: u1 was promoted last and is silent, u0 is a former primary and answers, control's log is empty.

--- a/test/unit/decide/coordinator/test_former_primary.c
+++ b/test/unit/decide/coordinator/test_former_primary.c
@@ -218,6 +218,24 @@
 }
 END_TEST
 
+// Guards against commits at a former primary that control, with an empty log,
+// takes for the first primary while the last promoted upstream is silent.
+START_TEST(test_former_primary_is_not_published_by_empty_log)
+{
+    struct promotion_rig rig;
+
+    promotion_rig_start_without_primary(&rig);
+    rig.promoted = 1;
+    rig.upstreams[1].is_primary = true;
+    rig.upstreams[1].timeline = 2;
+    rig.upstreams[1].is_silent = true;
+    rig.upstreams[0].is_silent = false;
+    promotion_rig_run(&rig, 8 * S_US);
+    ck_assert_uint_eq(rig.split_count, 0);
+    promotion_rig_finish(&rig);
+}
+END_TEST
+
 static void
 add_tests(TCase *tests)
 {
@@ -234,6 +252,7 @@
                    test_first_primary_is_promoted_anew_after_order_of_another);
     tcase_add_test(tests, test_ordered_upstream_is_published_by_next_leader);
     tcase_add_test(tests, test_fence_without_demotion_ends_the_wait);
+    tcase_add_test(tests, test_former_primary_is_not_published_by_empty_log);
 }
 
 TEST_MAIN("former_primary", add_tests)
