--- a/test/rig/promotion_rig.c
+++ b/test/rig/promotion_rig.c
@@ -176,6 +176,12 @@
     if (upstream->is_silent) {
         event.kind = COORDINATOR_EVENT_PROBE_FAILED;
     }
+    else if (upstream->is_busy) {
+        event.probe.is_busy = true;
+        event.probe.is_primary =
+            strcmp(promotion_rig_get_database(rig)->primary,
+                   upstream->name) == 0;
+    }
     else {
         event.probe.is_primary = upstream->is_primary;
         event.probe.position.timeline = upstream->timeline;
--- a/test/rig/promotion_rig.h
+++ b/test/rig/promotion_rig.h
@@ -21,6 +21,7 @@
     uint64_t lsn;
     bool is_primary;     // as it sees itself
     bool is_silent;      // answers nothing, and hears of no other primary
+    bool is_busy;        // rejects probes as overloaded
     bool is_probed;      // a probe waits for its answer
     int64_t promoted_us; // when an ordered promotion takes effect; 0: none
 };
--- a/test/unit/decide/coordinator/test_former_primary.c
+++ b/test/unit/decide/coordinator/test_former_primary.c
@@ -236,6 +236,29 @@
 }
 END_TEST
 
+// Guards against an order to a former primary that still claims to be one: its
+// claim is forgotten once it rejects a probe as overloaded.
+START_TEST(test_overloaded_former_primary_is_fenced)
+{
+    struct promotion_rig rig;
+
+    start_second_term(&rig);
+    promotion_rig_change_leader(&rig);
+    promotion_rig_run(&rig, S_US);
+    promotion_rig_lose_primary(&rig);
+    rig.upstreams[2].is_busy = true;
+    rig.upstreams[0].is_silent = false;
+    promotion_rig_run(&rig, 5 * PROMOTION_RIG_STEP_US);
+    rig.upstreams[0].is_busy = true;
+    run_until_term(&rig, 3);
+    promotion_rig_run(&rig, S_US);
+    ck_assert_str_eq(get_primary(&rig), "u0");
+    ck_assert_uint_eq(rig.split_count, 0);
+    ck_assert_uint_ge(rig.fences_count, 1);
+    promotion_rig_finish(&rig);
+}
+END_TEST
+
 static void
 add_tests(TCase *tests)
 {
@@ -253,6 +276,7 @@
     tcase_add_test(tests, test_ordered_upstream_is_published_by_next_leader);
     tcase_add_test(tests, test_fence_without_demotion_ends_the_wait);
     tcase_add_test(tests, test_former_primary_is_not_published_by_empty_log);
+    tcase_add_test(tests, test_overloaded_former_primary_is_fenced);
 }
 
 TEST_MAIN("former_primary", add_tests)
