test(coordinator): a claim from before a fence counts as one after it (red)

coordinator_handle_repair_result discards the last answer of an upstream whose fence has ended, but not a probe that is in flight. If its answer, from before the fence, arrives after it (a lost segment is enough), the upstream counts as one that claims to be the primary although it was fenced: CLAIM_FENCED. It is published without a promotion, by=fence, and is a replica. No write runs there until a probe finds the primary demoted and the term is ended again.

Time line of the play, answers to probes 50 ms under way: u0 claims, FENCE is sent while a probe is in flight, the fence ends well, the answer arrives, u0 is published.

--- a/test/rig/promotion_rig.c
+++ b/test/rig/promotion_rig.c
@@ -122,6 +122,16 @@
     }
 }
 
+static void
+promotion_rig_probe(struct promotion_rig *rig, const char *name)
+{
+    struct promotion_rig_upstream *upstream = promotion_rig_find(rig, name);
+
+    upstream->is_probed = true;
+    upstream->probed_us = rig->now_us;
+    upstream->probed_primary = upstream->is_primary;
+}
+
 static void
 promotion_rig_run_action(struct promotion_rig *rig,
                          const struct coordinator_action *action)
@@ -133,8 +143,7 @@
         }
         break;
     case COORDINATOR_ACTION_PROBE:
-        promotion_rig_find(rig, action->upstream.upstream->name)->is_probed =
-            true;
+        promotion_rig_probe(rig, action->upstream.upstream->name);
         break;
     case COORDINATOR_ACTION_PROMOTE:
         promotion_rig_order(rig, action->upstream.upstream->name);
@@ -183,7 +192,8 @@
                    upstream->name) == 0;
     }
     else {
-        event.probe.is_primary = upstream->is_primary;
+        event.probe.is_primary = rig->answer_us > 0 ? upstream->probed_primary
+                                                    : upstream->is_primary;
         event.probe.position.timeline = upstream->timeline;
         event.probe.position.lsn = upstream->lsn;
     }
@@ -249,7 +259,8 @@
     promotion_rig_step(rig, &tick);
     for (size_t i = 0; i < PROMOTION_RIG_UPSTREAMS; i++) {
         struct promotion_rig_upstream *upstream = &rig->upstreams[i];
-        if (upstream->is_probed) {
+        if (upstream->is_probed &&
+            rig->now_us >= upstream->probed_us + rig->answer_us) {
             promotion_rig_answer_probe(rig, upstream);
         }
         if (upstream->promoted_us != 0 &&
--- a/test/rig/promotion_rig.h
+++ b/test/rig/promotion_rig.h
@@ -23,6 +23,8 @@
     bool is_silent;      // answers nothing, and hears of no other primary
     bool is_busy;        // rejects probes as overloaded
     bool is_probed;      // a probe waits for its answer
+    bool probed_primary; // is_primary when the probe was sent
+    int64_t probed_us;
     int64_t promoted_us; // when an ordered promotion takes effect; 0: none
 };
 
@@ -33,6 +35,7 @@
     uint64_t leader_term;
     struct promotion_rig_upstream upstreams[PROMOTION_RIG_UPSTREAMS];
     int64_t promotion_us; // from the order of a promotion to its effect
+    int64_t answer_us;    // from the answer to a probe to its arrival
     size_t orders_count;  // promotions ordered
     size_t fences_count;  // FENCE orders at upstreams that claimed to be one
     char ordered[8];      // upstream whose promotion was ordered last
--- a/test/unit/decide/coordinator/test_former_primary.c
+++ b/test/unit/decide/coordinator/test_former_primary.c
@@ -259,6 +259,25 @@
 }
 END_TEST
 
+// Guards against a fenced upstream that is published on an answer from before
+// the fence.
+START_TEST(test_answer_from_before_the_fence_does_not_count)
+{
+    struct promotion_rig rig;
+
+    start_second_term(&rig);
+    promotion_rig_change_leader(&rig);
+    promotion_rig_run(&rig, S_US + _i * PROMOTION_RIG_STEP_US);
+    rig.answer_us = 5 * PROMOTION_RIG_STEP_US;
+    return_to_first_primary(&rig);
+    run_until_term(&rig, 3);
+    ck_assert_str_eq(rig.ordered, "u0");
+    ck_assert(rig.upstreams[0].is_primary);
+    ck_assert_uint_eq(rig.split_count, 0);
+    promotion_rig_finish(&rig);
+}
+END_TEST
+
 static void
 add_tests(TCase *tests)
 {
@@ -277,6 +296,8 @@
     tcase_add_test(tests, test_fence_without_demotion_ends_the_wait);
     tcase_add_test(tests, test_former_primary_is_not_published_by_empty_log);
     tcase_add_test(tests, test_overloaded_former_primary_is_fenced);
+    tcase_add_loop_test(
+        tests, test_answer_from_before_the_fence_does_not_count, 0, 10);
 }
 
 TEST_MAIN("former_primary", add_tests)
