test(coordinator): a database that is declared again has no primary (red)

Events of an upstream whose database is not declared are dropped (coordinator_find_promoting, coordinator_handle_probe_result and coordinator_handle_repair_result, which find no upstream), and with them what they would have ended: PROMOTING, probing, repairing. The coordinator's state of the database stays, and is taken up again once it is declared again.

Time line of the plays: the primary is lost; (0) u1 is ordered, (1) the probes are under way; the database is removed for a second, in which the answers come; it is declared again. No probe is sent and no order, for 15 s (until the lead of control changes).

--- a/test/rig/promotion_rig.c
+++ b/test/rig/promotion_rig.c
@@ -243,7 +243,7 @@
 {
     const struct ck_database *database = promotion_rig_get_database(rig);
 
-    if (database->term > 0 && !database->superseding &&
+    if (database != NULL && database->term > 0 && !database->superseding &&
         promotion_rig_find(rig, database->primary) !=
             &rig->upstreams[rig->promoted]) {
         rig->split_count++;
@@ -285,24 +285,33 @@
 }
 
 static void
-promotion_rig_declare(struct promotion_rig *rig, unsigned confirm)
+promotion_rig_declare(struct promotion_rig *rig, const char *name,
+                      uint64_t version, unsigned confirm)
 {
     struct ck_change change = {.kind = CK_CHANGE_DECLARATION};
+    struct group_result result = {0};
+    struct coordinator_event event = {.kind = COORDINATOR_EVENT_APPLIED};
     struct ck_route route = {.name = (char *)"booking",
-                             .database = (char *)DATABASE,
+                             .database = (char *)(uintptr_t)name,
                              .deadline_ms = 1000};
-    struct ck_declared_database database = {
-        .name = (char *)DATABASE, .connections = 33, .confirm = confirm};
+    struct ck_declared_database database = {.name = (char *)(uintptr_t)name,
+                                            .connections = 33,
+                                            .confirm = confirm};
     struct ck_declaration declaration = {
         .routes = {.routes_len = 1, .routes_val = &route},
         .databases = {.databases_len = 1, .databases_val = &database},
         .original = {.original_len = 4, .original_val = (char *)"text"}};
 
-    ck_assert_int_eq(
-        declaration_pack(&declaration, 1, &change.ck_change_u.declaration),
-        OUTCOME_OK);
-    ck_assert_int_eq(changes_apply(rig->group, 0, &change, "", -1, NULL),
+    ck_assert_int_eq(declaration_pack(&declaration, version,
+                                      &change.ck_change_u.declaration),
                      OUTCOME_OK);
+    ck_assert_int_eq(changes_apply(rig->group, 0, &change, "", -1, &result),
+                     OUTCOME_OK);
+    if (rig->coordinator != NULL) {
+        event.applied.change = &change;
+        event.applied.result = &result;
+        promotion_rig_step(rig, &event);
+    }
     declaration_free_packed(&change.ck_change_u.declaration);
 }
 
@@ -354,7 +363,7 @@
     rig->now_us = START_US;
     rig->promotion_us = 50 * PROMOTION_RIG_STEP_US;
     rig->group = group_create(GROUP_FLEET_NAME);
-    promotion_rig_declare(rig, confirm);
+    promotion_rig_declare(rig, DATABASE, ++rig->declared_version, confirm);
     promotion_rig_add_upstreams(rig);
 }
 
@@ -419,6 +428,13 @@
     promotion_rig_step(rig, &event);
 }
 
+void
+promotion_rig_set_declared(struct promotion_rig *rig, bool is_declared)
+{
+    promotion_rig_declare(rig, is_declared ? DATABASE : "roster2",
+                          ++rig->declared_version, 0);
+}
+
 void
 promotion_rig_supersede(struct promotion_rig *rig)
 {
--- a/test/rig/promotion_rig.h
+++ b/test/rig/promotion_rig.h
@@ -33,6 +33,7 @@
     struct coordinator *coordinator;
     int64_t now_us;
     uint64_t leader_term;
+    uint64_t declared_version;
     struct promotion_rig_upstream upstreams[PROMOTION_RIG_UPSTREAMS];
     int64_t promotion_us; // from the order of a promotion to its effect
     int64_t answer_us;    // from the answer to a probe to its arrival
@@ -63,6 +64,8 @@
 void promotion_rig_lose_primary(struct promotion_rig *rig);
 const struct ck_database *
 promotion_rig_get_database(const struct promotion_rig *rig);
+// Leaves the database out of the declaration, or declares it again.
+void promotion_rig_set_declared(struct promotion_rig *rig, bool is_declared);
 // Ends the term of the primary, which goes on running, as a planned change.
 void promotion_rig_supersede(struct promotion_rig *rig);
 // Replaces the leader by another one, which knows the log only. What the old
--- a/test/unit/decide/coordinator/test_former_primary.c
+++ b/test/unit/decide/coordinator/test_former_primary.c
@@ -278,6 +278,27 @@
 }
 END_TEST
 
+// Guards against a database without a primary: it was not declared when the
+// answer to an order (0) or to a probe (1) came, and is declared again.
+START_TEST(test_change_of_primary_goes_on_after_removal_of_database)
+{
+    struct promotion_rig rig;
+
+    promotion_rig_start(&rig, 0);
+    rig.upstreams[1].lsn = 250;
+    promotion_rig_lose_primary(&rig);
+    for (int i = 0; _i == 0 && i < 500 && rig.orders_count == 0; i++) {
+        promotion_rig_run(&rig, PROMOTION_RIG_STEP_US);
+    }
+    promotion_rig_set_declared(&rig, false);
+    promotion_rig_run(&rig, S_US);
+    promotion_rig_set_declared(&rig, true);
+    run_until_term(&rig, 2);
+    ck_assert_str_eq(get_primary(&rig), "u1");
+    promotion_rig_finish(&rig);
+}
+END_TEST
+
 static void
 add_tests(TCase *tests)
 {
@@ -296,6 +317,8 @@
     tcase_add_test(tests, test_fence_without_demotion_ends_the_wait);
     tcase_add_test(tests, test_former_primary_is_not_published_by_empty_log);
     tcase_add_test(tests, test_overloaded_former_primary_is_fenced);
+    tcase_add_loop_test(
+        tests, test_change_of_primary_goes_on_after_removal_of_database, 0, 2);
     tcase_add_loop_test(
         tests, test_answer_from_before_the_fence_does_not_count, 0, 10);
 }
