test(coordinator): an order counts as over while its last call is under way (red)

ordered_decide waits 2 s since the order, 'a call and the promotion itself'. platform/wire_admin.c repeats the call for 8 s (WIRE_ADMIN_PROMOTE_TIMEOUT_US), so that at its failure the wait is over, however late the last call was sent.

Time line of the play: u1 is ordered, falls silent; +8.0 s the order fails without an answer, at once u2 is ordered; +8.25 s u2 leads and is published; +8.5 s the last call of the first order takes effect at u1.

--- a/test/unit/decide/coordinator/test_ordered_promotion.c
+++ b/test/unit/decide/coordinator/test_ordered_promotion.c
@@ -8,6 +8,8 @@
 #include "test/suite.h"
 
 #define S_US INT64_C(1000000)
+// Time for which the driver repeats the call of an order.
+#define DRIVER_US (8 * S_US)
 
 // Runs until a promotion has been ordered.
 static void
@@ -116,6 +118,26 @@
 }
 END_TEST
 
+// Guards against a second upstream that is ordered while a call of the first
+// order, the last of many, may still take effect.
+START_TEST(test_late_call_of_failed_order_is_waited_for)
+{
+    struct promotion_rig rig;
+
+    start_change(&rig, DRIVER_US + S_US / 2, true);
+    rig.upstreams[1].is_silent = true;
+    promotion_rig_run(&rig, DRIVER_US);
+    rig.promotion_us = S_US / 4;
+    promotion_rig_fail_order(&rig);
+    promotion_rig_run(&rig, S_US);
+    ck_assert_uint_eq(rig.promoted, 1);
+    rig.upstreams[1].is_silent = false;
+    promotion_rig_run(&rig, 8 * S_US);
+    ck_assert_uint_eq(rig.split_count, 0);
+    promotion_rig_finish(&rig);
+}
+END_TEST
+
 static void
 add_tests(TCase *tests)
 {
@@ -123,6 +145,7 @@
         tests, test_next_leader_continues_with_ordered_upstream, 0, 12);
     tcase_add_test(tests, test_order_without_answer_is_continued);
     tcase_add_test(tests, test_silent_ordered_upstream_is_given_up);
+    tcase_add_test(tests, test_late_call_of_failed_order_is_waited_for);
     tcase_add_test(tests,
                    test_promotion_is_not_ordered_before_it_is_in_the_log);
 }
