test(coordinator): the term of a newly promoted primary ends as it begins (red)

is_demoted says that the last probe answer came from the primary of the term, as a replica. It outlives the term: if the former primary was fenced while the next one was looked for (always, since claims are fenced) and no other upstream has answered since, coordinator_check_primary ends the new term in the step in which it is published.

Time line of the play: u0 is cut off, u1 is ordered, its answer is lost, it falls silent; u0 is back, is fenced, answers as a replica, is promoted and published as primary of term 2; in the same step term 2 is superseded; u0 is published in term 3, by=kept.

Red: term 3 instead of 2.

--- a/test/unit/decide/coordinator/test_former_primary.c
+++ b/test/unit/decide/coordinator/test_former_primary.c
@@ -299,6 +299,31 @@
 }
 END_TEST
 
+// Guards against a term that ends as it begins: the answer of the former
+// primary, a replica once it was fenced, is taken for one of the new primary.
+START_TEST(test_term_of_fenced_primary_goes_on)
+{
+    struct promotion_rig rig;
+
+    promotion_rig_start(&rig, 0);
+    rig.upstreams[1].lsn = 250;
+    rig.upstreams[2].is_silent = true;
+    promotion_rig_lose_primary(&rig);
+    for (int i = 0; i < 500 && rig.orders_count == 0; i++) {
+        promotion_rig_run(&rig, PROMOTION_RIG_STEP_US);
+    }
+    promotion_rig_fail_order(&rig);
+    rig.upstreams[1].is_silent = true;
+    promotion_rig_run(&rig, S_US);
+    rig.upstreams[0].is_silent = false;
+    run_until_term(&rig, 2);
+    promotion_rig_run(&rig, 8 * S_US);
+    ck_assert_str_eq(get_primary(&rig), "u0");
+    ck_assert_uint_eq(promotion_rig_get_database(&rig)->term, 2);
+    promotion_rig_finish(&rig);
+}
+END_TEST
+
 static void
 add_tests(TCase *tests)
 {
@@ -319,6 +344,7 @@
     tcase_add_test(tests, test_overloaded_former_primary_is_fenced);
     tcase_add_loop_test(
         tests, test_change_of_primary_goes_on_after_removal_of_database, 0, 2);
+    tcase_add_test(tests, test_term_of_fenced_primary_goes_on);
     tcase_add_loop_test(
         tests, test_answer_from_before_the_fence_does_not_count, 0, 10);
 }
