test(coordinator): an overloaded replica is kept as the primary (red)

As with the former primary: the role that host_fill_overloaded_event assumes replaces the one that the upstream has answered, here that of the ended term's primary, which had become a replica.

Time line of the play: u0, primary of term 1, is a replica by now and says so (+0.01 s), then rejects probes as overloaded (+0.10 s); u1 is silent, u2 overloaded. +1.0 s u0 is published in term 2, by=kept, without a promotion.

Red: term 2 instead of 1 while u0 is a replica.

--- a/test/unit/decide/coordinator/test_former_primary.c
+++ b/test/unit/decide/coordinator/test_former_primary.c
@@ -324,6 +324,29 @@
 }
 END_TEST
 
+// Guards against a replica that is published as the primary: it was demoted,
+// as it has answered, and rejects the next probe as overloaded.
+START_TEST(test_overloaded_demoted_primary_is_not_kept)
+{
+    struct promotion_rig rig;
+
+    promotion_rig_start(&rig, 0);
+    rig.upstreams[0].lsn = 250;
+    rig.upstreams[0].is_primary = false;
+    rig.upstreams[1].is_silent = true;
+    rig.upstreams[2].is_busy = true;
+    promotion_rig_supersede(&rig);
+    promotion_rig_run(&rig, 5 * PROMOTION_RIG_STEP_US);
+    rig.upstreams[0].is_busy = true;
+    promotion_rig_run(&rig, 2 * S_US);
+    ck_assert_uint_eq(promotion_rig_get_database(&rig)->term, 1);
+    rig.upstreams[0].is_busy = false;
+    run_until_term(&rig, 2);
+    ck_assert_str_eq(rig.ordered, "u0");
+    promotion_rig_finish(&rig);
+}
+END_TEST
+
 static void
 add_tests(TCase *tests)
 {
@@ -342,6 +365,7 @@
     tcase_add_test(tests, test_fence_without_demotion_ends_the_wait);
     tcase_add_test(tests, test_former_primary_is_not_published_by_empty_log);
     tcase_add_test(tests, test_overloaded_former_primary_is_fenced);
+    tcase_add_test(tests, test_overloaded_demoted_primary_is_not_kept);
     tcase_add_loop_test(
         tests, test_change_of_primary_goes_on_after_removal_of_database, 0, 2);
     tcase_add_test(tests, test_term_of_fenced_primary_goes_on);
