--- a/test/rig/promotion_rig.c
+++ b/test/rig/promotion_rig.c
@@ -188,8 +188,8 @@
     else if (upstream->is_busy) {
         event.probe.is_busy = true;
         event.probe.is_primary =
-            strcmp(promotion_rig_get_database(rig)->primary,
-                   upstream->name) == 0;
+            strcmp(promotion_rig_get_database(rig)->primary, upstream->name) ==
+            0;
     }
     else {
         event.probe.is_primary = rig->answer_us > 0 ? upstream->probed_primary
