--- a/test/rig/promotion_rig.c
+++ b/test/rig/promotion_rig.c
@@ -237,15 +237,19 @@
 }
 
 // Counts a step in which the primary of a term that is in force is not the one
-// that was promoted last: its writes would be acknowledged and lost.
+// that was promoted last, so that its writes would be acknowledged and lost,
+// or is a replica.
 static void
 promotion_rig_check_split(struct promotion_rig *rig)
 {
     const struct ck_database *database = promotion_rig_get_database(rig);
 
-    if (database != NULL && database->term > 0 && !database->superseding &&
-        promotion_rig_find(rig, database->primary) !=
-            &rig->upstreams[rig->promoted]) {
+    if (database == NULL || database->term == 0 || database->superseding) {
+        return;
+    }
+    const struct promotion_rig_upstream *primary =
+        promotion_rig_find(rig, database->primary);
+    if (primary != &rig->upstreams[rig->promoted] || !primary->is_primary) {
         rig->split_count++;
     }
 }
