test(coordinator): a fence under way demotes the next primary (red)

A promotion is ordered while a FENCE of the same upstream is in flight (coordinator_promote does not look at member->repairing). The fence is not bound to the term that ordered it: host_run_admin drops action->upstream.term, and platform/wire_admin.c steps down from the term that it finds.

Time line of the play, a fence takes 1 s to arrive: term 2 is published with u1; u0 is back, FENCE of u0 is sent; u1 is lost, u0 answers as a replica, is promoted and published in term 3; the fence arrives, u0 is a replica; term 3 is ended as 'primary was demoted' and another one is needed.

--- a/test/rig/promotion_rig.c
+++ b/test/rig/promotion_rig.c
@@ -56,7 +56,7 @@
     codec_free((xdrproc_t)xdr_ck_log_payload, &payload);
 }
 
-// Answers FENCE and FOLLOW orders at once. A fence ends the upstream's claim
+// Answers FENCE and FOLLOW orders. A fence ends the upstream's claim
 // to be the primary.
 static void
 promotion_rig_finish_repair(struct promotion_rig *rig, const char *name,
@@ -122,6 +122,16 @@
     }
 }
 
+static void
+promotion_rig_fence(struct promotion_rig *rig, const char *name)
+{
+    if (rig->fence_us > 0) {
+        promotion_rig_find(rig, name)->fenced_us = rig->now_us + rig->fence_us;
+        return;
+    }
+    promotion_rig_finish_repair(rig, name, COORDINATOR_EVENT_FENCED);
+}
+
 static void
 promotion_rig_probe(struct promotion_rig *rig, const char *name)
 {
@@ -149,8 +159,7 @@
         promotion_rig_order(rig, action->upstream.upstream->name);
         break;
     case COORDINATOR_ACTION_FENCE:
-        promotion_rig_finish_repair(rig, action->upstream.upstream->name,
-                                    COORDINATOR_EVENT_FENCED);
+        promotion_rig_fence(rig, action->upstream.upstream->name);
         break;
     case COORDINATOR_ACTION_FOLLOW:
         promotion_rig_finish_repair(rig, action->upstream.upstream->name,
@@ -267,6 +276,11 @@
             rig->now_us >= upstream->probed_us + rig->answer_us) {
             promotion_rig_answer_probe(rig, upstream);
         }
+        if (upstream->fenced_us != 0 && upstream->fenced_us <= rig->now_us) {
+            upstream->fenced_us = 0;
+            promotion_rig_finish_repair(rig, upstream->name,
+                                        COORDINATOR_EVENT_FENCED);
+        }
         if (upstream->promoted_us != 0 &&
             upstream->promoted_us <= rig->now_us) {
             promotion_rig_promote(rig, upstream);
--- a/test/rig/promotion_rig.h
+++ b/test/rig/promotion_rig.h
@@ -26,6 +26,7 @@
     bool probed_primary; // is_primary when the probe was sent
     int64_t probed_us;
     int64_t promoted_us; // when an ordered promotion takes effect; 0: none
+    int64_t fenced_us;   // when a FENCE under way takes effect; 0: none
 };
 
 struct promotion_rig {
@@ -37,6 +38,7 @@
     struct promotion_rig_upstream upstreams[PROMOTION_RIG_UPSTREAMS];
     int64_t promotion_us; // from the order of a promotion to its effect
     int64_t answer_us;    // from the answer to a probe to its arrival
+    int64_t fence_us;     // from a FENCE order to its effect
     size_t orders_count;  // promotions ordered
     size_t fences_count;  // FENCE orders at upstreams that claimed to be one
     char ordered[8];      // upstream whose promotion was ordered last
--- a/test/unit/decide/coordinator/test_former_primary.c
+++ b/test/unit/decide/coordinator/test_former_primary.c
@@ -347,6 +347,32 @@
 }
 END_TEST
 
+// Guards against a fence from before the order that ends the new term: the
+// upstream is promoted while the fence is under way.
+START_TEST(test_fence_under_way_does_not_demote_the_next_primary)
+{
+    struct promotion_rig rig;
+
+    promotion_rig_start(&rig, 0);
+    rig.upstreams[1].lsn = 250;
+    rig.fence_us = S_US;
+    promotion_rig_lose_primary(&rig);
+    run_until_term(&rig, 2);
+    rig.upstreams[0].is_primary = false;
+    rig.upstreams[0].is_silent = false;
+    for (int i = 0; i < 100 && rig.upstreams[0].fenced_us == 0; i++) {
+        promotion_rig_run(&rig, PROMOTION_RIG_STEP_US);
+    }
+    return_to_first_primary(&rig);
+    run_until_term(&rig, 3);
+    promotion_rig_run(&rig, 4 * S_US);
+    ck_assert_str_eq(get_primary(&rig), "u0");
+    ck_assert_uint_eq(promotion_rig_get_database(&rig)->term, 3);
+    ck_assert_uint_eq(rig.split_count, 0);
+    promotion_rig_finish(&rig);
+}
+END_TEST
+
 static void
 add_tests(TCase *tests)
 {
@@ -369,6 +395,8 @@
     tcase_add_loop_test(
         tests, test_change_of_primary_goes_on_after_removal_of_database, 0, 2);
     tcase_add_test(tests, test_term_of_fenced_primary_goes_on);
+    tcase_add_test(tests,
+                   test_fence_under_way_does_not_demote_the_next_primary);
     tcase_add_loop_test(
         tests, test_answer_from_before_the_fence_does_not_count, 0, 10);
 }
