--- a/test/rig/promotion_rig.c
+++ b/test/rig/promotion_rig.c
@@ -56,7 +56,7 @@
     codec_free((xdrproc_t)xdr_ck_log_payload, &payload);
 }
 
-// Answers FENCE and FOLLOW orders at once. A fence ends the upstream's claim
+// Answers FENCE and FOLLOW orders. A fence ends the upstream's claim
 // to be the primary.
 static void
 promotion_rig_finish_repair(struct promotion_rig *rig, const char *name,
@@ -122,6 +122,26 @@
     }
 }
 
+static void
+promotion_rig_fence(struct promotion_rig *rig, const char *name)
+{
+    if (rig->fence_us > 0) {
+        promotion_rig_find(rig, name)->fenced_us = rig->now_us + rig->fence_us;
+        return;
+    }
+    promotion_rig_finish_repair(rig, name, COORDINATOR_EVENT_FENCED);
+}
+
+static void
+promotion_rig_probe(struct promotion_rig *rig, const char *name)
+{
+    struct promotion_rig_upstream *upstream = promotion_rig_find(rig, name);
+
+    upstream->is_probed = true;
+    upstream->probed_us = rig->now_us;
+    upstream->probed_primary = upstream->is_primary;
+}
+
 static void
 promotion_rig_run_action(struct promotion_rig *rig,
                          const struct coordinator_action *action)
@@ -133,15 +153,13 @@
         }
         break;
     case COORDINATOR_ACTION_PROBE:
-        promotion_rig_find(rig, action->upstream.upstream->name)->is_probed =
-            true;
+        promotion_rig_probe(rig, action->upstream.upstream->name);
         break;
     case COORDINATOR_ACTION_PROMOTE:
         promotion_rig_order(rig, action->upstream.upstream->name);
         break;
     case COORDINATOR_ACTION_FENCE:
-        promotion_rig_finish_repair(rig, action->upstream.upstream->name,
-                                    COORDINATOR_EVENT_FENCED);
+        promotion_rig_fence(rig, action->upstream.upstream->name);
         break;
     case COORDINATOR_ACTION_FOLLOW:
         promotion_rig_finish_repair(rig, action->upstream.upstream->name,
@@ -176,8 +194,15 @@
     if (upstream->is_silent) {
         event.kind = COORDINATOR_EVENT_PROBE_FAILED;
     }
+    else if (upstream->is_busy) {
+        event.probe.is_busy = true;
+        event.probe.is_primary =
+            strcmp(promotion_rig_get_database(rig)->primary, upstream->name) ==
+            0;
+    }
     else {
-        event.probe.is_primary = upstream->is_primary;
+        event.probe.is_primary = rig->answer_us > 0 ? upstream->probed_primary
+                                                    : upstream->is_primary;
         event.probe.position.timeline = upstream->timeline;
         event.probe.position.lsn = upstream->lsn;
     }
@@ -221,15 +246,19 @@
 }
 
 // Counts a step in which the primary of a term that is in force is not the one
-// that was promoted last: its writes would be acknowledged and lost.
+// that was promoted last, so that its writes would be acknowledged and lost,
+// or is a replica.
 static void
 promotion_rig_check_split(struct promotion_rig *rig)
 {
     const struct ck_database *database = promotion_rig_get_database(rig);
 
-    if (database->term > 0 && !database->superseding &&
-        promotion_rig_find(rig, database->primary) !=
-            &rig->upstreams[rig->promoted]) {
+    if (database == NULL || database->term == 0 || database->superseding) {
+        return;
+    }
+    const struct promotion_rig_upstream *primary =
+        promotion_rig_find(rig, database->primary);
+    if (primary != &rig->upstreams[rig->promoted] || !primary->is_primary) {
         rig->split_count++;
     }
 }
@@ -243,9 +272,15 @@
     promotion_rig_step(rig, &tick);
     for (size_t i = 0; i < PROMOTION_RIG_UPSTREAMS; i++) {
         struct promotion_rig_upstream *upstream = &rig->upstreams[i];
-        if (upstream->is_probed) {
+        if (upstream->is_probed &&
+            rig->now_us >= upstream->probed_us + rig->answer_us) {
             promotion_rig_answer_probe(rig, upstream);
         }
+        if (upstream->fenced_us != 0 && upstream->fenced_us <= rig->now_us) {
+            upstream->fenced_us = 0;
+            promotion_rig_finish_repair(rig, upstream->name,
+                                        COORDINATOR_EVENT_FENCED);
+        }
         if (upstream->promoted_us != 0 &&
             upstream->promoted_us <= rig->now_us) {
             promotion_rig_promote(rig, upstream);
@@ -268,24 +303,33 @@
 }
 
 static void
-promotion_rig_declare(struct promotion_rig *rig, unsigned confirm)
+promotion_rig_declare(struct promotion_rig *rig, const char *name,
+                      uint64_t version, unsigned confirm)
 {
     struct ck_change change = {.kind = CK_CHANGE_DECLARATION};
+    struct group_result result = {0};
+    struct coordinator_event event = {.kind = COORDINATOR_EVENT_APPLIED};
     struct ck_route route = {.name = (char *)"booking",
-                             .database = (char *)DATABASE,
+                             .database = (char *)(uintptr_t)name,
                              .deadline_ms = 1000};
-    struct ck_declared_database database = {
-        .name = (char *)DATABASE, .connections = 33, .confirm = confirm};
+    struct ck_declared_database database = {.name = (char *)(uintptr_t)name,
+                                            .connections = 33,
+                                            .confirm = confirm};
     struct ck_declaration declaration = {
         .routes = {.routes_len = 1, .routes_val = &route},
         .databases = {.databases_len = 1, .databases_val = &database},
         .original = {.original_len = 4, .original_val = (char *)"text"}};
 
-    ck_assert_int_eq(
-        declaration_pack(&declaration, 1, &change.ck_change_u.declaration),
-        OUTCOME_OK);
-    ck_assert_int_eq(changes_apply(rig->group, 0, &change, "", -1, NULL),
+    ck_assert_int_eq(declaration_pack(&declaration, version,
+                                      &change.ck_change_u.declaration),
+                     OUTCOME_OK);
+    ck_assert_int_eq(changes_apply(rig->group, 0, &change, "", -1, &result),
                      OUTCOME_OK);
+    if (rig->coordinator != NULL) {
+        event.applied.change = &change;
+        event.applied.result = &result;
+        promotion_rig_step(rig, &event);
+    }
     declaration_free_packed(&change.ck_change_u.declaration);
 }
 
@@ -337,7 +381,7 @@
     rig->now_us = START_US;
     rig->promotion_us = 50 * PROMOTION_RIG_STEP_US;
     rig->group = group_create(GROUP_FLEET_NAME);
-    promotion_rig_declare(rig, confirm);
+    promotion_rig_declare(rig, DATABASE, ++rig->declared_version, confirm);
     promotion_rig_add_upstreams(rig);
 }
 
@@ -402,6 +446,13 @@
     promotion_rig_step(rig, &event);
 }
 
+void
+promotion_rig_set_declared(struct promotion_rig *rig, bool is_declared)
+{
+    promotion_rig_declare(rig, is_declared ? DATABASE : "roster2",
+                          ++rig->declared_version, 0);
+}
+
 void
 promotion_rig_supersede(struct promotion_rig *rig)
 {
--- a/test/rig/promotion_rig.h
+++ b/test/rig/promotion_rig.h
@@ -21,8 +21,12 @@
     uint64_t lsn;
     bool is_primary;     // as it sees itself
     bool is_silent;      // answers nothing, and hears of no other primary
+    bool is_busy;        // rejects probes as overloaded
     bool is_probed;      // a probe waits for its answer
+    bool probed_primary; // is_primary when the probe was sent
+    int64_t probed_us;
     int64_t promoted_us; // when an ordered promotion takes effect; 0: none
+    int64_t fenced_us;   // when a FENCE under way takes effect; 0: none
 };
 
 struct promotion_rig {
@@ -30,8 +34,11 @@
     struct coordinator *coordinator;
     int64_t now_us;
     uint64_t leader_term;
+    uint64_t declared_version;
     struct promotion_rig_upstream upstreams[PROMOTION_RIG_UPSTREAMS];
     int64_t promotion_us; // from the order of a promotion to its effect
+    int64_t answer_us;    // from the answer to a probe to its arrival
+    int64_t fence_us;     // from a FENCE order to its effect
     size_t orders_count;  // promotions ordered
     size_t fences_count;  // FENCE orders at upstreams that claimed to be one
     char ordered[8];      // upstream whose promotion was ordered last
@@ -59,6 +66,8 @@
 void promotion_rig_lose_primary(struct promotion_rig *rig);
 const struct ck_database *
 promotion_rig_get_database(const struct promotion_rig *rig);
+// Leaves the database out of the declaration, or declares it again.
+void promotion_rig_set_declared(struct promotion_rig *rig, bool is_declared);
 // Ends the term of the primary, which goes on running, as a planned change.
 void promotion_rig_supersede(struct promotion_rig *rig);
 // Replaces the leader by another one, which knows the log only. What the old
--- a/test/unit/decide/coordinator/test_former_primary.c
+++ b/test/unit/decide/coordinator/test_former_primary.c
@@ -218,6 +218,161 @@
 }
 END_TEST
 
+// Guards against commits at a former primary that control, with an empty log,
+// takes for the first primary while the last promoted upstream is silent.
+START_TEST(test_former_primary_is_not_published_by_empty_log)
+{
+    struct promotion_rig rig;
+
+    promotion_rig_start_without_primary(&rig);
+    rig.promoted = 1;
+    rig.upstreams[1].is_primary = true;
+    rig.upstreams[1].timeline = 2;
+    rig.upstreams[1].is_silent = true;
+    rig.upstreams[0].is_silent = false;
+    promotion_rig_run(&rig, 8 * S_US);
+    ck_assert_uint_eq(rig.split_count, 0);
+    promotion_rig_finish(&rig);
+}
+END_TEST
+
+// Guards against an order to a former primary that still claims to be one: its
+// claim is forgotten once it rejects a probe as overloaded.
+START_TEST(test_overloaded_former_primary_is_fenced)
+{
+    struct promotion_rig rig;
+
+    start_second_term(&rig);
+    promotion_rig_change_leader(&rig);
+    promotion_rig_run(&rig, S_US);
+    promotion_rig_lose_primary(&rig);
+    rig.upstreams[2].is_busy = true;
+    rig.upstreams[0].is_silent = false;
+    promotion_rig_run(&rig, 5 * PROMOTION_RIG_STEP_US);
+    rig.upstreams[0].is_busy = true;
+    run_until_term(&rig, 3);
+    promotion_rig_run(&rig, S_US);
+    ck_assert_str_eq(get_primary(&rig), "u0");
+    ck_assert_uint_eq(rig.split_count, 0);
+    ck_assert_uint_ge(rig.fences_count, 1);
+    promotion_rig_finish(&rig);
+}
+END_TEST
+
+// Guards against a fenced upstream that is published on an answer from before
+// the fence.
+START_TEST(test_answer_from_before_the_fence_does_not_count)
+{
+    struct promotion_rig rig;
+
+    start_second_term(&rig);
+    promotion_rig_change_leader(&rig);
+    promotion_rig_run(&rig, S_US + _i * PROMOTION_RIG_STEP_US);
+    rig.answer_us = 5 * PROMOTION_RIG_STEP_US;
+    return_to_first_primary(&rig);
+    run_until_term(&rig, 3);
+    ck_assert_str_eq(rig.ordered, "u0");
+    ck_assert(rig.upstreams[0].is_primary);
+    ck_assert_uint_eq(rig.split_count, 0);
+    promotion_rig_finish(&rig);
+}
+END_TEST
+
+// Guards against a database without a primary: it was not declared when the
+// answer to an order (0) or to a probe (1) came, and is declared again.
+START_TEST(test_change_of_primary_goes_on_after_removal_of_database)
+{
+    struct promotion_rig rig;
+
+    promotion_rig_start(&rig, 0);
+    rig.upstreams[1].lsn = 250;
+    promotion_rig_lose_primary(&rig);
+    for (int i = 0; _i == 0 && i < 500 && rig.orders_count == 0; i++) {
+        promotion_rig_run(&rig, PROMOTION_RIG_STEP_US);
+    }
+    promotion_rig_set_declared(&rig, false);
+    promotion_rig_run(&rig, S_US);
+    promotion_rig_set_declared(&rig, true);
+    run_until_term(&rig, 2);
+    ck_assert_str_eq(get_primary(&rig), "u1");
+    promotion_rig_finish(&rig);
+}
+END_TEST
+
+// Guards against a term that ends as it begins: the answer of the former
+// primary, a replica once it was fenced, is taken for one of the new primary.
+START_TEST(test_term_of_fenced_primary_goes_on)
+{
+    struct promotion_rig rig;
+
+    promotion_rig_start(&rig, 0);
+    rig.upstreams[1].lsn = 250;
+    rig.upstreams[2].is_silent = true;
+    promotion_rig_lose_primary(&rig);
+    for (int i = 0; i < 500 && rig.orders_count == 0; i++) {
+        promotion_rig_run(&rig, PROMOTION_RIG_STEP_US);
+    }
+    promotion_rig_fail_order(&rig);
+    rig.upstreams[1].is_silent = true;
+    promotion_rig_run(&rig, S_US);
+    rig.upstreams[0].is_silent = false;
+    run_until_term(&rig, 2);
+    promotion_rig_run(&rig, 8 * S_US);
+    ck_assert_str_eq(get_primary(&rig), "u0");
+    ck_assert_uint_eq(promotion_rig_get_database(&rig)->term, 2);
+    promotion_rig_finish(&rig);
+}
+END_TEST
+
+// Guards against a replica that is published as the primary: it was demoted,
+// as it has answered, and rejects the next probe as overloaded.
+START_TEST(test_overloaded_demoted_primary_is_not_kept)
+{
+    struct promotion_rig rig;
+
+    promotion_rig_start(&rig, 0);
+    rig.upstreams[0].lsn = 250;
+    rig.upstreams[0].is_primary = false;
+    rig.upstreams[1].is_silent = true;
+    rig.upstreams[2].is_busy = true;
+    promotion_rig_supersede(&rig);
+    promotion_rig_run(&rig, 5 * PROMOTION_RIG_STEP_US);
+    rig.upstreams[0].is_busy = true;
+    promotion_rig_run(&rig, 2 * S_US);
+    ck_assert_uint_eq(promotion_rig_get_database(&rig)->term, 1);
+    rig.upstreams[0].is_busy = false;
+    run_until_term(&rig, 2);
+    ck_assert_str_eq(rig.ordered, "u0");
+    promotion_rig_finish(&rig);
+}
+END_TEST
+
+// Guards against a fence from before the order that ends the new term: the
+// upstream is promoted while the fence is under way.
+START_TEST(test_fence_under_way_does_not_demote_the_next_primary)
+{
+    struct promotion_rig rig;
+
+    promotion_rig_start(&rig, 0);
+    rig.upstreams[1].lsn = 250;
+    rig.fence_us = S_US;
+    promotion_rig_lose_primary(&rig);
+    run_until_term(&rig, 2);
+    rig.upstreams[0].is_primary = false;
+    rig.upstreams[0].is_silent = false;
+    for (int i = 0; i < 100 && rig.upstreams[0].fenced_us == 0; i++) {
+        promotion_rig_run(&rig, PROMOTION_RIG_STEP_US);
+    }
+    return_to_first_primary(&rig);
+    run_until_term(&rig, 3);
+    promotion_rig_run(&rig, 4 * S_US);
+    ck_assert_str_eq(get_primary(&rig), "u0");
+    ck_assert_uint_eq(promotion_rig_get_database(&rig)->term, 3);
+    ck_assert_uint_eq(rig.split_count, 0);
+    promotion_rig_finish(&rig);
+}
+END_TEST
+
 static void
 add_tests(TCase *tests)
 {
@@ -234,6 +389,16 @@
                    test_first_primary_is_promoted_anew_after_order_of_another);
     tcase_add_test(tests, test_ordered_upstream_is_published_by_next_leader);
     tcase_add_test(tests, test_fence_without_demotion_ends_the_wait);
+    tcase_add_test(tests, test_former_primary_is_not_published_by_empty_log);
+    tcase_add_test(tests, test_overloaded_former_primary_is_fenced);
+    tcase_add_test(tests, test_overloaded_demoted_primary_is_not_kept);
+    tcase_add_loop_test(
+        tests, test_change_of_primary_goes_on_after_removal_of_database, 0, 2);
+    tcase_add_test(tests, test_term_of_fenced_primary_goes_on);
+    tcase_add_test(tests,
+                   test_fence_under_way_does_not_demote_the_next_primary);
+    tcase_add_loop_test(
+        tests, test_answer_from_before_the_fence_does_not_count, 0, 10);
 }
 
 TEST_MAIN("former_primary", add_tests)
