fix(coordinator): a demotion seen in an ended term ends no later one

Cause: that the primary has answered as a replica (is_demoted) was kept until it was looked at, in the next term. A former primary that is fenced answers so in every change; it was rare before such upstreams were fenced.

Change: a new term begins without it.

Test: test_term_of_fenced_primary_goes_on failed before.

--- a/src/catkingrade/decide/coordinator/coordinator_failover.c
+++ b/src/catkingrade/decide/coordinator/coordinator_failover.c
@@ -735,6 +735,7 @@
     coordinator_end_revocation(coordinator, db);
     db->ordered_us = 0;
     db->is_order_refused = false;
+    db->is_demoted = false;
     suspicion_clear(&db->suspicion);
     coordinator_sync_members(db, database);
     for (size_t i = 0; i < db->members_count; i++) {
