fix(coordinator): an overloaded or a late answer is no word about the role

Cause: three answers counted for more than they say. The role that control assumes for an upstream which rejects a probe as overloaded replaced the one that it had answered, so that a claimant was ordered without a fence. An answer to a probe from before a fence ended counted as one from after it. And a fence that succeeded counted for less: its upstream was probed again.

Change: the assumed role is taken only of an upstream that has not answered; answers to probes from before the end of a fence are ignored; a fenced upstream is a replica, with the position that is known, and is promoted without another probe.

PostgreSQL: a fence there makes an upstream read-only, lastingly, and no replica. The driver now says whether a fence demotes (fence_demotes); where it does not, no candidate is fenced, and the claim is trusted as it was before. The verdict CLAIM_FENCED is gone.

Tests, failed before: test_overloaded_former_primary_is_fenced, test_overloaded_demoted_primary_is_not_kept, 5 of 10 offsets of test_answer_from_before_the_fence_does_not_count. The second one asked for term 1 after 2 s; as the upstream had answered, it is ordered by then, and the check is now that no replica is in force at any step, as strict and without a bound of time. test_fence_without_demotion_ends_the_wait is replaced by test_primary_is_not_fenced_where_that_does_not_demote: it asked for the fence that leaves a PostgreSQL primary read-only.

--- a/src/catkingrade/control/group_host.c
+++ b/src/catkingrade/control/group_host.c
@@ -330,6 +330,7 @@
     params->probe_us = settings->probe_us;
     params->relay_min_connections = settings->relay_min_connections;
     params->relay_by_customer = settings->relay_by_customer;
+    params->fence_demotes = host->params.admin->ops->fence_demotes;
     params->seed = host->params.daemon->incarnation;
 }
 
--- a/src/catkingrade/control/upstream_admin.h
+++ b/src/catkingrade/control/upstream_admin.h
@@ -48,6 +48,9 @@
 };
 
 struct upstream_admin_ops {
+    // A fenced upstream is a replica. Otherwise it is read-only, and still
+    // the primary as it sees itself.
+    bool fence_demotes;
     void (*destroy)(struct upstream_admin *admin);
     // Starts an operation. Its end is reported through done, never from
     // inside this call.
--- a/src/catkingrade/decide/coordinator/coordinator.c
+++ b/src/catkingrade/decide/coordinator/coordinator.c
@@ -24,6 +24,7 @@
     params->probe_us = 100000;
     params->publish_us = 1000000;
     params->lost_retention_us = 60000000;
+    params->fence_demotes = true;
     params->delta_max_size_bytes = PUBLICATION_MAX_DELTA_BYTES;
 }
 
--- a/src/catkingrade/decide/coordinator/coordinator.h
+++ b/src/catkingrade/decide/coordinator/coordinator.h
@@ -46,6 +46,9 @@
     uint32_t relay_min_connections;
     bool relay_by_customer; // entries are told all relays, see relay_choice.h
     size_t delta_max_size_bytes; // before compression
+    // A FENCE makes an upstream a replica, so that it can be promoted again.
+    // Otherwise an upstream that claims to be the primary is taken for it.
+    bool fence_demotes;
     uint64_t seed;
 };
 
--- a/src/catkingrade/decide/coordinator/coordinator_database.c
+++ b/src/catkingrade/decide/coordinator/coordinator_database.c
@@ -238,7 +238,6 @@
     member->answered = true;
     member->failed = false;
     member->is_primary = probe->is_primary;
-    member->is_fenced = member->is_fenced && probe->is_primary;
     member->position = probe->position;
     member->is_regressed =
         promotion_compare(&probe->position, &member->max_position) < 0;
@@ -247,6 +246,18 @@
     }
 }
 
+// The role that comes with the answer of a busy upstream is the one in the
+// group state, which is worth less than what it has said of itself.
+static void
+coordinator_record_busy_answer(struct coordinator_member *member,
+                               const struct coordinator_probe *probe)
+{
+    member->is_busy = true;
+    if (!member->answered) {
+        member->is_primary = probe->is_primary;
+    }
+}
+
 // Handles the result of a probe and continues the work on the database. The
 // result of a probe that was sent before the current phase began counts only
 // as evidence about the primary.
@@ -276,10 +287,10 @@
         suspicion_add_probe(&db->suspicion, coordinator->now_us, answered,
                             probe->refused);
     }
-    if (member->probe_sent_us >= db->phase_us) {
+    if (member->probe_sent_us >= db->phase_us &&
+        member->probe_sent_us >= member->fenced_us) {
         if (answered && probe->is_busy) {
-            member->is_busy = true;
-            member->is_primary = probe->is_primary;
+            coordinator_record_busy_answer(member, probe);
         }
         else if (answered) {
             coordinator_record_probe_answer(member, probe);
@@ -391,7 +402,7 @@
     }
     else if (database->term == 0) {
         coordinator_set_phase(coordinator, db, COORDINATOR_PHASE_INITIAL);
-        coordinator_reset_claims(coordinator, db, database);
+        coordinator_load_order(coordinator, db, database);
         coordinator_run_initial(coordinator, db, database);
     }
     else {
@@ -528,6 +539,24 @@
     }
 }
 
+// Records that a member was fenced. Where that makes it a replica, its
+// position stays known, and answers to probes that were sent before count no
+// more.
+static void
+coordinator_record_fence(const struct coordinator *coordinator,
+                         struct coordinator_member *member)
+{
+    member->needs_fence = false;
+    member->fenced_us = coordinator->now_us;
+    member->next_probe_us = 0;
+    if (coordinator->params.fence_demotes) {
+        member->is_primary = false;
+    }
+    else {
+        member->answered = false;
+    }
+}
+
 // Handles the outcome of a FENCE or FOLLOW. After a failure it is retried
 // after COORDINATOR_REPAIR_RETRY_US.
 void
@@ -551,18 +580,12 @@
     struct coordinator_member *member =
         &db->members[coordinator_find_upstream_index(database, upstream_name)];
     member->repairing = false;
-    if (is_fence) {
-        // Its last answer is from before.
-        member->answered = false;
-        member->next_probe_us = 0;
-    }
     if (outcome != OUTCOME_OK) {
         member->next_repair_us =
             coordinator->now_us + COORDINATOR_REPAIR_RETRY_US;
     }
     else if (is_fence) {
-        member->needs_fence = false;
-        member->is_fenced = true;
+        coordinator_record_fence(coordinator, member);
     }
     else {
         member->needs_follow = false;
--- a/src/catkingrade/decide/coordinator/coordinator_failover.c
+++ b/src/catkingrade/decide/coordinator/coordinator_failover.c
@@ -129,19 +129,16 @@
     return order != NULL && order->term == database->term + 1 ? order : NULL;
 }
 
-// Discards what is known of upstreams that claim to be the primary, as a
-// change of primary begins. A promotion that is in the log then was ordered by
-// an earlier leader and may have taken effect.
+// Notes, as a change of primary begins, whether a promotion for the next term
+// is in the log: an earlier leader has ordered it, and it may have taken
+// effect.
 void
-coordinator_reset_claims(const struct coordinator *coordinator,
-                         struct coordinator_database *db,
-                         const struct ck_database *database)
+coordinator_load_order(const struct coordinator *coordinator,
+                       struct coordinator_database *db,
+                       const struct ck_database *database)
 {
     db->may_be_superseded =
         coordinator_find_order(coordinator, database) != NULL;
-    for (size_t i = 0; i < db->members_count; i++) {
-        db->members[i].is_fenced = false;
-    }
 }
 
 // Begins the revocation of the current term at all lease holders. Called when
@@ -169,7 +166,7 @@
     db->awaited = NULL;
     const struct ck_database *database =
         group_find_database(coordinator->group, db->name);
-    coordinator_reset_claims(coordinator, db, database);
+    coordinator_load_order(coordinator, db, database);
     coordinator_record(coordinator, "superseded", database, database->primary,
                        "database=%s term=%" PRIu64 " holders=%zu", db->name,
                        (uint64_t)database->term, leases);
@@ -561,7 +558,7 @@
         .is_last_primary = strcmp(member->name, database->primary) == 0,
         .is_ordered = coordinator_is_ordered(coordinator, database, index),
         .may_be_superseded = db->may_be_superseded,
-        .is_fenced = member->is_fenced,
+        .can_be_demoted = coordinator->params.fence_demotes,
     };
     enum claim_verdict verdict = claim_judge(&params);
 
@@ -582,9 +579,10 @@
                                   CK_CHANGE_PRIMARY);
 }
 
-// Promotes the upstream with this index. The promotion gets into the log
-// before it is ordered, so that the next leader continues with it. Does
-// nothing without a quorum.
+// Makes the upstream with this index the primary of the next term. One that
+// claims to be the primary is published or fenced; any other is promoted. The
+// promotion gets into the log before it is ordered, so that the next leader
+// continues with it. Does nothing without a quorum.
 void
 coordinator_promote(struct coordinator *coordinator,
                     struct coordinator_database *db,
--- a/src/catkingrade/decide/coordinator/coordinator_private.h
+++ b/src/catkingrade/decide/coordinator/coordinator_private.h
@@ -161,10 +161,10 @@
     int64_t lost_us;
     uint64_t lost_revision; // revision that marks the upstream as lost
     bool needs_fence;       // may still accept writes as a primary
-    bool is_fenced;         // in this change, and has not been a replica since
     bool needs_follow;      // must replicate from the current primary
     bool repairing;         // a FENCE or FOLLOW is in flight
     int64_t next_repair_us;
+    int64_t fenced_us;      // end of the last FENCE; 0: none
     struct backlog backlog; // reports that it lags
 };
 
@@ -510,9 +510,9 @@
                            struct coordinator_database *db,
                            const struct ck_database *database,
                            const char *reason);
-void coordinator_reset_claims(const struct coordinator *coordinator,
-                              struct coordinator_database *db,
-                              const struct ck_database *database);
+void coordinator_load_order(const struct coordinator *coordinator,
+                            struct coordinator_database *db,
+                            const struct ck_database *database);
 void coordinator_begin_revocation(struct coordinator *coordinator,
                                   struct coordinator_database *db);
 size_t coordinator_count_pending_leases(const struct coordinator_database *db,
--- a/src/catkingrade/decide/promotion/claim.c
+++ b/src/catkingrade/decide/promotion/claim.c
@@ -14,7 +14,7 @@
     if (!params->may_be_superseded && params->is_last_primary) {
         return CLAIM_KEPT;
     }
-    return params->is_fenced ? CLAIM_FENCED : CLAIM_UNKNOWN;
+    return params->can_be_demoted ? CLAIM_UNKNOWN : CLAIM_TRUSTED;
 }
 
 // Returns the name of a verdict for the log.
@@ -23,13 +23,13 @@
 {
     switch (verdict) {
     case CLAIM_FIRST:
-        return "claim";
+        return "first";
     case CLAIM_KEPT:
         return "kept";
     case CLAIM_ORDERED:
         return "order";
-    case CLAIM_FENCED:
-        return "fence";
+    case CLAIM_TRUSTED:
+        return "claim";
     case CLAIM_UNKNOWN:
         return "";
     }
--- a/src/catkingrade/decide/promotion/claim.h
+++ b/src/catkingrade/decide/promotion/claim.h
@@ -12,8 +12,8 @@
     CLAIM_FIRST,   // the database has had no primary
     CLAIM_KEPT,    // primary of the ended term; none was promoted since
     CLAIM_ORDERED, // its promotion is in the log, and has taken effect
-    CLAIM_FENCED,  // a fence does not end the claims of such upstreams
-    CLAIM_UNKNOWN, // to be fenced, and then promoted like any other
+    CLAIM_TRUSTED, // of an upstream that could not be made a replica
+    CLAIM_UNKNOWN, // to be made a replica, and then promoted like any other
 };
 
 struct claim_params {
@@ -24,7 +24,7 @@
     bool is_ordered;
     // Some promotion for the next term may have taken effect.
     bool may_be_superseded;
-    bool is_fenced; // since it began to claim
+    bool can_be_demoted; // a fence makes it a replica
 };
 
 enum claim_verdict claim_judge(const struct claim_params *params);
--- a/test/rig/promotion_rig.c
+++ b/test/rig/promotion_rig.c
@@ -370,6 +370,7 @@
                                       .leader_term = ++rig->leader_term};
 
     coordinator_params_init(&params);
+    params.fence_demotes = !rig->fences_only;
     rig->coordinator = coordinator_create(&params, rig->group);
     promotion_rig_step(rig, &event);
 }
