fix(coordinator): a failed order is waited for from its last call on

Cause: the 2 s after which an order takes effect no more were counted from the begin of the order, while the driver repeats the call for up to 8 s.

Change: they are counted from the report that the order has failed. An upstream that answers is continued with at once, as before.

--- a/src/catkingrade/decide/coordinator/coordinator_failover.c
+++ b/src/catkingrade/decide/coordinator/coordinator_failover.c
@@ -689,6 +689,8 @@
                        outcome_get_name(outcome));
     db->is_order_refused = outcome == OUTCOME_NOT_RUN;
     db->may_be_superseded = db->may_be_superseded || !db->is_order_refused;
+    // Its last call may have been sent just now.
+    db->ordered_us = coordinator->now_us;
     coordinator_restart_collection(coordinator, db);
     coordinator_run_database(coordinator, db);
 }
--- a/src/catkingrade/decide/coordinator/coordinator_private.h
+++ b/src/catkingrade/decide/coordinator/coordinator_private.h
@@ -227,7 +227,8 @@
     bool is_removal_proposed;
     struct ck_position removal_position; // primary's position at the start
     struct ck_position base; // position at which the next term begins
-    int64_t ordered_us; // this leader's last order of a promotion; 0: none
+    // Last time at which this leader may have called for a promotion; 0: none.
+    int64_t ordered_us;
 };
 
 enum coordinator_reply {
