--- a/test/rig/history_entry.c
+++ b/test/rig/history_entry.c
@@ -328,6 +328,7 @@
         self->served_us = rig->now_us;
     }
     rig->acknowledged_us = rig->now_us;
+    history_note_acknowledged(rig, self->primary);
     if (platform->primary != self->primary) {
         history_fail(rig, HISTORY_FAULT_FORMER_PRIMARY,
                      "%s acknowledges at u%d, term %" PRIu64
--- a/test/rig/history_private.h
+++ b/test/rig/history_private.h
@@ -155,6 +155,11 @@
     int64_t promoted_us;
     uint64_t term;
     uint64_t fence; // highest one seen
+    // Where the log of each term branches off from another one, and the
+    // highest number in it that was acknowledged.
+    uint64_t parents[HISTORY_MAX_TERMS];
+    uint64_t bases[HISTORY_MAX_TERMS];
+    uint64_t acknowledged[HISTORY_MAX_TERMS];
     bool is_fencing;
     int64_t down_until_us;
     enum history_order_fate next_fate;
@@ -287,6 +292,7 @@
                               const struct history_message *message);
 // Commits one write of an entry; returns an outcome.
 int history_upstream_commit(struct history_rig *rig, int upstream, int entry);
+void history_note_acknowledged(struct history_rig *rig, int upstream);
 void history_upstream_crash(struct history_rig *rig, int upstream,
                             int64_t until_us);
 
--- a/test/rig/history_rig.c
+++ b/test/rig/history_rig.c
@@ -39,7 +39,7 @@
 history_get_fault_name(enum history_fault fault)
 {
     static const char *const names[HISTORY_FAULTS_COUNT] = {
-        "none", "former_primary", "shared_term", "no_primary"};
+        "none", "former_primary", "shared_term", "no_primary", "given_up_log"};
 
     return names[fault];
 }
@@ -75,7 +75,8 @@
     struct history_day *day = rig->day;
     va_list args;
 
-    if (day->fault != HISTORY_FAULT_NONE) {
+    if (day->fault != HISTORY_FAULT_NONE ||
+        day->judges_logs != (fault == HISTORY_FAULT_GIVEN_UP_LOG)) {
         return;
     }
     day->fault = fault;
--- a/test/rig/history_rig.h
+++ b/test/rig/history_rig.h
@@ -1,6 +1,7 @@
 #ifndef TEST_RIG_HISTORY_RIG_H
 #define TEST_RIG_HISTORY_RIG_H
 
+#include <stdbool.h>
 #include <stddef.h>
 #include <stdint.h>
 #include <stdio.h>
@@ -14,7 +15,7 @@
 #define HISTORY_MAX_EVENTS   16
 #define HISTORY_TEXT_SIZE    200
 #define HISTORY_NAME_SIZE    8
-#define HISTORY_FAULTS_COUNT 4
+#define HISTORY_FAULTS_COUNT 5
 
 enum history_fault {
     HISTORY_FAULT_NONE,
@@ -26,12 +27,16 @@
     // No commit is acknowledged although an upstream answers and the platform
     // takes calls.
     HISTORY_FAULT_NO_PRIMARY,
+    // A log with acknowledged commits that an earlier promotion gave up was
+    // promoted. Judged only if the day asks for it.
+    HISTORY_FAULT_GIVEN_UP_LOG,
 };
 
 struct history_day {
     uint64_t seed;
     uint32_t dropped; // events that are left out, one bit each
     FILE *trace;      // the time line is written to it; NULL: none
+    bool judges_logs; // HISTORY_FAULT_GIVEN_UP_LOG, and only it
     // Results.
     enum history_fault fault; // the first one; it ends the day
     int64_t fault_us;
--- a/test/rig/history_upstream.c
+++ b/test/rig/history_upstream.c
@@ -4,6 +4,7 @@
 #include <stdio.h>
 #include <string.h>
 
+#include "catkingrade/kernel/memory.h"
 #include "catkingrade/kernel/outcome.h"
 #include "test/rig/history_private.h"
 
@@ -240,6 +241,58 @@
                     rig->now_us + HISTORY_POLL_US);
 }
 
+// Returns whether a log, up to a number of a term, holds acknowledged commits
+// that the log of the newest term lacks.
+static bool
+history_holds_given_up(const struct history_platform *platform, uint64_t term,
+                       uint64_t number)
+{
+    uint64_t newest = platform->term;
+    uint64_t end = UINT64_MAX; // of the part of term that newest has
+
+    while (newest > term) {
+        end = platform->bases[newest];
+        newest = platform->parents[newest];
+    }
+    if (newest < term) {
+        bool holds = platform->acknowledged[term] > platform->bases[term] &&
+                     number > platform->bases[term];
+        return holds ||
+               history_holds_given_up(platform, platform->parents[term],
+                                      platform->bases[term]);
+    }
+    return number > end && platform->acknowledged[term] > end;
+}
+
+static void
+history_judge_log(struct history_rig *rig, int index)
+{
+    const struct history_upstream *upstream = &rig->upstreams[index];
+
+    if (history_holds_given_up(&rig->platform, upstream->term,
+                               upstream->number)) {
+        history_fail(rig, HISTORY_FAULT_GIVEN_UP_LOG,
+                     "u%d is promoted with its log of term %" PRIu64
+                     " up to %" PRIu64 "; the newest term is %" PRIu64,
+                     index, upstream->term, upstream->number,
+                     rig->platform.term);
+    }
+}
+
+// Begins the log of the next term with what an upstream has.
+static void
+history_begin_log(struct history_rig *rig, struct history_upstream *upstream)
+{
+    struct history_platform *platform = &rig->platform;
+
+    platform->term++;
+    INVARIANT(platform->term < HISTORY_MAX_TERMS);
+    platform->parents[platform->term] = upstream->term;
+    platform->bases[platform->term] = upstream->number;
+    platform->acknowledged[platform->term] = upstream->number;
+    upstream->term = platform->term;
+}
+
 // The named upstream leads the next term with what it has.
 static void
 history_take_effect(struct history_rig *rig,
@@ -253,10 +306,10 @@
     if (is_present || !history_upstream_is_up(rig, message->upstream)) {
         return;
     }
+    history_judge_log(rig, message->upstream);
     platform->primary = message->upstream;
     platform->promoted_us = rig->now_us;
-    platform->term++;
-    upstream->term = platform->term;
+    history_begin_log(rig, upstream);
     upstream->is_primary = true;
     upstream->follows_us = 0;
     rig->day->promotions_count++;
@@ -475,6 +528,18 @@
     return confirmed >= rig->confirm;
 }
 
+// The newest commit of an upstream is acknowledged. At one that is not the
+// primary that counts as the other fault only.
+void
+history_note_acknowledged(struct history_rig *rig, int upstream)
+{
+    const struct history_upstream *self = &rig->upstreams[upstream];
+
+    if (upstream == rig->platform.primary) {
+        rig->platform.acknowledged[self->term] = self->number;
+    }
+}
+
 int
 history_upstream_commit(struct history_rig *rig, int upstream, int entry)
 {
