--- a/src/catkingrade/decide/coordinator/announce.c
+++ b/src/catkingrade/decide/coordinator/announce.c
@@ -248,14 +248,14 @@
     }
 }
 
-// Returns the time of the upstream's last announcement, or INT64_MIN if the
-// upstream is not in the table.
+// Returns the time of the upstream's last announcement, or ANNOUNCE_NEVER_US if
+// the upstream is not in the table.
 int64_t
 announce_get_last_us(const struct announce *announce, const char *upstream)
 {
     const struct announce_entry *entry = announce_find(announce, upstream);
 
-    return entry == NULL ? INT64_MIN : entry->last_announced_us;
+    return entry == NULL ? ANNOUNCE_NEVER_US : entry->last_announced_us;
 }
 
 // Returns whether the upstream is the primary of a term that is not being
--- a/src/catkingrade/decide/coordinator/announce.h
+++ b/src/catkingrade/decide/coordinator/announce.h
@@ -14,6 +14,10 @@
 // does no I/O; the caller proposes the changes to the Raft log.
 struct announce;
 
+// Time of an announcement that has not been made: differences to it are long,
+// and do not overflow.
+#define ANNOUNCE_NEVER_US (INT64_MIN / 2)
+
 struct announce_params {
     int64_t expiry_us; // an upstream without announcements expires after this
     // Minimum time between two published changes of one upstream.
