fix(coordinator): no lease of a term whose successor is in the log

Cause: a leader that finds an ended term begins its revocation anew, and grants leases at first so that no entry is without one longer than needed. An entry that was cut off while the leader before it waited for the end of all leases got one of the ended term again, though the promotion was in the log and had been ordered.

Change: while a promotion for the next term may have taken effect, an entry that has not confirmed the end of the term gets no lease.

--- a/src/catkingrade/decide/coordinator/coordinator_failover.c
+++ b/src/catkingrade/decide/coordinator/coordinator_failover.c
@@ -269,15 +269,19 @@
 // Returns whether a change of primary denies a lease to holders that have not
 // confirmed the end of the term: from one lease before the time by which no
 // lease may cover the term, and from the end of the revocation until the next
-// term is published.
+// term is published. A promotion that an earlier leader has ordered comes
+// after the end of all leases, so that there must be none of the term any
+// more.
 static bool
 coordinator_denies_leases(const struct coordinator *coordinator,
                           const struct coordinator_database *db)
 {
     switch (db->phase) {
     case COORDINATOR_PHASE_REVOKING:
-        return coordinator->now_us >=
-               db->lease_end_us - coordinator_get_lease_bound_us(coordinator);
+        return db->may_be_superseded ||
+               coordinator->now_us >=
+                   db->lease_end_us -
+                       coordinator_get_lease_bound_us(coordinator);
     case COORDINATOR_PHASE_COLLECTING:
     case COORDINATOR_PHASE_ORDERING:
     case COORDINATOR_PHASE_PROMOTING:
