fix(coordinator): a claimant that can't be fenced holds up no other upstream

An old primary answers with the highest position and falls silent before it is fenced. It stays chosen, and its fence fails again and again, though another upstream answers.

Change: an upstream whose fence has failed counts as one that has not answered, until it does again.

--- a/src/catkingrade/decide/coordinator/announce.c
+++ b/src/catkingrade/decide/coordinator/announce.c
@@ -248,8 +248,8 @@
     }
 }
 
-// Returns the time of the upstream's last announcement, or ANNOUNCE_NEVER_US if
-// the upstream is not in the table.
+// Returns the time of the upstream's last announcement, or ANNOUNCE_NEVER_US
+// if the upstream is not in the table.
 int64_t
 announce_get_last_us(const struct announce *announce, const char *upstream)
 {
--- a/src/catkingrade/decide/coordinator/coordinator_database.c
+++ b/src/catkingrade/decide/coordinator/coordinator_database.c
@@ -583,6 +583,8 @@
     if (outcome != OUTCOME_OK) {
         member->next_repair_us =
             coordinator->now_us + COORDINATOR_REPAIR_RETRY_US;
+        // A claimant that can't be fenced holds up no other one.
+        member->answered = member->answered && !is_fence;
     }
     else if (is_fence) {
         coordinator_record_fence(coordinator, member);
