fix(coordinator): a new leader waits for a restarted entry's lease

Cause: an entry that restarts gets its first lease at once, while its registration is only proposed. If the leader stops then, the log keeps the incarnation before. The next leader lists that one in a revocation. The renewal of the later incarnation counted as a lease that "comes with the end of the term": it was granted, extended and never waited for, though the entry may have open transactions of the ended term and acknowledges their COMMITs under the new lease.

Change: as long as a holder has not renewed with this leader, a revocation passes from the registered incarnation to the one that renews, which must confirm the end of the term or let its lease run out, like any other holder.

--- a/src/catkingrade/decide/coordinator/coordinator_lease.c
+++ b/src/catkingrade/decide/coordinator/coordinator_lease.c
@@ -314,6 +314,32 @@
     return known != NULL && known->roles == daemon->roles;
 }
 
+// Has the revocations wait for the next incarnation of a holder too: the
+// previous leader may have granted it a lease before its registration was in
+// the log. Called before the holder gets that incarnation.
+static void
+coordinator_extend_pending_leases(struct coordinator *coordinator,
+                                  const struct coordinator_holder *holder,
+                                  uint64_t incarnation)
+{
+    int64_t until_us = coordinator_get_term_until_us(holder);
+
+    for (struct coordinator_database *db = coordinator->revocations;
+         db != NULL; db = db->next_revoked) {
+        for (size_t i = 0; i < db->pending_leases_count; i++) {
+            struct coordinator_pending_lease *pending = &db->pending_leases[i];
+            if (pending->holder != holder || pending->confirmed ||
+                pending->incarnation != holder->daemon.incarnation) {
+                continue;
+            }
+            pending->incarnation = incarnation;
+            if (until_us > pending->previous_until_us) {
+                pending->previous_until_us = until_us;
+            }
+        }
+    }
+}
+
 // Updates a holder with a daemon's new incarnation or address. The lease of
 // the previous incarnation counts until it expires.
 static void
@@ -325,6 +351,10 @@
         return;
     }
     if (holder->daemon.incarnation != daemon->incarnation) {
+        if (!holder->has_renewed) {
+            coordinator_extend_pending_leases(coordinator, holder,
+                                              daemon->incarnation);
+        }
         coordinator_keep_pending_leases(coordinator, holder);
         if (holder->granted_until_us > holder->previous_quota_until_us) {
             holder->previous_quota_until_us = holder->granted_until_us;
--- a/test/unit/decide/coordinator/test_coordinator.c
+++ b/test/unit/decide/coordinator/test_coordinator.c
@@ -1099,6 +1099,48 @@
 }
 END_TEST
 
+// Guards against a commit at the old primary by an entry that restarted just
+// before the election: the previous leader may have granted it a lease too.
+START_TEST(test_new_leader_waits_for_unregistered_incarnation)
+{
+    struct rig rig;
+    struct ck_change change = {.kind = CK_CHANGE_SUPERSEDE};
+
+    start_database(&rig, "e1");
+    change.ck_change_u.supersede.database = (char *)"roster1";
+    change.ck_change_u.supersede.term = 1;
+    change.ck_change_u.supersede.reason = (char *)"";
+    changes_apply(rig.group, 0, &change, "", -1, NULL);
+    elect(&rig, 4);
+    tick(&rig, START_US + 20 * MS);
+    tick(&rig, START_US + 500 * MS);
+    ck_assert_uint_eq(renew_restarted(&rig, "e1", 1)->lease_us, LEASE_US);
+    tick(&rig, START_US + LEASE_US + 2 * MS + 1);
+    ck_assert(!is_collecting(&rig));
+    tick(&rig, START_US + 500 * MS + LEASE_US + 2 * MS + 1);
+    ck_assert(is_collecting(&rig));
+    finish(&rig);
+}
+END_TEST
+
+// Guards against a change of primary that waits for leases which no ended term
+// can be under: those of an entry that restarts after its renewal here.
+START_TEST(test_restart_after_renewal_is_not_waited_for)
+{
+    struct rig rig;
+
+    start_database(&rig, "e1");
+    elect(&rig, 4);
+    (void)renew(&rig, "e1", 1, group_get_revision(rig.group));
+    lose_primary(&rig);
+    rig.now_us = START_US + 900 * MS;
+    ck_assert_uint_eq(renew_restarted(&rig, "e1", 1)->lease_us, LEASE_US);
+    tick(&rig, START_US + LEASE_US + 2 * MS + 1);
+    ck_assert(is_collecting(&rig));
+    finish(&rig);
+}
+END_TEST
+
 // The entries of a test of lists: each has an address of its own, and one of
 // them, the user, has no connections and uses the other three.
 struct relay_rig {
@@ -1601,6 +1643,8 @@
     tcase_add_test(tests, test_half_of_connections_is_allocated);
     tcase_add_test(tests, test_silent_daemon_expires);
     tcase_add_test(tests, test_restarted_entry_gets_lease_at_once);
+    tcase_add_test(tests, test_new_leader_waits_for_unregistered_incarnation);
+    tcase_add_test(tests, test_restart_after_renewal_is_not_waited_for);
     tcase_add_test(tests, test_restart_keeps_relays);
     tcase_add_test(tests, test_returned_relay_leaves_lists);
     tcase_add_test(tests, test_denied_relay_leaves_lists);
