fix(control): an order at an upstream ends with its leader's term

Cause: a promotion that got 429 or no reply is asked for again for up to 8 s, with the token of the term in which it was ordered. Right before each request the driver asks whether this VM leads; the answer was for the present term. A control VM that lost the lead to another one and got it back in that time sent the old token after the other's. Likewise the results of probes, fences and promotions that an earlier leadership had begun counted as those of the present one: an old probe's answer could choose the primary, and the end of an old promotion could end the one that is under way.

Change: the driver passes the order's token to may_promote and puts it into the result. The token must be that of the term in which this VM leads now; results with another one are dropped.

--- a/src/catkingrade/control/group_coordinator.c
+++ b/src/catkingrade/control/group_coordinator.c
@@ -74,6 +74,14 @@
                 notify);
 }
 
+// Returns whether this voter leads in the term that a fencing token names.
+static bool
+host_is_term_of(const struct group_host *host, uint64_t fencing_token)
+{
+    return host->leads && !host->failed &&
+           raft_get_term(host->raft) == fencing_token;
+}
+
 static void
 host_fill_probe_event(const struct upstream_admin_result *result,
                       struct coordinator_event *event,
@@ -107,19 +115,25 @@
         database != NULL && strcmp(database->primary, result->upstream) == 0;
 }
 
-// Passes the result of an operation at an upstream to the coordinator.
+// Passes the result of an operation at an upstream to the coordinator. That of
+// an operation which an earlier leadership of this voter began says nothing
+// about those of the present one.
 static void
 host_handle_admin_result(void *data,
                          const struct upstream_admin_result *result)
 {
+    const struct group_host *host = data;
     struct coordinator_event event = {0};
 
+    if (!host_is_term_of(host, result->fencing_token)) {
+        return;
+    }
     switch (result->kind) {
     case UPSTREAM_ADMIN_PROBE:
         host_fill_probe_event(result, &event, COORDINATOR_EVENT_PROBED,
                               COORDINATOR_EVENT_PROBE_FAILED);
         if (result->outcome == OUTCOME_OVERLOADED) {
-            host_fill_overloaded_event(data, result, &event);
+            host_fill_overloaded_event(host, result, &event);
         }
         break;
     case UPSTREAM_ADMIN_PROMOTE:
@@ -144,14 +158,15 @@
     host_step_coordinator(data, &event);
 }
 
-// Returns whether a quorum confirms this voter as the leader at this moment.
-// Otherwise another leader may exist, and this one must not promote.
+// Returns whether a quorum confirms this voter at this moment as the leader of
+// the term that the fencing token names. Otherwise another leader may exist or
+// have existed, and what was ordered with that token must not be sent.
 static bool
-host_may_promote(void *data)
+host_may_promote(void *data, uint64_t fencing_token)
 {
     struct group_host *host = data;
 
-    return host->leads && !host->failed &&
+    return host_is_term_of(host, fencing_token) &&
            raft_has_quorum(host->raft, monotonic_get_us());
 }
 
--- a/src/catkingrade/control/upstream_admin.h
+++ b/src/catkingrade/control/upstream_admin.h
@@ -22,6 +22,7 @@
 struct upstream_admin_result {
     enum upstream_admin_kind kind;
     const char *upstream;
+    uint64_t fencing_token; // of the request
     int outcome;  // OUTCOME_OVERLOADED: alive, but too busy to respond
     bool refused; // the host or server refused; false: no answer
     bool is_primary;
@@ -39,10 +40,10 @@
     // a promotion requested by an earlier leader. PostgreSQL has no use for
     // it, so libpq_admin_driver does not send it.
     uint64_t fencing_token;
-    // Called right before a promotion is sent. Returns false if this VM no
-    // longer leads the group; the promotion is then not sent. NULL: it is sent
-    // in any case.
-    bool (*may_promote)(void *data);
+    // Called with the fencing token right before a promotion is sent. Returns
+    // false if this VM no longer leads the group in that term; the promotion
+    // is then not sent. NULL: it is sent in any case.
+    bool (*may_promote)(void *data, uint64_t fencing_token);
     upstream_admin_fn done;
     void *data; // argument of may_promote and done
 };
--- a/src/catkingrade/plugins/libpq_admin.c
+++ b/src/catkingrade/plugins/libpq_admin.c
@@ -40,7 +40,8 @@
     bool connected;
     bool queued; // waits for another operation at the same upstream
     struct ck_upstream target;
-    bool (*may_promote)(void *data); // NULL: no promotion
+    // NULL: no promotion
+    bool (*may_promote)(void *data, uint64_t fencing_token);
     upstream_admin_fn done;
     void *data;
 };
@@ -179,7 +180,8 @@
         return OUTCOME_CLOSED;
     }
     if (operation->may_promote != NULL &&
-        !operation->may_promote(operation->data)) {
+        !operation->may_promote(operation->data,
+                                operation->result.fencing_token)) {
         return OUTCOME_NOT_LEADER;
     }
     operation->next_statement++;
@@ -557,6 +559,7 @@
     admin->operations = operation;
     operation->queued = true;
     operation->result.kind = request->kind;
+    operation->result.fencing_token = request->fencing_token;
     operation->upstream_name = xstrdup(upstream->name);
     codec_copy((xdrproc_t)xdr_ck_upstream, upstream, &operation->target,
                sizeof(operation->target));
--- a/test/contract/test_libpq_admin.c
+++ b/test/contract/test_libpq_admin.c
@@ -20,6 +20,8 @@
     "\"listen\": {\"rpc\": \"127.0.0.1:1\", \"http\": \"127.0.0.1:2\", "      \
     "\"postgres\": \"127.0.0.1:3\"}}"
 
+#define FENCING_TOKEN 7
+
 // One promotion of a replica, and its result.
 struct promotion {
     struct loop *loop;
@@ -28,11 +30,11 @@
 };
 
 static bool
-promotion_may_send(void *data)
+promotion_may_send(void *data, uint64_t fencing_token)
 {
     const struct promotion *promotion = data;
 
-    return promotion->leads;
+    return promotion->leads && fencing_token == FENCING_TOKEN;
 }
 
 static void
@@ -40,6 +42,7 @@
 {
     struct promotion *promotion = data;
 
+    ck_assert_uint_eq(result->fencing_token, FENCING_TOKEN);
     promotion->outcome = result->outcome;
     loop_stop(promotion->loop);
 }
@@ -57,6 +60,7 @@
     struct upstream_admin_request request = {
         .kind = UPSTREAM_ADMIN_PROMOTE,
         .upstream = &upstream,
+        .fencing_token = FENCING_TOKEN,
         .may_promote = promotion_may_send,
         .done = promotion_handle_done,
         .data = promotion,
--- a/test/unit/platform/test_wire_admin.c
+++ b/test/unit/platform/test_wire_admin.c
@@ -85,16 +85,17 @@
 }
 
 static bool
-may_promote(void *data)
+may_promote(void *data, uint64_t fencing_token)
 {
     (void)data;
-    return true;
+    return fencing_token == UINT64_MAX;
 }
 
 static void
 finish(void *data, const struct upstream_admin_result *result)
 {
     (void)data;
+    ck_assert_uint_eq(result->fencing_token, UINT64_MAX);
     rig.outcome = result->outcome;
     loop_stop(rig.loop);
 }
