fix(control): a fence from before a change of primary does nothing

What callers would have seen: the new primary turns into a replica right after its promotion, and writes of its term that were acknowledged are given up with the next promotion.

Cause: a promotion asks right before it is sent whether this VM still leads; a fence did not. A fence lives for up to a second (a busy back end is asked again) and steps down whatever term it finds: a leader that was cut off or stood still could demote the primary which its successor has promoted. A fence that is under way when this same leader promotes that upstream did so too. At PostgreSQL, FENCE and FOLLOW of such a leader were run without a question.

Evidence: test_superseded_leader_does_not_fence and test_promoted_upstream_is_not_fenced failed with the driver as it was: both back ends got STEPDOWN 5. test_fence_makes_primary_step_down passes before and after.

--- a/src/catkingrade/control/group_coordinator.c
+++ b/src/catkingrade/control/group_coordinator.c
@@ -162,7 +162,7 @@
 // the term that the fencing token names. Otherwise another leader may exist or
 // have existed, and what was ordered with that token must not be sent.
 static bool
-host_may_promote(void *data, uint64_t fencing_token)
+host_may_change(void *data, uint64_t fencing_token)
 {
     struct group_host *host = data;
 
@@ -180,7 +180,7 @@
         .upstream = action->upstream.upstream,
         .primary = action->upstream.primary,
         .fencing_token = raft_get_term(host->raft),
-        .may_promote = host_may_promote,
+        .may_change = host_may_change,
         .done = host_handle_admin_result,
         .data = host,
     };
--- a/src/catkingrade/control/upstream_admin.h
+++ b/src/catkingrade/control/upstream_admin.h
@@ -40,12 +40,13 @@
     // a promotion requested by an earlier leader. PostgreSQL has no use for
     // it, so libpq_admin_driver does not send it.
     uint64_t fencing_token;
-    // Called with the fencing token right before a promotion is sent. Returns
-    // false if this VM no longer leads the group in that term; the promotion
-    // is then not sent. NULL: it is sent in any case.
-    bool (*may_promote)(void *data, uint64_t fencing_token);
+    // Called with the fencing token right before anything that changes an
+    // upstream is sent, but not for a probe. Returns false if this VM no
+    // longer leads the group in that term; it is then not sent. NULL: it is
+    // sent in any case.
+    bool (*may_change)(void *data, uint64_t fencing_token);
     upstream_admin_fn done;
-    void *data; // argument of may_promote and done
+    void *data; // argument of may_change and done
 };
 
 struct upstream_admin_ops {
--- a/src/catkingrade/plugins/libpq_admin.c
+++ b/src/catkingrade/plugins/libpq_admin.c
@@ -40,8 +40,8 @@
     bool connected;
     bool queued; // waits for another operation at the same upstream
     struct ck_upstream target;
-    // NULL: no promotion
-    bool (*may_promote)(void *data, uint64_t fencing_token);
+    // NULL: the upstream is not changed
+    bool (*may_change)(void *data, uint64_t fencing_token);
     upstream_admin_fn done;
     void *data;
 };
@@ -168,9 +168,9 @@
 
 // Sends the next statement. Returns OUTCOME_OK, OUTCOME_IO if libpq could not
 // send it, OUTCOME_CLOSED if there are no more statements, or
-// OUTCOME_NOT_LEADER if this VM may not promote the upstream any more. A VM
-// that has been superseded would otherwise promote it in a connection that was
-// long to open.
+// OUTCOME_NOT_LEADER if this VM may not change the upstream any more. A VM
+// that has been superseded would otherwise promote it, or fence the primary of
+// its successor, in a connection that was long to open.
 static int
 libpq_operation_send_next(struct libpq_operation *operation)
 {
@@ -179,9 +179,9 @@
     if (statement == NULL) {
         return OUTCOME_CLOSED;
     }
-    if (operation->may_promote != NULL &&
-        !operation->may_promote(operation->data,
-                                operation->result.fencing_token)) {
+    if (operation->may_change != NULL &&
+        !operation->may_change(operation->data,
+                               operation->result.fencing_token)) {
         return OUTCOME_NOT_LEADER;
     }
     operation->next_statement++;
@@ -565,8 +565,8 @@
                sizeof(operation->target));
     operation->statements =
         libpq_admin_get_statements(admin, request->kind, request->primary);
-    operation->may_promote =
-        request->kind == UPSTREAM_ADMIN_PROMOTE ? request->may_promote : NULL;
+    operation->may_change =
+        request->kind == UPSTREAM_ADMIN_PROBE ? NULL : request->may_change;
     operation->done = request->done;
     operation->data = request->data;
     if (!busy) {
--- a/test/contract/test_group_coordinator.c
+++ b/test/contract/test_group_coordinator.c
@@ -223,12 +223,12 @@
     rig_start(&rig);
     struct upstream_admin_request before =
         run_until_probed(&rig, "u1")->request;
-    ck_assert(before.may_promote(before.data, before.fencing_token));
+    ck_assert(before.may_change(before.data, before.fencing_token));
     lose_and_regain_lead(&rig);
     struct upstream_admin_request now = run_until_probed(&rig, "u1")->request;
     ck_assert_uint_gt(now.fencing_token, before.fencing_token);
-    ck_assert(now.may_promote(now.data, now.fencing_token));
-    ck_assert(!before.may_promote(before.data, before.fencing_token));
+    ck_assert(now.may_change(now.data, now.fencing_token));
+    ck_assert(!before.may_change(before.data, before.fencing_token));
     rig_finish(&rig);
 }
 END_TEST
--- a/test/contract/test_libpq_admin.c
+++ b/test/contract/test_libpq_admin.c
@@ -61,7 +61,7 @@
         .kind = UPSTREAM_ADMIN_PROMOTE,
         .upstream = &upstream,
         .fencing_token = FENCING_TOKEN,
-        .may_promote = promotion_may_send,
+        .may_change = promotion_may_send,
         .done = promotion_handle_done,
         .data = promotion,
     };
--- a/test/unit/platform/test_wire_admin.c
+++ b/test/unit/platform/test_wire_admin.c
@@ -31,6 +31,8 @@
     struct buffer call;
     struct loop *loop;
     int outcome;
+    bool is_deposed; // another control VM leads
+    bool stepped_down;
 } rig;
 
 static bool
@@ -85,10 +87,10 @@
 }
 
 static bool
-may_promote(void *data, uint64_t fencing_token)
+may_change(void *data, uint64_t fencing_token)
 {
     (void)data;
-    return fencing_token == UINT64_MAX;
+    return !rig.is_deposed && fencing_token == UINT64_MAX;
 }
 
 static void
@@ -117,7 +119,7 @@
         .kind = UPSTREAM_ADMIN_PROMOTE,
         .upstream = &upstream,
         .fencing_token = UINT64_MAX,
-        .may_promote = may_promote,
+        .may_change = may_change,
         .done = finish,
     };
     pthread_t thread;
@@ -190,9 +192,118 @@
 }
 END_TEST
 
+// A primary that leads term 4 until STEPDOWN.
+static void *
+serve_primary(void *data)
+{
+    int fd = accept(rig.listen_fd, NULL, NULL);
+    char line[512];
+    ssize_t size = 0;
+
+    (void)data;
+    while ((size = recv(fd, line, sizeof(line) - 1, 0)) > 0) {
+        static const char ready[] = "READY I 4.7\r\n";
+        static const char *const answers[] = {
+            "DATAROW primary 4 4.7 0 0 0 1\r\nCOMPLETE -\r\nREADY I 4.7\r\n",
+            "DATAROW replica 5 4.7 0 0 0 1\r\nCOMPLETE -\r\nREADY I 4.7\r\n"};
+        line[size] = '\0';
+        rig.stepped_down =
+            rig.stepped_down || strstr(line, "STEPDOWN 5\r\n") != NULL;
+        const char *answer = strstr(line, "STARTUP") != NULL
+                                 ? ready
+                                 : answers[rig.stepped_down ? 1 : 0];
+        (void)!send(fd, answer, strlen(answer), MSG_NOSIGNAL);
+    }
+    close(fd);
+    return NULL;
+}
+
+static void
+finish_fence(void *data, const struct upstream_admin_result *result)
+{
+    if (result->kind == UPSTREAM_ADMIN_FENCE) {
+        finish(data, result);
+    }
+}
+
+// Fences the primary, perhaps with its promotion under way.
+static void
+fence(bool is_deposed, bool is_promoted)
+{
+    struct settings settings = {.vm = (char *)"vm 1",
+                                .connect_timeout_us = 5000000,
+                                .suspect_us = 5000000};
+    struct settings_address address = {.port = 0};
+    struct upstream_admin_request request = {
+        .kind = UPSTREAM_ADMIN_FENCE,
+        .fencing_token = UINT64_MAX,
+        .may_change = may_change,
+        .done = finish_fence,
+    };
+    pthread_t thread;
+
+    apr_initialize();
+    memset(&rig, 0, sizeof(rig));
+    rig.is_deposed = is_deposed;
+    start_listener("127.0.0.1", &address);
+    struct ck_upstream upstream = {.name = (char *)"i-0",
+                                   .database = (char *)"core",
+                                   .failure_domain = (char *)"noord",
+                                   .host = (char *)"127.0.0.1",
+                                   .port = address.port};
+    request.upstream = &upstream;
+    (void)strcpy(settings.platform.promote.host, "127.0.0.1");
+    settings.platform.promote.port = 1; // refuses
+    ck_assert_int_eq(pthread_create(&thread, NULL, serve_primary, NULL), 0);
+    rig.loop = loop_create();
+    struct upstream_admin *admin =
+        wire_admin_driver.create(rig.loop, &settings);
+    admin->ops->run(admin, &request);
+    if (is_promoted) {
+        request.kind = UPSTREAM_ADMIN_PROMOTE;
+        admin->ops->run(admin, &request);
+    }
+    loop_run(rig.loop);
+    admin->ops->destroy(admin);
+    loop_destroy(rig.loop);
+    pthread_join(thread, NULL);
+    close(rig.listen_fd);
+}
+
+START_TEST(test_fence_makes_primary_step_down)
+{
+    fence(false, false);
+    ck_assert_int_eq(rig.outcome, OUTCOME_OK);
+    ck_assert(rig.stepped_down);
+}
+END_TEST
+
+// Guards against a leader that wakes late and demotes the primary which its
+// successor has promoted.
+START_TEST(test_superseded_leader_does_not_fence)
+{
+    fence(true, false);
+    ck_assert_int_eq(rig.outcome, OUTCOME_NOT_LEADER);
+    ck_assert(!rig.stepped_down);
+}
+END_TEST
+
+// Guards against a fence from before a change of primary that demotes the new
+// one.
+START_TEST(test_promoted_upstream_is_not_fenced)
+{
+    fence(false, true);
+    ck_assert_int_eq(rig.outcome, OUTCOME_CONFLICT);
+    ck_assert(!rig.stepped_down);
+}
+END_TEST
+
 static void
 add_tests(TCase *tests)
 {
+    tcase_add_test(tests, test_fence_makes_primary_step_down);
+    tcase_add_test(tests, test_superseded_leader_does_not_fence);
+    tcase_add_test(tests, test_promoted_upstream_is_not_fenced);
     tcase_add_loop_test(tests, test_names_arrive_whole, 0, ARRAY_SIZE(rows));
     tcase_add_test(tests, test_platform_at_ipv6_address);
 }
