fix(traffic): COMMIT AND CHAIN is acknowledged under the lease

What callers would have seen (PostgreSQL only): COMMIT AND CHAIN answered as done by the old primary after the lease of its term had run out, without the replicas' confirmation, and with the session's read floor where it was.

Cause: an open transaction after the answer was taken to mean that nothing was committed. COMMIT AND CHAIN, a pipelined COMMIT and BEGIN, and a text that commits and begins anew commit and leave the next transaction open. After a read-only transaction the next one on the connection counted as read-only too, so its COMMIT was sent and acknowledged without a lease.

Evidence: three new checks in test_scheduler_lease failed before: commit_that_opens_transaction_needs_lease (COMMIT, and a write of several statements), transaction_after_read_only_one_needs_lease.

Change: a COMMIT or an autocommitted write waits for its confirmation whatever follows it; a COMMIT ends what is known of its transaction's access mode.

--- a/src/catkingrade/decide/traffic/scheduler_result.c
+++ b/src/catkingrade/decide/traffic/scheduler_result.c
@@ -48,6 +48,18 @@
     return position->lsn;
 }
 
+// Returns whether a transaction that is open after a request is the one in
+// which the request ran, so that nothing was committed. COMMIT AND CHAIN, and
+// a batch that ends with a BEGIN, commit and open the next one.
+static bool
+result_is_uncommitted(const struct request *request,
+                      const struct scheduler_result_event *event)
+{
+    return event->in_transaction &&
+           request->request_class != SCHEDULER_CLASS_COMMIT &&
+           request->request_class != SCHEDULER_CLASS_WRITE;
+}
+
 // Handles a request with a complete answer. A request that may have committed
 // waits for its confirmation; other answers are passed on.
 static void
@@ -69,7 +81,8 @@
         request->term = event->floor.term;
         request_answer(scheduler, request, event->floor.lsn);
     }
-    else if (!may_commit || event->in_transaction || read_only) {
+    else if (!may_commit || read_only ||
+             result_is_uncommitted(request, event)) {
         request_answer(scheduler, request, event->in_transaction ? 0 : lsn);
     }
     else if (request->term != lease_get_term(scheduler) ||
@@ -152,6 +165,9 @@
             conn->read_only =
                 request->request_class == SCHEDULER_CLASS_BEGIN_READ_ONLY;
         }
+        else if (request->request_class == SCHEDULER_CLASS_COMMIT) {
+            conn->read_only = false; // of the next transaction, if any
+        }
     }
     result_return_conn(scheduler, conn, request, event);
     if (request != NULL) {
--- a/test/unit/decide/traffic/test_scheduler_lease.c
+++ b/test/unit/decide/traffic/test_scheduler_lease.c
@@ -305,6 +305,46 @@
 }
 END_TEST
 
+// Guards against a COMMIT AND CHAIN, or a batch that commits and begins anew,
+// that is acknowledged after its term's lease has run out.
+START_TEST(test_commit_that_opens_transaction_needs_lease)
+{
+    static const enum scheduler_class classes[] = {SCHEDULER_CLASS_COMMIT,
+                                                   SCHEDULER_CLASS_WRITE};
+
+    setup();
+    if (classes[_i] == SCHEDULER_CLASS_COMMIT) {
+        (void)run_in_transaction(SCHEDULER_CLASS_BEGIN);
+    }
+    struct scheduler_action sent = send_request(classes[_i]);
+    pass_lease();
+    scheduler_rig_post_result(&rig, sent.request, sent.conn,
+                              SCHEDULER_RESULT_DONE, true, 200);
+    check_is_not_acknowledged(sent.request);
+    scheduler_rig_post_lease(&rig, 1, rig.now_us + LEASE_US);
+    scheduler_rig_tick(&rig, 10 * SCHEDULER_RIG_MS_US);
+    ck_assert_ptr_nonnull(scheduler_rig_find_action(
+        &rig, SCHEDULER_ACTION_ANSWER, sent.request));
+    // The transaction that it has opened goes on.
+    (void)run_in_transaction(SCHEDULER_CLASS_IN_TRANSACTION);
+    scheduler_rig_free(&rig);
+}
+END_TEST
+
+// Guards against the same by a transaction that follows a read-only one on its
+// connection without a BEGIN of its own.
+START_TEST(test_transaction_after_read_only_one_needs_lease)
+{
+    setup();
+    (void)run_in_transaction(SCHEDULER_CLASS_BEGIN_READ_ONLY);
+    (void)run_in_transaction(SCHEDULER_CLASS_COMMIT);
+    (void)run_in_transaction(SCHEDULER_CLASS_IN_TRANSACTION);
+    pass_lease();
+    check_commit_is_refused();
+    scheduler_rig_free(&rig);
+}
+END_TEST
+
 static void
 add_tests(TCase *tests)
 {
@@ -318,6 +358,9 @@
     tcase_add_test(tests, test_transaction_ends_with_term_of_lost_primary);
     tcase_add_test(tests, test_write_in_flight_ends_with_its_term);
     tcase_add_test(tests, test_ended_transaction_is_refused_at_next_statement);
+    tcase_add_loop_test(tests, test_commit_that_opens_transaction_needs_lease,
+                        0, 2);
+    tcase_add_test(tests, test_transaction_after_read_only_one_needs_lease);
 }
 
 TEST_MAIN("scheduler_lease", add_tests)
