fix(entry): only a database in the view is confirmed as revoked

What callers would have seen (rule ONE): writes of an ended term acknowledged at the old primary in the moment between a revocation and a view that was sent before it.

Cause: a traffic thread confirmed the revocation of a database that its view did not have yet, since it had acknowledged nothing of it. The answer to a renewal from before the end of the term, which a notification can overtake, may then bring that database with the term in force. The control thread drops confirmations of databases that it does not know, unless that answer arrives while the confirmation is on its way to it.

Change: the thread confirms only what is in its view. Control repeats the revocation until the view has come or the lease has run out, as it did for confirmations that the control thread dropped.

--- a/src/catkingrade/entry/worker.c
+++ b/src/catkingrade/entry/worker.c
@@ -581,19 +581,17 @@
 }
 
 // Revokes a term of a database. An unused database is created, so that later
-// sessions are subject to the revocation. For a database that is not in the
-// view this entry has acknowledged nothing, so the revocation is confirmed
-// immediately.
+// sessions are subject to the revocation. That of a database which is not in
+// the view is not confirmed: a view from before the end of the term may still
+// arrive.
 void
 worker_revoke(struct worker *worker, const char *name, uint64_t term)
 {
     struct database *database = worker_open_database(worker, name);
 
-    if (database == NULL) {
-        entry_report_revoked(worker->entry, name, term);
-        return;
+    if (database != NULL) {
+        database_set_lease(database, term, 0, true);
     }
-    database_set_lease(database, term, 0, true);
 }
 
 static void
