fix(leaseholder): a grant that comes after its lease sets quotas once

What callers would have seen: an entry that stood still for longer than its lease crashes, or uses wrong quotas, when it wakes with the answer to a renewal in its socket.

Cause: one step put the grant's quotas into an action, found the lease over, and put the reduced quotas into another one. Both point into the same list, which the second began anew and may have moved.

Change: one action a step, with the grant's changes and then the reductions.

--- a/src/catkingrade/decide/leaseholder/leaseholder.c
+++ b/src/catkingrade/decide/leaseholder/leaseholder.c
@@ -75,15 +75,31 @@
     return action;
 }
 
-// Delivers the quotas that have changed. The action is needed without any as
-// well, if the relays have changed: it puts them in force.
+static struct leaseholder_action *
+leaseholder_find_action(const struct leaseholder_actions *actions,
+                        enum leaseholder_action_kind kind)
+{
+    for (size_t i = 0; i < actions->count; i++) {
+        if (actions->items[i].kind == kind) {
+            return &actions->items[i];
+        }
+    }
+    return NULL;
+}
+
+// Delivers the quotas that have changed, in one action. It is needed without
+// any as well, if the relays have changed: it puts them in force.
 static void
 leaseholder_add_quotas(struct leaseholder *holder,
                        struct leaseholder_actions *actions)
 {
     struct leaseholder_action *action =
-        leaseholder_add_action(actions, LEASEHOLDER_ACTION_SET_QUOTAS);
+        leaseholder_find_action(actions, LEASEHOLDER_ACTION_SET_QUOTAS);
 
+    if (action == NULL) {
+        action =
+            leaseholder_add_action(actions, LEASEHOLDER_ACTION_SET_QUOTAS);
+    }
     action->quotas.items = holder->changed_quotas;
     action->quotas.count = holder->changed_quotas_count;
 }
@@ -491,7 +507,10 @@
     }
     holder->valid_until_us = 0;
     (void)leaseholder_add_action(actions, LEASEHOLDER_ACTION_LEASE_EXPIRED);
-    leaseholder_reset_quotas(holder);
+    // A grant that comes when its lease is over has set quotas in this step.
+    leaseholder_reset_quotas(
+        holder, leaseholder_find_action(
+                    actions, LEASEHOLDER_ACTION_SET_QUOTAS) != NULL);
     if (holder->changed_quotas_count > 0) {
         leaseholder_add_quotas(holder, actions);
     }
--- a/src/catkingrade/decide/leaseholder/leaseholder_private.h
+++ b/src/catkingrade/decide/leaseholder/leaseholder_private.h
@@ -88,7 +88,7 @@
 void leaseholder_report_all(struct leaseholder *holder);
 void leaseholder_acknowledge_reports(struct leaseholder *holder,
                                      uint64_t leader_term);
-void leaseholder_reset_quotas(struct leaseholder *holder);
+void leaseholder_reset_quotas(struct leaseholder *holder, bool keeps_changes);
 void leaseholder_fill_args(struct leaseholder *holder, int64_t now_us);
 void leaseholder_free_reports(struct leaseholder *holder);
 
--- a/src/catkingrade/decide/leaseholder/leaseholder_reports.c
+++ b/src/catkingrade/decide/leaseholder/leaseholder_reports.c
@@ -350,11 +350,12 @@
 }
 
 // Reduces the quotas to the guaranteed shares, which are valid without a
-// lease.
+// lease. keeps_changes: behind those that have changed already.
 void
-leaseholder_reset_quotas(struct leaseholder *holder)
+leaseholder_reset_quotas(struct leaseholder *holder, bool keeps_changes)
 {
-    holder->changed_quotas_count = 0;
+    holder->changed_quotas_count =
+        keeps_changes ? holder->changed_quotas_count : 0;
     for (size_t i = 0; i < holder->upstreams_count; i++) {
         struct leaseholder_upstream *upstream = &holder->upstreams[i];
         const struct ck_demand *report = &upstream->report;
--- a/test/unit/decide/leaseholder/test_leaseholder.c
+++ b/test/unit/decide/leaseholder/test_leaseholder.c
@@ -293,6 +293,38 @@
 }
 END_TEST
 
+// Guards against a crash of an entry that stood still: a grant whose lease is
+// over sets quotas and resets them in one step.
+START_TEST(test_grant_after_its_lease_sets_quotas_once)
+{
+    struct leaseholder *holder = make_holder();
+    struct ck_renew_result result = make_result(1, 4, 0, 9);
+    struct ck_quota quotas[] = {{(char *)(uintptr_t) "u1", 5, 20, 2, 8},
+                                {(char *)(uintptr_t) "u2", 3, 6, 3, 6}};
+    size_t count = 0;
+
+    result.quotas.quotas_val = quotas;
+    result.quotas.quotas_len = ARRAY_SIZE(quotas);
+    (void)tick(holder, 5000 * MS);
+    const struct leaseholder_actions *actions =
+        answer(holder, 9000 * MS, &result);
+    ck_assert_ptr_nonnull(
+        find_action(actions, LEASEHOLDER_ACTION_LEASE_EXPIRED));
+    for (size_t i = 0; i < actions->count; i++) {
+        count += actions->items[i].kind == LEASEHOLDER_ACTION_SET_QUOTAS;
+    }
+    ck_assert_uint_eq(count, 1);
+    const struct leaseholder_action *set =
+        find_action(actions, LEASEHOLDER_ACTION_SET_QUOTAS);
+    ck_assert_uint_eq(set->quotas.count, 3);
+    ck_assert_str_eq(set->quotas.items[1].upstream, "u2");
+    ck_assert_uint_eq(set->quotas.items[1].slots, 3);
+    ck_assert_str_eq(set->quotas.items[2].upstream, "u1");
+    ck_assert_uint_eq(set->quotas.items[2].slots, 2);
+    leaseholder_destroy(holder);
+}
+END_TEST
+
 START_TEST(test_revocation_is_confirmed_until_the_next_term)
 {
     struct leaseholder *holder = make_holder();
@@ -503,6 +535,7 @@
     tcase_add_test(tests, test_failures_back_off_over_all_voters);
     tcase_add_test(tests, test_unleased_backoff_is_short);
     tcase_add_test(tests, test_expiry_resets_quotas_to_guaranteed);
+    tcase_add_test(tests, test_grant_after_its_lease_sets_quotas_once);
     tcase_add_test(tests, test_revocation_is_confirmed_until_the_next_term);
     tcase_add_test(tests, test_notification_switches_to_sender);
     tcase_add_test(tests, test_suspicion_is_sent_and_expires);
