test(fleet): nodes that stand still and wake

The simulated network can freeze a node: it handles nothing for a time, then the messages that have arrived, then the timers that have expired, while its clock goes on. test_random_freezes freezes leaders, other voters and entries, in half of the seeds with messages of up to 150 ms, while primaries are lost and entries restart. It asserts what the fleet always checks, among others that no save of an old term is acknowledged after a promotion.

A frozen entry whose lease is over counts with the guaranteed part of its quotas: it handles the end of its lease before anything else when it wakes (leaseholder_step), and uses nothing until then. Nothing else has changed in the check, and no other test freezes a node.

--- a/test/fake/network.c
+++ b/test/fake/network.c
@@ -14,6 +14,7 @@
     int64_t base_node_us;
     int ppm;
     bool down;
+    int64_t frozen_until_us;
 };
 
 // The one-way path between two nodes.
@@ -267,6 +268,22 @@
     }
 }
 
+void
+network_freeze_node(struct network *network, int node, int64_t until_us)
+{
+    struct node *frozen = &network->nodes[node];
+
+    if (until_us > frozen->frozen_until_us) {
+        frozen->frozen_until_us = until_us;
+    }
+}
+
+bool
+network_is_node_frozen(const struct network *network, int node)
+{
+    return network->now_us < network->nodes[node].frozen_until_us;
+}
+
 // Changes the rate of a node's clock from now on. Pending timers of the node
 // move to the virtual time that matches their node time at the new rate.
 void
@@ -332,6 +349,22 @@
     }
 }
 
+// Postpones an event of a node that is frozen until the node handles it.
+// Returns false if the node is not frozen.
+static bool
+network_postpone_event(struct network *network, struct event *event)
+{
+    int64_t frozen_until_us = network->nodes[event->to].frozen_until_us;
+
+    if (event->at_us >= frozen_until_us) {
+        return false;
+    }
+    TAILQ_REMOVE(&network->queue, event, link);
+    event->at_us = frozen_until_us + (event->message == NULL ? 1 : 0);
+    network_insert_event(network, event);
+    return true;
+}
+
 // Runs all events that are due until the given virtual time, then sets the
 // virtual time to it. Returns the number of messages and timers that were due,
 // including messages that are lost because the receiver or the path is down.
@@ -343,6 +376,9 @@
 
     while ((event = TAILQ_FIRST(&network->queue)) != NULL &&
            event->at_us <= until_us) {
+        if (network_postpone_event(network, event)) {
+            continue;
+        }
         struct event due = *event;
         TAILQ_REMOVE(&network->queue, event, link);
         free(event);
--- a/test/fake/network.h
+++ b/test/fake/network.h
@@ -47,6 +47,11 @@
 void network_set_path_down(struct network *network, int from, int to,
                            bool down);
 void network_set_node_down(struct network *network, int node, bool down);
+// A node that is frozen handles nothing until until_us, a virtual time. Then
+// it handles the messages that have arrived, and then the timers that have
+// expired. Its clock goes on. A freeze does not end an earlier one.
+void network_freeze_node(struct network *network, int node, int64_t until_us);
+bool network_is_node_frozen(const struct network *network, int node);
 // ppm above 0 makes the node's clock run faster than virtual time.
 void network_set_clock_ppm(struct network *network, int node, int ppm);
 // Takes ownership of the message.
--- a/test/replay/test_replay_failover.c
+++ b/test/replay/test_replay_failover.c
@@ -532,6 +532,75 @@
 }
 END_TEST
 
+#define FREEZES 10
+
+// Freezes a voter, most often the leader, or an entry, and lets a primary be
+// lost or an entry restart meanwhile.
+static void
+inject_random_freeze(struct fleet *fleet)
+{
+    uint64_t random = network_get_random(fleet->network);
+    int voter = (int)(random / 8 % (uint64_t)default_params.voters);
+    int entry = (int)(random / 64 % (uint64_t)default_params.entries);
+    int leader = fleet_get_leader(fleet);
+    int primary = fleet_get_primary(fleet);
+    int64_t until_us = network_get_now_us(fleet->network) +
+                       (int64_t)(random / 1024 % (uint64_t)(3 * S));
+
+    switch (random % 8) {
+    case 0:
+    case 1:
+    case 2:
+        voter = leader >= 0 ? leader : voter;
+        network_freeze_node(fleet->network, voter, until_us);
+        break;
+    case 3:
+        network_freeze_node(fleet->network, voter, until_us);
+        break;
+    case 4:
+        network_freeze_node(fleet->network, default_params.voters + entry,
+                            until_us);
+        break;
+    case 5:
+        fleet_kill_upstream(fleet, primary >= 0 ? primary : 0);
+        break;
+    case 6:
+        fleet_restart_entry(fleet, entry);
+        break;
+    default:
+        for (int i = 0; i < default_params.upstreams; i++) {
+            fleet_restart_upstream(fleet, i);
+        }
+        break;
+    }
+}
+
+// Guards against a save acknowledged at the old primary because a leader or an
+// entry that stood still acts when it wakes.
+START_TEST(test_random_freezes)
+{
+    struct fleet_params params = default_params;
+    struct network_faults faults = {.delay_max_us =
+                                        _i % 2 == 0 ? 3 * MS : 150 * MS};
+
+    params.seed = (uint64_t)_i + 7000;
+    struct fleet *fleet = fleet_create(&params);
+    fleet_run(fleet, START_US);
+    network_set_faults(fleet->network, &faults);
+    for (int i = 0; i < FREEZES; i++) {
+        inject_random_freeze(fleet);
+        fleet_run(fleet, (int64_t)(network_get_random(fleet->network) %
+                                   (uint64_t)(2 * S)));
+        ck_assert_msg(fleet->violation[0] == '\0', "seed %d: %s", _i,
+                      fleet->violation);
+    }
+    fleet_run(fleet, 4 * S);
+    ck_assert_msg(fleet->violation[0] == '\0', "seed %d: %s", _i,
+                  fleet->violation);
+    fleet_destroy(fleet);
+}
+END_TEST
+
 static void
 add_tests(TCase *tests)
 {
@@ -556,6 +625,7 @@
     tcase_add_test(tests, test_lost_replica_is_removed);
     tcase_add_test(tests, test_lost_replica_stays_while_other_lags);
     tcase_add_loop_test(tests, test_random_faults, 0, seeds);
+    tcase_add_loop_test(tests, test_random_freezes, 0, seeds);
 }
 
 TEST_MAIN("replay_failover", add_tests)
