test(rig): a promotion ends the fences under way at its upstream

test_fence_under_way_does_not_demote_the_next_primary showed that a fence from before the order ends the new term. Since "a fence from before a change of primary does nothing" the driver ends such a fence itself, with CONFLICT, and test_wire_admin (test_promoted_upstream_is_not_fenced) holds it to that. The model of the driver in the rig does the same. The check is as it was, and passes.

--- a/test/rig/promotion_rig.c
+++ b/test/rig/promotion_rig.c
@@ -96,6 +96,22 @@
     return upstream == &rig->upstreams[rig->promoted] && upstream->is_primary;
 }
 
+// A fence that is under way at an upstream ends as the driver promotes it.
+static void
+promotion_rig_overtake_fence(struct promotion_rig *rig,
+                             struct promotion_rig_upstream *upstream)
+{
+    struct coordinator_event event = {.kind = COORDINATOR_EVENT_FENCED};
+
+    if (upstream->fenced_us == 0) {
+        return;
+    }
+    upstream->fenced_us = 0;
+    event.done.upstream = upstream->name;
+    event.done.outcome = OUTCOME_CONFLICT;
+    promotion_rig_step(rig, &event);
+}
+
 // An upstream that is being promoted, or was promoted last, takes no second
 // order. One that claims to be the primary is seen as promoted at once.
 static void
@@ -105,6 +121,7 @@
                                           COORDINATOR_EVENT_PROMOTE_FAILED};
     struct promotion_rig_upstream *upstream = promotion_rig_find(rig, name);
 
+    promotion_rig_overtake_fence(rig, upstream);
     rig->orders_count++;
     (void)snprintf(rig->ordered, sizeof(rig->ordered), "%s", name);
     if (!rig->refuses_orders && upstream->promoted_us == 0 &&
