fix(coordinator): a database that is declared again begins its change anew

Cause: answers that arrive while the database does not exist are dropped, so that its phase and the calls in flight at its upstreams never end.

Change: what is in progress at a removed database ends.

--- a/src/catkingrade/decide/coordinator/coordinator_database.c
+++ b/src/catkingrade/decide/coordinator/coordinator_database.c
@@ -442,6 +442,27 @@
            db->suspicion.probe_failures == 0;
 }
 
+// Ends what is in progress at a database that was removed: answers to it are
+// dropped, and it begins anew if the database is declared again.
+static void
+coordinator_end_removed_database(struct coordinator *coordinator,
+                                 struct coordinator_database *db)
+{
+    coordinator_finish_command(coordinator, db, OUTCOME_NOT_FOUND,
+                               "the database was removed");
+    coordinator_end_revocation(coordinator, db);
+    suspicion_clear(&db->suspicion);
+    coordinator_clear_lagging(db);
+    coordinator_free_members(db);
+    db->members = NULL;
+    db->members_count = 0;
+    db->planned_reason = NULL;
+    db->is_demoted = false;
+    db->ordered_us = 0;
+    db->is_order_refused = false;
+    db->phase = COORDINATOR_PHASE_IDLE;
+}
+
 static void
 coordinator_continue_database(struct coordinator *coordinator,
                               struct coordinator_database *db)
@@ -450,6 +471,7 @@
         group_find_database(coordinator->group, db->name);
 
     if (database == NULL) {
+        coordinator_end_removed_database(coordinator, db);
         return;
     }
     coordinator_sync_members(db, database);
--- a/src/catkingrade/decide/coordinator/coordinator_failover.c
+++ b/src/catkingrade/decide/coordinator/coordinator_failover.c
@@ -346,7 +346,7 @@
     }
 }
 
-static void
+void
 coordinator_end_revocation(struct coordinator *coordinator,
                            struct coordinator_database *db)
 {
--- a/src/catkingrade/decide/coordinator/coordinator_private.h
+++ b/src/catkingrade/decide/coordinator/coordinator_private.h
@@ -516,6 +516,8 @@
                             const struct ck_database *database);
 void coordinator_begin_revocation(struct coordinator *coordinator,
                                   struct coordinator_database *db);
+void coordinator_end_revocation(struct coordinator *coordinator,
+                                struct coordinator_database *db);
 size_t coordinator_count_pending_leases(const struct coordinator_database *db,
                                         int64_t now_us);
 void coordinator_end_pending_leases(struct coordinator *coordinator,
