fix(coordinator): an empty log takes no claim while an upstream is silent

Change: the claim of a first primary stands once every upstream that has announced itself has answered.

Remains: an upstream that is the only one to have announced itself so far is published at once.

--- a/src/catkingrade/decide/coordinator/coordinator_choice.c
+++ b/src/catkingrade/decide/coordinator/coordinator_choice.c
@@ -40,6 +40,18 @@
     return pending;
 }
 
+// Returns whether each member has answered in this phase.
+bool
+coordinator_have_all_answered(const struct coordinator_database *db)
+{
+    for (size_t i = 0; i < db->members_count; i++) {
+        if (!db->members[i].answered) {
+            return false;
+        }
+    }
+    return true;
+}
+
 // Returns the index of the member that answered as a primary and may serve, or
 // PROMOTION_NONE. Of several it returns the most advanced.
 static int
--- a/src/catkingrade/decide/coordinator/coordinator_failover.c
+++ b/src/catkingrade/decide/coordinator/coordinator_failover.c
@@ -558,7 +558,7 @@
 {
     const struct coordinator_member *member = &db->members[index];
     const struct claim_params params = {
-        .is_first_term = database->term == 0,
+        .is_first = database->term == 0 && coordinator_have_all_answered(db),
         .is_last_primary = strcmp(member->name, database->primary) == 0,
         .is_ordered = coordinator_is_ordered(coordinator, database, index),
         .may_be_superseded = db->may_be_superseded,
--- a/src/catkingrade/decide/coordinator/coordinator_private.h
+++ b/src/catkingrade/decide/coordinator/coordinator_private.h
@@ -550,6 +550,7 @@
                                 struct coordinator_database *db, int outcome,
                                 const char *text);
 // Choice of the next primary; coordinator_choice.c.
+bool coordinator_have_all_answered(const struct coordinator_database *db);
 void coordinator_run_initial(struct coordinator *coordinator,
                              struct coordinator_database *db,
                              const struct ck_database *database);
--- a/src/catkingrade/decide/promotion/claim.c
+++ b/src/catkingrade/decide/promotion/claim.c
@@ -8,7 +8,7 @@
     if (params->is_ordered) {
         return CLAIM_ORDERED;
     }
-    if (!params->may_be_superseded && params->is_first_term) {
+    if (!params->may_be_superseded && params->is_first) {
         return CLAIM_FIRST;
     }
     if (!params->may_be_superseded && params->is_last_primary) {
--- a/src/catkingrade/decide/promotion/claim.h
+++ b/src/catkingrade/decide/promotion/claim.h
@@ -9,7 +9,7 @@
 // What the log holds tells it, to every leader alike.
 
 enum claim_verdict {
-    CLAIM_FIRST,   // the database has had no primary
+    CLAIM_FIRST,   // the database has had no primary that the log knows of
     CLAIM_KEPT,    // primary of the ended term; none was promoted since
     CLAIM_ORDERED, // its promotion is in the log, and has taken effect
     CLAIM_TRUSTED, // of an upstream that could not be made a replica
@@ -17,7 +17,9 @@
 };
 
 struct claim_params {
-    bool is_first_term;
+    // The log knows of no primary of the database, and all upstreams have been
+    // asked. One that is silent may be a later primary than the claimant.
+    bool is_first;
     bool is_last_primary; // of the ended term
     // Its promotion for the next term is in the log. It did not claim to be
     // the primary when that was ordered.
--- a/test/unit/decide/promotion/test_claim.c
+++ b/test/unit/decide/promotion/test_claim.c
@@ -12,7 +12,7 @@
 make_case(int number)
 {
     return (struct claim_params){
-        .is_first_term = (number & 1) != 0,
+        .is_first = (number & 1) != 0,
         .is_last_primary = (number & 2) != 0,
         .is_ordered = (number & 4) != 0,
         .may_be_superseded = (number & 8) != 0,
@@ -45,7 +45,7 @@
     params.is_last_primary = true;
     params.may_be_superseded = false;
     ck_assert_int_ne(claim_judge(&params), CLAIM_UNKNOWN);
-    params.is_first_term = false;
+    params.is_first = false;
     params.is_ordered = false;
     ck_assert_int_eq(claim_judge(&params), CLAIM_KEPT);
 }
@@ -62,7 +62,7 @@
     params.may_be_superseded = false;
     params.can_be_demoted = true;
     ck_assert_int_eq(claim_judge(&params),
-                     params.is_first_term ? CLAIM_FIRST : CLAIM_UNKNOWN);
+                     params.is_first ? CLAIM_FIRST : CLAIM_UNKNOWN);
 }
 END_TEST
 
