fix(coordinator): a log that a promotion gave up is not promoted again

Cause: control compared positions as numbers. That a log had left the history of the database when a promotion took effect was known to nobody.

Change: the log of the control group records each promotion that has taken effect, as the upstreams' term and the last write before it.

A trial that took the position for the begin of the term changed nothing: the position of a promoted upstream has the old term until its first write.

--- a/src/catkingrade/control/group_coordinator.c
+++ b/src/catkingrade/control/group_coordinator.c
@@ -93,6 +93,8 @@
     event->probe.is_primary = result->is_primary;
     event->probe.refused = result->refused;
     event->probe.position = result->position;
+    event->probe.term = result->term;
+    event->probe.last_write = result->last_write;
 }
 
 // Fills the event for a probe that an upstream rejected as overloaded. Such an
--- a/src/catkingrade/control/upstream_admin.h
+++ b/src/catkingrade/control/upstream_admin.h
@@ -27,6 +27,8 @@
     bool refused; // the host or server refused; false: no answer
     bool is_primary;
     struct ck_position position;
+    uint64_t term; // that the upstream counts, or its timeline; 0: unknown
+    struct ck_position last_write; // of its log: term and number
 };
 
 typedef void (*upstream_admin_fn)(void *data,
--- a/src/catkingrade/decide/coordinator/coordinator.h
+++ b/src/catkingrade/decide/coordinator/coordinator.h
@@ -87,6 +87,8 @@
     bool refused; // PROBE_FAILED: the host refused; else there was no answer
     bool is_busy; // PROBED: too busy to report its role and position
     struct ck_position position;
+    uint64_t term; // that the upstream counts, or its timeline; 0: unknown
+    struct ck_position last_write; // of its log: term and number
 };
 
 // Pointers are borrowed and valid during coordinator_step.
--- a/src/catkingrade/decide/coordinator/coordinator_choice.c
+++ b/src/catkingrade/decide/coordinator/coordinator_choice.c
@@ -5,6 +5,7 @@
 
 #include "catkingrade/decide/coordinator/coordinator_private.h"
 #include "catkingrade/decide/coordinator/promotion.h"
+#include "catkingrade/decide/promotion/history.h"
 #include "catkingrade/kernel/memory.h"
 #include "catkingrade/kernel/outcome.h"
 
@@ -19,6 +20,9 @@
 #define COORDINATOR_SILENT_PROBE_FAILURES 2
 // With CK_PROMOTION_AVAILABLE, a complete choice is awaited for this time.
 #define COORDINATOR_AVAILABLE_WAIT_US 1000000
+// An upstream that is lost for this time is not expected to return with the
+// writes of the newest terms.
+#define COORDINATOR_RETURN_WAIT_US 15000000
 
 // Probes all members. Returns the number of members, apart from except, that
 // have neither answered nor failed since the phase began. Lost members are
@@ -52,8 +56,20 @@
     return true;
 }
 
+// Returns whether a claim to be the primary is newer than another one: of a
+// later term of the upstreams, or else of a more advanced log.
+static bool
+coordinator_is_newer_claim(const struct coordinator_member *left,
+                           const struct coordinator_member *right)
+{
+    if (left->term != right->term) {
+        return left->term > right->term;
+    }
+    return promotion_compare(&left->position, &right->position) > 0;
+}
+
 // Returns the index of the member that answered as a primary and may serve, or
-// PROMOTION_NONE. Of several it returns the most advanced.
+// PROMOTION_NONE. Of several it returns the one with the newest claim.
 static int
 coordinator_find_answered_primary(const struct coordinator *coordinator,
                                   const struct coordinator_database *db)
@@ -65,8 +81,7 @@
         if (member->answered && member->is_primary &&
             coordinator_may_serve(coordinator, member, 0) &&
             (index == PROMOTION_NONE ||
-             promotion_compare(&member->position,
-                               &db->members[index].position) > 0)) {
+             coordinator_is_newer_claim(member, &db->members[index]))) {
             index = (int)i;
         }
     }
@@ -88,8 +103,41 @@
                                   member->is_primary ? 0 : promotion_us);
 }
 
+// Returns whether a member's log holds writes that a promotion has given up.
+static bool
+coordinator_is_diverged(const struct coordinator *coordinator,
+                        const struct coordinator_database *db,
+                        const struct coordinator_member *member)
+{
+    return member->answered &&
+           !history_contains(group_find_history(coordinator->group, db->name),
+                             &member->last_write);
+}
+
+// Returns whether only diverged logs are left: all other members have left, or
+// have been lost for long.
+static bool
+coordinator_is_history_lost(const struct coordinator *coordinator,
+                            const struct coordinator_database *db,
+                            const struct ck_database *database)
+{
+    for (size_t i = 0; i < db->members_count; i++) {
+        const struct coordinator_member *member = &db->members[i];
+        const struct ck_upstream *upstream =
+            &database->upstreams.upstreams_val[i];
+        bool is_gone = upstream->sequence == GROUP_SEQUENCE_WITHDRAWN ||
+                       (upstream->state == CK_UPSTREAM_LOST &&
+                        coordinator->now_us - member->lost_us >=
+                            COORDINATOR_RETURN_WAIT_US);
+        if (!is_gone && !coordinator_is_diverged(coordinator, db, member)) {
+            return false;
+        }
+    }
+    return true;
+}
+
 // Calls promotion_choose on the answers, with or without the answer of the old
-// primary.
+// primary. A diverged log does not count unless nothing else is left.
 static struct promotion_choice
 coordinator_choose_from_answers(const struct coordinator *coordinator,
                                 const struct coordinator_database *db,
@@ -100,6 +148,8 @@
         group_find_customer_of_database(coordinator->group, db->name);
     struct promotion_answer *answers =
         xcalloc(db->members_count, sizeof(*answers));
+    bool is_history_lost =
+        coordinator_is_history_lost(coordinator, db, database);
     struct promotion_params params = {
         .answers = answers,
         .count = db->members_count,
@@ -118,7 +168,10 @@
         answers[i].is_leaving = upstream->state == CK_UPSTREAM_LEAVING;
         answers[i].is_barred =
             coordinator_is_barred(coordinator, member, upstream);
-        answers[i].is_regressed = member->is_regressed;
+        answers[i].is_regressed =
+            member->is_regressed ||
+            (!is_history_lost &&
+             coordinator_is_diverged(coordinator, db, member));
         answers[i].position = member->position;
     }
     struct promotion_choice choice = promotion_choose(&params);
@@ -317,17 +370,21 @@
                               const struct ck_database *database)
 {
     size_t answered = 0;
+    size_t diverged = 0;
 
     if (db->is_incomplete_recorded) {
         return;
     }
     for (size_t i = 0; i < db->members_count; i++) {
-        answered += db->members[i].answered ? 1 : 0;
+        const struct coordinator_member *member = &db->members[i];
+        answered += member->answered ? 1 : 0;
+        diverged += coordinator_is_diverged(coordinator, db, member) ? 1 : 0;
     }
     db->is_incomplete_recorded = true;
     coordinator_record(coordinator, "promotion_waits", database,
-                       database->primary, "database=%s answered=%zu of=%zu",
-                       db->name, answered, db->members_count);
+                       database->primary,
+                       "database=%s answered=%zu of=%zu diverged=%zu",
+                       db->name, answered, db->members_count, diverged);
 }
 
 // Returns whether the customer's template prefers to continue without
@@ -393,6 +450,9 @@
         coordinator_promote(coordinator, db, database, choice.index);
     }
     else {
+        if (waited) {
+            coordinator_record_incomplete(coordinator, db, database);
+        }
         coordinator_wake_at(coordinator, coordinator->now_us +
                                              coordinator->params.probe_us);
     }
--- a/src/catkingrade/decide/coordinator/coordinator_database.c
+++ b/src/catkingrade/decide/coordinator/coordinator_database.c
@@ -239,6 +239,8 @@
     member->failed = false;
     member->is_primary = probe->is_primary;
     member->position = probe->position;
+    member->term = probe->term;
+    member->last_write = probe->last_write;
     member->is_regressed =
         promotion_compare(&probe->position, &member->max_position) < 0;
     if (!member->is_regressed) {
--- a/src/catkingrade/decide/coordinator/coordinator_failover.c
+++ b/src/catkingrade/decide/coordinator/coordinator_failover.c
@@ -448,6 +448,27 @@
                         COORDINATOR_REPLY_NONE, 0);
 }
 
+// Proposes to record that a promotion has taken effect, with the term that the
+// upstream counts since, and the last write of its log before. Precedes the
+// proposal of the term.
+static void
+coordinator_propose_promoted(struct coordinator *coordinator,
+                             const struct ck_database *database, uint64_t term,
+                             uint64_t last_number)
+{
+    struct ck_change change = {.kind = CK_CHANGE_PROMOTED};
+    struct ck_promoted_change *promoted = &change.ck_change_u.promoted;
+
+    if (term == 0) {
+        return;
+    }
+    promoted->database = database->name;
+    promoted->begin.timeline = term;
+    promoted->begin.lsn = last_number;
+    coordinator_propose(coordinator, &change, database->name,
+                        COORDINATOR_REPLY_NONE, 0);
+}
+
 // Orders the promotion of the candidate, which is in the log.
 static void
 coordinator_send_order(struct coordinator *coordinator,
@@ -579,6 +600,10 @@
                  (!member->answered ||
                   member->position.timeline == database->base.timeline);
     db->base = stays ? database->base : member->position;
+    if (verdict == CLAIM_ORDERED || verdict == CLAIM_TRUSTED) {
+        coordinator_propose_promoted(coordinator, database, member->term,
+                                     member->last_write.lsn);
+    }
     coordinator_propose_candidate(coordinator, db, database,
                                   CK_CHANGE_PRIMARY);
 }
@@ -671,6 +696,8 @@
         "database=%s term=%" PRIu64 " timeline=%" PRIu64 " lsn=%" PRIu64,
         db->name, (uint64_t)database->term + 1,
         (uint64_t)probe->position.timeline, (uint64_t)probe->position.lsn);
+    coordinator_propose_promoted(coordinator, database, probe->term,
+                                 probe->last_write.lsn);
     coordinator_propose_candidate(coordinator, db, database,
                                   CK_CHANGE_PRIMARY);
 }
--- a/src/catkingrade/decide/coordinator/coordinator_private.h
+++ b/src/catkingrade/decide/coordinator/coordinator_private.h
@@ -154,6 +154,8 @@
     int64_t probe_sent_us;
     int64_t next_probe_us;
     struct ck_position position;     // in the last answer
+    uint64_t term;                   // in the last answer
+    struct ck_position last_write;   // in the last answer
     struct ck_position max_position; // highest position ever answered
     bool was_lost;                   // CK_UPSTREAM_LOST at the last change
     bool is_removing;                // its removal is being prepared
--- a/src/catkingrade/decide/group/group.c
+++ b/src/catkingrade/decide/group/group.c
@@ -37,6 +37,7 @@
     codec_free((xdrproc_t)xdr_ck_database, &object->database);
     codec_free((xdrproc_t)xdr_ck_packed_declaration, &object->declaration);
     codec_free((xdrproc_t)xdr_ck_primary_change, &object->promotion);
+    codec_free((xdrproc_t)xdr_ck_history, &object->history);
     free(object);
 }
 
@@ -370,6 +371,9 @@
     case CK_CHANGE_PROMOTION:
         group_apply_promotion(group, &change->ck_change_u.primary, result);
         break;
+    case CK_CHANGE_PROMOTED:
+        group_apply_promoted(group, &change->ck_change_u.promoted, result);
+        break;
     case CK_CHANGE_DECLARATION:
         group_apply_declaration(group, &change->ck_change_u.declaration,
                                 result);
--- a/src/catkingrade/decide/group/group_private.h
+++ b/src/catkingrade/decide/group/group_private.h
@@ -11,7 +11,7 @@
 
 // Internals of struct group_state that the group_*.c files share.
 
-// Kinds of names in the index. Every object has one of the first six kinds;
+// Kinds of names in the index. Every object has one of the first seven kinds;
 // the other kinds are secondary keys.
 enum group_kind {
     GROUP_TEMPLATE = 'T',
@@ -20,6 +20,7 @@
     GROUP_DATABASE = 'B',
     GROUP_DECLARATION = 'S',     // at most one, GROUP_DECLARATION_NAME
     GROUP_PROMOTION = 'P',       // by database, until its term begins
+    GROUP_HISTORY = 'H',         // by database, from its first promotion on
     GROUP_UPSTREAM = 'U',        // upstream name -> object of its database
     GROUP_ADDRESS = 'A',         // "host:port" -> object of the database
     GROUP_LISTED_DATABASE = 'L', // database name -> customer listing it
@@ -43,6 +44,7 @@
     struct ck_database database;
     struct ck_packed_declaration declaration;
     struct ck_primary_change promotion;
+    struct ck_history history;
     bool declared; // GROUP_CUSTOMER made by a declaration; empty document
 };
 
@@ -161,6 +163,9 @@
 void group_apply_primary(struct group_state *group,
                          const struct ck_primary_change *change,
                          struct group_result *result);
+void group_apply_promoted(struct group_state *group,
+                          const struct ck_promoted_change *change,
+                          struct group_result *result);
 void group_apply_promotion(struct group_state *group,
                            const struct ck_primary_change *change,
                            struct group_result *result);
--- a/src/catkingrade/decide/group/group_snapshot.c
+++ b/src/catkingrade/decide/group/group_snapshot.c
@@ -10,8 +10,8 @@
 // Encodes the state of a control group as a snapshot and restores it. A
 // snapshot consists of big-endian numbers and of byte blocks, each preceded by
 // its length. Texts are stored as such blocks; daemons, databases,
-// declarations, ordered promotions and declared customers are stored in XDR in
-// such blocks.
+// declarations, ordered promotions, histories and declared customers are
+// stored in XDR in such blocks.
 
 #define GROUP_SNAPSHOT_MAGIC 0x434b4731 // "CKG1"
 
@@ -73,6 +73,9 @@
         group_append_xdr(out, (xdrproc_t)xdr_ck_primary_change,
                          &object->promotion);
         break;
+    case GROUP_HISTORY:
+        group_append_xdr(out, (xdrproc_t)xdr_ck_history, &object->history);
+        break;
     default:
         group_append_xdr(out, (xdrproc_t)xdr_ck_database, &object->database);
         break;
@@ -190,7 +193,8 @@
     char *name = group_read_text(reader);
     bool known = kind == GROUP_TEMPLATE || kind == GROUP_CUSTOMER ||
                  kind == GROUP_DAEMON || kind == GROUP_DATABASE ||
-                 kind == GROUP_DECLARATION || kind == GROUP_PROMOTION;
+                 kind == GROUP_DECLARATION || kind == GROUP_PROMOTION ||
+                 kind == GROUP_HISTORY;
 
     if (reader->failed || !known || group_find(group, kind, name) != NULL) {
         reader->failed = true;
@@ -226,6 +230,9 @@
         group_read_xdr(reader, (xdrproc_t)xdr_ck_primary_change,
                        &object->promotion);
     }
+    else if (kind == GROUP_HISTORY) {
+        group_read_xdr(reader, (xdrproc_t)xdr_ck_history, &object->history);
+    }
     else {
         group_read_xdr(reader, (xdrproc_t)xdr_ck_database, &object->database);
         group->databases_count += removed ? 0 : 1;
--- a/src/catkingrade/plugins/libpq_admin.c
+++ b/src/catkingrade/plugins/libpq_admin.c
@@ -150,8 +150,11 @@
     result->is_primary = PQgetvalue(pg_result, 0, 0)[0] == 'f';
     result->position.timeline =
         strtoull(PQgetvalue(pg_result, 0, 1), NULL, 10);
-    return upstream_position_parse_lsn(PQgetvalue(pg_result, 0, 2),
-                                       &result->position.lsn);
+    int outcome = upstream_position_parse_lsn(PQgetvalue(pg_result, 0, 2),
+                                              &result->position.lsn);
+    result->term = result->position.timeline;
+    result->last_write = result->position;
+    return outcome;
 }
 
 static int
--- a/src/catkingrade/rpc/messages.h
+++ b/src/catkingrade/rpc/messages.h
@@ -38,6 +38,15 @@
 	u_quad_t lsn;
 };
 typedef struct ck_position ck_position;
+#define CK_HISTORY_SIZE 32
+
+struct ck_history {
+	struct {
+		u_int begins_len;
+		ck_position *begins_val;
+	} begins;
+};
+typedef struct ck_history ck_history;
 
 enum ck_upstream_state {
 	CK_UPSTREAM_READY = 0,
@@ -423,6 +432,7 @@
 	CK_CHANGE_VOTERS = 11,
 	CK_CHANGE_DECLARATION = 12,
 	CK_CHANGE_PROMOTION = 13,
+	CK_CHANGE_PROMOTED = 14,
 };
 typedef enum ck_change_kind ck_change_kind;
 
@@ -454,6 +464,12 @@
 };
 typedef struct ck_primary_change ck_primary_change;
 
+struct ck_promoted_change {
+	ck_name database;
+	ck_position begin;
+};
+typedef struct ck_promoted_change ck_promoted_change;
+
 struct ck_voter {
 	u_quad_t id;
 	ck_name vm;
@@ -481,6 +497,7 @@
 		ck_upstream upstream;
 		ck_supersede_change supersede;
 		ck_primary_change primary;
+		ck_promoted_change promoted;
 		ck_voters_change voters;
 		ck_packed_declaration declaration;
 	} ck_change_u;
@@ -824,6 +841,7 @@
 extern  bool_t xdr_ck_host (XDR *, ck_host*);
 extern  bool_t xdr_ck_text (XDR *, ck_text*);
 extern  bool_t xdr_ck_position (XDR *, ck_position*);
+extern  bool_t xdr_ck_history (XDR *, ck_history*);
 extern  bool_t xdr_ck_upstream_state (XDR *, ck_upstream_state*);
 extern  bool_t xdr_ck_upstream (XDR *, ck_upstream*);
 extern  bool_t xdr_ck_database (XDR *, ck_database*);
@@ -859,6 +877,7 @@
 extern  bool_t xdr_ck_customer_state_change (XDR *, ck_customer_state_change*);
 extern  bool_t xdr_ck_supersede_change (XDR *, ck_supersede_change*);
 extern  bool_t xdr_ck_primary_change (XDR *, ck_primary_change*);
+extern  bool_t xdr_ck_promoted_change (XDR *, ck_promoted_change*);
 extern  bool_t xdr_ck_voter (XDR *, ck_voter*);
 extern  bool_t xdr_ck_voters_change (XDR *, ck_voters_change*);
 extern  bool_t xdr_ck_change (XDR *, ck_change*);
@@ -895,6 +914,7 @@
 extern bool_t xdr_ck_host ();
 extern bool_t xdr_ck_text ();
 extern bool_t xdr_ck_position ();
+extern bool_t xdr_ck_history ();
 extern bool_t xdr_ck_upstream_state ();
 extern bool_t xdr_ck_upstream ();
 extern bool_t xdr_ck_database ();
@@ -930,6 +950,7 @@
 extern bool_t xdr_ck_customer_state_change ();
 extern bool_t xdr_ck_supersede_change ();
 extern bool_t xdr_ck_primary_change ();
+extern bool_t xdr_ck_promoted_change ();
 extern bool_t xdr_ck_voter ();
 extern bool_t xdr_ck_voters_change ();
 extern bool_t xdr_ck_change ();
--- a/src/catkingrade/rpc/messages.x
+++ b/src/catkingrade/rpc/messages.x
@@ -31,6 +31,16 @@
     unsigned hyper lsn;
 };
 
+const CK_HISTORY_SIZE = 32;
+
+/*
+ * The last promotions of a database, oldest first: the term that its upstreams
+ * count, or the timeline, and the last write before it.
+ */
+struct ck_history {
+    ck_position begins<CK_HISTORY_SIZE>;
+};
+
 enum ck_upstream_state {
     CK_UPSTREAM_READY = 0,
     CK_UPSTREAM_LEAVING = 1,
@@ -352,7 +362,8 @@
     CK_CHANGE_PRIMARY = 10,
     CK_CHANGE_VOTERS = 11,
     CK_CHANGE_DECLARATION = 12,
-    CK_CHANGE_PROMOTION = 13
+    CK_CHANGE_PROMOTION = 13,
+    CK_CHANGE_PROMOTED = 14
 };
 
 /* A template or a customer: a JSON document that was already validated. */
@@ -385,6 +396,12 @@
     ck_position base;
 };
 
+/* A promotion has taken effect. */
+struct ck_promoted_change {
+    ck_name database;
+    ck_position begin;              /* as in ck_history */
+};
+
 struct ck_voter {
     unsigned hyper id;              /* never reused after a removal */
     ck_name vm;
@@ -418,6 +435,8 @@
 case CK_CHANGE_PRIMARY:
 case CK_CHANGE_PROMOTION:
     ck_primary_change primary;
+case CK_CHANGE_PROMOTED:
+    ck_promoted_change promoted;
 case CK_CHANGE_VOTERS:
     ck_voters_change voters;
 case CK_CHANGE_DECLARATION:
--- a/src/catkingrade/rpc/messages_xdr.c
+++ b/src/catkingrade/rpc/messages_xdr.c
@@ -47,6 +47,17 @@
 	return TRUE;
 }
 
+bool_t
+xdr_ck_history (XDR *xdrs, ck_history *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_array (xdrs, (char **)&objp->begins.begins_val, (u_int *) &objp->begins.begins_len, CK_HISTORY_SIZE,
+		sizeof (ck_position), (xdrproc_t) xdr_ck_position))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_ck_upstream_state (XDR *xdrs, ck_upstream_state *objp)
 {
@@ -1094,6 +1105,18 @@
 	return TRUE;
 }
 
+bool_t
+xdr_ck_promoted_change (XDR *xdrs, ck_promoted_change *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_ck_name (xdrs, &objp->database))
+		 return FALSE;
+	 if (!xdr_ck_position (xdrs, &objp->begin))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_ck_voter (XDR *xdrs, ck_voter *objp)
 {
@@ -1165,6 +1188,10 @@
 		 if (!xdr_ck_primary_change (xdrs, &objp->ck_change_u.primary))
 			 return FALSE;
 		break;
+	case CK_CHANGE_PROMOTED:
+		 if (!xdr_ck_promoted_change (xdrs, &objp->ck_change_u.promoted))
+			 return FALSE;
+		break;
 	case CK_CHANGE_VOTERS:
 		 if (!xdr_ck_voters_change (xdrs, &objp->ck_change_u.voters))
 			 return FALSE;
--- a/test/rig/history_upstream.c
+++ b/test/rig/history_upstream.c
@@ -46,6 +46,18 @@
     return position;
 }
 
+// Fills what an upstream says of its log.
+static void
+history_set_position(struct coordinator_probe *probe,
+                     const struct ck_position *position)
+{
+    probe->position = *position;
+    probe->term = position->lsn >> HISTORY_NUMBER_BITS;
+    probe->last_write.timeline = probe->term;
+    probe->last_write.lsn =
+        position->lsn & ((UINT64_C(1) << HISTORY_NUMBER_BITS) - 1);
+}
+
 // The process ends; it keeps its log. It comes back as a replica if another
 // upstream was promoted meanwhile.
 void
@@ -108,7 +120,7 @@
     event.probe.upstream = rig->upstreams[message->upstream].name;
     event.probe.is_primary = message->is_primary;
     event.probe.refused = message->is_refused;
-    event.probe.position = message->position;
+    history_set_position(&event.probe, &message->position);
     history_voter_answer(rig, message, &event);
 }
 
@@ -341,7 +353,8 @@
     }
     event.probe.upstream = upstream->name;
     event.probe.is_primary = true;
-    event.probe.position = history_get_position(upstream);
+    struct ck_position position = history_get_position(upstream);
+    history_set_position(&event.probe, &position);
     history_voter_answer(rig, message, &event);
 }
 
--- a/test/unit/decide/group/test_group.c
+++ b/test/unit/decide/group/test_group.c
@@ -206,6 +206,51 @@
 }
 END_TEST
 
+static int
+apply_promoted(struct group_state *group, uint64_t term, uint64_t number)
+{
+    struct ck_change change = {.kind = CK_CHANGE_PROMOTED};
+
+    change.ck_change_u.promoted.database = (char *)"roster1";
+    change.ck_change_u.promoted.begin.timeline = term;
+    change.ck_change_u.promoted.begin.lsn = number;
+    return changes_apply(group, 0, &change, "", -1, NULL);
+}
+
+// Guards against promotions that a voter forgets, so that a log which they
+// gave up is promoted: they are kept in their order, also in a snapshot.
+START_TEST(test_promotions_are_kept_with_their_begin)
+{
+    struct group_state *group = make_group();
+    struct buffer bytes = {0};
+    struct ck_upstream one =
+        changes_make_upstream("u1", "roster1", "noord", "10.0.0.1");
+
+    ck_assert_int_eq(apply_promoted(group, 2, 10), OUTCOME_NOT_FOUND);
+    changes_apply_upstream(group, &one);
+    ck_assert_ptr_null(group_find_history(group, "roster1"));
+    for (uint64_t i = 1; i <= CK_HISTORY_SIZE + 2; i++) {
+        ck_assert_int_eq(apply_promoted(group, i, 10 * i), OUTCOME_OK);
+    }
+    group_encode(group, &bytes);
+    struct group_state *copy =
+        group_decode(GROUP_FLEET_NAME, bytes.data, buffer_get_size(&bytes));
+    ck_assert_ptr_nonnull(copy);
+    ck_assert_int_eq(apply_promoted(copy, CK_HISTORY_SIZE + 1, 7), OUTCOME_OK);
+    const struct ck_history *history = group_find_history(copy, "roster1");
+    u_int count = history->begins.begins_len;
+    ck_assert_uint_eq(count, CK_HISTORY_SIZE - 1);
+    ck_assert_uint_eq(history->begins.begins_val[0].timeline, 3);
+    ck_assert_uint_eq(history->begins.begins_val[0].lsn, 30);
+    ck_assert_uint_eq(history->begins.begins_val[count - 1].timeline,
+                      CK_HISTORY_SIZE + 1);
+    ck_assert_uint_eq(history->begins.begins_val[count - 1].lsn, 7);
+    buffer_free(&bytes);
+    group_destroy(copy);
+    group_destroy(group);
+}
+END_TEST
+
 // Guards against a second promotion for one term: the ordered one is known to
 // each voter, also from a snapshot, until its term begins.
 START_TEST(test_ordered_promotion_is_known_until_its_term)
@@ -569,6 +614,7 @@
     tcase_add_test(tests, test_recorded_results_are_bounded);
     tcase_add_test(tests, test_term_transitions);
     tcase_add_test(tests, test_ordered_promotion_is_known_until_its_term);
+    tcase_add_test(tests, test_promotions_are_kept_with_their_begin);
     tcase_add_loop_test(tests, test_upstream_announcement, 0,
                         ARRAY_SIZE(announcements));
     tcase_add_test(tests, test_lost_upstream_releases_address);
