--- a/src/catkingrade/decide/group/group_routing.c
+++ b/src/catkingrade/decide/group/group_routing.c
@@ -343,6 +343,22 @@
                           group_assign_revision(group, object), "lost");
 }
 
+// Returns the database that a change names. Returns NULL, with the result set,
+// if there is none.
+static struct group_object *
+group_find_declared_database(const struct group_state *group, const char *name,
+                             struct group_result *result)
+{
+    struct group_object *object = group_find(group, GROUP_DATABASE, name);
+
+    if (object == NULL || object->removed) {
+        group_result_set_text(result, OUTCOME_NOT_FOUND, 0,
+                              "no such database");
+        return NULL;
+    }
+    return object;
+}
+
 // Ends the current term of a database. Another term is OUTCOME_FENCED. Ending
 // a term is idempotent.
 void
@@ -351,11 +367,9 @@
                       struct group_result *result)
 {
     struct group_object *object =
-        group_find(group, GROUP_DATABASE, change->database);
+        group_find_declared_database(group, change->database, result);
 
-    if (object == NULL || object->removed) {
-        group_result_set_text(result, OUTCOME_NOT_FOUND, 0,
-                              "no such database");
+    if (object == NULL) {
         return;
     }
     if (change->term != object->database.term) {
@@ -412,11 +426,9 @@
                       struct group_result *result)
 {
     const struct group_object *database =
-        group_find(group, GROUP_DATABASE, change->database);
+        group_find_declared_database(group, change->database, result);
 
-    if (database == NULL || database->removed) {
-        group_result_set_text(result, OUTCOME_NOT_FOUND, 0,
-                              "no such database");
+    if (database == NULL) {
         return;
     }
     if (!group_check_primary(database, change, result)) {
@@ -472,11 +484,9 @@
                      struct group_result *result)
 {
     const struct group_object *database =
-        group_find(group, GROUP_DATABASE, change->database);
+        group_find_declared_database(group, change->database, result);
 
-    if (database == NULL || database->removed) {
-        group_result_set_text(result, OUTCOME_NOT_FOUND, 0,
-                              "no such database");
+    if (database == NULL) {
         return;
     }
     struct group_object *object =
@@ -517,11 +527,9 @@
                     struct group_result *result)
 {
     struct group_object *object =
-        group_find(group, GROUP_DATABASE, change->database);
+        group_find_declared_database(group, change->database, result);
 
-    if (object == NULL || object->removed) {
-        group_result_set_text(result, OUTCOME_NOT_FOUND, 0,
-                              "no such database");
+    if (object == NULL) {
         return;
     }
     if (!group_check_primary(object, change, result)) {
--- a/test/rig/promotion_rig.c
+++ b/test/rig/promotion_rig.c
@@ -12,6 +12,7 @@
 #define DATABASE    "roster1"
 #define START_US    INT64_C(1000000)
 #define ANNOUNCE_US INT64_C(500000)
+#define ORDER_STEPS 1500
 
 static void promotion_rig_step(struct promotion_rig *rig,
                                struct coordinator_event *event);
@@ -427,6 +428,15 @@
     group_destroy(rig->group);
 }
 
+void
+promotion_rig_run_until_ordered(struct promotion_rig *rig)
+{
+    for (int i = 0; i < ORDER_STEPS && rig->orders_count == 0; i++) {
+        promotion_rig_run(rig, PROMOTION_RIG_STEP_US);
+    }
+    ck_assert_uint_ge(rig->orders_count, 1);
+}
+
 void
 promotion_rig_fail_order(struct promotion_rig *rig)
 {
--- a/test/rig/promotion_rig.h
+++ b/test/rig/promotion_rig.h
@@ -58,6 +58,8 @@
 void promotion_rig_finish(struct promotion_rig *rig);
 // Lets virtual time pass.
 void promotion_rig_run(struct promotion_rig *rig, int64_t duration_us);
+// Runs until the first promotion has been ordered.
+void promotion_rig_run_until_ordered(struct promotion_rig *rig);
 // Reports the last order as failed, although it takes effect.
 void promotion_rig_fail_order(struct promotion_rig *rig);
 // Changes the group state this many times, without an effect on the database.
