fix(control): a step of the lease runs after the actions of the one before

A renewal's answer has actions APPLY_DELTA and SET_QUOTAS. The delta's event APPLIED was a step within the step, in which the lease ran out; resetting the quotas moved the memory to which the later action refers. It would also have put the granted quotas in force after the reset.

Change: APPLIED follows once the actions of the step are through. A step within a step is a broken invariant, so that each test that applies a delta guards against it; no other test is added.

--- a/src/catkingrade/control/group_lease.c
+++ b/src/catkingrade/control/group_lease.c
@@ -106,7 +106,6 @@
                         const struct ck_view_delta *delta)
 {
     struct lease_agent *agent = lease->agent;
-    struct leaseholder_event event = {.kind = LEASEHOLDER_EVENT_APPLIED};
     struct view *view = view_apply_delta(agent->view, lease->group, delta);
 
     if (view != NULL) {
@@ -116,8 +115,7 @@
         entry_post_view(agent->daemon->entry, view);
         counter_add(COUNTER_CHANGES, 1);
     }
-    event.revision = view_get_revision(agent->view, lease->group);
-    group_lease_step(lease, &event);
+    lease->is_applied_due = true;
     return view != NULL;
 }
 
@@ -248,18 +246,39 @@
     return true;
 }
 
-void
-group_lease_step(struct group_lease *lease,
-                 const struct leaseholder_event *event)
+static void
+group_lease_run_step(struct group_lease *lease,
+                     const struct leaseholder_event *event)
 {
     struct leaseholder_actions actions = {0};
+    bool proceed = true;
 
+    // A step within another one would free what the actions refer to.
+    INVARIANT(!lease->is_stepping);
+    lease->is_stepping = true;
     leaseholder_step(lease->leaseholder, monotonic_get_us(), event, &actions);
-    bool proceed = true;
     for (size_t i = 0; proceed && i < actions.count; i++) {
         proceed = group_lease_run_action(lease, &actions.items[i]);
     }
     leaseholder_actions_free(&actions);
+    lease->is_stepping = false;
+}
+
+// Passes an event to the leaseholder and executes its actions. If a delta was
+// among them, the revision of the view follows as an event of its own.
+void
+group_lease_step(struct group_lease *lease,
+                 const struct leaseholder_event *event)
+{
+    struct leaseholder_event applied = {.kind = LEASEHOLDER_EVENT_APPLIED};
+
+    group_lease_run_step(lease, event);
+    if (!lease->is_applied_due) {
+        return;
+    }
+    lease->is_applied_due = false;
+    applied.revision = view_get_revision(lease->agent->view, lease->group);
+    group_lease_run_step(lease, &applied);
 }
 
 // Lists the addresses to which renewals may be sent until the group's leader
--- a/src/catkingrade/control/lease_agent_private.h
+++ b/src/catkingrade/control/lease_agent_private.h
@@ -34,6 +34,8 @@
         notifications[LEASE_AGENT_MAX_PENDING_NOTIFICATIONS];
     int64_t valid_until_us; // 0: never granted
     bool held;
+    bool is_stepping;    // actions of a step are being executed
+    bool is_applied_due; // the event APPLIED follows that step
     // Databases whose terms the traffic threads still have to give up before
     // the lease is returned.
     size_t in_use;
