--- a/src/catkingrade/entry/worker.c
+++ b/src/catkingrade/entry/worker.c
@@ -201,7 +201,7 @@
 
 // Returns the view in force. It is valid until the current callback returns to
 // the worker's loop.
-const struct view *
+struct view *
 worker_get_view(const struct worker *worker)
 {
     return worker->view;
--- a/src/catkingrade/entry/worker.h
+++ b/src/catkingrade/entry/worker.h
@@ -50,7 +50,7 @@
 struct entry *worker_get_entry(const struct worker *worker);
 unsigned worker_get_index(const struct worker *worker);
 struct classifier *worker_get_classifier(const struct worker *worker);
-const struct view *worker_get_view(const struct worker *worker);
+struct view *worker_get_view(const struct worker *worker);
 bool worker_has_view_and_lease(const struct worker *worker);
 struct relay_silence *worker_get_relay_silence(struct worker *worker);
 bool worker_may_deny_routes(const struct worker *worker);
--- a/test/contract/test_moved_route.c
+++ b/test/contract/test_moved_route.c
@@ -1,3 +1,4 @@
+#include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -16,6 +17,12 @@
 // of the other.
 #define RELAY_SETTINGS ",\"relay_min_connections\": 3"
 #define READS          20
+#define DATABASES      3
+#define ROUNDS         4
+#define ATTEMPTS       10 // of what a busy machine may be too slow for
+// Time in which a statement reaches the relay. It is sent in two parts, and
+// TCP may keep the second one back for 40 ms.
+#define ARRIVAL_US 100000
 
 // Declares two databases, and the route "own" to one of them.
 static void
@@ -40,16 +47,19 @@
 static void
 wait_row(int fd, const char *line, const char *row)
 {
+    char *answer = NULL;
+
     for (int i = 0; i < RIG_WAIT_ROUNDS; i++) {
-        char *answer = platform_send_request(fd, line);
-        bool found = answer != NULL && strstr(answer, row) != NULL;
         free(answer);
-        if (found) {
+        answer = platform_send_request(fd, line);
+        if (answer != NULL && strstr(answer, row) != NULL) {
+            free(answer);
             return;
         }
         usleep(RIG_WAIT_STEP_US);
     }
-    ck_abort_msg("no answer to %s has %s", line, row);
+    ck_abort_msg("no answer to %s has %s, the last one is %s", line, row,
+                 answer == NULL ? "none" : answer);
 }
 
 static void
@@ -124,9 +134,320 @@
 }
 END_TEST
 
+// Opens a relay session of the first entry for a database.
+static int
+open_relay_session(const char *database)
+{
+    char line[64];
+
+    (void)snprintf(line, sizeof(line), "STARTUP %s e relay", database);
+    for (int i = 0; i < RIG_WAIT_ROUNDS; i++) {
+        int fd = platform_connect(rig.relay_port);
+        char *answer = fd < 0 ? NULL : platform_send_request(fd, line);
+        bool is_open = answer != NULL && strncmp(answer, "READY I ", 8) == 0;
+        free(answer);
+        if (is_open) {
+            return fd;
+        }
+        close(fd);
+        usleep(RIG_WAIT_STEP_US);
+    }
+    ck_abort_msg("the entry takes no relay session of %s", database);
+}
+
+static void
+expect_start(int fd, const char *line, const char *start)
+{
+    char *answer = platform_send_request(fd, line);
+
+    ck_assert_ptr_nonnull(answer);
+    ck_assert_msg(strncmp(answer, start, strlen(start)) == 0, "%s: %s", line,
+                  answer);
+    free(answer);
+}
+
+// Guards against statements that a relay runs at another database than the
+// entry with the client means, as the two hold different versions.
+START_TEST(test_relay_runs_at_named_database_only)
+{
+    start("moved_route_versions", 1);
+    int core1 = open_relay_session("core1");
+    int core = open_relay_session("core");
+    expect_start(core1, "QUERY b1 VIA own - 0 0 WRITE k1 one",
+                 "COMPLETE sig-b1\r\nREADY I ");
+    // This entry's version is older than that of the entry with the client.
+    expect_start(core, "QUERY x1 VIA own - 0 0 READ k1", "ERROR MISROUTED ");
+    expect_start(core, "QUERY x2 VIA own - 0 0 WRITE k9 stolen",
+                 "ERROR MISROUTED ");
+    // The version changes between BEGIN and the first statement.
+    expect_start(core1, "QUERY - VIA own - 0 0 BEGIN", "COMPLETE -");
+    put_route(2, "core");
+    close(platform_rig_wait_answer(0, "own", "QUERY a1 WRITE where core",
+                                   "sig-a1"));
+    expect_start(core1, "QUERY t1 WRITE k2 begun", "COMPLETE sig-t1");
+    expect_start(core1, "QUERY t2 COMMIT", "COMPLETE sig-t2");
+    // This entry's version is newer.
+    wait_row(core1, "QUERY x3 VIA own - 0 0 WRITE k3 left",
+             "ERROR MISROUTED ");
+    expect_start(core1, "QUERY - VIA own - 0 0 BEGIN", "ERROR MISROUTED ");
+    expect_start(core, "QUERY b2 VIA own - 0 0 WRITE k1 two",
+                 "COMPLETE sig-b2\r\nREADY I ");
+    ck_assert_int_eq(platform_get_arrival_us(rig.platforms[0], "x1"), 0);
+    ck_assert_int_eq(platform_get_arrival_us(rig.platforms[1], "x1"), 0);
+    ck_assert_int_eq(platform_count_writes(rig.platforms[0], "stolen"), 0);
+    ck_assert_int_eq(platform_count_writes(rig.platforms[1], "stolen"), 0);
+    ck_assert_int_eq(platform_count_writes(rig.platforms[0], "begun"), 0);
+    ck_assert_int_eq(platform_count_writes(rig.platforms[0], "left"), 0);
+    ck_assert_int_eq(platform_count_writes(rig.platforms[1], "begun"), 1);
+    close(core);
+    close(core1);
+    platform_rig_stop();
+}
+END_TEST
+
+static const char *const databases[DATABASES] = {"core", "core1", "core2"};
+
+// Declares three databases with a route each, the route "own" to one of them,
+// and a route with which a test sees that the version is in force.
+static void
+put_routes(int number, int database)
+{
+    char body[2 * CONFIG_SIZE];
+    int size =
+        snprintf(body, sizeof(body), "{\"version\":%d,\"routes\":[", number);
+
+    for (int i = 0; i < DATABASES; i++) {
+        size += snprintf(body + size, sizeof(body) - (size_t)size,
+                         "{\"host\":\"to-%s\",\"routeKind\":\"primary\","
+                         "\"timeoutMs\":5000,\"targetLatencyMs\":4000,"
+                         "\"priority\":1,\"service\":\"%s\"},",
+                         databases[i], databases[i]);
+    }
+    size += snprintf(body + size, sizeof(body) - (size_t)size,
+                     "{\"host\":\"probe%d\",\"routeKind\":\"primary\","
+                     "\"timeoutMs\":5000,\"targetLatencyMs\":4000,"
+                     "\"priority\":1,\"service\":\"core\"},"
+                     "{\"host\":\"own\",\"routeKind\":\"read_own_writes\","
+                     "\"timeoutMs\":5000,\"targetLatencyMs\":4000,"
+                     "\"priority\":2,\"service\":\"%s\","
+                     "\"maxStalenessMs\":60000}],\"services\":[",
+                     number, databases[database]);
+    for (int i = 0; i < DATABASES; i++) {
+        size += snprintf(body + size, sizeof(body) - (size_t)size,
+                         "%s{\"name\":\"%s\",\"maxConns\":8,"
+                         "\"syncReplicas\":0}",
+                         i == 0 ? "" : ",", databases[i]);
+    }
+    (void)snprintf(body + size, sizeof(body) - (size_t)size,
+                   "],\"limits\":{\"txIdleMs\":60000}}");
+    platform_rig_wait_config(0, body);
+}
+
+// The same, and waits until an entry obeys the version.
+static void
+move_routes(int entry, int number, int database)
+{
+    char probe[32];
+
+    put_routes(number, database);
+    (void)snprintf(probe, sizeof(probe), "probe%d", number);
+    close(platform_rig_wait_answer(entry, probe, "QUERY - SET v x",
+                                   "COMPLETE -"));
+}
+
+// Sends a statement of the other entry in a relay session of its own, and
+// moves the route after that, if number is not zero. Returns whether it was
+// run; otherwise it was refused as misrouted.
+static bool
+is_run(const char *name, const char *line, int number, int database)
+{
+    int fd = open_relay_session(name);
+
+    platform_send_line(fd, line);
+    if (number != 0) {
+        usleep(ARRIVAL_US);
+        put_routes(number, database);
+    }
+    char *answer = platform_receive_reply(fd);
+    ck_assert_ptr_nonnull(answer);
+    bool run = strncmp(answer, "COMPLETE ", strlen("COMPLETE ")) == 0;
+    ck_assert_msg(run || strstr(answer, "ERROR MISROUTED ") != NULL, "%s: %s",
+                  line, answer);
+    free(answer);
+    close(fd);
+    return run;
+}
+
+static void
+start_with_routes(const char *name)
+{
+    const struct platform_rig_options options = {
+        .entries = 1, .databases = DATABASES, .control_extra = RELAY_SETTINGS};
+
+    platform_rig_start_with(name, &options);
+    put_routes(1, 1);
+    for (int i = 0; i < DATABASES; i++) {
+        char route[32];
+        (void)snprintf(route, sizeof(route), "to-%s", databases[i]);
+        close(platform_rig_wait_answer(0, route, "QUERY a0 WRITE where any",
+                                       "sig-a0"));
+    }
+}
+
+// Guards against refusals, at each change of the configuration, of statements
+// whose entry has the new version some milliseconds before its relay.
+START_TEST(test_relay_awaits_version_of_other_entry)
+{
+    bool run = false;
+
+    start_with_routes("moved_route_awaited");
+    for (int i = 0; i < ATTEMPTS && !run; i++) {
+        move_routes(0, 3 * i + 2, 1);
+        move_routes(0, 3 * i + 3, 1);
+        run = is_run(databases[0], "QUERY h1 VIA own - 0 0 WRITE k held",
+                     3 * i + 4, 0);
+    }
+    ck_assert(run);
+    ck_assert_int_eq(platform_count_writes(rig.platforms[0], "held"), 1);
+    ck_assert_int_eq(platform_count_writes(rig.platforms[1], "held"), 0);
+    platform_rig_stop();
+}
+END_TEST
+
+// Guards against such refusals where the relay has the new version before the
+// entry.
+START_TEST(test_relay_runs_by_version_before)
+{
+    bool run = false;
+
+    start_with_routes("moved_route_before");
+    for (int i = 0; i < ATTEMPTS && !run; i++) {
+        move_routes(0, 2 * i + 2, 1);
+        move_routes(0, 2 * i + 3, 0);
+        run = is_run(databases[1], "QUERY v1 VIA own - 0 0 WRITE k before", 0,
+                     0);
+    }
+    ck_assert(run);
+    ck_assert_int_eq(platform_count_writes(rig.platforms[0], "before"), 0);
+    ck_assert_int_eq(platform_count_writes(rig.platforms[1], "before"), 1);
+    platform_rig_stop();
+}
+END_TEST
+
+// Returns whether an entry runs the statements of a database at the other one.
+static bool
+uses_relay(int entry, int database)
+{
+    char text[128];
+
+    (void)snprintf(text, sizeof(text), "\"relay_begun\",\"database\":\"%s\"",
+                   databases[database]);
+    return platform_rig_log_contains(RIG_CONTROLS + entry, text);
+}
+
+// Finds two databases with the same relay. Each of the three has one of two
+// entries as its relay, once both serve all of them.
+static int
+find_entry_with_relay(int *old, int *new)
+{
+    for (int entry = 0; entry < 2; entry++) {
+        int used[DATABASES];
+        int count = 0;
+        for (int i = 0; i < DATABASES; i++) {
+            if (uses_relay(entry, i)) {
+                used[count++] = i;
+            }
+        }
+        if (count >= 2) {
+            *old = used[0];
+            *new = used[1];
+            return entry;
+        }
+    }
+    return -1;
+}
+
+static int
+start_with_common_relay(int *old, int *new)
+{
+    const struct platform_rig_options options = {
+        .entries = 2, .databases = DATABASES, .control_extra = RELAY_SETTINGS};
+    int entry = -1;
+
+    platform_rig_start_with("moved_route_frozen", &options);
+    put_routes(1, 0);
+    for (int i = 0; i < RIG_WAIT_ROUNDS && entry < 0; i++) {
+        for (int at = 0; at < 2 * DATABASES; at++) {
+            char name[32];
+            (void)snprintf(name, sizeof(name), "to-%s", databases[at / 2]);
+            close(platform_rig_wait_answer(at % 2, name, "QUERY a0 READ k",
+                                           "COMPLETE"));
+        }
+        entry = find_entry_with_relay(old, new);
+        usleep(RIG_WAIT_STEP_US);
+    }
+    ck_assert_msg(entry >= 0, "no entry uses one relay for two databases");
+    return entry;
+}
+
+// Writes at the old database while no replica of it receives anything, moves
+// the route to the new one, which the frozen relay does not learn, and reads.
+// The read may be refused, or run at either database, but not on a log that
+// lacks the session's write.
+static void
+read_at_frozen_relay(int entry, int old, int new, int number)
+{
+    struct platform *platform = rig.platforms[old];
+    int primary = platform_get_primary(platform);
+    pid_t relay = process_get_pid(rig.entries[1 - entry]);
+
+    put_routes(number, old);
+    int fd = platform_rig_wait_answer(entry, "own", "QUERY a1 READ where",
+                                      "COMPLETE sig-a1");
+    wait_row(fd, "QUERY a2 WRITE mine zero", "COMPLETE sig-a2");
+    wait_row(fd, "QUERY a3 READ mine", "DATAROW zero");
+    for (int i = 0; i < PLATFORM_UPSTREAMS; i++) {
+        platform_pause_replication(platform, i, i != primary);
+    }
+    wait_row(fd, "QUERY b1 WRITE mine one", "COMPLETE sig-b1");
+    ck_assert_int_eq(kill(relay, SIGSTOP), 0);
+    move_routes(entry, number + 1, new);
+    platform_send_line(fd, "QUERY c1 READ mine");
+    usleep(ARRIVAL_US);
+    ck_assert_int_eq(kill(relay, SIGCONT), 0);
+    char *answer = platform_receive_reply(fd);
+    ck_assert_ptr_nonnull(answer);
+    ck_assert_msg(strstr(answer, "DATAROW zero") == NULL,
+                  "a session misses its write: %s", answer);
+    free(answer);
+    for (int i = 0; i < PLATFORM_UPSTREAMS; i++) {
+        platform_pause_replication(platform, i, false);
+    }
+    close(fd);
+}
+
+// Guards against a read that misses its session's write because its relay has
+// slept through the version that moves the route.
+START_TEST(test_read_at_relay_with_older_version)
+{
+    int old = 0;
+    int new = 0;
+    int entry = start_with_common_relay(&old, &new);
+
+    for (int i = 0; i < ROUNDS; i++) {
+        read_at_frozen_relay(entry, old, new, 2 + 2 * i);
+    }
+    platform_rig_stop();
+}
+END_TEST
+
 static void
 add_tests(TCase *tests)
 {
+    tcase_add_test(tests, test_read_at_relay_with_older_version);
+    tcase_add_test(tests, test_relay_runs_at_named_database_only);
+    tcase_add_test(tests, test_relay_awaits_version_of_other_entry);
+    tcase_add_test(tests, test_relay_runs_by_version_before);
     tcase_add_test(tests, test_session_reads_its_write_after_route_moved_back);
     tcase_add_test(
         tests, test_relayed_session_reads_its_write_after_route_moved_back);
