--- a/src/catkingrade/decide/leaseholder/leaseholder.h
+++ b/src/catkingrade/decide/leaseholder/leaseholder.h
@@ -73,8 +73,8 @@
 
 enum leaseholder_action_kind {
     LEASEHOLDER_ACTION_SEND_RENEW,
-    // Apply the delta before any SET_LEASE that follows. Send the event APPLIED
-    // after the actions of this step.
+    // Apply the delta before any SET_LEASE that follows. Send the event
+    // APPLIED after the actions of this step.
     LEASEHOLDER_ACTION_APPLY_DELTA,
     LEASEHOLDER_ACTION_SET_LEASE,
     LEASEHOLDER_ACTION_LEASE_EXPIRED,
