--- a/test/unit/platform/test_wire_admin.c
+++ b/test/unit/platform/test_wire_admin.c
@@ -24,7 +24,8 @@
 #define LONGEST                                                               \
     "a234567890123456789012345678901234567890123456789012345678901\"\\"
 
-// The platform: accepts one call, keeps it and refuses it.
+// The platform: accepts one call, keeps it and refuses it, or tells each call
+// to come again.
 static struct {
     int listen_fd;
     struct sockaddr_storage address;
@@ -45,15 +46,12 @@
            strlen(body + 4) >= strtoul(length + 16, NULL, 10);
 }
 
-static void *
-accept_call(void *data)
+static void
+answer_call(int fd, const char *answer)
 {
-    static const char answer[] =
-        "HTTP/1.1 400 Bad Request\r\nContent-Length: 0\r\n\r\n";
-    int fd = accept(rig.listen_fd, NULL, NULL);
     ssize_t size = 1;
 
-    (void)data;
+    buffer_clear(&rig.call);
     buffer_append_u8(&rig.call, 0);
     rig.call.end--;
     while (size > 0 && !is_whole((const char *)buffer_get_data(&rig.call))) {
@@ -62,8 +60,29 @@
         rig.call.end += size > 0 ? (size_t)size : 0;
         rig.call.data[rig.call.end] = 0;
     }
-    (void)!send(fd, answer, sizeof(answer) - 1, MSG_NOSIGNAL);
+    (void)!send(fd, answer, strlen(answer), MSG_NOSIGNAL);
     close(fd);
+}
+
+static void *
+accept_call(void *data)
+{
+    (void)data;
+    answer_call(accept(rig.listen_fd, NULL, NULL),
+                "HTTP/1.1 400 Bad Request\r\nContent-Length: 0\r\n\r\n");
+    return NULL;
+}
+
+static void *
+defer_calls(void *data)
+{
+    int fd = -1;
+
+    (void)data;
+    while ((fd = accept(rig.listen_fd, NULL, NULL)) >= 0) {
+        answer_call(fd, "HTTP/1.1 429 Too Many Requests\r\n"
+                        "Connection: close\r\nContent-Length: 0\r\n\r\n");
+    }
     return NULL;
 }
 
@@ -102,10 +121,11 @@
     loop_stop(rig.loop);
 }
 
-// Asks for the promotion of an upstream. Returns the call that the platform
-// got, which the caller frees.
+// Asks for the promotion of an upstream. Returns the last call that the
+// platform got, which the caller frees.
 static char *
-promote(const char *host, const char *database, const char *name)
+promote(const char *host, const char *database, const char *name,
+        void *(*platform)(void *data))
 {
     struct settings settings = {.vm = (char *)"vm 1",
                                 .connect_timeout_us = 1000000,
@@ -127,7 +147,7 @@
     apr_initialize();
     memset(&rig, 0, sizeof(rig));
     start_listener(host, &settings.platform.promote);
-    ck_assert_int_eq(pthread_create(&thread, NULL, accept_call, NULL), 0);
+    ck_assert_int_eq(pthread_create(&thread, NULL, platform, NULL), 0);
     rig.loop = loop_create();
     struct upstream_admin *admin =
         wire_admin_driver.create(rig.loop, &settings);
@@ -157,7 +177,7 @@
 START_TEST(test_names_arrive_whole)
 {
     const struct row *row = &rows[_i];
-    char *call = promote("127.0.0.1", row->database, row->name);
+    char *call = promote("127.0.0.1", row->database, row->name, accept_call);
     struct json_object *body =
         json_tokener_parse(strstr(call, "\r\n\r\n") + 4);
     struct json_object *service = NULL;
@@ -182,7 +202,7 @@
 // one before the port.
 START_TEST(test_platform_at_ipv6_address)
 {
-    char *call = promote("::1", "core", "i-0");
+    char *call = promote("::1", "core", "i-0", accept_call);
 
     ck_assert_int_eq(rig.outcome, OUTCOME_NOT_RUN);
     ck_assert_int_eq(strncmp(call, "POST /failover HTTP/1.1\r\n", 25), 0);
@@ -192,6 +212,17 @@
 }
 END_TEST
 
+// Guards against a primary that is given up for a promotion which the platform
+// has never taken: until its time is over, each call was told to come again.
+START_TEST(test_deferred_promotion_has_not_run)
+{
+    char *call = promote("127.0.0.1", "core", "i-0", defer_calls);
+
+    ck_assert_int_eq(rig.outcome, OUTCOME_NOT_RUN);
+    free(call);
+}
+END_TEST
+
 // A primary that leads term 4 until STEPDOWN.
 static void *
 serve_primary(void *data)
@@ -306,6 +337,7 @@
     tcase_add_test(tests, test_promoted_upstream_is_not_fenced);
     tcase_add_loop_test(tests, test_names_arrive_whole, 0, ARRAY_SIZE(rows));
     tcase_add_test(tests, test_platform_at_ipv6_address);
+    tcase_add_test(tests, test_deferred_promotion_has_not_run);
 }
 
 TEST_MAIN("wire_admin", add_tests)
