--- a/test/contract/test_moved_route.c
+++ b/test/contract/test_moved_route.c
@@ -155,17 +155,6 @@
     ck_abort_msg("the entry takes no relay session of %s", database);
 }
 
-static void
-expect_start(int fd, const char *line, const char *start)
-{
-    char *answer = platform_send_request(fd, line);
-
-    ck_assert_ptr_nonnull(answer);
-    ck_assert_msg(strncmp(answer, start, strlen(start)) == 0, "%s: %s", line,
-                  answer);
-    free(answer);
-}
-
 // Guards against statements that a relay runs at another database than the
 // entry with the client means, as the two hold different versions.
 START_TEST(test_relay_runs_at_named_database_only)
@@ -173,25 +162,29 @@
     start("moved_route_versions", 1);
     int core1 = open_relay_session("core1");
     int core = open_relay_session("core");
-    expect_start(core1, "QUERY b1 VIA own - 0 0 WRITE k1 one",
-                 "COMPLETE sig-b1\r\nREADY I ");
+    platform_rig_expect_start(core1, "QUERY b1 VIA own - 0 0 WRITE k1 one",
+                              "COMPLETE sig-b1\r\nREADY I ");
     // This entry's version is older than that of the entry with the client.
-    expect_start(core, "QUERY x1 VIA own - 0 0 READ k1", "ERROR MISROUTED ");
-    expect_start(core, "QUERY x2 VIA own - 0 0 WRITE k9 stolen",
-                 "ERROR MISROUTED ");
+    platform_rig_expect_start(core, "QUERY x1 VIA own - 0 0 READ k1",
+                              "ERROR MISROUTED ");
+    platform_rig_expect_start(core, "QUERY x2 VIA own - 0 0 WRITE k9 stolen",
+                              "ERROR MISROUTED ");
     // The version changes between BEGIN and the first statement.
-    expect_start(core1, "QUERY - VIA own - 0 0 BEGIN", "COMPLETE -");
+    platform_rig_expect_start(core1, "QUERY - VIA own - 0 0 BEGIN",
+                              "COMPLETE -");
     put_route(2, "core");
     close(platform_rig_wait_answer(0, "own", "QUERY a1 WRITE where core",
                                    "sig-a1"));
-    expect_start(core1, "QUERY t1 WRITE k2 begun", "COMPLETE sig-t1");
-    expect_start(core1, "QUERY t2 COMMIT", "COMPLETE sig-t2");
+    platform_rig_expect_start(core1, "QUERY t1 WRITE k2 begun",
+                              "COMPLETE sig-t1");
+    platform_rig_expect_start(core1, "QUERY t2 COMMIT", "COMPLETE sig-t2");
     // This entry's version is newer.
     wait_row(core1, "QUERY x3 VIA own - 0 0 WRITE k3 left",
              "ERROR MISROUTED ");
-    expect_start(core1, "QUERY - VIA own - 0 0 BEGIN", "ERROR MISROUTED ");
-    expect_start(core, "QUERY b2 VIA own - 0 0 WRITE k1 two",
-                 "COMPLETE sig-b2\r\nREADY I ");
+    platform_rig_expect_start(core1, "QUERY - VIA own - 0 0 BEGIN",
+                              "ERROR MISROUTED ");
+    platform_rig_expect_start(core, "QUERY b2 VIA own - 0 0 WRITE k1 two",
+                              "COMPLETE sig-b2\r\nREADY I ");
     ck_assert_int_eq(platform_get_arrival_us(rig.platforms[0], "x1"), 0);
     ck_assert_int_eq(platform_get_arrival_us(rig.platforms[1], "x1"), 0);
     ck_assert_int_eq(platform_count_writes(rig.platforms[0], "stolen"), 0);
--- a/test/contract/test_relay.c
+++ b/test/contract/test_relay.c
@@ -219,18 +219,6 @@
     free(text);
 }
 
-// The answer ends with the session's read floor.
-static void
-expect_start(int fd, const char *line, const char *start)
-{
-    char *text = platform_send_request(fd, line);
-
-    ck_assert_ptr_nonnull(text);
-    ck_assert_msg(strncmp(text, start, strlen(start)) == 0, "%s: %s", line,
-                  text);
-    free(text);
-}
-
 // Guards against a relayed statement that runs with the route, read floor or
 // customer of the statement before it.
 START_TEST(test_statement_without_relay_context)
@@ -252,16 +240,19 @@
                                    "sig-a0"));
     int fd = open_relay_session();
     free(platform_send_request(fd, "QUERY - PREPARE p0 WRITE q"));
-    expect_start(fd, "QUERY b1 VIA own - 0 0 WRITE k1 one",
-                 "COMPLETE sig-b1\r\nREADY I ");
+    platform_rig_expect_start(fd, "QUERY b1 VIA own - 0 0 WRITE k1 one",
+                              "COMPLETE sig-b1\r\nREADY I ");
     for (size_t i = 0; i < sizeof(lines) / sizeof(lines[0]); i++) {
         expect_refused(fd, lines[i], "\r\nREADY I ");
     }
-    expect_start(fd, "QUERY - VIA own - 0 0 BEGIN", "COMPLETE -\r\nREADY T ");
-    expect_start(fd, "QUERY c1 WRITE k2 two", "COMPLETE sig-c1\r\nREADY T ");
+    platform_rig_expect_start(fd, "QUERY - VIA own - 0 0 BEGIN",
+                              "COMPLETE -\r\nREADY T ");
+    platform_rig_expect_start(fd, "QUERY c1 WRITE k2 two",
+                              "COMPLETE sig-c1\r\nREADY T ");
     expect_refused(fd, "QUERY x1 VIA current - 0 0 WRITE k9 stolen",
                    "\r\nREADY T ");
-    expect_start(fd, "QUERY c2 COMMIT", "COMPLETE sig-c2\r\nREADY I ");
+    platform_rig_expect_start(fd, "QUERY c2 COMMIT",
+                              "COMPLETE sig-c2\r\nREADY I ");
     close(fd);
     fd = open_relay_session();
     expect_refused(fd, lines[0], "\r\nREADY I - 0\r\n");
--- a/test/rig/platform_rig.c
+++ b/test/rig/platform_rig.c
@@ -406,3 +406,14 @@
     free(process_run(rig.folder, "/bin/rm", args, &code));
     ck_assert_int_eq(code, 0);
 }
+
+void
+platform_rig_expect_start(int fd, const char *line, const char *start)
+{
+    char *answer = platform_send_request(fd, line);
+
+    ck_assert_ptr_nonnull(answer);
+    ck_assert_msg(strncmp(answer, start, strlen(start)) == 0, "%s: %s", line,
+                  answer);
+    free(answer);
+}
--- a/test/rig/platform_rig.h
+++ b/test/rig/platform_rig.h
@@ -107,4 +107,7 @@
 // Sends a request on a session and expects exactly this answer.
 void platform_rig_expect(int fd, const char *line, const char *answer);
 
+// Sends a request, and checks how its answer starts.
+void platform_rig_expect_start(int fd, const char *line, const char *start);
+
 #endif
