--- a/test/contract/test_moved_route.c
+++ b/test/contract/test_moved_route.c
@@ -198,6 +198,27 @@
 }
 END_TEST
 
+// Guards against a statement that runs by the policy of another route: its own
+// one is not known here, and was refused before in the same session.
+START_TEST(test_relay_refuses_unknown_route_each_time)
+{
+    start("moved_route_unknown", 1);
+    int fd = open_relay_session("core1");
+
+    platform_rig_expect_start(fd, "QUERY b1 VIA own - 0 0 WRITE k1 one",
+                              "COMPLETE sig-b1\r\nREADY I ");
+    for (int i = 0; i < 2; i++) {
+        platform_rig_expect_start(fd, "QUERY x1 VIA added - 0 0 WRITE k1 two",
+                                  "ERROR MISROUTED ");
+    }
+    ck_assert_int_eq(platform_count_writes(rig.platforms[1], "two"), 0);
+    platform_rig_expect_start(fd, "QUERY b2 VIA own - 0 0 READ k1",
+                              "DATAROW one\r\nCOMPLETE sig-b2\r\n");
+    close(fd);
+    platform_rig_stop();
+}
+END_TEST
+
 static const char *const databases[DATABASES] = {"core", "core1", "core2"};
 
 // Declares three databases with a route each, the route "own" to one of them,
@@ -412,6 +433,7 @@
 {
     tcase_add_test(tests, test_read_at_relay_with_older_version);
     tcase_add_test(tests, test_relay_runs_at_named_database_only);
+    tcase_add_test(tests, test_relay_refuses_unknown_route_each_time);
     tcase_add_test(tests, test_relay_runs_by_version_before);
     tcase_add_test(tests, test_session_reads_its_write_after_route_moved_back);
     tcase_add_test(
