--- a/test/unit/platform/test_wire_admin.c
+++ b/test/unit/platform/test_wire_admin.c
@@ -24,6 +24,10 @@
 #define LONGEST                                                               \
     "a234567890123456789012345678901234567890123456789012345678901\"\\"
 
+// How late the platform answers a call, so that one is under way when the time
+// of the promotion is over.
+#define LATE_ANSWER_US 500000
+
 // The platform: accepts one call, keeps it and refuses it, or tells each call
 // to come again.
 static struct {
@@ -73,16 +77,31 @@
     return NULL;
 }
 
-static void *
-defer_calls(void *data)
+static void
+defer_calls_after(useconds_t wait_us)
 {
     int fd = -1;
 
-    (void)data;
     while ((fd = accept(rig.listen_fd, NULL, NULL)) >= 0) {
+        usleep(wait_us);
         answer_call(fd, "HTTP/1.1 429 Too Many Requests\r\n"
                         "Connection: close\r\nContent-Length: 0\r\n\r\n");
     }
+}
+
+static void *
+defer_calls(void *data)
+{
+    (void)data;
+    defer_calls_after(0);
+    return NULL;
+}
+
+static void *
+defer_calls_late(void *data)
+{
+    (void)data;
+    defer_calls_after(LATE_ANSWER_US);
     return NULL;
 }
 
@@ -213,10 +232,12 @@
 END_TEST
 
 // Guards against a primary that is given up for a promotion which the platform
-// has never taken: until its time is over, each call was told to come again.
+// has never taken: until its time is over, each call was told to come again,
+// at once or so late that one is under way at the end.
 START_TEST(test_deferred_promotion_has_not_run)
 {
-    char *call = promote("127.0.0.1", "core", "i-0", defer_calls);
+    char *call = promote("127.0.0.1", "core", "i-0",
+                         _i == 0 ? defer_calls : defer_calls_late);
 
     ck_assert_int_eq(rig.outcome, OUTCOME_NOT_RUN);
     free(call);
@@ -337,7 +358,7 @@
     tcase_add_test(tests, test_promoted_upstream_is_not_fenced);
     tcase_add_loop_test(tests, test_names_arrive_whole, 0, ARRAY_SIZE(rows));
     tcase_add_test(tests, test_platform_at_ipv6_address);
-    tcase_add_test(tests, test_deferred_promotion_has_not_run);
+    tcase_add_loop_test(tests, test_deferred_promotion_has_not_run, 0, 2);
 }
 
 TEST_MAIN("wire_admin", add_tests)
