fix(coordinator): the reply to a renewal owns its changes

An entry whose leader stood still may get changes from freed memory: it can't unpack them and waits for its next renewal, or the leader ends with a segmentation fault.

Cause: the changes in a reply to a renewal pointed into the publication, which drops them when it is updated. A step that handles a renewal also makes a publication that is due: one that came due without a quorum, as at a leader that stood still for nearly an election, waits for the next step.

Evidence: test_reply_outlives_publication failed before: the reply of the step could not be unpacked, outcome PROTOCOL.

--- a/src/catkingrade/decide/coordinator/coordinator_lease.c
+++ b/src/catkingrade/decide/coordinator/coordinator_lease.c
@@ -461,6 +461,21 @@
             delta->to_revision >= coordinator->binding_revision);
 }
 
+// Fills the changes after a revision into a reply, which owns the data: the
+// step may change the publication before the reply is sent.
+static void
+coordinator_fill_delta(struct coordinator *coordinator, uint64_t from_revision,
+                       struct ck_packed_delta *delta)
+{
+    publication_fill_delta(coordinator->publication, from_revision,
+                           coordinator->params.delta_max_size_bytes, delta);
+    if (delta->data.data_len > 0) {
+        delta->data.data_val = coordinator_actions_own(
+            coordinator->actions,
+            xmemdupz(delta->data.data_val, delta->data.data_len));
+    }
+}
+
 // Replies to a renewal with the changes that the entry does not have yet, and
 // grants the lease. Quotas and relays may name upstreams of changes that are
 // left, so they come with the last of them.
@@ -478,9 +493,7 @@
         publication_get_revision(coordinator->publication)) {
         (void)coordinator_update_publication(coordinator);
     }
-    publication_fill_delta(coordinator->publication, args->known_revision,
-                           coordinator->params.delta_max_size_bytes,
-                           &result->delta);
+    coordinator_fill_delta(coordinator, args->known_revision, &result->delta);
     if (!recorded || holder->is_returned ||
         !coordinator_is_lease_due(coordinator, args, &result->delta)) {
         return;
--- a/test/unit/decide/coordinator/test_coordinator.c
+++ b/test/unit/decide/coordinator/test_coordinator.c
@@ -7,6 +7,7 @@
 #include <string.h>
 
 #include "catkingrade/decide/coordinator/coordinator.h"
+#include "catkingrade/decide/group/publication.h"
 #include "catkingrade/kernel/memory.h"
 #include "catkingrade/kernel/outcome.h"
 #include "catkingrade/rpc/codec.h"
@@ -1010,6 +1011,36 @@
 }
 END_TEST
 
+// Guards against a leader that sends memory it has freed: one that stood still
+// has no quorum when a publication is due. It publishes at the next event, and
+// the reply to a renewal then has a delta of the publication before.
+START_TEST(test_reply_outlives_publication)
+{
+    struct rig rig;
+    struct ck_view_delta delta;
+    struct ck_upstream upstream =
+        changes_make_upstream("u3", "roster1", "west", "10.0.0.3");
+    struct coordinator_event event = {
+        .kind = COORDINATOR_EVENT_ANNOUNCE, .token = 8, .announce = &upstream};
+
+    start_database(&rig, "e1");
+    elect(&rig, 4);
+    uint64_t published = group_get_revision(rig.group);
+    step(&rig, &event);
+    ck_assert_uint_gt(group_get_revision(rig.group), published);
+    rig.no_quorum = true;
+    tick(&rig, rig.now_us + 5000 * MS);
+    rig.no_quorum = false;
+    const struct ck_renew_result *result = renew(&rig, "e1", 1, 0);
+    ck_assert_uint_eq(result->delta.to_revision, published);
+    ck_assert_int_eq(publication_unpack_delta(&result->delta, &delta),
+                     OUTCOME_OK);
+    ck_assert_uint_eq(delta.databases.databases_len, 1);
+    publication_free_delta(&delta);
+    finish(&rig);
+}
+END_TEST
+
 // Renews until no more relays are listed. Returns the number of replies that
 // listed some.
 static unsigned
@@ -1621,6 +1652,7 @@
     tcase_add_test(tests, test_relays_are_sent_when_they_change);
     tcase_add_test(tests, test_relays_are_planned_in_steps);
     tcase_add_test(tests, test_change_after_large_publication_is_published);
+    tcase_add_test(tests, test_reply_outlives_publication);
     tcase_add_test(tests, test_relays_have_current_address);
     tcase_add_test(tests, test_recent_plan_drops_old_record);
     tcase_add_test(tests, test_new_address_changes_relays_version);
