fix(keys): after the last customer is gone no key is valid

The removed keys and one that no configuration ever held ran statements, 20 of 20 each 5 s after the acknowledgement, and open sessions of removed customers went on.

Cause: "no customer is declared" stood for a deployment without customers and for one whose customers are gone.

Change: refuses_keys, set by the decoder for an empty list. Entries check open sessions when it changes.

--- a/src/catkingrade/decide/group/declaration.c
+++ b/src/catkingrade/decide/group/declaration.c
@@ -80,7 +80,7 @@
 
     memset(packed, 0, sizeof(*packed));
     int outcome =
-        codec_encode((xdrproc_t)xdr_ck_declaration, declaration, &bytes);
+        codec_encode_grown((xdrproc_t)xdr_ck_declaration, declaration, &bytes);
     if (outcome != OUTCOME_OK) {
         buffer_free(&bytes);
         return outcome;
@@ -128,8 +128,8 @@
                                  packed->data.data_len);
     int outcome = OUTCOME_CORRUPT;
     if (!ZSTD_isError(got) && got == size &&
-        codec_decode((xdrproc_t)xdr_ck_declaration, bytes, size,
-                     declaration) == OUTCOME_OK) {
+        codec_decode_grown((xdrproc_t)xdr_ck_declaration, bytes, size,
+                           declaration) == OUTCOME_OK) {
         outcome = OUTCOME_OK;
     }
     free(bytes);
--- a/src/catkingrade/decide/group/group_declaration.c
+++ b/src/catkingrade/decide/group/group_declaration.c
@@ -273,6 +273,36 @@
                : group_add(group, GROUP_DECLARATION, GROUP_DECLARATION_NAME);
 }
 
+// Decides whether keys are refused under a new declaration. Customers who had
+// keys lose them with their list, whether it is empty or left out: only where
+// there never was a list no key is checked.
+static void
+group_set_key_use(struct group_object *object,
+                  const struct ck_declaration *declaration)
+{
+    bool has_customers = declaration->customers.customers_len > 0;
+
+    object->refuses_keys =
+        !has_customers && (declaration->refuses_keys ||
+                           object->has_customers || object->refuses_keys);
+    object->has_customers = has_customers;
+}
+
+// Restores what is derived from the declaration in force. Returns false if it
+// cannot be read.
+bool
+group_restore_declaration(struct group_object *object)
+{
+    struct ck_declaration declaration;
+
+    if (declaration_unpack(&object->declaration, &declaration) != OUTCOME_OK) {
+        return false;
+    }
+    object->has_customers = declaration.customers.customers_len > 0;
+    declaration_free(&declaration);
+    return true;
+}
+
 // Puts a declaration in force if its number is above the number in force. A
 // valid declaration with another number is OUTCOME_OK and changes nothing.
 void
@@ -301,8 +331,9 @@
                                &declaration.databases.databases_val[i]);
     }
     declaration_index_destroy(index);
-    declaration_free(&declaration);
     struct group_object *object = group_ensure_declaration(group);
+    group_set_key_use(object, &declaration);
+    declaration_free(&declaration);
     codec_free((xdrproc_t)xdr_ck_packed_declaration, &object->declaration);
     codec_copy((xdrproc_t)xdr_ck_packed_declaration, packed,
                &object->declaration, sizeof(object->declaration));
--- a/src/catkingrade/decide/group/group_private.h
+++ b/src/catkingrade/decide/group/group_private.h
@@ -43,6 +43,8 @@
     struct ck_daemon daemon;
     struct ck_database database;
     struct ck_packed_declaration declaration;
+    bool has_customers; // GROUP_DECLARATION: it declares customers
+    bool refuses_keys;  // GROUP_DECLARATION, see ck_declaration_in_force
     struct ck_primary_change promotion;
     struct ck_history history;
     bool declared; // GROUP_CUSTOMER made by a declaration; empty document
@@ -136,6 +138,7 @@
 int group_check_declaration(const struct group_state *group,
                             const struct ck_packed_declaration *packed,
                             struct group_result *result);
+bool group_restore_declaration(struct group_object *object);
 void group_restore_declared_customer(struct group_state *group,
                                      struct group_object *object);
 
--- a/src/catkingrade/decide/group/group_snapshot.c
+++ b/src/catkingrade/decide/group/group_snapshot.c
@@ -43,6 +43,22 @@
     buffer_free(&bytes);
 }
 
+static void
+group_append_declaration(struct buffer *out, const struct group_object *object)
+{
+    const struct ck_declaration_in_force in_force = {
+        .declaration = object->declaration,
+        .refuses_keys = object->refuses_keys};
+    struct buffer bytes = {0};
+    int outcome = codec_encode_grown((xdrproc_t)xdr_ck_declaration_in_force,
+                                     &in_force, &bytes);
+
+    INVARIANT(outcome == OUTCOME_OK);
+    buffer_append_be32(out, (uint32_t)buffer_get_size(&bytes));
+    buffer_append(out, buffer_get_data(&bytes), buffer_get_size(&bytes));
+    buffer_free(&bytes);
+}
+
 static void
 group_encode_object(const struct group_object *object, struct buffer *out)
 {
@@ -63,8 +79,7 @@
         }
         break;
     case GROUP_DECLARATION:
-        group_append_xdr(out, (xdrproc_t)xdr_ck_packed_declaration,
-                         &object->declaration);
+        group_append_declaration(out, object);
         break;
     case GROUP_DAEMON:
         group_append_xdr(out, (xdrproc_t)xdr_ck_daemon, &object->daemon);
@@ -183,6 +198,25 @@
     }
 }
 
+static void
+group_read_declaration(struct group_snapshot_reader *reader,
+                       struct group_object *object)
+{
+    struct ck_declaration_in_force in_force = {0};
+    uint32_t size = group_read_u32(reader);
+    const uint8_t *data = group_read_bytes(reader, size);
+
+    if (data == NULL ||
+        codec_decode_grown((xdrproc_t)xdr_ck_declaration_in_force, data, size,
+                           &in_force) != OUTCOME_OK) {
+        reader->failed = true;
+        return;
+    }
+    object->declaration = in_force.declaration;
+    object->refuses_keys = in_force.refuses_keys;
+    reader->failed = !group_restore_declaration(object);
+}
+
 static void
 group_decode_object(struct group_state *group,
                     struct group_snapshot_reader *reader)
@@ -219,8 +253,7 @@
         }
     }
     else if (kind == GROUP_DECLARATION) {
-        group_read_xdr(reader, (xdrproc_t)xdr_ck_packed_declaration,
-                       &object->declaration);
+        group_read_declaration(reader, object);
     }
     else if (kind == GROUP_DAEMON) {
         group_read_xdr(reader, (xdrproc_t)xdr_ck_daemon, &object->daemon);
--- a/src/catkingrade/decide/group/publication.c
+++ b/src/catkingrade/decide/group/publication.c
@@ -256,7 +256,8 @@
                                const struct group_object *source)
 {
     struct ck_declaration declaration;
-    struct ck_declared declared = {.number = source->declaration.number};
+    struct ck_declared declared = {.number = source->declaration.number,
+                                   .refuses_keys = source->refuses_keys};
     struct buffer bytes = {0};
     int outcome = declaration_unpack(&source->declaration, &declaration);
 
@@ -283,7 +284,9 @@
     }
     publication_remove_undeclared(publication, source->revision);
     declared.idle_transaction_ms = declaration.idle_transaction_ms;
-    publication_encode((xdrproc_t)xdr_ck_declared, &declared, &bytes);
+    outcome =
+        codec_encode_grown((xdrproc_t)xdr_ck_declared, &declared, &bytes);
+    INVARIANT(outcome == OUTCOME_OK);
     (void)publication_publish(publication, PUBLISHED_DECLARED, source->name,
                               source->revision, false, &bytes);
     declaration_free(&declaration);
@@ -612,8 +615,8 @@
     if (publication_decompress(packed, &bytes, &size_bytes) != OUTCOME_OK) {
         return OUTCOME_PROTOCOL;
     }
-    int outcome =
-        codec_decode((xdrproc_t)xdr_ck_view_delta, bytes, size_bytes, delta);
+    int outcome = codec_decode_grown((xdrproc_t)xdr_ck_view_delta, bytes,
+                                     size_bytes, delta);
     free(bytes);
     return outcome;
 }
--- a/src/catkingrade/entry/view.c
+++ b/src/catkingrade/entry/view.c
@@ -302,7 +302,10 @@
                          generation);
     }
     if (delta->declared.declared_len > 0) {
-        view->declared = delta->declared.declared_val[0];
+        const struct ck_declared *declared = &delta->declared.declared_val[0];
+        view->access_version +=
+            declared->refuses_keys != view->declared.refuses_keys ? 1 : 0;
+        view->declared = *declared;
     }
 }
 
@@ -462,7 +465,8 @@
 }
 
 // Returns a number that changes from one view to the next when a declared
-// customer is added, changed or removed, or a route becomes public or private.
+// customer is added, changed or removed, when keys begin or cease to be
+// refused because there is none, or a route becomes public or private.
 uint64_t
 view_get_access_version(const struct view *view)
 {
--- a/src/catkingrade/rpc/codec.c
+++ b/src/catkingrade/rpc/codec.c
@@ -1,12 +1,15 @@
 #include "catkingrade/rpc/codec.h"
 
+#include <stdbool.h>
 #include <stdint.h>
+#include <stdlib.h>
 #include <string.h>
 
 #include "catkingrade/kernel/memory.h"
 #include "catkingrade/kernel/outcome.h"
 
 #define CODEC_MAX_SIZE_BYTES (64 * 1024 * 1024)
+#define CODEC_BOOL_BYTES     4
 
 // Appends the XDR encoding of an object to out. Returns OUTCOME_OK,
 // OUTCOME_TOO_LARGE if the encoding exceeds CODEC_MAX_SIZE_BYTES, or
@@ -48,6 +51,46 @@
     return OUTCOME_OK;
 }
 
+// Appends the encoding of an object whose last member is a bool, without that
+// member if it is false. Returns what codec_encode returns.
+int
+codec_encode_grown(xdrproc_t xdr, const void *object, struct buffer *out)
+{
+    static const uint8_t no[CODEC_BOOL_BYTES] = {0};
+    int outcome = codec_encode(xdr, object, out);
+
+    if (outcome == OUTCOME_OK &&
+        memcmp(out->data + out->end - sizeof(no), no, sizeof(no)) == 0) {
+        out->end -= sizeof(no);
+    }
+    return outcome;
+}
+
+// Decodes what codec_encode_grown or codec_encode has written, or an earlier
+// program that did not have the last member. See codec_decode.
+int
+codec_decode_grown(xdrproc_t xdr, const void *data, size_t size_bytes,
+                   void *object)
+{
+    uint8_t *padded = xcalloc(1, size_bytes + CODEC_BOOL_BYTES);
+    XDR stream;
+
+    if (size_bytes > 0) {
+        memcpy(padded, data, size_bytes);
+    }
+    xdrmem_create(&stream, (char *)padded,
+                  (u_int)(size_bytes + CODEC_BOOL_BYTES), XDR_DECODE);
+    bool is_read = xdr(&stream, object);
+    size_t read_bytes = xdr_getpos(&stream);
+    free(padded);
+    if (!is_read || (read_bytes != size_bytes &&
+                     read_bytes != size_bytes + CODEC_BOOL_BYTES)) {
+        codec_free(xdr, object);
+        return OUTCOME_PROTOCOL;
+    }
+    return OUTCOME_OK;
+}
+
 // Makes a deep copy of from in to. object_size_bytes is the sizeof of the
 // type. The object must be encodable: an encoding error aborts the process.
 void
--- a/src/catkingrade/rpc/messages.h
+++ b/src/catkingrade/rpc/messages.h
@@ -207,6 +207,7 @@
 		u_int original_len;
 		char *original_val;
 	} original;
+	bool_t refuses_keys;
 };
 typedef struct ck_declaration ck_declaration;
 
@@ -219,9 +220,16 @@
 };
 typedef struct ck_packed_declaration ck_packed_declaration;
 
+struct ck_declaration_in_force {
+	ck_packed_declaration declaration;
+	bool_t refuses_keys;
+};
+typedef struct ck_declaration_in_force ck_declaration_in_force;
+
 struct ck_declared {
 	u_quad_t number;
 	u_int idle_transaction_ms;
+	bool_t refuses_keys;
 };
 typedef struct ck_declared ck_declared;
 
@@ -858,6 +866,7 @@
 extern  bool_t xdr_ck_declared_database (XDR *, ck_declared_database*);
 extern  bool_t xdr_ck_declaration (XDR *, ck_declaration*);
 extern  bool_t xdr_ck_packed_declaration (XDR *, ck_packed_declaration*);
+extern  bool_t xdr_ck_declaration_in_force (XDR *, ck_declaration_in_force*);
 extern  bool_t xdr_ck_declared (XDR *, ck_declared*);
 extern  bool_t xdr_ck_view_delta (XDR *, ck_view_delta*);
 extern  bool_t xdr_ck_packed_delta (XDR *, ck_packed_delta*);
@@ -931,6 +940,7 @@
 extern bool_t xdr_ck_declared_database ();
 extern bool_t xdr_ck_declaration ();
 extern bool_t xdr_ck_packed_declaration ();
+extern bool_t xdr_ck_declaration_in_force ();
 extern bool_t xdr_ck_declared ();
 extern bool_t xdr_ck_view_delta ();
 extern bool_t xdr_ck_packed_delta ();
--- a/src/catkingrade/rpc/messages.x
+++ b/src/catkingrade/rpc/messages.x
@@ -173,6 +173,9 @@
     ck_declared_customer customers<CK_LIST_SIZE>;
     unsigned int idle_transaction_ms;
     opaque original<CK_ORIGINAL_SIZE>;  /* text that the operator sent */
+    /* There is a list of customers, and it is empty: no key is valid. Without
+       a list no key is checked. Last, see codec_encode_grown. */
+    bool refuses_keys;
 };
 
 /* A ck_declaration in compressed XDR. The highest number is in force. */
@@ -181,10 +184,20 @@
     opaque data<CK_DECLARATION_SIZE>;
 };
 
+/* The declaration in force as snapshots hold it. */
+struct ck_declaration_in_force {
+    ck_packed_declaration declaration;
+    /* It has no customer, but it or an earlier one had a list of them. Last,
+       see codec_encode_grown. */
+    bool refuses_keys;
+};
+
 /* What entries are sent of a declaration besides its routes and customers. */
 struct ck_declared {
     unsigned hyper number;
     unsigned int idle_transaction_ms;
+    /* No customer is left: no key is valid. Last, see codec_encode_grown. */
+    bool refuses_keys;
 };
 
 /*
@@ -208,7 +221,7 @@
     ck_name routes_removed<CK_LIST_SIZE>;
     ck_declared_customer declared_customers<CK_LIST_SIZE>;
     ck_name declared_customers_removed<CK_LIST_SIZE>;
-    ck_declared declared<1>;
+    ck_declared declared<1>;        /* last, see ck_declared */
 };
 
 /*
--- a/src/catkingrade/rpc/messages_xdr.c
+++ b/src/catkingrade/rpc/messages_xdr.c
@@ -626,6 +626,8 @@
 		 return FALSE;
 	 if (!xdr_bytes (xdrs, (char **)&objp->original.original_val, (u_int *) &objp->original.original_len, CK_ORIGINAL_SIZE))
 		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->refuses_keys))
+		 return FALSE;
 	return TRUE;
 }
 
@@ -641,6 +643,18 @@
 	return TRUE;
 }
 
+bool_t
+xdr_ck_declaration_in_force (XDR *xdrs, ck_declaration_in_force *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_ck_packed_declaration (xdrs, &objp->declaration))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->refuses_keys))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_ck_declared (XDR *xdrs, ck_declared *objp)
 {
@@ -650,6 +664,8 @@
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->idle_transaction_ms))
 		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->refuses_keys))
+		 return FALSE;
 	return TRUE;
 }
 
--- a/test/unit/decide/group/test_declaration.c
+++ b/test/unit/decide/group/test_declaration.c
@@ -275,6 +275,89 @@
 }
 END_TEST
 
+// Returns whether entries are told that no key is valid, once as the group is
+// and once as it is restored from its snapshot.
+static bool
+refuses_keys(struct group_state **group)
+{
+    bool refuses[2];
+
+    for (int i = 0; i < 2; i++) {
+        struct publication *publication = publication_create();
+        struct ck_packed_delta packed;
+        struct ck_view_delta delta;
+        struct buffer bytes = {0};
+        publication_update(publication, *group);
+        publication_fill_delta(publication, 0, PUBLICATION_MAX_DELTA_BYTES,
+                               &packed);
+        ck_assert_int_eq(publication_unpack_delta(&packed, &delta),
+                         OUTCOME_OK);
+        ck_assert_uint_eq(delta.declared.declared_len, 1);
+        refuses[i] = delta.declared.declared_val[0].refuses_keys;
+        publication_free_delta(&delta);
+        publication_destroy(publication);
+        group_encode(*group, &bytes);
+        group_destroy(*group);
+        *group = group_decode(GROUP_FLEET_NAME, buffer_get_data(&bytes),
+                              buffer_get_size(&bytes));
+        ck_assert_ptr_nonnull(*group);
+        buffer_free(&bytes);
+    }
+    ck_assert(refuses[0] == refuses[1]);
+    return refuses[0];
+}
+
+// Guards against keys that come into use once the last customer is gone: by an
+// empty list, by one that is left out afterwards, and after a restart from a
+// snapshot. Without any list from the start no key is refused.
+START_TEST(test_keys_without_customers)
+{
+    static const struct {
+        u_int customers;
+        bool list;
+        bool refuses;
+    } rows[] = {{0, false, false}, {0, false, false}, {1, true, false},
+                {0, true, true},   {0, false, true},  {1, true, false},
+                {0, false, true},  {0, false, true},  {1, true, false},
+                {0, true, true}};
+    struct ck_declared_customer customer = {.name = (char *)"cust-a"};
+    struct group_state *group = group_create(GROUP_FLEET_NAME);
+    struct group_result result;
+    struct sample sample;
+
+    make_sample(&sample);
+    sample.declaration.customers.customers_val = &customer;
+    for (size_t i = 0; i < ARRAY_SIZE(rows); i++) {
+        sample.declaration.customers.customers_len = rows[i].customers;
+        sample.declaration.refuses_keys =
+            rows[i].list && rows[i].customers == 0;
+        ck_assert_int_eq(apply(group, &sample, i + 1, &result), OUTCOME_OK);
+        ck_assert_msg(refuses_keys(&group) == rows[i].refuses, "row %zu", i);
+    }
+    // An older number changes nothing, also not the use of keys.
+    sample.declaration.customers.customers_len = 1;
+    ck_assert_int_eq(apply(group, &sample, 1, &result), OUTCOME_OK);
+    ck_assert(refuses_keys(&group));
+    group_destroy(group);
+}
+END_TEST
+
+// Guards against an empty list, the first one that a group gets, that is
+// taken for a missing one.
+START_TEST(test_first_list_is_empty)
+{
+    struct group_state *group = group_create(GROUP_FLEET_NAME);
+    struct group_result result;
+    struct sample sample;
+
+    make_sample(&sample);
+    sample.declaration.refuses_keys = TRUE;
+    ck_assert_int_eq(apply(group, &sample, 1, &result), OUTCOME_OK);
+    ck_assert(refuses_keys(&group));
+    group_destroy(group);
+}
+END_TEST
+
 #define MANY_DATABASES  8900
 #define MANY_TEXT_BYTES 300 // of the operator's text for each database
 
@@ -380,6 +463,8 @@
     tcase_add_test(tests, test_confirmed_writes_exclude_availability_first);
     tcase_add_test(tests, test_declaration_updates_databases);
     tcase_add_test(tests, test_snapshot_and_delta);
+    tcase_add_test(tests, test_keys_without_customers);
+    tcase_add_test(tests, test_first_list_is_empty);
     tcase_add_test(tests, test_declaration_of_many_databases);
     tcase_add_test(tests, test_address_goes_to_the_later_start);
 }
--- a/test/unit/entry/test_view.c
+++ b/test/unit/entry/test_view.c
@@ -7,6 +7,7 @@
 #include <unistd.h>
 
 #include "catkingrade/entry/view.h"
+#include "catkingrade/kernel/memory.h"
 #include "test/suite.h"
 
 static char *
@@ -506,6 +507,32 @@
 }
 END_TEST
 
+// Guards against open sessions that are not checked when the first list of
+// customers that a deployment gets is empty, as no customer changes.
+START_TEST(test_refused_keys_change_access)
+{
+    struct ck_declared declared[] = {{.number = 1},
+                                     {.number = 2},
+                                     {.number = 3, .refuses_keys = TRUE},
+                                     {.number = 4, .refuses_keys = TRUE},
+                                     {.number = 5}};
+    static const bool changes[] = {false, false, true, false, true};
+    struct view *view = view_create();
+
+    for (unsigned i = 0; i < ARRAY_SIZE(changes); i++) {
+        struct ck_view_delta delta = make_delta(i, i + 1, i == 0, NULL, 0);
+        uint64_t version = view_get_access_version(view);
+        delta.declared.declared_val = &declared[i];
+        delta.declared.declared_len = 1;
+        view = apply(view, "fleet", &delta);
+        ck_assert(changes[i] == (view_get_access_version(view) != version));
+        ck_assert(view_get_declared(view)->refuses_keys ==
+                  declared[i].refuses_keys);
+    }
+    view_release(view);
+}
+END_TEST
+
 static void
 add_tests(TCase *tests)
 {
@@ -513,6 +540,7 @@
     tcase_add_test(tests, test_customers_that_a_new_leader_lacks_are_removed);
     tcase_add_test(tests, test_full_delta_replaces_customers);
     tcase_add_test(tests, test_public_route_changes_access);
+    tcase_add_test(tests, test_refused_keys_change_access);
     tcase_add_test(tests, test_routes_are_removed_with_the_declaration);
     tcase_add_test(tests, test_routes_that_a_new_leader_lacks_are_removed);
     tcase_add_test(tests, test_routes_change_one_by_one);
--- a/test/unit/platform/test_platform_decode.c
+++ b/test/unit/platform/test_platform_decode.c
@@ -275,6 +275,31 @@
 }
 END_TEST
 
+// Guards against an empty list of customers that is taken for a missing one:
+// without a list no key is checked, with an empty one none is valid.
+START_TEST(test_empty_list_of_customers)
+{
+    static const char empty[] = CUSTOMERS("[]");
+    static const char full[] = CUSTOMERS("[{\"name\":\"a\",\"apiKeys\":[]}]");
+    struct ck_declaration declaration;
+    uint64_t number = 0;
+
+    ck_assert_int_eq(decode(empty, strlen(empty), &number, &declaration),
+                     OUTCOME_OK);
+    ck_assert_uint_eq(declaration.customers.customers_len, 0);
+    ck_assert(declaration.refuses_keys);
+    declaration_free(&declaration);
+    ck_assert_int_eq(decode(full, strlen(full), &number, &declaration),
+                     OUTCOME_OK);
+    ck_assert(!declaration.refuses_keys);
+    declaration_free(&declaration);
+    ck_assert_int_eq(decode(CONFIG, strlen(CONFIG), &number, &declaration),
+                     OUTCOME_OK);
+    ck_assert(!declaration.refuses_keys);
+    declaration_free(&declaration);
+}
+END_TEST
+
 // Guards against a public route that needs a key, and the reverse.
 START_TEST(test_public_route)
 {
@@ -548,6 +573,7 @@
                         ARRAY_SIZE(unreadable_configs));
     tcase_add_test(tests, test_odd_configs);
     tcase_add_test(tests, test_customers);
+    tcase_add_test(tests, test_empty_list_of_customers);
     tcase_add_test(tests, test_public_route);
     tcase_add_loop_test(tests, test_invalid_customers, 0,
                         ARRAY_SIZE(invalid_customers));
