test(fake): a stopped upstream keeps its port

Cause: the port of an upstream that is stopped was closed, and bound again at its restart, seconds later. Test programs don't take it meanwhile, since it is in a claimed range, but any other program of the machine may. A port chosen for the first time was free a moment before it was bound, and not chosen again.

Change: a listener of a stopped upstream ends to listen and stays bound, without SO_REUSEADDR, so that the port is not shared; it listens again at the restart. When a port that was free is taken before it is bound, the next one is chosen.

Test: another listener on the port of a stopped upstream: got the port before (and connections were still taken for a moment after the stop), refused with EADDRINUSE now, three stops and restarts beside an open connection. test_failover (6 checks) and test_stop_control (6) pass. The ports of daemons are still chosen by the rig and bound by them.

--- a/test/fake/platform.c
+++ b/test/fake/platform.c
@@ -2,6 +2,7 @@
 
 #include <arpa/inet.h>
 #include <curl/curl.h>
+#include <errno.h>
 #include <inttypes.h>
 #include <netinet/in.h>
 #include <poll.h>
@@ -26,6 +27,9 @@
 #define TEXT_SIZE         256
 #define POLL_MS           20
 #define NO_UPSTREAM       (-1)
+#define LISTEN_BACKLOG    64
+// Ports tried of which another process takes one that was free.
+#define LISTEN_ATTEMPTS 10
 
 struct write {
     char item[64];
@@ -108,28 +112,63 @@
     int forbidden_count;
 };
 
-// Opens a listener on a port, or on a free one if it is 0, outside of the
-// range from which other processes get theirs while this one is closed.
+// Opens a listener on a port. Returns -1 if another process has taken it.
 static int
-open_listener(int *port)
+try_listener(int port)
 {
-    *port = *port == 0 ? process_get_free_port() : *port;
     struct sockaddr_in address = {.sin_family = AF_INET,
-                                  .sin_port = htons((uint16_t)*port)};
-    socklen_t size = sizeof(address);
+                                  .sin_port = htons((uint16_t)port)};
     int on = 1;
     int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
 
     address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
     INVARIANT(fd >= 0);
     (void)setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
-    INVARIANT(bind(fd, (struct sockaddr *)&address, size) == 0);
-    INVARIANT(listen(fd, 64) == 0);
-    INVARIANT(getsockname(fd, (struct sockaddr *)&address, &size) == 0);
-    *port = ntohs(address.sin_port);
+    if (bind(fd, (struct sockaddr *)&address, sizeof(address)) == 0 &&
+        listen(fd, LISTEN_BACKLOG) == 0) {
+        return fd;
+    }
+    INVARIANT(errno == EADDRINUSE);
+    close(fd);
+    return -1;
+}
+
+// Opens a listener on a free port, outside of the range from which outgoing
+// connections get theirs.
+static int
+open_listener(int *port)
+{
+    int fd = -1;
+
+    for (int i = 0; fd < 0 && i < LISTEN_ATTEMPTS; i++) {
+        *port = process_get_free_port();
+        fd = try_listener(*port);
+    }
+    INVARIANT(fd >= 0);
     return fd;
 }
 
+// Stops listening and keeps the port, which no other process gets meanwhile:
+// without SO_REUSEADDR here, a port is not shared.
+static void
+close_listener(int fd)
+{
+    int off = 0;
+
+    (void)shutdown(fd, SHUT_RDWR); // of one that does not listen fails
+    (void)setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &off, sizeof(off));
+}
+
+// Listens again, beside what is left of earlier connections.
+static void
+reopen_listener(int fd)
+{
+    int on = 1;
+
+    (void)setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+    INVARIANT(listen(fd, LISTEN_BACKLOG) == 0);
+}
+
 static void
 send_bytes(struct conn *conn, const char *data, size_t size)
 {
@@ -625,8 +664,9 @@
 
     fds[count++] = (struct pollfd){platform->promote_fd, POLLIN, 0};
     for (int i = 0; i < PLATFORM_UPSTREAMS; i++) {
+        const struct upstream *up = &platform->upstreams[i];
         fds[count++] =
-            (struct pollfd){platform->upstreams[i].listen_fd, POLLIN, 0};
+            (struct pollfd){up->is_down ? -1 : up->listen_fd, POLLIN, 0};
     }
     for (size_t i = 0; i < platform->conns_count; i++) {
         fds[count++] = (struct pollfd){platform->conns[i]->fd, POLLIN, 0};
@@ -650,7 +690,7 @@
         accept_conn(platform, platform->promote_fd, NO_UPSTREAM);
     }
     for (int i = 0; i < PLATFORM_UPSTREAMS; i++) {
-        if (fds[i + 1].revents != 0 && platform->upstreams[i].listen_fd >= 0) {
+        if (fds[i + 1].revents != 0 && !platform->upstreams[i].is_down) {
             accept_conn(platform, platform->upstreams[i].listen_fd, i);
         }
     }
@@ -685,9 +725,6 @@
     platform->term = 1;
     platform->promote_fd = open_listener(&platform->promote_port);
     for (int i = 0; i < PLATFORM_UPSTREAMS; i++) {
-        // An outgoing connection may take a port that the system chooses
-        // while the upstream is stopped.
-        platform->upstreams[i].port = process_get_free_port();
         platform->upstreams[i].term = 1;
         platform->upstreams[i].listen_fd =
             open_listener(&platform->upstreams[i].port);
@@ -709,9 +746,7 @@
     }
     close(platform->promote_fd);
     for (int i = 0; i < PLATFORM_UPSTREAMS; i++) {
-        if (platform->upstreams[i].listen_fd >= 0) {
-            close(platform->upstreams[i].listen_fd);
-        }
+        close(platform->upstreams[i].listen_fd);
     }
     for (int i = 0; i < platform->arrivals_count; i++) {
         free(platform->arrivals[i].text);
@@ -742,8 +777,7 @@
 
     pthread_mutex_lock(&platform->mutex);
     up->is_down = true;
-    close(up->listen_fd);
-    up->listen_fd = -1;
+    close_listener(up->listen_fd);
     for (size_t i = platform->conns_count; i > 0; i--) {
         if (platform->conns[i - 1]->upstream == upstream) {
             close_conn(platform, i - 1);
@@ -757,11 +791,12 @@
 {
     struct upstream *up = &platform->upstreams[upstream];
 
-    // A poll() that has begun keeps a closed listener, and so its port.
+    // A poll() that has begun may tell of a connection that ended with the
+    // listener.
     usleep(2 * POLL_MS * 1000);
     pthread_mutex_lock(&platform->mutex);
     up->is_down = false;
-    up->listen_fd = open_listener(&up->port);
+    reopen_listener(up->listen_fd);
     replicate(platform);
     pthread_mutex_unlock(&platform->mutex);
 }
