feat(log): what a daemon does after "stopped" is logged

What runs there: plugin_stop_all. HTTP waits up to 0.5 s for responses that are open, and then joins its threads; the entry joins its workers; then the RPC socket closes. The stop has 5.0 s (drain_limit_ms) and 0.5 s for the last answers before, so all together may take 6.0 s and more. Which of them it was is not traced.

Change: a plug-in that takes 100 ms or more to stop is logged ("slow_stop"), and the end of the last one ("ended"); what comes after it is the exit itself.

Test: the planned stops of test_stop look for "ended".

--- a/src/catkingrade/kernel/daemon.c
+++ b/src/catkingrade/kernel/daemon.c
@@ -183,6 +183,10 @@
         loop_run(daemon->control_loop);
     }
     plugin_stop_all(daemon);
+    if (atomic_load(&daemon->draining)) {
+        LOG_INFO("ended", "since_stopping_ms=%lld",
+                 (long long)((monotonic_get_us() - stop->started_us) / 1000));
+    }
     loop_watch_destroy(watch);
     loop_timer_destroy(stop->timer);
     close(stop->signal_fd);
--- a/src/catkingrade/kernel/plugin.c
+++ b/src/catkingrade/kernel/plugin.c
@@ -1,12 +1,17 @@
 #include "catkingrade/kernel/plugin.h"
 
+#include <inttypes.h>
 #include <stddef.h>
 
 #include "catkingrade/kernel/log.h"
+#include "catkingrade/kernel/loop.h"
 #include "catkingrade/kernel/memory.h"
 #include "catkingrade/kernel/outcome.h"
 
 #define PLUGIN_MAX_COUNT 32
+// A plug-in that takes longer to stop is logged.
+#define PLUGIN_SLOW_STOP_US 100000
+#define PLUGIN_US_PER_MS    1000
 
 static const struct plugin *plugins[PLUGIN_MAX_COUNT];
 static bool plugins_started[PLUGIN_MAX_COUNT];
@@ -99,13 +104,27 @@
     return released;
 }
 
-// Stops all running plug-ins in the reverse order of their start.
+static void
+plugin_stop(const struct plugin *plugin, struct daemon *daemon)
+{
+    int64_t begun_us = monotonic_get_us();
+
+    plugin->stop(daemon);
+    int64_t taken_us = monotonic_get_us() - begun_us;
+    if (taken_us >= PLUGIN_SLOW_STOP_US) {
+        LOG_INFO("slow_stop", "plugin=%s stop_ms=%" PRId64, plugin->name,
+                 taken_us / PLUGIN_US_PER_MS);
+    }
+}
+
+// Stops all running plug-ins in the reverse order of their start. Logs each
+// one that takes long, since the process does not end before.
 void
 plugin_stop_all(struct daemon *daemon)
 {
     for (size_t i = plugin_count; i > 0; i--) {
         if (plugins_started[i - 1]) {
-            plugins[i - 1]->stop(daemon);
+            plugin_stop(plugins[i - 1], daemon);
             plugins_started[i - 1] = false;
         }
     }
--- a/test/contract/test_stop.c
+++ b/test/contract/test_stop.c
@@ -67,12 +67,14 @@
     ck_assert_int_eq(kill(process_get_pid(rig.entries[entry]), SIGTERM), 0);
 }
 
-// Waits for the end of an entry, which must be regular.
+// Waits for the end of an entry, which must be regular and logged.
 static void
 wait_for_entry(int entry)
 {
     ck_assert_int_eq(process_wait(rig.entries[entry]), 0);
     rig.entries[entry] = NULL;
+    ck_assert(platform_rig_log_contains(RIG_CONTROLS + entry,
+                                        "\"event\":\"ended\""));
 }
 
 #define ANSWERED "\r\nREADY I -\r\n"
