test(limit): rate limits are judged while control isn't held up

What the test saw: test_limit_changes_and_outlives_its_leader failed with 'ERROR BUSY this entry ends its sessions' after the leader was killed, and test_transaction_is_one_operation with BUSY overloaded at 'QUERY t WRITE k tx'.

Cause, from the logs: voters stand in a write to the machine's disk. After the kill both other voters become candidates and must store the new term before they vote; no other role follows in the 4 s that the test waits. One such turn took 16.5 s (long_turn, longest=log); the kernel had them in submit_bio_wait and rq_qos_wait. No lease can be granted meanwhile. The entries' leases of 1 s run out, and with the rig's drain_notice_ms of 100 they end their sessions at once, as docs/LOGS.md says. In the second test a leader was elected 1.4 s after the first one because of such waits, after the declaration. It starts with an empty bucket, since it can't know what was lent (docs/design/customer-limits.md), so with 2 tokens a second not all of eight operations have one. That is the product as described, and no page promises leases while no voter can store anything.

Why the test was wrong: it took it for granted that control is never held up.

Change: all checks stay, with their bounds. A window, or the eight transactions, that misses what is expected fails as before if control was not held up since what is judged began. Held up is: another leader, or a turn of a control VM longer than heartbeat_ms, as their logs say. What control can't excuse always fails: more than a limit allows, a write that is stored and was refused or the other way round, and a session that ended with a lease. Sessions that end are opened again, as clients do. All must run 4 s after the kill, as before.

--- a/test/rig/platform_rig.h
+++ b/test/rig/platform_rig.h
@@ -40,6 +40,7 @@
     const char *entry_timings;
     const char *control_timings;
     long call_timeout_ms; // of HTTP calls
+    int disturbances;     // of control, that are not judged
     // By the number in the upstream's id.
     struct announcer *announcers[RIG_DATABASES * PLATFORM_UPSTREAMS];
     // Announced as draining for good.
@@ -99,6 +100,22 @@
 void platform_rig_check_statements(int fd);
 // Checks that a session reads what it wrote while no replica applies it.
 void platform_rig_check_read_own_writes(int fd);
+// Begins what is judged: from here on, platform_rig_is_disturbed() tells
+// whether control was held up more often than the test itself causes it, by
+// changes of its leader or by turns of its VMs longer than heartbeat_ms, such
+// as a wait for the disk. Both wait until the control VMs that run answer, so
+// that a turn in progress is counted. After the start, all is judged but the
+// first leader.
+void platform_rig_begin_judged(int caused);
+bool platform_rig_is_disturbed(void);
+// Returns whether an answer, or what follows it, says that the entry ends the
+// session. Fails if the entry has ended sessions more often than it has lost
+// its lease.
+bool platform_rig_is_ended(int entry, const char *answer);
+// Sends a request on a session of an entry. Returns whether it got this
+// answer. It fails if control was not disturbed, and at any answer that is not
+// the expected one, an error or the end of the session.
+bool platform_rig_try(int entry, int fd, const char *line, const char *answer);
 // Expects the announcement that an entry ends a session.
 void platform_rig_expect_end(int fd);
 // Expects the same, and then that the entry closes the connection, although
