test(rig): only a wait for the disk excuses what a test misses

The tests that are judged only while control isn't held up counted any change of control's leader and any long turn as such. A leader that changes without need, or a turn that the product itself makes long, would have been excused.

Now only a turn most of which was a write to the disk counts, as the logs of the control VMs tell (long_turn, longest=log), and only its time comes on top of a wait for an answer. A leader that was killed needs no allowance any more.

--- a/test/contract/test_moved_route.c
+++ b/test/contract/test_moved_route.c
@@ -163,7 +163,7 @@
     for (int i = 0; i < ATTEMPTS && !done; i++) {
         put_route(number, "core");
         int fd = open_at_core(entry);
-        platform_rig_begin_judged(0);
+        platform_rig_begin_judged();
         done = use_moving_route(entry, fd, number);
         pause_replicas(0, false);
         close(fd);
@@ -509,7 +509,7 @@
     move_routes(entry, number, old);
     int fd = platform_rig_wait_answer(entry, "own", "QUERY a1 READ where",
                                       "COMPLETE sig-a1");
-    platform_rig_begin_judged(0);
+    platform_rig_begin_judged();
     bool written = write_at_old(entry, fd, old);
     if (written) {
         ck_assert_int_eq(kill(relay, SIGSTOP), 0);
--- a/test/contract/test_rate_limit.c
+++ b/test/contract/test_rate_limit.c
@@ -216,7 +216,7 @@
                       "answers, first: %s",
                       value, sent.done, sent.refused, sent.ended, sent.others,
                       sent.other);
-        platform_rig_begin_judged(0);
+        platform_rig_begin_judged();
         usleep(WINDOW_US);
         close_all();
         connect_all(startup);
@@ -234,7 +234,7 @@
     expect_window("ada", &(struct expected){.limited = true, .least = LEAST});
     close_all();
     connect_all("STARTUP own key-b");
-    platform_rig_begin_judged(0);
+    platform_rig_begin_judged();
     expect_window("bob", &(struct expected){0});
     close_all();
     platform_rig_stop();
@@ -286,7 +286,7 @@
         ck_assert_msg(done || platform_rig_is_disturbed(), "%s", refusal);
         if (!done) {
             printf("repeated after %s", refusal);
-            platform_rig_begin_judged(0);
+            platform_rig_begin_judged();
             usleep(WINDOW_US);
         }
     }
@@ -333,18 +333,18 @@
     start("rate_limit_change", CONFIG("1", LIMITED_RATE));
     connect_all("STARTUP own key-a");
     expect_window("low", &limited);
-    platform_rig_begin_judged(0);
+    platform_rig_begin_judged();
     platform_rig_wait_config(0, CONFIG("2", HIGHER_RATE));
     usleep(1000000);
     expect_window("high", &unlimited);
-    platform_rig_begin_judged(1);
+    platform_rig_begin_judged();
     int lender = find_lender();
     (void)process_stop(rig.controls[lender], SIGKILL);
     rig.controls[lender] = NULL;
     usleep(4000000);
     renew_ended_sessions();
     expect_window("next", &unlimited);
-    platform_rig_begin_judged(0);
+    platform_rig_begin_judged();
     platform_rig_wait_config(lender == 0 ? 1 : 0, CONFIG("3", LIMITED_RATE));
     usleep(4000000);
     struct sent sent;
--- a/test/contract/test_relay.c
+++ b/test/contract/test_relay.c
@@ -356,7 +356,7 @@
                      : platform_rig_wait_answer(
                            i, "current", "QUERY a0 WRITE k0 zero", "sig-a0");
     }
-    platform_rig_begin_judged(0);
+    platform_rig_begin_judged();
     usleep(ROLE_SETTLE_US);
     rig.entries[relay] =
         platform_rig_start_daemon(RIG_CONTROLS + relay, false);
--- a/test/rig/platform_rig.c
+++ b/test/rig/platform_rig.c
@@ -21,6 +21,8 @@
 #define PLATFORM_RIG_TIMEOUT_MS 20000
 // Calls in which a control VM must answer twice, whatever its disk does.
 #define PLATFORM_RIG_TURN_CALLS 6
+// Of a long_turn most of which was a write to the disk. Its time follows.
+#define PLATFORM_RIG_HELD_UP "\"longest\":\"log\",\"longest_ms\":\""
 
 // Announces the end of a session.
 static const char platform_rig_end[] =
@@ -180,7 +182,6 @@
     platform_rig_start_platforms();
     platform_rig_start_daemons();
     platform_rig_start_announcers();
-    rig.disturbances = 1; // the first leader
 }
 
 void
@@ -263,6 +264,8 @@
     }
 }
 
+// Returns the number of control's turns that were held up by the disk, after
+// all control VMs that run have logged the last ones.
 static int
 platform_rig_count_disturbances(void)
 {
@@ -270,8 +273,7 @@
 
     platform_rig_wait_turns();
     for (int i = 0; i < RIG_CONTROLS; i++) {
-        count += platform_rig_count_in_log(i, "\"role\":\"leader\"") +
-                 platform_rig_count_in_log(i, "\"event\":\"long_turn\"");
+        count += platform_rig_count_in_log(i, PLATFORM_RIG_HELD_UP);
     }
     return count;
 }
@@ -296,18 +298,18 @@
     return found ? fd : -1;
 }
 
-// Returns the sum of the turns of control VMs that were logged as too long.
+// Returns the time for which the disk held up control VMs, as they have
+// logged.
 static int64_t
-platform_rig_sum_turns_ms(void)
+platform_rig_sum_held_up_ms(void)
 {
-    static const char field[] = "\"turn_ms\":\"";
     int64_t sum_ms = 0;
 
     for (int i = 0; i < RIG_CONTROLS; i++) {
         char *log = platform_rig_read_log(i);
-        for (const char *at = strstr(log, field); at != NULL;
-             at = strstr(at, field)) {
-            at += strlen(field);
+        for (const char *at = strstr(log, PLATFORM_RIG_HELD_UP); at != NULL;
+             at = strstr(at, PLATFORM_RIG_HELD_UP)) {
+            at += strlen(PLATFORM_RIG_HELD_UP);
             sum_ms += strtol(at, NULL, 10);
         }
         free(log);
@@ -322,7 +324,7 @@
 {
     char startup[64];
     int64_t begun_us = monotonic_get_us();
-    int64_t before_ms = platform_rig_sum_turns_ms();
+    int64_t before_ms = platform_rig_sum_held_up_ms();
     int64_t held_up_ms = 0;
     int rounds = RIG_WAIT_ROUNDS;
 
@@ -335,7 +337,7 @@
         usleep(RIG_WAIT_STEP_US);
         if (i == rounds - 1) {
             platform_rig_wait_turns();
-            held_up_ms = platform_rig_sum_turns_ms() - before_ms;
+            held_up_ms = platform_rig_sum_held_up_ms() - before_ms;
             rounds =
                 RIG_WAIT_ROUNDS + (int)(held_up_ms * 1000 / RIG_WAIT_STEP_US);
         }
@@ -492,9 +494,9 @@
 }
 
 void
-platform_rig_begin_judged(int caused)
+platform_rig_begin_judged(void)
 {
-    rig.disturbances = platform_rig_count_disturbances() + caused;
+    rig.disturbances = platform_rig_count_disturbances();
 }
 
 bool
--- a/test/rig/platform_rig.h
+++ b/test/rig/platform_rig.h
@@ -40,7 +40,7 @@
     const char *entry_timings;
     const char *control_timings;
     long call_timeout_ms; // of HTTP calls
-    int disturbances;     // of control, that are not judged
+    int disturbances;     // of control by its disk, that are not judged
     // By the number in the upstream's id.
     struct announcer *announcers[RIG_DATABASES * PLATFORM_UPSTREAMS];
     // Announced as draining for good.
@@ -101,12 +101,11 @@
 // Checks that a session reads what it wrote while no replica applies it.
 void platform_rig_check_read_own_writes(int fd);
 // Begins what is judged: from here on, platform_rig_is_disturbed() tells
-// whether control was held up more often than the test itself causes it, by
-// changes of its leader or by turns of its VMs longer than heartbeat_ms, such
-// as a wait for the disk. Both wait until the control VMs that run answer, so
-// that a turn in progress is counted. After the start, all is judged but the
-// first leader.
-void platform_rig_begin_judged(int caused);
+// whether the disk held up a control VM for longer than heartbeat_ms, so that
+// control may have no leader. No other cause counts, such as a change of the
+// leader by itself. Both wait until the control VMs that run answer, so that a
+// turn in progress is counted.
+void platform_rig_begin_judged(void);
 bool platform_rig_is_disturbed(void);
 // Returns whether an answer, or what follows it, says that the entry ends the
 // session. Fails if the entry has ended sessions more often than it has lost
