--- a/src/catkingrade/decide/coordinator/coordinator_choice.c
+++ b/src/catkingrade/decide/coordinator/coordinator_choice.c
@@ -103,57 +103,15 @@
                                   member->is_primary ? 0 : promotion_us);
 }
 
-// Returns whether an upstream has left, or has been lost for so long that its
-// return is not waited for.
-static bool
-coordinator_is_gone(const struct coordinator *coordinator,
-                    const struct coordinator_database *db,
-                    const struct ck_database *database, int index)
-{
-    const struct ck_upstream *upstream =
-        &database->upstreams.upstreams_val[index];
-
-    return upstream->sequence == GROUP_SEQUENCE_WITHDRAWN ||
-           (upstream->state == CK_UPSTREAM_LOST &&
-            coordinator->now_us - db->members[index].lost_us >=
-                COORDINATOR_RETURN_WAIT_US);
-}
-
-// Returns whether a member's log holds what an ordered promotion gives up that
-// may have taken effect, and whose upstream may return.
-static bool
-coordinator_is_in_doubt(const struct coordinator *coordinator,
-                        const struct coordinator_database *db,
-                        const struct ck_database *database,
-                        const struct coordinator_member *member)
-{
-    const struct ck_orders *orders =
-        group_find_orders(coordinator->group, db->name);
-
-    for (u_int i = 0; orders != NULL && i < orders->orders.orders_len; i++) {
-        const struct ck_order *order = &orders->orders.orders_val[i];
-        int index = coordinator_find_upstream_index(database, order->upstream);
-        if (index >= 0 &&
-            !coordinator_is_gone(coordinator, db, database, index) &&
-            history_is_given_up_by(order, member->name, &member->last_write)) {
-            return true;
-        }
-    }
-    return false;
-}
-
-// Returns whether a member's log holds writes that a promotion has given up,
-// or one that may have taken effect.
+// Returns whether a member's log holds writes that a promotion has given up.
 static bool
 coordinator_is_diverged(const struct coordinator *coordinator,
                         const struct coordinator_database *db,
-                        const struct ck_database *database,
                         const struct coordinator_member *member)
 {
     return member->answered &&
-           (!history_contains(group_find_history(coordinator->group, db->name),
-                              &member->last_write) ||
-            coordinator_is_in_doubt(coordinator, db, database, member));
+           !history_contains(group_find_history(coordinator->group, db->name),
+                             &member->last_write);
 }
 
 // Returns whether only diverged logs are left: all other members have left, or
@@ -164,26 +122,20 @@
                             const struct ck_database *database)
 {
     for (size_t i = 0; i < db->members_count; i++) {
-        if (!coordinator_is_gone(coordinator, db, database, (int)i) &&
-            !coordinator_is_diverged(coordinator, db, database,
-                                     &db->members[i])) {
+        const struct coordinator_member *member = &db->members[i];
+        const struct ck_upstream *upstream =
+            &database->upstreams.upstreams_val[i];
+        bool is_gone = upstream->sequence == GROUP_SEQUENCE_WITHDRAWN ||
+                       (upstream->state == CK_UPSTREAM_LOST &&
+                        coordinator->now_us - member->lost_us >=
+                            COORDINATOR_RETURN_WAIT_US);
+        if (!is_gone && !coordinator_is_diverged(coordinator, db, member)) {
             return false;
         }
     }
     return true;
 }
 
-// Returns whether the log of a member is diverged, and others are left.
-static bool
-coordinator_is_given_up(const struct coordinator *coordinator,
-                        const struct coordinator_database *db,
-                        const struct ck_database *database, int index)
-{
-    return coordinator_is_diverged(coordinator, db, database,
-                                   &db->members[index]) &&
-           !coordinator_is_history_lost(coordinator, db, database);
-}
-
 // Calls promotion_choose on the answers, with or without the answer of the old
 // primary. A diverged log does not count unless nothing else is left.
 static struct promotion_choice
@@ -219,7 +171,7 @@
         answers[i].is_regressed =
             member->is_regressed ||
             (!is_history_lost &&
-             coordinator_is_diverged(coordinator, db, database, member));
+             coordinator_is_diverged(coordinator, db, member));
         answers[i].position = member->position;
     }
     struct promotion_choice choice = promotion_choose(&params);
@@ -364,8 +316,7 @@
                     : PROMOTION_NONE;
 
     if (index == PROMOTION_NONE &&
-        (coordinator_is_barred(coordinator, &db->members[old_primary], old) ||
-         coordinator_is_given_up(coordinator, db, database, old_primary))) {
+        coordinator_is_barred(coordinator, &db->members[old_primary], old)) {
         db->is_planned = false;
         return;
     }
@@ -427,8 +378,7 @@
     for (size_t i = 0; i < db->members_count; i++) {
         const struct coordinator_member *member = &db->members[i];
         answered += member->answered ? 1 : 0;
-        diverged +=
-            coordinator_is_diverged(coordinator, db, database, member) ? 1 : 0;
+        diverged += coordinator_is_diverged(coordinator, db, member) ? 1 : 0;
     }
     db->is_incomplete_recorded = true;
     coordinator_record(coordinator, "promotion_waits", database,
@@ -463,8 +413,8 @@
 // Chooses the next primary of a customer that prefers availability. While the
 // old primary answers, it accepts no more saves: a replica that catches up
 // with it is promoted, otherwise the old primary stays, or is waited for if it
-// leaves too soon to stay. If it does not answer, or its log is given up, the
-// coordinator waits for the other upstreams up to
+// leaves too soon to stay. If it does not answer,
+// the coordinator waits for the other upstreams up to
 // COORDINATOR_AVAILABLE_WAIT_US and promotes the most advanced one.
 static void
 coordinator_run_available(struct coordinator *coordinator,
@@ -475,10 +425,8 @@
         coordinator_find_upstream_index(database, database->primary);
     struct promotion_choice choice =
         coordinator_choose_from_answers(coordinator, db, database, false);
-    bool old_answers =
-        old_primary >= 0 &&
-        coordinator_still_answers(&db->members[old_primary]) &&
-        !coordinator_is_given_up(coordinator, db, database, old_primary);
+    bool old_answers = old_primary >= 0 &&
+                       coordinator_still_answers(&db->members[old_primary]);
     bool caught_up =
         choice.index != PROMOTION_NONE &&
         (choice.is_complete ||
--- a/src/catkingrade/decide/coordinator/coordinator_failover.c
+++ b/src/catkingrade/decide/coordinator/coordinator_failover.c
@@ -10,7 +10,6 @@
 
 #include "catkingrade/decide/coordinator/coordinator_private.h"
 #include "catkingrade/decide/promotion/claim.h"
-#include "catkingrade/decide/promotion/history.h"
 #include "catkingrade/decide/promotion/ordered.h"
 #include "catkingrade/kernel/memory.h"
 #include "catkingrade/kernel/outcome.h"
@@ -470,83 +469,6 @@
                         COORDINATOR_REPLY_NONE, 0);
 }
 
-// Returns the term that the upstreams count once another one of them has been
-// promoted, or 0 if they don't say what they count.
-static uint64_t
-coordinator_get_next_timeline(const struct coordinator *coordinator,
-                              const struct coordinator_database *db)
-{
-    uint64_t newest = history_get_newest_term(
-        group_find_history(coordinator->group, db->name));
-
-    if (db->members[db->candidate_index].term == 0) {
-        return 0;
-    }
-    for (size_t i = 0; i < db->members_count; i++) {
-        uint64_t term = db->members[i].term;
-        newest = term > newest ? term : newest;
-    }
-    return newest + 1;
-}
-
-// Returns whether the log holds where the term of a member's promotion may
-// begin.
-static bool
-coordinator_has_order(const struct coordinator *coordinator,
-                      const struct coordinator_database *db,
-                      const struct coordinator_member *member)
-{
-    return history_has_order(group_find_orders(coordinator->group, db->name),
-                             member->name);
-}
-
-// Proposes to record where the term of the candidate's promotion may begin.
-// Precedes the proposal of the promotion, so that it is known to the next
-// leader if it takes effect unseen.
-static void
-coordinator_propose_ordered(struct coordinator *coordinator,
-                            struct coordinator_database *db,
-                            const struct ck_database *database)
-{
-    const struct coordinator_member *member =
-        &db->members[db->candidate_index];
-    struct ck_change change = {.kind = CK_CHANGE_ORDERED};
-    struct ck_order_change *ordered = &change.ck_change_u.order;
-
-    db->is_first_order = !coordinator_has_order(coordinator, db, member);
-    ordered->database = database->name;
-    ordered->order.upstream = member->name;
-    ordered->order.begin.timeline =
-        coordinator_get_next_timeline(coordinator, db);
-    ordered->order.begin.lsn = member->last_write.lsn;
-    if (ordered->order.begin.timeline != 0) {
-        coordinator_propose(coordinator, &change, database->name,
-                            COORDINATOR_REPLY_NONE, 0);
-    }
-}
-
-// Proposes to record that the order of the candidate was refused, unless an
-// earlier one may take effect.
-static void
-coordinator_propose_refused(struct coordinator *coordinator,
-                            struct coordinator_database *db,
-                            const struct ck_database *database)
-{
-    const struct coordinator_member *member =
-        &db->members[db->candidate_index];
-    struct ck_change change = {.kind = CK_CHANGE_ORDER_REFUSED};
-    struct ck_order_change *refused = &change.ck_change_u.order;
-
-    if (!db->is_first_order ||
-        !coordinator_has_order(coordinator, db, member)) {
-        return;
-    }
-    refused->database = database->name;
-    refused->order.upstream = member->name;
-    coordinator_propose(coordinator, &change, database->name,
-                        COORDINATOR_REPLY_NONE, 0);
-}
-
 // Orders the promotion of the candidate, which is in the log.
 static void
 coordinator_send_order(struct coordinator *coordinator,
@@ -706,18 +628,11 @@
     }
     db->candidate_index = index;
     db->is_kept = strcmp(member->name, database->primary) == 0;
-    // That an order was refused may not be in the log yet, which would take
-    // back the next one as well.
-    if (coordinator_is_ordered(coordinator, database, index) &&
-        !db->is_order_refused &&
-        (coordinator_has_order(coordinator, db, member) ||
-         member->term == 0)) {
-        db->is_first_order = false;
+    if (coordinator_is_ordered(coordinator, database, index)) {
         coordinator_send_order(coordinator, db, database);
         return;
     }
     db->base = member->position;
-    coordinator_propose_ordered(coordinator, db, database);
     coordinator_propose_candidate(coordinator, db, database,
                                   CK_CHANGE_PROMOTION);
 }
@@ -805,9 +720,6 @@
                        outcome_get_name(outcome));
     db->is_order_refused = outcome == OUTCOME_NOT_RUN;
     db->may_be_superseded = db->may_be_superseded || !db->is_order_refused;
-    if (db->is_order_refused) {
-        coordinator_propose_refused(coordinator, db, database);
-    }
     // Its last call may have been sent just now.
     db->ordered_us = coordinator->now_us;
     coordinator_restart_collection(coordinator, db);
--- a/src/catkingrade/decide/coordinator/coordinator_private.h
+++ b/src/catkingrade/decide/coordinator/coordinator_private.h
@@ -220,7 +220,6 @@
     bool is_operator_approved;   // an operator accepts an incomplete target
     bool is_incomplete_recorded; // "promotion_waits" is recorded
     bool is_order_refused;       // the last order was answered as not run
-    bool is_first_order;         // no earlier order may promote the candidate
     char *target;           // upstream to promote; NULL: the most advanced
     uint64_t command_token; // command to reply to; 0: none
     int candidate_index;    // index of the next primary
--- a/src/catkingrade/decide/group/group.c
+++ b/src/catkingrade/decide/group/group.c
@@ -38,7 +38,6 @@
     codec_free((xdrproc_t)xdr_ck_packed_declaration, &object->declaration);
     codec_free((xdrproc_t)xdr_ck_primary_change, &object->promotion);
     codec_free((xdrproc_t)xdr_ck_history, &object->history);
-    codec_free((xdrproc_t)xdr_ck_orders, &object->orders);
     free(object);
 }
 
@@ -375,12 +374,6 @@
     case CK_CHANGE_PROMOTED:
         group_apply_promoted(group, &change->ck_change_u.promoted, result);
         break;
-    case CK_CHANGE_ORDERED:
-        group_apply_ordered(group, &change->ck_change_u.order, result);
-        break;
-    case CK_CHANGE_ORDER_REFUSED:
-        group_apply_order_refused(group, &change->ck_change_u.order, result);
-        break;
     case CK_CHANGE_DECLARATION:
         group_apply_declaration(group, &change->ck_change_u.declaration,
                                 result);
--- a/src/catkingrade/decide/group/group.h
+++ b/src/catkingrade/decide/group/group.h
@@ -112,8 +112,6 @@
 group_find_promotion(const struct group_state *group, const char *database);
 const struct ck_history *group_find_history(const struct group_state *group,
                                             const char *database);
-const struct ck_orders *group_find_orders(const struct group_state *group,
-                                          const char *database);
 const struct ck_customer *group_find_customer(const struct group_state *group,
                                               const char *name);
 const struct ck_customer *
--- a/src/catkingrade/decide/group/group_private.h
+++ b/src/catkingrade/decide/group/group_private.h
@@ -21,7 +21,6 @@
     GROUP_DECLARATION = 'S',     // at most one, GROUP_DECLARATION_NAME
     GROUP_PROMOTION = 'P',       // by database, until its term begins
     GROUP_HISTORY = 'H',         // by database, from its first promotion on
-    GROUP_ORDERS = 'O',          // by database, until its next term begins
     GROUP_UPSTREAM = 'U',        // upstream name -> object of its database
     GROUP_ADDRESS = 'A',         // "host:port" -> object of the database
     GROUP_LISTED_DATABASE = 'L', // database name -> customer listing it
@@ -48,7 +47,6 @@
     bool refuses_keys;  // GROUP_DECLARATION, see ck_declaration_in_force
     struct ck_primary_change promotion;
     struct ck_history history;
-    struct ck_orders orders;
     bool declared; // GROUP_CUSTOMER made by a declaration; empty document
 };
 
@@ -168,23 +166,11 @@
 void group_apply_primary(struct group_state *group,
                          const struct ck_primary_change *change,
                          struct group_result *result);
-void group_apply_promotion(struct group_state *group,
-                           const struct ck_primary_change *change,
-                           struct group_result *result);
-struct group_object *
-group_find_declared_database(const struct group_state *group, const char *name,
-                             struct group_result *result);
-
-// group_history.c: promotions that have taken effect, or may do so.
 void group_apply_promoted(struct group_state *group,
                           const struct ck_promoted_change *change,
                           struct group_result *result);
-void group_apply_ordered(struct group_state *group,
-                         const struct ck_order_change *change,
-                         struct group_result *result);
-void group_apply_order_refused(struct group_state *group,
-                               const struct ck_order_change *change,
-                               struct group_result *result);
-void group_end_orders(struct group_state *group, const char *database);
+void group_apply_promotion(struct group_state *group,
+                           const struct ck_primary_change *change,
+                           struct group_result *result);
 
 #endif
--- a/src/catkingrade/decide/group/group_routing.c
+++ b/src/catkingrade/decide/group/group_routing.c
@@ -345,7 +345,7 @@
 
 // Returns the database that a change names. Returns NULL, with the result set,
 // if there is none.
-struct group_object *
+static struct group_object *
 group_find_declared_database(const struct group_state *group, const char *name,
                              struct group_result *result)
 {
@@ -456,6 +456,59 @@
     return object == NULL ? NULL : &object->promotion;
 }
 
+// Adds a promotion to a history, and drops the oldest one if there are too
+// many. A term that has begun anew replaces itself and later ones.
+static void
+group_add_begin(struct ck_history *history, const struct ck_position *begin)
+{
+    struct ck_position *begins = history->begins.begins_val;
+    u_int count = history->begins.begins_len;
+
+    while (count > 0 && begins[count - 1].timeline >= begin->timeline) {
+        count--;
+    }
+    if (count == CK_HISTORY_SIZE) {
+        count--;
+        memmove(begins, begins + 1, count * sizeof(*begins));
+    }
+    begins = xrealloc(begins, (count + 1) * sizeof(*begins));
+    begins[count] = *begin;
+    history->begins.begins_val = begins;
+    history->begins.begins_len = count + 1;
+}
+
+// Records that a promotion has taken effect.
+void
+group_apply_promoted(struct group_state *group,
+                     const struct ck_promoted_change *change,
+                     struct group_result *result)
+{
+    const struct group_object *database =
+        group_find_declared_database(group, change->database, result);
+
+    if (database == NULL) {
+        return;
+    }
+    struct group_object *object =
+        group_find(group, GROUP_HISTORY, change->database);
+    if (object == NULL) {
+        object = group_add(group, GROUP_HISTORY, change->database);
+    }
+    group_add_begin(&object->history, &change->begin);
+    group_result_set_text(result, OUTCOME_OK, group->revision, "recorded");
+}
+
+// Returns the promotions of a database that have taken effect, or NULL. They
+// are borrowed until the next change.
+const struct ck_history *
+group_find_history(const struct group_state *group, const char *database)
+{
+    const struct group_object *object =
+        group_find(group, GROUP_HISTORY, database);
+
+    return object == NULL ? NULL : &object->history;
+}
+
 static void
 group_end_promotion(struct group_state *group, const char *database)
 {
@@ -464,7 +517,6 @@
     if (object != NULL) {
         group_delete(group, object);
     }
-    group_end_orders(group, database);
 }
 
 // Starts a new term of a database with its primary. The previous term must
--- a/src/catkingrade/decide/group/group_snapshot.c
+++ b/src/catkingrade/decide/group/group_snapshot.c
@@ -91,9 +91,6 @@
     case GROUP_HISTORY:
         group_append_xdr(out, (xdrproc_t)xdr_ck_history, &object->history);
         break;
-    case GROUP_ORDERS:
-        group_append_xdr(out, (xdrproc_t)xdr_ck_orders, &object->orders);
-        break;
     default:
         group_append_xdr(out, (xdrproc_t)xdr_ck_database, &object->database);
         break;
@@ -231,7 +228,7 @@
     bool known = kind == GROUP_TEMPLATE || kind == GROUP_CUSTOMER ||
                  kind == GROUP_DAEMON || kind == GROUP_DATABASE ||
                  kind == GROUP_DECLARATION || kind == GROUP_PROMOTION ||
-                 kind == GROUP_HISTORY || kind == GROUP_ORDERS;
+                 kind == GROUP_HISTORY;
 
     if (reader->failed || !known || group_find(group, kind, name) != NULL) {
         reader->failed = true;
@@ -269,9 +266,6 @@
     else if (kind == GROUP_HISTORY) {
         group_read_xdr(reader, (xdrproc_t)xdr_ck_history, &object->history);
     }
-    else if (kind == GROUP_ORDERS) {
-        group_read_xdr(reader, (xdrproc_t)xdr_ck_orders, &object->orders);
-    }
     else {
         group_read_xdr(reader, (xdrproc_t)xdr_ck_database, &object->database);
         group->databases_count += removed ? 0 : 1;
--- a/src/catkingrade/rpc/messages.h
+++ b/src/catkingrade/rpc/messages.h
@@ -48,20 +48,6 @@
 };
 typedef struct ck_history ck_history;
 
-struct ck_order {
-	ck_name upstream;
-	ck_position begin;
-};
-typedef struct ck_order ck_order;
-
-struct ck_orders {
-	struct {
-		u_int orders_len;
-		ck_order *orders_val;
-	} orders;
-};
-typedef struct ck_orders ck_orders;
-
 enum ck_upstream_state {
 	CK_UPSTREAM_READY = 0,
 	CK_UPSTREAM_LEAVING = 1,
@@ -455,8 +441,6 @@
 	CK_CHANGE_DECLARATION = 12,
 	CK_CHANGE_PROMOTION = 13,
 	CK_CHANGE_PROMOTED = 14,
-	CK_CHANGE_ORDERED = 15,
-	CK_CHANGE_ORDER_REFUSED = 16,
 };
 typedef enum ck_change_kind ck_change_kind;
 
@@ -494,12 +478,6 @@
 };
 typedef struct ck_promoted_change ck_promoted_change;
 
-struct ck_order_change {
-	ck_name database;
-	ck_order order;
-};
-typedef struct ck_order_change ck_order_change;
-
 struct ck_voter {
 	u_quad_t id;
 	ck_name vm;
@@ -528,7 +506,6 @@
 		ck_supersede_change supersede;
 		ck_primary_change primary;
 		ck_promoted_change promoted;
-		ck_order_change order;
 		ck_voters_change voters;
 		ck_packed_declaration declaration;
 	} ck_change_u;
@@ -873,8 +850,6 @@
 extern  bool_t xdr_ck_text (XDR *, ck_text*);
 extern  bool_t xdr_ck_position (XDR *, ck_position*);
 extern  bool_t xdr_ck_history (XDR *, ck_history*);
-extern  bool_t xdr_ck_order (XDR *, ck_order*);
-extern  bool_t xdr_ck_orders (XDR *, ck_orders*);
 extern  bool_t xdr_ck_upstream_state (XDR *, ck_upstream_state*);
 extern  bool_t xdr_ck_upstream (XDR *, ck_upstream*);
 extern  bool_t xdr_ck_database (XDR *, ck_database*);
@@ -912,7 +887,6 @@
 extern  bool_t xdr_ck_supersede_change (XDR *, ck_supersede_change*);
 extern  bool_t xdr_ck_primary_change (XDR *, ck_primary_change*);
 extern  bool_t xdr_ck_promoted_change (XDR *, ck_promoted_change*);
-extern  bool_t xdr_ck_order_change (XDR *, ck_order_change*);
 extern  bool_t xdr_ck_voter (XDR *, ck_voter*);
 extern  bool_t xdr_ck_voters_change (XDR *, ck_voters_change*);
 extern  bool_t xdr_ck_change (XDR *, ck_change*);
@@ -950,8 +924,6 @@
 extern bool_t xdr_ck_text ();
 extern bool_t xdr_ck_position ();
 extern bool_t xdr_ck_history ();
-extern bool_t xdr_ck_order ();
-extern bool_t xdr_ck_orders ();
 extern bool_t xdr_ck_upstream_state ();
 extern bool_t xdr_ck_upstream ();
 extern bool_t xdr_ck_database ();
@@ -989,7 +961,6 @@
 extern bool_t xdr_ck_supersede_change ();
 extern bool_t xdr_ck_primary_change ();
 extern bool_t xdr_ck_promoted_change ();
-extern bool_t xdr_ck_order_change ();
 extern bool_t xdr_ck_voter ();
 extern bool_t xdr_ck_voters_change ();
 extern bool_t xdr_ck_change ();
--- a/src/catkingrade/rpc/messages.x
+++ b/src/catkingrade/rpc/messages.x
@@ -41,19 +41,6 @@
     ck_position begins<CK_HISTORY_SIZE>;
 };
 
-/*
- * The promotion of an upstream that was ordered and may take effect: begin is
- * the earliest point at which its term may begin, as in ck_history.
- */
-struct ck_order {
-    ck_name upstream;
-    ck_position begin;
-};
-
-struct ck_orders {
-    ck_order orders<CK_HISTORY_SIZE>;
-};
-
 enum ck_upstream_state {
     CK_UPSTREAM_READY = 0,
     CK_UPSTREAM_LEAVING = 1,
@@ -389,9 +376,7 @@
     CK_CHANGE_VOTERS = 11,
     CK_CHANGE_DECLARATION = 12,
     CK_CHANGE_PROMOTION = 13,
-    CK_CHANGE_PROMOTED = 14,
-    CK_CHANGE_ORDERED = 15,
-    CK_CHANGE_ORDER_REFUSED = 16
+    CK_CHANGE_PROMOTED = 14
 };
 
 /* A template or a customer: a JSON document that was already validated. */
@@ -430,15 +415,6 @@
     ck_position begin;              /* as in ck_history */
 };
 
-/*
- * A promotion is about to be ordered (ORDERED), or won't take effect since the
- * order was refused (ORDER_REFUSED).
- */
-struct ck_order_change {
-    ck_name database;
-    ck_order order;
-};
-
 struct ck_voter {
     unsigned hyper id;              /* never reused after a removal */
     ck_name vm;
@@ -474,9 +450,6 @@
     ck_primary_change primary;
 case CK_CHANGE_PROMOTED:
     ck_promoted_change promoted;
-case CK_CHANGE_ORDERED:
-case CK_CHANGE_ORDER_REFUSED:
-    ck_order_change order;
 case CK_CHANGE_VOTERS:
     ck_voters_change voters;
 case CK_CHANGE_DECLARATION:
--- a/src/catkingrade/rpc/messages_xdr.c
+++ b/src/catkingrade/rpc/messages_xdr.c
@@ -58,29 +58,6 @@
 	return TRUE;
 }
 
-bool_t
-xdr_ck_order (XDR *xdrs, ck_order *objp)
-{
-	register int32_t *buf;
-
-	 if (!xdr_ck_name (xdrs, &objp->upstream))
-		 return FALSE;
-	 if (!xdr_ck_position (xdrs, &objp->begin))
-		 return FALSE;
-	return TRUE;
-}
-
-bool_t
-xdr_ck_orders (XDR *xdrs, ck_orders *objp)
-{
-	register int32_t *buf;
-
-	 if (!xdr_array (xdrs, (char **)&objp->orders.orders_val, (u_int *) &objp->orders.orders_len, CK_HISTORY_SIZE,
-		sizeof (ck_order), (xdrproc_t) xdr_ck_order))
-		 return FALSE;
-	return TRUE;
-}
-
 bool_t
 xdr_ck_upstream_state (XDR *xdrs, ck_upstream_state *objp)
 {
@@ -1156,18 +1133,6 @@
 	return TRUE;
 }
 
-bool_t
-xdr_ck_order_change (XDR *xdrs, ck_order_change *objp)
-{
-	register int32_t *buf;
-
-	 if (!xdr_ck_name (xdrs, &objp->database))
-		 return FALSE;
-	 if (!xdr_ck_order (xdrs, &objp->order))
-		 return FALSE;
-	return TRUE;
-}
-
 bool_t
 xdr_ck_voter (XDR *xdrs, ck_voter *objp)
 {
@@ -1243,11 +1208,6 @@
 		 if (!xdr_ck_promoted_change (xdrs, &objp->ck_change_u.promoted))
 			 return FALSE;
 		break;
-	case CK_CHANGE_ORDERED:
-	case CK_CHANGE_ORDER_REFUSED:
-		 if (!xdr_ck_order_change (xdrs, &objp->ck_change_u.order))
-			 return FALSE;
-		break;
 	case CK_CHANGE_VOTERS:
 		 if (!xdr_ck_voters_change (xdrs, &objp->ck_change_u.voters))
 			 return FALSE;
