--- a/test/rig/promotion_rig.c
+++ b/test/rig/promotion_rig.c
@@ -48,6 +48,10 @@
                                   action->payload.data,
                                   action->payload.size_bytes, &payload),
                      OUTCOME_OK);
+    if (rig->loses_promotions && payload.change.kind == CK_CHANGE_PROMOTION) {
+        codec_free((xdrproc_t)xdr_ck_log_payload, &payload);
+        return;
+    }
     group_apply_payload(rig->group, group_get_applied_index(rig->group) + 1,
                         &payload, &result);
     event.token = action->token;
@@ -57,6 +61,19 @@
     codec_free((xdrproc_t)xdr_ck_log_payload, &payload);
 }
 
+// Fills in the term that an upstream counts and its last write.
+static void
+promotion_rig_say_term(const struct promotion_rig *rig,
+                       const struct promotion_rig_upstream *upstream,
+                       struct coordinator_probe *probe)
+{
+    if (rig->counts_terms) {
+        probe->term = upstream->timeline;
+        probe->last_write.timeline = upstream->written;
+        probe->last_write.lsn = upstream->lsn;
+    }
+}
+
 // Answers FENCE and FOLLOW orders. A fence ends the upstream's claim
 // to be the primary.
 static void
@@ -67,8 +84,10 @@
     struct coordinator_event event = {.kind = kind};
 
     event.done.upstream = name;
-    event.done.outcome = upstream->is_silent ? OUTCOME_TIMEOUT : OUTCOME_OK;
-    if (kind == COORDINATOR_EVENT_FENCED && !upstream->is_silent) {
+    event.done.outcome =
+        upstream->is_silent || upstream->is_cut ? OUTCOME_TIMEOUT : OUTCOME_OK;
+    if (kind == COORDINATOR_EVENT_FENCED && !upstream->is_silent &&
+        !upstream->is_cut) {
         rig->fences_count += upstream->is_primary ? 1 : 0;
         upstream->is_primary = upstream->is_primary && rig->fences_only;
     }
@@ -85,6 +104,7 @@
     event.probe.is_primary = true;
     event.probe.position.timeline = upstream->timeline;
     event.probe.position.lsn = upstream->lsn;
+    promotion_rig_say_term(rig, upstream, &event.probe);
     promotion_rig_step(rig, &event);
 }
 
@@ -209,7 +229,7 @@
 
     upstream->is_probed = false;
     event.probe.upstream = upstream->name;
-    if (upstream->is_silent) {
+    if (upstream->is_silent || upstream->is_cut) {
         event.kind = COORDINATOR_EVENT_PROBE_FAILED;
     }
     else if (upstream->is_busy) {
@@ -223,6 +243,7 @@
                                                     : upstream->is_primary;
         event.probe.position.timeline = upstream->timeline;
         event.probe.position.lsn = upstream->lsn;
+        promotion_rig_say_term(rig, upstream, &event.probe);
     }
     promotion_rig_step(rig, &event);
 }
@@ -358,6 +379,7 @@
         struct promotion_rig_upstream *upstream = &rig->upstreams[i];
         (void)snprintf(upstream->name, sizeof(upstream->name), "u%zu", i);
         upstream->timeline = 1;
+        upstream->written = 1;
         upstream->lsn = 50;
         struct ck_upstream announced = changes_make_upstream(
             upstream->name, DATABASE, "noord", upstream->name);
--- a/test/rig/promotion_rig.h
+++ b/test/rig/promotion_rig.h
@@ -19,9 +19,11 @@
     char name[8];
     uint64_t timeline;
     uint64_t lsn;
+    uint64_t written;    // term of the last write, with counts_terms
     bool is_primary;     // as it sees itself
     bool is_silent;      // answers nothing, and hears of no other primary
     bool is_busy;        // rejects probes as overloaded
+    bool is_cut;         // its heartbeats arrive, probes and orders fail
     bool is_probed;      // a probe waits for its answer
     bool probed_primary; // is_primary when the probe was sent
     int64_t probed_us;
@@ -36,18 +38,20 @@
     uint64_t leader_term;
     uint64_t declared_version;
     struct promotion_rig_upstream upstreams[PROMOTION_RIG_UPSTREAMS];
-    int64_t promotion_us; // from the order of a promotion to its effect
-    int64_t answer_us;    // from the answer to a probe to its arrival
-    int64_t fence_us;     // from a FENCE order to its effect
-    size_t orders_count;  // promotions ordered
-    size_t fences_count;  // FENCE orders at upstreams that claimed to be one
-    char ordered[8];      // upstream whose promotion was ordered last
-    size_t promoted;      // index of the upstream that was promoted last
-    size_t split_count;   // steps in which another one was in force
-    bool loses_proposals; // the log takes no more changes
-    bool fails_orders;    // an order is reported as failed, and takes effect
-    bool refuses_orders;  // an order is answered as not run, and is not
-    bool fences_only;     // a fenced upstream still claims to be the primary
+    int64_t promotion_us;  // from the order of a promotion to its effect
+    int64_t answer_us;     // from the answer to a probe to its arrival
+    int64_t fence_us;      // from a FENCE order to its effect
+    size_t orders_count;   // promotions ordered
+    size_t fences_count;   // FENCE orders at upstreams that claimed to be one
+    char ordered[8];       // upstream whose promotion was ordered last
+    size_t promoted;       // index of the upstream that was promoted last
+    size_t split_count;    // steps in which another one was in force
+    bool loses_proposals;  // the log takes no more changes
+    bool loses_promotions; // the log takes no CK_CHANGE_PROMOTION
+    bool fails_orders;     // an order is reported as failed, and takes effect
+    bool refuses_orders;   // an order is answered as not run, and is not
+    bool counts_terms;     // upstreams say their term and last write
+    bool fences_only;      // a fenced upstream still claims to be the primary
 };
 
 // Creates the database with one primary and two replicas, of which `confirm`
