Review: show a late DELETE that withdraws a running backend (case 13)

DELETE carries no incarnation. One that a frozen control daemon reads after it wakes withdraws the process that has started under the id since. With syncReplicas 1 that replica is removed from the members after 60 s, while the primary still counts it as a holder of commits; after a crash of the primary the other replica is promoted without acknowledged commits.

Tried: a script with 3 control daemons, 2 entries and stand-ins, on loopback addresses.

--- a/review/12/run.sh
+++ b/review/12/run.sh
@@ -9,7 +9,7 @@
     echo "build target/ and run review/build-3.sh first" >&2
     exit 2
 fi
-timeout -k 2 100 "$program" "$folder"
+timeout -k 2 115 "$program" "$folder"
 status=$?
 [ "$status" -le 1 ] || status=2
 exit "$status"
--- a/review/common-3/stand.c
+++ b/review/common-3/stand.c
@@ -786,11 +786,12 @@
         (void)snprintf(
             body, sizeof(body),
             "{\"service\":\"%s\",\"addr\":\"%s:%d\",\"zone\":\"%s\","
-            "\"version\":\"v1\",\"slots\":5,\"state\":\"ready\","
+            "\"version\":\"v1\",\"slots\":5,\"state\":\"%s\","
             "\"coldLeftMs\":0,\"dbRole\":\"%s\",\"seq\":%" PRIu64
             ",\"born\":%" PRId64 "}",
             stand.service, backend->ip, stand.port_base + PORT_FRONT,
-            backend->zone, backend->is_primary ? "primary" : "replica",
+            backend->zone, backend->is_draining ? "draining" : "ready",
+            backend->is_primary ? "primary" : "replica",
             ++backend->sequence, backend->born_ms);
         stand_unlock();
         (void)snprintf(path, sizeof(path), "/v1/instances/%s", backend->id);
@@ -843,6 +844,18 @@
     stand_record("backend %s ends", backend->id);
 }
 
+void
+stand_add_backend(struct stand_backend *backend)
+{
+    stand_lock();
+    backend->born_ms = get_wall_ms();
+    listen_backend(backend);
+    backend->is_down = false;
+    stand_unlock();
+    start_thread(beat, backend);
+    stand_record("backend %s starts for the first time", backend->id);
+}
+
 void
 stand_restart_backend(struct stand_backend *backend, bool keeps_log)
 {
@@ -856,6 +869,7 @@
         backend->is_primary = false;
     }
     backend->sequence = 0;
+    backend->is_draining = false;
     backend->born_ms = get_wall_ms();
     listen_backend(backend);
     backend->is_down = false;
@@ -864,6 +878,72 @@
                  backend->id, keeps_log ? "with" : "without");
 }
 
+void
+stand_drain_backend(struct stand_backend *backend)
+{
+    stand_lock();
+    backend->is_draining = true;
+    stand_unlock();
+    send_heartbeat(backend);
+    stand_record("backend %s reports that it drains", backend->id);
+}
+
+void
+stand_withdraw_backend(struct stand_backend *backend, int daemon)
+{
+    char path[128];
+    char ip[32];
+
+    (void)snprintf(path, sizeof(path), "/v1/instances/%s", backend->id);
+    for (int i = 0; i < STAND_CONTROLS; i++) {
+        int index = (daemon + i) % STAND_CONTROLS;
+        format_ip(ip, 1, index);
+        int status =
+            call_http(ip, stand.port_base + PORT_HTTP, "DELETE", path, "");
+        stand_record("DELETE %s to core-%d: status %d", path, index, status);
+        if (status == 200) {
+            return;
+        }
+    }
+}
+
+void
+stand_freeze_control(int index)
+{
+    (void)kill(stand.controls[index], SIGSTOP);
+    stand_record("core-%d freezes", index);
+}
+
+void
+stand_thaw_control(int index)
+{
+    (void)kill(stand.controls[index], SIGCONT);
+    stand_record("core-%d wakes again", index);
+}
+
+bool
+stand_control_logged(const char *text)
+{
+    bool found = false;
+
+    for (int i = 0; i < STAND_CONTROLS; i++) {
+        char path[320];
+        char *line = NULL;
+        size_t size = 0;
+        (void)snprintf(path, sizeof(path), "%.200s/control%d.log",
+                       stand.folder, i);
+        FILE *file = fopen(path, "r");
+        while (file != NULL && getline(&line, &size, file) > 0) {
+            found = found || strstr(line, text) != NULL;
+        }
+        free(line);
+        if (file != NULL) {
+            (void)fclose(file);
+        }
+    }
+    return found;
+}
+
 void
 stand_record_backends(const char *when)
 {
@@ -1111,7 +1191,7 @@
             stand.requests[request].is_served = true;
             stand_unlock();
         }
-        stand_sleep_ms(is_signed ? 10 : 50);
+        stand_sleep_ms(is_signed ? stand.pause_ms : 50);
     }
 }
 
@@ -1194,9 +1274,12 @@
         backend->is_primary = i == 0;
         backend->term = FIRST_LOG_TERM;
         backend->receive_batch = SIZE_MAX;
-        backend->born_ms = get_wall_ms();
-        listen_backend(backend);
-        start_thread(beat, backend);
+        backend->is_down = i >= STAND_FIRST;
+        if (i < STAND_FIRST) {
+            backend->born_ms = get_wall_ms();
+            listen_backend(backend);
+            start_thread(beat, backend);
+        }
     }
     start_thread(replicate, NULL);
 }
@@ -1269,6 +1352,7 @@
     (void)snprintf(stand.service, sizeof(stand.service), "huvo11a");
     (void)snprintf(stand.database, sizeof(stand.database), "lepu270");
     stand.sync_replicas = sync_replicas;
+    stand.pause_ms = 10;
     find_ports();
     format_ip(ip, 9, 0);
     platform = open_listener(ip, stand.port_base + PORT_HTTP);
--- a/review/common-3/stand.h
+++ b/review/common-3/stand.h
@@ -12,7 +12,8 @@
 // what PROTOCOL.md says. Daemons are started as separate processes, with the
 // templates of deploy/ filled in, each on a loopback address of its own.
 
-#define STAND_BACKENDS 3
+#define STAND_BACKENDS 4
+#define STAND_FIRST    3 // backends that run from the start on
 #define STAND_CONTROLS 3
 #define STAND_ENTRIES  2
 #define STAND_ID_SIZE  48
@@ -36,6 +37,7 @@
     size_t log_count;
     size_t log_capacity;
     bool is_down;
+    bool is_draining;     // as it reports itself
     bool is_deaf;         // a replica that receives nothing
     size_t receive_batch; // writes that a replica receives each 10 ms
     int64_t born_ms;
@@ -63,6 +65,7 @@
     char service[24];
     char database[24];
     int sync_replicas;
+    int pause_ms; // of a client after each write
     int subnet; // second byte of the loopback addresses
     int port_base;
     struct stand_backend backends[STAND_BACKENDS];
@@ -110,8 +113,20 @@
 
 // A backend's process ends: its connections break and its port is closed.
 void stand_crash_backend(struct stand_backend *backend);
+// A backend that is not one of the first ones starts, with an empty log.
+void stand_add_backend(struct stand_backend *backend);
 // It starts again under its id and address. keeps_log: with its log.
 void stand_restart_backend(struct stand_backend *backend, bool keeps_log);
+// It reports at once that it drains, until a daemon acknowledges that.
+void stand_drain_backend(struct stand_backend *backend);
+// Sends DELETE to the daemons that serve control, in turn from the one with
+// this index on, until one acknowledges it.
+void stand_withdraw_backend(struct stand_backend *backend, int daemon);
+// Stops or continues the process of a core machine.
+void stand_freeze_control(int index);
+void stand_thaw_control(int index);
+// Returns whether a log of a core machine's process contains a text.
+bool stand_control_logged(const char *text);
 void stand_record_backends(const char *when);
 size_t stand_count_acks(void);
 struct stand_backend *stand_find_primary(void);
