Review: number the cases by gravity

The late DELETE loses acknowledged writes and is case 12 now; the service that stays refused after a recovery is case 13. Only the folders were swapped.

--- a/review/12/case.c
+++ b/review/12/case.c
@@ -1,6 +1,7 @@
-// Writes with syncReplicas 1. After the final fault, of the core, one replica
-// receives nothing for a while and the primary crashes. Then all is back, and
-// no write is served any more. See claim.txt.
+// Writes with syncReplicas 1. A replica is restarted as planned while one core
+// machine freezes, so that a DELETE of the earlier process arrives late. Later
+// the other replica receives nothing for a while, and the primary crashes. See
+// claim.txt.
 
 #include <stdlib.h>
 #include <string.h>
@@ -8,14 +9,12 @@
 
 #include "stand.h"
 
-#define DEAF_MS       6500  // largest dose of replica_lag deaf in the site files
-#define CRASHED_MS    7000  // largest dose of srv_crash primary
-#define CORE_DOWN_MS  1600  // down_s of wipe_after_ack in the site files
-#define TOLERATED     1     // faultTolerance
-#define CRASH_AT_MS   3000
-#define RECOVERY_MS   12000 // recoveryS
-#define MEASURED_MS   25000
-#define SERVED_LEAST  4 // a quarter
+#define DRAIN_MS      7200 // drainMs and a little longer
+#define FREEZE_MS     6000 // node_freeze has for_s up to 6.9
+#define RETENTION_MS  60000
+#define DEAF_MS       6500 // largest dose of replica_lag deaf
+#define CRASHED_MS    7000 // largest dose of srv_crash primary
+#define DEAF_BEFORE_MS 2000
 
 int
 main(int argc, char **argv)
@@ -23,56 +22,66 @@
     const char *trouble = getenv("TROUBLE");
     bool is_disturbed = trouble == NULL || strcmp(trouble, "0") != 0;
     struct stand_backend *primary = &stand.backends[0];
+    struct stand_backend *restarted = &stand.backends[1];
     struct stand_backend *deaf = &stand.backends[2];
-    size_t sent = 0;
-    size_t served = 0;
+    int frozen = restarted->index + 1; // the first daemon that it calls
 
     stand_start(argc > 1 ? argv[1] : ".", 1);
+    stand.pause_ms = 100;
     stand_start_writers(4);
-    int64_t begin_us = stand_now_us();
-    stand_sleep_ms(4000);
-    stand_put_config(2);
-    stand_count_requests(begin_us, stand_now_us(), &sent, &served);
-    stand_record("before the final fault: %zu of %zu requests served", served,
-                 sent);
-    if (sent < 40 || served * SERVED_LEAST < sent) {
-        stand_give_up("too few requests were served before");
+    stand_sleep_ms(2000);
+    if (stand_count_acks() < 20) {
+        stand_give_up("too few writes were served");
+    }
+    // The restart is planned work, and takes place in any case.
+    stand_drain_backend(restarted);
+    stand_sleep_ms(DRAIN_MS);
+    if (is_disturbed) {
+        stand_freeze_control(frozen);
+        stand_sleep_ms(300);
+    }
+    stand_withdraw_backend(restarted, frozen);
+    stand_crash_backend(restarted);
+    stand_sleep_ms(500);
+    stand_restart_backend(restarted, false);
+    stand_sleep_ms(FREEZE_MS - 1900);
+    if (is_disturbed) {
+        stand_thaw_control(frozen);
     }
+    stand_sleep_ms(RETENTION_MS + 5000);
+    stand_record("the restarted replica was removed from the members: %d",
+                 stand_control_logged("upstream_removed"));
+    stand_record_backends("before the second disruption");
+    size_t before = stand_count_acks();
     if (is_disturbed) {
-        stand_kill_controls();
         stand_record("backend %s receives nothing from now on", deaf->id);
         deaf->is_deaf = true;
     }
-    stand_sleep_ms(CORE_DOWN_MS);
-    if (is_disturbed) {
-        stand_restart_controls(TOLERATED);
+    stand_sleep_ms(DEAF_BEFORE_MS);
+    if (stand_count_acks() < before + 20) {
+        stand_give_up("too few writes were served");
     }
-    stand_sleep_ms(CRASH_AT_MS - CORE_DOWN_MS);
     if (is_disturbed) {
         stand_crash_backend(primary);
+        stand_record_backends("as the primary crashes");
     }
-    stand_sleep_ms(DEAF_MS - CRASH_AT_MS);
+    stand_sleep_ms(DEAF_MS - DEAF_BEFORE_MS);
     deaf->is_deaf = false;
-    stand_record("backend %s receives again", deaf->id);
-    stand_sleep_ms(CRASH_AT_MS + CRASHED_MS - DEAF_MS);
+    stand_sleep_ms(DEAF_BEFORE_MS + CRASHED_MS - DEAF_MS);
     if (is_disturbed) {
         stand_restart_backend(primary, true);
     }
-    stand_record("all machines and backends are back");
-    stand_sleep_ms(RECOVERY_MS);
-    int64_t from_us = stand_now_us();
-    stand_sleep_ms(MEASURED_MS);
-    stand_count_requests(from_us, stand_now_us() - 3000000, &sent, &served);
-    stand_record_backends("after");
-    stand_record("later than recoveryS after all are back: %zu of %zu "
-                 "requests served",
-                 served, sent);
+    stand_sleep_ms(4000);
     stand_lock();
     stand.is_stopping = true;
+    stand_unlock();
+    stand_sleep_ms(300);
+    stand_record_backends("after");
+    stand_lock();
     stand_record("%zu promotions, %zu acknowledged writes, %zu missing in a "
                  "promoted log",
                  stand.promotions, stand.acks_count, stand.missing);
-    bool is_broken = sent > 0 && served * SERVED_LEAST < sent;
+    bool is_broken = stand.missing > 0;
     stand_stop();
-    _exit(sent == 0 ? 2 : is_broken ? 1 : 0);
+    _exit(is_broken ? 1 : 0);
 }
